--- /dev/null
+++ b/bluebellpitch/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: their requests, and the answers they get."""
--- /dev/null
+++ b/bluebellpitch/callers/answers.py
@@ -0,0 +1,79 @@
+"""Answers to callers that are not a model's or a service's own: errors with a verdict."""
+
+import msgspec
+
+from bluebellpitch.errors import BadRequestError
+from bluebellpitch.http1 import Headers, ServerConnection
+from bluebellpitch.verdicts import DidNotRun, MayHaveRun
+
+REQUEST_ID_HEADER = "X-Request-Id"
+VERDICT_HEADER = "X-Bluebellpitch-Verdict"
+VM_HEADER = "X-Bluebellpitch-Vm"
+ENDPOINT_HEADER = "X-Bluebellpitch-Endpoint"
+REPLAYED_HEADER = "X-Bluebellpitch-Replayed"
+
+
+class ErrorDetail(msgspec.Struct, frozen=True):
+    """The part that OpenAI clients show."""
+
+    message: str
+    type: str
+    code: str
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """The JSON body of a refusal."""
+
+    error: ErrorDetail
+    verdict: str
+    reason: str
+    request_id: str
+
+
+def describe_verdict(verdict: DidNotRun | MayHaveRun, request_id: str, message: str = "") -> bytes:
+    """Returns the JSON body that explains a verdict."""
+    text = message or f"{verdict.reason.replace('_', ' ')}; the request {verdict.name}"
+    detail = ErrorDetail(text.replace("did_not_run", "did not run"), verdict.name, verdict.reason)
+    return msgspec.json.encode(ErrorBody(detail, verdict.name, verdict.reason, request_id))
+
+
+def verdict_headers(verdict: DidNotRun | MayHaveRun, request_id: str) -> Headers:
+    """Returns the headers of a refusal."""
+    headers = [
+        ("Content-Type", "application/json"),
+        (REQUEST_ID_HEADER, request_id),
+        (VERDICT_HEADER, verdict.name),
+    ]
+    if verdict.retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, round(verdict.retry_after_s)))))
+    return headers
+
+
+async def answer_verdict(
+    connection: ServerConnection,
+    verdict: DidNotRun | MayHaveRun,
+    request_id: str,
+    message: str = "",
+) -> None:
+    """Sends a refusal with its verdict."""
+    body = describe_verdict(verdict, request_id, message)
+    await connection.respond(verdict.status, verdict_headers(verdict, request_id), body)
+
+
+async def answer_bad_request(
+    connection: ServerConnection, error: BadRequestError, request_id: str = ""
+) -> None:
+    """Sends the refusal of a bad request."""
+    verdict = DidNotRun(error.reason, error.status)
+    headers = verdict_headers(verdict, request_id)
+    if not request_id:
+        headers.append(("Connection", "close"))
+    await connection.respond(
+        error.status, headers, describe_verdict(verdict, request_id, str(error))
+    )
+
+
+async def answer_json(connection: ServerConnection, value: object, status: int = 200) -> None:
+    """Sends a value as JSON."""
+    headers = [("Content-Type", "application/json")]
+    await connection.respond(status, headers, msgspec.json.encode(value))
--- /dev/null
+++ b/bluebellpitch/callers/completions.py
@@ -0,0 +1,335 @@
+"""Serves one completion: seeks a slot, streams, and resumes elsewhere until it is complete."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bluebellpitch.callers import answers
+from bluebellpitch.callers.requests import CompletionJob
+from bluebellpitch.constants import (
+    ATTEMPTS_PER_REQUEST,
+    FIRST_TOKEN_PATIENCE,
+    FIRST_TOKEN_PATIENCE_FLOOR_S,
+    HEDGES_PER_REQUEST,
+    RESUME_PATIENCE_S,
+)
+from bluebellpitch.context import NodeContext
+from bluebellpitch.decisions.strikes import Suspicion
+from bluebellpitch.endpoints.engine import EngineAttempt, Rejected
+from bluebellpitch.endpoints.sse import Usage, count_events, join_text, read_chunks
+from bluebellpitch.errors import GoneError
+from bluebellpitch.events import Kind
+from bluebellpitch.http1 import ServerConnection
+from bluebellpitch.peers.messages import Ask
+from bluebellpitch.roles.seeking import Slot
+from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
+
+FAILED_ENDINGS = ("crashed", "stalled", "unreachable")
+FIRST_STALL_FACTOR = 3.0
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far a completion has come. Times are monotonic seconds."""
+
+    attempt: int = 0
+    failures: int = 0
+    preemptions: int = 0
+    hedges: int = 0
+    dispatched: bool = False
+    tokens: int = 0
+    first_at: float | None = None
+    last_at: float | None = None
+    avoid: tuple[str, ...] = ()
+    parts: list[bytes] = field(default_factory=list)
+
+    def between_s(self) -> float | None:
+        """Returns the mean time between tokens, if there were two."""
+        if self.tokens < 2:
+            return None
+        return (self.last_at - self.first_at) / (self.tokens - 1)
+
+
+class CompletionExchange:
+    """One completion from admission to its complete answer. Owned by the caller's task."""
+
+    def __init__(self, context: NodeContext, connection: ServerConnection, job: CompletionJob):
+        self.context = context
+        self.connection = connection
+        self.job = job
+        self.caller = job.caller
+        self.progress = Progress()
+        self.endpoint = ""
+        self.started = False
+        self.rejected: Rejected | None = None
+
+    def record(self, kind: Kind, endpoint: str = "", detail: str = "") -> None:
+        """Adds an event about this request to the time line."""
+        caller = self.caller
+        self.context.ring.record(
+            kind, caller.request_id, caller.member.name, caller.row.name, endpoint, detail
+        )
+
+    async def run(self) -> Verdict:
+        """Serves the request to its end; returns the verdict that the caller got."""
+        self.record(Kind.ADMITTED, detail=f"pool={self.job.pool.name}")
+        self.context.hedges.earn(self.caller.row.name)
+        try:
+            verdict = await self._serve()
+        except GoneError:
+            self.context.metrics.wasted_tokens.labels(self.caller.row.name).inc(
+                self.progress.tokens
+            )
+            verdict = MayHaveRun("caller_gone", 499)
+        return verdict
+
+    async def _serve(self) -> Verdict:
+        while True:
+            suspicion = self.context.strikes.judge(self.job.fingerprint, self.context.now())
+            if suspicion is Suspicion.REFUSED:
+                return await self._refuse("crashes_endpoints", 422)
+            slot = await self._seek(suspicion)
+            if isinstance(slot, DidNotRun):
+                return await self._refuse(slot.reason, slot.status, slot.retry_after_s)
+            ending = await self._attempt(slot)
+            if ending == "completed":
+                return await self._complete()
+            if self.rejected is not None and ending == "rejected":
+                return await self._pass_rejection()
+            if self.progress.failures >= ATTEMPTS_PER_REQUEST:
+                return await self._refuse("attempts_exhausted", 502)
+
+    async def _seek(self, suspicion: Suspicion) -> Slot | DidNotRun:
+        progress, caller, now = self.progress, self.caller, self.context.now()
+        progress.attempt += 1
+        expires_at = caller.arrived_at + caller.patience_s
+        if progress.dispatched:
+            expires_at = now + RESUME_PATIENCE_S
+        ask = Ask(
+            request=caller.request_id,
+            attempt=progress.attempt,
+            pool=self.job.pool.name,
+            member=caller.member.name,
+            class_name=caller.row.name,
+            age_s=now - caller.arrived_at,
+            patience_s=expires_at - now,
+            prefix=self.job.prefix,
+            avoid=progress.avoid,
+            suspicion=int(suspicion),
+            preemptions=progress.preemptions,
+        )
+        self.record(Kind.QUEUED, detail=f"attempt={progress.attempt}")
+        slot = await self.context.slots.seek(
+            ask, caller.arrived_at, expires_at, self.connection.is_gone
+        )
+        if isinstance(slot, Slot):
+            waited_s = self.context.now() - now
+            self.context.metrics.grant_wait.labels(caller.row.name).observe(waited_s)
+            self.record(Kind.GRANTED, slot.granted.endpoint, f"waited_ms={waited_s * 1000:.1f}")
+        return slot
+
+    async def _attempt(self, slot: Slot) -> str:
+        """Runs one attempt; returns its ending."""
+        context, progress = self.context, self.progress
+        attempt = EngineAttempt(context.connections, slot.granted.address, context.settings.stall_s)
+        slot.preempt = attempt.stop
+        self.endpoint = slot.granted.endpoint
+        self.record(Kind.DISPATCHED, self.endpoint, f"attempt={progress.attempt}")
+        dispatched_at = context.now()
+        tokens_before = progress.tokens
+        ending = "cancelled"
+        try:
+            await self._pump(attempt, slot, dispatched_at)
+            ending = attempt.ending
+        finally:
+            made = progress.tokens - tokens_before
+            first_s = None if made or ending != "late" else context.now() - dispatched_at
+            context.slots.give_back(slot, ending, first_s, progress.between_s() if made else None)
+        self.rejected = attempt.rejected
+        self._account(slot, ending)
+        return ending
+
+    async def _pump(self, attempt: EngineAttempt, slot: Slot, dispatched_at: float) -> None:
+        """Passes events on until the attempt ends."""
+        progress, context = self.progress, self.context
+        body = self._engine_body()
+        region = slot.region
+        seen_first = False
+        events_source = attempt.events(
+            self.job.target, body, self.caller.request_id, self._first_token_patience(slot)
+        )
+        async for events in events_source:
+            now = context.now()
+            if not seen_first:
+                seen_first = True
+                context.slots.saw_first(slot, now - dispatched_at)
+            if progress.first_at is None:
+                progress.first_at = now
+                self.record(Kind.FIRST_TOKEN, slot.granted.endpoint)
+            progress.last_at = now
+            progress.tokens += count_events(events)
+            progress.parts.append(events)
+            slot.between_s = progress.between_s()
+            if context.holder.current.is_far(region):
+                context.metrics.region_bytes.inc(len(events))
+            if self.job.stream:
+                await self._send(events)
+            elif self.connection.is_gone():
+                raise GoneError("the caller closed its connection")
+
+    def _engine_body(self) -> dict:
+        body = {**self.job.fields, "stream": True, "priority": self.caller.row.tier}
+        if not self.job.stream:
+            body["stream_options"] = {"include_usage": True}
+        if self.progress.parts:
+            body["continue_text"] = join_text(b"".join(self.progress.parts))
+            self.record(Kind.RESUMED, self.endpoint, f"tokens={self.progress.tokens}")
+        return body
+
+    def _first_token_patience(self, slot: Slot) -> float:
+        """Returns how long to wait for a first token: short while a hedge may follow."""
+        expected_s = slot.granted.expected_first_s
+        patience_s = self.context.settings.stall_s * FIRST_STALL_FACTOR
+        if not expected_s or self.progress.hedges >= HEDGES_PER_REQUEST:
+            return patience_s
+        if not self.context.hedges.allows(self.caller.row.name):
+            return patience_s
+        short_s = max(FIRST_TOKEN_PATIENCE_FLOOR_S, FIRST_TOKEN_PATIENCE * expected_s)
+        return min(patience_s, short_s)
+
+    async def _send(self, events: bytes) -> None:
+        if not self.started:
+            self.started = True
+            await self.connection.start(200, self._headers("text/event-stream"))
+        await self.connection.send(events)
+
+    def _headers(self, content_type: str) -> list[tuple[str, str]]:
+        return [
+            ("Content-Type", content_type),
+            ("Cache-Control", "no-store"),
+            (answers.REQUEST_ID_HEADER, self.caller.request_id),
+            (answers.VERDICT_HEADER, Ran.name),
+            (answers.VM_HEADER, self.context.settings.vm),
+            (answers.ENDPOINT_HEADER, self.endpoint),
+        ]
+
+    def _account(self, slot: Slot, ending: str) -> None:
+        """Notes what an ending means for the next attempt and for other requests."""
+        progress, endpoint = self.progress, slot.granted.endpoint
+        progress.dispatched |= ending not in ("unreachable", "busy", "rejected")
+        match ending:
+            case "preempted":
+                progress.preemptions += 1
+                self.record(Kind.PREEMPTED, endpoint, slot.preempted_for)
+            case "crashed":
+                progress.failures += 1
+                self._note_strike(endpoint)
+            case "late":
+                progress.hedges += 1
+                self.context.hedges.spend(self.caller.row.name)
+                progress.avoid = (endpoint,)
+                self.record(Kind.RETRIED, endpoint, "no first token in time")
+            case "stalled" | "unreachable" | "busy":
+                progress.failures += 1
+                self.record(Kind.RETRIED, endpoint, ending)
+
+    def _note_strike(self, endpoint: str) -> None:
+        attempt = f"{self.caller.request_id}.{self.progress.attempt}"
+        self.context.tell_strike(self.job.fingerprint, attempt)
+        self.record(Kind.STRIKE, endpoint, "the endpoint died under the request")
+
+    async def _complete(self) -> Verdict:
+        if self.context.strikes.count(self.job.fingerprint, self.context.now()):
+            self.context.tell_cleared(self.job.fingerprint)
+        self._measure()
+        self.record(Kind.COMPLETED, self.endpoint, f"tokens={self.progress.tokens}")
+        if self.job.stream:
+            await self._send(b"data: [DONE]\n\n")
+            await self.connection.end()
+        else:
+            body = assemble(b"".join(self.progress.parts), self.job, self.caller.request_id)
+            await self.connection.respond(200, self._headers("application/json"), body)
+        return Ran()
+
+    def _measure(self) -> None:
+        progress, row, metrics = self.progress, self.caller.row, self.context.metrics
+        metrics.tokens.labels(row.name).inc(progress.tokens)
+        if progress.first_at is None:
+            return
+        first_s = progress.first_at - self.caller.arrived_at
+        between_s = progress.between_s() or 0.0
+        metrics.first_token.labels(row.name).observe(first_s)
+        metrics.between_tokens.labels(row.name).observe(between_s)
+        if first_s <= row.first_token_ms / 1000 and between_s <= row.between_tokens_ms / 1000:
+            metrics.in_target.labels(row.name).inc()
+            metrics.good_tokens.labels(row.name).inc(progress.tokens)
+
+    async def _pass_rejection(self) -> Verdict:
+        """Passes an engine's refusal of a bad request on as it is."""
+        status = self.rejected.status
+        await self.connection.respond(status, self._headers("application/json"), self.rejected.body)
+        return DidNotRun("endpoint_rejected", status)
+
+    async def _refuse(self, reason: str, status: int, retry_after_s=None) -> Verdict:
+        verdict: DidNotRun | MayHaveRun = DidNotRun(reason, status, retry_after_s)
+        if self.progress.dispatched:
+            verdict = MayHaveRun(reason, status, retry_after_s)
+        self.record(Kind.REFUSED, detail=f"{reason} {verdict.name}")
+        if not self.started:
+            await answers.answer_verdict(self.connection, verdict, self.caller.request_id)
+            return verdict
+        error = answers.describe_verdict(verdict, self.caller.request_id)
+        await self.connection.send(b"data: " + error + b"\n\n")
+        await self.connection.end()
+        return verdict
+
+
+class Message(msgspec.Struct, frozen=True):
+    """The message of a whole chat answer."""
+
+    role: str
+    content: str
+
+
+class ChatChoice(msgspec.Struct, frozen=True):
+    """The choice of a whole chat answer."""
+
+    index: int
+    message: Message
+    finish_reason: str
+
+
+class TextChoice(msgspec.Struct, frozen=True):
+    """The choice of a whole completion."""
+
+    index: int
+    text: str
+    finish_reason: str
+
+
+class Whole(msgspec.Struct, frozen=True):
+    """A whole answer, as OpenAI clients read it."""
+
+    id: str
+    object: str
+    created: int
+    model: str
+    choices: tuple
+    usage: Usage
+
+
+def assemble(events: bytes, job: CompletionJob, request_id: str) -> bytes:
+    """Returns a stream's events as one whole answer."""
+    text = join_text(events)
+    usage, finish = Usage(), "stop"
+    for chunk in read_chunks(events):
+        usage = chunk.usage or usage
+        finish = next((c.finish_reason for c in chunk.choices if c.finish_reason), finish)
+    if "chat" in job.target:
+        choice = ChatChoice(0, Message("assistant", text), finish)
+        kind = "chat.completion"
+    else:
+        choice = TextChoice(0, text, finish)
+        kind = "text_completion"
+    whole = Whole(request_id, kind, 0, job.pool.name, (choice,), usage)
+    return msgspec.json.encode(whole)
--- /dev/null
+++ b/bluebellpitch/callers/server.py
@@ -0,0 +1,80 @@
+"""The listener for callers: routes each request and counts how it ended."""
+
+from bluebellpitch.callers import answers
+from bluebellpitch.callers.completions import CompletionExchange
+from bluebellpitch.callers.requests import (
+    COMPLETION_TARGETS,
+    SERVICE_PREFIX,
+    find_member,
+    parse_completion,
+    parse_service,
+)
+from bluebellpitch.callers.services import ServiceExchange
+from bluebellpitch.context import NodeContext
+from bluebellpitch.errors import BadRequestError
+from bluebellpitch.http1 import HttpRequest, HttpServer, ServerConnection
+from bluebellpitch.logs import log
+from bluebellpitch.verdicts import DidNotRun, MayHaveRun
+
+
+class CallerServer:
+    """Serves callers with the parts of this VM."""
+
+    def __init__(self, context: NodeContext):
+        self._context = context
+        self.http = HttpServer(self._handle, answers.answer_bad_request, context.settings.http)
+
+    async def _handle(self, connection: ServerConnection, request: HttpRequest) -> None:
+        self._context.metrics.in_flight.inc()
+        try:
+            await self._route(connection, request)
+        except BadRequestError as error:
+            self._context.metrics.requests.labels("", DidNotRun.name).inc()
+            self._context.metrics.refusals.labels("", error.reason).inc()
+            await answers.answer_bad_request(connection, error, "none")
+        finally:
+            self._context.metrics.in_flight.dec()
+
+    async def _route(self, connection: ServerConnection, request: HttpRequest) -> None:
+        target = request.target.partition("?")[0]
+        if target in COMPLETION_TARGETS and request.method == "POST":
+            await self._complete(connection, request)
+        elif target.startswith(SERVICE_PREFIX):
+            await self._call(connection, request)
+        elif target == "/v1/models" and request.method == "GET":
+            await self._list_models(connection, request)
+        else:
+            raise BadRequestError(404, "no_such_path", f"there is no {request.method} {target}")
+
+    async def _complete(self, connection: ServerConnection, request: HttpRequest) -> None:
+        job = parse_completion(request, self._context.table, self._context.now())
+        verdict = await CompletionExchange(self._context, connection, job).run()
+        self._count(job.caller, verdict)
+
+    async def _call(self, connection: ServerConnection, request: HttpRequest) -> None:
+        context = self._context
+        job = parse_service(request, context.table, context.now(), context.wall())
+        verdict = await ServiceExchange(context, connection, job).run()
+        self._count(job.caller, verdict)
+
+    def _count(self, caller, verdict) -> None:
+        metrics = self._context.metrics
+        metrics.requests.labels(caller.row.name, verdict.name).inc()
+        metrics.member_requests.labels(metrics.member_label(caller.member.name)).inc()
+        if isinstance(verdict, DidNotRun | MayHaveRun):
+            metrics.refusals.labels(caller.row.name, verdict.reason.partition(":")[0]).inc()
+            log(
+                "INFO",
+                "refused",
+                request=caller.request_id,
+                member=caller.member.name,
+                reason=verdict.reason,
+                verdict=verdict.name,
+            )
+
+    async def _list_models(self, connection: ServerConnection, request: HttpRequest) -> None:
+        table = self._context.table
+        find_member(request, table)
+        models = sorted(p.name for p in table.pools_by_name.values() if p.kind == "model")
+        data = [{"id": name, "object": "model", "created": 0, "owned_by": ""} for name in models]
+        await answers.answer_json(connection, {"object": "list", "data": data})
--- /dev/null
+++ b/bluebellpitch/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the program, one module for each group."""
--- /dev/null
+++ b/bluebellpitch/commands/insight.py
@@ -0,0 +1,120 @@
+"""``status``, ``timeline`` and ``explain``: what the VMs do, and what they did."""
+
+import asyncio
+from typing import Annotated
+
+import msgspec
+import typer
+
+from bluebellpitch import __version__
+from bluebellpitch.commands.options import AdminAddresses, VmsAddress, say
+from bluebellpitch.environment import Environment
+from bluebellpitch.errors import BluebellpitchError, UnreachableError, UsageError
+from bluebellpitch.exits import ExitStatus
+from bluebellpitch.operators.explain import explain_request
+from bluebellpitch.operators.status import render_status
+from bluebellpitch.operators.timeline import (
+    Collected,
+    EventFilter,
+    collect_events,
+    collect_statuses,
+    merge_events,
+    render_pairs,
+    render_picture,
+    render_text,
+)
+from bluebellpitch.platform.vms import read_vms
+
+RENDERERS = {
+    "text": render_text,
+    "pairs": render_pairs,
+    "svg": lambda events: [render_picture(events)],
+}
+
+
+async def find_vms(vms: list[str], vms_address: str) -> list[str]:
+    """Returns admin addresses: those given, else all on the platform's list."""
+    if vms:
+        return list(vms)
+    if not vms_address:
+        raise UsageError("name VMs with --vm, or the platform's list with --vms-address")
+    try:
+        listed = await read_vms(vms_address)
+    except BluebellpitchError as error:
+        raise UnreachableError(f"the platform's list of VMs cannot be read: {error}") from error
+    return [vm.admin for vm in listed if vm.kind == "entry" and vm.admin]
+
+
+def report_missing(environment: Environment, collected: Collected) -> int:
+    """Names the VMs that gave no answer; returns the exit status."""
+    for address in collected.missing:
+        print(f"bluebellpitch: no answer from {address}", file=environment.stderr)
+    return ExitStatus.OK if collected.pages else ExitStatus.UNREACHABLE
+
+
+def status(
+    context: typer.Context,
+    vm: AdminAddresses = (),
+    vms_address: VmsAddress = "",
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> int:
+    """Prints the state of all VMs."""
+
+    async def run() -> Collected:
+        return await collect_statuses(await find_vms(vm, vms_address))
+
+    collected = asyncio.run(run())
+    if as_json:
+        say(context, msgspec.json.encode(collected.pages).decode())
+    else:
+        for line in render_status(list(collected.pages), list(collected.missing)):
+            say(context, line)
+    return report_missing(context.obj, collected)
+
+
+def collect(vm: list[str], vms_address: str, wanted: EventFilter) -> Collected:
+    """Returns events of the VMs that answer."""
+
+    async def run() -> Collected:
+        return await collect_events(await find_vms(vm, vms_address), wanted)
+
+    return asyncio.run(run())
+
+
+def timeline(
+    context: typer.Context,
+    vm: AdminAddresses = (),
+    vms_address: VmsAddress = "",
+    request: Annotated[str, typer.Option(help="Only this request.")] = "",
+    member: Annotated[str, typer.Option(help="Only this member.")] = "",
+    class_name: Annotated[str, typer.Option("--class", help="Only this class.")] = "",
+    endpoint: Annotated[str, typer.Option(help="Only this endpoint.")] = "",
+    on_vm: Annotated[str, typer.Option(help="Only events of this VM, by name.")] = "",
+    since: Annotated[int, typer.Option(help="From this stamp on, in microseconds.")] = 0,
+    until: Annotated[int, typer.Option(help="Up to this stamp, in microseconds.")] = 1 << 62,
+    style: Annotated[str, typer.Option("--as", help="text, pairs or svg.")] = "text",
+) -> int:
+    """Prints events of all VMs."""
+    if style not in RENDERERS:
+        raise UsageError(f"--as: {style!r} must be one of: {', '.join(RENDERERS)}")
+    wanted = EventFilter(request, member, class_name, endpoint, on_vm, since, until)
+    collected = collect(vm, vms_address, wanted)
+    for line in RENDERERS[style](merge_events(collected.pages, wanted)):
+        say(context, line)
+    return report_missing(context.obj, collected)
+
+
+def explain(
+    context: typer.Context, request: str, vm: AdminAddresses = (), vms_address: VmsAddress = ""
+) -> int:
+    """Prints the story of one request."""
+    collected = collect(vm, vms_address, EventFilter())
+    for line in explain_request(merge_events(collected.pages, EventFilter()), request):
+        say(context, line)
+    return report_missing(context.obj, collected)
+
+
+def version(context: typer.Context) -> int:
+    """Prints the version."""
+    say(context, __version__)
+    return ExitStatus.OK
--- /dev/null
+++ b/bluebellpitch/commands/serve.py
@@ -0,0 +1,98 @@
+"""``serve``: runs an entry VM."""
+
+import asyncio
+from typing import Annotated
+
+import typer
+
+from bluebellpitch.commands.options import LogAddress, VmsAddress, option
+from bluebellpitch.constants import HORIZON_S
+from bluebellpitch.environment import Environment
+from bluebellpitch.errors import UsageError
+from bluebellpitch.exits import ExitStatus
+from bluebellpitch.http1 import HttpLimits
+from bluebellpitch.logs import set_up_logs
+from bluebellpitch.settings import Settings, check_settings
+
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def serve(
+    context: typer.Context,
+    vm: Annotated[str, option("--vm-name", "Name of this VM.")],
+    zone: Annotated[str, option("--zone", "Availability zone of this VM.")],
+    region: Annotated[str, option("--region", "Region of this VM.")],
+    listen: Annotated[str, option("--listen", "Address for callers, IP:port.")],
+    admin: Annotated[str, option("--admin", "Address for operators and the balancer.")],
+    bus: Annotated[str, option("--bus", "Address for other entry VMs.")],
+    log_address: LogAddress,
+    vms_address: VmsAddress,
+    peer: Annotated[list[str], option("--peer", "Bus address of an entry VM.")] = (),
+    stall_s: Annotated[float, option("--stall-s", "Longest silence of a stream.")] = 2.0,
+    service_timeout_s: Annotated[
+        float, option("--service-timeout-s", "Longest call of a plain service.")
+    ] = 30.0,
+    horizon_s: Annotated[
+        float, option("--horizon-s", "How long idempotency keys are kept.")
+    ] = HORIZON_S,
+    snapshot_every_s: Annotated[
+        float, option("--snapshot-every-s", "Age of the last snapshot that calls for one.")
+    ] = 900.0,
+    drain_notice_s: Annotated[
+        float, option("--drain-notice-s", "How long the balancer needs to notice.")
+    ] = 3.0,
+    overflow_after_s: Annotated[
+        float, option("--overflow-after-s", "Wait before other zones are asked.")
+    ] = 0.25,
+    header_bytes: Annotated[int, option("--header-bytes", "Largest request head.")] = 16_384,
+    body_bytes: Annotated[int, option("--body-bytes", "Largest request body.")] = 4_194_304,
+    receive_s: Annotated[float, option("--receive-s", "Longest receipt of a request.")] = 10.0,
+    connections: Annotated[int, option("--connections", "Most open connections.")] = 2_000,
+    log_level: Annotated[str, option("--log-level", "DEBUG, INFO, WARNING, ERROR.")] = "INFO",
+) -> int:
+    """Runs an entry VM to its end."""
+    settings = Settings(
+        vm=vm,
+        zone=zone,
+        region=region,
+        listen=listen,
+        admin=admin,
+        bus=bus,
+        log_address=log_address,
+        vms_address=vms_address,
+        peers=tuple(peer),
+        stall_s=stall_s,
+        service_timeout_s=service_timeout_s,
+        horizon_s=horizon_s,
+        snapshot_every_s=snapshot_every_s,
+        drain_notice_s=drain_notice_s,
+        overflow_after_s=overflow_after_s,
+        http=HttpLimits(
+            header_bytes=header_bytes,
+            body_bytes=body_bytes,
+            receive_s=receive_s,
+            connections=connections,
+        ),
+    )
+    return run_node(check_settings(settings), context.obj, log_level)
+
+
+def run_node(settings: Settings, environment: Environment, log_level: str) -> int:
+    """Sets up logs and runs the node."""
+    if log_level not in LOG_LEVELS:
+        raise UsageError(f"--log-level: {log_level!r} must be one of: {', '.join(LOG_LEVELS)}")
+    set_up_logs(environment.stderr, log_level, settings.vm)
+    try:
+        asyncio.run(build_and_run(settings, environment))
+    except OSError as error:
+        raise UsageError(f"cannot listen: {error}") from error
+    return ExitStatus.OK
+
+
+async def build_and_run(settings: Settings, environment: Environment) -> None:
+    """Builds the node inside the event loop and runs it."""
+    # Imported late: operators' commands need none of it.
+    from bluebellpitch.decisions.broker import Policy
+    from bluebellpitch.node import Node
+
+    await Node(settings, environment, Policy()).run()
--- /dev/null
+++ b/bluebellpitch/commands/table.py
@@ -0,0 +1,106 @@
+"""``table``: checks, shows and changes the agreed table."""
+
+import asyncio
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from bluebellpitch.commands.options import LogAddress, OntoCurrent, Patience, SheetPath, option, say
+from bluebellpitch.decisions.rows import key_of
+from bluebellpitch.environment import Environment
+from bluebellpitch.errors import ConflictError, UsageError
+from bluebellpitch.exits import ExitStatus
+from bluebellpitch.operators.sheet import Sheet, parse_sheet, write_sheet
+from bluebellpitch.operators.table import TableDiff, TableEditor, compare
+from bluebellpitch.platform.log import LogClient
+
+
+def read_sheet(path: Path) -> Sheet:
+    """Reads a sheet file; raises UsageError or SheetError."""
+    try:
+        return parse_sheet(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise UsageError(f"{path} cannot be read: {error}") from error
+
+
+async def open_editor(environment: Environment, address: str, patience_s: float) -> TableEditor:
+    """Returns an editor that has folded all that is on the log."""
+    editor = TableEditor(LogClient(address), environment.now, patience_s)
+    await editor.catch_up()
+    return editor
+
+
+def check(context: typer.Context, sheet: SheetPath) -> int:
+    """Checks a sheet without the platform."""
+    rows = read_sheet(sheet).rows
+    say(context, f"{sheet}: {len(rows)} rows are right")
+    return ExitStatus.OK
+
+
+def show(context: typer.Context, log_address: LogAddress, patience_s: Patience = 10.0) -> int:
+    """Prints the table in force."""
+    editor = asyncio.run(open_editor(context.obj, log_address, patience_s))
+    rows = editor.fold.state.rows_by_key.values()
+    say(context, write_sheet(rows, editor.fold.offset), end="")
+    return ExitStatus.OK
+
+
+def diff(
+    context: typer.Context,
+    sheet: SheetPath,
+    log_address: LogAddress,
+    onto_current: OntoCurrent = False,
+    patience_s: Patience = 10.0,
+) -> int:
+    """Prints what applying a sheet would change."""
+    wanted = read_sheet(sheet)
+    editor = asyncio.run(open_editor(context.obj, log_address, patience_s))
+    for line in describe_diff(compare(wanted, editor.fold, onto_current)):
+        say(context, line)
+    return ExitStatus.OK
+
+
+def apply(
+    context: typer.Context,
+    sheet: SheetPath,
+    log_address: LogAddress,
+    author: Annotated[str, option("--author", "Who changes the table.")] = "operator",
+    onto_current: OntoCurrent = False,
+    patience_s: Patience = 15.0,
+) -> int:
+    """Puts a sheet into force."""
+    wanted = read_sheet(sheet)
+    applying = apply_sheet(context.obj, wanted, log_address, author, onto_current, patience_s)
+    say(context, asyncio.run(applying))
+    return ExitStatus.OK
+
+
+async def apply_sheet(
+    environment: Environment,
+    wanted: Sheet,
+    log_address: str,
+    author: str,
+    onto_current: bool,
+    patience_s: float,
+) -> str:
+    """Applies a sheet; returns what to tell the operator. Raises ConflictError."""
+    editor = await open_editor(environment, log_address, patience_s)
+    change = compare(wanted, editor.fold, onto_current)
+    if change.conflicts:
+        keys = ", ".join(change.conflicts)
+        raise ConflictError(f"changed by another operator since the sheet was made: {keys}")
+    if change.is_empty():
+        return f"nothing to change; in force at offset {editor.fold.offset}"
+    return f"in force at offset {await editor.apply(change, author)}"
+
+
+def describe_diff(change: TableDiff) -> Iterator[str]:
+    """Yields a line for each row that would change."""
+    yield from (f"+ {key_of(row)}" for row in change.added)
+    yield from (f"~ {key_of(row)}" for row in change.changed)
+    yield from (f"- {key}" for key in change.deleted)
+    yield from (f"! {key} (changed by another operator)" for key in change.conflicts)
+    if change.is_empty() and not change.conflicts:
+        yield "no difference"
--- /dev/null
+++ b/bluebellpitch/context.py
@@ -0,0 +1,39 @@
+"""What the tasks that serve callers are given: the VM's roles, books and clocks."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bluebellpitch.decisions.budgets import HedgeBudget
+from bluebellpitch.decisions.rows import Table
+from bluebellpitch.decisions.strikes import StrikeBook
+from bluebellpitch.endpoints.connections import EndpointConnections
+from bluebellpitch.events import Ring
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.roles.claiming import ClaimRole
+from bluebellpitch.roles.seeking import SlotRole
+from bluebellpitch.settings import Settings
+from bluebellpitch.view import ViewHolder
+
+
+@dataclass(frozen=True)
+class NodeContext:
+    """One VM's parts, as its request tasks see them."""
+
+    settings: Settings
+    holder: ViewHolder
+    slots: SlotRole
+    claims: ClaimRole
+    connections: EndpointConnections
+    strikes: StrikeBook
+    hedges: HedgeBudget
+    ring: Ring
+    metrics: Metrics
+    now: Callable[[], float]
+    wall: Callable[[], float]
+    tell_strike: Callable[[str, str], None]
+    tell_cleared: Callable[[str], None]
+
+    @property
+    def table(self) -> Table:
+        """The present table."""
+        return self.holder.current.table
--- /dev/null
+++ b/bluebellpitch/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: state and the present time in, frozen verdicts and commands out."""
--- /dev/null
+++ b/bluebellpitch/decisions/broker.py
@@ -0,0 +1,398 @@
+"""Which request runs next, and where: the broker of one pool in one zone.
+
+Order: tiers strictly, for shedding and preemption; inside a tier the class with least slack over
+weight; inside a class the member with least in use over weight; inside a member the oldest request
+that can still be in time. Every waiting class also earns a small guaranteed share of slot time by
+weight: the share delays higher work, it never sheds or cancels it.
+"""
+
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+
+from bluebellpitch.constants import (
+    ARRIVAL_HALF_LIFE_S,
+    ASK_UNREPEATED_S,
+    GRANT_UNCONFIRMED_S,
+    GUARANTEED_SHARE,
+    HEADROOM_DEVIATIONS,
+    HEADROOM_SHORTER,
+    PREEMPTIONS_PER_REQUEST,
+    SHARE_CREDIT_CAP_S,
+    SHED_HOLD_S,
+)
+from bluebellpitch.decisions.health import HealthView, Observation
+from bluebellpitch.decisions.placing import EndpointChooser
+from bluebellpitch.decisions.queues import WaitingQueues
+from bluebellpitch.decisions.rows import ClassRow, EndpointRow, MemberRow, Table
+from bluebellpitch.decisions.work import (
+    ClassLoad,
+    Command,
+    Grant,
+    Preempt,
+    Rate,
+    Refuse,
+    Running,
+    Waiting,
+)
+
+LimitOf = Callable[[MemberRow, float], int]
+UNLIMITED = 1 << 30
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """What may be switched off, for measurement against baselines."""
+
+    guaranteed_share: float = GUARANTEED_SHARE
+    headroom_deviations: float = HEADROOM_DEVIATIONS
+    preempt: bool = True
+    strict_tiers: bool = True
+    prefer_in_time: bool = True
+    judge_health: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """How a grant ended, as its holder tells. Times in seconds; None where unknown."""
+
+    grant: str
+    outcome: str
+    first_s: float | None = None
+    between_s: float | None = None
+
+
+class Broker:
+    """State of one pool in one zone. Soft: rebuilt from what the VMs hold.
+
+    ``limit_of`` tells how many requests of a member may run here now.
+    """
+
+    def __init__(self, pool: str, zone: str, limit_of: LimitOf, policy: Policy = Policy()):
+        self.pool = pool
+        self.zone = zone
+        self.limit_of = limit_of
+        self.policy = policy
+        self.queues = WaitingQueues()
+        self.running_by_grant: dict[str, Running] = {}
+        self.grants_by_request: dict[str, str] = {}
+        self.in_use_by_member: dict[str, int] = {}
+        self.loads_by_class: dict[str, ClassLoad] = {}
+        self.health = HealthView()
+        self.chooser = EndpointChooser(self.health)
+        self.table = Table({})
+        self.paused = False
+        self._next_grant = 0
+        self._credited_at: float | None = None
+        self._shed_by_tier: dict[int, float] = {}
+
+    def set_table(self, table: Table) -> None:
+        """Takes a newer table."""
+        self.table = table
+
+    def ask(self, work: Waiting, now: float) -> Iterator[Command]:
+        """Takes a request in. Repeating an ask is harmless."""
+        if (granted := self._granted(work)) is not None:
+            yield Grant(granted, self._load(work.class_name).first_s.value)
+            return
+        known = self.queues.by_request.get(work.request)
+        if known is None:
+            self._load(work.class_name).arrivals.add(now)
+            if (refusal := self._refuse_early(work, now)) is not None:
+                yield refusal
+                return
+        else:
+            work = replace(work, arrived_at=known.arrived_at)
+        self.queues.add(work)
+        yield from self.schedule(now)
+
+    def _granted(self, work: Waiting) -> Running | None:
+        running = self.running_by_grant.get(self.grants_by_request.get(work.request, ""))
+        if running is None or running.work.attempt != work.attempt:
+            return None
+        return running
+
+    def _refuse_early(self, work: Waiting, now: float) -> Refuse | None:
+        """Refuses new work that would only wait out its patience."""
+        expected_s = self._expected_wait(work)
+        patience_s = work.expires_at - now
+        if expected_s > patience_s:
+            return self._shed(work, "overloaded", expected_s - patience_s, now)
+        if self._is_shedding_above(work, now):
+            return self._shed(work, "higher_tier_shed", SHED_HOLD_S, now)
+        return None
+
+    def _shed(self, work: Waiting, reason: str, retry_after_s: float, now: float) -> Refuse:
+        self._shed_by_tier[self._tier(work.class_name)] = now
+        return Refuse(work, reason, min(60.0, max(0.1, retry_after_s)))
+
+    def _is_shedding_above(self, work: Waiting, now: float) -> bool:
+        """While a higher tier was shed just now, no lower one may be taken in."""
+        tier = self._tier(work.class_name)
+        shed = (at for other, at in self._shed_by_tier.items() if other < tier)
+        return any(now - at < SHED_HOLD_S for at in shed)
+
+    def _expected_wait(self, work: Waiting) -> float:
+        """Returns seconds until a slot, from the work that goes first."""
+        slots = self._total_slots()
+        if not slots:
+            return 0.0
+        tier = self._tier(work.class_name)
+        ahead = (name for name in self.queues.classes() if self._tier(name) <= tier)
+        ahead_s = sum(self.queues.count(name) * self._load(name).slot_s.value for name in ahead)
+        return ahead_s / slots
+
+    def cancel(self, request: str, now: float) -> Iterator[Command]:
+        """Forgets a request whose asker gave up; its grant must be returned apart."""
+        self.queues.remove(request)
+        yield from self.schedule(now)
+
+    def finish(self, finished: Finished, now: float) -> Iterator[Command]:
+        """Takes a slot back."""
+        running = self.running_by_grant.get(finished.grant)
+        if running is None:
+            return
+        self._drop(running)
+        self._learn(running, finished, now)
+        yield from self.schedule(now)
+
+    def _drop(self, running: Running) -> None:
+        del self.running_by_grant[running.grant]
+        if self.grants_by_request.get(running.work.request) == running.grant:
+            del self.grants_by_request[running.work.request]
+        self.in_use_by_member[running.work.member] -= 1
+        self._load(running.work.class_name).running -= 1
+        self.chooser.remove(running)
+
+    def _learn(self, running: Running, finished: Finished, now: float) -> None:
+        work = running.work
+        load = self._load(work.class_name)
+        if finished.outcome in ("completed", "preempted"):
+            load.slot_s.add(now - running.granted_at)
+        if finished.outcome in ("crashed", "unreachable"):
+            self.health.mark_down(running.endpoint, now)
+        if finished.first_s is not None and not running.first_token_seen:
+            self.observe(running.grant, "first", finished.first_s, now, running)
+        if finished.between_s is not None:
+            self.observe(running.grant, "between", finished.between_s, now, running)
+
+    def observe(self, grant: str, measure: str, seconds: float, now: float, running=None) -> None:
+        """Takes in a time that a holder saw: to the first token, or between tokens."""
+        running = running or self.running_by_grant.get(grant)
+        if running is None:
+            return
+        if measure == "first":
+            running.first_token_seen = True
+            if not self.health.is_slow(running.endpoint):
+                self._load(running.work.class_name).first_s.add(seconds)
+        seen = Observation(now, running.work.class_name, measure, seconds)
+        self.health.observe(running.endpoint, seen)
+
+    def confirm(self, running: Running, now: float) -> None:
+        """Notes a grant that its holder says it holds; rebuilds it where unknown."""
+        known = self.running_by_grant.get(running.grant)
+        if known is not None:
+            known.confirmed_at = now
+            return
+        self.queues.remove(running.work.request)
+        self._hold(running)
+
+    def drop_unconfirmed(self, now: float) -> Iterator[Command]:
+        """Takes back slots, and forgets requests, that their VM has not named for a while."""
+        running = tuple(self.running_by_grant.values())
+        for stale in (r for r in running if now - r.confirmed_at > GRANT_UNCONFIRMED_S):
+            self._drop(stale)
+        waiting = tuple(self.queues.by_request.values())
+        for work in (w for w in waiting if now - w.asked_at > ASK_UNREPEATED_S):
+            self.queues.remove(work.request)
+        yield from self.schedule(now)
+
+    def schedule(self, now: float) -> Iterator[Command]:
+        """Gives out free slots, expires impatient work and preempts for higher tiers.
+
+        A broker that is still learning what runs is ``paused`` and gives nothing out.
+        """
+        if self.paused:
+            return
+        self._earn_credit(now)
+        for work in self.queues.expired(now):
+            self.queues.remove(work.request)
+            yield self._shed(work, "waited_too_long", 1.0, now)
+        if self.policy.judge_health:
+            yield from self._judge_health(now)
+        yield from self._grant_free_slots(now)
+        if self.policy.preempt:
+            yield from self._preempt(now)
+
+    def _judge_health(self, now: float) -> Iterator[Preempt]:
+        slowed = [name for name, slow in self.health.judge(now) if slow]
+        for running in tuple(self.running_by_grant.values()):
+            if running.endpoint in slowed and self._may_preempt(running):
+                running.preempting = True
+                yield Preempt(running, "slow_endpoint")
+
+    def _grant_free_slots(self, now: float) -> Iterator[Grant]:
+        if not self.queues.by_request:
+            return
+        endpoints = self.table.endpoints_of(self.pool, self.zone)
+        while (choice := self._choose(endpoints, now)) is not None:
+            yield self._grant(*choice, now)
+
+    def _choose(self, endpoints: tuple[EndpointRow, ...], now: float):
+        """Returns (work, endpoint, from_share) for the next grant, or None."""
+        for class_name, from_share in self._class_order(now):
+            work = self._pick(class_name, now)
+            if work is None:
+                continue
+            reserve = 0 if from_share else self._reserve(class_name, now)
+            lowest = class_name == self._lowest_waiting()
+            endpoint = self.chooser.choose(work, endpoints, reserve, lowest, now)
+            if endpoint is not None:
+                return work, endpoint, from_share
+        return None
+
+    def _class_order(self, now: float) -> list[tuple[str, bool]]:
+        """Returns waiting classes, those with a due share first, then by tier and slack."""
+        names = self.queues.classes()
+        due = [name for name in names if self._is_share_due(name)]
+        due.sort(key=lambda name: -self._load(name).share_credit_s)
+        if not self.policy.strict_tiers:
+            return [(name, False) for name in sorted(names, key=self._oldest)]
+        ranked = sorted(names, key=lambda name: (self._tier(name), self._slack(name, now)))
+        return [(name, True) for name in due] + [(name, False) for name in ranked]
+
+    def _oldest(self, class_name: str) -> float:
+        return min(queue[0].arrived_at for _, queue in self.queues.members(class_name))
+
+    def _slack(self, class_name: str, now: float) -> float:
+        """Returns time left to the target of the oldest work, over weight; late work goes last."""
+        row = self._class(class_name)
+        left_s = self._oldest(class_name) + row.first_token_ms / 1000 - now
+        return left_s / row.weight if left_s > 0 else math.inf
+
+    def _is_share_due(self, class_name: str) -> bool:
+        load = self._load(class_name)
+        if load.share_credit_s <= 0:
+            return False
+        return load.share_credit_s >= min(load.slot_s.value, SHARE_CREDIT_CAP_S)
+
+    def _earn_credit(self, now: float) -> None:
+        """Gives each waiting class its guaranteed share of the slot time that has passed."""
+        last, self._credited_at = self._credited_at, now
+        waiting = self.queues.classes()
+        if last is None or not waiting:
+            return
+        passed_s = (now - last) * self._total_slots() * self.policy.guaranteed_share
+        weights = sum(self._class(name).weight for name in waiting)
+        for name in waiting:
+            load = self._load(name)
+            earned_s = passed_s * self._class(name).weight / weights
+            load.share_credit_s = min(SHARE_CREDIT_CAP_S, load.share_credit_s + earned_s)
+
+    def _pick(self, class_name: str, now: float) -> Waiting | None:
+        late_before = -math.inf
+        if self.policy.prefer_in_time:
+            target_s = self._class(class_name).first_token_ms / 1000
+            late_before = now - target_s + self._load(class_name).first_s.value
+        return self.queues.pick(class_name, lambda m: self._member_order(m, now), late_before)
+
+    def _member_order(self, name: str, now: float) -> float:
+        """Returns what a member has in use over its weight; infinity at its limit."""
+        in_use = self.in_use_by_member.get(name, 0)
+        row = self.table.members_by_name.get(name)
+        if row is None:
+            return float(in_use)
+        if row.limit and in_use >= self.limit_of(row, now):
+            return math.inf
+        return in_use / row.weight
+
+    def _reserve(self, class_name: str, now: float) -> int:
+        """Returns the slots that this class must leave free for short work of higher tiers."""
+        row, own = self._class(class_name), self._load(class_name)
+        reserve = 0.0
+        for name, load in self.loads_by_class.items():
+            other = self.table.classes_by_name.get(name)
+            if other is None or other.tier >= row.tier or not load.slot_s.count:
+                continue
+            if load.slot_s.value > HEADROOM_SHORTER * own.slot_s.value:
+                continue
+            mean = load.arrivals.value(now) * load.slot_s.value
+            peak = mean + self.policy.headroom_deviations * math.sqrt(mean)
+            reserve += max(0.0, peak - load.running)
+        return min(math.ceil(reserve), self._total_slots() // 2)
+
+    def _grant(self, work: Waiting, endpoint: EndpointRow, from_share: bool, now: float) -> Grant:
+        self.queues.remove(work.request)
+        self._next_grant += 1
+        grant = f"{work.request}.{work.attempt}.{self._next_grant}"
+        running = Running(grant, work, endpoint.name, now, now, from_share)
+        self._hold(running)
+        load = self._load(work.class_name)
+        if from_share:
+            load.share_credit_s -= max(load.slot_s.value, 0.01)
+        return Grant(running, load.first_s.value)
+
+    def _hold(self, running: Running) -> None:
+        self.running_by_grant[running.grant] = running
+        self.grants_by_request[running.work.request] = running.grant
+        member = running.work.member
+        self.in_use_by_member[member] = self.in_use_by_member.get(member, 0) + 1
+        self._load(running.work.class_name).running += 1
+        self.chooser.add(running)
+
+    def _preempt(self, now: float) -> Iterator[Preempt]:
+        """Frees slots for higher tiers: the lowest tier first, in it the youngest grant."""
+        wanted = self._wanted_by_tier(now)
+        if not wanted:
+            return
+        leaving = sum(running.preempting for running in self.running_by_grant.values())
+        for tier, count in sorted(wanted.items()):
+            short = count - leaving
+            leaving = max(0, leaving - count)
+            for running in self._victims(tier)[: max(0, short)]:
+                running.preempting = True
+                yield Preempt(running, "higher_tier_waits")
+
+    def _wanted_by_tier(self, now: float) -> dict[int, int]:
+        """Returns how many slots each tier waits for that its members' limits allow."""
+        wanted: dict[int, int] = {}
+        for name in self.queues.classes():
+            for member, queue in self.queues.members(name):
+                room = self._room(member, now)
+                wanted[self._tier(name)] = wanted.get(self._tier(name), 0) + min(room, len(queue))
+        return {tier: count for tier, count in wanted.items() if count}
+
+    def _room(self, name: str, now: float) -> int:
+        row = self.table.members_by_name.get(name)
+        if row is None or not row.limit:
+            return UNLIMITED
+        return max(0, self.limit_of(row, now) - self.in_use_by_member.get(name, 0))
+
+    def _victims(self, tier: int) -> list[Running]:
+        running = (r for r in self.running_by_grant.values() if self._may_preempt(r))
+        lower = [r for r in running if self._tier(r.work.class_name) > tier and not r.from_share]
+        return sorted(lower, key=lambda r: (-self._tier(r.work.class_name), -r.granted_at))
+
+    def _may_preempt(self, running: Running) -> bool:
+        if running.preempting or not running.work.resumable:
+            return False
+        return running.work.preemptions < PREEMPTIONS_PER_REQUEST
+
+    def _lowest_waiting(self) -> str:
+        return max(self.queues.classes(), key=self._tier)
+
+    def _total_slots(self) -> int:
+        rows = self.table.endpoints_of(self.pool, self.zone)
+        return sum(row.slots for row in rows if row.state == "live")
+
+    def _load(self, class_name: str) -> ClassLoad:
+        if class_name not in self.loads_by_class:
+            self.loads_by_class[class_name] = ClassLoad(Rate(ARRIVAL_HALF_LIFE_S))
+        return self.loads_by_class[class_name]
+
+    def _class(self, name: str) -> ClassRow:
+        unknown = ClassRow(name, 1 << 20, 1.0, 1000.0, 1000.0, 1000.0)
+        return self.table.classes_by_name.get(name, unknown)
+
+    def _tier(self, class_name: str) -> int:
+        return self._class(class_name).tier
--- /dev/null
+++ b/bluebellpitch/decisions/control.py
@@ -0,0 +1,195 @@
+"""The control stream: table changes, epochs and snapshots, folded in offset order.
+
+All VMs fold the same records, so they agree without a protocol of their own. A record that a rule
+refuses changes nothing and is remembered as refused, for its author to see.
+"""
+
+import msgspec
+
+from bluebellpitch.decisions.hashing import digest_text
+from bluebellpitch.decisions.rows import Row, Table, VersionedRow, key_of
+
+REMEMBERED_VERDICTS = 4_096
+
+
+class VmIdentity(msgspec.Struct, frozen=True, order=True):
+    """One incarnation of an entry VM. ``bus`` and ``admin`` are addresses."""
+
+    name: str
+    incarnation: str
+    bus: str
+    admin: str
+
+    @property
+    def key(self) -> str:
+        """The name that no other incarnation has."""
+        return f"{self.name}.{self.incarnation}"
+
+
+class TableChange(msgspec.Struct, frozen=True, tag="table"):
+    """Sets and deletes rows. ``base`` gives the revision of each touched key; -1: absent."""
+
+    id: str
+    base: dict[str, int]
+    rows: tuple[Row, ...]
+    deleted: tuple[str, ...] = ()
+    author: str = ""
+
+
+class Epoch(msgspec.Struct, frozen=True):
+    """A zone's entry VMs. ``excluded`` have left but may still run, as far as is known."""
+
+    number: int
+    vms: tuple[VmIdentity, ...]
+    excluded: tuple[VmIdentity, ...] = ()
+
+
+class EpochChange(msgspec.Struct, frozen=True, tag="epoch"):
+    """Proposes a zone's next epoch. ``gone`` names VMs that the platform says are no more."""
+
+    id: str
+    zone: str
+    number: int
+    vms: tuple[VmIdentity, ...]
+    gone: tuple[str, ...] = ()
+
+
+class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
+    """The whole fold at an offset. A function of the fold alone, so duplicates do no harm."""
+
+    id: str
+    offset: int
+    state: bytes
+    digest: str
+
+
+ControlRecord = TableChange | EpochChange | Snapshot
+
+
+class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
+    """The record took effect at this offset."""
+
+    offset: int
+
+
+class Conflicted(msgspec.Struct, frozen=True, tag="conflicted"):
+    """The record changed nothing, for these keys had moved on."""
+
+    offset: int
+    keys: tuple[str, ...]
+
+
+FoldVerdict = Accepted | Conflicted
+
+
+class ControlState(msgspec.Struct):
+    """What a snapshot holds. ``offset`` is the last offset folded; -1: none."""
+
+    offset: int = -1
+    rows_by_key: dict[str, VersionedRow] = {}
+    epochs_by_zone: dict[str, Epoch] = {}
+    verdicts_by_id: dict[str, FoldVerdict] = {}
+
+
+class ControlFold:
+    """Folds control records; never goes back to a lower offset."""
+
+    def __init__(self):
+        self.state = ControlState()
+        self.table = Table({})
+        self.snapshot_offset = -1
+
+    @property
+    def offset(self) -> int:
+        """The last offset folded; -1: none."""
+        return self.state.offset
+
+    def apply(self, offset: int, data: str | bytes) -> FoldVerdict | None:
+        """Folds one record; None when it is old, a snapshot, or not understood."""
+        if offset <= self.offset:
+            return None
+        record = decode_record(data)
+        verdict = self._apply_record(offset, record) if record else None
+        self.state.offset = offset
+        return verdict
+
+    def _apply_record(self, offset: int, record: ControlRecord) -> FoldVerdict | None:
+        if record.id in self.state.verdicts_by_id:
+            return None
+        match record:
+            case TableChange():
+                verdict = self._apply_table(offset, record)
+            case EpochChange():
+                verdict = self._apply_epoch(offset, record)
+            case Snapshot():
+                self.snapshot_offset = max(self.snapshot_offset, record.offset)
+                return None
+        self._remember(record.id, verdict)
+        return verdict
+
+    def _remember(self, record_id: str, verdict: FoldVerdict) -> None:
+        verdicts = self.state.verdicts_by_id
+        verdicts[record_id] = verdict
+        if len(verdicts) > REMEMBERED_VERDICTS:
+            del verdicts[next(iter(verdicts))]
+
+    def _apply_table(self, offset: int, change: TableChange) -> FoldVerdict:
+        touched = [key_of(row) for row in change.rows] + list(change.deleted)
+        stale = tuple(key for key in touched if change.base.get(key, -1) != self.revision_of(key))
+        if stale:
+            return Conflicted(offset, stale)
+        rows_by_key = dict(self.state.rows_by_key)
+        rows_by_key.update({key_of(row): VersionedRow(row, offset) for row in change.rows})
+        for key in change.deleted:
+            rows_by_key.pop(key, None)
+        self.state.rows_by_key = rows_by_key
+        self.table = Table(rows_by_key, offset)
+        return Accepted(offset)
+
+    def revision_of(self, key: str) -> int:
+        """Returns the offset that set a row; -1 when there is no such row."""
+        versioned = self.state.rows_by_key.get(key)
+        return versioned.revision if versioned else -1
+
+    def _apply_epoch(self, offset: int, change: EpochChange) -> FoldVerdict:
+        current = self.state.epochs_by_zone.get(change.zone, Epoch(0, ()))
+        if change.number != current.number + 1:
+            return Conflicted(offset, (f"epoch/{change.zone}",))
+        present = {vm.key for vm in change.vms}
+        former = {vm.key: vm for vm in current.vms + current.excluded}
+        left = [vm for key, vm in former.items() if key not in present and key not in change.gone]
+        epoch = Epoch(change.number, tuple(sorted(change.vms)), tuple(sorted(left)))
+        self.state.epochs_by_zone = {**self.state.epochs_by_zone, change.zone: epoch}
+        return Accepted(offset)
+
+    def snapshot(self) -> Snapshot:
+        """Returns the fold as a record; equal folds give equal records."""
+        state = msgspec.json.encode(self.state, order="sorted")
+        digest = digest_text(state)
+        return Snapshot(f"snapshot-{self.offset}-{digest}", self.offset, state, digest)
+
+    def install(self, snapshot: Snapshot) -> bool:
+        """Takes a snapshot over when it is whole and ahead of this fold."""
+        if snapshot.offset <= self.offset or digest_text(snapshot.state) != snapshot.digest:
+            return False
+        try:
+            state = msgspec.json.decode(snapshot.state, type=ControlState)
+        except msgspec.MsgspecError:
+            return False
+        self.state = state
+        self.table = Table(state.rows_by_key, state.offset)
+        self.snapshot_offset = max(self.snapshot_offset, snapshot.offset)
+        return True
+
+
+def decode_record(data: str | bytes) -> ControlRecord | None:
+    """Returns the typed record, or None when it is not one of ours."""
+    try:
+        return msgspec.json.decode(data, type=ControlRecord)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+
+
+def encode_record(record: ControlRecord) -> str:
+    """Returns the record as it goes onto the log."""
+    return msgspec.json.encode(record).decode()
--- /dev/null
+++ b/bluebellpitch/decisions/epochs.py
@@ -0,0 +1,46 @@
+"""When to propose a zone's next epoch."""
+
+from dataclasses import dataclass
+
+from bluebellpitch.constants import EPOCH_SETTLE_S
+from bluebellpitch.decisions.control import Epoch, EpochChange, VmIdentity
+from bluebellpitch.decisions.hashing import rank_owners
+
+
+@dataclass(slots=True)
+class EpochProposer:
+    """Waits until the live VMs of the zone have stayed the same for a while.
+
+    ``own`` is this VM. All VMs decide alike, and the one that ranks first proposes.
+    """
+
+    own: VmIdentity
+    zone: str
+    settle_s: float = EPOCH_SETTLE_S
+    _seen: frozenset[VmIdentity] = frozenset()
+    _since: float = 0.0
+
+    def decide(
+        self, epoch: Epoch, live: frozenset[VmIdentity], gone: frozenset[str], now: float
+    ) -> EpochChange | None:
+        """Returns a proposal when one is due. ``gone`` are keys of VMs proved to be no more."""
+        if live != self._seen:
+            self._seen, self._since = live, now
+        buried = {vm.key for vm in epoch.vms + epoch.excluded} & gone
+        if live == frozenset(epoch.vms) and not buried:
+            return None
+        if now - self._since < self.settle_s or not self._is_proposer(epoch, live):
+            return None
+        number = epoch.number + 1
+        record_id = f"epoch-{self.zone}-{number}-{self.own.key}-{now:.3f}"
+        return EpochChange(record_id, self.zone, number, tuple(sorted(live)), tuple(sorted(buried)))
+
+    def _is_proposer(self, epoch: Epoch, live: frozenset[VmIdentity]) -> bool:
+        ranked = rank_owners(f"epoch-{self.zone}-{epoch.number}", (vm.key for vm in live))
+        return ranked[:1] == [self.own.key]
+
+
+def broker_of(pool: str, zone: str, vm_names: frozenset[str]) -> str | None:
+    """Returns which of the live VMs of a zone brokers a pool."""
+    ranked = rank_owners(f"broker/{zone}/{pool}", vm_names)
+    return ranked[0] if ranked else None
--- /dev/null
+++ b/bluebellpitch/decisions/hashing.py
@@ -0,0 +1,24 @@
+"""Rendezvous hashing: every VM ranks owners alike, and a lost one moves only its own keys."""
+
+import hashlib
+from collections.abc import Iterable
+
+
+def rank_owners(key: str, names: Iterable[str]) -> list[str]:
+    """Returns ``names`` with the owner of ``key`` first."""
+    return sorted(names, key=lambda name: score_owner(key, name))
+
+
+def score_owner(key: str, name: str) -> bytes:
+    """Returns the rank of one name for a key."""
+    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+
+
+def digest_text(*parts: str | bytes) -> str:
+    """Returns a short hexadecimal digest of all parts, in order."""
+    state = hashlib.blake2b(digest_size=16)
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        state.update(len(data).to_bytes(8, "big"))
+        state.update(data)
+    return state.hexdigest()
--- /dev/null
+++ b/bluebellpitch/endpoints/connections.py
@@ -0,0 +1,58 @@
+"""Connections to endpoints: kept while idle for a short time, probed when silent."""
+
+from collections.abc import Callable
+
+from bluebellpitch.constants import (
+    ENDPOINT_CONNECT_TIMEOUT_S,
+    IDLE_CONNECTION_AGE_S,
+    PROBE_TIMEOUT_S,
+)
+from bluebellpitch.errors import BluebellpitchError
+from bluebellpitch.http1 import ClientConnection, fetch
+
+
+class EndpointConnections:
+    """Idle connections by address. An old one is dropped, for it may have gone silent."""
+
+    def __init__(self, now: Callable[[], float]):
+        self._now = now
+        self._idle_by_address: dict[str, list[ClientConnection]] = {}
+
+    async def take(self, address: str) -> ClientConnection:
+        """Returns an idle connection or a new one; raises NotSentError."""
+        idle = self._idle_by_address.get(address, [])
+        while idle:
+            connection = idle.pop()
+            fresh = self._now() - connection.idle_since < IDLE_CONNECTION_AGE_S
+            if fresh and not connection.reader.at_eof():
+                return connection
+            connection.close()
+        return await self.open(address)
+
+    async def open(self, address: str) -> ClientConnection:
+        """Returns a new connection; raises NotSentError."""
+        return await ClientConnection.open(address, ENDPOINT_CONNECT_TIMEOUT_S)
+
+    def give_back(self, connection: ClientConnection) -> None:
+        """Keeps a connection for the next request, or closes it."""
+        if not connection.is_reusable():
+            connection.close()
+            return
+        connection.idle_since = self._now()
+        self._idle_by_address.setdefault(connection.address, []).append(connection)
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for idle in self._idle_by_address.values():
+            for connection in idle:
+                connection.close()
+        self._idle_by_address.clear()
+
+
+async def probe(address: str) -> bool:
+    """Tells whether an endpoint answers on a new connection."""
+    try:
+        response = await fetch(address, "GET", "/health", timeout_s=PROBE_TIMEOUT_S)
+    except BluebellpitchError:
+        return False
+    return response.status < 500
--- /dev/null
+++ b/bluebellpitch/endpoints/service.py
@@ -0,0 +1,44 @@
+"""One attempt of a call at a plain service."""
+
+from dataclasses import dataclass
+
+from bluebellpitch.endpoints.connections import EndpointConnections
+from bluebellpitch.errors import BrokenError, NotSentError
+from bluebellpitch.http1 import Headers, HttpResponse
+from bluebellpitch.verdicts import DidNotRun, MayHaveRun
+
+DID_NOT_RUN_HEADER = "x-did-not-run"
+RESPONSE_MAX_BYTES = 16_777_216
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """What is sent to the service."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+async def call_service(
+    connections: EndpointConnections, address: str, call: ServiceCall, timeout_s: float
+) -> HttpResponse | DidNotRun | MayHaveRun:
+    """Calls once, on a connection of its own, so that no stale one can lose the request."""
+    try:
+        connection = await connections.open(address)
+    except NotSentError:
+        return DidNotRun("endpoint_unreachable")
+    try:
+        headers: Headers = [*call.headers, ("Connection", "close")]
+        await connection.send(call.method, call.target, headers, call.body)
+        head = await connection.read_head(timeout_s)
+        parts = [part async for part in connection.read_body(timeout_s)]
+    except BrokenError as error:
+        return MayHaveRun(f"answer_lost: {error}")
+    finally:
+        connection.close()
+    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
+    if any(name == DID_NOT_RUN_HEADER and value == "true" for name, value in headers):
+        return DidNotRun("endpoint_did_not_run")
+    return HttpResponse(head.status_code, headers, b"".join(parts))
--- /dev/null
+++ b/bluebellpitch/environment.py
@@ -0,0 +1,22 @@
+"""The outside world as one explicit object: streams, variables and clocks."""
+
+import os
+import sys
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import TextIO
+
+
+@dataclass(frozen=True)
+class Environment:
+    """What the program takes from its surroundings.
+
+    ``now`` is monotonic seconds of this process; ``wall`` is seconds since the Unix epoch.
+    """
+
+    stdout: TextIO = field(default_factory=lambda: sys.stdout)
+    stderr: TextIO = field(default_factory=lambda: sys.stderr)
+    variables: Mapping[str, str] = field(default_factory=lambda: os.environ)
+    now: Callable[[], float] = time.monotonic
+    wall: Callable[[], float] = time.time
--- /dev/null
+++ b/bluebellpitch/http1.py
@@ -0,0 +1,354 @@
+"""HTTP/1.1 over asyncio streams with h11: one server side, one client side."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+
+from bluebellpitch.errors import (
+    BadRequestError,
+    BrokenError,
+    GoneError,
+    NotSentError,
+    ProtocolError,
+    StalledError,
+)
+
+READ_BYTES = 65_536
+Headers = list[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Bounds on what a client may send. Sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    receive_s: float = 10.0
+    idle_s: float = 60.0
+    stall_s: float = 60.0
+    connections: int = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One whole request; header names are lower-case."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name: str, default: str = "") -> str:
+        """Returns the first header of that lower-case name."""
+        return next((value for key, value in self.headers if key == name), default)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """One whole response."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class ServerConnection:
+    """One accepted connection. Owned by the task that serves it."""
+
+    def __init__(self, reader, writer, limits: HttpLimits):
+        self.reader = reader
+        self.writer = writer
+        self.limits = limits
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+
+    async def read_request(self) -> HttpRequest | None:
+        """Returns the next request, or None when the client has closed or stayed idle."""
+        try:
+            async with asyncio.timeout(self.limits.idle_s):
+                await self._wait_first_bytes()
+        except TimeoutError:
+            return None
+        try:
+            async with asyncio.timeout(self.limits.receive_s):
+                return await self._receive()
+        except TimeoutError as error:
+            raise BadRequestError(408, "slow_request", "the request came too slowly") from error
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            raise BadRequestError(status, "malformed_http", f"malformed HTTP: {error}") from error
+
+    async def _wait_first_bytes(self) -> None:
+        if self.h11.trailing_data[0]:
+            return
+        self.h11.receive_data(await self._read())
+
+    async def _read(self) -> bytes:
+        try:
+            return await self.reader.read(READ_BYTES)
+        except OSError:
+            return b""
+
+    async def _next_event(self):
+        event = self.h11.next_event()
+        while event is h11.NEED_DATA:
+            if self.h11.they_are_waiting_for_100_continue:
+                self.writer.write(
+                    self.h11.send(h11.InformationalResponse(status_code=100, headers=[]))
+                )
+            self.h11.receive_data(await self._read())
+            event = self.h11.next_event()
+        return event
+
+    async def _receive(self) -> HttpRequest | None:
+        head = await self._next_event()
+        if not isinstance(head, h11.Request):
+            return None
+        parts = [part async for part in self._body_parts()]
+        headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
+        method = head.method.decode("ascii")
+        return HttpRequest(method, head.target.decode("ascii"), headers, b"".join(parts))
+
+    async def _body_parts(self) -> AsyncIterator[bytes]:
+        size = 0
+        while isinstance(event := await self._next_event(), h11.Data):
+            size += len(event.data)
+            if size > self.limits.body_bytes:
+                raise BadRequestError(413, "body_too_large", "the request body is too large")
+            yield bytes(event.data)
+
+    def is_gone(self) -> bool:
+        """Tells whether the client has closed its side."""
+        return self.reader.at_eof() or self.writer.is_closing()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Sends the head of a response."""
+        await self._send(h11.Response(status_code=status, headers=headers))
+
+    async def send(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        await self._send(h11.Data(data=data))
+
+    async def end(self) -> None:
+        """Ends the response."""
+        await self._send(h11.EndOfMessage())
+
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Sends a whole response in one write."""
+        headers = [*headers, ("Content-Length", str(len(body)))]
+        head = self.h11.send(h11.Response(status_code=status, headers=headers))
+        data = self.h11.send(h11.Data(data=body)) if body else b""
+        self.writer.write(head + data + (self.h11.send(h11.EndOfMessage()) or b""))
+        await self._drain()
+
+    async def _send(self, event) -> None:
+        self.writer.write(self.h11.send(event) or b"")
+        await self._drain()
+
+    async def _drain(self) -> None:
+        if self.writer.is_closing():
+            raise GoneError("the caller closed its connection")
+        if not self.writer.transport.get_write_buffer_size():
+            return
+        try:
+            async with asyncio.timeout(self.limits.stall_s):
+                await self.writer.drain()
+        except (OSError, TimeoutError) as error:
+            raise GoneError("the caller stopped reading") from error
+
+    def start_next(self) -> bool:
+        """Makes ready for another request; False when the connection must close."""
+        if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
+            return False
+        self.h11.start_next_cycle()
+        return True
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        self.writer.close()
+        try:
+            await self.writer.wait_closed()
+        except OSError:
+            return
+
+
+Handler = Callable[[ServerConnection, HttpRequest], Awaitable[None]]
+Refuser = Callable[[ServerConnection, BadRequestError], Awaitable[None]]
+
+
+class HttpServer:
+    """Accepts connections and gives each request to a handler."""
+
+    def __init__(self, handle: Handler, refuse: Refuser, limits: HttpLimits):
+        self.handle = handle
+        self.refuse = refuse
+        self.limits = limits
+        self.busy = 0
+        self.closing = False
+        self._open = 0
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> int:
+        """Starts to accept; returns the port."""
+        self._server = await asyncio.start_server(self._serve, host, port, backlog=1024)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer) -> None:
+        connection = ServerConnection(reader, writer, self.limits)
+        self._open += 1
+        try:
+            if self._open > self.limits.connections:
+                raise BadRequestError(503, "too_many_connections", "too many open connections")
+            await self._serve_requests(connection)
+        except BadRequestError as error:
+            await self._refuse_and_linger(connection, error)
+        except (GoneError, OSError, h11.LocalProtocolError):
+            pass
+        finally:
+            self._open -= 1
+            await connection.close()
+
+    async def _serve_requests(self, connection: ServerConnection) -> None:
+        while not self.closing:
+            request = await connection.read_request()
+            if request is None:
+                return
+            self.busy += 1
+            try:
+                await self.handle(connection, request)
+            finally:
+                self.busy -= 1
+            if not connection.start_next():
+                return
+
+    async def _refuse_and_linger(self, connection, error: BadRequestError) -> None:
+        """Answers a bad request, then reads a little so that the answer is not reset away."""
+        try:
+            await self.refuse(connection, error)
+            async with asyncio.timeout(0.2):
+                while await connection.reader.read(READ_BYTES):
+                    pass
+        except (GoneError, OSError, TimeoutError, h11.LocalProtocolError):
+            return
+
+    def stop_listening(self) -> None:
+        """Accepts no new connection; open ones go on."""
+        self.closing = True
+        if self._server:
+            self._server.close()
+
+
+class ClientConnection:
+    """One connection to a server. ``opened_at`` and ``idle_since`` are monotonic seconds."""
+
+    def __init__(self, reader, writer, address: str):
+        self.reader = reader
+        self.writer = writer
+        self.address = address
+        self.idle_since = 0.0
+        self.h11 = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def open(cls, address: str, timeout_s: float) -> "ClientConnection":
+        """Connects to ``host:port``; raises NotSentError."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(f"cannot connect to {address}: {error}") from error
+        return cls(reader, writer, address)
+
+    async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Sends a whole request; raises BrokenError, for bytes may have left."""
+        headers = [("Host", self.address), *headers, ("Content-Length", str(len(body)))]
+        data = self.h11.send(h11.Request(method=method, target=target, headers=headers))
+        if body:
+            data += self.h11.send(h11.Data(data=body))
+        data += self.h11.send(h11.EndOfMessage()) or b""
+        try:
+            self.writer.write(data)
+            await self.writer.drain()
+        except OSError as error:
+            raise BrokenError(f"lost the connection to {self.address}: {error}") from error
+
+    async def read_head(self, timeout_s: float) -> h11.Response:
+        """Returns the head of the response; raises BrokenError or StalledError."""
+        event = await self._next_event(timeout_s)
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event(timeout_s)
+        if not isinstance(event, h11.Response):
+            raise BrokenError(f"{self.address} closed without an answer")
+        return event
+
+    async def read_body(self, timeout_s: float) -> AsyncIterator[bytes]:
+        """Yields the body as it comes; ``timeout_s`` bounds each silence."""
+        while (data := await self.read_data(timeout_s)) is not None:
+            yield data
+
+    async def read_data(self, timeout_s: float) -> bytes | None:
+        """Returns the next part of the body, in whatever bulk it comes; None at its end."""
+        event = await self._next_event(timeout_s)
+        return bytes(event.data) if isinstance(event, h11.Data) else None
+
+    async def _next_event(self, timeout_s: float):
+        try:
+            event = self.h11.next_event()
+            while event is h11.NEED_DATA:
+                async with asyncio.timeout(timeout_s):
+                    self.h11.receive_data(await self.reader.read(READ_BYTES))
+                event = self.h11.next_event()
+            return event
+        except TimeoutError as error:
+            raise StalledError(f"{self.address} was silent for {timeout_s} s") from error
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise BrokenError(f"lost the answer of {self.address}: {error}") from error
+
+    def is_reusable(self) -> bool:
+        """Makes ready for another request; False when the connection must close."""
+        if self.reader.at_eof() or self.writer.is_closing():
+            return False
+        if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
+            return False
+        self.h11.start_next_cycle()
+        return True
+
+    def close(self) -> None:
+        """Closes at once; the server sees a cancelled request."""
+        self.writer.transport.abort()
+
+
+async def fetch(
+    address: str,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: Headers = (),
+    *,
+    timeout_s=3.0,
+) -> HttpResponse:
+    """Makes one whole exchange on a connection of its own.
+
+    Raises NotSentError, BrokenError or StalledError.
+    """
+    connection = await ClientConnection.open(address, timeout_s)
+    try:
+        async with asyncio.timeout(timeout_s):
+            await connection.send(method, target, [*headers, ("Connection", "close")], body)
+            head = await connection.read_head(timeout_s)
+            parts = [part async for part in connection.read_body(timeout_s)]
+    except TimeoutError as error:
+        raise StalledError(f"{address} did not answer within {timeout_s} s") from error
+    finally:
+        connection.close()
+    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
+    return HttpResponse(head.status_code, headers, b"".join(parts))
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Splits ``IP:port``; raises ProtocolError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65_536:
+        raise ProtocolError(f"{text!r} is not an address of the form 127.0.0.1:8000")
+    return host, int(port)
--- /dev/null
+++ b/bluebellpitch/metrics.py
@@ -0,0 +1,66 @@
+"""Prometheus metrics of one entry VM, in a registry of its own."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from bluebellpitch.constants import MEMBERS_WITH_OWN_LABEL
+
+SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.67, 1, 2.5, 5, 10, 30, 60)
+TOKEN_SECONDS = (0.005, 0.01, 0.02, 0.03, 0.044, 0.06, 0.1, 0.25, 1)
+
+
+class Metrics:
+    """All metrics. Label sets are bounded: classes, verdict reasons, and the first members."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self._members: set[str] = set()
+        self.requests = self._counter("requests", "Requests that ended", "class_name", "verdict")
+        self.refusals = self._counter("refusals", "Requests refused", "class_name", "reason")
+        self.in_target = self._counter("in_target", "Answers within their target", "class_name")
+        self.tokens = self._counter("tokens", "Tokens passed to callers", "class_name")
+        self.good_tokens = self._counter(
+            "good_tokens", "Tokens of complete answers within their target", "class_name"
+        )
+        self.wasted_tokens = self._counter(
+            "wasted_tokens", "Tokens made that no caller got", "class_name"
+        )
+        self.member_requests = self._counter("member_requests", "Requests by member", "member")
+        self.first_token = self._histogram("first_token_seconds", "Time to first token", SECONDS)
+        self.between_tokens = self._histogram(
+            "between_tokens_seconds", "Mean time between tokens", TOKEN_SECONDS
+        )
+        self.grant_wait = self._histogram("grant_wait_seconds", "Wait for a slot", SECONDS)
+        self.attempts = self._counter("attempts", "Attempts at endpoints", "outcome")
+        self.region_bytes = self._counter("region_bytes", "Body bytes to other regions")
+        self.peer_bytes = self._counter("peer_bytes", "Bytes sent to other VMs")
+        self.peer_received = self._counter("peer_received", "Messages from other VMs")
+        self.peer_dropped = self._counter("peer_dropped", "Messages dropped before sending")
+        self.log_appends = self._counter("log_appends", "Appends to the log", "stream", "verdict")
+        self.log_reads = self._counter("log_reads", "Reads of the log", "stream", "verdict")
+        self.table_offset = self._gauge("table_offset", "Offset of the control fold")
+        self.log_silence = self._gauge("log_silence_seconds", "Since the log last answered")
+        self.unresolved = self._gauge("unresolved_claims", "Claims that may have run")
+        self.in_flight = self._gauge("in_flight", "Requests that are being served")
+        self.limit_in_use = self._gauge("limit_in_use", "Running requests", "pool", "member")
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"bluebellpitch_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"bluebellpitch_{name}", text, labels, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, buckets) -> Histogram:
+        return Histogram(
+            f"bluebellpitch_{name}", text, ["class_name"], buckets=buckets, registry=self.registry
+        )
+
+    def member_label(self, member: str) -> str:
+        """Returns the label for a member: its name for the first ones, then ``other``."""
+        if member not in self._members and len(self._members) >= MEMBERS_WITH_OWN_LABEL:
+            return "other"
+        self._members.add(member)
+        return member
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/bluebellpitch/node.py
@@ -0,0 +1,275 @@
+"""One entry VM: its tasks, and which of them gets each message."""
+
+import asyncio
+import signal
+from collections.abc import Coroutine
+from uuid import uuid4
+
+from bluebellpitch.callers.server import CallerServer
+from bluebellpitch.clock import HybridClock
+from bluebellpitch.constants import CLAIMS_STREAM, CONTROL_STREAM, RING_EVENTS
+from bluebellpitch.context import NodeContext
+from bluebellpitch.decisions.broker import Broker, Policy
+from bluebellpitch.decisions.budgets import HedgeBudget
+from bluebellpitch.decisions.control import VmIdentity
+from bluebellpitch.decisions.strikes import StrikeBook
+from bluebellpitch.endpoints.connections import EndpointConnections
+from bluebellpitch.environment import Environment
+from bluebellpitch.events import Kind, Ring
+from bluebellpitch.http1 import parse_address
+from bluebellpitch.logs import log
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.operators.admin import AdminServer
+from bluebellpitch.operators.status import (
+    BrokerStatus,
+    ClassStatus,
+    EndpointStatus,
+    UnresolvedStatus,
+    VmStatus,
+)
+from bluebellpitch.peers.bus import PeerBus
+from bluebellpitch.peers.messages import (
+    Ask,
+    Cancel,
+    ControlRecords,
+    FoldTransfer,
+    Forwarded,
+    Granted,
+    Heartbeat,
+    Held,
+    LoanGiven,
+    LoanRequest,
+    LoanReturned,
+    Message,
+    Preempted,
+    Refused,
+    Returned,
+    Seen,
+    StrikeNoted,
+    StrikesCleared,
+)
+from bluebellpitch.platform.appender import Appender
+from bluebellpitch.platform.log import LogClient
+from bluebellpitch.platform.tail import Tail
+from bluebellpitch.roles.brokering import BrokerRole
+from bluebellpitch.roles.claiming import ClaimRole
+from bluebellpitch.roles.control import ControlRole
+from bluebellpitch.roles.membership import Membership
+from bluebellpitch.roles.seeking import SlotRole
+from bluebellpitch.settings import Settings
+from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
+
+DRAIN_POLL_S = 0.1
+STRIKE_EXPIRY_S = 30.0
+
+
+class Node:
+    """Wires the parts of one VM together."""
+
+    def __init__(self, settings: Settings, environment: Environment, policy: Policy):
+        now, wall = environment.now, environment.wall
+        self.settings = settings
+        self.now = now
+        incarnation = settings.incarnation or f"{int(wall() * 1000):013x}{uuid4().hex[:4]}"
+        identity = VmIdentity(settings.vm, incarnation, settings.bus, settings.admin)
+        own = KnownVm(identity, settings.zone, settings.region, False, -1, 0)
+        self.key = identity.key
+        self.holder = ViewHolder(ClusterView(own))
+        self.clock = HybridClock(wall)
+        self.ring = Ring(settings.vm, self.clock, RING_EVENTS)
+        self.metrics = Metrics()
+        self.strikes = StrikeBook()
+        self.bus = PeerBus(self.key, self.clock, self.metrics, self.take)
+        client = LogClient(settings.log_address)
+        self.control_tail = Tail(client, CONTROL_STREAM, self.metrics, now)
+        claims_tail = Tail(client, CLAIMS_STREAM, self.metrics, now)
+        self.control_appender = Appender(client, CONTROL_STREAM, self.metrics)
+        self.claims_appender = Appender(client, CLAIMS_STREAM, self.metrics)
+        self.control = ControlRole(
+            self.holder, self.control_tail, self.control_appender, self.ring, self.metrics
+        )
+        self.membership = Membership(
+            self.holder, self.bus, self.control_appender, self.ring, now, settings.peers
+        )
+        self.slots = SlotRole(self.holder, self.bus, self.metrics, now, settings.overflow_after_s)
+        self.brokers = BrokerRole(
+            self.holder,
+            self.bus,
+            self.membership.history,
+            self.ring,
+            self.metrics,
+            now,
+            policy,
+            lambda broker, pool: self.slots.report_held(broker, pool, settings.zone),
+        )
+        self.claims = ClaimRole(
+            self.holder,
+            claims_tail,
+            self.claims_appender,
+            self.ring,
+            self.metrics,
+            now,
+            wall,
+            settings.horizon_s,
+        )
+        self.connections = EndpointConnections(now)
+        self.context = NodeContext(
+            settings=settings,
+            holder=self.holder,
+            slots=self.slots,
+            claims=self.claims,
+            connections=self.connections,
+            strikes=self.strikes,
+            hedges=HedgeBudget(),
+            ring=self.ring,
+            metrics=self.metrics,
+            now=now,
+            wall=wall,
+            tell_strike=self.tell_strike,
+            tell_cleared=self.tell_cleared,
+        )
+        self.callers = CallerServer(self.context)
+        self.admin = AdminServer(self.ring, self.metrics, self.describe, self.is_ready)
+        self.draining = asyncio.Event()
+
+    def take(self, sender: str, message: Message) -> None:
+        """Gives a message to the role that it is for."""
+        match message:
+            case Heartbeat():
+                self._take_heartbeat(sender, message)
+            case Granted() | Refused() | Preempted():
+                self.slots.take(sender, message)
+            case Ask() | Cancel() | Returned() | Held() | Seen() | Forwarded():
+                self.brokers.take(sender, message)
+            case LoanRequest() | LoanGiven() | LoanReturned():
+                self.brokers.take(sender, message)
+            case StrikeNoted(fingerprint, attempt):
+                self.strikes.add(fingerprint, attempt, self.now())
+            case StrikesCleared(fingerprint):
+                self.strikes.clear(fingerprint)
+            case ControlRecords(entries):
+                self.control.take_entries(entries)
+            case FoldTransfer():
+                self.control.take_transfer(message)
+
+    def _take_heartbeat(self, sender: str, beat: Heartbeat) -> None:
+        self.membership.take_heartbeat(beat)
+        if (help_message := self.control.help_peer(sender, beat)) is not None:
+            self.bus.send(sender, help_message)
+
+    def tell_strike(self, fingerprint: str, attempt: str) -> None:
+        """Notes a strike here and at all VMs that are heard."""
+        self._tell_all(StrikeNoted(fingerprint, attempt))
+
+    def tell_cleared(self, fingerprint: str) -> None:
+        """Clears strikes here and at all VMs that are heard."""
+        self._tell_all(StrikesCleared(fingerprint))
+
+    def _tell_all(self, message: Message) -> None:
+        self.take(self.key, message)
+        for key in self.holder.current.live_by_key.keys() - {self.key}:
+            self.bus.send(key, message)
+
+    def is_ready(self) -> bool:
+        """Tells the balancer whether to send callers here."""
+        return bool(self.holder.current.table.members_by_name) and not self.draining.is_set()
+
+    async def run(self) -> None:
+        """Serves until told to drain, then drains."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.draining.set)
+        loop.add_signal_handler(signal.SIGINT, self.draining.set)
+        self.bus.bind(self.settings.bus)
+        await self.admin.http.listen(*parse_address(self.settings.admin))
+        await self.callers.http.listen(*parse_address(self.settings.listen))
+        tasks = [asyncio.create_task(self._guard(job)) for job in self._jobs()]
+        log("INFO", "started", vm=self.key, zone=self.settings.zone, listen=self.settings.listen)
+        await self.draining.wait()
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.connections.close()
+        self.bus.close()
+        log("INFO", "stopped", vm=self.key)
+
+    def _jobs(self) -> tuple[Coroutine, ...]:
+        return (
+            self.bus.run(),
+            self.control.follow_log(),
+            self.control.publish_snapshots(self.settings.snapshot_every_s, self.now),
+            self.control_appender.run(),
+            self.claims.follow_log(),
+            self.claims.expire(),
+            self.claims_appender.run(),
+            self.membership.run(),
+            self.membership.follow_list(self.settings.vms_address),
+            self.brokers.run(),
+            self.slots.run(),
+            self._expire_strikes(),
+        )
+
+    async def _guard(self, job: Coroutine) -> None:
+        """A task that fails ends the VM: a restart is safe, a silent half is not."""
+        try:
+            await job
+        except Exception as error:  # noqa: BLE001
+            log("ERROR", "task_failed", task=job.__qualname__, error=repr(error))
+            self.draining.set()
+            raise
+
+    async def _expire_strikes(self) -> None:
+        while True:
+            await asyncio.sleep(STRIKE_EXPIRY_S)
+            self.strikes.expire(self.now())
+
+    async def _drain(self) -> None:
+        """Waits for the balancer, hands roles over, and finishes all that it serves."""
+        self.ring.record(Kind.DRAINING)
+        log("INFO", "draining", in_flight=self.callers.http.busy)
+        self.membership.set_draining()
+        await asyncio.sleep(self.settings.drain_notice_s)
+        self.callers.http.stop_listening()
+        while self.callers.http.busy or self.claims.backlog():
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    def describe(self) -> VmStatus:
+        """Returns this VM's status."""
+        view = self.holder.current
+        unresolved = (
+            UnresolvedStatus(claim.key, claim.vm, claim.made_at)
+            for claim in self.claims.unresolved()
+        )
+        return VmStatus(
+            vm=self.key,
+            zone=self.settings.zone,
+            region=self.settings.region,
+            draining=self.draining.is_set(),
+            control_offset=self.control.fold.offset,
+            epoch=view.own.epoch,
+            in_flight=self.callers.http.busy,
+            log_silence_s=self.now() - self.control_tail.answered_at,
+            backlog=self.claims.backlog(),
+            live=tuple(sorted(view.live_by_key)),
+            brokers=tuple(describe_broker(b) for b in self.brokers.brokers_by_pool.values()),
+            unresolved=tuple(unresolved),
+        )
+
+
+def describe_broker(broker: Broker) -> BrokerStatus:
+    """Returns the status of one pool's broker."""
+    classes = tuple(
+        ClassStatus(name, broker.queues.count(name), load.running)
+        for name, load in sorted(broker.loads_by_class.items())
+    )
+    endpoints = tuple(
+        EndpointStatus(
+            row.name,
+            broker.chooser.running_on(row.name),
+            row.slots,
+            broker.health.is_slow(row.name),
+            row.state != "live",
+        )
+        for row in broker.table.endpoints_of(broker.pool, broker.zone)
+    )
+    return BrokerStatus(broker.pool, broker.zone, classes, endpoints)
--- /dev/null
+++ b/bluebellpitch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: the table sheet, status, and the time line."""
--- /dev/null
+++ b/bluebellpitch/operators/admin.py
@@ -0,0 +1,66 @@
+"""The listener for operators and the balancer: health, readiness, metrics, status, events."""
+
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import msgspec
+
+from bluebellpitch.callers import answers
+from bluebellpitch.errors import BadRequestError
+from bluebellpitch.events import Event, Ring
+from bluebellpitch.http1 import HttpLimits, HttpRequest, HttpServer, ServerConnection
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.operators.status import VmStatus
+
+TEXT = [("Content-Type", "text/plain; version=0.0.4; charset=utf-8")]
+
+
+class EventPage(msgspec.Struct, frozen=True):
+    """Events of one VM. ``stamp`` is the VM's clock when it answered."""
+
+    vm: str
+    stamp: int
+    dropped: int
+    events: tuple[Event, ...]
+
+
+class AdminServer:
+    """Serves the admin address; answers while the VM drains, too."""
+
+    def __init__(
+        self,
+        ring: Ring,
+        metrics: Metrics,
+        describe: Callable[[], VmStatus],
+        is_ready: Callable[[], bool],
+    ):
+        self._ring = ring
+        self._metrics = metrics
+        self._describe = describe
+        self._is_ready = is_ready
+        self.http = HttpServer(self._handle, answers.answer_bad_request, HttpLimits())
+
+    async def _handle(self, connection: ServerConnection, request: HttpRequest) -> None:
+        path, _, query = request.target.partition("?")
+        match path:
+            case "/healthz":
+                await connection.respond(200, TEXT, b"ok\n")
+            case "/readyz":
+                ready = self._is_ready()
+                body = b"ready\n" if ready else b"not ready\n"
+                await connection.respond(200 if ready else 503, TEXT, body)
+            case "/metrics":
+                await connection.respond(200, TEXT, self._metrics.render())
+            case "/status":
+                await answers.answer_json(connection, self._describe())
+            case "/events":
+                await answers.answer_json(connection, self._page(query))
+            case _:
+                error = BadRequestError(404, "no_such_path", f"there is no {path}")
+                await answers.answer_bad_request(connection, error, "none")
+
+    def _page(self, query: str) -> EventPage:
+        text = parse_qs(query).get("since", ["0"])[0]
+        since = int(text) if text.isascii() and text.isdigit() else 0
+        events = tuple(self._ring.since(since))
+        return EventPage(self._ring.vm, self._ring.clock.stamp(), self._ring.dropped, events)
--- /dev/null
+++ b/bluebellpitch/operators/status.py
@@ -0,0 +1,92 @@
+"""What one VM reports of itself, and the text that an operator reads of many."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+
+class ClassStatus(msgspec.Struct, frozen=True):
+    """A class at one broker."""
+
+    name: str
+    waiting: int
+    running: int
+
+
+class EndpointStatus(msgspec.Struct, frozen=True):
+    """An endpoint as its broker sees it."""
+
+    name: str
+    running: int
+    slots: int
+    slow: bool
+    down: bool
+
+
+class BrokerStatus(msgspec.Struct, frozen=True):
+    """A pool that this VM brokers."""
+
+    pool: str
+    zone: str
+    classes: tuple[ClassStatus, ...]
+    endpoints: tuple[EndpointStatus, ...]
+
+
+class UnresolvedStatus(msgspec.Struct, frozen=True):
+    """A claim that may have run. ``made_at`` is in Unix seconds."""
+
+    key: str
+    vm: str
+    made_at: float
+
+
+class VmStatus(msgspec.Struct, frozen=True):
+    """One entry VM. Times in seconds."""
+
+    vm: str
+    zone: str
+    region: str
+    draining: bool
+    control_offset: int
+    epoch: int
+    in_flight: int
+    log_silence_s: float
+    backlog: int
+    live: tuple[str, ...]
+    brokers: tuple[BrokerStatus, ...]
+    unresolved: tuple[UnresolvedStatus, ...]
+
+
+def render_status(statuses: list[VmStatus], missing: list[str]) -> Iterator[str]:
+    """Yields the lines of ``bluebellpitch status``."""
+    for status in sorted(statuses, key=lambda s: (s.zone, s.vm)):
+        yield from render_vm(status)
+    for status in statuses:
+        for broker in status.brokers:
+            yield from render_broker(status.vm, broker)
+    unresolved = {claim.key: claim for status in statuses for claim in status.unresolved}
+    for key, claim in sorted(unresolved.items()):
+        yield f"UNRESOLVED key={key} vm={claim.vm} made_at={claim.made_at:.3f} may_have_run"
+    for address in missing:
+        yield f"UNREACHABLE {address}"
+
+
+def render_vm(status: VmStatus) -> Iterator[str]:
+    """Yields the line of one VM."""
+    state = "draining" if status.draining else "live"
+    yield (
+        f"VM {status.vm} zone={status.zone} region={status.region} state={state}"
+        f" epoch={status.epoch} offset={status.control_offset} in_flight={status.in_flight}"
+        f" log_silence_s={status.log_silence_s:.1f} backlog={status.backlog}"
+        f" sees={len(status.live)}"
+    )
+
+
+def render_broker(vm: str, broker: BrokerStatus) -> Iterator[str]:
+    """Yields the lines of one broker."""
+    yield f"BROKER {broker.zone}/{broker.pool} vm={vm}"
+    for row in broker.classes:
+        yield f"  class {row.name} waiting={row.waiting} running={row.running}"
+    for row in broker.endpoints:
+        marks = " slow" * row.slow + " down" * row.down
+        yield f"  endpoint {row.name} running={row.running}/{row.slots}{marks}"
--- /dev/null
+++ b/bluebellpitch/operators/table.py
@@ -0,0 +1,129 @@
+"""Reads and changes the agreed table: the operators' side of the control stream."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from uuid import uuid4
+
+from bluebellpitch.constants import CONTROL_STREAM, LOG_RETRY_S
+from bluebellpitch.decisions.control import (
+    Accepted,
+    Conflicted,
+    ControlFold,
+    Snapshot,
+    TableChange,
+    decode_record,
+    encode_record,
+)
+from bluebellpitch.decisions.rows import Row, key_of
+from bluebellpitch.errors import BluebellpitchError, ConflictError, UnreachableError
+from bluebellpitch.operators.sheet import Sheet
+from bluebellpitch.platform.log import Appended, LogClient, Page
+
+
+@dataclass(frozen=True, slots=True)
+class TableDiff:
+    """What a sheet would change. ``deleted`` and ``conflicts`` are keys; ``base`` revisions."""
+
+    added: tuple[Row, ...] = ()
+    changed: tuple[Row, ...] = ()
+    deleted: tuple[str, ...] = ()
+    conflicts: tuple[str, ...] = ()
+    base: dict[str, int] = field(default_factory=dict)
+
+    def is_empty(self) -> bool:
+        """Tells whether nothing changes."""
+        return not (self.added or self.changed or self.deleted)
+
+
+def compare(sheet: Sheet, fold: ControlFold, onto_current: bool = False) -> TableDiff:
+    """Compares a sheet with the agreed table.
+
+    A row may be changed or deleted only by a sheet that was made from its present revision, else it
+    is a conflict; ``onto_current`` takes all present revisions as known. A row that the sheet could
+    not know is left alone.
+    """
+    current = fold.state.rows_by_key
+    wanted = {key_of(row): row for row in sheet.rows}
+    offset = fold.offset if onto_current else sheet.offset
+
+    def is_known(key: str) -> bool:
+        return onto_current or sheet.revisions_by_key.get(key) == current[key].revision
+
+    differing = {k: row for k, row in wanted.items() if k in current and current[k].row != row}
+    changed = tuple(row for key, row in differing.items() if is_known(key))
+    vanished = {k for k in wanted if k not in current and k in sheet.revisions_by_key}
+    added = tuple(row for k, row in wanted.items() if k not in current and k not in vanished)
+    deleted = tuple(
+        key
+        for key, versioned in current.items()
+        if key not in wanted and offset is not None and versioned.revision <= offset
+    )
+    conflicts = tuple(key for key in differing if not is_known(key)) + tuple(sorted(vanished))
+    keys = [key_of(row) for row in added + changed] + list(deleted)
+    base = {key: fold.revision_of(key) for key in keys}
+    return TableDiff(added, changed, deleted, conflicts, base)
+
+
+class TableEditor:
+    """Folds the control stream for one command of an operator."""
+
+    def __init__(self, client: LogClient, now: Callable[[], float], patience_s: float):
+        self._client = client
+        self._now = now
+        self._deadline = now() + patience_s
+        self.fold = ControlFold()
+
+    async def catch_up(self) -> None:
+        """Folds all that is on the log now; raises UnreachableError."""
+        while True:
+            page = await self._read()
+            self._take(page)
+            if self.fold.offset + 1 >= page.next:
+                return
+
+    async def _read(self) -> Page:
+        error = "no answer in time"
+        while self._now() < self._deadline:
+            try:
+                return await self._client.read(CONTROL_STREAM, self.fold.offset + 1, 0)
+            except BluebellpitchError as failure:
+                error = str(failure)
+                await asyncio.sleep(LOG_RETRY_S)
+        raise UnreachableError(f"the platform's log cannot be read: {error}")
+
+    def _take(self, page: Page) -> None:
+        if page.first > self.fold.offset + 1:
+            self._install(page)
+        for entry in page.records:
+            if entry.offset == self.fold.offset + 1:
+                self.fold.apply(entry.offset, entry.data)
+
+    def _install(self, page: Page) -> None:
+        records = (decode_record(entry.data) for entry in page.records)
+        snapshots = [record for record in records if isinstance(record, Snapshot)]
+        if not any(self.fold.install(snapshot) for snapshot in reversed(snapshots)):
+            raise UnreachableError("the log has lost old records, and holds no snapshot of them")
+
+    async def apply(self, diff: TableDiff, author: str) -> int:
+        """Puts a change on the log and returns its offset.
+
+        An append whose answer was lost is looked for on the log before it is sent again. Raises
+        ConflictError or UnreachableError.
+        """
+        change = TableChange(
+            uuid4().hex, diff.base, diff.added + diff.changed, diff.deleted, author
+        )
+        while self._now() < self._deadline:
+            verdict = await self._client.append(CONTROL_STREAM, (encode_record(change),))
+            await self.catch_up()
+            match self.fold.state.verdicts_by_id.get(change.id):
+                case Accepted(offset):
+                    return offset
+                case Conflicted(_, keys):
+                    raise ConflictError(f"changed by another operator: {', '.join(keys)}")
+            if not isinstance(verdict, Appended):
+                await asyncio.sleep(LOG_RETRY_S)
+        raise UnreachableError(
+            "the log did not confirm the change in time; run the command again: it is safe"
+        )
--- /dev/null
+++ b/bluebellpitch/operators/timeline.py
@@ -0,0 +1,152 @@
+"""The time line: events of all VMs, merged in the order of their hybrid clocks."""
+
+import asyncio
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from html import escape
+
+import msgspec
+
+from bluebellpitch.clock import MICROSECONDS
+from bluebellpitch.errors import BluebellpitchError
+from bluebellpitch.events import Event, Kind
+from bluebellpitch.http1 import fetch
+from bluebellpitch.logs import quote_value
+from bluebellpitch.operators.admin import EventPage
+from bluebellpitch.operators.status import VmStatus
+
+FIELDS = ("request", "member", "class_name", "endpoint", "detail")
+LANE_HEIGHT = 26
+PICTURE_WIDTH = 1400
+LEFT_MARGIN = 190
+COLOURS = {
+    Kind.REFUSED: "#b00020",
+    Kind.STRIKE: "#b00020",
+    Kind.PREEMPTED: "#d17b00",
+    Kind.RETRIED: "#d17b00",
+    Kind.RESUMED: "#7a4fb5",
+    Kind.COMPLETED: "#1b7f3b",
+    Kind.OUTCOME: "#1b7f3b",
+    Kind.FIRST_TOKEN: "#1565c0",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class EventFilter:
+    """What to show; empty fields match all. Stamps in microseconds."""
+
+    request: str = ""
+    member: str = ""
+    class_name: str = ""
+    endpoint: str = ""
+    vm: str = ""
+    since: int = 0
+    until: int = 1 << 62
+
+    def matches(self, event: Event) -> bool:
+        """Tells whether an event is shown."""
+        if not self.since <= event.stamp <= self.until:
+            return False
+        names = ("request", "member", "class_name", "endpoint", "vm")
+        wanted = ((getattr(self, name), getattr(event, name)) for name in names)
+        return all(not text or value == text for text, value in wanted)
+
+
+@dataclass(frozen=True, slots=True)
+class Collected:
+    """Answers of some VMs, and the addresses that gave none."""
+
+    pages: tuple
+    missing: tuple[str, ...]
+
+
+async def collect(addresses: Iterable[str], path: str, kind: type) -> Collected:
+    """Asks all admin addresses at once."""
+    addresses = tuple(addresses)
+    answers = await asyncio.gather(*(ask_vm(address, path, kind) for address in addresses))
+    pages = tuple(answer for answer in answers if answer is not None)
+    missing = tuple(a for a, answer in zip(addresses, answers, strict=True) if answer is None)
+    return Collected(pages, missing)
+
+
+async def ask_vm(address: str, path: str, kind: type):
+    """Returns one VM's typed answer, or None."""
+    try:
+        response = await fetch(address, "GET", path)
+        return msgspec.json.decode(response.body, type=kind)
+    except (BluebellpitchError, msgspec.MsgspecError):
+        return None
+
+
+async def collect_statuses(addresses: Iterable[str]) -> Collected:
+    """Returns the status of all VMs that answer."""
+    return await collect(addresses, "/status", VmStatus)
+
+
+async def collect_events(addresses: Iterable[str], wanted: EventFilter) -> Collected:
+    """Returns the events of all VMs that answer."""
+    return await collect(addresses, f"/events?since={max(0, wanted.since - 1)}", EventPage)
+
+
+def merge_events(pages: Iterable[EventPage], wanted: EventFilter) -> list[Event]:
+    """Returns matching events of all VMs, in order."""
+    events = (event for page in pages for event in page.events if wanted.matches(event))
+    return sorted(events, key=lambda event: (event.stamp, event.vm))
+
+
+def format_time(stamp: int) -> str:
+    """Returns a stamp as UTC time of day."""
+    return datetime.fromtimestamp(stamp / MICROSECONDS, UTC).strftime("%H:%M:%S.%f")
+
+
+def render_text(events: Iterable[Event]) -> Iterator[str]:
+    """Yields a line for each event, for people."""
+    for event in events:
+        where = f" @{event.endpoint}" if event.endpoint else ""
+        who = f" {event.request[:8]} {event.member}/{event.class_name}" if event.request else ""
+        when = format_time(event.stamp)
+        yield f"{when} {event.vm:<12} {event.kind:<13}{who}{where} {event.detail}"
+
+
+def render_pairs(events: Iterable[Event]) -> Iterator[str]:
+    """Yields a key=value line for each event, for programs."""
+    for event in events:
+        pairs = ((name, getattr(event, name)) for name in FIELDS)
+        tail = "".join(f" {name}={quote_value(value)}" for name, value in pairs if value)
+        yield f"stamp={event.stamp} vm={event.vm} event={event.kind}{tail}"
+
+
+def render_picture(events: list[Event]) -> str:
+    """Returns an SVG picture: a lane for each VM, a mark for each event."""
+    vms = sorted({event.vm for event in events})
+    first = events[0].stamp if events else 0
+    span = max(1, (events[-1].stamp - first) if events else 1)
+    height = LANE_HEIGHT * (len(vms) + 2)
+    lines = [
+        f'<svg xmlns="http://www.w3.org/2000/svg" width="{PICTURE_WIDTH}" height="{height}"'
+        ' font-family="monospace" font-size="11">',
+        '<rect width="100%" height="100%" fill="white"/>',
+    ]
+    for lane, vm in enumerate(vms):
+        middle = LANE_HEIGHT * (lane + 1)
+        lines.append(f'<text x="6" y="{middle + 4}">{escape(vm)}</text>')
+        lines.append(
+            f'<line x1="{LEFT_MARGIN}" x2="{PICTURE_WIDTH - 10}" y1="{middle}" y2="{middle}"'
+            ' stroke="#ccc"/>'
+        )
+    width = PICTURE_WIDTH - LEFT_MARGIN - 20
+    for event in events:
+        left = LEFT_MARGIN + width * (event.stamp - first) / span
+        middle = LANE_HEIGHT * (vms.index(event.vm) + 1)
+        title = escape(next(render_pairs([event])))
+        colour = COLOURS.get(event.kind, "#555")
+        lines.append(
+            f'<circle cx="{left:.1f}" cy="{middle}" r="4" fill="{colour}" fill-opacity="0.7">'
+            f"<title>{title}</title></circle>"
+        )
+    foot = height - 8
+    begin, end = format_time(first), format_time(first + span)
+    lines.append(f'<text x="{LEFT_MARGIN}" y="{foot}">{begin}</text>')
+    lines.append(f'<text x="{PICTURE_WIDTH - 130}" y="{foot}">{end}</text></svg>')
+    return "\n".join(lines)
--- /dev/null
+++ b/bluebellpitch/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other entry VMs: messages over zmq."""
--- /dev/null
+++ b/bluebellpitch/peers/bus.py
@@ -0,0 +1,108 @@
+"""The bus between entry VMs: one PULL socket to receive, one PUSH socket for each peer.
+
+Queues are bounded and messages to a peer that does not read are dropped: every protocol on the
+bus repeats what matters. zmq's own heartbeats replace connections that have gone silent.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import zmq
+import zmq.asyncio
+
+from bluebellpitch.clock import HybridClock
+from bluebellpitch.constants import PEER_SEND_QUEUE
+from bluebellpitch.errors import ProtocolError
+from bluebellpitch.logs import log
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.peers.messages import Envelope, Message, decode_envelope, encode_envelope
+
+HEARTBEAT_MS = 1_000
+HEARTBEAT_TIMEOUT_MS = 3_000
+
+Receive = Callable[[str, Message], None]
+
+
+class PeerBus:
+    """Owns the sockets. ``receive`` is called for each message, from the bus's own task."""
+
+    def __init__(self, vm_key: str, clock: HybridClock, metrics: Metrics, receive: Receive):
+        self.vm_key = vm_key
+        self._clock = clock
+        self._metrics = metrics
+        self._receive = receive
+        self._context = zmq.asyncio.Context(io_threads=1)
+        self._plain = zmq.Context.shadow(self._context.underlying)
+        self._pull = self._context.socket(zmq.PULL)
+        self._pushes_by_address: dict[str, zmq.Socket] = {}
+        self._addresses_by_vm: dict[str, str] = {}
+
+    def bind(self, address: str) -> None:
+        """Starts to receive."""
+        self._set_options(self._pull)
+        self._pull.setsockopt(zmq.RCVHWM, PEER_SEND_QUEUE)
+        self._pull.bind(f"tcp://{address}")
+
+    def _set_options(self, socket) -> None:
+        socket.setsockopt(zmq.LINGER, 200)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+
+    def know(self, vm_key: str, address: str) -> None:
+        """Notes the address of a VM."""
+        self._addresses_by_vm[vm_key] = address
+
+    def forget_except(self, vm_keys: frozenset[str]) -> None:
+        """Closes the sockets to all other VMs."""
+        self._addresses_by_vm = {k: a for k, a in self._addresses_by_vm.items() if k in vm_keys}
+        for address in self._pushes_by_address.keys() - set(self._addresses_by_vm.values()):
+            self._pushes_by_address.pop(address).close(linger=0)
+
+    def send(self, vm_key: str, message: Message) -> None:
+        """Sends to one VM; to itself without a socket."""
+        if vm_key == self.vm_key:
+            asyncio.get_running_loop().call_soon(self._receive, vm_key, message)
+            return
+        address = self._addresses_by_vm.get(vm_key)
+        if address is None:
+            self._metrics.peer_dropped.inc()
+            return
+        self.send_to_address(address, message)
+
+    def send_to_address(self, address: str, message: Message) -> None:
+        """Sends to whoever listens there."""
+        data = encode_envelope(Envelope(self.vm_key, self._clock.stamp(), message))
+        try:
+            self._push(address).send(data, zmq.NOBLOCK)
+            self._metrics.peer_bytes.inc(len(data))
+        except zmq.ZMQError:
+            self._metrics.peer_dropped.inc()
+
+    def _push(self, address: str) -> zmq.Socket:
+        if address not in self._pushes_by_address:
+            socket = self._plain.socket(zmq.PUSH)
+            self._set_options(socket)
+            socket.setsockopt(zmq.SNDHWM, PEER_SEND_QUEUE)
+            socket.connect(f"tcp://{address}")
+            self._pushes_by_address[address] = socket
+        return self._pushes_by_address[address]
+
+    async def run(self) -> None:
+        """Receives until cancelled."""
+        while True:
+            data = await self._pull.recv()
+            try:
+                envelope = decode_envelope(data)
+            except ProtocolError as error:
+                log("WARNING", "peer_message_malformed", error=error)
+                continue
+            self._clock.observe(envelope.stamp)
+            self._metrics.peer_received.inc()
+            self._receive(envelope.sender, envelope.message)
+
+    def close(self) -> None:
+        """Closes all sockets; what was sent just before still leaves."""
+        for socket in self._pushes_by_address.values():
+            socket.close()
+        self._pull.close()
+        self._context.term()
--- /dev/null
+++ b/bluebellpitch/peers/messages.py
@@ -0,0 +1,209 @@
+"""Messages between entry VMs, in msgpack. Times are seconds; ages are relative to sending."""
+
+import msgspec
+
+from bluebellpitch.decisions.control import Snapshot, VmIdentity
+from bluebellpitch.errors import ProtocolError
+from bluebellpitch.platform.log import Entry
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
+    """A VM is alive. ``control_offset`` is its fold's, ``epoch`` the one it has adopted."""
+
+    vm: VmIdentity
+    zone: str
+    region: str
+    draining: bool
+    control_offset: int
+    epoch: int
+
+
+class Ask(msgspec.Struct, frozen=True, tag="ask"):
+    """Asks the broker of a pool for a slot. ``age_s`` is since the request came in."""
+
+    request: str
+    attempt: int
+    pool: str
+    member: str
+    class_name: str
+    age_s: float
+    patience_s: float
+    prefix: str = ""
+    avoid: tuple[str, ...] = ()
+    suspicion: int = 0
+    resumable: bool = True
+    remote: bool = False
+    preemptions: int = 0
+
+
+class Granted(msgspec.Struct, frozen=True, tag="granted"):
+    """A slot is granted. ``expected_first_s`` is the usual time to first token; 0: unknown."""
+
+    grant: str
+    request: str
+    attempt: int
+    endpoint: str
+    address: str
+    expected_first_s: float
+
+
+class Refused(msgspec.Struct, frozen=True, tag="refused"):
+    """The broker gives no slot."""
+
+    request: str
+    attempt: int
+    pool: str
+    reason: str
+    retry_after_s: float
+
+
+class Preempted(msgspec.Struct, frozen=True, tag="preempted"):
+    """The holder is to give the slot back and ask again."""
+
+    grant: str
+    request: str
+    reason: str
+
+
+class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
+    """The asker no longer wants a slot."""
+
+    request: str
+    pool: str
+
+
+class Returned(msgspec.Struct, frozen=True, tag="returned"):
+    """A slot is given back."""
+
+    grant: str
+    request: str
+    pool: str
+    outcome: str
+    first_s: float | None = None
+    between_s: float | None = None
+
+
+class HeldGrant(msgspec.Struct, frozen=True):
+    """A slot that a VM holds now. ``between_s`` is the present time between tokens."""
+
+    grant: str
+    ask: Ask
+    endpoint: str
+    held_s: float
+    between_s: float | None = None
+
+
+class Held(msgspec.Struct, frozen=True, tag="held"):
+    """All slots of one pool and zone that a VM holds; lets a new broker rebuild its state."""
+
+    pool: str
+    grants: tuple[HeldGrant, ...]
+
+
+class Seen(msgspec.Struct, frozen=True, tag="seen"):
+    """A time that a holder measured: to the first token, or between tokens."""
+
+    grant: str
+    pool: str
+    measure: str
+    seconds: float
+
+
+class Forwarded(msgspec.Struct, frozen=True, tag="forwarded"):
+    """A message that reached a VM which no longer brokers the pool; passed on once."""
+
+    origin: str
+    message: Ask | Cancel | Returned | Held | Seen
+
+
+class LoanRequest(msgspec.Struct, frozen=True, tag="loan_request"):
+    """A broker asks for the floors of this VM in a pool. ``asked_at`` is the broker's clock."""
+
+    pool: str
+    epoch: int
+    asked_at: float
+
+
+class LoanGiven(msgspec.Struct, frozen=True, tag="loan_given"):
+    """The floors are lent, under the epoch that was asked for."""
+
+    pool: str
+    epoch: int
+    asked_at: float
+
+
+class LoanReturned(msgspec.Struct, frozen=True, tag="loan_returned"):
+    """A broker gives floors back before their lease ends."""
+
+    pool: str
+
+
+class StrikeNoted(msgspec.Struct, frozen=True, tag="strike"):
+    """An endpoint died under a request."""
+
+    fingerprint: str
+    attempt: str
+
+
+class StrikesCleared(msgspec.Struct, frozen=True, tag="strikes_cleared"):
+    """A suspected request completed."""
+
+    fingerprint: str
+
+
+class ControlRecords(msgspec.Struct, frozen=True, tag="records"):
+    """Records of the control stream, for a VM that reads the log late."""
+
+    entries: tuple[Entry, ...]
+
+
+class FoldTransfer(msgspec.Struct, frozen=True, tag="fold"):
+    """The whole control fold, for a VM that is too far behind for records."""
+
+    snapshot: Snapshot
+
+
+Message = (
+    Heartbeat
+    | Ask
+    | Granted
+    | Refused
+    | Preempted
+    | Cancel
+    | Returned
+    | Held
+    | Seen
+    | Forwarded
+    | LoanRequest
+    | LoanGiven
+    | LoanReturned
+    | StrikeNoted
+    | StrikesCleared
+    | ControlRecords
+    | FoldTransfer
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with its sender's VM key and hybrid clock stamp."""
+
+    sender: str
+    stamp: int
+    message: Message
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Returns the envelope as it goes over the wire."""
+    return _encoder.encode(envelope)
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Returns the envelope; raises ProtocolError."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ProtocolError(f"malformed message from a peer: {error}") from error
--- /dev/null
+++ b/bluebellpitch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform: its append-only log and its list of VMs."""
--- /dev/null
+++ b/bluebellpitch/roles/brokering.py
@@ -0,0 +1,273 @@
+"""Brokers the pools of this zone that fall to this VM, and lends and borrows limit floors."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from bluebellpitch.constants import LOAN_INTERVAL_S, MEMBERS_WITH_OWN_LABEL, PEER_DEAD_AFTER_S
+from bluebellpitch.decisions.broker import Broker, Finished, Policy
+from bluebellpitch.decisions.floors import Borrower, EpochHistory, Lender, usable_limit, zone_share
+from bluebellpitch.decisions.rows import EndpointRow, MemberRow, Table
+from bluebellpitch.decisions.work import Command, Grant, Preempt, Refuse, Running, Waiting
+from bluebellpitch.events import Kind, Ring
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.peers.bus import PeerBus
+from bluebellpitch.peers.messages import (
+    Ask,
+    Cancel,
+    Forwarded,
+    Granted,
+    Held,
+    HeldGrant,
+    LoanGiven,
+    LoanRequest,
+    LoanReturned,
+    Preempted,
+    Refused,
+    Returned,
+    Seen,
+)
+from bluebellpitch.view import ViewHolder
+
+TICK_S = 0.05
+REBUILD_S = 1.0
+
+
+class BrokerRole:
+    """Owns the brokers of this VM. Messages come through ``take``."""
+
+    def __init__(
+        self,
+        holder: ViewHolder,
+        bus: PeerBus,
+        history: EpochHistory,
+        ring: Ring,
+        metrics: Metrics,
+        now: Callable[[], float],
+        policy: Policy,
+        report_held: Callable[[str, str], None],
+    ):
+        self._holder = holder
+        self._bus = bus
+        self._history = history
+        self._ring = ring
+        self._metrics = metrics
+        self._now = now
+        self._policy = policy
+        self._report_held = report_held
+        self._own = holder.current.own.identity.key
+        self._zone = holder.current.own.zone
+        self.brokers_by_pool: dict[str, Broker] = {}
+        self._borrowers_by_pool: dict[str, Borrower] = {}
+        self._heard_by_pool: dict[str, set[str]] = {}
+        self._started_by_pool: dict[str, float] = {}
+        self._lender = Lender()
+        self._loans_asked_at = 0.0
+        self._swept_at = 0.0
+
+    def take(self, sender: str, message) -> None:
+        """Handles one message from an asker or another broker."""
+        match message:
+            case LoanRequest():
+                self._lend(sender, message)
+            case LoanGiven(pool, epoch, asked_at):
+                self._borrower(pool).record(sender, epoch, asked_at)
+                self._heard_by_pool.setdefault(pool, set()).add(sender)
+            case LoanReturned(pool):
+                self._lender.release(pool, sender)
+            case Forwarded(origin, inner):
+                if broker := self._mine(inner.pool):
+                    self._take_asker(broker, origin, inner)
+            case _ if broker := self._mine(message.pool):
+                self._take_asker(broker, sender, message)
+            case _:
+                self._pass_on(sender, message)
+
+    def _pass_on(self, sender: str, message) -> None:
+        """Sends a message to the VM that brokers the pool now."""
+        owner = self._holder.current.broker(message.pool, self._zone)
+        if owner is not None:
+            self._bus.send(owner, Forwarded(sender, message))
+
+    def _take_asker(self, broker: Broker, asker: str, message) -> None:
+        now = self._now()
+        match message:
+            case Ask():
+                self._obey(broker, broker.ask(to_waiting(message, asker, now), now))
+            case Cancel(request):
+                self._obey(broker, broker.cancel(request, now))
+            case Returned(grant, _, _, outcome, first_s, between_s):
+                finished = Finished(grant, outcome, first_s, between_s)
+                self._obey(broker, broker.finish(finished, now))
+            case Seen(grant, _, measure, seconds):
+                broker.observe(grant, measure, seconds, now)
+            case Held(_, grants):
+                self._take_held(broker, asker, grants)
+
+    def _mine(self, pool: str) -> Broker | None:
+        """Returns the broker of a pool while it falls to this VM."""
+        if self._holder.current.broker(pool, self._zone) != self._own:
+            return None
+        if pool not in self.brokers_by_pool:
+            self._start_broker(pool)
+        return self.brokers_by_pool[pool]
+
+    def _start_broker(self, pool: str) -> None:
+        broker = Broker(pool, self._zone, self._limit_of(pool), self._policy)
+        broker.set_table(self._holder.current.table)
+        broker.paused = True
+        self.brokers_by_pool[pool] = broker
+        self._started_by_pool[pool] = self._now()
+        self._heard_by_pool[pool] = set()
+        self._ring.record(Kind.ROLE_TAKEN, detail=f"broker={self._zone}/{pool}")
+        self._ask_loans(pool)
+
+    def _limit_of(self, pool: str) -> Callable[[MemberRow, float], int]:
+        def limit_of(member: MemberRow, now: float) -> int:
+            slots_by_zone = pool_slots_by_zone(self._holder.current.table, pool)
+            share = zone_share(member.limit, member.name, pool, self._zone, slots_by_zone)
+            key = f"{member.name}/{pool}"
+            return usable_limit(self._history, self._borrower(pool), share, key, now)
+
+        return limit_of
+
+    def _borrower(self, pool: str) -> Borrower:
+        return self._borrowers_by_pool.setdefault(pool, Borrower())
+
+    def _take_held(self, broker: Broker, sender: str, grants: tuple[HeldGrant, ...]) -> None:
+        now = self._now()
+        for held in grants:
+            work = to_waiting(held.ask, sender, now)
+            running = Running(held.grant, work, held.endpoint, now - held.held_s, now)
+            broker.confirm(running, now)
+            if held.between_s is not None:
+                broker.observe(held.grant, "between", held.between_s, now)
+
+    def _obey(self, broker: Broker, commands: Iterable[Command]) -> None:
+        for command in commands:
+            match command:
+                case Grant(running, expected_first_s):
+                    self._send_grant(broker, running, expected_first_s)
+                case Refuse(work, reason, retry_after_s):
+                    refused = Refused(
+                        work.request, work.attempt, broker.pool, reason, retry_after_s
+                    )
+                    self._bus.send(work.asker, refused)
+                case Preempt(running, reason):
+                    preempted = Preempted(running.grant, running.work.request, reason)
+                    self._bus.send(running.work.asker, preempted)
+
+    def _send_grant(self, broker: Broker, running: Running, expected_first_s: float) -> None:
+        row = self._holder.current.table.endpoints_by_name.get(running.endpoint)
+        if row is None:
+            return
+        work = running.work
+        granted = Granted(
+            running.grant, work.request, work.attempt, row.name, row.address, expected_first_s
+        )
+        self._bus.send(work.asker, granted)
+
+    async def run(self) -> None:
+        """Drives time: schedules, sweeps, borrows and follows ownership."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.tick()
+
+    def tick(self) -> None:
+        """Does what is due now."""
+        now = self._now()
+        self._give_up_lost_pools()
+        if now - self._loans_asked_at >= LOAN_INTERVAL_S:
+            self._loans_asked_at = now
+            for pool in self._pools_of_zone():
+                self._mine(pool)
+            for pool in self.brokers_by_pool:
+                self._ask_loans(pool)
+        sweep = now - self._swept_at >= PEER_DEAD_AFTER_S / 4
+        for broker in tuple(self.brokers_by_pool.values()):
+            self._tick_broker(broker, sweep, now)
+        if sweep:
+            self._swept_at = now
+
+    def _tick_broker(self, broker: Broker, sweep: bool, now: float) -> None:
+        table = self._holder.current.table
+        if broker.table is not table:
+            broker.set_table(table)
+        broker.paused = broker.paused and not self._is_rebuilt(broker.pool, now)
+        self._obey(broker, broker.schedule(now))
+        if sweep:
+            self._obey(broker, broker.drop_unconfirmed(now))
+            self._export_limits(broker)
+
+    def _is_rebuilt(self, pool: str, now: float) -> bool:
+        """Tells whether all live VMs of the zone have told what they hold, or had the time."""
+        waited = now - self._started_by_pool[pool] >= REBUILD_S
+        vms = self._holder.current.vms_of(self._zone)
+        return waited or vms <= self._heard_by_pool[pool]
+
+    def _export_limits(self, broker: Broker) -> None:
+        for member, count in tuple(broker.in_use_by_member.items())[:MEMBERS_WITH_OWN_LABEL]:
+            self._metrics.limit_in_use.labels(broker.pool, member).set(count)
+
+    def _pools_of_zone(self) -> list[str]:
+        zones_by_pool = self._holder.current.table.zones_by_pool
+        return [p for p, zones in zones_by_pool.items() if self._zone in dict(zones)]
+
+    def _give_up_lost_pools(self) -> None:
+        view = self._holder.current
+        lost = [p for p in self.brokers_by_pool if view.broker(p, self._zone) != self._own]
+        for pool in lost:
+            del self.brokers_by_pool[pool]
+            self._borrower(pool).clear()
+            self._ring.record(Kind.ROLE_GIVEN_UP, detail=f"broker={self._zone}/{pool}")
+            for vm in view.live_by_key:
+                self._bus.send(vm, LoanReturned(pool))
+
+    def _ask_loans(self, pool: str) -> None:
+        epoch = self._history.current
+        if epoch is None:
+            return
+        request = LoanRequest(pool, epoch.number, self._now())
+        for vm in epoch.vms:
+            self._bus.send(vm.key, request)
+
+    def _lend(self, sender: str, request: LoanRequest) -> None:
+        """Lends this VM's floors, unless it knows another epoch or another broker has them.
+
+        What this VM holds goes ahead of the loan, so that the broker counts it first.
+        """
+        epoch = self._history.current
+        if epoch is None or epoch.number != request.epoch:
+            return
+        if self._lender.lend(request.pool, sender, self._now()):
+            self._report_held(sender, request.pool)
+            self._bus.send(sender, LoanGiven(request.pool, request.epoch, request.asked_at))
+
+
+def to_waiting(ask: Ask, asker: str, now: float) -> Waiting:
+    """Returns an ask on the broker's own clock."""
+    return Waiting(
+        request=ask.request,
+        attempt=ask.attempt,
+        asker=asker,
+        member=ask.member,
+        class_name=ask.class_name,
+        arrived_at=now - ask.age_s,
+        expires_at=now + ask.patience_s,
+        prefix=ask.prefix,
+        avoid=frozenset(ask.avoid),
+        suspicion=ask.suspicion,
+        resumable=ask.resumable,
+        remote=ask.remote,
+        preemptions=ask.preemptions,
+        asked_at=now,
+    )
+
+
+def pool_slots_by_zone(table: Table, pool: str) -> dict[str, int]:
+    """Returns the slots of a pool in each zone, leaving endpoints included."""
+    slots: dict[str, int] = {}
+    rows: Iterable[EndpointRow] = table.endpoints_by_name.values()
+    for row in rows:
+        if row.pool == pool:
+            slots[row.zone] = slots.get(row.zone, 0) + row.slots
+    return slots
--- /dev/null
+++ b/bluebellpitch/roles/claiming.py
@@ -0,0 +1,203 @@
+"""At most once: claims keys on the log before a request that must not repeat is sent."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from uuid import uuid4
+
+from bluebellpitch.constants import CLAIM_WAIT_S, HORIZON_MARGIN_S
+from bluebellpitch.decisions.claims import (
+    Claim,
+    ClaimsFold,
+    Done,
+    Free,
+    Held,
+    OtherBody,
+    Outcome,
+    Withdrawal,
+    encode_claim,
+    is_within_horizon,
+)
+from bluebellpitch.events import Kind, Ring
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.platform.appender import Appender
+from bluebellpitch.platform.log import Appended, NotAppended
+from bluebellpitch.platform.tail import Tail
+from bluebellpitch.verdicts import DidNotRun, MayHaveRun
+from bluebellpitch.view import ViewHolder
+
+APPEND_RETRY_S = 0.25
+EXPIRE_INTERVAL_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Won:
+    """This VM alone may dispatch the key."""
+
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """The key ran before; its outcome is known."""
+
+    outcome: Outcome
+
+
+ClaimVerdict = Won | Replay | DidNotRun | MayHaveRun
+
+
+@dataclass(slots=True)
+class Attempted:
+    """A claim that this VM has tried to append. ``offset`` is None until known."""
+
+    claim: Claim
+    offset: int | None = None
+
+
+class ClaimRole:
+    """Owns the claims fold of this VM."""
+
+    def __init__(
+        self,
+        holder: ViewHolder,
+        tail: Tail,
+        appender: Appender,
+        ring: Ring,
+        metrics: Metrics,
+        now: Callable[[], float],
+        wall: Callable[[], float],
+        horizon_s: float,
+    ):
+        self._holder = holder
+        self._tail = tail
+        self._appender = appender
+        self._ring = ring
+        self._metrics = metrics
+        self._now = now
+        self._wall = wall
+        self._horizon_s = horizon_s
+        self._own = holder.current.own.identity.key
+        self.fold = ClaimsFold(horizon_s)
+        self._changed = asyncio.Event()
+        self._backlog: set[asyncio.Task] = set()
+
+    async def follow_log(self) -> None:
+        """Folds the log for ever."""
+        async for page in self._tail.pages(lambda: self.fold.offset + 1):
+            if page.first > self.fold.offset + 1:
+                self.fold.offset = page.first - 1
+            for entry in page.records:
+                self.fold.apply(entry.offset, entry.data, self._wall())
+            if page.records:
+                self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def expire(self) -> None:
+        """Forgets old keys, and counts unresolved ones, until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            self.fold.expire(self._wall())
+            self._metrics.unresolved.set(len(self.unresolved()))
+
+    def unresolved(self) -> tuple[Claim, ...]:
+        """Returns claims that may have run and whose end nobody knows."""
+        return self.fold.unresolved(frozenset(self._holder.current.live_by_key))
+
+    async def claim(self, request: str, key: str, body: str, made_at: float) -> ClaimVerdict:
+        """Claims a key for one request; ``made_at`` is in Unix seconds."""
+        deadline = self._now() + CLAIM_WAIT_S
+        attempted: Attempted | None = None
+        while self._now() < deadline:
+            if not is_within_horizon(made_at, self._wall(), self._horizon_s, HORIZON_MARGIN_S):
+                return self._withdraw(attempted, DidNotRun("request_too_old", 400))
+            changed = self._changed
+            standing = self.fold.standing(key, body)
+            if attempted and self._has_lost(attempted, standing):
+                attempted = None
+            match standing:
+                case OtherBody():
+                    return self._withdraw(attempted, DidNotRun("key_reused", 422))
+                case Done(outcome):
+                    return Replay(outcome)
+                case Held(claim) if attempted and claim.id == attempted.claim.id:
+                    self._ring.record(Kind.CLAIMED, request, detail=claim.id)
+                    return Won(claim)
+                case Free() if attempted is None:
+                    claim = Claim(uuid4().hex, key, body, self._own, made_at)
+                    attempted = await self._try_claim(claim, deadline)
+                    continue
+            await self._wait(changed, deadline)
+        return self._end_unclaimed(key, body, attempted)
+
+    def _has_lost(self, attempted: Attempted, standing) -> bool:
+        """Tells whether the log shows that another claim came first."""
+        if attempted.offset is None or self.fold.offset < attempted.offset:
+            return False
+        return not (isinstance(standing, Held) and standing.claim.id == attempted.claim.id)
+
+    async def _try_claim(self, claim: Claim, deadline: float) -> Attempted | None:
+        """Appends a claim; None when it is certain that it did not get onto the log."""
+        append = asyncio.ensure_future(self._appender.append(encode_claim(claim)))
+        done, _ = await asyncio.wait({append}, timeout=max(0.0, deadline - self._now()))
+        if not done:
+            return Attempted(claim)
+        match append.result():
+            case Appended(offset):
+                return Attempted(claim, offset)
+            case NotAppended():
+                await asyncio.sleep(APPEND_RETRY_S)
+                return None
+        return Attempted(claim)
+
+    async def _wait(self, changed: asyncio.Event, deadline: float) -> None:
+        try:
+            async with asyncio.timeout(max(0.0, deadline - self._now())):
+                await changed.wait()
+        except TimeoutError:
+            return
+
+    def _end_unclaimed(self, key: str, body: str, attempted: Attempted | None) -> ClaimVerdict:
+        standing = self.fold.standing(key, body)
+        own = attempted and isinstance(standing, Held) and standing.claim.id == attempted.claim.id
+        if isinstance(standing, Held) and not own:
+            self._withdraw(attempted, DidNotRun("in_progress"))
+            return MayHaveRun("in_progress", 409, 1.0)
+        return self._withdraw(attempted, DidNotRun("log_unavailable", 503, 5.0))
+
+    def _withdraw(self, attempted: Attempted | None, verdict: DidNotRun) -> DidNotRun:
+        if attempted is not None:
+            self.withdraw(attempted.claim)
+        return verdict
+
+    def withdraw(self, claim: Claim) -> None:
+        """Voids a claim of this VM that was never dispatched; goes on until it is on the log."""
+        self._ring.record(Kind.WITHDRAWN, detail=claim.id)
+        record = Withdrawal(uuid4().hex, claim.key, claim.id, claim.made_at)
+        self._keep_appending(encode_claim(record))
+
+    def may_dispatch(self, claim: Claim) -> bool:
+        """Checks the clock again, right before the first byte leaves."""
+        return is_within_horizon(claim.made_at, self._wall(), self._horizon_s, HORIZON_MARGIN_S)
+
+    def record_outcome(self, request: str, outcome: Outcome) -> None:
+        """Puts an outcome on the log; goes on until it is there."""
+        self._ring.record(Kind.OUTCOME, request, detail=f"{outcome.verdict} {outcome.status}")
+        self._keep_appending(encode_claim(outcome))
+
+    def _keep_appending(self, record: str) -> None:
+        task = asyncio.create_task(self._append_until_done(record))
+        self._backlog.add(task)
+        task.add_done_callback(self._backlog.discard)
+
+    async def _append_until_done(self, record: str) -> None:
+        """A record that lands twice does no harm: the fold takes the first."""
+        while not isinstance(await self._appender.append(record), Appended):
+            await asyncio.sleep(APPEND_RETRY_S)
+
+    def backlog(self) -> int:
+        """Returns how many outcomes and withdrawals are not on the log yet."""
+        return len(self._backlog)
--- /dev/null
+++ b/bluebellpitch/roles/seeking.py
@@ -0,0 +1,268 @@
+"""Seeks slots for the requests of this VM, and holds those that brokers granted."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bluebellpitch.constants import ASK_REPEAT_S, HELD_REPORT_INTERVAL_S
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.peers.bus import PeerBus
+from bluebellpitch.peers.messages import (
+    Ask,
+    Cancel,
+    Granted,
+    Held,
+    HeldGrant,
+    Preempted,
+    Refused,
+    Returned,
+    Seen,
+)
+from bluebellpitch.verdicts import DidNotRun
+from bluebellpitch.view import ViewHolder
+
+FAR_OVERFLOW_FACTOR = 4.0
+GONE_CHECK_S = 0.25
+
+
+@dataclass(slots=True)
+class Slot:
+    """A granted slot of this VM. ``preempt`` is called when the broker wants it back."""
+
+    granted: Granted
+    ask: Ask
+    zone: str
+    region: str
+    since: float
+    preempt: Callable[[str], None] | None = None
+    preempted_for: str = ""
+    between_s: float | None = None
+
+    def take_back(self, reason: str) -> None:
+        """Tells the holder to stop its attempt."""
+        self.preempted_for = reason
+        if self.preempt:
+            self.preempt(reason)
+
+
+@dataclass(slots=True)
+class Seek:
+    """One request that waits for a slot: where it asked, and what came back."""
+
+    ask: Ask
+    arrived_at: float
+    expires_at: float
+    zones: list[str]
+    asked: list[str] = field(default_factory=list)
+    refused: dict[str, Refused] = field(default_factory=dict)
+    inbox: asyncio.Queue = field(default_factory=asyncio.Queue)
+
+
+class SlotRole:
+    """Owns the seeks and slots of this VM."""
+
+    def __init__(
+        self,
+        holder: ViewHolder,
+        bus: PeerBus,
+        metrics: Metrics,
+        now: Callable[[], float],
+        overflow_after_s: float,
+    ):
+        self._holder = holder
+        self._bus = bus
+        self._metrics = metrics
+        self._now = now
+        self._overflow_after_s = overflow_after_s
+        self._seeks_by_request: dict[str, Seek] = {}
+        self._slots_by_grant: dict[str, Slot] = {}
+
+    def take(self, sender: str, message) -> None:
+        """Handles one message from a broker."""
+        match message:
+            case Granted():
+                self._take_granted(sender, message)
+            case Refused(request) if seek := self._seeks_by_request.get(request):
+                seek.inbox.put_nowait((sender, message))
+            case Preempted(grant, _, reason) if slot := self._slots_by_grant.get(grant):
+                slot.take_back(reason)
+
+    def _take_granted(self, sender: str, granted: Granted) -> None:
+        if granted.grant in self._slots_by_grant:
+            return
+        seek = self._seeks_by_request.get(granted.request)
+        if seek is not None and seek.ask.attempt == granted.attempt:
+            seek.inbox.put_nowait((sender, granted))
+            return
+        row = self._holder.current.table.endpoints_by_name.get(granted.endpoint)
+        if row is not None:
+            unused = Returned(granted.grant, granted.request, row.pool, "unused")
+            self._bus.send(sender, unused)
+
+    async def seek(
+        self, ask: Ask, arrived_at: float, expires_at: float, is_gone: Callable[[], bool]
+    ) -> Slot | DidNotRun:
+        """Waits for a slot; asks farther zones when the near ones keep it waiting."""
+        zones = self._holder.current.zones_for(ask.pool, ask.request)
+        seek = Seek(ask, arrived_at, expires_at, zones)
+        self._seeks_by_request[ask.request] = seek
+        try:
+            return await self._wait(seek, is_gone)
+        finally:
+            del self._seeks_by_request[ask.request]
+            self._return_surplus(seek)
+
+    async def _wait(self, seek: Seek, is_gone: Callable[[], bool]) -> Slot | DidNotRun:
+        started = self._now()
+        asked_at = float("-inf")
+        while True:
+            now = self._now()
+            if now >= seek.expires_at:
+                return self._give_up(seek, DidNotRun("waited_too_long", 503, 1.0))
+            if is_gone():
+                return self._give_up(seek, DidNotRun("caller_gone", 499))
+            due = self._zones_due(seek, now - started)
+            if now - asked_at >= ASK_REPEAT_S or due != seek.asked:
+                seek.asked, asked_at = due, now
+                self._send_asks(seek, now)
+            answer = await self._next_answer(seek, min(GONE_CHECK_S, self._overflow_after_s))
+            if isinstance(answer, Slot):
+                self._cancel_others(seek, answer.zone)
+                return answer
+            if answer is not None and len(seek.refused) >= len(seek.asked):
+                return self._give_up(seek, answer)
+
+    def _zones_due(self, seek: Seek, waited_s: float) -> list[str]:
+        """Returns the zones to ask by now: the nearest, then the region, then far ones."""
+        view = self._holder.current
+        regions_by_zone = dict(view.table.zones_by_pool.get(seek.ask.pool, ()))
+        due = []
+        for zone in seek.zones:
+            far = view.is_far(regions_by_zone.get(zone, ""))
+            after_s = self._overflow_after_s * (FAR_OVERFLOW_FACTOR if far else 1.0)
+            if not due or waited_s >= after_s:
+                due.append(zone)
+        return due
+
+    def _send_asks(self, seek: Seek, now: float) -> None:
+        view = self._holder.current
+        for zone in seek.asked:
+            broker = view.broker(seek.ask.pool, zone)
+            if broker is None or zone in seek.refused:
+                continue
+            ask = msgspec.structs.replace(
+                seek.ask,
+                age_s=now - seek.arrived_at,
+                patience_s=seek.expires_at - now,
+                remote=zone != view.own.zone,
+            )
+            self._bus.send(broker, ask)
+
+    async def _next_answer(self, seek: Seek, wait_s: float) -> Slot | DidNotRun | None:
+        try:
+            async with asyncio.timeout(wait_s):
+                sender, message = await seek.inbox.get()
+        except TimeoutError:
+            return None
+        match message:
+            case Granted():
+                return self._hold(seek, message)
+            case Refused(attempt=attempt) if attempt == seek.ask.attempt:
+                seek.refused[self._zone_of(sender)] = message
+                return DidNotRun(message.reason, 503, message.retry_after_s)
+        return None
+
+    def _hold(self, seek: Seek, granted: Granted) -> Slot | None:
+        row = self._holder.current.table.endpoints_by_name.get(granted.endpoint)
+        if row is None:
+            return None
+        slot = Slot(granted, seek.ask, row.zone, row.region, self._now())
+        self._slots_by_grant[granted.grant] = slot
+        return slot
+
+    def _zone_of(self, vm: str) -> str:
+        known = self._holder.current.live_by_key.get(vm)
+        if known:
+            return known.zone
+        epochs = self._holder.current.epochs_by_zone.items()
+        return next((zone for zone, e in epochs if vm in {v.key for v in e.vms}), "")
+
+    def _give_up(self, seek: Seek, verdict: DidNotRun) -> DidNotRun:
+        self._cancel_others(seek, "")
+        return verdict
+
+    def _cancel_others(self, seek: Seek, granted_zone: str) -> None:
+        for zone in seek.asked:
+            broker = self._holder.current.broker(seek.ask.pool, zone)
+            if zone != granted_zone and broker is not None:
+                self._bus.send(broker, Cancel(seek.ask.request, seek.ask.pool))
+
+    def _return_surplus(self, seek: Seek) -> None:
+        """Gives back grants that came from a second zone at the same time."""
+        while not seek.inbox.empty():
+            sender, message = seek.inbox.get_nowait()
+            if isinstance(message, Granted) and message.grant not in self._slots_by_grant:
+                unused = Returned(message.grant, message.request, seek.ask.pool, "unused")
+                self._bus.send(sender, unused)
+
+    def give_back(
+        self,
+        slot: Slot,
+        outcome: str,
+        first_s: float | None = None,
+        between_s: float | None = None,
+    ) -> None:
+        """Returns a slot to its broker."""
+        del self._slots_by_grant[slot.granted.grant]
+        self._metrics.attempts.labels(outcome).inc()
+        broker = self._holder.current.broker(slot.ask.pool, slot.zone)
+        if broker is not None:
+            request = slot.granted.request
+            returned = Returned(
+                slot.granted.grant, request, slot.ask.pool, outcome, first_s, between_s
+            )
+            self._bus.send(broker, returned)
+
+    def saw_first(self, slot: Slot, seconds: float) -> None:
+        """Tells the broker a time to first token."""
+        broker = self._holder.current.broker(slot.ask.pool, slot.zone)
+        if broker is not None:
+            self._bus.send(broker, Seen(slot.granted.grant, slot.ask.pool, "first", seconds))
+
+    async def run(self) -> None:
+        """Reports held slots until cancelled."""
+        while True:
+            await asyncio.sleep(HELD_REPORT_INTERVAL_S)
+            self._report_all()
+
+    def _report_all(self) -> None:
+        pools = {(slot.ask.pool, slot.zone) for slot in self._slots_by_grant.values()}
+        for pool, zone in pools:
+            broker = self._holder.current.broker(pool, zone)
+            if broker is not None:
+                self.report_held(broker, pool, zone)
+
+    def report_held(self, broker: str, pool: str, zone: str) -> None:
+        """Tells a broker all slots of its pool and zone that this VM holds."""
+        now = self._now()
+        grants = tuple(
+            HeldGrant(
+                grant,
+                self._ask_now(slot, now),
+                slot.granted.endpoint,
+                now - slot.since,
+                slot.between_s,
+            )
+            for grant, slot in self._slots_by_grant.items()
+            if slot.ask.pool == pool and slot.zone == zone
+        )
+        self._bus.send(broker, Held(pool, grants))
+
+    def _ask_now(self, slot: Slot, now: float) -> Ask:
+        return msgspec.structs.replace(slot.ask, age_s=slot.ask.age_s + now - slot.since)
+
+    def held_count(self) -> int:
+        """Returns how many slots this VM holds."""
+        return len(self._slots_by_grant)
--- /dev/null
+++ b/fakes/__main__.py
@@ -0,0 +1,37 @@
+"""Runs one stand-in: ``python -m fakes KIND ADDRESS [name=... slots=... fencing=no]``."""
+
+import asyncio
+import sys
+
+from bluebellpitch.http1 import parse_address
+from fakes.engine import FakeEngine, Timing
+from fakes.log import FakeLog
+from fakes.service import FakeService
+from fakes.vms import FakeVmList
+
+
+def build(kind: str, values: dict[str, str]):
+    """Returns the stand-in of a kind."""
+    match kind:
+        case "log":
+            return FakeLog()
+        case "vms":
+            return FakeVmList()
+        case "service":
+            return FakeService(values.get("name", "service"))
+        case "engine":
+            timing = {k: float(v) for k, v in values.items() if k in Timing.__dataclass_fields__}
+            fencing = values.get("fencing", "yes") == "yes"
+            slots = int(values.get("slots", "16"))
+            return FakeEngine(values.get("name", "engine"), slots, Timing(**timing), fencing)
+    raise SystemExit(f"unknown stand-in {kind!r}")
+
+
+async def run(kind: str, address: str, values: dict[str, str]) -> None:
+    """Serves until the process is ended."""
+    await build(kind, values).start(*parse_address(address))
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(run(sys.argv[1], sys.argv[2], dict(arg.split("=", 1) for arg in sys.argv[3:])))
--- /dev/null
+++ b/fakes/caller.py
@@ -0,0 +1,101 @@
+"""A caller: sends completions and service calls, and measures what comes back."""
+
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from bluebellpitch.endpoints.sse import EventBuffer, count_events, join_text
+from bluebellpitch.errors import BluebellpitchError
+from bluebellpitch.http1 import ClientConnection, HttpResponse, fetch
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What came back. Times are seconds from sending; status 0 means no answer."""
+
+    status: int
+    headers: dict[str, str]
+    text: str
+    whole: bool
+    first_s: float = 0.0
+    last_s: float = 0.0
+    tokens: int = 0
+
+    @property
+    def between_s(self) -> float:
+        """Returns the mean time between tokens."""
+        return (self.last_s - self.first_s) / (self.tokens - 1) if self.tokens > 1 else 0.0
+
+
+def headers_for(token: str, class_name: str = "", **extra: str) -> list[tuple[str, str]]:
+    """Returns request headers; ``extra`` names have underscores for dashes."""
+    headers = [("Authorization", f"Bearer {token}"), ("Content-Type", "application/json")]
+    if class_name:
+        headers.append(("X-Bluebellpitch-Class", class_name))
+    return headers + [(name.replace("_", "-"), value) for name, value in extra.items()]
+
+
+async def stream(
+    address: str, token: str, prompt: str, class_name: str = "", model: str = "drafter", **extra
+) -> Answer:
+    """Sends a streamed completion and reads it to its end."""
+    body = msgspec.json.encode({"model": model, "prompt": prompt, "stream": True})
+    started = time.monotonic()
+    connection = None
+    try:
+        connection = await ClientConnection.open(address, 5.0)
+        headers = headers_for(token, class_name, **extra)
+        await connection.send("POST", "/v1/completions", headers, body)
+        return await read_stream(connection, started)
+    except BluebellpitchError as error:
+        return Answer(0, {}, repr(error), False)
+    finally:
+        if connection:
+            connection.close()
+
+
+async def read_stream(connection: ClientConnection, started: float) -> Answer:
+    """Reads a streamed answer; ``started`` is monotonic seconds."""
+    head = await connection.read_head(600.0)
+    headers = {name.decode(): value.decode() for name, value in head.headers}
+    if head.status_code != 200:
+        parts = [part async for part in connection.read_body(60.0)]
+        return Answer(head.status_code, headers, b"".join(parts).decode(), False)
+    buffer, parts = EventBuffer(), []
+    first_s = last_s = 0.0
+    while (data := await connection.read_data(600.0)) is not None:
+        if events := buffer.feed(data):
+            last_s = time.monotonic() - started
+            first_s = first_s or last_s
+            parts.append(events)
+    events = b"".join(parts)
+    text = join_text(events)
+    return Answer(200, headers, text, buffer.done, first_s, last_s, count_events(events))
+
+
+async def submit(
+    address: str, token: str, case: str, key: str, pool: str = "filing", timeout_s=20.0, **extra
+) -> HttpResponse | None:
+    """Sends a submission that must not repeat; None when no answer came."""
+    body = msgspec.json.encode({"case": case})
+    headers = headers_for(token, **extra)
+    if key:
+        headers.append(("Idempotency-Key", key))
+    try:
+        return await fetch(
+            address, "POST", f"/services/{pool}/cases", body, headers, timeout_s=timeout_s
+        )
+    except BluebellpitchError:
+        return None
+
+
+async def look_up(address: str, token: str, case: str, pool: str = "filing") -> HttpResponse | None:
+    """Sends an idempotent look-up."""
+    headers = headers_for(token)
+    try:
+        return await fetch(
+            address, "GET", f"/services/{pool}/cases/{case}", b"", headers, timeout_s=20.0
+        )
+    except BluebellpitchError:
+        return None
--- /dev/null
+++ b/fakes/demo.py
@@ -0,0 +1,149 @@
+"""The demo: a small federation, one request of each sort, and a graceful stop."""
+
+import asyncio
+import sys
+from dataclasses import dataclass
+
+import msgspec
+
+from bluebellpitch.http1 import fetch
+from fakes.caller import Answer, look_up, stream, submit
+from fakes.engine import answer_to
+from fakes.fleet import Fleet, digest
+
+TOKENS = {"kushiro-office": "kushiro-secret", "trentvale-agency": "trentvale-secret"}
+HEADER = (
+    "kind,name,weight,limit,credential_sha256,default_class,tier,first_token_ms,between_tokens_ms,"
+    "max_wait_ms,serves,repeatable,pool,zone,region,address,slots,fencing,state"
+)
+
+
+def demo_sheet(fleet: Fleet) -> str:
+    """Returns the table of a Kushiro-like and a Trentvale-like federation."""
+    members = [
+        f"member,{name},1,8,{digest(token)},draft,,,,,,,,,,,,," for name, token in TOKENS.items()
+    ]
+    address = {name: process.address for name, process in fleet.processes_by_name.items()}
+    return "\n".join(
+        [
+            HEADER,
+            *members,
+            "class,explain,8,,,,1,670,44,5000,,,,,,,,,",
+            "class,rewrite,8,,,,1,670,44,5000,,,,,,,,,",
+            "class,draft,4,,,,2,1500,60,20000,,,,,,,,,",
+            "class,dossier,1,,,,3,10000,200,600000,,,,,,,,,",
+            "pool,drafter,,,,,,,,,model,,,,,,,,",
+            "pool,filing,,,,,,,,,service,GET HEAD,,,,,,,",
+            f"endpoint,engine-a,,,,,,,,,,,drafter,doto-1,doto,{address['engine-a']},8,yes,live",
+            f"endpoint,engine-b,,,,,,,,,,,drafter,doo-1,doo,{address['engine-b']},8,yes,live",
+            f"endpoint,filing-a,,,,,,,,,,,filing,doto-1,doto,{address['filing-a']},8,no,live",
+            f"endpoint,filing-b,,,,,,,,,,,filing,doo-1,doo,{address['filing-b']},8,no,live",
+        ]
+    )
+
+
+@dataclass
+class Report:
+    """Prints what happened, and remembers whether all was right."""
+
+    right: bool = True
+
+    def say(self, what: str, right: bool, detail: str) -> None:
+        """Prints one line."""
+        self.right &= right
+        print(f"{'ok   ' if right else 'WRONG'} {what:<44} {detail}", flush=True)
+
+
+def where(headers: dict[str, str]) -> str:
+    """Returns which VM and endpoint served an answer."""
+    names = ("x-bluebellpitch-vm", "x-bluebellpitch-endpoint", "x-bluebellpitch-replayed")
+    return " ".join(
+        f"{n.removeprefix('x-bluebellpitch-')}={headers[n]}" for n in names if n in headers
+    )
+
+
+async def start(fleet: Fleet) -> None:
+    """Starts stand-ins and three entry VMs in two availability zones."""
+    fleet.start_platform()
+    for name in ("engine-a", "engine-b"):
+        fleet.start_fake("engine", name, slots=8)
+    for name in ("filing-a", "filing-b"):
+        fleet.start_fake("service", name)
+    await fleet.wait_listening(*fleet.processes_by_name.values())
+    fleet.add_vm("vm-1", "doto-1", "doto")
+    fleet.add_vm("vm-2", "doto-1", "doto")
+    fleet.add_vm("vm-3", "doo-1", "doo")
+    await fleet.publish_vms()
+
+
+async def check_stream(report: Report, address: str, token: str, what: str, prompt: str, row: str):
+    """Sends a completion and checks every token of it."""
+    answer: Answer = await stream(address, token, prompt, row)
+    right = answer.status == 200 and answer.whole and answer.text == answer_to(prompt)
+    times = f"first={answer.first_s * 1000:.0f}ms between={answer.between_s * 1000:.1f}ms"
+    report.say(what, right, f"tokens={answer.tokens} {times} {where(answer.headers)}")
+
+
+async def check_submission(report: Report, fleet: Fleet, addresses: list[str]) -> None:
+    """Sends a submission twice with one key, through two VMs; it must run once."""
+    for number, address in enumerate(addresses, 1):
+        response = await submit(address, TOKENS["kushiro-office"], "case-7", "key-7")
+        right = response is not None and response.status == 200
+        detail = "no answer" if response is None else f"{response.body.decode()} "
+        detail += "" if response is None else where(dict(response.headers))
+        report.say(f"submission that must not repeat, send {number}", right, detail)
+    runs = 0
+    for name in ("filing-a", "filing-b"):
+        counts = await fetch(fleet.processes_by_name[name].address, "GET", "/counts")
+        runs += msgspec.json.decode(counts.body).get("case-7", 0)
+    report.say("the submission ran once", runs == 1, f"runs={runs}")
+
+
+async def check_stop(report: Report, fleet: Fleet) -> None:
+    """Stops all VMs gracefully in the middle of a stream, which must finish."""
+    vm = fleet.vms_by_name["vm-1"]
+    prompt = "[len=120] an explanation read aloud while the VM leaves"
+    running = asyncio.create_task(stream(vm.listen, TOKENS["kushiro-office"], prompt, "explain"))
+    await asyncio.sleep(0.3)
+    for entry in fleet.vms_by_name.values():
+        entry.process.send(15)
+    answer = await running
+    right = answer.whole and answer.text == answer_to(prompt)
+    report.say("stream finishes while its VM stops", right, f"tokens={answer.tokens}")
+    for entry in fleet.vms_by_name.values():
+        status = await asyncio.to_thread(entry.process.popen.wait, 30)
+        report.say(f"{entry.name} stopped gracefully", status == 0, f"exit status={status}")
+
+
+async def main() -> int:
+    """Runs the demo; returns its exit status."""
+    report = Report()
+    with Fleet() as fleet:
+        await start(fleet)
+        status, output = await fleet.apply_sheet(demo_sheet(fleet))
+        report.say("table published", status == 0, output.strip())
+        await fleet.wait_ready()
+        await fleet.wait_settled()
+        vms = [vm.listen for vm in fleet.vms_by_name.values()]
+        kushiro, trentvale = TOKENS.values()
+        draft = "[len=60] draft answers from the resident's earlier filings"
+        await check_stream(report, vms[0], kushiro, "streamed draft (Kushiro)", draft, "draft")
+        rewrite = "[len=20] make this sentence friendlier"
+        await check_stream(
+            report, vms[2], trentvale, "quick rewrite (Trentvale)", rewrite, "rewrite"
+        )
+        response = await look_up(vms[1], kushiro, "case-1")
+        right = response is not None and response.status == 200
+        detail = where(dict(response.headers)) if response else "no answer"
+        report.say("idempotent look-up", right, detail)
+        await check_submission(report, fleet, [vms[0], vms[2]])
+        await check_stop(report, fleet)
+        if not report.right:
+            for process in fleet.processes_by_name.values():
+                print(f"--- {process.name}\n{process.log_text()[-3000:]}")
+    print("demo: all was right" if report.right else "demo: something was WRONG")
+    return 0 if report.right else 1
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- /dev/null
+++ b/fakes/engine.py
@@ -0,0 +1,257 @@
+"""A stand-in for a model engine: continuous batching, prefix cache, priorities, cancel, resume.
+
+The prompt steers it: ``[len=40]`` makes 40 tokens, ``[crash]`` ends the process after two. Token i
+of a prompt is always the same, so a caller can check that an answer is whole.
+"""
+
+import asyncio
+import os
+import re
+import time
+import zlib
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bluebellpitch.errors import GoneError
+from fakes.server import FakeServer, answer
+
+LENGTH = re.compile(r"\[len=(\d+)\]")
+DEFAULT_LENGTH = 16
+SSE = [("Content-Type", "text/event-stream")]
+
+
+def token_of(prompt: str, index: int) -> str:
+    """Returns one token of the answer to a prompt."""
+    return f"{zlib.crc32(f'{index}:{prompt}'.encode()):08x} "
+
+
+def answer_to(prompt: str) -> str:
+    """Returns the whole answer to a prompt."""
+    return "".join(token_of(prompt, index) for index in range(length_of(prompt)))
+
+
+def length_of(prompt: str) -> int:
+    """Returns how many tokens the answer has."""
+    found = LENGTH.search(prompt)
+    return int(found.group(1)) if found else DEFAULT_LENGTH
+
+
+@dataclass
+class Stream:
+    """One request in the batch. Times in seconds."""
+
+    prompt: str
+    priority: int
+    next_token: int
+    length: int
+    ready_at: float
+    arrived_at: float
+    tokens: asyncio.Queue = field(default_factory=asyncio.Queue)
+
+
+@dataclass(frozen=True)
+class Timing:
+    """A step of the batch takes ``step_s`` plus ``stream_s`` for each stream in it."""
+
+    step_s: float = 0.008
+    stream_s: float = 0.0005
+    prefill_s: float = 0.02
+    cached_prefill_s: float = 0.005
+
+
+class FakeEngine(FakeServer):
+    """Serves completions.
+
+    Faults: ``slow`` multiplies all times, ``silent`` lets open streams go silent while new
+    connections work, ``load_lag_s`` delays load reports, ``cache_gap`` drops every n-th cache
+    event.
+    """
+
+    def __init__(self, name: str, slots: int, timing: Timing, fencing: bool = True):
+        super().__init__()
+        self.name = name
+        self.slots = slots
+        self.timing = timing
+        self.fencing = fencing
+        self.slow = 1.0
+        self.silent = False
+        self.load_lag_s = 2.0
+        self.cache_lag_s = 1.0
+        self.cache_gap = 5
+        self.cache_size = 256
+        self.made = 0
+        self.wasted = 0
+        self.fence = -1
+        self.orders: list[dict] = []
+        self._running: list[Stream] = []
+        self._waiting: list[Stream] = []
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._cache_events: list[tuple[float, int, str, str]] = []
+        self._loads: deque[tuple[float, int, int]] = deque(maxlen=10_000)
+        self._wake = asyncio.Event()
+
+    async def start(self, host: str, port: int) -> int:
+        """Starts to listen and to make tokens."""
+        self._loop = asyncio.create_task(self._run())
+        return await super().start(host, port)
+
+    async def _run(self) -> None:
+        while True:
+            self._admit()
+            if not self._running:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            await self._step()
+
+    def _admit(self) -> None:
+        self._waiting.sort(key=lambda s: (s.priority, s.arrived_at))
+        while self._waiting and len(self._running) < self.slots:
+            stream = self._waiting.pop(0)
+            stream.ready_at = time.monotonic() + self._prefill_s(stream)
+            self._running.append(stream)
+        self._loads.append((time.monotonic(), len(self._running), len(self._waiting)))
+
+    def _prefill_s(self, stream: Stream) -> float:
+        prefix = stream.prompt[:64]
+        cached = prefix in self._cache
+        self._cache[prefix] = None
+        self._cache.move_to_end(prefix)
+        if not cached:
+            self._note_cache("stored", prefix)
+        if len(self._cache) > self.cache_size:
+            self._note_cache("removed", self._cache.popitem(last=False)[0])
+        timing = self.timing
+        return (timing.cached_prefill_s if cached else timing.prefill_s) * self.slow
+
+    def _note_cache(self, kind: str, prefix: str) -> None:
+        number = len(self._cache_events)
+        self._cache_events.append((time.monotonic(), number, kind, prefix))
+
+    async def _step(self) -> None:
+        count = len(self._running)
+        await asyncio.sleep((self.timing.step_s + self.timing.stream_s * count) * self.slow)
+        now = time.monotonic()
+        for stream in tuple(self._running):
+            if now < stream.ready_at:
+                continue
+            stream.tokens.put_nowait(stream.next_token)
+            stream.next_token += 1
+            self.made += 1
+            if "[crash]" in stream.prompt and stream.next_token >= 2:
+                os._exit(1)
+            if stream.next_token >= stream.length:
+                self._running.remove(stream)
+                stream.tokens.put_nowait(None)
+
+    async def serve(self, connection, request) -> None:
+        """Answers completions, reports and orders."""
+        path = request.target.partition("?")[0]
+        if path == "/load":
+            await answer(connection, self._load_report())
+        elif path == "/cache-events":
+            await answer(connection, self._late_cache_events())
+        elif path == "/stats":
+            await answer(connection, {"made": self.made, "wasted": self.wasted})
+        elif path == "/orders":
+            await self._take_order(connection, msgspec.json.decode(request.body))
+        else:
+            await self._complete(connection, request)
+
+    def _load_report(self) -> dict:
+        horizon = time.monotonic() - self.load_lag_s
+        running = waiting = 0
+        for at, run, wait in self._loads:
+            if at > horizon:
+                break
+            running, waiting = run, wait
+        return {"running": running, "waiting": waiting}
+
+    def _late_cache_events(self) -> list[dict]:
+        horizon = time.monotonic() - self.cache_lag_s
+        return [
+            {"number": number, "kind": kind, "prefix": prefix}
+            for at, number, kind, prefix in self._cache_events
+            if at <= horizon and number % self.cache_gap
+        ]
+
+    async def _take_order(self, connection, order: dict) -> None:
+        if self.fencing and order["fence"] < self.fence:
+            await answer(connection, {"refused": "old fence"}, 409)
+            return
+        self.fence = max(self.fence, order["fence"])
+        self.orders.append(order)
+        await answer(connection, {})
+
+    async def _complete(self, connection, request) -> None:
+        fields = msgspec.json.decode(request.body)
+        chat = "chat" in request.target
+        prompt = fields["messages"][-1]["content"] if chat else fields["prompt"]
+        if "[reject]" in prompt:
+            await answer(connection, {"error": {"message": "rejected by the model"}}, 400)
+            return
+        done = len(fields.get("continue_text", "").split())
+        now = time.monotonic()
+        priority = fields.get("priority", 0)
+        stream = Stream(prompt, priority, done, length_of(prompt), now, now)
+        if done < stream.length:
+            self._waiting.append(stream)
+        else:
+            stream.tokens.put_nowait(None)
+        self._wake.set()
+        try:
+            await self._send_stream(connection, request, fields, stream, chat)
+        except GoneError:
+            self.wasted += stream.tokens.qsize()
+            raise
+        finally:
+            self._forget(stream)
+
+    def _forget(self, stream: Stream) -> None:
+        if stream in self._running:
+            self._running.remove(stream)
+        if stream in self._waiting:
+            self._waiting.remove(stream)
+
+    async def _send_stream(self, connection, request, fields, stream: Stream, chat: bool) -> None:
+        request_id = request.header("x-request-id", "none")
+        await connection.start(200, SSE)
+        while (index := await self._next_token(connection, stream)) is not None:
+            text = token_of(stream.prompt, index)
+            last = index == stream.length - 1
+            await connection.send(encode_chunk(request_id, text, chat, last))
+        if fields.get("stream_options", {}).get("include_usage"):
+            usage = {"prompt_tokens": 1, "completion_tokens": stream.length}
+            usage["total_tokens"] = stream.length + 1
+            chunk = {"id": request_id, "object": "chunk", "choices": [], "usage": usage}
+            await connection.send(b"data: " + msgspec.json.encode(chunk) + b"\n\n")
+        await connection.send(b"data: [DONE]\n\n")
+        await connection.end()
+
+    async def _next_token(self, connection, stream: Stream) -> int | None:
+        """Waits for a token, and notices a cancel while it waits."""
+        while True:
+            try:
+                index = await asyncio.wait_for(stream.tokens.get(), 0.5)
+            except TimeoutError:
+                index = -1
+            if connection.is_gone():
+                raise GoneError("cancelled")
+            while self.silent:
+                await asyncio.sleep(0.1)
+                if connection.is_gone():
+                    raise GoneError("cancelled")
+            if index != -1:
+                return index
+
+
+def encode_chunk(request_id: str, text: str, chat: bool, last: bool) -> bytes:
+    """Returns one event of a stream."""
+    finish = "stop" if last else None
+    choice = {"index": 0, "finish_reason": finish}
+    choice |= {"delta": {"content": text}} if chat else {"text": text}
+    kind = "chat.completion.chunk" if chat else "text_completion"
+    chunk = {"id": request_id, "object": kind, "created": 0, "model": "", "choices": [choice]}
+    return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
--- /dev/null
+++ b/fakes/server.py
@@ -0,0 +1,46 @@
+"""What all stand-ins share: an HTTP server with a ``/control`` path that sets faults."""
+
+import msgspec
+
+from bluebellpitch.errors import BadRequestError
+from bluebellpitch.http1 import HttpLimits, HttpRequest, HttpServer, ServerConnection
+
+JSON = [("Content-Type", "application/json")]
+
+
+class FakeServer:
+    """Base of the stand-ins. ``POST /control`` sets public attributes from a JSON object."""
+
+    def __init__(self):
+        self.http = HttpServer(self._handle, refuse, HttpLimits(body_bytes=64_000_000))
+
+    async def start(self, host: str, port: int) -> int:
+        """Starts to listen; returns the port."""
+        return await self.http.listen(host, port)
+
+    async def _handle(self, connection: ServerConnection, request: HttpRequest) -> None:
+        if request.target == "/control":
+            for name, value in msgspec.json.decode(request.body).items():
+                if not hasattr(self, name):
+                    raise BadRequestError(400, "unknown", name)
+                setattr(self, name, value)
+            await connection.respond(200, JSON, b"{}")
+            return
+        if request.target == "/health":
+            await answer(connection, {})
+            return
+        await self.serve(connection, request)
+
+    async def serve(self, connection: ServerConnection, request: HttpRequest) -> None:
+        """Answers one request."""
+        raise NotImplementedError
+
+
+async def answer(connection: ServerConnection, value: object, status: int = 200) -> None:
+    """Sends a value as JSON."""
+    await connection.respond(status, JSON, msgspec.json.encode(value))
+
+
+async def refuse(connection: ServerConnection, error: BadRequestError) -> None:
+    """Answers a bad request."""
+    await connection.respond(error.status, JSON, msgspec.json.encode({"error": str(error)}))
