Cause the failures of submissions and streams with real processes

Cause: nothing showed yet that the promises hold when VMs, engines, the log or connections fail. Found and mended: h11 bounds only an incomplete request head, so a whole head of 40 KB passed the limit of 16 KB; the head's size is now checked once it is parsed (431).

--- a/bluebellpitch/commands/serve.py
+++ b/bluebellpitch/commands/serve.py
@@ -27,6 +27,7 @@
     bus: Annotated[str, option("--bus", "Address for other entry VMs.")],
     log_address: LogAddress,
     vms_address: VmsAddress,
+    bus_bind: Annotated[str, option("--bus-bind", "Where to listen for them, if elsewhere.")] = "",
     peer: Annotated[list[str], option("--peer", "Bus address of an entry VM.")] = (),
     stall_s: Annotated[float, option("--stall-s", "Longest silence of a stream.")] = 2.0,
     service_timeout_s: Annotated[
@@ -60,6 +61,7 @@
         bus=bus,
         log_address=log_address,
         vms_address=vms_address,
+        bus_bind=bus_bind or bus,
         peers=tuple(peer),
         stall_s=stall_s,
         service_timeout_s=service_timeout_s,
--- a/bluebellpitch/http1.py
+++ b/bluebellpitch/http1.py
@@ -105,11 +105,18 @@
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
+        self._check_head(head)
         parts = [part async for part in self._body_parts()]
         headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
         method = head.method.decode("ascii")
         return HttpRequest(method, head.target.decode("ascii"), headers, b"".join(parts))
 
+    def _check_head(self, head: h11.Request) -> None:
+        """h11 bounds only a head that is still incomplete; a whole one can be larger."""
+        size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+        if size > self.limits.header_bytes:
+            raise BadRequestError(431, "header_too_large", "the request head is too large")
+
     async def _body_parts(self) -> AsyncIterator[bytes]:
         size = 0
         while isinstance(event := await self._next_event(), h11.Data):
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -179,7 +179,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.draining.set)
         loop.add_signal_handler(signal.SIGINT, self.draining.set)
-        self.bus.bind(self.settings.bus)
+        self.bus.bind(self.settings.bus_bind)
         await self.admin.http.listen(*parse_address(self.settings.admin))
         await self.callers.http.listen(*parse_address(self.settings.listen))
         tasks = [asyncio.create_task(self._guard(job)) for job in self._jobs()]
--- a/bluebellpitch/operators/sheet.py
+++ b/bluebellpitch/operators/sheet.py
@@ -257,14 +257,19 @@
                 yield f"row {number}, column pool: there is no pool {name!r}"
 
 
-def write_sheet(rows: Iterable[VersionedRow], offset: int) -> str:
-    """Returns the sheet of a table at an offset; parse_sheet reads it back."""
+def write_sheet(rows: Iterable[VersionedRow], offset: int | None = None) -> str:
+    """Returns the sheet of a table at an offset; parse_sheet reads it back.
+
+    A row whose revision is below 0 is written as a new one.
+    """
     out = io.StringIO()
     writer = csv.DictWriter(out, COLUMNS, lineterminator="\n")
     writer.writeheader()
     for versioned in sorted(rows, key=lambda v: key_of(v.row)):
-        writer.writerow(write_cells(versioned.row) | {"revision": versioned.revision})
-    out.write(f"{OFFSET_MARK}{offset}\n")
+        revision = versioned.revision if versioned.revision >= 0 else ""
+        writer.writerow(write_cells(versioned.row) | {"revision": revision})
+    if offset is not None:
+        out.write(f"{OFFSET_MARK}{offset}\n")
     return out.getvalue()
 
 
--- a/bluebellpitch/settings.py
+++ b/bluebellpitch/settings.py
@@ -8,7 +8,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """Checked settings. Addresses are ``IP:port``; times are in seconds."""
+    """Checked settings. Addresses are ``IP:port``; times are in seconds.
+
+    ``bus`` is the address that other VMs reach; ``bus_bind`` is where this VM listens for them.
+    """
 
     vm: str
     zone: str
@@ -18,6 +21,7 @@
     bus: str
     log_address: str
     vms_address: str
+    bus_bind: str
     peers: tuple[str, ...] = ()
     stall_s: float = 2.0
     service_timeout_s: float = 30.0
@@ -33,7 +37,7 @@
     """Returns the settings unchanged; raises UsageError that names the flag."""
     for name in ("vm", "zone", "region"):
         check_name(name, getattr(settings, name))
-    for name in ("listen", "admin", "bus", "log_address", "vms_address"):
+    for name in ("listen", "admin", "bus", "bus_bind", "log_address", "vms_address"):
         check_address(name, getattr(settings, name))
     for peer in settings.peers:
         check_address("peer", peer)
--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -5,6 +5,7 @@
 
 from bluebellpitch.http1 import parse_address
 from fakes.engine import FakeEngine, Timing
+from fakes.link import FakeLink
 from fakes.log import FakeLog
 from fakes.service import FakeService
 from fakes.vms import FakeVmList
@@ -19,6 +20,9 @@
             return FakeVmList()
         case "service":
             return FakeService(values.get("name", "service"))
+        case "link":
+            delay_s = float(values.get("delay_s", "0"))
+            return FakeLink(values["listen"], values["target"], delay_s)
         case "engine":
             timing = {k: float(v) for k, v in values.items() if k in Timing.__dataclass_fields__}
             fencing = values.get("fencing", "yes") == "yes"
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,104 @@
+"""Small federations for tests, and the one helper that runs the program."""
+
+import asyncio
+import io
+from dataclasses import dataclass
+
+import msgspec
+
+from bluebellpitch.environment import Environment
+from bluebellpitch.errors import BluebellpitchError
+from bluebellpitch.exits import ExitStatus
+from bluebellpitch.http1 import fetch
+from bluebellpitch.main import main
+from fakes.federations import CLASSES, FILING, MODEL, endpoint, member, sheet
+from fakes.fleet import Fleet
+
+TOKEN = "office-secret"
+ZONES = (("doto-1", "doto"), ("doo-1", "doo"))
+
+
+@dataclass(frozen=True)
+class Shown:
+    """What a user sees of one run of the program."""
+
+    status: ExitStatus
+    out: str
+    err: str
+
+
+def run_program(*arguments: str) -> Shown:
+    """Runs the program in this process."""
+    out, err = io.StringIO(), io.StringIO()
+    status = main(list(arguments), Environment(stdout=out, stderr=err))
+    return Shown(status, out.getvalue(), err.getvalue())
+
+
+@dataclass(frozen=True)
+class Shape:
+    """How large a federation is."""
+
+    vms_per_zone: int = 2
+    zones: int = 1
+    engines_per_zone: int = 1
+    services_per_zone: int = 1
+    slots: int = 8
+    limit: int = 0
+    step_s: float = 0.004
+
+
+async def start_federation(fleet: Fleet, shape: Shape, **settings) -> None:
+    """Starts stand-ins and entry VMs, and puts a table into force."""
+    fleet.start_platform()
+    rows = [member("office", limit=shape.limit), member("agency", "rewrite"), *CLASSES]
+    rows += [MODEL, FILING]
+    zones = ZONES[: shape.zones]
+    for zone, _ in zones:
+        for number in range(shape.engines_per_zone):
+            name = f"engine-{zone}-{number}"
+            fleet.start_fake("engine", name, slots=shape.slots, step_s=shape.step_s)
+        for number in range(shape.services_per_zone):
+            fleet.start_fake("service", f"filing-{zone}-{number}")
+    await fleet.wait_listening(*fleet.processes_by_name.values())
+    for zone, region in zones:
+        for kind, pool, count in (
+            ("engine", "drafter", shape.engines_per_zone),
+            ("filing", "filing", shape.services_per_zone),
+        ):
+            names = (f"{kind}-{zone}-{number}" for number in range(count))
+            rows += [endpoint(fleet, n, pool, zone, region, shape.slots) for n in names]
+    status, output = await fleet.apply_sheet(sheet(*rows))
+    assert status == 0, output
+    for zone, region in zones:
+        for number in range(shape.vms_per_zone):
+            fleet.add_vm(f"vm-{zone}-{number}", zone, region, **settings)
+    await fleet.publish_vms()
+    await fleet.wait_ready()
+    await fleet.wait_settled()
+
+
+async def count_runs(fleet: Fleet, case: str) -> int:
+    """Returns how often the services ran a case."""
+    runs = 0
+    for name, process in fleet.processes_by_name.items():
+        if name.startswith("filing"):
+            runs += (await read_counts(process.address)).get(case, 0)
+    return runs
+
+
+async def read_counts(address: str) -> dict[str, int]:
+    """Returns a service's counts; nothing when it is down."""
+    try:
+        return msgspec.json.decode((await fetch(address, "GET", "/counts")).body)
+    except BluebellpitchError:
+        return {}
+
+
+def verdict_of(response) -> str:
+    """Returns the verdict of a service call's answer."""
+    return "" if response is None else dict(response.headers)["x-bluebellpitch-verdict"]
+
+
+def wait(seconds: float):
+    """Sleeps; the name says in tests that time passes."""
+    return asyncio.sleep(seconds)
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,231 @@
+"""What must not repeat runs at most once, whatever dies, pauses or is lost."""
+
+import asyncio
+
+import msgspec
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, MatchesAny
+
+from fakes.caller import look_up, stream, submit
+from fakes.fleet import Fleet, wait_until
+from tests.helpers import TOKEN, Shape, count_runs, read_counts, start_federation, verdict_of, wait
+
+HORIZON_S = 64.0
+DISPATCH_WINDOW_S = 4.0
+
+
+@pytest.fixture(scope="module")
+def running():
+    with Fleet() as fleet:
+        settings = {"horizon_s": 3600.0, "service_timeout_s": 2.0}
+        asyncio.run(start_federation(fleet, Shape(vms_per_zone=3), **settings))
+        yield fleet
+
+
+@pytest.fixture
+def fleet(running):
+    """A federation with no faults set and all VMs running."""
+    yield running
+
+    async def heal():
+        service = running.processes_by_name["filing-doto-1-0"]
+        await running.control(running.log, outage=False, slow_s=0.0, lose_answers=0, late_s=0.0)
+        await running.control(service, slow_s=0.0, hold_s=0.0, silent=False, refuse=False)
+        for vm in running.vms_by_name.values():
+            if vm.process.popen.poll() is not None:
+                running.start_vm(vm)
+        await running.wait_ready()
+        await running.wait_settled()
+
+    asyncio.run(heal())
+
+
+def vm_of(fleet, number: int):
+    return list(fleet.vms_by_name.values())[number]
+
+
+def service_of(fleet):
+    return fleet.processes_by_name["filing-doto-1-0"]
+
+
+async def has_run(fleet, case: str) -> bool:
+    return await count_runs(fleet, case) > 0
+
+
+async def resend_until(vm, case: str, key: str, statuses: tuple[int, ...]):
+    """Sends again until one of some statuses comes, as a patient caller would."""
+    for _ in range(20):
+        answer = await submit(vm.listen, TOKEN, case, key)
+        if answer is not None and answer.status in statuses:
+            return answer
+        await wait(0.3)
+    raise AssertionError(f"{case} never got one of {statuses}")
+
+
+def test_two_vms_with_one_key_run_it_once(run, fleet):
+    async def scenario():
+        for number in range(10):
+            sends = [
+                submit(vm_of(fleet, n).listen, TOKEN, f"race-{number}", f"race-{number}")
+                for n in range(3)
+            ]
+            answers = await asyncio.gather(*sends)
+            assert_that({answer.status for answer in answers}, Equals({200}))
+            assert_that(await count_runs(fleet, f"race-{number}"), Equals(1))
+
+    run(scenario())
+
+
+def test_vm_killed_after_dispatch_leaves_may_have_run(run, fleet):
+    async def scenario():
+        await fleet.control(service_of(fleet), slow_s=0.5, hold_s=1.0)
+        first = asyncio.create_task(submit(vm_of(fleet, 0).listen, TOKEN, "killed-1", "killed-1"))
+        await wait_until(lambda: has_run(fleet, "killed-1"), "the case has run")
+        vm_of(fleet, 0).process.kill()
+        assert_that(await first, Equals(None))
+        await fleet.control(service_of(fleet), slow_s=0.0, hold_s=0.0)
+        again = await submit(vm_of(fleet, 1).listen, TOKEN, "killed-1", "killed-1")
+        assert_that(again.status, Equals(409))
+        assert_that(verdict_of(again), Equals("may_have_run"))
+        assert_that(await count_runs(fleet, "killed-1"), Equals(1))
+        await wait(2.5)
+        _, output = await fleet.run_command("status", "--vm", vm_of(fleet, 1).admin)
+        assert_that(output, Contains("UNRESOLVED key=office/killed-1"))
+
+    run(scenario())
+
+
+def test_vm_killed_before_its_claim_lands_leaves_the_key_free(run, fleet):
+    async def scenario():
+        await fleet.control(fleet.log, outage=True)
+        first = asyncio.create_task(submit(vm_of(fleet, 0).listen, TOKEN, "killed-2", "killed-2"))
+        await wait(0.5)
+        vm_of(fleet, 0).process.kill()
+        await first
+        assert_that(await count_runs(fleet, "killed-2"), Equals(0))
+        await fleet.control(fleet.log, outage=False)
+        await resend_until(vm_of(fleet, 1), "killed-2", "killed-2", (200,))
+        assert_that(await count_runs(fleet, "killed-2"), Equals(1))
+
+    run(scenario())
+
+
+def test_lost_answer_of_a_claim_is_looked_for_on_the_log(run, fleet):
+    async def scenario():
+        await fleet.control(fleet.log, lose_answers=1)
+        answer = await submit(vm_of(fleet, 0).listen, TOKEN, "lost-1", "lost-1")
+        assert_that(answer.status, Equals(200))
+        assert_that(await count_runs(fleet, "lost-1"), Equals(1))
+
+    run(scenario())
+
+
+def test_claim_that_lands_late_is_void(run, fleet):
+    async def scenario():
+        await fleet.control(fleet.log, lose_answers=1, late_s=4.5)
+        first = await submit(vm_of(fleet, 0).listen, TOKEN, "ghost-1", "ghost-1")
+        assert_that(verdict_of(first), Equals("did_not_run"))
+        assert_that(await count_runs(fleet, "ghost-1"), Equals(0))
+        await wait(2.0)
+        await resend_until(vm_of(fleet, 1), "ghost-1", "ghost-1", (200,))
+        assert_that(await count_runs(fleet, "ghost-1"), Equals(1))
+
+    run(scenario())
+
+
+def test_outage_refuses_submissions_and_serves_the_rest(run, fleet):
+    async def scenario():
+        await fleet.control(fleet.log, outage=True)
+        vm = vm_of(fleet, 0)
+        refused = await submit(vm.listen, TOKEN, "outage-1", "outage-1")
+        assert_that(refused.status, Equals(503))
+        assert_that(verdict_of(refused), Equals("did_not_run"))
+        assert_that((await look_up(vm.listen, TOKEN, "x")).status, Equals(200))
+        assert_that(
+            (await stream(vm.listen, TOKEN, "[len=9] during an outage")).whole, Equals(True)
+        )
+        await fleet.control(fleet.log, outage=False)
+        await resend_until(vm, "outage-1", "outage-1", (200,))
+        assert_that(await count_runs(fleet, "outage-1"), Equals(1))
+
+    run(scenario())
+
+
+def test_outcome_is_written_after_an_outage(run, fleet):
+    async def scenario():
+        await fleet.control(service_of(fleet), hold_s=1.0)
+        first = asyncio.create_task(submit(vm_of(fleet, 0).listen, TOKEN, "behind-1", "behind-1"))
+        await wait_until(lambda: has_run(fleet, "behind-1"), "the case has run")
+        await fleet.control(fleet.log, outage=True)
+        assert_that((await first).status, Equals(200))
+        during = await submit(vm_of(fleet, 1).listen, TOKEN, "behind-1", "behind-1")
+        assert_that(during.status, MatchesAny(Equals(409), Equals(503)))
+        await fleet.control(fleet.log, outage=False)
+        replay = await resend_until(vm_of(fleet, 1), "behind-1", "behind-1", (200,))
+        assert_that(dict(replay.headers)["x-bluebellpitch-replayed"], Equals("true"))
+        assert_that(await count_runs(fleet, "behind-1"), Equals(1))
+
+    run(scenario())
+
+
+def test_silent_service_leaves_may_have_run_and_is_listed(run, fleet):
+    async def scenario():
+        await fleet.control(service_of(fleet), silent=True)
+        first = await submit(vm_of(fleet, 0).listen, TOKEN, "silent-1", "silent-1")
+        assert_that(verdict_of(first), Equals("may_have_run"))
+        await fleet.control(service_of(fleet), silent=False)
+        again = await submit(vm_of(fleet, 1).listen, TOKEN, "silent-1", "silent-1")
+        assert_that(verdict_of(again), Equals("may_have_run"))
+        assert_that(await count_runs(fleet, "silent-1"), Equals(1))
+        _, output = await fleet.run_command("status", "--vm", vm_of(fleet, 1).admin)
+        assert_that(output, Contains("UNRESOLVED key=office/silent-1"))
+
+    run(scenario())
+
+
+def test_service_that_says_it_did_not_run_frees_the_key(run, fleet):
+    async def scenario():
+        await fleet.control(service_of(fleet), refuse=True)
+        first = await submit(vm_of(fleet, 0).listen, TOKEN, "refused-1", "refused-1")
+        assert_that(verdict_of(first), Equals("did_not_run"))
+        await fleet.control(service_of(fleet), refuse=False)
+        await resend_until(vm_of(fleet, 1), "refused-1", "refused-1", (200,))
+        assert_that(await count_runs(fleet, "refused-1"), Equals(1))
+
+    run(scenario())
+
+
+def test_submission_without_key_is_never_sent_twice(run, fleet):
+    async def scenario():
+        await fleet.control(service_of(fleet), silent=True)
+        answer = await submit(vm_of(fleet, 0).listen, TOKEN, "keyless-1", "")
+        assert_that(verdict_of(answer), Equals("may_have_run"))
+        assert_that((await read_counts(service_of(fleet).address))["keyless-1"], Equals(1))
+
+    run(scenario())
+
+
+def test_vm_paused_past_the_horizon_does_not_dispatch(run):
+    """The claim lands while its VM is frozen; the key is forgotten before it goes on."""
+
+    async def scenario():
+        with Fleet() as fleet:
+            await start_federation(fleet, Shape(), horizon_s=HORIZON_S)
+            await fleet.control(fleet.log, slow_s=1.0)
+            first = asyncio.create_task(
+                submit(vm_of(fleet, 0).listen, TOKEN, "paused-1", "paused-1")
+            )
+            await wait(0.6)
+            vm_of(fleet, 0).process.pause()
+            await wait(DISPATCH_WINDOW_S + 1.0)
+            vm_of(fleet, 0).process.resume()
+            answer = await first
+            assert_that(verdict_of(answer), Equals("did_not_run"))
+            assert_that(
+                msgspec.json.decode(answer.body)["reason"],
+                MatchesAny(Equals("request_too_old"), Equals("log_unavailable")),
+            )
+            assert_that(await count_runs(fleet, "paused-1"), Equals(0))
+
+    run(scenario())
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,152 @@
+"""What callers see: their own answers, and clear refusals of bad input."""
+
+import asyncio
+import hashlib
+import socket
+
+import msgspec
+import openai
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, MatchesAll
+
+from bluebellpitch.http1 import fetch
+from fakes.caller import headers_for, stream, submit
+from fakes.engine import answer_to
+from fakes.fleet import Fleet
+from tests.helpers import TOKEN, Shape, start_federation, verdict_of
+
+PROMPT = "[len=25] tell me"
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with Fleet() as fleet:
+        asyncio.run(start_federation(fleet, Shape(), body_bytes=50_000, receive_s=1.0))
+        yield fleet
+
+
+@pytest.fixture
+def vm(fleet):
+    return next(iter(fleet.vms_by_name.values()))
+
+
+def post(run, vm, body: bytes, headers=None, target="/v1/completions"):
+    headers = headers_for(TOKEN) if headers is None else headers
+    return run(fetch(vm.listen, "POST", target, body, headers, timeout_s=10.0))
+
+
+def completion(**fields) -> bytes:
+    return msgspec.json.encode({"model": "drafter", "prompt": PROMPT} | fields)
+
+
+def raw_exchange(vm, data: bytes) -> bytes:
+    host, port = vm.listen.split(":")
+    with socket.create_connection((host, int(port)), timeout=10) as client:
+        client.sendall(data)
+        parts = []
+        while part := client.recv(65_536):
+            parts.append(part)
+    return b"".join(parts)
+
+
+def assert_serves(run, vm):
+    answer = run(stream(vm.listen, TOKEN, PROMPT))
+    assert_that(answer.text, Equals(answer_to(PROMPT)))
+
+
+def test_openai_client_works_unchanged(vm):
+    client = openai.OpenAI(api_key=TOKEN, base_url=f"http://{vm.listen}/v1", max_retries=0)
+    messages = [{"role": "user", "content": PROMPT}]
+    whole = client.chat.completions.create(model="drafter", messages=messages)
+    assert_that(whole.choices[0].message.content, Equals(answer_to(PROMPT)))
+    assert_that(whole.usage.completion_tokens, Equals(25))
+    chunks = client.chat.completions.create(model="drafter", messages=messages, stream=True)
+    text = "".join(chunk.choices[0].delta.content or "" for chunk in chunks)
+    assert_that(text, Equals(answer_to(PROMPT)))
+    completed = client.completions.create(model="drafter", prompt=PROMPT)
+    assert_that(completed.choices[0].text, Equals(answer_to(PROMPT)))
+    assert_that([model.id for model in client.models.list()], Equals(["drafter"]))
+
+
+def test_openai_client_reads_a_refusal(vm):
+    client = openai.OpenAI(api_key="wrong", base_url=f"http://{vm.listen}/v1", max_retries=0)
+    with pytest.raises(openai.AuthenticationError) as caught:
+        client.completions.create(model="drafter", prompt=PROMPT)
+    assert_that(caught.value.code, Equals("wrong_credential"))
+
+
+def test_many_streams_get_their_own_answers(run, vm):
+    prompts = [f"[len={10 + n % 30}] request {n}" for n in range(60)]
+
+    async def send_all():
+        return await asyncio.gather(*(stream(vm.listen, TOKEN, prompt) for prompt in prompts))
+
+    answers = run(send_all())
+    expected = [hashlib.sha256(answer_to(p).encode()).hexdigest() for p in prompts]
+    got = [hashlib.sha256(a.text.encode()).hexdigest() for a in answers]
+    assert_that(got, Equals(expected))
+
+
+BAD_REQUESTS = {
+    "bad_json": (b"{", None, 400),
+    "unknown_model": (completion(model="none"), None, 404),
+    "bad_request": (completion(prompt=""), None, 400),
+    "unknown_class": (completion(), headers_for(TOKEN, "none"), 400),
+    "wrong_credential": (completion(), headers_for("none"), 401),
+    "no_credential": (completion(), [], 401),
+    "deadline_past": (completion(), headers_for(TOKEN, X_Bluebellpitch_Deadline_Ms="-5"), 400),
+    "bad_deadline": (completion(), headers_for(TOKEN, X_Bluebellpitch_Deadline_Ms="nan"), 400),
+    "body_too_large": (b"x" * 60_000, None, 413),
+}
+
+
+@pytest.mark.parametrize("reason", BAD_REQUESTS)
+def test_bad_request_gets_a_reason_and_a_verdict(run, vm, reason):
+    body, headers, status = BAD_REQUESTS[reason]
+    response = post(run, vm, body, headers)
+    fields = msgspec.json.decode(response.body)
+    assert_that(response.status, Equals(status))
+    assert_that(fields["reason"], Equals(reason))
+    assert_that(fields["verdict"], Equals("did_not_run"))
+    assert_serves(run, vm)
+
+
+RAW_REQUESTS = {
+    "malformed_http": b"\x00\xff nonsense\r\n\r\n",
+    "huge_header": b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 40_000 + b"\r\n\r\n",
+    "slow_request": b"POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nab",
+}
+
+
+@pytest.mark.parametrize("kind", RAW_REQUESTS)
+def test_raw_nonsense_is_refused_and_harms_nobody(run, vm, kind):
+    answer = raw_exchange(vm, RAW_REQUESTS[kind])
+    assert_that(answer, MatchesAll(Contains(b"did_not_run"), Contains(b"HTTP/1.1 4")))
+    assert_serves(run, vm)
+
+
+def test_engine_rejection_is_passed_on(run, vm):
+    response = post(run, vm, completion(prompt="[reject] this"))
+    assert_that(response.status, Equals(400))
+    assert_that(response.body, Contains(b"rejected by the model"))
+
+
+def test_key_reused_with_another_body_is_refused(run, vm):
+    first = run(submit(vm.listen, TOKEN, "case-a", "key-reused"))
+    second = run(submit(vm.listen, TOKEN, "case-b", "key-reused"))
+    assert_that(first.status, Equals(200))
+    assert_that(second.status, Equals(422))
+    assert_that(verdict_of(second), Equals("did_not_run"))
+
+
+def test_key_older_than_the_horizon_is_refused(run, vm):
+    answer = run(submit(vm.listen, TOKEN, "case-old", "key-old", X_Bluebellpitch_Made_At="1000"))
+    assert_that(answer.status, Equals(400))
+    assert_that(msgspec.json.decode(answer.body)["reason"], Equals("request_too_old"))
+
+
+def test_member_cannot_use_another_members_key(run, vm):
+    first = run(submit(vm.listen, TOKEN, "case-m1", "shared-key"))
+    second = run(submit(vm.listen, "agency-secret", "case-m2", "shared-key"))
+    assert_that([first.status, second.status], Equals([200, 200]))
