Show conflicts only for rows that an operator edited

Cause: a sheet holds all rows, so a row that another operator had changed meanwhile looked like an edit of this one; two operators on different rows conflicted (found by test_operators_that_edit_different_rows_both_win, exit statuses 3 and 0 instead of 0 and 0). Change: 'table show' writes a digest of each row beside its revision; a row that still has it was not edited and changes nothing. Ruled out: merging cell by cell, which would let two edits of one row both win.

--- a/bluebellpitch/operators/sheet.py
+++ b/bluebellpitch/operators/sheet.py
@@ -5,6 +5,9 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
+import msgspec
+
+from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.rows import (
     ClassRow,
     EndpointRow,
@@ -28,6 +31,7 @@
     "endpoint": "name pool zone region address slots fencing state".split(),
 }
 OFFSET_MARK = "#offset="
+DIGEST_CHARACTERS = 8
 SHEET_MAX_BYTES = 4_194_304
 
 
@@ -129,22 +133,34 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """What ``table show`` wrote about a row: its revision, and a digest of what it held."""
+
+    revision: int
+    digest: str
+
+    def is_of(self, row: Row) -> bool:
+        """Tells whether a row still is as it was shown."""
+        return self.digest == digest_row(row)
+
+
 @dataclass(frozen=True, slots=True)
 class Line:
-    """One line of the sheet that reads. ``revision`` is None in a line that a person added."""
+    """One line of the sheet that reads. ``origin`` is None in a line that a person added."""
 
     number: int
     row: Row
-    revision: int | None
+    origin: Origin | None
 
 
 @dataclass(frozen=True, slots=True)
 class Sheet:
-    """A sheet that reads. ``offset`` is where the table stood that it was made from, if known."""
+    """A sheet that reads. ``offset`` is of the table that it was made from; -1: unknown."""
 
     rows: tuple[Row, ...]
-    revisions_by_key: dict[str, int]
-    offset: int | None
+    origins_by_key: dict[str, Origin]
+    offset: int
 
 
 def parse_sheet(text: str) -> Sheet:
@@ -154,17 +170,15 @@
     problems.extend(check_references(lines))
     if problems:
         raise SheetError(tuple(problems))
-    revisions_by_key = {
-        key_of(line.row): line.revision for line in lines if line.revision is not None
-    }
-    return Sheet(tuple(line.row for line in lines), revisions_by_key, find_offset(text))
+    origins_by_key = {key_of(line.row): line.origin for line in lines if line.origin}
+    return Sheet(tuple(line.row for line in lines), origins_by_key, find_offset(text))
 
 
-def find_offset(text: str) -> int | None:
-    """Returns the offset that ``table show`` wrote into the sheet."""
+def find_offset(text: str) -> int:
+    """Returns the offset that ``table show`` wrote into the sheet; -1 when there is none."""
     marks = (line for line in text.splitlines() if line.startswith(OFFSET_MARK))
     digits = next(marks, "").removeprefix(OFFSET_MARK).strip(", ")
-    return int(digits) if digits.isascii() and digits.isdigit() else None
+    return int(digits) if digits.isascii() and digits.isdigit() else -1
 
 
 def parse_lines(text: str, problems: list[str]) -> Iterator[Line]:
@@ -206,15 +220,27 @@
     wrong = {name: value for name, value in values.items() if isinstance(value, Wrong)}
     for name, value in wrong.items():
         problems.append(f"row {number}, column {name}: {texts[name]!r} {value.hint}")
-    revision = texts["revision"]
-    if revision and isinstance(read_count(0)(revision), Wrong):
-        problems.append(f"row {number}, column revision: leave it as 'table show' wrote it")
+    origin = read_origin(texts["revision"])
+    if isinstance(origin, Wrong):
+        problems.append(f"row {number}, column revision: {origin.hint}")
         return None
-    return (
-        None
-        if wrong
-        else Line(number, build_row(kind, values), int(revision) if revision else None)
-    )
+    return None if wrong else Line(number, build_row(kind, values), origin)
+
+
+def read_origin(text: str) -> Origin | Wrong | None:
+    """Reads a revision as ``table show`` wrote it; None when it is empty."""
+    if not text:
+        return None
+    number, _, digest = text.partition(".")
+    revision = read_count(0)(number)
+    if isinstance(revision, Wrong) or len(digest) != DIGEST_CHARACTERS:
+        return Wrong("leave it as 'table show' wrote it, and empty in new rows")
+    return Origin(revision, digest)
+
+
+def digest_row(row: Row) -> str:
+    """Returns a short digest of a row's values."""
+    return digest_text(msgspec.json.encode(row))[:DIGEST_CHARACTERS]
 
 
 def build_row(kind: str, values: dict) -> Row:
@@ -266,8 +292,9 @@
     writer = csv.DictWriter(out, COLUMNS, lineterminator="\n")
     writer.writeheader()
     for versioned in sorted(rows, key=lambda v: key_of(v.row)):
-        revision = versioned.revision if versioned.revision >= 0 else ""
-        writer.writerow(write_cells(versioned.row) | {"revision": revision})
+        row, revision = versioned.row, versioned.revision
+        mark = f"{revision}.{digest_row(row)}" if revision >= 0 else ""
+        writer.writerow(write_cells(row) | {"revision": mark})
     if offset is not None:
         out.write(f"{OFFSET_MARK}{offset}\n")
     return out.getvalue()
--- a/bluebellpitch/operators/table.py
+++ b/bluebellpitch/operators/table.py
@@ -39,30 +39,30 @@
 def compare(sheet: Sheet, fold: ControlFold, onto_current: bool = False) -> TableDiff:
     """Compares a sheet with the agreed table.
 
-    A row may be changed or deleted only by a sheet that was made from its present revision, else it
-    is a conflict; ``onto_current`` takes all present revisions as known. A row that the sheet could
-    not know is left alone.
+    A row that the operator left as it was shown changes nothing. One that was edited must have been
+    shown at its present revision, else it is a conflict; ``onto_current`` takes all present
+    revisions as known. A row that the sheet could not know is left alone.
     """
     current = fold.state.rows_by_key
-    wanted = {key_of(row): row for row in sheet.rows}
+    origins_by_key = {} if onto_current else sheet.origins_by_key
     offset = fold.offset if onto_current else sheet.offset
-
-    def is_known(key: str) -> bool:
-        return onto_current or sheet.revisions_by_key.get(key) == current[key].revision
-
-    differing = {k: row for k, row in wanted.items() if k in current and current[k].row != row}
-    changed = tuple(row for key, row in differing.items() if is_known(key))
-    vanished = {k for k in wanted if k not in current and k in sheet.revisions_by_key}
-    added = tuple(row for k, row in wanted.items() if k not in current and k not in vanished)
-    deleted = tuple(
-        key
-        for key, versioned in current.items()
-        if key not in wanted and offset is not None and versioned.revision <= offset
-    )
-    conflicts = tuple(key for key in differing if not is_known(key)) + tuple(sorted(vanished))
-    keys = [key_of(row) for row in added + changed] + list(deleted)
+    added, changed, conflicts = [], [], []
+    for row in sheet.rows:
+        key = key_of(row)
+        origin, present = origins_by_key.get(key), current.get(key)
+        if (origin and origin.is_of(row)) or (present and present.row == row):
+            continue
+        if present is None and origin is None:
+            added.append(row)
+        elif present and (onto_current or (origin and origin.revision == present.revision)):
+            changed.append(row)
+        else:
+            conflicts.append(key)
+    kept = {key_of(row) for row in sheet.rows}
+    deleted = [k for k, v in current.items() if k not in kept and v.revision <= offset]
+    keys = [key_of(row) for row in added + changed] + deleted
     base = {key: fold.revision_of(key) for key in keys}
-    return TableDiff(added, changed, deleted, conflicts, base)
+    return TableDiff(tuple(added), tuple(changed), tuple(deleted), tuple(conflicts), base)
 
 
 class TableEditor:
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -83,6 +83,7 @@
         self.cache_size = 256
         self.made = 0
         self.wasted = 0
+        self.peak = 0
         self.fence = -1
         self.orders: list[dict] = []
         self._running: list[Stream] = []
@@ -112,6 +113,7 @@
             stream = self._waiting.pop(0)
             stream.ready_at = time.monotonic() + self._prefill_s(stream)
             self._running.append(stream)
+        self.peak = max(self.peak, len(self._running) + len(self._waiting))
         self._loads.append((time.monotonic(), len(self._running), len(self._waiting)))
 
     def _prefill_s(self, stream: Stream) -> float:
@@ -154,7 +156,8 @@
         elif path == "/cache-events":
             await answer(connection, self._late_cache_events())
         elif path == "/stats":
-            await answer(connection, {"made": self.made, "wasted": self.wasted})
+            counts = {"made": self.made, "wasted": self.wasted, "peak": self.peak}
+            await answer(connection, counts)
         elif path == "/orders":
             await self._take_order(connection, msgspec.json.decode(request.body))
         else:
