Keep unsettled epochs in the fold, and lend floors only to VMs of the epoch

Cause: written out as a proof, the rule 'a floor counts as the smallest of all unsettled epochs' had two holes. A VM that boots adopts only the newest epoch and would use its larger floors while a VM of an older epoch still uses its own; and a broker that is in no epoch could hold a loan of an epoch that all its members have left. Change: an epoch record tells which epochs are unsettled, a VM adopts that chain, and only VMs of the epoch may borrow; the broker is chosen among them while one is live. Ruled out: freezing epochs while any VM is behind, which one paused VM would hold up for good. The step of a claim is now a pure function, for the stateful tests to drive.

--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -6,12 +6,12 @@
 from bluebellpitch.callers.requests import ServiceJob, forwarded_headers
 from bluebellpitch.constants import ATTEMPTS_PER_REQUEST, OUTCOME_BODY_MAX_BYTES
 from bluebellpitch.context import NodeContext
+from bluebellpitch.decisions.claiming import Replay, Wish, Won
 from bluebellpitch.decisions.claims import Claim, Outcome
 from bluebellpitch.endpoints.service import ServiceCall, call_service
 from bluebellpitch.events import Kind
 from bluebellpitch.http1 import HttpResponse, ServerConnection
 from bluebellpitch.peers.messages import Ask
-from bluebellpitch.roles.claiming import Replay, Won
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
@@ -111,9 +111,8 @@
     async def _claim_and_call(self, slot: Slot) -> Result:
         """Claims as late as can be, so that a claim that waits cannot be left behind."""
         if self.job.key and not self.job.repeatable and self.claim is None:
-            verdict = await self.context.claims.claim(
-                self.caller.request_id, self.job.key, self.job.body_digest, self.job.made_at
-            )
+            wish = Wish(self.job.key, self.job.body_digest, self.job.made_at)
+            verdict = await self.context.claims.claim(self.caller.request_id, wish)
             if not isinstance(verdict, Won):
                 return verdict
             self.claim = verdict.claim
--- a/bluebellpitch/decisions/control.py
+++ b/bluebellpitch/decisions/control.py
@@ -45,13 +45,17 @@
 
 
 class EpochChange(msgspec.Struct, frozen=True, tag="epoch"):
-    """Proposes a zone's next epoch. ``gone`` names VMs that the platform says are no more."""
+    """Proposes a zone's next epoch. ``gone`` names VMs that are proved to be no more.
+
+    ``settled`` is the oldest epoch that some VM may still be in, as the proposer knows for sure.
+    """
 
     id: str
     zone: str
     number: int
     vms: tuple[VmIdentity, ...]
     gone: tuple[str, ...] = ()
+    settled: int = 0
 
 
 class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
@@ -88,6 +92,7 @@
     offset: int = -1
     rows_by_key: dict[str, VersionedRow] = {}
     epochs_by_zone: dict[str, Epoch] = {}
+    unsettled_by_zone: dict[str, tuple[Epoch, ...]] = {}
     verdicts_by_id: dict[str, FoldVerdict] = {}
 
 
@@ -155,11 +160,13 @@
         current = self.state.epochs_by_zone.get(change.zone, Epoch(0, ()))
         if change.number != current.number + 1:
             return Conflicted(offset, (f"epoch/{change.zone}",))
-        present = {vm.key for vm in change.vms}
-        former = {vm.key: vm for vm in current.vms + current.excluded}
-        left = [vm for key, vm in former.items() if key not in present and key not in change.gone]
+        out = {vm.key for vm in change.vms} | set(change.gone)
+        left = [vm for vm in current.vms + current.excluded if vm.key not in out]
         epoch = Epoch(change.number, tuple(sorted(change.vms)), tuple(sorted(left)))
         self.state.epochs_by_zone = {**self.state.epochs_by_zone, change.zone: epoch}
+        former = self.state.unsettled_by_zone.get(change.zone, ()) + (current,)
+        kept = tuple(e for e in former if e.number > 0 and e.number >= change.settled)
+        self.state.unsettled_by_zone = {**self.state.unsettled_by_zone, change.zone: kept}
         return Accepted(offset)
 
     def snapshot(self) -> Snapshot:
--- a/bluebellpitch/decisions/epochs.py
+++ b/bluebellpitch/decisions/epochs.py
@@ -21,9 +21,18 @@
     _since: float = 0.0
 
     def decide(
-        self, epoch: Epoch, live: frozenset[VmIdentity], gone: frozenset[str], now: float
+        self,
+        epoch: Epoch,
+        live: frozenset[VmIdentity],
+        gone: frozenset[str],
+        settled: int,
+        now: float,
     ) -> EpochChange | None:
-        """Returns a proposal when one is due. ``gone`` are keys of VMs proved to be no more."""
+        """Returns a proposal when one is due.
+
+        ``gone`` are keys of VMs proved to be no more; ``settled`` is the oldest epoch that some VM
+        may still be in.
+        """
         if live != self._seen:
             self._seen, self._since = live, now
         buried = {vm.key for vm in epoch.vms + epoch.excluded} & gone
--- a/bluebellpitch/decisions/floors.py
+++ b/bluebellpitch/decisions/floors.py
@@ -45,32 +45,44 @@
     """Epochs of this zone from the oldest that some VM may still be in, to the newest.
 
     A floor that grows from one epoch to the next counts only once every VM has adopted the newer
-    one; until then the smallest of them counts.
+    one; until then the smallest of them counts. So each floor in use is at most the floor of the
+    oldest epoch that any VM is in, and their sum is at most the share.
     """
 
     def __init__(self):
         self._epochs: list[Epoch] = []
+        self._dropped = 0
 
     @property
     def current(self) -> Epoch | None:
         """The newest epoch."""
         return self._epochs[-1] if self._epochs else None
 
-    def add(self, epoch: Epoch) -> None:
-        """Takes a newer epoch in."""
-        if not self._epochs or epoch.number > self._epochs[-1].number:
-            self._epochs.append(epoch)
+    @property
+    def settled(self) -> int:
+        """The number of the oldest epoch that some VM may still be in."""
+        return self._epochs[0].number if self._epochs else 0
+
+    def adopt(self, chain: tuple[Epoch, ...]) -> None:
+        """Takes in the unsettled epochs and the current one, as the log has them, oldest first."""
+        known = {epoch.number for epoch in self._epochs}
+        new = [e for e in chain if e.number not in known and e.number > self._dropped]
+        self._epochs = sorted(self._epochs + new, key=lambda epoch: epoch.number)
 
     def settle(self, adopted_by_vm: dict[str, int], own_key: str) -> None:
         """Drops epochs that every other VM has left, by the numbers that they told."""
         while len(self._epochs) > 1 and self._is_left(self._epochs[0], adopted_by_vm, own_key):
-            del self._epochs[0]
+            self._dropped = self._epochs.pop(0).number
 
     def _is_left(self, epoch: Epoch, adopted_by_vm: dict[str, int], own_key: str) -> bool:
         remaining = {vm.key for vm in self.current.vms + self.current.excluded}
         others = {vm.key for vm in epoch.vms + epoch.excluded} & remaining - {own_key}
         return all(adopted_by_vm.get(key, 0) > epoch.number for key in others)
 
+    def holds(self, vm_key: str) -> bool:
+        """Tells whether a VM is in the newest epoch."""
+        return self.current is not None and vm_key in {vm.key for vm in self.current.vms}
+
     def floor(self, vm_key: str, share: int, key: str) -> int:
         """Returns the floor of one VM that is safe now."""
         floors = (floors_of(epoch, share, key).get(vm_key, 0) for epoch in self._epochs)
@@ -79,10 +91,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Loan:
-    """A VM's promise to use none of its floors in a pool until ``until`` on the holder's clock.
-
-    ``settled_from`` is the oldest epoch of the lender's history.
-    """
+    """A VM's promise to use none of its floors in a pool until ``until`` on the holder's clock."""
 
     lender: str
     epoch: int
--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/brokering.py
@@ -233,10 +233,11 @@
     def _lend(self, sender: str, request: LoanRequest) -> None:
         """Lends this VM's floors, unless it knows another epoch or another broker has them.
 
+        Only a VM of the epoch may borrow: others need not have left an epoch for it to be settled.
         What this VM holds goes ahead of the loan, so that the broker counts it first.
         """
         epoch = self._history.current
-        if epoch is None or epoch.number != request.epoch:
+        if epoch is None or epoch.number != request.epoch or not self._history.holds(sender):
             return
         if self._lender.lend(request.pool, sender, self._now()):
             self._report_held(sender, request.pool)
--- a/bluebellpitch/roles/claiming.py
+++ b/bluebellpitch/roles/claiming.py
@@ -2,17 +2,21 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from uuid import uuid4
 
 from bluebellpitch.constants import CLAIM_WAIT_S, HORIZON_MARGIN_S
+from bluebellpitch.decisions.claiming import (
+    Attempted,
+    GiveUp,
+    Replay,
+    SendClaim,
+    Wish,
+    Won,
+    next_step,
+)
 from bluebellpitch.decisions.claims import (
     Claim,
     ClaimsFold,
-    Done,
-    Free,
-    Held,
-    OtherBody,
     Outcome,
     Withdrawal,
     encode_claim,
@@ -30,31 +34,9 @@
 EXPIRE_INTERVAL_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class Won:
-    """This VM alone may dispatch the key."""
-
-    claim: Claim
-
-
-@dataclass(frozen=True, slots=True)
-class Replay:
-    """The key ran before; its outcome is known."""
-
-    outcome: Outcome
-
-
 ClaimVerdict = Won | Replay | DidNotRun | MayHaveRun
 
 
-@dataclass(slots=True)
-class Attempted:
-    """A claim that this VM has tried to append. ``offset`` is None until known."""
-
-    claim: Claim
-    offset: int | None = None
-
-
 class ClaimRole:
     """Owns the claims fold of this VM."""
 
@@ -107,37 +89,28 @@
         """Returns claims that may have run and whose end nobody knows."""
         return self.fold.unresolved(frozenset(self._holder.current.live_by_key))
 
-    async def claim(self, request: str, key: str, body: str, made_at: float) -> ClaimVerdict:
-        """Claims a key for one request; ``made_at`` is in Unix seconds."""
+    async def claim(self, request: str, wish: Wish) -> ClaimVerdict:
+        """Claims a key for one request."""
         deadline = self._now() + CLAIM_WAIT_S
         attempted: Attempted | None = None
-        while self._now() < deadline:
-            if not is_within_horizon(made_at, self._wall(), self._horizon_s, HORIZON_MARGIN_S):
-                return self._withdraw(attempted, DidNotRun("request_too_old", 400))
+        while True:
             changed = self._changed
-            standing = self.fold.standing(key, body)
-            if attempted and self._has_lost(attempted, standing):
-                attempted = None
-            match standing:
-                case OtherBody():
-                    return self._withdraw(attempted, DidNotRun("key_reused", 422))
-                case Done(outcome):
-                    return Replay(outcome)
-                case Held(claim) if attempted and claim.id == attempted.claim.id:
+            expired = self._now() >= deadline
+            match next_step(self.fold, wish, attempted, self._wall(), expired):
+                case Won(claim) as won:
                     self._ring.record(Kind.CLAIMED, request, detail=claim.id)
-                    return Won(claim)
-                case Free() if attempted is None:
-                    claim = Claim(uuid4().hex, key, body, self._own, made_at)
+                    return won
+                case Replay() as replay:
+                    return replay
+                case GiveUp(verdict):
+                    if attempted is not None:
+                        self.withdraw(attempted.claim)
+                    return verdict
+                case SendClaim():
+                    claim = Claim(uuid4().hex, wish.key, wish.body, self._own, wish.made_at)
                     attempted = await self._try_claim(claim, deadline)
-                    continue
-            await self._wait(changed, deadline)
-        return self._end_unclaimed(key, body, attempted)
-
-    def _has_lost(self, attempted: Attempted, standing) -> bool:
-        """Tells whether the log shows that another claim came first."""
-        if attempted.offset is None or self.fold.offset < attempted.offset:
-            return False
-        return not (isinstance(standing, Held) and standing.claim.id == attempted.claim.id)
+                case _:
+                    await self._wait(changed, deadline)
 
     async def _try_claim(self, claim: Claim, deadline: float) -> Attempted | None:
         """Appends a claim; None when it is certain that it did not get onto the log."""
@@ -160,19 +133,6 @@
         except TimeoutError:
             return
 
-    def _end_unclaimed(self, key: str, body: str, attempted: Attempted | None) -> ClaimVerdict:
-        standing = self.fold.standing(key, body)
-        own = attempted and isinstance(standing, Held) and standing.claim.id == attempted.claim.id
-        if isinstance(standing, Held) and not own:
-            self._withdraw(attempted, DidNotRun("in_progress"))
-            return MayHaveRun("in_progress", 409, 1.0)
-        return self._withdraw(attempted, DidNotRun("log_unavailable", 503, 5.0))
-
-    def _withdraw(self, attempted: Attempted | None, verdict: DidNotRun) -> DidNotRun:
-        if attempted is not None:
-            self.withdraw(attempted.claim)
-        return verdict
-
     def withdraw(self, claim: Claim) -> None:
         """Voids a claim of this VM that was never dispatched; goes on until it is on the log."""
         self._ring.record(Kind.WITHDRAWN, detail=claim.id)
--- a/bluebellpitch/roles/control.py
+++ b/bluebellpitch/roles/control.py
@@ -79,8 +79,13 @@
             log("INFO", "table", offset=table.offset)
         self._metrics.table_offset.set(self.fold.offset)
         own = replace(view.own, control_offset=self.fold.offset)
-        epochs_by_zone = self.fold.state.epochs_by_zone
-        self._holder.current = replace(view, own=own, table=table, epochs_by_zone=epochs_by_zone)
+        self._holder.current = replace(
+            view,
+            own=own,
+            table=table,
+            epochs_by_zone=self.fold.state.epochs_by_zone,
+            unsettled_by_zone=self.fold.state.unsettled_by_zone,
+        )
 
     def help_peer(self, sender: str, heartbeat: Heartbeat):
         """Returns what a peer lacks, once it was seen behind twice in a row; else None."""
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/membership.py
@@ -20,7 +20,7 @@
 from bluebellpitch.peers.messages import Heartbeat
 from bluebellpitch.platform.appender import Appender
 from bluebellpitch.platform.vms import ListedVm, read_vms
-from bluebellpitch.view import KnownVm, ViewHolder
+from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
 
 LIST_INTERVAL_S = 1.0
 CROSS_ZONE_DEAD_AFTER_S = 3 * CROSS_ZONE_HEARTBEAT_INTERVAL_S
@@ -99,7 +99,7 @@
         }
         view = self._holder.current
         self._learn_addresses()
-        self._adopt_epoch(view.epochs_by_zone.get(self._zone))
+        self._adopt_epoch(view)
         own = replace(view.own, epoch=self._epoch_number())
         live = {key: vm for key, (vm, _) in self._heard_by_key.items()}
         live[self._own_key] = own
@@ -114,10 +114,11 @@
             for vm in epoch.vms:
                 self._bus.know(vm.key, vm.bus)
 
-    def _adopt_epoch(self, epoch: Epoch | None) -> None:
+    def _adopt_epoch(self, view: ClusterView) -> None:
+        epoch = view.epochs_by_zone.get(self._zone)
         if epoch is None or epoch.number <= self._epoch_number():
             return
-        self.history.add(epoch)
+        self.history.adopt(view.unsettled_by_zone.get(self._zone, ()) + (epoch,))
         names = ",".join(vm.key for vm in epoch.vms)
         self._ring.record(Kind.EPOCH, detail=f"zone={self._zone} number={epoch.number} {names}")
         log("INFO", "epoch", zone=self._zone, number=epoch.number, vms=names)
@@ -171,7 +172,8 @@
         if self._proposal is not None and not self._proposal.done():
             return
         epoch = self._holder.current.epochs_by_zone.get(self._zone, Epoch(0, ()))
-        change = self._proposer.decide(epoch, self._live_here(), self._gone(epoch), self._now())
+        live, gone = self._live_here(), self._gone(epoch)
+        change = self._proposer.decide(epoch, live, gone, self.history.settled, self._now())
         if change is not None:
             append = self._appender.append(encode_record(change))
             self._proposal = asyncio.create_task(append)
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -27,20 +27,23 @@
     own: KnownVm
     table: Table = field(default_factory=lambda: Table({}))
     epochs_by_zone: dict[str, Epoch] = field(default_factory=dict)
+    unsettled_by_zone: dict[str, tuple[Epoch, ...]] = field(default_factory=dict)
     live_by_key: dict[str, KnownVm] = field(default_factory=dict)
 
     def vms_of(self, zone: str) -> frozenset[str]:
         """Returns the VMs of a zone that may hold roles.
 
         Of other zones only some VMs are heard, so their epoch tells; a message to a VM that no
-        longer holds a role is passed on there.
+        longer holds a role is passed on there. VMs that are in the epoch go before newcomers, for
+        only they may borrow floors of limits.
         """
         epoch = self.epochs_by_zone.get(zone, Epoch(0, ()))
         if zone != self.own.zone and epoch.vms:
             return frozenset(vm.key for vm in epoch.vms)
         live = [vm for vm in self.live_by_key.values() if vm.zone == zone]
         ready = [vm for vm in live if not vm.draining] or live
-        return frozenset(vm.identity.key for vm in ready)
+        keys = frozenset(vm.identity.key for vm in ready)
+        return keys & {vm.key for vm in epoch.vms} or keys
 
     def broker(self, pool: str, zone: str) -> str | None:
         """Returns the VM key of a pool's broker in a zone."""
