--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, checked with z3."""
--- /dev/null
+++ b/tests/test_claims_machine.py
@@ -0,0 +1,164 @@
+"""The actions and faults of models/at_most_once.py, against the real decision code."""
+
+from dataclasses import replace
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, rule
+
+from bluebellpitch.constants import HORIZON_MARGIN_S
+from bluebellpitch.decisions.claiming import (
+    Attempted,
+    GiveUp,
+    SendClaim,
+    Wish,
+    Won,
+    next_step,
+)
+from bluebellpitch.decisions.claims import (
+    Claim,
+    ClaimsFold,
+    Outcome,
+    Withdrawal,
+    encode_claim,
+    is_within_horizon,
+)
+
+HORIZON_S = 1000.0
+VMS = ("vm-a", "vm-b", "vm-c")
+MADE_AT = 0.0
+
+
+class Request:
+    """One request at one VM, as the claim role drives it."""
+
+    def __init__(self, vm: str, number: int):
+        self.vm = vm
+        self.number = number
+        self.wish = Wish("m/key", "body", MADE_AT)
+        self.attempted: Attempted | None = None
+        self.won: Claim | None = None
+        self.ended = False
+        self.dispatched = False
+        self.refused_did_not_run = False
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """One log, three VMs with skewed clocks, requests for one key with one body."""
+
+    requests = Bundle("requests")
+
+    def __init__(self):
+        super().__init__()
+        self.log: list[str] = []
+        self.late: list[str] = []
+        self.clock = 0.0
+        self.folds = {vm: ClaimsFold(HORIZON_S) for vm in VMS}
+        self.skews = dict(zip(VMS, (-HORIZON_MARGIN_S / 2, 0.0, HORIZON_MARGIN_S / 2), strict=True))
+        self.all_requests: list[Request] = []
+        self.claims = 0
+
+    def wall(self, vm: str) -> float:
+        return self.clock + self.skews[vm]
+
+    @rule(target=requests, vm=st.sampled_from(VMS))
+    def arrive(self, vm):
+        request = Request(vm, len(self.all_requests))
+        self.all_requests.append(request)
+        return request
+
+    @rule(request=requests, answer=st.sampled_from(("now", "lost", "late")), expired=st.booleans())
+    def step(self, request, answer, expired):
+        if request.ended or request.won:
+            return
+        fold = self.folds[request.vm]
+        wall = self.wall(request.vm)
+        match next_step(fold, request.wish, request.attempted, wall, expired):
+            case Won(claim):
+                request.won = claim
+            case SendClaim():
+                self.send_claim(request, answer)
+            case GiveUp(verdict):
+                self.end_unrun(request, request.attempted and request.attempted.claim)
+                request.refused_did_not_run = verdict.name == "did_not_run"
+
+    def send_claim(self, request, answer):
+        self.claims += 1
+        claim = Claim(f"c{self.claims}", request.wish.key, "body", request.vm, MADE_AT)
+        request.attempted = Attempted(claim)
+        record = encode_claim(claim)
+        if answer == "late":
+            self.late.append(record)
+            return
+        self.log.append(record)
+        if answer == "now":
+            request.attempted = replace(request.attempted, offset=len(self.log) - 1)
+
+    def end_unrun(self, request, claim):
+        request.ended = True
+        if claim:
+            record = Withdrawal(f"w-{claim.id}", claim.key, claim.id, MADE_AT)
+            self.late.append(encode_claim(record))
+
+    @rule(place=st.integers(0, 50))
+    def land_late(self, place):
+        if self.late:
+            self.log.append(self.late.pop(place % len(self.late)))
+
+    @rule(vm=st.sampled_from(VMS), count=st.integers(1, 4))
+    def read(self, vm, count):
+        fold = self.folds[vm]
+        for offset in range(fold.offset + 1, min(len(self.log), fold.offset + 1 + count)):
+            fold.apply(offset, self.log[offset], self.wall(vm))
+
+    @rule(seconds=st.sampled_from((1.0, 100.0, 500.0)))
+    def pass_time(self, seconds):
+        self.clock += seconds
+
+    @rule(vm=st.sampled_from(VMS))
+    def forget_old(self, vm):
+        self.folds[vm].expire(self.wall(vm))
+
+    @rule(vm=st.sampled_from(VMS))
+    def restart(self, vm):
+        """The VM dies with its requests; a new one folds from the start."""
+        self.folds[vm] = ClaimsFold(HORIZON_S)
+        for request in self.all_requests:
+            request.ended |= request.vm == vm
+
+    @rule(request=requests, runs=st.booleans())
+    def dispatch(self, request, runs):
+        if request.ended or not request.won:
+            return
+        wall = self.wall(request.vm)
+        if not is_within_horizon(MADE_AT, wall, HORIZON_S, HORIZON_MARGIN_S) or not runs:
+            self.end_unrun(request, request.won)
+            request.refused_did_not_run = True
+            return
+        request.dispatched = request.ended = True
+        claim = request.won
+        outcome = Outcome("o" + claim.id, claim.key, claim.id, "ran", 200, "", b"x", True, MADE_AT)
+        self.late.append(encode_claim(outcome))
+
+    @invariant()
+    def at_most_one_dispatch(self):
+        assert sum(request.dispatched for request in self.all_requests) <= 1
+
+    @invariant()
+    def refusals_are_true(self):
+        assert not any(r.dispatched and r.refused_did_not_run for r in self.all_requests)
+
+    @invariant()
+    def folds_agree(self):
+        """Two VMs at the same offset with young keys say the same of the key."""
+        by_offset = {}
+        for vm, fold in self.folds.items():
+            if self.wall(vm) < HORIZON_S - HORIZON_MARGIN_S:
+                standing = fold.standing("m/key", "body")
+                assert by_offset.setdefault(fold.offset, standing) == standing
+
+
+TestClaims = ClaimsMachine.TestCase
+TestClaims.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
