Test the broker alone, fuzz the parsers, and start to measure

Cause: the order of work had no tests of its own. Found and mended by tests/test_broker.py: a class earned its guaranteed share for time in which it did not wait, and a grant out of the share could not be preempted, so the oldest dossier went instead of the youngest; a suspect at the head of a member's queue held its innocent neighbours up; a request that must run alone waited for ever in a full pool (an endpoint now runs dry for it). Found by reading for the fuzz tests: numbers of thousands of digits raised in the sheet and at /events; both are bounded.

--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -83,7 +83,8 @@
         self.table = Table({})
         self.paused = False
         self._next_grant = 0
-        self._credited_at: float | None = None
+        self._credited_at = 0.0
+        self._waited: tuple[str, ...] = ()
         self._shed_by_tier: dict[int, float] = {}
 
     def set_table(self, table: Table) -> None:
@@ -113,7 +114,9 @@
         return running
 
     def _refuse_early(self, work: Waiting, now: float) -> Refuse | None:
-        """Refuses new work that would only wait out its patience."""
+        """Refuses new work that would only wait out its patience; what ran before is let in."""
+        if work.attempt > 1:
+            return None
         expected_s = self._expected_wait(work)
         patience_s = work.expires_at - now
         if expected_s > patience_s:
@@ -241,26 +244,40 @@
     def _choose(self, endpoints: tuple[EndpointRow, ...], now: float):
         """Returns (work, endpoint, from_share) for the next grant, or None."""
         for class_name, from_share in self._class_order(now):
-            work = self._pick(class_name, now)
-            if work is None:
-                continue
             reserve = 0 if from_share else self._reserve(class_name, now)
             lowest = class_name == self._lowest_waiting()
-            endpoint = self.chooser.choose(work, endpoints, reserve, lowest, now)
-            if endpoint is not None:
-                return work, endpoint, from_share
+            for work in self._candidates(class_name, now):
+                endpoint = self.chooser.choose(work, endpoints, reserve, lowest, now)
+                if endpoint is not None:
+                    return work, endpoint, from_share
         return None
 
+    def _candidates(self, class_name: str, now: float) -> Iterator[Waiting]:
+        """Yields the next request, and after a suspect that must wait the next innocent one."""
+        work = self._pick(class_name, now)
+        if work is None:
+            return
+        yield work
+        if work.suspicion:
+            innocent = self._pick(class_name, now, skip_suspects=True)
+            if innocent is not None:
+                yield innocent
+
     def _class_order(self, now: float) -> list[tuple[str, bool]]:
         """Returns waiting classes, those with a due share first, then by tier and slack."""
         names = self.queues.classes()
-        due = [name for name in names if self._is_share_due(name)]
+        due = [name for name in names if self._is_share_due(name)] if self._is_contended() else []
         due.sort(key=lambda name: -self._load(name).share_credit_s)
         if not self.policy.strict_tiers:
             return [(name, False) for name in sorted(names, key=self._oldest)]
         ranked = sorted(names, key=lambda name: (self._tier(name), self._slack(name, now)))
         return [(name, True) for name in due] + [(name, False) for name in ranked]
 
+    def _is_contended(self) -> bool:
+        """While there is a slot for everybody, nobody needs its guaranteed share."""
+        free = self._total_slots() - len(self.running_by_grant)
+        return len(self.queues.by_request) > free
+
     def _oldest(self, class_name: str) -> float:
         return min(queue[0].arrived_at for _, queue in self.queues.members(class_name))
 
@@ -277,10 +294,10 @@
         return load.share_credit_s >= min(load.slot_s.value, SHARE_CREDIT_CAP_S)
 
     def _earn_credit(self, now: float) -> None:
-        """Gives each waiting class its guaranteed share of the slot time that has passed."""
+        """Gives each class that has waited its guaranteed share of the slot time since."""
+        waiting, self._waited = self._waited, self.queues.classes()
         last, self._credited_at = self._credited_at, now
-        waiting = self.queues.classes()
-        if last is None or not waiting:
+        if not waiting:
             return
         passed_s = (now - last) * self._total_slots() * self.policy.guaranteed_share
         weights = sum(self._class(name).weight for name in waiting)
@@ -289,12 +306,14 @@
             earned_s = passed_s * self._class(name).weight / weights
             load.share_credit_s = min(SHARE_CREDIT_CAP_S, load.share_credit_s + earned_s)
 
-    def _pick(self, class_name: str, now: float) -> Waiting | None:
+    def _pick(self, class_name: str, now: float, skip_suspects=False) -> Waiting | None:
         late_before = -math.inf
         if self.policy.prefer_in_time:
             target_s = self._class(class_name).first_token_ms / 1000
             late_before = now - target_s + self._load(class_name).first_s.value
-        return self.queues.pick(class_name, lambda m: self._member_order(m, now), late_before)
+        return self.queues.pick(
+            class_name, lambda m: self._member_order(m, now), late_before, skip_suspects
+        )
 
     def _member_order(self, name: str, now: float) -> float:
         """Returns what a member has in use over its weight; infinity at its limit."""
--- a/bluebellpitch/decisions/placing.py
+++ b/bluebellpitch/decisions/placing.py
@@ -2,14 +2,24 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
+from dataclasses import dataclass
 
-from bluebellpitch.constants import PREFIX_MEMORY, SLOW_ENDPOINT_SLOTS
+from bluebellpitch.constants import KEEP_FREE_S, PREFIX_MEMORY, SLOW_ENDPOINT_SLOTS
 from bluebellpitch.decisions.health import HealthView
 from bluebellpitch.decisions.rows import EndpointRow
 from bluebellpitch.decisions.strikes import Suspicion
 from bluebellpitch.decisions.work import Running, Waiting
 
 
+@dataclass(frozen=True, slots=True)
+class KeptFree:
+    """An endpoint that gets no other work until a request that must run alone has it."""
+
+    endpoint: str
+    request: str
+    until: float
+
+
 class EndpointChooser:
     """What runs on each endpoint, and where prefixes were seen last."""
 
@@ -17,6 +27,7 @@
         self._health = health
         self._running_by_endpoint: dict[str, dict[str, Running]] = {}
         self._prefixes: OrderedDict[str, str] = OrderedDict()
+        self._kept_free: KeptFree | None = None
 
     def add(self, running: Running) -> None:
         """Notes a grant."""
@@ -57,16 +68,30 @@
         endpoint.
         """
         usable = [row for row in endpoints if self._is_usable(row, work, now)]
-        if sum(self._free(row) for row in usable) <= reserve:
+        if work.suspicion < Suspicion.ALONE and sum(self._free(row) for row in usable) <= reserve:
             return None
         open_rows = list(self._with_room(usable, work, lowest))
-        if not open_rows:
-            return None
-        return min(open_rows, key=lambda row: self._rank(row, work))
+        if open_rows:
+            return min(open_rows, key=lambda row: self._rank(row, work))
+        if usable and work.suspicion >= Suspicion.ALONE:
+            self._keep_free(usable, work, now)
+        return None
+
+    def _keep_free(self, usable: list[EndpointRow], work: Waiting, now: float) -> None:
+        """Lets the emptiest endpoint run dry for a request that must run alone."""
+        kept = self._kept_free
+        if kept is None or kept.request != work.request or now >= kept.until:
+            name = min(usable, key=lambda row: self.running_on(row.name)).name
+        else:
+            name = kept.endpoint
+        self._kept_free = KeptFree(name, work.request, now + KEEP_FREE_S)
 
     def _is_usable(self, row: EndpointRow, work: Waiting, now: float) -> bool:
         if row.state != "live" or row.name in work.avoid:
             return False
+        kept = self._kept_free
+        if kept and kept.endpoint == row.name and kept.request != work.request and now < kept.until:
+            return False
         return not self._health.is_down(row.name, now)
 
     def _slots(self, row: EndpointRow) -> int:
--- a/bluebellpitch/decisions/queues.py
+++ b/bluebellpitch/decisions/queues.py
@@ -49,7 +49,13 @@
         """Returns work whose patience has run out."""
         return [work for work in self.by_request.values() if now >= work.expires_at]
 
-    def pick(self, class_name: str, order: Callable[[str], float], late_before: float):
+    def pick(
+        self,
+        class_name: str,
+        order: Callable[[str], float],
+        late_before: float,
+        skip_suspects: bool = False,
+    ) -> Waiting | None:
         """Returns the next request of a class, or None.
 
         ``order`` ranks members, infinity bars one. Work that arrived before ``late_before`` cannot
@@ -57,11 +63,14 @@
         """
         ranked = [(order(member), member, queue) for member, queue in self.members(class_name)]
         allowed = sorted((r for r in ranked if r[0] != float("inf")), key=lambda r: r[:2])
-        for _, _, queue in allowed:
+        queues = [queue for _, _, queue in allowed]
+        if skip_suspects:
+            queues = [kept for queue in queues if (kept := [w for w in queue if not w.suspicion])]
+        for queue in queues:
             in_time = first_in_time(queue, late_before)
             if in_time is not None:
                 return in_time
-        return allowed[0][2][0] if allowed else None
+        return queues[0][0] if queues else None
 
 
 def first_in_time(queue: list[Waiting], late_before: float) -> Waiting | None:
--- a/bluebellpitch/http1.py
+++ b/bluebellpitch/http1.py
@@ -14,6 +14,7 @@
     ProtocolError,
     StalledError,
 )
+from bluebellpitch.logs import log
 
 READ_BYTES = 65_536
 Headers = list[tuple[str, str]]
@@ -212,6 +213,8 @@
             await self._refuse_and_linger(connection, error)
         except (GoneError, OSError, h11.LocalProtocolError):
             pass
+        except Exception as error:  # One request's fault must not take the VM down.
+            log("ERROR", "handler_failed", error=repr(error))
         finally:
             self._open -= 1
             await connection.close()
--- a/bluebellpitch/operators/admin.py
+++ b/bluebellpitch/operators/admin.py
@@ -12,6 +12,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.operators.status import VmStatus
 
+STAMP_DIGITS = 20
 TEXT = [("Content-Type", "text/plain; version=0.0.4; charset=utf-8")]
 
 
@@ -61,6 +62,7 @@
 
     def _page(self, query: str) -> EventPage:
         text = parse_qs(query).get("since", ["0"])[0]
-        since = int(text) if text.isascii() and text.isdigit() else 0
+        is_stamp = text.isascii() and text.isdigit() and len(text) <= STAMP_DIGITS
+        since = int(text) if is_stamp else 0
         events = tuple(self._ring.since(since))
         return EventPage(self._ring.vm, self._ring.clock.stamp(), self._ring.dropped, events)
--- a/bluebellpitch/operators/sheet.py
+++ b/bluebellpitch/operators/sheet.py
@@ -62,7 +62,7 @@
     """Returns a reader of whole numbers from ``lowest`` on."""
 
     def read(text: str) -> int | Wrong:
-        if not text.isascii() or not text.isdigit() or not lowest <= int(text[:12]) < 1e9:
+        if not text.isascii() or not text.isdigit() or len(text) > 12 or int(text) < lowest:
             return Wrong(f"must be a whole number from {lowest} on")
         return int(text)
 
@@ -178,7 +178,8 @@
     """Returns the offset that ``table show`` wrote into the sheet; -1 when there is none."""
     marks = (line for line in text.splitlines() if line.startswith(OFFSET_MARK))
     digits = next(marks, "").removeprefix(OFFSET_MARK).strip(", ")
-    return int(digits) if digits.isascii() and digits.isdigit() else -1
+    offset = read_count(0)(digits)
+    return -1 if isinstance(offset, Wrong) else offset
 
 
 def parse_lines(text: str, problems: list[str]) -> Iterator[Line]:
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -97,6 +97,7 @@
     """All processes of one run. Use as a context manager: it ends what it started."""
 
     log_level: str = "INFO"
+    program: list[str] = field(default_factory=lambda: ["bluebellpitch"])
     vms_by_name: dict[str, EntryVm] = field(default_factory=dict)
     processes_by_name: dict[str, Process] = field(default_factory=dict)
 
@@ -170,7 +171,7 @@
 
     def start_vm(self, vm: EntryVm) -> None:
         """Starts the process of an entry VM, or starts it again."""
-        vm.process = self.spawn(vm.name, vm.listen, ["bluebellpitch", "serve", *vm.arguments])
+        vm.process = self.spawn(vm.name, vm.listen, [*self.program, "serve", *vm.arguments])
 
     async def publish_vms(self, without: tuple[str, ...] = ()) -> None:
         """Puts all entry VMs but some onto the platform's list."""
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the policy under load and faults, against baselines of our own."""
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,159 @@
+"""Parsers of outside input raise nothing but their own typed error."""
+
+import string
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from bluebellpitch.callers.requests import parse_completion, parse_service
+from bluebellpitch.decisions.claims import ClaimsFold
+from bluebellpitch.decisions.control import ControlFold
+from bluebellpitch.decisions.rows import MemberRow, PoolRow, Table, VersionedRow, key_of
+from bluebellpitch.endpoints.sse import EventBuffer, count_events, join_text
+from bluebellpitch.errors import BadRequestError, ProtocolError, SheetError
+from bluebellpitch.http1 import HttpRequest, HttpResponse, parse_address
+from bluebellpitch.operators.sheet import COLUMNS, parse_sheet, write_sheet
+from bluebellpitch.peers.messages import decode_envelope
+from bluebellpitch.platform.log import Page, decode_answer
+from fakes.federations import CLASSES, FILING, MODEL
+from fakes.fleet import digest
+
+MEMBER = MemberRow("m", 1.0, 0, digest("token"), "draft")
+ROWS = (MEMBER, *CLASSES, MODEL, FILING, PoolRow("other", "model", ()))
+TABLE = Table({key_of(row): VersionedRow(row, 0) for row in ROWS}, 0)
+fast = settings(max_examples=300, deadline=None, derandomize=True)
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=10),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=12,
+)
+FIELDS = st.dictionaries(
+    st.sampled_from(("model", "prompt", "messages", "stream", "n", "x")),
+    JSON | st.sampled_from(("drafter", "other", 1, True)),
+)
+HEADERS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            (
+                "authorization",
+                "x-bluebellpitch-class",
+                "x-bluebellpitch-deadline-ms",
+                "x-bluebellpitch-made-at",
+                "idempotency-key",
+            )
+        ),
+        st.text(st.characters(min_codepoint=32, max_codepoint=255), max_size=30)
+        | st.sampled_from(("Bearer token", "draft", "nan", "inf", "-1", "1e400", "5")),
+    ),
+    max_size=5,
+)
+
+
+def request(body: bytes, headers, target: str) -> HttpRequest:
+    own = (("authorization", "Bearer token"),)
+    return HttpRequest("POST", target, tuple(headers) + own, body)
+
+
+@given(st.binary(max_size=80) | FIELDS.map(lambda f: msgspec.json.encode(f, order=None)), HEADERS)
+@fast
+def test_completions(body, headers):
+    for target in ("/v1/completions", "/v1/chat/completions"):
+        try:
+            parse_completion(request(body, headers, target), TABLE, 0.0)
+        except BadRequestError as error:
+            assert 400 <= error.status < 500
+
+
+@given(st.text(string.printable, max_size=40), HEADERS)
+@fast
+def test_services(rest, headers):
+    for prefix in ("/services/", "/services/filing/"):
+        try:
+            parse_service(request(b"", headers, prefix + rest), TABLE, 0.0, 1e9)
+        except BadRequestError as error:
+            assert 400 <= error.status < 500
+
+
+CELLS = st.text(max_size=12) | st.sampled_from(("member", "class", "endpoint", "1", "yes", "live"))
+LINES = st.lists(st.lists(CELLS, max_size=len(COLUMNS) + 2).map(",".join), max_size=6)
+
+
+@given(st.text(max_size=200) | LINES.map(lambda ls: "\n".join([",".join(COLUMNS), *ls])))
+@fast
+def test_sheets(text):
+    try:
+        parse_sheet(text)
+    except SheetError as error:
+        assert error.problems
+
+
+NAMES = st.text(string.ascii_lowercase + string.digits + "-_.", min_size=1, max_size=8)
+MEMBERS = st.builds(
+    MemberRow,
+    name=NAMES,
+    weight=st.floats(0.001, 1e6),
+    limit=st.integers(0, 10**6),
+    credential=st.text("0123456789abcdef", min_size=64, max_size=64),
+    default_class=st.just("draft"),
+)
+
+
+@given(st.lists(MEMBERS, max_size=4, unique_by=(lambda r: r.name, lambda r: r.credential)))
+@fast
+def test_a_written_sheet_reads_back(members):
+    rows = (*members, *CLASSES)
+    sheet = parse_sheet(write_sheet([VersionedRow(row, 3) for row in rows], 7))
+    assert_that(sorted(sheet.rows, key=key_of), Equals(sorted(rows, key=key_of)))
+    assert_that(sheet.offset, Equals(7))
+
+
+@given(st.binary(max_size=200))
+@fast
+def test_messages_between_vms(data):
+    try:
+        decode_envelope(data)
+    except ProtocolError:
+        return
+
+
+@given(st.text(max_size=120) | JSON.map(lambda value: msgspec.json.encode(value).decode()))
+@fast
+def test_log_records(data):
+    control, claims = ControlFold(), ClaimsFold(100.0)
+    control.apply(0, data)
+    claims.apply(0, data, 0.0)
+    assert_that((control.offset, claims.offset), Equals((0, 0)))
+
+
+@given(st.binary(max_size=120) | JSON.map(msgspec.json.encode))
+@fast
+def test_log_answers(body):
+    try:
+        decode_answer(HttpResponse(200, (), body), Page)
+    except ProtocolError:
+        return
+
+
+@given(
+    st.lists(st.binary(max_size=30) | st.sampled_from((b"data: ", b"\n\n", b"data: [DONE]\n\n")))
+)
+@fast
+def test_event_streams(parts):
+    buffer = EventBuffer()
+    events = b"".join(buffer.feed(part) for part in parts)
+    join_text(events)
+    assert count_events(events) >= 0
+
+
+@given(st.text(max_size=20))
+@fast
+def test_addresses(text):
+    try:
+        host, port = parse_address(text)
+    except ProtocolError:
+        return
+    assert host and 0 <= port < 65_536
