--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from bisect import bisect_left, insort
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
@@ -35,6 +36,11 @@
 LimitOf = Callable[[MemberRow, float], int]
 
 
+def by_arrival(running: Running) -> tuple[float, str]:
+    """Sorts grants by when their caller's request came in."""
+    return running.work.arrived_at, running.grant
+
+
 @dataclass(frozen=True, slots=True)
 class Policy:
     """What may be switched off, for measurement against baselines."""
@@ -71,21 +77,24 @@
         self.running_by_grant: dict[str, Running] = {}
         self.grants_by_request: dict[str, str] = {}
         self.in_use_by_member: dict[str, int] = {}
-        self.running_by_class: dict[str, dict[str, Running]] = {}
+        self.running_by_class: dict[str, list[Running]] = {}
         self.loads_by_class: dict[str, ClassLoad] = {}
         self.health = HealthView()
         self.chooser = EndpointChooser(self.health)
         self.table = Table({})
+        self.leaving: frozenset[str] = frozenset()
         self.paused = False
         self._next_grant = 0
         self._credited_at = 0.0
         self._waited: tuple[str, ...] = ()
         self._shed_by_tier: dict[int, float] = {}
 
-    def set_table(self, table: Table) -> None:
-        """Takes a newer table."""
+    def set_table(self, table: Table, leaving: frozenset[str] = frozenset()) -> None:
+        """Takes a newer table; endpoints that are ``leaving`` get no new work either."""
         self.table = table
-        self.chooser.set_endpoints(table.endpoints_of(self.pool, self.zone))
+        self.leaving = leaving
+        rows = table.endpoints_of(self.pool, self.zone)
+        self.chooser.set_endpoints(tuple(row for row in rows if row.name not in leaving))
 
     def ask(self, work: Waiting, now: float) -> Iterator[Command]:
         """Takes a request in. Repeating an ask is harmless."""
@@ -159,7 +168,9 @@
         if self.grants_by_request.get(running.work.request) == running.grant:
             del self.grants_by_request[running.work.request]
         self.in_use_by_member[running.work.member] -= 1
-        del self.running_by_class[running.work.class_name][running.grant]
+        peers = self.running_by_class[running.work.class_name]
+        place = bisect_left(peers, by_arrival(running), key=by_arrival)
+        del peers[place]
         self.chooser.remove(running)
 
     def _learn(self, running: Running, finished: Finished, now: float) -> None:
@@ -343,11 +354,12 @@
         self.grants_by_request[running.work.request] = running.grant
         member = running.work.member
         self.in_use_by_member[member] = self.in_use_by_member.get(member, 0) + 1
-        self.running_by_class.setdefault(running.work.class_name, {})[running.grant] = running
+        peers = self.running_by_class.setdefault(running.work.class_name, [])
+        insort(peers, running, key=by_arrival)
         self.chooser.add(running)
 
     def _preempt(self, now: float) -> Iterator[Command]:
-        """Puts higher tiers in the place of lower ones, the lowest tier and youngest grant first.
+        """Puts higher tiers in the place of lower ones, the lowest tier and youngest request first.
 
         The place is granted together with the preemption: the engine runs by priority, so the
         newcomer starts as soon as the victim's connection closes.
@@ -361,15 +373,14 @@
                 yield self._grant(work, victim.endpoint, False, now)
 
     def _victim(self, work: Waiting, now: float) -> Running | None:
-        """Returns the grant to end for ``work``: of the lowest tier, the least preempted so far."""
+        """Returns the grant to end for ``work``: the youngest request of the lowest tier."""
         tier = self._tier(work.class_name)
         for class_name in sorted(self.running_by_class, key=self._tier, reverse=True):
             if self._tier(class_name) <= tier:
                 return None
-            youngest_first = reversed(self.running_by_class[class_name].values())
-            candidates = (r for r in youngest_first if self._may_replace(r, work, now))
-            if (victim := least_preempted(candidates)) is not None:
-                return victim
+            for running in reversed(self.running_by_class[class_name]):
+                if self._may_replace(running, work, now):
+                    return running
         return None
 
     def _may_replace(self, running: Running, work: Waiting, now: float) -> bool:
@@ -393,14 +404,3 @@
 
     def _tier(self, class_name: str) -> int:
         return self._class(class_name).tier
-
-
-def least_preempted(candidates: Iterator[Running]) -> Running | None:
-    """Returns the first that was never preempted, else the one that was so least often."""
-    best = None
-    for running in candidates:
-        if not running.work.preemptions:
-            return running
-        if best is None or running.work.preemptions < best.work.preemptions:
-            best = running
-    return best
--- a/bluebellpitch/decisions/control.py
+++ b/bluebellpitch/decisions/control.py
@@ -143,12 +143,9 @@
         stale = tuple(key for key in touched if change.base.get(key, -1) != self.revision_of(key))
         if stale:
             return Conflicted(offset, stale)
-        rows_by_key = dict(self.state.rows_by_key)
-        rows_by_key.update({key_of(row): VersionedRow(row, offset) for row in change.rows})
-        for key in change.deleted:
-            rows_by_key.pop(key, None)
-        self.state.rows_by_key = rows_by_key
-        self.table = Table(rows_by_key, offset)
+        changes = {key_of(row): VersionedRow(row, offset) for row in change.rows}
+        self.table = self.table.with_changes(changes, change.deleted, offset)
+        self.state.rows_by_key = self.table.rows_by_key
         return Accepted(offset)
 
     def revision_of(self, key: str) -> int:
--- a/bluebellpitch/decisions/rows.py
+++ b/bluebellpitch/decisions/rows.py
@@ -1,6 +1,7 @@
 """Rows of the operators' table, and the table as one agreed value."""
 
-from functools import cached_property
+from collections.abc import Iterable
+from copy import copy
 
 import msgspec
 
@@ -69,33 +70,109 @@
 
 
 class Table:
-    """The table at one offset, indexed. Built once for each accepted change."""
+    """The table at one offset, indexed. Never changed: ``with_changes`` makes the next one."""
 
     def __init__(self, rows_by_key: dict[str, VersionedRow], offset: int = -1):
-        self.rows_by_key = rows_by_key
+        self.rows_by_key: dict[str, VersionedRow] = {}
         self.offset = offset
-        rows = [versioned.row for versioned in rows_by_key.values()]
-        self.members_by_name = {r.name: r for r in rows if isinstance(r, MemberRow)}
-        self.classes_by_name = {r.name: r for r in rows if isinstance(r, ClassRow)}
-        self.pools_by_name = {r.name: r for r in rows if isinstance(r, PoolRow)}
-        self.endpoints_by_name = {r.name: r for r in rows if isinstance(r, EndpointRow)}
-        self.members_by_credential = {r.credential: r for r in self.members_by_name.values()}
+        self.members_by_name: dict[str, MemberRow] = {}
+        self.members_by_credential: dict[str, MemberRow] = {}
+        self.classes_by_name: dict[str, ClassRow] = {}
+        self.pools_by_name: dict[str, PoolRow] = {}
+        self.endpoints_by_name: dict[str, EndpointRow] = {}
+        self._endpoints_by_place: dict[tuple[str, str], tuple[EndpointRow, ...]] = {}
+        for key, versioned in rows_by_key.items():
+            self._put(key, versioned)
+        self._set_places(group_endpoints(self.endpoints_by_name.values()))
+
+    def with_changes(
+        self, changes: dict[str, VersionedRow], deleted: tuple[str, ...], offset: int
+    ) -> "Table":
+        """Returns the table after a change; costs little beside the copy of the indexes."""
+        table = copy(self)
+        table.offset = offset
+        table.rows_by_key = dict(self.rows_by_key)
+        touched = [*changes, *deleted]
+        former = [self.rows_by_key[key].row for key in touched if key in self.rows_by_key]
+        table._copy_indexes(former + [versioned.row for versioned in changes.values()])
+        for key in touched:
+            table._drop(key)
+        for key, versioned in changes.items():
+            table._put(key, versioned)
+        table._regroup(former, changes)
+        return table
+
+    def _copy_indexes(self, rows: list[Row]) -> None:
+        for kind in {type(row) for row in rows}:
+            name = INDEXES_BY_KIND[kind]
+            setattr(self, name, dict(getattr(self, name)))
+            if kind is MemberRow:
+                self.members_by_credential = dict(self.members_by_credential)
+
+    def _drop(self, key: str) -> None:
+        versioned = self.rows_by_key.pop(key, None)
+        if versioned is None:
+            return
+        row = versioned.row
+        del getattr(self, INDEXES_BY_KIND[type(row)])[row.name]
+        if isinstance(row, MemberRow):
+            self.members_by_credential.pop(row.credential, None)
+
+    def _put(self, key: str, versioned: VersionedRow) -> None:
+        row = versioned.row
+        self.rows_by_key[key] = versioned
+        getattr(self, INDEXES_BY_KIND[type(row)])[row.name] = row
+        if isinstance(row, MemberRow):
+            self.members_by_credential[row.credential] = row
+
+    def _regroup(self, former: list[Row], changes: dict[str, VersionedRow]) -> None:
+        """Renews the groups of the places that endpoints left or entered."""
+        rows = former + [versioned.row for versioned in changes.values()]
+        rows = [row for row in rows if isinstance(row, EndpointRow)]
+        places = {(row.pool, row.zone) for row in rows}
+        if not places:
+            return
+        names = {row.name for row in rows}
+        stay = (
+            row
+            for place in places
+            for row in self._endpoints_by_place.get(place, ())
+            if row.name not in names
+        )
+        new = (v.row for v in changes.values() if isinstance(v.row, EndpointRow))
+        groups = {k: g for k, g in self._endpoints_by_place.items() if k not in places}
+        self._set_places(groups | group_endpoints([*stay, *new]))
+
+    def _set_places(self, groups: dict[tuple[str, str], tuple[EndpointRow, ...]]) -> None:
+        self._endpoints_by_place = groups
+        zones: dict[str, list[tuple[str, str]]] = {}
+        for (pool, zone), group in sorted(groups.items()):
+            zones.setdefault(pool, []).append((zone, group[0].region))
+        self.zones_by_pool = {pool: tuple(pairs) for pool, pairs in zones.items()}
 
     def endpoints_of(self, pool: str, zone: str) -> tuple[EndpointRow, ...]:
         """Returns a pool's endpoints in one zone, leaving ones included."""
-        return self._endpoints_by_pool_zone.get((pool, zone), ())
-
-    @cached_property
-    def _endpoints_by_pool_zone(self) -> dict[tuple[str, str], tuple[EndpointRow, ...]]:
-        groups: dict[tuple[str, str], list[EndpointRow]] = {}
-        for row in sorted(self.endpoints_by_name.values(), key=lambda r: r.name):
-            groups.setdefault((row.pool, row.zone), []).append(row)
-        return {key: tuple(group) for key, group in groups.items()}
-
-    @cached_property
-    def zones_by_pool(self) -> dict[str, tuple[tuple[str, str], ...]]:
-        """Zones of each pool, with their regions."""
-        zones: dict[str, set[tuple[str, str]]] = {}
-        for row in self.endpoints_by_name.values():
-            zones.setdefault(row.pool, set()).add((row.zone, row.region))
-        return {pool: tuple(sorted(group)) for pool, group in zones.items()}
+        return self._endpoints_by_place.get((pool, zone), ())
+
+    def slots_by_zone(self, pool: str) -> dict[str, int]:
+        """Returns the slots of a pool in each zone, leaving endpoints included."""
+        zones = self.zones_by_pool.get(pool, ())
+        return {z: sum(row.slots for row in self.endpoints_of(pool, z)) for z, _ in zones}
+
+
+INDEXES_BY_KIND = {
+    MemberRow: "members_by_name",
+    ClassRow: "classes_by_name",
+    PoolRow: "pools_by_name",
+    EndpointRow: "endpoints_by_name",
+}
+
+
+def group_endpoints(
+    rows: Iterable[EndpointRow],
+) -> dict[tuple[str, str], tuple[EndpointRow, ...]]:
+    """Returns endpoints by pool and zone, in order of name."""
+    groups: dict[tuple[str, str], list[EndpointRow]] = {}
+    for row in sorted(rows, key=lambda r: r.name):
+        groups.setdefault((row.pool, row.zone), []).append(row)
+    return {key: tuple(group) for key, group in groups.items()}
--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/brokering.py
@@ -6,7 +6,7 @@
 from bluebellpitch.constants import LOAN_INTERVAL_S, MEMBERS_WITH_OWN_LABEL, PEER_DEAD_AFTER_S
 from bluebellpitch.decisions.broker import Broker, Finished, Policy
 from bluebellpitch.decisions.floors import Borrower, EpochHistory, Lender, usable_limit, zone_share
-from bluebellpitch.decisions.rows import EndpointRow, MemberRow, Table
+from bluebellpitch.decisions.rows import MemberRow, Table
 from bluebellpitch.decisions.work import Command, Grant, Preempt, Refuse, Running, Waiting
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.metrics import Metrics
@@ -113,7 +113,8 @@
 
     def _start_broker(self, pool: str) -> None:
         broker = Broker(pool, self._zone, self._limit_of(pool), self._policy)
-        broker.set_table(self._holder.current.table)
+        view = self._holder.current
+        broker.set_table(view.table, view.leaving_endpoints)
         broker.paused = True
         self.brokers_by_pool[pool] = broker
         self._started_by_pool[pool] = self._now()
@@ -141,7 +142,7 @@
         return limit_of
 
     def _work_out_limit(self, table: Table, pool: str, member: MemberRow, lenders) -> int:
-        slots_by_zone = pool_slots_by_zone(table, pool)
+        slots_by_zone = table.slots_by_zone(pool)
         share = zone_share(member.limit, member.name, pool, self._zone, slots_by_zone)
         return usable_limit(self._history, lenders, share, f"{member.name}/{pool}")
 
@@ -204,9 +205,9 @@
             self._swept_at = now
 
     def _tick_broker(self, broker: Broker, sweep: bool, now: float) -> None:
-        table = self._holder.current.table
-        if broker.table is not table:
-            broker.set_table(table)
+        view = self._holder.current
+        if broker.table is not view.table or broker.leaving != view.leaving_endpoints:
+            broker.set_table(view.table, view.leaving_endpoints)
         broker.paused = broker.paused and not self._is_rebuilt(broker.pool, now)
         self._obey(broker, broker.tick(now))
         if sweep:
@@ -277,13 +278,3 @@
         preemptions=ask.preemptions,
         asked_at=now,
     )
-
-
-def pool_slots_by_zone(table: Table, pool: str) -> dict[str, int]:
-    """Returns the slots of a pool in each zone, leaving endpoints included."""
-    slots: dict[str, int] = {}
-    rows: Iterable[EndpointRow] = table.endpoints_by_name.values()
-    for row in rows:
-        if row.pool == pool:
-            slots[row.zone] = slots.get(row.zone, 0) + row.slots
-    return slots
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/membership.py
@@ -160,10 +160,19 @@
                 listed = await read_vms(address)
                 self._listed_by_name = {vm.name: vm for vm in listed if vm.kind == "entry"}
                 self._ever_listed.update(self._listed_by_name)
+                self._note_leaving(listed)
             except BluebellpitchError:
                 self._listed_by_name = None
             await asyncio.sleep(LIST_INTERVAL_S)
 
+    def _note_leaving(self, listed: tuple[ListedVm, ...]) -> None:
+        """Notes endpoints that the platform is about to take away, whatever the table says."""
+        leaving = frozenset(v.name for v in listed if v.kind == "endpoint" and v.state != "live")
+        view = self._holder.current
+        if leaving != view.leaving_endpoints:
+            log("INFO", "leaving_endpoints", names=",".join(sorted(leaving)))
+            self._holder.current = replace(view, leaving_endpoints=leaving)
+
     def _propose(self) -> None:
         """Starts to append a proposal when one is due; an outage must not hold heartbeats up."""
         if self._proposal is not None and not self._proposal.done():
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -29,6 +29,7 @@
     epochs_by_zone: dict[str, Epoch] = field(default_factory=dict)
     unsettled_by_zone: dict[str, tuple[Epoch, ...]] = field(default_factory=dict)
     live_by_key: dict[str, KnownVm] = field(default_factory=dict)
+    leaving_endpoints: frozenset[str] = frozenset()
 
     def vms_of(self, zone: str) -> frozenset[str]:
         """Returns the VMs of a zone that may hold roles.
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -11,6 +11,7 @@
 import zlib
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from urllib.parse import unquote
 
 import msgspec
 
@@ -166,6 +167,10 @@
         elif path == "/stats":
             counts = {"made": self.made, "wasted": self.wasted, "peak": self.peak}
             await answer(connection, counts)
+        elif path == "/count":
+            text = unquote(request.target.partition("?")[2])
+            held = sum(text in stream.prompt for stream in self._running + self._waiting)
+            await answer(connection, {"held": held})
         elif path == "/orders":
             await self._take_order(connection, msgspec.json.decode(request.body))
         else:
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -173,9 +173,11 @@
         """Starts the process of an entry VM, or starts it again."""
         vm.process = self.spawn(vm.name, vm.listen, [*self.program, "serve", *vm.arguments])
 
-    async def publish_vms(self, without: tuple[str, ...] = ()) -> None:
-        """Puts all entry VMs but some onto the platform's list."""
+    async def publish_vms(self, without: tuple[str, ...] = (), leaving: str = "") -> None:
+        """Puts all entry VMs but some onto the platform's list, and a leaving endpoint."""
         vms = [vm.listed for vm in self.vms_by_name.values() if vm.name not in without]
+        if leaving:
+            vms.append({"name": leaving, "kind": "endpoint", "zone": "", "state": "leaving"})
         await fetch(self.vms.address, "POST", "/vms", msgspec.json.encode(vms))
 
     async def control(self, process: Process, **faults) -> None:
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -71,6 +71,15 @@
             total = {key: total[key] + stats[key] for key in total}
         return total
 
+    async def count_prompts(self, text: str) -> int:
+        """Returns how many requests with a text in their prompt the engines hold now."""
+        held = 0
+        for name in self.engines():
+            address = self.fleet.processes_by_name[name].address
+            response = await fetch(address, "GET", f"/count?{text}")
+            held += msgspec.json.decode(response.body)["held"]
+        return held
+
     async def read_metric(self, name: str) -> float:
         """Returns the sum of a metric over all VMs and labels."""
         total = 0.0
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,217 @@
+"""Takes one mechanism out at a time and checks that its test fails: ``make mutants``.
+
+Each mutant is one edit of a copy of the tree. A mutant that survives means that a test of a promise
+does not test it.
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE_S = 300
+LEFT_OUT = shutil.ignore_patterns(".venv", ".git", "dist", "build", "__pycache__", ".hypothesis")
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """One edit: what it takes out, where, and the test that must fail."""
+
+    what: str
+    path: str
+    old: str
+    new: str
+    test: str
+
+
+MUTANTS = (
+    Mutant(
+        "the first claim wins",
+        "bluebellpitch/decisions/claims.py",
+        "        if state.claim or state.outcome:\n            return None\n",
+        "",
+        "tests/test_claims_machine.py",
+    ),
+    Mutant(
+        "a withdrawal voids its claim even when it lands first",
+        "bluebellpitch/decisions/claims.py",
+        "        if claim.id in self._withdrawn_by_id:\n            return None\n",
+        "",
+        "tests/test_claims_machine.py",
+    ),
+    Mutant(
+        "the clock is read before dispatch",
+        "bluebellpitch/decisions/claims.py",
+        "    return now_wall - made_at < horizon_s - margin_s",
+        "    return True",
+        "tests/test_claims_machine.py",
+    ),
+    Mutant(
+        "submissions are claimed",
+        "bluebellpitch/callers/services.py",
+        "if self.job.key and not self.job.repeatable and self.claim is None:",
+        "if False:",
+        "tests/test_at_most_once.py::test_two_vms_with_one_key_run_it_once",
+    ),
+    Mutant(
+        "a request that may have run is not sent again",
+        "bluebellpitch/callers/services.py",
+        "            if isinstance(result, MayHaveRun) and not self.job.repeatable:\n"
+        "                return result\n",
+        "",
+        "tests/test_at_most_once.py::test_submission_without_key_is_never_sent_twice",
+    ),
+    Mutant(
+        "a change needs the present revisions",
+        "bluebellpitch/decisions/control.py",
+        "        if stale:\n            return Conflicted(offset, stale)\n",
+        "",
+        "tests/test_control_machine.py",
+    ),
+    Mutant(
+        "a change is judged once",
+        "bluebellpitch/decisions/control.py",
+        "        if record.id in self.state.verdicts_by_id:\n            return None\n",
+        "",
+        "tests/test_control_machine.py",
+    ),
+    Mutant(
+        "a fold never goes back",
+        "bluebellpitch/decisions/control.py",
+        "snapshot.offset <= self.offset or ",
+        "",
+        "tests/test_control_machine.py",
+    ),
+    Mutant(
+        "a floor counts as the smallest of all unsettled epochs",
+        "bluebellpitch/decisions/floors.py",
+        "for epoch in self._epochs)\n        return min(floors",
+        "for epoch in self._epochs[-1:])\n        return min(floors",
+        "tests/test_limits_machine.py",
+    ),
+    Mutant(
+        "a floor is lent to one broker at a time",
+        "bluebellpitch/decisions/floors.py",
+        "        if holder != borrower and now < until:\n            return False\n",
+        "",
+        "tests/test_limits_machine.py",
+    ),
+    Mutant(
+        "a member's limit holds at the broker",
+        "bluebellpitch/decisions/broker.py",
+        "if row.limit and in_use >= self.limit_of(row, now):",
+        "if False:",
+        "tests/test_broker.py::test_member_at_its_limit_waits_and_others_go_on",
+    ),
+    Mutant(
+        "no tier is preempted for an equal or lower one",
+        "bluebellpitch/decisions/broker.py",
+        "            if self._tier(class_name) <= tier:\n                return None\n",
+        "",
+        "tests/test_broker.py",
+    ),
+    Mutant(
+        "every class has a guaranteed share",
+        "bluebellpitch/decisions/broker.py",
+        "        return [(name, True) for name in due] + [(name, False) for name in ranked]",
+        "        return [(name, False) for name in ranked]",
+        "tests/test_broker.py::test_no_class_starves_under_a_flood_of_higher_tiers",
+    ),
+    Mutant(
+        "a stream is resumed from its last token",
+        "bluebellpitch/callers/completions.py",
+        'body["continue_text"] = join_text(b"".join(self.progress.parts))',
+        "pass",
+        "tests/test_streams.py::test_engine_killed_in_mid_stream_is_resumed",
+    ),
+    Mutant(
+        "silence ends a stream",
+        "bluebellpitch/endpoints/engine.py",
+        "True, self._stall_s",
+        "True, 3600.0",
+        "tests/test_streams.py::test_connections_that_went_silent_are_replaced",
+    ),
+    Mutant(
+        "a poisonous request is refused",
+        "bluebellpitch/decisions/strikes.py",
+        "        if strikes >= STRIKES_TO_REFUSE:\n            return Suspicion.REFUSED\n",
+        "",
+        "tests/test_streams.py::test_poisonous_request_fells_few_engines_and_harms_no_neighbour",
+    ),
+    Mutant(
+        "a VM that drains finishes its requests",
+        "bluebellpitch/node.py",
+        "        while self.callers.http.busy or self.claims.backlog():\n"
+        "            await asyncio.sleep(DRAIN_POLL_S)\n",
+        "",
+        "tests/test_streams.py::test_all_vms_replaced_one_after_another_fail_no_request",
+    ),
+    Mutant(
+        "a leaving endpoint gets no work",
+        "bluebellpitch/decisions/placing.py",
+        'for row in rows if row.state == "live"',
+        "for row in rows",
+        "tests/test_broker.py::test_leaving_endpoint_gets_nothing",
+    ),
+    Mutant(
+        "peers tell a cut-off reader what it lacks",
+        "bluebellpitch/node.py",
+        "            self.bus.send(sender, help_message)",
+        "            pass",
+        "tests/test_zones.py::test_cut_off_reader_learns_changes_from_its_peers",
+    ),
+    Mutant(
+        "a reader that lacks records installs a snapshot",
+        "bluebellpitch/roles/control.py",
+        "return any(self.fold.install(snapshot) for snapshot in reversed(snapshots))",
+        "return False",
+        "tests/test_zones.py::test_vm_boots_after_old_records_expired",
+    ),
+)
+
+
+def survives(mutant: Mutant, folder: Path) -> bool:
+    """Tells whether the test passes although the mechanism is out."""
+    copy = folder / "copy"
+    shutil.copytree(ROOT, copy, ignore=LEFT_OUT)
+    try:
+        path = copy / mutant.path
+        text = path.read_text()
+        if mutant.old not in text:
+            raise SystemExit(f"mutant '{mutant.what}': {mutant.path} has changed")
+        path.write_text(text.replace(mutant.old, mutant.new, 1))
+        command = [
+            sys.executable,
+            "-m",
+            "pytest",
+            "-q",
+            "-x",
+            "-p",
+            "no:cacheprovider",
+            mutant.test,
+        ]
+        run = subprocess.run(command, cwd=copy, capture_output=True, timeout=PATIENCE_S)
+        return run.returncode == 0
+    finally:
+        shutil.rmtree(copy)
+
+
+def main(words: list[str]) -> int:
+    """Runs the mutants whose text has one of some words, or all."""
+    survivors = 0
+    for mutant in MUTANTS:
+        if words and not any(word in mutant.what for word in words):
+            continue
+        with tempfile.TemporaryDirectory() as folder:
+            alive = survives(mutant, Path(folder))
+        survivors += alive
+        print(f"{'SURVIVES' if alive else 'caught  '} without: {mutant.what}", flush=True)
+    print(f"{survivors} mutants survive")
+    return 1 if survivors else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -18,6 +18,7 @@
 from bluebellpitch.decisions.claims import (
     Claim,
     ClaimsFold,
+    Held,
     Outcome,
     Withdrawal,
     encode_claim,
@@ -144,6 +145,13 @@
     def at_most_one_dispatch(self):
         assert sum(request.dispatched for request in self.all_requests) <= 1
 
+    @invariant()
+    def void_claims_hold_nothing(self):
+        for fold in self.folds.values():
+            standing = fold.standing("m/key", "body")
+            if isinstance(standing, Held):
+                assert not fold.is_withdrawn(standing.claim.id)
+
     @invariant()
     def refusals_are_true(self):
         assert not any(r.dispatched and r.refused_did_not_run for r in self.all_requests)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,14 +1,21 @@
 """What a user of the command line sees."""
 
+import asyncio
+import os
+import subprocess
+import sys
+from pathlib import Path
+
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 
 from bluebellpitch.exits import ExitStatus
 from fakes.federations import CLASSES, MODEL, member, sheet
-from fakes.fleet import free_address
+from fakes.fleet import answers, free_address, wait_until
 from tests.helpers import run_program
 
+ROOT = Path(__file__).resolve().parent.parent
 SERVE = {
     "--vm-name": "vm-1",
     "--zone": "z",
@@ -82,3 +89,38 @@
 
 def test_version():
     assert_that(run_program("version").out, Equals("0.1.0\n"))
+
+
+def test_first_table_of_the_readme_is_right(tmp_path):
+    lines = (ROOT / "README.md").read_text().splitlines()
+    start = next(n for n, line in enumerate(lines) if line.startswith("    kind,name"))
+    block = [line.strip() for line in lines[start : start + 5]]
+    path = tmp_path / "table.csv"
+    path.write_text("\n".join(block).replace("DIGEST", "0" * 64))
+    shown = run_program("table", "check", str(path))
+    assert_that((shown.err, shown.status), Equals(("", ExitStatus.OK)))
+
+
+def test_program_is_one_file_that_starts_no_other_process(tmp_path):
+    """Builds the zip application, runs an entry VM from it, and looks at the process."""
+    program = tmp_path / "bluebellpitch.pyz"
+    build = [sys.executable, "-m", "shiv", "-q", "-c", "bluebellpitch", "-o", str(program), "."]
+    subprocess.run([*build, "-r", "requirements.txt"], cwd=ROOT, check=True, capture_output=True)
+    addresses = {name: free_address() for name in ("listen", "admin", "bus")}
+    flags = SERVE | {f"--{name}": value for name, value in addresses.items()}
+    arguments = [text for pair in flags.items() for text in pair]
+    environment = {**os.environ, "SHIV_ROOT": str(tmp_path / "unpacked"), "PYTHONPATH": ""}
+    process = subprocess.Popen(
+        [sys.executable, str(program), "serve", *arguments], env=environment, cwd=tmp_path
+    )
+    try:
+        asyncio.run(wait_until(lambda: answers(addresses["admin"]), "it serves", 60.0))
+        children = Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text()
+        maps = Path(f"/proc/{process.pid}/maps").read_text()
+        files = [os.readlink(link) for link in Path(f"/proc/{process.pid}/fd").iterdir()]
+        assert_that(children.strip(), Equals(""))
+        assert_that("/dev/shm" in maps, Equals(False))
+        assert_that(any("io_uring" in file for file in files), Equals(False))
+    finally:
+        process.terminate()
+        assert_that(process.wait(30), Equals(0))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -16,6 +16,7 @@
 ENGINES = ("engine-doto-1-0", "engine-doto-1-1", "engine-doto-1-2")
 SHAPE = Shape(vms_per_zone=2, engines_per_zone=3, slots=4, step_s=0.01)
 POISON_MAY_FELL = 3
+LEAVING_NOTICED_S = 4.0
 
 
 @pytest.fixture
@@ -209,6 +210,20 @@
     run(scenario())
 
 
+def test_endpoint_that_the_platform_takes_away_gets_no_new_work(run, fleet):
+    """The list tells late; the table still says live."""
+
+    async def scenario():
+        await fleet.control(fleet.vms, lag_s=1.0)
+        await fleet.publish_vms(leaving=ENGINES[0])
+        await wait(LEAVING_NOTICED_S)
+        after = [await stream(vm_of(fleet).listen, TOKEN, f"[len=3] new {n}") for n in range(12)]
+        used = {answer.headers["x-bluebellpitch-endpoint"] for answer in after}
+        assert_that(used, Equals(set(ENGINES[1:])))
+
+    run(scenario())
+
+
 def mark_leaving(line: str) -> str:
     return line.replace(",live,", ",leaving,")
 
--- /dev/null
+++ b/tests/test_table.py
@@ -0,0 +1,70 @@
+"""The indexed table: a changed one is the same as one built anew."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from bluebellpitch.decisions.floors import split_evenly, zone_share
+from bluebellpitch.decisions.rows import (
+    EndpointRow,
+    MemberRow,
+    PoolRow,
+    Table,
+    VersionedRow,
+    key_of,
+)
+
+NAMES = st.sampled_from("abcd")
+ROWS = st.one_of(
+    st.builds(
+        MemberRow,
+        name=NAMES,
+        weight=st.just(1.0),
+        limit=st.integers(0, 3),
+        credential=NAMES,
+        default_class=st.just("c"),
+    ),
+    st.builds(PoolRow, name=NAMES, kind=st.just("model"), repeatable=st.just(())),
+    st.builds(
+        EndpointRow,
+        name=NAMES,
+        pool=st.sampled_from("pq"),
+        zone=st.sampled_from("yz"),
+        region=st.just("r"),
+        address=st.just("127.0.0.1:1"),
+        slots=st.integers(1, 3),
+        fencing=st.booleans(),
+        state=st.sampled_from(("live", "leaving")),
+    ),
+)
+CHANGES = st.lists(st.tuples(st.lists(ROWS, max_size=3, unique_by=key_of), st.sets(NAMES)))
+
+
+def indexes(table: Table) -> dict:
+    values = dict(vars(table))
+    values.pop("members_by_credential")
+    return values
+
+
+@given(CHANGES)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_changed_table_equals_one_built_anew(changes):
+    table, rows_by_key = Table({}), {}
+    for offset, (rows, dropped) in enumerate(changes):
+        new = {key_of(row): VersionedRow(row, offset) for row in rows}
+        deleted = tuple(f"endpoint/{name}" for name in dropped if f"endpoint/{name}" not in new)
+        before = indexes(table)
+        after = table.with_changes(new, deleted, offset)
+        assert_that(indexes(table), Equals(before))
+        rows_by_key = {k: v for k, v in rows_by_key.items() if k not in deleted} | new
+        assert_that(indexes(after), Equals(indexes(Table(rows_by_key, offset))))
+        table = after
+
+
+@given(st.integers(0, 500), st.dictionaries(NAMES, st.integers(1, 40), min_size=1))
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_zone_shares_and_floors_sum_to_the_limit(limit, slots_by_zone):
+    shares = [zone_share(limit, "m", "p", zone, slots_by_zone) for zone in slots_by_zone]
+    assert_that(sum(shares), Equals(limit))
+    assert_that(sum(split_evenly(limit, "key", slots_by_zone).values()), Equals(limit))
