Order late work behind work in time, resume first, and hear of slow engines sooner

Letters preempted dossiers at once though they have 1.5 s. A slowed engine showed only in the mean of a whole stream, and 'held' reports named every detail of every grant twice a second: 144 KB/s a node at the target, worked out. Change: a class that can only be late goes last until a quarter of its patience is gone; resumed work goes first in its class; tiers below the highest wait a tenth of their target before they preempt; holders tell at once of tokens that stay away; 'held' names grants by short ids, details only once.

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -116,6 +116,7 @@
             prefix=self.job.prefix,
             avoid=progress.avoid,
             suspicion=int(suspicion),
+            resumed=progress.tokens > 0,
             preemptions=progress.preemptions,
         )
         self.record(Kind.QUEUED, detail=f"attempt={progress.attempt}")
@@ -138,15 +139,14 @@
         self.endpoint = slot.granted.endpoint
         self.record(Kind.DISPATCHED, self.endpoint, f"attempt={progress.attempt}")
         dispatched_at = context.now()
-        tokens_before = progress.tokens
         ending = "cancelled"
         try:
             await self._pump(attempt, slot, dispatched_at)
             ending = attempt.ending
         finally:
-            made = progress.tokens - tokens_before
-            first_s = None if made or ending != "late" else context.now() - dispatched_at
-            context.slots.give_back(slot, ending, first_s, progress.between_s() if made else None)
+            late = ending == "late" and not slot.tokens
+            first_s = context.now() - dispatched_at if late else None
+            context.slots.give_back(slot, ending, first_s, slot.between_s())
         self.rejected = attempt.rejected
         self._account(slot, ending)
         return ending
@@ -169,9 +169,10 @@
                 progress.first_at = now
                 self.record(Kind.FIRST_TOKEN, slot.granted.endpoint)
             progress.last_at = now
-            progress.tokens += count_events(events)
+            count = count_events(events)
+            slot.note_tokens(count, now)
+            progress.tokens += count
             progress.parts.append(events)
-            slot.between_s = progress.between_s()
             if context.holder.current.is_far(region):
                 context.metrics.region_bytes.inc(len(events))
             if self.job.stream:
--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -15,13 +15,15 @@
     ASK_UNREPEATED_S,
     GRANT_UNCONFIRMED_S,
     GUARANTEED_SHARE,
+    LATE_PATIENCE_SHARE,
+    PREEMPT_AFTER_SHARE,
     PREEMPTIONS_PER_REQUEST,
     SHARE_CREDIT_CAP_S,
     SHED_HOLD_S,
 )
 from bluebellpitch.decisions.health import HealthView, Observation
 from bluebellpitch.decisions.placing import EndpointChooser
-from bluebellpitch.decisions.queues import WaitingQueues
+from bluebellpitch.decisions.queues import WaitingQueues, first_in_time
 from bluebellpitch.decisions.rows import ClassRow, EndpointRow, MemberRow, Table
 from bluebellpitch.decisions.work import (
     ClassLoad,
@@ -68,11 +70,12 @@
     ``limit_of`` tells how many requests of a member may run here now.
     """
 
-    def __init__(self, pool: str, zone: str, limit_of: LimitOf, policy: Policy = Policy()):
+    def __init__(self, pool: str, zone: str, limit_of: LimitOf, policy=Policy(), tag=""):
         self.pool = pool
         self.zone = zone
         self.limit_of = limit_of
         self.policy = policy
+        self.tag = tag
         self.queues = WaitingQueues()
         self.running_by_grant: dict[str, Running] = {}
         self.grants_by_request: dict[str, str] = {}
@@ -83,6 +86,7 @@
         self.chooser = EndpointChooser(self.health)
         self.table = Table({})
         self.leaving: frozenset[str] = frozenset()
+        self._highest_tier = 0
         self.paused = False
         self._next_grant = 0
         self._credited_at = 0.0
@@ -93,13 +97,15 @@
         """Takes a newer table; endpoints that are ``leaving`` get no new work either."""
         self.table = table
         self.leaving = leaving
+        tiers = (row.tier for row in table.classes_by_name.values())
+        self._highest_tier = min(tiers, default=0)
         rows = table.endpoints_of(self.pool, self.zone)
         self.chooser.set_endpoints(tuple(row for row in rows if row.name not in leaving))
 
     def ask(self, work: Waiting, now: float) -> Iterator[Command]:
         """Takes a request in. Repeating an ask is harmless."""
         if (granted := self._granted(work)) is not None:
-            yield Grant(granted, self._load(work.class_name).first_s.value)
+            yield self._describe(granted)
             return
         known = self.queues.by_request.get(work.request)
         if known is None:
@@ -190,19 +196,23 @@
         running = running or self.running_by_grant.get(grant)
         if running is None:
             return
-        if measure == "first":
-            running.first_token_seen = True
-            if not self.health.is_slow(running.endpoint):
-                self._load(running.work.class_name).first_s.add(seconds)
+        running.first_token_seen |= measure == "first"
+        if not self.health.is_slow(running.endpoint):
+            load = self._load(running.work.class_name)
+            (load.first_s if measure == "first" else load.between_s).add(seconds)
         seen = Observation(now, running.work.class_name, measure, seconds)
         self.health.observe(running.endpoint, seen)
 
-    def confirm(self, running: Running, now: float) -> None:
-        """Notes a grant that its holder says it holds; rebuilds it where unknown."""
-        known = self.running_by_grant.get(running.grant)
-        if known is not None:
-            known.confirmed_at = now
-            return
+    def confirm(self, grant: str, now: float) -> bool:
+        """Notes that a holder names a grant; False when it is not known here."""
+        known = self.running_by_grant.get(grant)
+        if known is None:
+            return False
+        known.confirmed_at = now
+        return True
+
+    def adopt(self, running: Running) -> None:
+        """Takes over a grant of a former broker."""
         self.queues.remove(running.work.request)
         self._hold(running)
 
@@ -281,12 +291,24 @@
             return [(name, False) for name in sorted(names, key=self._oldest)]
         due = [name for name in names if self._is_share_due(name)] if self._is_contended() else []
         due.sort(key=lambda name: -self._load(name).share_credit_s)
-        if len({self._tier(name) for name in names}) == len(names):
-            ranked = sorted(names, key=self._tier)
-        else:
-            ranked = sorted(names, key=lambda name: (self._tier(name), self._slack(name, now)))
+        ranked = sorted(names, key=lambda name: self._class_rank(name, now))
         return [(name, True) for name in due] + [(name, False) for name in ranked]
 
+    def _class_rank(self, class_name: str, now: float) -> tuple[bool, int, float]:
+        """Ranks a class: by tier, then slack. A class that can only be late goes last for a while.
+
+        Late work is only delayed: it is back in its tier's place before its patience runs out.
+        """
+        late = self._is_late(class_name, now)
+        return late, self._tier(class_name), self._slack(class_name, now)
+
+    def _is_late(self, class_name: str, now: float) -> bool:
+        if not self.policy.prefer_in_time:
+            return False
+        late_before = self._late_before(class_name, now)
+        queues = (queue for _, queue in self.queues.members(class_name))
+        return all(is_late(queue, late_before, now) for queue in queues)
+
     def _is_contended(self) -> bool:
         """While there is a slot for everybody, nobody needs its guaranteed share."""
         free = self.chooser.total_slots - len(self.running_by_grant)
@@ -320,14 +342,18 @@
             load.share_credit_s = min(SHARE_CREDIT_CAP_S, load.share_credit_s + earned_s)
 
     def _pick(self, class_name: str, now: float, skip_suspects=False) -> Waiting | None:
-        late_before = -math.inf
-        if self.policy.prefer_in_time:
-            target_s = self._class(class_name).first_token_ms / 1000
-            late_before = now - target_s + self._load(class_name).first_s.value
+        late_before = self._late_before(class_name, now)
         return self.queues.pick(
             class_name, lambda m: self._member_order(m, now), late_before, skip_suspects
         )
 
+    def _late_before(self, class_name: str, now: float) -> float:
+        """Returns when work must have arrived to be in time yet."""
+        if not self.policy.prefer_in_time:
+            return -math.inf
+        target_s = self._class(class_name).first_token_ms / 1000
+        return now - target_s + self._load(class_name).first_s.value
+
     def _member_order(self, name: str, now: float) -> float:
         """Returns what a member has in use over its weight; infinity at its limit."""
         in_use = self.in_use_by_member.get(name, 0)
@@ -341,13 +367,17 @@
     def _grant(self, work: Waiting, endpoint: str, from_share: bool, now: float) -> Grant:
         self.queues.remove(work.request)
         self._next_grant += 1
-        grant = f"{work.request}.{work.attempt}.{self._next_grant}"
+        grant = f"{self.tag}{self._next_grant:x}"
         running = Running(grant, work, endpoint, now, now, from_share)
         self._hold(running)
         load = self._load(work.class_name)
         if from_share:
             load.share_credit_s -= max(load.slot_s.value, 0.01)
-        return Grant(running, load.first_s.value)
+        return self._describe(running)
+
+    def _describe(self, running: Running) -> Grant:
+        load = self._load(running.work.class_name)
+        return Grant(running, load.first_s.value, load.between_s.value)
 
     def _hold(self, running: Running) -> None:
         self.running_by_grant[running.grant] = running
@@ -365,13 +395,22 @@
         newcomer starts as soon as the victim's connection closes.
         """
         for class_name in sorted(self.queues.classes(), key=self._tier):
+            if self._is_late(class_name, now):
+                continue
             while (work := self._pick(class_name, now, skip_suspects=True)) is not None:
-                victim = self._victim(work, now)
+                victim = self._victim(work, now) if self._is_urgent(work, now) else None
                 if victim is None:
                     break
                 yield self._take_back(victim, "higher_tier_waits")
                 yield self._grant(work, victim.endpoint, False, now)
 
+    def _is_urgent(self, work: Waiting, now: float) -> bool:
+        """Tells whether work may preempt: at once in the highest tier, else after a short wait."""
+        row = self._class(work.class_name)
+        if work.resumed or row.tier <= self._highest_tier:
+            return True
+        return now - work.arrived_at >= PREEMPT_AFTER_SHARE * row.first_token_ms / 1000
+
     def _victim(self, work: Waiting, now: float) -> Running | None:
         """Returns the grant to end for ``work``: the youngest request of the lowest tier."""
         tier = self._tier(work.class_name)
@@ -404,3 +443,12 @@
 
     def _tier(self, class_name: str) -> int:
         return self._class(class_name).tier
+
+
+def is_late(queue: list[Waiting], late_before: float, now: float) -> bool:
+    """Tells whether a member's work is all late, and none has used up its part of patience."""
+    if first_in_time(queue, late_before) is not None:
+        return False
+    oldest = queue[0]
+    patience_s = oldest.expires_at - oldest.arrived_at
+    return now - oldest.arrived_at < LATE_PATIENCE_SHARE * patience_s
--- a/bluebellpitch/decisions/health.py
+++ b/bluebellpitch/decisions/health.py
@@ -8,7 +8,12 @@
 from dataclasses import dataclass
 from statistics import median
 
-from bluebellpitch.constants import DOWN_RETRY_S, HEALTH_WINDOW_S, SLOW_RATIO
+from bluebellpitch.constants import (
+    DOWN_RETRY_S,
+    HEALTH_WINDOW_S,
+    OBSERVATIONS_JUDGED,
+    SLOW_RATIO,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +77,7 @@
         groups: dict[tuple[str, str], list[float]] = {}
         for seen in observations:
             groups.setdefault((seen.class_name, seen.measure), []).append(seen.seconds)
-        return {key: median(values) for key, values in groups.items()}
+        return {key: median(values[-OBSERVATIONS_JUDGED:]) for key, values in groups.items()}
 
     def _is_outlier(self, name: str, recent) -> bool | None:
         """Compares one endpoint with its siblings; None without enough evidence."""
--- a/bluebellpitch/decisions/queues.py
+++ b/bluebellpitch/decisions/queues.py
@@ -6,6 +6,11 @@
 from bluebellpitch.decisions.work import Waiting
 
 
+def begun_first(work: Waiting) -> tuple[bool, float]:
+    """Sorts work: what has given its caller tokens goes first, then by arrival."""
+    return not work.resumed, work.arrived_at
+
+
 class WaitingQueues:
     """All waiting work of one broker."""
 
@@ -20,7 +25,7 @@
         self.by_request[work.request] = work
         self._suspects += bool(work.suspicion)
         members = self._by_class.setdefault(work.class_name, {})
-        insort(members.setdefault(work.member, []), work, key=lambda w: w.arrived_at)
+        insort(members.setdefault(work.member, []), work, key=begun_first)
 
     def remove(self, request: str) -> Waiting | None:
         """Takes a request out; None when it does not wait here."""
@@ -81,7 +86,9 @@
 
 
 def first_in_time(queue: list[Waiting], late_before: float) -> Waiting | None:
-    """Returns the oldest work that arrived at ``late_before`` or later."""
+    """Returns the first work that is begun, or arrived at ``late_before`` or later."""
+    if queue[0].resumed:
+        return queue[0]
     if queue[-1].arrived_at < late_before:
         return None
     return next(work for work in queue if work.arrived_at >= late_before)
--- a/bluebellpitch/decisions/work.py
+++ b/bluebellpitch/decisions/work.py
@@ -8,7 +8,7 @@
     """A request that waits for a slot. Times are monotonic seconds of the broker.
 
     ``arrived_at`` is when the caller's request came in, ``expires_at`` when it is refused,
-    ``asked_at`` when its VM last asked for it.
+    ``asked_at`` when its VM last asked for it. A ``resumed`` one has given its caller tokens.
     """
 
     request: str
@@ -22,6 +22,7 @@
     avoid: frozenset[str] = frozenset()
     suspicion: int = 0
     resumable: bool = True
+    resumed: bool = False
     remote: bool = False
     preemptions: int = 0
     asked_at: float = 0.0
@@ -47,6 +48,7 @@
 
     running: Running
     expected_first_s: float
+    expected_between_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,4 +92,5 @@
 
     slot_s: Mean = field(default_factory=Mean)
     first_s: Mean = field(default_factory=Mean)
+    between_s: Mean = field(default_factory=Mean)
     share_credit_s: float = 0.0
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -32,12 +32,13 @@
     avoid: tuple[str, ...] = ()
     suspicion: int = 0
     resumable: bool = True
+    resumed: bool = False
     remote: bool = False
     preemptions: int = 0
 
 
 class Granted(msgspec.Struct, frozen=True, tag="granted"):
-    """A slot is granted. ``expected_first_s`` is the usual time to first token; 0: unknown."""
+    """A slot is granted, with the usual times to first token and between tokens; 0: unknown."""
 
     grant: str
     request: str
@@ -45,6 +46,7 @@
     endpoint: str
     address: str
     expected_first_s: float
+    expected_between_s: float = 0.0
 
 
 class Refused(msgspec.Struct, frozen=True, tag="refused"):
@@ -83,14 +85,23 @@
     between_s: float | None = None
 
 
-class HeldGrant(msgspec.Struct, frozen=True):
-    """A slot that a VM holds now. ``between_s`` is the present time between tokens."""
+class HeldDetails(msgspec.Struct, frozen=True, array_like=True):
+    """What a broker has to know of a grant that another one gave."""
 
-    grant: str
     ask: Ask
     endpoint: str
     held_s: float
+
+
+class HeldGrant(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
+    """A slot that a VM holds now. ``between_s`` is the present time between tokens.
+
+    ``details`` go along until the broker has been told them: a new broker rebuilds from them.
+    """
+
+    grant: str
     between_s: float | None = None
+    details: HeldDetails | None = None
 
 
 class Held(msgspec.Struct, frozen=True, tag="held"):
--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/brokering.py
@@ -6,6 +6,7 @@
 from bluebellpitch.constants import LOAN_INTERVAL_S, MEMBERS_WITH_OWN_LABEL, PEER_DEAD_AFTER_S
 from bluebellpitch.decisions.broker import Broker, Finished, Policy
 from bluebellpitch.decisions.floors import Borrower, EpochHistory, Lender, usable_limit, zone_share
+from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.rows import MemberRow, Table
 from bluebellpitch.decisions.work import Command, Grant, Preempt, Refuse, Running, Waiting
 from bluebellpitch.events import Kind, Ring
@@ -30,6 +31,7 @@
 
 TICK_S = 0.05
 REBUILD_S = 1.0
+GRANT_TAG_CHARACTERS = 8
 
 
 class BrokerRole:
@@ -112,7 +114,8 @@
         return self.brokers_by_pool[pool]
 
     def _start_broker(self, pool: str) -> None:
-        broker = Broker(pool, self._zone, self._limit_of(pool), self._policy)
+        tag = digest_text(self._own, pool)[:GRANT_TAG_CHARACTERS]
+        broker = Broker(pool, self._zone, self._limit_of(pool), self._policy, tag)
         view = self._holder.current
         broker.set_table(view.table, view.leaving_endpoints)
         broker.paused = True
@@ -152,17 +155,18 @@
     def _take_held(self, broker: Broker, sender: str, grants: tuple[HeldGrant, ...]) -> None:
         now = self._now()
         for held in grants:
-            work = to_waiting(held.ask, sender, now)
-            running = Running(held.grant, work, held.endpoint, now - held.held_s, now)
-            broker.confirm(running, now)
+            if not broker.confirm(held.grant, now) and (details := held.details) is not None:
+                work = to_waiting(details.ask, sender, now)
+                since = now - details.held_s
+                broker.adopt(Running(held.grant, work, details.endpoint, since, now))
             if held.between_s is not None:
                 broker.observe(held.grant, "between", held.between_s, now)
 
     def _obey(self, broker: Broker, commands: Iterable[Command]) -> None:
         for command in commands:
             match command:
-                case Grant(running, expected_first_s):
-                    self._send_grant(broker, running, expected_first_s)
+                case Grant():
+                    self._send_grant(command)
                 case Refuse(work, reason, retry_after_s):
                     refused = Refused(
                         work.request, work.attempt, broker.pool, reason, retry_after_s
@@ -172,13 +176,20 @@
                     preempted = Preempted(running.grant, running.work.request, reason)
                     self._bus.send(running.work.asker, preempted)
 
-    def _send_grant(self, broker: Broker, running: Running, expected_first_s: float) -> None:
+    def _send_grant(self, grant: Grant) -> None:
+        running = grant.running
         row = self._holder.current.table.endpoints_by_name.get(running.endpoint)
         if row is None:
             return
         work = running.work
         granted = Granted(
-            running.grant, work.request, work.attempt, row.name, row.address, expected_first_s
+            running.grant,
+            work.request,
+            work.attempt,
+            row.name,
+            row.address,
+            grant.expected_first_s,
+            grant.expected_between_s,
         )
         self._bus.send(work.asker, granted)
 
@@ -274,6 +285,7 @@
         avoid=frozenset(ask.avoid),
         suspicion=ask.suspicion,
         resumable=ask.resumable,
+        resumed=ask.resumed,
         remote=ask.remote,
         preemptions=ask.preemptions,
         asked_at=now,
--- a/bluebellpitch/roles/seeking.py
+++ b/bluebellpitch/roles/seeking.py
@@ -9,9 +9,13 @@
 from bluebellpitch.constants import (
     ASK_REPEAT_S,
     FAR_OVERFLOW_FACTOR,
+    GAP_CHECK_S,
+    GAP_REPEAT_S,
     HELD_REPORT_INTERVAL_S,
     OVERFLOW_TARGET_SHARE,
+    SLOW_RATIO,
 )
+from bluebellpitch.decisions.work import Mean
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import (
@@ -19,6 +23,7 @@
     Cancel,
     Granted,
     Held,
+    HeldDetails,
     HeldGrant,
     Preempted,
     Refused,
@@ -42,7 +47,22 @@
     since: float
     preempt: Callable[[str], None] | None = None
     preempted_for: str = ""
-    between_s: float | None = None
+    tokens: int = 0
+    last_token_at: float | None = None
+    gap_told_at: float = 0.0
+    between: Mean = field(default_factory=Mean)
+    brokers_told: set[str] = field(default_factory=set)
+
+    def note_tokens(self, count: int, now: float) -> None:
+        """Notes that tokens came."""
+        if self.last_token_at is not None and count:
+            self.between.add((now - self.last_token_at) / count)
+        self.tokens += count
+        self.last_token_at = now
+
+    def between_s(self) -> float | None:
+        """Returns the present time between tokens; None before the second."""
+        return self.between.value if self.between.count else None
 
     def take_back(self, reason: str) -> None:
         """Tells the holder to stop its attempt."""
@@ -181,17 +201,18 @@
             return None
         match message:
             case Granted():
-                return self._hold(seek, message)
+                return self._hold(seek, sender, message)
             case Refused(attempt=attempt) if attempt == seek.ask.attempt:
                 seek.refused[self._zone_of(sender)] = message
                 return DidNotRun(message.reason, 503, message.retry_after_s)
         return None
 
-    def _hold(self, seek: Seek, granted: Granted) -> Slot | None:
+    def _hold(self, seek: Seek, sender: str, granted: Granted) -> Slot | None:
         row = self._holder.current.table.endpoints_by_name.get(granted.endpoint)
         if row is None:
             return None
         slot = Slot(granted, seek.ask, row.zone, row.region, self._now())
+        slot.brokers_told.add(sender)
         slot.preempted_for = seek.preempted.get(granted.grant, "")
         self._slots_by_grant[granted.grant] = slot
         return slot
@@ -241,15 +262,33 @@
 
     def saw_first(self, slot: Slot, seconds: float) -> None:
         """Tells the broker a time to first token."""
+        self._tell_seen(slot, "first", seconds)
+
+    def _tell_seen(self, slot: Slot, measure: str, seconds: float) -> None:
         broker = self._holder.current.broker(slot.ask.pool, slot.zone)
         if broker is not None:
-            self._bus.send(broker, Seen(slot.granted.grant, slot.ask.pool, "first", seconds))
+            self._bus.send(broker, Seen(slot.granted.grant, slot.ask.pool, measure, seconds))
 
     async def run(self) -> None:
-        """Reports held slots until cancelled."""
+        """Reports held slots, and at once those whose tokens stay away, until cancelled."""
+        reported_at = self._now()
         while True:
-            await asyncio.sleep(HELD_REPORT_INTERVAL_S)
-            self._report_all()
+            await asyncio.sleep(GAP_CHECK_S)
+            self._report_gaps()
+            if self._now() - reported_at >= HELD_REPORT_INTERVAL_S:
+                reported_at = self._now()
+                self._report_all()
+
+    def _report_gaps(self) -> None:
+        now = self._now()
+        for slot in self._slots_by_grant.values():
+            expected_s = slot.granted.expected_between_s
+            if slot.last_token_at is None or not expected_s:
+                continue
+            gap_s = now - slot.last_token_at
+            if gap_s >= SLOW_RATIO * expected_s and now - slot.gap_told_at >= GAP_REPEAT_S:
+                slot.gap_told_at = now
+                self._tell_seen(slot, "between", gap_s)
 
     def _report_all(self) -> None:
         pools = {(slot.ask.pool, slot.zone) for slot in self._slots_by_grant.values()}
@@ -262,18 +301,20 @@
         """Tells a broker all slots of its pool and zone that this VM holds."""
         now = self._now()
         grants = tuple(
-            HeldGrant(
-                grant,
-                self._ask_now(slot, now),
-                slot.granted.endpoint,
-                now - slot.since,
-                slot.between_s,
-            )
-            for grant, slot in self._slots_by_grant.items()
+            self._describe(slot, broker, now)
+            for slot in self._slots_by_grant.values()
             if slot.ask.pool == pool and slot.zone == zone
         )
         self._bus.send(broker, Held(pool, grants))
 
+    def _describe(self, slot: Slot, broker: str, now: float) -> HeldGrant:
+        details = None
+        if broker not in slot.brokers_told:
+            slot.brokers_told.add(broker)
+            ask = self._ask_now(slot, now)
+            details = HeldDetails(ask, slot.granted.endpoint, now - slot.since)
+        return HeldGrant(slot.granted.grant, slot.between_s(), details)
+
     def _ask_now(self, slot: Slot, now: float) -> Ask:
         return msgspec.structs.replace(slot.ask, age_s=slot.ask.age_s + now - slot.since)
 
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -19,7 +19,7 @@
     (runs.trentvale_alone, "ours", SEEDS),
     (runs.trentvale, "ours", SEEDS),
     (runs.kushiro, "ours", TWO),
-    (runs.slow_engine, "ours", ONE),
+    (runs.slow_engine, "ours", TWO),
     (runs.burst, "ours", ONE),
     (runs.crash, "ours", ONE),
     (runs.zone_cut, "ours", ONE),
