Split HTTP, the order of classes and the shared part of exchanges into modules of their own

Change: decisions/order.py ranks classes; http1 is a package; callers/exchange.py holds what exchanges share; callers/whole.py puts whole answers together. A caller that leaves closes its engine connection at once (aclosing), not when the generator is collected; a test of it comes along. Ruled out: nothing; behaviour is meant to be the same but for that.

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -1,11 +1,12 @@
 """Serves one completion: seeks a slot, streams, and resumes elsewhere until it is complete."""
 
+from contextlib import aclosing
 from dataclasses import dataclass, field
 
-import msgspec
-
 from bluebellpitch.callers import answers
+from bluebellpitch.callers.exchange import Exchange
 from bluebellpitch.callers.requests import CompletionJob
+from bluebellpitch.callers.whole import assemble
 from bluebellpitch.constants import (
     ATTEMPTS_PER_REQUEST,
     FIRST_TOKEN_PATIENCE,
@@ -16,15 +17,13 @@
 from bluebellpitch.context import NodeContext
 from bluebellpitch.decisions.strikes import Suspicion
 from bluebellpitch.endpoints.engine import EngineAttempt, Rejected
-from bluebellpitch.endpoints.sse import Usage, count_events, join_text, read_chunks
+from bluebellpitch.endpoints.sse import count_events, join_text
 from bluebellpitch.errors import GoneError
 from bluebellpitch.events import Kind
 from bluebellpitch.http1 import ServerConnection
-from bluebellpitch.peers.messages import Ask
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
-FAILED_ENDINGS = ("crashed", "stalled", "unreachable")
 FIRST_STALL_FACTOR = 3.0
 
 
@@ -50,26 +49,15 @@
         return (self.last_at - self.first_at) / (self.tokens - 1)
 
 
-class CompletionExchange:
+class CompletionExchange(Exchange):
     """One completion from admission to its complete answer. Owned by the caller's task."""
 
     def __init__(self, context: NodeContext, connection: ServerConnection, job: CompletionJob):
-        self.context = context
-        self.connection = connection
-        self.job = job
-        self.caller = job.caller
+        super().__init__(context, connection, job)
         self.progress = Progress()
-        self.endpoint = ""
         self.started = False
         self.rejected: Rejected | None = None
 
-    def record(self, kind: Kind, endpoint: str = "", detail: str = "") -> None:
-        """Adds an event about this request to the time line."""
-        caller = self.caller
-        self.context.ring.record(
-            kind, caller.request_id, caller.member.name, caller.row.name, endpoint, detail
-        )
-
     async def run(self) -> Verdict:
         """Serves the request to its end; returns the verdict that the caller got."""
         self.record(Kind.ADMITTED, detail=f"pool={self.job.pool.name}")
@@ -100,34 +88,20 @@
                 return await self._refuse("attempts_exhausted", 502)
 
     async def _seek(self, suspicion: Suspicion) -> Slot | DidNotRun:
-        progress, caller, now = self.progress, self.caller, self.context.now()
+        progress, caller = self.progress, self.caller
         progress.attempt += 1
         expires_at = caller.arrived_at + caller.patience_s
         if progress.dispatched:
-            expires_at = now + RESUME_PATIENCE_S
-        ask = Ask(
-            request=caller.request_id,
-            attempt=progress.attempt,
-            pool=self.job.pool.name,
-            member=caller.member.name,
-            class_name=caller.row.name,
-            age_s=now - caller.arrived_at,
-            patience_s=expires_at - now,
+            expires_at = self.context.now() + RESUME_PATIENCE_S
+        return await self.seek(
+            progress.attempt,
+            expires_at,
             prefix=self.job.prefix,
             avoid=progress.avoid,
             suspicion=int(suspicion),
             resumed=progress.tokens > 0,
             preemptions=progress.preemptions,
         )
-        self.record(Kind.QUEUED, detail=f"attempt={progress.attempt}")
-        slot = await self.context.slots.seek(
-            ask, caller.arrived_at, expires_at, self.connection.is_gone
-        )
-        if isinstance(slot, Slot):
-            waited_s = self.context.now() - now
-            self.context.metrics.grant_wait.labels(caller.row.name).observe(waited_s)
-            self.record(Kind.GRANTED, slot.granted.endpoint, f"waited_ms={waited_s * 1000:.1f}")
-        return slot
 
     async def _attempt(self, slot: Slot) -> str:
         """Runs one attempt; returns its ending."""
@@ -152,33 +126,38 @@
         return ending
 
     async def _pump(self, attempt: EngineAttempt, slot: Slot, dispatched_at: float) -> None:
-        """Passes events on until the attempt ends."""
-        progress, context = self.progress, self.context
-        body = self._engine_body()
-        region = slot.region
-        seen_first = False
-        events_source = attempt.events(
-            self.job.target, body, self.caller.request_id, self._first_token_patience(slot)
+        """Passes events on until the attempt ends; a caller that leaves ends it at once."""
+        source = attempt.events(
+            self.job.target,
+            self._engine_body(),
+            self.caller.request_id,
+            self._first_token_patience(slot),
         )
-        async for events in events_source:
-            now = context.now()
-            if not seen_first:
-                seen_first = True
-                context.slots.saw_first(slot, now - dispatched_at)
-            if progress.first_at is None:
-                progress.first_at = now
-                self.record(Kind.FIRST_TOKEN, slot.granted.endpoint)
-            progress.last_at = now
-            count = count_events(events)
-            slot.note_tokens(count, now)
-            progress.tokens += count
-            progress.parts.append(events)
-            if context.holder.current.is_far(region):
-                context.metrics.region_bytes.inc(len(events))
-            if self.job.stream:
-                await self._send(events)
-            elif self.connection.is_gone():
-                raise GoneError("the caller closed its connection")
+        async with aclosing(source):
+            async for events in source:
+                self._note_events(events, slot, dispatched_at)
+                await self._pass_on(events)
+
+    def _note_events(self, events: bytes, slot: Slot, dispatched_at: float) -> None:
+        progress, context, now = self.progress, self.context, self.context.now()
+        if slot.last_token_at is None:
+            context.slots.saw_first(slot, now - dispatched_at)
+        if progress.first_at is None:
+            progress.first_at = now
+            self.record(Kind.FIRST_TOKEN, slot.granted.endpoint)
+        progress.last_at = now
+        count = count_events(events)
+        slot.note_tokens(count, now)
+        progress.tokens += count
+        progress.parts.append(events)
+        if context.holder.current.is_far(slot.region):
+            context.metrics.region_bytes.inc(len(events))
+
+    async def _pass_on(self, events: bytes) -> None:
+        if self.job.stream:
+            await self._send(events)
+        elif self.connection.is_gone():
+            raise GoneError("the caller closed its connection")
 
     def _engine_body(self) -> dict:
         body = {**self.job.fields, "stream": True, "priority": self.caller.row.tier}
@@ -207,14 +186,8 @@
         await self.connection.send(events)
 
     def _headers(self, content_type: str) -> list[tuple[str, str]]:
-        return [
-            ("Content-Type", content_type),
-            ("Cache-Control", "no-store"),
-            (answers.REQUEST_ID_HEADER, self.caller.request_id),
-            (answers.VERDICT_HEADER, Ran.name),
-            (answers.VM_HEADER, self.context.settings.vm),
-            (answers.ENDPOINT_HEADER, self.endpoint),
-        ]
+        kind = [("Content-Type", content_type), ("Cache-Control", "no-store")]
+        return kind + self.own_headers(Ran.name)
 
     def _account(self, slot: Slot, ending: str) -> None:
         """Notes what an ending means for the next attempt and for other requests."""
@@ -285,54 +258,3 @@
         await self.connection.send(b"data: " + error + b"\n\n")
         await self.connection.end()
         return verdict
-
-
-class Message(msgspec.Struct, frozen=True):
-    """The message of a whole chat answer."""
-
-    role: str
-    content: str
-
-
-class ChatChoice(msgspec.Struct, frozen=True):
-    """The choice of a whole chat answer."""
-
-    index: int
-    message: Message
-    finish_reason: str
-
-
-class TextChoice(msgspec.Struct, frozen=True):
-    """The choice of a whole completion."""
-
-    index: int
-    text: str
-    finish_reason: str
-
-
-class Whole(msgspec.Struct, frozen=True):
-    """A whole answer, as OpenAI clients read it."""
-
-    id: str
-    object: str
-    created: int
-    model: str
-    choices: tuple
-    usage: Usage
-
-
-def assemble(events: bytes, job: CompletionJob, request_id: str) -> bytes:
-    """Returns a stream's events as one whole answer."""
-    text = join_text(events)
-    usage, finish = Usage(), "stop"
-    for chunk in read_chunks(events):
-        usage = chunk.usage or usage
-        finish = next((c.finish_reason for c in chunk.choices if c.finish_reason), finish)
-    if "chat" in job.target:
-        choice = ChatChoice(0, Message("assistant", text), finish)
-        kind = "chat.completion"
-    else:
-        choice = TextChoice(0, text, finish)
-        kind = "text_completion"
-    whole = Whole(request_id, kind, 0, job.pool.name, (choice,), usage)
-    return msgspec.json.encode(whole)
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -3,6 +3,7 @@
 from uuid import uuid4
 
 from bluebellpitch.callers import answers
+from bluebellpitch.callers.exchange import Exchange
 from bluebellpitch.callers.requests import ServiceJob, forwarded_headers
 from bluebellpitch.constants import ATTEMPTS_PER_REQUEST, OUTCOME_BODY_MAX_BYTES
 from bluebellpitch.context import NodeContext
@@ -11,7 +12,6 @@
 from bluebellpitch.endpoints.service import ServiceCall, call_service
 from bluebellpitch.events import Kind
 from bluebellpitch.http1 import HttpResponse, ServerConnection
-from bluebellpitch.peers.messages import Ask
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
@@ -19,25 +19,14 @@
 DROPPED_HEADERS = frozenset(("connection", "content-length", "transfer-encoding", "keep-alive"))
 
 
-class ServiceExchange:
+class ServiceExchange(Exchange):
     """One call from admission to its answer. Owned by the caller's task."""
 
     def __init__(self, context: NodeContext, connection: ServerConnection, job: ServiceJob):
-        self.context = context
-        self.connection = connection
-        self.job = job
-        self.caller = job.caller
+        super().__init__(context, connection, job)
         self.attempt = 0
-        self.endpoint = ""
         self.claim: Claim | None = None
 
-    def record(self, kind: Kind, endpoint: str = "", detail: str = "") -> None:
-        """Adds an event about this request to the time line."""
-        caller = self.caller
-        self.context.ring.record(
-            kind, caller.request_id, caller.member.name, caller.row.name, endpoint, detail
-        )
-
     async def run(self) -> Verdict:
         """Serves the call to its end; returns the verdict that the caller got."""
         self.record(Kind.ADMITTED, detail=f"pool={self.job.pool.name}")
@@ -72,7 +61,9 @@
         return verdict.reason in ("endpoint_unreachable", "endpoint_did_not_run")
 
     async def _try_once(self) -> Result:
-        slot = await self._seek()
+        self.attempt += 1
+        expires_at = self.caller.arrived_at + self.caller.patience_s
+        slot = await self.seek(self.attempt, expires_at, resumable=False)
         if isinstance(slot, DidNotRun):
             return slot
         self.endpoint = slot.granted.endpoint
@@ -86,28 +77,6 @@
         finally:
             self.context.slots.give_back(slot, outcome)
 
-    async def _seek(self) -> Slot | DidNotRun:
-        self.attempt += 1
-        caller, now = self.caller, self.context.now()
-        expires_at = caller.arrived_at + caller.patience_s
-        ask = Ask(
-            request=caller.request_id,
-            attempt=self.attempt,
-            pool=self.job.pool.name,
-            member=caller.member.name,
-            class_name=caller.row.name,
-            age_s=now - caller.arrived_at,
-            patience_s=max(0.0, expires_at - now),
-            resumable=False,
-        )
-        self.record(Kind.QUEUED, detail=f"attempt={self.attempt}")
-        slot = await self.context.slots.seek(
-            ask, caller.arrived_at, expires_at, self.connection.is_gone
-        )
-        if isinstance(slot, Slot):
-            self.record(Kind.GRANTED, slot.granted.endpoint)
-        return slot
-
     async def _claim_and_call(self, slot: Slot) -> Result:
         """Claims as late as can be, so that a claim that waits cannot be left behind."""
         if self.job.key and not self.job.repeatable and self.claim is None:
@@ -169,18 +138,10 @@
             metrics.in_target.labels(row.name).inc()
         self.record(Kind.COMPLETED, self.endpoint, f"status={response.status}")
         headers = [(k, v) for k, v in response.headers if k.lower() not in DROPPED_HEADERS]
-        headers += self._own_headers(Ran.name)
+        headers += self.own_headers(Ran.name)
         await self.connection.respond(response.status, headers, response.body)
         return Ran()
 
-    def _own_headers(self, verdict: str) -> list[tuple[str, str]]:
-        return [
-            (answers.REQUEST_ID_HEADER, self.caller.request_id),
-            (answers.VERDICT_HEADER, verdict),
-            (answers.VM_HEADER, self.context.settings.vm),
-            (answers.ENDPOINT_HEADER, self.endpoint),
-        ]
-
     async def _replay(self, outcome: Outcome) -> Verdict:
         """Answers a repeated key with what is known of its one run."""
         if outcome.verdict == MayHaveRun.name:
@@ -189,7 +150,7 @@
             return verdict
         self.record(Kind.COMPLETED, detail="replayed")
         headers = [("Content-Type", outcome.content_type or "application/octet-stream")]
-        headers += [*self._own_headers(Ran.name), (answers.REPLAYED_HEADER, "true")]
+        headers += [*self.own_headers(Ran.name), (answers.REPLAYED_HEADER, "true")]
         if not outcome.answer_kept:
             headers.append(("X-Bluebellpitch-Answer-Kept", "false"))
         await self.connection.respond(outcome.status, headers, outcome.answer)
--- a/bluebellpitch/decisions/work.py
+++ b/bluebellpitch/decisions/work.py
@@ -71,6 +71,16 @@
 Command = Grant | Refuse | Preempt
 
 
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """How a grant ended, as its holder tells. Times in seconds; None where unknown."""
+
+    grant: str
+    outcome: str
+    first_s: float | None = None
+    between_s: float | None = None
+
+
 @dataclass(slots=True)
 class Mean:
     """An exponentially weighted mean; 0 until a first value."""
--- /dev/null
+++ b/bluebellpitch/http1/client.py
@@ -0,0 +1,116 @@
+"""The client side of HTTP/1.1: connections, and whole exchanges."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import h11
+
+from bluebellpitch.errors import BrokenError, NotSentError, StalledError
+from bluebellpitch.http1.messages import READ_BYTES, Headers, HttpResponse
+
+
+class ClientConnection:
+    """One connection to a server. ``opened_at`` and ``idle_since`` are monotonic seconds."""
+
+    def __init__(self, reader, writer, address: str):
+        self.reader = reader
+        self.writer = writer
+        self.address = address
+        self.idle_since = 0.0
+        self.h11 = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def open(cls, address: str, timeout_s: float) -> "ClientConnection":
+        """Connects to ``host:port``; raises NotSentError."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(f"cannot connect to {address}: {error}") from error
+        return cls(reader, writer, address)
+
+    async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Sends a whole request; raises BrokenError, for bytes may have left."""
+        headers = [("Host", self.address), *headers, ("Content-Length", str(len(body)))]
+        data = self.h11.send(h11.Request(method=method, target=target, headers=headers))
+        if body:
+            data += self.h11.send(h11.Data(data=body))
+        data += self.h11.send(h11.EndOfMessage()) or b""
+        try:
+            self.writer.write(data)
+            await self.writer.drain()
+        except OSError as error:
+            raise BrokenError(f"lost the connection to {self.address}: {error}") from error
+
+    async def read_head(self, timeout_s: float) -> h11.Response:
+        """Returns the head of the response; raises BrokenError or StalledError."""
+        event = await self._next_event(timeout_s)
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event(timeout_s)
+        if not isinstance(event, h11.Response):
+            raise BrokenError(f"{self.address} closed without an answer")
+        return event
+
+    async def read_body(self, timeout_s: float) -> AsyncIterator[bytes]:
+        """Yields the body as it comes; ``timeout_s`` bounds each silence."""
+        while (data := await self.read_data(timeout_s)) is not None:
+            yield data
+
+    async def read_data(self, timeout_s: float) -> bytes | None:
+        """Returns the next part of the body, in whatever bulk it comes; None at its end."""
+        event = await self._next_event(timeout_s)
+        return bytes(event.data) if isinstance(event, h11.Data) else None
+
+    async def _next_event(self, timeout_s: float):
+        try:
+            event = self.h11.next_event()
+            while event is h11.NEED_DATA:
+                async with asyncio.timeout(timeout_s):
+                    self.h11.receive_data(await self.reader.read(READ_BYTES))
+                event = self.h11.next_event()
+            return event
+        except TimeoutError as error:
+            raise StalledError(f"{self.address} was silent for {timeout_s} s") from error
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise BrokenError(f"lost the answer of {self.address}: {error}") from error
+
+    def is_reusable(self) -> bool:
+        """Makes ready for another request; False when the connection must close."""
+        if self.reader.at_eof() or self.writer.is_closing():
+            return False
+        if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
+            return False
+        self.h11.start_next_cycle()
+        return True
+
+    def close(self) -> None:
+        """Closes at once; the server sees a cancelled request."""
+        self.writer.transport.abort()
+
+
+async def fetch(
+    address: str,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: Headers = (),
+    *,
+    timeout_s=3.0,
+) -> HttpResponse:
+    """Makes one whole exchange on a connection of its own.
+
+    Raises NotSentError, BrokenError or StalledError.
+    """
+    connection = await ClientConnection.open(address, timeout_s)
+    try:
+        async with asyncio.timeout(timeout_s):
+            await connection.send(method, target, [*headers, ("Connection", "close")], body)
+            head = await connection.read_head(timeout_s)
+            parts = [part async for part in connection.read_body(timeout_s)]
+    except TimeoutError as error:
+        raise StalledError(f"{address} did not answer within {timeout_s} s") from error
+    finally:
+        connection.close()
+    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
+    return HttpResponse(head.status_code, headers, b"".join(parts))
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -9,9 +9,10 @@
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.constants import CLAIMS_STREAM, CONTROL_STREAM, RING_EVENTS
 from bluebellpitch.context import NodeContext
-from bluebellpitch.decisions.broker import Broker, Policy
+from bluebellpitch.decisions.broker import Broker
 from bluebellpitch.decisions.budgets import HedgeBudget
 from bluebellpitch.decisions.control import VmIdentity
+from bluebellpitch.decisions.order import Policy
 from bluebellpitch.decisions.strikes import StrikeBook
 from bluebellpitch.endpoints.connections import EndpointConnections
 from bluebellpitch.environment import Environment
@@ -260,7 +261,7 @@
     """Returns the status of one pool's broker."""
     classes = tuple(
         ClassStatus(name, broker.queues.count(name), len(broker.running_by_class.get(name, ())))
-        for name in sorted(broker.loads_by_class)
+        for name in sorted(broker.order.loads_by_class)
     )
     endpoints = tuple(
         EndpointStatus(
--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/brokering.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.constants import LOAN_INTERVAL_S, MEMBERS_WITH_OWN_LABEL, PEER_DEAD_AFTER_S
-from bluebellpitch.decisions.broker import Broker, Finished, Policy
+from bluebellpitch.decisions.broker import Broker
 from bluebellpitch.decisions.floors import Borrower, EpochHistory, Lender, usable_limit, zone_share
 from bluebellpitch.decisions.hashing import digest_text
+from bluebellpitch.decisions.order import Policy
 from bluebellpitch.decisions.rows import MemberRow, Table
-from bluebellpitch.decisions.work import Command, Grant, Preempt, Refuse, Running, Waiting
+from bluebellpitch.decisions.work import Command, Finished, Grant, Preempt, Refuse, Running, Waiting
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from bluebellpitch.clock import HybridClock
-from bluebellpitch.decisions.broker import Broker, Finished
+from bluebellpitch.decisions.broker import Broker
 from bluebellpitch.decisions.claims import Claim, ClaimsFold, Outcome, encode_claim
 from bluebellpitch.decisions.control import (
     ControlFold,
@@ -26,7 +26,7 @@
     VersionedRow,
     key_of,
 )
-from bluebellpitch.decisions.work import Waiting
+from bluebellpitch.decisions.work import Finished, Waiting
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
--- a/measure/variant.py
+++ b/measure/variant.py
@@ -4,7 +4,7 @@
 
 from bluebellpitch import main as program
 from bluebellpitch.commands import serve
-from bluebellpitch.decisions.broker import Policy
+from bluebellpitch.decisions.order import Policy
 from bluebellpitch.node import Node
 from measure.baselines import PICKERS, LocalSlots
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -9,7 +9,8 @@
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan, Not
 
 from bluebellpitch.constants import GRANT_UNCONFIRMED_S
-from bluebellpitch.decisions.broker import Broker, Finished, Policy
+from bluebellpitch.decisions.broker import Broker
+from bluebellpitch.decisions.order import Policy
 from bluebellpitch.decisions.rows import (
     ClassRow,
     EndpointRow,
@@ -20,7 +21,7 @@
     key_of,
 )
 from bluebellpitch.decisions.strikes import Suspicion
-from bluebellpitch.decisions.work import Grant, Preempt, Refuse, Waiting
+from bluebellpitch.decisions.work import Finished, Grant, Preempt, Refuse, Waiting
 
 CLASSES = (
     ClassRow("high", 1, 8.0, 500.0, 50.0, 5_000.0),
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -3,10 +3,12 @@
 import asyncio
 import signal
 
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
+from bluebellpitch.http1 import fetch
 from bluebellpitch.operators.sheet import parse_sheet, write_sheet
 from fakes.caller import Answer, stream
 from fakes.engine import answer_to
@@ -224,6 +226,30 @@
     run(scenario())
 
 
+def test_caller_that_leaves_frees_its_slot(run, fleet):
+    async def scenario():
+        running = [send(fleet, f"[len=2000] left {n}") for n in range(6)]
+        await engine_running(fleet, 6)
+        await wait(0.3)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+        async def all_free() -> bool:
+            counts = [await held_by(fleet, name) for name in ENGINES]
+            statuses = [await read_status(vm.admin) for vm in fleet.vms_by_name.values()]
+            return not sum(counts) and not sum(status["in_flight"] for status in statuses)
+
+        await wait_until(all_free, "engines and VMs hold nothing", 5.0)
+
+    run(scenario())
+
+
+async def held_by(fleet, name: str) -> int:
+    response = await fetch(fleet.processes_by_name[name].address, "GET", "/count?left")
+    return msgspec.json.decode(response.body)["held"]
+
+
 def mark_leaving(line: str) -> str:
     return line.replace(",live,", ",leaving,")
 
