--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -78,7 +78,7 @@
         "![attainment at the Kushiro crest](crest.png)",
         "",
     ]
-    (FOLDER / "README.md").write_text("\n".join(lines))
+    (FOLDER / "policy.md").write_text("\n".join(lines))
     draw(figures)
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -109,13 +109,13 @@
     Mutant(
         "no tier is preempted for an equal or lower one",
         "bluebellpitch/decisions/broker.py",
-        "            if self._tier(class_name) <= tier:\n                return None\n",
+        "            if self.order.tier(class_name) <= tier:\n                return None\n",
         "",
         "tests/test_broker.py",
     ),
     Mutant(
         "every class has a guaranteed share",
-        "bluebellpitch/decisions/broker.py",
+        "bluebellpitch/decisions/order.py",
         "        return [(name, True) for name in due] + [(name, False) for name in ranked]",
         "        return [(name, False) for name in ranked]",
         "tests/test_broker.py::test_no_class_starves_under_a_flood_of_higher_tiers",
