Never repeat grant ids when a VM takes a pool back

Cause: found in reading the change. Grant ids became short: a tag of the VM and the pool, and a number that starts at 1 with each broker. A VM that loses a pool for a moment and takes it back starts a new broker, and its ids repeat while grants of the first time are still held: a holder ignores a grant that it thinks it has, and a returned slot is taken for another. Change: the tag also covers when the broker started. Measured: tests/test_brokering.py fails before and passes after; tests of the broker pass.

--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/brokering.py
@@ -115,7 +115,8 @@
         return self.brokers_by_pool[pool]
 
     def _start_broker(self, pool: str) -> None:
-        tag = digest_text(self._own, pool)[:GRANT_TAG_CHARACTERS]
+        # Started anew after a loss, the broker must not repeat grant ids that are still held.
+        tag = digest_text(self._own, pool, repr(self._now()))[:GRANT_TAG_CHARACTERS]
         broker = Broker(pool, self._zone, self._limit_of(pool), self._policy, tag)
         view = self._holder.current
         broker.set_table(view.table, view.leaving_endpoints)
