--- a/bluebellpitch/constants.py
+++ b/bluebellpitch/constants.py
@@ -1,7 +1,5 @@
 """Constants with their units. Settings that operators may change are in settings.py."""
 
-MS = 0.001
-
 # Between VMs.
 HEARTBEAT_INTERVAL_S = 0.5
 CROSS_ZONE_HEARTBEAT_INTERVAL_S = 2.0
--- a/bluebellpitch/decisions/control.py
+++ b/bluebellpitch/decisions/control.py
@@ -4,6 +4,8 @@
 refuses changes nothing and is remembered as refused, for its author to see.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 
 from bluebellpitch.decisions.hashing import digest_text
@@ -172,6 +174,12 @@
         digest = digest_text(state)
         return Snapshot(f"snapshot-{self.offset}-{digest}", self.offset, state, digest)
 
+    def install_latest(self, records: Iterable[str | bytes]) -> bool:
+        """Bridges expired records with the latest whole snapshot among some records."""
+        decoded = (decode_record(data) for data in records)
+        snapshots = [record for record in decoded if isinstance(record, Snapshot)]
+        return any(self.install(snapshot) for snapshot in reversed(snapshots))
+
     def install(self, snapshot: Snapshot) -> bool:
         """Takes a snapshot over when it is whole and ahead of this fold."""
         if snapshot.offset <= self.offset or digest_text(snapshot.state) != snapshot.digest:
--- a/bluebellpitch/decisions/strikes.py
+++ b/bluebellpitch/decisions/strikes.py
@@ -55,6 +55,3 @@
         old = [f for f in self._attempts_by_fingerprint if not self.count(f, now)]
         for fingerprint in old:
             del self._attempts_by_fingerprint[fingerprint]
-
-    def __len__(self) -> int:
-        return len(self._attempts_by_fingerprint)
--- a/bluebellpitch/operators/table.py
+++ b/bluebellpitch/operators/table.py
@@ -10,9 +10,7 @@
     Accepted,
     Conflicted,
     ControlFold,
-    Snapshot,
     TableChange,
-    decode_record,
     encode_record,
 )
 from bluebellpitch.decisions.rows import Row, key_of
@@ -93,18 +91,13 @@
         raise UnreachableError(f"the platform's log cannot be read: {error}")
 
     def _take(self, page: Page) -> None:
-        if page.first > self.fold.offset + 1:
-            self._install(page)
+        lacking = page.first > self.fold.offset + 1
+        if lacking and not self.fold.install_latest(entry.data for entry in page.records):
+            raise UnreachableError("the log has lost old records, and holds no snapshot of them")
         for entry in page.records:
             if entry.offset == self.fold.offset + 1:
                 self.fold.apply(entry.offset, entry.data)
 
-    def _install(self, page: Page) -> None:
-        records = (decode_record(entry.data) for entry in page.records)
-        snapshots = [record for record in records if isinstance(record, Snapshot)]
-        if not any(self.fold.install(snapshot) for snapshot in reversed(snapshots)):
-            raise UnreachableError("the log has lost old records, and holds no snapshot of them")
-
     async def apply(self, diff: TableDiff, author: str) -> int:
         """Puts a change on the log and returns its offset.
 
--- a/bluebellpitch/peers/bus.py
+++ b/bluebellpitch/peers/bus.py
@@ -52,12 +52,6 @@
         """Notes the address of a VM."""
         self._addresses_by_vm[vm_key] = address
 
-    def forget_except(self, vm_keys: frozenset[str]) -> None:
-        """Closes the sockets to all other VMs."""
-        self._addresses_by_vm = {k: a for k, a in self._addresses_by_vm.items() if k in vm_keys}
-        for address in self._pushes_by_address.keys() - set(self._addresses_by_vm.values()):
-            self._pushes_by_address.pop(address).close(linger=0)
-
     def send(self, vm_key: str, message: Message) -> None:
         """Sends to one VM; to itself without a socket."""
         if vm_key == self.vm_key:
--- a/bluebellpitch/roles/control.py
+++ b/bluebellpitch/roles/control.py
@@ -7,8 +7,6 @@
 from bluebellpitch.constants import CONTROL_STREAM, SNAPSHOT_EVERY_RECORDS
 from bluebellpitch.decisions.control import (
     ControlFold,
-    Snapshot,
-    decode_record,
     encode_record,
 )
 from bluebellpitch.decisions.hashing import rank_owners
@@ -44,17 +42,12 @@
             self._take_page(page)
 
     def _take_page(self, page: Page) -> None:
-        if page.first > self.fold.offset + 1 and not self._install_from(page.records):
+        lacking = page.first > self.fold.offset + 1
+        if lacking and not self.fold.install_latest(entry.data for entry in page.records):
             log("ERROR", "control_gap", offset=self.fold.offset, first=page.first)
             return
         self.take_entries(page.records)
 
-    def _install_from(self, entries: tuple[Entry, ...]) -> bool:
-        """Bridges expired records with the latest snapshot on the page."""
-        records = (decode_record(entry.data) for entry in entries)
-        snapshots = [record for record in records if isinstance(record, Snapshot)]
-        return any(self.fold.install(snapshot) for snapshot in reversed(snapshots))
-
     def take_entries(self, entries: tuple[Entry, ...]) -> None:
         """Folds records that follow on from the fold, and publishes the result."""
         before = self.fold.offset
--- a/measure/runs.py
+++ b/measure/runs.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Iterator
 from statistics import median
 
+from fakes.caller import stream
 from fakes.fleet import is_ready, wait_until
 from measure import deployment, loads
 from measure.deployment import CLASSES, Deployment, fleet_of_processes
@@ -272,8 +273,6 @@
 
 async def flood_with(running: Deployment, member: str, count: int, for_s: float) -> None:
     """Keeps so many requests of a member open at two VMs of one zone."""
-    from fakes.caller import stream
-
     stop = asyncio.get_running_loop().time() + for_s
 
     async def one(number: int) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -165,8 +165,8 @@
     ),
     Mutant(
         "a reader that lacks records installs a snapshot",
-        "bluebellpitch/roles/control.py",
-        "return any(self.fold.install(snapshot) for snapshot in reversed(snapshots))",
+        "bluebellpitch/decisions/control.py",
+        "return any(self.install(snapshot) for snapshot in reversed(snapshots))",
         "return False",
         "tests/test_zones.py::test_vm_boots_after_old_records_expired",
     ),
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -75,11 +75,8 @@
     @rule(name=st.sampled_from(READERS), count=st.integers(1, 4))
     def read(self, name, count):
         fold = self.readers[name]
-        if fold.offset + 1 < self.first:
-            kept = [decode_record(data) for data in self.log[self.first :]]
-            snapshots = [record for record in kept if hasattr(record, "state")]
-            if not any(fold.install(snapshot) for snapshot in reversed(snapshots)):
-                return
+        if fold.offset + 1 < self.first and not fold.install_latest(self.log[self.first :]):
+            return
         for offset in range(fold.offset + 1, min(len(self.log), fold.offset + 1 + count)):
             if offset >= self.first:
                 fold.apply(offset, self.log[offset])
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -12,7 +12,7 @@
 from bluebellpitch.operators.sheet import parse_sheet, write_sheet
 from fakes.caller import Answer, stream
 from fakes.engine import answer_to
-from fakes.fleet import Fleet, read_status, wait_until
+from fakes.fleet import Fleet, is_ready, read_status, wait_until
 from tests.helpers import TOKEN, Shape, start_federation, wait
 
 ENGINES = ("engine-doto-1-0", "engine-doto-1-1", "engine-doto-1-2")
@@ -156,17 +156,11 @@
     number = 0
     while not stop.is_set():
         number += 1
-        ready = [vm for vm in fleet.vms_by_name.values() if await is_open(vm)]
+        ready = [vm for vm in fleet.vms_by_name.values() if await is_ready(vm.admin)]
         prompt = f"[len=15] rolling {number}"
         answers.append((await stream(ready[number % len(ready)].listen, TOKEN, prompt), prompt))
 
 
-async def is_open(vm) -> bool:
-    from fakes.fleet import is_ready
-
-    return await is_ready(vm.admin)
-
-
 def test_all_vms_replaced_one_after_another_fail_no_request(run, fleet):
     async def scenario():
         stop, answers = asyncio.Event(), []
