Let dossiers have tokens before a rewrite takes their place in the test

Cause: a full run in a fresh clone failed 1 of 139 tests: test_dossiers_give_way_to_a_rewrite_and_still_finish found no 'resumed' event. Its trace shows the rewrites arrive 10 ms after the dossiers, before any of those preempted had a token: they were started again, rightly, with nothing to resume, and all answers were whole. So the verdict rested on speed. Ruled out: a lost event, a fault of preemption. Change: the test waits until 12 dossiers have had a first token by the time line, and their answers are 500 tokens instead of 150 so that they still run then. All assertions stand as they were.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -57,6 +57,13 @@
     return found[0]
 
 
+async def has_first_tokens(fleet, count: int) -> bool:
+    """Tells whether so many requests have had a token, by the time line."""
+    admins = [text for vm in fleet.vms_by_name.values() for text in ("--vm", vm.admin)]
+    _, events = await fleet.run_command("timeline", *admins, "--as", "pairs")
+    return events.count("event=first_token") >= count
+
+
 async def keep_engines_up(fleet) -> list[str]:
     """Restarts engines that die, as their owners would; returns who died, when cancelled."""
     died = []
@@ -132,9 +139,9 @@
 
 def test_dossiers_give_way_to_a_rewrite_and_still_finish(run, fleet):
     async def scenario():
-        prompts = [f"[len=150] dossier {n}" for n in range(14)]
+        prompts = [f"[len=500] dossier {n}" for n in range(14)]
         running = [send(fleet, prompt, "dossier", n % 2) for n, prompt in enumerate(prompts)]
-        await engine_running(fleet, 12)
+        await wait_until(lambda: has_first_tokens(fleet, 12), "12 dossiers have tokens")
         rewrites = [f"[len=10] rewrite {n}" for n in range(4)]
         quick = [send(fleet, prompt, "rewrite") for prompt in rewrites]
         for task, prompt in zip(quick, rewrites, strict=True):
