--- /dev/null
+++ b/bluebellpitch/callers/routed.py
@@ -0,0 +1,331 @@
+"""One routed request, from its arrival to its end."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bluebellpitch.callers.answers import describe_verdict
+from bluebellpitch.decisions.catalogue import Catalogue, MemberRow, Repeatability, Route, pick_pool
+from bluebellpitch.decisions.freshness import Freshness
+from bluebellpitch.decisions.loads import Work
+from bluebellpitch.decisions.repeats import RepeatBudget
+from bluebellpitch.endpoints.attempt import Answered, Attempt, Turned, Unsent, settle
+from bluebellpitch.endpoints.links import Links
+from bluebellpitch.errors import BadRequestError, GoneError
+from bluebellpitch.http1 import HttpRequest, ServerConnection
+from bluebellpitch.logs import log
+from bluebellpitch.platform.requests import (
+    AnswerHead,
+    Forwarding,
+    RoutedRequest,
+    decode_request,
+    last_event_id,
+    refusal_headers,
+)
+from bluebellpitch.roles.placing import Place, PlacingRole
+from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
+
+# An endpoint's own answer at the deadline is waited for this long.
+LAST_ANSWER_S = 0.06
+# Connections that cannot be made are tried elsewhere this often.
+UNSENT_AT_MOST = 4
+# A repeat needs this much time to be of use.
+REPEAT_WORTH_S = 0.05
+UNKNOWN_STATE_RETRY_S = 0.5
+NO_ENDPOINT_RETRY_S = 0.4
+
+
+@dataclass(frozen=True)
+class RoutingContext:
+    """What the tasks that serve routed requests are given."""
+
+    catalogue: Callable[[], Catalogue | None]
+    freshness: Freshness
+    placing: PlacingRole
+    links: Links
+    repeats: RepeatBudget
+    live_vms: Callable[[], int]
+    is_draining: Callable[[], bool]
+    is_closing: Callable[[], bool]
+    now: Callable[[], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request with what the configuration says of it. ``expires_at`` ends its time."""
+
+    request: RoutedRequest
+    route: Route
+    pool: str
+    is_engine: bool
+    member: MemberRow | None
+    arrived_at: float
+    expires_at: float
+
+    @property
+    def rank(self) -> int:
+        """The rank in force: the member's goes before the route's."""
+        if self.member is not None and self.member.rank is not None:
+            return self.member.rank
+        return self.route.rank
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tells whether the request may run again after it may have run."""
+        return self.route.repeatability is not Repeatability.ONCE
+
+
+def admit(
+    request: RoutedRequest, catalogue: Catalogue | None, freshness: Freshness, now: float
+) -> Admitted | DidNotRun:
+    """Finds the route and the member of a request, or tells why it is refused."""
+    if catalogue is None:
+        return DidNotRun("no_configuration", 503, UNKNOWN_STATE_RETRY_S)
+    may_deny = freshness.allows_denial(now)
+    route = catalogue.match(request.host, request.path)
+    if route is None:
+        return deny(404, "no_such_route", may_deny)
+    member = None
+    if catalogue.has_members and not route.is_public:
+        if not freshness.allows_keys(now):
+            return DidNotRun("configuration_not_fresh", 503, UNKNOWN_STATE_RETRY_S)
+        member = catalogue.members_by_key.get(request.key)
+        if member is None:
+            return deny(401, "unknown_key", may_deny)
+    pool = pick_pool(route, random.random())
+    row = catalogue.pools_by_name.get(pool)
+    is_engine = row is not None and row.engine is not None
+    expires_at = now + min(request.patience_s, route.timeout_s)
+    return Admitted(request, route, pool, is_engine, member, now, expires_at)
+
+
+def deny(status: int, reason: str, may_deny: bool) -> DidNotRun:
+    """Calls something unknown, or asks the caller to come back while that is not sure."""
+    if may_deny:
+        return DidNotRun(reason, status)
+    return DidNotRun(f"{reason}_not_sure", 503, UNKNOWN_STATE_RETRY_S)
+
+
+class RoutedExchange:
+    """Serves one request. Owned by the caller's task."""
+
+    def __init__(self, context: RoutingContext, connection: ServerConnection):
+        self._context = context
+        self._connection = connection
+        self._started = False
+        self._last_event: int | None = None
+        self._tried: list[str] = []
+
+    async def serve(self, raw: HttpRequest) -> None:
+        """Answers the request; stops at once when the caller leaves."""
+        request = decode_request(raw)
+        work = asyncio.ensure_future(self._answer(request))
+        gone = asyncio.ensure_future(self._connection.wait_gone())
+        try:
+            await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                log("INFO", "caller_left", request=request.id, endpoints=",".join(self._tried))
+                await settle(work)
+                raise GoneError("the caller left")
+            work.result()
+        finally:
+            await settle(gone)
+            if not work.done():
+                await settle(work)
+
+    async def _answer(self, request: RoutedRequest) -> None:
+        context, now = self._context, self._context.now()
+        admitted = admit(request, context.catalogue(), context.freshness, now)
+        if isinstance(admitted, DidNotRun):
+            verdict: Verdict = admitted
+        elif context.is_closing():
+            verdict = DidNotRun("shutting_down", 503, 0.1)
+        else:
+            context.repeats.note_request(admitted.pool, now)
+            verdict = await self._dispatch(admitted)
+        await self._finish(request, verdict, now)
+
+    async def _finish(self, request: RoutedRequest, verdict: Verdict, arrived_at: float) -> None:
+        took_ms = (self._context.now() - arrived_at) * 1000
+        log(
+            "INFO",
+            "ended",
+            request=request.id,
+            verdict=verdict.name,
+            reason=verdict.reason,
+            status=verdict.status,
+            endpoints=",".join(self._tried) or "none",
+            took_ms=f"{took_ms:.0f}",
+        )
+        if isinstance(verdict, Ran):
+            return
+        if self._started:
+            raise GoneError("a started answer cannot be completed")
+        headers = refusal_headers(verdict.retry_after_s)
+        await self._respond(verdict.status, headers, describe_verdict(verdict, request.id))
+
+    async def _respond(self, status: int, headers, body: bytes) -> None:
+        self._started = True
+        if self._context.is_draining():
+            headers = [*headers, ("Connection", "close")]
+        headers = [pair for pair in headers if pair[0].lower() != "content-length"]
+        await self._connection.respond(status, headers, body)
+
+    async def _dispatch(self, admitted: Admitted) -> Verdict:
+        """Tries endpoints until one answers, time is up, or no repeat is allowed."""
+        context, route = self._context, admitted.route
+        sent, unsent = 0, 0
+        verdict: Verdict = DidNotRun("no_endpoint", 503, NO_ENDPOINT_RETRY_S)
+        ran_maybe: MayHaveRun | None = None
+        while True:
+            now = context.now()
+            if now >= admitted.expires_at - (REPEAT_WORTH_S if sent else 0):
+                return ran_maybe or (verdict if sent else DidNotRun("no_time", 503, 0.5))
+            place = context.placing.place(
+                make_work(admitted), admitted.is_engine, frozenset(self._tried)
+            )
+            if place is None:
+                return ran_maybe or verdict
+            if sent and not context.repeats.spend(admitted.pool, context.live_vms(), now):
+                context.placing.release(place)
+                log("INFO", "repeat_budget_spent", request=admitted.request.id)
+                return ran_maybe or verdict
+            self._tried.append(place.entry.id)
+            try:
+                verdict = await self._attempt(admitted, place)
+            finally:
+                context.placing.release(place)
+            match verdict:
+                case Ran():
+                    return verdict
+                case Unsent():
+                    unsent += 1
+                    if unsent >= UNSENT_AT_MOST:
+                        return ran_maybe or verdict
+                    continue
+                case MayHaveRun():
+                    ran_maybe = verdict
+                    if not admitted.may_repeat or (self._started and not self._may_resume(route)):
+                        return verdict
+            sent += 1
+            if sent >= route.max_attempts:
+                return ran_maybe or verdict
+
+    def _may_resume(self, route: Route) -> bool:
+        return route.repeatability is Repeatability.RESUMABLE and self._last_event is not None
+
+    async def _attempt(self, admitted: Admitted, place: Place) -> Verdict:
+        """Sends the request to one endpoint and passes its answer on."""
+        context = self._context
+        attempt = Attempt(context.links, place.entry, admitted.request, context.now)
+        last_event = admitted.request.last_event if self._last_event is None else self._last_event
+        forwarding = Forwarding(
+            endpoint_id=place.entry.id,
+            time_left_s=admitted.expires_at - context.now(),
+            member=admitted.member.name if admitted.member else "",
+            rank=admitted.rank if admitted.is_engine else None,
+            last_event=last_event,
+        )
+        try:
+            once = admitted.route.repeatability is Repeatability.ONCE
+            by = admitted.expires_at + LAST_ANSWER_S
+            head = await attempt.start(forwarding, once, by)
+            return await self._take_head(admitted, place, attempt, head, by)
+        finally:
+            attempt.close()
+
+    async def _take_head(self, admitted, place: Place, attempt: Attempt, head, by) -> Verdict:
+        placing = self._context.placing
+        match head:
+            case Turned():
+                if head.is_other:
+                    placing.directory.mark_replaced(place.entry)
+                placing.note_head(place, attempt.head)
+                return DidNotRun(head.reason, 503, NO_ENDPOINT_RETRY_S)
+            case Unsent():
+                placing.note_unreachable(place)
+                return head
+            case MayHaveRun():
+                placing.note_outcome(place, failed=True)
+                return head
+        placing.note_head(place, head)
+        if admitted.route.is_stream and 200 <= head.status < 300:
+            return await self._pass_stream(admitted, place, attempt, head, by)
+        answer = await attempt.read_whole(by)
+        return await self._pass_whole(admitted, place, answer)
+
+    async def _pass_whole(self, admitted: Admitted, place: Place, answer) -> Verdict:
+        placing = self._context.placing
+        if isinstance(answer, MayHaveRun):
+            placing.note_outcome(place, failed=True)
+            return answer
+        head: AnswerHead = answer.head
+        failed = head.status >= 500
+        placing.note_outcome(place, failed)
+        if failed and admitted.may_repeat and self._can_repeat(admitted):
+            return MayHaveRun(f"answered {head.status}", status=502)
+        if self._started:
+            return MayHaveRun(f"answered {head.status} to a resumed stream")
+        await self._respond(head.status, list(head.headers), answer.body)
+        return Ran(f"answered {head.status}", head.status)
+
+    def _can_repeat(self, admitted: Admitted) -> bool:
+        context, now = self._context, self._context.now()
+        left = context.repeats.left(admitted.pool, context.live_vms(), now)
+        return (
+            len(self._tried) < admitted.route.max_attempts
+            and left >= 1
+            and now < admitted.expires_at - REPEAT_WORTH_S
+        )
+
+    async def _pass_stream(self, admitted, place: Place, attempt: Attempt, head, by) -> Verdict:
+        """Passes whole events on as they come. A cut stream is never ended as if complete."""
+        placing = self._context.placing
+        first = True
+        async for events in attempt.events(by, silence_s=max(0.001, by - self._context.now())):
+            if first:
+                first = False
+                placing.note_first_event(place)
+            if not self._started:
+                self._started = True
+                await self._connection.start(head.status, self._stream_headers(head))
+            await self._connection.send(events)
+            last = last_event_id(events)
+            self._last_event = self._last_event if last is None else last
+        placing.note_outcome(place, attempt.ending == "cut")
+        if attempt.ending != "complete":
+            status = 504 if attempt.ending == "late" else 502
+            return MayHaveRun(f"stream {attempt.ending}", status=status)
+        if not self._started:
+            self._started = True
+            await self._connection.start(head.status, self._stream_headers(head))
+        await self._connection.end()
+        return Ran("complete", head.status)
+
+    def _stream_headers(self, head: AnswerHead):
+        headers = [pair for pair in head.headers if pair[0] != "content-length"]
+        return [*headers, ("Connection", "close")] if self._context.is_draining() else headers
+
+
+def make_work(admitted: Admitted) -> Work:
+    """Returns what the placing decides on."""
+    prompt = admitted.request.prompt
+    return Work(
+        id=admitted.request.id,
+        pool=admitted.pool,
+        rank=admitted.rank,
+        tokens_in=prompt.tokens_in,
+        tokens_out=prompt.tokens_out,
+        parts=tuple((part.id, part.tokens) for part in prompt.parts),
+        target_s=admitted.route.target_s,
+        arrived_at=admitted.arrived_at,
+        expires_at=admitted.expires_at,
+    )
+
+
+async def refuse_malformed(connection: ServerConnection, error: BadRequestError) -> None:
+    """Answers what is no request, and closes the connection."""
+    verdict = DidNotRun(error.reason, error.status)
+    headers = [*refusal_headers(None), ("Connection", "close")]
+    await connection.respond(error.status, headers, describe_verdict(verdict, "", str(error)))
--- a/bluebellpitch/cli.py
+++ b/bluebellpitch/cli.py
@@ -3,6 +3,7 @@
 import typer
 
 from bluebellpitch.commands import insight, table
+from bluebellpitch.commands.route import route
 from bluebellpitch.commands.serve import serve
 
 
@@ -10,6 +11,7 @@
     """Returns the command line. It is called with an Environment as the context object."""
     app = typer.Typer(no_args_is_help=True, add_completion=False, rich_markup_mode=None)
     app.command(help="Runs an entry VM.")(serve)
+    app.command(help="Runs an entry VM on the prepared platform.")(route)
     app.add_typer(build_table_app(), name="table")
     app.command(help="Shows VMs, brokers, endpoints and unresolved requests.")(insight.status)
     app.command(help="Shows events of all VMs, in order.")(insight.timeline)
--- /dev/null
+++ b/bluebellpitch/decisions/freshness.py
@@ -0,0 +1,44 @@
+"""How old the configuration that this VM holds may be.
+
+``known_at`` is the latest moment at which the version held is known to have been the newest, in
+seconds of a clock that goes on while the VM is suspended.
+"""
+
+from dataclasses import dataclass
+
+# Covers rounding and the way from the check to the endpoint.
+FRESHNESS_MARGIN_S = 0.3
+
+
+@dataclass(slots=True)
+class Freshness:
+    """``revoke_s`` bounds the use of a key that was taken away, ``apply_s`` that of a version."""
+
+    revoke_s: float
+    apply_s: float
+    known_at: float = float("-inf")
+
+    def confirm(self, known_at: float) -> None:
+        """Notes that the version held was the newest at that moment."""
+        self.known_at = max(self.known_at, known_at)
+
+    def age_s(self, now: float) -> float:
+        """Returns how long ago the version was known to be the newest."""
+        return now - self.known_at
+
+    def allows_keys(self, now: float) -> bool:
+        """Tells whether a key that the configuration holds may be honoured."""
+        return self.age_s(now) < self.revoke_s - FRESHNESS_MARGIN_S
+
+    def allows_denial(self, now: float) -> bool:
+        """Tells whether a route or key that is not there may be called unknown."""
+        return self.age_s(now) < self.apply_s - FRESHNESS_MARGIN_S
+
+
+def read_known_at(asked_at: float, answered_at: float, wait_s: float, is_empty: bool) -> float:
+    """Returns as of when a read of the store shows all that there is.
+
+    An empty answer after the full wait was true until the wait ended; any other one was true when
+    the read was sent.
+    """
+    return asked_at + wait_s if is_empty and answered_at >= asked_at + wait_s else asked_at
--- /dev/null
+++ b/bluebellpitch/entry.py
@@ -0,0 +1,143 @@
+"""An entry VM on the prepared platform: wires its parts together and stops them in order."""
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine
+
+from bluebellpitch.callers.routed import RoutedExchange, RoutingContext, refuse_malformed
+from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.freshness import Freshness
+from bluebellpitch.decisions.repeats import RepeatBudget
+from bluebellpitch.endpoints.links import Links
+from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
+from bluebellpitch.logs import log
+from bluebellpitch.platform.settings_file import VmSettings
+from bluebellpitch.roles.following import ConfigurationRole, EndpointsRole
+from bluebellpitch.roles.placing import PlacingRole
+
+DRAIN_POLL_S = 0.05
+# New connections come until the platform has noticed that the VM is not ready.
+STILL_CHOSEN_S = 2.6
+# Idle connections are kept a little longer, for requests that are on their way.
+LAST_REQUESTS_S = 3.2
+GRACE_SHARE = 0.94
+LINKS_CHECKED_S = 1.0
+RECEIVE_BODY_S = 10.0
+
+
+class EntryVm:
+    """One entry VM. ``now`` counts seconds, also while the VM is suspended."""
+
+    def __init__(
+        self, settings: VmSettings, reload: Callable[[], VmSettings], now: Callable[[], float]
+    ):
+        self.settings = settings
+        self._reload = reload
+        self._now = now
+        self.directory = Directory()
+        freshness = Freshness(settings.revoke_s, settings.apply_s)
+        self.configuration = ConfigurationRole(settings.store, freshness, now)
+        self.endpoints = EndpointsRole(
+            settings.store, self.directory, now, 2 * settings.endpoint_heartbeat_s
+        )
+        self.placing = PlacingRole(self.directory, settings.zone, settings.regions_by_zone, now)
+        self.links = Links(now)
+        self.draining = asyncio.Event()
+        self._closing = False
+        self.context = RoutingContext(
+            catalogue=lambda: self.configuration.catalogue,
+            freshness=freshness,
+            placing=self.placing,
+            links=self.links,
+            repeats=RepeatBudget(
+                settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
+            ),
+            live_vms=lambda: 10,
+            is_draining=self.draining.is_set,
+            is_closing=lambda: self._closing,
+            now=now,
+        )
+        self.http = HttpServer(self._serve, refuse_malformed, HttpLimits(idle_s=16.0))
+        self.ready_http = HttpServer(self._answer_ready, refuse_malformed, HttpLimits())
+
+    async def _serve(self, connection, request) -> None:
+        await RoutedExchange(self.context, connection).serve(request)
+
+    async def _answer_ready(self, connection, request) -> None:
+        status = 200 if self.is_ready() else 503
+        await connection.respond(status, [("Content-Type", "text/plain")], b"")
+
+    def is_ready(self) -> bool:
+        """Tells whether new connections should come here."""
+        knows = self.configuration.catalogue is not None and self.endpoints.known
+        return knows and not self.draining.is_set()
+
+    async def run(self) -> None:
+        """Serves until told to stop, then finishes what it holds."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.draining.set)
+        loop.add_signal_handler(signal.SIGINT, self.draining.set)
+        loop.add_signal_handler(signal.SIGHUP, self._take_settings)
+        await self.ready_http.listen(*parse_address(self.settings.ready))
+        await self.http.listen(*parse_address(self.settings.listen))
+        tasks = [asyncio.create_task(self._guard(job)) for job in self._jobs()]
+        log("INFO", "started", vm=self.settings.vm, zone=self.settings.zone)
+        await self.draining.wait()
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        log("INFO", "stopped", vm=self.settings.vm)
+
+    def _jobs(self) -> tuple[Coroutine, ...]:
+        return (
+            self.configuration.run(),
+            self.endpoints.run(),
+            self.endpoints.expire(),
+            self._apply_limits(),
+            self._tidy(),
+        )
+
+    async def _guard(self, job: Coroutine) -> None:
+        """A task that fails ends the VM: a restart is safe, a silent half is not."""
+        try:
+            await job
+        except Exception as error:  # noqa: BLE001
+            log("ERROR", "task_failed", task=job.__qualname__, error=repr(error))
+            self.draining.set()
+            raise
+
+    def _take_settings(self) -> None:
+        """Reads the settings file again; what cannot change while running is only reported."""
+        changed = self._reload() != self.settings
+        log("INFO", "settings_read_again", changed=changed)
+
+    async def _apply_limits(self) -> None:
+        """Puts the limits on callers into force whenever the configuration changes."""
+        while True:
+            await self.configuration.changed.wait()
+            self.configuration.changed.clear()
+            limits = self.configuration.catalogue.limits
+            self.http.limits = HttpLimits(
+                header_bytes=limits.header_bytes,
+                body_bytes=limits.body_bytes,
+                receive_s=max(limits.header_s, RECEIVE_BODY_S),
+                idle_s=limits.idle_s,
+            )
+
+    async def _tidy(self) -> None:
+        while True:
+            await asyncio.sleep(LINKS_CHECKED_S)
+            self.links.close_idle()
+            self.placing.loads.forget_others(self.directory.entries_by_id.values())
+
+    async def _drain(self) -> None:
+        """Stops taking requests once the platform sends none, and finishes those it has."""
+        begun = self._now()
+        log("INFO", "draining", in_flight=self.http.busy)
+        await asyncio.sleep(STILL_CHOSEN_S)
+        self._closing = True
+        await asyncio.sleep(LAST_REQUESTS_S - STILL_CHOSEN_S)
+        self.http.stop_listening()
+        while self.http.busy and self._now() - begun < self.settings.grace_s * GRACE_SHARE:
+            await asyncio.sleep(DRAIN_POLL_S)
--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -9,15 +9,27 @@
 from bluebellpitch.http1.messages import READ_BYTES, Headers, HttpResponse
 
 
+class CountingReader(asyncio.StreamReader):
+    """A stream reader that tells whether bytes came that nobody has read."""
+
+    fed_bytes = 0
+
+    def feed_data(self, data: bytes) -> None:
+        """Counts what comes in."""
+        self.fed_bytes += len(data)
+        super().feed_data(data)
+
+
 class ClientConnection:
-    """One connection to a server. ``opened_at`` and ``idle_since`` are monotonic seconds."""
+    """One connection to a server. ``idle_since`` is in seconds of the owner's clock."""
 
-    def __init__(self, reader, writer, address: str):
+    def __init__(self, reader: CountingReader, writer, address: str):
         self.reader = reader
         self.writer = writer
         self.address = address
         self.idle_since = 0.0
         self.h11 = h11.Connection(h11.CLIENT)
+        self._read_bytes = 0
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "ClientConnection":
@@ -25,7 +37,7 @@
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(timeout_s):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await open_streams(host, int(port))
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
         return cls(reader, writer, address)
@@ -33,7 +45,14 @@
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Sends a whole request; raises BrokenError, for bytes may have left."""
         headers = [("Host", self.address), *headers, ("Content-Length", str(len(body)))]
-        data = self.h11.send(h11.Request(method=method, target=target, headers=headers))
+        await self.send_exactly(method, target, headers, body)
+
+    async def send_exactly(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Sends a request with just these headers; raises BrokenError or NotSentError."""
+        try:
+            data = self.h11.send(h11.Request(method=method, target=target, headers=headers))
+        except h11.LocalProtocolError as error:
+            raise NotSentError(f"the request cannot be written: {error}") from error
         if body:
             data += self.h11.send(h11.Data(data=body))
         data += self.h11.send(h11.EndOfMessage()) or b""
@@ -67,7 +86,7 @@
             event = self.h11.next_event()
             while event is h11.NEED_DATA:
                 async with asyncio.timeout(timeout_s):
-                    self.h11.receive_data(await self.reader.read(READ_BYTES))
+                    self.h11.receive_data(await self._read())
                 event = self.h11.next_event()
             return event
         except TimeoutError as error:
@@ -75,9 +94,46 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise BrokenError(f"lost the answer of {self.address}: {error}") from error
 
+    async def _read(self) -> bytes:
+        data = await self.reader.read(READ_BYTES)
+        self._read_bytes += len(data)
+        return data
+
+    async def call(self, method: str, target: str, body: bytes, timeout_s: float) -> HttpResponse:
+        """Makes one whole exchange; raises BrokenError or StalledError."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.send(method, target, [], body)
+                head = await self.read_head(timeout_s)
+                parts = [part async for part in self.read_body(timeout_s)]
+        except TimeoutError as error:
+            raise StalledError(f"{self.address} did not answer within {timeout_s} s") from error
+        headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
+        return HttpResponse(head.status_code, headers, b"".join(parts))
+
+    def has_unread_or_closed(self) -> bool:
+        """Tells whether the server closed, or sent bytes that answer nothing."""
+        if self.reader.at_eof() or self.writer.is_closing() or self.reader.exception():
+            return True
+        return self.reader.fed_bytes > self._read_bytes or bool(self.h11.trailing_data[0])
+
+    def expect_another(self, method: str) -> None:
+        """Makes ready to read one more answer to the request that was sent.
+
+        For use when the answer that was read belongs to an earlier request. Raises BrokenError.
+        """
+        rest = self.h11.trailing_data[0]
+        if self.h11.their_state is not h11.DONE:
+            raise BrokenError(f"{self.address} closed after an answer to another request")
+        self.h11 = h11.Connection(h11.CLIENT)
+        self.h11.send(h11.Request(method=method, target="/", headers=[("Host", "-")]))
+        self.h11.send(h11.EndOfMessage())
+        if rest:
+            self.h11.receive_data(rest)
+
     def is_reusable(self) -> bool:
         """Makes ready for another request; False when the connection must close."""
-        if self.reader.at_eof() or self.writer.is_closing():
+        if self.has_unread_or_closed():
             return False
         if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
             return False
@@ -89,6 +145,15 @@
         self.writer.transport.abort()
 
 
+async def open_streams(host: str, port: int):
+    """Returns a counting reader and a writer."""
+    loop = asyncio.get_running_loop()
+    reader = CountingReader(loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 async def fetch(
     address: str,
     method: str,
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -182,6 +182,7 @@
 
     async def _serve_requests(self, connection: ServerConnection) -> None:
         while not self.closing:
+            connection.limits = self.limits
             request = await connection.read_request()
             if request is None:
                 return
--- /dev/null
+++ b/bluebellpitch/platform/configuration.py
@@ -0,0 +1,143 @@
+"""Decodes the operators' configuration from the store into a Catalogue."""
+
+from typing import Literal
+
+import msgspec
+
+from bluebellpitch.decisions.catalogue import (
+    CallerLimits,
+    Catalogue,
+    EngineShape,
+    MemberRow,
+    PoolRow,
+    Repeatability,
+    Route,
+    Share,
+    group_by_host,
+)
+from bluebellpitch.errors import ProtocolError
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+DEFAULT_TIMEOUT_MS = 60_000.0
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    path_prefix: str
+    kind: Literal["safe", "unsafe", "streaming"]
+    service: str = ""
+    split: tuple[_Split, ...] = ()
+    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    goal_ms: float = DEFAULT_TIMEOUT_MS
+    priority: int = 5
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float | None = None
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int
+    kv_capacity: int
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    max_conns: int
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+_decoder = msgspec.json.Decoder(_Configuration)
+
+
+def decode_configuration(data: bytes) -> Catalogue:
+    """Returns the catalogue; raises ProtocolError."""
+    try:
+        wire = _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ProtocolError(f"the configuration is malformed: {error}") from error
+    members = {
+        key: MemberRow(tenant.name, tenant.priority)
+        for tenant in wire.tenants or ()
+        for key in tenant.api_keys
+    }
+    return Catalogue(
+        version=wire.version,
+        routes_by_host=group_by_host(decode_route(route) for route in wire.routes),
+        pools_by_name={service.name: decode_pool(service) for service in wire.services},
+        members_by_key=members,
+        has_members=wire.tenants is not None,
+        limits=decode_limits(wire.limits),
+    )
+
+
+def decode_route(wire: _Route) -> Route:
+    """Returns one route."""
+    shares = tuple(Share(part.service, part.weight) for part in wire.split)
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        path_prefix=wire.path_prefix,
+        repeatability=judge_repeatability(wire),
+        is_stream=wire.kind == "streaming",
+        shares=shares or (Share(wire.service, 1.0),),
+        timeout_s=wire.timeout_ms / 1000,
+        target_s=wire.goal_ms / 1000,
+        gap_target_s=wire.gap_target_ms / 1000 if wire.gap_target_ms else None,
+        rank=wire.priority,
+        max_attempts=max(1, wire.max_attempts),
+        is_public=wire.public,
+    )
+
+
+def judge_repeatability(wire: _Route) -> Repeatability:
+    """Returns what may be repeated, which follows from the kind."""
+    if wire.kind == "safe":
+        return Repeatability.IDEMPOTENT
+    if wire.kind == "streaming" and wire.resumable:
+        return Repeatability.RESUMABLE
+    return Repeatability.ONCE
+
+
+def decode_pool(wire: _Service) -> PoolRow:
+    """Returns one pool."""
+    engine = wire.engine and EngineShape(wire.engine.slots, wire.engine.kv_capacity)
+    return PoolRow(wire.name, wire.max_conns, engine)
+
+
+def decode_limits(wire: _Limits) -> CallerLimits:
+    """Returns the limits on callers."""
+    return CallerLimits(
+        header_bytes=wire.max_header_bytes,
+        body_bytes=wire.max_body_bytes,
+        header_s=wire.header_timeout_ms / 1000,
+        idle_s=wire.idle_timeout_ms / 1000,
+    )
