--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -10,7 +10,7 @@
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.loads import Work
 from bluebellpitch.decisions.repeats import RepeatBudget
-from bluebellpitch.endpoints.attempt import Answered, Attempt, Turned, Unsent, settle
+from bluebellpitch.endpoints.attempt import Attempt, Turned, Unsent, settle
 from bluebellpitch.endpoints.links import Links
 from bluebellpitch.errors import BadRequestError, GoneError
 from bluebellpitch.http1 import HttpRequest, ServerConnection
@@ -116,6 +116,10 @@
         self._started = False
         self._last_event: int | None = None
         self._tried: list[str] = []
+        self._first_at = 0.0
+        self._last_at = 0.0
+        self._longest_gap_s = 0.0
+        self._route = ""
 
     async def serve(self, raw: HttpRequest) -> None:
         """Answers the request; stops at once when the caller leaves."""
@@ -142,6 +146,7 @@
         elif context.is_closing():
             verdict = DidNotRun("shutting_down", 503, 0.1)
         else:
+            self._route = admitted.route.name
             context.repeats.note_request(admitted.pool, now)
             verdict = await self._dispatch(admitted)
         await self._finish(request, verdict, now)
@@ -155,8 +160,11 @@
             verdict=verdict.name,
             reason=verdict.reason,
             status=verdict.status,
+            route=self._route,
             endpoints=",".join(self._tried) or "none",
             took_ms=f"{took_ms:.0f}",
+            first_ms=f"{max(0.0, self._first_at - arrived_at) * 1000:.0f}",
+            gap_ms=f"{self._longest_gap_s * 1000:.0f}",
         )
         if isinstance(verdict, Ran):
             return
@@ -182,20 +190,21 @@
             now = context.now()
             if now >= admitted.expires_at - (REPEAT_WORTH_S if sent else 0):
                 return ran_maybe or (verdict if sent else DidNotRun("no_time", 503, 0.5))
-            place = context.placing.place(
-                make_work(admitted), admitted.is_engine, frozenset(self._tried)
-            )
-            if place is None:
-                return ran_maybe or verdict
             if sent and not context.repeats.spend(admitted.pool, context.live_vms(), now):
-                context.placing.release(place)
                 log("INFO", "repeat_budget_spent", request=admitted.request.id)
                 return ran_maybe or verdict
+            place = await context.placing.place(
+                make_work(admitted, len(self._tried)), admitted.is_engine, frozenset(self._tried)
+            )
+            if isinstance(place, DidNotRun):
+                return ran_maybe or (verdict if sent else place)
             self._tried.append(place.entry.id)
+            outcome = "withdrawn"
             try:
                 verdict = await self._attempt(admitted, place)
+                outcome = name_outcome(verdict)
             finally:
-                context.placing.release(place)
+                context.placing.release(place, outcome)
             match verdict:
                 case Ran():
                     return verdict
@@ -243,27 +252,19 @@
                     placing.directory.mark_replaced(place.entry)
                 placing.note_head(place, attempt.head)
                 return DidNotRun(head.reason, 503, NO_ENDPOINT_RETRY_S)
-            case Unsent():
-                placing.note_unreachable(place)
-                return head
-            case MayHaveRun():
-                placing.note_outcome(place, failed=True)
+            case Unsent() | MayHaveRun():
                 return head
         placing.note_head(place, head)
         if admitted.route.is_stream and 200 <= head.status < 300:
             return await self._pass_stream(admitted, place, attempt, head, by)
         answer = await attempt.read_whole(by)
-        return await self._pass_whole(admitted, place, answer)
+        return await self._pass_whole(admitted, answer)
 
-    async def _pass_whole(self, admitted: Admitted, place: Place, answer) -> Verdict:
-        placing = self._context.placing
+    async def _pass_whole(self, admitted: Admitted, answer) -> Verdict:
         if isinstance(answer, MayHaveRun):
-            placing.note_outcome(place, failed=True)
             return answer
         head: AnswerHead = answer.head
-        failed = head.status >= 500
-        placing.note_outcome(place, failed)
-        if failed and admitted.may_repeat and self._can_repeat(admitted):
+        if head.status >= 500 and admitted.may_repeat and self._can_repeat(admitted):
             return MayHaveRun(f"answered {head.status}", status=502)
         if self._started:
             return MayHaveRun(f"answered {head.status} to a resumed stream")
@@ -286,14 +287,14 @@
         async for events in attempt.events(by, silence_s=max(0.001, by - self._context.now())):
             if first:
                 first = False
-                placing.note_first_event(place)
+                placing.note_first_event(place, attempt.sent_at)
             if not self._started:
                 self._started = True
                 await self._connection.start(head.status, self._stream_headers(head))
+            self._note_events()
             await self._connection.send(events)
             last = last_event_id(events)
             self._last_event = self._last_event if last is None else last
-        placing.note_outcome(place, attempt.ending == "cut")
         if attempt.ending != "complete":
             status = 504 if attempt.ending == "late" else 502
             return MayHaveRun(f"stream {attempt.ending}", status=status)
@@ -303,16 +304,37 @@
         await self._connection.end()
         return Ran("complete", head.status)
 
+    def _note_events(self) -> None:
+        now = self._context.now()
+        if self._first_at:
+            self._longest_gap_s = max(self._longest_gap_s, now - self._last_at)
+        else:
+            self._first_at = now
+        self._last_at = now
+
     def _stream_headers(self, head: AnswerHead):
         headers = [pair for pair in head.headers if pair[0] != "content-length"]
         return [*headers, ("Connection", "close")] if self._context.is_draining() else headers
 
 
-def make_work(admitted: Admitted) -> Work:
+def name_outcome(verdict: Verdict) -> str:
+    """Returns how an attempt ended, for the books of load."""
+    match verdict:
+        case Unsent():
+            return "unreachable"
+        case DidNotRun():
+            return "refused"
+        case MayHaveRun(_, status):
+            return "withdrawn" if status == 504 else "failed"
+        case Ran(_, status):
+            return "failed" if status >= 500 else "ok"
+
+
+def make_work(admitted: Admitted, attempt: int) -> Work:
     """Returns what the placing decides on."""
     prompt = admitted.request.prompt
     return Work(
-        id=admitted.request.id,
+        id=f"{admitted.request.id}.{attempt}",
         pool=admitted.pool,
         rank=admitted.rank,
         tokens_in=prompt.tokens_in,
--- a/bluebellpitch/decisions/catalogue.py
+++ b/bluebellpitch/decisions/catalogue.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import cached_property
 
 
 class Repeatability(StrEnum):
@@ -88,6 +89,15 @@
     has_members: bool
     limits: CallerLimits = field(default_factory=CallerLimits)
 
+    @cached_property
+    def gap_targets_by_pool(self) -> dict[str, float]:
+        """The smallest gap target among the routes of each pool, in seconds."""
+        gaps: dict[str, float] = {}
+        for route in (route for routes in self.routes_by_host.values() for route in routes):
+            for share in route.shares if route.gap_target_s else ():
+                gaps[share.pool] = min(route.gap_target_s, gaps.get(share.pool, route.gap_target_s))
+        return gaps
+
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of ``path``, or None."""
         routes = self.routes_by_host.get(host, ())
--- a/bluebellpitch/decisions/directory.py
+++ b/bluebellpitch/decisions/directory.py
@@ -39,8 +39,9 @@
 
     def mark_replaced(self, entry: EndpointEntry) -> None:
         """Notes that another endpoint answers at the address of this one."""
-        if self.entries_by_id.get(entry.id) == entry:
-            self._replaced[entry.id] = entry
+        known = self.entries_by_id.get(entry.id)
+        if known and (known.address, known.started_ms) == (entry.address, entry.started_ms):
+            self._replaced[entry.id] = known
             self._forget(entry.id)
 
     def expire(self, now: float) -> list[str]:
--- /dev/null
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -0,0 +1,303 @@
+"""The broker of one pool of engines in one zone: which generation goes where, and when.
+
+Short prompts go at once, to engines that read little; long ones go where few streams would be held
+up, and wait until an engine may read them. Waiting work is served by rank, then in time before
+late, then by age. Work that cannot start within its patience is refused as soon as that is clear.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.engine_state import EngineState, HeldWork
+from bluebellpitch.decisions.loads import Work
+from bluebellpitch.decisions.reading import READING_SHARE, ReadingSpeed
+
+# A prompt that takes at most this part of a gap to read is not paced.
+SHORT_SHARE = 0.12
+# Work is refused when it cannot start within this part of its time.
+PATIENCE_SHARE = 0.5
+# Where no gap is declared, this stands in for it.
+DEFAULT_GAP_S = 0.4
+# Reading that may be planned at an engine where no stream runs.
+UNSEEN_READING_S = 0.1
+# Costs, as seconds of waiting for the first token: of one running request; for a short prompt, of
+# an engine that reads all the time; for each second of reading, of each stream that it holds up.
+CROWDING_S = 0.003
+DISTURBED_S = 0.4
+DISTURBING_S = 0.3
+FAILING_S = 1.0
+HELD_TOO_LONG_S = 2.0
+RETRY_SHORTEST_S = 0.3
+TYPICAL_WEIGHT = 0.1
+NO_ENGINE = "no_engine_here"
+RETRY_LONGEST_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """Work may start at an engine."""
+
+    work_id: str
+    vm: str
+    entry: EndpointEntry
+    inputs: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """Work waits."""
+
+    work_id: str
+    vm: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Work gets no engine."""
+
+    work_id: str
+    vm: str
+    reason: str
+    retry_after_s: float
+
+
+Decision = Granted | Queued | Refused
+
+
+@dataclass(slots=True)
+class WaitingWork:
+    """Work in the queue."""
+
+    work: Work
+    vm: str
+    avoid: frozenset[str]
+
+    def gives_up_at(self) -> float:
+        """Returns until when it may start."""
+        work = self.work
+        return work.arrived_at + PATIENCE_SHARE * (work.expires_at - work.arrived_at)
+
+
+class GenerationBroker:
+    """Decides for one pool in one zone. The caller gives the present time."""
+
+    def __init__(self, pool: str):
+        self.pool = pool
+        self.speed = ReadingSpeed()
+        self.gap_s = DEFAULT_GAP_S
+        self.waiting_by_id: dict[str, WaitingWork] = {}
+        self._engines: dict[tuple[str, int], EngineState] = {}
+        self._engine_by_work: dict[str, EngineState] = {}
+        self._typical_tokens = 0.0
+
+    def set_engines(
+        self, entries: Iterable[EndpointEntry], slots: int, memory_tokens: int, gap_s: float | None
+    ) -> None:
+        """Takes the engines that there are."""
+        self.gap_s = gap_s or DEFAULT_GAP_S
+        engines = {}
+        for entry in entries:
+            key = (entry.id, entry.started_ms)
+            state = self._engines.get(key) or EngineState(entry, slots, memory_tokens)
+            state.entry, state.slots, state.memory_tokens = entry, slots, memory_tokens
+            engines[key] = state
+        self._engines = engines
+
+    def has_usable(self, now: float) -> bool:
+        """Tells whether any engine here may get work, now or later."""
+        return any(engine.is_usable(now) for engine in self._engines.values())
+
+    def typical_wait_s(self, now: float) -> float:
+        """Returns how long a usual larger prompt would wait here."""
+        tokens = int(self._typical_tokens)
+        typical = Work("", self.pool, 1 << 20, tokens, 1, (), 1.0, now, now + 1.0)
+        return self.expected_wait_s(typical, frozenset(), now)
+
+    def s_per_token(self) -> float:
+        """Returns the reading time of a token when all engines here read as much as they may."""
+        return self.speed.s_per_token / (READING_SHARE * max(1, len(self._engines)))
+
+    def ask(self, work: Work, vm: str, avoid: frozenset[str], now: float) -> list[Decision]:
+        """Takes new work in; returns what is decided by that."""
+        if work.id in self._engine_by_work:
+            self.done(work.id, "withdrawn", now)
+        waiting = WaitingWork(work, vm, avoid)
+        if not self.is_short(work):
+            self._typical_tokens += TYPICAL_WEIGHT * (work.tokens_in - self._typical_tokens)
+        expected = now + self.expected_wait_s(work, avoid, now)
+        if expected == float("inf") and not self.has_usable(now):
+            return [Refused(work.id, vm, NO_ENGINE, RETRY_SHORTEST_S)]
+        if expected > waiting.gives_up_at():
+            return [Refused(work.id, vm, "no_capacity_in_time", self._retry_after(expected - now))]
+        self.waiting_by_id[work.id] = waiting
+        decisions = list(self.serve(now))
+        if work.id in self.waiting_by_id:
+            decisions.append(Queued(work.id, vm))
+        return decisions
+
+    def _retry_after(self, wait_s: float) -> float:
+        return min(RETRY_LONGEST_S, max(RETRY_SHORTEST_S, wait_s / 2))
+
+    def expected_wait_s(self, work: Work, avoid: frozenset[str], now: float) -> float:
+        """Returns how long work would wait for an engine, behind what waits already."""
+        engines = self._usable(work, avoid, now)
+        if not engines:
+            return float("inf")
+        best = min(self._wait_s(engine, work, now) for engine in engines)
+        if self.is_short(work):
+            return best
+        ahead = sum(
+            waiting.work.tokens_in
+            for waiting in self.waiting_by_id.values()
+            if waiting.work.rank <= work.rank
+        )
+        return best + ahead * self.speed.s_per_token / (READING_SHARE * len(engines))
+
+    def serve(self, now: float) -> Iterator[Decision]:
+        """Yields grants and refusals that are due."""
+        paced_waits = False
+        for waiting in sorted(self.waiting_by_id.values(), key=lambda w: self._order(w, now)):
+            work = waiting.work
+            is_short_prompt = self.is_short(work)
+            if paced_waits and not is_short_prompt:
+                continue
+            engine = self._pick(waiting, now)
+            if engine is not None:
+                del self.waiting_by_id[work.id]
+                inputs = self._describe(engine, work, now)
+                self._hold(engine, waiting, now)
+                yield Granted(work.id, waiting.vm, engine.entry, inputs)
+                continue
+            paced_waits = paced_waits or not is_short_prompt
+        yield from self._refuse_hopeless(now)
+
+    def _describe(self, engine: EngineState, work: Work, now: float) -> dict[str, str]:
+        """Returns what decided a grant, for the log."""
+        return {
+            "rank": str(work.rank),
+            "waited_ms": f"{(now - work.arrived_at) * 1000:.0f}",
+            "tokens": str(work.tokens_in),
+            "unread": str(engine.unread(work)),
+            "reading_left_ms": f"{engine.reading_left_s(now) * 1000:.0f}",
+            "held": str(len(engine.held_by_id)),
+            "tokens_per_ms": f"{0.001 / self.speed.s_per_token:.1f}",
+            "fixed_ms": f"{self.speed.fixed_s * 1000:.0f}",
+        }
+
+    def _refuse_hopeless(self, now: float) -> Iterator[Refused]:
+        for waiting in list(self.waiting_by_id.values()):
+            if now >= waiting.gives_up_at():
+                del self.waiting_by_id[waiting.work.id]
+                yield Refused(waiting.work.id, waiting.vm, "waited_too_long", RETRY_SHORTEST_S)
+
+    def _order(self, waiting: WaitingWork, now: float) -> tuple[int, bool, float]:
+        work = waiting.work
+        first_at = now + self.speed.fixed_s + work.tokens_in * self.speed.s_per_token
+        return work.rank, first_at > work.arrived_at + work.target_s, work.arrived_at
+
+    def is_short(self, work: Work) -> bool:
+        """Tells whether a prompt is read so fast that it need not be paced."""
+        return work.tokens_in * self.speed.s_per_token <= SHORT_SHARE * self.gap_s
+
+    def _usable(self, work: Work, avoid: frozenset[str], now: float) -> list[EngineState]:
+        return [
+            engine
+            for engine in self._engines.values()
+            if engine.entry.id not in avoid and engine.is_usable(now) and engine.has_room(work)
+        ]
+
+    def _reading_s(self, engine: EngineState, work: Work) -> float:
+        return engine.unread(work) * self.speed.s_per_token * engine.load.slowdown
+
+    def _wait_s(self, engine: EngineState, work: Work, now: float) -> float:
+        seconds = self._reading_s(engine, work)
+        if seconds <= SHORT_SHARE * self.gap_s:
+            return 0.0
+        if not engine.streams():
+            return max(0.0, engine.reading_left_s(now) - UNSEEN_READING_S)
+        return engine.pace.wait_s(seconds, self.gap_s, now)
+
+    def _pick(self, waiting: WaitingWork, now: float) -> EngineState | None:
+        """Returns the engine with the least cost if the work may start there now."""
+        work = waiting.work
+        engines = self._usable(work, waiting.avoid, now)
+        if not engines:
+            return None
+        costs = [(self._cost(engine, work, now), index) for index, engine in enumerate(engines)]
+        engine = engines[min(costs)[1]]
+        return engine if self._wait_s(engine, work, now) <= 0.001 else None
+
+    def _cost(self, engine: EngineState, work: Work, now: float) -> float:
+        wait_s = max(self._wait_s(engine, work, now), engine.reading_left_s(now))
+        reading_s = self._reading_s(engine, work)
+        crowding_s = len(engine.held_by_id) * CROWDING_S
+        failing_s = engine.load.failing(now) * FAILING_S
+        if self.is_short(work):
+            pauses_s = engine.recent_reading(now) * DISTURBED_S
+        else:
+            pauses_s = reading_s * engine.streams() * DISTURBING_S
+        return wait_s + reading_s + crowding_s + failing_s + pauses_s
+
+    def short_cost_s(self, now: float) -> float:
+        """Returns the least cost of a usual short prompt here."""
+        work = Work("", self.pool, 0, 1, 1, (), 1.0, now, now + 1.0)
+        engines = self._usable(work, frozenset(), now)
+        return min((self._cost(engine, work, now) for engine in engines), default=float("inf"))
+
+    def _hold(self, engine: EngineState, waiting: WaitingWork, now: float) -> None:
+        work = waiting.work
+        unread = engine.unread(work)
+        seconds = self._reading_s(engine, work)
+        read_alone = engine.reading_left_s(now) <= 0
+        engine.note_reading(seconds, now)
+        read_at = engine.pace.free_at(now) + self.speed.fixed_s
+        engine.keep(work)
+        engine.held_by_id[work.id] = HeldWork(
+            work, waiting.vm, now, unread, read_at, read_alone, self.is_short(work)
+        )
+        self._engine_by_work[work.id] = engine
+
+    def note_read(self, work_id: str, waited_s: float, slowdown: float, now: float) -> None:
+        """Notes the first token of work, ``waited_s`` after it was sent."""
+        engine = self._engine_by_work.get(work_id)
+        held = engine.held_by_id.get(work_id) if engine else None
+        if held is None:
+            return
+        engine.heard_at = now
+        engine.load.note_outcome(False, now)
+        engine.load.slowdown = max(1.0, slowdown)
+        if held.read_alone and slowdown <= 1.1:
+            self.speed.note(held.unread, waited_s)
+        held.is_read = True
+        if all(other.is_read for other in engine.held_by_id.values()):
+            engine.pace.finish_early(now)
+
+    def done(self, work_id: str, outcome: str, now: float) -> None:
+        """Notes that work has left its engine: ``ok``, ``failed``, ``unreachable``, ``refused``."""
+        self.waiting_by_id.pop(work_id, None)
+        engine = self._engine_by_work.pop(work_id, None)
+        if engine is None:
+            return
+        engine.held_by_id.pop(work_id, None)
+        if outcome == "ok":
+            engine.heard_at = now
+        elif outcome == "failed":
+            engine.load.note_outcome(True, now)
+        elif outcome == "unreachable":
+            engine.load.note_unreachable(now)
+
+    def forget_vm(self, vm: str) -> None:
+        """Forgets all work of a VM that is gone."""
+        for work_id, waiting in list(self.waiting_by_id.items()):
+            if waiting.vm == vm:
+                del self.waiting_by_id[work_id]
+        for work_id, engine in list(self._engine_by_work.items()):
+            if engine.held_by_id[work_id].vm == vm:
+                del engine.held_by_id[work_id], self._engine_by_work[work_id]
+
+    def expire(self, now: float) -> None:
+        """Forgets work that must be over, in case its end was never told."""
+        for work_id, engine in list(self._engine_by_work.items()):
+            if now > engine.held_by_id[work_id].work.expires_at + HELD_TOO_LONG_S:
+                del engine.held_by_id[work_id], self._engine_by_work[work_id]
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -125,11 +125,15 @@
         """Reads the rest of a plain answer; the whole of it or nothing is passed on."""
         parts = []
         try:
-            while (data := await self._connection.read_data(max(0.001, by - self._now()))) is not None:
+            while (
+                data := await self._connection.read_data(max(0.001, by - self._now()))
+            ) is not None:
                 parts.append(data)
         except BrokenError as error:
             self.close()
-            return MayHaveRun(f"cut: {error}", status=504 if isinstance(error, StalledError) else 502)
+            return MayHaveRun(
+                f"cut: {error}", status=504 if isinstance(error, StalledError) else 502
+            )
         self._give_back()
         return Answered(self.head, b"".join(parts))
 
--- a/bluebellpitch/endpoints/links.py
+++ b/bluebellpitch/endpoints/links.py
@@ -90,5 +90,3 @@
             links.idle = kept
             if not links.open_count:
                 del self._by_incarnation[key]
-
-
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -3,17 +3,42 @@
 import asyncio
 import signal
 from collections.abc import Callable, Coroutine
+from uuid import uuid4
 
 from bluebellpitch.callers.routed import RoutedExchange, RoutingContext, refuse_malformed
+from bluebellpitch.clock import HybridClock
 from bluebellpitch.decisions.directory import Directory
 from bluebellpitch.decisions.freshness import Freshness
+from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.repeats import RepeatBudget
 from bluebellpitch.endpoints.links import Links
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
 from bluebellpitch.logs import log
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.peers.bus import PeerBus
+from bluebellpitch.peers.messages import (
+    ConfigurationTold,
+    FreshnessAsked,
+    FreshnessTold,
+    RecordsTold,
+    VmBeat,
+)
+from bluebellpitch.platform.configuration import CONFIGURATION_TOPIC
+from bluebellpitch.platform.entries import ENDPOINTS_TOPIC
+from bluebellpitch.platform.members import MemberRecord
 from bluebellpitch.platform.settings_file import VmSettings
-from bluebellpitch.roles.following import ConfigurationRole, EndpointsRole
+from bluebellpitch.platform.store import StoreClient
+from bluebellpitch.roles.following import (
+    CONFIGURATION_WAIT_S,
+    ENDPOINTS_WAIT_S,
+    ConfigurationRole,
+    EndpointsRole,
+    TopicFollower,
+)
+from bluebellpitch.roles.generation import GenerationRole
+from bluebellpitch.roles.neighbours import NeighboursRole
 from bluebellpitch.roles.placing import PlacingRole
+from bluebellpitch.roles.sharing import SharingRole
 
 DRAIN_POLL_S = 0.05
 # New connections come until the platform has noticed that the VM is not ready.
@@ -35,15 +60,59 @@
         self._reload = reload
         self._now = now
         self.directory = Directory()
+        self.draining = asyncio.Event()
+        self._closing = False
+        self.key = f"{settings.vm}/{uuid4().hex[:8]}"
+        self.liveness = Liveness(self.key, settings.zone)
+        metrics = Metrics()
+        self.bus = PeerBus(self.key, HybridClock(now), metrics, self._take)
         freshness = Freshness(settings.revoke_s, settings.apply_s)
-        self.configuration = ConfigurationRole(settings.store, freshness, now)
+        self.configuration = ConfigurationRole(
+            self._follow(CONFIGURATION_TOPIC, CONFIGURATION_WAIT_S), freshness
+        )
         self.endpoints = EndpointsRole(
-            settings.store, self.directory, now, 2 * settings.endpoint_heartbeat_s
+            self._follow(ENDPOINTS_TOPIC, ENDPOINTS_WAIT_S),
+            self.directory,
+            now,
+            2 * settings.endpoint_heartbeat_s,
+        )
+        self.neighbours = NeighboursRole(
+            vm=settings.vm,
+            own=MemberRecord(settings.bus, settings.zone),
+            store=settings.store,
+            bus=self.bus,
+            liveness=self.liveness,
+            now=now,
+            version=self.configuration.version,
+            is_draining=self.draining.is_set,
+            vm_lost=lambda vm: self.generations.forget_vm(vm),
+        )
+        self.sharing = SharingRole(
+            address=settings.bus,
+            bus=self.bus,
+            liveness=self.liveness,
+            configuration=self.configuration,
+            endpoints=self.endpoints,
+            all_addresses=lambda: [r.bus for r in self.neighbours.records_by_vm.values()],
+            now=now,
+        )
+        self.generations = GenerationRole(
+            key=self.key,
+            address=settings.bus,
+            zone=settings.zone,
+            bus=self.bus,
+            liveness=self.liveness,
+            directory=self.directory,
+            catalogue=lambda: self.configuration.catalogue,
+            elsewhere=self.neighbours.addresses_elsewhere,
+            zones=settings.regions_by_zone,
+            now=now,
+            is_draining=self.draining.is_set,
+        )
+        self.placing = PlacingRole(
+            self.directory, self.generations, settings.zone, settings.regions_by_zone, now
         )
-        self.placing = PlacingRole(self.directory, settings.zone, settings.regions_by_zone, now)
         self.links = Links(now)
-        self.draining = asyncio.Event()
-        self._closing = False
         self.context = RoutingContext(
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
@@ -52,7 +121,7 @@
             repeats=RepeatBudget(
                 settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
             ),
-            live_vms=lambda: 10,
+            live_vms=self.neighbours.count,
             is_draining=self.draining.is_set,
             is_closing=lambda: self._closing,
             now=now,
@@ -60,6 +129,30 @@
         self.http = HttpServer(self._serve, refuse_malformed, HttpLimits(idle_s=16.0))
         self.ready_http = HttpServer(self._answer_ready, refuse_malformed, HttpLimits())
 
+    def _follow(self, topic: str, wait_s: float) -> TopicFollower:
+        return TopicFollower(
+            client=StoreClient(self.settings.store),
+            topic=topic,
+            wait_s=wait_s,
+            now=self._now,
+            is_reader=lambda: self._holds(f"reads {topic}"),
+            tell=lambda told: self.sharing.tell_zone(told),
+        )
+
+    def _holds(self, duty: str) -> bool:
+        holder = self.liveness.holder(duty, self._now(), self.draining.is_set())
+        return holder == self.key
+
+    def _take(self, sender: str, message) -> None:
+        """Gives a peer's message to the role that it is for."""
+        match message:
+            case VmBeat():
+                self.neighbours.take(sender, message)
+            case RecordsTold() | ConfigurationTold() | FreshnessAsked() | FreshnessTold():
+                self.sharing.take(sender, message)
+            case _:
+                self.generations.take(sender, message)
+
     async def _serve(self, connection, request) -> None:
         await RoutedExchange(self.context, connection).serve(request)
 
@@ -78,15 +171,17 @@
         loop.add_signal_handler(signal.SIGTERM, self.draining.set)
         loop.add_signal_handler(signal.SIGINT, self.draining.set)
         loop.add_signal_handler(signal.SIGHUP, self._take_settings)
+        self.bus.bind(self.settings.bus)
         await self.ready_http.listen(*parse_address(self.settings.ready))
         await self.http.listen(*parse_address(self.settings.listen))
         tasks = [asyncio.create_task(self._guard(job)) for job in self._jobs()]
         log("INFO", "started", vm=self.settings.vm, zone=self.settings.zone)
         await self.draining.wait()
-        await self._drain()
+        await asyncio.gather(self.neighbours.unregister(), self._drain())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self.bus.close()
         log("INFO", "stopped", vm=self.settings.vm)
 
     def _jobs(self) -> tuple[Coroutine, ...]:
@@ -94,6 +189,11 @@
             self.configuration.run(),
             self.endpoints.run(),
             self.endpoints.expire(),
+            self.bus.run(),
+            self.neighbours.register(),
+            self.neighbours.beat(),
+            self.sharing.run(),
+            self.generations.run(),
             self._apply_limits(),
             self._tidy(),
         )
--- a/bluebellpitch/logs.py
+++ b/bluebellpitch/logs.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-LINE_FORMAT = "ts={time:YYYY-MM-DDTHH:mm:ss.SSS!UTC} vm=%s level={level.name} {message}\n"
+LINE_FORMAT = "ts={time:YYYY-MM-DDTHH:mm:ss.SSS!UTC} vm=%s level={level.name} {message}"
 
 
 def set_up_logs(stream: TextIO, level: str, vm: str) -> None:
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -174,8 +174,146 @@
     snapshot: Snapshot
 
 
+class WorkAsked(msgspec.Struct, frozen=True, tag="work_asked"):
+    """Asks the broker of a zone for an engine. ``age_s`` is since the request came in.
+
+    ``reply_to`` is the bus address of the VM that asks; ``is_passed_on`` when another zone's broker
+    sent it here.
+    """
+
+    work_id: str
+    pool: str
+    rank: int
+    tokens_in: int
+    tokens_out: int
+    parts: tuple[tuple[str, int], ...]
+    target_s: float
+    age_s: float
+    left_s: float
+    avoid: tuple[str, ...]
+    vm: str
+    reply_to: str
+    is_passed_on: bool = False
+
+
+class WorkQueued(msgspec.Struct, frozen=True, tag="work_queued"):
+    """The work waits at the broker; the next message about it comes within ``within_s``."""
+
+    work_id: str
+    within_s: float
+
+
+class WorkGranted(msgspec.Struct, frozen=True, tag="work_granted"):
+    """The work may start at an endpoint. ``broker_address`` takes what is told about it."""
+
+    work_id: str
+    endpoint_id: str
+    address: str
+    zone: str
+    started_ms: int
+    broker_address: str
+
+
+class WorkRefused(msgspec.Struct, frozen=True, tag="work_refused"):
+    """The work gets no engine."""
+
+    work_id: str
+    reason: str
+    retry_after_s: float
+
+
+class WorkRead(msgspec.Struct, frozen=True, tag="work_read"):
+    """The first token came, ``waited_s`` after the request was sent."""
+
+    work_id: str
+    pool: str
+    waited_s: float
+    slowdown: float
+
+
+class WorkDone(msgspec.Struct, frozen=True, tag="work_done"):
+    """The work has left its engine, or is no longer wanted."""
+
+    work_id: str
+    pool: str
+    outcome: str
+
+
+class ZoneLoad(msgspec.Struct, frozen=True, tag="zone_load"):
+    """How long a long prompt would wait in a zone, and what a short one costs there.
+
+    ``s_per_token`` is the reading time of all its engines together.
+    """
+
+    pool: str
+    zone: str
+    wait_s: float
+    short_cost_s: float
+    s_per_token: float
+    reply_to: str
+
+
+class VmBeat(msgspec.Struct, frozen=True, tag="vm_beat"):
+    """An entry VM is alive. ``version`` is that of its configuration, -1 for none."""
+
+    zone: str
+    address: str
+    draining: bool
+    version: int
+
+
+class FreshnessAsked(msgspec.Struct, frozen=True, tag="freshness_asked"):
+    """Asks how old the knowledge of the configuration is. ``asked_at`` is the asker's clock."""
+
+    asked_at: float
+    version: int
+    reply_to: str
+
+
+class FreshnessTold(msgspec.Struct, frozen=True, tag="freshness_told"):
+    """``version`` was the newest ``age_s`` before this was sent."""
+
+    asked_at: float
+    version: int
+    age_s: float
+
+
+class ConfigurationTold(msgspec.Struct, frozen=True, tag="configuration_told"):
+    """A configuration as the store holds it."""
+
+    data: bytes
+
+
+class RecordsTold(msgspec.Struct, frozen=True, tag="records_told"):
+    """Records of a topic from ``start`` up to ``next``, as the zone's reader has read them.
+
+    A value of None drops the key.
+    """
+
+    topic: str
+    start: int
+    next: int
+    records: tuple[tuple[str, bytes | None], ...]
+
+
+EntryMessage = (
+    WorkAsked
+    | WorkQueued
+    | WorkGranted
+    | WorkRefused
+    | WorkRead
+    | WorkDone
+    | ZoneLoad
+    | VmBeat
+    | FreshnessAsked
+    | FreshnessTold
+    | ConfigurationTold
+    | RecordsTold
+)
+
 Message = (
-    Heartbeat
+    EntryMessage
+    | Heartbeat
     | Ask
     | Granted
     | Refused
--- a/bluebellpitch/roles/following.py
+++ b/bluebellpitch/roles/following.py
@@ -1,19 +1,16 @@
 """Follows the configuration and the endpoints' entries in the platform's store."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bluebellpitch.decisions.catalogue import Catalogue
 from bluebellpitch.decisions.directory import Directory
 from bluebellpitch.decisions.freshness import Freshness, read_known_at
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
-from bluebellpitch.platform.configuration import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_TOPIC,
-    decode_configuration,
-)
-from bluebellpitch.platform.entries import ENDPOINTS_TOPIC, decode_entry
+from bluebellpitch.peers.messages import RecordsTold
+from bluebellpitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from bluebellpitch.platform.entries import decode_entry
 from bluebellpitch.platform.records import KeyedRecord
 from bluebellpitch.platform.store import StoreClient, Truncated, keyed_records
 
@@ -22,14 +19,18 @@
 # Entries come with each heartbeat of each endpoint; reads are spaced to take several at once.
 ENDPOINTS_INTERVAL_S = 0.7
 RETRY_S = 0.25
+# What the zone's reader tells is relied on for this long.
+TOLD_BELIEVED_S = 1.8
+TOLD_CHECK_S = 0.1
 # An outage shorter than this lets no entry lapse.
 AWAY_AFTER_S = 1.0
 
 
 class TopicFollower:
-    """Reads a keyed topic from the store, record by record, through outages.
+    """Reads a keyed topic record by record, through outages.
 
-    ``take`` is called for each record; ``take_all`` for the newest of all keys, after a gap.
+    One VM of a zone reads from the store; it tells the others what it has read. These read for
+    themselves when they hear nothing, or miss a part.
     """
 
     def __init__(
@@ -38,12 +39,17 @@
         topic: str,
         wait_s: float,
         now: Callable[[], float],
+        is_reader: Callable[[], bool],
+        tell: Callable[[RecordsTold], None],
     ):
         self._client = client
-        self._topic = topic
+        self.topic = topic
         self._wait_s = wait_s
         self._now = now
+        self._is_reader = is_reader
+        self._tell = tell
         self._next: int | None = None
+        self._told_at = float("-inf")
         self._failing_since: float | None = None
         self.back_at = float("-inf")
 
@@ -51,12 +57,27 @@
         """Tells whether the store came back no longer ago than ``within_s``."""
         return self._failing_since is not None or now - self.back_at < within_s
 
+    def is_told(self) -> bool:
+        """Tells whether the zone's reader keeps this VM up to date."""
+        if self._is_reader() or self._next is None:
+            return False
+        return self._now() - self._told_at < TOLD_BELIEVED_S
+
+    def take_told(self, told: RecordsTold) -> tuple[KeyedRecord, ...]:
+        """Returns the records that are new here; none when a part is missing before them."""
+        if self._next is None or told.start > self._next:
+            return ()
+        self._told_at = self._now()
+        known = self._next - told.start
+        self._next = max(self._next, told.next)
+        return tuple(KeyedRecord(key, value) for key, value in told.records[known:])
+
     async def read(self) -> tuple[tuple[KeyedRecord, ...], bool, float] | None:
         """Returns records, whether they are all keys, and as of when; None after a failure."""
         asked_at = self._now()
         try:
             if self._next is None:
-                newest = await self._client.newest(self._topic)
+                newest = await self._client.newest(self.topic)
                 self._next = newest.end
                 answer = (newest.records, True, asked_at)
             else:
@@ -68,22 +89,27 @@
         return answer
 
     async def _read_on(self, asked_at: float):
-        page = await self._client.read(self._topic, self._next, int(self._wait_s * 1000))
-        if isinstance(page, Truncated) or page.end < self._next or page.first_kept > self._next:
-            log("WARNING", "store_truncated", topic=self._topic, wanted=self._next)
+        start = self._next
+        page = await self._client.read(self.topic, start, int(self._wait_s * 1000))
+        if isinstance(page, Truncated) or page.end < start or page.first_kept > start:
+            log("WARNING", "store_truncated", topic=self.topic, wanted=start)
             self._next = None
             return (), False, float("-inf")
-        self._next += len(page.records)
         records, unreadable = keyed_records(page)
         if unreadable:
-            log("WARNING", "records_unreadable", topic=self._topic, count=unreadable)
+            log("WARNING", "records_unreadable", topic=self.topic, count=unreadable)
+        end = start + len(page.records)
+        if self._is_reader() and not unreadable:
+            pairs = tuple((record.key, record.value) for record in records)
+            self._tell(RecordsTold(self.topic, start, end, pairs))
+        self._next = max(end, self._next or 0)
         known_at = read_known_at(asked_at, self._now(), self._wait_s, not page.records)
-        return records, False, known_at if self._next >= page.end else float("-inf")
+        return records, False, known_at if end >= page.end else float("-inf")
 
     def _note_failure(self, error: Exception) -> None:
         if self._failing_since is None:
             self._failing_since = self._now()
-            log("WARNING", "store_lost", topic=self._topic, error=error)
+            log("WARNING", "store_lost", topic=self.topic, error=error)
 
     def _note_success(self) -> None:
         if self._failing_since is None:
@@ -92,16 +118,14 @@
         self._failing_since = None
         if away_s >= AWAY_AFTER_S:
             self.back_at = self._now()
-        log("INFO", "store_regained", topic=self._topic, away_s=f"{away_s:.2f}")
+        log("INFO", "store_regained", topic=self.topic, away_s=f"{away_s:.2f}")
 
 
 class ConfigurationRole:
     """Holds the newest catalogue. Never goes back to an older version."""
 
-    def __init__(self, store: str, freshness: Freshness, now: Callable[[], float]):
-        self._follower = TopicFollower(
-            StoreClient(store), CONFIGURATION_TOPIC, CONFIGURATION_WAIT_S, now
-        )
+    def __init__(self, follower: TopicFollower, freshness: Freshness):
+        self.follower = follower
         self.freshness = freshness
         self.catalogue: Catalogue | None = None
         self.raw = b""
@@ -110,17 +134,28 @@
     async def run(self) -> None:
         """Follows the store until cancelled."""
         while True:
-            answer = await self._follower.read()
+            if self.follower.is_told():
+                await asyncio.sleep(TOLD_CHECK_S)
+                continue
+            answer = await self.follower.read()
             if answer is None:
                 await asyncio.sleep(RETRY_S)
                 continue
             records, _, known_at = answer
-            for record in records:
-                if record.key == CONFIGURATION_KEY and record.value:
-                    self.take(record.value, "store")
+            self.take_records(records, "store")
             if self.catalogue is not None:
                 self.freshness.confirm(known_at)
 
+    def version(self) -> int:
+        """Returns the version held, -1 for none."""
+        return self.catalogue.version if self.catalogue is not None else -1
+
+    def take_records(self, records: Iterable[KeyedRecord], source: str) -> None:
+        """Takes the configurations among records in."""
+        for record in records:
+            if record.key == CONFIGURATION_KEY and record.value:
+                self.take(record.value, source)
+
     def take(self, data: bytes, source: str) -> None:
         """Takes a configuration in if it is newer than the one held."""
         try:
@@ -138,8 +173,14 @@
 class EndpointsRole:
     """Keeps the directory of endpoints."""
 
-    def __init__(self, store: str, directory: Directory, now: Callable[[], float], lapse_s: float):
-        self._follower = TopicFollower(StoreClient(store), ENDPOINTS_TOPIC, ENDPOINTS_WAIT_S, now)
+    def __init__(
+        self,
+        follower: TopicFollower,
+        directory: Directory,
+        now: Callable[[], float],
+        lapse_s: float,
+    ):
+        self.follower = follower
         self.directory = directory
         self._now = now
         self._lapse_s = lapse_s
@@ -148,8 +189,11 @@
     async def run(self) -> None:
         """Follows the store until cancelled."""
         while True:
+            if self.follower.is_told():
+                await asyncio.sleep(TOLD_CHECK_S)
+                continue
             started = self._now()
-            answer = await self._follower.read()
+            answer = await self.follower.read()
             if answer is None:
                 await asyncio.sleep(RETRY_S)
                 continue
@@ -169,7 +213,7 @@
         """Takes one entry in, or its removal."""
         now = self._now()
         if record.value is None:
-            was_away = self._follower.was_away(now, self._lapse_s)
+            was_away = self.follower.was_away(now, self._lapse_s)
             if self.directory.drop(record.key, was_away, now):
                 log("INFO", "endpoint_gone", endpoint=record.key)
             return
--- /dev/null
+++ b/bluebellpitch/roles/generation.py
@@ -0,0 +1,421 @@
+"""Brokers generations among the engines of this zone, and asks brokers for this VM's own."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from bluebellpitch.decisions import generation_broker as broker_decisions
+from bluebellpitch.decisions.catalogue import Catalogue
+from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.generation_broker import GenerationBroker
+from bluebellpitch.decisions.liveness import Liveness
+from bluebellpitch.decisions.loads import Work
+from bluebellpitch.logs import log
+from bluebellpitch.peers.bus import PeerBus
+from bluebellpitch.peers.messages import (
+    WorkAsked,
+    WorkDone,
+    WorkGranted,
+    WorkQueued,
+    WorkRead,
+    WorkRefused,
+    ZoneLoad,
+)
+from bluebellpitch.verdicts import DidNotRun
+
+TICK_S = 0.01
+LOAD_INTERVAL_S = 0.1
+LOAD_BELIEVED_S = 0.6
+EXPIRY_INTERVAL_S = 1.0
+# A broker in the zone answers at once; one that does not is passed over for a while.
+FIRST_ANSWER_S = 0.06
+SHUNNED_S = 1.0
+# Work that waits here is asked for again when the broker has changed; checked this often.
+BROKER_CHECK_S = 0.2
+PASSED_ON_ANSWER_S = 0.4
+# Other zones get work when they would start it sooner by this much, the way there included.
+ELSEWHERE_GAIN_S = 0.06
+ELSEWHERE_DELAY_S = 0.12
+OWN_WAIT_TOLERATED_S = 0.08
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """An engine for work, and the broker that has to be told how it goes on."""
+
+    work: Work
+    entry: EndpointEntry
+    broker_address: str
+
+
+@dataclass(slots=True)
+class OtherZone:
+    """What the broker of another zone told last, with what was passed on there since."""
+
+    wait_s: float
+    short_cost_s: float
+    s_per_token: float
+    address: str
+    told_at: float
+
+    def note_passed_on(self, tokens: int) -> None:
+        """Counts work that was passed on, until the zone tells of it itself."""
+        self.wait_s += tokens * self.s_per_token
+        self.short_cost_s += broker_decisions.CROWDING_S
+
+
+class GenerationRole:
+    """The brokers that this VM holds, and the questions that it has asked."""
+
+    def __init__(
+        self,
+        key: str,
+        address: str,
+        zone: str,
+        bus: PeerBus,
+        liveness: Liveness,
+        directory: Directory,
+        catalogue: Callable[[], Catalogue | None],
+        elsewhere: Callable[[str], list[str]],
+        zones: Iterable[str],
+        now: Callable[[], float],
+        is_draining: Callable[[], bool],
+    ):
+        self._key = key
+        self._address = address
+        self._zone = zone
+        self._bus = bus
+        self._liveness = liveness
+        self._directory = directory
+        self._catalogue = catalogue
+        self._elsewhere = elsewhere
+        self._other_zones = tuple(other for other in zones if other != zone)
+        self._now = now
+        self._is_draining = is_draining
+        self._brokers_by_pool: dict[str, GenerationBroker] = {}
+        self._asks_by_work: dict[str, WorkAsked] = {}
+        self._answers_by_work: dict[str, asyncio.Queue] = {}
+        self._others: dict[tuple[str, str], OtherZone] = {}
+        self._load_turn = 0
+        self._wake = asyncio.Event()
+
+    # Asking.
+
+    async def seek(self, work: Work, avoid: frozenset[str]) -> Grant | DidNotRun:
+        """Returns an engine for work, or the reason why there is none."""
+        answers: asyncio.Queue = asyncio.Queue()
+        self._answers_by_work[work.id] = answers
+        broker = ""
+        granted = False
+        try:
+            while True:
+                holder = self._holder(work.pool)
+                if holder != broker:
+                    broker = holder
+                    self._ask(broker, work, avoid)
+                    patience_s = FIRST_ANSWER_S
+                try:
+                    async with asyncio.timeout(patience_s):
+                        answer = await answers.get()
+                except TimeoutError:
+                    if self._now() >= work.expires_at:
+                        return DidNotRun("waited_too_long", 503, TICK_S)
+                    if patience_s == BROKER_CHECK_S:
+                        continue
+                    log("WARNING", "broker_silent", broker=broker, request=work.id)
+                    if broker != self._key:
+                        self._liveness.shun(broker, self._now() + SHUNNED_S)
+                    broker = ""
+                    continue
+                match answer:
+                    case WorkQueued(_, within_s):
+                        patience_s = within_s or BROKER_CHECK_S
+                    case WorkRefused(_, reason, retry_after_s):
+                        granted = True
+                        return DidNotRun(reason, 503, retry_after_s)
+                    case WorkGranted():
+                        granted = True
+                        return Grant(work, entry_of(answer, work.pool), answer.broker_address)
+        finally:
+            del self._answers_by_work[work.id]
+            while not answers.empty():
+                self._take_answer(answers.get_nowait())
+            if not granted and broker:
+                self._send(broker, WorkDone(work.id, work.pool, "withdrawn"))
+
+    def _holder(self, pool: str) -> str:
+        return self._liveness.holder(pool, self._now(), self._is_draining())
+
+    def _ask(self, broker: str, work: Work, avoid: frozenset[str]) -> None:
+        now = self._now()
+        ask = WorkAsked(
+            work_id=work.id,
+            pool=work.pool,
+            rank=work.rank,
+            tokens_in=work.tokens_in,
+            tokens_out=work.tokens_out,
+            parts=work.parts,
+            target_s=work.target_s,
+            age_s=now - work.arrived_at,
+            left_s=work.expires_at - now,
+            avoid=tuple(avoid),
+            vm=self._key,
+            reply_to=self._address,
+        )
+        self._send(broker, ask)
+
+    def _send(self, vm: str, message) -> None:
+        if vm == self._key:
+            self.take(vm, message)
+        else:
+            self._bus.send(vm, message)
+
+    def _send_to_address(self, address: str, message) -> None:
+        if address == self._address:
+            self.take(self._key, message)
+        else:
+            self._bus.send_to_address(address, message)
+
+    def note_read(self, grant: Grant, waited_s: float, slowdown: float) -> None:
+        """Tells the broker that the first token came."""
+        message = WorkRead(grant.work.id, grant.work.pool, waited_s, slowdown)
+        self._send_to_address(grant.broker_address, message)
+
+    def release(self, grant: Grant, outcome: str) -> None:
+        """Tells the broker that the work has left the engine."""
+        message = WorkDone(grant.work.id, grant.work.pool, outcome)
+        self._send_to_address(grant.broker_address, message)
+
+    # Brokering.
+
+    def take(self, sender: str, message) -> None:
+        """Takes a message of an asker or of a broker."""
+        match message:
+            case WorkQueued() | WorkGranted() | WorkRefused():
+                self._take_answer(message)
+            case WorkAsked():
+                self._take_ask(message)
+            case WorkRead(work_id, pool, waited_s, slowdown):
+                broker = self._broker(pool)
+                broker.note_read(work_id, waited_s, slowdown, self._now())
+                self._serve(broker)
+            case WorkDone(work_id, pool, outcome):
+                broker = self._broker(pool)
+                broker.done(work_id, outcome, self._now())
+                self._serve(broker)
+            case ZoneLoad(pool, zone, wait_s, short_cost_s, s_per_token, reply_to):
+                told = OtherZone(wait_s, short_cost_s, s_per_token, reply_to, self._now())
+                self._others[(pool, zone)] = told
+                self._pass_load_on(sender, message)
+
+    def _take_answer(self, message) -> None:
+        answers = self._answers_by_work.get(message.work_id)
+        if answers is not None:
+            answers.put_nowait(message)
+        elif isinstance(message, WorkGranted):
+            pool = self._pool_of(message.endpoint_id)
+            done = WorkDone(message.work_id, pool, "withdrawn")
+            self._send_to_address(message.broker_address, done)
+
+    def _pool_of(self, endpoint_id: str) -> str:
+        entry = self._directory.entries_by_id.get(endpoint_id)
+        return entry.pool if entry else ""
+
+    def _broker(self, pool: str) -> GenerationBroker:
+        if pool not in self._brokers_by_pool:
+            self._brokers_by_pool[pool] = GenerationBroker(pool)
+        broker = self._brokers_by_pool[pool]
+        self._refresh(broker)
+        return broker
+
+    def _refresh(self, broker: GenerationBroker) -> None:
+        catalogue = self._catalogue()
+        row = catalogue.pools_by_name.get(broker.pool) if catalogue else None
+        if row is None or row.engine is None:
+            return
+        entries = (e for e in self._directory.usable(broker.pool) if e.zone == self._zone)
+        gap_s = catalogue.gap_targets_by_pool.get(broker.pool)
+        broker.set_engines(entries, row.engine.slots, row.engine.memory_tokens, gap_s)
+
+    def _take_ask(self, ask: WorkAsked) -> None:
+        now = self._now()
+        broker = self._broker(ask.pool)
+        work = work_of(ask, now)
+        if self._pass_on(broker, work, ask, now):
+            return
+        self._asks_by_work[work.id] = ask
+        self._tell(broker.ask(work, ask.vm, frozenset(ask.avoid), now))
+        if broker.waiting_by_id:
+            self._wake.set()
+
+    def _pass_on(self, broker: GenerationBroker, work: Work, ask: WorkAsked, now: float) -> bool:
+        """Sends work to another zone if it would start sooner there."""
+        if ask.is_passed_on:
+            return False
+        avoid = frozenset(ask.avoid)
+        if broker.is_short(work):
+            own_s = broker.short_cost_s(now)
+            other = self._better_zone(work.pool, own_s, lambda other: other.short_cost_s, now)
+        else:
+            own_s = broker.expected_wait_s(work, avoid, now)
+            other = self._better_zone(work.pool, own_s, lambda other: other.wait_s, now)
+        if other is None:
+            return False
+        log("INFO", "passed_on", request=work.id, own_ms=f"{own_s * 1000:.0f}", to=other.address)
+        self._send_to_address(ask.reply_to, WorkQueued(work.id, PASSED_ON_ANSWER_S))
+        passed_on = msgspec.structs.replace(
+            ask, is_passed_on=True, age_s=now - work.arrived_at, left_s=work.expires_at - now
+        )
+        self._bus.send_to_address(other.address, passed_on)
+        other.note_passed_on(work.tokens_in)
+        return True
+
+    def _better_zone(self, pool: str, own_s: float, cost, now: float) -> OtherZone | None:
+        if own_s <= OWN_WAIT_TOLERATED_S:
+            return None
+        others = [
+            other
+            for (other_pool, _), other in self._others.items()
+            if other_pool == pool and now - other.told_at < LOAD_BELIEVED_S
+        ]
+        best = min(others, key=cost, default=None)
+        if best is None or cost(best) + ELSEWHERE_DELAY_S + ELSEWHERE_GAIN_S >= own_s:
+            return None
+        return best
+
+    def _serve(self, broker: GenerationBroker) -> None:
+        if broker.waiting_by_id:
+            self._tell(broker.serve(self._now()))
+
+    def _tell(self, decisions) -> None:
+        for decision in decisions:
+            ask = self._asks_by_work.get(decision.work_id)
+            address = ask.reply_to if ask else ""
+            match decision:
+                case broker_decisions.Granted(work_id, _, entry):
+                    log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
+                    answer = WorkGranted(
+                        work_id,
+                        entry.id,
+                        entry.address,
+                        entry.zone,
+                        entry.started_ms,
+                        self._address,
+                    )
+                case broker_decisions.Refused(work_id, _, reason, retry_after_s):
+                    answer = WorkRefused(work_id, reason, retry_after_s)
+                case broker_decisions.Queued(work_id):
+                    answer = WorkQueued(work_id, 0.0)
+            if not isinstance(decision, broker_decisions.Queued):
+                self._asks_by_work.pop(decision.work_id, None)
+            if address:
+                self._send_to_address(address, answer)
+
+    def forget_vm(self, vm: str) -> None:
+        """Forgets the work of a VM that is gone."""
+        for broker in self._brokers_by_pool.values():
+            broker.forget_vm(vm)
+
+    async def run(self) -> None:
+        """Serves queues as time passes, and tells other zones of the load here."""
+        next_load = next_expiry = self._now()
+        while True:
+            await self._pause()
+            now = self._now()
+            for broker in self._brokers_by_pool.values():
+                if broker.waiting_by_id:
+                    self._refresh(broker)
+                    self._serve(broker)
+                    self._pass_on_waiting(broker, now)
+            if now >= next_load:
+                next_load = now + LOAD_INTERVAL_S
+                self._tell_load(now)
+            if now >= next_expiry:
+                next_expiry = now + EXPIRY_INTERVAL_S
+                self._expire(now)
+
+    def _pass_on_waiting(self, broker: GenerationBroker, now: float) -> None:
+        """Sends the last in the queue to another zone if it would start sooner there."""
+        waiting = max(broker.waiting_by_id.values(), key=lambda w: w.work.arrived_at, default=None)
+        ask = waiting and self._asks_by_work.get(waiting.work.id)
+        if ask and self._pass_on(broker, waiting.work, ask, now):
+            broker.done(waiting.work.id, "withdrawn", now)
+            del self._asks_by_work[waiting.work.id]
+
+    async def _pause(self) -> None:
+        """Waits for the next tick; without work in a queue, until some comes."""
+        if any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
+            await asyncio.sleep(TICK_S)
+            return
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(LOAD_INTERVAL_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    def _expire(self, now: float) -> None:
+        for broker in self._brokers_by_pool.values():
+            broker.expire(now)
+        if not any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
+            self._asks_by_work.clear()
+
+    def _tell_load(self, now: float) -> None:
+        """Tells the brokers of other zones; any VM there is asked to pass it on until one is known."""
+        catalogue = self._catalogue()
+        if catalogue is None:
+            return
+        self._load_turn += 1
+        for pool, row in catalogue.pools_by_name.items():
+            if row.engine is None or self._holder(pool) != self._key:
+                continue
+            broker = self._broker(pool)
+            load = ZoneLoad(
+                pool,
+                self._zone,
+                broker.typical_wait_s(now),
+                broker.short_cost_s(now),
+                broker.s_per_token(),
+                self._address,
+            )
+            for zone in self._other_zones:
+                for address in self._addresses_of(pool, zone, now):
+                    self._bus.send_to_address(address, load)
+
+    def _addresses_of(self, pool: str, zone: str, now: float) -> list[str]:
+        known = self._others.get((pool, zone))
+        if known is not None and now - known.told_at < LOAD_BELIEVED_S:
+            return [known.address]
+        addresses = self._elsewhere(zone)
+        return [addresses[self._load_turn % len(addresses)]] if addresses else []
+
+    def _pass_load_on(self, sender: str, load: ZoneLoad) -> None:
+        """Gives another zone's load to the broker of this zone, if that is another VM."""
+        holder = self._holder(load.pool)
+        if holder not in (self._key, sender):
+            self._bus.send(holder, load)
+
+
+def work_of(ask: WorkAsked, now: float) -> Work:
+    """Returns the work as this VM's clock has it."""
+    return Work(
+        id=ask.work_id,
+        pool=ask.pool,
+        rank=ask.rank,
+        tokens_in=ask.tokens_in,
+        tokens_out=ask.tokens_out,
+        parts=ask.parts,
+        target_s=ask.target_s,
+        arrived_at=now - ask.age_s,
+        expires_at=now + ask.left_s,
+    )
+
+
+def entry_of(granted: WorkGranted, pool: str) -> EndpointEntry:
+    """Returns the endpoint that a broker named."""
+    return EndpointEntry(
+        granted.endpoint_id, pool, granted.address, granted.zone, 0, False, granted.started_ms
+    )
--- a/bluebellpitch/roles/placing.py
+++ b/bluebellpitch/roles/placing.py
@@ -1,26 +1,31 @@
-"""Places requests at endpoints and keeps the books of what is held where."""
+"""Places requests: generations through the broker of the zone, other work by this VM's own view."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.directory import Directory
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.engine_choice import choose_engine
+from bluebellpitch.decisions.generation_broker import NO_ENGINE
 from bluebellpitch.decisions.loads import Loads, Work
 from bluebellpitch.decisions.plain_choice import choose_plain
 from bluebellpitch.platform.requests import AnswerHead
+from bluebellpitch.roles.generation import GenerationRole, Grant
+from bluebellpitch.verdicts import DidNotRun
 
 IN_ZONE_S = 0.0005
 IN_REGION_S = 0.001
 FAR_S = 0.03
+NO_ENDPOINT_RETRY_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
 class Place:
-    """An endpoint that holds a request until ``release``."""
+    """An endpoint that holds a request until ``release``. ``grant`` is a broker's, if any."""
 
     entry: EndpointEntry
     work: Work
+    grant: Grant | None = None
 
 
 class PlacingRole:
@@ -29,12 +34,14 @@
     def __init__(
         self,
         directory: Directory,
+        generations: GenerationRole,
         zone: str,
-        regions_by_zone: dict[str, str],
+        regions_by_zone: Mapping[str, str],
         now: Callable[[], float],
     ):
         self.directory = directory
         self.loads = Loads()
+        self._generations = generations
         self._now = now
         region = regions_by_zone.get(zone, "")
         self._delay_s_by_zone = {
@@ -45,8 +52,18 @@
             other: delay_s / FAR_S for other, delay_s in self._delay_s_by_zone.items()
         }
 
-    def place(self, work: Work, is_engine: bool, avoid: frozenset[str]) -> Place | None:
-        """Picks an endpoint and notes the work there; None when there is none."""
+    async def place(self, work: Work, is_engine: bool, avoid: frozenset[str]) -> Place | DidNotRun:
+        """Finds an endpoint and notes the work there."""
+        if is_engine:
+            found = await self._generations.seek(work, avoid)
+            match found:
+                case Grant():
+                    return self._hold(Place(found.entry, work, found))
+                case DidNotRun(reason) if reason != NO_ENGINE:
+                    return found
+        return self._place_by_own_view(work, is_engine, avoid)
+
+    def _place_by_own_view(self, work: Work, is_engine: bool, avoid) -> Place | DidNotRun:
         now = self._now()
         entries = list(self.directory.usable(work.pool))
         if is_engine:
@@ -54,11 +71,14 @@
         else:
             entry = choose_plain(entries, self.loads, self._distance_by_zone, avoid, now)
         if entry is None:
-            return None
-        load = self.loads.of(entry)
-        load.held[work.id] = work
-        load.reading[work.id] = float(work.tokens_in)
-        return Place(entry, work)
+            return DidNotRun("no_endpoint", 503, NO_ENDPOINT_RETRY_S)
+        return self._hold(Place(entry, work))
+
+    def _hold(self, place: Place) -> Place:
+        load = self.loads.of(place.entry)
+        load.held[place.work.id] = place.work
+        load.reading[place.work.id] = float(place.work.tokens_in)
+        return place
 
     def note_head(self, place: Place, head: AnswerHead) -> None:
         """Takes the load that an answer tells."""
@@ -66,20 +86,23 @@
             busy = float(head.load.running + head.load.waiting)
             self.loads.of(place.entry).note_report(busy, head.load.slowdown, self._now())
 
-    def note_first_event(self, place: Place) -> None:
+    def note_first_event(self, place: Place, sent_at: float) -> None:
         """Notes that the prompt has been read."""
-        self.loads.of(place.entry).reading.pop(place.work.id, None)
-
-    def note_outcome(self, place: Place, failed: bool) -> None:
-        """Notes how an attempt ended."""
-        self.loads.of(place.entry).note_outcome(failed, self._now())
-
-    def note_unreachable(self, place: Place) -> None:
-        """Notes that no connection could be made, or that one broke."""
-        self.loads.of(place.entry).note_unreachable(self._now())
+        load = self.loads.of(place.entry)
+        load.reading.pop(place.work.id, None)
+        if place.grant is not None:
+            waited_s = self._now() - sent_at - 2 * self._delay_s_by_zone.get(place.entry.zone, 0)
+            self._generations.note_read(place.grant, waited_s, load.slowdown)
 
-    def release(self, place: Place) -> None:
-        """Frees the place."""
+    def release(self, place: Place, outcome: str) -> None:
+        """Frees the place: ``ok``, ``failed``, ``unreachable``, ``refused`` or ``withdrawn``."""
         load = self.loads.of(place.entry)
         load.held.pop(place.work.id, None)
         load.reading.pop(place.work.id, None)
+        match outcome:
+            case "ok" | "failed":
+                load.note_outcome(outcome == "failed", self._now())
+            case "unreachable":
+                load.note_unreachable(self._now())
+        if place.grant is not None:
+            self._generations.release(place.grant, outcome)
