Send long prompts to the zone whose engines read their session lately

Change: a broker tells other zones which sessions it granted; reading shared parts again counts as two seconds of waiting for each second of reading.

--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -66,6 +66,11 @@
             kept += size
         return max(1, work.tokens_in - kept)
 
+    def unread_shared(self, work: Work) -> int:
+        """Returns how many tokens that other requests share with it the engine has to read."""
+        own = work.parts[-1][1] if work.parts else work.tokens_in
+        return max(0, self.unread(work) - own)
+
     def keep(self, work: Work) -> None:
         """Notes that the engine will keep the parts of a prompt; the oldest ones yield."""
         for part, size in work.parts:
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -22,10 +22,12 @@
 # Reading that may be planned at an engine where no stream runs.
 UNSEEN_READING_S = 0.1
 # Costs, as seconds of waiting for the first token: of one running request; for a short prompt, of
-# an engine that reads all the time; for each second of reading, of each stream that it holds up.
+# an engine that reads all the time; for each second of reading, of each stream that it holds up; of
+# each second in which parts are read that another engine may keep.
 CROWDING_S = 0.003
 DISTURBED_S = 0.4
 DISTURBING_S = 0.3
+READ_AGAIN_S = 2.0
 FAILING_S = 1.0
 HELD_TOO_LONG_S = 2.0
 RETRY_SHORTEST_S = 0.3
@@ -108,6 +110,11 @@
         """Tells whether any engine here may get work, now or later."""
         return any(engine.is_usable(now) for engine in self._engines.values())
 
+    def read_again_s(self, work: Work) -> float:
+        """Returns the cost of the shared parts that no engine here keeps."""
+        unread = min((e.unread_shared(work) for e in self._engines.values()), default=0)
+        return unread * self.speed.s_per_token * READ_AGAIN_S
+
     def typical_wait_s(self, now: float) -> float:
         """Returns how long a usual larger prompt would wait here."""
         tokens = int(self._typical_tokens)
@@ -198,7 +205,11 @@
 
     def is_short(self, work: Work) -> bool:
         """Tells whether a prompt is read so fast that it need not be paced."""
-        return work.tokens_in * self.speed.s_per_token <= SHORT_SHARE * self.gap_s
+        return self.is_short_size(work.tokens_in)
+
+    def is_short_size(self, tokens: int) -> bool:
+        """Tells the same of a number of prompt tokens."""
+        return tokens * self.speed.s_per_token <= SHORT_SHARE * self.gap_s
 
     def _usable(self, work: Work, avoid: frozenset[str], now: float) -> list[EngineState]:
         return [
@@ -237,6 +248,7 @@
             pauses_s = engine.recent_reading(now) * DISTURBED_S
         else:
             pauses_s = reading_s * engine.streams() * DISTURBING_S
+            pauses_s += engine.unread_shared(work) * self.speed.s_per_token * READ_AGAIN_S
         return wait_s + reading_s + crowding_s + failing_s + pauses_s
 
     def short_cost_s(self, now: float) -> float:
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -242,7 +242,8 @@
 class ZoneLoad(msgspec.Struct, frozen=True, tag="zone_load"):
     """How long a long prompt would wait in a zone, and what a short one costs there.
 
-    ``s_per_token`` is the reading time of all its engines together.
+    ``s_per_token`` is the reading time of all its engines together. ``sessions`` are the last
+    shared parts of the prompts that were granted there since the load was told before.
     """
 
     pool: str
@@ -251,6 +252,7 @@
     short_cost_s: float
     s_per_token: float
     reply_to: str
+    sessions: tuple[str, ...] = ()
 
 
 class VmBeat(msgspec.Struct, frozen=True, tag="vm_beat"):
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation.py
@@ -40,6 +40,8 @@
 ELSEWHERE_GAIN_S = 0.06
 ELSEWHERE_DELAY_S = 0.12
 OWN_WAIT_TOLERATED_S = 0.08
+# Engines of another zone are taken to keep what they read this short a time ago.
+SESSION_KEPT_S = 9.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +62,17 @@
     s_per_token: float
     address: str
     told_at: float
+    sessions_at: dict[str, float]
+
+    def keeps(self, work: Work, now: float) -> bool:
+        """Tells whether an engine there read the shared parts of a prompt lately."""
+        return now - self.sessions_at.get(session_of(work), float("-inf")) < SESSION_KEPT_S
+
+    def forget_sessions(self, now: float) -> None:
+        """Forgets sessions that may no longer be kept."""
+        old = [key for key, at in self.sessions_at.items() if now - at >= SESSION_KEPT_S]
+        for key in old:
+            del self.sessions_at[key]
 
     def note_passed_on(self, tokens: int) -> None:
         """Counts work that was passed on, until the zone tells of it itself."""
@@ -100,6 +113,7 @@
         self._answers_by_work: dict[str, asyncio.Queue] = {}
         self._others: dict[tuple[str, str], OtherZone] = {}
         self._load_turn = 0
+        self._sessions_by_pool: dict[str, list[str]] = {}
         self._wake = asyncio.Event()
 
     # Asking.
@@ -206,11 +220,19 @@
                 broker = self._broker(pool)
                 broker.done(work_id, outcome, self._now())
                 self._serve(broker)
-            case ZoneLoad(pool, zone, wait_s, short_cost_s, s_per_token, reply_to):
-                told = OtherZone(wait_s, short_cost_s, s_per_token, reply_to, self._now())
-                self._others[(pool, zone)] = told
+            case ZoneLoad():
+                self._take_load(message)
                 self._pass_load_on(sender, message)
 
+    def _take_load(self, load: ZoneLoad) -> None:
+        now = self._now()
+        known = self._others.get((load.pool, load.zone))
+        sessions = known.sessions_at if known else {}
+        sessions |= dict.fromkeys(load.sessions, now)
+        self._others[(load.pool, load.zone)] = OtherZone(
+            load.wait_s, load.short_cost_s, load.s_per_token, load.reply_to, now, sessions
+        )
+
     def _take_answer(self, message) -> None:
         answers = self._answers_by_work.get(message.work_id)
         if answers is not None:
@@ -260,8 +282,13 @@
             own_s = broker.short_cost_s(now)
             other = self._better_zone(work.pool, own_s, lambda other: other.short_cost_s, now)
         else:
-            own_s = broker.expected_wait_s(work, avoid, now)
-            other = self._better_zone(work.pool, own_s, lambda other: other.wait_s, now)
+            again_s = broker.read_again_s(work)
+            own_s = broker.expected_wait_s(work, avoid, now) + again_s
+
+            def cost(other: OtherZone) -> float:
+                return other.wait_s + (0.0 if other.keeps(work, now) else again_s)
+
+            other = self._better_zone(work.pool, own_s, cost, now)
         if other is None:
             return False
         log("INFO", "passed_on", request=work.id, own_ms=f"{own_s * 1000:.0f}", to=other.address)
@@ -296,6 +323,7 @@
             address = ask.reply_to if ask else ""
             match decision:
                 case broker_decisions.Granted(work_id, _, entry):
+                    self._note_session(ask)
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
                     answer = WorkGranted(
                         work_id,
@@ -314,6 +342,15 @@
             if address:
                 self._send_to_address(address, answer)
 
+    def _note_session(self, ask: WorkAsked | None) -> None:
+        """Keeps the session of a long prompt, to be told to other zones."""
+        if (
+            ask
+            and len(ask.parts) > 1
+            and not self._brokers_by_pool[ask.pool].is_short_size(ask.tokens_in)
+        ):
+            self._sessions_by_pool.setdefault(ask.pool, []).append(ask.parts[-2][0])
+
     def forget_vm(self, vm: str) -> None:
         """Forgets the work of a VM that is gone."""
         for broker in self._brokers_by_pool.values():
@@ -360,6 +397,8 @@
     def _expire(self, now: float) -> None:
         for broker in self._brokers_by_pool.values():
             broker.expire(now)
+        for other in self._others.values():
+            other.forget_sessions(now)
         if not any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
             self._asks_by_work.clear()
 
@@ -380,6 +419,7 @@
                 broker.short_cost_s(now),
                 broker.s_per_token(),
                 self._address,
+                tuple(self._sessions_by_pool.pop(pool, ())),
             )
             for zone in self._other_zones:
                 for address in self._addresses_of(pool, zone, now):
@@ -399,6 +439,11 @@
             self._bus.send(holder, load)
 
 
+def session_of(work: Work) -> str:
+    """Returns the last part of a prompt that other requests share."""
+    return work.parts[-2][0] if len(work.parts) > 1 else ""
+
+
 def work_of(ask: WorkAsked, now: float) -> Work:
     """Returns the work as this VM's clock has it."""
     return Work(
