Stop requests that crash endpoints; serve metrics; bound the logs

Cause: a request that crashes whatever runs it was sent on for ever; nothing was served on the metrics address; a reader of standard output that stopped would have stopped the VM.

--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -9,12 +9,16 @@
 from bluebellpitch.decisions.catalogue import Catalogue, MemberRow, Repeatability, Route, pick_pool
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.loads import Work
+from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.repeats import RepeatBudget
+from bluebellpitch.decisions.strikes import StrikeBook, Suspicion
 from bluebellpitch.endpoints.attempt import Attempt, Turned, Unsent, settle
 from bluebellpitch.endpoints.links import Links
-from bluebellpitch.errors import BadRequestError, GoneError
-from bluebellpitch.http1 import HttpRequest, ServerConnection
+from bluebellpitch.errors import BadRequestError, GoneError, NotSentError
+from bluebellpitch.http1 import ClientConnection, HttpRequest, ServerConnection
 from bluebellpitch.logs import log
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.peers.messages import StrikeNoted, StrikesCleared
 from bluebellpitch.platform.requests import (
     AnswerHead,
     Forwarding,
@@ -34,6 +38,8 @@
 REPEAT_WORTH_S = 0.05
 UNKNOWN_STATE_RETRY_S = 0.5
 NO_ENDPOINT_RETRY_S = 0.4
+HARMFUL_RETRY_S = 60.0
+CRASH_CHECK_S = 0.05
 
 
 @dataclass(frozen=True)
@@ -48,6 +54,9 @@
     live_vms: Callable[[], int]
     is_draining: Callable[[], bool]
     is_closing: Callable[[], bool]
+    strikes: StrikeBook
+    tell_strike: Callable[[StrikeNoted | StrikesCleared], None]
+    metrics: Metrics
     now: Callable[[], float]
 
 
@@ -120,6 +129,7 @@
         self._last_at = 0.0
         self._longest_gap_s = 0.0
         self._route = ""
+        self._fingerprint = ""
 
     async def serve(self, raw: HttpRequest) -> None:
         """Answers the request; stops at once when the caller leaves."""
@@ -148,11 +158,12 @@
         else:
             self._route = admitted.route.name
             context.repeats.note_request(admitted.pool, now)
-            verdict = await self._dispatch(admitted)
+            verdict = await self._dispatch_unless_harmful(admitted)
         await self._finish(request, verdict, now)
 
     async def _finish(self, request: RoutedRequest, verdict: Verdict, arrived_at: float) -> None:
         took_ms = (self._context.now() - arrived_at) * 1000
+        self._count(verdict, arrived_at)
         log(
             "INFO",
             "ended",
@@ -173,6 +184,15 @@
         headers = refusal_headers(verdict.retry_after_s)
         await self._respond(verdict.status, headers, describe_verdict(verdict, request.id))
 
+    def _count(self, verdict: Verdict, arrived_at: float) -> None:
+        metrics = self._context.metrics
+        label = metrics.member_label(self._route)
+        metrics.requests.labels(label, verdict.name).inc()
+        if isinstance(verdict, DidNotRun):
+            metrics.refusals.labels(label, verdict.reason.partition(" ")[0]).inc()
+        if self._first_at:
+            metrics.first_token.labels(label).observe(self._first_at - arrived_at)
+
     async def _respond(self, status: int, headers, body: bytes) -> None:
         self._started = True
         if self._context.is_draining():
@@ -180,6 +200,31 @@
         headers = [pair for pair in headers if pair[0].lower() != "content-length"]
         await self._connection.respond(status, headers, body)
 
+    async def _dispatch_unless_harmful(self, admitted: Admitted) -> Verdict:
+        """Refuses a request that has crashed endpoint after endpoint."""
+        context, request = self._context, admitted.request
+        member = admitted.member.name if admitted.member else ""
+        self._fingerprint = digest_text(request.method, request.target, member, request.body)
+        strikes = context.strikes.count(self._fingerprint, context.now())
+        if context.strikes.judge(self._fingerprint, context.now()) is Suspicion.REFUSED:
+            log("WARNING", "crashes_endpoints", request=request.id, strikes=strikes)
+            return DidNotRun("crashes_endpoints", 503, HARMFUL_RETRY_S)
+        verdict = await self._dispatch(admitted)
+        if strikes and isinstance(verdict, Ran):
+            context.tell_strike(StrikesCleared(self._fingerprint))
+        return verdict
+
+    async def _note_crash(self, place: Place, request: RoutedRequest) -> None:
+        """Notes a strike if the endpoint under a broken request has really gone down."""
+        try:
+            connection = await ClientConnection.open(place.entry.address, CRASH_CHECK_S)
+        except NotSentError:
+            attempt = f"{place.entry.id}/{place.entry.started_ms}"
+            log("WARNING", "strike", request=request.id, endpoint=place.entry.id)
+            self._context.tell_strike(StrikeNoted(self._fingerprint, attempt))
+        else:
+            connection.close()
+
     async def _dispatch(self, admitted: Admitted) -> Verdict:
         """Tries endpoints until one answers, time is up, or no repeat is allowed."""
         context, route = self._context, admitted.route
@@ -205,6 +250,8 @@
                 outcome = name_outcome(verdict)
             finally:
                 context.placing.release(place, outcome)
+            if outcome == "failed" and isinstance(verdict, MayHaveRun):
+                await self._note_crash(place, admitted.request)
             match verdict:
                 case Ran():
                     return verdict
--- a/bluebellpitch/commands/route.py
+++ b/bluebellpitch/commands/route.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import time
+from io import UnsupportedOperation
 from pathlib import Path
+from typing import Annotated
 
 import typer
 
+from bluebellpitch.commands.options import option
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import UsageError
 from bluebellpitch.exits import ExitStatus
-from bluebellpitch.logs import set_up_logs
+from bluebellpitch.logs import set_up_bounded_logs, set_up_logs
 from bluebellpitch.platform.settings_file import SETTINGS_VARIABLE, VmSettings, parse_settings
 
 
@@ -29,21 +32,39 @@
         raise UsageError(f"{path} cannot be read: {error}") from error
 
 
-def route(context: typer.Context) -> int:
+def route(
+    context: typer.Context,
+    metrics_port: Annotated[
+        int, option("--metrics-port", "Port of the metrics, on the VM's own address; 0: none.")
+    ] = 0,
+) -> int:
     """Runs an entry VM to its end."""
+    if not 0 <= metrics_port < 65_536:
+        raise UsageError(f"--metrics-port: {metrics_port} must be from 0 to 65535")
     environment: Environment = context.obj
     settings = load_settings(environment)
-    set_up_logs(environment.stdout, "INFO", settings.vm)
+    send_logs(environment, settings.vm)
     try:
-        asyncio.run(build_and_run(settings, environment))
+        asyncio.run(build_and_run(settings, environment, metrics_port))
     except OSError as error:
         raise UsageError(f"cannot listen: {error}") from error
     return ExitStatus.OK
 
 
-async def build_and_run(settings: VmSettings, environment: Environment) -> None:
+def send_logs(environment: Environment, vm: str) -> None:
+    """Sends logs to standard output; a stream without a descriptor is written to directly."""
+    try:
+        descriptor = environment.stdout.fileno()
+    except (UnsupportedOperation, AttributeError):
+        set_up_logs(environment.stdout, "INFO", vm)
+        return
+    set_up_bounded_logs(descriptor, "INFO", vm)
+
+
+async def build_and_run(settings: VmSettings, environment: Environment, metrics_port: int) -> None:
     """Builds the VM inside the event loop and runs it."""
     # Imported late: operators' commands need none of it.
     from bluebellpitch.entry import EntryVm
 
-    await EntryVm(settings, lambda: load_settings(environment), read_boot_time).run()
+    vm = EntryVm(settings, lambda: load_settings(environment), read_boot_time, metrics_port)
+    await vm.run()
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -11,6 +11,7 @@
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.repeats import RepeatBudget
+from bluebellpitch.decisions.strikes import StrikeBook
 from bluebellpitch.endpoints.links import Links
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
 from bluebellpitch.logs import log
@@ -21,6 +22,8 @@
     FreshnessAsked,
     FreshnessTold,
     RecordsTold,
+    StrikeNoted,
+    StrikesCleared,
     VmBeat,
 )
 from bluebellpitch.platform.configuration import CONFIGURATION_TOPIC
@@ -48,13 +51,18 @@
 GRACE_SHARE = 0.94
 LINKS_CHECKED_S = 1.0
 RECEIVE_BODY_S = 10.0
+STRIKES_KEPT_S = 120.0
 
 
 class EntryVm:
     """One entry VM. ``now`` counts seconds, also while the VM is suspended."""
 
     def __init__(
-        self, settings: VmSettings, reload: Callable[[], VmSettings], now: Callable[[], float]
+        self,
+        settings: VmSettings,
+        reload: Callable[[], VmSettings],
+        now: Callable[[], float],
+        metrics_port: int = 0,
     ):
         self.settings = settings
         self._reload = reload
@@ -64,8 +72,10 @@
         self._closing = False
         self.key = f"{settings.vm}/{uuid4().hex[:8]}"
         self.liveness = Liveness(self.key, settings.zone)
-        metrics = Metrics()
-        self.bus = PeerBus(self.key, HybridClock(now), metrics, self._take)
+        self.metrics = Metrics()
+        self._metrics_port = metrics_port
+        self.strikes = StrikeBook(STRIKES_KEPT_S)
+        self.bus = PeerBus(self.key, HybridClock(now), self.metrics, self._take)
         freshness = Freshness(settings.revoke_s, settings.apply_s)
         self.configuration = ConfigurationRole(
             self._follow(CONFIGURATION_TOPIC, CONFIGURATION_WAIT_S), freshness
@@ -124,8 +134,12 @@
             live_vms=self.neighbours.count,
             is_draining=self.draining.is_set,
             is_closing=lambda: self._closing,
+            strikes=self.strikes,
+            tell_strike=self._tell_strike,
+            metrics=self.metrics,
             now=now,
         )
+        self.metrics_http = HttpServer(self._answer_metrics, refuse_malformed, HttpLimits())
         self.http = HttpServer(self._serve, refuse_malformed, HttpLimits(idle_s=16.0))
         self.ready_http = HttpServer(self._answer_ready, refuse_malformed, HttpLimits())
 
@@ -137,6 +151,7 @@
             now=self._now,
             is_reader=lambda: self._holds(f"reads {topic}"),
             tell=lambda told: self.sharing.tell_zone(told),
+            metrics=self.metrics,
         )
 
     def _holds(self, duty: str) -> bool:
@@ -150,9 +165,20 @@
                 self.neighbours.take(sender, message)
             case RecordsTold() | ConfigurationTold() | FreshnessAsked() | FreshnessTold():
                 self.sharing.take(sender, message)
+            case StrikeNoted(fingerprint, attempt):
+                self.strikes.add(fingerprint, attempt, self._now())
+            case StrikesCleared(fingerprint):
+                self.strikes.clear(fingerprint)
             case _:
                 self.generations.take(sender, message)
 
+    def _tell_strike(self, message: StrikeNoted | StrikesCleared) -> None:
+        """Notes strikes here and tells all VMs."""
+        self._take(self.key, message)
+        for record in self.neighbours.records_by_vm.values():
+            if record.bus != self.settings.bus:
+                self.bus.send_to_address(record.bus, message)
+
     async def _serve(self, connection, request) -> None:
         await RoutedExchange(self.context, connection).serve(request)
 
@@ -160,6 +186,20 @@
         status = 200 if self.is_ready() else 503
         await connection.respond(status, [("Content-Type", "text/plain")], b"")
 
+    async def _answer_metrics(self, connection, request) -> None:
+        now = self._now()
+        metrics, context = self.metrics, self.context
+        metrics.configuration_version.set(self.configuration.version())
+        metrics.freshness_age.set(context.freshness.age_s(now))
+        metrics.peers_heard.set(len(self.liveness.live(now)))
+        metrics.in_flight.set(self.http.busy)
+        catalogue = self.configuration.catalogue
+        for pool in catalogue.pools_by_name if catalogue else ():
+            left = context.repeats.left(pool, self.neighbours.count(), now)
+            metrics.repeats_left.labels(pool).set(left)
+        headers = [("Content-Type", "text/plain; version=0.0.4")]
+        await connection.respond(200, headers, metrics.render())
+
     def is_ready(self) -> bool:
         """Tells whether new connections should come here."""
         knows = self.configuration.catalogue is not None and self.endpoints.known
@@ -173,6 +213,9 @@
         loop.add_signal_handler(signal.SIGHUP, self._take_settings)
         self.bus.bind(self.settings.bus)
         await self.ready_http.listen(*parse_address(self.settings.ready))
+        if self._metrics_port:
+            host, _ = parse_address(self.settings.listen)
+            await self.metrics_http.listen(host, self._metrics_port)
         await self.http.listen(*parse_address(self.settings.listen))
         tasks = [asyncio.create_task(self._guard(job)) for job in self._jobs()]
         log("INFO", "started", vm=self.settings.vm, zone=self.settings.zone)
@@ -229,6 +272,7 @@
         while True:
             await asyncio.sleep(LINKS_CHECKED_S)
             self.links.close_idle()
+            self.strikes.expire(self._now())
             self.placing.loads.forget_others(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
--- a/bluebellpitch/logs.py
+++ b/bluebellpitch/logs.py
@@ -1,6 +1,9 @@
-"""Logs: one line of key=value pairs for each event, on standard error."""
+"""Logs: one line of key=value pairs for each event."""
 
 import json
+import os
+import time
+from collections.abc import Callable
 from typing import TextIO
 
 from loguru import logger
@@ -8,6 +11,64 @@
 LINE_FORMAT = "ts={time:YYYY-MM-DDTHH:mm:ss.SSS!UTC} vm=%s level={level.name} {message}"
 
 
+# Lines a second in the long run, and at once.
+LINES_PER_S = 200.0
+LINES_AT_ONCE = 1_000.0
+# Longest line that a pipe takes whole.
+LINE_BYTES = 4_096
+
+
+class BoundedSink:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Lines beyond the rate, and lines that a full pipe does not take, are counted; the count is
+    written as soon as there is room again.
+    """
+
+    def __init__(self, descriptor: int, now: Callable[[], float] = time.monotonic):
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._now = now
+        self._room = LINES_AT_ONCE
+        self._counted_at = now()
+        self.left_out = 0
+
+    def write(self, line: str) -> None:
+        """Writes one line, or counts it as left out."""
+        now = self._now()
+        self._room = min(LINES_AT_ONCE, self._room + (now - self._counted_at) * LINES_PER_S)
+        self._counted_at = now
+        if self._room < 1 or not self._tell_left_out() or not self._put(line):
+            self.left_out += 1
+            return
+        self._room -= 1
+
+    def _tell_left_out(self) -> bool:
+        if not self.left_out:
+            return True
+        if not self._put(f"level=WARNING event=log_lines_left_out count={self.left_out}\n"):
+            return False
+        self.left_out = 0
+        return True
+
+    def _put(self, line: str) -> bool:
+        data = line.encode()
+        if len(data) > LINE_BYTES:
+            data = data[: LINE_BYTES - 1] + b"\n"
+        try:
+            return os.write(self._descriptor, data) == len(data)
+        except OSError:
+            return False
+
+
+def set_up_bounded_logs(descriptor: int, level: str, vm: str) -> BoundedSink:
+    """Sends log lines to a descriptor, within a bound and without waiting."""
+    sink = BoundedSink(descriptor)
+    logger.remove()
+    logger.add(sink.write, level=level, format=LINE_FORMAT % vm, catch=True)
+    return sink
+
+
 def set_up_logs(stream: TextIO, level: str, vm: str) -> None:
     """Sends log lines of at least ``level`` to ``stream``, each with this VM's name."""
     logger.remove()
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -41,6 +41,13 @@
         self.log_silence = self._gauge("log_silence_seconds", "Since the log last answered")
         self.unresolved = self._gauge("unresolved_claims", "Claims that may have run")
         self.in_flight = self._gauge("in_flight", "Requests that are being served")
+        self.configuration_version = self._gauge("configuration_version", "Version in force")
+        self.freshness_age = self._gauge(
+            "freshness_age_seconds", "Since the configuration was known to be the newest"
+        )
+        self.peers_heard = self._gauge("peers_heard", "Entry VMs of the zone that are heard")
+        self.repeats_left = self._gauge("repeats_left", "Repeats this VM may send now", "pool")
+        self.store_calls = self._counter("store_calls", "Calls of the store", "topic", "verdict")
         self.limit_in_use = self._gauge("limit_in_use", "Running requests", "pool", "member")
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
@@ -55,7 +62,7 @@
         )
 
     def member_label(self, member: str) -> str:
-        """Returns the label for a member: its name for the first ones, then ``other``."""
+        """Returns the label for a member or route: its name for the first, then ``other``."""
         if member not in self._members and len(self._members) >= MEMBERS_WITH_OWN_LABEL:
             return "other"
         self._members.add(member)
--- a/bluebellpitch/roles/following.py
+++ b/bluebellpitch/roles/following.py
@@ -8,6 +8,7 @@
 from bluebellpitch.decisions.freshness import Freshness, read_known_at
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
+from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.messages import RecordsTold
 from bluebellpitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from bluebellpitch.platform.entries import decode_entry
@@ -41,6 +42,7 @@
         now: Callable[[], float],
         is_reader: Callable[[], bool],
         tell: Callable[[RecordsTold], None],
+        metrics: Metrics,
     ):
         self._client = client
         self.topic = topic
@@ -48,6 +50,7 @@
         self._now = now
         self._is_reader = is_reader
         self._tell = tell
+        self._metrics = metrics
         self._next: int | None = None
         self._told_at = float("-inf")
         self._failing_since: float | None = None
@@ -107,11 +110,13 @@
         return records, False, known_at if end >= page.end else float("-inf")
 
     def _note_failure(self, error: Exception) -> None:
+        self._metrics.store_calls.labels(self.topic, "failed").inc()
         if self._failing_since is None:
             self._failing_since = self._now()
             log("WARNING", "store_lost", topic=self.topic, error=error)
 
     def _note_success(self) -> None:
+        self._metrics.store_calls.labels(self.topic, "answered").inc()
         if self._failing_since is None:
             return
         away_s = self._now() - self._failing_since
