--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -206,11 +206,19 @@
         return knows and not self.draining.is_set()
 
     async def run(self) -> None:
-        """Serves until told to stop, then finishes what it holds."""
+        """Serves until a signal says to stop, then finishes what it holds."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.draining.set)
         loop.add_signal_handler(signal.SIGINT, self.draining.set)
         loop.add_signal_handler(signal.SIGHUP, self._take_settings)
+        try:
+            await self.serve()
+        finally:
+            self.close()
+        log("INFO", "stopped", vm=self.settings.vm)
+
+    async def serve(self) -> None:
+        """Serves until ``draining`` is set, then finishes what it holds."""
         self.bus.bind(self.settings.bus)
         await self.ready_http.listen(*parse_address(self.settings.ready))
         if self._metrics_port:
@@ -219,13 +227,19 @@
         await self.http.listen(*parse_address(self.settings.listen))
         tasks = [asyncio.create_task(self._guard(job)) for job in self._jobs()]
         log("INFO", "started", vm=self.settings.vm, zone=self.settings.zone)
-        await self.draining.wait()
-        await asyncio.gather(self.neighbours.unregister(), self._drain())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        try:
+            await self.draining.wait()
+            await asyncio.gather(self.neighbours.unregister(), self._drain())
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        for server in (self.http, self.ready_http, self.metrics_http):
+            server.stop_listening()
         self.bus.close()
-        log("INFO", "stopped", vm=self.settings.vm)
 
     def _jobs(self) -> tuple[Coroutine, ...]:
         return (
--- /dev/null
+++ b/fakes/prepared.py
@@ -0,0 +1,223 @@
+"""A small deployment on the stand-ins of the prepared platform, all in one process."""
+
+import asyncio
+import socket
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bluebellpitch.entry import EntryVm
+from bluebellpitch.http1 import ClientConnection, HttpResponse
+from bluebellpitch.platform.settings_file import VmSettings, parse_settings
+from fakes.prepared_endpoint import FakeEndpoint
+from fakes.prepared_store import FakeStore
+
+HOST = "tile.example"
+KEY = "key-of-the-office"
+MEMBER = "office"
+
+
+def free_port() -> int:
+    """Returns a port of the loopback that nobody uses now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def route(name: str, kind: str, pool: str, **fields) -> dict:
+    """Returns a route under ``/NAME/``."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 2_000,
+        "goal_ms": 400,
+        "priority": 1,
+        "service": pool,
+        "max_attempts": 2,
+        "public": False,
+        **fields,
+    }
+
+
+def configuration(version: int, keys: tuple[str, ...] = (KEY,), routes=None) -> dict:
+    """Returns a configuration with a route of each kind."""
+    engine = {"slots": 8, "kv_capacity": 100_000}
+    return {
+        "version": version,
+        "routes": routes
+        or [
+            route("look", "safe", "app"),
+            route("file", "unsafe", "app"),
+            route("draft", "streaming", "engines", resumable=True, gap_target_ms=300),
+            route("explain", "streaming", "engines", max_attempts=1, gap_target_ms=300),
+        ],
+        "services": [
+            {"name": "app", "health_path": "/health", "max_conns": 50},
+            {"name": "engines", "health_path": "/health", "max_conns": 50, "engine": engine},
+        ],
+        "limits": {
+            "max_header_bytes": 4_096,
+            "max_body_bytes": 10_000,
+            "header_timeout_ms": 1_000,
+            "idle_timeout_ms": 5_000,
+        },
+        "tenants": [{"name": MEMBER, "api_keys": list(keys)}],
+    }
+
+
+def settings_text(name: str, zone: str, store: str, listen: str, ready: str, bus_port: int) -> str:
+    """Returns a settings file as the platform writes it."""
+    return f"""node_name={name}
+ip=127.0.0.1
+zone={zone}
+region=r-{zone}
+zones.{zone}=r-{zone}
+listen.front={listen}
+listen.ready={ready}
+port_range={bus_port},{bus_port}
+heartbeat_ms=1200
+bounds.revoke_ms=2500
+bounds.config_apply_ms=1000
+bounds.grace_s=3
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.budget_burst=50
+platform.address={store}
+"""
+
+
+@dataclass
+class Deployment:
+    """A store, endpoints and entry VMs on the loopback. Use as an asynchronous context."""
+
+    store: FakeStore = field(default_factory=FakeStore)
+    store_address: str = ""
+    vms: list[EntryVm] = field(default_factory=list)
+    _tasks: list[asyncio.Task] = field(default_factory=list)
+    _fakes: list = field(default_factory=list)
+
+    async def __aenter__(self) -> "Deployment":
+        port = await self.store.start("127.0.0.1", 0)
+        self.store_address = f"127.0.0.1:{port}"
+        self.configure(1)
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for vm in self.vms:
+            vm.close()
+        for fake in (self.store, *self._fakes):
+            fake.http.stop_listening()
+
+    def configure(self, version: int, **fields) -> None:
+        """Writes a configuration as the operator does."""
+        data = msgspec.json.encode(configuration(version, **fields))
+        self.store.put("keyed.op", "config", data)
+
+    async def add_endpoint(self, name: str, pool: str, zone: str = "z", **fields) -> FakeEndpoint:
+        """Starts an endpoint and announces it."""
+        endpoint = FakeEndpoint(name)
+        port = await endpoint.start("127.0.0.1", 0)
+        endpoint.address = f"127.0.0.1:{port}"
+        self._fakes.append(endpoint)
+        self.announce(endpoint, pool, zone, **fields)
+        return endpoint
+
+    def announce(self, endpoint: FakeEndpoint, pool: str, zone: str = "z", **fields) -> None:
+        """Writes an endpoint's entry."""
+        entry = {
+            "service": pool,
+            "address": endpoint.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "born": 1,
+            "seq": 1,
+            **fields,
+        }
+        self.store.put("keyed.servers", endpoint.name, msgspec.json.encode(entry))
+
+    def retire(self, name: str) -> None:
+        """Removes an endpoint's entry."""
+        self.store.put("keyed.servers", name, b"")
+
+    async def add_vm(self, zone: str = "z", store: str = "") -> EntryVm:
+        """Starts an entry VM and waits until it is ready."""
+        listen, ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
+        name = f"vm-{len(self.vms) + 1}"
+        text = settings_text(name, zone, store or self.store_address, listen, ready, free_port())
+        settings = parse_settings(text)
+        vm = EntryVm(settings, lambda: settings, time.monotonic)
+        self.vms.append(vm)
+        self._tasks.append(asyncio.create_task(vm.serve()))
+        await wait_until(vm.is_ready)
+        return vm
+
+
+async def wait_until(condition, timeout_s: float = 5.0) -> None:
+    """Waits until a condition holds; fails after ``timeout_s``."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@dataclass
+class PlatformClient:
+    """A caller that keeps its connection. ``settings`` are those of the VM it calls."""
+
+    settings: VmSettings
+    key: str = KEY
+    _connection: ClientConnection | None = None
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        request_id: str,
+        body: bytes = b"",
+        patience_s: float = 2.0,
+        headers=(),
+    ) -> HttpResponse:
+        """Makes one call. Raises BrokenError when it has no whole answer."""
+        if self._connection is None or not self._connection.is_reusable():
+            self._connection = await ClientConnection.open(self.settings.listen, 1.0)
+        connection = self._connection
+        sent = [
+            ("Host", HOST),
+            ("Request-Id", request_id),
+            ("Deadline-Ms", str(int(patience_s * 1000))),
+            ("Authorization", f"Bearer {self.key}"),
+            ("Content-Length", str(len(body))),
+            *headers,
+        ]
+        await connection.send_exactly(method, path, sent, body)
+        head = await connection.read_head(patience_s + 1)
+        parts = [part async for part in connection.read_body(patience_s + 1)]
+        names = tuple((name.decode(), value.decode()) for name, value in head.headers)
+        return HttpResponse(head.status_code, names, b"".join(parts))
+
+    async def stream(self, path: str, request_id: str, tokens: int = 100, **fields):
+        """Asks for a generation."""
+        headers = [
+            ("Model", "m"),
+            ("Token-Usage", f"{tokens},20"),
+            ("Prompt-Prefix", f"aa:{tokens // 2},{request_id}:{tokens - tokens // 2}"),
+        ]
+        return await self.call("POST", path, request_id, b"prompt", headers=headers, **fields)
+
+    def leave(self) -> None:
+        """Closes the connection at once."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+
+def header(response: HttpResponse, name: str) -> str:
+    """Returns one header of a response, or nothing."""
+    return dict(response.headers).get(name, "")
--- /dev/null
+++ b/fakes/prepared_endpoint.py
@@ -0,0 +1,92 @@
+"""A stand-in for the prepared platform's servers: engines with streams, and plain services."""
+
+import asyncio
+
+from bluebellpitch.errors import GoneError
+from fakes.server import FakeServer
+
+SIGNATURE = ("Response-Signature", "3e1b.07.5a2")
+
+
+class FakeEndpoint(FakeServer):
+    """Answers as itself, and counts what it ran, by request id.
+
+    ``mode`` is how it misbehaves: ``refuse`` (503, not run), ``other`` (421), ``fail`` (500),
+    ``reset`` (runs, no answer), ``cut`` (ends inside an event), ``extra`` (a second answer after
+    each), ``unsigned``, ``encoded``, ``short`` (less than its length says), ``garbage``, ``slow``.
+    """
+
+    def __init__(self, name: str, events: int = 4):
+        super().__init__()
+        self.name = name
+        self.mode = ""
+        self.events = events
+        self.pause_s = 0.0
+        self.cut_after = 2
+        self.ran: list[str] = []
+        self.requests: list = []
+        self.cancelled = 0
+
+    async def serve(self, connection, request) -> None:
+        """Answers one request."""
+        self.requests.append(request)
+        request_id = request.header("request-id")
+        headers = [("Request-Id", request_id), ("Server-Load", "1,0,8,100")]
+        if request.header("target-instance") != self.name or self.mode == "other":
+            await connection.respond(421, headers, b"")
+            return
+        if self.mode == "refuse":
+            await connection.respond(503, [*headers, ("Not-Executed", "1")], b"")
+            return
+        self.ran.append(request_id)
+        headers.append(SIGNATURE)
+        if self.mode == "reset":
+            raise GoneError("reset")
+        if self.mode == "garbage":
+            connection.writer.write(b"\x00\x01 these are no bytes of an answer\r\n\r\n")
+            raise GoneError("garbage")
+        if self.mode == "slow":
+            await self._sleep(connection, 3.0)
+        if request.header("token-usage"):
+            await self._stream(connection, request, headers)
+        else:
+            await self._answer(connection, request_id, headers)
+
+    async def _sleep(self, connection, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await connection.wait_gone()
+            self.cancelled += 1
+            raise GoneError("cancelled")
+        except TimeoutError:
+            return
+
+    async def _answer(self, connection, request_id: str, headers) -> None:
+        body = f"{self.name} answers {request_id}".encode()
+        if self.mode == "unsigned":
+            headers = [pair for pair in headers if pair != SIGNATURE]
+        if self.mode == "encoded":
+            headers = [*headers, ("Content-Encoding", "br")]
+        if self.mode == "short":
+            await connection.start(200, [*headers, ("Content-Length", str(len(body) + 9))])
+            await connection.send(body)
+            raise GoneError("short")
+        await connection.respond(500 if self.mode == "fail" else 200, headers, body)
+        if self.mode == "extra":
+            extra = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: x\r\n"
+            extra += b"Content-Length: 5\r\n\r\nextra"
+            # Comes when the next request has been sent: the one place where it could be taken.
+            await asyncio.sleep(0.05)
+            connection.writer.write(extra % request_id.encode())
+
+    async def _stream(self, connection, request, headers) -> None:
+        start = int(request.header("last-event-id", "0"))
+        await connection.start(200, [*headers, ("Content-Type", "text/event-stream")])
+        for number in range(start + 1, self.events + 1):
+            if self.mode == "cut" and number > self.cut_after:
+                connection.writer.write(b"7\r\nid: 3\nd\r\n")
+                raise GoneError("cut inside an event")
+            await connection.send(f"id: {number}\ndata: piece {number}\n\n".encode())
+            if self.pause_s:
+                await self._sleep(connection, self.pause_s)
+        await connection.end()
--- /dev/null
+++ b/fakes/prepared_store.py
@@ -0,0 +1,135 @@
+"""A stand-in for the prepared platform's store: keyed topics with one partition, in memory."""
+
+import asyncio
+import base64
+import struct
+from urllib.parse import parse_qs
+
+from bluebellpitch.errors import GoneError
+from fakes.server import FakeServer, answer
+
+LENGTH = struct.Struct(">I")
+
+
+class FakeStore(FakeServer):
+    """Serves ``/log-append``, ``/log-read`` and ``/log-newest``.
+
+    Faults: ``status`` answers all calls with it, ``silent`` never answers, ``lose_answers`` takes
+    the next appends without an answer, ``late_s`` lets these land so much later, ``slow_s`` delays
+    each call.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.status = 200
+        self.silent = False
+        self.lose_answers = 0
+        self.late_s = 0.0
+        self.slow_s = 0.0
+        self.calls: list[str] = []
+        self._records: dict[str, list[bytes]] = {}
+        self._first: dict[str, int] = {}
+        self._newest: dict[str, dict[str, tuple[bytes, int]]] = {}
+        self._grown = asyncio.Event()
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Appends a record of a keyed topic; returns its offset."""
+        name = key.encode()
+        return self._append(topic, [bytes([len(name)]) + name + value])
+
+    def forget(self, topic: str) -> None:
+        """Deletes the records of a topic; the newest of each key stays."""
+        self._first[topic] = self._end(topic)
+        self._records[topic] = []
+
+    def newest_keys(self, topic: str) -> set[str]:
+        """Returns the keys that have a value."""
+        return set(self._newest.get(topic, {}))
+
+    def _end(self, topic: str) -> int:
+        return self._first.get(topic, 0) + len(self._records.get(topic, []))
+
+    def _append(self, topic: str, records: list[bytes]) -> int:
+        offset = self._end(topic)
+        for place, record in enumerate(records):
+            key = record[1 : 1 + record[0]].decode()
+            value = record[1 + record[0] :]
+            keys = self._newest.setdefault(topic, {})
+            if value:
+                keys[key] = (value, offset + place)
+            else:
+                keys.pop(key, None)
+        self._records.setdefault(topic, []).extend(records)
+        self._grown.set()
+        self._grown = asyncio.Event()
+        return offset
+
+    async def serve(self, connection, request) -> None:
+        """Answers one call."""
+        path, _, text = request.target.partition("?")
+        query = {name: values[0] for name, values in parse_qs(text).items()}
+        self.calls.append(path)
+        if self.silent:
+            await asyncio.sleep(3600)
+        await asyncio.sleep(self.slow_s)
+        if self.status != 200:
+            await answer(connection, {}, self.status)
+        elif path == "/log-append":
+            await self._serve_append(connection, query["topic"], request.body)
+        elif path == "/log-read":
+            await self._serve_read(connection, query)
+        else:
+            await self._serve_newest(connection, query)
+
+    async def _serve_append(self, connection, topic: str, body: bytes) -> None:
+        records = list(split(body))
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            asyncio.get_running_loop().call_later(self.late_s, self._append, topic, records)
+            raise GoneError("answer lost")
+        offset = self._append(topic, records)
+        await answer(connection, {"offset": offset, "end": self._end(topic)})
+
+    async def _serve_read(self, connection, query: dict[str, str]) -> None:
+        topic, start = query["topic"], int(query["from"])
+        wait_s = int(query.get("wait_ms", "0")) / 1000
+        if start >= self._end(topic):
+            grown = self._grown
+            try:
+                async with asyncio.timeout(wait_s):
+                    while start >= self._end(topic):
+                        await grown.wait()
+                        grown = self._grown
+            except TimeoutError:
+                pass
+        if self.status != 200:
+            await answer(connection, {}, self.status)
+            return
+        first = self._first.get(topic, 0)
+        if start < first:
+            await answer(connection, {"first": first}, 410)
+            return
+        records = self._records.get(topic, [])[start - first :]
+        body = struct.pack(">QQ", self._end(topic), first)
+        body += b"".join(LENGTH.pack(len(record)) + record for record in records)
+        await connection.respond(200, [("Content-Type", "application/octet-stream")], body)
+
+    async def _serve_newest(self, connection, query: dict[str, str]) -> None:
+        topic = query["topic"]
+        keys = sorted(self._newest.get(topic, {}).items())
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (value, offset) in keys
+            if key > query.get("after", "")
+        ]
+        page = items[:2]
+        end = self._end(topic)
+        await answer(connection, {"items": page, "has_more": len(items) > 2, "end": end})
+
+
+def split(body: bytes):
+    """Yields the records of an append."""
+    while body:
+        (size,) = LENGTH.unpack_from(body)
+        yield body[4 : 4 + size]
+        body = body[4 + size :]
--- /dev/null
+++ b/tests/test_entry_decisions.py
@@ -0,0 +1,157 @@
+"""Freshness, budgets of repeats, the directory, liveness, and the choice of plain endpoints."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellpitch.decisions.directory import LAPSE_BELIEVED_S, Directory
+from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.freshness import Freshness, read_known_at
+from bluebellpitch.decisions.liveness import SILENT_AFTER_S, Liveness, Peer
+from bluebellpitch.decisions.loads import Loads, Work
+from bluebellpitch.decisions.plain_choice import choose_plain
+from bluebellpitch.decisions.repeats import RepeatBudget
+
+
+def make_entry(name: str, zone: str = "z", draining: bool = False, born: int = 1) -> EndpointEntry:
+    return EndpointEntry(name, "app", "10.0.0.1:80", zone, 4, draining, born)
+
+
+def test_keys_lapse_before_the_bound():
+    freshness = Freshness(revoke_s=5.0, apply_s=3.0)
+    assert not freshness.allows_keys(0.0)
+    freshness.confirm(10.0)
+    assert freshness.allows_keys(14.0) and freshness.allows_denial(12.0)
+    assert not freshness.allows_keys(14.9)
+    assert not freshness.allows_denial(13.5)
+
+
+def test_knowledge_never_grows_older():
+    freshness = Freshness(5.0, 3.0)
+    freshness.confirm(10.0)
+    freshness.confirm(4.0)
+    assert freshness.known_at == 10.0
+
+
+@given(asked=st.floats(0, 100), took=st.floats(0, 10), wait=st.floats(0, 5), empty=st.booleans())
+def test_a_read_shows_nothing_later_than_its_answer(asked, took, wait, empty):
+    known_at = read_known_at(asked, asked + took, wait, empty)
+    assert asked <= known_at <= asked + took or known_at == asked
+
+
+@given(
+    requests=st.lists(st.floats(0, 30), max_size=80),
+    repeats=st.lists(st.floats(0, 30), max_size=80),
+    vms=st.integers(1, 20),
+)
+def test_all_vms_together_stay_within_the_budget(requests, repeats, vms):
+    """Each VM alone spends no more than its part, in every window."""
+    budget = RepeatBudget(share=0.2, burst=54.0, window_s=10.0)
+    events = sorted([(t, 0) for t in requests] + [(t, 1) for t in repeats])
+    spent = []
+    for at, kind in events:
+        if kind == 0:
+            budget.note_request("app", at)
+        elif budget.spend("app", vms, at):
+            spent.append(at)
+    for end in spent:
+        window = [t for t in spent if end - 10 < t <= end]
+        own = [t for t in requests if end - 20 < t <= end]
+        assert len(window) <= 0.2 * len(own) + 54 / vms + 1
+
+
+def test_entry_that_lapses_beside_an_outage_is_believed_a_little():
+    directory = Directory()
+    directory.take(make_entry("i-1"))
+    directory.drop("i-1", store_was_away=True, now=10.0)
+    assert list(directory.usable("app"))
+    assert directory.expire(10.0 + LAPSE_BELIEVED_S) == ["i-1"]
+    assert not list(directory.usable("app"))
+
+
+def test_entry_that_comes_back_stays():
+    directory = Directory()
+    directory.take(make_entry("i-1"))
+    directory.drop("i-1", store_was_away=True, now=10.0)
+    directory.take(make_entry("i-1"))
+    assert directory.expire(20.0) == []
+
+
+def test_entry_dropped_in_calm_is_gone_at_once():
+    directory = Directory()
+    directory.take(make_entry("i-1"))
+    assert directory.drop("i-1", store_was_away=False, now=10.0)
+    assert not directory.entries_by_id
+
+
+def test_replaced_endpoint_is_back_only_as_another_incarnation():
+    directory = Directory()
+    entry = make_entry("i-1")
+    directory.take(entry)
+    directory.mark_replaced(entry)
+    directory.take(entry)
+    assert not list(directory.usable("app"))
+    directory.take(make_entry("i-1", born=2))
+    assert list(directory.usable("app"))
+
+
+def make_peer(key: str, now: float, draining: bool = False) -> Peer:
+    return Peer(key, "z", f"{key}:1", draining, 1, now)
+
+
+def test_all_vms_name_the_same_holder():
+    keys = ["a", "b", "c", "d"]
+    holders = set()
+    for own in keys:
+        liveness = Liveness(own, "z")
+        for other in keys:
+            if other != own:
+                liveness.hear(make_peer(other, 0.0))
+        holders.add(liveness.holder("duty", 0.1, own_draining=False))
+    assert len(holders) == 1
+
+
+def test_silent_draining_and_shunned_vms_hold_no_duty():
+    liveness = Liveness("a", "z")
+    liveness.hear(make_peer("b", 0.0))
+    assert liveness.lost(SILENT_AFTER_S + 0.1) == ["b"]
+    liveness.hear(make_peer("c", 1.0, draining=True))
+    liveness.hear(make_peer("d", 1.0))
+    liveness.shun("d", 2.0)
+    assert all(liveness.holder(f"duty{n}", 1.1, False) == "a" for n in range(20))
+    assert any(liveness.holder(f"duty{n}", 1.1, own_draining=True) == "a" for n in range(20))
+
+
+def choose(entries, loads, avoid=frozenset(), now=0.0):
+    return choose_plain(entries, loads, {"z": 0.0, "far": 1.0}, avoid, now)
+
+
+def make_work(name: str) -> Work:
+    return Work(name, "app", 1, 0, 0, (), 0.2, 0.0, 2.0)
+
+
+def test_near_idle_endpoint_is_chosen():
+    entries = [make_entry("far", "far"), make_entry("near")]
+    assert choose(entries, Loads()).id == "near"
+
+
+def test_busy_endpoint_yields_to_a_far_one():
+    entries, loads = [make_entry("far", "far"), make_entry("near")], Loads()
+    loads.of(entries[1]).held.update({f"w{n}": make_work(f"w{n}") for n in range(8)})
+    assert choose(entries, loads).id == "far"
+
+
+def test_endpoint_that_fails_more_than_its_siblings_is_avoided_and_comes_back():
+    entries, loads = [make_entry("grey"), make_entry("good")], Loads()
+    for _ in range(20):
+        loads.of(entries[0]).note_outcome(True, 0.0)
+        loads.of(entries[1]).note_outcome(False, 0.0)
+    assert choose(entries, loads).id == "good"
+    loads.of(entries[1]).held.update({"w": make_work("w")})
+    assert choose(entries, loads, now=30.0).id == "grey"
+
+
+def test_unreachable_endpoint_is_passed_over_unless_it_is_the_last():
+    entries, loads = [make_entry("down"), make_entry("up")], Loads()
+    loads.of(entries[0]).note_unreachable(0.0)
+    assert choose(entries, loads, now=0.1).id == "up"
+    assert choose(entries[:1], loads, now=0.1).id == "down"
