--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -67,6 +67,14 @@
 Decision = Granted | Queued | Refused
 
 
+@dataclass(frozen=True, slots=True)
+class LongOffer:
+    """Cost of a long prompt in a zone, in seconds: a fixed part, and one for each token."""
+
+    fixed_s: float
+    s_per_token: float
+
+
 @dataclass(slots=True)
 class WaitingWork:
     """Work in the queue."""
@@ -111,15 +119,33 @@
         return any(engine.is_usable(now) for engine in self._engines.values())
 
     def read_again_s(self, work: Work) -> float:
-        """Returns the cost of the shared parts that no engine here keeps."""
-        unread = min((e.unread_shared(work) for e in self._engines.values()), default=0)
-        return unread * self.speed.s_per_token * READ_AGAIN_S
+        """Returns the cost of reading the shared parts of a prompt again."""
+        shared = work.tokens_in - self.unkept_tokens(work)
+        return shared * self.speed.s_per_token * READ_AGAIN_S
+
+    def unkept_tokens(self, work: Work) -> int:
+        """Returns the part of a prompt that no engine can have kept."""
+        return work.parts[-1][1] if work.parts else work.tokens_in
+
+    def long_cost_s(self, work: Work, avoid: frozenset[str], now: float) -> float:
+        """Returns the cost of a long prompt here, behind what waits already."""
+        engines = self._usable(work, avoid, now)
+        if not engines:
+            return float("inf")
+        best = min(self._cost(engine, work, now) for engine in engines)
+        return best + self._queue_s(work, len(engines))
 
-    def typical_wait_s(self, now: float) -> float:
-        """Returns how long a usual larger prompt would wait here."""
-        tokens = int(self._typical_tokens)
+    def offer_long(self, now: float) -> LongOffer:
+        """Returns what a long prompt that no engine keeps would cost here."""
+        tokens = max(1, int(self._typical_tokens))
         typical = Work("", self.pool, 1 << 20, tokens, 1, (), 1.0, now, now + 1.0)
-        return self.expected_wait_s(typical, frozenset(), now)
+        engines = self._usable(typical, frozenset(), now)
+        if not engines:
+            return LongOffer(float("inf"), 0.0)
+        engine = min(engines, key=lambda engine: self._cost(engine, typical, now))
+        s_per_token = self.speed.s_per_token * (1 + engine.streams() * DISTURBING_S)
+        cost_s = self._cost(engine, typical, now) - tokens * s_per_token
+        return LongOffer(cost_s + self._queue_s(typical, len(engines)), s_per_token)
 
     def s_per_token(self) -> float:
         """Returns the reading time of a token when all engines here read as much as they may."""
@@ -152,14 +178,16 @@
         if not engines:
             return float("inf")
         best = min(self._wait_s(engine, work, now) for engine in engines)
-        if self.is_short(work):
-            return best
+        return best if self.is_short(work) else best + self._queue_s(work, len(engines))
+
+    def _queue_s(self, work: Work, engines: int) -> float:
+        """Returns how long what waits before this work takes."""
         ahead = sum(
             waiting.work.tokens_in
             for waiting in self.waiting_by_id.values()
             if waiting.work.rank <= work.rank
         )
-        return best + ahead * self.speed.s_per_token / (READING_SHARE * len(engines))
+        return ahead * self.speed.s_per_token / (READING_SHARE * engines)
 
     def serve(self, now: float) -> Iterator[Decision]:
         """Yields grants and refusals that are due."""
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -240,17 +240,19 @@
 
 
 class ZoneLoad(msgspec.Struct, frozen=True, tag="zone_load"):
-    """How long a long prompt would wait in a zone, and what a short one costs there.
+    """What a prompt costs in a zone, as seconds of waiting, told by the broker there.
 
-    ``s_per_token`` is the reading time of all its engines together. ``sessions`` are the last
-    shared parts of the prompts that were granted there since the load was told before.
+    A long one costs a fixed part and one for each token. ``queue_s_per_token`` is the time that
+    all engines there need for a token. ``sessions`` are the last shared parts of the prompts that
+    were granted there since the load was told before.
     """
 
     pool: str
     zone: str
-    wait_s: float
+    long_fixed_s: float
+    long_s_per_token: float
     short_cost_s: float
-    s_per_token: float
+    queue_s_per_token: float
     reply_to: str
     sessions: tuple[str, ...] = ()
 
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation.py
@@ -57,9 +57,10 @@
 class OtherZone:
     """What the broker of another zone told last, with what was passed on there since."""
 
-    wait_s: float
+    long_fixed_s: float
+    long_s_per_token: float
     short_cost_s: float
-    s_per_token: float
+    queue_s_per_token: float
     address: str
     told_at: float
     sessions_at: dict[str, float]
@@ -76,7 +77,7 @@
 
     def note_passed_on(self, tokens: int) -> None:
         """Counts work that was passed on, until the zone tells of it itself."""
-        self.wait_s += tokens * self.s_per_token
+        self.long_fixed_s += tokens * self.queue_s_per_token
         self.short_cost_s += broker_decisions.CROWDING_S
 
 
@@ -230,7 +231,13 @@
         sessions = known.sessions_at if known else {}
         sessions |= dict.fromkeys(load.sessions, now)
         self._others[(load.pool, load.zone)] = OtherZone(
-            load.wait_s, load.short_cost_s, load.s_per_token, load.reply_to, now, sessions
+            load.long_fixed_s,
+            load.long_s_per_token,
+            load.short_cost_s,
+            load.queue_s_per_token,
+            load.reply_to,
+            now,
+            sessions,
         )
 
     def _take_answer(self, message) -> None:
@@ -282,11 +289,13 @@
             own_s = broker.short_cost_s(now)
             other = self._better_zone(work.pool, own_s, lambda other: other.short_cost_s, now)
         else:
+            own_s = broker.long_cost_s(work, avoid, now)
             again_s = broker.read_again_s(work)
-            own_s = broker.expected_wait_s(work, avoid, now) + again_s
 
             def cost(other: OtherZone) -> float:
-                return other.wait_s + (0.0 if other.keeps(work, now) else again_s)
+                unread = broker.unkept_tokens(work) if other.keeps(work, now) else work.tokens_in
+                reread_s = 0.0 if other.keeps(work, now) else again_s
+                return other.long_fixed_s + unread * other.long_s_per_token + reread_s
 
             other = self._better_zone(work.pool, own_s, cost, now)
         if other is None:
@@ -412,10 +421,12 @@
             if row.engine is None or self._holder(pool) != self._key:
                 continue
             broker = self._broker(pool)
+            offer = broker.offer_long(now)
             load = ZoneLoad(
                 pool,
                 self._zone,
-                broker.typical_wait_s(now),
+                offer.fixed_s,
+                offer.s_per_token,
                 broker.short_cost_s(now),
                 broker.s_per_token(),
                 self._address,
