--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -39,6 +39,7 @@
 UNKNOWN_STATE_RETRY_S = 0.5
 NO_ENDPOINT_RETRY_S = 0.4
 HARMFUL_RETRY_S = 60.0
+NO_GAP_TARGET_S = 60.0
 CRASH_CHECK_S = 0.05
 
 
@@ -249,7 +250,7 @@
                 verdict = await self._attempt(admitted, place)
                 outcome = name_outcome(verdict)
             finally:
-                context.placing.release(place, outcome)
+                context.placing.release(place, outcome, self._longest_gap_s)
             if outcome == "failed" and isinstance(verdict, MayHaveRun):
                 await self._note_crash(place, admitted.request)
             match verdict:
@@ -388,6 +389,7 @@
         tokens_out=prompt.tokens_out,
         parts=tuple((part.id, part.tokens) for part in prompt.parts),
         target_s=admitted.route.target_s,
+        gap_s=admitted.route.gap_target_s or NO_GAP_TARGET_S,
         arrived_at=admitted.arrived_at,
         expires_at=admitted.expires_at,
     )
--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -115,6 +115,10 @@
         """Returns how many streams with short prompts, which reading would hold up, run there."""
         return sum(held.is_short for held in self.held_by_id.values())
 
+    def smallest_gap_s(self) -> float | None:
+        """Returns the smallest gap target of the streams that run there."""
+        return min((h.work.gap_s for h in self.held_by_id.values() if h.is_read), default=None)
+
     def reading_left_s(self, now: float) -> float:
         """Returns how long the engine still reads what was sent to it."""
         return self.pace.free_at(now) - now
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -11,7 +11,12 @@
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.engine_state import EngineState, HeldWork
 from bluebellpitch.decisions.loads import Work
-from bluebellpitch.decisions.reading import READING_SHARE, ReadingSpeed
+from bluebellpitch.decisions.reading import (
+    READING_SHARE,
+    WHOLE_SHARE,
+    ReadingShare,
+    ReadingSpeed,
+)
 
 # A prompt that takes at most this part of a gap to read is not paced.
 SHORT_SHARE = 0.12
@@ -30,6 +35,8 @@
 READ_AGAIN_S = 2.0
 FAILING_S = 1.0
 HELD_TOO_LONG_S = 2.0
+# Gaps count against reading at engines that read for this part of the recent time.
+READING_NOTED = 0.15
 RETRY_SHORTEST_S = 0.3
 TYPICAL_WEIGHT = 0.1
 NO_ENGINE = "no_engine_here"
@@ -100,6 +107,8 @@
         self._engines: dict[tuple[str, int], EngineState] = {}
         self._engine_by_work: dict[str, EngineState] = {}
         self._typical_tokens = 0.0
+        self.share_beside_short = ReadingShare()
+        self.share_beside_long = ReadingShare(WHOLE_SHARE)
 
     def set_engines(
         self, entries: Iterable[EndpointEntry], slots: int, memory_tokens: int, gap_s: float | None
@@ -138,7 +147,7 @@
     def offer_long(self, now: float) -> LongOffer:
         """Returns what a long prompt that no engine keeps would cost here."""
         tokens = max(1, int(self._typical_tokens))
-        typical = Work("", self.pool, 1 << 20, tokens, 1, (), 1.0, now, now + 1.0)
+        typical = Work("", self.pool, 1 << 20, tokens, 1, (), 1.0, self.gap_s, now, now + 1.0)
         engines = self._usable(typical, frozenset(), now)
         if not engines:
             return LongOffer(float("inf"), 0.0)
@@ -218,6 +227,7 @@
             "held": str(len(engine.held_by_id)),
             "tokens_per_ms": f"{0.001 / self.speed.s_per_token:.1f}",
             "fixed_ms": f"{self.speed.fixed_s * 1000:.0f}",
+            "reading_share": f"{self._share_beside(engine).value:.2f}",
         }
 
     def _refuse_hopeless(self, now: float) -> Iterator[Refused]:
@@ -253,9 +263,14 @@
         seconds = self._reading_s(engine, work)
         if seconds <= SHORT_SHARE * self.gap_s:
             return 0.0
-        if not engine.streams():
+        gap_s = engine.smallest_gap_s()
+        share = self._share_beside(engine).value
+        if gap_s is None or share >= WHOLE_SHARE:
             return max(0.0, engine.reading_left_s(now) - UNSEEN_READING_S)
-        return engine.pace.wait_s(seconds, self.gap_s, now)
+        return engine.pace.wait_s(seconds, gap_s, share, now)
+
+    def _share_beside(self, engine: EngineState) -> ReadingShare:
+        return self.share_beside_short if engine.streams() else self.share_beside_long
 
     def _pick(self, waiting: WaitingWork, now: float) -> EngineState | None:
         """Returns the engine with the least cost if the work may start there now."""
@@ -281,7 +296,7 @@
 
     def short_cost_s(self, now: float) -> float:
         """Returns the least cost of a usual short prompt here."""
-        work = Work("", self.pool, 0, 1, 1, (), 1.0, now, now + 1.0)
+        work = Work("", self.pool, 0, 1, 1, (), 1.0, self.gap_s, now, now + 1.0)
         engines = self._usable(work, frozenset(), now)
         return min((self._cost(engine, work, now) for engine in engines), default=float("inf"))
 
@@ -313,13 +328,16 @@
         if all(other.is_read for other in engine.held_by_id.values()):
             engine.pace.finish_early(now)
 
-    def done(self, work_id: str, outcome: str, now: float) -> None:
+    def done(self, work_id: str, outcome: str, now: float, longest_gap_s: float = 0.0) -> None:
         """Notes that work has left its engine: ``ok``, ``failed``, ``unreachable``, ``refused``."""
         self.waiting_by_id.pop(work_id, None)
         engine = self._engine_by_work.pop(work_id, None)
         if engine is None:
             return
-        engine.held_by_id.pop(work_id, None)
+        held = engine.held_by_id.pop(work_id, None)
+        if held and held.is_read and engine.recent_reading(now) > READING_NOTED:
+            share = self.share_beside_short if held.is_short else self.share_beside_long
+            share.note(longest_gap_s > held.work.gap_s)
         if outcome == "ok":
             engine.heard_at = now
         elif outcome == "failed":
--- a/bluebellpitch/decisions/loads.py
+++ b/bluebellpitch/decisions/loads.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Work:
-    """What is to be placed. Sizes in tokens; ``rank`` 0 is first; times of the owner's clock."""
+    """What is to be placed. Sizes in tokens; ``gap_s`` is the longest pause between events; ``rank`` 0 is first; times of the owner's clock."""
 
     id: str
     pool: str
@@ -24,6 +24,7 @@
     tokens_out: int
     parts: tuple[tuple[str, int], ...]
     target_s: float
+    gap_s: float
     arrived_at: float
     expires_at: float
 
--- a/bluebellpitch/decisions/reading.py
+++ b/bluebellpitch/decisions/reading.py
@@ -7,8 +7,14 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-# Part of a gap target during which an engine may read.
+# Part of a gap target during which an engine may read, at first and within bounds.
 READING_SHARE = 0.65
+LEAST_READING_SHARE = 0.4
+# At this share an engine reads without a pause.
+WHOLE_SHARE = 1.0
+# So many streams may have a gap beyond their target before less is read.
+LATE_TOLERATED = 0.1
+SHARE_STEP = 0.012
 # What is assumed before anything was measured: (tokens, seconds).
 PRIOR_SAMPLES = ((0.0, 0.06), (10_000.0, 0.26))
 PRIOR_WEIGHT = 2.0
@@ -51,6 +57,21 @@
         return max(0.0, (self._y - self.s_per_token * self._x) / self._n)
 
 
+@dataclass(slots=True)
+class ReadingShare:
+    """The part of a gap target that may go into reading, from what streams went through.
+
+    It settles where the tolerated part of the streams has a gap beyond its target.
+    """
+
+    value: float = READING_SHARE
+
+    def note(self, late: bool) -> None:
+        """Notes whether a stream had a gap beyond its target beside reading."""
+        step = -SHARE_STEP * (1 - LATE_TOLERATED) if late else SHARE_STEP * LATE_TOLERATED
+        self.value = min(WHOLE_SHARE, max(LEAST_READING_SHARE, self.value + step))
+
+
 @dataclass(slots=True)
 class ReadingPace:
     """Planned spans of reading at one engine, oldest first, as (start, end)."""
@@ -73,10 +94,10 @@
         if self.spans and self.spans[-1][1] > now:
             self.spans[-1] = (self.spans[-1][0], now)
 
-    def wait_s(self, seconds: float, gap_s: float, now: float) -> float:
+    def wait_s(self, seconds: float, gap_s: float, share: float, now: float) -> float:
         """Returns how long a prompt has to wait so that every gap leaves time for tokens."""
         self._forget(now - gap_s)
-        allowed = READING_SHARE * gap_s
+        allowed = share * gap_s
         length = min(seconds, allowed)
         start = self.free_at(now)
         for _ in range(len(self.spans) + 1):
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -188,6 +188,7 @@
     tokens_out: int
     parts: tuple[tuple[str, int], ...]
     target_s: float
+    gap_s: float
     age_s: float
     left_s: float
     avoid: tuple[str, ...]
@@ -237,6 +238,7 @@
     work_id: str
     pool: str
     outcome: str
+    longest_gap_s: float = 0.0
 
 
 class ZoneLoad(msgspec.Struct, frozen=True, tag="zone_load"):
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation.py
@@ -174,6 +174,7 @@
             tokens_out=work.tokens_out,
             parts=work.parts,
             target_s=work.target_s,
+            gap_s=work.gap_s,
             age_s=now - work.arrived_at,
             left_s=work.expires_at - now,
             avoid=tuple(avoid),
@@ -199,9 +200,9 @@
         message = WorkRead(grant.work.id, grant.work.pool, waited_s, slowdown)
         self._send_to_address(grant.broker_address, message)
 
-    def release(self, grant: Grant, outcome: str) -> None:
+    def release(self, grant: Grant, outcome: str, longest_gap_s: float) -> None:
         """Tells the broker that the work has left the engine."""
-        message = WorkDone(grant.work.id, grant.work.pool, outcome)
+        message = WorkDone(grant.work.id, grant.work.pool, outcome, longest_gap_s)
         self._send_to_address(grant.broker_address, message)
 
     # Brokering.
@@ -217,9 +218,9 @@
                 broker = self._broker(pool)
                 broker.note_read(work_id, waited_s, slowdown, self._now())
                 self._serve(broker)
-            case WorkDone(work_id, pool, outcome):
+            case WorkDone(work_id, pool, outcome, longest_gap_s):
                 broker = self._broker(pool)
-                broker.done(work_id, outcome, self._now())
+                broker.done(work_id, outcome, self._now(), longest_gap_s)
                 self._serve(broker)
             case ZoneLoad():
                 self._take_load(message)
@@ -465,6 +466,7 @@
         tokens_out=ask.tokens_out,
         parts=ask.parts,
         target_s=ask.target_s,
+        gap_s=ask.gap_s,
         arrived_at=now - ask.age_s,
         expires_at=now + ask.left_s,
     )
--- a/bluebellpitch/roles/placing.py
+++ b/bluebellpitch/roles/placing.py
@@ -94,7 +94,7 @@
             waited_s = self._now() - sent_at - 2 * self._delay_s_by_zone.get(place.entry.zone, 0)
             self._generations.note_read(place.grant, waited_s, load.slowdown)
 
-    def release(self, place: Place, outcome: str) -> None:
+    def release(self, place: Place, outcome: str, longest_gap_s: float = 0.0) -> None:
         """Frees the place: ``ok``, ``failed``, ``unreachable``, ``refused`` or ``withdrawn``."""
         load = self.loads.of(place.entry)
         load.held.pop(place.work.id, None)
@@ -105,4 +105,4 @@
             case "unreachable":
                 load.note_unreachable(self._now())
         if place.grant is not None:
-            self._generations.release(place.grant, outcome)
+            self._generations.release(place.grant, outcome, longest_gap_s)
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -126,7 +126,7 @@
 
 
 def make_work(name: str) -> Work:
-    return Work(name, "app", 1, 0, 0, (), 0.2, 0.0, 2.0)
+    return Work(name, "app", 1, 0, 0, (), 0.2, 60.0, 0.0, 2.0)
 
 
 def test_near_idle_endpoint_is_chosen():
--- a/tests/test_generation_broker.py
+++ b/tests/test_generation_broker.py
@@ -13,7 +13,14 @@
     Refused,
 )
 from bluebellpitch.decisions.loads import Work
-from bluebellpitch.decisions.reading import READING_SHARE, ReadingPace, ReadingSpeed
+from bluebellpitch.decisions.reading import (
+    LEAST_READING_SHARE,
+    READING_SHARE,
+    WHOLE_SHARE,
+    ReadingPace,
+    ReadingShare,
+    ReadingSpeed,
+)
 
 GAP_S = 0.25
 
@@ -29,7 +36,8 @@
 
 
 def make_work(name: str, tokens: int, now: float, rank: int = 1, parts=(), left_s=5.0) -> Work:
-    return Work(name, "pool", rank, tokens, 50, tuple(parts), 0.6, now, now + left_s)
+    gap_s = GAP_S if tokens < 1000 else 2 * GAP_S
+    return Work(name, "pool", rank, tokens, 50, tuple(parts), 0.6, gap_s, now, now + left_s)
 
 
 def granted(decisions) -> list[str]:
@@ -228,6 +236,20 @@
 
 def test_pace_lets_a_first_prompt_pass():
     pace = ReadingPace()
-    assert pace.wait_s(0.5, GAP_S, 0.0) == 0.0
+    assert pace.wait_s(0.5, GAP_S, READING_SHARE, 0.0) == 0.0
     pace.add(0.5, 0.0)
-    assert pace.wait_s(0.1, GAP_S, 0.0) >= 0.5
+    assert pace.wait_s(0.1, GAP_S, READING_SHARE, 0.0) >= 0.5
+
+
+def test_reading_share_settles_where_few_streams_are_held_up():
+    share = ReadingShare(WHOLE_SHARE)
+    for _ in range(200):
+        share.note(late=True)
+    assert share.value == LEAST_READING_SHARE
+    for _ in range(1000):
+        share.note(late=False)
+    assert share.value == WHOLE_SHARE
+    before = share.value = 0.7
+    for number in range(100):
+        share.note(late=number % 10 == 0)
+    assert share.value == pytest.approx(before, abs=0.01)
