Let every VM that reads the store tell its zone, and ask peers when nothing comes

Change: whoever reads tells; a VM that is told nothing for a second asks its zone and two others for the records that it misses; a VM refuses a grant of an endpoint that it knows to be leaving. Test: two cases that failed before.

--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -21,6 +21,7 @@
     ConfigurationTold,
     FreshnessAsked,
     FreshnessTold,
+    RecordsAsked,
     RecordsTold,
     StrikeNoted,
     StrikesCleared,
@@ -163,7 +164,9 @@
         match message:
             case VmBeat():
                 self.neighbours.take(sender, message)
-            case RecordsTold() | ConfigurationTold() | FreshnessAsked() | FreshnessTold():
+            case RecordsTold() | RecordsAsked() | ConfigurationTold():
+                self.sharing.take(sender, message)
+            case FreshnessAsked() | FreshnessTold():
                 self.sharing.take(sender, message)
             case StrikeNoted(fingerprint, attempt):
                 self.strikes.add(fingerprint, attempt, self._now())
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -302,6 +302,14 @@
     records: tuple[tuple[str, bytes | None], ...]
 
 
+class RecordsAsked(msgspec.Struct, frozen=True, tag="records_asked"):
+    """Asks for the records of a topic from ``start`` on."""
+
+    topic: str
+    start: int
+    reply_to: str
+
+
 EntryMessage = (
     WorkAsked
     | WorkQueued
@@ -315,6 +323,7 @@
     | FreshnessTold
     | ConfigurationTold
     | RecordsTold
+    | RecordsAsked
 )
 
 Message = (
--- a/bluebellpitch/roles/following.py
+++ b/bluebellpitch/roles/following.py
@@ -23,6 +23,9 @@
 # What the zone's reader tells is relied on for this long.
 TOLD_BELIEVED_S = 1.8
 TOLD_CHECK_S = 0.1
+# Peers are asked for records when neither the store nor a peer has brought any for this long.
+ASK_RECORDS_AFTER_S = 1.0
+RECENT_RECORDS = 400
 # An outage shorter than this lets no entry lapse.
 AWAY_AFTER_S = 1.0
 
@@ -30,8 +33,8 @@
 class TopicFollower:
     """Reads a keyed topic record by record, through outages.
 
-    One VM of a zone reads from the store; it tells the others what it has read. These read for
-    themselves when they hear nothing, or miss a part.
+    One VM of a zone reads from the store and tells the others. A VM that hears nothing reads for
+    itself, and tells as well: the reader may be turned away while others are served.
     """
 
     def __init__(
@@ -55,6 +58,9 @@
         self._told_at = float("-inf")
         self._failing_since: float | None = None
         self.back_at = float("-inf")
+        self.current_at = float("-inf")
+        self._recent: list[tuple[str, bytes | None]] = []
+        self._recent_start = 0
 
     def was_away(self, now: float, within_s: float) -> bool:
         """Tells whether the store came back no longer ago than ``within_s``."""
@@ -66,13 +72,39 @@
             return False
         return self._now() - self._told_at < TOLD_BELIEVED_S
 
+    def _remember(self, start: int, records: tuple[tuple[str, bytes | None], ...]) -> None:
+        if self._recent_start + len(self._recent) != start:
+            self._recent.clear()
+            self._recent_start = start
+        self._recent.extend(records)
+        excess = len(self._recent) - RECENT_RECORDS
+        if excess > 0:
+            del self._recent[:excess]
+            self._recent_start += excess
+
+    def asks_from(self) -> int | None:
+        """Returns the offset to ask peers for, when this VM has fallen behind."""
+        behind = self._now() - max(self.current_at, self._told_at) > ASK_RECORDS_AFTER_S
+        return self._next if behind else None
+
+    def tell_from(self, start: int) -> RecordsTold | None:
+        """Returns what a VM that stands at ``start`` is missing; None if that is not known."""
+        if self._next is None or self._now() - max(self.current_at, self._told_at) > 1.0:
+            return None
+        if not self._recent_start <= start <= self._recent_start + len(self._recent):
+            return None
+        records = tuple(self._recent[start - self._recent_start :])
+        return RecordsTold(self.topic, start, start + len(records), records)
+
     def take_told(self, told: RecordsTold) -> tuple[KeyedRecord, ...]:
         """Returns the records that are new here; none when a part is missing before them."""
         if self._next is None or told.start > self._next:
             return ()
         self._told_at = self._now()
         known = self._next - told.start
-        self._next = max(self._next, told.next)
+        if told.next > self._next:
+            self._remember(self._next, told.records[known:])
+            self._next = told.next
         return tuple(KeyedRecord(key, value) for key, value in told.records[known:])
 
     async def read(self) -> tuple[tuple[KeyedRecord, ...], bool, float] | None:
@@ -102,10 +134,12 @@
         if unreadable:
             log("WARNING", "records_unreadable", topic=self.topic, count=unreadable)
         end = start + len(page.records)
-        if self._is_reader() and not unreadable:
+        if not unreadable:
             pairs = tuple((record.key, record.value) for record in records)
             self._tell(RecordsTold(self.topic, start, end, pairs))
+            self._remember(start, pairs)
         self._next = max(end, self._next or 0)
+        self.current_at = self._now()
         known_at = read_known_at(asked_at, self._now(), self._wait_s, not page.records)
         return records, False, known_at if end >= page.end else float("-inf")
 
--- a/bluebellpitch/roles/placing.py
+++ b/bluebellpitch/roles/placing.py
@@ -57,12 +57,19 @@
         if is_engine:
             found = await self._generations.seek(work, avoid)
             match found:
+                case Grant() if self._is_leaving(found.entry):
+                    self._generations.release(found, "withdrawn", 0.0)
                 case Grant():
                     return self._hold(Place(found.entry, work, found))
                 case DidNotRun(reason) if reason != NO_ENGINE:
                     return found
         return self._place_by_own_view(work, is_engine, avoid)
 
+    def _is_leaving(self, entry: EndpointEntry) -> bool:
+        """Tells whether this VM knows of an engine's leaving before its broker does."""
+        known = self.directory.entries_by_id.get(entry.id)
+        return known is not None and known.is_draining
+
     def _place_by_own_view(self, work: Work, is_engine: bool, avoid) -> Place | DidNotRun:
         now = self._now()
         entries = list(self.directory.usable(work.pool))
--- a/bluebellpitch/roles/sharing.py
+++ b/bluebellpitch/roles/sharing.py
@@ -15,6 +15,7 @@
     ConfigurationTold,
     FreshnessAsked,
     FreshnessTold,
+    RecordsAsked,
     RecordsTold,
 )
 from bluebellpitch.roles.following import ConfigurationRole, EndpointsRole
@@ -64,6 +65,11 @@
             case RecordsTold():
                 for record in self._endpoints.follower.take_told(message):
                     self._endpoints.take(record)
+            case RecordsAsked(topic, start, reply_to):
+                if topic == self._endpoints.follower.topic:
+                    told = self._endpoints.follower.tell_from(start)
+                    if told is not None:
+                        self._bus.send_to_address(reply_to, told)
             case ConfigurationTold(data):
                 self._configuration.take(data, sender)
             case FreshnessAsked(asked_at, version, reply_to):
@@ -90,6 +96,11 @@
                 ask = FreshnessAsked(now, self._configuration.version(), self._address)
                 for address in self._asked(age_s):
                     self._bus.send_to_address(address, ask)
+            start = self._endpoints.follower.asks_from()
+            if start is not None:
+                ask = RecordsAsked(self._endpoints.follower.topic, start, self._address)
+                for address in self._asked(ASK_ELSEWHERE_AFTER_S):
+                    self._bus.send_to_address(address, ask)
             self._note_lapse(now)
             await asyncio.sleep(ASK_INTERVAL_S)
 
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -389,3 +389,25 @@
     catalogue = decode_configuration(msgspec.json.encode(configuration(3)))
     assert catalogue.version == 3
     assert catalogue.gap_targets_by_pool == {"engines": 0.3}
+
+
+@pytest.mark.parametrize("zone", ["z", "y"])
+def test_vm_turned_away_by_the_store_learns_of_a_leaving_endpoint(zone):
+    """Neither the VM that reads for its zone, nor a zone that is turned away whole, is left out."""
+
+    async def body():
+        async with Deployment() as deployment:
+            endpoint = await deployment.add_endpoint("i-0", "app")
+            await deployment.add_vm()
+            gates = [await Gate.open(deployment.store_address) for _ in range(2)]
+            vms = [await deployment.add_vm(zone=zone, store=gate.address) for gate in gates]
+            for vm in vms:
+                await wait_until(lambda: len(vm.neighbours.records_by_vm) >= 2)
+            for gate in gates:
+                gate.shut()
+            await asyncio.sleep(0.3)
+            deployment.announce(endpoint, "app", state="draining")
+            for vm in vms:
+                await wait_until(lambda: not list(vm.directory.usable("app")), timeout_s=2.6)
+
+    asyncio.run(body())
