Split admission from routed requests, and asking for engines from brokering them

Change: callers/admission.py, roles/engine_seeking.py; the loop over attempts in steps of its own. A grant names its pool, so that one that nobody waits for is given back without the directory.

--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -1,14 +1,13 @@
 """One routed request, from its arrival to its end."""
 
 import asyncio
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bluebellpitch.callers.admission import Admitted, admit, make_work
 from bluebellpitch.callers.answers import describe_verdict
-from bluebellpitch.decisions.catalogue import Catalogue, MemberRow, Repeatability, Route, pick_pool
+from bluebellpitch.decisions.catalogue import Catalogue, Repeatability, Route
 from bluebellpitch.decisions.freshness import Freshness
-from bluebellpitch.decisions.loads import Work
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.repeats import RepeatBudget
 from bluebellpitch.decisions.strikes import StrikeBook, Suspicion
@@ -36,10 +35,8 @@
 UNSENT_AT_MOST = 4
 # A repeat needs this much time to be of use.
 REPEAT_WORTH_S = 0.05
-UNKNOWN_STATE_RETRY_S = 0.5
 NO_ENDPOINT_RETRY_S = 0.4
 HARMFUL_RETRY_S = 60.0
-NO_GAP_TARGET_S = 60.0
 CRASH_CHECK_S = 0.05
 
 
@@ -61,62 +58,6 @@
     now: Callable[[], float]
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
-    """A request with what the configuration says of it. ``expires_at`` ends its time."""
-
-    request: RoutedRequest
-    route: Route
-    pool: str
-    is_engine: bool
-    member: MemberRow | None
-    arrived_at: float
-    expires_at: float
-
-    @property
-    def rank(self) -> int:
-        """The rank in force: the member's goes before the route's."""
-        if self.member is not None and self.member.rank is not None:
-            return self.member.rank
-        return self.route.rank
-
-    @property
-    def may_repeat(self) -> bool:
-        """Tells whether the request may run again after it may have run."""
-        return self.route.repeatability is not Repeatability.ONCE
-
-
-def admit(
-    request: RoutedRequest, catalogue: Catalogue | None, freshness: Freshness, now: float
-) -> Admitted | DidNotRun:
-    """Finds the route and the member of a request, or tells why it is refused."""
-    if catalogue is None:
-        return DidNotRun("no_configuration", 503, UNKNOWN_STATE_RETRY_S)
-    may_deny = freshness.allows_denial(now)
-    route = catalogue.match(request.host, request.path)
-    if route is None:
-        return deny(404, "no_such_route", may_deny)
-    member = None
-    if catalogue.has_members and not route.is_public:
-        if not freshness.allows_keys(now):
-            return DidNotRun("configuration_not_fresh", 503, UNKNOWN_STATE_RETRY_S)
-        member = catalogue.members_by_key.get(request.key)
-        if member is None:
-            return deny(401, "unknown_key", may_deny)
-    pool = pick_pool(route, random.random())
-    row = catalogue.pools_by_name.get(pool)
-    is_engine = row is not None and row.engine is not None
-    expires_at = now + min(request.patience_s, route.timeout_s)
-    return Admitted(request, route, pool, is_engine, member, now, expires_at)
-
-
-def deny(status: int, reason: str, may_deny: bool) -> DidNotRun:
-    """Calls something unknown, or asks the caller to come back while that is not sure."""
-    if may_deny:
-        return DidNotRun(reason, status)
-    return DidNotRun(f"{reason}_not_sure", 503, UNKNOWN_STATE_RETRY_S)
-
-
 class RoutedExchange:
     """Serves one request. Owned by the caller's task."""
 
@@ -228,46 +169,62 @@
 
     async def _dispatch(self, admitted: Admitted) -> Verdict:
         """Tries endpoints until one answers, time is up, or no repeat is allowed."""
-        context, route = self._context, admitted.route
         sent, unsent = 0, 0
-        verdict: Verdict = DidNotRun("no_endpoint", 503, NO_ENDPOINT_RETRY_S)
+        verdict: Verdict | None = None
         ran_maybe: MayHaveRun | None = None
-        while True:
-            now = context.now()
-            if now >= admitted.expires_at - (REPEAT_WORTH_S if sent else 0):
-                return ran_maybe or (verdict if sent else DidNotRun("no_time", 503, 0.5))
-            if sent and not context.repeats.spend(admitted.pool, context.live_vms(), now):
-                log("INFO", "repeat_budget_spent", request=admitted.request.id)
-                return ran_maybe or verdict
-            place = await context.placing.place(
-                make_work(admitted, len(self._tried)), admitted.is_engine, frozenset(self._tried)
-            )
+        while sent < admitted.route.max_attempts and unsent < UNSENT_AT_MOST:
+            if (refusal := self._refuse_attempt(admitted, sent)) is not None:
+                return ran_maybe or verdict or refusal
+            place = await self._place(admitted)
             if isinstance(place, DidNotRun):
-                return ran_maybe or (verdict if sent else place)
-            self._tried.append(place.entry.id)
-            outcome = "withdrawn"
-            try:
-                verdict = await self._attempt(admitted, place)
-                outcome = name_outcome(verdict)
-            finally:
-                context.placing.release(place, outcome, self._longest_gap_s)
-            if outcome == "failed" and isinstance(verdict, MayHaveRun):
-                await self._note_crash(place, admitted.request)
+                return ran_maybe or verdict or place
+            verdict = await self._try(admitted, place)
             match verdict:
                 case Ran():
                     return verdict
                 case Unsent():
                     unsent += 1
-                    if unsent >= UNSENT_AT_MOST:
-                        return ran_maybe or verdict
                     continue
+                case MayHaveRun() if not self._may_go_on(admitted):
+                    return verdict
                 case MayHaveRun():
                     ran_maybe = verdict
-                    if not admitted.may_repeat or (self._started and not self._may_resume(route)):
-                        return verdict
             sent += 1
-            if sent >= route.max_attempts:
-                return ran_maybe or verdict
+        return ran_maybe or verdict
+
+    def _refuse_attempt(self, admitted: Admitted, sent: int) -> DidNotRun | None:
+        """Returns why no further attempt may be made, if so."""
+        context, now = self._context, self._context.now()
+        if now >= admitted.expires_at - (REPEAT_WORTH_S if sent else 0):
+            return DidNotRun("no_time", 503, NO_ENDPOINT_RETRY_S)
+        if sent and not context.repeats.spend(admitted.pool, context.live_vms(), now):
+            log("INFO", "repeat_budget_spent", request=admitted.request.id)
+            return DidNotRun("repeat_budget_spent", 503, NO_ENDPOINT_RETRY_S)
+        return None
+
+    async def _place(self, admitted: Admitted) -> Place | DidNotRun:
+        work = make_work(admitted, len(self._tried))
+        tried = frozenset(self._tried)
+        return await self._context.placing.place(work, admitted.is_engine, tried)
+
+    async def _try(self, admitted: Admitted, place: Place) -> Verdict:
+        """Makes one attempt, and enters how it ended in the books."""
+        self._tried.append(place.entry.id)
+        outcome = "withdrawn"
+        try:
+            verdict = await self._attempt(admitted, place)
+            outcome = name_outcome(verdict)
+        finally:
+            self._context.placing.release(place, outcome, self._longest_gap_s)
+        if outcome == "failed" and isinstance(verdict, MayHaveRun):
+            await self._note_crash(place, admitted.request)
+        return verdict
+
+    def _may_go_on(self, admitted: Admitted) -> bool:
+        """Tells whether a request that may have run may be sent again."""
+        if not admitted.may_repeat:
+            return False
+        return not self._started or self._may_resume(admitted.route)
 
     def _may_resume(self, route: Route) -> bool:
         return route.repeatability is Repeatability.RESUMABLE and self._last_event is not None
@@ -378,23 +335,6 @@
             return "failed" if status >= 500 else "ok"
 
 
-def make_work(admitted: Admitted, attempt: int) -> Work:
-    """Returns what the placing decides on."""
-    prompt = admitted.request.prompt
-    return Work(
-        id=f"{admitted.request.id}.{attempt}",
-        pool=admitted.pool,
-        rank=admitted.rank,
-        tokens_in=prompt.tokens_in,
-        tokens_out=prompt.tokens_out,
-        parts=tuple((part.id, part.tokens) for part in prompt.parts),
-        target_s=admitted.route.target_s,
-        gap_s=admitted.route.gap_target_s or NO_GAP_TARGET_S,
-        arrived_at=admitted.arrived_at,
-        expires_at=admitted.expires_at,
-    )
-
-
 async def refuse_malformed(connection: ServerConnection, error: BadRequestError) -> None:
     """Answers what is no request, and closes the connection."""
     verdict = DidNotRun(error.reason, error.status)
--- a/bluebellpitch/decisions/loads.py
+++ b/bluebellpitch/decisions/loads.py
@@ -1,4 +1,4 @@
-"""Load of each endpoint as this VM can tell: what it holds there, what others say, how it answers."""
+"""Load of each endpoint as this VM can tell: what it holds there, what it says, how it answers."""
 
 from dataclasses import dataclass, field
 
@@ -15,7 +15,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Work:
-    """What is to be placed. Sizes in tokens; ``gap_s`` is the longest pause between events; ``rank`` 0 is first; times of the owner's clock."""
+    """What is to be placed. Sizes in tokens; times in seconds of the owner's clock.
+
+    ``rank`` 0 is first; ``gap_s`` is the longest pause between events that is in time.
+    """
 
     id: str
     pool: str
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -121,7 +121,7 @@
             is_draining=self.draining.is_set,
         )
         self.placing = PlacingRole(
-            self.directory, self.generations, settings.zone, settings.regions_by_zone, now
+            self.directory, self.generations.seeker, settings.zone, settings.regions_by_zone, now
         )
         self.links = Links(now)
         self.context = RoutingContext(
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -208,6 +208,7 @@
     """The work may start at an endpoint. ``broker_address`` takes what is told about it."""
 
     work_id: str
+    pool: str
     endpoint_id: str
     address: str
     zone: str
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation.py
@@ -9,7 +9,6 @@
 from bluebellpitch.decisions import generation_broker as broker_decisions
 from bluebellpitch.decisions.catalogue import Catalogue
 from bluebellpitch.decisions.directory import Directory
-from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import Work
@@ -24,17 +23,12 @@
     WorkRefused,
     ZoneLoad,
 )
-from bluebellpitch.verdicts import DidNotRun
+from bluebellpitch.roles.engine_seeking import EngineSeeker
 
 TICK_S = 0.01
 LOAD_INTERVAL_S = 0.1
 LOAD_BELIEVED_S = 0.6
 EXPIRY_INTERVAL_S = 1.0
-# A broker in the zone answers at once; one that does not is passed over for a while.
-FIRST_ANSWER_S = 0.06
-SHUNNED_S = 1.0
-# Work that waits here is asked for again when the broker has changed; checked this often.
-BROKER_CHECK_S = 0.2
 PASSED_ON_ANSWER_S = 0.4
 # Other zones get work when they would start it sooner by this much, the way there included.
 ELSEWHERE_GAIN_S = 0.06
@@ -44,15 +38,6 @@
 SESSION_KEPT_S = 9.0
 
 
-@dataclass(frozen=True, slots=True)
-class Grant:
-    """An engine for work, and the broker that has to be told how it goes on."""
-
-    work: Work
-    entry: EndpointEntry
-    broker_address: str
-
-
 @dataclass(slots=True)
 class OtherZone:
     """What the broker of another zone told last, with what was passed on there since."""
@@ -111,78 +96,17 @@
         self._is_draining = is_draining
         self._brokers_by_pool: dict[str, GenerationBroker] = {}
         self._asks_by_work: dict[str, WorkAsked] = {}
-        self._answers_by_work: dict[str, asyncio.Queue] = {}
+        self.seeker = EngineSeeker(
+            key, address, liveness, self._holder, self._send, self._send_to_address, now
+        )
         self._others: dict[tuple[str, str], OtherZone] = {}
         self._load_turn = 0
         self._sessions_by_pool: dict[str, list[str]] = {}
         self._wake = asyncio.Event()
 
-    # Asking.
-
-    async def seek(self, work: Work, avoid: frozenset[str]) -> Grant | DidNotRun:
-        """Returns an engine for work, or the reason why there is none."""
-        answers: asyncio.Queue = asyncio.Queue()
-        self._answers_by_work[work.id] = answers
-        broker = ""
-        granted = False
-        try:
-            while True:
-                holder = self._holder(work.pool)
-                if holder != broker:
-                    broker = holder
-                    self._ask(broker, work, avoid)
-                    patience_s = FIRST_ANSWER_S
-                try:
-                    async with asyncio.timeout(patience_s):
-                        answer = await answers.get()
-                except TimeoutError:
-                    if self._now() >= work.expires_at:
-                        return DidNotRun("waited_too_long", 503, TICK_S)
-                    if patience_s == BROKER_CHECK_S:
-                        continue
-                    log("WARNING", "broker_silent", broker=broker, request=work.id)
-                    if broker != self._key:
-                        self._liveness.shun(broker, self._now() + SHUNNED_S)
-                    broker = ""
-                    continue
-                match answer:
-                    case WorkQueued(_, within_s):
-                        patience_s = within_s or BROKER_CHECK_S
-                    case WorkRefused(_, reason, retry_after_s):
-                        granted = True
-                        return DidNotRun(reason, 503, retry_after_s)
-                    case WorkGranted():
-                        granted = True
-                        return Grant(work, entry_of(answer, work.pool), answer.broker_address)
-        finally:
-            del self._answers_by_work[work.id]
-            while not answers.empty():
-                self._take_answer(answers.get_nowait())
-            if not granted and broker:
-                self._send(broker, WorkDone(work.id, work.pool, "withdrawn"))
-
     def _holder(self, pool: str) -> str:
         return self._liveness.holder(pool, self._now(), self._is_draining())
 
-    def _ask(self, broker: str, work: Work, avoid: frozenset[str]) -> None:
-        now = self._now()
-        ask = WorkAsked(
-            work_id=work.id,
-            pool=work.pool,
-            rank=work.rank,
-            tokens_in=work.tokens_in,
-            tokens_out=work.tokens_out,
-            parts=work.parts,
-            target_s=work.target_s,
-            gap_s=work.gap_s,
-            age_s=now - work.arrived_at,
-            left_s=work.expires_at - now,
-            avoid=tuple(avoid),
-            vm=self._key,
-            reply_to=self._address,
-        )
-        self._send(broker, ask)
-
     def _send(self, vm: str, message) -> None:
         if vm == self._key:
             self.take(vm, message)
@@ -195,23 +119,11 @@
         else:
             self._bus.send_to_address(address, message)
 
-    def note_read(self, grant: Grant, waited_s: float, slowdown: float) -> None:
-        """Tells the broker that the first token came."""
-        message = WorkRead(grant.work.id, grant.work.pool, waited_s, slowdown)
-        self._send_to_address(grant.broker_address, message)
-
-    def release(self, grant: Grant, outcome: str, longest_gap_s: float) -> None:
-        """Tells the broker that the work has left the engine."""
-        message = WorkDone(grant.work.id, grant.work.pool, outcome, longest_gap_s)
-        self._send_to_address(grant.broker_address, message)
-
-    # Brokering.
-
     def take(self, sender: str, message) -> None:
         """Takes a message of an asker or of a broker."""
         match message:
             case WorkQueued() | WorkGranted() | WorkRefused():
-                self._take_answer(message)
+                self.seeker.take(message)
             case WorkAsked():
                 self._take_ask(message)
             case WorkRead(work_id, pool, waited_s, slowdown):
@@ -241,19 +153,6 @@
             sessions,
         )
 
-    def _take_answer(self, message) -> None:
-        answers = self._answers_by_work.get(message.work_id)
-        if answers is not None:
-            answers.put_nowait(message)
-        elif isinstance(message, WorkGranted):
-            pool = self._pool_of(message.endpoint_id)
-            done = WorkDone(message.work_id, pool, "withdrawn")
-            self._send_to_address(message.broker_address, done)
-
-    def _pool_of(self, endpoint_id: str) -> str:
-        entry = self._directory.entries_by_id.get(endpoint_id)
-        return entry.pool if entry else ""
-
     def _broker(self, pool: str) -> GenerationBroker:
         if pool not in self._brokers_by_pool:
             self._brokers_by_pool[pool] = GenerationBroker(pool)
@@ -337,6 +236,7 @@
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
                     answer = WorkGranted(
                         work_id,
+                        ask.pool if ask else "",
                         entry.id,
                         entry.address,
                         entry.zone,
@@ -413,7 +313,7 @@
             self._asks_by_work.clear()
 
     def _tell_load(self, now: float) -> None:
-        """Tells the brokers of other zones; any VM there is asked to pass it on until one is known."""
+        """Tells the brokers of other zones; until one is known, any VM there passes it on."""
         catalogue = self._catalogue()
         if catalogue is None:
             return
@@ -470,10 +370,3 @@
         arrived_at=now - ask.age_s,
         expires_at=now + ask.left_s,
     )
-
-
-def entry_of(granted: WorkGranted, pool: str) -> EndpointEntry:
-    """Returns the endpoint that a broker named."""
-    return EndpointEntry(
-        granted.endpoint_id, pool, granted.address, granted.zone, 0, False, granted.started_ms
-    )
--- a/bluebellpitch/roles/placing.py
+++ b/bluebellpitch/roles/placing.py
@@ -10,7 +10,7 @@
 from bluebellpitch.decisions.loads import Loads, Work
 from bluebellpitch.decisions.plain_choice import choose_plain
 from bluebellpitch.platform.requests import AnswerHead
-from bluebellpitch.roles.generation import GenerationRole, Grant
+from bluebellpitch.roles.engine_seeking import EngineSeeker, Grant
 from bluebellpitch.verdicts import DidNotRun
 
 IN_ZONE_S = 0.0005
@@ -34,14 +34,14 @@
     def __init__(
         self,
         directory: Directory,
-        generations: GenerationRole,
+        seeker: EngineSeeker,
         zone: str,
         regions_by_zone: Mapping[str, str],
         now: Callable[[], float],
     ):
         self.directory = directory
         self.loads = Loads()
-        self._generations = generations
+        self._seeker = seeker
         self._now = now
         region = regions_by_zone.get(zone, "")
         self._delay_s_by_zone = {
@@ -55,10 +55,10 @@
     async def place(self, work: Work, is_engine: bool, avoid: frozenset[str]) -> Place | DidNotRun:
         """Finds an endpoint and notes the work there."""
         if is_engine:
-            found = await self._generations.seek(work, avoid)
+            found = await self._seeker.seek(work, avoid)
             match found:
                 case Grant() if self._is_leaving(found.entry):
-                    self._generations.release(found, "withdrawn", 0.0)
+                    self._seeker.release(found, "withdrawn", 0.0)
                 case Grant():
                     return self._hold(Place(found.entry, work, found))
                 case DidNotRun(reason) if reason != NO_ENGINE:
@@ -99,7 +99,7 @@
         load.reading.pop(place.work.id, None)
         if place.grant is not None:
             waited_s = self._now() - sent_at - 2 * self._delay_s_by_zone.get(place.entry.zone, 0)
-            self._generations.note_read(place.grant, waited_s, load.slowdown)
+            self._seeker.note_read(place.grant, waited_s, load.slowdown)
 
     def release(self, place: Place, outcome: str, longest_gap_s: float = 0.0) -> None:
         """Frees the place: ``ok``, ``failed``, ``unreachable``, ``refused`` or ``withdrawn``."""
@@ -112,4 +112,4 @@
             case "unreachable":
                 load.note_unreachable(self._now())
         if place.grant is not None:
-            self._generations.release(place.grant, outcome, longest_gap_s)
+            self._seeker.release(place.grant, outcome, longest_gap_s)
--- a/bluebellpitch/roles/sharing.py
+++ b/bluebellpitch/roles/sharing.py
@@ -66,17 +66,23 @@
                 for record in self._endpoints.follower.take_told(message):
                     self._endpoints.take(record)
             case RecordsAsked(topic, start, reply_to):
-                if topic == self._endpoints.follower.topic:
-                    told = self._endpoints.follower.tell_from(start)
-                    if told is not None:
-                        self._bus.send_to_address(reply_to, told)
+                self._answer_records(topic, start, reply_to)
             case ConfigurationTold(data):
                 self._configuration.take(data, sender)
             case FreshnessAsked(asked_at, version, reply_to):
                 self._answer(asked_at, version, reply_to)
             case FreshnessTold(asked_at, version, age_s):
-                if version == self._configuration.version():
-                    self._configuration.freshness.confirm(asked_at - age_s)
+                self._take_freshness(asked_at, version, age_s)
+
+    def _take_freshness(self, asked_at: float, version: int, age_s: float) -> None:
+        if version == self._configuration.version():
+            self._configuration.freshness.confirm(asked_at - age_s)
+
+    def _answer_records(self, topic: str, start: int, reply_to: str) -> None:
+        if topic != self._endpoints.follower.topic:
+            return
+        if (told := self._endpoints.follower.tell_from(start)) is not None:
+            self._bus.send_to_address(reply_to, told)
 
     def _answer(self, asked_at: float, version: int, reply_to: str) -> None:
         own = self._configuration.version()
--- a/tests/test_generation_broker.py
+++ b/tests/test_generation_broker.py
@@ -187,7 +187,7 @@
         max_size=60,
     )
 )
-def test_every_ask_ends_in_one_grant_or_refusal(steps):
+def test_every_ask_ends_in_one_grant_or_refusal(steps):  # noqa: C901
     """Whatever the order of messages: no work is granted twice, none is left without an end."""
     broker = make_broker(2, slots=4)
     ends: dict[str, int] = {}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """The adapter: what the platform sends is decoded once, and nothing malformed passes."""
 
 import base64
+from contextlib import suppress
 
 import h11
 import msgspec
@@ -60,20 +61,16 @@
 @pytest.mark.parametrize("decode", DECODERS)
 @given(data=st.binary(max_size=200))
 def test_bytes_decode_or_are_a_protocol_error(decode, data):
-    try:
+    with suppress(ProtocolError):
         decode(data)
-    except ProtocolError:
-        pass
 
 
 @given(value=JSON_VALUES)
 def test_json_decodes_or_is_a_protocol_error(value):
     data = msgspec.json.encode(value)
     for decode in DECODERS[:2] + DECODERS[4:6]:
-        try:
+        with suppress(ProtocolError):
             decode(data)
-        except ProtocolError:
-            pass
 
 
 @given(name=st.sampled_from(sorted(ENTRY)), value=JSON_VALUES)
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -245,7 +245,7 @@
         endpoint.mode = "reset"
         endpoint.http.stop_listening()
     # Each connection must be new, so that it finds the listener closed after the crash.
-    for number, endpoint in enumerate(endpoints[:4]):
+    for number in range(4):
         vm._take("peer", strike(vm, number))
     response = await client.call("POST", "/file/7", "r9", b"poison")
     assert response.status == 503
@@ -401,13 +401,13 @@
             await deployment.add_vm()
             gates = [await Gate.open(deployment.store_address) for _ in range(2)]
             vms = [await deployment.add_vm(zone=zone, store=gate.address) for gate in gates]
-            for vm in vms:
-                await wait_until(lambda: len(vm.neighbours.records_by_vm) >= 2)
+            await wait_until(lambda: all(len(vm.neighbours.records_by_vm) >= 2 for vm in vms))
             for gate in gates:
                 gate.shut()
             await asyncio.sleep(0.3)
             deployment.announce(endpoint, "app", state="draining")
-            for vm in vms:
-                await wait_until(lambda: not list(vm.directory.usable("app")), timeout_s=2.6)
+            await wait_until(
+                lambda: not any(list(vm.directory.usable("app")) for vm in vms), timeout_s=2.6
+            )
 
     asyncio.run(body())
