--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -69,6 +69,7 @@
     vm: str
     reason: str
     retry_after_s: float
+    inputs: dict[str, str]
 
 
 Decision = Granted | Queued | Refused
@@ -169,9 +170,12 @@
             self._typical_tokens += TYPICAL_WEIGHT * (work.tokens_in - self._typical_tokens)
         expected = now + self.expected_wait_s(work, avoid, now)
         if expected == float("inf") and not self.has_usable(now):
-            return [Refused(work.id, vm, NO_ENGINE, RETRY_SHORTEST_S)]
+            inputs = self._describe_refusal(work, expected - now)
+            return [Refused(work.id, vm, NO_ENGINE, RETRY_SHORTEST_S, inputs)]
         if expected > waiting.gives_up_at():
-            return [Refused(work.id, vm, "no_capacity_in_time", self._retry_after(expected - now))]
+            retry_s = self._retry_after(expected - now)
+            inputs = self._describe_refusal(work, expected - now)
+            return [Refused(work.id, vm, "no_capacity_in_time", retry_s, inputs)]
         self.waiting_by_id[work.id] = waiting
         decisions = list(self.serve(now))
         if work.id in self.waiting_by_id:
@@ -230,11 +234,23 @@
             "reading_share": f"{self._share_beside(engine).value:.2f}",
         }
 
+    def _describe_refusal(self, work: Work, wait_s: float) -> dict[str, str]:
+        """Returns what decided a refusal, for the log."""
+        return {
+            "rank": str(work.rank),
+            "tokens": str(work.tokens_in),
+            "expected_wait_s": f"{wait_s:.2f}",
+            "waiting": str(len(self.waiting_by_id)),
+            "engines": str(len(self._engines)),
+        }
+
     def _refuse_hopeless(self, now: float) -> Iterator[Refused]:
         for waiting in list(self.waiting_by_id.values()):
             if now >= waiting.gives_up_at():
                 del self.waiting_by_id[waiting.work.id]
-                yield Refused(waiting.work.id, waiting.vm, "waited_too_long", RETRY_SHORTEST_S)
+                work = waiting.work
+                inputs = self._describe_refusal(work, now - work.arrived_at)
+                yield Refused(work.id, waiting.vm, "waited_too_long", RETRY_SHORTEST_S, inputs)
 
     def _order(self, waiting: WaitingWork, now: float) -> tuple[int, bool, float]:
         work = waiting.work
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation.py
@@ -244,6 +244,7 @@
                         self._address,
                     )
                 case broker_decisions.Refused(work_id, _, reason, retry_after_s):
+                    log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
                     answer = WorkRefused(work_id, reason, retry_after_s)
                 case broker_decisions.Queued(work_id):
                     answer = WorkQueued(work_id, 0.0)
