--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,9 @@
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
 	touch $(VENV)/.ready
 
-demo: $(VENV)/.ready  ## starts a small federation and sends it one request of each sort
+demo: $(VENV)/.ready  ## starts a small federation of each sort and sends it requests
 	$(RUN) -m fakes.demo
+	$(RUN) -m fakes.prepared_demo
 
 test: $(VENV)/.ready  ## runs all tests
 	$(RUN) -m pytest -q
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -174,6 +174,9 @@
             await self._refuse_and_linger(connection, error)
         except (GoneError, OSError, h11.LocalProtocolError):
             pass
+        except asyncio.CancelledError:
+            # Only the end of the event loop cancels this task; asyncio would report a fault.
+            connection.writer.transport.abort()
         except Exception as error:  # One request's fault must not take the VM down.
             log("ERROR", "handler_failed", error=repr(error))
         finally:
