--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -6,8 +6,15 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 
+from bluebellpitch.decisions.broker_answers import (
+    Decision,
+    Granted,
+    LongOffer,
+    Queued,
+    Refused,
+    WaitingWork,
+)
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.engine_state import EngineState, HeldWork
 from bluebellpitch.decisions.loads import Work
@@ -20,8 +27,6 @@
 
 # A prompt that takes at most this part of a gap to read is not paced.
 SHORT_SHARE = 0.12
-# Work is refused when it cannot start within this part of its time.
-PATIENCE_SHARE = 0.5
 # Where no gap is declared, this stands in for it.
 DEFAULT_GAP_S = 0.4
 # Reading that may be planned at an engine where no stream runs.
@@ -43,60 +48,6 @@
 RETRY_LONGEST_S = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class Granted:
-    """Work may start at an engine."""
-
-    work_id: str
-    vm: str
-    entry: EndpointEntry
-    inputs: dict[str, str]
-
-
-@dataclass(frozen=True, slots=True)
-class Queued:
-    """Work waits."""
-
-    work_id: str
-    vm: str
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """Work gets no engine."""
-
-    work_id: str
-    vm: str
-    reason: str
-    retry_after_s: float
-    inputs: dict[str, str]
-
-
-Decision = Granted | Queued | Refused
-
-
-@dataclass(frozen=True, slots=True)
-class LongOffer:
-    """Cost of a long prompt in a zone, in seconds: a fixed part, and one for each token."""
-
-    fixed_s: float
-    s_per_token: float
-
-
-@dataclass(slots=True)
-class WaitingWork:
-    """Work in the queue."""
-
-    work: Work
-    vm: str
-    avoid: frozenset[str]
-
-    def gives_up_at(self) -> float:
-        """Returns until when it may start."""
-        work = self.work
-        return work.arrived_at + PATIENCE_SHARE * (work.expires_at - work.arrived_at)
-
-
 class GenerationBroker:
     """Decides for one pool in one zone. The caller gives the present time."""
 
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -17,16 +17,15 @@
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.messages import (
+from bluebellpitch.peers.entry_messages import (
     ConfigurationTold,
     FreshnessAsked,
     FreshnessTold,
     RecordsAsked,
     RecordsTold,
-    StrikeNoted,
-    StrikesCleared,
     VmBeat,
 )
+from bluebellpitch.peers.messages import StrikeNoted, StrikesCleared
 from bluebellpitch.platform.configuration import CONFIGURATION_TOPIC
 from bluebellpitch.platform.entries import ENDPOINTS_TOPIC
 from bluebellpitch.platform.members import MemberRecord
--- a/bluebellpitch/roles/engine_seeking.py
+++ b/bluebellpitch/roles/engine_seeking.py
@@ -8,7 +8,7 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import Work
 from bluebellpitch.logs import log
-from bluebellpitch.peers.messages import (
+from bluebellpitch.peers.entry_messages import (
     WorkAsked,
     WorkDone,
     WorkGranted,
--- a/bluebellpitch/roles/following.py
+++ b/bluebellpitch/roles/following.py
@@ -9,7 +9,7 @@
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.peers.messages import RecordsTold
+from bluebellpitch.peers.entry_messages import RecordsTold
 from bluebellpitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from bluebellpitch.platform.entries import decode_entry
 from bluebellpitch.platform.records import KeyedRecord
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation.py
@@ -2,19 +2,19 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 import msgspec
 
-from bluebellpitch.decisions import generation_broker as broker_decisions
+from bluebellpitch.decisions import broker_answers
 from bluebellpitch.decisions.catalogue import Catalogue
 from bluebellpitch.decisions.directory import Directory
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import Work
+from bluebellpitch.decisions.other_zones import OtherZone
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.messages import (
+from bluebellpitch.peers.entry_messages import (
     WorkAsked,
     WorkDone,
     WorkGranted,
@@ -34,36 +34,6 @@
 ELSEWHERE_GAIN_S = 0.06
 ELSEWHERE_DELAY_S = 0.12
 OWN_WAIT_TOLERATED_S = 0.08
-# Engines of another zone are taken to keep what they read this short a time ago.
-SESSION_KEPT_S = 9.0
-
-
-@dataclass(slots=True)
-class OtherZone:
-    """What the broker of another zone told last, with what was passed on there since."""
-
-    long_fixed_s: float
-    long_s_per_token: float
-    short_cost_s: float
-    queue_s_per_token: float
-    address: str
-    told_at: float
-    sessions_at: dict[str, float]
-
-    def keeps(self, work: Work, now: float) -> bool:
-        """Tells whether an engine there read the shared parts of a prompt lately."""
-        return now - self.sessions_at.get(session_of(work), float("-inf")) < SESSION_KEPT_S
-
-    def forget_sessions(self, now: float) -> None:
-        """Forgets sessions that may no longer be kept."""
-        old = [key for key, at in self.sessions_at.items() if now - at >= SESSION_KEPT_S]
-        for key in old:
-            del self.sessions_at[key]
-
-    def note_passed_on(self, tokens: int) -> None:
-        """Counts work that was passed on, until the zone tells of it itself."""
-        self.long_fixed_s += tokens * self.queue_s_per_token
-        self.short_cost_s += broker_decisions.CROWDING_S
 
 
 class GenerationRole:
@@ -231,7 +201,7 @@
             ask = self._asks_by_work.get(decision.work_id)
             address = ask.reply_to if ask else ""
             match decision:
-                case broker_decisions.Granted(work_id, _, entry):
+                case broker_answers.Granted(work_id, _, entry):
                     self._note_session(ask)
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
                     answer = WorkGranted(
@@ -243,12 +213,12 @@
                         entry.started_ms,
                         self._address,
                     )
-                case broker_decisions.Refused(work_id, _, reason, retry_after_s):
+                case broker_answers.Refused(work_id, _, reason, retry_after_s):
                     log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
                     answer = WorkRefused(work_id, reason, retry_after_s)
-                case broker_decisions.Queued(work_id):
+                case broker_answers.Queued(work_id):
                     answer = WorkQueued(work_id, 0.0)
-            if not isinstance(decision, broker_decisions.Queued):
+            if not isinstance(decision, broker_answers.Queued):
                 self._asks_by_work.pop(decision.work_id, None)
             if address:
                 self._send_to_address(address, answer)
@@ -352,11 +322,6 @@
             self._bus.send(holder, load)
 
 
-def session_of(work: Work) -> str:
-    """Returns the last part of a prompt that other requests share."""
-    return work.parts[-2][0] if len(work.parts) > 1 else ""
-
-
 def work_of(ask: WorkAsked, now: float) -> Work:
     """Returns the work as this VM's clock has it."""
     return Work(
--- a/bluebellpitch/roles/neighbours.py
+++ b/bluebellpitch/roles/neighbours.py
@@ -7,7 +7,7 @@
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.messages import VmBeat
+from bluebellpitch.peers.entry_messages import VmBeat
 from bluebellpitch.platform.members import (
     MEMBERS_TOPIC,
     MemberRecord,
--- a/bluebellpitch/roles/sharing.py
+++ b/bluebellpitch/roles/sharing.py
@@ -11,7 +11,7 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.messages import (
+from bluebellpitch.peers.entry_messages import (
     ConfigurationTold,
     FreshnessAsked,
     FreshnessTold,
--- a/tests/test_generation_broker.py
+++ b/tests/test_generation_broker.py
@@ -4,14 +4,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bluebellpitch.decisions.broker_answers import Granted, Queued, Refused
 from bluebellpitch.decisions.endpoints import EndpointEntry
-from bluebellpitch.decisions.generation_broker import (
-    NO_ENGINE,
-    GenerationBroker,
-    Granted,
-    Queued,
-    Refused,
-)
+from bluebellpitch.decisions.generation_broker import NO_ENGINE, GenerationBroker
 from bluebellpitch.decisions.loads import Work
 from bluebellpitch.decisions.reading import (
     LEAST_READING_SHARE,
