Remove what nothing calls, and name one bound once

Cause: read of the whole change: Links.count, a constant and a setting were used nowhere; the question whether a follower has fallen behind stood twice, once with a bare 1.0. Change: these are gone; the question is one method. Behaviour is the same.

--- a/bluebellpitch/endpoints/links.py
+++ b/bluebellpitch/endpoints/links.py
@@ -1,4 +1,4 @@
-"""Connections of this VM to announced endpoints, kept while idle and bounded in number."""
+"""Connections of this VM to announced endpoints, kept while idle."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -37,11 +37,6 @@
             self._by_incarnation[key] = EndpointLinks()
         return self._by_incarnation[key]
 
-    def count(self, entry: EndpointEntry) -> int:
-        """Returns how many connections to the endpoint are open."""
-        links = self._by_incarnation.get((entry.id, entry.started_ms))
-        return links.open_count if links else 0
-
     async def take(self, entry: EndpointEntry, once: bool) -> ClientConnection:
         """Returns a link for one request; ``once`` asks for a fresh one. Raises NotSentError."""
         links = self._links(entry)
--- a/bluebellpitch/platform/settings_file.py
+++ b/bluebellpitch/platform/settings_file.py
@@ -30,7 +30,6 @@
     repeat_window_s: float
     repeat_burst: float
     endpoint_heartbeat_s: float
-    memory_mb: float
 
 
 def parse_settings(text: str) -> VmSettings:
@@ -71,7 +70,6 @@
         repeat_window_s=number("bounds.budget_window_s", 10),
         repeat_burst=number("bounds.budget_burst", 0),
         endpoint_heartbeat_s=number("heartbeat_ms", 1000) / 1000,
-        memory_mb=number("limits.memory_mb", 256),
     )
 
 
--- a/bluebellpitch/roles/following.py
+++ b/bluebellpitch/roles/following.py
@@ -84,12 +84,14 @@
 
     def asks_from(self) -> int | None:
         """Returns the offset to ask peers for, when this VM has fallen behind."""
-        behind = self._now() - max(self.current_at, self._told_at) > ASK_RECORDS_AFTER_S
-        return self._next if behind else None
+        return self._next if self._is_behind() else None
+
+    def _is_behind(self) -> bool:
+        return self._now() - max(self.current_at, self._told_at) > ASK_RECORDS_AFTER_S
 
     def tell_from(self, start: int) -> RecordsTold | None:
         """Returns what a VM that stands at ``start`` is missing; None if that is not known."""
-        if self._next is None or self._now() - max(self.current_at, self._told_at) > 1.0:
+        if self._next is None or self._is_behind():
             return None
         if not self._recent_start <= start <= self._recent_start + len(self._recent):
             return None
--- a/bluebellpitch/roles/sharing.py
+++ b/bluebellpitch/roles/sharing.py
@@ -26,7 +26,6 @@
 # Beside the VMs of the zone, so many others are asked when the zone's knowledge is old.
 ASKED_ELSEWHERE = 2
 ASK_ELSEWHERE_AFTER_S = 2.0
-LAPSE_CHECK_S = 0.2
 
 
 class SharingRole:
