--- a/bluebellpitch/decisions/liveness.py
+++ b/bluebellpitch/decisions/liveness.py
@@ -8,12 +8,13 @@
 
 from bluebellpitch.decisions.hashing import rank_owners
 
-SILENT_AFTER_S = 0.6
+# A VM counts as silent when so many of its beats are missing.
+BEATS_MISSED = 4
 
 
 @dataclass(frozen=True, slots=True)
 class Peer:
-    """A VM that was heard. ``version`` is that of its configuration."""
+    """A VM that was heard, and beats each ``interval_s``. ``version`` is of its configuration."""
 
     key: str
     zone: str
@@ -21,6 +22,11 @@
     draining: bool
     version: int
     heard_at: float
+    interval_s: float
+
+    def is_silent(self, now: float) -> bool:
+        """Tells whether beats are missing."""
+        return now - self.heard_at > BEATS_MISSED * self.interval_s
 
 
 @dataclass(slots=True)
@@ -36,7 +42,7 @@
         """Notes a sign of life; returns whether the VM was not alive before."""
         known = self.peers_by_key.get(peer.key)
         self.peers_by_key[peer.key] = peer
-        return known is None or peer.heard_at - known.heard_at > SILENT_AFTER_S
+        return known is None or known.is_silent(peer.heard_at)
 
     def shun(self, key: str, until: float) -> None:
         """Gives a VM no duty for a while, since it did not answer."""
@@ -44,14 +50,14 @@
 
     def lost(self, now: float) -> list[str]:
         """Forgets VMs that have been silent; returns their keys."""
-        silent = [k for k, p in self.peers_by_key.items() if now - p.heard_at > SILENT_AFTER_S]
+        silent = [key for key, peer in self.peers_by_key.items() if peer.is_silent(now)]
         for key in silent:
             del self.peers_by_key[key]
         return silent
 
     def live(self, now: float) -> list[Peer]:
         """Returns the peers that were heard lately."""
-        return [p for p in self.peers_by_key.values() if now - p.heard_at <= SILENT_AFTER_S]
+        return [peer for peer in self.peers_by_key.values() if not peer.is_silent(now)]
 
     def holder(self, duty: str, now: float, own_draining: bool) -> str:
         """Returns the VM of this zone that holds a duty."""
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -102,6 +102,7 @@
             version=self.configuration.version,
             is_draining=self.draining.is_set,
             vm_lost=lambda vm: self.generations.forget_vm(vm),
+            has_duty=self._has_duty,
         )
         self.sharing = SharingRole(
             address=settings.bus,
@@ -110,6 +111,7 @@
             configuration=self.configuration,
             endpoints=self.endpoints,
             all_addresses=self._all_addresses,
+            reader=lambda: self._holder(reads(CONFIGURATION_TOPIC)),
             now=now,
         )
         self.generations = GenerationRole(
@@ -154,14 +156,20 @@
             topic=topic,
             wait_s=wait_s,
             now=self._now,
-            is_reader=lambda: self._holds(f"reads {topic}"),
+            is_reader=lambda: self._holds(reads(topic)),
             tell=lambda told: self.sharing.tell_zone(told),
             metrics=self.metrics,
         )
 
+    def _holder(self, duty: str) -> str:
+        return self.liveness.holder(duty, self._now(), self.draining.is_set())
+
     def _holds(self, duty: str) -> bool:
-        holder = self.liveness.holder(duty, self._now(), self.draining.is_set())
-        return holder == self.key
+        return self._holder(duty) == self.key
+
+    def _has_duty(self) -> bool:
+        topics = (CONFIGURATION_TOPIC, ENDPOINTS_TOPIC)
+        return any(self._holds(reads(topic)) for topic in topics) or self.generations.is_broker()
 
     def _take(self, sender: str, message) -> None:
         """Gives a peer's message to the role that it is for."""
@@ -300,3 +308,8 @@
         self.http.stop_listening()
         while self.http.busy and self._now() - begun < self.settings.grace_s * GRACE_SHARE:
             await asyncio.sleep(DRAIN_POLL_S)
+
+
+def reads(topic: str) -> str:
+    """Returns the duty to read a topic for the zone."""
+    return f"reads {topic}"
--- a/bluebellpitch/peers/entry_messages.py
+++ b/bluebellpitch/peers/entry_messages.py
@@ -90,12 +90,16 @@
 
 
 class VmBeat(msgspec.Struct, frozen=True, tag="vm_beat"):
-    """An entry VM is alive. ``version`` is that of its configuration, -1 for none."""
+    """An entry VM is alive. ``version`` is that of its configuration, -1 for none.
+
+    The next beat follows within ``interval_s``.
+    """
 
     zone: str
     address: str
     draining: bool
     version: int
+    interval_s: float
 
 
 class FreshnessAsked(msgspec.Struct, frozen=True, tag="freshness_asked"):
--- a/bluebellpitch/roles/following.py
+++ b/bluebellpitch/roles/following.py
@@ -22,7 +22,8 @@
 RETRY_S = 0.25
 # What the zone's reader tells is relied on for this long.
 TOLD_BELIEVED_S = 1.8
-TOLD_CHECK_S = 0.1
+TOLD_CHECK_S = 0.25
+LAPSE_CHECK_S = 0.25
 # Peers are asked for records when neither the store nor a peer has brought any for this long.
 ASK_RECORDS_AFTER_S = 1.0
 RECENT_RECORDS = 400
@@ -277,6 +278,6 @@
     async def expire(self) -> None:
         """Forgets lapsed entries in time."""
         while True:
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(LAPSE_CHECK_S)
             for endpoint_id in self.directory.expire(self._now()):
                 log("INFO", "endpoint_gone", endpoint=endpoint_id, reason="lapsed")
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation.py
@@ -27,6 +27,7 @@
 
 TICK_S = 0.01
 LOAD_INTERVAL_S = 0.1
+IDLE_INTERVAL_S = 0.5
 LOAD_BELIEVED_S = 0.6
 EXPIRY_INTERVAL_S = 1.0
 PASSED_ON_ANSWER_S = 0.4
@@ -77,6 +78,12 @@
     def _holder(self, pool: str) -> str:
         return self._liveness.holder(pool, self._now(), self._is_draining())
 
+    def is_broker(self) -> bool:
+        """Tells whether this VM brokers a pool of engines."""
+        catalogue = self._catalogue()
+        rows = catalogue.pools_by_name.items() if catalogue else ()
+        return any(row.engine and self._holder(pool) == self._key for pool, row in rows)
+
     def _send(self, vm: str, message) -> None:
         if vm == self._key:
             self.take(vm, message)
@@ -270,7 +277,7 @@
             return
         self._wake.clear()
         try:
-            async with asyncio.timeout(LOAD_INTERVAL_S):
+            async with asyncio.timeout(LOAD_INTERVAL_S if self.is_broker() else IDLE_INTERVAL_S):
                 await self._wake.wait()
         except TimeoutError:
             return
--- a/bluebellpitch/roles/neighbours.py
+++ b/bluebellpitch/roles/neighbours.py
@@ -16,7 +16,9 @@
 )
 from bluebellpitch.platform.store import Appended, StoreClient
 
-BEAT_INTERVAL_S = 0.15
+# VMs on which others rely, for a duty, beat often: their loss has to be noticed soon.
+DUTY_BEAT_INTERVAL_S = 0.15
+BEAT_INTERVAL_S = 0.45
 MEMBERS_INTERVAL_S = 20.0
 MEMBERS_RETRY_S = 0.5
 
@@ -35,6 +37,7 @@
         version: Callable[[], int],
         is_draining: Callable[[], bool],
         vm_lost: Callable[[str], None],
+        has_duty: Callable[[], bool],
     ):
         self._vm = vm
         self._own = own
@@ -45,6 +48,7 @@
         self._version = version
         self._is_draining = is_draining
         self._vm_lost = vm_lost
+        self._has_duty = has_duty
         self.records_by_vm: dict[str, MemberRecord] = {vm: own}
 
     def count(self) -> int:
@@ -84,13 +88,28 @@
     async def beat(self) -> None:
         """Tells the VMs of this zone that this one is alive, until cancelled."""
         while True:
-            beat = VmBeat(self._own.zone, self._own.bus, self._is_draining(), self._version())
+            interval_s = DUTY_BEAT_INTERVAL_S if self._has_duty() else BEAT_INTERVAL_S
+            beat = VmBeat(
+                zone=self._own.zone,
+                address=self._own.bus,
+                draining=self._is_draining(),
+                version=self._version(),
+                interval_s=interval_s,
+            )
             for address in self._addresses():
                 self._bus.send_to_address(address, beat)
             for key in self._liveness.lost(self._now()):
                 log("INFO", "peer_lost", peer=key)
                 self._vm_lost(key)
-            await asyncio.sleep(BEAT_INTERVAL_S)
+            await self._pause(interval_s)
+
+    async def _pause(self, seconds: float) -> None:
+        """Waits for the next beat; a VM that has come to hold a duty beats at once."""
+        begun_at, had_duty = self._now(), self._has_duty()
+        while self._now() - begun_at < seconds - DUTY_BEAT_INTERVAL_S / 2:
+            await asyncio.sleep(DUTY_BEAT_INTERVAL_S)
+            if self._has_duty() != had_duty:
+                return
 
     def _addresses(self) -> set[str]:
         records = (r.bus for r in self.records_by_vm.values() if r.zone == self._own.zone)
@@ -103,7 +122,15 @@
 
     def take(self, sender: str, beat: VmBeat) -> Peer:
         """Notes a beat."""
-        peer = Peer(sender, beat.zone, beat.address, beat.draining, beat.version, self._now())
+        peer = Peer(
+            key=sender,
+            zone=beat.zone,
+            address=beat.address,
+            draining=beat.draining,
+            version=beat.version,
+            heard_at=self._now(),
+            interval_s=beat.interval_s,
+        )
         self._bus.know(sender, beat.address)
         if self._liveness.hear(peer):
             log("INFO", "peer_heard", peer=sender, zone=beat.zone, address=beat.address)
--- a/bluebellpitch/roles/sharing.py
+++ b/bluebellpitch/roles/sharing.py
@@ -20,8 +20,10 @@
 )
 from bluebellpitch.roles.following import ConfigurationRole, EndpointsRole
 
-# Peers are asked when the own knowledge is older than this.
+# The zone's reader is asked when the own knowledge is older than this, and all VMs of the zone
+# when it is older still.
 ASK_AFTER_S = 0.9
+ASK_ALL_AFTER_S = 1.5
 ASK_INTERVAL_S = 0.3
 # Beside the VMs of the zone, so many others are asked when the zone's knowledge is old.
 ASKED_ELSEWHERE = 2
@@ -39,6 +41,7 @@
         configuration: ConfigurationRole,
         endpoints: EndpointsRole,
         all_addresses: Callable[[], list[str]],
+        reader: Callable[[], str],
         now: Callable[[], float],
     ):
         self._address = address
@@ -47,6 +50,7 @@
         self._configuration = configuration
         self._endpoints = endpoints
         self._all_addresses = all_addresses
+        self._reader = reader
         self._now = now
         self._may_use_keys = False
 
@@ -111,6 +115,9 @@
 
     def _asked(self, age_s: float) -> set[str]:
         near = {peer.address for peer in self._liveness.live(self._now())}
+        reader = self._liveness.peers_by_key.get(self._reader())
+        if age_s < ASK_ALL_AFTER_S:
+            return {reader.address} if reader else set()
         if age_s < ASK_ELSEWHERE_AFTER_S:
             return near
         others = [a for a in self._all_addresses() if a != self._address and a not in near]
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -6,11 +6,13 @@
 from bluebellpitch.decisions.directory import LAPSE_BELIEVED_S, Directory
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.freshness import Freshness, read_known_at
-from bluebellpitch.decisions.liveness import SILENT_AFTER_S, Liveness, Peer
+from bluebellpitch.decisions.liveness import BEATS_MISSED, Liveness, Peer
 from bluebellpitch.decisions.loads import Loads, Work
 from bluebellpitch.decisions.plain_choice import choose_plain
 from bluebellpitch.decisions.repeats import RepeatBudget
 
+BEAT_S = 0.15
+
 
 def make_entry(name: str, zone: str = "z", draining: bool = False, born: int = 1) -> EndpointEntry:
     return EndpointEntry(name, "app", "10.0.0.1:80", zone, 4, draining, born)
@@ -95,7 +97,7 @@
 
 
 def make_peer(key: str, now: float, draining: bool = False) -> Peer:
-    return Peer(key, "z", f"{key}:1", draining, 1, now)
+    return Peer(key, "z", f"{key}:1", draining, 1, now, BEAT_S)
 
 
 def test_all_vms_name_the_same_holder():
@@ -113,7 +115,7 @@
 def test_silent_draining_and_shunned_vms_hold_no_duty():
     liveness = Liveness("a", "z")
     liveness.hear(make_peer("b", 0.0))
-    assert liveness.lost(SILENT_AFTER_S + 0.1) == ["b"]
+    assert liveness.lost(BEATS_MISSED * BEAT_S + 0.1) == ["b"]
     liveness.hear(make_peer("c", 1.0, draining=True))
     liveness.hear(make_peer("d", 1.0))
     liveness.shun("d", 2.0)
