--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: demo test lint format measure path capacity model mutants binary clean
+.PHONY: demo test lint format soak measure path capacity model mutants binary clean
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,11 @@
 	$(VENV)/bin/ruff check --fix --quiet .
 	$(VENV)/bin/black --quiet .
 
+SEED ?= 0
+
+soak: $(VENV)/.ready  ## brings about the faults of SEED (0: drawn now) and checks the promises
+	$(RUN) -m soak --seed $(SEED)
+
 model: $(VENV)/.ready  ## checks the specifications of the core protocols
 	$(RUN) -m models
 
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -4,7 +4,6 @@
 import hashlib
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,19 +17,12 @@
 from bluebellpitch.http1 import fetch
 from bluebellpitch.platform.entries import ENDPOINTS_TOPIC
 from bluebellpitch.platform.store import Appended, StoreClient
+from fakes.prepared import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
 START_S = 20.0
 
 
-def free_port() -> int:
-    """Returns a port that is free now."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def free_address() -> str:
     """Returns a free loopback address."""
     return f"127.0.0.1:{free_port()}"
--- a/fakes/link.py
+++ b/fakes/link.py
@@ -6,13 +6,15 @@
 from fakes.server import FakeServer
 
 READ_BYTES = 65_536
+HELD_CHECK_S = 0.02
 
 
 class FakeLink(FakeServer):
     """Relays ``listen`` to ``target``; its faults are set at the control address.
 
     ``cut`` closes all connections and refuses new ones; ``silence`` lets the open ones go silent
-    for good while new ones work; ``delay_s`` is the latency one way.
+    for good while new ones work; ``held`` names a direction, ``there`` or ``back``, in which bytes
+    wait until it is empty again; ``delay_s`` is the latency one way.
     """
 
     def __init__(self, listen: str, target: str, delay_s: float = 0.0):
@@ -20,6 +22,7 @@
         self._listen = listen
         self._target = target
         self.delay_s = delay_s
+        self.held = ""
         self._cut = False
         self._generation = 0
         self._writers: set[asyncio.StreamWriter] = set()
@@ -61,16 +64,23 @@
             return
         self._writers |= {writer, far_writer}
         generation = self._generation
-        await asyncio.gather(
-            self._pump(reader, far_writer, generation), self._pump(far_reader, writer, generation)
-        )
-        self._writers -= {writer, far_writer}
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, generation, "there"),
+                self._pump(far_reader, writer, generation, "back"),
+            )
+        except asyncio.CancelledError:
+            return
+        finally:
+            self._writers -= {writer, far_writer}
 
-    async def _pump(self, reader, writer, generation: int) -> None:
+    async def _pump(self, reader, writer, generation: int, direction: str) -> None:
         try:
             while data := await reader.read(READ_BYTES):
                 if generation != self._generation:
                     await asyncio.Event().wait()
+                while self.held == direction:
+                    await asyncio.sleep(HELD_CHECK_S)
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 writer.write(data)
--- a/fakes/prepared.py
+++ b/fakes/prepared.py
@@ -1,6 +1,7 @@
 """A small deployment on the stand-ins of the prepared platform, all in one process."""
 
 import asyncio
+import random
 import socket
 import time
 from dataclasses import dataclass, field
@@ -16,13 +17,23 @@
 HOST = "tile.example"
 KEY = "key-of-the-office"
 MEMBER = "office"
+LISTENING_PORTS = (15_000, 32_000)
 
 
 def free_port() -> int:
-    """Returns a port of the loopback that nobody uses now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port of the loopback that nobody uses now.
+
+    It lies below those that the system gives to outgoing connections: a process that is started
+    again finds it free.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*LISTENING_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def route(name: str, kind: str, pool: str, **fields) -> dict:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True)
 class Mutant:
-    """One edit: what it takes out, where, and the test that must fail."""
+    """One edit: what it takes out, where, and what must fail: a test, or the soak."""
 
     what: str
     path: str
@@ -170,6 +170,55 @@
         "return False",
         "tests/test_zones.py::test_vm_boots_from_a_snapshot_alone",
     ),
+    Mutant(
+        "route: what may have run and must not repeat is not sent again",
+        "bluebellpitch/callers/routed.py",
+        "        if not admitted.may_repeat:\n            return False\n",
+        "",
+        "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
+    ),
+    Mutant(
+        "route: what may have run is not called not run",
+        "bluebellpitch/callers/routed.py",
+        "if not self._may_go_on(admitted):\n                    return verdict",
+        'if not self._may_go_on(admitted):\n                    return DidNotRun("lost", 503, 1.0)',
+        "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
+    ),
+    Mutant(
+        "route: a key needs a configuration that is known to be fresh",
+        "bluebellpitch/decisions/freshness.py",
+        "return self.age_s(now) < self.revoke_s - FRESHNESS_MARGIN_S",
+        "return True",
+        "soak --seed 16 --seconds 20 --vms 2 --only store_down --only key_taken",
+    ),
+    Mutant(
+        "route: a VM that stops finishes what it serves",
+        "bluebellpitch/entry.py",
+        "        while self.http.busy and",
+        "        while False and",
+        "soak --seed 14 --seconds 15 --vms 2 --only vm_stop",
+    ),
+    Mutant(
+        "route: an answer to another request is skipped",
+        "bluebellpitch/endpoints/attempt.py",
+        'if head.request_id in ("", self._request.id):',
+        "if True:",
+        "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
+    ),
+    Mutant(
+        "route: a cut stream is not ended as if it were whole",
+        "bluebellpitch/callers/routed.py",
+        'if attempt.ending != "complete":',
+        "if False:",
+        "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
+    ),
+    Mutant(
+        "route: an endpoint that leaves gets no new work",
+        "bluebellpitch/platform/entries.py",
+        'is_draining=wire.state == "draining"',
+        "is_draining=False",
+        "soak --seed 15 --seconds 10 --vms 2 --only endpoint_leave",
+    ),
 )
 
 
@@ -183,16 +232,10 @@
         if mutant.old not in text:
             raise SystemExit(f"mutant '{mutant.what}': {mutant.path} has changed")
         path.write_text(text.replace(mutant.old, mutant.new, 1))
-        command = [
-            sys.executable,
-            "-m",
-            "pytest",
-            "-q",
-            "-x",
-            "-p",
-            "no:cacheprovider",
-            mutant.test,
-        ]
+        words = mutant.test.split()
+        if words[0] != "soak":
+            words = ["pytest", "-q", "-x", "-p", "no:cacheprovider", *words]
+        command = [sys.executable, "-m", *words]
         run = subprocess.run(command, cwd=copy, capture_output=True, timeout=PATIENCE_S)
         return run.returncode == 0
     finally:
