Start and stop a VM's tasks in one place; pick a prompt's session in one place

Both VM programs guarded their tasks by the same code, and three places picked the session of a prompt. HeldWork kept a time that nothing read. Moves only; the tests of both programs pass.

--- a/bluebellpitch/decisions/engine_choice.py
+++ b/bluebellpitch/decisions/engine_choice.py
@@ -4,7 +4,7 @@
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.hashing import score_owner
-from bluebellpitch.decisions.loads import Loads, Work
+from bluebellpitch.decisions.loads import Loads, Work, session_of
 
 # Prompt tokens that an engine reads in a second until more is known.
 READ_TOKENS_PER_S = 40_000.0
@@ -24,7 +24,7 @@
     up = [entry for entry in usable if not loads.of(entry).is_down(now)] or usable
     if not up:
         return None
-    session = work.parts[-2][0] if len(work.parts) > 1 else work.id
+    session = session_of(work.parts) or work.id
     home = min(up, key=lambda entry: score_owner(session, entry.id))
 
     def cost(entry: EndpointEntry) -> float:
--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -21,7 +21,6 @@
 
     work: Work
     vm: str
-    granted_at: float
     unread: int
     expected_read_at: float
     read_alone: bool
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -276,7 +276,7 @@
         read_at = engine.pace.free_at(now) + self.speed.fixed_s
         engine.keep(work)
         engine.held_by_id[work.id] = HeldWork(
-            work, waiting.vm, now, unread, read_at, read_alone, self.is_short(work)
+            work, waiting.vm, unread, read_at, read_alone, self.is_short(work)
         )
         self._engine_by_work[work.id] = engine
 
--- a/bluebellpitch/decisions/loads.py
+++ b/bluebellpitch/decisions/loads.py
@@ -32,6 +32,11 @@
     expires_at: float
 
 
+def session_of(parts: tuple[tuple[str, int], ...]) -> str:
+    """Returns the last part of a prompt that other requests share; nothing if there is none."""
+    return parts[-2][0] if len(parts) > 1 else ""
+
+
 @dataclass(slots=True)
 class EndpointLoad:
     """One endpoint. ``held`` is the work of this VM there, by request id."""
--- a/bluebellpitch/decisions/other_zones.py
+++ b/bluebellpitch/decisions/other_zones.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.generation_broker import CROWDING_S
-from bluebellpitch.decisions.loads import Work
+from bluebellpitch.decisions.loads import Work, session_of
 
 # Engines of another zone are taken to keep what they read this short a time ago.
 SESSION_KEPT_S = 9.0
@@ -23,7 +23,7 @@
 
     def keeps(self, work: Work, now: float) -> bool:
         """Tells whether an engine there read the shared parts of a prompt lately."""
-        return now - self.sessions_at.get(session_of(work), float("-inf")) < SESSION_KEPT_S
+        return now - self.sessions_at.get(session_of(work.parts), float("-inf")) < SESSION_KEPT_S
 
     def forget_sessions(self, now: float) -> None:
         """Forgets sessions that may no longer be kept."""
@@ -35,8 +35,3 @@
         """Counts work that was passed on, until the zone tells of it itself."""
         self.long_fixed_s += tokens * self.queue_s_per_token
         self.short_cost_s += CROWDING_S
-
-
-def session_of(work: Work) -> str:
-    """Returns the last part of a prompt that other requests share."""
-    return work.parts[-2][0] if len(work.parts) > 1 else ""
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -14,6 +14,7 @@
 from bluebellpitch.decisions.strikes import StrikeBook
 from bluebellpitch.endpoints.links import Links
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
+from bluebellpitch.jobs import start_jobs, stop_jobs
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
@@ -234,15 +235,13 @@
             host, _ = parse_address(self.settings.listen)
             await self.metrics_http.listen(host, self._metrics_port)
         await self.http.listen(*parse_address(self.settings.listen))
-        tasks = [asyncio.create_task(self._guard(job)) for job in self._jobs()]
+        tasks = start_jobs(self._jobs(), self.draining)
         log("INFO", "started", vm=self.settings.vm, zone=self.settings.zone)
         try:
             await self.draining.wait()
             await asyncio.gather(self.neighbours.unregister(), self._drain())
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await stop_jobs(tasks)
 
     def close(self) -> None:
         """Closes all sockets."""
@@ -264,15 +263,6 @@
             self._tidy(),
         )
 
-    async def _guard(self, job: Coroutine) -> None:
-        """A task that fails ends the VM: a restart is safe, a silent half is not."""
-        try:
-            await job
-        except Exception as error:  # noqa: BLE001
-            log("ERROR", "task_failed", task=job.__qualname__, error=repr(error))
-            self.draining.set()
-            raise
-
     def _take_settings(self) -> None:
         """Reads the settings file again; what cannot change while running is only reported."""
         changed = self._reload() != self.settings
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -18,6 +18,7 @@
 from bluebellpitch.environment import Environment
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.http1 import parse_address
+from bluebellpitch.jobs import start_jobs, stop_jobs
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.operators.admin import AdminServer
@@ -184,13 +185,11 @@
         self.bus.bind(self.settings.bus_bind)
         await self.admin.http.listen(*parse_address(self.settings.admin))
         await self.callers.http.listen(*parse_address(self.settings.listen))
-        tasks = [asyncio.create_task(self._guard(job)) for job in self._jobs()]
+        tasks = start_jobs(self._jobs(), self.draining)
         log("INFO", "started", vm=self.key, zone=self.settings.zone, listen=self.settings.listen)
         await self.draining.wait()
         await self._drain()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await stop_jobs(tasks)
         self.connections.close()
         self.bus.close()
         log("INFO", "stopped", vm=self.key)
@@ -211,15 +210,6 @@
             self.strikes.expire(),
         )
 
-    async def _guard(self, job: Coroutine) -> None:
-        """A task that fails ends the VM: a restart is safe, a silent half is not."""
-        try:
-            await job
-        except Exception as error:  # noqa: BLE001
-            log("ERROR", "task_failed", task=job.__qualname__, error=repr(error))
-            self.draining.set()
-            raise
-
     async def _drain(self) -> None:
         """Waits for the balancer, hands roles over, and finishes all that it serves."""
         self.ring.record(Kind.DRAINING)
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation.py
@@ -10,7 +10,7 @@
 from bluebellpitch.decisions.directory import Directory
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
-from bluebellpitch.decisions.loads import Work
+from bluebellpitch.decisions.loads import Work, session_of
 from bluebellpitch.decisions.other_zones import OtherZone
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
@@ -232,12 +232,9 @@
 
     def _note_session(self, ask: WorkAsked | None) -> None:
         """Keeps the session of a long prompt, to be told to other zones."""
-        if (
-            ask
-            and len(ask.parts) > 1
-            and not self._brokers_by_pool[ask.pool].is_short_size(ask.tokens_in)
-        ):
-            self._sessions_by_pool.setdefault(ask.pool, []).append(ask.parts[-2][0])
+        session = session_of(ask.parts) if ask else ""
+        if session and not self._brokers_by_pool[ask.pool].is_short_size(ask.tokens_in):
+            self._sessions_by_pool.setdefault(ask.pool, []).append(session)
 
     def forget_vm(self, vm: str) -> None:
         """Forgets the work of a VM that is gone."""
