--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 from soak.scene import Scene
 
 CALLERS_PER_VM = 8
+CALLERS_AT_MOST = 48
 RECOVERY_TRIES = 300
 RECOVERY_PAUSE_S = 0.1
 
@@ -20,7 +21,7 @@
 ) -> Record:
     """Plays the faults of a seed; returns what was seen."""
     async with Scene(folder, vms) as scene:
-        callers = [Caller(scene, number, seed) for number in range(CALLERS_PER_VM * vms)]
+        callers = [Caller(scene, number, seed) for number in range(count_callers(vms))]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
         await bring_all(scene, tuple(draw_faults(seed, seconds, only)))
         await scene.wait_ready()
@@ -34,6 +35,11 @@
         return scene.record
 
 
+def count_callers(vms: int) -> int:
+    """Returns how many callers there are; one process plays them all."""
+    return min(CALLERS_AT_MOST, CALLERS_PER_VM * vms)
+
+
 async def check_recovery(scene: Scene, seed: int) -> None:
     """Notes kinds of request that nobody serves although all faults have ended."""
     for place, kind in enumerate(KINDS):
