Let a round of the broker's queue pass over work that has left it meanwhile

Change: work is granted or refused only while it still waits.

Result: test_work_that_leaves_the_queue_while_it_is_served raised KeyError before and passes.

--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -154,10 +154,15 @@
         return ahead * self.speed.s_per_token / (READING_SHARE * engines)
 
     def serve(self, now: float) -> Iterator[Decision]:
-        """Yields grants and refusals that are due."""
+        """Yields grants and refusals that are due.
+
+        What follows from a decision may serve the queue again before the next one is asked for.
+        """
         paced_waits = False
         for waiting in sorted(self.waiting_by_id.values(), key=lambda w: self._order(w, now)):
             work = waiting.work
+            if self.waiting_by_id.get(work.id) is not waiting:
+                continue
             is_short_prompt = self.is_short(work)
             if paced_waits and not is_short_prompt:
                 continue
@@ -197,9 +202,9 @@
 
     def _refuse_hopeless(self, now: float) -> Iterator[Refused]:
         for waiting in list(self.waiting_by_id.values()):
-            if now >= waiting.gives_up_at():
-                del self.waiting_by_id[waiting.work.id]
-                work = waiting.work
+            work = waiting.work
+            if self.waiting_by_id.get(work.id) is waiting and now >= waiting.gives_up_at():
+                del self.waiting_by_id[work.id]
                 inputs = self._describe_refusal(work, now - work.arrived_at)
                 yield Refused(work.id, waiting.vm, "waited_too_long", RETRY_SHORTEST_S, inputs)
 
--- a/tests/test_generation_broker.py
+++ b/tests/test_generation_broker.py
@@ -248,3 +248,18 @@
     for number in range(100):
         share.note(late=number % 10 == 0)
     assert share.value == pytest.approx(before, abs=0.01)
+
+
+def test_work_that_leaves_the_queue_while_it_is_served():
+    """A grant that nobody waits for comes back at once, and the queue is served within serving."""
+    broker = make_broker(4)
+    for name in ("k", "l", "m", "n"):
+        broker.ask(make_work(name, 20_000, 0.0), "vm", frozenset(), 0.0)
+    for name in ("a", "b", "c", "d"):
+        broker.ask(make_work(name, 6_000, 0.0), "vm", frozenset(), 0.0)
+    assert len(broker.waiting_by_id) == 4
+    for now in (2.0, 9.0):
+        for decision in broker.serve(now):
+            broker.done(decision.work_id, "withdrawn", now)
+            list(broker.serve(now))
+    assert not broker.waiting_by_id
