Let a relay's delay be a latency; use one relay, one source of ports, one reader of answers in tests

Found in reading the change: the tests had a second relay (Gate), ports were drawn in two places, the soak and the stand-in's caller read answers by copies of the client's loop, the soak's budget check went over all sends for each send, and one field was never read. One piece each now; checks as before.

--- a/bluebellpitch/endpoints/service.py
+++ b/bluebellpitch/endpoints/service.py
@@ -32,13 +32,11 @@
     try:
         headers: Headers = [*call.headers, ("Connection", "close")]
         await connection.send(call.method, call.target, headers, call.body)
-        head = await connection.read_head(timeout_s)
-        parts = [part async for part in connection.read_body(timeout_s)]
+        response = await connection.read_response(timeout_s)
     except BrokenError as error:
         return MayHaveRun(f"answer_lost: {error}")
     finally:
         connection.close()
-    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
-    if any(name == DID_NOT_RUN_HEADER and value == "true" for name, value in headers):
+    if (DID_NOT_RUN_HEADER, "true") in response.headers:
         return DidNotRun("endpoint_did_not_run")
-    return HttpResponse(head.status_code, headers, b"".join(parts))
+    return response
--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -99,17 +99,23 @@
         self._read_bytes += len(data)
         return data
 
-    async def call(self, method: str, target: str, body: bytes, timeout_s: float) -> HttpResponse:
+    async def read_response(self, timeout_s: float) -> HttpResponse:
+        """Returns the whole response; ``timeout_s`` bounds each silence."""
+        head = await self.read_head(timeout_s)
+        parts = [part async for part in self.read_body(timeout_s)]
+        headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
+        return HttpResponse(head.status_code, headers, b"".join(parts))
+
+    async def call(
+        self, method: str, target: str, body: bytes, timeout_s: float, headers: Headers = ()
+    ) -> HttpResponse:
         """Makes one whole exchange; raises BrokenError or StalledError."""
         try:
             async with asyncio.timeout(timeout_s):
-                await self.send(method, target, [], body)
-                head = await self.read_head(timeout_s)
-                parts = [part async for part in self.read_body(timeout_s)]
+                await self.send(method, target, headers, body)
+                return await self.read_response(timeout_s)
         except TimeoutError as error:
             raise StalledError(f"{self.address} did not answer within {timeout_s} s") from error
-        headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
-        return HttpResponse(head.status_code, headers, b"".join(parts))
 
     def has_unread_or_closed(self) -> bool:
         """Tells whether the server closed, or sent bytes that answer nothing."""
@@ -168,14 +174,8 @@
     Raises NotSentError, BrokenError or StalledError.
     """
     connection = await ClientConnection.open(address, timeout_s)
+    headers = [*headers, ("Connection", "close")]
     try:
-        async with asyncio.timeout(timeout_s):
-            await connection.send(method, target, [*headers, ("Connection", "close")], body)
-            head = await connection.read_head(timeout_s)
-            parts = [part async for part in connection.read_body(timeout_s)]
-    except TimeoutError as error:
-        raise StalledError(f"{address} did not answer within {timeout_s} s") from error
+        return await connection.call(method, target, body, timeout_s, headers)
     finally:
         connection.close()
-    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
-    return HttpResponse(head.status_code, headers, b"".join(parts))
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -17,17 +17,12 @@
 from bluebellpitch.http1 import fetch
 from bluebellpitch.platform.entries import ENDPOINTS_TOPIC
 from bluebellpitch.platform.store import Appended, StoreClient
-from fakes.prepared import free_port
+from fakes.ports import free_address
 
 ROOT = Path(__file__).resolve().parent.parent
 START_S = 20.0
 
 
-def free_address() -> str:
-    """Returns a free loopback address."""
-    return f"127.0.0.1:{free_port()}"
-
-
 def digest(token: str) -> str:
     """Returns what the sheet holds of a credential."""
     return hashlib.sha256(token.encode()).hexdigest()
--- a/fakes/link.py
+++ b/fakes/link.py
@@ -3,10 +3,12 @@
 import asyncio
 
 from bluebellpitch.http1 import parse_address
+from fakes.ports import free_address
 from fakes.server import FakeServer
 
 READ_BYTES = 65_536
 HELD_CHECK_S = 0.02
+CHUNKS_AT_MOST = 1_000
 
 
 class FakeLink(FakeServer):
@@ -19,7 +21,7 @@
 
     def __init__(self, listen: str, target: str, delay_s: float = 0.0):
         super().__init__()
-        self._listen = listen
+        self.address = listen
         self._target = target
         self.delay_s = delay_s
         self.held = ""
@@ -28,6 +30,13 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._handlers: set[asyncio.Task] = set()
 
+    @classmethod
+    async def open(cls, target: str) -> "FakeLink":
+        """Starts a relay in this process; ``address`` stands in for the target's."""
+        link = cls(free_address(), target)
+        await link.start("127.0.0.1", 0)
+        return link
+
     @property
     def cut(self) -> bool:
         """Whether the link is cut."""
@@ -51,7 +60,7 @@
 
     async def start(self, host: str, port: int) -> int:
         """Starts the relay and its control address."""
-        await asyncio.start_server(self._accept, *parse_address(self._listen))
+        await asyncio.start_server(self._accept, *parse_address(self.address))
         return await super().start(host, port)
 
     async def _accept(self, reader, writer) -> None:
@@ -84,14 +93,31 @@
             self._writers -= {writer, far_writer}
 
     async def _pump(self, reader, writer, generation: int, direction: str) -> None:
+        chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(CHUNKS_AT_MOST)
+        await asyncio.gather(
+            self._read(reader, chunks), self._write(chunks, writer, generation, direction)
+        )
+
+    async def _read(self, reader, chunks: asyncio.Queue) -> None:
+        """Queues what comes, with the time to pass it on; no bytes mark the end."""
+        now = asyncio.get_running_loop().time
         try:
             while data := await reader.read(READ_BYTES):
+                await chunks.put((now() + self.delay_s, data))
+        except OSError:
+            pass
+        await chunks.put((now(), b""))
+
+    async def _write(self, chunks: asyncio.Queue, writer, generation: int, direction: str) -> None:
+        now = asyncio.get_running_loop().time
+        try:
+            while (chunk := await chunks.get())[1]:
                 if generation != self._generation:
                     await asyncio.Event().wait()
                 while self.held == direction:
                     await asyncio.sleep(HELD_CHECK_S)
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
+                due_at, data = chunk
+                await asyncio.sleep(max(0.0, due_at - now()))
                 writer.write(data)
                 await writer.drain()
         except OSError:
--- a/fakes/prepared.py
+++ b/fakes/prepared.py
@@ -1,8 +1,6 @@
 """A small deployment on the stand-ins of the prepared platform, all in one process."""
 
 import asyncio
-import random
-import socket
 import time
 from dataclasses import dataclass, field
 
@@ -11,29 +9,13 @@
 from bluebellpitch.entry import EntryVm
 from bluebellpitch.http1 import ClientConnection, HttpResponse
 from bluebellpitch.platform.settings_file import VmSettings, parse_settings
+from fakes.ports import free_address, free_port
 from fakes.prepared_endpoint import FakeEndpoint
 from fakes.prepared_store import FakeStore
 
 HOST = "tile.example"
 KEY = "key-of-the-office"
 MEMBER = "office"
-LISTENING_PORTS = (15_000, 32_000)
-
-
-def free_port() -> int:
-    """Returns a port of the loopback that nobody uses now.
-
-    It lies below those that the system gives to outgoing connections: a process that is started
-    again finds it free.
-    """
-    while True:
-        port = random.SystemRandom().randrange(*LISTENING_PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
 
 
 def route(name: str, kind: str, pool: str, **fields) -> dict:
@@ -160,7 +142,7 @@
 
     async def add_vm(self, zone: str = "z", store: str = "") -> EntryVm:
         """Starts an entry VM and waits until it is ready."""
-        listen, ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
+        listen, ready = free_address(), free_address()
         name = f"vm-{len(self.vms) + 1}"
         text = settings_text(name, zone, store or self.store_address, listen, ready, free_port())
         settings = parse_settings(text)
@@ -208,10 +190,7 @@
             *headers,
         ]
         await connection.send_exactly(method, path, sent, body)
-        head = await connection.read_head(patience_s + 1)
-        parts = [part async for part in connection.read_body(patience_s + 1)]
-        names = tuple((name.decode(), value.decode()) for name, value in head.headers)
-        return HttpResponse(head.status_code, names, b"".join(parts))
+        return await connection.read_response(patience_s + 1)
 
     async def stream(self, path: str, request_id: str, tokens: int = 100, **fields):
         """Asks for a generation."""
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -41,7 +41,7 @@
     decode_envelope,
     encode_envelope,
 )
-from fakes.fleet import free_address
+from fakes.ports import free_address
 
 REPORT = Path(__file__).resolve().parent.parent / "docs" / "measurements" / "capacity.md"
 US = 1e6
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -72,7 +72,7 @@
         if not await self._scene.is_ready(vm):
             return False
         try:
-            self._connection = await ClientConnection.open(vm.callers_address, 1.0)
+            self._connection = await ClientConnection.open(vm.callers.address, 1.0)
         except BluebellpitchError:
             return False
         self._vm = vm
@@ -93,10 +93,7 @@
         method = "GET" if kind == "look" else "POST"
         connection = self._connection
         await connection.send_exactly(method, f"/{kind}/{id}", headers, body)
-        head = await connection.read_head(SILENCE_S)
-        parts = [part async for part in connection.read_body(SILENCE_S)]
-        names = tuple((name.decode(), value.decode()) for name, value in head.headers)
-        return HttpResponse(head.status_code, names, b"".join(parts))
+        return await connection.read_response(SILENCE_S)
 
 
 def describe(response: HttpResponse | None, **known) -> Outcome:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,6 +1,6 @@
 """The promises, checked on a record. Each check yields a line for each breach."""
 
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Iterator
 from itertools import pairwise
 
@@ -95,14 +95,18 @@
     for arrival in record.arrivals:
         by_pool[arrival.pool].append(arrival)
     for pool, arrivals in by_pool.items():
-        arrivals.sort(key=lambda arrival: arrival.at)
         seen: set[str] = set()
-        sends = [(a.at, a.id in seen or seen.add(a.id) or False) for a in arrivals]
-        for at, _ in sends:
-            window = [repeat for sent, repeat in sends if at - REPEAT_WINDOW_S < sent <= at]
+        window: deque[tuple[float, bool]] = deque()
+        repeats = 0
+        for arrival in sorted(arrivals, key=lambda arrival: arrival.at):
+            window.append((arrival.at, arrival.id in seen))
+            repeats += arrival.id in seen
+            seen.add(arrival.id)
+            while window[0][0] <= arrival.at - REPEAT_WINDOW_S:
+                repeats -= window.popleft()[1]
             allowed = REPEAT_SHARE * len(window) + REPEAT_BURST
-            if sum(window) > allowed:
-                yield f"{pool}: {sum(window)} repeats in a window that allows {allowed:.0f}"
+            if repeats > allowed:
+                yield f"{pool}: {repeats} repeats in a window that allows {allowed:.0f}"
                 break
 
 
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -16,7 +16,8 @@
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.http1 import fetch
 from fakes.link import FakeLink
-from fakes.prepared import configuration, free_port, settings_text
+from fakes.ports import free_address, free_port
+from fakes.prepared import configuration, settings_text
 from fakes.prepared_endpoint import FakeEndpoint
 from fakes.prepared_store import FakeStore
 from soak.record import EVENTS, Arrival, Record, Stop
@@ -73,13 +74,11 @@
     metrics_port: int
     callers: FakeLink
     store: FakeLink
-    callers_address: str
     popen: subprocess.Popen | None = None
     starts: int = 0
     # Counts faults that may cut requests, to tell whether one fell into a planned stop.
     harmed: int = 0
     stopping: bool = False
-    wanted: bool = True
 
     @property
     def key(self) -> str:
@@ -157,16 +156,11 @@
         for key in old:
             self.record.taken_at_by_key[key] = time.monotonic()
 
-    async def _open_link(self, target: str) -> tuple[FakeLink, str]:
-        address = f"127.0.0.1:{free_port()}"
-        link = FakeLink(address, target)
-        await link.start("127.0.0.1", 0)
-        return link, address
-
     async def _add_endpoint(self, pool: str, zone: str) -> None:
         endpoint = SoakEndpoint(f"{pool}-{next(self._names)}", pool, self.record)
         port = await endpoint.start("127.0.0.1", 0)
-        endpoint.link, endpoint.address = await self._open_link(f"127.0.0.1:{port}")
+        endpoint.link = await FakeLink.open(f"127.0.0.1:{port}")
+        endpoint.address = endpoint.link.address
         endpoint.zone = zone
         self.endpoints.append(endpoint)
         self.announce(endpoint)
@@ -206,14 +200,14 @@
         self.store.put("keyed.servers", name, b"")
 
     async def _add_vm(self, name: str, zone: str) -> None:
-        listen, ready = (f"127.0.0.1:{free_port()}" for _ in range(2))
-        store, store_address = await self._open_link(f"127.0.0.1:{self.store_port}")
-        callers, callers_address = await self._open_link(listen)
+        listen, ready = free_address(), free_address()
+        store = await FakeLink.open(f"127.0.0.1:{self.store_port}")
+        callers = await FakeLink.open(listen)
         path = self.folder / f"{name}.conf"
-        text = settings_text(name, zone, store_address, listen, ready, free_port())
+        text = settings_text(name, zone, store.address, listen, ready, free_port())
         text += "".join(f"zones.{z}=r-{z}\n" for z in ZONES) + f"bounds.grace_s={GRACE_S}\n"
         path.write_text(text)
-        vm = EntryProcess(name, path, ready, free_port(), callers, store, callers_address)
+        vm = EntryProcess(name, path, ready, free_port(), callers, store)
         self.vms.append(vm)
 
     def start(self, vm: EntryProcess) -> None:
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -6,7 +6,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import StrikesCleared
-from fakes.fleet import free_address
+from fakes.ports import free_address
 
 
 def test_messages_arrive_in_order(run):
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -6,8 +6,9 @@
 import pytest
 
 from bluebellpitch.platform.configuration import decode_configuration
+from fakes.link import FakeLink
 from fakes.prepared import Deployment, PlatformClient, configuration, wait_until
-from tests.prepared_helpers import Gate, in_deployment, start
+from tests.prepared_helpers import in_deployment, start
 
 
 @in_deployment
@@ -30,10 +31,10 @@
 async def test_vm_turned_away_by_the_store_borrows_freshness_from_a_peer(deployment):
     endpoint = await deployment.add_endpoint("i-0", "app")
     await deployment.add_vm()
-    gate = await Gate.open(deployment.store_address)
+    gate = await FakeLink.open(deployment.store_address)
     vm = await deployment.add_vm(store=gate.address)
     await wait_until(lambda: len(vm.liveness.live(vm._now())) == 1)
-    gate.shut()
+    gate.cut = True
     client = PlatformClient(vm.settings)
     for number in range(6):
         await asyncio.sleep(0.5)
@@ -98,11 +99,11 @@
         async with Deployment() as deployment:
             endpoint = await deployment.add_endpoint("i-0", "app")
             await deployment.add_vm()
-            gates = [await Gate.open(deployment.store_address) for _ in range(2)]
+            gates = [await FakeLink.open(deployment.store_address) for _ in range(2)]
             vms = [await deployment.add_vm(zone=zone, store=gate.address) for gate in gates]
             await wait_until(lambda: all(len(vm.neighbours.records_by_vm) >= 2 for vm in vms))
             for gate in gates:
-                gate.shut()
+                gate.cut = True
             await asyncio.sleep(0.3)
             deployment.announce(endpoint, "app", state="draining")
             await wait_until(
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,7 +12,8 @@
 
 from bluebellpitch.exits import ExitStatus
 from fakes.federations import CLASSES, MODEL, member, sheet
-from fakes.fleet import answers, free_address, wait_until
+from fakes.fleet import answers, wait_until
+from fakes.ports import free_address
 from tests.helpers import run_program
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -13,7 +13,8 @@
 from bluebellpitch.operators.sheet import parse_sheet, write_sheet
 from fakes.caller import Answer, stream
 from fakes.engine import answer_to
-from fakes.fleet import Fleet, free_address, is_ready, read_status, wait_until
+from fakes.fleet import Fleet, is_ready, read_status, wait_until
+from fakes.ports import free_address
 from tests.helpers import TOKEN, Shape, start_federation, wait
 
 ENGINES = ("engine-doto-1-0", "engine-doto-1-1", "engine-doto-1-2")
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -15,7 +15,8 @@
 from fakes.caller import look_up, stream, submit
 from fakes.engine import answer_to
 from fakes.federations import CLASSES, FILING, MODEL, endpoint, member, sheet
-from fakes.fleet import Fleet, free_address, read_status, wait_until
+from fakes.fleet import Fleet, read_status, wait_until
+from fakes.ports import free_address
 from tests.helpers import TOKEN, Shape, count_runs, start_federation, verdict_of, wait
 
 IN_FORCE_S = 9.0
