--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -81,7 +81,7 @@
             if isinstance(slot, DidNotRun):
                 return await self._refuse(slot.reason, slot.status, slot.retry_after_s)
             if self._judge() > suspicion:
-                self.context.slots.give_back(slot, "cancelled", None, None)
+                self.context.slots.give_back(slot, "cancelled")
                 continue
             ending = await self._attempt(slot)
             if ending == "completed":
--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -1,7 +1,7 @@
 """One routed request, from its arrival to its end."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from bluebellpitch.callers.admission import Admitted, admit, make_work
@@ -81,7 +81,6 @@
             await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
                 log("INFO", "caller_left", request=request.id, endpoints=",".join(self._tried))
-                await settle(work)
                 raise GoneError("the caller left")
             work.result()
         finally:
@@ -136,10 +135,7 @@
 
     async def _respond(self, status: int, headers, body: bytes) -> None:
         self._started = True
-        if self._context.is_draining():
-            headers = [*headers, ("Connection", "close")]
-        headers = [pair for pair in headers if pair[0].lower() != "content-length"]
-        await self._connection.respond(status, headers, body)
+        await self._connection.respond(status, self._headers_for_caller(headers), body)
 
     async def _dispatch_unless_harmful(self, admitted: Admitted) -> Verdict:
         """Refuses a request that has crashed endpoint after endpoint."""
@@ -272,7 +268,7 @@
             return MayHaveRun(f"answered {head.status}", status=502)
         if self._started:
             return MayHaveRun(f"answered {head.status} to a resumed stream")
-        await self._respond(head.status, list(head.headers), answer.body)
+        await self._respond(head.status, head.headers, answer.body)
         return Ran(f"answered {head.status}", head.status)
 
     def _can_repeat(self, admitted: Admitted) -> bool:
@@ -292,9 +288,7 @@
             if first:
                 first = False
                 placing.note_first_event(place, attempt.sent_at)
-            if not self._started:
-                self._started = True
-                await self._connection.start(head.status, self._stream_headers(head))
+            await self._start_stream(head)
             self._note_events()
             await self._connection.send(events)
             last = last_event_id(events)
@@ -302,9 +296,7 @@
         if attempt.ending != "complete":
             status = 504 if attempt.ending == "late" else 502
             return MayHaveRun(f"stream {attempt.ending}", status=status)
-        if not self._started:
-            self._started = True
-            await self._connection.start(head.status, self._stream_headers(head))
+        await self._start_stream(head)
         await self._connection.end()
         return Ran("complete", head.status)
 
@@ -316,9 +308,16 @@
             self._first_at = now
         self._last_at = now
 
-    def _stream_headers(self, head: AnswerHead):
-        headers = [pair for pair in head.headers if pair[0] != "content-length"]
-        return [*headers, ("Connection", "close")] if self._context.is_draining() else headers
+    async def _start_stream(self, head: AnswerHead) -> None:
+        """Sends the head, unless an earlier attempt has."""
+        if not self._started:
+            self._started = True
+            await self._connection.start(head.status, self._headers_for_caller(head.headers))
+
+    def _headers_for_caller(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Returns headers without a length, which the connection sets, as the VM's state asks."""
+        kept = [pair for pair in headers if pair[0].lower() != "content-length"]
+        return [*kept, ("Connection", "close")] if self._context.is_draining() else kept
 
 
 def name_outcome(verdict: Verdict) -> str:
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -259,6 +259,7 @@
             self.neighbours.beat(),
             self.sharing.run(),
             self.generations.run(),
+            self.strikes.expire(),
             self._apply_limits(),
             self._tidy(),
         )
@@ -285,7 +286,6 @@
         while True:
             await asyncio.sleep(LINKS_CHECKED_S)
             self.links.close_idle()
-            self.strikes.book.expire(self._now())
             self.placing.loads.forget_others(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
--- a/bluebellpitch/platform/entries.py
+++ b/bluebellpitch/platform/entries.py
@@ -7,6 +7,7 @@
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.errors import ProtocolError
 from bluebellpitch.http1 import parse_address
+from bluebellpitch.logs import log
 
 ENDPOINTS_TOPIC = "keyed.servers"
 
@@ -42,3 +43,8 @@
         is_draining=wire.state == "draining",
         started_ms=wire.born,
     )
+
+
+def report_entry(endpoint_id: str, error: ProtocolError) -> None:
+    """Logs an entry that names no endpoint."""
+    log("WARNING", "entry_malformed", endpoint=endpoint_id, error=error)
--- a/bluebellpitch/platform/members.py
+++ b/bluebellpitch/platform/members.py
@@ -5,7 +5,8 @@
 from bluebellpitch.errors import ProtocolError
 from bluebellpitch.http1 import parse_address
 from bluebellpitch.logs import log
-from bluebellpitch.platform.store import StoreClient
+from bluebellpitch.platform.records import decode_each
+from bluebellpitch.platform.store import Appended, StoreClient
 
 MEMBERS_TOPIC = "keyed.bluebellpitch-vms"
 
@@ -41,12 +42,23 @@
 
     A VM that stopped without taking its record away is still among them.
     """
-    records = {}
-    for record in (await client.newest(MEMBERS_TOPIC)).records:
-        if record.value is None:
-            continue
-        try:
-            records[record.key] = decode_member(record.value)
-        except ProtocolError as error:
-            log("WARNING", "member_malformed", vm=record.key, error=error)
-    return records
+    records = (await client.newest(MEMBERS_TOPIC)).records
+    return decode_each(records, lambda _, data: decode_member(data), report_member)
+
+
+def report_member(vm: str, error: ProtocolError) -> None:
+    """Logs a record that is none."""
+    log("WARNING", "member_malformed", vm=vm, error=error)
+
+
+async def register(client: StoreClient, vm: str, record: MemberRecord) -> bool:
+    """Writes the record of a VM; returns whether it is there for sure."""
+    verdict = await client.put(MEMBERS_TOPIC, vm, encode_member(record))
+    log("INFO", "registered", verdict=verdict.name, reason=verdict.reason)
+    return isinstance(verdict, Appended)
+
+
+async def unregister(client: StoreClient, vm: str) -> None:
+    """Takes the record of a VM away."""
+    verdict = await client.put(MEMBERS_TOPIC, vm, b"")
+    log("INFO", "unregistered", verdict=verdict.name, reason=verdict.reason)
--- a/bluebellpitch/platform/records.py
+++ b/bluebellpitch/platform/records.py
@@ -1,13 +1,15 @@
 """Framing of the store's records: four bytes of length, then the record."""
 
 import struct
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from typing import TypeVar
 
 from bluebellpitch.errors import ProtocolError
 
 LENGTH = struct.Struct(">I")
 HEAD = struct.Struct(">QQ")
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,23 @@
     return KeyedRecord(key, record[1 + size :] or None)
 
 
+def decode_each(
+    records: Iterable[KeyedRecord],
+    decode: Callable[[str, bytes], T],
+    report: Callable[[str, ProtocolError], None],
+) -> dict[str, T]:
+    """Returns the values that are there, decoded, by key; ``report`` takes those that cannot be."""
+    decoded = {}
+    for record in records:
+        if record.value is None:
+            continue
+        try:
+            decoded[record.key] = decode(record.key, record.value)
+        except ProtocolError as error:
+            report(record.key, error)
+    return decoded
+
+
 def encode_keyed(key: str, value: bytes) -> bytes:
     """Frames one record of a keyed topic; an empty value drops the key."""
     name = key.encode()
--- a/bluebellpitch/roles/following.py
+++ b/bluebellpitch/roles/following.py
@@ -11,7 +11,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.entry_messages import RecordsTold
 from bluebellpitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
-from bluebellpitch.platform.entries import decode_entry
+from bluebellpitch.platform.entries import decode_entry, report_entry
 from bluebellpitch.platform.records import KeyedRecord
 from bluebellpitch.platform.store import StoreClient, Truncated, keyed_records
 
@@ -262,7 +262,7 @@
         try:
             entry = decode_entry(record.key, record.value)
         except BluebellpitchError as error:
-            log("WARNING", "entry_malformed", endpoint=record.key, error=error)
+            report_entry(record.key, error)
             return
         if self.directory.take(entry):
             log(
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/membership.py
@@ -13,20 +13,16 @@
 from bluebellpitch.decisions.epochs import EpochProposer
 from bluebellpitch.decisions.floors import EpochHistory
 from bluebellpitch.decisions.hashing import rank_owners
-from bluebellpitch.errors import BluebellpitchError, ProtocolError
+from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import Heartbeat
 from bluebellpitch.platform.appender import Appender
-from bluebellpitch.platform.entries import ENDPOINTS_TOPIC, decode_entry
-from bluebellpitch.platform.members import (
-    MEMBERS_TOPIC,
-    MemberRecord,
-    encode_member,
-    read_members,
-)
-from bluebellpitch.platform.store import Appended, StoreClient
+from bluebellpitch.platform.entries import ENDPOINTS_TOPIC, decode_entry, report_entry
+from bluebellpitch.platform.members import MemberRecord, read_members, register, unregister
+from bluebellpitch.platform.records import decode_each
+from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
 
 LIST_INTERVAL_S = 1.0
@@ -181,29 +177,17 @@
     async def _register(self) -> bool:
         own = self._holder.current.own
         record = MemberRecord(own.identity.bus, own.zone, own.identity.admin)
-        verdict = await self._store.put(MEMBERS_TOPIC, own.identity.name, encode_member(record))
-        log("INFO", "registered", verdict=verdict.name, reason=verdict.reason)
-        return isinstance(verdict, Appended)
+        return await register(self._store, own.identity.name, record)
 
     async def unregister(self) -> None:
         """Takes this VM's record away: it runs nothing any more."""
-        verdict = await self._store.put(MEMBERS_TOPIC, self._holder.current.own.identity.name, b"")
-        log("INFO", "unregistered", verdict=verdict.name, reason=verdict.reason)
+        await unregister(self._store, self._holder.current.own.identity.name)
 
     async def _read_leaving(self) -> frozenset[str]:
         """Returns the endpoints that announce that they will stop, whatever the table says."""
-        leaving = set()
-        for record in (await self._store.newest(ENDPOINTS_TOPIC)).records:
-            if record.value is None:
-                continue
-            try:
-                entry = decode_entry(record.key, record.value)
-            except ProtocolError as error:
-                log("WARNING", "entry_malformed", endpoint=record.key, error=error)
-                continue
-            if entry.is_draining:
-                leaving.add(entry.id)
-        return frozenset(leaving)
+        records = (await self._store.newest(ENDPOINTS_TOPIC)).records
+        entries_by_id = decode_each(records, decode_entry, report_entry)
+        return frozenset(id for id, entry in entries_by_id.items() if entry.is_draining)
 
     def _note_leaving(self, leaving: frozenset[str]) -> None:
         view = self._holder.current
--- a/bluebellpitch/roles/neighbours.py
+++ b/bluebellpitch/roles/neighbours.py
@@ -8,13 +8,8 @@
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.entry_messages import VmBeat
-from bluebellpitch.platform.members import (
-    MEMBERS_TOPIC,
-    MemberRecord,
-    encode_member,
-    read_members,
-)
-from bluebellpitch.platform.store import Appended, StoreClient
+from bluebellpitch.platform.members import MemberRecord, read_members, register, unregister
+from bluebellpitch.platform.store import StoreClient
 
 # VMs on which others rely, for a duty, beat often: their loss has to be noticed soon.
 DUTY_BEAT_INTERVAL_S = 0.15
@@ -64,9 +59,7 @@
         registered = False
         while True:
             if not registered:
-                verdict = await self._client.put(MEMBERS_TOPIC, self._vm, encode_member(self._own))
-                registered = isinstance(verdict, Appended)
-                log("INFO", "registered", verdict=verdict.name, reason=verdict.reason)
+                registered = await register(self._client, self._vm, self._own)
             known = await self._read_members()
             done = registered and known
             await asyncio.sleep(MEMBERS_INTERVAL_S if done else MEMBERS_RETRY_S)
@@ -82,8 +75,7 @@
 
     async def unregister(self) -> None:
         """Takes this VM's record away, for a planned stop."""
-        verdict = await self._client.put(MEMBERS_TOPIC, self._vm, b"")
-        log("INFO", "unregistered", verdict=verdict.name, reason=verdict.reason)
+        await unregister(self._client, self._vm)
 
     async def beat(self) -> None:
         """Tells the VMs of this zone that this one is alive, until cancelled."""
--- a/bluebellpitch/roles/striking.py
+++ b/bluebellpitch/roles/striking.py
@@ -46,13 +46,15 @@
 
     def note(self, fingerprint: str, attempt: str) -> None:
         """Notes that an endpoint died under an attempt, here and at all peers."""
-        self.book.add(fingerprint, attempt, self._now())
-        self._tell_all(StrikeNoted(fingerprint, attempt))
+        self._note(StrikeNoted(fingerprint, attempt))
+
+    def _note(self, message: StrikeNoted) -> int:
+        self.book.add(message.fingerprint, message.attempt, self._now())
+        return self._tell_all(message)
 
     async def note_confirmed(self, fingerprint: str, attempt: str, patience_s: float) -> None:
         """Notes a strike; returns when all peers have it, at the latest after ``patience_s``."""
-        self.book.add(fingerprint, attempt, self._now())
-        told = self._tell_all(StrikeNoted(fingerprint, attempt, confirm=True))
+        told = self._note(StrikeNoted(fingerprint, attempt, confirm=True))
         self._unconfirmed_by_attempt[attempt] = told
         try:
             async with asyncio.timeout(patience_s):
