--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -222,7 +222,7 @@
         attempt = f"{self.caller.request_id}.{self.progress.attempt}"
         self.record(Kind.STRIKE, endpoint, "the endpoint died under the request")
         strikes, fingerprint = self.context.strikes, self.job.fingerprint
-        await strikes.note_confirmed(fingerprint, attempt, STRIKE_PATIENCE_S)
+        await strikes.record_confirmed(fingerprint, attempt, STRIKE_PATIENCE_S)
 
     async def _complete(self) -> Verdict:
         if self.context.strikes.book.count(self.job.fingerprint, self.context.now()):
--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -25,8 +25,8 @@
     last_event_id,
     refusal_headers,
 )
-from bluebellpitch.roles.placing import Place, PlacingRole
-from bluebellpitch.roles.striking import StrikeRole
+from bluebellpitch.roles.endpoint_selector import EndpointSelector, Placement
+from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
 # An endpoint's own answer at the deadline is waited for this long.
@@ -46,13 +46,13 @@
 
     catalogue: Callable[[], Catalogue | None]
     freshness: Freshness
-    placing: PlacingRole
+    placing: EndpointSelector
     links: Links
     repeats: RepeatBudget
     live_vms: Callable[[], int]
     is_draining: Callable[[], bool]
     is_closing: Callable[[], bool]
-    strikes: StrikeRole
+    strikes: StrikeReplicator
     metrics: Metrics
     now: Callable[[], float]
 
@@ -151,14 +151,14 @@
             context.strikes.clear(self._fingerprint)
         return verdict
 
-    async def _note_crash(self, place: Place, request: RoutedRequest) -> None:
+    async def _note_crash(self, place: Placement, request: RoutedRequest) -> None:
         """Notes a strike if the endpoint under a broken request has really gone down."""
         try:
             connection = await ClientConnection.open(place.entry.address, CRASH_CHECK_S)
         except NotSentError:
             attempt = f"{place.entry.id}/{place.entry.started_ms}"
             log("WARNING", "strike", request=request.id, endpoint=place.entry.id)
-            self._context.strikes.note(self._fingerprint, attempt)
+            self._context.strikes.record(self._fingerprint, attempt)
         else:
             connection.close()
 
@@ -197,12 +197,12 @@
             return DidNotRun("repeat_budget_spent", 503, NO_ENDPOINT_RETRY_S)
         return None
 
-    async def _place(self, admitted: Admitted) -> Place | DidNotRun:
+    async def _place(self, admitted: Admitted) -> Placement | DidNotRun:
         work = make_work(admitted, len(self._tried))
         tried = frozenset(self._tried)
-        return await self._context.placing.place(work, admitted.is_engine, tried)
+        return await self._context.placing.select(work, admitted.is_engine, tried)
 
-    async def _try(self, admitted: Admitted, place: Place) -> Verdict:
+    async def _try(self, admitted: Admitted, place: Placement) -> Verdict:
         """Makes one attempt, and enters how it ended in the books."""
         self._tried.append(place.entry.id)
         outcome = "withdrawn"
@@ -224,7 +224,7 @@
     def _may_resume(self, route: Route) -> bool:
         return route.repeatability is Repeatability.RESUMABLE and self._last_event is not None
 
-    async def _attempt(self, admitted: Admitted, place: Place) -> Verdict:
+    async def _attempt(self, admitted: Admitted, place: Placement) -> Verdict:
         """Sends the request to one endpoint and passes its answer on."""
         context = self._context
         attempt = Attempt(context.links, place.entry, admitted.request, context.now)
@@ -244,17 +244,17 @@
         finally:
             attempt.close()
 
-    async def _take_head(self, admitted, place: Place, attempt: Attempt, head, by) -> Verdict:
+    async def _take_head(self, admitted, place: Placement, attempt: Attempt, head, by) -> Verdict:
         placing = self._context.placing
         match head:
             case Turned():
                 if head.is_other:
                     placing.directory.mark_replaced(place.entry)
-                placing.note_head(place, attempt.head)
+                placing.record_load_report(place, attempt.head)
                 return DidNotRun(head.reason, 503, NO_ENDPOINT_RETRY_S)
             case Unsent() | MayHaveRun():
                 return head
-        placing.note_head(place, head)
+        placing.record_load_report(place, head)
         if admitted.route.is_stream and 200 <= head.status < 300:
             return await self._pass_stream(admitted, place, attempt, head, by)
         answer = await attempt.read_whole(by)
@@ -280,14 +280,14 @@
             and now < admitted.expires_at - REPEAT_WORTH_S
         )
 
-    async def _pass_stream(self, admitted, place: Place, attempt: Attempt, head, by) -> Verdict:
+    async def _pass_stream(self, admitted, place: Placement, attempt: Attempt, head, by) -> Verdict:
         """Passes whole events on as they come. A cut stream is never ended as if complete."""
         placing = self._context.placing
         first = True
         async for events in attempt.events(by, silence_s=max(0.001, by - self._context.now())):
             if first:
                 first = False
-                placing.note_first_event(place, attempt.sent_at)
+                placing.record_first_event(place, attempt.sent_at)
             await self._start_stream(head)
             self._note_events()
             await self._connection.send(events)
--- a/bluebellpitch/commands/route.py
+++ b/bluebellpitch/commands/route.py
@@ -64,7 +64,7 @@
 async def build_and_run(settings: VmSettings, environment: Environment, metrics_port: int) -> None:
     """Builds the VM inside the event loop and runs it."""
     # Imported late: operators' commands need none of it.
-    from bluebellpitch.entry import EntryVm
+    from bluebellpitch.entry_vm import EntryVm
 
     vm = EntryVm(settings, lambda: load_settings(environment), read_boot_time, metrics_port)
     await vm.run()
--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -10,7 +10,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.roles.claiming import ClaimRole
 from bluebellpitch.roles.seeking import SlotRole
-from bluebellpitch.roles.striking import StrikeRole
+from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.settings import Settings
 from bluebellpitch.view import ViewHolder
 
@@ -24,7 +24,7 @@
     slots: SlotRole
     claims: ClaimRole
     connections: EndpointConnections
-    strikes: StrikeRole
+    strikes: StrikeReplicator
     hedges: HedgeBudget
     ring: Ring
     metrics: Metrics
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry_vm.py
@@ -32,28 +32,28 @@
 from bluebellpitch.platform.members import MemberRecord
 from bluebellpitch.platform.settings_file import VmSettings
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.roles.following import (
-    CONFIGURATION_WAIT_S,
-    ENDPOINTS_WAIT_S,
-    ConfigurationRole,
-    EndpointsRole,
+from bluebellpitch.roles.endpoint_selector import EndpointSelector
+from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
+from bluebellpitch.roles.peer_discovery import PeerDiscovery
+from bluebellpitch.roles.peer_sync import PeerSync
+from bluebellpitch.roles.store_watchers import (
+    CONFIGURATION_LONG_POLL_S,
+    ENDPOINTS_LONG_POLL_S,
+    ConfigurationWatcher,
+    EndpointWatcher,
     TopicFollower,
 )
-from bluebellpitch.roles.generation import GenerationRole
-from bluebellpitch.roles.neighbours import NeighboursRole
-from bluebellpitch.roles.placing import PlacingRole
-from bluebellpitch.roles.sharing import SharingRole
-from bluebellpitch.roles.striking import StrikeRole
+from bluebellpitch.roles.strike_replicator import StrikeReplicator
 
 DRAIN_POLL_S = 0.05
 # New connections come until the platform has noticed that the VM is not ready.
-STILL_CHOSEN_S = 2.6
+REFUSE_REQUESTS_AFTER_S = 2.6
 # Idle connections are kept a little longer, for requests that are on their way.
-LAST_REQUESTS_S = 3.2
-GRACE_SHARE = 0.94
-LINKS_CHECKED_S = 1.0
-RECEIVE_BODY_S = 10.0
-STRIKES_KEPT_S = 120.0
+STOP_LISTENING_AFTER_S = 3.2
+DRAIN_GRACE_SHARE = 0.94
+CLEANUP_INTERVAL_S = 1.0
+MIN_RECEIVE_TIMEOUT_S = 10.0
+ROUTED_STRIKE_TTL_S = 120.0
 
 
 class EntryVm:
@@ -62,12 +62,12 @@
     def __init__(
         self,
         settings: VmSettings,
-        reload: Callable[[], VmSettings],
+        load_settings: Callable[[], VmSettings],
         now: Callable[[], float],
         metrics_port: int = 0,
     ):
         self.settings = settings
-        self._reload = reload
+        self._load_settings = load_settings
         self._now = now
         self.directory = Directory()
         self.draining = asyncio.Event()
@@ -76,127 +76,134 @@
         self.liveness = Liveness(self.key, settings.zone)
         self.metrics = Metrics()
         self._metrics_port = metrics_port
-        self.strikes = StrikeRole(
-            StrikeBook(STRIKES_KEPT_S),
+        self.strikes = StrikeReplicator(
+            StrikeBook(ROUTED_STRIKE_TTL_S),
             peers=lambda: [a for a in self._all_addresses() if a != settings.bus],
-            tell=lambda address, message: self.bus.send_to_address(address, message),
+            send=lambda address, message: self.bus.send_to_address(address, message),
             now=now,
         )
-        self.bus = PeerBus(self.key, HybridClock(now), self.metrics, self._take)
+        self.bus = PeerBus(self.key, HybridClock(now), self.metrics, self._handle_message)
         freshness = Freshness(settings.revoke_s, settings.apply_s)
-        self.configuration = ConfigurationRole(
-            self._follow(CONFIGURATION_TOPIC, CONFIGURATION_WAIT_S), freshness
+        self.configuration = ConfigurationWatcher(
+            self._create_follower(CONFIGURATION_TOPIC, CONFIGURATION_LONG_POLL_S), freshness
         )
-        self.endpoints = EndpointsRole(
-            self._follow(ENDPOINTS_TOPIC, ENDPOINTS_WAIT_S),
+        self.endpoints = EndpointWatcher(
+            self._create_follower(ENDPOINTS_TOPIC, ENDPOINTS_LONG_POLL_S),
             self.directory,
             now,
             2 * settings.endpoint_heartbeat_s,
         )
-        self.neighbours = NeighboursRole(
+        self.peer_discovery = PeerDiscovery(
             vm=settings.vm,
-            own=MemberRecord(settings.bus, settings.zone),
-            store=settings.store,
+            own_record=MemberRecord(settings.bus, settings.zone),
+            store_address=settings.store,
             bus=self.bus,
             liveness=self.liveness,
             now=now,
-            version=self.configuration.version,
+            configuration_version=self.configuration.version,
             is_draining=self.draining.is_set,
-            vm_lost=lambda vm: self.generations.forget_vm(vm),
+            on_vm_lost=lambda vm: self.generations.forget_vm(vm),
             has_duty=self._has_duty,
         )
-        self.sharing = SharingRole(
+        self.peer_sync = PeerSync(
             address=settings.bus,
             bus=self.bus,
             liveness=self.liveness,
             configuration=self.configuration,
             endpoints=self.endpoints,
             all_addresses=self._all_addresses,
-            reader=lambda: self._holder(reads(CONFIGURATION_TOPIC)),
+            zone_reader=lambda: self._duty_owner(reader_duty(CONFIGURATION_TOPIC)),
             now=now,
         )
-        self.generations = GenerationRole(
-            key=self.key,
+        self.generations = GenerationCoordinator(
+            vm_key=self.key,
             address=settings.bus,
             zone=settings.zone,
             bus=self.bus,
             liveness=self.liveness,
             directory=self.directory,
             catalogue=lambda: self.configuration.catalogue,
-            elsewhere=self.neighbours.addresses_elsewhere,
+            addresses_in_zone=self.peer_discovery.addresses_in_zone,
             zones=settings.regions_by_zone,
             now=now,
             is_draining=self.draining.is_set,
         )
-        self.placing = PlacingRole(
-            self.directory, self.generations.seeker, settings.zone, settings.regions_by_zone, now
+        self.endpoint_selector = EndpointSelector(
+            self.directory,
+            self.generations.broker_client,
+            settings.zone,
+            settings.regions_by_zone,
+            now,
         )
         self.links = Links(now)
         self.context = RoutingContext(
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
-            placing=self.placing,
+            placing=self.endpoint_selector,
             links=self.links,
             repeats=RepeatBudget(
                 settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
             ),
-            live_vms=self.neighbours.count,
+            live_vms=self.peer_discovery.vm_count,
             is_draining=self.draining.is_set,
             is_closing=lambda: self._closing,
             strikes=self.strikes,
             metrics=self.metrics,
             now=now,
         )
-        self.metrics_http = HttpServer(self._answer_metrics, refuse_malformed, HttpLimits())
+        self.metrics_http = HttpServer(self._serve_metrics, refuse_malformed, HttpLimits())
         self.http = HttpServer(self._serve, refuse_malformed, HttpLimits(idle_s=16.0))
-        self.ready_http = HttpServer(self._answer_ready, refuse_malformed, HttpLimits())
+        self.ready_http = HttpServer(self._serve_readiness, refuse_malformed, HttpLimits())
 
-    def _follow(self, topic: str, wait_s: float) -> TopicFollower:
+    def _create_follower(self, topic: str, wait_s: float) -> TopicFollower:
         return TopicFollower(
             client=StoreClient(self.settings.store),
             topic=topic,
-            wait_s=wait_s,
+            long_poll_s=wait_s,
             now=self._now,
-            is_reader=lambda: self._holds(reads(topic)),
-            tell=lambda told: self.sharing.tell_zone(told),
+            is_zone_reader=lambda: self._owns_duty(reader_duty(topic)),
+            publish=lambda told: self.peer_sync.publish_to_zone(told),
             metrics=self.metrics,
         )
 
-    def _holder(self, duty: str) -> str:
+    def _duty_owner(self, duty: str) -> str:
         return self.liveness.holder(duty, self._now(), self.draining.is_set())
 
-    def _holds(self, duty: str) -> bool:
-        return self._holder(duty) == self.key
+    def _owns_duty(self, duty: str) -> bool:
+        return self._duty_owner(duty) == self.key
 
     def _has_duty(self) -> bool:
         topics = (CONFIGURATION_TOPIC, ENDPOINTS_TOPIC)
-        return any(self._holds(reads(topic)) for topic in topics) or self.generations.is_broker()
+        return (
+            any(self._owns_duty(reader_duty(topic)) for topic in topics)
+            or self.generations.is_broker()
+        )
 
-    def _take(self, sender: str, message) -> None:
+    def _handle_message(self, sender: str, message) -> None:
         """Gives a peer's message to the role that it is for."""
         match message:
             case VmBeat():
-                self.neighbours.take(sender, message)
+                self.peer_discovery.record_heartbeat(sender, message)
             case RecordsTold() | RecordsAsked() | ConfigurationTold():
-                self.sharing.take(sender, message)
+                self.peer_sync.handle_message(sender, message)
             case FreshnessAsked() | FreshnessTold():
-                self.sharing.take(sender, message)
+                self.peer_sync.handle_message(sender, message)
             case StrikeNoted() | StrikesCleared():
-                self.strikes.take(message)
+                self.strikes.handle_message(message)
             case _:
-                self.generations.take(sender, message)
+                self.generations.handle_message(sender, message)
 
     def _all_addresses(self) -> list[str]:
-        return [record.bus for record in self.neighbours.records_by_vm.values()]
+        return [record.bus for record in self.peer_discovery.records_by_vm.values()]
 
     async def _serve(self, connection, request) -> None:
         await RoutedExchange(self.context, connection).serve(request)
 
-    async def _answer_ready(self, connection, request) -> None:
+    async def _serve_readiness(self, connection, request) -> None:
         status = 200 if self.is_ready() else 503
         await connection.respond(status, [("Content-Type", "text/plain")], b"")
 
-    async def _answer_metrics(self, connection, request) -> None:
+    async def _serve_metrics(self, connection, request) -> None:
         now = self._now()
         metrics, context = self.metrics, self.context
         metrics.configuration_version.set(self.configuration.version())
@@ -205,14 +212,14 @@
         metrics.in_flight.set(self.http.busy)
         catalogue = self.configuration.catalogue
         for pool in catalogue.pools_by_name if catalogue else ():
-            left = context.repeats.left(pool, self.neighbours.count(), now)
+            left = context.repeats.left(pool, self.peer_discovery.vm_count(), now)
             metrics.repeats_left.labels(pool).set(left)
         headers = [("Content-Type", "text/plain; version=0.0.4")]
         await connection.respond(200, headers, metrics.render())
 
     def is_ready(self) -> bool:
         """Tells whether new connections should come here."""
-        knows = self.configuration.catalogue is not None and self.endpoints.known
+        knows = self.configuration.catalogue is not None and self.endpoints.is_loaded
         return knows and not self.draining.is_set()
 
     async def run(self) -> None:
@@ -220,7 +227,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.draining.set)
         loop.add_signal_handler(signal.SIGINT, self.draining.set)
-        loop.add_signal_handler(signal.SIGHUP, self._take_settings)
+        loop.add_signal_handler(signal.SIGHUP, self._compare_settings)
         try:
             await self.serve()
         finally:
@@ -239,7 +246,7 @@
         log("INFO", "started", vm=self.settings.vm, zone=self.settings.zone)
         try:
             await self.draining.wait()
-            await asyncio.gather(self.neighbours.unregister(), self._drain())
+            await asyncio.gather(self.peer_discovery.unregister(), self._drain())
         finally:
             await stop_jobs(tasks)
 
@@ -253,20 +260,20 @@
         return (
             self.configuration.run(),
             self.endpoints.run(),
-            self.endpoints.expire(),
+            self.endpoints.run_expiry(),
             self.bus.run(),
-            self.neighbours.register(),
-            self.neighbours.beat(),
-            self.sharing.run(),
+            self.peer_discovery.register(),
+            self.peer_discovery.send_heartbeats(),
+            self.peer_sync.run(),
             self.generations.run(),
-            self.strikes.expire(),
+            self.strikes.run_expiry(),
             self._apply_limits(),
-            self._tidy(),
+            self._clean_up(),
         )
 
-    def _take_settings(self) -> None:
+    def _compare_settings(self) -> None:
         """Reads the settings file again; what cannot change while running is only reported."""
-        changed = self._reload() != self.settings
+        changed = self._load_settings() != self.settings
         log("INFO", "settings_read_again", changed=changed)
 
     async def _apply_limits(self) -> None:
@@ -278,28 +285,28 @@
             self.http.limits = HttpLimits(
                 header_bytes=limits.header_bytes,
                 body_bytes=limits.body_bytes,
-                receive_s=max(limits.header_s, RECEIVE_BODY_S),
+                receive_s=max(limits.header_s, MIN_RECEIVE_TIMEOUT_S),
                 idle_s=limits.idle_s,
             )
 
-    async def _tidy(self) -> None:
+    async def _clean_up(self) -> None:
         while True:
-            await asyncio.sleep(LINKS_CHECKED_S)
+            await asyncio.sleep(CLEANUP_INTERVAL_S)
             self.links.close_idle()
-            self.placing.loads.forget_others(self.directory.entries_by_id.values())
+            self.endpoint_selector.loads.forget_others(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
         """Stops taking requests once the platform sends none, and finishes those it has."""
         begun = self._now()
         log("INFO", "draining", in_flight=self.http.busy)
-        await asyncio.sleep(STILL_CHOSEN_S)
+        await asyncio.sleep(REFUSE_REQUESTS_AFTER_S)
         self._closing = True
-        await asyncio.sleep(LAST_REQUESTS_S - STILL_CHOSEN_S)
+        await asyncio.sleep(STOP_LISTENING_AFTER_S - REFUSE_REQUESTS_AFTER_S)
         self.http.stop_listening()
-        while self.http.busy and self._now() - begun < self.settings.grace_s * GRACE_SHARE:
+        while self.http.busy and self._now() - begun < self.settings.grace_s * DRAIN_GRACE_SHARE:
             await asyncio.sleep(DRAIN_POLL_S)
 
 
-def reads(topic: str) -> str:
+def reader_duty(topic: str) -> str:
     """Returns the duty to read a topic for the zone."""
     return f"reads {topic}"
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -60,7 +60,7 @@
 from bluebellpitch.roles.control import ControlRole
 from bluebellpitch.roles.membership import Membership
 from bluebellpitch.roles.seeking import SlotRole
-from bluebellpitch.roles.striking import StrikeRole
+from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.settings import Settings
 from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
 
@@ -82,7 +82,7 @@
         self.clock = HybridClock(wall)
         self.ring = Ring(settings.vm, self.clock, RING_EVENTS)
         self.metrics = Metrics()
-        self.strikes = StrikeRole(StrikeBook(), self._peers, self._send_strike, now)
+        self.strikes = StrikeReplicator(StrikeBook(), self._peers, self._send_strike, now)
         self.bus = PeerBus(self.key, self.clock, self.metrics, self.take)
         self.control_tail = Tail(self._open_store(), CONTROL_TOPIC, self.metrics, now)
         claims_tail = Tail(self._open_store(), CLAIMS_TOPIC, self.metrics, now)
@@ -155,7 +155,7 @@
             case LoanRequest() | LoanGiven() | LoanReturned():
                 self.brokers.take(sender, message)
             case StrikeNoted() | StrikesCleared() | StrikeKnown():
-                if (confirmation := self.strikes.take(message)) is not None:
+                if (confirmation := self.strikes.handle_message(message)) is not None:
                     self.bus.send(sender, confirmation)
             case ControlRecords(entries):
                 self.control.take_entries(entries)
@@ -207,7 +207,7 @@
             self.membership.follow_list(),
             self.brokers.run(),
             self.slots.run(),
-            self.strikes.expire(),
+            self.strikes.run_expiry(),
         )
 
     async def _drain(self) -> None:
--- a/bluebellpitch/roles/placing.py
+++ b/bluebellpitch/roles/endpoint_selector.py
@@ -10,67 +10,74 @@
 from bluebellpitch.decisions.loads import Loads, Work
 from bluebellpitch.decisions.plain_choice import choose_plain
 from bluebellpitch.platform.requests import AnswerHead
-from bluebellpitch.roles.engine_seeking import EngineSeeker, Grant
+from bluebellpitch.roles.broker_client import BrokerClient, EngineGrant
 from bluebellpitch.verdicts import DidNotRun
 
-IN_ZONE_S = 0.0005
-IN_REGION_S = 0.001
-FAR_S = 0.03
-NO_ENDPOINT_RETRY_S = 0.4
+SAME_ZONE_DELAY_S = 0.0005
+SAME_REGION_DELAY_S = 0.001
+CROSS_REGION_DELAY_S = 0.03
+NO_ENDPOINT_RETRY_AFTER_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class Placement:
     """An endpoint that holds a request until ``release``. ``grant`` is a broker's, if any."""
 
     entry: EndpointEntry
     work: Work
-    grant: Grant | None = None
+    grant: EngineGrant | None = None
 
 
-class PlacingRole:
+class EndpointSelector:
     """The VM's books of load. ``now`` is the owner's clock."""
 
     def __init__(
         self,
         directory: Directory,
-        seeker: EngineSeeker,
+        broker_client: BrokerClient,
         zone: str,
         regions_by_zone: Mapping[str, str],
         now: Callable[[], float],
     ):
         self.directory = directory
         self.loads = Loads()
-        self._seeker = seeker
+        self._broker_client = broker_client
         self._now = now
         region = regions_by_zone.get(zone, "")
         self._delay_s_by_zone = {
-            other: IN_ZONE_S if other == zone else IN_REGION_S if far == region else FAR_S
+            other: (
+                SAME_ZONE_DELAY_S
+                if other == zone
+                else SAME_REGION_DELAY_S if far == region else CROSS_REGION_DELAY_S
+            )
             for other, far in regions_by_zone.items()
         }
         self._distance_by_zone = {
-            other: delay_s / FAR_S for other, delay_s in self._delay_s_by_zone.items()
+            other: delay_s / CROSS_REGION_DELAY_S
+            for other, delay_s in self._delay_s_by_zone.items()
         }
 
-    async def place(self, work: Work, is_engine: bool, avoid: frozenset[str]) -> Place | DidNotRun:
+    async def select(
+        self, work: Work, is_engine: bool, avoid: frozenset[str]
+    ) -> Placement | DidNotRun:
         """Finds an endpoint and notes the work there."""
         if is_engine:
-            found = await self._seeker.seek(work, avoid)
+            found = await self._broker_client.acquire(work, avoid)
             match found:
-                case Grant() if self._is_leaving(found.entry):
-                    self._seeker.release(found, "withdrawn", 0.0)
-                case Grant():
-                    return self._hold(Place(found.entry, work, found))
+                case EngineGrant() if self._is_draining(found.entry):
+                    self._broker_client.release(found, "withdrawn", 0.0)
+                case EngineGrant():
+                    return self._record_placement(Placement(found.entry, work, found))
                 case DidNotRun(reason) if reason != NO_ENGINE:
                     return found
-        return self._place_by_own_view(work, is_engine, avoid)
+        return self._select_locally(work, is_engine, avoid)
 
-    def _is_leaving(self, entry: EndpointEntry) -> bool:
+    def _is_draining(self, entry: EndpointEntry) -> bool:
         """Tells whether this VM knows of an engine's leaving before its broker does."""
         known = self.directory.entries_by_id.get(entry.id)
         return known is not None and known.is_draining
 
-    def _place_by_own_view(self, work: Work, is_engine: bool, avoid) -> Place | DidNotRun:
+    def _select_locally(self, work: Work, is_engine: bool, avoid) -> Placement | DidNotRun:
         now = self._now()
         entries = list(self.directory.usable(work.pool))
         if is_engine:
@@ -78,38 +85,40 @@
         else:
             entry = choose_plain(entries, self.loads, self._distance_by_zone, avoid, now)
         if entry is None:
-            return DidNotRun("no_endpoint", 503, NO_ENDPOINT_RETRY_S)
-        return self._hold(Place(entry, work))
+            return DidNotRun("no_endpoint", 503, NO_ENDPOINT_RETRY_AFTER_S)
+        return self._record_placement(Placement(entry, work))
 
-    def _hold(self, place: Place) -> Place:
-        load = self.loads.of(place.entry)
-        load.held[place.work.id] = place.work
-        load.reading[place.work.id] = float(place.work.tokens_in)
-        return place
+    def _record_placement(self, placement: Placement) -> Placement:
+        load = self.loads.of(placement.entry)
+        load.held[placement.work.id] = placement.work
+        load.reading[placement.work.id] = float(placement.work.tokens_in)
+        return placement
 
-    def note_head(self, place: Place, head: AnswerHead) -> None:
+    def record_load_report(self, placement: Placement, head: AnswerHead) -> None:
         """Takes the load that an answer tells."""
         if head.load is not None:
             busy = float(head.load.running + head.load.waiting)
-            self.loads.of(place.entry).note_report(busy, head.load.slowdown, self._now())
+            self.loads.of(placement.entry).note_report(busy, head.load.slowdown, self._now())
 
-    def note_first_event(self, place: Place, sent_at: float) -> None:
+    def record_first_event(self, placement: Placement, sent_at: float) -> None:
         """Notes that the prompt has been read."""
-        load = self.loads.of(place.entry)
-        load.reading.pop(place.work.id, None)
-        if place.grant is not None:
-            waited_s = self._now() - sent_at - 2 * self._delay_s_by_zone.get(place.entry.zone, 0)
-            self._seeker.note_read(place.grant, waited_s, load.slowdown)
-
-    def release(self, place: Place, outcome: str, longest_gap_s: float = 0.0) -> None:
+        load = self.loads.of(placement.entry)
+        load.reading.pop(placement.work.id, None)
+        if placement.grant is not None:
+            waited_s = (
+                self._now() - sent_at - 2 * self._delay_s_by_zone.get(placement.entry.zone, 0)
+            )
+            self._broker_client.report_first_token(placement.grant, waited_s, load.slowdown)
+
+    def release(self, placement: Placement, outcome: str, longest_gap_s: float = 0.0) -> None:
         """Frees the place: ``ok``, ``failed``, ``unreachable``, ``refused`` or ``withdrawn``."""
-        load = self.loads.of(place.entry)
-        load.held.pop(place.work.id, None)
-        load.reading.pop(place.work.id, None)
+        load = self.loads.of(placement.entry)
+        load.held.pop(placement.work.id, None)
+        load.reading.pop(placement.work.id, None)
         match outcome:
             case "ok" | "failed":
                 load.note_outcome(outcome == "failed", self._now())
             case "unreachable":
                 load.note_unreachable(self._now())
-        if place.grant is not None:
-            self._seeker.release(place.grant, outcome, longest_gap_s)
+        if placement.grant is not None:
+            self._broker_client.release(placement.grant, outcome, longest_gap_s)
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -23,104 +23,104 @@
     WorkRefused,
     ZoneLoad,
 )
-from bluebellpitch.roles.engine_seeking import EngineSeeker
+from bluebellpitch.roles.broker_client import BrokerClient
 
-TICK_S = 0.01
-LOAD_INTERVAL_S = 0.1
-IDLE_INTERVAL_S = 0.5
-LOAD_BELIEVED_S = 0.6
+QUEUE_TICK_S = 0.01
+LOAD_PUBLISH_INTERVAL_S = 0.1
+IDLE_WAKE_INTERVAL_S = 0.5
+LOAD_MAX_AGE_S = 0.6
 EXPIRY_INTERVAL_S = 1.0
-PASSED_ON_ANSWER_S = 0.4
+FORWARDED_RESPONSE_TIMEOUT_S = 0.4
 # Other zones get work when they would start it sooner by this much, the way there included.
-ELSEWHERE_GAIN_S = 0.06
-ELSEWHERE_DELAY_S = 0.12
-OWN_WAIT_TOLERATED_S = 0.08
+FORWARD_MIN_GAIN_S = 0.06
+FORWARD_DELAY_S = 0.12
+LOCAL_COST_TOLERANCE_S = 0.08
 
 
-class GenerationRole:
+class GenerationCoordinator:
     """The brokers that this VM holds, and the questions that it has asked."""
 
     def __init__(
         self,
-        key: str,
+        vm_key: str,
         address: str,
         zone: str,
         bus: PeerBus,
         liveness: Liveness,
         directory: Directory,
         catalogue: Callable[[], Catalogue | None],
-        elsewhere: Callable[[str], list[str]],
+        addresses_in_zone: Callable[[str], list[str]],
         zones: Iterable[str],
         now: Callable[[], float],
         is_draining: Callable[[], bool],
     ):
-        self._key = key
+        self._vm_key = vm_key
         self._address = address
         self._zone = zone
         self._bus = bus
         self._liveness = liveness
         self._directory = directory
         self._catalogue = catalogue
-        self._elsewhere = elsewhere
+        self._addresses_in_zone = addresses_in_zone
         self._other_zones = tuple(other for other in zones if other != zone)
         self._now = now
         self._is_draining = is_draining
         self._brokers_by_pool: dict[str, GenerationBroker] = {}
-        self._asks_by_work: dict[str, WorkAsked] = {}
-        self.seeker = EngineSeeker(
-            key, address, liveness, self._holder, self._send, self._send_to_address, now
+        self._requests_by_work: dict[str, WorkAsked] = {}
+        self.broker_client = BrokerClient(
+            vm_key, address, liveness, self._pool_owner, self._send, self._send_to_address, now
         )
-        self._others: dict[tuple[str, str], OtherZone] = {}
-        self._load_turn = 0
-        self._sessions_by_pool: dict[str, list[str]] = {}
-        self._wake = asyncio.Event()
+        self._other_zone_loads: dict[tuple[str, str], OtherZone] = {}
+        self._load_round = 0
+        self._new_sessions_by_pool: dict[str, list[str]] = {}
+        self._work_waiting = asyncio.Event()
 
-    def _holder(self, pool: str) -> str:
+    def _pool_owner(self, pool: str) -> str:
         return self._liveness.holder(pool, self._now(), self._is_draining())
 
     def is_broker(self) -> bool:
         """Tells whether this VM brokers a pool of engines."""
         catalogue = self._catalogue()
         rows = catalogue.pools_by_name.items() if catalogue else ()
-        return any(row.engine and self._holder(pool) == self._key for pool, row in rows)
+        return any(row.engine and self._pool_owner(pool) == self._vm_key for pool, row in rows)
 
     def _send(self, vm: str, message) -> None:
-        if vm == self._key:
-            self.take(vm, message)
+        if vm == self._vm_key:
+            self.handle_message(vm, message)
         else:
             self._bus.send(vm, message)
 
     def _send_to_address(self, address: str, message) -> None:
         if address == self._address:
-            self.take(self._key, message)
+            self.handle_message(self._vm_key, message)
         else:
             self._bus.send_to_address(address, message)
 
-    def take(self, sender: str, message) -> None:
+    def handle_message(self, sender: str, message) -> None:
         """Takes a message of an asker or of a broker."""
         match message:
             case WorkQueued() | WorkGranted() | WorkRefused():
-                self.seeker.take(message)
+                self.broker_client.handle_response(message)
             case WorkAsked():
-                self._take_ask(message)
+                self._handle_work_request(message)
             case WorkRead(work_id, pool, waited_s, slowdown):
-                broker = self._broker(pool)
+                broker = self._get_broker(pool)
                 broker.note_read(work_id, waited_s, slowdown, self._now())
-                self._serve(broker)
+                self._serve_queue(broker)
             case WorkDone(work_id, pool, outcome, longest_gap_s):
-                broker = self._broker(pool)
+                broker = self._get_broker(pool)
                 broker.done(work_id, outcome, self._now(), longest_gap_s)
-                self._serve(broker)
+                self._serve_queue(broker)
             case ZoneLoad():
-                self._take_load(message)
-                self._pass_load_on(sender, message)
+                self._record_zone_load(message)
+                self._relay_load(sender, message)
 
-    def _take_load(self, load: ZoneLoad) -> None:
+    def _record_zone_load(self, load: ZoneLoad) -> None:
         now = self._now()
-        known = self._others.get((load.pool, load.zone))
+        known = self._other_zone_loads.get((load.pool, load.zone))
         sessions = known.sessions_at if known else {}
         sessions |= dict.fromkeys(load.sessions, now)
-        self._others[(load.pool, load.zone)] = OtherZone(
+        self._other_zone_loads[(load.pool, load.zone)] = OtherZone(
             load.long_fixed_s,
             load.long_s_per_token,
             load.short_cost_s,
@@ -130,14 +130,14 @@
             sessions,
         )
 
-    def _broker(self, pool: str) -> GenerationBroker:
+    def _get_broker(self, pool: str) -> GenerationBroker:
         if pool not in self._brokers_by_pool:
             self._brokers_by_pool[pool] = GenerationBroker(pool)
         broker = self._brokers_by_pool[pool]
-        self._refresh(broker)
+        self._refresh_engines(broker)
         return broker
 
-    def _refresh(self, broker: GenerationBroker) -> None:
+    def _refresh_engines(self, broker: GenerationBroker) -> None:
         catalogue = self._catalogue()
         row = catalogue.pools_by_name.get(broker.pool) if catalogue else None
         if row is None or row.engine is None:
@@ -146,25 +146,25 @@
         gap_s = catalogue.gap_targets_by_pool.get(broker.pool)
         broker.set_engines(entries, row.engine.slots, row.engine.memory_tokens, gap_s)
 
-    def _take_ask(self, ask: WorkAsked) -> None:
+    def _handle_work_request(self, ask: WorkAsked) -> None:
         now = self._now()
-        broker = self._broker(ask.pool)
-        work = work_of(ask, now)
-        if self._pass_on(broker, work, ask, now):
+        broker = self._get_broker(ask.pool)
+        work = work_from_request(ask, now)
+        if self._forward(broker, work, ask, now):
             return
-        self._asks_by_work[work.id] = ask
-        self._tell(broker.ask(work, ask.vm, frozenset(ask.avoid), now))
+        self._requests_by_work[work.id] = ask
+        self._send_decisions(broker.ask(work, ask.vm, frozenset(ask.avoid), now))
         if broker.waiting_by_id:
-            self._wake.set()
+            self._work_waiting.set()
 
-    def _pass_on(self, broker: GenerationBroker, work: Work, ask: WorkAsked, now: float) -> bool:
+    def _forward(self, broker: GenerationBroker, work: Work, ask: WorkAsked, now: float) -> bool:
         """Sends work to another zone if it would start sooner there."""
         if ask.is_passed_on:
             return False
         avoid = frozenset(ask.avoid)
         if broker.is_short(work):
             own_s = broker.short_cost_s(now)
-            other = self._better_zone(work.pool, own_s, lambda other: other.short_cost_s, now)
+            other = self._cheaper_zone(work.pool, own_s, lambda other: other.short_cost_s, now)
         else:
             own_s = broker.long_cost_s(work, avoid, now)
             again_s = broker.read_again_s(work)
@@ -174,11 +174,11 @@
                 reread_s = 0.0 if other.keeps(work, now) else again_s
                 return other.long_fixed_s + unread * other.long_s_per_token + reread_s
 
-            other = self._better_zone(work.pool, own_s, cost, now)
+            other = self._cheaper_zone(work.pool, own_s, cost, now)
         if other is None:
             return False
         log("INFO", "passed_on", request=work.id, own_ms=f"{own_s * 1000:.0f}", to=other.address)
-        self._send_to_address(ask.reply_to, WorkQueued(work.id, PASSED_ON_ANSWER_S))
+        self._send_to_address(ask.reply_to, WorkQueued(work.id, FORWARDED_RESPONSE_TIMEOUT_S))
         passed_on = msgspec.structs.replace(
             ask, is_passed_on=True, age_s=now - work.arrived_at, left_s=work.expires_at - now
         )
@@ -186,30 +186,30 @@
         other.note_passed_on(work.tokens_in)
         return True
 
-    def _better_zone(self, pool: str, own_s: float, cost, now: float) -> OtherZone | None:
-        if own_s <= OWN_WAIT_TOLERATED_S:
+    def _cheaper_zone(self, pool: str, own_s: float, cost, now: float) -> OtherZone | None:
+        if own_s <= LOCAL_COST_TOLERANCE_S:
             return None
         others = [
             other
-            for (other_pool, _), other in self._others.items()
-            if other_pool == pool and now - other.told_at < LOAD_BELIEVED_S
+            for (other_pool, _), other in self._other_zone_loads.items()
+            if other_pool == pool and now - other.told_at < LOAD_MAX_AGE_S
         ]
         best = min(others, key=cost, default=None)
-        if best is None or cost(best) + ELSEWHERE_DELAY_S + ELSEWHERE_GAIN_S >= own_s:
+        if best is None or cost(best) + FORWARD_DELAY_S + FORWARD_MIN_GAIN_S >= own_s:
             return None
         return best
 
-    def _serve(self, broker: GenerationBroker) -> None:
+    def _serve_queue(self, broker: GenerationBroker) -> None:
         if broker.waiting_by_id:
-            self._tell(broker.serve(self._now()))
+            self._send_decisions(broker.serve(self._now()))
 
-    def _tell(self, decisions) -> None:
+    def _send_decisions(self, decisions) -> None:
         for decision in decisions:
-            ask = self._asks_by_work.get(decision.work_id)
+            ask = self._requests_by_work.get(decision.work_id)
             address = ask.reply_to if ask else ""
             match decision:
                 case broker_answers.Granted(work_id, _, entry):
-                    self._note_session(ask)
+                    self._record_session(ask)
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
                     answer = WorkGranted(
                         work_id,
@@ -226,15 +226,15 @@
                 case broker_answers.Queued(work_id):
                     answer = WorkQueued(work_id, 0.0)
             if not isinstance(decision, broker_answers.Queued):
-                self._asks_by_work.pop(decision.work_id, None)
+                self._requests_by_work.pop(decision.work_id, None)
             if address:
                 self._send_to_address(address, answer)
 
-    def _note_session(self, ask: WorkAsked | None) -> None:
+    def _record_session(self, ask: WorkAsked | None) -> None:
         """Keeps the session of a long prompt, to be told to other zones."""
         session = session_of(ask.parts) if ask else ""
         if session and not self._brokers_by_pool[ask.pool].is_short_size(ask.tokens_in):
-            self._sessions_by_pool.setdefault(ask.pool, []).append(session)
+            self._new_sessions_by_pool.setdefault(ask.pool, []).append(session)
 
     def forget_vm(self, vm: str) -> None:
         """Forgets the work of a VM that is gone."""
@@ -245,58 +245,60 @@
         """Serves queues as time passes, and tells other zones of the load here."""
         next_load = next_expiry = self._now()
         while True:
-            await self._pause()
+            await self._wait_for_tick()
             now = self._now()
             for broker in self._brokers_by_pool.values():
                 if broker.waiting_by_id:
-                    self._refresh(broker)
-                    self._serve(broker)
-                    self._pass_on_waiting(broker, now)
+                    self._refresh_engines(broker)
+                    self._serve_queue(broker)
+                    self._forward_newest_waiting(broker, now)
             if now >= next_load:
-                next_load = now + LOAD_INTERVAL_S
-                self._tell_load(now)
+                next_load = now + LOAD_PUBLISH_INTERVAL_S
+                self._publish_load(now)
             if now >= next_expiry:
                 next_expiry = now + EXPIRY_INTERVAL_S
                 self._expire(now)
 
-    def _pass_on_waiting(self, broker: GenerationBroker, now: float) -> None:
+    def _forward_newest_waiting(self, broker: GenerationBroker, now: float) -> None:
         """Sends the last in the queue to another zone if it would start sooner there."""
         waiting = max(broker.waiting_by_id.values(), key=lambda w: w.work.arrived_at, default=None)
-        ask = waiting and self._asks_by_work.get(waiting.work.id)
-        if ask and self._pass_on(broker, waiting.work, ask, now):
+        ask = waiting and self._requests_by_work.get(waiting.work.id)
+        if ask and self._forward(broker, waiting.work, ask, now):
             broker.done(waiting.work.id, "withdrawn", now)
-            del self._asks_by_work[waiting.work.id]
+            del self._requests_by_work[waiting.work.id]
 
-    async def _pause(self) -> None:
+    async def _wait_for_tick(self) -> None:
         """Waits for the next tick; without work in a queue, until some comes."""
         if any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(QUEUE_TICK_S)
             return
-        self._wake.clear()
+        self._work_waiting.clear()
         try:
-            async with asyncio.timeout(LOAD_INTERVAL_S if self.is_broker() else IDLE_INTERVAL_S):
-                await self._wake.wait()
+            async with asyncio.timeout(
+                LOAD_PUBLISH_INTERVAL_S if self.is_broker() else IDLE_WAKE_INTERVAL_S
+            ):
+                await self._work_waiting.wait()
         except TimeoutError:
             return
 
     def _expire(self, now: float) -> None:
         for broker in self._brokers_by_pool.values():
             broker.expire(now)
-        for other in self._others.values():
+        for other in self._other_zone_loads.values():
             other.forget_sessions(now)
         if not any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
-            self._asks_by_work.clear()
+            self._requests_by_work.clear()
 
-    def _tell_load(self, now: float) -> None:
+    def _publish_load(self, now: float) -> None:
         """Tells the brokers of other zones; until one is known, any VM there passes it on."""
         catalogue = self._catalogue()
         if catalogue is None:
             return
-        self._load_turn += 1
+        self._load_round += 1
         for pool, row in catalogue.pools_by_name.items():
-            if row.engine is None or self._holder(pool) != self._key:
+            if row.engine is None or self._pool_owner(pool) != self._vm_key:
                 continue
-            broker = self._broker(pool)
+            broker = self._get_broker(pool)
             offer = broker.offer_long(now)
             load = ZoneLoad(
                 pool,
@@ -306,27 +308,27 @@
                 broker.short_cost_s(now),
                 broker.s_per_token(),
                 self._address,
-                tuple(self._sessions_by_pool.pop(pool, ())),
+                tuple(self._new_sessions_by_pool.pop(pool, ())),
             )
             for zone in self._other_zones:
-                for address in self._addresses_of(pool, zone, now):
+                for address in self._load_recipients(pool, zone, now):
                     self._bus.send_to_address(address, load)
 
-    def _addresses_of(self, pool: str, zone: str, now: float) -> list[str]:
-        known = self._others.get((pool, zone))
-        if known is not None and now - known.told_at < LOAD_BELIEVED_S:
+    def _load_recipients(self, pool: str, zone: str, now: float) -> list[str]:
+        known = self._other_zone_loads.get((pool, zone))
+        if known is not None and now - known.told_at < LOAD_MAX_AGE_S:
             return [known.address]
-        addresses = self._elsewhere(zone)
-        return [addresses[self._load_turn % len(addresses)]] if addresses else []
+        addresses = self._addresses_in_zone(zone)
+        return [addresses[self._load_round % len(addresses)]] if addresses else []
 
-    def _pass_load_on(self, sender: str, load: ZoneLoad) -> None:
+    def _relay_load(self, sender: str, load: ZoneLoad) -> None:
         """Gives another zone's load to the broker of this zone, if that is another VM."""
-        holder = self._holder(load.pool)
-        if holder not in (self._key, sender):
+        holder = self._pool_owner(load.pool)
+        if holder not in (self._vm_key, sender):
             self._bus.send(holder, load)
 
 
-def work_of(ask: WorkAsked, now: float) -> Work:
+def work_from_request(ask: WorkAsked, now: float) -> Work:
     """Returns the work as this VM's clock has it."""
     return Work(
         id=ask.work_id,
--- a/bluebellpitch/roles/neighbours.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -12,45 +12,45 @@
 from bluebellpitch.platform.store import StoreClient
 
 # VMs on which others rely, for a duty, beat often: their loss has to be noticed soon.
-DUTY_BEAT_INTERVAL_S = 0.15
-BEAT_INTERVAL_S = 0.45
-MEMBERS_INTERVAL_S = 20.0
-MEMBERS_RETRY_S = 0.5
+DUTY_HEARTBEAT_INTERVAL_S = 0.15
+HEARTBEAT_INTERVAL_S = 0.45
+MEMBERS_READ_INTERVAL_S = 20.0
+MEMBERS_RETRY_INTERVAL_S = 0.5
 
 
-class NeighboursRole:
+class PeerDiscovery:
     """Owns the list of VMs. ``records_by_vm`` may name VMs that are gone."""
 
     def __init__(
         self,
         vm: str,
-        own: MemberRecord,
-        store: str,
+        own_record: MemberRecord,
+        store_address: str,
         bus: PeerBus,
         liveness: Liveness,
         now: Callable[[], float],
-        version: Callable[[], int],
+        configuration_version: Callable[[], int],
         is_draining: Callable[[], bool],
-        vm_lost: Callable[[str], None],
+        on_vm_lost: Callable[[str], None],
         has_duty: Callable[[], bool],
     ):
         self._vm = vm
-        self._own = own
-        self._client = StoreClient(store)
+        self._own_record = own_record
+        self._client = StoreClient(store_address)
         self._bus = bus
         self._liveness = liveness
         self._now = now
-        self._version = version
+        self._configuration_version = configuration_version
         self._is_draining = is_draining
-        self._vm_lost = vm_lost
+        self._on_vm_lost = on_vm_lost
         self._has_duty = has_duty
-        self.records_by_vm: dict[str, MemberRecord] = {vm: own}
+        self.records_by_vm: dict[str, MemberRecord] = {vm: own_record}
 
-    def count(self) -> int:
+    def vm_count(self) -> int:
         """Returns how many VMs there may be, not fewer than are heard."""
         return max(len(self.records_by_vm), len(self._liveness.peers_by_key) + 1)
 
-    def addresses_elsewhere(self, zone: str) -> list[str]:
+    def addresses_in_zone(self, zone: str) -> list[str]:
         """Returns the addresses of all VMs of another zone, alive or not."""
         return sorted(r.bus for r in self.records_by_vm.values() if r.zone == zone)
 
@@ -59,10 +59,10 @@
         registered = False
         while True:
             if not registered:
-                registered = await register(self._client, self._vm, self._own)
+                registered = await register(self._client, self._vm, self._own_record)
             known = await self._read_members()
             done = registered and known
-            await asyncio.sleep(MEMBERS_INTERVAL_S if done else MEMBERS_RETRY_S)
+            await asyncio.sleep(MEMBERS_READ_INTERVAL_S if done else MEMBERS_RETRY_INTERVAL_S)
 
     async def _read_members(self) -> bool:
         try:
@@ -70,60 +70,60 @@
         except BluebellpitchError as error:
             log("WARNING", "members_unknown", error=error)
             return False
-        self.records_by_vm = records | {self._vm: self._own}
+        self.records_by_vm = records | {self._vm: self._own_record}
         return True
 
     async def unregister(self) -> None:
         """Takes this VM's record away, for a planned stop."""
         await unregister(self._client, self._vm)
 
-    async def beat(self) -> None:
+    async def send_heartbeats(self) -> None:
         """Tells the VMs of this zone that this one is alive, until cancelled."""
         while True:
-            interval_s = DUTY_BEAT_INTERVAL_S if self._has_duty() else BEAT_INTERVAL_S
+            interval_s = DUTY_HEARTBEAT_INTERVAL_S if self._has_duty() else HEARTBEAT_INTERVAL_S
             beat = VmBeat(
-                zone=self._own.zone,
-                address=self._own.bus,
+                zone=self._own_record.zone,
+                address=self._own_record.bus,
                 draining=self._is_draining(),
-                version=self._version(),
+                version=self._configuration_version(),
                 interval_s=interval_s,
             )
-            for address in self._addresses():
+            for address in self._heartbeat_targets():
                 self._bus.send_to_address(address, beat)
             for key in self._liveness.lost(self._now()):
                 log("INFO", "peer_lost", peer=key)
-                self._vm_lost(key)
-            await self._pause(interval_s)
+                self._on_vm_lost(key)
+            await self._wait_for_next_heartbeat(interval_s)
 
-    async def _pause(self, seconds: float) -> None:
+    async def _wait_for_next_heartbeat(self, seconds: float) -> None:
         """Waits for the next beat; a VM that has come to hold a duty beats at once."""
         begun_at, had_duty = self._now(), self._has_duty()
-        while self._now() - begun_at < seconds - DUTY_BEAT_INTERVAL_S / 2:
-            await asyncio.sleep(DUTY_BEAT_INTERVAL_S)
+        while self._now() - begun_at < seconds - DUTY_HEARTBEAT_INTERVAL_S / 2:
+            await asyncio.sleep(DUTY_HEARTBEAT_INTERVAL_S)
             if self._has_duty() != had_duty:
                 return
 
-    def _addresses(self) -> set[str]:
-        records = (r.bus for r in self.records_by_vm.values() if r.zone == self._own.zone)
+    def _heartbeat_targets(self) -> set[str]:
+        records = (r.bus for r in self.records_by_vm.values() if r.zone == self._own_record.zone)
         heard = (
             peer.address
             for peer in self._liveness.peers_by_key.values()
-            if peer.zone == self._own.zone
+            if peer.zone == self._own_record.zone
         )
-        return {*records, *heard} - {self._own.bus}
+        return {*records, *heard} - {self._own_record.bus}
 
-    def take(self, sender: str, beat: VmBeat) -> Peer:
+    def record_heartbeat(self, sender: str, heartbeat: VmBeat) -> Peer:
         """Notes a beat."""
         peer = Peer(
             key=sender,
-            zone=beat.zone,
-            address=beat.address,
-            draining=beat.draining,
-            version=beat.version,
+            zone=heartbeat.zone,
+            address=heartbeat.address,
+            draining=heartbeat.draining,
+            version=heartbeat.version,
             heard_at=self._now(),
-            interval_s=beat.interval_s,
+            interval_s=heartbeat.interval_s,
         )
-        self._bus.know(sender, beat.address)
+        self._bus.know(sender, heartbeat.address)
         if self._liveness.hear(peer):
-            log("INFO", "peer_heard", peer=sender, zone=beat.zone, address=beat.address)
+            log("INFO", "peer_heard", peer=sender, zone=heartbeat.zone, address=heartbeat.address)
         return peer
--- a/bluebellpitch/roles/striking.py
+++ b/bluebellpitch/roles/strike_replicator.py
@@ -9,24 +9,26 @@
 EXPIRY_INTERVAL_S = 30.0
 
 
-class StrikeRole:
+class StrikeReplicator:
     """Owns the book of strikes. ``tell`` sends a message to a peer by its key or address."""
 
     def __init__(
         self,
         book: StrikeBook,
         peers: Callable[[], Iterable[str]],
-        tell: Callable[[str, StrikeNoted | StrikesCleared], None],
+        send: Callable[[str, StrikeNoted | StrikesCleared], None],
         now: Callable[[], float],
     ):
         self.book = book
         self._peers = peers
-        self._tell = tell
+        self._send = send
         self._now = now
         self._unconfirmed_by_attempt: dict[str, int] = {}
         self._confirmed = asyncio.Event()
 
-    def take(self, message: StrikeNoted | StrikesCleared | StrikeKnown) -> StrikeKnown | None:
+    def handle_message(
+        self, message: StrikeNoted | StrikesCleared | StrikeKnown
+    ) -> StrikeKnown | None:
         """Takes a peer's message in; returns the confirmation that it is owed."""
         match message:
             case StrikeNoted(fingerprint, attempt, confirm):
@@ -35,29 +37,29 @@
             case StrikesCleared(fingerprint):
                 self.book.clear(fingerprint)
             case StrikeKnown(attempt):
-                self._confirm(attempt)
+                self._record_confirmation(attempt)
         return None
 
-    def _confirm(self, attempt: str) -> None:
+    def _record_confirmation(self, attempt: str) -> None:
         if attempt in self._unconfirmed_by_attempt:
             self._unconfirmed_by_attempt[attempt] -= 1
             self._confirmed.set()
             self._confirmed = asyncio.Event()
 
-    def note(self, fingerprint: str, attempt: str) -> None:
+    def record(self, fingerprint: str, attempt: str) -> None:
         """Notes that an endpoint died under an attempt, here and at all peers."""
-        self._note(StrikeNoted(fingerprint, attempt))
+        self._record_and_broadcast(StrikeNoted(fingerprint, attempt))
 
-    def _note(self, message: StrikeNoted) -> int:
+    def _record_and_broadcast(self, message: StrikeNoted) -> int:
         self.book.add(message.fingerprint, message.attempt, self._now())
-        return self._tell_all(message)
+        return self._broadcast(message)
 
-    async def note_confirmed(self, fingerprint: str, attempt: str, patience_s: float) -> None:
+    async def record_confirmed(self, fingerprint: str, attempt: str, timeout_s: float) -> None:
         """Notes a strike; returns when all peers have it, at the latest after ``patience_s``."""
-        told = self._note(StrikeNoted(fingerprint, attempt, confirm=True))
+        told = self._record_and_broadcast(StrikeNoted(fingerprint, attempt, confirm=True))
         self._unconfirmed_by_attempt[attempt] = told
         try:
-            async with asyncio.timeout(patience_s):
+            async with asyncio.timeout(timeout_s):
                 while self._unconfirmed_by_attempt[attempt] > 0:
                     await self._confirmed.wait()
         except TimeoutError:
@@ -68,15 +70,15 @@
     def clear(self, fingerprint: str) -> None:
         """Clears a request that completed, here and at all peers."""
         self.book.clear(fingerprint)
-        self._tell_all(StrikesCleared(fingerprint))
+        self._broadcast(StrikesCleared(fingerprint))
 
-    def _tell_all(self, message: StrikeNoted | StrikesCleared) -> int:
+    def _broadcast(self, message: StrikeNoted | StrikesCleared) -> int:
         peers = tuple(self._peers())
         for peer in peers:
-            self._tell(peer, message)
+            self._send(peer, message)
         return len(peers)
 
-    async def expire(self) -> None:
+    async def run_expiry(self) -> None:
         """Forgets old strikes, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
--- a/fakes/prepared.py
+++ b/fakes/prepared.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bluebellpitch.entry import EntryVm
+from bluebellpitch.entry_vm import EntryVm
 from bluebellpitch.http1 import ClientConnection, HttpResponse
 from bluebellpitch.platform.settings_file import VmSettings, parse_settings
 from fakes.ports import free_address, free_port
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -193,7 +193,7 @@
     ),
     Mutant(
         "route: a VM that stops finishes what it serves",
-        "bluebellpitch/entry.py",
+        "bluebellpitch/entry_vm.py",
         "        while self.http.busy and",
         "        while False and",
         "soak --seed 14 --seconds 15 --vms 2 --only vm_stop",
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -222,7 +222,7 @@
         endpoint.http.stop_listening()
     # Each connection must be new, so that it finds the listener closed after the crash.
     for number in range(4):
-        vm._take("peer", strike(vm, number))
+        vm._handle_message("peer", strike(vm, number))
     response = await client.call("POST", "/file/7", "r9", b"poison")
     assert response.status == 503
     assert not any("r9" in endpoint.ran for endpoint in endpoints)
--- a/tests/test_following.py
+++ b/tests/test_store_watchers.py
@@ -101,7 +101,7 @@
             await deployment.add_vm()
             gates = [await FakeLink.open(deployment.store_address) for _ in range(2)]
             vms = [await deployment.add_vm(zone=zone, store=gate.address) for gate in gates]
-            await wait_until(lambda: all(len(vm.neighbours.records_by_vm) >= 2 for vm in vms))
+            await wait_until(lambda: all(len(vm.peer_discovery.records_by_vm) >= 2 for vm in vms))
             for gate in gates:
                 gate.cut = True
             await asyncio.sleep(0.3)
