Reword the entry VM's components in plain technical terms

Comments and docstrings say what the code does in the usual terms: request, response, heartbeat, update, forward, expire. Every number and its reason stays. Local variables follow the same terms; no behaviour changes.

The tests of the store watchers get names that state the expected result; what they check is unchanged.

--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -1,4 +1,4 @@
-"""An entry VM on the prepared platform: wires its parts together and stops them in order."""
+"""An entry VM on the prepared platform: connects its components and shuts them down in order."""
 
 import asyncio
 import signal
@@ -46,9 +46,9 @@
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 
 DRAIN_POLL_S = 0.05
-# New connections come until the platform has noticed that the VM is not ready.
+# The platform sends new connections until it has noticed that the VM is not ready.
 REFUSE_REQUESTS_AFTER_S = 2.6
-# Idle connections are kept a little longer, for requests that are on their way.
+# Idle connections stay open a little longer for requests that are in transit.
 STOP_LISTENING_AFTER_S = 3.2
 DRAIN_GRACE_SHARE = 0.94
 CLEANUP_INTERVAL_S = 1.0
@@ -57,7 +57,7 @@
 
 
 class EntryVm:
-    """One entry VM. ``now`` counts seconds, also while the VM is suspended."""
+    """One entry VM. ``now`` returns seconds of a clock that also runs while the VM is suspended."""
 
     def __init__(
         self,
@@ -155,14 +155,14 @@
         self.http = HttpServer(self._serve, refuse_malformed, HttpLimits(idle_s=16.0))
         self.ready_http = HttpServer(self._serve_readiness, refuse_malformed, HttpLimits())
 
-    def _create_follower(self, topic: str, wait_s: float) -> TopicFollower:
+    def _create_follower(self, topic: str, long_poll_s: float) -> TopicFollower:
         return TopicFollower(
             client=StoreClient(self.settings.store),
             topic=topic,
-            long_poll_s=wait_s,
+            long_poll_s=long_poll_s,
             now=self._now,
             is_zone_reader=lambda: self._owns_duty(reader_duty(topic)),
-            publish=lambda told: self.peer_sync.publish_to_zone(told),
+            publish=lambda update: self.peer_sync.publish_to_zone(update),
             metrics=self.metrics,
         )
 
@@ -180,7 +180,7 @@
         )
 
     def _handle_message(self, sender: str, message) -> None:
-        """Gives a peer's message to the role that it is for."""
+        """Dispatches a message from a peer to the component that handles it."""
         match message:
             case VmBeat():
                 self.peer_discovery.record_heartbeat(sender, message)
@@ -212,18 +212,18 @@
         metrics.in_flight.set(self.http.busy)
         catalogue = self.configuration.catalogue
         for pool in catalogue.pools_by_name if catalogue else ():
-            left = context.repeats.left(pool, self.peer_discovery.vm_count(), now)
-            metrics.repeats_left.labels(pool).set(left)
+            retries_left = context.repeats.left(pool, self.peer_discovery.vm_count(), now)
+            metrics.repeats_left.labels(pool).set(retries_left)
         headers = [("Content-Type", "text/plain; version=0.0.4")]
         await connection.respond(200, headers, metrics.render())
 
     def is_ready(self) -> bool:
-        """Tells whether new connections should come here."""
-        knows = self.configuration.catalogue is not None and self.endpoints.is_loaded
-        return knows and not self.draining.is_set()
+        """Returns whether the VM should receive new connections."""
+        is_loaded = self.configuration.catalogue is not None and self.endpoints.is_loaded
+        return is_loaded and not self.draining.is_set()
 
     async def run(self) -> None:
-        """Serves until a signal says to stop, then finishes what it holds."""
+        """Serves until a signal requests shutdown, then completes the requests in progress."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.draining.set)
         loop.add_signal_handler(signal.SIGINT, self.draining.set)
@@ -235,7 +235,7 @@
         log("INFO", "stopped", vm=self.settings.vm)
 
     async def serve(self) -> None:
-        """Serves until ``draining`` is set, then finishes what it holds."""
+        """Serves until ``draining`` is set, then completes the requests in progress."""
         self.bus.bind(self.settings.bus)
         await self.ready_http.listen(*parse_address(self.settings.ready))
         if self._metrics_port:
@@ -272,12 +272,12 @@
         )
 
     def _compare_settings(self) -> None:
-        """Reads the settings file again; what cannot change while running is only reported."""
+        """Reads the settings file again and logs whether it differs; changes need a restart."""
         changed = self._load_settings() != self.settings
         log("INFO", "settings_read_again", changed=changed)
 
     async def _apply_limits(self) -> None:
-        """Puts the limits on callers into force whenever the configuration changes."""
+        """Applies the limits on callers whenever the configuration changes."""
         while True:
             await self.configuration.changed.wait()
             self.configuration.changed.clear()
@@ -296,17 +296,20 @@
             self.endpoint_selector.loads.forget_others(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
-        """Stops taking requests once the platform sends none, and finishes those it has."""
-        begun = self._now()
+        """Stops accepting requests once the platform sends none and completes those in progress."""
+        start = self._now()
         log("INFO", "draining", in_flight=self.http.busy)
         await asyncio.sleep(REFUSE_REQUESTS_AFTER_S)
         self._closing = True
         await asyncio.sleep(STOP_LISTENING_AFTER_S - REFUSE_REQUESTS_AFTER_S)
         self.http.stop_listening()
-        while self.http.busy and self._now() - begun < self.settings.grace_s * DRAIN_GRACE_SHARE:
+        while self.http.busy and self._now() - start < self.settings.grace_s * DRAIN_GRACE_SHARE:
             await asyncio.sleep(DRAIN_POLL_S)
 
 
 def reader_duty(topic: str) -> str:
-    """Returns the duty to read a topic for the zone."""
+    """Returns the duty of reading a topic from the store on behalf of the zone.
+
+    The text decides which VM owns the duty, so all VMs of a zone must form it alike.
+    """
     return f"reads {topic}"
--- a/bluebellpitch/roles/__init__.py
+++ b/bluebellpitch/roles/__init__.py
@@ -1,1 +1,1 @@
-"""Roles that entry VMs take: each is a task that owns its state."""
+"""Components of an entry VM, each of which runs as tasks and owns its state."""
--- a/bluebellpitch/roles/broker_client.py
+++ b/bluebellpitch/roles/broker_client.py
@@ -1,4 +1,4 @@
-"""Asks the broker of this zone for engines, and tells brokers how the work goes on."""
+"""Requests engines from the broker of this zone and reports the progress of work to it."""
 
 import asyncio
 from collections.abc import Callable
@@ -18,10 +18,11 @@
 )
 from bluebellpitch.verdicts import DidNotRun
 
-# A broker in the zone answers at once; one that does not is passed over for a while.
+# A broker in the same zone responds at once. One that does not is not selected again for a while.
 FIRST_RESPONSE_TIMEOUT_S = 0.06
 SILENT_BROKER_BACKOFF_S = 1.0
-# Work that waits is asked for again when the broker has changed; checked this often.
+# Queued work is requested again when another VM becomes the broker; this is how often that is
+# checked.
 BROKER_RECHECK_INTERVAL_S = 0.2
 EXPIRED_RETRY_AFTER_S = 0.01
 
@@ -31,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineGrant:
-    """An engine for work, and the broker that has to be told how it goes on."""
+    """An engine granted for work, and the address of the broker that needs its progress reports."""
 
     work: Work
     entry: EndpointEntry
@@ -39,7 +40,10 @@
 
 
 class BrokerClient:
-    """The questions that this VM has asked. ``holder`` names the broker of a pool."""
+    """Pending engine requests of this VM.
+
+    ``find_broker`` returns the key of the VM that is the broker of a pool.
+    """
 
     def __init__(
         self,
@@ -61,50 +65,50 @@
         self._responses_by_work: dict[str, asyncio.Queue] = {}
 
     async def acquire(self, work: Work, avoid: frozenset[str]) -> EngineGrant | DidNotRun:
-        """Returns an engine for work, or the reason why there is none."""
-        answers: asyncio.Queue = asyncio.Queue()
-        self._responses_by_work[work.id] = answers
-        found: EngineGrant | DidNotRun | None = None
+        """Requests an engine and returns the grant, or the reason why there is none."""
+        responses: asyncio.Queue = asyncio.Queue()
+        self._responses_by_work[work.id] = responses
+        result: EngineGrant | DidNotRun | None = None
         try:
-            found = await self._request_until_decided(work, avoid, answers)
-            return found
+            result = await self._request_until_decided(work, avoid, responses)
+            return result
         finally:
             del self._responses_by_work[work.id]
-            while not answers.empty():
-                self.handle_response(answers.get_nowait())
-            if found is None:
+            while not responses.empty():
+                self.handle_response(responses.get_nowait())
+            if result is None:
                 self._send(self._find_broker(work.pool), WorkDone(work.id, work.pool, "withdrawn"))
 
     async def _request_until_decided(
-        self, work: Work, avoid: frozenset[str], answers: asyncio.Queue
+        self, work: Work, avoid: frozenset[str], responses: asyncio.Queue
     ) -> EngineGrant | DidNotRun:
-        broker, patience_s = "", FIRST_RESPONSE_TIMEOUT_S
+        broker, timeout_s = "", FIRST_RESPONSE_TIMEOUT_S
         while self._now() < work.expires_at:
-            holder = self._find_broker(work.pool)
-            if holder != broker:
-                broker, patience_s = holder, FIRST_RESPONSE_TIMEOUT_S
+            current_broker = self._find_broker(work.pool)
+            if current_broker != broker:
+                broker, timeout_s = current_broker, FIRST_RESPONSE_TIMEOUT_S
                 self._send_request(broker, work, avoid)
-            answer = await next_response(answers, patience_s)
-            match answer:
-                case None if patience_s != BROKER_RECHECK_INTERVAL_S:
+            response = await next_response(responses, timeout_s)
+            match response:
+                case None if timeout_s != BROKER_RECHECK_INTERVAL_S:
                     log("WARNING", "broker_silent", broker=broker, request=work.id)
                     if broker != self._vm_key:
                         self._liveness.shun(broker, self._now() + SILENT_BROKER_BACKOFF_S)
                     broker = ""
                 case WorkQueued(_, within_s):
-                    patience_s = within_s or BROKER_RECHECK_INTERVAL_S
+                    timeout_s = within_s or BROKER_RECHECK_INTERVAL_S
                 case WorkRefused(_, reason, retry_after_s):
                     return DidNotRun(reason, 503, retry_after_s)
                 case WorkGranted():
                     return EngineGrant(
-                        work, entry_from_grant(answer, work.pool), answer.broker_address
+                        work, entry_from_grant(response, work.pool), response.broker_address
                     )
         self._send(self._find_broker(work.pool), WorkDone(work.id, work.pool, "withdrawn"))
         return DidNotRun("waited_too_long", 503, EXPIRED_RETRY_AFTER_S)
 
     def _send_request(self, broker: str, work: Work, avoid: frozenset[str]) -> None:
         now = self._now()
-        ask = WorkAsked(
+        request = WorkAsked(
             work_id=work.id,
             pool=work.pool,
             rank=work.rank,
@@ -119,39 +123,39 @@
             vm=self._vm_key,
             reply_to=self._address,
         )
-        self._send(broker, ask)
+        self._send(broker, request)
 
     def report_first_token(self, grant: EngineGrant, waited_s: float, slowdown: float) -> None:
-        """Tells the broker that the first token came."""
+        """Reports to the broker that the first token has arrived."""
         message = WorkRead(grant.work.id, grant.work.pool, waited_s, slowdown)
         self._send_to_address(grant.broker_address, message)
 
     def release(self, grant: EngineGrant, outcome: str, longest_gap_s: float) -> None:
-        """Tells the broker that the work has left the engine."""
+        """Reports to the broker that the engine no longer runs the work."""
         message = WorkDone(grant.work.id, grant.work.pool, outcome, longest_gap_s)
         self._send_to_address(grant.broker_address, message)
 
-    def handle_response(self, answer: BrokerResponse) -> None:
-        """Takes an answer; a grant that nobody waits for any more is given back."""
-        answers = self._responses_by_work.get(answer.work_id)
-        if answers is not None:
-            answers.put_nowait(answer)
-        elif isinstance(answer, WorkGranted):
-            done = WorkDone(answer.work_id, answer.pool, "withdrawn")
-            self._send_to_address(answer.broker_address, done)
+    def handle_response(self, response: BrokerResponse) -> None:
+        """Passes a response to its request; returns a grant whose request no longer waits."""
+        responses = self._responses_by_work.get(response.work_id)
+        if responses is not None:
+            responses.put_nowait(response)
+        elif isinstance(response, WorkGranted):
+            done = WorkDone(response.work_id, response.pool, "withdrawn")
+            self._send_to_address(response.broker_address, done)
 
 
-async def next_response(answers: asyncio.Queue, patience_s: float) -> BrokerResponse | None:
-    """Returns the next answer, or None when none comes in time."""
+async def next_response(responses: asyncio.Queue, timeout_s: float) -> BrokerResponse | None:
+    """Returns the next response, or None after the timeout."""
     try:
-        async with asyncio.timeout(patience_s):
-            return await answers.get()
+        async with asyncio.timeout(timeout_s):
+            return await responses.get()
     except TimeoutError:
         return None
 
 
 def entry_from_grant(granted: WorkGranted, pool: str) -> EndpointEntry:
-    """Returns the endpoint that a broker named."""
+    """Returns the entry of the endpoint that a broker granted."""
     return EndpointEntry(
         granted.endpoint_id, pool, granted.address, granted.zone, 0, False, granted.started_ms
     )
--- a/bluebellpitch/roles/endpoint_selector.py
+++ b/bluebellpitch/roles/endpoint_selector.py
@@ -1,4 +1,4 @@
-"""Places requests: generations through the broker of the zone, other work by this VM's own view."""
+"""Selects endpoints: for generations through the broker of the zone, for other work locally."""
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -21,7 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """An endpoint that holds a request until ``release``. ``grant`` is a broker's, if any."""
+    """A request assigned to an endpoint until ``release``.
+
+    ``grant`` is set if a broker selected the endpoint.
+    """
 
     entry: EndpointEntry
     work: Work
@@ -29,7 +32,7 @@
 
 
 class EndpointSelector:
-    """The VM's books of load. ``now`` is the owner's clock."""
+    """Selects endpoints and keeps this VM's record of their load. ``now`` is the owner's clock."""
 
     def __init__(
         self,
@@ -48,9 +51,9 @@
             other: (
                 SAME_ZONE_DELAY_S
                 if other == zone
-                else SAME_REGION_DELAY_S if far == region else CROSS_REGION_DELAY_S
+                else SAME_REGION_DELAY_S if other_region == region else CROSS_REGION_DELAY_S
             )
-            for other, far in regions_by_zone.items()
+            for other, other_region in regions_by_zone.items()
         }
         self._distance_by_zone = {
             other: delay_s / CROSS_REGION_DELAY_S
@@ -60,20 +63,20 @@
     async def select(
         self, work: Work, is_engine: bool, avoid: frozenset[str]
     ) -> Placement | DidNotRun:
-        """Finds an endpoint and notes the work there."""
+        """Selects an endpoint and counts the work toward its load."""
         if is_engine:
-            found = await self._broker_client.acquire(work, avoid)
-            match found:
-                case EngineGrant() if self._is_draining(found.entry):
-                    self._broker_client.release(found, "withdrawn", 0.0)
+            result = await self._broker_client.acquire(work, avoid)
+            match result:
+                case EngineGrant() if self._is_draining(result.entry):
+                    self._broker_client.release(result, "withdrawn", 0.0)
                 case EngineGrant():
-                    return self._record_placement(Placement(found.entry, work, found))
+                    return self._record_placement(Placement(result.entry, work, result))
                 case DidNotRun(reason) if reason != NO_ENGINE:
-                    return found
+                    return result
         return self._select_locally(work, is_engine, avoid)
 
     def _is_draining(self, entry: EndpointEntry) -> bool:
-        """Tells whether this VM knows of an engine's leaving before its broker does."""
+        """Returns whether a granted engine is draining, which its broker may not know yet."""
         known = self.directory.entries_by_id.get(entry.id)
         return known is not None and known.is_draining
 
@@ -95,13 +98,13 @@
         return placement
 
     def record_load_report(self, placement: Placement, head: AnswerHead) -> None:
-        """Takes the load that an answer tells."""
+        """Records the load that the head of an answer reports."""
         if head.load is not None:
             busy = float(head.load.running + head.load.waiting)
             self.loads.of(placement.entry).note_report(busy, head.load.slowdown, self._now())
 
     def record_first_event(self, placement: Placement, sent_at: float) -> None:
-        """Notes that the prompt has been read."""
+        """Records that the engine has finished reading the prompt."""
         load = self.loads.of(placement.entry)
         load.reading.pop(placement.work.id, None)
         if placement.grant is not None:
@@ -111,7 +114,10 @@
             self._broker_client.report_first_token(placement.grant, waited_s, load.slowdown)
 
     def release(self, placement: Placement, outcome: str, longest_gap_s: float = 0.0) -> None:
-        """Frees the place: ``ok``, ``failed``, ``unreachable``, ``refused`` or ``withdrawn``."""
+        """Removes the work from the endpoint's load.
+
+        ``outcome`` is ``ok``, ``failed``, ``unreachable``, ``refused`` or ``withdrawn``.
+        """
         load = self.loads.of(placement.entry)
         load.held.pop(placement.work.id, None)
         load.reading.pop(placement.work.id, None)
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -1,4 +1,4 @@
-"""Brokers generations among the engines of this zone, and asks brokers for this VM's own."""
+"""Schedules generations on the engines of this zone and requests engines for this VM."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -31,14 +31,15 @@
 LOAD_MAX_AGE_S = 0.6
 EXPIRY_INTERVAL_S = 1.0
 FORWARDED_RESPONSE_TIMEOUT_S = 0.4
-# Other zones get work when they would start it sooner by this much, the way there included.
+# Work is forwarded to another zone when its cost there, including the delay of forwarding, is
+# lower by more than this gain.
 FORWARD_MIN_GAIN_S = 0.06
 FORWARD_DELAY_S = 0.12
 LOCAL_COST_TOLERANCE_S = 0.08
 
 
 class GenerationCoordinator:
-    """The brokers that this VM holds, and the questions that it has asked."""
+    """Owns the brokers on this VM, their queues and the load reported by other zones."""
 
     def __init__(
         self,
@@ -79,7 +80,7 @@
         return self._liveness.holder(pool, self._now(), self._is_draining())
 
     def is_broker(self) -> bool:
-        """Tells whether this VM brokers a pool of engines."""
+        """Returns whether this VM is the broker of any pool of engines."""
         catalogue = self._catalogue()
         rows = catalogue.pools_by_name.items() if catalogue else ()
         return any(row.engine and self._pool_owner(pool) == self._vm_key for pool, row in rows)
@@ -97,7 +98,7 @@
             self._bus.send_to_address(address, message)
 
     def handle_message(self, sender: str, message) -> None:
-        """Takes a message of an asker or of a broker."""
+        """Handles a message from a requesting VM or from a broker."""
         match message:
             case WorkQueued() | WorkGranted() | WorkRefused():
                 self.broker_client.handle_response(message)
@@ -146,48 +147,50 @@
         gap_s = catalogue.gap_targets_by_pool.get(broker.pool)
         broker.set_engines(entries, row.engine.slots, row.engine.memory_tokens, gap_s)
 
-    def _handle_work_request(self, ask: WorkAsked) -> None:
+    def _handle_work_request(self, request: WorkAsked) -> None:
         now = self._now()
-        broker = self._get_broker(ask.pool)
-        work = work_from_request(ask, now)
-        if self._forward(broker, work, ask, now):
+        broker = self._get_broker(request.pool)
+        work = work_from_request(request, now)
+        if self._forward(broker, work, request, now):
             return
-        self._requests_by_work[work.id] = ask
-        self._send_decisions(broker.ask(work, ask.vm, frozenset(ask.avoid), now))
+        self._requests_by_work[work.id] = request
+        self._send_decisions(broker.ask(work, request.vm, frozenset(request.avoid), now))
         if broker.waiting_by_id:
             self._work_waiting.set()
 
-    def _forward(self, broker: GenerationBroker, work: Work, ask: WorkAsked, now: float) -> bool:
-        """Sends work to another zone if it would start sooner there."""
-        if ask.is_passed_on:
+    def _forward(
+        self, broker: GenerationBroker, work: Work, request: WorkAsked, now: float
+    ) -> bool:
+        """Forwards work to another zone if its cost is lower there; returns whether it did."""
+        if request.is_passed_on:
             return False
-        avoid = frozenset(ask.avoid)
+        avoid = frozenset(request.avoid)
         if broker.is_short(work):
-            own_s = broker.short_cost_s(now)
-            other = self._cheaper_zone(work.pool, own_s, lambda other: other.short_cost_s, now)
+            local_s = broker.short_cost_s(now)
+            other = self._cheaper_zone(work.pool, local_s, lambda other: other.short_cost_s, now)
         else:
-            own_s = broker.long_cost_s(work, avoid, now)
-            again_s = broker.read_again_s(work)
+            local_s = broker.long_cost_s(work, avoid, now)
+            reread_cost_s = broker.read_again_s(work)
 
             def cost(other: OtherZone) -> float:
                 unread = broker.unkept_tokens(work) if other.keeps(work, now) else work.tokens_in
-                reread_s = 0.0 if other.keeps(work, now) else again_s
+                reread_s = 0.0 if other.keeps(work, now) else reread_cost_s
                 return other.long_fixed_s + unread * other.long_s_per_token + reread_s
 
-            other = self._cheaper_zone(work.pool, own_s, cost, now)
+            other = self._cheaper_zone(work.pool, local_s, cost, now)
         if other is None:
             return False
-        log("INFO", "passed_on", request=work.id, own_ms=f"{own_s * 1000:.0f}", to=other.address)
-        self._send_to_address(ask.reply_to, WorkQueued(work.id, FORWARDED_RESPONSE_TIMEOUT_S))
-        passed_on = msgspec.structs.replace(
-            ask, is_passed_on=True, age_s=now - work.arrived_at, left_s=work.expires_at - now
+        log("INFO", "passed_on", request=work.id, own_ms=f"{local_s * 1000:.0f}", to=other.address)
+        self._send_to_address(request.reply_to, WorkQueued(work.id, FORWARDED_RESPONSE_TIMEOUT_S))
+        forwarded = msgspec.structs.replace(
+            request, is_passed_on=True, age_s=now - work.arrived_at, left_s=work.expires_at - now
         )
-        self._bus.send_to_address(other.address, passed_on)
+        self._bus.send_to_address(other.address, forwarded)
         other.note_passed_on(work.tokens_in)
         return True
 
-    def _cheaper_zone(self, pool: str, own_s: float, cost, now: float) -> OtherZone | None:
-        if own_s <= LOCAL_COST_TOLERANCE_S:
+    def _cheaper_zone(self, pool: str, local_s: float, cost, now: float) -> OtherZone | None:
+        if local_s <= LOCAL_COST_TOLERANCE_S:
             return None
         others = [
             other
@@ -195,7 +198,7 @@
             if other_pool == pool and now - other.told_at < LOAD_MAX_AGE_S
         ]
         best = min(others, key=cost, default=None)
-        if best is None or cost(best) + FORWARD_DELAY_S + FORWARD_MIN_GAIN_S >= own_s:
+        if best is None or cost(best) + FORWARD_DELAY_S + FORWARD_MIN_GAIN_S >= local_s:
             return None
         return best
 
@@ -205,15 +208,15 @@
 
     def _send_decisions(self, decisions) -> None:
         for decision in decisions:
-            ask = self._requests_by_work.get(decision.work_id)
-            address = ask.reply_to if ask else ""
+            request = self._requests_by_work.get(decision.work_id)
+            address = request.reply_to if request else ""
             match decision:
                 case broker_answers.Granted(work_id, _, entry):
-                    self._record_session(ask)
+                    self._record_session(request)
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
-                    answer = WorkGranted(
+                    response = WorkGranted(
                         work_id,
-                        ask.pool if ask else "",
+                        request.pool if request else "",
                         entry.id,
                         entry.address,
                         entry.zone,
@@ -222,27 +225,27 @@
                     )
                 case broker_answers.Refused(work_id, _, reason, retry_after_s):
                     log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
-                    answer = WorkRefused(work_id, reason, retry_after_s)
+                    response = WorkRefused(work_id, reason, retry_after_s)
                 case broker_answers.Queued(work_id):
-                    answer = WorkQueued(work_id, 0.0)
+                    response = WorkQueued(work_id, 0.0)
             if not isinstance(decision, broker_answers.Queued):
                 self._requests_by_work.pop(decision.work_id, None)
             if address:
-                self._send_to_address(address, answer)
+                self._send_to_address(address, response)
 
-    def _record_session(self, ask: WorkAsked | None) -> None:
-        """Keeps the session of a long prompt, to be told to other zones."""
-        session = session_of(ask.parts) if ask else ""
-        if session and not self._brokers_by_pool[ask.pool].is_short_size(ask.tokens_in):
-            self._new_sessions_by_pool.setdefault(ask.pool, []).append(session)
+    def _record_session(self, request: WorkAsked | None) -> None:
+        """Records the session of a granted long prompt for the next load report to other zones."""
+        session = session_of(request.parts) if request else ""
+        if session and not self._brokers_by_pool[request.pool].is_short_size(request.tokens_in):
+            self._new_sessions_by_pool.setdefault(request.pool, []).append(session)
 
     def forget_vm(self, vm: str) -> None:
-        """Forgets the work of a VM that is gone."""
+        """Drops all work of a VM that has failed or left."""
         for broker in self._brokers_by_pool.values():
             broker.forget_vm(vm)
 
     async def run(self) -> None:
-        """Serves queues as time passes, and tells other zones of the load here."""
+        """Serves the queues, publishes the load of this zone and expires old state periodically."""
         next_load = next_expiry = self._now()
         while True:
             await self._wait_for_tick()
@@ -260,15 +263,15 @@
                 self._expire(now)
 
     def _forward_newest_waiting(self, broker: GenerationBroker, now: float) -> None:
-        """Sends the last in the queue to another zone if it would start sooner there."""
+        """Forwards the most recent work in the queue if another zone has a lower cost for it."""
         waiting = max(broker.waiting_by_id.values(), key=lambda w: w.work.arrived_at, default=None)
-        ask = waiting and self._requests_by_work.get(waiting.work.id)
-        if ask and self._forward(broker, waiting.work, ask, now):
+        request = waiting and self._requests_by_work.get(waiting.work.id)
+        if request and self._forward(broker, waiting.work, request, now):
             broker.done(waiting.work.id, "withdrawn", now)
             del self._requests_by_work[waiting.work.id]
 
     async def _wait_for_tick(self) -> None:
-        """Waits for the next tick; without work in a queue, until some comes."""
+        """Waits for the next tick or, while the queues are empty, until work arrives."""
         if any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
             await asyncio.sleep(QUEUE_TICK_S)
             return
@@ -290,7 +293,7 @@
             self._requests_by_work.clear()
 
     def _publish_load(self, now: float) -> None:
-        """Tells the brokers of other zones; until one is known, any VM there passes it on."""
+        """Sends the load to brokers in other zones; any VM there relays it while none is known."""
         catalogue = self._catalogue()
         if catalogue is None:
             return
@@ -322,23 +325,23 @@
         return [addresses[self._load_round % len(addresses)]] if addresses else []
 
     def _relay_load(self, sender: str, load: ZoneLoad) -> None:
-        """Gives another zone's load to the broker of this zone, if that is another VM."""
-        holder = self._pool_owner(load.pool)
-        if holder not in (self._vm_key, sender):
-            self._bus.send(holder, load)
+        """Relays the load of another zone to the broker in this zone, if that is another VM."""
+        owner = self._pool_owner(load.pool)
+        if owner not in (self._vm_key, sender):
+            self._bus.send(owner, load)
 
 
-def work_from_request(ask: WorkAsked, now: float) -> Work:
-    """Returns the work as this VM's clock has it."""
+def work_from_request(request: WorkAsked, now: float) -> Work:
+    """Converts a request to work, with the times on the clock of this VM."""
     return Work(
-        id=ask.work_id,
-        pool=ask.pool,
-        rank=ask.rank,
-        tokens_in=ask.tokens_in,
-        tokens_out=ask.tokens_out,
-        parts=ask.parts,
-        target_s=ask.target_s,
-        gap_s=ask.gap_s,
-        arrived_at=now - ask.age_s,
-        expires_at=now + ask.left_s,
+        id=request.work_id,
+        pool=request.pool,
+        rank=request.rank,
+        tokens_in=request.tokens_in,
+        tokens_out=request.tokens_out,
+        parts=request.parts,
+        target_s=request.target_s,
+        gap_s=request.gap_s,
+        arrived_at=now - request.age_s,
+        expires_at=now + request.left_s,
     )
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -1,4 +1,4 @@
-"""Finds the other entry VMs through the store, and hears which of them are alive."""
+"""Discovers the other entry VMs through the store and tracks their liveness by heartbeats."""
 
 import asyncio
 from collections.abc import Callable
@@ -11,7 +11,8 @@
 from bluebellpitch.platform.members import MemberRecord, read_members, register, unregister
 from bluebellpitch.platform.store import StoreClient
 
-# VMs on which others rely, for a duty, beat often: their loss has to be noticed soon.
+# A VM with a duty sends heartbeats more often: others rely on it, so its loss must be detected
+# soon.
 DUTY_HEARTBEAT_INTERVAL_S = 0.15
 HEARTBEAT_INTERVAL_S = 0.45
 MEMBERS_READ_INTERVAL_S = 20.0
@@ -19,7 +20,7 @@
 
 
 class PeerDiscovery:
-    """Owns the list of VMs. ``records_by_vm`` may name VMs that are gone."""
+    """Owns the list of VMs. ``records_by_vm`` may include VMs that no longer run."""
 
     def __init__(
         self,
@@ -47,21 +48,21 @@
         self.records_by_vm: dict[str, MemberRecord] = {vm: own_record}
 
     def vm_count(self) -> int:
-        """Returns how many VMs there may be, not fewer than are heard."""
+        """Returns how many VMs there may be, at least as many as send heartbeats."""
         return max(len(self.records_by_vm), len(self._liveness.peers_by_key) + 1)
 
     def addresses_in_zone(self, zone: str) -> list[str]:
-        """Returns the addresses of all VMs of another zone, alive or not."""
+        """Returns the bus addresses of all known VMs of a zone, whether alive or not."""
         return sorted(r.bus for r in self.records_by_vm.values() if r.zone == zone)
 
     async def register(self) -> None:
-        """Writes this VM's record, and reads those of the others, until cancelled."""
+        """Registers this VM in the store and reads the records of the others, until cancelled."""
         registered = False
         while True:
             if not registered:
                 registered = await register(self._client, self._vm, self._own_record)
-            known = await self._read_members()
-            done = registered and known
+            was_read = await self._read_members()
+            done = registered and was_read
             await asyncio.sleep(MEMBERS_READ_INTERVAL_S if done else MEMBERS_RETRY_INTERVAL_S)
 
     async def _read_members(self) -> bool:
@@ -74,14 +75,14 @@
         return True
 
     async def unregister(self) -> None:
-        """Takes this VM's record away, for a planned stop."""
+        """Removes this VM's record before a planned shutdown."""
         await unregister(self._client, self._vm)
 
     async def send_heartbeats(self) -> None:
-        """Tells the VMs of this zone that this one is alive, until cancelled."""
+        """Sends heartbeats to the VMs of this zone and reports lost peers, until cancelled."""
         while True:
             interval_s = DUTY_HEARTBEAT_INTERVAL_S if self._has_duty() else HEARTBEAT_INTERVAL_S
-            beat = VmBeat(
+            heartbeat = VmBeat(
                 zone=self._own_record.zone,
                 address=self._own_record.bus,
                 draining=self._is_draining(),
@@ -89,16 +90,16 @@
                 interval_s=interval_s,
             )
             for address in self._heartbeat_targets():
-                self._bus.send_to_address(address, beat)
+                self._bus.send_to_address(address, heartbeat)
             for key in self._liveness.lost(self._now()):
                 log("INFO", "peer_lost", peer=key)
                 self._on_vm_lost(key)
             await self._wait_for_next_heartbeat(interval_s)
 
     async def _wait_for_next_heartbeat(self, seconds: float) -> None:
-        """Waits for the next beat; a VM that has come to hold a duty beats at once."""
-        begun_at, had_duty = self._now(), self._has_duty()
-        while self._now() - begun_at < seconds - DUTY_HEARTBEAT_INTERVAL_S / 2:
+        """Waits until the next heartbeat is due; gaining or losing a duty makes it due early."""
+        started_at, had_duty = self._now(), self._has_duty()
+        while self._now() - started_at < seconds - DUTY_HEARTBEAT_INTERVAL_S / 2:
             await asyncio.sleep(DUTY_HEARTBEAT_INTERVAL_S)
             if self._has_duty() != had_duty:
                 return
@@ -113,7 +114,7 @@
         return {*records, *heard} - {self._own_record.bus}
 
     def record_heartbeat(self, sender: str, heartbeat: VmBeat) -> Peer:
-        """Notes a beat."""
+        """Records a heartbeat and returns the state of its sender."""
         peer = Peer(
             key=sender,
             zone=heartbeat.zone,
--- a/bluebellpitch/roles/peer_sync.py
+++ b/bluebellpitch/roles/peer_sync.py
@@ -1,7 +1,8 @@
-"""Passes the configuration and its freshness on between entry VMs.
+"""Shares the configuration, its freshness and store records between entry VMs.
 
-The asker's clock alone is used: what a peer knew ``age_s`` ago when it answered was true at the
-latest ``age_s`` before the question was asked.
+Only the clock of the requesting VM is used. A peer that responds with ``age_s`` confirmed its
+version that long before the response; the requesting VM counts ``age_s`` back from the earlier
+time of its request, so the configuration never seems fresher than it is.
 """
 
 import asyncio
@@ -20,18 +21,18 @@
 )
 from bluebellpitch.roles.store_watchers import ConfigurationWatcher, EndpointWatcher
 
-# The zone's reader is asked when the own knowledge is older than this, and all VMs of the zone
-# when it is older still.
+# The zone's reader is asked when this VM's configuration was last confirmed longer ago than the
+# first limit, and all VMs of the zone after the second.
 ASK_READER_AFTER_S = 0.9
 ASK_ZONE_AFTER_S = 1.5
 ASK_INTERVAL_S = 0.3
-# Beside the VMs of the zone, so many others are asked when the zone's knowledge is old.
+# After a third limit so many other VMs are asked as well, in case the whole zone is out of date.
 OTHER_PEERS_ASKED = 2
 ASK_OTHERS_AFTER_S = 2.0
 
 
 class PeerSync:
-    """Asks and answers questions about the configuration."""
+    """Requests the configuration and records from peers and responds to their requests."""
 
     def __init__(
         self,
@@ -55,12 +56,12 @@
         self._keys_usable = False
 
     def publish_to_zone(self, update: RecordsTold) -> None:
-        """Tells the VMs of this zone what was read from the store."""
+        """Sends records read from the store to the VMs of this zone."""
         for peer in self._liveness.live(self._now()):
             self._bus.send_to_address(peer.address, update)
 
     def handle_message(self, sender: str, message) -> None:
-        """Takes a message about the configuration or the endpoints."""
+        """Handles a message about the configuration or the endpoints."""
         match message:
             case RecordsTold(topic) if topic == self._configuration.follower.topic:
                 records = self._configuration.follower.accept_peer_records(message)
@@ -84,53 +85,53 @@
     def _send_records(self, topic: str, start: int, reply_to: str) -> None:
         if topic != self._endpoints.follower.topic:
             return
-        if (told := self._endpoints.follower.recent_records_from(start)) is not None:
-            self._bus.send_to_address(reply_to, told)
+        if (update := self._endpoints.follower.recent_records_from(start)) is not None:
+            self._bus.send_to_address(reply_to, update)
 
     def _send_freshness(self, asked_at: float, version: int, reply_to: str) -> None:
-        own = self._configuration.version()
-        if own < 0:
+        own_version = self._configuration.version()
+        if own_version < 0:
             return
-        if version < own:
+        if version < own_version:
             self._bus.send_to_address(reply_to, ConfigurationTold(self._configuration.encoded))
         age_s = self._configuration.freshness.age_s(self._now())
-        self._bus.send_to_address(reply_to, FreshnessTold(asked_at, own, age_s))
+        self._bus.send_to_address(reply_to, FreshnessTold(asked_at, own_version, age_s))
 
     async def run(self) -> None:
-        """Asks peers whenever the own knowledge grows old."""
+        """Sends requests to peers while this VM is out of date, until cancelled."""
         while True:
             now = self._now()
             age_s = self._configuration.freshness.age_s(now)
             if age_s > ASK_READER_AFTER_S:
-                ask = FreshnessAsked(now, self._configuration.version(), self._address)
+                request = FreshnessAsked(now, self._configuration.version(), self._address)
                 for address in self._peers_to_ask(age_s):
-                    self._bus.send_to_address(address, ask)
+                    self._bus.send_to_address(address, request)
             start = self._endpoints.follower.offset_to_request()
             if start is not None:
-                ask = RecordsAsked(self._endpoints.follower.topic, start, self._address)
+                request = RecordsAsked(self._endpoints.follower.topic, start, self._address)
                 for address in self._peers_to_ask(ASK_OTHERS_AFTER_S):
-                    self._bus.send_to_address(address, ask)
+                    self._bus.send_to_address(address, request)
             self._log_keys_usable_change(now)
             await asyncio.sleep(ASK_INTERVAL_S)
 
     def _peers_to_ask(self, age_s: float) -> set[str]:
-        near = {peer.address for peer in self._liveness.live(self._now())}
+        zone_peers = {peer.address for peer in self._liveness.live(self._now())}
         reader = self._liveness.peers_by_key.get(self._zone_reader())
         if age_s < ASK_ZONE_AFTER_S:
             return {reader.address} if reader else set()
         if age_s < ASK_OTHERS_AFTER_S:
-            return near
-        others = [a for a in self._all_addresses() if a != self._address and a not in near]
-        return near | set(random.sample(others, min(OTHER_PEERS_ASKED, len(others))))
+            return zone_peers
+        others = [a for a in self._all_addresses() if a != self._address and a not in zone_peers]
+        return zone_peers | set(random.sample(others, min(OTHER_PEERS_ASKED, len(others))))
 
     def _log_keys_usable_change(self, now: float) -> None:
         freshness = self._configuration.freshness
-        allows = freshness.allows_keys(now)
-        if allows != self._keys_usable:
+        usable = freshness.allows_keys(now)
+        if usable != self._keys_usable:
             log(
-                "INFO" if allows else "WARNING",
-                "keys_usable" if allows else "keys_not_usable",
+                "INFO" if usable else "WARNING",
+                "keys_usable" if usable else "keys_not_usable",
                 age_s=f"{freshness.age_s(now):.2f}",
                 version=self._configuration.version(),
             )
-        self._keys_usable = allows
+        self._keys_usable = usable
--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -1,4 +1,4 @@
-"""Follows the configuration and the endpoints' entries in the platform's store."""
+"""Watches the configuration and the endpoint entries in the platform's store."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -17,25 +17,26 @@
 
 CONFIGURATION_LONG_POLL_S = 1.0
 ENDPOINTS_LONG_POLL_S = 1.0
-# Entries come with each heartbeat of each endpoint; reads are spaced to take several at once.
+# Each heartbeat of an endpoint writes an entry; reads are spaced so that one fetches several.
 ENDPOINTS_READ_INTERVAL_S = 0.7
 RETRY_S = 0.25
-# What the zone's reader tells is relied on for this long.
+# While an update from the zone's reader is no older than this, this VM does not read the store.
 PEER_UPDATE_MAX_AGE_S = 1.8
 PEER_UPDATE_CHECK_S = 0.25
 EXPIRY_CHECK_S = 0.25
-# Peers are asked for records when neither the store nor a peer has brought any for this long.
+# Records are requested from peers when neither the store nor a peer has responded for this long.
 REQUEST_RECORDS_AFTER_S = 1.0
 MAX_RECENT_RECORDS = 400
-# An outage shorter than this lets no entry lapse.
+# A shorter outage is too brief for entries to lapse, so removals after it count as genuine.
 MIN_OUTAGE_S = 1.0
 
 
 class TopicFollower:
-    """Reads a keyed topic record by record, through outages.
+    """Reads a keyed topic incrementally and recovers from outages of the store.
 
-    One VM of a zone reads from the store and tells the others. A VM that hears nothing reads for
-    itself, and tells as well: the reader may be turned away while others are served.
+    One VM of a zone, the reader, polls the store and sends the records to the others. A VM that
+    gets no updates polls the store itself and sends what it reads too, since the store may refuse
+    the reader but serve other VMs.
     """
 
     def __init__(
@@ -64,11 +65,11 @@
         self._recent_start = 0
 
     def had_recent_outage(self, now: float, within_s: float) -> bool:
-        """Tells whether the store came back no longer ago than ``within_s``."""
+        """Returns whether the store is out of reach or recovered less than ``within_s`` ago."""
         return self._failing_since is not None or now - self.recovered_at < within_s
 
     def is_updated_by_peers(self) -> bool:
-        """Tells whether the zone's reader keeps this VM up to date."""
+        """Returns whether updates from peers make it unnecessary for this VM to read the store."""
         if self._is_zone_reader() or self._next_offset is None:
             return False
         return self._now() - self._peer_update_at < PEER_UPDATE_MAX_AGE_S
@@ -84,14 +85,14 @@
             self._recent_start += excess
 
     def offset_to_request(self) -> int | None:
-        """Returns the offset to ask peers for, when this VM has fallen behind."""
+        """Returns the offset to request from peers, or None unless this VM has fallen behind."""
         return self._next_offset if self._is_behind() else None
 
     def _is_behind(self) -> bool:
         return self._now() - max(self.store_read_at, self._peer_update_at) > REQUEST_RECORDS_AFTER_S
 
     def recent_records_from(self, start: int) -> RecordsTold | None:
-        """Returns what a VM that stands at ``start`` is missing; None if that is not known."""
+        """Returns the records from offset ``start`` on, or None if this VM lacks some of them."""
         if self._next_offset is None or self._is_behind():
             return None
         if not self._recent_start <= start <= self._recent_start + len(self._recent_records):
@@ -100,7 +101,7 @@
         return RecordsTold(self.topic, start, start + len(records), records)
 
     def accept_peer_records(self, update: RecordsTold) -> tuple[KeyedRecord, ...]:
-        """Returns the records that are new here; none when a part is missing before them."""
+        """Accepts an update and returns its new records; none if there is a gap before them."""
         if self._next_offset is None or update.start > self._next_offset:
             return ()
         self._peer_update_at = self._now()
@@ -111,22 +112,26 @@
         return tuple(KeyedRecord(key, value) for key, value in update.records[known:])
 
     async def read(self) -> tuple[tuple[KeyedRecord, ...], bool, float] | None:
-        """Returns records, whether they are all keys, and as of when; None after a failure."""
-        asked_at = self._now()
+        """Reads records from the store.
+
+        Returns the records, whether they cover all keys, and the time as of which they are
+        complete; None after a failure.
+        """
+        requested_at = self._now()
         try:
             if self._next_offset is None:
                 newest = await self._client.newest(self.topic)
                 self._next_offset = newest.end
-                answer = (newest.records, True, asked_at)
+                result = (newest.records, True, requested_at)
             else:
-                answer = await self._read_next_page(asked_at)
+                result = await self._read_next_page(requested_at)
         except BluebellpitchError as error:
             self._record_failure(error)
             return None
         self._record_success()
-        return answer
+        return result
 
-    async def _read_next_page(self, asked_at: float):
+    async def _read_next_page(self, requested_at: float):
         start = self._next_offset
         page = await self._client.read(self.topic, start, int(self._long_poll_s * 1000))
         if isinstance(page, Truncated) or page.end < start or page.first_kept > start:
@@ -143,7 +148,7 @@
             self._keep_recent(start, pairs)
         self._next_offset = max(end, self._next_offset or 0)
         self.store_read_at = self._now()
-        known_at = read_known_at(asked_at, self._now(), self._long_poll_s, not page.records)
+        known_at = read_known_at(requested_at, self._now(), self._long_poll_s, not page.records)
         return records, False, known_at if end >= page.end else float("-inf")
 
     def _record_failure(self, error: Exception) -> None:
@@ -156,15 +161,15 @@
         self._metrics.store_calls.labels(self.topic, "answered").inc()
         if self._failing_since is None:
             return
-        away_s = self._now() - self._failing_since
+        outage_s = self._now() - self._failing_since
         self._failing_since = None
-        if away_s >= MIN_OUTAGE_S:
+        if outage_s >= MIN_OUTAGE_S:
             self.recovered_at = self._now()
-        log("INFO", "store_regained", topic=self.topic, away_s=f"{away_s:.2f}")
+        log("INFO", "store_regained", topic=self.topic, away_s=f"{outage_s:.2f}")
 
 
 class ConfigurationWatcher:
-    """Holds the newest catalogue. Never goes back to an older version."""
+    """Holds the newest catalogue. Never replaces it with an older version."""
 
     def __init__(self, follower: TopicFollower, freshness: Freshness):
         self.follower = follower
@@ -174,32 +179,32 @@
         self.changed = asyncio.Event()
 
     async def run(self) -> None:
-        """Follows the store until cancelled."""
+        """Reads updates from the store until cancelled."""
         while True:
             if self.follower.is_updated_by_peers():
                 await asyncio.sleep(PEER_UPDATE_CHECK_S)
                 continue
-            answer = await self.follower.read()
-            if answer is None:
+            result = await self.follower.read()
+            if result is None:
                 await asyncio.sleep(RETRY_S)
                 continue
-            records, _, known_at = answer
+            records, _, known_at = result
             self.apply_records(records, "store")
             if self.catalogue is not None:
                 self.freshness.confirm(known_at)
 
     def version(self) -> int:
-        """Returns the version held, -1 for none."""
+        """Returns the version of the current catalogue, or -1 if there is none."""
         return self.catalogue.version if self.catalogue is not None else -1
 
     def apply_records(self, records: Iterable[KeyedRecord], source: str) -> None:
-        """Takes the configurations among records in."""
+        """Applies the configurations among the records."""
         for record in records:
             if record.key == CONFIGURATION_KEY and record.value:
                 self.apply(record.value, source)
 
     def apply(self, data: bytes, source: str) -> None:
-        """Takes a configuration in if it is newer than the one held."""
+        """Applies a configuration if it is newer than the current one."""
         try:
             catalogue = decode_configuration(data)
         except BluebellpitchError as error:
@@ -213,7 +218,10 @@
 
 
 class EndpointWatcher:
-    """Keeps the directory of endpoints."""
+    """Updates the directory of endpoints.
+
+    Entries removed within ``outage_window_s`` of an outage may have lapsed because of it.
+    """
 
     def __init__(
         self,
@@ -229,18 +237,18 @@
         self.is_loaded = False
 
     async def run(self) -> None:
-        """Follows the store until cancelled."""
+        """Reads updates from the store until cancelled."""
         while True:
             if self.follower.is_updated_by_peers():
                 await asyncio.sleep(PEER_UPDATE_CHECK_S)
                 continue
             started = self._now()
-            answer = await self.follower.read()
-            if answer is None:
+            result = await self.follower.read()
+            if result is None:
                 await asyncio.sleep(RETRY_S)
                 continue
-            records, is_all, _ = answer
-            if is_all:
+            records, is_complete, _ = result
+            if is_complete:
                 self._remove_missing({record.key for record in records})
             for record in records:
                 self.apply(record)
@@ -252,11 +260,11 @@
             self.apply(KeyedRecord(endpoint_id, None))
 
     def apply(self, record: KeyedRecord) -> None:
-        """Takes one entry in, or its removal."""
+        """Applies an update or the removal of an entry."""
         now = self._now()
         if record.value is None:
-            was_away = self.follower.had_recent_outage(now, self._outage_window_s)
-            if self.directory.drop(record.key, was_away, now):
+            had_outage = self.follower.had_recent_outage(now, self._outage_window_s)
+            if self.directory.drop(record.key, had_outage, now):
                 log("INFO", "endpoint_gone", endpoint=record.key)
             return
         try:
@@ -276,7 +284,7 @@
             )
 
     async def run_expiry(self) -> None:
-        """Forgets lapsed entries in time."""
+        """Removes lapsed entries once they are no longer kept for an outage, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRY_CHECK_S)
             for endpoint_id in self.directory.expire(self._now()):
--- a/bluebellpitch/roles/strike_replicator.py
+++ b/bluebellpitch/roles/strike_replicator.py
@@ -1,4 +1,4 @@
-"""Tells all entry VMs of requests that crash endpoints, and hears it from them."""
+"""Replicates strikes, which count endpoint crashes per request, between entry VMs."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -10,7 +10,7 @@
 
 
 class StrikeReplicator:
-    """Owns the book of strikes. ``tell`` sends a message to a peer by its key or address."""
+    """Owns the record of strikes. ``send`` takes the key or address of a peer and a message."""
 
     def __init__(
         self,
@@ -29,7 +29,7 @@
     def handle_message(
         self, message: StrikeNoted | StrikesCleared | StrikeKnown
     ) -> StrikeKnown | None:
-        """Takes a peer's message in; returns the confirmation that it is owed."""
+        """Handles a message from a peer; returns the confirmation to send back, if any."""
         match message:
             case StrikeNoted(fingerprint, attempt, confirm):
                 self.book.add(fingerprint, attempt, self._now())
@@ -47,7 +47,7 @@
             self._confirmed = asyncio.Event()
 
     def record(self, fingerprint: str, attempt: str) -> None:
-        """Notes that an endpoint died under an attempt, here and at all peers."""
+        """Records here and at all peers that an endpoint crashed during an attempt."""
         self._record_and_broadcast(StrikeNoted(fingerprint, attempt))
 
     def _record_and_broadcast(self, message: StrikeNoted) -> int:
@@ -55,9 +55,9 @@
         return self._broadcast(message)
 
     async def record_confirmed(self, fingerprint: str, attempt: str, timeout_s: float) -> None:
-        """Notes a strike; returns when all peers have it, at the latest after ``patience_s``."""
-        told = self._record_and_broadcast(StrikeNoted(fingerprint, attempt, confirm=True))
-        self._unconfirmed_by_attempt[attempt] = told
+        """Records a strike and waits, at most ``timeout_s``, until all peers have confirmed it."""
+        sent = self._record_and_broadcast(StrikeNoted(fingerprint, attempt, confirm=True))
+        self._unconfirmed_by_attempt[attempt] = sent
         try:
             async with asyncio.timeout(timeout_s):
                 while self._unconfirmed_by_attempt[attempt] > 0:
@@ -68,7 +68,7 @@
             del self._unconfirmed_by_attempt[attempt]
 
     def clear(self, fingerprint: str) -> None:
-        """Clears a request that completed, here and at all peers."""
+        """Clears the strikes of a completed request, here and at all peers."""
         self.book.clear(fingerprint)
         self._broadcast(StrikesCleared(fingerprint))
 
@@ -79,7 +79,7 @@
         return len(peers)
 
     async def run_expiry(self) -> None:
-        """Forgets old strikes, until cancelled."""
+        """Removes expired strikes periodically, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             self.book.expire(self._now())
--- a/tests/test_store_watchers.py
+++ b/tests/test_store_watchers.py
@@ -1,4 +1,4 @@
-"""Configuration, entries and freshness: what a VM believes when the store fails it."""
+"""Configuration, endpoint entries and freshness while the store is unavailable to a VM."""
 
 import asyncio
 
@@ -12,8 +12,8 @@
 
 
 @in_deployment
-async def test_key_that_was_taken_away_is_refused_while_the_store_is_cut_off(deployment):
-    """The VM cannot know of the change; it must stop to honour keys before the bound."""
+async def test_removed_key_is_refused_during_store_outage(deployment):
+    """The VM cannot see the removal, so it must stop accepting keys before the revocation bound."""
     (app,), client = await start(deployment, "app")
     assert (await client.call("GET", "/look/7", "r1")).status == 200
     deployment.store.status = 503
@@ -28,13 +28,13 @@
 
 
 @in_deployment
-async def test_vm_turned_away_by_the_store_borrows_freshness_from_a_peer(deployment):
+async def test_vm_without_store_access_gets_freshness_from_peer(deployment):
     endpoint = await deployment.add_endpoint("i-0", "app")
     await deployment.add_vm()
-    gate = await FakeLink.open(deployment.store_address)
-    vm = await deployment.add_vm(store=gate.address)
+    link = await FakeLink.open(deployment.store_address)
+    vm = await deployment.add_vm(store=link.address)
     await wait_until(lambda: len(vm.liveness.live(vm._now())) == 1)
-    gate.cut = True
+    link.cut = True
     client = PlatformClient(vm.settings)
     for number in range(6):
         await asyncio.sleep(0.5)
@@ -51,7 +51,7 @@
 
 
 @in_deployment
-async def test_history_that_the_store_forgot_is_read_anew(deployment):
+async def test_topic_truncated_by_store_is_read_again(deployment):
     _, client = await start(deployment, "app")
     vm = deployment.vms[0]
     deployment.configure(2)
@@ -62,7 +62,7 @@
 
 
 @in_deployment
-async def test_older_version_is_never_taken_back(deployment):
+async def test_older_configuration_version_is_ignored(deployment):
     await start(deployment, "app")
     vm = deployment.vms[0]
     deployment.configure(5)
@@ -74,7 +74,7 @@
 
 
 @in_deployment
-async def test_foreign_entries_name_no_endpoint(deployment):
+async def test_malformed_entries_are_ignored(deployment):
     (app,), client = await start(deployment, "app")
     vm = deployment.vms[0]
     deployment.announce(app, "app", state="odd")
@@ -85,25 +85,25 @@
     assert set(vm.directory.entries_by_id) == {"i-0", "i-7"}
 
 
-def test_configuration_stand_in_is_what_the_adapter_reads():
+def test_fake_configuration_is_decoded():
     catalogue = decode_configuration(msgspec.json.encode(configuration(3)))
     assert catalogue.version == 3
     assert catalogue.gap_targets_by_pool == {"engines": 0.3}
 
 
 @pytest.mark.parametrize("zone", ["z", "y"])
-def test_vm_turned_away_by_the_store_learns_of_a_leaving_endpoint(zone):
-    """Neither the VM that reads for its zone, nor a zone that is turned away whole, is left out."""
+def test_vm_without_store_access_learns_of_draining_endpoint(zone):
+    """Covers the VM that reads for its zone losing the store, and a whole zone losing it."""
 
     async def body():
         async with Deployment() as deployment:
             endpoint = await deployment.add_endpoint("i-0", "app")
             await deployment.add_vm()
-            gates = [await FakeLink.open(deployment.store_address) for _ in range(2)]
-            vms = [await deployment.add_vm(zone=zone, store=gate.address) for gate in gates]
+            links = [await FakeLink.open(deployment.store_address) for _ in range(2)]
+            vms = [await deployment.add_vm(zone=zone, store=link.address) for link in links]
             await wait_until(lambda: all(len(vm.peer_discovery.records_by_vm) >= 2 for vm in vms))
-            for gate in gates:
-                gate.cut = True
+            for link in links:
+                link.cut = True
             await asyncio.sleep(0.3)
             deployment.announce(endpoint, "app", state="draining")
             await wait_until(
