--- /dev/null
+++ b/bluebellpitch/roles/broker_client.py
@@ -0,0 +1,161 @@
+"""Requests engines from the broker of this zone and reports the progress of work to it."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.liveness import Liveness
+from bluebellpitch.decisions.loads import Work
+from bluebellpitch.logs import log
+from bluebellpitch.peers.entry_messages import (
+    WorkAsked,
+    WorkDone,
+    WorkGranted,
+    WorkQueued,
+    WorkRead,
+    WorkRefused,
+)
+from bluebellpitch.verdicts import DidNotRun
+
+# A broker in the same zone responds at once. One that does not is not selected again for a while.
+FIRST_RESPONSE_TIMEOUT_S = 0.06
+SILENT_BROKER_BACKOFF_S = 1.0
+# Queued work is requested again when another VM becomes the broker; this is how often that is
+# checked.
+BROKER_RECHECK_INTERVAL_S = 0.2
+EXPIRED_RETRY_AFTER_S = 0.01
+
+BrokerResponse = WorkQueued | WorkGranted | WorkRefused
+Send = Callable[[str, object], None]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineGrant:
+    """An engine granted for work, and the address of the broker that needs its progress reports."""
+
+    work: Work
+    entry: EndpointEntry
+    broker_address: str
+
+
+class BrokerClient:
+    """Pending engine requests of this VM.
+
+    ``find_broker`` returns the key of the VM that is the broker of a pool.
+    """
+
+    def __init__(
+        self,
+        vm_key: str,
+        address: str,
+        liveness: Liveness,
+        find_broker: Callable[[str], str],
+        send: Send,
+        send_to_address: Send,
+        now: Callable[[], float],
+    ):
+        self._vm_key = vm_key
+        self._address = address
+        self._liveness = liveness
+        self._find_broker = find_broker
+        self._send = send
+        self._send_to_address = send_to_address
+        self._now = now
+        self._responses_by_work: dict[str, asyncio.Queue] = {}
+
+    async def acquire(self, work: Work, avoid: frozenset[str]) -> EngineGrant | DidNotRun:
+        """Requests an engine and returns the grant, or the reason why there is none."""
+        responses: asyncio.Queue = asyncio.Queue()
+        self._responses_by_work[work.id] = responses
+        result: EngineGrant | DidNotRun | None = None
+        try:
+            result = await self._request_until_decided(work, avoid, responses)
+            return result
+        finally:
+            del self._responses_by_work[work.id]
+            while not responses.empty():
+                self.handle_response(responses.get_nowait())
+            if result is None:
+                self._send(self._find_broker(work.pool), WorkDone(work.id, work.pool, "withdrawn"))
+
+    async def _request_until_decided(
+        self, work: Work, avoid: frozenset[str], responses: asyncio.Queue
+    ) -> EngineGrant | DidNotRun:
+        broker, timeout_s = "", FIRST_RESPONSE_TIMEOUT_S
+        while self._now() < work.expires_at:
+            current_broker = self._find_broker(work.pool)
+            if current_broker != broker:
+                broker, timeout_s = current_broker, FIRST_RESPONSE_TIMEOUT_S
+                self._send_request(broker, work, avoid)
+            response = await next_response(responses, timeout_s)
+            match response:
+                case None if timeout_s != BROKER_RECHECK_INTERVAL_S:
+                    log("WARNING", "broker_silent", broker=broker, request=work.id)
+                    if broker != self._vm_key:
+                        self._liveness.shun(broker, self._now() + SILENT_BROKER_BACKOFF_S)
+                    broker = ""
+                case WorkQueued(_, within_s):
+                    timeout_s = within_s or BROKER_RECHECK_INTERVAL_S
+                case WorkRefused(_, reason, retry_after_s):
+                    return DidNotRun(reason, 503, retry_after_s)
+                case WorkGranted():
+                    return EngineGrant(
+                        work, entry_from_grant(response, work.pool), response.broker_address
+                    )
+        self._send(self._find_broker(work.pool), WorkDone(work.id, work.pool, "withdrawn"))
+        return DidNotRun("waited_too_long", 503, EXPIRED_RETRY_AFTER_S)
+
+    def _send_request(self, broker: str, work: Work, avoid: frozenset[str]) -> None:
+        now = self._now()
+        request = WorkAsked(
+            work_id=work.id,
+            pool=work.pool,
+            rank=work.rank,
+            tokens_in=work.tokens_in,
+            tokens_out=work.tokens_out,
+            parts=work.parts,
+            target_s=work.target_s,
+            gap_s=work.gap_s,
+            age_s=now - work.arrived_at,
+            left_s=work.expires_at - now,
+            avoid=tuple(avoid),
+            vm=self._vm_key,
+            reply_to=self._address,
+        )
+        self._send(broker, request)
+
+    def report_first_token(self, grant: EngineGrant, waited_s: float, slowdown: float) -> None:
+        """Reports to the broker that the first token has arrived."""
+        message = WorkRead(grant.work.id, grant.work.pool, waited_s, slowdown)
+        self._send_to_address(grant.broker_address, message)
+
+    def release(self, grant: EngineGrant, outcome: str, longest_gap_s: float) -> None:
+        """Reports to the broker that the engine no longer runs the work."""
+        message = WorkDone(grant.work.id, grant.work.pool, outcome, longest_gap_s)
+        self._send_to_address(grant.broker_address, message)
+
+    def handle_response(self, response: BrokerResponse) -> None:
+        """Passes a response to its request; returns a grant whose request no longer waits."""
+        responses = self._responses_by_work.get(response.work_id)
+        if responses is not None:
+            responses.put_nowait(response)
+        elif isinstance(response, WorkGranted):
+            done = WorkDone(response.work_id, response.pool, "withdrawn")
+            self._send_to_address(response.broker_address, done)
+
+
+async def next_response(responses: asyncio.Queue, timeout_s: float) -> BrokerResponse | None:
+    """Returns the next response, or None after the timeout."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await responses.get()
+    except TimeoutError:
+        return None
+
+
+def entry_from_grant(granted: WorkGranted, pool: str) -> EndpointEntry:
+    """Returns the entry of the endpoint that a broker granted."""
+    return EndpointEntry(
+        granted.endpoint_id, pool, granted.address, granted.zone, 0, False, granted.started_ms
+    )
--- /dev/null
+++ b/bluebellpitch/roles/endpoint_selector.py
@@ -0,0 +1,130 @@
+"""Selects endpoints: for generations through the broker of the zone, for other work locally."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.engine_choice import choose_engine
+from bluebellpitch.decisions.generation_broker import NO_ENGINE
+from bluebellpitch.decisions.loads import Loads, Work
+from bluebellpitch.decisions.plain_choice import choose_plain
+from bluebellpitch.platform.requests import AnswerHead
+from bluebellpitch.roles.broker_client import BrokerClient, EngineGrant
+from bluebellpitch.verdicts import DidNotRun
+
+SAME_ZONE_DELAY_S = 0.0005
+SAME_REGION_DELAY_S = 0.001
+CROSS_REGION_DELAY_S = 0.03
+NO_ENDPOINT_RETRY_AFTER_S = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """A request assigned to an endpoint until ``release``.
+
+    ``grant`` is set if a broker selected the endpoint.
+    """
+
+    entry: EndpointEntry
+    work: Work
+    grant: EngineGrant | None = None
+
+
+class EndpointSelector:
+    """Selects endpoints and keeps this VM's record of their load. ``now`` is the owner's clock."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        broker_client: BrokerClient,
+        zone: str,
+        regions_by_zone: Mapping[str, str],
+        now: Callable[[], float],
+    ):
+        self.directory = directory
+        self.loads = Loads()
+        self._broker_client = broker_client
+        self._now = now
+        region = regions_by_zone.get(zone, "")
+        self._delay_s_by_zone = {
+            other: (
+                SAME_ZONE_DELAY_S
+                if other == zone
+                else SAME_REGION_DELAY_S if other_region == region else CROSS_REGION_DELAY_S
+            )
+            for other, other_region in regions_by_zone.items()
+        }
+        self._distance_by_zone = {
+            other: delay_s / CROSS_REGION_DELAY_S
+            for other, delay_s in self._delay_s_by_zone.items()
+        }
+
+    async def select(
+        self, work: Work, is_engine: bool, avoid: frozenset[str]
+    ) -> Placement | DidNotRun:
+        """Selects an endpoint and counts the work toward its load."""
+        if is_engine:
+            result = await self._broker_client.acquire(work, avoid)
+            match result:
+                case EngineGrant() if self._is_draining(result.entry):
+                    self._broker_client.release(result, "withdrawn", 0.0)
+                case EngineGrant():
+                    return self._record_placement(Placement(result.entry, work, result))
+                case DidNotRun(reason) if reason != NO_ENGINE:
+                    return result
+        return self._select_locally(work, is_engine, avoid)
+
+    def _is_draining(self, entry: EndpointEntry) -> bool:
+        """Returns whether a granted engine is draining, which its broker may not know yet."""
+        known = self.directory.entries_by_id.get(entry.id)
+        return known is not None and known.is_draining
+
+    def _select_locally(self, work: Work, is_engine: bool, avoid) -> Placement | DidNotRun:
+        now = self._now()
+        entries = list(self.directory.usable(work.pool))
+        if is_engine:
+            entry = choose_engine(entries, self.loads, work, self._delay_s_by_zone, avoid, now)
+        else:
+            entry = choose_plain(entries, self.loads, self._distance_by_zone, avoid, now)
+        if entry is None:
+            return DidNotRun("no_endpoint", 503, NO_ENDPOINT_RETRY_AFTER_S)
+        return self._record_placement(Placement(entry, work))
+
+    def _record_placement(self, placement: Placement) -> Placement:
+        load = self.loads.of(placement.entry)
+        load.held[placement.work.id] = placement.work
+        load.reading[placement.work.id] = float(placement.work.tokens_in)
+        return placement
+
+    def record_load_report(self, placement: Placement, head: AnswerHead) -> None:
+        """Records the load that the head of an answer reports."""
+        if head.load is not None:
+            busy = float(head.load.running + head.load.waiting)
+            self.loads.of(placement.entry).note_report(busy, head.load.slowdown, self._now())
+
+    def record_first_event(self, placement: Placement, sent_at: float) -> None:
+        """Records that the engine has finished reading the prompt."""
+        load = self.loads.of(placement.entry)
+        load.reading.pop(placement.work.id, None)
+        if placement.grant is not None:
+            waited_s = (
+                self._now() - sent_at - 2 * self._delay_s_by_zone.get(placement.entry.zone, 0)
+            )
+            self._broker_client.report_first_token(placement.grant, waited_s, load.slowdown)
+
+    def release(self, placement: Placement, outcome: str, longest_gap_s: float = 0.0) -> None:
+        """Removes the work from the endpoint's load.
+
+        ``outcome`` is ``ok``, ``failed``, ``unreachable``, ``refused`` or ``withdrawn``.
+        """
+        load = self.loads.of(placement.entry)
+        load.held.pop(placement.work.id, None)
+        load.reading.pop(placement.work.id, None)
+        match outcome:
+            case "ok" | "failed":
+                load.note_outcome(outcome == "failed", self._now())
+            case "unreachable":
+                load.note_unreachable(self._now())
+        if placement.grant is not None:
+            self._broker_client.release(placement.grant, outcome, longest_gap_s)
--- /dev/null
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -0,0 +1,347 @@
+"""Schedules generations on the engines of this zone and requests engines for this VM."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from bluebellpitch.decisions import broker_answers
+from bluebellpitch.decisions.catalogue import Catalogue
+from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.generation_broker import GenerationBroker
+from bluebellpitch.decisions.liveness import Liveness
+from bluebellpitch.decisions.loads import Work, session_of
+from bluebellpitch.decisions.other_zones import OtherZone
+from bluebellpitch.logs import log
+from bluebellpitch.peers.bus import PeerBus
+from bluebellpitch.peers.entry_messages import (
+    WorkAsked,
+    WorkDone,
+    WorkGranted,
+    WorkQueued,
+    WorkRead,
+    WorkRefused,
+    ZoneLoad,
+)
+from bluebellpitch.roles.broker_client import BrokerClient
+
+QUEUE_TICK_S = 0.01
+LOAD_PUBLISH_INTERVAL_S = 0.1
+IDLE_WAKE_INTERVAL_S = 0.5
+LOAD_MAX_AGE_S = 0.6
+EXPIRY_INTERVAL_S = 1.0
+FORWARDED_RESPONSE_TIMEOUT_S = 0.4
+# Work is forwarded to another zone when its cost there, including the delay of forwarding, is
+# lower by more than this gain.
+FORWARD_MIN_GAIN_S = 0.06
+FORWARD_DELAY_S = 0.12
+LOCAL_COST_TOLERANCE_S = 0.08
+
+
+class GenerationCoordinator:
+    """Owns the brokers on this VM, their queues and the load reported by other zones."""
+
+    def __init__(
+        self,
+        vm_key: str,
+        address: str,
+        zone: str,
+        bus: PeerBus,
+        liveness: Liveness,
+        directory: Directory,
+        catalogue: Callable[[], Catalogue | None],
+        addresses_in_zone: Callable[[str], list[str]],
+        zones: Iterable[str],
+        now: Callable[[], float],
+        is_draining: Callable[[], bool],
+    ):
+        self._vm_key = vm_key
+        self._address = address
+        self._zone = zone
+        self._bus = bus
+        self._liveness = liveness
+        self._directory = directory
+        self._catalogue = catalogue
+        self._addresses_in_zone = addresses_in_zone
+        self._other_zones = tuple(other for other in zones if other != zone)
+        self._now = now
+        self._is_draining = is_draining
+        self._brokers_by_pool: dict[str, GenerationBroker] = {}
+        self._requests_by_work: dict[str, WorkAsked] = {}
+        self.broker_client = BrokerClient(
+            vm_key, address, liveness, self._pool_owner, self._send, self._send_to_address, now
+        )
+        self._other_zone_loads: dict[tuple[str, str], OtherZone] = {}
+        self._load_round = 0
+        self._new_sessions_by_pool: dict[str, list[str]] = {}
+        self._work_waiting = asyncio.Event()
+
+    def _pool_owner(self, pool: str) -> str:
+        return self._liveness.holder(pool, self._now(), self._is_draining())
+
+    def is_broker(self) -> bool:
+        """Returns whether this VM is the broker of any pool of engines."""
+        catalogue = self._catalogue()
+        rows = catalogue.pools_by_name.items() if catalogue else ()
+        return any(row.engine and self._pool_owner(pool) == self._vm_key for pool, row in rows)
+
+    def _send(self, vm: str, message) -> None:
+        if vm == self._vm_key:
+            self.handle_message(vm, message)
+        else:
+            self._bus.send(vm, message)
+
+    def _send_to_address(self, address: str, message) -> None:
+        if address == self._address:
+            self.handle_message(self._vm_key, message)
+        else:
+            self._bus.send_to_address(address, message)
+
+    def handle_message(self, sender: str, message) -> None:
+        """Handles a message from a requesting VM or from a broker."""
+        match message:
+            case WorkQueued() | WorkGranted() | WorkRefused():
+                self.broker_client.handle_response(message)
+            case WorkAsked():
+                self._handle_work_request(message)
+            case WorkRead(work_id, pool, waited_s, slowdown):
+                broker = self._get_broker(pool)
+                broker.note_read(work_id, waited_s, slowdown, self._now())
+                self._serve_queue(broker)
+            case WorkDone(work_id, pool, outcome, longest_gap_s):
+                broker = self._get_broker(pool)
+                broker.done(work_id, outcome, self._now(), longest_gap_s)
+                self._serve_queue(broker)
+            case ZoneLoad():
+                self._record_zone_load(message)
+                self._relay_load(sender, message)
+
+    def _record_zone_load(self, load: ZoneLoad) -> None:
+        now = self._now()
+        known = self._other_zone_loads.get((load.pool, load.zone))
+        sessions = known.sessions_at if known else {}
+        sessions |= dict.fromkeys(load.sessions, now)
+        self._other_zone_loads[(load.pool, load.zone)] = OtherZone(
+            load.long_fixed_s,
+            load.long_s_per_token,
+            load.short_cost_s,
+            load.queue_s_per_token,
+            load.reply_to,
+            now,
+            sessions,
+        )
+
+    def _get_broker(self, pool: str) -> GenerationBroker:
+        if pool not in self._brokers_by_pool:
+            self._brokers_by_pool[pool] = GenerationBroker(pool)
+        broker = self._brokers_by_pool[pool]
+        self._refresh_engines(broker)
+        return broker
+
+    def _refresh_engines(self, broker: GenerationBroker) -> None:
+        catalogue = self._catalogue()
+        row = catalogue.pools_by_name.get(broker.pool) if catalogue else None
+        if row is None or row.engine is None:
+            return
+        entries = (e for e in self._directory.usable(broker.pool) if e.zone == self._zone)
+        gap_s = catalogue.gap_targets_by_pool.get(broker.pool)
+        broker.set_engines(entries, row.engine.slots, row.engine.memory_tokens, gap_s)
+
+    def _handle_work_request(self, request: WorkAsked) -> None:
+        now = self._now()
+        broker = self._get_broker(request.pool)
+        work = work_from_request(request, now)
+        if self._forward(broker, work, request, now):
+            return
+        self._requests_by_work[work.id] = request
+        self._send_decisions(broker.ask(work, request.vm, frozenset(request.avoid), now))
+        if broker.waiting_by_id:
+            self._work_waiting.set()
+
+    def _forward(
+        self, broker: GenerationBroker, work: Work, request: WorkAsked, now: float
+    ) -> bool:
+        """Forwards work to another zone if its cost is lower there; returns whether it did."""
+        if request.is_passed_on:
+            return False
+        avoid = frozenset(request.avoid)
+        if broker.is_short(work):
+            local_s = broker.short_cost_s(now)
+            other = self._cheaper_zone(work.pool, local_s, lambda other: other.short_cost_s, now)
+        else:
+            local_s = broker.long_cost_s(work, avoid, now)
+            reread_cost_s = broker.read_again_s(work)
+
+            def cost(other: OtherZone) -> float:
+                unread = broker.unkept_tokens(work) if other.keeps(work, now) else work.tokens_in
+                reread_s = 0.0 if other.keeps(work, now) else reread_cost_s
+                return other.long_fixed_s + unread * other.long_s_per_token + reread_s
+
+            other = self._cheaper_zone(work.pool, local_s, cost, now)
+        if other is None:
+            return False
+        log("INFO", "passed_on", request=work.id, own_ms=f"{local_s * 1000:.0f}", to=other.address)
+        self._send_to_address(request.reply_to, WorkQueued(work.id, FORWARDED_RESPONSE_TIMEOUT_S))
+        forwarded = msgspec.structs.replace(
+            request, is_passed_on=True, age_s=now - work.arrived_at, left_s=work.expires_at - now
+        )
+        self._bus.send_to_address(other.address, forwarded)
+        other.note_passed_on(work.tokens_in)
+        return True
+
+    def _cheaper_zone(self, pool: str, local_s: float, cost, now: float) -> OtherZone | None:
+        if local_s <= LOCAL_COST_TOLERANCE_S:
+            return None
+        others = [
+            other
+            for (other_pool, _), other in self._other_zone_loads.items()
+            if other_pool == pool and now - other.told_at < LOAD_MAX_AGE_S
+        ]
+        best = min(others, key=cost, default=None)
+        if best is None or cost(best) + FORWARD_DELAY_S + FORWARD_MIN_GAIN_S >= local_s:
+            return None
+        return best
+
+    def _serve_queue(self, broker: GenerationBroker) -> None:
+        if broker.waiting_by_id:
+            self._send_decisions(broker.serve(self._now()))
+
+    def _send_decisions(self, decisions) -> None:
+        for decision in decisions:
+            request = self._requests_by_work.get(decision.work_id)
+            address = request.reply_to if request else ""
+            match decision:
+                case broker_answers.Granted(work_id, _, entry):
+                    self._record_session(request)
+                    log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
+                    response = WorkGranted(
+                        work_id,
+                        request.pool if request else "",
+                        entry.id,
+                        entry.address,
+                        entry.zone,
+                        entry.started_ms,
+                        self._address,
+                    )
+                case broker_answers.Refused(work_id, _, reason, retry_after_s):
+                    log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
+                    response = WorkRefused(work_id, reason, retry_after_s)
+                case broker_answers.Queued(work_id):
+                    response = WorkQueued(work_id, 0.0)
+            if not isinstance(decision, broker_answers.Queued):
+                self._requests_by_work.pop(decision.work_id, None)
+            if address:
+                self._send_to_address(address, response)
+
+    def _record_session(self, request: WorkAsked | None) -> None:
+        """Records the session of a granted long prompt for the next load report to other zones."""
+        session = session_of(request.parts) if request else ""
+        if session and not self._brokers_by_pool[request.pool].is_short_size(request.tokens_in):
+            self._new_sessions_by_pool.setdefault(request.pool, []).append(session)
+
+    def forget_vm(self, vm: str) -> None:
+        """Drops all work of a VM that has failed or left."""
+        for broker in self._brokers_by_pool.values():
+            broker.forget_vm(vm)
+
+    async def run(self) -> None:
+        """Serves the queues, publishes the load of this zone and expires old state periodically."""
+        next_load = next_expiry = self._now()
+        while True:
+            await self._wait_for_tick()
+            now = self._now()
+            for broker in self._brokers_by_pool.values():
+                if broker.waiting_by_id:
+                    self._refresh_engines(broker)
+                    self._serve_queue(broker)
+                    self._forward_newest_waiting(broker, now)
+            if now >= next_load:
+                next_load = now + LOAD_PUBLISH_INTERVAL_S
+                self._publish_load(now)
+            if now >= next_expiry:
+                next_expiry = now + EXPIRY_INTERVAL_S
+                self._expire(now)
+
+    def _forward_newest_waiting(self, broker: GenerationBroker, now: float) -> None:
+        """Forwards the most recent work in the queue if another zone has a lower cost for it."""
+        waiting = max(broker.waiting_by_id.values(), key=lambda w: w.work.arrived_at, default=None)
+        request = waiting and self._requests_by_work.get(waiting.work.id)
+        if request and self._forward(broker, waiting.work, request, now):
+            broker.done(waiting.work.id, "withdrawn", now)
+            del self._requests_by_work[waiting.work.id]
+
+    async def _wait_for_tick(self) -> None:
+        """Waits for the next tick or, while the queues are empty, until work arrives."""
+        if any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
+            await asyncio.sleep(QUEUE_TICK_S)
+            return
+        self._work_waiting.clear()
+        try:
+            async with asyncio.timeout(
+                LOAD_PUBLISH_INTERVAL_S if self.is_broker() else IDLE_WAKE_INTERVAL_S
+            ):
+                await self._work_waiting.wait()
+        except TimeoutError:
+            return
+
+    def _expire(self, now: float) -> None:
+        for broker in self._brokers_by_pool.values():
+            broker.expire(now)
+        for other in self._other_zone_loads.values():
+            other.forget_sessions(now)
+        if not any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
+            self._requests_by_work.clear()
+
+    def _publish_load(self, now: float) -> None:
+        """Sends the load to brokers in other zones; any VM there relays it while none is known."""
+        catalogue = self._catalogue()
+        if catalogue is None:
+            return
+        self._load_round += 1
+        for pool, row in catalogue.pools_by_name.items():
+            if row.engine is None or self._pool_owner(pool) != self._vm_key:
+                continue
+            broker = self._get_broker(pool)
+            offer = broker.offer_long(now)
+            load = ZoneLoad(
+                pool,
+                self._zone,
+                offer.fixed_s,
+                offer.s_per_token,
+                broker.short_cost_s(now),
+                broker.s_per_token(),
+                self._address,
+                tuple(self._new_sessions_by_pool.pop(pool, ())),
+            )
+            for zone in self._other_zones:
+                for address in self._load_recipients(pool, zone, now):
+                    self._bus.send_to_address(address, load)
+
+    def _load_recipients(self, pool: str, zone: str, now: float) -> list[str]:
+        known = self._other_zone_loads.get((pool, zone))
+        if known is not None and now - known.told_at < LOAD_MAX_AGE_S:
+            return [known.address]
+        addresses = self._addresses_in_zone(zone)
+        return [addresses[self._load_round % len(addresses)]] if addresses else []
+
+    def _relay_load(self, sender: str, load: ZoneLoad) -> None:
+        """Relays the load of another zone to the broker in this zone, if that is another VM."""
+        owner = self._pool_owner(load.pool)
+        if owner not in (self._vm_key, sender):
+            self._bus.send(owner, load)
+
+
+def work_from_request(request: WorkAsked, now: float) -> Work:
+    """Converts a request to work, with the times on the clock of this VM."""
+    return Work(
+        id=request.work_id,
+        pool=request.pool,
+        rank=request.rank,
+        tokens_in=request.tokens_in,
+        tokens_out=request.tokens_out,
+        parts=request.parts,
+        target_s=request.target_s,
+        gap_s=request.gap_s,
+        arrived_at=now - request.age_s,
+        expires_at=now + request.left_s,
+    )
--- /dev/null
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -0,0 +1,130 @@
+"""Discovers the other entry VMs through the store and tracks their liveness by heartbeats."""
+
+import asyncio
+from collections.abc import Callable
+
+from bluebellpitch.decisions.liveness import Liveness, Peer
+from bluebellpitch.errors import BluebellpitchError
+from bluebellpitch.logs import log
+from bluebellpitch.peers.bus import PeerBus
+from bluebellpitch.peers.entry_messages import VmBeat
+from bluebellpitch.platform.members import MemberRecord, read_members, register, unregister
+from bluebellpitch.platform.store import StoreClient
+
+# A VM with a duty sends heartbeats more often: others rely on it, so its loss must be detected
+# soon.
+DUTY_HEARTBEAT_INTERVAL_S = 0.15
+HEARTBEAT_INTERVAL_S = 0.45
+MEMBERS_READ_INTERVAL_S = 20.0
+MEMBERS_RETRY_INTERVAL_S = 0.5
+
+
+class PeerDiscovery:
+    """Owns the list of VMs. ``records_by_vm`` may include VMs that no longer run."""
+
+    def __init__(
+        self,
+        vm: str,
+        own_record: MemberRecord,
+        store_address: str,
+        bus: PeerBus,
+        liveness: Liveness,
+        now: Callable[[], float],
+        configuration_version: Callable[[], int],
+        is_draining: Callable[[], bool],
+        on_vm_lost: Callable[[str], None],
+        has_duty: Callable[[], bool],
+    ):
+        self._vm = vm
+        self._own_record = own_record
+        self._client = StoreClient(store_address)
+        self._bus = bus
+        self._liveness = liveness
+        self._now = now
+        self._configuration_version = configuration_version
+        self._is_draining = is_draining
+        self._on_vm_lost = on_vm_lost
+        self._has_duty = has_duty
+        self.records_by_vm: dict[str, MemberRecord] = {vm: own_record}
+
+    def vm_count(self) -> int:
+        """Returns how many VMs there may be, at least as many as send heartbeats."""
+        return max(len(self.records_by_vm), len(self._liveness.peers_by_key) + 1)
+
+    def addresses_in_zone(self, zone: str) -> list[str]:
+        """Returns the bus addresses of all known VMs of a zone, whether alive or not."""
+        return sorted(r.bus for r in self.records_by_vm.values() if r.zone == zone)
+
+    async def register(self) -> None:
+        """Registers this VM in the store and reads the records of the others, until cancelled."""
+        registered = False
+        while True:
+            if not registered:
+                registered = await register(self._client, self._vm, self._own_record)
+            was_read = await self._read_members()
+            done = registered and was_read
+            await asyncio.sleep(MEMBERS_READ_INTERVAL_S if done else MEMBERS_RETRY_INTERVAL_S)
+
+    async def _read_members(self) -> bool:
+        try:
+            records = await read_members(self._client)
+        except BluebellpitchError as error:
+            log("WARNING", "members_unknown", error=error)
+            return False
+        self.records_by_vm = records | {self._vm: self._own_record}
+        return True
+
+    async def unregister(self) -> None:
+        """Removes this VM's record before a planned shutdown."""
+        await unregister(self._client, self._vm)
+
+    async def send_heartbeats(self) -> None:
+        """Sends heartbeats to the VMs of this zone and reports lost peers, until cancelled."""
+        while True:
+            interval_s = DUTY_HEARTBEAT_INTERVAL_S if self._has_duty() else HEARTBEAT_INTERVAL_S
+            heartbeat = VmBeat(
+                zone=self._own_record.zone,
+                address=self._own_record.bus,
+                draining=self._is_draining(),
+                version=self._configuration_version(),
+                interval_s=interval_s,
+            )
+            for address in self._heartbeat_targets():
+                self._bus.send_to_address(address, heartbeat)
+            for key in self._liveness.lost(self._now()):
+                log("INFO", "peer_lost", peer=key)
+                self._on_vm_lost(key)
+            await self._wait_for_next_heartbeat(interval_s)
+
+    async def _wait_for_next_heartbeat(self, seconds: float) -> None:
+        """Waits until the next heartbeat is due; gaining or losing a duty makes it due early."""
+        started_at, had_duty = self._now(), self._has_duty()
+        while self._now() - started_at < seconds - DUTY_HEARTBEAT_INTERVAL_S / 2:
+            await asyncio.sleep(DUTY_HEARTBEAT_INTERVAL_S)
+            if self._has_duty() != had_duty:
+                return
+
+    def _heartbeat_targets(self) -> set[str]:
+        records = (r.bus for r in self.records_by_vm.values() if r.zone == self._own_record.zone)
+        heard = (
+            peer.address
+            for peer in self._liveness.peers_by_key.values()
+            if peer.zone == self._own_record.zone
+        )
+        return {*records, *heard} - {self._own_record.bus}
+
+    def record_heartbeat(self, sender: str, heartbeat: VmBeat) -> Peer:
+        """Records a heartbeat and returns the state of its sender."""
+        peer = Peer(
+            key=sender,
+            zone=heartbeat.zone,
+            address=heartbeat.address,
+            draining=heartbeat.draining,
+            version=heartbeat.version,
+            heard_at=self._now(),
+            interval_s=heartbeat.interval_s,
+        )
+        self._bus.know(sender, heartbeat.address)
+        if self._liveness.hear(peer):
+            log("INFO", "peer_heard", peer=sender, zone=heartbeat.zone, address=heartbeat.address)
+        return peer
--- /dev/null
+++ b/bluebellpitch/roles/store_watchers.py
@@ -0,0 +1,291 @@
+"""Watches the configuration and the endpoint entries in the platform's store."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from bluebellpitch.decisions.catalogue import Catalogue
+from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.freshness import Freshness, read_known_at
+from bluebellpitch.errors import BluebellpitchError
+from bluebellpitch.logs import log
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.peers.entry_messages import RecordsTold
+from bluebellpitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from bluebellpitch.platform.entries import decode_entry, report_entry
+from bluebellpitch.platform.records import KeyedRecord
+from bluebellpitch.platform.store import StoreClient, Truncated, keyed_records
+
+CONFIGURATION_LONG_POLL_S = 1.0
+ENDPOINTS_LONG_POLL_S = 1.0
+# Each heartbeat of an endpoint writes an entry; reads are spaced so that one fetches several.
+ENDPOINTS_READ_INTERVAL_S = 0.7
+RETRY_S = 0.25
+# While an update from the zone's reader is no older than this, this VM does not read the store.
+PEER_UPDATE_MAX_AGE_S = 1.8
+PEER_UPDATE_CHECK_S = 0.25
+EXPIRY_CHECK_S = 0.25
+# Records are requested from peers when neither the store nor a peer has responded for this long.
+REQUEST_RECORDS_AFTER_S = 1.0
+MAX_RECENT_RECORDS = 400
+# A shorter outage is too brief for entries to lapse, so removals after it count as genuine.
+MIN_OUTAGE_S = 1.0
+
+
+class TopicFollower:
+    """Reads a keyed topic incrementally and recovers from outages of the store.
+
+    One VM of a zone, the reader, polls the store and sends the records to the others. A VM that
+    gets no updates polls the store itself and sends what it reads too, since the store may refuse
+    the reader but serve other VMs.
+    """
+
+    def __init__(
+        self,
+        client: StoreClient,
+        topic: str,
+        long_poll_s: float,
+        now: Callable[[], float],
+        is_zone_reader: Callable[[], bool],
+        publish: Callable[[RecordsTold], None],
+        metrics: Metrics,
+    ):
+        self._client = client
+        self.topic = topic
+        self._long_poll_s = long_poll_s
+        self._now = now
+        self._is_zone_reader = is_zone_reader
+        self._publish = publish
+        self._metrics = metrics
+        self._next_offset: int | None = None
+        self._peer_update_at = float("-inf")
+        self._failing_since: float | None = None
+        self.recovered_at = float("-inf")
+        self.store_read_at = float("-inf")
+        self._recent_records: list[tuple[str, bytes | None]] = []
+        self._recent_start = 0
+
+    def had_recent_outage(self, now: float, within_s: float) -> bool:
+        """Returns whether the store is out of reach or recovered less than ``within_s`` ago."""
+        return self._failing_since is not None or now - self.recovered_at < within_s
+
+    def is_updated_by_peers(self) -> bool:
+        """Returns whether updates from peers make it unnecessary for this VM to read the store."""
+        if self._is_zone_reader() or self._next_offset is None:
+            return False
+        return self._now() - self._peer_update_at < PEER_UPDATE_MAX_AGE_S
+
+    def _keep_recent(self, start: int, records: tuple[tuple[str, bytes | None], ...]) -> None:
+        if self._recent_start + len(self._recent_records) != start:
+            self._recent_records.clear()
+            self._recent_start = start
+        self._recent_records.extend(records)
+        excess = len(self._recent_records) - MAX_RECENT_RECORDS
+        if excess > 0:
+            del self._recent_records[:excess]
+            self._recent_start += excess
+
+    def offset_to_request(self) -> int | None:
+        """Returns the offset to request from peers, or None unless this VM has fallen behind."""
+        return self._next_offset if self._is_behind() else None
+
+    def _is_behind(self) -> bool:
+        return self._now() - max(self.store_read_at, self._peer_update_at) > REQUEST_RECORDS_AFTER_S
+
+    def recent_records_from(self, start: int) -> RecordsTold | None:
+        """Returns the records from offset ``start`` on, or None if this VM lacks some of them."""
+        if self._next_offset is None or self._is_behind():
+            return None
+        if not self._recent_start <= start <= self._recent_start + len(self._recent_records):
+            return None
+        records = tuple(self._recent_records[start - self._recent_start :])
+        return RecordsTold(self.topic, start, start + len(records), records)
+
+    def accept_peer_records(self, update: RecordsTold) -> tuple[KeyedRecord, ...]:
+        """Accepts an update and returns its new records; none if there is a gap before them."""
+        if self._next_offset is None or update.start > self._next_offset:
+            return ()
+        self._peer_update_at = self._now()
+        known = self._next_offset - update.start
+        if update.next > self._next_offset:
+            self._keep_recent(self._next_offset, update.records[known:])
+            self._next_offset = update.next
+        return tuple(KeyedRecord(key, value) for key, value in update.records[known:])
+
+    async def read(self) -> tuple[tuple[KeyedRecord, ...], bool, float] | None:
+        """Reads records from the store.
+
+        Returns the records, whether they cover all keys, and the time as of which they are
+        complete; None after a failure.
+        """
+        requested_at = self._now()
+        try:
+            if self._next_offset is None:
+                newest = await self._client.newest(self.topic)
+                self._next_offset = newest.end
+                result = (newest.records, True, requested_at)
+            else:
+                result = await self._read_next_page(requested_at)
+        except BluebellpitchError as error:
+            self._record_failure(error)
+            return None
+        self._record_success()
+        return result
+
+    async def _read_next_page(self, requested_at: float):
+        start = self._next_offset
+        page = await self._client.read(self.topic, start, int(self._long_poll_s * 1000))
+        if isinstance(page, Truncated) or page.end < start or page.first_kept > start:
+            log("WARNING", "store_truncated", topic=self.topic, wanted=start)
+            self._next_offset = None
+            return (), False, float("-inf")
+        records, unreadable = keyed_records(page)
+        if unreadable:
+            log("WARNING", "records_unreadable", topic=self.topic, count=unreadable)
+        end = start + len(page.records)
+        if not unreadable:
+            pairs = tuple((record.key, record.value) for record in records)
+            self._publish(RecordsTold(self.topic, start, end, pairs))
+            self._keep_recent(start, pairs)
+        self._next_offset = max(end, self._next_offset or 0)
+        self.store_read_at = self._now()
+        known_at = read_known_at(requested_at, self._now(), self._long_poll_s, not page.records)
+        return records, False, known_at if end >= page.end else float("-inf")
+
+    def _record_failure(self, error: Exception) -> None:
+        self._metrics.store_calls.labels(self.topic, "failed").inc()
+        if self._failing_since is None:
+            self._failing_since = self._now()
+            log("WARNING", "store_lost", topic=self.topic, error=error)
+
+    def _record_success(self) -> None:
+        self._metrics.store_calls.labels(self.topic, "answered").inc()
+        if self._failing_since is None:
+            return
+        outage_s = self._now() - self._failing_since
+        self._failing_since = None
+        if outage_s >= MIN_OUTAGE_S:
+            self.recovered_at = self._now()
+        log("INFO", "store_regained", topic=self.topic, away_s=f"{outage_s:.2f}")
+
+
+class ConfigurationWatcher:
+    """Holds the newest catalogue. Never replaces it with an older version."""
+
+    def __init__(self, follower: TopicFollower, freshness: Freshness):
+        self.follower = follower
+        self.freshness = freshness
+        self.catalogue: Catalogue | None = None
+        self.encoded = b""
+        self.changed = asyncio.Event()
+
+    async def run(self) -> None:
+        """Reads updates from the store until cancelled."""
+        while True:
+            if self.follower.is_updated_by_peers():
+                await asyncio.sleep(PEER_UPDATE_CHECK_S)
+                continue
+            result = await self.follower.read()
+            if result is None:
+                await asyncio.sleep(RETRY_S)
+                continue
+            records, _, known_at = result
+            self.apply_records(records, "store")
+            if self.catalogue is not None:
+                self.freshness.confirm(known_at)
+
+    def version(self) -> int:
+        """Returns the version of the current catalogue, or -1 if there is none."""
+        return self.catalogue.version if self.catalogue is not None else -1
+
+    def apply_records(self, records: Iterable[KeyedRecord], source: str) -> None:
+        """Applies the configurations among the records."""
+        for record in records:
+            if record.key == CONFIGURATION_KEY and record.value:
+                self.apply(record.value, source)
+
+    def apply(self, data: bytes, source: str) -> None:
+        """Applies a configuration if it is newer than the current one."""
+        try:
+            catalogue = decode_configuration(data)
+        except BluebellpitchError as error:
+            log("ERROR", "configuration_malformed", source=source, error=error)
+            return
+        if self.catalogue is not None and catalogue.version <= self.catalogue.version:
+            return
+        self.catalogue, self.encoded = catalogue, data
+        self.changed.set()
+        log("INFO", "configuration", version=catalogue.version, source=source)
+
+
+class EndpointWatcher:
+    """Updates the directory of endpoints.
+
+    Entries removed within ``outage_window_s`` of an outage may have lapsed because of it.
+    """
+
+    def __init__(
+        self,
+        follower: TopicFollower,
+        directory: Directory,
+        now: Callable[[], float],
+        outage_window_s: float,
+    ):
+        self.follower = follower
+        self.directory = directory
+        self._now = now
+        self._outage_window_s = outage_window_s
+        self.is_loaded = False
+
+    async def run(self) -> None:
+        """Reads updates from the store until cancelled."""
+        while True:
+            if self.follower.is_updated_by_peers():
+                await asyncio.sleep(PEER_UPDATE_CHECK_S)
+                continue
+            started = self._now()
+            result = await self.follower.read()
+            if result is None:
+                await asyncio.sleep(RETRY_S)
+                continue
+            records, is_complete, _ = result
+            if is_complete:
+                self._remove_missing({record.key for record in records})
+            for record in records:
+                self.apply(record)
+            self.is_loaded = True
+            await asyncio.sleep(max(0.0, started + ENDPOINTS_READ_INTERVAL_S - self._now()))
+
+    def _remove_missing(self, keys: set[str]) -> None:
+        for endpoint_id in set(self.directory.entries_by_id) - keys:
+            self.apply(KeyedRecord(endpoint_id, None))
+
+    def apply(self, record: KeyedRecord) -> None:
+        """Applies an update or the removal of an entry."""
+        now = self._now()
+        if record.value is None:
+            had_outage = self.follower.had_recent_outage(now, self._outage_window_s)
+            if self.directory.drop(record.key, had_outage, now):
+                log("INFO", "endpoint_gone", endpoint=record.key)
+            return
+        try:
+            entry = decode_entry(record.key, record.value)
+        except BluebellpitchError as error:
+            report_entry(record.key, error)
+            return
+        if self.directory.take(entry):
+            log(
+                "INFO",
+                "endpoint",
+                endpoint=entry.id,
+                pool=entry.pool,
+                address=entry.address,
+                zone=entry.zone,
+                draining=entry.is_draining,
+            )
+
+    async def run_expiry(self) -> None:
+        """Removes lapsed entries once they are no longer kept for an outage, until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRY_CHECK_S)
+            for endpoint_id in self.directory.expire(self._now()):
+                log("INFO", "endpoint_gone", endpoint=endpoint_id, reason="lapsed")
