--- a/bluebellpitch/callers/exchange.py
+++ b/bluebellpitch/callers/exchange.py
@@ -4,7 +4,7 @@
 from bluebellpitch.context import NodeContext
 from bluebellpitch.events import Kind
 from bluebellpitch.http1 import ServerConnection
-from bluebellpitch.peers.messages import Ask
+from bluebellpitch.peers.messages import SlotRequest
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun
 
@@ -29,7 +29,7 @@
     async def seek(self, attempt: int, expires_at: float, **fields) -> Slot | DidNotRun:
         """Waits for a slot until ``expires_at``; ``fields`` are more fields of the ask."""
         caller, now = self.caller, self.context.now()
-        ask = Ask(
+        ask = SlotRequest(
             request=caller.request_id,
             attempt=attempt,
             pool=self.job.pool.name,
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -7,7 +7,7 @@
 from bluebellpitch.callers.requests import ServiceJob, forwarded_headers
 from bluebellpitch.constants import ATTEMPTS_PER_REQUEST, OUTCOME_BODY_MAX_BYTES
 from bluebellpitch.context import NodeContext
-from bluebellpitch.decisions.claiming import Replay, Wish, Won
+from bluebellpitch.decisions.claiming import ClaimRequest, ClaimWon, ReplayOutcome
 from bluebellpitch.decisions.claims import Claim, Outcome
 from bluebellpitch.endpoints.service import ServiceCall, call_service
 from bluebellpitch.events import Kind
@@ -15,7 +15,7 @@
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
-Result = HttpResponse | Replay | DidNotRun | MayHaveRun
+Result = HttpResponse | ReplayOutcome | DidNotRun | MayHaveRun
 DROPPED_HEADERS = frozenset(("connection", "content-length", "transfer-encoding", "keep-alive"))
 
 
@@ -36,7 +36,7 @@
         match result:
             case HttpResponse():
                 return await self._answer(result, started)
-            case Replay(outcome):
+            case ReplayOutcome(outcome):
                 return await self._replay(outcome)
             case verdict:
                 self.record(Kind.REFUSED, self.endpoint, f"{verdict.reason} {verdict.name}")
@@ -48,7 +48,7 @@
         result: Result = DidNotRun("not_tried")
         for _ in range(ATTEMPTS_PER_REQUEST):
             result = await self._try_once()
-            if isinstance(result, HttpResponse | Replay):
+            if isinstance(result, HttpResponse | ReplayOutcome):
                 return result
             if isinstance(result, MayHaveRun) and not self.job.repeatable:
                 return result
@@ -80,9 +80,9 @@
     async def _claim_and_call(self, slot: Slot) -> Result:
         """Claims as late as can be, so that a claim that waits cannot be left behind."""
         if self.job.key and not self.job.repeatable and self.claim is None:
-            wish = Wish(self.job.key, self.job.body_digest, self.job.made_at)
+            wish = ClaimRequest(self.job.key, self.job.body_digest, self.job.made_at)
             verdict = await self.context.claims.claim(self.caller.request_id, wish)
-            if not isinstance(verdict, Won):
+            if not isinstance(verdict, ClaimWon):
                 return verdict
             self.claim = verdict.claim
         if self.claim and not self.context.claims.may_dispatch(self.claim):
--- a/bluebellpitch/commands/table.py
+++ b/bluebellpitch/commands/table.py
@@ -15,7 +15,7 @@
     option,
     say,
 )
-from bluebellpitch.decisions.rows import key_of
+from bluebellpitch.decisions.rows import row_key
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import ConflictError, UsageError
 from bluebellpitch.exits import ExitStatus
@@ -105,8 +105,8 @@
 
 def describe_diff(change: TableDiff) -> Iterator[str]:
     """Yields a line for each row that would change."""
-    yield from (f"+ {key_of(row)}" for row in change.added)
-    yield from (f"~ {key_of(row)}" for row in change.changed)
+    yield from (f"+ {row_key(row)}" for row in change.added)
+    yield from (f"~ {row_key(row)}" for row in change.changed)
     yield from (f"- {key}" for key in change.deleted)
     yield from (f"! {key} (changed by another operator)" for key in change.conflicts)
     if change.is_empty() and not change.conflicts:
--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -72,7 +72,7 @@
         self.table = table
         self.leaving = leaving
         self.order.set_classes(table.classes_by_name)
-        rows = table.endpoints_of(self.pool, self.zone)
+        rows = table.pool_endpoints(self.pool, self.zone)
         self.chooser.set_endpoints(tuple(row for row in rows if row.name not in leaving))
 
     def ask(self, work: Waiting, now: float) -> Iterator[Command]:
--- a/bluebellpitch/decisions/claiming.py
+++ b/bluebellpitch/decisions/claiming.py
@@ -5,11 +5,11 @@
 from bluebellpitch.constants import HORIZON_MARGIN_S
 from bluebellpitch.decisions.claims import (
     Claim,
-    ClaimsFold,
-    Done,
-    Free,
-    Held,
-    OtherBody,
+    ClaimsStateMachine,
+    KeyBodyMismatch,
+    KeyClaimed,
+    KeyCompleted,
+    KeyFree,
     Outcome,
     is_within_horizon,
 )
@@ -17,16 +17,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Wish:
+class ClaimRequest:
     """A request that wants a key. ``made_at`` is in Unix seconds."""
 
     key: str
-    body: str
+    body_digest: str
     made_at: float
 
 
 @dataclass(frozen=True, slots=True)
-class Attempted:
+class PendingClaim:
     """A claim that this VM has sent to the store. ``offset`` is None until its answer came."""
 
     claim: Claim
@@ -34,26 +34,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Won:
+class ClaimWon:
     """This VM alone may dispatch the key."""
 
     claim: Claim
 
 
 @dataclass(frozen=True, slots=True)
-class Replay:
+class ReplayOutcome:
     """The key ran before; its outcome is known."""
 
     outcome: Outcome
 
 
 @dataclass(frozen=True, slots=True)
-class SendClaim:
+class AppendClaim:
     """Append a claim with a new id."""
 
 
 @dataclass(frozen=True, slots=True)
-class WaitForLog:
+class AwaitRecords:
     """Nothing to do until more of the topic is read."""
 
 
@@ -64,31 +64,35 @@
     verdict: DidNotRun | MayHaveRun
 
 
-Step = Won | Replay | SendClaim | WaitForLog | GiveUp
+ClaimStep = ClaimWon | ReplayOutcome | AppendClaim | AwaitRecords | GiveUp
 
 
-def next_step(
-    fold: ClaimsFold, wish: Wish, attempted: Attempted | None, now_wall: float, expired: bool
-) -> Step:
+def next_claim_step(
+    claims: ClaimsStateMachine,
+    request: ClaimRequest,
+    pending: PendingClaim | None,
+    now_wall: float,
+    timed_out: bool,
+) -> ClaimStep:
     """Returns what to do now. ``expired``: the request may wait no longer."""
-    if not is_within_horizon(wish.made_at, now_wall, fold.horizon_s, HORIZON_MARGIN_S):
+    if not is_within_horizon(request.made_at, now_wall, claims.horizon_s, HORIZON_MARGIN_S):
         return GiveUp(DidNotRun("request_too_old", 400))
-    match fold.standing(wish.key, wish.body):
-        case OtherBody():
+    match claims.key_status(request.key, request.body_digest):
+        case KeyBodyMismatch():
             return GiveUp(DidNotRun("key_reused", 422))
-        case Done(outcome):
-            return Replay(outcome)
-        case Held(claim) if attempted and claim.id == attempted.claim.id and not expired:
-            return Won(claim)
-        case Held(claim) if expired and not (attempted and claim.id == attempted.claim.id):
+        case KeyCompleted(outcome):
+            return ReplayOutcome(outcome)
+        case KeyClaimed(claim) if pending and claim.id == pending.claim.id and not timed_out:
+            return ClaimWon(claim)
+        case KeyClaimed(claim) if timed_out and not (pending and claim.id == pending.claim.id):
             return GiveUp(MayHaveRun("in_progress", 409, 1.0))
-        case _ if expired:
+        case _ if timed_out:
             return GiveUp(DidNotRun("log_unavailable", 503, 5.0))
-        case Free() if attempted is None or has_lost(fold, attempted):
-            return SendClaim()
-    return WaitForLog()
+        case KeyFree() if pending is None or has_lost_race(claims, pending):
+            return AppendClaim()
+    return AwaitRecords()
 
 
-def has_lost(fold: ClaimsFold, attempted: Attempted) -> bool:
+def has_lost_race(claims: ClaimsStateMachine, pending: PendingClaim) -> bool:
     """Tells whether the topic shows that a claim came to nothing: another held the key then."""
-    return attempted.offset is not None and fold.offset >= attempted.offset
+    return pending.offset is not None and claims.offset >= pending.offset
--- a/bluebellpitch/decisions/claims.py
+++ b/bluebellpitch/decisions/claims.py
@@ -59,47 +59,47 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Free:
+class KeyFree:
     """Nobody holds the key."""
 
 
 @dataclass(frozen=True, slots=True)
-class Held:
+class KeyClaimed:
     """A claim holds the key, with no outcome yet."""
 
     claim: Claim
 
 
 @dataclass(frozen=True, slots=True)
-class Done:
+class KeyCompleted:
     """The key has an outcome."""
 
     outcome: Outcome
 
 
 @dataclass(frozen=True, slots=True)
-class OtherBody:
+class KeyBodyMismatch:
     """The key belongs to another body."""
 
 
-Standing = Free | Held | Done | OtherBody
+KeyStatus = KeyFree | KeyClaimed | KeyCompleted | KeyBodyMismatch
 
 
-class ClaimsFold:
+class ClaimsStateMachine:
     """Folds claim records; forgets keys past the horizon."""
 
     def __init__(self, horizon_s: float):
         self.horizon_s = horizon_s
         self.offset = -1
-        self._keys_by_name: dict[str, KeyState] = {}
-        self._withdrawn_by_id: dict[str, float] = {}
+        self._states_by_key: dict[str, KeyState] = {}
+        self._withdrawal_times_by_claim_id: dict[str, float] = {}
 
     def apply(self, offset: int, data: str | bytes, now_wall: float) -> ClaimRecord | None:
         """Folds one record; returns it when it took effect. ``now_wall`` in Unix seconds."""
         if offset <= self.offset:
             return None
         self.offset = offset
-        record = decode_claim(data)
+        record = decode_claim_record(data)
         if record is None or now_wall - record.made_at > self.horizon_s:
             return None
         match record:
@@ -111,9 +111,9 @@
                 return self._apply_outcome(record)
 
     def _apply_claim(self, claim: Claim) -> Claim | None:
-        if claim.id in self._withdrawn_by_id:
+        if claim.id in self._withdrawal_times_by_claim_id:
             return None
-        state = self._keys_by_name.setdefault(claim.key, KeyState(claim.made_at))
+        state = self._states_by_key.setdefault(claim.key, KeyState(claim.made_at))
         if state.claim or state.outcome:
             return None
         state.claim = claim
@@ -121,46 +121,48 @@
         return claim
 
     def _apply_withdrawal(self, withdrawal: Withdrawal) -> Withdrawal:
-        self._withdrawn_by_id[withdrawal.claim_id] = withdrawal.made_at
-        state = self._keys_by_name.get(withdrawal.key)
+        self._withdrawal_times_by_claim_id[withdrawal.claim_id] = withdrawal.made_at
+        state = self._states_by_key.get(withdrawal.key)
         if state and state.claim and state.claim.id == withdrawal.claim_id and not state.outcome:
-            del self._keys_by_name[withdrawal.key]
+            del self._states_by_key[withdrawal.key]
         return withdrawal
 
     def _apply_outcome(self, outcome: Outcome) -> Outcome | None:
-        state = self._keys_by_name.get(outcome.key)
+        state = self._states_by_key.get(outcome.key)
         if state is None or state.claim is None or state.claim.id != outcome.claim_id:
             return None
         state.outcome = state.outcome or outcome
         return outcome
 
-    def standing(self, key: str, body: str) -> Standing:
+    def key_status(self, key: str, body_digest: str) -> KeyStatus:
         """Returns how a key stands for a request with that body digest."""
-        state = self._keys_by_name.get(key)
+        state = self._states_by_key.get(key)
         if state is None or state.claim is None:
-            return Free()
-        if state.claim.body != body:
-            return OtherBody()
-        return Done(state.outcome) if state.outcome else Held(state.claim)
+            return KeyFree()
+        if state.claim.body != body_digest:
+            return KeyBodyMismatch()
+        return KeyCompleted(state.outcome) if state.outcome else KeyClaimed(state.claim)
 
     def is_withdrawn(self, claim_id: str) -> bool:
         """Tells whether a claim id is void."""
-        return claim_id in self._withdrawn_by_id
+        return claim_id in self._withdrawal_times_by_claim_id
 
-    def expire(self, now_wall: float) -> None:
+    def expire_keys(self, now_wall: float) -> None:
         """Forgets keys and withdrawals past the horizon."""
         oldest = now_wall - self.horizon_s
-        self._keys_by_name = {k: s for k, s in self._keys_by_name.items() if s.made_at >= oldest}
-        self._withdrawn_by_id = {k: at for k, at in self._withdrawn_by_id.items() if at >= oldest}
+        self._states_by_key = {k: s for k, s in self._states_by_key.items() if s.made_at >= oldest}
+        self._withdrawal_times_by_claim_id = {
+            k: at for k, at in self._withdrawal_times_by_claim_id.items() if at >= oldest
+        }
 
-    def unresolved(self, live_vms: frozenset[str]) -> tuple[Claim, ...]:
+    def unresolved_claims(self, live_vms: frozenset[str]) -> tuple[Claim, ...]:
         """Returns claims that may have run: with no known answer, and nobody working on them."""
-        states = (state for state in self._keys_by_name.values() if state.claim)
+        states = (state for state in self._states_by_key.values() if state.claim)
         return tuple(state.claim for state in states if is_unresolved(state, live_vms))
 
-    def held_count(self) -> int:
+    def key_count(self) -> int:
         """Returns how many keys are remembered."""
-        return len(self._keys_by_name)
+        return len(self._states_by_key)
 
 
 def is_unresolved(state: KeyState, live_vms: frozenset[str]) -> bool:
@@ -175,7 +177,7 @@
     return now_wall - made_at < horizon_s - margin_s
 
 
-def decode_claim(data: str | bytes) -> ClaimRecord | None:
+def decode_claim_record(data: str | bytes) -> ClaimRecord | None:
     """Returns the typed record, or None when it is not one of ours."""
     try:
         return msgspec.json.decode(data, type=ClaimRecord)
@@ -183,6 +185,6 @@
         return None
 
 
-def encode_claim(record: ClaimRecord) -> bytes:
+def encode_claim_record(record: ClaimRecord) -> bytes:
     """Returns the record as the store keeps it."""
     return msgspec.json.encode(record)
--- a/bluebellpitch/decisions/control.py
+++ b/bluebellpitch/decisions/control.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from bluebellpitch.decisions.hashing import digest_text
-from bluebellpitch.decisions.rows import Row, Table, VersionedRow, key_of
+from bluebellpitch.decisions.rows import Row, Table, VersionedRow, row_key
 
-REMEMBERED_VERDICTS = 4_096
+MAX_KEPT_VERDICTS = 4_096
 
 
 class VmIdentity(msgspec.Struct, frozen=True, order=True):
@@ -85,7 +85,7 @@
     keys: tuple[str, ...]
 
 
-FoldVerdict = Accepted | Conflicted
+RecordVerdict = Accepted | Conflicted
 
 
 class ControlState(msgspec.Struct):
@@ -95,10 +95,10 @@
     rows_by_key: dict[str, VersionedRow] = {}
     epochs_by_zone: dict[str, Epoch] = {}
     unsettled_by_zone: dict[str, tuple[Epoch, ...]] = {}
-    verdicts_by_id: dict[str, FoldVerdict] = {}
+    verdicts_by_id: dict[str, RecordVerdict] = {}
 
 
-class ControlFold:
+class ControlStateMachine:
     """Folds control records; never goes back to a lower offset."""
 
     def __init__(self):
@@ -110,38 +110,38 @@
         """The last offset folded; -1: none."""
         return self.state.offset
 
-    def apply(self, offset: int, data: str | bytes) -> FoldVerdict | None:
+    def apply(self, offset: int, data: str | bytes) -> RecordVerdict | None:
         """Folds one record; None when it is old or not understood."""
         if offset <= self.offset:
             return None
-        record = decode_record(data)
+        record = decode_control_record(data)
         verdict = self._apply_record(offset, record) if record else None
         self.state.offset = offset
         return verdict
 
-    def _apply_record(self, offset: int, record: ControlRecord) -> FoldVerdict | None:
+    def _apply_record(self, offset: int, record: ControlRecord) -> RecordVerdict | None:
         if record.id in self.state.verdicts_by_id:
             return None
         match record:
             case TableChange():
-                verdict = self._apply_table(offset, record)
+                verdict = self._apply_table_change(offset, record)
             case EpochChange():
-                verdict = self._apply_epoch(offset, record)
-        self._remember(record.id, verdict)
+                verdict = self._apply_epoch_change(offset, record)
+        self._store_verdict(record.id, verdict)
         return verdict
 
-    def _remember(self, record_id: str, verdict: FoldVerdict) -> None:
+    def _store_verdict(self, record_id: str, verdict: RecordVerdict) -> None:
         verdicts = self.state.verdicts_by_id
         verdicts[record_id] = verdict
-        if len(verdicts) > REMEMBERED_VERDICTS:
+        if len(verdicts) > MAX_KEPT_VERDICTS:
             del verdicts[next(iter(verdicts))]
 
-    def _apply_table(self, offset: int, change: TableChange) -> FoldVerdict:
-        touched = [key_of(row) for row in change.rows] + list(change.deleted)
+    def _apply_table_change(self, offset: int, change: TableChange) -> RecordVerdict:
+        touched = [row_key(row) for row in change.rows] + list(change.deleted)
         stale = tuple(key for key in touched if change.base.get(key, -1) != self.revision_of(key))
         if stale:
             return Conflicted(offset, stale)
-        changes = {key_of(row): VersionedRow(row, offset) for row in change.rows}
+        changes = {row_key(row): VersionedRow(row, offset) for row in change.rows}
         self.table = self.table.with_changes(changes, change.deleted, offset)
         self.state.rows_by_key = self.table.rows_by_key
         return Accepted(offset)
@@ -151,7 +151,7 @@
         versioned = self.state.rows_by_key.get(key)
         return versioned.revision if versioned else -1
 
-    def _apply_epoch(self, offset: int, change: EpochChange) -> FoldVerdict:
+    def _apply_epoch_change(self, offset: int, change: EpochChange) -> RecordVerdict:
         current = self.state.epochs_by_zone.get(change.zone, Epoch(0, ()))
         if change.number != current.number + 1:
             return Conflicted(offset, (f"epoch/{change.zone}",))
@@ -164,17 +164,17 @@
         self.state.unsettled_by_zone = {**self.state.unsettled_by_zone, change.zone: kept}
         return Accepted(offset)
 
-    def snapshot(self) -> Snapshot:
+    def create_snapshot(self) -> Snapshot:
         """Returns the fold as a record; equal folds give equal records."""
         state = msgspec.json.encode(self.state, order="sorted")
         digest = digest_text(state)
         return Snapshot(f"snapshot-{self.offset}-{digest}", self.offset, state, digest)
 
-    def install_latest(self, snapshots: Iterable[Snapshot]) -> bool:
+    def install_latest_snapshot(self, snapshots: Iterable[Snapshot]) -> bool:
         """Bridges expired records with the first snapshot that is whole and ahead."""
-        return any(self.install(snapshot) for snapshot in snapshots)
+        return any(self.install_snapshot(snapshot) for snapshot in snapshots)
 
-    def install(self, snapshot: Snapshot) -> bool:
+    def install_snapshot(self, snapshot: Snapshot) -> bool:
         """Takes a snapshot over when it is whole and ahead of this fold."""
         if snapshot.offset <= self.offset or digest_text(snapshot.state) != snapshot.digest:
             return False
@@ -187,7 +187,7 @@
         return True
 
 
-def decode_record(data: str | bytes) -> ControlRecord | None:
+def decode_control_record(data: str | bytes) -> ControlRecord | None:
     """Returns the typed record, or None when it is not one of ours."""
     try:
         return msgspec.json.decode(data, type=ControlRecord)
@@ -195,6 +195,6 @@
         return None
 
 
-def encode_record(record: ControlRecord) -> bytes:
+def encode_control_record(record: ControlRecord) -> bytes:
     """Returns the record as the store keeps it."""
     return msgspec.json.encode(record)
--- a/bluebellpitch/decisions/rows.py
+++ b/bluebellpitch/decisions/rows.py
@@ -57,7 +57,7 @@
 Row = MemberRow | ClassRow | PoolRow | EndpointRow
 
 
-def key_of(row: Row) -> str:
+def row_key(row: Row) -> str:
     """Returns the key of a row: its kind and name."""
     return f"{type(row).__struct_config__.tag}/{row.name}"
 
@@ -80,10 +80,10 @@
         self.classes_by_name: dict[str, ClassRow] = {}
         self.pools_by_name: dict[str, PoolRow] = {}
         self.endpoints_by_name: dict[str, EndpointRow] = {}
-        self._endpoints_by_place: dict[tuple[str, str], tuple[EndpointRow, ...]] = {}
+        self._endpoints_by_pool_and_zone: dict[tuple[str, str], tuple[EndpointRow, ...]] = {}
         for key, versioned in rows_by_key.items():
             self._put(key, versioned)
-        self._set_places(group_endpoints(self.endpoints_by_name.values()))
+        self._set_endpoint_groups(group_endpoints(self.endpoints_by_name.values()))
 
     def with_changes(
         self, changes: dict[str, VersionedRow], deleted: tuple[str, ...], offset: int
@@ -96,36 +96,36 @@
         former = [self.rows_by_key[key].row for key in touched if key in self.rows_by_key]
         table._copy_indexes(former + [versioned.row for versioned in changes.values()])
         for key in touched:
-            table._drop(key)
+            table._remove(key)
         for key, versioned in changes.items():
             table._put(key, versioned)
-        table._regroup(former, changes)
+        table._update_endpoint_groups(former, changes)
         return table
 
     def _copy_indexes(self, rows: list[Row]) -> None:
         for kind in {type(row) for row in rows}:
-            name = INDEXES_BY_KIND[kind]
+            name = INDEX_NAMES_BY_ROW_TYPE[kind]
             setattr(self, name, dict(getattr(self, name)))
             if kind is MemberRow:
                 self.members_by_credential = dict(self.members_by_credential)
 
-    def _drop(self, key: str) -> None:
+    def _remove(self, key: str) -> None:
         versioned = self.rows_by_key.pop(key, None)
         if versioned is None:
             return
         row = versioned.row
-        del getattr(self, INDEXES_BY_KIND[type(row)])[row.name]
+        del getattr(self, INDEX_NAMES_BY_ROW_TYPE[type(row)])[row.name]
         if isinstance(row, MemberRow):
             self.members_by_credential.pop(row.credential, None)
 
     def _put(self, key: str, versioned: VersionedRow) -> None:
         row = versioned.row
         self.rows_by_key[key] = versioned
-        getattr(self, INDEXES_BY_KIND[type(row)])[row.name] = row
+        getattr(self, INDEX_NAMES_BY_ROW_TYPE[type(row)])[row.name] = row
         if isinstance(row, MemberRow):
             self.members_by_credential[row.credential] = row
 
-    def _regroup(self, former: list[Row], changes: dict[str, VersionedRow]) -> None:
+    def _update_endpoint_groups(self, former: list[Row], changes: dict[str, VersionedRow]) -> None:
         """Renews the groups of the places that endpoints left or entered."""
         rows = former + [versioned.row for versioned in changes.values()]
         rows = [row for row in rows if isinstance(row, EndpointRow)]
@@ -136,31 +136,31 @@
         stay = (
             row
             for place in places
-            for row in self._endpoints_by_place.get(place, ())
+            for row in self._endpoints_by_pool_and_zone.get(place, ())
             if row.name not in names
         )
         new = (v.row for v in changes.values() if isinstance(v.row, EndpointRow))
-        groups = {k: g for k, g in self._endpoints_by_place.items() if k not in places}
-        self._set_places(groups | group_endpoints([*stay, *new]))
+        groups = {k: g for k, g in self._endpoints_by_pool_and_zone.items() if k not in places}
+        self._set_endpoint_groups(groups | group_endpoints([*stay, *new]))
 
-    def _set_places(self, groups: dict[tuple[str, str], tuple[EndpointRow, ...]]) -> None:
-        self._endpoints_by_place = groups
+    def _set_endpoint_groups(self, groups: dict[tuple[str, str], tuple[EndpointRow, ...]]) -> None:
+        self._endpoints_by_pool_and_zone = groups
         zones: dict[str, list[tuple[str, str]]] = {}
         for (pool, zone), group in sorted(groups.items()):
             zones.setdefault(pool, []).append((zone, group[0].region))
         self.zones_by_pool = {pool: tuple(pairs) for pool, pairs in zones.items()}
 
-    def endpoints_of(self, pool: str, zone: str) -> tuple[EndpointRow, ...]:
+    def pool_endpoints(self, pool: str, zone: str) -> tuple[EndpointRow, ...]:
         """Returns a pool's endpoints in one zone, leaving ones included."""
-        return self._endpoints_by_place.get((pool, zone), ())
+        return self._endpoints_by_pool_and_zone.get((pool, zone), ())
 
     def slots_by_zone(self, pool: str) -> dict[str, int]:
         """Returns the slots of a pool in each zone, leaving endpoints included."""
         zones = self.zones_by_pool.get(pool, ())
-        return {z: sum(row.slots for row in self.endpoints_of(pool, z)) for z, _ in zones}
+        return {z: sum(row.slots for row in self.pool_endpoints(pool, z)) for z, _ in zones}
 
 
-INDEXES_BY_KIND = {
+INDEX_NAMES_BY_ROW_TYPE = {
     MemberRow: "members_by_name",
     ClassRow: "classes_by_name",
     PoolRow: "pools_by_name",
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -18,15 +18,15 @@
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.entry_messages import (
-    ConfigurationTold,
-    FreshnessAsked,
-    FreshnessTold,
-    RecordsAsked,
-    RecordsTold,
-    VmBeat,
+from bluebellpitch.peers.messages import StrikeReport, StrikesCleared
+from bluebellpitch.peers.platform_messages import (
+    ConfigurationUpdate,
+    FreshnessReply,
+    FreshnessRequest,
+    RecordsRequest,
+    RecordsUpdate,
+    VmHeartbeat,
 )
-from bluebellpitch.peers.messages import StrikeNoted, StrikesCleared
 from bluebellpitch.platform.configuration import CONFIGURATION_TOPIC
 from bluebellpitch.platform.entries import ENDPOINTS_TOPIC
 from bluebellpitch.platform.members import MemberRecord
@@ -175,13 +175,13 @@
     def _take(self, sender: str, message) -> None:
         """Gives a peer's message to the role that it is for."""
         match message:
-            case VmBeat():
+            case VmHeartbeat():
                 self.neighbours.take(sender, message)
-            case RecordsTold() | RecordsAsked() | ConfigurationTold():
+            case RecordsUpdate() | RecordsRequest() | ConfigurationUpdate():
                 self.sharing.take(sender, message)
-            case FreshnessAsked() | FreshnessTold():
+            case FreshnessRequest() | FreshnessReply():
                 self.sharing.take(sender, message)
-            case StrikeNoted() | StrikesCleared():
+            case StrikeReport() | StrikesCleared():
                 self.strikes.take(message)
             case _:
                 self.generations.take(sender, message)
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -31,24 +31,24 @@
 )
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import (
-    Ask,
-    Cancel,
     ControlRecords,
-    FoldTransfer,
-    Forwarded,
-    Granted,
+    ForwardedMessage,
     Heartbeat,
-    Held,
-    LoanGiven,
+    HeldGrantsReport,
+    LatencyReport,
+    LoanGranted,
     LoanRequest,
     LoanReturned,
     Message,
-    Preempted,
-    Refused,
-    Returned,
-    Seen,
-    StrikeKnown,
-    StrikeNoted,
+    SlotGranted,
+    SlotPreempted,
+    SlotRefused,
+    SlotReleased,
+    SlotRequest,
+    SlotRequestCancelled,
+    SnapshotTransfer,
+    StrikeAck,
+    StrikeReport,
     StrikesCleared,
 )
 from bluebellpitch.platform.appender import Appender
@@ -148,18 +148,25 @@
         match message:
             case Heartbeat():
                 self._take_heartbeat(sender, message)
-            case Granted() | Refused() | Preempted():
+            case SlotGranted() | SlotRefused() | SlotPreempted():
                 self.slots.take(sender, message)
-            case Ask() | Cancel() | Returned() | Held() | Seen() | Forwarded():
+            case (
+                SlotRequest()
+                | SlotRequestCancelled()
+                | SlotReleased()
+                | HeldGrantsReport()
+                | LatencyReport()
+                | ForwardedMessage()
+            ):
                 self.brokers.take(sender, message)
-            case LoanRequest() | LoanGiven() | LoanReturned():
+            case LoanRequest() | LoanGranted() | LoanReturned():
                 self.brokers.take(sender, message)
-            case StrikeNoted() | StrikesCleared() | StrikeKnown():
+            case StrikeReport() | StrikesCleared() | StrikeAck():
                 if (confirmation := self.strikes.take(message)) is not None:
                     self.bus.send(sender, confirmation)
             case ControlRecords(entries):
                 self.control.take_entries(entries)
-            case FoldTransfer():
+            case SnapshotTransfer():
                 self.control.take_transfer(message)
 
     def _take_heartbeat(self, sender: str, beat: Heartbeat) -> None:
@@ -170,7 +177,7 @@
     def _peers(self) -> frozenset[str]:
         return frozenset(self.holder.current.live_by_key.keys() - {self.key})
 
-    def _send_strike(self, peer: str, message: StrikeNoted | StrikesCleared) -> None:
+    def _send_strike(self, peer: str, message: StrikeReport | StrikesCleared) -> None:
         self.bus.send(peer, message)
 
     def is_ready(self) -> bool:
@@ -258,6 +265,6 @@
             broker.health.is_slow(row.name),
             row.state != "live",
         )
-        for row in broker.table.endpoints_of(broker.pool, broker.zone)
+        for row in broker.table.pool_endpoints(broker.pool, broker.zone)
     )
     return BrokerStatus(broker.pool, broker.zone, classes, endpoints)
--- a/bluebellpitch/operators/sheet.py
+++ b/bluebellpitch/operators/sheet.py
@@ -15,7 +15,7 @@
     PoolRow,
     Row,
     VersionedRow,
-    key_of,
+    row_key,
 )
 from bluebellpitch.errors import ProtocolError, SheetError
 from bluebellpitch.http1 import parse_address
@@ -170,7 +170,7 @@
     problems.extend(check_references(lines))
     if problems:
         raise SheetError(tuple(problems))
-    origins_by_key = {key_of(line.row): line.origin for line in lines if line.origin}
+    origins_by_key = {row_key(line.row): line.origin for line in lines if line.origin}
     return Sheet(tuple(line.row for line in lines), origins_by_key, find_offset(text))
 
 
@@ -292,7 +292,7 @@
     out = io.StringIO()
     writer = csv.DictWriter(out, COLUMNS, lineterminator="\n")
     writer.writeheader()
-    for versioned in sorted(rows, key=lambda v: key_of(v.row)):
+    for versioned in sorted(rows, key=lambda v: row_key(v.row)):
         row, revision = versioned.row, versioned.revision
         mark = f"{revision}.{digest_row(row)}" if revision >= 0 else ""
         writer.writerow(write_cells(row) | {"revision": mark})
--- a/bluebellpitch/operators/table.py
+++ b/bluebellpitch/operators/table.py
@@ -9,12 +9,12 @@
 from bluebellpitch.decisions.control import (
     Accepted,
     Conflicted,
-    ControlFold,
+    ControlStateMachine,
     TableChange,
-    encode_record,
+    encode_control_record,
 )
-from bluebellpitch.decisions.rows import Row, key_of
-from bluebellpitch.decisions.snapshots import join_snapshots
+from bluebellpitch.decisions.rows import Row, row_key
+from bluebellpitch.decisions.snapshots import assemble_snapshots
 from bluebellpitch.errors import BluebellpitchError, ConflictError, UnreachableError
 from bluebellpitch.operators.sheet import Sheet
 from bluebellpitch.platform.records import Page
@@ -37,7 +37,7 @@
         return not (self.added or self.changed or self.deleted)
 
 
-def compare(sheet: Sheet, fold: ControlFold, onto_current: bool = False) -> TableDiff:
+def compare(sheet: Sheet, fold: ControlStateMachine, onto_current: bool = False) -> TableDiff:
     """Compares a sheet with the agreed table.
 
     A row that the operator left as it was shown changes nothing. One that was edited must have been
@@ -49,7 +49,7 @@
     offset = fold.offset if onto_current else sheet.offset
     added, changed, conflicts = [], [], []
     for row in sheet.rows:
-        key = key_of(row)
+        key = row_key(row)
         origin, present = origins_by_key.get(key), current.get(key)
         if (origin and origin.is_of(row)) or (present and present.row == row):
             continue
@@ -59,9 +59,9 @@
             changed.append(row)
         else:
             conflicts.append(key)
-    kept = {key_of(row) for row in sheet.rows}
+    kept = {row_key(row) for row in sheet.rows}
     deleted = [k for k, v in current.items() if k not in kept and v.revision <= offset]
-    keys = [key_of(row) for row in added + changed] + deleted
+    keys = [row_key(row) for row in added + changed] + deleted
     base = {key: fold.revision_of(key) for key in keys}
     return TableDiff(tuple(added), tuple(changed), tuple(deleted), tuple(conflicts), base)
 
@@ -73,7 +73,7 @@
         self._client = client
         self._now = now
         self._deadline = now() + patience_s
-        self.fold = ControlFold()
+        self.fold = ControlStateMachine()
 
     async def catch_up(self) -> None:
         """Folds all that is in the store now; raises UnreachableError."""
@@ -100,7 +100,9 @@
 
     async def _bridge(self, first_kept: int) -> None:
         newest = await self._ask(lambda: self._client.newest(SNAPSHOTS_TOPIC))
-        self.fold.install_latest(join_snapshots(r.value for r in newest.records if r.value))
+        self.fold.install_latest_snapshot(
+            assemble_snapshots(r.value for r in newest.records if r.value)
+        )
         if self.fold.offset + 1 < first_kept:
             raise UnreachableError("the store has lost old records, and holds no snapshot of them")
 
@@ -118,7 +120,7 @@
             uuid4().hex, diff.base, diff.added + diff.changed, diff.deleted, author
         )
         while self._now() < self._deadline:
-            verdict = await self._client.append(CONTROL_TOPIC, (encode_record(change),))
+            verdict = await self._client.append(CONTROL_TOPIC, (encode_control_record(change),))
             await self.catch_up()
             match self.fold.state.verdicts_by_id.get(change.id):
                 case Accepted(offset):
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -4,7 +4,7 @@
 
 from bluebellpitch.decisions.control import Snapshot, VmIdentity
 from bluebellpitch.errors import ProtocolError
-from bluebellpitch.peers.entry_messages import EntryMessage
+from bluebellpitch.peers.platform_messages import PlatformMessage
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
@@ -18,7 +18,7 @@
     epoch: int
 
 
-class Ask(msgspec.Struct, frozen=True, tag="ask"):
+class SlotRequest(msgspec.Struct, frozen=True, tag="ask"):
     """Asks the broker of a pool for a slot. ``age_s`` is since the request came in."""
 
     request: str
@@ -37,7 +37,7 @@
     preemptions: int = 0
 
 
-class Granted(msgspec.Struct, frozen=True, tag="granted"):
+class SlotGranted(msgspec.Struct, frozen=True, tag="granted"):
     """A slot is granted, with the usual times to first token and between tokens; 0: unknown."""
 
     grant: str
@@ -49,7 +49,7 @@
     expected_between_s: float = 0.0
 
 
-class Refused(msgspec.Struct, frozen=True, tag="refused"):
+class SlotRefused(msgspec.Struct, frozen=True, tag="refused"):
     """The broker gives no slot."""
 
     request: str
@@ -59,7 +59,7 @@
     retry_after_s: float
 
 
-class Preempted(msgspec.Struct, frozen=True, tag="preempted"):
+class SlotPreempted(msgspec.Struct, frozen=True, tag="preempted"):
     """The holder is to give the slot back and ask again."""
 
     grant: str
@@ -67,14 +67,14 @@
     reason: str
 
 
-class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
+class SlotRequestCancelled(msgspec.Struct, frozen=True, tag="cancel"):
     """The asker no longer wants a slot."""
 
     request: str
     pool: str
 
 
-class Returned(msgspec.Struct, frozen=True, tag="returned"):
+class SlotReleased(msgspec.Struct, frozen=True, tag="returned"):
     """A slot is given back."""
 
     grant: str
@@ -85,10 +85,10 @@
     between_s: float | None = None
 
 
-class HeldDetails(msgspec.Struct, frozen=True, array_like=True):
+class HeldGrantDetails(msgspec.Struct, frozen=True, array_like=True):
     """What a broker has to know of a grant that another one gave."""
 
-    ask: Ask
+    slot_request: SlotRequest
     endpoint: str
     held_s: float
 
@@ -101,17 +101,17 @@
 
     grant: str
     between_s: float | None = None
-    details: HeldDetails | None = None
+    details: HeldGrantDetails | None = None
 
 
-class Held(msgspec.Struct, frozen=True, tag="held"):
+class HeldGrantsReport(msgspec.Struct, frozen=True, tag="held"):
     """All slots of one pool and zone that a VM holds; lets a new broker rebuild its state."""
 
     pool: str
     grants: tuple[HeldGrant, ...]
 
 
-class Seen(msgspec.Struct, frozen=True, tag="seen"):
+class LatencyReport(msgspec.Struct, frozen=True, tag="seen"):
     """A time that a holder measured: to the first token, or between tokens."""
 
     grant: str
@@ -120,11 +120,11 @@
     seconds: float
 
 
-class Forwarded(msgspec.Struct, frozen=True, tag="forwarded"):
+class ForwardedMessage(msgspec.Struct, frozen=True, tag="forwarded"):
     """A message that reached a VM which no longer brokers the pool; passed on once."""
 
     origin: str
-    message: Ask | Cancel | Returned | Held | Seen
+    message: SlotRequest | SlotRequestCancelled | SlotReleased | HeldGrantsReport | LatencyReport
 
 
 class LoanRequest(msgspec.Struct, frozen=True, tag="loan_request"):
@@ -135,7 +135,7 @@
     asked_at: float
 
 
-class LoanGiven(msgspec.Struct, frozen=True, tag="loan_given"):
+class LoanGranted(msgspec.Struct, frozen=True, tag="loan_given"):
     """The floors are lent, under the epoch that was asked for."""
 
     pool: str
@@ -149,7 +149,7 @@
     pool: str
 
 
-class StrikeNoted(msgspec.Struct, frozen=True, tag="strike"):
+class StrikeReport(msgspec.Struct, frozen=True, tag="strike"):
     """An endpoint died under a request. ``confirm`` asks for a StrikeKnown."""
 
     fingerprint: str
@@ -157,7 +157,7 @@
     confirm: bool = False
 
 
-class StrikeKnown(msgspec.Struct, frozen=True, tag="strike_known"):
+class StrikeAck(msgspec.Struct, frozen=True, tag="strike_known"):
     """The sender of this has noted the strike."""
 
     attempt: str
@@ -169,7 +169,7 @@
     fingerprint: str
 
 
-class Entry(msgspec.Struct, frozen=True):
+class ControlEntry(msgspec.Struct, frozen=True):
     """One record of the control topic."""
 
     offset: int
@@ -179,35 +179,35 @@
 class ControlRecords(msgspec.Struct, frozen=True, tag="records"):
     """Records of the control topic, for a VM that reads the store late."""
 
-    entries: tuple[Entry, ...]
+    entries: tuple[ControlEntry, ...]
 
 
-class FoldTransfer(msgspec.Struct, frozen=True, tag="fold"):
+class SnapshotTransfer(msgspec.Struct, frozen=True, tag="fold"):
     """The whole control fold, for a VM that is too far behind for records."""
 
     snapshot: Snapshot
 
 
 Message = (
-    EntryMessage
+    PlatformMessage
     | Heartbeat
-    | Ask
-    | Granted
-    | Refused
-    | Preempted
-    | Cancel
-    | Returned
-    | Held
-    | Seen
-    | Forwarded
+    | SlotRequest
+    | SlotGranted
+    | SlotRefused
+    | SlotPreempted
+    | SlotRequestCancelled
+    | SlotReleased
+    | HeldGrantsReport
+    | LatencyReport
+    | ForwardedMessage
     | LoanRequest
-    | LoanGiven
+    | LoanGranted
     | LoanReturned
-    | StrikeNoted
-    | StrikeKnown
+    | StrikeReport
+    | StrikeAck
     | StrikesCleared
     | ControlRecords
-    | FoldTransfer
+    | SnapshotTransfer
 )
 
 
--- a/bluebellpitch/peers/entry_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 
-class WorkAsked(msgspec.Struct, frozen=True, tag="work_asked"):
+class WorkRequest(msgspec.Struct, frozen=True, tag="work_asked"):
     """Asks the broker of a zone for an engine. ``age_s`` is since the request came in.
 
     ``reply_to`` is the bus address of the VM that asks; ``is_passed_on`` when another zone's broker
@@ -53,7 +53,7 @@
     retry_after_s: float
 
 
-class WorkRead(msgspec.Struct, frozen=True, tag="work_read"):
+class FirstTokenReport(msgspec.Struct, frozen=True, tag="work_read"):
     """The first token came, ``waited_s`` after the request was sent."""
 
     work_id: str
@@ -62,7 +62,7 @@
     slowdown: float
 
 
-class WorkDone(msgspec.Struct, frozen=True, tag="work_done"):
+class WorkEnded(msgspec.Struct, frozen=True, tag="work_done"):
     """The work has left its engine, or is no longer wanted."""
 
     work_id: str
@@ -89,7 +89,7 @@
     sessions: tuple[str, ...] = ()
 
 
-class VmBeat(msgspec.Struct, frozen=True, tag="vm_beat"):
+class VmHeartbeat(msgspec.Struct, frozen=True, tag="vm_beat"):
     """An entry VM is alive. ``version`` is that of its configuration, -1 for none.
 
     The next beat follows within ``interval_s``.
@@ -102,7 +102,7 @@
     interval_s: float
 
 
-class FreshnessAsked(msgspec.Struct, frozen=True, tag="freshness_asked"):
+class FreshnessRequest(msgspec.Struct, frozen=True, tag="freshness_asked"):
     """Asks how old the knowledge of the configuration is. ``asked_at`` is the asker's clock."""
 
     asked_at: float
@@ -110,7 +110,7 @@
     reply_to: str
 
 
-class FreshnessTold(msgspec.Struct, frozen=True, tag="freshness_told"):
+class FreshnessReply(msgspec.Struct, frozen=True, tag="freshness_told"):
     """``version`` was the newest ``age_s`` before this was sent."""
 
     asked_at: float
@@ -118,13 +118,13 @@
     age_s: float
 
 
-class ConfigurationTold(msgspec.Struct, frozen=True, tag="configuration_told"):
+class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration_told"):
     """A configuration as the store holds it."""
 
     data: bytes
 
 
-class RecordsTold(msgspec.Struct, frozen=True, tag="records_told"):
+class RecordsUpdate(msgspec.Struct, frozen=True, tag="records_told"):
     """Records of a topic from ``start`` up to ``next``, as the zone's reader has read them.
 
     A value of None drops the key.
@@ -136,7 +136,7 @@
     records: tuple[tuple[str, bytes | None], ...]
 
 
-class RecordsAsked(msgspec.Struct, frozen=True, tag="records_asked"):
+class RecordsRequest(msgspec.Struct, frozen=True, tag="records_asked"):
     """Asks for the records of a topic from ``start`` on."""
 
     topic: str
@@ -144,18 +144,18 @@
     reply_to: str
 
 
-EntryMessage = (
-    WorkAsked
+PlatformMessage = (
+    WorkRequest
     | WorkQueued
     | WorkGranted
     | WorkRefused
-    | WorkRead
-    | WorkDone
+    | FirstTokenReport
+    | WorkEnded
     | ZoneLoad
-    | VmBeat
-    | FreshnessAsked
-    | FreshnessTold
-    | ConfigurationTold
-    | RecordsTold
-    | RecordsAsked
+    | VmHeartbeat
+    | FreshnessRequest
+    | FreshnessReply
+    | ConfigurationUpdate
+    | RecordsUpdate
+    | RecordsRequest
 )
--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/brokering.py
@@ -14,19 +14,19 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import (
-    Ask,
-    Cancel,
-    Forwarded,
-    Granted,
-    Held,
+    ForwardedMessage,
     HeldGrant,
-    LoanGiven,
+    HeldGrantsReport,
+    LatencyReport,
+    LoanGranted,
     LoanRequest,
     LoanReturned,
-    Preempted,
-    Refused,
-    Returned,
-    Seen,
+    SlotGranted,
+    SlotPreempted,
+    SlotRefused,
+    SlotReleased,
+    SlotRequest,
+    SlotRequestCancelled,
 )
 from bluebellpitch.view import ViewHolder
 
@@ -72,12 +72,12 @@
         match message:
             case LoanRequest():
                 self._lend(sender, message)
-            case LoanGiven(pool, epoch, asked_at):
+            case LoanGranted(pool, epoch, asked_at):
                 self._borrower(pool).record(sender, epoch, asked_at)
                 self._heard_by_pool.setdefault(pool, set()).add(sender)
             case LoanReturned(pool):
                 self._lender.release(pool, sender)
-            case Forwarded(origin, inner):
+            case ForwardedMessage(origin, inner):
                 if broker := self._mine(inner.pool):
                     self._take_asker(broker, origin, inner)
             case _ if broker := self._mine(message.pool):
@@ -89,21 +89,21 @@
         """Sends a message to the VM that brokers the pool now."""
         owner = self._holder.current.broker(message.pool, self._zone)
         if owner is not None:
-            self._bus.send(owner, Forwarded(sender, message))
+            self._bus.send(owner, ForwardedMessage(sender, message))
 
     def _take_asker(self, broker: Broker, asker: str, message) -> None:
         now = self._now()
         match message:
-            case Ask():
+            case SlotRequest():
                 self._obey(broker, broker.ask(to_waiting(message, asker, now), now))
-            case Cancel(request):
+            case SlotRequestCancelled(request):
                 self._obey(broker, broker.cancel(request, now))
-            case Returned(grant, _, _, outcome, first_s, between_s):
+            case SlotReleased(grant, _, _, outcome, first_s, between_s):
                 finished = Finished(grant, outcome, first_s, between_s)
                 self._obey(broker, broker.finish(finished, now))
-            case Seen(grant, _, measure, seconds):
+            case LatencyReport(grant, _, measure, seconds):
                 broker.observe(grant, measure, seconds, now)
-            case Held(_, grants):
+            case HeldGrantsReport(_, grants):
                 self._take_held(broker, asker, grants)
 
     def _mine(self, pool: str) -> Broker | None:
@@ -158,7 +158,7 @@
         now = self._now()
         for held in grants:
             if not broker.confirm(held.grant, now) and (details := held.details) is not None:
-                work = to_waiting(details.ask, sender, now)
+                work = to_waiting(details.slot_request, sender, now)
                 since = now - details.held_s
                 broker.adopt(Running(held.grant, work, details.endpoint, since, now))
             if held.between_s is not None:
@@ -170,12 +170,12 @@
                 case Grant():
                     self._send_grant(command)
                 case Refuse(work, reason, retry_after_s):
-                    refused = Refused(
+                    refused = SlotRefused(
                         work.request, work.attempt, broker.pool, reason, retry_after_s
                     )
                     self._bus.send(work.asker, refused)
                 case Preempt(running, reason):
-                    preempted = Preempted(running.grant, running.work.request, reason)
+                    preempted = SlotPreempted(running.grant, running.work.request, reason)
                     self._bus.send(running.work.asker, preempted)
 
     def _send_grant(self, grant: Grant) -> None:
@@ -184,7 +184,7 @@
         if row is None:
             return
         work = running.work
-        granted = Granted(
+        granted = SlotGranted(
             running.grant,
             work.request,
             work.attempt,
@@ -270,10 +270,10 @@
             return
         if self._lender.lend(request.pool, sender, self._now()):
             self._report_held(sender, request.pool)
-            self._bus.send(sender, LoanGiven(request.pool, request.epoch, request.asked_at))
+            self._bus.send(sender, LoanGranted(request.pool, request.epoch, request.asked_at))
 
 
-def to_waiting(ask: Ask, asker: str, now: float) -> Waiting:
+def to_waiting(ask: SlotRequest, asker: str, now: float) -> Waiting:
     """Returns an ask on the broker's own clock."""
     return Waiting(
         request=ask.request,
--- a/bluebellpitch/roles/claiming.py
+++ b/bluebellpitch/roles/claiming.py
@@ -6,20 +6,20 @@
 
 from bluebellpitch.constants import CLAIM_WAIT_S, HORIZON_MARGIN_S
 from bluebellpitch.decisions.claiming import (
-    Attempted,
+    AppendClaim,
+    ClaimRequest,
+    ClaimWon,
     GiveUp,
-    Replay,
-    SendClaim,
-    Wish,
-    Won,
-    next_step,
+    PendingClaim,
+    ReplayOutcome,
+    next_claim_step,
 )
 from bluebellpitch.decisions.claims import (
     Claim,
-    ClaimsFold,
+    ClaimsStateMachine,
     Outcome,
     Withdrawal,
-    encode_claim,
+    encode_claim_record,
     is_within_horizon,
 )
 from bluebellpitch.events import Kind, Ring
@@ -35,7 +35,7 @@
 EXPIRE_INTERVAL_S = 5.0
 
 
-ClaimVerdict = Won | Replay | DidNotRun | MayHaveRun
+ClaimVerdict = ClaimWon | ReplayOutcome | DidNotRun | MayHaveRun
 
 
 class ClaimRole:
@@ -61,7 +61,7 @@
         self._wall = wall
         self._horizon_s = horizon_s
         self._own = holder.current.own.identity.key
-        self.fold = ClaimsFold(horizon_s)
+        self.fold = ClaimsStateMachine(horizon_s)
         self._changed = asyncio.Event()
         self._backlog: set[asyncio.Task] = set()
 
@@ -85,49 +85,49 @@
         """Forgets old keys, and counts unresolved ones, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
-            self.fold.expire(self._wall())
+            self.fold.expire_keys(self._wall())
             self._metrics.unresolved.set(len(self.unresolved()))
 
     def unresolved(self) -> tuple[Claim, ...]:
         """Returns claims that may have run and whose end nobody knows."""
-        return self.fold.unresolved(frozenset(self._holder.current.live_by_key))
+        return self.fold.unresolved_claims(frozenset(self._holder.current.live_by_key))
 
-    async def claim(self, request: str, wish: Wish) -> ClaimVerdict:
+    async def claim(self, request: str, wish: ClaimRequest) -> ClaimVerdict:
         """Claims a key for one request."""
         deadline = self._now() + CLAIM_WAIT_S
-        attempted: Attempted | None = None
+        attempted: PendingClaim | None = None
         while True:
             changed = self._changed
             expired = self._now() >= deadline
-            match next_step(self.fold, wish, attempted, self._wall(), expired):
-                case Won(claim) as won:
+            match next_claim_step(self.fold, wish, attempted, self._wall(), expired):
+                case ClaimWon(claim) as won:
                     self._ring.record(Kind.CLAIMED, request, detail=claim.id)
                     return won
-                case Replay() as replay:
+                case ReplayOutcome() as replay:
                     return replay
                 case GiveUp(verdict):
                     if attempted is not None:
                         self.withdraw(attempted.claim)
                     return verdict
-                case SendClaim():
-                    claim = Claim(uuid4().hex, wish.key, wish.body, self._own, wish.made_at)
+                case AppendClaim():
+                    claim = Claim(uuid4().hex, wish.key, wish.body_digest, self._own, wish.made_at)
                     attempted = await self._try_claim(claim, deadline)
                 case _:
                     await self._wait(changed, deadline)
 
-    async def _try_claim(self, claim: Claim, deadline: float) -> Attempted | None:
+    async def _try_claim(self, claim: Claim, deadline: float) -> PendingClaim | None:
         """Appends a claim; None when it is certain that it did not get into the store."""
-        append = asyncio.ensure_future(self._appender.append(encode_claim(claim)))
+        append = asyncio.ensure_future(self._appender.append(encode_claim_record(claim)))
         done, _ = await asyncio.wait({append}, timeout=max(0.0, deadline - self._now()))
         if not done:
-            return Attempted(claim)
+            return PendingClaim(claim)
         match append.result():
             case Appended(offset):
-                return Attempted(claim, offset)
+                return PendingClaim(claim, offset)
             case DidNotRun():
                 await asyncio.sleep(APPEND_RETRY_S)
                 return None
-        return Attempted(claim)
+        return PendingClaim(claim)
 
     async def _wait(self, changed: asyncio.Event, deadline: float) -> None:
         try:
@@ -140,7 +140,7 @@
         """Voids a claim of this VM that was never dispatched; goes on until it is in the store."""
         self._ring.record(Kind.WITHDRAWN, detail=claim.id)
         record = Withdrawal(uuid4().hex, claim.key, claim.id, claim.made_at)
-        self._keep_appending(encode_claim(record))
+        self._keep_appending(encode_claim_record(record))
 
     def may_dispatch(self, claim: Claim) -> bool:
         """Checks the clock again, right before the first byte leaves."""
@@ -149,7 +149,7 @@
     def record_outcome(self, request: str, outcome: Outcome) -> None:
         """Puts an outcome into the store; goes on until it is there."""
         self._ring.record(Kind.OUTCOME, request, detail=f"{outcome.verdict} {outcome.status}")
-        self._keep_appending(encode_claim(outcome))
+        self._keep_appending(encode_claim_record(outcome))
 
     def _keep_appending(self, record: bytes) -> None:
         task = asyncio.create_task(self._append_until_done(record))
--- a/bluebellpitch/roles/control.py
+++ b/bluebellpitch/roles/control.py
@@ -5,13 +5,13 @@
 from dataclasses import replace
 
 from bluebellpitch.constants import SNAPSHOT_EVERY_RECORDS, STORE_RETRY_S
-from bluebellpitch.decisions.control import ControlFold
+from bluebellpitch.decisions.control import ControlStateMachine
 from bluebellpitch.decisions.hashing import rank_owners
-from bluebellpitch.decisions.snapshots import cut_snapshot, join_snapshots
+from bluebellpitch.decisions.snapshots import assemble_snapshots, split_snapshot
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.peers.messages import ControlRecords, Entry, FoldTransfer, Heartbeat
+from bluebellpitch.peers.messages import ControlEntry, ControlRecords, Heartbeat, SnapshotTransfer
 from bluebellpitch.platform.store import Appended, StoreClient, Truncated
 from bluebellpitch.platform.tail import Tail
 from bluebellpitch.platform.topics import CONTROL_TOPIC, SNAPSHOTS_TOPIC
@@ -30,8 +30,8 @@
         self._store = store
         self._ring = ring
         self._metrics: Metrics = metrics
-        self.fold = ControlFold()
-        self._kept: deque[Entry] = deque(maxlen=KEPT_ENTRIES)
+        self.fold = ControlStateMachine()
+        self._kept: deque[ControlEntry] = deque(maxlen=KEPT_ENTRIES)
         self._behind: set[str] = set()
 
     async def follow_log(self) -> None:
@@ -41,13 +41,18 @@
                 await self._bridge(page.first_kept)
                 continue
             self.take_entries(
-                tuple(Entry(offset, data) for offset, data in enumerate(page.records, page.start))
+                tuple(
+                    ControlEntry(offset, data)
+                    for offset, data in enumerate(page.records, page.start)
+                )
             )
 
     async def _bridge(self, first_kept: int) -> None:
         """Takes a snapshot in place of records that have expired."""
         records = await self._tail.newest(SNAPSHOTS_TOPIC)
-        if self.fold.install_latest(join_snapshots(r.value for r in records if r.value)):
+        if self.fold.install_latest_snapshot(
+            assemble_snapshots(r.value for r in records if r.value)
+        ):
             self._kept.clear()
             self._publish()
             log("INFO", "snapshot_installed", offset=self.fold.offset, first_kept=first_kept)
@@ -55,7 +60,7 @@
             log("ERROR", "control_gap", offset=self.fold.offset, first_kept=first_kept)
             await asyncio.sleep(STORE_RETRY_S)
 
-    def take_entries(self, entries: tuple[Entry, ...]) -> None:
+    def take_entries(self, entries: tuple[ControlEntry, ...]) -> None:
         """Folds records that follow on from the fold, and publishes the result."""
         before = self.fold.offset
         for entry in entries:
@@ -65,9 +70,9 @@
         if self.fold.offset > before:
             self._publish()
 
-    def take_transfer(self, transfer: FoldTransfer) -> None:
+    def take_transfer(self, transfer: SnapshotTransfer) -> None:
         """Takes a whole fold from a peer, when it is ahead."""
-        if self.fold.install(transfer.snapshot):
+        if self.fold.install_snapshot(transfer.snapshot):
             self._kept.clear()
             self._publish()
 
@@ -98,7 +103,7 @@
         missing = tuple(e for e in self._kept if e.offset > heartbeat.control_offset)
         if missing and missing[0].offset == heartbeat.control_offset + 1:
             return ControlRecords(missing)
-        return FoldTransfer(self.fold.snapshot())
+        return SnapshotTransfer(self.fold.create_snapshot())
 
     async def publish_snapshots(self, every_s: float, now) -> None:
         """Puts a snapshot into the store before the records that it covers expire."""
@@ -114,8 +119,8 @@
                 offset, at, turn = covered, now(), turn + 1
 
     async def _publish_snapshot(self, turn: int) -> bool:
-        snapshot = self.fold.snapshot()
-        for key, piece in cut_snapshot(snapshot, self._holder.current.own.zone, turn):
+        snapshot = self.fold.create_snapshot()
+        for key, piece in split_snapshot(snapshot, self._holder.current.own.zone, turn):
             verdict = await self._store.put(SNAPSHOTS_TOPIC, key, piece)
             if not isinstance(verdict, Appended):
                 log("WARNING", "snapshot_failed", offset=snapshot.offset, reason=verdict.reason)
--- a/bluebellpitch/roles/engine_seeking.py
+++ b/bluebellpitch/roles/engine_seeking.py
@@ -8,13 +8,13 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import Work
 from bluebellpitch.logs import log
-from bluebellpitch.peers.entry_messages import (
-    WorkAsked,
-    WorkDone,
+from bluebellpitch.peers.platform_messages import (
+    FirstTokenReport,
+    WorkEnded,
     WorkGranted,
     WorkQueued,
-    WorkRead,
     WorkRefused,
+    WorkRequest,
 )
 from bluebellpitch.verdicts import DidNotRun
 
@@ -73,7 +73,7 @@
             while not answers.empty():
                 self.take(answers.get_nowait())
             if found is None:
-                self._send(self._holder(work.pool), WorkDone(work.id, work.pool, "withdrawn"))
+                self._send(self._holder(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
 
     async def _ask_until_answered(
         self, work: Work, avoid: frozenset[str], answers: asyncio.Queue
@@ -97,12 +97,12 @@
                     return DidNotRun(reason, 503, retry_after_s)
                 case WorkGranted():
                     return Grant(work, entry_of(answer, work.pool), answer.broker_address)
-        self._send(self._holder(work.pool), WorkDone(work.id, work.pool, "withdrawn"))
+        self._send(self._holder(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
         return DidNotRun("waited_too_long", 503, SHORT_RETRY_S)
 
     def _ask(self, broker: str, work: Work, avoid: frozenset[str]) -> None:
         now = self._now()
-        ask = WorkAsked(
+        ask = WorkRequest(
             work_id=work.id,
             pool=work.pool,
             rank=work.rank,
@@ -121,12 +121,12 @@
 
     def note_read(self, grant: Grant, waited_s: float, slowdown: float) -> None:
         """Tells the broker that the first token came."""
-        message = WorkRead(grant.work.id, grant.work.pool, waited_s, slowdown)
+        message = FirstTokenReport(grant.work.id, grant.work.pool, waited_s, slowdown)
         self._send_to_address(grant.broker_address, message)
 
     def release(self, grant: Grant, outcome: str, longest_gap_s: float) -> None:
         """Tells the broker that the work has left the engine."""
-        message = WorkDone(grant.work.id, grant.work.pool, outcome, longest_gap_s)
+        message = WorkEnded(grant.work.id, grant.work.pool, outcome, longest_gap_s)
         self._send_to_address(grant.broker_address, message)
 
     def take(self, answer: Answer) -> None:
@@ -135,7 +135,7 @@
         if answers is not None:
             answers.put_nowait(answer)
         elif isinstance(answer, WorkGranted):
-            done = WorkDone(answer.work_id, answer.pool, "withdrawn")
+            done = WorkEnded(answer.work_id, answer.pool, "withdrawn")
             self._send_to_address(answer.broker_address, done)
 
 
--- a/bluebellpitch/roles/following.py
+++ b/bluebellpitch/roles/following.py
@@ -9,7 +9,7 @@
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.peers.entry_messages import RecordsTold
+from bluebellpitch.peers.platform_messages import RecordsUpdate
 from bluebellpitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from bluebellpitch.platform.entries import decode_entry, report_entry
 from bluebellpitch.platform.records import KeyedRecord
@@ -45,7 +45,7 @@
         wait_s: float,
         now: Callable[[], float],
         is_reader: Callable[[], bool],
-        tell: Callable[[RecordsTold], None],
+        tell: Callable[[RecordsUpdate], None],
         metrics: Metrics,
     ):
         self._client = client
@@ -90,16 +90,16 @@
     def _is_behind(self) -> bool:
         return self._now() - max(self.current_at, self._told_at) > ASK_RECORDS_AFTER_S
 
-    def tell_from(self, start: int) -> RecordsTold | None:
+    def tell_from(self, start: int) -> RecordsUpdate | None:
         """Returns what a VM that stands at ``start`` is missing; None if that is not known."""
         if self._next is None or self._is_behind():
             return None
         if not self._recent_start <= start <= self._recent_start + len(self._recent):
             return None
         records = tuple(self._recent[start - self._recent_start :])
-        return RecordsTold(self.topic, start, start + len(records), records)
+        return RecordsUpdate(self.topic, start, start + len(records), records)
 
-    def take_told(self, told: RecordsTold) -> tuple[KeyedRecord, ...]:
+    def take_told(self, told: RecordsUpdate) -> tuple[KeyedRecord, ...]:
         """Returns the records that are new here; none when a part is missing before them."""
         if self._next is None or told.start > self._next:
             return ()
@@ -139,7 +139,7 @@
         end = start + len(page.records)
         if not unreadable:
             pairs = tuple((record.key, record.value) for record in records)
-            self._tell(RecordsTold(self.topic, start, end, pairs))
+            self._tell(RecordsUpdate(self.topic, start, end, pairs))
             self._remember(start, pairs)
         self._next = max(end, self._next or 0)
         self.current_at = self._now()
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation.py
@@ -14,13 +14,13 @@
 from bluebellpitch.decisions.other_zones import OtherZone
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.entry_messages import (
-    WorkAsked,
-    WorkDone,
+from bluebellpitch.peers.platform_messages import (
+    FirstTokenReport,
+    WorkEnded,
     WorkGranted,
     WorkQueued,
-    WorkRead,
     WorkRefused,
+    WorkRequest,
     ZoneLoad,
 )
 from bluebellpitch.roles.engine_seeking import EngineSeeker
@@ -66,7 +66,7 @@
         self._now = now
         self._is_draining = is_draining
         self._brokers_by_pool: dict[str, GenerationBroker] = {}
-        self._asks_by_work: dict[str, WorkAsked] = {}
+        self._asks_by_work: dict[str, WorkRequest] = {}
         self.seeker = EngineSeeker(
             key, address, liveness, self._holder, self._send, self._send_to_address, now
         )
@@ -101,13 +101,13 @@
         match message:
             case WorkQueued() | WorkGranted() | WorkRefused():
                 self.seeker.take(message)
-            case WorkAsked():
+            case WorkRequest():
                 self._take_ask(message)
-            case WorkRead(work_id, pool, waited_s, slowdown):
+            case FirstTokenReport(work_id, pool, waited_s, slowdown):
                 broker = self._broker(pool)
                 broker.note_read(work_id, waited_s, slowdown, self._now())
                 self._serve(broker)
-            case WorkDone(work_id, pool, outcome, longest_gap_s):
+            case WorkEnded(work_id, pool, outcome, longest_gap_s):
                 broker = self._broker(pool)
                 broker.done(work_id, outcome, self._now(), longest_gap_s)
                 self._serve(broker)
@@ -146,7 +146,7 @@
         gap_s = catalogue.gap_targets_by_pool.get(broker.pool)
         broker.set_engines(entries, row.engine.slots, row.engine.memory_tokens, gap_s)
 
-    def _take_ask(self, ask: WorkAsked) -> None:
+    def _take_ask(self, ask: WorkRequest) -> None:
         now = self._now()
         broker = self._broker(ask.pool)
         work = work_of(ask, now)
@@ -157,7 +157,7 @@
         if broker.waiting_by_id:
             self._wake.set()
 
-    def _pass_on(self, broker: GenerationBroker, work: Work, ask: WorkAsked, now: float) -> bool:
+    def _pass_on(self, broker: GenerationBroker, work: Work, ask: WorkRequest, now: float) -> bool:
         """Sends work to another zone if it would start sooner there."""
         if ask.is_passed_on:
             return False
@@ -230,7 +230,7 @@
             if address:
                 self._send_to_address(address, answer)
 
-    def _note_session(self, ask: WorkAsked | None) -> None:
+    def _note_session(self, ask: WorkRequest | None) -> None:
         """Keeps the session of a long prompt, to be told to other zones."""
         session = session_of(ask.parts) if ask else ""
         if session and not self._brokers_by_pool[ask.pool].is_short_size(ask.tokens_in):
@@ -326,7 +326,7 @@
             self._bus.send(holder, load)
 
 
-def work_of(ask: WorkAsked, now: float) -> Work:
+def work_of(ask: WorkRequest, now: float) -> Work:
     """Returns the work as this VM's clock has it."""
     return Work(
         id=ask.work_id,
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/membership.py
@@ -9,7 +9,7 @@
     HEARTBEAT_INTERVAL_S,
     PEER_DEAD_AFTER_S,
 )
-from bluebellpitch.decisions.control import Epoch, VmIdentity, encode_record
+from bluebellpitch.decisions.control import Epoch, VmIdentity, encode_control_record
 from bluebellpitch.decisions.epochs import EpochProposer
 from bluebellpitch.decisions.floors import EpochHistory
 from bluebellpitch.decisions.hashing import rank_owners
@@ -71,7 +71,7 @@
             beat.vm, beat.zone, beat.region, beat.draining, beat.control_offset, beat.epoch
         )
         self._heard_by_key[beat.vm.key] = (known, self._now())
-        self._bus.know(beat.vm.key, beat.vm.bus)
+        self._bus.register_address(beat.vm.key, beat.vm.bus)
 
     def _heard(self) -> Iterator[KnownVm]:
         return (vm for vm, _ in self._heard_by_key.values())
@@ -117,7 +117,7 @@
     def _learn_addresses(self) -> None:
         for epoch in self._holder.current.epochs_by_zone.values():
             for vm in epoch.vms:
-                self._bus.know(vm.key, vm.bus)
+                self._bus.register_address(vm.key, vm.bus)
 
     def _adopt_epoch(self, view: ClusterView) -> None:
         epoch = view.epochs_by_zone.get(self._zone)
@@ -203,7 +203,7 @@
         live, gone = self._live_here(), self._gone(epoch)
         change = self._proposer.decide(epoch, live, gone, self.history.settled, self._now())
         if change is not None:
-            append = self._appender.append(encode_record(change))
+            append = self._appender.append(encode_control_record(change))
             self._proposal = asyncio.create_task(append)
 
     def _gone(self, epoch: Epoch) -> frozenset[str]:
--- a/bluebellpitch/roles/neighbours.py
+++ b/bluebellpitch/roles/neighbours.py
@@ -7,7 +7,7 @@
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.entry_messages import VmBeat
+from bluebellpitch.peers.platform_messages import VmHeartbeat
 from bluebellpitch.platform.members import MemberRecord, read_members, register, unregister
 from bluebellpitch.platform.store import StoreClient
 
@@ -81,7 +81,7 @@
         """Tells the VMs of this zone that this one is alive, until cancelled."""
         while True:
             interval_s = DUTY_BEAT_INTERVAL_S if self._has_duty() else BEAT_INTERVAL_S
-            beat = VmBeat(
+            beat = VmHeartbeat(
                 zone=self._own.zone,
                 address=self._own.bus,
                 draining=self._is_draining(),
@@ -112,7 +112,7 @@
         )
         return {*records, *heard} - {self._own.bus}
 
-    def take(self, sender: str, beat: VmBeat) -> Peer:
+    def take(self, sender: str, beat: VmHeartbeat) -> Peer:
         """Notes a beat."""
         peer = Peer(
             key=sender,
@@ -123,7 +123,7 @@
             heard_at=self._now(),
             interval_s=beat.interval_s,
         )
-        self._bus.know(sender, beat.address)
+        self._bus.register_address(sender, beat.address)
         if self._liveness.hear(peer):
             log("INFO", "peer_heard", peer=sender, zone=beat.zone, address=beat.address)
         return peer
--- a/bluebellpitch/roles/seeking.py
+++ b/bluebellpitch/roles/seeking.py
@@ -19,16 +19,16 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import (
-    Ask,
-    Cancel,
-    Granted,
-    Held,
-    HeldDetails,
     HeldGrant,
-    Preempted,
-    Refused,
-    Returned,
-    Seen,
+    HeldGrantDetails,
+    HeldGrantsReport,
+    LatencyReport,
+    SlotGranted,
+    SlotPreempted,
+    SlotRefused,
+    SlotReleased,
+    SlotRequest,
+    SlotRequestCancelled,
 )
 from bluebellpitch.verdicts import DidNotRun
 from bluebellpitch.view import ViewHolder
@@ -40,8 +40,8 @@
 class Slot:
     """A granted slot of this VM. ``preempt`` is called when the broker wants it back."""
 
-    granted: Granted
-    ask: Ask
+    granted: SlotGranted
+    ask: SlotRequest
     zone: str
     region: str
     since: float
@@ -75,13 +75,13 @@
 class Seek:
     """One request that waits for a slot: where it asked, and what came back."""
 
-    ask: Ask
+    ask: SlotRequest
     arrived_at: float
     expires_at: float
     overflow_s: float
     zones: list[str]
     asked: list[str] = field(default_factory=list)
-    refused: dict[str, Refused] = field(default_factory=dict)
+    refused: dict[str, SlotRefused] = field(default_factory=dict)
     preempted: dict[str, str] = field(default_factory=dict)
     inbox: asyncio.Queue = field(default_factory=asyncio.Queue)
 
@@ -106,11 +106,11 @@
     def take(self, sender: str, message) -> None:
         """Handles one message from a broker."""
         match message:
-            case Granted():
+            case SlotGranted():
                 self._take_granted(sender, message)
-            case Refused(request) if seek := self._seeks_by_request.get(request):
+            case SlotRefused(request) if seek := self._seeks_by_request.get(request):
                 seek.inbox.put_nowait((sender, message))
-            case Preempted(grant, request, reason):
+            case SlotPreempted(grant, request, reason):
                 self._take_preempted(grant, request, reason)
 
     def _take_preempted(self, grant: str, request: str, reason: str) -> None:
@@ -120,7 +120,7 @@
         elif seek := self._seeks_by_request.get(request):
             seek.preempted[grant] = reason
 
-    def _take_granted(self, sender: str, granted: Granted) -> None:
+    def _take_granted(self, sender: str, granted: SlotGranted) -> None:
         if granted.grant in self._slots_by_grant:
             return
         seek = self._seeks_by_request.get(granted.request)
@@ -129,11 +129,11 @@
             return
         row = self._holder.current.table.endpoints_by_name.get(granted.endpoint)
         if row is not None:
-            unused = Returned(granted.grant, granted.request, row.pool, "unused")
+            unused = SlotReleased(granted.grant, granted.request, row.pool, "unused")
             self._bus.send(sender, unused)
 
     async def seek(
-        self, ask: Ask, arrived_at: float, expires_at: float, is_gone: Callable[[], bool]
+        self, ask: SlotRequest, arrived_at: float, expires_at: float, is_gone: Callable[[], bool]
     ) -> Slot | DidNotRun:
         """Waits for a slot; asks farther zones once it has waited for a part of its target."""
         zones = self._holder.current.zones_for(ask.pool, ask.request)
@@ -200,14 +200,14 @@
         except TimeoutError:
             return None
         match message:
-            case Granted():
+            case SlotGranted():
                 return self._hold(seek, sender, message)
-            case Refused(attempt=attempt) if attempt == seek.ask.attempt:
+            case SlotRefused(attempt=attempt) if attempt == seek.ask.attempt:
                 seek.refused[self._zone_of(sender)] = message
                 return DidNotRun(message.reason, 503, message.retry_after_s)
         return None
 
-    def _hold(self, seek: Seek, sender: str, granted: Granted) -> Slot | None:
+    def _hold(self, seek: Seek, sender: str, granted: SlotGranted) -> Slot | None:
         row = self._holder.current.table.endpoints_by_name.get(granted.endpoint)
         if row is None:
             return None
@@ -232,14 +232,14 @@
         for zone in seek.asked:
             broker = self._holder.current.broker(seek.ask.pool, zone)
             if zone != granted_zone and broker is not None:
-                self._bus.send(broker, Cancel(seek.ask.request, seek.ask.pool))
+                self._bus.send(broker, SlotRequestCancelled(seek.ask.request, seek.ask.pool))
 
     def _return_surplus(self, seek: Seek) -> None:
         """Gives back grants that came from a second zone at the same time."""
         while not seek.inbox.empty():
             sender, message = seek.inbox.get_nowait()
-            if isinstance(message, Granted) and message.grant not in self._slots_by_grant:
-                unused = Returned(message.grant, message.request, seek.ask.pool, "unused")
+            if isinstance(message, SlotGranted) and message.grant not in self._slots_by_grant:
+                unused = SlotReleased(message.grant, message.request, seek.ask.pool, "unused")
                 self._bus.send(sender, unused)
 
     def give_back(
@@ -255,7 +255,7 @@
         broker = self._holder.current.broker(slot.ask.pool, slot.zone)
         if broker is not None:
             request = slot.granted.request
-            returned = Returned(
+            returned = SlotReleased(
                 slot.granted.grant, request, slot.ask.pool, outcome, first_s, between_s
             )
             self._bus.send(broker, returned)
@@ -267,7 +267,9 @@
     def _tell_seen(self, slot: Slot, measure: str, seconds: float) -> None:
         broker = self._holder.current.broker(slot.ask.pool, slot.zone)
         if broker is not None:
-            self._bus.send(broker, Seen(slot.granted.grant, slot.ask.pool, measure, seconds))
+            self._bus.send(
+                broker, LatencyReport(slot.granted.grant, slot.ask.pool, measure, seconds)
+            )
 
     async def run(self) -> None:
         """Reports held slots, and at once those whose tokens stay away, until cancelled."""
@@ -305,17 +307,17 @@
             for slot in self._slots_by_grant.values()
             if slot.ask.pool == pool and slot.zone == zone
         )
-        self._bus.send(broker, Held(pool, grants))
+        self._bus.send(broker, HeldGrantsReport(pool, grants))
 
     def _describe(self, slot: Slot, broker: str, now: float) -> HeldGrant:
         details = None
         if broker not in slot.brokers_told:
             slot.brokers_told.add(broker)
             ask = self._ask_now(slot, now)
-            details = HeldDetails(ask, slot.granted.endpoint, now - slot.since)
+            details = HeldGrantDetails(ask, slot.granted.endpoint, now - slot.since)
         return HeldGrant(slot.granted.grant, slot.between_s(), details)
 
-    def _ask_now(self, slot: Slot, now: float) -> Ask:
+    def _ask_now(self, slot: Slot, now: float) -> SlotRequest:
         return msgspec.structs.replace(slot.ask, age_s=slot.ask.age_s + now - slot.since)
 
     def held_count(self) -> int:
--- a/bluebellpitch/roles/sharing.py
+++ b/bluebellpitch/roles/sharing.py
@@ -11,12 +11,12 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.entry_messages import (
-    ConfigurationTold,
-    FreshnessAsked,
-    FreshnessTold,
-    RecordsAsked,
-    RecordsTold,
+from bluebellpitch.peers.platform_messages import (
+    ConfigurationUpdate,
+    FreshnessReply,
+    FreshnessRequest,
+    RecordsRequest,
+    RecordsUpdate,
 )
 from bluebellpitch.roles.following import ConfigurationRole, EndpointsRole
 
@@ -54,7 +54,7 @@
         self._now = now
         self._may_use_keys = False
 
-    def tell_zone(self, told: RecordsTold) -> None:
+    def tell_zone(self, told: RecordsUpdate) -> None:
         """Tells the VMs of this zone what was read from the store."""
         for peer in self._liveness.live(self._now()):
             self._bus.send_to_address(peer.address, told)
@@ -62,19 +62,19 @@
     def take(self, sender: str, message) -> None:
         """Takes a message about the configuration or the endpoints."""
         match message:
-            case RecordsTold(topic) if topic == self._configuration.follower.topic:
+            case RecordsUpdate(topic) if topic == self._configuration.follower.topic:
                 records = self._configuration.follower.take_told(message)
                 self._configuration.take_records(records, sender)
-            case RecordsTold():
+            case RecordsUpdate():
                 for record in self._endpoints.follower.take_told(message):
                     self._endpoints.take(record)
-            case RecordsAsked(topic, start, reply_to):
+            case RecordsRequest(topic, start, reply_to):
                 self._answer_records(topic, start, reply_to)
-            case ConfigurationTold(data):
+            case ConfigurationUpdate(data):
                 self._configuration.take(data, sender)
-            case FreshnessAsked(asked_at, version, reply_to):
+            case FreshnessRequest(asked_at, version, reply_to):
                 self._answer(asked_at, version, reply_to)
-            case FreshnessTold(asked_at, version, age_s):
+            case FreshnessReply(asked_at, version, age_s):
                 self._take_freshness(asked_at, version, age_s)
 
     def _take_freshness(self, asked_at: float, version: int, age_s: float) -> None:
@@ -92,9 +92,9 @@
         if own < 0:
             return
         if version < own:
-            self._bus.send_to_address(reply_to, ConfigurationTold(self._configuration.raw))
+            self._bus.send_to_address(reply_to, ConfigurationUpdate(self._configuration.raw))
         age_s = self._configuration.freshness.age_s(self._now())
-        self._bus.send_to_address(reply_to, FreshnessTold(asked_at, own, age_s))
+        self._bus.send_to_address(reply_to, FreshnessReply(asked_at, own, age_s))
 
     async def run(self) -> None:
         """Asks peers whenever the own knowledge grows old."""
@@ -102,12 +102,12 @@
             now = self._now()
             age_s = self._configuration.freshness.age_s(now)
             if age_s > ASK_AFTER_S:
-                ask = FreshnessAsked(now, self._configuration.version(), self._address)
+                ask = FreshnessRequest(now, self._configuration.version(), self._address)
                 for address in self._asked(age_s):
                     self._bus.send_to_address(address, ask)
             start = self._endpoints.follower.asks_from()
             if start is not None:
-                ask = RecordsAsked(self._endpoints.follower.topic, start, self._address)
+                ask = RecordsRequest(self._endpoints.follower.topic, start, self._address)
                 for address in self._asked(ASK_ELSEWHERE_AFTER_S):
                     self._bus.send_to_address(address, ask)
             self._note_lapse(now)
--- a/bluebellpitch/roles/striking.py
+++ b/bluebellpitch/roles/striking.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.decisions.strikes import StrikeBook
-from bluebellpitch.peers.messages import StrikeKnown, StrikeNoted, StrikesCleared
+from bluebellpitch.peers.messages import StrikeAck, StrikeReport, StrikesCleared
 
 EXPIRY_INTERVAL_S = 30.0
 
@@ -16,7 +16,7 @@
         self,
         book: StrikeBook,
         peers: Callable[[], Iterable[str]],
-        tell: Callable[[str, StrikeNoted | StrikesCleared], None],
+        tell: Callable[[str, StrikeReport | StrikesCleared], None],
         now: Callable[[], float],
     ):
         self.book = book
@@ -26,15 +26,15 @@
         self._unconfirmed_by_attempt: dict[str, int] = {}
         self._confirmed = asyncio.Event()
 
-    def take(self, message: StrikeNoted | StrikesCleared | StrikeKnown) -> StrikeKnown | None:
+    def take(self, message: StrikeReport | StrikesCleared | StrikeAck) -> StrikeAck | None:
         """Takes a peer's message in; returns the confirmation that it is owed."""
         match message:
-            case StrikeNoted(fingerprint, attempt, confirm):
+            case StrikeReport(fingerprint, attempt, confirm):
                 self.book.add(fingerprint, attempt, self._now())
-                return StrikeKnown(attempt) if confirm else None
+                return StrikeAck(attempt) if confirm else None
             case StrikesCleared(fingerprint):
                 self.book.clear(fingerprint)
-            case StrikeKnown(attempt):
+            case StrikeAck(attempt):
                 self._confirm(attempt)
         return None
 
@@ -46,15 +46,15 @@
 
     def note(self, fingerprint: str, attempt: str) -> None:
         """Notes that an endpoint died under an attempt, here and at all peers."""
-        self._note(StrikeNoted(fingerprint, attempt))
+        self._note(StrikeReport(fingerprint, attempt))
 
-    def _note(self, message: StrikeNoted) -> int:
+    def _note(self, message: StrikeReport) -> int:
         self.book.add(message.fingerprint, message.attempt, self._now())
         return self._tell_all(message)
 
     async def note_confirmed(self, fingerprint: str, attempt: str, patience_s: float) -> None:
         """Notes a strike; returns when all peers have it, at the latest after ``patience_s``."""
-        told = self._note(StrikeNoted(fingerprint, attempt, confirm=True))
+        told = self._note(StrikeReport(fingerprint, attempt, confirm=True))
         self._unconfirmed_by_attempt[attempt] = told
         try:
             async with asyncio.timeout(patience_s):
@@ -70,7 +70,7 @@
         self.book.clear(fingerprint)
         self._tell_all(StrikesCleared(fingerprint))
 
-    def _tell_all(self, message: StrikeNoted | StrikesCleared) -> int:
+    def _tell_all(self, message: StrikeReport | StrikesCleared) -> int:
         peers = tuple(self._peers())
         for peer in peers:
             self._tell(peer, message)
--- a/measure/baselines.py
+++ b/measure/baselines.py
@@ -9,7 +9,7 @@
 
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.http1 import fetch
-from bluebellpitch.peers.messages import Ask, Granted
+from bluebellpitch.peers.messages import SlotGranted, SlotRequest
 from bluebellpitch.roles.seeking import Slot
 
 LOAD_POLL_S = 0.25
@@ -35,14 +35,14 @@
         self._queue: deque[asyncio.Future] = deque()
         self._running = 0
 
-    async def seek(self, ask: Ask, arrived_at, expires_at, is_gone):
+    async def seek(self, ask: SlotRequest, arrived_at, expires_at, is_gone):
         """Returns a slot; waits only in the FIFO queue of round robin."""
         if self._mode == "round-robin":
             await self._wait_turn(ask.pool)
         row = self._pick(ask.pool)
         self._outstanding[row.name] = self._outstanding.get(row.name, 0) + 1
         grant = f"{ask.request}.{ask.attempt}"
-        granted = Granted(grant, ask.request, ask.attempt, row.name, row.address, 0.0)
+        granted = SlotGranted(grant, ask.request, ask.attempt, row.name, row.address, 0.0)
         return Slot(granted, ask, row.zone, row.region, self._now())
 
     def _rows(self, pool: str):
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -10,12 +10,12 @@
 
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.decisions.broker import Broker
-from bluebellpitch.decisions.claims import Claim, ClaimsFold, Outcome, encode_claim
+from bluebellpitch.decisions.claims import Claim, ClaimsStateMachine, Outcome, encode_claim_record
 from bluebellpitch.decisions.control import (
-    ControlFold,
+    ControlStateMachine,
     TableChange,
     VmIdentity,
-    encode_record,
+    encode_control_record,
 )
 from bluebellpitch.decisions.rows import (
     ClassRow,
@@ -24,20 +24,20 @@
     PoolRow,
     Table,
     VersionedRow,
-    key_of,
+    row_key,
 )
 from bluebellpitch.decisions.work import Finished, Waiting
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import (
-    Ask,
     Envelope,
-    Granted,
     Heartbeat,
+    LatencyReport,
     LoanRequest,
-    Returned,
-    Seen,
+    SlotGranted,
+    SlotReleased,
+    SlotRequest,
     decode_envelope,
     encode_envelope,
 )
@@ -94,7 +94,7 @@
 def table_of(endpoints: int, members: int) -> Table:
     """Returns an indexed table."""
     rows = rows_of(endpoints, members)
-    return Table({key_of(row): VersionedRow(row, 0) for row in rows}, 0)
+    return Table({row_key(row): VersionedRow(row, 0) for row in rows}, 0)
 
 
 def broker_of(endpoints: int, members: int, waiting: int) -> Broker:
@@ -102,7 +102,7 @@
     broker = Broker("p0", "z0", lambda member, now: member.limit)
     rows = rows_of(endpoints * 114, members)
     kept = [r for r in rows if not isinstance(r, EndpointRow) or (r.pool, r.zone) == ("p0", "z0")]
-    broker.set_table(Table({key_of(row): VersionedRow(row, 0) for row in kept}, 0))
+    broker.set_table(Table({row_key(row): VersionedRow(row, 0) for row in kept}, 0))
     busy = broker.chooser.total_slots + waiting if waiting else 0
     for number in range(busy):
         drain(broker.ask(make_work(f"w{number}", number % members, "c6", 0.0), 0.0))
@@ -141,9 +141,9 @@
 
 def fold_cost(endpoints: int) -> float:
     """Returns microseconds to fold one change of one row."""
-    fold = ControlFold()
+    fold = ControlStateMachine()
     rows = tuple(rows_of(endpoints, 490))
-    fold.apply(0, encode_record(TableChange("t0", {}, rows)))
+    fold.apply(0, encode_control_record(TableChange("t0", {}, rows)))
     counter = iter(range(1, 10**9))
 
     def job() -> int:
@@ -151,7 +151,7 @@
             number = next(counter)
             row = MemberRow("m1", float(number), 100, f"{1:064x}", "c1")
             base = {"member/m1": fold.revision_of("member/m1")}
-            fold.apply(number, encode_record(TableChange(f"t{number}", base, (row,))))
+            fold.apply(number, encode_control_record(TableChange(f"t{number}", base, (row,))))
         return 20
 
     return timed(job)
@@ -160,12 +160,12 @@
 def message_cost() -> dict[str, float]:
     """Returns microseconds to encode and decode each message, and its bytes."""
     vm = VmIdentity("vm-1", "0190a1b2c3d4e", "10.0.0.1:7000", "10.0.0.1:7001")
-    ask = Ask("0" * 32, 1, "model-1", "member-1", "class-1", 0.01, 5.0, "f" * 32)
+    ask = SlotRequest("0" * 32, 1, "model-1", "member-1", "class-1", 0.01, 5.0, "f" * 32)
     messages = {
         "ask": ask,
-        "granted": Granted("g" * 36, "0" * 32, 1, "endpoint-1", "10.0.0.1:80", 0.1),
-        "seen": Seen("g" * 36, "model-1", "first", 0.1),
-        "returned": Returned("g" * 36, "0" * 32, "model-1", "completed", 0.1, 0.02),
+        "granted": SlotGranted("g" * 36, "0" * 32, 1, "endpoint-1", "10.0.0.1:80", 0.1),
+        "seen": LatencyReport("g" * 36, "model-1", "first", 0.1),
+        "returned": SlotReleased("g" * 36, "0" * 32, "model-1", "completed", 0.1, 0.02),
         "heartbeat": Heartbeat(vm, "z", "r", False, 1_000_000, 100),
         "loan request": LoanRequest("model-1", 100, 1.0),
     }
@@ -202,11 +202,11 @@
     address = free_address()
     here.bind(free_address())
     there.bind(address)
-    here.know("b", address)
+    here.register_address("b", address)
     task = asyncio.create_task(there.run())
     started = time.process_time()
     for number in range(count):
-        here.send("b", Seen("g" * 36, "model-1", "first", 0.1))
+        here.send("b", LatencyReport("g" * 36, "model-1", "first", 0.1))
         if number % 50 == 0:
             await asyncio.sleep(0)
     async with asyncio.timeout(30):
@@ -238,16 +238,16 @@
     return ring
 
 
-def filled_claims(keys: int) -> ClaimsFold:
+def filled_claims(keys: int) -> ClaimsStateMachine:
     """Returns a fold of claims and outcomes."""
-    fold = ClaimsFold(1e9)
+    fold = ClaimsStateMachine(1e9)
     for number in range(keys):
         claim = Claim(f"{number:032x}", f"member-1/{number}", "f" * 32, "vm-1.0190a", 0.0)
-        fold.apply(2 * number, encode_claim(claim), 0.0)
+        fold.apply(2 * number, encode_claim_record(claim), 0.0)
         outcome = Outcome(
             "o", claim.key, claim.id, "ran", 200, "application/json", b"x" * 200, True, 0.0
         )
-        fold.apply(2 * number + 1, encode_claim(outcome), 0.0)
+        fold.apply(2 * number + 1, encode_claim_record(outcome), 0.0)
     return fold
 
 
@@ -281,7 +281,7 @@
     yield f"| event in the ring | | {cost:.1f} us, {size:.0f} bytes |"
     for keys in (1_000, 10_000):
         size = memory_of(lambda n=keys: filled_claims(n)) / keys
-        cost = timed(lambda n=keys: len(filled_claims(n)._keys_by_name) * 2)
+        cost = timed(lambda n=keys: len(filled_claims(n)._states_by_key) * 2)
         yield f"| claims, one record | {keys} keys | {cost:.1f} us, {size:.0f} bytes a key |"
     resident = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
     yield f"| this process, most resident | | {resident:.0f} MB |"
@@ -289,9 +289,9 @@
 
 def snapshot_bytes() -> int:
     """Returns the size of a snapshot record at the target's size."""
-    fold = ControlFold()
-    fold.apply(0, encode_record(TableChange("t0", {}, tuple(rows_of(12_000, 490)))))
-    return len(encode_record(fold.snapshot()))
+    fold = ControlStateMachine()
+    fold.apply(0, encode_control_record(TableChange("t0", {}, tuple(rows_of(12_000, 490)))))
+    return len(encode_control_record(fold.create_snapshot()))
 
 
 def main() -> int:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -38,7 +38,7 @@
     Mutant(
         "a withdrawal voids its claim even when it lands first",
         "bluebellpitch/decisions/claims.py",
-        "        if claim.id in self._withdrawn_by_id:\n            return None\n",
+        "        if claim.id in self._withdrawal_times_by_claim_id:\n            return None\n",
         "",
         "tests/test_claims_machine.py",
     ),
@@ -166,7 +166,7 @@
     Mutant(
         "a reader that lacks records installs a snapshot",
         "bluebellpitch/decisions/control.py",
-        "return any(self.install(snapshot) for snapshot in snapshots)",
+        "return any(self.install_snapshot(snapshot) for snapshot in snapshots)",
         "return False",
         "tests/test_zones.py::test_vm_boots_from_a_snapshot_alone",
     ),
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -18,7 +18,7 @@
     PoolRow,
     Table,
     VersionedRow,
-    key_of,
+    row_key,
 )
 from bluebellpitch.decisions.strikes import Suspicion
 from bluebellpitch.decisions.work import Finished, Grant, Preempt, Refuse, Waiting
@@ -37,7 +37,7 @@
     rows += [
         EndpointRow(f"e{n}", "pool", "z", "r", "127.0.0.1:1", slots, True) for n in range(endpoints)
     ]
-    return Table({key_of(row): VersionedRow(row, 0) for row in rows}, 0)
+    return Table({row_key(row): VersionedRow(row, 0) for row in rows}, 0)
 
 
 def make_broker(policy: Policy = Policy(), **shape) -> Broker:
@@ -333,4 +333,4 @@
 
 def test_table_of_another_pool_changes_nothing():
     broker = make_broker()
-    assert_that(broker.table.endpoints_of("other", "z"), Not(Contains("e0")))
+    assert_that(broker.table.pool_endpoints("other", "z"), Not(Contains("e0")))
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -8,20 +8,20 @@
 
 from bluebellpitch.constants import HORIZON_MARGIN_S
 from bluebellpitch.decisions.claiming import (
-    Attempted,
+    AppendClaim,
+    ClaimRequest,
+    ClaimWon,
     GiveUp,
-    SendClaim,
-    Wish,
-    Won,
-    next_step,
+    PendingClaim,
+    next_claim_step,
 )
 from bluebellpitch.decisions.claims import (
     Claim,
-    ClaimsFold,
-    Held,
+    ClaimsStateMachine,
+    KeyClaimed,
     Outcome,
     Withdrawal,
-    encode_claim,
+    encode_claim_record,
     is_within_horizon,
 )
 
@@ -36,9 +36,9 @@
 
     def __init__(self, vm: str, made_at: float):
         self.vm = vm
-        self.wish = Wish("m/key", "body", made_at)
+        self.wish = ClaimRequest("m/key", "body", made_at)
         self.dispatched_at = 0.0
-        self.attempted: Attempted | None = None
+        self.attempted: PendingClaim | None = None
         self.won: Claim | None = None
         self.ended = False
         self.dispatched = False
@@ -55,7 +55,7 @@
         self.log: list[str] = []
         self.late: list[str] = []
         self.clock = 0.0
-        self.folds = {vm: ClaimsFold(HORIZON_S) for vm in VMS}
+        self.folds = {vm: ClaimsStateMachine(HORIZON_S) for vm in VMS}
         self.skews = dict(zip(VMS, (-HORIZON_MARGIN_S / 2, 0.0, HORIZON_MARGIN_S / 2), strict=True))
         self.all_requests: list[Request] = []
         self.claims = 0
@@ -79,10 +79,10 @@
             return
         fold = self.folds[request.vm]
         wall = self.wall(request.vm)
-        match next_step(fold, request.wish, request.attempted, wall, expired):
-            case Won(claim):
+        match next_claim_step(fold, request.wish, request.attempted, wall, expired):
+            case ClaimWon(claim):
                 request.won = claim
-            case SendClaim():
+            case AppendClaim():
                 self.send_claim(request, answer)
             case GiveUp(verdict):
                 self.end_unrun(request, request.attempted and request.attempted.claim)
@@ -130,8 +130,8 @@
     def send_claim(self, request, answer):
         self.claims += 1
         claim = Claim(f"c{self.claims}", request.wish.key, "body", request.vm, request.wish.made_at)
-        request.attempted = Attempted(claim)
-        record = encode_claim(claim)
+        request.attempted = PendingClaim(claim)
+        record = encode_claim_record(claim)
         if answer == "late":
             self.late.append(record)
             return
@@ -143,7 +143,7 @@
         request.ended = True
         if claim:
             record = Withdrawal(f"w-{claim.id}", claim.key, claim.id, claim.made_at)
-            self.late.append(encode_claim(record))
+            self.late.append(encode_claim_record(record))
 
     @rule(place=st.integers(0, 50))
     def land_late(self, place):
@@ -162,12 +162,12 @@
 
     @rule(vm=st.sampled_from(VMS))
     def forget_old(self, vm):
-        self.folds[vm].expire(self.wall(vm))
+        self.folds[vm].expire_keys(self.wall(vm))
 
     @rule(vm=st.sampled_from(VMS))
     def restart(self, vm):
         """The VM dies with its requests; a new one folds from the start."""
-        self.folds[vm] = ClaimsFold(HORIZON_S)
+        self.folds[vm] = ClaimsStateMachine(HORIZON_S)
         for request in self.all_requests:
             request.ended |= request.vm == vm
 
@@ -185,7 +185,7 @@
         request.dispatched_at = self.clock
         claim = request.won
         outcome = Outcome("o" + claim.id, claim.key, claim.id, "ran", 200, "", b"x", True, made_at)
-        self.late.append(encode_claim(outcome))
+        self.late.append(encode_claim_record(outcome))
 
     @invariant()
     def at_most_one_dispatch(self):
@@ -197,8 +197,8 @@
     @invariant()
     def void_claims_hold_nothing(self):
         for fold in self.folds.values():
-            standing = fold.standing("m/key", "body")
-            if isinstance(standing, Held):
+            standing = fold.key_status("m/key", "body")
+            if isinstance(standing, KeyClaimed):
                 assert not fold.is_withdrawn(standing.claim.id)
 
     @invariant()
@@ -211,7 +211,7 @@
         by_offset = {}
         for vm, fold in self.folds.items():
             if self.wall(vm) < HORIZON_S - HORIZON_MARGIN_S:
-                standing = fold.standing("m/key", "body")
+                standing = fold.key_status("m/key", "body")
                 assert by_offset.setdefault(fold.offset, standing) == standing
 
 
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -7,13 +7,13 @@
 from bluebellpitch.decisions.control import (
     Accepted,
     Conflicted,
-    ControlFold,
+    ControlStateMachine,
     Snapshot,
     TableChange,
-    decode_record,
-    encode_record,
+    decode_control_record,
+    encode_control_record,
 )
-from bluebellpitch.decisions.rows import MemberRow, key_of
+from bluebellpitch.decisions.rows import MemberRow, row_key
 
 READERS = ("a", "b")
 
@@ -30,19 +30,19 @@
         self.log: list[bytes] = []
         self.snapshots: list[Snapshot] = []
         self.first = 0
-        self.reference = [ControlFold()]
-        self.readers = {name: ControlFold() for name in READERS}
+        self.reference = [ControlStateMachine()]
+        self.readers = {name: ControlStateMachine() for name in READERS}
         self.changes: list[TableChange] = []
         self.first_verdicts: dict[str, object] = {}
 
     def land(self, record: bytes) -> None:
         offset = len(self.log)
         self.log.append(record)
-        fold = ControlFold()
+        fold = ControlStateMachine()
         for place, data in enumerate(self.log):
             fold.apply(place, data)
         self.reference.append(fold)
-        change = decode_record(record)
+        change = decode_control_record(record)
         verdict = fold.state.verdicts_by_id.get(change.id)
         if isinstance(change, TableChange):
             assert self.first_verdicts.setdefault(change.id, verdict) == verdict
@@ -54,21 +54,21 @@
     def edit(self, name, prefix, deletes):
         seen = self.reference[prefix % len(self.reference)]
         row = row_of(name, 1.0 + len(self.changes))
-        base = {key_of(row): seen.revision_of(key_of(row))}
+        base = {row_key(row): seen.revision_of(row_key(row))}
         rows = () if deletes else (row,)
-        deleted = (key_of(row),) if deletes else ()
+        deleted = (row_key(row),) if deletes else ()
         change = TableChange(f"t{len(self.changes)}", base, rows, deleted)
         self.changes.append(change)
-        self.land(encode_record(change))
+        self.land(encode_control_record(change))
 
     @rule(place=st.integers(0, 50))
     def land_again(self, place):
         if self.changes:
-            self.land(encode_record(self.changes[place % len(self.changes)]))
+            self.land(encode_control_record(self.changes[place % len(self.changes)]))
 
     @rule()
     def publish_snapshot(self):
-        self.snapshots.insert(0, self.reference[-1].snapshot())
+        self.snapshots.insert(0, self.reference[-1].create_snapshot())
 
     @rule(count=st.integers(1, 3))
     def expire(self, count):
@@ -77,7 +77,7 @@
     @rule(name=st.sampled_from(READERS), count=st.integers(1, 4))
     def read(self, name, count):
         fold = self.readers[name]
-        if fold.offset + 1 < self.first and not fold.install_latest(self.snapshots):
+        if fold.offset + 1 < self.first and not fold.install_latest_snapshot(self.snapshots):
             return
         if fold.offset + 1 < self.first:
             return
@@ -89,12 +89,12 @@
     def take_from_peer(self, name):
         other = next(reader for reader in READERS if reader != name)
         before = self.readers[name].offset
-        self.readers[name].install(self.readers[other].snapshot())
+        self.readers[name].install_snapshot(self.readers[other].create_snapshot())
         assert self.readers[name].offset >= before
 
     @rule(name=st.sampled_from(READERS))
     def reboot(self, name):
-        self.readers[name] = ControlFold()
+        self.readers[name] = ControlStateMachine()
 
     @invariant()
     def readers_agree_with_the_log(self):
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -9,10 +9,10 @@
 from testtools.matchers import Equals
 
 from bluebellpitch.callers.requests import parse_completion, parse_service
-from bluebellpitch.decisions.claims import ClaimsFold
-from bluebellpitch.decisions.control import ControlFold
-from bluebellpitch.decisions.rows import MemberRow, PoolRow, Table, VersionedRow, key_of
-from bluebellpitch.decisions.snapshots import SnapshotPiece, join_snapshots
+from bluebellpitch.decisions.claims import ClaimsStateMachine
+from bluebellpitch.decisions.control import ControlStateMachine
+from bluebellpitch.decisions.rows import MemberRow, PoolRow, Table, VersionedRow, row_key
+from bluebellpitch.decisions.snapshots import SnapshotChunk, assemble_snapshots
 from bluebellpitch.endpoints.sse import EventBuffer, count_events, join_text
 from bluebellpitch.errors import BadRequestError, ProtocolError, SheetError
 from bluebellpitch.http1 import HttpRequest, parse_address
@@ -23,7 +23,7 @@
 
 MEMBER = MemberRow("m", 1.0, 0, digest("token"), "draft")
 ROWS = (MEMBER, *CLASSES, MODEL, FILING, PoolRow("other", "model", ()))
-TABLE = Table({key_of(row): VersionedRow(row, 0) for row in ROWS}, 0)
+TABLE = Table({row_key(row): VersionedRow(row, 0) for row in ROWS}, 0)
 fast = settings(max_examples=300, deadline=None, derandomize=True)
 
 JSON = st.recursive(
@@ -107,7 +107,7 @@
 def test_a_written_sheet_reads_back(members):
     rows = (*members, *CLASSES)
     sheet = parse_sheet(write_sheet([VersionedRow(row, 3) for row in rows], 7))
-    assert_that(sorted(sheet.rows, key=key_of), Equals(sorted(rows, key=key_of)))
+    assert_that(sorted(sheet.rows, key=row_key), Equals(sorted(rows, key=row_key)))
     assert_that(sheet.offset, Equals(7))
 
 
@@ -123,14 +123,14 @@
 @given(st.text(max_size=120) | JSON.map(lambda value: msgspec.json.encode(value).decode()))
 @fast
 def test_log_records(data):
-    control, claims = ControlFold(), ClaimsFold(100.0)
+    control, claims = ControlStateMachine(), ClaimsStateMachine(100.0)
     control.apply(0, data)
     claims.apply(0, data, 0.0)
     assert_that((control.offset, claims.offset), Equals((0, 0)))
 
 
 PIECES = st.builds(
-    SnapshotPiece,
+    SnapshotChunk,
     id=st.sampled_from("ab"),
     index=st.integers(-1, 2),
     count=st.integers(-1, 2),
@@ -141,7 +141,7 @@
 @given(st.lists(st.binary(max_size=120) | PIECES.map(msgspec.msgpack.encode), max_size=4))
 @fast
 def test_snapshot_pieces(records):
-    assert_that(join_snapshots(records), Equals(()))
+    assert_that(assemble_snapshots(records), Equals(()))
 
 
 @given(
--- a/tests/test_limits_machine.py
+++ b/tests/test_limits_machine.py
@@ -6,10 +6,10 @@
 
 from bluebellpitch.constants import CLOCK_DRIFT, LOAN_LEASE_S
 from bluebellpitch.decisions.control import (
-    ControlFold,
+    ControlStateMachine,
     EpochChange,
     VmIdentity,
-    encode_record,
+    encode_control_record,
 )
 from bluebellpitch.decisions.floors import Borrower, EpochHistory, Lender, usable_limit
 
@@ -25,7 +25,7 @@
 
     def __init__(self, rate: float):
         self.rate = rate
-        self.fold = ControlFold()
+        self.fold = ControlStateMachine()
         self.history = EpochHistory()
         self.lender = Lender()
         self.borrower = Borrower()
@@ -56,7 +56,7 @@
         identities = tuple(sorted(VMS[name] for name in members))
         record_id = f"e{len(self.log)}"
         change = EpochChange(record_id, ZONE, number, identities, (), vm.history.settled)
-        self.log.append(encode_record(change))
+        self.log.append(encode_control_record(change))
 
     @rule(name=NAMES, count=st.integers(1, 3))
     def read(self, name, count):
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -231,9 +231,9 @@
 def strike(vm, number: int):
     """Returns what a peer tells after an endpoint crashed under the poisonous request."""
     from bluebellpitch.decisions.hashing import digest_text
-    from bluebellpitch.peers.messages import StrikeNoted
+    from bluebellpitch.peers.messages import StrikeReport
 
-    return StrikeNoted(digest_text("POST", "/file/7", "office", b"poison"), f"i-{number}/1")
+    return StrikeReport(digest_text("POST", "/file/7", "office", b"poison"), f"i-{number}/1")
 
 
 @in_deployment
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -12,7 +12,7 @@
     PoolRow,
     Table,
     VersionedRow,
-    key_of,
+    row_key,
 )
 
 NAMES = st.sampled_from("abcd")
@@ -38,7 +38,7 @@
         state=st.sampled_from(("live", "leaving")),
     ),
 )
-CHANGES = st.lists(st.tuples(st.lists(ROWS, max_size=3, unique_by=key_of), st.sets(NAMES)))
+CHANGES = st.lists(st.tuples(st.lists(ROWS, max_size=3, unique_by=row_key), st.sets(NAMES)))
 
 
 def indexes(table: Table) -> dict:
@@ -52,7 +52,7 @@
 def test_changed_table_equals_one_built_anew(changes):
     table, rows_by_key = Table({}), {}
     for offset, (rows, dropped) in enumerate(changes):
-        new = {key_of(row): VersionedRow(row, offset) for row in rows}
+        new = {row_key(row): VersionedRow(row, offset) for row in rows}
         deleted = tuple(f"endpoint/{name}" for name in dropped if f"endpoint/{name}" not in new)
         before = indexes(table)
         after = table.with_changes(new, deleted, offset)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -8,7 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
-from bluebellpitch.decisions.snapshots import join_snapshots
+from bluebellpitch.decisions.snapshots import assemble_snapshots
 from bluebellpitch.http1 import fetch
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.topics import CONTROL_TOPIC, SNAPSHOTS_TOPIC
@@ -183,7 +183,7 @@
     client = StoreClient(fleet.store.address)
     records = (await client.newest(SNAPSHOTS_TOPIC)).records
     client.close()
-    return any(s.offset >= offset for s in join_snapshots(r.value for r in records))
+    return any(s.offset >= offset for s in assemble_snapshots(r.value for r in records))
 
 
 @pytest.fixture
