--- a/bluebellpitch/decisions/claiming.py
+++ b/bluebellpitch/decisions/claiming.py
@@ -1,4 +1,7 @@
-"""The next step of a VM that wants to claim a key. The role around it does the waiting."""
+"""Protocol by which a VM claims an idempotency key, one step at a time.
+
+The caller performs the I/O and the waiting, then asks for the next step again.
+"""
 
 from dataclasses import dataclass
 
@@ -18,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRequest:
-    """A request that wants a key. ``made_at`` is in Unix seconds."""
+    """A request to be claimed: its key, body digest and time in Unix seconds."""
 
     key: str
     body_digest: str
@@ -27,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingClaim:
-    """A claim that this VM has sent to the store. ``offset`` is None until its answer came."""
+    """A claim sent to the store. ``offset`` is None while the append is not acknowledged."""
 
     claim: Claim
     offset: int | None = None
@@ -35,31 +38,31 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimWon:
-    """This VM alone may dispatch the key."""
+    """The claim owns the key; this VM may dispatch the request."""
 
     claim: Claim
 
 
 @dataclass(frozen=True, slots=True)
 class ReplayOutcome:
-    """The key ran before; its outcome is known."""
+    """The request already ran; return its recorded outcome."""
 
     outcome: Outcome
 
 
 @dataclass(frozen=True, slots=True)
 class AppendClaim:
-    """Append a claim with a new id."""
+    """Append a claim with a new id to the claims topic."""
 
 
 @dataclass(frozen=True, slots=True)
 class AwaitRecords:
-    """Nothing to do until more of the topic is read."""
+    """Wait until more records of the claims topic are applied."""
 
 
 @dataclass(frozen=True, slots=True)
 class GiveUp:
-    """End with a verdict, and withdraw the attempted claim if there is one."""
+    """Reject the request with a verdict, and withdraw the pending claim if there is one."""
 
     verdict: DidNotRun | MayHaveRun
 
@@ -74,7 +77,7 @@
     now_wall: float,
     timed_out: bool,
 ) -> ClaimStep:
-    """Returns what to do now. ``expired``: the request may wait no longer."""
+    """Returns the next step. ``timed_out`` is set once the claim deadline has passed."""
     if not is_within_horizon(request.made_at, now_wall, claims.horizon_s, HORIZON_MARGIN_S):
         return GiveUp(DidNotRun("request_too_old", 400))
     match claims.key_status(request.key, request.body_digest):
@@ -94,5 +97,8 @@
 
 
 def has_lost_race(claims: ClaimsStateMachine, pending: PendingClaim) -> bool:
-    """Tells whether the topic shows that a claim came to nothing: another held the key then."""
+    """Returns whether a pending claim has been applied without taking the key.
+
+    Another claim owned the key at that offset, so a new claim is needed once the key is free.
+    """
     return pending.offset is not None and claims.offset >= pending.offset
--- a/bluebellpitch/decisions/claims.py
+++ b/bluebellpitch/decisions/claims.py
@@ -1,9 +1,11 @@
-"""At most once: claims, outcomes and withdrawals on the claims stream, folded in offset order.
-
-A key belongs to its member and to one body. The first claim of a key that is not withdrawn, at the
-lowest offset, wins; nobody else dispatches the key. A withdrawal voids its claim's id whether it
-lands before or after the claim, and only the claimer itself writes one, once it is sure that it
-never dispatched under that id. Keys are kept for a horizon; a request made earlier is refused.
+"""At-most-once execution: a state machine over the records of the claims topic.
+
+All VMs apply claims, outcomes and withdrawals in offset order. An idempotency key is scoped to its
+member and bound to one request body. The claim with the lowest offset that is not withdrawn owns
+the key, and only its VM dispatches the request. A withdrawal invalidates a claim id whether it is
+appended before or after the claim. Only the VM that sent the claim withdraws it, and only when it
+is certain that it never dispatched under that id. Keys are kept for a retention horizon; requests
+made before that are rejected.
 """
 
 from dataclasses import dataclass
@@ -14,7 +16,10 @@
 
 
 class Claim(msgspec.Struct, frozen=True, tag="claim"):
-    """Announces that this VM alone may dispatch the key. ``made_at`` is in Unix seconds."""
+    """Requests the exclusive right to dispatch a key.
+
+    ``body`` is the digest of the request body, ``made_at`` the time of the request in Unix seconds.
+    """
 
     id: str
     key: str
@@ -24,7 +29,7 @@
 
 
 class Withdrawal(msgspec.Struct, frozen=True, tag="withdrawal"):
-    """Voids one claim id: it never dispatched and never will."""
+    """Invalidates one claim id: nothing was or will be dispatched under it."""
 
     id: str
     key: str
@@ -33,7 +38,10 @@
 
 
 class Outcome(msgspec.Struct, frozen=True, tag="outcome"):
-    """How a claimed request ended. Without ``answer_kept`` the body was too large to replay."""
+    """Result of a claimed request.
+
+    ``answer`` is the response body to replay; without ``answer_kept`` it was too large to store.
+    """
 
     id: str
     key: str
@@ -51,7 +59,7 @@
 
 @dataclass(slots=True)
 class KeyState:
-    """What is known of one key."""
+    """Claim and outcome of one key."""
 
     made_at: float
     claim: Claim | None = None
@@ -60,33 +68,33 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyFree:
-    """Nobody holds the key."""
+    """No valid claim owns the key."""
 
 
 @dataclass(frozen=True, slots=True)
 class KeyClaimed:
-    """A claim holds the key, with no outcome yet."""
+    """A claim owns the key; its outcome is not recorded yet."""
 
     claim: Claim
 
 
 @dataclass(frozen=True, slots=True)
 class KeyCompleted:
-    """The key has an outcome."""
+    """The outcome of the key is recorded."""
 
     outcome: Outcome
 
 
 @dataclass(frozen=True, slots=True)
 class KeyBodyMismatch:
-    """The key belongs to another body."""
+    """The key was claimed for a request with a different body."""
 
 
 KeyStatus = KeyFree | KeyClaimed | KeyCompleted | KeyBodyMismatch
 
 
 class ClaimsStateMachine:
-    """Folds claim records; forgets keys past the horizon."""
+    """Applies claim records in offset order; drops keys older than the retention horizon."""
 
     def __init__(self, horizon_s: float):
         self.horizon_s = horizon_s
@@ -95,7 +103,10 @@
         self._withdrawal_times_by_claim_id: dict[str, float] = {}
 
     def apply(self, offset: int, data: str | bytes, now_wall: float) -> ClaimRecord | None:
-        """Folds one record; returns it when it took effect. ``now_wall`` in Unix seconds."""
+        """Applies one record and returns it if it took effect, else None.
+
+        ``now_wall`` is in Unix seconds. Records at or below the current offset are skipped.
+        """
         if offset <= self.offset:
             return None
         self.offset = offset
@@ -135,7 +146,7 @@
         return outcome
 
     def key_status(self, key: str, body_digest: str) -> KeyStatus:
-        """Returns how a key stands for a request with that body digest."""
+        """Returns the status of a key for a request with the given body digest."""
         state = self._states_by_key.get(key)
         if state is None or state.claim is None:
             return KeyFree()
@@ -144,41 +155,44 @@
         return KeyCompleted(state.outcome) if state.outcome else KeyClaimed(state.claim)
 
     def is_withdrawn(self, claim_id: str) -> bool:
-        """Tells whether a claim id is void."""
+        """Returns whether a claim id has been withdrawn."""
         return claim_id in self._withdrawal_times_by_claim_id
 
     def expire_keys(self, now_wall: float) -> None:
-        """Forgets keys and withdrawals past the horizon."""
-        oldest = now_wall - self.horizon_s
-        self._states_by_key = {k: s for k, s in self._states_by_key.items() if s.made_at >= oldest}
+        """Drops keys and withdrawals older than the retention horizon."""
+        cutoff = now_wall - self.horizon_s
+        self._states_by_key = {k: s for k, s in self._states_by_key.items() if s.made_at >= cutoff}
         self._withdrawal_times_by_claim_id = {
-            k: at for k, at in self._withdrawal_times_by_claim_id.items() if at >= oldest
+            k: at for k, at in self._withdrawal_times_by_claim_id.items() if at >= cutoff
         }
 
     def unresolved_claims(self, live_vms: frozenset[str]) -> tuple[Claim, ...]:
-        """Returns claims that may have run: with no known answer, and nobody working on them."""
+        """Returns claims that may have run, with an unknown result and no live VM serving them."""
         states = (state for state in self._states_by_key.values() if state.claim)
         return tuple(state.claim for state in states if is_unresolved(state, live_vms))
 
     def key_count(self) -> int:
-        """Returns how many keys are remembered."""
+        """Returns the number of keys within the retention horizon."""
         return len(self._states_by_key)
 
 
 def is_unresolved(state: KeyState, live_vms: frozenset[str]) -> bool:
-    """Tells whether nobody knows, or will know, how a claimed request ended."""
+    """Returns whether the result of a claimed request is unknown and will stay so."""
     if state.outcome:
         return state.outcome.verdict == MayHaveRun.name
     return state.claim.vm not in live_vms
 
 
 def is_within_horizon(made_at: float, now_wall: float, horizon_s: float, margin_s: float) -> bool:
-    """Tells whether a request made then may still be dispatched now."""
+    """Returns whether a request made at ``made_at`` may still be dispatched.
+
+    The margin allows for clock skew between VMs, so that no VM has dropped the key by then.
+    """
     return now_wall - made_at < horizon_s - margin_s
 
 
 def decode_claim_record(data: str | bytes) -> ClaimRecord | None:
-    """Returns the typed record, or None when it is not one of ours."""
+    """Returns the decoded record, or None if it is malformed or of an unknown type."""
     try:
         return msgspec.json.decode(data, type=ClaimRecord)
     except (msgspec.MsgspecError, UnicodeDecodeError):
@@ -186,5 +200,5 @@
 
 
 def encode_claim_record(record: ClaimRecord) -> bytes:
-    """Returns the record as the store keeps it."""
+    """Returns the record in its stored form."""
     return msgspec.json.encode(record)
--- a/bluebellpitch/decisions/control.py
+++ b/bluebellpitch/decisions/control.py
@@ -1,7 +1,8 @@
-"""The control topic: table changes and epochs, folded in offset order.
+"""State machine over the control topic: changes of the operators' table, and zone epochs.
 
-All VMs fold the same records, so they agree without a protocol of their own. A record that a rule
-refuses changes nothing and is remembered as refused, for its author to see.
+All VMs apply the same records in offset order, so they agree without a consensus protocol of their
+own. A record that conflicts with the current state changes nothing; its verdict is kept so that
+its author can read it.
 """
 
 from collections.abc import Iterable
@@ -15,7 +16,7 @@
 
 
 class VmIdentity(msgspec.Struct, frozen=True, order=True):
-    """One incarnation of an entry VM. ``bus`` and ``admin`` are addresses."""
+    """One incarnation of an entry VM. ``bus`` and ``admin`` are its network addresses."""
 
     name: str
     incarnation: str
@@ -24,12 +25,15 @@
 
     @property
     def key(self) -> str:
-        """The name that no other incarnation has."""
+        """Identifier that is unique to this incarnation."""
         return f"{self.name}.{self.incarnation}"
 
 
 class TableChange(msgspec.Struct, frozen=True, tag="table"):
-    """Sets and deletes rows. ``base`` gives the revision of each touched key; -1: absent."""
+    """Upserts and deletes rows, with optimistic concurrency control.
+
+    ``base`` is the revision of each affected key that the change was made from; -1 for no row.
+    """
 
     id: str
     base: dict[str, int]
@@ -39,7 +43,10 @@
 
 
 class Epoch(msgspec.Struct, frozen=True):
-    """A zone's entry VMs. ``excluded`` have left but may still run, as far as is known."""
+    """Membership of a zone's entry VMs.
+
+    ``excluded`` are former members that are not confirmed to have terminated.
+    """
 
     number: int
     vms: tuple[VmIdentity, ...]
@@ -47,9 +54,9 @@
 
 
 class EpochChange(msgspec.Struct, frozen=True, tag="epoch"):
-    """Proposes a zone's next epoch. ``gone`` names VMs that are proved to be no more.
+    """Proposes a zone's next epoch. ``gone`` names VMs that are confirmed to have terminated.
 
-    ``settled`` is the oldest epoch that some VM may still be in, as the proposer knows for sure.
+    ``settled`` is the oldest epoch that any VM may still use, as far as the proposer is certain.
     """
 
     id: str
@@ -61,7 +68,10 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """The whole fold at an offset. A function of the fold alone, so duplicates do no harm."""
+    """The complete control state at an offset.
+
+    It is determined by the records up to that offset, so duplicate snapshots are harmless.
+    """
 
     id: str
     offset: int
@@ -73,13 +83,13 @@
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
-    """The record took effect at this offset."""
+    """The record at this offset was applied."""
 
     offset: int
 
 
 class Conflicted(msgspec.Struct, frozen=True, tag="conflicted"):
-    """The record changed nothing, for these keys had moved on."""
+    """The record was rejected: these keys had changed since the revisions it was based on."""
 
     offset: int
     keys: tuple[str, ...]
@@ -89,7 +99,7 @@
 
 
 class ControlState(msgspec.Struct):
-    """What a snapshot holds. ``offset`` is the last offset folded; -1: none."""
+    """Contents of a snapshot. ``offset`` is the last offset applied, -1 for none."""
 
     offset: int = -1
     rows_by_key: dict[str, VersionedRow] = {}
@@ -99,7 +109,7 @@
 
 
 class ControlStateMachine:
-    """Folds control records; never goes back to a lower offset."""
+    """Applies control records in offset order; never returns to a lower offset."""
 
     def __init__(self):
         self.state = ControlState()
@@ -107,11 +117,11 @@
 
     @property
     def offset(self) -> int:
-        """The last offset folded; -1: none."""
+        """The last offset applied, -1 for none."""
         return self.state.offset
 
     def apply(self, offset: int, data: str | bytes) -> RecordVerdict | None:
-        """Folds one record; None when it is old or not understood."""
+        """Applies one record; returns None if it is old, a duplicate or malformed."""
         if offset <= self.offset:
             return None
         record = decode_control_record(data)
@@ -137,8 +147,8 @@
             del verdicts[next(iter(verdicts))]
 
     def _apply_table_change(self, offset: int, change: TableChange) -> RecordVerdict:
-        touched = [row_key(row) for row in change.rows] + list(change.deleted)
-        stale = tuple(key for key in touched if change.base.get(key, -1) != self.revision_of(key))
+        affected = [row_key(row) for row in change.rows] + list(change.deleted)
+        stale = tuple(key for key in affected if change.base.get(key, -1) != self.revision_of(key))
         if stale:
             return Conflicted(offset, stale)
         changes = {row_key(row): VersionedRow(row, offset) for row in change.rows}
@@ -147,7 +157,7 @@
         return Accepted(offset)
 
     def revision_of(self, key: str) -> int:
-        """Returns the offset that set a row; -1 when there is no such row."""
+        """Returns the offset of the record that set a row, -1 if there is no such row."""
         versioned = self.state.rows_by_key.get(key)
         return versioned.revision if versioned else -1
 
@@ -155,27 +165,27 @@
         current = self.state.epochs_by_zone.get(change.zone, Epoch(0, ()))
         if change.number != current.number + 1:
             return Conflicted(offset, (f"epoch/{change.zone}",))
-        out = {vm.key for vm in change.vms} | set(change.gone)
-        left = [vm for vm in current.vms + current.excluded if vm.key not in out]
-        epoch = Epoch(change.number, tuple(sorted(change.vms)), tuple(sorted(left)))
+        not_excluded = {vm.key for vm in change.vms} | set(change.gone)
+        excluded = [vm for vm in current.vms + current.excluded if vm.key not in not_excluded]
+        epoch = Epoch(change.number, tuple(sorted(change.vms)), tuple(sorted(excluded)))
         self.state.epochs_by_zone = {**self.state.epochs_by_zone, change.zone: epoch}
-        former = self.state.unsettled_by_zone.get(change.zone, ()) + (current,)
-        kept = tuple(e for e in former if e.number > 0 and e.number >= change.settled)
-        self.state.unsettled_by_zone = {**self.state.unsettled_by_zone, change.zone: kept}
+        previous = self.state.unsettled_by_zone.get(change.zone, ()) + (current,)
+        unsettled = tuple(e for e in previous if e.number > 0 and e.number >= change.settled)
+        self.state.unsettled_by_zone = {**self.state.unsettled_by_zone, change.zone: unsettled}
         return Accepted(offset)
 
     def create_snapshot(self) -> Snapshot:
-        """Returns the fold as a record; equal folds give equal records."""
+        """Returns the state as a snapshot record; equal states give equal records."""
         state = msgspec.json.encode(self.state, order="sorted")
         digest = digest_text(state)
         return Snapshot(f"snapshot-{self.offset}-{digest}", self.offset, state, digest)
 
     def install_latest_snapshot(self, snapshots: Iterable[Snapshot]) -> bool:
-        """Bridges expired records with the first snapshot that is whole and ahead."""
+        """Installs the first valid snapshot ahead of this state, in place of expired records."""
         return any(self.install_snapshot(snapshot) for snapshot in snapshots)
 
     def install_snapshot(self, snapshot: Snapshot) -> bool:
-        """Takes a snapshot over when it is whole and ahead of this fold."""
+        """Replaces the state by a snapshot if its digest is valid and its offset is ahead."""
         if snapshot.offset <= self.offset or digest_text(snapshot.state) != snapshot.digest:
             return False
         try:
@@ -188,7 +198,7 @@
 
 
 def decode_control_record(data: str | bytes) -> ControlRecord | None:
-    """Returns the typed record, or None when it is not one of ours."""
+    """Returns the decoded record, or None if it is malformed or of an unknown type."""
     try:
         return msgspec.json.decode(data, type=ControlRecord)
     except (msgspec.MsgspecError, UnicodeDecodeError):
@@ -196,5 +206,5 @@
 
 
 def encode_control_record(record: ControlRecord) -> bytes:
-    """Returns the record as the store keeps it."""
+    """Returns the record in its stored form."""
     return msgspec.json.encode(record)
--- a/bluebellpitch/decisions/rows.py
+++ b/bluebellpitch/decisions/rows.py
@@ -1,4 +1,4 @@
-"""Rows of the operators' table, and the table as one agreed value."""
+"""Rows of the operators' table, and an immutable, indexed copy of the table."""
 
 from collections.abc import Iterable
 from copy import copy
@@ -7,9 +7,9 @@
 
 
 class MemberRow(msgspec.Struct, frozen=True, tag="member"):
-    """A member. ``limit`` is the most of its requests that run at once in one pool; 0: none.
+    """A member. ``limit`` is its maximum number of concurrent requests per pool; 0 is unlimited.
 
-    ``credential`` is the SHA-256 of its bearer token, in hexadecimal.
+    ``credential`` is the hexadecimal SHA-256 digest of its bearer token.
     """
 
     name: str
@@ -20,7 +20,7 @@
 
 
 class ClassRow(msgspec.Struct, frozen=True, tag="class"):
-    """A class of requests. Tier 1 is the highest. Targets and waits are in milliseconds."""
+    """A request class. Tier 1 is the highest. Latency targets and waits are in milliseconds."""
 
     name: str
     tier: int
@@ -31,9 +31,9 @@
 
 
 class PoolRow(msgspec.Struct, frozen=True, tag="pool"):
-    """A model or a plain service that endpoints serve.
+    """A model or a plain HTTP service that endpoints serve.
 
-    ``kind`` is ``model`` or ``service``. A service's methods in ``repeatable`` are idempotent.
+    ``kind`` is ``model`` or ``service``. ``repeatable`` lists the idempotent methods of a service.
     """
 
     name: str
@@ -42,7 +42,7 @@
 
 
 class EndpointRow(msgspec.Struct, frozen=True, tag="endpoint"):
-    """An endpoint of a pool. ``slots`` is how many requests it runs at once."""
+    """An endpoint of a pool. ``slots`` is its maximum number of concurrent requests."""
 
     name: str
     pool: str
@@ -58,7 +58,7 @@
 
 
 def row_key(row: Row) -> str:
-    """Returns the key of a row: its kind and name."""
+    """Returns the key of a row, of the form ``kind/name``."""
     return f"{type(row).__struct_config__.tag}/{row.name}"
 
 
@@ -70,7 +70,7 @@
 
 
 class Table:
-    """The table at one offset, indexed. Never changed: ``with_changes`` makes the next one."""
+    """Indexed, immutable table as of one offset. ``with_changes`` creates the next version."""
 
     def __init__(self, rows_by_key: dict[str, VersionedRow], offset: int = -1):
         self.rows_by_key: dict[str, VersionedRow] = {}
@@ -88,25 +88,25 @@
     def with_changes(
         self, changes: dict[str, VersionedRow], deleted: tuple[str, ...], offset: int
     ) -> "Table":
-        """Returns the table after a change; costs little beside the copy of the indexes."""
+        """Returns the table after a change. Copies only the indexes that the change affects."""
         table = copy(self)
         table.offset = offset
         table.rows_by_key = dict(self.rows_by_key)
-        touched = [*changes, *deleted]
-        former = [self.rows_by_key[key].row for key in touched if key in self.rows_by_key]
-        table._copy_indexes(former + [versioned.row for versioned in changes.values()])
-        for key in touched:
+        affected = [*changes, *deleted]
+        previous = [self.rows_by_key[key].row for key in affected if key in self.rows_by_key]
+        table._copy_indexes(previous + [versioned.row for versioned in changes.values()])
+        for key in affected:
             table._remove(key)
         for key, versioned in changes.items():
             table._put(key, versioned)
-        table._update_endpoint_groups(former, changes)
+        table._update_endpoint_groups(previous, changes)
         return table
 
     def _copy_indexes(self, rows: list[Row]) -> None:
-        for kind in {type(row) for row in rows}:
-            name = INDEX_NAMES_BY_ROW_TYPE[kind]
+        for row_type in {type(row) for row in rows}:
+            name = INDEX_NAMES_BY_ROW_TYPE[row_type]
             setattr(self, name, dict(getattr(self, name)))
-            if kind is MemberRow:
+            if row_type is MemberRow:
                 self.members_by_credential = dict(self.members_by_credential)
 
     def _remove(self, key: str) -> None:
@@ -125,23 +125,25 @@
         if isinstance(row, MemberRow):
             self.members_by_credential[row.credential] = row
 
-    def _update_endpoint_groups(self, former: list[Row], changes: dict[str, VersionedRow]) -> None:
-        """Renews the groups of the places that endpoints left or entered."""
-        rows = former + [versioned.row for versioned in changes.values()]
+    def _update_endpoint_groups(
+        self, previous: list[Row], changes: dict[str, VersionedRow]
+    ) -> None:
+        """Rebuilds the groups of each pool and zone whose endpoints changed."""
+        rows = previous + [versioned.row for versioned in changes.values()]
         rows = [row for row in rows if isinstance(row, EndpointRow)]
-        places = {(row.pool, row.zone) for row in rows}
-        if not places:
+        affected = {(row.pool, row.zone) for row in rows}
+        if not affected:
             return
         names = {row.name for row in rows}
-        stay = (
+        unchanged = (
             row
-            for place in places
-            for row in self._endpoints_by_pool_and_zone.get(place, ())
+            for pool_and_zone in affected
+            for row in self._endpoints_by_pool_and_zone.get(pool_and_zone, ())
             if row.name not in names
         )
         new = (v.row for v in changes.values() if isinstance(v.row, EndpointRow))
-        groups = {k: g for k, g in self._endpoints_by_pool_and_zone.items() if k not in places}
-        self._set_endpoint_groups(groups | group_endpoints([*stay, *new]))
+        groups = {k: g for k, g in self._endpoints_by_pool_and_zone.items() if k not in affected}
+        self._set_endpoint_groups(groups | group_endpoints([*unchanged, *new]))
 
     def _set_endpoint_groups(self, groups: dict[tuple[str, str], tuple[EndpointRow, ...]]) -> None:
         self._endpoints_by_pool_and_zone = groups
@@ -151,11 +153,11 @@
         self.zones_by_pool = {pool: tuple(pairs) for pool, pairs in zones.items()}
 
     def pool_endpoints(self, pool: str, zone: str) -> tuple[EndpointRow, ...]:
-        """Returns a pool's endpoints in one zone, leaving ones included."""
+        """Returns a pool's endpoints in one zone, including those in state ``leaving``."""
         return self._endpoints_by_pool_and_zone.get((pool, zone), ())
 
     def slots_by_zone(self, pool: str) -> dict[str, int]:
-        """Returns the slots of a pool in each zone, leaving endpoints included."""
+        """Returns the slots of a pool in each zone, including those of leaving endpoints."""
         zones = self.zones_by_pool.get(pool, ())
         return {z: sum(row.slots for row in self.pool_endpoints(pool, z)) for z, _ in zones}
 
@@ -171,7 +173,7 @@
 def group_endpoints(
     rows: Iterable[EndpointRow],
 ) -> dict[tuple[str, str], tuple[EndpointRow, ...]]:
-    """Returns endpoints by pool and zone, in order of name."""
+    """Returns endpoints by pool and zone, sorted by name."""
     groups: dict[tuple[str, str], list[EndpointRow]] = {}
     for row in sorted(rows, key=lambda r: r.name):
         groups.setdefault((row.pool, row.zone), []).append(row)
--- a/bluebellpitch/decisions/snapshots.py
+++ b/bluebellpitch/decisions/snapshots.py
@@ -1,7 +1,7 @@
-"""Snapshots of the control fold, cut into pieces that fit a record of the store.
+"""Splits snapshots of the control state into chunks that fit into a record of the store.
 
-Each zone writes two sets of pieces in turn, so that a set which is being replaced never is the
-last whole one.
+Each zone alternates between two sets of chunks, so that the last complete set is never the one
+being overwritten.
 """
 
 from collections.abc import Iterable, Iterator
@@ -15,7 +15,7 @@
 
 
 class SnapshotChunk(msgspec.Struct, frozen=True, array_like=True):
-    """One piece of an encoded snapshot, ``index`` of ``count``."""
+    """One chunk of an encoded snapshot: number ``index`` of ``count``, from 0."""
 
     id: str
     index: int
@@ -26,27 +26,30 @@
 def split_snapshot(
     snapshot: Snapshot, zone: str, publish_count: int
 ) -> Iterator[tuple[str, bytes]]:
-    """Yields the pieces of a snapshot, each with the key to keep it under."""
+    """Yields the store key and encoded record of each chunk.
+
+    ``publish_count`` selects the set to overwrite: successive snapshots of a zone alternate.
+    """
     data = msgspec.msgpack.encode(snapshot)
     starts = range(0, len(data), CHUNK_BYTES)
     for index, start in enumerate(starts):
-        piece = data[start : start + CHUNK_BYTES]
-        record = SnapshotChunk(snapshot.id, index, len(starts), piece)
+        chunk = data[start : start + CHUNK_BYTES]
+        record = SnapshotChunk(snapshot.id, index, len(starts), chunk)
         yield f"{zone}/{publish_count % CHUNK_SETS}/{index}", msgspec.msgpack.encode(record)
 
 
 def assemble_snapshots(records: Iterable[bytes]) -> tuple[Snapshot, ...]:
-    """Returns the whole snapshots among the pieces, the latest first."""
-    pieces_by_id: dict[str, dict[int, SnapshotChunk]] = {}
+    """Returns the snapshots whose chunks are all present, newest first."""
+    chunks_by_id: dict[str, dict[int, SnapshotChunk]] = {}
     for record in records:
-        if (piece := decode_chunk(record)) is not None:
-            pieces_by_id.setdefault(piece.id, {})[piece.index] = piece
-    joined = (assemble_chunks(pieces) for pieces in pieces_by_id.values())
-    return tuple(sorted((s for s in joined if s), key=lambda s: s.offset, reverse=True))
+        if (chunk := decode_chunk(record)) is not None:
+            chunks_by_id.setdefault(chunk.id, {})[chunk.index] = chunk
+    assembled = (assemble_chunks(chunks) for chunks in chunks_by_id.values())
+    return tuple(sorted((s for s in assembled if s), key=lambda s: s.offset, reverse=True))
 
 
 def assemble_chunks(chunks_by_index: dict[int, SnapshotChunk]) -> Snapshot | None:
-    """Returns the snapshot, or None when a piece is missing or spoilt."""
+    """Returns the snapshot, or None if a chunk is missing or corrupt."""
     count = next(iter(chunks_by_index.values())).count
     if sorted(chunks_by_index) != list(range(count)):
         return None
@@ -58,7 +61,7 @@
 
 
 def decode_chunk(data: bytes) -> SnapshotChunk | None:
-    """Returns the piece, or None when it is not one of ours."""
+    """Returns the chunk, or None if the record is malformed."""
     try:
         return msgspec.msgpack.decode(data, type=SnapshotChunk)
     except (msgspec.MsgspecError, UnicodeDecodeError):
--- a/bluebellpitch/peers/__init__.py
+++ b/bluebellpitch/peers/__init__.py
@@ -1,1 +1,1 @@
-"""The other entry VMs: messages over zmq."""
+"""Messaging between entry VMs over ZeroMQ."""
--- a/bluebellpitch/peers/bus.py
+++ b/bluebellpitch/peers/bus.py
@@ -1,7 +1,7 @@
-"""The bus between entry VMs: one PULL socket to receive, one PUSH socket for each peer.
+"""Message bus between entry VMs: one ZeroMQ PULL socket to receive, one PUSH socket per peer.
 
-Queues are bounded and messages to a peer that does not read are dropped: every protocol on the
-bus repeats what matters. zmq's own heartbeats replace connections that have gone silent.
+Queues are bounded, and messages to a peer that does not read are dropped: every protocol on the
+bus resends what it cannot lose. ZeroMQ's heartbeats detect and replace dead connections.
 """
 
 import asyncio
@@ -26,10 +26,10 @@
 
 
 class PeerBus:
-    """Owns the sockets. ``receive`` is called for each message, from the bus's own task.
+    """Owns the sockets. ``on_message`` is called for each message, from the task of ``run``.
 
-    The task waits for the socket's descriptor, and then reads all that is there: one wake-up for
-    many messages.
+    The task waits for the file descriptor of the socket, then reads all queued messages: one
+    wake-up handles many messages.
     """
 
     def __init__(
@@ -45,17 +45,17 @@
         self._addresses_by_vm: dict[str, str] = {}
 
     def bind(self, address: str) -> None:
-        """Starts to receive."""
+        """Binds the receiving socket to ``host:port``."""
         self._receive_socket.setsockopt(zmq.LINGER, LINGER_MS)
         self._receive_socket.setsockopt(zmq.RCVHWM, PEER_SEND_QUEUE)
         self._receive_socket.bind(f"tcp://{address}")
 
     def register_address(self, vm_key: str, address: str) -> None:
-        """Notes the address of a VM."""
+        """Sets the address to which messages for a VM are sent."""
         self._addresses_by_vm[vm_key] = address
 
     def send(self, vm_key: str, message: Message) -> None:
-        """Sends to one VM; to itself without a socket."""
+        """Sends to a VM by key. Messages to this VM itself bypass the sockets."""
         if vm_key == self.vm_key:
             asyncio.get_running_loop().call_soon(self._on_message, vm_key, message)
             return
@@ -66,7 +66,7 @@
         self.send_to_address(address, message)
 
     def send_to_address(self, address: str, message: Message) -> None:
-        """Sends to whoever listens there."""
+        """Sends to the VM that listens on an address, whatever its key."""
         data = encode_envelope(Envelope(self.vm_key, self._clock.stamp(), message))
         try:
             self._send_socket(address).send(data, zmq.NOBLOCK)
@@ -79,7 +79,7 @@
             socket = self._context.socket(zmq.PUSH)
             socket.setsockopt(zmq.LINGER, LINGER_MS)
             socket.setsockopt(zmq.SNDHWM, PEER_SEND_QUEUE)
-            # The sending side alone has to notice that a connection has gone silent.
+            # Only the sending side needs to detect a dead connection.
             socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
             socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
             socket.connect(f"tcp://{address}")
@@ -87,22 +87,22 @@
         return self._send_sockets_by_address[address]
 
     async def run(self) -> None:
-        """Receives until cancelled."""
+        """Receives messages until cancelled."""
         loop, readable = asyncio.get_running_loop(), asyncio.Event()
         descriptor = self._receive_socket.getsockopt(zmq.FD)
         loop.add_reader(descriptor, readable.set)
-        rechecking = asyncio.create_task(wake_periodically(readable))
+        waker = asyncio.create_task(wake_periodically(readable))
         try:
             while True:
                 readable.clear()
                 if not await self._receive_batch():
                     await readable.wait()
         finally:
-            rechecking.cancel()
+            waker.cancel()
             loop.remove_reader(descriptor)
 
     async def _receive_batch(self) -> bool:
-        """Takes messages in that have come; tells whether there may be more."""
+        """Handles one batch of queued messages; returns whether more may be queued."""
         for _ in range(RECEIVE_BATCH_MESSAGES):
             try:
                 data = self._receive_socket.recv(zmq.NOBLOCK)
@@ -123,7 +123,7 @@
         self._on_message(envelope.sender, envelope.message)
 
     def close(self) -> None:
-        """Closes all sockets; what was sent just before still leaves."""
+        """Closes all sockets; messages still queued are sent for up to ``LINGER_MS``."""
         for socket in self._send_sockets_by_address.values():
             socket.close()
         self._receive_socket.close()
@@ -131,7 +131,11 @@
 
 
 async def wake_periodically(readable: asyncio.Event) -> None:
-    """Wakes the reader now and then: a descriptor that was read elsewhere does not tell again."""
+    """Sets the event at a fixed interval.
+
+    The file descriptor is edge-triggered: once its event was consumed elsewhere, it does not signal
+    again for messages that are already queued.
+    """
     while True:
         await asyncio.sleep(WAKE_INTERVAL_S)
         readable.set()
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -1,4 +1,4 @@
-"""Messages between entry VMs, in msgpack. Times are seconds; ages are relative to sending."""
+"""Messages between entry VMs, in msgpack. Times are in seconds, ages as of sending."""
 
 import msgspec
 
@@ -8,7 +8,7 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
-    """A VM is alive. ``control_offset`` is its fold's, ``epoch`` the one it has adopted."""
+    """Liveness of a VM, with its control state's offset and the epoch it has adopted."""
 
     vm: VmIdentity
     zone: str
@@ -19,7 +19,7 @@
 
 
 class SlotRequest(msgspec.Struct, frozen=True, tag="ask"):
-    """Asks the broker of a pool for a slot. ``age_s`` is since the request came in."""
+    """Requests a slot from the broker of a pool. ``age_s`` is since the request arrived."""
 
     request: str
     attempt: int
@@ -38,7 +38,7 @@
 
 
 class SlotGranted(msgspec.Struct, frozen=True, tag="granted"):
-    """A slot is granted, with the usual times to first token and between tokens; 0: unknown."""
+    """A slot is granted, with the expected times to first token and between tokens; 0: unknown."""
 
     grant: str
     request: str
@@ -50,7 +50,7 @@
 
 
 class SlotRefused(msgspec.Struct, frozen=True, tag="refused"):
-    """The broker gives no slot."""
+    """The broker refuses a slot."""
 
     request: str
     attempt: int
@@ -60,7 +60,7 @@
 
 
 class SlotPreempted(msgspec.Struct, frozen=True, tag="preempted"):
-    """The holder is to give the slot back and ask again."""
+    """Tells the holder of a slot to release it and request another."""
 
     grant: str
     request: str
@@ -68,14 +68,14 @@
 
 
 class SlotRequestCancelled(msgspec.Struct, frozen=True, tag="cancel"):
-    """The asker no longer wants a slot."""
+    """The requester no longer needs a slot."""
 
     request: str
     pool: str
 
 
 class SlotReleased(msgspec.Struct, frozen=True, tag="returned"):
-    """A slot is given back."""
+    """A slot is released, with the outcome and the latencies measured."""
 
     grant: str
     request: str
@@ -86,7 +86,7 @@
 
 
 class HeldGrantDetails(msgspec.Struct, frozen=True, array_like=True):
-    """What a broker has to know of a grant that another one gave."""
+    """State of a grant that a new broker needs to take it over from its predecessor."""
 
     slot_request: SlotRequest
     endpoint: str
@@ -94,9 +94,10 @@
 
 
 class HeldGrant(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
-    """A slot that a VM holds now. ``between_s`` is the present time between tokens.
+    """A slot that a VM currently holds. ``between_s`` is the current time between tokens.
 
-    ``details`` go along until the broker has been told them: a new broker rebuilds from them.
+    ``details`` are included until they have been sent to the broker: a new broker rebuilds its
+    state from them.
     """
 
     grant: str
@@ -105,14 +106,14 @@
 
 
 class HeldGrantsReport(msgspec.Struct, frozen=True, tag="held"):
-    """All slots of one pool and zone that a VM holds; lets a new broker rebuild its state."""
+    """All slots of a pool that a VM holds in a zone; a new broker rebuilds its state from these."""
 
     pool: str
     grants: tuple[HeldGrant, ...]
 
 
 class LatencyReport(msgspec.Struct, frozen=True, tag="seen"):
-    """A time that a holder measured: to the first token, or between tokens."""
+    """A latency measured by the holder of a slot: to the first token, or between tokens."""
 
     grant: str
     pool: str
@@ -121,14 +122,17 @@
 
 
 class ForwardedMessage(msgspec.Struct, frozen=True, tag="forwarded"):
-    """A message that reached a VM which no longer brokers the pool; passed on once."""
+    """A message forwarded by a VM that is no longer the pool's broker; forwarded at most once."""
 
     origin: str
     message: SlotRequest | SlotRequestCancelled | SlotReleased | HeldGrantsReport | LatencyReport
 
 
 class LoanRequest(msgspec.Struct, frozen=True, tag="loan_request"):
-    """A broker asks for the floors of this VM in a pool. ``asked_at`` is the broker's clock."""
+    """A broker requests a loan of this VM's floors (its parts of members' limits) in a pool.
+
+    ``asked_at`` is on the broker's clock.
+    """
 
     pool: str
     epoch: int
@@ -136,7 +140,7 @@
 
 
 class LoanGranted(msgspec.Struct, frozen=True, tag="loan_given"):
-    """The floors are lent, under the epoch that was asked for."""
+    """The floors are lent to the broker, under the requested epoch."""
 
     pool: str
     epoch: int
@@ -144,13 +148,13 @@
 
 
 class LoanReturned(msgspec.Struct, frozen=True, tag="loan_returned"):
-    """A broker gives floors back before their lease ends."""
+    """A broker returns borrowed floors before their lease expires."""
 
     pool: str
 
 
 class StrikeReport(msgspec.Struct, frozen=True, tag="strike"):
-    """An endpoint died under a request. ``confirm`` asks for a StrikeKnown."""
+    """An endpoint crashed while serving a request. ``confirm`` requests a StrikeAck."""
 
     fingerprint: str
     attempt: str
@@ -158,13 +162,13 @@
 
 
 class StrikeAck(msgspec.Struct, frozen=True, tag="strike_known"):
-    """The sender of this has noted the strike."""
+    """Acknowledges that the sender has recorded a strike."""
 
     attempt: str
 
 
 class StrikesCleared(msgspec.Struct, frozen=True, tag="strikes_cleared"):
-    """A suspected request completed."""
+    """A suspected request completed, so its strikes are cleared."""
 
     fingerprint: str
 
@@ -177,13 +181,13 @@
 
 
 class ControlRecords(msgspec.Struct, frozen=True, tag="records"):
-    """Records of the control topic, for a VM that reads the store late."""
+    """Records of the control topic, sent to a VM that lags behind the store."""
 
     entries: tuple[ControlEntry, ...]
 
 
 class SnapshotTransfer(msgspec.Struct, frozen=True, tag="fold"):
-    """The whole control fold, for a VM that is too far behind for records."""
+    """The complete control state, sent to a VM whose missing records are no longer available."""
 
     snapshot: Snapshot
 
@@ -212,7 +216,7 @@
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
-    """A message with its sender's VM key and hybrid clock stamp."""
+    """A message with its sender's VM key and hybrid logical clock timestamp."""
 
     sender: str
     stamp: int
@@ -224,12 +228,12 @@
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
-    """Returns the envelope as it goes over the wire."""
+    """Returns the envelope in its wire format."""
     return _encoder.encode(envelope)
 
 
 def decode_envelope(data: bytes) -> Envelope:
-    """Returns the envelope; raises ProtocolError."""
+    """Returns the decoded envelope; raises ProtocolError if it is malformed."""
     try:
         return _decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -1,13 +1,13 @@
-"""Messages between entry VMs on the prepared platform. Times are seconds, ages as of sending."""
+"""Messages between entry VMs on the prepared platform. Times are in seconds, ages as of sending."""
 
 import msgspec
 
 
 class WorkRequest(msgspec.Struct, frozen=True, tag="work_asked"):
-    """Asks the broker of a zone for an engine. ``age_s`` is since the request came in.
+    """Requests an engine from the broker of a zone. ``age_s`` is since the request arrived.
 
-    ``reply_to`` is the bus address of the VM that asks; ``is_passed_on`` when another zone's broker
-    sent it here.
+    ``reply_to`` is the bus address of the requesting VM. ``is_passed_on`` is set if the broker of
+    another zone forwarded the request.
     """
 
     work_id: str
@@ -27,14 +27,14 @@
 
 
 class WorkQueued(msgspec.Struct, frozen=True, tag="work_queued"):
-    """The work waits at the broker; the next message about it comes within ``within_s``."""
+    """The work is queued at the broker; the next message about it follows within ``within_s``."""
 
     work_id: str
     within_s: float
 
 
 class WorkGranted(msgspec.Struct, frozen=True, tag="work_granted"):
-    """The work may start at an endpoint. ``broker_address`` takes what is told about it."""
+    """The work may start at an endpoint. Reports about it go to ``broker_address``."""
 
     work_id: str
     pool: str
@@ -46,7 +46,7 @@
 
 
 class WorkRefused(msgspec.Struct, frozen=True, tag="work_refused"):
-    """The work gets no engine."""
+    """The broker refuses an engine for the work."""
 
     work_id: str
     reason: str
@@ -54,7 +54,7 @@
 
 
 class FirstTokenReport(msgspec.Struct, frozen=True, tag="work_read"):
-    """The first token came, ``waited_s`` after the request was sent."""
+    """The first token arrived ``waited_s`` after the request was sent to the engine."""
 
     work_id: str
     pool: str
@@ -63,7 +63,7 @@
 
 
 class WorkEnded(msgspec.Struct, frozen=True, tag="work_done"):
-    """The work has left its engine, or is no longer wanted."""
+    """The work has ended at its engine, or was cancelled."""
 
     work_id: str
     pool: str
@@ -72,11 +72,11 @@
 
 
 class ZoneLoad(msgspec.Struct, frozen=True, tag="zone_load"):
-    """What a prompt costs in a zone, as seconds of waiting, told by the broker there.
+    """Cost of a prompt in a zone, in seconds of waiting, as reported by the zone's broker.
 
-    A long one costs a fixed part and one for each token. ``queue_s_per_token`` is the time that
-    all engines there need for a token. ``sessions`` are the last shared parts of the prompts that
-    were granted there since the load was told before.
+    A long prompt costs a fixed part plus a part per token. ``queue_s_per_token`` is the time that
+    all engines of the zone together need per token. ``sessions`` are the last shared parts of the
+    prompts granted in the zone since the previous report.
     """
 
     pool: str
@@ -90,9 +90,9 @@
 
 
 class VmHeartbeat(msgspec.Struct, frozen=True, tag="vm_beat"):
-    """An entry VM is alive. ``version`` is that of its configuration, -1 for none.
+    """Liveness of an entry VM. ``version`` is that of its configuration, -1 for none.
 
-    The next beat follows within ``interval_s``.
+    The next heartbeat follows within ``interval_s``.
     """
 
     zone: str
@@ -103,7 +103,7 @@
 
 
 class FreshnessRequest(msgspec.Struct, frozen=True, tag="freshness_asked"):
-    """Asks how old the knowledge of the configuration is. ``asked_at`` is the asker's clock."""
+    """Asks how fresh a peer's configuration is. ``asked_at`` is on the requester's clock."""
 
     asked_at: float
     version: int
@@ -111,7 +111,7 @@
 
 
 class FreshnessReply(msgspec.Struct, frozen=True, tag="freshness_told"):
-    """``version`` was the newest ``age_s`` before this was sent."""
+    """``version`` was the newest configuration ``age_s`` before this was sent."""
 
     asked_at: float
     version: int
@@ -119,15 +119,15 @@
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration_told"):
-    """A configuration as the store holds it."""
+    """A configuration in its stored form."""
 
     data: bytes
 
 
 class RecordsUpdate(msgspec.Struct, frozen=True, tag="records_told"):
-    """Records of a topic from ``start`` up to ``next``, as the zone's reader has read them.
+    """Records of a topic from ``start`` up to but excluding ``next``, as read by the zone's reader.
 
-    A value of None drops the key.
+    A value of None deletes the key.
     """
 
     topic: str
@@ -137,7 +137,7 @@
 
 
 class RecordsRequest(msgspec.Struct, frozen=True, tag="records_asked"):
-    """Asks for the records of a topic from ``start`` on."""
+    """Requests the records of a topic from ``start`` on."""
 
     topic: str
     start: int
