--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,4 +1,4 @@
-"""What must not repeat runs at most once, whatever dies, pauses or is lost."""
+"""Non-idempotent requests run at most once through crashes, pauses and lost answers."""
 
 import asyncio
 
@@ -25,10 +25,10 @@
 
 @pytest.fixture
 def fleet(running):
-    """A federation with no faults set and all VMs running."""
+    """A federation without faults; faults are reset and stopped VMs restarted after the test."""
     yield running
 
-    async def heal():
+    async def reset_faults():
         service = running.processes_by_name["filing-doto-1-0"]
         await running.control(running.store, outage=False, slow_s=0.0, lose_answers=0, late_s=0.0)
         await running.control(service, slow_s=0.0, hold_s=0.0, silent=False, refuse=False)
@@ -38,7 +38,7 @@
         await running.wait_ready()
         await running.wait_settled()
 
-    asyncio.run(heal())
+    asyncio.run(reset_faults())
 
 
 def vm_of(fleet, number: int):
@@ -53,14 +53,14 @@
     return await count_runs(fleet, case) > 0
 
 
-async def resend_until(vm, case: str, key: str, statuses: tuple[int, ...]):
-    """Sends again until one of some statuses comes, as a patient caller would."""
+async def retry_until(vm, case: str, key: str, statuses: tuple[int, ...]):
+    """Retries a submission until its status is one of ``statuses``, as a client would."""
     for _ in range(20):
         answer = await submit(vm.listen, TOKEN, case, key)
         if answer is not None and answer.status in statuses:
             return answer
         await wait(0.3)
-    raise AssertionError(f"{case} never got one of {statuses}")
+    raise AssertionError(f"{case}: no answer with a status in {statuses} after 20 attempts")
 
 
 def test_two_vms_with_one_key_run_it_once(run, fleet):
@@ -96,7 +96,7 @@
     run(scenario())
 
 
-def test_vm_killed_before_its_claim_lands_leaves_the_key_free(run, fleet):
+def test_vm_killed_before_its_claim_is_appended_leaves_the_key_free(run, fleet):
     async def scenario():
         await fleet.control(fleet.store, outage=True)
         first = asyncio.create_task(submit(vm_of(fleet, 0).listen, TOKEN, "killed-2", "killed-2"))
@@ -105,13 +105,13 @@
         await first
         assert_that(await count_runs(fleet, "killed-2"), Equals(0))
         await fleet.control(fleet.store, outage=False)
-        await resend_until(vm_of(fleet, 1), "killed-2", "killed-2", (200,))
+        await retry_until(vm_of(fleet, 1), "killed-2", "killed-2", (200,))
         assert_that(await count_runs(fleet, "killed-2"), Equals(1))
 
     run(scenario())
 
 
-def test_lost_answer_of_a_claim_is_looked_for_on_the_log(run, fleet):
+def test_claim_with_lost_acknowledgement_is_found_on_the_log(run, fleet):
     async def scenario():
         await fleet.control(fleet.store, lose_answers=1)
         answer = await submit(vm_of(fleet, 0).listen, TOKEN, "lost-1", "lost-1")
@@ -121,15 +121,15 @@
     run(scenario())
 
 
-def test_claim_that_lands_late_is_void(run, fleet):
+def test_claim_appended_late_is_invalid(run, fleet):
     async def scenario():
         await fleet.control(fleet.store, lose_answers=1, late_s=4.5)
-        first = await submit(vm_of(fleet, 0).listen, TOKEN, "ghost-1", "ghost-1")
+        first = await submit(vm_of(fleet, 0).listen, TOKEN, "late-1", "late-1")
         assert_that(verdict_of(first), Equals("did_not_run"))
-        assert_that(await count_runs(fleet, "ghost-1"), Equals(0))
+        assert_that(await count_runs(fleet, "late-1"), Equals(0))
         await wait(2.0)
-        await resend_until(vm_of(fleet, 1), "ghost-1", "ghost-1", (200,))
-        assert_that(await count_runs(fleet, "ghost-1"), Equals(1))
+        await retry_until(vm_of(fleet, 1), "late-1", "late-1", (200,))
+        assert_that(await count_runs(fleet, "late-1"), Equals(1))
 
     run(scenario())
 
@@ -146,7 +146,7 @@
             (await stream(vm.listen, TOKEN, "[len=9] during an outage")).whole, Equals(True)
         )
         await fleet.control(fleet.store, outage=False)
-        await resend_until(vm, "outage-1", "outage-1", (200,))
+        await retry_until(vm, "outage-1", "outage-1", (200,))
         assert_that(await count_runs(fleet, "outage-1"), Equals(1))
 
     run(scenario())
@@ -162,7 +162,7 @@
         during = await submit(vm_of(fleet, 1).listen, TOKEN, "behind-1", "behind-1")
         assert_that(during.status, MatchesAny(Equals(409), Equals(503)))
         await fleet.control(fleet.store, outage=False)
-        replay = await resend_until(vm_of(fleet, 1), "behind-1", "behind-1", (200,))
+        replay = await retry_until(vm_of(fleet, 1), "behind-1", "behind-1", (200,))
         assert_that(dict(replay.headers)["x-bluebellpitch-replayed"], Equals("true"))
         assert_that(await count_runs(fleet, "behind-1"), Equals(1))
 
@@ -190,7 +190,7 @@
         first = await submit(vm_of(fleet, 0).listen, TOKEN, "refused-1", "refused-1")
         assert_that(verdict_of(first), Equals("did_not_run"))
         await fleet.control(service_of(fleet), refuse=False)
-        await resend_until(vm_of(fleet, 1), "refused-1", "refused-1", (200,))
+        await retry_until(vm_of(fleet, 1), "refused-1", "refused-1", (200,))
         assert_that(await count_runs(fleet, "refused-1"), Equals(1))
 
     run(scenario())
@@ -207,7 +207,7 @@
 
 
 def test_vm_paused_past_the_horizon_does_not_dispatch(run):
-    """The claim lands while its VM is frozen; the key is forgotten before it goes on."""
+    """The claim is appended while its VM is paused; the key expires before the VM resumes."""
 
     async def scenario():
         with Fleet() as fleet:
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -1,4 +1,4 @@
-"""The bus between entry VMs: what was sent arrives, in order, however much of it there is."""
+"""Message bus between entry VMs: all messages arrive, in order, also under load."""
 
 import asyncio
 
@@ -10,34 +10,39 @@
 
 
 def test_messages_arrive_in_order(run):
-    """Many at once, and single ones after silence, while the receiver sends as well."""
+    """A burst, then single messages after idle periods, while the receiver sends as well.
+
+    A missed event of the edge-triggered file descriptor would leave messages unread.
+    """
 
     async def scenario():
-        got: list[str] = []
+        received: list[str] = []
         address = free_address()
         clock = HybridClock(lambda: 1.0)
-        here = PeerBus("a", clock, Metrics(), lambda *_: None)
-        there = PeerBus("b", clock, Metrics(), lambda _, message: got.append(message.fingerprint))
-        there.bind(address)
-        receiving = asyncio.create_task(there.run())
+        sender = PeerBus("a", clock, Metrics(), lambda *_: None)
+        receiver = PeerBus(
+            "b", clock, Metrics(), lambda _, message: received.append(message.fingerprint)
+        )
+        receiver.bind(address)
+        receive_task = asyncio.create_task(receiver.run())
         sent = [str(number) for number in range(1_000)]
         for name in sent:
-            here.send_to_address(address, StrikesCleared(name))
+            sender.send_to_address(address, StrikesCleared(name))
         async with asyncio.timeout(10):
-            while len(got) < len(sent):
+            while len(received) < len(sent):
                 await asyncio.sleep(0.01)
         for name in ("late", "later"):
             await asyncio.sleep(0.1)
-            there.send_to_address(address, StrikesCleared("own"))
-            here.send_to_address(address, StrikesCleared(name))
+            receiver.send_to_address(address, StrikesCleared("own"))
+            sender.send_to_address(address, StrikesCleared(name))
             sent.append(name)
         async with asyncio.timeout(10):
-            while len([name for name in got if name != "own"]) < len(sent):
+            while len([name for name in received if name != "own"]) < len(sent):
                 await asyncio.sleep(0.01)
-        assert [name for name in got if name != "own"] == sent
-        receiving.cancel()
-        await asyncio.gather(receiving, return_exceptions=True)
-        here.close()
-        there.close()
+        assert [name for name in received if name != "own"] == sent
+        receive_task.cancel()
+        await asyncio.gather(receive_task, return_exceptions=True)
+        sender.close()
+        receiver.close()
 
     run(scenario())
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -1,4 +1,4 @@
-"""The actions and faults of models/at_most_once.py, against the real decision code."""
+"""Stateful test of the claim protocol with the actions and faults of models/at_most_once.py."""
 
 from dataclasses import replace
 
@@ -26,45 +26,47 @@
 )
 
 HORIZON_S = 1000.0
-ANSWERS = st.sampled_from(("now", "now", "lost", "late"))
+# "now": appended and acknowledged; "lost": appended, but the acknowledgement is lost; "late":
+# unacknowledged, and appended later or never.
+APPEND_RESULTS = st.sampled_from(("now", "now", "lost", "late"))
 VMS = ("vm-a", "vm-b", "vm-c")
 MADE_AT = 0.0
 
 
 class Request:
-    """One request at one VM, as the claim role drives it."""
+    """One request at one VM, driven through the claim protocol as the VM does."""
 
     def __init__(self, vm: str, made_at: float):
         self.vm = vm
-        self.wish = ClaimRequest("m/key", "body", made_at)
+        self.claim_request = ClaimRequest("m/key", "body", made_at)
         self.dispatched_at = 0.0
-        self.attempted: PendingClaim | None = None
-        self.won: Claim | None = None
+        self.pending: PendingClaim | None = None
+        self.won_claim: Claim | None = None
         self.ended = False
         self.dispatched = False
-        self.refused_did_not_run = False
+        self.rejected_as_did_not_run = False
 
 
 class ClaimsMachine(RuleBasedStateMachine):
-    """One log, three VMs with skewed clocks, requests for one key with one body."""
+    """One log, three VMs with skewed clocks, and requests with the same key and body."""
 
     requests = Bundle("requests")
 
     def __init__(self):
         super().__init__()
         self.log: list[str] = []
-        self.late: list[str] = []
+        self.delayed: list[str] = []
         self.clock = 0.0
-        self.folds = {vm: ClaimsStateMachine(HORIZON_S) for vm in VMS}
+        self.machines_by_vm = {vm: ClaimsStateMachine(HORIZON_S) for vm in VMS}
         self.skews = dict(zip(VMS, (-HORIZON_MARGIN_S / 2, 0.0, HORIZON_MARGIN_S / 2), strict=True))
         self.all_requests: list[Request] = []
-        self.claims = 0
+        self.claim_count = 0
 
-    def wall(self, vm: str) -> float:
+    def wall_time(self, vm: str) -> float:
         return self.clock + self.skews[vm]
 
     @rule(target=requests, vm=st.sampled_from(VMS))
-    def arrive(self, vm):
+    def add_request(self, vm):
         return self.make_request(vm, MADE_AT)
 
     def make_request(self, vm: str, made_at: float) -> Request:
@@ -72,147 +74,153 @@
         self.all_requests.append(request)
         return request
 
-    @rule(request=requests, answer=ANSWERS, expired=st.booleans())
-    def step(self, request, answer, expired):
-        """One step on whatever the VM has read so far."""
-        if request.ended or request.won:
+    @rule(request=requests, append_result=APPEND_RESULTS, timed_out=st.booleans())
+    def step(self, request, append_result, timed_out):
+        """Performs one step, with the records that the VM has applied so far."""
+        if request.ended or request.won_claim:
             return
-        fold = self.folds[request.vm]
-        wall = self.wall(request.vm)
-        match next_claim_step(fold, request.wish, request.attempted, wall, expired):
+        machine = self.machines_by_vm[request.vm]
+        now_wall = self.wall_time(request.vm)
+        match next_claim_step(machine, request.claim_request, request.pending, now_wall, timed_out):
             case ClaimWon(claim):
-                request.won = claim
+                request.won_claim = claim
             case AppendClaim():
-                self.send_claim(request, answer)
+                self.send_claim(request, append_result)
             case GiveUp(verdict):
-                self.end_unrun(request, request.attempted and request.attempted.claim)
-                request.refused_did_not_run = verdict.name == "did_not_run"
+                self.end_undispatched(request, request.pending and request.pending.claim)
+                request.rejected_as_did_not_run = verdict.name == "did_not_run"
 
-    @rule(request=requests, answer=ANSWERS, steps=st.integers(1, 3))
-    def hurry(self, request, answer, steps):
-        """Reads all there is and takes some steps, as a VM on a quiet day does."""
+    @rule(request=requests, append_result=APPEND_RESULTS, steps=st.integers(1, 3))
+    def catch_up_and_step(self, request, append_result, steps):
+        """Applies all records before each step, as a VM that keeps up with the log does."""
         for _ in range(steps):
-            self.read(request.vm, len(self.log))
-            self.step(request, answer, False)
+            self.apply_records(request.vm, len(self.log))
+            self.step(request, append_result, False)
 
     @rule(vms=st.permutations(VMS), counts=st.tuples(st.integers(1, 4), st.integers(1, 4)))
-    def race(self, vms, counts):
-        """Two VMs claim before either reads; then each reads some of the log and goes on."""
-        pair = [self.arrive(vm) for vm in vms[:2]]
+    def race_two_claims(self, vms, counts):
+        """Two VMs claim before either reads; then each applies some records and continues."""
+        pair = [self.add_request(vm) for vm in vms[:2]]
         for request in pair:
             self.step(request, "now", False)
         for request, count in zip(pair, counts, strict=True):
-            self.read(request.vm, count)
+            self.apply_records(request.vm, count)
             self.step(request, "now", False)
             self.dispatch(request, True)
 
     @rule(vm=st.sampled_from(VMS))
-    def be_a_ghost(self, vm):
-        """A claim lands after its own withdrawal."""
-        request = self.arrive(vm)
+    def append_claim_after_withdrawal(self, vm):
+        """The claim is appended after its own withdrawal."""
+        request = self.add_request(vm)
         self.step(request, "late", False)
         self.step(request, "late", True)
-        while self.late:
-            self.land_late(len(self.late) - 1)
+        while self.delayed:
+            self.append_delayed(len(self.delayed) - 1)
 
     @rule(vms=st.permutations(VMS))
-    def pause_past_the_horizon(self, vms):
-        """A claimer is frozen before dispatch; its key is forgotten; a new request claims it."""
-        frozen = self.arrive(vms[0])
-        self.hurry(frozen, "now", 3)
+    def pause_past_horizon(self, vms):
+        """A VM pauses before dispatch until its key expires; a new request claims the key."""
+        paused = self.add_request(vms[0])
+        self.catch_up_and_step(paused, "now", 3)
         self.clock += HORIZON_S + HORIZON_MARGIN_S
-        other = self.make_request(vms[1], self.wall(vms[1]))
-        self.forget_old(other.vm)
-        self.hurry(other, "now", 3)
+        other = self.make_request(vms[1], self.wall_time(vms[1]))
+        self.expire_keys_of(other.vm)
+        self.catch_up_and_step(other, "now", 3)
         self.dispatch(other, True)
-        self.dispatch(frozen, True)
-
-    def send_claim(self, request, answer):
-        self.claims += 1
-        claim = Claim(f"c{self.claims}", request.wish.key, "body", request.vm, request.wish.made_at)
-        request.attempted = PendingClaim(claim)
+        self.dispatch(paused, True)
+
+    def send_claim(self, request, append_result):
+        self.claim_count += 1
+        claim = Claim(
+            f"c{self.claim_count}",
+            request.claim_request.key,
+            "body",
+            request.vm,
+            request.claim_request.made_at,
+        )
+        request.pending = PendingClaim(claim)
         record = encode_claim_record(claim)
-        if answer == "late":
-            self.late.append(record)
+        if append_result == "late":
+            self.delayed.append(record)
             return
         self.log.append(record)
-        if answer == "now":
-            request.attempted = replace(request.attempted, offset=len(self.log) - 1)
+        if append_result == "now":
+            request.pending = replace(request.pending, offset=len(self.log) - 1)
 
-    def end_unrun(self, request, claim):
+    def end_undispatched(self, request, claim):
         request.ended = True
         if claim:
             record = Withdrawal(f"w-{claim.id}", claim.key, claim.id, claim.made_at)
-            self.late.append(encode_claim_record(record))
+            self.delayed.append(encode_claim_record(record))
 
-    @rule(place=st.integers(0, 50))
-    def land_late(self, place):
-        if self.late:
-            self.log.append(self.late.pop(place % len(self.late)))
+    @rule(index=st.integers(0, 50))
+    def append_delayed(self, index):
+        if self.delayed:
+            self.log.append(self.delayed.pop(index % len(self.delayed)))
 
     @rule(vm=st.sampled_from(VMS), count=st.integers(1, 4))
-    def read(self, vm, count):
-        fold = self.folds[vm]
-        for offset in range(fold.offset + 1, min(len(self.log), fold.offset + 1 + count)):
-            fold.apply(offset, self.log[offset], self.wall(vm))
+    def apply_records(self, vm, count):
+        machine = self.machines_by_vm[vm]
+        for offset in range(machine.offset + 1, min(len(self.log), machine.offset + 1 + count)):
+            machine.apply(offset, self.log[offset], self.wall_time(vm))
 
     @rule(seconds=st.sampled_from((1.0, 5.0, 300.0)))
-    def pass_time(self, seconds):
+    def advance_clock(self, seconds):
         self.clock += seconds
 
     @rule(vm=st.sampled_from(VMS))
-    def forget_old(self, vm):
-        self.folds[vm].expire_keys(self.wall(vm))
+    def expire_keys_of(self, vm):
+        self.machines_by_vm[vm].expire_keys(self.wall_time(vm))
 
     @rule(vm=st.sampled_from(VMS))
     def restart(self, vm):
-        """The VM dies with its requests; a new one folds from the start."""
-        self.folds[vm] = ClaimsStateMachine(HORIZON_S)
+        """The VM crashes, losing its requests; its successor replays the log from the start."""
+        self.machines_by_vm[vm] = ClaimsStateMachine(HORIZON_S)
         for request in self.all_requests:
             request.ended |= request.vm == vm
 
-    @rule(request=requests, runs=st.booleans())
-    def dispatch(self, request, runs):
-        if request.ended or not request.won:
+    @rule(request=requests, sends=st.booleans())
+    def dispatch(self, request, sends):
+        if request.ended or not request.won_claim:
             return
-        wall = self.wall(request.vm)
-        made_at = request.won.made_at
-        if not is_within_horizon(made_at, wall, HORIZON_S, HORIZON_MARGIN_S) or not runs:
-            self.end_unrun(request, request.won)
-            request.refused_did_not_run = True
+        now_wall = self.wall_time(request.vm)
+        made_at = request.won_claim.made_at
+        if not is_within_horizon(made_at, now_wall, HORIZON_S, HORIZON_MARGIN_S) or not sends:
+            self.end_undispatched(request, request.won_claim)
+            request.rejected_as_did_not_run = True
             return
         request.dispatched = request.ended = True
         request.dispatched_at = self.clock
-        claim = request.won
+        claim = request.won_claim
         outcome = Outcome("o" + claim.id, claim.key, claim.id, "ran", 200, "", b"x", True, made_at)
-        self.late.append(encode_claim_record(outcome))
+        self.delayed.append(encode_claim_record(outcome))
 
     @invariant()
     def at_most_one_dispatch(self):
-        """Two dispatches of a key lie a horizon apart, less what clocks and margins take."""
+        """Dispatches of a key are a retention horizon apart, less clock skew and margin."""
         times = sorted(r.dispatched_at for r in self.all_requests if r.dispatched)
         gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
         assert all(gap >= HORIZON_S - 2 * HORIZON_MARGIN_S for gap in gaps)
 
     @invariant()
-    def void_claims_hold_nothing(self):
-        for fold in self.folds.values():
-            standing = fold.key_status("m/key", "body")
-            if isinstance(standing, KeyClaimed):
-                assert not fold.is_withdrawn(standing.claim.id)
+    def withdrawn_claims_own_no_key(self):
+        for machine in self.machines_by_vm.values():
+            status = machine.key_status("m/key", "body")
+            if isinstance(status, KeyClaimed):
+                assert not machine.is_withdrawn(status.claim.id)
 
     @invariant()
-    def refusals_are_true(self):
-        assert not any(r.dispatched and r.refused_did_not_run for r in self.all_requests)
+    def rejected_requests_never_ran(self):
+        assert not any(r.dispatched and r.rejected_as_did_not_run for r in self.all_requests)
 
     @invariant()
-    def folds_agree(self):
-        """Two VMs at the same offset with young keys say the same of the key."""
-        by_offset = {}
-        for vm, fold in self.folds.items():
-            if self.wall(vm) < HORIZON_S - HORIZON_MARGIN_S:
-                standing = fold.key_status("m/key", "body")
-                assert by_offset.setdefault(fold.offset, standing) == standing
+    def vms_agree_at_same_offset(self):
+        """VMs at the same offset report the same key status until keys may expire."""
+        status_by_offset = {}
+        for vm, machine in self.machines_by_vm.items():
+            if self.wall_time(vm) < HORIZON_S - HORIZON_MARGIN_S:
+                status = machine.key_status("m/key", "body")
+                assert status_by_offset.setdefault(machine.offset, status) == status
 
 
 TestClaims = ClaimsMachine.TestCase
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -1,4 +1,4 @@
-"""The actions and faults of models/table.py, against the real decision code."""
+"""Stateful test of the control state machine with the actions and faults of models/table.py."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -18,97 +18,101 @@
 READERS = ("a", "b")
 
 
-def row_of(name: str, weight: float) -> MemberRow:
+def member_row(name: str, weight: float) -> MemberRow:
     return MemberRow(name, weight, 0, "0" * 64, "draft")
 
 
 class ControlMachine(RuleBasedStateMachine):
-    """Operators with stale views, copies of changes, expiry, snapshots, peers, reboots."""
+    """Stale and duplicated changes, record expiry, snapshots, transfers from peers, restarts."""
 
     def __init__(self):
         super().__init__()
         self.log: list[bytes] = []
         self.snapshots: list[Snapshot] = []
-        self.first = 0
-        self.reference = [ControlStateMachine()]
-        self.readers = {name: ControlStateMachine() for name in READERS}
+        self.first_kept = 0
+        self.references = [ControlStateMachine()]
+        self.machines_by_reader = {name: ControlStateMachine() for name in READERS}
         self.changes: list[TableChange] = []
-        self.first_verdicts: dict[str, object] = {}
+        self.first_verdicts_by_id: dict[str, object] = {}
 
-    def land(self, record: bytes) -> None:
+    def append(self, record: bytes) -> None:
         offset = len(self.log)
         self.log.append(record)
-        fold = ControlStateMachine()
-        for place, data in enumerate(self.log):
-            fold.apply(place, data)
-        self.reference.append(fold)
+        machine = ControlStateMachine()
+        for index, data in enumerate(self.log):
+            machine.apply(index, data)
+        self.references.append(machine)
         change = decode_control_record(record)
-        verdict = fold.state.verdicts_by_id.get(change.id)
+        verdict = machine.state.verdicts_by_id.get(change.id)
         if isinstance(change, TableChange):
-            assert self.first_verdicts.setdefault(change.id, verdict) == verdict
+            assert self.first_verdicts_by_id.setdefault(change.id, verdict) == verdict
             if verdict == Accepted(offset):
-                before = self.reference[-2]
+                before = self.references[-2]
                 assert all(before.revision_of(key) == rev for key, rev in change.base.items())
 
-    @rule(name=st.sampled_from("xy"), prefix=st.integers(0, 50), deletes=st.booleans())
-    def edit(self, name, prefix, deletes):
-        seen = self.reference[prefix % len(self.reference)]
-        row = row_of(name, 1.0 + len(self.changes))
-        base = {row_key(row): seen.revision_of(row_key(row))}
+    @rule(name=st.sampled_from("xy"), base_index=st.integers(0, 50), deletes=st.booleans())
+    def append_change(self, name, base_index, deletes):
+        base_state = self.references[base_index % len(self.references)]
+        row = member_row(name, 1.0 + len(self.changes))
+        base = {row_key(row): base_state.revision_of(row_key(row))}
         rows = () if deletes else (row,)
         deleted = (row_key(row),) if deletes else ()
         change = TableChange(f"t{len(self.changes)}", base, rows, deleted)
         self.changes.append(change)
-        self.land(encode_control_record(change))
+        self.append(encode_control_record(change))
 
-    @rule(place=st.integers(0, 50))
-    def land_again(self, place):
+    @rule(index=st.integers(0, 50))
+    def append_again(self, index):
         if self.changes:
-            self.land(encode_control_record(self.changes[place % len(self.changes)]))
+            self.append(encode_control_record(self.changes[index % len(self.changes)]))
 
     @rule()
     def publish_snapshot(self):
-        self.snapshots.insert(0, self.reference[-1].create_snapshot())
+        self.snapshots.insert(0, self.references[-1].create_snapshot())
 
     @rule(count=st.integers(1, 3))
-    def expire(self, count):
-        self.first = min(len(self.log), self.first + count)
+    def expire_records(self, count):
+        self.first_kept = min(len(self.log), self.first_kept + count)
 
     @rule(name=st.sampled_from(READERS), count=st.integers(1, 4))
-    def read(self, name, count):
-        fold = self.readers[name]
-        if fold.offset + 1 < self.first and not fold.install_latest_snapshot(self.snapshots):
+    def apply_records(self, name, count):
+        machine = self.machines_by_reader[name]
+        if machine.offset + 1 < self.first_kept and not machine.install_latest_snapshot(
+            self.snapshots
+        ):
             return
-        if fold.offset + 1 < self.first:
+        if machine.offset + 1 < self.first_kept:
             return
-        for offset in range(fold.offset + 1, min(len(self.log), fold.offset + 1 + count)):
-            if offset >= self.first:
-                fold.apply(offset, self.log[offset])
+        for offset in range(machine.offset + 1, min(len(self.log), machine.offset + 1 + count)):
+            if offset >= self.first_kept:
+                machine.apply(offset, self.log[offset])
 
     @rule(name=st.sampled_from(READERS))
-    def take_from_peer(self, name):
+    def install_from_peer(self, name):
         other = next(reader for reader in READERS if reader != name)
-        before = self.readers[name].offset
-        self.readers[name].install_snapshot(self.readers[other].create_snapshot())
-        assert self.readers[name].offset >= before
+        before = self.machines_by_reader[name].offset
+        self.machines_by_reader[name].install_snapshot(
+            self.machines_by_reader[other].create_snapshot()
+        )
+        assert self.machines_by_reader[name].offset >= before
 
     @rule(name=st.sampled_from(READERS))
-    def reboot(self, name):
-        self.readers[name] = ControlStateMachine()
+    def restart(self, name):
+        self.machines_by_reader[name] = ControlStateMachine()
 
     @invariant()
     def readers_agree_with_the_log(self):
-        for fold in self.readers.values():
-            expected = self.reference[fold.offset + 1].state
-            assert fold.state.rows_by_key == expected.rows_by_key
-            assert fold.table.rows_by_key == expected.rows_by_key
+        for machine in self.machines_by_reader.values():
+            expected = self.references[machine.offset + 1].state
+            assert machine.state.rows_by_key == expected.rows_by_key
+            assert machine.table.rows_by_key == expected.rows_by_key
 
     @invariant()
     def verdicts_never_change(self):
-        for fold in self.readers.values():
-            for record_id, verdict in fold.state.verdicts_by_id.items():
+        for machine in self.machines_by_reader.values():
+            for record_id, verdict in machine.state.verdicts_by_id.items():
                 assert isinstance(verdict, Accepted | Conflicted)
-                assert self.first_verdicts[record_id] == verdict
+                assert self.first_verdicts_by_id[record_id] == verdict
 
 
 TestControl = ControlMachine.TestCase
