--- a/bluebellpitch/decisions/claiming.py
+++ b/bluebellpitch/decisions/claiming.py
@@ -1,15 +1,18 @@
-"""The next step of a VM that wants to claim a key. The role around it does the waiting."""
+"""Protocol by which a VM claims an idempotency key, one step at a time.
+
+The caller performs the I/O and the waiting, then asks for the next step again.
+"""
 
 from dataclasses import dataclass
 
 from bluebellpitch.constants import HORIZON_MARGIN_S
 from bluebellpitch.decisions.claims import (
     Claim,
-    ClaimsFold,
-    Done,
-    Free,
-    Held,
-    OtherBody,
+    ClaimsStateMachine,
+    KeyBodyMismatch,
+    KeyClaimed,
+    KeyCompleted,
+    KeyFree,
     Outcome,
     is_within_horizon,
 )
@@ -17,78 +20,85 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Wish:
-    """A request that wants a key. ``made_at`` is in Unix seconds."""
+class ClaimRequest:
+    """A request to be claimed: its key, body digest and time in Unix seconds."""
 
     key: str
-    body: str
+    body_digest: str
     made_at: float
 
 
 @dataclass(frozen=True, slots=True)
-class Attempted:
-    """A claim that this VM has sent to the store. ``offset`` is None until its answer came."""
+class PendingClaim:
+    """A claim sent to the store. ``offset`` is None while the append is not acknowledged."""
 
     claim: Claim
     offset: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class Won:
-    """This VM alone may dispatch the key."""
+class ClaimWon:
+    """The claim owns the key; this VM may dispatch the request."""
 
     claim: Claim
 
 
 @dataclass(frozen=True, slots=True)
-class Replay:
-    """The key ran before; its outcome is known."""
+class ReplayOutcome:
+    """The request already ran; return its recorded outcome."""
 
     outcome: Outcome
 
 
 @dataclass(frozen=True, slots=True)
-class SendClaim:
-    """Append a claim with a new id."""
+class AppendClaim:
+    """Append a claim with a new id to the claims topic."""
 
 
 @dataclass(frozen=True, slots=True)
-class WaitForLog:
-    """Nothing to do until more of the topic is read."""
+class AwaitRecords:
+    """Wait until more records of the claims topic are applied."""
 
 
 @dataclass(frozen=True, slots=True)
 class GiveUp:
-    """End with a verdict, and withdraw the attempted claim if there is one."""
+    """Reject the request with a verdict, and withdraw the pending claim if there is one."""
 
     verdict: DidNotRun | MayHaveRun
 
 
-Step = Won | Replay | SendClaim | WaitForLog | GiveUp
+ClaimStep = ClaimWon | ReplayOutcome | AppendClaim | AwaitRecords | GiveUp
 
 
-def next_step(
-    fold: ClaimsFold, wish: Wish, attempted: Attempted | None, now_wall: float, expired: bool
-) -> Step:
-    """Returns what to do now. ``expired``: the request may wait no longer."""
-    if not is_within_horizon(wish.made_at, now_wall, fold.horizon_s, HORIZON_MARGIN_S):
+def next_claim_step(
+    claims: ClaimsStateMachine,
+    request: ClaimRequest,
+    pending: PendingClaim | None,
+    now_wall: float,
+    timed_out: bool,
+) -> ClaimStep:
+    """Returns the next step. ``timed_out`` is set once the claim deadline has passed."""
+    if not is_within_horizon(request.made_at, now_wall, claims.horizon_s, HORIZON_MARGIN_S):
         return GiveUp(DidNotRun("request_too_old", 400))
-    match fold.standing(wish.key, wish.body):
-        case OtherBody():
+    match claims.key_status(request.key, request.body_digest):
+        case KeyBodyMismatch():
             return GiveUp(DidNotRun("key_reused", 422))
-        case Done(outcome):
-            return Replay(outcome)
-        case Held(claim) if attempted and claim.id == attempted.claim.id and not expired:
-            return Won(claim)
-        case Held(claim) if expired and not (attempted and claim.id == attempted.claim.id):
+        case KeyCompleted(outcome):
+            return ReplayOutcome(outcome)
+        case KeyClaimed(claim) if pending and claim.id == pending.claim.id and not timed_out:
+            return ClaimWon(claim)
+        case KeyClaimed(claim) if timed_out and not (pending and claim.id == pending.claim.id):
             return GiveUp(MayHaveRun("in_progress", 409, 1.0))
-        case _ if expired:
+        case _ if timed_out:
             return GiveUp(DidNotRun("log_unavailable", 503, 5.0))
-        case Free() if attempted is None or has_lost(fold, attempted):
-            return SendClaim()
-    return WaitForLog()
+        case KeyFree() if pending is None or has_lost_race(claims, pending):
+            return AppendClaim()
+    return AwaitRecords()
+
 
+def has_lost_race(claims: ClaimsStateMachine, pending: PendingClaim) -> bool:
+    """Returns whether a pending claim has been applied without taking the key.
 
-def has_lost(fold: ClaimsFold, attempted: Attempted) -> bool:
-    """Tells whether the topic shows that a claim came to nothing: another held the key then."""
-    return attempted.offset is not None and fold.offset >= attempted.offset
+    Another claim owned the key at that offset, so a new claim is needed once the key is free.
+    """
+    return pending.offset is not None and claims.offset >= pending.offset
--- a/bluebellpitch/decisions/control.py
+++ b/bluebellpitch/decisions/control.py
@@ -1,7 +1,8 @@
-"""The control topic: table changes and epochs, folded in offset order.
+"""State machine over the control topic: changes of the operators' table, and zone epochs.
 
-All VMs fold the same records, so they agree without a protocol of their own. A record that a rule
-refuses changes nothing and is remembered as refused, for its author to see.
+All VMs apply the same records in offset order, so they agree without a consensus protocol of their
+own. A record that conflicts with the current state changes nothing; its verdict is kept so that
+its author can read it.
 """
 
 from collections.abc import Iterable
@@ -9,13 +10,13 @@
 import msgspec
 
 from bluebellpitch.decisions.hashing import digest_text
-from bluebellpitch.decisions.rows import Row, Table, VersionedRow, key_of
+from bluebellpitch.decisions.rows import Row, Table, VersionedRow, row_key
 
-REMEMBERED_VERDICTS = 4_096
+MAX_KEPT_VERDICTS = 4_096
 
 
 class VmIdentity(msgspec.Struct, frozen=True, order=True):
-    """One incarnation of an entry VM. ``bus`` and ``admin`` are addresses."""
+    """One incarnation of an entry VM. ``bus`` and ``admin`` are its network addresses."""
 
     name: str
     incarnation: str
@@ -24,12 +25,15 @@
 
     @property
     def key(self) -> str:
-        """The name that no other incarnation has."""
+        """Identifier that is unique to this incarnation."""
         return f"{self.name}.{self.incarnation}"
 
 
 class TableChange(msgspec.Struct, frozen=True, tag="table"):
-    """Sets and deletes rows. ``base`` gives the revision of each touched key; -1: absent."""
+    """Upserts and deletes rows, with optimistic concurrency control.
+
+    ``base`` is the revision of each affected key that the change was made from; -1 for no row.
+    """
 
     id: str
     base: dict[str, int]
@@ -39,7 +43,10 @@
 
 
 class Epoch(msgspec.Struct, frozen=True):
-    """A zone's entry VMs. ``excluded`` have left but may still run, as far as is known."""
+    """Membership of a zone's entry VMs.
+
+    ``excluded`` are former members that are not confirmed to have terminated.
+    """
 
     number: int
     vms: tuple[VmIdentity, ...]
@@ -47,9 +54,9 @@
 
 
 class EpochChange(msgspec.Struct, frozen=True, tag="epoch"):
-    """Proposes a zone's next epoch. ``gone`` names VMs that are proved to be no more.
+    """Proposes a zone's next epoch. ``gone`` names VMs that are confirmed to have terminated.
 
-    ``settled`` is the oldest epoch that some VM may still be in, as the proposer knows for sure.
+    ``settled`` is the oldest epoch that any VM may still use, as far as the proposer is certain.
     """
 
     id: str
@@ -61,7 +68,10 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """The whole fold at an offset. A function of the fold alone, so duplicates do no harm."""
+    """The complete control state at an offset.
+
+    It is determined by the records up to that offset, so duplicate snapshots are harmless.
+    """
 
     id: str
     offset: int
@@ -73,33 +83,33 @@
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
-    """The record took effect at this offset."""
+    """The record at this offset was applied."""
 
     offset: int
 
 
 class Conflicted(msgspec.Struct, frozen=True, tag="conflicted"):
-    """The record changed nothing, for these keys had moved on."""
+    """The record was rejected: these keys had changed since the revisions it was based on."""
 
     offset: int
     keys: tuple[str, ...]
 
 
-FoldVerdict = Accepted | Conflicted
+RecordVerdict = Accepted | Conflicted
 
 
 class ControlState(msgspec.Struct):
-    """What a snapshot holds. ``offset`` is the last offset folded; -1: none."""
+    """Contents of a snapshot. ``offset`` is the last offset applied, -1 for none."""
 
     offset: int = -1
     rows_by_key: dict[str, VersionedRow] = {}
     epochs_by_zone: dict[str, Epoch] = {}
     unsettled_by_zone: dict[str, tuple[Epoch, ...]] = {}
-    verdicts_by_id: dict[str, FoldVerdict] = {}
+    verdicts_by_id: dict[str, RecordVerdict] = {}
 
 
-class ControlFold:
-    """Folds control records; never goes back to a lower offset."""
+class ControlStateMachine:
+    """Applies control records in offset order; never returns to a lower offset."""
 
     def __init__(self):
         self.state = ControlState()
@@ -107,75 +117,75 @@
 
     @property
     def offset(self) -> int:
-        """The last offset folded; -1: none."""
+        """The last offset applied, -1 for none."""
         return self.state.offset
 
-    def apply(self, offset: int, data: str | bytes) -> FoldVerdict | None:
-        """Folds one record; None when it is old or not understood."""
+    def apply(self, offset: int, data: str | bytes) -> RecordVerdict | None:
+        """Applies one record; returns None if it is old, a duplicate or malformed."""
         if offset <= self.offset:
             return None
-        record = decode_record(data)
+        record = decode_control_record(data)
         verdict = self._apply_record(offset, record) if record else None
         self.state.offset = offset
         return verdict
 
-    def _apply_record(self, offset: int, record: ControlRecord) -> FoldVerdict | None:
+    def _apply_record(self, offset: int, record: ControlRecord) -> RecordVerdict | None:
         if record.id in self.state.verdicts_by_id:
             return None
         match record:
             case TableChange():
-                verdict = self._apply_table(offset, record)
+                verdict = self._apply_table_change(offset, record)
             case EpochChange():
-                verdict = self._apply_epoch(offset, record)
-        self._remember(record.id, verdict)
+                verdict = self._apply_epoch_change(offset, record)
+        self._store_verdict(record.id, verdict)
         return verdict
 
-    def _remember(self, record_id: str, verdict: FoldVerdict) -> None:
+    def _store_verdict(self, record_id: str, verdict: RecordVerdict) -> None:
         verdicts = self.state.verdicts_by_id
         verdicts[record_id] = verdict
-        if len(verdicts) > REMEMBERED_VERDICTS:
+        if len(verdicts) > MAX_KEPT_VERDICTS:
             del verdicts[next(iter(verdicts))]
 
-    def _apply_table(self, offset: int, change: TableChange) -> FoldVerdict:
-        touched = [key_of(row) for row in change.rows] + list(change.deleted)
-        stale = tuple(key for key in touched if change.base.get(key, -1) != self.revision_of(key))
+    def _apply_table_change(self, offset: int, change: TableChange) -> RecordVerdict:
+        affected = [row_key(row) for row in change.rows] + list(change.deleted)
+        stale = tuple(key for key in affected if change.base.get(key, -1) != self.revision_of(key))
         if stale:
             return Conflicted(offset, stale)
-        changes = {key_of(row): VersionedRow(row, offset) for row in change.rows}
+        changes = {row_key(row): VersionedRow(row, offset) for row in change.rows}
         self.table = self.table.with_changes(changes, change.deleted, offset)
         self.state.rows_by_key = self.table.rows_by_key
         return Accepted(offset)
 
     def revision_of(self, key: str) -> int:
-        """Returns the offset that set a row; -1 when there is no such row."""
+        """Returns the offset of the record that set a row, -1 if there is no such row."""
         versioned = self.state.rows_by_key.get(key)
         return versioned.revision if versioned else -1
 
-    def _apply_epoch(self, offset: int, change: EpochChange) -> FoldVerdict:
+    def _apply_epoch_change(self, offset: int, change: EpochChange) -> RecordVerdict:
         current = self.state.epochs_by_zone.get(change.zone, Epoch(0, ()))
         if change.number != current.number + 1:
             return Conflicted(offset, (f"epoch/{change.zone}",))
-        out = {vm.key for vm in change.vms} | set(change.gone)
-        left = [vm for vm in current.vms + current.excluded if vm.key not in out]
-        epoch = Epoch(change.number, tuple(sorted(change.vms)), tuple(sorted(left)))
+        not_excluded = {vm.key for vm in change.vms} | set(change.gone)
+        excluded = [vm for vm in current.vms + current.excluded if vm.key not in not_excluded]
+        epoch = Epoch(change.number, tuple(sorted(change.vms)), tuple(sorted(excluded)))
         self.state.epochs_by_zone = {**self.state.epochs_by_zone, change.zone: epoch}
-        former = self.state.unsettled_by_zone.get(change.zone, ()) + (current,)
-        kept = tuple(e for e in former if e.number > 0 and e.number >= change.settled)
-        self.state.unsettled_by_zone = {**self.state.unsettled_by_zone, change.zone: kept}
+        previous = self.state.unsettled_by_zone.get(change.zone, ()) + (current,)
+        unsettled = tuple(e for e in previous if e.number > 0 and e.number >= change.settled)
+        self.state.unsettled_by_zone = {**self.state.unsettled_by_zone, change.zone: unsettled}
         return Accepted(offset)
 
-    def snapshot(self) -> Snapshot:
-        """Returns the fold as a record; equal folds give equal records."""
+    def create_snapshot(self) -> Snapshot:
+        """Returns the state as a snapshot record; equal states give equal records."""
         state = msgspec.json.encode(self.state, order="sorted")
         digest = digest_text(state)
         return Snapshot(f"snapshot-{self.offset}-{digest}", self.offset, state, digest)
 
-    def install_latest(self, snapshots: Iterable[Snapshot]) -> bool:
-        """Bridges expired records with the first snapshot that is whole and ahead."""
-        return any(self.install(snapshot) for snapshot in snapshots)
+    def install_latest_snapshot(self, snapshots: Iterable[Snapshot]) -> bool:
+        """Installs the first valid snapshot ahead of this state, in place of expired records."""
+        return any(self.install_snapshot(snapshot) for snapshot in snapshots)
 
-    def install(self, snapshot: Snapshot) -> bool:
-        """Takes a snapshot over when it is whole and ahead of this fold."""
+    def install_snapshot(self, snapshot: Snapshot) -> bool:
+        """Replaces the state by a snapshot if its digest is valid and its offset is ahead."""
         if snapshot.offset <= self.offset or digest_text(snapshot.state) != snapshot.digest:
             return False
         try:
@@ -187,14 +197,14 @@
         return True
 
 
-def decode_record(data: str | bytes) -> ControlRecord | None:
-    """Returns the typed record, or None when it is not one of ours."""
+def decode_control_record(data: str | bytes) -> ControlRecord | None:
+    """Returns the decoded record, or None if it is malformed or of an unknown type."""
     try:
         return msgspec.json.decode(data, type=ControlRecord)
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
 
 
-def encode_record(record: ControlRecord) -> bytes:
-    """Returns the record as the store keeps it."""
+def encode_control_record(record: ControlRecord) -> bytes:
+    """Returns the record in its stored form."""
     return msgspec.json.encode(record)
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -18,15 +18,15 @@
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.entry_messages import (
-    ConfigurationTold,
-    FreshnessAsked,
-    FreshnessTold,
-    RecordsAsked,
-    RecordsTold,
-    VmBeat,
+from bluebellpitch.peers.messages import StrikeReport, StrikesCleared
+from bluebellpitch.peers.platform_messages import (
+    ConfigurationUpdate,
+    FreshnessReply,
+    FreshnessRequest,
+    RecordsRequest,
+    RecordsUpdate,
+    VmHeartbeat,
 )
-from bluebellpitch.peers.messages import StrikeNoted, StrikesCleared
 from bluebellpitch.platform.configuration import CONFIGURATION_TOPIC
 from bluebellpitch.platform.entries import ENDPOINTS_TOPIC
 from bluebellpitch.platform.members import MemberRecord
@@ -182,13 +182,13 @@
     def _handle_message(self, sender: str, message) -> None:
         """Dispatches a message from a peer to the component that handles it."""
         match message:
-            case VmBeat():
+            case VmHeartbeat():
                 self.peer_discovery.record_heartbeat(sender, message)
-            case RecordsTold() | RecordsAsked() | ConfigurationTold():
+            case RecordsUpdate() | RecordsRequest() | ConfigurationUpdate():
                 self.peer_sync.handle_message(sender, message)
-            case FreshnessAsked() | FreshnessTold():
+            case FreshnessRequest() | FreshnessReply():
                 self.peer_sync.handle_message(sender, message)
-            case StrikeNoted() | StrikesCleared():
+            case StrikeReport() | StrikesCleared():
                 self.strikes.handle_message(message)
             case _:
                 self.generations.handle_message(sender, message)
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -1,14 +1,14 @@
-"""Messages between entry VMs, in msgpack. Times are seconds; ages are relative to sending."""
+"""Messages between entry VMs, in msgpack. Times are in seconds, ages as of sending."""
 
 import msgspec
 
 from bluebellpitch.decisions.control import Snapshot, VmIdentity
 from bluebellpitch.errors import ProtocolError
-from bluebellpitch.peers.entry_messages import EntryMessage
+from bluebellpitch.peers.platform_messages import PlatformMessage
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
-    """A VM is alive. ``control_offset`` is its fold's, ``epoch`` the one it has adopted."""
+    """Liveness of a VM, with its control state's offset and the epoch it has adopted."""
 
     vm: VmIdentity
     zone: str
@@ -18,8 +18,8 @@
     epoch: int
 
 
-class Ask(msgspec.Struct, frozen=True, tag="ask"):
-    """Asks the broker of a pool for a slot. ``age_s`` is since the request came in."""
+class SlotRequest(msgspec.Struct, frozen=True, tag="ask"):
+    """Requests a slot from the broker of a pool. ``age_s`` is since the request arrived."""
 
     request: str
     attempt: int
@@ -37,8 +37,8 @@
     preemptions: int = 0
 
 
-class Granted(msgspec.Struct, frozen=True, tag="granted"):
-    """A slot is granted, with the usual times to first token and between tokens; 0: unknown."""
+class SlotGranted(msgspec.Struct, frozen=True, tag="granted"):
+    """A slot is granted, with the expected times to first token and between tokens; 0: unknown."""
 
     grant: str
     request: str
@@ -49,8 +49,8 @@
     expected_between_s: float = 0.0
 
 
-class Refused(msgspec.Struct, frozen=True, tag="refused"):
-    """The broker gives no slot."""
+class SlotRefused(msgspec.Struct, frozen=True, tag="refused"):
+    """The broker refuses a slot."""
 
     request: str
     attempt: int
@@ -59,23 +59,23 @@
     retry_after_s: float
 
 
-class Preempted(msgspec.Struct, frozen=True, tag="preempted"):
-    """The holder is to give the slot back and ask again."""
+class SlotPreempted(msgspec.Struct, frozen=True, tag="preempted"):
+    """Tells the holder of a slot to release it and request another."""
 
     grant: str
     request: str
     reason: str
 
 
-class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
-    """The asker no longer wants a slot."""
+class SlotRequestCancelled(msgspec.Struct, frozen=True, tag="cancel"):
+    """The requester no longer needs a slot."""
 
     request: str
     pool: str
 
 
-class Returned(msgspec.Struct, frozen=True, tag="returned"):
-    """A slot is given back."""
+class SlotReleased(msgspec.Struct, frozen=True, tag="returned"):
+    """A slot is released, with the outcome and the latencies measured."""
 
     grant: str
     request: str
@@ -85,34 +85,35 @@
     between_s: float | None = None
 
 
-class HeldDetails(msgspec.Struct, frozen=True, array_like=True):
-    """What a broker has to know of a grant that another one gave."""
+class HeldGrantDetails(msgspec.Struct, frozen=True, array_like=True):
+    """State of a grant that a new broker needs to take it over from its predecessor."""
 
-    ask: Ask
+    slot_request: SlotRequest
     endpoint: str
     held_s: float
 
 
 class HeldGrant(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
-    """A slot that a VM holds now. ``between_s`` is the present time between tokens.
+    """A slot that a VM currently holds. ``between_s`` is the current time between tokens.
 
-    ``details`` go along until the broker has been told them: a new broker rebuilds from them.
+    ``details`` are included until they have been sent to the broker: a new broker rebuilds its
+    state from them.
     """
 
     grant: str
     between_s: float | None = None
-    details: HeldDetails | None = None
+    details: HeldGrantDetails | None = None
 
 
-class Held(msgspec.Struct, frozen=True, tag="held"):
-    """All slots of one pool and zone that a VM holds; lets a new broker rebuild its state."""
+class HeldGrantsReport(msgspec.Struct, frozen=True, tag="held"):
+    """All slots of a pool that a VM holds in a zone; a new broker rebuilds its state from these."""
 
     pool: str
     grants: tuple[HeldGrant, ...]
 
 
-class Seen(msgspec.Struct, frozen=True, tag="seen"):
-    """A time that a holder measured: to the first token, or between tokens."""
+class LatencyReport(msgspec.Struct, frozen=True, tag="seen"):
+    """A latency measured by the holder of a slot: to the first token, or between tokens."""
 
     grant: str
     pool: str
@@ -120,23 +121,26 @@
     seconds: float
 
 
-class Forwarded(msgspec.Struct, frozen=True, tag="forwarded"):
-    """A message that reached a VM which no longer brokers the pool; passed on once."""
+class ForwardedMessage(msgspec.Struct, frozen=True, tag="forwarded"):
+    """A message forwarded by a VM that is no longer the pool's broker; forwarded at most once."""
 
     origin: str
-    message: Ask | Cancel | Returned | Held | Seen
+    message: SlotRequest | SlotRequestCancelled | SlotReleased | HeldGrantsReport | LatencyReport
 
 
 class LoanRequest(msgspec.Struct, frozen=True, tag="loan_request"):
-    """A broker asks for the floors of this VM in a pool. ``asked_at`` is the broker's clock."""
+    """A broker requests a loan of this VM's floors (its parts of members' limits) in a pool.
+
+    ``asked_at`` is on the broker's clock.
+    """
 
     pool: str
     epoch: int
     asked_at: float
 
 
-class LoanGiven(msgspec.Struct, frozen=True, tag="loan_given"):
-    """The floors are lent, under the epoch that was asked for."""
+class LoanGranted(msgspec.Struct, frozen=True, tag="loan_given"):
+    """The floors are lent to the broker, under the requested epoch."""
 
     pool: str
     epoch: int
@@ -144,32 +148,32 @@
 
 
 class LoanReturned(msgspec.Struct, frozen=True, tag="loan_returned"):
-    """A broker gives floors back before their lease ends."""
+    """A broker returns borrowed floors before their lease expires."""
 
     pool: str
 
 
-class StrikeNoted(msgspec.Struct, frozen=True, tag="strike"):
-    """An endpoint died under a request. ``confirm`` asks for a StrikeKnown."""
+class StrikeReport(msgspec.Struct, frozen=True, tag="strike"):
+    """An endpoint crashed while serving a request. ``confirm`` requests a StrikeAck."""
 
     fingerprint: str
     attempt: str
     confirm: bool = False
 
 
-class StrikeKnown(msgspec.Struct, frozen=True, tag="strike_known"):
-    """The sender of this has noted the strike."""
+class StrikeAck(msgspec.Struct, frozen=True, tag="strike_known"):
+    """Acknowledges that the sender has recorded a strike."""
 
     attempt: str
 
 
 class StrikesCleared(msgspec.Struct, frozen=True, tag="strikes_cleared"):
-    """A suspected request completed."""
+    """A suspected request completed, so its strikes are cleared."""
 
     fingerprint: str
 
 
-class Entry(msgspec.Struct, frozen=True):
+class ControlEntry(msgspec.Struct, frozen=True):
     """One record of the control topic."""
 
     offset: int
@@ -177,42 +181,42 @@
 
 
 class ControlRecords(msgspec.Struct, frozen=True, tag="records"):
-    """Records of the control topic, for a VM that reads the store late."""
+    """Records of the control topic, sent to a VM that lags behind the store."""
 
-    entries: tuple[Entry, ...]
+    entries: tuple[ControlEntry, ...]
 
 
-class FoldTransfer(msgspec.Struct, frozen=True, tag="fold"):
-    """The whole control fold, for a VM that is too far behind for records."""
+class SnapshotTransfer(msgspec.Struct, frozen=True, tag="fold"):
+    """The complete control state, sent to a VM whose missing records are no longer available."""
 
     snapshot: Snapshot
 
 
 Message = (
-    EntryMessage
+    PlatformMessage
     | Heartbeat
-    | Ask
-    | Granted
-    | Refused
-    | Preempted
-    | Cancel
-    | Returned
-    | Held
-    | Seen
-    | Forwarded
+    | SlotRequest
+    | SlotGranted
+    | SlotRefused
+    | SlotPreempted
+    | SlotRequestCancelled
+    | SlotReleased
+    | HeldGrantsReport
+    | LatencyReport
+    | ForwardedMessage
     | LoanRequest
-    | LoanGiven
+    | LoanGranted
     | LoanReturned
-    | StrikeNoted
-    | StrikeKnown
+    | StrikeReport
+    | StrikeAck
     | StrikesCleared
     | ControlRecords
-    | FoldTransfer
+    | SnapshotTransfer
 )
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
-    """A message with its sender's VM key and hybrid clock stamp."""
+    """A message with its sender's VM key and hybrid logical clock timestamp."""
 
     sender: str
     stamp: int
@@ -224,12 +228,12 @@
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
-    """Returns the envelope as it goes over the wire."""
+    """Returns the envelope in its wire format."""
     return _encoder.encode(envelope)
 
 
 def decode_envelope(data: bytes) -> Envelope:
-    """Returns the envelope; raises ProtocolError."""
+    """Returns the decoded envelope; raises ProtocolError if it is malformed."""
     try:
         return _decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
--- /dev/null
+++ b/bluebellpitch/peers/platform_messages.py
@@ -0,0 +1,161 @@
+"""Messages between entry VMs on the prepared platform. Times are in seconds, ages as of sending."""
+
+import msgspec
+
+
+class WorkRequest(msgspec.Struct, frozen=True, tag="work_asked"):
+    """Requests an engine from the broker of a zone. ``age_s`` is since the request arrived.
+
+    ``reply_to`` is the bus address of the requesting VM. ``is_passed_on`` is set if the broker of
+    another zone forwarded the request.
+    """
+
+    work_id: str
+    pool: str
+    rank: int
+    tokens_in: int
+    tokens_out: int
+    parts: tuple[tuple[str, int], ...]
+    target_s: float
+    gap_s: float
+    age_s: float
+    left_s: float
+    avoid: tuple[str, ...]
+    vm: str
+    reply_to: str
+    is_passed_on: bool = False
+
+
+class WorkQueued(msgspec.Struct, frozen=True, tag="work_queued"):
+    """The work is queued at the broker; the next message about it follows within ``within_s``."""
+
+    work_id: str
+    within_s: float
+
+
+class WorkGranted(msgspec.Struct, frozen=True, tag="work_granted"):
+    """The work may start at an endpoint. Reports about it go to ``broker_address``."""
+
+    work_id: str
+    pool: str
+    endpoint_id: str
+    address: str
+    zone: str
+    started_ms: int
+    broker_address: str
+
+
+class WorkRefused(msgspec.Struct, frozen=True, tag="work_refused"):
+    """The broker refuses an engine for the work."""
+
+    work_id: str
+    reason: str
+    retry_after_s: float
+
+
+class FirstTokenReport(msgspec.Struct, frozen=True, tag="work_read"):
+    """The first token arrived ``waited_s`` after the request was sent to the engine."""
+
+    work_id: str
+    pool: str
+    waited_s: float
+    slowdown: float
+
+
+class WorkEnded(msgspec.Struct, frozen=True, tag="work_done"):
+    """The work has ended at its engine, or was cancelled."""
+
+    work_id: str
+    pool: str
+    outcome: str
+    longest_gap_s: float = 0.0
+
+
+class ZoneLoad(msgspec.Struct, frozen=True, tag="zone_load"):
+    """Cost of a prompt in a zone, in seconds of waiting, as reported by the zone's broker.
+
+    A long prompt costs a fixed part plus a part per token. ``queue_s_per_token`` is the time that
+    all engines of the zone together need per token. ``sessions`` are the last shared parts of the
+    prompts granted in the zone since the previous report.
+    """
+
+    pool: str
+    zone: str
+    long_fixed_s: float
+    long_s_per_token: float
+    short_cost_s: float
+    queue_s_per_token: float
+    reply_to: str
+    sessions: tuple[str, ...] = ()
+
+
+class VmHeartbeat(msgspec.Struct, frozen=True, tag="vm_beat"):
+    """Liveness of an entry VM. ``version`` is that of its configuration, -1 for none.
+
+    The next heartbeat follows within ``interval_s``.
+    """
+
+    zone: str
+    address: str
+    draining: bool
+    version: int
+    interval_s: float
+
+
+class FreshnessRequest(msgspec.Struct, frozen=True, tag="freshness_asked"):
+    """Asks how fresh a peer's configuration is. ``asked_at`` is on the requester's clock."""
+
+    asked_at: float
+    version: int
+    reply_to: str
+
+
+class FreshnessReply(msgspec.Struct, frozen=True, tag="freshness_told"):
+    """``version`` was the newest configuration ``age_s`` before this was sent."""
+
+    asked_at: float
+    version: int
+    age_s: float
+
+
+class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration_told"):
+    """A configuration in its stored form."""
+
+    data: bytes
+
+
+class RecordsUpdate(msgspec.Struct, frozen=True, tag="records_told"):
+    """Records of a topic from ``start`` up to but excluding ``next``, as read by the zone's reader.
+
+    A value of None deletes the key.
+    """
+
+    topic: str
+    start: int
+    next: int
+    records: tuple[tuple[str, bytes | None], ...]
+
+
+class RecordsRequest(msgspec.Struct, frozen=True, tag="records_asked"):
+    """Requests the records of a topic from ``start`` on."""
+
+    topic: str
+    start: int
+    reply_to: str
+
+
+PlatformMessage = (
+    WorkRequest
+    | WorkQueued
+    | WorkGranted
+    | WorkRefused
+    | FirstTokenReport
+    | WorkEnded
+    | ZoneLoad
+    | VmHeartbeat
+    | FreshnessRequest
+    | FreshnessReply
+    | ConfigurationUpdate
+    | RecordsUpdate
+    | RecordsRequest
+)
--- a/bluebellpitch/roles/broker_client.py
+++ b/bluebellpitch/roles/broker_client.py
@@ -8,13 +8,13 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import Work
 from bluebellpitch.logs import log
-from bluebellpitch.peers.entry_messages import (
-    WorkAsked,
-    WorkDone,
+from bluebellpitch.peers.platform_messages import (
+    FirstTokenReport,
+    WorkEnded,
     WorkGranted,
     WorkQueued,
-    WorkRead,
     WorkRefused,
+    WorkRequest,
 )
 from bluebellpitch.verdicts import DidNotRun
 
@@ -77,7 +77,7 @@
             while not responses.empty():
                 self.handle_response(responses.get_nowait())
             if result is None:
-                self._send(self._find_broker(work.pool), WorkDone(work.id, work.pool, "withdrawn"))
+                self._send(self._find_broker(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
 
     async def _request_until_decided(
         self, work: Work, avoid: frozenset[str], responses: asyncio.Queue
@@ -103,12 +103,12 @@
                     return EngineGrant(
                         work, entry_from_grant(response, work.pool), response.broker_address
                     )
-        self._send(self._find_broker(work.pool), WorkDone(work.id, work.pool, "withdrawn"))
+        self._send(self._find_broker(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
         return DidNotRun("waited_too_long", 503, EXPIRED_RETRY_AFTER_S)
 
     def _send_request(self, broker: str, work: Work, avoid: frozenset[str]) -> None:
         now = self._now()
-        request = WorkAsked(
+        request = WorkRequest(
             work_id=work.id,
             pool=work.pool,
             rank=work.rank,
@@ -127,12 +127,12 @@
 
     def report_first_token(self, grant: EngineGrant, waited_s: float, slowdown: float) -> None:
         """Reports to the broker that the first token has arrived."""
-        message = WorkRead(grant.work.id, grant.work.pool, waited_s, slowdown)
+        message = FirstTokenReport(grant.work.id, grant.work.pool, waited_s, slowdown)
         self._send_to_address(grant.broker_address, message)
 
     def release(self, grant: EngineGrant, outcome: str, longest_gap_s: float) -> None:
         """Reports to the broker that the engine no longer runs the work."""
-        message = WorkDone(grant.work.id, grant.work.pool, outcome, longest_gap_s)
+        message = WorkEnded(grant.work.id, grant.work.pool, outcome, longest_gap_s)
         self._send_to_address(grant.broker_address, message)
 
     def handle_response(self, response: BrokerResponse) -> None:
@@ -141,7 +141,7 @@
         if responses is not None:
             responses.put_nowait(response)
         elif isinstance(response, WorkGranted):
-            done = WorkDone(response.work_id, response.pool, "withdrawn")
+            done = WorkEnded(response.work_id, response.pool, "withdrawn")
             self._send_to_address(response.broker_address, done)
 
 
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -14,13 +14,13 @@
 from bluebellpitch.decisions.other_zones import OtherZone
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.entry_messages import (
-    WorkAsked,
-    WorkDone,
+from bluebellpitch.peers.platform_messages import (
+    FirstTokenReport,
+    WorkEnded,
     WorkGranted,
     WorkQueued,
-    WorkRead,
     WorkRefused,
+    WorkRequest,
     ZoneLoad,
 )
 from bluebellpitch.roles.broker_client import BrokerClient
@@ -67,7 +67,7 @@
         self._now = now
         self._is_draining = is_draining
         self._brokers_by_pool: dict[str, GenerationBroker] = {}
-        self._requests_by_work: dict[str, WorkAsked] = {}
+        self._requests_by_work: dict[str, WorkRequest] = {}
         self.broker_client = BrokerClient(
             vm_key, address, liveness, self._pool_owner, self._send, self._send_to_address, now
         )
@@ -102,13 +102,13 @@
         match message:
             case WorkQueued() | WorkGranted() | WorkRefused():
                 self.broker_client.handle_response(message)
-            case WorkAsked():
+            case WorkRequest():
                 self._handle_work_request(message)
-            case WorkRead(work_id, pool, waited_s, slowdown):
+            case FirstTokenReport(work_id, pool, waited_s, slowdown):
                 broker = self._get_broker(pool)
                 broker.note_read(work_id, waited_s, slowdown, self._now())
                 self._serve_queue(broker)
-            case WorkDone(work_id, pool, outcome, longest_gap_s):
+            case WorkEnded(work_id, pool, outcome, longest_gap_s):
                 broker = self._get_broker(pool)
                 broker.done(work_id, outcome, self._now(), longest_gap_s)
                 self._serve_queue(broker)
@@ -147,7 +147,7 @@
         gap_s = catalogue.gap_targets_by_pool.get(broker.pool)
         broker.set_engines(entries, row.engine.slots, row.engine.memory_tokens, gap_s)
 
-    def _handle_work_request(self, request: WorkAsked) -> None:
+    def _handle_work_request(self, request: WorkRequest) -> None:
         now = self._now()
         broker = self._get_broker(request.pool)
         work = work_from_request(request, now)
@@ -159,7 +159,7 @@
             self._work_waiting.set()
 
     def _forward(
-        self, broker: GenerationBroker, work: Work, request: WorkAsked, now: float
+        self, broker: GenerationBroker, work: Work, request: WorkRequest, now: float
     ) -> bool:
         """Forwards work to another zone if its cost is lower there; returns whether it did."""
         if request.is_passed_on:
@@ -233,7 +233,7 @@
             if address:
                 self._send_to_address(address, response)
 
-    def _record_session(self, request: WorkAsked | None) -> None:
+    def _record_session(self, request: WorkRequest | None) -> None:
         """Records the session of a granted long prompt for the next load report to other zones."""
         session = session_of(request.parts) if request else ""
         if session and not self._brokers_by_pool[request.pool].is_short_size(request.tokens_in):
@@ -331,7 +331,7 @@
             self._bus.send(owner, load)
 
 
-def work_from_request(request: WorkAsked, now: float) -> Work:
+def work_from_request(request: WorkRequest, now: float) -> Work:
     """Converts a request to work, with the times on the clock of this VM."""
     return Work(
         id=request.work_id,
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -7,7 +7,7 @@
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.entry_messages import VmBeat
+from bluebellpitch.peers.platform_messages import VmHeartbeat
 from bluebellpitch.platform.members import MemberRecord, read_members, register, unregister
 from bluebellpitch.platform.store import StoreClient
 
@@ -82,7 +82,7 @@
         """Sends heartbeats to the VMs of this zone and reports lost peers, until cancelled."""
         while True:
             interval_s = DUTY_HEARTBEAT_INTERVAL_S if self._has_duty() else HEARTBEAT_INTERVAL_S
-            heartbeat = VmBeat(
+            heartbeat = VmHeartbeat(
                 zone=self._own_record.zone,
                 address=self._own_record.bus,
                 draining=self._is_draining(),
@@ -113,7 +113,7 @@
         )
         return {*records, *heard} - {self._own_record.bus}
 
-    def record_heartbeat(self, sender: str, heartbeat: VmBeat) -> Peer:
+    def record_heartbeat(self, sender: str, heartbeat: VmHeartbeat) -> Peer:
         """Records a heartbeat and returns the state of its sender."""
         peer = Peer(
             key=sender,
@@ -124,7 +124,7 @@
             heard_at=self._now(),
             interval_s=heartbeat.interval_s,
         )
-        self._bus.know(sender, heartbeat.address)
+        self._bus.register_address(sender, heartbeat.address)
         if self._liveness.hear(peer):
             log("INFO", "peer_heard", peer=sender, zone=heartbeat.zone, address=heartbeat.address)
         return peer
--- a/bluebellpitch/roles/peer_sync.py
+++ b/bluebellpitch/roles/peer_sync.py
@@ -12,12 +12,12 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.entry_messages import (
-    ConfigurationTold,
-    FreshnessAsked,
-    FreshnessTold,
-    RecordsAsked,
-    RecordsTold,
+from bluebellpitch.peers.platform_messages import (
+    ConfigurationUpdate,
+    FreshnessReply,
+    FreshnessRequest,
+    RecordsRequest,
+    RecordsUpdate,
 )
 from bluebellpitch.roles.store_watchers import ConfigurationWatcher, EndpointWatcher
 
@@ -55,7 +55,7 @@
         self._now = now
         self._keys_usable = False
 
-    def publish_to_zone(self, update: RecordsTold) -> None:
+    def publish_to_zone(self, update: RecordsUpdate) -> None:
         """Sends records read from the store to the VMs of this zone."""
         for peer in self._liveness.live(self._now()):
             self._bus.send_to_address(peer.address, update)
@@ -63,19 +63,19 @@
     def handle_message(self, sender: str, message) -> None:
         """Handles a message about the configuration or the endpoints."""
         match message:
-            case RecordsTold(topic) if topic == self._configuration.follower.topic:
+            case RecordsUpdate(topic) if topic == self._configuration.follower.topic:
                 records = self._configuration.follower.accept_peer_records(message)
                 self._configuration.apply_records(records, sender)
-            case RecordsTold():
+            case RecordsUpdate():
                 for record in self._endpoints.follower.accept_peer_records(message):
                     self._endpoints.apply(record)
-            case RecordsAsked(topic, start, reply_to):
+            case RecordsRequest(topic, start, reply_to):
                 self._send_records(topic, start, reply_to)
-            case ConfigurationTold(data):
+            case ConfigurationUpdate(data):
                 self._configuration.apply(data, sender)
-            case FreshnessAsked(asked_at, version, reply_to):
+            case FreshnessRequest(asked_at, version, reply_to):
                 self._send_freshness(asked_at, version, reply_to)
-            case FreshnessTold(asked_at, version, age_s):
+            case FreshnessReply(asked_at, version, age_s):
                 self._apply_freshness(asked_at, version, age_s)
 
     def _apply_freshness(self, asked_at: float, version: int, age_s: float) -> None:
@@ -93,9 +93,9 @@
         if own_version < 0:
             return
         if version < own_version:
-            self._bus.send_to_address(reply_to, ConfigurationTold(self._configuration.encoded))
+            self._bus.send_to_address(reply_to, ConfigurationUpdate(self._configuration.encoded))
         age_s = self._configuration.freshness.age_s(self._now())
-        self._bus.send_to_address(reply_to, FreshnessTold(asked_at, own_version, age_s))
+        self._bus.send_to_address(reply_to, FreshnessReply(asked_at, own_version, age_s))
 
     async def run(self) -> None:
         """Sends requests to peers while this VM is out of date, until cancelled."""
@@ -103,12 +103,12 @@
             now = self._now()
             age_s = self._configuration.freshness.age_s(now)
             if age_s > ASK_READER_AFTER_S:
-                request = FreshnessAsked(now, self._configuration.version(), self._address)
+                request = FreshnessRequest(now, self._configuration.version(), self._address)
                 for address in self._peers_to_ask(age_s):
                     self._bus.send_to_address(address, request)
             start = self._endpoints.follower.offset_to_request()
             if start is not None:
-                request = RecordsAsked(self._endpoints.follower.topic, start, self._address)
+                request = RecordsRequest(self._endpoints.follower.topic, start, self._address)
                 for address in self._peers_to_ask(ASK_OTHERS_AFTER_S):
                     self._bus.send_to_address(address, request)
             self._log_keys_usable_change(now)
--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -9,7 +9,7 @@
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.peers.entry_messages import RecordsTold
+from bluebellpitch.peers.platform_messages import RecordsUpdate
 from bluebellpitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from bluebellpitch.platform.entries import decode_entry, report_entry
 from bluebellpitch.platform.records import KeyedRecord
@@ -46,7 +46,7 @@
         long_poll_s: float,
         now: Callable[[], float],
         is_zone_reader: Callable[[], bool],
-        publish: Callable[[RecordsTold], None],
+        publish: Callable[[RecordsUpdate], None],
         metrics: Metrics,
     ):
         self._client = client
@@ -91,16 +91,16 @@
     def _is_behind(self) -> bool:
         return self._now() - max(self.store_read_at, self._peer_update_at) > REQUEST_RECORDS_AFTER_S
 
-    def recent_records_from(self, start: int) -> RecordsTold | None:
+    def recent_records_from(self, start: int) -> RecordsUpdate | None:
         """Returns the records from offset ``start`` on, or None if this VM lacks some of them."""
         if self._next_offset is None or self._is_behind():
             return None
         if not self._recent_start <= start <= self._recent_start + len(self._recent_records):
             return None
         records = tuple(self._recent_records[start - self._recent_start :])
-        return RecordsTold(self.topic, start, start + len(records), records)
+        return RecordsUpdate(self.topic, start, start + len(records), records)
 
-    def accept_peer_records(self, update: RecordsTold) -> tuple[KeyedRecord, ...]:
+    def accept_peer_records(self, update: RecordsUpdate) -> tuple[KeyedRecord, ...]:
         """Accepts an update and returns its new records; none if there is a gap before them."""
         if self._next_offset is None or update.start > self._next_offset:
             return ()
@@ -144,7 +144,7 @@
         end = start + len(page.records)
         if not unreadable:
             pairs = tuple((record.key, record.value) for record in records)
-            self._publish(RecordsTold(self.topic, start, end, pairs))
+            self._publish(RecordsUpdate(self.topic, start, end, pairs))
             self._keep_recent(start, pairs)
         self._next_offset = max(end, self._next_offset or 0)
         self.store_read_at = self._now()
--- a/bluebellpitch/roles/strike_replicator.py
+++ b/bluebellpitch/roles/strike_replicator.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.decisions.strikes import StrikeBook
-from bluebellpitch.peers.messages import StrikeKnown, StrikeNoted, StrikesCleared
+from bluebellpitch.peers.messages import StrikeAck, StrikeReport, StrikesCleared
 
 EXPIRY_INTERVAL_S = 30.0
 
@@ -16,7 +16,7 @@
         self,
         book: StrikeBook,
         peers: Callable[[], Iterable[str]],
-        send: Callable[[str, StrikeNoted | StrikesCleared], None],
+        send: Callable[[str, StrikeReport | StrikesCleared], None],
         now: Callable[[], float],
     ):
         self.book = book
@@ -27,16 +27,16 @@
         self._confirmed = asyncio.Event()
 
     def handle_message(
-        self, message: StrikeNoted | StrikesCleared | StrikeKnown
-    ) -> StrikeKnown | None:
+        self, message: StrikeReport | StrikesCleared | StrikeAck
+    ) -> StrikeAck | None:
         """Handles a message from a peer; returns the confirmation to send back, if any."""
         match message:
-            case StrikeNoted(fingerprint, attempt, confirm):
+            case StrikeReport(fingerprint, attempt, confirm):
                 self.book.add(fingerprint, attempt, self._now())
-                return StrikeKnown(attempt) if confirm else None
+                return StrikeAck(attempt) if confirm else None
             case StrikesCleared(fingerprint):
                 self.book.clear(fingerprint)
-            case StrikeKnown(attempt):
+            case StrikeAck(attempt):
                 self._record_confirmation(attempt)
         return None
 
@@ -48,15 +48,15 @@
 
     def record(self, fingerprint: str, attempt: str) -> None:
         """Records here and at all peers that an endpoint crashed during an attempt."""
-        self._record_and_broadcast(StrikeNoted(fingerprint, attempt))
+        self._record_and_broadcast(StrikeReport(fingerprint, attempt))
 
-    def _record_and_broadcast(self, message: StrikeNoted) -> int:
+    def _record_and_broadcast(self, message: StrikeReport) -> int:
         self.book.add(message.fingerprint, message.attempt, self._now())
         return self._broadcast(message)
 
     async def record_confirmed(self, fingerprint: str, attempt: str, timeout_s: float) -> None:
         """Records a strike and waits, at most ``timeout_s``, until all peers have confirmed it."""
-        sent = self._record_and_broadcast(StrikeNoted(fingerprint, attempt, confirm=True))
+        sent = self._record_and_broadcast(StrikeReport(fingerprint, attempt, confirm=True))
         self._unconfirmed_by_attempt[attempt] = sent
         try:
             async with asyncio.timeout(timeout_s):
@@ -72,7 +72,7 @@
         self.book.clear(fingerprint)
         self._broadcast(StrikesCleared(fingerprint))
 
-    def _broadcast(self, message: StrikeNoted | StrikesCleared) -> int:
+    def _broadcast(self, message: StrikeReport | StrikesCleared) -> int:
         peers = tuple(self._peers())
         for peer in peers:
             self._send(peer, message)
