--- a/bluebellpitch/callers/admission.py
+++ b/bluebellpitch/callers/admission.py
@@ -3,9 +3,15 @@
 import random
 from dataclasses import dataclass
 
-from bluebellpitch.decisions.catalogue import Catalogue, MemberRow, Repeatability, Route, pick_pool
+from bluebellpitch.decisions.catalogue import (
+    Catalogue,
+    MemberConfig,
+    Repeatability,
+    Route,
+    pick_pool,
+)
 from bluebellpitch.decisions.freshness import Freshness
-from bluebellpitch.decisions.loads import Work
+from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.platform.requests import RoutedRequest
 from bluebellpitch.verdicts import DidNotRun
 
@@ -22,7 +28,7 @@
     route: Route
     pool: str
     is_engine: bool
-    member: MemberRow | None
+    member: MemberConfig | None
     arrived_at: float
     expires_at: float
 
@@ -45,13 +51,13 @@
     """Finds the route and the member of a request, or tells why it is refused."""
     if catalogue is None:
         return DidNotRun("no_configuration", 503, UNKNOWN_STATE_RETRY_S)
-    may_deny = freshness.allows_denial(now)
-    route = catalogue.match(request.host, request.path)
+    may_deny = freshness.may_report_unknown(now)
+    route = catalogue.match_route(request.host, request.path)
     if route is None:
         return deny(404, "no_such_route", may_deny)
     member = None
     if catalogue.has_members and not route.is_public:
-        if not freshness.allows_keys(now):
+        if not freshness.may_accept_keys(now):
             return DidNotRun("configuration_not_fresh", 503, UNKNOWN_STATE_RETRY_S)
         member = catalogue.members_by_key.get(request.key)
         if member is None:
@@ -70,10 +76,10 @@
     return DidNotRun(f"{reason}_not_sure", 503, UNKNOWN_STATE_RETRY_S)
 
 
-def make_work(admitted: Admitted, attempt: int) -> Work:
+def make_work(admitted: Admitted, attempt: int) -> WorkItem:
     """Returns what the placing decides on."""
     prompt = admitted.request.prompt
-    return Work(
+    return WorkItem(
         id=f"{admitted.request.id}.{attempt}",
         pool=admitted.pool,
         rank=admitted.rank,
@@ -81,7 +87,7 @@
         tokens_out=prompt.tokens_out,
         parts=tuple((part.id, part.tokens) for part in prompt.parts),
         target_s=admitted.route.target_s,
-        gap_s=admitted.route.gap_target_s or NO_GAP_TARGET_S,
+        gap_target_s=admitted.route.gap_target_s or NO_GAP_TARGET_S,
         arrived_at=admitted.arrived_at,
         expires_at=admitted.expires_at,
     )
--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -9,7 +9,7 @@
 from bluebellpitch.decisions.catalogue import Catalogue, Repeatability, Route
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.hashing import digest_text
-from bluebellpitch.decisions.repeats import RepeatBudget
+from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.strikes import Suspicion
 from bluebellpitch.endpoints.attempt import Attempt, Turned, Unsent, settle
 from bluebellpitch.endpoints.links import Links
@@ -48,7 +48,7 @@
     freshness: Freshness
     placing: PlacingRole
     links: Links
-    repeats: RepeatBudget
+    repeats: RetryBudget
     live_vms: Callable[[], int]
     is_draining: Callable[[], bool]
     is_closing: Callable[[], bool]
@@ -97,7 +97,7 @@
             verdict = DidNotRun("shutting_down", 503, 0.1)
         else:
             self._route = admitted.route.name
-            context.repeats.note_request(admitted.pool, now)
+            context.repeats.record_request(admitted.pool, now)
             verdict = await self._dispatch_unless_harmful(admitted)
         await self._finish(request, verdict, now)
 
@@ -273,7 +273,7 @@
 
     def _can_repeat(self, admitted: Admitted) -> bool:
         context, now = self._context, self._context.now()
-        left = context.repeats.left(admitted.pool, context.live_vms(), now)
+        left = context.repeats.remaining(admitted.pool, context.live_vms(), now)
         return (
             len(self._tried) < admitted.route.max_attempts
             and left >= 1
--- a/bluebellpitch/decisions/catalogue.py
+++ b/bluebellpitch/decisions/catalogue.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Share:
+class WeightedPool:
     """One pool of a route, with its weight among the route's pools."""
 
     pool: str
@@ -34,7 +34,7 @@
     path_prefix: str
     repeatability: Repeatability
     is_stream: bool
-    shares: tuple[Share, ...]
+    weighted_pools: tuple[WeightedPool, ...]
     timeout_s: float
     target_s: float
     gap_target_s: float | None
@@ -44,24 +44,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EngineShape:
+class EngineCapacity:
     """What every engine of a pool can hold."""
 
     slots: int
-    memory_tokens: int
+    kv_capacity_tokens: int
 
 
 @dataclass(frozen=True, slots=True)
-class PoolRow:
+class PoolConfig:
     """One service. ``max_connections`` bounds all VMs together, for each endpoint."""
 
     name: str
     max_connections: int
-    engine: EngineShape | None
+    engine: EngineCapacity | None
 
 
 @dataclass(frozen=True, slots=True)
-class MemberRow:
+class MemberConfig:
     """One member; ``rank`` replaces that of the route where it is set."""
 
     name: str
@@ -84,8 +84,8 @@
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
-    pools_by_name: dict[str, PoolRow]
-    members_by_key: dict[str, MemberRow]
+    pools_by_name: dict[str, PoolConfig]
+    members_by_key: dict[str, MemberConfig]
     has_members: bool
     limits: CallerLimits = field(default_factory=CallerLimits)
 
@@ -94,11 +94,11 @@
         """The smallest gap target among the routes of each pool, in seconds."""
         gaps: dict[str, float] = {}
         for route in (route for routes in self.routes_by_host.values() for route in routes):
-            for share in route.shares if route.gap_target_s else ():
+            for share in route.weighted_pools if route.gap_target_s else ():
                 gaps[share.pool] = min(route.gap_target_s, gaps.get(share.pool, route.gap_target_s))
         return gaps
 
-    def match(self, host: str, path: str) -> Route | None:
+    def match_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of ``path``, or None."""
         routes = self.routes_by_host.get(host, ())
         return next((route for route in routes if path.startswith(route.path_prefix)), None)
@@ -114,10 +114,10 @@
 
 def pick_pool(route: Route, draw: float) -> str:
     """Returns one of the route's pools by weight; ``draw`` is uniform in [0, 1)."""
-    total = sum(share.weight for share in route.shares)
+    total = sum(share.weight for share in route.weighted_pools)
     mark = draw * total
-    for share in route.shares:
+    for share in route.weighted_pools:
         mark -= share.weight
         if mark < 0:
             return share.pool
-    return route.shares[-1].pool
+    return route.weighted_pools[-1].pool
--- a/bluebellpitch/decisions/directory.py
+++ b/bluebellpitch/decisions/directory.py
@@ -6,20 +6,20 @@
 from bluebellpitch.decisions.endpoints import EndpointEntry
 
 # How long an entry that lapsed beside an outage of the store is still believed.
-LAPSE_BELIEVED_S = 2.2
+LAPSE_GRACE_S = 2.2
 
 
 @dataclass(slots=True)
-class Directory:
+class EndpointDirectory:
     """Entries by id. Times are seconds of the owner's clock."""
 
     entries_by_id: dict[str, EndpointEntry] = field(default_factory=dict)
-    _believed_until: dict[str, float] = field(default_factory=dict)
+    _grace_until: dict[str, float] = field(default_factory=dict)
     _replaced: dict[str, EndpointEntry] = field(default_factory=dict)
 
-    def take(self, entry: EndpointEntry) -> bool:
+    def update(self, entry: EndpointEntry) -> bool:
         """Takes an announcement in; returns whether it changes anything."""
-        self._believed_until.pop(entry.id, None)
+        self._grace_until.pop(entry.id, None)
         if self._replaced.get(entry.id) == entry:
             return False
         self._replaced.pop(entry.id, None)
@@ -27,14 +27,14 @@
         self.entries_by_id[entry.id] = entry
         return changed
 
-    def drop(self, endpoint_id: str, store_was_away: bool, now: float) -> bool:
+    def remove(self, endpoint_id: str, store_was_unavailable: bool, now: float) -> bool:
         """Notes that an entry is gone; beside an outage it is believed a little longer."""
         if endpoint_id not in self.entries_by_id:
             return False
-        if store_was_away and not self.entries_by_id[endpoint_id].is_draining:
-            self._believed_until.setdefault(endpoint_id, now + LAPSE_BELIEVED_S)
+        if store_was_unavailable and not self.entries_by_id[endpoint_id].is_draining:
+            self._grace_until.setdefault(endpoint_id, now + LAPSE_GRACE_S)
             return False
-        self._forget(endpoint_id)
+        self._delete(endpoint_id)
         return True
 
     def mark_replaced(self, entry: EndpointEntry) -> None:
@@ -42,20 +42,20 @@
         known = self.entries_by_id.get(entry.id)
         if known and (known.address, known.started_ms) == (entry.address, entry.started_ms):
             self._replaced[entry.id] = known
-            self._forget(entry.id)
+            self._delete(entry.id)
 
     def expire(self, now: float) -> list[str]:
         """Forgets lapsed entries that did not come back; returns their ids."""
-        old = [id for id, until in self._believed_until.items() if now >= until]
+        old = [id for id, until in self._grace_until.items() if now >= until]
         for endpoint_id in old:
-            self._forget(endpoint_id)
+            self._delete(endpoint_id)
         return old
 
-    def _forget(self, endpoint_id: str) -> None:
+    def _delete(self, endpoint_id: str) -> None:
         self.entries_by_id.pop(endpoint_id, None)
-        self._believed_until.pop(endpoint_id, None)
+        self._grace_until.pop(endpoint_id, None)
 
-    def usable(self, pool: str) -> Iterator[EndpointEntry]:
+    def usable_endpoints(self, pool: str) -> Iterator[EndpointEntry]:
         """Yields the endpoints of a pool that take new work."""
         return (
             entry
--- a/bluebellpitch/decisions/freshness.py
+++ b/bluebellpitch/decisions/freshness.py
@@ -16,26 +16,26 @@
 
     revoke_s: float
     apply_s: float
-    known_at: float = float("-inf")
+    confirmed_at: float = float("-inf")
 
-    def confirm(self, known_at: float) -> None:
+    def confirm(self, confirmed_at: float) -> None:
         """Notes that the version held was the newest at that moment."""
-        self.known_at = max(self.known_at, known_at)
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
     def age_s(self, now: float) -> float:
         """Returns how long ago the version was known to be the newest."""
-        return now - self.known_at
+        return now - self.confirmed_at
 
-    def allows_keys(self, now: float) -> bool:
+    def may_accept_keys(self, now: float) -> bool:
         """Tells whether a key that the configuration holds may be honoured."""
         return self.age_s(now) < self.revoke_s - FRESHNESS_MARGIN_S
 
-    def allows_denial(self, now: float) -> bool:
+    def may_report_unknown(self, now: float) -> bool:
         """Tells whether a route or key that is not there may be called unknown."""
         return self.age_s(now) < self.apply_s - FRESHNESS_MARGIN_S
 
 
-def read_known_at(asked_at: float, answered_at: float, wait_s: float, is_empty: bool) -> float:
+def read_valid_at(asked_at: float, answered_at: float, wait_s: float, is_empty: bool) -> float:
     """Returns as of when a read of the store shows all that there is.
 
     An empty answer after the full wait was true until the wait ended; any other one was true when
--- a/bluebellpitch/decisions/broker_answers.py
+++ b/bluebellpitch/decisions/generation_decisions.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
-from bluebellpitch.decisions.loads import Work
+from bluebellpitch.decisions.loads import WorkItem
 
 # Work is refused when it cannot start within this part of its time.
-PATIENCE_SHARE = 0.5
+START_DEADLINE_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +42,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LongOffer:
+class LongPromptCost:
     """Cost of a long prompt in a zone, in seconds: a fixed part, and one for each token."""
 
     fixed_s: float
@@ -53,11 +53,11 @@
 class WaitingWork:
     """Work in the queue."""
 
-    work: Work
+    work: WorkItem
     vm: str
     avoid: frozenset[str]
 
-    def gives_up_at(self) -> float:
+    def start_deadline(self) -> float:
         """Returns until when it may start."""
         work = self.work
-        return work.arrived_at + PATIENCE_SHARE * (work.expires_at - work.arrived_at)
+        return work.arrived_at + START_DEADLINE_SHARE * (work.expires_at - work.arrived_at)
--- a/bluebellpitch/decisions/liveness.py
+++ b/bluebellpitch/decisions/liveness.py
@@ -9,7 +9,7 @@
 from bluebellpitch.decisions.hashing import rank_owners
 
 # A VM counts as silent when so many of its beats are missing.
-BEATS_MISSED = 4
+MAX_MISSED_HEARTBEATS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,14 +19,14 @@
     key: str
     zone: str
     address: str
-    draining: bool
+    is_draining: bool
     version: int
-    heard_at: float
+    last_heartbeat_at: float
     interval_s: float
 
     def is_silent(self, now: float) -> bool:
         """Tells whether beats are missing."""
-        return now - self.heard_at > BEATS_MISSED * self.interval_s
+        return now - self.last_heartbeat_at > MAX_MISSED_HEARTBEATS * self.interval_s
 
 
 @dataclass(slots=True)
@@ -36,38 +36,38 @@
     own_key: str
     zone: str
     peers_by_key: dict[str, Peer] = field(default_factory=dict)
-    _shunned_until: dict[str, float] = field(default_factory=dict)
+    _excluded_until: dict[str, float] = field(default_factory=dict)
 
-    def hear(self, peer: Peer) -> bool:
+    def record_heartbeat(self, peer: Peer) -> bool:
         """Notes a sign of life; returns whether the VM was not alive before."""
         known = self.peers_by_key.get(peer.key)
         self.peers_by_key[peer.key] = peer
-        return known is None or known.is_silent(peer.heard_at)
+        return known is None or known.is_silent(peer.last_heartbeat_at)
 
-    def shun(self, key: str, until: float) -> None:
+    def exclude(self, key: str, until: float) -> None:
         """Gives a VM no duty for a while, since it did not answer."""
-        self._shunned_until[key] = until
+        self._excluded_until[key] = until
 
-    def lost(self, now: float) -> list[str]:
+    def remove_silent(self, now: float) -> list[str]:
         """Forgets VMs that have been silent; returns their keys."""
         silent = [key for key, peer in self.peers_by_key.items() if peer.is_silent(now)]
         for key in silent:
             del self.peers_by_key[key]
         return silent
 
-    def live(self, now: float) -> list[Peer]:
+    def live_peers(self, now: float) -> list[Peer]:
         """Returns the peers that were heard lately."""
         return [peer for peer in self.peers_by_key.values() if not peer.is_silent(now)]
 
-    def holder(self, duty: str, now: float, own_draining: bool) -> str:
+    def role_holder(self, role: str, now: float, own_draining: bool) -> str:
         """Returns the VM of this zone that holds a duty."""
         keys = [
             peer.key
-            for peer in self.live(now)
+            for peer in self.live_peers(now)
             if peer.zone == self.zone
-            and not peer.draining
-            and now >= self._shunned_until.get(peer.key, 0.0)
+            and not peer.is_draining
+            and now >= self._excluded_until.get(peer.key, 0.0)
         ]
         if not own_draining or not keys:
             keys.append(self.own_key)
-        return rank_owners(duty, keys)[0]
+        return rank_owners(role, keys)[0]
--- a/bluebellpitch/decisions/repeats.py
+++ b/bluebellpitch/decisions/retry_budget.py
@@ -7,38 +7,38 @@
 from dataclasses import dataclass, field
 
 # Part of the whole budget that is spent at most; the rest covers VMs that are not known yet.
-SPENT_AT_MOST = 0.7
+USABLE_BUDGET_SHARE = 0.7
 
 
 @dataclass(slots=True)
-class RepeatBudget:
+class RetryBudget:
     """Requests and repeats by pool, as times within the window."""
 
-    share: float
+    ratio: float
     burst: float
     window_s: float
     _requests_by_pool: dict[str, deque[float]] = field(default_factory=dict)
-    _repeats_by_pool: dict[str, deque[float]] = field(default_factory=dict)
+    _retries_by_pool: dict[str, deque[float]] = field(default_factory=dict)
 
-    def note_request(self, pool: str, now: float) -> None:
+    def record_request(self, pool: str, now: float) -> None:
         """Notes a caller's request for a pool."""
         self._requests_by_pool.setdefault(pool, deque()).append(now)
 
-    def left(self, pool: str, vms: int, now: float) -> float:
+    def remaining(self, pool: str, vms: int, now: float) -> float:
         """Returns how many repeats this VM may send now."""
-        requests = self._recent(self._requests_by_pool, pool, now)
-        repeats = self._recent(self._repeats_by_pool, pool, now)
-        allowed = SPENT_AT_MOST * (self.share * requests + self.burst / max(1, vms))
+        requests = self._count_recent(self._requests_by_pool, pool, now)
+        repeats = self._count_recent(self._retries_by_pool, pool, now)
+        allowed = USABLE_BUDGET_SHARE * (self.ratio * requests + self.burst / max(1, vms))
         return allowed - repeats
 
     def spend(self, pool: str, vms: int, now: float) -> bool:
         """Takes one repeat out; returns False when none is left."""
-        if self.left(pool, vms, now) < 1.0:
+        if self.remaining(pool, vms, now) < 1.0:
             return False
-        self._repeats_by_pool.setdefault(pool, deque()).append(now)
+        self._retries_by_pool.setdefault(pool, deque()).append(now)
         return True
 
-    def _recent(self, by_pool: dict[str, deque[float]], pool: str, now: float) -> int:
+    def _count_recent(self, by_pool: dict[str, deque[float]], pool: str, now: float) -> int:
         times = by_pool.get(pool)
         if times is None:
             return 0
--- a/bluebellpitch/decisions/plain_choice.py
+++ b/bluebellpitch/decisions/service_choice.py
@@ -3,16 +3,16 @@
 from collections.abc import Iterable
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
-from bluebellpitch.decisions.loads import Loads
+from bluebellpitch.decisions.loads import EndpointLoads
 
 # Rates of failures within this much of the best sibling's are taken for chance.
 FAILURE_TOLERANCE = 0.15
 FAILURE_COST = 6.0
 
 
-def choose_plain(
+def choose_service_endpoint(
     entries: Iterable[EndpointEntry],
-    loads: Loads,
+    loads: EndpointLoads,
     distance_by_zone: dict[str, float],
     avoid: frozenset[str],
     now: float,
@@ -22,15 +22,15 @@
     Distances are in units of the usual time of a request.
     """
     usable = [entry for entry in entries if entry.id not in avoid]
-    up = [entry for entry in usable if not loads.of(entry).is_down(now)] or usable
+    up = [entry for entry in usable if not loads.for_endpoint(entry).is_down(now)] or usable
     if not up:
         return None
-    best_failing = min(loads.of(entry).failing(now) for entry in up)
+    best_failing = min(loads.for_endpoint(entry).recent_failure_rate(now) for entry in up)
 
     def cost(entry: EndpointEntry) -> float:
-        load = loads.of(entry)
-        failing = max(0.0, load.failing(now) - best_failing - FAILURE_TOLERANCE)
-        busy = load.busy(now)
+        load = loads.for_endpoint(entry)
+        failing = max(0.0, load.recent_failure_rate(now) - best_failing - FAILURE_TOLERANCE)
+        busy = load.estimated_requests(now)
         waiting = max(0.0, busy + 1 - entry.slots)
         pressure = busy / entry.slots + waiting * 2 / entry.slots
         return (
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -7,10 +7,10 @@
 
 from bluebellpitch.callers.routed import RoutedExchange, RoutingContext, refuse_malformed
 from bluebellpitch.clock import HybridClock
-from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
-from bluebellpitch.decisions.repeats import RepeatBudget
+from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.strikes import StrikeBook
 from bluebellpitch.endpoints.links import Links
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
@@ -69,7 +69,7 @@
         self.settings = settings
         self._reload = reload
         self._now = now
-        self.directory = Directory()
+        self.directory = EndpointDirectory()
         self.draining = asyncio.Event()
         self._closing = False
         self.key = f"{settings.vm}/{uuid4().hex[:8]}"
@@ -137,7 +137,7 @@
             freshness=freshness,
             placing=self.placing,
             links=self.links,
-            repeats=RepeatBudget(
+            repeats=RetryBudget(
                 settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
             ),
             live_vms=self.neighbours.count,
@@ -163,7 +163,7 @@
         )
 
     def _holder(self, duty: str) -> str:
-        return self.liveness.holder(duty, self._now(), self.draining.is_set())
+        return self.liveness.role_holder(duty, self._now(), self.draining.is_set())
 
     def _holds(self, duty: str) -> bool:
         return self._holder(duty) == self.key
@@ -201,11 +201,11 @@
         metrics, context = self.metrics, self.context
         metrics.configuration_version.set(self.configuration.version())
         metrics.freshness_age.set(context.freshness.age_s(now))
-        metrics.peers_heard.set(len(self.liveness.live(now)))
+        metrics.peers_heard.set(len(self.liveness.live_peers(now)))
         metrics.in_flight.set(self.http.busy)
         catalogue = self.configuration.catalogue
         for pool in catalogue.pools_by_name if catalogue else ():
-            left = context.repeats.left(pool, self.neighbours.count(), now)
+            left = context.repeats.remaining(pool, self.neighbours.count(), now)
             metrics.repeats_left.labels(pool).set(left)
         headers = [("Content-Type", "text/plain; version=0.0.4")]
         await connection.respond(200, headers, metrics.render())
@@ -286,7 +286,7 @@
         while True:
             await asyncio.sleep(LINKS_CHECKED_S)
             self.links.close_idle()
-            self.placing.loads.forget_others(self.directory.entries_by_id.values())
+            self.placing.loads.prune(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
         """Stops taking requests once the platform sends none, and finishes those it has."""
--- a/bluebellpitch/platform/configuration.py
+++ b/bluebellpitch/platform/configuration.py
@@ -7,12 +7,12 @@
 from bluebellpitch.decisions.catalogue import (
     CallerLimits,
     Catalogue,
-    EngineShape,
-    MemberRow,
-    PoolRow,
+    EngineCapacity,
+    MemberConfig,
+    PoolConfig,
     Repeatability,
     Route,
-    Share,
+    WeightedPool,
     group_by_host,
 )
 from bluebellpitch.errors import ProtocolError
@@ -85,7 +85,7 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise ProtocolError(f"the configuration is malformed: {error}") from error
     members = {
-        key: MemberRow(tenant.name, tenant.priority)
+        key: MemberConfig(tenant.name, tenant.priority)
         for tenant in wire.tenants or ()
         for key in tenant.api_keys
     }
@@ -101,14 +101,14 @@
 
 def decode_route(wire: _Route) -> Route:
     """Returns one route."""
-    shares = tuple(Share(part.service, part.weight) for part in wire.split)
+    shares = tuple(WeightedPool(part.service, part.weight) for part in wire.split)
     return Route(
         name=wire.name,
         host=wire.host.lower(),
         path_prefix=wire.path_prefix,
         repeatability=judge_repeatability(wire),
         is_stream=wire.kind == "streaming",
-        shares=shares or (Share(wire.service, 1.0),),
+        weighted_pools=shares or (WeightedPool(wire.service, 1.0),),
         timeout_s=wire.timeout_ms / 1000,
         target_s=wire.goal_ms / 1000,
         gap_target_s=wire.gap_target_ms / 1000 if wire.gap_target_ms else None,
@@ -127,10 +127,10 @@
     return Repeatability.ONCE
 
 
-def decode_pool(wire: _Service) -> PoolRow:
+def decode_pool(wire: _Service) -> PoolConfig:
     """Returns one pool."""
-    engine = wire.engine and EngineShape(wire.engine.slots, wire.engine.kv_capacity)
-    return PoolRow(wire.name, wire.max_conns, engine)
+    engine = wire.engine and EngineCapacity(wire.engine.slots, wire.engine.kv_capacity)
+    return PoolConfig(wire.name, wire.max_conns, engine)
 
 
 def decode_limits(wire: _Limits) -> CallerLimits:
--- a/bluebellpitch/roles/engine_seeking.py
+++ b/bluebellpitch/roles/engine_seeking.py
@@ -6,7 +6,7 @@
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.liveness import Liveness
-from bluebellpitch.decisions.loads import Work
+from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.logs import log
 from bluebellpitch.peers.entry_messages import (
     WorkAsked,
@@ -33,7 +33,7 @@
 class Grant:
     """An engine for work, and the broker that has to be told how it goes on."""
 
-    work: Work
+    work: WorkItem
     entry: EndpointEntry
     broker_address: str
 
@@ -60,7 +60,7 @@
         self._now = now
         self._answers_by_work: dict[str, asyncio.Queue] = {}
 
-    async def seek(self, work: Work, avoid: frozenset[str]) -> Grant | DidNotRun:
+    async def seek(self, work: WorkItem, avoid: frozenset[str]) -> Grant | DidNotRun:
         """Returns an engine for work, or the reason why there is none."""
         answers: asyncio.Queue = asyncio.Queue()
         self._answers_by_work[work.id] = answers
@@ -76,7 +76,7 @@
                 self._send(self._holder(work.pool), WorkDone(work.id, work.pool, "withdrawn"))
 
     async def _ask_until_answered(
-        self, work: Work, avoid: frozenset[str], answers: asyncio.Queue
+        self, work: WorkItem, avoid: frozenset[str], answers: asyncio.Queue
     ) -> Grant | DidNotRun:
         broker, patience_s = "", FIRST_ANSWER_S
         while self._now() < work.expires_at:
@@ -89,7 +89,7 @@
                 case None if patience_s != BROKER_CHECK_S:
                     log("WARNING", "broker_silent", broker=broker, request=work.id)
                     if broker != self._key:
-                        self._liveness.shun(broker, self._now() + SHUNNED_S)
+                        self._liveness.exclude(broker, self._now() + SHUNNED_S)
                     broker = ""
                 case WorkQueued(_, within_s):
                     patience_s = within_s or BROKER_CHECK_S
@@ -100,7 +100,7 @@
         self._send(self._holder(work.pool), WorkDone(work.id, work.pool, "withdrawn"))
         return DidNotRun("waited_too_long", 503, SHORT_RETRY_S)
 
-    def _ask(self, broker: str, work: Work, avoid: frozenset[str]) -> None:
+    def _ask(self, broker: str, work: WorkItem, avoid: frozenset[str]) -> None:
         now = self._now()
         ask = WorkAsked(
             work_id=work.id,
@@ -110,7 +110,7 @@
             tokens_out=work.tokens_out,
             parts=work.parts,
             target_s=work.target_s,
-            gap_s=work.gap_s,
+            gap_s=work.gap_target_s,
             age_s=now - work.arrived_at,
             left_s=work.expires_at - now,
             avoid=tuple(avoid),
--- a/bluebellpitch/roles/following.py
+++ b/bluebellpitch/roles/following.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.decisions.catalogue import Catalogue
-from bluebellpitch.decisions.directory import Directory
-from bluebellpitch.decisions.freshness import Freshness, read_known_at
+from bluebellpitch.decisions.directory import EndpointDirectory
+from bluebellpitch.decisions.freshness import Freshness, read_valid_at
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
@@ -143,7 +143,7 @@
             self._remember(start, pairs)
         self._next = max(end, self._next or 0)
         self.current_at = self._now()
-        known_at = read_known_at(asked_at, self._now(), self._wait_s, not page.records)
+        known_at = read_valid_at(asked_at, self._now(), self._wait_s, not page.records)
         return records, False, known_at if end >= page.end else float("-inf")
 
     def _note_failure(self, error: Exception) -> None:
@@ -218,7 +218,7 @@
     def __init__(
         self,
         follower: TopicFollower,
-        directory: Directory,
+        directory: EndpointDirectory,
         now: Callable[[], float],
         lapse_s: float,
     ):
@@ -256,7 +256,7 @@
         now = self._now()
         if record.value is None:
             was_away = self.follower.was_away(now, self._lapse_s)
-            if self.directory.drop(record.key, was_away, now):
+            if self.directory.remove(record.key, was_away, now):
                 log("INFO", "endpoint_gone", endpoint=record.key)
             return
         try:
@@ -264,7 +264,7 @@
         except BluebellpitchError as error:
             report_entry(record.key, error)
             return
-        if self.directory.take(entry):
+        if self.directory.update(entry):
             log(
                 "INFO",
                 "endpoint",
--- a/bluebellpitch/roles/generation.py
+++ b/bluebellpitch/roles/generation.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from bluebellpitch.decisions import broker_answers
+from bluebellpitch.decisions import generation_decisions
 from bluebellpitch.decisions.catalogue import Catalogue
-from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
-from bluebellpitch.decisions.loads import Work, session_of
-from bluebellpitch.decisions.other_zones import OtherZone
+from bluebellpitch.decisions.loads import WorkItem, session_of
+from bluebellpitch.decisions.remote_zones import RemoteZone
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.entry_messages import (
@@ -47,7 +47,7 @@
         zone: str,
         bus: PeerBus,
         liveness: Liveness,
-        directory: Directory,
+        directory: EndpointDirectory,
         catalogue: Callable[[], Catalogue | None],
         elsewhere: Callable[[str], list[str]],
         zones: Iterable[str],
@@ -70,13 +70,13 @@
         self.seeker = EngineSeeker(
             key, address, liveness, self._holder, self._send, self._send_to_address, now
         )
-        self._others: dict[tuple[str, str], OtherZone] = {}
+        self._others: dict[tuple[str, str], RemoteZone] = {}
         self._load_turn = 0
         self._sessions_by_pool: dict[str, list[str]] = {}
         self._wake = asyncio.Event()
 
     def _holder(self, pool: str) -> str:
-        return self._liveness.holder(pool, self._now(), self._is_draining())
+        return self._liveness.role_holder(pool, self._now(), self._is_draining())
 
     def is_broker(self) -> bool:
         """Tells whether this VM brokers a pool of engines."""
@@ -105,11 +105,11 @@
                 self._take_ask(message)
             case WorkRead(work_id, pool, waited_s, slowdown):
                 broker = self._broker(pool)
-                broker.note_read(work_id, waited_s, slowdown, self._now())
+                broker.record_first_token(work_id, waited_s, slowdown, self._now())
                 self._serve(broker)
             case WorkDone(work_id, pool, outcome, longest_gap_s):
                 broker = self._broker(pool)
-                broker.done(work_id, outcome, self._now(), longest_gap_s)
+                broker.finish(work_id, outcome, self._now(), longest_gap_s)
                 self._serve(broker)
             case ZoneLoad():
                 self._take_load(message)
@@ -118,9 +118,9 @@
     def _take_load(self, load: ZoneLoad) -> None:
         now = self._now()
         known = self._others.get((load.pool, load.zone))
-        sessions = known.sessions_at if known else {}
+        sessions = known.session_seen_at if known else {}
         sessions |= dict.fromkeys(load.sessions, now)
-        self._others[(load.pool, load.zone)] = OtherZone(
+        self._others[(load.pool, load.zone)] = RemoteZone(
             load.long_fixed_s,
             load.long_s_per_token,
             load.short_cost_s,
@@ -142,9 +142,9 @@
         row = catalogue.pools_by_name.get(broker.pool) if catalogue else None
         if row is None or row.engine is None:
             return
-        entries = (e for e in self._directory.usable(broker.pool) if e.zone == self._zone)
+        entries = (e for e in self._directory.usable_endpoints(broker.pool) if e.zone == self._zone)
         gap_s = catalogue.gap_targets_by_pool.get(broker.pool)
-        broker.set_engines(entries, row.engine.slots, row.engine.memory_tokens, gap_s)
+        broker.set_engines(entries, row.engine.slots, row.engine.kv_capacity_tokens, gap_s)
 
     def _take_ask(self, ask: WorkAsked) -> None:
         now = self._now()
@@ -153,25 +153,29 @@
         if self._pass_on(broker, work, ask, now):
             return
         self._asks_by_work[work.id] = ask
-        self._tell(broker.ask(work, ask.vm, frozenset(ask.avoid), now))
+        self._tell(broker.submit(work, ask.vm, frozenset(ask.avoid), now))
         if broker.waiting_by_id:
             self._wake.set()
 
-    def _pass_on(self, broker: GenerationBroker, work: Work, ask: WorkAsked, now: float) -> bool:
+    def _pass_on(
+        self, broker: GenerationBroker, work: WorkItem, ask: WorkAsked, now: float
+    ) -> bool:
         """Sends work to another zone if it would start sooner there."""
         if ask.is_passed_on:
             return False
         avoid = frozenset(ask.avoid)
-        if broker.is_short(work):
-            own_s = broker.short_cost_s(now)
+        if broker.is_short_prompt(work):
+            own_s = broker.short_prompt_cost_s(now)
             other = self._better_zone(work.pool, own_s, lambda other: other.short_cost_s, now)
         else:
-            own_s = broker.long_cost_s(work, avoid, now)
-            again_s = broker.read_again_s(work)
-
-            def cost(other: OtherZone) -> float:
-                unread = broker.unkept_tokens(work) if other.keeps(work, now) else work.tokens_in
-                reread_s = 0.0 if other.keeps(work, now) else again_s
+            own_s = broker.long_prompt_cost_s(work, avoid, now)
+            again_s = broker.cache_miss_cost_s(work)
+
+            def cost(other: RemoteZone) -> float:
+                unread = (
+                    broker.unshared_tokens(work) if other.has_cached(work, now) else work.tokens_in
+                )
+                reread_s = 0.0 if other.has_cached(work, now) else again_s
                 return other.long_fixed_s + unread * other.long_s_per_token + reread_s
 
             other = self._better_zone(work.pool, own_s, cost, now)
@@ -183,16 +187,16 @@
             ask, is_passed_on=True, age_s=now - work.arrived_at, left_s=work.expires_at - now
         )
         self._bus.send_to_address(other.address, passed_on)
-        other.note_passed_on(work.tokens_in)
+        other.record_forwarded(work.tokens_in)
         return True
 
-    def _better_zone(self, pool: str, own_s: float, cost, now: float) -> OtherZone | None:
+    def _better_zone(self, pool: str, own_s: float, cost, now: float) -> RemoteZone | None:
         if own_s <= OWN_WAIT_TOLERATED_S:
             return None
         others = [
             other
             for (other_pool, _), other in self._others.items()
-            if other_pool == pool and now - other.told_at < LOAD_BELIEVED_S
+            if other_pool == pool and now - other.reported_at < LOAD_BELIEVED_S
         ]
         best = min(others, key=cost, default=None)
         if best is None or cost(best) + ELSEWHERE_DELAY_S + ELSEWHERE_GAIN_S >= own_s:
@@ -201,14 +205,14 @@
 
     def _serve(self, broker: GenerationBroker) -> None:
         if broker.waiting_by_id:
-            self._tell(broker.serve(self._now()))
+            self._tell(broker.schedule(self._now()))
 
     def _tell(self, decisions) -> None:
         for decision in decisions:
             ask = self._asks_by_work.get(decision.work_id)
             address = ask.reply_to if ask else ""
             match decision:
-                case broker_answers.Granted(work_id, _, entry):
+                case generation_decisions.Granted(work_id, _, entry):
                     self._note_session(ask)
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
                     answer = WorkGranted(
@@ -220,12 +224,12 @@
                         entry.started_ms,
                         self._address,
                     )
-                case broker_answers.Refused(work_id, _, reason, retry_after_s):
+                case generation_decisions.Refused(work_id, _, reason, retry_after_s):
                     log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
                     answer = WorkRefused(work_id, reason, retry_after_s)
-                case broker_answers.Queued(work_id):
+                case generation_decisions.Queued(work_id):
                     answer = WorkQueued(work_id, 0.0)
-            if not isinstance(decision, broker_answers.Queued):
+            if not isinstance(decision, generation_decisions.Queued):
                 self._asks_by_work.pop(decision.work_id, None)
             if address:
                 self._send_to_address(address, answer)
@@ -233,13 +237,13 @@
     def _note_session(self, ask: WorkAsked | None) -> None:
         """Keeps the session of a long prompt, to be told to other zones."""
         session = session_of(ask.parts) if ask else ""
-        if session and not self._brokers_by_pool[ask.pool].is_short_size(ask.tokens_in):
+        if session and not self._brokers_by_pool[ask.pool].is_short_length(ask.tokens_in):
             self._sessions_by_pool.setdefault(ask.pool, []).append(session)
 
     def forget_vm(self, vm: str) -> None:
         """Forgets the work of a VM that is gone."""
         for broker in self._brokers_by_pool.values():
-            broker.forget_vm(vm)
+            broker.remove_vm(vm)
 
     async def run(self) -> None:
         """Serves queues as time passes, and tells other zones of the load here."""
@@ -264,7 +268,7 @@
         waiting = max(broker.waiting_by_id.values(), key=lambda w: w.work.arrived_at, default=None)
         ask = waiting and self._asks_by_work.get(waiting.work.id)
         if ask and self._pass_on(broker, waiting.work, ask, now):
-            broker.done(waiting.work.id, "withdrawn", now)
+            broker.finish(waiting.work.id, "withdrawn", now)
             del self._asks_by_work[waiting.work.id]
 
     async def _pause(self) -> None:
@@ -283,7 +287,7 @@
         for broker in self._brokers_by_pool.values():
             broker.expire(now)
         for other in self._others.values():
-            other.forget_sessions(now)
+            other.prune_sessions(now)
         if not any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
             self._asks_by_work.clear()
 
@@ -297,14 +301,14 @@
             if row.engine is None or self._holder(pool) != self._key:
                 continue
             broker = self._broker(pool)
-            offer = broker.offer_long(now)
+            offer = broker.estimate_long_prompt_cost(now)
             load = ZoneLoad(
                 pool,
                 self._zone,
                 offer.fixed_s,
                 offer.s_per_token,
-                broker.short_cost_s(now),
-                broker.s_per_token(),
+                broker.short_prompt_cost_s(now),
+                broker.pool_s_per_token(),
                 self._address,
                 tuple(self._sessions_by_pool.pop(pool, ())),
             )
@@ -314,7 +318,7 @@
 
     def _addresses_of(self, pool: str, zone: str, now: float) -> list[str]:
         known = self._others.get((pool, zone))
-        if known is not None and now - known.told_at < LOAD_BELIEVED_S:
+        if known is not None and now - known.reported_at < LOAD_BELIEVED_S:
             return [known.address]
         addresses = self._elsewhere(zone)
         return [addresses[self._load_turn % len(addresses)]] if addresses else []
@@ -326,9 +330,9 @@
             self._bus.send(holder, load)
 
 
-def work_of(ask: WorkAsked, now: float) -> Work:
+def work_of(ask: WorkAsked, now: float) -> WorkItem:
     """Returns the work as this VM's clock has it."""
-    return Work(
+    return WorkItem(
         id=ask.work_id,
         pool=ask.pool,
         rank=ask.rank,
@@ -336,7 +340,7 @@
         tokens_out=ask.tokens_out,
         parts=ask.parts,
         target_s=ask.target_s,
-        gap_s=ask.gap_s,
+        gap_target_s=ask.gap_s,
         arrived_at=now - ask.age_s,
         expires_at=now + ask.left_s,
     )
--- a/bluebellpitch/roles/neighbours.py
+++ b/bluebellpitch/roles/neighbours.py
@@ -90,7 +90,7 @@
             )
             for address in self._addresses():
                 self._bus.send_to_address(address, beat)
-            for key in self._liveness.lost(self._now()):
+            for key in self._liveness.remove_silent(self._now()):
                 log("INFO", "peer_lost", peer=key)
                 self._vm_lost(key)
             await self._pause(interval_s)
@@ -118,12 +118,12 @@
             key=sender,
             zone=beat.zone,
             address=beat.address,
-            draining=beat.draining,
+            is_draining=beat.draining,
             version=beat.version,
-            heard_at=self._now(),
+            last_heartbeat_at=self._now(),
             interval_s=beat.interval_s,
         )
         self._bus.know(sender, beat.address)
-        if self._liveness.hear(peer):
+        if self._liveness.record_heartbeat(peer):
             log("INFO", "peer_heard", peer=sender, zone=beat.zone, address=beat.address)
         return peer
--- a/bluebellpitch/roles/placing.py
+++ b/bluebellpitch/roles/placing.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.engine_choice import choose_engine
 from bluebellpitch.decisions.generation_broker import NO_ENGINE
-from bluebellpitch.decisions.loads import Loads, Work
-from bluebellpitch.decisions.plain_choice import choose_plain
+from bluebellpitch.decisions.loads import EndpointLoads, WorkItem
+from bluebellpitch.decisions.service_choice import choose_service_endpoint
 from bluebellpitch.platform.requests import AnswerHead
 from bluebellpitch.roles.engine_seeking import EngineSeeker, Grant
 from bluebellpitch.verdicts import DidNotRun
@@ -24,7 +24,7 @@
     """An endpoint that holds a request until ``release``. ``grant`` is a broker's, if any."""
 
     entry: EndpointEntry
-    work: Work
+    work: WorkItem
     grant: Grant | None = None
 
 
@@ -33,14 +33,14 @@
 
     def __init__(
         self,
-        directory: Directory,
+        directory: EndpointDirectory,
         seeker: EngineSeeker,
         zone: str,
         regions_by_zone: Mapping[str, str],
         now: Callable[[], float],
     ):
         self.directory = directory
-        self.loads = Loads()
+        self.loads = EndpointLoads()
         self._seeker = seeker
         self._now = now
         region = regions_by_zone.get(zone, "")
@@ -52,7 +52,9 @@
             other: delay_s / FAR_S for other, delay_s in self._delay_s_by_zone.items()
         }
 
-    async def place(self, work: Work, is_engine: bool, avoid: frozenset[str]) -> Place | DidNotRun:
+    async def place(
+        self, work: WorkItem, is_engine: bool, avoid: frozenset[str]
+    ) -> Place | DidNotRun:
         """Finds an endpoint and notes the work there."""
         if is_engine:
             found = await self._seeker.seek(work, avoid)
@@ -70,46 +72,48 @@
         known = self.directory.entries_by_id.get(entry.id)
         return known is not None and known.is_draining
 
-    def _place_by_own_view(self, work: Work, is_engine: bool, avoid) -> Place | DidNotRun:
+    def _place_by_own_view(self, work: WorkItem, is_engine: bool, avoid) -> Place | DidNotRun:
         now = self._now()
-        entries = list(self.directory.usable(work.pool))
+        entries = list(self.directory.usable_endpoints(work.pool))
         if is_engine:
             entry = choose_engine(entries, self.loads, work, self._delay_s_by_zone, avoid, now)
         else:
-            entry = choose_plain(entries, self.loads, self._distance_by_zone, avoid, now)
+            entry = choose_service_endpoint(entries, self.loads, self._distance_by_zone, avoid, now)
         if entry is None:
             return DidNotRun("no_endpoint", 503, NO_ENDPOINT_RETRY_S)
         return self._hold(Place(entry, work))
 
     def _hold(self, place: Place) -> Place:
-        load = self.loads.of(place.entry)
-        load.held[place.work.id] = place.work
-        load.reading[place.work.id] = float(place.work.tokens_in)
+        load = self.loads.for_endpoint(place.entry)
+        load.in_flight_by_id[place.work.id] = place.work
+        load.prefill_tokens_by_id[place.work.id] = float(place.work.tokens_in)
         return place
 
     def note_head(self, place: Place, head: AnswerHead) -> None:
         """Takes the load that an answer tells."""
         if head.load is not None:
             busy = float(head.load.running + head.load.waiting)
-            self.loads.of(place.entry).note_report(busy, head.load.slowdown, self._now())
+            self.loads.for_endpoint(place.entry).record_report(
+                busy, head.load.slowdown, self._now()
+            )
 
     def note_first_event(self, place: Place, sent_at: float) -> None:
         """Notes that the prompt has been read."""
-        load = self.loads.of(place.entry)
-        load.reading.pop(place.work.id, None)
+        load = self.loads.for_endpoint(place.entry)
+        load.prefill_tokens_by_id.pop(place.work.id, None)
         if place.grant is not None:
             waited_s = self._now() - sent_at - 2 * self._delay_s_by_zone.get(place.entry.zone, 0)
             self._seeker.note_read(place.grant, waited_s, load.slowdown)
 
     def release(self, place: Place, outcome: str, longest_gap_s: float = 0.0) -> None:
         """Frees the place: ``ok``, ``failed``, ``unreachable``, ``refused`` or ``withdrawn``."""
-        load = self.loads.of(place.entry)
-        load.held.pop(place.work.id, None)
-        load.reading.pop(place.work.id, None)
+        load = self.loads.for_endpoint(place.entry)
+        load.in_flight_by_id.pop(place.work.id, None)
+        load.prefill_tokens_by_id.pop(place.work.id, None)
         match outcome:
             case "ok" | "failed":
-                load.note_outcome(outcome == "failed", self._now())
+                load.record_outcome(outcome == "failed", self._now())
             case "unreachable":
-                load.note_unreachable(self._now())
+                load.record_unreachable(self._now())
         if place.grant is not None:
             self._seeker.release(place.grant, outcome, longest_gap_s)
--- a/bluebellpitch/roles/sharing.py
+++ b/bluebellpitch/roles/sharing.py
@@ -56,7 +56,7 @@
 
     def tell_zone(self, told: RecordsTold) -> None:
         """Tells the VMs of this zone what was read from the store."""
-        for peer in self._liveness.live(self._now()):
+        for peer in self._liveness.live_peers(self._now()):
             self._bus.send_to_address(peer.address, told)
 
     def take(self, sender: str, message) -> None:
@@ -114,7 +114,7 @@
             await asyncio.sleep(ASK_INTERVAL_S)
 
     def _asked(self, age_s: float) -> set[str]:
-        near = {peer.address for peer in self._liveness.live(self._now())}
+        near = {peer.address for peer in self._liveness.live_peers(self._now())}
         reader = self._liveness.peers_by_key.get(self._reader())
         if age_s < ASK_ALL_AFTER_S:
             return {reader.address} if reader else set()
@@ -125,7 +125,7 @@
 
     def _note_lapse(self, now: float) -> None:
         freshness = self._configuration.freshness
-        allows = freshness.allows_keys(now)
+        allows = freshness.may_accept_keys(now)
         if allows != self._may_use_keys:
             log(
                 "INFO" if allows else "WARNING",
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -3,13 +3,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bluebellpitch.decisions.directory import LAPSE_BELIEVED_S, Directory
+from bluebellpitch.decisions.directory import LAPSE_GRACE_S, EndpointDirectory
 from bluebellpitch.decisions.endpoints import EndpointEntry
-from bluebellpitch.decisions.freshness import Freshness, read_known_at
-from bluebellpitch.decisions.liveness import BEATS_MISSED, Liveness, Peer
-from bluebellpitch.decisions.loads import Loads, Work
-from bluebellpitch.decisions.plain_choice import choose_plain
-from bluebellpitch.decisions.repeats import RepeatBudget
+from bluebellpitch.decisions.freshness import Freshness, read_valid_at
+from bluebellpitch.decisions.liveness import MAX_MISSED_HEARTBEATS, Liveness, Peer
+from bluebellpitch.decisions.loads import EndpointLoads, WorkItem
+from bluebellpitch.decisions.retry_budget import RetryBudget
+from bluebellpitch.decisions.service_choice import choose_service_endpoint
 
 BEAT_S = 0.15
 
@@ -20,23 +20,23 @@
 
 def test_keys_lapse_before_the_bound():
     freshness = Freshness(revoke_s=5.0, apply_s=3.0)
-    assert not freshness.allows_keys(0.0)
+    assert not freshness.may_accept_keys(0.0)
     freshness.confirm(10.0)
-    assert freshness.allows_keys(14.0) and freshness.allows_denial(12.0)
-    assert not freshness.allows_keys(14.9)
-    assert not freshness.allows_denial(13.5)
+    assert freshness.may_accept_keys(14.0) and freshness.may_report_unknown(12.0)
+    assert not freshness.may_accept_keys(14.9)
+    assert not freshness.may_report_unknown(13.5)
 
 
 def test_knowledge_never_grows_older():
     freshness = Freshness(5.0, 3.0)
     freshness.confirm(10.0)
     freshness.confirm(4.0)
-    assert freshness.known_at == 10.0
+    assert freshness.confirmed_at == 10.0
 
 
 @given(asked=st.floats(0, 100), took=st.floats(0, 10), wait=st.floats(0, 5), empty=st.booleans())
 def test_a_read_shows_nothing_later_than_its_answer(asked, took, wait, empty):
-    known_at = read_known_at(asked, asked + took, wait, empty)
+    known_at = read_valid_at(asked, asked + took, wait, empty)
     assert asked <= known_at <= asked + took or known_at == asked
 
 
@@ -47,12 +47,12 @@
 )
 def test_all_vms_together_stay_within_the_budget(requests, repeats, vms):
     """Each VM alone spends no more than its part, in every window."""
-    budget = RepeatBudget(share=0.2, burst=54.0, window_s=10.0)
+    budget = RetryBudget(ratio=0.2, burst=54.0, window_s=10.0)
     events = sorted([(t, 0) for t in requests] + [(t, 1) for t in repeats])
     spent = []
     for at, kind in events:
         if kind == 0:
-            budget.note_request("app", at)
+            budget.record_request("app", at)
         elif budget.spend("app", vms, at):
             spent.append(at)
     for end in spent:
@@ -62,38 +62,38 @@
 
 
 def test_entry_that_lapses_beside_an_outage_is_believed_a_little():
-    directory = Directory()
-    directory.take(make_entry("i-1"))
-    directory.drop("i-1", store_was_away=True, now=10.0)
-    assert list(directory.usable("app"))
-    assert directory.expire(10.0 + LAPSE_BELIEVED_S) == ["i-1"]
-    assert not list(directory.usable("app"))
+    directory = EndpointDirectory()
+    directory.update(make_entry("i-1"))
+    directory.remove("i-1", store_was_unavailable=True, now=10.0)
+    assert list(directory.usable_endpoints("app"))
+    assert directory.expire(10.0 + LAPSE_GRACE_S) == ["i-1"]
+    assert not list(directory.usable_endpoints("app"))
 
 
 def test_entry_that_comes_back_stays():
-    directory = Directory()
-    directory.take(make_entry("i-1"))
-    directory.drop("i-1", store_was_away=True, now=10.0)
-    directory.take(make_entry("i-1"))
+    directory = EndpointDirectory()
+    directory.update(make_entry("i-1"))
+    directory.remove("i-1", store_was_unavailable=True, now=10.0)
+    directory.update(make_entry("i-1"))
     assert directory.expire(20.0) == []
 
 
 def test_entry_dropped_in_calm_is_gone_at_once():
-    directory = Directory()
-    directory.take(make_entry("i-1"))
-    assert directory.drop("i-1", store_was_away=False, now=10.0)
+    directory = EndpointDirectory()
+    directory.update(make_entry("i-1"))
+    assert directory.remove("i-1", store_was_unavailable=False, now=10.0)
     assert not directory.entries_by_id
 
 
 def test_replaced_endpoint_is_back_only_as_another_incarnation():
-    directory = Directory()
+    directory = EndpointDirectory()
     entry = make_entry("i-1")
-    directory.take(entry)
+    directory.update(entry)
     directory.mark_replaced(entry)
-    directory.take(entry)
-    assert not list(directory.usable("app"))
-    directory.take(make_entry("i-1", born=2))
-    assert list(directory.usable("app"))
+    directory.update(entry)
+    assert not list(directory.usable_endpoints("app"))
+    directory.update(make_entry("i-1", born=2))
+    assert list(directory.usable_endpoints("app"))
 
 
 def make_peer(key: str, now: float, draining: bool = False) -> Peer:
@@ -107,53 +107,55 @@
         liveness = Liveness(own, "z")
         for other in keys:
             if other != own:
-                liveness.hear(make_peer(other, 0.0))
-        holders.add(liveness.holder("duty", 0.1, own_draining=False))
+                liveness.record_heartbeat(make_peer(other, 0.0))
+        holders.add(liveness.role_holder("duty", 0.1, own_draining=False))
     assert len(holders) == 1
 
 
 def test_silent_draining_and_shunned_vms_hold_no_duty():
     liveness = Liveness("a", "z")
-    liveness.hear(make_peer("b", 0.0))
-    assert liveness.lost(BEATS_MISSED * BEAT_S + 0.1) == ["b"]
-    liveness.hear(make_peer("c", 1.0, draining=True))
-    liveness.hear(make_peer("d", 1.0))
-    liveness.shun("d", 2.0)
-    assert all(liveness.holder(f"duty{n}", 1.1, False) == "a" for n in range(20))
-    assert any(liveness.holder(f"duty{n}", 1.1, own_draining=True) == "a" for n in range(20))
+    liveness.record_heartbeat(make_peer("b", 0.0))
+    assert liveness.remove_silent(MAX_MISSED_HEARTBEATS * BEAT_S + 0.1) == ["b"]
+    liveness.record_heartbeat(make_peer("c", 1.0, draining=True))
+    liveness.record_heartbeat(make_peer("d", 1.0))
+    liveness.exclude("d", 2.0)
+    assert all(liveness.role_holder(f"duty{n}", 1.1, False) == "a" for n in range(20))
+    assert any(liveness.role_holder(f"duty{n}", 1.1, own_draining=True) == "a" for n in range(20))
 
 
 def choose(entries, loads, avoid=frozenset(), now=0.0):
-    return choose_plain(entries, loads, {"z": 0.0, "far": 1.0}, avoid, now)
+    return choose_service_endpoint(entries, loads, {"z": 0.0, "far": 1.0}, avoid, now)
 
 
-def make_work(name: str) -> Work:
-    return Work(name, "app", 1, 0, 0, (), 0.2, 60.0, 0.0, 2.0)
+def make_work(name: str) -> WorkItem:
+    return WorkItem(name, "app", 1, 0, 0, (), 0.2, 60.0, 0.0, 2.0)
 
 
 def test_near_idle_endpoint_is_chosen():
     entries = [make_entry("far", "far"), make_entry("near")]
-    assert choose(entries, Loads()).id == "near"
+    assert choose(entries, EndpointLoads()).id == "near"
 
 
 def test_busy_endpoint_yields_to_a_far_one():
-    entries, loads = [make_entry("far", "far"), make_entry("near")], Loads()
-    loads.of(entries[1]).held.update({f"w{n}": make_work(f"w{n}") for n in range(8)})
+    entries, loads = [make_entry("far", "far"), make_entry("near")], EndpointLoads()
+    loads.for_endpoint(entries[1]).in_flight_by_id.update(
+        {f"w{n}": make_work(f"w{n}") for n in range(8)}
+    )
     assert choose(entries, loads).id == "far"
 
 
 def test_endpoint_that_fails_more_than_its_siblings_is_avoided_and_comes_back():
-    entries, loads = [make_entry("grey"), make_entry("good")], Loads()
+    entries, loads = [make_entry("grey"), make_entry("good")], EndpointLoads()
     for _ in range(20):
-        loads.of(entries[0]).note_outcome(True, 0.0)
-        loads.of(entries[1]).note_outcome(False, 0.0)
+        loads.for_endpoint(entries[0]).record_outcome(True, 0.0)
+        loads.for_endpoint(entries[1]).record_outcome(False, 0.0)
     assert choose(entries, loads).id == "good"
-    loads.of(entries[1]).held.update({"w": make_work("w")})
+    loads.for_endpoint(entries[1]).in_flight_by_id.update({"w": make_work("w")})
     assert choose(entries, loads, now=30.0).id == "grey"
 
 
 def test_unreachable_endpoint_is_passed_over_unless_it_is_the_last():
-    entries, loads = [make_entry("down"), make_entry("up")], Loads()
-    loads.of(entries[0]).note_unreachable(0.0)
+    entries, loads = [make_entry("down"), make_entry("up")], EndpointLoads()
+    loads.for_endpoint(entries[0]).record_unreachable(0.0)
     assert choose(entries, loads, now=0.1).id == "up"
     assert choose(entries[:1], loads, now=0.1).id == "down"
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -33,7 +33,7 @@
     await deployment.add_vm()
     gate = await FakeLink.open(deployment.store_address)
     vm = await deployment.add_vm(store=gate.address)
-    await wait_until(lambda: len(vm.liveness.live(vm._now())) == 1)
+    await wait_until(lambda: len(vm.liveness.live_peers(vm._now())) == 1)
     gate.cut = True
     client = PlatformClient(vm.settings)
     for number in range(6):
@@ -107,7 +107,8 @@
             await asyncio.sleep(0.3)
             deployment.announce(endpoint, "app", state="draining")
             await wait_until(
-                lambda: not any(list(vm.directory.usable("app")) for vm in vms), timeout_s=2.6
+                lambda: not any(list(vm.directory.usable_endpoints("app")) for vm in vms),
+                timeout_s=2.6,
             )
 
     asyncio.run(body())
--- a/tests/test_generation_broker.py
+++ b/tests/test_generation_broker.py
@@ -4,17 +4,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bluebellpitch.decisions.broker_answers import Granted, Queued, Refused
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.generation_broker import NO_ENGINE, GenerationBroker
-from bluebellpitch.decisions.loads import Work
-from bluebellpitch.decisions.reading import (
-    LEAST_READING_SHARE,
-    READING_SHARE,
-    WHOLE_SHARE,
-    ReadingPace,
-    ReadingShare,
-    ReadingSpeed,
+from bluebellpitch.decisions.generation_decisions import Granted, Queued, Refused
+from bluebellpitch.decisions.loads import WorkItem
+from bluebellpitch.decisions.prefill import (
+    DEFAULT_PREFILL_SHARE,
+    MAX_PREFILL_SHARE,
+    MIN_PREFILL_SHARE,
+    PrefillSchedule,
+    PrefillShare,
+    PrefillSpeed,
 )
 
 GAP_S = 0.25
@@ -30,9 +30,9 @@
     return broker
 
 
-def make_work(name: str, tokens: int, now: float, rank: int = 1, parts=(), left_s=5.0) -> Work:
+def make_work(name: str, tokens: int, now: float, rank: int = 1, parts=(), left_s=5.0) -> WorkItem:
     gap_s = GAP_S if tokens < 1000 else 2 * GAP_S
-    return Work(name, "pool", rank, tokens, 50, tuple(parts), 0.6, gap_s, now, now + left_s)
+    return WorkItem(name, "pool", rank, tokens, 50, tuple(parts), 0.6, gap_s, now, now + left_s)
 
 
 def granted(decisions) -> list[str]:
@@ -41,11 +41,11 @@
 
 def test_short_prompt_is_granted_at_once():
     broker = make_broker()
-    assert granted(broker.ask(make_work("a", 300, 0.0), "vm", frozenset(), 0.0)) == ["a"]
+    assert granted(broker.submit(make_work("a", 300, 0.0), "vm", frozenset(), 0.0)) == ["a"]
 
 
 def test_without_engines_the_asker_is_told_so():
-    (refused,) = make_broker(0).ask(make_work("a", 300, 0.0), "vm", frozenset(), 0.0)
+    (refused,) = make_broker(0).submit(make_work("a", 300, 0.0), "vm", frozenset(), 0.0)
     assert isinstance(refused, Refused) and refused.reason == NO_ENGINE
 
 
@@ -57,14 +57,14 @@
         now += 0.4
         for kind, tokens in (("long", 6000), ("short", 400)):
             work = make_work(f"{kind}{number}", tokens, now)
-            for decision in broker.ask(work, "vm", frozenset(), now):
+            for decision in broker.submit(work, "vm", frozenset(), now):
                 if isinstance(decision, Granted):
                     waited_s = 0.06 + tokens * 2e-5
-                    broker.note_read(decision.work_id, waited_s, 1.0, now + 0.1)
+                    broker.record_first_token(decision.work_id, waited_s, 1.0, now + 0.1)
                     engines_by_kind[kind].add(decision.entry.id)
         if number >= 5:
-            broker.done(f"short{number - 5}", "ok", now)
-        broker.done(f"long{number}", "ok", now + 0.14)
+            broker.finish(f"short{number - 5}", "ok", now)
+        broker.finish(f"long{number}", "ok", now + 0.14)
         if number == 5:
             engines_by_kind = {"long": set(), "short": set()}
     assert len(engines_by_kind["short"]) == 1
@@ -74,8 +74,8 @@
 def test_long_prompts_leave_time_for_streams():
     """On one engine with a stream, no gap may be filled with reading."""
     broker = make_broker(1)
-    broker.ask(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
-    broker.note_read("stream", 0.05, 1.0, 0.05)
+    broker.submit(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
+    broker.record_first_token("stream", 0.05, 1.0, 0.05)
     now, reading, times = 0.1, {}, []
     seconds = 4000 * broker.speed.s_per_token
 
@@ -84,72 +84,72 @@
         reading.update(dict.fromkeys(names, now + seconds + broker.speed.fixed_s))
 
     for number in range(12):
-        note(granted(broker.ask(make_work(f"l{number}", 4000, now), "vm", frozenset(), now)))
+        note(granted(broker.submit(make_work(f"l{number}", 4000, now), "vm", frozenset(), now)))
     while broker.waiting_by_id and now < 3:
         now += 0.01
         for name in [name for name, at in reading.items() if at <= now]:
-            broker.note_read(name, reading.pop(name) - now + seconds, 1.0, now)
-        note(granted(broker.serve(now)))
+            broker.record_first_token(name, reading.pop(name) - now + seconds, 1.0, now)
+        note(granted(broker.schedule(now)))
     assert len(times) == 12
     for start in times:
         busy = sum(seconds for other in times if start <= other < start + GAP_S - seconds)
-        assert busy <= max(seconds, READING_SHARE * GAP_S) + seconds * 0.2
+        assert busy <= max(seconds, DEFAULT_PREFILL_SHARE * GAP_S) + seconds * 0.2
 
 
 def test_higher_rank_is_served_first():
     broker = make_broker(1)
-    broker.ask(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
+    broker.submit(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
     for number in range(3):
-        broker.ask(make_work(f"low{number}", 6000, 0.0, rank=2), "vm", frozenset(), 0.0)
-    broker.ask(make_work("high", 6000, 0.0, rank=0), "vm", frozenset(), 0.0)
+        broker.submit(make_work(f"low{number}", 6000, 0.0, rank=2), "vm", frozenset(), 0.0)
+    broker.submit(make_work("high", 6000, 0.0, rank=0), "vm", frozenset(), 0.0)
     order, now = [], 0.0
     while broker.waiting_by_id and now < 5:
         now += 0.01
-        order += granted(broker.serve(now))
+        order += granted(broker.schedule(now))
     assert order[0] == "high"
 
 
 def test_work_that_cannot_start_in_time_is_refused_early_with_a_time_to_return():
     broker = make_broker(1)
-    broker.ask(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
+    broker.submit(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
     decisions = []
     for number in range(60):
-        decisions += broker.ask(make_work(f"l{number}", 9000, 0.0), "vm", frozenset(), 0.0)
+        decisions += broker.submit(make_work(f"l{number}", 9000, 0.0), "vm", frozenset(), 0.0)
     refused = [d for d in decisions if isinstance(d, Refused)]
     assert refused and all(d.retry_after_s > 0 for d in refused)
 
 
 def test_queued_work_gets_a_final_decision_within_its_patience():
     broker = make_broker(1)
-    broker.ask(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
+    broker.submit(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
     queued = set()
     for number in range(40):
         work = make_work(f"l{number}", 9000, 0.0, left_s=2.0)
-        decisions = broker.ask(work, "vm", frozenset(), 0.0)
+        decisions = broker.submit(work, "vm", frozenset(), 0.0)
         queued |= {d.work_id for d in decisions if isinstance(d, Queued)}
     now = 0.0
     while now < 1.05:
         now += 0.01
-        list(broker.serve(now))
+        list(broker.schedule(now))
     assert queued and not broker.waiting_by_id
 
 
 def test_session_goes_back_to_the_engine_that_keeps_it():
     broker = make_broker(3)
     parts = [("shared", 2500), ("session", 3800), ("own", 2900)]
-    first = broker.ask(make_work("a", 9200, 0.0, parts=parts), "vm", frozenset(), 0.0)[0]
-    broker.note_read("a", 0.2, 1.0, 0.2)
-    broker.done("a", "ok", 0.5)
+    first = broker.submit(make_work("a", 9200, 0.0, parts=parts), "vm", frozenset(), 0.0)[0]
+    broker.record_first_token("a", 0.2, 1.0, 0.2)
+    broker.finish("a", "ok", 0.5)
     again = [("shared", 2500), ("session", 3800), ("own2", 2900)]
-    second = broker.ask(make_work("b", 9200, 1.0, parts=again), "vm", frozenset(), 1.0)[0]
+    second = broker.submit(make_work("b", 9200, 1.0, parts=again), "vm", frozenset(), 1.0)[0]
     assert first.entry == second.entry
 
 
 def test_silent_engine_gets_no_new_work():
     broker = make_broker(2)
-    (first,) = broker.ask(make_work("a", 6000, 0.0), "vm", frozenset(), 0.0)
+    (first,) = broker.submit(make_work("a", 6000, 0.0), "vm", frozenset(), 0.0)
     later = [
-        broker.ask(make_work(f"b{n}", 300, 3.0), "vm", frozenset(), 3.0)[0].entry.id
+        broker.submit(make_work(f"b{n}", 300, 3.0), "vm", frozenset(), 3.0)[0].entry.id
         for n in range(4)
     ]
     assert first.entry.id not in later
@@ -158,17 +158,17 @@
 def test_tried_engines_are_avoided():
     broker = make_broker(2)
     for number in range(5):
-        (decision,) = broker.ask(make_work(f"{number}", 300, 0.0), "vm", frozenset({"i-0"}), 0.0)
+        (decision,) = broker.submit(make_work(f"{number}", 300, 0.0), "vm", frozenset({"i-0"}), 0.0)
         assert decision.entry.id == "i-1"
 
 
 def test_lost_vm_frees_its_places():
     broker = make_broker(1, slots=1)
-    broker.ask(make_work("a", 300, 0.0), "dead", frozenset(), 0.0)
-    broker.ask(make_work("b", 300, 0.1), "vm", frozenset(), 0.1)
-    broker.forget_vm("dead")
-    broker.ask(make_work("c", 300, 0.2), "vm", frozenset(), 0.2)
-    assert granted(broker.serve(0.2)) or "b" not in broker.waiting_by_id
+    broker.submit(make_work("a", 300, 0.0), "dead", frozenset(), 0.0)
+    broker.submit(make_work("b", 300, 0.1), "vm", frozenset(), 0.1)
+    broker.remove_vm("dead")
+    broker.submit(make_work("c", 300, 0.2), "vm", frozenset(), 0.2)
+    assert granted(broker.schedule(0.2)) or "b" not in broker.waiting_by_id
 
 
 @settings(max_examples=60, deadline=None)
@@ -201,52 +201,52 @@
                     f"w{number}", 300 if step == "short" else 8000, now, rank=which % 3
                 )
                 asked.add(work.id)
-                note(broker.ask(work, f"vm{which % 2}", frozenset(), now))
+                note(broker.submit(work, f"vm{which % 2}", frozenset(), now))
             case "read":
-                broker.note_read(f"w{which}", 0.1, 1.0, now)
+                broker.record_first_token(f"w{which}", 0.1, 1.0, now)
             case "done" if f"w{which}" in asked:
-                broker.done(f"w{which}", "ok", now)
+                broker.finish(f"w{which}", "ok", now)
                 ends.setdefault(f"w{which}", 1)
             case "serve":
-                note(broker.serve(now))
+                note(broker.schedule(now))
             case "lose":
                 lost = [w for w in broker.waiting_by_id.values() if w.vm == "vm1"]
-                broker.forget_vm("vm1")
+                broker.remove_vm("vm1")
                 ends |= {w.work.id: 1 for w in lost}
     for _ in range(400):
         now += 0.05
-        note(broker.serve(now))
+        note(broker.schedule(now))
     assert not broker.waiting_by_id
     assert all(ends.get(work_id) == 1 for work_id in asked)
 
 
 def test_speed_is_learnt_from_first_tokens():
-    speed = ReadingSpeed()
+    speed = PrefillSpeed()
     for number in range(200):
         tokens = 500 + 137 * number % 9000
-        speed.note(tokens, 0.041 + tokens / 81_900)
+        speed.add_sample(tokens, 0.041 + tokens / 81_900)
     assert speed.s_per_token == pytest.approx(1 / 81_900, rel=0.05)
     assert speed.fixed_s == pytest.approx(0.041, rel=0.2)
 
 
 def test_pace_lets_a_first_prompt_pass():
-    pace = ReadingPace()
-    assert pace.wait_s(0.5, GAP_S, READING_SHARE, 0.0) == 0.0
-    pace.add(0.5, 0.0)
-    assert pace.wait_s(0.1, GAP_S, READING_SHARE, 0.0) >= 0.5
+    pace = PrefillSchedule()
+    assert pace.start_wait_s(0.5, GAP_S, DEFAULT_PREFILL_SHARE, 0.0) == 0.0
+    pace.append(0.5, 0.0)
+    assert pace.start_wait_s(0.1, GAP_S, DEFAULT_PREFILL_SHARE, 0.0) >= 0.5
 
 
 def test_reading_share_settles_where_few_streams_are_held_up():
-    share = ReadingShare(WHOLE_SHARE)
+    share = PrefillShare(MAX_PREFILL_SHARE)
     for _ in range(200):
-        share.note(late=True)
-    assert share.value == LEAST_READING_SHARE
+        share.record_stream(late=True)
+    assert share.value == MIN_PREFILL_SHARE
     for _ in range(1000):
-        share.note(late=False)
-    assert share.value == WHOLE_SHARE
+        share.record_stream(late=False)
+    assert share.value == MAX_PREFILL_SHARE
     before = share.value = 0.7
     for number in range(100):
-        share.note(late=number % 10 == 0)
+        share.record_stream(late=number % 10 == 0)
     assert share.value == pytest.approx(before, abs=0.01)
 
 
@@ -254,12 +254,12 @@
     """A grant that nobody waits for comes back at once, and the queue is served within serving."""
     broker = make_broker(4)
     for name in ("k", "l", "m", "n"):
-        broker.ask(make_work(name, 20_000, 0.0), "vm", frozenset(), 0.0)
+        broker.submit(make_work(name, 20_000, 0.0), "vm", frozenset(), 0.0)
     for name in ("a", "b", "c", "d"):
-        broker.ask(make_work(name, 6_000, 0.0), "vm", frozenset(), 0.0)
+        broker.submit(make_work(name, 6_000, 0.0), "vm", frozenset(), 0.0)
     assert len(broker.waiting_by_id) == 4
     for now in (2.0, 9.0):
-        for decision in broker.serve(now):
-            broker.done(decision.work_id, "withdrawn", now)
-            list(broker.serve(now))
+        for decision in broker.schedule(now):
+            broker.finish(decision.work_id, "withdrawn", now)
+            list(broker.schedule(now))
     assert not broker.waiting_by_id
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -129,7 +129,7 @@
     wire = configuration(1)
     wire["routes"][0] |= {"split": split}
     catalogue = decode_configuration(msgspec.json.encode(wire))
-    found = catalogue.match("tile.example", "/look/7")
+    found = catalogue.match_route("tile.example", "/look/7")
     assert [pick_pool(found, draw) for draw in (0.0, 0.89, 0.91, 0.999)] == [
         "app",
         "app",
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -191,7 +191,7 @@
     endpoints, client = await start(deployment, "app", "app")
     deployment.announce(endpoints[0], "app", state="draining")
     vm = deployment.vms[0]
-    await wait_until(lambda: len(list(vm.directory.usable("app"))) == 1)
+    await wait_until(lambda: len(list(vm.directory.usable_endpoints("app"))) == 1)
     for number in range(4):
         assert (await client.call("GET", "/look/7", f"r{number}")).status == 200
     assert not endpoints[0].requests
