--- a/bluebellpitch/decisions/__init__.py
+++ b/bluebellpitch/decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Pure decisions: state and the present time in, frozen verdicts and commands out."""
+"""Decision logic without I/O: takes state and the current time, returns immutable decisions."""
--- a/bluebellpitch/decisions/catalogue.py
+++ b/bluebellpitch/decisions/catalogue.py
@@ -1,6 +1,6 @@
-"""The operators' configuration as frozen values: routes, pools, members and limits.
+"""Immutable form of the operators' configuration: routes, pools, members and limits.
 
-A Catalogue is one version, whole. Functions here look things up; they keep nothing.
+A Catalogue is one complete version of it. The functions here are pure look-ups.
 """
 
 from collections.abc import Iterable
@@ -10,7 +10,7 @@
 
 
 class Repeatability(StrEnum):
-    """What may be done again after a request may have run."""
+    """What may be repeated of a request that may have run."""
 
     IDEMPOTENT = "idempotent"
     RESUMABLE = "resumable"
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightedPool:
-    """One pool of a route, with its weight among the route's pools."""
+    """A pool of a route with its share of the traffic."""
 
     pool: str
     weight: float
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Where requests of one host and path prefix go. Times are in seconds; rank 0 is first."""
+    """Target of requests for a host and path prefix. Times in seconds; rank 0 is served first."""
 
     name: str
     host: str
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineCapacity:
-    """What every engine of a pool can hold."""
+    """Capacity of each engine of a pool."""
 
     slots: int
     kv_capacity_tokens: int
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolConfig:
-    """One service. ``max_connections`` bounds all VMs together, for each endpoint."""
+    """One service. ``max_connections`` limits the connections of all VMs to each endpoint."""
 
     name: str
     max_connections: int
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberConfig:
-    """One member; ``rank`` replaces that of the route where it is set."""
+    """One member. ``rank`` overrides that of the route if it is set."""
 
     name: str
     rank: int | None
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Bounds on what a caller may send. Sizes in bytes, times in seconds."""
+    """Limits on what a caller may send. Sizes in bytes, times in seconds."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True)
 class Catalogue:
-    """One version of the configuration. ``routes_by_host`` holds longest prefixes first."""
+    """One version of the configuration. ``routes_by_host`` lists longer prefixes first."""
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
@@ -91,11 +91,13 @@
 
     @cached_property
     def gap_targets_by_pool(self) -> dict[str, float]:
-        """The smallest gap target among the routes of each pool, in seconds."""
+        """Smallest gap target among the routes of each pool, in seconds."""
         gaps: dict[str, float] = {}
         for route in (route for routes in self.routes_by_host.values() for route in routes):
-            for share in route.weighted_pools if route.gap_target_s else ():
-                gaps[share.pool] = min(route.gap_target_s, gaps.get(share.pool, route.gap_target_s))
+            for weighted in route.weighted_pools if route.gap_target_s else ():
+                gaps[weighted.pool] = min(
+                    route.gap_target_s, gaps.get(weighted.pool, route.gap_target_s)
+                )
         return gaps
 
     def match_route(self, host: str, path: str) -> Route | None:
@@ -109,15 +111,15 @@
     by_host: dict[str, list[Route]] = {}
     for route in sorted(routes, key=lambda route: -len(route.path_prefix)):
         by_host.setdefault(route.host, []).append(route)
-    return {host: tuple(group) for host, group in by_host.items()}
+    return {host: tuple(host_routes) for host, host_routes in by_host.items()}
 
 
 def pick_pool(route: Route, draw: float) -> str:
-    """Returns one of the route's pools by weight; ``draw`` is uniform in [0, 1)."""
-    total = sum(share.weight for share in route.weighted_pools)
-    mark = draw * total
-    for share in route.weighted_pools:
-        mark -= share.weight
-        if mark < 0:
-            return share.pool
+    """Returns a pool of the route at random by weight; ``draw`` is uniform in [0, 1)."""
+    total_weight = sum(weighted.weight for weighted in route.weighted_pools)
+    remaining = draw * total_weight
+    for weighted in route.weighted_pools:
+        remaining -= weighted.weight
+        if remaining < 0:
+            return weighted.pool
     return route.weighted_pools[-1].pool
--- a/bluebellpitch/decisions/directory.py
+++ b/bluebellpitch/decisions/directory.py
@@ -1,11 +1,11 @@
-"""Which endpoints exist, as far as this VM knows: announced, leaving, lapsed or replaced."""
+"""Endpoints known to this VM, from their registrations in the store."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
 
-# How long an entry that lapsed beside an outage of the store is still believed.
+# How long an entry that expired during a store outage is still used.
 LAPSE_GRACE_S = 2.2
 
 
@@ -18,7 +18,10 @@
     _replaced: dict[str, EndpointEntry] = field(default_factory=dict)
 
     def update(self, entry: EndpointEntry) -> bool:
-        """Takes an announcement in; returns whether it changes anything."""
+        """Adds or replaces an entry; returns whether that changed anything.
+
+        An entry that was marked as replaced is ignored until it changes.
+        """
         self._grace_until.pop(entry.id, None)
         if self._replaced.get(entry.id) == entry:
             return False
@@ -28,7 +31,10 @@
         return changed
 
     def remove(self, endpoint_id: str, store_was_unavailable: bool, now: float) -> bool:
-        """Notes that an entry is gone; beside an outage it is believed a little longer."""
+        """Removes an entry, after a grace period if it expired during a store outage.
+
+        Returns whether it was removed at once. A draining endpoint gets no grace period.
+        """
         if endpoint_id not in self.entries_by_id:
             return False
         if store_was_unavailable and not self.entries_by_id[endpoint_id].is_draining:
@@ -38,25 +44,25 @@
         return True
 
     def mark_replaced(self, entry: EndpointEntry) -> None:
-        """Notes that another endpoint answers at the address of this one."""
+        """Removes an entry, because another endpoint answers at its address."""
         known = self.entries_by_id.get(entry.id)
         if known and (known.address, known.started_ms) == (entry.address, entry.started_ms):
             self._replaced[entry.id] = known
             self._delete(entry.id)
 
     def expire(self, now: float) -> list[str]:
-        """Forgets lapsed entries that did not come back; returns their ids."""
-        old = [id for id, until in self._grace_until.items() if now >= until]
-        for endpoint_id in old:
+        """Removes entries whose grace period has ended; returns their ids."""
+        expired = [id for id, until in self._grace_until.items() if now >= until]
+        for endpoint_id in expired:
             self._delete(endpoint_id)
-        return old
+        return expired
 
     def _delete(self, endpoint_id: str) -> None:
         self.entries_by_id.pop(endpoint_id, None)
         self._grace_until.pop(endpoint_id, None)
 
     def usable_endpoints(self, pool: str) -> Iterator[EndpointEntry]:
-        """Yields the endpoints of a pool that take new work."""
+        """Yields the endpoints of a pool that accept new work."""
         return (
             entry
             for entry in self.entries_by_id.values()
--- a/bluebellpitch/decisions/endpoints.py
+++ b/bluebellpitch/decisions/endpoints.py
@@ -1,11 +1,11 @@
-"""Endpoints as they announce themselves, and the directory that a VM keeps of them."""
+"""Registration entries of endpoints."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
-    """One announced endpoint. ``started_ms`` tells incarnations under one id apart."""
+    """One registered endpoint. ``started_ms`` distinguishes its incarnations."""
 
     id: str
     pool: str
--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -1,4 +1,4 @@
-"""What a broker knows of one engine: work that it holds, prompt parts that it keeps, its pace."""
+"""A broker's model of one engine: its running work, its KV cache and its prefill schedule."""
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -7,17 +7,21 @@
 from bluebellpitch.decisions.loads import EndpointLoad, WorkItem
 from bluebellpitch.decisions.prefill import PrefillSchedule
 
-# An engine that is this late with a first token, and silent since, gets no new work.
+# An engine gets no new work when a first token is this late and nothing else came in meanwhile.
 FIRST_TOKEN_OVERDUE_S = 0.7
-# Time over which reading counts as recent.
+# Half-life of the recent prefill time of an engine.
 PREFILL_HALF_LIFE_S = 1.0
-# Part of an engine's memory that work may be planned to fill.
+# Share of an engine's KV capacity that assigned work may fill.
 USABLE_KV_SHARE = 0.92
 
 
 @dataclass(slots=True)
 class AssignedWork:
-    """Work at an engine. ``unread`` is how many tokens of its prompt were not kept there."""
+    """Work at an engine. ``uncached_tokens`` is the part of its prompt that had to be prefilled.
+
+    ``prefilled_alone`` marks a prompt whose prefill no other one overlapped, so that its time to
+    first token is a sample of the prefill speed.
+    """
 
     work: WorkItem
     vm: str
@@ -45,15 +49,15 @@
     _cached_tokens: int = 0
 
     def record_prefill(self, seconds: float, now: float) -> None:
-        """Plans a prompt, and counts it as recent reading."""
+        """Schedules the prefill of a prompt and counts it as recent."""
         self._recent_prefill_s = self.prefill_activity(now) * PREFILL_HALF_LIFE_S + seconds
         self._recent_prefill_at = now
         self.prefill_schedule.append(seconds, now)
-        for held in self.assigned_by_id.values():
-            held.prefilled_alone = False
+        for assigned in self.assigned_by_id.values():
+            assigned.prefilled_alone = False
 
     def prefill_activity(self, now: float) -> float:
-        """Returns which part of the recent time went, or will go, into reading long prompts."""
+        """Returns the share of the recent time that prefill took, scheduled prefill included."""
         return (
             self._recent_prefill_s
             * 0.5 ** ((now - self._recent_prefill_at) / PREFILL_HALF_LIFE_S)
@@ -61,70 +65,71 @@
         )
 
     def uncached_tokens(self, work: WorkItem) -> int:
-        """Returns how many tokens of a prompt the engine has to read."""
-        kept = 0
+        """Returns how many tokens of a prompt the engine has to prefill."""
+        cached = 0
         for part, size in work.parts:
             if part not in self._cached_parts:
                 break
-            kept += size
-        return max(1, work.tokens_in - kept)
+            cached += size
+        return max(1, work.tokens_in - cached)
 
     def uncached_shared(self, work: WorkItem) -> int:
-        """Returns how many tokens that other requests share with it the engine has to read."""
-        own = work.parts[-1][1] if work.parts else work.tokens_in
-        return max(0, self.uncached_tokens(work) - own)
+        """Returns how many tokens the engine has to prefill that the prompt shares with others."""
+        unshared = work.parts[-1][1] if work.parts else work.tokens_in
+        return max(0, self.uncached_tokens(work) - unshared)
 
     def cache_prompt(self, work: WorkItem) -> None:
-        """Notes that the engine will keep the parts of a prompt; the oldest ones yield."""
+        """Adds the parts of a prompt to the cache; evicts the least recently used ones."""
         for part, size in work.parts:
             if part not in self._cached_parts:
                 self._cached_tokens += size
             self._cached_parts[part] = size
             self._cached_parts.move_to_end(part)
-        room = self.kv_capacity_tokens - self.output_tokens()
-        while self._cached_parts and self._cached_tokens > room:
+        max_cached_tokens = self.kv_capacity_tokens - self.output_tokens()
+        while self._cached_parts and self._cached_tokens > max_cached_tokens:
             _, size = self._cached_parts.popitem(last=False)
             self._cached_tokens -= size
 
     def output_tokens(self) -> int:
-        """Returns the memory that running work needs."""
-        return sum(held.work.tokens_out for held in self.assigned_by_id.values())
+        """Returns the KV capacity that the output of assigned work needs."""
+        return sum(assigned.work.tokens_out for assigned in self.assigned_by_id.values())
 
     def total_tokens(self) -> int:
-        """Returns the memory of running work with its prompts."""
-        return sum(h.work.tokens_in + h.work.tokens_out for h in self.assigned_by_id.values())
+        """Returns the KV capacity that assigned work needs, prompts included."""
+        return sum(a.work.tokens_in + a.work.tokens_out for a in self.assigned_by_id.values())
 
     def has_capacity(self, work: WorkItem) -> bool:
-        """Tells whether a slot and memory are free."""
+        """Returns whether a slot and enough KV capacity are free; an idle engine takes any work."""
         if len(self.assigned_by_id) >= self.slots:
             return False
-        room = self.kv_capacity_tokens * USABLE_KV_SHARE - self.total_tokens()
-        return not self.assigned_by_id or work.tokens_in + work.tokens_out <= room
+        free_tokens = self.kv_capacity_tokens * USABLE_KV_SHARE - self.total_tokens()
+        return not self.assigned_by_id or work.tokens_in + work.tokens_out <= free_tokens
 
     def is_usable(self, now: float) -> bool:
-        """Tells whether the engine may get new work."""
+        """Returns whether the engine may get new work."""
         return not self.load.is_down(now) and not self.is_overdue(now)
 
     def is_overdue(self, now: float) -> bool:
-        """Tells whether the engine owes a first token and has been silent for long."""
+        """Returns whether a first token is overdue and the engine has been silent."""
         if now - self.last_response_at < FIRST_TOKEN_OVERDUE_S:
             return False
         return any(
-            not held.has_first_token and now > held.expected_first_token_at + FIRST_TOKEN_OVERDUE_S
-            for held in self.assigned_by_id.values()
+            not assigned.has_first_token
+            and now > assigned.expected_first_token_at + FIRST_TOKEN_OVERDUE_S
+            for assigned in self.assigned_by_id.values()
         )
 
     def short_streams(self) -> int:
-        """Returns how many streams with short prompts, which reading would hold up, run there."""
-        return sum(held.is_short for held in self.assigned_by_id.values())
+        """Returns how many streams of short prompts run there, which a prefill would delay."""
+        return sum(assigned.is_short for assigned in self.assigned_by_id.values())
 
     def min_gap_target_s(self) -> float | None:
-        """Returns the smallest gap target of the streams that run there."""
+        """Returns the smallest gap target of the streams that have started, None without any."""
         return min(
-            (h.work.gap_target_s for h in self.assigned_by_id.values() if h.has_first_token),
+            (a.work.gap_target_s for a in self.assigned_by_id.values() if a.has_first_token),
             default=None,
         )
 
     def prefill_backlog_s(self, now: float) -> float:
-        """Returns how long the engine still reads what was sent to it."""
+        """Returns how long the scheduled prefill still takes."""
         return self.prefill_schedule.free_at(now) - now
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -1,8 +1,9 @@
-"""The broker of one pool of engines in one zone: which generation goes where, and when.
+"""Schedules generation requests on the engines of one pool in one zone.
 
-Short prompts go at once, to engines that read little; long ones go where few streams would be held
-up, and wait until an engine may read them. Waiting work is served by rank, then in time before
-late, then by age. Work that cannot start within its patience is refused as soon as that is clear.
+Short prompts are dispatched at once, preferably to engines with little prefill. Long prompts go
+where their prefill delays few streams, and are queued until the pacing of an engine admits them.
+The queue is ordered by rank, then requests that can still meet their target before late ones, then
+by age. A request that cannot start before its start deadline is refused as soon as that is known.
 """
 
 from collections.abc import Iterable, Iterator
@@ -25,22 +26,26 @@
     PrefillSpeed,
 )
 
-# A prompt that takes at most this part of a gap to read is not paced.
+# A prompt is short, and its prefill not paced, if it takes at most this share of the gap target.
 SHORT_PREFILL_SHARE = 0.12
-# Where no gap is declared, this stands in for it.
+# Used for pools without a configured gap target.
 DEFAULT_GAP_TARGET_S = 0.4
-# Reading that may be planned at an engine where no stream runs.
+# Prefill backlog at which an engine that is not paced still gets another prompt.
 UNPACED_BACKLOG_S = 0.1
-# Costs, as seconds of waiting for the first token: of one running request; for a short prompt, of
-# an engine that reads all the time; for each second of reading, of each stream that it holds up; of
-# each second in which parts are read that another engine may keep.
+# Placement costs, in seconds of time to first token (or per second of prefill, without _S).
+# Of each request that runs on the engine.
 RUNNING_REQUEST_COST_S = 0.003
+# For a short prompt: of an engine that spends all its time on prefill.
 BUSY_PREFILL_COST_S = 0.4
+# For a long prompt: of each short stream that its prefill delays, per second of prefill.
 DELAYED_STREAM_COST = 0.3
+# For a long prompt: per second of prefill for shared parts that another engine may have cached.
 CACHE_MISS_COST = 2.0
+# Of a failure rate of 1.
 FAILURE_COST_S = 1.0
+# Work whose end was never reported is dropped this long after its deadline.
 EXPIRY_GRACE_S = 2.0
-# Gaps count against reading at engines that read for this part of the recent time.
+# A stream adjusts the prefill share only if its engine was this busy with prefill recently.
 MIN_PREFILL_ACTIVITY = 0.15
 MIN_RETRY_AFTER_S = 0.3
 LONG_EWMA_WEIGHT = 0.1
@@ -49,7 +54,7 @@
 
 
 class GenerationBroker:
-    """Decides for one pool in one zone. The caller gives the present time."""
+    """Schedules one pool in one zone. Callers pass the current time as ``now``."""
 
     def __init__(self, pool: str):
         self.pool = pool
@@ -69,7 +74,7 @@
         kv_capacity_tokens: int,
         gap_target_s: float | None,
     ) -> None:
-        """Takes the engines that there are."""
+        """Replaces the engines; incarnations that stay keep their state."""
         self.gap_target_s = gap_target_s or DEFAULT_GAP_TARGET_S
         engines = {}
         for entry in entries:
@@ -80,20 +85,20 @@
         self._engines = engines
 
     def has_usable_engine(self, now: float) -> bool:
-        """Tells whether any engine here may get work, now or later."""
+        """Returns whether any engine accepts new work, regardless of free capacity."""
         return any(engine.is_usable(now) for engine in self._engines.values())
 
     def cache_miss_cost_s(self, work: WorkItem) -> float:
-        """Returns the cost of reading the shared parts of a prompt again."""
+        """Returns the cost of prefilling the shared parts of a prompt without a cache hit."""
         shared = work.tokens_in - self.unshared_tokens(work)
         return shared * self.speed.s_per_token * CACHE_MISS_COST
 
     def unshared_tokens(self, work: WorkItem) -> int:
-        """Returns the part of a prompt that no engine can have kept."""
+        """Returns the number of prompt tokens that no engine can have cached."""
         return work.parts[-1][1] if work.parts else work.tokens_in
 
     def long_prompt_cost_s(self, work: WorkItem, avoid: frozenset[str], now: float) -> float:
-        """Returns the cost of a long prompt here, behind what waits already."""
+        """Returns the cost of a long prompt in this zone, including the wait in the queue."""
         engines = self._candidates(work, avoid, now)
         if not engines:
             return float("inf")
@@ -101,37 +106,37 @@
         return best + self._queue_wait_s(work, len(engines))
 
     def estimate_long_prompt_cost(self, now: float) -> LongPromptCost:
-        """Returns what a long prompt that no engine keeps would cost here."""
+        """Returns the cost of a long prompt without cached parts, as reported to other zones."""
         tokens = max(1, int(self._mean_long_tokens))
-        typical = WorkItem(
+        work = WorkItem(
             "", self.pool, 1 << 20, tokens, 1, (), 1.0, self.gap_target_s, now, now + 1.0
         )
-        engines = self._candidates(typical, frozenset(), now)
+        engines = self._candidates(work, frozenset(), now)
         if not engines:
             return LongPromptCost(float("inf"), 0.0)
-        engine = min(engines, key=lambda engine: self._cost_s(engine, typical, now))
+        engine = min(engines, key=lambda engine: self._cost_s(engine, work, now))
         s_per_token = self.speed.s_per_token * (1 + engine.short_streams() * DELAYED_STREAM_COST)
-        cost_s = self._cost_s(engine, typical, now) - tokens * s_per_token
-        return LongPromptCost(cost_s + self._queue_wait_s(typical, len(engines)), s_per_token)
+        cost_s = self._cost_s(engine, work, now) - tokens * s_per_token
+        return LongPromptCost(cost_s + self._queue_wait_s(work, len(engines)), s_per_token)
 
     def pool_s_per_token(self) -> float:
-        """Returns the reading time of a token when all engines here read as much as they may."""
+        """Returns the prefill time per token with all engines at the default prefill share."""
         return self.speed.s_per_token / (DEFAULT_PREFILL_SHARE * max(1, len(self._engines)))
 
     def submit(self, work: WorkItem, vm: str, avoid: frozenset[str], now: float) -> list[Decision]:
-        """Takes new work in; returns what is decided by that."""
+        """Queues an item, after freeing any engine held under its id; returns the decisions."""
         if work.id in self._engine_by_work_id:
             self.finish(work.id, "withdrawn", now)
         waiting = WaitingWork(work, vm, avoid)
         if not self.is_short_prompt(work):
             self._mean_long_tokens += LONG_EWMA_WEIGHT * (work.tokens_in - self._mean_long_tokens)
-        expected = now + self.expected_wait_s(work, avoid, now)
-        if expected == float("inf") and not self.has_usable_engine(now):
-            inputs = self._describe_refusal(work, expected - now)
+        expected_start = now + self.expected_wait_s(work, avoid, now)
+        if expected_start == float("inf") and not self.has_usable_engine(now):
+            inputs = self._describe_refusal(work, expected_start - now)
             return [Refused(work.id, vm, NO_ENGINE, MIN_RETRY_AFTER_S, inputs)]
-        if expected > waiting.start_deadline():
-            retry_s = self._retry_after(expected - now)
-            inputs = self._describe_refusal(work, expected - now)
+        if expected_start > waiting.start_deadline():
+            retry_s = self._retry_after(expected_start - now)
+            inputs = self._describe_refusal(work, expected_start - now)
             return [Refused(work.id, vm, "no_capacity_in_time", retry_s, inputs)]
         self.waiting_by_id[work.id] = waiting
         decisions = list(self.schedule(now))
@@ -143,34 +148,35 @@
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s / 2))
 
     def expected_wait_s(self, work: WorkItem, avoid: frozenset[str], now: float) -> float:
-        """Returns how long work would wait for an engine, behind what waits already."""
+        """Returns the expected wait for an engine, including the wait in the queue."""
         engines = self._candidates(work, avoid, now)
         if not engines:
             return float("inf")
         best = min(self._start_wait_s(engine, work, now) for engine in engines)
         return best if self.is_short_prompt(work) else best + self._queue_wait_s(work, len(engines))
 
-    def _queue_wait_s(self, work: WorkItem, engines: int) -> float:
-        """Returns how long what waits before this work takes."""
-        ahead = sum(
+    def _queue_wait_s(self, work: WorkItem, engine_count: int) -> float:
+        """Returns how long the prefill of queued items of the same or a higher rank takes."""
+        tokens_ahead = sum(
             waiting.work.tokens_in
             for waiting in self.waiting_by_id.values()
             if waiting.work.rank <= work.rank
         )
-        return ahead * self.speed.s_per_token / (DEFAULT_PREFILL_SHARE * engines)
+        return tokens_ahead * self.speed.s_per_token / (DEFAULT_PREFILL_SHARE * engine_count)
 
     def schedule(self, now: float) -> Iterator[Decision]:
-        """Yields grants and refusals that are due.
+        """Yields the grants and refusals that are due.
 
-        What follows from a decision may serve the queue again before the next one is asked for.
+        The consumer of a decision may call this again before it takes the next one, so each item
+        is checked to be still queued.
         """
-        paced_waits = False
+        long_prompt_waits = False
         for waiting in sorted(self.waiting_by_id.values(), key=lambda w: self._queue_order(w, now)):
             work = waiting.work
             if self.waiting_by_id.get(work.id) is not waiting:
                 continue
-            is_short_prompt = self.is_short_prompt(work)
-            if paced_waits and not is_short_prompt:
+            is_short = self.is_short_prompt(work)
+            if long_prompt_waits and not is_short:
                 continue
             engine = self._pick_engine(waiting, now)
             if engine is not None:
@@ -179,11 +185,11 @@
                 self._assign(engine, waiting, now)
                 yield Granted(work.id, waiting.vm, engine.entry, inputs)
                 continue
-            paced_waits = paced_waits or not is_short_prompt
+            long_prompt_waits = long_prompt_waits or not is_short
         yield from self._refuse_expired(now)
 
     def _describe_grant(self, engine: EngineState, work: WorkItem, now: float) -> dict[str, str]:
-        """Returns what decided a grant, for the log."""
+        """Returns the inputs of a grant, for the log."""
         return {
             "rank": str(work.rank),
             "waited_ms": f"{(now - work.arrived_at) * 1000:.0f}",
@@ -197,7 +203,7 @@
         }
 
     def _describe_refusal(self, work: WorkItem, wait_s: float) -> dict[str, str]:
-        """Returns what decided a refusal, for the log."""
+        """Returns the inputs of a refusal, for the log."""
         return {
             "rank": str(work.rank),
             "tokens": str(work.tokens_in),
@@ -216,15 +222,15 @@
 
     def _queue_order(self, waiting: WaitingWork, now: float) -> tuple[int, bool, float]:
         work = waiting.work
-        first_at = now + self.speed.fixed_s + work.tokens_in * self.speed.s_per_token
-        return work.rank, first_at > work.arrived_at + work.target_s, work.arrived_at
+        first_token_at = now + self.speed.fixed_s + work.tokens_in * self.speed.s_per_token
+        return work.rank, first_token_at > work.arrived_at + work.target_s, work.arrived_at
 
     def is_short_prompt(self, work: WorkItem) -> bool:
-        """Tells whether a prompt is read so fast that it need not be paced."""
+        """Returns whether the prefill is so fast that it need not be paced."""
         return self.is_short_length(work.tokens_in)
 
     def is_short_length(self, tokens: int) -> bool:
-        """Tells the same of a number of prompt tokens."""
+        """Does the same for a number of prompt tokens."""
         return tokens * self.speed.s_per_token <= SHORT_PREFILL_SHARE * self.gap_target_s
 
     def _candidates(self, work: WorkItem, avoid: frozenset[str], now: float) -> list[EngineState]:
@@ -238,20 +244,20 @@
         return engine.uncached_tokens(work) * self.speed.s_per_token * engine.load.slowdown
 
     def _start_wait_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
-        seconds = self._prefill_s(engine, work)
-        if seconds <= SHORT_PREFILL_SHARE * self.gap_target_s:
+        prefill_s = self._prefill_s(engine, work)
+        if prefill_s <= SHORT_PREFILL_SHARE * self.gap_target_s:
             return 0.0
-        gap_s = engine.min_gap_target_s()
+        gap_target_s = engine.min_gap_target_s()
         share = self._prefill_share(engine).value
-        if gap_s is None or share >= MAX_PREFILL_SHARE:
+        if gap_target_s is None or share >= MAX_PREFILL_SHARE:
             return max(0.0, engine.prefill_backlog_s(now) - UNPACED_BACKLOG_S)
-        return engine.prefill_schedule.start_wait_s(seconds, gap_s, share, now)
+        return engine.prefill_schedule.start_wait_s(prefill_s, gap_target_s, share, now)
 
     def _prefill_share(self, engine: EngineState) -> PrefillShare:
         return self.short_stream_share if engine.short_streams() else self.long_stream_share
 
     def _pick_engine(self, waiting: WaitingWork, now: float) -> EngineState | None:
-        """Returns the engine with the least cost if the work may start there now."""
+        """Returns the engine with the lowest cost if the work can start there now."""
         work = waiting.work
         engines = self._candidates(work, waiting.avoid, now)
         if not engines:
@@ -262,62 +268,64 @@
 
     def _cost_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
         wait_s = max(self._start_wait_s(engine, work, now), engine.prefill_backlog_s(now))
-        reading_s = self._prefill_s(engine, work)
-        crowding_s = len(engine.assigned_by_id) * RUNNING_REQUEST_COST_S
-        failing_s = engine.load.recent_failure_rate(now) * FAILURE_COST_S
+        prefill_s = self._prefill_s(engine, work)
+        running_s = len(engine.assigned_by_id) * RUNNING_REQUEST_COST_S
+        failure_s = engine.load.recent_failure_rate(now) * FAILURE_COST_S
         if self.is_short_prompt(work):
-            pauses_s = engine.prefill_activity(now) * BUSY_PREFILL_COST_S
+            penalty_s = engine.prefill_activity(now) * BUSY_PREFILL_COST_S
         else:
-            pauses_s = reading_s * engine.short_streams() * DELAYED_STREAM_COST
-            pauses_s += engine.uncached_shared(work) * self.speed.s_per_token * CACHE_MISS_COST
-        return wait_s + reading_s + crowding_s + failing_s + pauses_s
+            penalty_s = prefill_s * engine.short_streams() * DELAYED_STREAM_COST
+            penalty_s += engine.uncached_shared(work) * self.speed.s_per_token * CACHE_MISS_COST
+        return wait_s + prefill_s + running_s + failure_s + penalty_s
 
     def short_prompt_cost_s(self, now: float) -> float:
-        """Returns the least cost of a usual short prompt here."""
+        """Returns the lowest cost of a short prompt in this zone."""
         work = WorkItem("", self.pool, 0, 1, 1, (), 1.0, self.gap_target_s, now, now + 1.0)
         engines = self._candidates(work, frozenset(), now)
         return min((self._cost_s(engine, work, now) for engine in engines), default=float("inf"))
 
     def _assign(self, engine: EngineState, waiting: WaitingWork, now: float) -> None:
         work = waiting.work
-        unread = engine.uncached_tokens(work)
-        seconds = self._prefill_s(engine, work)
-        read_alone = engine.prefill_backlog_s(now) <= 0
-        engine.record_prefill(seconds, now)
-        read_at = engine.prefill_schedule.free_at(now) + self.speed.fixed_s
+        uncached = engine.uncached_tokens(work)
+        prefill_s = self._prefill_s(engine, work)
+        alone = engine.prefill_backlog_s(now) <= 0
+        engine.record_prefill(prefill_s, now)
+        first_token_at = engine.prefill_schedule.free_at(now) + self.speed.fixed_s
         engine.cache_prompt(work)
         engine.assigned_by_id[work.id] = AssignedWork(
-            work, waiting.vm, unread, read_at, read_alone, self.is_short_prompt(work)
+            work, waiting.vm, uncached, first_token_at, alone, self.is_short_prompt(work)
         )
         self._engine_by_work_id[work.id] = engine
 
-    def record_first_token(
-        self, work_id: str, waited_s: float, slowdown: float, now: float
-    ) -> None:
-        """Notes the first token of work, ``waited_s`` after it was sent."""
+    def record_first_token(self, work_id: str, ttft_s: float, slowdown: float, now: float) -> None:
+        """Records the first token of a work item, ``ttft_s`` after it was sent."""
         engine = self._engine_by_work_id.get(work_id)
-        held = engine.assigned_by_id.get(work_id) if engine else None
-        if held is None:
+        assigned = engine.assigned_by_id.get(work_id) if engine else None
+        if assigned is None:
             return
         engine.last_response_at = now
         engine.load.record_outcome(False, now)
         engine.load.slowdown = max(1.0, slowdown)
-        if held.prefilled_alone and slowdown <= 1.1:
-            self.speed.add_sample(held.uncached_tokens, waited_s)
-        held.has_first_token = True
+        if assigned.prefilled_alone and slowdown <= 1.1:
+            self.speed.add_sample(assigned.uncached_tokens, ttft_s)
+        assigned.has_first_token = True
         if all(other.has_first_token for other in engine.assigned_by_id.values()):
             engine.prefill_schedule.truncate(now)
 
     def finish(self, work_id: str, outcome: str, now: float, longest_gap_s: float = 0.0) -> None:
-        """Notes that work has left its engine: ``ok``, ``failed``, ``unreachable``, ``refused``."""
+        """Removes an ended item; ``ok``, ``failed`` or ``unreachable`` count for its engine."""
         self.waiting_by_id.pop(work_id, None)
         engine = self._engine_by_work_id.pop(work_id, None)
         if engine is None:
             return
-        held = engine.assigned_by_id.pop(work_id, None)
-        if held and held.has_first_token and engine.prefill_activity(now) > MIN_PREFILL_ACTIVITY:
-            share = self.short_stream_share if held.is_short else self.long_stream_share
-            share.record_stream(longest_gap_s > held.work.gap_target_s)
+        assigned = engine.assigned_by_id.pop(work_id, None)
+        if (
+            assigned
+            and assigned.has_first_token
+            and engine.prefill_activity(now) > MIN_PREFILL_ACTIVITY
+        ):
+            share = self.short_stream_share if assigned.is_short else self.long_stream_share
+            share.record_stream(longest_gap_s > assigned.work.gap_target_s)
         if outcome == "ok":
             engine.last_response_at = now
         elif outcome == "failed":
@@ -326,7 +334,7 @@
             engine.load.record_unreachable(now)
 
     def remove_vm(self, vm: str) -> None:
-        """Forgets all work of a VM that is gone."""
+        """Removes all work of a lost VM."""
         for work_id, waiting in list(self.waiting_by_id.items()):
             if waiting.vm == vm:
                 del self.waiting_by_id[work_id]
@@ -335,7 +343,7 @@
                 del engine.assigned_by_id[work_id], self._engine_by_work_id[work_id]
 
     def expire(self, now: float) -> None:
-        """Forgets work that must be over, in case its end was never told."""
+        """Removes work past its deadline whose end was never reported."""
         for work_id, engine in list(self._engine_by_work_id.items()):
             if now > engine.assigned_by_id[work_id].work.expires_at + EXPIRY_GRACE_S:
                 del engine.assigned_by_id[work_id], self._engine_by_work_id[work_id]
--- a/bluebellpitch/decisions/generation_decisions.py
+++ b/bluebellpitch/decisions/generation_decisions.py
@@ -1,17 +1,17 @@
-"""What a broker of generations answers, offers other zones, and keeps in its queue."""
+"""Decisions of a generation broker, its queue items, and the costs it reports to other zones."""
 
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.loads import WorkItem
 
-# Work is refused when it cannot start within this part of its time.
+# Work is refused when it cannot start within this share of the time until its deadline.
 START_DEADLINE_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """Work may start at an engine."""
+    """The work may start on the engine ``entry``. ``inputs`` are logged with the decision."""
 
     work_id: str
     vm: str
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Queued:
-    """Work waits."""
+    """The work is queued."""
 
     work_id: str
     vm: str
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """Work gets no engine."""
+    """The work gets no engine. ``inputs`` are logged with the decision."""
 
     work_id: str
     vm: str
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LongPromptCost:
-    """Cost of a long prompt in a zone, in seconds: a fixed part, and one for each token."""
+    """Cost of a long prompt in a zone, in seconds: a fixed part plus a part per prompt token."""
 
     fixed_s: float
     s_per_token: float
@@ -51,13 +51,13 @@
 
 @dataclass(slots=True)
 class WaitingWork:
-    """Work in the queue."""
+    """Queued work. Engines whose ids are in ``avoid`` are not considered."""
 
     work: WorkItem
     vm: str
     avoid: frozenset[str]
 
     def start_deadline(self) -> float:
-        """Returns until when it may start."""
+        """Returns the time after which the work is refused."""
         work = self.work
         return work.arrived_at + START_DEADLINE_SHARE * (work.expires_at - work.arrived_at)
--- a/bluebellpitch/decisions/hashing.py
+++ b/bluebellpitch/decisions/hashing.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: every VM ranks owners alike, and a lost one moves only its own keys."""
+"""Rendezvous hashing: all VMs rank owners alike, and losing an owner moves only its keys."""
 
 import hashlib
 from collections.abc import Iterable
@@ -10,7 +10,7 @@
 
 
 def score_owner(key: str, name: str) -> bytes:
-    """Returns the rank of one name for a key."""
+    """Returns the sort key of an owner for ``key``; the lowest owns it."""
     return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
 
 
--- a/bluebellpitch/decisions/liveness.py
+++ b/bluebellpitch/decisions/liveness.py
@@ -1,20 +1,20 @@
-"""Which entry VMs of a zone are alive, and who holds a duty there.
+"""Liveness of entry VMs, and the assignment of roles among those of a zone.
 
-Every VM ranks the live VMs of its zone alike; while two see them differently a duty may be held
-twice for a moment, which the duties allow.
+Every VM ranks the live VMs of its zone by the same hash. While two VMs see different sets, a role
+may briefly have two holders, which the roles tolerate.
 """
 
 from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.hashing import rank_owners
 
-# A VM counts as silent when so many of its beats are missing.
+# A VM counts as silent once this many heartbeat intervals pass without one.
 MAX_MISSED_HEARTBEATS = 4
 
 
 @dataclass(frozen=True, slots=True)
 class Peer:
-    """A VM that was heard, and beats each ``interval_s``. ``version`` is of its configuration."""
+    """Another VM and its last heartbeat. ``version`` is that of its configuration."""
 
     key: str
     zone: str
@@ -25,13 +25,13 @@
     interval_s: float
 
     def is_silent(self, now: float) -> bool:
-        """Tells whether beats are missing."""
+        """Returns whether too many heartbeats are missing."""
         return now - self.last_heartbeat_at > MAX_MISSED_HEARTBEATS * self.interval_s
 
 
 @dataclass(slots=True)
 class Liveness:
-    """Peers by key, as heard. ``own_key`` is always alive."""
+    """Peers by key. This VM, ``own_key``, always counts as live."""
 
     own_key: str
     zone: str
@@ -39,28 +39,31 @@
     _excluded_until: dict[str, float] = field(default_factory=dict)
 
     def record_heartbeat(self, peer: Peer) -> bool:
-        """Notes a sign of life; returns whether the VM was not alive before."""
-        known = self.peers_by_key.get(peer.key)
+        """Records a heartbeat; returns whether the VM was unknown or silent before."""
+        previous = self.peers_by_key.get(peer.key)
         self.peers_by_key[peer.key] = peer
-        return known is None or known.is_silent(peer.last_heartbeat_at)
+        return previous is None or previous.is_silent(peer.last_heartbeat_at)
 
     def exclude(self, key: str, until: float) -> None:
-        """Gives a VM no duty for a while, since it did not answer."""
+        """Excludes a VM from roles until a given time, because it did not answer."""
         self._excluded_until[key] = until
 
     def remove_silent(self, now: float) -> list[str]:
-        """Forgets VMs that have been silent; returns their keys."""
+        """Removes silent VMs; returns their keys."""
         silent = [key for key, peer in self.peers_by_key.items() if peer.is_silent(now)]
         for key in silent:
             del self.peers_by_key[key]
         return silent
 
     def live_peers(self, now: float) -> list[Peer]:
-        """Returns the peers that were heard lately."""
+        """Returns the peers that are not silent."""
         return [peer for peer in self.peers_by_key.values() if not peer.is_silent(now)]
 
     def role_holder(self, role: str, now: float, own_draining: bool) -> str:
-        """Returns the VM of this zone that holds a duty."""
+        """Returns the key of the VM of this zone that holds a role.
+
+        A draining VM holds a role only if no other VM of the zone can.
+        """
         keys = [
             peer.key
             for peer in self.live_peers(now)
--- a/bluebellpitch/decisions/retry_budget.py
+++ b/bluebellpitch/decisions/retry_budget.py
@@ -1,18 +1,18 @@
-"""The budget of repeated sends that all VMs share, as this VM's part of it.
+"""This VM's part of the retry budget that all VMs share.
 
-Each VM spends a share of its own requests and its part of the fixed burst, over a sliding window.
+Within a sliding window, a VM may retry a ratio of its own requests plus its part of the burst.
 """
 
 from collections import deque
 from dataclasses import dataclass, field
 
-# Part of the whole budget that is spent at most; the rest covers VMs that are not known yet.
+# Share of the budget that is used; the rest covers VMs that are not known yet.
 USABLE_BUDGET_SHARE = 0.7
 
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Requests and repeats by pool, as times within the window."""
+    """Times of the requests and retries within the window, by pool."""
 
     ratio: float
     burst: float
@@ -21,18 +21,18 @@
     _retries_by_pool: dict[str, deque[float]] = field(default_factory=dict)
 
     def record_request(self, pool: str, now: float) -> None:
-        """Notes a caller's request for a pool."""
+        """Records a request of a caller."""
         self._requests_by_pool.setdefault(pool, deque()).append(now)
 
     def remaining(self, pool: str, vms: int, now: float) -> float:
-        """Returns how many repeats this VM may send now."""
+        """Returns how many retries this VM may send now."""
         requests = self._count_recent(self._requests_by_pool, pool, now)
-        repeats = self._count_recent(self._retries_by_pool, pool, now)
+        retries = self._count_recent(self._retries_by_pool, pool, now)
         allowed = USABLE_BUDGET_SHARE * (self.ratio * requests + self.burst / max(1, vms))
-        return allowed - repeats
+        return allowed - retries
 
     def spend(self, pool: str, vms: int, now: float) -> bool:
-        """Takes one repeat out; returns False when none is left."""
+        """Uses one retry; returns False if none is left."""
         if self.remaining(pool, vms, now) < 1.0:
             return False
         self._retries_by_pool.setdefault(pool, deque()).append(now)
--- a/bluebellpitch/decisions/service_choice.py
+++ b/bluebellpitch/decisions/service_choice.py
@@ -1,11 +1,11 @@
-"""Which endpoint of a plain service gets a request: near, idle, and not failing."""
+"""Chooses an endpoint of a service without engines by distance, load and failures."""
 
 from collections.abc import Iterable
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.loads import EndpointLoads
 
-# Rates of failures within this much of the best sibling's are taken for chance.
+# Failure rates within this distance of the lowest one in the pool are treated as noise.
 FAILURE_TOLERANCE = 0.15
 FAILURE_COST = 6.0
 
@@ -17,26 +17,29 @@
     avoid: frozenset[str],
     now: float,
 ) -> EndpointEntry | None:
-    """Returns the endpoint with the least cost, or None where none may take the request.
+    """Returns the endpoint with the lowest cost, or None if all are excluded.
 
-    Distances are in units of the usual time of a request.
+    Endpoints that are down are used only if no other is left. Distances are in units of the typical
+    duration of a request.
     """
     usable = [entry for entry in entries if entry.id not in avoid]
     up = [entry for entry in usable if not loads.for_endpoint(entry).is_down(now)] or usable
     if not up:
         return None
-    best_failing = min(loads.for_endpoint(entry).recent_failure_rate(now) for entry in up)
+    lowest_failure_rate = min(loads.for_endpoint(entry).recent_failure_rate(now) for entry in up)
 
     def cost(entry: EndpointEntry) -> float:
         load = loads.for_endpoint(entry)
-        failing = max(0.0, load.recent_failure_rate(now) - best_failing - FAILURE_TOLERANCE)
-        busy = load.estimated_requests(now)
-        waiting = max(0.0, busy + 1 - entry.slots)
-        pressure = busy / entry.slots + waiting * 2 / entry.slots
+        excess_failure_rate = max(
+            0.0, load.recent_failure_rate(now) - lowest_failure_rate - FAILURE_TOLERANCE
+        )
+        requests = load.estimated_requests(now)
+        queued = max(0.0, requests + 1 - entry.slots)
+        pressure = requests / entry.slots + queued * 2 / entry.slots
         return (
             distance_by_zone.get(entry.zone, 1.0)
             + (1 + pressure) * load.slowdown
-            + failing * FAILURE_COST
+            + excess_failure_rate * FAILURE_COST
         )
 
     return min(up, key=cost)
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -1,4 +1,4 @@
-"""Freshness, budgets of repeats, the directory, liveness, and the choice of plain endpoints."""
+"""Tests of freshness, retry budgets, the endpoint directory, liveness and service choice."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -11,14 +11,16 @@
 from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.service_choice import choose_service_endpoint
 
-BEAT_S = 0.15
+HEARTBEAT_INTERVAL_S = 0.15
 
 
-def make_entry(name: str, zone: str = "z", draining: bool = False, born: int = 1) -> EndpointEntry:
-    return EndpointEntry(name, "app", "10.0.0.1:80", zone, 4, draining, born)
+def make_entry(
+    name: str, zone: str = "z", draining: bool = False, started_ms: int = 1
+) -> EndpointEntry:
+    return EndpointEntry(name, "app", "10.0.0.1:80", zone, 4, draining, started_ms)
 
 
-def test_keys_lapse_before_the_bound():
+def test_keys_are_rejected_before_the_limit_is_reached():
     freshness = Freshness(revoke_s=5.0, apply_s=3.0)
     assert not freshness.may_accept_keys(0.0)
     freshness.confirm(10.0)
@@ -27,7 +29,7 @@
     assert not freshness.may_report_unknown(13.5)
 
 
-def test_knowledge_never_grows_older():
+def test_confirmation_never_moves_back():
     freshness = Freshness(5.0, 3.0)
     freshness.confirm(10.0)
     freshness.confirm(4.0)
@@ -35,33 +37,33 @@
 
 
 @given(asked=st.floats(0, 100), took=st.floats(0, 10), wait=st.floats(0, 5), empty=st.booleans())
-def test_a_read_shows_nothing_later_than_its_answer(asked, took, wait, empty):
+def test_read_is_not_valid_beyond_its_response(asked, took, wait, empty):
     known_at = read_valid_at(asked, asked + took, wait, empty)
     assert asked <= known_at <= asked + took or known_at == asked
 
 
 @given(
     requests=st.lists(st.floats(0, 30), max_size=80),
-    repeats=st.lists(st.floats(0, 30), max_size=80),
+    retries=st.lists(st.floats(0, 30), max_size=80),
     vms=st.integers(1, 20),
 )
-def test_all_vms_together_stay_within_the_budget(requests, repeats, vms):
-    """Each VM alone spends no more than its part, in every window."""
+def test_each_vm_stays_within_its_part_of_the_retry_budget(requests, retries, vms):
+    """No window holds more retries than the VM's part of the budget."""
     budget = RetryBudget(ratio=0.2, burst=54.0, window_s=10.0)
-    events = sorted([(t, 0) for t in requests] + [(t, 1) for t in repeats])
-    spent = []
+    events = sorted([(t, 0) for t in requests] + [(t, 1) for t in retries])
+    spent_at = []
     for at, kind in events:
         if kind == 0:
             budget.record_request("app", at)
         elif budget.spend("app", vms, at):
-            spent.append(at)
-    for end in spent:
-        window = [t for t in spent if end - 10 < t <= end]
+            spent_at.append(at)
+    for end in spent_at:
+        window = [t for t in spent_at if end - 10 < t <= end]
         own = [t for t in requests if end - 20 < t <= end]
         assert len(window) <= 0.2 * len(own) + 54 / vms + 1
 
 
-def test_entry_that_lapses_beside_an_outage_is_believed_a_little():
+def test_entry_that_expires_during_a_store_outage_gets_a_grace_period():
     directory = EndpointDirectory()
     directory.update(make_entry("i-1"))
     directory.remove("i-1", store_was_unavailable=True, now=10.0)
@@ -70,7 +72,7 @@
     assert not list(directory.usable_endpoints("app"))
 
 
-def test_entry_that_comes_back_stays():
+def test_entry_registered_again_in_the_grace_period_stays():
     directory = EndpointDirectory()
     directory.update(make_entry("i-1"))
     directory.remove("i-1", store_was_unavailable=True, now=10.0)
@@ -78,29 +80,29 @@
     assert directory.expire(20.0) == []
 
 
-def test_entry_dropped_in_calm_is_gone_at_once():
+def test_entry_removed_without_an_outage_is_gone_at_once():
     directory = EndpointDirectory()
     directory.update(make_entry("i-1"))
     assert directory.remove("i-1", store_was_unavailable=False, now=10.0)
     assert not directory.entries_by_id
 
 
-def test_replaced_endpoint_is_back_only_as_another_incarnation():
+def test_replaced_endpoint_returns_only_as_a_new_incarnation():
     directory = EndpointDirectory()
     entry = make_entry("i-1")
     directory.update(entry)
     directory.mark_replaced(entry)
     directory.update(entry)
     assert not list(directory.usable_endpoints("app"))
-    directory.update(make_entry("i-1", born=2))
+    directory.update(make_entry("i-1", started_ms=2))
     assert list(directory.usable_endpoints("app"))
 
 
 def make_peer(key: str, now: float, draining: bool = False) -> Peer:
-    return Peer(key, "z", f"{key}:1", draining, 1, now, BEAT_S)
+    return Peer(key, "z", f"{key}:1", draining, 1, now, HEARTBEAT_INTERVAL_S)
 
 
-def test_all_vms_name_the_same_holder():
+def test_all_vms_agree_on_the_role_holder():
     keys = ["a", "b", "c", "d"]
     holders = set()
     for own in keys:
@@ -112,10 +114,10 @@
     assert len(holders) == 1
 
 
-def test_silent_draining_and_shunned_vms_hold_no_duty():
+def test_silent_draining_and_excluded_vms_hold_no_role():
     liveness = Liveness("a", "z")
     liveness.record_heartbeat(make_peer("b", 0.0))
-    assert liveness.remove_silent(MAX_MISSED_HEARTBEATS * BEAT_S + 0.1) == ["b"]
+    assert liveness.remove_silent(MAX_MISSED_HEARTBEATS * HEARTBEAT_INTERVAL_S + 0.1) == ["b"]
     liveness.record_heartbeat(make_peer("c", 1.0, draining=True))
     liveness.record_heartbeat(make_peer("d", 1.0))
     liveness.exclude("d", 2.0)
@@ -131,12 +133,12 @@
     return WorkItem(name, "app", 1, 0, 0, (), 0.2, 60.0, 0.0, 2.0)
 
 
-def test_near_idle_endpoint_is_chosen():
+def test_idle_endpoint_in_the_zone_is_preferred():
     entries = [make_entry("far", "far"), make_entry("near")]
     assert choose(entries, EndpointLoads()).id == "near"
 
 
-def test_busy_endpoint_yields_to_a_far_one():
+def test_remote_endpoint_is_preferred_to_a_busy_one():
     entries, loads = [make_entry("far", "far"), make_entry("near")], EndpointLoads()
     loads.for_endpoint(entries[1]).in_flight_by_id.update(
         {f"w{n}": make_work(f"w{n}") for n in range(8)}
@@ -144,7 +146,7 @@
     assert choose(entries, loads).id == "far"
 
 
-def test_endpoint_that_fails_more_than_its_siblings_is_avoided_and_comes_back():
+def test_endpoint_with_a_higher_failure_rate_is_avoided_until_it_decays():
     entries, loads = [make_entry("grey"), make_entry("good")], EndpointLoads()
     for _ in range(20):
         loads.for_endpoint(entries[0]).record_outcome(True, 0.0)
@@ -154,7 +156,7 @@
     assert choose(entries, loads, now=30.0).id == "grey"
 
 
-def test_unreachable_endpoint_is_passed_over_unless_it_is_the_last():
+def test_unreachable_endpoint_is_used_only_if_no_other_is_left():
     entries, loads = [make_entry("down"), make_entry("up")], EndpointLoads()
     loads.for_endpoint(entries[0]).record_unreachable(0.0)
     assert choose(entries, loads, now=0.1).id == "up"
--- a/tests/test_generation_broker.py
+++ b/tests/test_generation_broker.py
@@ -1,4 +1,4 @@
-"""The broker of generations, in virtual time."""
+"""Tests of the generation broker in virtual time."""
 
 import pytest
 from hypothesis import given, settings
@@ -20,19 +20,23 @@
 GAP_S = 0.25
 
 
-def make_broker(engines: int = 2, slots: int = 64) -> GenerationBroker:
+def make_broker(engine_count: int = 2, slots: int = 64) -> GenerationBroker:
     broker = GenerationBroker("pool")
     entries = [
         EndpointEntry(f"i-{n}", "pool", f"10.0.0.{n}:80", "z", slots, False, 1)
-        for n in range(engines)
+        for n in range(engine_count)
     ]
     broker.set_engines(entries, slots, 500_000, GAP_S)
     return broker
 
 
-def make_work(name: str, tokens: int, now: float, rank: int = 1, parts=(), left_s=5.0) -> WorkItem:
+def make_work(
+    name: str, tokens: int, now: float, rank: int = 1, parts=(), time_left_s=5.0
+) -> WorkItem:
     gap_s = GAP_S if tokens < 1000 else 2 * GAP_S
-    return WorkItem(name, "pool", rank, tokens, 50, tuple(parts), 0.6, gap_s, now, now + left_s)
+    return WorkItem(
+        name, "pool", rank, tokens, 50, tuple(parts), 0.6, gap_s, now, now + time_left_s
+    )
 
 
 def granted(decisions) -> list[str]:
@@ -44,12 +48,12 @@
     assert granted(broker.submit(make_work("a", 300, 0.0), "vm", frozenset(), 0.0)) == ["a"]
 
 
-def test_without_engines_the_asker_is_told_so():
+def test_request_is_refused_without_engines():
     (refused,) = make_broker(0).submit(make_work("a", 300, 0.0), "vm", frozenset(), 0.0)
     assert isinstance(refused, Refused) and refused.reason == NO_ENGINE
 
 
-def test_long_and_short_prompts_go_to_engines_of_their_own():
+def test_long_and_short_prompts_use_separate_engines():
     broker = make_broker(2)
     engines_by_kind: dict[str, set[str]] = {"long": set(), "short": set()}
     now = 0.0
@@ -71,29 +75,33 @@
     assert engines_by_kind["long"].isdisjoint(engines_by_kind["short"])
 
 
-def test_long_prompts_leave_time_for_streams():
-    """On one engine with a stream, no gap may be filled with reading."""
+def test_prefill_leaves_decoding_time_in_each_gap():
+    """On one engine with a running stream, prefill must not fill any gap between its tokens."""
     broker = make_broker(1)
     broker.submit(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
     broker.record_first_token("stream", 0.05, 1.0, 0.05)
-    now, reading, times = 0.1, {}, []
-    seconds = 4000 * broker.speed.s_per_token
+    now, first_token_at_by_id, granted_at = 0.1, {}, []
+    prefill_s = 4000 * broker.speed.s_per_token
 
-    def note(names):
-        times.extend([now] * len(names))
-        reading.update(dict.fromkeys(names, now + seconds + broker.speed.fixed_s))
+    def record(names):
+        granted_at.extend([now] * len(names))
+        first_token_at_by_id.update(dict.fromkeys(names, now + prefill_s + broker.speed.fixed_s))
 
     for number in range(12):
-        note(granted(broker.submit(make_work(f"l{number}", 4000, now), "vm", frozenset(), now)))
+        record(granted(broker.submit(make_work(f"l{number}", 4000, now), "vm", frozenset(), now)))
     while broker.waiting_by_id and now < 3:
         now += 0.01
-        for name in [name for name, at in reading.items() if at <= now]:
-            broker.record_first_token(name, reading.pop(name) - now + seconds, 1.0, now)
-        note(granted(broker.schedule(now)))
-    assert len(times) == 12
-    for start in times:
-        busy = sum(seconds for other in times if start <= other < start + GAP_S - seconds)
-        assert busy <= max(seconds, DEFAULT_PREFILL_SHARE * GAP_S) + seconds * 0.2
+        for name in [name for name, at in first_token_at_by_id.items() if at <= now]:
+            broker.record_first_token(
+                name, first_token_at_by_id.pop(name) - now + prefill_s, 1.0, now
+            )
+        record(granted(broker.schedule(now)))
+    assert len(granted_at) == 12
+    for start in granted_at:
+        prefill_in_gap_s = sum(
+            prefill_s for other in granted_at if start <= other < start + GAP_S - prefill_s
+        )
+        assert prefill_in_gap_s <= max(prefill_s, DEFAULT_PREFILL_SHARE * GAP_S) + prefill_s * 0.2
 
 
 def test_higher_rank_is_served_first():
@@ -109,7 +117,7 @@
     assert order[0] == "high"
 
 
-def test_work_that_cannot_start_in_time_is_refused_early_with_a_time_to_return():
+def test_work_that_cannot_start_in_time_is_refused_at_once_with_retry_after():
     broker = make_broker(1)
     broker.submit(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
     decisions = []
@@ -119,12 +127,12 @@
     assert refused and all(d.retry_after_s > 0 for d in refused)
 
 
-def test_queued_work_gets_a_final_decision_within_its_patience():
+def test_queued_work_is_decided_before_its_start_deadline():
     broker = make_broker(1)
     broker.submit(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
     queued = set()
     for number in range(40):
-        work = make_work(f"l{number}", 9000, 0.0, left_s=2.0)
+        work = make_work(f"l{number}", 9000, 0.0, time_left_s=2.0)
         decisions = broker.submit(work, "vm", frozenset(), 0.0)
         queued |= {d.work_id for d in decisions if isinstance(d, Queued)}
     now = 0.0
@@ -134,7 +142,7 @@
     assert queued and not broker.waiting_by_id
 
 
-def test_session_goes_back_to_the_engine_that_keeps_it():
+def test_session_returns_to_the_engine_that_has_it_cached():
     broker = make_broker(3)
     parts = [("shared", 2500), ("session", 3800), ("own", 2900)]
     first = broker.submit(make_work("a", 9200, 0.0, parts=parts), "vm", frozenset(), 0.0)[0]
@@ -155,14 +163,14 @@
     assert first.entry.id not in later
 
 
-def test_tried_engines_are_avoided():
+def test_excluded_engines_are_not_used():
     broker = make_broker(2)
     for number in range(5):
         (decision,) = broker.submit(make_work(f"{number}", 300, 0.0), "vm", frozenset({"i-0"}), 0.0)
         assert decision.entry.id == "i-1"
 
 
-def test_lost_vm_frees_its_places():
+def test_lost_vm_frees_its_slots():
     broker = make_broker(1, slots=1)
     broker.submit(make_work("a", 300, 0.0), "dead", frozenset(), 0.0)
     broker.submit(make_work("b", 300, 0.1), "vm", frozenset(), 0.1)
@@ -182,45 +190,45 @@
         max_size=60,
     )
 )
-def test_every_ask_ends_in_one_grant_or_refusal(steps):  # noqa: C901
-    """Whatever the order of messages: no work is granted twice, none is left without an end."""
+def test_every_submission_ends_in_one_grant_or_refusal(steps):  # noqa: C901
+    """In any order of messages, no work is granted twice and none stays undecided."""
     broker = make_broker(2, slots=4)
-    ends: dict[str, int] = {}
-    asked, now = set(), 0.0
+    end_counts: dict[str, int] = {}
+    submitted, now = set(), 0.0
 
-    def note(decisions):
+    def record(decisions):
         for decision in decisions:
             if not isinstance(decision, Queued):
-                ends[decision.work_id] = ends.get(decision.work_id, 0) + 1
+                end_counts[decision.work_id] = end_counts.get(decision.work_id, 0) + 1
 
-    for number, (step, which, passed) in enumerate(steps):
-        now += passed
+    for number, (step, which, elapsed_s) in enumerate(steps):
+        now += elapsed_s
         match step:
             case "short" | "long":
                 work = make_work(
                     f"w{number}", 300 if step == "short" else 8000, now, rank=which % 3
                 )
-                asked.add(work.id)
-                note(broker.submit(work, f"vm{which % 2}", frozenset(), now))
+                submitted.add(work.id)
+                record(broker.submit(work, f"vm{which % 2}", frozenset(), now))
             case "read":
                 broker.record_first_token(f"w{which}", 0.1, 1.0, now)
-            case "done" if f"w{which}" in asked:
+            case "done" if f"w{which}" in submitted:
                 broker.finish(f"w{which}", "ok", now)
-                ends.setdefault(f"w{which}", 1)
+                end_counts.setdefault(f"w{which}", 1)
             case "serve":
-                note(broker.schedule(now))
+                record(broker.schedule(now))
             case "lose":
                 lost = [w for w in broker.waiting_by_id.values() if w.vm == "vm1"]
                 broker.remove_vm("vm1")
-                ends |= {w.work.id: 1 for w in lost}
+                end_counts |= {w.work.id: 1 for w in lost}
     for _ in range(400):
         now += 0.05
-        note(broker.schedule(now))
+        record(broker.schedule(now))
     assert not broker.waiting_by_id
-    assert all(ends.get(work_id) == 1 for work_id in asked)
+    assert all(end_counts.get(work_id) == 1 for work_id in submitted)
 
 
-def test_speed_is_learnt_from_first_tokens():
+def test_prefill_speed_is_estimated_from_first_tokens():
     speed = PrefillSpeed()
     for number in range(200):
         tokens = 500 + 137 * number % 9000
@@ -229,29 +237,29 @@
     assert speed.fixed_s == pytest.approx(0.041, rel=0.2)
 
 
-def test_pace_lets_a_first_prompt_pass():
-    pace = PrefillSchedule()
-    assert pace.start_wait_s(0.5, GAP_S, DEFAULT_PREFILL_SHARE, 0.0) == 0.0
-    pace.append(0.5, 0.0)
-    assert pace.start_wait_s(0.1, GAP_S, DEFAULT_PREFILL_SHARE, 0.0) >= 0.5
+def test_first_prompt_is_not_delayed_by_pacing():
+    schedule = PrefillSchedule()
+    assert schedule.start_wait_s(0.5, GAP_S, DEFAULT_PREFILL_SHARE, 0.0) == 0.0
+    schedule.append(0.5, 0.0)
+    assert schedule.start_wait_s(0.1, GAP_S, DEFAULT_PREFILL_SHARE, 0.0) >= 0.5
 
 
-def test_reading_share_settles_where_few_streams_are_held_up():
+def test_prefill_share_converges_at_the_tolerated_share_of_late_streams():
     share = PrefillShare(MAX_PREFILL_SHARE)
     for _ in range(200):
-        share.record_stream(late=True)
+        share.record_stream(is_late=True)
     assert share.value == MIN_PREFILL_SHARE
     for _ in range(1000):
-        share.record_stream(late=False)
+        share.record_stream(is_late=False)
     assert share.value == MAX_PREFILL_SHARE
     before = share.value = 0.7
     for number in range(100):
-        share.record_stream(late=number % 10 == 0)
+        share.record_stream(is_late=number % 10 == 0)
     assert share.value == pytest.approx(before, abs=0.01)
 
 
-def test_work_that_leaves_the_queue_while_it_is_served():
-    """A grant that nobody waits for comes back at once, and the queue is served within serving."""
+def test_queue_may_be_scheduled_again_between_two_decisions():
+    """Returning an unwanted grant at once schedules the queue while an outer call iterates it."""
     broker = make_broker(4)
     for name in ("k", "l", "m", "n"):
         broker.submit(make_work(name, 20_000, 0.0), "vm", frozenset(), 0.0)
