--- a/bluebellpitch/decisions/catalogue.py
+++ b/bluebellpitch/decisions/catalogue.py
@@ -1,6 +1,6 @@
-"""The operators' configuration as frozen values: routes, pools, members and limits.
+"""Immutable form of the operators' configuration: routes, pools, members and limits.
 
-A Catalogue is one version, whole. Functions here look things up; they keep nothing.
+A Catalogue is one complete version of it. The functions here are pure look-ups.
 """
 
 from collections.abc import Iterable
@@ -10,7 +10,7 @@
 
 
 class Repeatability(StrEnum):
-    """What may be done again after a request may have run."""
+    """What may be repeated of a request that may have run."""
 
     IDEMPOTENT = "idempotent"
     RESUMABLE = "resumable"
@@ -18,8 +18,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Share:
-    """One pool of a route, with its weight among the route's pools."""
+class WeightedPool:
+    """A pool of a route with its share of the traffic."""
 
     pool: str
     weight: float
@@ -27,14 +27,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Where requests of one host and path prefix go. Times are in seconds; rank 0 is first."""
+    """Target of requests for a host and path prefix. Times in seconds; rank 0 is served first."""
 
     name: str
     host: str
     path_prefix: str
     repeatability: Repeatability
     is_stream: bool
-    shares: tuple[Share, ...]
+    weighted_pools: tuple[WeightedPool, ...]
     timeout_s: float
     target_s: float
     gap_target_s: float | None
@@ -44,25 +44,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EngineShape:
-    """What every engine of a pool can hold."""
+class EngineCapacity:
+    """Capacity of each engine of a pool."""
 
     slots: int
-    memory_tokens: int
+    kv_capacity_tokens: int
 
 
 @dataclass(frozen=True, slots=True)
-class PoolRow:
-    """One service. ``max_connections`` bounds all VMs together, for each endpoint."""
+class PoolConfig:
+    """One service. ``max_connections`` limits the connections of all VMs to each endpoint."""
 
     name: str
     max_connections: int
-    engine: EngineShape | None
+    engine: EngineCapacity | None
 
 
 @dataclass(frozen=True, slots=True)
-class MemberRow:
-    """One member; ``rank`` replaces that of the route where it is set."""
+class MemberConfig:
+    """One member. ``rank`` overrides that of the route if it is set."""
 
     name: str
     rank: int | None
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Bounds on what a caller may send. Sizes in bytes, times in seconds."""
+    """Limits on what a caller may send. Sizes in bytes, times in seconds."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
@@ -80,25 +80,27 @@
 
 @dataclass(frozen=True)
 class Catalogue:
-    """One version of the configuration. ``routes_by_host`` holds longest prefixes first."""
+    """One version of the configuration. ``routes_by_host`` lists longer prefixes first."""
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
-    pools_by_name: dict[str, PoolRow]
-    members_by_key: dict[str, MemberRow]
+    pools_by_name: dict[str, PoolConfig]
+    members_by_key: dict[str, MemberConfig]
     has_members: bool
     limits: CallerLimits = field(default_factory=CallerLimits)
 
     @cached_property
     def gap_targets_by_pool(self) -> dict[str, float]:
-        """The smallest gap target among the routes of each pool, in seconds."""
+        """Smallest gap target among the routes of each pool, in seconds."""
         gaps: dict[str, float] = {}
         for route in (route for routes in self.routes_by_host.values() for route in routes):
-            for share in route.shares if route.gap_target_s else ():
-                gaps[share.pool] = min(route.gap_target_s, gaps.get(share.pool, route.gap_target_s))
+            for weighted in route.weighted_pools if route.gap_target_s else ():
+                gaps[weighted.pool] = min(
+                    route.gap_target_s, gaps.get(weighted.pool, route.gap_target_s)
+                )
         return gaps
 
-    def match(self, host: str, path: str) -> Route | None:
+    def match_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of ``path``, or None."""
         routes = self.routes_by_host.get(host, ())
         return next((route for route in routes if path.startswith(route.path_prefix)), None)
@@ -109,15 +111,15 @@
     by_host: dict[str, list[Route]] = {}
     for route in sorted(routes, key=lambda route: -len(route.path_prefix)):
         by_host.setdefault(route.host, []).append(route)
-    return {host: tuple(group) for host, group in by_host.items()}
+    return {host: tuple(host_routes) for host, host_routes in by_host.items()}
 
 
 def pick_pool(route: Route, draw: float) -> str:
-    """Returns one of the route's pools by weight; ``draw`` is uniform in [0, 1)."""
-    total = sum(share.weight for share in route.shares)
-    mark = draw * total
-    for share in route.shares:
-        mark -= share.weight
-        if mark < 0:
-            return share.pool
-    return route.shares[-1].pool
+    """Returns a pool of the route at random by weight; ``draw`` is uniform in [0, 1)."""
+    total_weight = sum(weighted.weight for weighted in route.weighted_pools)
+    remaining = draw * total_weight
+    for weighted in route.weighted_pools:
+        remaining -= weighted.weight
+        if remaining < 0:
+            return weighted.pool
+    return route.weighted_pools[-1].pool
--- /dev/null
+++ b/bluebellpitch/decisions/generation_decisions.py
@@ -0,0 +1,63 @@
+"""Decisions of a generation broker, its queue items, and the costs it reports to other zones."""
+
+from dataclasses import dataclass
+
+from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.loads import WorkItem
+
+# Work is refused when it cannot start within this share of the time until its deadline.
+START_DEADLINE_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The work may start on the engine ``entry``. ``inputs`` are logged with the decision."""
+
+    work_id: str
+    vm: str
+    entry: EndpointEntry
+    inputs: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The work is queued."""
+
+    work_id: str
+    vm: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The work gets no engine. ``inputs`` are logged with the decision."""
+
+    work_id: str
+    vm: str
+    reason: str
+    retry_after_s: float
+    inputs: dict[str, str]
+
+
+Decision = Granted | Queued | Refused
+
+
+@dataclass(frozen=True, slots=True)
+class LongPromptCost:
+    """Cost of a long prompt in a zone, in seconds: a fixed part plus a part per prompt token."""
+
+    fixed_s: float
+    s_per_token: float
+
+
+@dataclass(slots=True)
+class WaitingWork:
+    """Queued work. Engines whose ids are in ``avoid`` are not considered."""
+
+    work: WorkItem
+    vm: str
+    avoid: frozenset[str]
+
+    def start_deadline(self) -> float:
+        """Returns the time after which the work is refused."""
+        work = self.work
+        return work.arrived_at + START_DEADLINE_SHARE * (work.expires_at - work.arrived_at)
--- /dev/null
+++ b/bluebellpitch/decisions/remote_zones.py
@@ -0,0 +1,43 @@
+"""Load of another zone's engines, as last reported by its broker."""
+
+from dataclasses import dataclass
+
+from bluebellpitch.decisions.generation_broker import RUNNING_REQUEST_COST_S
+from bluebellpitch.decisions.loads import WorkItem, session_of
+
+# How long engines of another zone are assumed to have a session cached after it was reported.
+SESSION_CACHE_S = 9.0
+
+
+@dataclass(slots=True)
+class RemoteZone:
+    """The last report of another zone's broker, plus the work forwarded there since."""
+
+    long_fixed_s: float
+    long_s_per_token: float
+    short_cost_s: float
+    queue_s_per_token: float
+    address: str
+    reported_at: float
+    session_seen_at: dict[str, float]
+
+    def has_cached(self, work: WorkItem, now: float) -> bool:
+        """Returns whether an engine there probably has the shared parts of a prompt cached."""
+        return (
+            now - self.session_seen_at.get(session_of(work.parts), float("-inf")) < SESSION_CACHE_S
+        )
+
+    def prune_sessions(self, now: float) -> None:
+        """Removes sessions that may no longer be cached."""
+        expired = [
+            session
+            for session, seen_at in self.session_seen_at.items()
+            if now - seen_at >= SESSION_CACHE_S
+        ]
+        for session in expired:
+            del self.session_seen_at[session]
+
+    def record_forwarded(self, tokens: int) -> None:
+        """Adds the cost of forwarded work until the next report includes it."""
+        self.long_fixed_s += tokens * self.queue_s_per_token
+        self.short_cost_s += RUNNING_REQUEST_COST_S
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -7,10 +7,10 @@
 
 from bluebellpitch.callers.routed import RoutedExchange, RoutingContext, refuse_malformed
 from bluebellpitch.clock import HybridClock
-from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
-from bluebellpitch.decisions.repeats import RepeatBudget
+from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.strikes import StrikeBook
 from bluebellpitch.endpoints.links import Links
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
@@ -69,7 +69,7 @@
         self.settings = settings
         self._load_settings = load_settings
         self._now = now
-        self.directory = Directory()
+        self.directory = EndpointDirectory()
         self.draining = asyncio.Event()
         self._closing = False
         self.key = f"{settings.vm}/{uuid4().hex[:8]}"
@@ -141,7 +141,7 @@
             freshness=freshness,
             placing=self.endpoint_selector,
             links=self.links,
-            repeats=RepeatBudget(
+            repeats=RetryBudget(
                 settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
             ),
             live_vms=self.peer_discovery.vm_count,
@@ -167,7 +167,7 @@
         )
 
     def _duty_owner(self, duty: str) -> str:
-        return self.liveness.holder(duty, self._now(), self.draining.is_set())
+        return self.liveness.role_holder(duty, self._now(), self.draining.is_set())
 
     def _owns_duty(self, duty: str) -> bool:
         return self._duty_owner(duty) == self.key
@@ -208,11 +208,11 @@
         metrics, context = self.metrics, self.context
         metrics.configuration_version.set(self.configuration.version())
         metrics.freshness_age.set(context.freshness.age_s(now))
-        metrics.peers_heard.set(len(self.liveness.live(now)))
+        metrics.peers_heard.set(len(self.liveness.live_peers(now)))
         metrics.in_flight.set(self.http.busy)
         catalogue = self.configuration.catalogue
         for pool in catalogue.pools_by_name if catalogue else ():
-            retries_left = context.repeats.left(pool, self.peer_discovery.vm_count(), now)
+            retries_left = context.repeats.remaining(pool, self.peer_discovery.vm_count(), now)
             metrics.repeats_left.labels(pool).set(retries_left)
         headers = [("Content-Type", "text/plain; version=0.0.4")]
         await connection.respond(200, headers, metrics.render())
@@ -293,7 +293,7 @@
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             self.links.close_idle()
-            self.endpoint_selector.loads.forget_others(self.directory.entries_by_id.values())
+            self.endpoint_selector.loads.prune(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
         """Stops accepting requests once the platform sends none and completes those in progress."""
--- a/bluebellpitch/roles/broker_client.py
+++ b/bluebellpitch/roles/broker_client.py
@@ -6,7 +6,7 @@
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.liveness import Liveness
-from bluebellpitch.decisions.loads import Work
+from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.logs import log
 from bluebellpitch.peers.platform_messages import (
     FirstTokenReport,
@@ -34,7 +34,7 @@
 class EngineGrant:
     """An engine granted for work, and the address of the broker that needs its progress reports."""
 
-    work: Work
+    work: WorkItem
     entry: EndpointEntry
     broker_address: str
 
@@ -64,7 +64,7 @@
         self._now = now
         self._responses_by_work: dict[str, asyncio.Queue] = {}
 
-    async def acquire(self, work: Work, avoid: frozenset[str]) -> EngineGrant | DidNotRun:
+    async def acquire(self, work: WorkItem, avoid: frozenset[str]) -> EngineGrant | DidNotRun:
         """Requests an engine and returns the grant, or the reason why there is none."""
         responses: asyncio.Queue = asyncio.Queue()
         self._responses_by_work[work.id] = responses
@@ -80,7 +80,7 @@
                 self._send(self._find_broker(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
 
     async def _request_until_decided(
-        self, work: Work, avoid: frozenset[str], responses: asyncio.Queue
+        self, work: WorkItem, avoid: frozenset[str], responses: asyncio.Queue
     ) -> EngineGrant | DidNotRun:
         broker, timeout_s = "", FIRST_RESPONSE_TIMEOUT_S
         while self._now() < work.expires_at:
@@ -93,7 +93,7 @@
                 case None if timeout_s != BROKER_RECHECK_INTERVAL_S:
                     log("WARNING", "broker_silent", broker=broker, request=work.id)
                     if broker != self._vm_key:
-                        self._liveness.shun(broker, self._now() + SILENT_BROKER_BACKOFF_S)
+                        self._liveness.exclude(broker, self._now() + SILENT_BROKER_BACKOFF_S)
                     broker = ""
                 case WorkQueued(_, within_s):
                     timeout_s = within_s or BROKER_RECHECK_INTERVAL_S
@@ -106,7 +106,7 @@
         self._send(self._find_broker(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
         return DidNotRun("waited_too_long", 503, EXPIRED_RETRY_AFTER_S)
 
-    def _send_request(self, broker: str, work: Work, avoid: frozenset[str]) -> None:
+    def _send_request(self, broker: str, work: WorkItem, avoid: frozenset[str]) -> None:
         now = self._now()
         request = WorkRequest(
             work_id=work.id,
@@ -116,7 +116,7 @@
             tokens_out=work.tokens_out,
             parts=work.parts,
             target_s=work.target_s,
-            gap_s=work.gap_s,
+            gap_s=work.gap_target_s,
             age_s=now - work.arrived_at,
             left_s=work.expires_at - now,
             avoid=tuple(avoid),
--- a/bluebellpitch/roles/endpoint_selector.py
+++ b/bluebellpitch/roles/endpoint_selector.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.engine_choice import choose_engine
 from bluebellpitch.decisions.generation_broker import NO_ENGINE
-from bluebellpitch.decisions.loads import Loads, Work
-from bluebellpitch.decisions.plain_choice import choose_plain
+from bluebellpitch.decisions.loads import EndpointLoads, WorkItem
+from bluebellpitch.decisions.service_choice import choose_service_endpoint
 from bluebellpitch.platform.requests import AnswerHead
 from bluebellpitch.roles.broker_client import BrokerClient, EngineGrant
 from bluebellpitch.verdicts import DidNotRun
@@ -27,7 +27,7 @@
     """
 
     entry: EndpointEntry
-    work: Work
+    work: WorkItem
     grant: EngineGrant | None = None
 
 
@@ -36,14 +36,14 @@
 
     def __init__(
         self,
-        directory: Directory,
+        directory: EndpointDirectory,
         broker_client: BrokerClient,
         zone: str,
         regions_by_zone: Mapping[str, str],
         now: Callable[[], float],
     ):
         self.directory = directory
-        self.loads = Loads()
+        self.loads = EndpointLoads()
         self._broker_client = broker_client
         self._now = now
         region = regions_by_zone.get(zone, "")
@@ -61,7 +61,7 @@
         }
 
     async def select(
-        self, work: Work, is_engine: bool, avoid: frozenset[str]
+        self, work: WorkItem, is_engine: bool, avoid: frozenset[str]
     ) -> Placement | DidNotRun:
         """Selects an endpoint and counts the work toward its load."""
         if is_engine:
@@ -80,33 +80,35 @@
         known = self.directory.entries_by_id.get(entry.id)
         return known is not None and known.is_draining
 
-    def _select_locally(self, work: Work, is_engine: bool, avoid) -> Placement | DidNotRun:
+    def _select_locally(self, work: WorkItem, is_engine: bool, avoid) -> Placement | DidNotRun:
         now = self._now()
-        entries = list(self.directory.usable(work.pool))
+        entries = list(self.directory.usable_endpoints(work.pool))
         if is_engine:
             entry = choose_engine(entries, self.loads, work, self._delay_s_by_zone, avoid, now)
         else:
-            entry = choose_plain(entries, self.loads, self._distance_by_zone, avoid, now)
+            entry = choose_service_endpoint(entries, self.loads, self._distance_by_zone, avoid, now)
         if entry is None:
             return DidNotRun("no_endpoint", 503, NO_ENDPOINT_RETRY_AFTER_S)
         return self._record_placement(Placement(entry, work))
 
     def _record_placement(self, placement: Placement) -> Placement:
-        load = self.loads.of(placement.entry)
-        load.held[placement.work.id] = placement.work
-        load.reading[placement.work.id] = float(placement.work.tokens_in)
+        load = self.loads.for_endpoint(placement.entry)
+        load.in_flight_by_id[placement.work.id] = placement.work
+        load.prefill_tokens_by_id[placement.work.id] = float(placement.work.tokens_in)
         return placement
 
     def record_load_report(self, placement: Placement, head: AnswerHead) -> None:
         """Records the load that the head of an answer reports."""
         if head.load is not None:
             busy = float(head.load.running + head.load.waiting)
-            self.loads.of(placement.entry).note_report(busy, head.load.slowdown, self._now())
+            self.loads.for_endpoint(placement.entry).record_report(
+                busy, head.load.slowdown, self._now()
+            )
 
     def record_first_event(self, placement: Placement, sent_at: float) -> None:
         """Records that the engine has finished reading the prompt."""
-        load = self.loads.of(placement.entry)
-        load.reading.pop(placement.work.id, None)
+        load = self.loads.for_endpoint(placement.entry)
+        load.prefill_tokens_by_id.pop(placement.work.id, None)
         if placement.grant is not None:
             waited_s = (
                 self._now() - sent_at - 2 * self._delay_s_by_zone.get(placement.entry.zone, 0)
@@ -118,13 +120,13 @@
 
         ``outcome`` is ``ok``, ``failed``, ``unreachable``, ``refused`` or ``withdrawn``.
         """
-        load = self.loads.of(placement.entry)
-        load.held.pop(placement.work.id, None)
-        load.reading.pop(placement.work.id, None)
+        load = self.loads.for_endpoint(placement.entry)
+        load.in_flight_by_id.pop(placement.work.id, None)
+        load.prefill_tokens_by_id.pop(placement.work.id, None)
         match outcome:
             case "ok" | "failed":
-                load.note_outcome(outcome == "failed", self._now())
+                load.record_outcome(outcome == "failed", self._now())
             case "unreachable":
-                load.note_unreachable(self._now())
+                load.record_unreachable(self._now())
         if placement.grant is not None:
             self._broker_client.release(placement.grant, outcome, longest_gap_s)
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from bluebellpitch.decisions import broker_answers
+from bluebellpitch.decisions import generation_decisions
 from bluebellpitch.decisions.catalogue import Catalogue
-from bluebellpitch.decisions.directory import Directory
+from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
-from bluebellpitch.decisions.loads import Work, session_of
-from bluebellpitch.decisions.other_zones import OtherZone
+from bluebellpitch.decisions.loads import WorkItem, session_of
+from bluebellpitch.decisions.remote_zones import RemoteZone
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.platform_messages import (
@@ -48,7 +48,7 @@
         zone: str,
         bus: PeerBus,
         liveness: Liveness,
-        directory: Directory,
+        directory: EndpointDirectory,
         catalogue: Callable[[], Catalogue | None],
         addresses_in_zone: Callable[[str], list[str]],
         zones: Iterable[str],
@@ -71,13 +71,13 @@
         self.broker_client = BrokerClient(
             vm_key, address, liveness, self._pool_owner, self._send, self._send_to_address, now
         )
-        self._other_zone_loads: dict[tuple[str, str], OtherZone] = {}
+        self._other_zone_loads: dict[tuple[str, str], RemoteZone] = {}
         self._load_round = 0
         self._new_sessions_by_pool: dict[str, list[str]] = {}
         self._work_waiting = asyncio.Event()
 
     def _pool_owner(self, pool: str) -> str:
-        return self._liveness.holder(pool, self._now(), self._is_draining())
+        return self._liveness.role_holder(pool, self._now(), self._is_draining())
 
     def is_broker(self) -> bool:
         """Returns whether this VM is the broker of any pool of engines."""
@@ -106,11 +106,11 @@
                 self._handle_work_request(message)
             case FirstTokenReport(work_id, pool, waited_s, slowdown):
                 broker = self._get_broker(pool)
-                broker.note_read(work_id, waited_s, slowdown, self._now())
+                broker.record_first_token(work_id, waited_s, slowdown, self._now())
                 self._serve_queue(broker)
             case WorkEnded(work_id, pool, outcome, longest_gap_s):
                 broker = self._get_broker(pool)
-                broker.done(work_id, outcome, self._now(), longest_gap_s)
+                broker.finish(work_id, outcome, self._now(), longest_gap_s)
                 self._serve_queue(broker)
             case ZoneLoad():
                 self._record_zone_load(message)
@@ -119,9 +119,9 @@
     def _record_zone_load(self, load: ZoneLoad) -> None:
         now = self._now()
         known = self._other_zone_loads.get((load.pool, load.zone))
-        sessions = known.sessions_at if known else {}
+        sessions = known.session_seen_at if known else {}
         sessions |= dict.fromkeys(load.sessions, now)
-        self._other_zone_loads[(load.pool, load.zone)] = OtherZone(
+        self._other_zone_loads[(load.pool, load.zone)] = RemoteZone(
             load.long_fixed_s,
             load.long_s_per_token,
             load.short_cost_s,
@@ -143,9 +143,9 @@
         row = catalogue.pools_by_name.get(broker.pool) if catalogue else None
         if row is None or row.engine is None:
             return
-        entries = (e for e in self._directory.usable(broker.pool) if e.zone == self._zone)
+        entries = (e for e in self._directory.usable_endpoints(broker.pool) if e.zone == self._zone)
         gap_s = catalogue.gap_targets_by_pool.get(broker.pool)
-        broker.set_engines(entries, row.engine.slots, row.engine.memory_tokens, gap_s)
+        broker.set_engines(entries, row.engine.slots, row.engine.kv_capacity_tokens, gap_s)
 
     def _handle_work_request(self, request: WorkRequest) -> None:
         now = self._now()
@@ -154,27 +154,29 @@
         if self._forward(broker, work, request, now):
             return
         self._requests_by_work[work.id] = request
-        self._send_decisions(broker.ask(work, request.vm, frozenset(request.avoid), now))
+        self._send_decisions(broker.submit(work, request.vm, frozenset(request.avoid), now))
         if broker.waiting_by_id:
             self._work_waiting.set()
 
     def _forward(
-        self, broker: GenerationBroker, work: Work, request: WorkRequest, now: float
+        self, broker: GenerationBroker, work: WorkItem, request: WorkRequest, now: float
     ) -> bool:
         """Forwards work to another zone if its cost is lower there; returns whether it did."""
         if request.is_passed_on:
             return False
         avoid = frozenset(request.avoid)
-        if broker.is_short(work):
-            local_s = broker.short_cost_s(now)
+        if broker.is_short_prompt(work):
+            local_s = broker.short_prompt_cost_s(now)
             other = self._cheaper_zone(work.pool, local_s, lambda other: other.short_cost_s, now)
         else:
-            local_s = broker.long_cost_s(work, avoid, now)
-            reread_cost_s = broker.read_again_s(work)
-
-            def cost(other: OtherZone) -> float:
-                unread = broker.unkept_tokens(work) if other.keeps(work, now) else work.tokens_in
-                reread_s = 0.0 if other.keeps(work, now) else reread_cost_s
+            local_s = broker.long_prompt_cost_s(work, avoid, now)
+            reread_cost_s = broker.cache_miss_cost_s(work)
+
+            def cost(other: RemoteZone) -> float:
+                unread = (
+                    broker.unshared_tokens(work) if other.has_cached(work, now) else work.tokens_in
+                )
+                reread_s = 0.0 if other.has_cached(work, now) else reread_cost_s
                 return other.long_fixed_s + unread * other.long_s_per_token + reread_s
 
             other = self._cheaper_zone(work.pool, local_s, cost, now)
@@ -186,16 +188,16 @@
             request, is_passed_on=True, age_s=now - work.arrived_at, left_s=work.expires_at - now
         )
         self._bus.send_to_address(other.address, forwarded)
-        other.note_passed_on(work.tokens_in)
+        other.record_forwarded(work.tokens_in)
         return True
 
-    def _cheaper_zone(self, pool: str, local_s: float, cost, now: float) -> OtherZone | None:
+    def _cheaper_zone(self, pool: str, local_s: float, cost, now: float) -> RemoteZone | None:
         if local_s <= LOCAL_COST_TOLERANCE_S:
             return None
         others = [
             other
             for (other_pool, _), other in self._other_zone_loads.items()
-            if other_pool == pool and now - other.told_at < LOAD_MAX_AGE_S
+            if other_pool == pool and now - other.reported_at < LOAD_MAX_AGE_S
         ]
         best = min(others, key=cost, default=None)
         if best is None or cost(best) + FORWARD_DELAY_S + FORWARD_MIN_GAIN_S >= local_s:
@@ -204,14 +206,14 @@
 
     def _serve_queue(self, broker: GenerationBroker) -> None:
         if broker.waiting_by_id:
-            self._send_decisions(broker.serve(self._now()))
+            self._send_decisions(broker.schedule(self._now()))
 
     def _send_decisions(self, decisions) -> None:
         for decision in decisions:
             request = self._requests_by_work.get(decision.work_id)
             address = request.reply_to if request else ""
             match decision:
-                case broker_answers.Granted(work_id, _, entry):
+                case generation_decisions.Granted(work_id, _, entry):
                     self._record_session(request)
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
                     response = WorkGranted(
@@ -223,12 +225,12 @@
                         entry.started_ms,
                         self._address,
                     )
-                case broker_answers.Refused(work_id, _, reason, retry_after_s):
+                case generation_decisions.Refused(work_id, _, reason, retry_after_s):
                     log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
                     response = WorkRefused(work_id, reason, retry_after_s)
-                case broker_answers.Queued(work_id):
+                case generation_decisions.Queued(work_id):
                     response = WorkQueued(work_id, 0.0)
-            if not isinstance(decision, broker_answers.Queued):
+            if not isinstance(decision, generation_decisions.Queued):
                 self._requests_by_work.pop(decision.work_id, None)
             if address:
                 self._send_to_address(address, response)
@@ -236,13 +238,13 @@
     def _record_session(self, request: WorkRequest | None) -> None:
         """Records the session of a granted long prompt for the next load report to other zones."""
         session = session_of(request.parts) if request else ""
-        if session and not self._brokers_by_pool[request.pool].is_short_size(request.tokens_in):
+        if session and not self._brokers_by_pool[request.pool].is_short_length(request.tokens_in):
             self._new_sessions_by_pool.setdefault(request.pool, []).append(session)
 
     def forget_vm(self, vm: str) -> None:
         """Drops all work of a VM that has failed or left."""
         for broker in self._brokers_by_pool.values():
-            broker.forget_vm(vm)
+            broker.remove_vm(vm)
 
     async def run(self) -> None:
         """Serves the queues, publishes the load of this zone and expires old state periodically."""
@@ -267,7 +269,7 @@
         waiting = max(broker.waiting_by_id.values(), key=lambda w: w.work.arrived_at, default=None)
         request = waiting and self._requests_by_work.get(waiting.work.id)
         if request and self._forward(broker, waiting.work, request, now):
-            broker.done(waiting.work.id, "withdrawn", now)
+            broker.finish(waiting.work.id, "withdrawn", now)
             del self._requests_by_work[waiting.work.id]
 
     async def _wait_for_tick(self) -> None:
@@ -288,7 +290,7 @@
         for broker in self._brokers_by_pool.values():
             broker.expire(now)
         for other in self._other_zone_loads.values():
-            other.forget_sessions(now)
+            other.prune_sessions(now)
         if not any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
             self._requests_by_work.clear()
 
@@ -302,14 +304,14 @@
             if row.engine is None or self._pool_owner(pool) != self._vm_key:
                 continue
             broker = self._get_broker(pool)
-            offer = broker.offer_long(now)
+            offer = broker.estimate_long_prompt_cost(now)
             load = ZoneLoad(
                 pool,
                 self._zone,
                 offer.fixed_s,
                 offer.s_per_token,
-                broker.short_cost_s(now),
-                broker.s_per_token(),
+                broker.short_prompt_cost_s(now),
+                broker.pool_s_per_token(),
                 self._address,
                 tuple(self._new_sessions_by_pool.pop(pool, ())),
             )
@@ -319,7 +321,7 @@
 
     def _load_recipients(self, pool: str, zone: str, now: float) -> list[str]:
         known = self._other_zone_loads.get((pool, zone))
-        if known is not None and now - known.told_at < LOAD_MAX_AGE_S:
+        if known is not None and now - known.reported_at < LOAD_MAX_AGE_S:
             return [known.address]
         addresses = self._addresses_in_zone(zone)
         return [addresses[self._load_round % len(addresses)]] if addresses else []
@@ -331,9 +333,9 @@
             self._bus.send(owner, load)
 
 
-def work_from_request(request: WorkRequest, now: float) -> Work:
+def work_from_request(request: WorkRequest, now: float) -> WorkItem:
     """Converts a request to work, with the times on the clock of this VM."""
-    return Work(
+    return WorkItem(
         id=request.work_id,
         pool=request.pool,
         rank=request.rank,
@@ -341,7 +343,7 @@
         tokens_out=request.tokens_out,
         parts=request.parts,
         target_s=request.target_s,
-        gap_s=request.gap_s,
+        gap_target_s=request.gap_s,
         arrived_at=now - request.age_s,
         expires_at=now + request.left_s,
     )
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -91,7 +91,7 @@
             )
             for address in self._heartbeat_targets():
                 self._bus.send_to_address(address, heartbeat)
-            for key in self._liveness.lost(self._now()):
+            for key in self._liveness.remove_silent(self._now()):
                 log("INFO", "peer_lost", peer=key)
                 self._on_vm_lost(key)
             await self._wait_for_next_heartbeat(interval_s)
@@ -119,12 +119,12 @@
             key=sender,
             zone=heartbeat.zone,
             address=heartbeat.address,
-            draining=heartbeat.draining,
+            is_draining=heartbeat.draining,
             version=heartbeat.version,
-            heard_at=self._now(),
+            last_heartbeat_at=self._now(),
             interval_s=heartbeat.interval_s,
         )
         self._bus.register_address(sender, heartbeat.address)
-        if self._liveness.hear(peer):
+        if self._liveness.record_heartbeat(peer):
             log("INFO", "peer_heard", peer=sender, zone=heartbeat.zone, address=heartbeat.address)
         return peer
--- a/bluebellpitch/roles/peer_sync.py
+++ b/bluebellpitch/roles/peer_sync.py
@@ -57,7 +57,7 @@
 
     def publish_to_zone(self, update: RecordsUpdate) -> None:
         """Sends records read from the store to the VMs of this zone."""
-        for peer in self._liveness.live(self._now()):
+        for peer in self._liveness.live_peers(self._now()):
             self._bus.send_to_address(peer.address, update)
 
     def handle_message(self, sender: str, message) -> None:
@@ -115,7 +115,7 @@
             await asyncio.sleep(ASK_INTERVAL_S)
 
     def _peers_to_ask(self, age_s: float) -> set[str]:
-        zone_peers = {peer.address for peer in self._liveness.live(self._now())}
+        zone_peers = {peer.address for peer in self._liveness.live_peers(self._now())}
         reader = self._liveness.peers_by_key.get(self._zone_reader())
         if age_s < ASK_ZONE_AFTER_S:
             return {reader.address} if reader else set()
@@ -126,7 +126,7 @@
 
     def _log_keys_usable_change(self, now: float) -> None:
         freshness = self._configuration.freshness
-        usable = freshness.allows_keys(now)
+        usable = freshness.may_accept_keys(now)
         if usable != self._keys_usable:
             log(
                 "INFO" if usable else "WARNING",
--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.decisions.catalogue import Catalogue
-from bluebellpitch.decisions.directory import Directory
-from bluebellpitch.decisions.freshness import Freshness, read_known_at
+from bluebellpitch.decisions.directory import EndpointDirectory
+from bluebellpitch.decisions.freshness import Freshness, read_valid_at
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
@@ -148,7 +148,7 @@
             self._keep_recent(start, pairs)
         self._next_offset = max(end, self._next_offset or 0)
         self.store_read_at = self._now()
-        known_at = read_known_at(requested_at, self._now(), self._long_poll_s, not page.records)
+        known_at = read_valid_at(requested_at, self._now(), self._long_poll_s, not page.records)
         return records, False, known_at if end >= page.end else float("-inf")
 
     def _record_failure(self, error: Exception) -> None:
@@ -226,7 +226,7 @@
     def __init__(
         self,
         follower: TopicFollower,
-        directory: Directory,
+        directory: EndpointDirectory,
         now: Callable[[], float],
         outage_window_s: float,
     ):
@@ -264,7 +264,7 @@
         now = self._now()
         if record.value is None:
             had_outage = self.follower.had_recent_outage(now, self._outage_window_s)
-            if self.directory.drop(record.key, had_outage, now):
+            if self.directory.remove(record.key, had_outage, now):
                 log("INFO", "endpoint_gone", endpoint=record.key)
             return
         try:
@@ -272,7 +272,7 @@
         except BluebellpitchError as error:
             report_entry(record.key, error)
             return
-        if self.directory.take(entry):
+        if self.directory.update(entry):
             log(
                 "INFO",
                 "endpoint",
--- a/tests/test_store_watchers.py
+++ b/tests/test_store_watchers.py
@@ -33,7 +33,7 @@
     await deployment.add_vm()
     link = await FakeLink.open(deployment.store_address)
     vm = await deployment.add_vm(store=link.address)
-    await wait_until(lambda: len(vm.liveness.live(vm._now())) == 1)
+    await wait_until(lambda: len(vm.liveness.live_peers(vm._now())) == 1)
     link.cut = True
     client = PlatformClient(vm.settings)
     for number in range(6):
@@ -107,7 +107,8 @@
             await asyncio.sleep(0.3)
             deployment.announce(endpoint, "app", state="draining")
             await wait_until(
-                lambda: not any(list(vm.directory.usable("app")) for vm in vms), timeout_s=2.6
+                lambda: not any(list(vm.directory.usable_endpoints("app")) for vm in vms),
+                timeout_s=2.6,
             )
 
     asyncio.run(body())
