--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -16,7 +16,7 @@
     STRIKE_PATIENCE_S,
 )
 from bluebellpitch.context import NodeContext
-from bluebellpitch.decisions.strikes import Suspicion
+from bluebellpitch.decisions.strikes import IsolationLevel
 from bluebellpitch.endpoints.engine import EngineAttempt, Rejected
 from bluebellpitch.endpoints.sse import count_events, join_text
 from bluebellpitch.errors import GoneError
@@ -75,7 +75,7 @@
     async def _serve(self) -> Verdict:
         while True:
             suspicion = self._judge()
-            if suspicion is Suspicion.REFUSED:
+            if suspicion is IsolationLevel.REFUSED:
                 return await self._refuse("crashes_endpoints", 422)
             slot = await self._seek(suspicion)
             if isinstance(slot, DidNotRun):
@@ -91,10 +91,10 @@
             if self.progress.failures >= ATTEMPTS_PER_REQUEST:
                 return await self._refuse("attempts_exhausted", 502)
 
-    def _judge(self) -> Suspicion:
-        return self.context.strikes.book.judge(self.job.fingerprint, self.context.now())
+    def _judge(self) -> IsolationLevel:
+        return self.context.strikes.book.isolation_level(self.job.fingerprint, self.context.now())
 
-    async def _seek(self, suspicion: Suspicion) -> Slot | DidNotRun:
+    async def _seek(self, suspicion: IsolationLevel) -> Slot | DidNotRun:
         progress, caller = self.progress, self.caller
         progress.attempt += 1
         expires_at = caller.arrived_at + caller.patience_s
--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -10,7 +10,7 @@
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.repeats import RepeatBudget
-from bluebellpitch.decisions.strikes import Suspicion
+from bluebellpitch.decisions.strikes import IsolationLevel
 from bluebellpitch.endpoints.attempt import Attempt, Turned, Unsent, settle
 from bluebellpitch.endpoints.links import Links
 from bluebellpitch.errors import BadRequestError, GoneError, NotSentError
@@ -143,7 +143,10 @@
         member = admitted.member.name if admitted.member else ""
         self._fingerprint = digest_text(request.method, request.target, member, request.body)
         strikes = context.strikes.book.count(self._fingerprint, context.now())
-        if context.strikes.book.judge(self._fingerprint, context.now()) is Suspicion.REFUSED:
+        if (
+            context.strikes.book.isolation_level(self._fingerprint, context.now())
+            is IsolationLevel.REFUSED
+        ):
             log("WARNING", "crashes_endpoints", request=request.id, strikes=strikes)
             return DidNotRun("crashes_endpoints", 503, HARMFUL_RETRY_S)
         verdict = await self._dispatch(admitted)
--- a/bluebellpitch/commands/serve.py
+++ b/bluebellpitch/commands/serve.py
@@ -88,7 +88,7 @@
 async def build_and_run(settings: Settings, environment: Environment) -> None:
     """Builds the node inside the event loop and runs it."""
     # Imported late: operators' commands need none of it.
-    from bluebellpitch.decisions.order import Policy
+    from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
     from bluebellpitch.node import Node
 
-    await Node(settings, environment, Policy()).run()
+    await Node(settings, environment, SchedulingPolicy()).run()
--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from bluebellpitch.decisions.budgets import HedgeBudget
+from bluebellpitch.decisions.hedge_budget import HedgeBudget
 from bluebellpitch.decisions.rows import Table
 from bluebellpitch.endpoints.connections import EndpointConnections
 from bluebellpitch.events import Ring
--- a/bluebellpitch/decisions/health.py
+++ b/bluebellpitch/decisions/endpoint_health.py
@@ -17,28 +17,28 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Observation:
+class LatencySample:
     """One measured time, in seconds. ``measure`` is ``first`` or ``between``."""
 
-    at: float
+    measured_at: float
     class_name: str
     measure: str
     seconds: float
 
 
-class HealthView:
+class EndpointHealth:
     """What one broker knows of its endpoints' speed."""
 
     def __init__(self, window_s: float = HEALTH_WINDOW_S, slow_ratio: float = SLOW_RATIO):
         self._window_s = window_s
         self._slow_ratio = slow_ratio
-        self._by_endpoint: dict[str, deque[Observation]] = {}
+        self._samples_by_endpoint: dict[str, deque[LatencySample]] = {}
         self._down_until: dict[str, float] = {}
-        self._slow: dict[str, float] = {}
+        self._slow_since: dict[str, float] = {}
 
-    def observe(self, endpoint: str, observation: Observation) -> None:
+    def add_sample(self, endpoint: str, sample: LatencySample) -> None:
         """Takes one observation in."""
-        self._by_endpoint.setdefault(endpoint, deque(maxlen=256)).append(observation)
+        self._samples_by_endpoint.setdefault(endpoint, deque(maxlen=256)).append(sample)
 
     def mark_down(self, endpoint: str, now: float, retry_s: float = DOWN_RETRY_S) -> None:
         """Keeps new work away after a connection failed or a request died there."""
@@ -50,11 +50,11 @@
 
     def is_slow(self, endpoint: str) -> bool:
         """Tells the latest judgement."""
-        return endpoint in self._slow
+        return endpoint in self._slow_since
 
-    def judge(self, now: float) -> tuple[tuple[str, bool], ...]:
+    def update_slow_endpoints(self, now: float) -> tuple[tuple[str, bool], ...]:
         """Judges all endpoints; returns those whose judgement changed, with the new one."""
-        recent = {name: self._recent(name, now) for name in self._by_endpoint}
+        recent = {name: self._recent_medians(name, now) for name in self._samples_by_endpoint}
         changes = []
         for name in recent:
             slow = self._is_outlier(name, recent)
@@ -66,16 +66,16 @@
 
     def _set_slow(self, name: str, slow: bool, now: float) -> None:
         if slow:
-            self._slow[name] = now
+            self._slow_since[name] = now
         else:
-            del self._slow[name]
+            del self._slow_since[name]
 
-    def _recent(self, name: str, now: float) -> dict[tuple[str, str], float]:
-        observations = self._by_endpoint[name]
-        while observations and now - observations[0].at > self._window_s:
-            observations.popleft()
+    def _recent_medians(self, name: str, now: float) -> dict[tuple[str, str], float]:
+        samples = self._samples_by_endpoint[name]
+        while samples and now - samples[0].measured_at > self._window_s:
+            samples.popleft()
         groups: dict[tuple[str, str], list[float]] = {}
-        for seen in observations:
+        for seen in samples:
             groups.setdefault((seen.class_name, seen.measure), []).append(seen.seconds)
         return {key: median(values[-OBSERVATIONS_JUDGED:]) for key, values in groups.items()}
 
--- a/bluebellpitch/decisions/epochs.py
+++ b/bluebellpitch/decisions/epochs.py
@@ -14,18 +14,18 @@
     ``own`` is this VM. All VMs decide alike, and the one that ranks first proposes.
     """
 
-    own: VmIdentity
+    own_vm: VmIdentity
     zone: str
-    settle_s: float = EPOCH_SETTLE_S
-    _seen: frozenset[VmIdentity] = frozenset()
-    _since: float = 0.0
+    stable_s: float = EPOCH_SETTLE_S
+    _last_live: frozenset[VmIdentity] = frozenset()
+    _unchanged_since: float = 0.0
 
-    def decide(
+    def propose(
         self,
         epoch: Epoch,
         live: frozenset[VmIdentity],
-        gone: frozenset[str],
-        settled: int,
+        departed_keys: frozenset[str],
+        oldest_number: int,
         now: float,
     ) -> EpochChange | None:
         """Returns a proposal when one is due.
@@ -33,23 +33,25 @@
         ``gone`` are keys of VMs proved to be no more; ``settled`` is the oldest epoch that some VM
         may still be in.
         """
-        if live != self._seen:
-            self._seen, self._since = live, now
-        buried = {vm.key for vm in epoch.vms + epoch.excluded} & gone
-        if live == frozenset(epoch.vms) and not buried:
+        if live != self._last_live:
+            self._last_live, self._unchanged_since = live, now
+        departed_in_epoch = {vm.key for vm in epoch.vms + epoch.excluded} & departed_keys
+        if live == frozenset(epoch.vms) and not departed_in_epoch:
             return None
-        if now - self._since < self.settle_s or not self._is_proposer(epoch, live):
+        if now - self._unchanged_since < self.stable_s or not self._is_proposer(epoch, live):
             return None
         number = epoch.number + 1
-        record_id = f"epoch-{self.zone}-{number}-{self.own.key}-{now:.3f}"
-        return EpochChange(record_id, self.zone, number, tuple(sorted(live)), tuple(sorted(buried)))
+        record_id = f"epoch-{self.zone}-{number}-{self.own_vm.key}-{now:.3f}"
+        return EpochChange(
+            record_id, self.zone, number, tuple(sorted(live)), tuple(sorted(departed_in_epoch))
+        )
 
     def _is_proposer(self, epoch: Epoch, live: frozenset[VmIdentity]) -> bool:
         ranked = rank_owners(f"epoch-{self.zone}-{epoch.number}", (vm.key for vm in live))
-        return ranked[:1] == [self.own.key]
+        return ranked[:1] == [self.own_vm.key]
 
 
-def broker_of(pool: str, zone: str, vm_names: frozenset[str]) -> str | None:
+def select_broker(pool: str, zone: str, vm_names: frozenset[str]) -> str | None:
     """Returns which of the live VMs of a zone brokers a pool."""
     ranked = rank_owners(f"broker/{zone}/{pool}", vm_names)
     return ranked[0] if ranked else None
--- a/bluebellpitch/decisions/budgets.py
+++ b/bluebellpitch/decisions/hedge_budget.py
@@ -16,20 +16,20 @@
     Source: the retry budget of Twitter's Finagle. ``cap`` bounds what may be saved up.
     """
 
-    share: float = RETRY_BUDGET_SHARE
-    cap: float = RETRY_BUDGET_FLOOR
-    _saved_by_class: dict[str, float] = field(default_factory=dict)
+    earned_per_request: float = RETRY_BUDGET_SHARE
+    max_balance: float = RETRY_BUDGET_FLOOR
+    _balance_by_class: dict[str, float] = field(default_factory=dict)
 
     def earn(self, class_name: str) -> None:
         """Notes an admitted request."""
-        saved = self._saved_by_class.get(class_name, self.cap)
-        self._saved_by_class[class_name] = min(self.cap, saved + self.share)
+        saved = self._balance_by_class.get(class_name, self.max_balance)
+        self._balance_by_class[class_name] = min(self.max_balance, saved + self.earned_per_request)
 
     def allows(self, class_name: str) -> bool:
         """Tells whether a hedge may be made."""
-        return self._saved_by_class.get(class_name, self.cap) >= 1.0
+        return self._balance_by_class.get(class_name, self.max_balance) >= 1.0
 
     def spend(self, class_name: str) -> None:
         """Takes one hedge out."""
-        saved = self._saved_by_class.get(class_name, self.cap)
-        self._saved_by_class[class_name] = max(0.0, saved - 1.0)
+        saved = self._balance_by_class.get(class_name, self.max_balance)
+        self._balance_by_class[class_name] = max(0.0, saved - 1.0)
--- a/bluebellpitch/decisions/floors.py
+++ b/bluebellpitch/decisions/member_quotas.py
@@ -24,7 +24,9 @@
     return {name: base + (rank < extra) for rank, name in enumerate(ranked)}
 
 
-def zone_share(limit: int, member: str, pool: str, zone: str, slots_by_zone: dict[str, int]) -> int:
+def compute_zone_quota(
+    limit: int, member: str, pool: str, zone: str, slots_by_zone: dict[str, int]
+) -> int:
     """Returns a zone's share of a member's limit, by slots, largest remainders first."""
     total = sum(slots_by_zone.values())
     if zone not in slots_by_zone or not total:
@@ -36,9 +38,9 @@
     return base_by_zone[zone] + (zone in by_remainder[:left])
 
 
-def floors_of(epoch: Epoch, share: int, key: str) -> dict[str, int]:
+def vm_quotas(epoch: Epoch, zone_quota: int, key: str) -> dict[str, int]:
     """Returns the floor of each VM of an epoch, the excluded ones included."""
-    return split_evenly(share, key, (vm.key for vm in epoch.vms + epoch.excluded))
+    return split_evenly(zone_quota, key, (vm.key for vm in epoch.vms + epoch.excluded))
 
 
 class EpochHistory:
@@ -51,7 +53,7 @@
 
     def __init__(self):
         self._epochs: list[Epoch] = []
-        self._dropped = 0
+        self._last_dropped = 0
 
     @property
     def current(self) -> Epoch | None:
@@ -59,92 +61,92 @@
         return self._epochs[-1] if self._epochs else None
 
     @property
-    def number(self) -> int:
+    def current_number(self) -> int:
         """The number of the newest epoch; 0: none."""
         return self._epochs[-1].number if self._epochs else 0
 
     @property
-    def settled(self) -> int:
+    def oldest_number(self) -> int:
         """The number of the oldest epoch that some VM may still be in."""
         return self._epochs[0].number if self._epochs else 0
 
-    def adopt(self, chain: tuple[Epoch, ...]) -> None:
+    def add(self, epochs: tuple[Epoch, ...]) -> None:
         """Takes in the unsettled epochs and the current one, as the log has them, oldest first."""
         known = {epoch.number for epoch in self._epochs}
-        new = [e for e in chain if e.number not in known and e.number > self._dropped]
+        new = [e for e in epochs if e.number not in known and e.number > self._last_dropped]
         self._epochs = sorted(self._epochs + new, key=lambda epoch: epoch.number)
 
-    def settle(self, adopted_by_vm: dict[str, int], own_key: str) -> None:
+    def drop_unused(self, number_by_vm: dict[str, int], own_key: str) -> None:
         """Drops epochs that every other VM has left, by the numbers that they told."""
-        while len(self._epochs) > 1 and self._is_left(self._epochs[0], adopted_by_vm, own_key):
-            self._dropped = self._epochs.pop(0).number
+        while len(self._epochs) > 1 and self._is_unused(self._epochs[0], number_by_vm, own_key):
+            self._last_dropped = self._epochs.pop(0).number
 
-    def _is_left(self, epoch: Epoch, adopted_by_vm: dict[str, int], own_key: str) -> bool:
+    def _is_unused(self, epoch: Epoch, number_by_vm: dict[str, int], own_key: str) -> bool:
         remaining = {vm.key for vm in self.current.vms + self.current.excluded}
         others = {vm.key for vm in epoch.vms + epoch.excluded} & remaining - {own_key}
-        return all(adopted_by_vm.get(key, 0) > epoch.number for key in others)
+        return all(number_by_vm.get(key, 0) > epoch.number for key in others)
 
-    def holds(self, vm_key: str) -> bool:
+    def contains_vm(self, vm_key: str) -> bool:
         """Tells whether a VM is in the newest epoch."""
         return self.current is not None and vm_key in {vm.key for vm in self.current.vms}
 
-    def floor(self, vm_key: str, share: int, key: str) -> int:
+    def safe_quota(self, vm_key: str, zone_quota: int, key: str) -> int:
         """Returns the floor of one VM that is safe now."""
-        floors = (floors_of(epoch, share, key).get(vm_key, 0) for epoch in self._epochs)
-        return min(floors, default=0)
+        quotas = (vm_quotas(epoch, zone_quota, key).get(vm_key, 0) for epoch in self._epochs)
+        return min(quotas, default=0)
 
 
 @dataclass(frozen=True, slots=True)
-class Loan:
+class QuotaLoan:
     """A VM's promise to use none of its floors in a pool until ``until`` on the holder's clock."""
 
     lender: str
     epoch: int
-    until: float
+    expires_at: float
 
 
-class Lender:
+class QuotaLender:
     """Which broker this VM's floors are lent to, for each pool."""
 
     def __init__(self, lease_s: float = LOAN_LEASE_S, drift: float = CLOCK_DRIFT):
-        self._keep_s = lease_s * (1 + drift)
-        self._lent_by_pool: dict[str, tuple[str, float]] = {}
+        self._loan_s = lease_s * (1 + drift)
+        self._loans_by_pool: dict[str, tuple[str, float]] = {}
 
     def lend(self, pool: str, borrower: str, now: float) -> bool:
         """Lends, or prolongs; False while another broker may still hold the floors."""
-        holder, until = self._lent_by_pool.get(pool, (borrower, now))
+        holder, until = self._loans_by_pool.get(pool, (borrower, now))
         if holder != borrower and now < until:
             return False
-        self._lent_by_pool[pool] = (borrower, now + self._keep_s)
+        self._loans_by_pool[pool] = (borrower, now + self._loan_s)
         return True
 
     def release(self, pool: str, borrower: str) -> None:
         """Ends a loan that the borrower itself gave back."""
-        if self._lent_by_pool.get(pool, ("", 0.0))[0] == borrower:
-            del self._lent_by_pool[pool]
+        if self._loans_by_pool.get(pool, ("", 0.0))[0] == borrower:
+            del self._loans_by_pool[pool]
 
 
-class Borrower:
+class QuotaBorrower:
     """The loans that this broker holds for one pool."""
 
     def __init__(self, lease_s: float = LOAN_LEASE_S):
         self._lease_s = lease_s
-        self._loans_by_vm: dict[str, Loan] = {}
+        self._loans_by_vm: dict[str, QuotaLoan] = {}
 
-    def record(self, lender: str, epoch: int, asked_at: float) -> None:
+    def record_loan(self, lender: str, epoch: int, asked_at: float) -> None:
         """Notes a loan; it runs from when it was asked for."""
-        self._loans_by_vm[lender] = Loan(lender, epoch, asked_at + self._lease_s)
+        self._loans_by_vm[lender] = QuotaLoan(lender, epoch, asked_at + self._lease_s)
 
-    def lenders(self, epoch: int, now: float) -> tuple[str, ...]:
+    def active_lenders(self, epoch: int, now: float) -> tuple[str, ...]:
         """Returns the VMs whose floors of this epoch may be used now."""
         loans = self._loans_by_vm.values()
-        return tuple(loan.lender for loan in loans if loan.epoch == epoch and now < loan.until)
+        return tuple(loan.lender for loan in loans if loan.epoch == epoch and now < loan.expires_at)
 
     def clear(self) -> None:
         """Forgets all loans."""
         self._loans_by_vm.clear()
 
 
-def usable_limit(history: EpochHistory, lenders: tuple[str, ...], share: int, key: str) -> int:
+def usable_limit(history: EpochHistory, lenders: tuple[str, ...], zone_quota: int, key: str) -> int:
     """Returns how many requests of a member a broker may run with the floors of some lenders."""
-    return sum(history.floor(lender, share, key) for lender in lenders)
+    return sum(history.safe_quota(lender, zone_quota, key) for lender in lenders)
--- a/bluebellpitch/decisions/strikes.py
+++ b/bluebellpitch/decisions/strikes.py
@@ -12,46 +12,46 @@
 from bluebellpitch.constants import STRIKE_TTL_S, STRIKES_TO_REFUSE, STRIKES_TO_RUN_ALONE
 
 
-class Suspicion(IntEnum):
+class IsolationLevel(IntEnum):
     """How a request may be placed."""
 
     NONE = 0
-    APART = 1
-    ALONE = 2
+    SEPARATED = 1
+    EXCLUSIVE = 2
     REFUSED = 3
 
 
 @dataclass(slots=True)
-class StrikeBook:
+class StrikeTracker:
     """Strikes by fingerprint: ids of the attempts that died, with the time of each."""
 
     ttl_s: float = STRIKE_TTL_S
-    _attempts_by_fingerprint: dict[str, dict[str, float]] = field(default_factory=dict)
+    _strikes_by_fingerprint: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def add(self, fingerprint: str, attempt: str, now: float) -> None:
         """Notes that an endpoint died under an attempt; the same attempt counts once."""
-        self._attempts_by_fingerprint.setdefault(fingerprint, {})[attempt] = now
+        self._strikes_by_fingerprint.setdefault(fingerprint, {})[attempt] = now
 
     def clear(self, fingerprint: str) -> None:
         """Forgets the strikes of a request that completed."""
-        self._attempts_by_fingerprint.pop(fingerprint, None)
+        self._strikes_by_fingerprint.pop(fingerprint, None)
 
     def count(self, fingerprint: str, now: float) -> int:
         """Returns the strikes in force."""
-        attempts = self._attempts_by_fingerprint.get(fingerprint, {})
+        attempts = self._strikes_by_fingerprint.get(fingerprint, {})
         return sum(now - at < self.ttl_s for at in attempts.values())
 
-    def judge(self, fingerprint: str, now: float) -> Suspicion:
+    def isolation_level(self, fingerprint: str, now: float) -> IsolationLevel:
         """Returns how the request may be placed now."""
         strikes = self.count(fingerprint, now)
         if strikes >= STRIKES_TO_REFUSE:
-            return Suspicion.REFUSED
+            return IsolationLevel.REFUSED
         if strikes >= STRIKES_TO_RUN_ALONE:
-            return Suspicion.ALONE
-        return Suspicion.APART if strikes else Suspicion.NONE
+            return IsolationLevel.EXCLUSIVE
+        return IsolationLevel.SEPARATED if strikes else IsolationLevel.NONE
 
     def expire(self, now: float) -> None:
         """Forgets fingerprints whose strikes are all old."""
-        old = [f for f in self._attempts_by_fingerprint if not self.count(f, now)]
+        old = [f for f in self._strikes_by_fingerprint if not self.count(f, now)]
         for fingerprint in old:
-            del self._attempts_by_fingerprint[fingerprint]
+            del self._strikes_by_fingerprint[fingerprint]
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -11,7 +11,7 @@
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.repeats import RepeatBudget
-from bluebellpitch.decisions.strikes import StrikeBook
+from bluebellpitch.decisions.strikes import StrikeTracker
 from bluebellpitch.endpoints.links import Links
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
 from bluebellpitch.jobs import start_jobs, stop_jobs
@@ -77,7 +77,7 @@
         self.metrics = Metrics()
         self._metrics_port = metrics_port
         self.strikes = StrikeRole(
-            StrikeBook(STRIKES_KEPT_S),
+            StrikeTracker(STRIKES_KEPT_S),
             peers=lambda: [a for a in self._all_addresses() if a != settings.bus],
             tell=lambda address, message: self.bus.send_to_address(address, message),
             now=now,
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -10,10 +10,10 @@
 from bluebellpitch.constants import RING_EVENTS
 from bluebellpitch.context import NodeContext
 from bluebellpitch.decisions.broker import Broker
-from bluebellpitch.decisions.budgets import HedgeBudget
+from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.control import VmIdentity
-from bluebellpitch.decisions.order import Policy
-from bluebellpitch.decisions.strikes import StrikeBook
+from bluebellpitch.decisions.hedge_budget import HedgeBudget
+from bluebellpitch.decisions.strikes import StrikeTracker
 from bluebellpitch.endpoints.connections import EndpointConnections
 from bluebellpitch.environment import Environment
 from bluebellpitch.events import Kind, Ring
@@ -70,7 +70,7 @@
 class Node:
     """Wires the parts of one VM together."""
 
-    def __init__(self, settings: Settings, environment: Environment, policy: Policy):
+    def __init__(self, settings: Settings, environment: Environment, policy: SchedulingPolicy):
         now, wall = environment.now, environment.wall
         self.settings = settings
         self.now = now
@@ -82,7 +82,7 @@
         self.clock = HybridClock(wall)
         self.ring = Ring(settings.vm, self.clock, RING_EVENTS)
         self.metrics = Metrics()
-        self.strikes = StrikeRole(StrikeBook(), self._peers, self._send_strike, now)
+        self.strikes = StrikeRole(StrikeTracker(), self._peers, self._send_strike, now)
         self.bus = PeerBus(self.key, self.clock, self.metrics, self.take)
         self.control_tail = Tail(self._open_store(), CONTROL_TOPIC, self.metrics, now)
         claims_tail = Tail(self._open_store(), CLAIMS_TOPIC, self.metrics, now)
@@ -247,13 +247,13 @@
 def describe_broker(broker: Broker) -> BrokerStatus:
     """Returns the status of one pool's broker."""
     classes = tuple(
-        ClassStatus(name, broker.queues.count(name), len(broker.running_by_class.get(name, ())))
-        for name in sorted(broker.order.loads_by_class)
+        ClassStatus(name, broker.queues.count(name), len(broker.grants_by_class.get(name, ())))
+        for name in sorted(broker.scheduler.stats_by_class)
     )
     endpoints = tuple(
         EndpointStatus(
             row.name,
-            broker.chooser.running_on(row.name),
+            broker.selector.used_slots(row.name),
             row.slots,
             broker.health.is_slow(row.name),
             row.state != "live",
--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/brokering.py
@@ -5,11 +5,25 @@
 
 from bluebellpitch.constants import LOAN_INTERVAL_S, MEMBERS_WITH_OWN_LABEL, PEER_DEAD_AFTER_S
 from bluebellpitch.decisions.broker import Broker
-from bluebellpitch.decisions.floors import Borrower, EpochHistory, Lender, usable_limit, zone_share
+from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.hashing import digest_text
-from bluebellpitch.decisions.order import Policy
+from bluebellpitch.decisions.member_quotas import (
+    EpochHistory,
+    QuotaBorrower,
+    QuotaLender,
+    compute_zone_quota,
+    usable_limit,
+)
 from bluebellpitch.decisions.rows import MemberRow, Table
-from bluebellpitch.decisions.work import Command, Finished, Grant, Preempt, Refuse, Running, Waiting
+from bluebellpitch.decisions.slot_grants import (
+    ActiveGrant,
+    BrokerCommand,
+    FinishedGrant,
+    GrantSlot,
+    PreemptGrant,
+    QueuedRequest,
+    RefuseRequest,
+)
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
@@ -46,7 +60,7 @@
         ring: Ring,
         metrics: Metrics,
         now: Callable[[], float],
-        policy: Policy,
+        policy: SchedulingPolicy,
         report_held: Callable[[str, str], None],
     ):
         self._holder = holder
@@ -60,10 +74,10 @@
         self._own = holder.current.own.identity.key
         self._zone = holder.current.own.zone
         self.brokers_by_pool: dict[str, Broker] = {}
-        self._borrowers_by_pool: dict[str, Borrower] = {}
+        self._borrowers_by_pool: dict[str, QuotaBorrower] = {}
         self._heard_by_pool: dict[str, set[str]] = {}
         self._started_by_pool: dict[str, float] = {}
-        self._lender = Lender()
+        self._lender = QuotaLender()
         self._loans_asked_at = 0.0
         self._swept_at = 0.0
 
@@ -73,7 +87,7 @@
             case LoanRequest():
                 self._lend(sender, message)
             case LoanGiven(pool, epoch, asked_at):
-                self._borrower(pool).record(sender, epoch, asked_at)
+                self._borrower(pool).record_loan(sender, epoch, asked_at)
                 self._heard_by_pool.setdefault(pool, set()).add(sender)
             case LoanReturned(pool):
                 self._lender.release(pool, sender)
@@ -95,14 +109,14 @@
         now = self._now()
         match message:
             case Ask():
-                self._obey(broker, broker.ask(to_waiting(message, asker, now), now))
+                self._obey(broker, broker.submit(to_waiting(message, asker, now), now))
             case Cancel(request):
                 self._obey(broker, broker.cancel(request, now))
             case Returned(grant, _, _, outcome, first_s, between_s):
-                finished = Finished(grant, outcome, first_s, between_s)
+                finished = FinishedGrant(grant, outcome, first_s, between_s)
                 self._obey(broker, broker.finish(finished, now))
             case Seen(grant, _, measure, seconds):
-                broker.observe(grant, measure, seconds, now)
+                broker.record_latency(grant, measure, seconds, now)
             case Held(_, grants):
                 self._take_held(broker, asker, grants)
 
@@ -135,8 +149,13 @@
         def limit_of(member: MemberRow, now: float) -> int:
             nonlocal basis
             table = self._holder.current.table
-            lenders = self._borrower(pool).lenders(self._history.number, now)
-            current = (table.offset, self._history.settled, self._history.number, lenders)
+            lenders = self._borrower(pool).active_lenders(self._history.current_number, now)
+            current = (
+                table.offset,
+                self._history.oldest_number,
+                self._history.current_number,
+                lenders,
+            )
             if current != basis:
                 answers.clear()
                 basis = current
@@ -148,52 +167,52 @@
 
     def _work_out_limit(self, table: Table, pool: str, member: MemberRow, lenders) -> int:
         slots_by_zone = table.slots_by_zone(pool)
-        share = zone_share(member.limit, member.name, pool, self._zone, slots_by_zone)
+        share = compute_zone_quota(member.limit, member.name, pool, self._zone, slots_by_zone)
         return usable_limit(self._history, lenders, share, f"{member.name}/{pool}")
 
-    def _borrower(self, pool: str) -> Borrower:
-        return self._borrowers_by_pool.setdefault(pool, Borrower())
+    def _borrower(self, pool: str) -> QuotaBorrower:
+        return self._borrowers_by_pool.setdefault(pool, QuotaBorrower())
 
     def _take_held(self, broker: Broker, sender: str, grants: tuple[HeldGrant, ...]) -> None:
         now = self._now()
         for held in grants:
-            if not broker.confirm(held.grant, now) and (details := held.details) is not None:
+            if not broker.confirm_grant(held.grant, now) and (details := held.details) is not None:
                 work = to_waiting(details.ask, sender, now)
                 since = now - details.held_s
-                broker.adopt(Running(held.grant, work, details.endpoint, since, now))
+                broker.adopt_grant(ActiveGrant(held.grant, work, details.endpoint, since, now))
             if held.between_s is not None:
-                broker.observe(held.grant, "between", held.between_s, now)
+                broker.record_latency(held.grant, "between", held.between_s, now)
 
-    def _obey(self, broker: Broker, commands: Iterable[Command]) -> None:
+    def _obey(self, broker: Broker, commands: Iterable[BrokerCommand]) -> None:
         for command in commands:
             match command:
-                case Grant():
+                case GrantSlot():
                     self._send_grant(command)
-                case Refuse(work, reason, retry_after_s):
+                case RefuseRequest(work, reason, retry_after_s):
                     refused = Refused(
-                        work.request, work.attempt, broker.pool, reason, retry_after_s
+                        work.request_id, work.attempt, broker.pool, reason, retry_after_s
                     )
-                    self._bus.send(work.asker, refused)
-                case Preempt(running, reason):
-                    preempted = Preempted(running.grant, running.work.request, reason)
-                    self._bus.send(running.work.asker, preempted)
+                    self._bus.send(work.requesting_vm, refused)
+                case PreemptGrant(running, reason):
+                    preempted = Preempted(running.grant_id, running.request.request_id, reason)
+                    self._bus.send(running.request.requesting_vm, preempted)
 
-    def _send_grant(self, grant: Grant) -> None:
-        running = grant.running
+    def _send_grant(self, grant: GrantSlot) -> None:
+        running = grant.grant
         row = self._holder.current.table.endpoints_by_name.get(running.endpoint)
         if row is None:
             return
-        work = running.work
+        work = running.request
         granted = Granted(
-            running.grant,
-            work.request,
+            running.grant_id,
+            work.request_id,
             work.attempt,
             row.name,
             row.address,
-            grant.expected_first_s,
-            grant.expected_between_s,
+            grant.expected_first_token_s,
+            grant.expected_between_tokens_s,
         )
-        self._bus.send(work.asker, granted)
+        self._bus.send(work.requesting_vm, granted)
 
     async def run(self) -> None:
         """Drives time: schedules, sweeps, borrows and follows ownership."""
@@ -219,12 +238,12 @@
 
     def _tick_broker(self, broker: Broker, sweep: bool, now: float) -> None:
         view = self._holder.current
-        if broker.table is not view.table or broker.leaving != view.leaving_endpoints:
+        if broker.table is not view.table or broker.leaving_endpoints != view.leaving_endpoints:
             broker.set_table(view.table, view.leaving_endpoints)
         broker.paused = broker.paused and not self._is_rebuilt(broker.pool, now)
         self._obey(broker, broker.tick(now))
         if sweep:
-            self._obey(broker, broker.drop_unconfirmed(now))
+            self._obey(broker, broker.expire_unconfirmed(now))
             self._export_limits(broker)
 
     def _is_rebuilt(self, pool: str, now: float) -> bool:
@@ -234,7 +253,7 @@
         return waited or vms <= self._heard_by_pool[pool]
 
     def _export_limits(self, broker: Broker) -> None:
-        for member, count in tuple(broker.in_use_by_member.items())[:MEMBERS_WITH_OWN_LABEL]:
+        for member, count in tuple(broker.used_slots_by_member.items())[:MEMBERS_WITH_OWN_LABEL]:
             self._metrics.limit_in_use.labels(broker.pool, member).set(count)
 
     def _pools_of_zone(self) -> list[str]:
@@ -266,29 +285,29 @@
         What this VM holds goes ahead of the loan, so that the broker counts it first.
         """
         epoch = self._history.current
-        if epoch is None or epoch.number != request.epoch or not self._history.holds(sender):
+        if epoch is None or epoch.number != request.epoch or not self._history.contains_vm(sender):
             return
         if self._lender.lend(request.pool, sender, self._now()):
             self._report_held(sender, request.pool)
             self._bus.send(sender, LoanGiven(request.pool, request.epoch, request.asked_at))
 
 
-def to_waiting(ask: Ask, asker: str, now: float) -> Waiting:
+def to_waiting(ask: Ask, asker: str, now: float) -> QueuedRequest:
     """Returns an ask on the broker's own clock."""
-    return Waiting(
-        request=ask.request,
+    return QueuedRequest(
+        request_id=ask.request,
         attempt=ask.attempt,
-        asker=asker,
+        requesting_vm=asker,
         member=ask.member,
         class_name=ask.class_name,
         arrived_at=now - ask.age_s,
         expires_at=now + ask.patience_s,
         prefix=ask.prefix,
-        avoid=frozenset(ask.avoid),
-        suspicion=ask.suspicion,
+        excluded_endpoints=frozenset(ask.avoid),
+        isolation_level=ask.suspicion,
         resumable=ask.resumable,
         resumed=ask.resumed,
         remote=ask.remote,
         preemptions=ask.preemptions,
-        asked_at=now,
+        last_asked_at=now,
     )
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/membership.py
@@ -11,8 +11,8 @@
 )
 from bluebellpitch.decisions.control import Epoch, VmIdentity, encode_record
 from bluebellpitch.decisions.epochs import EpochProposer
-from bluebellpitch.decisions.floors import EpochHistory
 from bluebellpitch.decisions.hashing import rank_owners
+from bluebellpitch.decisions.member_quotas import EpochHistory
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.logs import log
@@ -105,11 +105,11 @@
         view = self._holder.current
         self._learn_addresses()
         self._adopt_epoch(view)
-        own = replace(view.own, epoch=self.history.number)
+        own = replace(view.own, epoch=self.history.current_number)
         live = {key: vm for key, (vm, _) in self._heard_by_key.items()}
         live[self._own_key] = own
         self._holder.current = replace(view, own=own, live_by_key=live)
-        self.history.settle({key: vm.epoch for key, vm in live.items()}, self._own_key)
+        self.history.drop_unused({key: vm.epoch for key, vm in live.items()}, self._own_key)
 
     def _patience_s(self, vm: KnownVm) -> float:
         return PEER_DEAD_AFTER_S if vm.zone == self._zone else CROSS_ZONE_DEAD_AFTER_S
@@ -121,9 +121,9 @@
 
     def _adopt_epoch(self, view: ClusterView) -> None:
         epoch = view.epochs_by_zone.get(self._zone)
-        if epoch is None or epoch.number <= self.history.number:
+        if epoch is None or epoch.number <= self.history.current_number:
             return
-        self.history.adopt(view.unsettled_by_zone.get(self._zone, ()) + (epoch,))
+        self.history.add(view.unsettled_by_zone.get(self._zone, ()) + (epoch,))
         names = ",".join(vm.key for vm in epoch.vms)
         self._ring.record(Kind.EPOCH, detail=f"zone={self._zone} number={epoch.number} {names}")
         log("INFO", "epoch", zone=self._zone, number=epoch.number, vms=names)
@@ -201,7 +201,7 @@
             return
         epoch = self._holder.current.epochs_by_zone.get(self._zone, Epoch(0, ()))
         live, gone = self._live_here(), self._gone(epoch)
-        change = self._proposer.decide(epoch, live, gone, self.history.settled, self._now())
+        change = self._proposer.propose(epoch, live, gone, self.history.oldest_number, self._now())
         if change is not None:
             append = self._appender.append(encode_record(change))
             self._proposal = asyncio.create_task(append)
--- a/bluebellpitch/roles/seeking.py
+++ b/bluebellpitch/roles/seeking.py
@@ -15,7 +15,7 @@
     OVERFLOW_TARGET_SHARE,
     SLOW_RATIO,
 )
-from bluebellpitch.decisions.work import Mean
+from bluebellpitch.decisions.slot_grants import MovingAverage
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import (
@@ -50,7 +50,7 @@
     tokens: int = 0
     last_token_at: float | None = None
     gap_told_at: float = 0.0
-    between: Mean = field(default_factory=Mean)
+    between: MovingAverage = field(default_factory=MovingAverage)
     brokers_told: set[str] = field(default_factory=set)
 
     def note_tokens(self, count: int, now: float) -> None:
--- a/bluebellpitch/roles/striking.py
+++ b/bluebellpitch/roles/striking.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from bluebellpitch.decisions.strikes import StrikeBook
+from bluebellpitch.decisions.strikes import StrikeTracker
 from bluebellpitch.peers.messages import StrikeKnown, StrikeNoted, StrikesCleared
 
 EXPIRY_INTERVAL_S = 30.0
@@ -14,7 +14,7 @@
 
     def __init__(
         self,
-        book: StrikeBook,
+        book: StrikeTracker,
         peers: Callable[[], Iterable[str]],
         tell: Callable[[str, StrikeNoted | StrikesCleared], None],
         now: Callable[[], float],
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.control import Epoch, VmIdentity
-from bluebellpitch.decisions.epochs import broker_of
+from bluebellpitch.decisions.epochs import select_broker
 from bluebellpitch.decisions.hashing import rank_owners
 from bluebellpitch.decisions.rows import Table
 
@@ -48,7 +48,7 @@
 
     def broker(self, pool: str, zone: str) -> str | None:
         """Returns the VM key of a pool's broker in a zone."""
-        return broker_of(pool, zone, self.vms_of(zone))
+        return select_broker(pool, zone, self.vms_of(zone))
 
     def zones_for(self, pool: str, request: str) -> list[str]:
         """Returns the zones that serve a pool: own zone, own region, then the others."""
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -26,7 +26,7 @@
     VersionedRow,
     key_of,
 )
-from bluebellpitch.decisions.work import Finished, Waiting
+from bluebellpitch.decisions.slot_grants import FinishedGrant, QueuedRequest
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
@@ -103,15 +103,17 @@
     rows = rows_of(endpoints * 114, members)
     kept = [r for r in rows if not isinstance(r, EndpointRow) or (r.pool, r.zone) == ("p0", "z0")]
     broker.set_table(Table({key_of(row): VersionedRow(row, 0) for row in kept}, 0))
-    busy = broker.chooser.total_slots + waiting if waiting else 0
+    busy = broker.selector.total_slots + waiting if waiting else 0
     for number in range(busy):
-        drain(broker.ask(make_work(f"w{number}", number % members, "c6", 0.0), 0.0))
+        drain(broker.submit(make_work(f"w{number}", number % members, "c6", 0.0), 0.0))
     return broker
 
 
-def make_work(request: str, member: int, class_name: str, now: float) -> Waiting:
+def make_work(request: str, member: int, class_name: str, now: float) -> QueuedRequest:
     """Returns a request."""
-    return Waiting(request, 1, "vm", f"m{member}", class_name, now, now + 1e6, asked_at=now)
+    return QueuedRequest(
+        request, 1, "vm", f"m{member}", class_name, now, now + 1e6, last_asked_at=now
+    )
 
 
 def drain(commands: Iterator) -> None:
@@ -130,10 +132,10 @@
             number = next(counter)
             now = 1.0 + number * 0.001
             work = make_work(f"x{number}", number % members, "c5", now)
-            drain(broker.ask(work, now))
-            grant = broker.grants_by_request.get(work.request)
+            drain(broker.submit(work, now))
+            grant = broker.grant_id_by_request.get(work.request_id)
             if grant:
-                drain(broker.finish(Finished(grant, "completed", 0.1, 0.02), now))
+                drain(broker.finish(FinishedGrant(grant, "completed", 0.1, 0.02), now))
         return 300
 
     return timed(job)
--- a/measure/variant.py
+++ b/measure/variant.py
@@ -4,18 +4,18 @@
 
 from bluebellpitch import main as program
 from bluebellpitch.commands import serve
-from bluebellpitch.decisions.order import Policy
+from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.node import Node
 from measure.baselines import PICKERS, LocalSlots
 
 POLICIES = {
-    "ours": Policy(),
-    "strict": Policy(guaranteed_share=0.0, preempt=False),
-    "no-preemption": Policy(preempt=False),
-    "no-share": Policy(guaranteed_share=0.0),
-    "no-in-time": Policy(prefer_in_time=False),
-    "no-health": Policy(judge_health=False),
-    "fifo": Policy(strict_tiers=False, preempt=False),
+    "ours": SchedulingPolicy(),
+    "strict": SchedulingPolicy(guaranteed_share=0.0, allow_preemption=False),
+    "no-preemption": SchedulingPolicy(allow_preemption=False),
+    "no-share": SchedulingPolicy(guaranteed_share=0.0),
+    "no-in-time": SchedulingPolicy(prefer_on_time=False),
+    "no-health": SchedulingPolicy(detect_slow_endpoints=False),
+    "fifo": SchedulingPolicy(strict_tiers=False, allow_preemption=False),
 }
 
 
@@ -36,7 +36,7 @@
 
 async def build_and_run(settings, environment) -> None:
     """Builds the variant and runs it."""
-    await VariantNode(settings, environment, POLICIES.get(MODE, Policy())).run()
+    await VariantNode(settings, environment, POLICIES.get(MODE, SchedulingPolicy())).run()
 
 
 if __name__ == "__main__":
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -10,7 +10,7 @@
 
 from bluebellpitch.constants import GRANT_UNCONFIRMED_S
 from bluebellpitch.decisions.broker import Broker
-from bluebellpitch.decisions.order import Policy
+from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.rows import (
     ClassRow,
     EndpointRow,
@@ -20,8 +20,14 @@
     VersionedRow,
     key_of,
 )
-from bluebellpitch.decisions.strikes import Suspicion
-from bluebellpitch.decisions.work import Finished, Grant, Preempt, Refuse, Waiting
+from bluebellpitch.decisions.slot_grants import (
+    FinishedGrant,
+    GrantSlot,
+    PreemptGrant,
+    QueuedRequest,
+    RefuseRequest,
+)
+from bluebellpitch.decisions.strikes import IsolationLevel
 
 CLASSES = (
     ClassRow("high", 1, 8.0, 500.0, 50.0, 5_000.0),
@@ -40,16 +46,16 @@
     return Table({key_of(row): VersionedRow(row, 0) for row in rows}, 0)
 
 
-def make_broker(policy: Policy = Policy(), **shape) -> Broker:
+def make_broker(policy: SchedulingPolicy = SchedulingPolicy(), **shape) -> Broker:
     broker = Broker("pool", "z", lambda member, now: member.limit, policy)
     broker.set_table(make_table(**shape))
     return broker
 
 
 def work(request: str, class_name: str = "low", at: float = 0.0, patience: float = 1e6, **fields):
-    defaults = {"member": "m", "asker": "vm", "attempt": 1}
-    return Waiting(
-        request=request,
+    defaults = {"member": "m", "requesting_vm": "vm", "attempt": 1}
+    return QueuedRequest(
+        request_id=request,
         class_name=class_name,
         arrived_at=at,
         expires_at=at + patience,
@@ -58,16 +64,16 @@
 
 
 def granted(commands) -> list[str]:
-    return [c.running.work.request for c in commands if isinstance(c, Grant)]
+    return [c.grant.request.request_id for c in commands if isinstance(c, GrantSlot)]
 
 
 def ask_all(broker: Broker, works, now: float = 0.0) -> list:
-    return [command for item in works for command in broker.ask(item, now)]
+    return [command for item in works for command in broker.submit(item, now)]
 
 
 def finish(broker: Broker, request: str, now: float, outcome: str = "completed") -> list:
-    grant = broker.grants_by_request[request]
-    return list(broker.finish(Finished(grant, outcome), now))
+    grant = broker.grant_id_by_request[request]
+    return list(broker.finish(FinishedGrant(grant, outcome), now))
 
 
 def test_higher_tier_goes_first():
@@ -83,7 +89,7 @@
     ask_all(broker, [work("young", "low")], 1.0)
     ask_all(broker, [work("mid", "middle")], 2.0)
     commands = ask_all(broker, [work("top", "high", at=3.0)], 3.0)
-    preempted = [c.running.work.request for c in commands if isinstance(c, Preempt)]
+    preempted = [c.grant.request.request_id for c in commands if isinstance(c, PreemptGrant)]
     assert_that(preempted, Equals(["young"]))
 
 
@@ -91,15 +97,15 @@
     broker = make_broker(endpoints=1, slots=2)
     ask_all(broker, [work("a", "middle"), work("b", "high")])
     commands = ask_all(broker, [work("c", "middle"), work("d", "low")], 1.0)
-    assert_that([c for c in commands if isinstance(c, Preempt)], HasLength(0))
+    assert_that([c for c in commands if isinstance(c, PreemptGrant)], HasLength(0))
 
 
 def test_repeated_ask_gets_the_same_grant():
     broker = make_broker()
     first = ask_all(broker, [work("a")])[0]
     again = ask_all(broker, [work("a")], 1.0)[0]
-    assert_that(again.running.grant, Equals(first.running.grant))
-    assert_that(broker.running_by_grant, HasLength(1))
+    assert_that(again.grant.grant_id, Equals(first.grant.grant_id))
+    assert_that(broker.grants_by_id, HasLength(1))
 
 
 def test_no_class_starves_under_a_flood_of_higher_tiers():
@@ -110,11 +116,11 @@
         now += 0.05
         ask_all(broker, [work(f"high{number + n}", "high", at=now) for n in range(4)], now)
         number += 4
-        due = [r for r in broker.running_by_grant.values() if now - r.granted_at >= 0.2]
+        due = [r for r in broker.grants_by_id.values() if now - r.granted_at >= 0.2]
         for running in due:
-            if running.grant in broker.running_by_grant:
-                finish(broker, running.work.request, now)
-                done.append(running.work.request)
+            if running.grant_id in broker.grants_by_id:
+                finish(broker, running.request.request_id, now)
+                done.append(running.request.request_id)
     low = [request for request in done if request.startswith("low")]
     assert_that(len(low), GreaterThan(5))
     assert_that(len(low), LessThan(len(done) * 0.2))
@@ -148,7 +154,7 @@
     commands = ask_all(
         broker, [work(f"w{n}", "middle", at=4.0, patience=10.0) for n in range(9)], 4.0
     )
-    refused = [c.work.request for c in commands if isinstance(c, Refuse)]
+    refused = [c.request.request_id for c in commands if isinstance(c, RefuseRequest)]
     assert_that(refused, Equals([f"w{n}" for n in range(4, 9)]))
 
 
@@ -158,7 +164,9 @@
     finish(broker, "first", 4.0)
     ask_all(broker, [work(f"w{n}", "middle", at=4.0, patience=10.0) for n in range(9)], 4.0)
     commands = ask_all(broker, [work("lower", "low", at=4.1)], 4.1)
-    assert_that([c.reason for c in commands if isinstance(c, Refuse)], Equals(["higher_tier_shed"]))
+    assert_that(
+        [c.reason for c in commands if isinstance(c, RefuseRequest)], Equals(["higher_tier_shed"])
+    )
 
 
 def test_resumed_work_is_never_refused_early():
@@ -167,29 +175,29 @@
     finish(broker, "first", 4.0)
     ask_all(broker, [work(f"w{n}", "middle", at=4.0, patience=10.0) for n in range(9)], 4.0)
     commands = ask_all(broker, [work("resumed", "low", at=0.0, attempt=2)], 4.1)
-    assert_that([c for c in commands if isinstance(c, Refuse)], HasLength(0))
+    assert_that([c for c in commands if isinstance(c, RefuseRequest)], HasLength(0))
 
 
 def test_slow_endpoint_is_found_and_gets_only_a_trickle():
     broker = make_broker(endpoints=3, slots=4)
     commands = ask_all(broker, [work(f"w{n}", "middle") for n in range(12)])
-    for command in (c for c in commands if isinstance(c, Grant)):
-        seconds = 0.5 if command.running.endpoint == "e0" else 0.05
-        broker.observe(command.running.grant, "first", seconds, 0.6)
-    preempted = [c for c in broker.tick(0.7) if isinstance(c, Preempt)]
-    assert_that({c.running.endpoint for c in preempted}, Equals({"e0"}))
-    for name in [r.work.request for r in tuple(broker.running_by_grant.values())]:
+    for command in (c for c in commands if isinstance(c, GrantSlot)):
+        seconds = 0.5 if command.grant.endpoint == "e0" else 0.05
+        broker.record_latency(command.grant.grant_id, "first", seconds, 0.6)
+    preempted = [c for c in broker.tick(0.7) if isinstance(c, PreemptGrant)]
+    assert_that({c.grant.endpoint for c in preempted}, Equals({"e0"}))
+    for name in [r.request.request_id for r in tuple(broker.grants_by_id.values())]:
         finish(broker, name, 0.8)
     fresh = ask_all(broker, [work(f"f{n}", "high", at=0.9) for n in range(8)], 0.9)
-    used = {c.running.endpoint for c in fresh if isinstance(c, Grant)}
+    used = {c.grant.endpoint for c in fresh if isinstance(c, GrantSlot)}
     assert_that(used, Equals({"e1", "e2"}))
 
 
 def test_suspects_are_kept_apart_and_the_worst_runs_alone():
     broker = make_broker(endpoints=2, slots=4)
-    suspects = [work(f"s{n}", suspicion=Suspicion.APART) for n in range(3)]
+    suspects = [work(f"s{n}", isolation_level=IsolationLevel.SEPARATED) for n in range(3)]
     commands = ask_all(broker, suspects)
-    assert_that(sorted(c.running.endpoint for c in commands), Equals(["e0", "e1"]))
+    assert_that(sorted(c.grant.endpoint for c in commands), Equals(["e0", "e1"]))
     neighbours = ask_all(broker, [work(f"n{n}") for n in range(4)])
     assert_that(granted(neighbours), HasLength(4))
 
@@ -198,15 +206,15 @@
     """Without an endpoint that is kept free for it, it would wait for ever."""
     broker = make_broker(endpoints=2, slots=2)
     ask_all(broker, [work(f"w{n}") for n in range(40)])
-    ask_all(broker, [work("alone", suspicion=Suspicion.ALONE, at=-1.0)], 0.0)
+    ask_all(broker, [work("alone", isolation_level=IsolationLevel.EXCLUSIVE, at=-1.0)], 0.0)
     for step in range(1, 12):
-        running = sorted(broker.running_by_grant.values(), key=lambda r: r.granted_at)
-        finish(broker, running[0].work.request, step * 0.1)
-        if "alone" in broker.grants_by_request:
+        running = sorted(broker.grants_by_id.values(), key=lambda r: r.granted_at)
+        finish(broker, running[0].request.request_id, step * 0.1)
+        if "alone" in broker.grant_id_by_request:
             break
-    assert_that(broker.grants_by_request, Contains("alone"))
-    endpoint = broker.running_by_grant[broker.grants_by_request["alone"]].endpoint
-    assert_that(broker.chooser.running_on(endpoint), Equals(1))
+    assert_that(broker.grant_id_by_request, Contains("alone"))
+    endpoint = broker.grants_by_id[broker.grant_id_by_request["alone"]].endpoint
+    assert_that(broker.selector.used_slots(endpoint), Equals(1))
 
 
 def test_leaving_endpoint_gets_nothing():
@@ -222,8 +230,8 @@
     broker = make_broker(endpoints=1, slots=1)
     ask_all(broker, [work("lost")])
     now = GRANT_UNCONFIRMED_S + 0.5
-    ask_all(broker, [work("next", at=2.0, asked_at=now)], 2.0)
-    assert_that(granted(broker.drop_unconfirmed(now)), Equals(["next"]))
+    ask_all(broker, [work("next", at=2.0, last_asked_at=now)], 2.0)
+    assert_that(granted(broker.expire_unconfirmed(now)), Equals(["next"]))
 
 
 def test_resumed_work_goes_before_work_that_has_not_begun():
@@ -253,12 +261,19 @@
     broker = make_broker(endpoints=1, slots=1)
     ask_all(broker, [work("low", "low")])
     soon = ask_all(broker, [work("mid", "middle", at=1.0)], 1.05)
-    assert_that([c for c in soon if isinstance(c, Preempt)], HasLength(0))
+    assert_that([c for c in soon if isinstance(c, PreemptGrant)], HasLength(0))
     later = list(broker.tick(1.2))
-    assert_that([c for c in later if isinstance(c, Preempt)], HasLength(1))
+    assert_that([c for c in later if isinstance(c, PreemptGrant)], HasLength(1))
 
 
-@pytest.mark.parametrize("policy", [Policy(), Policy(preempt=False), Policy(strict_tiers=False)])
+@pytest.mark.parametrize(
+    "policy",
+    [
+        SchedulingPolicy(),
+        SchedulingPolicy(allow_preemption=False),
+        SchedulingPolicy(strict_tiers=False),
+    ],
+)
 def test_full_pool_is_used_whole(policy):
     broker = make_broker(policy, endpoints=2, slots=4)
     commands = ask_all(broker, [work(f"w{n}") for n in range(20)])
@@ -290,45 +305,47 @@
 
 
 def act(broker, kind, number, class_name, member, suspicion, now):
-    grants = list(broker.running_by_grant)
+    grants = list(broker.grants_by_id)
     match kind:
         case "ask":
-            fields = {"member": member, "suspicion": suspicion, "asked_at": now}
-            return broker.ask(work(f"r{number}", class_name, now, 5.0, **fields), now)
+            fields = {"member": member, "isolation_level": suspicion, "last_asked_at": now}
+            return broker.submit(work(f"r{number}", class_name, now, 5.0, **fields), now)
         case "finish" | "crash" if grants:
             outcome = "completed" if kind == "finish" else "crashed"
-            return broker.finish(Finished(grants[number % len(grants)], outcome, 0.1, 0.01), now)
+            return broker.finish(
+                FinishedGrant(grants[number % len(grants)], outcome, 0.1, 0.01), now
+            )
         case "cancel":
             return broker.cancel(f"r{number}", now)
         case "lose":
-            return broker.drop_unconfirmed(now)
+            return broker.expire_unconfirmed(now)
     return broker.tick(now + number)
 
 
 def check_commands(broker, commands):
     """A preemption is always for a higher tier, or away from a slow endpoint."""
-    waiting = [TIERS[w.class_name] for w in broker.queues.by_request.values()]
+    waiting = [TIERS[w.class_name] for w in broker.queues.requests_by_id.values()]
     for command in commands:
-        if isinstance(command, Preempt) and command.reason == "higher_tier_waits":
-            assert min(waiting, default=math.inf) < TIERS[command.running.work.class_name]
-            assert not command.running.from_share
+        if isinstance(command, PreemptGrant) and command.reason == "higher_tier_waits":
+            assert min(waiting, default=math.inf) < TIERS[command.grant.request.class_name]
+            assert not command.grant.from_guaranteed_share
 
 
 def check_state(broker):
-    running = list(broker.running_by_grant.values())
+    running = list(broker.grants_by_id.values())
     for endpoint in ("e0", "e1"):
         there = [r for r in running if r.endpoint == endpoint]
         staying = [r for r in there if not r.preempting]
         assert len(staying) <= 3
-        assert broker.chooser.running_on(endpoint) == len(staying)
-        alone = [r for r in there if r.work.suspicion >= Suspicion.ALONE]
+        assert broker.selector.used_slots(endpoint) == len(staying)
+        alone = [r for r in there if r.request.isolation_level >= IsolationLevel.EXCLUSIVE]
         assert not alone or len(there) == 1
     for member in ("m", "n"):
-        held = sum(r.work.member == member for r in running)
+        held = sum(r.request.member == member for r in running)
         assert held <= 4
-        assert broker.in_use_by_member.get(member, 0) == held
-    requests = {r.work.request for r in running}
-    assert not requests & set(broker.queues.by_request)
+        assert broker.used_slots_by_member.get(member, 0) == held
+    requests = {r.request.request_id for r in running}
+    assert not requests & set(broker.queues.requests_by_id)
 
 
 def test_table_of_another_pool_changes_nothing():
--- a/tests/test_brokering.py
+++ b/tests/test_brokering.py
@@ -6,10 +6,10 @@
 from testtools.matchers import Equals, Not
 
 from bluebellpitch.clock import HybridClock
+from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.control import VmIdentity
-from bluebellpitch.decisions.epochs import broker_of
-from bluebellpitch.decisions.floors import EpochHistory
-from bluebellpitch.decisions.order import Policy
+from bluebellpitch.decisions.epochs import select_broker
+from bluebellpitch.decisions.member_quotas import EpochHistory
 from bluebellpitch.decisions.rows import EndpointRow, Table, VersionedRow
 from bluebellpitch.events import Ring
 from bluebellpitch.metrics import Metrics
@@ -34,7 +34,7 @@
     """Grants of the first time may still be held, and must not be taken for new ones."""
     owner, other = known("a"), known("b")
     keys = frozenset((owner.identity.key, other.identity.key))
-    if broker_of(POOL, ZONE, keys) == owner.identity.key:
+    if select_broker(POOL, ZONE, keys) == owner.identity.key:
         owner, other = other, owner
     row = EndpointRow("e", POOL, ZONE, "r", "127.0.0.1:1", 1, True)
     table = Table({"endpoint/e": VersionedRow(row, 0)}, 0)
@@ -49,14 +49,14 @@
         ring,
         Metrics(),
         lambda: clock[0],
-        Policy(),
+        SchedulingPolicy(),
         lambda broker, pool: None,
     )
     role.tick()
-    first = role.brokers_by_pool[POOL].tag
+    first = role.brokers_by_pool[POOL].grant_id_prefix
     holder.current, clock[0] = both, 11.0
     role.tick()
     assert_that(POOL in role.brokers_by_pool, Equals(False))
     holder.current, clock[0] = alone, 12.0
     role.tick()
-    assert_that(role.brokers_by_pool[POOL].tag, Not(Equals(first)))
+    assert_that(role.brokers_by_pool[POOL].grant_id_prefix, Not(Equals(first)))
--- a/tests/test_limits_machine.py
+++ b/tests/test_limits_machine.py
@@ -11,7 +11,12 @@
     VmIdentity,
     encode_record,
 )
-from bluebellpitch.decisions.floors import Borrower, EpochHistory, Lender, usable_limit
+from bluebellpitch.decisions.member_quotas import (
+    EpochHistory,
+    QuotaBorrower,
+    QuotaLender,
+    usable_limit,
+)
 
 ZONE, POOL, KEY = "z", "p", "m/p"
 VMS = {name: VmIdentity(name, "1", "bus", "admin") for name in ("a", "b", "c", "d")}
@@ -27,8 +32,8 @@
         self.rate = rate
         self.fold = ControlFold()
         self.history = EpochHistory()
-        self.lender = Lender()
-        self.borrower = Borrower()
+        self.lender = QuotaLender()
+        self.borrower = QuotaBorrower()
         self.told: dict[str, int] = {}
 
 
@@ -55,7 +60,7 @@
         number = (current.number if current else 0) + 1
         identities = tuple(sorted(VMS[name] for name in members))
         record_id = f"e{len(self.log)}"
-        change = EpochChange(record_id, ZONE, number, identities, (), vm.history.settled)
+        change = EpochChange(record_id, ZONE, number, identities, (), vm.history.oldest_number)
         self.log.append(encode_record(change))
 
     @rule(name=NAMES, count=st.integers(1, 3))
@@ -65,7 +70,7 @@
             vm.fold.apply(offset, self.log[offset])
         epoch = vm.fold.state.epochs_by_zone.get(ZONE)
         if epoch is not None:
-            vm.history.adopt(vm.fold.state.unsettled_by_zone.get(ZONE, ()) + (epoch,))
+            vm.history.add(vm.fold.state.unsettled_by_zone.get(ZONE, ()) + (epoch,))
 
     @rule(name=NAMES, other=NAMES)
     def hear(self, name, other):
@@ -75,7 +80,7 @@
     @rule(name=NAMES)
     def settle(self, name):
         vm = self.vms[name]
-        vm.history.settle(vm.told, KEYS[name])
+        vm.history.drop_unused(vm.told, KEYS[name])
 
     @rule(lender=NAMES, borrower=NAMES)
     def ask(self, lender, borrower):
@@ -84,7 +89,7 @@
         vm = self.vms[lender]
         if epoch is None or vm.history.current is None:
             return
-        if vm.history.current.number != epoch.number or not vm.history.holds(KEYS[borrower]):
+        if vm.history.current.number != epoch.number or not vm.history.contains_vm(KEYS[borrower]):
             return
         if vm.lender.lend(POOL, borrower, self.now(lender)):
             self.in_flight.append((lender, borrower, epoch.number, self.now(borrower)))
@@ -124,7 +129,7 @@
             return
         lender, borrower, epoch, asked_at = self.in_flight.pop(place % len(self.in_flight))
         if not lost:
-            self.vms[borrower].borrower.record(KEYS[lender], epoch, asked_at)
+            self.vms[borrower].borrower.record_loan(KEYS[lender], epoch, asked_at)
 
     @rule(seconds=st.sampled_from((0.1, LOAN_LEASE_S / 2, LOAN_LEASE_S * 1.01)))
     def pass_time(self, seconds):
@@ -134,7 +139,7 @@
     def sum_in_use_is_within_the_share(self):
         used = 0
         for name, vm in self.vms.items():
-            lenders = vm.borrower.lenders(vm.history.number, self.now(name))
+            lenders = vm.borrower.active_lenders(vm.history.current_number, self.now(name))
             used += usable_limit(vm.history, lenders, self.share, KEY)
         assert used <= self.share
 
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -5,7 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from bluebellpitch.decisions.floors import split_evenly, zone_share
+from bluebellpitch.decisions.member_quotas import compute_zone_quota, split_evenly
 from bluebellpitch.decisions.rows import (
     EndpointRow,
     MemberRow,
@@ -65,6 +65,6 @@
 @given(st.integers(0, 500), st.dictionaries(NAMES, st.integers(1, 40), min_size=1))
 @settings(max_examples=200, deadline=None, derandomize=True)
 def test_zone_shares_and_floors_sum_to_the_limit(limit, slots_by_zone):
-    shares = [zone_share(limit, "m", "p", zone, slots_by_zone) for zone in slots_by_zone]
+    shares = [compute_zone_quota(limit, "m", "p", zone, slots_by_zone) for zone in slots_by_zone]
     assert_that(sum(shares), Equals(limit))
     assert_that(sum(split_evenly(limit, "key", slots_by_zone).values()), Equals(limit))
