--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -1,9 +1,9 @@
-"""Which request runs next, and where: the broker of one pool in one zone.
+"""Schedules the requests of one pool in one zone on its endpoints.
 
-Order: tiers strictly, for shedding and preemption; inside a tier the class with least slack over
-weight; inside a class the member with least in use over weight; inside a member the oldest request
-that can still be in time. Every waiting class also earns a small guaranteed share of slot time by
-weight: the share delays higher work, it never sheds or cancels it.
+Tiers have strict priority for shedding and preemption. Within a tier, the class with the least
+weighted slack goes first; within a class, the member with the fewest used slots per weight; within
+a member, the oldest request that can still meet its target. Each waiting class also earns a small
+guaranteed share of slot time by weight, which delays higher tiers but never sheds or preempts them.
 """
 
 import math
@@ -33,33 +33,25 @@
     RefuseRequest,
 )
 
-MemberLimit = Callable[[MemberRow, float], int]
+MemberLimit = Callable[[MemberRow, float], int]  # how many requests of a member may run now
 
 
 def arrival_key(grant: ActiveGrant) -> tuple[float, str]:
-    """Sorts grants by when their caller's request came in."""
+    """Sort key: arrival time of the client's request, then grant id."""
     return grant.request.arrived_at, grant.grant_id
 
 
 class Broker:
-    """State of one pool in one zone. Soft: rebuilt from what the VMs hold.
-
-    ``limit_of`` tells how many requests of a member may run here now.
-    """
+    """Soft state of one pool in one zone, rebuilt from the grants that VMs report."""
 
     def __init__(
-        self,
-        pool: str,
-        zone: str,
-        member_limit: MemberLimit,
-        policy=SchedulingPolicy(),
-        grant_id_prefix="",
+        self, pool: str, zone: str, limit_fn: MemberLimit, policy=SchedulingPolicy(), id_prefix=""
     ):
         self.pool = pool
         self.zone = zone
-        self.member_limit = member_limit
+        self.member_limit = limit_fn
         self.policy = policy
-        self.grant_id_prefix = grant_id_prefix
+        self.grant_id_prefix = id_prefix
         self.queues = RequestQueues()
         self.scheduler = ClassScheduler(self.queues, policy)
         self.grants_by_id: dict[str, ActiveGrant] = {}
@@ -75,7 +67,7 @@
         self._last_shed_by_tier: dict[int, float] = {}
 
     def set_table(self, table: Table, leaving_endpoints: frozenset[str] = frozenset()) -> None:
-        """Takes a newer table; endpoints that are ``leaving`` get no new work either."""
+        """Installs a newer table. Endpoints in ``leaving_endpoints`` get no new requests."""
         self.table = table
         self.leaving_endpoints = leaving_endpoints
         self.scheduler.set_classes(table.classes_by_name)
@@ -83,7 +75,7 @@
         self.selector.set_endpoints(tuple(row for row in rows if row.name not in leaving_endpoints))
 
     def submit(self, request: QueuedRequest, now: float) -> Iterator[BrokerCommand]:
-        """Takes a request in. Repeating an ask is harmless."""
+        """Queues a request. Idempotent: a VM may submit the same request again."""
         if (granted := self._find_grant(request)) is not None:
             yield self._grant_command(granted)
             return
@@ -97,42 +89,42 @@
         self.queues.add(request)
         yield from self.schedule(now)
 
-    def _find_grant(self, work: QueuedRequest) -> ActiveGrant | None:
-        running = self.grants_by_id.get(self.grant_id_by_request.get(work.request_id, ""))
-        if running is None or running.request.attempt != work.attempt:
+    def _find_grant(self, request: QueuedRequest) -> ActiveGrant | None:
+        grant = self.grants_by_id.get(self.grant_id_by_request.get(request.request_id, ""))
+        if grant is None or grant.request.attempt != request.attempt:
             return None
-        return running
+        return grant
 
-    def _check_admission(self, work: QueuedRequest, now: float) -> RefuseRequest | None:
-        """Refuses new work that would only wait out its patience; what ran before is let in."""
-        if work.attempt > 1:
+    def _check_admission(self, request: QueuedRequest, now: float) -> RefuseRequest | None:
+        """Refuses a first attempt that would time out in the queue; later attempts are admitted."""
+        if request.attempt > 1:
             return None
-        expected_s = self._expected_wait_s(work)
-        patience_s = work.expires_at - now
+        expected_s = self._expected_wait_s(request)
+        patience_s = request.expires_at - now
         if expected_s > patience_s:
-            return self._shed(work, "overloaded", expected_s - patience_s, now)
-        if self._is_higher_tier_shed(work, now):
-            return self._shed(work, "higher_tier_shed", SHED_HOLD_S, now)
+            return self._shed(request, "overloaded", expected_s - patience_s, now)
+        if self._is_higher_tier_shed(request, now):
+            return self._shed(request, "higher_tier_shed", SHED_HOLD_S, now)
         return None
 
     def _shed(
-        self, work: QueuedRequest, reason: str, retry_after_s: float, now: float
+        self, request: QueuedRequest, reason: str, retry_after_s: float, now: float
     ) -> RefuseRequest:
-        self._last_shed_by_tier[self.scheduler.tier(work.class_name)] = now
-        return RefuseRequest(work, reason, min(60.0, max(0.1, retry_after_s)))
+        self._last_shed_by_tier[self.scheduler.tier(request.class_name)] = now
+        return RefuseRequest(request, reason, min(60.0, max(0.1, retry_after_s)))
 
-    def _is_higher_tier_shed(self, work: QueuedRequest, now: float) -> bool:
-        """While a higher tier was shed just now, no lower one may be taken in."""
-        tier = self.scheduler.tier(work.class_name)
+    def _is_higher_tier_shed(self, request: QueuedRequest, now: float) -> bool:
+        """Tells whether a higher tier was shed recently, which bars lower tiers."""
+        tier = self.scheduler.tier(request.class_name)
         shed = (at for other, at in self._last_shed_by_tier.items() if other < tier)
         return any(now - at < SHED_HOLD_S for at in shed)
 
-    def _expected_wait_s(self, work: QueuedRequest) -> float:
-        """Returns seconds until a slot, from the work that goes first."""
+    def _expected_wait_s(self, request: QueuedRequest) -> float:
+        """Estimates the seconds until a slot from the queued requests of this and higher tiers."""
         slots = self.selector.total_slots
         if not slots:
             return 0.0
-        tier = self.scheduler.tier(work.class_name)
+        tier = self.scheduler.tier(request.class_name)
         ahead = (
             name for name in self.queues.waiting_classes() if self.scheduler.tier(name) <= tier
         )
@@ -142,59 +134,57 @@
         return ahead_s / slots
 
     def cancel(self, request_id: str, now: float) -> Iterator[BrokerCommand]:
-        """Forgets a request whose asker gave up; its grant must be returned apart."""
+        """Removes a queued request that its VM cancelled. A grant is returned with ``finish``."""
         self.queues.remove(request_id)
         yield from self.schedule(now)
 
     def finish(self, result: FinishedGrant, now: float) -> Iterator[BrokerCommand]:
-        """Takes a slot back."""
-        running = self.grants_by_id.get(result.grant_id)
-        if running is None:
+        """Releases the slot of a finished grant."""
+        grant = self.grants_by_id.get(result.grant_id)
+        if grant is None:
             return
-        self._remove_grant(running)
-        self._record_result(running, result, now)
+        self._remove_grant(grant)
+        self._record_result(grant, result, now)
         yield from self.schedule(now)
 
-    def _remove_grant(self, running: ActiveGrant) -> None:
-        del self.grants_by_id[running.grant_id]
-        if self.grant_id_by_request.get(running.request.request_id) == running.grant_id:
-            del self.grant_id_by_request[running.request.request_id]
-        self.used_slots_by_member[running.request.member] -= 1
-        peers = self.grants_by_class[running.request.class_name]
-        place = bisect_left(peers, arrival_key(running), key=arrival_key)
+    def _remove_grant(self, grant: ActiveGrant) -> None:
+        del self.grants_by_id[grant.grant_id]
+        if self.grant_id_by_request.get(grant.request.request_id) == grant.grant_id:
+            del self.grant_id_by_request[grant.request.request_id]
+        self.used_slots_by_member[grant.request.member] -= 1
+        peers = self.grants_by_class[grant.request.class_name]
+        place = bisect_left(peers, arrival_key(grant), key=arrival_key)
         del peers[place]
-        self.selector.remove(running)
-
-    def _record_result(self, running: ActiveGrant, finished: FinishedGrant, now: float) -> None:
-        work = running.request
-        load = self.scheduler.stats(work.class_name)
-        if finished.outcome in ("completed", "preempted"):
-            load.slot_time_s.add(now - running.granted_at)
-        if finished.outcome in ("crashed", "unreachable"):
-            self.health.mark_down(running.endpoint, now)
-        if finished.first_token_s is not None and not running.first_token_seen:
-            self.record_latency(running.grant_id, "first", finished.first_token_s, now, running)
-        if finished.between_tokens_s is not None:
-            self.record_latency(
-                running.grant_id, "between", finished.between_tokens_s, now, running
-            )
+        self.selector.remove(grant)
+
+    def _record_result(self, grant: ActiveGrant, result: FinishedGrant, now: float) -> None:
+        request = grant.request
+        stats = self.scheduler.stats(request.class_name)
+        if result.outcome in ("completed", "preempted"):
+            stats.slot_time_s.add(now - grant.granted_at)
+        if result.outcome in ("crashed", "unreachable"):
+            self.health.mark_down(grant.endpoint, now)
+        if result.first_token_s is not None and not grant.first_token_seen:
+            self.record_latency(grant.grant_id, "first", result.first_token_s, now, grant)
+        if result.between_tokens_s is not None:
+            self.record_latency(grant.grant_id, "between", result.between_tokens_s, now, grant)
 
     def record_latency(
         self, grant_id: str, measure: str, seconds: float, now: float, grant=None
     ) -> None:
-        """Takes in a time that a holder saw: to the first token, or between tokens."""
+        """Records a time reported by the VM that holds a grant: first token or between tokens."""
         grant = grant or self.grants_by_id.get(grant_id)
         if grant is None:
             return
         grant.first_token_seen |= measure == "first"
         if not self.health.is_slow(grant.endpoint):
-            load = self.scheduler.stats(grant.request.class_name)
-            (load.first_token_s if measure == "first" else load.between_tokens_s).add(seconds)
+            stats = self.scheduler.stats(grant.request.class_name)
+            (stats.first_token_s if measure == "first" else stats.between_tokens_s).add(seconds)
         seen = LatencySample(now, grant.request.class_name, measure, seconds)
         self.health.add_sample(grant.endpoint, seen)
 
     def confirm_grant(self, grant_id: str, now: float) -> bool:
-        """Notes that a holder names a grant; False when it is not known here."""
+        """Records that a VM still holds a grant; returns False if the grant is unknown."""
         known = self.grants_by_id.get(grant_id)
         if known is None:
             return False
@@ -202,93 +192,88 @@
         return True
 
     def adopt_grant(self, grant: ActiveGrant) -> None:
-        """Takes over a grant of a former broker."""
+        """Registers a grant that a previous broker issued."""
         self.queues.remove(grant.request.request_id)
         self._add_grant(grant)
 
     def expire_unconfirmed(self, now: float) -> Iterator[BrokerCommand]:
-        """Takes back slots, and forgets requests, that their VM has not named for a while."""
-        running = tuple(self.grants_by_id.values())
-        for stale in (r for r in running if now - r.confirmed_at > GRANT_UNCONFIRMED_S):
+        """Drops grants and queued requests that their VM stopped reporting."""
+        grants = tuple(self.grants_by_id.values())
+        for stale in (g for g in grants if now - g.confirmed_at > GRANT_UNCONFIRMED_S):
             self._remove_grant(stale)
         waiting = tuple(self.queues.requests_by_id.values())
-        for work in (w for w in waiting if now - w.last_asked_at > ASK_UNREPEATED_S):
-            self.queues.remove(work.request_id)
+        for request in (r for r in waiting if now - r.last_asked_at > ASK_UNREPEATED_S):
+            self.queues.remove(request.request_id)
         yield from self.schedule(now)
 
     def tick(self, now: float) -> Iterator[BrokerCommand]:
-        """Does what time alone brings: expires impatient work and judges endpoints."""
-        for work in self.queues.expired(now):
-            self.queues.remove(work.request_id)
-            yield self._shed(work, "waited_too_long", 1.0, now)
+        """Refuses expired requests, detects slow endpoints and schedules."""
+        for request in self.queues.expired(now):
+            self.queues.remove(request.request_id)
+            yield self._shed(request, "waited_too_long", 1.0, now)
         if self.policy.detect_slow_endpoints:
             yield from self._preempt_on_slow_endpoints(now)
         yield from self.schedule(now)
 
     def _preempt_on_slow_endpoints(self, now: float) -> Iterator[PreemptGrant]:
-        slowed = [name for name, slow in self.health.update_slow_endpoints(now) if slow]
-        for running in tuple(self.grants_by_id.values()) if slowed else ():
-            if running.endpoint in slowed and self._is_preemptible(running):
-                yield self._start_preemption(running, "slow_endpoint")
+        slow = [name for name, is_slow in self.health.update_slow_endpoints(now) if is_slow]
+        for grant in tuple(self.grants_by_id.values()) if slow else ():
+            if grant.endpoint in slow and self._is_preemptible(grant):
+                yield self._start_preemption(grant, "slow_endpoint")
 
-    def _start_preemption(self, running: ActiveGrant, reason: str) -> PreemptGrant:
-        running.preempting = True
-        self.selector.mark_preempting(running)
-        return PreemptGrant(running, reason)
+    def _start_preemption(self, grant: ActiveGrant, reason: str) -> PreemptGrant:
+        grant.preempting = True
+        self.selector.mark_preempting(grant)
+        return PreemptGrant(grant, reason)
 
     def schedule(self, now: float) -> Iterator[BrokerCommand]:
-        """Gives out free slots and preempts for higher tiers.
-
-        A broker that is still learning what runs is ``paused`` and gives nothing out.
-        """
+        """Grants free slots and preempts, unless ``paused`` while running grants are collected."""
         self.scheduler.accrue_share_credit(self.selector.total_slots, now)
         if self.paused or not self.queues.requests_by_id:
             return
-        while (choice := self._next_placement(now)) is not None:
-            work, endpoint, from_share = choice
-            yield self._issue_grant(work, endpoint.name, from_share, now)
+        while (placement := self._next_placement(now)) is not None:
+            request, endpoint, from_share = placement
+            yield self._issue_grant(request, endpoint.name, from_share, now)
         if self.policy.allow_preemption:
             yield from self._preempt_for_higher_tiers(now)
 
     def _next_placement(self, now: float) -> tuple[QueuedRequest, EndpointRow, bool] | None:
-        """Returns (work, endpoint, from_share) for the next grant, or None."""
+        """Returns (request, endpoint, from_share) for the next grant, or None."""
         lowest_tier = self.scheduler.lowest_waiting_tier()
         for class_name, from_share in self.scheduler.rank_classes(now, self._is_contended()):
             if self.selector.is_full() and not self.queues.has_isolated():
                 return None
-            lowest = self.scheduler.tier(class_name) == lowest_tier
-            for work in self._candidates(class_name, now):
-                endpoint = self.selector.select(work, lowest, now)
+            in_lowest_tier = self.scheduler.tier(class_name) == lowest_tier
+            for request in self._candidates(class_name, now):
+                endpoint = self.selector.select(request, in_lowest_tier, now)
                 if endpoint is not None:
-                    return work, endpoint, from_share
+                    return request, endpoint, from_share
         return None
 
     def _candidates(self, class_name: str, now: float) -> Iterator[QueuedRequest]:
-        """Yields the next request, and after a suspect that must wait the next innocent one."""
-        work = self._next_request(class_name, now)
-        if work is None:
+        """Yields the next request; if that one needs isolation, also the next that does not."""
+        request = self._pick_next(class_name, now)
+        if request is None:
             return
-        yield work
-        if work.isolation_level:
-            innocent = self._next_request(class_name, now, skip_isolated=True)
-            if innocent is not None:
-                yield innocent
+        yield request
+        if request.isolation_level:
+            ordinary = self._pick_next(class_name, now, skip_isolated=True)
+            if ordinary is not None:
+                yield ordinary
 
     def _is_contended(self) -> bool:
-        """While there is a slot for everybody, nobody needs its guaranteed share."""
+        """Guaranteed shares apply only when more requests wait than slots are free."""
         free = self.selector.total_slots - len(self.grants_by_id)
         return len(self.queues.requests_by_id) > free
 
-    def _next_request(
-        self, class_name: str, now: float, skip_isolated=False
-    ) -> QueuedRequest | None:
-        late_before = self.scheduler.on_time_since(class_name, now)
+    def _pick_next(self, class_name: str, now: float, skip_isolated=False) -> QueuedRequest | None:
+        on_time_since = self.scheduler.on_time_since(class_name, now)
         return self.queues.next_request(
-            class_name, lambda m: self._member_priority(m, now), late_before, skip_isolated
+            class_name, lambda m: self._member_priority(m, now), on_time_since, skip_isolated
         )
 
     def _member_priority(self, member: str, now: float) -> float:
-        """Returns what a member has in use over its weight; infinity at its limit."""
+        """Returns used slots over weight, lowest first; infinity at the member's limit."""
         in_use = self.used_slots_by_member.get(member, 0)
         row = self.table.members_by_name.get(member)
         if row is None:
@@ -298,74 +283,68 @@
         return in_use / row.weight
 
     def _issue_grant(
-        self, work: QueuedRequest, endpoint: str, from_share: bool, now: float
+        self, request: QueuedRequest, endpoint: str, from_share: bool, now: float
     ) -> GrantSlot:
-        self.queues.remove(work.request_id)
+        self.queues.remove(request.request_id)
         self._last_grant_number += 1
-        grant = f"{self.grant_id_prefix}{self._last_grant_number:x}"
-        running = ActiveGrant(grant, work, endpoint, now, now, from_share)
-        self._add_grant(running)
+        grant_id = f"{self.grant_id_prefix}{self._last_grant_number:x}"
+        grant = ActiveGrant(grant_id, request, endpoint, now, now, from_share)
+        self._add_grant(grant)
         if from_share:
-            self.scheduler.spend_share_credit(work.class_name)
-        return self._grant_command(running)
+            self.scheduler.spend_share_credit(request.class_name)
+        return self._grant_command(grant)
 
-    def _grant_command(self, running: ActiveGrant) -> GrantSlot:
-        load = self.scheduler.stats(running.request.class_name)
-        return GrantSlot(running, load.first_token_s.value, load.between_tokens_s.value)
+    def _grant_command(self, grant: ActiveGrant) -> GrantSlot:
+        stats = self.scheduler.stats(grant.request.class_name)
+        return GrantSlot(grant, stats.first_token_s.value, stats.between_tokens_s.value)
 
-    def _add_grant(self, running: ActiveGrant) -> None:
-        self.grants_by_id[running.grant_id] = running
-        self.grant_id_by_request[running.request.request_id] = running.grant_id
-        member = running.request.member
+    def _add_grant(self, grant: ActiveGrant) -> None:
+        self.grants_by_id[grant.grant_id] = grant
+        self.grant_id_by_request[grant.request.request_id] = grant.grant_id
+        member = grant.request.member
         self.used_slots_by_member[member] = self.used_slots_by_member.get(member, 0) + 1
-        peers = self.grants_by_class.setdefault(running.request.class_name, [])
-        insort(peers, running, key=arrival_key)
-        self.selector.add(running)
+        peers = self.grants_by_class.setdefault(grant.request.class_name, [])
+        insort(peers, grant, key=arrival_key)
+        self.selector.add(grant)
 
     def _preempt_for_higher_tiers(self, now: float) -> Iterator[BrokerCommand]:
-        """Puts higher tiers in the place of lower ones, the lowest tier and youngest request first.
-
-        The place is granted together with the preemption: the engine runs by priority, so the
-        newcomer starts as soon as the victim's connection closes.
-        """
+        """Preempts lower tiers for higher ones: first the lowest tier, there the latest arrival."""
+        # The slot is granted at once: the engine runs requests by priority, so the new one starts
+        # as soon as the connection of the preempted one closes.
         for class_name in sorted(self.queues.waiting_classes(), key=self.scheduler.tier):
             if self.scheduler.is_deferred(class_name, now):
                 continue
-            while (work := self._next_request(class_name, now, skip_isolated=True)) is not None:
-                victim = (
-                    self._select_victim(work, now)
-                    if self._may_cause_preemption(work, now)
-                    else None
-                )
+            while (request := self._pick_next(class_name, now, skip_isolated=True)) is not None:
+                victim = self._victim_for(request, now) if self._may_preempt(request, now) else None
                 if victim is None:
                     break
                 yield self._start_preemption(victim, "higher_tier_waits")
-                yield self._issue_grant(work, victim.endpoint, False, now)
+                yield self._issue_grant(request, victim.endpoint, False, now)
 
-    def _may_cause_preemption(self, work: QueuedRequest, now: float) -> bool:
-        """Tells whether work may preempt: at once in the highest tier, else after a short wait."""
-        row = self.scheduler.class_row(work.class_name)
-        if work.resumed or row.tier <= self.scheduler.highest_tier:
+    def _may_preempt(self, request: QueuedRequest, now: float) -> bool:
+        """The highest tier and resumed requests preempt at once, others after a short wait."""
+        row = self.scheduler.class_row(request.class_name)
+        if request.resumed or row.tier <= self.scheduler.highest_tier:
             return True
-        return now - work.arrived_at >= PREEMPT_AFTER_SHARE * row.first_token_ms / 1000
+        return now - request.arrived_at >= PREEMPT_AFTER_SHARE * row.first_token_ms / 1000
 
-    def _select_victim(self, work: QueuedRequest, now: float) -> ActiveGrant | None:
-        """Returns the grant to end for ``work``: the youngest request of the lowest tier."""
-        tier = self.scheduler.tier(work.class_name)
+    def _victim_for(self, request: QueuedRequest, now: float) -> ActiveGrant | None:
+        """Returns the grant to preempt: the latest arrival in the lowest tier, or None."""
+        tier = self.scheduler.tier(request.class_name)
         for class_name in sorted(self.grants_by_class, key=self.scheduler.tier, reverse=True):
             if self.scheduler.tier(class_name) <= tier:
                 return None
-            for running in reversed(self.grants_by_class[class_name]):
-                if self._can_replace(running, work, now):
-                    return running
+            for grant in reversed(self.grants_by_class[class_name]):
+                if self._can_replace(grant, request, now):
+                    return grant
         return None
 
-    def _can_replace(self, running: ActiveGrant, work: QueuedRequest, now: float) -> bool:
-        if running.from_guaranteed_share or not self._is_preemptible(running):
+    def _can_replace(self, grant: ActiveGrant, request: QueuedRequest, now: float) -> bool:
+        if grant.from_guaranteed_share or not self._is_preemptible(grant):
             return False
-        return self.selector.can_replace_on(running.endpoint, work, now)
+        return self.selector.can_replace_on(grant.endpoint, request, now)
 
-    def _is_preemptible(self, running: ActiveGrant) -> bool:
-        if running.preempting or not running.request.resumable:
+    def _is_preemptible(self, grant: ActiveGrant) -> bool:
+        if grant.preempting or not grant.request.resumable:
             return False
-        return running.request.preemptions < PREEMPTIONS_PER_REQUEST
+        return grant.request.preemptions < PREEMPTIONS_PER_REQUEST
--- a/bluebellpitch/decisions/endpoint_health.py
+++ b/bluebellpitch/decisions/endpoint_health.py
@@ -1,7 +1,7 @@
-"""Slow endpoints, found from what the fleet sees rather than from late load reports.
+"""Detects slow endpoints from request latencies, because load reports arrive late.
 
-Each observation is the time to the first token or between tokens of one request. It is compared
-with the same class on sibling endpoints over the last seconds; the ratio tells a slow endpoint.
+A sample is the time to the first token, or between tokens, of one request. Each endpoint's recent
+samples of a class are compared with those of the other endpoints; a high ratio marks it as slow.
 """
 
 from collections import deque
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LatencySample:
-    """One measured time, in seconds. ``measure`` is ``first`` or ``between``."""
+    """A measured time in seconds. ``measure`` is ``first`` (token) or ``between`` (tokens)."""
 
     measured_at: float
     class_name: str
@@ -27,7 +27,7 @@
 
 
 class EndpointHealth:
-    """What one broker knows of its endpoints' speed."""
+    """Slow and unreachable endpoints as seen by one broker."""
 
     def __init__(self, window_s: float = HEALTH_WINDOW_S, slow_ratio: float = SLOW_RATIO):
         self._window_s = window_s
@@ -37,35 +37,37 @@
         self._slow_since: dict[str, float] = {}
 
     def add_sample(self, endpoint: str, sample: LatencySample) -> None:
-        """Takes one observation in."""
+        """Adds a sample; each endpoint keeps a bounded number of the latest."""
         self._samples_by_endpoint.setdefault(endpoint, deque(maxlen=256)).append(sample)
 
     def mark_down(self, endpoint: str, now: float, retry_s: float = DOWN_RETRY_S) -> None:
-        """Keeps new work away after a connection failed or a request died there."""
+        """Excludes an endpoint for a while after a failed connection or a crashed request."""
         self._down_until[endpoint] = now + retry_s
 
     def is_down(self, endpoint: str, now: float) -> bool:
-        """Tells whether an endpoint gets no new work now."""
+        """Tells whether an endpoint is excluded from new requests now."""
         return now < self._down_until.get(endpoint, 0.0)
 
     def is_slow(self, endpoint: str) -> bool:
-        """Tells the latest judgement."""
+        """Returns the result of the latest evaluation."""
         return endpoint in self._slow_since
 
     def update_slow_endpoints(self, now: float) -> tuple[tuple[str, bool], ...]:
-        """Judges all endpoints; returns those whose judgement changed, with the new one."""
-        recent = {name: self._recent_medians(name, now) for name in self._samples_by_endpoint}
+        """Evaluates all endpoints; returns those that became slow (True) or normal (False)."""
+        medians_by_name = {
+            name: self._recent_medians(name, now) for name in self._samples_by_endpoint
+        }
         changes = []
-        for name in recent:
-            slow = self._is_outlier(name, recent)
-            if slow is None or slow == self.is_slow(name):
+        for name in medians_by_name:
+            is_slow = self._is_outlier(name, medians_by_name)
+            if is_slow is None or is_slow == self.is_slow(name):
                 continue
-            changes.append((name, slow))
-            self._set_slow(name, slow, now)
+            changes.append((name, is_slow))
+            self._set_slow(name, is_slow, now)
         return tuple(changes)
 
-    def _set_slow(self, name: str, slow: bool, now: float) -> None:
-        if slow:
+    def _set_slow(self, name: str, is_slow: bool, now: float) -> None:
+        if is_slow:
             self._slow_since[name] = now
         else:
             del self._slow_since[name]
@@ -74,18 +76,22 @@
         samples = self._samples_by_endpoint[name]
         while samples and now - samples[0].measured_at > self._window_s:
             samples.popleft()
-        groups: dict[tuple[str, str], list[float]] = {}
-        for seen in samples:
-            groups.setdefault((seen.class_name, seen.measure), []).append(seen.seconds)
-        return {key: median(values[-OBSERVATIONS_JUDGED:]) for key, values in groups.items()}
+        times_by_key: dict[tuple[str, str], list[float]] = {}
+        for sample in samples:
+            times_by_key.setdefault((sample.class_name, sample.measure), []).append(sample.seconds)
+        return {key: median(values[-OBSERVATIONS_JUDGED:]) for key, values in times_by_key.items()}
 
-    def _is_outlier(self, name: str, recent) -> bool | None:
-        """Compares one endpoint with its siblings; None without enough evidence."""
+    def _is_outlier(self, name: str, medians_by_name) -> bool | None:
+        """Compares an endpoint with the others; None if there is nothing to compare."""
         ratios = []
-        for key, value in recent[name].items():
-            others = [r[key] for other, r in recent.items() if other != name and key in r]
-            if others and median(others) > 0:
-                ratios.append(value / median(others))
+        for key, seconds in medians_by_name[name].items():
+            siblings = [
+                medians[key]
+                for other, medians in medians_by_name.items()
+                if other != name and key in medians
+            ]
+            if siblings and median(siblings) > 0:
+                ratios.append(seconds / median(siblings))
         if not ratios:
             return None
         return median(ratios) >= self._slow_ratio
--- a/bluebellpitch/decisions/endpoint_selection.py
+++ b/bluebellpitch/decisions/endpoint_selection.py
@@ -1,6 +1,6 @@
-"""Which endpoint gets a request: free slots, suspects, prefix cache and slowness.
+"""Selects the endpoint for a request by free slots, isolation, prefix cache and slowness.
 
-Endpoints stand in order of load, so that the common choice looks at one or two of them.
+Endpoints are kept sorted by utilization, so that a usual selection looks at one or two of them.
 """
 
 from bisect import bisect_left, insort
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointReservation:
-    """An endpoint that gets no other work until a request that must run alone has it."""
+    """An endpoint that accepts no other request until one that must run alone gets it."""
 
     endpoint: str
     request_id: str
@@ -30,9 +30,9 @@
 
 
 class EndpointSelector:
-    """What runs on each endpoint, and where prefixes were seen last.
+    """Tracks the grants of each endpoint and the endpoint that last ran each prompt prefix.
 
-    A request that is being preempted no longer counts as load, but is still there for suspicions.
+    A grant that is being preempted uses no slot, but still counts for isolation.
     """
 
     def __init__(self, health: EndpointHealth):
@@ -47,7 +47,7 @@
         self._reservation: EndpointReservation | None = None
 
     def set_endpoints(self, rows: tuple[EndpointRow, ...]) -> None:
-        """Takes the pool's present endpoints; those that are leaving get no work."""
+        """Replaces the endpoints of the pool. Only those in state ``live`` get requests."""
         self._rows_by_name = {row.name: row for row in rows if row.state == "live"}
         self._by_utilization = sorted(
             (self._utilization(name), name) for name in self._rows_by_name
@@ -57,25 +57,25 @@
 
     @property
     def total_slots(self) -> int:
-        """Slots of all live endpoints."""
+        """Number of slots of all live endpoints."""
         return self._total_slots
 
-    def add(self, running: ActiveGrant) -> None:
-        """Notes a grant."""
-        self._grants_by_endpoint.setdefault(running.endpoint, {})[running.grant_id] = running
-        self._change_used_slots(running.endpoint, 1)
-        if running.request.prefix:
-            self._record_prefix(running.request.prefix, running.endpoint)
+    def add(self, grant: ActiveGrant) -> None:
+        """Adds a new grant."""
+        self._grants_by_endpoint.setdefault(grant.endpoint, {})[grant.grant_id] = grant
+        self._change_used_slots(grant.endpoint, 1)
+        if grant.request.prefix:
+            self._record_prefix(grant.request.prefix, grant.endpoint)
 
-    def mark_preempting(self, running: ActiveGrant) -> None:
-        """Notes that a grant is being preempted: its slot is free for another."""
-        self._change_used_slots(running.endpoint, -1)
+    def mark_preempting(self, grant: ActiveGrant) -> None:
+        """Frees the slot of a grant that is being preempted."""
+        self._change_used_slots(grant.endpoint, -1)
 
-    def remove(self, running: ActiveGrant) -> None:
-        """Notes that a grant ended."""
-        del self._grants_by_endpoint[running.endpoint][running.grant_id]
-        if not running.preempting:
-            self._change_used_slots(running.endpoint, -1)
+    def remove(self, grant: ActiveGrant) -> None:
+        """Removes a grant that ended."""
+        del self._grants_by_endpoint[grant.endpoint][grant.grant_id]
+        if not grant.preempting:
+            self._change_used_slots(grant.endpoint, -1)
 
     def _change_used_slots(self, name: str, change: int) -> None:
         if name in self._rows_by_name:
@@ -101,98 +101,106 @@
             self._endpoint_by_prefix.popitem(last=False)
 
     def used_slots(self, endpoint: str) -> int:
-        """Returns the load of an endpoint."""
+        """Returns the number of slots in use on an endpoint."""
         return self._used_slots_by_endpoint.get(endpoint, 0)
 
     def is_full(self) -> bool:
         """Tells whether no slot is free."""
         return self._free_slots <= 0
 
-    def select(self, work: QueuedRequest, in_lowest_tier: bool, now: float) -> EndpointRow | None:
-        """Returns the endpoint for ``work``, or None while none may take it.
+    def select(
+        self, request: QueuedRequest, in_lowest_tier: bool, now: float
+    ) -> EndpointRow | None:
+        """Returns the endpoint for a request, or None while no endpoint may accept it.
 
-        Only the ``lowest`` waiting tier probes a slow endpoint.
+        Only requests of the lowest waiting tier probe a slow endpoint.
         """
-        if work.isolation_level >= IsolationLevel.EXCLUSIVE:
-            return self._select_exclusive(work, now)
+        if request.isolation_level >= IsolationLevel.EXCLUSIVE:
+            return self._select_exclusive(request, now)
         if self.is_full():
             return None
-        if (cached := self._select_cached(work, now)) is not None:
+        if (cached := self._select_cached(request, now)) is not None:
             return cached
-        return next(self._available_endpoints(work, in_lowest_tier, now), None)
+        return next(self._available_endpoints(request, in_lowest_tier, now), None)
 
-    def _select_cached(self, work: QueuedRequest, now: float) -> EndpointRow | None:
-        """Returns the endpoint that ran the prefix last, unless it is much the busier one."""
-        name = self._endpoint_by_prefix.get(work.prefix, "") if work.prefix else ""
+    def _select_cached(self, request: QueuedRequest, now: float) -> EndpointRow | None:
+        """Returns the endpoint that last ran the prefix, unless its utilization is much higher."""
+        name = self._endpoint_by_prefix.get(request.prefix, "") if request.prefix else ""
         if name not in self._rows_by_name or self._health.is_slow(name):
             return None
-        busier = self._utilization(name) - self._by_utilization[0][0]
-        if busier > PREFIX_LOAD_ALLOWANCE or not self._can_accept(name, work, now):
+        excess = self._utilization(name) - self._by_utilization[0][0]
+        if excess > PREFIX_LOAD_ALLOWANCE or not self._can_accept(name, request, now):
             return None
         return self._rows_by_name[name]
 
     def _available_endpoints(
-        self, work: QueuedRequest, lowest: bool, now: float
+        self, request: QueuedRequest, in_lowest_tier: bool, now: float
     ) -> Iterator[EndpointRow]:
-        """Yields endpoints that may take the work, the least loaded first, slow ones last."""
-        names = [name for rank, name in self._by_utilization if rank < 1.0]
-        sound = (name for name in names if not self._health.is_slow(name))
-        for name in sound:
-            if self._can_accept(name, work, now):
+        """Yields endpoints that may take the request, the least utilized first, slow ones last."""
+        names = [name for utilization, name in self._by_utilization if utilization < 1.0]
+        fast = (name for name in names if not self._health.is_slow(name))
+        for name in fast:
+            if self._can_accept(name, request, now):
                 yield self._rows_by_name[name]
-        if not lowest and not all(self._health.is_slow(name) for name in self._rows_by_name):
+        if not in_lowest_tier and not all(
+            self._health.is_slow(name) for name in self._rows_by_name
+        ):
             return
         for name in names:
-            trickle = self.used_slots(name) < SLOW_ENDPOINT_SLOTS
-            if self._health.is_slow(name) and trickle and self._can_accept(name, work, now):
+            may_probe = self.used_slots(name) < SLOW_ENDPOINT_SLOTS
+            if self._health.is_slow(name) and may_probe and self._can_accept(name, request, now):
                 yield self._rows_by_name[name]
 
-    def _can_accept(self, name: str, work: QueuedRequest, now: float) -> bool:
+    def _can_accept(self, name: str, request: QueuedRequest, now: float) -> bool:
         return (
             self._free_slots_on(name) > 0
-            and self._is_usable(name, work, now)
-            and self._satisfies_isolation(name, work)
+            and self._is_usable(name, request, now)
+            and self._satisfies_isolation(name, request)
         )
 
-    def _is_usable(self, name: str, work: QueuedRequest, now: float) -> bool:
-        if name in work.excluded_endpoints or self._health.is_down(name, now):
+    def _is_usable(self, name: str, request: QueuedRequest, now: float) -> bool:
+        if name in request.excluded_endpoints or self._health.is_down(name, now):
             return False
-        kept = self._reservation
+        reservation = self._reservation
         return not (
-            kept
-            and kept.endpoint == name
-            and kept.request_id != work.request_id
-            and now < kept.expires_at
+            reservation
+            and reservation.endpoint == name
+            and reservation.request_id != request.request_id
+            and now < reservation.expires_at
         )
 
-    def _satisfies_isolation(self, name: str, work: QueuedRequest) -> bool:
-        there = self._grants_by_endpoint.get(name, {}).values()
-        if any(running.request.isolation_level >= IsolationLevel.EXCLUSIVE for running in there):
+    def _satisfies_isolation(self, name: str, request: QueuedRequest) -> bool:
+        grants = self._grants_by_endpoint.get(name, {}).values()
+        if any(grant.request.isolation_level >= IsolationLevel.EXCLUSIVE for grant in grants):
             return False
-        if work.isolation_level == IsolationLevel.NONE:
+        if request.isolation_level == IsolationLevel.NONE:
             return True
-        return not any(running.request.isolation_level for running in there)
+        return not any(grant.request.isolation_level for grant in grants)
 
-    def _select_exclusive(self, work: QueuedRequest, now: float) -> EndpointRow | None:
-        """Returns an empty endpoint; while there is none, lets the emptiest run dry."""
-        usable = [name for name in self._rows_by_name if self._is_usable(name, work, now)]
+    def _select_exclusive(self, request: QueuedRequest, now: float) -> EndpointRow | None:
+        """Returns an idle endpoint; if there is none, reserves the least used one."""
+        usable = [name for name in self._rows_by_name if self._is_usable(name, request, now)]
         if not usable:
             return None
         empty = next((name for name in usable if not self._grants_by_endpoint.get(name)), None)
         if empty is not None:
             return self._rows_by_name[empty]
-        kept = self._reservation
+        reservation = self._reservation
         name = min(usable, key=self.used_slots)
-        if kept is not None and kept.request_id == work.request_id and now < kept.expires_at:
-            name = kept.endpoint
-        self._reservation = EndpointReservation(name, work.request_id, now + KEEP_FREE_S)
+        if (
+            reservation is not None
+            and reservation.request_id == request.request_id
+            and now < reservation.expires_at
+        ):
+            name = reservation.endpoint
+        self._reservation = EndpointReservation(name, request.request_id, now + KEEP_FREE_S)
         return None
 
-    def can_replace_on(self, name: str, work: QueuedRequest, now: float) -> bool:
-        """Tells whether ``work`` may take the place of a running request on an endpoint."""
-        if name not in self._rows_by_name or self._health.is_slow(name) or work.isolation_level:
+    def can_replace_on(self, name: str, request: QueuedRequest, now: float) -> bool:
+        """Tells whether a request may take the slot of a running one on an endpoint."""
+        if name not in self._rows_by_name or self._health.is_slow(name) or request.isolation_level:
             return False
-        there = self._grants_by_endpoint.get(name, {}).values()
-        return self._is_usable(name, work, now) and not any(
-            r.request.isolation_level for r in there
+        grants = self._grants_by_endpoint.get(name, {}).values()
+        return self._is_usable(name, request, now) and not any(
+            g.request.isolation_level for g in grants
         )
--- a/bluebellpitch/decisions/epochs.py
+++ b/bluebellpitch/decisions/epochs.py
@@ -1,4 +1,4 @@
-"""When to propose a zone's next epoch."""
+"""Proposes a zone's next epoch and selects the broker of a pool."""
 
 from dataclasses import dataclass
 
@@ -9,9 +9,9 @@
 
 @dataclass(slots=True)
 class EpochProposer:
-    """Waits until the live VMs of the zone have stayed the same for a while.
+    """Proposes an epoch when the zone's live VMs changed and have since been stable.
 
-    ``own`` is this VM. All VMs decide alike, and the one that ranks first proposes.
+    All VMs apply the same rule, and only the VM that ranks first proposes.
     """
 
     own_vm: VmIdentity
@@ -28,10 +28,10 @@
         oldest_number: int,
         now: float,
     ) -> EpochChange | None:
-        """Returns a proposal when one is due.
+        """Returns a proposal if one is due.
 
-        ``gone`` are keys of VMs proved to be no more; ``settled`` is the oldest epoch that some VM
-        may still be in.
+        ``departed_keys`` are keys of VMs proved to have ended; ``oldest_number`` is the number of
+        the oldest epoch that some VM may still be in.
         """
         if live != self._last_live:
             self._last_live, self._unchanged_since = live, now
@@ -52,6 +52,6 @@
 
 
 def select_broker(pool: str, zone: str, vm_names: frozenset[str]) -> str | None:
-    """Returns which of the live VMs of a zone brokers a pool."""
+    """Returns the live VM of a zone that brokers a pool."""
     ranked = rank_owners(f"broker/{zone}/{pool}", vm_names)
     return ranked[0] if ranked else None
--- a/bluebellpitch/decisions/hedge_budget.py
+++ b/bluebellpitch/decisions/hedge_budget.py
@@ -1,7 +1,7 @@
-"""Budgets for hedges: one for each class, so that moving slow work never multiplies a fault.
+"""Budgets for hedged requests, one per class, so that hedging cannot amplify a fault.
 
-Work whose endpoint died is not counted here: accepted work is always resumed, within the attempts
-of one request, and waits for a slot of the broker like any other, which paces it.
+Requests whose endpoint crashed are not counted: an accepted request is always resumed, within its
+maximum number of attempts, and the broker's queue limits the rate.
 """
 
 from dataclasses import dataclass, field
@@ -11,9 +11,9 @@
 
 @dataclass(slots=True)
 class HedgeBudget:
-    """Each admitted request earns a share of a hedge; each hedge spends one.
+    """Each admitted request adds a fraction of a hedge to the balance; each hedge costs one.
 
-    Source: the retry budget of Twitter's Finagle. ``cap`` bounds what may be saved up.
+    Modelled on the retry budget of Twitter's Finagle. ``max_balance`` caps the balance.
     """
 
     earned_per_request: float = RETRY_BUDGET_SHARE
@@ -21,15 +21,17 @@
     _balance_by_class: dict[str, float] = field(default_factory=dict)
 
     def earn(self, class_name: str) -> None:
-        """Notes an admitted request."""
-        saved = self._balance_by_class.get(class_name, self.max_balance)
-        self._balance_by_class[class_name] = min(self.max_balance, saved + self.earned_per_request)
+        """Credits an admitted request."""
+        balance = self._balance_by_class.get(class_name, self.max_balance)
+        self._balance_by_class[class_name] = min(
+            self.max_balance, balance + self.earned_per_request
+        )
 
     def allows(self, class_name: str) -> bool:
-        """Tells whether a hedge may be made."""
+        """Tells whether the balance covers a hedge."""
         return self._balance_by_class.get(class_name, self.max_balance) >= 1.0
 
     def spend(self, class_name: str) -> None:
-        """Takes one hedge out."""
-        saved = self._balance_by_class.get(class_name, self.max_balance)
-        self._balance_by_class[class_name] = max(0.0, saved - 1.0)
+        """Charges one hedge."""
+        balance = self._balance_by_class.get(class_name, self.max_balance)
+        self._balance_by_class[class_name] = max(0.0, balance - 1.0)
--- a/bluebellpitch/decisions/request_queues.py
+++ b/bluebellpitch/decisions/request_queues.py
@@ -1,4 +1,4 @@
-"""Requests that wait at a broker, by class and member, in order of arrival."""
+"""Queued requests of a broker, by class and member, in order of arrival."""
 
 from bisect import insort
 from collections.abc import Callable, Iterator
@@ -6,13 +6,13 @@
 from bluebellpitch.decisions.slot_grants import QueuedRequest
 
 
-def queue_order(work: QueuedRequest) -> tuple[bool, float]:
-    """Sorts work: what has given its caller tokens goes first, then by arrival."""
-    return not work.resumed, work.arrived_at
+def queue_order(request: QueuedRequest) -> tuple[bool, float]:
+    """Sort key: requests whose client has already received tokens first, then by arrival."""
+    return not request.resumed, request.arrived_at
 
 
 class RequestQueues:
-    """All waiting work of one broker."""
+    """All queued requests of one broker."""
 
     def __init__(self):
         self.requests_by_id: dict[str, QueuedRequest] = {}
@@ -20,7 +20,7 @@
         self._isolated_count = 0
 
     def add(self, request: QueuedRequest) -> None:
-        """Adds work, or puts it in place of the same request's."""
+        """Adds a request, replacing an entry with the same id."""
         self.remove(request.request_id)
         self.requests_by_id[request.request_id] = request
         self._isolated_count += bool(request.isolation_level)
@@ -28,38 +28,38 @@
         insort(members.setdefault(request.member, []), request, key=queue_order)
 
     def remove(self, request_id: str) -> QueuedRequest | None:
-        """Takes a request out; None when it does not wait here."""
-        work = self.requests_by_id.pop(request_id, None)
-        if work is None:
+        """Removes and returns a request, or returns None if it is not queued."""
+        request = self.requests_by_id.pop(request_id, None)
+        if request is None:
             return None
-        self._isolated_count -= bool(work.isolation_level)
-        members = self._queues_by_class[work.class_name]
-        members[work.member].remove(work)
-        if not members[work.member]:
-            del members[work.member]
+        self._isolated_count -= bool(request.isolation_level)
+        members = self._queues_by_class[request.class_name]
+        members[request.member].remove(request)
+        if not members[request.member]:
+            del members[request.member]
         if not members:
-            del self._queues_by_class[work.class_name]
-        return work
+            del self._queues_by_class[request.class_name]
+        return request
 
     def has_isolated(self) -> bool:
-        """Tells whether a request waits that endpoints died under."""
+        """Tells whether any queued request needs isolation because an endpoint crashed under it."""
         return self._isolated_count > 0
 
     def waiting_classes(self) -> tuple[str, ...]:
-        """Returns the classes with waiting work."""
+        """Returns the classes that have queued requests."""
         return tuple(self._queues_by_class)
 
     def count(self, class_name: str) -> int:
-        """Returns how many of a class wait."""
+        """Returns the number of queued requests of a class."""
         return sum(len(queue) for queue in self._queues_by_class.get(class_name, {}).values())
 
     def member_queues(self, class_name: str) -> Iterator[tuple[str, list[QueuedRequest]]]:
-        """Yields members of a class with their waiting work, oldest first."""
+        """Yields each member of a class with its queue, in queue order."""
         return iter(self._queues_by_class.get(class_name, {}).items())
 
     def expired(self, now: float) -> list[QueuedRequest]:
-        """Returns work whose patience has run out."""
-        return [work for work in self.requests_by_id.values() if now >= work.expires_at]
+        """Returns the requests whose maximum wait has elapsed."""
+        return [request for request in self.requests_by_id.values() if now >= request.expires_at]
 
     def next_request(
         self,
@@ -70,8 +70,8 @@
     ) -> QueuedRequest | None:
         """Returns the next request of a class, or None.
 
-        ``order`` ranks members, infinity bars one. Work that arrived before ``late_before`` cannot
-        be in time any more and goes after all that can.
+        Members with a lower ``member_priority`` go first; infinity excludes a member. Requests that
+        arrived before ``on_time_since`` can no longer meet their target and go after all others.
         """
         ranked = [
             (member_priority(member), member, queue)
@@ -81,19 +81,19 @@
         queues = [queue for _, _, queue in allowed]
         if skip_isolated:
             queues = [
-                kept for queue in queues if (kept := [w for w in queue if not w.isolation_level])
+                kept for queue in queues if (kept := [r for r in queue if not r.isolation_level])
             ]
         for queue in queues:
-            in_time = first_on_time(queue, on_time_since)
-            if in_time is not None:
-                return in_time
+            on_time = first_on_time(queue, on_time_since)
+            if on_time is not None:
+                return on_time
         return queues[0][0] if queues else None
 
 
 def first_on_time(queue: list[QueuedRequest], on_time_since: float) -> QueuedRequest | None:
-    """Returns the first work that is begun, or arrived at ``late_before`` or later."""
+    """Returns the first request that is resumed or arrived at ``on_time_since`` or later."""
     if queue[0].resumed:
         return queue[0]
     if queue[-1].arrived_at < on_time_since:
         return None
-    return next(work for work in queue if work.arrived_at >= on_time_since)
+    return next(request for request in queue if request.arrived_at >= on_time_since)
--- a/bluebellpitch/decisions/slot_grants.py
+++ b/bluebellpitch/decisions/slot_grants.py
@@ -1,14 +1,15 @@
-"""Work that a broker knows of: what waits, what runs, and the commands it gives."""
+"""Queued requests, active grants, broker commands and per-class statistics."""
 
 from dataclasses import dataclass, field
 
 
 @dataclass(slots=True)
 class QueuedRequest:
-    """A request that waits for a slot. Times are monotonic seconds of the broker.
+    """A request that waits for a slot. Times are seconds on the broker's monotonic clock.
 
-    ``arrived_at`` is when the caller's request came in, ``expires_at`` when it is refused,
-    ``asked_at`` when its VM last asked for it. A ``resumed`` one has given its caller tokens.
+    ``arrived_at`` is when the client's request arrived, ``expires_at`` when it is refused,
+    ``last_asked_at`` when its VM last asked for a slot. The client of a ``resumed`` request has
+    already received tokens.
     """
 
     request_id: str
@@ -30,7 +31,7 @@
 
 @dataclass(slots=True)
 class ActiveGrant:
-    """A granted slot. ``from_share`` marks a grant out of a class's guaranteed share."""
+    """A granted slot. ``from_guaranteed_share``: granted out of the class's guaranteed share."""
 
     grant_id: str
     request: QueuedRequest
@@ -44,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantSlot:
-    """Run the request on this endpoint now."""
+    """Tells the VM to run the request on the endpoint now."""
 
     grant: ActiveGrant
     expected_first_token_s: float
@@ -53,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RefuseRequest:
-    """The request gets no slot."""
+    """Tells the VM that the request gets no slot."""
 
     request: QueuedRequest
     reason: str
@@ -62,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PreemptGrant:
-    """Give the slot back and ask again; resume later from the last token."""
+    """Tells the VM to return the slot and ask again; the request resumes from its last token."""
 
     grant: ActiveGrant
     reason: str
@@ -73,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FinishedGrant:
-    """How a grant ended, as its holder tells. Times in seconds; None where unknown."""
+    """The end of a grant as reported by its VM. A time of None is unknown."""
 
     grant_id: str
     outcome: str
@@ -83,14 +84,14 @@
 
 @dataclass(slots=True)
 class MovingAverage:
-    """An exponentially weighted mean; 0 until a first value."""
+    """An exponentially weighted moving average; 0 until the first value."""
 
     value: float = 0.0
     min_weight: float = 0.1
     count: int = 0
 
     def add(self, value: float) -> None:
-        """Takes one value in."""
+        """Adds a value. The first values weigh more, so that the start value of 0 has no effect."""
         self.count += 1
         weight = max(self.min_weight, 1 / self.count)
         self.value += weight * (value - self.value)
@@ -98,7 +99,7 @@
 
 @dataclass(slots=True)
 class ClassStats:
-    """What a broker has seen of one class. Times in seconds."""
+    """Average times of one class at a broker, and its balance of guaranteed slot time."""
 
     slot_time_s: MovingAverage = field(default_factory=MovingAverage)
     first_token_s: MovingAverage = field(default_factory=MovingAverage)
--- a/bluebellpitch/decisions/strikes.py
+++ b/bluebellpitch/decisions/strikes.py
@@ -1,9 +1,10 @@
-"""Requests that crash the endpoint that runs them.
+"""Isolates poison requests, which crash the endpoint that runs them.
 
-A fingerprint of member and body earns a strike when an endpoint dies under it, and loses all when
-it completes. Requests with one strike are kept apart from each other, so that a second crash tells
-the culprit from most of its former neighbours; with two, a request runs alone on its endpoint; with
-three it is refused. So at most three endpoints fall to one request.
+A fingerprint of member and body gets a strike when an endpoint crashes while running it; completion
+clears its strikes. Requests with one strike never share an endpoint with each other, so that a
+second crash separates the culprit from most requests that ran beside it. With two strikes a request
+runs alone on its endpoint, and with three it is refused. So one request crashes at most three
+endpoints.
 """
 
 from dataclasses import dataclass, field
@@ -13,7 +14,7 @@
 
 
 class IsolationLevel(IntEnum):
-    """How a request may be placed."""
+    """How far a request must be isolated from others."""
 
     NONE = 0
     SEPARATED = 1
@@ -23,26 +24,26 @@
 
 @dataclass(slots=True)
 class StrikeTracker:
-    """Strikes by fingerprint: ids of the attempts that died, with the time of each."""
+    """Strikes by fingerprint: ids of the attempts that crashed an endpoint, with their times."""
 
     ttl_s: float = STRIKE_TTL_S
     _strikes_by_fingerprint: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def add(self, fingerprint: str, attempt: str, now: float) -> None:
-        """Notes that an endpoint died under an attempt; the same attempt counts once."""
+        """Records that an endpoint crashed while running an attempt; an attempt counts once."""
         self._strikes_by_fingerprint.setdefault(fingerprint, {})[attempt] = now
 
     def clear(self, fingerprint: str) -> None:
-        """Forgets the strikes of a request that completed."""
+        """Clears the strikes of a request that completed."""
         self._strikes_by_fingerprint.pop(fingerprint, None)
 
     def count(self, fingerprint: str, now: float) -> int:
-        """Returns the strikes in force."""
-        attempts = self._strikes_by_fingerprint.get(fingerprint, {})
-        return sum(now - at < self.ttl_s for at in attempts.values())
+        """Returns the number of strikes that have not expired."""
+        strikes = self._strikes_by_fingerprint.get(fingerprint, {})
+        return sum(now - at < self.ttl_s for at in strikes.values())
 
     def isolation_level(self, fingerprint: str, now: float) -> IsolationLevel:
-        """Returns how the request may be placed now."""
+        """Returns the isolation that a request needs now."""
         strikes = self.count(fingerprint, now)
         if strikes >= STRIKES_TO_REFUSE:
             return IsolationLevel.REFUSED
@@ -51,7 +52,7 @@
         return IsolationLevel.SEPARATED if strikes else IsolationLevel.NONE
 
     def expire(self, now: float) -> None:
-        """Forgets fingerprints whose strikes are all old."""
-        old = [f for f in self._strikes_by_fingerprint if not self.count(f, now)]
-        for fingerprint in old:
+        """Drops fingerprints whose strikes have all expired."""
+        expired = [fp for fp in self._strikes_by_fingerprint if not self.count(fp, now)]
+        for fingerprint in expired:
             del self._strikes_by_fingerprint[fingerprint]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -95,7 +95,7 @@
     Mutant(
         "a floor is lent to one broker at a time",
         "bluebellpitch/decisions/member_quotas.py",
-        "        if holder != borrower and now < until:\n            return False\n",
+        "        if holder != borrower and now < expires_at:\n            return False\n",
         "",
         "tests/test_limits_machine.py",
     ),
@@ -104,7 +104,7 @@
         "bluebellpitch/decisions/broker.py",
         "if row.limit and in_use >= self.member_limit(row, now):",
         "if False:",
-        "tests/test_broker.py::test_member_at_its_limit_waits_and_others_go_on",
+        "tests/test_broker.py::test_member_at_its_limit_waits_while_others_run",
     ),
     Mutant(
         "no tier is preempted for an equal or lower one",
@@ -116,7 +116,7 @@
     Mutant(
         "every class has a guaranteed share",
         "bluebellpitch/decisions/class_scheduling.py",
-        "        return [(name, True) for name in due] + [(name, False) for name in ranked]",
+        "        return [(name, True) for name in funded] + [(name, False) for name in ranked]",
         "        return [(name, False) for name in ranked]",
         "tests/test_broker.py::test_no_class_starves_under_a_flood_of_higher_tiers",
     ),
@@ -154,7 +154,7 @@
         "bluebellpitch/decisions/endpoint_selection.py",
         'for row in rows if row.state == "live"',
         "for row in rows",
-        "tests/test_broker.py::test_leaving_endpoint_gets_nothing",
+        "tests/test_broker.py::test_leaving_endpoint_gets_no_requests",
     ),
     Mutant(
         "peers tell a cut-off reader what it lacks",
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -1,4 +1,4 @@
-"""Which request runs next, and where: the broker alone, in virtual time."""
+"""Unit tests of the broker's scheduling in virtual time, without network or VMs."""
 
 import math
 
@@ -52,23 +52,23 @@
     return broker
 
 
-def work(request: str, class_name: str = "low", at: float = 0.0, patience: float = 1e6, **fields):
+def queued(request: str, class_name: str = "low", at: float = 0.0, wait_s: float = 1e6, **fields):
     defaults = {"member": "m", "requesting_vm": "vm", "attempt": 1}
     return QueuedRequest(
         request_id=request,
         class_name=class_name,
         arrived_at=at,
-        expires_at=at + patience,
+        expires_at=at + wait_s,
         **(defaults | fields),
     )
 
 
-def granted(commands) -> list[str]:
+def granted_ids(commands) -> list[str]:
     return [c.grant.request.request_id for c in commands if isinstance(c, GrantSlot)]
 
 
-def ask_all(broker: Broker, works, now: float = 0.0) -> list:
-    return [command for item in works for command in broker.submit(item, now)]
+def send(broker: Broker, requests, now: float = 0.0) -> list:
+    return [command for request in requests for command in broker.submit(request, now)]
 
 
 def finish(broker: Broker, request: str, now: float, outcome: str = "completed") -> list:
@@ -78,138 +78,136 @@
 
 def test_higher_tier_goes_first():
     broker = make_broker(endpoints=1, slots=1)
-    works = [work("a", "high"), work("b", "low"), work("c", "middle"), work("d", "high")]
-    ask_all(broker, works)
-    assert_that(granted(finish(broker, "a", 0.1)), Equals(["d"]))
+    requests = [queued("a", "high"), queued("b", "low"), queued("c", "middle"), queued("d", "high")]
+    send(broker, requests)
+    assert_that(granted_ids(finish(broker, "a", 0.1)), Equals(["d"]))
 
 
 def test_lowest_and_youngest_is_preempted_for_a_higher_tier():
     broker = make_broker(endpoints=1, slots=3)
-    ask_all(broker, [work("old", "low")], 0.0)
-    ask_all(broker, [work("young", "low")], 1.0)
-    ask_all(broker, [work("mid", "middle")], 2.0)
-    commands = ask_all(broker, [work("top", "high", at=3.0)], 3.0)
+    send(broker, [queued("old", "low")], 0.0)
+    send(broker, [queued("young", "low")], 1.0)
+    send(broker, [queued("mid", "middle")], 2.0)
+    commands = send(broker, [queued("top", "high", at=3.0)], 3.0)
     preempted = [c.grant.request.request_id for c in commands if isinstance(c, PreemptGrant)]
     assert_that(preempted, Equals(["young"]))
 
 
 def test_equal_and_higher_tiers_are_never_preempted():
     broker = make_broker(endpoints=1, slots=2)
-    ask_all(broker, [work("a", "middle"), work("b", "high")])
-    commands = ask_all(broker, [work("c", "middle"), work("d", "low")], 1.0)
+    send(broker, [queued("a", "middle"), queued("b", "high")])
+    commands = send(broker, [queued("c", "middle"), queued("d", "low")], 1.0)
     assert_that([c for c in commands if isinstance(c, PreemptGrant)], HasLength(0))
 
 
-def test_repeated_ask_gets_the_same_grant():
+def test_repeated_submission_gets_the_same_grant():
     broker = make_broker()
-    first = ask_all(broker, [work("a")])[0]
-    again = ask_all(broker, [work("a")], 1.0)[0]
+    first = send(broker, [queued("a")])[0]
+    again = send(broker, [queued("a")], 1.0)[0]
     assert_that(again.grant.grant_id, Equals(first.grant.grant_id))
     assert_that(broker.grants_by_id, HasLength(1))
 
 
 def test_no_class_starves_under_a_flood_of_higher_tiers():
     broker = make_broker(endpoints=1, slots=4)
-    ask_all(broker, [work(f"low{n}", "low") for n in range(50)])
+    send(broker, [queued(f"low{n}", "low") for n in range(50)])
     now, number, done = 0.0, 0, []
     while now < 60.0:
         now += 0.05
-        ask_all(broker, [work(f"high{number + n}", "high", at=now) for n in range(4)], now)
+        send(broker, [queued(f"high{number + n}", "high", at=now) for n in range(4)], now)
         number += 4
-        due = [r for r in broker.grants_by_id.values() if now - r.granted_at >= 0.2]
-        for running in due:
-            if running.grant_id in broker.grants_by_id:
-                finish(broker, running.request.request_id, now)
-                done.append(running.request.request_id)
+        due = [g for g in broker.grants_by_id.values() if now - g.granted_at >= 0.2]
+        for grant in due:
+            if grant.grant_id in broker.grants_by_id:
+                finish(broker, grant.request.request_id, now)
+                done.append(grant.request.request_id)
     low = [request for request in done if request.startswith("low")]
     assert_that(len(low), GreaterThan(5))
     assert_that(len(low), LessThan(len(done) * 0.2))
 
 
-def test_member_at_its_limit_waits_and_others_go_on():
+def test_member_at_its_limit_waits_while_others_run():
     broker = make_broker(endpoints=1, slots=8, limit=2)
-    commands = ask_all(broker, [work(f"m{n}") for n in range(4)] + [work("n0", member="n")])
-    assert_that(granted(commands), Equals(["m0", "m1", "n0"]))
-    assert_that(granted(finish(broker, "m0", 1.0)), Equals(["m2"]))
+    commands = send(broker, [queued(f"m{n}") for n in range(4)] + [queued("n0", member="n")])
+    assert_that(granted_ids(commands), Equals(["m0", "m1", "n0"]))
+    assert_that(granted_ids(finish(broker, "m0", 1.0)), Equals(["m2"]))
 
 
-def test_member_with_a_burst_does_not_push_out_another():
+def test_burst_of_one_member_does_not_starve_another():
     broker = make_broker(endpoints=1, slots=2)
-    ask_all(broker, [work(f"m{n}") for n in range(20)])
-    ask_all(broker, [work("n0", member="n", at=0.5)], 0.5)
-    assert_that(granted(finish(broker, "m0", 1.0)), Equals(["n0"]))
+    send(broker, [queued(f"m{n}") for n in range(20)])
+    send(broker, [queued("n0", member="n", at=0.5)], 0.5)
+    assert_that(granted_ids(finish(broker, "m0", 1.0)), Equals(["n0"]))
 
 
-def test_work_that_can_be_in_time_goes_before_work_that_is_late():
+def test_request_that_can_meet_its_target_goes_before_a_late_one():
     broker = make_broker(endpoints=1, slots=1)
-    ask_all(broker, [work("running", "middle")])
-    ask_all(broker, [work("late", "middle", at=0.0), work("fresh", "middle", at=4.9)], 5.0)
-    assert_that(granted(finish(broker, "running", 5.0)), Equals(["fresh"]))
+    send(broker, [queued("running", "middle")])
+    send(broker, [queued("late", "middle", at=0.0), queued("fresh", "middle", at=4.9)], 5.0)
+    assert_that(granted_ids(finish(broker, "running", 5.0)), Equals(["fresh"]))
 
 
-def test_hopeless_work_is_refused_early():
+def test_request_that_would_time_out_in_the_queue_is_refused():
     broker = make_broker(endpoints=1, slots=1)
-    ask_all(broker, [work("first", "middle")])
+    send(broker, [queued("first", "middle")])
     finish(broker, "first", 4.0)
-    commands = ask_all(
-        broker, [work(f"w{n}", "middle", at=4.0, patience=10.0) for n in range(9)], 4.0
-    )
+    commands = send(broker, [queued(f"w{n}", "middle", at=4.0, wait_s=10.0) for n in range(9)], 4.0)
     refused = [c.request.request_id for c in commands if isinstance(c, RefuseRequest)]
     assert_that(refused, Equals([f"w{n}" for n in range(4, 9)]))
 
 
-def test_lower_tiers_are_not_taken_in_while_a_higher_one_is_shed():
+def test_lower_tiers_are_refused_while_a_higher_one_is_shed():
     broker = make_broker(endpoints=1, slots=1)
-    ask_all(broker, [work("first", "middle")])
+    send(broker, [queued("first", "middle")])
     finish(broker, "first", 4.0)
-    ask_all(broker, [work(f"w{n}", "middle", at=4.0, patience=10.0) for n in range(9)], 4.0)
-    commands = ask_all(broker, [work("lower", "low", at=4.1)], 4.1)
+    send(broker, [queued(f"w{n}", "middle", at=4.0, wait_s=10.0) for n in range(9)], 4.0)
+    commands = send(broker, [queued("lower", "low", at=4.1)], 4.1)
     assert_that(
         [c.reason for c in commands if isinstance(c, RefuseRequest)], Equals(["higher_tier_shed"])
     )
 
 
-def test_resumed_work_is_never_refused_early():
+def test_later_attempt_is_never_refused_on_admission():
     broker = make_broker(endpoints=1, slots=1)
-    ask_all(broker, [work("first", "middle")])
+    send(broker, [queued("first", "middle")])
     finish(broker, "first", 4.0)
-    ask_all(broker, [work(f"w{n}", "middle", at=4.0, patience=10.0) for n in range(9)], 4.0)
-    commands = ask_all(broker, [work("resumed", "low", at=0.0, attempt=2)], 4.1)
+    send(broker, [queued(f"w{n}", "middle", at=4.0, wait_s=10.0) for n in range(9)], 4.0)
+    commands = send(broker, [queued("resumed", "low", at=0.0, attempt=2)], 4.1)
     assert_that([c for c in commands if isinstance(c, RefuseRequest)], HasLength(0))
 
 
-def test_slow_endpoint_is_found_and_gets_only_a_trickle():
+def test_slow_endpoint_is_detected_and_avoided():
     broker = make_broker(endpoints=3, slots=4)
-    commands = ask_all(broker, [work(f"w{n}", "middle") for n in range(12)])
+    commands = send(broker, [queued(f"w{n}", "middle") for n in range(12)])
     for command in (c for c in commands if isinstance(c, GrantSlot)):
         seconds = 0.5 if command.grant.endpoint == "e0" else 0.05
         broker.record_latency(command.grant.grant_id, "first", seconds, 0.6)
     preempted = [c for c in broker.tick(0.7) if isinstance(c, PreemptGrant)]
     assert_that({c.grant.endpoint for c in preempted}, Equals({"e0"}))
-    for name in [r.request.request_id for r in tuple(broker.grants_by_id.values())]:
+    for name in [g.request.request_id for g in tuple(broker.grants_by_id.values())]:
         finish(broker, name, 0.8)
-    fresh = ask_all(broker, [work(f"f{n}", "high", at=0.9) for n in range(8)], 0.9)
+    fresh = send(broker, [queued(f"f{n}", "high", at=0.9) for n in range(8)], 0.9)
     used = {c.grant.endpoint for c in fresh if isinstance(c, GrantSlot)}
     assert_that(used, Equals({"e1", "e2"}))
 
 
-def test_suspects_are_kept_apart_and_the_worst_runs_alone():
+def test_requests_with_a_strike_are_placed_on_different_endpoints():
     broker = make_broker(endpoints=2, slots=4)
-    suspects = [work(f"s{n}", isolation_level=IsolationLevel.SEPARATED) for n in range(3)]
-    commands = ask_all(broker, suspects)
+    isolated = [queued(f"s{n}", isolation_level=IsolationLevel.SEPARATED) for n in range(3)]
+    commands = send(broker, isolated)
     assert_that(sorted(c.grant.endpoint for c in commands), Equals(["e0", "e1"]))
-    neighbours = ask_all(broker, [work(f"n{n}") for n in range(4)])
-    assert_that(granted(neighbours), HasLength(4))
+    ordinary = send(broker, [queued(f"n{n}") for n in range(4)])
+    assert_that(granted_ids(ordinary), HasLength(4))
 
 
-def test_request_that_must_run_alone_gets_an_endpoint_in_a_full_pool():
-    """Without an endpoint that is kept free for it, it would wait for ever."""
+def test_exclusive_request_gets_an_endpoint_in_a_full_pool():
+    """Without a reservation, the endpoints would never be idle and the request would starve."""
     broker = make_broker(endpoints=2, slots=2)
-    ask_all(broker, [work(f"w{n}") for n in range(40)])
-    ask_all(broker, [work("alone", isolation_level=IsolationLevel.EXCLUSIVE, at=-1.0)], 0.0)
+    send(broker, [queued(f"w{n}") for n in range(40)])
+    send(broker, [queued("alone", isolation_level=IsolationLevel.EXCLUSIVE, at=-1.0)], 0.0)
     for step in range(1, 12):
-        running = sorted(broker.grants_by_id.values(), key=lambda r: r.granted_at)
-        finish(broker, running[0].request.request_id, step * 0.1)
+        grants = sorted(broker.grants_by_id.values(), key=lambda g: g.granted_at)
+        finish(broker, grants[0].request.request_id, step * 0.1)
         if "alone" in broker.grant_id_by_request:
             break
     assert_that(broker.grant_id_by_request, Contains("alone"))
@@ -217,50 +215,50 @@
     assert_that(broker.selector.used_slots(endpoint), Equals(1))
 
 
-def test_leaving_endpoint_gets_nothing():
+def test_leaving_endpoint_gets_no_requests():
     broker = make_broker(endpoints=1)
     rows = dict(broker.table.rows_by_key)
     leaving = EndpointRow("e0", "pool", "z", "r", "127.0.0.1:1", 4, True, "leaving")
     rows["endpoint/e0"] = VersionedRow(leaving, 1)
     broker.set_table(Table(rows, 1))
-    assert_that(granted(ask_all(broker, [work("a")])), HasLength(0))
+    assert_that(granted_ids(send(broker, [queued("a")])), HasLength(0))
 
 
-def test_slot_that_its_holder_does_not_name_comes_back():
+def test_grant_that_its_vm_stops_reporting_expires():
     broker = make_broker(endpoints=1, slots=1)
-    ask_all(broker, [work("lost")])
+    send(broker, [queued("lost")])
     now = GRANT_UNCONFIRMED_S + 0.5
-    ask_all(broker, [work("next", at=2.0, last_asked_at=now)], 2.0)
-    assert_that(granted(broker.expire_unconfirmed(now)), Equals(["next"]))
+    send(broker, [queued("next", at=2.0, last_asked_at=now)], 2.0)
+    assert_that(granted_ids(broker.expire_unconfirmed(now)), Equals(["next"]))
 
 
-def test_resumed_work_goes_before_work_that_has_not_begun():
+def test_resumed_request_goes_before_new_ones():
     broker = make_broker(endpoints=1, slots=1)
-    ask_all(broker, [work("running", "high")])
-    ask_all(broker, [work("fresh", "middle", at=4.9), work("begun", "middle", resumed=True)], 5.0)
-    assert_that(granted(finish(broker, "running", 5.0)), Equals(["begun"]))
+    send(broker, [queued("running", "high")])
+    send(broker, [queued("fresh", "middle", at=4.9), queued("begun", "middle", resumed=True)], 5.0)
+    assert_that(granted_ids(finish(broker, "running", 5.0)), Equals(["begun"]))
 
 
-def test_class_that_can_only_be_late_lets_others_be_in_time_for_a_while():
+def test_late_class_is_deferred_in_favour_of_on_time_classes():
     broker = make_broker(endpoints=1, slots=1)
-    ask_all(broker, [work("running", "high")])
-    late = work("late", "middle", at=0.0, patience=20.0)
-    ask_all(broker, [late, work("in time", "low", at=1.9)], 2.0)
-    assert_that(granted(finish(broker, "running", 2.0)), Equals(["in time"]))
+    send(broker, [queued("running", "high")])
+    late = queued("late", "middle", at=0.0, wait_s=20.0)
+    send(broker, [late, queued("in time", "low", at=1.9)], 2.0)
+    assert_that(granted_ids(finish(broker, "running", 2.0)), Equals(["in time"]))
 
 
-def test_late_class_is_back_in_its_place_before_its_patience_ends():
+def test_late_class_regains_its_rank_before_its_maximum_wait_ends():
     broker = make_broker(endpoints=1, slots=1)
-    ask_all(broker, [work("running", "high")])
-    late = work("late", "middle", at=0.0, patience=20.0)
-    ask_all(broker, [late, work("in time", "low", at=4.0)], 5.1)
-    assert_that(granted(finish(broker, "running", 5.1)), Equals(["late"]))
+    send(broker, [queued("running", "high")])
+    late = queued("late", "middle", at=0.0, wait_s=20.0)
+    send(broker, [late, queued("in time", "low", at=4.0)], 5.1)
+    assert_that(granted_ids(finish(broker, "running", 5.1)), Equals(["late"]))
 
 
-def test_middle_tier_waits_a_little_before_it_preempts():
+def test_middle_tier_preempts_only_after_a_short_wait():
     broker = make_broker(endpoints=1, slots=1)
-    ask_all(broker, [work("low", "low")])
-    soon = ask_all(broker, [work("mid", "middle", at=1.0)], 1.05)
+    send(broker, [queued("low", "low")])
+    soon = send(broker, [queued("mid", "middle", at=1.0)], 1.05)
     assert_that([c for c in soon if isinstance(c, PreemptGrant)], HasLength(0))
     later = list(broker.tick(1.2))
     assert_that([c for c in later if isinstance(c, PreemptGrant)], HasLength(1))
@@ -274,10 +272,10 @@
         SchedulingPolicy(strict_tiers=False),
     ],
 )
-def test_full_pool_is_used_whole(policy):
+def test_all_slots_of_a_pool_are_granted(policy):
     broker = make_broker(policy, endpoints=2, slots=4)
-    commands = ask_all(broker, [work(f"w{n}") for n in range(20)])
-    assert_that(granted(commands), HasLength(8))
+    commands = send(broker, [queued(f"w{n}") for n in range(20)])
+    assert_that(granted_ids(commands), HasLength(8))
 
 
 ACTIONS = st.lists(
@@ -294,27 +292,25 @@
 
 @given(ACTIONS)
 @settings(max_examples=150, deadline=None, derandomize=True)
-def test_broker_keeps_its_promises_whatever_happens(actions):
+def test_invariants_hold_under_random_actions(actions):
     broker = make_broker(endpoints=2, slots=3, limit=4)
     now = 0.0
-    for kind, number, class_name, member, suspicion in actions:
+    for kind, number, class_name, member, level in actions:
         now += 0.05
-        commands = list(act(broker, kind, number, class_name, member, suspicion, now))
+        commands = list(apply(broker, kind, number, class_name, member, level, now))
         check_commands(broker, commands)
         check_state(broker)
 
 
-def act(broker, kind, number, class_name, member, suspicion, now):
-    grants = list(broker.grants_by_id)
+def apply(broker, kind, number, class_name, member, level, now):
+    ids = list(broker.grants_by_id)
     match kind:
         case "ask":
-            fields = {"member": member, "isolation_level": suspicion, "last_asked_at": now}
-            return broker.submit(work(f"r{number}", class_name, now, 5.0, **fields), now)
-        case "finish" | "crash" if grants:
+            fields = {"member": member, "isolation_level": level, "last_asked_at": now}
+            return broker.submit(queued(f"r{number}", class_name, now, 5.0, **fields), now)
+        case "finish" | "crash" if ids:
             outcome = "completed" if kind == "finish" else "crashed"
-            return broker.finish(
-                FinishedGrant(grants[number % len(grants)], outcome, 0.1, 0.01), now
-            )
+            return broker.finish(FinishedGrant(ids[number % len(ids)], outcome, 0.1, 0.01), now)
         case "cancel":
             return broker.cancel(f"r{number}", now)
         case "lose":
@@ -323,7 +319,7 @@
 
 
 def check_commands(broker, commands):
-    """A preemption is always for a higher tier, or away from a slow endpoint."""
+    """Preemption in favour of a waiting request requires that one to be in a higher tier."""
     waiting = [TIERS[w.class_name] for w in broker.queues.requests_by_id.values()]
     for command in commands:
         if isinstance(command, PreemptGrant) and command.reason == "higher_tier_waits":
@@ -332,19 +328,19 @@
 
 
 def check_state(broker):
-    running = list(broker.grants_by_id.values())
+    grants = list(broker.grants_by_id.values())
     for endpoint in ("e0", "e1"):
-        there = [r for r in running if r.endpoint == endpoint]
-        staying = [r for r in there if not r.preempting]
+        placed = [g for g in grants if g.endpoint == endpoint]
+        staying = [g for g in placed if not g.preempting]
         assert len(staying) <= 3
         assert broker.selector.used_slots(endpoint) == len(staying)
-        alone = [r for r in there if r.request.isolation_level >= IsolationLevel.EXCLUSIVE]
-        assert not alone or len(there) == 1
+        exclusive = [g for g in placed if g.request.isolation_level >= IsolationLevel.EXCLUSIVE]
+        assert not exclusive or len(placed) == 1
     for member in ("m", "n"):
-        held = sum(r.request.member == member for r in running)
+        held = sum(g.request.member == member for g in grants)
         assert held <= 4
         assert broker.used_slots_by_member.get(member, 0) == held
-    requests = {r.request.request_id for r in running}
+    requests = {g.request.request_id for g in grants}
     assert not requests & set(broker.queues.requests_by_id)
 
 
--- a/tests/test_limits_machine.py
+++ b/tests/test_limits_machine.py
@@ -1,4 +1,4 @@
-"""The actions and faults of models/limits.py, against the real decision code."""
+"""Runs the actions and faults of models/limits.py against the production decision code."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -26,32 +26,32 @@
 
 
 class Vm:
-    """What one VM knows; its clock may run slow or fast within the drift."""
+    """State of one VM. Its clock may run slow or fast within the allowed drift."""
 
-    def __init__(self, rate: float):
-        self.rate = rate
+    def __init__(self, clock_rate: float):
+        self.clock_rate = clock_rate
         self.fold = ControlFold()
         self.history = EpochHistory()
         self.lender = QuotaLender()
         self.borrower = QuotaBorrower()
-        self.told: dict[str, int] = {}
+        self.epoch_number_by_vm: dict[str, int] = {}
 
 
 class LimitsMachine(RuleBasedStateMachine):
-    """One zone of four VMs, one member with a share, one pool that anyone may broker."""
+    """One zone of four VMs, one member with a zone quota, one pool that any VM may broker."""
 
     def __init__(self):
         super().__init__()
-        half = CLOCK_DRIFT / 2
-        rates = (1.0, 1.0 + half / 2, 1.0 - half / 2, 1.0)
-        self.vms = {name: Vm(rate) for name, rate in zip(VMS, rates, strict=True)}
-        self.time = 0.0
-        self.share = 7
+        half_drift = CLOCK_DRIFT / 2
+        clock_rates = (1.0, 1.0 + half_drift / 2, 1.0 - half_drift / 2, 1.0)
+        self.vms = {name: Vm(clock_rate) for name, clock_rate in zip(VMS, clock_rates, strict=True)}
+        self.time_s = 0.0
+        self.zone_quota = 7
         self.log: list[str] = []
-        self.in_flight: list[tuple[str, str, int, float]] = []
+        self.loans_in_flight: list[tuple[str, str, int, float]] = []
 
     def now(self, name: str) -> float:
-        return self.time * self.vms[name].rate
+        return self.time_s * self.vms[name].clock_rate
 
     @rule(proposer=NAMES, members=st.sets(NAMES, min_size=1))
     def propose(self, proposer, members):
@@ -64,7 +64,7 @@
         self.log.append(encode_record(change))
 
     @rule(name=NAMES, count=st.integers(1, 3))
-    def read(self, name, count):
+    def read_log(self, name, count):
         vm = self.vms[name]
         for offset in range(vm.fold.offset + 1, min(len(self.log), vm.fold.offset + 1 + count)):
             vm.fold.apply(offset, self.log[offset])
@@ -73,18 +73,18 @@
             vm.history.add(vm.fold.state.unsettled_by_zone.get(ZONE, ()) + (epoch,))
 
     @rule(name=NAMES, other=NAMES)
-    def hear(self, name, other):
+    def receive_epoch_number(self, name, other):
         current = self.vms[other].history.current
-        self.vms[name].told[KEYS[other]] = current.number if current else 0
+        self.vms[name].epoch_number_by_vm[KEYS[other]] = current.number if current else 0
 
     @rule(name=NAMES)
-    def settle(self, name):
+    def drop_unused_epochs(self, name):
         vm = self.vms[name]
-        vm.history.drop_unused(vm.told, KEYS[name])
+        vm.history.drop_unused(vm.epoch_number_by_vm, KEYS[name])
 
     @rule(lender=NAMES, borrower=NAMES)
-    def ask(self, lender, borrower):
-        """A request reaches the lender; its answer is on its way."""
+    def request_loan(self, lender, borrower):
+        """The lender accepts a loan request; its answer is in flight."""
         epoch = self.vms[borrower].history.current
         vm = self.vms[lender]
         if epoch is None or vm.history.current is None:
@@ -92,56 +92,58 @@
         if vm.history.current.number != epoch.number or not vm.history.contains_vm(KEYS[borrower]):
             return
         if vm.lender.lend(POOL, borrower, self.now(lender)):
-            self.in_flight.append((lender, borrower, epoch.number, self.now(borrower)))
+            self.loans_in_flight.append((lender, borrower, epoch.number, self.now(borrower)))
 
     @rule(name=NAMES)
     def catch_up(self, name):
-        """A VM that reads the log, hears everybody and settles what it can."""
-        self.read(name, len(self.log) + 1)
+        """A VM reads the whole log, hears from all VMs and drops unused epochs."""
+        self.read_log(name, len(self.log) + 1)
         for other in VMS:
-            self.hear(name, other)
-        self.settle(name)
+            self.receive_epoch_number(name, other)
+        self.drop_unused_epochs(name)
 
     @rule(borrower=NAMES, lenders=st.sets(NAMES))
     def borrow(self, borrower, lenders):
-        """Asks some VMs, and hears from them at once."""
+        """A VM borrows from some VMs without delay or loss."""
         for lender in sorted(lenders):
-            self.ask(lender, borrower)
-        while self.in_flight:
-            self.arrive(0, False)
+            self.request_loan(lender, borrower)
+        while self.loans_in_flight:
+            self.deliver_loan(0, False)
 
-    @rule(old=MEMBERS, new=MEMBERS, behind=NAMES, borrower=NAMES, proposer=NAMES)
-    def reconfigure(self, old, new, behind, borrower, proposer):
-        """One VM stays in an older epoch and uses its own floor while the others go on."""
+    @rule(old=MEMBERS, new=MEMBERS, lagging=NAMES, borrower=NAMES, proposer=NAMES)
+    def reconfigure(self, old, new, lagging, borrower, proposer):
+        """One VM stays in an older epoch and uses its own quota while the others move on."""
         for members in (old, new):
             self.catch_up(proposer)
             self.propose(proposer, members)
             for name in sorted(members | {proposer}):
-                if members is old or name != behind:
+                if members is old or name != lagging:
                     self.catch_up(name)
             if members is old:
-                self.borrow(behind, {behind})
-        self.borrow(borrower, new - {behind})
+                self.borrow(lagging, {lagging})
+        self.borrow(borrower, new - {lagging})
 
-    @rule(place=st.integers(0, 50), lost=st.booleans())
-    def arrive(self, place, lost):
-        if not self.in_flight:
+    @rule(index=st.integers(0, 50), lost=st.booleans())
+    def deliver_loan(self, index, lost):
+        if not self.loans_in_flight:
             return
-        lender, borrower, epoch, asked_at = self.in_flight.pop(place % len(self.in_flight))
+        lender, borrower, epoch, asked_at = self.loans_in_flight.pop(
+            index % len(self.loans_in_flight)
+        )
         if not lost:
             self.vms[borrower].borrower.record_loan(KEYS[lender], epoch, asked_at)
 
     @rule(seconds=st.sampled_from((0.1, LOAN_LEASE_S / 2, LOAN_LEASE_S * 1.01)))
-    def pass_time(self, seconds):
-        self.time += seconds
+    def advance_time(self, seconds):
+        self.time_s += seconds
 
     @invariant()
-    def sum_in_use_is_within_the_share(self):
-        used = 0
+    def quotas_in_use_are_within_the_zone_quota(self):
+        in_use = 0
         for name, vm in self.vms.items():
             lenders = vm.borrower.active_lenders(vm.history.current_number, self.now(name))
-            used += usable_limit(vm.history, lenders, self.share, KEY)
-        assert used <= self.share
+            in_use += usable_limit(vm.history, lenders, self.zone_quota, KEY)
+        assert in_use <= self.zone_quota
 
 
 TestLimits = LimitsMachine.TestCase
