--- a/bluebellpitch/decisions/endpoint_selection.py
+++ b/bluebellpitch/decisions/endpoint_selection.py
@@ -178,13 +178,13 @@
         return not any(grant.request.isolation_level for grant in grants)
 
     def _select_exclusive(self, request: QueuedRequest, now: float) -> EndpointRow | None:
-        """Returns an idle endpoint; if there is none, reserves the least used one."""
+        """Returns an idle endpoint; if there is none, reserves one so that it drains."""
         usable = [name for name in self._rows_by_name if self._is_usable(name, request, now)]
         if not usable:
             return None
-        empty = next((name for name in usable if not self._grants_by_endpoint.get(name)), None)
-        if empty is not None:
-            return self._rows_by_name[empty]
+        idle = next((name for name in usable if not self._grants_by_endpoint.get(name)), None)
+        if idle is not None:
+            return self._rows_by_name[idle]
         reservation = self._reservation
         name = min(usable, key=self.used_slots)
         if (
