--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -1,9 +1,9 @@
-"""Which request runs next, and where: the broker of one pool in one zone.
+"""Schedules the requests of one pool in one zone on its endpoints.
 
-Order: tiers strictly, for shedding and preemption; inside a tier the class with least slack over
-weight; inside a class the member with least in use over weight; inside a member the oldest request
-that can still be in time. Every waiting class also earns a small guaranteed share of slot time by
-weight: the share delays higher work, it never sheds or cancels it.
+Tiers have strict priority for shedding and preemption. Within a tier, the class with the least
+weighted slack goes first; within a class, the member with the fewest used slots per weight; within
+a member, the oldest request that can still meet its target. Each waiting class also earns a small
+guaranteed share of slot time by weight, which delays higher tiers but never sheds or preempts them.
 """
 
 import math
@@ -18,331 +18,333 @@
     PREEMPTIONS_PER_REQUEST,
     SHED_HOLD_S,
 )
-from bluebellpitch.decisions.health import HealthView, Observation
-from bluebellpitch.decisions.order import Policy, ServiceOrder
-from bluebellpitch.decisions.placing import EndpointChooser
-from bluebellpitch.decisions.queues import WaitingQueues
+from bluebellpitch.decisions.class_scheduling import ClassScheduler, SchedulingPolicy
+from bluebellpitch.decisions.endpoint_health import EndpointHealth, LatencySample
+from bluebellpitch.decisions.endpoint_selection import EndpointSelector
+from bluebellpitch.decisions.request_queues import RequestQueues
 from bluebellpitch.decisions.rows import EndpointRow, MemberRow, Table
-from bluebellpitch.decisions.work import (
-    Command,
-    Finished,
-    Grant,
-    Preempt,
-    Refuse,
-    Running,
-    Waiting,
+from bluebellpitch.decisions.slot_grants import (
+    ActiveGrant,
+    BrokerCommand,
+    FinishedGrant,
+    GrantSlot,
+    PreemptGrant,
+    QueuedRequest,
+    RefuseRequest,
 )
 
-LimitOf = Callable[[MemberRow, float], int]
+MemberLimit = Callable[[MemberRow, float], int]  # how many requests of a member may run now
 
 
-def by_arrival(running: Running) -> tuple[float, str]:
-    """Sorts grants by when their caller's request came in."""
-    return running.work.arrived_at, running.grant
+def arrival_key(grant: ActiveGrant) -> tuple[float, str]:
+    """Sort key: arrival time of the client's request, then grant id."""
+    return grant.request.arrived_at, grant.grant_id
 
 
 class Broker:
-    """State of one pool in one zone. Soft: rebuilt from what the VMs hold.
+    """Soft state of one pool in one zone, rebuilt from the grants that VMs report."""
 
-    ``limit_of`` tells how many requests of a member may run here now.
-    """
-
-    def __init__(self, pool: str, zone: str, limit_of: LimitOf, policy=Policy(), tag=""):
+    def __init__(
+        self, pool: str, zone: str, limit_fn: MemberLimit, policy=SchedulingPolicy(), id_prefix=""
+    ):
         self.pool = pool
         self.zone = zone
-        self.limit_of = limit_of
+        self.member_limit = limit_fn
         self.policy = policy
-        self.tag = tag
-        self.queues = WaitingQueues()
-        self.order = ServiceOrder(self.queues, policy)
-        self.running_by_grant: dict[str, Running] = {}
-        self.grants_by_request: dict[str, str] = {}
-        self.in_use_by_member: dict[str, int] = {}
-        self.running_by_class: dict[str, list[Running]] = {}
-        self.health = HealthView()
-        self.chooser = EndpointChooser(self.health)
+        self.grant_id_prefix = id_prefix
+        self.queues = RequestQueues()
+        self.scheduler = ClassScheduler(self.queues, policy)
+        self.grants_by_id: dict[str, ActiveGrant] = {}
+        self.grant_id_by_request: dict[str, str] = {}
+        self.used_slots_by_member: dict[str, int] = {}
+        self.grants_by_class: dict[str, list[ActiveGrant]] = {}
+        self.health = EndpointHealth()
+        self.selector = EndpointSelector(self.health)
         self.table = Table({})
-        self.leaving: frozenset[str] = frozenset()
+        self.leaving_endpoints: frozenset[str] = frozenset()
         self.paused = False
-        self._next_grant = 0
-        self._shed_by_tier: dict[int, float] = {}
+        self._last_grant_number = 0
+        self._last_shed_by_tier: dict[int, float] = {}
 
-    def set_table(self, table: Table, leaving: frozenset[str] = frozenset()) -> None:
-        """Takes a newer table; endpoints that are ``leaving`` get no new work either."""
+    def set_table(self, table: Table, leaving_endpoints: frozenset[str] = frozenset()) -> None:
+        """Installs a newer table. Endpoints in ``leaving_endpoints`` get no new requests."""
         self.table = table
-        self.leaving = leaving
-        self.order.set_classes(table.classes_by_name)
+        self.leaving_endpoints = leaving_endpoints
+        self.scheduler.set_classes(table.classes_by_name)
         rows = table.pool_endpoints(self.pool, self.zone)
-        self.chooser.set_endpoints(tuple(row for row in rows if row.name not in leaving))
+        self.selector.set_endpoints(tuple(row for row in rows if row.name not in leaving_endpoints))
 
-    def ask(self, work: Waiting, now: float) -> Iterator[Command]:
-        """Takes a request in. Repeating an ask is harmless."""
-        if (granted := self._granted(work)) is not None:
-            yield self._describe(granted)
+    def submit(self, request: QueuedRequest, now: float) -> Iterator[BrokerCommand]:
+        """Queues a request. Idempotent: a VM may submit the same request again."""
+        if (granted := self._find_grant(request)) is not None:
+            yield self._grant_command(granted)
             return
-        known = self.queues.by_request.get(work.request)
+        known = self.queues.requests_by_id.get(request.request_id)
         if known is None:
-            if (refusal := self._refuse_early(work, now)) is not None:
+            if (refusal := self._check_admission(request, now)) is not None:
                 yield refusal
                 return
         else:
-            work = replace(work, arrived_at=known.arrived_at)
-        self.queues.add(work)
+            request = replace(request, arrived_at=known.arrived_at)
+        self.queues.add(request)
         yield from self.schedule(now)
 
-    def _granted(self, work: Waiting) -> Running | None:
-        running = self.running_by_grant.get(self.grants_by_request.get(work.request, ""))
-        if running is None or running.work.attempt != work.attempt:
+    def _find_grant(self, request: QueuedRequest) -> ActiveGrant | None:
+        grant = self.grants_by_id.get(self.grant_id_by_request.get(request.request_id, ""))
+        if grant is None or grant.request.attempt != request.attempt:
             return None
-        return running
+        return grant
 
-    def _refuse_early(self, work: Waiting, now: float) -> Refuse | None:
-        """Refuses new work that would only wait out its patience; what ran before is let in."""
-        if work.attempt > 1:
+    def _check_admission(self, request: QueuedRequest, now: float) -> RefuseRequest | None:
+        """Refuses a first attempt that would time out in the queue; later attempts are admitted."""
+        if request.attempt > 1:
             return None
-        expected_s = self._expected_wait(work)
-        patience_s = work.expires_at - now
+        expected_s = self._expected_wait_s(request)
+        patience_s = request.expires_at - now
         if expected_s > patience_s:
-            return self._shed(work, "overloaded", expected_s - patience_s, now)
-        if self._is_shedding_above(work, now):
-            return self._shed(work, "higher_tier_shed", SHED_HOLD_S, now)
+            return self._shed(request, "overloaded", expected_s - patience_s, now)
+        if self._is_higher_tier_shed(request, now):
+            return self._shed(request, "higher_tier_shed", SHED_HOLD_S, now)
         return None
 
-    def _shed(self, work: Waiting, reason: str, retry_after_s: float, now: float) -> Refuse:
-        self._shed_by_tier[self.order.tier(work.class_name)] = now
-        return Refuse(work, reason, min(60.0, max(0.1, retry_after_s)))
+    def _shed(
+        self, request: QueuedRequest, reason: str, retry_after_s: float, now: float
+    ) -> RefuseRequest:
+        self._last_shed_by_tier[self.scheduler.tier(request.class_name)] = now
+        return RefuseRequest(request, reason, min(60.0, max(0.1, retry_after_s)))
 
-    def _is_shedding_above(self, work: Waiting, now: float) -> bool:
-        """While a higher tier was shed just now, no lower one may be taken in."""
-        tier = self.order.tier(work.class_name)
-        shed = (at for other, at in self._shed_by_tier.items() if other < tier)
+    def _is_higher_tier_shed(self, request: QueuedRequest, now: float) -> bool:
+        """Tells whether a higher tier was shed recently, which bars lower tiers."""
+        tier = self.scheduler.tier(request.class_name)
+        shed = (at for other, at in self._last_shed_by_tier.items() if other < tier)
         return any(now - at < SHED_HOLD_S for at in shed)
 
-    def _expected_wait(self, work: Waiting) -> float:
-        """Returns seconds until a slot, from the work that goes first."""
-        slots = self.chooser.total_slots
+    def _expected_wait_s(self, request: QueuedRequest) -> float:
+        """Estimates the seconds until a slot from the queued requests of this and higher tiers."""
+        slots = self.selector.total_slots
         if not slots:
             return 0.0
-        tier = self.order.tier(work.class_name)
-        ahead = (name for name in self.queues.classes() if self.order.tier(name) <= tier)
+        tier = self.scheduler.tier(request.class_name)
+        ahead = (
+            name for name in self.queues.waiting_classes() if self.scheduler.tier(name) <= tier
+        )
         ahead_s = sum(
-            self.queues.count(name) * self.order.load(name).slot_s.value for name in ahead
+            self.queues.count(name) * self.scheduler.stats(name).slot_time_s.value for name in ahead
         )
         return ahead_s / slots
 
-    def cancel(self, request: str, now: float) -> Iterator[Command]:
-        """Forgets a request whose asker gave up; its grant must be returned apart."""
-        self.queues.remove(request)
+    def cancel(self, request_id: str, now: float) -> Iterator[BrokerCommand]:
+        """Removes a queued request that its VM cancelled. A grant is returned with ``finish``."""
+        self.queues.remove(request_id)
         yield from self.schedule(now)
 
-    def finish(self, finished: Finished, now: float) -> Iterator[Command]:
-        """Takes a slot back."""
-        running = self.running_by_grant.get(finished.grant)
-        if running is None:
+    def finish(self, result: FinishedGrant, now: float) -> Iterator[BrokerCommand]:
+        """Releases the slot of a finished grant."""
+        grant = self.grants_by_id.get(result.grant_id)
+        if grant is None:
             return
-        self._drop(running)
-        self._learn(running, finished, now)
+        self._remove_grant(grant)
+        self._record_result(grant, result, now)
         yield from self.schedule(now)
 
-    def _drop(self, running: Running) -> None:
-        del self.running_by_grant[running.grant]
-        if self.grants_by_request.get(running.work.request) == running.grant:
-            del self.grants_by_request[running.work.request]
-        self.in_use_by_member[running.work.member] -= 1
-        peers = self.running_by_class[running.work.class_name]
-        place = bisect_left(peers, by_arrival(running), key=by_arrival)
+    def _remove_grant(self, grant: ActiveGrant) -> None:
+        del self.grants_by_id[grant.grant_id]
+        if self.grant_id_by_request.get(grant.request.request_id) == grant.grant_id:
+            del self.grant_id_by_request[grant.request.request_id]
+        self.used_slots_by_member[grant.request.member] -= 1
+        peers = self.grants_by_class[grant.request.class_name]
+        place = bisect_left(peers, arrival_key(grant), key=arrival_key)
         del peers[place]
-        self.chooser.remove(running)
-
-    def _learn(self, running: Running, finished: Finished, now: float) -> None:
-        work = running.work
-        load = self.order.load(work.class_name)
-        if finished.outcome in ("completed", "preempted"):
-            load.slot_s.add(now - running.granted_at)
-        if finished.outcome in ("crashed", "unreachable"):
-            self.health.mark_down(running.endpoint, now)
-        if finished.first_s is not None and not running.first_token_seen:
-            self.observe(running.grant, "first", finished.first_s, now, running)
-        if finished.between_s is not None:
-            self.observe(running.grant, "between", finished.between_s, now, running)
-
-    def observe(self, grant: str, measure: str, seconds: float, now: float, running=None) -> None:
-        """Takes in a time that a holder saw: to the first token, or between tokens."""
-        running = running or self.running_by_grant.get(grant)
-        if running is None:
+        self.selector.remove(grant)
+
+    def _record_result(self, grant: ActiveGrant, result: FinishedGrant, now: float) -> None:
+        request = grant.request
+        stats = self.scheduler.stats(request.class_name)
+        if result.outcome in ("completed", "preempted"):
+            stats.slot_time_s.add(now - grant.granted_at)
+        if result.outcome in ("crashed", "unreachable"):
+            self.health.mark_down(grant.endpoint, now)
+        if result.first_token_s is not None and not grant.first_token_seen:
+            self.record_latency(grant.grant_id, "first", result.first_token_s, now, grant)
+        if result.between_tokens_s is not None:
+            self.record_latency(grant.grant_id, "between", result.between_tokens_s, now, grant)
+
+    def record_latency(
+        self, grant_id: str, measure: str, seconds: float, now: float, grant=None
+    ) -> None:
+        """Records a time reported by the VM that holds a grant: first token or between tokens."""
+        grant = grant or self.grants_by_id.get(grant_id)
+        if grant is None:
             return
-        running.first_token_seen |= measure == "first"
-        if not self.health.is_slow(running.endpoint):
-            load = self.order.load(running.work.class_name)
-            (load.first_s if measure == "first" else load.between_s).add(seconds)
-        seen = Observation(now, running.work.class_name, measure, seconds)
-        self.health.observe(running.endpoint, seen)
-
-    def confirm(self, grant: str, now: float) -> bool:
-        """Notes that a holder names a grant; False when it is not known here."""
-        known = self.running_by_grant.get(grant)
+        grant.first_token_seen |= measure == "first"
+        if not self.health.is_slow(grant.endpoint):
+            stats = self.scheduler.stats(grant.request.class_name)
+            (stats.first_token_s if measure == "first" else stats.between_tokens_s).add(seconds)
+        seen = LatencySample(now, grant.request.class_name, measure, seconds)
+        self.health.add_sample(grant.endpoint, seen)
+
+    def confirm_grant(self, grant_id: str, now: float) -> bool:
+        """Records that a VM still holds a grant; returns False if the grant is unknown."""
+        known = self.grants_by_id.get(grant_id)
         if known is None:
             return False
         known.confirmed_at = now
         return True
 
-    def adopt(self, running: Running) -> None:
-        """Takes over a grant of a former broker."""
-        self.queues.remove(running.work.request)
-        self._hold(running)
-
-    def drop_unconfirmed(self, now: float) -> Iterator[Command]:
-        """Takes back slots, and forgets requests, that their VM has not named for a while."""
-        running = tuple(self.running_by_grant.values())
-        for stale in (r for r in running if now - r.confirmed_at > GRANT_UNCONFIRMED_S):
-            self._drop(stale)
-        waiting = tuple(self.queues.by_request.values())
-        for work in (w for w in waiting if now - w.asked_at > ASK_UNREPEATED_S):
-            self.queues.remove(work.request)
+    def adopt_grant(self, grant: ActiveGrant) -> None:
+        """Registers a grant that a previous broker issued."""
+        self.queues.remove(grant.request.request_id)
+        self._add_grant(grant)
+
+    def expire_unconfirmed(self, now: float) -> Iterator[BrokerCommand]:
+        """Drops grants and queued requests that their VM stopped reporting."""
+        grants = tuple(self.grants_by_id.values())
+        for stale in (g for g in grants if now - g.confirmed_at > GRANT_UNCONFIRMED_S):
+            self._remove_grant(stale)
+        waiting = tuple(self.queues.requests_by_id.values())
+        for request in (r for r in waiting if now - r.last_asked_at > ASK_UNREPEATED_S):
+            self.queues.remove(request.request_id)
         yield from self.schedule(now)
 
-    def tick(self, now: float) -> Iterator[Command]:
-        """Does what time alone brings: expires impatient work and judges endpoints."""
-        for work in self.queues.expired(now):
-            self.queues.remove(work.request)
-            yield self._shed(work, "waited_too_long", 1.0, now)
-        if self.policy.judge_health:
-            yield from self._judge_health(now)
+    def tick(self, now: float) -> Iterator[BrokerCommand]:
+        """Refuses expired requests, detects slow endpoints and schedules."""
+        for request in self.queues.expired(now):
+            self.queues.remove(request.request_id)
+            yield self._shed(request, "waited_too_long", 1.0, now)
+        if self.policy.detect_slow_endpoints:
+            yield from self._preempt_on_slow_endpoints(now)
         yield from self.schedule(now)
 
-    def _judge_health(self, now: float) -> Iterator[Preempt]:
-        slowed = [name for name, slow in self.health.judge(now) if slow]
-        for running in tuple(self.running_by_grant.values()) if slowed else ():
-            if running.endpoint in slowed and self._may_preempt(running):
-                yield self._take_back(running, "slow_endpoint")
-
-    def _take_back(self, running: Running, reason: str) -> Preempt:
-        running.preempting = True
-        self.chooser.release(running)
-        return Preempt(running, reason)
-
-    def schedule(self, now: float) -> Iterator[Command]:
-        """Gives out free slots and preempts for higher tiers.
-
-        A broker that is still learning what runs is ``paused`` and gives nothing out.
-        """
-        self.order.earn_shares(self.chooser.total_slots, now)
-        if self.paused or not self.queues.by_request:
+    def _preempt_on_slow_endpoints(self, now: float) -> Iterator[PreemptGrant]:
+        slow = [name for name, is_slow in self.health.update_slow_endpoints(now) if is_slow]
+        for grant in tuple(self.grants_by_id.values()) if slow else ():
+            if grant.endpoint in slow and self._is_preemptible(grant):
+                yield self._start_preemption(grant, "slow_endpoint")
+
+    def _start_preemption(self, grant: ActiveGrant, reason: str) -> PreemptGrant:
+        grant.preempting = True
+        self.selector.mark_preempting(grant)
+        return PreemptGrant(grant, reason)
+
+    def schedule(self, now: float) -> Iterator[BrokerCommand]:
+        """Grants free slots and preempts, unless ``paused`` while running grants are collected."""
+        self.scheduler.accrue_share_credit(self.selector.total_slots, now)
+        if self.paused or not self.queues.requests_by_id:
             return
-        while (choice := self._choose(now)) is not None:
-            work, endpoint, from_share = choice
-            yield self._grant(work, endpoint.name, from_share, now)
-        if self.policy.preempt:
-            yield from self._preempt(now)
-
-    def _choose(self, now: float) -> tuple[Waiting, EndpointRow, bool] | None:
-        """Returns (work, endpoint, from_share) for the next grant, or None."""
-        lowest_tier = self.order.lowest_waiting_tier()
-        for class_name, from_share in self.order.rank_classes(now, self._is_contended()):
-            if self.chooser.is_full() and not self.queues.has_suspects():
+        while (placement := self._next_placement(now)) is not None:
+            request, endpoint, from_share = placement
+            yield self._issue_grant(request, endpoint.name, from_share, now)
+        if self.policy.allow_preemption:
+            yield from self._preempt_for_higher_tiers(now)
+
+    def _next_placement(self, now: float) -> tuple[QueuedRequest, EndpointRow, bool] | None:
+        """Returns (request, endpoint, from_share) for the next grant, or None."""
+        lowest_tier = self.scheduler.lowest_waiting_tier()
+        for class_name, from_share in self.scheduler.rank_classes(now, self._is_contended()):
+            if self.selector.is_full() and not self.queues.has_isolated():
                 return None
-            lowest = self.order.tier(class_name) == lowest_tier
-            for work in self._candidates(class_name, now):
-                endpoint = self.chooser.choose(work, lowest, now)
+            in_lowest_tier = self.scheduler.tier(class_name) == lowest_tier
+            for request in self._candidates(class_name, now):
+                endpoint = self.selector.select(request, in_lowest_tier, now)
                 if endpoint is not None:
-                    return work, endpoint, from_share
+                    return request, endpoint, from_share
         return None
 
-    def _candidates(self, class_name: str, now: float) -> Iterator[Waiting]:
-        """Yields the next request, and after a suspect that must wait the next innocent one."""
-        work = self._pick(class_name, now)
-        if work is None:
+    def _candidates(self, class_name: str, now: float) -> Iterator[QueuedRequest]:
+        """Yields the next request; if that one needs isolation, also the next that does not."""
+        request = self._pick_next(class_name, now)
+        if request is None:
             return
-        yield work
-        if work.suspicion:
-            innocent = self._pick(class_name, now, skip_suspects=True)
-            if innocent is not None:
-                yield innocent
+        yield request
+        if request.isolation_level:
+            ordinary = self._pick_next(class_name, now, skip_isolated=True)
+            if ordinary is not None:
+                yield ordinary
 
     def _is_contended(self) -> bool:
-        """While there is a slot for everybody, nobody needs its guaranteed share."""
-        free = self.chooser.total_slots - len(self.running_by_grant)
-        return len(self.queues.by_request) > free
-
-    def _pick(self, class_name: str, now: float, skip_suspects=False) -> Waiting | None:
-        late_before = self.order.late_before(class_name, now)
-        return self.queues.pick(
-            class_name, lambda m: self._member_order(m, now), late_before, skip_suspects
+        """Guaranteed shares apply only when more requests wait than slots are free."""
+        free = self.selector.total_slots - len(self.grants_by_id)
+        return len(self.queues.requests_by_id) > free
+
+    def _pick_next(self, class_name: str, now: float, skip_isolated=False) -> QueuedRequest | None:
+        on_time_since = self.scheduler.on_time_since(class_name, now)
+        return self.queues.next_request(
+            class_name, lambda m: self._member_priority(m, now), on_time_since, skip_isolated
         )
 
-    def _member_order(self, name: str, now: float) -> float:
-        """Returns what a member has in use over its weight; infinity at its limit."""
-        in_use = self.in_use_by_member.get(name, 0)
-        row = self.table.members_by_name.get(name)
+    def _member_priority(self, member: str, now: float) -> float:
+        """Returns used slots over weight, lowest first; infinity at the member's limit."""
+        in_use = self.used_slots_by_member.get(member, 0)
+        row = self.table.members_by_name.get(member)
         if row is None:
             return float(in_use)
-        if row.limit and in_use >= self.limit_of(row, now):
+        if row.limit and in_use >= self.member_limit(row, now):
             return math.inf
         return in_use / row.weight
 
-    def _grant(self, work: Waiting, endpoint: str, from_share: bool, now: float) -> Grant:
-        self.queues.remove(work.request)
-        self._next_grant += 1
-        grant = f"{self.tag}{self._next_grant:x}"
-        running = Running(grant, work, endpoint, now, now, from_share)
-        self._hold(running)
+    def _issue_grant(
+        self, request: QueuedRequest, endpoint: str, from_share: bool, now: float
+    ) -> GrantSlot:
+        self.queues.remove(request.request_id)
+        self._last_grant_number += 1
+        grant_id = f"{self.grant_id_prefix}{self._last_grant_number:x}"
+        grant = ActiveGrant(grant_id, request, endpoint, now, now, from_share)
+        self._add_grant(grant)
         if from_share:
-            self.order.spend_share(work.class_name)
-        return self._describe(running)
-
-    def _describe(self, running: Running) -> Grant:
-        load = self.order.load(running.work.class_name)
-        return Grant(running, load.first_s.value, load.between_s.value)
-
-    def _hold(self, running: Running) -> None:
-        self.running_by_grant[running.grant] = running
-        self.grants_by_request[running.work.request] = running.grant
-        member = running.work.member
-        self.in_use_by_member[member] = self.in_use_by_member.get(member, 0) + 1
-        peers = self.running_by_class.setdefault(running.work.class_name, [])
-        insort(peers, running, key=by_arrival)
-        self.chooser.add(running)
-
-    def _preempt(self, now: float) -> Iterator[Command]:
-        """Puts higher tiers in the place of lower ones, the lowest tier and youngest request first.
-
-        The place is granted together with the preemption: the engine runs by priority, so the
-        newcomer starts as soon as the victim's connection closes.
-        """
-        for class_name in sorted(self.queues.classes(), key=self.order.tier):
-            if self.order.is_late(class_name, now):
+            self.scheduler.spend_share_credit(request.class_name)
+        return self._grant_command(grant)
+
+    def _grant_command(self, grant: ActiveGrant) -> GrantSlot:
+        stats = self.scheduler.stats(grant.request.class_name)
+        return GrantSlot(grant, stats.first_token_s.value, stats.between_tokens_s.value)
+
+    def _add_grant(self, grant: ActiveGrant) -> None:
+        self.grants_by_id[grant.grant_id] = grant
+        self.grant_id_by_request[grant.request.request_id] = grant.grant_id
+        member = grant.request.member
+        self.used_slots_by_member[member] = self.used_slots_by_member.get(member, 0) + 1
+        peers = self.grants_by_class.setdefault(grant.request.class_name, [])
+        insort(peers, grant, key=arrival_key)
+        self.selector.add(grant)
+
+    def _preempt_for_higher_tiers(self, now: float) -> Iterator[BrokerCommand]:
+        """Preempts lower tiers for higher ones: first the lowest tier, there the latest arrival."""
+        # The slot is granted at once: the engine runs requests by priority, so the new one starts
+        # as soon as the connection of the preempted one closes.
+        for class_name in sorted(self.queues.waiting_classes(), key=self.scheduler.tier):
+            if self.scheduler.is_deferred(class_name, now):
                 continue
-            while (work := self._pick(class_name, now, skip_suspects=True)) is not None:
-                victim = self._victim(work, now) if self._is_urgent(work, now) else None
+            while (request := self._pick_next(class_name, now, skip_isolated=True)) is not None:
+                victim = self._victim_for(request, now) if self._may_preempt(request, now) else None
                 if victim is None:
                     break
-                yield self._take_back(victim, "higher_tier_waits")
-                yield self._grant(work, victim.endpoint, False, now)
+                yield self._start_preemption(victim, "higher_tier_waits")
+                yield self._issue_grant(request, victim.endpoint, False, now)
 
-    def _is_urgent(self, work: Waiting, now: float) -> bool:
-        """Tells whether work may preempt: at once in the highest tier, else after a short wait."""
-        row = self.order.row(work.class_name)
-        if work.resumed or row.tier <= self.order.highest_tier:
+    def _may_preempt(self, request: QueuedRequest, now: float) -> bool:
+        """The highest tier and resumed requests preempt at once, others after a short wait."""
+        row = self.scheduler.class_row(request.class_name)
+        if request.resumed or row.tier <= self.scheduler.highest_tier:
             return True
-        return now - work.arrived_at >= PREEMPT_AFTER_SHARE * row.first_token_ms / 1000
+        return now - request.arrived_at >= PREEMPT_AFTER_SHARE * row.first_token_ms / 1000
 
-    def _victim(self, work: Waiting, now: float) -> Running | None:
-        """Returns the grant to end for ``work``: the youngest request of the lowest tier."""
-        tier = self.order.tier(work.class_name)
-        for class_name in sorted(self.running_by_class, key=self.order.tier, reverse=True):
-            if self.order.tier(class_name) <= tier:
+    def _victim_for(self, request: QueuedRequest, now: float) -> ActiveGrant | None:
+        """Returns the grant to preempt: the latest arrival in the lowest tier, or None."""
+        tier = self.scheduler.tier(request.class_name)
+        for class_name in sorted(self.grants_by_class, key=self.scheduler.tier, reverse=True):
+            if self.scheduler.tier(class_name) <= tier:
                 return None
-            for running in reversed(self.running_by_class[class_name]):
-                if self._may_replace(running, work, now):
-                    return running
+            for grant in reversed(self.grants_by_class[class_name]):
+                if self._can_replace(grant, request, now):
+                    return grant
         return None
 
-    def _may_replace(self, running: Running, work: Waiting, now: float) -> bool:
-        if running.from_share or not self._may_preempt(running):
+    def _can_replace(self, grant: ActiveGrant, request: QueuedRequest, now: float) -> bool:
+        if grant.from_guaranteed_share or not self._is_preemptible(grant):
             return False
-        return self.chooser.may_replace(running.endpoint, work, now)
+        return self.selector.can_replace_on(grant.endpoint, request, now)
 
-    def _may_preempt(self, running: Running) -> bool:
-        if running.preempting or not running.work.resumable:
+    def _is_preemptible(self, grant: ActiveGrant) -> bool:
+        if grant.preempting or not grant.request.resumable:
             return False
-        return running.work.preemptions < PREEMPTIONS_PER_REQUEST
+        return grant.request.preemptions < PREEMPTIONS_PER_REQUEST
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -11,7 +11,7 @@
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.retry_budget import RetryBudget
-from bluebellpitch.decisions.strikes import StrikeBook
+from bluebellpitch.decisions.strikes import StrikeTracker
 from bluebellpitch.endpoints.links import Links
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
 from bluebellpitch.jobs import start_jobs, stop_jobs
@@ -77,7 +77,7 @@
         self.metrics = Metrics()
         self._metrics_port = metrics_port
         self.strikes = StrikeReplicator(
-            StrikeBook(ROUTED_STRIKE_TTL_S),
+            StrikeTracker(ROUTED_STRIKE_TTL_S),
             peers=lambda: [a for a in self._all_addresses() if a != settings.bus],
             send=lambda address, message: self.bus.send_to_address(address, message),
             now=now,
