Name the caller modules after what they contain

Moved modules: bluebellpitch/callers/answers.py bluebellpitch/callers/responses.py bluebellpitch/callers/exchange.py bluebellpitch/callers/request_handler.py bluebellpitch/callers/whole.py bluebellpitch/callers/completion_bodies.py bluebellpitch/callers/routed.py bluebellpitch/callers/routed_requests.py tests/test_routed.py tests/test_routed_requests.py

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -3,10 +3,10 @@
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
-from bluebellpitch.callers import answers
-from bluebellpitch.callers.exchange import Exchange
+from bluebellpitch.callers import responses
+from bluebellpitch.callers.completion_bodies import assemble
+from bluebellpitch.callers.request_handler import Exchange
 from bluebellpitch.callers.requests import CompletionJob
-from bluebellpitch.callers.whole import assemble
 from bluebellpitch.constants import (
     ATTEMPTS_PER_REQUEST,
     FIRST_TOKEN_PATIENCE,
@@ -262,9 +262,9 @@
             verdict = MayHaveRun(reason, status, retry_after_s)
         self.record(Kind.REFUSED, detail=f"{reason} {verdict.name}")
         if not self.started:
-            await answers.answer_verdict(self.connection, verdict, self.caller.request_id)
+            await responses.answer_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
-        error = answers.describe_verdict(verdict, self.caller.request_id)
+        error = responses.describe_verdict(verdict, self.caller.request_id)
         await self.connection.send(b"data: " + error + b"\n\n")
         await self.connection.end()
         return verdict
--- a/bluebellpitch/callers/exchange.py
+++ b/bluebellpitch/callers/request_handler.py
@@ -1,6 +1,6 @@
 """What all exchanges with a caller share: slots, events and headers."""
 
-from bluebellpitch.callers import answers
+from bluebellpitch.callers import responses
 from bluebellpitch.context import NodeContext
 from bluebellpitch.events import Kind
 from bluebellpitch.http1 import ServerConnection
@@ -52,8 +52,8 @@
     def own_headers(self, verdict: str) -> list[tuple[str, str]]:
         """Returns the headers that every answer bears."""
         return [
-            (answers.REQUEST_ID_HEADER, self.caller.request_id),
-            (answers.VERDICT_HEADER, verdict),
-            (answers.VM_HEADER, self.context.settings.vm),
-            (answers.ENDPOINT_HEADER, self.endpoint),
+            (responses.REQUEST_ID_HEADER, self.caller.request_id),
+            (responses.VERDICT_HEADER, verdict),
+            (responses.VM_HEADER, self.context.settings.vm),
+            (responses.ENDPOINT_HEADER, self.endpoint),
         ]
--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from bluebellpitch.callers.admission import Admitted, admit, make_work
-from bluebellpitch.callers.answers import describe_verdict
+from bluebellpitch.callers.responses import describe_verdict
 from bluebellpitch.decisions.catalogue import Catalogue, Repeatability, Route
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.hashing import digest_text
--- a/bluebellpitch/callers/server.py
+++ b/bluebellpitch/callers/server.py
@@ -1,6 +1,6 @@
 """The listener for callers: routes each request and counts how it ended."""
 
-from bluebellpitch.callers import answers
+from bluebellpitch.callers import responses
 from bluebellpitch.callers.completions import CompletionExchange
 from bluebellpitch.callers.requests import (
     COMPLETION_TARGETS,
@@ -22,7 +22,7 @@
 
     def __init__(self, context: NodeContext):
         self._context = context
-        self.http = HttpServer(self._handle, answers.answer_bad_request, context.settings.http)
+        self.http = HttpServer(self._handle, responses.answer_bad_request, context.settings.http)
 
     async def _handle(self, connection: ServerConnection, request: HttpRequest) -> None:
         self._context.metrics.in_flight.inc()
@@ -31,7 +31,7 @@
         except BadRequestError as error:
             self._context.metrics.requests.labels("", DidNotRun.name).inc()
             self._context.metrics.refusals.labels("", error.reason).inc()
-            await answers.answer_bad_request(connection, error, "none")
+            await responses.answer_bad_request(connection, error, "none")
         finally:
             self._context.metrics.in_flight.dec()
 
@@ -77,4 +77,4 @@
         find_member(request, table)
         models = sorted(p.name for p in table.pools_by_name.values() if p.kind == "model")
         data = [{"id": name, "object": "model", "created": 0, "owned_by": ""} for name in models]
-        await answers.answer_json(connection, {"object": "list", "data": data})
+        await responses.answer_json(connection, {"object": "list", "data": data})
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -2,8 +2,8 @@
 
 from uuid import uuid4
 
-from bluebellpitch.callers import answers
-from bluebellpitch.callers.exchange import Exchange
+from bluebellpitch.callers import responses
+from bluebellpitch.callers.request_handler import Exchange
 from bluebellpitch.callers.requests import ServiceJob, forwarded_headers
 from bluebellpitch.constants import ATTEMPTS_PER_REQUEST, OUTCOME_BODY_MAX_BYTES
 from bluebellpitch.context import NodeContext
@@ -40,7 +40,7 @@
                 return await self._replay(outcome)
             case verdict:
                 self.record(Kind.REFUSED, self.endpoint, f"{verdict.reason} {verdict.name}")
-                await answers.answer_verdict(self.connection, verdict, self.caller.request_id)
+                await responses.answer_verdict(self.connection, verdict, self.caller.request_id)
                 return verdict
 
     async def _try_until_settled(self) -> Result:
@@ -146,11 +146,11 @@
         """Answers a repeated key with what is known of its one run."""
         if outcome.verdict == MayHaveRun.name:
             verdict = MayHaveRun("unresolved", 409)
-            await answers.answer_verdict(self.connection, verdict, self.caller.request_id)
+            await responses.answer_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
         self.record(Kind.COMPLETED, detail="replayed")
         headers = [("Content-Type", outcome.content_type or "application/octet-stream")]
-        headers += [*self.own_headers(Ran.name), (answers.REPLAYED_HEADER, "true")]
+        headers += [*self.own_headers(Ran.name), (responses.REPLAYED_HEADER, "true")]
         if not outcome.answer_kept:
             headers.append(("X-Bluebellpitch-Answer-Kept", "false"))
         await self.connection.respond(outcome.status, headers, outcome.answer)
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from uuid import uuid4
 
-from bluebellpitch.callers.routed import RoutedExchange, RoutingContext, refuse_malformed
+from bluebellpitch.callers.routed_requests import RoutedExchange, RoutingContext, refuse_malformed
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.decisions.directory import Directory
 from bluebellpitch.decisions.freshness import Freshness
