Rename what the caller package offers to other packages

Handlers, senders of responses and parsers are named by what they do; the retry budget, the connections and the counter of live VMs carry the usual terms in the routing context.

bluebellpitch/callers/routed_requests.py RoutedExchange RoutedRequestHandler bluebellpitch/callers/routed_requests.py refuse_malformed refuse_malformed_request bluebellpitch/callers/routed_requests.py RoutingContext.links connections bluebellpitch/callers/routed_requests.py RoutingContext.repeats retry_budget bluebellpitch/callers/routed_requests.py RoutingContext.live_vms count_live_vms bluebellpitch/callers/responses.py answer_bad_request send_bad_request bluebellpitch/callers/responses.py answer_json send_json bluebellpitch/callers/requests.py parse_completion parse_completion_request bluebellpitch/callers/requests.py parse_service parse_service_request

--- a/bluebellpitch/callers/requests.py
+++ b/bluebellpitch/callers/requests.py
@@ -113,7 +113,7 @@
     return min(deadline_s, row.max_wait_ms / 1000)
 
 
-def parse_completion(request: HttpRequest, table: Table, now: float) -> CompletionJob:
+def parse_completion_request(request: HttpRequest, table: Table, now: float) -> CompletionJob:
     """Returns the job; raises BadRequestError."""
     caller = identify_caller(request, table, now)
     fields, typed = decode_fields(request.body)
@@ -141,7 +141,9 @@
         raise BadRequestError(400, "bad_json", f"the body is not a request: {error}") from error
 
 
-def parse_service(request: HttpRequest, table: Table, now: float, wall: float) -> ServiceJob:
+def parse_service_request(
+    request: HttpRequest, table: Table, now: float, wall: float
+) -> ServiceJob:
     """Returns the job; ``wall`` is in Unix seconds. Raises BadRequestError."""
     caller = identify_caller(request, table, now)
     name, _, rest = request.target.removeprefix(SERVICE_PREFIX).partition("/")
--- a/bluebellpitch/callers/responses.py
+++ b/bluebellpitch/callers/responses.py
@@ -60,7 +60,7 @@
     await connection.respond(verdict.status, verdict_headers(verdict, request_id), body)
 
 
-async def answer_bad_request(
+async def send_bad_request(
     connection: ServerConnection, error: BadRequestError, request_id: str = ""
 ) -> None:
     """Sends the refusal of a bad request."""
@@ -73,7 +73,7 @@
     )
 
 
-async def answer_json(connection: ServerConnection, value: object, status: int = 200) -> None:
+async def send_json(connection: ServerConnection, value: object, status: int = 200) -> None:
     """Sends a value as JSON."""
     headers = [("Content-Type", "application/json")]
     await connection.respond(status, headers, msgspec.json.encode(value))
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -47,9 +47,9 @@
     catalogue: Callable[[], Catalogue | None]
     freshness: Freshness
     placing: PlacingRole
-    links: Links
-    repeats: RepeatBudget
-    live_vms: Callable[[], int]
+    connections: Links
+    retry_budget: RepeatBudget
+    count_live_vms: Callable[[], int]
     is_draining: Callable[[], bool]
     is_closing: Callable[[], bool]
     strikes: StrikeRole
@@ -57,7 +57,7 @@
     now: Callable[[], float]
 
 
-class RoutedExchange:
+class RoutedRequestHandler:
     """Serves one request. Owned by the caller's task."""
 
     def __init__(self, context: RoutingContext, connection: ServerConnection):
@@ -97,7 +97,7 @@
             verdict = DidNotRun("shutting_down", 503, 0.1)
         else:
             self._route = admitted.route.name
-            context.repeats.note_request(admitted.pool, now)
+            context.retry_budget.note_request(admitted.pool, now)
             verdict = await self._dispatch_unless_harmful(admitted)
         await self._finish(request, verdict, now)
 
@@ -192,7 +192,7 @@
         context, now = self._context, self._context.now()
         if now >= admitted.expires_at - (REPEAT_WORTH_S if sent else 0):
             return DidNotRun("no_time", 503, NO_ENDPOINT_RETRY_S)
-        if sent and not context.repeats.spend(admitted.pool, context.live_vms(), now):
+        if sent and not context.retry_budget.spend(admitted.pool, context.count_live_vms(), now):
             log("INFO", "repeat_budget_spent", request=admitted.request.id)
             return DidNotRun("repeat_budget_spent", 503, NO_ENDPOINT_RETRY_S)
         return None
@@ -227,7 +227,7 @@
     async def _attempt(self, admitted: Admitted, place: Place) -> Verdict:
         """Sends the request to one endpoint and passes its answer on."""
         context = self._context
-        attempt = Attempt(context.links, place.entry, admitted.request, context.now)
+        attempt = Attempt(context.connections, place.entry, admitted.request, context.now)
         last_event = admitted.request.last_event if self._last_event is None else self._last_event
         forwarding = Forwarding(
             endpoint_id=place.entry.id,
@@ -273,7 +273,7 @@
 
     def _can_repeat(self, admitted: Admitted) -> bool:
         context, now = self._context, self._context.now()
-        left = context.repeats.left(admitted.pool, context.live_vms(), now)
+        left = context.retry_budget.left(admitted.pool, context.count_live_vms(), now)
         return (
             len(self._tried) < admitted.route.max_attempts
             and left >= 1
@@ -333,7 +333,7 @@
             return "failed" if status >= 500 else "ok"
 
 
-async def refuse_malformed(connection: ServerConnection, error: BadRequestError) -> None:
+async def refuse_malformed_request(connection: ServerConnection, error: BadRequestError) -> None:
     """Answers what is no request, and closes the connection."""
     verdict = DidNotRun(error.reason, error.status)
     headers = [*refusal_headers(None), ("Connection", "close")]
--- a/bluebellpitch/callers/server.py
+++ b/bluebellpitch/callers/server.py
@@ -6,8 +6,8 @@
     COMPLETION_TARGETS,
     SERVICE_PREFIX,
     find_member,
-    parse_completion,
-    parse_service,
+    parse_completion_request,
+    parse_service_request,
 )
 from bluebellpitch.callers.services import ServiceExchange
 from bluebellpitch.context import NodeContext
@@ -22,7 +22,7 @@
 
     def __init__(self, context: NodeContext):
         self._context = context
-        self.http = HttpServer(self._handle, responses.answer_bad_request, context.settings.http)
+        self.http = HttpServer(self._handle, responses.send_bad_request, context.settings.http)
 
     async def _handle(self, connection: ServerConnection, request: HttpRequest) -> None:
         self._context.metrics.in_flight.inc()
@@ -31,7 +31,7 @@
         except BadRequestError as error:
             self._context.metrics.requests.labels("", DidNotRun.name).inc()
             self._context.metrics.refusals.labels("", error.reason).inc()
-            await responses.answer_bad_request(connection, error, "none")
+            await responses.send_bad_request(connection, error, "none")
         finally:
             self._context.metrics.in_flight.dec()
 
@@ -47,13 +47,13 @@
             raise BadRequestError(404, "no_such_path", f"there is no {request.method} {target}")
 
     async def _complete(self, connection: ServerConnection, request: HttpRequest) -> None:
-        job = parse_completion(request, self._context.table, self._context.now())
+        job = parse_completion_request(request, self._context.table, self._context.now())
         verdict = await CompletionExchange(self._context, connection, job).run()
         self._count(job.caller, verdict)
 
     async def _call(self, connection: ServerConnection, request: HttpRequest) -> None:
         context = self._context
-        job = parse_service(request, context.table, context.now(), context.wall())
+        job = parse_service_request(request, context.table, context.now(), context.wall())
         verdict = await ServiceExchange(context, connection, job).run()
         self._count(job.caller, verdict)
 
@@ -77,4 +77,4 @@
         find_member(request, table)
         models = sorted(p.name for p in table.pools_by_name.values() if p.kind == "model")
         data = [{"id": name, "object": "model", "created": 0, "owned_by": ""} for name in models]
-        await responses.answer_json(connection, {"object": "list", "data": data})
+        await responses.send_json(connection, {"object": "list", "data": data})
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable, Coroutine
 from uuid import uuid4
 
-from bluebellpitch.callers.routed_requests import RoutedExchange, RoutingContext, refuse_malformed
+from bluebellpitch.callers.routed_requests import (
+    RoutedRequestHandler,
+    RoutingContext,
+    refuse_malformed_request,
+)
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.decisions.directory import Directory
 from bluebellpitch.decisions.freshness import Freshness
@@ -136,20 +140,20 @@
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
             placing=self.placing,
-            links=self.links,
-            repeats=RepeatBudget(
+            connections=self.links,
+            retry_budget=RepeatBudget(
                 settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
             ),
-            live_vms=self.neighbours.count,
+            count_live_vms=self.neighbours.count,
             is_draining=self.draining.is_set,
             is_closing=lambda: self._closing,
             strikes=self.strikes,
             metrics=self.metrics,
             now=now,
         )
-        self.metrics_http = HttpServer(self._answer_metrics, refuse_malformed, HttpLimits())
-        self.http = HttpServer(self._serve, refuse_malformed, HttpLimits(idle_s=16.0))
-        self.ready_http = HttpServer(self._answer_ready, refuse_malformed, HttpLimits())
+        self.metrics_http = HttpServer(self._answer_metrics, refuse_malformed_request, HttpLimits())
+        self.http = HttpServer(self._serve, refuse_malformed_request, HttpLimits(idle_s=16.0))
+        self.ready_http = HttpServer(self._answer_ready, refuse_malformed_request, HttpLimits())
 
     def _follow(self, topic: str, wait_s: float) -> TopicFollower:
         return TopicFollower(
@@ -190,7 +194,7 @@
         return [record.bus for record in self.neighbours.records_by_vm.values()]
 
     async def _serve(self, connection, request) -> None:
-        await RoutedExchange(self.context, connection).serve(request)
+        await RoutedRequestHandler(self.context, connection).serve(request)
 
     async def _answer_ready(self, connection, request) -> None:
         status = 200 if self.is_ready() else 503
@@ -205,7 +209,7 @@
         metrics.in_flight.set(self.http.busy)
         catalogue = self.configuration.catalogue
         for pool in catalogue.pools_by_name if catalogue else ():
-            left = context.repeats.left(pool, self.neighbours.count(), now)
+            left = context.retry_budget.left(pool, self.neighbours.count(), now)
             metrics.repeats_left.labels(pool).set(left)
         headers = [("Content-Type", "text/plain; version=0.0.4")]
         await connection.respond(200, headers, metrics.render())
--- a/bluebellpitch/operators/admin.py
+++ b/bluebellpitch/operators/admin.py
@@ -39,7 +39,7 @@
         self._metrics = metrics
         self._describe = describe
         self._is_ready = is_ready
-        self.http = HttpServer(self._handle, responses.answer_bad_request, HttpLimits())
+        self.http = HttpServer(self._handle, responses.send_bad_request, HttpLimits())
 
     async def _handle(self, connection: ServerConnection, request: HttpRequest) -> None:
         path, _, query = request.target.partition("?")
@@ -53,12 +53,12 @@
             case "/metrics":
                 await connection.respond(200, TEXT, self._metrics.render())
             case "/status":
-                await responses.answer_json(connection, self._describe())
+                await responses.send_json(connection, self._describe())
             case "/events":
-                await responses.answer_json(connection, self._page(query))
+                await responses.send_json(connection, self._page(query))
             case _:
                 error = BadRequestError(404, "no_such_path", f"there is no {path}")
-                await responses.answer_bad_request(connection, error, "none")
+                await responses.send_bad_request(connection, error, "none")
 
     def _page(self, query: str) -> EventPage:
         text = parse_qs(query).get("since", ["0"])[0]
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -8,7 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from bluebellpitch.callers.requests import parse_completion, parse_service
+from bluebellpitch.callers.requests import parse_completion_request, parse_service_request
 from bluebellpitch.decisions.claims import ClaimsFold
 from bluebellpitch.decisions.control import ControlFold
 from bluebellpitch.decisions.rows import MemberRow, PoolRow, Table, VersionedRow, key_of
@@ -63,7 +63,7 @@
 def test_completions(body, headers):
     for target in ("/v1/completions", "/v1/chat/completions"):
         try:
-            parse_completion(request(body, headers, target), TABLE, 0.0)
+            parse_completion_request(request(body, headers, target), TABLE, 0.0)
         except BadRequestError as error:
             assert 400 <= error.status < 500
 
@@ -73,7 +73,7 @@
 def test_services(rest, headers):
     for prefix in ("/services/", "/services/filing/"):
         try:
-            parse_service(request(b"", headers, prefix + rest), TABLE, 0.0, 1e9)
+            parse_service_request(request(b"", headers, prefix + rest), TABLE, 0.0, 1e9)
         except BadRequestError as error:
             assert 400 <= error.status < 500
 
