Reword the admission and handling of routed requests

Comments, docstrings and errors in plain terms; private names follow: attempts, retries, connect failures, responses and deadlines. Only names inside the package change.

The tests of routed requests are renamed and reworded; what they check is unchanged. The mutants of routed requests follow two renamed names.

--- a/bluebellpitch/callers/__init__.py
+++ b/bluebellpitch/callers/__init__.py
@@ -1,1 +1,1 @@
-"""Callers: their requests, and the answers they get."""
+"""Serving callers: HTTP listeners, request handlers, admission and responses."""
--- a/bluebellpitch/callers/admission.py
+++ b/bluebellpitch/callers/admission.py
@@ -1,4 +1,4 @@
-"""What the configuration says of a request: its route, member and pool, or why it is refused."""
+"""Looks up the route, member and pool of a request, or the reason to refuse it."""
 
 import random
 from dataclasses import dataclass
@@ -9,69 +9,72 @@
 from bluebellpitch.platform.requests import RoutedRequest
 from bluebellpitch.verdicts import DidNotRun
 
-UNKNOWN_STATE_RETRY_S = 0.5
-# Stands in for the gap target of a route that has none.
-NO_GAP_TARGET_S = 60.0
+CONFIGURATION_RETRY_AFTER_S = 0.5
+# Gap between events to aim at on routes that set no target.
+DEFAULT_GAP_TARGET_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
-class Admitted:
-    """A request with what the configuration says of it. ``expires_at`` ends its time."""
+class AdmittedRequest:
+    """A request with its route, pool and member. ``expires_at`` is its deadline."""
 
     request: RoutedRequest
     route: Route
     pool: str
-    is_engine: bool
+    is_engine_pool: bool
     member: MemberRow | None
     arrived_at: float
     expires_at: float
 
     @property
     def rank(self) -> int:
-        """The rank in force: the member's goes before the route's."""
+        """The member's rank if it has one, else the route's."""
         if self.member is not None and self.member.rank is not None:
             return self.member.rank
         return self.route.rank
 
     @property
-    def may_repeat(self) -> bool:
-        """Tells whether the request may run again after it may have run."""
+    def is_retryable(self) -> bool:
+        """Whether the request may be sent again after it may have run."""
         return self.route.repeatability is not Repeatability.ONCE
 
 
-def admit(
+def admit_request(
     request: RoutedRequest, catalogue: Catalogue | None, freshness: Freshness, now: float
-) -> Admitted | DidNotRun:
-    """Finds the route and the member of a request, or tells why it is refused."""
+) -> AdmittedRequest | DidNotRun:
+    """Looks up the route and the member of a request, or returns the reason to refuse it."""
     if catalogue is None:
-        return DidNotRun("no_configuration", 503, UNKNOWN_STATE_RETRY_S)
+        return DidNotRun("no_configuration", 503, CONFIGURATION_RETRY_AFTER_S)
     may_deny = freshness.allows_denial(now)
     route = catalogue.match(request.host, request.path)
     if route is None:
-        return deny(404, "no_such_route", may_deny)
+        return refuse_unknown(404, "no_such_route", may_deny)
     member = None
     if catalogue.has_members and not route.is_public:
         if not freshness.allows_keys(now):
-            return DidNotRun("configuration_not_fresh", 503, UNKNOWN_STATE_RETRY_S)
+            return DidNotRun("configuration_not_fresh", 503, CONFIGURATION_RETRY_AFTER_S)
         member = catalogue.members_by_key.get(request.key)
         if member is None:
-            return deny(401, "unknown_key", may_deny)
+            return refuse_unknown(401, "unknown_key", may_deny)
     pool = pick_pool(route, random.random())
     row = catalogue.pools_by_name.get(pool)
-    is_engine = row is not None and row.engine is not None
+    is_engine_pool = row is not None and row.engine is not None
     expires_at = now + min(request.patience_s, route.timeout_s)
-    return Admitted(request, route, pool, is_engine, member, now, expires_at)
+    return AdmittedRequest(request, route, pool, is_engine_pool, member, now, expires_at)
 
 
-def deny(status: int, reason: str, may_deny: bool) -> DidNotRun:
-    """Calls something unknown, or asks the caller to come back while that is not sure."""
+def refuse_unknown(status: int, reason: str, may_deny: bool) -> DidNotRun:
+    """Refuses an unknown route or key.
+
+    While the configuration may be out of date, the refusal asks the caller to retry instead.
+    """
     if may_deny:
         return DidNotRun(reason, status)
-    return DidNotRun(f"{reason}_not_sure", 503, UNKNOWN_STATE_RETRY_S)
+    return DidNotRun(f"{reason}_not_sure", 503, CONFIGURATION_RETRY_AFTER_S)
 
 
-def make_work(admitted: Admitted, attempt: int) -> Work:
-    """Returns what the placing decides on."""
+def make_work(admitted: AdmittedRequest, attempt: int) -> Work:
+    """Returns the description of the request that endpoints are chosen by."""
     prompt = admitted.request.prompt
     return Work(
         id=f"{admitted.request.id}.{attempt}",
@@ -81,7 +84,7 @@
         tokens_out=prompt.tokens_out,
         parts=tuple((part.id, part.tokens) for part in prompt.parts),
         target_s=admitted.route.target_s,
-        gap_s=admitted.route.gap_target_s or NO_GAP_TARGET_S,
+        gap_s=admitted.route.gap_target_s or DEFAULT_GAP_TARGET_S,
         arrived_at=admitted.arrived_at,
         expires_at=admitted.expires_at,
     )
--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -262,9 +262,9 @@
             verdict = MayHaveRun(reason, status, retry_after_s)
         self.record(Kind.REFUSED, detail=f"{reason} {verdict.name}")
         if not self.started:
-            await responses.answer_verdict(self.connection, verdict, self.caller.request_id)
+            await responses.send_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
-        error = responses.describe_verdict(verdict, self.caller.request_id)
+        error = responses.encode_error_body(verdict, self.caller.request_id)
         await self.connection.send(b"data: " + error + b"\n\n")
         await self.connection.end()
         return verdict
--- a/bluebellpitch/callers/responses.py
+++ b/bluebellpitch/callers/responses.py
@@ -1,4 +1,4 @@
-"""Answers to callers that are not a model's or a service's own: errors with a verdict."""
+"""Responses that this system generates itself: refusals with a verdict, and JSON."""
 
 import msgspec
 
@@ -14,7 +14,7 @@
 
 
 class ErrorDetail(msgspec.Struct, frozen=True):
-    """The part that OpenAI clients show."""
+    """The error object of the OpenAI API, which its clients display."""
 
     message: str
     type: str
@@ -30,8 +30,8 @@
     request_id: str
 
 
-def describe_verdict(verdict: DidNotRun | MayHaveRun, request_id: str, message: str = "") -> bytes:
-    """Returns the JSON body that explains a verdict."""
+def encode_error_body(verdict: DidNotRun | MayHaveRun, request_id: str, message: str = "") -> bytes:
+    """Returns the JSON error body for a verdict."""
     text = message or f"{verdict.reason.replace('_', ' ')}; the request {verdict.name}"
     detail = ErrorDetail(text.replace("did_not_run", "did not run"), verdict.name, verdict.reason)
     return msgspec.json.encode(ErrorBody(detail, verdict.name, verdict.reason, request_id))
@@ -49,31 +49,31 @@
     return headers
 
 
-async def answer_verdict(
+async def send_verdict(
     connection: ServerConnection,
     verdict: DidNotRun | MayHaveRun,
     request_id: str,
     message: str = "",
 ) -> None:
-    """Sends a refusal with its verdict."""
-    body = describe_verdict(verdict, request_id, message)
+    """Sends a refusal with the verdict in its headers and body."""
+    body = encode_error_body(verdict, request_id, message)
     await connection.respond(verdict.status, verdict_headers(verdict, request_id), body)
 
 
 async def send_bad_request(
     connection: ServerConnection, error: BadRequestError, request_id: str = ""
 ) -> None:
-    """Sends the refusal of a bad request."""
+    """Refuses a bad request; closes the connection if the request could not be parsed."""
     verdict = DidNotRun(error.reason, error.status)
     headers = verdict_headers(verdict, request_id)
     if not request_id:
         headers.append(("Connection", "close"))
     await connection.respond(
-        error.status, headers, describe_verdict(verdict, request_id, str(error))
+        error.status, headers, encode_error_body(verdict, request_id, str(error))
     )
 
 
 async def send_json(connection: ServerConnection, value: object, status: int = 200) -> None:
-    """Sends a value as JSON."""
+    """Sends a value as a JSON response."""
     headers = [("Content-Type", "application/json")]
     await connection.respond(status, headers, msgspec.json.encode(value))
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -1,11 +1,11 @@
-"""One routed request, from its arrival to its end."""
+"""Handles one request of ``bluebellpitch route``: admission, attempts, retries, response."""
 
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from bluebellpitch.callers.admission import Admitted, admit, make_work
-from bluebellpitch.callers.responses import describe_verdict
+from bluebellpitch.callers.admission import AdmittedRequest, admit_request, make_work
+from bluebellpitch.callers.responses import encode_error_body
 from bluebellpitch.decisions.catalogue import Catalogue, Repeatability, Route
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.hashing import digest_text
@@ -29,20 +29,20 @@
 from bluebellpitch.roles.striking import StrikeRole
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
-# An endpoint's own answer at the deadline is waited for this long.
-LAST_ANSWER_S = 0.06
-# Connections that cannot be made are tried elsewhere this often.
-UNSENT_AT_MOST = 4
-# A repeat needs this much time to be of use.
-REPEAT_WORTH_S = 0.05
-NO_ENDPOINT_RETRY_S = 0.4
-HARMFUL_RETRY_S = 60.0
-CRASH_CHECK_S = 0.05
+# Extra wait after the deadline for a response that the endpoint itself sends at the deadline.
+DEADLINE_RESPONSE_GRACE_S = 0.06
+# Failed connections don't count as attempts, so they have a limit of their own.
+MAX_CONNECT_FAILURES = 4
+# Least remaining time for which a retry is worth sending.
+MIN_RETRY_TIME_S = 0.05
+NO_ENDPOINT_RETRY_AFTER_S = 0.4
+CRASHING_REQUEST_RETRY_AFTER_S = 60.0
+CRASH_PROBE_TIMEOUT_S = 0.05
 
 
 @dataclass(frozen=True)
 class RoutingContext:
-    """What the tasks that serve routed requests are given."""
+    """The shared state and services that request handlers use."""
 
     catalogue: Callable[[], Catalogue | None]
     freshness: Freshness
@@ -58,52 +58,52 @@
 
 
 class RoutedRequestHandler:
-    """Serves one request. Owned by the caller's task."""
+    """Handles one request. Owned by the task of the caller's connection."""
 
     def __init__(self, context: RoutingContext, connection: ServerConnection):
         self._context = context
         self._connection = connection
-        self._started = False
+        self._response_started = False
         self._last_event: int | None = None
         self._tried: list[str] = []
-        self._first_at = 0.0
-        self._last_at = 0.0
+        self._first_event_at = 0.0
+        self._last_event_at = 0.0
         self._longest_gap_s = 0.0
-        self._route = ""
+        self._route_name = ""
         self._fingerprint = ""
 
-    async def serve(self, raw: HttpRequest) -> None:
-        """Answers the request; stops at once when the caller leaves."""
-        request = decode_request(raw)
-        work = asyncio.ensure_future(self._answer(request))
-        gone = asyncio.ensure_future(self._connection.wait_gone())
+    async def serve(self, http_request: HttpRequest) -> None:
+        """Responds to the request; cancels the work as soon as the caller disconnects."""
+        request = decode_request(http_request)
+        task = asyncio.ensure_future(self._handle(request))
+        disconnected = asyncio.ensure_future(self._connection.wait_gone())
         try:
-            await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
-            if not work.done():
+            await asyncio.wait({task, disconnected}, return_when=asyncio.FIRST_COMPLETED)
+            if not task.done():
                 log("INFO", "caller_left", request=request.id, endpoints=",".join(self._tried))
-                raise GoneError("the caller left")
-            work.result()
+                raise GoneError("the caller disconnected")
+            task.result()
         finally:
-            await settle(gone)
-            if not work.done():
-                await settle(work)
+            await settle(disconnected)
+            if not task.done():
+                await settle(task)
 
-    async def _answer(self, request: RoutedRequest) -> None:
+    async def _handle(self, request: RoutedRequest) -> None:
         context, now = self._context, self._context.now()
-        admitted = admit(request, context.catalogue(), context.freshness, now)
+        admitted = admit_request(request, context.catalogue(), context.freshness, now)
         if isinstance(admitted, DidNotRun):
             verdict: Verdict = admitted
         elif context.is_closing():
             verdict = DidNotRun("shutting_down", 503, 0.1)
         else:
-            self._route = admitted.route.name
+            self._route_name = admitted.route.name
             context.retry_budget.note_request(admitted.pool, now)
-            verdict = await self._dispatch_unless_harmful(admitted)
+            verdict = await self._dispatch_unless_crashing(admitted)
         await self._finish(request, verdict, now)
 
     async def _finish(self, request: RoutedRequest, verdict: Verdict, arrived_at: float) -> None:
         took_ms = (self._context.now() - arrived_at) * 1000
-        self._count(verdict, arrived_at)
+        self._record_metrics(verdict, arrived_at)
         log(
             "INFO",
             "ended",
@@ -111,50 +111,50 @@
             verdict=verdict.name,
             reason=verdict.reason,
             status=verdict.status,
-            route=self._route,
+            route=self._route_name,
             endpoints=",".join(self._tried) or "none",
             took_ms=f"{took_ms:.0f}",
-            first_ms=f"{max(0.0, self._first_at - arrived_at) * 1000:.0f}",
+            first_ms=f"{max(0.0, self._first_event_at - arrived_at) * 1000:.0f}",
             gap_ms=f"{self._longest_gap_s * 1000:.0f}",
         )
         if isinstance(verdict, Ran):
             return
-        if self._started:
-            raise GoneError("a started answer cannot be completed")
+        if self._response_started:
+            raise GoneError("a response that has started cannot be completed")
         headers = refusal_headers(verdict.retry_after_s)
-        await self._respond(verdict.status, headers, describe_verdict(verdict, request.id))
+        await self._send_response(verdict.status, headers, encode_error_body(verdict, request.id))
 
-    def _count(self, verdict: Verdict, arrived_at: float) -> None:
+    def _record_metrics(self, verdict: Verdict, arrived_at: float) -> None:
         metrics = self._context.metrics
-        label = metrics.member_label(self._route)
+        label = metrics.member_label(self._route_name)
         metrics.requests.labels(label, verdict.name).inc()
         if isinstance(verdict, DidNotRun):
             metrics.refusals.labels(label, verdict.reason.partition(" ")[0]).inc()
-        if self._first_at:
-            metrics.first_token.labels(label).observe(self._first_at - arrived_at)
+        if self._first_event_at:
+            metrics.first_token.labels(label).observe(self._first_event_at - arrived_at)
 
-    async def _respond(self, status: int, headers, body: bytes) -> None:
-        self._started = True
-        await self._connection.respond(status, self._headers_for_caller(headers), body)
+    async def _send_response(self, status: int, headers, body: bytes) -> None:
+        self._response_started = True
+        await self._connection.respond(status, self._response_headers(headers), body)
 
-    async def _dispatch_unless_harmful(self, admitted: Admitted) -> Verdict:
-        """Refuses a request that has crashed endpoint after endpoint."""
+    async def _dispatch_unless_crashing(self, admitted: AdmittedRequest) -> Verdict:
+        """Refuses a request that has crashed several endpoints; dispatches any other."""
         context, request = self._context, admitted.request
         member = admitted.member.name if admitted.member else ""
         self._fingerprint = digest_text(request.method, request.target, member, request.body)
         strikes = context.strikes.book.count(self._fingerprint, context.now())
         if context.strikes.book.judge(self._fingerprint, context.now()) is Suspicion.REFUSED:
             log("WARNING", "crashes_endpoints", request=request.id, strikes=strikes)
-            return DidNotRun("crashes_endpoints", 503, HARMFUL_RETRY_S)
-        verdict = await self._dispatch(admitted)
+            return DidNotRun("crashes_endpoints", 503, CRASHING_REQUEST_RETRY_AFTER_S)
+        verdict = await self._dispatch_with_retries(admitted)
         if strikes and isinstance(verdict, Ran):
             context.strikes.clear(self._fingerprint)
         return verdict
 
-    async def _note_crash(self, place: Place, request: RoutedRequest) -> None:
-        """Notes a strike if the endpoint under a broken request has really gone down."""
+    async def _report_crash(self, place: Place, request: RoutedRequest) -> None:
+        """Records a strike if the endpoint is down after a failed attempt: no connection opens."""
         try:
-            connection = await ClientConnection.open(place.entry.address, CRASH_CHECK_S)
+            connection = await ClientConnection.open(place.entry.address, CRASH_PROBE_TIMEOUT_S)
         except NotSentError:
             attempt = f"{place.entry.id}/{place.entry.started_ms}"
             log("WARNING", "strike", request=request.id, endpoint=place.entry.id)
@@ -162,70 +162,72 @@
         else:
             connection.close()
 
-    async def _dispatch(self, admitted: Admitted) -> Verdict:
-        """Tries endpoints until one answers, time is up, or no repeat is allowed."""
-        sent, unsent = 0, 0
+    async def _dispatch_with_retries(self, admitted: AdmittedRequest) -> Verdict:
+        """Tries endpoints until one responds, time runs out, or no further retry is allowed."""
+        attempts, connect_failures = 0, 0
         verdict: Verdict | None = None
-        ran_maybe: MayHaveRun | None = None
-        while sent < admitted.route.max_attempts and unsent < UNSENT_AT_MOST:
-            if (refusal := self._refuse_attempt(admitted, sent)) is not None:
-                return ran_maybe or verdict or refusal
-            place = await self._place(admitted)
+        may_have_run: MayHaveRun | None = None
+        while attempts < admitted.route.max_attempts and connect_failures < MAX_CONNECT_FAILURES:
+            if (refusal := self._attempt_refusal(admitted, attempts)) is not None:
+                return may_have_run or verdict or refusal
+            place = await self._choose_endpoint(admitted)
             if isinstance(place, DidNotRun):
-                return ran_maybe or verdict or place
-            verdict = await self._try(admitted, place)
+                return may_have_run or verdict or place
+            verdict = await self._run_attempt(admitted, place)
             match verdict:
                 case Ran():
                     return verdict
                 case Unsent():
-                    unsent += 1
+                    connect_failures += 1
                     continue
-                case MayHaveRun() if not self._may_go_on(admitted):
+                case MayHaveRun() if not self._may_retry(admitted):
                     return verdict
                 case MayHaveRun():
-                    ran_maybe = verdict
-            sent += 1
-        return ran_maybe or verdict
+                    may_have_run = verdict
+            attempts += 1
+        return may_have_run or verdict
 
-    def _refuse_attempt(self, admitted: Admitted, sent: int) -> DidNotRun | None:
-        """Returns why no further attempt may be made, if so."""
+    def _attempt_refusal(self, admitted: AdmittedRequest, attempts: int) -> DidNotRun | None:
+        """Returns the reason why no further attempt is allowed, or None if one is."""
         context, now = self._context, self._context.now()
-        if now >= admitted.expires_at - (REPEAT_WORTH_S if sent else 0):
-            return DidNotRun("no_time", 503, NO_ENDPOINT_RETRY_S)
-        if sent and not context.retry_budget.spend(admitted.pool, context.count_live_vms(), now):
+        if now >= admitted.expires_at - (MIN_RETRY_TIME_S if attempts else 0):
+            return DidNotRun("no_time", 503, NO_ENDPOINT_RETRY_AFTER_S)
+        if attempts and not context.retry_budget.spend(
+            admitted.pool, context.count_live_vms(), now
+        ):
             log("INFO", "repeat_budget_spent", request=admitted.request.id)
-            return DidNotRun("repeat_budget_spent", 503, NO_ENDPOINT_RETRY_S)
+            return DidNotRun("repeat_budget_spent", 503, NO_ENDPOINT_RETRY_AFTER_S)
         return None
 
-    async def _place(self, admitted: Admitted) -> Place | DidNotRun:
+    async def _choose_endpoint(self, admitted: AdmittedRequest) -> Place | DidNotRun:
         work = make_work(admitted, len(self._tried))
         tried = frozenset(self._tried)
-        return await self._context.placing.place(work, admitted.is_engine, tried)
+        return await self._context.placing.place(work, admitted.is_engine_pool, tried)
 
-    async def _try(self, admitted: Admitted, place: Place) -> Verdict:
-        """Makes one attempt, and enters how it ended in the books."""
+    async def _run_attempt(self, admitted: AdmittedRequest, place: Place) -> Verdict:
+        """Makes one attempt and records its outcome in the load tracking."""
         self._tried.append(place.entry.id)
         outcome = "withdrawn"
         try:
-            verdict = await self._attempt(admitted, place)
-            outcome = name_outcome(verdict)
+            verdict = await self._send_to_endpoint(admitted, place)
+            outcome = outcome_of(verdict)
         finally:
             self._context.placing.release(place, outcome, self._longest_gap_s)
         if outcome == "failed" and isinstance(verdict, MayHaveRun):
-            await self._note_crash(place, admitted.request)
+            await self._report_crash(place, admitted.request)
         return verdict
 
-    def _may_go_on(self, admitted: Admitted) -> bool:
-        """Tells whether a request that may have run may be sent again."""
-        if not admitted.may_repeat:
+    def _may_retry(self, admitted: AdmittedRequest) -> bool:
+        """Returns whether a request that may have run may be sent again."""
+        if not admitted.is_retryable:
             return False
-        return not self._started or self._may_resume(admitted.route)
+        return not self._response_started or self._may_resume(admitted.route)
 
     def _may_resume(self, route: Route) -> bool:
         return route.repeatability is Repeatability.RESUMABLE and self._last_event is not None
 
-    async def _attempt(self, admitted: Admitted, place: Place) -> Verdict:
-        """Sends the request to one endpoint and passes its answer on."""
+    async def _send_to_endpoint(self, admitted: AdmittedRequest, place: Place) -> Verdict:
+        """Sends the request to one endpoint and forwards its response."""
         context = self._context
         attempt = Attempt(context.connections, place.entry, admitted.request, context.now)
         last_event = admitted.request.last_event if self._last_event is None else self._last_event
@@ -233,63 +235,69 @@
             endpoint_id=place.entry.id,
             time_left_s=admitted.expires_at - context.now(),
             member=admitted.member.name if admitted.member else "",
-            rank=admitted.rank if admitted.is_engine else None,
+            rank=admitted.rank if admitted.is_engine_pool else None,
             last_event=last_event,
         )
         try:
-            once = admitted.route.repeatability is Repeatability.ONCE
-            by = admitted.expires_at + LAST_ANSWER_S
-            head = await attempt.start(forwarding, once, by)
-            return await self._take_head(admitted, place, attempt, head, by)
+            at_most_once = admitted.route.repeatability is Repeatability.ONCE
+            deadline = admitted.expires_at + DEADLINE_RESPONSE_GRACE_S
+            head = await attempt.start(forwarding, at_most_once, deadline)
+            return await self._handle_head(admitted, place, attempt, head, deadline)
         finally:
             attempt.close()
 
-    async def _take_head(self, admitted, place: Place, attempt: Attempt, head, by) -> Verdict:
+    async def _handle_head(
+        self, admitted, place: Place, attempt: Attempt, head, deadline
+    ) -> Verdict:
         placing = self._context.placing
         match head:
             case Turned():
                 if head.is_other:
                     placing.directory.mark_replaced(place.entry)
                 placing.note_head(place, attempt.head)
-                return DidNotRun(head.reason, 503, NO_ENDPOINT_RETRY_S)
+                return DidNotRun(head.reason, 503, NO_ENDPOINT_RETRY_AFTER_S)
             case Unsent() | MayHaveRun():
                 return head
         placing.note_head(place, head)
         if admitted.route.is_stream and 200 <= head.status < 300:
-            return await self._pass_stream(admitted, place, attempt, head, by)
-        answer = await attempt.read_whole(by)
-        return await self._pass_whole(admitted, answer)
-
-    async def _pass_whole(self, admitted: Admitted, answer) -> Verdict:
-        if isinstance(answer, MayHaveRun):
-            return answer
-        head: AnswerHead = answer.head
-        if head.status >= 500 and admitted.may_repeat and self._can_repeat(admitted):
+            return await self._forward_stream(admitted, place, attempt, head, deadline)
+        response = await attempt.read_whole(deadline)
+        return await self._forward_response(admitted, response)
+
+    async def _forward_response(self, admitted: AdmittedRequest, response) -> Verdict:
+        if isinstance(response, MayHaveRun):
+            return response
+        head: AnswerHead = response.head
+        if head.status >= 500 and admitted.is_retryable and self._has_retry_left(admitted):
             return MayHaveRun(f"answered {head.status}", status=502)
-        if self._started:
+        if self._response_started:
             return MayHaveRun(f"answered {head.status} to a resumed stream")
-        await self._respond(head.status, head.headers, answer.body)
+        await self._send_response(head.status, head.headers, response.body)
         return Ran(f"answered {head.status}", head.status)
 
-    def _can_repeat(self, admitted: Admitted) -> bool:
+    def _has_retry_left(self, admitted: AdmittedRequest) -> bool:
         context, now = self._context, self._context.now()
         left = context.retry_budget.left(admitted.pool, context.count_live_vms(), now)
         return (
             len(self._tried) < admitted.route.max_attempts
             and left >= 1
-            and now < admitted.expires_at - REPEAT_WORTH_S
+            and now < admitted.expires_at - MIN_RETRY_TIME_S
         )
 
-    async def _pass_stream(self, admitted, place: Place, attempt: Attempt, head, by) -> Verdict:
-        """Passes whole events on as they come. A cut stream is never ended as if complete."""
+    async def _forward_stream(
+        self, admitted, place: Place, attempt: Attempt, head, deadline
+    ) -> Verdict:
+        """Forwards events as they arrive; never ends a truncated stream as if it were complete."""
         placing = self._context.placing
         first = True
-        async for events in attempt.events(by, silence_s=max(0.001, by - self._context.now())):
+        async for events in attempt.events(
+            deadline, silence_s=max(0.001, deadline - self._context.now())
+        ):
             if first:
                 first = False
                 placing.note_first_event(place, attempt.sent_at)
             await self._start_stream(head)
-            self._note_events()
+            self._note_event_time()
             await self._connection.send(events)
             last = last_event_id(events)
             self._last_event = self._last_event if last is None else last
@@ -300,28 +308,28 @@
         await self._connection.end()
         return Ran("complete", head.status)
 
-    def _note_events(self) -> None:
+    def _note_event_time(self) -> None:
         now = self._context.now()
-        if self._first_at:
-            self._longest_gap_s = max(self._longest_gap_s, now - self._last_at)
+        if self._first_event_at:
+            self._longest_gap_s = max(self._longest_gap_s, now - self._last_event_at)
         else:
-            self._first_at = now
-        self._last_at = now
+            self._first_event_at = now
+        self._last_event_at = now
 
     async def _start_stream(self, head: AnswerHead) -> None:
-        """Sends the head, unless an earlier attempt has."""
-        if not self._started:
-            self._started = True
-            await self._connection.start(head.status, self._headers_for_caller(head.headers))
+        """Sends the response head, unless an earlier attempt has sent it."""
+        if not self._response_started:
+            self._response_started = True
+            await self._connection.start(head.status, self._response_headers(head.headers))
 
-    def _headers_for_caller(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
-        """Returns headers without a length, which the connection sets, as the VM's state asks."""
+    def _response_headers(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Drops Content-Length, which the connection sets; a draining VM adds Connection: close."""
         kept = [pair for pair in headers if pair[0].lower() != "content-length"]
         return [*kept, ("Connection", "close")] if self._context.is_draining() else kept
 
 
-def name_outcome(verdict: Verdict) -> str:
-    """Returns how an attempt ended, for the books of load."""
+def outcome_of(verdict: Verdict) -> str:
+    """Returns the outcome of an attempt, as load tracking names it."""
     match verdict:
         case Unsent():
             return "unreachable"
@@ -334,7 +342,7 @@
 
 
 async def refuse_malformed_request(connection: ServerConnection, error: BadRequestError) -> None:
-    """Answers what is no request, and closes the connection."""
+    """Responds to a malformed request, and closes the connection."""
     verdict = DidNotRun(error.reason, error.status)
     headers = [*refusal_headers(None), ("Connection", "close")]
-    await connection.respond(error.status, headers, describe_verdict(verdict, "", str(error)))
+    await connection.respond(error.status, headers, encode_error_body(verdict, "", str(error)))
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -40,7 +40,7 @@
                 return await self._replay(outcome)
             case verdict:
                 self.record(Kind.REFUSED, self.endpoint, f"{verdict.reason} {verdict.name}")
-                await responses.answer_verdict(self.connection, verdict, self.caller.request_id)
+                await responses.send_verdict(self.connection, verdict, self.caller.request_id)
                 return verdict
 
     async def _try_until_settled(self) -> Result:
@@ -146,7 +146,7 @@
         """Answers a repeated key with what is known of its one run."""
         if outcome.verdict == MayHaveRun.name:
             verdict = MayHaveRun("unresolved", 409)
-            await responses.answer_verdict(self.connection, verdict, self.caller.request_id)
+            await responses.send_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
         self.record(Kind.COMPLETED, detail="replayed")
         headers = [("Content-Type", outcome.content_type or "application/octet-stream")]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -173,15 +173,15 @@
     Mutant(
         "route: what may have run and must not repeat is not sent again",
         "bluebellpitch/callers/routed_requests.py",
-        "        if not admitted.may_repeat:\n            return False\n",
+        "        if not admitted.is_retryable:\n            return False\n",
         "",
         "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
     ),
     Mutant(
         "route: what may have run is not called not run",
         "bluebellpitch/callers/routed_requests.py",
-        "if not self._may_go_on(admitted):\n                    return verdict",
-        'if not self._may_go_on(admitted):\n                    return DidNotRun("lost", 503, 1.0)',
+        "if not self._may_retry(admitted):\n                    return verdict",
+        'if not self._may_retry(admitted):\n                    return DidNotRun("lost", 503, 1.0)',
         "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
     ),
     Mutant(
--- a/tests/test_routed_requests.py
+++ b/tests/test_routed_requests.py
@@ -1,4 +1,4 @@
-"""Routed requests through real sockets: entry VMs between stand-ins of the prepared platform."""
+"""Routed requests over real sockets: entry VMs between fakes of the prepared platform."""
 
 import asyncio
 
@@ -10,7 +10,7 @@
 
 
 @in_deployment
-async def test_answer_is_passed_back_unchanged(deployment):
+async def test_response_is_forwarded_unchanged(deployment):
     (app,), client = await start(deployment, "app")
     response = await client.call("GET", "/look/7", "r1")
     assert response.status == 200
@@ -25,7 +25,7 @@
 
 
 @in_deployment
-async def test_headers_that_are_the_systems_are_not_taken_from_callers(deployment):
+async def test_internal_headers_from_callers_are_dropped(deployment):
     (app,), client = await start(deployment, "app")
     names = ("Tenant", "Target-Instance", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch")
     forged = [(name, "forged") for name in names]
@@ -36,11 +36,11 @@
 
 
 @in_deployment
-async def test_unknown_route_and_key_are_told_apart(deployment):
+async def test_unknown_route_and_unknown_key_have_different_statuses(deployment):
     _, client = await start(deployment, "app")
     assert (await client.call("GET", "/nothing/7", "r1")).status == 404
-    stranger = PlatformClient(client.settings, key="no-key")
-    assert (await stranger.call("GET", "/look/7", "r2")).status == 401
+    unknown_client = PlatformClient(client.settings, key="no-key")
+    assert (await unknown_client.call("GET", "/look/7", "r2")).status == 401
 
 
 @in_deployment
@@ -55,7 +55,7 @@
 
 
 @in_deployment
-async def test_request_that_must_not_repeat_runs_once_when_its_answer_is_lost(deployment):
+async def test_unsafe_request_runs_once_when_its_response_is_lost(deployment):
     endpoints, client = await start(deployment, "app", "app")
     for endpoint in endpoints:
         endpoint.mode = "reset"
@@ -65,7 +65,7 @@
 
 
 @in_deployment
-async def test_refused_request_goes_to_another_endpoint(deployment):
+async def test_refused_request_is_retried_at_another_endpoint(deployment):
     endpoints, client = await start(deployment, "app", "app")
     routes = [route("file", "unsafe", "app", max_attempts=2)]
     deployment.configure(2, routes=routes)
@@ -77,7 +77,7 @@
 
 
 @in_deployment
-async def test_refusal_by_all_is_true_and_says_when_to_come_back(deployment):
+async def test_refusal_by_all_endpoints_is_503_with_retry_after(deployment):
     (app,), client = await start(deployment, "app")
     app.mode = "refuse"
     response = await client.call("POST", "/file/7", "r1", b"case")
@@ -88,7 +88,7 @@
 
 
 @in_deployment
-async def test_attempts_stay_within_the_route(deployment):
+async def test_attempts_stay_within_the_limit_of_the_route(deployment):
     endpoints, client = await start(deployment, "app", "app", "app")
     for endpoint in endpoints:
         endpoint.mode = "fail"
@@ -98,7 +98,7 @@
 
 
 @in_deployment
-async def test_other_endpoint_at_an_address_runs_nothing_and_is_not_asked_again(deployment):
+async def test_replaced_endpoint_runs_nothing_and_gets_no_further_requests(deployment):
     endpoints, client = await start(deployment, "app", "app")
     endpoints[0].mode = "other"
     for number in range(4):
@@ -107,7 +107,7 @@
 
 
 @pytest.mark.parametrize("mode", ["garbage", "unsigned", "encoded", "short"])
-def test_spoilt_answer_never_reaches_the_caller(mode):
+def test_corrupt_response_never_reaches_the_caller(mode):
     async def body():
         async with Deployment() as deployment:
             endpoints, client = await start(deployment, "app", "app")
@@ -121,7 +121,7 @@
 
 
 @in_deployment
-async def test_extra_answer_is_not_taken_for_the_next_one(deployment):
+async def test_unsolicited_response_is_not_taken_for_the_next_one(deployment):
     (app,), client = await start(deployment, "app")
     app.mode = "extra"
     for number in range(6):
@@ -131,7 +131,7 @@
 
 
 @in_deployment
-async def test_stream_comes_whole(deployment):
+async def test_stream_is_forwarded_completely(deployment):
     (engine,), client = await start(deployment, "engines")
     response = await client.stream("/explain/7", "r1")
     assert response.status == 200
@@ -140,7 +140,7 @@
 
 
 @in_deployment
-async def test_cut_stream_is_resumed_elsewhere_without_gap_or_double(deployment):
+async def test_truncated_stream_is_resumed_elsewhere_without_gaps_or_duplicates(deployment):
     engines, client = await start(deployment, "engines", "engines")
     engines[0].mode = "cut"
     for number in range(4):
@@ -161,33 +161,33 @@
 
 
 @in_deployment
-async def test_leaving_caller_is_felt_by_the_endpoint(deployment):
+async def test_caller_disconnect_cancels_the_request_at_the_endpoint(deployment):
     (app,), client = await start(deployment, "app")
     app.mode = "slow"
-    asking = asyncio.create_task(client.call("GET", "/look/7", "r1"))
+    pending = asyncio.create_task(client.call("GET", "/look/7", "r1"))
     await wait_until(lambda: app.ran)
     client.leave()
     await wait_until(lambda: app.cancelled == 1, timeout_s=0.5)
-    asking.cancel()
-    await asyncio.gather(asking, return_exceptions=True)
+    pending.cancel()
+    await asyncio.gather(pending, return_exceptions=True)
 
 
 @in_deployment
-async def test_time_limit_of_the_route_ends_a_request(deployment):
+async def test_timeout_of_the_route_ends_a_request(deployment):
     (app,), client = await start(deployment, "app")
     routes = [route("look", "safe", "app", timeout_ms=300)]
     deployment.configure(2, routes=routes)
     await wait_until(lambda: deployment.vms[0].configuration.version() == 2)
     app.mode = "slow"
-    begun = asyncio.get_running_loop().time()
+    started_at = asyncio.get_running_loop().time()
     response = await client.call("GET", "/look/7", "r1")
     assert response.status == 504
-    assert asyncio.get_running_loop().time() - begun < 0.55
+    assert asyncio.get_running_loop().time() - started_at < 0.55
     assert int(app.requests[-1].header("deadline-ms")) <= 300
 
 
 @in_deployment
-async def test_draining_endpoint_gets_no_new_work(deployment):
+async def test_draining_endpoint_gets_no_new_requests(deployment):
     endpoints, client = await start(deployment, "app", "app")
     deployment.announce(endpoints[0], "app", state="draining")
     vm = deployment.vms[0]
@@ -198,7 +198,7 @@
 
 
 @in_deployment
-async def test_planned_stop_finishes_what_runs_and_says_so(deployment):
+async def test_planned_stop_finishes_requests_and_closes_connections(deployment):
     (engine,), client = await start(deployment, "engines")
     engine.pause_s = 0.1
     streaming = asyncio.create_task(client.stream("/explain/7", "r1"))
@@ -206,30 +206,30 @@
     vm = deployment.vms[0]
     vm.draining.set()
     assert not vm.is_ready()
-    late = PlatformClient(vm.settings)
-    response = await late.stream("/explain/8", "r2")
+    late_client = PlatformClient(vm.settings)
+    response = await late_client.stream("/explain/8", "r2")
     assert response.status == 200 and header(response, "connection") == "close"
     assert (await streaming).body.endswith(b"piece 4\n\n")
     await wait_until(lambda: "vm-1" not in deployment.store.newest_keys("keyed.bluebellpitch-vms"))
 
 
 @in_deployment
-async def test_request_that_crashes_endpoints_is_stopped_after_three(deployment):
+async def test_request_that_crashes_endpoints_is_refused_after_three_strikes(deployment):
     endpoints, client = await start(deployment, *["app"] * 6)
     vm = deployment.vms[0]
     for endpoint in endpoints:
         endpoint.mode = "reset"
         endpoint.http.stop_listening()
-    # Each connection must be new, so that it finds the listener closed after the crash.
+    # New connections must find the listener closed, as after a crash.
     for number in range(4):
-        vm._take("peer", strike(vm, number))
+        vm._take("peer", make_strike(vm, number))
     response = await client.call("POST", "/file/7", "r9", b"poison")
     assert response.status == 503
     assert not any("r9" in endpoint.ran for endpoint in endpoints)
 
 
-def strike(vm, number: int):
-    """Returns what a peer tells after an endpoint crashed under the poisonous request."""
+def make_strike(vm, number: int):
+    """Returns the message of a peer whose endpoint crashed on the request ``poison``."""
     from bluebellpitch.decisions.hashing import digest_text
     from bluebellpitch.peers.messages import StrikeNoted
 
@@ -237,7 +237,7 @@
 
 
 @in_deployment
-async def test_bodies_beyond_the_limit_are_refused(deployment):
+async def test_body_over_the_size_limit_is_refused(deployment):
     (app,), client = await start(deployment, "app")
     deployment.configure(2)
     response = await client.call("POST", "/file/7", "r1", b"x" * 10_001)
