Reword the handling of completions and service requests

Exchanges and jobs become request handlers and typed requests; patience becomes a maximum wait, repeats become retries, and answers become responses. Only names inside the package change; the verdicts get clearer docstrings.

Three mutants follow the renamed fields; their pieces of source still match.

--- a/bluebellpitch/callers/completion_bodies.py
+++ b/bluebellpitch/callers/completion_bodies.py
@@ -1,36 +1,36 @@
-"""Whole answers of model engines, put together from their streams."""
+"""Bodies of non-streamed completions, assembled from the streams of model engines."""
 
 import msgspec
 
-from bluebellpitch.callers.requests import CompletionJob
+from bluebellpitch.callers.requests import CompletionRequest
 from bluebellpitch.endpoints.sse import Usage, join_text, read_chunks
 
 
-class Message(msgspec.Struct, frozen=True):
-    """The message of a whole chat answer."""
+class ChatMessage(msgspec.Struct, frozen=True):
+    """The message of a chat completion."""
 
     role: str
     content: str
 
 
 class ChatChoice(msgspec.Struct, frozen=True):
-    """The choice of a whole chat answer."""
+    """The choice of a chat completion."""
 
     index: int
-    message: Message
+    message: ChatMessage
     finish_reason: str
 
 
 class TextChoice(msgspec.Struct, frozen=True):
-    """The choice of a whole completion."""
+    """The choice of a text completion."""
 
     index: int
     text: str
     finish_reason: str
 
 
-class Whole(msgspec.Struct, frozen=True):
-    """A whole answer, as OpenAI clients read it."""
+class CompletionBody(msgspec.Struct, frozen=True):
+    """The body of a non-streamed completion in the OpenAI API."""
 
     id: str
     object: str
@@ -40,18 +40,20 @@
     usage: Usage
 
 
-def assemble(events: bytes, job: CompletionJob, request_id: str) -> bytes:
-    """Returns a stream's events as one whole answer."""
+def assemble_completion(events: bytes, request: CompletionRequest, request_id: str) -> bytes:
+    """Returns the events of a stream as the body of one non-streamed completion."""
     text = join_text(events)
-    usage, finish = Usage(), "stop"
+    usage, finish_reason = Usage(), "stop"
     for chunk in read_chunks(events):
         usage = chunk.usage or usage
-        finish = next((c.finish_reason for c in chunk.choices if c.finish_reason), finish)
-    if "chat" in job.target:
-        choice = ChatChoice(0, Message("assistant", text), finish)
-        kind = "chat.completion"
+        finish_reason = next(
+            (c.finish_reason for c in chunk.choices if c.finish_reason), finish_reason
+        )
+    if "chat" in request.target:
+        choice = ChatChoice(0, ChatMessage("assistant", text), finish_reason)
+        object_type = "chat.completion"
     else:
-        choice = TextChoice(0, text, finish)
-        kind = "text_completion"
-    whole = Whole(request_id, kind, 0, job.pool.name, (choice,), usage)
-    return msgspec.json.encode(whole)
+        choice = TextChoice(0, text, finish_reason)
+        object_type = "text_completion"
+    body = CompletionBody(request_id, object_type, 0, request.pool.name, (choice,), usage)
+    return msgspec.json.encode(body)
--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -1,12 +1,12 @@
-"""Serves one completion: seeks a slot, streams, and resumes elsewhere until it is complete."""
+"""Handles one completion: acquires a slot, streams, and resumes elsewhere until complete."""
 
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
 from bluebellpitch.callers import responses
-from bluebellpitch.callers.completion_bodies import assemble
-from bluebellpitch.callers.request_handler import Exchange
-from bluebellpitch.callers.requests import CompletionJob
+from bluebellpitch.callers.completion_bodies import assemble_completion
+from bluebellpitch.callers.request_handler import RequestHandler
+from bluebellpitch.callers.requests import CompletionRequest
 from bluebellpitch.constants import (
     ATTEMPTS_PER_REQUEST,
     FIRST_TOKEN_PATIENCE,
@@ -25,12 +25,12 @@
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
-FIRST_STALL_FACTOR = 3.0
+FIRST_TOKEN_STALL_FACTOR = 3.0
 
 
 @dataclass(slots=True)
-class Progress:
-    """How far a completion has come. Times are monotonic seconds."""
+class CompletionProgress:
+    """Progress of a completion over all its attempts. Times are in monotonic seconds."""
 
     attempt: int = 0
     failures: int = 0
@@ -38,35 +38,37 @@
     hedges: int = 0
     dispatched: bool = False
     tokens: int = 0
-    first_at: float | None = None
-    last_at: float | None = None
-    avoid: tuple[str, ...] = ()
-    parts: list[bytes] = field(default_factory=list)
+    first_token_at: float | None = None
+    last_token_at: float | None = None
+    avoided_endpoints: tuple[str, ...] = ()
+    chunks: list[bytes] = field(default_factory=list)
 
-    def between_s(self) -> float | None:
-        """Returns the mean time between tokens, if there were two."""
+    def mean_gap_s(self) -> float | None:
+        """Returns the mean time between tokens, or None before the second token."""
         if self.tokens < 2:
             return None
-        return (self.last_at - self.first_at) / (self.tokens - 1)
+        return (self.last_token_at - self.first_token_at) / (self.tokens - 1)
 
 
-class CompletionExchange(Exchange):
-    """One completion from admission to its complete answer. Owned by the caller's task."""
+class CompletionHandler(RequestHandler):
+    """Handles one completion. Owned by the task of the caller's connection."""
 
-    def __init__(self, context: NodeContext, connection: ServerConnection, job: CompletionJob):
-        super().__init__(context, connection, job)
-        self.progress = Progress()
-        self.started = False
-        self.rejected: Rejected | None = None
+    def __init__(
+        self, context: NodeContext, connection: ServerConnection, request: CompletionRequest
+    ):
+        super().__init__(context, connection, request)
+        self.progress = CompletionProgress()
+        self.response_started = False
+        self.rejection: Rejected | None = None
 
     async def run(self) -> Verdict:
-        """Serves the request to its end; returns the verdict that the caller got."""
-        self.record(Kind.ADMITTED, detail=f"pool={self.job.pool.name}")
-        self.context.hedges.earn(self.caller.row.name)
+        """Handles the request to its end; returns the verdict sent to the caller."""
+        self.record_event(Kind.ADMITTED, detail=f"pool={self.request.pool.name}")
+        self.context.hedges.earn(self.caller.service_class.name)
         try:
             verdict = await self._serve()
         except GoneError:
-            self.context.metrics.wasted_tokens.labels(self.caller.row.name).inc(
+            self.context.metrics.wasted_tokens.labels(self.caller.service_class.name).inc(
                 self.progress.tokens
             )
             verdict = MayHaveRun("caller_gone", 499)
@@ -74,197 +76,210 @@
 
     async def _serve(self) -> Verdict:
         while True:
-            suspicion = self._judge()
+            suspicion = self._assess_suspicion()
             if suspicion is Suspicion.REFUSED:
                 return await self._refuse("crashes_endpoints", 422)
-            slot = await self._seek(suspicion)
+            slot = await self._acquire_next_slot(suspicion)
             if isinstance(slot, DidNotRun):
                 return await self._refuse(slot.reason, slot.status, slot.retry_after_s)
-            if self._judge() > suspicion:
+            if self._assess_suspicion() > suspicion:
                 self.context.slots.give_back(slot, "cancelled")
                 continue
-            ending = await self._attempt(slot)
+            ending = await self._run_attempt(slot)
             if ending == "completed":
-                return await self._complete()
-            if self.rejected is not None and ending == "rejected":
-                return await self._pass_rejection()
+                return await self._finish()
+            if self.rejection is not None and ending == "rejected":
+                return await self._forward_rejection()
             if self.progress.failures >= ATTEMPTS_PER_REQUEST:
                 return await self._refuse("attempts_exhausted", 502)
 
-    def _judge(self) -> Suspicion:
-        return self.context.strikes.book.judge(self.job.fingerprint, self.context.now())
+    def _assess_suspicion(self) -> Suspicion:
+        return self.context.strikes.book.judge(self.request.fingerprint, self.context.now())
 
-    async def _seek(self, suspicion: Suspicion) -> Slot | DidNotRun:
+    async def _acquire_next_slot(self, suspicion: Suspicion) -> Slot | DidNotRun:
         progress, caller = self.progress, self.caller
         progress.attempt += 1
-        expires_at = caller.arrived_at + caller.patience_s
+        expires_at = caller.arrived_at + caller.max_wait_s
         if progress.dispatched:
             expires_at = self.context.now() + RESUME_PATIENCE_S
-        return await self.seek(
+        return await self.acquire_slot(
             progress.attempt,
             expires_at,
-            prefix=self.job.prefix,
-            avoid=progress.avoid,
+            prefix=self.request.prefix_digest,
+            avoid=progress.avoided_endpoints,
             suspicion=int(suspicion),
             resumed=progress.tokens > 0,
             preemptions=progress.preemptions,
         )
 
-    async def _attempt(self, slot: Slot) -> str:
-        """Runs one attempt; returns its ending."""
+    async def _run_attempt(self, slot: Slot) -> str:
+        """Runs one attempt in a slot; returns its ending."""
         context, progress = self.context, self.progress
         attempt = EngineAttempt(context.connections, slot.granted.address, context.settings.stall_s)
         slot.preempt = attempt.stop
         if slot.preempted_for:
             attempt.stop(slot.preempted_for)
         self.endpoint = slot.granted.endpoint
-        self.record(Kind.DISPATCHED, self.endpoint, f"attempt={progress.attempt}")
+        self.record_event(Kind.DISPATCHED, self.endpoint, f"attempt={progress.attempt}")
         dispatched_at = context.now()
         ending = "cancelled"
         try:
-            await self._pump(attempt, slot, dispatched_at)
+            await self._stream_attempt(attempt, slot, dispatched_at)
             ending = attempt.ending
         finally:
-            late = ending == "late" and not slot.tokens
-            first_s = context.now() - dispatched_at if late else None
+            is_late = ending == "late" and not slot.tokens
+            first_s = context.now() - dispatched_at if is_late else None
             context.slots.give_back(slot, ending, first_s, slot.between_s())
-        self.rejected = attempt.rejected
-        self._account(slot, ending)
+        self.rejection = attempt.rejected
+        self._record_ending(slot, ending)
         if ending == "crashed":
-            await self._note_strike(slot.granted.endpoint)
+            await self._report_strike(slot.granted.endpoint)
         return ending
 
-    async def _pump(self, attempt: EngineAttempt, slot: Slot, dispatched_at: float) -> None:
-        """Passes events on until the attempt ends; a caller that leaves ends it at once."""
+    async def _stream_attempt(
+        self, attempt: EngineAttempt, slot: Slot, dispatched_at: float
+    ) -> None:
+        """Forwards events until the attempt ends; the caller's disconnect ends it at once."""
         source = attempt.events(
-            self.job.target,
-            self._engine_body(),
+            self.request.target,
+            self._build_engine_body(),
             self.caller.request_id,
-            self._first_token_patience(slot),
+            self._first_token_timeout_s(slot),
         )
         async with aclosing(source):
             async for events in source:
                 self._note_events(events, slot, dispatched_at)
-                await self._pass_on(events)
+                await self._forward(events)
 
     def _note_events(self, events: bytes, slot: Slot, dispatched_at: float) -> None:
         progress, context, now = self.progress, self.context, self.context.now()
         if slot.last_token_at is None:
             context.slots.saw_first(slot, now - dispatched_at)
-        if progress.first_at is None:
-            progress.first_at = now
-            self.record(Kind.FIRST_TOKEN, slot.granted.endpoint)
-        progress.last_at = now
+        if progress.first_token_at is None:
+            progress.first_token_at = now
+            self.record_event(Kind.FIRST_TOKEN, slot.granted.endpoint)
+        progress.last_token_at = now
         count = count_events(events)
         slot.note_tokens(count, now)
         progress.tokens += count
-        progress.parts.append(events)
+        progress.chunks.append(events)
         if context.holder.current.is_far(slot.region):
             context.metrics.region_bytes.inc(len(events))
 
-    async def _pass_on(self, events: bytes) -> None:
-        if self.job.stream:
-            await self._send(events)
+    async def _forward(self, events: bytes) -> None:
+        if self.request.stream:
+            await self._send_events(events)
         elif self.connection.is_gone():
             raise GoneError("the caller closed its connection")
 
-    def _engine_body(self) -> dict:
-        body = {**self.job.fields, "stream": True, "priority": self.caller.row.tier}
-        if not self.job.stream:
+    def _build_engine_body(self) -> dict:
+        body = {**self.request.body, "stream": True, "priority": self.caller.service_class.tier}
+        if not self.request.stream:
             body["stream_options"] = {"include_usage": True}
-        if self.progress.parts:
-            body["continue_text"] = join_text(b"".join(self.progress.parts))
-            self.record(Kind.RESUMED, self.endpoint, f"tokens={self.progress.tokens}")
+        if self.progress.chunks:
+            body["continue_text"] = join_text(b"".join(self.progress.chunks))
+            self.record_event(Kind.RESUMED, self.endpoint, f"tokens={self.progress.tokens}")
         return body
 
-    def _first_token_patience(self, slot: Slot) -> float:
-        """Returns how long to wait for a first token: short while a hedge may follow."""
+    def _first_token_timeout_s(self, slot: Slot) -> float:
+        """Returns the timeout for the first token: short while a hedged attempt may follow."""
         expected_s = slot.granted.expected_first_s
-        patience_s = self.context.settings.stall_s * FIRST_STALL_FACTOR
+        timeout_s = self.context.settings.stall_s * FIRST_TOKEN_STALL_FACTOR
         if not expected_s or self.progress.hedges >= HEDGES_PER_REQUEST:
-            return patience_s
-        if not self.context.hedges.allows(self.caller.row.name):
-            return patience_s
-        short_s = max(FIRST_TOKEN_PATIENCE_FLOOR_S, FIRST_TOKEN_PATIENCE * expected_s)
-        return min(patience_s, short_s)
+            return timeout_s
+        if not self.context.hedges.allows(self.caller.service_class.name):
+            return timeout_s
+        hedge_timeout_s = max(FIRST_TOKEN_PATIENCE_FLOOR_S, FIRST_TOKEN_PATIENCE * expected_s)
+        return min(timeout_s, hedge_timeout_s)
 
-    async def _send(self, events: bytes) -> None:
-        if not self.started:
-            self.started = True
-            await self.connection.start(200, self._headers("text/event-stream"))
+    async def _send_events(self, events: bytes) -> None:
+        if not self.response_started:
+            self.response_started = True
+            await self.connection.start(200, self._response_headers("text/event-stream"))
         await self.connection.send(events)
 
-    def _headers(self, content_type: str) -> list[tuple[str, str]]:
-        kind = [("Content-Type", content_type), ("Cache-Control", "no-store")]
-        return kind + self.own_headers(Ran.name)
+    def _response_headers(self, content_type: str) -> list[tuple[str, str]]:
+        headers = [("Content-Type", content_type), ("Cache-Control", "no-store")]
+        return headers + self.common_headers(Ran.name)
 
-    def _account(self, slot: Slot, ending: str) -> None:
-        """Notes what an ending means for the next attempt and for other requests."""
+    def _record_ending(self, slot: Slot, ending: str) -> None:
+        """Updates progress and budgets after an attempt, for the attempts that follow."""
         progress, endpoint = self.progress, slot.granted.endpoint
         progress.dispatched |= ending not in ("unreachable", "busy", "rejected")
         match ending:
             case "preempted":
                 progress.preemptions += 1
-                self.record(Kind.PREEMPTED, endpoint, slot.preempted_for)
+                self.record_event(Kind.PREEMPTED, endpoint, slot.preempted_for)
             case "crashed":
                 progress.failures += 1
             case "late":
                 progress.hedges += 1
-                self.context.hedges.spend(self.caller.row.name)
-                progress.avoid = (endpoint,)
-                self.record(Kind.RETRIED, endpoint, "no first token in time")
+                self.context.hedges.spend(self.caller.service_class.name)
+                progress.avoided_endpoints = (endpoint,)
+                self.record_event(Kind.RETRIED, endpoint, "no first token in time")
             case "stalled" | "unreachable" | "busy":
                 progress.failures += 1
-                self.record(Kind.RETRIED, endpoint, ending)
+                self.record_event(Kind.RETRIED, endpoint, ending)
 
-    async def _note_strike(self, endpoint: str) -> None:
-        """Lets all VMs know before the caller can send the request to another of them."""
+    async def _report_strike(self, endpoint: str) -> None:
+        """Records a strike at all VMs before the caller can retry at another of them."""
         attempt = f"{self.caller.request_id}.{self.progress.attempt}"
-        self.record(Kind.STRIKE, endpoint, "the endpoint died under the request")
-        strikes, fingerprint = self.context.strikes, self.job.fingerprint
+        self.record_event(Kind.STRIKE, endpoint, "the endpoint died under the request")
+        strikes, fingerprint = self.context.strikes, self.request.fingerprint
         await strikes.note_confirmed(fingerprint, attempt, STRIKE_PATIENCE_S)
 
-    async def _complete(self) -> Verdict:
-        if self.context.strikes.book.count(self.job.fingerprint, self.context.now()):
-            self.context.strikes.clear(self.job.fingerprint)
-        self._measure()
-        self.record(Kind.COMPLETED, self.endpoint, f"tokens={self.progress.tokens}")
-        if self.job.stream:
-            await self._send(b"data: [DONE]\n\n")
+    async def _finish(self) -> Verdict:
+        if self.context.strikes.book.count(self.request.fingerprint, self.context.now()):
+            self.context.strikes.clear(self.request.fingerprint)
+        self._record_metrics()
+        self.record_event(Kind.COMPLETED, self.endpoint, f"tokens={self.progress.tokens}")
+        if self.request.stream:
+            await self._send_events(b"data: [DONE]\n\n")
             await self.connection.end()
         else:
-            body = assemble(b"".join(self.progress.parts), self.job, self.caller.request_id)
-            await self.connection.respond(200, self._headers("application/json"), body)
+            body = assemble_completion(
+                b"".join(self.progress.chunks), self.request, self.caller.request_id
+            )
+            await self.connection.respond(200, self._response_headers("application/json"), body)
         return Ran()
 
-    def _measure(self) -> None:
-        progress, row, metrics = self.progress, self.caller.row, self.context.metrics
-        metrics.tokens.labels(row.name).inc(progress.tokens)
-        if progress.first_at is None:
+    def _record_metrics(self) -> None:
+        progress, service_class, metrics = (
+            self.progress,
+            self.caller.service_class,
+            self.context.metrics,
+        )
+        metrics.tokens.labels(service_class.name).inc(progress.tokens)
+        if progress.first_token_at is None:
             return
-        first_s = progress.first_at - self.caller.arrived_at
-        between_s = progress.between_s() or 0.0
-        metrics.first_token.labels(row.name).observe(first_s)
-        metrics.between_tokens.labels(row.name).observe(between_s)
-        if first_s <= row.first_token_ms / 1000 and between_s <= row.between_tokens_ms / 1000:
-            metrics.in_target.labels(row.name).inc()
-            metrics.good_tokens.labels(row.name).inc(progress.tokens)
+        first_s = progress.first_token_at - self.caller.arrived_at
+        between_s = progress.mean_gap_s() or 0.0
+        metrics.first_token.labels(service_class.name).observe(first_s)
+        metrics.between_tokens.labels(service_class.name).observe(between_s)
+        if (
+            first_s <= service_class.first_token_ms / 1000
+            and between_s <= service_class.between_tokens_ms / 1000
+        ):
+            metrics.in_target.labels(service_class.name).inc()
+            metrics.good_tokens.labels(service_class.name).inc(progress.tokens)
 
-    async def _pass_rejection(self) -> Verdict:
-        """Passes an engine's refusal of a bad request on as it is."""
-        status = self.rejected.status
-        await self.connection.respond(status, self._headers("application/json"), self.rejected.body)
+    async def _forward_rejection(self) -> Verdict:
+        """Forwards an engine's rejection of a bad request unchanged."""
+        status = self.rejection.status
+        await self.connection.respond(
+            status, self._response_headers("application/json"), self.rejection.body
+        )
         return DidNotRun("endpoint_rejected", status)
 
     async def _refuse(self, reason: str, status: int, retry_after_s=None) -> Verdict:
         verdict: DidNotRun | MayHaveRun = DidNotRun(reason, status, retry_after_s)
         if self.progress.dispatched:
             verdict = MayHaveRun(reason, status, retry_after_s)
-        self.record(Kind.REFUSED, detail=f"{reason} {verdict.name}")
-        if not self.started:
+        self.record_event(Kind.REFUSED, detail=f"{reason} {verdict.name}")
+        if not self.response_started:
             await responses.send_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
-        error = responses.encode_error_body(verdict, self.caller.request_id)
-        await self.connection.send(b"data: " + error + b"\n\n")
+        error_body = responses.encode_error_body(verdict, self.caller.request_id)
+        await self.connection.send(b"data: " + error_body + b"\n\n")
         await self.connection.end()
         return verdict
--- a/bluebellpitch/callers/request_handler.py
+++ b/bluebellpitch/callers/request_handler.py
@@ -1,4 +1,4 @@
-"""What all exchanges with a caller share: slots, events and headers."""
+"""Base class of the handlers of completions and service requests."""
 
 from bluebellpitch.callers import responses
 from bluebellpitch.context import NodeContext
@@ -9,48 +9,50 @@
 from bluebellpitch.verdicts import DidNotRun
 
 
-class Exchange:
-    """One request from admission to its answer. Owned by the caller's task."""
+class RequestHandler:
+    """Handles one request. Owned by the task of the caller's connection."""
 
-    def __init__(self, context: NodeContext, connection: ServerConnection, job):
+    def __init__(self, context: NodeContext, connection: ServerConnection, request):
         self.context = context
         self.connection = connection
-        self.job = job
-        self.caller = job.caller
+        self.request = request
+        self.caller = request.caller
         self.endpoint = ""
 
-    def record(self, kind: Kind, endpoint: str = "", detail: str = "") -> None:
-        """Adds an event about this request to the time line."""
+    def record_event(self, kind: Kind, endpoint: str = "", detail: str = "") -> None:
+        """Adds an event about this request to the timeline."""
         caller = self.caller
         self.context.ring.record(
-            kind, caller.request_id, caller.member.name, caller.row.name, endpoint, detail
+            kind, caller.request_id, caller.member.name, caller.service_class.name, endpoint, detail
         )
 
-    async def seek(self, attempt: int, expires_at: float, **fields) -> Slot | DidNotRun:
-        """Waits for a slot until ``expires_at``; ``fields`` are more fields of the ask."""
+    async def acquire_slot(self, attempt: int, expires_at: float, **fields) -> Slot | DidNotRun:
+        """Waits for a slot until ``expires_at``; ``fields`` are further fields of the ``Ask``."""
         caller, now = self.caller, self.context.now()
         ask = Ask(
             request=caller.request_id,
             attempt=attempt,
-            pool=self.job.pool.name,
+            pool=self.request.pool.name,
             member=caller.member.name,
-            class_name=caller.row.name,
+            class_name=caller.service_class.name,
             age_s=now - caller.arrived_at,
             patience_s=max(0.0, expires_at - now),
             **fields,
         )
-        self.record(Kind.QUEUED, detail=f"attempt={attempt}")
+        self.record_event(Kind.QUEUED, detail=f"attempt={attempt}")
         slot = await self.context.slots.seek(
             ask, caller.arrived_at, expires_at, self.connection.is_gone
         )
         if isinstance(slot, Slot):
             waited_s = self.context.now() - now
-            self.context.metrics.grant_wait.labels(caller.row.name).observe(waited_s)
-            self.record(Kind.GRANTED, slot.granted.endpoint, f"waited_ms={waited_s * 1000:.1f}")
+            self.context.metrics.grant_wait.labels(caller.service_class.name).observe(waited_s)
+            self.record_event(
+                Kind.GRANTED, slot.granted.endpoint, f"waited_ms={waited_s * 1000:.1f}"
+            )
         return slot
 
-    def own_headers(self, verdict: str) -> list[tuple[str, str]]:
-        """Returns the headers that every answer bears."""
+    def common_headers(self, verdict: str) -> list[tuple[str, str]]:
+        """Returns the headers that every response carries."""
         return [
             (responses.REQUEST_ID_HEADER, self.caller.request_id),
             (responses.VERDICT_HEADER, verdict),
--- a/bluebellpitch/callers/server.py
+++ b/bluebellpitch/callers/server.py
@@ -1,15 +1,15 @@
-"""The listener for callers: routes each request and counts how it ended."""
+"""The HTTP listener for callers: routes each request and counts its verdict."""
 
 from bluebellpitch.callers import responses
-from bluebellpitch.callers.completions import CompletionExchange
+from bluebellpitch.callers.completions import CompletionHandler
 from bluebellpitch.callers.requests import (
-    COMPLETION_TARGETS,
-    SERVICE_PREFIX,
-    find_member,
+    COMPLETION_PATHS,
+    SERVICE_PATH_PREFIX,
+    authenticate_member,
     parse_completion_request,
     parse_service_request,
 )
-from bluebellpitch.callers.services import ServiceExchange
+from bluebellpitch.callers.services import ServiceHandler
 from bluebellpitch.context import NodeContext
 from bluebellpitch.errors import BadRequestError
 from bluebellpitch.http1 import HttpRequest, HttpServer, ServerConnection
@@ -18,7 +18,7 @@
 
 
 class CallerServer:
-    """Serves callers with the parts of this VM."""
+    """Serves completions, services and the model list to callers."""
 
     def __init__(self, context: NodeContext):
         self._context = context
@@ -37,32 +37,34 @@
 
     async def _route(self, connection: ServerConnection, request: HttpRequest) -> None:
         target = request.target.partition("?")[0]
-        if target in COMPLETION_TARGETS and request.method == "POST":
-            await self._complete(connection, request)
-        elif target.startswith(SERVICE_PREFIX):
-            await self._call(connection, request)
+        if target in COMPLETION_PATHS and request.method == "POST":
+            await self._serve_completion(connection, request)
+        elif target.startswith(SERVICE_PATH_PREFIX):
+            await self._serve_service(connection, request)
         elif target == "/v1/models" and request.method == "GET":
             await self._list_models(connection, request)
         else:
             raise BadRequestError(404, "no_such_path", f"there is no {request.method} {target}")
 
-    async def _complete(self, connection: ServerConnection, request: HttpRequest) -> None:
-        job = parse_completion_request(request, self._context.table, self._context.now())
-        verdict = await CompletionExchange(self._context, connection, job).run()
-        self._count(job.caller, verdict)
+    async def _serve_completion(self, connection: ServerConnection, request: HttpRequest) -> None:
+        parsed = parse_completion_request(request, self._context.table, self._context.now())
+        verdict = await CompletionHandler(self._context, connection, parsed).run()
+        self._record_verdict(parsed.caller, verdict)
 
-    async def _call(self, connection: ServerConnection, request: HttpRequest) -> None:
+    async def _serve_service(self, connection: ServerConnection, request: HttpRequest) -> None:
         context = self._context
-        job = parse_service_request(request, context.table, context.now(), context.wall())
-        verdict = await ServiceExchange(context, connection, job).run()
-        self._count(job.caller, verdict)
+        parsed = parse_service_request(request, context.table, context.now(), context.wall())
+        verdict = await ServiceHandler(context, connection, parsed).run()
+        self._record_verdict(parsed.caller, verdict)
 
-    def _count(self, caller, verdict) -> None:
+    def _record_verdict(self, caller, verdict) -> None:
         metrics = self._context.metrics
-        metrics.requests.labels(caller.row.name, verdict.name).inc()
+        metrics.requests.labels(caller.service_class.name, verdict.name).inc()
         metrics.member_requests.labels(metrics.member_label(caller.member.name)).inc()
         if isinstance(verdict, DidNotRun | MayHaveRun):
-            metrics.refusals.labels(caller.row.name, verdict.reason.partition(":")[0]).inc()
+            metrics.refusals.labels(
+                caller.service_class.name, verdict.reason.partition(":")[0]
+            ).inc()
             log(
                 "INFO",
                 "refused",
@@ -74,7 +76,7 @@
 
     async def _list_models(self, connection: ServerConnection, request: HttpRequest) -> None:
         table = self._context.table
-        find_member(request, table)
+        authenticate_member(request, table)
         models = sorted(p.name for p in table.pools_by_name.values() if p.kind == "model")
         data = [{"id": name, "object": "model", "created": 0, "owned_by": ""} for name in models]
         await responses.send_json(connection, {"object": "list", "data": data})
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -1,10 +1,10 @@
-"""Serves one call of a plain service; what must not repeat is claimed first."""
+"""Handles one request to a plain service; claims the key of a non-idempotent one first."""
 
 from uuid import uuid4
 
 from bluebellpitch.callers import responses
-from bluebellpitch.callers.request_handler import Exchange
-from bluebellpitch.callers.requests import ServiceJob, forwarded_headers
+from bluebellpitch.callers.request_handler import RequestHandler
+from bluebellpitch.callers.requests import ServiceRequest, forwarded_headers
 from bluebellpitch.constants import ATTEMPTS_PER_REQUEST, OUTCOME_BODY_MAX_BYTES
 from bluebellpitch.context import NodeContext
 from bluebellpitch.decisions.claiming import Replay, Wish, Won
@@ -15,55 +15,57 @@
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
-Result = HttpResponse | Replay | DidNotRun | MayHaveRun
-DROPPED_HEADERS = frozenset(("connection", "content-length", "transfer-encoding", "keep-alive"))
+CallResult = HttpResponse | Replay | DidNotRun | MayHaveRun
+EXCLUDED_RESPONSE_HEADERS = frozenset(
+    ("connection", "content-length", "transfer-encoding", "keep-alive")
+)
 
 
-class ServiceExchange(Exchange):
-    """One call from admission to its answer. Owned by the caller's task."""
+class ServiceHandler(RequestHandler):
+    """Handles one service request. Owned by the task of the caller's connection."""
 
-    def __init__(self, context: NodeContext, connection: ServerConnection, job: ServiceJob):
-        super().__init__(context, connection, job)
+    def __init__(self, context: NodeContext, connection: ServerConnection, request: ServiceRequest):
+        super().__init__(context, connection, request)
         self.attempt = 0
         self.claim: Claim | None = None
 
     async def run(self) -> Verdict:
-        """Serves the call to its end; returns the verdict that the caller got."""
-        self.record(Kind.ADMITTED, detail=f"pool={self.job.pool.name}")
-        started = self.context.now()
-        result = await self._try_until_settled()
+        """Handles the request to its end; returns the verdict sent to the caller."""
+        self.record_event(Kind.ADMITTED, detail=f"pool={self.request.pool.name}")
+        started_at = self.context.now()
+        result = await self._call_with_retries()
         self._settle_claim(result)
         match result:
             case HttpResponse():
-                return await self._answer(result, started)
+                return await self._send_response(result, started_at)
             case Replay(outcome):
-                return await self._replay(outcome)
+                return await self._replay_outcome(outcome)
             case verdict:
-                self.record(Kind.REFUSED, self.endpoint, f"{verdict.reason} {verdict.name}")
+                self.record_event(Kind.REFUSED, self.endpoint, f"{verdict.reason} {verdict.name}")
                 await responses.send_verdict(self.connection, verdict, self.caller.request_id)
                 return verdict
 
-    async def _try_until_settled(self) -> Result:
-        """Tries again only what did not run, or may run again."""
-        result: Result = DidNotRun("not_tried")
+    async def _call_with_retries(self) -> CallResult:
+        """Retries only requests that did not run, or that are idempotent."""
+        result: CallResult = DidNotRun("not_tried")
         for _ in range(ATTEMPTS_PER_REQUEST):
-            result = await self._try_once()
+            result = await self._run_attempt()
             if isinstance(result, HttpResponse | Replay):
                 return result
-            if isinstance(result, MayHaveRun) and not self.job.repeatable:
+            if isinstance(result, MayHaveRun) and not self.request.is_idempotent:
                 return result
-            if isinstance(result, DidNotRun) and not self._is_worth_retrying(result):
+            if isinstance(result, DidNotRun) and not self._is_retryable(result):
                 return result
-            self.record(Kind.RETRIED, self.endpoint, result.reason)
+            self.record_event(Kind.RETRIED, self.endpoint, result.reason)
         return result
 
-    def _is_worth_retrying(self, verdict: DidNotRun) -> bool:
+    def _is_retryable(self, verdict: DidNotRun) -> bool:
         return verdict.reason in ("endpoint_unreachable", "endpoint_did_not_run")
 
-    async def _try_once(self) -> Result:
+    async def _run_attempt(self) -> CallResult:
         self.attempt += 1
-        expires_at = self.caller.arrived_at + self.caller.patience_s
-        slot = await self.seek(self.attempt, expires_at, resumable=False)
+        expires_at = self.caller.arrived_at + self.caller.max_wait_s
+        slot = await self.acquire_slot(self.attempt, expires_at, resumable=False)
         if isinstance(slot, DidNotRun):
             return slot
         self.endpoint = slot.granted.endpoint
@@ -77,23 +79,23 @@
         finally:
             self.context.slots.give_back(slot, outcome)
 
-    async def _claim_and_call(self, slot: Slot) -> Result:
-        """Claims as late as can be, so that a claim that waits cannot be left behind."""
-        if self.job.key and not self.job.repeatable and self.claim is None:
-            wish = Wish(self.job.key, self.job.body_digest, self.job.made_at)
+    async def _claim_and_call(self, slot: Slot) -> CallResult:
+        """Claims only once a slot is held, so that no claim is left behind by a waiting request."""
+        if self.request.idempotency_key and not self.request.is_idempotent and self.claim is None:
+            wish = Wish(self.request.idempotency_key, self.request.digest, self.request.made_at)
             verdict = await self.context.claims.claim(self.caller.request_id, wish)
             if not isinstance(verdict, Won):
                 return verdict
             self.claim = verdict.claim
         if self.claim and not self.context.claims.may_dispatch(self.claim):
             return DidNotRun("request_too_old", 400)
-        return await self._call(slot)
+        return await self._call_endpoint(slot)
 
-    async def _call(self, slot: Slot) -> HttpResponse | DidNotRun | MayHaveRun:
-        request = self.job.request
+    async def _call_endpoint(self, slot: Slot) -> HttpResponse | DidNotRun | MayHaveRun:
+        request = self.request.http_request
         headers = (*forwarded_headers(request), ("X-Request-Id", self.caller.request_id))
-        call = ServiceCall(request.method, self.job.target, headers, request.body)
-        self.record(Kind.DISPATCHED, slot.granted.endpoint, f"attempt={self.attempt}")
+        call = ServiceCall(request.method, self.request.target, headers, request.body)
+        self.record_event(Kind.DISPATCHED, slot.granted.endpoint, f"attempt={self.attempt}")
         result = await call_service(
             self.context.connections,
             slot.granted.address,
@@ -104,8 +106,8 @@
             self.context.metrics.region_bytes.inc(len(request.body) + len(result.body))
         return result
 
-    def _settle_claim(self, result: Result) -> None:
-        """Ends this request's claim: with its outcome, or withdrawn when nothing ran."""
+    def _settle_claim(self, result: CallResult) -> None:
+        """Records the outcome of this request's claim, or withdraws it when nothing ran."""
         if self.claim is None:
             return
         if isinstance(result, DidNotRun):
@@ -115,7 +117,7 @@
         if isinstance(result, HttpResponse):
             status, body = result.status, result.body
             content_type = next((v for k, v in result.headers if k == "content-type"), "")
-        kept = len(body) <= OUTCOME_BODY_MAX_BYTES
+        is_kept = len(body) <= OUTCOME_BODY_MAX_BYTES
         verdict = Ran.name if isinstance(result, HttpResponse) else MayHaveRun.name
         outcome = Outcome(
             id=uuid4().hex,
@@ -124,33 +126,35 @@
             verdict=verdict,
             status=status,
             content_type=content_type,
-            answer=body if kept else b"",
-            answer_kept=kept,
+            answer=body if is_kept else b"",
+            answer_kept=is_kept,
             made_at=self.claim.made_at,
         )
         self.context.claims.record_outcome(self.caller.request_id, outcome)
 
-    async def _answer(self, response: HttpResponse, started: float) -> Verdict:
-        row, metrics = self.caller.row, self.context.metrics
-        took_s = self.context.now() - started
-        metrics.first_token.labels(row.name).observe(took_s)
-        if took_s <= row.first_token_ms / 1000:
-            metrics.in_target.labels(row.name).inc()
-        self.record(Kind.COMPLETED, self.endpoint, f"status={response.status}")
-        headers = [(k, v) for k, v in response.headers if k.lower() not in DROPPED_HEADERS]
-        headers += self.own_headers(Ran.name)
+    async def _send_response(self, response: HttpResponse, started_at: float) -> Verdict:
+        service_class, metrics = self.caller.service_class, self.context.metrics
+        took_s = self.context.now() - started_at
+        metrics.first_token.labels(service_class.name).observe(took_s)
+        if took_s <= service_class.first_token_ms / 1000:
+            metrics.in_target.labels(service_class.name).inc()
+        self.record_event(Kind.COMPLETED, self.endpoint, f"status={response.status}")
+        headers = [
+            (k, v) for k, v in response.headers if k.lower() not in EXCLUDED_RESPONSE_HEADERS
+        ]
+        headers += self.common_headers(Ran.name)
         await self.connection.respond(response.status, headers, response.body)
         return Ran()
 
-    async def _replay(self, outcome: Outcome) -> Verdict:
-        """Answers a repeated key with what is known of its one run."""
+    async def _replay_outcome(self, outcome: Outcome) -> Verdict:
+        """Responds to a reused key with the outcome of its only run."""
         if outcome.verdict == MayHaveRun.name:
             verdict = MayHaveRun("unresolved", 409)
             await responses.send_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
-        self.record(Kind.COMPLETED, detail="replayed")
+        self.record_event(Kind.COMPLETED, detail="replayed")
         headers = [("Content-Type", outcome.content_type or "application/octet-stream")]
-        headers += [*self.own_headers(Ran.name), (responses.REPLAYED_HEADER, "true")]
+        headers += [*self.common_headers(Ran.name), (responses.REPLAYED_HEADER, "true")]
         if not outcome.answer_kept:
             headers.append(("X-Bluebellpitch-Answer-Kept", "false"))
         await self.connection.respond(outcome.status, headers, outcome.answer)
--- a/bluebellpitch/verdicts.py
+++ b/bluebellpitch/verdicts.py
@@ -1,11 +1,11 @@
-"""Verdicts: whether a request may have run, with the reason. Used as sentinels for errors."""
+"""Verdicts: whether a request may have run, and why. Returned in place of raising errors."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class DidNotRun:
-    """No endpoint ran any part of the request, and none will."""
+    """No endpoint has run any part of the request, and none will."""
 
     reason: str
     status: int = 503
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MayHaveRun:
-    """The request may have run once; its answer is lost."""
+    """The request may have run once; its response is lost."""
 
     reason: str
     status: int = 502
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ran:
-    """The request ran and its complete answer is known."""
+    """The request ran, and its complete response is known."""
 
     reason: str = "complete"
     status: int = 200
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -52,14 +52,15 @@
     Mutant(
         "submissions are claimed",
         "bluebellpitch/callers/services.py",
-        "if self.job.key and not self.job.repeatable and self.claim is None:",
+        "if self.request.idempotency_key and not self.request.is_idempotent "
+        "and self.claim is None:",
         "if False:",
         "tests/test_at_most_once.py::test_two_vms_with_one_key_run_it_once",
     ),
     Mutant(
         "a request that may have run is not sent again",
         "bluebellpitch/callers/services.py",
-        "            if isinstance(result, MayHaveRun) and not self.job.repeatable:\n"
+        "            if isinstance(result, MayHaveRun) and not self.request.is_idempotent:\n"
         "                return result\n",
         "",
         "tests/test_at_most_once.py::test_submission_without_key_is_never_sent_twice",
@@ -123,7 +124,7 @@
     Mutant(
         "a stream is resumed from its last token",
         "bluebellpitch/callers/completions.py",
-        'body["continue_text"] = join_text(b"".join(self.progress.parts))',
+        'body["continue_text"] = join_text(b"".join(self.progress.chunks))',
         "pass",
         "tests/test_streams.py::test_engine_killed_in_mid_stream_is_resumed",
     ),
