--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,4 +1,4 @@
-"""What callers see: their own answers, and clear refusals of bad input."""
+"""Responses to callers: their own completions, and clear refusals of bad input."""
 
 import asyncio
 import hashlib
@@ -36,11 +36,11 @@
     return run(fetch(vm.listen, "POST", target, body, headers, timeout_s=10.0))
 
 
-def completion(**fields) -> bytes:
+def completion_body(**fields) -> bytes:
     return msgspec.json.encode({"model": "drafter", "prompt": PROMPT} | fields)
 
 
-def raw_exchange(vm, data: bytes) -> bytes:
+def send_raw(vm, data: bytes) -> bytes:
     host, port = vm.listen.split(":")
     with socket.create_connection((host, int(port)), timeout=10) as client:
         client.sendall(data)
@@ -50,7 +50,7 @@
     return b"".join(parts)
 
 
-def assert_serves(run, vm):
+def assert_still_serves(run, vm):
     answer = run(stream(vm.listen, TOKEN, PROMPT))
     assert_that(answer.text, Equals(answer_to(PROMPT)))
 
@@ -58,9 +58,9 @@
 def test_openai_client_works_unchanged(vm):
     client = openai.OpenAI(api_key=TOKEN, base_url=f"http://{vm.listen}/v1", max_retries=0)
     messages = [{"role": "user", "content": PROMPT}]
-    whole = client.chat.completions.create(model="drafter", messages=messages)
-    assert_that(whole.choices[0].message.content, Equals(answer_to(PROMPT)))
-    assert_that(whole.usage.completion_tokens, Equals(25))
+    chat = client.chat.completions.create(model="drafter", messages=messages)
+    assert_that(chat.choices[0].message.content, Equals(answer_to(PROMPT)))
+    assert_that(chat.usage.completion_tokens, Equals(25))
     chunks = client.chat.completions.create(model="drafter", messages=messages, stream=True)
     text = "".join(chunk.choices[0].delta.content or "" for chunk in chunks)
     assert_that(text, Equals(answer_to(PROMPT)))
@@ -69,34 +69,34 @@
     assert_that([model.id for model in client.models.list()], Equals(["drafter"]))
 
 
-def test_openai_client_reads_a_refusal(vm):
+def test_openai_client_reports_a_refusal(vm):
     client = openai.OpenAI(api_key="wrong", base_url=f"http://{vm.listen}/v1", max_retries=0)
     with pytest.raises(openai.AuthenticationError) as caught:
         client.completions.create(model="drafter", prompt=PROMPT)
     assert_that(caught.value.code, Equals("wrong_credential"))
 
 
-def test_many_streams_get_their_own_answers(run, vm):
+def test_concurrent_streams_get_their_own_responses(run, vm):
     prompts = [f"[len={10 + n % 30}] request {n}" for n in range(60)]
 
     async def send_all():
         return await asyncio.gather(*(stream(vm.listen, TOKEN, prompt) for prompt in prompts))
 
-    answers = run(send_all())
+    responses = run(send_all())
     expected = [hashlib.sha256(answer_to(p).encode()).hexdigest() for p in prompts]
-    got = [hashlib.sha256(a.text.encode()).hexdigest() for a in answers]
+    got = [hashlib.sha256(response.text.encode()).hexdigest() for response in responses]
     assert_that(got, Equals(expected))
 
 
 BAD_REQUESTS = {
     "bad_json": (b"{", None, 400),
-    "unknown_model": (completion(model="none"), None, 404),
-    "bad_request": (completion(prompt=""), None, 400),
-    "unknown_class": (completion(), headers_for(TOKEN, "none"), 400),
-    "wrong_credential": (completion(), headers_for("none"), 401),
-    "no_credential": (completion(), [], 401),
-    "deadline_past": (completion(), headers_for(TOKEN, X_Bluebellpitch_Deadline_Ms="-5"), 400),
-    "bad_deadline": (completion(), headers_for(TOKEN, X_Bluebellpitch_Deadline_Ms="nan"), 400),
+    "unknown_model": (completion_body(model="none"), None, 404),
+    "bad_request": (completion_body(prompt=""), None, 400),
+    "unknown_class": (completion_body(), headers_for(TOKEN, "none"), 400),
+    "wrong_credential": (completion_body(), headers_for("none"), 401),
+    "no_credential": (completion_body(), [], 401),
+    "deadline_past": (completion_body(), headers_for(TOKEN, X_Bluebellpitch_Deadline_Ms="-5"), 400),
+    "bad_deadline": (completion_body(), headers_for(TOKEN, X_Bluebellpitch_Deadline_Ms="nan"), 400),
     "body_too_large": (b"x" * 60_000, None, 413),
 }
 
@@ -109,7 +109,7 @@
     assert_that(response.status, Equals(status))
     assert_that(fields["reason"], Equals(reason))
     assert_that(fields["verdict"], Equals("did_not_run"))
-    assert_serves(run, vm)
+    assert_still_serves(run, vm)
 
 
 RAW_REQUESTS = {
@@ -120,14 +120,14 @@
 
 
 @pytest.mark.parametrize("kind", RAW_REQUESTS)
-def test_raw_nonsense_is_refused_and_harms_nobody(run, vm, kind):
-    answer = raw_exchange(vm, RAW_REQUESTS[kind])
+def test_malformed_http_is_refused_and_affects_no_other_caller(run, vm, kind):
+    answer = send_raw(vm, RAW_REQUESTS[kind])
     assert_that(answer, MatchesAll(Contains(b"did_not_run"), Contains(b"HTTP/1.1 4")))
-    assert_serves(run, vm)
+    assert_still_serves(run, vm)
 
 
-def test_engine_rejection_is_passed_on(run, vm):
-    response = post(run, vm, completion(prompt="[reject] this"))
+def test_engine_rejection_is_forwarded(run, vm):
+    response = post(run, vm, completion_body(prompt="[reject] this"))
     assert_that(response.status, Equals(400))
     assert_that(response.body, Contains(b"rejected by the model"))
 
@@ -146,7 +146,7 @@
     assert_that(msgspec.json.decode(answer.body)["reason"], Equals("request_too_old"))
 
 
-def test_member_cannot_use_another_members_key(run, vm):
+def test_members_with_the_same_key_do_not_interfere(run, vm):
     first = run(submit(vm.listen, TOKEN, "case-m1", "shared-key"))
     second = run(submit(vm.listen, "agency-secret", "case-m2", "shared-key"))
     assert_that([first.status, second.status], Equals([200, 200]))
