--- /dev/null
+++ b/bluebellpitch/callers/routed_requests.py
@@ -0,0 +1,351 @@
+"""Handles one request of ``bluebellpitch route``: admission, attempts, retries, response."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from bluebellpitch.callers.admission import AdmittedRequest, admit_request, make_work
+from bluebellpitch.callers.responses import encode_error_body
+from bluebellpitch.decisions.catalogue import Catalogue, Repeatability, Route
+from bluebellpitch.decisions.freshness import Freshness
+from bluebellpitch.decisions.hashing import digest_text
+from bluebellpitch.decisions.retry_budget import RetryBudget
+from bluebellpitch.decisions.strikes import IsolationLevel
+from bluebellpitch.endpoints.attempt import Attempt, Turned, Unsent, settle
+from bluebellpitch.endpoints.links import Links
+from bluebellpitch.errors import BadRequestError, GoneError, NotSentError
+from bluebellpitch.http1 import ClientConnection, HttpRequest, ServerConnection
+from bluebellpitch.logs import log
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.platform.requests import (
+    AnswerHead,
+    Forwarding,
+    RoutedRequest,
+    decode_request,
+    last_event_id,
+    refusal_headers,
+)
+from bluebellpitch.roles.endpoint_selector import EndpointSelector, Placement
+from bluebellpitch.roles.strike_replicator import StrikeReplicator
+from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
+
+# Extra wait after the deadline for a response that the endpoint itself sends at the deadline.
+DEADLINE_RESPONSE_GRACE_S = 0.06
+# Failed connections don't count as attempts, so they have a limit of their own.
+MAX_CONNECT_FAILURES = 4
+# Least remaining time for which a retry is worth sending.
+MIN_RETRY_TIME_S = 0.05
+NO_ENDPOINT_RETRY_AFTER_S = 0.4
+CRASHING_REQUEST_RETRY_AFTER_S = 60.0
+CRASH_PROBE_TIMEOUT_S = 0.05
+
+
+@dataclass(frozen=True)
+class RoutingContext:
+    """The shared state and services that request handlers use."""
+
+    catalogue: Callable[[], Catalogue | None]
+    freshness: Freshness
+    placing: EndpointSelector
+    connections: Links
+    retry_budget: RetryBudget
+    count_live_vms: Callable[[], int]
+    is_draining: Callable[[], bool]
+    is_closing: Callable[[], bool]
+    strikes: StrikeReplicator
+    metrics: Metrics
+    now: Callable[[], float]
+
+
+class RoutedRequestHandler:
+    """Handles one request. Owned by the task of the caller's connection."""
+
+    def __init__(self, context: RoutingContext, connection: ServerConnection):
+        self._context = context
+        self._connection = connection
+        self._response_started = False
+        self._last_event: int | None = None
+        self._tried: list[str] = []
+        self._first_event_at = 0.0
+        self._last_event_at = 0.0
+        self._longest_gap_s = 0.0
+        self._route_name = ""
+        self._fingerprint = ""
+
+    async def serve(self, http_request: HttpRequest) -> None:
+        """Responds to the request; cancels the work as soon as the caller disconnects."""
+        request = decode_request(http_request)
+        task = asyncio.ensure_future(self._handle(request))
+        disconnected = asyncio.ensure_future(self._connection.wait_gone())
+        try:
+            await asyncio.wait({task, disconnected}, return_when=asyncio.FIRST_COMPLETED)
+            if not task.done():
+                log("INFO", "caller_left", request=request.id, endpoints=",".join(self._tried))
+                raise GoneError("the caller disconnected")
+            task.result()
+        finally:
+            await settle(disconnected)
+            if not task.done():
+                await settle(task)
+
+    async def _handle(self, request: RoutedRequest) -> None:
+        context, now = self._context, self._context.now()
+        admitted = admit_request(request, context.catalogue(), context.freshness, now)
+        if isinstance(admitted, DidNotRun):
+            verdict: Verdict = admitted
+        elif context.is_closing():
+            verdict = DidNotRun("shutting_down", 503, 0.1)
+        else:
+            self._route_name = admitted.route.name
+            context.retry_budget.record_request(admitted.pool, now)
+            verdict = await self._dispatch_unless_crashing(admitted)
+        await self._finish(request, verdict, now)
+
+    async def _finish(self, request: RoutedRequest, verdict: Verdict, arrived_at: float) -> None:
+        took_ms = (self._context.now() - arrived_at) * 1000
+        self._record_metrics(verdict, arrived_at)
+        log(
+            "INFO",
+            "ended",
+            request=request.id,
+            verdict=verdict.name,
+            reason=verdict.reason,
+            status=verdict.status,
+            route=self._route_name,
+            endpoints=",".join(self._tried) or "none",
+            took_ms=f"{took_ms:.0f}",
+            first_ms=f"{max(0.0, self._first_event_at - arrived_at) * 1000:.0f}",
+            gap_ms=f"{self._longest_gap_s * 1000:.0f}",
+        )
+        if isinstance(verdict, Ran):
+            return
+        if self._response_started:
+            raise GoneError("a response that has started cannot be completed")
+        headers = refusal_headers(verdict.retry_after_s)
+        await self._send_response(verdict.status, headers, encode_error_body(verdict, request.id))
+
+    def _record_metrics(self, verdict: Verdict, arrived_at: float) -> None:
+        metrics = self._context.metrics
+        label = metrics.member_label(self._route_name)
+        metrics.requests.labels(label, verdict.name).inc()
+        if isinstance(verdict, DidNotRun):
+            metrics.refusals.labels(label, verdict.reason.partition(" ")[0]).inc()
+        if self._first_event_at:
+            metrics.first_token.labels(label).observe(self._first_event_at - arrived_at)
+
+    async def _send_response(self, status: int, headers, body: bytes) -> None:
+        self._response_started = True
+        await self._connection.respond(status, self._response_headers(headers), body)
+
+    async def _dispatch_unless_crashing(self, admitted: AdmittedRequest) -> Verdict:
+        """Refuses a request that has crashed several endpoints; dispatches any other."""
+        context, request = self._context, admitted.request
+        member = admitted.member.name if admitted.member else ""
+        self._fingerprint = digest_text(request.method, request.target, member, request.body)
+        strikes = context.strikes.book.count(self._fingerprint, context.now())
+        if (
+            context.strikes.book.isolation_level(self._fingerprint, context.now())
+            is IsolationLevel.REFUSED
+        ):
+            log("WARNING", "crashes_endpoints", request=request.id, strikes=strikes)
+            return DidNotRun("crashes_endpoints", 503, CRASHING_REQUEST_RETRY_AFTER_S)
+        verdict = await self._dispatch_with_retries(admitted)
+        if strikes and isinstance(verdict, Ran):
+            context.strikes.clear(self._fingerprint)
+        return verdict
+
+    async def _report_crash(self, place: Placement, request: RoutedRequest) -> None:
+        """Records a strike if the endpoint is down after a failed attempt: no connection opens."""
+        try:
+            connection = await ClientConnection.open(place.entry.address, CRASH_PROBE_TIMEOUT_S)
+        except NotSentError:
+            attempt = f"{place.entry.id}/{place.entry.started_ms}"
+            log("WARNING", "strike", request=request.id, endpoint=place.entry.id)
+            self._context.strikes.record(self._fingerprint, attempt)
+        else:
+            connection.close()
+
+    async def _dispatch_with_retries(self, admitted: AdmittedRequest) -> Verdict:
+        """Tries endpoints until one responds, time runs out, or no further retry is allowed."""
+        attempts, connect_failures = 0, 0
+        verdict: Verdict | None = None
+        may_have_run: MayHaveRun | None = None
+        while attempts < admitted.route.max_attempts and connect_failures < MAX_CONNECT_FAILURES:
+            if (refusal := self._attempt_refusal(admitted, attempts)) is not None:
+                return may_have_run or verdict or refusal
+            place = await self._choose_endpoint(admitted)
+            if isinstance(place, DidNotRun):
+                return may_have_run or verdict or place
+            verdict = await self._run_attempt(admitted, place)
+            match verdict:
+                case Ran():
+                    return verdict
+                case Unsent():
+                    connect_failures += 1
+                    continue
+                case MayHaveRun() if not self._may_retry(admitted):
+                    return verdict
+                case MayHaveRun():
+                    may_have_run = verdict
+            attempts += 1
+        return may_have_run or verdict
+
+    def _attempt_refusal(self, admitted: AdmittedRequest, attempts: int) -> DidNotRun | None:
+        """Returns the reason why no further attempt is allowed, or None if one is."""
+        context, now = self._context, self._context.now()
+        if now >= admitted.expires_at - (MIN_RETRY_TIME_S if attempts else 0):
+            return DidNotRun("no_time", 503, NO_ENDPOINT_RETRY_AFTER_S)
+        if attempts and not context.retry_budget.spend(
+            admitted.pool, context.count_live_vms(), now
+        ):
+            log("INFO", "repeat_budget_spent", request=admitted.request.id)
+            return DidNotRun("repeat_budget_spent", 503, NO_ENDPOINT_RETRY_AFTER_S)
+        return None
+
+    async def _choose_endpoint(self, admitted: AdmittedRequest) -> Placement | DidNotRun:
+        work = make_work(admitted, len(self._tried))
+        tried = frozenset(self._tried)
+        return await self._context.placing.select(work, admitted.is_engine_pool, tried)
+
+    async def _run_attempt(self, admitted: AdmittedRequest, place: Placement) -> Verdict:
+        """Makes one attempt and records its outcome in the load tracking."""
+        self._tried.append(place.entry.id)
+        outcome = "withdrawn"
+        try:
+            verdict = await self._send_to_endpoint(admitted, place)
+            outcome = outcome_of(verdict)
+        finally:
+            self._context.placing.release(place, outcome, self._longest_gap_s)
+        if outcome == "failed" and isinstance(verdict, MayHaveRun):
+            await self._report_crash(place, admitted.request)
+        return verdict
+
+    def _may_retry(self, admitted: AdmittedRequest) -> bool:
+        """Returns whether a request that may have run may be sent again."""
+        if not admitted.is_retryable:
+            return False
+        return not self._response_started or self._may_resume(admitted.route)
+
+    def _may_resume(self, route: Route) -> bool:
+        return route.repeatability is Repeatability.RESUMABLE and self._last_event is not None
+
+    async def _send_to_endpoint(self, admitted: AdmittedRequest, place: Placement) -> Verdict:
+        """Sends the request to one endpoint and forwards its response."""
+        context = self._context
+        attempt = Attempt(context.connections, place.entry, admitted.request, context.now)
+        last_event = admitted.request.last_event if self._last_event is None else self._last_event
+        forwarding = Forwarding(
+            endpoint_id=place.entry.id,
+            time_left_s=admitted.expires_at - context.now(),
+            member=admitted.member.name if admitted.member else "",
+            rank=admitted.rank if admitted.is_engine_pool else None,
+            last_event=last_event,
+        )
+        try:
+            at_most_once = admitted.route.repeatability is Repeatability.ONCE
+            deadline = admitted.expires_at + DEADLINE_RESPONSE_GRACE_S
+            head = await attempt.start(forwarding, at_most_once, deadline)
+            return await self._handle_head(admitted, place, attempt, head, deadline)
+        finally:
+            attempt.close()
+
+    async def _handle_head(
+        self, admitted, place: Placement, attempt: Attempt, head, deadline
+    ) -> Verdict:
+        placing = self._context.placing
+        match head:
+            case Turned():
+                if head.is_other:
+                    placing.directory.mark_replaced(place.entry)
+                placing.record_load_report(place, attempt.head)
+                return DidNotRun(head.reason, 503, NO_ENDPOINT_RETRY_AFTER_S)
+            case Unsent() | MayHaveRun():
+                return head
+        placing.record_load_report(place, head)
+        if admitted.route.is_stream and 200 <= head.status < 300:
+            return await self._forward_stream(admitted, place, attempt, head, deadline)
+        response = await attempt.read_whole(deadline)
+        return await self._forward_response(admitted, response)
+
+    async def _forward_response(self, admitted: AdmittedRequest, response) -> Verdict:
+        if isinstance(response, MayHaveRun):
+            return response
+        head: AnswerHead = response.head
+        if head.status >= 500 and admitted.is_retryable and self._has_retry_left(admitted):
+            return MayHaveRun(f"answered {head.status}", status=502)
+        if self._response_started:
+            return MayHaveRun(f"answered {head.status} to a resumed stream")
+        await self._send_response(head.status, head.headers, response.body)
+        return Ran(f"answered {head.status}", head.status)
+
+    def _has_retry_left(self, admitted: AdmittedRequest) -> bool:
+        context, now = self._context, self._context.now()
+        left = context.retry_budget.remaining(admitted.pool, context.count_live_vms(), now)
+        return (
+            len(self._tried) < admitted.route.max_attempts
+            and left >= 1
+            and now < admitted.expires_at - MIN_RETRY_TIME_S
+        )
+
+    async def _forward_stream(
+        self, admitted, place: Placement, attempt: Attempt, head, deadline
+    ) -> Verdict:
+        """Forwards events as they arrive; never ends a truncated stream as if it were complete."""
+        placing = self._context.placing
+        first = True
+        async for events in attempt.events(
+            deadline, silence_s=max(0.001, deadline - self._context.now())
+        ):
+            if first:
+                first = False
+                placing.record_first_event(place, attempt.sent_at)
+            await self._start_stream(head)
+            self._note_event_time()
+            await self._connection.send(events)
+            last = last_event_id(events)
+            self._last_event = self._last_event if last is None else last
+        if attempt.ending != "complete":
+            status = 504 if attempt.ending == "late" else 502
+            return MayHaveRun(f"stream {attempt.ending}", status=status)
+        await self._start_stream(head)
+        await self._connection.end()
+        return Ran("complete", head.status)
+
+    def _note_event_time(self) -> None:
+        now = self._context.now()
+        if self._first_event_at:
+            self._longest_gap_s = max(self._longest_gap_s, now - self._last_event_at)
+        else:
+            self._first_event_at = now
+        self._last_event_at = now
+
+    async def _start_stream(self, head: AnswerHead) -> None:
+        """Sends the response head, unless an earlier attempt has sent it."""
+        if not self._response_started:
+            self._response_started = True
+            await self._connection.start(head.status, self._response_headers(head.headers))
+
+    def _response_headers(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Drops Content-Length, which the connection sets; a draining VM adds Connection: close."""
+        kept = [pair for pair in headers if pair[0].lower() != "content-length"]
+        return [*kept, ("Connection", "close")] if self._context.is_draining() else kept
+
+
+def outcome_of(verdict: Verdict) -> str:
+    """Returns the outcome of an attempt, as load tracking names it."""
+    match verdict:
+        case Unsent():
+            return "unreachable"
+        case DidNotRun():
+            return "refused"
+        case MayHaveRun(_, status):
+            return "withdrawn" if status == 504 else "failed"
+        case Ran(_, status):
+            return "failed" if status >= 500 else "ok"
+
+
+async def refuse_malformed_request(connection: ServerConnection, error: BadRequestError) -> None:
+    """Responds to a malformed request, and closes the connection."""
+    verdict = DidNotRun(error.reason, error.status)
+    headers = [*refusal_headers(None), ("Connection", "close")]
+    await connection.respond(error.status, headers, encode_error_body(verdict, "", str(error)))
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable, Coroutine
 from uuid import uuid4
 
-from bluebellpitch.callers.routed import RoutedExchange, RoutingContext, refuse_malformed
+from bluebellpitch.callers.routed_requests import (
+    RoutedRequestHandler,
+    RoutingContext,
+    refuse_malformed_request,
+)
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.freshness import Freshness
@@ -140,20 +144,20 @@
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
             placing=self.endpoint_selector,
-            links=self.links,
-            repeats=RetryBudget(
+            connections=self.links,
+            retry_budget=RetryBudget(
                 settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
             ),
-            live_vms=self.peer_discovery.vm_count,
+            count_live_vms=self.peer_discovery.vm_count,
             is_draining=self.draining.is_set,
             is_closing=lambda: self._closing,
             strikes=self.strikes,
             metrics=self.metrics,
             now=now,
         )
-        self.metrics_http = HttpServer(self._serve_metrics, refuse_malformed, HttpLimits())
-        self.http = HttpServer(self._serve, refuse_malformed, HttpLimits(idle_s=16.0))
-        self.ready_http = HttpServer(self._serve_readiness, refuse_malformed, HttpLimits())
+        self.metrics_http = HttpServer(self._serve_metrics, refuse_malformed_request, HttpLimits())
+        self.http = HttpServer(self._serve, refuse_malformed_request, HttpLimits(idle_s=16.0))
+        self.ready_http = HttpServer(self._serve_readiness, refuse_malformed_request, HttpLimits())
 
     def _create_follower(self, topic: str, long_poll_s: float) -> TopicFollower:
         return TopicFollower(
@@ -197,7 +201,7 @@
         return [record.bus for record in self.peer_discovery.records_by_vm.values()]
 
     async def _serve(self, connection, request) -> None:
-        await RoutedExchange(self.context, connection).serve(request)
+        await RoutedRequestHandler(self.context, connection).serve(request)
 
     async def _serve_readiness(self, connection, request) -> None:
         status = 200 if self.is_ready() else 503
@@ -212,7 +216,7 @@
         metrics.in_flight.set(self.http.busy)
         catalogue = self.configuration.catalogue
         for pool in catalogue.pools_by_name if catalogue else ():
-            retries_left = context.repeats.remaining(pool, self.peer_discovery.vm_count(), now)
+            retries_left = context.retry_budget.remaining(pool, self.peer_discovery.vm_count(), now)
             metrics.repeats_left.labels(pool).set(retries_left)
         headers = [("Content-Type", "text/plain; version=0.0.4")]
         await connection.respond(200, headers, metrics.render())
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -52,14 +52,15 @@
     Mutant(
         "submissions are claimed",
         "bluebellpitch/callers/services.py",
-        "if self.job.key and not self.job.repeatable and self.claim is None:",
+        "if self.request.idempotency_key and not self.request.is_idempotent "
+        "and self.claim is None:",
         "if False:",
         "tests/test_at_most_once.py::test_two_vms_with_one_key_run_it_once",
     ),
     Mutant(
         "a request that may have run is not sent again",
         "bluebellpitch/callers/services.py",
-        "            if isinstance(result, MayHaveRun) and not self.job.repeatable:\n"
+        "            if isinstance(result, MayHaveRun) and not self.request.is_idempotent:\n"
         "                return result\n",
         "",
         "tests/test_at_most_once.py::test_submission_without_key_is_never_sent_twice",
@@ -123,7 +124,7 @@
     Mutant(
         "a stream is resumed from its last token",
         "bluebellpitch/callers/completions.py",
-        'body["continue_text"] = join_text(b"".join(self.progress.parts))',
+        'body["continue_text"] = join_text(b"".join(self.progress.chunks))',
         "pass",
         "tests/test_streams.py::test_engine_killed_in_mid_stream_is_resumed",
     ),
@@ -172,16 +173,16 @@
     ),
     Mutant(
         "route: what may have run and must not repeat is not sent again",
-        "bluebellpitch/callers/routed.py",
-        "        if not admitted.may_repeat:\n            return False\n",
+        "bluebellpitch/callers/routed_requests.py",
+        "        if not admitted.is_retryable:\n            return False\n",
         "",
         "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
     ),
     Mutant(
         "route: what may have run is not called not run",
-        "bluebellpitch/callers/routed.py",
-        "if not self._may_go_on(admitted):\n                    return verdict",
-        'if not self._may_go_on(admitted):\n                    return DidNotRun("lost", 503, 1.0)',
+        "bluebellpitch/callers/routed_requests.py",
+        "if not self._may_retry(admitted):\n                    return verdict",
+        'if not self._may_retry(admitted):\n                    return DidNotRun("lost", 503, 1.0)',
         "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
     ),
     Mutant(
@@ -207,7 +208,7 @@
     ),
     Mutant(
         "route: a cut stream is not ended as if it were whole",
-        "bluebellpitch/callers/routed.py",
+        "bluebellpitch/callers/routed_requests.py",
         'if attempt.ending != "complete":',
         "if False:",
         "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
