--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -8,19 +8,19 @@
 from bluebellpitch.callers.requests import CompletionJob
 from bluebellpitch.callers.whole import assemble
 from bluebellpitch.constants import (
-    ATTEMPTS_PER_REQUEST,
-    FIRST_TOKEN_PATIENCE,
-    FIRST_TOKEN_PATIENCE_FLOOR_S,
-    HEDGES_PER_REQUEST,
-    RESUME_PATIENCE_S,
-    STRIKE_PATIENCE_S,
+    HEDGE_DELAY_FACTOR,
+    MAX_ATTEMPTS_PER_REQUEST,
+    MAX_HEDGES_PER_REQUEST,
+    MIN_HEDGE_DELAY_S,
+    RESUME_TIMEOUT_S,
+    STRIKE_CONFIRMATION_TIMEOUT_S,
 )
 from bluebellpitch.context import NodeContext
 from bluebellpitch.decisions.strikes import Suspicion
 from bluebellpitch.endpoints.engine import EngineAttempt, Rejected
 from bluebellpitch.endpoints.sse import count_events, join_text
-from bluebellpitch.errors import GoneError
-from bluebellpitch.events import Kind
+from bluebellpitch.errors import DisconnectedError
+from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import ServerConnection
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
@@ -61,11 +61,11 @@
 
     async def run(self) -> Verdict:
         """Serves the request to its end; returns the verdict that the caller got."""
-        self.record(Kind.ADMITTED, detail=f"pool={self.job.pool.name}")
+        self.record(EventKind.ADMITTED, detail=f"pool={self.job.pool.name}")
         self.context.hedges.earn(self.caller.row.name)
         try:
             verdict = await self._serve()
-        except GoneError:
+        except DisconnectedError:
             self.context.metrics.wasted_tokens.labels(self.caller.row.name).inc(
                 self.progress.tokens
             )
@@ -88,7 +88,7 @@
                 return await self._complete()
             if self.rejected is not None and ending == "rejected":
                 return await self._pass_rejection()
-            if self.progress.failures >= ATTEMPTS_PER_REQUEST:
+            if self.progress.failures >= MAX_ATTEMPTS_PER_REQUEST:
                 return await self._refuse("attempts_exhausted", 502)
 
     def _judge(self) -> Suspicion:
@@ -99,7 +99,7 @@
         progress.attempt += 1
         expires_at = caller.arrived_at + caller.patience_s
         if progress.dispatched:
-            expires_at = self.context.now() + RESUME_PATIENCE_S
+            expires_at = self.context.now() + RESUME_TIMEOUT_S
         return await self.seek(
             progress.attempt,
             expires_at,
@@ -114,11 +114,11 @@
         """Runs one attempt; returns its ending."""
         context, progress = self.context, self.progress
         attempt = EngineAttempt(context.connections, slot.granted.address, context.settings.stall_s)
-        slot.preempt = attempt.stop
+        slot.preempt = attempt.cancel
         if slot.preempted_for:
-            attempt.stop(slot.preempted_for)
+            attempt.cancel(slot.preempted_for)
         self.endpoint = slot.granted.endpoint
-        self.record(Kind.DISPATCHED, self.endpoint, f"attempt={progress.attempt}")
+        self.record(EventKind.DISPATCHED, self.endpoint, f"attempt={progress.attempt}")
         dispatched_at = context.now()
         ending = "cancelled"
         try:
@@ -153,7 +153,7 @@
             context.slots.saw_first(slot, now - dispatched_at)
         if progress.first_at is None:
             progress.first_at = now
-            self.record(Kind.FIRST_TOKEN, slot.granted.endpoint)
+            self.record(EventKind.FIRST_TOKEN, slot.granted.endpoint)
         progress.last_at = now
         count = count_events(events)
         slot.note_tokens(count, now)
@@ -165,8 +165,8 @@
     async def _pass_on(self, events: bytes) -> None:
         if self.job.stream:
             await self._send(events)
-        elif self.connection.is_gone():
-            raise GoneError("the caller closed its connection")
+        elif self.connection.is_disconnected():
+            raise DisconnectedError("the caller closed its connection")
 
     def _engine_body(self) -> dict:
         body = {**self.job.fields, "stream": True, "priority": self.caller.row.tier}
@@ -174,18 +174,18 @@
             body["stream_options"] = {"include_usage": True}
         if self.progress.parts:
             body["continue_text"] = join_text(b"".join(self.progress.parts))
-            self.record(Kind.RESUMED, self.endpoint, f"tokens={self.progress.tokens}")
+            self.record(EventKind.RESUMED, self.endpoint, f"tokens={self.progress.tokens}")
         return body
 
     def _first_token_patience(self, slot: Slot) -> float:
         """Returns how long to wait for a first token: short while a hedge may follow."""
         expected_s = slot.granted.expected_first_s
         patience_s = self.context.settings.stall_s * FIRST_STALL_FACTOR
-        if not expected_s or self.progress.hedges >= HEDGES_PER_REQUEST:
+        if not expected_s or self.progress.hedges >= MAX_HEDGES_PER_REQUEST:
             return patience_s
         if not self.context.hedges.allows(self.caller.row.name):
             return patience_s
-        short_s = max(FIRST_TOKEN_PATIENCE_FLOOR_S, FIRST_TOKEN_PATIENCE * expected_s)
+        short_s = max(MIN_HEDGE_DELAY_S, HEDGE_DELAY_FACTOR * expected_s)
         return min(patience_s, short_s)
 
     async def _send(self, events: bytes) -> None:
@@ -205,30 +205,30 @@
         match ending:
             case "preempted":
                 progress.preemptions += 1
-                self.record(Kind.PREEMPTED, endpoint, slot.preempted_for)
+                self.record(EventKind.PREEMPTED, endpoint, slot.preempted_for)
             case "crashed":
                 progress.failures += 1
             case "late":
                 progress.hedges += 1
                 self.context.hedges.spend(self.caller.row.name)
                 progress.avoid = (endpoint,)
-                self.record(Kind.RETRIED, endpoint, "no first token in time")
+                self.record(EventKind.RETRIED, endpoint, "no first token in time")
             case "stalled" | "unreachable" | "busy":
                 progress.failures += 1
-                self.record(Kind.RETRIED, endpoint, ending)
+                self.record(EventKind.RETRIED, endpoint, ending)
 
     async def _note_strike(self, endpoint: str) -> None:
         """Lets all VMs know before the caller can send the request to another of them."""
         attempt = f"{self.caller.request_id}.{self.progress.attempt}"
-        self.record(Kind.STRIKE, endpoint, "the endpoint died under the request")
+        self.record(EventKind.STRIKE, endpoint, "the endpoint died under the request")
         strikes, fingerprint = self.context.strikes, self.job.fingerprint
-        await strikes.note_confirmed(fingerprint, attempt, STRIKE_PATIENCE_S)
+        await strikes.note_confirmed(fingerprint, attempt, STRIKE_CONFIRMATION_TIMEOUT_S)
 
     async def _complete(self) -> Verdict:
         if self.context.strikes.book.count(self.job.fingerprint, self.context.now()):
             self.context.strikes.clear(self.job.fingerprint)
         self._measure()
-        self.record(Kind.COMPLETED, self.endpoint, f"tokens={self.progress.tokens}")
+        self.record(EventKind.COMPLETED, self.endpoint, f"tokens={self.progress.tokens}")
         if self.job.stream:
             await self._send(b"data: [DONE]\n\n")
             await self.connection.end()
@@ -260,7 +260,7 @@
         verdict: DidNotRun | MayHaveRun = DidNotRun(reason, status, retry_after_s)
         if self.progress.dispatched:
             verdict = MayHaveRun(reason, status, retry_after_s)
-        self.record(Kind.REFUSED, detail=f"{reason} {verdict.name}")
+        self.record(EventKind.REFUSED, detail=f"{reason} {verdict.name}")
         if not self.started:
             await answers.answer_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
--- a/bluebellpitch/callers/exchange.py
+++ b/bluebellpitch/callers/exchange.py
@@ -2,7 +2,7 @@
 
 from bluebellpitch.callers import answers
 from bluebellpitch.context import NodeContext
-from bluebellpitch.events import Kind
+from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import ServerConnection
 from bluebellpitch.peers.messages import Ask
 from bluebellpitch.roles.seeking import Slot
@@ -19,7 +19,7 @@
         self.caller = job.caller
         self.endpoint = ""
 
-    def record(self, kind: Kind, endpoint: str = "", detail: str = "") -> None:
+    def record(self, kind: EventKind, endpoint: str = "", detail: str = "") -> None:
         """Adds an event about this request to the time line."""
         caller = self.caller
         self.context.ring.record(
@@ -39,14 +39,16 @@
             patience_s=max(0.0, expires_at - now),
             **fields,
         )
-        self.record(Kind.QUEUED, detail=f"attempt={attempt}")
+        self.record(EventKind.QUEUED, detail=f"attempt={attempt}")
         slot = await self.context.slots.seek(
-            ask, caller.arrived_at, expires_at, self.connection.is_gone
+            ask, caller.arrived_at, expires_at, self.connection.is_disconnected
         )
         if isinstance(slot, Slot):
             waited_s = self.context.now() - now
             self.context.metrics.grant_wait.labels(caller.row.name).observe(waited_s)
-            self.record(Kind.GRANTED, slot.granted.endpoint, f"waited_ms={waited_s * 1000:.1f}")
+            self.record(
+                EventKind.GRANTED, slot.granted.endpoint, f"waited_ms={waited_s * 1000:.1f}"
+            )
         return slot
 
     def own_headers(self, verdict: str) -> list[tuple[str, str]]:
--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -11,9 +11,14 @@
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.repeats import RepeatBudget
 from bluebellpitch.decisions.strikes import Suspicion
-from bluebellpitch.endpoints.attempt import Attempt, Turned, Unsent, settle
-from bluebellpitch.endpoints.links import Links
-from bluebellpitch.errors import BadRequestError, GoneError, NotSentError
+from bluebellpitch.endpoints.attempt import (
+    NotSent,
+    RefusedByEndpoint,
+    RoutedAttempt,
+    cancel_and_wait,
+)
+from bluebellpitch.endpoints.links import EndpointConnectionPool
+from bluebellpitch.errors import BadRequestError, DisconnectedError, NotSentError
 from bluebellpitch.http1 import ClientConnection, HttpRequest, ServerConnection
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
@@ -47,7 +52,7 @@
     catalogue: Callable[[], Catalogue | None]
     freshness: Freshness
     placing: PlacingRole
-    links: Links
+    links: EndpointConnectionPool
     repeats: RepeatBudget
     live_vms: Callable[[], int]
     is_draining: Callable[[], bool]
@@ -76,17 +81,17 @@
         """Answers the request; stops at once when the caller leaves."""
         request = decode_request(raw)
         work = asyncio.ensure_future(self._answer(request))
-        gone = asyncio.ensure_future(self._connection.wait_gone())
+        gone = asyncio.ensure_future(self._connection.wait_disconnected())
         try:
             await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
                 log("INFO", "caller_left", request=request.id, endpoints=",".join(self._tried))
-                raise GoneError("the caller left")
+                raise DisconnectedError("the caller left")
             work.result()
         finally:
-            await settle(gone)
+            await cancel_and_wait(gone)
             if not work.done():
-                await settle(work)
+                await cancel_and_wait(work)
 
     async def _answer(self, request: RoutedRequest) -> None:
         context, now = self._context, self._context.now()
@@ -120,7 +125,7 @@
         if isinstance(verdict, Ran):
             return
         if self._started:
-            raise GoneError("a started answer cannot be completed")
+            raise DisconnectedError("a started answer cannot be completed")
         headers = refusal_headers(verdict.retry_after_s)
         await self._respond(verdict.status, headers, describe_verdict(verdict, request.id))
 
@@ -177,7 +182,7 @@
             match verdict:
                 case Ran():
                     return verdict
-                case Unsent():
+                case NotSent():
                     unsent += 1
                     continue
                 case MayHaveRun() if not self._may_go_on(admitted):
@@ -227,7 +232,7 @@
     async def _attempt(self, admitted: Admitted, place: Place) -> Verdict:
         """Sends the request to one endpoint and passes its answer on."""
         context = self._context
-        attempt = Attempt(context.links, place.entry, admitted.request, context.now)
+        attempt = RoutedAttempt(context.links, place.entry, admitted.request, context.now)
         last_event = admitted.request.last_event if self._last_event is None else self._last_event
         forwarding = Forwarding(
             endpoint_id=place.entry.id,
@@ -244,20 +249,20 @@
         finally:
             attempt.close()
 
-    async def _take_head(self, admitted, place: Place, attempt: Attempt, head, by) -> Verdict:
+    async def _take_head(self, admitted, place: Place, attempt: RoutedAttempt, head, by) -> Verdict:
         placing = self._context.placing
         match head:
-            case Turned():
-                if head.is_other:
+            case RefusedByEndpoint():
+                if head.is_other_instance:
                     placing.directory.mark_replaced(place.entry)
                 placing.note_head(place, attempt.head)
                 return DidNotRun(head.reason, 503, NO_ENDPOINT_RETRY_S)
-            case Unsent() | MayHaveRun():
+            case NotSent() | MayHaveRun():
                 return head
         placing.note_head(place, head)
         if admitted.route.is_stream and 200 <= head.status < 300:
             return await self._pass_stream(admitted, place, attempt, head, by)
-        answer = await attempt.read_whole(by)
+        answer = await attempt.read_complete_response(by)
         return await self._pass_whole(admitted, answer)
 
     async def _pass_whole(self, admitted: Admitted, answer) -> Verdict:
@@ -280,11 +285,13 @@
             and now < admitted.expires_at - REPEAT_WORTH_S
         )
 
-    async def _pass_stream(self, admitted, place: Place, attempt: Attempt, head, by) -> Verdict:
+    async def _pass_stream(
+        self, admitted, place: Place, attempt: RoutedAttempt, head, by
+    ) -> Verdict:
         """Passes whole events on as they come. A cut stream is never ended as if complete."""
         placing = self._context.placing
         first = True
-        async for events in attempt.events(by, silence_s=max(0.001, by - self._context.now())):
+        async for events in attempt.events(by, max_silence_s=max(0.001, by - self._context.now())):
             if first:
                 first = False
                 placing.note_first_event(place, attempt.sent_at)
@@ -323,7 +330,7 @@
 def name_outcome(verdict: Verdict) -> str:
     """Returns how an attempt ended, for the books of load."""
     match verdict:
-        case Unsent():
+        case NotSent():
             return "unreachable"
         case DidNotRun():
             return "refused"
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -5,12 +5,12 @@
 from bluebellpitch.callers import answers
 from bluebellpitch.callers.exchange import Exchange
 from bluebellpitch.callers.requests import ServiceJob, forwarded_headers
-from bluebellpitch.constants import ATTEMPTS_PER_REQUEST, OUTCOME_BODY_MAX_BYTES
+from bluebellpitch.constants import MAX_ATTEMPTS_PER_REQUEST, MAX_OUTCOME_BODY_BYTES
 from bluebellpitch.context import NodeContext
 from bluebellpitch.decisions.claiming import Replay, Wish, Won
 from bluebellpitch.decisions.claims import Claim, Outcome
 from bluebellpitch.endpoints.service import ServiceCall, call_service
-from bluebellpitch.events import Kind
+from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import HttpResponse, ServerConnection
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
@@ -29,7 +29,7 @@
 
     async def run(self) -> Verdict:
         """Serves the call to its end; returns the verdict that the caller got."""
-        self.record(Kind.ADMITTED, detail=f"pool={self.job.pool.name}")
+        self.record(EventKind.ADMITTED, detail=f"pool={self.job.pool.name}")
         started = self.context.now()
         result = await self._try_until_settled()
         self._settle_claim(result)
@@ -39,14 +39,14 @@
             case Replay(outcome):
                 return await self._replay(outcome)
             case verdict:
-                self.record(Kind.REFUSED, self.endpoint, f"{verdict.reason} {verdict.name}")
+                self.record(EventKind.REFUSED, self.endpoint, f"{verdict.reason} {verdict.name}")
                 await answers.answer_verdict(self.connection, verdict, self.caller.request_id)
                 return verdict
 
     async def _try_until_settled(self) -> Result:
         """Tries again only what did not run, or may run again."""
         result: Result = DidNotRun("not_tried")
-        for _ in range(ATTEMPTS_PER_REQUEST):
+        for _ in range(MAX_ATTEMPTS_PER_REQUEST):
             result = await self._try_once()
             if isinstance(result, HttpResponse | Replay):
                 return result
@@ -54,7 +54,7 @@
                 return result
             if isinstance(result, DidNotRun) and not self._is_worth_retrying(result):
                 return result
-            self.record(Kind.RETRIED, self.endpoint, result.reason)
+            self.record(EventKind.RETRIED, self.endpoint, result.reason)
         return result
 
     def _is_worth_retrying(self, verdict: DidNotRun) -> bool:
@@ -93,7 +93,7 @@
         request = self.job.request
         headers = (*forwarded_headers(request), ("X-Request-Id", self.caller.request_id))
         call = ServiceCall(request.method, self.job.target, headers, request.body)
-        self.record(Kind.DISPATCHED, slot.granted.endpoint, f"attempt={self.attempt}")
+        self.record(EventKind.DISPATCHED, slot.granted.endpoint, f"attempt={self.attempt}")
         result = await call_service(
             self.context.connections,
             slot.granted.address,
@@ -115,7 +115,7 @@
         if isinstance(result, HttpResponse):
             status, body = result.status, result.body
             content_type = next((v for k, v in result.headers if k == "content-type"), "")
-        kept = len(body) <= OUTCOME_BODY_MAX_BYTES
+        kept = len(body) <= MAX_OUTCOME_BODY_BYTES
         verdict = Ran.name if isinstance(result, HttpResponse) else MayHaveRun.name
         outcome = Outcome(
             id=uuid4().hex,
@@ -136,7 +136,7 @@
         metrics.first_token.labels(row.name).observe(took_s)
         if took_s <= row.first_token_ms / 1000:
             metrics.in_target.labels(row.name).inc()
-        self.record(Kind.COMPLETED, self.endpoint, f"status={response.status}")
+        self.record(EventKind.COMPLETED, self.endpoint, f"status={response.status}")
         headers = [(k, v) for k, v in response.headers if k.lower() not in DROPPED_HEADERS]
         headers += self.own_headers(Ran.name)
         await self.connection.respond(response.status, headers, response.body)
@@ -148,7 +148,7 @@
             verdict = MayHaveRun("unresolved", 409)
             await answers.answer_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
-        self.record(Kind.COMPLETED, detail="replayed")
+        self.record(EventKind.COMPLETED, detail="replayed")
         headers = [("Content-Type", outcome.content_type or "application/octet-stream")]
         headers += [*self.own_headers(Ran.name), (answers.REPLAYED_HEADER, "true")]
         if not outcome.answer_kept:
--- a/bluebellpitch/callers/whole.py
+++ b/bluebellpitch/callers/whole.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from bluebellpitch.callers.requests import CompletionJob
-from bluebellpitch.endpoints.sse import Usage, join_text, read_chunks
+from bluebellpitch.endpoints.sse import Usage, decode_chunks, join_text
 
 
 class Message(msgspec.Struct, frozen=True):
@@ -44,7 +44,7 @@
     """Returns a stream's events as one whole answer."""
     text = join_text(events)
     usage, finish = Usage(), "stop"
-    for chunk in read_chunks(events):
+    for chunk in decode_chunks(events):
         usage = chunk.usage or usage
         finish = next((c.finish_reason for c in chunk.choices if c.finish_reason), finish)
     if "chat" in job.target:
--- a/bluebellpitch/clock.py
+++ b/bluebellpitch/clock.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-MICROSECONDS = 1_000_000
+MICROSECONDS_PER_S = 1_000_000
 
 
 class HybridClock:
@@ -18,7 +18,7 @@
 
     def stamp(self) -> int:
         """Returns a new stamp."""
-        self._last = max(self._last + 1, int(self._wall() * MICROSECONDS))
+        self._last = max(self._last + 1, int(self._wall() * MICROSECONDS_PER_S))
         return self._last
 
     def observe(self, stamp: int) -> None:
--- a/bluebellpitch/commands/route.py
+++ b/bluebellpitch/commands/route.py
@@ -12,7 +12,7 @@
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import UsageError
 from bluebellpitch.exits import ExitStatus
-from bluebellpitch.logs import set_up_bounded_logs, set_up_logs
+from bluebellpitch.logs import configure_logging, configure_rate_limited_logging
 from bluebellpitch.platform.settings_file import SETTINGS_VARIABLE, VmSettings, parse_settings
 
 
@@ -56,9 +56,9 @@
     try:
         descriptor = environment.stdout.fileno()
     except (UnsupportedOperation, AttributeError):
-        set_up_logs(environment.stdout, "INFO", vm)
+        configure_logging(environment.stdout, "INFO", vm)
         return
-    set_up_bounded_logs(descriptor, "INFO", vm)
+    configure_rate_limited_logging(descriptor, "INFO", vm)
 
 
 async def build_and_run(settings: VmSettings, environment: Environment, metrics_port: int) -> None:
--- a/bluebellpitch/commands/serve.py
+++ b/bluebellpitch/commands/serve.py
@@ -11,7 +11,7 @@
 from bluebellpitch.errors import UsageError
 from bluebellpitch.exits import ExitStatus
 from bluebellpitch.http1 import HttpLimits
-from bluebellpitch.logs import set_up_logs
+from bluebellpitch.logs import configure_logging
 from bluebellpitch.settings import Settings, check_settings
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
@@ -77,7 +77,7 @@
     """Sets up logs and runs the node."""
     if log_level not in LOG_LEVELS:
         raise UsageError(f"--log-level: {log_level!r} must be one of: {', '.join(LOG_LEVELS)}")
-    set_up_logs(environment.stderr, log_level, settings.vm)
+    configure_logging(environment.stderr, log_level, settings.vm)
     try:
         asyncio.run(build_and_run(settings, environment))
     except OSError as error:
--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -5,8 +5,8 @@
 
 from bluebellpitch.decisions.budgets import HedgeBudget
 from bluebellpitch.decisions.rows import Table
-from bluebellpitch.endpoints.connections import EndpointConnections
-from bluebellpitch.events import Ring
+from bluebellpitch.endpoints.connections import ConnectionPool
+from bluebellpitch.events import EventRing
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.roles.claiming import ClaimRole
 from bluebellpitch.roles.seeking import SlotRole
@@ -23,10 +23,10 @@
     holder: ViewHolder
     slots: SlotRole
     claims: ClaimRole
-    connections: EndpointConnections
+    connections: ConnectionPool
     strikes: StrikeRole
     hedges: HedgeBudget
-    ring: Ring
+    ring: EventRing
     metrics: Metrics
     now: Callable[[], float]
     wall: Callable[[], float]
--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -12,11 +12,11 @@
 from dataclasses import replace
 
 from bluebellpitch.constants import (
-    ASK_UNREPEATED_S,
-    GRANT_UNCONFIRMED_S,
-    PREEMPT_AFTER_SHARE,
-    PREEMPTIONS_PER_REQUEST,
-    SHED_HOLD_S,
+    ASK_TIMEOUT_S,
+    GRANT_TIMEOUT_S,
+    MAX_PREEMPTIONS_PER_REQUEST,
+    PREEMPT_AFTER_TARGET_SHARE,
+    SHEDDING_HOLD_S,
 )
 from bluebellpitch.decisions.health import HealthView, Observation
 from bluebellpitch.decisions.order import Policy, ServiceOrder
@@ -105,7 +105,7 @@
         if expected_s > patience_s:
             return self._shed(work, "overloaded", expected_s - patience_s, now)
         if self._is_shedding_above(work, now):
-            return self._shed(work, "higher_tier_shed", SHED_HOLD_S, now)
+            return self._shed(work, "higher_tier_shed", SHEDDING_HOLD_S, now)
         return None
 
     def _shed(self, work: Waiting, reason: str, retry_after_s: float, now: float) -> Refuse:
@@ -116,7 +116,7 @@
         """While a higher tier was shed just now, no lower one may be taken in."""
         tier = self.order.tier(work.class_name)
         shed = (at for other, at in self._shed_by_tier.items() if other < tier)
-        return any(now - at < SHED_HOLD_S for at in shed)
+        return any(now - at < SHEDDING_HOLD_S for at in shed)
 
     def _expected_wait(self, work: Waiting) -> float:
         """Returns seconds until a slot, from the work that goes first."""
@@ -194,10 +194,10 @@
     def drop_unconfirmed(self, now: float) -> Iterator[Command]:
         """Takes back slots, and forgets requests, that their VM has not named for a while."""
         running = tuple(self.running_by_grant.values())
-        for stale in (r for r in running if now - r.confirmed_at > GRANT_UNCONFIRMED_S):
+        for stale in (r for r in running if now - r.confirmed_at > GRANT_TIMEOUT_S):
             self._drop(stale)
         waiting = tuple(self.queues.by_request.values())
-        for work in (w for w in waiting if now - w.asked_at > ASK_UNREPEATED_S):
+        for work in (w for w in waiting if now - w.asked_at > ASK_TIMEOUT_S):
             self.queues.remove(work.request)
         yield from self.schedule(now)
 
@@ -324,7 +324,7 @@
         row = self.order.row(work.class_name)
         if work.resumed or row.tier <= self.order.highest_tier:
             return True
-        return now - work.arrived_at >= PREEMPT_AFTER_SHARE * row.first_token_ms / 1000
+        return now - work.arrived_at >= PREEMPT_AFTER_TARGET_SHARE * row.first_token_ms / 1000
 
     def _victim(self, work: Waiting, now: float) -> Running | None:
         """Returns the grant to end for ``work``: the youngest request of the lowest tier."""
@@ -345,4 +345,4 @@
     def _may_preempt(self, running: Running) -> bool:
         if running.preempting or not running.work.resumable:
             return False
-        return running.work.preemptions < PREEMPTIONS_PER_REQUEST
+        return running.work.preemptions < MAX_PREEMPTIONS_PER_REQUEST
--- a/bluebellpitch/decisions/budgets.py
+++ b/bluebellpitch/decisions/budgets.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from bluebellpitch.constants import RETRY_BUDGET_FLOOR, RETRY_BUDGET_SHARE
+from bluebellpitch.constants import HEDGE_BUDGET_CAP, HEDGE_BUDGET_SHARE
 
 
 @dataclass(slots=True)
@@ -16,8 +16,8 @@
     Source: the retry budget of Twitter's Finagle. ``cap`` bounds what may be saved up.
     """
 
-    share: float = RETRY_BUDGET_SHARE
-    cap: float = RETRY_BUDGET_FLOOR
+    share: float = HEDGE_BUDGET_SHARE
+    cap: float = HEDGE_BUDGET_CAP
     _saved_by_class: dict[str, float] = field(default_factory=dict)
 
     def earn(self, class_name: str) -> None:
--- a/bluebellpitch/decisions/floors.py
+++ b/bluebellpitch/decisions/floors.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from bluebellpitch.constants import CLOCK_DRIFT, LOAN_LEASE_S
+from bluebellpitch.constants import LOAN_LEASE_S, MAX_CLOCK_DRIFT_RATIO
 from bluebellpitch.decisions.control import Epoch
 from bluebellpitch.decisions.hashing import rank_owners
 
@@ -106,7 +106,7 @@
 class Lender:
     """Which broker this VM's floors are lent to, for each pool."""
 
-    def __init__(self, lease_s: float = LOAN_LEASE_S, drift: float = CLOCK_DRIFT):
+    def __init__(self, lease_s: float = LOAN_LEASE_S, drift: float = MAX_CLOCK_DRIFT_RATIO):
         self._keep_s = lease_s * (1 + drift)
         self._lent_by_pool: dict[str, tuple[str, float]] = {}
 
--- a/bluebellpitch/decisions/health.py
+++ b/bluebellpitch/decisions/health.py
@@ -9,9 +9,9 @@
 from statistics import median
 
 from bluebellpitch.constants import (
-    DOWN_RETRY_S,
+    DOWN_RETRY_DELAY_S,
+    HEALTH_MEDIAN_SAMPLES,
     HEALTH_WINDOW_S,
-    OBSERVATIONS_JUDGED,
     SLOW_RATIO,
 )
 
@@ -40,7 +40,7 @@
         """Takes one observation in."""
         self._by_endpoint.setdefault(endpoint, deque(maxlen=256)).append(observation)
 
-    def mark_down(self, endpoint: str, now: float, retry_s: float = DOWN_RETRY_S) -> None:
+    def mark_down(self, endpoint: str, now: float, retry_s: float = DOWN_RETRY_DELAY_S) -> None:
         """Keeps new work away after a connection failed or a request died there."""
         self._down_until[endpoint] = now + retry_s
 
@@ -77,7 +77,7 @@
         groups: dict[tuple[str, str], list[float]] = {}
         for seen in observations:
             groups.setdefault((seen.class_name, seen.measure), []).append(seen.seconds)
-        return {key: median(values[-OBSERVATIONS_JUDGED:]) for key, values in groups.items()}
+        return {key: median(values[-HEALTH_MEDIAN_SAMPLES:]) for key, values in groups.items()}
 
     def _is_outlier(self, name: str, recent) -> bool | None:
         """Compares one endpoint with its siblings; None without enough evidence."""
--- a/bluebellpitch/decisions/order.py
+++ b/bluebellpitch/decisions/order.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from bluebellpitch.constants import GUARANTEED_SHARE, LATE_PATIENCE_SHARE, SHARE_CREDIT_CAP_S
+from bluebellpitch.constants import GUARANTEED_SHARE, LATE_PATIENCE_SHARE, MAX_SHARE_CREDIT_S
 from bluebellpitch.decisions.queues import WaitingQueues, first_in_time
 from bluebellpitch.decisions.rows import ClassRow
 from bluebellpitch.decisions.work import ClassLoad, Waiting
@@ -106,7 +106,7 @@
 
     def _is_share_due(self, class_name: str) -> bool:
         load = self.load(class_name)
-        needed_s = min(load.slot_s.value or SHARE_CREDIT_CAP_S, SHARE_CREDIT_CAP_S)
+        needed_s = min(load.slot_s.value or MAX_SHARE_CREDIT_S, MAX_SHARE_CREDIT_S)
         return load.share_credit_s >= needed_s
 
     def earn_shares(self, total_slots: int, now: float) -> None:
@@ -120,7 +120,7 @@
         for name in waiting:
             load = self.load(name)
             earned_s = passed_s * self.row(name).weight / weights
-            load.share_credit_s = min(SHARE_CREDIT_CAP_S, load.share_credit_s + earned_s)
+            load.share_credit_s = min(MAX_SHARE_CREDIT_S, load.share_credit_s + earned_s)
 
     def spend_share(self, class_name: str) -> None:
         """Pays for a slot out of a class's share."""
--- a/bluebellpitch/decisions/placing.py
+++ b/bluebellpitch/decisions/placing.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 
 from bluebellpitch.constants import (
-    KEEP_FREE_S,
-    PREFIX_LOAD_ALLOWANCE,
-    PREFIX_MEMORY,
+    ENDPOINT_RESERVATION_S,
+    MAX_REMEMBERED_PREFIXES,
+    PREFIX_AFFINITY_LOAD_MARGIN,
     SLOW_ENDPOINT_SLOTS,
 )
 from bluebellpitch.decisions.health import HealthView
@@ -93,7 +93,7 @@
     def _remember_prefix(self, prefix: str, endpoint: str) -> None:
         self._prefixes[prefix] = endpoint
         self._prefixes.move_to_end(prefix)
-        if len(self._prefixes) > PREFIX_MEMORY:
+        if len(self._prefixes) > MAX_REMEMBERED_PREFIXES:
             self._prefixes.popitem(last=False)
 
     def running_on(self, endpoint: str) -> int:
@@ -123,7 +123,7 @@
         if name not in self._rows_by_name or self._health.is_slow(name):
             return None
         busier = self._rank(name) - self._ranked[0][0]
-        if busier > PREFIX_LOAD_ALLOWANCE or not self._has_room(name, work, now):
+        if busier > PREFIX_AFFINITY_LOAD_MARGIN or not self._has_room(name, work, now):
             return None
         return self._rows_by_name[name]
 
@@ -176,7 +176,7 @@
         name = min(usable, key=self.running_on)
         if kept is not None and kept.request == work.request and now < kept.until:
             name = kept.endpoint
-        self._kept_free = KeptFree(name, work.request, now + KEEP_FREE_S)
+        self._kept_free = KeptFree(name, work.request, now + ENDPOINT_RESERVATION_S)
         return None
 
     def may_replace(self, name: str, work: Waiting, now: float) -> bool:
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
-from bluebellpitch.endpoints.links import Links
-from bluebellpitch.endpoints.sse import SEPARATOR
-from bluebellpitch.errors import BrokenError, NotSentError, StalledError
+from bluebellpitch.endpoints.links import EndpointConnectionPool
+from bluebellpitch.endpoints.sse import EVENT_SEPARATOR
+from bluebellpitch.errors import ConnectionLostError, NotSentError, ReadTimeoutError
 from bluebellpitch.http1 import ClientConnection
 from bluebellpitch.platform.requests import (
     AnswerHead,
@@ -22,12 +22,12 @@
 )
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 
-FOREIGN_ANSWERS_AT_MOST = 3
-LARGEST_EVENT_BYTES = 4_194_304
+MAX_MISMATCHED_RESPONSES = 3
+MAX_EVENT_BYTES = 4_194_304
 
 
 @dataclass(frozen=True, slots=True)
-class Answered:
+class CompleteResponse:
     """A whole answer."""
 
     head: AnswerHead
@@ -35,22 +35,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Turned(DidNotRun):
+class RefusedByEndpoint(DidNotRun):
     """The endpoint refused the request; ``is_other`` when another one has its address."""
 
-    is_other: bool = False
+    is_other_instance: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class Unsent(DidNotRun):
+class NotSent(DidNotRun):
     """No connection could be made."""
 
 
-class Attempt:
+class RoutedAttempt:
     """Owns one link while the attempt lasts. ``close`` is safe to call at any time."""
 
     def __init__(
-        self, links: Links, entry: EndpointEntry, request: RoutedRequest, now: Callable[[], float]
+        self,
+        links: EndpointConnectionPool,
+        entry: EndpointEntry,
+        request: RoutedRequest,
+        now: Callable[[], float],
     ):
         self._links = links
         self._entry = entry
@@ -62,7 +66,7 @@
         self.ending = ""
 
     async def start(
-        self, forwarding: Forwarding, once: bool, head_by: float
+        self, forwarding: Forwarding, at_most_once: bool, head_deadline: float
     ) -> AnswerHead | DidNotRun | MayHaveRun:
         """Sends the request and returns the head of its answer, or a verdict.
 
@@ -70,26 +74,28 @@
         """
         request = self._request
         try:
-            self._connection = await self._links.take(self._entry, once)
+            self._connection = await self._links.acquire(self._entry, at_most_once)
             self.sent_at = self._now()
             headers = forwarded_headers(request, forwarding)
-            await self._connection.send_exactly(
+            await self._connection.send_verbatim(
                 request.method, request.target, headers, request.body
             )
-            head = await self._read_own_head(head_by)
+            head = await self._read_own_head(head_deadline)
         except NotSentError as error:
             self.close()
-            return Unsent(str(error))
-        except StalledError as error:
+            return NotSent(str(error))
+        except ReadTimeoutError as error:
             self.close()
             return MayHaveRun(f"silent: {error}", status=504)
-        except BrokenError as error:
+        except ConnectionLostError as error:
             self.close()
             return MayHaveRun(f"broken: {error}")
         self.head = head
         if head.did_not_run and head.status >= 400:
             await self._finish_refusal()
-            return Turned(f"refused with {head.status}", is_other=head.is_other_instance)
+            return RefusedByEndpoint(
+                f"refused with {head.status}", is_other_instance=head.is_other_instance
+            )
         if self._is_unusable(head):
             self.close()
             return MayHaveRun("garbled")
@@ -101,67 +107,67 @@
         return 200 <= head.status < 300 and not (head.is_signed and head.request_id)
 
     async def _read_own_head(self, head_by: float) -> AnswerHead:
-        for _ in range(FOREIGN_ANSWERS_AT_MOST):
+        for _ in range(MAX_MISMATCHED_RESPONSES):
             raw = await self._connection.read_head(max(0.001, head_by - self._now()))
             head = decode_answer(raw)
             if head.request_id in ("", self._request.id):
                 return head
             async for _ in self._connection.read_body(max(0.001, head_by - self._now())):
                 pass
-            self._connection.expect_another(self._request.method)
-        raise BrokenError("too many answers to other requests")
+            self._connection.expect_next_response(self._request.method)
+        raise ConnectionLostError("too many answers to other requests")
 
     async def _finish_refusal(self) -> None:
         """Reads a refusal to its end, so that the link can serve again."""
         try:
             async for _ in self._connection.read_body(0.2):
                 pass
-        except BrokenError:
+        except ConnectionLostError:
             self.close()
             return
         self._give_back()
 
-    async def read_whole(self, by: float) -> Answered | MayHaveRun:
+    async def read_complete_response(self, deadline: float) -> CompleteResponse | MayHaveRun:
         """Reads the rest of a plain answer; the whole of it or nothing is passed on."""
         parts = []
         try:
             while (
-                data := await self._connection.read_data(max(0.001, by - self._now()))
+                data := await self._connection.read_data(max(0.001, deadline - self._now()))
             ) is not None:
                 parts.append(data)
-        except BrokenError as error:
+        except ConnectionLostError as error:
             self.close()
             return MayHaveRun(
-                f"cut: {error}", status=504 if isinstance(error, StalledError) else 502
+                f"cut: {error}", status=504 if isinstance(error, ReadTimeoutError) else 502
             )
         self._give_back()
-        return Answered(self.head, b"".join(parts))
+        return CompleteResponse(self.head, b"".join(parts))
 
-    async def events(self, by: float, silence_s: float) -> AsyncIterator[bytes]:
+    async def events(self, deadline: float, max_silence_s: float) -> AsyncIterator[bytes]:
         """Yields whole events in bulk until the stream ends; ``ending`` then tells how.
 
         Endings: ``complete``, ``late`` (not over at ``by``), ``silent``, ``cut``.
         """
         rest = b""
         while True:
-            left = by - self._now()
+            left = deadline - self._now()
             try:
-                data = await self._connection.read_data(max(0.001, min(left, silence_s)))
-            except StalledError:
-                self.ending = "late" if left <= silence_s else "silent"
+                data = await self._connection.read_data(max(0.001, min(left, max_silence_s)))
+            except ReadTimeoutError:
+                self.ending = "late" if left <= max_silence_s else "silent"
                 break
-            except BrokenError:
+            except ConnectionLostError:
                 self.ending = "cut"
                 break
             if data is None:
                 self.ending = "complete"
                 break
             rest += data
-            end = rest.rfind(SEPARATOR) + len(SEPARATOR)
-            if end >= len(SEPARATOR):
+            end = rest.rfind(EVENT_SEPARATOR) + len(EVENT_SEPARATOR)
+            if end >= len(EVENT_SEPARATOR):
                 events, rest = rest[:end], rest[end:]
                 yield events
-            elif len(rest) > LARGEST_EVENT_BYTES:
+            elif len(rest) > MAX_EVENT_BYTES:
                 self.ending = "cut"
                 break
         if self.ending == "complete" and rest:
@@ -175,7 +181,7 @@
         connection, self._connection = self._connection, None
         if connection is not None:
             idle_s = 0 if self.head.is_leaving else self.head.idle_s
-            self._links.give_back(self._entry, connection, idle_s)
+            self._links.release(self._entry, connection, idle_s)
 
     def close(self) -> None:
         """Breaks the attempt off; the endpoint sees a closed connection."""
@@ -184,7 +190,7 @@
             self._links.discard(self._entry, connection)
 
 
-async def settle(task: asyncio.Task) -> None:
+async def cancel_and_wait(task: asyncio.Task) -> None:
     """Cancels a task and waits for its end."""
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/bluebellpitch/endpoints/connections.py
+++ b/bluebellpitch/endpoints/connections.py
@@ -4,26 +4,26 @@
 
 from bluebellpitch.constants import (
     ENDPOINT_CONNECT_TIMEOUT_S,
-    IDLE_CONNECTION_AGE_S,
+    MAX_IDLE_CONNECTION_AGE_S,
     PROBE_TIMEOUT_S,
 )
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.http1 import ClientConnection, fetch
 
 
-class EndpointConnections:
+class ConnectionPool:
     """Idle connections by address. An old one is dropped, for it may have gone silent."""
 
     def __init__(self, now: Callable[[], float]):
         self._now = now
         self._idle_by_address: dict[str, list[ClientConnection]] = {}
 
-    async def take(self, address: str) -> ClientConnection:
+    async def acquire(self, address: str) -> ClientConnection:
         """Returns an idle connection or a new one; raises NotSentError."""
         idle = self._idle_by_address.get(address, [])
         while idle:
             connection = idle.pop()
-            fresh = self._now() - connection.idle_since < IDLE_CONNECTION_AGE_S
+            fresh = self._now() - connection.idle_since < MAX_IDLE_CONNECTION_AGE_S
             if fresh and not connection.reader.at_eof():
                 return connection
             connection.close()
@@ -33,9 +33,9 @@
         """Returns a new connection; raises NotSentError."""
         return await ClientConnection.open(address, ENDPOINT_CONNECT_TIMEOUT_S)
 
-    def give_back(self, connection: ClientConnection) -> None:
+    def release(self, connection: ClientConnection) -> None:
         """Keeps a connection for the next request, or closes it."""
-        if not connection.is_reusable():
+        if not connection.start_next_cycle():
             connection.close()
             return
         connection.idle_since = self._now()
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -10,12 +10,12 @@
 
 import msgspec
 
-from bluebellpitch.endpoints.connections import EndpointConnections, probe
+from bluebellpitch.endpoints.connections import ConnectionPool, probe
 from bluebellpitch.endpoints.sse import EventBuffer
-from bluebellpitch.errors import BrokenError, NotSentError, StalledError
+from bluebellpitch.errors import ConnectionLostError, NotSentError, ReadTimeoutError
 from bluebellpitch.http1 import ClientConnection
 
-REFUSED_STATUSES = (429, 503)
+BUSY_STATUSES = (429, 503)
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +33,7 @@
     ``late`` (no first token in time), ``busy`` and ``rejected``.
     """
 
-    def __init__(self, connections: EndpointConnections, address: str, stall_s: float):
+    def __init__(self, connections: ConnectionPool, address: str, stall_s: float):
         self._connections = connections
         self._address = address
         self._stall_s = stall_s
@@ -43,7 +43,7 @@
         self.ending = ""
         self.rejected: Rejected | None = None
 
-    def stop(self, reason: str) -> None:
+    def cancel(self, reason: str) -> None:
         """Cancels the attempt; the engine sees a closed connection."""
         self._stop_reason = reason
         if self._connection:
@@ -55,7 +55,7 @@
         """Yields whole events in bulk; ``first_token_s`` bounds the wait for the first."""
         finished = False
         try:
-            self._connection = await self._connections.take(self._address)
+            self._connection = await self._connections.acquire(self._address)
             if self._stop_reason:
                 return
             async for events in self._exchange(target, body, request_id, first_token_s):
@@ -63,9 +63,9 @@
             finished = self.ending == "completed"
         except NotSentError:
             self.ending = "unreachable"
-        except StalledError:
+        except ReadTimeoutError:
             self.ending = await self._judge_silence()
-        except BrokenError:
+        except ConnectionLostError:
             self.ending = "crashed"
         finally:
             self._close(finished)
@@ -91,7 +91,7 @@
     async def _reject(self, connection: ClientConnection, status: int) -> None:
         parts = [part async for part in connection.read_body(self._stall_s)]
         self.rejected = Rejected(status, b"".join(parts))
-        self.ending = "busy" if status in REFUSED_STATUSES else "rejected"
+        self.ending = "busy" if status in BUSY_STATUSES else "rejected"
 
     async def _judge_silence(self) -> str:
         """A silent connection to an endpoint that answers a new one was lost, not the endpoint."""
@@ -104,6 +104,6 @@
         if self._connection is None:
             return
         if finished:
-            self._connections.give_back(self._connection)
+            self._connections.release(self._connection)
         else:
             self._connection.close()
--- a/bluebellpitch/endpoints/links.py
+++ b/bluebellpitch/endpoints/links.py
@@ -8,42 +8,45 @@
 
 CONNECT_TIMEOUT_S = 0.4
 # An idle connection is used for this part of the time that the endpoint says it keeps it.
-IDLE_SHARE = 0.6
-IDLE_UNKNOWN_S = 2.0
-IDLE_LONGEST_S = 8.0
+IDLE_TIMEOUT_SHARE = 0.6
+DEFAULT_IDLE_TIMEOUT_S = 2.0
+MAX_IDLE_TIMEOUT_S = 8.0
 # Requests that must not repeat go on connections that were in use this short a time ago.
-IDLE_FOR_ONCE_S = 1.0
+AT_MOST_ONCE_IDLE_TIMEOUT_S = 1.0
 
 
 @dataclass(slots=True)
-class EndpointLinks:
+class IncarnationConnections:
     """Links to one incarnation of an endpoint; the latest idle one is used first."""
 
     idle: list[ClientConnection] = field(default_factory=list)
     open_count: int = 0
-    idle_s: float = IDLE_UNKNOWN_S
+    idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
 
 
-class Links:
+class EndpointConnectionPool:
     """All links of this VM. ``now`` is the owner's clock."""
 
     def __init__(self, now: Callable[[], float]):
         self._now = now
-        self._by_incarnation: dict[tuple[str, int], EndpointLinks] = {}
+        self._by_incarnation: dict[tuple[str, int], IncarnationConnections] = {}
 
-    def _links(self, entry: EndpointEntry) -> EndpointLinks:
+    def _links(self, entry: EndpointEntry) -> IncarnationConnections:
         key = (entry.id, entry.started_ms)
         if key not in self._by_incarnation:
-            self._by_incarnation[key] = EndpointLinks()
+            self._by_incarnation[key] = IncarnationConnections()
         return self._by_incarnation[key]
 
-    async def take(self, entry: EndpointEntry, once: bool) -> ClientConnection:
+    async def acquire(self, entry: EndpointEntry, at_most_once: bool) -> ClientConnection:
         """Returns a link for one request; ``once`` asks for a fresh one. Raises NotSentError."""
         links = self._links(entry)
-        oldest = self._now() - min(links.idle_s, IDLE_FOR_ONCE_S if once else links.idle_s)
+        oldest = self._now() - min(
+            links.idle_timeout_s,
+            AT_MOST_ONCE_IDLE_TIMEOUT_S if at_most_once else links.idle_timeout_s,
+        )
         while links.idle:
             connection = links.idle.pop()
-            if connection.idle_since >= oldest and not connection.has_unread_or_closed():
+            if connection.idle_since >= oldest and not connection.is_stale():
                 return connection
             self._drop(links, connection)
         links.open_count += 1
@@ -53,12 +56,12 @@
             links.open_count -= 1
             raise
 
-    def give_back(self, entry: EndpointEntry, connection: ClientConnection, idle_s: float | None):
+    def release(self, entry: EndpointEntry, connection: ClientConnection, idle_s: float | None):
         """Keeps a link for the next request, or closes it."""
         links = self._links(entry)
         if idle_s is not None:
-            links.idle_s = min(idle_s * IDLE_SHARE, IDLE_LONGEST_S)
-        if idle_s == 0 or not connection.is_reusable():
+            links.idle_timeout_s = min(idle_s * IDLE_TIMEOUT_SHARE, MAX_IDLE_TIMEOUT_S)
+        if idle_s == 0 or not connection.start_next_cycle():
             self._drop(links, connection)
             return
         connection.idle_since = self._now()
@@ -68,17 +71,17 @@
         """Closes a link at once; the endpoint sees a cancelled request."""
         self._drop(self._links(entry), connection)
 
-    def _drop(self, links: EndpointLinks, connection: ClientConnection) -> None:
+    def _drop(self, links: IncarnationConnections, connection: ClientConnection) -> None:
         links.open_count -= 1
         connection.close()
 
-    def close_idle(self) -> None:
+    def close_expired(self) -> None:
         """Closes links that have been idle for too long, and forgets endpoints without any."""
         now = self._now()
         for key, links in list(self._by_incarnation.items()):
             kept = []
             for connection in links.idle:
-                if now - connection.idle_since < links.idle_s:
+                if now - connection.idle_since < links.idle_timeout_s:
                     kept.append(connection)
                 else:
                     self._drop(links, connection)
--- a/bluebellpitch/endpoints/service.py
+++ b/bluebellpitch/endpoints/service.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass
 
-from bluebellpitch.endpoints.connections import EndpointConnections
-from bluebellpitch.errors import BrokenError, NotSentError
+from bluebellpitch.endpoints.connections import ConnectionPool
+from bluebellpitch.errors import ConnectionLostError, NotSentError
 from bluebellpitch.http1 import Headers, HttpResponse
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 
 DID_NOT_RUN_HEADER = "x-did-not-run"
-RESPONSE_MAX_BYTES = 16_777_216
+MAX_RESPONSE_BYTES = 16_777_216
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +22,7 @@
 
 
 async def call_service(
-    connections: EndpointConnections, address: str, call: ServiceCall, timeout_s: float
+    connections: ConnectionPool, address: str, call: ServiceCall, timeout_s: float
 ) -> HttpResponse | DidNotRun | MayHaveRun:
     """Calls once, on a connection of its own, so that no stale one can lose the request."""
     try:
@@ -33,7 +33,7 @@
         headers: Headers = [*call.headers, ("Connection", "close")]
         await connection.send(call.method, call.target, headers, call.body)
         response = await connection.read_response(timeout_s)
-    except BrokenError as error:
+    except ConnectionLostError as error:
         return MayHaveRun(f"answer_lost: {error}")
     finally:
         connection.close()
--- a/bluebellpitch/endpoints/sse.py
+++ b/bluebellpitch/endpoints/sse.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-SEPARATOR = b"\n\n"
-DONE = b"data: [DONE]"
+EVENT_SEPARATOR = b"\n\n"
+DONE_EVENT = b"data: [DONE]"
 
 
 class Delta(msgspec.Struct, frozen=True):
@@ -48,28 +48,28 @@
     def feed(self, data: bytes) -> bytes:
         """Returns the whole events that are complete by now, without the final marker."""
         data = self._rest + data
-        end = data.rfind(SEPARATOR)
+        end = data.rfind(EVENT_SEPARATOR)
         if end < 0:
             self._rest = data
             return b""
         events, self._rest = data[: end + 2], data[end + 2 :]
-        if events.endswith(DONE + SEPARATOR):
+        if events.endswith(DONE_EVENT + EVENT_SEPARATOR):
             self.done = True
-            events = events[: -len(DONE + SEPARATOR)]
+            events = events[: -len(DONE_EVENT + EVENT_SEPARATOR)]
         return events
 
 
 def count_events(events: bytes) -> int:
     """Returns how many events the bytes hold."""
-    return events.count(SEPARATOR)
+    return events.count(EVENT_SEPARATOR)
 
 
 _decoder = msgspec.json.Decoder(Chunk)
 
 
-def read_chunks(events: bytes) -> Iterator[Chunk]:
+def decode_chunks(events: bytes) -> Iterator[Chunk]:
     """Yields the chunks; skips what is not one."""
-    for event in events.split(SEPARATOR):
+    for event in events.split(EVENT_SEPARATOR):
         if not event.startswith(b"data: "):
             continue
         try:
@@ -80,5 +80,5 @@
 
 def join_text(events: bytes) -> str:
     """Returns the text of all chunks."""
-    choices = (chunk.choices[0] for chunk in read_chunks(events) if chunk.choices)
+    choices = (chunk.choices[0] for chunk in decode_chunks(events) if chunk.choices)
     return "".join(choice.text or choice.delta.content or "" for choice in choices)
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -12,9 +12,9 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.repeats import RepeatBudget
 from bluebellpitch.decisions.strikes import StrikeBook
-from bluebellpitch.endpoints.links import Links
+from bluebellpitch.endpoints.links import EndpointConnectionPool
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
-from bluebellpitch.jobs import start_jobs, stop_jobs
+from bluebellpitch.jobs import start_tasks, stop_tasks
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
@@ -131,7 +131,7 @@
         self.placing = PlacingRole(
             self.directory, self.generations.seeker, settings.zone, settings.regions_by_zone, now
         )
-        self.links = Links(now)
+        self.links = EndpointConnectionPool(now)
         self.context = RoutingContext(
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
@@ -148,7 +148,7 @@
             now=now,
         )
         self.metrics_http = HttpServer(self._answer_metrics, refuse_malformed, HttpLimits())
-        self.http = HttpServer(self._serve, refuse_malformed, HttpLimits(idle_s=16.0))
+        self.http = HttpServer(self._serve, refuse_malformed, HttpLimits(idle_timeout_s=16.0))
         self.ready_http = HttpServer(self._answer_ready, refuse_malformed, HttpLimits())
 
     def _follow(self, topic: str, wait_s: float) -> TopicFollower:
@@ -202,7 +202,7 @@
         metrics.configuration_version.set(self.configuration.version())
         metrics.freshness_age.set(context.freshness.age_s(now))
         metrics.peers_heard.set(len(self.liveness.live(now)))
-        metrics.in_flight.set(self.http.busy)
+        metrics.in_flight.set(self.http.in_flight)
         catalogue = self.configuration.catalogue
         for pool in catalogue.pools_by_name if catalogue else ():
             left = context.repeats.left(pool, self.neighbours.count(), now)
@@ -235,13 +235,13 @@
             host, _ = parse_address(self.settings.listen)
             await self.metrics_http.listen(host, self._metrics_port)
         await self.http.listen(*parse_address(self.settings.listen))
-        tasks = start_jobs(self._jobs(), self.draining)
+        tasks = start_tasks(self._jobs(), self.draining)
         log("INFO", "started", vm=self.settings.vm, zone=self.settings.zone)
         try:
             await self.draining.wait()
             await asyncio.gather(self.neighbours.unregister(), self._drain())
         finally:
-            await stop_jobs(tasks)
+            await stop_tasks(tasks)
 
     def close(self) -> None:
         """Closes all sockets."""
@@ -279,24 +279,24 @@
                 header_bytes=limits.header_bytes,
                 body_bytes=limits.body_bytes,
                 receive_s=max(limits.header_s, RECEIVE_BODY_S),
-                idle_s=limits.idle_s,
+                idle_timeout_s=limits.idle_s,
             )
 
     async def _tidy(self) -> None:
         while True:
             await asyncio.sleep(LINKS_CHECKED_S)
-            self.links.close_idle()
+            self.links.close_expired()
             self.placing.loads.forget_others(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
         """Stops taking requests once the platform sends none, and finishes those it has."""
         begun = self._now()
-        log("INFO", "draining", in_flight=self.http.busy)
+        log("INFO", "draining", in_flight=self.http.in_flight)
         await asyncio.sleep(STILL_CHOSEN_S)
         self._closing = True
         await asyncio.sleep(LAST_REQUESTS_S - STILL_CHOSEN_S)
         self.http.stop_listening()
-        while self.http.busy and self._now() - begun < self.settings.grace_s * GRACE_SHARE:
+        while self.http.in_flight and self._now() - begun < self.settings.grace_s * GRACE_SHARE:
             await asyncio.sleep(DRAIN_POLL_S)
 
 
--- a/bluebellpitch/errors.py
+++ b/bluebellpitch/errors.py
@@ -57,13 +57,13 @@
     """The request failed before any byte of it left this VM."""
 
 
-class BrokenError(BluebellpitchError):
+class ConnectionLostError(BluebellpitchError):
     """The connection failed after bytes of the request may have left this VM."""
 
 
-class StalledError(BrokenError):
+class ReadTimeoutError(ConnectionLostError):
     """The other end sent nothing for longer than allowed."""
 
 
-class GoneError(BluebellpitchError):
+class DisconnectedError(BluebellpitchError):
     """The caller closed its connection."""
--- a/bluebellpitch/events.py
+++ b/bluebellpitch/events.py
@@ -9,7 +9,7 @@
 from bluebellpitch.clock import HybridClock
 
 
-class Kind(StrEnum):
+class EventKind(StrEnum):
     """What happened."""
 
     ADMITTED = "admitted"
@@ -41,7 +41,7 @@
 
     stamp: int
     vm: str
-    kind: Kind
+    kind: EventKind
     request: str = ""
     member: str = ""
     class_name: str = ""
@@ -49,7 +49,7 @@
     detail: str = ""
 
 
-class Ring:
+class EventRing:
     """The latest events of this VM; the oldest fall out."""
 
     def __init__(self, vm: str, clock: HybridClock, size: int):
@@ -58,7 +58,7 @@
         self.dropped = 0
         self._events: deque[Event] = deque(maxlen=size)
 
-    def record(self, kind: Kind, request="", member="", class_name="", endpoint="", detail=""):
+    def record(self, kind: EventKind, request="", member="", class_name="", endpoint="", detail=""):
         """Adds an event, stamped now."""
         if len(self._events) == self._events.maxlen:
             self.dropped += 1
@@ -67,6 +67,6 @@
             Event(stamp, self.vm, kind, request, member, class_name, endpoint, detail)
         )
 
-    def since(self, stamp: int) -> Iterator[Event]:
+    def after(self, stamp: int) -> Iterator[Event]:
         """Yields events later than ``stamp``, oldest first."""
         return (event for event in tuple(self._events) if event.stamp > stamp)
--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -5,18 +5,18 @@
 
 import h11
 
-from bluebellpitch.errors import BrokenError, NotSentError, StalledError
+from bluebellpitch.errors import ConnectionLostError, NotSentError, ReadTimeoutError
 from bluebellpitch.http1.messages import READ_BYTES, Headers, HttpResponse
 
 
 class CountingReader(asyncio.StreamReader):
     """A stream reader that tells whether bytes came that nobody has read."""
 
-    fed_bytes = 0
+    received_bytes = 0
 
     def feed_data(self, data: bytes) -> None:
         """Counts what comes in."""
-        self.fed_bytes += len(data)
+        self.received_bytes += len(data)
         super().feed_data(data)
 
 
@@ -43,12 +43,12 @@
         return cls(reader, writer, address)
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Sends a whole request; raises BrokenError, for bytes may have left."""
+        """Sends a whole request; raises ConnectionLostError, for bytes may have left."""
         headers = [("Host", self.address), *headers, ("Content-Length", str(len(body)))]
-        await self.send_exactly(method, target, headers, body)
+        await self.send_verbatim(method, target, headers, body)
 
-    async def send_exactly(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Sends a request with just these headers; raises BrokenError or NotSentError."""
+    async def send_verbatim(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Sends a request with just these headers; raises ConnectionLostError or NotSentError."""
         try:
             data = self.h11.send(h11.Request(method=method, target=target, headers=headers))
         except h11.LocalProtocolError as error:
@@ -60,15 +60,15 @@
             self.writer.write(data)
             await self.writer.drain()
         except OSError as error:
-            raise BrokenError(f"lost the connection to {self.address}: {error}") from error
+            raise ConnectionLostError(f"lost the connection to {self.address}: {error}") from error
 
     async def read_head(self, timeout_s: float) -> h11.Response:
-        """Returns the head of the response; raises BrokenError or StalledError."""
+        """Returns the head of the response; raises ConnectionLostError or ReadTimeoutError."""
         event = await self._next_event(timeout_s)
         while isinstance(event, h11.InformationalResponse):
             event = await self._next_event(timeout_s)
         if not isinstance(event, h11.Response):
-            raise BrokenError(f"{self.address} closed without an answer")
+            raise ConnectionLostError(f"{self.address} closed without an answer")
         return event
 
     async def read_body(self, timeout_s: float) -> AsyncIterator[bytes]:
@@ -90,9 +90,9 @@
                 event = self.h11.next_event()
             return event
         except TimeoutError as error:
-            raise StalledError(f"{self.address} was silent for {timeout_s} s") from error
+            raise ReadTimeoutError(f"{self.address} was silent for {timeout_s} s") from error
         except (OSError, h11.RemoteProtocolError) as error:
-            raise BrokenError(f"lost the answer of {self.address}: {error}") from error
+            raise ConnectionLostError(f"lost the answer of {self.address}: {error}") from error
 
     async def _read(self) -> bytes:
         data = await self.reader.read(READ_BYTES)
@@ -109,37 +109,38 @@
     async def call(
         self, method: str, target: str, body: bytes, timeout_s: float, headers: Headers = ()
     ) -> HttpResponse:
-        """Makes one whole exchange; raises BrokenError or StalledError."""
+        """Makes one whole exchange; raises ConnectionLostError or ReadTimeoutError."""
         try:
             async with asyncio.timeout(timeout_s):
                 await self.send(method, target, headers, body)
                 return await self.read_response(timeout_s)
         except TimeoutError as error:
-            raise StalledError(f"{self.address} did not answer within {timeout_s} s") from error
+            raise ReadTimeoutError(f"{self.address} did not answer within {timeout_s} s") from error
 
-    def has_unread_or_closed(self) -> bool:
+    def is_stale(self) -> bool:
         """Tells whether the server closed, or sent bytes that answer nothing."""
         if self.reader.at_eof() or self.writer.is_closing() or self.reader.exception():
             return True
-        return self.reader.fed_bytes > self._read_bytes or bool(self.h11.trailing_data[0])
+        return self.reader.received_bytes > self._read_bytes or bool(self.h11.trailing_data[0])
 
-    def expect_another(self, method: str) -> None:
+    def expect_next_response(self, method: str) -> None:
         """Makes ready to read one more answer to the request that was sent.
 
-        For use when the answer that was read belongs to an earlier request. Raises BrokenError.
+        For use when the response that was read answers an earlier request. Raises
+        ConnectionLostError.
         """
         rest = self.h11.trailing_data[0]
         if self.h11.their_state is not h11.DONE:
-            raise BrokenError(f"{self.address} closed after an answer to another request")
+            raise ConnectionLostError(f"{self.address} closed after an answer to another request")
         self.h11 = h11.Connection(h11.CLIENT)
         self.h11.send(h11.Request(method=method, target="/", headers=[("Host", "-")]))
         self.h11.send(h11.EndOfMessage())
         if rest:
             self.h11.receive_data(rest)
 
-    def is_reusable(self) -> bool:
+    def start_next_cycle(self) -> bool:
         """Makes ready for another request; False when the connection must close."""
-        if self.has_unread_or_closed():
+        if self.is_stale():
             return False
         if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
             return False
@@ -171,7 +172,7 @@
 ) -> HttpResponse:
     """Makes one whole exchange on a connection of its own.
 
-    Raises NotSentError, BrokenError or StalledError.
+    Raises NotSentError, ConnectionLostError or ReadTimeoutError.
     """
     connection = await ClientConnection.open(address, timeout_s)
     headers = [*headers, ("Connection", "close")]
--- a/bluebellpitch/http1/messages.py
+++ b/bluebellpitch/http1/messages.py
@@ -15,8 +15,8 @@
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
     receive_s: float = 10.0
-    idle_s: float = 60.0
-    stall_s: float = 60.0
+    idle_timeout_s: float = 60.0
+    write_timeout_s: float = 60.0
     connections: int = 2_000
 
 
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from bluebellpitch.errors import BadRequestError, GoneError
+from bluebellpitch.errors import BadRequestError, DisconnectedError
 from bluebellpitch.http1.messages import READ_BYTES, Headers, HttpLimits, HttpRequest
 from bluebellpitch.logs import log
 
@@ -22,7 +22,7 @@
     async def read_request(self) -> HttpRequest | None:
         """Returns the next request, or None when the client has closed or stayed idle."""
         try:
-            async with asyncio.timeout(self.limits.idle_s):
+            async with asyncio.timeout(self.limits.idle_timeout_s):
                 await self._wait_first_bytes()
         except TimeoutError:
             return None
@@ -81,13 +81,13 @@
                 raise BadRequestError(413, "body_too_large", "the request body is too large")
             yield bytes(event.data)
 
-    def is_gone(self) -> bool:
+    def is_disconnected(self) -> bool:
         """Tells whether the client has closed its side."""
         return self.reader.at_eof() or self.writer.is_closing()
 
-    async def wait_gone(self) -> None:
+    async def wait_disconnected(self) -> None:
         """Returns once the client has closed its side."""
-        while not self.is_gone():
+        while not self.is_disconnected():
             if data := await self._read():
                 self.h11.receive_data(data)
 
@@ -117,16 +117,16 @@
 
     async def _drain(self) -> None:
         if self.writer.is_closing():
-            raise GoneError("the caller closed its connection")
+            raise DisconnectedError("the caller closed its connection")
         if not self.writer.transport.get_write_buffer_size():
             return
         try:
-            async with asyncio.timeout(self.limits.stall_s):
+            async with asyncio.timeout(self.limits.write_timeout_s):
                 await self.writer.drain()
         except (OSError, TimeoutError) as error:
-            raise GoneError("the caller stopped reading") from error
+            raise DisconnectedError("the caller stopped reading") from error
 
-    def start_next(self) -> bool:
+    def start_next_cycle(self) -> bool:
         """Makes ready for another request; False when the connection must close."""
         if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
             return False
@@ -143,17 +143,17 @@
 
 
 Handler = Callable[[ServerConnection, HttpRequest], Awaitable[None]]
-Refuser = Callable[[ServerConnection, BadRequestError], Awaitable[None]]
+RefusalHandler = Callable[[ServerConnection, BadRequestError], Awaitable[None]]
 
 
 class HttpServer:
     """Accepts connections and gives each request to a handler."""
 
-    def __init__(self, handle: Handler, refuse: Refuser, limits: HttpLimits):
+    def __init__(self, handle: Handler, refuse: RefusalHandler, limits: HttpLimits):
         self.handle = handle
         self.refuse = refuse
         self.limits = limits
-        self.busy = 0
+        self.in_flight = 0
         self.closing = False
         self._open = 0
         self._server: asyncio.Server | None = None
@@ -172,7 +172,7 @@
             await self._serve_requests(connection)
         except BadRequestError as error:
             await self._refuse_and_linger(connection, error)
-        except (GoneError, OSError, h11.LocalProtocolError):
+        except (DisconnectedError, OSError, h11.LocalProtocolError):
             pass
         except asyncio.CancelledError:
             # Only the end of the event loop cancels this task; asyncio would report a fault.
@@ -189,12 +189,12 @@
             request = await connection.read_request()
             if request is None:
                 return
-            self.busy += 1
+            self.in_flight += 1
             try:
                 await self.handle(connection, request)
             finally:
-                self.busy -= 1
-            if not connection.start_next():
+                self.in_flight -= 1
+            if not connection.start_next_cycle():
                 return
 
     async def _refuse_and_linger(self, connection, error: BadRequestError) -> None:
@@ -204,7 +204,7 @@
             async with asyncio.timeout(0.2):
                 while await connection.reader.read(READ_BYTES):
                     pass
-        except (GoneError, OSError, TimeoutError, h11.LocalProtocolError):
+        except (DisconnectedError, OSError, TimeoutError, h11.LocalProtocolError):
             return
 
     def stop_listening(self) -> None:
--- a/bluebellpitch/jobs.py
+++ b/bluebellpitch/jobs.py
@@ -6,12 +6,12 @@
 from bluebellpitch.logs import log
 
 
-def start_jobs(jobs: Iterable[Coroutine], stopping: asyncio.Event) -> list[asyncio.Task]:
+def start_tasks(coroutines: Iterable[Coroutine], stopping: asyncio.Event) -> list[asyncio.Task]:
     """Starts jobs that run until cancelled; ``stopping`` is set when one fails."""
-    return [asyncio.create_task(guard(job, stopping)) for job in jobs]
+    return [asyncio.create_task(supervise(job, stopping)) for job in coroutines]
 
 
-async def guard(job: Coroutine, stopping: asyncio.Event) -> None:
+async def supervise(job: Coroutine, stopping: asyncio.Event) -> None:
     """Runs a job. A failure ends the VM: a restart is safe, a silent half is not."""
     try:
         await job
@@ -21,7 +21,7 @@
         raise
 
 
-async def stop_jobs(tasks: list[asyncio.Task]) -> None:
+async def stop_tasks(tasks: list[asyncio.Task]) -> None:
     """Cancels jobs and waits for their end."""
     for task in tasks:
         task.cancel()
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -2,10 +2,10 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-from bluebellpitch.constants import MEMBERS_WITH_OWN_LABEL
+from bluebellpitch.constants import MAX_MEMBER_LABELS
 
-SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.67, 1, 2.5, 5, 10, 30, 60)
-TOKEN_SECONDS = (0.005, 0.01, 0.02, 0.03, 0.044, 0.06, 0.1, 0.25, 1)
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.67, 1, 2.5, 5, 10, 30, 60)
+TOKEN_INTERVAL_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.044, 0.06, 0.1, 0.25, 1)
 
 
 class Metrics:
@@ -25,11 +25,15 @@
             "wasted_tokens", "Tokens made that no caller got", "class_name"
         )
         self.member_requests = self._counter("member_requests", "Requests by member", "member")
-        self.first_token = self._histogram("first_token_seconds", "Time to first token", SECONDS)
+        self.first_token = self._histogram(
+            "first_token_seconds", "Time to first token", LATENCY_BUCKETS_S
+        )
         self.between_tokens = self._histogram(
-            "between_tokens_seconds", "Mean time between tokens", TOKEN_SECONDS
+            "between_tokens_seconds", "Mean time between tokens", TOKEN_INTERVAL_BUCKETS_S
+        )
+        self.grant_wait = self._histogram(
+            "grant_wait_seconds", "Wait for a slot", LATENCY_BUCKETS_S
         )
-        self.grant_wait = self._histogram("grant_wait_seconds", "Wait for a slot", SECONDS)
         self.attempts = self._counter("attempts", "Attempts at endpoints", "outcome")
         self.region_bytes = self._counter("region_bytes", "Body bytes to other regions")
         self.peer_bytes = self._counter("peer_bytes", "Bytes sent to other VMs")
@@ -62,7 +66,7 @@
 
     def member_label(self, member: str) -> str:
         """Returns the label for a member or route: its name for the first, then ``other``."""
-        if member not in self._members and len(self._members) >= MEMBERS_WITH_OWN_LABEL:
+        if member not in self._members and len(self._members) >= MAX_MEMBER_LABELS:
             return "other"
         self._members.add(member)
         return member
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -7,18 +7,18 @@
 
 from bluebellpitch.callers.server import CallerServer
 from bluebellpitch.clock import HybridClock
-from bluebellpitch.constants import RING_EVENTS
+from bluebellpitch.constants import EVENT_RING_SIZE
 from bluebellpitch.context import NodeContext
 from bluebellpitch.decisions.broker import Broker
 from bluebellpitch.decisions.budgets import HedgeBudget
 from bluebellpitch.decisions.control import VmIdentity
 from bluebellpitch.decisions.order import Policy
 from bluebellpitch.decisions.strikes import StrikeBook
-from bluebellpitch.endpoints.connections import EndpointConnections
+from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.environment import Environment
-from bluebellpitch.events import Kind, Ring
+from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.http1 import parse_address
-from bluebellpitch.jobs import start_jobs, stop_jobs
+from bluebellpitch.jobs import start_tasks, stop_tasks
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.operators.admin import AdminServer
@@ -80,7 +80,7 @@
         self.key = identity.key
         self.holder = ViewHolder(ClusterView(own))
         self.clock = HybridClock(wall)
-        self.ring = Ring(settings.vm, self.clock, RING_EVENTS)
+        self.ring = EventRing(settings.vm, self.clock, EVENT_RING_SIZE)
         self.metrics = Metrics()
         self.strikes = StrikeRole(StrikeBook(), self._peers, self._send_strike, now)
         self.bus = PeerBus(self.key, self.clock, self.metrics, self.take)
@@ -121,7 +121,7 @@
             wall,
             settings.horizon_s,
         )
-        self.connections = EndpointConnections(now)
+        self.connections = ConnectionPool(now)
         self.context = NodeContext(
             settings=settings,
             holder=self.holder,
@@ -185,11 +185,11 @@
         self.bus.bind(self.settings.bus_bind)
         await self.admin.http.listen(*parse_address(self.settings.admin))
         await self.callers.http.listen(*parse_address(self.settings.listen))
-        tasks = start_jobs(self._jobs(), self.draining)
+        tasks = start_tasks(self._jobs(), self.draining)
         log("INFO", "started", vm=self.key, zone=self.settings.zone, listen=self.settings.listen)
         await self.draining.wait()
         await self._drain()
-        await stop_jobs(tasks)
+        await stop_tasks(tasks)
         self.connections.close()
         self.bus.close()
         log("INFO", "stopped", vm=self.key)
@@ -212,12 +212,12 @@
 
     async def _drain(self) -> None:
         """Waits for the balancer, hands roles over, and finishes all that it serves."""
-        self.ring.record(Kind.DRAINING)
-        log("INFO", "draining", in_flight=self.callers.http.busy)
+        self.ring.record(EventKind.DRAINING)
+        log("INFO", "draining", in_flight=self.callers.http.in_flight)
         self.membership.set_draining()
         await asyncio.sleep(self.settings.drain_notice_s)
         self.callers.http.stop_listening()
-        while self.callers.http.busy or self.claims.backlog():
+        while self.callers.http.in_flight or self.claims.backlog():
             await asyncio.sleep(DRAIN_POLL_S)
         await self.membership.unregister()
 
@@ -235,7 +235,7 @@
             draining=self.draining.is_set(),
             control_offset=self.control.fold.offset,
             epoch=view.own.epoch,
-            in_flight=self.callers.http.busy,
+            in_flight=self.callers.http.in_flight,
             store_silence_s=self.now() - self.control_tail.answered_at,
             backlog=self.claims.backlog(),
             live=tuple(sorted(view.live_by_key)),
--- a/bluebellpitch/operators/admin.py
+++ b/bluebellpitch/operators/admin.py
@@ -7,7 +7,7 @@
 
 from bluebellpitch.callers import answers
 from bluebellpitch.errors import BadRequestError
-from bluebellpitch.events import Event, Ring
+from bluebellpitch.events import Event, EventRing
 from bluebellpitch.http1 import HttpLimits, HttpRequest, HttpServer, ServerConnection
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.operators.status import VmStatus
@@ -30,7 +30,7 @@
 
     def __init__(
         self,
-        ring: Ring,
+        ring: EventRing,
         metrics: Metrics,
         describe: Callable[[], VmStatus],
         is_ready: Callable[[], bool],
@@ -64,5 +64,5 @@
         text = parse_qs(query).get("since", ["0"])[0]
         is_stamp = text.isascii() and text.isdigit() and len(text) <= STAMP_DIGITS
         since = int(text) if is_stamp else 0
-        events = tuple(self._ring.since(since))
+        events = tuple(self._ring.after(since))
         return EventPage(self._ring.vm, self._ring.clock.stamp(), self._ring.dropped, events)
--- a/bluebellpitch/operators/explain.py
+++ b/bluebellpitch/operators/explain.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator
 
-from bluebellpitch.clock import MICROSECONDS
-from bluebellpitch.events import Event, Kind
+from bluebellpitch.clock import MICROSECONDS_PER_S
+from bluebellpitch.events import Event, EventKind
 
 REFUSAL_MEANINGS = {
     "overloaded": "the work ahead of it would have outlasted its patience",
@@ -26,26 +26,26 @@
         return
     start = own[0].stamp
     for event in own:
-        after_ms = (event.stamp - start) / MICROSECONDS * 1000
+        after_ms = (event.stamp - start) / MICROSECONDS_PER_S * 1000
         yield f"+{after_ms:9.1f} ms  {event.vm}: {tell(event)}"
 
 
 SENTENCES = {
-    Kind.ADMITTED: "admitted for member {e.member}, class {e.class_name} ({e.detail})",
-    Kind.QUEUED: "asked its broker for a slot ({e.detail})",
-    Kind.GRANTED: "got a slot at {e.endpoint} ({e.detail})",
-    Kind.DISPATCHED: "sent to {e.endpoint} ({e.detail})",
-    Kind.FIRST_TOKEN: "first token from {e.endpoint}",
-    Kind.PREEMPTED: "gave its slot at {e.endpoint} back: {e.detail}",
-    Kind.RESUMED: "resumed ({e.detail})",
-    Kind.RETRIED: "tried again after {e.endpoint}: {e.detail}",
-    Kind.COMPLETED: "complete ({e.detail})",
+    EventKind.ADMITTED: "admitted for member {e.member}, class {e.class_name} ({e.detail})",
+    EventKind.QUEUED: "asked its broker for a slot ({e.detail})",
+    EventKind.GRANTED: "got a slot at {e.endpoint} ({e.detail})",
+    EventKind.DISPATCHED: "sent to {e.endpoint} ({e.detail})",
+    EventKind.FIRST_TOKEN: "first token from {e.endpoint}",
+    EventKind.PREEMPTED: "gave its slot at {e.endpoint} back: {e.detail}",
+    EventKind.RESUMED: "resumed ({e.detail})",
+    EventKind.RETRIED: "tried again after {e.endpoint}: {e.detail}",
+    EventKind.COMPLETED: "complete ({e.detail})",
 }
 
 
 def tell(event: Event) -> str:
     """Returns one event as a sentence."""
-    if event.kind is Kind.REFUSED:
+    if event.kind is EventKind.REFUSED:
         reason = event.detail.partition(" ")[0].partition(":")[0]
         meaning = REFUSAL_MEANINGS.get(reason, "see the operators' page")
         return f"refused: {event.detail} - {meaning}"
--- a/bluebellpitch/operators/table.py
+++ b/bluebellpitch/operators/table.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from uuid import uuid4
 
-from bluebellpitch.constants import STORE_RETRY_S
+from bluebellpitch.constants import STORE_RETRY_DELAY_S
 from bluebellpitch.decisions.control import (
     Accepted,
     Conflicted,
@@ -95,7 +95,7 @@
                 return await call()
             except BluebellpitchError as failure:
                 error = str(failure)
-                await asyncio.sleep(STORE_RETRY_S)
+                await asyncio.sleep(STORE_RETRY_DELAY_S)
         raise UnreachableError(f"the platform's store cannot be read: {error}")
 
     async def _bridge(self, first_kept: int) -> None:
@@ -126,7 +126,7 @@
                 case Conflicted(_, keys):
                     raise ConflictError(f"changed by another operator: {', '.join(keys)}")
             if not isinstance(verdict, Appended):
-                await asyncio.sleep(STORE_RETRY_S)
+                await asyncio.sleep(STORE_RETRY_DELAY_S)
         raise UnreachableError(
             "the store did not confirm the change in time; run the command again: it is safe"
         )
--- a/bluebellpitch/operators/timeline.py
+++ b/bluebellpitch/operators/timeline.py
@@ -8,11 +8,11 @@
 
 import msgspec
 
-from bluebellpitch.clock import MICROSECONDS
+from bluebellpitch.clock import MICROSECONDS_PER_S
 from bluebellpitch.errors import BluebellpitchError
-from bluebellpitch.events import Event, Kind
+from bluebellpitch.events import Event, EventKind
 from bluebellpitch.http1 import fetch
-from bluebellpitch.logs import quote_value
+from bluebellpitch.logs import format_value
 from bluebellpitch.operators.admin import EventPage
 from bluebellpitch.operators.status import VmStatus
 
@@ -21,14 +21,14 @@
 PICTURE_WIDTH = 1400
 LEFT_MARGIN = 190
 COLOURS = {
-    Kind.REFUSED: "#b00020",
-    Kind.STRIKE: "#b00020",
-    Kind.PREEMPTED: "#d17b00",
-    Kind.RETRIED: "#d17b00",
-    Kind.RESUMED: "#7a4fb5",
-    Kind.COMPLETED: "#1b7f3b",
-    Kind.OUTCOME: "#1b7f3b",
-    Kind.FIRST_TOKEN: "#1565c0",
+    EventKind.REFUSED: "#b00020",
+    EventKind.STRIKE: "#b00020",
+    EventKind.PREEMPTED: "#d17b00",
+    EventKind.RETRIED: "#d17b00",
+    EventKind.RESUMED: "#7a4fb5",
+    EventKind.COMPLETED: "#1b7f3b",
+    EventKind.OUTCOME: "#1b7f3b",
+    EventKind.FIRST_TOKEN: "#1565c0",
 }
 
 
@@ -97,7 +97,7 @@
 
 def format_time(stamp: int) -> str:
     """Returns a stamp as UTC time of day."""
-    return datetime.fromtimestamp(stamp / MICROSECONDS, UTC).strftime("%H:%M:%S.%f")
+    return datetime.fromtimestamp(stamp / MICROSECONDS_PER_S, UTC).strftime("%H:%M:%S.%f")
 
 
 def render_text(events: Iterable[Event]) -> Iterator[str]:
@@ -113,7 +113,7 @@
     """Yields a key=value line for each event, for programs."""
     for event in events:
         pairs = ((name, getattr(event, name)) for name in FIELDS)
-        tail = "".join(f" {name}={quote_value(value)}" for name, value in pairs if value)
+        tail = "".join(f" {name}={format_value(value)}" for name, value in pairs if value)
         yield f"stamp={event.stamp} vm={event.vm} event={event.kind}{tail}"
 
 
--- a/bluebellpitch/peers/bus.py
+++ b/bluebellpitch/peers/bus.py
@@ -10,7 +10,7 @@
 import zmq
 
 from bluebellpitch.clock import HybridClock
-from bluebellpitch.constants import PEER_SEND_QUEUE
+from bluebellpitch.constants import PEER_SEND_QUEUE_SIZE
 from bluebellpitch.errors import ProtocolError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
@@ -45,7 +45,7 @@
     def bind(self, address: str) -> None:
         """Starts to receive."""
         self._pull.setsockopt(zmq.LINGER, LINGER_MS)
-        self._pull.setsockopt(zmq.RCVHWM, PEER_SEND_QUEUE)
+        self._pull.setsockopt(zmq.RCVHWM, PEER_SEND_QUEUE_SIZE)
         self._pull.bind(f"tcp://{address}")
 
     def know(self, vm_key: str, address: str) -> None:
@@ -76,7 +76,7 @@
         if address not in self._pushes_by_address:
             socket = self._context.socket(zmq.PUSH)
             socket.setsockopt(zmq.LINGER, LINGER_MS)
-            socket.setsockopt(zmq.SNDHWM, PEER_SEND_QUEUE)
+            socket.setsockopt(zmq.SNDHWM, PEER_SEND_QUEUE_SIZE)
             # The sending side alone has to notice that a connection has gone silent.
             socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
             socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
--- a/bluebellpitch/platform/appender.py
+++ b/bluebellpitch/platform/appender.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 
-from bluebellpitch.constants import APPEND_BATCH_S
+from bluebellpitch.constants import APPEND_BATCH_DELAY_S
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.store import Appended, AppendVerdict, StoreClient
 
@@ -31,7 +31,7 @@
         """Appends batches until cancelled."""
         while True:
             await self._wake.wait()
-            await asyncio.sleep(APPEND_BATCH_S)
+            await asyncio.sleep(APPEND_BATCH_DELAY_S)
             self._wake.clear()
             while self._queue:
                 await self._append_batch()
--- a/bluebellpitch/platform/store.py
+++ b/bluebellpitch/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's store: appends, reads from an offset, and the newest of each key.
 
 An append whose answer is lost may have taken effect, or may still do so later. Reads raise
-NotSentError, BrokenError, StalledError or ProtocolError.
+NotSentError, ConnectionLostError, ReadTimeoutError or ProtocolError.
 """
 
 import base64
@@ -10,7 +10,12 @@
 
 import msgspec
 
-from bluebellpitch.errors import BluebellpitchError, BrokenError, NotSentError, ProtocolError
+from bluebellpitch.errors import (
+    BluebellpitchError,
+    ConnectionLostError,
+    NotSentError,
+    ProtocolError,
+)
 from bluebellpitch.http1 import ClientConnection, HttpResponse
 from bluebellpitch.platform.records import (
     KeyedRecord,
@@ -123,13 +128,13 @@
             return Appended(decode_json(response.body, _Appended).offset)
         except NotSentError as error:
             return DidNotRun(str(error))
-        except (BrokenError, ProtocolError) as error:
+        except (ConnectionLostError, ProtocolError) as error:
             return MayHaveRun(str(error))
 
     async def _call(self, method: str, target: str, body: bytes, timeout_s: float) -> HttpResponse:
         connection = self._connection
         self._connection = None
-        if connection is None or connection.has_unread_or_closed():
+        if connection is None or connection.is_stale():
             if connection is not None:
                 connection.close()
             connection = await ClientConnection.open(self.address, CONNECT_TIMEOUT_S)
@@ -138,7 +143,7 @@
         except BaseException:
             connection.close()
             raise
-        if connection.is_reusable():
+        if connection.start_next_cycle():
             self._connection = connection
         else:
             connection.close()
--- a/bluebellpitch/platform/tail.py
+++ b/bluebellpitch/platform/tail.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 
-from bluebellpitch.constants import STORE_READ_WAIT_MS, STORE_RETRY_S
+from bluebellpitch.constants import STORE_READ_WAIT_MS, STORE_RETRY_DELAY_S
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
@@ -27,7 +27,7 @@
         while True:
             page = await self._read(next_offset())
             if page is None:
-                await asyncio.sleep(STORE_RETRY_S)
+                await asyncio.sleep(STORE_RETRY_DELAY_S)
                 continue
             yield page
 
--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/brokering.py
@@ -3,14 +3,14 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from bluebellpitch.constants import LOAN_INTERVAL_S, MEMBERS_WITH_OWN_LABEL, PEER_DEAD_AFTER_S
+from bluebellpitch.constants import LOAN_REQUEST_INTERVAL_S, MAX_MEMBER_LABELS, PEER_DEAD_AFTER_S
 from bluebellpitch.decisions.broker import Broker
 from bluebellpitch.decisions.floors import Borrower, EpochHistory, Lender, usable_limit, zone_share
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.order import Policy
 from bluebellpitch.decisions.rows import MemberRow, Table
 from bluebellpitch.decisions.work import Command, Finished, Grant, Preempt, Refuse, Running, Waiting
-from bluebellpitch.events import Kind, Ring
+from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import (
@@ -43,7 +43,7 @@
         holder: ViewHolder,
         bus: PeerBus,
         history: EpochHistory,
-        ring: Ring,
+        ring: EventRing,
         metrics: Metrics,
         now: Callable[[], float],
         policy: Policy,
@@ -124,7 +124,7 @@
         self.brokers_by_pool[pool] = broker
         self._started_by_pool[pool] = self._now()
         self._heard_by_pool[pool] = set()
-        self._ring.record(Kind.ROLE_TAKEN, detail=f"broker={self._zone}/{pool}")
+        self._ring.record(EventKind.ROLE_TAKEN, detail=f"broker={self._zone}/{pool}")
         self._ask_loans(pool)
 
     def _limit_of(self, pool: str) -> Callable[[MemberRow, float], int]:
@@ -205,7 +205,7 @@
         """Does what is due now."""
         now = self._now()
         self._give_up_lost_pools()
-        if now - self._loans_asked_at >= LOAN_INTERVAL_S:
+        if now - self._loans_asked_at >= LOAN_REQUEST_INTERVAL_S:
             self._loans_asked_at = now
             for pool in self._pools_of_zone():
                 self._mine(pool)
@@ -234,7 +234,7 @@
         return waited or vms <= self._heard_by_pool[pool]
 
     def _export_limits(self, broker: Broker) -> None:
-        for member, count in tuple(broker.in_use_by_member.items())[:MEMBERS_WITH_OWN_LABEL]:
+        for member, count in tuple(broker.in_use_by_member.items())[:MAX_MEMBER_LABELS]:
             self._metrics.limit_in_use.labels(broker.pool, member).set(count)
 
     def _pools_of_zone(self) -> list[str]:
@@ -247,7 +247,7 @@
         for pool in lost:
             del self.brokers_by_pool[pool]
             self._borrower(pool).clear()
-            self._ring.record(Kind.ROLE_GIVEN_UP, detail=f"broker={self._zone}/{pool}")
+            self._ring.record(EventKind.ROLE_GIVEN_UP, detail=f"broker={self._zone}/{pool}")
             for vm in view.live_by_key:
                 self._bus.send(vm, LoanReturned(pool))
 
--- a/bluebellpitch/roles/claiming.py
+++ b/bluebellpitch/roles/claiming.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from uuid import uuid4
 
-from bluebellpitch.constants import CLAIM_WAIT_S, HORIZON_MARGIN_S
+from bluebellpitch.constants import CLAIM_TIMEOUT_S, HORIZON_MARGIN_S
 from bluebellpitch.decisions.claiming import (
     Attempted,
     GiveUp,
@@ -22,7 +22,7 @@
     encode_claim,
     is_within_horizon,
 )
-from bluebellpitch.events import Kind, Ring
+from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.appender import Appender
@@ -46,7 +46,7 @@
         holder: ViewHolder,
         tail: Tail,
         appender: Appender,
-        ring: Ring,
+        ring: EventRing,
         metrics: Metrics,
         now: Callable[[], float],
         wall: Callable[[], float],
@@ -94,14 +94,14 @@
 
     async def claim(self, request: str, wish: Wish) -> ClaimVerdict:
         """Claims a key for one request."""
-        deadline = self._now() + CLAIM_WAIT_S
+        deadline = self._now() + CLAIM_TIMEOUT_S
         attempted: Attempted | None = None
         while True:
             changed = self._changed
             expired = self._now() >= deadline
             match next_step(self.fold, wish, attempted, self._wall(), expired):
                 case Won(claim) as won:
-                    self._ring.record(Kind.CLAIMED, request, detail=claim.id)
+                    self._ring.record(EventKind.CLAIMED, request, detail=claim.id)
                     return won
                 case Replay() as replay:
                     return replay
@@ -138,7 +138,7 @@
 
     def withdraw(self, claim: Claim) -> None:
         """Voids a claim of this VM that was never dispatched; goes on until it is in the store."""
-        self._ring.record(Kind.WITHDRAWN, detail=claim.id)
+        self._ring.record(EventKind.WITHDRAWN, detail=claim.id)
         record = Withdrawal(uuid4().hex, claim.key, claim.id, claim.made_at)
         self._keep_appending(encode_claim(record))
 
@@ -148,7 +148,7 @@
 
     def record_outcome(self, request: str, outcome: Outcome) -> None:
         """Puts an outcome into the store; goes on until it is there."""
-        self._ring.record(Kind.OUTCOME, request, detail=f"{outcome.verdict} {outcome.status}")
+        self._ring.record(EventKind.OUTCOME, request, detail=f"{outcome.verdict} {outcome.status}")
         self._keep_appending(encode_claim(outcome))
 
     def _keep_appending(self, record: bytes) -> None:
--- a/bluebellpitch/roles/control.py
+++ b/bluebellpitch/roles/control.py
@@ -4,11 +4,11 @@
 from collections import deque
 from dataclasses import replace
 
-from bluebellpitch.constants import SNAPSHOT_EVERY_RECORDS, STORE_RETRY_S
+from bluebellpitch.constants import SNAPSHOT_INTERVAL_RECORDS, STORE_RETRY_DELAY_S
 from bluebellpitch.decisions.control import ControlFold
 from bluebellpitch.decisions.hashing import rank_owners
 from bluebellpitch.decisions.snapshots import cut_snapshot, join_snapshots
-from bluebellpitch.events import Kind, Ring
+from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.messages import ControlRecords, Entry, FoldTransfer, Heartbeat
@@ -24,7 +24,9 @@
 class ControlRole:
     """Owns the control fold and publishes its table and epochs in the view."""
 
-    def __init__(self, holder: ViewHolder, tail: Tail, store: StoreClient, ring: Ring, metrics):
+    def __init__(
+        self, holder: ViewHolder, tail: Tail, store: StoreClient, ring: EventRing, metrics
+    ):
         self._holder = holder
         self._tail = tail
         self._store = store
@@ -53,7 +55,7 @@
             log("INFO", "snapshot_installed", offset=self.fold.offset, first_kept=first_kept)
         if self.fold.offset + 1 < first_kept:
             log("ERROR", "control_gap", offset=self.fold.offset, first_kept=first_kept)
-            await asyncio.sleep(STORE_RETRY_S)
+            await asyncio.sleep(STORE_RETRY_DELAY_S)
 
     def take_entries(self, entries: tuple[Entry, ...]) -> None:
         """Folds records that follow on from the fold, and publishes the result."""
@@ -75,7 +77,7 @@
         view = self._holder.current
         table = self.fold.table
         if table.offset != view.table.offset:
-            self._ring.record(Kind.TABLE, detail=f"offset={table.offset}")
+            self._ring.record(EventKind.TABLE, detail=f"offset={table.offset}")
             log("INFO", "table", offset=table.offset)
         self._metrics.table_offset.set(self.fold.offset)
         own = replace(view.own, control_offset=self.fold.offset)
@@ -106,7 +108,7 @@
         while True:
             await asyncio.sleep(SNAPSHOT_CHECK_S)
             records = self.fold.offset - offset
-            due = records >= SNAPSHOT_EVERY_RECORDS or now() - at > every_s
+            due = records >= SNAPSHOT_INTERVAL_RECORDS or now() - at > every_s
             if not (records and due and self._is_publisher()):
                 continue
             covered = self.fold.offset
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/membership.py
@@ -14,7 +14,7 @@
 from bluebellpitch.decisions.floors import EpochHistory
 from bluebellpitch.decisions.hashing import rank_owners
 from bluebellpitch.errors import BluebellpitchError
-from bluebellpitch.events import Kind, Ring
+from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import Heartbeat
@@ -37,7 +37,7 @@
         holder: ViewHolder,
         bus: PeerBus,
         appender: Appender,
-        ring: Ring,
+        ring: EventRing,
         now: Callable[[], float],
         seeds: tuple[str, ...],
         store: StoreClient,
@@ -125,7 +125,9 @@
             return
         self.history.adopt(view.unsettled_by_zone.get(self._zone, ()) + (epoch,))
         names = ",".join(vm.key for vm in epoch.vms)
-        self._ring.record(Kind.EPOCH, detail=f"zone={self._zone} number={epoch.number} {names}")
+        self._ring.record(
+            EventKind.EPOCH, detail=f"zone={self._zone} number={epoch.number} {names}"
+        )
         log("INFO", "epoch", zone=self._zone, number=epoch.number, vms=names)
 
     def _send_heartbeats(self) -> None:
--- a/bluebellpitch/roles/seeking.py
+++ b/bluebellpitch/roles/seeking.py
@@ -7,13 +7,13 @@
 import msgspec
 
 from bluebellpitch.constants import (
-    ASK_REPEAT_S,
+    ASK_RESEND_INTERVAL_S,
     FAR_OVERFLOW_FACTOR,
-    GAP_CHECK_S,
-    GAP_REPEAT_S,
     HELD_REPORT_INTERVAL_S,
     OVERFLOW_TARGET_SHARE,
     SLOW_RATIO,
+    TOKEN_GAP_CHECK_INTERVAL_S,
+    TOKEN_GAP_REPORT_INTERVAL_S,
 )
 from bluebellpitch.decisions.work import Mean
 from bluebellpitch.metrics import Metrics
@@ -157,7 +157,7 @@
             if is_gone():
                 return self._give_up(seek, DidNotRun("caller_gone", 499))
             due = self._zones_due(seek, now - started)
-            if now - asked_at >= ASK_REPEAT_S or due != seek.asked:
+            if now - asked_at >= ASK_RESEND_INTERVAL_S or due != seek.asked:
                 seek.asked, asked_at = due, now
                 self._send_asks(seek, now)
             answer = await self._next_answer(seek, min(GONE_CHECK_S, seek.overflow_s))
@@ -273,7 +273,7 @@
         """Reports held slots, and at once those whose tokens stay away, until cancelled."""
         reported_at = self._now()
         while True:
-            await asyncio.sleep(GAP_CHECK_S)
+            await asyncio.sleep(TOKEN_GAP_CHECK_INTERVAL_S)
             self._report_gaps()
             if self._now() - reported_at >= HELD_REPORT_INTERVAL_S:
                 reported_at = self._now()
@@ -286,7 +286,10 @@
             if slot.last_token_at is None or not expected_s:
                 continue
             gap_s = now - slot.last_token_at
-            if gap_s >= SLOW_RATIO * expected_s and now - slot.gap_told_at >= GAP_REPEAT_S:
+            if (
+                gap_s >= SLOW_RATIO * expected_s
+                and now - slot.gap_told_at >= TOKEN_GAP_REPORT_INTERVAL_S
+            ):
                 slot.gap_told_at = now
                 self._tell_seen(slot, "between", gap_s)
 
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from bluebellpitch.errors import GoneError
+from bluebellpitch.errors import DisconnectedError
 from fakes.server import FakeServer, answer
 
 LENGTH = re.compile(r"\[len=(\d+)\]")
@@ -220,7 +220,7 @@
         watcher = asyncio.create_task(self._watch(connection, stream))
         try:
             await self._send_stream(connection, request, fields, stream, chat)
-        except GoneError:
+        except DisconnectedError:
             self.wasted += stream.tokens.qsize()
             raise
         finally:
@@ -230,7 +230,7 @@
 
     async def _watch(self, connection, stream: Stream) -> None:
         """Takes a cancelled stream out of the batch at once."""
-        await connection.wait_gone()
+        await connection.wait_disconnected()
         self._forget(stream)
         stream.tokens.put_nowait(-1)
 
@@ -256,12 +256,12 @@
         await connection.end()
 
     async def _next_token(self, connection, stream: Stream) -> int | None:
-        """Waits for a token; raises GoneError when the request was cancelled."""
+        """Waits for a token; raises DisconnectedError when the request was cancelled."""
         index = await stream.tokens.get()
-        while self.silent and not connection.is_gone():
+        while self.silent and not connection.is_disconnected():
             await asyncio.sleep(0.1)
-        if connection.is_gone():
-            raise GoneError("cancelled")
+        if connection.is_disconnected():
+            raise DisconnectedError("cancelled")
         return index
 
 
--- a/fakes/prepared.py
+++ b/fakes/prepared.py
@@ -177,8 +177,8 @@
         patience_s: float = 2.0,
         headers=(),
     ) -> HttpResponse:
-        """Makes one call. Raises BrokenError when it has no whole answer."""
-        if self._connection is None or not self._connection.is_reusable():
+        """Makes one call. Raises ConnectionLostError when it has no whole answer."""
+        if self._connection is None or not self._connection.start_next_cycle():
             self._connection = await ClientConnection.open(self.settings.listen, 1.0)
         connection = self._connection
         sent = [
@@ -189,7 +189,7 @@
             ("Content-Length", str(len(body))),
             *headers,
         ]
-        await connection.send_exactly(method, path, sent, body)
+        await connection.send_verbatim(method, path, sent, body)
         return await connection.read_response(patience_s + 1)
 
     async def stream(self, path: str, request_id: str, tokens: int = 100, **fields):
--- a/fakes/prepared_endpoint.py
+++ b/fakes/prepared_endpoint.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from bluebellpitch.errors import GoneError
+from bluebellpitch.errors import DisconnectedError
 from fakes.server import FakeServer
 
 SIGNATURE = ("Response-Signature", "3e1b.07.5a2")
@@ -41,10 +41,10 @@
         self.ran.append(request_id)
         headers.append(SIGNATURE)
         if self.mode == "reset":
-            raise GoneError("reset")
+            raise DisconnectedError("reset")
         if self.mode == "garbage":
             connection.writer.write(b"\x00\x01 these are no bytes of an answer\r\n\r\n")
-            raise GoneError("garbage")
+            raise DisconnectedError("garbage")
         if self.mode == "slow":
             await self._sleep(connection, 3.0)
         if request.header("token-usage"):
@@ -55,9 +55,9 @@
     async def _sleep(self, connection, seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
-                await connection.wait_gone()
+                await connection.wait_disconnected()
             self.cancelled += 1
-            raise GoneError("cancelled")
+            raise DisconnectedError("cancelled")
         except TimeoutError:
             return
 
@@ -70,7 +70,7 @@
         if self.mode == "short":
             await connection.start(200, [*headers, ("Content-Length", str(len(body) + 9))])
             await connection.send(body)
-            raise GoneError("short")
+            raise DisconnectedError("short")
         await connection.respond(500 if self.mode == "fail" else 200, headers, body)
         if self.mode == "extra":
             extra = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: x\r\n"
@@ -85,7 +85,7 @@
         for number in range(start + 1, self.events + 1):
             if self.mode == "cut" and number > self.cut_after:
                 connection.writer.write(b"7\r\nid: 3\nd\r\n")
-                raise GoneError("cut inside an event")
+                raise DisconnectedError("cut inside an event")
             await connection.send(f"id: {number}\ndata: piece {number}\n\n".encode())
             if self.pause_s:
                 await self._sleep(connection, self.pause_s)
--- a/fakes/prepared_store.py
+++ b/fakes/prepared_store.py
@@ -5,7 +5,7 @@
 import struct
 from urllib.parse import parse_qs
 
-from bluebellpitch.errors import GoneError
+from bluebellpitch.errors import DisconnectedError
 from fakes.server import FakeServer, answer
 
 LENGTH = struct.Struct(">I")
@@ -75,7 +75,7 @@
         query = {name: values[0] for name, values in parse_qs(text).items()}
         self.calls.append(path)
         if self.outage:
-            raise GoneError("outage")
+            raise DisconnectedError("outage")
         if self.silent:
             await asyncio.sleep(3600)
         await asyncio.sleep(self.slow_s)
@@ -96,7 +96,7 @@
         if self.lose_answers > 0:
             self.lose_answers -= 1
             asyncio.get_running_loop().call_later(self.late_s, self._append, topic, records)
-            raise GoneError("answer lost")
+            raise DisconnectedError("answer lost")
         offset = self._append(topic, records)
         await answer(connection, {"offset": offset, "end": self._end(topic)})
 
@@ -113,7 +113,7 @@
             except TimeoutError:
                 pass
         if self.outage:
-            raise GoneError("outage")
+            raise DisconnectedError("outage")
         if self.status != 200:
             await answer(connection, {}, self.status)
             return
--- a/fakes/service.py
+++ b/fakes/service.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bluebellpitch.errors import GoneError
+from bluebellpitch.errors import DisconnectedError
 from fakes.server import FakeServer, answer
 
 
@@ -47,6 +47,6 @@
             os._exit(1)
         if self.silent:
             await asyncio.sleep(3600)
-            raise GoneError("silent")
+            raise DisconnectedError("silent")
         await asyncio.sleep(self.hold_s)
         await answer(connection, {"opened": case, "by": self.name})
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -27,7 +27,7 @@
     key_of,
 )
 from bluebellpitch.decisions.work import Finished, Waiting
-from bluebellpitch.events import Kind, Ring
+from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import (
@@ -220,21 +220,23 @@
 
 def ring_cost() -> tuple[float, float]:
     """Returns microseconds and bytes of one event."""
-    ring = Ring("vm-1", HybridClock(time.time), 20_000)
+    ring = EventRing("vm-1", HybridClock(time.time), 20_000)
 
     def job() -> int:
         for number in range(20_000):
-            ring.record(Kind.GRANTED, f"{number:032x}", "member-1", "class-1", "e1", f"w={number}")
+            ring.record(
+                EventKind.GRANTED, f"{number:032x}", "member-1", "class-1", "e1", f"w={number}"
+            )
         return 20_000
 
     return timed(job), memory_of(lambda: filled_ring()) / 20_000
 
 
-def filled_ring() -> Ring:
+def filled_ring() -> EventRing:
     """Returns a full ring."""
-    ring = Ring("vm-1", HybridClock(time.time), 20_000)
+    ring = EventRing("vm-1", HybridClock(time.time), 20_000)
     for number in range(20_000):
-        ring.record(Kind.GRANTED, f"{number:032x}", "member-1", "class-1", "e1", f"w={number}")
+        ring.record(EventKind.GRANTED, f"{number:032x}", "member-1", "class-1", "e1", f"w={number}")
     return ring
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -65,7 +65,7 @@
 
     async def _connect(self) -> bool:
         if self._connection is not None:
-            if self._connection.is_reusable() and not self._connection.has_unread_or_closed():
+            if self._connection.start_next_cycle() and not self._connection.is_stale():
                 return True
             self._leave()
         vm = self._draw.choice(self._scene.vms)
@@ -92,7 +92,7 @@
             headers += [("Model", "m"), ("Token-Usage", "100,20"), ("Prompt-Prefix", f"{id}:100")]
         method = "GET" if kind == "look" else "POST"
         connection = self._connection
-        await connection.send_exactly(method, f"/{kind}/{id}", headers, body)
+        await connection.send_verbatim(method, f"/{kind}/{id}", headers, body)
         return await connection.read_response(SILENCE_S)
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -144,7 +144,7 @@
     Mutant(
         "a VM that drains finishes its requests",
         "bluebellpitch/node.py",
-        "        while self.callers.http.busy or self.claims.backlog():\n"
+        "        while self.callers.http.in_flight or self.claims.backlog():\n"
         "            await asyncio.sleep(DRAIN_POLL_S)\n",
         "",
         "tests/test_streams.py::test_all_vms_replaced_one_after_another_fail_no_request",
@@ -194,7 +194,7 @@
     Mutant(
         "route: a VM that stops finishes what it serves",
         "bluebellpitch/entry.py",
-        "        while self.http.busy and",
+        "        while self.http.in_flight and",
         "        while False and",
         "soak --seed 14 --seconds 15 --vms 2 --only vm_stop",
     ),
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -8,7 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan, Not
 
-from bluebellpitch.constants import GRANT_UNCONFIRMED_S
+from bluebellpitch.constants import GRANT_TIMEOUT_S
 from bluebellpitch.decisions.broker import Broker
 from bluebellpitch.decisions.order import Policy
 from bluebellpitch.decisions.rows import (
@@ -221,7 +221,7 @@
 def test_slot_that_its_holder_does_not_name_comes_back():
     broker = make_broker(endpoints=1, slots=1)
     ask_all(broker, [work("lost")])
-    now = GRANT_UNCONFIRMED_S + 0.5
+    now = GRANT_TIMEOUT_S + 0.5
     ask_all(broker, [work("next", at=2.0, asked_at=now)], 2.0)
     assert_that(granted(broker.drop_unconfirmed(now)), Equals(["next"]))
 
--- a/tests/test_brokering.py
+++ b/tests/test_brokering.py
@@ -11,7 +11,7 @@
 from bluebellpitch.decisions.floors import EpochHistory
 from bluebellpitch.decisions.order import Policy
 from bluebellpitch.decisions.rows import EndpointRow, Table, VersionedRow
-from bluebellpitch.events import Ring
+from bluebellpitch.events import EventRing
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.roles.brokering import BrokerRole
 from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
@@ -41,7 +41,7 @@
     alone = ClusterView(owner, table, live_by_key={owner.identity.key: owner})
     both = replace(alone, live_by_key={vm.identity.key: vm for vm in (owner, other)})
     holder, clock = ViewHolder(alone), [10.0]
-    ring = Ring("vm", HybridClock(lambda: 1.0), 10)
+    ring = EventRing("vm", HybridClock(lambda: 1.0), 10)
     role = BrokerRole(
         holder,
         SilentBus(),
--- a/tests/test_limits_machine.py
+++ b/tests/test_limits_machine.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bluebellpitch.constants import CLOCK_DRIFT, LOAN_LEASE_S
+from bluebellpitch.constants import LOAN_LEASE_S, MAX_CLOCK_DRIFT_RATIO
 from bluebellpitch.decisions.control import (
     ControlFold,
     EpochChange,
@@ -37,7 +37,7 @@
 
     def __init__(self):
         super().__init__()
-        half = CLOCK_DRIFT / 2
+        half = MAX_CLOCK_DRIFT_RATIO / 2
         rates = (1.0, 1.0 + half / 2, 1.0 - half / 2, 1.0)
         self.vms = {name: Vm(rate) for name, rate in zip(VMS, rates, strict=True)}
         self.time = 0.0
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,7 +2,7 @@
 
 import os
 
-from bluebellpitch.logs import LINES_AT_ONCE, LINES_PER_S, BoundedSink
+from bluebellpitch.logs import BURST_LINES, LINES_PER_S, RateLimitedSink
 
 
 class Clock:
@@ -17,12 +17,12 @@
 def test_stopped_reader_holds_nothing_up():
     reader, writer = os.pipe()
     clock = Clock()
-    sink = BoundedSink(writer, clock)
+    sink = RateLimitedSink(writer, clock)
     for _ in range(5_000):
         clock.now += 1.0
         sink.write("x" * 200 + "\n")
-    assert sink.left_out > 0
-    left_out = sink.left_out
+    assert sink.dropped_lines > 0
+    left_out = sink.dropped_lines
     while True:
         try:
             if len(os.read(reader, 1 << 20)) < 1 << 16:
@@ -41,12 +41,12 @@
 def test_rate_is_bounded_and_the_rest_is_counted():
     path = os.memfd_create("log")
     clock = Clock()
-    sink = BoundedSink(path, clock)
-    for _ in range(int(LINES_AT_ONCE) + 500):
+    sink = RateLimitedSink(path, clock)
+    for _ in range(int(BURST_LINES) + 500):
         sink.write("line\n")
-    assert sink.left_out == 500
+    assert sink.dropped_lines == 500
     clock.now += 1.0
     for _ in range(int(LINES_PER_S) + 10):
         sink.write("line\n")
-    assert sink.left_out == 10
+    assert sink.dropped_lines == 10
     os.close(path)
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bluebellpitch.errors import BrokenError
+from bluebellpitch.errors import ConnectionLostError
 from fakes.prepared import Deployment, PlatformClient, header, route, wait_until
 from tests.prepared_helpers import in_deployment, start
 
@@ -155,7 +155,7 @@
 async def test_stream_that_cannot_be_resumed_does_not_look_complete(deployment):
     (engine,), client = await start(deployment, "engines")
     engine.mode = "cut"
-    with pytest.raises(BrokenError):
+    with pytest.raises(ConnectionLostError):
         await client.stream("/explain/7", "r1")
     assert engine.ran == ["r1"]
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -6,8 +6,8 @@
 from testtools.matchers import Contains, Equals, HasLength
 
 from bluebellpitch.clock import HybridClock
-from bluebellpitch.events import Kind, Ring
-from bluebellpitch.logs import quote_value
+from bluebellpitch.events import EventKind, EventRing
+from bluebellpitch.logs import format_value
 from bluebellpitch.operators.admin import EventPage
 from bluebellpitch.operators.explain import explain_request
 from bluebellpitch.operators.timeline import (
@@ -21,26 +21,26 @@
 REQUEST = "a" * 32
 
 
-def page(ring: Ring) -> EventPage:
-    return EventPage(ring.vm, ring.clock.stamp(), ring.dropped, tuple(ring.since(0)))
+def page(ring: EventRing) -> EventPage:
+    return EventPage(ring.vm, ring.clock.stamp(), ring.dropped, tuple(ring.after(0)))
 
 
-def rings_with_skew() -> tuple[Ring, Ring]:
+def rings_with_skew() -> tuple[EventRing, EventRing]:
     """The second VM's clock is an hour behind; it hears of the first before it acts."""
-    early = Ring("vm-1", HybridClock(lambda: 10_000.0), 100)
-    late = Ring("vm-2", HybridClock(lambda: 6_400.0), 100)
-    early.record(Kind.ADMITTED, REQUEST, "m", "c")
+    early = EventRing("vm-1", HybridClock(lambda: 10_000.0), 100)
+    late = EventRing("vm-2", HybridClock(lambda: 6_400.0), 100)
+    early.record(EventKind.ADMITTED, REQUEST, "m", "c")
     late.clock.observe(early.clock.stamp())
-    late.record(Kind.GRANTED, REQUEST, "m", "c", "e1")
+    late.record(EventKind.GRANTED, REQUEST, "m", "c", "e1")
     early.clock.observe(late.clock.stamp())
-    early.record(Kind.COMPLETED, REQUEST, "m", "c", "e1")
+    early.record(EventKind.COMPLETED, REQUEST, "m", "c", "e1")
     return early, late
 
 
 def test_cause_stands_before_effect_though_clocks_differ():
     events = merge_events((page(ring) for ring in rings_with_skew()), EventFilter())
     kinds = [event.kind for event in events]
-    assert_that(kinds, Equals([Kind.ADMITTED, Kind.GRANTED, Kind.COMPLETED]))
+    assert_that(kinds, Equals([EventKind.ADMITTED, EventKind.GRANTED, EventKind.COMPLETED]))
 
 
 def test_stamps_increase_though_the_clock_stands_still():
@@ -50,10 +50,10 @@
 
 
 def test_ring_forgets_the_oldest_and_counts_them():
-    ring = Ring("vm", HybridClock(lambda: 1.0), 3)
+    ring = EventRing("vm", HybridClock(lambda: 1.0), 3)
     for number in range(5):
-        ring.record(Kind.QUEUED, str(number))
-    assert_that([event.request for event in ring.since(0)], Equals(["2", "3", "4"]))
+        ring.record(EventKind.QUEUED, str(number))
+    assert_that([event.request for event in ring.after(0)], Equals(["2", "3", "4"]))
     assert_that(ring.dropped, Equals(2))
 
 
@@ -83,7 +83,7 @@
 
 
 def test_log_values_stay_on_one_line():
-    assert_that(quote_value("plain"), Equals("plain"))
-    assert_that(quote_value("two words"), Equals('"two words"'))
-    assert_that(quote_value("line\nbreak"), Equals('"line\\nbreak"'))
-    assert_that(quote_value(""), Equals('""'))
+    assert_that(format_value("plain"), Equals("plain"))
+    assert_that(format_value("two words"), Equals('"two words"'))
+    assert_that(format_value("line\nbreak"), Equals('"line\\nbreak"'))
+    assert_that(format_value(""), Equals('""'))
