Name the modules of exit statuses, tasks and endpoint connections by what they hold

The old names were shorter than clear: jobs are asyncio tasks and links are pooled connections.

bluebellpitch/exits.py -> bluebellpitch/exit_status.py bluebellpitch/jobs.py -> bluebellpitch/tasks.py bluebellpitch/endpoints/links.py -> bluebellpitch/endpoints/endpoint_connections.py

--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -17,7 +17,7 @@
     RoutedAttempt,
     cancel_and_wait,
 )
-from bluebellpitch.endpoints.links import EndpointConnectionPool
+from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
 from bluebellpitch.errors import BadRequestError, DisconnectedError, NotSentError
 from bluebellpitch.http1 import ClientConnection, HttpRequest, ServerConnection
 from bluebellpitch.logs import log
--- a/bluebellpitch/commands/insight.py
+++ b/bluebellpitch/commands/insight.py
@@ -10,7 +10,7 @@
 from bluebellpitch.commands.options import AdminAddresses, StoreAddress, say
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import BluebellpitchError, UnreachableError, UsageError
-from bluebellpitch.exits import ExitStatus
+from bluebellpitch.exit_status import ExitStatus
 from bluebellpitch.operators.explain import explain_request
 from bluebellpitch.operators.status import render_status
 from bluebellpitch.operators.timeline import (
--- a/bluebellpitch/commands/route.py
+++ b/bluebellpitch/commands/route.py
@@ -11,7 +11,7 @@
 from bluebellpitch.commands.options import option
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import UsageError
-from bluebellpitch.exits import ExitStatus
+from bluebellpitch.exit_status import ExitStatus
 from bluebellpitch.logs import configure_logging, configure_rate_limited_logging
 from bluebellpitch.platform.settings_file import SETTINGS_VARIABLE, VmSettings, parse_settings
 
--- a/bluebellpitch/commands/serve.py
+++ b/bluebellpitch/commands/serve.py
@@ -9,7 +9,7 @@
 from bluebellpitch.constants import HORIZON_S
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import UsageError
-from bluebellpitch.exits import ExitStatus
+from bluebellpitch.exit_status import ExitStatus
 from bluebellpitch.http1 import HttpLimits
 from bluebellpitch.logs import configure_logging
 from bluebellpitch.settings import Settings, check_settings
--- a/bluebellpitch/commands/table.py
+++ b/bluebellpitch/commands/table.py
@@ -18,7 +18,7 @@
 from bluebellpitch.decisions.rows import key_of
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import ConflictError, UsageError
-from bluebellpitch.exits import ExitStatus
+from bluebellpitch.exit_status import ExitStatus
 from bluebellpitch.operators.sheet import Sheet, parse_sheet, write_sheet
 from bluebellpitch.operators.table import TableDiff, TableEditor, compare
 from bluebellpitch.platform.store import StoreClient
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
-from bluebellpitch.endpoints.links import EndpointConnectionPool
+from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
 from bluebellpitch.endpoints.sse import EVENT_SEPARATOR
 from bluebellpitch.errors import ConnectionLostError, NotSentError, ReadTimeoutError
 from bluebellpitch.http1 import ClientConnection
--- a/bluebellpitch/entry.py
+++ b/bluebellpitch/entry.py
@@ -12,9 +12,8 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.repeats import RepeatBudget
 from bluebellpitch.decisions.strikes import StrikeBook
-from bluebellpitch.endpoints.links import EndpointConnectionPool
+from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
-from bluebellpitch.jobs import start_tasks, stop_tasks
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
@@ -44,6 +43,7 @@
 from bluebellpitch.roles.placing import PlacingRole
 from bluebellpitch.roles.sharing import SharingRole
 from bluebellpitch.roles.striking import StrikeRole
+from bluebellpitch.tasks import start_tasks, stop_tasks
 
 DRAIN_POLL_S = 0.05
 # New connections come until the platform has noticed that the VM is not ready.
--- a/bluebellpitch/errors.py
+++ b/bluebellpitch/errors.py
@@ -1,6 +1,6 @@
 """Exceptions of the program. Each one becomes a clear line or a JSON error."""
 
-from bluebellpitch.exits import ExitStatus
+from bluebellpitch.exit_status import ExitStatus
 
 
 class BluebellpitchError(Exception):
--- a/bluebellpitch/main.py
+++ b/bluebellpitch/main.py
@@ -7,7 +7,7 @@
 from bluebellpitch.cli import build_app
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import BluebellpitchError
-from bluebellpitch.exits import ExitStatus
+from bluebellpitch.exit_status import ExitStatus
 
 
 def main(arguments: list[str] | None = None, environment: Environment | None = None) -> ExitStatus:
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -18,7 +18,6 @@
 from bluebellpitch.environment import Environment
 from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.http1 import parse_address
-from bluebellpitch.jobs import start_tasks, stop_tasks
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.operators.admin import AdminServer
@@ -62,6 +61,7 @@
 from bluebellpitch.roles.seeking import SlotRole
 from bluebellpitch.roles.striking import StrikeRole
 from bluebellpitch.settings import Settings
+from bluebellpitch.tasks import start_tasks, stop_tasks
 from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
 
 DRAIN_POLL_S = 0.1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,7 +8,7 @@
 
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import BluebellpitchError
-from bluebellpitch.exits import ExitStatus
+from bluebellpitch.exit_status import ExitStatus
 from bluebellpitch.http1 import fetch
 from bluebellpitch.main import main
 from fakes.federations import CLASSES, FILING, MODEL, endpoint, member, sheet
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 
-from bluebellpitch.exits import ExitStatus
+from bluebellpitch.exit_status import ExitStatus
 from fakes.federations import CLASSES, MODEL, member, sheet
 from fakes.fleet import answers, wait_until
 from fakes.ports import free_address
