Describe endpoint attempts, connection pools and HTTP/1.1 in plain terms

Comments, error messages and local names now speak of requests, responses, pools and timeouts. The first word of each NotSentError stays, because it becomes the reason label of the refusals metric.

--- a/bluebellpitch/endpoints/__init__.py
+++ b/bluebellpitch/endpoints/__init__.py
@@ -1,1 +1,1 @@
-"""Endpoints: model engines and plain services."""
+"""Connections to endpoints, and single attempts at model engines and plain services."""
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -1,7 +1,7 @@
 """One attempt of a routed request at one endpoint.
 
-An attempt ends in a verdict: DidNotRun when no byte of it was processed, MayHaveRun when its
-answer is lost. An answer that belongs to another request is passed over.
+A failed attempt ends in a verdict: DidNotRun when the endpoint processed no byte of the request,
+MayHaveRun when the response was lost. Responses to other requests are discarded.
 """
 
 import asyncio
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CompleteResponse:
-    """A whole answer."""
+    """The complete response of an endpoint."""
 
     head: AnswerHead
     body: bytes
@@ -36,27 +36,33 @@
 
 @dataclass(frozen=True, slots=True)
 class RefusedByEndpoint(DidNotRun):
-    """The endpoint refused the request; ``is_other`` when another one has its address."""
+    """The endpoint refused the request without running it.
+
+    ``is_other_instance``: another instance now listens at the address.
+    """
 
     is_other_instance: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class NotSent(DidNotRun):
-    """No connection could be made."""
+    """The request was not sent: no connection could be opened, or it could not be encoded."""
 
 
 class RoutedAttempt:
-    """Owns one link while the attempt lasts. ``close`` is safe to call at any time."""
+    """One attempt, which holds one connection while it lasts.
+
+    ``now`` is the clock of all deadlines, in seconds. ``close`` may be called at any time.
+    """
 
     def __init__(
         self,
-        links: EndpointConnectionPool,
+        connections: EndpointConnectionPool,
         entry: EndpointEntry,
         request: RoutedRequest,
         now: Callable[[], float],
     ):
-        self._links = links
+        self._connections = connections
         self._entry = entry
         self._request = request
         self._now = now
@@ -68,19 +74,20 @@
     async def start(
         self, forwarding: Forwarding, at_most_once: bool, head_deadline: float
     ) -> AnswerHead | DidNotRun | MayHaveRun:
-        """Sends the request and returns the head of its answer, or a verdict.
+        """Sends the request and returns the head of its response, or a verdict.
 
-        ``head_by`` bounds the wait for the head, in seconds of the owner's clock.
+        ``at_most_once`` is set for a request that must not be repeated. The head must arrive
+        before ``head_deadline``.
         """
         request = self._request
         try:
-            self._connection = await self._links.acquire(self._entry, at_most_once)
+            self._connection = await self._connections.acquire(self._entry, at_most_once)
             self.sent_at = self._now()
             headers = forwarded_headers(request, forwarding)
             await self._connection.send_verbatim(
                 request.method, request.target, headers, request.body
             )
-            head = await self._read_own_head(head_deadline)
+            head = await self._read_matching_head(head_deadline)
         except NotSentError as error:
             self.close()
             return NotSent(str(error))
@@ -92,7 +99,7 @@
             return MayHaveRun(f"broken: {error}")
         self.head = head
         if head.did_not_run and head.status >= 400:
-            await self._finish_refusal()
+            await self._drain_refusal()
             return RefusedByEndpoint(
                 f"refused with {head.status}", is_other_instance=head.is_other_instance
             )
@@ -106,29 +113,29 @@
             return True
         return 200 <= head.status < 300 and not (head.is_signed and head.request_id)
 
-    async def _read_own_head(self, head_by: float) -> AnswerHead:
+    async def _read_matching_head(self, deadline: float) -> AnswerHead:
         for _ in range(MAX_MISMATCHED_RESPONSES):
-            raw = await self._connection.read_head(max(0.001, head_by - self._now()))
+            raw = await self._connection.read_head(max(0.001, deadline - self._now()))
             head = decode_answer(raw)
             if head.request_id in ("", self._request.id):
                 return head
-            async for _ in self._connection.read_body(max(0.001, head_by - self._now())):
+            async for _ in self._connection.read_body(max(0.001, deadline - self._now())):
                 pass
             self._connection.expect_next_response(self._request.method)
-        raise ConnectionLostError("too many answers to other requests")
+        raise ConnectionLostError("received too many responses to other requests")
 
-    async def _finish_refusal(self) -> None:
-        """Reads a refusal to its end, so that the link can serve again."""
+    async def _drain_refusal(self) -> None:
+        """Reads a refusal to its end so that the connection can be reused."""
         try:
             async for _ in self._connection.read_body(0.2):
                 pass
         except ConnectionLostError:
             self.close()
             return
-        self._give_back()
+        self._release()
 
     async def read_complete_response(self, deadline: float) -> CompleteResponse | MayHaveRun:
-        """Reads the rest of a plain answer; the whole of it or nothing is passed on."""
+        """Reads the body of a response that is not streamed; returns all of it or a verdict."""
         parts = []
         try:
             while (
@@ -140,21 +147,23 @@
             return MayHaveRun(
                 f"cut: {error}", status=504 if isinstance(error, ReadTimeoutError) else 502
             )
-        self._give_back()
+        self._release()
         return CompleteResponse(self.head, b"".join(parts))
 
     async def events(self, deadline: float, max_silence_s: float) -> AsyncIterator[bytes]:
-        """Yields whole events in bulk until the stream ends; ``ending`` then tells how.
+        """Yields batches of complete events until the stream ends, and then sets ``ending``.
 
-        Endings: ``complete``, ``late`` (not over at ``by``), ``silent``, ``cut``.
+        Endings: ``complete``, ``late`` (unfinished at ``deadline``), ``silent`` (no data for
+        ``max_silence_s``) and ``cut`` (connection lost, stream not at the end of an event, or
+        event too large).
         """
-        rest = b""
+        incomplete = b""
         while True:
-            left = deadline - self._now()
+            remaining_s = deadline - self._now()
             try:
-                data = await self._connection.read_data(max(0.001, min(left, max_silence_s)))
+                data = await self._connection.read_data(max(0.001, min(remaining_s, max_silence_s)))
             except ReadTimeoutError:
-                self.ending = "late" if left <= max_silence_s else "silent"
+                self.ending = "late" if remaining_s <= max_silence_s else "silent"
                 break
             except ConnectionLostError:
                 self.ending = "cut"
@@ -162,35 +171,35 @@
             if data is None:
                 self.ending = "complete"
                 break
-            rest += data
-            end = rest.rfind(EVENT_SEPARATOR) + len(EVENT_SEPARATOR)
+            incomplete += data
+            end = incomplete.rfind(EVENT_SEPARATOR) + len(EVENT_SEPARATOR)
             if end >= len(EVENT_SEPARATOR):
-                events, rest = rest[:end], rest[end:]
+                events, incomplete = incomplete[:end], incomplete[end:]
                 yield events
-            elif len(rest) > MAX_EVENT_BYTES:
+            elif len(incomplete) > MAX_EVENT_BYTES:
                 self.ending = "cut"
                 break
-        if self.ending == "complete" and rest:
+        if self.ending == "complete" and incomplete:
             self.ending = "cut"
         if self.ending == "complete":
-            self._give_back()
+            self._release()
         else:
             self.close()
 
-    def _give_back(self) -> None:
+    def _release(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
             idle_s = 0 if self.head.is_leaving else self.head.idle_s
-            self._links.release(self._entry, connection, idle_s)
+            self._connections.release(self._entry, connection, idle_s)
 
     def close(self) -> None:
-        """Breaks the attempt off; the endpoint sees a closed connection."""
+        """Aborts the attempt; the endpoint sees a closed connection."""
         connection, self._connection = self._connection, None
         if connection is not None:
-            self._links.discard(self._entry, connection)
+            self._connections.discard(self._entry, connection)
 
 
 async def cancel_and_wait(task: asyncio.Task) -> None:
-    """Cancels a task and waits for its end."""
+    """Cancels a task and waits until it has ended."""
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/bluebellpitch/endpoints/connections.py
+++ b/bluebellpitch/endpoints/connections.py
@@ -1,4 +1,4 @@
-"""Connections to endpoints: kept while idle for a short time, probed when silent."""
+"""A pool of idle connections by address, and a health probe."""
 
 from collections.abc import Callable
 
@@ -12,7 +12,10 @@
 
 
 class ConnectionPool:
-    """Idle connections by address. An old one is dropped, for it may have gone silent."""
+    """Idle connections by address. ``now`` returns monotonic seconds.
+
+    Old connections are closed, because the far end may have vanished without closing them.
+    """
 
     def __init__(self, now: Callable[[], float]):
         self._now = now
@@ -23,8 +26,8 @@
         idle = self._idle_by_address.get(address, [])
         while idle:
             connection = idle.pop()
-            fresh = self._now() - connection.idle_since < MAX_IDLE_CONNECTION_AGE_S
-            if fresh and not connection.reader.at_eof():
+            is_fresh = self._now() - connection.idle_since < MAX_IDLE_CONNECTION_AGE_S
+            if is_fresh and not connection.reader.at_eof():
                 return connection
             connection.close()
         return await self.open(address)
@@ -34,7 +37,7 @@
         return await ClientConnection.open(address, ENDPOINT_CONNECT_TIMEOUT_S)
 
     def release(self, connection: ClientConnection) -> None:
-        """Keeps a connection for the next request, or closes it."""
+        """Keeps a connection for reuse, or closes it when it cannot be reused."""
         if not connection.start_next_cycle():
             connection.close()
             return
@@ -50,7 +53,7 @@
 
 
 async def probe(address: str) -> bool:
-    """Tells whether an endpoint answers on a new connection."""
+    """Tells whether an endpoint answers ``GET /health`` on a new connection."""
     try:
         response = await fetch(address, "GET", "/health", timeout_s=PROBE_TIMEOUT_S)
     except BluebellpitchError:
--- a/bluebellpitch/endpoints/endpoint_connections.py
+++ b/bluebellpitch/endpoints/endpoint_connections.py
@@ -1,4 +1,4 @@
-"""Connections of this VM to announced endpoints, kept while idle."""
+"""A pool of connections to announced endpoints, by incarnation of the endpoint."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -7,17 +7,17 @@
 from bluebellpitch.http1 import ClientConnection
 
 CONNECT_TIMEOUT_S = 0.4
-# An idle connection is used for this part of the time that the endpoint says it keeps it.
+# An idle connection is reused for this share of the keep-alive time that the endpoint states.
 IDLE_TIMEOUT_SHARE = 0.6
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 MAX_IDLE_TIMEOUT_S = 8.0
-# Requests that must not repeat go on connections that were in use this short a time ago.
+# Requests that must not be repeated reuse only connections that were idle for less than this.
 AT_MOST_ONCE_IDLE_TIMEOUT_S = 1.0
 
 
 @dataclass(slots=True)
 class IncarnationConnections:
-    """Links to one incarnation of an endpoint; the latest idle one is used first."""
+    """Connections to one incarnation of an endpoint; the last one released is reused first."""
 
     idle: list[ClientConnection] = field(default_factory=list)
     open_count: int = 0
@@ -25,66 +25,73 @@
 
 
 class EndpointConnectionPool:
-    """All links of this VM. ``now`` is the owner's clock."""
+    """All connections of this VM to endpoints. ``now`` returns monotonic seconds."""
 
     def __init__(self, now: Callable[[], float]):
         self._now = now
         self._by_incarnation: dict[tuple[str, int], IncarnationConnections] = {}
 
-    def _links(self, entry: EndpointEntry) -> IncarnationConnections:
+    def _connections_to(self, entry: EndpointEntry) -> IncarnationConnections:
         key = (entry.id, entry.started_ms)
         if key not in self._by_incarnation:
             self._by_incarnation[key] = IncarnationConnections()
         return self._by_incarnation[key]
 
     async def acquire(self, entry: EndpointEntry, at_most_once: bool) -> ClientConnection:
-        """Returns a link for one request; ``once`` asks for a fresh one. Raises NotSentError."""
-        links = self._links(entry)
-        oldest = self._now() - min(
-            links.idle_timeout_s,
-            AT_MOST_ONCE_IDLE_TIMEOUT_S if at_most_once else links.idle_timeout_s,
+        """Returns an idle connection or a new one; raises NotSentError.
+
+        ``at_most_once`` allows reuse only of a connection that was in use a moment ago.
+        """
+        pooled = self._connections_to(entry)
+        idle_since_limit = self._now() - min(
+            pooled.idle_timeout_s,
+            AT_MOST_ONCE_IDLE_TIMEOUT_S if at_most_once else pooled.idle_timeout_s,
         )
-        while links.idle:
-            connection = links.idle.pop()
-            if connection.idle_since >= oldest and not connection.is_stale():
+        while pooled.idle:
+            connection = pooled.idle.pop()
+            if connection.idle_since >= idle_since_limit and not connection.is_stale():
                 return connection
-            self._drop(links, connection)
-        links.open_count += 1
+            self._drop(pooled, connection)
+        pooled.open_count += 1
         try:
             return await ClientConnection.open(entry.address, CONNECT_TIMEOUT_S)
         except BaseException:
-            links.open_count -= 1
+            pooled.open_count -= 1
             raise
 
     def release(self, entry: EndpointEntry, connection: ClientConnection, idle_s: float | None):
-        """Keeps a link for the next request, or closes it."""
-        links = self._links(entry)
+        """Keeps a connection for reuse, or closes it when it cannot be reused.
+
+        ``idle_s`` is how long the endpoint keeps idle connections: None when it does not say, 0
+        when it keeps none.
+        """
+        pooled = self._connections_to(entry)
         if idle_s is not None:
-            links.idle_timeout_s = min(idle_s * IDLE_TIMEOUT_SHARE, MAX_IDLE_TIMEOUT_S)
+            pooled.idle_timeout_s = min(idle_s * IDLE_TIMEOUT_SHARE, MAX_IDLE_TIMEOUT_S)
         if idle_s == 0 or not connection.start_next_cycle():
-            self._drop(links, connection)
+            self._drop(pooled, connection)
             return
         connection.idle_since = self._now()
-        links.idle.append(connection)
+        pooled.idle.append(connection)
 
     def discard(self, entry: EndpointEntry, connection: ClientConnection) -> None:
-        """Closes a link at once; the endpoint sees a cancelled request."""
-        self._drop(self._links(entry), connection)
+        """Closes a connection at once; the endpoint sees a cancelled request."""
+        self._drop(self._connections_to(entry), connection)
 
-    def _drop(self, links: IncarnationConnections, connection: ClientConnection) -> None:
-        links.open_count -= 1
+    def _drop(self, pooled: IncarnationConnections, connection: ClientConnection) -> None:
+        pooled.open_count -= 1
         connection.close()
 
     def close_expired(self) -> None:
-        """Closes links that have been idle for too long, and forgets endpoints without any."""
+        """Closes connections that were idle for too long; forgets endpoints without connections."""
         now = self._now()
-        for key, links in list(self._by_incarnation.items()):
+        for key, pooled in list(self._by_incarnation.items()):
             kept = []
-            for connection in links.idle:
-                if now - connection.idle_since < links.idle_timeout_s:
+            for connection in pooled.idle:
+                if now - connection.idle_since < pooled.idle_timeout_s:
                     kept.append(connection)
                 else:
-                    self._drop(links, connection)
-            links.idle = kept
-            if not links.open_count:
+                    self._drop(pooled, connection)
+            pooled.idle = kept
+            if not pooled.open_count:
                 del self._by_incarnation[key]
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -1,8 +1,8 @@
-"""One attempt of a completion at a model engine, as a stream of whole events.
+"""One attempt of a completion at a model engine, as a stream of complete events.
 
-Engines speak the OpenAI-compatible protocol, with these fields: ``priority`` (lower runs first) and
-``continue_text``, the text that was made before, which the engine goes on from. A request is
-cancelled by closing its connection.
+Engines speak the OpenAI-compatible protocol with two more fields: ``priority`` (lower runs first)
+and ``continue_text`` (the text generated so far, from which the engine continues). Closing the
+connection cancels the request.
 """
 
 from collections.abc import AsyncIterator
@@ -20,17 +20,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
-    """The engine answered with an error status; it made no token."""
+    """A response with an error status; the engine generated no token."""
 
     status: int
     body: bytes
 
 
 class EngineAttempt:
-    """One attempt. After ``events`` ends, ``ending`` tells how.
+    """One attempt. ``ending`` is set when ``events`` ends.
 
-    Endings: ``completed``, ``preempted``, ``unreachable`` (no byte left), ``crashed``, ``stalled``,
-    ``late`` (no first token in time), ``busy`` and ``rejected``.
+    Endings: ``completed``, ``preempted``, ``unreachable`` (no byte was sent), ``crashed``,
+    ``stalled`` (no token for ``stall_s``), ``late`` (no first token in time), ``busy`` and
+    ``rejected``.
     """
 
     def __init__(self, connections: ConnectionPool, address: str, stall_s: float):
@@ -38,69 +39,69 @@
         self._address = address
         self._stall_s = stall_s
         self._connection: ClientConnection | None = None
-        self._stop_reason = ""
-        self._got_token = False
+        self._cancel_reason = ""
+        self._has_first_token = False
         self.ending = ""
         self.rejected: Rejected | None = None
 
     def cancel(self, reason: str) -> None:
         """Cancels the attempt; the engine sees a closed connection."""
-        self._stop_reason = reason
+        self._cancel_reason = reason
         if self._connection:
             self._connection.close()
 
     async def events(
         self, target: str, body: dict, request_id: str, first_token_s: float
     ) -> AsyncIterator[bytes]:
-        """Yields whole events in bulk; ``first_token_s`` bounds the wait for the first."""
+        """Yields batches of complete events; the first must come within ``first_token_s``."""
         finished = False
         try:
             self._connection = await self._connections.acquire(self._address)
-            if self._stop_reason:
+            if self._cancel_reason:
                 return
-            async for events in self._exchange(target, body, request_id, first_token_s):
+            async for events in self._stream_events(target, body, request_id, first_token_s):
                 yield events
             finished = self.ending == "completed"
         except NotSentError:
             self.ending = "unreachable"
         except ReadTimeoutError:
-            self.ending = await self._judge_silence()
+            self.ending = await self._classify_stall()
         except ConnectionLostError:
             self.ending = "crashed"
         finally:
-            self._close(finished)
-            if self._stop_reason and not finished:
+            self._release_connection(finished)
+            if self._cancel_reason and not finished:
                 self.ending = "preempted"
 
-    async def _exchange(self, target, body, request_id, first_token_s) -> AsyncIterator[bytes]:
+    async def _stream_events(self, target, body, request_id, first_token_s) -> AsyncIterator[bytes]:
         connection = self._connection
         headers = [("Content-Type", "application/json"), ("X-Request-Id", request_id)]
         await connection.send("POST", target, headers, msgspec.json.encode(body))
         head = await connection.read_head(first_token_s)
         if head.status_code != 200:
-            await self._reject(connection, head.status_code)
+            await self._read_rejection(connection, head.status_code)
             return
         buffer = EventBuffer()
         timeout_s = first_token_s
         while (data := await connection.read_data(timeout_s)) is not None:
             if events := buffer.feed(data):
-                self._got_token, timeout_s = True, self._stall_s
+                self._has_first_token, timeout_s = True, self._stall_s
                 yield events
         self.ending = "completed" if buffer.done else "crashed"
 
-    async def _reject(self, connection: ClientConnection, status: int) -> None:
+    async def _read_rejection(self, connection: ClientConnection, status: int) -> None:
         parts = [part async for part in connection.read_body(self._stall_s)]
         self.rejected = Rejected(status, b"".join(parts))
         self.ending = "busy" if status in BUSY_STATUSES else "rejected"
 
-    async def _judge_silence(self) -> str:
-        """A silent connection to an endpoint that answers a new one was lost, not the endpoint."""
-        answers = await probe(self._address)
-        if not answers:
+    async def _classify_stall(self) -> str:
+        """Probes the engine: if it answers, only the connection was lost, and the engine is up."""
+        is_up = await probe(self._address)
+        if not is_up:
             return "crashed"
-        return "stalled" if self._got_token else "late"
+        return "stalled" if self._has_first_token else "late"
 
-    def _close(self, finished: bool) -> None:
+    def _release_connection(self, finished: bool) -> None:
         if self._connection is None:
             return
         if finished:
--- a/bluebellpitch/endpoints/service.py
+++ b/bluebellpitch/endpoints/service.py
@@ -1,4 +1,4 @@
-"""One attempt of a call at a plain service."""
+"""One attempt of a request at a plain service."""
 
 from dataclasses import dataclass
 
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
-    """What is sent to the service."""
+    """A request to a service."""
 
     method: str
     target: str
@@ -24,7 +24,7 @@
 async def call_service(
     connections: ConnectionPool, address: str, call: ServiceCall, timeout_s: float
 ) -> HttpResponse | DidNotRun | MayHaveRun:
-    """Calls once, on a connection of its own, so that no stale one can lose the request."""
+    """Sends the request once, on a new connection: on a stale one it could be lost."""
     try:
         connection = await connections.open(address)
     except NotSentError:
--- a/bluebellpitch/endpoints/sse.py
+++ b/bluebellpitch/endpoints/sse.py
@@ -1,4 +1,4 @@
-"""Server-sent events of model engines, handled in bulk: whole events pass as bytes."""
+"""Server-sent events of model engines, passed on as batches of bytes without being decoded."""
 
 from collections.abc import Iterator
 
@@ -9,13 +9,13 @@
 
 
 class Delta(msgspec.Struct, frozen=True):
-    """The new text of a chat chunk."""
+    """The new text of a chat completion chunk."""
 
     content: str | None = None
 
 
 class Choice(msgspec.Struct, frozen=True):
-    """One choice of a chunk; ``text`` for completions, ``delta`` for chat."""
+    """One choice of a chunk: ``text`` in completions, ``delta`` in chat completions."""
 
     text: str | None = None
     delta: Delta = Delta()
@@ -23,7 +23,7 @@
 
 
 class Usage(msgspec.Struct, frozen=True):
-    """Token counts."""
+    """Token counts of a request."""
 
     prompt_tokens: int = 0
     completion_tokens: int = 0
@@ -39,20 +39,20 @@
 
 
 class EventBuffer:
-    """Cuts a byte stream after whole events. ``done`` is set by the final marker."""
+    """Splits a byte stream at the ends of events. ``done`` is set after the ``[DONE]`` event."""
 
     def __init__(self):
-        self._rest = b""
+        self._incomplete = b""
         self.done = False
 
     def feed(self, data: bytes) -> bytes:
-        """Returns the whole events that are complete by now, without the final marker."""
-        data = self._rest + data
+        """Adds data and returns the events that it completes, without ``[DONE]``."""
+        data = self._incomplete + data
         end = data.rfind(EVENT_SEPARATOR)
         if end < 0:
-            self._rest = data
+            self._incomplete = data
             return b""
-        events, self._rest = data[: end + 2], data[end + 2 :]
+        events, self._incomplete = data[: end + 2], data[end + 2 :]
         if events.endswith(DONE_EVENT + EVENT_SEPARATOR):
             self.done = True
             events = events[: -len(DONE_EVENT + EVENT_SEPARATOR)]
@@ -60,25 +60,25 @@
 
 
 def count_events(events: bytes) -> int:
-    """Returns how many events the bytes hold."""
+    """Returns the number of events in ``events``."""
     return events.count(EVENT_SEPARATOR)
 
 
-_decoder = msgspec.json.Decoder(Chunk)
+_chunk_decoder = msgspec.json.Decoder(Chunk)
 
 
 def decode_chunks(events: bytes) -> Iterator[Chunk]:
-    """Yields the chunks; skips what is not one."""
+    """Yields the decoded chunks; skips events that are malformed or carry no data."""
     for event in events.split(EVENT_SEPARATOR):
         if not event.startswith(b"data: "):
             continue
         try:
-            yield _decoder.decode(event[6:])
+            yield _chunk_decoder.decode(event[6:])
         except (msgspec.MsgspecError, UnicodeDecodeError):
             continue
 
 
 def join_text(events: bytes) -> str:
-    """Returns the text of all chunks."""
+    """Returns the concatenated text of all chunks."""
     choices = (chunk.choices[0] for chunk in decode_chunks(events) if chunk.choices)
     return "".join(choice.text or choice.delta.content or "" for choice in choices)
--- a/bluebellpitch/http1/__init__.py
+++ b/bluebellpitch/http1/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 over asyncio streams with h11: one server side, one client side."""
+"""An HTTP/1.1 client and server over asyncio streams, with h11 as the protocol parser."""
 
 from bluebellpitch.http1.client import ClientConnection, fetch
 from bluebellpitch.http1.messages import (
--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -1,4 +1,4 @@
-"""The client side of HTTP/1.1: connections, and whole exchanges."""
+"""HTTP/1.1 client connections."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -10,18 +10,18 @@
 
 
 class CountingReader(asyncio.StreamReader):
-    """A stream reader that tells whether bytes came that nobody has read."""
+    """A stream reader that counts received bytes, so that unread ones can be detected."""
 
     received_bytes = 0
 
     def feed_data(self, data: bytes) -> None:
-        """Counts what comes in."""
+        """Counts the bytes and passes them on to the buffer."""
         self.received_bytes += len(data)
         super().feed_data(data)
 
 
 class ClientConnection:
-    """One connection to a server. ``idle_since`` is in seconds of the owner's clock."""
+    """One connection to a server. ``idle_since`` is set by its owner, by the owner's clock."""
 
     def __init__(self, reader: CountingReader, writer, address: str):
         self.reader = reader
@@ -29,7 +29,7 @@
         self.address = address
         self.idle_since = 0.0
         self.h11 = h11.Connection(h11.CLIENT)
-        self._read_bytes = 0
+        self._consumed_bytes = 0
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "ClientConnection":
@@ -43,16 +43,16 @@
         return cls(reader, writer, address)
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Sends a whole request; raises ConnectionLostError, for bytes may have left."""
+        """Sends a request; raises ConnectionLostError, because bytes may have been sent."""
         headers = [("Host", self.address), *headers, ("Content-Length", str(len(body)))]
         await self.send_verbatim(method, target, headers, body)
 
     async def send_verbatim(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Sends a request with just these headers; raises ConnectionLostError or NotSentError."""
+        """Sends a request with only these headers; raises ConnectionLostError or NotSentError."""
         try:
             data = self.h11.send(h11.Request(method=method, target=target, headers=headers))
         except h11.LocalProtocolError as error:
-            raise NotSentError(f"the request cannot be written: {error}") from error
+            raise NotSentError(f"the request cannot be encoded: {error}") from error
         if body:
             data += self.h11.send(h11.Data(data=body))
         data += self.h11.send(h11.EndOfMessage()) or b""
@@ -68,16 +68,16 @@
         while isinstance(event, h11.InformationalResponse):
             event = await self._next_event(timeout_s)
         if not isinstance(event, h11.Response):
-            raise ConnectionLostError(f"{self.address} closed without an answer")
+            raise ConnectionLostError(f"{self.address} closed the connection without a response")
         return event
 
     async def read_body(self, timeout_s: float) -> AsyncIterator[bytes]:
-        """Yields the body as it comes; ``timeout_s`` bounds each silence."""
+        """Yields the body as it arrives; ``timeout_s`` limits each wait for data."""
         while (data := await self.read_data(timeout_s)) is not None:
             yield data
 
     async def read_data(self, timeout_s: float) -> bytes | None:
-        """Returns the next part of the body, in whatever bulk it comes; None at its end."""
+        """Returns the next part of the body as received; None at its end."""
         event = await self._next_event(timeout_s)
         return bytes(event.data) if isinstance(event, h11.Data) else None
 
@@ -90,17 +90,17 @@
                 event = self.h11.next_event()
             return event
         except TimeoutError as error:
-            raise ReadTimeoutError(f"{self.address} was silent for {timeout_s} s") from error
+            raise ReadTimeoutError(f"{self.address} sent nothing for {timeout_s} s") from error
         except (OSError, h11.RemoteProtocolError) as error:
-            raise ConnectionLostError(f"lost the answer of {self.address}: {error}") from error
+            raise ConnectionLostError(f"lost the response of {self.address}: {error}") from error
 
     async def _read(self) -> bytes:
         data = await self.reader.read(READ_BYTES)
-        self._read_bytes += len(data)
+        self._consumed_bytes += len(data)
         return data
 
     async def read_response(self, timeout_s: float) -> HttpResponse:
-        """Returns the whole response; ``timeout_s`` bounds each silence."""
+        """Returns the complete response; ``timeout_s`` limits each wait for data."""
         head = await self.read_head(timeout_s)
         parts = [part async for part in self.read_body(timeout_s)]
         headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
@@ -109,7 +109,7 @@
     async def call(
         self, method: str, target: str, body: bytes, timeout_s: float, headers: Headers = ()
     ) -> HttpResponse:
-        """Makes one whole exchange; raises ConnectionLostError or ReadTimeoutError."""
+        """Returns the response to a request; raises ConnectionLostError or ReadTimeoutError."""
         try:
             async with asyncio.timeout(timeout_s):
                 await self.send(method, target, headers, body)
@@ -118,28 +118,30 @@
             raise ReadTimeoutError(f"{self.address} did not answer within {timeout_s} s") from error
 
     def is_stale(self) -> bool:
-        """Tells whether the server closed, or sent bytes that answer nothing."""
+        """Tells whether the server closed the connection or sent data without a request."""
         if self.reader.at_eof() or self.writer.is_closing() or self.reader.exception():
             return True
-        return self.reader.received_bytes > self._read_bytes or bool(self.h11.trailing_data[0])
+        return self.reader.received_bytes > self._consumed_bytes or bool(self.h11.trailing_data[0])
 
     def expect_next_response(self, method: str) -> None:
-        """Makes ready to read one more answer to the request that was sent.
+        """Prepares to read one more response to the request that was sent.
 
-        For use when the response that was read answers an earlier request. Raises
+        Used when the response that was read belongs to an earlier request. Raises
         ConnectionLostError.
         """
-        rest = self.h11.trailing_data[0]
+        unparsed = self.h11.trailing_data[0]
         if self.h11.their_state is not h11.DONE:
-            raise ConnectionLostError(f"{self.address} closed after an answer to another request")
+            raise ConnectionLostError(
+                f"{self.address} closed the connection after a response to another request"
+            )
         self.h11 = h11.Connection(h11.CLIENT)
         self.h11.send(h11.Request(method=method, target="/", headers=[("Host", "-")]))
         self.h11.send(h11.EndOfMessage())
-        if rest:
-            self.h11.receive_data(rest)
+        if unparsed:
+            self.h11.receive_data(unparsed)
 
     def start_next_cycle(self) -> bool:
-        """Makes ready for another request; False when the connection must close."""
+        """Prepares for another request; returns False when the connection cannot be reused."""
         if self.is_stale():
             return False
         if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
@@ -148,12 +150,12 @@
         return True
 
     def close(self) -> None:
-        """Closes at once; the server sees a cancelled request."""
+        """Closes the connection at once; the server sees a cancelled request."""
         self.writer.transport.abort()
 
 
 async def open_streams(host: str, port: int):
-    """Returns a counting reader and a writer."""
+    """Opens a TCP connection; returns a counting reader and a writer."""
     loop = asyncio.get_running_loop()
     reader = CountingReader(loop=loop)
     protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
@@ -170,7 +172,7 @@
     *,
     timeout_s=3.0,
 ) -> HttpResponse:
-    """Makes one whole exchange on a connection of its own.
+    """Sends a request on a new connection and returns the response.
 
     Raises NotSentError, ConnectionLostError or ReadTimeoutError.
     """
--- a/bluebellpitch/http1/messages.py
+++ b/bluebellpitch/http1/messages.py
@@ -1,4 +1,4 @@
-"""Requests, responses, limits and addresses of HTTP/1.1."""
+"""HTTP/1.1 requests, responses, limits and addresses."""
 
 from dataclasses import dataclass
 
@@ -10,7 +10,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
-    """Bounds on what a client may send. Sizes in bytes, times in seconds."""
+    """Limits of a server. Sizes are in bytes, times in seconds.
+
+    ``receive_s`` limits the receipt of a request, ``idle_timeout_s`` the wait for the next one, and
+    ``write_timeout_s`` the wait for a client that does not read.
+    """
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
@@ -22,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """One whole request; header names are lower-case."""
+    """A complete request. Header names are in lower case."""
 
     method: str
     target: str
@@ -30,13 +34,13 @@
     body: bytes
 
     def header(self, name: str, default: str = "") -> str:
-        """Returns the first header of that lower-case name."""
+        """Returns the value of the first header called ``name``, which must be in lower case."""
         return next((value for key, value in self.headers if key == name), default)
 
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """One whole response."""
+    """A complete response."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
@@ -44,7 +48,7 @@
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """Splits ``IP:port``; raises ProtocolError."""
+    """Parses ``host:port``; raises ProtocolError."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit() or not 0 <= int(port) < 65_536:
         raise ProtocolError(f"{text!r} is not an address of the form 127.0.0.1:8000")
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -1,4 +1,4 @@
-"""The server side of HTTP/1.1: connections, and a listener that hands requests on."""
+"""HTTP/1.1 server: connections, and a listener that passes requests to a handler."""
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -11,7 +11,7 @@
 
 
 class ServerConnection:
-    """One accepted connection. Owned by the task that serves it."""
+    """One accepted connection, used only by the task that serves it."""
 
     def __init__(self, reader, writer, limits: HttpLimits):
         self.reader = reader
@@ -20,7 +20,7 @@
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
 
     async def read_request(self) -> HttpRequest | None:
-        """Returns the next request, or None when the client has closed or stayed idle."""
+        """Returns the next request, or None when the client disconnected or stayed idle."""
         try:
             async with asyncio.timeout(self.limits.idle_timeout_s):
                 await self._wait_first_bytes()
@@ -30,7 +30,9 @@
             async with asyncio.timeout(self.limits.receive_s):
                 return await self._receive()
         except TimeoutError as error:
-            raise BadRequestError(408, "slow_request", "the request came too slowly") from error
+            raise BadRequestError(
+                408, "slow_request", "the request was not received in time"
+            ) from error
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             raise BadRequestError(status, "malformed_http", f"malformed HTTP: {error}") from error
@@ -68,7 +70,7 @@
         return HttpRequest(method, head.target.decode("ascii"), headers, b"".join(parts))
 
     def _check_head(self, head: h11.Request) -> None:
-        """h11 bounds only a head that is still incomplete; a whole one can be larger."""
+        """Checks the size of a complete head: h11 limits only heads that are still incomplete."""
         size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
         if size > self.limits.header_bytes:
             raise BadRequestError(431, "header_too_large", "the request head is too large")
@@ -82,11 +84,11 @@
             yield bytes(event.data)
 
     def is_disconnected(self) -> bool:
-        """Tells whether the client has closed its side."""
+        """Tells whether the client has closed its side of the connection."""
         return self.reader.at_eof() or self.writer.is_closing()
 
     async def wait_disconnected(self) -> None:
-        """Returns once the client has closed its side."""
+        """Returns when the client has closed its side of the connection."""
         while not self.is_disconnected():
             if data := await self._read():
                 self.h11.receive_data(data)
@@ -96,7 +98,7 @@
         await self._send(h11.Response(status_code=status, headers=headers))
 
     async def send(self, data: bytes) -> None:
-        """Sends a part of the body."""
+        """Sends part of the body."""
         await self._send(h11.Data(data=data))
 
     async def end(self) -> None:
@@ -104,7 +106,7 @@
         await self._send(h11.EndOfMessage())
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Sends a whole response in one write."""
+        """Sends a complete response in one write."""
         headers = [*headers, ("Content-Length", str(len(body)))]
         head = self.h11.send(h11.Response(status_code=status, headers=headers))
         data = self.h11.send(h11.Data(data=body)) if body else b""
@@ -117,24 +119,24 @@
 
     async def _drain(self) -> None:
         if self.writer.is_closing():
-            raise DisconnectedError("the caller closed its connection")
+            raise DisconnectedError("the client closed the connection")
         if not self.writer.transport.get_write_buffer_size():
             return
         try:
             async with asyncio.timeout(self.limits.write_timeout_s):
                 await self.writer.drain()
         except (OSError, TimeoutError) as error:
-            raise DisconnectedError("the caller stopped reading") from error
+            raise DisconnectedError("the client stopped reading") from error
 
     def start_next_cycle(self) -> bool:
-        """Makes ready for another request; False when the connection must close."""
+        """Prepares for another request; returns False when the connection must be closed."""
         if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
             return False
         self.h11.start_next_cycle()
         return True
 
     async def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection and waits until it is closed."""
         self.writer.close()
         try:
             await self.writer.wait_closed()
@@ -147,44 +149,48 @@
 
 
 class HttpServer:
-    """Accepts connections and gives each request to a handler."""
+    """Accepts connections and passes each request to a handler.
+
+    ``refuse`` answers requests that are malformed or exceed a limit.
+    """
 
     def __init__(self, handle: Handler, refuse: RefusalHandler, limits: HttpLimits):
         self.handle = handle
         self.refuse = refuse
         self.limits = limits
         self.in_flight = 0
-        self.closing = False
-        self._open = 0
+        self.is_closing = False
+        self._open_connections = 0
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> int:
-        """Starts to accept; returns the port."""
+        """Starts to accept connections; returns the port."""
         self._server = await asyncio.start_server(self._serve, host, port, backlog=1024)
         return self._server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader, writer) -> None:
         connection = ServerConnection(reader, writer, self.limits)
-        self._open += 1
+        self._open_connections += 1
         try:
-            if self._open > self.limits.connections:
+            if self._open_connections > self.limits.connections:
                 raise BadRequestError(503, "too_many_connections", "too many open connections")
             await self._serve_requests(connection)
         except BadRequestError as error:
-            await self._refuse_and_linger(connection, error)
+            await self._refuse_and_drain(connection, error)
         except (DisconnectedError, OSError, h11.LocalProtocolError):
             pass
         except asyncio.CancelledError:
-            # Only the end of the event loop cancels this task; asyncio would report a fault.
+            # Only the shutdown of the event loop cancels this task. Re-raising would make asyncio
+            # report an unhandled error.
             connection.writer.transport.abort()
-        except Exception as error:  # One request's fault must not take the VM down.
+        except Exception as error:  # A fault in one request must not stop the VM.
             log("ERROR", "handler_failed", error=repr(error))
         finally:
-            self._open -= 1
+            self._open_connections -= 1
             await connection.close()
 
     async def _serve_requests(self, connection: ServerConnection) -> None:
-        while not self.closing:
+        while not self.is_closing:
             connection.limits = self.limits
             request = await connection.read_request()
             if request is None:
@@ -197,8 +203,8 @@
             if not connection.start_next_cycle():
                 return
 
-    async def _refuse_and_linger(self, connection, error: BadRequestError) -> None:
-        """Answers a bad request, then reads a little so that the answer is not reset away."""
+    async def _refuse_and_drain(self, connection, error: BadRequestError) -> None:
+        """Answers a bad request, then reads on briefly: a TCP reset could discard the response."""
         try:
             await self.refuse(connection, error)
             async with asyncio.timeout(0.2):
@@ -208,7 +214,7 @@
             return
 
     def stop_listening(self) -> None:
-        """Accepts no new connection; open ones go on."""
-        self.closing = True
+        """Stops accepting connections; each open one serves at most one more request."""
+        self.is_closing = True
         if self._server:
             self._server.close()
