--- a/bluebellpitch/clock.py
+++ b/bluebellpitch/clock.py
@@ -1,7 +1,7 @@
-"""A hybrid logical clock: orders cause before effect across VMs whose clocks differ.
+"""A hybrid logical clock: orders causes before effects across VMs whose clocks differ.
 
-Source: Kulkarni et al., "Logical Physical Clocks", 2014. A stamp is one integer of microseconds
-since the Unix epoch; it never falls behind a stamp that was received, nor behind itself.
+Source: Kulkarni et al., "Logical Physical Clocks", 2014. A stamp is an integer of
+microseconds since the Unix epoch. Each stamp is later than all stamps issued or received before.
 """
 
 from collections.abc import Callable
@@ -10,7 +10,7 @@
 
 
 class HybridClock:
-    """Stamps of one VM, strictly increasing."""
+    """Issues the strictly increasing stamps of one VM. ``wall`` returns Unix time in seconds."""
 
     def __init__(self, wall: Callable[[], float]):
         self._wall = wall
@@ -22,5 +22,5 @@
         return self._last
 
     def observe(self, stamp: int) -> None:
-        """Moves on past a stamp that another VM sent."""
+        """Advances the clock to a stamp received from another VM."""
         self._last = max(self._last, stamp)
--- a/bluebellpitch/constants.py
+++ b/bluebellpitch/constants.py
@@ -1,18 +1,18 @@
-"""Constants with their units. Settings that operators may change are in settings.py."""
+"""Constants; the suffix of a name is its unit. Settings for operators are in settings.py."""
 
-# Between VMs.
+# Heartbeats, message queues and epochs between VMs.
 HEARTBEAT_INTERVAL_S = 0.5
 CROSS_ZONE_HEARTBEAT_INTERVAL_S = 2.0
 PEER_DEAD_AFTER_S = 2.0
 PEER_SEND_QUEUE_SIZE = 10_000
 EPOCH_SETTLE_S = 1.5
 
-# Limits: loans of floors to a broker.
+# Member limits: loans of floors to a broker.
 LOAN_LEASE_S = 2.0
 MAX_CLOCK_DRIFT_RATIO = 0.05
 LOAN_REQUEST_INTERVAL_S = 0.5
 
-# Broker.
+# Broker: requests for slots, grants, preemption, placement and load shedding.
 ASK_RESEND_INTERVAL_S = 1.0
 ASK_TIMEOUT_S = 3.0
 HELD_REPORT_INTERVAL_S = 1.0
@@ -33,7 +33,7 @@
 SHEDDING_HOLD_S = 1.0
 MAX_PREEMPTIONS_PER_REQUEST = 8
 
-# Endpoint health.
+# Endpoint health and connections.
 SLOW_RATIO = 3.0
 HEALTH_WINDOW_S = 2.0
 DOWN_RETRY_DELAY_S = 1.0
@@ -42,7 +42,7 @@
 ENDPOINT_CONNECT_TIMEOUT_S = 1.0
 MAX_MEMBER_LABELS = 50
 
-# Retries and poisonous requests.
+# Retries, hedging, and requests that crash endpoints.
 MAX_ATTEMPTS_PER_REQUEST = 4
 RESUME_TIMEOUT_S = 600.0
 MAX_HEDGES_PER_REQUEST = 1
@@ -55,18 +55,19 @@
 STRIKE_TTL_S = 600.0
 STRIKE_CONFIRMATION_TIMEOUT_S = 0.5
 
-# Platform's store.
+# The platform's store.
 STORE_READ_WAIT_MS = 1000
 APPEND_BATCH_DELAY_S = 0.002
 STORE_RETRY_DELAY_S = 0.2
 SNAPSHOT_INTERVAL_RECORDS = 500
 MAX_OUTCOME_BODY_BYTES = 16_384
 
-# At most once.
+# Idempotency keys.
 CLAIM_TIMEOUT_S = 3.0
-# The platform keeps records for 300 s: a key is refused before its claim can expire.
+# The platform keeps records for 300 s. A key is refused HORIZON_MARGIN_S before that, while its
+# claim is certainly still kept.
 HORIZON_S = 300.0
 HORIZON_MARGIN_S = 60.0
 
-# Time line.
+# Timeline.
 EVENT_RING_SIZE = 20_000
--- a/bluebellpitch/environment.py
+++ b/bluebellpitch/environment.py
@@ -1,4 +1,4 @@
-"""The outside world as one explicit object: streams, variables and clocks."""
+"""The process environment as an explicit object: streams, variables and clocks."""
 
 import os
 import sys
@@ -10,9 +10,9 @@
 
 @dataclass(frozen=True)
 class Environment:
-    """What the program takes from its surroundings.
+    """Everything that the program reads from its environment; tests pass their own.
 
-    ``now`` is monotonic seconds of this process; ``wall`` is seconds since the Unix epoch.
+    ``now`` returns monotonic seconds, ``wall`` seconds since the Unix epoch.
     """
 
     stdout: TextIO = field(default_factory=lambda: sys.stdout)
--- a/bluebellpitch/errors.py
+++ b/bluebellpitch/errors.py
@@ -1,22 +1,22 @@
-"""Exceptions of the program. Each one becomes a clear line or a JSON error."""
+"""Exceptions. Each is reported as one line on the command line, or as a JSON error over HTTP."""
 
 from bluebellpitch.exit_status import ExitStatus
 
 
 class BluebellpitchError(Exception):
-    """Base of all errors that an operator can be shown."""
+    """Base class of all errors whose message is meant for operators or clients."""
 
     exit_status = ExitStatus.FAILED
 
 
 class UsageError(BluebellpitchError):
-    """A flag or environment variable is missing or wrong."""
+    """A command-line option or environment variable is missing or invalid."""
 
     exit_status = ExitStatus.USAGE
 
 
 class SheetError(BluebellpitchError):
-    """A table sheet has errors; ``problems`` holds all of them, one line each."""
+    """A table sheet is invalid; ``problems`` lists all errors, one line each."""
 
     exit_status = ExitStatus.USAGE
 
@@ -26,7 +26,7 @@
 
 
 class ConflictError(BluebellpitchError):
-    """Another operator changed the same rows first."""
+    """Another operator has changed the same rows in the meantime."""
 
     exit_status = ExitStatus.CONFLICT
 
@@ -38,9 +38,9 @@
 
 
 class BadRequestError(BluebellpitchError):
-    """A caller's request is refused before anything ran.
+    """A client's request is refused before any part of it ran.
 
-    ``reason`` is a short machine-readable word, ``status`` an HTTP status.
+    ``reason`` is a short machine-readable word, ``status`` an HTTP status code.
     """
 
     def __init__(self, status: int, reason: str, message: str):
@@ -54,16 +54,16 @@
 
 
 class NotSentError(BluebellpitchError):
-    """The request failed before any byte of it left this VM."""
+    """The request failed before this VM sent any byte of it."""
 
 
 class ConnectionLostError(BluebellpitchError):
-    """The connection failed after bytes of the request may have left this VM."""
+    """The connection failed after bytes of the request may have been sent."""
 
 
 class ReadTimeoutError(ConnectionLostError):
-    """The other end sent nothing for longer than allowed."""
+    """The peer sent no data within the time limit."""
 
 
 class DisconnectedError(BluebellpitchError):
-    """The caller closed its connection."""
+    """The client closed its connection or stopped reading."""
--- a/bluebellpitch/events.py
+++ b/bluebellpitch/events.py
@@ -1,4 +1,4 @@
-"""Events of one VM in a bounded ring, for the time line."""
+"""Recent events of one VM, for the timeline command."""
 
 from collections import deque
 from collections.abc import Iterator
@@ -10,7 +10,7 @@
 
 
 class EventKind(StrEnum):
-    """What happened."""
+    """Kinds of events."""
 
     ADMITTED = "admitted"
     QUEUED = "queued"
@@ -37,7 +37,7 @@
 
 
 class Event(msgspec.Struct, frozen=True):
-    """One event. ``stamp`` comes from the VM's hybrid clock, in microseconds."""
+    """One event. ``stamp`` is from the hybrid clock of the VM, in microseconds."""
 
     stamp: int
     vm: str
@@ -50,7 +50,7 @@
 
 
 class EventRing:
-    """The latest events of this VM; the oldest fall out."""
+    """A ring buffer of the latest events; ``dropped`` counts those that were overwritten."""
 
     def __init__(self, vm: str, clock: HybridClock, size: int):
         self.vm = vm
@@ -59,7 +59,7 @@
         self._events: deque[Event] = deque(maxlen=size)
 
     def record(self, kind: EventKind, request="", member="", class_name="", endpoint="", detail=""):
-        """Adds an event, stamped now."""
+        """Adds an event with a new stamp."""
         if len(self._events) == self._events.maxlen:
             self.dropped += 1
         stamp = self.clock.stamp()
--- a/bluebellpitch/exit_status.py
+++ b/bluebellpitch/exit_status.py
@@ -4,7 +4,7 @@
 
 
 class ExitStatus(IntEnum):
-    """What the program tells the shell."""
+    """The status that the program returns to the shell."""
 
     OK = 0
     FAILED = 1
--- a/bluebellpitch/tasks.py
+++ b/bluebellpitch/tasks.py
@@ -1,4 +1,4 @@
-"""The tasks of a VM: one that fails ends all of them."""
+"""Background tasks of a VM: if one of them fails, the VM stops."""
 
 import asyncio
 from collections.abc import Coroutine, Iterable
@@ -7,22 +7,25 @@
 
 
 def start_tasks(coroutines: Iterable[Coroutine], stopping: asyncio.Event) -> list[asyncio.Task]:
-    """Starts jobs that run until cancelled; ``stopping`` is set when one fails."""
-    return [asyncio.create_task(supervise(job, stopping)) for job in coroutines]
+    """Starts tasks that run until cancelled; ``stopping`` is set when one fails."""
+    return [asyncio.create_task(supervise(coroutine, stopping)) for coroutine in coroutines]
 
 
-async def supervise(job: Coroutine, stopping: asyncio.Event) -> None:
-    """Runs a job. A failure ends the VM: a restart is safe, a silent half is not."""
+async def supervise(coroutine: Coroutine, stopping: asyncio.Event) -> None:
+    """Runs a task, and stops the VM when it fails.
+
+    Restarting a VM is safe; running on without one of its tasks, unnoticed, is not.
+    """
     try:
-        await job
+        await coroutine
     except Exception as error:  # noqa: BLE001
-        log("ERROR", "task_failed", task=job.__qualname__, error=repr(error))
+        log("ERROR", "task_failed", task=coroutine.__qualname__, error=repr(error))
         stopping.set()
         raise
 
 
 async def stop_tasks(tasks: list[asyncio.Task]) -> None:
-    """Cancels jobs and waits for their end."""
+    """Cancels tasks and waits until they have ended."""
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
