--- a/bluebellpitch/constants.py
+++ b/bluebellpitch/constants.py
@@ -1,4 +1,4 @@
-"""Constants; the suffix of a name is its unit. Settings for operators are in settings.py."""
+"""Constants; durations and sizes have their unit in the name. Settings are in settings.py."""
 
 # Heartbeats, message queues and epochs between VMs.
 HEARTBEAT_INTERVAL_S = 0.5
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -29,9 +29,9 @@
 class EngineAttempt:
     """One attempt. ``ending`` is set when ``events`` ends.
 
-    Endings: ``completed``, ``preempted``, ``unreachable`` (no byte was sent), ``crashed``,
-    ``stalled`` (no token for ``stall_s``), ``late`` (no first token in time), ``busy`` and
-    ``rejected``.
+    Endings: ``completed``, ``preempted``, ``unreachable`` (no byte was sent), ``crashed`` (the
+    connection or the engine was lost), ``stalled`` (no token for ``stall_s``), ``late`` (no first
+    token in time), ``busy`` (status 429 or 503) and ``rejected`` (another error status).
     """
 
     def __init__(self, connections: ConnectionPool, address: str, stall_s: float):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures that tests share, and the list of tests that are known to fail."""
+"""Shared fixtures, and the handling of tests that are known to fail."""
 
 import asyncio
 from pathlib import Path
@@ -8,20 +8,20 @@
 ROOT = Path(__file__).resolve().parent.parent
 
 
-def read_known_red() -> set[str]:
+def read_known_failures() -> set[str]:
     lines = (ROOT / "KNOWN-RED.txt").read_text().splitlines()
     return {line.partition("|")[0].strip() for line in lines if line.startswith("tests/")}
 
 
 def pytest_collection_modifyitems(items):
-    """Passes over the tests in KNOWN-RED.txt, and names them in the report."""
-    known = read_known_red()
+    """Marks the tests listed in KNOWN-RED.txt as expected failures, which the report names."""
+    known_failures = read_known_failures()
     for item in items:
-        if item.nodeid in known:
+        if item.nodeid in known_failures:
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt"))
 
 
 @pytest.fixture
 def run():
-    """Runs a coroutine to its end."""
+    """Returns a function that runs a coroutine until it completes."""
     return asyncio.run
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -125,21 +125,21 @@
         "bluebellpitch/callers/completions.py",
         'body["continue_text"] = join_text(b"".join(self.progress.parts))',
         "pass",
-        "tests/test_streams.py::test_engine_killed_in_mid_stream_is_resumed",
+        "tests/test_streams.py::test_stream_is_resumed_after_its_engine_is_killed",
     ),
     Mutant(
         "silence ends a stream",
         "bluebellpitch/endpoints/engine.py",
         "True, self._stall_s",
         "True, 3600.0",
-        "tests/test_streams.py::test_connections_that_went_silent_are_replaced",
+        "tests/test_streams.py::test_silent_connections_are_replaced",
     ),
     Mutant(
         "a poisonous request is refused",
         "bluebellpitch/decisions/strikes.py",
         "        if strikes >= STRIKES_TO_REFUSE:\n            return Suspicion.REFUSED\n",
         "",
-        "tests/test_streams.py::test_poisonous_request_fells_few_engines_and_harms_no_neighbour",
+        "tests/test_streams.py::test_poisonous_request_crashes_few_engines_and_other_streams_complete",
     ),
     Mutant(
         "a VM that drains finishes its requests",
@@ -147,7 +147,7 @@
         "        while self.callers.http.in_flight or self.claims.backlog():\n"
         "            await asyncio.sleep(DRAIN_POLL_S)\n",
         "",
-        "tests/test_streams.py::test_all_vms_replaced_one_after_another_fail_no_request",
+        "tests/test_streams.py::test_vms_replaced_one_by_one_fail_no_request",
     ),
     Mutant(
         "a leaving endpoint gets no work",
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,12 +1,12 @@
-"""The bounded log sink: it never waits, and says what it left out."""
+"""The rate-limited log sink: it never blocks, and reports how many lines it dropped."""
 
 import os
 
 from bluebellpitch.logs import BURST_LINES, LINES_PER_S, RateLimitedSink
 
 
-class Clock:
-    """A clock that the test moves."""
+class FakeClock:
+    """A clock that the test advances."""
 
     now = 0.0
 
@@ -14,15 +14,15 @@
         return self.now
 
 
-def test_stopped_reader_holds_nothing_up():
+def test_stalled_reader_does_not_block_the_sink():
     reader, writer = os.pipe()
-    clock = Clock()
+    clock = FakeClock()
     sink = RateLimitedSink(writer, clock)
     for _ in range(5_000):
         clock.now += 1.0
         sink.write("x" * 200 + "\n")
     assert sink.dropped_lines > 0
-    left_out = sink.dropped_lines
+    dropped = sink.dropped_lines
     while True:
         try:
             if len(os.read(reader, 1 << 20)) < 1 << 16:
@@ -32,16 +32,16 @@
     clock.now += 10.0
     sink.write("after\n")
     text = os.read(reader, 1 << 20).decode()
-    assert f"event=log_lines_left_out count={left_out}" in text
+    assert f"event=log_lines_left_out count={dropped}" in text
     assert text.endswith("after\n")
     os.close(reader)
     os.close(writer)
 
 
-def test_rate_is_bounded_and_the_rest_is_counted():
-    path = os.memfd_create("log")
-    clock = Clock()
-    sink = RateLimitedSink(path, clock)
+def test_lines_beyond_the_rate_are_dropped_and_counted():
+    descriptor = os.memfd_create("log")
+    clock = FakeClock()
+    sink = RateLimitedSink(descriptor, clock)
     for _ in range(int(BURST_LINES) + 500):
         sink.write("line\n")
     assert sink.dropped_lines == 500
@@ -49,4 +49,4 @@
     for _ in range(int(LINES_PER_S) + 10):
         sink.write("line\n")
     assert sink.dropped_lines == 10
-    os.close(path)
+    os.close(descriptor)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,4 +1,4 @@
-"""Streams: every caller gets its whole answer, whatever engines and VMs do."""
+"""Streams: every client gets its complete response despite faults of engines and VMs."""
 
 import asyncio
 import signal
@@ -19,8 +19,8 @@
 
 ENGINES = ("engine-doto-1-0", "engine-doto-1-1", "engine-doto-1-2")
 SHAPE = Shape(vms_per_zone=2, engines_per_zone=3, slots=4, step_s=0.01)
-POISON_MAY_FELL = 3
-LEAVING_NOTICED_S = 4.0
+MAX_CRASHED_ENGINES = 3
+LEAVING_PROPAGATION_S = 4.0
 
 
 @pytest.fixture
@@ -30,117 +30,122 @@
         yield fleet
 
 
-def vm_of(fleet, number: int = 0):
-    return list(fleet.vms_by_name.values())[number]
+def get_vm(fleet, index: int = 0):
+    return list(fleet.vms_by_name.values())[index]
 
 
-def assert_whole(answer: Answer, prompt: str):
+def assert_complete(answer: Answer, prompt: str):
     assert_that(answer.status, Equals(200), answer.text)
     assert_that(answer.whole, Equals(True))
     assert_that(answer.text, Equals(answer_to(prompt)))
 
 
-def send(fleet, prompt: str, row: str = "draft", number: int = 0) -> asyncio.Task:
-    return asyncio.create_task(stream(vm_of(fleet, number).listen, TOKEN, prompt, row))
+def start_stream(fleet, prompt: str, class_name: str = "draft", vm_index: int = 0) -> asyncio.Task:
+    return asyncio.create_task(stream(get_vm(fleet, vm_index).listen, TOKEN, prompt, class_name))
 
 
-async def engine_running(fleet, prompt_count: int) -> str:
-    """Returns an engine that runs something, once so many requests run."""
-    found = []
+async def wait_for_busy_engine(fleet, prompt_count: int) -> str:
+    """Waits until so many requests run; returns an engine that runs some of them."""
+    busy_engines = []
 
-    async def running() -> bool:
+    async def all_run() -> bool:
         statuses = [await read_status(vm.admin) for vm in fleet.vms_by_name.values()]
         brokers = [b for s in statuses if s for b in s["brokers"] if b["pool"] == "drafter"]
         rows = [row for broker in brokers for row in broker["endpoints"]]
-        found[:] = [row["name"] for row in rows if row["running"]]
+        busy_engines[:] = [row["name"] for row in rows if row["running"]]
         return sum(row["running"] for row in rows) >= prompt_count
 
-    await wait_until(running, f"{prompt_count} requests run")
-    return found[0]
+    await wait_until(all_run, f"{prompt_count} requests run")
+    return busy_engines[0]
 
 
 async def has_first_tokens(fleet, count: int) -> bool:
-    """Tells whether so many requests have had a token, by the time line."""
+    """Tells whether the timeline has the first tokens of so many requests."""
     admins = [text for vm in fleet.vms_by_name.values() for text in ("--vm", vm.admin)]
     _, events = await fleet.run_command("timeline", *admins, "--as", "pairs")
     return events.count("event=first_token") >= count
 
 
-async def keep_engines_up(fleet) -> list[str]:
-    """Restarts engines that die, as their owners would; returns who died, when cancelled."""
-    died = []
+async def restart_crashed_engines(fleet) -> list[str]:
+    """Restarts crashed engines, as a supervisor does, until cancelled; returns their names."""
+    crashed = []
     try:
         while True:
             for name in [n for n in fleet.processes_by_name if n.startswith("engine-")]:
                 if fleet.processes_by_name[name].popen.poll() is not None:
-                    died.append(name)
+                    crashed.append(name)
                     fleet.restart_fake(name, "engine", slots=4, step_s=0.01)
             await asyncio.sleep(0.05)
     except asyncio.CancelledError:
-        return died
+        return crashed
 
 
-def test_engine_killed_in_mid_stream_is_resumed(run, fleet):
+def test_stream_is_resumed_after_its_engine_is_killed(run, fleet):
     async def scenario():
         prompts = [f"[len=120] long {n}" for n in range(8)]
-        running = [send(fleet, prompt, number=n % 2) for n, prompt in enumerate(prompts)]
-        name = await engine_running(fleet, len(prompts))
+        running = [start_stream(fleet, prompt, vm_index=n % 2) for n, prompt in enumerate(prompts)]
+        name = await wait_for_busy_engine(fleet, len(prompts))
         await wait(0.4)
         fleet.processes_by_name[name].kill()
         for task, prompt in zip(running, prompts, strict=True):
-            assert_whole(await task, prompt)
+            assert_complete(await task, prompt)
 
     run(scenario())
 
 
-def test_connections_that_went_silent_are_replaced(run, fleet):
+def test_silent_connections_are_replaced(run, fleet):
     async def scenario():
         prompts = [f"[len=150] silent {n}" for n in range(6)]
-        running = [send(fleet, prompt) for prompt in prompts]
-        name = await engine_running(fleet, len(prompts))
+        running = [start_stream(fleet, prompt) for prompt in prompts]
+        name = await wait_for_busy_engine(fleet, len(prompts))
         await wait(0.3)
         await fleet.control(fleet.processes_by_name[name], silent=True)
         for task, prompt in zip(running, prompts, strict=True):
-            assert_whole(await asyncio.wait_for(task, 30), prompt)
+            assert_complete(await asyncio.wait_for(task, 30), prompt)
 
     run(scenario())
 
 
-def test_frozen_engine_is_left(run, fleet):
+def test_streams_of_a_frozen_engine_complete(run, fleet):
     async def scenario():
         prompts = [f"[len=100] frozen {n}" for n in range(6)]
-        running = [send(fleet, prompt) for prompt in prompts]
-        name = await engine_running(fleet, len(prompts))
+        running = [start_stream(fleet, prompt) for prompt in prompts]
+        name = await wait_for_busy_engine(fleet, len(prompts))
         await wait(0.3)
         fleet.processes_by_name[name].pause()
         for task, prompt in zip(running, prompts, strict=True):
-            assert_whole(await asyncio.wait_for(task, 30), prompt)
+            assert_complete(await asyncio.wait_for(task, 30), prompt)
 
     run(scenario())
 
 
-def test_poisonous_request_fells_few_engines_and_harms_no_neighbour(run, fleet):
+def test_poisonous_request_crashes_few_engines_and_other_streams_complete(run, fleet):
     async def scenario():
-        keeper = asyncio.create_task(keep_engines_up(fleet))
+        restarter = asyncio.create_task(restart_crashed_engines(fleet))
         prompts = [f"[len=200] neighbour {n}" for n in range(9)]
-        running = [send(fleet, prompt, number=n % 2) for n, prompt in enumerate(prompts)]
-        await engine_running(fleet, len(prompts))
+        running = [start_stream(fleet, prompt, vm_index=n % 2) for n, prompt in enumerate(prompts)]
+        await wait_for_busy_engine(fleet, len(prompts))
         for number in range(6):
-            answer = await stream(vm_of(fleet, number % 2).listen, TOKEN, "[crash] poison", "draft")
+            answer = await stream(
+                get_vm(fleet, number % 2).listen, TOKEN, "[crash] poison", "draft"
+            )
             assert_that(answer.whole, Equals(False))
-        last = await stream(vm_of(fleet).listen, TOKEN, "[crash] poison", "draft")
+        last = await stream(get_vm(fleet).listen, TOKEN, "[crash] poison", "draft")
         assert_that(last.status, Equals(422))
         assert_that(last.text, Contains("crashes_endpoints"))
         for task, prompt in zip(running, prompts, strict=True):
-            assert_whole(await task, prompt)
-        keeper.cancel()
-        assert_that(len(await keeper), LessThan(POISON_MAY_FELL + 1))
+            assert_complete(await task, prompt)
+        restarter.cancel()
+        assert_that(len(await restarter), LessThan(MAX_CRASHED_ENGINES + 1))
 
     run(scenario())
 
 
-def test_poisonous_request_is_known_to_a_vm_that_hears_late(run):
-    """Each message to the second VM takes 0.3 s; the caller goes there at once."""
+def test_poisonous_request_is_limited_despite_message_delay(run):
+    """Guards against two VMs that each try the request before hearing of the other's crashes.
+
+    Messages to the second VM take 0.3 s, and the client sends the request there at once.
+    """
 
     async def scenario():
         with Fleet() as fleet:
@@ -153,30 +158,32 @@
             fleet.add_vm("vm-late", "doto-1", "doto", bus=bus.address, bus_bind=bus_bind)
             await fleet.wait_ready()
             await fleet.wait_settled()
-            keeper = asyncio.create_task(keep_engines_up(fleet))
+            restarter = asyncio.create_task(restart_crashed_engines(fleet))
             for number in range(2):
-                await stream(vm_of(fleet, number).listen, TOKEN, "[crash] poison", "draft")
+                await stream(get_vm(fleet, number).listen, TOKEN, "[crash] poison", "draft")
             await wait(0.3)
-            keeper.cancel()
-            assert_that(len(await keeper), LessThan(POISON_MAY_FELL + 1))
+            restarter.cancel()
+            assert_that(len(await restarter), LessThan(MAX_CRASHED_ENGINES + 1))
 
     run(scenario())
 
 
-def test_dossiers_give_way_to_a_rewrite_and_still_finish(run, fleet):
+def test_preempted_requests_complete(run, fleet):
     async def scenario():
         prompts = [f"[len=500] dossier {n}" for n in range(14)]
-        running = [send(fleet, prompt, "dossier", n % 2) for n, prompt in enumerate(prompts)]
+        running = [
+            start_stream(fleet, prompt, "dossier", n % 2) for n, prompt in enumerate(prompts)
+        ]
         await wait_until(lambda: has_first_tokens(fleet, 12), "12 dossiers have tokens")
         rewrites = [f"[len=10] rewrite {n}" for n in range(4)]
-        quick = [send(fleet, prompt, "rewrite") for prompt in rewrites]
+        quick = [start_stream(fleet, prompt, "rewrite") for prompt in rewrites]
         for task, prompt in zip(quick, rewrites, strict=True):
-            assert_whole(await task, prompt)
+            assert_complete(await task, prompt)
         assert_that(any(not task.done() for task in running), Equals(True))
         for task, prompt in zip(running, prompts, strict=True):
-            assert_whole(await task, prompt)
+            assert_complete(await task, prompt)
         _, events = await fleet.run_command(
-            "timeline", "--vm", vm_of(fleet).admin, "--vm", vm_of(fleet, 1).admin, "--as", "pairs"
+            "timeline", "--vm", get_vm(fleet).admin, "--vm", get_vm(fleet, 1).admin, "--as", "pairs"
         )
         assert_that(events, Contains("event=preempted"))
         assert_that(events, Contains("event=resumed"))
@@ -184,8 +191,8 @@
     run(scenario())
 
 
-async def call_ready_vms(fleet, stop: asyncio.Event, answers: list) -> None:
-    """Sends requests one after another to VMs that are ready, as the balancer would."""
+async def stream_to_ready_vms(fleet, stop: asyncio.Event, answers: list) -> None:
+    """Sends requests one by one to VMs that are ready, as a load balancer does."""
     number = 0
     while not stop.is_set():
         number += 1
@@ -194,75 +201,79 @@
         answers.append((await stream(ready[number % len(ready)].listen, TOKEN, prompt), prompt))
 
 
-def test_all_vms_replaced_one_after_another_fail_no_request(run, fleet):
+def test_vms_replaced_one_by_one_fail_no_request(run, fleet):
     async def scenario():
         stop, answers = asyncio.Event(), []
-        callers = [asyncio.create_task(call_ready_vms(fleet, stop, answers)) for _ in range(6)]
+        clients = [asyncio.create_task(stream_to_ready_vms(fleet, stop, answers)) for _ in range(6)]
         for name in tuple(fleet.vms_by_name):
             vm = fleet.vms_by_name[name]
             prompt = f"[len=150] held by {name}"
-            held = asyncio.create_task(stream(vm.listen, TOKEN, prompt))
+            open_stream = asyncio.create_task(stream(vm.listen, TOKEN, prompt))
             await wait(0.3)
             vm.process.send(signal.SIGTERM)
             status = await asyncio.to_thread(vm.process.popen.wait, 30)
             assert_that(status, Equals(0))
-            assert_whole(await held, prompt)
+            assert_complete(await open_stream, prompt)
             fleet.start_vm(vm)
             await fleet.wait_ready(vm)
             await fleet.wait_settled()
         stop.set()
-        await asyncio.gather(*callers)
+        await asyncio.gather(*clients)
         for answer, prompt in answers:
-            assert_whole(answer, prompt)
+            assert_complete(answer, prompt)
         assert_that(len(answers), GreaterThan(20))
 
     run(scenario())
 
 
-def test_leaving_endpoint_gets_no_new_work_and_finishes_what_it_has(run, fleet):
+def test_leaving_endpoint_completes_its_streams_and_gets_no_new_requests(run, fleet):
     async def scenario():
         prompts = [f"[len=150] staying {n}" for n in range(6)]
-        running = [send(fleet, prompt) for prompt in prompts]
-        name = await engine_running(fleet, len(prompts))
-        _, shown = await fleet.run_command("table", "show", "--store-address", fleet.store.address)
-        assert_that(len(parse_sheet(shown).rows), GreaterThan(5))
-        lines = [mark_leaving(line) if f",{name}," in line else line for line in shown.split("\n")]
+        running = [start_stream(fleet, prompt) for prompt in prompts]
+        name = await wait_for_busy_engine(fleet, len(prompts))
+        _, exported = await fleet.run_command(
+            "table", "show", "--store-address", fleet.store.address
+        )
+        assert_that(len(parse_sheet(exported).rows), GreaterThan(5))
+        lines = [
+            mark_leaving(line) if f",{name}," in line else line for line in exported.split("\n")
+        ]
         status, output = await fleet.apply_sheet("\n".join(lines))
         assert_that(status, Equals(0), output)
         await wait(1.0)
-        after = [await stream(vm_of(fleet).listen, TOKEN, f"[len=3] new {n}") for n in range(12)]
-        used = {answer.headers["x-bluebellpitch-endpoint"] for answer in after}
-        assert_that(name in used, Equals(False))
+        answers = [await stream(get_vm(fleet).listen, TOKEN, f"[len=3] new {n}") for n in range(12)]
+        endpoints_used = {answer.headers["x-bluebellpitch-endpoint"] for answer in answers}
+        assert_that(name in endpoints_used, Equals(False))
         for task, prompt in zip(running, prompts, strict=True):
-            assert_whole(await task, prompt)
+            assert_complete(await task, prompt)
 
     run(scenario())
 
 
-def test_endpoint_that_the_platform_takes_away_gets_no_new_work(run, fleet):
-    """Its entry in the store says so; the table still says live."""
+def test_endpoint_leaving_by_platform_entry_gets_no_new_requests(run, fleet):
+    """The entry in the store says draining, while the row in the table still says live."""
 
     async def scenario():
         await fleet.announce_leaving(ENGINES[0])
-        await wait(LEAVING_NOTICED_S)
-        after = [await stream(vm_of(fleet).listen, TOKEN, f"[len=3] new {n}") for n in range(12)]
-        used = {answer.headers["x-bluebellpitch-endpoint"] for answer in after}
-        assert_that(ENGINES[0] in used, Equals(False), used)
+        await wait(LEAVING_PROPAGATION_S)
+        answers = [await stream(get_vm(fleet).listen, TOKEN, f"[len=3] new {n}") for n in range(12)]
+        endpoints_used = {answer.headers["x-bluebellpitch-endpoint"] for answer in answers}
+        assert_that(ENGINES[0] in endpoints_used, Equals(False), endpoints_used)
 
     run(scenario())
 
 
-def test_caller_that_leaves_frees_its_slot(run, fleet):
+def test_disconnected_client_frees_its_slot(run, fleet):
     async def scenario():
-        running = [send(fleet, f"[len=2000] left {n}") for n in range(6)]
-        await engine_running(fleet, 6)
+        running = [start_stream(fleet, f"[len=2000] left {n}") for n in range(6)]
+        await wait_for_busy_engine(fleet, 6)
         await wait(0.3)
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
 
         async def all_free() -> bool:
-            counts = [await held_by(fleet, name) for name in ENGINES]
+            counts = [await count_held(fleet, name) for name in ENGINES]
             statuses = [await read_status(vm.admin) for vm in fleet.vms_by_name.values()]
             return not sum(counts) and not sum(status["in_flight"] for status in statuses)
 
@@ -271,7 +282,7 @@
     run(scenario())
 
 
-async def held_by(fleet, name: str) -> int:
+async def count_held(fleet, name: str) -> int:
     response = await fetch(fleet.processes_by_name[name].address, "GET", "/count?left")
     return msgspec.json.decode(response.body)["held"]
 
@@ -280,10 +291,12 @@
     return line.replace(",live,", ",leaving,")
 
 
-def test_sheet_is_read_back_as_it_was_written(run, fleet):
+def test_exported_sheet_applies_without_changes(run, fleet):
     async def scenario():
-        _, shown = await fleet.run_command("table", "show", "--store-address", fleet.store.address)
-        status, output = await fleet.apply_sheet(shown)
+        _, exported = await fleet.run_command(
+            "table", "show", "--store-address", fleet.store.address
+        )
+        status, output = await fleet.apply_sheet(exported)
         assert_that(status, Equals(0))
         assert_that(output, Contains("nothing to change"))
 
