--- a/bluebellpitch/callers/completion_bodies.py
+++ b/bluebellpitch/callers/completion_bodies.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from bluebellpitch.callers.requests import CompletionRequest
-from bluebellpitch.endpoints.sse import Usage, join_text, read_chunks
+from bluebellpitch.endpoints.sse import Usage, decode_chunks, join_text
 
 
 class ChatMessage(msgspec.Struct, frozen=True):
@@ -44,7 +44,7 @@
     """Returns the events of a stream as the body of one non-streamed completion."""
     text = join_text(events)
     usage, finish_reason = Usage(), "stop"
-    for chunk in read_chunks(events):
+    for chunk in decode_chunks(events):
         usage = chunk.usage or usage
         finish_reason = next(
             (c.finish_reason for c in chunk.choices if c.finish_reason), finish_reason
--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -8,19 +8,19 @@
 from bluebellpitch.callers.request_handler import RequestHandler
 from bluebellpitch.callers.requests import CompletionRequest
 from bluebellpitch.constants import (
-    ATTEMPTS_PER_REQUEST,
-    FIRST_TOKEN_PATIENCE,
-    FIRST_TOKEN_PATIENCE_FLOOR_S,
-    HEDGES_PER_REQUEST,
-    RESUME_PATIENCE_S,
-    STRIKE_PATIENCE_S,
+    HEDGE_DELAY_FACTOR,
+    MAX_ATTEMPTS_PER_REQUEST,
+    MAX_HEDGES_PER_REQUEST,
+    MIN_HEDGE_DELAY_S,
+    RESUME_TIMEOUT_S,
+    STRIKE_CONFIRMATION_TIMEOUT_S,
 )
 from bluebellpitch.context import NodeContext
 from bluebellpitch.decisions.strikes import IsolationLevel
 from bluebellpitch.endpoints.engine import EngineAttempt, Rejected
 from bluebellpitch.endpoints.sse import count_events, join_text
-from bluebellpitch.errors import GoneError
-from bluebellpitch.events import Kind
+from bluebellpitch.errors import DisconnectedError
+from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import ServerConnection
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
@@ -63,11 +63,11 @@
 
     async def run(self) -> Verdict:
         """Handles the request to its end; returns the verdict sent to the caller."""
-        self.record_event(Kind.ADMITTED, detail=f"pool={self.request.pool.name}")
+        self.record_event(EventKind.ADMITTED, detail=f"pool={self.request.pool.name}")
         self.context.hedges.earn(self.caller.service_class.name)
         try:
             verdict = await self._serve()
-        except GoneError:
+        except DisconnectedError:
             self.context.metrics.wasted_tokens.labels(self.caller.service_class.name).inc(
                 self.progress.tokens
             )
@@ -90,7 +90,7 @@
                 return await self._finish()
             if self.rejection is not None and ending == "rejected":
                 return await self._forward_rejection()
-            if self.progress.failures >= ATTEMPTS_PER_REQUEST:
+            if self.progress.failures >= MAX_ATTEMPTS_PER_REQUEST:
                 return await self._refuse("attempts_exhausted", 502)
 
     def _assess_suspicion(self) -> IsolationLevel:
@@ -103,7 +103,7 @@
         progress.attempt += 1
         expires_at = caller.arrived_at + caller.max_wait_s
         if progress.dispatched:
-            expires_at = self.context.now() + RESUME_PATIENCE_S
+            expires_at = self.context.now() + RESUME_TIMEOUT_S
         return await self.acquire_slot(
             progress.attempt,
             expires_at,
@@ -118,11 +118,11 @@
         """Runs one attempt in a slot; returns its ending."""
         context, progress = self.context, self.progress
         attempt = EngineAttempt(context.connections, slot.granted.address, context.settings.stall_s)
-        slot.preempt = attempt.stop
+        slot.preempt = attempt.cancel
         if slot.preempted_for:
-            attempt.stop(slot.preempted_for)
+            attempt.cancel(slot.preempted_for)
         self.endpoint = slot.granted.endpoint
-        self.record_event(Kind.DISPATCHED, self.endpoint, f"attempt={progress.attempt}")
+        self.record_event(EventKind.DISPATCHED, self.endpoint, f"attempt={progress.attempt}")
         dispatched_at = context.now()
         ending = "cancelled"
         try:
@@ -159,7 +159,7 @@
             context.slots.saw_first(slot, now - dispatched_at)
         if progress.first_token_at is None:
             progress.first_token_at = now
-            self.record_event(Kind.FIRST_TOKEN, slot.granted.endpoint)
+            self.record_event(EventKind.FIRST_TOKEN, slot.granted.endpoint)
         progress.last_token_at = now
         count = count_events(events)
         slot.note_tokens(count, now)
@@ -171,8 +171,8 @@
     async def _forward(self, events: bytes) -> None:
         if self.request.stream:
             await self._send_events(events)
-        elif self.connection.is_gone():
-            raise GoneError("the caller closed its connection")
+        elif self.connection.is_disconnected():
+            raise DisconnectedError("the caller closed its connection")
 
     def _build_engine_body(self) -> dict:
         body = {**self.request.body, "stream": True, "priority": self.caller.service_class.tier}
@@ -180,18 +180,18 @@
             body["stream_options"] = {"include_usage": True}
         if self.progress.chunks:
             body["continue_text"] = join_text(b"".join(self.progress.chunks))
-            self.record_event(Kind.RESUMED, self.endpoint, f"tokens={self.progress.tokens}")
+            self.record_event(EventKind.RESUMED, self.endpoint, f"tokens={self.progress.tokens}")
         return body
 
     def _first_token_timeout_s(self, slot: Slot) -> float:
         """Returns the timeout for the first token: short while a hedged attempt may follow."""
         expected_s = slot.granted.expected_first_s
         timeout_s = self.context.settings.stall_s * FIRST_TOKEN_STALL_FACTOR
-        if not expected_s or self.progress.hedges >= HEDGES_PER_REQUEST:
+        if not expected_s or self.progress.hedges >= MAX_HEDGES_PER_REQUEST:
             return timeout_s
         if not self.context.hedges.allows(self.caller.service_class.name):
             return timeout_s
-        hedge_timeout_s = max(FIRST_TOKEN_PATIENCE_FLOOR_S, FIRST_TOKEN_PATIENCE * expected_s)
+        hedge_timeout_s = max(MIN_HEDGE_DELAY_S, HEDGE_DELAY_FACTOR * expected_s)
         return min(timeout_s, hedge_timeout_s)
 
     async def _send_events(self, events: bytes) -> None:
@@ -211,30 +211,30 @@
         match ending:
             case "preempted":
                 progress.preemptions += 1
-                self.record_event(Kind.PREEMPTED, endpoint, slot.preempted_for)
+                self.record_event(EventKind.PREEMPTED, endpoint, slot.preempted_for)
             case "crashed":
                 progress.failures += 1
             case "late":
                 progress.hedges += 1
                 self.context.hedges.spend(self.caller.service_class.name)
                 progress.avoided_endpoints = (endpoint,)
-                self.record_event(Kind.RETRIED, endpoint, "no first token in time")
+                self.record_event(EventKind.RETRIED, endpoint, "no first token in time")
             case "stalled" | "unreachable" | "busy":
                 progress.failures += 1
-                self.record_event(Kind.RETRIED, endpoint, ending)
+                self.record_event(EventKind.RETRIED, endpoint, ending)
 
     async def _report_strike(self, endpoint: str) -> None:
         """Records a strike at all VMs before the caller can retry at another of them."""
         attempt = f"{self.caller.request_id}.{self.progress.attempt}"
-        self.record_event(Kind.STRIKE, endpoint, "the endpoint died under the request")
+        self.record_event(EventKind.STRIKE, endpoint, "the endpoint died under the request")
         strikes, fingerprint = self.context.strikes, self.request.fingerprint
-        await strikes.record_confirmed(fingerprint, attempt, STRIKE_PATIENCE_S)
+        await strikes.record_confirmed(fingerprint, attempt, STRIKE_CONFIRMATION_TIMEOUT_S)
 
     async def _finish(self) -> Verdict:
         if self.context.strikes.book.count(self.request.fingerprint, self.context.now()):
             self.context.strikes.clear(self.request.fingerprint)
         self._record_metrics()
-        self.record_event(Kind.COMPLETED, self.endpoint, f"tokens={self.progress.tokens}")
+        self.record_event(EventKind.COMPLETED, self.endpoint, f"tokens={self.progress.tokens}")
         if self.request.stream:
             await self._send_events(b"data: [DONE]\n\n")
             await self.connection.end()
@@ -277,7 +277,7 @@
         verdict: DidNotRun | MayHaveRun = DidNotRun(reason, status, retry_after_s)
         if self.progress.dispatched:
             verdict = MayHaveRun(reason, status, retry_after_s)
-        self.record_event(Kind.REFUSED, detail=f"{reason} {verdict.name}")
+        self.record_event(EventKind.REFUSED, detail=f"{reason} {verdict.name}")
         if not self.response_started:
             await responses.send_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
--- a/bluebellpitch/callers/request_handler.py
+++ b/bluebellpitch/callers/request_handler.py
@@ -2,7 +2,7 @@
 
 from bluebellpitch.callers import responses
 from bluebellpitch.context import NodeContext
-from bluebellpitch.events import Kind
+from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import ServerConnection
 from bluebellpitch.peers.messages import SlotRequest
 from bluebellpitch.roles.seeking import Slot
@@ -19,7 +19,7 @@
         self.caller = request.caller
         self.endpoint = ""
 
-    def record_event(self, kind: Kind, endpoint: str = "", detail: str = "") -> None:
+    def record_event(self, kind: EventKind, endpoint: str = "", detail: str = "") -> None:
         """Adds an event about this request to the timeline."""
         caller = self.caller
         self.context.ring.record(
@@ -39,15 +39,15 @@
             patience_s=max(0.0, expires_at - now),
             **fields,
         )
-        self.record_event(Kind.QUEUED, detail=f"attempt={attempt}")
+        self.record_event(EventKind.QUEUED, detail=f"attempt={attempt}")
         slot = await self.context.slots.seek(
-            ask, caller.arrived_at, expires_at, self.connection.is_gone
+            ask, caller.arrived_at, expires_at, self.connection.is_disconnected
         )
         if isinstance(slot, Slot):
             waited_s = self.context.now() - now
             self.context.metrics.grant_wait.labels(caller.service_class.name).observe(waited_s)
             self.record_event(
-                Kind.GRANTED, slot.granted.endpoint, f"waited_ms={waited_s * 1000:.1f}"
+                EventKind.GRANTED, slot.granted.endpoint, f"waited_ms={waited_s * 1000:.1f}"
             )
         return slot
 
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -11,9 +11,14 @@
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.strikes import IsolationLevel
-from bluebellpitch.endpoints.attempt import Attempt, Turned, Unsent, settle
-from bluebellpitch.endpoints.links import Links
-from bluebellpitch.errors import BadRequestError, GoneError, NotSentError
+from bluebellpitch.endpoints.attempt import (
+    NotSent,
+    RefusedByEndpoint,
+    RoutedAttempt,
+    cancel_and_wait,
+)
+from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
+from bluebellpitch.errors import BadRequestError, DisconnectedError, NotSentError
 from bluebellpitch.http1 import ClientConnection, HttpRequest, ServerConnection
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
@@ -47,7 +52,7 @@
     catalogue: Callable[[], Catalogue | None]
     freshness: Freshness
     placing: EndpointSelector
-    connections: Links
+    connections: EndpointConnectionPool
     retry_budget: RetryBudget
     count_live_vms: Callable[[], int]
     is_draining: Callable[[], bool]
@@ -76,17 +81,17 @@
         """Responds to the request; cancels the work as soon as the caller disconnects."""
         request = decode_request(http_request)
         task = asyncio.ensure_future(self._handle(request))
-        disconnected = asyncio.ensure_future(self._connection.wait_gone())
+        disconnected = asyncio.ensure_future(self._connection.wait_disconnected())
         try:
             await asyncio.wait({task, disconnected}, return_when=asyncio.FIRST_COMPLETED)
             if not task.done():
                 log("INFO", "caller_left", request=request.id, endpoints=",".join(self._tried))
-                raise GoneError("the caller disconnected")
+                raise DisconnectedError("the caller disconnected")
             task.result()
         finally:
-            await settle(disconnected)
+            await cancel_and_wait(disconnected)
             if not task.done():
-                await settle(task)
+                await cancel_and_wait(task)
 
     async def _handle(self, request: RoutedRequest) -> None:
         context, now = self._context, self._context.now()
@@ -120,7 +125,7 @@
         if isinstance(verdict, Ran):
             return
         if self._response_started:
-            raise GoneError("a response that has started cannot be completed")
+            raise DisconnectedError("a response that has started cannot be completed")
         headers = refusal_headers(verdict.retry_after_s)
         await self._send_response(verdict.status, headers, encode_error_body(verdict, request.id))
 
@@ -180,7 +185,7 @@
             match verdict:
                 case Ran():
                     return verdict
-                case Unsent():
+                case NotSent():
                     connect_failures += 1
                     continue
                 case MayHaveRun() if not self._may_retry(admitted):
@@ -232,7 +237,7 @@
     async def _send_to_endpoint(self, admitted: AdmittedRequest, place: Placement) -> Verdict:
         """Sends the request to one endpoint and forwards its response."""
         context = self._context
-        attempt = Attempt(context.connections, place.entry, admitted.request, context.now)
+        attempt = RoutedAttempt(context.connections, place.entry, admitted.request, context.now)
         last_event = admitted.request.last_event if self._last_event is None else self._last_event
         forwarding = Forwarding(
             endpoint_id=place.entry.id,
@@ -250,21 +255,21 @@
             attempt.close()
 
     async def _handle_head(
-        self, admitted, place: Placement, attempt: Attempt, head, deadline
+        self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
         placing = self._context.placing
         match head:
-            case Turned():
-                if head.is_other:
+            case RefusedByEndpoint():
+                if head.is_other_instance:
                     placing.directory.mark_replaced(place.entry)
                 placing.record_load_report(place, attempt.head)
                 return DidNotRun(head.reason, 503, NO_ENDPOINT_RETRY_AFTER_S)
-            case Unsent() | MayHaveRun():
+            case NotSent() | MayHaveRun():
                 return head
         placing.record_load_report(place, head)
         if admitted.route.is_stream and 200 <= head.status < 300:
             return await self._forward_stream(admitted, place, attempt, head, deadline)
-        response = await attempt.read_whole(deadline)
+        response = await attempt.read_complete_response(deadline)
         return await self._forward_response(admitted, response)
 
     async def _forward_response(self, admitted: AdmittedRequest, response) -> Verdict:
@@ -288,13 +293,13 @@
         )
 
     async def _forward_stream(
-        self, admitted, place: Placement, attempt: Attempt, head, deadline
+        self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
         """Forwards events as they arrive; never ends a truncated stream as if it were complete."""
         placing = self._context.placing
         first = True
         async for events in attempt.events(
-            deadline, silence_s=max(0.001, deadline - self._context.now())
+            deadline, max_silence_s=max(0.001, deadline - self._context.now())
         ):
             if first:
                 first = False
@@ -334,7 +339,7 @@
 def outcome_of(verdict: Verdict) -> str:
     """Returns the outcome of an attempt, as load tracking names it."""
     match verdict:
-        case Unsent():
+        case NotSent():
             return "unreachable"
         case DidNotRun():
             return "refused"
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -5,12 +5,12 @@
 from bluebellpitch.callers import responses
 from bluebellpitch.callers.request_handler import RequestHandler
 from bluebellpitch.callers.requests import ServiceRequest, forwarded_headers
-from bluebellpitch.constants import ATTEMPTS_PER_REQUEST, OUTCOME_BODY_MAX_BYTES
+from bluebellpitch.constants import MAX_ATTEMPTS_PER_REQUEST, MAX_OUTCOME_BODY_BYTES
 from bluebellpitch.context import NodeContext
 from bluebellpitch.decisions.claiming import ClaimRequest, ClaimWon, ReplayOutcome
 from bluebellpitch.decisions.claims import Claim, Outcome
 from bluebellpitch.endpoints.service import ServiceCall, call_service
-from bluebellpitch.events import Kind
+from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import HttpResponse, ServerConnection
 from bluebellpitch.roles.seeking import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
@@ -31,7 +31,7 @@
 
     async def run(self) -> Verdict:
         """Handles the request to its end; returns the verdict sent to the caller."""
-        self.record_event(Kind.ADMITTED, detail=f"pool={self.request.pool.name}")
+        self.record_event(EventKind.ADMITTED, detail=f"pool={self.request.pool.name}")
         started_at = self.context.now()
         result = await self._call_with_retries()
         self._settle_claim(result)
@@ -41,14 +41,16 @@
             case ReplayOutcome(outcome):
                 return await self._replay_outcome(outcome)
             case verdict:
-                self.record_event(Kind.REFUSED, self.endpoint, f"{verdict.reason} {verdict.name}")
+                self.record_event(
+                    EventKind.REFUSED, self.endpoint, f"{verdict.reason} {verdict.name}"
+                )
                 await responses.send_verdict(self.connection, verdict, self.caller.request_id)
                 return verdict
 
     async def _call_with_retries(self) -> CallResult:
         """Retries only requests that did not run, or that are idempotent."""
         result: CallResult = DidNotRun("not_tried")
-        for _ in range(ATTEMPTS_PER_REQUEST):
+        for _ in range(MAX_ATTEMPTS_PER_REQUEST):
             result = await self._run_attempt()
             if isinstance(result, HttpResponse | ReplayOutcome):
                 return result
@@ -56,7 +58,7 @@
                 return result
             if isinstance(result, DidNotRun) and not self._is_retryable(result):
                 return result
-            self.record_event(Kind.RETRIED, self.endpoint, result.reason)
+            self.record_event(EventKind.RETRIED, self.endpoint, result.reason)
         return result
 
     def _is_retryable(self, verdict: DidNotRun) -> bool:
@@ -97,7 +99,7 @@
         request = self.request.http_request
         headers = (*forwarded_headers(request), ("X-Request-Id", self.caller.request_id))
         call = ServiceCall(request.method, self.request.target, headers, request.body)
-        self.record_event(Kind.DISPATCHED, slot.granted.endpoint, f"attempt={self.attempt}")
+        self.record_event(EventKind.DISPATCHED, slot.granted.endpoint, f"attempt={self.attempt}")
         result = await call_service(
             self.context.connections,
             slot.granted.address,
@@ -119,7 +121,7 @@
         if isinstance(result, HttpResponse):
             status, body = result.status, result.body
             content_type = next((v for k, v in result.headers if k == "content-type"), "")
-        is_kept = len(body) <= OUTCOME_BODY_MAX_BYTES
+        is_kept = len(body) <= MAX_OUTCOME_BODY_BYTES
         verdict = Ran.name if isinstance(result, HttpResponse) else MayHaveRun.name
         outcome = Outcome(
             id=uuid4().hex,
@@ -140,7 +142,7 @@
         metrics.first_token.labels(service_class.name).observe(took_s)
         if took_s <= service_class.first_token_ms / 1000:
             metrics.in_target.labels(service_class.name).inc()
-        self.record_event(Kind.COMPLETED, self.endpoint, f"status={response.status}")
+        self.record_event(EventKind.COMPLETED, self.endpoint, f"status={response.status}")
         headers = [
             (k, v) for k, v in response.headers if k.lower() not in EXCLUDED_RESPONSE_HEADERS
         ]
@@ -154,7 +156,7 @@
             verdict = MayHaveRun("unresolved", 409)
             await responses.send_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
-        self.record_event(Kind.COMPLETED, detail="replayed")
+        self.record_event(EventKind.COMPLETED, detail="replayed")
         headers = [("Content-Type", outcome.content_type or "application/octet-stream")]
         headers += [*self.common_headers(Ran.name), (responses.REPLAYED_HEADER, "true")]
         if not outcome.answer_kept:
--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -12,11 +12,11 @@
 from dataclasses import replace
 
 from bluebellpitch.constants import (
-    ASK_UNREPEATED_S,
-    GRANT_UNCONFIRMED_S,
-    PREEMPT_AFTER_SHARE,
-    PREEMPTIONS_PER_REQUEST,
-    SHED_HOLD_S,
+    ASK_TIMEOUT_S,
+    GRANT_TIMEOUT_S,
+    MAX_PREEMPTIONS_PER_REQUEST,
+    PREEMPT_AFTER_TARGET_SHARE,
+    SHEDDING_HOLD_S,
 )
 from bluebellpitch.decisions.class_scheduling import ClassScheduler, SchedulingPolicy
 from bluebellpitch.decisions.endpoint_health import EndpointHealth, LatencySample
@@ -104,7 +104,7 @@
         if expected_s > patience_s:
             return self._shed(request, "overloaded", expected_s - patience_s, now)
         if self._is_higher_tier_shed(request, now):
-            return self._shed(request, "higher_tier_shed", SHED_HOLD_S, now)
+            return self._shed(request, "higher_tier_shed", SHEDDING_HOLD_S, now)
         return None
 
     def _shed(
@@ -117,7 +117,7 @@
         """Tells whether a higher tier was shed recently, which bars lower tiers."""
         tier = self.scheduler.tier(request.class_name)
         shed = (at for other, at in self._last_shed_by_tier.items() if other < tier)
-        return any(now - at < SHED_HOLD_S for at in shed)
+        return any(now - at < SHEDDING_HOLD_S for at in shed)
 
     def _expected_wait_s(self, request: QueuedRequest) -> float:
         """Estimates the seconds until a slot from the queued requests of this and higher tiers."""
@@ -199,10 +199,10 @@
     def expire_unconfirmed(self, now: float) -> Iterator[BrokerCommand]:
         """Drops grants and queued requests that their VM stopped reporting."""
         grants = tuple(self.grants_by_id.values())
-        for stale in (g for g in grants if now - g.confirmed_at > GRANT_UNCONFIRMED_S):
+        for stale in (g for g in grants if now - g.confirmed_at > GRANT_TIMEOUT_S):
             self._remove_grant(stale)
         waiting = tuple(self.queues.requests_by_id.values())
-        for request in (r for r in waiting if now - r.last_asked_at > ASK_UNREPEATED_S):
+        for request in (r for r in waiting if now - r.last_asked_at > ASK_TIMEOUT_S):
             self.queues.remove(request.request_id)
         yield from self.schedule(now)
 
@@ -326,7 +326,7 @@
         row = self.scheduler.class_row(request.class_name)
         if request.resumed or row.tier <= self.scheduler.highest_tier:
             return True
-        return now - request.arrived_at >= PREEMPT_AFTER_SHARE * row.first_token_ms / 1000
+        return now - request.arrived_at >= PREEMPT_AFTER_TARGET_SHARE * row.first_token_ms / 1000
 
     def _victim_for(self, request: QueuedRequest, now: float) -> ActiveGrant | None:
         """Returns the grant to preempt: the latest arrival in the lowest tier, or None."""
@@ -347,4 +347,4 @@
     def _is_preemptible(self, grant: ActiveGrant) -> bool:
         if grant.preempting or not grant.request.resumable:
             return False
-        return grant.request.preemptions < PREEMPTIONS_PER_REQUEST
+        return grant.request.preemptions < MAX_PREEMPTIONS_PER_REQUEST
--- a/bluebellpitch/decisions/class_scheduling.py
+++ b/bluebellpitch/decisions/class_scheduling.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from bluebellpitch.constants import GUARANTEED_SHARE, LATE_PATIENCE_SHARE, SHARE_CREDIT_CAP_S
+from bluebellpitch.constants import GUARANTEED_SHARE, LATE_PATIENCE_SHARE, MAX_SHARE_CREDIT_S
 from bluebellpitch.decisions.request_queues import RequestQueues, first_on_time
 from bluebellpitch.decisions.rows import ClassRow
 from bluebellpitch.decisions.slot_grants import ClassStats, QueuedRequest
@@ -106,7 +106,7 @@
 
     def _has_enough_credit(self, class_name: str) -> bool:
         stats = self.stats(class_name)
-        required_s = min(stats.slot_time_s.value or SHARE_CREDIT_CAP_S, SHARE_CREDIT_CAP_S)
+        required_s = min(stats.slot_time_s.value or MAX_SHARE_CREDIT_S, MAX_SHARE_CREDIT_S)
         return stats.share_credit_s >= required_s
 
     def accrue_share_credit(self, total_slots: int, now: float) -> None:
@@ -120,7 +120,7 @@
         for name in earning:
             stats = self.stats(name)
             earned_s = share_s * self.class_row(name).weight / total_weight
-            stats.share_credit_s = min(SHARE_CREDIT_CAP_S, stats.share_credit_s + earned_s)
+            stats.share_credit_s = min(MAX_SHARE_CREDIT_S, stats.share_credit_s + earned_s)
 
     def spend_share_credit(self, class_name: str) -> None:
         """Charges a class its average slot time for a grant out of its guaranteed share."""
--- a/bluebellpitch/decisions/endpoint_health.py
+++ b/bluebellpitch/decisions/endpoint_health.py
@@ -9,9 +9,9 @@
 from statistics import median
 
 from bluebellpitch.constants import (
-    DOWN_RETRY_S,
+    DOWN_RETRY_DELAY_S,
+    HEALTH_MEDIAN_SAMPLES,
     HEALTH_WINDOW_S,
-    OBSERVATIONS_JUDGED,
     SLOW_RATIO,
 )
 
@@ -40,7 +40,7 @@
         """Adds a sample; each endpoint keeps a bounded number of the latest."""
         self._samples_by_endpoint.setdefault(endpoint, deque(maxlen=256)).append(sample)
 
-    def mark_down(self, endpoint: str, now: float, retry_s: float = DOWN_RETRY_S) -> None:
+    def mark_down(self, endpoint: str, now: float, retry_s: float = DOWN_RETRY_DELAY_S) -> None:
         """Excludes an endpoint for a while after a failed connection or a crashed request."""
         self._down_until[endpoint] = now + retry_s
 
@@ -79,7 +79,9 @@
         times_by_key: dict[tuple[str, str], list[float]] = {}
         for sample in samples:
             times_by_key.setdefault((sample.class_name, sample.measure), []).append(sample.seconds)
-        return {key: median(values[-OBSERVATIONS_JUDGED:]) for key, values in times_by_key.items()}
+        return {
+            key: median(values[-HEALTH_MEDIAN_SAMPLES:]) for key, values in times_by_key.items()
+        }
 
     def _is_outlier(self, name: str, medians_by_name) -> bool | None:
         """Compares an endpoint with the others; None if there is nothing to compare."""
--- a/bluebellpitch/decisions/endpoint_selection.py
+++ b/bluebellpitch/decisions/endpoint_selection.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 
 from bluebellpitch.constants import (
-    KEEP_FREE_S,
-    PREFIX_LOAD_ALLOWANCE,
-    PREFIX_MEMORY,
+    ENDPOINT_RESERVATION_S,
+    MAX_REMEMBERED_PREFIXES,
+    PREFIX_AFFINITY_LOAD_MARGIN,
     SLOW_ENDPOINT_SLOTS,
 )
 from bluebellpitch.decisions.endpoint_health import EndpointHealth
@@ -97,7 +97,7 @@
     def _record_prefix(self, prefix: str, endpoint: str) -> None:
         self._endpoint_by_prefix[prefix] = endpoint
         self._endpoint_by_prefix.move_to_end(prefix)
-        if len(self._endpoint_by_prefix) > PREFIX_MEMORY:
+        if len(self._endpoint_by_prefix) > MAX_REMEMBERED_PREFIXES:
             self._endpoint_by_prefix.popitem(last=False)
 
     def used_slots(self, endpoint: str) -> int:
@@ -129,7 +129,7 @@
         if name not in self._rows_by_name or self._health.is_slow(name):
             return None
         excess = self._utilization(name) - self._by_utilization[0][0]
-        if excess > PREFIX_LOAD_ALLOWANCE or not self._can_accept(name, request, now):
+        if excess > PREFIX_AFFINITY_LOAD_MARGIN or not self._can_accept(name, request, now):
             return None
         return self._rows_by_name[name]
 
@@ -193,7 +193,9 @@
             and now < reservation.expires_at
         ):
             name = reservation.endpoint
-        self._reservation = EndpointReservation(name, request.request_id, now + KEEP_FREE_S)
+        self._reservation = EndpointReservation(
+            name, request.request_id, now + ENDPOINT_RESERVATION_S
+        )
         return None
 
     def can_replace_on(self, name: str, request: QueuedRequest, now: float) -> bool:
--- a/bluebellpitch/decisions/hedge_budget.py
+++ b/bluebellpitch/decisions/hedge_budget.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from bluebellpitch.constants import RETRY_BUDGET_FLOOR, RETRY_BUDGET_SHARE
+from bluebellpitch.constants import HEDGE_BUDGET_CAP, HEDGE_BUDGET_SHARE
 
 
 @dataclass(slots=True)
@@ -16,8 +16,8 @@
     Modelled on the retry budget of Twitter's Finagle. ``max_balance`` caps the balance.
     """
 
-    earned_per_request: float = RETRY_BUDGET_SHARE
-    max_balance: float = RETRY_BUDGET_FLOOR
+    earned_per_request: float = HEDGE_BUDGET_SHARE
+    max_balance: float = HEDGE_BUDGET_CAP
     _balance_by_class: dict[str, float] = field(default_factory=dict)
 
     def earn(self, class_name: str) -> None:
--- a/bluebellpitch/decisions/member_quotas.py
+++ b/bluebellpitch/decisions/member_quotas.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from bluebellpitch.constants import CLOCK_DRIFT, LOAN_LEASE_S
+from bluebellpitch.constants import LOAN_LEASE_S, MAX_CLOCK_DRIFT_RATIO
 from bluebellpitch.decisions.control import Epoch
 from bluebellpitch.decisions.hashing import rank_owners
 
@@ -111,7 +111,7 @@
 class QuotaLender:
     """Loans of this VM's quotas: the borrowing broker and the expiry for each pool."""
 
-    def __init__(self, lease_s: float = LOAN_LEASE_S, drift: float = CLOCK_DRIFT):
+    def __init__(self, lease_s: float = LOAN_LEASE_S, drift: float = MAX_CLOCK_DRIFT_RATIO):
         self._loan_s = lease_s * (1 + drift)
         self._loans_by_pool: dict[str, tuple[str, float]] = {}
 
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -16,9 +16,8 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.strikes import StrikeTracker
-from bluebellpitch.endpoints.links import Links
+from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
-from bluebellpitch.jobs import start_jobs, stop_jobs
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
@@ -48,6 +47,7 @@
     TopicFollower,
 )
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
+from bluebellpitch.tasks import start_tasks, stop_tasks
 
 DRAIN_POLL_S = 0.05
 # The platform sends new connections until it has noticed that the VM is not ready.
@@ -139,7 +139,7 @@
             settings.regions_by_zone,
             now,
         )
-        self.links = Links(now)
+        self.links = EndpointConnectionPool(now)
         self.context = RoutingContext(
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
@@ -156,7 +156,9 @@
             now=now,
         )
         self.metrics_http = HttpServer(self._serve_metrics, refuse_malformed_request, HttpLimits())
-        self.http = HttpServer(self._serve, refuse_malformed_request, HttpLimits(idle_s=16.0))
+        self.http = HttpServer(
+            self._serve, refuse_malformed_request, HttpLimits(idle_timeout_s=16.0)
+        )
         self.ready_http = HttpServer(self._serve_readiness, refuse_malformed_request, HttpLimits())
 
     def _create_follower(self, topic: str, long_poll_s: float) -> TopicFollower:
@@ -213,7 +215,7 @@
         metrics.configuration_version.set(self.configuration.version())
         metrics.freshness_age.set(context.freshness.age_s(now))
         metrics.peers_heard.set(len(self.liveness.live_peers(now)))
-        metrics.in_flight.set(self.http.busy)
+        metrics.in_flight.set(self.http.in_flight)
         catalogue = self.configuration.catalogue
         for pool in catalogue.pools_by_name if catalogue else ():
             retries_left = context.retry_budget.remaining(pool, self.peer_discovery.vm_count(), now)
@@ -246,13 +248,13 @@
             host, _ = parse_address(self.settings.listen)
             await self.metrics_http.listen(host, self._metrics_port)
         await self.http.listen(*parse_address(self.settings.listen))
-        tasks = start_jobs(self._jobs(), self.draining)
+        tasks = start_tasks(self._jobs(), self.draining)
         log("INFO", "started", vm=self.settings.vm, zone=self.settings.zone)
         try:
             await self.draining.wait()
             await asyncio.gather(self.peer_discovery.unregister(), self._drain())
         finally:
-            await stop_jobs(tasks)
+            await stop_tasks(tasks)
 
     def close(self) -> None:
         """Closes all sockets."""
@@ -290,24 +292,26 @@
                 header_bytes=limits.header_bytes,
                 body_bytes=limits.body_bytes,
                 receive_s=max(limits.header_s, MIN_RECEIVE_TIMEOUT_S),
-                idle_s=limits.idle_s,
+                idle_timeout_s=limits.idle_s,
             )
 
     async def _clean_up(self) -> None:
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            self.links.close_idle()
+            self.links.close_expired()
             self.endpoint_selector.loads.prune(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
         """Stops accepting requests once the platform sends none and completes those in progress."""
         start = self._now()
-        log("INFO", "draining", in_flight=self.http.busy)
+        log("INFO", "draining", in_flight=self.http.in_flight)
         await asyncio.sleep(REFUSE_REQUESTS_AFTER_S)
         self._closing = True
         await asyncio.sleep(STOP_LISTENING_AFTER_S - REFUSE_REQUESTS_AFTER_S)
         self.http.stop_listening()
-        while self.http.busy and self._now() - start < self.settings.grace_s * DRAIN_GRACE_SHARE:
+        while (
+            self.http.in_flight and self._now() - start < self.settings.grace_s * DRAIN_GRACE_SHARE
+        ):
             await asyncio.sleep(DRAIN_POLL_S)
 
 
--- a/bluebellpitch/events.py
+++ b/bluebellpitch/events.py
@@ -1,4 +1,4 @@
-"""Events of one VM in a bounded ring, for the time line."""
+"""Recent events of one VM, for the timeline command."""
 
 from collections import deque
 from collections.abc import Iterator
@@ -9,8 +9,8 @@
 from bluebellpitch.clock import HybridClock
 
 
-class Kind(StrEnum):
-    """What happened."""
+class EventKind(StrEnum):
+    """Kinds of events."""
 
     ADMITTED = "admitted"
     QUEUED = "queued"
@@ -37,11 +37,11 @@
 
 
 class Event(msgspec.Struct, frozen=True):
-    """One event. ``stamp`` comes from the VM's hybrid clock, in microseconds."""
+    """One event. ``stamp`` is from the hybrid clock of the VM, in microseconds."""
 
     stamp: int
     vm: str
-    kind: Kind
+    kind: EventKind
     request: str = ""
     member: str = ""
     class_name: str = ""
@@ -49,8 +49,8 @@
     detail: str = ""
 
 
-class Ring:
-    """The latest events of this VM; the oldest fall out."""
+class EventRing:
+    """A ring buffer of the latest events; ``dropped`` counts those that were overwritten."""
 
     def __init__(self, vm: str, clock: HybridClock, size: int):
         self.vm = vm
@@ -58,8 +58,8 @@
         self.dropped = 0
         self._events: deque[Event] = deque(maxlen=size)
 
-    def record(self, kind: Kind, request="", member="", class_name="", endpoint="", detail=""):
-        """Adds an event, stamped now."""
+    def record(self, kind: EventKind, request="", member="", class_name="", endpoint="", detail=""):
+        """Adds an event with a new stamp."""
         if len(self._events) == self._events.maxlen:
             self.dropped += 1
         stamp = self.clock.stamp()
@@ -67,6 +67,6 @@
             Event(stamp, self.vm, kind, request, member, class_name, endpoint, detail)
         )
 
-    def since(self, stamp: int) -> Iterator[Event]:
+    def after(self, stamp: int) -> Iterator[Event]:
         """Yields events later than ``stamp``, oldest first."""
         return (event for event in tuple(self._events) if event.stamp > stamp)
--- a/bluebellpitch/peers/bus.py
+++ b/bluebellpitch/peers/bus.py
@@ -10,7 +10,7 @@
 import zmq
 
 from bluebellpitch.clock import HybridClock
-from bluebellpitch.constants import PEER_SEND_QUEUE
+from bluebellpitch.constants import PEER_SEND_QUEUE_SIZE
 from bluebellpitch.errors import ProtocolError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
@@ -47,7 +47,7 @@
     def bind(self, address: str) -> None:
         """Binds the receiving socket to ``host:port``."""
         self._receive_socket.setsockopt(zmq.LINGER, LINGER_MS)
-        self._receive_socket.setsockopt(zmq.RCVHWM, PEER_SEND_QUEUE)
+        self._receive_socket.setsockopt(zmq.RCVHWM, PEER_SEND_QUEUE_SIZE)
         self._receive_socket.bind(f"tcp://{address}")
 
     def register_address(self, vm_key: str, address: str) -> None:
@@ -78,7 +78,7 @@
         if address not in self._send_sockets_by_address:
             socket = self._context.socket(zmq.PUSH)
             socket.setsockopt(zmq.LINGER, LINGER_MS)
-            socket.setsockopt(zmq.SNDHWM, PEER_SEND_QUEUE)
+            socket.setsockopt(zmq.SNDHWM, PEER_SEND_QUEUE_SIZE)
             # Only the sending side needs to detect a dead connection.
             socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
             socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -8,7 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan, Not
 
-from bluebellpitch.constants import GRANT_UNCONFIRMED_S
+from bluebellpitch.constants import GRANT_TIMEOUT_S
 from bluebellpitch.decisions.broker import Broker
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.rows import (
@@ -227,7 +227,7 @@
 def test_grant_that_its_vm_stops_reporting_expires():
     broker = make_broker(endpoints=1, slots=1)
     send(broker, [queued("lost")])
-    now = GRANT_UNCONFIRMED_S + 0.5
+    now = GRANT_TIMEOUT_S + 0.5
     send(broker, [queued("next", at=2.0, last_asked_at=now)], 2.0)
     assert_that(granted_ids(broker.expire_unconfirmed(now)), Equals(["next"]))
 
--- a/tests/test_limits_machine.py
+++ b/tests/test_limits_machine.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bluebellpitch.constants import CLOCK_DRIFT, LOAN_LEASE_S
+from bluebellpitch.constants import LOAN_LEASE_S, MAX_CLOCK_DRIFT_RATIO
 from bluebellpitch.decisions.control import (
     ControlStateMachine,
     EpochChange,
@@ -42,7 +42,7 @@
 
     def __init__(self):
         super().__init__()
-        half_drift = CLOCK_DRIFT / 2
+        half_drift = MAX_CLOCK_DRIFT_RATIO / 2
         clock_rates = (1.0, 1.0 + half_drift / 2, 1.0 - half_drift / 2, 1.0)
         self.vms = {name: Vm(clock_rate) for name, clock_rate in zip(VMS, clock_rates, strict=True)}
         self.time_s = 0.0
