Rename roles, view and node interfaces that other packages use

By hand, since they are strings: the attribute name in measure/variant.py, the pieces of source in tests/mutants.py, the docstring of LocalSlots.

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -22,7 +22,7 @@
 from bluebellpitch.errors import GoneError
 from bluebellpitch.events import Kind
 from bluebellpitch.http1 import ServerConnection
-from bluebellpitch.roles.seeking import Slot
+from bluebellpitch.roles.slot_client import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
 FIRST_STALL_FACTOR = 3.0
@@ -62,7 +62,7 @@
     async def run(self) -> Verdict:
         """Serves the request to its end; returns the verdict that the caller got."""
         self.record(Kind.ADMITTED, detail=f"pool={self.job.pool.name}")
-        self.context.hedges.earn(self.caller.row.name)
+        self.context.hedge_budget.earn(self.caller.row.name)
         try:
             verdict = await self._serve()
         except GoneError:
@@ -81,7 +81,7 @@
             if isinstance(slot, DidNotRun):
                 return await self._refuse(slot.reason, slot.status, slot.retry_after_s)
             if self._judge() > suspicion:
-                self.context.slots.give_back(slot, "cancelled")
+                self.context.slot_client.release(slot, "cancelled")
                 continue
             ending = await self._attempt(slot)
             if ending == "completed":
@@ -114,9 +114,9 @@
         """Runs one attempt; returns its ending."""
         context, progress = self.context, self.progress
         attempt = EngineAttempt(context.connections, slot.granted.address, context.settings.stall_s)
-        slot.preempt = attempt.stop
-        if slot.preempted_for:
-            attempt.stop(slot.preempted_for)
+        slot.on_preempt = attempt.stop
+        if slot.preempt_reason:
+            attempt.stop(slot.preempt_reason)
         self.endpoint = slot.granted.endpoint
         self.record(Kind.DISPATCHED, self.endpoint, f"attempt={progress.attempt}")
         dispatched_at = context.now()
@@ -127,7 +127,7 @@
         finally:
             late = ending == "late" and not slot.tokens
             first_s = context.now() - dispatched_at if late else None
-            context.slots.give_back(slot, ending, first_s, slot.between_s())
+            context.slot_client.release(slot, ending, first_s, slot.inter_token_s())
         self.rejected = attempt.rejected
         self._account(slot, ending)
         if ending == "crashed":
@@ -150,16 +150,16 @@
     def _note_events(self, events: bytes, slot: Slot, dispatched_at: float) -> None:
         progress, context, now = self.progress, self.context, self.context.now()
         if slot.last_token_at is None:
-            context.slots.saw_first(slot, now - dispatched_at)
+            context.slot_client.report_first_token(slot, now - dispatched_at)
         if progress.first_at is None:
             progress.first_at = now
             self.record(Kind.FIRST_TOKEN, slot.granted.endpoint)
         progress.last_at = now
         count = count_events(events)
-        slot.note_tokens(count, now)
+        slot.record_tokens(count, now)
         progress.tokens += count
         progress.parts.append(events)
-        if context.holder.current.is_far(slot.region):
+        if context.view_holder.current.is_cross_region(slot.region):
             context.metrics.region_bytes.inc(len(events))
 
     async def _pass_on(self, events: bytes) -> None:
@@ -183,7 +183,7 @@
         patience_s = self.context.settings.stall_s * FIRST_STALL_FACTOR
         if not expected_s or self.progress.hedges >= HEDGES_PER_REQUEST:
             return patience_s
-        if not self.context.hedges.allows(self.caller.row.name):
+        if not self.context.hedge_budget.allows(self.caller.row.name):
             return patience_s
         short_s = max(FIRST_TOKEN_PATIENCE_FLOOR_S, FIRST_TOKEN_PATIENCE * expected_s)
         return min(patience_s, short_s)
@@ -205,12 +205,12 @@
         match ending:
             case "preempted":
                 progress.preemptions += 1
-                self.record(Kind.PREEMPTED, endpoint, slot.preempted_for)
+                self.record(Kind.PREEMPTED, endpoint, slot.preempt_reason)
             case "crashed":
                 progress.failures += 1
             case "late":
                 progress.hedges += 1
-                self.context.hedges.spend(self.caller.row.name)
+                self.context.hedge_budget.spend(self.caller.row.name)
                 progress.avoid = (endpoint,)
                 self.record(Kind.RETRIED, endpoint, "no first token in time")
             case "stalled" | "unreachable" | "busy":
--- a/bluebellpitch/callers/exchange.py
+++ b/bluebellpitch/callers/exchange.py
@@ -5,7 +5,7 @@
 from bluebellpitch.events import Kind
 from bluebellpitch.http1 import ServerConnection
 from bluebellpitch.peers.messages import Ask
-from bluebellpitch.roles.seeking import Slot
+from bluebellpitch.roles.slot_client import Slot
 from bluebellpitch.verdicts import DidNotRun
 
 
@@ -22,7 +22,7 @@
     def record(self, kind: Kind, endpoint: str = "", detail: str = "") -> None:
         """Adds an event about this request to the time line."""
         caller = self.caller
-        self.context.ring.record(
+        self.context.event_ring.record(
             kind, caller.request_id, caller.member.name, caller.row.name, endpoint, detail
         )
 
@@ -40,7 +40,7 @@
             **fields,
         )
         self.record(Kind.QUEUED, detail=f"attempt={attempt}")
-        slot = await self.context.slots.seek(
+        slot = await self.context.slot_client.acquire(
             ask, caller.arrived_at, expires_at, self.connection.is_gone
         )
         if isinstance(slot, Slot):
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -12,7 +12,7 @@
 from bluebellpitch.endpoints.service import ServiceCall, call_service
 from bluebellpitch.events import Kind
 from bluebellpitch.http1 import HttpResponse, ServerConnection
-from bluebellpitch.roles.seeking import Slot
+from bluebellpitch.roles.slot_client import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
 Result = HttpResponse | Replay | DidNotRun | MayHaveRun
@@ -75,13 +75,13 @@
                 outcome = "unreachable"
             return result
         finally:
-            self.context.slots.give_back(slot, outcome)
+            self.context.slot_client.release(slot, outcome)
 
     async def _claim_and_call(self, slot: Slot) -> Result:
         """Claims as late as can be, so that a claim that waits cannot be left behind."""
         if self.job.key and not self.job.repeatable and self.claim is None:
             wish = Wish(self.job.key, self.job.body_digest, self.job.made_at)
-            verdict = await self.context.claims.claim(self.caller.request_id, wish)
+            verdict = await self.context.claims.claim_key(self.caller.request_id, wish)
             if not isinstance(verdict, Won):
                 return verdict
             self.claim = verdict.claim
@@ -100,7 +100,9 @@
             call,
             self.context.settings.service_timeout_s,
         )
-        if isinstance(result, HttpResponse) and self.context.holder.current.is_far(slot.region):
+        if isinstance(result, HttpResponse) and self.context.view_holder.current.is_cross_region(
+            slot.region
+        ):
             self.context.metrics.region_bytes.inc(len(request.body) + len(result.body))
         return result
 
--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -9,7 +9,7 @@
 from bluebellpitch.events import Ring
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.roles.claiming import ClaimRole
-from bluebellpitch.roles.seeking import SlotRole
+from bluebellpitch.roles.slot_client import SlotClient
 from bluebellpitch.roles.striking import StrikeRole
 from bluebellpitch.settings import Settings
 from bluebellpitch.view import ViewHolder
@@ -20,13 +20,13 @@
     """One VM's parts, as its request tasks see them."""
 
     settings: Settings
-    holder: ViewHolder
-    slots: SlotRole
+    view_holder: ViewHolder
+    slot_client: SlotClient
     claims: ClaimRole
     connections: EndpointConnections
     strikes: StrikeRole
-    hedges: HedgeBudget
-    ring: Ring
+    hedge_budget: HedgeBudget
+    event_ring: Ring
     metrics: Metrics
     now: Callable[[], float]
     wall: Callable[[], float]
@@ -34,4 +34,4 @@
     @property
     def table(self) -> Table:
         """The present table."""
-        return self.holder.current.table
+        return self.view_holder.current.table
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -59,10 +59,10 @@
 from bluebellpitch.roles.claiming import ClaimRole
 from bluebellpitch.roles.control import ControlRole
 from bluebellpitch.roles.membership import Membership
-from bluebellpitch.roles.seeking import SlotRole
+from bluebellpitch.roles.slot_client import SlotClient
 from bluebellpitch.roles.striking import StrikeRole
 from bluebellpitch.settings import Settings
-from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
+from bluebellpitch.view import ClusterView, ViewHolder, VmState
 
 DRAIN_POLL_S = 0.1
 
@@ -76,46 +76,46 @@
         self.now = now
         incarnation = settings.incarnation or f"{int(wall() * 1000):013x}{uuid4().hex[:4]}"
         identity = VmIdentity(settings.vm, incarnation, settings.bus, settings.admin)
-        own = KnownVm(identity, settings.zone, settings.region, False, -1, 0)
+        own = VmState(identity, settings.zone, settings.region, False, -1, 0)
         self.key = identity.key
-        self.holder = ViewHolder(ClusterView(own))
+        self.view_holder = ViewHolder(ClusterView(own))
         self.clock = HybridClock(wall)
-        self.ring = Ring(settings.vm, self.clock, RING_EVENTS)
+        self.event_ring = Ring(settings.vm, self.clock, RING_EVENTS)
         self.metrics = Metrics()
         self.strikes = StrikeRole(StrikeBook(), self._peers, self._send_strike, now)
-        self.bus = PeerBus(self.key, self.clock, self.metrics, self.take)
+        self.bus = PeerBus(self.key, self.clock, self.metrics, self.handle_message)
         self.control_tail = Tail(self._open_store(), CONTROL_TOPIC, self.metrics, now)
         claims_tail = Tail(self._open_store(), CLAIMS_TOPIC, self.metrics, now)
         self.control_appender = Appender(self._open_store(), CONTROL_TOPIC, self.metrics)
         self.claims_appender = Appender(self._open_store(), CLAIMS_TOPIC, self.metrics)
         self.control = ControlRole(
-            self.holder, self.control_tail, self._open_store(), self.ring, self.metrics
+            self.view_holder, self.control_tail, self._open_store(), self.event_ring, self.metrics
         )
         self.membership = Membership(
-            self.holder,
+            self.view_holder,
             self.bus,
             self.control_appender,
-            self.ring,
+            self.event_ring,
             now,
             settings.peers,
             self._open_store(),
         )
-        self.slots = SlotRole(self.holder, self.bus, self.metrics, now)
+        self.slot_client = SlotClient(self.view_holder, self.bus, self.metrics, now)
         self.brokers = BrokerRole(
-            self.holder,
+            self.view_holder,
             self.bus,
             self.membership.history,
-            self.ring,
+            self.event_ring,
             self.metrics,
             now,
             policy,
-            lambda broker, pool: self.slots.report_held(broker, pool, settings.zone),
+            lambda broker, pool: self.slot_client.report_held_slots(broker, pool, settings.zone),
         )
         self.claims = ClaimRole(
-            self.holder,
+            self.view_holder,
             claims_tail,
             self.claims_appender,
-            self.ring,
+            self.event_ring,
             self.metrics,
             now,
             wall,
@@ -124,58 +124,58 @@
         self.connections = EndpointConnections(now)
         self.context = NodeContext(
             settings=settings,
-            holder=self.holder,
-            slots=self.slots,
+            view_holder=self.view_holder,
+            slot_client=self.slot_client,
             claims=self.claims,
             connections=self.connections,
             strikes=self.strikes,
-            hedges=HedgeBudget(),
-            ring=self.ring,
+            hedge_budget=HedgeBudget(),
+            event_ring=self.event_ring,
             metrics=self.metrics,
             now=now,
             wall=wall,
         )
         self.callers = CallerServer(self.context)
-        self.admin = AdminServer(self.ring, self.metrics, self.describe, self.is_ready)
+        self.admin = AdminServer(self.event_ring, self.metrics, self.build_status, self.is_ready)
         self.draining = asyncio.Event()
 
     def _open_store(self) -> StoreClient:
         """Returns a client for one task: its calls do not overlap."""
         return StoreClient(self.settings.store_address)
 
-    def take(self, sender: str, message: Message) -> None:
+    def handle_message(self, sender: str, message: Message) -> None:
         """Gives a message to the role that it is for."""
         match message:
             case Heartbeat():
                 self._take_heartbeat(sender, message)
             case Granted() | Refused() | Preempted():
-                self.slots.take(sender, message)
+                self.slot_client.handle_message(sender, message)
             case Ask() | Cancel() | Returned() | Held() | Seen() | Forwarded():
-                self.brokers.take(sender, message)
+                self.brokers.handle_message(sender, message)
             case LoanRequest() | LoanGiven() | LoanReturned():
-                self.brokers.take(sender, message)
+                self.brokers.handle_message(sender, message)
             case StrikeNoted() | StrikesCleared() | StrikeKnown():
                 if (confirmation := self.strikes.take(message)) is not None:
                     self.bus.send(sender, confirmation)
             case ControlRecords(entries):
-                self.control.take_entries(entries)
+                self.control.apply_entries(entries)
             case FoldTransfer():
-                self.control.take_transfer(message)
+                self.control.install_transfer(message)
 
     def _take_heartbeat(self, sender: str, beat: Heartbeat) -> None:
-        self.membership.take_heartbeat(beat)
-        if (help_message := self.control.help_peer(sender, beat)) is not None:
+        self.membership.handle_heartbeat(beat)
+        if (help_message := self.control.catch_up_message(sender, beat)) is not None:
             self.bus.send(sender, help_message)
 
     def _peers(self) -> frozenset[str]:
-        return frozenset(self.holder.current.live_by_key.keys() - {self.key})
+        return frozenset(self.view_holder.current.live_by_key.keys() - {self.key})
 
     def _send_strike(self, peer: str, message: StrikeNoted | StrikesCleared) -> None:
         self.bus.send(peer, message)
 
     def is_ready(self) -> bool:
         """Tells the balancer whether to send callers here."""
-        return bool(self.holder.current.table.members_by_name) and not self.draining.is_set()
+        return bool(self.view_holder.current.table.members_by_name) and not self.draining.is_set()
 
     async def run(self) -> None:
         """Serves until told to drain, then drains."""
@@ -204,26 +204,26 @@
             self.claims.expire(),
             self.claims_appender.run(),
             self.membership.run(),
-            self.membership.follow_list(),
+            self.membership.follow_vm_list(),
             self.brokers.run(),
-            self.slots.run(),
+            self.slot_client.run(),
             self.strikes.expire(),
         )
 
     async def _drain(self) -> None:
         """Waits for the balancer, hands roles over, and finishes all that it serves."""
-        self.ring.record(Kind.DRAINING)
+        self.event_ring.record(Kind.DRAINING)
         log("INFO", "draining", in_flight=self.callers.http.busy)
-        self.membership.set_draining()
+        self.membership.start_draining()
         await asyncio.sleep(self.settings.drain_notice_s)
         self.callers.http.stop_listening()
-        while self.callers.http.busy or self.claims.backlog():
+        while self.callers.http.busy or self.claims.unfinished_appends():
             await asyncio.sleep(DRAIN_POLL_S)
         await self.membership.unregister()
 
-    def describe(self) -> VmStatus:
+    def build_status(self) -> VmStatus:
         """Returns this VM's status."""
-        view = self.holder.current
+        view = self.view_holder.current
         unresolved = (
             UnresolvedStatus(claim.key, claim.vm, claim.made_at)
             for claim in self.claims.unresolved()
@@ -237,14 +237,14 @@
             epoch=view.own.epoch,
             in_flight=self.callers.http.busy,
             store_silence_s=self.now() - self.control_tail.answered_at,
-            backlog=self.claims.backlog(),
+            backlog=self.claims.unfinished_appends(),
             live=tuple(sorted(view.live_by_key)),
-            brokers=tuple(describe_broker(b) for b in self.brokers.brokers_by_pool.values()),
+            brokers=tuple(build_broker_status(b) for b in self.brokers.brokers_by_pool.values()),
             unresolved=tuple(unresolved),
         )
 
 
-def describe_broker(broker: Broker) -> BrokerStatus:
+def build_broker_status(broker: Broker) -> BrokerStatus:
     """Returns the status of one pool's broker."""
     classes = tuple(
         ClassStatus(name, broker.queues.count(name), len(broker.running_by_class.get(name, ())))
--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/brokering.py
@@ -67,7 +67,7 @@
         self._loans_asked_at = 0.0
         self._swept_at = 0.0
 
-    def take(self, sender: str, message) -> None:
+    def handle_message(self, sender: str, message) -> None:
         """Handles one message from an asker or another broker."""
         match message:
             case LoanRequest():
@@ -87,7 +87,7 @@
 
     def _pass_on(self, sender: str, message) -> None:
         """Sends a message to the VM that brokers the pool now."""
-        owner = self._holder.current.broker(message.pool, self._zone)
+        owner = self._holder.current.broker_vm(message.pool, self._zone)
         if owner is not None:
             self._bus.send(owner, Forwarded(sender, message))
 
@@ -108,7 +108,7 @@
 
     def _mine(self, pool: str) -> Broker | None:
         """Returns the broker of a pool while it falls to this VM."""
-        if self._holder.current.broker(pool, self._zone) != self._own:
+        if self._holder.current.broker_vm(pool, self._zone) != self._own:
             return None
         if pool not in self.brokers_by_pool:
             self._start_broker(pool)
@@ -230,7 +230,7 @@
     def _is_rebuilt(self, pool: str, now: float) -> bool:
         """Tells whether all live VMs of the zone have told what they hold, or had the time."""
         waited = now - self._started_by_pool[pool] >= REBUILD_S
-        vms = self._holder.current.vms_of(self._zone)
+        vms = self._holder.current.eligible_vms(self._zone)
         return waited or vms <= self._heard_by_pool[pool]
 
     def _export_limits(self, broker: Broker) -> None:
@@ -243,7 +243,7 @@
 
     def _give_up_lost_pools(self) -> None:
         view = self._holder.current
-        lost = [p for p in self.brokers_by_pool if view.broker(p, self._zone) != self._own]
+        lost = [p for p in self.brokers_by_pool if view.broker_vm(p, self._zone) != self._own]
         for pool in lost:
             del self.brokers_by_pool[pool]
             self._borrower(pool).clear()
--- a/bluebellpitch/roles/claiming.py
+++ b/bluebellpitch/roles/claiming.py
@@ -35,7 +35,7 @@
 EXPIRE_INTERVAL_S = 5.0
 
 
-ClaimVerdict = Won | Replay | DidNotRun | MayHaveRun
+ClaimResult = Won | Replay | DidNotRun | MayHaveRun
 
 
 class ClaimRole:
@@ -92,7 +92,7 @@
         """Returns claims that may have run and whose end nobody knows."""
         return self.fold.unresolved(frozenset(self._holder.current.live_by_key))
 
-    async def claim(self, request: str, wish: Wish) -> ClaimVerdict:
+    async def claim_key(self, request: str, wish: Wish) -> ClaimResult:
         """Claims a key for one request."""
         deadline = self._now() + CLAIM_WAIT_S
         attempted: Attempted | None = None
@@ -161,6 +161,6 @@
         while not isinstance(await self._appender.append(record), Appended):
             await asyncio.sleep(APPEND_RETRY_S)
 
-    def backlog(self) -> int:
+    def unfinished_appends(self) -> int:
         """Returns how many outcomes and withdrawals are not in the store yet."""
         return len(self._backlog)
--- a/bluebellpitch/roles/control.py
+++ b/bluebellpitch/roles/control.py
@@ -40,7 +40,7 @@
             if isinstance(page, Truncated):
                 await self._bridge(page.first_kept)
                 continue
-            self.take_entries(
+            self.apply_entries(
                 tuple(Entry(offset, data) for offset, data in enumerate(page.records, page.start))
             )
 
@@ -55,7 +55,7 @@
             log("ERROR", "control_gap", offset=self.fold.offset, first_kept=first_kept)
             await asyncio.sleep(STORE_RETRY_S)
 
-    def take_entries(self, entries: tuple[Entry, ...]) -> None:
+    def apply_entries(self, entries: tuple[Entry, ...]) -> None:
         """Folds records that follow on from the fold, and publishes the result."""
         before = self.fold.offset
         for entry in entries:
@@ -65,7 +65,7 @@
         if self.fold.offset > before:
             self._publish()
 
-    def take_transfer(self, transfer: FoldTransfer) -> None:
+    def install_transfer(self, transfer: FoldTransfer) -> None:
         """Takes a whole fold from a peer, when it is ahead."""
         if self.fold.install(transfer.snapshot):
             self._kept.clear()
@@ -87,7 +87,7 @@
             unsettled_by_zone=self.fold.state.unsettled_by_zone,
         )
 
-    def help_peer(self, sender: str, heartbeat: Heartbeat):
+    def catch_up_message(self, sender: str, heartbeat: Heartbeat):
         """Returns what a peer lacks, once it was seen behind twice in a row; else None."""
         if heartbeat.control_offset >= self.fold.offset:
             self._behind.discard(sender)
@@ -100,13 +100,13 @@
             return ControlRecords(missing)
         return FoldTransfer(self.fold.snapshot())
 
-    async def publish_snapshots(self, every_s: float, now) -> None:
+    async def publish_snapshots(self, interval_s: float, now) -> None:
         """Puts a snapshot into the store before the records that it covers expire."""
         offset, at, turn = -1, now(), 0
         while True:
             await asyncio.sleep(SNAPSHOT_CHECK_S)
             records = self.fold.offset - offset
-            due = records >= SNAPSHOT_EVERY_RECORDS or now() - at > every_s
+            due = records >= SNAPSHOT_EVERY_RECORDS or now() - at > interval_s
             if not (records and due and self._is_publisher()):
                 continue
             covered = self.fold.offset
@@ -125,5 +125,5 @@
 
     def _is_publisher(self) -> bool:
         view = self._holder.current
-        ranked = rank_owners(CONTROL_TOPIC, view.vms_of(view.own.zone))
+        ranked = rank_owners(CONTROL_TOPIC, view.eligible_vms(view.own.zone))
         return ranked[:1] == [view.own.identity.key]
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/membership.py
@@ -23,7 +23,7 @@
 from bluebellpitch.platform.members import MemberRecord, read_members, register, unregister
 from bluebellpitch.platform.records import decode_each
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
+from bluebellpitch.view import ClusterView, ViewHolder, VmState
 
 LIST_INTERVAL_S = 1.0
 CROSS_ZONE_DEAD_AFTER_S = 3 * CROSS_ZONE_HEARTBEAT_INTERVAL_S
@@ -54,29 +54,29 @@
         self._zone = own.zone
         self._proposer = EpochProposer(own.identity, own.zone)
         self.history = EpochHistory()
-        self._heard_by_key: dict[str, tuple[KnownVm, float]] = {}
+        self._heard_by_key: dict[str, tuple[VmState, float]] = {}
         self._listed_by_name: dict[str, MemberRecord] | None = None
         self._ever_listed: set[str] = set()
         self._proposal: asyncio.Task | None = None
         self._cross_zone_at = 0.0
 
-    def take_heartbeat(self, beat: Heartbeat) -> None:
+    def handle_heartbeat(self, beat: Heartbeat) -> None:
         """Notes that a VM is alive. A newer incarnation replaces the older one."""
         rival = next((vm for vm in self._heard() if vm.identity.name == beat.vm.name), None)
         if rival and rival.identity.incarnation > beat.vm.incarnation:
             return
         if rival and rival.identity.incarnation < beat.vm.incarnation:
             del self._heard_by_key[rival.identity.key]
-        known = KnownVm(
+        known = VmState(
             beat.vm, beat.zone, beat.region, beat.draining, beat.control_offset, beat.epoch
         )
         self._heard_by_key[beat.vm.key] = (known, self._now())
         self._bus.know(beat.vm.key, beat.vm.bus)
 
-    def _heard(self) -> Iterator[KnownVm]:
+    def _heard(self) -> Iterator[VmState]:
         return (vm for vm, _ in self._heard_by_key.values())
 
-    def set_draining(self) -> None:
+    def start_draining(self) -> None:
         """Tells peers at once that this VM is leaving."""
         view = self._holder.current
         self._holder.current = replace(view, own=replace(view.own, draining=True))
@@ -111,7 +111,7 @@
         self._holder.current = replace(view, own=own, live_by_key=live)
         self.history.settle({key: vm.epoch for key, vm in live.items()}, self._own_key)
 
-    def _patience_s(self, vm: KnownVm) -> float:
+    def _patience_s(self, vm: VmState) -> float:
         return PEER_DEAD_AFTER_S if vm.zone == self._zone else CROSS_ZONE_DEAD_AFTER_S
 
     def _learn_addresses(self) -> None:
@@ -158,7 +158,7 @@
             addresses.setdefault(listed.zone, set()).add(listed.bus)
         return addresses
 
-    async def follow_list(self) -> None:
+    async def follow_vm_list(self) -> None:
         """Registers this VM and reads the list for ever; an unreachable list is unknown."""
         registered = False
         while True:
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class KnownVm:
+class VmState:
     """An entry VM that is heard from."""
 
     identity: VmIdentity
@@ -24,14 +24,14 @@
 class ClusterView:
     """The table, the epochs and the VMs that are live as far as this VM can tell."""
 
-    own: KnownVm
+    own: VmState
     table: Table = field(default_factory=lambda: Table({}))
     epochs_by_zone: dict[str, Epoch] = field(default_factory=dict)
     unsettled_by_zone: dict[str, tuple[Epoch, ...]] = field(default_factory=dict)
-    live_by_key: dict[str, KnownVm] = field(default_factory=dict)
+    live_by_key: dict[str, VmState] = field(default_factory=dict)
     leaving_endpoints: frozenset[str] = frozenset()
 
-    def vms_of(self, zone: str) -> frozenset[str]:
+    def eligible_vms(self, zone: str) -> frozenset[str]:
         """Returns the VMs of a zone that may hold roles.
 
         Of other zones only some VMs are heard, so their epoch tells; a message to a VM that no
@@ -46,18 +46,20 @@
         keys = frozenset(vm.identity.key for vm in ready)
         return keys & {vm.key for vm in epoch.vms} or keys
 
-    def broker(self, pool: str, zone: str) -> str | None:
+    def broker_vm(self, pool: str, zone: str) -> str | None:
         """Returns the VM key of a pool's broker in a zone."""
-        return broker_of(pool, zone, self.vms_of(zone))
+        return broker_of(pool, zone, self.eligible_vms(zone))
 
-    def zones_for(self, pool: str, request: str) -> list[str]:
+    def zones_by_proximity(self, pool: str, request: str) -> list[str]:
         """Returns the zones that serve a pool: own zone, own region, then the others."""
         zones = self.table.zones_by_pool.get(pool, ())
         ranked = rank_owners(request, (zone for zone, _ in zones))
         regions_by_zone = dict(zones)
-        return sorted(ranked, key=lambda z: (z != self.own.zone, self.is_far(regions_by_zone[z])))
+        return sorted(
+            ranked, key=lambda z: (z != self.own.zone, self.is_cross_region(regions_by_zone[z]))
+        )
 
-    def is_far(self, region: str) -> bool:
+    def is_cross_region(self, region: str) -> bool:
         """Tells whether traffic to a region is paid by volume."""
         return region != self.own.region
 
--- a/measure/baselines.py
+++ b/measure/baselines.py
@@ -10,14 +10,14 @@
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.http1 import fetch
 from bluebellpitch.peers.messages import Ask, Granted
-from bluebellpitch.roles.seeking import Slot
+from bluebellpitch.roles.slot_client import Slot
 
 LOAD_POLL_S = 0.25
 PICKERS = ("round-robin", "least-outstanding", "two-choices")
 
 
 class LocalSlots:
-    """Stands in for SlotRole.
+    """Stands in for SlotClient.
 
     ``round-robin`` keeps one FIFO queue for each VM, which sends at most its part of the slots;
     ``least-outstanding`` and ``two-choices`` send at once, and the engines queue.
@@ -35,7 +35,7 @@
         self._queue: deque[asyncio.Future] = deque()
         self._running = 0
 
-    async def seek(self, ask: Ask, arrived_at, expires_at, is_gone):
+    async def acquire(self, ask: Ask, arrived_at, expires_at, is_gone):
         """Returns a slot; waits only in the FIFO queue of round robin."""
         if self._mode == "round-robin":
             await self._wait_turn(ask.pool)
@@ -70,7 +70,7 @@
         pair = self._random.sample(rows, min(2, len(rows)))
         return min(pair, key=lambda r: self._reported.get(r.name, 0))
 
-    def give_back(self, slot, outcome, first_s=None, between_s=None) -> None:
+    def release(self, slot, outcome, first_s=None, between_s=None) -> None:
         """Takes a slot back."""
         self._metrics.attempts.labels(outcome).inc()
         self._outstanding[slot.granted.endpoint] -= 1
@@ -81,7 +81,7 @@
         else:
             self._running -= 1
 
-    def saw_first(self, slot, seconds) -> None:
+    def report_first_token(self, slot, seconds) -> None:
         """Baselines learn nothing from times."""
 
     async def run(self) -> None:
--- a/measure/variant.py
+++ b/measure/variant.py
@@ -25,8 +25,8 @@
     def __init__(self, settings, environment, policy):
         super().__init__(settings, environment, policy)
         if MODE in PICKERS:
-            local = LocalSlots(MODE, self.holder, self.metrics, self.now)
-            object.__setattr__(self.context, "slots", local)
+            local = LocalSlots(MODE, self.view_holder, self.metrics, self.now)
+            object.__setattr__(self.context, "slot_client", local)
             self.local = local
 
     def _jobs(self):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -144,7 +144,7 @@
     Mutant(
         "a VM that drains finishes its requests",
         "bluebellpitch/node.py",
-        "        while self.callers.http.busy or self.claims.backlog():\n"
+        "        while self.callers.http.busy or self.claims.unfinished_appends():\n"
         "            await asyncio.sleep(DRAIN_POLL_S)\n",
         "",
         "tests/test_streams.py::test_all_vms_replaced_one_after_another_fail_no_request",
--- a/tests/test_brokering.py
+++ b/tests/test_brokering.py
@@ -14,7 +14,7 @@
 from bluebellpitch.events import Ring
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.roles.brokering import BrokerRole
-from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
+from bluebellpitch.view import ClusterView, ViewHolder, VmState
 
 POOL, ZONE = "pool", "z"
 
@@ -26,8 +26,8 @@
         return None
 
 
-def known(name: str) -> KnownVm:
-    return KnownVm(VmIdentity(name, "1", "bus", "admin"), ZONE, "r", False, 0, 0)
+def known(name: str) -> VmState:
+    return VmState(VmIdentity(name, "1", "bus", "admin"), ZONE, "r", False, 0, 0)
 
 
 def test_pool_that_was_lost_and_taken_back_gives_other_grant_ids():
