Reword the roles, the view and the node; rename their private identifiers

Comments and docstrings say what the code does in the usual terms, and private names follow. No string that leaves the process changes.

--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -1,4 +1,4 @@
-"""What the tasks that serve callers are given: the VM's roles, books and clocks."""
+"""Dependencies of the tasks that serve callers: the VM's roles, budgets and clocks."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True)
 class NodeContext:
-    """One VM's parts, as its request tasks see them."""
+    """Components of one VM that its request tasks use."""
 
     settings: Settings
     view_holder: ViewHolder
@@ -33,5 +33,5 @@
 
     @property
     def table(self) -> Table:
-        """The present table."""
+        """The current table."""
         return self.view_holder.current.table
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -1,4 +1,4 @@
-"""One entry VM: its tasks, and which of them gets each message."""
+"""One entry VM: builds its components, runs their tasks and dispatches peer messages."""
 
 import asyncio
 import signal
@@ -68,7 +68,7 @@
 
 
 class Node:
-    """Wires the parts of one VM together."""
+    """Wires the components of one VM together."""
 
     def __init__(self, settings: Settings, environment: Environment, policy: Policy):
         now, wall = environment.now, environment.wall
@@ -82,14 +82,18 @@
         self.clock = HybridClock(wall)
         self.event_ring = Ring(settings.vm, self.clock, RING_EVENTS)
         self.metrics = Metrics()
-        self.strikes = StrikeRole(StrikeBook(), self._peers, self._send_strike, now)
+        self.strikes = StrikeRole(StrikeBook(), self._peer_keys, self._send_strike, now)
         self.bus = PeerBus(self.key, self.clock, self.metrics, self.handle_message)
-        self.control_tail = Tail(self._open_store(), CONTROL_TOPIC, self.metrics, now)
-        claims_tail = Tail(self._open_store(), CLAIMS_TOPIC, self.metrics, now)
-        self.control_appender = Appender(self._open_store(), CONTROL_TOPIC, self.metrics)
-        self.claims_appender = Appender(self._open_store(), CLAIMS_TOPIC, self.metrics)
+        self.control_tail = Tail(self._create_store_client(), CONTROL_TOPIC, self.metrics, now)
+        claims_tail = Tail(self._create_store_client(), CLAIMS_TOPIC, self.metrics, now)
+        self.control_appender = Appender(self._create_store_client(), CONTROL_TOPIC, self.metrics)
+        self.claims_appender = Appender(self._create_store_client(), CLAIMS_TOPIC, self.metrics)
         self.control = ControlRole(
-            self.view_holder, self.control_tail, self._open_store(), self.event_ring, self.metrics
+            self.view_holder,
+            self.control_tail,
+            self._create_store_client(),
+            self.event_ring,
+            self.metrics,
         )
         self.membership = Membership(
             self.view_holder,
@@ -98,7 +102,7 @@
             self.event_ring,
             now,
             settings.peers,
-            self._open_store(),
+            self._create_store_client(),
         )
         self.slot_client = SlotClient(self.view_holder, self.bus, self.metrics, now)
         self.brokers = BrokerRole(
@@ -139,15 +143,15 @@
         self.admin = AdminServer(self.event_ring, self.metrics, self.build_status, self.is_ready)
         self.draining = asyncio.Event()
 
-    def _open_store(self) -> StoreClient:
-        """Returns a client for one task: its calls do not overlap."""
+    def _create_store_client(self) -> StoreClient:
+        """Returns a client for one task; calls of one client must not overlap."""
         return StoreClient(self.settings.store_address)
 
     def handle_message(self, sender: str, message: Message) -> None:
-        """Gives a message to the role that it is for."""
+        """Dispatches a message to the role that handles it."""
         match message:
             case Heartbeat():
-                self._take_heartbeat(sender, message)
+                self._handle_heartbeat(sender, message)
             case Granted() | Refused() | Preempted():
                 self.slot_client.handle_message(sender, message)
             case Ask() | Cancel() | Returned() | Held() | Seen() | Forwarded():
@@ -162,23 +166,23 @@
             case FoldTransfer():
                 self.control.install_transfer(message)
 
-    def _take_heartbeat(self, sender: str, beat: Heartbeat) -> None:
-        self.membership.handle_heartbeat(beat)
-        if (help_message := self.control.catch_up_message(sender, beat)) is not None:
-            self.bus.send(sender, help_message)
+    def _handle_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
+        self.membership.handle_heartbeat(heartbeat)
+        if (catch_up := self.control.catch_up_message(sender, heartbeat)) is not None:
+            self.bus.send(sender, catch_up)
 
-    def _peers(self) -> frozenset[str]:
+    def _peer_keys(self) -> frozenset[str]:
         return frozenset(self.view_holder.current.live_by_key.keys() - {self.key})
 
     def _send_strike(self, peer: str, message: StrikeNoted | StrikesCleared) -> None:
         self.bus.send(peer, message)
 
     def is_ready(self) -> bool:
-        """Tells the balancer whether to send callers here."""
+        """Tells the load balancer whether this VM accepts callers."""
         return bool(self.view_holder.current.table.members_by_name) and not self.draining.is_set()
 
     async def run(self) -> None:
-        """Serves until told to drain, then drains."""
+        """Serves until a signal starts the drain, then drains and stops."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.draining.set)
         loop.add_signal_handler(signal.SIGINT, self.draining.set)
@@ -211,7 +215,7 @@
         )
 
     async def _drain(self) -> None:
-        """Waits for the balancer, hands roles over, and finishes all that it serves."""
+        """Hands roles over, lets the load balancer notice, and finishes all requests in flight."""
         self.event_ring.record(Kind.DRAINING)
         log("INFO", "draining", in_flight=self.callers.http.busy)
         self.membership.start_draining()
--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/brokering.py
@@ -1,4 +1,4 @@
-"""Brokers the pools of this zone that fall to this VM, and lends and borrows limit floors."""
+"""Runs the brokers of the pools that this VM owns in its zone; lends and borrows limit floors."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -30,123 +30,124 @@
 )
 from bluebellpitch.view import ViewHolder
 
-TICK_S = 0.05
-REBUILD_S = 1.0
-GRANT_TAG_CHARACTERS = 8
+TICK_INTERVAL_S = 0.05
+REBUILD_TIMEOUT_S = 1.0
+GRANT_TAG_LENGTH = 8
 
 
 class BrokerRole:
-    """Owns the brokers of this VM. Messages come through ``take``."""
+    """Owns the brokers of this VM. Incoming messages are passed to ``handle_message``."""
 
     def __init__(
         self,
-        holder: ViewHolder,
+        view_holder: ViewHolder,
         bus: PeerBus,
         history: EpochHistory,
-        ring: Ring,
+        event_ring: Ring,
         metrics: Metrics,
         now: Callable[[], float],
         policy: Policy,
-        report_held: Callable[[str, str], None],
+        report_held_slots: Callable[[str, str], None],
     ):
-        self._holder = holder
+        self._view_holder = view_holder
         self._bus = bus
         self._history = history
-        self._ring = ring
+        self._event_ring = event_ring
         self._metrics = metrics
         self._now = now
         self._policy = policy
-        self._report_held = report_held
-        self._own = holder.current.own.identity.key
-        self._zone = holder.current.own.zone
+        self._report_held_slots = report_held_slots
+        self._own_key = view_holder.current.own.identity.key
+        self._zone = view_holder.current.own.zone
         self.brokers_by_pool: dict[str, Broker] = {}
         self._borrowers_by_pool: dict[str, Borrower] = {}
-        self._heard_by_pool: dict[str, set[str]] = {}
-        self._started_by_pool: dict[str, float] = {}
+        self._reporters_by_pool: dict[str, set[str]] = {}
+        self._started_at_by_pool: dict[str, float] = {}
         self._lender = Lender()
-        self._loans_asked_at = 0.0
+        self._loans_requested_at = 0.0
         self._swept_at = 0.0
 
     def handle_message(self, sender: str, message) -> None:
-        """Handles one message from an asker or another broker."""
+        """Handles one message from a requesting VM or from another broker."""
         match message:
             case LoanRequest():
                 self._lend(sender, message)
             case LoanGiven(pool, epoch, asked_at):
                 self._borrower(pool).record(sender, epoch, asked_at)
-                self._heard_by_pool.setdefault(pool, set()).add(sender)
+                self._reporters_by_pool.setdefault(pool, set()).add(sender)
             case LoanReturned(pool):
                 self._lender.release(pool, sender)
             case Forwarded(origin, inner):
-                if broker := self._mine(inner.pool):
-                    self._take_asker(broker, origin, inner)
-            case _ if broker := self._mine(message.pool):
-                self._take_asker(broker, sender, message)
+                if broker := self._owned_broker(inner.pool):
+                    self._handle_request(broker, origin, inner)
+            case _ if broker := self._owned_broker(message.pool):
+                self._handle_request(broker, sender, message)
             case _:
-                self._pass_on(sender, message)
+                self._forward(sender, message)
 
-    def _pass_on(self, sender: str, message) -> None:
-        """Sends a message to the VM that brokers the pool now."""
-        owner = self._holder.current.broker_vm(message.pool, self._zone)
-        if owner is not None:
-            self._bus.send(owner, Forwarded(sender, message))
+    def _forward(self, sender: str, message) -> None:
+        """Forwards a message to the VM that brokers the pool now."""
+        broker_key = self._view_holder.current.broker_vm(message.pool, self._zone)
+        if broker_key is not None:
+            self._bus.send(broker_key, Forwarded(sender, message))
 
-    def _take_asker(self, broker: Broker, asker: str, message) -> None:
+    def _handle_request(self, broker: Broker, requester: str, message) -> None:
         now = self._now()
         match message:
             case Ask():
-                self._obey(broker, broker.ask(to_waiting(message, asker, now), now))
+                self._execute(broker, broker.ask(to_broker_clock(message, requester, now), now))
             case Cancel(request):
-                self._obey(broker, broker.cancel(request, now))
+                self._execute(broker, broker.cancel(request, now))
             case Returned(grant, _, _, outcome, first_s, between_s):
                 finished = Finished(grant, outcome, first_s, between_s)
-                self._obey(broker, broker.finish(finished, now))
+                self._execute(broker, broker.finish(finished, now))
             case Seen(grant, _, measure, seconds):
                 broker.observe(grant, measure, seconds, now)
             case Held(_, grants):
-                self._take_held(broker, asker, grants)
+                self._reconcile_held_grants(broker, requester, grants)
 
-    def _mine(self, pool: str) -> Broker | None:
-        """Returns the broker of a pool while it falls to this VM."""
-        if self._holder.current.broker_vm(pool, self._zone) != self._own:
+    def _owned_broker(self, pool: str) -> Broker | None:
+        """Returns the broker of a pool, starting it if needed; None if another VM owns the pool."""
+        if self._view_holder.current.broker_vm(pool, self._zone) != self._own_key:
             return None
         if pool not in self.brokers_by_pool:
             self._start_broker(pool)
         return self.brokers_by_pool[pool]
 
     def _start_broker(self, pool: str) -> None:
-        # Started anew after a loss, the broker must not repeat grant ids that are still held.
-        tag = digest_text(self._own, pool, repr(self._now()))[:GRANT_TAG_CHARACTERS]
-        broker = Broker(pool, self._zone, self._limit_of(pool), self._policy, tag)
-        view = self._holder.current
+        # The tag includes the start time: a broker that lost the pool and took it back must not
+        # reuse ids of grants that are still held.
+        tag = digest_text(self._own_key, pool, repr(self._now()))[:GRANT_TAG_LENGTH]
+        broker = Broker(pool, self._zone, self._make_limit_rule(pool), self._policy, tag)
+        view = self._view_holder.current
         broker.set_table(view.table, view.leaving_endpoints)
         broker.paused = True
         self.brokers_by_pool[pool] = broker
-        self._started_by_pool[pool] = self._now()
-        self._heard_by_pool[pool] = set()
-        self._ring.record(Kind.ROLE_TAKEN, detail=f"broker={self._zone}/{pool}")
-        self._ask_loans(pool)
+        self._started_at_by_pool[pool] = self._now()
+        self._reporters_by_pool[pool] = set()
+        self._event_ring.record(Kind.ROLE_TAKEN, detail=f"broker={self._zone}/{pool}")
+        self._request_loans(pool)
 
-    def _limit_of(self, pool: str) -> Callable[[MemberRow, float], int]:
-        """Returns the limit rule of a pool; the answers hold while nothing under them changes."""
-        answers: dict[str, int] = {}
-        basis: tuple = ()
+    def _make_limit_rule(self, pool: str) -> Callable[[MemberRow, float], int]:
+        """Returns the member limit rule of a pool, which caches limits until an input changes."""
+        limits_by_member: dict[str, int] = {}
+        cached_inputs: tuple = ()
 
         def limit_of(member: MemberRow, now: float) -> int:
-            nonlocal basis
-            table = self._holder.current.table
+            nonlocal cached_inputs
+            table = self._view_holder.current.table
             lenders = self._borrower(pool).lenders(self._history.number, now)
-            current = (table.offset, self._history.settled, self._history.number, lenders)
-            if current != basis:
-                answers.clear()
-                basis = current
-            if member.name not in answers:
-                answers[member.name] = self._work_out_limit(table, pool, member, lenders)
-            return answers[member.name]
+            inputs = (table.offset, self._history.settled, self._history.number, lenders)
+            if inputs != cached_inputs:
+                limits_by_member.clear()
+                cached_inputs = inputs
+            if member.name not in limits_by_member:
+                limits_by_member[member.name] = self._compute_limit(table, pool, member, lenders)
+            return limits_by_member[member.name]
 
         return limit_of
 
-    def _work_out_limit(self, table: Table, pool: str, member: MemberRow, lenders) -> int:
+    def _compute_limit(self, table: Table, pool: str, member: MemberRow, lenders) -> int:
         slots_by_zone = table.slots_by_zone(pool)
         share = zone_share(member.limit, member.name, pool, self._zone, slots_by_zone)
         return usable_limit(self._history, lenders, share, f"{member.name}/{pool}")
@@ -154,17 +155,19 @@
     def _borrower(self, pool: str) -> Borrower:
         return self._borrowers_by_pool.setdefault(pool, Borrower())
 
-    def _take_held(self, broker: Broker, sender: str, grants: tuple[HeldGrant, ...]) -> None:
+    def _reconcile_held_grants(
+        self, broker: Broker, sender: str, grants: tuple[HeldGrant, ...]
+    ) -> None:
         now = self._now()
         for held in grants:
             if not broker.confirm(held.grant, now) and (details := held.details) is not None:
-                work = to_waiting(details.ask, sender, now)
-                since = now - details.held_s
-                broker.adopt(Running(held.grant, work, details.endpoint, since, now))
+                work = to_broker_clock(details.ask, sender, now)
+                granted_at = now - details.held_s
+                broker.adopt(Running(held.grant, work, details.endpoint, granted_at, now))
             if held.between_s is not None:
                 broker.observe(held.grant, "between", held.between_s, now)
 
-    def _obey(self, broker: Broker, commands: Iterable[Command]) -> None:
+    def _execute(self, broker: Broker, commands: Iterable[Command]) -> None:
         for command in commands:
             match command:
                 case Grant():
@@ -180,78 +183,78 @@
 
     def _send_grant(self, grant: Grant) -> None:
         running = grant.running
-        row = self._holder.current.table.endpoints_by_name.get(running.endpoint)
-        if row is None:
+        endpoint = self._view_holder.current.table.endpoints_by_name.get(running.endpoint)
+        if endpoint is None:
             return
         work = running.work
         granted = Granted(
             running.grant,
             work.request,
             work.attempt,
-            row.name,
-            row.address,
+            endpoint.name,
+            endpoint.address,
             grant.expected_first_s,
             grant.expected_between_s,
         )
         self._bus.send(work.asker, granted)
 
     async def run(self) -> None:
-        """Drives time: schedules, sweeps, borrows and follows ownership."""
+        """Runs ``tick`` periodically until cancelled."""
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_INTERVAL_S)
             self.tick()
 
     def tick(self) -> None:
-        """Does what is due now."""
+        """Runs whatever is due: pool ownership, loans, scheduling and sweeps of stale grants."""
         now = self._now()
-        self._give_up_lost_pools()
-        if now - self._loans_asked_at >= LOAN_INTERVAL_S:
-            self._loans_asked_at = now
+        self._drop_lost_pools()
+        if now - self._loans_requested_at >= LOAN_INTERVAL_S:
+            self._loans_requested_at = now
             for pool in self._pools_of_zone():
-                self._mine(pool)
+                self._owned_broker(pool)
             for pool in self.brokers_by_pool:
-                self._ask_loans(pool)
-        sweep = now - self._swept_at >= PEER_DEAD_AFTER_S / 4
+                self._request_loans(pool)
+        sweep_due = now - self._swept_at >= PEER_DEAD_AFTER_S / 4
         for broker in tuple(self.brokers_by_pool.values()):
-            self._tick_broker(broker, sweep, now)
-        if sweep:
+            self._tick_broker(broker, sweep_due, now)
+        if sweep_due:
             self._swept_at = now
 
-    def _tick_broker(self, broker: Broker, sweep: bool, now: float) -> None:
-        view = self._holder.current
+    def _tick_broker(self, broker: Broker, sweep_due: bool, now: float) -> None:
+        view = self._view_holder.current
         if broker.table is not view.table or broker.leaving != view.leaving_endpoints:
             broker.set_table(view.table, view.leaving_endpoints)
         broker.paused = broker.paused and not self._is_rebuilt(broker.pool, now)
-        self._obey(broker, broker.tick(now))
-        if sweep:
-            self._obey(broker, broker.drop_unconfirmed(now))
+        self._execute(broker, broker.tick(now))
+        if sweep_due:
+            self._execute(broker, broker.drop_unconfirmed(now))
             self._export_limits(broker)
 
     def _is_rebuilt(self, pool: str, now: float) -> bool:
-        """Tells whether all live VMs of the zone have told what they hold, or had the time."""
-        waited = now - self._started_by_pool[pool] >= REBUILD_S
-        vms = self._holder.current.eligible_vms(self._zone)
-        return waited or vms <= self._heard_by_pool[pool]
+        """Tells whether all live VMs of the zone reported what they hold, or the wait timed out."""
+        timed_out = now - self._started_at_by_pool[pool] >= REBUILD_TIMEOUT_S
+        vms = self._view_holder.current.eligible_vms(self._zone)
+        return timed_out or vms <= self._reporters_by_pool[pool]
 
     def _export_limits(self, broker: Broker) -> None:
         for member, count in tuple(broker.in_use_by_member.items())[:MEMBERS_WITH_OWN_LABEL]:
             self._metrics.limit_in_use.labels(broker.pool, member).set(count)
 
     def _pools_of_zone(self) -> list[str]:
-        zones_by_pool = self._holder.current.table.zones_by_pool
+        zones_by_pool = self._view_holder.current.table.zones_by_pool
         return [p for p, zones in zones_by_pool.items() if self._zone in dict(zones)]
 
-    def _give_up_lost_pools(self) -> None:
-        view = self._holder.current
-        lost = [p for p in self.brokers_by_pool if view.broker_vm(p, self._zone) != self._own]
+    def _drop_lost_pools(self) -> None:
+        view = self._view_holder.current
+        lost = [p for p in self.brokers_by_pool if view.broker_vm(p, self._zone) != self._own_key]
         for pool in lost:
             del self.brokers_by_pool[pool]
             self._borrower(pool).clear()
-            self._ring.record(Kind.ROLE_GIVEN_UP, detail=f"broker={self._zone}/{pool}")
+            self._event_ring.record(Kind.ROLE_GIVEN_UP, detail=f"broker={self._zone}/{pool}")
             for vm in view.live_by_key:
                 self._bus.send(vm, LoanReturned(pool))
 
-    def _ask_loans(self, pool: str) -> None:
+    def _request_loans(self, pool: str) -> None:
         epoch = self._history.current
         if epoch is None:
             return
@@ -260,25 +263,25 @@
             self._bus.send(vm.key, request)
 
     def _lend(self, sender: str, request: LoanRequest) -> None:
-        """Lends this VM's floors, unless it knows another epoch or another broker has them.
+        """Lends this VM's floors, unless it is in another epoch or another broker holds them.
 
-        Only a VM of the epoch may borrow: others need not have left an epoch for it to be settled.
-        What this VM holds goes ahead of the loan, so that the broker counts it first.
+        Only a VM of the epoch may borrow: an epoch can settle before other VMs have left it.
+        The held slots are reported before the loan, so that the broker counts them first.
         """
         epoch = self._history.current
         if epoch is None or epoch.number != request.epoch or not self._history.holds(sender):
             return
         if self._lender.lend(request.pool, sender, self._now()):
-            self._report_held(sender, request.pool)
+            self._report_held_slots(sender, request.pool)
             self._bus.send(sender, LoanGiven(request.pool, request.epoch, request.asked_at))
 
 
-def to_waiting(ask: Ask, asker: str, now: float) -> Waiting:
-    """Returns an ask on the broker's own clock."""
+def to_broker_clock(ask: Ask, requester: str, now: float) -> Waiting:
+    """Returns a request with its times converted to the broker's clock."""
     return Waiting(
         request=ask.request,
         attempt=ask.attempt,
-        asker=asker,
+        asker=requester,
         member=ask.member,
         class_name=ask.class_name,
         arrived_at=now - ask.age_s,
--- a/bluebellpitch/roles/claiming.py
+++ b/bluebellpitch/roles/claiming.py
@@ -1,4 +1,4 @@
-"""At most once: claims keys in the store before a request that must not repeat is sent."""
+"""At-most-once execution: claims idempotency keys in the store before a request is dispatched."""
 
 import asyncio
 from collections.abc import Callable
@@ -39,34 +39,34 @@
 
 
 class ClaimRole:
-    """Owns the claims fold of this VM."""
+    """Owns this VM's copy of the claims topic, and claims keys for its requests."""
 
     def __init__(
         self,
-        holder: ViewHolder,
+        view_holder: ViewHolder,
         tail: Tail,
         appender: Appender,
-        ring: Ring,
+        event_ring: Ring,
         metrics: Metrics,
         now: Callable[[], float],
         wall: Callable[[], float],
         horizon_s: float,
     ):
-        self._holder = holder
+        self._view_holder = view_holder
         self._tail = tail
         self._appender = appender
-        self._ring = ring
+        self._event_ring = event_ring
         self._metrics = metrics
         self._now = now
         self._wall = wall
         self._horizon_s = horizon_s
-        self._own = holder.current.own.identity.key
+        self._own_key = view_holder.current.own.identity.key
         self.fold = ClaimsFold(horizon_s)
-        self._changed = asyncio.Event()
-        self._backlog: set[asyncio.Task] = set()
+        self._fold_changed = asyncio.Event()
+        self._unfinished_appends: set[asyncio.Task] = set()
 
     async def follow_log(self) -> None:
-        """Folds the claims topic for ever."""
+        """Applies the records of the claims topic until cancelled."""
         async for page in self._tail.pages(lambda: self.fold.offset + 1):
             if isinstance(page, Truncated):
                 log("WARNING", "claims_expired", wanted=self.fold.offset + 1, first=page.first_kept)
@@ -75,33 +75,33 @@
             for offset, data in enumerate(page.records, page.start):
                 self.fold.apply(offset, data, self._wall())
             if page.records:
-                self._wake()
+                self._notify_waiters()
 
-    def _wake(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+    def _notify_waiters(self) -> None:
+        self._fold_changed.set()
+        self._fold_changed = asyncio.Event()
 
     async def expire(self) -> None:
-        """Forgets old keys, and counts unresolved ones, until cancelled."""
+        """Drops expired keys and updates the metric of unresolved claims until cancelled."""
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
             self.fold.expire(self._wall())
             self._metrics.unresolved.set(len(self.unresolved()))
 
     def unresolved(self) -> tuple[Claim, ...]:
-        """Returns claims that may have run and whose end nobody knows."""
-        return self.fold.unresolved(frozenset(self._holder.current.live_by_key))
+        """Returns claims whose request may have run and whose outcome is unknown."""
+        return self.fold.unresolved(frozenset(self._view_holder.current.live_by_key))
 
     async def claim_key(self, request: str, wish: Wish) -> ClaimResult:
-        """Claims a key for one request."""
+        """Claims a key for one request, or returns why it must not run."""
         deadline = self._now() + CLAIM_WAIT_S
         attempted: Attempted | None = None
         while True:
-            changed = self._changed
+            changed = self._fold_changed
             expired = self._now() >= deadline
             match next_step(self.fold, wish, attempted, self._wall(), expired):
                 case Won(claim) as won:
-                    self._ring.record(Kind.CLAIMED, request, detail=claim.id)
+                    self._event_ring.record(Kind.CLAIMED, request, detail=claim.id)
                     return won
                 case Replay() as replay:
                     return replay
@@ -110,13 +110,13 @@
                         self.withdraw(attempted.claim)
                     return verdict
                 case SendClaim():
-                    claim = Claim(uuid4().hex, wish.key, wish.body, self._own, wish.made_at)
-                    attempted = await self._try_claim(claim, deadline)
+                    claim = Claim(uuid4().hex, wish.key, wish.body, self._own_key, wish.made_at)
+                    attempted = await self._append_claim(claim, deadline)
                 case _:
-                    await self._wait(changed, deadline)
+                    await self._wait_for_change(changed, deadline)
 
-    async def _try_claim(self, claim: Claim, deadline: float) -> Attempted | None:
-        """Appends a claim; None when it is certain that it did not get into the store."""
+    async def _append_claim(self, claim: Claim, deadline: float) -> Attempted | None:
+        """Appends a claim; returns None if it certainly did not reach the store."""
         append = asyncio.ensure_future(self._appender.append(encode_claim(claim)))
         done, _ = await asyncio.wait({append}, timeout=max(0.0, deadline - self._now()))
         if not done:
@@ -129,7 +129,7 @@
                 return None
         return Attempted(claim)
 
-    async def _wait(self, changed: asyncio.Event, deadline: float) -> None:
+    async def _wait_for_change(self, changed: asyncio.Event, deadline: float) -> None:
         try:
             async with asyncio.timeout(max(0.0, deadline - self._now())):
                 await changed.wait()
@@ -137,30 +137,30 @@
             return
 
     def withdraw(self, claim: Claim) -> None:
-        """Voids a claim of this VM that was never dispatched; goes on until it is in the store."""
-        self._ring.record(Kind.WITHDRAWN, detail=claim.id)
+        """Withdraws a claim of this VM that was never dispatched; retries until it is stored."""
+        self._event_ring.record(Kind.WITHDRAWN, detail=claim.id)
         record = Withdrawal(uuid4().hex, claim.key, claim.id, claim.made_at)
-        self._keep_appending(encode_claim(record))
+        self._append_in_background(encode_claim(record))
 
     def may_dispatch(self, claim: Claim) -> bool:
-        """Checks the clock again, right before the first byte leaves."""
+        """Checks the horizon again, right before the first byte is sent."""
         return is_within_horizon(claim.made_at, self._wall(), self._horizon_s, HORIZON_MARGIN_S)
 
     def record_outcome(self, request: str, outcome: Outcome) -> None:
-        """Puts an outcome into the store; goes on until it is there."""
-        self._ring.record(Kind.OUTCOME, request, detail=f"{outcome.verdict} {outcome.status}")
-        self._keep_appending(encode_claim(outcome))
+        """Appends an outcome to the store; retries until it is stored."""
+        self._event_ring.record(Kind.OUTCOME, request, detail=f"{outcome.verdict} {outcome.status}")
+        self._append_in_background(encode_claim(outcome))
 
-    def _keep_appending(self, record: bytes) -> None:
-        task = asyncio.create_task(self._append_until_done(record))
-        self._backlog.add(task)
-        task.add_done_callback(self._backlog.discard)
+    def _append_in_background(self, record: bytes) -> None:
+        task = asyncio.create_task(self._append_with_retries(record))
+        self._unfinished_appends.add(task)
+        task.add_done_callback(self._unfinished_appends.discard)
 
-    async def _append_until_done(self, record: bytes) -> None:
-        """A record that lands twice does no harm: the fold takes the first."""
+    async def _append_with_retries(self, record: bytes) -> None:
+        """Retries until the append succeeds. Duplicates are harmless: the first record counts."""
         while not isinstance(await self._appender.append(record), Appended):
             await asyncio.sleep(APPEND_RETRY_S)
 
     def unfinished_appends(self) -> int:
-        """Returns how many outcomes and withdrawals are not in the store yet."""
-        return len(self._backlog)
+        """Returns how many outcomes and withdrawals are not stored yet."""
+        return len(self._unfinished_appends)
--- a/bluebellpitch/roles/control.py
+++ b/bluebellpitch/roles/control.py
@@ -1,4 +1,4 @@
-"""Keeps the control fold current: from the store, or from peers while it is out of reach."""
+"""Keeps the control state current from the store, or from peers while the store is unreachable."""
 
 import asyncio
 from collections import deque
@@ -17,69 +17,71 @@
 from bluebellpitch.platform.topics import CONTROL_TOPIC, SNAPSHOTS_TOPIC
 from bluebellpitch.view import ViewHolder
 
-KEPT_ENTRIES = 256
+RECENT_ENTRIES = 256
 SNAPSHOT_CHECK_S = 1.0
 
 
 class ControlRole:
-    """Owns the control fold and publishes its table and epochs in the view."""
+    """Owns the control fold and publishes its table and epochs to the view."""
 
-    def __init__(self, holder: ViewHolder, tail: Tail, store: StoreClient, ring: Ring, metrics):
-        self._holder = holder
+    def __init__(
+        self, view_holder: ViewHolder, tail: Tail, store: StoreClient, event_ring: Ring, metrics
+    ):
+        self._view_holder = view_holder
         self._tail = tail
         self._store = store
-        self._ring = ring
+        self._event_ring = event_ring
         self._metrics: Metrics = metrics
         self.fold = ControlFold()
-        self._kept: deque[Entry] = deque(maxlen=KEPT_ENTRIES)
-        self._behind: set[str] = set()
+        self._recent_entries: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
+        self._lagging_peers: set[str] = set()
 
     async def follow_log(self) -> None:
-        """Folds the control topic for ever."""
+        """Applies the records of the control topic until cancelled."""
         async for page in self._tail.pages(lambda: self.fold.offset + 1):
             if isinstance(page, Truncated):
-                await self._bridge(page.first_kept)
+                await self._install_snapshot(page.first_kept)
                 continue
             self.apply_entries(
                 tuple(Entry(offset, data) for offset, data in enumerate(page.records, page.start))
             )
 
-    async def _bridge(self, first_kept: int) -> None:
-        """Takes a snapshot in place of records that have expired."""
-        records = await self._tail.newest(SNAPSHOTS_TOPIC)
-        if self.fold.install_latest(join_snapshots(r.value for r in records if r.value)):
-            self._kept.clear()
-            self._publish()
+    async def _install_snapshot(self, first_kept: int) -> None:
+        """Installs a snapshot in place of records that expired in the store."""
+        pieces = await self._tail.newest(SNAPSHOTS_TOPIC)
+        if self.fold.install_latest(join_snapshots(piece.value for piece in pieces if piece.value)):
+            self._recent_entries.clear()
+            self._publish_view()
             log("INFO", "snapshot_installed", offset=self.fold.offset, first_kept=first_kept)
         if self.fold.offset + 1 < first_kept:
             log("ERROR", "control_gap", offset=self.fold.offset, first_kept=first_kept)
             await asyncio.sleep(STORE_RETRY_S)
 
     def apply_entries(self, entries: tuple[Entry, ...]) -> None:
-        """Folds records that follow on from the fold, and publishes the result."""
+        """Applies the records that continue the fold without a gap, and publishes the result."""
         before = self.fold.offset
         for entry in entries:
             if entry.offset == self.fold.offset + 1:
                 self.fold.apply(entry.offset, entry.data)
-                self._kept.append(entry)
+                self._recent_entries.append(entry)
         if self.fold.offset > before:
-            self._publish()
+            self._publish_view()
 
     def install_transfer(self, transfer: FoldTransfer) -> None:
-        """Takes a whole fold from a peer, when it is ahead."""
+        """Installs a peer's complete state if it is ahead of this VM's."""
         if self.fold.install(transfer.snapshot):
-            self._kept.clear()
-            self._publish()
+            self._recent_entries.clear()
+            self._publish_view()
 
-    def _publish(self) -> None:
-        view = self._holder.current
+    def _publish_view(self) -> None:
+        view = self._view_holder.current
         table = self.fold.table
         if table.offset != view.table.offset:
-            self._ring.record(Kind.TABLE, detail=f"offset={table.offset}")
+            self._event_ring.record(Kind.TABLE, detail=f"offset={table.offset}")
             log("INFO", "table", offset=table.offset)
         self._metrics.table_offset.set(self.fold.offset)
         own = replace(view.own, control_offset=self.fold.offset)
-        self._holder.current = replace(
+        self._view_holder.current = replace(
             view,
             own=own,
             table=table,
@@ -88,34 +90,37 @@
         )
 
     def catch_up_message(self, sender: str, heartbeat: Heartbeat):
-        """Returns what a peer lacks, once it was seen behind twice in a row; else None."""
+        """Returns what a peer lacks once two heartbeats in a row show it behind, else None.
+
+        The records that it lacks are sent if they are all still in memory, else the whole state.
+        """
         if heartbeat.control_offset >= self.fold.offset:
-            self._behind.discard(sender)
+            self._lagging_peers.discard(sender)
             return None
-        if sender not in self._behind:
-            self._behind.add(sender)
+        if sender not in self._lagging_peers:
+            self._lagging_peers.add(sender)
             return None
-        missing = tuple(e for e in self._kept if e.offset > heartbeat.control_offset)
+        missing = tuple(e for e in self._recent_entries if e.offset > heartbeat.control_offset)
         if missing and missing[0].offset == heartbeat.control_offset + 1:
             return ControlRecords(missing)
         return FoldTransfer(self.fold.snapshot())
 
     async def publish_snapshots(self, interval_s: float, now) -> None:
-        """Puts a snapshot into the store before the records that it covers expire."""
-        offset, at, turn = -1, now(), 0
+        """Writes snapshots to the store before the records that they cover expire."""
+        published_offset, published_at, sequence = -1, now(), 0
         while True:
             await asyncio.sleep(SNAPSHOT_CHECK_S)
-            records = self.fold.offset - offset
-            due = records >= SNAPSHOT_EVERY_RECORDS or now() - at > interval_s
-            if not (records and due and self._is_publisher()):
+            new_records = self.fold.offset - published_offset
+            due = new_records >= SNAPSHOT_EVERY_RECORDS or now() - published_at > interval_s
+            if not (new_records and due and self._is_publisher()):
                 continue
             covered = self.fold.offset
-            if await self._publish_snapshot(turn):
-                offset, at, turn = covered, now(), turn + 1
+            if await self._publish_snapshot(sequence):
+                published_offset, published_at, sequence = covered, now(), sequence + 1
 
-    async def _publish_snapshot(self, turn: int) -> bool:
+    async def _publish_snapshot(self, sequence: int) -> bool:
         snapshot = self.fold.snapshot()
-        for key, piece in cut_snapshot(snapshot, self._holder.current.own.zone, turn):
+        for key, piece in cut_snapshot(snapshot, self._view_holder.current.own.zone, sequence):
             verdict = await self._store.put(SNAPSHOTS_TOPIC, key, piece)
             if not isinstance(verdict, Appended):
                 log("WARNING", "snapshot_failed", offset=snapshot.offset, reason=verdict.reason)
@@ -124,6 +129,6 @@
         return True
 
     def _is_publisher(self) -> bool:
-        view = self._holder.current
+        view = self._view_holder.current
         ranked = rank_owners(CONTROL_TOPIC, view.eligible_vms(view.own.zone))
         return ranked[:1] == [view.own.identity.key]
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/membership.py
@@ -1,4 +1,4 @@
-"""Who is alive: heartbeats, the VMs' records in the store, and proposals of epochs."""
+"""Tracks which VMs are alive through heartbeats and the store, and proposes epochs."""
 
 import asyncio
 from collections.abc import Callable, Iterator
@@ -25,97 +25,104 @@
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.view import ClusterView, ViewHolder, VmState
 
-LIST_INTERVAL_S = 1.0
+VM_LIST_INTERVAL_S = 1.0
 CROSS_ZONE_DEAD_AFTER_S = 3 * CROSS_ZONE_HEARTBEAT_INTERVAL_S
 
 
 class Membership:
-    """Owns the live set of this VM and its epoch history."""
+    """Owns the set of live VMs as this VM sees it, and the epoch history of its zone."""
 
     def __init__(
         self,
-        holder: ViewHolder,
+        view_holder: ViewHolder,
         bus: PeerBus,
         appender: Appender,
-        ring: Ring,
+        event_ring: Ring,
         now: Callable[[], float],
         seeds: tuple[str, ...],
         store: StoreClient,
     ):
-        self._holder = holder
+        self._view_holder = view_holder
         self._bus = bus
         self._appender = appender
-        self._ring = ring
+        self._event_ring = event_ring
         self._now = now
         self._seeds = seeds
         self._store = store
-        own = holder.current.own
+        own = view_holder.current.own
         self._own_key = own.identity.key
         self._zone = own.zone
         self._proposer = EpochProposer(own.identity, own.zone)
         self.history = EpochHistory()
-        self._heard_by_key: dict[str, tuple[VmState, float]] = {}
-        self._listed_by_name: dict[str, MemberRecord] | None = None
-        self._ever_listed: set[str] = set()
-        self._proposal: asyncio.Task | None = None
-        self._cross_zone_at = 0.0
-
-    def handle_heartbeat(self, beat: Heartbeat) -> None:
-        """Notes that a VM is alive. A newer incarnation replaces the older one."""
-        rival = next((vm for vm in self._heard() if vm.identity.name == beat.vm.name), None)
-        if rival and rival.identity.incarnation > beat.vm.incarnation:
+        self._last_heard_by_key: dict[str, tuple[VmState, float]] = {}
+        self._listed_records_by_name: dict[str, MemberRecord] | None = None
+        self._ever_listed_names: set[str] = set()
+        self._proposal_task: asyncio.Task | None = None
+        self._cross_zone_sent_at = 0.0
+
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Records that a VM is alive. A newer incarnation of a VM replaces the older one."""
+        known_vm = next(
+            (vm for vm in self._heard_vms() if vm.identity.name == heartbeat.vm.name), None
+        )
+        if known_vm and known_vm.identity.incarnation > heartbeat.vm.incarnation:
             return
-        if rival and rival.identity.incarnation < beat.vm.incarnation:
-            del self._heard_by_key[rival.identity.key]
-        known = VmState(
-            beat.vm, beat.zone, beat.region, beat.draining, beat.control_offset, beat.epoch
+        if known_vm and known_vm.identity.incarnation < heartbeat.vm.incarnation:
+            del self._last_heard_by_key[known_vm.identity.key]
+        vm_state = VmState(
+            heartbeat.vm,
+            heartbeat.zone,
+            heartbeat.region,
+            heartbeat.draining,
+            heartbeat.control_offset,
+            heartbeat.epoch,
         )
-        self._heard_by_key[beat.vm.key] = (known, self._now())
-        self._bus.know(beat.vm.key, beat.vm.bus)
+        self._last_heard_by_key[heartbeat.vm.key] = (vm_state, self._now())
+        self._bus.know(heartbeat.vm.key, heartbeat.vm.bus)
 
-    def _heard(self) -> Iterator[VmState]:
-        return (vm for vm, _ in self._heard_by_key.values())
+    def _heard_vms(self) -> Iterator[VmState]:
+        return (vm for vm, _ in self._last_heard_by_key.values())
 
     def start_draining(self) -> None:
-        """Tells peers at once that this VM is leaving."""
-        view = self._holder.current
-        self._holder.current = replace(view, own=replace(view.own, draining=True))
-        self._cross_zone_at = 0.0
+        """Marks this VM as draining and announces it to the peers at once."""
+        view = self._view_holder.current
+        self._view_holder.current = replace(view, own=replace(view.own, draining=True))
+        self._cross_zone_sent_at = 0.0
         self.tick()
 
     async def run(self) -> None:
         """Sends heartbeats and proposes epochs until cancelled."""
         while True:
             self.tick()
-            self._propose()
+            self._propose_epoch()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     def tick(self) -> None:
         """Refreshes the view and sends one round of heartbeats."""
-        self._refresh()
+        self._refresh_view()
         self._send_heartbeats()
 
-    def _refresh(self) -> None:
+    def _refresh_view(self) -> None:
         now = self._now()
-        self._heard_by_key = {
-            key: (vm, at)
-            for key, (vm, at) in self._heard_by_key.items()
-            if now - at < self._patience_s(vm)
+        self._last_heard_by_key = {
+            key: (vm, heard_at)
+            for key, (vm, heard_at) in self._last_heard_by_key.items()
+            if now - heard_at < self._silence_limit_s(vm)
         }
-        view = self._holder.current
-        self._learn_addresses()
+        view = self._view_holder.current
+        self._register_addresses()
         self._adopt_epoch(view)
         own = replace(view.own, epoch=self.history.number)
-        live = {key: vm for key, (vm, _) in self._heard_by_key.items()}
+        live = {key: vm for key, (vm, _) in self._last_heard_by_key.items()}
         live[self._own_key] = own
-        self._holder.current = replace(view, own=own, live_by_key=live)
+        self._view_holder.current = replace(view, own=own, live_by_key=live)
         self.history.settle({key: vm.epoch for key, vm in live.items()}, self._own_key)
 
-    def _patience_s(self, vm: VmState) -> float:
+    def _silence_limit_s(self, vm: VmState) -> float:
         return PEER_DEAD_AFTER_S if vm.zone == self._zone else CROSS_ZONE_DEAD_AFTER_S
 
-    def _learn_addresses(self) -> None:
-        for epoch in self._holder.current.epochs_by_zone.values():
+    def _register_addresses(self) -> None:
+        for epoch in self._view_holder.current.epochs_by_zone.values():
             for vm in epoch.vms:
                 self._bus.know(vm.key, vm.bus)
 
@@ -125,101 +132,108 @@
             return
         self.history.adopt(view.unsettled_by_zone.get(self._zone, ()) + (epoch,))
         names = ",".join(vm.key for vm in epoch.vms)
-        self._ring.record(Kind.EPOCH, detail=f"zone={self._zone} number={epoch.number} {names}")
+        self._event_ring.record(
+            Kind.EPOCH, detail=f"zone={self._zone} number={epoch.number} {names}"
+        )
         log("INFO", "epoch", zone=self._zone, number=epoch.number, vms=names)
 
     def _send_heartbeats(self) -> None:
-        view = self._holder.current
+        view = self._view_holder.current
         own = view.own
-        beat = Heartbeat(
+        heartbeat = Heartbeat(
             own.identity, own.zone, own.region, own.draining, own.control_offset, own.epoch
         )
-        for address in frozenset(self._targets()) - {view.own.identity.bus}:
-            self._bus.send_to_address(address, beat)
+        for address in frozenset(self._heartbeat_addresses()) - {view.own.identity.bus}:
+            self._bus.send_to_address(address, heartbeat)
 
-    def _targets(self) -> Iterator[str]:
-        """Yields bus addresses: all VMs of the zone, and now and then one of each other zone."""
+    def _heartbeat_addresses(self) -> Iterator[str]:
+        """Yields bus addresses: all VMs of this zone, and periodically one of each other zone."""
         addresses_by_zone = self._addresses_by_zone()
         yield from addresses_by_zone.pop(self._zone, set())
-        if self._now() - self._cross_zone_at < CROSS_ZONE_HEARTBEAT_INTERVAL_S:
+        if self._now() - self._cross_zone_sent_at < CROSS_ZONE_HEARTBEAT_INTERVAL_S:
             return
-        self._cross_zone_at = self._now()
+        self._cross_zone_sent_at = self._now()
         for addresses in addresses_by_zone.values():
             yield rank_owners(self._own_key, addresses)[0]
         yield from self._seeds
 
     def _addresses_by_zone(self) -> dict[str, set[str]]:
         addresses: dict[str, set[str]] = {}
-        for vm in self._heard():
+        for vm in self._heard_vms():
             addresses.setdefault(vm.zone, set()).add(vm.identity.bus)
-        for zone, epoch in self._holder.current.epochs_by_zone.items():
+        for zone, epoch in self._view_holder.current.epochs_by_zone.items():
             addresses.setdefault(zone, set()).update(vm.bus for vm in epoch.vms)
-        for listed in (self._listed_by_name or {}).values():
-            addresses.setdefault(listed.zone, set()).add(listed.bus)
+        for record in (self._listed_records_by_name or {}).values():
+            addresses.setdefault(record.zone, set()).add(record.bus)
         return addresses
 
     async def follow_vm_list(self) -> None:
-        """Registers this VM and reads the list for ever; an unreachable list is unknown."""
+        """Registers this VM and polls the VM list until cancelled.
+
+        While the store is unreachable, the list counts as unknown, not as empty.
+        """
         registered = False
         while True:
             if not registered:
                 registered = await self._register()
             try:
-                self._listed_by_name = await read_members(self._store)
-                self._ever_listed.update(self._listed_by_name)
-                self._note_leaving(await self._read_leaving())
+                self._listed_records_by_name = await read_members(self._store)
+                self._ever_listed_names.update(self._listed_records_by_name)
+                self._update_leaving_endpoints(await self._read_leaving_endpoints())
             except BluebellpitchError as error:
-                if self._listed_by_name is not None:
+                if self._listed_records_by_name is not None:
                     log("WARNING", "members_unknown", error=error)
-                self._listed_by_name = None
-            await asyncio.sleep(LIST_INTERVAL_S)
+                self._listed_records_by_name = None
+            await asyncio.sleep(VM_LIST_INTERVAL_S)
 
     async def _register(self) -> bool:
-        own = self._holder.current.own
+        own = self._view_holder.current.own
         record = MemberRecord(own.identity.bus, own.zone, own.identity.admin)
         return await register(self._store, own.identity.name, record)
 
     async def unregister(self) -> None:
-        """Takes this VM's record away: it runs nothing any more."""
-        await unregister(self._store, self._holder.current.own.identity.name)
+        """Deletes this VM's record, once it serves no request any more."""
+        await unregister(self._store, self._view_holder.current.own.identity.name)
 
-    async def _read_leaving(self) -> frozenset[str]:
-        """Returns the endpoints that announce that they will stop, whatever the table says."""
+    async def _read_leaving_endpoints(self) -> frozenset[str]:
+        """Returns the endpoints that announce their own shutdown, independent of the table."""
         records = (await self._store.newest(ENDPOINTS_TOPIC)).records
         entries_by_id = decode_each(records, decode_entry, report_entry)
         return frozenset(id for id, entry in entries_by_id.items() if entry.is_draining)
 
-    def _note_leaving(self, leaving: frozenset[str]) -> None:
-        view = self._holder.current
+    def _update_leaving_endpoints(self, leaving: frozenset[str]) -> None:
+        view = self._view_holder.current
         if leaving != view.leaving_endpoints:
             log("INFO", "leaving_endpoints", names=",".join(sorted(leaving)))
-            self._holder.current = replace(view, leaving_endpoints=leaving)
+            self._view_holder.current = replace(view, leaving_endpoints=leaving)
 
-    def _propose(self) -> None:
-        """Starts to append a proposal when one is due; an outage must not hold heartbeats up."""
-        if self._proposal is not None and not self._proposal.done():
+    def _propose_epoch(self) -> None:
+        """Appends a due proposal in the background: a store outage must not delay heartbeats."""
+        if self._proposal_task is not None and not self._proposal_task.done():
             return
-        epoch = self._holder.current.epochs_by_zone.get(self._zone, Epoch(0, ()))
-        live, gone = self._live_here(), self._gone(epoch)
-        change = self._proposer.decide(epoch, live, gone, self.history.settled, self._now())
+        epoch = self._view_holder.current.epochs_by_zone.get(self._zone, Epoch(0, ()))
+        live, departed = self._live_in_zone(), self._departed_keys(epoch)
+        change = self._proposer.decide(epoch, live, departed, self.history.settled, self._now())
         if change is not None:
             append = self._appender.append(encode_record(change))
-            self._proposal = asyncio.create_task(append)
+            self._proposal_task = asyncio.create_task(append)
 
-    def _gone(self, epoch: Epoch) -> frozenset[str]:
-        """Returns VMs proved to be no more: their records were taken away, or they started anew."""
-        live_by_name = {vm.name: vm for vm in self._live_here()}
+    def _departed_keys(self, epoch: Epoch) -> frozenset[str]:
+        """Returns keys of VMs that certainly stopped: deregistered, or replaced after a restart."""
+        live_by_name = {vm.name: vm for vm in self._live_in_zone()}
         former = epoch.vms + epoch.excluded
         replaced = {
             vm.key
             for vm in former
             if vm.name in live_by_name and live_by_name[vm.name].incarnation > vm.incarnation
         }
-        if self._listed_by_name is None:
+        if self._listed_records_by_name is None:
             return frozenset(replaced)
-        unlisted = self._ever_listed - self._listed_by_name.keys() - live_by_name.keys()
+        unlisted = (
+            self._ever_listed_names - self._listed_records_by_name.keys() - live_by_name.keys()
+        )
         return frozenset(replaced | {vm.key for vm in former if vm.name in unlisted})
 
-    def _live_here(self) -> frozenset[VmIdentity]:
-        live = self._holder.current.live_by_key.values()
+    def _live_in_zone(self) -> frozenset[VmIdentity]:
+        live = self._view_holder.current.live_by_key.values()
         return frozenset(vm.identity for vm in live if vm.zone == self._zone)
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -1,4 +1,4 @@
-"""What this VM knows of the federation, as one frozen value that tasks replace whole."""
+"""This VM's view of the federation: an immutable value that tasks replace as a whole."""
 
 from dataclasses import dataclass, field
 
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VmState:
-    """An entry VM that is heard from."""
+    """State of an entry VM, as its heartbeats report it."""
 
     identity: VmIdentity
     zone: str
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True)
 class ClusterView:
-    """The table, the epochs and the VMs that are live as far as this VM can tell."""
+    """The table, the epochs, and the VMs that this VM considers live."""
 
     own: VmState
     table: Table = field(default_factory=lambda: Table({}))
@@ -32,11 +32,11 @@
     leaving_endpoints: frozenset[str] = frozenset()
 
     def eligible_vms(self, zone: str) -> frozenset[str]:
-        """Returns the VMs of a zone that may hold roles.
+        """Returns keys of the VMs of a zone that may hold roles.
 
-        Of other zones only some VMs are heard, so their epoch tells; a message to a VM that no
-        longer holds a role is passed on there. VMs that are in the epoch go before newcomers, for
-        only they may borrow floors of limits.
+        Only some VMs of other zones send heartbeats here, so the zone's epoch decides; a VM that no
+        longer holds the role forwards the message. VMs in the epoch are preferred to newer ones,
+        because only they may borrow limit floors.
         """
         epoch = self.epochs_by_zone.get(zone, Epoch(0, ()))
         if zone != self.own.zone and epoch.vms:
@@ -47,11 +47,11 @@
         return keys & {vm.key for vm in epoch.vms} or keys
 
     def broker_vm(self, pool: str, zone: str) -> str | None:
-        """Returns the VM key of a pool's broker in a zone."""
+        """Returns the key of the VM that brokers a pool in a zone."""
         return broker_of(pool, zone, self.eligible_vms(zone))
 
     def zones_by_proximity(self, pool: str, request: str) -> list[str]:
-        """Returns the zones that serve a pool: own zone, own region, then the others."""
+        """Returns the zones that serve a pool: own zone first, then own region, then the others."""
         zones = self.table.zones_by_pool.get(pool, ())
         ranked = rank_owners(request, (zone for zone, _ in zones))
         regions_by_zone = dict(zones)
@@ -60,12 +60,12 @@
         )
 
     def is_cross_region(self, region: str) -> bool:
-        """Tells whether traffic to a region is paid by volume."""
+        """Tells whether a region is another than this VM's; such traffic is billed by volume."""
         return region != self.own.region
 
 
 class ViewHolder:
-    """Holds the present view. Membership and control replace it; others read."""
+    """Holds the current view. Membership and the control role replace it; others only read."""
 
     def __init__(self, view: ClusterView):
         self.current = view
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -159,16 +159,16 @@
     Mutant(
         "peers tell a cut-off reader what it lacks",
         "bluebellpitch/node.py",
-        "            self.bus.send(sender, help_message)",
+        "            self.bus.send(sender, catch_up)",
         "            pass",
-        "tests/test_zones.py::test_cut_off_reader_learns_changes_from_its_peers",
+        "tests/test_zones.py::test_vm_without_store_access_learns_changes_from_its_peers",
     ),
     Mutant(
         "a reader that lacks records installs a snapshot",
         "bluebellpitch/decisions/control.py",
         "return any(self.install(snapshot) for snapshot in snapshots)",
         "return False",
-        "tests/test_zones.py::test_vm_boots_from_a_snapshot_alone",
+        "tests/test_zones.py::test_vm_starts_from_a_snapshot_alone",
     ),
     Mutant(
         "route: what may have run and must not repeat is not sent again",
--- a/tests/test_brokering.py
+++ b/tests/test_brokering.py
@@ -1,4 +1,4 @@
-"""The broker role as its VM loses a pool and takes it back."""
+"""The broker role while its VM loses a pool and regains it."""
 
 from dataclasses import replace
 
@@ -19,44 +19,46 @@
 POOL, ZONE = "pool", "z"
 
 
-class SilentBus:
-    """Drops all messages."""
+class DiscardingBus:
+    """Discards all messages."""
 
     def send(self, vm_key, message):
         return None
 
 
-def known(name: str) -> VmState:
+def make_vm_state(name: str) -> VmState:
     return VmState(VmIdentity(name, "1", "bus", "admin"), ZONE, "r", False, 0, 0)
 
 
-def test_pool_that_was_lost_and_taken_back_gives_other_grant_ids():
-    """Grants of the first time may still be held, and must not be taken for new ones."""
-    owner, other = known("a"), known("b")
+def test_broker_restarted_after_losing_its_pool_issues_new_grant_ids():
+    """Grants from the first ownership may still be held and must not be confused with new ones."""
+    owner, other = make_vm_state("a"), make_vm_state("b")
     keys = frozenset((owner.identity.key, other.identity.key))
     if broker_of(POOL, ZONE, keys) == owner.identity.key:
         owner, other = other, owner
     row = EndpointRow("e", POOL, ZONE, "r", "127.0.0.1:1", 1, True)
     table = Table({"endpoint/e": VersionedRow(row, 0)}, 0)
-    alone = ClusterView(owner, table, live_by_key={owner.identity.key: owner})
-    both = replace(alone, live_by_key={vm.identity.key: vm for vm in (owner, other)})
-    holder, clock = ViewHolder(alone), [10.0]
-    ring = Ring("vm", HybridClock(lambda: 1.0), 10)
+    single_vm_view = ClusterView(owner, table, live_by_key={owner.identity.key: owner})
+    two_vm_view = replace(
+        single_vm_view, live_by_key={vm.identity.key: vm for vm in (owner, other)}
+    )
+    view_holder, clock = ViewHolder(single_vm_view), [10.0]
+    event_ring = Ring("vm", HybridClock(lambda: 1.0), 10)
     role = BrokerRole(
-        holder,
-        SilentBus(),
+        view_holder,
+        DiscardingBus(),
         EpochHistory(),
-        ring,
+        event_ring,
         Metrics(),
         lambda: clock[0],
         Policy(),
         lambda broker, pool: None,
     )
     role.tick()
-    first = role.brokers_by_pool[POOL].tag
-    holder.current, clock[0] = both, 11.0
+    first_tag = role.brokers_by_pool[POOL].tag
+    view_holder.current, clock[0] = two_vm_view, 11.0
     role.tick()
     assert_that(POOL in role.brokers_by_pool, Equals(False))
-    holder.current, clock[0] = alone, 12.0
+    view_holder.current, clock[0] = single_vm_view, 12.0
     role.tick()
-    assert_that(role.brokers_by_pool[POOL].tag, Not(Equals(first)))
+    assert_that(role.brokers_by_pool[POOL].tag, Not(Equals(first_tag)))
