--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -57,8 +57,8 @@
 from bluebellpitch.platform.topics import CLAIMS_TOPIC, CONTROL_TOPIC
 from bluebellpitch.roles.brokering import BrokerRole
 from bluebellpitch.roles.claiming import ClaimRole
+from bluebellpitch.roles.cluster_membership import ClusterMembership
 from bluebellpitch.roles.control import ControlRole
-from bluebellpitch.roles.membership import Membership
 from bluebellpitch.roles.slot_client import SlotClient
 from bluebellpitch.roles.striking import StrikeRole
 from bluebellpitch.settings import Settings
@@ -95,7 +95,7 @@
             self.event_ring,
             self.metrics,
         )
-        self.membership = Membership(
+        self.membership = ClusterMembership(
             self.view_holder,
             self.bus,
             self.control_appender,
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/cluster_membership.py
@@ -29,7 +29,7 @@
 CROSS_ZONE_DEAD_AFTER_S = 3 * CROSS_ZONE_HEARTBEAT_INTERVAL_S
 
 
-class Membership:
+class ClusterMembership:
     """Owns the set of live VMs as this VM sees it, and the epoch history of its zone."""
 
     def __init__(
