Name the two VMs of the partition test after their side of it

One VM is cut off from the platform and the other is not; the checks are the same. The docstring of the view's holder follows the name of the membership role.

--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -65,7 +65,7 @@
 
 
 class ViewHolder:
-    """Holds the current view. Membership and the control role replace it; others only read."""
+    """Holds the current view. The membership and control roles replace it; others only read."""
 
     def __init__(self, view: ClusterView):
         self.current = view
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -69,7 +69,7 @@
 
 def test_partitioned_zone_keeps_serving_and_converges(run, partitionable_fleet):
     fleet = partitionable_fleet
-    local_vm, remote_vm = fleet.vms_by_name.values()
+    partitioned_vm, connected_vm = fleet.vms_by_name.values()
 
     async def table_offset(vm) -> int:
         return (await read_status(vm.admin))["control_offset"]
@@ -77,24 +77,26 @@
     async def scenario():
         await set_partition(fleet, "doto-1", True)
         await wait(3.0)
-        for vm in (local_vm, remote_vm):
+        for vm in (partitioned_vm, connected_vm):
             answer = await stream(vm.listen, TOKEN, "[len=12] cut off")
             assert_that(answer.text, Equals(answer_to("[len=12] cut off")))
             assert_that((await look_up(vm.listen, TOKEN, "x")).status, Equals(200))
-        refused = await submit(local_vm.listen, TOKEN, "cut-1", "cut-1")
+        refused = await submit(partitioned_vm.listen, TOKEN, "cut-1", "cut-1")
         assert_that(verdict_of(refused), Equals("did_not_run"))
-        served = await submit(remote_vm.listen, TOKEN, "cut-1", "cut-1")
+        served = await submit(connected_vm.listen, TOKEN, "cut-1", "cut-1")
         assert_that(served.status, Equals(200))
         changed = sheet(member("late"), *CLASSES, MODEL, FILING)
-        before = await table_offset(local_vm)
+        before = await table_offset(partitioned_vm)
         status, output = await fleet.apply_sheet(changed, "--onto-current")
         assert_that(status, Equals(0), output)
-        await wait_until(lambda: has_passed(remote_vm, before), "the reachable zone has the change")
-        assert_that(await table_offset(local_vm), Equals(before))
+        await wait_until(
+            lambda: has_passed(connected_vm, before), "the reachable zone has the change"
+        )
+        assert_that(await table_offset(partitioned_vm), Equals(before))
         await set_partition(fleet, "doto-1", False)
         healed_at = time.monotonic()
         await wait_until(
-            lambda: has_passed(local_vm, before), "the partitioned zone has the change", 15.0
+            lambda: has_passed(partitioned_vm, before), "the partitioned zone has the change", 15.0
         )
         assert_that(time.monotonic() - healed_at, LessThan(CONVERGENCE_LIMIT_S))
         assert_that(await count_runs(fleet, "cut-1"), Equals(1))
@@ -107,10 +109,10 @@
 
 def test_silently_dead_connections_to_vms_and_platform_are_replaced(run, partitionable_fleet):
     fleet = partitionable_fleet
-    local_vm, _ = fleet.vms_by_name.values()
+    vm, _ = fleet.vms_by_name.values()
 
     async def silence_s() -> float:
-        return (await read_status(local_vm.admin))["store_silence_s"]
+        return (await read_status(vm.admin))["store_silence_s"]
 
     async def store_answers() -> bool:
         return await silence_s() < 1.5
@@ -120,7 +122,7 @@
             await fleet.control(fleet.processes_by_name[name], silence=True)
         await wait(SILENCE_DETECTION_S)
         await wait_until(store_answers, "the store is read again")
-        answer = await submit(local_vm.listen, TOKEN, "silenced", "silenced")
+        answer = await submit(vm.listen, TOKEN, "silenced", "silenced")
         assert_that(answer.status, Equals(200))
 
     run(scenario())
