--- a/bluebellpitch/roles/claiming.py
+++ b/bluebellpitch/roles/claiming.py
@@ -93,7 +93,7 @@
         return self.fold.unresolved(frozenset(self._view_holder.current.live_by_key))
 
     async def claim_key(self, request: str, wish: Wish) -> ClaimResult:
-        """Claims a key for one request, or returns why it must not run."""
+        """Claims a key for one request; returns the claim, a recorded outcome or a refusal."""
         deadline = self._now() + CLAIM_WAIT_S
         attempted: Attempted | None = None
         while True:
