--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -22,7 +22,7 @@
 from bluebellpitch.errors import DisconnectedError
 from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import ServerConnection
-from bluebellpitch.roles.seeking import Slot
+from bluebellpitch.roles.slot_client import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
 FIRST_TOKEN_STALL_FACTOR = 3.0
@@ -64,7 +64,7 @@
     async def run(self) -> Verdict:
         """Handles the request to its end; returns the verdict sent to the caller."""
         self.record_event(EventKind.ADMITTED, detail=f"pool={self.request.pool.name}")
-        self.context.hedges.earn(self.caller.service_class.name)
+        self.context.hedge_budget.earn(self.caller.service_class.name)
         try:
             verdict = await self._serve()
         except DisconnectedError:
@@ -83,7 +83,7 @@
             if isinstance(slot, DidNotRun):
                 return await self._refuse(slot.reason, slot.status, slot.retry_after_s)
             if self._assess_suspicion() > suspicion:
-                self.context.slots.give_back(slot, "cancelled")
+                self.context.slot_client.release(slot, "cancelled")
                 continue
             ending = await self._run_attempt(slot)
             if ending == "completed":
@@ -118,9 +118,9 @@
         """Runs one attempt in a slot; returns its ending."""
         context, progress = self.context, self.progress
         attempt = EngineAttempt(context.connections, slot.granted.address, context.settings.stall_s)
-        slot.preempt = attempt.cancel
-        if slot.preempted_for:
-            attempt.cancel(slot.preempted_for)
+        slot.on_preempt = attempt.cancel
+        if slot.preempt_reason:
+            attempt.cancel(slot.preempt_reason)
         self.endpoint = slot.granted.endpoint
         self.record_event(EventKind.DISPATCHED, self.endpoint, f"attempt={progress.attempt}")
         dispatched_at = context.now()
@@ -131,7 +131,7 @@
         finally:
             is_late = ending == "late" and not slot.tokens
             first_s = context.now() - dispatched_at if is_late else None
-            context.slots.give_back(slot, ending, first_s, slot.between_s())
+            context.slot_client.release(slot, ending, first_s, slot.inter_token_s())
         self.rejection = attempt.rejected
         self._record_ending(slot, ending)
         if ending == "crashed":
@@ -156,16 +156,16 @@
     def _note_events(self, events: bytes, slot: Slot, dispatched_at: float) -> None:
         progress, context, now = self.progress, self.context, self.context.now()
         if slot.last_token_at is None:
-            context.slots.saw_first(slot, now - dispatched_at)
+            context.slot_client.report_first_token(slot, now - dispatched_at)
         if progress.first_token_at is None:
             progress.first_token_at = now
             self.record_event(EventKind.FIRST_TOKEN, slot.granted.endpoint)
         progress.last_token_at = now
         count = count_events(events)
-        slot.note_tokens(count, now)
+        slot.record_tokens(count, now)
         progress.tokens += count
         progress.chunks.append(events)
-        if context.holder.current.is_far(slot.region):
+        if context.view_holder.current.is_cross_region(slot.region):
             context.metrics.region_bytes.inc(len(events))
 
     async def _forward(self, events: bytes) -> None:
@@ -189,7 +189,7 @@
         timeout_s = self.context.settings.stall_s * FIRST_TOKEN_STALL_FACTOR
         if not expected_s or self.progress.hedges >= MAX_HEDGES_PER_REQUEST:
             return timeout_s
-        if not self.context.hedges.allows(self.caller.service_class.name):
+        if not self.context.hedge_budget.allows(self.caller.service_class.name):
             return timeout_s
         hedge_timeout_s = max(MIN_HEDGE_DELAY_S, HEDGE_DELAY_FACTOR * expected_s)
         return min(timeout_s, hedge_timeout_s)
@@ -211,12 +211,12 @@
         match ending:
             case "preempted":
                 progress.preemptions += 1
-                self.record_event(EventKind.PREEMPTED, endpoint, slot.preempted_for)
+                self.record_event(EventKind.PREEMPTED, endpoint, slot.preempt_reason)
             case "crashed":
                 progress.failures += 1
             case "late":
                 progress.hedges += 1
-                self.context.hedges.spend(self.caller.service_class.name)
+                self.context.hedge_budget.spend(self.caller.service_class.name)
                 progress.avoided_endpoints = (endpoint,)
                 self.record_event(EventKind.RETRIED, endpoint, "no first token in time")
             case "stalled" | "unreachable" | "busy":
--- a/bluebellpitch/callers/request_handler.py
+++ b/bluebellpitch/callers/request_handler.py
@@ -5,7 +5,7 @@
 from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import ServerConnection
 from bluebellpitch.peers.messages import SlotRequest
-from bluebellpitch.roles.seeking import Slot
+from bluebellpitch.roles.slot_client import Slot
 from bluebellpitch.verdicts import DidNotRun
 
 
@@ -22,7 +22,7 @@
     def record_event(self, kind: EventKind, endpoint: str = "", detail: str = "") -> None:
         """Adds an event about this request to the timeline."""
         caller = self.caller
-        self.context.ring.record(
+        self.context.event_ring.record(
             kind, caller.request_id, caller.member.name, caller.service_class.name, endpoint, detail
         )
 
@@ -40,7 +40,7 @@
             **fields,
         )
         self.record_event(EventKind.QUEUED, detail=f"attempt={attempt}")
-        slot = await self.context.slots.seek(
+        slot = await self.context.slot_client.acquire(
             ask, caller.arrived_at, expires_at, self.connection.is_disconnected
         )
         if isinstance(slot, Slot):
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -12,7 +12,7 @@
 from bluebellpitch.endpoints.service import ServiceCall, call_service
 from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import HttpResponse, ServerConnection
-from bluebellpitch.roles.seeking import Slot
+from bluebellpitch.roles.slot_client import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
 CallResult = HttpResponse | ReplayOutcome | DidNotRun | MayHaveRun
@@ -79,7 +79,7 @@
                 outcome = "unreachable"
             return result
         finally:
-            self.context.slots.give_back(slot, outcome)
+            self.context.slot_client.release(slot, outcome)
 
     async def _claim_and_call(self, slot: Slot) -> CallResult:
         """Claims only once a slot is held, so that no claim is left behind by a waiting request."""
@@ -87,7 +87,7 @@
             wish = ClaimRequest(
                 self.request.idempotency_key, self.request.digest, self.request.made_at
             )
-            verdict = await self.context.claims.claim(self.caller.request_id, wish)
+            verdict = await self.context.claims.claim_key(self.caller.request_id, wish)
             if not isinstance(verdict, ClaimWon):
                 return verdict
             self.claim = verdict.claim
@@ -106,7 +106,9 @@
             call,
             self.context.settings.service_timeout_s,
         )
-        if isinstance(result, HttpResponse) and self.context.holder.current.is_far(slot.region):
+        if isinstance(result, HttpResponse) and self.context.view_holder.current.is_cross_region(
+            slot.region
+        ):
             self.context.metrics.region_bytes.inc(len(request.body) + len(result.body))
         return result
 
--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -1,4 +1,4 @@
-"""What the tasks that serve callers are given: the VM's roles, books and clocks."""
+"""Dependencies of the tasks that serve callers: the VM's roles, budgets and clocks."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,7 +9,7 @@
 from bluebellpitch.events import EventRing
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.roles.claiming import ClaimRole
-from bluebellpitch.roles.seeking import SlotRole
+from bluebellpitch.roles.slot_client import SlotClient
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.settings import Settings
 from bluebellpitch.view import ViewHolder
@@ -17,21 +17,21 @@
 
 @dataclass(frozen=True)
 class NodeContext:
-    """One VM's parts, as its request tasks see them."""
+    """Components of one VM that its request tasks use."""
 
     settings: Settings
-    holder: ViewHolder
-    slots: SlotRole
+    view_holder: ViewHolder
+    slot_client: SlotClient
     claims: ClaimRole
     connections: ConnectionPool
     strikes: StrikeReplicator
-    hedges: HedgeBudget
-    ring: EventRing
+    hedge_budget: HedgeBudget
+    event_ring: EventRing
     metrics: Metrics
     now: Callable[[], float]
     wall: Callable[[], float]
 
     @property
     def table(self) -> Table:
-        """The present table."""
-        return self.holder.current.table
+        """The current table."""
+        return self.view_holder.current.table
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -1,4 +1,4 @@
-"""One entry VM: its tasks, and which of them gets each message."""
+"""One entry VM: builds its components, runs their tasks and dispatches peer messages."""
 
 import asyncio
 import signal
@@ -56,19 +56,19 @@
 from bluebellpitch.platform.topics import CLAIMS_TOPIC, CONTROL_TOPIC
 from bluebellpitch.roles.brokering import BrokerRole
 from bluebellpitch.roles.claiming import ClaimRole
+from bluebellpitch.roles.cluster_membership import ClusterMembership
 from bluebellpitch.roles.control import ControlRole
-from bluebellpitch.roles.membership import Membership
-from bluebellpitch.roles.seeking import SlotRole
+from bluebellpitch.roles.slot_client import SlotClient
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.settings import Settings
 from bluebellpitch.tasks import start_tasks, stop_tasks
-from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
+from bluebellpitch.view import ClusterView, ViewHolder, VmState
 
 DRAIN_POLL_S = 0.1
 
 
 class Node:
-    """Wires the parts of one VM together."""
+    """Wires the components of one VM together."""
 
     def __init__(self, settings: Settings, environment: Environment, policy: SchedulingPolicy):
         now, wall = environment.now, environment.wall
@@ -76,46 +76,50 @@
         self.now = now
         incarnation = settings.incarnation or f"{int(wall() * 1000):013x}{uuid4().hex[:4]}"
         identity = VmIdentity(settings.vm, incarnation, settings.bus, settings.admin)
-        own = KnownVm(identity, settings.zone, settings.region, False, -1, 0)
+        own = VmState(identity, settings.zone, settings.region, False, -1, 0)
         self.key = identity.key
-        self.holder = ViewHolder(ClusterView(own))
+        self.view_holder = ViewHolder(ClusterView(own))
         self.clock = HybridClock(wall)
-        self.ring = EventRing(settings.vm, self.clock, EVENT_RING_SIZE)
+        self.event_ring = EventRing(settings.vm, self.clock, EVENT_RING_SIZE)
         self.metrics = Metrics()
-        self.strikes = StrikeReplicator(StrikeTracker(), self._peers, self._send_strike, now)
-        self.bus = PeerBus(self.key, self.clock, self.metrics, self.take)
-        self.control_tail = Tail(self._open_store(), CONTROL_TOPIC, self.metrics, now)
-        claims_tail = Tail(self._open_store(), CLAIMS_TOPIC, self.metrics, now)
-        self.control_appender = Appender(self._open_store(), CONTROL_TOPIC, self.metrics)
-        self.claims_appender = Appender(self._open_store(), CLAIMS_TOPIC, self.metrics)
+        self.strikes = StrikeReplicator(StrikeTracker(), self._peer_keys, self._send_strike, now)
+        self.bus = PeerBus(self.key, self.clock, self.metrics, self.handle_message)
+        self.control_tail = Tail(self._create_store_client(), CONTROL_TOPIC, self.metrics, now)
+        claims_tail = Tail(self._create_store_client(), CLAIMS_TOPIC, self.metrics, now)
+        self.control_appender = Appender(self._create_store_client(), CONTROL_TOPIC, self.metrics)
+        self.claims_appender = Appender(self._create_store_client(), CLAIMS_TOPIC, self.metrics)
         self.control = ControlRole(
-            self.holder, self.control_tail, self._open_store(), self.ring, self.metrics
+            self.view_holder,
+            self.control_tail,
+            self._create_store_client(),
+            self.event_ring,
+            self.metrics,
         )
-        self.membership = Membership(
-            self.holder,
+        self.membership = ClusterMembership(
+            self.view_holder,
             self.bus,
             self.control_appender,
-            self.ring,
+            self.event_ring,
             now,
             settings.peers,
-            self._open_store(),
+            self._create_store_client(),
         )
-        self.slots = SlotRole(self.holder, self.bus, self.metrics, now)
+        self.slot_client = SlotClient(self.view_holder, self.bus, self.metrics, now)
         self.brokers = BrokerRole(
-            self.holder,
+            self.view_holder,
             self.bus,
             self.membership.history,
-            self.ring,
+            self.event_ring,
             self.metrics,
             now,
             policy,
-            lambda broker, pool: self.slots.report_held(broker, pool, settings.zone),
+            lambda broker, pool: self.slot_client.report_held_slots(broker, pool, settings.zone),
         )
         self.claims = ClaimRole(
-            self.holder,
+            self.view_holder,
             claims_tail,
             self.claims_appender,
-            self.ring,
+            self.event_ring,
             self.metrics,
             now,
             wall,
@@ -124,32 +128,32 @@
         self.connections = ConnectionPool(now)
         self.context = NodeContext(
             settings=settings,
-            holder=self.holder,
-            slots=self.slots,
+            view_holder=self.view_holder,
+            slot_client=self.slot_client,
             claims=self.claims,
             connections=self.connections,
             strikes=self.strikes,
-            hedges=HedgeBudget(),
-            ring=self.ring,
+            hedge_budget=HedgeBudget(),
+            event_ring=self.event_ring,
             metrics=self.metrics,
             now=now,
             wall=wall,
         )
         self.callers = CallerServer(self.context)
-        self.admin = AdminServer(self.ring, self.metrics, self.describe, self.is_ready)
+        self.admin = AdminServer(self.event_ring, self.metrics, self.build_status, self.is_ready)
         self.draining = asyncio.Event()
 
-    def _open_store(self) -> StoreClient:
-        """Returns a client for one task: its calls do not overlap."""
+    def _create_store_client(self) -> StoreClient:
+        """Returns a client for one task; calls of one client must not overlap."""
         return StoreClient(self.settings.store_address)
 
-    def take(self, sender: str, message: Message) -> None:
-        """Gives a message to the role that it is for."""
+    def handle_message(self, sender: str, message: Message) -> None:
+        """Dispatches a message to the role that handles it."""
         match message:
             case Heartbeat():
-                self._take_heartbeat(sender, message)
+                self._handle_heartbeat(sender, message)
             case SlotGranted() | SlotRefused() | SlotPreempted():
-                self.slots.take(sender, message)
+                self.slot_client.handle_message(sender, message)
             case (
                 SlotRequest()
                 | SlotRequestCancelled()
@@ -158,34 +162,34 @@
                 | LatencyReport()
                 | ForwardedMessage()
             ):
-                self.brokers.take(sender, message)
+                self.brokers.handle_message(sender, message)
             case LoanRequest() | LoanGranted() | LoanReturned():
-                self.brokers.take(sender, message)
+                self.brokers.handle_message(sender, message)
             case StrikeReport() | StrikesCleared() | StrikeAck():
                 if (confirmation := self.strikes.handle_message(message)) is not None:
                     self.bus.send(sender, confirmation)
             case ControlRecords(entries):
-                self.control.take_entries(entries)
+                self.control.apply_entries(entries)
             case SnapshotTransfer():
-                self.control.take_transfer(message)
+                self.control.install_transfer(message)
 
-    def _take_heartbeat(self, sender: str, beat: Heartbeat) -> None:
-        self.membership.take_heartbeat(beat)
-        if (help_message := self.control.help_peer(sender, beat)) is not None:
-            self.bus.send(sender, help_message)
+    def _handle_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
+        self.membership.handle_heartbeat(heartbeat)
+        if (catch_up := self.control.catch_up_message(sender, heartbeat)) is not None:
+            self.bus.send(sender, catch_up)
 
-    def _peers(self) -> frozenset[str]:
-        return frozenset(self.holder.current.live_by_key.keys() - {self.key})
+    def _peer_keys(self) -> frozenset[str]:
+        return frozenset(self.view_holder.current.live_by_key.keys() - {self.key})
 
     def _send_strike(self, peer: str, message: StrikeReport | StrikesCleared) -> None:
         self.bus.send(peer, message)
 
     def is_ready(self) -> bool:
-        """Tells the balancer whether to send callers here."""
-        return bool(self.holder.current.table.members_by_name) and not self.draining.is_set()
+        """Tells the load balancer whether this VM accepts callers."""
+        return bool(self.view_holder.current.table.members_by_name) and not self.draining.is_set()
 
     async def run(self) -> None:
-        """Serves until told to drain, then drains."""
+        """Serves until a signal starts the drain, then drains and stops."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.draining.set)
         loop.add_signal_handler(signal.SIGINT, self.draining.set)
@@ -211,26 +215,26 @@
             self.claims.expire(),
             self.claims_appender.run(),
             self.membership.run(),
-            self.membership.follow_list(),
+            self.membership.follow_vm_list(),
             self.brokers.run(),
-            self.slots.run(),
+            self.slot_client.run(),
             self.strikes.run_expiry(),
         )
 
     async def _drain(self) -> None:
-        """Waits for the balancer, hands roles over, and finishes all that it serves."""
-        self.ring.record(EventKind.DRAINING)
+        """Hands roles over, lets the load balancer notice, and finishes all requests in flight."""
+        self.event_ring.record(EventKind.DRAINING)
         log("INFO", "draining", in_flight=self.callers.http.in_flight)
-        self.membership.set_draining()
+        self.membership.start_draining()
         await asyncio.sleep(self.settings.drain_notice_s)
         self.callers.http.stop_listening()
-        while self.callers.http.in_flight or self.claims.backlog():
+        while self.callers.http.in_flight or self.claims.unfinished_appends():
             await asyncio.sleep(DRAIN_POLL_S)
         await self.membership.unregister()
 
-    def describe(self) -> VmStatus:
+    def build_status(self) -> VmStatus:
         """Returns this VM's status."""
-        view = self.holder.current
+        view = self.view_holder.current
         unresolved = (
             UnresolvedStatus(claim.key, claim.vm, claim.made_at)
             for claim in self.claims.unresolved()
@@ -244,14 +248,14 @@
             epoch=view.own.epoch,
             in_flight=self.callers.http.in_flight,
             store_silence_s=self.now() - self.control_tail.answered_at,
-            backlog=self.claims.backlog(),
+            backlog=self.claims.unfinished_appends(),
             live=tuple(sorted(view.live_by_key)),
-            brokers=tuple(describe_broker(b) for b in self.brokers.brokers_by_pool.values()),
+            brokers=tuple(build_broker_status(b) for b in self.brokers.brokers_by_pool.values()),
             unresolved=tuple(unresolved),
         )
 
 
-def describe_broker(broker: Broker) -> BrokerStatus:
+def build_broker_status(broker: Broker) -> BrokerStatus:
     """Returns the status of one pool's broker."""
     classes = tuple(
         ClassStatus(name, broker.queues.count(name), len(broker.grants_by_class.get(name, ())))
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -145,7 +145,7 @@
     Mutant(
         "a VM that drains finishes its requests",
         "bluebellpitch/node.py",
-        "        while self.callers.http.in_flight or self.claims.backlog():\n"
+        "        while self.callers.http.in_flight or self.claims.unfinished_appends():\n"
         "            await asyncio.sleep(DRAIN_POLL_S)\n",
         "",
         "tests/test_streams.py::test_vms_replaced_one_by_one_fail_no_request",
@@ -160,16 +160,16 @@
     Mutant(
         "peers tell a cut-off reader what it lacks",
         "bluebellpitch/node.py",
-        "            self.bus.send(sender, help_message)",
+        "            self.bus.send(sender, catch_up)",
         "            pass",
-        "tests/test_zones.py::test_cut_off_reader_learns_changes_from_its_peers",
+        "tests/test_zones.py::test_vm_without_store_access_learns_changes_from_its_peers",
     ),
     Mutant(
         "a reader that lacks records installs a snapshot",
         "bluebellpitch/decisions/control.py",
         "return any(self.install_snapshot(snapshot) for snapshot in snapshots)",
         "return False",
-        "tests/test_zones.py::test_vm_boots_from_a_snapshot_alone",
+        "tests/test_zones.py::test_vm_starts_from_a_snapshot_alone",
     ),
     Mutant(
         "route: what may have run and must not repeat is not sent again",
