--- a/fakes/caller.py
+++ b/fakes/caller.py
@@ -11,57 +11,64 @@
 
 
 @dataclass(frozen=True)
-class Answer:
+class StreamedResponse:
     """What came back. Times are seconds from sending; status 0 means no answer."""
 
     status: int
     headers: dict[str, str]
     text: str
-    whole: bool
-    first_s: float = 0.0
-    last_s: float = 0.0
+    complete: bool
+    first_token_s: float = 0.0
+    last_token_s: float = 0.0
     tokens: int = 0
 
     @property
-    def between_s(self) -> float:
+    def token_interval_s(self) -> float:
         """Returns the mean time between tokens."""
-        return (self.last_s - self.first_s) / (self.tokens - 1) if self.tokens > 1 else 0.0
+        return (
+            (self.last_token_s - self.first_token_s) / (self.tokens - 1) if self.tokens > 1 else 0.0
+        )
 
 
-def headers_for(token: str, class_name: str = "", **extra: str) -> list[tuple[str, str]]:
+def build_headers(credential: str, class_name: str = "", **extra: str) -> list[tuple[str, str]]:
     """Returns request headers; ``extra`` names have underscores for dashes."""
-    headers = [("Authorization", f"Bearer {token}"), ("Content-Type", "application/json")]
+    headers = [("Authorization", f"Bearer {credential}"), ("Content-Type", "application/json")]
     if class_name:
         headers.append(("X-Bluebellpitch-Class", class_name))
     return headers + [(name.replace("_", "-"), value) for name, value in extra.items()]
 
 
-async def stream(
-    address: str, token: str, prompt: str, class_name: str = "", model: str = "drafter", **extra
-) -> Answer:
+async def stream_completion(
+    address: str,
+    credential: str,
+    prompt: str,
+    class_name: str = "",
+    model: str = "drafter",
+    **extra,
+) -> StreamedResponse:
     """Sends a streamed completion and reads it to its end."""
     body = msgspec.json.encode({"model": model, "prompt": prompt, "stream": True})
     started = time.monotonic()
     connection = None
     try:
         connection = await ClientConnection.open(address, 5.0)
-        headers = headers_for(token, class_name, **extra)
+        headers = build_headers(credential, class_name, **extra)
         await connection.send("POST", "/v1/completions", headers, body)
         return await read_stream(connection, started)
     except BluebellpitchError as error:
-        return Answer(0, {}, repr(error), False)
+        return StreamedResponse(0, {}, repr(error), False)
     finally:
         if connection:
             connection.close()
 
 
-async def read_stream(connection: ClientConnection, started: float) -> Answer:
+async def read_stream(connection: ClientConnection, started: float) -> StreamedResponse:
     """Reads a streamed answer; ``started`` is monotonic seconds."""
     head = await connection.read_head(600.0)
     headers = {name.decode(): value.decode() for name, value in head.headers}
     if head.status_code != 200:
         parts = [part async for part in connection.read_body(60.0)]
-        return Answer(head.status_code, headers, b"".join(parts).decode(), False)
+        return StreamedResponse(head.status_code, headers, b"".join(parts).decode(), False)
     buffer, parts = EventBuffer(), []
     first_s = last_s = 0.0
     while (data := await connection.read_data(600.0)) is not None:
@@ -71,15 +78,21 @@
             parts.append(events)
     events = b"".join(parts)
     text = join_text(events)
-    return Answer(200, headers, text, buffer.done, first_s, last_s, count_events(events))
+    return StreamedResponse(200, headers, text, buffer.done, first_s, last_s, count_events(events))
 
 
-async def submit(
-    address: str, token: str, case: str, key: str, pool: str = "filing", timeout_s=20.0, **extra
+async def submit_case(
+    address: str,
+    credential: str,
+    case: str,
+    key: str,
+    pool: str = "filing",
+    timeout_s=20.0,
+    **extra,
 ) -> HttpResponse | None:
     """Sends a submission that must not repeat; None when no answer came."""
     body = msgspec.json.encode({"case": case})
-    headers = headers_for(token, **extra)
+    headers = build_headers(credential, **extra)
     if key:
         headers.append(("Idempotency-Key", key))
     try:
@@ -90,9 +103,11 @@
         return None
 
 
-async def look_up(address: str, token: str, case: str, pool: str = "filing") -> HttpResponse | None:
+async def look_up_case(
+    address: str, credential: str, case: str, pool: str = "filing"
+) -> HttpResponse | None:
     """Sends an idempotent look-up."""
-    headers = headers_for(token)
+    headers = build_headers(credential)
     try:
         return await fetch(
             address, "GET", f"/services/{pool}/cases/{case}", b"", headers, timeout_s=20.0
--- a/fakes/demo.py
+++ b/fakes/demo.py
@@ -7,26 +7,26 @@
 import msgspec
 
 from bluebellpitch.http1 import fetch
-from fakes.caller import Answer, look_up, stream, submit
-from fakes.engine import answer_to
-from fakes.federations import CLASSES, FILING, MODEL, endpoint, member, sheet
+from fakes.caller import StreamedResponse, look_up_case, stream_completion, submit_case
+from fakes.engine import expected_completion
+from fakes.federations import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 from fakes.fleet import Fleet
 
 MEMBERS = ("kushiro-office", "trentvale-agency")
-TOKENS = {name: f"{name}-secret" for name in MEMBERS}
+CREDENTIALS = {name: f"{name}-secret" for name in MEMBERS}
 
 
 def demo_sheet(fleet: Fleet) -> str:
     """Returns the table of a Kushiro-like and a Trentvale-like federation."""
-    return sheet(
-        *(member(name, limit=8) for name in MEMBERS),
+    return new_sheet(
+        *(member_row(name, limit=8) for name in MEMBERS),
         *CLASSES,
-        MODEL,
-        FILING,
-        endpoint(fleet, "engine-a", "drafter", "doto-1", "doto"),
-        endpoint(fleet, "engine-b", "drafter", "doo-1", "doo"),
-        endpoint(fleet, "filing-a", "filing", "doto-1", "doto"),
-        endpoint(fleet, "filing-b", "filing", "doo-1", "doo"),
+        MODEL_POOL,
+        FILING_POOL,
+        endpoint_row(fleet, "engine-a", "drafter", "doto-1", "doto"),
+        endpoint_row(fleet, "engine-b", "drafter", "doo-1", "doo"),
+        endpoint_row(fleet, "filing-a", "filing", "doto-1", "doto"),
+        endpoint_row(fleet, "filing-b", "filing", "doo-1", "doo"),
     )
 
 
@@ -34,15 +34,15 @@
 class Report:
     """Prints what happened, and remembers whether all was right."""
 
-    right: bool = True
+    passed: bool = True
 
-    def say(self, what: str, right: bool, detail: str) -> None:
+    def add(self, what: str, passed: bool, detail: str) -> None:
         """Prints one line."""
-        self.right &= right
-        print(f"{'ok   ' if right else 'WRONG'} {what:<44} {detail}", flush=True)
+        self.passed &= passed
+        print(f"{'ok   ' if passed else 'WRONG'} {what:<44} {detail}", flush=True)
 
 
-def where(headers: dict[str, str]) -> str:
+def describe_server(headers: dict[str, str]) -> str:
     """Returns which VM and endpoint served an answer."""
     names = ("x-bluebellpitch-vm", "x-bluebellpitch-endpoint", "x-bluebellpitch-replayed")
     return " ".join(
@@ -50,9 +50,9 @@
     )
 
 
-async def start(fleet: Fleet) -> None:
+async def start_processes(fleet: Fleet) -> None:
     """Starts stand-ins and three entry VMs in two availability zones."""
-    fleet.start_platform()
+    fleet.start_store()
     for name in ("engine-a", "engine-b"):
         fleet.start_fake("engine", name, slots=8)
     for name in ("filing-a", "filing-b"):
@@ -65,71 +65,75 @@
 
 async def check_stream(report: Report, address: str, token: str, what: str, prompt: str, row: str):
     """Sends a completion and checks every token of it."""
-    answer: Answer = await stream(address, token, prompt, row)
-    right = answer.status == 200 and answer.whole and answer.text == answer_to(prompt)
-    times = f"first={answer.first_s * 1000:.0f}ms between={answer.between_s * 1000:.1f}ms"
-    report.say(what, right, f"tokens={answer.tokens} {times} {where(answer.headers)}")
+    answer: StreamedResponse = await stream_completion(address, token, prompt, row)
+    right = answer.status == 200 and answer.complete and answer.text == expected_completion(prompt)
+    times = (
+        f"first={answer.first_token_s * 1000:.0f}ms between={answer.token_interval_s * 1000:.1f}ms"
+    )
+    report.add(what, right, f"tokens={answer.tokens} {times} {describe_server(answer.headers)}")
 
 
 async def check_submission(report: Report, fleet: Fleet, addresses: list[str]) -> None:
     """Sends a submission twice with one key, through two VMs; it must run once."""
     for number, address in enumerate(addresses, 1):
-        response = await submit(address, TOKENS["kushiro-office"], "case-7", "key-7")
+        response = await submit_case(address, CREDENTIALS["kushiro-office"], "case-7", "key-7")
         right = response is not None and response.status == 200
         detail = "no answer" if response is None else f"{response.body.decode()} "
-        detail += "" if response is None else where(dict(response.headers))
-        report.say(f"submission that must not repeat, send {number}", right, detail)
+        detail += "" if response is None else describe_server(dict(response.headers))
+        report.add(f"submission that must not repeat, send {number}", right, detail)
     runs = 0
     for name in ("filing-a", "filing-b"):
         counts = await fetch(fleet.processes_by_name[name].address, "GET", "/counts")
         runs += msgspec.json.decode(counts.body).get("case-7", 0)
-    report.say("the submission ran once", runs == 1, f"runs={runs}")
+    report.add("the submission ran once", runs == 1, f"runs={runs}")
 
 
 async def check_stop(report: Report, fleet: Fleet) -> None:
     """Stops all VMs gracefully in the middle of a stream, which must finish."""
     vm = fleet.vms_by_name["vm-1"]
     prompt = "[len=120] an explanation read aloud while the VM leaves"
-    running = asyncio.create_task(stream(vm.listen, TOKENS["kushiro-office"], prompt, "explain"))
+    running = asyncio.create_task(
+        stream_completion(vm.listen, CREDENTIALS["kushiro-office"], prompt, "explain")
+    )
     await asyncio.sleep(0.3)
     for entry in fleet.vms_by_name.values():
-        entry.process.send(15)
+        entry.process.send_signal(15)
     answer = await running
-    right = answer.whole and answer.text == answer_to(prompt)
-    report.say("stream finishes while its VM stops", right, f"tokens={answer.tokens}")
+    right = answer.complete and answer.text == expected_completion(prompt)
+    report.add("stream finishes while its VM stops", right, f"tokens={answer.tokens}")
     for entry in fleet.vms_by_name.values():
         status = await asyncio.to_thread(entry.process.popen.wait, 30)
-        report.say(f"{entry.name} stopped gracefully", status == 0, f"exit status={status}")
+        report.add(f"{entry.name} stopped gracefully", status == 0, f"exit status={status}")
 
 
 async def main() -> int:
     """Runs the demo; returns its exit status."""
     report = Report()
     with Fleet() as fleet:
-        await start(fleet)
+        await start_processes(fleet)
         status, output = await fleet.apply_sheet(demo_sheet(fleet))
-        report.say("table published", status == 0, output.strip())
+        report.add("table published", status == 0, output.strip())
         await fleet.wait_ready()
-        await fleet.wait_settled()
+        await fleet.wait_converged()
         vms = [vm.listen for vm in fleet.vms_by_name.values()]
-        kushiro, trentvale = TOKENS.values()
+        kushiro, trentvale = CREDENTIALS.values()
         draft = "[len=60] draft answers from the resident's earlier filings"
         await check_stream(report, vms[0], kushiro, "streamed draft (Kushiro)", draft, "draft")
         rewrite = "[len=20] make this sentence friendlier"
         await check_stream(
             report, vms[2], trentvale, "quick rewrite (Trentvale)", rewrite, "rewrite"
         )
-        response = await look_up(vms[1], kushiro, "case-1")
+        response = await look_up_case(vms[1], kushiro, "case-1")
         right = response is not None and response.status == 200
-        detail = where(dict(response.headers)) if response else "no answer"
-        report.say("idempotent look-up", right, detail)
+        detail = describe_server(dict(response.headers)) if response else "no answer"
+        report.add("idempotent look-up", right, detail)
         await check_submission(report, fleet, [vms[0], vms[2]])
         await check_stop(report, fleet)
-        if not report.right:
+        if not report.passed:
             for process in fleet.processes_by_name.values():
-                print(f"--- {process.name}\n{process.log_text()[-3000:]}")
-    print("demo: all was right" if report.right else "demo: something was WRONG")
-    return 0 if report.right else 1
+                print(f"--- {process.name}\n{process.read_log()[-3000:]}")
+    print("demo: all was right" if report.passed else "demo: something was WRONG")
+    return 0 if report.passed else 1
 
 
 if __name__ == "__main__":
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -16,26 +16,26 @@
 import msgspec
 
 from bluebellpitch.errors import GoneError
-from fakes.server import FakeServer, answer
+from fakes.server import FakeServer, send_json
 
-LENGTH = re.compile(r"\[len=(\d+)\]")
+LENGTH_PATTERN = re.compile(r"\[len=(\d+)\]")
 DEFAULT_LENGTH = 16
-SSE = [("Content-Type", "text/event-stream")]
+SSE_HEADERS = [("Content-Type", "text/event-stream")]
 
 
-def token_of(prompt: str, index: int) -> str:
+def token_text(prompt: str, index: int) -> str:
     """Returns one token of the answer to a prompt."""
     return f"{zlib.crc32(f'{index}:{prompt}'.encode()):08x} "
 
 
-def answer_to(prompt: str) -> str:
+def expected_completion(prompt: str) -> str:
     """Returns the whole answer to a prompt."""
-    return "".join(token_of(prompt, index) for index in range(length_of(prompt)))
+    return "".join(token_text(prompt, index) for index in range(completion_length(prompt)))
 
 
-def length_of(prompt: str) -> int:
+def completion_length(prompt: str) -> int:
     """Returns how many tokens the answer has."""
-    found = LENGTH.search(prompt)
+    found = LENGTH_PATTERN.search(prompt)
     return int(found.group(1)) if found else DEFAULT_LENGTH
 
 
@@ -45,9 +45,9 @@
 
     prompt: str
     priority: int
-    next_token: int
+    next_index: int
     length: int
-    ready_at: float
+    prefilled_at: float
     arrived_at: float
     tokens: asyncio.Queue = field(default_factory=asyncio.Queue)
 
@@ -82,10 +82,10 @@
         self.cache_lag_s = 1.0
         self.cache_gap = 5
         self.cache_size = 256
-        self.made = 0
-        self.wasted = 0
-        self.peak = 0
-        self.fence = -1
+        self.tokens_generated = 0
+        self.tokens_wasted = 0
+        self.peak_requests = 0
+        self.highest_fence = -1
         self.orders: list[dict] = []
         self._running: list[Stream] = []
         self._waiting: list[Stream] = []
@@ -113,9 +113,9 @@
         self._waiting.sort(key=lambda s: (s.priority, s.arrived_at))
         while self._waiting and len(self._running) < self.slots:
             stream = self._waiting.pop(0)
-            stream.ready_at = time.monotonic() + self._prefill_s(stream)
+            stream.prefilled_at = time.monotonic() + self._prefill_s(stream)
             self._running.append(stream)
-        self.peak = max(self.peak, len(self._running) + len(self._waiting))
+        self.peak_requests = max(self.peak_requests, len(self._running) + len(self._waiting))
         self._loads.append((time.monotonic(), len(self._running), len(self._waiting)))
 
     def _prefill_s(self, stream: Stream) -> float:
@@ -138,14 +138,14 @@
         await self._wait_step()
         now = time.monotonic()
         for stream in tuple(self._running):
-            if now < stream.ready_at:
+            if now < stream.prefilled_at:
                 continue
-            stream.tokens.put_nowait(stream.next_token)
-            stream.next_token += 1
-            self.made += 1
-            if "[crash]" in stream.prompt and stream.next_token >= 2:
+            stream.tokens.put_nowait(stream.next_index)
+            stream.next_index += 1
+            self.tokens_generated += 1
+            if "[crash]" in stream.prompt and stream.next_index >= 2:
                 os._exit(1)
-            if stream.next_token >= stream.length:
+            if stream.next_index >= stream.length:
                 self._running.remove(stream)
                 stream.tokens.put_nowait(None)
 
@@ -161,16 +161,20 @@
         """Answers completions, reports and orders."""
         path = request.target.partition("?")[0]
         if path == "/load":
-            await answer(connection, self._load_report())
+            await send_json(connection, self._load_report())
         elif path == "/cache-events":
-            await answer(connection, self._late_cache_events())
+            await send_json(connection, self._late_cache_events())
         elif path == "/stats":
-            counts = {"made": self.made, "wasted": self.wasted, "peak": self.peak}
-            await answer(connection, counts)
+            counts = {
+                "made": self.tokens_generated,
+                "wasted": self.tokens_wasted,
+                "peak": self.peak_requests,
+            }
+            await send_json(connection, counts)
         elif path == "/count":
             text = unquote(request.target.partition("?")[2])
             held = sum(text in stream.prompt for stream in self._running + self._waiting)
-            await answer(connection, {"held": held})
+            await send_json(connection, {"held": held})
         elif path == "/orders":
             await self._take_order(connection, msgspec.json.decode(request.body))
         else:
@@ -194,24 +198,24 @@
         ]
 
     async def _take_order(self, connection, order: dict) -> None:
-        if self.fencing and order["fence"] < self.fence:
-            await answer(connection, {"refused": "old fence"}, 409)
+        if self.fencing and order["fence"] < self.highest_fence:
+            await send_json(connection, {"refused": "old fence"}, 409)
             return
-        self.fence = max(self.fence, order["fence"])
+        self.highest_fence = max(self.highest_fence, order["fence"])
         self.orders.append(order)
-        await answer(connection, {})
+        await send_json(connection, {})
 
     async def _complete(self, connection, request) -> None:
         fields = msgspec.json.decode(request.body)
         chat = "chat" in request.target
         prompt = fields["messages"][-1]["content"] if chat else fields["prompt"]
         if "[reject]" in prompt:
-            await answer(connection, {"error": {"message": "rejected by the model"}}, 400)
+            await send_json(connection, {"error": {"message": "rejected by the model"}}, 400)
             return
         done = len(fields.get("continue_text", "").split())
         now = time.monotonic()
         priority = fields.get("priority", 0)
-        stream = Stream(prompt, priority, done, length_of(prompt), now, now)
+        stream = Stream(prompt, priority, done, completion_length(prompt), now, now)
         if done < stream.length:
             self._waiting.append(stream)
         else:
@@ -221,7 +225,7 @@
         try:
             await self._send_stream(connection, request, fields, stream, chat)
         except GoneError:
-            self.wasted += stream.tokens.qsize()
+            self.tokens_wasted += stream.tokens.qsize()
             raise
         finally:
             watcher.cancel()
@@ -242,9 +246,9 @@
 
     async def _send_stream(self, connection, request, fields, stream: Stream, chat: bool) -> None:
         request_id = request.header("x-request-id", "none")
-        await connection.start(200, SSE)
+        await connection.start(200, SSE_HEADERS)
         while (index := await self._next_token(connection, stream)) is not None:
-            text = token_of(stream.prompt, index)
+            text = token_text(stream.prompt, index)
             last = index == stream.length - 1
             await connection.send(encode_chunk(request_id, text, chat, last))
         if fields.get("stream_options", {}).get("include_usage"):
--- a/fakes/federations.py
+++ b/fakes/federations.py
@@ -9,10 +9,10 @@
     VersionedRow,
 )
 from bluebellpitch.operators.sheet import write_sheet
-from fakes.fleet import Fleet, digest
+from fakes.fleet import Fleet, credential_digest
 
-MODEL = PoolRow("drafter", "model", ())
-FILING = PoolRow("filing", "service", ("GET", "HEAD"))
+MODEL_POOL = PoolRow("drafter", "model", ())
+FILING_POOL = PoolRow("filing", "service", ("GET", "HEAD"))
 CLASSES = (
     ClassRow("explain", 1, 8.0, 670.0, 44.0, 5_000.0),
     ClassRow("rewrite", 1, 8.0, 670.0, 44.0, 5_000.0),
@@ -21,17 +21,17 @@
 )
 
 
-def member(name: str, default_class: str = "draft", limit: int = 0, weight: float = 1.0):
+def member_row(name: str, default_class: str = "draft", limit: int = 0, weight: float = 1.0):
     """Returns a member whose credential is its name with ``-secret``."""
-    return MemberRow(name, weight, limit, digest(f"{name}-secret"), default_class)
+    return MemberRow(name, weight, limit, credential_digest(f"{name}-secret"), default_class)
 
 
-def endpoint(fleet: Fleet, name: str, pool: str, zone: str, region: str, slots: int = 8):
+def endpoint_row(fleet: Fleet, name: str, pool: str, zone: str, region: str, slots: int = 8):
     """Returns the row of a stand-in that runs already."""
     address = fleet.processes_by_name[name].address
     return EndpointRow(name, pool, zone, region, address, slots, True)
 
 
-def sheet(*rows: Row) -> str:
+def new_sheet(*rows: Row) -> str:
     """Returns a sheet of new rows."""
     return write_sheet(VersionedRow(row, -1) for row in rows)
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -20,10 +20,10 @@
 from fakes.ports import free_address
 
 ROOT = Path(__file__).resolve().parent.parent
-START_S = 20.0
+START_TIMEOUT_S = 20.0
 
 
-def digest(token: str) -> str:
+def credential_digest(token: str) -> str:
     """Returns what the sheet holds of a credential."""
     return hashlib.sha256(token.encode()).hexdigest()
 
@@ -36,33 +36,33 @@
     address: str
     popen: subprocess.Popen
     log_path: Path
-    control: str = ""
+    control_address: str = ""
 
-    def send(self, number: int) -> None:
+    def send_signal(self, signal_number: int) -> None:
         """Sends a signal to this process alone."""
         if self.popen.poll() is None:
-            self.popen.send_signal(number)
+            self.popen.send_signal(signal_number)
 
     def kill(self) -> None:
         """Ends the process at once."""
-        self.send(signal.SIGKILL)
+        self.send_signal(signal.SIGKILL)
         self.popen.wait()
 
     def pause(self) -> None:
         """Freezes the process."""
-        self.send(signal.SIGSTOP)
+        self.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Lets a frozen process go on."""
-        self.send(signal.SIGCONT)
+        self.send_signal(signal.SIGCONT)
 
-    def log_text(self) -> str:
+    def read_log(self) -> str:
         """Returns what the process wrote."""
         return self.log_path.read_text(errors="replace")
 
 
 @dataclass
-class EntryVm:
+class VmProcess:
     """An entry VM: its process and addresses."""
 
     name: str
@@ -81,7 +81,7 @@
 
     log_level: str = "INFO"
     program: list[str] = field(default_factory=lambda: ["bluebellpitch"])
-    vms_by_name: dict[str, EntryVm] = field(default_factory=dict)
+    vms_by_name: dict[str, VmProcess] = field(default_factory=dict)
     processes_by_name: dict[str, Process] = field(default_factory=dict)
 
     def __enter__(self) -> "Fleet":
@@ -122,14 +122,14 @@
         """Starts a relay to a target; its ``address`` stands in for the target's."""
         listen = free_address()
         process = self.start_fake("link", name, listen=listen, target=target, delay_s=delay_s)
-        process.control, process.address = process.address, listen
+        process.control_address, process.address = process.address, listen
         return process
 
-    def start_platform(self) -> None:
+    def start_store(self) -> None:
         """Starts the store."""
         self.store = self.start_fake("store")
 
-    def add_vm(self, name: str, zone: str, region: str, **settings) -> EntryVm:
+    def add_vm(self, name: str, zone: str, region: str, **settings) -> VmProcess:
         """Starts an entry VM. ``settings`` are flags of ``serve``."""
         addresses = {key: free_address() for key in ("listen", "admin", "bus")}
         flags = {
@@ -145,12 +145,12 @@
         if self.vms_by_name:
             first = next(iter(self.vms_by_name.values()))
             arguments += ["--peer", first.bus]
-        vm = EntryVm(name, zone, region, **addresses, arguments=arguments)
+        vm = VmProcess(name, zone, region, **addresses, arguments=arguments)
         self.vms_by_name[name] = vm
         self.start_vm(vm)
         return vm
 
-    def start_vm(self, vm: EntryVm) -> None:
+    def start_vm(self, vm: VmProcess) -> None:
         """Starts the process of an entry VM, or starts it again."""
         vm.process = self.spawn(vm.name, vm.listen, [*self.program, "serve", *vm.arguments])
 
@@ -161,7 +161,7 @@
         client.close()
         assert isinstance(verdict, Appended), verdict
 
-    async def announce_leaving(self, endpoint: str) -> None:
+    async def announce_draining(self, endpoint: str) -> None:
         """Announces in the store that an endpoint will stop."""
         address = self.processes_by_name[endpoint].address
         entry = {"service": "drafter", "address": address, "zone": "", "slots": 1}
@@ -170,21 +170,21 @@
 
     async def control(self, process: Process, **faults) -> None:
         """Sets faults of a stand-in."""
-        address = process.control or process.address
+        address = process.control_address or process.address
         await fetch(address, "POST", "/control", msgspec.json.encode(faults))
 
     async def wait_listening(self, *processes: Process) -> None:
         """Waits until stand-ins answer."""
         for process in processes:
-            address = process.control or process.address
-            await wait_until(lambda a=address: answers(a), f"{process.name} answers")
+            address = process.control_address or process.address
+            await wait_until(lambda a=address: is_listening(a), f"{process.name} answers")
 
-    async def wait_ready(self, *vms: EntryVm) -> None:
+    async def wait_ready(self, *vms: VmProcess) -> None:
         """Waits until entry VMs are ready for callers."""
         for vm in vms or self.vms_by_name.values():
             await wait_until(lambda v=vm: is_ready(v.admin), f"{vm.name} is ready")
 
-    async def wait_settled(self) -> None:
+    async def wait_converged(self) -> None:
         """Waits until every VM sees all VMs of its zone in its epoch, and knows all brokers."""
         await wait_until(self._is_settled, "all VMs agree")
 
@@ -220,7 +220,7 @@
         return process.returncode, output.decode()
 
 
-async def answers(address: str) -> bool:
+async def is_listening(address: str) -> bool:
     """Tells whether something serves HTTP there."""
     try:
         await fetch(address, "GET", "/health", timeout_s=1.0)
@@ -245,10 +245,10 @@
         return None
 
 
-async def wait_until(condition, what: str, patience_s: float = START_S) -> None:
+async def wait_until(condition, description: str, timeout_s: float = START_TIMEOUT_S) -> None:
     """Waits for an asynchronous condition; raises TimeoutError that says for what."""
-    deadline = time.monotonic() + patience_s
+    deadline = time.monotonic() + timeout_s
     while not await condition():
         if time.monotonic() > deadline:
-            raise TimeoutError(f"gave up waiting until {what}")
+            raise TimeoutError(f"gave up waiting until {description}")
         await asyncio.sleep(0.05)
--- a/fakes/link.py
+++ b/fakes/link.py
@@ -7,8 +7,8 @@
 from fakes.server import FakeServer
 
 READ_BYTES = 65_536
-HELD_CHECK_S = 0.02
-CHUNKS_AT_MOST = 1_000
+HOLD_POLL_S = 0.02
+MAX_QUEUED_CHUNKS = 1_000
 
 
 class FakeLink(FakeServer):
@@ -93,7 +93,7 @@
             self._writers -= {writer, far_writer}
 
     async def _pump(self, reader, writer, generation: int, direction: str) -> None:
-        chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(CHUNKS_AT_MOST)
+        chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(MAX_QUEUED_CHUNKS)
         await asyncio.gather(
             self._read(reader, chunks), self._write(chunks, writer, generation, direction)
         )
@@ -115,7 +115,7 @@
                 if generation != self._generation:
                     await asyncio.Event().wait()
                 while self.held == direction:
-                    await asyncio.sleep(HELD_CHECK_S)
+                    await asyncio.sleep(HOLD_POLL_S)
                 due_at, data = chunk
                 await asyncio.sleep(max(0.0, due_at - now()))
                 writer.write(data)
--- a/fakes/prepared.py
+++ b/fakes/prepared.py
@@ -14,11 +14,11 @@
 from fakes.prepared_store import FakeStore
 
 HOST = "tile.example"
-KEY = "key-of-the-office"
+API_KEY = "key-of-the-office"
 MEMBER = "office"
 
 
-def route(name: str, kind: str, pool: str, **fields) -> dict:
+def build_route(name: str, kind: str, pool: str, **fields) -> dict:
     """Returns a route under ``/NAME/``."""
     return {
         "name": name,
@@ -35,17 +35,17 @@
     }
 
 
-def configuration(version: int, keys: tuple[str, ...] = (KEY,), routes=None) -> dict:
+def build_configuration(version: int, keys: tuple[str, ...] = (API_KEY,), routes=None) -> dict:
     """Returns a configuration with a route of each kind."""
     engine = {"slots": 8, "kv_capacity": 100_000}
     return {
         "version": version,
         "routes": routes
         or [
-            route("look", "safe", "app"),
-            route("file", "unsafe", "app"),
-            route("draft", "streaming", "engines", resumable=True, gap_target_ms=300),
-            route("explain", "streaming", "engines", max_attempts=1, gap_target_ms=300),
+            build_route("look", "safe", "app"),
+            build_route("file", "unsafe", "app"),
+            build_route("draft", "streaming", "engines", resumable=True, gap_target_ms=300),
+            build_route("explain", "streaming", "engines", max_attempts=1, gap_target_ms=300),
         ],
         "services": [
             {"name": "app", "health_path": "/health", "max_conns": 50},
@@ -109,7 +109,7 @@
 
     def configure(self, version: int, **fields) -> None:
         """Writes a configuration as the operator does."""
-        data = msgspec.json.encode(configuration(version, **fields))
+        data = msgspec.json.encode(build_configuration(version, **fields))
         self.store.put("keyed.op", "config", data)
 
     async def add_endpoint(self, name: str, pool: str, zone: str = "z", **fields) -> FakeEndpoint:
@@ -136,7 +136,7 @@
         }
         self.store.put("keyed.servers", endpoint.name, msgspec.json.encode(entry))
 
-    def retire(self, name: str) -> None:
+    def remove_entry(self, name: str) -> None:
         """Removes an endpoint's entry."""
         self.store.put("keyed.servers", name, b"")
 
@@ -161,11 +161,11 @@
 
 
 @dataclass
-class PlatformClient:
+class KeepAliveClient:
     """A caller that keeps its connection. ``settings`` are those of the VM it calls."""
 
     settings: VmSettings
-    key: str = KEY
+    api_key: str = API_KEY
     _connection: ClientConnection | None = None
 
     async def call(
@@ -174,7 +174,7 @@
         path: str,
         request_id: str,
         body: bytes = b"",
-        patience_s: float = 2.0,
+        timeout_s: float = 2.0,
         headers=(),
     ) -> HttpResponse:
         """Makes one call. Raises BrokenError when it has no whole answer."""
@@ -184,13 +184,13 @@
         sent = [
             ("Host", HOST),
             ("Request-Id", request_id),
-            ("Deadline-Ms", str(int(patience_s * 1000))),
-            ("Authorization", f"Bearer {self.key}"),
+            ("Deadline-Ms", str(int(timeout_s * 1000))),
+            ("Authorization", f"Bearer {self.api_key}"),
             ("Content-Length", str(len(body))),
             *headers,
         ]
         await connection.send_exactly(method, path, sent, body)
-        return await connection.read_response(patience_s + 1)
+        return await connection.read_response(timeout_s + 1)
 
     async def stream(self, path: str, request_id: str, tokens: int = 100, **fields):
         """Asks for a generation."""
@@ -201,13 +201,13 @@
         ]
         return await self.call("POST", path, request_id, b"prompt", headers=headers, **fields)
 
-    def leave(self) -> None:
+    def disconnect(self) -> None:
         """Closes the connection at once."""
         if self._connection is not None:
             self._connection.close()
             self._connection = None
 
 
-def header(response: HttpResponse, name: str) -> str:
+def get_header(response: HttpResponse, name: str) -> str:
     """Returns one header of a response, or nothing."""
     return dict(response.headers).get(name, "")
--- a/fakes/prepared_demo.py
+++ b/fakes/prepared_demo.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from fakes.demo import Report
-from fakes.prepared import Deployment, PlatformClient, wait_until
+from fakes.prepared import Deployment, KeepAliveClient, wait_until
 
 ENDPOINTS = (("engine-a", "engines"), ("engine-b", "engines"), ("app-a", "app"), ("app-b", "app"))
 
@@ -19,25 +19,25 @@
         fakes = {name: await deployment.add_endpoint(name, pool) for name, pool in ENDPOINTS}
         vms = [await deployment.add_vm() for _ in range(3)]
         await wait_until(lambda: all(len(vm.directory.entries_by_id) == 4 for vm in vms))
-        client = PlatformClient(vms[0].settings)
+        client = KeepAliveClient(vms[0].settings)
         await check_requests(report, client, fakes)
         await check_configuration(report, deployment, client)
         await check_stop(report, vms[0], client)
-    print("demo: all was right" if report.right else "demo: something was WRONG")
-    return 0 if report.right else 1
+    print("demo: all was right" if report.passed else "demo: something was WRONG")
+    return 0 if report.passed else 1
 
 
-async def check_requests(report: Report, client: PlatformClient, fakes) -> None:
+async def check_requests(report: Report, client: KeepAliveClient, fakes) -> None:
     """Sends one request of each sort, and a stream whose engine breaks off."""
     look_up = await client.call("GET", "/look/7", "look-1")
-    report.say("idempotent look-up", look_up.status == 200, f"status={look_up.status}")
+    report.add("idempotent look-up", look_up.status == 200, f"status={look_up.status}")
     submission = await client.call("POST", "/file/7", "file-1", b"case")
     ran = sum(fake.ran.count("file-1") for fake in fakes.values())
-    report.say("submission that must not repeat", ran == 1, f"runs={ran}")
+    report.add("submission that must not repeat", ran == 1, f"runs={ran}")
     fakes["engine-a"].mode = "cut"
     streams = [await client.stream("/draft/7", f"draft-{number}") for number in range(3)]
     whole = all(stream.body.endswith(b"piece 4\n\n") for stream in streams)
-    report.say("streams resumed at another engine", whole, f"status={submission.status}")
+    report.add("streams resumed at another engine", whole, f"status={submission.status}")
 
 
 async def check_configuration(report: Report, deployment: Deployment, client) -> None:
@@ -45,18 +45,18 @@
     deployment.configure(2, keys=("another",))
     await wait_until(lambda: all(vm.configuration.version() == 2 for vm in deployment.vms))
     response = await client.call("GET", "/look/7", "look-2")
-    report.say("key taken away", response.status == 401, f"status={response.status}")
+    report.add("key taken away", response.status == 401, f"status={response.status}")
     deployment.configure(3)
     await wait_until(lambda: all(vm.configuration.version() == 3 for vm in deployment.vms))
 
 
-async def check_stop(report: Report, vm, client: PlatformClient) -> None:
+async def check_stop(report: Report, vm, client: KeepAliveClient) -> None:
     """Stops a VM while it serves."""
     running = asyncio.create_task(client.stream("/explain/7", "explain-1"))
     await asyncio.sleep(0.05)
     vm.draining.set()
     response = await running
-    report.say("stream finishes while its VM stops", response.status == 200, "")
+    report.add("stream finishes while its VM stops", response.status == 200, "")
 
 
 if __name__ == "__main__":
--- a/fakes/prepared_endpoint.py
+++ b/fakes/prepared_endpoint.py
@@ -5,7 +5,7 @@
 from bluebellpitch.errors import GoneError
 from fakes.server import FakeServer
 
-SIGNATURE = ("Response-Signature", "3e1b.07.5a2")
+SIGNATURE_HEADER = ("Response-Signature", "3e1b.07.5a2")
 
 
 class FakeEndpoint(FakeServer):
@@ -39,7 +39,7 @@
             await connection.respond(503, [*headers, ("Not-Executed", "1")], b"")
             return
         self.ran.append(request_id)
-        headers.append(SIGNATURE)
+        headers.append(SIGNATURE_HEADER)
         if self.mode == "reset":
             raise GoneError("reset")
         if self.mode == "garbage":
@@ -64,7 +64,7 @@
     async def _answer(self, connection, request_id: str, headers) -> None:
         body = f"{self.name} answers {request_id}".encode()
         if self.mode == "unsigned":
-            headers = [pair for pair in headers if pair != SIGNATURE]
+            headers = [pair for pair in headers if pair != SIGNATURE_HEADER]
         if self.mode == "encoded":
             headers = [*headers, ("Content-Encoding", "br")]
         if self.mode == "short":
--- a/fakes/prepared_store.py
+++ b/fakes/prepared_store.py
@@ -6,9 +6,9 @@
 from urllib.parse import parse_qs
 
 from bluebellpitch.errors import GoneError
-from fakes.server import FakeServer, answer
+from fakes.server import FakeServer, send_json
 
-LENGTH = struct.Struct(">I")
+LENGTH_PREFIX = struct.Struct(">I")
 
 
 class FakeStore(FakeServer):
@@ -38,7 +38,7 @@
         name = key.encode()
         return self._append(topic, [bytes([len(name)]) + name + value])
 
-    def forget(self, topic: str) -> None:
+    def truncate(self, topic: str) -> None:
         """Deletes the records of a topic; the newest of each key stays."""
         self._first[topic] = self._end(topic)
         self._records[topic] = []
@@ -80,25 +80,25 @@
             await asyncio.sleep(3600)
         await asyncio.sleep(self.slow_s)
         if self.status != 200:
-            await answer(connection, {}, self.status)
+            await send_json(connection, {}, self.status)
         elif path == "/log-append":
             await self._serve_append(connection, query["topic"], request.body)
         elif path == "/log-trim":
-            self.forget(query["topic"])
-            await answer(connection, {})
+            self.truncate(query["topic"])
+            await send_json(connection, {})
         elif path == "/log-read":
             await self._serve_read(connection, query)
         else:
             await self._serve_newest(connection, query)
 
     async def _serve_append(self, connection, topic: str, body: bytes) -> None:
-        records = list(split(body))
+        records = list(split_records(body))
         if self.lose_answers > 0:
             self.lose_answers -= 1
             asyncio.get_running_loop().call_later(self.late_s, self._append, topic, records)
             raise GoneError("answer lost")
         offset = self._append(topic, records)
-        await answer(connection, {"offset": offset, "end": self._end(topic)})
+        await send_json(connection, {"offset": offset, "end": self._end(topic)})
 
     async def _serve_read(self, connection, query: dict[str, str]) -> None:
         topic, start = query["topic"], int(query["from"])
@@ -115,15 +115,15 @@
         if self.outage:
             raise GoneError("outage")
         if self.status != 200:
-            await answer(connection, {}, self.status)
+            await send_json(connection, {}, self.status)
             return
         first = self._first.get(topic, 0)
         if start < first:
-            await answer(connection, {"first": first}, 410)
+            await send_json(connection, {"first": first}, 410)
             return
         records = self._records.get(topic, [])[start - first :]
         body = struct.pack(">QQ", self._end(topic), first)
-        body += b"".join(LENGTH.pack(len(record)) + record for record in records)
+        body += b"".join(LENGTH_PREFIX.pack(len(record)) + record for record in records)
         await connection.respond(200, [("Content-Type", "application/octet-stream")], body)
 
     async def _serve_newest(self, connection, query: dict[str, str]) -> None:
@@ -136,12 +136,12 @@
         ]
         page = items[:2]
         end = self._end(topic)
-        await answer(connection, {"items": page, "has_more": len(items) > 2, "end": end})
+        await send_json(connection, {"items": page, "has_more": len(items) > 2, "end": end})
 
 
-def split(body: bytes):
+def split_records(body: bytes):
     """Yields the records of an append."""
     while body:
-        (size,) = LENGTH.unpack_from(body)
+        (size,) = LENGTH_PREFIX.unpack_from(body)
         yield body[4 : 4 + size]
         body = body[4 + size :]
--- a/fakes/server.py
+++ b/fakes/server.py
@@ -5,14 +5,14 @@
 from bluebellpitch.errors import BadRequestError
 from bluebellpitch.http1 import HttpLimits, HttpRequest, HttpServer, ServerConnection
 
-JSON = [("Content-Type", "application/json")]
+JSON_HEADERS = [("Content-Type", "application/json")]
 
 
 class FakeServer:
     """Base of the stand-ins. ``POST /control`` sets public attributes from a JSON object."""
 
     def __init__(self):
-        self.http = HttpServer(self._handle, refuse, HttpLimits(body_bytes=64_000_000))
+        self.http = HttpServer(self._handle, send_bad_request, HttpLimits(body_bytes=64_000_000))
 
     async def start(self, host: str, port: int) -> int:
         """Starts to listen; returns the port."""
@@ -24,10 +24,10 @@
                 if not hasattr(self, name):
                     raise BadRequestError(400, "unknown", name)
                 setattr(self, name, value)
-            await connection.respond(200, JSON, b"{}")
+            await connection.respond(200, JSON_HEADERS, b"{}")
             return
         if request.target == "/health":
-            await answer(connection, {})
+            await send_json(connection, {})
             return
         await self.serve(connection, request)
 
@@ -36,11 +36,11 @@
         raise NotImplementedError
 
 
-async def answer(connection: ServerConnection, value: object, status: int = 200) -> None:
+async def send_json(connection: ServerConnection, value: object, status: int = 200) -> None:
     """Sends a value as JSON."""
-    await connection.respond(status, JSON, msgspec.json.encode(value))
+    await connection.respond(status, JSON_HEADERS, msgspec.json.encode(value))
 
 
-async def refuse(connection: ServerConnection, error: BadRequestError) -> None:
+async def send_bad_request(connection: ServerConnection, error: BadRequestError) -> None:
     """Answers a bad request."""
-    await connection.respond(error.status, JSON, msgspec.json.encode({"error": str(error)}))
+    await connection.respond(error.status, JSON_HEADERS, msgspec.json.encode({"error": str(error)}))
--- a/fakes/service.py
+++ b/fakes/service.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from bluebellpitch.errors import GoneError
-from fakes.server import FakeServer, answer
+from fakes.server import FakeServer, send_json
 
 
 class FakeService(FakeServer):
@@ -30,7 +30,7 @@
     async def serve(self, connection, request) -> None:
         """Answers a submission, a look-up, or the counts."""
         if request.target == "/counts":
-            await answer(connection, self.runs_by_case)
+            await send_json(connection, self.runs_by_case)
         elif request.method == "POST" and self.refuse:
             headers = [("X-Did-Not-Run", "true")]
             await connection.respond(503, headers, b"{}")
@@ -38,7 +38,7 @@
             await self._submit(connection, msgspec.json.decode(request.body)["case"])
         else:
             await asyncio.sleep(self.slow_s)
-            await answer(connection, {"looked_up": request.target, "by": self.name})
+            await send_json(connection, {"looked_up": request.target, "by": self.name})
 
     async def _submit(self, connection, case: str) -> None:
         await asyncio.sleep(self.slow_s)
@@ -49,4 +49,4 @@
             await asyncio.sleep(3600)
             raise GoneError("silent")
         await asyncio.sleep(self.hold_s)
-        await answer(connection, {"opened": case, "by": self.name})
+        await send_json(connection, {"opened": case, "by": self.name})
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -8,8 +8,8 @@
 
 from bluebellpitch.decisions.rows import ClassRow, MemberRow
 from bluebellpitch.http1 import fetch
-from fakes.federations import FILING, MODEL, endpoint, sheet
-from fakes.fleet import Fleet, digest
+from fakes.federations import FILING_POOL, MODEL_POOL, endpoint_row, new_sheet
+from fakes.fleet import Fleet, credential_digest
 from measure.loads import MEMBERS
 
 STEP_S, STREAM_S, SLOTS = 0.012, 0.001, 8
@@ -101,7 +101,7 @@
 
 async def start(fleet: Fleet, shape: Shape, mode: str, limits: dict[str, int]) -> Deployment:
     """Starts all processes; ``mode`` names the policy or a baseline."""
-    fleet.start_platform()
+    fleet.start_store()
     for zone, engines, services in zip(shape.zones, shape.engines, shape.services, strict=True):
         for number in range(engines):
             start_engine(fleet, f"engine-{zone}-{number}")
@@ -109,16 +109,18 @@
             fleet.start_fake("service", f"filing-{zone}-{number}")
     await fleet.wait_listening(*fleet.processes_by_name.values())
     rows = [
-        MemberRow(name, 1.0, limits.get(name, 0), digest(f"{name}-secret"), CLASSES[0].name)
+        MemberRow(
+            name, 1.0, limits.get(name, 0), credential_digest(f"{name}-secret"), CLASSES[0].name
+        )
         for name in MEMBERS
     ]
-    rows += [*CLASSES, MODEL, FILING]
+    rows += [*CLASSES, MODEL_POOL, FILING_POOL]
     for zone, engines, services in zip(shape.zones, shape.engines, shape.services, strict=True):
         names = [f"engine-{zone}-{number}" for number in range(engines)]
-        rows += [endpoint(fleet, name, "drafter", zone, zone, SLOTS) for name in names]
+        rows += [endpoint_row(fleet, name, "drafter", zone, zone, SLOTS) for name in names]
         names = [f"filing-{zone}-{number}" for number in range(services)]
-        rows += [endpoint(fleet, name, "filing", zone, zone, SLOTS) for name in names]
-    status, output = await fleet.apply_sheet(sheet(*rows))
+        rows += [endpoint_row(fleet, name, "filing", zone, zone, SLOTS) for name in names]
+    status, output = await fleet.apply_sheet(new_sheet(*rows))
     if status:
         raise RuntimeError(output)
     fleet.program = ["measure.variant", mode]
@@ -126,7 +128,7 @@
         for number in range(count):
             fleet.add_vm(f"vm-{zone}-{number}", zone, zone)
     await fleet.wait_ready()
-    await fleet.wait_settled()
+    await fleet.wait_converged()
     return Deployment(fleet, shape)
 
 
--- a/measure/drive.py
+++ b/measure/drive.py
@@ -5,8 +5,8 @@
 import time
 from dataclasses import dataclass
 
-from fakes.caller import Answer, stream
-from fakes.engine import answer_to
+from fakes.caller import StreamedResponse, stream_completion
+from fakes.engine import expected_completion
 from measure.deployment import CLASSES, Deployment
 from measure.loads import Arrival, Load, arrivals
 
@@ -19,7 +19,7 @@
     """One request and its answer. ``sent_s`` is from the start of the load."""
 
     arrival: Arrival
-    answer: Answer
+    answer: StreamedResponse
     sent_s: float
     right: bool
 
@@ -31,13 +31,13 @@
     def in_time(self) -> bool:
         """Tells whether a whole answer met both targets of its class."""
         row = ROWS[self.class_name]
-        first = self.answer.first_s <= row.first_token_ms / 1000
-        return self.right and first and self.answer.between_s <= row.between_tokens_ms / 1000
+        first = self.answer.first_token_s <= row.first_token_ms / 1000
+        return self.right and first and self.answer.token_interval_s <= row.between_tokens_ms / 1000
 
     @property
     def ended_s(self) -> float:
         """When the answer was whole, from the start of the load."""
-        return self.sent_s + self.answer.last_s
+        return self.sent_s + self.answer.last_token_s
 
 
 async def drive(deployment: Deployment, load: Load, seed: int, drain_s: float) -> list[Result]:
@@ -65,8 +65,8 @@
     sent_s = time.monotonic() - started
     token = f"{arrival.member}-secret"
     try:
-        answer = await stream(addresses[arrival.vm], token, prompt, arrival.class_name)
+        answer = await stream_completion(addresses[arrival.vm], token, prompt, arrival.class_name)
     except asyncio.CancelledError:
-        answer = Answer(UNFINISHED, {}, "", False)
-    right = answer.whole and answer.text == answer_to(prompt)
+        answer = StreamedResponse(UNFINISHED, {}, "", False)
+    right = answer.complete and answer.text == expected_completion(prompt)
     return Result(arrival, answer, sent_s, right)
--- a/measure/figures.py
+++ b/measure/figures.py
@@ -26,7 +26,7 @@
 
 def first_token(results: list[Result], share: float) -> float:
     """Returns a percentile of the time to the first token; an unanswered request counts as 60 s."""
-    return percentile((r.answer.first_s if r.right else 60.0 for r in results), share)
+    return percentile((r.answer.first_token_s if r.right else 60.0 for r in results), share)
 
 
 def tokens_between(results: Iterable[Result], begin_s: float, end_s: float) -> float:
@@ -36,7 +36,7 @@
 
 def tokens_of(result: Result, begin_s: float, end_s: float) -> float:
     """Returns the part of one answer's tokens that came in a time."""
-    first_s, last_s = result.sent_s + result.answer.first_s, result.ended_s
+    first_s, last_s = result.sent_s + result.answer.first_token_s, result.ended_s
     if last_s <= first_s:
         return result.arrival.tokens * (begin_s <= first_s < end_s)
     overlap = max(0.0, min(last_s, end_s) - max(first_s, begin_s))
--- a/measure/path.py
+++ b/measure/path.py
@@ -6,8 +6,8 @@
 import time
 from pathlib import Path
 
-from fakes.caller import Answer, stream
-from fakes.federations import CLASSES, MODEL, endpoint, member, sheet
+from fakes.caller import StreamedResponse, stream_completion
+from fakes.federations import CLASSES, MODEL_POOL, endpoint_row, member_row, new_sheet
 from fakes.fleet import Fleet
 from measure.figures import percentile
 
@@ -33,46 +33,48 @@
 
 async def start(fleet: Fleet) -> float:
     """Starts two engines and one entry VM; returns how long the VM took to be ready."""
-    fleet.start_platform()
+    fleet.start_store()
     for name in ("engine-0", "engine-1", "engine-2"):
         fleet.start_fake("engine", name, slots=80, step_s=0.02, stream_s=0.0, prefill_s=0.02)
     await fleet.wait_listening(*fleet.processes_by_name.values())
-    rows = [member("office"), *CLASSES, MODEL]
+    rows = [member_row("office"), *CLASSES, MODEL_POOL]
     names = ("engine-0", "engine-1", "engine-2")
-    rows += [endpoint(fleet, name, "drafter", "z", "r", 80) for name in names]
-    status, output = await fleet.apply_sheet(sheet(*rows))
+    rows += [endpoint_row(fleet, name, "drafter", "z", "r", 80) for name in names]
+    status, output = await fleet.apply_sheet(new_sheet(*rows))
     if status:
         raise RuntimeError(output)
     started = time.monotonic()
     vm = fleet.add_vm("vm-0", "z", "r")
     await fleet.wait_ready(vm)
     took_s = time.monotonic() - started
-    await fleet.wait_settled()
+    await fleet.wait_converged()
     return took_s
 
 
-async def paired_latency(direct: str, routed: str) -> tuple[list[Answer], list[Answer]]:
+async def paired_latency(
+    direct: str, routed: str
+) -> tuple[list[StreamedResponse], list[StreamedResponse]]:
     """Sends the same requests in turn to the engine and through the VM, one at a time."""
     near, far = [], []
     for number in range(PAIRS):
         prompt = f"[len=20] pair {number} "
-        near.append(await stream(direct, TOKEN, prompt + "d", "explain"))
-        far.append(await stream(routed, TOKEN, prompt + "r", "explain"))
+        near.append(await stream_completion(direct, TOKEN, prompt + "d", "explain"))
+        far.append(await stream_completion(routed, TOKEN, prompt + "r", "explain"))
     return near, far
 
 
 async def throughput(address: str, pid: int) -> tuple[float, float, float]:
     """Returns tokens a second, the VM's share of a core, and tokens a second of a whole core."""
     prompts = [f"[len=400] stream {number}" for number in range(STREAMS)]
-    tasks = [asyncio.create_task(stream(address, TOKEN, p, "draft")) for p in prompts]
+    tasks = [asyncio.create_task(stream_completion(address, TOKEN, p, "draft")) for p in prompts]
     await asyncio.sleep(1.5)
     used, started = cpu_s(pid), time.monotonic()
     await asyncio.sleep(5.0)
     used, passed = cpu_s(pid) - used, time.monotonic() - started
     answers = await asyncio.gather(*tasks)
-    if not all(answer.whole for answer in answers):
+    if not all(answer.complete for answer in answers):
         raise RuntimeError("a stream was cut")
-    rate = sum(answer.tokens / (answer.last_s - answer.first_s) for answer in answers)
+    rate = sum(answer.tokens / (answer.last_token_s - answer.first_token_s) for answer in answers)
     return rate, used / passed, rate / (used / passed)
 
 
@@ -90,8 +92,8 @@
         near, far = await paired_latency(engine, vm.listen)
         rate, share, per_core = await throughput(vm.listen, pid)
         busy_mb = resident_mb(pid)
-    first = [far[n].first_s - near[n].first_s for n in range(PAIRS)]
-    between = [far[n].between_s - near[n].between_s for n in range(PAIRS)]
+    first = [far[n].first_token_s - near[n].first_token_s for n in range(PAIRS)]
+    between = [far[n].token_interval_s - near[n].token_interval_s for n in range(PAIRS)]
     return [
         "# The path through one entry VM\n",
         "`make path`: one VM, three engines, loopback; latency in pairs, one request at a time.\n",
--- a/measure/runs.py
+++ b/measure/runs.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator, Iterator
 from statistics import median
 
-from fakes.caller import stream
+from fakes.caller import stream_completion
 from fakes.fleet import is_ready, wait_until
 from measure import deployment, loads
 from measure.deployment import CLASSES, Deployment, fleet_of_processes
@@ -279,7 +279,7 @@
         address = running.addresses[number % 2]
         while asyncio.get_running_loop().time() < stop:
             prompt = f"flood {number} [len=60]"
-            await stream(address, f"{member}-secret", prompt, "letter")
+            await stream_completion(address, f"{member}-secret", prompt, "letter")
 
     await asyncio.gather(*(one(number) for number in range(count)))
 
@@ -302,7 +302,12 @@
         results = [r for s in seeds for r in await drive(running, loads.normal(8.0), s, 30.0)]
         crossed = await running.read_metric("region_bytes_total")
         stats = await running.read_stats()
-    met = sum(r.right and r.answer.first_s <= 0.67 and r.answer.between_s <= 0.044 for r in results)
+    met = sum(
+        r.right and r.answer.first_token_s <= 0.67 and r.answer.token_interval_s <= 0.044
+        for r in results
+    )
     yield judge(name, mode, "0.67 s and 44 ms", met / len(results), 0.95)
-    yield tell(name, mode, "p95 first", percentile((r.answer.first_s for r in results), 0.95), " s")
+    yield tell(
+        name, mode, "p95 first", percentile((r.answer.first_token_s for r in results), 0.95), " s"
+    )
     yield tell(name, mode, "bytes between regions a token", crossed / max(1, stats["made"]))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -71,7 +71,7 @@
             store.late_s = fault.for_s
             store.lose_answers += 2
         case Kind.STORE_FORGETS:
-            store.forget(pick(fault, "keyed.op", "keyed.servers"))
+            store.truncate(pick(fault, "keyed.op", "keyed.servers"))
 
 
 async def bring_to_endpoint(scene: Scene, endpoint: SoakEndpoint, fault: Fault) -> None:
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -17,7 +17,7 @@
 from bluebellpitch.http1 import fetch
 from fakes.link import FakeLink
 from fakes.ports import free_address, free_port
-from fakes.prepared import configuration, settings_text
+from fakes.prepared import build_configuration, settings_text
 from fakes.prepared_endpoint import FakeEndpoint
 from fakes.prepared_store import FakeStore
 from soak.record import EVENTS, Arrival, Record, Stop
@@ -141,7 +141,7 @@
     def configure(self) -> None:
         """Writes a new version with the keys in force."""
         self.version += 3
-        fields = configuration(self.version, keys=tuple(self.keys))
+        fields = build_configuration(self.version, keys=tuple(self.keys))
         for route in fields["routes"]:
             if route["kind"] == "streaming":
                 route["timeout_ms"] = STREAM_TIMEOUT_MS
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -11,31 +11,31 @@
 from bluebellpitch.exits import ExitStatus
 from bluebellpitch.http1 import fetch
 from bluebellpitch.main import main
-from fakes.federations import CLASSES, FILING, MODEL, endpoint, member, sheet
+from fakes.federations import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 from fakes.fleet import Fleet
 
-TOKEN = "office-secret"
+CREDENTIAL = "office-secret"
 ZONES = (("doto-1", "doto"), ("doo-1", "doo"))
 
 
 @dataclass(frozen=True)
-class Shown:
+class ProgramResult:
     """What a user sees of one run of the program."""
 
     status: ExitStatus
-    out: str
-    err: str
+    stdout: str
+    stderr: str
 
 
-def run_program(*arguments: str) -> Shown:
+def run_program(*arguments: str) -> ProgramResult:
     """Runs the program in this process."""
     out, err = io.StringIO(), io.StringIO()
     status = main(list(arguments), Environment(stdout=out, stderr=err))
-    return Shown(status, out.getvalue(), err.getvalue())
+    return ProgramResult(status, out.getvalue(), err.getvalue())
 
 
 @dataclass(frozen=True)
-class Shape:
+class FederationSize:
     """How large a federation is."""
 
     vms_per_zone: int = 2
@@ -47,11 +47,11 @@
     step_s: float = 0.004
 
 
-async def start_federation(fleet: Fleet, shape: Shape, **settings) -> None:
+async def start_federation(fleet: Fleet, shape: FederationSize, **settings) -> None:
     """Starts stand-ins and entry VMs, and puts a table into force."""
-    fleet.start_platform()
-    rows = [member("office", limit=shape.limit), member("agency", "rewrite"), *CLASSES]
-    rows += [MODEL, FILING]
+    fleet.start_store()
+    rows = [member_row("office", limit=shape.limit), member_row("agency", "rewrite"), *CLASSES]
+    rows += [MODEL_POOL, FILING_POOL]
     zones = ZONES[: shape.zones]
     for zone, _ in zones:
         for number in range(shape.engines_per_zone):
@@ -66,14 +66,14 @@
             ("filing", "filing", shape.services_per_zone),
         ):
             names = (f"{kind}-{zone}-{number}" for number in range(count))
-            rows += [endpoint(fleet, n, pool, zone, region, shape.slots) for n in names]
-    status, output = await fleet.apply_sheet(sheet(*rows))
+            rows += [endpoint_row(fleet, n, pool, zone, region, shape.slots) for n in names]
+    status, output = await fleet.apply_sheet(new_sheet(*rows))
     assert status == 0, output
     for zone, region in zones:
         for number in range(shape.vms_per_zone):
             fleet.add_vm(f"vm-{zone}-{number}", zone, region, **settings)
     await fleet.wait_ready()
-    await fleet.wait_settled()
+    await fleet.wait_converged()
 
 
 async def count_runs(fleet: Fleet, case: str) -> int:
--- a/tests/prepared_helpers.py
+++ b/tests/prepared_helpers.py
@@ -2,17 +2,17 @@
 
 import asyncio
 
-from fakes.prepared import Deployment, PlatformClient, wait_until
+from fakes.prepared import Deployment, KeepAliveClient, wait_until
 
 
-async def start(deployment: Deployment, *pools: str):
+async def start_deployment(deployment: Deployment, *pools: str):
     """Starts an endpoint for each pool named, and one entry VM; returns endpoints and a client."""
     endpoints = [
         await deployment.add_endpoint(f"i-{number}", pool) for number, pool in enumerate(pools)
     ]
     vm = await deployment.add_vm()
     await wait_until(lambda: len(vm.directory.entries_by_id) == len(pools))
-    return endpoints, PlatformClient(vm.settings)
+    return endpoints, KeepAliveClient(vm.settings)
 
 
 def in_deployment(body):
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,9 +7,17 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, MatchesAny
 
-from fakes.caller import look_up, stream, submit
+from fakes.caller import look_up_case, stream_completion, submit_case
 from fakes.fleet import Fleet, wait_until
-from tests.helpers import TOKEN, Shape, count_runs, read_counts, start_federation, verdict_of, wait
+from tests.helpers import (
+    CREDENTIAL,
+    FederationSize,
+    count_runs,
+    read_counts,
+    start_federation,
+    verdict_of,
+    wait,
+)
 
 HORIZON_S = 64.0
 DISPATCH_WINDOW_S = 4.0
@@ -19,7 +27,7 @@
 def running():
     with Fleet() as fleet:
         settings = {"horizon_s": 3600.0, "service_timeout_s": 2.0}
-        asyncio.run(start_federation(fleet, Shape(vms_per_zone=3), **settings))
+        asyncio.run(start_federation(fleet, FederationSize(vms_per_zone=3), **settings))
         yield fleet
 
 
@@ -36,7 +44,7 @@
             if vm.process.popen.poll() is not None:
                 running.start_vm(vm)
         await running.wait_ready()
-        await running.wait_settled()
+        await running.wait_converged()
 
     asyncio.run(reset_faults())
 
@@ -56,7 +64,7 @@
 async def retry_until(vm, case: str, key: str, statuses: tuple[int, ...]):
     """Retries a submission until its status is one of ``statuses``, as a client would."""
     for _ in range(20):
-        answer = await submit(vm.listen, TOKEN, case, key)
+        answer = await submit_case(vm.listen, CREDENTIAL, case, key)
         if answer is not None and answer.status in statuses:
             return answer
         await wait(0.3)
@@ -67,7 +75,7 @@
     async def scenario():
         for number in range(10):
             sends = [
-                submit(vm_of(fleet, n).listen, TOKEN, f"race-{number}", f"race-{number}")
+                submit_case(vm_of(fleet, n).listen, CREDENTIAL, f"race-{number}", f"race-{number}")
                 for n in range(3)
             ]
             answers = await asyncio.gather(*sends)
@@ -80,12 +88,14 @@
 def test_vm_killed_after_dispatch_leaves_may_have_run(run, fleet):
     async def scenario():
         await fleet.control(service_of(fleet), slow_s=0.5, hold_s=1.0)
-        first = asyncio.create_task(submit(vm_of(fleet, 0).listen, TOKEN, "killed-1", "killed-1"))
+        first = asyncio.create_task(
+            submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "killed-1", "killed-1")
+        )
         await wait_until(lambda: has_run(fleet, "killed-1"), "the case has run")
         vm_of(fleet, 0).process.kill()
         assert_that(await first, Equals(None))
         await fleet.control(service_of(fleet), slow_s=0.0, hold_s=0.0)
-        again = await submit(vm_of(fleet, 1).listen, TOKEN, "killed-1", "killed-1")
+        again = await submit_case(vm_of(fleet, 1).listen, CREDENTIAL, "killed-1", "killed-1")
         assert_that(again.status, Equals(409))
         assert_that(verdict_of(again), Equals("may_have_run"))
         assert_that(await count_runs(fleet, "killed-1"), Equals(1))
@@ -99,7 +109,9 @@
 def test_vm_killed_before_its_claim_is_appended_leaves_the_key_free(run, fleet):
     async def scenario():
         await fleet.control(fleet.store, outage=True)
-        first = asyncio.create_task(submit(vm_of(fleet, 0).listen, TOKEN, "killed-2", "killed-2"))
+        first = asyncio.create_task(
+            submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "killed-2", "killed-2")
+        )
         await wait(0.5)
         vm_of(fleet, 0).process.kill()
         await first
@@ -114,7 +126,7 @@
 def test_claim_with_lost_acknowledgement_is_found_on_the_log(run, fleet):
     async def scenario():
         await fleet.control(fleet.store, lose_answers=1)
-        answer = await submit(vm_of(fleet, 0).listen, TOKEN, "lost-1", "lost-1")
+        answer = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "lost-1", "lost-1")
         assert_that(answer.status, Equals(200))
         assert_that(await count_runs(fleet, "lost-1"), Equals(1))
 
@@ -124,7 +136,7 @@
 def test_claim_appended_late_is_invalid(run, fleet):
     async def scenario():
         await fleet.control(fleet.store, lose_answers=1, late_s=4.5)
-        first = await submit(vm_of(fleet, 0).listen, TOKEN, "late-1", "late-1")
+        first = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "late-1", "late-1")
         assert_that(verdict_of(first), Equals("did_not_run"))
         assert_that(await count_runs(fleet, "late-1"), Equals(0))
         await wait(2.0)
@@ -138,12 +150,13 @@
     async def scenario():
         await fleet.control(fleet.store, outage=True)
         vm = vm_of(fleet, 0)
-        refused = await submit(vm.listen, TOKEN, "outage-1", "outage-1")
+        refused = await submit_case(vm.listen, CREDENTIAL, "outage-1", "outage-1")
         assert_that(refused.status, Equals(503))
         assert_that(verdict_of(refused), Equals("did_not_run"))
-        assert_that((await look_up(vm.listen, TOKEN, "x")).status, Equals(200))
+        assert_that((await look_up_case(vm.listen, CREDENTIAL, "x")).status, Equals(200))
         assert_that(
-            (await stream(vm.listen, TOKEN, "[len=9] during an outage")).whole, Equals(True)
+            (await stream_completion(vm.listen, CREDENTIAL, "[len=9] during an outage")).complete,
+            Equals(True),
         )
         await fleet.control(fleet.store, outage=False)
         await retry_until(vm, "outage-1", "outage-1", (200,))
@@ -155,11 +168,13 @@
 def test_outcome_is_written_after_an_outage(run, fleet):
     async def scenario():
         await fleet.control(service_of(fleet), hold_s=1.0)
-        first = asyncio.create_task(submit(vm_of(fleet, 0).listen, TOKEN, "behind-1", "behind-1"))
+        first = asyncio.create_task(
+            submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "behind-1", "behind-1")
+        )
         await wait_until(lambda: has_run(fleet, "behind-1"), "the case has run")
         await fleet.control(fleet.store, outage=True)
         assert_that((await first).status, Equals(200))
-        during = await submit(vm_of(fleet, 1).listen, TOKEN, "behind-1", "behind-1")
+        during = await submit_case(vm_of(fleet, 1).listen, CREDENTIAL, "behind-1", "behind-1")
         assert_that(during.status, MatchesAny(Equals(409), Equals(503)))
         await fleet.control(fleet.store, outage=False)
         replay = await retry_until(vm_of(fleet, 1), "behind-1", "behind-1", (200,))
@@ -172,10 +187,10 @@
 def test_silent_service_leaves_may_have_run_and_is_listed(run, fleet):
     async def scenario():
         await fleet.control(service_of(fleet), silent=True)
-        first = await submit(vm_of(fleet, 0).listen, TOKEN, "silent-1", "silent-1")
+        first = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "silent-1", "silent-1")
         assert_that(verdict_of(first), Equals("may_have_run"))
         await fleet.control(service_of(fleet), silent=False)
-        again = await submit(vm_of(fleet, 1).listen, TOKEN, "silent-1", "silent-1")
+        again = await submit_case(vm_of(fleet, 1).listen, CREDENTIAL, "silent-1", "silent-1")
         assert_that(verdict_of(again), Equals("may_have_run"))
         assert_that(await count_runs(fleet, "silent-1"), Equals(1))
         _, output = await fleet.run_command("status", "--vm", vm_of(fleet, 1).admin)
@@ -187,7 +202,7 @@
 def test_service_that_says_it_did_not_run_frees_the_key(run, fleet):
     async def scenario():
         await fleet.control(service_of(fleet), refuse=True)
-        first = await submit(vm_of(fleet, 0).listen, TOKEN, "refused-1", "refused-1")
+        first = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "refused-1", "refused-1")
         assert_that(verdict_of(first), Equals("did_not_run"))
         await fleet.control(service_of(fleet), refuse=False)
         await retry_until(vm_of(fleet, 1), "refused-1", "refused-1", (200,))
@@ -199,7 +214,7 @@
 def test_submission_without_key_is_never_sent_twice(run, fleet):
     async def scenario():
         await fleet.control(service_of(fleet), silent=True)
-        answer = await submit(vm_of(fleet, 0).listen, TOKEN, "keyless-1", "")
+        answer = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "keyless-1", "")
         assert_that(verdict_of(answer), Equals("may_have_run"))
         assert_that((await read_counts(service_of(fleet).address))["keyless-1"], Equals(1))
 
@@ -211,10 +226,10 @@
 
     async def scenario():
         with Fleet() as fleet:
-            await start_federation(fleet, Shape(), horizon_s=HORIZON_S)
+            await start_federation(fleet, FederationSize(), horizon_s=HORIZON_S)
             await fleet.control(fleet.store, slow_s=1.0)
             first = asyncio.create_task(
-                submit(vm_of(fleet, 0).listen, TOKEN, "paused-1", "paused-1")
+                submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "paused-1", "paused-1")
             )
             await wait(0.6)
             vm_of(fleet, 0).process.pause()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -11,10 +11,10 @@
 from testtools.matchers import Contains, Equals, MatchesAll
 
 from bluebellpitch.http1 import fetch
-from fakes.caller import headers_for, stream, submit
-from fakes.engine import answer_to
+from fakes.caller import build_headers, stream_completion, submit_case
+from fakes.engine import expected_completion
 from fakes.fleet import Fleet
-from tests.helpers import TOKEN, Shape, start_federation, verdict_of
+from tests.helpers import CREDENTIAL, FederationSize, start_federation, verdict_of
 
 PROMPT = "[len=25] tell me"
 
@@ -22,7 +22,7 @@
 @pytest.fixture(scope="module")
 def fleet():
     with Fleet() as fleet:
-        asyncio.run(start_federation(fleet, Shape(), body_bytes=50_000, receive_s=1.0))
+        asyncio.run(start_federation(fleet, FederationSize(), body_bytes=50_000, receive_s=1.0))
         yield fleet
 
 
@@ -32,7 +32,7 @@
 
 
 def post(run, vm, body: bytes, headers=None, target="/v1/completions"):
-    headers = headers_for(TOKEN) if headers is None else headers
+    headers = build_headers(CREDENTIAL) if headers is None else headers
     return run(fetch(vm.listen, "POST", target, body, headers, timeout_s=10.0))
 
 
@@ -51,21 +51,21 @@
 
 
 def assert_serves(run, vm):
-    answer = run(stream(vm.listen, TOKEN, PROMPT))
-    assert_that(answer.text, Equals(answer_to(PROMPT)))
+    answer = run(stream_completion(vm.listen, CREDENTIAL, PROMPT))
+    assert_that(answer.text, Equals(expected_completion(PROMPT)))
 
 
 def test_openai_client_works_unchanged(vm):
-    client = openai.OpenAI(api_key=TOKEN, base_url=f"http://{vm.listen}/v1", max_retries=0)
+    client = openai.OpenAI(api_key=CREDENTIAL, base_url=f"http://{vm.listen}/v1", max_retries=0)
     messages = [{"role": "user", "content": PROMPT}]
     whole = client.chat.completions.create(model="drafter", messages=messages)
-    assert_that(whole.choices[0].message.content, Equals(answer_to(PROMPT)))
+    assert_that(whole.choices[0].message.content, Equals(expected_completion(PROMPT)))
     assert_that(whole.usage.completion_tokens, Equals(25))
     chunks = client.chat.completions.create(model="drafter", messages=messages, stream=True)
     text = "".join(chunk.choices[0].delta.content or "" for chunk in chunks)
-    assert_that(text, Equals(answer_to(PROMPT)))
+    assert_that(text, Equals(expected_completion(PROMPT)))
     completed = client.completions.create(model="drafter", prompt=PROMPT)
-    assert_that(completed.choices[0].text, Equals(answer_to(PROMPT)))
+    assert_that(completed.choices[0].text, Equals(expected_completion(PROMPT)))
     assert_that([model.id for model in client.models.list()], Equals(["drafter"]))
 
 
@@ -80,10 +80,12 @@
     prompts = [f"[len={10 + n % 30}] request {n}" for n in range(60)]
 
     async def send_all():
-        return await asyncio.gather(*(stream(vm.listen, TOKEN, prompt) for prompt in prompts))
+        return await asyncio.gather(
+            *(stream_completion(vm.listen, CREDENTIAL, prompt) for prompt in prompts)
+        )
 
     answers = run(send_all())
-    expected = [hashlib.sha256(answer_to(p).encode()).hexdigest() for p in prompts]
+    expected = [hashlib.sha256(expected_completion(p).encode()).hexdigest() for p in prompts]
     got = [hashlib.sha256(a.text.encode()).hexdigest() for a in answers]
     assert_that(got, Equals(expected))
 
@@ -92,11 +94,19 @@
     "bad_json": (b"{", None, 400),
     "unknown_model": (completion(model="none"), None, 404),
     "bad_request": (completion(prompt=""), None, 400),
-    "unknown_class": (completion(), headers_for(TOKEN, "none"), 400),
-    "wrong_credential": (completion(), headers_for("none"), 401),
+    "unknown_class": (completion(), build_headers(CREDENTIAL, "none"), 400),
+    "wrong_credential": (completion(), build_headers("none"), 401),
     "no_credential": (completion(), [], 401),
-    "deadline_past": (completion(), headers_for(TOKEN, X_Bluebellpitch_Deadline_Ms="-5"), 400),
-    "bad_deadline": (completion(), headers_for(TOKEN, X_Bluebellpitch_Deadline_Ms="nan"), 400),
+    "deadline_past": (
+        completion(),
+        build_headers(CREDENTIAL, X_Bluebellpitch_Deadline_Ms="-5"),
+        400,
+    ),
+    "bad_deadline": (
+        completion(),
+        build_headers(CREDENTIAL, X_Bluebellpitch_Deadline_Ms="nan"),
+        400,
+    ),
     "body_too_large": (b"x" * 60_000, None, 413),
 }
 
@@ -133,20 +143,22 @@
 
 
 def test_key_reused_with_another_body_is_refused(run, vm):
-    first = run(submit(vm.listen, TOKEN, "case-a", "key-reused"))
-    second = run(submit(vm.listen, TOKEN, "case-b", "key-reused"))
+    first = run(submit_case(vm.listen, CREDENTIAL, "case-a", "key-reused"))
+    second = run(submit_case(vm.listen, CREDENTIAL, "case-b", "key-reused"))
     assert_that(first.status, Equals(200))
     assert_that(second.status, Equals(422))
     assert_that(verdict_of(second), Equals("did_not_run"))
 
 
 def test_key_older_than_the_horizon_is_refused(run, vm):
-    answer = run(submit(vm.listen, TOKEN, "case-old", "key-old", X_Bluebellpitch_Made_At="1000"))
+    answer = run(
+        submit_case(vm.listen, CREDENTIAL, "case-old", "key-old", X_Bluebellpitch_Made_At="1000")
+    )
     assert_that(answer.status, Equals(400))
     assert_that(msgspec.json.decode(answer.body)["reason"], Equals("request_too_old"))
 
 
 def test_member_cannot_use_another_members_key(run, vm):
-    first = run(submit(vm.listen, TOKEN, "case-m1", "shared-key"))
-    second = run(submit(vm.listen, "agency-secret", "case-m2", "shared-key"))
+    first = run(submit_case(vm.listen, CREDENTIAL, "case-m1", "shared-key"))
+    second = run(submit_case(vm.listen, "agency-secret", "case-m2", "shared-key"))
     assert_that([first.status, second.status], Equals([200, 200]))
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -18,11 +18,11 @@
 from bluebellpitch.http1 import HttpRequest, parse_address
 from bluebellpitch.operators.sheet import COLUMNS, parse_sheet, write_sheet
 from bluebellpitch.peers.messages import decode_envelope
-from fakes.federations import CLASSES, FILING, MODEL
-from fakes.fleet import digest
+from fakes.federations import CLASSES, FILING_POOL, MODEL_POOL
+from fakes.fleet import credential_digest
 
-MEMBER = MemberRow("m", 1.0, 0, digest("token"), "draft")
-ROWS = (MEMBER, *CLASSES, MODEL, FILING, PoolRow("other", "model", ()))
+MEMBER = MemberRow("m", 1.0, 0, credential_digest("token"), "draft")
+ROWS = (MEMBER, *CLASSES, MODEL_POOL, FILING_POOL, PoolRow("other", "model", ()))
 TABLE = Table({row_key(row): VersionedRow(row, 0) for row in ROWS}, 0)
 fast = settings(max_examples=300, deadline=None, derandomize=True)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -32,7 +32,7 @@
 )
 from bluebellpitch.platform.settings_file import parse_settings
 from bluebellpitch.platform.store import NewestPage, decode_json, decode_value
-from fakes.prepared import configuration, settings_text
+from fakes.prepared import build_configuration, settings_text
 
 ENTRY = {
     "service": "app",
@@ -112,7 +112,7 @@
 
 
 def test_what_may_repeat_follows_from_the_kind():
-    catalogue = decode_configuration(msgspec.json.encode(configuration(1)))
+    catalogue = decode_configuration(msgspec.json.encode(build_configuration(1)))
     kinds = {
         r.name: r.repeatability for routes in catalogue.routes_by_host.values() for r in routes
     }
@@ -126,7 +126,7 @@
 
 def test_split_follows_the_weights():
     split = [{"service": "app", "weight": 90}, {"service": "engines", "weight": 10}]
-    wire = configuration(1)
+    wire = build_configuration(1)
     wire["routes"][0] |= {"split": split}
     catalogue = decode_configuration(msgspec.json.encode(wire))
     found = catalogue.match_route("tile.example", "/look/7")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,8 +11,8 @@
 from testtools.matchers import Contains, Equals
 
 from bluebellpitch.exits import ExitStatus
-from fakes.federations import CLASSES, MODEL, member, sheet
-from fakes.fleet import answers, wait_until
+from fakes.federations import CLASSES, MODEL_POOL, member_row, new_sheet
+from fakes.fleet import is_listening, wait_until
 from fakes.ports import free_address
 from tests.helpers import run_program
 
@@ -40,55 +40,55 @@
 def test_wrong_setting_is_named(flag, value):
     shown = serve(**{flag: value})
     assert_that(shown.status, Equals(ExitStatus.USAGE))
-    assert_that(shown.err, Contains(f"--{flag.replace('_', '-')}"))
-    assert_that(shown.err.count("\n"), Equals(1))
+    assert_that(shown.stderr, Contains(f"--{flag.replace('_', '-')}"))
+    assert_that(shown.stderr.count("\n"), Equals(1))
 
 
 def test_missing_setting_is_named():
     shown = run_program("serve")
     assert_that(shown.status, Equals(ExitStatus.USAGE))
-    assert_that(shown.err, Contains("--vm-name"))
+    assert_that(shown.stderr, Contains("--vm-name"))
 
 
 def test_setting_from_the_environment(monkeypatch):
     monkeypatch.setenv("BLUEBELLPITCH_ZONE", "not a zone")
     flags = [text for pair in SERVE.items() if pair[0] != "--zone" for text in pair]
-    assert_that(run_program("serve", *flags).err, Contains("not a zone"))
+    assert_that(run_program("serve", *flags).stderr, Contains("not a zone"))
 
 
 def test_good_sheet_is_right(tmp_path):
     path = tmp_path / "table.csv"
-    path.write_text(sheet(member("a"), *CLASSES, MODEL))
+    path.write_text(new_sheet(member_row("a"), *CLASSES, MODEL_POOL))
     shown = run_program("table", "check", str(path))
-    assert_that((shown.status, shown.err), Equals((ExitStatus.OK, "")))
+    assert_that((shown.status, shown.stderr), Equals((ExitStatus.OK, "")))
 
 
 def test_all_errors_of_a_sheet_are_named_at_once(tmp_path):
     path = tmp_path / "table.csv"
-    text = sheet(member("a"), member("b", "none"), *CLASSES, MODEL)
+    text = new_sheet(member_row("a"), member_row("b", "none"), *CLASSES, MODEL_POOL)
     path.write_text(text.replace("member,a,1.0", "member,a,-1").replace("pool,drafter", "pol,x"))
     shown = run_program("table", "check", str(path))
     assert_that(shown.status, Equals(ExitStatus.USAGE))
-    assert_that(shown.err, Contains("column weight: '-1' must be a number above 0"))
-    assert_that(shown.err, Contains("column kind: 'pol' must be one of"))
-    assert_that(shown.err, Contains("column default_class: there is no class 'none'"))
+    assert_that(shown.stderr, Contains("column weight: '-1' must be a number above 0"))
+    assert_that(shown.stderr, Contains("column kind: 'pol' must be one of"))
+    assert_that(shown.stderr, Contains("column default_class: there is no class 'none'"))
 
 
 def test_platform_out_of_reach_has_its_own_status(tmp_path):
     shown = run_program("table", "show", "--store-address", free_address(), "--patience-s", "0.3")
     assert_that(shown.status, Equals(ExitStatus.UNREACHABLE))
-    assert_that(shown.err, Contains("the platform's store cannot be read"))
+    assert_that(shown.stderr, Contains("the platform's store cannot be read"))
 
 
 def test_vm_out_of_reach_is_named():
     address = free_address()
     shown = run_program("status", "--vm", address)
     assert_that(shown.status, Equals(ExitStatus.UNREACHABLE))
-    assert_that(shown.err, Contains(address))
+    assert_that(shown.stderr, Contains(address))
 
 
 def test_version():
-    assert_that(run_program("version").out, Equals("0.1.0\n"))
+    assert_that(run_program("version").stdout, Equals("0.1.0\n"))
 
 
 def test_first_table_of_the_readme_is_right(tmp_path):
@@ -98,7 +98,7 @@
     path = tmp_path / "table.csv"
     path.write_text("\n".join(block).replace("DIGEST", "0" * 64))
     shown = run_program("table", "check", str(path))
-    assert_that((shown.err, shown.status), Equals(("", ExitStatus.OK)))
+    assert_that((shown.stderr, shown.status), Equals(("", ExitStatus.OK)))
 
 
 def test_program_is_one_file_that_starts_no_other_process(tmp_path):
@@ -114,7 +114,7 @@
         [sys.executable, str(program), "serve", *arguments], env=environment, cwd=tmp_path
     )
     try:
-        asyncio.run(wait_until(lambda: answers(addresses["admin"]), "it serves", 60.0))
+        asyncio.run(wait_until(lambda: is_listening(addresses["admin"]), "it serves", 60.0))
         children = Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text()
         maps = Path(f"/proc/{process.pid}/maps").read_text()
         files = [os.readlink(link) for link in Path(f"/proc/{process.pid}/fd").iterdir()]
--- a/tests/test_store_watchers.py
+++ b/tests/test_store_watchers.py
@@ -7,14 +7,14 @@
 
 from bluebellpitch.platform.configuration import decode_configuration
 from fakes.link import FakeLink
-from fakes.prepared import Deployment, PlatformClient, configuration, wait_until
-from tests.prepared_helpers import in_deployment, start
+from fakes.prepared import Deployment, KeepAliveClient, build_configuration, wait_until
+from tests.prepared_helpers import in_deployment, start_deployment
 
 
 @in_deployment
 async def test_removed_key_is_refused_during_store_outage(deployment):
     """The VM cannot see the removal, so it must stop accepting keys before the revocation bound."""
-    (app,), client = await start(deployment, "app")
+    (app,), client = await start_deployment(deployment, "app")
     assert (await client.call("GET", "/look/7", "r1")).status == 200
     deployment.store.status = 503
     deployment.configure(2, keys=())
@@ -35,7 +35,7 @@
     vm = await deployment.add_vm(store=link.address)
     await wait_until(lambda: len(vm.liveness.live_peers(vm._now())) == 1)
     link.cut = True
-    client = PlatformClient(vm.settings)
+    client = KeepAliveClient(vm.settings)
     for number in range(6):
         await asyncio.sleep(0.5)
         assert (await client.call("GET", "/look/7", f"r{number}")).status == 200
@@ -52,18 +52,18 @@
 
 @in_deployment
 async def test_topic_truncated_by_store_is_read_again(deployment):
-    _, client = await start(deployment, "app")
+    _, client = await start_deployment(deployment, "app")
     vm = deployment.vms[0]
     deployment.configure(2)
-    deployment.store.forget("keyed.op")
+    deployment.store.truncate("keyed.op")
     deployment.configure(3)
-    deployment.store.forget("keyed.op")
+    deployment.store.truncate("keyed.op")
     await wait_until(lambda: vm.configuration.version() == 3)
 
 
 @in_deployment
 async def test_older_configuration_version_is_ignored(deployment):
-    await start(deployment, "app")
+    await start_deployment(deployment, "app")
     vm = deployment.vms[0]
     deployment.configure(5)
     await wait_until(lambda: vm.configuration.version() == 5)
@@ -75,7 +75,7 @@
 
 @in_deployment
 async def test_malformed_entries_are_ignored(deployment):
-    (app,), client = await start(deployment, "app")
+    (app,), client = await start_deployment(deployment, "app")
     vm = deployment.vms[0]
     deployment.announce(app, "app", state="odd")
     deployment.store.put("keyed.servers", "i-9", b"\xff\xfe")
@@ -86,7 +86,7 @@
 
 
 def test_fake_configuration_is_decoded():
-    catalogue = decode_configuration(msgspec.json.encode(configuration(3)))
+    catalogue = decode_configuration(msgspec.json.encode(build_configuration(3)))
     assert catalogue.version == 3
     assert catalogue.gap_targets_by_pool == {"engines": 0.3}
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,14 +11,14 @@
 
 from bluebellpitch.http1 import fetch
 from bluebellpitch.operators.sheet import parse_sheet, write_sheet
-from fakes.caller import Answer, stream
-from fakes.engine import answer_to
+from fakes.caller import StreamedResponse, stream_completion
+from fakes.engine import expected_completion
 from fakes.fleet import Fleet, is_ready, read_status, wait_until
 from fakes.ports import free_address
-from tests.helpers import TOKEN, Shape, start_federation, wait
+from tests.helpers import CREDENTIAL, FederationSize, start_federation, wait
 
 ENGINES = ("engine-doto-1-0", "engine-doto-1-1", "engine-doto-1-2")
-SHAPE = Shape(vms_per_zone=2, engines_per_zone=3, slots=4, step_s=0.01)
+SHAPE = FederationSize(vms_per_zone=2, engines_per_zone=3, slots=4, step_s=0.01)
 POISON_MAY_FELL = 3
 LEAVING_NOTICED_S = 4.0
 
@@ -34,14 +34,16 @@
     return list(fleet.vms_by_name.values())[number]
 
 
-def assert_whole(answer: Answer, prompt: str):
+def assert_whole(answer: StreamedResponse, prompt: str):
     assert_that(answer.status, Equals(200), answer.text)
-    assert_that(answer.whole, Equals(True))
-    assert_that(answer.text, Equals(answer_to(prompt)))
+    assert_that(answer.complete, Equals(True))
+    assert_that(answer.text, Equals(expected_completion(prompt)))
 
 
 def send(fleet, prompt: str, row: str = "draft", number: int = 0) -> asyncio.Task:
-    return asyncio.create_task(stream(vm_of(fleet, number).listen, TOKEN, prompt, row))
+    return asyncio.create_task(
+        stream_completion(vm_of(fleet, number).listen, CREDENTIAL, prompt, row)
+    )
 
 
 async def engine_running(fleet, prompt_count: int) -> str:
@@ -126,9 +128,11 @@
         running = [send(fleet, prompt, number=n % 2) for n, prompt in enumerate(prompts)]
         await engine_running(fleet, len(prompts))
         for number in range(6):
-            answer = await stream(vm_of(fleet, number % 2).listen, TOKEN, "[crash] poison", "draft")
-            assert_that(answer.whole, Equals(False))
-        last = await stream(vm_of(fleet).listen, TOKEN, "[crash] poison", "draft")
+            answer = await stream_completion(
+                vm_of(fleet, number % 2).listen, CREDENTIAL, "[crash] poison", "draft"
+            )
+            assert_that(answer.complete, Equals(False))
+        last = await stream_completion(vm_of(fleet).listen, CREDENTIAL, "[crash] poison", "draft")
         assert_that(last.status, Equals(422))
         assert_that(last.text, Contains("crashes_endpoints"))
         for task, prompt in zip(running, prompts, strict=True):
@@ -152,10 +156,12 @@
             await fleet.wait_listening(bus)
             fleet.add_vm("vm-late", "doto-1", "doto", bus=bus.address, bus_bind=bus_bind)
             await fleet.wait_ready()
-            await fleet.wait_settled()
+            await fleet.wait_converged()
             keeper = asyncio.create_task(keep_engines_up(fleet))
             for number in range(2):
-                await stream(vm_of(fleet, number).listen, TOKEN, "[crash] poison", "draft")
+                await stream_completion(
+                    vm_of(fleet, number).listen, CREDENTIAL, "[crash] poison", "draft"
+                )
             await wait(0.3)
             keeper.cancel()
             assert_that(len(await keeper), LessThan(POISON_MAY_FELL + 1))
@@ -191,7 +197,9 @@
         number += 1
         ready = [vm for vm in fleet.vms_by_name.values() if await is_ready(vm.admin)]
         prompt = f"[len=15] rolling {number}"
-        answers.append((await stream(ready[number % len(ready)].listen, TOKEN, prompt), prompt))
+        answers.append(
+            (await stream_completion(ready[number % len(ready)].listen, CREDENTIAL, prompt), prompt)
+        )
 
 
 def test_all_vms_replaced_one_after_another_fail_no_request(run, fleet):
@@ -201,15 +209,15 @@
         for name in tuple(fleet.vms_by_name):
             vm = fleet.vms_by_name[name]
             prompt = f"[len=150] held by {name}"
-            held = asyncio.create_task(stream(vm.listen, TOKEN, prompt))
+            held = asyncio.create_task(stream_completion(vm.listen, CREDENTIAL, prompt))
             await wait(0.3)
-            vm.process.send(signal.SIGTERM)
+            vm.process.send_signal(signal.SIGTERM)
             status = await asyncio.to_thread(vm.process.popen.wait, 30)
             assert_that(status, Equals(0))
             assert_whole(await held, prompt)
             fleet.start_vm(vm)
             await fleet.wait_ready(vm)
-            await fleet.wait_settled()
+            await fleet.wait_converged()
         stop.set()
         await asyncio.gather(*callers)
         for answer, prompt in answers:
@@ -230,7 +238,10 @@
         status, output = await fleet.apply_sheet("\n".join(lines))
         assert_that(status, Equals(0), output)
         await wait(1.0)
-        after = [await stream(vm_of(fleet).listen, TOKEN, f"[len=3] new {n}") for n in range(12)]
+        after = [
+            await stream_completion(vm_of(fleet).listen, CREDENTIAL, f"[len=3] new {n}")
+            for n in range(12)
+        ]
         used = {answer.headers["x-bluebellpitch-endpoint"] for answer in after}
         assert_that(name in used, Equals(False))
         for task, prompt in zip(running, prompts, strict=True):
@@ -243,9 +254,12 @@
     """Its entry in the store says so; the table still says live."""
 
     async def scenario():
-        await fleet.announce_leaving(ENGINES[0])
+        await fleet.announce_draining(ENGINES[0])
         await wait(LEAVING_NOTICED_S)
-        after = [await stream(vm_of(fleet).listen, TOKEN, f"[len=3] new {n}") for n in range(12)]
+        after = [
+            await stream_completion(vm_of(fleet).listen, CREDENTIAL, f"[len=3] new {n}")
+            for n in range(12)
+        ]
         used = {answer.headers["x-bluebellpitch-endpoint"] for answer in after}
         assert_that(ENGINES[0] in used, Equals(False), used)
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -12,12 +12,12 @@
 from bluebellpitch.http1 import fetch
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.topics import CONTROL_TOPIC, SNAPSHOTS_TOPIC
-from fakes.caller import look_up, stream, submit
-from fakes.engine import answer_to
-from fakes.federations import CLASSES, FILING, MODEL, endpoint, member, sheet
+from fakes.caller import look_up_case, stream_completion, submit_case
+from fakes.engine import expected_completion
+from fakes.federations import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 from fakes.fleet import Fleet, read_status, wait_until
 from fakes.ports import free_address
-from tests.helpers import TOKEN, Shape, count_runs, start_federation, verdict_of, wait
+from tests.helpers import CREDENTIAL, FederationSize, count_runs, start_federation, verdict_of, wait
 
 IN_FORCE_S = 9.0
 SILENCE_NOTICED_S = 6.0
@@ -25,17 +25,17 @@
 
 async def start_cut_federation(fleet: Fleet) -> None:
     """Starts two zones of one VM each, whose links to all others can be cut."""
-    fleet.start_platform()
+    fleet.start_store()
     zones = (("doto-1", "doto"), ("doo-1", "doo"))
     for zone, _ in zones:
         fleet.start_fake("engine", f"engine-{zone}", slots=8, step_s=0.004)
         fleet.start_fake("service", f"filing-{zone}")
     await fleet.wait_listening(*fleet.processes_by_name.values())
-    rows = [member("office", limit=6), member("agency"), *CLASSES, MODEL, FILING]
+    rows = [member_row("office", limit=6), member_row("agency"), *CLASSES, MODEL_POOL, FILING_POOL]
     for zone, region in zones:
-        rows.append(endpoint(fleet, f"engine-{zone}", "drafter", zone, region))
-        rows.append(endpoint(fleet, f"filing-{zone}", "filing", zone, region))
-    status, output = await fleet.apply_sheet(sheet(*rows))
+        rows.append(endpoint_row(fleet, f"engine-{zone}", "drafter", zone, region))
+        rows.append(endpoint_row(fleet, f"filing-{zone}", "filing", zone, region))
+    status, output = await fleet.apply_sheet(new_sheet(*rows))
     assert status == 0, output
     for zone, region in zones:
         store_link = fleet.start_link(f"store-{zone}", fleet.store.address)
@@ -51,7 +51,7 @@
             store_address=store_link.address,
         )
     await fleet.wait_ready()
-    await fleet.wait_settled()
+    await fleet.wait_converged()
 
 
 async def cut_zones(fleet: Fleet, zone: str, cut: bool) -> None:
@@ -78,14 +78,14 @@
         await cut_zones(fleet, "doto-1", True)
         await wait(3.0)
         for vm in (here, there):
-            answer = await stream(vm.listen, TOKEN, "[len=12] cut off")
-            assert_that(answer.text, Equals(answer_to("[len=12] cut off")))
-            assert_that((await look_up(vm.listen, TOKEN, "x")).status, Equals(200))
-        refused = await submit(here.listen, TOKEN, "cut-1", "cut-1")
+            answer = await stream_completion(vm.listen, CREDENTIAL, "[len=12] cut off")
+            assert_that(answer.text, Equals(expected_completion("[len=12] cut off")))
+            assert_that((await look_up_case(vm.listen, CREDENTIAL, "x")).status, Equals(200))
+        refused = await submit_case(here.listen, CREDENTIAL, "cut-1", "cut-1")
         assert_that(verdict_of(refused), Equals("did_not_run"))
-        served = await submit(there.listen, TOKEN, "cut-1", "cut-1")
+        served = await submit_case(there.listen, CREDENTIAL, "cut-1", "cut-1")
         assert_that(served.status, Equals(200))
-        changed = sheet(member("late"), *CLASSES, MODEL, FILING)
+        changed = new_sheet(member_row("late"), *CLASSES, MODEL_POOL, FILING_POOL)
         before = await table_offset(here)
         status, output = await fleet.apply_sheet(changed, "--onto-current")
         assert_that(status, Equals(0), output)
@@ -118,7 +118,7 @@
             await fleet.control(fleet.processes_by_name[name], silence=True)
         await wait(SILENCE_NOTICED_S)
         await wait_until(store_answers, "the store is read again")
-        answer = await submit(here.listen, TOKEN, "silenced", "silenced")
+        answer = await submit_case(here.listen, CREDENTIAL, "silenced", "silenced")
         assert_that(answer.status, Equals(200))
 
     run(scenario())
@@ -127,14 +127,14 @@
 def test_cut_off_reader_learns_changes_from_its_peers(run):
     async def scenario():
         with Fleet() as fleet:
-            await start_federation(fleet, Shape(vms_per_zone=1))
+            await start_federation(fleet, FederationSize(vms_per_zone=1))
             dead_store = fleet.start_link("dead-store", fleet.store.address)
             await fleet.wait_listening(dead_store)
             await fleet.control(dead_store, cut=True)
             vm = fleet.add_vm("vm-late", "doto-1", "doto", store_address=dead_store.address)
             await fleet.wait_ready(vm)
-            answer = await stream(vm.listen, TOKEN, "[len=7] booted in an outage")
-            assert_that(answer.text, Equals(answer_to("[len=7] booted in an outage")))
+            answer = await stream_completion(vm.listen, CREDENTIAL, "[len=7] booted in an outage")
+            assert_that(answer.text, Equals(expected_completion("[len=7] booted in an outage")))
             _, shown = await fleet.run_command("table", "show", *store_of(fleet))
             changed = edit(shown, "agency", 3.0)
             status, output = await fleet.apply_sheet(changed)
@@ -156,7 +156,7 @@
 
     async def scenario():
         with Fleet() as fleet:
-            await start_federation(fleet, Shape(vms_per_zone=1), snapshot_every_s=1.0)
+            await start_federation(fleet, FederationSize(vms_per_zone=1), snapshot_every_s=1.0)
             _, shown = await fleet.run_command("table", "show", *store_of(fleet))
             status, output = await fleet.apply_sheet(edit(shown, "agency", 3.0))
             assert_that(status, Equals(0), output)
@@ -167,8 +167,8 @@
             await fetch(fleet.store.address, "POST", f"/log-trim?topic={CONTROL_TOPIC}")
             vm = fleet.add_vm("vm-new", "doto-1", "doto")
             await fleet.wait_ready(vm)
-            answer = await stream(vm.listen, TOKEN, "[len=5] after expiry")
-            assert_that(answer.whole, Equals(True))
+            answer = await stream_completion(vm.listen, CREDENTIAL, "[len=5] after expiry")
+            assert_that(answer.complete, Equals(True))
             _, after = await fleet.run_command("table", "show", *store_of(fleet))
             assert_that(after, Contains("agency,3.0"))
 
@@ -189,7 +189,7 @@
 @pytest.fixture
 def store_only():
     with Fleet() as fleet:
-        fleet.start_platform()
+        fleet.start_store()
         asyncio.run(fleet.wait_listening(fleet.store))
         yield fleet
 
@@ -202,7 +202,7 @@
 def test_operators_that_race_on_one_row_see_a_conflict(run, store_only):
     async def scenario():
         fleet = store_only
-        await fleet.apply_sheet(sheet(member("a"), member("b"), *CLASSES))
+        await fleet.apply_sheet(new_sheet(member_row("a"), member_row("b"), *CLASSES))
         _, shown = await fleet.run_command("table", "show", *store_of(fleet))
         sheets = [edit(shown, "a", 2.0 + n) for n in range(4)]
         results = await asyncio.gather(*(fleet.apply_sheet(text) for text in sheets))
@@ -217,7 +217,7 @@
 def test_operators_that_edit_different_rows_both_win(run, store_only):
     async def scenario():
         fleet = store_only
-        await fleet.apply_sheet(sheet(member("a"), member("b"), *CLASSES))
+        await fleet.apply_sheet(new_sheet(member_row("a"), member_row("b"), *CLASSES))
         _, shown = await fleet.run_command("table", "show", *store_of(fleet))
         results = await asyncio.gather(
             fleet.apply_sheet(edit(shown, "a", 2.0)), fleet.apply_sheet(edit(shown, "b", 3.0))
@@ -233,7 +233,7 @@
 def test_apply_whose_answer_is_lost_takes_effect_once(run, store_only):
     async def scenario():
         fleet = store_only
-        text = sheet(member("a"), *CLASSES)
+        text = new_sheet(member_row("a"), *CLASSES)
         await fleet.control(fleet.store, lose_answers=1)
         status, output = await fleet.apply_sheet(text)
         assert_that(status, Equals(0), output)
@@ -248,13 +248,15 @@
 
     async def scenario():
         with Fleet() as fleet:
-            await start_federation(fleet, Shape(vms_per_zone=3, slots=32, limit=6, step_s=0.03))
+            await start_federation(
+                fleet, FederationSize(vms_per_zone=3, slots=32, limit=6, step_s=0.03)
+            )
             vms = list(fleet.vms_by_name.values())
             broker = await find_broker(fleet, "drafter")
             askers = [vm for vm in vms if vm is not broker]
             prompts = [f"[len=60] limited {n}" for n in range(40)]
             running = [
-                asyncio.create_task(stream(askers[n % 2].listen, TOKEN, prompt))
+                asyncio.create_task(stream_completion(askers[n % 2].listen, CREDENTIAL, prompt))
                 for n, prompt in enumerate(prompts)
             ]
             await wait(1.0)
@@ -262,7 +264,7 @@
             await wait(4.0)
             broker.process.resume()
             for task, prompt in zip(running, prompts, strict=True):
-                assert_that((await task).text, Equals(answer_to(prompt)))
+                assert_that((await task).text, Equals(expected_completion(prompt)))
             peak = await read_peak(fleet, "engine-doto-1-0")
             assert_that(peak, LessThan(7))
             assert_that(peak, GreaterThan(3))
