Name the modules of the fake client, tables and prepared deployment by their content

Moves, with their imports in tests, soak and measurement: fakes/caller.py -> fakes/client.py fakes/federations.py -> fakes/tables.py fakes/prepared.py -> fakes/prepared_deployment.py

--- a/fakes/demo.py
+++ b/fakes/demo.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from bluebellpitch.http1 import fetch
-from fakes.caller import StreamedResponse, look_up_case, stream_completion, submit_case
+from fakes.client import StreamedResponse, look_up_case, stream_completion, submit_case
 from fakes.engine import expected_completion
-from fakes.federations import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 from fakes.fleet import Fleet
+from fakes.tables import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 
 MEMBERS = ("kushiro-office", "trentvale-agency")
 CREDENTIALS = {name: f"{name}-secret" for name in MEMBERS}
--- a/fakes/prepared_demo.py
+++ b/fakes/prepared_demo.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from fakes.demo import Report
-from fakes.prepared import Deployment, KeepAliveClient, wait_until
+from fakes.prepared_deployment import Deployment, KeepAliveClient, wait_until
 
 ENDPOINTS = (("engine-a", "engines"), ("engine-b", "engines"), ("app-a", "app"), ("app-b", "app"))
 
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -8,8 +8,8 @@
 
 from bluebellpitch.decisions.rows import ClassRow, MemberRow
 from bluebellpitch.http1 import fetch
-from fakes.federations import FILING_POOL, MODEL_POOL, endpoint_row, new_sheet
 from fakes.fleet import Fleet, credential_digest
+from fakes.tables import FILING_POOL, MODEL_POOL, endpoint_row, new_sheet
 from measure.loads import MEMBERS
 
 STEP_S, STREAM_S, SLOTS = 0.012, 0.001, 8
--- a/measure/drive.py
+++ b/measure/drive.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import dataclass
 
-from fakes.caller import StreamedResponse, stream_completion
+from fakes.client import StreamedResponse, stream_completion
 from fakes.engine import expected_completion
 from measure.deployment import CLASSES, Deployment
 from measure.loads import Arrival, Load, arrivals
--- a/measure/path.py
+++ b/measure/path.py
@@ -6,9 +6,9 @@
 import time
 from pathlib import Path
 
-from fakes.caller import StreamedResponse, stream_completion
-from fakes.federations import CLASSES, MODEL_POOL, endpoint_row, member_row, new_sheet
+from fakes.client import StreamedResponse, stream_completion
 from fakes.fleet import Fleet
+from fakes.tables import CLASSES, MODEL_POOL, endpoint_row, member_row, new_sheet
 from measure.figures import percentile
 
 REPORT = Path(__file__).resolve().parent.parent / "docs" / "measurements" / "path.md"
--- a/measure/runs.py
+++ b/measure/runs.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator, Iterator
 from statistics import median
 
-from fakes.caller import stream_completion
+from fakes.client import stream_completion
 from fakes.fleet import is_ready, wait_until
 from measure import deployment, loads
 from measure.deployment import CLASSES, Deployment, fleet_of_processes
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,7 +9,7 @@
 
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.http1 import ClientConnection, HttpResponse
-from fakes.prepared import HOST
+from fakes.prepared_deployment import HOST
 from soak.record import STREAM_KINDS, Outcome
 from soak.scene import EntryProcess, Scene
 
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -17,7 +17,7 @@
 from bluebellpitch.http1 import fetch
 from fakes.link import FakeLink
 from fakes.ports import free_address, free_port
-from fakes.prepared import build_configuration, settings_text
+from fakes.prepared_deployment import build_configuration, settings_text
 from fakes.prepared_endpoint import FakeEndpoint
 from fakes.prepared_store import FakeStore
 from soak.record import EVENTS, Arrival, Record, Stop
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -11,8 +11,8 @@
 from bluebellpitch.exits import ExitStatus
 from bluebellpitch.http1 import fetch
 from bluebellpitch.main import main
-from fakes.federations import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 from fakes.fleet import Fleet
+from fakes.tables import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 
 CREDENTIAL = "office-secret"
 ZONES = (("doto-1", "doto"), ("doo-1", "doo"))
--- a/tests/prepared_helpers.py
+++ b/tests/prepared_helpers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from fakes.prepared import Deployment, KeepAliveClient, wait_until
+from fakes.prepared_deployment import Deployment, KeepAliveClient, wait_until
 
 
 async def start_deployment(deployment: Deployment, *pools: str):
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,7 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, MatchesAny
 
-from fakes.caller import look_up_case, stream_completion, submit_case
+from fakes.client import look_up_case, stream_completion, submit_case
 from fakes.fleet import Fleet, wait_until
 from tests.helpers import (
     CREDENTIAL,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -11,7 +11,7 @@
 from testtools.matchers import Contains, Equals, MatchesAll
 
 from bluebellpitch.http1 import fetch
-from fakes.caller import build_headers, stream_completion, submit_case
+from fakes.client import build_headers, stream_completion, submit_case
 from fakes.engine import expected_completion
 from fakes.fleet import Fleet
 from tests.helpers import CREDENTIAL, FederationSize, start_federation, verdict_of
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -18,8 +18,8 @@
 from bluebellpitch.http1 import HttpRequest, parse_address
 from bluebellpitch.operators.sheet import COLUMNS, parse_sheet, write_sheet
 from bluebellpitch.peers.messages import decode_envelope
-from fakes.federations import CLASSES, FILING_POOL, MODEL_POOL
 from fakes.fleet import credential_digest
+from fakes.tables import CLASSES, FILING_POOL, MODEL_POOL
 
 MEMBER = MemberRow("m", 1.0, 0, credential_digest("token"), "draft")
 ROWS = (MEMBER, *CLASSES, MODEL_POOL, FILING_POOL, PoolRow("other", "model", ()))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -32,7 +32,7 @@
 )
 from bluebellpitch.platform.settings_file import parse_settings
 from bluebellpitch.platform.store import NewestPage, decode_json, decode_value
-from fakes.prepared import build_configuration, settings_text
+from fakes.prepared_deployment import build_configuration, settings_text
 
 ENTRY = {
     "service": "app",
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,9 +11,9 @@
 from testtools.matchers import Contains, Equals
 
 from bluebellpitch.exits import ExitStatus
-from fakes.federations import CLASSES, MODEL_POOL, member_row, new_sheet
 from fakes.fleet import is_listening, wait_until
 from fakes.ports import free_address
+from fakes.tables import CLASSES, MODEL_POOL, member_row, new_sheet
 from tests.helpers import run_program
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -5,7 +5,13 @@
 import pytest
 
 from bluebellpitch.errors import BrokenError
-from fakes.prepared import Deployment, KeepAliveClient, build_route, get_header, wait_until
+from fakes.prepared_deployment import (
+    Deployment,
+    KeepAliveClient,
+    build_route,
+    get_header,
+    wait_until,
+)
 from tests.prepared_helpers import in_deployment, start_deployment
 
 
--- a/tests/test_store_watchers.py
+++ b/tests/test_store_watchers.py
@@ -7,7 +7,7 @@
 
 from bluebellpitch.platform.configuration import decode_configuration
 from fakes.link import FakeLink
-from fakes.prepared import Deployment, KeepAliveClient, build_configuration, wait_until
+from fakes.prepared_deployment import Deployment, KeepAliveClient, build_configuration, wait_until
 from tests.prepared_helpers import in_deployment, start_deployment
 
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,7 +11,7 @@
 
 from bluebellpitch.http1 import fetch
 from bluebellpitch.operators.sheet import parse_sheet, write_sheet
-from fakes.caller import StreamedResponse, stream_completion
+from fakes.client import StreamedResponse, stream_completion
 from fakes.engine import expected_completion
 from fakes.fleet import Fleet, is_ready, read_status, wait_until
 from fakes.ports import free_address
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -12,11 +12,11 @@
 from bluebellpitch.http1 import fetch
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.topics import CONTROL_TOPIC, SNAPSHOTS_TOPIC
-from fakes.caller import look_up_case, stream_completion, submit_case
+from fakes.client import look_up_case, stream_completion, submit_case
 from fakes.engine import expected_completion
-from fakes.federations import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 from fakes.fleet import Fleet, read_status, wait_until
 from fakes.ports import free_address
+from fakes.tables import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 from tests.helpers import CREDENTIAL, FederationSize, count_runs, start_federation, verdict_of, wait
 
 IN_FORCE_S = 9.0
