--- a/fakes/__init__.py
+++ b/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for what the platform gives: engines, services, the log and the VM list."""
+"""Fakes of the servers around the product: engines, services, the store and network links."""
--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one stand-in: ``python -m fakes KIND ADDRESS [name=... slots=... fencing=no]``."""
+"""Runs one fake server: ``python -m fakes KIND ADDRESS [name=... slots=... fencing=no]``."""
 
 import asyncio
 import sys
@@ -10,27 +10,27 @@
 from fakes.service import FakeService
 
 
-def build(kind: str, values: dict[str, str]):
-    """Returns the stand-in of a kind."""
+def build_server(kind: str, options: dict[str, str]):
+    """Returns a fake server of the kind; ``options`` are the NAME=VALUE pairs."""
     match kind:
         case "store":
             return FakeStore()
         case "service":
-            return FakeService(values.get("name", "service"))
+            return FakeService(options.get("name", "service"))
         case "link":
-            delay_s = float(values.get("delay_s", "0"))
-            return FakeLink(values["listen"], values["target"], delay_s)
+            delay_s = float(options.get("delay_s", "0"))
+            return FakeLink(options["listen"], options["target"], delay_s)
         case "engine":
-            timing = {k: float(v) for k, v in values.items() if k in Timing.__dataclass_fields__}
-            fencing = values.get("fencing", "yes") == "yes"
-            slots = int(values.get("slots", "16"))
-            return FakeEngine(values.get("name", "engine"), slots, Timing(**timing), fencing)
-    raise SystemExit(f"unknown stand-in {kind!r}")
+            timing = {k: float(v) for k, v in options.items() if k in Timing.__dataclass_fields__}
+            fencing = options.get("fencing", "yes") == "yes"
+            slots = int(options.get("slots", "16"))
+            return FakeEngine(options.get("name", "engine"), slots, Timing(**timing), fencing)
+    raise SystemExit(f"unknown kind of fake server: {kind!r}")
 
 
-async def run(kind: str, address: str, values: dict[str, str]) -> None:
-    """Serves until the process is ended."""
-    await build(kind, values).start(*parse_address(address))
+async def run(kind: str, address: str, options: dict[str, str]) -> None:
+    """Serves until the process is terminated."""
+    await build_server(kind, options).start(*parse_address(address))
     await asyncio.Event().wait()
 
 
--- a/fakes/client.py
+++ b/fakes/client.py
@@ -1,4 +1,4 @@
-"""A caller: sends completions and service calls, and measures what comes back."""
+"""HTTP client that sends completions and service calls, and measures the responses."""
 
 import time
 from dataclasses import dataclass
@@ -12,7 +12,10 @@
 
 @dataclass(frozen=True)
 class StreamedResponse:
-    """What came back. Times are seconds from sending; status 0 means no answer."""
+    """A response to a streamed completion.
+
+    Times are seconds since the request was sent; status 0 means that no response came.
+    """
 
     status: int
     headers: dict[str, str]
@@ -24,14 +27,14 @@
 
     @property
     def token_interval_s(self) -> float:
-        """Returns the mean time between tokens."""
+        """Returns the mean time between tokens; 0 for fewer than two tokens."""
         return (
             (self.last_token_s - self.first_token_s) / (self.tokens - 1) if self.tokens > 1 else 0.0
         )
 
 
 def build_headers(credential: str, class_name: str = "", **extra: str) -> list[tuple[str, str]]:
-    """Returns request headers; ``extra`` names have underscores for dashes."""
+    """Returns request headers; names in ``extra`` have underscores in place of dashes."""
     headers = [("Authorization", f"Bearer {credential}"), ("Content-Type", "application/json")]
     if class_name:
         headers.append(("X-Bluebellpitch-Class", class_name))
@@ -46,7 +49,7 @@
     model: str = "drafter",
     **extra,
 ) -> StreamedResponse:
-    """Sends a streamed completion and reads it to its end."""
+    """Requests a streamed completion and reads the response to its end."""
     body = msgspec.json.encode({"model": model, "prompt": prompt, "stream": True})
     started = time.monotonic()
     connection = None
@@ -63,7 +66,7 @@
 
 
 async def read_stream(connection: ClientConnection, started: float) -> StreamedResponse:
-    """Reads a streamed answer; ``started`` is monotonic seconds."""
+    """Reads a streamed response; ``started`` is when it was requested, in monotonic seconds."""
     head = await connection.read_head(600.0)
     headers = {name.decode(): value.decode() for name, value in head.headers}
     if head.status_code != 200:
@@ -90,7 +93,10 @@
     timeout_s=20.0,
     **extra,
 ) -> HttpResponse | None:
-    """Sends a submission that must not repeat; None when no answer came."""
+    """Submits a case, which is not idempotent; None when no response came.
+
+    ``key`` is the idempotency key; an empty one is not sent.
+    """
     body = msgspec.json.encode({"case": case})
     headers = build_headers(credential, **extra)
     if key:
@@ -106,7 +112,7 @@
 async def look_up_case(
     address: str, credential: str, case: str, pool: str = "filing"
 ) -> HttpResponse | None:
-    """Sends an idempotent look-up."""
+    """Looks a case up, which is idempotent; None when no response came."""
     headers = build_headers(credential)
     try:
         return await fetch(
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -1,4 +1,4 @@
-"""Starts stand-ins and entry VMs as processes on loopback, for the demo, tests and measurement."""
+"""Starts fake servers and entry VMs as processes on loopback, for demo, tests and measurement."""
 
 import asyncio
 import hashlib
@@ -24,13 +24,16 @@
 
 
 def credential_digest(token: str) -> str:
-    """Returns what the sheet holds of a credential."""
+    """Returns the digest under which a sheet lists a credential."""
     return hashlib.sha256(token.encode()).hexdigest()
 
 
 @dataclass
 class Process:
-    """One process that this fleet started."""
+    """A process that the fleet started.
+
+    ``control_address`` is where faults are set if that is not ``address``.
+    """
 
     name: str
     address: str
@@ -39,31 +42,31 @@
     control_address: str = ""
 
     def send_signal(self, signal_number: int) -> None:
-        """Sends a signal to this process alone."""
+        """Sends a signal to this process alone, if it still runs."""
         if self.popen.poll() is None:
             self.popen.send_signal(signal_number)
 
     def kill(self) -> None:
-        """Ends the process at once."""
+        """Kills the process and waits for its exit."""
         self.send_signal(signal.SIGKILL)
         self.popen.wait()
 
     def pause(self) -> None:
-        """Freezes the process."""
+        """Suspends the process."""
         self.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Lets a frozen process go on."""
+        """Resumes a suspended process."""
         self.send_signal(signal.SIGCONT)
 
     def read_log(self) -> str:
-        """Returns what the process wrote."""
+        """Returns the output of the process."""
         return self.log_path.read_text(errors="replace")
 
 
 @dataclass
 class VmProcess:
-    """An entry VM: its process and addresses."""
+    """An entry VM: its process, addresses and command-line arguments."""
 
     name: str
     zone: str
@@ -77,7 +80,7 @@
 
 @dataclass
 class Fleet:
-    """All processes of one run. Use as a context manager: it ends what it started."""
+    """All processes of one run. As a context manager, it kills only what it started."""
 
     log_level: str = "INFO"
     program: list[str] = field(default_factory=lambda: ["bluebellpitch"])
@@ -108,18 +111,18 @@
         return process
 
     def start_fake(self, kind: str, name: str = "", address: str = "", **values) -> Process:
-        """Starts a stand-in."""
+        """Starts a fake server."""
         name = name or kind
         address = address or free_address()
         pairs = [f"{key}={value}" for key, value in values.items()]
         return self.spawn(name, address, ["fakes", kind, address, f"name={name}", *pairs])
 
     def restart_fake(self, name: str, kind: str, **values) -> Process:
-        """Starts a stand-in again where it was."""
+        """Starts a fake server again at its previous address."""
         return self.start_fake(kind, name, self.processes_by_name[name].address, **values)
 
     def start_link(self, name: str, target: str, delay_s: float = 0.0) -> Process:
-        """Starts a relay to a target; its ``address`` stands in for the target's."""
+        """Starts a relay; connect to its ``address`` in place of the target's."""
         listen = free_address()
         process = self.start_fake("link", name, listen=listen, target=target, delay_s=delay_s)
         process.control_address, process.address = process.address, listen
@@ -130,7 +133,7 @@
         self.store = self.start_fake("store")
 
     def add_vm(self, name: str, zone: str, region: str, **settings) -> VmProcess:
-        """Starts an entry VM. ``settings`` are flags of ``serve``."""
+        """Starts a new entry VM. ``settings`` are options of ``serve``."""
         addresses = {key: free_address() for key in ("listen", "admin", "bus")}
         flags = {
             "vm-name": name,
@@ -151,50 +154,50 @@
         return vm
 
     def start_vm(self, vm: VmProcess) -> None:
-        """Starts the process of an entry VM, or starts it again."""
+        """Starts or restarts the process of an entry VM."""
         vm.process = self.spawn(vm.name, vm.listen, [*self.program, "serve", *vm.arguments])
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
-        """Writes a record of a keyed topic, as others than entry VMs do."""
+        """Writes a record of a keyed topic, as the platform and operators do."""
         client = StoreClient(self.store.address)
         verdict = await client.put(topic, key, value)
         client.close()
         assert isinstance(verdict, Appended), verdict
 
     async def announce_draining(self, endpoint: str) -> None:
-        """Announces in the store that an endpoint will stop."""
+        """Writes to the store that an endpoint is draining."""
         address = self.processes_by_name[endpoint].address
         entry = {"service": "drafter", "address": address, "zone": "", "slots": 1}
         entry["state"] = "draining"
         await self.put(ENDPOINTS_TOPIC, endpoint, msgspec.json.encode(entry))
 
     async def control(self, process: Process, **faults) -> None:
-        """Sets faults of a stand-in."""
+        """Sets faults of a fake server."""
         address = process.control_address or process.address
         await fetch(address, "POST", "/control", msgspec.json.encode(faults))
 
     async def wait_listening(self, *processes: Process) -> None:
-        """Waits until stand-ins answer."""
+        """Waits until fake servers answer."""
         for process in processes:
             address = process.control_address or process.address
             await wait_until(lambda a=address: is_listening(a), f"{process.name} answers")
 
     async def wait_ready(self, *vms: VmProcess) -> None:
-        """Waits until entry VMs are ready for callers."""
+        """Waits until entry VMs are ready for requests; all VMs if none is given."""
         for vm in vms or self.vms_by_name.values():
             await wait_until(lambda v=vm: is_ready(v.admin), f"{vm.name} is ready")
 
     async def wait_converged(self) -> None:
-        """Waits until every VM sees all VMs of its zone in its epoch, and knows all brokers."""
-        await wait_until(self._is_settled, "all VMs agree")
+        """Waits until every VM has an epoch, so knows all brokers, and sees its zone's VMs as live."""
+        await wait_until(self._has_converged, "all VMs have converged")
 
-    async def _is_settled(self) -> bool:
+    async def _has_converged(self) -> bool:
         statuses = [await read_status(vm.admin) for vm in self.vms_by_name.values()]
         if not all(statuses):
             return False
-        return all(s["epoch"] > 0 and self._sees_zone(s) for s in statuses)
+        return all(status["epoch"] > 0 and self._sees_zone_vms(status) for status in statuses)
 
-    def _sees_zone(self, status: dict) -> bool:
+    def _sees_zone_vms(self, status: dict) -> bool:
         names = {vm.name for vm in self.vms_by_name.values() if vm.zone == status["zone"]}
         return names <= {key.partition(".")[0] for key in status["live"]}
 
@@ -206,7 +209,7 @@
         return await self.run_command("table", "apply", str(path), *flags)
 
     async def run_command(self, *arguments: str) -> tuple[int, str]:
-        """Runs a command of the program; returns its exit status and output."""
+        """Runs the program with arguments; returns its exit status and output."""
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -221,7 +224,7 @@
 
 
 async def is_listening(address: str) -> bool:
-    """Tells whether something serves HTTP there."""
+    """Returns whether a server answers HTTP requests at an address."""
     try:
         await fetch(address, "GET", "/health", timeout_s=1.0)
     except BluebellpitchError:
@@ -230,7 +233,7 @@
 
 
 async def is_ready(admin: str) -> bool:
-    """Tells whether a VM is ready."""
+    """Returns whether a VM is ready, given its admin address."""
     try:
         return (await fetch(admin, "GET", "/readyz", timeout_s=1.0)).status == 200
     except BluebellpitchError:
@@ -238,7 +241,7 @@
 
 
 async def read_status(admin: str) -> dict | None:
-    """Returns a VM's status, or None."""
+    """Returns a VM's status; None when the VM does not answer."""
     try:
         return msgspec.json.decode((await fetch(admin, "GET", "/status", timeout_s=2.0)).body)
     except BluebellpitchError:
@@ -246,9 +249,9 @@
 
 
 async def wait_until(condition, description: str, timeout_s: float = START_TIMEOUT_S) -> None:
-    """Waits for an asynchronous condition; raises TimeoutError that says for what."""
+    """Waits for an asynchronous condition; TimeoutError names it by its description."""
     deadline = time.monotonic() + timeout_s
     while not await condition():
         if time.monotonic() > deadline:
-            raise TimeoutError(f"gave up waiting until {description}")
+            raise TimeoutError(f"timed out waiting until {description}")
         await asyncio.sleep(0.05)
--- a/fakes/link.py
+++ b/fakes/link.py
@@ -1,4 +1,4 @@
-"""A link between two processes: a relay of TCP connections that can be cut, silenced or slowed."""
+"""A TCP relay between two processes that can cut, silence, hold or delay connections."""
 
 import asyncio
 
@@ -12,11 +12,12 @@
 
 
 class FakeLink(FakeServer):
-    """Relays ``listen`` to ``target``; its faults are set at the control address.
+    """Relays connections from ``listen`` to ``target``; faults are set at the control address.
 
-    ``cut`` closes all connections and refuses new ones; ``silence`` lets the open ones go silent
-    for good while new ones work; ``held`` names a direction, ``there`` or ``back``, in which bytes
-    wait until it is empty again; ``delay_s`` is the latency one way.
+    ``cut`` aborts all connections and rejects new ones; ``silence`` stops forwarding on the open
+    connections for good, without closing them, while new ones work; ``held`` names a direction,
+    ``there`` (to the target) or ``back``, in which bytes are held until it is empty again;
+    ``delay_s`` is the one-way latency.
     """
 
     def __init__(self, listen: str, target: str, delay_s: float = 0.0):
@@ -26,20 +27,20 @@
         self.delay_s = delay_s
         self.held = ""
         self._cut = False
-        self._generation = 0
+        self._silence_count = 0
         self._writers: set[asyncio.StreamWriter] = set()
         self._handlers: set[asyncio.Task] = set()
 
     @classmethod
     async def open(cls, target: str) -> "FakeLink":
-        """Starts a relay in this process; ``address`` stands in for the target's."""
+        """Starts a relay in this process; connect to ``address`` in place of the target's."""
         link = cls(free_address(), target)
         await link.start("127.0.0.1", 0)
         return link
 
     @property
     def cut(self) -> bool:
-        """Whether the link is cut."""
+        """Returns whether the link is cut."""
         return self._cut
 
     @cut.setter
@@ -51,20 +52,20 @@
 
     @property
     def silence(self) -> int:
-        """Counts how often open connections were silenced."""
-        return self._generation
+        """Returns how often the open connections were silenced."""
+        return self._silence_count
 
     @silence.setter
     def silence(self, _: bool) -> None:
-        self._generation += 1
+        self._silence_count += 1
 
     async def start(self, host: str, port: int) -> int:
-        """Starts the relay and its control address."""
+        """Starts the relay and the control server; returns the port of the latter."""
         await asyncio.start_server(self._accept, *parse_address(self.address))
         return await super().start(host, port)
 
     async def _accept(self, reader, writer) -> None:
-        # The server does not keep its handlers alive by itself.
+        # asyncio holds only weak references to tasks: keep the handler until it ends.
         self._handlers.add(task := asyncio.current_task())
         try:
             await self._relay(reader, writer)
@@ -78,28 +79,30 @@
             writer.transport.abort()
             return
         try:
-            far_reader, far_writer = await asyncio.open_connection(*parse_address(self._target))
+            target_reader, target_writer = await asyncio.open_connection(
+                *parse_address(self._target)
+            )
         except OSError:
             writer.transport.abort()
             return
-        self._writers |= {writer, far_writer}
-        generation = self._generation
+        self._writers |= {writer, target_writer}
+        silence_count = self._silence_count
         try:
             await asyncio.gather(
-                self._pump(reader, far_writer, generation, "there"),
-                self._pump(far_reader, writer, generation, "back"),
+                self._forward(reader, target_writer, silence_count, "there"),
+                self._forward(target_reader, writer, silence_count, "back"),
             )
         finally:
-            self._writers -= {writer, far_writer}
+            self._writers -= {writer, target_writer}
 
-    async def _pump(self, reader, writer, generation: int, direction: str) -> None:
+    async def _forward(self, reader, writer, silence_count: int, direction: str) -> None:
         chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(MAX_QUEUED_CHUNKS)
         await asyncio.gather(
-            self._read(reader, chunks), self._write(chunks, writer, generation, direction)
+            self._read(reader, chunks), self._write(chunks, writer, silence_count, direction)
         )
 
     async def _read(self, reader, chunks: asyncio.Queue) -> None:
-        """Queues what comes, with the time to pass it on; no bytes mark the end."""
+        """Queues received data with the time to forward it; empty data marks the end."""
         now = asyncio.get_running_loop().time
         try:
             while data := await reader.read(READ_BYTES):
@@ -108,16 +111,18 @@
             pass
         await chunks.put((now(), b""))
 
-    async def _write(self, chunks: asyncio.Queue, writer, generation: int, direction: str) -> None:
+    async def _write(
+        self, chunks: asyncio.Queue, writer, silence_count: int, direction: str
+    ) -> None:
         now = asyncio.get_running_loop().time
         try:
             while (chunk := await chunks.get())[1]:
-                if generation != self._generation:
+                if silence_count != self._silence_count:
                     await asyncio.Event().wait()
                 while self.held == direction:
                     await asyncio.sleep(HOLD_POLL_S)
-                due_at, data = chunk
-                await asyncio.sleep(max(0.0, due_at - now()))
+                forward_at, data = chunk
+                await asyncio.sleep(max(0.0, forward_at - now()))
                 writer.write(data)
                 await writer.drain()
         except OSError:
--- a/fakes/ports.py
+++ b/fakes/ports.py
@@ -1,17 +1,17 @@
-"""Free ports and addresses of the loopback, for processes that may start there again."""
+"""Free loopback ports and addresses, for processes that may be restarted at the same address."""
 
 import random
 import socket
 
-# Below the ports that the system gives to outgoing connections, which would take a stopped
-# process's port.
-LISTENING_PORTS = (15_000, 32_000)
+# Below the ephemeral ports: an outgoing connection could otherwise take the port of a stopped
+# process before its restart.
+PORT_RANGE = (15_000, 32_000)
 
 
 def free_port() -> int:
-    """Returns a port that nobody uses now."""
+    """Returns a port that is not in use now."""
     while True:
-        port = random.SystemRandom().randrange(*LISTENING_PORTS)
+        port = random.SystemRandom().randrange(*PORT_RANGE)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
@@ -21,5 +21,5 @@
 
 
 def free_address() -> str:
-    """Returns a free address."""
+    """Returns a loopback address whose port is not in use now."""
     return f"127.0.0.1:{free_port()}"
--- a/fakes/prepared_deployment.py
+++ b/fakes/prepared_deployment.py
@@ -1,4 +1,4 @@
-"""A small deployment on the stand-ins of the prepared platform, all in one process."""
+"""A small deployment on fake servers of the prepared platform, all in one process."""
 
 import asyncio
 import time
@@ -19,7 +19,7 @@
 
 
 def build_route(name: str, kind: str, pool: str, **fields) -> dict:
-    """Returns a route under ``/NAME/``."""
+    """Returns a route with the path prefix ``/NAME/``; ``fields`` override the defaults."""
     return {
         "name": name,
         "host": HOST,
@@ -36,7 +36,7 @@
 
 
 def build_configuration(version: int, keys: tuple[str, ...] = (API_KEY,), routes=None) -> dict:
-    """Returns a configuration with a route of each kind."""
+    """Returns a configuration; by default it has routes of each kind."""
     engine = {"slots": 8, "kv_capacity": 100_000}
     return {
         "version": version,
@@ -62,7 +62,7 @@
 
 
 def settings_text(name: str, zone: str, store: str, listen: str, ready: str, bus_port: int) -> str:
-    """Returns a settings file as the platform writes it."""
+    """Returns the text of a settings file as the platform writes it."""
     return f"""node_name={name}
 ip=127.0.0.1
 zone={zone}
@@ -84,13 +84,13 @@
 
 @dataclass
 class Deployment:
-    """A store, endpoints and entry VMs on the loopback. Use as an asynchronous context."""
+    """A store, endpoints and entry VMs on loopback. Use as an asynchronous context manager."""
 
     store: FakeStore = field(default_factory=FakeStore)
     store_address: str = ""
     vms: list[EntryVm] = field(default_factory=list)
     _tasks: list[asyncio.Task] = field(default_factory=list)
-    _fakes: list = field(default_factory=list)
+    _endpoints: list = field(default_factory=list)
 
     async def __aenter__(self) -> "Deployment":
         port = await self.store.start("127.0.0.1", 0)
@@ -104,25 +104,25 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for vm in self.vms:
             vm.close()
-        for fake in (self.store, *self._fakes):
-            fake.http.stop_listening()
+        for server in (self.store, *self._endpoints):
+            server.http.stop_listening()
 
     def configure(self, version: int, **fields) -> None:
-        """Writes a configuration as the operator does."""
+        """Writes a configuration to the store, as the operator does."""
         data = msgspec.json.encode(build_configuration(version, **fields))
         self.store.put("keyed.op", "config", data)
 
     async def add_endpoint(self, name: str, pool: str, zone: str = "z", **fields) -> FakeEndpoint:
-        """Starts an endpoint and announces it."""
+        """Starts an endpoint and writes its entry to the store."""
         endpoint = FakeEndpoint(name)
         port = await endpoint.start("127.0.0.1", 0)
         endpoint.address = f"127.0.0.1:{port}"
-        self._fakes.append(endpoint)
+        self._endpoints.append(endpoint)
         self.announce(endpoint, pool, zone, **fields)
         return endpoint
 
     def announce(self, endpoint: FakeEndpoint, pool: str, zone: str = "z", **fields) -> None:
-        """Writes an endpoint's entry."""
+        """Writes an endpoint's entry to the store."""
         entry = {
             "service": pool,
             "address": endpoint.address,
@@ -137,7 +137,7 @@
         self.store.put("keyed.servers", endpoint.name, msgspec.json.encode(entry))
 
     def remove_entry(self, name: str) -> None:
-        """Removes an endpoint's entry."""
+        """Removes an endpoint's entry from the store."""
         self.store.put("keyed.servers", name, b"")
 
     async def add_vm(self, zone: str = "z", store: str = "") -> EntryVm:
@@ -154,7 +154,7 @@
 
 
 async def wait_until(condition, timeout_s: float = 5.0) -> None:
-    """Waits until a condition holds; fails after ``timeout_s``."""
+    """Waits until a condition holds; raises TimeoutError after ``timeout_s``."""
     async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(0.01)
@@ -162,7 +162,7 @@
 
 @dataclass
 class KeepAliveClient:
-    """A caller that keeps its connection. ``settings`` are those of the VM it calls."""
+    """A client that reuses its connection. ``settings`` are those of the VM that it calls."""
 
     settings: VmSettings
     api_key: str = API_KEY
@@ -177,11 +177,11 @@
         timeout_s: float = 2.0,
         headers=(),
     ) -> HttpResponse:
-        """Makes one call. Raises BrokenError when it has no whole answer."""
+        """Sends a request. Raises BrokenError if the response is incomplete."""
         if self._connection is None or not self._connection.is_reusable():
             self._connection = await ClientConnection.open(self.settings.listen, 1.0)
         connection = self._connection
-        sent = [
+        sent_headers = [
             ("Host", HOST),
             ("Request-Id", request_id),
             ("Deadline-Ms", str(int(timeout_s * 1000))),
@@ -189,11 +189,11 @@
             ("Content-Length", str(len(body))),
             *headers,
         ]
-        await connection.send_exactly(method, path, sent, body)
+        await connection.send_exactly(method, path, sent_headers, body)
         return await connection.read_response(timeout_s + 1)
 
     async def stream(self, path: str, request_id: str, tokens: int = 100, **fields):
-        """Asks for a generation."""
+        """Requests a streamed generation whose prompt has ``tokens`` tokens."""
         headers = [
             ("Model", "m"),
             ("Token-Usage", f"{tokens},20"),
@@ -209,5 +209,5 @@
 
 
 def get_header(response: HttpResponse, name: str) -> str:
-    """Returns one header of a response, or nothing."""
+    """Returns one header of a response, or an empty string."""
     return dict(response.headers).get(name, "")
--- a/fakes/prepared_endpoint.py
+++ b/fakes/prepared_endpoint.py
@@ -1,4 +1,4 @@
-"""A stand-in for the prepared platform's servers: engines with streams, and plain services."""
+"""Fake endpoint of the prepared platform: an engine with streams, or a plain service."""
 
 import asyncio
 
@@ -9,11 +9,13 @@
 
 
 class FakeEndpoint(FakeServer):
-    """Answers as itself, and counts what it ran, by request id.
+    """Answers requests for its own name, and records the ids of those that it ran in ``ran``.
 
-    ``mode`` is how it misbehaves: ``refuse`` (503, not run), ``other`` (421), ``fail`` (500),
-    ``reset`` (runs, no answer), ``cut`` (ends inside an event), ``extra`` (a second answer after
-    each), ``unsigned``, ``encoded``, ``short`` (less than its length says), ``garbage``, ``slow``.
+    ``mode`` selects a fault: ``refuse`` (503, does not run), ``other`` (421, as another instance at
+    its address), ``fail`` (500), ``reset`` (runs, then closes without a response), ``cut`` (closes
+    inside an event), ``extra`` (a second response after each), ``unsigned`` (no signature),
+    ``encoded`` (a content encoding), ``short`` (a body shorter than its Content-Length),
+    ``garbage`` (no HTTP), ``slow``.
     """
 
     def __init__(self, name: str, events: int = 4):
@@ -28,7 +30,7 @@
         self.cancelled = 0
 
     async def serve(self, connection, request) -> None:
-        """Answers one request."""
+        """Handles one request."""
         self.requests.append(request)
         request_id = request.header("request-id")
         headers = [("Request-Id", request_id), ("Server-Load", "1,0,8,100")]
@@ -48,9 +50,9 @@
         if self.mode == "slow":
             await self._sleep(connection, 3.0)
         if request.header("token-usage"):
-            await self._stream(connection, request, headers)
+            await self._send_stream(connection, request, headers)
         else:
-            await self._answer(connection, request_id, headers)
+            await self._send_response(connection, request_id, headers)
 
     async def _sleep(self, connection, seconds: float) -> None:
         try:
@@ -61,7 +63,7 @@
         except TimeoutError:
             return
 
-    async def _answer(self, connection, request_id: str, headers) -> None:
+    async def _send_response(self, connection, request_id: str, headers) -> None:
         body = f"{self.name} answers {request_id}".encode()
         if self.mode == "unsigned":
             headers = [pair for pair in headers if pair != SIGNATURE_HEADER]
@@ -75,11 +77,12 @@
         if self.mode == "extra":
             extra = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: x\r\n"
             extra += b"Content-Length: 5\r\n\r\nextra"
-            # Comes when the next request has been sent: the one place where it could be taken.
+            # Sent when the next request is under way, the only time when it could be taken for the
+            # response to that request.
             await asyncio.sleep(0.05)
             connection.writer.write(extra % request_id.encode())
 
-    async def _stream(self, connection, request, headers) -> None:
+    async def _send_stream(self, connection, request, headers) -> None:
         start = int(request.header("last-event-id", "0"))
         await connection.start(200, [*headers, ("Content-Type", "text/event-stream")])
         for number in range(start + 1, self.events + 1):
--- a/fakes/prepared_store.py
+++ b/fakes/prepared_store.py
@@ -1,4 +1,4 @@
-"""A stand-in for the prepared platform's store: topics with one partition, in memory."""
+"""Fake store of the prepared platform: an in-memory log of topics with one partition each."""
 
 import asyncio
 import base64
@@ -14,9 +14,9 @@
 class FakeStore(FakeServer):
     """Serves ``/log-append``, ``/log-read``, ``/log-newest`` and ``/log-trim``.
 
-    Faults: ``status`` answers all calls with it, ``outage`` closes the connection, ``silent`` never
-    answers, ``lose_answers`` takes the next appends without an answer, ``late_s`` lets these land
-    so much later, ``slow_s`` delays each call.
+    Faults: a ``status`` other than 200 is the response to all calls; ``outage`` closes connections
+    without a response; ``silent`` never responds; ``lose_answers`` is how many of the next appends
+    get no response, and ``late_s`` how much later these are appended; ``slow_s`` delays each call.
     """
 
     def __init__(self):
@@ -29,9 +29,9 @@
         self.slow_s = 0.0
         self.calls: list[str] = []
         self._records: dict[str, list[bytes]] = {}
-        self._first: dict[str, int] = {}
-        self._newest: dict[str, dict[str, tuple[bytes, int]]] = {}
-        self._grown = asyncio.Event()
+        self._first_offsets: dict[str, int] = {}
+        self._newest_by_key: dict[str, dict[str, tuple[bytes, int]]] = {}
+        self._appended = asyncio.Event()
 
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Appends a record of a keyed topic; returns its offset."""
@@ -39,38 +39,38 @@
         return self._append(topic, [bytes([len(name)]) + name + value])
 
     def truncate(self, topic: str) -> None:
-        """Deletes the records of a topic; the newest of each key stays."""
-        self._first[topic] = self._end(topic)
+        """Deletes the records of a topic; the newest value of each key remains."""
+        self._first_offsets[topic] = self._end_offset(topic)
         self._records[topic] = []
 
     def newest_keys(self, topic: str) -> set[str]:
-        """Returns the keys that have a value."""
-        return set(self._newest.get(topic, {}))
+        """Returns the keys of a topic that have a value."""
+        return set(self._newest_by_key.get(topic, {}))
 
-    def _end(self, topic: str) -> int:
-        return self._first.get(topic, 0) + len(self._records.get(topic, []))
+    def _end_offset(self, topic: str) -> int:
+        return self._first_offsets.get(topic, 0) + len(self._records.get(topic, []))
 
     def _append(self, topic: str, records: list[bytes]) -> int:
-        offset = self._end(topic)
+        offset = self._end_offset(topic)
         if topic.startswith("keyed."):
-            self._note_newest(topic, offset, records)
+            self._update_newest(topic, offset, records)
         self._records.setdefault(topic, []).extend(records)
-        self._grown.set()
-        self._grown = asyncio.Event()
+        self._appended.set()
+        self._appended = asyncio.Event()
         return offset
 
-    def _note_newest(self, topic: str, offset: int, records: list[bytes]) -> None:
-        keys = self._newest.setdefault(topic, {})
-        for place, record in enumerate(records):
+    def _update_newest(self, topic: str, offset: int, records: list[bytes]) -> None:
+        keys = self._newest_by_key.setdefault(topic, {})
+        for index, record in enumerate(records):
             key = record[1 : 1 + record[0]].decode()
             value = record[1 + record[0] :]
             if value:
-                keys[key] = (value, offset + place)
+                keys[key] = (value, offset + index)
             else:
                 keys.pop(key, None)
 
     async def serve(self, connection, request) -> None:
-        """Answers one call."""
+        """Handles one call."""
         path, _, text = request.target.partition("?")
         query = {name: values[0] for name, values in parse_qs(text).items()}
         self.calls.append(path)
@@ -98,18 +98,18 @@
             asyncio.get_running_loop().call_later(self.late_s, self._append, topic, records)
             raise GoneError("answer lost")
         offset = self._append(topic, records)
-        await send_json(connection, {"offset": offset, "end": self._end(topic)})
+        await send_json(connection, {"offset": offset, "end": self._end_offset(topic)})
 
     async def _serve_read(self, connection, query: dict[str, str]) -> None:
         topic, start = query["topic"], int(query["from"])
         wait_s = int(query.get("wait_ms", "0")) / 1000
-        if start >= self._end(topic):
-            grown = self._grown
+        if start >= self._end_offset(topic):
+            appended = self._appended
             try:
                 async with asyncio.timeout(wait_s):
-                    while start >= self._end(topic):
-                        await grown.wait()
-                        grown = self._grown
+                    while start >= self._end_offset(topic):
+                        await appended.wait()
+                        appended = self._appended
             except TimeoutError:
                 pass
         if self.outage:
@@ -117,30 +117,30 @@
         if self.status != 200:
             await send_json(connection, {}, self.status)
             return
-        first = self._first.get(topic, 0)
+        first = self._first_offsets.get(topic, 0)
         if start < first:
             await send_json(connection, {"first": first}, 410)
             return
         records = self._records.get(topic, [])[start - first :]
-        body = struct.pack(">QQ", self._end(topic), first)
+        body = struct.pack(">QQ", self._end_offset(topic), first)
         body += b"".join(LENGTH_PREFIX.pack(len(record)) + record for record in records)
         await connection.respond(200, [("Content-Type", "application/octet-stream")], body)
 
     async def _serve_newest(self, connection, query: dict[str, str]) -> None:
         topic = query["topic"]
-        keys = sorted(self._newest.get(topic, {}).items())
+        keys = sorted(self._newest_by_key.get(topic, {}).items())
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
             for key, (value, offset) in keys
             if key > query.get("after", "")
         ]
         page = items[:2]
-        end = self._end(topic)
+        end = self._end_offset(topic)
         await send_json(connection, {"items": page, "has_more": len(items) > 2, "end": end})
 
 
 def split_records(body: bytes):
-    """Yields the records of an append."""
+    """Yields the length-prefixed records of an append."""
     while body:
         (size,) = LENGTH_PREFIX.unpack_from(body)
         yield body[4 : 4 + size]
--- a/fakes/server.py
+++ b/fakes/server.py
@@ -1,4 +1,4 @@
-"""What all stand-ins share: an HTTP server with a ``/control`` path that sets faults."""
+"""Base of the fake servers: an HTTP server with a ``/control`` path that sets faults."""
 
 import msgspec
 
@@ -9,7 +9,7 @@
 
 
 class FakeServer:
-    """Base of the stand-ins. ``POST /control`` sets public attributes from a JSON object."""
+    """Base class of fake servers. ``POST /control`` sets attributes from a JSON object."""
 
     def __init__(self):
         self.http = HttpServer(self._handle, send_bad_request, HttpLimits(body_bytes=64_000_000))
@@ -32,15 +32,15 @@
         await self.serve(connection, request)
 
     async def serve(self, connection: ServerConnection, request: HttpRequest) -> None:
-        """Answers one request."""
+        """Handles one request other than ``/control`` and ``/health``."""
         raise NotImplementedError
 
 
 async def send_json(connection: ServerConnection, value: object, status: int = 200) -> None:
-    """Sends a value as JSON."""
+    """Responds with a value as JSON."""
     await connection.respond(status, JSON_HEADERS, msgspec.json.encode(value))
 
 
 async def send_bad_request(connection: ServerConnection, error: BadRequestError) -> None:
-    """Answers a bad request."""
+    """Responds to a request that cannot be parsed or handled."""
     await connection.respond(error.status, JSON_HEADERS, msgspec.json.encode({"error": str(error)}))
--- a/fakes/service.py
+++ b/fakes/service.py
@@ -1,4 +1,4 @@
-"""A stand-in for a plain service whose calls may not repeat; it counts how often each ran."""
+"""Fake service whose submissions are not idempotent; counts how often each case ran."""
 
 import asyncio
 import os
@@ -10,11 +10,11 @@
 
 
 class FakeService(FakeServer):
-    """Submits and looks up cases.
+    """Accepts and looks up cases.
 
-    ``POST /cases`` with a JSON object that has ``case`` runs once more each time it comes. Faults:
-    ``slow_s`` before the run, ``silent`` runs but never answers, ``crash_after`` runs and then ends
-    the process, ``refuse`` answers that it did not run.
+    ``POST /cases`` with the field ``case`` in its JSON body runs the case each time. Faults:
+    ``slow_s`` delays the run, ``hold_s`` the response after it; ``silent`` runs but never responds;
+    ``crash_after`` runs and then exits the process; ``refuse`` responds that it did not run.
     """
 
     def __init__(self, name: str = "service"):
@@ -28,19 +28,19 @@
         self.runs_by_case: dict[str, int] = {}
 
     async def serve(self, connection, request) -> None:
-        """Answers a submission, a look-up, or the counts."""
+        """Handles a submission, a look-up, or a request for the counts."""
         if request.target == "/counts":
             await send_json(connection, self.runs_by_case)
         elif request.method == "POST" and self.refuse:
             headers = [("X-Did-Not-Run", "true")]
             await connection.respond(503, headers, b"{}")
         elif request.method == "POST":
-            await self._submit(connection, msgspec.json.decode(request.body)["case"])
+            await self._run_case(connection, msgspec.json.decode(request.body)["case"])
         else:
             await asyncio.sleep(self.slow_s)
             await send_json(connection, {"looked_up": request.target, "by": self.name})
 
-    async def _submit(self, connection, case: str) -> None:
+    async def _run_case(self, connection, case: str) -> None:
         await asyncio.sleep(self.slow_s)
         self.runs_by_case[case] = self.runs_by_case.get(case, 0) + 1
         if self.crash_after:
--- a/fakes/tables.py
+++ b/fakes/tables.py
@@ -1,4 +1,4 @@
-"""Tables of the two deployments, as sheets."""
+"""Rows and sheets of the configuration table for small federations."""
 
 from bluebellpitch.decisions.rows import (
     ClassRow,
@@ -22,16 +22,16 @@
 
 
 def member_row(name: str, default_class: str = "draft", limit: int = 0, weight: float = 1.0):
-    """Returns a member whose credential is its name with ``-secret``."""
+    """Returns the row of a member whose credential is its name followed by ``-secret``."""
     return MemberRow(name, weight, limit, credential_digest(f"{name}-secret"), default_class)
 
 
 def endpoint_row(fleet: Fleet, name: str, pool: str, zone: str, region: str, slots: int = 8):
-    """Returns the row of a stand-in that runs already."""
+    """Returns the row of a fake server that the fleet has started."""
     address = fleet.processes_by_name[name].address
     return EndpointRow(name, pool, zone, region, address, slots, True)
 
 
 def new_sheet(*rows: Row) -> str:
-    """Returns a sheet of new rows."""
+    """Returns a sheet whose rows are all new."""
     return write_sheet(VersionedRow(row, -1) for row in rows)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,4 @@
-"""Small federations for tests, and the one helper that runs the program."""
+"""Helpers for tests that start small federations or run the program."""
 
 import asyncio
 import io
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True)
 class ProgramResult:
-    """What a user sees of one run of the program."""
+    """Exit status and output of one run of the program."""
 
     status: ExitStatus
     stdout: str
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True)
 class FederationSize:
-    """How large a federation is."""
+    """The size of a federation. ``limit`` is that of the member ``office``; 0 sets none."""
 
     vms_per_zone: int = 2
     zones: int = 1
@@ -48,7 +48,7 @@
 
 
 async def start_federation(fleet: Fleet, shape: FederationSize, **settings) -> None:
-    """Starts stand-ins and entry VMs, and puts a table into force."""
+    """Starts fake servers and entry VMs, and applies a table; ``settings`` are options of VMs."""
     fleet.start_store()
     rows = [member_row("office", limit=shape.limit), member_row("agency", "rewrite"), *CLASSES]
     rows += [MODEL_POOL, FILING_POOL]
@@ -77,7 +77,7 @@
 
 
 async def count_runs(fleet: Fleet, case: str) -> int:
-    """Returns how often the services ran a case."""
+    """Returns how often all services together ran a case."""
     runs = 0
     for name, process in fleet.processes_by_name.items():
         if name.startswith("filing"):
@@ -86,7 +86,7 @@
 
 
 async def read_counts(address: str) -> dict[str, int]:
-    """Returns a service's counts; nothing when it is down."""
+    """Returns how often a service ran each case; empty when the service is down."""
     try:
         return msgspec.json.decode((await fetch(address, "GET", "/counts")).body)
     except BluebellpitchError:
@@ -94,10 +94,10 @@
 
 
 def verdict_of(response) -> str:
-    """Returns the verdict of a service call's answer."""
+    """Returns the verdict in a response to a service call; empty without a response."""
     return "" if response is None else dict(response.headers)["x-bluebellpitch-verdict"]
 
 
 def wait(seconds: float):
-    """Sleeps; the name says in tests that time passes."""
+    """Lets time pass in a test."""
     return asyncio.sleep(seconds)
--- a/tests/prepared_helpers.py
+++ b/tests/prepared_helpers.py
@@ -1,4 +1,4 @@
-"""Deployments on the stand-ins of the prepared platform, for tests."""
+"""Deployments on fake servers of the prepared platform, for tests."""
 
 import asyncio
 
@@ -6,7 +6,7 @@
 
 
 async def start_deployment(deployment: Deployment, *pools: str):
-    """Starts an endpoint for each pool named, and one entry VM; returns endpoints and a client."""
+    """Starts an endpoint for each pool and one entry VM; returns the endpoints and a client."""
     endpoints = [
         await deployment.add_endpoint(f"i-{number}", pool) for number, pool in enumerate(pools)
     ]
@@ -16,7 +16,7 @@
 
 
 def in_deployment(body):
-    """Returns a plain test function that runs ``body`` inside a deployment."""
+    """Decorator: returns a synchronous test that runs ``body`` with a new deployment."""
 
     async def run_body():
         async with Deployment() as deployment:
