Fit two long lines and call the size of a test federation a size

The docstring of wait_converged again says that brokers are known once VMs converge. One f-string of the demo is written in two pieces; its text is the same.

--- a/fakes/demo.py
+++ b/fakes/demo.py
@@ -75,7 +75,10 @@
         and response.complete
         and response.text == expected_completion(prompt)
     )
-    times = f"first={response.first_token_s * 1000:.0f}ms between={response.token_interval_s * 1000:.1f}ms"
+    times = (
+        f"first={response.first_token_s * 1000:.0f}ms "
+        f"between={response.token_interval_s * 1000:.1f}ms"
+    )
     report.add(
         name, passed, f"tokens={response.tokens} {times} {describe_server(response.headers)}"
     )
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -188,7 +188,7 @@
             await wait_until(lambda v=vm: is_ready(v.admin), f"{vm.name} is ready")
 
     async def wait_converged(self) -> None:
-        """Waits until every VM has an epoch, so knows all brokers, and sees its zone's VMs as live."""
+        """Waits until every VM sees all VMs of its zone in its epoch, and so knows all brokers."""
         await wait_until(self._has_converged, "all VMs have converged")
 
     async def _has_converged(self) -> bool:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -47,30 +47,30 @@
     step_s: float = 0.004
 
 
-async def start_federation(fleet: Fleet, shape: FederationSize, **settings) -> None:
+async def start_federation(fleet: Fleet, size: FederationSize, **settings) -> None:
     """Starts fake servers and entry VMs, and applies a table; ``settings`` are options of VMs."""
     fleet.start_store()
-    rows = [member_row("office", limit=shape.limit), member_row("agency", "rewrite"), *CLASSES]
+    rows = [member_row("office", limit=size.limit), member_row("agency", "rewrite"), *CLASSES]
     rows += [MODEL_POOL, FILING_POOL]
-    zones = ZONES[: shape.zones]
+    zones = ZONES[: size.zones]
     for zone, _ in zones:
-        for number in range(shape.engines_per_zone):
+        for number in range(size.engines_per_zone):
             name = f"engine-{zone}-{number}"
-            fleet.start_fake("engine", name, slots=shape.slots, step_s=shape.step_s)
-        for number in range(shape.services_per_zone):
+            fleet.start_fake("engine", name, slots=size.slots, step_s=size.step_s)
+        for number in range(size.services_per_zone):
             fleet.start_fake("service", f"filing-{zone}-{number}")
     await fleet.wait_listening(*fleet.processes_by_name.values())
     for zone, region in zones:
         for kind, pool, count in (
-            ("engine", "drafter", shape.engines_per_zone),
-            ("filing", "filing", shape.services_per_zone),
+            ("engine", "drafter", size.engines_per_zone),
+            ("filing", "filing", size.services_per_zone),
         ):
             names = (f"{kind}-{zone}-{number}" for number in range(count))
-            rows += [endpoint_row(fleet, n, pool, zone, region, shape.slots) for n in names]
+            rows += [endpoint_row(fleet, n, pool, zone, region, size.slots) for n in names]
     status, output = await fleet.apply_sheet(new_sheet(*rows))
     assert status == 0, output
     for zone, region in zones:
-        for number in range(shape.vms_per_zone):
+        for number in range(size.vms_per_zone):
             fleet.add_vm(f"vm-{zone}-{number}", zone, region, **settings)
     await fleet.wait_ready()
     await fleet.wait_converged()
