--- a/fakes/prepared.py
+++ b/fakes/prepared_deployment.py
@@ -1,4 +1,4 @@
-"""A small deployment on the stand-ins of the prepared platform, all in one process."""
+"""A small deployment on fake servers of the prepared platform, all in one process."""
 
 import asyncio
 import time
@@ -14,12 +14,12 @@
 from fakes.prepared_store import FakeStore
 
 HOST = "tile.example"
-KEY = "key-of-the-office"
+API_KEY = "key-of-the-office"
 MEMBER = "office"
 
 
-def route(name: str, kind: str, pool: str, **fields) -> dict:
-    """Returns a route under ``/NAME/``."""
+def build_route(name: str, kind: str, pool: str, **fields) -> dict:
+    """Returns a route with the path prefix ``/NAME/``; ``fields`` override the defaults."""
     return {
         "name": name,
         "host": HOST,
@@ -35,17 +35,17 @@
     }
 
 
-def configuration(version: int, keys: tuple[str, ...] = (KEY,), routes=None) -> dict:
-    """Returns a configuration with a route of each kind."""
+def build_configuration(version: int, keys: tuple[str, ...] = (API_KEY,), routes=None) -> dict:
+    """Returns a configuration; by default it has routes of each kind."""
     engine = {"slots": 8, "kv_capacity": 100_000}
     return {
         "version": version,
         "routes": routes
         or [
-            route("look", "safe", "app"),
-            route("file", "unsafe", "app"),
-            route("draft", "streaming", "engines", resumable=True, gap_target_ms=300),
-            route("explain", "streaming", "engines", max_attempts=1, gap_target_ms=300),
+            build_route("look", "safe", "app"),
+            build_route("file", "unsafe", "app"),
+            build_route("draft", "streaming", "engines", resumable=True, gap_target_ms=300),
+            build_route("explain", "streaming", "engines", max_attempts=1, gap_target_ms=300),
         ],
         "services": [
             {"name": "app", "health_path": "/health", "max_conns": 50},
@@ -62,7 +62,7 @@
 
 
 def settings_text(name: str, zone: str, store: str, listen: str, ready: str, bus_port: int) -> str:
-    """Returns a settings file as the platform writes it."""
+    """Returns the text of a settings file as the platform writes it."""
     return f"""node_name={name}
 ip=127.0.0.1
 zone={zone}
@@ -84,13 +84,13 @@
 
 @dataclass
 class Deployment:
-    """A store, endpoints and entry VMs on the loopback. Use as an asynchronous context."""
+    """A store, endpoints and entry VMs on loopback. Use as an asynchronous context manager."""
 
     store: FakeStore = field(default_factory=FakeStore)
     store_address: str = ""
     vms: list[EntryVm] = field(default_factory=list)
     _tasks: list[asyncio.Task] = field(default_factory=list)
-    _fakes: list = field(default_factory=list)
+    _endpoints: list = field(default_factory=list)
 
     async def __aenter__(self) -> "Deployment":
         port = await self.store.start("127.0.0.1", 0)
@@ -104,25 +104,25 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for vm in self.vms:
             vm.close()
-        for fake in (self.store, *self._fakes):
-            fake.http.stop_listening()
+        for server in (self.store, *self._endpoints):
+            server.http.stop_listening()
 
     def configure(self, version: int, **fields) -> None:
-        """Writes a configuration as the operator does."""
-        data = msgspec.json.encode(configuration(version, **fields))
+        """Writes a configuration to the store, as the operator does."""
+        data = msgspec.json.encode(build_configuration(version, **fields))
         self.store.put("keyed.op", "config", data)
 
     async def add_endpoint(self, name: str, pool: str, zone: str = "z", **fields) -> FakeEndpoint:
-        """Starts an endpoint and announces it."""
+        """Starts an endpoint and writes its entry to the store."""
         endpoint = FakeEndpoint(name)
         port = await endpoint.start("127.0.0.1", 0)
         endpoint.address = f"127.0.0.1:{port}"
-        self._fakes.append(endpoint)
+        self._endpoints.append(endpoint)
         self.announce(endpoint, pool, zone, **fields)
         return endpoint
 
     def announce(self, endpoint: FakeEndpoint, pool: str, zone: str = "z", **fields) -> None:
-        """Writes an endpoint's entry."""
+        """Writes an endpoint's entry to the store."""
         entry = {
             "service": pool,
             "address": endpoint.address,
@@ -136,8 +136,8 @@
         }
         self.store.put("keyed.servers", endpoint.name, msgspec.json.encode(entry))
 
-    def retire(self, name: str) -> None:
-        """Removes an endpoint's entry."""
+    def remove_entry(self, name: str) -> None:
+        """Removes an endpoint's entry from the store."""
         self.store.put("keyed.servers", name, b"")
 
     async def add_vm(self, zone: str = "z", store: str = "") -> EntryVm:
@@ -154,18 +154,18 @@
 
 
 async def wait_until(condition, timeout_s: float = 5.0) -> None:
-    """Waits until a condition holds; fails after ``timeout_s``."""
+    """Waits until a condition holds; raises TimeoutError after ``timeout_s``."""
     async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(0.01)
 
 
 @dataclass
-class PlatformClient:
-    """A caller that keeps its connection. ``settings`` are those of the VM it calls."""
+class KeepAliveClient:
+    """A client that reuses its connection. ``settings`` are those of the VM that it calls."""
 
     settings: VmSettings
-    key: str = KEY
+    api_key: str = API_KEY
     _connection: ClientConnection | None = None
 
     async def call(
@@ -174,26 +174,26 @@
         path: str,
         request_id: str,
         body: bytes = b"",
-        patience_s: float = 2.0,
+        timeout_s: float = 2.0,
         headers=(),
     ) -> HttpResponse:
-        """Makes one call. Raises ConnectionLostError when it has no whole answer."""
+        """Sends a request. Raises ConnectionLostError if the response is incomplete."""
         if self._connection is None or not self._connection.start_next_cycle():
             self._connection = await ClientConnection.open(self.settings.listen, 1.0)
         connection = self._connection
-        sent = [
+        sent_headers = [
             ("Host", HOST),
             ("Request-Id", request_id),
-            ("Deadline-Ms", str(int(patience_s * 1000))),
-            ("Authorization", f"Bearer {self.key}"),
+            ("Deadline-Ms", str(int(timeout_s * 1000))),
+            ("Authorization", f"Bearer {self.api_key}"),
             ("Content-Length", str(len(body))),
             *headers,
         ]
-        await connection.send_verbatim(method, path, sent, body)
-        return await connection.read_response(patience_s + 1)
+        await connection.send_verbatim(method, path, sent_headers, body)
+        return await connection.read_response(timeout_s + 1)
 
     async def stream(self, path: str, request_id: str, tokens: int = 100, **fields):
-        """Asks for a generation."""
+        """Requests a streamed generation whose prompt has ``tokens`` tokens."""
         headers = [
             ("Model", "m"),
             ("Token-Usage", f"{tokens},20"),
@@ -201,13 +201,13 @@
         ]
         return await self.call("POST", path, request_id, b"prompt", headers=headers, **fields)
 
-    def leave(self) -> None:
+    def disconnect(self) -> None:
         """Closes the connection at once."""
         if self._connection is not None:
             self._connection.close()
             self._connection = None
 
 
-def header(response: HttpResponse, name: str) -> str:
-    """Returns one header of a response, or nothing."""
+def get_header(response: HttpResponse, name: str) -> str:
+    """Returns one header of a response, or an empty string."""
     return dict(response.headers).get(name, "")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,4 @@
-"""Small federations for tests, and the one helper that runs the program."""
+"""Helpers for tests that start small federations or run the program."""
 
 import asyncio
 import io
@@ -11,32 +11,32 @@
 from bluebellpitch.exit_status import ExitStatus
 from bluebellpitch.http1 import fetch
 from bluebellpitch.main import main
-from fakes.federations import CLASSES, FILING, MODEL, endpoint, member, sheet
 from fakes.fleet import Fleet
+from fakes.tables import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 
-TOKEN = "office-secret"
+CREDENTIAL = "office-secret"
 ZONES = (("doto-1", "doto"), ("doo-1", "doo"))
 
 
 @dataclass(frozen=True)
-class Shown:
-    """What a user sees of one run of the program."""
+class ProgramResult:
+    """Exit status and output of one run of the program."""
 
     status: ExitStatus
-    out: str
-    err: str
+    stdout: str
+    stderr: str
 
 
-def run_program(*arguments: str) -> Shown:
+def run_program(*arguments: str) -> ProgramResult:
     """Runs the program in this process."""
     out, err = io.StringIO(), io.StringIO()
     status = main(list(arguments), Environment(stdout=out, stderr=err))
-    return Shown(status, out.getvalue(), err.getvalue())
+    return ProgramResult(status, out.getvalue(), err.getvalue())
 
 
 @dataclass(frozen=True)
-class Shape:
-    """How large a federation is."""
+class FederationSize:
+    """The size of a federation. ``limit`` is that of the member ``office``; 0 sets none."""
 
     vms_per_zone: int = 2
     zones: int = 1
@@ -47,37 +47,37 @@
     step_s: float = 0.004
 
 
-async def start_federation(fleet: Fleet, shape: Shape, **settings) -> None:
-    """Starts stand-ins and entry VMs, and puts a table into force."""
-    fleet.start_platform()
-    rows = [member("office", limit=shape.limit), member("agency", "rewrite"), *CLASSES]
-    rows += [MODEL, FILING]
-    zones = ZONES[: shape.zones]
+async def start_federation(fleet: Fleet, size: FederationSize, **settings) -> None:
+    """Starts fake servers and entry VMs, and applies a table; ``settings`` are options of VMs."""
+    fleet.start_store()
+    rows = [member_row("office", limit=size.limit), member_row("agency", "rewrite"), *CLASSES]
+    rows += [MODEL_POOL, FILING_POOL]
+    zones = ZONES[: size.zones]
     for zone, _ in zones:
-        for number in range(shape.engines_per_zone):
+        for number in range(size.engines_per_zone):
             name = f"engine-{zone}-{number}"
-            fleet.start_fake("engine", name, slots=shape.slots, step_s=shape.step_s)
-        for number in range(shape.services_per_zone):
+            fleet.start_fake("engine", name, slots=size.slots, step_s=size.step_s)
+        for number in range(size.services_per_zone):
             fleet.start_fake("service", f"filing-{zone}-{number}")
     await fleet.wait_listening(*fleet.processes_by_name.values())
     for zone, region in zones:
         for kind, pool, count in (
-            ("engine", "drafter", shape.engines_per_zone),
-            ("filing", "filing", shape.services_per_zone),
+            ("engine", "drafter", size.engines_per_zone),
+            ("filing", "filing", size.services_per_zone),
         ):
             names = (f"{kind}-{zone}-{number}" for number in range(count))
-            rows += [endpoint(fleet, n, pool, zone, region, shape.slots) for n in names]
-    status, output = await fleet.apply_sheet(sheet(*rows))
+            rows += [endpoint_row(fleet, n, pool, zone, region, size.slots) for n in names]
+    status, output = await fleet.apply_sheet(new_sheet(*rows))
     assert status == 0, output
     for zone, region in zones:
-        for number in range(shape.vms_per_zone):
+        for number in range(size.vms_per_zone):
             fleet.add_vm(f"vm-{zone}-{number}", zone, region, **settings)
     await fleet.wait_ready()
-    await fleet.wait_settled()
+    await fleet.wait_converged()
 
 
 async def count_runs(fleet: Fleet, case: str) -> int:
-    """Returns how often the services ran a case."""
+    """Returns how often all services together ran a case."""
     runs = 0
     for name, process in fleet.processes_by_name.items():
         if name.startswith("filing"):
@@ -86,7 +86,7 @@
 
 
 async def read_counts(address: str) -> dict[str, int]:
-    """Returns a service's counts; nothing when it is down."""
+    """Returns how often a service ran each case; empty when the service is down."""
     try:
         return msgspec.json.decode((await fetch(address, "GET", "/counts")).body)
     except BluebellpitchError:
@@ -94,10 +94,10 @@
 
 
 def verdict_of(response) -> str:
-    """Returns the verdict of a service call's answer."""
+    """Returns the verdict in a response to a service call; empty without a response."""
     return "" if response is None else dict(response.headers)["x-bluebellpitch-verdict"]
 
 
 def wait(seconds: float):
-    """Sleeps; the name says in tests that time passes."""
+    """Lets time pass in a test."""
     return asyncio.sleep(seconds)
--- a/tests/prepared_helpers.py
+++ b/tests/prepared_helpers.py
@@ -1,22 +1,22 @@
-"""Deployments on the stand-ins of the prepared platform, for tests."""
+"""Deployments on fake servers of the prepared platform, for tests."""
 
 import asyncio
 
-from fakes.prepared import Deployment, PlatformClient, wait_until
+from fakes.prepared_deployment import Deployment, KeepAliveClient, wait_until
 
 
-async def start(deployment: Deployment, *pools: str):
-    """Starts an endpoint for each pool named, and one entry VM; returns endpoints and a client."""
+async def start_deployment(deployment: Deployment, *pools: str):
+    """Starts an endpoint for each pool and one entry VM; returns the endpoints and a client."""
     endpoints = [
         await deployment.add_endpoint(f"i-{number}", pool) for number, pool in enumerate(pools)
     ]
     vm = await deployment.add_vm()
     await wait_until(lambda: len(vm.directory.entries_by_id) == len(pools))
-    return endpoints, PlatformClient(vm.settings)
+    return endpoints, KeepAliveClient(vm.settings)
 
 
 def in_deployment(body):
-    """Returns a plain test function that runs ``body`` inside a deployment."""
+    """Decorator: returns a synchronous test that runs ``body`` with a new deployment."""
 
     async def run_body():
         async with Deployment() as deployment:
--- a/tests/test_routed_requests.py
+++ b/tests/test_routed_requests.py
@@ -5,17 +5,23 @@
 import pytest
 
 from bluebellpitch.errors import ConnectionLostError
-from fakes.prepared import Deployment, PlatformClient, header, route, wait_until
-from tests.prepared_helpers import in_deployment, start
+from fakes.prepared_deployment import (
+    Deployment,
+    KeepAliveClient,
+    build_route,
+    get_header,
+    wait_until,
+)
+from tests.prepared_helpers import in_deployment, start_deployment
 
 
 @in_deployment
 async def test_response_is_forwarded_unchanged(deployment):
-    (app,), client = await start(deployment, "app")
+    (app,), client = await start_deployment(deployment, "app")
     response = await client.call("GET", "/look/7", "r1")
     assert response.status == 200
     assert response.body == b"i-0 answers r1"
-    assert header(response, "response-signature") == "3e1b.07.5a2"
+    assert get_header(response, "response-signature") == "3e1b.07.5a2"
     sent = app.requests[-1]
     assert sent.target == "/look/7"
     assert sent.header("tenant") == "office"
@@ -26,7 +32,7 @@
 
 @in_deployment
 async def test_internal_headers_from_callers_are_dropped(deployment):
-    (app,), client = await start(deployment, "app")
+    (app,), client = await start_deployment(deployment, "app")
     names = ("Tenant", "Target-Instance", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch")
     forged = [(name, "forged") for name in names]
     response = await client.call("POST", "/file/7", "r1", b"case", headers=forged)
@@ -37,16 +43,16 @@
 
 @in_deployment
 async def test_unknown_route_and_unknown_key_have_different_statuses(deployment):
-    _, client = await start(deployment, "app")
+    _, client = await start_deployment(deployment, "app")
     assert (await client.call("GET", "/nothing/7", "r1")).status == 404
-    unknown_client = PlatformClient(client.settings, key="no-key")
+    unknown_client = KeepAliveClient(client.settings, api_key="no-key")
     assert (await unknown_client.call("GET", "/look/7", "r2")).status == 401
 
 
 @in_deployment
 async def test_longest_prefix_wins(deployment):
-    (app, _), client = await start(deployment, "app", "engines")
-    routes = [route("look", "safe", "engines"), route("look/deep", "safe", "app")]
+    (app, _), client = await start_deployment(deployment, "app", "engines")
+    routes = [build_route("look", "safe", "engines"), build_route("look/deep", "safe", "app")]
     deployment.configure(2, routes=routes)
     vm = deployment.vms[0]
     await wait_until(lambda: vm.configuration.version() == 2)
@@ -56,7 +62,7 @@
 
 @in_deployment
 async def test_unsafe_request_runs_once_when_its_response_is_lost(deployment):
-    endpoints, client = await start(deployment, "app", "app")
+    endpoints, client = await start_deployment(deployment, "app", "app")
     for endpoint in endpoints:
         endpoint.mode = "reset"
     response = await client.call("POST", "/file/7", "r1", b"case")
@@ -66,8 +72,8 @@
 
 @in_deployment
 async def test_refused_request_is_retried_at_another_endpoint(deployment):
-    endpoints, client = await start(deployment, "app", "app")
-    routes = [route("file", "unsafe", "app", max_attempts=2)]
+    endpoints, client = await start_deployment(deployment, "app", "app")
+    routes = [build_route("file", "unsafe", "app", max_attempts=2)]
     deployment.configure(2, routes=routes)
     await wait_until(lambda: deployment.vms[0].configuration.version() == 2)
     endpoints[0].mode = "refuse"
@@ -78,18 +84,18 @@
 
 @in_deployment
 async def test_refusal_by_all_endpoints_is_503_with_retry_after(deployment):
-    (app,), client = await start(deployment, "app")
+    (app,), client = await start_deployment(deployment, "app")
     app.mode = "refuse"
     response = await client.call("POST", "/file/7", "r1", b"case")
     assert response.status == 503
-    assert float(header(response, "retry-after")) > 0
-    assert header(response, "response-signature") == ""
+    assert float(get_header(response, "retry-after")) > 0
+    assert get_header(response, "response-signature") == ""
     assert not app.ran
 
 
 @in_deployment
 async def test_attempts_stay_within_the_limit_of_the_route(deployment):
-    endpoints, client = await start(deployment, "app", "app", "app")
+    endpoints, client = await start_deployment(deployment, "app", "app", "app")
     for endpoint in endpoints:
         endpoint.mode = "fail"
     response = await client.call("GET", "/look/7", "r1")
@@ -99,7 +105,7 @@
 
 @in_deployment
 async def test_replaced_endpoint_runs_nothing_and_gets_no_further_requests(deployment):
-    endpoints, client = await start(deployment, "app", "app")
+    endpoints, client = await start_deployment(deployment, "app", "app")
     endpoints[0].mode = "other"
     for number in range(4):
         assert (await client.call("GET", "/look/7", f"r{number}")).status == 200
@@ -110,7 +116,7 @@
 def test_corrupt_response_never_reaches_the_caller(mode):
     async def body():
         async with Deployment() as deployment:
-            endpoints, client = await start(deployment, "app", "app")
+            endpoints, client = await start_deployment(deployment, "app", "app")
             endpoints[0].mode = mode
             for number in range(4):
                 response = await client.call("GET", "/look/7", f"r{number}")
@@ -122,7 +128,7 @@
 
 @in_deployment
 async def test_unsolicited_response_is_not_taken_for_the_next_one(deployment):
-    (app,), client = await start(deployment, "app")
+    (app,), client = await start_deployment(deployment, "app")
     app.mode = "extra"
     for number in range(6):
         response = await client.call("GET", "/look/7", f"r{number}")
@@ -132,7 +138,7 @@
 
 @in_deployment
 async def test_stream_is_forwarded_completely(deployment):
-    (engine,), client = await start(deployment, "engines")
+    (engine,), client = await start_deployment(deployment, "engines")
     response = await client.stream("/explain/7", "r1")
     assert response.status == 200
     assert response.body == b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 5))
@@ -141,7 +147,7 @@
 
 @in_deployment
 async def test_truncated_stream_is_resumed_elsewhere_without_gaps_or_duplicates(deployment):
-    engines, client = await start(deployment, "engines", "engines")
+    engines, client = await start_deployment(deployment, "engines", "engines")
     engines[0].mode = "cut"
     for number in range(4):
         response = await client.stream("/draft/7", f"r{number}")
@@ -153,7 +159,7 @@
 
 @in_deployment
 async def test_stream_that_cannot_be_resumed_does_not_look_complete(deployment):
-    (engine,), client = await start(deployment, "engines")
+    (engine,), client = await start_deployment(deployment, "engines")
     engine.mode = "cut"
     with pytest.raises(ConnectionLostError):
         await client.stream("/explain/7", "r1")
@@ -162,11 +168,11 @@
 
 @in_deployment
 async def test_caller_disconnect_cancels_the_request_at_the_endpoint(deployment):
-    (app,), client = await start(deployment, "app")
+    (app,), client = await start_deployment(deployment, "app")
     app.mode = "slow"
     pending = asyncio.create_task(client.call("GET", "/look/7", "r1"))
     await wait_until(lambda: app.ran)
-    client.leave()
+    client.disconnect()
     await wait_until(lambda: app.cancelled == 1, timeout_s=0.5)
     pending.cancel()
     await asyncio.gather(pending, return_exceptions=True)
@@ -174,8 +180,8 @@
 
 @in_deployment
 async def test_timeout_of_the_route_ends_a_request(deployment):
-    (app,), client = await start(deployment, "app")
-    routes = [route("look", "safe", "app", timeout_ms=300)]
+    (app,), client = await start_deployment(deployment, "app")
+    routes = [build_route("look", "safe", "app", timeout_ms=300)]
     deployment.configure(2, routes=routes)
     await wait_until(lambda: deployment.vms[0].configuration.version() == 2)
     app.mode = "slow"
@@ -188,7 +194,7 @@
 
 @in_deployment
 async def test_draining_endpoint_gets_no_new_requests(deployment):
-    endpoints, client = await start(deployment, "app", "app")
+    endpoints, client = await start_deployment(deployment, "app", "app")
     deployment.announce(endpoints[0], "app", state="draining")
     vm = deployment.vms[0]
     await wait_until(lambda: len(list(vm.directory.usable_endpoints("app"))) == 1)
@@ -199,23 +205,23 @@
 
 @in_deployment
 async def test_planned_stop_finishes_requests_and_closes_connections(deployment):
-    (engine,), client = await start(deployment, "engines")
+    (engine,), client = await start_deployment(deployment, "engines")
     engine.pause_s = 0.1
     streaming = asyncio.create_task(client.stream("/explain/7", "r1"))
     await wait_until(lambda: engine.ran)
     vm = deployment.vms[0]
     vm.draining.set()
     assert not vm.is_ready()
-    late_client = PlatformClient(vm.settings)
+    late_client = KeepAliveClient(vm.settings)
     response = await late_client.stream("/explain/8", "r2")
-    assert response.status == 200 and header(response, "connection") == "close"
+    assert response.status == 200 and get_header(response, "connection") == "close"
     assert (await streaming).body.endswith(b"piece 4\n\n")
     await wait_until(lambda: "vm-1" not in deployment.store.newest_keys("keyed.bluebellpitch-vms"))
 
 
 @in_deployment
 async def test_request_that_crashes_endpoints_is_refused_after_three_strikes(deployment):
-    endpoints, client = await start(deployment, *["app"] * 6)
+    endpoints, client = await start_deployment(deployment, *["app"] * 6)
     vm = deployment.vms[0]
     for endpoint in endpoints:
         endpoint.mode = "reset"
@@ -238,7 +244,7 @@
 
 @in_deployment
 async def test_body_over_the_size_limit_is_refused(deployment):
-    (app,), client = await start(deployment, "app")
+    (app,), client = await start_deployment(deployment, "app")
     deployment.configure(2)
     response = await client.call("POST", "/file/7", "r1", b"x" * 10_001)
     assert response.status == 413
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,14 +11,14 @@
 
 from bluebellpitch.http1 import fetch
 from bluebellpitch.operators.sheet import parse_sheet, write_sheet
-from fakes.caller import Answer, stream
-from fakes.engine import answer_to
+from fakes.client import StreamedResponse, stream_completion
+from fakes.engine import expected_completion
 from fakes.fleet import Fleet, is_ready, read_status, wait_until
 from fakes.ports import free_address
-from tests.helpers import TOKEN, Shape, start_federation, wait
+from tests.helpers import CREDENTIAL, FederationSize, start_federation, wait
 
 ENGINES = ("engine-doto-1-0", "engine-doto-1-1", "engine-doto-1-2")
-SHAPE = Shape(vms_per_zone=2, engines_per_zone=3, slots=4, step_s=0.01)
+SHAPE = FederationSize(vms_per_zone=2, engines_per_zone=3, slots=4, step_s=0.01)
 MAX_CRASHED_ENGINES = 3
 LEAVING_PROPAGATION_S = 4.0
 
@@ -34,14 +34,16 @@
     return list(fleet.vms_by_name.values())[index]
 
 
-def assert_complete(answer: Answer, prompt: str):
+def assert_complete(answer: StreamedResponse, prompt: str):
     assert_that(answer.status, Equals(200), answer.text)
-    assert_that(answer.whole, Equals(True))
-    assert_that(answer.text, Equals(answer_to(prompt)))
+    assert_that(answer.complete, Equals(True))
+    assert_that(answer.text, Equals(expected_completion(prompt)))
 
 
 def start_stream(fleet, prompt: str, class_name: str = "draft", vm_index: int = 0) -> asyncio.Task:
-    return asyncio.create_task(stream(get_vm(fleet, vm_index).listen, TOKEN, prompt, class_name))
+    return asyncio.create_task(
+        stream_completion(get_vm(fleet, vm_index).listen, CREDENTIAL, prompt, class_name)
+    )
 
 
 async def wait_for_busy_engine(fleet, prompt_count: int) -> str:
@@ -126,11 +128,11 @@
         running = [start_stream(fleet, prompt, vm_index=n % 2) for n, prompt in enumerate(prompts)]
         await wait_for_busy_engine(fleet, len(prompts))
         for number in range(6):
-            answer = await stream(
-                get_vm(fleet, number % 2).listen, TOKEN, "[crash] poison", "draft"
+            answer = await stream_completion(
+                get_vm(fleet, number % 2).listen, CREDENTIAL, "[crash] poison", "draft"
             )
-            assert_that(answer.whole, Equals(False))
-        last = await stream(get_vm(fleet).listen, TOKEN, "[crash] poison", "draft")
+            assert_that(answer.complete, Equals(False))
+        last = await stream_completion(get_vm(fleet).listen, CREDENTIAL, "[crash] poison", "draft")
         assert_that(last.status, Equals(422))
         assert_that(last.text, Contains("crashes_endpoints"))
         for task, prompt in zip(running, prompts, strict=True):
@@ -157,10 +159,12 @@
             await fleet.wait_listening(bus)
             fleet.add_vm("vm-late", "doto-1", "doto", bus=bus.address, bus_bind=bus_bind)
             await fleet.wait_ready()
-            await fleet.wait_settled()
+            await fleet.wait_converged()
             restarter = asyncio.create_task(restart_crashed_engines(fleet))
             for number in range(2):
-                await stream(get_vm(fleet, number).listen, TOKEN, "[crash] poison", "draft")
+                await stream_completion(
+                    get_vm(fleet, number).listen, CREDENTIAL, "[crash] poison", "draft"
+                )
             await wait(0.3)
             restarter.cancel()
             assert_that(len(await restarter), LessThan(MAX_CRASHED_ENGINES + 1))
@@ -198,7 +202,9 @@
         number += 1
         ready = [vm for vm in fleet.vms_by_name.values() if await is_ready(vm.admin)]
         prompt = f"[len=15] rolling {number}"
-        answers.append((await stream(ready[number % len(ready)].listen, TOKEN, prompt), prompt))
+        answers.append(
+            (await stream_completion(ready[number % len(ready)].listen, CREDENTIAL, prompt), prompt)
+        )
 
 
 def test_vms_replaced_one_by_one_fail_no_request(run, fleet):
@@ -208,15 +214,15 @@
         for name in tuple(fleet.vms_by_name):
             vm = fleet.vms_by_name[name]
             prompt = f"[len=150] held by {name}"
-            open_stream = asyncio.create_task(stream(vm.listen, TOKEN, prompt))
+            open_stream = asyncio.create_task(stream_completion(vm.listen, CREDENTIAL, prompt))
             await wait(0.3)
-            vm.process.send(signal.SIGTERM)
+            vm.process.send_signal(signal.SIGTERM)
             status = await asyncio.to_thread(vm.process.popen.wait, 30)
             assert_that(status, Equals(0))
             assert_complete(await open_stream, prompt)
             fleet.start_vm(vm)
             await fleet.wait_ready(vm)
-            await fleet.wait_settled()
+            await fleet.wait_converged()
         stop.set()
         await asyncio.gather(*clients)
         for answer, prompt in answers:
@@ -241,7 +247,10 @@
         status, output = await fleet.apply_sheet("\n".join(lines))
         assert_that(status, Equals(0), output)
         await wait(1.0)
-        answers = [await stream(get_vm(fleet).listen, TOKEN, f"[len=3] new {n}") for n in range(12)]
+        answers = [
+            await stream_completion(get_vm(fleet).listen, CREDENTIAL, f"[len=3] new {n}")
+            for n in range(12)
+        ]
         endpoints_used = {answer.headers["x-bluebellpitch-endpoint"] for answer in answers}
         assert_that(name in endpoints_used, Equals(False))
         for task, prompt in zip(running, prompts, strict=True):
@@ -254,9 +263,12 @@
     """The entry in the store says draining, while the row in the table still says live."""
 
     async def scenario():
-        await fleet.announce_leaving(ENGINES[0])
+        await fleet.announce_draining(ENGINES[0])
         await wait(LEAVING_PROPAGATION_S)
-        answers = [await stream(get_vm(fleet).listen, TOKEN, f"[len=3] new {n}") for n in range(12)]
+        answers = [
+            await stream_completion(get_vm(fleet).listen, CREDENTIAL, f"[len=3] new {n}")
+            for n in range(12)
+        ]
         endpoints_used = {answer.headers["x-bluebellpitch-endpoint"] for answer in answers}
         assert_that(ENGINES[0] in endpoints_used, Equals(False), endpoints_used)
 
