Rename the modules of the diagnostic commands and of the soak

bluebellpitch/commands/insight.py is now diagnostics.py. soak/scene.py is now cluster.py, record.py history.py, plan.py fault_schedule.py and faults.py fault_injection.py. Only imports change.

--- a/bluebellpitch/cli.py
+++ b/bluebellpitch/cli.py
@@ -2,7 +2,7 @@
 
 import typer
 
-from bluebellpitch.commands import insight, table
+from bluebellpitch.commands import diagnostics, table
 from bluebellpitch.commands.route import route
 from bluebellpitch.commands.serve import serve
 
@@ -13,10 +13,10 @@
     app.command(help="Runs an entry VM.")(serve)
     app.command(help="Runs an entry VM on the prepared platform.")(route)
     app.add_typer(build_table_app(), name="table")
-    app.command(help="Shows VMs, brokers, endpoints and unresolved requests.")(insight.status)
-    app.command(help="Shows events of all VMs, in order.")(insight.timeline)
-    app.command(help="Tells what happened to one request.")(insight.explain)
-    app.command(help="Prints the version.")(insight.version)
+    app.command(help="Shows VMs, brokers, endpoints and unresolved requests.")(diagnostics.status)
+    app.command(help="Shows events of all VMs, in order.")(diagnostics.timeline)
+    app.command(help="Tells what happened to one request.")(diagnostics.explain)
+    app.command(help="Prints the version.")(diagnostics.version)
     return app
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,7 @@
 import typer
 from loguru import logger
 
-from soak.plan import Kind
+from soak.fault_schedule import Kind
 from soak.run import judge
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,8 +10,8 @@
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.http1 import ClientConnection, HttpResponse
 from fakes.prepared import HOST
-from soak.record import STREAM_KINDS, Outcome
-from soak.scene import EntryProcess, Scene
+from soak.cluster import EntryProcess, Scene
+from soak.history import STREAM_KINDS, Outcome
 
 KINDS = ("look", "file", "draft", "explain")
 PATIENCE_S = 2.0
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from itertools import pairwise
 
-from soak.record import EVENTS, STREAM_KINDS, Arrival, Outcome, Record
+from soak.history import EVENTS, STREAM_KINDS, Arrival, Outcome, Record
 
 ONCE_KINDS = ("file",)
 # Bounds of the settings that the scene writes.
--- a/soak/scene.py
+++ b/soak/cluster.py
@@ -20,7 +20,7 @@
 from fakes.prepared import configuration, settings_text
 from fakes.prepared_endpoint import FakeEndpoint
 from fakes.prepared_store import FakeStore
-from soak.record import EVENTS, Arrival, Record, Stop
+from soak.history import EVENTS, Arrival, Record, Stop
 
 ROOT = Path(__file__).resolve().parent.parent
 POOLS = ("app", "app", "app", "engines", "engines", "engines")
--- a/soak/faults.py
+++ b/soak/fault_injection.py
@@ -4,8 +4,8 @@
 import time
 
 from fakes.prepared_store import FakeStore
-from soak.plan import Fault, Kind
-from soak.scene import EntryProcess, Scene, SoakEndpoint
+from soak.cluster import EntryProcess, Scene, SoakEndpoint
+from soak.fault_schedule import Fault, Kind
 
 NOTICE_S = 9.0
 STORE_SLOW_S = 0.8
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,10 +5,10 @@
 
 from soak.callers import KINDS, Caller
 from soak.checks import find_breaches
-from soak.faults import bring_all
-from soak.plan import Kind, draw_faults
-from soak.record import Record
-from soak.scene import Scene
+from soak.cluster import Scene
+from soak.fault_injection import bring_all
+from soak.fault_schedule import Kind, draw_faults
+from soak.history import Record
 
 CALLERS_PER_VM = 8
 CALLERS_AT_MOST = 48
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,8 +5,8 @@
 import pytest
 
 from soak.checks import LEAVING_KNOWN_S, REPEAT_BURST, REVOKE_S, find_breaches
-from soak.plan import Kind, draw_faults
-from soak.record import EVENTS, Arrival, Outcome, Record, Stop
+from soak.fault_schedule import Kind, draw_faults
+from soak.history import EVENTS, Arrival, Outcome, Record, Stop
 from soak.run import judge
 
 SEED = 41
