Reword the commands and their options

Docstrings, help texts and errors use the usual terms of command lines: option, timeout, retention time, timestamp. Names of commands, options and environment variables and their defaults are as before.

--- a/bluebellpitch/__main__.py
+++ b/bluebellpitch/__main__.py
@@ -6,7 +6,7 @@
 
 
 def run() -> None:
-    """Runs the program and exits with its status."""
+    """Runs the program and exits with its exit status."""
     sys.exit(main())
 
 
--- a/bluebellpitch/commands/__init__.py
+++ b/bluebellpitch/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Commands of the program, one module for each group."""
+"""The commands of the program, one module per group."""
--- a/bluebellpitch/commands/diagnostics.py
+++ b/bluebellpitch/commands/diagnostics.py
@@ -1,4 +1,4 @@
-"""``status``, ``timeline`` and ``explain``: what the VMs do, and what they did."""
+"""``status``, ``timeline``, ``explain`` and ``version``: inspect running entry VMs."""
 
 import asyncio
 from typing import Annotated
@@ -7,7 +7,7 @@
 import typer
 
 from bluebellpitch import __version__
-from bluebellpitch.commands.options import AdminAddresses, StoreAddress, say
+from bluebellpitch.commands.options import AdminAddresses, StoreAddress, print_output
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import BluebellpitchError, UnreachableError, UsageError
 from bluebellpitch.exits import ExitStatus
@@ -26,19 +26,19 @@
 from bluebellpitch.platform.members import read_members
 from bluebellpitch.platform.store import StoreClient
 
-RENDERERS = {
+RENDERERS_BY_STYLE = {
     "text": render_text,
     "pairs": render_pairs,
     "svg": lambda events: [render_picture(events)],
 }
 
 
-async def find_vms(vms: list[str], store_address: str) -> list[str]:
-    """Returns admin addresses: those given, else those of all VMs with a record in the store."""
-    if vms:
-        return list(vms)
+async def resolve_admin_addresses(addresses: list[str], store_address: str) -> list[str]:
+    """Returns the given admin addresses, or else those of all VMs registered in the store."""
+    if addresses:
+        return list(addresses)
     if not store_address:
-        raise UsageError("name VMs with --vm, or the platform's store with --store-address")
+        raise UsageError("either --vm or --store-address is required")
     client = StoreClient(store_address)
     try:
         records_by_vm = await read_members(client)
@@ -49,8 +49,8 @@
     return [record.admin for record in records_by_vm.values() if record.admin]
 
 
-def report_missing(environment: Environment, collected: Collected) -> int:
-    """Names the VMs that gave no answer; returns the exit status."""
+def report_unreachable_vms(environment: Environment, collected: Collected) -> int:
+    """Prints the VMs that did not answer; returns the exit status."""
     for address in collected.missing:
         print(f"bluebellpitch: no answer from {address}", file=environment.stderr)
     return ExitStatus.OK if collected.pages else ExitStatus.UNREACHABLE
@@ -62,25 +62,27 @@
     store_address: StoreAddress = "",
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
 ) -> int:
-    """Prints the state of all VMs."""
+    """Prints the status of all VMs."""
 
     async def run() -> Collected:
-        return await collect_statuses(await find_vms(vm, store_address))
+        return await collect_statuses(await resolve_admin_addresses(vm, store_address))
 
     collected = asyncio.run(run())
     if as_json:
-        say(context, msgspec.json.encode(collected.pages).decode())
+        print_output(context, msgspec.json.encode(collected.pages).decode())
     else:
         for line in render_status(list(collected.pages), list(collected.missing)):
-            say(context, line)
-    return report_missing(context.obj, collected)
+            print_output(context, line)
+    return report_unreachable_vms(context.obj, collected)
 
 
-def collect(vm: list[str], store_address: str, wanted: EventFilter) -> Collected:
-    """Returns events of the VMs that answer."""
+def fetch_events(addresses: list[str], store_address: str, event_filter: EventFilter) -> Collected:
+    """Returns the events of all VMs that answer."""
 
     async def run() -> Collected:
-        return await collect_events(await find_vms(vm, store_address), wanted)
+        return await collect_events(
+            await resolve_admin_addresses(addresses, store_address), event_filter
+        )
 
     return asyncio.run(run())
 
@@ -89,36 +91,36 @@
     context: typer.Context,
     vm: AdminAddresses = (),
     store_address: StoreAddress = "",
-    request: Annotated[str, typer.Option(help="Only this request.")] = "",
-    member: Annotated[str, typer.Option(help="Only this member.")] = "",
-    class_name: Annotated[str, typer.Option("--class", help="Only this class.")] = "",
-    endpoint: Annotated[str, typer.Option(help="Only this endpoint.")] = "",
-    on_vm: Annotated[str, typer.Option(help="Only events of this VM, by name.")] = "",
-    since: Annotated[int, typer.Option(help="From this stamp on, in microseconds.")] = 0,
-    until: Annotated[int, typer.Option(help="Up to this stamp, in microseconds.")] = 1 << 62,
-    style: Annotated[str, typer.Option("--as", help="text, pairs or svg.")] = "text",
+    request: Annotated[str, typer.Option(help="Only events of this request.")] = "",
+    member: Annotated[str, typer.Option(help="Only events of this member.")] = "",
+    class_name: Annotated[str, typer.Option("--class", help="Only events of this class.")] = "",
+    endpoint: Annotated[str, typer.Option(help="Only events of this endpoint.")] = "",
+    on_vm: Annotated[str, typer.Option(help="Only events of the VM with this name.")] = "",
+    since: Annotated[int, typer.Option(help="Earliest timestamp, in microseconds.")] = 0,
+    until: Annotated[int, typer.Option(help="Latest timestamp, in microseconds.")] = 1 << 62,
+    style: Annotated[str, typer.Option("--as", help="Output format: text, pairs or svg.")] = "text",
 ) -> int:
-    """Prints events of all VMs."""
-    if style not in RENDERERS:
-        raise UsageError(f"--as: {style!r} must be one of: {', '.join(RENDERERS)}")
-    wanted = EventFilter(request, member, class_name, endpoint, on_vm, since, until)
-    collected = collect(vm, store_address, wanted)
-    for line in RENDERERS[style](merge_events(collected.pages, wanted)):
-        say(context, line)
-    return report_missing(context.obj, collected)
+    """Prints the events of all VMs in order."""
+    if style not in RENDERERS_BY_STYLE:
+        raise UsageError(f"--as: {style!r} must be one of: {', '.join(RENDERERS_BY_STYLE)}")
+    event_filter = EventFilter(request, member, class_name, endpoint, on_vm, since, until)
+    collected = fetch_events(vm, store_address, event_filter)
+    for line in RENDERERS_BY_STYLE[style](merge_events(collected.pages, event_filter)):
+        print_output(context, line)
+    return report_unreachable_vms(context.obj, collected)
 
 
 def explain(
     context: typer.Context, request: str, vm: AdminAddresses = (), store_address: StoreAddress = ""
 ) -> int:
-    """Prints the story of one request."""
-    collected = collect(vm, store_address, EventFilter())
+    """Prints what happened to one request."""
+    collected = fetch_events(vm, store_address, EventFilter())
     for line in explain_request(merge_events(collected.pages, EventFilter()), request):
-        say(context, line)
-    return report_missing(context.obj, collected)
+        print_output(context, line)
+    return report_unreachable_vms(context.obj, collected)
 
 
 def version(context: typer.Context) -> int:
-    """Prints the version."""
-    say(context, __version__)
+    """Prints the version of the program."""
+    print_output(context, __version__)
     return ExitStatus.OK
--- a/bluebellpitch/commands/options.py
+++ b/bluebellpitch/commands/options.py
@@ -1,4 +1,4 @@
-"""Flags that several commands share. Each can be set by an environment variable, too."""
+"""Options shared by several commands. Most can also be set by an environment variable."""
 
 from pathlib import Path
 from typing import Annotated
@@ -7,25 +7,34 @@
 
 from bluebellpitch.environment import Environment
 
-VARIABLE_PREFIX = "BLUEBELLPITCH_"
+ENVIRONMENT_PREFIX = "BLUEBELLPITCH_"
 
 
-def option(name: str, text: str):
-    """Returns a flag with its environment variable."""
-    variable = VARIABLE_PREFIX + name.strip("-").replace("-", "_").upper()
-    return typer.Option(name, help=text, envvar=variable)
+def option(name: str, help_text: str):
+    """Returns an option that can also be set by its environment variable."""
+    variable = ENVIRONMENT_PREFIX + name.strip("-").replace("-", "_").upper()
+    return typer.Option(name, help=help_text, envvar=variable)
 
 
-StoreAddress = Annotated[str, option("--store-address", "The platform's store, IP:port.")]
+StoreAddress = Annotated[
+    str, option("--store-address", "Address of the platform's store, IP:port.")
+]
 AdminAddresses = Annotated[
-    list[str], typer.Option("--vm", help="Admin address of an entry VM; all listed ones if none.")
+    list[str],
+    typer.Option(
+        "--vm",
+        help="Admin address of an entry VM. Default: all VMs registered in the store.",
+    ),
+]
+SheetPath = Annotated[Path, typer.Argument(help="The table as a CSV file.")]
+RetryTimeout = Annotated[float, option("--patience-s", "How long to retry, in seconds.")]
+OntoCurrent = Annotated[
+    bool,
+    typer.Option(help="Apply to the current table even if it changed since the sheet was made."),
 ]
-SheetPath = Annotated[Path, typer.Argument(help="The table as a CSV sheet.")]
-Patience = Annotated[float, option("--patience-s", "How long to try, in seconds.")]
-OntoCurrent = Annotated[bool, typer.Option(help="Take all present revisions as known.")]
 
 
-def say(context: typer.Context, line: str, end: str = "\n") -> None:
-    """Prints a line to the environment's standard output."""
+def print_output(context: typer.Context, text: str, end: str = "\n") -> None:
+    """Prints to the standard output of the environment."""
     environment: Environment = context.obj
-    print(line, end=end, file=environment.stdout)
+    print(text, end=end, file=environment.stdout)
--- a/bluebellpitch/commands/route.py
+++ b/bluebellpitch/commands/route.py
@@ -16,16 +16,18 @@
 from bluebellpitch.platform.settings_file import SETTINGS_VARIABLE, VmSettings, parse_settings
 
 
-def read_boot_time() -> float:
-    """Returns seconds since the boot; the time of a suspension counts."""
+def read_boottime_clock() -> float:
+    """Returns the seconds since boot, including time in suspend."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def load_settings(environment: Environment) -> VmSettings:
-    """Reads the settings file; raises UsageError."""
+def read_settings_file(environment: Environment) -> VmSettings:
+    """Reads the settings file named by the environment; raises UsageError."""
     path = environment.variables.get(SETTINGS_VARIABLE, "")
     if not path:
-        raise UsageError(f"{SETTINGS_VARIABLE} is not set: it names the settings file")
+        raise UsageError(
+            f"{SETTINGS_VARIABLE} is not set; it must be the path of the settings file"
+        )
     try:
         return parse_settings(Path(path).read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
@@ -35,15 +37,16 @@
 def route(
     context: typer.Context,
     metrics_port: Annotated[
-        int, option("--metrics-port", "Port of the metrics, on the VM's own address; 0: none.")
+        int,
+        option("--metrics-port", "Port of the metrics endpoint on the VM's own address; 0: none."),
     ] = 0,
 ) -> int:
-    """Runs an entry VM to its end."""
+    """Runs an entry VM until it is stopped."""
     if not 0 <= metrics_port < 65_536:
         raise UsageError(f"--metrics-port: {metrics_port} must be from 0 to 65535")
     environment: Environment = context.obj
-    settings = load_settings(environment)
-    send_logs(environment, settings.vm)
+    settings = read_settings_file(environment)
+    configure_logging(environment, settings.vm)
     try:
         asyncio.run(build_and_run(settings, environment, metrics_port))
     except OSError as error:
@@ -51,8 +54,8 @@
     return ExitStatus.OK
 
 
-def send_logs(environment: Environment, vm: str) -> None:
-    """Sends logs to standard output; a stream without a descriptor is written to directly."""
+def configure_logging(environment: Environment, vm: str) -> None:
+    """Logs to standard output: non-blocking if it has a descriptor, else directly to the stream."""
     try:
         descriptor = environment.stdout.fileno()
     except (UnsupportedOperation, AttributeError):
@@ -62,9 +65,11 @@
 
 
 async def build_and_run(settings: VmSettings, environment: Environment, metrics_port: int) -> None:
-    """Builds the VM inside the event loop and runs it."""
-    # Imported late: operators' commands need none of it.
+    """Creates the entry VM inside the event loop and runs it."""
+    # Imported here because the operators' commands do not need it.
     from bluebellpitch.entry_vm import EntryVm
 
-    vm = EntryVm(settings, lambda: load_settings(environment), read_boot_time, metrics_port)
+    vm = EntryVm(
+        settings, lambda: read_settings_file(environment), read_boottime_clock, metrics_port
+    )
     await vm.run()
--- a/bluebellpitch/commands/serve.py
+++ b/bluebellpitch/commands/serve.py
@@ -22,32 +22,42 @@
     vm: Annotated[str, option("--vm-name", "Name of this VM.")],
     zone: Annotated[str, option("--zone", "Availability zone of this VM.")],
     region: Annotated[str, option("--region", "Region of this VM.")],
-    listen: Annotated[str, option("--listen", "Address for callers, IP:port.")],
-    admin: Annotated[str, option("--admin", "Address for operators and the balancer.")],
-    bus: Annotated[str, option("--bus", "Address for other entry VMs.")],
+    listen: Annotated[str, option("--listen", "Address to serve callers on, IP:port.")],
+    admin: Annotated[
+        str, option("--admin", "Address to serve operators and the load balancer on.")
+    ],
+    bus: Annotated[str, option("--bus", "Address at which other entry VMs reach this one.")],
     store_address: StoreAddress,
-    bus_bind: Annotated[str, option("--bus-bind", "Where to listen for them, if elsewhere.")] = "",
-    peer: Annotated[list[str], option("--peer", "Bus address of an entry VM.")] = (),
-    stall_s: Annotated[float, option("--stall-s", "Longest silence of a stream.")] = 2.0,
+    bus_bind: Annotated[
+        str, option("--bus-bind", "Address to listen on for other entry VMs. Default: --bus.")
+    ] = "",
+    peer: Annotated[list[str], option("--peer", "Bus address of another entry VM.")] = (),
+    stall_s: Annotated[float, option("--stall-s", "Idle timeout of a stream.")] = 2.0,
     service_timeout_s: Annotated[
-        float, option("--service-timeout-s", "Longest call of a plain service.")
+        float, option("--service-timeout-s", "Timeout of a call to a plain service.")
     ] = 30.0,
     horizon_s: Annotated[
-        float, option("--horizon-s", "How long idempotency keys are kept.")
+        float, option("--horizon-s", "Retention time of idempotency keys.")
     ] = HORIZON_S,
     snapshot_every_s: Annotated[
-        float, option("--snapshot-every-s", "Age of the last snapshot that calls for one.")
+        float, option("--snapshot-every-s", "Write a snapshot when the newest is older than this.")
     ] = 120.0,
     drain_notice_s: Annotated[
-        float, option("--drain-notice-s", "How long the balancer needs to notice.")
+        float, option("--drain-notice-s", "Time the load balancer needs to notice a drain.")
     ] = 3.0,
-    header_bytes: Annotated[int, option("--header-bytes", "Largest request head.")] = 16_384,
-    body_bytes: Annotated[int, option("--body-bytes", "Largest request body.")] = 4_194_304,
-    receive_s: Annotated[float, option("--receive-s", "Longest receipt of a request.")] = 10.0,
-    connections: Annotated[int, option("--connections", "Most open connections.")] = 2_000,
+    header_bytes: Annotated[
+        int, option("--header-bytes", "Maximum size of a request head.")
+    ] = 16_384,
+    body_bytes: Annotated[
+        int, option("--body-bytes", "Maximum size of a request body.")
+    ] = 4_194_304,
+    receive_s: Annotated[float, option("--receive-s", "Timeout for receiving a request.")] = 10.0,
+    connections: Annotated[
+        int, option("--connections", "Maximum number of open connections.")
+    ] = 2_000,
     log_level: Annotated[str, option("--log-level", "DEBUG, INFO, WARNING, ERROR.")] = "INFO",
 ) -> int:
-    """Runs an entry VM to its end."""
+    """Runs an entry VM until it is stopped."""
     settings = Settings(
         vm=vm,
         zone=zone,
@@ -74,7 +84,7 @@
 
 
 def run_node(settings: Settings, environment: Environment, log_level: str) -> int:
-    """Sets up logs and runs the node."""
+    """Configures logging and runs the node; raises UsageError if an address is not available."""
     if log_level not in LOG_LEVELS:
         raise UsageError(f"--log-level: {log_level!r} must be one of: {', '.join(LOG_LEVELS)}")
     set_up_logs(environment.stderr, log_level, settings.vm)
@@ -86,8 +96,8 @@
 
 
 async def build_and_run(settings: Settings, environment: Environment) -> None:
-    """Builds the node inside the event loop and runs it."""
-    # Imported late: operators' commands need none of it.
+    """Creates the node inside the event loop and runs it."""
+    # Imported here because the operators' commands do not need it.
     from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
     from bluebellpitch.node import Node
 
--- a/bluebellpitch/commands/table.py
+++ b/bluebellpitch/commands/table.py
@@ -1,4 +1,4 @@
-"""``table``: checks, shows and changes the agreed table."""
+"""``table``: checks, shows and changes the table that is in force."""
 
 import asyncio
 from collections.abc import Iterator
@@ -9,11 +9,11 @@
 
 from bluebellpitch.commands.options import (
     OntoCurrent,
-    Patience,
+    RetryTimeout,
     SheetPath,
     StoreAddress,
     option,
-    say,
+    print_output,
 )
 from bluebellpitch.decisions.rows import row_key
 from bluebellpitch.environment import Environment
@@ -24,8 +24,8 @@
 from bluebellpitch.platform.store import StoreClient
 
 
-def read_sheet(path: Path) -> Sheet:
-    """Reads a sheet file; raises UsageError or SheetError."""
+def read_sheet_file(path: Path) -> Sheet:
+    """Reads and parses a sheet file; raises UsageError or SheetError."""
     try:
         return parse_sheet(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
@@ -33,24 +33,26 @@
 
 
 async def open_editor(environment: Environment, address: str, patience_s: float) -> TableEditor:
-    """Returns an editor that has folded all that is in the store."""
+    """Returns an editor that has applied all control records in the store."""
     editor = TableEditor(StoreClient(address), environment.now, patience_s)
     await editor.catch_up()
     return editor
 
 
 def check(context: typer.Context, sheet: SheetPath) -> int:
-    """Checks a sheet without the platform."""
-    rows = read_sheet(sheet).rows
-    say(context, f"{sheet}: {len(rows)} rows are right")
+    """Checks a sheet without contacting the platform."""
+    rows = read_sheet_file(sheet).rows
+    print_output(context, f"{sheet}: {len(rows)} rows are valid")
     return ExitStatus.OK
 
 
-def show(context: typer.Context, store_address: StoreAddress, patience_s: Patience = 10.0) -> int:
-    """Prints the table in force."""
+def show(
+    context: typer.Context, store_address: StoreAddress, patience_s: RetryTimeout = 10.0
+) -> int:
+    """Prints the table that is in force."""
     editor = asyncio.run(open_editor(context.obj, store_address, patience_s))
     rows = editor.fold.state.rows_by_key.values()
-    say(context, write_sheet(rows, editor.fold.offset), end="")
+    print_output(context, write_sheet(rows, editor.fold.offset), end="")
     return ExitStatus.OK
 
 
@@ -59,13 +61,13 @@
     sheet: SheetPath,
     store_address: StoreAddress,
     onto_current: OntoCurrent = False,
-    patience_s: Patience = 10.0,
+    patience_s: RetryTimeout = 10.0,
 ) -> int:
-    """Prints what applying a sheet would change."""
-    wanted = read_sheet(sheet)
+    """Prints the changes that applying a sheet would make."""
+    desired = read_sheet_file(sheet)
     editor = asyncio.run(open_editor(context.obj, store_address, patience_s))
-    for line in describe_diff(compare(wanted, editor.fold, onto_current)):
-        say(context, line)
+    for line in format_diff(compare(desired, editor.fold, onto_current)):
+        print_output(context, line)
     return ExitStatus.OK
 
 
@@ -73,28 +75,30 @@
     context: typer.Context,
     sheet: SheetPath,
     store_address: StoreAddress,
-    author: Annotated[str, option("--author", "Who changes the table.")] = "operator",
+    author: Annotated[
+        str, option("--author", "Name of the operator to record with the change.")
+    ] = "operator",
     onto_current: OntoCurrent = False,
-    patience_s: Patience = 15.0,
+    patience_s: RetryTimeout = 15.0,
 ) -> int:
-    """Puts a sheet into force."""
-    wanted = read_sheet(sheet)
-    applying = apply_sheet(context.obj, wanted, store_address, author, onto_current, patience_s)
-    say(context, asyncio.run(applying))
+    """Applies a sheet to the table in force."""
+    desired = read_sheet_file(sheet)
+    operation = apply_sheet(context.obj, desired, store_address, author, onto_current, patience_s)
+    print_output(context, asyncio.run(operation))
     return ExitStatus.OK
 
 
 async def apply_sheet(
     environment: Environment,
-    wanted: Sheet,
+    desired: Sheet,
     store_address: str,
     author: str,
     onto_current: bool,
     patience_s: float,
 ) -> str:
-    """Applies a sheet; returns what to tell the operator. Raises ConflictError."""
+    """Applies a sheet; returns a message for the operator. Raises ConflictError."""
     editor = await open_editor(environment, store_address, patience_s)
-    change = compare(wanted, editor.fold, onto_current)
+    change = compare(desired, editor.fold, onto_current)
     if change.conflicts:
         keys = ", ".join(change.conflicts)
         raise ConflictError(f"changed by another operator since the sheet was made: {keys}")
@@ -103,8 +107,8 @@
     return f"in force at offset {await editor.apply(change, author)}"
 
 
-def describe_diff(change: TableDiff) -> Iterator[str]:
-    """Yields a line for each row that would change."""
+def format_diff(change: TableDiff) -> Iterator[str]:
+    """Yields one line per row that would change or that conflicts."""
     yield from (f"+ {row_key(row)}" for row in change.added)
     yield from (f"~ {row_key(row)}" for row in change.changed)
     yield from (f"- {key}" for key in change.deleted)
--- a/bluebellpitch/main.py
+++ b/bluebellpitch/main.py
@@ -1,4 +1,4 @@
-"""Runs a command and turns each error into one clear line and an exit status."""
+"""Runs a command; reports errors on standard error and as the exit status."""
 
 import sys
 
@@ -11,7 +11,11 @@
 
 
 def main(arguments: list[str] | None = None, environment: Environment | None = None) -> ExitStatus:
-    """Runs the program with command line arguments; returns its exit status."""
+    """Runs the program; returns its exit status.
+
+    ``arguments`` defaults to the command line, ``environment`` to the streams and variables of the
+    process.
+    """
     environment = environment or Environment()
     arguments = sys.argv[1:] if arguments is None else arguments
     try:
--- a/bluebellpitch/settings.py
+++ b/bluebellpitch/settings.py
@@ -1,4 +1,4 @@
-"""Settings of an entry VM, from flags and environment variables, checked at start."""
+"""Settings of an entry VM run by ``serve``, validated at startup."""
 
 from dataclasses import dataclass, field
 
@@ -9,9 +9,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """Checked settings. Addresses are ``IP:port``; times are in seconds.
+    """Settings from options and environment variables. Addresses are ``IP:port``, times seconds.
 
-    ``bus`` is the address that other VMs reach; ``bus_bind`` is where this VM listens for them.
+    Other VMs connect to ``bus``; this VM listens for them on ``bus_bind``.
     """
 
     vm: str
@@ -33,9 +33,9 @@
 
 
 def check_settings(settings: Settings) -> Settings:
-    """Returns the settings unchanged; raises UsageError that names the flag."""
+    """Returns the settings unchanged; raises UsageError naming the option that is invalid."""
     for name in ("vm", "zone", "region"):
-        check_name(name, getattr(settings, name))
+        check_identifier(name, getattr(settings, name))
     for name in ("listen", "admin", "bus", "bus_bind", "store_address"):
         check_address(name, getattr(settings, name))
     for peer in settings.peers:
@@ -47,21 +47,23 @@
     return settings
 
 
-def check_name(flag: str, value: str) -> None:
-    """Raises UsageError unless ``value`` can stand in names and logs."""
+def check_identifier(setting: str, value: str) -> None:
+    """Raises UsageError unless ``value`` is safe to use in names and logs."""
     if not value or not all(c.isalnum() or c in "-_." for c in value):
-        raise UsageError(f"--{flag}: {value!r} must be letters, digits, '-', '_' or '.'")
+        raise UsageError(
+            f"--{setting}: {value!r} may only contain letters, digits, '-', '_' and '.'"
+        )
 
 
-def check_address(flag: str, value: str) -> None:
-    """Raises UsageError unless ``value`` is an address."""
+def check_address(setting: str, value: str) -> None:
+    """Raises UsageError unless ``value`` is a valid address."""
     try:
         parse_address(value)
     except ProtocolError as error:
-        raise UsageError(f"--{flag.replace('_', '-')}: {error}") from error
+        raise UsageError(f"--{setting.replace('_', '-')}: {error}") from error
 
 
-def check_positive(flag: str, value: float) -> None:
-    """Raises UsageError unless ``value`` is above zero."""
+def check_positive(setting: str, value: float) -> None:
+    """Raises UsageError unless ``value`` is positive."""
     if value <= 0:
-        raise UsageError(f"--{flag.replace('_', '-')}: {value} must be above zero")
+        raise UsageError(f"--{setting.replace('_', '-')}: {value} must be greater than zero")
