--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -85,7 +85,7 @@
 
 
 async def inject_endpoint_fault(cluster: SoakCluster, endpoint: SoakEndpoint, fault: Fault) -> None:
-    """Injects a fault of an endpoint or its link, and counts it, since it may cut streams."""
+    """Injects a fault of an endpoint or its link; it counts as active, since it may cut streams."""
     cluster.endpoint_faults += 1
     cluster.active_endpoint_faults += 1
     try:
