Name the modules of the platform and the operators for what they hold

The registration entries of endpoints, the records of entry VMs, the HTTP messages, the reader of a topic, the admin server and the table editor get module names that say so. Imports follow; no change of behaviour.

Modules (old path, new path): --mv bluebellpitch/platform/entries.py bluebellpitch/platform/endpoint_entries.py --mv bluebellpitch/platform/members.py bluebellpitch/platform/vm_records.py --mv bluebellpitch/platform/requests.py bluebellpitch/platform/http_messages.py --mv bluebellpitch/platform/tail.py bluebellpitch/platform/topic_reader.py --mv bluebellpitch/operators/table.py bluebellpitch/operators/table_editor.py --mv bluebellpitch/operators/admin.py bluebellpitch/operators/admin_server.py --mv tests/test_table.py tests/test_table_indexes.py

--- a/bluebellpitch/callers/admission.py
+++ b/bluebellpitch/callers/admission.py
@@ -12,7 +12,7 @@
 )
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.platform.requests import RoutedRequest
+from bluebellpitch.platform.http_messages import RoutedRequest
 from bluebellpitch.verdicts import DidNotRun
 
 UNKNOWN_STATE_RETRY_S = 0.5
--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -17,7 +17,7 @@
 from bluebellpitch.http1 import ClientConnection, HttpRequest, ServerConnection
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.platform.requests import (
+from bluebellpitch.platform.http_messages import (
     AnswerHead,
     Forwarding,
     RoutedRequest,
--- a/bluebellpitch/commands/insight.py
+++ b/bluebellpitch/commands/insight.py
@@ -23,8 +23,8 @@
     render_picture,
     render_text,
 )
-from bluebellpitch.platform.members import read_members
 from bluebellpitch.platform.store import StoreClient
+from bluebellpitch.platform.vm_records import read_members
 
 RENDERERS = {
     "text": render_text,
--- a/bluebellpitch/commands/table.py
+++ b/bluebellpitch/commands/table.py
@@ -20,7 +20,7 @@
 from bluebellpitch.errors import ConflictError, UsageError
 from bluebellpitch.exits import ExitStatus
 from bluebellpitch.operators.sheet import Sheet, parse_sheet, write_sheet
-from bluebellpitch.operators.table import TableDiff, TableEditor, compare
+from bluebellpitch.operators.table_editor import TableDiff, TableEditor, compare
 from bluebellpitch.platform.store import StoreClient
 
 
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -13,7 +13,7 @@
 from bluebellpitch.endpoints.sse import SEPARATOR
 from bluebellpitch.errors import BrokenError, NotSentError, StalledError
 from bluebellpitch.http1 import ClientConnection
-from bluebellpitch.platform.requests import (
+from bluebellpitch.platform.http_messages import (
     AnswerHead,
     Forwarding,
     RoutedRequest,
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -28,10 +28,10 @@
     VmHeartbeat,
 )
 from bluebellpitch.platform.configuration import CONFIGURATION_TOPIC
-from bluebellpitch.platform.entries import ENDPOINTS_TOPIC
-from bluebellpitch.platform.members import MemberRecord
+from bluebellpitch.platform.endpoint_entries import ENDPOINTS_TOPIC
 from bluebellpitch.platform.settings_file import VmSettings
 from bluebellpitch.platform.store import StoreClient
+from bluebellpitch.platform.vm_records import MemberRecord
 from bluebellpitch.roles.endpoint_selector import EndpointSelector
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
 from bluebellpitch.roles.peer_discovery import PeerDiscovery
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -21,7 +21,7 @@
 from bluebellpitch.jobs import start_jobs, stop_jobs
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.operators.admin import AdminServer
+from bluebellpitch.operators.admin_server import AdminServer
 from bluebellpitch.operators.status import (
     BrokerStatus,
     ClassStatus,
@@ -53,7 +53,7 @@
 )
 from bluebellpitch.platform.appender import Appender
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.platform.tail import Tail
+from bluebellpitch.platform.topic_reader import Tail
 from bluebellpitch.platform.topics import CLAIMS_TOPIC, CONTROL_TOPIC
 from bluebellpitch.roles.brokering import BrokerRole
 from bluebellpitch.roles.claiming import ClaimRole
--- a/bluebellpitch/operators/timeline.py
+++ b/bluebellpitch/operators/timeline.py
@@ -13,7 +13,7 @@
 from bluebellpitch.events import Event, Kind
 from bluebellpitch.http1 import fetch
 from bluebellpitch.logs import quote_value
-from bluebellpitch.operators.admin import EventPage
+from bluebellpitch.operators.admin_server import EventPage
 from bluebellpitch.operators.status import VmStatus
 
 FIELDS = ("request", "member", "class_name", "endpoint", "detail")
--- a/bluebellpitch/roles/claiming.py
+++ b/bluebellpitch/roles/claiming.py
@@ -27,7 +27,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.appender import Appender
 from bluebellpitch.platform.store import Appended, Truncated
-from bluebellpitch.platform.tail import Tail
+from bluebellpitch.platform.topic_reader import Tail
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 from bluebellpitch.view import ViewHolder
 
--- a/bluebellpitch/roles/control.py
+++ b/bluebellpitch/roles/control.py
@@ -13,7 +13,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.messages import ControlEntry, ControlRecords, Heartbeat, SnapshotTransfer
 from bluebellpitch.platform.store import Appended, StoreClient, Truncated
-from bluebellpitch.platform.tail import Tail
+from bluebellpitch.platform.topic_reader import Tail
 from bluebellpitch.platform.topics import CONTROL_TOPIC, SNAPSHOTS_TOPIC
 from bluebellpitch.view import ViewHolder
 
--- a/bluebellpitch/roles/endpoint_selector.py
+++ b/bluebellpitch/roles/endpoint_selector.py
@@ -9,7 +9,7 @@
 from bluebellpitch.decisions.generation_broker import NO_ENGINE
 from bluebellpitch.decisions.loads import EndpointLoads, WorkItem
 from bluebellpitch.decisions.service_choice import choose_service_endpoint
-from bluebellpitch.platform.requests import AnswerHead
+from bluebellpitch.platform.http_messages import AnswerHead
 from bluebellpitch.roles.broker_client import BrokerClient, EngineGrant
 from bluebellpitch.verdicts import DidNotRun
 
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/membership.py
@@ -19,10 +19,10 @@
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import Heartbeat
 from bluebellpitch.platform.appender import Appender
-from bluebellpitch.platform.entries import ENDPOINTS_TOPIC, decode_entry, report_entry
-from bluebellpitch.platform.members import MemberRecord, read_members, register, unregister
+from bluebellpitch.platform.endpoint_entries import ENDPOINTS_TOPIC, decode_entry, report_entry
 from bluebellpitch.platform.records import decode_each
 from bluebellpitch.platform.store import StoreClient
+from bluebellpitch.platform.vm_records import MemberRecord, read_members, register, unregister
 from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
 
 LIST_INTERVAL_S = 1.0
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -8,8 +8,8 @@
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.platform_messages import VmHeartbeat
-from bluebellpitch.platform.members import MemberRecord, read_members, register, unregister
 from bluebellpitch.platform.store import StoreClient
+from bluebellpitch.platform.vm_records import MemberRecord, read_members, register, unregister
 
 # A VM with a duty sends heartbeats more often: others rely on it, so its loss must be detected
 # soon.
--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -11,7 +11,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.platform_messages import RecordsUpdate
 from bluebellpitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
-from bluebellpitch.platform.entries import decode_entry, report_entry
+from bluebellpitch.platform.endpoint_entries import decode_entry, report_entry
 from bluebellpitch.platform.records import KeyedRecord
 from bluebellpitch.platform.store import StoreClient, Truncated, keyed_records
 
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -15,7 +15,7 @@
 
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.http1 import fetch
-from bluebellpitch.platform.entries import ENDPOINTS_TOPIC
+from bluebellpitch.platform.endpoint_entries import ENDPOINTS_TOPIC
 from bluebellpitch.platform.store import Appended, StoreClient
 from fakes.ports import free_address
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -214,7 +214,7 @@
     ),
     Mutant(
         "route: an endpoint that leaves gets no new work",
-        "bluebellpitch/platform/entries.py",
+        "bluebellpitch/platform/endpoint_entries.py",
         'is_draining=wire.state == "draining"',
         "is_draining=False",
         "soak --seed 15 --seconds 10 --vms 2 --only endpoint_leave",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,15 +13,8 @@
 from bluebellpitch.errors import BadRequestError, ProtocolError, UsageError
 from bluebellpitch.http1 import HttpRequest
 from bluebellpitch.platform.configuration import decode_configuration
-from bluebellpitch.platform.entries import decode_entry
-from bluebellpitch.platform.members import MemberRecord, decode_member, encode_member
-from bluebellpitch.platform.records import (
-    decode_keyed,
-    decode_page,
-    encode_keyed,
-    split_records,
-)
-from bluebellpitch.platform.requests import (
+from bluebellpitch.platform.endpoint_entries import decode_entry
+from bluebellpitch.platform.http_messages import (
     Forwarding,
     decode_answer,
     decode_load,
@@ -30,8 +23,15 @@
     last_event_id,
     refusal_headers,
 )
+from bluebellpitch.platform.records import (
+    decode_keyed,
+    decode_page,
+    encode_keyed,
+    split_records,
+)
 from bluebellpitch.platform.settings_file import parse_settings
 from bluebellpitch.platform.store import NewestPage, decode_json, decode_value
+from bluebellpitch.platform.vm_records import MemberRecord, decode_member, encode_member
 from fakes.prepared import configuration, settings_text
 
 ENTRY = {
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -8,7 +8,7 @@
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.events import Kind, Ring
 from bluebellpitch.logs import quote_value
-from bluebellpitch.operators.admin import EventPage
+from bluebellpitch.operators.admin_server import EventPage
 from bluebellpitch.operators.explain import explain_request
 from bluebellpitch.operators.timeline import (
     EventFilter,
