--- a/bluebellpitch/callers/admission.py
+++ b/bluebellpitch/callers/admission.py
@@ -59,13 +59,13 @@
     if catalogue.has_members and not route.is_public:
         if not freshness.may_accept_keys(now):
             return DidNotRun("configuration_not_fresh", 503, UNKNOWN_STATE_RETRY_S)
-        member = catalogue.members_by_key.get(request.key)
+        member = catalogue.members_by_key.get(request.api_key)
         if member is None:
             return deny(401, "unknown_key", may_deny)
     pool = pick_pool(route, random.random())
     row = catalogue.pools_by_name.get(pool)
     is_engine = row is not None and row.engine is not None
-    expires_at = now + min(request.patience_s, route.timeout_s)
+    expires_at = now + min(request.timeout_s, route.timeout_s)
     return Admitted(request, route, pool, is_engine, member, now, expires_at)
 
 
--- a/bluebellpitch/callers/routed.py
+++ b/bluebellpitch/callers/routed.py
@@ -18,12 +18,12 @@
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.http_messages import (
-    AnswerHead,
-    Forwarding,
+    ForwardingContext,
+    ResponseHead,
     RoutedRequest,
+    build_error_headers,
     decode_request,
-    last_event_id,
-    refusal_headers,
+    find_last_event_id,
 )
 from bluebellpitch.roles.endpoint_selector import EndpointSelector, Placement
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
@@ -121,7 +121,7 @@
             return
         if self._started:
             raise GoneError("a started answer cannot be completed")
-        headers = refusal_headers(verdict.retry_after_s)
+        headers = build_error_headers(verdict.retry_after_s)
         await self._respond(verdict.status, headers, describe_verdict(verdict, request.id))
 
     def _count(self, verdict: Verdict, arrived_at: float) -> None:
@@ -231,13 +231,15 @@
         """Sends the request to one endpoint and passes its answer on."""
         context = self._context
         attempt = Attempt(context.links, place.entry, admitted.request, context.now)
-        last_event = admitted.request.last_event if self._last_event is None else self._last_event
-        forwarding = Forwarding(
+        last_event = (
+            admitted.request.last_event_id if self._last_event is None else self._last_event
+        )
+        forwarding = ForwardingContext(
             endpoint_id=place.entry.id,
-            time_left_s=admitted.expires_at - context.now(),
+            remaining_s=admitted.expires_at - context.now(),
             member=admitted.member.name if admitted.member else "",
             rank=admitted.rank if admitted.is_engine else None,
-            last_event=last_event,
+            last_event_id=last_event,
         )
         try:
             once = admitted.route.repeatability is Repeatability.ONCE
@@ -266,7 +268,7 @@
     async def _pass_whole(self, admitted: Admitted, answer) -> Verdict:
         if isinstance(answer, MayHaveRun):
             return answer
-        head: AnswerHead = answer.head
+        head: ResponseHead = answer.head
         if head.status >= 500 and admitted.may_repeat and self._can_repeat(admitted):
             return MayHaveRun(f"answered {head.status}", status=502)
         if self._started:
@@ -294,7 +296,7 @@
             await self._start_stream(head)
             self._note_events()
             await self._connection.send(events)
-            last = last_event_id(events)
+            last = find_last_event_id(events)
             self._last_event = self._last_event if last is None else last
         if attempt.ending != "complete":
             status = 504 if attempt.ending == "late" else 502
@@ -311,7 +313,7 @@
             self._first_at = now
         self._last_at = now
 
-    async def _start_stream(self, head: AnswerHead) -> None:
+    async def _start_stream(self, head: ResponseHead) -> None:
         """Sends the head, unless an earlier attempt has."""
         if not self._started:
             self._started = True
@@ -339,5 +341,5 @@
 async def refuse_malformed(connection: ServerConnection, error: BadRequestError) -> None:
     """Answers what is no request, and closes the connection."""
     verdict = DidNotRun(error.reason, error.status)
-    headers = [*refusal_headers(None), ("Connection", "close")]
+    headers = [*build_error_headers(None), ("Connection", "close")]
     await connection.respond(error.status, headers, describe_verdict(verdict, "", str(error)))
--- a/bluebellpitch/commands/insight.py
+++ b/bluebellpitch/commands/insight.py
@@ -24,7 +24,7 @@
     render_text,
 )
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.platform.vm_records import read_members
+from bluebellpitch.platform.vm_records import read_vm_records
 
 RENDERERS = {
     "text": render_text,
@@ -41,7 +41,7 @@
         raise UsageError("name VMs with --vm, or the platform's store with --store-address")
     client = StoreClient(store_address)
     try:
-        records_by_vm = await read_members(client)
+        records_by_vm = await read_vm_records(client)
     except BluebellpitchError as error:
         raise UnreachableError(f"the platform's store cannot be read: {error}") from error
     finally:
--- a/bluebellpitch/commands/route.py
+++ b/bluebellpitch/commands/route.py
@@ -13,7 +13,7 @@
 from bluebellpitch.errors import UsageError
 from bluebellpitch.exits import ExitStatus
 from bluebellpitch.logs import set_up_bounded_logs, set_up_logs
-from bluebellpitch.platform.settings_file import SETTINGS_VARIABLE, VmSettings, parse_settings
+from bluebellpitch.platform.settings_file import SETTINGS_FILE_VARIABLE, VmSettings, parse_settings
 
 
 def read_boot_time() -> float:
@@ -23,9 +23,9 @@
 
 def load_settings(environment: Environment) -> VmSettings:
     """Reads the settings file; raises UsageError."""
-    path = environment.variables.get(SETTINGS_VARIABLE, "")
+    path = environment.variables.get(SETTINGS_FILE_VARIABLE, "")
     if not path:
-        raise UsageError(f"{SETTINGS_VARIABLE} is not set: it names the settings file")
+        raise UsageError(f"{SETTINGS_FILE_VARIABLE} is not set: it names the settings file")
     try:
         return parse_settings(Path(path).read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
@@ -43,7 +43,7 @@
         raise UsageError(f"--metrics-port: {metrics_port} must be from 0 to 65535")
     environment: Environment = context.obj
     settings = load_settings(environment)
-    send_logs(environment, settings.vm)
+    send_logs(environment, settings.vm_name)
     try:
         asyncio.run(build_and_run(settings, environment, metrics_port))
     except OSError as error:
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -14,11 +14,11 @@
 from bluebellpitch.errors import BrokenError, NotSentError, StalledError
 from bluebellpitch.http1 import ClientConnection
 from bluebellpitch.platform.http_messages import (
-    AnswerHead,
-    Forwarding,
+    ForwardingContext,
+    ResponseHead,
     RoutedRequest,
-    decode_answer,
-    forwarded_headers,
+    build_forwarded_headers,
+    decode_response_head,
 )
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 
@@ -30,7 +30,7 @@
 class Answered:
     """A whole answer."""
 
-    head: AnswerHead
+    head: ResponseHead
     body: bytes
 
 
@@ -57,13 +57,13 @@
         self._request = request
         self._now = now
         self._connection: ClientConnection | None = None
-        self.head: AnswerHead | None = None
+        self.head: ResponseHead | None = None
         self.sent_at = 0.0
         self.ending = ""
 
     async def start(
-        self, forwarding: Forwarding, once: bool, head_by: float
-    ) -> AnswerHead | DidNotRun | MayHaveRun:
+        self, forwarding: ForwardingContext, once: bool, head_by: float
+    ) -> ResponseHead | DidNotRun | MayHaveRun:
         """Sends the request and returns the head of its answer, or a verdict.
 
         ``head_by`` bounds the wait for the head, in seconds of the owner's clock.
@@ -72,7 +72,7 @@
         try:
             self._connection = await self._links.take(self._entry, once)
             self.sent_at = self._now()
-            headers = forwarded_headers(request, forwarding)
+            headers = build_forwarded_headers(request, forwarding)
             await self._connection.send_exactly(
                 request.method, request.target, headers, request.body
             )
@@ -89,21 +89,21 @@
         self.head = head
         if head.did_not_run and head.status >= 400:
             await self._finish_refusal()
-            return Turned(f"refused with {head.status}", is_other=head.is_other_instance)
+            return Turned(f"refused with {head.status}", is_other=head.is_wrong_instance)
         if self._is_unusable(head):
             self.close()
             return MayHaveRun("garbled")
         return head
 
-    def _is_unusable(self, head: AnswerHead) -> bool:
+    def _is_unusable(self, head: ResponseHead) -> bool:
         if head.is_encoded:
             return True
         return 200 <= head.status < 300 and not (head.is_signed and head.request_id)
 
-    async def _read_own_head(self, head_by: float) -> AnswerHead:
+    async def _read_own_head(self, head_by: float) -> ResponseHead:
         for _ in range(FOREIGN_ANSWERS_AT_MOST):
             raw = await self._connection.read_head(max(0.001, head_by - self._now()))
-            head = decode_answer(raw)
+            head = decode_response_head(raw)
             if head.request_id in ("", self._request.id):
                 return head
             async for _ in self._connection.read_body(max(0.001, head_by - self._now())):
@@ -174,7 +174,7 @@
     def _give_back(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
-            idle_s = 0 if self.head.is_leaving else self.head.idle_s
+            idle_s = 0 if self.head.closes_connection else self.head.keep_alive_s
             self._links.give_back(self._entry, connection, idle_s)
 
     def close(self) -> None:
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -31,7 +31,7 @@
 from bluebellpitch.platform.endpoint_entries import ENDPOINTS_TOPIC
 from bluebellpitch.platform.settings_file import VmSettings
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.platform.vm_records import MemberRecord
+from bluebellpitch.platform.vm_records import VmRecord
 from bluebellpitch.roles.endpoint_selector import EndpointSelector
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
 from bluebellpitch.roles.peer_discovery import PeerDiscovery
@@ -72,18 +72,18 @@
         self.directory = EndpointDirectory()
         self.draining = asyncio.Event()
         self._closing = False
-        self.key = f"{settings.vm}/{uuid4().hex[:8]}"
+        self.key = f"{settings.vm_name}/{uuid4().hex[:8]}"
         self.liveness = Liveness(self.key, settings.zone)
         self.metrics = Metrics()
         self._metrics_port = metrics_port
         self.strikes = StrikeReplicator(
             StrikeTracker(ROUTED_STRIKE_TTL_S),
-            peers=lambda: [a for a in self._all_addresses() if a != settings.bus],
+            peers=lambda: [a for a in self._all_addresses() if a != settings.bus_address],
             send=lambda address, message: self.bus.send_to_address(address, message),
             now=now,
         )
         self.bus = PeerBus(self.key, HybridClock(now), self.metrics, self._handle_message)
-        freshness = Freshness(settings.revoke_s, settings.apply_s)
+        freshness = Freshness(settings.key_revocation_s, settings.config_apply_s)
         self.configuration = ConfigurationWatcher(
             self._create_follower(CONFIGURATION_TOPIC, CONFIGURATION_LONG_POLL_S), freshness
         )
@@ -94,9 +94,9 @@
             2 * settings.endpoint_heartbeat_s,
         )
         self.peer_discovery = PeerDiscovery(
-            vm=settings.vm,
-            own_record=MemberRecord(settings.bus, settings.zone),
-            store_address=settings.store,
+            vm=settings.vm_name,
+            own_record=VmRecord(settings.bus_address, settings.zone),
+            store_address=settings.store_address,
             bus=self.bus,
             liveness=self.liveness,
             now=now,
@@ -106,7 +106,7 @@
             has_duty=self._has_duty,
         )
         self.peer_sync = PeerSync(
-            address=settings.bus,
+            address=settings.bus_address,
             bus=self.bus,
             liveness=self.liveness,
             configuration=self.configuration,
@@ -117,7 +117,7 @@
         )
         self.generations = GenerationCoordinator(
             vm_key=self.key,
-            address=settings.bus,
+            address=settings.bus_address,
             zone=settings.zone,
             bus=self.bus,
             liveness=self.liveness,
@@ -142,7 +142,9 @@
             placing=self.endpoint_selector,
             links=self.links,
             repeats=RetryBudget(
-                settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
+                settings.retry_budget_ratio,
+                settings.retry_budget_burst,
+                settings.retry_budget_window_s,
             ),
             live_vms=self.peer_discovery.vm_count,
             is_draining=self.draining.is_set,
@@ -157,7 +159,7 @@
 
     def _create_follower(self, topic: str, long_poll_s: float) -> TopicFollower:
         return TopicFollower(
-            client=StoreClient(self.settings.store),
+            client=StoreClient(self.settings.store_address),
             topic=topic,
             long_poll_s=long_poll_s,
             now=self._now,
@@ -232,18 +234,18 @@
             await self.serve()
         finally:
             self.close()
-        log("INFO", "stopped", vm=self.settings.vm)
+        log("INFO", "stopped", vm=self.settings.vm_name)
 
     async def serve(self) -> None:
         """Serves until ``draining`` is set, then completes the requests in progress."""
-        self.bus.bind(self.settings.bus)
-        await self.ready_http.listen(*parse_address(self.settings.ready))
+        self.bus.bind(self.settings.bus_address)
+        await self.ready_http.listen(*parse_address(self.settings.readiness_address))
         if self._metrics_port:
-            host, _ = parse_address(self.settings.listen)
+            host, _ = parse_address(self.settings.listen_address)
             await self.metrics_http.listen(host, self._metrics_port)
-        await self.http.listen(*parse_address(self.settings.listen))
+        await self.http.listen(*parse_address(self.settings.listen_address))
         tasks = start_jobs(self._jobs(), self.draining)
-        log("INFO", "started", vm=self.settings.vm, zone=self.settings.zone)
+        log("INFO", "started", vm=self.settings.vm_name, zone=self.settings.zone)
         try:
             await self.draining.wait()
             await asyncio.gather(self.peer_discovery.unregister(), self._drain())
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -53,7 +53,7 @@
 )
 from bluebellpitch.platform.appender import Appender
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.platform.topic_reader import Tail
+from bluebellpitch.platform.topic_reader import TopicReader
 from bluebellpitch.platform.topics import CLAIMS_TOPIC, CONTROL_TOPIC
 from bluebellpitch.roles.brokering import BrokerRole
 from bluebellpitch.roles.claiming import ClaimRole
@@ -84,8 +84,8 @@
         self.metrics = Metrics()
         self.strikes = StrikeReplicator(StrikeTracker(), self._peers, self._send_strike, now)
         self.bus = PeerBus(self.key, self.clock, self.metrics, self.take)
-        self.control_tail = Tail(self._open_store(), CONTROL_TOPIC, self.metrics, now)
-        claims_tail = Tail(self._open_store(), CLAIMS_TOPIC, self.metrics, now)
+        self.control_tail = TopicReader(self._open_store(), CONTROL_TOPIC, self.metrics, now)
+        claims_tail = TopicReader(self._open_store(), CLAIMS_TOPIC, self.metrics, now)
         self.control_appender = Appender(self._open_store(), CONTROL_TOPIC, self.metrics)
         self.claims_appender = Appender(self._open_store(), CLAIMS_TOPIC, self.metrics)
         self.control = ControlRole(
@@ -243,7 +243,7 @@
             control_offset=self.control.fold.offset,
             epoch=view.own.epoch,
             in_flight=self.callers.http.busy,
-            store_silence_s=self.now() - self.control_tail.answered_at,
+            store_silence_s=self.now() - self.control_tail.last_read_at,
             backlog=self.claims.backlog(),
             live=tuple(sorted(view.live_by_key)),
             brokers=tuple(describe_broker(b) for b in self.brokers.brokers_by_pool.values()),
--- a/bluebellpitch/operators/table_editor.py
+++ b/bluebellpitch/operators/table_editor.py
@@ -82,10 +82,10 @@
                 lambda: self._client.read(CONTROL_TOPIC, self.fold.offset + 1, 0)
             )
             if isinstance(page, Truncated):
-                await self._bridge(page.first_kept)
+                await self._bridge(page.oldest_offset)
                 continue
             self._take(page)
-            if self.fold.offset + 1 >= page.end:
+            if self.fold.offset + 1 >= page.end_offset:
                 return
 
     async def _ask(self, call: Callable[[], Awaitable]):
@@ -99,7 +99,7 @@
         raise UnreachableError(f"the platform's store cannot be read: {error}")
 
     async def _bridge(self, first_kept: int) -> None:
-        newest = await self._ask(lambda: self._client.newest(SNAPSHOTS_TOPIC))
+        newest = await self._ask(lambda: self._client.read_newest(SNAPSHOTS_TOPIC))
         self.fold.install_latest_snapshot(
             assemble_snapshots(r.value for r in newest.records if r.value)
         )
@@ -107,7 +107,7 @@
             raise UnreachableError("the store has lost old records, and holds no snapshot of them")
 
     def _take(self, page: Page) -> None:
-        for offset, data in enumerate(page.records, page.start):
+        for offset, data in enumerate(page.records, page.start_offset):
             self.fold.apply(offset, data)
 
     async def apply(self, diff: TableDiff, author: str) -> int:
--- a/bluebellpitch/platform/appender.py
+++ b/bluebellpitch/platform/appender.py
@@ -7,7 +7,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.store import Appended, AppendVerdict, StoreClient
 
-BATCH_RECORDS = 256
+MAX_BATCH_RECORDS = 256
 
 
 class Appender:
@@ -37,16 +37,16 @@
                 await self._append_batch()
 
     async def _append_batch(self) -> None:
-        count = min(BATCH_RECORDS, len(self._queue))
+        count = min(MAX_BATCH_RECORDS, len(self._queue))
         batch = [self._queue.popleft() for _ in range(count)]
         verdict = await self._client.append(self._topic, tuple(record for record, _ in batch))
         self._metrics.store_appends.labels(self._topic, verdict.name).inc()
         for position, (_, future) in enumerate(batch):
             if not future.done():
-                future.set_result(shift(verdict, position))
+                future.set_result(shift_offset(verdict, position))
 
 
-def shift(verdict: AppendVerdict, position: int) -> AppendVerdict:
+def shift_offset(verdict: AppendVerdict, position: int) -> AppendVerdict:
     """Returns the verdict for one record of a batch."""
     match verdict:
         case Appended(offset):
--- a/bluebellpitch/platform/configuration.py
+++ b/bluebellpitch/platform/configuration.py
@@ -106,7 +106,7 @@
         name=wire.name,
         host=wire.host.lower(),
         path_prefix=wire.path_prefix,
-        repeatability=judge_repeatability(wire),
+        repeatability=derive_repeatability(wire),
         is_stream=wire.kind == "streaming",
         weighted_pools=shares or (WeightedPool(wire.service, 1.0),),
         timeout_s=wire.timeout_ms / 1000,
@@ -118,7 +118,7 @@
     )
 
 
-def judge_repeatability(wire: _Route) -> Repeatability:
+def derive_repeatability(wire: _Route) -> Repeatability:
     """Returns what may be repeated, which follows from the kind."""
     if wire.kind == "safe":
         return Repeatability.IDEMPOTENT
--- a/bluebellpitch/platform/endpoint_entries.py
+++ b/bluebellpitch/platform/endpoint_entries.py
@@ -25,7 +25,7 @@
 _decoder = msgspec.json.Decoder(_Entry)
 
 
-def decode_entry(endpoint_id: str, data: bytes) -> EndpointEntry:
+def decode_endpoint_entry(endpoint_id: str, data: bytes) -> EndpointEntry:
     """Returns the entry; raises ProtocolError for what other writers leave there."""
     try:
         wire = _decoder.decode(data)
@@ -45,6 +45,6 @@
     )
 
 
-def report_entry(endpoint_id: str, error: ProtocolError) -> None:
+def log_malformed_entry(endpoint_id: str, error: ProtocolError) -> None:
     """Logs an entry that names no endpoint."""
     log("WARNING", "entry_malformed", endpoint=endpoint_id, error=error)
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -8,20 +8,20 @@
 from bluebellpitch.errors import BadRequestError
 from bluebellpitch.http1 import Headers, HttpRequest
 
-BEARER = "bearer "
+BEARER_PREFIX = "bearer "
 # Headers that concern one connection, and those that are this system's to set.
-NOT_PASSED_ON = frozenset(
+STRIPPED_REQUEST_HEADERS = frozenset(
     "connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer "
     "transfer-encoding upgrade content-length expect authorization tenant target-instance "
     "deadline-ms request-priority last-event-id hold pin-ms kv-backup kv-from kv-fetch "
     "expected-version".split()
 )
-NOT_PASSED_BACK = frozenset(
+STRIPPED_RESPONSE_HEADERS = frozenset(
     "connection keep-alive proxy-connection te trailer transfer-encoding upgrade".split()
 )
 # Longest wait assumed for a caller that does not say how long it waits.
-DEFAULT_PATIENCE_S = 60.0
-EVENT_ID = re.compile(rb"^id: ?(\d+)\s*$", re.MULTILINE)
+DEFAULT_TIMEOUT_S = 60.0
+EVENT_ID_PATTERN = re.compile(rb"^id: ?(\d+)\s*$", re.MULTILINE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,9 +51,9 @@
     target: str
     host: str
     path: str
-    key: str
-    patience_s: float
-    last_event: int | None
+    api_key: str
+    timeout_s: float
+    last_event_id: int | None
     prompt: Prompt
     headers: tuple[tuple[str, str], ...]
     body: bytes
@@ -70,26 +70,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerHead:
+class ResponseHead:
     """The head of an endpoint's answer. ``did_not_run`` is the endpoint's own promise."""
 
     status: int
     request_id: str
     did_not_run: bool
-    is_other_instance: bool
+    is_wrong_instance: bool
     is_signed: bool
     is_encoded: bool
-    is_leaving: bool
+    closes_connection: bool
     # Seconds that the endpoint keeps an idle connection, if it says so.
-    idle_s: float | None
+    keep_alive_s: float | None
     load: LoadReport | None
     headers: tuple[tuple[str, str], ...]
 
 
 def decode_request(request: HttpRequest) -> RoutedRequest:
     """Returns the typed request; raises BadRequestError for numbers that are none."""
-    patience_ms = read_number(request, "deadline-ms")
-    last_event = read_number(request, "last-event-id")
+    patience_ms = read_numeric_header(request, "deadline-ms")
+    last_event = read_numeric_header(request, "last-event-id")
     key = request.header("authorization")
     return RoutedRequest(
         id=request.header("request-id"),
@@ -97,9 +97,9 @@
         target=request.target,
         host=strip_port(request.header("host")),
         path=request.target.partition("?")[0],
-        key=key[len(BEARER) :].strip() if key.lower().startswith(BEARER) else "",
-        patience_s=DEFAULT_PATIENCE_S if patience_ms is None else patience_ms / 1000,
-        last_event=None if last_event is None else int(last_event),
+        api_key=key[len(BEARER_PREFIX) :].strip() if key.lower().startswith(BEARER_PREFIX) else "",
+        timeout_s=DEFAULT_TIMEOUT_S if patience_ms is None else patience_ms / 1000,
+        last_event_id=None if last_event is None else int(last_event),
         prompt=decode_prompt(request),
         headers=request.headers,
         body=request.body,
@@ -111,7 +111,7 @@
     return host.partition(":")[0].lower()
 
 
-def read_number(request: HttpRequest, name: str) -> float | None:
+def read_numeric_header(request: HttpRequest, name: str) -> float | None:
     """Returns a header as a number; raises BadRequestError."""
     text = request.header(name)
     if not text:
@@ -138,52 +138,52 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Forwarding:
+class ForwardingContext:
     """What this system adds to a request that goes on to an endpoint."""
 
     endpoint_id: str
-    time_left_s: float
+    remaining_s: float
     member: str
     rank: int | None
-    last_event: int | None
+    last_event_id: int | None
 
 
-def forwarded_headers(request: RoutedRequest, forwarding: Forwarding) -> Headers:
+def build_forwarded_headers(request: RoutedRequest, forwarding: ForwardingContext) -> Headers:
     """Returns the headers that the endpoint gets."""
-    headers = [pair for pair in request.headers if pair[0] not in NOT_PASSED_ON]
-    headers.append(("Deadline-Ms", str(max(1, int(forwarding.time_left_s * 1000)))))
+    headers = [pair for pair in request.headers if pair[0] not in STRIPPED_REQUEST_HEADERS]
+    headers.append(("Deadline-Ms", str(max(1, int(forwarding.remaining_s * 1000)))))
     headers.append(("Target-Instance", forwarding.endpoint_id))
     if forwarding.member:
         headers.append(("Tenant", forwarding.member))
     if forwarding.rank is not None:
         headers.append(("Request-Priority", str(min(9, max(0, forwarding.rank)))))
-    if forwarding.last_event is not None:
-        headers.append(("Last-Event-Id", str(forwarding.last_event)))
+    if forwarding.last_event_id is not None:
+        headers.append(("Last-Event-Id", str(forwarding.last_event_id)))
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         headers.append(("Content-Length", str(len(request.body))))
     return headers
 
 
-def decode_answer(head: h11.Response) -> AnswerHead:
+def decode_response_head(response: h11.Response) -> ResponseHead:
     """Returns the typed head of an endpoint's answer."""
-    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
+    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in response.headers)
     by_name = dict(headers)
-    status = head.status_code
-    return AnswerHead(
+    status = response.status_code
+    return ResponseHead(
         status=status,
         request_id=by_name.get("request-id", ""),
         did_not_run="not-executed" in by_name or status == 421,
-        is_other_instance=status == 421,
+        is_wrong_instance=status == 421,
         is_signed="response-signature" in by_name,
         is_encoded=by_name.get("content-encoding", "identity") != "identity",
-        is_leaving=by_name.get("connection", "").lower() == "close",
-        idle_s=decode_idle(by_name.get("keep-alive", "")),
+        closes_connection=by_name.get("connection", "").lower() == "close",
+        keep_alive_s=decode_keep_alive(by_name.get("keep-alive", "")),
         load=decode_load(by_name.get("server-load", "")),
-        headers=tuple(pair for pair in headers if pair[0] not in NOT_PASSED_BACK),
+        headers=tuple(pair for pair in headers if pair[0] not in STRIPPED_RESPONSE_HEADERS),
     )
 
 
-def decode_idle(text: str) -> float | None:
+def decode_keep_alive(text: str) -> float | None:
     """Returns the idle timeout in seconds."""
     found = re.search(r"timeout=(\d+)", text)
     return float(found[1]) if found else None
@@ -201,13 +201,13 @@
     return LoadReport(int(figures[0]), int(figures[1]), int(figures[2]), slowdown)
 
 
-def last_event_id(events: bytes) -> int | None:
+def find_last_event_id(events: bytes) -> int | None:
     """Returns the id of the last event among whole events."""
-    found = EVENT_ID.findall(events)
+    found = EVENT_ID_PATTERN.findall(events)
     return int(found[-1]) if found else None
 
 
-def refusal_headers(retry_after_s: float | None) -> Headers:
+def build_error_headers(retry_after_s: float | None) -> Headers:
     """Returns the headers of this system's own answers."""
     headers = [("Content-Type", "application/json")]
     if retry_after_s is not None:
--- a/bluebellpitch/platform/records.py
+++ b/bluebellpitch/platform/records.py
@@ -7,8 +7,8 @@
 
 from bluebellpitch.errors import ProtocolError
 
-LENGTH = struct.Struct(">I")
-HEAD = struct.Struct(">QQ")
+RECORD_LENGTH = struct.Struct(">I")
+PAGE_HEADER = struct.Struct(">QQ")
 T = TypeVar("T")
 
 
@@ -24,35 +24,35 @@
 class Page:
     """Records from the offset ``start`` on. ``end`` is the offset after the topic's last one."""
 
-    start: int
-    end: int
-    first_kept: int
+    start_offset: int
+    end_offset: int
+    oldest_offset: int
     records: tuple[bytes, ...]
 
 
-def decode_page(data: bytes, start: int) -> Page:
+def decode_page(data: bytes, start_offset: int) -> Page:
     """Decodes the answer of a read; raises ProtocolError."""
-    if len(data) < HEAD.size:
+    if len(data) < PAGE_HEADER.size:
         raise ProtocolError("the store's page has no head")
-    end, first_kept = HEAD.unpack_from(data)
-    return Page(start, end, first_kept, tuple(split_records(data[HEAD.size :])))
+    end, first_kept = PAGE_HEADER.unpack_from(data)
+    return Page(start_offset, end, first_kept, tuple(split_records(data[PAGE_HEADER.size :])))
 
 
 def split_records(data: bytes) -> Iterator[bytes]:
     """Yields framed records; raises ProtocolError."""
     position = 0
     while position < len(data):
-        if position + LENGTH.size > len(data):
+        if position + RECORD_LENGTH.size > len(data):
             raise ProtocolError("the store's page ends inside a length")
-        (size,) = LENGTH.unpack_from(data, position)
-        position += LENGTH.size
+        (size,) = RECORD_LENGTH.unpack_from(data, position)
+        position += RECORD_LENGTH.size
         if position + size > len(data):
             raise ProtocolError("the store's page ends inside a record")
         yield data[position : position + size]
         position += size
 
 
-def decode_keyed(record: bytes) -> KeyedRecord:
+def decode_keyed_record(record: bytes) -> KeyedRecord:
     """Splits a record of a keyed topic; raises ProtocolError."""
     if not record or len(record) < 1 + record[0]:
         raise ProtocolError("a keyed record ends inside its key")
@@ -64,10 +64,10 @@
     return KeyedRecord(key, record[1 + size :] or None)
 
 
-def decode_each(
+def decode_values(
     records: Iterable[KeyedRecord],
     decode: Callable[[str, bytes], T],
-    report: Callable[[str, ProtocolError], None],
+    on_error: Callable[[str, ProtocolError], None],
 ) -> dict[str, T]:
     """Returns the values that are there, decoded, by key; ``report`` takes those that cannot be."""
     decoded = {}
@@ -77,11 +77,11 @@
         try:
             decoded[record.key] = decode(record.key, record.value)
         except ProtocolError as error:
-            report(record.key, error)
+            on_error(record.key, error)
     return decoded
 
 
-def encode_keyed(key: str, value: bytes) -> bytes:
+def encode_keyed_record(key: str, value: bytes) -> bytes:
     """Frames one record of a keyed topic; an empty value drops the key."""
     name = key.encode()
     return encode_record(bytes([len(name)]) + name + value)
@@ -89,4 +89,4 @@
 
 def encode_record(body: bytes) -> bytes:
     """Frames one record."""
-    return LENGTH.pack(len(body)) + body
+    return RECORD_LENGTH.pack(len(body)) + body
--- a/bluebellpitch/platform/store.py
+++ b/bluebellpitch/platform/store.py
@@ -15,19 +15,19 @@
 from bluebellpitch.platform.records import (
     KeyedRecord,
     Page,
-    decode_keyed,
+    decode_keyed_record,
     decode_page,
-    encode_keyed,
+    encode_keyed_record,
     encode_record,
 )
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 
 CONNECT_TIMEOUT_S = 1.0
-ANSWER_TIMEOUT_S = 1.5
-PAGES_AT_MOST = 200
+RESPONSE_TIMEOUT_S = 1.5
+MAX_PAGES = 200
 
 
-class _Item(msgspec.Struct, frozen=True):
+class _NewestItem(msgspec.Struct, frozen=True):
     key: str
     value: str
     offset: int
@@ -36,16 +36,16 @@
 class NewestPage(msgspec.Struct, frozen=True):
     """One page of the newest records; ``end`` is the offset after the topic's last record."""
 
-    items: tuple[_Item, ...]
+    items: tuple[_NewestItem, ...]
     has_more: bool
     end: int
 
 
-class _Appended(msgspec.Struct, frozen=True):
+class _AppendResponse(msgspec.Struct, frozen=True):
     offset: int
 
 
-class _Truncated(msgspec.Struct, frozen=True):
+class _TruncatedResponse(msgspec.Struct, frozen=True):
     first: int
 
 
@@ -53,7 +53,7 @@
 class Truncated:
     """The records asked for are gone; ``first_kept`` is the offset of the oldest that is left."""
 
-    first_kept: int
+    oldest_offset: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,11 +69,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Newest:
+class NewestRecords:
     """The newest record of each key. ``end`` is the offset to read on from."""
 
     records: tuple[KeyedRecord, ...]
-    end: int
+    next_offset: int
 
 
 class StoreClient:
@@ -83,32 +83,32 @@
         self.address = address
         self._connection: ClientConnection | None = None
 
-    async def read(self, topic: str, start: int, wait_ms: int) -> Page | Truncated:
+    async def read(self, topic: str, start_offset: int, wait_ms: int) -> Page | Truncated:
         """Reads from ``start`` on, waiting up to ``wait_ms`` for a first record."""
-        target = f"/log-read?topic={topic}&part=0&from={start}&wait_ms={wait_ms}"
-        response = await self._call("GET", target, b"", ANSWER_TIMEOUT_S + wait_ms / 1000)
+        target = f"/log-read?topic={topic}&part=0&from={start_offset}&wait_ms={wait_ms}"
+        response = await self._send_request("GET", target, b"", RESPONSE_TIMEOUT_S + wait_ms / 1000)
         if response.status == 410:
-            return Truncated(decode_json(response.body, _Truncated).first)
-        return decode_page(expect_ok(response), start)
+            return Truncated(decode_json(response.body, _TruncatedResponse).first)
+        return decode_page(require_ok(response), start_offset)
 
-    async def newest(self, topic: str) -> Newest:
+    async def read_newest(self, topic: str) -> NewestRecords:
         """Reads the newest record of each key, page by page."""
         records, after, end = [], "", None
-        for _ in range(PAGES_AT_MOST):
+        for _ in range(MAX_PAGES):
             target = f"/log-newest?topic={topic}&part=0" + (f"&after={after}" if after else "")
-            response = await self._call("GET", target, b"", ANSWER_TIMEOUT_S)
-            page = decode_json(expect_ok(response), NewestPage)
-            records += [KeyedRecord(item.key, decode_value(item.value)) for item in page.items]
+            response = await self._send_request("GET", target, b"", RESPONSE_TIMEOUT_S)
+            page = decode_json(require_ok(response), NewestPage)
+            records += [KeyedRecord(item.key, decode_base64(item.value)) for item in page.items]
             # Pages are not a snapshot: records after the first page's end are read once more.
             end = page.end if end is None else min(end, page.end)
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
-        return Newest(tuple(records), end)
+        return NewestRecords(tuple(records), end)
 
     async def put(self, topic: str, key: str, value: bytes) -> AppendVerdict:
         """Appends the newest value of a key; an empty value drops the key."""
-        return await self._append(topic, encode_keyed(key, value))
+        return await self._append(topic, encode_keyed_record(key, value))
 
     async def append(self, topic: str, records: tuple[bytes, ...]) -> AppendVerdict:
         """Appends records in one call: all of them or none."""
@@ -117,16 +117,18 @@
     async def _append(self, topic: str, body: bytes) -> AppendVerdict:
         target = f"/log-append?topic={topic}&part=0"
         try:
-            response = await self._call("POST", target, body, ANSWER_TIMEOUT_S)
+            response = await self._send_request("POST", target, body, RESPONSE_TIMEOUT_S)
             if response.status != 200:
                 return DidNotRun(f"the store answered {response.status}")
-            return Appended(decode_json(response.body, _Appended).offset)
+            return Appended(decode_json(response.body, _AppendResponse).offset)
         except NotSentError as error:
             return DidNotRun(str(error))
         except (BrokenError, ProtocolError) as error:
             return MayHaveRun(str(error))
 
-    async def _call(self, method: str, target: str, body: bytes, timeout_s: float) -> HttpResponse:
+    async def _send_request(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> HttpResponse:
         connection = self._connection
         self._connection = None
         if connection is None or connection.has_unread_or_closed():
@@ -151,22 +153,22 @@
             self._connection = None
 
 
-def expect_ok(response: HttpResponse) -> bytes:
+def require_ok(response: HttpResponse) -> bytes:
     """Returns the body of a 200; raises ProtocolError."""
     if response.status != 200:
         raise ProtocolError(f"the store answered {response.status}")
     return response.body
 
 
-def decode_json(body: bytes, kind: type):
+def decode_json(body: bytes, response_type: type):
     """Decodes a JSON answer of the store; raises ProtocolError."""
     try:
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(body, type=response_type)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise ProtocolError(f"the store sent a malformed answer: {error}") from error
 
 
-def decode_value(text: str) -> bytes | None:
+def decode_base64(text: str) -> bytes | None:
     """Decodes base64; raises ProtocolError."""
     try:
         return base64.b64decode(text, validate=True) or None
@@ -174,12 +176,12 @@
         raise ProtocolError("the store sent a value that is not base64") from error
 
 
-def keyed_records(page: Page) -> tuple[tuple[KeyedRecord, ...], int]:
+def decode_keyed_records(page: Page) -> tuple[tuple[KeyedRecord, ...], int]:
     """Returns the readable records of a page, and how many could not be read."""
     records, unreadable = [], 0
     for record in page.records:
         try:
-            records.append(decode_keyed(record))
+            records.append(decode_keyed_record(record))
         except BluebellpitchError:
             unreadable += 1
     return tuple(records), unreadable
--- a/bluebellpitch/platform/topic_reader.py
+++ b/bluebellpitch/platform/topic_reader.py
@@ -11,7 +11,7 @@
 from bluebellpitch.platform.store import StoreClient, Truncated
 
 
-class Tail:
+class TopicReader:
     """Reads a topic from where its owner stands. ``answered_at`` is monotonic seconds."""
 
     def __init__(self, client: StoreClient, topic: str, metrics: Metrics, now: Callable[[], float]):
@@ -19,10 +19,10 @@
         self._topic = topic
         self._metrics = metrics
         self._now = now
-        self.answered_at = now()
+        self.last_read_at = now()
         self._failing = False
 
-    async def pages(self, next_offset: Callable[[], int]) -> AsyncIterator[Page | Truncated]:
+    async def read_pages(self, next_offset: Callable[[], int]) -> AsyncIterator[Page | Truncated]:
         """Yields pages for ever; ``next_offset`` tells where the owner wants to go on."""
         while True:
             page = await self._read(next_offset())
@@ -31,28 +31,28 @@
                 continue
             yield page
 
-    async def _read(self, start: int) -> Page | Truncated | None:
+    async def _read(self, start_offset: int) -> Page | Truncated | None:
         try:
-            page = await self._client.read(self._topic, start, STORE_READ_WAIT_MS)
+            page = await self._client.read(self._topic, start_offset, STORE_READ_WAIT_MS)
         except BluebellpitchError as error:
-            self._note(False, str(error))
+            self._record_result(False, str(error))
             return None
-        self.answered_at = self._now()
-        self._note(True, "")
+        self.last_read_at = self._now()
+        self._record_result(True, "")
         return page
 
-    async def newest(self, topic: str) -> tuple[KeyedRecord, ...]:
+    async def read_newest(self, topic: str) -> tuple[KeyedRecord, ...]:
         """Returns the newest record of each key of another topic; none when the store fails."""
         try:
-            return (await self._client.newest(topic)).records
+            return (await self._client.read_newest(topic)).records
         except BluebellpitchError as error:
-            self._note(False, str(error))
+            self._record_result(False, str(error))
             return ()
 
-    def _note(self, answered: bool, error: str) -> None:
+    def _record_result(self, answered: bool, error: str) -> None:
         verdict = "answered" if answered else "failed"
         self._metrics.store_calls.labels(self._topic, verdict).inc()
-        self._metrics.store_silence.set(self._now() - self.answered_at)
+        self._metrics.store_silence.set(self._now() - self.last_read_at)
         if answered == self._failing:
             log("WARNING" if error else "INFO", f"store_{verdict}", topic=self._topic, error=error)
         self._failing = not answered
--- a/bluebellpitch/roles/claiming.py
+++ b/bluebellpitch/roles/claiming.py
@@ -27,7 +27,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.appender import Appender
 from bluebellpitch.platform.store import Appended, Truncated
-from bluebellpitch.platform.topic_reader import Tail
+from bluebellpitch.platform.topic_reader import TopicReader
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 from bluebellpitch.view import ViewHolder
 
@@ -44,7 +44,7 @@
     def __init__(
         self,
         holder: ViewHolder,
-        tail: Tail,
+        tail: TopicReader,
         appender: Appender,
         ring: Ring,
         metrics: Metrics,
@@ -67,12 +67,17 @@
 
     async def follow_log(self) -> None:
         """Folds the claims topic for ever."""
-        async for page in self._tail.pages(lambda: self.fold.offset + 1):
+        async for page in self._tail.read_pages(lambda: self.fold.offset + 1):
             if isinstance(page, Truncated):
-                log("WARNING", "claims_expired", wanted=self.fold.offset + 1, first=page.first_kept)
-                self.fold.offset = page.first_kept - 1
+                log(
+                    "WARNING",
+                    "claims_expired",
+                    wanted=self.fold.offset + 1,
+                    first=page.oldest_offset,
+                )
+                self.fold.offset = page.oldest_offset - 1
                 continue
-            for offset, data in enumerate(page.records, page.start):
+            for offset, data in enumerate(page.records, page.start_offset):
                 self.fold.apply(offset, data, self._wall())
             if page.records:
                 self._wake()
--- a/bluebellpitch/roles/control.py
+++ b/bluebellpitch/roles/control.py
@@ -13,7 +13,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.messages import ControlEntry, ControlRecords, Heartbeat, SnapshotTransfer
 from bluebellpitch.platform.store import Appended, StoreClient, Truncated
-from bluebellpitch.platform.topic_reader import Tail
+from bluebellpitch.platform.topic_reader import TopicReader
 from bluebellpitch.platform.topics import CONTROL_TOPIC, SNAPSHOTS_TOPIC
 from bluebellpitch.view import ViewHolder
 
@@ -24,7 +24,9 @@
 class ControlRole:
     """Owns the control fold and publishes its table and epochs in the view."""
 
-    def __init__(self, holder: ViewHolder, tail: Tail, store: StoreClient, ring: Ring, metrics):
+    def __init__(
+        self, holder: ViewHolder, tail: TopicReader, store: StoreClient, ring: Ring, metrics
+    ):
         self._holder = holder
         self._tail = tail
         self._store = store
@@ -36,20 +38,20 @@
 
     async def follow_log(self) -> None:
         """Folds the control topic for ever."""
-        async for page in self._tail.pages(lambda: self.fold.offset + 1):
+        async for page in self._tail.read_pages(lambda: self.fold.offset + 1):
             if isinstance(page, Truncated):
-                await self._bridge(page.first_kept)
+                await self._bridge(page.oldest_offset)
                 continue
             self.take_entries(
                 tuple(
                     ControlEntry(offset, data)
-                    for offset, data in enumerate(page.records, page.start)
+                    for offset, data in enumerate(page.records, page.start_offset)
                 )
             )
 
     async def _bridge(self, first_kept: int) -> None:
         """Takes a snapshot in place of records that have expired."""
-        records = await self._tail.newest(SNAPSHOTS_TOPIC)
+        records = await self._tail.read_newest(SNAPSHOTS_TOPIC)
         if self.fold.install_latest_snapshot(
             assemble_snapshots(r.value for r in records if r.value)
         ):
--- a/bluebellpitch/roles/endpoint_selector.py
+++ b/bluebellpitch/roles/endpoint_selector.py
@@ -9,7 +9,7 @@
 from bluebellpitch.decisions.generation_broker import NO_ENGINE
 from bluebellpitch.decisions.loads import EndpointLoads, WorkItem
 from bluebellpitch.decisions.service_choice import choose_service_endpoint
-from bluebellpitch.platform.http_messages import AnswerHead
+from bluebellpitch.platform.http_messages import ResponseHead
 from bluebellpitch.roles.broker_client import BrokerClient, EngineGrant
 from bluebellpitch.verdicts import DidNotRun
 
@@ -97,7 +97,7 @@
         load.prefill_tokens_by_id[placement.work.id] = float(placement.work.tokens_in)
         return placement
 
-    def record_load_report(self, placement: Placement, head: AnswerHead) -> None:
+    def record_load_report(self, placement: Placement, head: ResponseHead) -> None:
         """Records the load that the head of an answer reports."""
         if head.load is not None:
             busy = float(head.load.running + head.load.waiting)
--- a/bluebellpitch/roles/membership.py
+++ b/bluebellpitch/roles/membership.py
@@ -19,10 +19,14 @@
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import Heartbeat
 from bluebellpitch.platform.appender import Appender
-from bluebellpitch.platform.endpoint_entries import ENDPOINTS_TOPIC, decode_entry, report_entry
-from bluebellpitch.platform.records import decode_each
+from bluebellpitch.platform.endpoint_entries import (
+    ENDPOINTS_TOPIC,
+    decode_endpoint_entry,
+    log_malformed_entry,
+)
+from bluebellpitch.platform.records import decode_values
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.platform.vm_records import MemberRecord, read_members, register, unregister
+from bluebellpitch.platform.vm_records import VmRecord, read_vm_records, register_vm, unregister_vm
 from bluebellpitch.view import ClusterView, KnownVm, ViewHolder
 
 LIST_INTERVAL_S = 1.0
@@ -55,7 +59,7 @@
         self._proposer = EpochProposer(own.identity, own.zone)
         self.history = EpochHistory()
         self._heard_by_key: dict[str, tuple[KnownVm, float]] = {}
-        self._listed_by_name: dict[str, MemberRecord] | None = None
+        self._listed_by_name: dict[str, VmRecord] | None = None
         self._ever_listed: set[str] = set()
         self._proposal: asyncio.Task | None = None
         self._cross_zone_at = 0.0
@@ -165,7 +169,7 @@
             if not registered:
                 registered = await self._register()
             try:
-                self._listed_by_name = await read_members(self._store)
+                self._listed_by_name = await read_vm_records(self._store)
                 self._ever_listed.update(self._listed_by_name)
                 self._note_leaving(await self._read_leaving())
             except BluebellpitchError as error:
@@ -176,17 +180,17 @@
 
     async def _register(self) -> bool:
         own = self._holder.current.own
-        record = MemberRecord(own.identity.bus, own.zone, own.identity.admin)
-        return await register(self._store, own.identity.name, record)
+        record = VmRecord(own.identity.bus, own.zone, own.identity.admin)
+        return await register_vm(self._store, own.identity.name, record)
 
     async def unregister(self) -> None:
         """Takes this VM's record away: it runs nothing any more."""
-        await unregister(self._store, self._holder.current.own.identity.name)
+        await unregister_vm(self._store, self._holder.current.own.identity.name)
 
     async def _read_leaving(self) -> frozenset[str]:
         """Returns the endpoints that announce that they will stop, whatever the table says."""
-        records = (await self._store.newest(ENDPOINTS_TOPIC)).records
-        entries_by_id = decode_each(records, decode_entry, report_entry)
+        records = (await self._store.read_newest(ENDPOINTS_TOPIC)).records
+        entries_by_id = decode_values(records, decode_endpoint_entry, log_malformed_entry)
         return frozenset(id for id, entry in entries_by_id.items() if entry.is_draining)
 
     def _note_leaving(self, leaving: frozenset[str]) -> None:
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -9,7 +9,7 @@
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.platform_messages import VmHeartbeat
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.platform.vm_records import MemberRecord, read_members, register, unregister
+from bluebellpitch.platform.vm_records import VmRecord, read_vm_records, register_vm, unregister_vm
 
 # A VM with a duty sends heartbeats more often: others rely on it, so its loss must be detected
 # soon.
@@ -25,7 +25,7 @@
     def __init__(
         self,
         vm: str,
-        own_record: MemberRecord,
+        own_record: VmRecord,
         store_address: str,
         bus: PeerBus,
         liveness: Liveness,
@@ -45,7 +45,7 @@
         self._is_draining = is_draining
         self._on_vm_lost = on_vm_lost
         self._has_duty = has_duty
-        self.records_by_vm: dict[str, MemberRecord] = {vm: own_record}
+        self.records_by_vm: dict[str, VmRecord] = {vm: own_record}
 
     def vm_count(self) -> int:
         """Returns how many VMs there may be, at least as many as send heartbeats."""
@@ -60,14 +60,14 @@
         registered = False
         while True:
             if not registered:
-                registered = await register(self._client, self._vm, self._own_record)
+                registered = await register_vm(self._client, self._vm, self._own_record)
             was_read = await self._read_members()
             done = registered and was_read
             await asyncio.sleep(MEMBERS_READ_INTERVAL_S if done else MEMBERS_RETRY_INTERVAL_S)
 
     async def _read_members(self) -> bool:
         try:
-            records = await read_members(self._client)
+            records = await read_vm_records(self._client)
         except BluebellpitchError as error:
             log("WARNING", "members_unknown", error=error)
             return False
@@ -76,7 +76,7 @@
 
     async def unregister(self) -> None:
         """Removes this VM's record before a planned shutdown."""
-        await unregister(self._client, self._vm)
+        await unregister_vm(self._client, self._vm)
 
     async def send_heartbeats(self) -> None:
         """Sends heartbeats to the VMs of this zone and reports lost peers, until cancelled."""
--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -11,9 +11,9 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.platform_messages import RecordsUpdate
 from bluebellpitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
-from bluebellpitch.platform.endpoint_entries import decode_entry, report_entry
+from bluebellpitch.platform.endpoint_entries import decode_endpoint_entry, log_malformed_entry
 from bluebellpitch.platform.records import KeyedRecord
-from bluebellpitch.platform.store import StoreClient, Truncated, keyed_records
+from bluebellpitch.platform.store import StoreClient, Truncated, decode_keyed_records
 
 CONFIGURATION_LONG_POLL_S = 1.0
 ENDPOINTS_LONG_POLL_S = 1.0
@@ -120,8 +120,8 @@
         requested_at = self._now()
         try:
             if self._next_offset is None:
-                newest = await self._client.newest(self.topic)
-                self._next_offset = newest.end
+                newest = await self._client.read_newest(self.topic)
+                self._next_offset = newest.next_offset
                 result = (newest.records, True, requested_at)
             else:
                 result = await self._read_next_page(requested_at)
@@ -134,11 +134,11 @@
     async def _read_next_page(self, requested_at: float):
         start = self._next_offset
         page = await self._client.read(self.topic, start, int(self._long_poll_s * 1000))
-        if isinstance(page, Truncated) or page.end < start or page.first_kept > start:
+        if isinstance(page, Truncated) or page.end_offset < start or page.oldest_offset > start:
             log("WARNING", "store_truncated", topic=self.topic, wanted=start)
             self._next_offset = None
             return (), False, float("-inf")
-        records, unreadable = keyed_records(page)
+        records, unreadable = decode_keyed_records(page)
         if unreadable:
             log("WARNING", "records_unreadable", topic=self.topic, count=unreadable)
         end = start + len(page.records)
@@ -149,7 +149,7 @@
         self._next_offset = max(end, self._next_offset or 0)
         self.store_read_at = self._now()
         known_at = read_valid_at(requested_at, self._now(), self._long_poll_s, not page.records)
-        return records, False, known_at if end >= page.end else float("-inf")
+        return records, False, known_at if end >= page.end_offset else float("-inf")
 
     def _record_failure(self, error: Exception) -> None:
         self._metrics.store_calls.labels(self.topic, "failed").inc()
@@ -268,9 +268,9 @@
                 log("INFO", "endpoint_gone", endpoint=record.key)
             return
         try:
-            entry = decode_entry(record.key, record.value)
+            entry = decode_endpoint_entry(record.key, record.value)
         except BluebellpitchError as error:
-            report_entry(record.key, error)
+            log_malformed_entry(record.key, error)
             return
         if self.directory.update(entry):
             log(
--- a/fakes/prepared.py
+++ b/fakes/prepared.py
@@ -179,7 +179,7 @@
     ) -> HttpResponse:
         """Makes one call. Raises BrokenError when it has no whole answer."""
         if self._connection is None or not self._connection.is_reusable():
-            self._connection = await ClientConnection.open(self.settings.listen, 1.0)
+            self._connection = await ClientConnection.open(self.settings.listen_address, 1.0)
         connection = self._connection
         sent = [
             ("Host", HOST),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,25 +13,25 @@
 from bluebellpitch.errors import BadRequestError, ProtocolError, UsageError
 from bluebellpitch.http1 import HttpRequest
 from bluebellpitch.platform.configuration import decode_configuration
-from bluebellpitch.platform.endpoint_entries import decode_entry
+from bluebellpitch.platform.endpoint_entries import decode_endpoint_entry
 from bluebellpitch.platform.http_messages import (
-    Forwarding,
-    decode_answer,
+    ForwardingContext,
+    build_error_headers,
+    build_forwarded_headers,
     decode_load,
     decode_request,
-    forwarded_headers,
-    last_event_id,
-    refusal_headers,
+    decode_response_head,
+    find_last_event_id,
 )
 from bluebellpitch.platform.records import (
-    decode_keyed,
+    decode_keyed_record,
     decode_page,
-    encode_keyed,
+    encode_keyed_record,
     split_records,
 )
 from bluebellpitch.platform.settings_file import parse_settings
-from bluebellpitch.platform.store import NewestPage, decode_json, decode_value
-from bluebellpitch.platform.vm_records import MemberRecord, decode_member, encode_member
+from bluebellpitch.platform.store import NewestPage, decode_base64, decode_json
+from bluebellpitch.platform.vm_records import VmRecord, decode_vm_record, encode_vm_record
 from fakes.prepared import configuration, settings_text
 
 ENTRY = {
@@ -49,11 +49,11 @@
 )
 DECODERS = [
     decode_configuration,
-    decode_member,
+    decode_vm_record,
     lambda data: decode_page(data, 0),
-    decode_keyed,
+    decode_keyed_record,
     lambda data: decode_json(data, NewestPage),
-    lambda data: decode_entry("i-1", data),
+    lambda data: decode_endpoint_entry("i-1", data),
     lambda data: list(split_records(data)),
 ]
 
@@ -77,7 +77,7 @@
 def test_spoilt_entry_never_gains_a_default(name, value):
     """An entry either says what its fields say, or names no endpoint."""
     try:
-        entry = decode_entry("i-1", msgspec.json.encode(ENTRY | {name: value}))
+        entry = decode_endpoint_entry("i-1", msgspec.json.encode(ENTRY | {name: value}))
     except ProtocolError:
         return
     assert entry.pool and entry.slots >= 1
@@ -89,26 +89,26 @@
 def test_entry_without_a_field_names_no_endpoint(name):
     fields = {key: value for key, value in ENTRY.items() if key != name}
     with pytest.raises(ProtocolError):
-        decode_entry("i-1", msgspec.json.encode(fields))
+        decode_endpoint_entry("i-1", msgspec.json.encode(fields))
 
 
 @given(key=st.text(min_size=1, max_size=60), value=st.binary(max_size=100))
 def test_keyed_record_comes_back(key, value):
-    framed = encode_keyed(key, value)
+    framed = encode_keyed_record(key, value)
     (record,) = split_records(framed)
-    decoded = decode_keyed(record)
+    decoded = decode_keyed_record(record)
     assert (decoded.key, decoded.value) == (key, value or None)
 
 
 def test_value_that_is_not_base64_is_a_protocol_error():
-    assert decode_value(base64.b64encode(b"x").decode()) == b"x"
+    assert decode_base64(base64.b64encode(b"x").decode()) == b"x"
     with pytest.raises(ProtocolError):
-        decode_value("\u00e9")
+        decode_base64("\u00e9")
 
 
 def test_member_record_comes_back():
-    record = MemberRecord("127.0.0.1:7000", "z")
-    assert decode_member(encode_member(record)) == record
+    record = VmRecord("127.0.0.1:7000", "z")
+    assert decode_vm_record(encode_vm_record(record)) == record
 
 
 def test_what_may_repeat_follows_from_the_kind():
@@ -170,15 +170,15 @@
             prompt_prefix="5c:800,91:410,e4:250",
         )
     )
-    assert (request.host, request.path, request.key) == ("tile.example", "/a/b", "k")
-    assert request.patience_s == 1.5
+    assert (request.host, request.path, request.api_key) == ("tile.example", "/a/b", "k")
+    assert request.timeout_s == 1.5
     assert (request.prompt.tokens_in, request.prompt.tokens_out) == (1460, 80)
     assert [part.tokens for part in request.prompt.parts] == [800, 410, 250]
 
 
 def test_time_left_is_handed_on_and_the_key_is_not():
     request = decode_request(make_request(deadline_ms="9000", authorization="Bearer k", x_own="1"))
-    headers = dict(forwarded_headers(request, Forwarding("i-1", 0.25, "office", 3, 7)))
+    headers = dict(build_forwarded_headers(request, ForwardingContext("i-1", 0.25, "office", 3, 7)))
     assert headers == {
         "x-own": "1",
         "Deadline-Ms": "250",
@@ -191,7 +191,7 @@
 
 
 def make_answer(status: int, *headers: tuple[str, str]):
-    return decode_answer(h11.Response(status_code=status, headers=list(headers)))
+    return decode_response_head(h11.Response(status_code=status, headers=list(headers)))
 
 
 def test_only_the_endpoints_promise_says_not_run():
@@ -209,21 +209,29 @@
 
 
 def test_last_event_of_whole_events():
-    assert last_event_id(b"id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\n") == 2
-    assert last_event_id(b"data: a\n\n") is None
+    assert find_last_event_id(b"id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\n") == 2
+    assert find_last_event_id(b"data: a\n\n") is None
 
 
 def test_retry_after_is_in_seconds_with_fractions():
-    assert dict(refusal_headers(0.25))["Retry-After"] == "0.250"
-    assert "Retry-After" not in dict(refusal_headers(None))
+    assert dict(build_error_headers(0.25))["Retry-After"] == "0.250"
+    assert "Retry-After" not in dict(build_error_headers(None))
 
 
 def test_settings_file():
     text = settings_text("vm-1", "z", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 4)
     settings = parse_settings(text + "unknown.field=1\n# comment\n\n")
-    assert (settings.vm, settings.bus, settings.store) == ("vm-1", "127.0.0.1:4", "127.0.0.1:1")
+    assert (settings.vm_name, settings.bus_address, settings.store_address) == (
+        "vm-1",
+        "127.0.0.1:4",
+        "127.0.0.1:1",
+    )
     assert settings.regions_by_zone == {"z": "r-z"}
-    assert (settings.revoke_s, settings.apply_s, settings.grace_s) == (2.5, 1.0, 3.0)
+    assert (settings.key_revocation_s, settings.config_apply_s, settings.grace_s) == (
+        2.5,
+        1.0,
+        3.0,
+    )
 
 
 @pytest.mark.parametrize("name", ["node_name", "zone", "listen.front", "platform.address", "ip"])
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -181,7 +181,7 @@
 
 async def has_snapshot(fleet: Fleet, offset: int) -> bool:
     client = StoreClient(fleet.store.address)
-    records = (await client.newest(SNAPSHOTS_TOPIC)).records
+    records = (await client.read_newest(SNAPSHOTS_TOPIC)).records
     client.close()
     return any(s.offset >= offset for s in assemble_snapshots(r.value for r in records))
 
