Rename the operators' sheet, table editor and time line in the terms of the field

Cells are parsed and sheets formatted; the revision that a sheet was made from is a row's baseline. Columns, JSON fields and options keep their names. No change of behaviour.

--- a/bluebellpitch/commands/insight.py
+++ b/bluebellpitch/commands/insight.py
@@ -14,13 +14,13 @@
 from bluebellpitch.operators.explain import explain_request
 from bluebellpitch.operators.status import render_status
 from bluebellpitch.operators.timeline import (
-    Collected,
+    CollectedResponses,
     EventFilter,
     collect_events,
     collect_statuses,
     merge_events,
     render_pairs,
-    render_picture,
+    render_svg,
     render_text,
 )
 from bluebellpitch.platform.store import StoreClient
@@ -29,7 +29,7 @@
 RENDERERS = {
     "text": render_text,
     "pairs": render_pairs,
-    "svg": lambda events: [render_picture(events)],
+    "svg": lambda events: [render_svg(events)],
 }
 
 
@@ -49,11 +49,11 @@
     return [record.admin for record in records_by_vm.values() if record.admin]
 
 
-def report_missing(environment: Environment, collected: Collected) -> int:
+def report_missing(environment: Environment, collected: CollectedResponses) -> int:
     """Names the VMs that gave no answer; returns the exit status."""
-    for address in collected.missing:
+    for address in collected.unreachable:
         print(f"bluebellpitch: no answer from {address}", file=environment.stderr)
-    return ExitStatus.OK if collected.pages else ExitStatus.UNREACHABLE
+    return ExitStatus.OK if collected.responses else ExitStatus.UNREACHABLE
 
 
 def status(
@@ -64,22 +64,22 @@
 ) -> int:
     """Prints the state of all VMs."""
 
-    async def run() -> Collected:
+    async def run() -> CollectedResponses:
         return await collect_statuses(await find_vms(vm, store_address))
 
     collected = asyncio.run(run())
     if as_json:
-        say(context, msgspec.json.encode(collected.pages).decode())
+        say(context, msgspec.json.encode(collected.responses).decode())
     else:
-        for line in render_status(list(collected.pages), list(collected.missing)):
+        for line in render_status(list(collected.responses), list(collected.unreachable)):
             say(context, line)
     return report_missing(context.obj, collected)
 
 
-def collect(vm: list[str], store_address: str, wanted: EventFilter) -> Collected:
+def collect(vm: list[str], store_address: str, wanted: EventFilter) -> CollectedResponses:
     """Returns events of the VMs that answer."""
 
-    async def run() -> Collected:
+    async def run() -> CollectedResponses:
         return await collect_events(await find_vms(vm, store_address), wanted)
 
     return asyncio.run(run())
@@ -103,7 +103,7 @@
         raise UsageError(f"--as: {style!r} must be one of: {', '.join(RENDERERS)}")
     wanted = EventFilter(request, member, class_name, endpoint, on_vm, since, until)
     collected = collect(vm, store_address, wanted)
-    for line in RENDERERS[style](merge_events(collected.pages, wanted)):
+    for line in RENDERERS[style](merge_events(collected.responses, wanted)):
         say(context, line)
     return report_missing(context.obj, collected)
 
@@ -113,7 +113,7 @@
 ) -> int:
     """Prints the story of one request."""
     collected = collect(vm, store_address, EventFilter())
-    for line in explain_request(merge_events(collected.pages, EventFilter()), request):
+    for line in explain_request(merge_events(collected.responses, EventFilter()), request):
         say(context, line)
     return report_missing(context.obj, collected)
 
--- a/bluebellpitch/commands/table.py
+++ b/bluebellpitch/commands/table.py
@@ -19,8 +19,8 @@
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import ConflictError, UsageError
 from bluebellpitch.exits import ExitStatus
-from bluebellpitch.operators.sheet import Sheet, parse_sheet, write_sheet
-from bluebellpitch.operators.table_editor import TableDiff, TableEditor, compare
+from bluebellpitch.operators.sheet import Sheet, format_sheet, parse_sheet
+from bluebellpitch.operators.table_editor import TableDiff, TableEditor, diff_table
 from bluebellpitch.platform.store import StoreClient
 
 
@@ -49,8 +49,8 @@
 def show(context: typer.Context, store_address: StoreAddress, patience_s: Patience = 10.0) -> int:
     """Prints the table in force."""
     editor = asyncio.run(open_editor(context.obj, store_address, patience_s))
-    rows = editor.fold.state.rows_by_key.values()
-    say(context, write_sheet(rows, editor.fold.offset), end="")
+    rows = editor.control.state.rows_by_key.values()
+    say(context, format_sheet(rows, editor.control.offset), end="")
     return ExitStatus.OK
 
 
@@ -64,7 +64,7 @@
     """Prints what applying a sheet would change."""
     wanted = read_sheet(sheet)
     editor = asyncio.run(open_editor(context.obj, store_address, patience_s))
-    for line in describe_diff(compare(wanted, editor.fold, onto_current)):
+    for line in describe_diff(diff_table(wanted, editor.control, onto_current)):
         say(context, line)
     return ExitStatus.OK
 
@@ -94,12 +94,12 @@
 ) -> str:
     """Applies a sheet; returns what to tell the operator. Raises ConflictError."""
     editor = await open_editor(environment, store_address, patience_s)
-    change = compare(wanted, editor.fold, onto_current)
+    change = diff_table(wanted, editor.control, onto_current)
     if change.conflicts:
         keys = ", ".join(change.conflicts)
         raise ConflictError(f"changed by another operator since the sheet was made: {keys}")
     if change.is_empty():
-        return f"nothing to change; in force at offset {editor.fold.offset}"
+        return f"nothing to change; in force at offset {editor.control.offset}"
     return f"in force at offset {await editor.apply(change, author)}"
 
 
--- a/bluebellpitch/operators/admin_server.py
+++ b/bluebellpitch/operators/admin_server.py
@@ -12,8 +12,8 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.operators.status import VmStatus
 
-STAMP_DIGITS = 20
-TEXT = [("Content-Type", "text/plain; version=0.0.4; charset=utf-8")]
+MAX_STAMP_DIGITS = 20
+TEXT_HEADERS = [("Content-Type", "text/plain; version=0.0.4; charset=utf-8")]
 
 
 class EventPage(msgspec.Struct, frozen=True):
@@ -32,12 +32,12 @@
         self,
         ring: Ring,
         metrics: Metrics,
-        describe: Callable[[], VmStatus],
+        get_status: Callable[[], VmStatus],
         is_ready: Callable[[], bool],
     ):
         self._ring = ring
         self._metrics = metrics
-        self._describe = describe
+        self._get_status = get_status
         self._is_ready = is_ready
         self.http = HttpServer(self._handle, answers.answer_bad_request, HttpLimits())
 
@@ -45,24 +45,24 @@
         path, _, query = request.target.partition("?")
         match path:
             case "/healthz":
-                await connection.respond(200, TEXT, b"ok\n")
+                await connection.respond(200, TEXT_HEADERS, b"ok\n")
             case "/readyz":
                 ready = self._is_ready()
                 body = b"ready\n" if ready else b"not ready\n"
-                await connection.respond(200 if ready else 503, TEXT, body)
+                await connection.respond(200 if ready else 503, TEXT_HEADERS, body)
             case "/metrics":
-                await connection.respond(200, TEXT, self._metrics.render())
+                await connection.respond(200, TEXT_HEADERS, self._metrics.render())
             case "/status":
-                await answers.answer_json(connection, self._describe())
+                await answers.answer_json(connection, self._get_status())
             case "/events":
-                await answers.answer_json(connection, self._page(query))
+                await answers.answer_json(connection, self._event_page(query))
             case _:
                 error = BadRequestError(404, "no_such_path", f"there is no {path}")
                 await answers.answer_bad_request(connection, error, "none")
 
-    def _page(self, query: str) -> EventPage:
+    def _event_page(self, query: str) -> EventPage:
         text = parse_qs(query).get("since", ["0"])[0]
-        is_stamp = text.isascii() and text.isdigit() and len(text) <= STAMP_DIGITS
+        is_stamp = text.isascii() and text.isdigit() and len(text) <= MAX_STAMP_DIGITS
         since = int(text) if is_stamp else 0
         events = tuple(self._ring.since(since))
         return EventPage(self._ring.vm, self._ring.clock.stamp(), self._ring.dropped, events)
--- a/bluebellpitch/operators/explain.py
+++ b/bluebellpitch/operators/explain.py
@@ -5,7 +5,7 @@
 from bluebellpitch.clock import MICROSECONDS
 from bluebellpitch.events import Event, Kind
 
-REFUSAL_MEANINGS = {
+REFUSAL_EXPLANATIONS = {
     "overloaded": "the work ahead of it would have outlasted its patience",
     "higher_tier_shed": "a higher tier had just been shed, so lower ones were not taken in",
     "waited_too_long": "no slot came free while it was willing to wait",
@@ -18,19 +18,19 @@
 }
 
 
-def explain_request(events: list[Event], request: str) -> Iterator[str]:
+def explain_request(events: list[Event], id_prefix: str) -> Iterator[str]:
     """Yields the story of a request; ``events`` are in order."""
-    own = [event for event in events if event.request.startswith(request)]
+    own = [event for event in events if event.request.startswith(id_prefix)]
     if not own:
-        yield f"no VM that answered knows the request {request}"
+        yield f"no VM that answered knows the request {id_prefix}"
         return
     start = own[0].stamp
     for event in own:
         after_ms = (event.stamp - start) / MICROSECONDS * 1000
-        yield f"+{after_ms:9.1f} ms  {event.vm}: {tell(event)}"
+        yield f"+{after_ms:9.1f} ms  {event.vm}: {describe_event(event)}"
 
 
-SENTENCES = {
+EVENT_TEMPLATES = {
     Kind.ADMITTED: "admitted for member {e.member}, class {e.class_name} ({e.detail})",
     Kind.QUEUED: "asked its broker for a slot ({e.detail})",
     Kind.GRANTED: "got a slot at {e.endpoint} ({e.detail})",
@@ -43,11 +43,11 @@
 }
 
 
-def tell(event: Event) -> str:
+def describe_event(event: Event) -> str:
     """Returns one event as a sentence."""
     if event.kind is Kind.REFUSED:
         reason = event.detail.partition(" ")[0].partition(":")[0]
-        meaning = REFUSAL_MEANINGS.get(reason, "see the operators' page")
+        meaning = REFUSAL_EXPLANATIONS.get(reason, "see the operators' page")
         return f"refused: {event.detail} - {meaning}"
-    sentence = SENTENCES.get(event.kind, "{e.kind} {e.endpoint} {e.detail}")
+    sentence = EVENT_TEMPLATES.get(event.kind, "{e.kind} {e.endpoint} {e.detail}")
     return sentence.format(e=event).strip()
--- a/bluebellpitch/operators/sheet.py
+++ b/bluebellpitch/operators/sheet.py
@@ -30,128 +30,128 @@
     "pool": "name serves repeatable".split(),
     "endpoint": "name pool zone region address slots fencing state".split(),
 }
-OFFSET_MARK = "#offset="
-DIGEST_CHARACTERS = 8
-SHEET_MAX_BYTES = 4_194_304
+OFFSET_PREFIX = "#offset="
+DIGEST_LENGTH = 8
+MAX_SHEET_BYTES = 4_194_304
 
 
 @dataclass(frozen=True, slots=True)
-class Wrong:
+class CellError:
     """A cell that does not read; ``hint`` says what would."""
 
-    hint: str
+    requirement: str
 
 
-def read_name(text: str) -> str | Wrong:
+def parse_name(text: str) -> str | CellError:
     """Reads a name."""
     if text and all(c.isalnum() or c in "-_." for c in text):
         return text
-    return Wrong("must be letters, digits, '-', '_' or '.'")
+    return CellError("must be letters, digits, '-', '_' or '.'")
 
 
-def read_positive(text: str) -> float | Wrong:
+def parse_positive_number(text: str) -> float | CellError:
     """Reads a number above zero."""
     try:
         value = float(text)
     except ValueError:
         value = 0.0
-    return value if 0 < value < 1e12 else Wrong("must be a number above 0")
+    return value if 0 < value < 1e12 else CellError("must be a number above 0")
 
 
-def read_count(lowest: int) -> Callable[[str], int | Wrong]:
+def integer_parser(minimum: int) -> Callable[[str], int | CellError]:
     """Returns a reader of whole numbers from ``lowest`` on."""
 
-    def read(text: str) -> int | Wrong:
-        if not text.isascii() or not text.isdigit() or len(text) > 12 or int(text) < lowest:
-            return Wrong(f"must be a whole number from {lowest} on")
+    def parse(text: str) -> int | CellError:
+        if not text.isascii() or not text.isdigit() or len(text) > 12 or int(text) < minimum:
+            return CellError(f"must be a whole number from {minimum} on")
         return int(text)
 
-    return read
+    return parse
 
 
-def read_limit(text: str) -> int | Wrong:
+def parse_limit(text: str) -> int | CellError:
     """Reads a limit; empty or 0 means none."""
-    return read_count(0)(text or "0")
+    return integer_parser(0)(text or "0")
 
 
-def read_digest(text: str) -> str | Wrong:
+def parse_sha256(text: str) -> str | CellError:
     """Reads a SHA-256 digest."""
     if len(text) == 64 and all(c in "0123456789abcdef" for c in text.lower()):
         return text.lower()
-    return Wrong("must be the SHA-256 of the credential: 64 hexadecimal digits")
+    return CellError("must be the SHA-256 of the credential: 64 hexadecimal digits")
 
 
-def read_choice(*choices: str) -> Callable[[str], str | Wrong]:
+def choice_parser(*choices: str) -> Callable[[str], str | CellError]:
     """Returns a reader of one of some words."""
 
-    def read(text: str) -> str | Wrong:
-        return text if text in choices else Wrong(f"must be one of: {', '.join(choices)}")
+    def parse(text: str) -> str | CellError:
+        return text if text in choices else CellError(f"must be one of: {', '.join(choices)}")
 
-    return read
+    return parse
 
 
-def read_flag(text: str) -> bool | Wrong:
+def parse_yes_no(text: str) -> bool | CellError:
     """Reads yes or no."""
-    return text == "yes" if text in ("yes", "no") else Wrong("must be yes or no")
+    return text == "yes" if text in ("yes", "no") else CellError("must be yes or no")
 
 
-def read_methods(text: str) -> tuple[str, ...] | Wrong:
+def parse_methods(text: str) -> tuple[str, ...] | CellError:
     """Reads HTTP methods, separated by blanks."""
     methods = tuple(text.split())
     good = all(m.isascii() and m.isalpha() and m.isupper() for m in methods)
-    return methods if good else Wrong("must be HTTP methods such as GET HEAD, split by blanks")
+    return methods if good else CellError("must be HTTP methods such as GET HEAD, split by blanks")
 
 
-def read_address(text: str) -> str | Wrong:
+def parse_address_cell(text: str) -> str | CellError:
     """Reads an address."""
     try:
         parse_address(text)
     except ProtocolError:
-        return Wrong("must be IP:port, such as 10.0.0.1:8000")
+        return CellError("must be IP:port, such as 10.0.0.1:8000")
     return text
 
 
-READERS: dict[str, Callable[[str], object]] = {
-    "name": read_name,
-    "weight": read_positive,
-    "limit": read_limit,
-    "credential_sha256": read_digest,
-    "default_class": read_name,
-    "tier": read_count(1),
-    "first_token_ms": read_positive,
-    "between_tokens_ms": read_positive,
-    "max_wait_ms": read_positive,
-    "serves": read_choice("model", "service"),
-    "repeatable": read_methods,
-    "pool": read_name,
-    "zone": read_name,
-    "region": read_name,
-    "address": read_address,
-    "slots": read_count(1),
-    "fencing": read_flag,
-    "state": read_choice("live", "leaving"),
+CELL_PARSERS: dict[str, Callable[[str], object]] = {
+    "name": parse_name,
+    "weight": parse_positive_number,
+    "limit": parse_limit,
+    "credential_sha256": parse_sha256,
+    "default_class": parse_name,
+    "tier": integer_parser(1),
+    "first_token_ms": parse_positive_number,
+    "between_tokens_ms": parse_positive_number,
+    "max_wait_ms": parse_positive_number,
+    "serves": choice_parser("model", "service"),
+    "repeatable": parse_methods,
+    "pool": parse_name,
+    "zone": parse_name,
+    "region": parse_name,
+    "address": parse_address_cell,
+    "slots": integer_parser(1),
+    "fencing": parse_yes_no,
+    "state": choice_parser("live", "leaving"),
 }
 
 
 @dataclass(frozen=True, slots=True)
-class Origin:
+class RowBaseline:
     """What ``table show`` wrote about a row: its revision, and a digest of what it held."""
 
     revision: int
     digest: str
 
-    def is_of(self, row: Row) -> bool:
+    def matches(self, row: Row) -> bool:
         """Tells whether a row still is as it was shown."""
         return self.digest == digest_row(row)
 
 
 @dataclass(frozen=True, slots=True)
-class Line:
+class SheetLine:
     """One line of the sheet that reads. ``origin`` is None in a line that a person added."""
 
-    number: int
+    line_number: int
     row: Row
-    origin: Origin | None
+    baseline: RowBaseline | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,33 +159,33 @@
     """A sheet that reads. ``offset`` is of the table that it was made from; -1: unknown."""
 
     rows: tuple[Row, ...]
-    origins_by_key: dict[str, Origin]
-    offset: int
+    baselines_by_key: dict[str, RowBaseline]
+    table_offset: int
 
 
 def parse_sheet(text: str) -> Sheet:
     """Returns the sheet; raises SheetError with all problems at once."""
     problems: list[str] = []
     lines = list(parse_lines(text, problems))
-    problems.extend(check_references(lines))
+    problems.extend(validate_lines(lines))
     if problems:
         raise SheetError(tuple(problems))
-    origins_by_key = {row_key(line.row): line.origin for line in lines if line.origin}
-    return Sheet(tuple(line.row for line in lines), origins_by_key, find_offset(text))
+    origins_by_key = {row_key(line.row): line.baseline for line in lines if line.baseline}
+    return Sheet(tuple(line.row for line in lines), origins_by_key, parse_offset(text))
 
 
-def find_offset(text: str) -> int:
+def parse_offset(text: str) -> int:
     """Returns the offset that ``table show`` wrote into the sheet; -1 when there is none."""
-    marks = (line for line in text.splitlines() if line.startswith(OFFSET_MARK))
-    digits = next(marks, "").removeprefix(OFFSET_MARK).strip(", ")
-    offset = read_count(0)(digits)
-    return -1 if isinstance(offset, Wrong) else offset
+    marks = (line for line in text.splitlines() if line.startswith(OFFSET_PREFIX))
+    digits = next(marks, "").removeprefix(OFFSET_PREFIX).strip(", ")
+    offset = integer_parser(0)(digits)
+    return -1 if isinstance(offset, CellError) else offset
 
 
-def parse_lines(text: str, problems: list[str]) -> Iterator[Line]:
+def parse_lines(text: str, problems: list[str]) -> Iterator[SheetLine]:
     """Yields the lines that read, and adds what is wrong with the others."""
-    if len(text) > SHEET_MAX_BYTES:
-        problems.append(f"the sheet is larger than {SHEET_MAX_BYTES} bytes")
+    if len(text) > MAX_SHEET_BYTES:
+        problems.append(f"the sheet is larger than {MAX_SHEET_BYTES} bytes")
         return
     reader = csv.DictReader(io.StringIO(text.removeprefix("\ufeff")), restkey="", restval="")
     try:
@@ -198,13 +198,13 @@
             problems.append("row 1: the columns kind and name are needed")
             return
         for cells in reader:
-            if line := parse_cells(reader.line_num, cells, problems):
+            if line := parse_line(reader.line_num, cells, problems):
                 yield line
     except csv.Error as error:
         problems.append(f"row {reader.line_num}: not CSV: {error}")
 
 
-def parse_cells(number: int, cells: dict, problems: list[str]) -> Line | None:
+def parse_line(line_number: int, cells: dict, problems: list[str]) -> SheetLine | None:
     """Returns one line, or None after adding its problems."""
     texts = {name: (cells.get(name) or "").strip() for name in COLUMNS}
     kind = texts["kind"]
@@ -212,36 +212,36 @@
         return None
     if kind not in COLUMNS_BY_KIND:
         known = ", ".join(COLUMNS_BY_KIND)
-        problems.append(f"row {number}, column kind: {kind!r} must be one of: {known}")
+        problems.append(f"row {line_number}, column kind: {kind!r} must be one of: {known}")
         return None
     if cells.get(""):
-        problems.append(f"row {number}: more cells than columns")
+        problems.append(f"row {line_number}: more cells than columns")
         return None
-    values = {name: READERS[name](texts[name]) for name in COLUMNS_BY_KIND[kind]}
-    wrong = {name: value for name, value in values.items() if isinstance(value, Wrong)}
+    values = {name: CELL_PARSERS[name](texts[name]) for name in COLUMNS_BY_KIND[kind]}
+    wrong = {name: value for name, value in values.items() if isinstance(value, CellError)}
     for name, value in wrong.items():
-        problems.append(f"row {number}, column {name}: {texts[name]!r} {value.hint}")
-    origin = read_origin(texts["revision"])
-    if isinstance(origin, Wrong):
-        problems.append(f"row {number}, column revision: {origin.hint}")
+        problems.append(f"row {line_number}, column {name}: {texts[name]!r} {value.requirement}")
+    origin = parse_baseline(texts["revision"])
+    if isinstance(origin, CellError):
+        problems.append(f"row {line_number}, column revision: {origin.requirement}")
         return None
-    return None if wrong else Line(number, build_row(kind, values), origin)
+    return None if wrong else SheetLine(line_number, build_row(kind, values), origin)
 
 
-def read_origin(text: str) -> Origin | Wrong | None:
+def parse_baseline(text: str) -> RowBaseline | CellError | None:
     """Reads a revision as ``table show`` wrote it; None when it is empty."""
     if not text:
         return None
     number, _, digest = text.partition(".")
-    revision = read_count(0)(number)
-    if isinstance(revision, Wrong) or len(digest) != DIGEST_CHARACTERS:
-        return Wrong("leave it as 'table show' wrote it, and empty in new rows")
-    return Origin(revision, digest)
+    revision = integer_parser(0)(number)
+    if isinstance(revision, CellError) or len(digest) != DIGEST_LENGTH:
+        return CellError("leave it as 'table show' wrote it, and empty in new rows")
+    return RowBaseline(revision, digest)
 
 
 def digest_row(row: Row) -> str:
     """Returns a short digest of a row's values."""
-    return digest_text(msgspec.json.encode(row))[:DIGEST_CHARACTERS]
+    return digest_text(msgspec.json.encode(row))[:DIGEST_LENGTH]
 
 
 def build_row(kind: str, values: dict) -> Row:
@@ -263,11 +263,11 @@
             return EndpointRow(**values)
 
 
-def check_references(lines: list[Line]) -> Iterator[str]:
+def validate_lines(lines: list[SheetLine]) -> Iterator[str]:
     """Yields what is wrong between rows."""
     names_by_kind: dict[type, set[str]] = {}
     credentials: dict[str, int] = {}
-    for number, row in ((line.number, line.row) for line in lines):
+    for number, row in ((line.line_number, line.row) for line in lines):
         names = names_by_kind.setdefault(type(row), set())
         if row.name in names:
             yield f"row {number}, column name: {row.name!r} stands twice among its kind"
@@ -276,7 +276,7 @@
             yield f"row {number}, column credential_sha256: the same as in row {first}"
         if isinstance(row, MemberRow):
             credentials.setdefault(row.credential, number)
-    for number, row in ((line.number, line.row) for line in lines):
+    for number, row in ((line.line_number, line.row) for line in lines):
         match row:
             case MemberRow(default_class=name) if name not in names_by_kind.get(ClassRow, ()):
                 yield f"row {number}, column default_class: there is no class {name!r}"
@@ -284,7 +284,7 @@
                 yield f"row {number}, column pool: there is no pool {name!r}"
 
 
-def write_sheet(rows: Iterable[VersionedRow], offset: int | None = None) -> str:
+def format_sheet(rows: Iterable[VersionedRow], offset: int | None = None) -> str:
     """Returns the sheet of a table at an offset; parse_sheet reads it back.
 
     A row whose revision is below 0 is written as a new one.
@@ -295,13 +295,13 @@
     for versioned in sorted(rows, key=lambda v: row_key(v.row)):
         row, revision = versioned.row, versioned.revision
         mark = f"{revision}.{digest_row(row)}" if revision >= 0 else ""
-        writer.writerow(write_cells(row) | {"revision": mark})
+        writer.writerow(format_cells(row) | {"revision": mark})
     if offset is not None:
-        out.write(f"{OFFSET_MARK}{offset}\n")
+        out.write(f"{OFFSET_PREFIX}{offset}\n")
     return out.getvalue()
 
 
-def write_cells(row: Row) -> dict[str, object]:
+def format_cells(row: Row) -> dict[str, object]:
     """Returns the cells of one row."""
     match row:
         case MemberRow():
--- a/bluebellpitch/operators/status.py
+++ b/bluebellpitch/operators/status.py
@@ -57,7 +57,7 @@
     unresolved: tuple[UnresolvedStatus, ...]
 
 
-def render_status(statuses: list[VmStatus], missing: list[str]) -> Iterator[str]:
+def render_status(statuses: list[VmStatus], unreachable: list[str]) -> Iterator[str]:
     """Yields the lines of ``bluebellpitch status``."""
     for status in sorted(statuses, key=lambda s: (s.zone, s.vm)):
         yield from render_vm(status)
@@ -67,7 +67,7 @@
     unresolved = {claim.key: claim for status in statuses for claim in status.unresolved}
     for key, claim in sorted(unresolved.items()):
         yield f"UNRESOLVED key={key} vm={claim.vm} made_at={claim.made_at:.3f} may_have_run"
-    for address in missing:
+    for address in unreachable:
         yield f"UNREACHABLE {address}"
 
 
--- a/bluebellpitch/operators/table_editor.py
+++ b/bluebellpitch/operators/table_editor.py
@@ -30,28 +30,28 @@
     changed: tuple[Row, ...] = ()
     deleted: tuple[str, ...] = ()
     conflicts: tuple[str, ...] = ()
-    base: dict[str, int] = field(default_factory=dict)
+    base_revisions: dict[str, int] = field(default_factory=dict)
 
     def is_empty(self) -> bool:
         """Tells whether nothing changes."""
         return not (self.added or self.changed or self.deleted)
 
 
-def compare(sheet: Sheet, fold: ControlStateMachine, onto_current: bool = False) -> TableDiff:
+def diff_table(sheet: Sheet, control: ControlStateMachine, onto_current: bool = False) -> TableDiff:
     """Compares a sheet with the agreed table.
 
     A row that the operator left as it was shown changes nothing. One that was edited must have been
     shown at its present revision, else it is a conflict; ``onto_current`` takes all present
     revisions as known. A row that the sheet could not know is left alone.
     """
-    current = fold.state.rows_by_key
-    origins_by_key = {} if onto_current else sheet.origins_by_key
-    offset = fold.offset if onto_current else sheet.offset
+    current = control.state.rows_by_key
+    origins_by_key = {} if onto_current else sheet.baselines_by_key
+    offset = control.offset if onto_current else sheet.table_offset
     added, changed, conflicts = [], [], []
     for row in sheet.rows:
         key = row_key(row)
         origin, present = origins_by_key.get(key), current.get(key)
-        if (origin and origin.is_of(row)) or (present and present.row == row):
+        if (origin and origin.matches(row)) or (present and present.row == row):
             continue
         if present is None and origin is None:
             added.append(row)
@@ -62,33 +62,33 @@
     kept = {row_key(row) for row in sheet.rows}
     deleted = [k for k, v in current.items() if k not in kept and v.revision <= offset]
     keys = [row_key(row) for row in added + changed] + deleted
-    base = {key: fold.revision_of(key) for key in keys}
+    base = {key: control.revision_of(key) for key in keys}
     return TableDiff(tuple(added), tuple(changed), tuple(deleted), tuple(conflicts), base)
 
 
 class TableEditor:
     """Folds the control topic for one command of an operator."""
 
-    def __init__(self, client: StoreClient, now: Callable[[], float], patience_s: float):
+    def __init__(self, client: StoreClient, now: Callable[[], float], timeout_s: float):
         self._client = client
         self._now = now
-        self._deadline = now() + patience_s
-        self.fold = ControlStateMachine()
+        self._deadline = now() + timeout_s
+        self.control = ControlStateMachine()
 
     async def catch_up(self) -> None:
         """Folds all that is in the store now; raises UnreachableError."""
         while True:
-            page = await self._ask(
-                lambda: self._client.read(CONTROL_TOPIC, self.fold.offset + 1, 0)
+            page = await self._retry_until_deadline(
+                lambda: self._client.read(CONTROL_TOPIC, self.control.offset + 1, 0)
             )
             if isinstance(page, Truncated):
-                await self._bridge(page.oldest_offset)
+                await self._install_snapshot(page.oldest_offset)
                 continue
-            self._take(page)
-            if self.fold.offset + 1 >= page.end_offset:
+            self._apply_page(page)
+            if self.control.offset + 1 >= page.end_offset:
                 return
 
-    async def _ask(self, call: Callable[[], Awaitable]):
+    async def _retry_until_deadline(self, call: Callable[[], Awaitable]):
         error = "no answer in time"
         while self._now() < self._deadline:
             try:
@@ -98,17 +98,17 @@
                 await asyncio.sleep(STORE_RETRY_S)
         raise UnreachableError(f"the platform's store cannot be read: {error}")
 
-    async def _bridge(self, first_kept: int) -> None:
-        newest = await self._ask(lambda: self._client.read_newest(SNAPSHOTS_TOPIC))
-        self.fold.install_latest_snapshot(
+    async def _install_snapshot(self, oldest_offset: int) -> None:
+        newest = await self._retry_until_deadline(lambda: self._client.read_newest(SNAPSHOTS_TOPIC))
+        self.control.install_latest_snapshot(
             assemble_snapshots(r.value for r in newest.records if r.value)
         )
-        if self.fold.offset + 1 < first_kept:
+        if self.control.offset + 1 < oldest_offset:
             raise UnreachableError("the store has lost old records, and holds no snapshot of them")
 
-    def _take(self, page: Page) -> None:
+    def _apply_page(self, page: Page) -> None:
         for offset, data in enumerate(page.records, page.start_offset):
-            self.fold.apply(offset, data)
+            self.control.apply(offset, data)
 
     async def apply(self, diff: TableDiff, author: str) -> int:
         """Puts a change into the store and returns its offset.
@@ -117,12 +117,12 @@
         ConflictError or UnreachableError.
         """
         change = TableChange(
-            uuid4().hex, diff.base, diff.added + diff.changed, diff.deleted, author
+            uuid4().hex, diff.base_revisions, diff.added + diff.changed, diff.deleted, author
         )
         while self._now() < self._deadline:
             verdict = await self._client.append(CONTROL_TOPIC, (encode_control_record(change),))
             await self.catch_up()
-            match self.fold.state.verdicts_by_id.get(change.id):
+            match self.control.state.verdicts_by_id.get(change.id):
                 case Accepted(offset):
                     return offset
                 case Conflicted(_, keys):
--- a/bluebellpitch/operators/timeline.py
+++ b/bluebellpitch/operators/timeline.py
@@ -16,11 +16,11 @@
 from bluebellpitch.operators.admin_server import EventPage
 from bluebellpitch.operators.status import VmStatus
 
-FIELDS = ("request", "member", "class_name", "endpoint", "detail")
+EVENT_FIELDS = ("request", "member", "class_name", "endpoint", "detail")
 LANE_HEIGHT = 26
-PICTURE_WIDTH = 1400
+SVG_WIDTH = 1400
 LEFT_MARGIN = 190
-COLOURS = {
+KIND_COLOURS = {
     Kind.REFUSED: "#b00020",
     Kind.STRIKE: "#b00020",
     Kind.PREEMPTED: "#d17b00",
@@ -54,44 +54,46 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Collected:
+class CollectedResponses:
     """Answers of some VMs, and the addresses that gave none."""
 
-    pages: tuple
-    missing: tuple[str, ...]
+    responses: tuple
+    unreachable: tuple[str, ...]
 
 
-async def collect(addresses: Iterable[str], path: str, kind: type) -> Collected:
+async def query_all(addresses: Iterable[str], path: str, response_type: type) -> CollectedResponses:
     """Asks all admin addresses at once."""
     addresses = tuple(addresses)
-    answers = await asyncio.gather(*(ask_vm(address, path, kind) for address in addresses))
+    answers = await asyncio.gather(
+        *(query_vm(address, path, response_type) for address in addresses)
+    )
     pages = tuple(answer for answer in answers if answer is not None)
     missing = tuple(a for a, answer in zip(addresses, answers, strict=True) if answer is None)
-    return Collected(pages, missing)
+    return CollectedResponses(pages, missing)
 
 
-async def ask_vm(address: str, path: str, kind: type):
+async def query_vm(address: str, path: str, response_type: type):
     """Returns one VM's typed answer, or None."""
     try:
         response = await fetch(address, "GET", path)
-        return msgspec.json.decode(response.body, type=kind)
+        return msgspec.json.decode(response.body, type=response_type)
     except (BluebellpitchError, msgspec.MsgspecError):
         return None
 
 
-async def collect_statuses(addresses: Iterable[str]) -> Collected:
+async def collect_statuses(addresses: Iterable[str]) -> CollectedResponses:
     """Returns the status of all VMs that answer."""
-    return await collect(addresses, "/status", VmStatus)
+    return await query_all(addresses, "/status", VmStatus)
 
 
-async def collect_events(addresses: Iterable[str], wanted: EventFilter) -> Collected:
+async def collect_events(addresses: Iterable[str], event_filter: EventFilter) -> CollectedResponses:
     """Returns the events of all VMs that answer."""
-    return await collect(addresses, f"/events?since={max(0, wanted.since - 1)}", EventPage)
+    return await query_all(addresses, f"/events?since={max(0, event_filter.since - 1)}", EventPage)
 
 
-def merge_events(pages: Iterable[EventPage], wanted: EventFilter) -> list[Event]:
+def merge_events(pages: Iterable[EventPage], event_filter: EventFilter) -> list[Event]:
     """Returns matching events of all VMs, in order."""
-    events = (event for page in pages for event in page.events if wanted.matches(event))
+    events = (event for page in pages for event in page.events if event_filter.matches(event))
     return sorted(events, key=lambda event: (event.stamp, event.vm))
 
 
@@ -112,19 +114,19 @@
 def render_pairs(events: Iterable[Event]) -> Iterator[str]:
     """Yields a key=value line for each event, for programs."""
     for event in events:
-        pairs = ((name, getattr(event, name)) for name in FIELDS)
+        pairs = ((name, getattr(event, name)) for name in EVENT_FIELDS)
         tail = "".join(f" {name}={quote_value(value)}" for name, value in pairs if value)
         yield f"stamp={event.stamp} vm={event.vm} event={event.kind}{tail}"
 
 
-def render_picture(events: list[Event]) -> str:
+def render_svg(events: list[Event]) -> str:
     """Returns an SVG picture: a lane for each VM, a mark for each event."""
     vms = sorted({event.vm for event in events})
     first = events[0].stamp if events else 0
     span = max(1, (events[-1].stamp - first) if events else 1)
     height = LANE_HEIGHT * (len(vms) + 2)
     lines = [
-        f'<svg xmlns="http://www.w3.org/2000/svg" width="{PICTURE_WIDTH}" height="{height}"'
+        f'<svg xmlns="http://www.w3.org/2000/svg" width="{SVG_WIDTH}" height="{height}"'
         ' font-family="monospace" font-size="11">',
         '<rect width="100%" height="100%" fill="white"/>',
     ]
@@ -132,15 +134,15 @@
         middle = LANE_HEIGHT * (lane + 1)
         lines.append(f'<text x="6" y="{middle + 4}">{escape(vm)}</text>')
         lines.append(
-            f'<line x1="{LEFT_MARGIN}" x2="{PICTURE_WIDTH - 10}" y1="{middle}" y2="{middle}"'
+            f'<line x1="{LEFT_MARGIN}" x2="{SVG_WIDTH - 10}" y1="{middle}" y2="{middle}"'
             ' stroke="#ccc"/>'
         )
-    width = PICTURE_WIDTH - LEFT_MARGIN - 20
+    width = SVG_WIDTH - LEFT_MARGIN - 20
     for event in events:
         left = LEFT_MARGIN + width * (event.stamp - first) / span
         middle = LANE_HEIGHT * (vms.index(event.vm) + 1)
         title = escape(next(render_pairs([event])))
-        colour = COLOURS.get(event.kind, "#555")
+        colour = KIND_COLOURS.get(event.kind, "#555")
         lines.append(
             f'<circle cx="{left:.1f}" cy="{middle}" r="4" fill="{colour}" fill-opacity="0.7">'
             f"<title>{title}</title></circle>"
@@ -148,5 +150,5 @@
     foot = height - 8
     begin, end = format_time(first), format_time(first + span)
     lines.append(f'<text x="{LEFT_MARGIN}" y="{foot}">{begin}</text>')
-    lines.append(f'<text x="{PICTURE_WIDTH - 130}" y="{foot}">{end}</text></svg>')
+    lines.append(f'<text x="{SVG_WIDTH - 130}" y="{foot}">{end}</text></svg>')
     return "\n".join(lines)
--- a/fakes/federations.py
+++ b/fakes/federations.py
@@ -8,7 +8,7 @@
     Row,
     VersionedRow,
 )
-from bluebellpitch.operators.sheet import write_sheet
+from bluebellpitch.operators.sheet import format_sheet
 from fakes.fleet import Fleet, digest
 
 MODEL = PoolRow("drafter", "model", ())
@@ -34,4 +34,4 @@
 
 def sheet(*rows: Row) -> str:
     """Returns a sheet of new rows."""
-    return write_sheet(VersionedRow(row, -1) for row in rows)
+    return format_sheet(VersionedRow(row, -1) for row in rows)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -16,7 +16,7 @@
 from bluebellpitch.endpoints.sse import EventBuffer, count_events, join_text
 from bluebellpitch.errors import BadRequestError, ProtocolError, SheetError
 from bluebellpitch.http1 import HttpRequest, parse_address
-from bluebellpitch.operators.sheet import COLUMNS, parse_sheet, write_sheet
+from bluebellpitch.operators.sheet import COLUMNS, format_sheet, parse_sheet
 from bluebellpitch.peers.messages import decode_envelope
 from fakes.federations import CLASSES, FILING, MODEL
 from fakes.fleet import digest
@@ -106,9 +106,9 @@
 @fast
 def test_a_written_sheet_reads_back(members):
     rows = (*members, *CLASSES)
-    sheet = parse_sheet(write_sheet([VersionedRow(row, 3) for row in rows], 7))
+    sheet = parse_sheet(format_sheet([VersionedRow(row, 3) for row in rows], 7))
     assert_that(sorted(sheet.rows, key=row_key), Equals(sorted(rows, key=row_key)))
-    assert_that(sheet.offset, Equals(7))
+    assert_that(sheet.table_offset, Equals(7))
 
 
 @given(st.binary(max_size=200))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,7 +10,7 @@
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
 from bluebellpitch.http1 import fetch
-from bluebellpitch.operators.sheet import parse_sheet, write_sheet
+from bluebellpitch.operators.sheet import format_sheet, parse_sheet
 from fakes.caller import Answer, stream
 from fakes.engine import answer_to
 from fakes.fleet import Fleet, is_ready, read_status, wait_until
@@ -288,4 +288,4 @@
         assert_that(output, Contains("nothing to change"))
 
     run(scenario())
-    assert_that(write_sheet([]).startswith("kind,name"), Equals(True))
+    assert_that(format_sheet([]).startswith("kind,name"), Equals(True))
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -14,7 +14,7 @@
     EventFilter,
     merge_events,
     render_pairs,
-    render_picture,
+    render_svg,
     render_text,
 )
 
@@ -68,10 +68,10 @@
     events = merge_events((page(ring) for ring in rings_with_skew()), EventFilter())
     assert_that(list(render_text(events)), HasLength(3))
     assert_that(next(render_pairs(events)), Contains("event=admitted"))
-    picture = ElementTree.fromstring(render_picture(events))
+    picture = ElementTree.fromstring(render_svg(events))
     circles = [node for node in picture if node.tag.endswith("circle")]
     assert_that(circles, HasLength(3))
-    assert_that(ElementTree.fromstring(render_picture([])).tag, Contains("svg"))
+    assert_that(ElementTree.fromstring(render_svg([])).tag, Contains("svg"))
 
 
 def test_explanation_tells_the_story_of_a_request():
