--- a/bluebellpitch/operators/__init__.py
+++ b/bluebellpitch/operators/__init__.py
@@ -1,1 +1,1 @@
-"""Operators: the table sheet, status, and the time line."""
+"""Tools for operators: the table's CSV sheet, status reports and the event time line."""
--- a/bluebellpitch/operators/admin_server.py
+++ b/bluebellpitch/operators/admin_server.py
@@ -1,4 +1,4 @@
-"""The listener for operators and the balancer: health, readiness, metrics, status, events."""
+"""HTTP server for operators and the load balancer: health, metrics, status and events."""
 
 from collections.abc import Callable
 from urllib.parse import parse_qs
@@ -17,7 +17,7 @@
 
 
 class EventPage(msgspec.Struct, frozen=True):
-    """Events of one VM. ``stamp`` is the VM's clock when it answered."""
+    """Events of one VM. ``stamp`` is the time of its hybrid clock at the response."""
 
     vm: str
     stamp: int
@@ -26,7 +26,7 @@
 
 
 class AdminServer:
-    """Serves the admin address; answers while the VM drains, too."""
+    """Serves the admin address, also while the VM drains."""
 
     def __init__(
         self,
--- a/bluebellpitch/operators/sheet.py
+++ b/bluebellpitch/operators/sheet.py
@@ -1,4 +1,7 @@
-"""The operators' table as one CSV sheet: a row for each member, class, pool and endpoint."""
+"""Parses and formats the operators' table as a CSV sheet.
+
+The sheet has a row for each member, class, pool and endpoint.
+"""
 
 import csv
 import io
@@ -37,20 +40,20 @@
 
 @dataclass(frozen=True, slots=True)
 class CellError:
-    """A cell that does not read; ``hint`` says what would."""
+    """An invalid cell; ``requirement`` says what a valid one looks like."""
 
     requirement: str
 
 
 def parse_name(text: str) -> str | CellError:
-    """Reads a name."""
+    """Parses a name."""
     if text and all(c.isalnum() or c in "-_." for c in text):
         return text
     return CellError("must be letters, digits, '-', '_' or '.'")
 
 
 def parse_positive_number(text: str) -> float | CellError:
-    """Reads a number above zero."""
+    """Parses a number above zero."""
     try:
         value = float(text)
     except ValueError:
@@ -59,30 +62,30 @@
 
 
 def integer_parser(minimum: int) -> Callable[[str], int | CellError]:
-    """Returns a reader of whole numbers from ``lowest`` on."""
+    """Returns a parser of integers that are at least ``minimum``."""
 
     def parse(text: str) -> int | CellError:
         if not text.isascii() or not text.isdigit() or len(text) > 12 or int(text) < minimum:
-            return CellError(f"must be a whole number from {minimum} on")
+            return CellError(f"must be an integer of at least {minimum}")
         return int(text)
 
     return parse
 
 
 def parse_limit(text: str) -> int | CellError:
-    """Reads a limit; empty or 0 means none."""
+    """Parses a limit; empty or 0 means unlimited."""
     return integer_parser(0)(text or "0")
 
 
 def parse_sha256(text: str) -> str | CellError:
-    """Reads a SHA-256 digest."""
+    """Parses a hexadecimal SHA-256 digest."""
     if len(text) == 64 and all(c in "0123456789abcdef" for c in text.lower()):
         return text.lower()
     return CellError("must be the SHA-256 of the credential: 64 hexadecimal digits")
 
 
 def choice_parser(*choices: str) -> Callable[[str], str | CellError]:
-    """Returns a reader of one of some words."""
+    """Returns a parser that accepts only ``choices``."""
 
     def parse(text: str) -> str | CellError:
         return text if text in choices else CellError(f"must be one of: {', '.join(choices)}")
@@ -91,19 +94,19 @@
 
 
 def parse_yes_no(text: str) -> bool | CellError:
-    """Reads yes or no."""
+    """Parses yes or no."""
     return text == "yes" if text in ("yes", "no") else CellError("must be yes or no")
 
 
 def parse_methods(text: str) -> tuple[str, ...] | CellError:
-    """Reads HTTP methods, separated by blanks."""
+    """Parses HTTP methods separated by spaces."""
     methods = tuple(text.split())
-    good = all(m.isascii() and m.isalpha() and m.isupper() for m in methods)
-    return methods if good else CellError("must be HTTP methods such as GET HEAD, split by blanks")
+    is_valid = all(m.isascii() and m.isalpha() and m.isupper() for m in methods)
+    return methods if is_valid else CellError("must be HTTP methods, such as GET HEAD")
 
 
 def parse_address_cell(text: str) -> str | CellError:
-    """Reads an address."""
+    """Parses an address."""
     try:
         parse_address(text)
     except ProtocolError:
@@ -135,19 +138,19 @@
 
 @dataclass(frozen=True, slots=True)
 class RowBaseline:
-    """What ``table show`` wrote about a row: its revision, and a digest of what it held."""
+    """The version of a row that ``table show`` wrote: its revision and a digest of its values."""
 
     revision: int
     digest: str
 
     def matches(self, row: Row) -> bool:
-        """Tells whether a row still is as it was shown."""
+        """Returns whether a row has the same values as the baseline."""
         return self.digest == digest_row(row)
 
 
 @dataclass(frozen=True, slots=True)
 class SheetLine:
-    """One line of the sheet that reads. ``origin`` is None in a line that a person added."""
+    """A valid line of the sheet. ``baseline`` is None if the operator added the line."""
 
     line_number: int
     row: Row
@@ -156,7 +159,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sheet:
-    """A sheet that reads. ``offset`` is of the table that it was made from; -1: unknown."""
+    """A valid sheet. ``table_offset`` is that of the table it was made from, or -1 if unknown."""
 
     rows: tuple[Row, ...]
     baselines_by_key: dict[str, RowBaseline]
@@ -164,26 +167,26 @@
 
 
 def parse_sheet(text: str) -> Sheet:
-    """Returns the sheet; raises SheetError with all problems at once."""
+    """Parses a sheet; raises SheetError with all problems found."""
     problems: list[str] = []
     lines = list(parse_lines(text, problems))
     problems.extend(validate_lines(lines))
     if problems:
         raise SheetError(tuple(problems))
-    origins_by_key = {row_key(line.row): line.baseline for line in lines if line.baseline}
-    return Sheet(tuple(line.row for line in lines), origins_by_key, parse_offset(text))
+    baselines_by_key = {row_key(line.row): line.baseline for line in lines if line.baseline}
+    return Sheet(tuple(line.row for line in lines), baselines_by_key, parse_offset(text))
 
 
 def parse_offset(text: str) -> int:
-    """Returns the offset that ``table show`` wrote into the sheet; -1 when there is none."""
-    marks = (line for line in text.splitlines() if line.startswith(OFFSET_PREFIX))
-    digits = next(marks, "").removeprefix(OFFSET_PREFIX).strip(", ")
+    """Returns the offset that ``table show`` wrote into the sheet, or -1 without one."""
+    offset_lines = (line for line in text.splitlines() if line.startswith(OFFSET_PREFIX))
+    digits = next(offset_lines, "").removeprefix(OFFSET_PREFIX).strip(", ")
     offset = integer_parser(0)(digits)
     return -1 if isinstance(offset, CellError) else offset
 
 
 def parse_lines(text: str, problems: list[str]) -> Iterator[SheetLine]:
-    """Yields the lines that read, and adds what is wrong with the others."""
+    """Yields the valid lines and adds the problems of the others to ``problems``."""
     if len(text) > MAX_SHEET_BYTES:
         problems.append(f"the sheet is larger than {MAX_SHEET_BYTES} bytes")
         return
@@ -192,20 +195,20 @@
         header = [name.strip() for name in reader.fieldnames or ()]
         reader.fieldnames = header
         if unknown := [name for name in header if name not in COLUMNS]:
-            problems.append(f"row 1: unknown columns {unknown}; known: {' '.join(COLUMNS)}")
+            problems.append(f"row 1: unknown columns {unknown}; known columns: {' '.join(COLUMNS)}")
             return
         if "kind" not in header or "name" not in header:
-            problems.append("row 1: the columns kind and name are needed")
+            problems.append("row 1: the columns kind and name are required")
             return
         for cells in reader:
             if line := parse_line(reader.line_num, cells, problems):
                 yield line
     except csv.Error as error:
-        problems.append(f"row {reader.line_num}: not CSV: {error}")
+        problems.append(f"row {reader.line_num}: invalid CSV: {error}")
 
 
 def parse_line(line_number: int, cells: dict, problems: list[str]) -> SheetLine | None:
-    """Returns one line, or None after adding its problems."""
+    """Parses one line; returns None for comments and blank lines, and after adding problems."""
     texts = {name: (cells.get(name) or "").strip() for name in COLUMNS}
     kind = texts["kind"]
     if not any(texts.values()) or kind.startswith("#"):
@@ -218,24 +221,24 @@
         problems.append(f"row {line_number}: more cells than columns")
         return None
     values = {name: CELL_PARSERS[name](texts[name]) for name in COLUMNS_BY_KIND[kind]}
-    wrong = {name: value for name, value in values.items() if isinstance(value, CellError)}
-    for name, value in wrong.items():
-        problems.append(f"row {line_number}, column {name}: {texts[name]!r} {value.requirement}")
-    origin = parse_baseline(texts["revision"])
-    if isinstance(origin, CellError):
-        problems.append(f"row {line_number}, column revision: {origin.requirement}")
+    errors = {name: value for name, value in values.items() if isinstance(value, CellError)}
+    for name, error in errors.items():
+        problems.append(f"row {line_number}, column {name}: {texts[name]!r} {error.requirement}")
+    baseline = parse_baseline(texts["revision"])
+    if isinstance(baseline, CellError):
+        problems.append(f"row {line_number}, column revision: {baseline.requirement}")
         return None
-    return None if wrong else SheetLine(line_number, build_row(kind, values), origin)
+    return None if errors else SheetLine(line_number, build_row(kind, values), baseline)
 
 
 def parse_baseline(text: str) -> RowBaseline | CellError | None:
-    """Reads a revision as ``table show`` wrote it; None when it is empty."""
+    """Parses a revision cell as written by ``table show``; returns None if it is empty."""
     if not text:
         return None
-    number, _, digest = text.partition(".")
-    revision = integer_parser(0)(number)
+    revision_text, _, digest = text.partition(".")
+    revision = integer_parser(0)(revision_text)
     if isinstance(revision, CellError) or len(digest) != DIGEST_LENGTH:
-        return CellError("leave it as 'table show' wrote it, and empty in new rows")
+        return CellError("must be as 'table show' wrote it, and empty in new rows")
     return RowBaseline(revision, digest)
 
 
@@ -245,7 +248,7 @@
 
 
 def build_row(kind: str, values: dict) -> Row:
-    """Returns the typed row."""
+    """Builds the typed row from its parsed cells."""
     match kind:
         case "member":
             return MemberRow(
@@ -264,45 +267,47 @@
 
 
 def validate_lines(lines: list[SheetLine]) -> Iterator[str]:
-    """Yields what is wrong between rows."""
-    names_by_kind: dict[type, set[str]] = {}
-    credentials: dict[str, int] = {}
-    for number, row in ((line.line_number, line.row) for line in lines):
-        names = names_by_kind.setdefault(type(row), set())
+    """Yields duplicates and unresolved references among the rows."""
+    names_by_type: dict[type, set[str]] = {}
+    line_number_by_credential: dict[str, int] = {}
+    for line_number, row in ((line.line_number, line.row) for line in lines):
+        names = names_by_type.setdefault(type(row), set())
         if row.name in names:
-            yield f"row {number}, column name: {row.name!r} stands twice among its kind"
+            yield f"row {line_number}, column name: {row.name!r} is not unique within its kind"
         names.add(row.name)
-        if isinstance(row, MemberRow) and (first := credentials.get(row.credential)):
-            yield f"row {number}, column credential_sha256: the same as in row {first}"
+        if isinstance(row, MemberRow) and (
+            first_line := line_number_by_credential.get(row.credential)
+        ):
+            yield f"row {line_number}, column credential_sha256: the same as in row {first_line}"
         if isinstance(row, MemberRow):
-            credentials.setdefault(row.credential, number)
-    for number, row in ((line.line_number, line.row) for line in lines):
+            line_number_by_credential.setdefault(row.credential, line_number)
+    for line_number, row in ((line.line_number, line.row) for line in lines):
         match row:
-            case MemberRow(default_class=name) if name not in names_by_kind.get(ClassRow, ()):
-                yield f"row {number}, column default_class: there is no class {name!r}"
-            case EndpointRow(pool=name) if name not in names_by_kind.get(PoolRow, ()):
-                yield f"row {number}, column pool: there is no pool {name!r}"
+            case MemberRow(default_class=name) if name not in names_by_type.get(ClassRow, ()):
+                yield f"row {line_number}, column default_class: there is no class {name!r}"
+            case EndpointRow(pool=name) if name not in names_by_type.get(PoolRow, ()):
+                yield f"row {line_number}, column pool: there is no pool {name!r}"
 
 
 def format_sheet(rows: Iterable[VersionedRow], offset: int | None = None) -> str:
-    """Returns the sheet of a table at an offset; parse_sheet reads it back.
+    """Formats the rows of a table at ``offset`` as a sheet that parse_sheet accepts.
 
-    A row whose revision is below 0 is written as a new one.
+    A row with a negative revision is written as a new one.
     """
     out = io.StringIO()
     writer = csv.DictWriter(out, COLUMNS, lineterminator="\n")
     writer.writeheader()
     for versioned in sorted(rows, key=lambda v: row_key(v.row)):
         row, revision = versioned.row, versioned.revision
-        mark = f"{revision}.{digest_row(row)}" if revision >= 0 else ""
-        writer.writerow(format_cells(row) | {"revision": mark})
+        baseline = f"{revision}.{digest_row(row)}" if revision >= 0 else ""
+        writer.writerow(format_cells(row) | {"revision": baseline})
     if offset is not None:
         out.write(f"{OFFSET_PREFIX}{offset}\n")
     return out.getvalue()
 
 
 def format_cells(row: Row) -> dict[str, object]:
-    """Returns the cells of one row."""
+    """Returns the cells of one row by column."""
     match row:
         case MemberRow():
             cells = {
--- a/bluebellpitch/operators/status.py
+++ b/bluebellpitch/operators/status.py
@@ -1,4 +1,4 @@
-"""What one VM reports of itself, and the text that an operator reads of many."""
+"""Status report of a VM, and its rendering as text for operators."""
 
 from collections.abc import Iterator
 
@@ -6,7 +6,7 @@
 
 
 class ClassStatus(msgspec.Struct, frozen=True):
-    """A class at one broker."""
+    """Requests of a class at one broker."""
 
     name: str
     waiting: int
@@ -14,7 +14,7 @@
 
 
 class EndpointStatus(msgspec.Struct, frozen=True):
-    """An endpoint as its broker sees it."""
+    """State of an endpoint as known to its broker."""
 
     name: str
     running: int
@@ -24,7 +24,7 @@
 
 
 class BrokerStatus(msgspec.Struct, frozen=True):
-    """A pool that this VM brokers."""
+    """A pool that this VM is the broker of."""
 
     pool: str
     zone: str
@@ -33,7 +33,7 @@
 
 
 class UnresolvedStatus(msgspec.Struct, frozen=True):
-    """A claim that may have run. ``made_at`` is in Unix seconds."""
+    """A claim whose request may have run. ``made_at`` is in Unix seconds."""
 
     key: str
     vm: str
@@ -41,7 +41,7 @@
 
 
 class VmStatus(msgspec.Struct, frozen=True):
-    """One entry VM. Times in seconds."""
+    """State of an entry VM. Times are in seconds."""
 
     vm: str
     zone: str
@@ -64,15 +64,15 @@
     for status in statuses:
         for broker in status.brokers:
             yield from render_broker(status.vm, broker)
-    unresolved = {claim.key: claim for status in statuses for claim in status.unresolved}
-    for key, claim in sorted(unresolved.items()):
+    unresolved_by_key = {claim.key: claim for status in statuses for claim in status.unresolved}
+    for key, claim in sorted(unresolved_by_key.items()):
         yield f"UNRESOLVED key={key} vm={claim.vm} made_at={claim.made_at:.3f} may_have_run"
     for address in unreachable:
         yield f"UNREACHABLE {address}"
 
 
 def render_vm(status: VmStatus) -> Iterator[str]:
-    """Yields the line of one VM."""
+    """Yields the line on one VM."""
     state = "draining" if status.draining else "live"
     yield (
         f"VM {status.vm} zone={status.zone} region={status.region} state={state}"
@@ -83,10 +83,13 @@
 
 
 def render_broker(vm: str, broker: BrokerStatus) -> Iterator[str]:
-    """Yields the lines of one broker."""
+    """Yields the lines on one broker."""
     yield f"BROKER {broker.zone}/{broker.pool} vm={vm}"
-    for row in broker.classes:
-        yield f"  class {row.name} waiting={row.waiting} running={row.running}"
-    for row in broker.endpoints:
-        marks = " slow" * row.slow + " down" * row.down
-        yield f"  endpoint {row.name} running={row.running}/{row.slots}{marks}"
+    for class_status in broker.classes:
+        yield (
+            f"  class {class_status.name} waiting={class_status.waiting}"
+            f" running={class_status.running}"
+        )
+    for endpoint in broker.endpoints:
+        flags = " slow" * endpoint.slow + " down" * endpoint.down
+        yield f"  endpoint {endpoint.name} running={endpoint.running}/{endpoint.slots}{flags}"
--- a/bluebellpitch/operators/table_editor.py
+++ b/bluebellpitch/operators/table_editor.py
@@ -1,4 +1,4 @@
-"""Reads and changes the agreed table: the operators' side of the control topic."""
+"""Reads and changes the operators' table through the control topic."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -24,7 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TableDiff:
-    """What a sheet would change. ``deleted`` and ``conflicts`` are keys; ``base`` revisions."""
+    """Changes that a sheet makes to the table.
+
+    ``deleted`` and ``conflicts`` are keys; ``base_revisions`` holds the current revisions by key.
+    """
 
     added: tuple[Row, ...] = ()
     changed: tuple[Row, ...] = ()
@@ -33,41 +36,45 @@
     base_revisions: dict[str, int] = field(default_factory=dict)
 
     def is_empty(self) -> bool:
-        """Tells whether nothing changes."""
+        """Returns whether the sheet changes nothing."""
         return not (self.added or self.changed or self.deleted)
 
 
 def diff_table(sheet: Sheet, control: ControlStateMachine, onto_current: bool = False) -> TableDiff:
-    """Compares a sheet with the agreed table.
+    """Compares a sheet with the current table.
 
-    A row that the operator left as it was shown changes nothing. One that was edited must have been
-    shown at its present revision, else it is a conflict; ``onto_current`` takes all present
-    revisions as known. A row that the sheet could not know is left alone.
+    A row that equals its baseline changes nothing. An edited row is a conflict unless its baseline
+    has the current revision; ``onto_current`` skips this check and overwrites. Rows that the
+    sheet lacks are deleted, except those added or changed after the sheet was made.
     """
-    current = control.state.rows_by_key
-    origins_by_key = {} if onto_current else sheet.baselines_by_key
-    offset = control.offset if onto_current else sheet.table_offset
+    current_by_key = control.state.rows_by_key
+    baselines_by_key = {} if onto_current else sheet.baselines_by_key
+    table_offset = control.offset if onto_current else sheet.table_offset
     added, changed, conflicts = [], [], []
     for row in sheet.rows:
         key = row_key(row)
-        origin, present = origins_by_key.get(key), current.get(key)
-        if (origin and origin.matches(row)) or (present and present.row == row):
+        baseline, current = baselines_by_key.get(key), current_by_key.get(key)
+        if (baseline and baseline.matches(row)) or (current and current.row == row):
             continue
-        if present is None and origin is None:
+        if current is None and baseline is None:
             added.append(row)
-        elif present and (onto_current or (origin and origin.revision == present.revision)):
+        elif current and (onto_current or (baseline and baseline.revision == current.revision)):
             changed.append(row)
         else:
             conflicts.append(key)
-    kept = {row_key(row) for row in sheet.rows}
-    deleted = [k for k, v in current.items() if k not in kept and v.revision <= offset]
-    keys = [row_key(row) for row in added + changed] + deleted
-    base = {key: control.revision_of(key) for key in keys}
-    return TableDiff(tuple(added), tuple(changed), tuple(deleted), tuple(conflicts), base)
+    sheet_keys = {row_key(row) for row in sheet.rows}
+    deleted = [
+        key
+        for key, versioned in current_by_key.items()
+        if key not in sheet_keys and versioned.revision <= table_offset
+    ]
+    affected_keys = [row_key(row) for row in added + changed] + deleted
+    base_revisions = {key: control.revision_of(key) for key in affected_keys}
+    return TableDiff(tuple(added), tuple(changed), tuple(deleted), tuple(conflicts), base_revisions)
 
 
 class TableEditor:
-    """Folds the control topic for one command of an operator."""
+    """Replays and changes the control state for one command of an operator."""
 
     def __init__(self, client: StoreClient, now: Callable[[], float], timeout_s: float):
         self._client = client
@@ -76,7 +83,7 @@
         self.control = ControlStateMachine()
 
     async def catch_up(self) -> None:
-        """Folds all that is in the store now; raises UnreachableError."""
+        """Applies all records up to the end of the topic; raises UnreachableError."""
         while True:
             page = await self._retry_until_deadline(
                 lambda: self._client.read(CONTROL_TOPIC, self.control.offset + 1, 0)
@@ -89,14 +96,14 @@
                 return
 
     async def _retry_until_deadline(self, call: Callable[[], Awaitable]):
-        error = "no answer in time"
+        last_error = "no response in time"
         while self._now() < self._deadline:
             try:
                 return await call()
-            except BluebellpitchError as failure:
-                error = str(failure)
+            except BluebellpitchError as error:
+                last_error = str(error)
                 await asyncio.sleep(STORE_RETRY_S)
-        raise UnreachableError(f"the platform's store cannot be read: {error}")
+        raise UnreachableError(f"the platform's store cannot be read: {last_error}")
 
     async def _install_snapshot(self, oldest_offset: int) -> None:
         newest = await self._retry_until_deadline(lambda: self._client.read_newest(SNAPSHOTS_TOPIC))
@@ -104,17 +111,19 @@
             assemble_snapshots(r.value for r in newest.records if r.value)
         )
         if self.control.offset + 1 < oldest_offset:
-            raise UnreachableError("the store has lost old records, and holds no snapshot of them")
+            raise UnreachableError(
+                "the store has dropped old records and has no snapshot that covers them"
+            )
 
     def _apply_page(self, page: Page) -> None:
         for offset, data in enumerate(page.records, page.start_offset):
             self.control.apply(offset, data)
 
     async def apply(self, diff: TableDiff, author: str) -> int:
-        """Puts a change into the store and returns its offset.
+        """Appends a change to the control topic and returns its offset.
 
-        An append whose answer was lost is looked for there before it is sent again. Raises
-        ConflictError or UnreachableError.
+        After an append without a response, the topic is searched for the change before it is sent
+        again. Raises ConflictError or UnreachableError.
         """
         change = TableChange(
             uuid4().hex, diff.base_revisions, diff.added + diff.changed, diff.deleted, author
@@ -130,5 +139,5 @@
             if not isinstance(verdict, Appended):
                 await asyncio.sleep(STORE_RETRY_S)
         raise UnreachableError(
-            "the store did not confirm the change in time; run the command again: it is safe"
+            "the store did not confirm the change in time; it is safe to run the command again"
         )
--- a/bluebellpitch/platform/__init__.py
+++ b/bluebellpitch/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform: its append-only log and its list of VMs."""
+"""Adapter to the platform: its append-only store, settings and message formats."""
--- a/bluebellpitch/platform/appender.py
+++ b/bluebellpitch/platform/appender.py
@@ -1,4 +1,7 @@
-"""Appends of one VM to one topic, batched: appends are scarce for the whole federation."""
+"""Batches the appends of one VM to one topic.
+
+The rate of appends is limited for all VMs of the federation together.
+"""
 
 import asyncio
 from collections import deque
@@ -11,7 +14,7 @@
 
 
 class Appender:
-    """Owns the queue of records; one append is under way at a time."""
+    """Queues records and appends them in batches, one append call at a time."""
 
     def __init__(self, client: StoreClient, topic: str, metrics: Metrics):
         self._client = client
@@ -21,14 +24,14 @@
         self._wake = asyncio.Event()
 
     async def append(self, record: bytes) -> AppendVerdict:
-        """Appends one record; its own offset is in the verdict."""
+        """Appends one record and returns its verdict, which has the offset of this record."""
         future = asyncio.get_running_loop().create_future()
         self._queue.append((record, future))
         self._wake.set()
         return await future
 
     async def run(self) -> None:
-        """Appends batches until cancelled."""
+        """Appends queued records in batches until cancelled."""
         while True:
             await self._wake.wait()
             await asyncio.sleep(APPEND_BATCH_S)
@@ -47,7 +50,7 @@
 
 
 def shift_offset(verdict: AppendVerdict, position: int) -> AppendVerdict:
-    """Returns the verdict for one record of a batch."""
+    """Returns the verdict of the record at ``position`` in a batch."""
     match verdict:
         case Appended(offset):
             return Appended(offset + position)
--- a/bluebellpitch/platform/configuration.py
+++ b/bluebellpitch/platform/configuration.py
@@ -79,12 +79,12 @@
 
 
 def decode_configuration(data: bytes) -> Catalogue:
-    """Returns the catalogue; raises ProtocolError."""
+    """Decodes a configuration; raises ProtocolError if it is malformed."""
     try:
         wire = _decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise ProtocolError(f"the configuration is malformed: {error}") from error
-    members = {
+    members_by_key = {
         key: MemberConfig(tenant.name, tenant.priority)
         for tenant in wire.tenants or ()
         for key in tenant.api_keys
@@ -93,22 +93,22 @@
         version=wire.version,
         routes_by_host=group_by_host(decode_route(route) for route in wire.routes),
         pools_by_name={service.name: decode_pool(service) for service in wire.services},
-        members_by_key=members,
+        members_by_key=members_by_key,
         has_members=wire.tenants is not None,
         limits=decode_limits(wire.limits),
     )
 
 
 def decode_route(wire: _Route) -> Route:
-    """Returns one route."""
-    shares = tuple(WeightedPool(part.service, part.weight) for part in wire.split)
+    """Converts a route to its internal form."""
+    weighted_pools = tuple(WeightedPool(part.service, part.weight) for part in wire.split)
     return Route(
         name=wire.name,
         host=wire.host.lower(),
         path_prefix=wire.path_prefix,
         repeatability=derive_repeatability(wire),
         is_stream=wire.kind == "streaming",
-        weighted_pools=shares or (WeightedPool(wire.service, 1.0),),
+        weighted_pools=weighted_pools or (WeightedPool(wire.service, 1.0),),
         timeout_s=wire.timeout_ms / 1000,
         target_s=wire.goal_ms / 1000,
         gap_target_s=wire.gap_target_ms / 1000 if wire.gap_target_ms else None,
@@ -119,7 +119,7 @@
 
 
 def derive_repeatability(wire: _Route) -> Repeatability:
-    """Returns what may be repeated, which follows from the kind."""
+    """Derives from a route's kind whether its requests may be repeated or resumed."""
     if wire.kind == "safe":
         return Repeatability.IDEMPOTENT
     if wire.kind == "streaming" and wire.resumable:
@@ -128,13 +128,13 @@
 
 
 def decode_pool(wire: _Service) -> PoolConfig:
-    """Returns one pool."""
+    """Converts a service to a pool."""
     engine = wire.engine and EngineCapacity(wire.engine.slots, wire.engine.kv_capacity)
     return PoolConfig(wire.name, wire.max_conns, engine)
 
 
 def decode_limits(wire: _Limits) -> CallerLimits:
-    """Returns the limits on callers."""
+    """Converts the limits on callers; times become seconds."""
     return CallerLimits(
         header_bytes=wire.max_header_bytes,
         body_bytes=wire.max_body_bytes,
--- a/bluebellpitch/platform/endpoint_entries.py
+++ b/bluebellpitch/platform/endpoint_entries.py
@@ -1,4 +1,4 @@
-"""Decodes the entries by which endpoints announce themselves in the store."""
+"""Decodes the entries that endpoints write to the store to register themselves."""
 
 from typing import Literal
 
@@ -18,7 +18,7 @@
     zone: str
     slots: int
     state: Literal["ready", "draining"]
-    # The Unix millisecond of the endpoint's start.
+    # Start time of the endpoint, in Unix milliseconds.
     born: int = 0
 
 
@@ -26,14 +26,14 @@
 
 
 def decode_endpoint_entry(endpoint_id: str, data: bytes) -> EndpointEntry:
-    """Returns the entry; raises ProtocolError for what other writers leave there."""
+    """Decodes an entry; raises ProtocolError, since any process may write to this topic."""
     try:
         wire = _decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise ProtocolError(f"the entry is malformed: {error}") from error
+        raise ProtocolError(f"endpoint entry is malformed: {error}") from error
     parse_address(wire.address)
     if not endpoint_id or not wire.service or wire.slots < 1:
-        raise ProtocolError("the entry lacks an id, a service or slots")
+        raise ProtocolError("endpoint entry has no id, no service or no slots")
     return EndpointEntry(
         id=endpoint_id,
         pool=wire.service,
@@ -46,5 +46,5 @@
 
 
 def log_malformed_entry(endpoint_id: str, error: ProtocolError) -> None:
-    """Logs an entry that names no endpoint."""
+    """Logs an entry that could not be decoded."""
     log("WARNING", "entry_malformed", endpoint=endpoint_id, error=error)
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -1,4 +1,4 @@
-"""Decodes callers' requests and endpoints' answers, and writes the requests that go on."""
+"""Decodes callers' requests and endpoints' responses, and builds forwarded headers."""
 
 import re
 from dataclasses import dataclass
@@ -9,7 +9,7 @@
 from bluebellpitch.http1 import Headers, HttpRequest
 
 BEARER_PREFIX = "bearer "
-# Headers that concern one connection, and those that are this system's to set.
+# Hop-by-hop headers, and headers that only the router may set.
 STRIPPED_REQUEST_HEADERS = frozenset(
     "connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer "
     "transfer-encoding upgrade content-length expect authorization tenant target-instance "
@@ -19,14 +19,14 @@
 STRIPPED_RESPONSE_HEADERS = frozenset(
     "connection keep-alive proxy-connection te trailer transfer-encoding upgrade".split()
 )
-# Longest wait assumed for a caller that does not say how long it waits.
+# Timeout of requests that have no deadline header.
 DEFAULT_TIMEOUT_S = 60.0
 EVENT_ID_PATTERN = re.compile(rb"^id: ?(\d+)\s*$", re.MULTILINE)
 
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
-    """One part of a prompt; engines keep what they read of it under ``id``."""
+    """One part of a prompt; engines cache what they computed for it under ``id``."""
 
     id: str
     tokens: int
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Prompt:
-    """Size of a generation in tokens. The last part belongs to the request alone."""
+    """Model and token counts of a generation. Its last part is not shared with other requests."""
 
     model: str = ""
     tokens_in: int = 0
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
-    """A caller's request, decoded. ``patience_s`` is how long the caller waits."""
+    """A decoded request. ``timeout_s`` is how long the caller waits for the response."""
 
     id: str
     method: str
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """What an endpoint says of its load. ``slowdown`` is 1.0 where its VM is as fast as usual."""
+    """Load that an endpoint reports. ``slowdown`` is 1.0 if its VM runs at normal speed."""
 
     running: int
     waiting: int
@@ -71,7 +71,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """The head of an endpoint's answer. ``did_not_run`` is the endpoint's own promise."""
+    """The head of an endpoint's response.
+
+    ``did_not_run`` is set if the endpoint guarantees that it did not process the request.
+    """
 
     status: int
     request_id: str
@@ -80,26 +83,30 @@
     is_signed: bool
     is_encoded: bool
     closes_connection: bool
-    # Seconds that the endpoint keeps an idle connection, if it says so.
+    # Idle timeout of the connection at the endpoint, if it announced one.
     keep_alive_s: float | None
     load: LoadReport | None
     headers: tuple[tuple[str, str], ...]
 
 
 def decode_request(request: HttpRequest) -> RoutedRequest:
-    """Returns the typed request; raises BadRequestError for numbers that are none."""
-    patience_ms = read_numeric_header(request, "deadline-ms")
-    last_event = read_numeric_header(request, "last-event-id")
-    key = request.header("authorization")
+    """Decodes a request; raises BadRequestError for malformed numeric headers."""
+    timeout_ms = read_numeric_header(request, "deadline-ms")
+    last_event_id = read_numeric_header(request, "last-event-id")
+    authorization = request.header("authorization")
     return RoutedRequest(
         id=request.header("request-id"),
         method=request.method,
         target=request.target,
         host=strip_port(request.header("host")),
         path=request.target.partition("?")[0],
-        api_key=key[len(BEARER_PREFIX) :].strip() if key.lower().startswith(BEARER_PREFIX) else "",
-        timeout_s=DEFAULT_TIMEOUT_S if patience_ms is None else patience_ms / 1000,
-        last_event_id=None if last_event is None else int(last_event),
+        api_key=(
+            authorization[len(BEARER_PREFIX) :].strip()
+            if authorization.lower().startswith(BEARER_PREFIX)
+            else ""
+        ),
+        timeout_s=DEFAULT_TIMEOUT_S if timeout_ms is None else timeout_ms / 1000,
+        last_event_id=None if last_event_id is None else int(last_event_id),
         prompt=decode_prompt(request),
         headers=request.headers,
         body=request.body,
@@ -107,12 +114,12 @@
 
 
 def strip_port(host: str) -> str:
-    """Returns the host's name in lower case."""
+    """Returns the host name of a Host header in lower case, without its port."""
     return host.partition(":")[0].lower()
 
 
 def read_numeric_header(request: HttpRequest, name: str) -> float | None:
-    """Returns a header as a number; raises BadRequestError."""
+    """Returns a header as a number, or None if absent; raises BadRequestError."""
     text = request.header(name)
     if not text:
         return None
@@ -126,20 +133,20 @@
 
 
 def decode_prompt(request: HttpRequest) -> Prompt:
-    """Returns the size of the generation; parts that cannot be read are left out."""
+    """Decodes the headers on the prompt; malformed parts are skipped."""
     tokens_in, _, tokens_out = request.header("token-usage").partition(",")
     parts = (part.strip().partition(":") for part in request.header("prompt-prefix").split(","))
     return Prompt(
         model=request.header("model"),
         tokens_in=int(tokens_in) if tokens_in.strip().isdecimal() else 0,
         tokens_out=int(tokens_out) if tokens_out.strip().isdecimal() else 0,
-        parts=tuple(PromptPart(id, int(size)) for id, _, size in parts if size.isdecimal()),
+        parts=tuple(PromptPart(id, int(tokens)) for id, _, tokens in parts if tokens.isdecimal()),
     )
 
 
 @dataclass(frozen=True, slots=True)
 class ForwardingContext:
-    """What this system adds to a request that goes on to an endpoint."""
+    """Values that the router sets in the headers of a forwarded request."""
 
     endpoint_id: str
     remaining_s: float
@@ -149,7 +156,7 @@
 
 
 def build_forwarded_headers(request: RoutedRequest, forwarding: ForwardingContext) -> Headers:
-    """Returns the headers that the endpoint gets."""
+    """Returns the headers to send to the endpoint."""
     headers = [pair for pair in request.headers if pair[0] not in STRIPPED_REQUEST_HEADERS]
     headers.append(("Deadline-Ms", str(max(1, int(forwarding.remaining_s * 1000)))))
     headers.append(("Target-Instance", forwarding.endpoint_id))
@@ -165,50 +172,50 @@
 
 
 def decode_response_head(response: h11.Response) -> ResponseHead:
-    """Returns the typed head of an endpoint's answer."""
+    """Decodes the head of an endpoint's response."""
     headers = tuple((name.decode(), value.decode("latin-1")) for name, value in response.headers)
-    by_name = dict(headers)
+    values_by_name = dict(headers)
     status = response.status_code
     return ResponseHead(
         status=status,
-        request_id=by_name.get("request-id", ""),
-        did_not_run="not-executed" in by_name or status == 421,
+        request_id=values_by_name.get("request-id", ""),
+        did_not_run="not-executed" in values_by_name or status == 421,
         is_wrong_instance=status == 421,
-        is_signed="response-signature" in by_name,
-        is_encoded=by_name.get("content-encoding", "identity") != "identity",
-        closes_connection=by_name.get("connection", "").lower() == "close",
-        keep_alive_s=decode_keep_alive(by_name.get("keep-alive", "")),
-        load=decode_load(by_name.get("server-load", "")),
+        is_signed="response-signature" in values_by_name,
+        is_encoded=values_by_name.get("content-encoding", "identity") != "identity",
+        closes_connection=values_by_name.get("connection", "").lower() == "close",
+        keep_alive_s=decode_keep_alive(values_by_name.get("keep-alive", "")),
+        load=decode_load(values_by_name.get("server-load", "")),
         headers=tuple(pair for pair in headers if pair[0] not in STRIPPED_RESPONSE_HEADERS),
     )
 
 
 def decode_keep_alive(text: str) -> float | None:
-    """Returns the idle timeout in seconds."""
-    found = re.search(r"timeout=(\d+)", text)
-    return float(found[1]) if found else None
+    """Returns the timeout in a Keep-Alive header, in seconds, or None."""
+    match = re.search(r"timeout=(\d+)", text)
+    return float(match[1]) if match else None
 
 
 def decode_load(text: str) -> LoadReport | None:
-    """Returns the load, or None for what cannot be read."""
+    """Decodes a load report; returns None if it is malformed."""
     try:
-        figures = [float(part) for part in text.split(",")]
+        values = [float(part) for part in text.split(",")]
     except ValueError:
         return None
-    if len(figures) < 3:
+    if len(values) < 3:
         return None
-    slowdown = figures[3] / 100 if len(figures) > 3 else 1.0
-    return LoadReport(int(figures[0]), int(figures[1]), int(figures[2]), slowdown)
+    slowdown = values[3] / 100 if len(values) > 3 else 1.0
+    return LoadReport(int(values[0]), int(values[1]), int(values[2]), slowdown)
 
 
 def find_last_event_id(events: bytes) -> int | None:
-    """Returns the id of the last event among whole events."""
-    found = EVENT_ID_PATTERN.findall(events)
-    return int(found[-1]) if found else None
+    """Returns the id of the last event in a sequence of complete events, or None."""
+    ids = EVENT_ID_PATTERN.findall(events)
+    return int(ids[-1]) if ids else None
 
 
 def build_error_headers(retry_after_s: float | None) -> Headers:
-    """Returns the headers of this system's own answers."""
+    """Returns the headers of an error response from the router itself."""
     headers = [("Content-Type", "application/json")]
     if retry_after_s is not None:
         headers.append(("Retry-After", f"{retry_after_s:.3f}"))
--- a/bluebellpitch/platform/records.py
+++ b/bluebellpitch/platform/records.py
@@ -1,4 +1,4 @@
-"""Framing of the store's records: four bytes of length, then the record."""
+"""Framing of the store's records: a four-byte length, then the record."""
 
 import struct
 from collections.abc import Callable, Iterable, Iterator
@@ -8,13 +8,14 @@
 from bluebellpitch.errors import ProtocolError
 
 RECORD_LENGTH = struct.Struct(">I")
+# End offset of the topic, then the offset of its oldest record.
 PAGE_HEADER = struct.Struct(">QQ")
 T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
-    """The newest value of a key; ``value`` is None when the key was dropped."""
+    """The newest value of a key; ``value`` is None if the key was deleted."""
 
     key: str
     value: bytes | None
@@ -22,7 +23,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
-    """Records from the offset ``start`` on. ``end`` is the offset after the topic's last one."""
+    """Consecutive records of a topic, the first at ``start_offset``.
+
+    ``end_offset`` is the offset after the topic's last record.
+    """
 
     start_offset: int
     end_offset: int
@@ -31,37 +35,39 @@
 
 
 def decode_page(data: bytes, start_offset: int) -> Page:
-    """Decodes the answer of a read; raises ProtocolError."""
+    """Decodes the response to a read; raises ProtocolError."""
     if len(data) < PAGE_HEADER.size:
-        raise ProtocolError("the store's page has no head")
-    end, first_kept = PAGE_HEADER.unpack_from(data)
-    return Page(start_offset, end, first_kept, tuple(split_records(data[PAGE_HEADER.size :])))
+        raise ProtocolError("page from the store is shorter than its header")
+    end_offset, oldest_offset = PAGE_HEADER.unpack_from(data)
+    return Page(
+        start_offset, end_offset, oldest_offset, tuple(split_records(data[PAGE_HEADER.size :]))
+    )
 
 
 def split_records(data: bytes) -> Iterator[bytes]:
-    """Yields framed records; raises ProtocolError."""
+    """Yields the records in a sequence of frames; raises ProtocolError."""
     position = 0
     while position < len(data):
         if position + RECORD_LENGTH.size > len(data):
-            raise ProtocolError("the store's page ends inside a length")
+            raise ProtocolError("page from the store is truncated inside a record length")
         (size,) = RECORD_LENGTH.unpack_from(data, position)
         position += RECORD_LENGTH.size
         if position + size > len(data):
-            raise ProtocolError("the store's page ends inside a record")
+            raise ProtocolError("page from the store is truncated inside a record")
         yield data[position : position + size]
         position += size
 
 
 def decode_keyed_record(record: bytes) -> KeyedRecord:
-    """Splits a record of a keyed topic; raises ProtocolError."""
+    """Decodes a record of a keyed topic; raises ProtocolError."""
     if not record or len(record) < 1 + record[0]:
-        raise ProtocolError("a keyed record ends inside its key")
-    size = record[0]
+        raise ProtocolError("keyed record is truncated inside its key")
+    key_size = record[0]
     try:
-        key = record[1 : 1 + size].decode()
+        key = record[1 : 1 + key_size].decode()
     except UnicodeDecodeError as error:
-        raise ProtocolError("a record's key is no text") from error
-    return KeyedRecord(key, record[1 + size :] or None)
+        raise ProtocolError("key of a record is not valid UTF-8") from error
+    return KeyedRecord(key, record[1 + key_size :] or None)
 
 
 def decode_values(
@@ -69,24 +75,27 @@
     decode: Callable[[str, bytes], T],
     on_error: Callable[[str, ProtocolError], None],
 ) -> dict[str, T]:
-    """Returns the values that are there, decoded, by key; ``report`` takes those that cannot be."""
-    decoded = {}
+    """Decodes the values of records and returns them by key; deleted keys are skipped.
+
+    ``on_error`` is called for each value that cannot be decoded.
+    """
+    decoded_by_key = {}
     for record in records:
         if record.value is None:
             continue
         try:
-            decoded[record.key] = decode(record.key, record.value)
+            decoded_by_key[record.key] = decode(record.key, record.value)
         except ProtocolError as error:
             on_error(record.key, error)
-    return decoded
+    return decoded_by_key
 
 
 def encode_keyed_record(key: str, value: bytes) -> bytes:
-    """Frames one record of a keyed topic; an empty value drops the key."""
-    name = key.encode()
-    return encode_record(bytes([len(name)]) + name + value)
+    """Frames a record of a keyed topic; an empty value deletes the key."""
+    key_bytes = key.encode()
+    return encode_record(bytes([len(key_bytes)]) + key_bytes + value)
 
 
 def encode_record(body: bytes) -> bytes:
-    """Frames one record."""
+    """Frames a record."""
     return RECORD_LENGTH.pack(len(body)) + body
--- a/bluebellpitch/platform/settings_file.py
+++ b/bluebellpitch/platform/settings_file.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VmSettings:
-    """What the platform tells a VM. Addresses are ``IP:port``; times are in seconds."""
+    """Settings of a VM. Addresses have the form ``IP:port``; times are in seconds."""
 
     vm_name: str
     zone: str
@@ -19,13 +19,13 @@
     readiness_address: str
     bus_address: str
     store_address: str
-    # How long a key that was taken away may still be honoured.
+    # Maximum time for which a revoked key may still be accepted.
     key_revocation_s: float
-    # How soon a new configuration has to be in force.
+    # Maximum time until a new configuration must take effect.
     config_apply_s: float
-    # How long a process may go on after SIGTERM.
+    # Maximum time for which a process may run after SIGTERM.
     grace_s: float
-    # Repeats of all VMs together: a share of the requests in a window, and a fixed part.
+    # Retry budget of all VMs together: a ratio of the requests in a window, plus a constant.
     retry_budget_ratio: float
     retry_budget_window_s: float
     retry_budget_burst: float
@@ -33,49 +33,49 @@
 
 
 def parse_settings(text: str) -> VmSettings:
-    """Returns the settings; raises UsageError that names the missing or wrong field."""
-    fields = dict(parse_assignments(text))
+    """Parses the settings; raises UsageError that names the missing or malformed field."""
+    values_by_name = dict(parse_assignments(text))
 
-    def take(name: str, default: str | None = None) -> str:
-        value = fields.get(name, default)
+    def get_text(name: str, default: str | None = None) -> str:
+        value = values_by_name.get(name, default)
         if value is None:
-            raise UsageError(f"the settings file lacks {name}")
+            raise UsageError(f"settings file has no field {name}")
         return value
 
-    def number(name: str, default: float) -> float:
+    def get_number(name: str, default: float) -> float:
         try:
-            return float(fields.get(name, default))
+            return float(values_by_name.get(name, default))
         except ValueError as error:
-            raise UsageError(f"the settings file: {name} is not a number") from error
+            raise UsageError(f"settings file: {name} is not a number") from error
 
-    ip, first_port = take("ip"), take("port_range").split(",")[0]
+    ip, first_port = get_text("ip"), get_text("port_range").split(",")[0]
     prefix = "zones."
     return VmSettings(
-        vm_name=take("node_name"),
-        zone=take("zone"),
-        region=take("region", ""),
+        vm_name=get_text("node_name"),
+        zone=get_text("zone"),
+        region=get_text("region", ""),
         regions_by_zone={
             name.removeprefix(prefix): value
-            for name, value in fields.items()
+            for name, value in values_by_name.items()
             if name.startswith(prefix)
         },
-        listen_address=take("listen.front"),
-        readiness_address=take("listen.ready"),
+        listen_address=get_text("listen.front"),
+        readiness_address=get_text("listen.ready"),
         bus_address=f"{ip}:{first_port}",
-        store_address=take("platform.address"),
-        key_revocation_s=number("bounds.revoke_ms", 5000) / 1000,
-        config_apply_s=number("bounds.config_apply_ms", 3000) / 1000,
-        grace_s=number("bounds.grace_s", 8),
-        retry_budget_ratio=number("bounds.retry_budget_ratio", 0.2),
-        retry_budget_window_s=number("bounds.budget_window_s", 10),
-        retry_budget_burst=number("bounds.budget_burst", 0),
-        endpoint_heartbeat_s=number("heartbeat_ms", 1000) / 1000,
+        store_address=get_text("platform.address"),
+        key_revocation_s=get_number("bounds.revoke_ms", 5000) / 1000,
+        config_apply_s=get_number("bounds.config_apply_ms", 3000) / 1000,
+        grace_s=get_number("bounds.grace_s", 8),
+        retry_budget_ratio=get_number("bounds.retry_budget_ratio", 0.2),
+        retry_budget_window_s=get_number("bounds.budget_window_s", 10),
+        retry_budget_burst=get_number("bounds.budget_burst", 0),
+        endpoint_heartbeat_s=get_number("heartbeat_ms", 1000) / 1000,
     )
 
 
 def parse_assignments(text: str):
-    """Yields names and values; blank lines and comments are passed over."""
+    """Yields names and values; other lines and comments are skipped."""
     for line in text.splitlines():
-        name, mark, value = line.strip().partition("=")
-        if mark and not name.startswith("#"):
+        name, separator, value = line.strip().partition("=")
+        if separator and not name.startswith("#"):
             yield name.strip(), value.strip()
--- a/bluebellpitch/platform/store.py
+++ b/bluebellpitch/platform/store.py
@@ -1,6 +1,6 @@
-"""Client of the platform's store: appends, reads from an offset, and the newest of each key.
+"""Client of the platform's store, which keeps append-only and keyed topics.
 
-An append whose answer is lost may have taken effect, or may still do so later. Reads raise
+An append whose response is lost may have taken effect, or may still do so later. Reads raise
 NotSentError, BrokenError, StalledError or ProtocolError.
 """
 
@@ -34,7 +34,7 @@
 
 
 class NewestPage(msgspec.Struct, frozen=True):
-    """One page of the newest records; ``end`` is the offset after the topic's last record."""
+    """A page of the newest records by key; ``end`` is the offset after the topic's last record."""
 
     items: tuple[_NewestItem, ...]
     has_more: bool
@@ -51,14 +51,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Truncated:
-    """The records asked for are gone; ``first_kept`` is the offset of the oldest that is left."""
+    """The requested records have expired; the oldest one left is at ``oldest_offset``."""
 
     oldest_offset: int
 
 
 @dataclass(frozen=True, slots=True)
 class Appended:
-    """The records are in the topic, from ``offset`` on."""
+    """The store appended the records; the first is at ``offset``."""
 
     offset: int
     name = "appended"
@@ -70,21 +70,21 @@
 
 @dataclass(frozen=True, slots=True)
 class NewestRecords:
-    """The newest record of each key. ``end`` is the offset to read on from."""
+    """The newest record of each key. Reading continues at ``next_offset``."""
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
 
 
 class StoreClient:
-    """One kept connection to the store. Owned by one task; calls do not overlap."""
+    """Client with one keep-alive connection. Calls of the same instance must not overlap."""
 
     def __init__(self, address: str):
         self.address = address
         self._connection: ClientConnection | None = None
 
     async def read(self, topic: str, start_offset: int, wait_ms: int) -> Page | Truncated:
-        """Reads from ``start`` on, waiting up to ``wait_ms`` for a first record."""
+        """Reads records from ``start_offset`` on; waits up to ``wait_ms`` for the first one."""
         target = f"/log-read?topic={topic}&part=0&from={start_offset}&wait_ms={wait_ms}"
         response = await self._send_request("GET", target, b"", RESPONSE_TIMEOUT_S + wait_ms / 1000)
         if response.status == 410:
@@ -93,25 +93,28 @@
 
     async def read_newest(self, topic: str) -> NewestRecords:
         """Reads the newest record of each key, page by page."""
-        records, after, end = [], "", None
+        records, after_key, next_offset = [], "", None
         for _ in range(MAX_PAGES):
-            target = f"/log-newest?topic={topic}&part=0" + (f"&after={after}" if after else "")
+            target = f"/log-newest?topic={topic}&part=0" + (
+                f"&after={after_key}" if after_key else ""
+            )
             response = await self._send_request("GET", target, b"", RESPONSE_TIMEOUT_S)
             page = decode_json(require_ok(response), NewestPage)
             records += [KeyedRecord(item.key, decode_base64(item.value)) for item in page.items]
-            # Pages are not a snapshot: records after the first page's end are read once more.
-            end = page.end if end is None else min(end, page.end)
+            # The pages are no consistent snapshot, so reading continues at the lowest end offset;
+            # records appended in between are read a second time.
+            next_offset = page.end if next_offset is None else min(next_offset, page.end)
             if not page.has_more or not page.items:
                 break
-            after = page.items[-1].key
-        return NewestRecords(tuple(records), end)
+            after_key = page.items[-1].key
+        return NewestRecords(tuple(records), next_offset)
 
     async def put(self, topic: str, key: str, value: bytes) -> AppendVerdict:
-        """Appends the newest value of a key; an empty value drops the key."""
+        """Appends a new value of a key; an empty value deletes the key."""
         return await self._append(topic, encode_keyed_record(key, value))
 
     async def append(self, topic: str, records: tuple[bytes, ...]) -> AppendVerdict:
-        """Appends records in one call: all of them or none."""
+        """Appends records in one call, which the store applies atomically."""
         return await self._append(topic, b"".join(encode_record(record) for record in records))
 
     async def _append(self, topic: str, body: bytes) -> AppendVerdict:
@@ -147,25 +150,25 @@
         return response
 
     def close(self) -> None:
-        """Closes the kept connection."""
+        """Closes the connection."""
         if self._connection is not None:
             self._connection.close()
             self._connection = None
 
 
 def require_ok(response: HttpResponse) -> bytes:
-    """Returns the body of a 200; raises ProtocolError."""
+    """Returns the body of a response with status 200; raises ProtocolError for others."""
     if response.status != 200:
-        raise ProtocolError(f"the store answered {response.status}")
+        raise ProtocolError(f"the store responded with status {response.status}")
     return response.body
 
 
 def decode_json(body: bytes, response_type: type):
-    """Decodes a JSON answer of the store; raises ProtocolError."""
+    """Decodes a JSON response of the store; raises ProtocolError."""
     try:
         return msgspec.json.decode(body, type=response_type)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise ProtocolError(f"the store sent a malformed answer: {error}") from error
+        raise ProtocolError(f"the store sent a malformed response: {error}") from error
 
 
 def decode_base64(text: str) -> bytes | None:
@@ -177,11 +180,11 @@
 
 
 def decode_keyed_records(page: Page) -> tuple[tuple[KeyedRecord, ...], int]:
-    """Returns the readable records of a page, and how many could not be read."""
-    records, unreadable = [], 0
+    """Decodes the records of a page; returns them and the number of malformed ones."""
+    records, malformed_count = [], 0
     for record in page.records:
         try:
             records.append(decode_keyed_record(record))
         except BluebellpitchError:
-            unreadable += 1
-    return tuple(records), unreadable
+            malformed_count += 1
+    return tuple(records), malformed_count
--- a/bluebellpitch/platform/topic_reader.py
+++ b/bluebellpitch/platform/topic_reader.py
@@ -1,4 +1,4 @@
-"""Follows one topic of the store, page by page, through outages."""
+"""Reads a topic of the store continuously and retries during outages."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
@@ -12,7 +12,7 @@
 
 
 class TopicReader:
-    """Reads a topic from where its owner stands. ``answered_at`` is monotonic seconds."""
+    """Reads a topic from its consumer's offset on. ``last_read_at`` is in monotonic seconds."""
 
     def __init__(self, client: StoreClient, topic: str, metrics: Metrics, now: Callable[[], float]):
         self._client = client
@@ -23,7 +23,7 @@
         self._failing = False
 
     async def read_pages(self, next_offset: Callable[[], int]) -> AsyncIterator[Page | Truncated]:
-        """Yields pages for ever; ``next_offset`` tells where the owner wants to go on."""
+        """Yields pages indefinitely; ``next_offset`` returns the offset to read next."""
         while True:
             page = await self._read(next_offset())
             if page is None:
@@ -42,7 +42,7 @@
         return page
 
     async def read_newest(self, topic: str) -> tuple[KeyedRecord, ...]:
-        """Returns the newest record of each key of another topic; none when the store fails."""
+        """Returns the newest record of each key of ``topic``; none if the store fails."""
         try:
             return (await self._client.read_newest(topic)).records
         except BluebellpitchError as error:
--- a/bluebellpitch/platform/topics.py
+++ b/bluebellpitch/platform/topics.py
@@ -1,7 +1,7 @@
-"""Names of the topics that entry VMs keep in the store for the agreed table and for claims."""
+"""Names of the store's topics for control records, claims and snapshots."""
 
 CONTROL_TOPIC = "bluebellpitch-control"
 CLAIMS_TOPIC = "bluebellpitch-claims"
-# Folds of the control topic, by zone of the VM that wrote them. The newest of each key stays when
-# the records that it covers have expired.
+# Snapshots of the control state, keyed by zone of the VM that wrote them. Keyed topics retain the
+# newest record of each key, so a snapshot outlives the control records that it covers.
 SNAPSHOTS_TOPIC = "keyed.bluebellpitch-snapshots"
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,4 +1,4 @@
-"""Parsers of outside input raise nothing but their own typed error."""
+"""Fuzz tests: parsers of untrusted input raise only their own error types."""
 
 import string
 
@@ -24,7 +24,7 @@
 MEMBER = MemberRow("m", 1.0, 0, digest("token"), "draft")
 ROWS = (MEMBER, *CLASSES, MODEL, FILING, PoolRow("other", "model", ()))
 TABLE = Table({row_key(row): VersionedRow(row, 0) for row in ROWS}, 0)
-fast = settings(max_examples=300, deadline=None, derandomize=True)
+fuzz_settings = settings(max_examples=300, deadline=None, derandomize=True)
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=10),
@@ -53,27 +53,27 @@
 )
 
 
-def request(body: bytes, headers, target: str) -> HttpRequest:
-    own = (("authorization", "Bearer token"),)
-    return HttpRequest("POST", target, tuple(headers) + own, body)
+def make_request(body: bytes, headers, target: str) -> HttpRequest:
+    credential = (("authorization", "Bearer token"),)
+    return HttpRequest("POST", target, tuple(headers) + credential, body)
 
 
 @given(st.binary(max_size=80) | FIELDS.map(lambda f: msgspec.json.encode(f, order=None)), HEADERS)
-@fast
-def test_completions(body, headers):
+@fuzz_settings
+def test_parse_completion(body, headers):
     for target in ("/v1/completions", "/v1/chat/completions"):
         try:
-            parse_completion(request(body, headers, target), TABLE, 0.0)
+            parse_completion(make_request(body, headers, target), TABLE, 0.0)
         except BadRequestError as error:
             assert 400 <= error.status < 500
 
 
 @given(st.text(string.printable, max_size=40), HEADERS)
-@fast
-def test_services(rest, headers):
+@fuzz_settings
+def test_parse_service(rest, headers):
     for prefix in ("/services/", "/services/filing/"):
         try:
-            parse_service(request(b"", headers, prefix + rest), TABLE, 0.0, 1e9)
+            parse_service(make_request(b"", headers, prefix + rest), TABLE, 0.0, 1e9)
         except BadRequestError as error:
             assert 400 <= error.status < 500
 
@@ -83,8 +83,8 @@
 
 
 @given(st.text(max_size=200) | LINES.map(lambda ls: "\n".join([",".join(COLUMNS), *ls])))
-@fast
-def test_sheets(text):
+@fuzz_settings
+def test_parse_sheet(text):
     try:
         parse_sheet(text)
     except SheetError as error:
@@ -103,8 +103,8 @@
 
 
 @given(st.lists(MEMBERS, max_size=4, unique_by=(lambda r: r.name, lambda r: r.credential)))
-@fast
-def test_a_written_sheet_reads_back(members):
+@fuzz_settings
+def test_formatted_sheet_parses_to_the_same_rows(members):
     rows = (*members, *CLASSES)
     sheet = parse_sheet(format_sheet([VersionedRow(row, 3) for row in rows], 7))
     assert_that(sorted(sheet.rows, key=row_key), Equals(sorted(rows, key=row_key)))
@@ -112,8 +112,8 @@
 
 
 @given(st.binary(max_size=200))
-@fast
-def test_messages_between_vms(data):
+@fuzz_settings
+def test_decode_envelope(data):
     try:
         decode_envelope(data)
     except ProtocolError:
@@ -121,15 +121,15 @@
 
 
 @given(st.text(max_size=120) | JSON.map(lambda value: msgspec.json.encode(value).decode()))
-@fast
-def test_log_records(data):
+@fuzz_settings
+def test_apply_of_malformed_records_advances_only_the_offset(data):
     control, claims = ControlStateMachine(), ClaimsStateMachine(100.0)
     control.apply(0, data)
     claims.apply(0, data, 0.0)
     assert_that((control.offset, claims.offset), Equals((0, 0)))
 
 
-PIECES = st.builds(
+CHUNKS = st.builds(
     SnapshotChunk,
     id=st.sampled_from("ab"),
     index=st.integers(-1, 2),
@@ -138,17 +138,17 @@
 )
 
 
-@given(st.lists(st.binary(max_size=120) | PIECES.map(msgspec.msgpack.encode), max_size=4))
-@fast
-def test_snapshot_pieces(records):
+@given(st.lists(st.binary(max_size=120) | CHUNKS.map(msgspec.msgpack.encode), max_size=4))
+@fuzz_settings
+def test_incomplete_snapshots_are_ignored(records):
     assert_that(assemble_snapshots(records), Equals(()))
 
 
 @given(
     st.lists(st.binary(max_size=30) | st.sampled_from((b"data: ", b"\n\n", b"data: [DONE]\n\n")))
 )
-@fast
-def test_event_streams(parts):
+@fuzz_settings
+def test_event_buffer(parts):
     buffer = EventBuffer()
     events = b"".join(buffer.feed(part) for part in parts)
     join_text(events)
@@ -156,8 +156,8 @@
 
 
 @given(st.text(max_size=20))
-@fast
-def test_addresses(text):
+@fuzz_settings
+def test_parse_address(text):
     try:
         host, port = parse_address(text)
     except ProtocolError:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,4 +1,4 @@
-"""The adapter: what the platform sends is decoded once, and nothing malformed passes."""
+"""Tests of the platform adapter: decoders accept valid data and reject malformed data."""
 
 import base64
 from contextlib import suppress
@@ -60,13 +60,13 @@
 
 @pytest.mark.parametrize("decode", DECODERS)
 @given(data=st.binary(max_size=200))
-def test_bytes_decode_or_are_a_protocol_error(decode, data):
+def test_arbitrary_bytes_raise_only_protocol_errors(decode, data):
     with suppress(ProtocolError):
         decode(data)
 
 
 @given(value=JSON_VALUES)
-def test_json_decodes_or_is_a_protocol_error(value):
+def test_arbitrary_json_raises_only_protocol_errors(value):
     data = msgspec.json.encode(value)
     for decode in DECODERS[:2] + DECODERS[4:6]:
         with suppress(ProtocolError):
@@ -74,8 +74,8 @@
 
 
 @given(name=st.sampled_from(sorted(ENTRY)), value=JSON_VALUES)
-def test_spoilt_entry_never_gains_a_default(name, value):
-    """An entry either says what its fields say, or names no endpoint."""
+def test_malformed_field_is_never_replaced_by_a_default(name, value):
+    """An entry with a malformed field is rejected as a whole."""
     try:
         entry = decode_endpoint_entry("i-1", msgspec.json.encode(ENTRY | {name: value}))
     except ProtocolError:
@@ -86,16 +86,16 @@
 
 
 @pytest.mark.parametrize("name", ["service", "address", "zone", "slots", "state"])
-def test_entry_without_a_field_names_no_endpoint(name):
+def test_entry_without_a_required_field_is_rejected(name):
     fields = {key: value for key, value in ENTRY.items() if key != name}
     with pytest.raises(ProtocolError):
         decode_endpoint_entry("i-1", msgspec.json.encode(fields))
 
 
 @given(key=st.text(min_size=1, max_size=60), value=st.binary(max_size=100))
-def test_keyed_record_comes_back(key, value):
-    framed = encode_keyed_record(key, value)
-    (record,) = split_records(framed)
+def test_keyed_record_round_trip(key, value):
+    frame = encode_keyed_record(key, value)
+    (record,) = split_records(frame)
     decoded = decode_keyed_record(record)
     assert (decoded.key, decoded.value) == (key, value or None)
 
@@ -106,17 +106,17 @@
         decode_base64("\u00e9")
 
 
-def test_member_record_comes_back():
+def test_vm_record_round_trip():
     record = VmRecord("127.0.0.1:7000", "z")
     assert decode_vm_record(encode_vm_record(record)) == record
 
 
-def test_what_may_repeat_follows_from_the_kind():
+def test_repeatability_is_derived_from_the_kind():
     catalogue = decode_configuration(msgspec.json.encode(configuration(1)))
-    kinds = {
+    repeatability_by_route = {
         r.name: r.repeatability for routes in catalogue.routes_by_host.values() for r in routes
     }
-    assert kinds == {
+    assert repeatability_by_route == {
         "look": Repeatability.IDEMPOTENT,
         "file": Repeatability.ONCE,
         "draft": Repeatability.RESUMABLE,
@@ -124,13 +124,13 @@
     }
 
 
-def test_split_follows_the_weights():
+def test_pool_is_picked_by_weight():
     split = [{"service": "app", "weight": 90}, {"service": "engines", "weight": 10}]
     wire = configuration(1)
     wire["routes"][0] |= {"split": split}
     catalogue = decode_configuration(msgspec.json.encode(wire))
-    found = catalogue.match_route("tile.example", "/look/7")
-    assert [pick_pool(found, draw) for draw in (0.0, 0.89, 0.91, 0.999)] == [
+    route = catalogue.match_route("tile.example", "/look/7")
+    assert [pick_pool(route, draw) for draw in (0.0, 0.89, 0.91, 0.999)] == [
         "app",
         "app",
         "engines",
@@ -151,7 +151,7 @@
         st.text(st.characters(codec="latin-1"), max_size=30),
     )
 )
-def test_callers_headers_decode_or_are_a_bad_request(headers):
+def test_malformed_request_headers_raise_only_bad_request_errors(headers):
     request = HttpRequest("POST", "/a", tuple(headers.items()), b"")
     try:
         decode_request(request)
@@ -159,7 +159,7 @@
         assert error.status == 400
 
 
-def test_request_is_decoded():
+def test_decode_request():
     request = decode_request(
         make_request(
             host="Tile.Example:80",
@@ -176,7 +176,7 @@
     assert [part.tokens for part in request.prompt.parts] == [800, 410, 250]
 
 
-def test_time_left_is_handed_on_and_the_key_is_not():
+def test_forwarded_headers_have_the_remaining_time_but_no_credential():
     request = decode_request(make_request(deadline_ms="9000", authorization="Bearer k", x_own="1"))
     headers = dict(build_forwarded_headers(request, ForwardingContext("i-1", 0.25, "office", 3, 7)))
     assert headers == {
@@ -190,35 +190,35 @@
     }
 
 
-def make_answer(status: int, *headers: tuple[str, str]):
+def make_response_head(status: int, *headers: tuple[str, str]):
     return decode_response_head(h11.Response(status_code=status, headers=list(headers)))
 
 
-def test_only_the_endpoints_promise_says_not_run():
-    assert make_answer(503, ("Not-Executed", "1")).did_not_run
-    assert make_answer(421).did_not_run
-    assert not make_answer(503).did_not_run
-    assert not make_answer(500).did_not_run
+def test_did_not_run_needs_the_endpoints_guarantee():
+    assert make_response_head(503, ("Not-Executed", "1")).did_not_run
+    assert make_response_head(421).did_not_run
+    assert not make_response_head(503).did_not_run
+    assert not make_response_head(500).did_not_run
 
 
-def test_load_is_decoded():
+def test_decode_load():
     load = decode_load("3,1,8,250")
     assert (load.running, load.waiting, load.slots, load.slowdown) == (3, 1, 8, 2.5)
     assert decode_load("3") is None
     assert decode_load("a,b,c") is None
 
 
-def test_last_event_of_whole_events():
+def test_find_last_event_id():
     assert find_last_event_id(b"id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\n") == 2
     assert find_last_event_id(b"data: a\n\n") is None
 
 
-def test_retry_after_is_in_seconds_with_fractions():
+def test_retry_after_is_in_fractional_seconds():
     assert dict(build_error_headers(0.25))["Retry-After"] == "0.250"
     assert "Retry-After" not in dict(build_error_headers(None))
 
 
-def test_settings_file():
+def test_parse_settings():
     text = settings_text("vm-1", "z", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 4)
     settings = parse_settings(text + "unknown.field=1\n# comment\n\n")
     assert (settings.vm_name, settings.bus_address, settings.store_address) == (
@@ -235,14 +235,14 @@
 
 
 @pytest.mark.parametrize("name", ["node_name", "zone", "listen.front", "platform.address", "ip"])
-def test_missing_setting_is_named(name):
+def test_error_names_the_missing_setting(name):
     text = settings_text("vm-1", "z", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 4)
     lines = [line for line in text.splitlines() if not line.startswith(f"{name}=")]
     with pytest.raises(UsageError, match=name.replace(".", r"\.")):
         parse_settings("\n".join(lines))
 
 
-def test_setting_that_is_no_number_is_named():
+def test_error_names_the_setting_that_is_not_a_number():
     text = settings_text("vm-1", "z", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 4)
     with pytest.raises(UsageError, match="grace_s"):
         parse_settings(text.replace("grace_s=3", "grace_s=long"))
--- a/tests/test_table_indexes.py
+++ b/tests/test_table_indexes.py
@@ -1,4 +1,4 @@
-"""The indexed table: a changed one is the same as one built anew."""
+"""Tests that incremental updates keep the table's indexes consistent, and that quotas add up."""
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -41,30 +41,37 @@
 CHANGES = st.lists(st.tuples(st.lists(ROWS, max_size=3, unique_by=row_key), st.sets(NAMES)))
 
 
-def indexes(table: Table) -> dict:
-    values = dict(vars(table))
-    values.pop("members_by_credential")
-    return values
+def comparable_indexes(table: Table) -> dict:
+    indexes = dict(vars(table))
+    indexes.pop("members_by_credential")
+    return indexes
 
 
 @given(CHANGES)
 @settings(max_examples=200, deadline=None, derandomize=True)
-def test_changed_table_equals_one_built_anew(changes):
-    table, rows_by_key = Table({}), {}
-    for offset, (rows, dropped) in enumerate(changes):
+def test_updated_table_equals_a_rebuilt_one(changes):
+    table, expected_rows = Table({}), {}
+    for offset, (rows, deleted_names) in enumerate(changes):
         new = {row_key(row): VersionedRow(row, offset) for row in rows}
-        deleted = tuple(f"endpoint/{name}" for name in dropped if f"endpoint/{name}" not in new)
-        before = indexes(table)
+        deleted = tuple(
+            f"endpoint/{name}" for name in deleted_names if f"endpoint/{name}" not in new
+        )
+        before = comparable_indexes(table)
         after = table.with_changes(new, deleted, offset)
-        assert_that(indexes(table), Equals(before))
-        rows_by_key = {k: v for k, v in rows_by_key.items() if k not in deleted} | new
-        assert_that(indexes(after), Equals(indexes(Table(rows_by_key, offset))))
+        assert_that(comparable_indexes(table), Equals(before))
+        expected_rows = {k: v for k, v in expected_rows.items() if k not in deleted} | new
+        assert_that(
+            comparable_indexes(after),
+            Equals(comparable_indexes(Table(expected_rows, offset))),
+        )
         table = after
 
 
 @given(st.integers(0, 500), st.dictionaries(NAMES, st.integers(1, 40), min_size=1))
 @settings(max_examples=200, deadline=None, derandomize=True)
-def test_zone_shares_and_floors_sum_to_the_limit(limit, slots_by_zone):
-    shares = [compute_zone_quota(limit, "m", "p", zone, slots_by_zone) for zone in slots_by_zone]
-    assert_that(sum(shares), Equals(limit))
+def test_zone_quotas_and_vm_quotas_sum_to_the_limit(limit, slots_by_zone):
+    zone_quotas = [
+        compute_zone_quota(limit, "m", "p", zone, slots_by_zone) for zone in slots_by_zone
+    ]
+    assert_that(sum(zone_quotas), Equals(limit))
     assert_that(sum(split_evenly(limit, "key", slots_by_zone).values()), Equals(limit))
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -1,4 +1,4 @@
-"""The time line: order over VMs whose clocks differ, bounded memory, and what people see."""
+"""Tests of the event time line: order despite clock skew, bounded memory, and rendering."""
 
 import xml.etree.ElementTree as ElementTree
 
@@ -21,12 +21,12 @@
 REQUEST = "a" * 32
 
 
-def page(ring: Ring) -> EventPage:
+def event_page(ring: Ring) -> EventPage:
     return EventPage(ring.vm, ring.clock.stamp(), ring.dropped, tuple(ring.since(0)))
 
 
-def rings_with_skew() -> tuple[Ring, Ring]:
-    """The second VM's clock is an hour behind; it hears of the first before it acts."""
+def make_skewed_rings() -> tuple[Ring, Ring]:
+    """The second VM's clock is an hour behind, but observes the first's before its own event."""
     early = Ring("vm-1", HybridClock(lambda: 10_000.0), 100)
     late = Ring("vm-2", HybridClock(lambda: 6_400.0), 100)
     early.record(Kind.ADMITTED, REQUEST, "m", "c")
@@ -37,19 +37,19 @@
     return early, late
 
 
-def test_cause_stands_before_effect_though_clocks_differ():
-    events = merge_events((page(ring) for ring in rings_with_skew()), EventFilter())
+def test_events_are_in_causal_order_despite_clock_skew():
+    events = merge_events((event_page(ring) for ring in make_skewed_rings()), EventFilter())
     kinds = [event.kind for event in events]
     assert_that(kinds, Equals([Kind.ADMITTED, Kind.GRANTED, Kind.COMPLETED]))
 
 
-def test_stamps_increase_though_the_clock_stands_still():
+def test_stamps_increase_while_the_wall_clock_is_frozen():
     clock = HybridClock(lambda: 5.0)
     stamps = [clock.stamp() for _ in range(5)]
     assert_that(sorted(set(stamps)), Equals(stamps))
 
 
-def test_ring_forgets_the_oldest_and_counts_them():
+def test_full_ring_drops_and_counts_the_oldest_events():
     ring = Ring("vm", HybridClock(lambda: 1.0), 3)
     for number in range(5):
         ring.record(Kind.QUEUED, str(number))
@@ -57,32 +57,32 @@
     assert_that(ring.dropped, Equals(2))
 
 
-def test_filters():
-    pages = [page(ring) for ring in rings_with_skew()]
+def test_event_filter_selects_by_vm_endpoint_and_member():
+    pages = [event_page(ring) for ring in make_skewed_rings()]
     assert_that(merge_events(pages, EventFilter(vm="vm-2")), HasLength(1))
     assert_that(merge_events(pages, EventFilter(endpoint="e1")), HasLength(2))
     assert_that(merge_events(pages, EventFilter(member="other")), HasLength(0))
 
 
-def test_renderings_show_every_event():
-    events = merge_events((page(ring) for ring in rings_with_skew()), EventFilter())
+def test_all_renderers_show_every_event():
+    events = merge_events((event_page(ring) for ring in make_skewed_rings()), EventFilter())
     assert_that(list(render_text(events)), HasLength(3))
     assert_that(next(render_pairs(events)), Contains("event=admitted"))
-    picture = ElementTree.fromstring(render_svg(events))
-    circles = [node for node in picture if node.tag.endswith("circle")]
+    image = ElementTree.fromstring(render_svg(events))
+    circles = [node for node in image if node.tag.endswith("circle")]
     assert_that(circles, HasLength(3))
     assert_that(ElementTree.fromstring(render_svg([])).tag, Contains("svg"))
 
 
-def test_explanation_tells_the_story_of_a_request():
-    events = merge_events((page(ring) for ring in rings_with_skew()), EventFilter())
-    story = "\n".join(explain_request(events, REQUEST[:8]))
-    assert_that(story, Contains("admitted for member m, class c"))
-    assert_that(story, Contains("vm-2: got a slot at e1"))
-    assert_that("\n".join(explain_request(events, "zz")), Contains("no VM that answered knows"))
+def test_explanation_describes_the_events_of_a_request():
+    events = merge_events((event_page(ring) for ring in make_skewed_rings()), EventFilter())
+    explanation = "\n".join(explain_request(events, REQUEST[:8]))
+    assert_that(explanation, Contains("admitted for member m, class c"))
+    assert_that(explanation, Contains("vm-2: got a slot at e1"))
+    assert_that("\n".join(explain_request(events, "zz")), Contains("no VM that responded has"))
 
 
-def test_log_values_stay_on_one_line():
+def test_quoted_log_values_contain_no_line_break():
     assert_that(quote_value("plain"), Equals("plain"))
     assert_that(quote_value("two words"), Equals('"two words"'))
     assert_that(quote_value("line\nbreak"), Equals('"line\\nbreak"'))
