--- a/bluebellpitch/operators/timeline.py
+++ b/bluebellpitch/operators/timeline.py
@@ -134,7 +134,7 @@
         y = LANE_HEIGHT * (lane + 1)
         lines.append(f'<text x="6" y="{y + 4}">{escape(vm)}</text>')
         lines.append(
-            f'<line x1="{LEFT_MARGIN}" x2="{SVG_WIDTH - 10}" y1="{y}" y2="{y}"' ' stroke="#ccc"/>'
+            f'<line x1="{LEFT_MARGIN}" x2="{SVG_WIDTH - 10}" y1="{y}" y2="{y}" stroke="#ccc"/>'
         )
     width = SVG_WIDTH - LEFT_MARGIN - 20
     for event in events:
