--- a/bluebellpitch/operators/sheet.py
+++ b/bluebellpitch/operators/sheet.py
@@ -102,7 +102,7 @@
     """Parses HTTP methods separated by spaces."""
     methods = tuple(text.split())
     is_valid = all(m.isascii() and m.isalpha() and m.isupper() for m in methods)
-    return methods if is_valid else CellError("must be HTTP methods, such as GET HEAD")
+    return methods if is_valid else CellError("must be space-separated HTTP methods, e.g. GET HEAD")
 
 
 def parse_address_cell(text: str) -> str | CellError:
