--- a/bluebellpitch/callers/admission.py
+++ b/bluebellpitch/callers/admission.py
@@ -12,7 +12,7 @@
 )
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.platform.requests import RoutedRequest
+from bluebellpitch.platform.http_messages import RoutedRequest
 from bluebellpitch.verdicts import DidNotRun
 
 CONFIGURATION_RETRY_AFTER_S = 0.5
@@ -59,13 +59,13 @@
     if catalogue.has_members and not route.is_public:
         if not freshness.may_accept_keys(now):
             return DidNotRun("configuration_not_fresh", 503, CONFIGURATION_RETRY_AFTER_S)
-        member = catalogue.members_by_key.get(request.key)
+        member = catalogue.members_by_key.get(request.api_key)
         if member is None:
             return refuse_unknown(401, "unknown_key", may_deny)
     pool = pick_pool(route, random.random())
     row = catalogue.pools_by_name.get(pool)
     is_engine_pool = row is not None and row.engine is not None
-    expires_at = now + min(request.patience_s, route.timeout_s)
+    expires_at = now + min(request.timeout_s, route.timeout_s)
     return AdmittedRequest(request, route, pool, is_engine_pool, member, now, expires_at)
 
 
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -22,13 +22,13 @@
 from bluebellpitch.http1 import ClientConnection, HttpRequest, ServerConnection
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.platform.requests import (
-    AnswerHead,
-    Forwarding,
+from bluebellpitch.platform.http_messages import (
+    ForwardingContext,
+    ResponseHead,
     RoutedRequest,
+    build_error_headers,
     decode_request,
-    last_event_id,
-    refusal_headers,
+    find_last_event_id,
 )
 from bluebellpitch.roles.endpoint_selector import EndpointSelector, Placement
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
@@ -126,7 +126,7 @@
             return
         if self._response_started:
             raise DisconnectedError("a response that has started cannot be completed")
-        headers = refusal_headers(verdict.retry_after_s)
+        headers = build_error_headers(verdict.retry_after_s)
         await self._send_response(verdict.status, headers, encode_error_body(verdict, request.id))
 
     def _record_metrics(self, verdict: Verdict, arrived_at: float) -> None:
@@ -238,13 +238,15 @@
         """Sends the request to one endpoint and forwards its response."""
         context = self._context
         attempt = RoutedAttempt(context.connections, place.entry, admitted.request, context.now)
-        last_event = admitted.request.last_event if self._last_event is None else self._last_event
-        forwarding = Forwarding(
+        last_event = (
+            admitted.request.last_event_id if self._last_event is None else self._last_event
+        )
+        forwarding = ForwardingContext(
             endpoint_id=place.entry.id,
-            time_left_s=admitted.expires_at - context.now(),
+            remaining_s=admitted.expires_at - context.now(),
             member=admitted.member.name if admitted.member else "",
             rank=admitted.rank if admitted.is_engine_pool else None,
-            last_event=last_event,
+            last_event_id=last_event,
         )
         try:
             at_most_once = admitted.route.repeatability is Repeatability.ONCE
@@ -275,7 +277,7 @@
     async def _forward_response(self, admitted: AdmittedRequest, response) -> Verdict:
         if isinstance(response, MayHaveRun):
             return response
-        head: AnswerHead = response.head
+        head: ResponseHead = response.head
         if head.status >= 500 and admitted.is_retryable and self._has_retry_left(admitted):
             return MayHaveRun(f"answered {head.status}", status=502)
         if self._response_started:
@@ -307,7 +309,7 @@
             await self._start_stream(head)
             self._note_event_time()
             await self._connection.send(events)
-            last = last_event_id(events)
+            last = find_last_event_id(events)
             self._last_event = self._last_event if last is None else last
         if attempt.ending != "complete":
             status = 504 if attempt.ending == "late" else 502
@@ -324,7 +326,7 @@
             self._first_event_at = now
         self._last_event_at = now
 
-    async def _start_stream(self, head: AnswerHead) -> None:
+    async def _start_stream(self, head: ResponseHead) -> None:
         """Sends the response head, unless an earlier attempt has sent it."""
         if not self._response_started:
             self._response_started = True
@@ -352,5 +354,5 @@
 async def refuse_malformed_request(connection: ServerConnection, error: BadRequestError) -> None:
     """Responds to a malformed request, and closes the connection."""
     verdict = DidNotRun(error.reason, error.status)
-    headers = [*refusal_headers(None), ("Connection", "close")]
+    headers = [*build_error_headers(None), ("Connection", "close")]
     await connection.respond(error.status, headers, encode_error_body(verdict, "", str(error)))
--- a/bluebellpitch/commands/diagnostics.py
+++ b/bluebellpitch/commands/diagnostics.py
@@ -14,22 +14,22 @@
 from bluebellpitch.operators.explain import explain_request
 from bluebellpitch.operators.status import render_status
 from bluebellpitch.operators.timeline import (
-    Collected,
+    CollectedResponses,
     EventFilter,
     collect_events,
     collect_statuses,
     merge_events,
     render_pairs,
-    render_picture,
+    render_svg,
     render_text,
 )
-from bluebellpitch.platform.members import read_members
 from bluebellpitch.platform.store import StoreClient
+from bluebellpitch.platform.vm_records import read_vm_records
 
 RENDERERS_BY_STYLE = {
     "text": render_text,
     "pairs": render_pairs,
-    "svg": lambda events: [render_picture(events)],
+    "svg": lambda events: [render_svg(events)],
 }
 
 
@@ -41,7 +41,7 @@
         raise UsageError("either --vm or --store-address is required")
     client = StoreClient(store_address)
     try:
-        records_by_vm = await read_members(client)
+        records_by_vm = await read_vm_records(client)
     except BluebellpitchError as error:
         raise UnreachableError(f"the platform's store cannot be read: {error}") from error
     finally:
@@ -49,11 +49,11 @@
     return [record.admin for record in records_by_vm.values() if record.admin]
 
 
-def report_unreachable_vms(environment: Environment, collected: Collected) -> int:
+def report_unreachable_vms(environment: Environment, collected: CollectedResponses) -> int:
     """Prints the VMs that did not answer; returns the exit status."""
-    for address in collected.missing:
+    for address in collected.unreachable:
         print(f"bluebellpitch: no answer from {address}", file=environment.stderr)
-    return ExitStatus.OK if collected.pages else ExitStatus.UNREACHABLE
+    return ExitStatus.OK if collected.responses else ExitStatus.UNREACHABLE
 
 
 def status(
@@ -64,22 +64,24 @@
 ) -> int:
     """Prints the status of all VMs."""
 
-    async def run() -> Collected:
+    async def run() -> CollectedResponses:
         return await collect_statuses(await resolve_admin_addresses(vm, store_address))
 
     collected = asyncio.run(run())
     if as_json:
-        print_output(context, msgspec.json.encode(collected.pages).decode())
+        print_output(context, msgspec.json.encode(collected.responses).decode())
     else:
-        for line in render_status(list(collected.pages), list(collected.missing)):
+        for line in render_status(list(collected.responses), list(collected.unreachable)):
             print_output(context, line)
     return report_unreachable_vms(context.obj, collected)
 
 
-def fetch_events(addresses: list[str], store_address: str, event_filter: EventFilter) -> Collected:
+def fetch_events(
+    addresses: list[str], store_address: str, event_filter: EventFilter
+) -> CollectedResponses:
     """Returns the events of all VMs that answer."""
 
-    async def run() -> Collected:
+    async def run() -> CollectedResponses:
         return await collect_events(
             await resolve_admin_addresses(addresses, store_address), event_filter
         )
@@ -105,7 +107,7 @@
         raise UsageError(f"--as: {style!r} must be one of: {', '.join(RENDERERS_BY_STYLE)}")
     event_filter = EventFilter(request, member, class_name, endpoint, on_vm, since, until)
     collected = fetch_events(vm, store_address, event_filter)
-    for line in RENDERERS_BY_STYLE[style](merge_events(collected.pages, event_filter)):
+    for line in RENDERERS_BY_STYLE[style](merge_events(collected.responses, event_filter)):
         print_output(context, line)
     return report_unreachable_vms(context.obj, collected)
 
@@ -115,7 +117,7 @@
 ) -> int:
     """Prints what happened to one request."""
     collected = fetch_events(vm, store_address, EventFilter())
-    for line in explain_request(merge_events(collected.pages, EventFilter()), request):
+    for line in explain_request(merge_events(collected.responses, EventFilter()), request):
         print_output(context, line)
     return report_unreachable_vms(context.obj, collected)
 
--- a/bluebellpitch/commands/route.py
+++ b/bluebellpitch/commands/route.py
@@ -13,7 +13,7 @@
 from bluebellpitch.errors import UsageError
 from bluebellpitch.exit_status import ExitStatus
 from bluebellpitch.logs import configure_logging, configure_rate_limited_logging
-from bluebellpitch.platform.settings_file import SETTINGS_VARIABLE, VmSettings, parse_settings
+from bluebellpitch.platform.settings_file import SETTINGS_FILE_VARIABLE, VmSettings, parse_settings
 
 
 def read_boottime_clock() -> float:
@@ -23,10 +23,10 @@
 
 def read_settings_file(environment: Environment) -> VmSettings:
     """Reads the settings file named by the environment; raises UsageError."""
-    path = environment.variables.get(SETTINGS_VARIABLE, "")
+    path = environment.variables.get(SETTINGS_FILE_VARIABLE, "")
     if not path:
         raise UsageError(
-            f"{SETTINGS_VARIABLE} is not set; it must be the path of the settings file"
+            f"{SETTINGS_FILE_VARIABLE} is not set; it must be the path of the settings file"
         )
     try:
         return parse_settings(Path(path).read_text(encoding="utf-8"))
@@ -46,7 +46,7 @@
         raise UsageError(f"--metrics-port: {metrics_port} must be from 0 to 65535")
     environment: Environment = context.obj
     settings = read_settings_file(environment)
-    configure_stdout_logging(environment, settings.vm)
+    configure_stdout_logging(environment, settings.vm_name)
     try:
         asyncio.run(build_and_run(settings, environment, metrics_port))
     except OSError as error:
--- a/bluebellpitch/commands/table.py
+++ b/bluebellpitch/commands/table.py
@@ -19,8 +19,8 @@
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import ConflictError, UsageError
 from bluebellpitch.exit_status import ExitStatus
-from bluebellpitch.operators.sheet import Sheet, parse_sheet, write_sheet
-from bluebellpitch.operators.table import TableDiff, TableEditor, compare
+from bluebellpitch.operators.sheet import Sheet, format_sheet, parse_sheet
+from bluebellpitch.operators.table_editor import TableDiff, TableEditor, diff_table
 from bluebellpitch.platform.store import StoreClient
 
 
@@ -51,8 +51,8 @@
 ) -> int:
     """Prints the table that is in force."""
     editor = asyncio.run(open_editor(context.obj, store_address, patience_s))
-    rows = editor.fold.state.rows_by_key.values()
-    print_output(context, write_sheet(rows, editor.fold.offset), end="")
+    rows = editor.control.state.rows_by_key.values()
+    print_output(context, format_sheet(rows, editor.control.offset), end="")
     return ExitStatus.OK
 
 
@@ -66,7 +66,7 @@
     """Prints the changes that applying a sheet would make."""
     desired = read_sheet_file(sheet)
     editor = asyncio.run(open_editor(context.obj, store_address, patience_s))
-    for line in format_diff(compare(desired, editor.fold, onto_current)):
+    for line in format_diff(diff_table(desired, editor.control, onto_current)):
         print_output(context, line)
     return ExitStatus.OK
 
@@ -98,12 +98,12 @@
 ) -> str:
     """Applies a sheet; returns a message for the operator. Raises ConflictError."""
     editor = await open_editor(environment, store_address, patience_s)
-    change = compare(desired, editor.fold, onto_current)
+    change = diff_table(desired, editor.control, onto_current)
     if change.conflicts:
         keys = ", ".join(change.conflicts)
         raise ConflictError(f"changed by another operator since the sheet was made: {keys}")
     if change.is_empty():
-        return f"nothing to change; in force at offset {editor.fold.offset}"
+        return f"nothing to change; in force at offset {editor.control.offset}"
     return f"in force at offset {await editor.apply(change, author)}"
 
 
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -13,12 +13,12 @@
 from bluebellpitch.endpoints.sse import EVENT_SEPARATOR
 from bluebellpitch.errors import ConnectionLostError, NotSentError, ReadTimeoutError
 from bluebellpitch.http1 import ClientConnection
-from bluebellpitch.platform.requests import (
-    AnswerHead,
-    Forwarding,
+from bluebellpitch.platform.http_messages import (
+    ForwardingContext,
+    ResponseHead,
     RoutedRequest,
-    decode_answer,
-    forwarded_headers,
+    build_forwarded_headers,
+    decode_response_head,
 )
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 
@@ -30,7 +30,7 @@
 class CompleteResponse:
     """The complete response of an endpoint."""
 
-    head: AnswerHead
+    head: ResponseHead
     body: bytes
 
 
@@ -67,13 +67,13 @@
         self._request = request
         self._now = now
         self._connection: ClientConnection | None = None
-        self.head: AnswerHead | None = None
+        self.head: ResponseHead | None = None
         self.sent_at = 0.0
         self.ending = ""
 
     async def start(
-        self, forwarding: Forwarding, at_most_once: bool, head_deadline: float
-    ) -> AnswerHead | DidNotRun | MayHaveRun:
+        self, forwarding: ForwardingContext, at_most_once: bool, head_deadline: float
+    ) -> ResponseHead | DidNotRun | MayHaveRun:
         """Sends the request and returns the head of its response, or a verdict.
 
         ``at_most_once`` is set for a request that must not be repeated. The head must arrive
@@ -83,7 +83,7 @@
         try:
             self._connection = await self._connections.acquire(self._entry, at_most_once)
             self.sent_at = self._now()
-            headers = forwarded_headers(request, forwarding)
+            headers = build_forwarded_headers(request, forwarding)
             await self._connection.send_verbatim(
                 request.method, request.target, headers, request.body
             )
@@ -101,22 +101,22 @@
         if head.did_not_run and head.status >= 400:
             await self._drain_refusal()
             return RefusedByEndpoint(
-                f"refused with {head.status}", is_other_instance=head.is_other_instance
+                f"refused with {head.status}", is_other_instance=head.is_wrong_instance
             )
         if self._is_unusable(head):
             self.close()
             return MayHaveRun("garbled")
         return head
 
-    def _is_unusable(self, head: AnswerHead) -> bool:
+    def _is_unusable(self, head: ResponseHead) -> bool:
         if head.is_encoded:
             return True
         return 200 <= head.status < 300 and not (head.is_signed and head.request_id)
 
-    async def _read_matching_head(self, deadline: float) -> AnswerHead:
+    async def _read_matching_head(self, deadline: float) -> ResponseHead:
         for _ in range(MAX_MISMATCHED_RESPONSES):
             raw = await self._connection.read_head(max(0.001, deadline - self._now()))
-            head = decode_answer(raw)
+            head = decode_response_head(raw)
             if head.request_id in ("", self._request.id):
                 return head
             async for _ in self._connection.read_body(max(0.001, deadline - self._now())):
@@ -189,7 +189,7 @@
     def _release(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
-            idle_s = 0 if self.head.is_leaving else self.head.idle_s
+            idle_s = 0 if self.head.closes_connection else self.head.keep_alive_s
             self._connections.release(self._entry, connection, idle_s)
 
     def close(self) -> None:
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -20,7 +20,7 @@
 from bluebellpitch.http1 import parse_address
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.operators.admin import AdminServer
+from bluebellpitch.operators.admin_server import AdminServer
 from bluebellpitch.operators.status import (
     BrokerStatus,
     ClassStatus,
@@ -52,7 +52,7 @@
 )
 from bluebellpitch.platform.appender import Appender
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.platform.tail import Tail
+from bluebellpitch.platform.topic_reader import TopicReader
 from bluebellpitch.platform.topics import CLAIMS_TOPIC, CONTROL_TOPIC
 from bluebellpitch.roles.brokering import BrokerRole
 from bluebellpitch.roles.claiming import ClaimRole
@@ -84,8 +84,10 @@
         self.metrics = Metrics()
         self.strikes = StrikeReplicator(StrikeTracker(), self._peer_keys, self._send_strike, now)
         self.bus = PeerBus(self.key, self.clock, self.metrics, self.handle_message)
-        self.control_tail = Tail(self._create_store_client(), CONTROL_TOPIC, self.metrics, now)
-        claims_tail = Tail(self._create_store_client(), CLAIMS_TOPIC, self.metrics, now)
+        self.control_tail = TopicReader(
+            self._create_store_client(), CONTROL_TOPIC, self.metrics, now
+        )
+        claims_tail = TopicReader(self._create_store_client(), CLAIMS_TOPIC, self.metrics, now)
         self.control_appender = Appender(self._create_store_client(), CONTROL_TOPIC, self.metrics)
         self.claims_appender = Appender(self._create_store_client(), CLAIMS_TOPIC, self.metrics)
         self.control = ControlRole(
@@ -247,7 +249,7 @@
             control_offset=self.control.fold.offset,
             epoch=view.own.epoch,
             in_flight=self.callers.http.in_flight,
-            store_silence_s=self.now() - self.control_tail.answered_at,
+            store_silence_s=self.now() - self.control_tail.last_read_at,
             backlog=self.claims.unfinished_appends(),
             live=tuple(sorted(view.live_by_key)),
             brokers=tuple(build_broker_status(b) for b in self.brokers.brokers_by_pool.values()),
--- a/bluebellpitch/platform/appender.py
+++ b/bluebellpitch/platform/appender.py
@@ -1,4 +1,7 @@
-"""Appends of one VM to one topic, batched: appends are scarce for the whole federation."""
+"""Batches the appends of one VM to one topic.
+
+The rate of appends is limited for all VMs of the federation together.
+"""
 
 import asyncio
 from collections import deque
@@ -7,11 +10,11 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.store import Appended, AppendVerdict, StoreClient
 
-BATCH_RECORDS = 256
+MAX_BATCH_RECORDS = 256
 
 
 class Appender:
-    """Owns the queue of records; one append is under way at a time."""
+    """Queues records and appends them in batches, one append call at a time."""
 
     def __init__(self, client: StoreClient, topic: str, metrics: Metrics):
         self._client = client
@@ -21,14 +24,14 @@
         self._wake = asyncio.Event()
 
     async def append(self, record: bytes) -> AppendVerdict:
-        """Appends one record; its own offset is in the verdict."""
+        """Appends one record and returns its verdict, which has the offset of this record."""
         future = asyncio.get_running_loop().create_future()
         self._queue.append((record, future))
         self._wake.set()
         return await future
 
     async def run(self) -> None:
-        """Appends batches until cancelled."""
+        """Appends queued records in batches until cancelled."""
         while True:
             await self._wake.wait()
             await asyncio.sleep(APPEND_BATCH_DELAY_S)
@@ -37,17 +40,17 @@
                 await self._append_batch()
 
     async def _append_batch(self) -> None:
-        count = min(BATCH_RECORDS, len(self._queue))
+        count = min(MAX_BATCH_RECORDS, len(self._queue))
         batch = [self._queue.popleft() for _ in range(count)]
         verdict = await self._client.append(self._topic, tuple(record for record, _ in batch))
         self._metrics.store_appends.labels(self._topic, verdict.name).inc()
         for position, (_, future) in enumerate(batch):
             if not future.done():
-                future.set_result(shift(verdict, position))
+                future.set_result(shift_offset(verdict, position))
 
 
-def shift(verdict: AppendVerdict, position: int) -> AppendVerdict:
-    """Returns the verdict for one record of a batch."""
+def shift_offset(verdict: AppendVerdict, position: int) -> AppendVerdict:
+    """Returns the verdict of the record at ``position`` in a batch."""
     match verdict:
         case Appended(offset):
             return Appended(offset + position)
--- a/bluebellpitch/roles/control.py
+++ b/bluebellpitch/roles/control.py
@@ -13,7 +13,7 @@
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.messages import ControlEntry, ControlRecords, Heartbeat, SnapshotTransfer
 from bluebellpitch.platform.store import Appended, StoreClient, Truncated
-from bluebellpitch.platform.tail import Tail
+from bluebellpitch.platform.topic_reader import TopicReader
 from bluebellpitch.platform.topics import CONTROL_TOPIC, SNAPSHOTS_TOPIC
 from bluebellpitch.view import ViewHolder
 
@@ -27,7 +27,7 @@
     def __init__(
         self,
         view_holder: ViewHolder,
-        tail: Tail,
+        tail: TopicReader,
         store: StoreClient,
         event_ring: EventRing,
         metrics,
@@ -43,20 +43,20 @@
 
     async def follow_log(self) -> None:
         """Applies the records of the control topic until cancelled."""
-        async for page in self._tail.pages(lambda: self.fold.offset + 1):
+        async for page in self._tail.read_pages(lambda: self.fold.offset + 1):
             if isinstance(page, Truncated):
-                await self._install_snapshot(page.first_kept)
+                await self._install_snapshot(page.oldest_offset)
                 continue
             self.apply_entries(
                 tuple(
                     ControlEntry(offset, data)
-                    for offset, data in enumerate(page.records, page.start)
+                    for offset, data in enumerate(page.records, page.start_offset)
                 )
             )
 
     async def _install_snapshot(self, first_kept: int) -> None:
         """Installs a snapshot in place of records that expired in the store."""
-        pieces = await self._tail.newest(SNAPSHOTS_TOPIC)
+        pieces = await self._tail.read_newest(SNAPSHOTS_TOPIC)
         if self.fold.install_latest_snapshot(
             assemble_snapshots(piece.value for piece in pieces if piece.value)
         ):
--- a/fakes/prepared_deployment.py
+++ b/fakes/prepared_deployment.py
@@ -179,7 +179,7 @@
     ) -> HttpResponse:
         """Sends a request. Raises ConnectionLostError if the response is incomplete."""
         if self._connection is None or not self._connection.start_next_cycle():
-            self._connection = await ClientConnection.open(self.settings.listen, 1.0)
+            self._connection = await ClientConnection.open(self.settings.listen_address, 1.0)
         connection = self._connection
         sent_headers = [
             ("Host", HOST),
