--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -14,23 +14,17 @@
     def __init__(self):
         self.registry = CollectorRegistry()
         self._members: set[str] = set()
-        self.requests = self._counter("requests", "Finished requests", "class_name", "verdict")
-        self.refusals = self._counter("refusals", "Refused requests", "class_name", "reason")
-        self.in_target = self._counter(
-            "in_target", "Responses within the targets of their class", "class_name"
-        )
-        self.tokens = self._counter("tokens", "Tokens sent to clients", "class_name")
+        self.requests = self._counter("requests", "Requests that ended", "class_name", "verdict")
+        self.refusals = self._counter("refusals", "Requests refused", "class_name", "reason")
+        self.in_target = self._counter("in_target", "Answers within their target", "class_name")
+        self.tokens = self._counter("tokens", "Tokens passed to callers", "class_name")
         self.good_tokens = self._counter(
-            "good_tokens",
-            "Tokens of complete responses within the targets of their class",
-            "class_name",
+            "good_tokens", "Tokens of complete answers within their target", "class_name"
         )
         self.wasted_tokens = self._counter(
-            "wasted_tokens", "Generated tokens that no client received", "class_name"
-        )
-        self.member_requests = self._counter(
-            "member_requests", "Finished requests by member", "member"
+            "wasted_tokens", "Tokens made that no caller got", "class_name"
         )
+        self.member_requests = self._counter("member_requests", "Requests by member", "member")
         self.first_token = self._histogram(
             "first_token_seconds", "Time to first token", LATENCY_BUCKETS_S
         )
@@ -38,42 +32,26 @@
             "between_tokens_seconds", "Mean time between tokens", TOKEN_INTERVAL_BUCKETS_S
         )
         self.grant_wait = self._histogram(
-            "grant_wait_seconds", "Wait for a slot at an endpoint", LATENCY_BUCKETS_S
+            "grant_wait_seconds", "Wait for a slot", LATENCY_BUCKETS_S
         )
         self.attempts = self._counter("attempts", "Attempts at endpoints", "outcome")
-        self.region_bytes = self._counter("region_bytes", "Body bytes exchanged with other regions")
+        self.region_bytes = self._counter("region_bytes", "Body bytes to other regions")
         self.peer_bytes = self._counter("peer_bytes", "Bytes sent to other VMs")
         self.peer_received = self._counter("peer_received", "Messages from other VMs")
         self.peer_dropped = self._counter("peer_dropped", "Messages dropped before sending")
-        self.store_appends = self._counter(
-            "store_appends", "Appends to the store", "topic", "verdict"
-        )
-        self.table_offset = self._gauge("table_offset", "Offset of the last control record applied")
-        self.store_silence = self._gauge(
-            "store_silence_seconds", "Seconds since the store last answered"
-        )
-        self.unresolved = self._gauge(
-            "unresolved_claims", "Claims of requests that may have run, without a known outcome"
-        )
-        self.in_flight = self._gauge("in_flight", "Requests being served")
-        self.configuration_version = self._gauge(
-            "configuration_version", "Configuration version in use"
-        )
+        self.store_appends = self._counter("store_appends", "Appends", "topic", "verdict")
+        self.table_offset = self._gauge("table_offset", "Offset of the control fold")
+        self.store_silence = self._gauge("store_silence_seconds", "Since the store last answered")
+        self.unresolved = self._gauge("unresolved_claims", "Claims that may have run")
+        self.in_flight = self._gauge("in_flight", "Requests that are being served")
+        self.configuration_version = self._gauge("configuration_version", "Version in force")
         self.freshness_age = self._gauge(
-            "freshness_age_seconds",
-            "Seconds since the configuration was last confirmed as the newest",
-        )
-        self.peers_heard = self._gauge(
-            "peers_heard", "Entry VMs of the zone whose heartbeats arrive"
-        )
-        self.repeats_left = self._gauge("repeats_left", "Retries that this VM may send now", "pool")
-        self.store_calls = self._counter("store_calls", "Calls to the store", "topic", "verdict")
-        self.limit_in_use = self._gauge(
-            "limit_in_use",
-            "Running requests that count towards the limit of their member",
-            "pool",
-            "member",
+            "freshness_age_seconds", "Since the configuration was known to be the newest"
         )
+        self.peers_heard = self._gauge("peers_heard", "Entry VMs of the zone that are heard")
+        self.repeats_left = self._gauge("repeats_left", "Repeats this VM may send now", "pool")
+        self.store_calls = self._counter("store_calls", "Calls of the store", "topic", "verdict")
+        self.limit_in_use = self._gauge("limit_in_use", "Running requests", "pool", "member")
 
     def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
         return Counter(f"bluebellpitch_{name}", help_text, labels, registry=self.registry)
