Move the component that allocates endpoints to roles/endpoint_allocator.py

decisions/endpoint_selection.py has the decision; two modules of nearly one name are easy to confuse.

bluebellpitch/roles/endpoint_selector.py -> bluebellpitch/roles/endpoint_allocator.py

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -30,7 +30,7 @@
     last_event_id,
     refusal_headers,
 )
-from bluebellpitch.roles.endpoint_selector import EndpointSelector, Placement
+from bluebellpitch.roles.endpoint_allocator import EndpointSelector, Placement
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -35,7 +35,7 @@
 from bluebellpitch.platform.members import MemberRecord
 from bluebellpitch.platform.settings_file import VmSettings
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.roles.endpoint_selector import EndpointSelector
+from bluebellpitch.roles.endpoint_allocator import EndpointSelector
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
 from bluebellpitch.roles.peer_discovery import PeerDiscovery
 from bluebellpitch.roles.peer_sync import PeerSync
