Name the module that runs a VM's slot brokers after what it contains

The other modules of the folder are named by the component that they hold.

bluebellpitch/roles/brokering.py -> bluebellpitch/roles/slot_broker_service.py

--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -54,7 +54,7 @@
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.tail import Tail
 from bluebellpitch.platform.topics import CLAIMS_TOPIC, CONTROL_TOPIC
-from bluebellpitch.roles.brokering import BrokerRole
+from bluebellpitch.roles.slot_broker_service import BrokerRole
 from bluebellpitch.roles.claiming import ClaimRole
 from bluebellpitch.roles.cluster_membership import ClusterMembership
 from bluebellpitch.roles.control import ControlRole
--- a/tests/test_brokering.py
+++ b/tests/test_brokering.py
@@ -13,7 +13,7 @@
 from bluebellpitch.decisions.rows import EndpointRow, Table, VersionedRow
 from bluebellpitch.events import EventRing
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.roles.brokering import BrokerRole
+from bluebellpitch.roles.slot_broker_service import BrokerRole
 from bluebellpitch.view import ClusterView, ViewHolder, VmState
 
 POOL, ZONE = "pool", "z"
