Name the module that claims idempotency keys after what it contains

It had the same name as decisions/claiming.py, which decides each step.

bluebellpitch/roles/claiming.py -> bluebellpitch/roles/claim_coordinator.py

--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -8,7 +8,7 @@
 from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.events import EventRing
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.roles.claiming import ClaimRole
+from bluebellpitch.roles.claim_coordinator import ClaimRole
 from bluebellpitch.roles.slot_client import SlotClient
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.settings import Settings
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -55,7 +55,7 @@
 from bluebellpitch.platform.tail import Tail
 from bluebellpitch.platform.topics import CLAIMS_TOPIC, CONTROL_TOPIC
 from bluebellpitch.roles.slot_broker_service import BrokerRole
-from bluebellpitch.roles.claiming import ClaimRole
+from bluebellpitch.roles.claim_coordinator import ClaimRole
 from bluebellpitch.roles.cluster_membership import ClusterMembership
 from bluebellpitch.roles.control import ControlRole
 from bluebellpitch.roles.slot_client import SlotClient
