Name the module that replicates the control log after what it contains

It had the same name as decisions/control.py, which holds the state machine.

bluebellpitch/roles/control.py -> bluebellpitch/roles/control_log_replica.py

--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -57,7 +57,7 @@
 from bluebellpitch.roles.slot_broker_service import BrokerRole
 from bluebellpitch.roles.claim_coordinator import ClaimRole
 from bluebellpitch.roles.cluster_membership import ClusterMembership
-from bluebellpitch.roles.control import ControlRole
+from bluebellpitch.roles.control_log_replica import ControlRole
 from bluebellpitch.roles.slot_client import SlotClient
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.settings import Settings
