Call the component that allocates endpoints EndpointAllocator

EndpointSelector is the decision of the broker; two classes of one name in one program are easily taken for each other. The attributes that hold it are named after it.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -30,7 +30,7 @@
     last_event_id,
     refusal_headers,
 )
-from bluebellpitch.roles.endpoint_allocator import EndpointSelector, Placement
+from bluebellpitch.roles.endpoint_allocator import EndpointAllocator, Placement
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
@@ -51,7 +51,7 @@
 
     catalogue: Callable[[], Catalogue | None]
     freshness: Freshness
-    placing: EndpointSelector
+    endpoint_allocator: EndpointAllocator
     connections: EndpointConnectionPool
     retry_budget: RetryBudget
     count_live_vms: Callable[[], int]
@@ -210,7 +210,7 @@
     async def _choose_endpoint(self, admitted: AdmittedRequest) -> Placement | DidNotRun:
         work = make_work(admitted, len(self._tried))
         tried = frozenset(self._tried)
-        return await self._context.placing.select(work, admitted.is_engine_pool, tried)
+        return await self._context.endpoint_allocator.allocate(work, admitted.is_engine_pool, tried)
 
     async def _run_attempt(self, admitted: AdmittedRequest, place: Placement) -> Verdict:
         """Makes one attempt and records its outcome in the load tracking."""
@@ -220,7 +220,7 @@
             verdict = await self._send_to_endpoint(admitted, place)
             outcome = outcome_of(verdict)
         finally:
-            self._context.placing.release(place, outcome, self._longest_gap_s)
+            self._context.endpoint_allocator.release(place, outcome, self._longest_gap_s)
         if outcome == "failed" and isinstance(verdict, MayHaveRun):
             await self._report_crash(place, admitted.request)
         return verdict
@@ -257,7 +257,7 @@
     async def _handle_head(
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
-        placing = self._context.placing
+        placing = self._context.endpoint_allocator
         match head:
             case RefusedByEndpoint():
                 if head.is_other_instance:
@@ -296,7 +296,7 @@
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
         """Forwards events as they arrive; never ends a truncated stream as if it were complete."""
-        placing = self._context.placing
+        placing = self._context.endpoint_allocator
         first = True
         async for events in attempt.events(
             deadline, max_silence_s=max(0.001, deadline - self._context.now())
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -35,7 +35,7 @@
 from bluebellpitch.platform.members import MemberRecord
 from bluebellpitch.platform.settings_file import VmSettings
 from bluebellpitch.platform.store import StoreClient
-from bluebellpitch.roles.endpoint_allocator import EndpointSelector
+from bluebellpitch.roles.endpoint_allocator import EndpointAllocator
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
 from bluebellpitch.roles.peer_discovery import PeerDiscovery
 from bluebellpitch.roles.peer_sync import PeerSync
@@ -132,7 +132,7 @@
             now=now,
             is_draining=self.draining.is_set,
         )
-        self.endpoint_selector = EndpointSelector(
+        self.endpoint_allocator = EndpointAllocator(
             self.directory,
             self.generations.broker_client,
             settings.zone,
@@ -143,7 +143,7 @@
         self.context = RoutingContext(
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
-            placing=self.endpoint_selector,
+            endpoint_allocator=self.endpoint_allocator,
             connections=self.links,
             retry_budget=RetryBudget(
                 settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
@@ -299,7 +299,7 @@
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             self.links.close_expired()
-            self.endpoint_selector.loads.prune(self.directory.entries_by_id.values())
+            self.endpoint_allocator.loads.prune(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
         """Stops accepting requests once the platform sends none and completes those in progress."""
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -31,7 +31,7 @@
     grant: EngineGrant | None = None
 
 
-class EndpointSelector:
+class EndpointAllocator:
     """Selects endpoints and keeps this VM's record of their load. ``now`` is the owner's clock."""
 
     def __init__(
@@ -60,7 +60,7 @@
             for other, delay_s in self._delay_s_by_zone.items()
         }
 
-    async def select(
+    async def allocate(
         self, work: WorkItem, is_engine: bool, avoid: frozenset[str]
     ) -> Placement | DidNotRun:
         """Selects an endpoint and counts the work toward its load."""
@@ -73,14 +73,14 @@
                     return self._record_placement(Placement(result.entry, work, result))
                 case DidNotRun(reason) if reason != NO_ENGINE:
                     return result
-        return self._select_locally(work, is_engine, avoid)
+        return self._allocate_locally(work, is_engine, avoid)
 
     def _is_draining(self, entry: EndpointEntry) -> bool:
         """Returns whether a granted engine is draining, which its broker may not know yet."""
         known = self.directory.entries_by_id.get(entry.id)
         return known is not None and known.is_draining
 
-    def _select_locally(self, work: WorkItem, is_engine: bool, avoid) -> Placement | DidNotRun:
+    def _allocate_locally(self, work: WorkItem, is_engine: bool, avoid) -> Placement | DidNotRun:
         now = self._now()
         entries = list(self.directory.usable_endpoints(work.pool))
         if is_engine:
