Say role where a VM's duty was meant

The VM that reads a topic for its zone holds a role, as decisions/liveness.py calls it. The text by which VMs rank for it stays, because VMs of other builds rank by it.

bluebellpitch/entry_vm.py EntryVm._duty_owner _role_holder bluebellpitch/entry_vm.py EntryVm._duty_owner(duty) role bluebellpitch/entry_vm.py EntryVm._owns_duty _holds_role bluebellpitch/entry_vm.py EntryVm._owns_duty(duty) role bluebellpitch/entry_vm.py EntryVm._has_duty _holds_any_role bluebellpitch/entry_vm.py reader_duty reader_role bluebellpitch/roles/peer_discovery.py PeerDiscovery.__init__(has_duty) holds_any_role bluebellpitch/roles/peer_discovery.py DUTY_HEARTBEAT_INTERVAL_S ROLE_HOLDER_HEARTBEAT_INTERVAL_S bluebellpitch/roles/peer_discovery.py PeerDiscovery._has_duty _holds_any_role

--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -107,7 +107,7 @@
             configuration_version=self.configuration.version,
             is_draining=self.draining.is_set,
             on_vm_lost=lambda vm: self.generations.forget_vm(vm),
-            has_duty=self._has_duty,
+            holds_any_role=self._holds_any_role,
         )
         self.peer_sync = PeerSync(
             address=settings.bus,
@@ -116,7 +116,7 @@
             configuration=self.configuration,
             endpoints=self.endpoints,
             all_addresses=self._all_addresses,
-            zone_reader=lambda: self._duty_owner(reader_duty(CONFIGURATION_TOPIC)),
+            zone_reader=lambda: self._role_holder(reader_role(CONFIGURATION_TOPIC)),
             now=now,
         )
         self.generations = GenerationCoordinator(
@@ -167,21 +167,21 @@
             topic=topic,
             long_poll_s=long_poll_s,
             now=self._now,
-            is_zone_reader=lambda: self._owns_duty(reader_duty(topic)),
+            is_zone_reader=lambda: self._holds_role(reader_role(topic)),
             publish=lambda update: self.peer_sync.publish_to_zone(update),
             metrics=self.metrics,
         )
 
-    def _duty_owner(self, duty: str) -> str:
-        return self.liveness.role_holder(duty, self._now(), self.draining.is_set())
+    def _role_holder(self, role: str) -> str:
+        return self.liveness.role_holder(role, self._now(), self.draining.is_set())
 
-    def _owns_duty(self, duty: str) -> bool:
-        return self._duty_owner(duty) == self.key
+    def _holds_role(self, role: str) -> bool:
+        return self._role_holder(role) == self.key
 
-    def _has_duty(self) -> bool:
+    def _holds_any_role(self) -> bool:
         topics = (CONFIGURATION_TOPIC, ENDPOINTS_TOPIC)
         return (
-            any(self._owns_duty(reader_duty(topic)) for topic in topics)
+            any(self._holds_role(reader_role(topic)) for topic in topics)
             or self.generations.is_broker()
         )
 
@@ -315,7 +315,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
 
 
-def reader_duty(topic: str) -> str:
+def reader_role(topic: str) -> str:
     """Returns the duty of reading a topic from the store on behalf of the zone.
 
     The text decides which VM owns the duty, so all VMs of a zone must form it alike.
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -13,7 +13,7 @@
 
 # A VM with a duty sends heartbeats more often: others rely on it, so its loss must be detected
 # soon.
-DUTY_HEARTBEAT_INTERVAL_S = 0.15
+ROLE_HOLDER_HEARTBEAT_INTERVAL_S = 0.15
 HEARTBEAT_INTERVAL_S = 0.45
 MEMBERS_READ_INTERVAL_S = 20.0
 MEMBERS_RETRY_INTERVAL_S = 0.5
@@ -33,7 +33,7 @@
         configuration_version: Callable[[], int],
         is_draining: Callable[[], bool],
         on_vm_lost: Callable[[str], None],
-        has_duty: Callable[[], bool],
+        holds_any_role: Callable[[], bool],
     ):
         self._vm = vm
         self._own_record = own_record
@@ -44,7 +44,7 @@
         self._configuration_version = configuration_version
         self._is_draining = is_draining
         self._on_vm_lost = on_vm_lost
-        self._has_duty = has_duty
+        self._holds_any_role = holds_any_role
         self.records_by_vm: dict[str, MemberRecord] = {vm: own_record}
 
     def vm_count(self) -> int:
@@ -81,7 +81,9 @@
     async def send_heartbeats(self) -> None:
         """Sends heartbeats to the VMs of this zone and reports lost peers, until cancelled."""
         while True:
-            interval_s = DUTY_HEARTBEAT_INTERVAL_S if self._has_duty() else HEARTBEAT_INTERVAL_S
+            interval_s = (
+                ROLE_HOLDER_HEARTBEAT_INTERVAL_S if self._holds_any_role() else HEARTBEAT_INTERVAL_S
+            )
             heartbeat = VmHeartbeat(
                 zone=self._own_record.zone,
                 address=self._own_record.bus,
@@ -98,10 +100,10 @@
 
     async def _wait_for_next_heartbeat(self, seconds: float) -> None:
         """Waits until the next heartbeat is due; gaining or losing a duty makes it due early."""
-        started_at, had_duty = self._now(), self._has_duty()
-        while self._now() - started_at < seconds - DUTY_HEARTBEAT_INTERVAL_S / 2:
-            await asyncio.sleep(DUTY_HEARTBEAT_INTERVAL_S)
-            if self._has_duty() != had_duty:
+        started_at, had_duty = self._now(), self._holds_any_role()
+        while self._now() - started_at < seconds - ROLE_HOLDER_HEARTBEAT_INTERVAL_S / 2:
+            await asyncio.sleep(ROLE_HOLDER_HEARTBEAT_INTERVAL_S)
+            if self._holds_any_role() != had_duty:
                 return
 
     def _heartbeat_targets(self) -> set[str]:
