Call the state machines of claims and control state_machine everywhere

They were held as folds, and a request to claim a key was a wish.

bluebellpitch/roles/control_log_replica.py ControlRole.fold state_machine bluebellpitch/roles/claim_coordinator.py ClaimRole.fold state_machine bluebellpitch/roles/claim_coordinator.py ClaimRole._fold_changed _state_changed bluebellpitch/roles/claim_coordinator.py ClaimRole.claim_key(wish) claim_request bluebellpitch/decisions/claiming.py next_claim_step(claims) state_machine bluebellpitch/decisions/claiming.py has_lost_race(claims) state_machine tests/test_limits_machine.py Vm.fold state_machine

--- a/bluebellpitch/decisions/claiming.py
+++ b/bluebellpitch/decisions/claiming.py
@@ -71,16 +71,16 @@
 
 
 def next_claim_step(
-    claims: ClaimsStateMachine,
+    state_machine: ClaimsStateMachine,
     request: ClaimRequest,
     pending: PendingClaim | None,
     now_wall: float,
     timed_out: bool,
 ) -> ClaimStep:
     """Returns the next step. ``timed_out`` is set once the claim deadline has passed."""
-    if not is_within_horizon(request.made_at, now_wall, claims.horizon_s, HORIZON_MARGIN_S):
+    if not is_within_horizon(request.made_at, now_wall, state_machine.horizon_s, HORIZON_MARGIN_S):
         return GiveUp(DidNotRun("request_too_old", 400))
-    match claims.key_status(request.key, request.body_digest):
+    match state_machine.key_status(request.key, request.body_digest):
         case KeyBodyMismatch():
             return GiveUp(DidNotRun("key_reused", 422))
         case KeyCompleted(outcome):
@@ -91,14 +91,14 @@
             return GiveUp(MayHaveRun("in_progress", 409, 1.0))
         case _ if timed_out:
             return GiveUp(DidNotRun("log_unavailable", 503, 5.0))
-        case KeyFree() if pending is None or has_lost_race(claims, pending):
+        case KeyFree() if pending is None or has_lost_race(state_machine, pending):
             return AppendClaim()
     return AwaitRecords()
 
 
-def has_lost_race(claims: ClaimsStateMachine, pending: PendingClaim) -> bool:
+def has_lost_race(state_machine: ClaimsStateMachine, pending: PendingClaim) -> bool:
     """Returns whether a pending claim has been applied without taking the key.
 
     Another claim owned the key at that offset, so a new claim is needed once the key is free.
     """
-    return pending.offset is not None and claims.offset >= pending.offset
+    return pending.offset is not None and state_machine.offset >= pending.offset
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -54,10 +54,10 @@
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.tail import Tail
 from bluebellpitch.platform.topics import CLAIMS_TOPIC, CONTROL_TOPIC
-from bluebellpitch.roles.slot_broker_service import BrokerRole
 from bluebellpitch.roles.claim_coordinator import ClaimRole
 from bluebellpitch.roles.cluster_membership import ClusterMembership
 from bluebellpitch.roles.control_log_replica import ControlRole
+from bluebellpitch.roles.slot_broker_service import BrokerRole
 from bluebellpitch.roles.slot_client import SlotClient
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.settings import Settings
@@ -244,7 +244,7 @@
             zone=self.settings.zone,
             region=self.settings.region,
             draining=self.draining.is_set(),
-            control_offset=self.control.fold.offset,
+            control_offset=self.control.state_machine.offset,
             epoch=view.own.epoch,
             in_flight=self.callers.http.in_flight,
             store_silence_s=self.now() - self.control_tail.answered_at,
--- a/bluebellpitch/roles/claim_coordinator.py
+++ b/bluebellpitch/roles/claim_coordinator.py
@@ -61,45 +61,54 @@
         self._wall = wall
         self._horizon_s = horizon_s
         self._own_key = view_holder.current.own.identity.key
-        self.fold = ClaimsStateMachine(horizon_s)
-        self._fold_changed = asyncio.Event()
+        self.state_machine = ClaimsStateMachine(horizon_s)
+        self._state_changed = asyncio.Event()
         self._unfinished_appends: set[asyncio.Task] = set()
 
     async def follow_log(self) -> None:
         """Applies the records of the claims topic until cancelled."""
-        async for page in self._tail.pages(lambda: self.fold.offset + 1):
+        async for page in self._tail.pages(lambda: self.state_machine.offset + 1):
             if isinstance(page, Truncated):
-                log("WARNING", "claims_expired", wanted=self.fold.offset + 1, first=page.first_kept)
-                self.fold.offset = page.first_kept - 1
+                log(
+                    "WARNING",
+                    "claims_expired",
+                    wanted=self.state_machine.offset + 1,
+                    first=page.first_kept,
+                )
+                self.state_machine.offset = page.first_kept - 1
                 continue
             for offset, data in enumerate(page.records, page.start):
-                self.fold.apply(offset, data, self._wall())
+                self.state_machine.apply(offset, data, self._wall())
             if page.records:
                 self._notify_waiters()
 
     def _notify_waiters(self) -> None:
-        self._fold_changed.set()
-        self._fold_changed = asyncio.Event()
+        self._state_changed.set()
+        self._state_changed = asyncio.Event()
 
     async def expire(self) -> None:
         """Drops expired keys and updates the metric of unresolved claims until cancelled."""
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
-            self.fold.expire_keys(self._wall())
+            self.state_machine.expire_keys(self._wall())
             self._metrics.unresolved.set(len(self.unresolved()))
 
     def unresolved(self) -> tuple[Claim, ...]:
         """Returns claims whose request may have run and whose outcome is unknown."""
-        return self.fold.unresolved_claims(frozenset(self._view_holder.current.live_by_key))
+        return self.state_machine.unresolved_claims(
+            frozenset(self._view_holder.current.live_by_key)
+        )
 
-    async def claim_key(self, request: str, wish: ClaimRequest) -> ClaimResult:
+    async def claim_key(self, request: str, claim_request: ClaimRequest) -> ClaimResult:
         """Claims a key for one request; returns the claim, a recorded outcome or a refusal."""
         deadline = self._now() + CLAIM_TIMEOUT_S
         attempted: PendingClaim | None = None
         while True:
-            changed = self._fold_changed
+            changed = self._state_changed
             expired = self._now() >= deadline
-            match next_claim_step(self.fold, wish, attempted, self._wall(), expired):
+            match next_claim_step(
+                self.state_machine, claim_request, attempted, self._wall(), expired
+            ):
                 case ClaimWon(claim) as won:
                     self._event_ring.record(EventKind.CLAIMED, request, detail=claim.id)
                     return won
@@ -111,7 +120,11 @@
                     return verdict
                 case AppendClaim():
                     claim = Claim(
-                        uuid4().hex, wish.key, wish.body_digest, self._own_key, wish.made_at
+                        uuid4().hex,
+                        claim_request.key,
+                        claim_request.body_digest,
+                        self._own_key,
+                        claim_request.made_at,
                     )
                     attempted = await self._append_claim(claim, deadline)
                 case _:
--- a/bluebellpitch/roles/control_log_replica.py
+++ b/bluebellpitch/roles/control_log_replica.py
@@ -37,13 +37,13 @@
         self._store = store
         self._event_ring = event_ring
         self._metrics: Metrics = metrics
-        self.fold = ControlStateMachine()
+        self.state_machine = ControlStateMachine()
         self._recent_entries: deque[ControlEntry] = deque(maxlen=RECENT_ENTRIES)
         self._lagging_peers: set[str] = set()
 
     async def follow_log(self) -> None:
         """Applies the records of the control topic until cancelled."""
-        async for page in self._tail.pages(lambda: self.fold.offset + 1):
+        async for page in self._tail.pages(lambda: self.state_machine.offset + 1):
             if isinstance(page, Truncated):
                 await self._install_snapshot(page.first_kept)
                 continue
@@ -57,46 +57,51 @@
     async def _install_snapshot(self, first_kept: int) -> None:
         """Installs a snapshot in place of records that expired in the store."""
         pieces = await self._tail.newest(SNAPSHOTS_TOPIC)
-        if self.fold.install_latest_snapshot(
+        if self.state_machine.install_latest_snapshot(
             assemble_snapshots(piece.value for piece in pieces if piece.value)
         ):
             self._recent_entries.clear()
             self._publish_view()
-            log("INFO", "snapshot_installed", offset=self.fold.offset, first_kept=first_kept)
-        if self.fold.offset + 1 < first_kept:
-            log("ERROR", "control_gap", offset=self.fold.offset, first_kept=first_kept)
+            log(
+                "INFO",
+                "snapshot_installed",
+                offset=self.state_machine.offset,
+                first_kept=first_kept,
+            )
+        if self.state_machine.offset + 1 < first_kept:
+            log("ERROR", "control_gap", offset=self.state_machine.offset, first_kept=first_kept)
             await asyncio.sleep(STORE_RETRY_DELAY_S)
 
     def apply_entries(self, entries: tuple[ControlEntry, ...]) -> None:
         """Applies the records that continue the fold without a gap, and publishes the result."""
-        before = self.fold.offset
+        before = self.state_machine.offset
         for entry in entries:
-            if entry.offset == self.fold.offset + 1:
-                self.fold.apply(entry.offset, entry.data)
+            if entry.offset == self.state_machine.offset + 1:
+                self.state_machine.apply(entry.offset, entry.data)
                 self._recent_entries.append(entry)
-        if self.fold.offset > before:
+        if self.state_machine.offset > before:
             self._publish_view()
 
     def install_transfer(self, transfer: SnapshotTransfer) -> None:
         """Installs a peer's complete state if it is ahead of this VM's."""
-        if self.fold.install_snapshot(transfer.snapshot):
+        if self.state_machine.install_snapshot(transfer.snapshot):
             self._recent_entries.clear()
             self._publish_view()
 
     def _publish_view(self) -> None:
         view = self._view_holder.current
-        table = self.fold.table
+        table = self.state_machine.table
         if table.offset != view.table.offset:
             self._event_ring.record(EventKind.TABLE, detail=f"offset={table.offset}")
             log("INFO", "table", offset=table.offset)
-        self._metrics.table_offset.set(self.fold.offset)
-        own = replace(view.own, control_offset=self.fold.offset)
+        self._metrics.table_offset.set(self.state_machine.offset)
+        own = replace(view.own, control_offset=self.state_machine.offset)
         self._view_holder.current = replace(
             view,
             own=own,
             table=table,
-            epochs_by_zone=self.fold.state.epochs_by_zone,
-            unsettled_by_zone=self.fold.state.unsettled_by_zone,
+            epochs_by_zone=self.state_machine.state.epochs_by_zone,
+            unsettled_by_zone=self.state_machine.state.unsettled_by_zone,
         )
 
     def catch_up_message(self, sender: str, heartbeat: Heartbeat):
@@ -104,7 +109,7 @@
 
         The records that it lacks are sent if they are all still in memory, else the whole state.
         """
-        if heartbeat.control_offset >= self.fold.offset:
+        if heartbeat.control_offset >= self.state_machine.offset:
             self._lagging_peers.discard(sender)
             return None
         if sender not in self._lagging_peers:
@@ -113,23 +118,23 @@
         missing = tuple(e for e in self._recent_entries if e.offset > heartbeat.control_offset)
         if missing and missing[0].offset == heartbeat.control_offset + 1:
             return ControlRecords(missing)
-        return SnapshotTransfer(self.fold.create_snapshot())
+        return SnapshotTransfer(self.state_machine.create_snapshot())
 
     async def publish_snapshots(self, interval_s: float, now) -> None:
         """Writes snapshots to the store before the records that they cover expire."""
         published_offset, published_at, sequence = -1, now(), 0
         while True:
             await asyncio.sleep(SNAPSHOT_CHECK_S)
-            new_records = self.fold.offset - published_offset
+            new_records = self.state_machine.offset - published_offset
             due = new_records >= SNAPSHOT_INTERVAL_RECORDS or now() - published_at > interval_s
             if not (new_records and due and self._is_publisher()):
                 continue
-            covered = self.fold.offset
+            covered = self.state_machine.offset
             if await self._publish_snapshot(sequence):
                 published_offset, published_at, sequence = covered, now(), sequence + 1
 
     async def _publish_snapshot(self, sequence: int) -> bool:
-        snapshot = self.fold.create_snapshot()
+        snapshot = self.state_machine.create_snapshot()
         for key, piece in split_snapshot(snapshot, self._view_holder.current.own.zone, sequence):
             verdict = await self._store.put(SNAPSHOTS_TOPIC, key, piece)
             if not isinstance(verdict, Appended):
--- a/tests/test_limits_machine.py
+++ b/tests/test_limits_machine.py
@@ -30,7 +30,7 @@
 
     def __init__(self, clock_rate: float):
         self.clock_rate = clock_rate
-        self.fold = ControlStateMachine()
+        self.state_machine = ControlStateMachine()
         self.history = EpochHistory()
         self.lender = QuotaLender()
         self.borrower = QuotaBorrower()
@@ -56,7 +56,7 @@
     @rule(proposer=NAMES, members=st.sets(NAMES, min_size=1))
     def propose(self, proposer, members):
         vm = self.vms[proposer]
-        current = vm.fold.state.epochs_by_zone.get(ZONE)
+        current = vm.state_machine.state.epochs_by_zone.get(ZONE)
         number = (current.number if current else 0) + 1
         identities = tuple(sorted(VMS[name] for name in members))
         record_id = f"e{len(self.log)}"
@@ -66,11 +66,13 @@
     @rule(name=NAMES, count=st.integers(1, 3))
     def read_log(self, name, count):
         vm = self.vms[name]
-        for offset in range(vm.fold.offset + 1, min(len(self.log), vm.fold.offset + 1 + count)):
-            vm.fold.apply(offset, self.log[offset])
-        epoch = vm.fold.state.epochs_by_zone.get(ZONE)
+        for offset in range(
+            vm.state_machine.offset + 1, min(len(self.log), vm.state_machine.offset + 1 + count)
+        ):
+            vm.state_machine.apply(offset, self.log[offset])
+        epoch = vm.state_machine.state.epochs_by_zone.get(ZONE)
         if epoch is not None:
-            vm.history.add(vm.fold.state.unsettled_by_zone.get(ZONE, ()) + (epoch,))
+            vm.history.add(vm.state_machine.state.unsettled_by_zone.get(ZONE, ()) + (epoch,))
 
     @rule(name=NAMES, other=NAMES)
     def receive_epoch_number(self, name, other):
