Call a request for a slot a slot request

The message SlotRequest was an ask in variables, methods and constants. Requests to peers for the configuration and records say what they are as well.

bluebellpitch/constants.py ASK_RESEND_INTERVAL_S SLOT_REQUEST_RESEND_INTERVAL_S bluebellpitch/constants.py ASK_TIMEOUT_S SLOT_REQUEST_TIMEOUT_S bluebellpitch/roles/slot_client.py Slot.ask slot_request bluebellpitch/roles/slot_client.py PendingAcquire.ask slot_request bluebellpitch/roles/slot_client.py PendingAcquire.asked_zones requested_zones bluebellpitch/roles/slot_client.py SlotClient._send_asks _send_slot_requests bluebellpitch/roles/slot_client.py SlotClient._zones_to_ask _zones_to_request bluebellpitch/roles/slot_client.py SlotClient._ask_with_current_age _slot_request_with_current_age bluebellpitch/roles/slot_client.py SlotClient.acquire(ask) slot_request bluebellpitch/roles/slot_broker_service.py to_broker_clock(ask) slot_request bluebellpitch/roles/peer_sync.py ASK_READER_AFTER_S READER_REQUEST_AFTER_S bluebellpitch/roles/peer_sync.py ASK_ZONE_AFTER_S ZONE_REQUEST_AFTER_S bluebellpitch/roles/peer_sync.py ASK_OTHERS_AFTER_S OTHER_PEERS_REQUEST_AFTER_S bluebellpitch/roles/peer_sync.py ASK_INTERVAL_S PEER_REQUEST_INTERVAL_S bluebellpitch/roles/peer_sync.py OTHER_PEERS_ASKED MAX_OTHER_PEERS bluebellpitch/roles/peer_sync.py PeerSync._peers_to_ask _request_targets bluebellpitch/decisions/slot_grants.py QueuedRequest.last_asked_at last_requested_at

--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -12,11 +12,11 @@
 from dataclasses import replace
 
 from bluebellpitch.constants import (
-    ASK_TIMEOUT_S,
     GRANT_TIMEOUT_S,
     MAX_PREEMPTIONS_PER_REQUEST,
     PREEMPT_AFTER_TARGET_SHARE,
     SHEDDING_HOLD_S,
+    SLOT_REQUEST_TIMEOUT_S,
 )
 from bluebellpitch.decisions.class_scheduling import ClassScheduler, SchedulingPolicy
 from bluebellpitch.decisions.endpoint_health import EndpointHealth, LatencySample
@@ -202,7 +202,7 @@
         for stale in (g for g in grants if now - g.confirmed_at > GRANT_TIMEOUT_S):
             self._remove_grant(stale)
         waiting = tuple(self.queues.requests_by_id.values())
-        for request in (r for r in waiting if now - r.last_asked_at > ASK_TIMEOUT_S):
+        for request in (r for r in waiting if now - r.last_requested_at > SLOT_REQUEST_TIMEOUT_S):
             self.queues.remove(request.request_id)
         yield from self.schedule(now)
 
--- a/bluebellpitch/decisions/slot_grants.py
+++ b/bluebellpitch/decisions/slot_grants.py
@@ -26,7 +26,7 @@
     resumed: bool = False
     remote: bool = False
     preemptions: int = 0
-    last_asked_at: float = 0.0
+    last_requested_at: float = 0.0
 
 
 @dataclass(slots=True)
--- a/bluebellpitch/roles/peer_sync.py
+++ b/bluebellpitch/roles/peer_sync.py
@@ -23,12 +23,12 @@
 
 # The zone's reader is asked when this VM's configuration was last confirmed longer ago than the
 # first limit, and all VMs of the zone after the second.
-ASK_READER_AFTER_S = 0.9
-ASK_ZONE_AFTER_S = 1.5
-ASK_INTERVAL_S = 0.3
+READER_REQUEST_AFTER_S = 0.9
+ZONE_REQUEST_AFTER_S = 1.5
+PEER_REQUEST_INTERVAL_S = 0.3
 # After a third limit so many other VMs are asked as well, in case the whole zone is out of date.
-OTHER_PEERS_ASKED = 2
-ASK_OTHERS_AFTER_S = 2.0
+MAX_OTHER_PEERS = 2
+OTHER_PEERS_REQUEST_AFTER_S = 2.0
 
 
 class PeerSync:
@@ -102,27 +102,27 @@
         while True:
             now = self._now()
             age_s = self._configuration.freshness.age_s(now)
-            if age_s > ASK_READER_AFTER_S:
+            if age_s > READER_REQUEST_AFTER_S:
                 request = FreshnessRequest(now, self._configuration.version(), self._address)
-                for address in self._peers_to_ask(age_s):
+                for address in self._request_targets(age_s):
                     self._bus.send_to_address(address, request)
             start = self._endpoints.follower.offset_to_request()
             if start is not None:
                 request = RecordsRequest(self._endpoints.follower.topic, start, self._address)
-                for address in self._peers_to_ask(ASK_OTHERS_AFTER_S):
+                for address in self._request_targets(OTHER_PEERS_REQUEST_AFTER_S):
                     self._bus.send_to_address(address, request)
             self._log_keys_usable_change(now)
-            await asyncio.sleep(ASK_INTERVAL_S)
+            await asyncio.sleep(PEER_REQUEST_INTERVAL_S)
 
-    def _peers_to_ask(self, age_s: float) -> set[str]:
+    def _request_targets(self, age_s: float) -> set[str]:
         zone_peers = {peer.address for peer in self._liveness.live_peers(self._now())}
         reader = self._liveness.peers_by_key.get(self._zone_reader())
-        if age_s < ASK_ZONE_AFTER_S:
+        if age_s < ZONE_REQUEST_AFTER_S:
             return {reader.address} if reader else set()
-        if age_s < ASK_OTHERS_AFTER_S:
+        if age_s < OTHER_PEERS_REQUEST_AFTER_S:
             return zone_peers
         others = [a for a in self._all_addresses() if a != self._address and a not in zone_peers]
-        return zone_peers | set(random.sample(others, min(OTHER_PEERS_ASKED, len(others))))
+        return zone_peers | set(random.sample(others, min(MAX_OTHER_PEERS, len(others))))
 
     def _log_keys_usable_change(self, now: float) -> None:
         freshness = self._configuration.freshness
--- a/bluebellpitch/roles/slot_broker_service.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -295,22 +295,22 @@
             self._bus.send(sender, LoanGranted(request.pool, request.epoch, request.asked_at))
 
 
-def to_broker_clock(ask: SlotRequest, requester: str, now: float) -> QueuedRequest:
+def to_broker_clock(slot_request: SlotRequest, requester: str, now: float) -> QueuedRequest:
     """Returns a request with its times converted to the broker's clock."""
     return QueuedRequest(
-        request_id=ask.request,
-        attempt=ask.attempt,
+        request_id=slot_request.request,
+        attempt=slot_request.attempt,
         requesting_vm=requester,
-        member=ask.member,
-        class_name=ask.class_name,
-        arrived_at=now - ask.age_s,
-        expires_at=now + ask.patience_s,
-        prefix=ask.prefix,
-        excluded_endpoints=frozenset(ask.avoid),
-        isolation_level=ask.suspicion,
-        resumable=ask.resumable,
-        resumed=ask.resumed,
-        remote=ask.remote,
-        preemptions=ask.preemptions,
-        last_asked_at=now,
+        member=slot_request.member,
+        class_name=slot_request.class_name,
+        arrived_at=now - slot_request.age_s,
+        expires_at=now + slot_request.patience_s,
+        prefix=slot_request.prefix,
+        excluded_endpoints=frozenset(slot_request.avoid),
+        isolation_level=slot_request.suspicion,
+        resumable=slot_request.resumable,
+        resumed=slot_request.resumed,
+        remote=slot_request.remote,
+        preemptions=slot_request.preemptions,
+        last_requested_at=now,
     )
--- a/bluebellpitch/roles/slot_client.py
+++ b/bluebellpitch/roles/slot_client.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from bluebellpitch.constants import (
-    ASK_RESEND_INTERVAL_S,
     FAR_OVERFLOW_FACTOR,
     HELD_REPORT_INTERVAL_S,
     OVERFLOW_TARGET_SHARE,
+    SLOT_REQUEST_RESEND_INTERVAL_S,
     SLOW_RATIO,
     TOKEN_GAP_CHECK_INTERVAL_S,
     TOKEN_GAP_REPORT_INTERVAL_S,
@@ -44,7 +44,7 @@
     """
 
     granted: SlotGranted
-    ask: SlotRequest
+    slot_request: SlotRequest
     zone: str
     region: str
     held_since: float
@@ -78,12 +78,12 @@
 class PendingAcquire:
     """A request that waits for a slot: the zones it asked, and their replies."""
 
-    ask: SlotRequest
+    slot_request: SlotRequest
     arrived_at: float
     expires_at: float
     overflow_after_s: float
     zones: list[str]
-    asked_zones: list[str] = field(default_factory=list)
+    requested_zones: list[str] = field(default_factory=list)
     refusals_by_zone: dict[str, SlotRefused] = field(default_factory=dict)
     preempt_reasons_by_grant: dict[str, str] = field(default_factory=dict)
     inbox: asyncio.Queue = field(default_factory=asyncio.Queue)
@@ -127,7 +127,7 @@
         if granted.grant in self._slots_by_grant:
             return
         pending = self._pending_by_request.get(granted.request)
-        if pending is not None and pending.ask.attempt == granted.attempt:
+        if pending is not None and pending.slot_request.attempt == granted.attempt:
             pending.inbox.put_nowait((sender, granted))
             return
         row = self._view_holder.current.table.endpoints_by_name.get(granted.endpoint)
@@ -137,7 +137,7 @@
 
     async def acquire(
         self,
-        ask: SlotRequest,
+        slot_request: SlotRequest,
         arrived_at: float,
         expires_at: float,
         is_disconnected: Callable[[], bool],
@@ -146,15 +146,17 @@
 
         Requests overflow to more distant zones after a share of the first-token target has passed.
         """
-        zones = self._view_holder.current.zones_by_proximity(ask.pool, ask.request)
-        row = self._view_holder.current.table.classes_by_name.get(ask.class_name)
+        zones = self._view_holder.current.zones_by_proximity(
+            slot_request.pool, slot_request.request
+        )
+        row = self._view_holder.current.table.classes_by_name.get(slot_request.class_name)
         overflow_after_s = OVERFLOW_TARGET_SHARE * (row.first_token_ms / 1000 if row else 1.0)
-        pending = PendingAcquire(ask, arrived_at, expires_at, overflow_after_s, zones)
-        self._pending_by_request[ask.request] = pending
+        pending = PendingAcquire(slot_request, arrived_at, expires_at, overflow_after_s, zones)
+        self._pending_by_request[slot_request.request] = pending
         try:
             return await self._wait_for_slot(pending, is_disconnected)
         finally:
-            del self._pending_by_request[ask.request]
+            del self._pending_by_request[slot_request.request]
             self._return_unused_grants(pending)
 
     async def _wait_for_slot(
@@ -168,23 +170,23 @@
                 return self._give_up(pending, DidNotRun("waited_too_long", 503, 1.0))
             if is_disconnected():
                 return self._give_up(pending, DidNotRun("caller_gone", 499))
-            zones = self._zones_to_ask(pending, now - started_at)
-            if now - asked_at >= ASK_RESEND_INTERVAL_S or zones != pending.asked_zones:
-                pending.asked_zones, asked_at = zones, now
-                self._send_asks(pending, now)
+            zones = self._zones_to_request(pending, now - started_at)
+            if now - asked_at >= SLOT_REQUEST_RESEND_INTERVAL_S or zones != pending.requested_zones:
+                pending.requested_zones, asked_at = zones, now
+                self._send_slot_requests(pending, now)
             reply = await self._next_reply(
                 pending, min(DISCONNECT_CHECK_S, pending.overflow_after_s)
             )
             if isinstance(reply, Slot):
                 self._cancel_others(pending, reply.zone)
                 return reply
-            if reply is not None and len(pending.refusals_by_zone) >= len(pending.asked_zones):
+            if reply is not None and len(pending.refusals_by_zone) >= len(pending.requested_zones):
                 return self._give_up(pending, reply)
 
-    def _zones_to_ask(self, pending: PendingAcquire, waited_s: float) -> list[str]:
+    def _zones_to_request(self, pending: PendingAcquire, waited_s: float) -> list[str]:
         """Returns the zones to ask after this wait: nearest first, then own region, then others."""
         view = self._view_holder.current
-        regions_by_zone = dict(view.table.zones_by_pool.get(pending.ask.pool, ()))
+        regions_by_zone = dict(view.table.zones_by_pool.get(pending.slot_request.pool, ()))
         selected = []
         for zone in pending.zones:
             cross_region = view.is_cross_region(regions_by_zone.get(zone, ""))
@@ -193,14 +195,14 @@
                 selected.append(zone)
         return selected
 
-    def _send_asks(self, pending: PendingAcquire, now: float) -> None:
+    def _send_slot_requests(self, pending: PendingAcquire, now: float) -> None:
         view = self._view_holder.current
-        for zone in pending.asked_zones:
-            broker = view.broker_vm(pending.ask.pool, zone)
+        for zone in pending.requested_zones:
+            broker = view.broker_vm(pending.slot_request.pool, zone)
             if broker is None or zone in pending.refusals_by_zone:
                 continue
             ask = msgspec.structs.replace(
-                pending.ask,
+                pending.slot_request,
                 age_s=now - pending.arrived_at,
                 patience_s=pending.expires_at - now,
                 remote=zone != view.own.zone,
@@ -216,7 +218,7 @@
         match message:
             case SlotGranted():
                 return self._accept_grant(pending, sender, message)
-            case SlotRefused(attempt=attempt) if attempt == pending.ask.attempt:
+            case SlotRefused(attempt=attempt) if attempt == pending.slot_request.attempt:
                 pending.refusals_by_zone[self._zone_of_vm(sender)] = message
                 return DidNotRun(message.reason, 503, message.retry_after_s)
         return None
@@ -227,7 +229,7 @@
         row = self._view_holder.current.table.endpoints_by_name.get(granted.endpoint)
         if row is None:
             return None
-        slot = Slot(granted, pending.ask, row.zone, row.region, self._now())
+        slot = Slot(granted, pending.slot_request, row.zone, row.region, self._now())
         slot.brokers_with_details.add(sender)
         slot.preempt_reason = pending.preempt_reasons_by_grant.get(granted.grant, "")
         self._slots_by_grant[granted.grant] = slot
@@ -245,17 +247,22 @@
         return verdict
 
     def _cancel_others(self, pending: PendingAcquire, granted_zone: str) -> None:
-        for zone in pending.asked_zones:
-            broker = self._view_holder.current.broker_vm(pending.ask.pool, zone)
+        for zone in pending.requested_zones:
+            broker = self._view_holder.current.broker_vm(pending.slot_request.pool, zone)
             if zone != granted_zone and broker is not None:
-                self._bus.send(broker, SlotRequestCancelled(pending.ask.request, pending.ask.pool))
+                self._bus.send(
+                    broker,
+                    SlotRequestCancelled(pending.slot_request.request, pending.slot_request.pool),
+                )
 
     def _return_unused_grants(self, pending: PendingAcquire) -> None:
         """Returns grants that another zone made at the same time."""
         while not pending.inbox.empty():
             sender, message = pending.inbox.get_nowait()
             if isinstance(message, SlotGranted) and message.grant not in self._slots_by_grant:
-                unused = SlotReleased(message.grant, message.request, pending.ask.pool, "unused")
+                unused = SlotReleased(
+                    message.grant, message.request, pending.slot_request.pool, "unused"
+                )
                 self._bus.send(sender, unused)
 
     def release(
@@ -268,11 +275,16 @@
         """Returns a slot to its broker, with the outcome and the measured times."""
         del self._slots_by_grant[slot.granted.grant]
         self._metrics.attempts.labels(outcome).inc()
-        broker = self._view_holder.current.broker_vm(slot.ask.pool, slot.zone)
+        broker = self._view_holder.current.broker_vm(slot.slot_request.pool, slot.zone)
         if broker is not None:
             request = slot.granted.request
             returned = SlotReleased(
-                slot.granted.grant, request, slot.ask.pool, outcome, first_token_s, inter_token_s
+                slot.granted.grant,
+                request,
+                slot.slot_request.pool,
+                outcome,
+                first_token_s,
+                inter_token_s,
             )
             self._bus.send(broker, returned)
 
@@ -281,10 +293,10 @@
         self._send_measurement(slot, "first", seconds)
 
     def _send_measurement(self, slot: Slot, measure: str, seconds: float) -> None:
-        broker = self._view_holder.current.broker_vm(slot.ask.pool, slot.zone)
+        broker = self._view_holder.current.broker_vm(slot.slot_request.pool, slot.zone)
         if broker is not None:
             self._bus.send(
-                broker, LatencyReport(slot.granted.grant, slot.ask.pool, measure, seconds)
+                broker, LatencyReport(slot.granted.grant, slot.slot_request.pool, measure, seconds)
             )
 
     async def run(self) -> None:
@@ -312,7 +324,7 @@
                 self._send_measurement(slot, "between", gap_s)
 
     def _report_all_held_slots(self) -> None:
-        pools = {(slot.ask.pool, slot.zone) for slot in self._slots_by_grant.values()}
+        pools = {(slot.slot_request.pool, slot.zone) for slot in self._slots_by_grant.values()}
         for pool, zone in pools:
             broker = self._view_holder.current.broker_vm(pool, zone)
             if broker is not None:
@@ -324,7 +336,7 @@
         grants = tuple(
             self._describe_held_slot(slot, broker, now)
             for slot in self._slots_by_grant.values()
-            if slot.ask.pool == pool and slot.zone == zone
+            if slot.slot_request.pool == pool and slot.zone == zone
         )
         self._bus.send(broker, HeldGrantsReport(pool, grants))
 
@@ -332,12 +344,14 @@
         details = None
         if broker not in slot.brokers_with_details:
             slot.brokers_with_details.add(broker)
-            ask = self._ask_with_current_age(slot, now)
+            ask = self._slot_request_with_current_age(slot, now)
             details = HeldGrantDetails(ask, slot.granted.endpoint, now - slot.held_since)
         return HeldGrant(slot.granted.grant, slot.inter_token_s(), details)
 
-    def _ask_with_current_age(self, slot: Slot, now: float) -> SlotRequest:
-        return msgspec.structs.replace(slot.ask, age_s=slot.ask.age_s + now - slot.held_since)
+    def _slot_request_with_current_age(self, slot: Slot, now: float) -> SlotRequest:
+        return msgspec.structs.replace(
+            slot.slot_request, age_s=slot.slot_request.age_s + now - slot.held_since
+        )
 
     def held_count(self) -> int:
         """Returns how many slots this VM holds."""
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -112,7 +112,7 @@
 def make_work(request: str, member: int, class_name: str, now: float) -> QueuedRequest:
     """Returns a request."""
     return QueuedRequest(
-        request, 1, "vm", f"m{member}", class_name, now, now + 1e6, last_asked_at=now
+        request, 1, "vm", f"m{member}", class_name, now, now + 1e6, last_requested_at=now
     )
 
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -228,7 +228,7 @@
     broker = make_broker(endpoints=1, slots=1)
     send(broker, [queued("lost")])
     now = GRANT_TIMEOUT_S + 0.5
-    send(broker, [queued("next", at=2.0, last_asked_at=now)], 2.0)
+    send(broker, [queued("next", at=2.0, last_requested_at=now)], 2.0)
     assert_that(granted_ids(broker.expire_unconfirmed(now)), Equals(["next"]))
 
 
@@ -306,7 +306,7 @@
     ids = list(broker.grants_by_id)
     match kind:
         case "ask":
-            fields = {"member": member, "isolation_level": level, "last_asked_at": now}
+            fields = {"member": member, "isolation_level": level, "last_requested_at": now}
             return broker.submit(queued(f"r{number}", class_name, now, 5.0, **fields), now)
         case "finish" | "crash" if ids:
             outcome = "completed" if kind == "finish" else "crashed"
