Use one name each for isolation level, maximum wait, background tasks and strike tracker

Suspicion, patience, jobs and book were other words for these. The fields of messages keep their names.

bluebellpitch/constants.py LATE_PATIENCE_SHARE LATE_MAX_WAIT_SHARE bluebellpitch/callers/completions.py CompletionHandler._assess_suspicion _isolation_level bluebellpitch/callers/completions.py CompletionHandler._acquire_next_slot(suspicion) isolation_level bluebellpitch/roles/generation_coordinator.py GenerationCoordinator.forget_vm remove_vm bluebellpitch/node.py Node._jobs _background_tasks bluebellpitch/entry_vm.py EntryVm._jobs _background_tasks bluebellpitch/roles/strike_replicator.py StrikeReplicator.__init__(book) tracker bluebellpitch/roles/strike_replicator.py StrikeReplicator.book tracker measure/variant.py VariantNode._jobs _background_tasks

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -76,13 +76,13 @@
 
     async def _serve(self) -> Verdict:
         while True:
-            suspicion = self._assess_suspicion()
+            suspicion = self._isolation_level()
             if suspicion is IsolationLevel.REFUSED:
                 return await self._refuse("crashes_endpoints", 422)
             slot = await self._acquire_next_slot(suspicion)
             if isinstance(slot, DidNotRun):
                 return await self._refuse(slot.reason, slot.status, slot.retry_after_s)
-            if self._assess_suspicion() > suspicion:
+            if self._isolation_level() > suspicion:
                 self.context.slot_client.release(slot, "cancelled")
                 continue
             ending = await self._run_attempt(slot)
@@ -93,12 +93,12 @@
             if self.progress.failures >= MAX_ATTEMPTS_PER_REQUEST:
                 return await self._refuse("attempts_exhausted", 502)
 
-    def _assess_suspicion(self) -> IsolationLevel:
-        return self.context.strikes.book.isolation_level(
+    def _isolation_level(self) -> IsolationLevel:
+        return self.context.strikes.tracker.isolation_level(
             self.request.fingerprint, self.context.now()
         )
 
-    async def _acquire_next_slot(self, suspicion: IsolationLevel) -> Slot | DidNotRun:
+    async def _acquire_next_slot(self, isolation_level: IsolationLevel) -> Slot | DidNotRun:
         progress, caller = self.progress, self.caller
         progress.attempt += 1
         expires_at = caller.arrived_at + caller.max_wait_s
@@ -109,7 +109,7 @@
             expires_at,
             prefix=self.request.prefix_digest,
             avoid=progress.avoided_endpoints,
-            suspicion=int(suspicion),
+            suspicion=int(isolation_level),
             resumed=progress.tokens > 0,
             preemptions=progress.preemptions,
         )
@@ -231,7 +231,7 @@
         await strikes.record_confirmed(fingerprint, attempt, STRIKE_CONFIRMATION_TIMEOUT_S)
 
     async def _finish(self) -> Verdict:
-        if self.context.strikes.book.count(self.request.fingerprint, self.context.now()):
+        if self.context.strikes.tracker.count(self.request.fingerprint, self.context.now()):
             self.context.strikes.clear(self.request.fingerprint)
         self._record_metrics()
         self.record_event(EventKind.COMPLETED, self.endpoint, f"tokens={self.progress.tokens}")
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -147,9 +147,9 @@
         context, request = self._context, admitted.request
         member = admitted.member.name if admitted.member else ""
         self._fingerprint = digest_text(request.method, request.target, member, request.body)
-        strikes = context.strikes.book.count(self._fingerprint, context.now())
+        strikes = context.strikes.tracker.count(self._fingerprint, context.now())
         if (
-            context.strikes.book.isolation_level(self._fingerprint, context.now())
+            context.strikes.tracker.isolation_level(self._fingerprint, context.now())
             is IsolationLevel.REFUSED
         ):
             log("WARNING", "crashes_endpoints", request=request.id, strikes=strikes)
--- a/bluebellpitch/decisions/class_scheduling.py
+++ b/bluebellpitch/decisions/class_scheduling.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from bluebellpitch.constants import GUARANTEED_SHARE, LATE_PATIENCE_SHARE, MAX_SHARE_CREDIT_S
+from bluebellpitch.constants import GUARANTEED_SHARE, LATE_MAX_WAIT_SHARE, MAX_SHARE_CREDIT_S
 from bluebellpitch.decisions.request_queues import RequestQueues, first_on_time
 from bluebellpitch.decisions.rows import ClassRow
 from bluebellpitch.decisions.slot_grants import ClassStats, QueuedRequest
@@ -134,4 +134,4 @@
         return False
     oldest = queue[0]
     max_wait_s = oldest.expires_at - oldest.arrived_at
-    return now - oldest.arrived_at < LATE_PATIENCE_SHARE * max_wait_s
+    return now - oldest.arrived_at < LATE_MAX_WAIT_SHARE * max_wait_s
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -106,7 +106,7 @@
             now=now,
             configuration_version=self.configuration.version,
             is_draining=self.draining.is_set,
-            on_vm_lost=lambda vm: self.generations.forget_vm(vm),
+            on_vm_lost=lambda vm: self.generations.remove_vm(vm),
             holds_any_role=self._holds_any_role,
         )
         self.peer_sync = PeerSync(
@@ -248,7 +248,7 @@
             host, _ = parse_address(self.settings.listen)
             await self.metrics_http.listen(host, self._metrics_port)
         await self.http.listen(*parse_address(self.settings.listen))
-        tasks = start_tasks(self._jobs(), self.draining)
+        tasks = start_tasks(self._background_tasks(), self.draining)
         log("INFO", "started", vm=self.settings.vm, zone=self.settings.zone)
         try:
             await self.draining.wait()
@@ -262,7 +262,7 @@
             server.stop_listening()
         self.bus.close()
 
-    def _jobs(self) -> tuple[Coroutine, ...]:
+    def _background_tasks(self) -> tuple[Coroutine, ...]:
         return (
             self.configuration.run(),
             self.endpoints.run(),
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -196,7 +196,7 @@
         self.bus.bind(self.settings.bus_bind)
         await self.admin.http.listen(*parse_address(self.settings.admin))
         await self.callers.http.listen(*parse_address(self.settings.listen))
-        tasks = start_tasks(self._jobs(), self.draining)
+        tasks = start_tasks(self._background_tasks(), self.draining)
         log("INFO", "started", vm=self.key, zone=self.settings.zone, listen=self.settings.listen)
         await self.draining.wait()
         await self._drain()
@@ -205,7 +205,7 @@
         self.bus.close()
         log("INFO", "stopped", vm=self.key)
 
-    def _jobs(self) -> tuple[Coroutine, ...]:
+    def _background_tasks(self) -> tuple[Coroutine, ...]:
         return (
             self.bus.run(),
             self.control.follow_log(),
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -241,7 +241,7 @@
         if session and not self._brokers_by_pool[request.pool].is_short_length(request.tokens_in):
             self._new_sessions_by_pool.setdefault(request.pool, []).append(session)
 
-    def forget_vm(self, vm: str) -> None:
+    def remove_vm(self, vm: str) -> None:
         """Drops all work of a VM that has failed or left."""
         for broker in self._brokers_by_pool.values():
             broker.remove_vm(vm)
--- a/bluebellpitch/roles/strike_replicator.py
+++ b/bluebellpitch/roles/strike_replicator.py
@@ -14,12 +14,12 @@
 
     def __init__(
         self,
-        book: StrikeTracker,
+        tracker: StrikeTracker,
         peers: Callable[[], Iterable[str]],
         send: Callable[[str, StrikeReport | StrikesCleared], None],
         now: Callable[[], float],
     ):
-        self.book = book
+        self.tracker = tracker
         self._peers = peers
         self._send = send
         self._now = now
@@ -32,10 +32,10 @@
         """Handles a message from a peer; returns the confirmation to send back, if any."""
         match message:
             case StrikeReport(fingerprint, attempt, confirm):
-                self.book.add(fingerprint, attempt, self._now())
+                self.tracker.add(fingerprint, attempt, self._now())
                 return StrikeAck(attempt) if confirm else None
             case StrikesCleared(fingerprint):
-                self.book.clear(fingerprint)
+                self.tracker.clear(fingerprint)
             case StrikeAck(attempt):
                 self._record_confirmation(attempt)
         return None
@@ -51,7 +51,7 @@
         self._record_and_broadcast(StrikeReport(fingerprint, attempt))
 
     def _record_and_broadcast(self, message: StrikeReport) -> int:
-        self.book.add(message.fingerprint, message.attempt, self._now())
+        self.tracker.add(message.fingerprint, message.attempt, self._now())
         return self._broadcast(message)
 
     async def record_confirmed(self, fingerprint: str, attempt: str, timeout_s: float) -> None:
@@ -69,7 +69,7 @@
 
     def clear(self, fingerprint: str) -> None:
         """Clears the strikes of a completed request, here and at all peers."""
-        self.book.clear(fingerprint)
+        self.tracker.clear(fingerprint)
         self._broadcast(StrikesCleared(fingerprint))
 
     def _broadcast(self, message: StrikeReport | StrikesCleared) -> int:
@@ -82,4 +82,4 @@
         """Removes expired strikes periodically, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
-            self.book.expire(self._now())
+            self.tracker.expire(self._now())
--- a/measure/variant.py
+++ b/measure/variant.py
@@ -29,8 +29,8 @@
             object.__setattr__(self.context, "slot_client", local)
             self.local = local
 
-    def _jobs(self):
-        jobs = super()._jobs()
+    def _background_tasks(self):
+        jobs = super()._background_tasks()
         return (*jobs, self.local.run()) if MODE in PICKERS else jobs
 
 
