Name the mean time between two tokens inter_token_s

It was between_tokens_s, mean_gap_s and inter_token_s. Fields of messages and the columns of the operators' table keep their names, and so does the attribute of the metric.

bluebellpitch/decisions/slot_grants.py GrantSlot.expected_between_tokens_s expected_inter_token_s bluebellpitch/decisions/slot_grants.py FinishedGrant.between_tokens_s inter_token_s bluebellpitch/decisions/slot_grants.py ClassStats.between_tokens_s inter_token_s bluebellpitch/callers/completions.py CompletionProgress.mean_gap_s inter_token_s

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -43,7 +43,7 @@
     avoided_endpoints: tuple[str, ...] = ()
     chunks: list[bytes] = field(default_factory=list)
 
-    def mean_gap_s(self) -> float | None:
+    def inter_token_s(self) -> float | None:
         """Returns the mean time between tokens, or None before the second token."""
         if self.tokens < 2:
             return None
@@ -255,7 +255,7 @@
         if progress.first_token_at is None:
             return
         first_s = progress.first_token_at - self.caller.arrived_at
-        between_s = progress.mean_gap_s() or 0.0
+        between_s = progress.inter_token_s() or 0.0
         metrics.first_token.labels(service_class.name).observe(first_s)
         metrics.between_tokens.labels(service_class.name).observe(between_s)
         if (
--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -166,8 +166,8 @@
             self.health.mark_down(grant.endpoint, now)
         if result.first_token_s is not None and not grant.first_token_seen:
             self.record_latency(grant.grant_id, "first", result.first_token_s, now, grant)
-        if result.between_tokens_s is not None:
-            self.record_latency(grant.grant_id, "between", result.between_tokens_s, now, grant)
+        if result.inter_token_s is not None:
+            self.record_latency(grant.grant_id, "between", result.inter_token_s, now, grant)
 
     def record_latency(
         self, grant_id: str, measure: str, seconds: float, now: float, grant=None
@@ -179,7 +179,7 @@
         grant.first_token_seen |= measure == "first"
         if not self.health.is_slow(grant.endpoint):
             stats = self.scheduler.stats(grant.request.class_name)
-            (stats.first_token_s if measure == "first" else stats.between_tokens_s).add(seconds)
+            (stats.first_token_s if measure == "first" else stats.inter_token_s).add(seconds)
         seen = LatencySample(now, grant.request.class_name, measure, seconds)
         self.health.add_sample(grant.endpoint, seen)
 
@@ -296,7 +296,7 @@
 
     def _grant_command(self, grant: ActiveGrant) -> GrantSlot:
         stats = self.scheduler.stats(grant.request.class_name)
-        return GrantSlot(grant, stats.first_token_s.value, stats.between_tokens_s.value)
+        return GrantSlot(grant, stats.first_token_s.value, stats.inter_token_s.value)
 
     def _add_grant(self, grant: ActiveGrant) -> None:
         self.grants_by_id[grant.grant_id] = grant
--- a/bluebellpitch/decisions/slot_grants.py
+++ b/bluebellpitch/decisions/slot_grants.py
@@ -49,7 +49,7 @@
 
     grant: ActiveGrant
     expected_first_token_s: float
-    expected_between_tokens_s: float
+    expected_inter_token_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +79,7 @@
     grant_id: str
     outcome: str
     first_token_s: float | None = None
-    between_tokens_s: float | None = None
+    inter_token_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -103,5 +103,5 @@
 
     slot_time_s: MovingAverage = field(default_factory=MovingAverage)
     first_token_s: MovingAverage = field(default_factory=MovingAverage)
-    between_tokens_s: MovingAverage = field(default_factory=MovingAverage)
+    inter_token_s: MovingAverage = field(default_factory=MovingAverage)
     share_credit_s: float = 0.0
--- a/bluebellpitch/roles/slot_broker_service.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -213,7 +213,7 @@
             endpoint.name,
             endpoint.address,
             grant.expected_first_token_s,
-            grant.expected_between_tokens_s,
+            grant.expected_inter_token_s,
         )
         self._bus.send(work.requesting_vm, granted)
 
