Tell constants of one name apart, and call connection pools connection_pool

Two modules gave one name to constants of other values, among them the default gap target of a route and of a pool. Three attributes had three names for a connection pool.

bluebellpitch/callers/admission.py DEFAULT_GAP_TARGET_S DEFAULT_ROUTE_GAP_TARGET_S bluebellpitch/decisions/generation_broker.py DEFAULT_GAP_TARGET_S DEFAULT_POOL_GAP_TARGET_S bluebellpitch/endpoints/endpoint_connections.py CONNECT_TIMEOUT_S ROUTED_CONNECT_TIMEOUT_S bluebellpitch/roles/peer_discovery.py HEARTBEAT_INTERVAL_S DEFAULT_HEARTBEAT_INTERVAL_S bluebellpitch/roles/generation_coordinator.py EXPIRY_INTERVAL_S WORK_EXPIRY_INTERVAL_S bluebellpitch/roles/strike_replicator.py EXPIRY_INTERVAL_S STRIKE_EXPIRY_INTERVAL_S bluebellpitch/callers/routed_requests.py NO_ENDPOINT_RETRY_AFTER_S REFUSAL_RETRY_AFTER_S bluebellpitch/entry_vm.py DRAIN_POLL_S ROUTED_DRAIN_POLL_S bluebellpitch/callers/routed_requests.py RoutingContext.connections connection_pool bluebellpitch/context.py NodeContext.connections connection_pool bluebellpitch/entry_vm.py EntryVm.links connection_pool bluebellpitch/node.py Node.connections connection_pool bluebellpitch/endpoints/service.py call_service(connections) connection_pool bluebellpitch/endpoints/engine.py EngineAttempt.__init__(connections) connection_pool bluebellpitch/endpoints/attempt.py RoutedAttempt.__init__(connections) connection_pool bluebellpitch/endpoints/engine.py EngineAttempt._connections _connection_pool bluebellpitch/endpoints/attempt.py RoutedAttempt._connections _connection_pool

--- a/bluebellpitch/callers/admission.py
+++ b/bluebellpitch/callers/admission.py
@@ -17,7 +17,7 @@
 
 CONFIGURATION_RETRY_AFTER_S = 0.5
 # Gap between events to aim at on routes that set no target.
-DEFAULT_GAP_TARGET_S = 60.0
+DEFAULT_ROUTE_GAP_TARGET_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +90,7 @@
         tokens_out=prompt.tokens_out,
         parts=tuple((part.id, part.tokens) for part in prompt.parts),
         target_s=admitted.route.target_s,
-        gap_target_s=admitted.route.gap_target_s or DEFAULT_GAP_TARGET_S,
+        gap_target_s=admitted.route.gap_target_s or DEFAULT_ROUTE_GAP_TARGET_S,
         arrived_at=admitted.arrived_at,
         expires_at=admitted.expires_at,
     )
--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -117,7 +117,9 @@
     async def _run_attempt(self, slot: Slot) -> str:
         """Runs one attempt in a slot; returns its ending."""
         context, progress = self.context, self.progress
-        attempt = EngineAttempt(context.connections, slot.granted.address, context.settings.stall_s)
+        attempt = EngineAttempt(
+            context.connection_pool, slot.granted.address, context.settings.stall_s
+        )
         slot.on_preempt = attempt.cancel
         if slot.preempt_reason:
             attempt.cancel(slot.preempt_reason)
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -40,7 +40,7 @@
 MAX_CONNECT_FAILURES = 4
 # Least remaining time for which a retry is worth sending.
 MIN_RETRY_TIME_S = 0.05
-NO_ENDPOINT_RETRY_AFTER_S = 0.4
+REFUSAL_RETRY_AFTER_S = 0.4
 CRASHING_REQUEST_RETRY_AFTER_S = 60.0
 CRASH_PROBE_TIMEOUT_S = 0.05
 
@@ -52,7 +52,7 @@
     catalogue: Callable[[], Catalogue | None]
     freshness: Freshness
     endpoint_allocator: EndpointAllocator
-    connections: EndpointConnectionPool
+    connection_pool: EndpointConnectionPool
     retry_budget: RetryBudget
     count_live_vms: Callable[[], int]
     is_draining: Callable[[], bool]
@@ -199,12 +199,12 @@
         """Returns the reason why no further attempt is allowed, or None if one is."""
         context, now = self._context, self._context.now()
         if now >= admitted.expires_at - (MIN_RETRY_TIME_S if attempts else 0):
-            return DidNotRun("no_time", 503, NO_ENDPOINT_RETRY_AFTER_S)
+            return DidNotRun("no_time", 503, REFUSAL_RETRY_AFTER_S)
         if attempts and not context.retry_budget.spend(
             admitted.pool, context.count_live_vms(), now
         ):
             log("INFO", "repeat_budget_spent", request=admitted.request.id)
-            return DidNotRun("repeat_budget_spent", 503, NO_ENDPOINT_RETRY_AFTER_S)
+            return DidNotRun("repeat_budget_spent", 503, REFUSAL_RETRY_AFTER_S)
         return None
 
     async def _choose_endpoint(self, admitted: AdmittedRequest) -> Placement | DidNotRun:
@@ -237,7 +237,7 @@
     async def _send_to_endpoint(self, admitted: AdmittedRequest, place: Placement) -> Verdict:
         """Sends the request to one endpoint and forwards its response."""
         context = self._context
-        attempt = RoutedAttempt(context.connections, place.entry, admitted.request, context.now)
+        attempt = RoutedAttempt(context.connection_pool, place.entry, admitted.request, context.now)
         last_event = admitted.request.last_event if self._last_event is None else self._last_event
         forwarding = Forwarding(
             endpoint_id=place.entry.id,
@@ -263,7 +263,7 @@
                 if head.is_other_instance:
                     placing.directory.mark_replaced(place.entry)
                 placing.record_load_report(place, attempt.head)
-                return DidNotRun(head.reason, 503, NO_ENDPOINT_RETRY_AFTER_S)
+                return DidNotRun(head.reason, 503, REFUSAL_RETRY_AFTER_S)
             case NotSent() | MayHaveRun():
                 return head
         placing.record_load_report(place, head)
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -101,7 +101,7 @@
         call = ServiceCall(request.method, self.request.target, headers, request.body)
         self.record_event(EventKind.DISPATCHED, slot.granted.endpoint, f"attempt={self.attempt}")
         result = await call_service(
-            self.context.connections,
+            self.context.connection_pool,
             slot.granted.address,
             call,
             self.context.settings.service_timeout_s,
--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -23,7 +23,7 @@
     view_holder: ViewHolder
     slot_client: SlotClient
     claims: ClaimRole
-    connections: ConnectionPool
+    connection_pool: ConnectionPool
     strikes: StrikeReplicator
     hedge_budget: HedgeBudget
     event_ring: EventRing
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -29,7 +29,7 @@
 # A prompt is short, and its prefill not paced, if it takes at most this share of the gap target.
 SHORT_PREFILL_SHARE = 0.12
 # Used for pools without a configured gap target.
-DEFAULT_GAP_TARGET_S = 0.4
+DEFAULT_POOL_GAP_TARGET_S = 0.4
 # Prefill backlog at which an engine that is not paced still gets another prompt.
 UNPACED_BACKLOG_S = 0.1
 # Placement costs, in seconds of time to first token (or per second of prefill, without _S).
@@ -59,7 +59,7 @@
     def __init__(self, pool: str):
         self.pool = pool
         self.speed = PrefillSpeed()
-        self.gap_target_s = DEFAULT_GAP_TARGET_S
+        self.gap_target_s = DEFAULT_POOL_GAP_TARGET_S
         self.waiting_by_id: dict[str, WaitingWork] = {}
         self._engines: dict[tuple[str, int], EngineState] = {}
         self._engine_by_work_id: dict[str, EngineState] = {}
@@ -75,7 +75,7 @@
         gap_target_s: float | None,
     ) -> None:
         """Replaces the engines; incarnations that stay keep their state."""
-        self.gap_target_s = gap_target_s or DEFAULT_GAP_TARGET_S
+        self.gap_target_s = gap_target_s or DEFAULT_POOL_GAP_TARGET_S
         engines = {}
         for entry in entries:
             key = (entry.id, entry.started_ms)
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -57,12 +57,12 @@
 
     def __init__(
         self,
-        connections: EndpointConnectionPool,
+        connection_pool: EndpointConnectionPool,
         entry: EndpointEntry,
         request: RoutedRequest,
         now: Callable[[], float],
     ):
-        self._connections = connections
+        self._connection_pool = connection_pool
         self._entry = entry
         self._request = request
         self._now = now
@@ -81,7 +81,7 @@
         """
         request = self._request
         try:
-            self._connection = await self._connections.acquire(self._entry, at_most_once)
+            self._connection = await self._connection_pool.acquire(self._entry, at_most_once)
             self.sent_at = self._now()
             headers = forwarded_headers(request, forwarding)
             await self._connection.send_verbatim(
@@ -190,13 +190,13 @@
         connection, self._connection = self._connection, None
         if connection is not None:
             idle_s = 0 if self.head.is_leaving else self.head.idle_s
-            self._connections.release(self._entry, connection, idle_s)
+            self._connection_pool.release(self._entry, connection, idle_s)
 
     def close(self) -> None:
         """Aborts the attempt; the endpoint sees a closed connection."""
         connection, self._connection = self._connection, None
         if connection is not None:
-            self._connections.discard(self._entry, connection)
+            self._connection_pool.discard(self._entry, connection)
 
 
 async def cancel_and_wait(task: asyncio.Task) -> None:
--- a/bluebellpitch/endpoints/endpoint_connections.py
+++ b/bluebellpitch/endpoints/endpoint_connections.py
@@ -6,7 +6,7 @@
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.http1 import ClientConnection
 
-CONNECT_TIMEOUT_S = 0.4
+ROUTED_CONNECT_TIMEOUT_S = 0.4
 # An idle connection is reused for this share of the keep-alive time that the endpoint states.
 IDLE_TIMEOUT_SHARE = 0.6
 DEFAULT_IDLE_TIMEOUT_S = 2.0
@@ -54,7 +54,7 @@
             self._drop(pooled, connection)
         pooled.open_count += 1
         try:
-            return await ClientConnection.open(entry.address, CONNECT_TIMEOUT_S)
+            return await ClientConnection.open(entry.address, ROUTED_CONNECT_TIMEOUT_S)
         except BaseException:
             pooled.open_count -= 1
             raise
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -34,8 +34,8 @@
     token in time), ``busy`` (status 429 or 503) and ``rejected`` (another error status).
     """
 
-    def __init__(self, connections: ConnectionPool, address: str, stall_s: float):
-        self._connections = connections
+    def __init__(self, connection_pool: ConnectionPool, address: str, stall_s: float):
+        self._connection_pool = connection_pool
         self._address = address
         self._stall_s = stall_s
         self._connection: ClientConnection | None = None
@@ -56,7 +56,7 @@
         """Yields batches of complete events; the first must come within ``first_token_s``."""
         finished = False
         try:
-            self._connection = await self._connections.acquire(self._address)
+            self._connection = await self._connection_pool.acquire(self._address)
             if self._cancel_reason:
                 return
             async for events in self._stream_events(target, body, request_id, first_token_s):
@@ -105,6 +105,6 @@
         if self._connection is None:
             return
         if finished:
-            self._connections.release(self._connection)
+            self._connection_pool.release(self._connection)
         else:
             self._connection.close()
--- a/bluebellpitch/endpoints/service.py
+++ b/bluebellpitch/endpoints/service.py
@@ -22,11 +22,11 @@
 
 
 async def call_service(
-    connections: ConnectionPool, address: str, call: ServiceCall, timeout_s: float
+    connection_pool: ConnectionPool, address: str, call: ServiceCall, timeout_s: float
 ) -> HttpResponse | DidNotRun | MayHaveRun:
     """Sends the request once, on a new connection: on a stale one it could be lost."""
     try:
-        connection = await connections.open(address)
+        connection = await connection_pool.open(address)
     except NotSentError:
         return DidNotRun("endpoint_unreachable")
     try:
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -49,7 +49,7 @@
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.tasks import start_tasks, stop_tasks
 
-DRAIN_POLL_S = 0.05
+ROUTED_DRAIN_POLL_S = 0.05
 # The platform sends new connections until it has noticed that the VM is not ready.
 REFUSE_REQUESTS_AFTER_S = 2.6
 # Idle connections stay open a little longer for requests that are in transit.
@@ -139,12 +139,12 @@
             settings.regions_by_zone,
             now,
         )
-        self.links = EndpointConnectionPool(now)
+        self.connection_pool = EndpointConnectionPool(now)
         self.context = RoutingContext(
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
             endpoint_allocator=self.endpoint_allocator,
-            connections=self.links,
+            connection_pool=self.connection_pool,
             retry_budget=RetryBudget(
                 settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
             ),
@@ -298,7 +298,7 @@
     async def _clean_up(self) -> None:
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            self.links.close_expired()
+            self.connection_pool.close_expired()
             self.endpoint_allocator.loads.prune(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
@@ -312,7 +312,7 @@
         while (
             self.http.in_flight and self._now() - start < self.settings.grace_s * DRAIN_GRACE_SHARE
         ):
-            await asyncio.sleep(DRAIN_POLL_S)
+            await asyncio.sleep(ROUTED_DRAIN_POLL_S)
 
 
 def reader_role(topic: str) -> str:
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -125,13 +125,13 @@
             wall,
             settings.horizon_s,
         )
-        self.connections = ConnectionPool(now)
+        self.connection_pool = ConnectionPool(now)
         self.context = NodeContext(
             settings=settings,
             view_holder=self.view_holder,
             slot_client=self.slot_client,
             claims=self.claims,
-            connections=self.connections,
+            connection_pool=self.connection_pool,
             strikes=self.strikes,
             hedge_budget=HedgeBudget(),
             event_ring=self.event_ring,
@@ -201,7 +201,7 @@
         await self.draining.wait()
         await self._drain()
         await stop_tasks(tasks)
-        self.connections.close()
+        self.connection_pool.close()
         self.bus.close()
         log("INFO", "stopped", vm=self.key)
 
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -29,7 +29,7 @@
 LOAD_PUBLISH_INTERVAL_S = 0.1
 IDLE_WAKE_INTERVAL_S = 0.5
 LOAD_MAX_AGE_S = 0.6
-EXPIRY_INTERVAL_S = 1.0
+WORK_EXPIRY_INTERVAL_S = 1.0
 FORWARDED_RESPONSE_TIMEOUT_S = 0.4
 # Work is forwarded to another zone when its cost there, including the delay of forwarding, is
 # lower by more than this gain.
@@ -261,7 +261,7 @@
                 next_load = now + LOAD_PUBLISH_INTERVAL_S
                 self._publish_load(now)
             if now >= next_expiry:
-                next_expiry = now + EXPIRY_INTERVAL_S
+                next_expiry = now + WORK_EXPIRY_INTERVAL_S
                 self._expire(now)
 
     def _forward_newest_waiting(self, broker: GenerationBroker, now: float) -> None:
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -14,7 +14,7 @@
 # A VM with a duty sends heartbeats more often: others rely on it, so its loss must be detected
 # soon.
 ROLE_HOLDER_HEARTBEAT_INTERVAL_S = 0.15
-HEARTBEAT_INTERVAL_S = 0.45
+DEFAULT_HEARTBEAT_INTERVAL_S = 0.45
 MEMBERS_READ_INTERVAL_S = 20.0
 MEMBERS_RETRY_INTERVAL_S = 0.5
 
@@ -82,7 +82,9 @@
         """Sends heartbeats to the VMs of this zone and reports lost peers, until cancelled."""
         while True:
             interval_s = (
-                ROLE_HOLDER_HEARTBEAT_INTERVAL_S if self._holds_any_role() else HEARTBEAT_INTERVAL_S
+                ROLE_HOLDER_HEARTBEAT_INTERVAL_S
+                if self._holds_any_role()
+                else DEFAULT_HEARTBEAT_INTERVAL_S
             )
             heartbeat = VmHeartbeat(
                 zone=self._own_record.zone,
--- a/bluebellpitch/roles/strike_replicator.py
+++ b/bluebellpitch/roles/strike_replicator.py
@@ -6,7 +6,7 @@
 from bluebellpitch.decisions.strikes import StrikeTracker
 from bluebellpitch.peers.messages import StrikeAck, StrikeReport, StrikesCleared
 
-EXPIRY_INTERVAL_S = 30.0
+STRIKE_EXPIRY_INTERVAL_S = 30.0
 
 
 class StrikeReplicator:
@@ -81,5 +81,5 @@
     async def run_expiry(self) -> None:
         """Removes expired strikes periodically, until cancelled."""
         while True:
-            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            await asyncio.sleep(STRIKE_EXPIRY_INTERVAL_S)
             self.tracker.expire(self._now())
