Name the components that broker slots, claim keys and follow the control log

BrokerRole, ClaimRole and ControlRole did not say how they differ from the clients, watchers and decisions beside them. The mutant of the drain follows its line in node.py. The log event task_failed names a task by its class, so it shows the new names.

bluebellpitch/roles/slot_broker_service.py BrokerRole SlotBrokerService bluebellpitch/roles/claim_coordinator.py ClaimRole ClaimCoordinator bluebellpitch/roles/control_log_replica.py ControlRole ControlLogReplica bluebellpitch/node.py Node.brokers slot_broker_service bluebellpitch/node.py Node.claims claim_coordinator bluebellpitch/node.py Node.control control_log_replica bluebellpitch/context.py NodeContext.claims claim_coordinator

--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -87,11 +87,11 @@
             wish = ClaimRequest(
                 self.request.idempotency_key, self.request.digest, self.request.made_at
             )
-            verdict = await self.context.claims.claim_key(self.caller.request_id, wish)
+            verdict = await self.context.claim_coordinator.claim_key(self.caller.request_id, wish)
             if not isinstance(verdict, ClaimWon):
                 return verdict
             self.claim = verdict.claim
-        if self.claim and not self.context.claims.may_dispatch(self.claim):
+        if self.claim and not self.context.claim_coordinator.may_dispatch(self.claim):
             return DidNotRun("request_too_old", 400)
         return await self._call_endpoint(slot)
 
@@ -117,7 +117,7 @@
         if self.claim is None:
             return
         if isinstance(result, DidNotRun):
-            self.context.claims.withdraw(self.claim)
+            self.context.claim_coordinator.withdraw(self.claim)
             return
         status, content_type, body = 0, "", b""
         if isinstance(result, HttpResponse):
@@ -136,7 +136,7 @@
             answer_kept=is_kept,
             made_at=self.claim.made_at,
         )
-        self.context.claims.record_outcome(self.caller.request_id, outcome)
+        self.context.claim_coordinator.record_outcome(self.caller.request_id, outcome)
 
     async def _send_response(self, response: HttpResponse, started_at: float) -> Verdict:
         service_class, metrics = self.caller.service_class, self.context.metrics
--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -8,7 +8,7 @@
 from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.events import EventRing
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.roles.claim_coordinator import ClaimRole
+from bluebellpitch.roles.claim_coordinator import ClaimCoordinator
 from bluebellpitch.roles.slot_client import SlotClient
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.settings import Settings
@@ -22,7 +22,7 @@
     settings: Settings
     view_holder: ViewHolder
     slot_client: SlotClient
-    claims: ClaimRole
+    claim_coordinator: ClaimCoordinator
     connection_pool: ConnectionPool
     strikes: StrikeReplicator
     hedge_budget: HedgeBudget
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -54,10 +54,10 @@
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.tail import Tail
 from bluebellpitch.platform.topics import CLAIMS_TOPIC, CONTROL_TOPIC
-from bluebellpitch.roles.claim_coordinator import ClaimRole
+from bluebellpitch.roles.claim_coordinator import ClaimCoordinator
 from bluebellpitch.roles.cluster_membership import ClusterMembership
-from bluebellpitch.roles.control_log_replica import ControlRole
-from bluebellpitch.roles.slot_broker_service import BrokerRole
+from bluebellpitch.roles.control_log_replica import ControlLogReplica
+from bluebellpitch.roles.slot_broker_service import SlotBrokerService
 from bluebellpitch.roles.slot_client import SlotClient
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.settings import Settings
@@ -88,7 +88,7 @@
         claims_tail = Tail(self._create_store_client(), CLAIMS_TOPIC, self.metrics, now)
         self.control_appender = Appender(self._create_store_client(), CONTROL_TOPIC, self.metrics)
         self.claims_appender = Appender(self._create_store_client(), CLAIMS_TOPIC, self.metrics)
-        self.control = ControlRole(
+        self.control_log_replica = ControlLogReplica(
             self.view_holder,
             self.control_tail,
             self._create_store_client(),
@@ -105,7 +105,7 @@
             self._create_store_client(),
         )
         self.slot_client = SlotClient(self.view_holder, self.bus, self.metrics, now)
-        self.brokers = BrokerRole(
+        self.slot_broker_service = SlotBrokerService(
             self.view_holder,
             self.bus,
             self.membership.history,
@@ -115,7 +115,7 @@
             policy,
             lambda broker, pool: self.slot_client.report_held_slots(broker, pool, settings.zone),
         )
-        self.claims = ClaimRole(
+        self.claim_coordinator = ClaimCoordinator(
             self.view_holder,
             claims_tail,
             self.claims_appender,
@@ -130,7 +130,7 @@
             settings=settings,
             view_holder=self.view_holder,
             slot_client=self.slot_client,
-            claims=self.claims,
+            claim_coordinator=self.claim_coordinator,
             connection_pool=self.connection_pool,
             strikes=self.strikes,
             hedge_budget=HedgeBudget(),
@@ -162,20 +162,20 @@
                 | LatencyReport()
                 | ForwardedMessage()
             ):
-                self.brokers.handle_message(sender, message)
+                self.slot_broker_service.handle_message(sender, message)
             case LoanRequest() | LoanGranted() | LoanReturned():
-                self.brokers.handle_message(sender, message)
+                self.slot_broker_service.handle_message(sender, message)
             case StrikeReport() | StrikesCleared() | StrikeAck():
                 if (confirmation := self.strikes.handle_message(message)) is not None:
                     self.bus.send(sender, confirmation)
             case ControlRecords(entries):
-                self.control.apply_entries(entries)
+                self.control_log_replica.apply_entries(entries)
             case SnapshotTransfer():
-                self.control.install_transfer(message)
+                self.control_log_replica.install_transfer(message)
 
     def _handle_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
         self.membership.handle_heartbeat(heartbeat)
-        if (catch_up := self.control.catch_up_message(sender, heartbeat)) is not None:
+        if (catch_up := self.control_log_replica.catch_up_message(sender, heartbeat)) is not None:
             self.bus.send(sender, catch_up)
 
     def _peer_keys(self) -> frozenset[str]:
@@ -208,15 +208,15 @@
     def _background_tasks(self) -> tuple[Coroutine, ...]:
         return (
             self.bus.run(),
-            self.control.follow_log(),
-            self.control.publish_snapshots(self.settings.snapshot_every_s, self.now),
+            self.control_log_replica.follow_log(),
+            self.control_log_replica.publish_snapshots(self.settings.snapshot_every_s, self.now),
             self.control_appender.run(),
-            self.claims.follow_log(),
-            self.claims.expire(),
+            self.claim_coordinator.follow_log(),
+            self.claim_coordinator.expire(),
             self.claims_appender.run(),
             self.membership.run(),
             self.membership.follow_vm_list(),
-            self.brokers.run(),
+            self.slot_broker_service.run(),
             self.slot_client.run(),
             self.strikes.run_expiry(),
         )
@@ -228,7 +228,7 @@
         self.membership.start_draining()
         await asyncio.sleep(self.settings.drain_notice_s)
         self.callers.http.stop_listening()
-        while self.callers.http.in_flight or self.claims.unfinished_appends():
+        while self.callers.http.in_flight or self.claim_coordinator.unfinished_appends():
             await asyncio.sleep(DRAIN_POLL_S)
         await self.membership.unregister()
 
@@ -237,20 +237,22 @@
         view = self.view_holder.current
         unresolved = (
             UnresolvedStatus(claim.key, claim.vm, claim.made_at)
-            for claim in self.claims.unresolved()
+            for claim in self.claim_coordinator.unresolved()
         )
         return VmStatus(
             vm=self.key,
             zone=self.settings.zone,
             region=self.settings.region,
             draining=self.draining.is_set(),
-            control_offset=self.control.state_machine.offset,
+            control_offset=self.control_log_replica.state_machine.offset,
             epoch=view.own.epoch,
             in_flight=self.callers.http.in_flight,
             store_silence_s=self.now() - self.control_tail.answered_at,
-            backlog=self.claims.unfinished_appends(),
+            backlog=self.claim_coordinator.unfinished_appends(),
             live=tuple(sorted(view.live_by_key)),
-            brokers=tuple(build_broker_status(b) for b in self.brokers.brokers_by_pool.values()),
+            brokers=tuple(
+                build_broker_status(b) for b in self.slot_broker_service.brokers_by_pool.values()
+            ),
             unresolved=tuple(unresolved),
         )
 
--- a/bluebellpitch/roles/claim_coordinator.py
+++ b/bluebellpitch/roles/claim_coordinator.py
@@ -38,7 +38,7 @@
 ClaimResult = ClaimWon | ReplayOutcome | DidNotRun | MayHaveRun
 
 
-class ClaimRole:
+class ClaimCoordinator:
     """Owns this VM's copy of the claims topic, and claims keys for its requests."""
 
     def __init__(
--- a/bluebellpitch/roles/control_log_replica.py
+++ b/bluebellpitch/roles/control_log_replica.py
@@ -21,7 +21,7 @@
 SNAPSHOT_CHECK_S = 1.0
 
 
-class ControlRole:
+class ControlLogReplica:
     """Owns the control fold and publishes its table and epochs to the view."""
 
     def __init__(
--- a/bluebellpitch/roles/slot_broker_service.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -49,7 +49,7 @@
 GRANT_TAG_LENGTH = 8
 
 
-class BrokerRole:
+class SlotBrokerService:
     """Owns the brokers of this VM. Incoming messages are passed to ``handle_message``."""
 
     def __init__(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -145,7 +145,7 @@
     Mutant(
         "a VM that drains finishes its requests",
         "bluebellpitch/node.py",
-        "        while self.callers.http.in_flight or self.claims.unfinished_appends():\n"
+        "        while self.callers.http.in_flight or self.claim_coordinator.unfinished_appends():\n"
         "            await asyncio.sleep(DRAIN_POLL_S)\n",
         "",
         "tests/test_streams.py::test_vms_replaced_one_by_one_fail_no_request",
--- a/tests/test_brokering.py
+++ b/tests/test_brokering.py
@@ -13,7 +13,7 @@
 from bluebellpitch.decisions.rows import EndpointRow, Table, VersionedRow
 from bluebellpitch.events import EventRing
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.roles.slot_broker_service import BrokerRole
+from bluebellpitch.roles.slot_broker_service import SlotBrokerService
 from bluebellpitch.view import ClusterView, ViewHolder, VmState
 
 POOL, ZONE = "pool", "z"
@@ -44,7 +44,7 @@
     )
     view_holder, clock = ViewHolder(single_vm_view), [10.0]
     event_ring = EventRing("vm", HybridClock(lambda: 1.0), 10)
-    role = BrokerRole(
+    role = SlotBrokerService(
         view_holder,
         DiscardingBus(),
         EpochHistory(),
