Name the refusal of an endpoint, the number of VMs and the order of zones more plainly

RoutingContext.vm_count has the name of the method that it holds, which counts all VMs that there may be and not the live ones.

bluebellpitch/callers/routed_requests.py RoutingContext.count_live_vms vm_count bluebellpitch/endpoints/attempt.py RefusedByEndpoint EndpointRefusal bluebellpitch/view.py ClusterView.zones_by_proximity zones_by_distance

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -12,8 +12,8 @@
 from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.strikes import IsolationLevel
 from bluebellpitch.endpoints.attempt import (
+    EndpointRefusal,
     NotSent,
-    RefusedByEndpoint,
     RoutedAttempt,
     cancel_and_wait,
 )
@@ -54,7 +54,7 @@
     endpoint_allocator: EndpointAllocator
     connection_pool: EndpointConnectionPool
     retry_budget: RetryBudget
-    count_live_vms: Callable[[], int]
+    vm_count: Callable[[], int]
     is_draining: Callable[[], bool]
     is_closing: Callable[[], bool]
     strikes: StrikeReplicator
@@ -200,9 +200,7 @@
         context, now = self._context, self._context.now()
         if now >= admitted.expires_at - (MIN_RETRY_TIME_S if attempts else 0):
             return DidNotRun("no_time", 503, REFUSAL_RETRY_AFTER_S)
-        if attempts and not context.retry_budget.spend(
-            admitted.pool, context.count_live_vms(), now
-        ):
+        if attempts and not context.retry_budget.spend(admitted.pool, context.vm_count(), now):
             log("INFO", "repeat_budget_spent", request=admitted.request.id)
             return DidNotRun("repeat_budget_spent", 503, REFUSAL_RETRY_AFTER_S)
         return None
@@ -259,7 +257,7 @@
     ) -> Verdict:
         placing = self._context.endpoint_allocator
         match head:
-            case RefusedByEndpoint():
+            case EndpointRefusal():
                 if head.is_other_instance:
                     placing.directory.mark_replaced(place.entry)
                 placing.record_load_report(place, attempt.head)
@@ -285,7 +283,7 @@
 
     def _has_retry_left(self, admitted: AdmittedRequest) -> bool:
         context, now = self._context, self._context.now()
-        left = context.retry_budget.remaining(admitted.pool, context.count_live_vms(), now)
+        left = context.retry_budget.remaining(admitted.pool, context.vm_count(), now)
         return (
             len(self._tried) < admitted.route.max_attempts
             and left >= 1
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RefusedByEndpoint(DidNotRun):
+class EndpointRefusal(DidNotRun):
     """The endpoint refused the request without running it.
 
     ``is_other_instance``: another instance now listens at the address.
@@ -100,7 +100,7 @@
         self.head = head
         if head.did_not_run and head.status >= 400:
             await self._drain_refusal()
-            return RefusedByEndpoint(
+            return EndpointRefusal(
                 f"refused with {head.status}", is_other_instance=head.is_other_instance
             )
         if self._is_unusable(head):
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -148,7 +148,7 @@
             retry_budget=RetryBudget(
                 settings.repeat_share, settings.repeat_burst, settings.repeat_window_s
             ),
-            count_live_vms=self.peer_discovery.vm_count,
+            vm_count=self.peer_discovery.vm_count,
             is_draining=self.draining.is_set,
             is_closing=lambda: self._closing,
             strikes=self.strikes,
--- a/bluebellpitch/roles/slot_client.py
+++ b/bluebellpitch/roles/slot_client.py
@@ -146,9 +146,7 @@
 
         Requests overflow to more distant zones after a share of the first-token target has passed.
         """
-        zones = self._view_holder.current.zones_by_proximity(
-            slot_request.pool, slot_request.request
-        )
+        zones = self._view_holder.current.zones_by_distance(slot_request.pool, slot_request.request)
         row = self._view_holder.current.table.classes_by_name.get(slot_request.class_name)
         overflow_after_s = OVERFLOW_TARGET_SHARE * (row.first_token_ms / 1000 if row else 1.0)
         pending = PendingAcquire(slot_request, arrived_at, expires_at, overflow_after_s, zones)
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -50,7 +50,7 @@
         """Returns the key of the VM that brokers a pool in a zone."""
         return select_broker(pool, zone, self.eligible_vms(zone))
 
-    def zones_by_proximity(self, pool: str, request: str) -> list[str]:
+    def zones_by_distance(self, pool: str, request: str) -> list[str]:
         """Returns the zones that serve a pool: own zone first, then own region, then the others."""
         zones = self.table.zones_by_pool.get(pool, ())
         ranked = rank_owners(request, (zone for zone, _ in zones))
