--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -11,12 +11,7 @@
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.strikes import IsolationLevel
-from bluebellpitch.endpoints.attempt import (
-    EndpointRefusal,
-    NotSent,
-    RoutedAttempt,
-    cancel_and_wait,
-)
+from bluebellpitch.endpoints.attempt import EndpointRefusal, NotSent, RoutedAttempt, cancel_and_wait
 from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
 from bluebellpitch.errors import BadRequestError, DisconnectedError, NotSentError
 from bluebellpitch.http1 import ClientConnection, HttpRequest, ServerConnection
@@ -255,16 +250,16 @@
     async def _handle_head(
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
-        placing = self._context.endpoint_allocator
+        allocator = self._context.endpoint_allocator
         match head:
             case EndpointRefusal():
                 if head.is_other_instance:
-                    placing.directory.mark_replaced(place.entry)
-                placing.record_load_report(place, attempt.head)
+                    allocator.directory.mark_replaced(place.entry)
+                allocator.record_load_report(place, attempt.head)
                 return DidNotRun(head.reason, 503, REFUSAL_RETRY_AFTER_S)
             case NotSent() | MayHaveRun():
                 return head
-        placing.record_load_report(place, head)
+        allocator.record_load_report(place, head)
         if admitted.route.is_stream and 200 <= head.status < 300:
             return await self._forward_stream(admitted, place, attempt, head, deadline)
         response = await attempt.read_complete_response(deadline)
@@ -294,14 +289,14 @@
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
         """Forwards events as they arrive; never ends a truncated stream as if it were complete."""
-        placing = self._context.endpoint_allocator
+        allocator = self._context.endpoint_allocator
         first = True
         async for events in attempt.events(
             deadline, max_silence_s=max(0.001, deadline - self._context.now())
         ):
             if first:
                 first = False
-                placing.record_first_event(place, attempt.sent_at)
+                allocator.record_first_event(place, attempt.sent_at)
             await self._start_stream(head)
             self._note_event_time()
             await self._connection.send(events)
--- a/bluebellpitch/roles/slot_client.py
+++ b/bluebellpitch/roles/slot_client.py
@@ -76,7 +76,7 @@
 
 @dataclass(slots=True)
 class PendingAcquire:
-    """A request that waits for a slot: the zones it asked, and their replies."""
+    """A request that waits for a slot: the zones it was sent to, and their replies."""
 
     slot_request: SlotRequest
     arrived_at: float
@@ -93,11 +93,7 @@
     """Owns the pending slot requests and the held slots of this VM."""
 
     def __init__(
-        self,
-        view_holder: ViewHolder,
-        bus: PeerBus,
-        metrics: Metrics,
-        now: Callable[[], float],
+        self, view_holder: ViewHolder, bus: PeerBus, metrics: Metrics, now: Callable[[], float]
     ):
         self._view_holder = view_holder
         self._bus = bus
@@ -142,10 +138,7 @@
         expires_at: float,
         is_disconnected: Callable[[], bool],
     ) -> Slot | DidNotRun:
-        """Waits for a slot.
-
-        Requests overflow to more distant zones after a share of the first-token target has passed.
-        """
+        """Waits for a slot; after a share of the first-token target, also in more distant zones."""
         zones = self._view_holder.current.zones_by_distance(slot_request.pool, slot_request.request)
         row = self._view_holder.current.table.classes_by_name.get(slot_request.class_name)
         overflow_after_s = OVERFLOW_TARGET_SHARE * (row.first_token_ms / 1000 if row else 1.0)
@@ -161,7 +154,7 @@
         self, pending: PendingAcquire, is_disconnected: Callable[[], bool]
     ) -> Slot | DidNotRun:
         started_at = self._now()
-        asked_at = float("-inf")
+        sent_at = float("-inf")
         while True:
             now = self._now()
             if now >= pending.expires_at:
@@ -169,8 +162,8 @@
             if is_disconnected():
                 return self._give_up(pending, DidNotRun("caller_gone", 499))
             zones = self._zones_to_request(pending, now - started_at)
-            if now - asked_at >= SLOT_REQUEST_RESEND_INTERVAL_S or zones != pending.requested_zones:
-                pending.requested_zones, asked_at = zones, now
+            if now - sent_at >= SLOT_REQUEST_RESEND_INTERVAL_S or zones != pending.requested_zones:
+                pending.requested_zones, sent_at = zones, now
                 self._send_slot_requests(pending, now)
             reply = await self._next_reply(
                 pending, min(DISCONNECT_CHECK_S, pending.overflow_after_s)
@@ -182,7 +175,7 @@
                 return self._give_up(pending, reply)
 
     def _zones_to_request(self, pending: PendingAcquire, waited_s: float) -> list[str]:
-        """Returns the zones to ask after this wait: nearest first, then own region, then others."""
+        """Returns the zones to send to by then: nearest first, then own region, then others."""
         view = self._view_holder.current
         regions_by_zone = dict(view.table.zones_by_pool.get(pending.slot_request.pool, ()))
         selected = []
@@ -199,13 +192,13 @@
             broker = view.broker_vm(pending.slot_request.pool, zone)
             if broker is None or zone in pending.refusals_by_zone:
                 continue
-            ask = msgspec.structs.replace(
+            slot_request = msgspec.structs.replace(
                 pending.slot_request,
                 age_s=now - pending.arrived_at,
                 patience_s=pending.expires_at - now,
                 remote=zone != view.own.zone,
             )
-            self._bus.send(broker, ask)
+            self._bus.send(broker, slot_request)
 
     async def _next_reply(self, pending: PendingAcquire, wait_s: float) -> Slot | DidNotRun | None:
         try:
@@ -342,8 +335,8 @@
         details = None
         if broker not in slot.brokers_with_details:
             slot.brokers_with_details.add(broker)
-            ask = self._slot_request_with_current_age(slot, now)
-            details = HeldGrantDetails(ask, slot.granted.endpoint, now - slot.held_since)
+            slot_request = self._slot_request_with_current_age(slot, now)
+            details = HeldGrantDetails(slot_request, slot.granted.endpoint, now - slot.held_since)
         return HeldGrant(slot.granted.grant, slot.inter_token_s(), details)
 
     def _slot_request_with_current_age(self, slot: Slot, now: float) -> SlotRequest:
