Tell a timeout from a latency, members from VMs, and requests from answers in names

EngineAttempt took its timeout under the name that elsewhere is a measured time. The VM list is not a list of members, who own credentials.

bluebellpitch/decisions/freshness.py read_valid_at(asked_at) requested_at bluebellpitch/decisions/freshness.py read_valid_at(answered_at) responded_at bluebellpitch/decisions/member_quotas.py QuotaBorrower.record_loan(asked_at) requested_at bluebellpitch/roles/peer_discovery.py MEMBERS_READ_INTERVAL_S VM_LIST_READ_INTERVAL_S bluebellpitch/roles/peer_discovery.py MEMBERS_RETRY_INTERVAL_S VM_LIST_RETRY_INTERVAL_S bluebellpitch/roles/peer_discovery.py PeerDiscovery._read_members _read_vm_list bluebellpitch/endpoints/engine.py EngineAttempt.events(first_token_s) first_token_timeout_s bluebellpitch/endpoints/engine.py EngineAttempt._stream_events(first_token_s) first_token_timeout_s bluebellpitch/callers/completions.py CompletionHandler._note_events _record_events bluebellpitch/callers/routed_requests.py RoutedRequestHandler._note_event_time _record_event_time

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -152,10 +152,10 @@
         )
         async with aclosing(source):
             async for events in source:
-                self._note_events(events, slot, dispatched_at)
+                self._record_events(events, slot, dispatched_at)
                 await self._forward(events)
 
-    def _note_events(self, events: bytes, slot: Slot, dispatched_at: float) -> None:
+    def _record_events(self, events: bytes, slot: Slot, dispatched_at: float) -> None:
         progress, context, now = self.progress, self.context, self.context.now()
         if slot.last_token_at is None:
             context.slot_client.report_first_token(slot, now - dispatched_at)
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -298,7 +298,7 @@
                 first = False
                 allocator.record_first_event(place, attempt.sent_at)
             await self._start_stream(head)
-            self._note_event_time()
+            self._record_event_time()
             await self._connection.send(events)
             last = last_event_id(events)
             self._last_event = self._last_event if last is None else last
@@ -309,7 +309,7 @@
         await self._connection.end()
         return Ran("complete", head.status)
 
-    def _note_event_time(self) -> None:
+    def _record_event_time(self) -> None:
         now = self._context.now()
         if self._first_event_at:
             self._longest_gap_s = max(self._longest_gap_s, now - self._last_event_at)
--- a/bluebellpitch/decisions/freshness.py
+++ b/bluebellpitch/decisions/freshness.py
@@ -35,10 +35,14 @@
         return self.age_s(now) < self.apply_s - FRESHNESS_MARGIN_S
 
 
-def read_valid_at(asked_at: float, answered_at: float, wait_s: float, is_empty: bool) -> float:
+def read_valid_at(requested_at: float, responded_at: float, wait_s: float, is_empty: bool) -> float:
     """Returns the time up to which a long-poll read reflects the store.
 
     An empty response after the full wait is valid up to the end of the wait. Any other response is
     valid only as of the time when the read was sent.
     """
-    return asked_at + wait_s if is_empty and answered_at >= asked_at + wait_s else asked_at
+    return (
+        requested_at + wait_s
+        if is_empty and responded_at >= requested_at + wait_s
+        else requested_at
+    )
--- a/bluebellpitch/decisions/member_quotas.py
+++ b/bluebellpitch/decisions/member_quotas.py
@@ -136,9 +136,9 @@
         self._lease_s = lease_s
         self._loans_by_vm: dict[str, QuotaLoan] = {}
 
-    def record_loan(self, lender: str, epoch: int, asked_at: float) -> None:
+    def record_loan(self, lender: str, epoch: int, requested_at: float) -> None:
         """Records a loan, which runs from the time of the request."""
-        self._loans_by_vm[lender] = QuotaLoan(lender, epoch, asked_at + self._lease_s)
+        self._loans_by_vm[lender] = QuotaLoan(lender, epoch, requested_at + self._lease_s)
 
     def active_lenders(self, epoch: int, now: float) -> tuple[str, ...]:
         """Returns the VMs whose quotas of an epoch may be used now."""
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -51,7 +51,7 @@
             self._connection.close()
 
     async def events(
-        self, target: str, body: dict, request_id: str, first_token_s: float
+        self, target: str, body: dict, request_id: str, first_token_timeout_s: float
     ) -> AsyncIterator[bytes]:
         """Yields batches of complete events; the first must come within ``first_token_s``."""
         finished = False
@@ -59,7 +59,9 @@
             self._connection = await self._connection_pool.acquire(self._address)
             if self._cancel_reason:
                 return
-            async for events in self._stream_events(target, body, request_id, first_token_s):
+            async for events in self._stream_events(
+                target, body, request_id, first_token_timeout_s
+            ):
                 yield events
             finished = self.ending == "completed"
         except NotSentError:
@@ -73,16 +75,18 @@
             if self._cancel_reason and not finished:
                 self.ending = "preempted"
 
-    async def _stream_events(self, target, body, request_id, first_token_s) -> AsyncIterator[bytes]:
+    async def _stream_events(
+        self, target, body, request_id, first_token_timeout_s
+    ) -> AsyncIterator[bytes]:
         connection = self._connection
         headers = [("Content-Type", "application/json"), ("X-Request-Id", request_id)]
         await connection.send("POST", target, headers, msgspec.json.encode(body))
-        head = await connection.read_head(first_token_s)
+        head = await connection.read_head(first_token_timeout_s)
         if head.status_code != 200:
             await self._read_rejection(connection, head.status_code)
             return
         buffer = EventBuffer()
-        timeout_s = first_token_s
+        timeout_s = first_token_timeout_s
         while (data := await connection.read_data(timeout_s)) is not None:
             if events := buffer.feed(data):
                 self._has_first_token, timeout_s = True, self._stall_s
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -15,8 +15,8 @@
 # soon.
 ROLE_HOLDER_HEARTBEAT_INTERVAL_S = 0.15
 DEFAULT_HEARTBEAT_INTERVAL_S = 0.45
-MEMBERS_READ_INTERVAL_S = 20.0
-MEMBERS_RETRY_INTERVAL_S = 0.5
+VM_LIST_READ_INTERVAL_S = 20.0
+VM_LIST_RETRY_INTERVAL_S = 0.5
 
 
 class PeerDiscovery:
@@ -61,11 +61,11 @@
         while True:
             if not registered:
                 registered = await register(self._client, self._vm, self._own_record)
-            was_read = await self._read_members()
+            was_read = await self._read_vm_list()
             done = registered and was_read
-            await asyncio.sleep(MEMBERS_READ_INTERVAL_S if done else MEMBERS_RETRY_INTERVAL_S)
+            await asyncio.sleep(VM_LIST_READ_INTERVAL_S if done else VM_LIST_RETRY_INTERVAL_S)
 
-    async def _read_members(self) -> bool:
+    async def _read_vm_list(self) -> bool:
         try:
             records = await read_members(self._client)
         except BluebellpitchError as error:
