Bring texts and local names in line with the renamed identifiers

Docstrings and comments still said duty, fold, floor, piece and ask, and some local variables were called so as well.

No behaviour changes; help texts of metrics, messages and log lines stay.

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -76,13 +76,13 @@
 
     async def _serve(self) -> Verdict:
         while True:
-            suspicion = self._isolation_level()
-            if suspicion is IsolationLevel.REFUSED:
+            isolation_level = self._isolation_level()
+            if isolation_level is IsolationLevel.REFUSED:
                 return await self._refuse("crashes_endpoints", 422)
-            slot = await self._acquire_next_slot(suspicion)
+            slot = await self._acquire_next_slot(isolation_level)
             if isinstance(slot, DidNotRun):
                 return await self._refuse(slot.reason, slot.status, slot.retry_after_s)
-            if self._isolation_level() > suspicion:
+            if self._isolation_level() > isolation_level:
                 self.context.slot_client.release(slot, "cancelled")
                 continue
             ending = await self._run_attempt(slot)
@@ -257,12 +257,12 @@
         if progress.first_token_at is None:
             return
         first_s = progress.first_token_at - self.caller.arrived_at
-        between_s = progress.inter_token_s() or 0.0
+        inter_token_s = progress.inter_token_s() or 0.0
         metrics.first_token.labels(service_class.name).observe(first_s)
-        metrics.between_tokens.labels(service_class.name).observe(between_s)
+        metrics.between_tokens.labels(service_class.name).observe(inter_token_s)
         if (
             first_s <= service_class.first_token_ms / 1000
-            and between_s <= service_class.between_tokens_ms / 1000
+            and inter_token_s <= service_class.between_tokens_ms / 1000
         ):
             metrics.in_target.labels(service_class.name).inc()
             metrics.good_tokens.labels(service_class.name).inc(progress.tokens)
--- a/bluebellpitch/callers/request_handler.py
+++ b/bluebellpitch/callers/request_handler.py
@@ -27,9 +27,9 @@
         )
 
     async def acquire_slot(self, attempt: int, expires_at: float, **fields) -> Slot | DidNotRun:
-        """Waits for a slot until ``expires_at``; ``fields`` are further fields of the ``Ask``."""
+        """Waits for a slot until ``expires_at``; ``fields`` go into the ``SlotRequest``."""
         caller, now = self.caller, self.context.now()
-        ask = SlotRequest(
+        slot_request = SlotRequest(
             request=caller.request_id,
             attempt=attempt,
             pool=self.request.pool.name,
@@ -41,7 +41,7 @@
         )
         self.record_event(EventKind.QUEUED, detail=f"attempt={attempt}")
         slot = await self.context.slot_client.acquire(
-            ask, caller.arrived_at, expires_at, self.connection.is_disconnected
+            slot_request, caller.arrived_at, expires_at, self.connection.is_disconnected
         )
         if isinstance(slot, Slot):
             waited_s = self.context.now() - now
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -84,10 +84,12 @@
     async def _claim_and_call(self, slot: Slot) -> CallResult:
         """Claims only once a slot is held, so that no claim is left behind by a waiting request."""
         if self.request.idempotency_key and not self.request.is_idempotent and self.claim is None:
-            wish = ClaimRequest(
+            claim_request = ClaimRequest(
                 self.request.idempotency_key, self.request.digest, self.request.made_at
             )
-            verdict = await self.context.claim_coordinator.claim_key(self.caller.request_id, wish)
+            verdict = await self.context.claim_coordinator.claim_key(
+                self.caller.request_id, claim_request
+            )
             if not isinstance(verdict, ClaimWon):
                 return verdict
             self.claim = verdict.claim
--- a/bluebellpitch/constants.py
+++ b/bluebellpitch/constants.py
@@ -7,7 +7,7 @@
 PEER_SEND_QUEUE_SIZE = 10_000
 EPOCH_SETTLE_S = 1.5
 
-# Member limits: loans of floors to a broker.
+# Member limits: loans of quotas to a broker.
 LOAN_LEASE_S = 2.0
 MAX_CLOCK_DRIFT_RATIO = 0.05
 LOAN_REQUEST_INTERVAL_S = 0.5
--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -1,4 +1,4 @@
-"""Dependencies of the tasks that serve callers: the VM's roles, budgets and clocks."""
+"""Dependencies of the tasks that serve callers: the VM's components, budgets and clocks."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -100,9 +100,9 @@
         if request.attempt > 1:
             return None
         expected_s = self._expected_wait_s(request)
-        patience_s = request.expires_at - now
-        if expected_s > patience_s:
-            return self._shed(request, "overloaded", expected_s - patience_s, now)
+        max_wait_s = request.expires_at - now
+        if expected_s > max_wait_s:
+            return self._shed(request, "overloaded", expected_s - max_wait_s, now)
         if self._is_higher_tier_shed(request, now):
             return self._shed(request, "higher_tier_shed", SHEDDING_HOLD_S, now)
         return None
@@ -152,9 +152,9 @@
         if self.grant_id_by_request.get(grant.request.request_id) == grant.grant_id:
             del self.grant_id_by_request[grant.request.request_id]
         self.used_slots_by_member[grant.request.member] -= 1
-        peers = self.grants_by_class[grant.request.class_name]
-        place = bisect_left(peers, arrival_key(grant), key=arrival_key)
-        del peers[place]
+        grants = self.grants_by_class[grant.request.class_name]
+        index = bisect_left(grants, arrival_key(grant), key=arrival_key)
+        del grants[index]
         self.selector.remove(grant)
 
     def _record_result(self, grant: ActiveGrant, result: FinishedGrant, now: float) -> None:
@@ -303,8 +303,8 @@
         self.grant_id_by_request[grant.request.request_id] = grant.grant_id
         member = grant.request.member
         self.used_slots_by_member[member] = self.used_slots_by_member.get(member, 0) + 1
-        peers = self.grants_by_class.setdefault(grant.request.class_name, [])
-        insort(peers, grant, key=arrival_key)
+        grants = self.grants_by_class.setdefault(grant.request.class_name, [])
+        insort(grants, grant, key=arrival_key)
         self.selector.add(grant)
 
     def _preempt_for_higher_tiers(self, now: float) -> Iterator[BrokerCommand]:
--- a/bluebellpitch/decisions/claiming.py
+++ b/bluebellpitch/decisions/claiming.py
@@ -1,6 +1,6 @@
 """Protocol by which a VM claims an idempotency key, one step at a time.
 
-The caller performs the I/O and the waiting, then asks for the next step again.
+The caller performs the I/O and the waiting, then calls for the next step again.
 """
 
 from dataclasses import dataclass
--- a/bluebellpitch/decisions/control.py
+++ b/bluebellpitch/decisions/control.py
@@ -45,7 +45,7 @@
 class Epoch(msgspec.Struct, frozen=True):
     """Membership of a zone's entry VMs.
 
-    ``excluded`` are former members that are not confirmed to have terminated.
+    ``excluded`` are former VMs of it that are not confirmed to have terminated.
     """
 
     number: int
--- a/bluebellpitch/decisions/member_quotas.py
+++ b/bluebellpitch/decisions/member_quotas.py
@@ -3,8 +3,8 @@
 A member's limit in a pool is split into one quota for each zone that has endpoints of the pool, and
 a zone's quota into one quota for each VM of its epoch. A broker may run as many requests of the
 member as the quotas that are lent to it now add up to. A loan is a lease: the lender lets it expire
-later than the borrower by the clock drift, and the borrower counts from when it asked. So no quota
-is used twice when a VM is paused or a link is cut.
+later than the borrower by the clock drift, and the borrower counts from when it sent its request.
+So no quota is used twice when a VM is paused or a link is cut.
 """
 
 from collections.abc import Iterable
--- a/bluebellpitch/decisions/slot_grants.py
+++ b/bluebellpitch/decisions/slot_grants.py
@@ -8,7 +8,7 @@
     """A request that waits for a slot. Times are seconds on the broker's monotonic clock.
 
     ``arrived_at`` is when the client's request arrived, ``expires_at`` when it is refused,
-    ``last_asked_at`` when its VM last asked for a slot. The client of a ``resumed`` request has
+    ``last_requested_at`` when its VM last requested a slot. The client of a ``resumed`` request has
     already received tokens.
     """
 
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PreemptGrant:
-    """Tells the VM to return the slot and ask again; the request resumes from its last token."""
+    """Tells the VM to return the slot and get another; the request resumes from its last token."""
 
     grant: ActiveGrant
     reason: str
--- a/bluebellpitch/endpoints/endpoint_connections.py
+++ b/bluebellpitch/endpoints/endpoint_connections.py
@@ -83,7 +83,7 @@
         connection.close()
 
     def close_expired(self) -> None:
-        """Closes connections that were idle for too long; forgets endpoints without connections."""
+        """Closes connections that were idle for too long; removes endpoints without any."""
         now = self._now()
         for key, pooled in list(self._by_incarnation.items()):
             kept = []
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -316,8 +316,8 @@
 
 
 def reader_role(topic: str) -> str:
-    """Returns the duty of reading a topic from the store on behalf of the zone.
+    """Returns the role of reading a topic from the store on behalf of the zone.
 
-    The text decides which VM owns the duty, so all VMs of a zone must form it alike.
+    The text decides which VM holds the role, so all VMs of a zone must form it alike.
     """
     return f"reads {topic}"
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -148,7 +148,7 @@
         return StoreClient(self.settings.store_address)
 
     def handle_message(self, sender: str, message: Message) -> None:
-        """Dispatches a message to the role that handles it."""
+        """Dispatches a message to the component that handles it."""
         match message:
             case Heartbeat():
                 self._handle_heartbeat(sender, message)
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -129,7 +129,7 @@
 
 
 class LoanRequest(msgspec.Struct, frozen=True, tag="loan_request"):
-    """A broker requests a loan of this VM's floors (its parts of members' limits) in a pool.
+    """A broker requests a loan of this VM's quotas (its parts of members' limits) in a pool.
 
     ``asked_at`` is on the broker's clock.
     """
@@ -140,7 +140,7 @@
 
 
 class LoanGranted(msgspec.Struct, frozen=True, tag="loan_given"):
-    """The floors are lent to the broker, under the requested epoch."""
+    """The quotas are lent to the broker, under the requested epoch."""
 
     pool: str
     epoch: int
@@ -148,7 +148,7 @@
 
 
 class LoanReturned(msgspec.Struct, frozen=True, tag="loan_returned"):
-    """A broker returns borrowed floors before their lease expires."""
+    """A broker returns borrowed quotas before their lease expires."""
 
     pool: str
 
@@ -168,7 +168,7 @@
 
 
 class StrikesCleared(msgspec.Struct, frozen=True, tag="strikes_cleared"):
-    """A suspected request completed, so its strikes are cleared."""
+    """A request with strikes completed, so its strikes are cleared."""
 
     fingerprint: str
 
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -103,7 +103,7 @@
 
 
 class FreshnessRequest(msgspec.Struct, frozen=True, tag="freshness_asked"):
-    """Asks how fresh a peer's configuration is. ``asked_at`` is on the requester's clock."""
+    """Requests the age of a peer's configuration. ``asked_at`` is on the requester's clock."""
 
     asked_at: float
     version: int
--- a/bluebellpitch/roles/control_log_replica.py
+++ b/bluebellpitch/roles/control_log_replica.py
@@ -22,7 +22,7 @@
 
 
 class ControlLogReplica:
-    """Owns the control fold and publishes its table and epochs to the view."""
+    """Owns the control state and publishes its table and epochs to the view."""
 
     def __init__(
         self,
@@ -56,9 +56,9 @@
 
     async def _install_snapshot(self, first_kept: int) -> None:
         """Installs a snapshot in place of records that expired in the store."""
-        pieces = await self._tail.newest(SNAPSHOTS_TOPIC)
+        chunks = await self._tail.newest(SNAPSHOTS_TOPIC)
         if self.state_machine.install_latest_snapshot(
-            assemble_snapshots(piece.value for piece in pieces if piece.value)
+            assemble_snapshots(chunk.value for chunk in chunks if chunk.value)
         ):
             self._recent_entries.clear()
             self._publish_view()
@@ -73,7 +73,7 @@
             await asyncio.sleep(STORE_RETRY_DELAY_S)
 
     def apply_entries(self, entries: tuple[ControlEntry, ...]) -> None:
-        """Applies the records that continue the fold without a gap, and publishes the result."""
+        """Applies records that follow the last applied one without a gap; publishes the result."""
         before = self.state_machine.offset
         for entry in entries:
             if entry.offset == self.state_machine.offset + 1:
@@ -135,8 +135,8 @@
 
     async def _publish_snapshot(self, sequence: int) -> bool:
         snapshot = self.state_machine.create_snapshot()
-        for key, piece in split_snapshot(snapshot, self._view_holder.current.own.zone, sequence):
-            verdict = await self._store.put(SNAPSHOTS_TOPIC, key, piece)
+        for key, chunk in split_snapshot(snapshot, self._view_holder.current.own.zone, sequence):
+            verdict = await self._store.put(SNAPSHOTS_TOPIC, key, chunk)
             if not isinstance(verdict, Appended):
                 log("WARNING", "snapshot_failed", offset=snapshot.offset, reason=verdict.reason)
                 return False
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -1,4 +1,4 @@
-"""Selects endpoints: for generations through the broker of the zone, for other work locally."""
+"""Allocates endpoints: for generations through the broker of the zone, for other work locally."""
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -32,7 +32,7 @@
 
 
 class EndpointAllocator:
-    """Selects endpoints and keeps this VM's record of their load. ``now`` is the owner's clock."""
+    """Allocates endpoints and keeps this VM's view of their load. ``now`` is the owner's clock."""
 
     def __init__(
         self,
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -144,8 +144,8 @@
         if row is None or row.engine is None:
             return
         entries = (e for e in self._directory.usable_endpoints(broker.pool) if e.zone == self._zone)
-        gap_s = catalogue.gap_targets_by_pool.get(broker.pool)
-        broker.set_engines(entries, row.engine.slots, row.engine.kv_capacity_tokens, gap_s)
+        gap_target_s = catalogue.gap_targets_by_pool.get(broker.pool)
+        broker.set_engines(entries, row.engine.slots, row.engine.kv_capacity_tokens, gap_target_s)
 
     def _handle_work_request(self, request: WorkRequest) -> None:
         now = self._now()
@@ -170,14 +170,14 @@
             other = self._cheaper_zone(work.pool, local_s, lambda other: other.short_cost_s, now)
         else:
             local_s = broker.long_prompt_cost_s(work, avoid, now)
-            reread_cost_s = broker.cache_miss_cost_s(work)
+            cache_miss_cost_s = broker.cache_miss_cost_s(work)
 
             def cost(other: RemoteZone) -> float:
-                unread = (
+                uncached = (
                     broker.unshared_tokens(work) if other.has_cached(work, now) else work.tokens_in
                 )
-                reread_s = 0.0 if other.has_cached(work, now) else reread_cost_s
-                return other.long_fixed_s + unread * other.long_s_per_token + reread_s
+                cache_miss_s = 0.0 if other.has_cached(work, now) else cache_miss_cost_s
+                return other.long_fixed_s + uncached * other.long_s_per_token + cache_miss_s
 
             other = self._cheaper_zone(work.pool, local_s, cost, now)
         if other is None:
@@ -304,12 +304,12 @@
             if row.engine is None or self._pool_owner(pool) != self._vm_key:
                 continue
             broker = self._get_broker(pool)
-            offer = broker.estimate_long_prompt_cost(now)
+            cost = broker.estimate_long_prompt_cost(now)
             load = ZoneLoad(
                 pool,
                 self._zone,
-                offer.fixed_s,
-                offer.s_per_token,
+                cost.fixed_s,
+                cost.s_per_token,
                 broker.short_prompt_cost_s(now),
                 broker.pool_s_per_token(),
                 self._address,
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -11,8 +11,8 @@
 from bluebellpitch.platform.members import MemberRecord, read_members, register, unregister
 from bluebellpitch.platform.store import StoreClient
 
-# A VM with a duty sends heartbeats more often: others rely on it, so its loss must be detected
-# soon.
+# A VM that holds a role sends heartbeats more often: others rely on it, so its loss must be
+# detected soon.
 ROLE_HOLDER_HEARTBEAT_INTERVAL_S = 0.15
 DEFAULT_HEARTBEAT_INTERVAL_S = 0.45
 VM_LIST_READ_INTERVAL_S = 20.0
@@ -101,11 +101,11 @@
             await self._wait_for_next_heartbeat(interval_s)
 
     async def _wait_for_next_heartbeat(self, seconds: float) -> None:
-        """Waits until the next heartbeat is due; gaining or losing a duty makes it due early."""
-        started_at, had_duty = self._now(), self._holds_any_role()
+        """Waits until the next heartbeat is due; gaining or losing a role makes it due early."""
+        started_at, held_role = self._now(), self._holds_any_role()
         while self._now() - started_at < seconds - ROLE_HOLDER_HEARTBEAT_INTERVAL_S / 2:
             await asyncio.sleep(ROLE_HOLDER_HEARTBEAT_INTERVAL_S)
-            if self._holds_any_role() != had_duty:
+            if self._holds_any_role() != held_role:
                 return
 
     def _heartbeat_targets(self) -> set[str]:
--- a/bluebellpitch/roles/peer_sync.py
+++ b/bluebellpitch/roles/peer_sync.py
@@ -21,12 +21,12 @@
 )
 from bluebellpitch.roles.store_watchers import ConfigurationWatcher, EndpointWatcher
 
-# The zone's reader is asked when this VM's configuration was last confirmed longer ago than the
-# first limit, and all VMs of the zone after the second.
+# Requests go to the zone's reader when this VM's configuration was last confirmed longer ago than
+# the first limit, and to all VMs of the zone after the second.
 READER_REQUEST_AFTER_S = 0.9
 ZONE_REQUEST_AFTER_S = 1.5
 PEER_REQUEST_INTERVAL_S = 0.3
-# After a third limit so many other VMs are asked as well, in case the whole zone is out of date.
+# After a third limit they go to so many other VMs as well, in case the whole zone is out of date.
 MAX_OTHER_PEERS = 2
 OTHER_PEERS_REQUEST_AFTER_S = 2.0
 
--- a/bluebellpitch/roles/slot_broker_service.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -1,4 +1,4 @@
-"""Runs the brokers of the pools that this VM owns in its zone; lends and borrows limit floors."""
+"""Runs the brokers of the pools that this VM owns in its zone; lends and borrows quotas."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -112,8 +112,8 @@
                 self._execute(broker, broker.submit(to_broker_clock(message, requester, now), now))
             case SlotRequestCancelled(request):
                 self._execute(broker, broker.cancel(request, now))
-            case SlotReleased(grant, _, _, outcome, first_s, between_s):
-                finished = FinishedGrant(grant, outcome, first_s, between_s)
+            case SlotReleased(grant, _, _, outcome, first_token_s, inter_token_s):
+                finished = FinishedGrant(grant, outcome, first_token_s, inter_token_s)
                 self._execute(broker, broker.finish(finished, now))
             case LatencyReport(grant, _, measure, seconds):
                 broker.record_latency(grant, measure, seconds, now)
@@ -168,8 +168,8 @@
 
     def _compute_limit(self, table: Table, pool: str, member: MemberRow, lenders) -> int:
         slots_by_zone = table.slots_by_zone(pool)
-        share = compute_zone_quota(member.limit, member.name, pool, self._zone, slots_by_zone)
-        return usable_limit(self._history, lenders, share, f"{member.name}/{pool}")
+        zone_quota = compute_zone_quota(member.limit, member.name, pool, self._zone, slots_by_zone)
+        return usable_limit(self._history, lenders, zone_quota, f"{member.name}/{pool}")
 
     def _borrower(self, pool: str) -> QuotaBorrower:
         return self._borrowers_by_pool.setdefault(pool, QuotaBorrower())
@@ -282,7 +282,7 @@
             self._bus.send(vm.key, request)
 
     def _lend(self, sender: str, request: LoanRequest) -> None:
-        """Lends this VM's floors, unless it is in another epoch or another broker holds them.
+        """Lends this VM's quotas, unless it is in another epoch or another broker holds them.
 
         Only a VM of the epoch may borrow: an epoch can settle before other VMs have left it.
         The held slots are reported before the loan, so that the broker counts them first.
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -36,7 +36,7 @@
 
         Only some VMs of other zones send heartbeats here, so the zone's epoch decides; a VM that no
         longer holds the role forwards the message. VMs in the epoch are preferred to newer ones,
-        because only they may borrow limit floors.
+        because only they may borrow quotas.
         """
         epoch = self.epochs_by_zone.get(zone, Epoch(0, ()))
         if zone != self.own.zone and epoch.vms:
@@ -65,7 +65,7 @@
 
 
 class ViewHolder:
-    """Holds the current view. The membership and control roles replace it; others only read."""
+    """Holds the current view. ClusterMembership and ControlLogReplica replace it."""
 
     def __init__(self, view: ClusterView):
         self.current = view
