Call the VM that brokers a pool its broker VM in both programs

ClusterView.broker_vm has the name already; GenerationCoordinator called the same VM the owner of the pool.

bluebellpitch/roles/generation_coordinator.py GenerationCoordinator._pool_owner _broker_vm

--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -69,21 +69,21 @@
         self._brokers_by_pool: dict[str, GenerationBroker] = {}
         self._requests_by_work: dict[str, WorkRequest] = {}
         self.broker_client = BrokerClient(
-            vm_key, address, liveness, self._pool_owner, self._send, self._send_to_address, now
+            vm_key, address, liveness, self._broker_vm, self._send, self._send_to_address, now
         )
         self._other_zone_loads: dict[tuple[str, str], RemoteZone] = {}
         self._load_round = 0
         self._new_sessions_by_pool: dict[str, list[str]] = {}
         self._work_waiting = asyncio.Event()
 
-    def _pool_owner(self, pool: str) -> str:
+    def _broker_vm(self, pool: str) -> str:
         return self._liveness.role_holder(pool, self._now(), self._is_draining())
 
     def is_broker(self) -> bool:
         """Returns whether this VM is the broker of any pool of engines."""
         catalogue = self._catalogue()
         rows = catalogue.pools_by_name.items() if catalogue else ()
-        return any(row.engine and self._pool_owner(pool) == self._vm_key for pool, row in rows)
+        return any(row.engine and self._broker_vm(pool) == self._vm_key for pool, row in rows)
 
     def _send(self, vm: str, message) -> None:
         if vm == self._vm_key:
@@ -301,7 +301,7 @@
             return
         self._load_round += 1
         for pool, row in catalogue.pools_by_name.items():
-            if row.engine is None or self._pool_owner(pool) != self._vm_key:
+            if row.engine is None or self._broker_vm(pool) != self._vm_key:
                 continue
             broker = self._get_broker(pool)
             cost = broker.estimate_long_prompt_cost(now)
@@ -328,7 +328,7 @@
 
     def _relay_load(self, sender: str, load: ZoneLoad) -> None:
         """Relays the load of another zone to the broker in this zone, if that is another VM."""
-        owner = self._pool_owner(load.pool)
+        owner = self._broker_vm(load.pool)
         if owner not in (self._vm_key, sender):
             self._bus.send(owner, load)
 
