--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -132,8 +132,8 @@
             ending = attempt.ending
         finally:
             is_late = ending == "late" and not slot.tokens
-            first_s = context.now() - dispatched_at if is_late else None
-            context.slot_client.release(slot, ending, first_s, slot.inter_token_s())
+            first_token_s = context.now() - dispatched_at if is_late else None
+            context.slot_client.release(slot, ending, first_token_s, slot.inter_token_s())
         self.rejection = attempt.rejected
         self._record_ending(slot, ending)
         if ending == "crashed":
@@ -256,12 +256,12 @@
         metrics.tokens.labels(service_class.name).inc(progress.tokens)
         if progress.first_token_at is None:
             return
-        first_s = progress.first_token_at - self.caller.arrived_at
+        first_token_s = progress.first_token_at - self.caller.arrived_at
         inter_token_s = progress.inter_token_s() or 0.0
-        metrics.first_token.labels(service_class.name).observe(first_s)
+        metrics.first_token.labels(service_class.name).observe(first_token_s)
         metrics.between_tokens.labels(service_class.name).observe(inter_token_s)
         if (
-            first_s <= service_class.first_token_ms / 1000
+            first_token_s <= service_class.first_token_ms / 1000
             and inter_token_s <= service_class.between_tokens_ms / 1000
         ):
             metrics.in_target.labels(service_class.name).inc()
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -328,9 +328,9 @@
 
     def _relay_load(self, sender: str, load: ZoneLoad) -> None:
         """Relays the load of another zone to the broker in this zone, if that is another VM."""
-        owner = self._broker_vm(load.pool)
-        if owner not in (self._vm_key, sender):
-            self._bus.send(owner, load)
+        broker_vm = self._broker_vm(load.pool)
+        if broker_vm not in (self._vm_key, sender):
+            self._bus.send(broker_vm, load)
 
 
 def work_from_request(request: WorkRequest, now: float) -> WorkItem:
--- a/bluebellpitch/roles/slot_broker_service.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -180,9 +180,11 @@
         now = self._now()
         for held in grants:
             if not broker.confirm_grant(held.grant, now) and (details := held.details) is not None:
-                work = to_broker_clock(details.slot_request, sender, now)
+                request = to_broker_clock(details.slot_request, sender, now)
                 granted_at = now - details.held_s
-                broker.adopt_grant(ActiveGrant(held.grant, work, details.endpoint, granted_at, now))
+                broker.adopt_grant(
+                    ActiveGrant(held.grant, request, details.endpoint, granted_at, now)
+                )
             if held.between_s is not None:
                 broker.record_latency(held.grant, "between", held.between_s, now)
 
@@ -191,31 +193,33 @@
             match command:
                 case GrantSlot():
                     self._send_grant(command)
-                case RefuseRequest(work, reason, retry_after_s):
+                case RefuseRequest(request, reason, retry_after_s):
                     refused = SlotRefused(
-                        work.request_id, work.attempt, broker.pool, reason, retry_after_s
+                        request.request_id, request.attempt, broker.pool, reason, retry_after_s
                     )
-                    self._bus.send(work.requesting_vm, refused)
-                case PreemptGrant(running, reason):
-                    preempted = SlotPreempted(running.grant_id, running.request.request_id, reason)
-                    self._bus.send(running.request.requesting_vm, preempted)
+                    self._bus.send(request.requesting_vm, refused)
+                case PreemptGrant(active_grant, reason):
+                    preempted = SlotPreempted(
+                        active_grant.grant_id, active_grant.request.request_id, reason
+                    )
+                    self._bus.send(active_grant.request.requesting_vm, preempted)
 
     def _send_grant(self, grant: GrantSlot) -> None:
-        running = grant.grant
-        endpoint = self._view_holder.current.table.endpoints_by_name.get(running.endpoint)
+        active_grant = grant.grant
+        endpoint = self._view_holder.current.table.endpoints_by_name.get(active_grant.endpoint)
         if endpoint is None:
             return
-        work = running.request
+        request = active_grant.request
         granted = SlotGranted(
-            running.grant_id,
-            work.request_id,
-            work.attempt,
+            active_grant.grant_id,
+            request.request_id,
+            request.attempt,
             endpoint.name,
             endpoint.address,
             grant.expected_first_token_s,
             grant.expected_inter_token_s,
         )
-        self._bus.send(work.requesting_vm, granted)
+        self._bus.send(request.requesting_vm, granted)
 
     async def run(self) -> None:
         """Runs ``tick`` periodically until cancelled."""
