Merge one name for one thing across the parts

Components, roles, slot requests, state machines, connection pools, inter-token times and constants have one name each; the help texts of the metrics are as before.

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -43,7 +43,7 @@
     avoided_endpoints: tuple[str, ...] = ()
     chunks: list[bytes] = field(default_factory=list)
 
-    def mean_gap_s(self) -> float | None:
+    def inter_token_s(self) -> float | None:
         """Returns the mean time between tokens, or None before the second token."""
         if self.tokens < 2:
             return None
@@ -76,13 +76,13 @@
 
     async def _serve(self) -> Verdict:
         while True:
-            suspicion = self._assess_suspicion()
-            if suspicion is IsolationLevel.REFUSED:
+            isolation_level = self._isolation_level()
+            if isolation_level is IsolationLevel.REFUSED:
                 return await self._refuse("crashes_endpoints", 422)
-            slot = await self._acquire_next_slot(suspicion)
+            slot = await self._acquire_next_slot(isolation_level)
             if isinstance(slot, DidNotRun):
                 return await self._refuse(slot.reason, slot.status, slot.retry_after_s)
-            if self._assess_suspicion() > suspicion:
+            if self._isolation_level() > isolation_level:
                 self.context.slot_client.release(slot, "cancelled")
                 continue
             ending = await self._run_attempt(slot)
@@ -93,12 +93,12 @@
             if self.progress.failures >= MAX_ATTEMPTS_PER_REQUEST:
                 return await self._refuse("attempts_exhausted", 502)
 
-    def _assess_suspicion(self) -> IsolationLevel:
-        return self.context.strikes.book.isolation_level(
+    def _isolation_level(self) -> IsolationLevel:
+        return self.context.strikes.tracker.isolation_level(
             self.request.fingerprint, self.context.now()
         )
 
-    async def _acquire_next_slot(self, suspicion: IsolationLevel) -> Slot | DidNotRun:
+    async def _acquire_next_slot(self, isolation_level: IsolationLevel) -> Slot | DidNotRun:
         progress, caller = self.progress, self.caller
         progress.attempt += 1
         expires_at = caller.arrived_at + caller.max_wait_s
@@ -109,7 +109,7 @@
             expires_at,
             prefix=self.request.prefix_digest,
             avoid=progress.avoided_endpoints,
-            suspicion=int(suspicion),
+            suspicion=int(isolation_level),
             resumed=progress.tokens > 0,
             preemptions=progress.preemptions,
         )
@@ -117,7 +117,9 @@
     async def _run_attempt(self, slot: Slot) -> str:
         """Runs one attempt in a slot; returns its ending."""
         context, progress = self.context, self.progress
-        attempt = EngineAttempt(context.connections, slot.granted.address, context.settings.stall_s)
+        attempt = EngineAttempt(
+            context.connection_pool, slot.granted.address, context.settings.stall_s
+        )
         slot.on_preempt = attempt.cancel
         if slot.preempt_reason:
             attempt.cancel(slot.preempt_reason)
@@ -130,8 +132,8 @@
             ending = attempt.ending
         finally:
             is_late = ending == "late" and not slot.tokens
-            first_s = context.now() - dispatched_at if is_late else None
-            context.slot_client.release(slot, ending, first_s, slot.inter_token_s())
+            first_token_s = context.now() - dispatched_at if is_late else None
+            context.slot_client.release(slot, ending, first_token_s, slot.inter_token_s())
         self.rejection = attempt.rejected
         self._record_ending(slot, ending)
         if ending == "crashed":
@@ -150,10 +152,10 @@
         )
         async with aclosing(source):
             async for events in source:
-                self._note_events(events, slot, dispatched_at)
+                self._record_events(events, slot, dispatched_at)
                 await self._forward(events)
 
-    def _note_events(self, events: bytes, slot: Slot, dispatched_at: float) -> None:
+    def _record_events(self, events: bytes, slot: Slot, dispatched_at: float) -> None:
         progress, context, now = self.progress, self.context, self.context.now()
         if slot.last_token_at is None:
             context.slot_client.report_first_token(slot, now - dispatched_at)
@@ -231,7 +233,7 @@
         await strikes.record_confirmed(fingerprint, attempt, STRIKE_CONFIRMATION_TIMEOUT_S)
 
     async def _finish(self) -> Verdict:
-        if self.context.strikes.book.count(self.request.fingerprint, self.context.now()):
+        if self.context.strikes.tracker.count(self.request.fingerprint, self.context.now()):
             self.context.strikes.clear(self.request.fingerprint)
         self._record_metrics()
         self.record_event(EventKind.COMPLETED, self.endpoint, f"tokens={self.progress.tokens}")
@@ -254,13 +256,13 @@
         metrics.tokens.labels(service_class.name).inc(progress.tokens)
         if progress.first_token_at is None:
             return
-        first_s = progress.first_token_at - self.caller.arrived_at
-        between_s = progress.mean_gap_s() or 0.0
-        metrics.first_token.labels(service_class.name).observe(first_s)
-        metrics.between_tokens.labels(service_class.name).observe(between_s)
+        first_token_s = progress.first_token_at - self.caller.arrived_at
+        inter_token_s = progress.inter_token_s() or 0.0
+        metrics.first_token.labels(service_class.name).observe(first_token_s)
+        metrics.between_tokens.labels(service_class.name).observe(inter_token_s)
         if (
-            first_s <= service_class.first_token_ms / 1000
-            and between_s <= service_class.between_tokens_ms / 1000
+            first_token_s <= service_class.first_token_ms / 1000
+            and inter_token_s <= service_class.between_tokens_ms / 1000
         ):
             metrics.in_target.labels(service_class.name).inc()
             metrics.good_tokens.labels(service_class.name).inc(progress.tokens)
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -11,12 +11,7 @@
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.strikes import IsolationLevel
-from bluebellpitch.endpoints.attempt import (
-    NotSent,
-    RefusedByEndpoint,
-    RoutedAttempt,
-    cancel_and_wait,
-)
+from bluebellpitch.endpoints.attempt import EndpointRefusal, NotSent, RoutedAttempt, cancel_and_wait
 from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
 from bluebellpitch.errors import BadRequestError, DisconnectedError, NotSentError
 from bluebellpitch.http1 import ClientConnection, HttpRequest, ServerConnection
@@ -30,7 +25,7 @@
     decode_request,
     find_last_event_id,
 )
-from bluebellpitch.roles.endpoint_selector import EndpointSelector, Placement
+from bluebellpitch.roles.endpoint_allocator import EndpointAllocator, Placement
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
@@ -40,7 +35,7 @@
 MAX_CONNECT_FAILURES = 4
 # Least remaining time for which a retry is worth sending.
 MIN_RETRY_TIME_S = 0.05
-NO_ENDPOINT_RETRY_AFTER_S = 0.4
+REFUSAL_RETRY_AFTER_S = 0.4
 CRASHING_REQUEST_RETRY_AFTER_S = 60.0
 CRASH_PROBE_TIMEOUT_S = 0.05
 
@@ -51,10 +46,10 @@
 
     catalogue: Callable[[], Catalogue | None]
     freshness: Freshness
-    placing: EndpointSelector
-    connections: EndpointConnectionPool
+    endpoint_allocator: EndpointAllocator
+    connection_pool: EndpointConnectionPool
     retry_budget: RetryBudget
-    count_live_vms: Callable[[], int]
+    vm_count: Callable[[], int]
     is_draining: Callable[[], bool]
     is_closing: Callable[[], bool]
     strikes: StrikeReplicator
@@ -147,9 +142,9 @@
         context, request = self._context, admitted.request
         member = admitted.member.name if admitted.member else ""
         self._fingerprint = digest_text(request.method, request.target, member, request.body)
-        strikes = context.strikes.book.count(self._fingerprint, context.now())
+        strikes = context.strikes.tracker.count(self._fingerprint, context.now())
         if (
-            context.strikes.book.isolation_level(self._fingerprint, context.now())
+            context.strikes.tracker.isolation_level(self._fingerprint, context.now())
             is IsolationLevel.REFUSED
         ):
             log("WARNING", "crashes_endpoints", request=request.id, strikes=strikes)
@@ -199,18 +194,16 @@
         """Returns the reason why no further attempt is allowed, or None if one is."""
         context, now = self._context, self._context.now()
         if now >= admitted.expires_at - (MIN_RETRY_TIME_S if attempts else 0):
-            return DidNotRun("no_time", 503, NO_ENDPOINT_RETRY_AFTER_S)
-        if attempts and not context.retry_budget.spend(
-            admitted.pool, context.count_live_vms(), now
-        ):
+            return DidNotRun("no_time", 503, REFUSAL_RETRY_AFTER_S)
+        if attempts and not context.retry_budget.spend(admitted.pool, context.vm_count(), now):
             log("INFO", "repeat_budget_spent", request=admitted.request.id)
-            return DidNotRun("repeat_budget_spent", 503, NO_ENDPOINT_RETRY_AFTER_S)
+            return DidNotRun("repeat_budget_spent", 503, REFUSAL_RETRY_AFTER_S)
         return None
 
     async def _choose_endpoint(self, admitted: AdmittedRequest) -> Placement | DidNotRun:
         work = make_work(admitted, len(self._tried))
         tried = frozenset(self._tried)
-        return await self._context.placing.select(work, admitted.is_engine_pool, tried)
+        return await self._context.endpoint_allocator.allocate(work, admitted.is_engine_pool, tried)
 
     async def _run_attempt(self, admitted: AdmittedRequest, place: Placement) -> Verdict:
         """Makes one attempt and records its outcome in the load tracking."""
@@ -220,7 +213,7 @@
             verdict = await self._send_to_endpoint(admitted, place)
             outcome = outcome_of(verdict)
         finally:
-            self._context.placing.release(place, outcome, self._longest_gap_s)
+            self._context.endpoint_allocator.release(place, outcome, self._longest_gap_s)
         if outcome == "failed" and isinstance(verdict, MayHaveRun):
             await self._report_crash(place, admitted.request)
         return verdict
@@ -237,7 +230,7 @@
     async def _send_to_endpoint(self, admitted: AdmittedRequest, place: Placement) -> Verdict:
         """Sends the request to one endpoint and forwards its response."""
         context = self._context
-        attempt = RoutedAttempt(context.connections, place.entry, admitted.request, context.now)
+        attempt = RoutedAttempt(context.connection_pool, place.entry, admitted.request, context.now)
         last_event = (
             admitted.request.last_event_id if self._last_event is None else self._last_event
         )
@@ -259,16 +252,16 @@
     async def _handle_head(
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
-        placing = self._context.placing
+        allocator = self._context.endpoint_allocator
         match head:
-            case RefusedByEndpoint():
+            case EndpointRefusal():
                 if head.is_other_instance:
-                    placing.directory.mark_replaced(place.entry)
-                placing.record_load_report(place, attempt.head)
-                return DidNotRun(head.reason, 503, NO_ENDPOINT_RETRY_AFTER_S)
+                    allocator.directory.mark_replaced(place.entry)
+                allocator.record_load_report(place, attempt.head)
+                return DidNotRun(head.reason, 503, REFUSAL_RETRY_AFTER_S)
             case NotSent() | MayHaveRun():
                 return head
-        placing.record_load_report(place, head)
+        allocator.record_load_report(place, head)
         if admitted.route.is_stream and 200 <= head.status < 300:
             return await self._forward_stream(admitted, place, attempt, head, deadline)
         response = await attempt.read_complete_response(deadline)
@@ -287,7 +280,7 @@
 
     def _has_retry_left(self, admitted: AdmittedRequest) -> bool:
         context, now = self._context, self._context.now()
-        left = context.retry_budget.remaining(admitted.pool, context.count_live_vms(), now)
+        left = context.retry_budget.remaining(admitted.pool, context.vm_count(), now)
         return (
             len(self._tried) < admitted.route.max_attempts
             and left >= 1
@@ -298,16 +291,16 @@
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
         """Forwards events as they arrive; never ends a truncated stream as if it were complete."""
-        placing = self._context.placing
+        allocator = self._context.endpoint_allocator
         first = True
         async for events in attempt.events(
             deadline, max_silence_s=max(0.001, deadline - self._context.now())
         ):
             if first:
                 first = False
-                placing.record_first_event(place, attempt.sent_at)
+                allocator.record_first_event(place, attempt.sent_at)
             await self._start_stream(head)
-            self._note_event_time()
+            self._record_event_time()
             await self._connection.send(events)
             last = find_last_event_id(events)
             self._last_event = self._last_event if last is None else last
@@ -318,7 +311,7 @@
         await self._connection.end()
         return Ran("complete", head.status)
 
-    def _note_event_time(self) -> None:
+    def _record_event_time(self) -> None:
         now = self._context.now()
         if self._first_event_at:
             self._longest_gap_s = max(self._longest_gap_s, now - self._last_event_at)
--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -12,11 +12,11 @@
 from dataclasses import replace
 
 from bluebellpitch.constants import (
-    ASK_TIMEOUT_S,
     GRANT_TIMEOUT_S,
     MAX_PREEMPTIONS_PER_REQUEST,
     PREEMPT_AFTER_TARGET_SHARE,
     SHEDDING_HOLD_S,
+    SLOT_REQUEST_TIMEOUT_S,
 )
 from bluebellpitch.decisions.class_scheduling import ClassScheduler, SchedulingPolicy
 from bluebellpitch.decisions.endpoint_health import EndpointHealth, LatencySample
@@ -100,9 +100,9 @@
         if request.attempt > 1:
             return None
         expected_s = self._expected_wait_s(request)
-        patience_s = request.expires_at - now
-        if expected_s > patience_s:
-            return self._shed(request, "overloaded", expected_s - patience_s, now)
+        max_wait_s = request.expires_at - now
+        if expected_s > max_wait_s:
+            return self._shed(request, "overloaded", expected_s - max_wait_s, now)
         if self._is_higher_tier_shed(request, now):
             return self._shed(request, "higher_tier_shed", SHEDDING_HOLD_S, now)
         return None
@@ -152,9 +152,9 @@
         if self.grant_id_by_request.get(grant.request.request_id) == grant.grant_id:
             del self.grant_id_by_request[grant.request.request_id]
         self.used_slots_by_member[grant.request.member] -= 1
-        peers = self.grants_by_class[grant.request.class_name]
-        place = bisect_left(peers, arrival_key(grant), key=arrival_key)
-        del peers[place]
+        grants = self.grants_by_class[grant.request.class_name]
+        index = bisect_left(grants, arrival_key(grant), key=arrival_key)
+        del grants[index]
         self.selector.remove(grant)
 
     def _record_result(self, grant: ActiveGrant, result: FinishedGrant, now: float) -> None:
@@ -166,8 +166,8 @@
             self.health.mark_down(grant.endpoint, now)
         if result.first_token_s is not None and not grant.first_token_seen:
             self.record_latency(grant.grant_id, "first", result.first_token_s, now, grant)
-        if result.between_tokens_s is not None:
-            self.record_latency(grant.grant_id, "between", result.between_tokens_s, now, grant)
+        if result.inter_token_s is not None:
+            self.record_latency(grant.grant_id, "between", result.inter_token_s, now, grant)
 
     def record_latency(
         self, grant_id: str, measure: str, seconds: float, now: float, grant=None
@@ -179,7 +179,7 @@
         grant.first_token_seen |= measure == "first"
         if not self.health.is_slow(grant.endpoint):
             stats = self.scheduler.stats(grant.request.class_name)
-            (stats.first_token_s if measure == "first" else stats.between_tokens_s).add(seconds)
+            (stats.first_token_s if measure == "first" else stats.inter_token_s).add(seconds)
         seen = LatencySample(now, grant.request.class_name, measure, seconds)
         self.health.add_sample(grant.endpoint, seen)
 
@@ -202,7 +202,7 @@
         for stale in (g for g in grants if now - g.confirmed_at > GRANT_TIMEOUT_S):
             self._remove_grant(stale)
         waiting = tuple(self.queues.requests_by_id.values())
-        for request in (r for r in waiting if now - r.last_asked_at > ASK_TIMEOUT_S):
+        for request in (r for r in waiting if now - r.last_requested_at > SLOT_REQUEST_TIMEOUT_S):
             self.queues.remove(request.request_id)
         yield from self.schedule(now)
 
@@ -296,15 +296,15 @@
 
     def _grant_command(self, grant: ActiveGrant) -> GrantSlot:
         stats = self.scheduler.stats(grant.request.class_name)
-        return GrantSlot(grant, stats.first_token_s.value, stats.between_tokens_s.value)
+        return GrantSlot(grant, stats.first_token_s.value, stats.inter_token_s.value)
 
     def _add_grant(self, grant: ActiveGrant) -> None:
         self.grants_by_id[grant.grant_id] = grant
         self.grant_id_by_request[grant.request.request_id] = grant.grant_id
         member = grant.request.member
         self.used_slots_by_member[member] = self.used_slots_by_member.get(member, 0) + 1
-        peers = self.grants_by_class.setdefault(grant.request.class_name, [])
-        insort(peers, grant, key=arrival_key)
+        grants = self.grants_by_class.setdefault(grant.request.class_name, [])
+        insort(grants, grant, key=arrival_key)
         self.selector.add(grant)
 
     def _preempt_for_higher_tiers(self, now: float) -> Iterator[BrokerCommand]:
--- a/bluebellpitch/decisions/member_quotas.py
+++ b/bluebellpitch/decisions/member_quotas.py
@@ -3,8 +3,8 @@
 A member's limit in a pool is split into one quota for each zone that has endpoints of the pool, and
 a zone's quota into one quota for each VM of its epoch. A broker may run as many requests of the
 member as the quotas that are lent to it now add up to. A loan is a lease: the lender lets it expire
-later than the borrower by the clock drift, and the borrower counts from when it asked. So no quota
-is used twice when a VM is paused or a link is cut.
+later than the borrower by the clock drift, and the borrower counts from when it sent its request.
+So no quota is used twice when a VM is paused or a link is cut.
 """
 
 from collections.abc import Iterable
@@ -136,9 +136,9 @@
         self._lease_s = lease_s
         self._loans_by_vm: dict[str, QuotaLoan] = {}
 
-    def record_loan(self, lender: str, epoch: int, asked_at: float) -> None:
+    def record_loan(self, lender: str, epoch: int, requested_at: float) -> None:
         """Records a loan, which runs from the time of the request."""
-        self._loans_by_vm[lender] = QuotaLoan(lender, epoch, asked_at + self._lease_s)
+        self._loans_by_vm[lender] = QuotaLoan(lender, epoch, requested_at + self._lease_s)
 
     def active_lenders(self, epoch: int, now: float) -> tuple[str, ...]:
         """Returns the VMs whose quotas of an epoch may be used now."""
--- a/bluebellpitch/decisions/slot_grants.py
+++ b/bluebellpitch/decisions/slot_grants.py
@@ -8,7 +8,7 @@
     """A request that waits for a slot. Times are seconds on the broker's monotonic clock.
 
     ``arrived_at`` is when the client's request arrived, ``expires_at`` when it is refused,
-    ``last_asked_at`` when its VM last asked for a slot. The client of a ``resumed`` request has
+    ``last_requested_at`` when its VM last requested a slot. The client of a ``resumed`` request has
     already received tokens.
     """
 
@@ -26,7 +26,7 @@
     resumed: bool = False
     remote: bool = False
     preemptions: int = 0
-    last_asked_at: float = 0.0
+    last_requested_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -49,7 +49,7 @@
 
     grant: ActiveGrant
     expected_first_token_s: float
-    expected_between_tokens_s: float
+    expected_inter_token_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PreemptGrant:
-    """Tells the VM to return the slot and ask again; the request resumes from its last token."""
+    """Tells the VM to return the slot and get another; the request resumes from its last token."""
 
     grant: ActiveGrant
     reason: str
@@ -79,7 +79,7 @@
     grant_id: str
     outcome: str
     first_token_s: float | None = None
-    between_tokens_s: float | None = None
+    inter_token_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -103,5 +103,5 @@
 
     slot_time_s: MovingAverage = field(default_factory=MovingAverage)
     first_token_s: MovingAverage = field(default_factory=MovingAverage)
-    between_tokens_s: MovingAverage = field(default_factory=MovingAverage)
+    inter_token_s: MovingAverage = field(default_factory=MovingAverage)
     share_credit_s: float = 0.0
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -35,7 +35,7 @@
 from bluebellpitch.platform.settings_file import VmSettings
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.vm_records import VmRecord
-from bluebellpitch.roles.endpoint_selector import EndpointSelector
+from bluebellpitch.roles.endpoint_allocator import EndpointAllocator
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
 from bluebellpitch.roles.peer_discovery import PeerDiscovery
 from bluebellpitch.roles.peer_sync import PeerSync
@@ -49,7 +49,7 @@
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.tasks import start_tasks, stop_tasks
 
-DRAIN_POLL_S = 0.05
+ROUTED_DRAIN_POLL_S = 0.05
 # The platform sends new connections until it has noticed that the VM is not ready.
 REFUSE_REQUESTS_AFTER_S = 2.6
 # Idle connections stay open a little longer for requests that are in transit.
@@ -106,8 +106,8 @@
             now=now,
             configuration_version=self.configuration.version,
             is_draining=self.draining.is_set,
-            on_vm_lost=lambda vm: self.generations.forget_vm(vm),
-            has_duty=self._has_duty,
+            on_vm_lost=lambda vm: self.generations.remove_vm(vm),
+            holds_any_role=self._holds_any_role,
         )
         self.peer_sync = PeerSync(
             address=settings.bus_address,
@@ -116,7 +116,7 @@
             configuration=self.configuration,
             endpoints=self.endpoints,
             all_addresses=self._all_addresses,
-            zone_reader=lambda: self._duty_owner(reader_duty(CONFIGURATION_TOPIC)),
+            zone_reader=lambda: self._role_holder(reader_role(CONFIGURATION_TOPIC)),
             now=now,
         )
         self.generations = GenerationCoordinator(
@@ -132,25 +132,25 @@
             now=now,
             is_draining=self.draining.is_set,
         )
-        self.endpoint_selector = EndpointSelector(
+        self.endpoint_allocator = EndpointAllocator(
             self.directory,
             self.generations.broker_client,
             settings.zone,
             settings.regions_by_zone,
             now,
         )
-        self.links = EndpointConnectionPool(now)
+        self.connection_pool = EndpointConnectionPool(now)
         self.context = RoutingContext(
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
-            placing=self.endpoint_selector,
-            connections=self.links,
+            endpoint_allocator=self.endpoint_allocator,
+            connection_pool=self.connection_pool,
             retry_budget=RetryBudget(
                 settings.retry_budget_ratio,
                 settings.retry_budget_burst,
                 settings.retry_budget_window_s,
             ),
-            count_live_vms=self.peer_discovery.vm_count,
+            vm_count=self.peer_discovery.vm_count,
             is_draining=self.draining.is_set,
             is_closing=lambda: self._closing,
             strikes=self.strikes,
@@ -169,21 +169,21 @@
             topic=topic,
             long_poll_s=long_poll_s,
             now=self._now,
-            is_zone_reader=lambda: self._owns_duty(reader_duty(topic)),
+            is_zone_reader=lambda: self._holds_role(reader_role(topic)),
             publish=lambda update: self.peer_sync.publish_to_zone(update),
             metrics=self.metrics,
         )
 
-    def _duty_owner(self, duty: str) -> str:
-        return self.liveness.role_holder(duty, self._now(), self.draining.is_set())
+    def _role_holder(self, role: str) -> str:
+        return self.liveness.role_holder(role, self._now(), self.draining.is_set())
 
-    def _owns_duty(self, duty: str) -> bool:
-        return self._duty_owner(duty) == self.key
+    def _holds_role(self, role: str) -> bool:
+        return self._role_holder(role) == self.key
 
-    def _has_duty(self) -> bool:
+    def _holds_any_role(self) -> bool:
         topics = (CONFIGURATION_TOPIC, ENDPOINTS_TOPIC)
         return (
-            any(self._owns_duty(reader_duty(topic)) for topic in topics)
+            any(self._holds_role(reader_role(topic)) for topic in topics)
             or self.generations.is_broker()
         )
 
@@ -250,7 +250,7 @@
             host, _ = parse_address(self.settings.listen_address)
             await self.metrics_http.listen(host, self._metrics_port)
         await self.http.listen(*parse_address(self.settings.listen_address))
-        tasks = start_tasks(self._jobs(), self.draining)
+        tasks = start_tasks(self._background_tasks(), self.draining)
         log("INFO", "started", vm=self.settings.vm_name, zone=self.settings.zone)
         try:
             await self.draining.wait()
@@ -264,7 +264,7 @@
             server.stop_listening()
         self.bus.close()
 
-    def _jobs(self) -> tuple[Coroutine, ...]:
+    def _background_tasks(self) -> tuple[Coroutine, ...]:
         return (
             self.configuration.run(),
             self.endpoints.run(),
@@ -300,8 +300,8 @@
     async def _clean_up(self) -> None:
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            self.links.close_expired()
-            self.endpoint_selector.loads.prune(self.directory.entries_by_id.values())
+            self.connection_pool.close_expired()
+            self.endpoint_allocator.loads.prune(self.directory.entries_by_id.values())
 
     async def _drain(self) -> None:
         """Stops accepting requests once the platform sends none and completes those in progress."""
@@ -314,12 +314,12 @@
         while (
             self.http.in_flight and self._now() - start < self.settings.grace_s * DRAIN_GRACE_SHARE
         ):
-            await asyncio.sleep(DRAIN_POLL_S)
+            await asyncio.sleep(ROUTED_DRAIN_POLL_S)
 
 
-def reader_duty(topic: str) -> str:
-    """Returns the duty of reading a topic from the store on behalf of the zone.
+def reader_role(topic: str) -> str:
+    """Returns the role of reading a topic from the store on behalf of the zone.
 
-    The text decides which VM owns the duty, so all VMs of a zone must form it alike.
+    The text decides which VM holds the role, so all VMs of a zone must form it alike.
     """
     return f"reads {topic}"
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -29,7 +29,7 @@
 LOAD_PUBLISH_INTERVAL_S = 0.1
 IDLE_WAKE_INTERVAL_S = 0.5
 LOAD_MAX_AGE_S = 0.6
-EXPIRY_INTERVAL_S = 1.0
+WORK_EXPIRY_INTERVAL_S = 1.0
 FORWARDED_RESPONSE_TIMEOUT_S = 0.4
 # Work is forwarded to another zone when its cost there, including the delay of forwarding, is
 # lower by more than this gain.
@@ -69,21 +69,21 @@
         self._brokers_by_pool: dict[str, GenerationBroker] = {}
         self._requests_by_work: dict[str, WorkRequest] = {}
         self.broker_client = BrokerClient(
-            vm_key, address, liveness, self._pool_owner, self._send, self._send_to_address, now
+            vm_key, address, liveness, self._broker_vm, self._send, self._send_to_address, now
         )
         self._other_zone_loads: dict[tuple[str, str], RemoteZone] = {}
         self._load_round = 0
         self._new_sessions_by_pool: dict[str, list[str]] = {}
         self._work_waiting = asyncio.Event()
 
-    def _pool_owner(self, pool: str) -> str:
+    def _broker_vm(self, pool: str) -> str:
         return self._liveness.role_holder(pool, self._now(), self._is_draining())
 
     def is_broker(self) -> bool:
         """Returns whether this VM is the broker of any pool of engines."""
         catalogue = self._catalogue()
         rows = catalogue.pools_by_name.items() if catalogue else ()
-        return any(row.engine and self._pool_owner(pool) == self._vm_key for pool, row in rows)
+        return any(row.engine and self._broker_vm(pool) == self._vm_key for pool, row in rows)
 
     def _send(self, vm: str, message) -> None:
         if vm == self._vm_key:
@@ -144,8 +144,8 @@
         if row is None or row.engine is None:
             return
         entries = (e for e in self._directory.usable_endpoints(broker.pool) if e.zone == self._zone)
-        gap_s = catalogue.gap_targets_by_pool.get(broker.pool)
-        broker.set_engines(entries, row.engine.slots, row.engine.kv_capacity_tokens, gap_s)
+        gap_target_s = catalogue.gap_targets_by_pool.get(broker.pool)
+        broker.set_engines(entries, row.engine.slots, row.engine.kv_capacity_tokens, gap_target_s)
 
     def _handle_work_request(self, request: WorkRequest) -> None:
         now = self._now()
@@ -170,14 +170,14 @@
             other = self._cheaper_zone(work.pool, local_s, lambda other: other.short_cost_s, now)
         else:
             local_s = broker.long_prompt_cost_s(work, avoid, now)
-            reread_cost_s = broker.cache_miss_cost_s(work)
+            cache_miss_cost_s = broker.cache_miss_cost_s(work)
 
             def cost(other: RemoteZone) -> float:
-                unread = (
+                uncached = (
                     broker.unshared_tokens(work) if other.has_cached(work, now) else work.tokens_in
                 )
-                reread_s = 0.0 if other.has_cached(work, now) else reread_cost_s
-                return other.long_fixed_s + unread * other.long_s_per_token + reread_s
+                cache_miss_s = 0.0 if other.has_cached(work, now) else cache_miss_cost_s
+                return other.long_fixed_s + uncached * other.long_s_per_token + cache_miss_s
 
             other = self._cheaper_zone(work.pool, local_s, cost, now)
         if other is None:
@@ -241,7 +241,7 @@
         if session and not self._brokers_by_pool[request.pool].is_short_length(request.tokens_in):
             self._new_sessions_by_pool.setdefault(request.pool, []).append(session)
 
-    def forget_vm(self, vm: str) -> None:
+    def remove_vm(self, vm: str) -> None:
         """Drops all work of a VM that has failed or left."""
         for broker in self._brokers_by_pool.values():
             broker.remove_vm(vm)
@@ -261,7 +261,7 @@
                 next_load = now + LOAD_PUBLISH_INTERVAL_S
                 self._publish_load(now)
             if now >= next_expiry:
-                next_expiry = now + EXPIRY_INTERVAL_S
+                next_expiry = now + WORK_EXPIRY_INTERVAL_S
                 self._expire(now)
 
     def _forward_newest_waiting(self, broker: GenerationBroker, now: float) -> None:
@@ -301,15 +301,15 @@
             return
         self._load_round += 1
         for pool, row in catalogue.pools_by_name.items():
-            if row.engine is None or self._pool_owner(pool) != self._vm_key:
+            if row.engine is None or self._broker_vm(pool) != self._vm_key:
                 continue
             broker = self._get_broker(pool)
-            offer = broker.estimate_long_prompt_cost(now)
+            cost = broker.estimate_long_prompt_cost(now)
             load = ZoneLoad(
                 pool,
                 self._zone,
-                offer.fixed_s,
-                offer.s_per_token,
+                cost.fixed_s,
+                cost.s_per_token,
                 broker.short_prompt_cost_s(now),
                 broker.pool_s_per_token(),
                 self._address,
@@ -328,9 +328,9 @@
 
     def _relay_load(self, sender: str, load: ZoneLoad) -> None:
         """Relays the load of another zone to the broker in this zone, if that is another VM."""
-        owner = self._pool_owner(load.pool)
-        if owner not in (self._vm_key, sender):
-            self._bus.send(owner, load)
+        broker_vm = self._broker_vm(load.pool)
+        if broker_vm not in (self._vm_key, sender):
+            self._bus.send(broker_vm, load)
 
 
 def work_from_request(request: WorkRequest, now: float) -> WorkItem:
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -11,12 +11,12 @@
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.vm_records import VmRecord, read_vm_records, register_vm, unregister_vm
 
-# A VM with a duty sends heartbeats more often: others rely on it, so its loss must be detected
-# soon.
-DUTY_HEARTBEAT_INTERVAL_S = 0.15
-HEARTBEAT_INTERVAL_S = 0.45
-MEMBERS_READ_INTERVAL_S = 20.0
-MEMBERS_RETRY_INTERVAL_S = 0.5
+# A VM that holds a role sends heartbeats more often: others rely on it, so its loss must be
+# detected soon.
+ROLE_HOLDER_HEARTBEAT_INTERVAL_S = 0.15
+DEFAULT_HEARTBEAT_INTERVAL_S = 0.45
+VM_LIST_READ_INTERVAL_S = 20.0
+VM_LIST_RETRY_INTERVAL_S = 0.5
 
 
 class PeerDiscovery:
@@ -33,7 +33,7 @@
         configuration_version: Callable[[], int],
         is_draining: Callable[[], bool],
         on_vm_lost: Callable[[str], None],
-        has_duty: Callable[[], bool],
+        holds_any_role: Callable[[], bool],
     ):
         self._vm = vm
         self._own_record = own_record
@@ -44,7 +44,7 @@
         self._configuration_version = configuration_version
         self._is_draining = is_draining
         self._on_vm_lost = on_vm_lost
-        self._has_duty = has_duty
+        self._holds_any_role = holds_any_role
         self.records_by_vm: dict[str, VmRecord] = {vm: own_record}
 
     def vm_count(self) -> int:
@@ -61,11 +61,11 @@
         while True:
             if not registered:
                 registered = await register_vm(self._client, self._vm, self._own_record)
-            was_read = await self._read_members()
+            was_read = await self._read_vm_list()
             done = registered and was_read
-            await asyncio.sleep(MEMBERS_READ_INTERVAL_S if done else MEMBERS_RETRY_INTERVAL_S)
+            await asyncio.sleep(VM_LIST_READ_INTERVAL_S if done else VM_LIST_RETRY_INTERVAL_S)
 
-    async def _read_members(self) -> bool:
+    async def _read_vm_list(self) -> bool:
         try:
             records = await read_vm_records(self._client)
         except BluebellpitchError as error:
@@ -81,7 +81,11 @@
     async def send_heartbeats(self) -> None:
         """Sends heartbeats to the VMs of this zone and reports lost peers, until cancelled."""
         while True:
-            interval_s = DUTY_HEARTBEAT_INTERVAL_S if self._has_duty() else HEARTBEAT_INTERVAL_S
+            interval_s = (
+                ROLE_HOLDER_HEARTBEAT_INTERVAL_S
+                if self._holds_any_role()
+                else DEFAULT_HEARTBEAT_INTERVAL_S
+            )
             heartbeat = VmHeartbeat(
                 zone=self._own_record.zone,
                 address=self._own_record.bus,
@@ -97,11 +101,11 @@
             await self._wait_for_next_heartbeat(interval_s)
 
     async def _wait_for_next_heartbeat(self, seconds: float) -> None:
-        """Waits until the next heartbeat is due; gaining or losing a duty makes it due early."""
-        started_at, had_duty = self._now(), self._has_duty()
-        while self._now() - started_at < seconds - DUTY_HEARTBEAT_INTERVAL_S / 2:
-            await asyncio.sleep(DUTY_HEARTBEAT_INTERVAL_S)
-            if self._has_duty() != had_duty:
+        """Waits until the next heartbeat is due; gaining or losing a role makes it due early."""
+        started_at, held_role = self._now(), self._holds_any_role()
+        while self._now() - started_at < seconds - ROLE_HOLDER_HEARTBEAT_INTERVAL_S / 2:
+            await asyncio.sleep(ROLE_HOLDER_HEARTBEAT_INTERVAL_S)
+            if self._holds_any_role() != held_role:
                 return
 
     def _heartbeat_targets(self) -> set[str]:
--- a/bluebellpitch/roles/brokering.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -1,4 +1,4 @@
-"""Runs the brokers of the pools that this VM owns in its zone; lends and borrows limit floors."""
+"""Runs the brokers of the pools that this VM owns in its zone; lends and borrows quotas."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -49,7 +49,7 @@
 GRANT_TAG_LENGTH = 8
 
 
-class BrokerRole:
+class SlotBrokerService:
     """Owns the brokers of this VM. Incoming messages are passed to ``handle_message``."""
 
     def __init__(
@@ -112,8 +112,8 @@
                 self._execute(broker, broker.submit(to_broker_clock(message, requester, now), now))
             case SlotRequestCancelled(request):
                 self._execute(broker, broker.cancel(request, now))
-            case SlotReleased(grant, _, _, outcome, first_s, between_s):
-                finished = FinishedGrant(grant, outcome, first_s, between_s)
+            case SlotReleased(grant, _, _, outcome, first_token_s, inter_token_s):
+                finished = FinishedGrant(grant, outcome, first_token_s, inter_token_s)
                 self._execute(broker, broker.finish(finished, now))
             case LatencyReport(grant, _, measure, seconds):
                 broker.record_latency(grant, measure, seconds, now)
@@ -168,8 +168,8 @@
 
     def _compute_limit(self, table: Table, pool: str, member: MemberRow, lenders) -> int:
         slots_by_zone = table.slots_by_zone(pool)
-        share = compute_zone_quota(member.limit, member.name, pool, self._zone, slots_by_zone)
-        return usable_limit(self._history, lenders, share, f"{member.name}/{pool}")
+        zone_quota = compute_zone_quota(member.limit, member.name, pool, self._zone, slots_by_zone)
+        return usable_limit(self._history, lenders, zone_quota, f"{member.name}/{pool}")
 
     def _borrower(self, pool: str) -> QuotaBorrower:
         return self._borrowers_by_pool.setdefault(pool, QuotaBorrower())
@@ -180,9 +180,11 @@
         now = self._now()
         for held in grants:
             if not broker.confirm_grant(held.grant, now) and (details := held.details) is not None:
-                work = to_broker_clock(details.slot_request, sender, now)
+                request = to_broker_clock(details.slot_request, sender, now)
                 granted_at = now - details.held_s
-                broker.adopt_grant(ActiveGrant(held.grant, work, details.endpoint, granted_at, now))
+                broker.adopt_grant(
+                    ActiveGrant(held.grant, request, details.endpoint, granted_at, now)
+                )
             if held.between_s is not None:
                 broker.record_latency(held.grant, "between", held.between_s, now)
 
@@ -191,31 +193,33 @@
             match command:
                 case GrantSlot():
                     self._send_grant(command)
-                case RefuseRequest(work, reason, retry_after_s):
+                case RefuseRequest(request, reason, retry_after_s):
                     refused = SlotRefused(
-                        work.request_id, work.attempt, broker.pool, reason, retry_after_s
+                        request.request_id, request.attempt, broker.pool, reason, retry_after_s
                     )
-                    self._bus.send(work.requesting_vm, refused)
-                case PreemptGrant(running, reason):
-                    preempted = SlotPreempted(running.grant_id, running.request.request_id, reason)
-                    self._bus.send(running.request.requesting_vm, preempted)
+                    self._bus.send(request.requesting_vm, refused)
+                case PreemptGrant(active_grant, reason):
+                    preempted = SlotPreempted(
+                        active_grant.grant_id, active_grant.request.request_id, reason
+                    )
+                    self._bus.send(active_grant.request.requesting_vm, preempted)
 
     def _send_grant(self, grant: GrantSlot) -> None:
-        running = grant.grant
-        endpoint = self._view_holder.current.table.endpoints_by_name.get(running.endpoint)
+        active_grant = grant.grant
+        endpoint = self._view_holder.current.table.endpoints_by_name.get(active_grant.endpoint)
         if endpoint is None:
             return
-        work = running.request
+        request = active_grant.request
         granted = SlotGranted(
-            running.grant_id,
-            work.request_id,
-            work.attempt,
+            active_grant.grant_id,
+            request.request_id,
+            request.attempt,
             endpoint.name,
             endpoint.address,
             grant.expected_first_token_s,
-            grant.expected_between_tokens_s,
+            grant.expected_inter_token_s,
         )
-        self._bus.send(work.requesting_vm, granted)
+        self._bus.send(request.requesting_vm, granted)
 
     async def run(self) -> None:
         """Runs ``tick`` periodically until cancelled."""
@@ -282,7 +286,7 @@
             self._bus.send(vm.key, request)
 
     def _lend(self, sender: str, request: LoanRequest) -> None:
-        """Lends this VM's floors, unless it is in another epoch or another broker holds them.
+        """Lends this VM's quotas, unless it is in another epoch or another broker holds them.
 
         Only a VM of the epoch may borrow: an epoch can settle before other VMs have left it.
         The held slots are reported before the loan, so that the broker counts them first.
@@ -295,22 +299,22 @@
             self._bus.send(sender, LoanGranted(request.pool, request.epoch, request.asked_at))
 
 
-def to_broker_clock(ask: SlotRequest, requester: str, now: float) -> QueuedRequest:
+def to_broker_clock(slot_request: SlotRequest, requester: str, now: float) -> QueuedRequest:
     """Returns a request with its times converted to the broker's clock."""
     return QueuedRequest(
-        request_id=ask.request,
-        attempt=ask.attempt,
+        request_id=slot_request.request,
+        attempt=slot_request.attempt,
         requesting_vm=requester,
-        member=ask.member,
-        class_name=ask.class_name,
-        arrived_at=now - ask.age_s,
-        expires_at=now + ask.patience_s,
-        prefix=ask.prefix,
-        excluded_endpoints=frozenset(ask.avoid),
-        isolation_level=ask.suspicion,
-        resumable=ask.resumable,
-        resumed=ask.resumed,
-        remote=ask.remote,
-        preemptions=ask.preemptions,
-        last_asked_at=now,
+        member=slot_request.member,
+        class_name=slot_request.class_name,
+        arrived_at=now - slot_request.age_s,
+        expires_at=now + slot_request.patience_s,
+        prefix=slot_request.prefix,
+        excluded_endpoints=frozenset(slot_request.avoid),
+        isolation_level=slot_request.suspicion,
+        resumable=slot_request.resumable,
+        resumed=slot_request.resumed,
+        remote=slot_request.remote,
+        preemptions=slot_request.preemptions,
+        last_requested_at=now,
     )
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -36,7 +36,7 @@
 
         Only some VMs of other zones send heartbeats here, so the zone's epoch decides; a VM that no
         longer holds the role forwards the message. VMs in the epoch are preferred to newer ones,
-        because only they may borrow limit floors.
+        because only they may borrow quotas.
         """
         epoch = self.epochs_by_zone.get(zone, Epoch(0, ()))
         if zone != self.own.zone and epoch.vms:
@@ -50,7 +50,7 @@
         """Returns the key of the VM that brokers a pool in a zone."""
         return select_broker(pool, zone, self.eligible_vms(zone))
 
-    def zones_by_proximity(self, pool: str, request: str) -> list[str]:
+    def zones_by_distance(self, pool: str, request: str) -> list[str]:
         """Returns the zones that serve a pool: own zone first, then own region, then the others."""
         zones = self.table.zones_by_pool.get(pool, ())
         ranked = rank_owners(request, (zone for zone, _ in zones))
@@ -65,7 +65,7 @@
 
 
 class ViewHolder:
-    """Holds the current view. The membership and control roles replace it; others only read."""
+    """Holds the current view. ClusterMembership and ControlLogReplica replace it."""
 
     def __init__(self, view: ClusterView):
         self.current = view
