Tell the slot broker from the generation broker in names

Two classes of brokers exist, one for slots and one for generations. The VM that brokers a pool is its broker VM, and the answer to a strike report with confirm set is a confirmation.

bluebellpitch/decisions/broker.py Broker SlotBroker bluebellpitch/decisions/slot_grants.py BrokerCommand SlotBrokerCommand bluebellpitch/decisions/epochs.py select_broker select_broker_vm bluebellpitch/roles/broker_client.py BrokerClient GenerationBrokerClient bluebellpitch/peers/messages.py StrikeAck StrikeConfirmation

--- a/bluebellpitch/decisions/broker.py
+++ b/bluebellpitch/decisions/broker.py
@@ -25,12 +25,12 @@
 from bluebellpitch.decisions.rows import EndpointRow, MemberRow, Table
 from bluebellpitch.decisions.slot_grants import (
     ActiveGrant,
-    BrokerCommand,
     FinishedGrant,
     GrantSlot,
     PreemptGrant,
     QueuedRequest,
     RefuseRequest,
+    SlotBrokerCommand,
 )
 
 MemberLimit = Callable[[MemberRow, float], int]  # how many requests of a member may run now
@@ -41,7 +41,7 @@
     return grant.request.arrived_at, grant.grant_id
 
 
-class Broker:
+class SlotBroker:
     """Soft state of one pool in one zone, rebuilt from the grants that VMs report."""
 
     def __init__(
@@ -74,7 +74,7 @@
         rows = table.pool_endpoints(self.pool, self.zone)
         self.selector.set_endpoints(tuple(row for row in rows if row.name not in leaving_endpoints))
 
-    def submit(self, request: QueuedRequest, now: float) -> Iterator[BrokerCommand]:
+    def submit(self, request: QueuedRequest, now: float) -> Iterator[SlotBrokerCommand]:
         """Queues a request. Idempotent: a VM may submit the same request again."""
         if (granted := self._find_grant(request)) is not None:
             yield self._grant_command(granted)
@@ -133,12 +133,12 @@
         )
         return ahead_s / slots
 
-    def cancel(self, request_id: str, now: float) -> Iterator[BrokerCommand]:
+    def cancel(self, request_id: str, now: float) -> Iterator[SlotBrokerCommand]:
         """Removes a queued request that its VM cancelled. A grant is returned with ``finish``."""
         self.queues.remove(request_id)
         yield from self.schedule(now)
 
-    def finish(self, result: FinishedGrant, now: float) -> Iterator[BrokerCommand]:
+    def finish(self, result: FinishedGrant, now: float) -> Iterator[SlotBrokerCommand]:
         """Releases the slot of a finished grant."""
         grant = self.grants_by_id.get(result.grant_id)
         if grant is None:
@@ -196,7 +196,7 @@
         self.queues.remove(grant.request.request_id)
         self._add_grant(grant)
 
-    def expire_unconfirmed(self, now: float) -> Iterator[BrokerCommand]:
+    def expire_unconfirmed(self, now: float) -> Iterator[SlotBrokerCommand]:
         """Drops grants and queued requests that their VM stopped reporting."""
         grants = tuple(self.grants_by_id.values())
         for stale in (g for g in grants if now - g.confirmed_at > GRANT_TIMEOUT_S):
@@ -206,7 +206,7 @@
             self.queues.remove(request.request_id)
         yield from self.schedule(now)
 
-    def tick(self, now: float) -> Iterator[BrokerCommand]:
+    def tick(self, now: float) -> Iterator[SlotBrokerCommand]:
         """Refuses expired requests, detects slow endpoints and schedules."""
         for request in self.queues.expired(now):
             self.queues.remove(request.request_id)
@@ -226,7 +226,7 @@
         self.selector.mark_preempting(grant)
         return PreemptGrant(grant, reason)
 
-    def schedule(self, now: float) -> Iterator[BrokerCommand]:
+    def schedule(self, now: float) -> Iterator[SlotBrokerCommand]:
         """Grants free slots and preempts, unless ``paused`` while running grants are collected."""
         self.scheduler.accrue_share_credit(self.selector.total_slots, now)
         if self.paused or not self.queues.requests_by_id:
@@ -307,7 +307,7 @@
         insort(grants, grant, key=arrival_key)
         self.selector.add(grant)
 
-    def _preempt_for_higher_tiers(self, now: float) -> Iterator[BrokerCommand]:
+    def _preempt_for_higher_tiers(self, now: float) -> Iterator[SlotBrokerCommand]:
         """Preempts lower tiers for higher ones: first the lowest tier, there the latest arrival."""
         # The slot is granted at once: the engine runs requests by priority, so the new one starts
         # as soon as the connection of the preempted one closes.
--- a/bluebellpitch/decisions/epochs.py
+++ b/bluebellpitch/decisions/epochs.py
@@ -51,7 +51,7 @@
         return ranked[:1] == [self.own_vm.key]
 
 
-def select_broker(pool: str, zone: str, vm_names: frozenset[str]) -> str | None:
+def select_broker_vm(pool: str, zone: str, vm_names: frozenset[str]) -> str | None:
     """Returns the live VM of a zone that brokers a pool."""
     ranked = rank_owners(f"broker/{zone}/{pool}", vm_names)
     return ranked[0] if ranked else None
--- a/bluebellpitch/decisions/slot_grants.py
+++ b/bluebellpitch/decisions/slot_grants.py
@@ -69,7 +69,7 @@
     reason: str
 
 
-BrokerCommand = GrantSlot | RefuseRequest | PreemptGrant
+SlotBrokerCommand = GrantSlot | RefuseRequest | PreemptGrant
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -9,7 +9,7 @@
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.constants import EVENT_RING_SIZE
 from bluebellpitch.context import NodeContext
-from bluebellpitch.decisions.broker import Broker
+from bluebellpitch.decisions.broker import SlotBroker
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.control import VmIdentity
 from bluebellpitch.decisions.hedge_budget import HedgeBudget
@@ -46,7 +46,7 @@
     SlotRequest,
     SlotRequestCancelled,
     SnapshotTransfer,
-    StrikeAck,
+    StrikeConfirmation,
     StrikeReport,
     StrikesCleared,
 )
@@ -167,7 +167,7 @@
                 self.slot_broker_service.handle_message(sender, message)
             case LoanRequest() | LoanGranted() | LoanReturned():
                 self.slot_broker_service.handle_message(sender, message)
-            case StrikeReport() | StrikesCleared() | StrikeAck():
+            case StrikeReport() | StrikesCleared() | StrikeConfirmation():
                 if (confirmation := self.strikes.handle_message(message)) is not None:
                     self.bus.send(sender, confirmation)
             case ControlRecords(entries):
@@ -259,7 +259,7 @@
         )
 
 
-def build_broker_status(broker: Broker) -> BrokerStatus:
+def build_broker_status(broker: SlotBroker) -> BrokerStatus:
     """Returns the status of one pool's broker."""
     classes = tuple(
         ClassStatus(name, broker.queues.count(name), len(broker.grants_by_class.get(name, ())))
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -161,7 +161,7 @@
     confirm: bool = False
 
 
-class StrikeAck(msgspec.Struct, frozen=True, tag="strike_known"):
+class StrikeConfirmation(msgspec.Struct, frozen=True, tag="strike_known"):
     """Acknowledges that the sender has recorded a strike."""
 
     attempt: str
@@ -208,7 +208,7 @@
     | LoanGranted
     | LoanReturned
     | StrikeReport
-    | StrikeAck
+    | StrikeConfirmation
     | StrikesCleared
     | ControlRecords
     | SnapshotTransfer
--- a/bluebellpitch/roles/broker_client.py
+++ b/bluebellpitch/roles/broker_client.py
@@ -39,7 +39,7 @@
     broker_address: str
 
 
-class BrokerClient:
+class GenerationBrokerClient:
     """Pending engine requests of this VM.
 
     ``find_broker`` returns the key of the VM that is the broker of a pool.
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -10,7 +10,7 @@
 from bluebellpitch.decisions.loads import EndpointLoads, WorkItem
 from bluebellpitch.decisions.service_choice import choose_service_endpoint
 from bluebellpitch.platform.http_messages import ResponseHead
-from bluebellpitch.roles.broker_client import BrokerClient, EngineGrant
+from bluebellpitch.roles.broker_client import EngineGrant, GenerationBrokerClient
 from bluebellpitch.verdicts import DidNotRun
 
 SAME_ZONE_DELAY_S = 0.0005
@@ -37,7 +37,7 @@
     def __init__(
         self,
         directory: EndpointDirectory,
-        broker_client: BrokerClient,
+        broker_client: GenerationBrokerClient,
         zone: str,
         regions_by_zone: Mapping[str, str],
         now: Callable[[], float],
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -23,7 +23,7 @@
     WorkRequest,
     ZoneLoad,
 )
-from bluebellpitch.roles.broker_client import BrokerClient
+from bluebellpitch.roles.broker_client import GenerationBrokerClient
 
 QUEUE_TICK_S = 0.01
 LOAD_PUBLISH_INTERVAL_S = 0.1
@@ -68,7 +68,7 @@
         self._is_draining = is_draining
         self._brokers_by_pool: dict[str, GenerationBroker] = {}
         self._requests_by_work: dict[str, WorkRequest] = {}
-        self.broker_client = BrokerClient(
+        self.broker_client = GenerationBrokerClient(
             vm_key, address, liveness, self._broker_vm, self._send, self._send_to_address, now
         )
         self._other_zone_loads: dict[tuple[str, str], RemoteZone] = {}
--- a/bluebellpitch/roles/slot_broker_service.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.constants import LOAN_REQUEST_INTERVAL_S, MAX_MEMBER_LABELS, PEER_DEAD_AFTER_S
-from bluebellpitch.decisions.broker import Broker
+from bluebellpitch.decisions.broker import SlotBroker
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.member_quotas import (
@@ -17,12 +17,12 @@
 from bluebellpitch.decisions.rows import MemberRow, Table
 from bluebellpitch.decisions.slot_grants import (
     ActiveGrant,
-    BrokerCommand,
     FinishedGrant,
     GrantSlot,
     PreemptGrant,
     QueuedRequest,
     RefuseRequest,
+    SlotBrokerCommand,
 )
 from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.metrics import Metrics
@@ -73,7 +73,7 @@
         self._report_held_slots = report_held_slots
         self._own_key = view_holder.current.own.identity.key
         self._zone = view_holder.current.own.zone
-        self.brokers_by_pool: dict[str, Broker] = {}
+        self.brokers_by_pool: dict[str, SlotBroker] = {}
         self._borrowers_by_pool: dict[str, QuotaBorrower] = {}
         self._reporters_by_pool: dict[str, set[str]] = {}
         self._started_at_by_pool: dict[str, float] = {}
@@ -105,7 +105,7 @@
         if broker_key is not None:
             self._bus.send(broker_key, ForwardedMessage(sender, message))
 
-    def _handle_request(self, broker: Broker, requester: str, message) -> None:
+    def _handle_request(self, broker: SlotBroker, requester: str, message) -> None:
         now = self._now()
         match message:
             case SlotRequest():
@@ -120,7 +120,7 @@
             case HeldGrantsReport(_, grants):
                 self._reconcile_held_grants(broker, requester, grants)
 
-    def _owned_broker(self, pool: str) -> Broker | None:
+    def _owned_broker(self, pool: str) -> SlotBroker | None:
         """Returns the broker of a pool, starting it if needed; None if another VM owns the pool."""
         if self._view_holder.current.broker_vm(pool, self._zone) != self._own_key:
             return None
@@ -132,7 +132,7 @@
         # The tag includes the start time: a broker that lost the pool and took it back must not
         # reuse ids of grants that are still held.
         tag = digest_text(self._own_key, pool, repr(self._now()))[:GRANT_TAG_LENGTH]
-        broker = Broker(pool, self._zone, self._make_limit_rule(pool), self._policy, tag)
+        broker = SlotBroker(pool, self._zone, self._make_limit_rule(pool), self._policy, tag)
         view = self._view_holder.current
         broker.set_table(view.table, view.leaving_endpoints)
         broker.paused = True
@@ -175,7 +175,7 @@
         return self._borrowers_by_pool.setdefault(pool, QuotaBorrower())
 
     def _reconcile_held_grants(
-        self, broker: Broker, sender: str, grants: tuple[HeldGrant, ...]
+        self, broker: SlotBroker, sender: str, grants: tuple[HeldGrant, ...]
     ) -> None:
         now = self._now()
         for held in grants:
@@ -188,7 +188,7 @@
             if held.between_s is not None:
                 broker.record_latency(held.grant, "between", held.between_s, now)
 
-    def _execute(self, broker: Broker, commands: Iterable[BrokerCommand]) -> None:
+    def _execute(self, broker: SlotBroker, commands: Iterable[SlotBrokerCommand]) -> None:
         for command in commands:
             match command:
                 case GrantSlot():
@@ -243,7 +243,7 @@
         if sweep_due:
             self._swept_at = now
 
-    def _tick_broker(self, broker: Broker, sweep_due: bool, now: float) -> None:
+    def _tick_broker(self, broker: SlotBroker, sweep_due: bool, now: float) -> None:
         view = self._view_holder.current
         if broker.table is not view.table or broker.leaving_endpoints != view.leaving_endpoints:
             broker.set_table(view.table, view.leaving_endpoints)
@@ -259,7 +259,7 @@
         vms = self._view_holder.current.eligible_vms(self._zone)
         return timed_out or vms <= self._reporters_by_pool[pool]
 
-    def _export_limits(self, broker: Broker) -> None:
+    def _export_limits(self, broker: SlotBroker) -> None:
         for member, count in tuple(broker.used_slots_by_member.items())[:MAX_MEMBER_LABELS]:
             self._metrics.limit_in_use.labels(broker.pool, member).set(count)
 
--- a/bluebellpitch/roles/strike_replicator.py
+++ b/bluebellpitch/roles/strike_replicator.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.decisions.strikes import StrikeTracker
-from bluebellpitch.peers.messages import StrikeAck, StrikeReport, StrikesCleared
+from bluebellpitch.peers.messages import StrikeConfirmation, StrikeReport, StrikesCleared
 
 STRIKE_EXPIRY_INTERVAL_S = 30.0
 
@@ -27,16 +27,16 @@
         self._confirmed = asyncio.Event()
 
     def handle_message(
-        self, message: StrikeReport | StrikesCleared | StrikeAck
-    ) -> StrikeAck | None:
+        self, message: StrikeReport | StrikesCleared | StrikeConfirmation
+    ) -> StrikeConfirmation | None:
         """Handles a message from a peer; returns the confirmation to send back, if any."""
         match message:
             case StrikeReport(fingerprint, attempt, confirm):
                 self.tracker.add(fingerprint, attempt, self._now())
-                return StrikeAck(attempt) if confirm else None
+                return StrikeConfirmation(attempt) if confirm else None
             case StrikesCleared(fingerprint):
                 self.tracker.clear(fingerprint)
-            case StrikeAck(attempt):
+            case StrikeConfirmation(attempt):
                 self._record_confirmation(attempt)
         return None
 
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.control import Epoch, VmIdentity
-from bluebellpitch.decisions.epochs import select_broker
+from bluebellpitch.decisions.epochs import select_broker_vm
 from bluebellpitch.decisions.hashing import rank_owners
 from bluebellpitch.decisions.rows import Table
 
@@ -48,7 +48,7 @@
 
     def broker_vm(self, pool: str, zone: str) -> str | None:
         """Returns the key of the VM that brokers a pool in a zone."""
-        return select_broker(pool, zone, self.eligible_vms(zone))
+        return select_broker_vm(pool, zone, self.eligible_vms(zone))
 
     def zones_by_distance(self, pool: str, request: str) -> list[str]:
         """Returns the zones that serve a pool: own zone first, then own region, then the others."""
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from bluebellpitch.clock import HybridClock
-from bluebellpitch.decisions.broker import Broker
+from bluebellpitch.decisions.broker import SlotBroker
 from bluebellpitch.decisions.claims import Claim, ClaimsStateMachine, Outcome, encode_claim_record
 from bluebellpitch.decisions.control import (
     ControlStateMachine,
@@ -97,9 +97,9 @@
     return Table({row_key(row): VersionedRow(row, 0) for row in rows}, 0)
 
 
-def broker_of(endpoints: int, members: int, waiting: int) -> Broker:
+def broker_of(endpoints: int, members: int, waiting: int) -> SlotBroker:
     """Returns a broker whose slots are all in use, with work waiting."""
-    broker = Broker("p0", "z0", lambda member, now: member.limit)
+    broker = SlotBroker("p0", "z0", lambda member, now: member.limit)
     rows = rows_of(endpoints * 114, members)
     kept = [r for r in rows if not isinstance(r, EndpointRow) or (r.pool, r.zone) == ("p0", "z0")]
     broker.set_table(Table({row_key(row): VersionedRow(row, 0) for row in kept}, 0))
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -9,7 +9,7 @@
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan, Not
 
 from bluebellpitch.constants import GRANT_TIMEOUT_S
-from bluebellpitch.decisions.broker import Broker
+from bluebellpitch.decisions.broker import SlotBroker
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.rows import (
     ClassRow,
@@ -46,8 +46,8 @@
     return Table({row_key(row): VersionedRow(row, 0) for row in rows}, 0)
 
 
-def make_broker(policy: SchedulingPolicy = SchedulingPolicy(), **shape) -> Broker:
-    broker = Broker("pool", "z", lambda member, now: member.limit, policy)
+def make_broker(policy: SchedulingPolicy = SchedulingPolicy(), **shape) -> SlotBroker:
+    broker = SlotBroker("pool", "z", lambda member, now: member.limit, policy)
     broker.set_table(make_table(**shape))
     return broker
 
@@ -67,11 +67,11 @@
     return [c.grant.request.request_id for c in commands if isinstance(c, GrantSlot)]
 
 
-def send(broker: Broker, requests, now: float = 0.0) -> list:
+def send(broker: SlotBroker, requests, now: float = 0.0) -> list:
     return [command for request in requests for command in broker.submit(request, now)]
 
 
-def finish(broker: Broker, request: str, now: float, outcome: str = "completed") -> list:
+def finish(broker: SlotBroker, request: str, now: float, outcome: str = "completed") -> list:
     grant = broker.grant_id_by_request[request]
     return list(broker.finish(FinishedGrant(grant, outcome), now))
 
--- a/tests/test_brokering.py
+++ b/tests/test_brokering.py
@@ -8,7 +8,7 @@
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.control import VmIdentity
-from bluebellpitch.decisions.epochs import select_broker
+from bluebellpitch.decisions.epochs import select_broker_vm
 from bluebellpitch.decisions.member_quotas import EpochHistory
 from bluebellpitch.decisions.rows import EndpointRow, Table, VersionedRow
 from bluebellpitch.events import EventRing
@@ -34,7 +34,7 @@
     """Grants from the first ownership may still be held and must not be confused with new ones."""
     owner, other = make_vm_state("a"), make_vm_state("b")
     keys = frozenset((owner.identity.key, other.identity.key))
-    if select_broker(POOL, ZONE, keys) == owner.identity.key:
+    if select_broker_vm(POOL, ZONE, keys) == owner.identity.key:
         owner, other = other, owner
     row = EndpointRow("e", POOL, ZONE, "r", "127.0.0.1:1", 1, True)
     table = Table({"endpoint/e": VersionedRow(row, 0)}, 0)
