Name the modules of the two brokers after them

The modules follow the classes SlotBroker and GenerationBrokerClient.

mv bluebellpitch/decisions/broker.py bluebellpitch/decisions/slot_broker.py mv bluebellpitch/roles/broker_client.py bluebellpitch/roles/generation_broker_client.py

--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -9,10 +9,10 @@
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.constants import EVENT_RING_SIZE
 from bluebellpitch.context import NodeContext
-from bluebellpitch.decisions.broker import SlotBroker
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.control import VmIdentity
 from bluebellpitch.decisions.hedge_budget import HedgeBudget
+from bluebellpitch.decisions.slot_broker import SlotBroker
 from bluebellpitch.decisions.strikes import StrikeTracker
 from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.environment import Environment
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -10,7 +10,7 @@
 from bluebellpitch.decisions.loads import EndpointLoads, WorkItem
 from bluebellpitch.decisions.service_choice import choose_service_endpoint
 from bluebellpitch.platform.http_messages import ResponseHead
-from bluebellpitch.roles.broker_client import EngineGrant, GenerationBrokerClient
+from bluebellpitch.roles.generation_broker_client import EngineGrant, GenerationBrokerClient
 from bluebellpitch.verdicts import DidNotRun
 
 SAME_ZONE_DELAY_S = 0.0005
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -23,7 +23,7 @@
     WorkRequest,
     ZoneLoad,
 )
-from bluebellpitch.roles.broker_client import GenerationBrokerClient
+from bluebellpitch.roles.generation_broker_client import GenerationBrokerClient
 
 QUEUE_TICK_S = 0.01
 LOAD_PUBLISH_INTERVAL_S = 0.1
--- a/bluebellpitch/roles/slot_broker_service.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.constants import LOAN_REQUEST_INTERVAL_S, MAX_MEMBER_LABELS, PEER_DEAD_AFTER_S
-from bluebellpitch.decisions.broker import SlotBroker
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.member_quotas import (
@@ -15,6 +14,7 @@
     usable_limit,
 )
 from bluebellpitch.decisions.rows import MemberRow, Table
+from bluebellpitch.decisions.slot_broker import SlotBroker
 from bluebellpitch.decisions.slot_grants import (
     ActiveGrant,
     FinishedGrant,
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -9,7 +9,6 @@
 from pathlib import Path
 
 from bluebellpitch.clock import HybridClock
-from bluebellpitch.decisions.broker import SlotBroker
 from bluebellpitch.decisions.claims import Claim, ClaimsStateMachine, Outcome, encode_claim_record
 from bluebellpitch.decisions.control import (
     ControlStateMachine,
@@ -26,6 +25,7 @@
     VersionedRow,
     row_key,
 )
+from bluebellpitch.decisions.slot_broker import SlotBroker
 from bluebellpitch.decisions.slot_grants import FinishedGrant, QueuedRequest
 from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.metrics import Metrics
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -102,14 +102,14 @@
     ),
     Mutant(
         "a member's limit holds at the broker",
-        "bluebellpitch/decisions/broker.py",
+        "bluebellpitch/decisions/slot_broker.py",
         "if row.limit and in_use >= self.member_limit(row, now):",
         "if False:",
         "tests/test_broker.py::test_member_at_its_limit_waits_while_others_run",
     ),
     Mutant(
         "no tier is preempted for an equal or lower one",
-        "bluebellpitch/decisions/broker.py",
+        "bluebellpitch/decisions/slot_broker.py",
         "            if self.scheduler.tier(class_name) <= tier:\n                return None\n",
         "",
         "tests/test_broker.py",
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -9,7 +9,6 @@
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan, Not
 
 from bluebellpitch.constants import GRANT_TIMEOUT_S
-from bluebellpitch.decisions.broker import SlotBroker
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.rows import (
     ClassRow,
@@ -20,6 +19,7 @@
     VersionedRow,
     row_key,
 )
+from bluebellpitch.decisions.slot_broker import SlotBroker
 from bluebellpitch.decisions.slot_grants import (
     FinishedGrant,
     GrantSlot,
