Say that endpoint entries expire in the name of their grace period

Entries expire everywhere else in the text; the log reason keeps its value.

bluebellpitch/decisions/directory.py LAPSE_GRACE_S ENTRY_EXPIRY_GRACE_S

--- a/bluebellpitch/decisions/directory.py
+++ b/bluebellpitch/decisions/directory.py
@@ -6,7 +6,7 @@
 from bluebellpitch.decisions.endpoints import EndpointEntry
 
 # How long an entry that expired during a store outage is still used.
-LAPSE_GRACE_S = 2.2
+ENTRY_EXPIRY_GRACE_S = 2.2
 
 
 @dataclass(slots=True)
@@ -38,7 +38,7 @@
         if endpoint_id not in self.entries_by_id:
             return False
         if store_was_unavailable and not self.entries_by_id[endpoint_id].is_draining:
-            self._grace_until.setdefault(endpoint_id, now + LAPSE_GRACE_S)
+            self._grace_until.setdefault(endpoint_id, now + ENTRY_EXPIRY_GRACE_S)
             return False
         self._delete(endpoint_id)
         return True
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bluebellpitch.decisions.directory import LAPSE_GRACE_S, EndpointDirectory
+from bluebellpitch.decisions.directory import ENTRY_EXPIRY_GRACE_S, EndpointDirectory
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.freshness import Freshness, read_valid_at
 from bluebellpitch.decisions.liveness import MAX_MISSED_HEARTBEATS, Liveness, Peer
@@ -68,7 +68,7 @@
     directory.update(make_entry("i-1"))
     directory.remove("i-1", store_was_unavailable=True, now=10.0)
     assert list(directory.usable_endpoints("app"))
-    assert directory.expire(10.0 + LAPSE_GRACE_S) == ["i-1"]
+    assert directory.expire(10.0 + ENTRY_EXPIRY_GRACE_S) == ["i-1"]
     assert not list(directory.usable_endpoints("app"))
 
 
