Use one word for broker VMs, retry delays and intervals in local names

Keys of broker VMs are told from brokers, topic readers are named so, constants of intervals say that they are, and docstrings name the slot or generation broker where both exist.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -231,15 +231,13 @@
         """Sends the request to one endpoint and forwards its response."""
         context = self._context
         attempt = RoutedAttempt(context.connection_pool, place.entry, admitted.request, context.now)
-        last_event = (
-            admitted.request.last_event_id if self._last_event is None else self._last_event
-        )
+        last_id = admitted.request.last_event_id if self._last_event is None else self._last_event
         forwarding = ForwardingContext(
             endpoint_id=place.entry.id,
             remaining_s=admitted.expires_at - context.now(),
             member=admitted.member.name if admitted.member else "",
             rank=admitted.rank if admitted.is_engine_pool else None,
-            last_event_id=last_event,
+            last_event_id=last_id,
         )
         try:
             at_most_once = admitted.route.repeatability is Repeatability.ONCE
--- a/bluebellpitch/decisions/class_scheduling.py
+++ b/bluebellpitch/decisions/class_scheduling.py
@@ -81,7 +81,7 @@
         return deferred, self.tier(class_name), self._weighted_slack_s(class_name, now)
 
     def is_deferred(self, class_name: str, now: float) -> bool:
-        """Tells whether a class goes last: its requests are all late and may wait longer."""
+        """Returns whether a class goes last: its requests are all late and may wait longer."""
         if not self._policy.prefer_on_time:
             return False
         on_time_since = self.on_time_since(class_name, now)
@@ -129,7 +129,7 @@
 
 
 def is_queue_deferred(queue: list[QueuedRequest], on_time_since: float, now: float) -> bool:
-    """Tells whether a queue is all late and its oldest request has most of its wait left."""
+    """Returns whether a queue is all late and its oldest request has most of its wait left."""
     if first_on_time(queue, on_time_since) is not None:
         return False
     oldest = queue[0]
--- a/bluebellpitch/decisions/endpoint_health.py
+++ b/bluebellpitch/decisions/endpoint_health.py
@@ -45,7 +45,7 @@
         self._down_until[endpoint] = now + retry_s
 
     def is_down(self, endpoint: str, now: float) -> bool:
-        """Tells whether an endpoint is excluded from new requests now."""
+        """Returns whether an endpoint is excluded from new requests now."""
         return now < self._down_until.get(endpoint, 0.0)
 
     def is_slow(self, endpoint: str) -> bool:
--- a/bluebellpitch/decisions/endpoint_selection.py
+++ b/bluebellpitch/decisions/endpoint_selection.py
@@ -105,7 +105,7 @@
         return self._used_slots_by_endpoint.get(endpoint, 0)
 
     def is_full(self) -> bool:
-        """Tells whether no slot is free."""
+        """Returns whether no slot is free."""
         return self._free_slots <= 0
 
     def select(
@@ -199,7 +199,7 @@
         return None
 
     def can_replace_on(self, name: str, request: QueuedRequest, now: float) -> bool:
-        """Tells whether a request may take the slot of a running one on an endpoint."""
+        """Returns whether a request may take the slot of a running one on an endpoint."""
         if name not in self._rows_by_name or self._health.is_slow(name) or request.isolation_level:
             return False
         grants = self._grants_by_endpoint.get(name, {}).values()
--- a/bluebellpitch/decisions/engine_choice.py
+++ b/bluebellpitch/decisions/engine_choice.py
@@ -28,12 +28,12 @@
     if not up:
         return None
     session = session_of(work.parts) or work.id
-    home = min(up, key=lambda entry: score_owner(session, entry.id))
+    preferred = min(up, key=lambda entry: score_owner(session, entry.id))
 
     def cost(entry: EndpointEntry) -> float:
         load = loads.for_endpoint(entry)
         backlog_s = sum(load.prefill_tokens_by_id.values()) / PREFILL_TOKENS_PER_S
-        cached_tokens = sum(size for _, size in work.parts[:-1]) if entry is home else 0
+        cached_tokens = sum(size for _, size in work.parts[:-1]) if entry is preferred else 0
         prefill_s = max(0, work.tokens_in - cached_tokens) / PREFILL_TOKENS_PER_S
         failure_rate = load.recent_failure_rate(now)
         return (
--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -120,7 +120,7 @@
         )
 
     def short_streams(self) -> int:
-        """Returns how many streams of short prompts run there, which a prefill would delay."""
+        """Returns how many streams of short prompts run here, which a prefill would delay."""
         return sum(assigned.is_short for assigned in self.assigned_by_id.values())
 
     def min_gap_target_s(self) -> float | None:
--- a/bluebellpitch/decisions/epochs.py
+++ b/bluebellpitch/decisions/epochs.py
@@ -1,4 +1,4 @@
-"""Proposes a zone's next epoch and selects the broker of a pool."""
+"""Proposes a zone's next epoch and selects the broker VM of a pool."""
 
 from dataclasses import dataclass
 
--- a/bluebellpitch/decisions/hashing.py
+++ b/bluebellpitch/decisions/hashing.py
@@ -1,4 +1,7 @@
-"""Rendezvous hashing: all VMs rank owners alike, and losing an owner moves only its keys."""
+"""Digests and rendezvous hashing.
+
+All VMs rank the owners of a key alike, and losing an owner moves only its keys.
+"""
 
 import hashlib
 from collections.abc import Iterable
--- a/bluebellpitch/decisions/hedge_budget.py
+++ b/bluebellpitch/decisions/hedge_budget.py
@@ -28,7 +28,7 @@
         )
 
     def allows(self, class_name: str) -> bool:
-        """Tells whether the balance covers a hedge."""
+        """Returns whether the balance covers a hedge."""
         return self._balance_by_class.get(class_name, self.max_balance) >= 1.0
 
     def spend(self, class_name: str) -> None:
--- a/bluebellpitch/decisions/liveness.py
+++ b/bluebellpitch/decisions/liveness.py
@@ -45,7 +45,7 @@
         return previous is None or previous.is_silent(peer.last_heartbeat_at)
 
     def exclude(self, key: str, until: float) -> None:
-        """Excludes a VM from roles until a given time, because it did not answer."""
+        """Excludes a VM from roles until a given time, because it did not respond."""
         self._excluded_until[key] = until
 
     def remove_silent(self, now: float) -> list[str]:
--- a/bluebellpitch/decisions/member_quotas.py
+++ b/bluebellpitch/decisions/member_quotas.py
@@ -87,7 +87,7 @@
         return all(number_by_vm.get(key, 0) > epoch.number for key in other_keys)
 
     def contains_vm(self, vm_key: str) -> bool:
-        """Tells whether a VM is in the newest epoch."""
+        """Returns whether a VM is in the newest epoch."""
         return self.current is not None and vm_key in {vm.key for vm in self.current.vms}
 
     def safe_quota(self, vm_key: str, zone_quota: int, key: str) -> int:
--- a/bluebellpitch/decisions/request_queues.py
+++ b/bluebellpitch/decisions/request_queues.py
@@ -42,7 +42,7 @@
         return request
 
     def has_isolated(self) -> bool:
-        """Tells whether any queued request needs isolation because an endpoint crashed under it."""
+        """Returns whether a queued request needs isolation because an endpoint crashed under it."""
         return self._isolated_count > 0
 
     def waiting_classes(self) -> tuple[str, ...]:
--- a/bluebellpitch/decisions/slot_broker.py
+++ b/bluebellpitch/decisions/slot_broker.py
@@ -1,4 +1,4 @@
-"""Schedules the requests of one pool in one zone on its endpoints.
+"""Grants the slots of the endpoints of one pool in one zone to requests.
 
 Tiers have strict priority for shedding and preemption. Within a tier, the class with the least
 weighted slack goes first; within a class, the member with the fewest used slots per weight; within
@@ -42,7 +42,7 @@
 
 
 class SlotBroker:
-    """Soft state of one pool in one zone, rebuilt from the grants that VMs report."""
+    """Schedules one pool in one zone. A new broker rebuilds its state from VMs' reported grants."""
 
     def __init__(
         self, pool: str, zone: str, limit_fn: MemberLimit, policy=SchedulingPolicy(), id_prefix=""
@@ -114,7 +114,7 @@
         return RefuseRequest(request, reason, min(60.0, max(0.1, retry_after_s)))
 
     def _is_higher_tier_shed(self, request: QueuedRequest, now: float) -> bool:
-        """Tells whether a higher tier was shed recently, which bars lower tiers."""
+        """Returns whether a higher tier was shed recently, which bars lower tiers."""
         tier = self.scheduler.tier(request.class_name)
         shed = (at for other, at in self._last_shed_by_tier.items() if other < tier)
         return any(now - at < SHEDDING_HOLD_S for at in shed)
@@ -180,8 +180,8 @@
         if not self.health.is_slow(grant.endpoint):
             stats = self.scheduler.stats(grant.request.class_name)
             (stats.first_token_s if measure == "first" else stats.inter_token_s).add(seconds)
-        seen = LatencySample(now, grant.request.class_name, measure, seconds)
-        self.health.add_sample(grant.endpoint, seen)
+        sample = LatencySample(now, grant.request.class_name, measure, seconds)
+        self.health.add_sample(grant.endpoint, sample)
 
     def confirm_grant(self, grant_id: str, now: float) -> bool:
         """Records that a VM still holds a grant; returns False if the grant is unknown."""
--- a/bluebellpitch/decisions/slot_grants.py
+++ b/bluebellpitch/decisions/slot_grants.py
@@ -1,4 +1,4 @@
-"""Queued requests, active grants, broker commands and per-class statistics."""
+"""Queued requests, active grants, commands of a slot broker and per-class statistics."""
 
 from dataclasses import dataclass, field
 
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -154,7 +154,7 @@
 
 
 class StrikeReport(msgspec.Struct, frozen=True, tag="strike"):
-    """An endpoint crashed while serving a request. ``confirm`` requests a StrikeAck."""
+    """An endpoint crashed while serving a request. ``confirm`` requests a StrikeConfirmation."""
 
     fingerprint: str
     attempt: str
@@ -162,7 +162,7 @@
 
 
 class StrikeConfirmation(msgspec.Struct, frozen=True, tag="strike_known"):
-    """Acknowledges that the sender has recorded a strike."""
+    """Confirms that the sender has recorded a strike."""
 
     attempt: str
 
--- a/bluebellpitch/roles/claim_coordinator.py
+++ b/bluebellpitch/roles/claim_coordinator.py
@@ -31,8 +31,8 @@
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 from bluebellpitch.view import ViewHolder
 
-APPEND_RETRY_S = 0.25
-EXPIRE_INTERVAL_S = 5.0
+APPEND_RETRY_DELAY_S = 0.25
+EXPIRY_INTERVAL_S = 5.0
 
 
 ClaimResult = ClaimWon | ReplayOutcome | DidNotRun | MayHaveRun
@@ -44,7 +44,7 @@
     def __init__(
         self,
         view_holder: ViewHolder,
-        tail: TopicReader,
+        reader: TopicReader,
         appender: Appender,
         event_ring: EventRing,
         metrics: Metrics,
@@ -53,7 +53,7 @@
         horizon_s: float,
     ):
         self._view_holder = view_holder
-        self._tail = tail
+        self._reader = reader
         self._appender = appender
         self._event_ring = event_ring
         self._metrics = metrics
@@ -67,7 +67,7 @@
 
     async def follow_log(self) -> None:
         """Applies the records of the claims topic until cancelled."""
-        async for page in self._tail.read_pages(lambda: self.state_machine.offset + 1):
+        async for page in self._reader.read_pages(lambda: self.state_machine.offset + 1):
             if isinstance(page, Truncated):
                 log(
                     "WARNING",
@@ -89,7 +89,7 @@
     async def expire(self) -> None:
         """Drops expired keys and updates the metric of unresolved claims until cancelled."""
         while True:
-            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
             self.state_machine.expire_keys(self._wall())
             self._metrics.unresolved.set(len(self.unresolved()))
 
@@ -102,12 +102,12 @@
     async def claim_key(self, request: str, claim_request: ClaimRequest) -> ClaimResult:
         """Claims a key for one request; returns the claim, a recorded outcome or a refusal."""
         deadline = self._now() + CLAIM_TIMEOUT_S
-        attempted: PendingClaim | None = None
+        pending: PendingClaim | None = None
         while True:
             changed = self._state_changed
-            expired = self._now() >= deadline
+            timed_out = self._now() >= deadline
             match next_claim_step(
-                self.state_machine, claim_request, attempted, self._wall(), expired
+                self.state_machine, claim_request, pending, self._wall(), timed_out
             ):
                 case ClaimWon(claim) as won:
                     self._event_ring.record(EventKind.CLAIMED, request, detail=claim.id)
@@ -115,8 +115,8 @@
                 case ReplayOutcome() as replay:
                     return replay
                 case GiveUp(verdict):
-                    if attempted is not None:
-                        self.withdraw(attempted.claim)
+                    if pending is not None:
+                        self.withdraw(pending.claim)
                     return verdict
                 case AppendClaim():
                     claim = Claim(
@@ -126,7 +126,7 @@
                         self._own_key,
                         claim_request.made_at,
                     )
-                    attempted = await self._append_claim(claim, deadline)
+                    pending = await self._append_claim(claim, deadline)
                 case _:
                     await self._wait_for_change(changed, deadline)
 
@@ -140,7 +140,7 @@
             case Appended(offset):
                 return PendingClaim(claim, offset)
             case DidNotRun():
-                await asyncio.sleep(APPEND_RETRY_S)
+                await asyncio.sleep(APPEND_RETRY_DELAY_S)
                 return None
         return PendingClaim(claim)
 
@@ -176,7 +176,7 @@
     async def _append_with_retries(self, record: bytes) -> None:
         """Retries until the append succeeds. Duplicates are harmless: the first record counts."""
         while not isinstance(await self._appender.append(record), Appended):
-            await asyncio.sleep(APPEND_RETRY_S)
+            await asyncio.sleep(APPEND_RETRY_DELAY_S)
 
     def unfinished_appends(self) -> int:
         """Returns how many outcomes and withdrawals are not stored yet."""
--- a/bluebellpitch/roles/cluster_membership.py
+++ b/bluebellpitch/roles/cluster_membership.py
@@ -29,7 +29,7 @@
 from bluebellpitch.platform.vm_records import VmRecord, read_vm_records, register_vm, unregister_vm
 from bluebellpitch.view import ClusterView, ViewHolder, VmState
 
-VM_LIST_INTERVAL_S = 1.0
+VM_LIST_READ_INTERVAL_S = 1.0
 CROSS_ZONE_DEAD_AFTER_S = 3 * CROSS_ZONE_HEARTBEAT_INTERVAL_S
 
 
@@ -188,7 +188,7 @@
                 if self._listed_records_by_name is not None:
                     log("WARNING", "members_unknown", error=error)
                 self._listed_records_by_name = None
-            await asyncio.sleep(VM_LIST_INTERVAL_S)
+            await asyncio.sleep(VM_LIST_READ_INTERVAL_S)
 
     async def _register(self) -> bool:
         own = self._view_holder.current.own
--- a/bluebellpitch/roles/control_log_replica.py
+++ b/bluebellpitch/roles/control_log_replica.py
@@ -17,8 +17,8 @@
 from bluebellpitch.platform.topics import CONTROL_TOPIC, SNAPSHOTS_TOPIC
 from bluebellpitch.view import ViewHolder
 
-RECENT_ENTRIES = 256
-SNAPSHOT_CHECK_S = 1.0
+MAX_RECENT_ENTRIES = 256
+SNAPSHOT_CHECK_INTERVAL_S = 1.0
 
 
 class ControlLogReplica:
@@ -27,23 +27,23 @@
     def __init__(
         self,
         view_holder: ViewHolder,
-        tail: TopicReader,
+        reader: TopicReader,
         store: StoreClient,
         event_ring: EventRing,
         metrics,
     ):
         self._view_holder = view_holder
-        self._tail = tail
+        self._reader = reader
         self._store = store
         self._event_ring = event_ring
         self._metrics: Metrics = metrics
         self.state_machine = ControlStateMachine()
-        self._recent_entries: deque[ControlEntry] = deque(maxlen=RECENT_ENTRIES)
+        self._recent_entries: deque[ControlEntry] = deque(maxlen=MAX_RECENT_ENTRIES)
         self._lagging_peers: set[str] = set()
 
     async def follow_log(self) -> None:
         """Applies the records of the control topic until cancelled."""
-        async for page in self._tail.read_pages(lambda: self.state_machine.offset + 1):
+        async for page in self._reader.read_pages(lambda: self.state_machine.offset + 1):
             if isinstance(page, Truncated):
                 await self._install_snapshot(page.oldest_offset)
                 continue
@@ -56,7 +56,7 @@
 
     async def _install_snapshot(self, first_kept: int) -> None:
         """Installs a snapshot in place of records that expired in the store."""
-        chunks = await self._tail.read_newest(SNAPSHOTS_TOPIC)
+        chunks = await self._reader.read_newest(SNAPSHOTS_TOPIC)
         if self.state_machine.install_latest_snapshot(
             assemble_snapshots(chunk.value for chunk in chunks if chunk.value)
         ):
@@ -124,7 +124,7 @@
         """Writes snapshots to the store before the records that they cover expire."""
         published_offset, published_at, sequence = -1, now(), 0
         while True:
-            await asyncio.sleep(SNAPSHOT_CHECK_S)
+            await asyncio.sleep(SNAPSHOT_CHECK_INTERVAL_S)
             new_records = self.state_machine.offset - published_offset
             due = new_records >= SNAPSHOT_INTERVAL_RECORDS or now() - published_at > interval_s
             if not (new_records and due and self._is_publisher()):
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -98,7 +98,7 @@
         return placement
 
     def record_load_report(self, placement: Placement, head: ResponseHead) -> None:
-        """Records the load that the head of an answer reports."""
+        """Records the load that the head of a response reports."""
         if head.load is not None:
             busy = float(head.load.running + head.load.waiting)
             self.loads.for_endpoint(placement.entry).record_report(
@@ -106,7 +106,7 @@
             )
 
     def record_first_event(self, placement: Placement, sent_at: float) -> None:
-        """Records that the engine has finished reading the prompt."""
+        """Records that the engine has finished the prefill of the prompt."""
         load = self.loads.for_endpoint(placement.entry)
         load.prefill_tokens_by_id.pop(placement.work.id, None)
         if placement.grant is not None:
--- a/bluebellpitch/roles/generation_broker_client.py
+++ b/bluebellpitch/roles/generation_broker_client.py
@@ -1,4 +1,4 @@
-"""Requests engines from the broker of this zone and reports the progress of work to it."""
+"""Requests engines from the generation brokers of this zone and reports the progress of work."""
 
 import asyncio
 from collections.abc import Callable
@@ -42,7 +42,7 @@
 class GenerationBrokerClient:
     """Pending engine requests of this VM.
 
-    ``find_broker`` returns the key of the VM that is the broker of a pool.
+    ``find_broker_vm`` returns the key of the VM that is the broker of a pool.
     """
 
     def __init__(
@@ -50,7 +50,7 @@
         vm_key: str,
         address: str,
         liveness: Liveness,
-        find_broker: Callable[[str], str],
+        find_broker_vm: Callable[[str], str],
         send: Send,
         send_to_address: Send,
         now: Callable[[], float],
@@ -58,7 +58,7 @@
         self._vm_key = vm_key
         self._address = address
         self._liveness = liveness
-        self._find_broker = find_broker
+        self._find_broker_vm = find_broker_vm
         self._send = send
         self._send_to_address = send_to_address
         self._now = now
@@ -77,24 +77,26 @@
             while not responses.empty():
                 self.handle_response(responses.get_nowait())
             if result is None:
-                self._send(self._find_broker(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
+                self._send(
+                    self._find_broker_vm(work.pool), WorkEnded(work.id, work.pool, "withdrawn")
+                )
 
     async def _request_until_decided(
         self, work: WorkItem, avoid: frozenset[str], responses: asyncio.Queue
     ) -> EngineGrant | DidNotRun:
-        broker, timeout_s = "", FIRST_RESPONSE_TIMEOUT_S
+        broker_vm, timeout_s = "", FIRST_RESPONSE_TIMEOUT_S
         while self._now() < work.expires_at:
-            current_broker = self._find_broker(work.pool)
-            if current_broker != broker:
-                broker, timeout_s = current_broker, FIRST_RESPONSE_TIMEOUT_S
-                self._send_request(broker, work, avoid)
+            current_broker_vm = self._find_broker_vm(work.pool)
+            if current_broker_vm != broker_vm:
+                broker_vm, timeout_s = current_broker_vm, FIRST_RESPONSE_TIMEOUT_S
+                self._send_request(broker_vm, work, avoid)
             response = await next_response(responses, timeout_s)
             match response:
                 case None if timeout_s != BROKER_RECHECK_INTERVAL_S:
-                    log("WARNING", "broker_silent", broker=broker, request=work.id)
-                    if broker != self._vm_key:
-                        self._liveness.exclude(broker, self._now() + SILENT_BROKER_BACKOFF_S)
-                    broker = ""
+                    log("WARNING", "broker_silent", broker=broker_vm, request=work.id)
+                    if broker_vm != self._vm_key:
+                        self._liveness.exclude(broker_vm, self._now() + SILENT_BROKER_BACKOFF_S)
+                    broker_vm = ""
                 case WorkQueued(_, within_s):
                     timeout_s = within_s or BROKER_RECHECK_INTERVAL_S
                 case WorkRefused(_, reason, retry_after_s):
@@ -103,10 +105,10 @@
                     return EngineGrant(
                         work, entry_from_grant(response, work.pool), response.broker_address
                     )
-        self._send(self._find_broker(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
+        self._send(self._find_broker_vm(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
         return DidNotRun("waited_too_long", 503, EXPIRED_RETRY_AFTER_S)
 
-    def _send_request(self, broker: str, work: WorkItem, avoid: frozenset[str]) -> None:
+    def _send_request(self, broker_vm: str, work: WorkItem, avoid: frozenset[str]) -> None:
         now = self._now()
         request = WorkRequest(
             work_id=work.id,
@@ -123,7 +125,7 @@
             vm=self._vm_key,
             reply_to=self._address,
         )
-        self._send(broker, request)
+        self._send(broker_vm, request)
 
     def report_first_token(self, grant: EngineGrant, waited_s: float, slowdown: float) -> None:
         """Reports to the broker that the first token has arrived."""
@@ -141,8 +143,8 @@
         if responses is not None:
             responses.put_nowait(response)
         elif isinstance(response, WorkGranted):
-            done = WorkEnded(response.work_id, response.pool, "withdrawn")
-            self._send_to_address(response.broker_address, done)
+            ended = WorkEnded(response.work_id, response.pool, "withdrawn")
+            self._send_to_address(response.broker_address, ended)
 
 
 async def next_response(responses: asyncio.Queue, timeout_s: float) -> BrokerResponse | None:
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -39,7 +39,7 @@
 
 
 class GenerationCoordinator:
-    """Owns the brokers on this VM, their queues and the load reported by other zones."""
+    """Owns the generation brokers of this VM, their queues and the load reported by other zones."""
 
     def __init__(
         self,
@@ -71,7 +71,7 @@
         self.broker_client = GenerationBrokerClient(
             vm_key, address, liveness, self._broker_vm, self._send, self._send_to_address, now
         )
-        self._other_zone_loads: dict[tuple[str, str], RemoteZone] = {}
+        self._remote_zones: dict[tuple[str, str], RemoteZone] = {}
         self._load_round = 0
         self._new_sessions_by_pool: dict[str, list[str]] = {}
         self._work_waiting = asyncio.Event()
@@ -118,10 +118,10 @@
 
     def _record_zone_load(self, load: ZoneLoad) -> None:
         now = self._now()
-        known = self._other_zone_loads.get((load.pool, load.zone))
+        known = self._remote_zones.get((load.pool, load.zone))
         sessions = known.session_seen_at if known else {}
         sessions |= dict.fromkeys(load.sessions, now)
-        self._other_zone_loads[(load.pool, load.zone)] = RemoteZone(
+        self._remote_zones[(load.pool, load.zone)] = RemoteZone(
             load.long_fixed_s,
             load.long_s_per_token,
             load.short_cost_s,
@@ -196,7 +196,7 @@
             return None
         others = [
             other
-            for (other_pool, _), other in self._other_zone_loads.items()
+            for (other_pool, _), other in self._remote_zones.items()
             if other_pool == pool and now - other.reported_at < LOAD_MAX_AGE_S
         ]
         best = min(others, key=cost, default=None)
@@ -289,7 +289,7 @@
     def _expire(self, now: float) -> None:
         for broker in self._brokers_by_pool.values():
             broker.expire(now)
-        for other in self._other_zone_loads.values():
+        for other in self._remote_zones.values():
             other.prune_sessions(now)
         if not any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
             self._requests_by_work.clear()
@@ -320,7 +320,7 @@
                     self._bus.send_to_address(address, load)
 
     def _load_recipients(self, pool: str, zone: str, now: float) -> list[str]:
-        known = self._other_zone_loads.get((pool, zone))
+        known = self._remote_zones.get((pool, zone))
         if known is not None and now - known.reported_at < LOAD_MAX_AGE_S:
             return [known.address]
         addresses = self._addresses_in_zone(zone)
--- a/bluebellpitch/roles/slot_broker_service.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -1,4 +1,4 @@
-"""Runs the brokers of the pools that this VM owns in its zone; lends and borrows quotas."""
+"""Runs the slot brokers of the pools that this VM owns in its zone; lends and borrows quotas."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -50,7 +50,7 @@
 
 
 class SlotBrokerService:
-    """Owns the brokers of this VM. Incoming messages are passed to ``handle_message``."""
+    """Owns the slot brokers of this VM. Incoming messages are passed to ``handle_message``."""
 
     def __init__(
         self,
@@ -101,9 +101,9 @@
 
     def _forward(self, sender: str, message) -> None:
         """Forwards a message to the VM that brokers the pool now."""
-        broker_key = self._view_holder.current.broker_vm(message.pool, self._zone)
-        if broker_key is not None:
-            self._bus.send(broker_key, ForwardedMessage(sender, message))
+        broker_vm = self._view_holder.current.broker_vm(message.pool, self._zone)
+        if broker_vm is not None:
+            self._bus.send(broker_vm, ForwardedMessage(sender, message))
 
     def _handle_request(self, broker: SlotBroker, requester: str, message) -> None:
         now = self._now()
@@ -204,8 +204,8 @@
                     )
                     self._bus.send(active_grant.request.requesting_vm, preempted)
 
-    def _send_grant(self, grant: GrantSlot) -> None:
-        active_grant = grant.grant
+    def _send_grant(self, command: GrantSlot) -> None:
+        active_grant = command.grant
         endpoint = self._view_holder.current.table.endpoints_by_name.get(active_grant.endpoint)
         if endpoint is None:
             return
@@ -216,8 +216,8 @@
             request.attempt,
             endpoint.name,
             endpoint.address,
-            grant.expected_first_token_s,
-            grant.expected_inter_token_s,
+            command.expected_first_token_s,
+            command.expected_inter_token_s,
         )
         self._bus.send(request.requesting_vm, granted)
 
@@ -254,7 +254,7 @@
             self._export_limits(broker)
 
     def _is_rebuilt(self, pool: str, now: float) -> bool:
-        """Tells whether all live VMs of the zone reported what they hold, or the wait timed out."""
+        """Returns whether all live VMs of the zone reported their slots, or the wait timed out."""
         timed_out = now - self._started_at_by_pool[pool] >= REBUILD_TIMEOUT_S
         vms = self._view_holder.current.eligible_vms(self._zone)
         return timed_out or vms <= self._reporters_by_pool[pool]
--- a/bluebellpitch/roles/slot_client.py
+++ b/bluebellpitch/roles/slot_client.py
@@ -1,4 +1,4 @@
-"""Client side of slot allocation: requests slots from brokers and tracks those it was granted."""
+"""Client side of slot allocation: requests slots from slot brokers and tracks granted ones."""
 
 import asyncio
 from collections.abc import Callable
@@ -33,7 +33,7 @@
 from bluebellpitch.verdicts import DidNotRun
 from bluebellpitch.view import ViewHolder
 
-DISCONNECT_CHECK_S = 0.25
+DISCONNECT_CHECK_INTERVAL_S = 0.25
 
 
 @dataclass(slots=True)
@@ -75,7 +75,7 @@
 
 
 @dataclass(slots=True)
-class PendingAcquire:
+class PendingRequest:
     """A request that waits for a slot: the zones it was sent to, and their replies."""
 
     slot_request: SlotRequest
@@ -99,7 +99,7 @@
         self._bus = bus
         self._metrics = metrics
         self._now = now
-        self._pending_by_request: dict[str, PendingAcquire] = {}
+        self._pending_by_request: dict[str, PendingRequest] = {}
         self._slots_by_grant: dict[str, Slot] = {}
 
     def handle_message(self, sender: str, message) -> None:
@@ -142,7 +142,7 @@
         zones = self._view_holder.current.zones_by_distance(slot_request.pool, slot_request.request)
         row = self._view_holder.current.table.classes_by_name.get(slot_request.class_name)
         overflow_after_s = OVERFLOW_TARGET_SHARE * (row.first_token_ms / 1000 if row else 1.0)
-        pending = PendingAcquire(slot_request, arrived_at, expires_at, overflow_after_s, zones)
+        pending = PendingRequest(slot_request, arrived_at, expires_at, overflow_after_s, zones)
         self._pending_by_request[slot_request.request] = pending
         try:
             return await self._wait_for_slot(pending, is_disconnected)
@@ -151,7 +151,7 @@
             self._return_unused_grants(pending)
 
     async def _wait_for_slot(
-        self, pending: PendingAcquire, is_disconnected: Callable[[], bool]
+        self, pending: PendingRequest, is_disconnected: Callable[[], bool]
     ) -> Slot | DidNotRun:
         started_at = self._now()
         sent_at = float("-inf")
@@ -166,7 +166,7 @@
                 pending.requested_zones, sent_at = zones, now
                 self._send_slot_requests(pending, now)
             reply = await self._next_reply(
-                pending, min(DISCONNECT_CHECK_S, pending.overflow_after_s)
+                pending, min(DISCONNECT_CHECK_INTERVAL_S, pending.overflow_after_s)
             )
             if isinstance(reply, Slot):
                 self._cancel_others(pending, reply.zone)
@@ -174,7 +174,7 @@
             if reply is not None and len(pending.refusals_by_zone) >= len(pending.requested_zones):
                 return self._give_up(pending, reply)
 
-    def _zones_to_request(self, pending: PendingAcquire, waited_s: float) -> list[str]:
+    def _zones_to_request(self, pending: PendingRequest, waited_s: float) -> list[str]:
         """Returns the zones to send to by then: nearest first, then own region, then others."""
         view = self._view_holder.current
         regions_by_zone = dict(view.table.zones_by_pool.get(pending.slot_request.pool, ()))
@@ -186,11 +186,11 @@
                 selected.append(zone)
         return selected
 
-    def _send_slot_requests(self, pending: PendingAcquire, now: float) -> None:
+    def _send_slot_requests(self, pending: PendingRequest, now: float) -> None:
         view = self._view_holder.current
         for zone in pending.requested_zones:
-            broker = view.broker_vm(pending.slot_request.pool, zone)
-            if broker is None or zone in pending.refusals_by_zone:
+            broker_vm = view.broker_vm(pending.slot_request.pool, zone)
+            if broker_vm is None or zone in pending.refusals_by_zone:
                 continue
             slot_request = msgspec.structs.replace(
                 pending.slot_request,
@@ -198,9 +198,9 @@
                 patience_s=pending.expires_at - now,
                 remote=zone != view.own.zone,
             )
-            self._bus.send(broker, slot_request)
+            self._bus.send(broker_vm, slot_request)
 
-    async def _next_reply(self, pending: PendingAcquire, wait_s: float) -> Slot | DidNotRun | None:
+    async def _next_reply(self, pending: PendingRequest, wait_s: float) -> Slot | DidNotRun | None:
         try:
             async with asyncio.timeout(wait_s):
                 sender, message = await pending.inbox.get()
@@ -215,7 +215,7 @@
         return None
 
     def _accept_grant(
-        self, pending: PendingAcquire, sender: str, granted: SlotGranted
+        self, pending: PendingRequest, sender: str, granted: SlotGranted
     ) -> Slot | None:
         row = self._view_holder.current.table.endpoints_by_name.get(granted.endpoint)
         if row is None:
@@ -233,20 +233,20 @@
         epochs = self._view_holder.current.epochs_by_zone.items()
         return next((zone for zone, epoch in epochs if vm in {v.key for v in epoch.vms}), "")
 
-    def _give_up(self, pending: PendingAcquire, verdict: DidNotRun) -> DidNotRun:
+    def _give_up(self, pending: PendingRequest, verdict: DidNotRun) -> DidNotRun:
         self._cancel_others(pending, "")
         return verdict
 
-    def _cancel_others(self, pending: PendingAcquire, granted_zone: str) -> None:
+    def _cancel_others(self, pending: PendingRequest, granted_zone: str) -> None:
         for zone in pending.requested_zones:
-            broker = self._view_holder.current.broker_vm(pending.slot_request.pool, zone)
-            if zone != granted_zone and broker is not None:
+            broker_vm = self._view_holder.current.broker_vm(pending.slot_request.pool, zone)
+            if zone != granted_zone and broker_vm is not None:
                 self._bus.send(
-                    broker,
+                    broker_vm,
                     SlotRequestCancelled(pending.slot_request.request, pending.slot_request.pool),
                 )
 
-    def _return_unused_grants(self, pending: PendingAcquire) -> None:
+    def _return_unused_grants(self, pending: PendingRequest) -> None:
         """Returns grants that another zone made at the same time."""
         while not pending.inbox.empty():
             sender, message = pending.inbox.get_nowait()
@@ -266,8 +266,8 @@
         """Returns a slot to its broker, with the outcome and the measured times."""
         del self._slots_by_grant[slot.granted.grant]
         self._metrics.attempts.labels(outcome).inc()
-        broker = self._view_holder.current.broker_vm(slot.slot_request.pool, slot.zone)
-        if broker is not None:
+        broker_vm = self._view_holder.current.broker_vm(slot.slot_request.pool, slot.zone)
+        if broker_vm is not None:
             request = slot.granted.request
             returned = SlotReleased(
                 slot.granted.grant,
@@ -277,17 +277,18 @@
                 first_token_s,
                 inter_token_s,
             )
-            self._bus.send(broker, returned)
+            self._bus.send(broker_vm, returned)
 
     def report_first_token(self, slot: Slot, seconds: float) -> None:
         """Reports a time to first token to the broker."""
         self._send_measurement(slot, "first", seconds)
 
     def _send_measurement(self, slot: Slot, measure: str, seconds: float) -> None:
-        broker = self._view_holder.current.broker_vm(slot.slot_request.pool, slot.zone)
-        if broker is not None:
+        broker_vm = self._view_holder.current.broker_vm(slot.slot_request.pool, slot.zone)
+        if broker_vm is not None:
             self._bus.send(
-                broker, LatencyReport(slot.granted.grant, slot.slot_request.pool, measure, seconds)
+                broker_vm,
+                LatencyReport(slot.granted.grant, slot.slot_request.pool, measure, seconds),
             )
 
     async def run(self) -> None:
@@ -317,24 +318,24 @@
     def _report_all_held_slots(self) -> None:
         pools = {(slot.slot_request.pool, slot.zone) for slot in self._slots_by_grant.values()}
         for pool, zone in pools:
-            broker = self._view_holder.current.broker_vm(pool, zone)
-            if broker is not None:
-                self.report_held_slots(broker, pool, zone)
+            broker_vm = self._view_holder.current.broker_vm(pool, zone)
+            if broker_vm is not None:
+                self.report_held_slots(broker_vm, pool, zone)
 
-    def report_held_slots(self, broker: str, pool: str, zone: str) -> None:
+    def report_held_slots(self, broker_vm: str, pool: str, zone: str) -> None:
         """Sends a broker all slots of its pool and zone that this VM holds."""
         now = self._now()
         grants = tuple(
-            self._describe_held_slot(slot, broker, now)
+            self._describe_held_slot(slot, broker_vm, now)
             for slot in self._slots_by_grant.values()
             if slot.slot_request.pool == pool and slot.zone == zone
         )
-        self._bus.send(broker, HeldGrantsReport(pool, grants))
+        self._bus.send(broker_vm, HeldGrantsReport(pool, grants))
 
-    def _describe_held_slot(self, slot: Slot, broker: str, now: float) -> HeldGrant:
+    def _describe_held_slot(self, slot: Slot, broker_vm: str, now: float) -> HeldGrant:
         details = None
-        if broker not in slot.brokers_with_details:
-            slot.brokers_with_details.add(broker)
+        if broker_vm not in slot.brokers_with_details:
+            slot.brokers_with_details.add(broker_vm)
             slot_request = self._slot_request_with_current_age(slot, now)
             details = HeldGrantDetails(slot_request, slot.granted.endpoint, now - slot.held_since)
         return HeldGrant(slot.granted.grant, slot.inter_token_s(), details)
--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -19,15 +19,15 @@
 ENDPOINTS_LONG_POLL_S = 1.0
 # Each heartbeat of an endpoint writes an entry; reads are spaced so that one fetches several.
 ENDPOINTS_READ_INTERVAL_S = 0.7
-RETRY_S = 0.25
+READ_RETRY_DELAY_S = 0.25
 # While an update from the zone's reader is no older than this, this VM does not read the store.
 PEER_UPDATE_MAX_AGE_S = 1.8
-PEER_UPDATE_CHECK_S = 0.25
-EXPIRY_CHECK_S = 0.25
+PEER_UPDATE_CHECK_INTERVAL_S = 0.25
+EXPIRY_CHECK_INTERVAL_S = 0.25
 # Records are requested from peers when neither the store nor a peer has responded for this long.
 REQUEST_RECORDS_AFTER_S = 1.0
 MAX_RECENT_RECORDS = 400
-# A shorter outage is too brief for entries to lapse, so removals after it count as genuine.
+# A shorter outage is too brief for entries to expire, so removals after it count as genuine.
 MIN_OUTAGE_S = 1.0
 
 
@@ -182,11 +182,11 @@
         """Reads updates from the store until cancelled."""
         while True:
             if self.follower.is_updated_by_peers():
-                await asyncio.sleep(PEER_UPDATE_CHECK_S)
+                await asyncio.sleep(PEER_UPDATE_CHECK_INTERVAL_S)
                 continue
             result = await self.follower.read()
             if result is None:
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(READ_RETRY_DELAY_S)
                 continue
             records, _, known_at = result
             self.apply_records(records, "store")
@@ -220,7 +220,7 @@
 class EndpointWatcher:
     """Updates the directory of endpoints.
 
-    Entries removed within ``outage_window_s`` of an outage may have lapsed because of it.
+    Entries removed within ``outage_window_s`` of an outage may have expired because of it.
     """
 
     def __init__(
@@ -240,12 +240,12 @@
         """Reads updates from the store until cancelled."""
         while True:
             if self.follower.is_updated_by_peers():
-                await asyncio.sleep(PEER_UPDATE_CHECK_S)
+                await asyncio.sleep(PEER_UPDATE_CHECK_INTERVAL_S)
                 continue
             started = self._now()
             result = await self.follower.read()
             if result is None:
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(READ_RETRY_DELAY_S)
                 continue
             records, is_complete, _ = result
             if is_complete:
@@ -284,8 +284,8 @@
             )
 
     async def run_expiry(self) -> None:
-        """Removes lapsed entries once they are no longer kept for an outage, until cancelled."""
+        """Removes expired entries once their grace period has ended, until cancelled."""
         while True:
-            await asyncio.sleep(EXPIRY_CHECK_S)
+            await asyncio.sleep(EXPIRY_CHECK_INTERVAL_S)
             for endpoint_id in self.directory.expire(self._now()):
                 log("INFO", "endpoint_gone", endpoint=endpoint_id, reason="lapsed")
