--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -154,15 +154,15 @@
 
 
 class StrikeReport(msgspec.Struct, frozen=True, tag="strike"):
-    """An endpoint crashed while serving a request. ``confirm`` requests a StrikeAck."""
+    """An endpoint crashed while serving a request. ``confirm`` requests a StrikeConfirmation."""
 
     fingerprint: str
     attempt: str
     confirm: bool = False
 
 
-class StrikeAck(msgspec.Struct, frozen=True, tag="strike_known"):
-    """Acknowledges that the sender has recorded a strike."""
+class StrikeConfirmation(msgspec.Struct, frozen=True, tag="strike_known"):
+    """Confirms that the sender has recorded a strike."""
 
     attempt: str
 
@@ -208,7 +208,7 @@
     | LoanGranted
     | LoanReturned
     | StrikeReport
-    | StrikeAck
+    | StrikeConfirmation
     | StrikesCleared
     | ControlRecords
     | SnapshotTransfer
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -10,7 +10,7 @@
 from bluebellpitch.decisions.loads import EndpointLoads, WorkItem
 from bluebellpitch.decisions.service_choice import choose_service_endpoint
 from bluebellpitch.platform.http_messages import ResponseHead
-from bluebellpitch.roles.broker_client import BrokerClient, EngineGrant
+from bluebellpitch.roles.generation_broker_client import EngineGrant, GenerationBrokerClient
 from bluebellpitch.verdicts import DidNotRun
 
 SAME_ZONE_DELAY_S = 0.0005
@@ -37,7 +37,7 @@
     def __init__(
         self,
         directory: EndpointDirectory,
-        broker_client: BrokerClient,
+        broker_client: GenerationBrokerClient,
         zone: str,
         regions_by_zone: Mapping[str, str],
         now: Callable[[], float],
@@ -98,7 +98,7 @@
         return placement
 
     def record_load_report(self, placement: Placement, head: ResponseHead) -> None:
-        """Records the load that the head of an answer reports."""
+        """Records the load that the head of a response reports."""
         if head.load is not None:
             busy = float(head.load.running + head.load.waiting)
             self.loads.for_endpoint(placement.entry).record_report(
@@ -106,7 +106,7 @@
             )
 
     def record_first_event(self, placement: Placement, sent_at: float) -> None:
-        """Records that the engine has finished reading the prompt."""
+        """Records that the engine has finished the prefill of the prompt."""
         load = self.loads.for_endpoint(placement.entry)
         load.prefill_tokens_by_id.pop(placement.work.id, None)
         if placement.grant is not None:
--- a/bluebellpitch/roles/slot_broker_service.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -1,10 +1,9 @@
-"""Runs the brokers of the pools that this VM owns in its zone; lends and borrows quotas."""
+"""Runs the slot brokers of the pools that this VM owns in its zone; lends and borrows quotas."""
 
 import asyncio
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.constants import LOAN_REQUEST_INTERVAL_S, MAX_MEMBER_LABELS, PEER_DEAD_AFTER_S
-from bluebellpitch.decisions.broker import Broker
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.member_quotas import (
@@ -15,14 +14,15 @@
     usable_limit,
 )
 from bluebellpitch.decisions.rows import MemberRow, Table
+from bluebellpitch.decisions.slot_broker import SlotBroker
 from bluebellpitch.decisions.slot_grants import (
     ActiveGrant,
-    BrokerCommand,
     FinishedGrant,
     GrantSlot,
     PreemptGrant,
     QueuedRequest,
     RefuseRequest,
+    SlotBrokerCommand,
 )
 from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.metrics import Metrics
@@ -50,7 +50,7 @@
 
 
 class SlotBrokerService:
-    """Owns the brokers of this VM. Incoming messages are passed to ``handle_message``."""
+    """Owns the slot brokers of this VM. Incoming messages are passed to ``handle_message``."""
 
     def __init__(
         self,
@@ -73,7 +73,7 @@
         self._report_held_slots = report_held_slots
         self._own_key = view_holder.current.own.identity.key
         self._zone = view_holder.current.own.zone
-        self.brokers_by_pool: dict[str, Broker] = {}
+        self.brokers_by_pool: dict[str, SlotBroker] = {}
         self._borrowers_by_pool: dict[str, QuotaBorrower] = {}
         self._reporters_by_pool: dict[str, set[str]] = {}
         self._started_at_by_pool: dict[str, float] = {}
@@ -101,11 +101,11 @@
 
     def _forward(self, sender: str, message) -> None:
         """Forwards a message to the VM that brokers the pool now."""
-        broker_key = self._view_holder.current.broker_vm(message.pool, self._zone)
-        if broker_key is not None:
-            self._bus.send(broker_key, ForwardedMessage(sender, message))
+        broker_vm = self._view_holder.current.broker_vm(message.pool, self._zone)
+        if broker_vm is not None:
+            self._bus.send(broker_vm, ForwardedMessage(sender, message))
 
-    def _handle_request(self, broker: Broker, requester: str, message) -> None:
+    def _handle_request(self, broker: SlotBroker, requester: str, message) -> None:
         now = self._now()
         match message:
             case SlotRequest():
@@ -120,7 +120,7 @@
             case HeldGrantsReport(_, grants):
                 self._reconcile_held_grants(broker, requester, grants)
 
-    def _owned_broker(self, pool: str) -> Broker | None:
+    def _owned_broker(self, pool: str) -> SlotBroker | None:
         """Returns the broker of a pool, starting it if needed; None if another VM owns the pool."""
         if self._view_holder.current.broker_vm(pool, self._zone) != self._own_key:
             return None
@@ -132,7 +132,7 @@
         # The tag includes the start time: a broker that lost the pool and took it back must not
         # reuse ids of grants that are still held.
         tag = digest_text(self._own_key, pool, repr(self._now()))[:GRANT_TAG_LENGTH]
-        broker = Broker(pool, self._zone, self._make_limit_rule(pool), self._policy, tag)
+        broker = SlotBroker(pool, self._zone, self._make_limit_rule(pool), self._policy, tag)
         view = self._view_holder.current
         broker.set_table(view.table, view.leaving_endpoints)
         broker.paused = True
@@ -175,7 +175,7 @@
         return self._borrowers_by_pool.setdefault(pool, QuotaBorrower())
 
     def _reconcile_held_grants(
-        self, broker: Broker, sender: str, grants: tuple[HeldGrant, ...]
+        self, broker: SlotBroker, sender: str, grants: tuple[HeldGrant, ...]
     ) -> None:
         now = self._now()
         for held in grants:
@@ -188,7 +188,7 @@
             if held.between_s is not None:
                 broker.record_latency(held.grant, "between", held.between_s, now)
 
-    def _execute(self, broker: Broker, commands: Iterable[BrokerCommand]) -> None:
+    def _execute(self, broker: SlotBroker, commands: Iterable[SlotBrokerCommand]) -> None:
         for command in commands:
             match command:
                 case GrantSlot():
@@ -204,8 +204,8 @@
                     )
                     self._bus.send(active_grant.request.requesting_vm, preempted)
 
-    def _send_grant(self, grant: GrantSlot) -> None:
-        active_grant = grant.grant
+    def _send_grant(self, command: GrantSlot) -> None:
+        active_grant = command.grant
         endpoint = self._view_holder.current.table.endpoints_by_name.get(active_grant.endpoint)
         if endpoint is None:
             return
@@ -216,8 +216,8 @@
             request.attempt,
             endpoint.name,
             endpoint.address,
-            grant.expected_first_token_s,
-            grant.expected_inter_token_s,
+            command.expected_first_token_s,
+            command.expected_inter_token_s,
         )
         self._bus.send(request.requesting_vm, granted)
 
@@ -243,7 +243,7 @@
         if sweep_due:
             self._swept_at = now
 
-    def _tick_broker(self, broker: Broker, sweep_due: bool, now: float) -> None:
+    def _tick_broker(self, broker: SlotBroker, sweep_due: bool, now: float) -> None:
         view = self._view_holder.current
         if broker.table is not view.table or broker.leaving_endpoints != view.leaving_endpoints:
             broker.set_table(view.table, view.leaving_endpoints)
@@ -254,12 +254,12 @@
             self._export_limits(broker)
 
     def _is_rebuilt(self, pool: str, now: float) -> bool:
-        """Tells whether all live VMs of the zone reported what they hold, or the wait timed out."""
+        """Returns whether all live VMs of the zone reported their slots, or the wait timed out."""
         timed_out = now - self._started_at_by_pool[pool] >= REBUILD_TIMEOUT_S
         vms = self._view_holder.current.eligible_vms(self._zone)
         return timed_out or vms <= self._reporters_by_pool[pool]
 
-    def _export_limits(self, broker: Broker) -> None:
+    def _export_limits(self, broker: SlotBroker) -> None:
         for member, count in tuple(broker.used_slots_by_member.items())[:MAX_MEMBER_LABELS]:
             self._metrics.limit_in_use.labels(broker.pool, member).set(count)
 
