Name the sending of a response, work items, rejections and readers after what they are

bluebellpitch/callers/admission.py make_work build_work_item bluebellpitch/http1/server.py ServerConnection.start send_head bluebellpitch/http1/server.py ServerConnection.send send_data bluebellpitch/http1/server.py ServerConnection.end end_response bluebellpitch/endpoints/engine.py Rejected Rejection bluebellpitch/endpoints/engine.py EngineAttempt.rejected rejection bluebellpitch/callers/completions.py CompletionProgress.chunks event_batches bluebellpitch/callers/completions.py CompletionHandler._record_events _record_progress bluebellpitch/node.py Node.control_tail control_reader bluebellpitch/node.py Node.__init__.claims_tail claims_reader

The fake engine and the fake endpoint call the renamed methods of ServerConnection through untyped parameters, so their calls are renamed by hand. A piece of source in tests/mutants.py follows CompletionProgress.event_batches.

--- a/bluebellpitch/callers/admission.py
+++ b/bluebellpitch/callers/admission.py
@@ -79,7 +79,7 @@
     return DidNotRun(f"{reason}_not_sure", 503, CONFIGURATION_RETRY_AFTER_S)
 
 
-def make_work(admitted: AdmittedRequest, attempt: int) -> WorkItem:
+def build_work_item(admitted: AdmittedRequest, attempt: int) -> WorkItem:
     """Returns the description of the request that endpoints are chosen by."""
     prompt = admitted.request.prompt
     return WorkItem(
--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -17,7 +17,7 @@
 )
 from bluebellpitch.context import NodeContext
 from bluebellpitch.decisions.strikes import IsolationLevel
-from bluebellpitch.endpoints.engine import EngineAttempt, Rejected
+from bluebellpitch.endpoints.engine import EngineAttempt, Rejection
 from bluebellpitch.endpoints.sse import count_events, join_text
 from bluebellpitch.errors import DisconnectedError
 from bluebellpitch.events import EventKind
@@ -41,7 +41,7 @@
     first_token_at: float | None = None
     last_token_at: float | None = None
     avoided_endpoints: tuple[str, ...] = ()
-    chunks: list[bytes] = field(default_factory=list)
+    event_batches: list[bytes] = field(default_factory=list)
 
     def inter_token_s(self) -> float | None:
         """Returns the mean time between tokens, or None before the second token."""
@@ -59,7 +59,7 @@
         super().__init__(context, connection, request)
         self.progress = CompletionProgress()
         self.response_started = False
-        self.rejection: Rejected | None = None
+        self.rejection: Rejection | None = None
 
     async def run(self) -> Verdict:
         """Handles the request to its end; returns the verdict sent to the caller."""
@@ -134,7 +134,7 @@
             is_late = ending == "late" and not slot.tokens
             first_token_s = context.now() - dispatched_at if is_late else None
             context.slot_client.release(slot, ending, first_token_s, slot.inter_token_s())
-        self.rejection = attempt.rejected
+        self.rejection = attempt.rejection
         self._record_ending(slot, ending)
         if ending == "crashed":
             await self._report_strike(slot.granted.endpoint)
@@ -152,10 +152,10 @@
         )
         async with aclosing(source):
             async for events in source:
-                self._record_events(events, slot, dispatched_at)
+                self._record_progress(events, slot, dispatched_at)
                 await self._forward(events)
 
-    def _record_events(self, events: bytes, slot: Slot, dispatched_at: float) -> None:
+    def _record_progress(self, events: bytes, slot: Slot, dispatched_at: float) -> None:
         progress, context, now = self.progress, self.context, self.context.now()
         if slot.last_token_at is None:
             context.slot_client.report_first_token(slot, now - dispatched_at)
@@ -166,7 +166,7 @@
         count = count_events(events)
         slot.record_tokens(count, now)
         progress.tokens += count
-        progress.chunks.append(events)
+        progress.event_batches.append(events)
         if context.view_holder.current.is_cross_region(slot.region):
             context.metrics.region_bytes.inc(len(events))
 
@@ -180,8 +180,8 @@
         body = {**self.request.body, "stream": True, "priority": self.caller.service_class.tier}
         if not self.request.stream:
             body["stream_options"] = {"include_usage": True}
-        if self.progress.chunks:
-            body["continue_text"] = join_text(b"".join(self.progress.chunks))
+        if self.progress.event_batches:
+            body["continue_text"] = join_text(b"".join(self.progress.event_batches))
             self.record_event(EventKind.RESUMED, self.endpoint, f"tokens={self.progress.tokens}")
         return body
 
@@ -199,8 +199,8 @@
     async def _send_events(self, events: bytes) -> None:
         if not self.response_started:
             self.response_started = True
-            await self.connection.start(200, self._response_headers("text/event-stream"))
-        await self.connection.send(events)
+            await self.connection.send_head(200, self._response_headers("text/event-stream"))
+        await self.connection.send_data(events)
 
     def _response_headers(self, content_type: str) -> list[tuple[str, str]]:
         headers = [("Content-Type", content_type), ("Cache-Control", "no-store")]
@@ -239,10 +239,10 @@
         self.record_event(EventKind.COMPLETED, self.endpoint, f"tokens={self.progress.tokens}")
         if self.request.stream:
             await self._send_events(b"data: [DONE]\n\n")
-            await self.connection.end()
+            await self.connection.end_response()
         else:
             body = assemble_completion(
-                b"".join(self.progress.chunks), self.request, self.caller.request_id
+                b"".join(self.progress.event_batches), self.request, self.caller.request_id
             )
             await self.connection.respond(200, self._response_headers("application/json"), body)
         return Ran()
@@ -284,6 +284,6 @@
             await responses.send_verdict(self.connection, verdict, self.caller.request_id)
             return verdict
         error_body = responses.encode_error_body(verdict, self.caller.request_id)
-        await self.connection.send(b"data: " + error_body + b"\n\n")
-        await self.connection.end()
+        await self.connection.send_data(b"data: " + error_body + b"\n\n")
+        await self.connection.end_response()
         return verdict
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from bluebellpitch.callers.admission import AdmittedRequest, admit_request, make_work
+from bluebellpitch.callers.admission import AdmittedRequest, admit_request, build_work_item
 from bluebellpitch.callers.responses import encode_error_body
 from bluebellpitch.decisions.catalogue import Catalogue, Repeatability, Route
 from bluebellpitch.decisions.freshness import Freshness
@@ -201,7 +201,7 @@
         return None
 
     async def _choose_endpoint(self, admitted: AdmittedRequest) -> Placement | DidNotRun:
-        work = make_work(admitted, len(self._tried))
+        work = build_work_item(admitted, len(self._tried))
         tried = frozenset(self._tried)
         return await self._context.endpoint_allocator.allocate(work, admitted.is_engine_pool, tried)
 
@@ -301,14 +301,14 @@
                 allocator.record_first_event(place, attempt.sent_at)
             await self._start_stream(head)
             self._record_event_time()
-            await self._connection.send(events)
+            await self._connection.send_data(events)
             last = find_last_event_id(events)
             self._last_event = self._last_event if last is None else last
         if attempt.ending != "complete":
             status = 504 if attempt.ending == "late" else 502
             return MayHaveRun(f"stream {attempt.ending}", status=status)
         await self._start_stream(head)
-        await self._connection.end()
+        await self._connection.end_response()
         return Ran("complete", head.status)
 
     def _record_event_time(self) -> None:
@@ -323,7 +323,7 @@
         """Sends the response head, unless an earlier attempt has sent it."""
         if not self._response_started:
             self._response_started = True
-            await self._connection.start(head.status, self._response_headers(head.headers))
+            await self._connection.send_head(head.status, self._response_headers(head.headers))
 
     def _response_headers(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
         """Drops Content-Length, which the connection sets; a draining VM adds Connection: close."""
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rejected:
+class Rejection:
     """A response with an error status; the engine generated no token."""
 
     status: int
@@ -42,7 +42,7 @@
         self._cancel_reason = ""
         self._has_first_token = False
         self.ending = ""
-        self.rejected: Rejected | None = None
+        self.rejection: Rejection | None = None
 
     def cancel(self, reason: str) -> None:
         """Cancels the attempt; the engine sees a closed connection."""
@@ -95,7 +95,7 @@
 
     async def _read_rejection(self, connection: ClientConnection, status: int) -> None:
         parts = [part async for part in connection.read_body(self._stall_s)]
-        self.rejected = Rejected(status, b"".join(parts))
+        self.rejection = Rejection(status, b"".join(parts))
         self.ending = "busy" if status in BUSY_STATUSES else "rejected"
 
     async def _classify_stall(self) -> str:
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -93,15 +93,15 @@
             if data := await self._read():
                 self.h11.receive_data(data)
 
-    async def start(self, status: int, headers: Headers) -> None:
+    async def send_head(self, status: int, headers: Headers) -> None:
         """Sends the head of a response."""
         await self._send(h11.Response(status_code=status, headers=headers))
 
-    async def send(self, data: bytes) -> None:
+    async def send_data(self, data: bytes) -> None:
         """Sends part of the body."""
         await self._send(h11.Data(data=data))
 
-    async def end(self) -> None:
+    async def end_response(self) -> None:
         """Ends the response."""
         await self._send(h11.EndOfMessage())
 
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -84,15 +84,15 @@
         self.metrics = Metrics()
         self.strikes = StrikeReplicator(StrikeTracker(), self._peer_keys, self._send_strike, now)
         self.bus = PeerBus(self.key, self.clock, self.metrics, self.handle_message)
-        self.control_tail = TopicReader(
+        self.control_reader = TopicReader(
             self._create_store_client(), CONTROL_TOPIC, self.metrics, now
         )
-        claims_tail = TopicReader(self._create_store_client(), CLAIMS_TOPIC, self.metrics, now)
+        claims_reader = TopicReader(self._create_store_client(), CLAIMS_TOPIC, self.metrics, now)
         self.control_appender = Appender(self._create_store_client(), CONTROL_TOPIC, self.metrics)
         self.claims_appender = Appender(self._create_store_client(), CLAIMS_TOPIC, self.metrics)
         self.control_log_replica = ControlLogReplica(
             self.view_holder,
-            self.control_tail,
+            self.control_reader,
             self._create_store_client(),
             self.event_ring,
             self.metrics,
@@ -119,7 +119,7 @@
         )
         self.claim_coordinator = ClaimCoordinator(
             self.view_holder,
-            claims_tail,
+            claims_reader,
             self.claims_appender,
             self.event_ring,
             self.metrics,
@@ -249,7 +249,7 @@
             control_offset=self.control_log_replica.state_machine.offset,
             epoch=view.own.epoch,
             in_flight=self.callers.http.in_flight,
-            store_silence_s=self.now() - self.control_tail.last_read_at,
+            store_silence_s=self.now() - self.control_reader.last_read_at,
             backlog=self.claim_coordinator.unfinished_appends(),
             live=tuple(sorted(view.live_by_key)),
             brokers=tuple(
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -253,18 +253,18 @@
         self, connection, request, fields, stream: Stream, is_chat: bool
     ) -> None:
         request_id = request.header("x-request-id", "none")
-        await connection.start(200, SSE_HEADERS)
+        await connection.send_head(200, SSE_HEADERS)
         while (index := await self._next_token(connection, stream)) is not None:
             text = token_text(stream.prompt, index)
             is_last = index == stream.length - 1
-            await connection.send(encode_chunk(request_id, text, is_chat, is_last))
+            await connection.send_data(encode_chunk(request_id, text, is_chat, is_last))
         if fields.get("stream_options", {}).get("include_usage"):
             usage = {"prompt_tokens": 1, "completion_tokens": stream.length}
             usage["total_tokens"] = stream.length + 1
             chunk = {"id": request_id, "object": "chunk", "choices": [], "usage": usage}
-            await connection.send(b"data: " + msgspec.json.encode(chunk) + b"\n\n")
-        await connection.send(b"data: [DONE]\n\n")
-        await connection.end()
+            await connection.send_data(b"data: " + msgspec.json.encode(chunk) + b"\n\n")
+        await connection.send_data(b"data: [DONE]\n\n")
+        await connection.end_response()
 
     async def _next_token(self, connection, stream: Stream) -> int | None:
         """Waits for a token; raises DisconnectedError if the client has disconnected."""
--- a/fakes/prepared_endpoint.py
+++ b/fakes/prepared_endpoint.py
@@ -70,8 +70,8 @@
         if self.mode == "encoded":
             headers = [*headers, ("Content-Encoding", "br")]
         if self.mode == "short":
-            await connection.start(200, [*headers, ("Content-Length", str(len(body) + 9))])
-            await connection.send(body)
+            await connection.send_head(200, [*headers, ("Content-Length", str(len(body) + 9))])
+            await connection.send_data(body)
             raise DisconnectedError("short")
         await connection.respond(500 if self.mode == "fail" else 200, headers, body)
         if self.mode == "extra":
@@ -84,12 +84,12 @@
 
     async def _send_stream(self, connection, request, headers) -> None:
         start = int(request.header("last-event-id", "0"))
-        await connection.start(200, [*headers, ("Content-Type", "text/event-stream")])
+        await connection.send_head(200, [*headers, ("Content-Type", "text/event-stream")])
         for number in range(start + 1, self.events + 1):
             if self.mode == "cut" and number > self.cut_after:
                 connection.writer.write(b"7\r\nid: 3\nd\r\n")
                 raise DisconnectedError("cut inside an event")
-            await connection.send(f"id: {number}\ndata: piece {number}\n\n".encode())
+            await connection.send_data(f"id: {number}\ndata: piece {number}\n\n".encode())
             if self.pause_s:
                 await self._sleep(connection, self.pause_s)
-        await connection.end()
+        await connection.end_response()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -124,7 +124,7 @@
     Mutant(
         "a stream is resumed from its last token",
         "bluebellpitch/callers/completions.py",
-        'body["continue_text"] = join_text(b"".join(self.progress.chunks))',
+        'body["continue_text"] = join_text(b"".join(self.progress.event_batches))',
         "pass",
         "tests/test_streams.py::test_stream_is_resumed_after_its_engine_is_killed",
     ),
