Correct docstrings and align local names in callers, endpoints, http1 and the main modules

The docstring of EngineAttempt.events named a parameter that had been renamed, and those of ClientConnection omitted NotSentError and the clock of idle_since. The first lines of node.py and entry_vm.py now say which command runs them, and view.py speaks of a cluster, as its class does.

Local names: admission may_deny is may_report_unknown, like the method it comes from; idle_s in EndpointConnectionPool.release is keep_alive_s, like the field of the response head; the ending of a service attempt is no longer called an outcome, the word for the result of a claim.

--- a/bluebellpitch/callers/admission.py
+++ b/bluebellpitch/callers/admission.py
@@ -51,17 +51,17 @@
     """Looks up the route and the member of a request, or returns the reason to refuse it."""
     if catalogue is None:
         return DidNotRun("no_configuration", 503, CONFIGURATION_RETRY_AFTER_S)
-    may_deny = freshness.may_report_unknown(now)
+    may_report_unknown = freshness.may_report_unknown(now)
     route = catalogue.match_route(request.host, request.path)
     if route is None:
-        return refuse_unknown(404, "no_such_route", may_deny)
+        return refuse_unknown(404, "no_such_route", may_report_unknown)
     member = None
     if catalogue.has_members and not route.is_public:
         if not freshness.may_accept_keys(now):
             return DidNotRun("configuration_not_fresh", 503, CONFIGURATION_RETRY_AFTER_S)
         member = catalogue.members_by_key.get(request.api_key)
         if member is None:
-            return refuse_unknown(401, "unknown_key", may_deny)
+            return refuse_unknown(401, "unknown_key", may_report_unknown)
     pool = pick_pool(route, random.random())
     row = catalogue.pools_by_name.get(pool)
     is_engine_pool = row is not None and row.engine is not None
@@ -69,18 +69,18 @@
     return AdmittedRequest(request, route, pool, is_engine_pool, member, now, expires_at)
 
 
-def refuse_unknown(status: int, reason: str, may_deny: bool) -> DidNotRun:
+def refuse_unknown(status: int, reason: str, may_report_unknown: bool) -> DidNotRun:
     """Refuses an unknown route or key.
 
     While the configuration may be out of date, the refusal asks the caller to retry instead.
     """
-    if may_deny:
+    if may_report_unknown:
         return DidNotRun(reason, status)
     return DidNotRun(f"{reason}_not_sure", 503, CONFIGURATION_RETRY_AFTER_S)
 
 
 def build_work_item(admitted: AdmittedRequest, attempt: int) -> WorkItem:
-    """Returns the description of the request that endpoints are chosen by."""
+    """Returns the description of one attempt, by which its endpoint is chosen."""
     prompt = admitted.request.prompt
     return WorkItem(
         id=f"{admitted.request.id}.{attempt}",
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -71,15 +71,15 @@
         if isinstance(slot, DidNotRun):
             return slot
         self.endpoint = slot.granted.endpoint
-        outcome = "cancelled"
+        ending = "cancelled"
         try:
             result = await self._claim_and_call(slot)
-            outcome = "completed" if isinstance(result, HttpResponse) else "returned"
+            ending = "completed" if isinstance(result, HttpResponse) else "returned"
             if isinstance(result, DidNotRun) and result.reason == "endpoint_unreachable":
-                outcome = "unreachable"
+                ending = "unreachable"
             return result
         finally:
-            self.context.slot_client.release(slot, outcome)
+            self.context.slot_client.release(slot, ending)
 
     async def _claim_and_call(self, slot: Slot) -> CallResult:
         """Claims only once a slot is held, so that no claim is left behind by a waiting request."""
--- a/bluebellpitch/constants.py
+++ b/bluebellpitch/constants.py
@@ -33,7 +33,7 @@
 SHEDDING_HOLD_S = 1.0
 MAX_PREEMPTIONS_PER_REQUEST = 8
 
-# Endpoint health and connections.
+# Endpoint health, connections and metrics.
 SLOW_RATIO = 3.0
 HEALTH_WINDOW_S = 2.0
 DOWN_RETRY_DELAY_S = 1.0
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -189,8 +189,8 @@
     def _release(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
-            idle_s = 0 if self.head.closes_connection else self.head.keep_alive_s
-            self._connection_pool.release(self._entry, connection, idle_s)
+            keep_alive_s = 0 if self.head.closes_connection else self.head.keep_alive_s
+            self._connection_pool.release(self._entry, connection, keep_alive_s)
 
     def close(self) -> None:
         """Aborts the attempt; the endpoint sees a closed connection."""
--- a/bluebellpitch/endpoints/connections.py
+++ b/bluebellpitch/endpoints/connections.py
@@ -1,4 +1,4 @@
-"""A pool of idle connections by address, and a health probe."""
+"""A pool of idle connections to endpoints by address, and a health probe of an endpoint."""
 
 from collections.abc import Callable
 
@@ -14,7 +14,7 @@
 class ConnectionPool:
     """Idle connections by address. ``now`` returns monotonic seconds.
 
-    Old connections are closed, because the far end may have vanished without closing them.
+    Old connections are closed, because the endpoint may have vanished without closing them.
     """
 
     def __init__(self, now: Callable[[], float]):
--- a/bluebellpitch/endpoints/endpoint_connections.py
+++ b/bluebellpitch/endpoints/endpoint_connections.py
@@ -59,16 +59,18 @@
             pooled.open_count -= 1
             raise
 
-    def release(self, entry: EndpointEntry, connection: ClientConnection, idle_s: float | None):
+    def release(
+        self, entry: EndpointEntry, connection: ClientConnection, keep_alive_s: float | None
+    ):
         """Keeps a connection for reuse, or closes it when it cannot be reused.
 
-        ``idle_s`` is how long the endpoint keeps idle connections: None when it does not say, 0
-        when it keeps none.
+        ``keep_alive_s`` is how long the endpoint keeps idle connections: None when it does not
+        say, 0 when it keeps none.
         """
         pooled = self._connections_to(entry)
-        if idle_s is not None:
-            pooled.idle_timeout_s = min(idle_s * IDLE_TIMEOUT_SHARE, MAX_IDLE_TIMEOUT_S)
-        if idle_s == 0 or not connection.start_next_cycle():
+        if keep_alive_s is not None:
+            pooled.idle_timeout_s = min(keep_alive_s * IDLE_TIMEOUT_SHARE, MAX_IDLE_TIMEOUT_S)
+        if keep_alive_s == 0 or not connection.start_next_cycle():
             self._drop(pooled, connection)
             return
         connection.idle_since = self._now()
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -53,7 +53,8 @@
     async def events(
         self, target: str, body: dict, request_id: str, first_token_timeout_s: float
     ) -> AsyncIterator[bytes]:
-        """Yields batches of complete events; the first must come within ``first_token_s``."""
+        """Yields batches of complete events; the first must come within
+        ``first_token_timeout_s``."""
         finished = False
         try:
             self._connection = await self._connection_pool.acquire(self._address)
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -1,4 +1,4 @@
-"""An entry VM on the prepared platform: connects its components and shuts them down in order."""
+"""An entry VM run by ``route`` on the prepared platform: its components, tasks and shutdown."""
 
 import asyncio
 import signal
@@ -61,7 +61,10 @@
 
 
 class EntryVm:
-    """One entry VM. ``now`` returns seconds of a clock that also runs while the VM is suspended."""
+    """One entry VM run by ``route``; builds and connects its components.
+
+    ``now`` returns seconds of a clock that also runs while the VM is suspended.
+    """
 
     def __init__(
         self,
--- a/bluebellpitch/errors.py
+++ b/bluebellpitch/errors.py
@@ -1,4 +1,4 @@
-"""Exceptions. Each is reported as one line on the command line, or as a JSON error over HTTP."""
+"""Exceptions, reported as lines on standard error or as a JSON error over HTTP."""
 
 from bluebellpitch.exit_status import ExitStatus
 
@@ -62,7 +62,7 @@
 
 
 class ReadTimeoutError(ConnectionLostError):
-    """The peer sent no data within the time limit."""
+    """The server did not send the awaited data within the time limit."""
 
 
 class DisconnectedError(BluebellpitchError):
--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -21,7 +21,7 @@
 
 
 class ClientConnection:
-    """One connection to a server. ``idle_since`` is set by its owner, by the owner's clock."""
+    """One connection to a server. Its pool sets ``idle_since``, in seconds of the pool's clock."""
 
     def __init__(self, reader: CountingReader, writer, address: str):
         self.reader = reader
@@ -43,7 +43,11 @@
         return cls(reader, writer, address)
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Sends a request; raises ConnectionLostError, because bytes may have been sent."""
+        """Adds Host and Content-Length and sends a request.
+
+        Raises NotSentError when the request cannot be encoded, else ConnectionLostError, because
+        bytes may have been sent.
+        """
         headers = [("Host", self.address), *headers, ("Content-Length", str(len(body)))]
         await self.send_verbatim(method, target, headers, body)
 
@@ -109,7 +113,10 @@
     async def call(
         self, method: str, target: str, body: bytes, timeout_s: float, headers: Headers = ()
     ) -> HttpResponse:
-        """Returns the response to a request; raises ConnectionLostError or ReadTimeoutError."""
+        """Returns the response to a request; ``timeout_s`` limits the whole call.
+
+        Raises NotSentError, ConnectionLostError or ReadTimeoutError.
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 await self.send(method, target, headers, body)
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -1,4 +1,4 @@
-"""One entry VM: builds its components, runs their tasks and dispatches peer messages."""
+"""An entry VM run by ``serve``: its components, their tasks and the dispatch of peer messages."""
 
 import asyncio
 import signal
@@ -68,7 +68,7 @@
 
 
 class Node:
-    """Wires the components of one VM together."""
+    """One entry VM run by ``serve``; builds and connects its components."""
 
     def __init__(self, settings: Settings, environment: Environment, policy: SchedulingPolicy):
         now, wall = environment.now, environment.wall
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -1,4 +1,4 @@
-"""This VM's view of the federation: an immutable value that tasks replace as a whole."""
+"""This VM's view of the cluster: an immutable value that tasks replace as a whole."""
 
 from dataclasses import dataclass, field
 
