--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -20,7 +20,7 @@
 from fakes.ports import free_address
 
 ROOT = Path(__file__).resolve().parent.parent
-START_TIMEOUT_S = 20.0
+WAIT_TIMEOUT_S = 20.0
 
 
 def credential_digest(token: str) -> str:
@@ -164,14 +164,14 @@
         client.close()
         assert isinstance(verdict, Appended), verdict
 
-    async def announce_draining(self, endpoint: str) -> None:
+    async def publish_draining_entry(self, endpoint: str) -> None:
         """Writes to the store that an endpoint is draining."""
         address = self.processes_by_name[endpoint].address
         entry = {"service": "drafter", "address": address, "zone": "", "slots": 1}
         entry["state"] = "draining"
         await self.put(ENDPOINTS_TOPIC, endpoint, msgspec.json.encode(entry))
 
-    async def control(self, process: Process, **faults) -> None:
+    async def set_faults(self, process: Process, **faults) -> None:
         """Sets faults of a fake server."""
         address = process.control_address or process.address
         await fetch(address, "POST", "/control", msgspec.json.encode(faults))
@@ -248,7 +248,7 @@
         return None
 
 
-async def wait_until(condition, description: str, timeout_s: float = START_TIMEOUT_S) -> None:
+async def wait_until(condition, description: str, timeout_s: float = WAIT_TIMEOUT_S) -> None:
     """Waits for an asynchronous condition; TimeoutError names it by its description."""
     deadline = time.monotonic() + timeout_s
     while not await condition():
--- a/fakes/prepared_deployment.py
+++ b/fakes/prepared_deployment.py
@@ -118,10 +118,10 @@
         port = await endpoint.start("127.0.0.1", 0)
         endpoint.address = f"127.0.0.1:{port}"
         self._endpoints.append(endpoint)
-        self.announce(endpoint, pool, zone, **fields)
+        self.publish_entry(endpoint, pool, zone, **fields)
         return endpoint
 
-    def announce(self, endpoint: FakeEndpoint, pool: str, zone: str = "z", **fields) -> None:
+    def publish_entry(self, endpoint: FakeEndpoint, pool: str, zone: str = "z", **fields) -> None:
         """Writes an endpoint's entry to the store."""
         entry = {
             "service": pool,
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -142,7 +142,7 @@
 async def set_slow(deployment: Deployment, name: str, factor: float) -> None:
     """Slows one engine down, or back to normal."""
     process = deployment.fleet.processes_by_name[name]
-    await deployment.fleet.control(process, slow=factor, load_lag_s=5.0)
+    await deployment.fleet.set_faults(process, slow=factor, load_lag_s=5.0)
 
 
 async def wait_engine(deployment: Deployment, name: str) -> None:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -38,8 +38,10 @@
 
     async def reset_faults():
         service = running.processes_by_name["filing-doto-1-0"]
-        await running.control(running.store, outage=False, slow_s=0.0, lose_answers=0, late_s=0.0)
-        await running.control(service, slow_s=0.0, hold_s=0.0, silent=False, refuse=False)
+        await running.set_faults(
+            running.store, outage=False, slow_s=0.0, lose_answers=0, late_s=0.0
+        )
+        await running.set_faults(service, slow_s=0.0, hold_s=0.0, silent=False, refuse=False)
         for vm in running.vms_by_name.values():
             if vm.process.popen.poll() is not None:
                 running.start_vm(vm)
@@ -87,14 +89,14 @@
 
 def test_vm_killed_after_dispatch_leaves_may_have_run(run, fleet):
     async def scenario():
-        await fleet.control(service_of(fleet), slow_s=0.5, hold_s=1.0)
+        await fleet.set_faults(service_of(fleet), slow_s=0.5, hold_s=1.0)
         first = asyncio.create_task(
             submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "killed-1", "killed-1")
         )
         await wait_until(lambda: has_run(fleet, "killed-1"), "the case has run")
         vm_of(fleet, 0).process.kill()
         assert_that(await first, Equals(None))
-        await fleet.control(service_of(fleet), slow_s=0.0, hold_s=0.0)
+        await fleet.set_faults(service_of(fleet), slow_s=0.0, hold_s=0.0)
         again = await submit_case(vm_of(fleet, 1).listen, CREDENTIAL, "killed-1", "killed-1")
         assert_that(again.status, Equals(409))
         assert_that(verdict_of(again), Equals("may_have_run"))
@@ -108,7 +110,7 @@
 
 def test_vm_killed_before_its_claim_is_appended_leaves_the_key_free(run, fleet):
     async def scenario():
-        await fleet.control(fleet.store, outage=True)
+        await fleet.set_faults(fleet.store, outage=True)
         first = asyncio.create_task(
             submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "killed-2", "killed-2")
         )
@@ -116,7 +118,7 @@
         vm_of(fleet, 0).process.kill()
         await first
         assert_that(await count_runs(fleet, "killed-2"), Equals(0))
-        await fleet.control(fleet.store, outage=False)
+        await fleet.set_faults(fleet.store, outage=False)
         await retry_until(vm_of(fleet, 1), "killed-2", "killed-2", (200,))
         assert_that(await count_runs(fleet, "killed-2"), Equals(1))
 
@@ -125,7 +127,7 @@
 
 def test_claim_with_lost_acknowledgement_is_found_on_the_log(run, fleet):
     async def scenario():
-        await fleet.control(fleet.store, lose_answers=1)
+        await fleet.set_faults(fleet.store, lose_answers=1)
         answer = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "lost-1", "lost-1")
         assert_that(answer.status, Equals(200))
         assert_that(await count_runs(fleet, "lost-1"), Equals(1))
@@ -135,7 +137,7 @@
 
 def test_claim_appended_late_is_invalid(run, fleet):
     async def scenario():
-        await fleet.control(fleet.store, lose_answers=1, late_s=4.5)
+        await fleet.set_faults(fleet.store, lose_answers=1, late_s=4.5)
         first = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "late-1", "late-1")
         assert_that(verdict_of(first), Equals("did_not_run"))
         assert_that(await count_runs(fleet, "late-1"), Equals(0))
@@ -148,7 +150,7 @@
 
 def test_outage_refuses_submissions_and_serves_the_rest(run, fleet):
     async def scenario():
-        await fleet.control(fleet.store, outage=True)
+        await fleet.set_faults(fleet.store, outage=True)
         vm = vm_of(fleet, 0)
         refused = await submit_case(vm.listen, CREDENTIAL, "outage-1", "outage-1")
         assert_that(refused.status, Equals(503))
@@ -158,7 +160,7 @@
             (await stream_completion(vm.listen, CREDENTIAL, "[len=9] during an outage")).complete,
             Equals(True),
         )
-        await fleet.control(fleet.store, outage=False)
+        await fleet.set_faults(fleet.store, outage=False)
         await retry_until(vm, "outage-1", "outage-1", (200,))
         assert_that(await count_runs(fleet, "outage-1"), Equals(1))
 
@@ -167,16 +169,16 @@
 
 def test_outcome_is_written_after_an_outage(run, fleet):
     async def scenario():
-        await fleet.control(service_of(fleet), hold_s=1.0)
+        await fleet.set_faults(service_of(fleet), hold_s=1.0)
         first = asyncio.create_task(
             submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "behind-1", "behind-1")
         )
         await wait_until(lambda: has_run(fleet, "behind-1"), "the case has run")
-        await fleet.control(fleet.store, outage=True)
+        await fleet.set_faults(fleet.store, outage=True)
         assert_that((await first).status, Equals(200))
         during = await submit_case(vm_of(fleet, 1).listen, CREDENTIAL, "behind-1", "behind-1")
         assert_that(during.status, MatchesAny(Equals(409), Equals(503)))
-        await fleet.control(fleet.store, outage=False)
+        await fleet.set_faults(fleet.store, outage=False)
         replay = await retry_until(vm_of(fleet, 1), "behind-1", "behind-1", (200,))
         assert_that(dict(replay.headers)["x-bluebellpitch-replayed"], Equals("true"))
         assert_that(await count_runs(fleet, "behind-1"), Equals(1))
@@ -186,10 +188,10 @@
 
 def test_silent_service_leaves_may_have_run_and_is_listed(run, fleet):
     async def scenario():
-        await fleet.control(service_of(fleet), silent=True)
+        await fleet.set_faults(service_of(fleet), silent=True)
         first = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "silent-1", "silent-1")
         assert_that(verdict_of(first), Equals("may_have_run"))
-        await fleet.control(service_of(fleet), silent=False)
+        await fleet.set_faults(service_of(fleet), silent=False)
         again = await submit_case(vm_of(fleet, 1).listen, CREDENTIAL, "silent-1", "silent-1")
         assert_that(verdict_of(again), Equals("may_have_run"))
         assert_that(await count_runs(fleet, "silent-1"), Equals(1))
@@ -201,10 +203,10 @@
 
 def test_service_that_says_it_did_not_run_frees_the_key(run, fleet):
     async def scenario():
-        await fleet.control(service_of(fleet), refuse=True)
+        await fleet.set_faults(service_of(fleet), refuse=True)
         first = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "refused-1", "refused-1")
         assert_that(verdict_of(first), Equals("did_not_run"))
-        await fleet.control(service_of(fleet), refuse=False)
+        await fleet.set_faults(service_of(fleet), refuse=False)
         await retry_until(vm_of(fleet, 1), "refused-1", "refused-1", (200,))
         assert_that(await count_runs(fleet, "refused-1"), Equals(1))
 
@@ -213,7 +215,7 @@
 
 def test_submission_without_key_is_never_sent_twice(run, fleet):
     async def scenario():
-        await fleet.control(service_of(fleet), silent=True)
+        await fleet.set_faults(service_of(fleet), silent=True)
         answer = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "keyless-1", "")
         assert_that(verdict_of(answer), Equals("may_have_run"))
         assert_that((await read_counts(service_of(fleet).address))["keyless-1"], Equals(1))
@@ -227,7 +229,7 @@
     async def scenario():
         with Fleet() as fleet:
             await start_federation(fleet, FederationSize(), horizon_s=HORIZON_S)
-            await fleet.control(fleet.store, slow_s=1.0)
+            await fleet.set_faults(fleet.store, slow_s=1.0)
             first = asyncio.create_task(
                 submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "paused-1", "paused-1")
             )
--- a/tests/test_routed_requests.py
+++ b/tests/test_routed_requests.py
@@ -195,7 +195,7 @@
 @in_deployment
 async def test_draining_endpoint_gets_no_new_requests(deployment):
     endpoints, client = await start_deployment(deployment, "app", "app")
-    deployment.announce(endpoints[0], "app", state="draining")
+    deployment.publish_entry(endpoints[0], "app", state="draining")
     vm = deployment.vms[0]
     await wait_until(lambda: len(list(vm.directory.usable_endpoints("app"))) == 1)
     for number in range(4):
--- a/tests/test_store_watchers.py
+++ b/tests/test_store_watchers.py
@@ -77,7 +77,7 @@
 async def test_malformed_entries_are_ignored(deployment):
     (app,), client = await start_deployment(deployment, "app")
     vm = deployment.vms[0]
-    deployment.announce(app, "app", state="odd")
+    deployment.publish_entry(app, "app", state="odd")
     deployment.store.put("keyed.servers", "i-9", b"\xff\xfe")
     deployment.store.put("keyed.servers", "i-8", b'{"service": 7}')
     second = await deployment.add_endpoint("i-7", "app")
@@ -105,7 +105,7 @@
             for link in links:
                 link.cut = True
             await asyncio.sleep(0.3)
-            deployment.announce(endpoint, "app", state="draining")
+            deployment.publish_entry(endpoint, "app", state="draining")
             await wait_until(
                 lambda: not any(list(vm.directory.usable_endpoints("app")) for vm in vms),
                 timeout_s=2.6,
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -101,7 +101,7 @@
         running = [start_stream(fleet, prompt) for prompt in prompts]
         name = await wait_for_busy_engine(fleet, len(prompts))
         await wait(0.3)
-        await fleet.control(fleet.processes_by_name[name], silent=True)
+        await fleet.set_faults(fleet.processes_by_name[name], silent=True)
         for task, prompt in zip(running, prompts, strict=True):
             assert_complete(await asyncio.wait_for(task, 30), prompt)
 
@@ -263,7 +263,7 @@
     """The entry in the store says draining, while the row in the table still says live."""
 
     async def scenario():
-        await fleet.announce_draining(ENGINES[0])
+        await fleet.publish_draining_entry(ENGINES[0])
         await wait(LEAVING_PROPAGATION_S)
         answers = [
             await stream_completion(get_vm(fleet).listen, CREDENTIAL, f"[len=3] new {n}")
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -57,7 +57,7 @@
 async def set_partition(fleet: Fleet, zone: str, cut: bool) -> None:
     """Cuts a zone off from the platform and both zones from each other, or heals the partition."""
     for name in (f"store-{zone}", "bus-doto-1", "bus-doo-1"):
-        await fleet.control(fleet.processes_by_name[name], cut=cut)
+        await fleet.set_faults(fleet.processes_by_name[name], cut=cut)
 
 
 @pytest.fixture
@@ -119,7 +119,7 @@
 
     async def scenario():
         for name in ("store-doto-1", "bus-doto-1", "bus-doo-1"):
-            await fleet.control(fleet.processes_by_name[name], silence=True)
+            await fleet.set_faults(fleet.processes_by_name[name], silence=True)
         await wait(SILENCE_DETECTION_S)
         await wait_until(store_answers, "the store is read again")
         answer = await submit_case(vm.listen, CREDENTIAL, "silenced", "silenced")
@@ -134,7 +134,7 @@
             await start_federation(fleet, FederationSize(vms_per_zone=1))
             dead_store = fleet.start_link("dead-store", fleet.store.address)
             await fleet.wait_listening(dead_store)
-            await fleet.control(dead_store, cut=True)
+            await fleet.set_faults(dead_store, cut=True)
             vm = fleet.add_vm("vm-late", "doto-1", "doto", store_address=dead_store.address)
             await fleet.wait_ready(vm)
             answer = await stream_completion(vm.listen, CREDENTIAL, "[len=7] booted in an outage")
@@ -239,7 +239,7 @@
     async def scenario():
         fleet = store_fleet
         text = new_sheet(member_row("a"), *CLASSES)
-        await fleet.control(fleet.store, lose_answers=1)
+        await fleet.set_faults(fleet.store, lose_answers=1)
         status, output = await fleet.apply_sheet(text)
         assert_that(status, Equals(0), output)
         status, output = await fleet.apply_sheet(text)
