Use response, entry VM and store throughout the adapters, commands and fakes

Texts said answer and response, router and entry VM, log and store for the same things; the explanation of an unknown reason names the page to read. Local names: timeout_s for what the patience option sets, table_diff for a TableDiff (a change is a record of the control topic), ENDPOINT_FAULT_MODES for modes that are not all answers, commands and visible_until in the fake engine.

--- a/bluebellpitch/commands/diagnostics.py
+++ b/bluebellpitch/commands/diagnostics.py
@@ -50,9 +50,9 @@
 
 
 def report_unreachable_vms(environment: Environment, collected: CollectedResponses) -> int:
-    """Prints the VMs that did not answer; returns the exit status."""
+    """Prints the VMs that did not respond; returns the exit status."""
     for address in collected.unreachable:
-        print(f"bluebellpitch: no answer from {address}", file=environment.stderr)
+        print(f"bluebellpitch: no response from {address}", file=environment.stderr)
     return ExitStatus.OK if collected.responses else ExitStatus.UNREACHABLE
 
 
@@ -79,7 +79,7 @@
 def fetch_events(
     addresses: list[str], store_address: str, event_filter: EventFilter
 ) -> CollectedResponses:
-    """Returns the events of all VMs that answer."""
+    """Returns the events of all VMs that respond."""
 
     async def run() -> CollectedResponses:
         return await collect_events(
--- a/bluebellpitch/commands/serve.py
+++ b/bluebellpitch/commands/serve.py
@@ -84,7 +84,7 @@
 
 
 def run_node(settings: Settings, environment: Environment, log_level: str) -> int:
-    """Configures logging and runs the node; raises UsageError if an address is not available."""
+    """Configures logging and runs the node; raises UsageError for a bad log level or address."""
     if log_level not in LOG_LEVELS:
         raise UsageError(f"--log-level: {log_level!r} must be one of: {', '.join(LOG_LEVELS)}")
     configure_logging(environment.stderr, log_level, settings.vm)
--- a/bluebellpitch/commands/table.py
+++ b/bluebellpitch/commands/table.py
@@ -32,9 +32,9 @@
         raise UsageError(f"{path} cannot be read: {error}") from error
 
 
-async def open_editor(environment: Environment, address: str, patience_s: float) -> TableEditor:
+async def open_editor(environment: Environment, address: str, timeout_s: float) -> TableEditor:
     """Returns an editor that has applied all control records in the store."""
-    editor = TableEditor(StoreClient(address), environment.now, patience_s)
+    editor = TableEditor(StoreClient(address), environment.now, timeout_s)
     await editor.catch_up()
     return editor
 
@@ -94,24 +94,24 @@
     store_address: str,
     author: str,
     onto_current: bool,
-    patience_s: float,
+    timeout_s: float,
 ) -> str:
     """Applies a sheet; returns a message for the operator. Raises ConflictError."""
-    editor = await open_editor(environment, store_address, patience_s)
-    change = diff_table(desired, editor.control, onto_current)
-    if change.conflicts:
-        keys = ", ".join(change.conflicts)
+    editor = await open_editor(environment, store_address, timeout_s)
+    table_diff = diff_table(desired, editor.control, onto_current)
+    if table_diff.conflicts:
+        keys = ", ".join(table_diff.conflicts)
         raise ConflictError(f"changed by another operator since the sheet was made: {keys}")
-    if change.is_empty():
+    if table_diff.is_empty():
         return f"nothing to change; in force at offset {editor.control.offset}"
-    return f"in force at offset {await editor.apply(change, author)}"
+    return f"in force at offset {await editor.apply(table_diff, author)}"
 
 
-def format_diff(change: TableDiff) -> Iterator[str]:
+def format_diff(table_diff: TableDiff) -> Iterator[str]:
     """Yields one line per row that would change or that conflicts."""
-    yield from (f"+ {row_key(row)}" for row in change.added)
-    yield from (f"~ {row_key(row)}" for row in change.changed)
-    yield from (f"- {key}" for key in change.deleted)
-    yield from (f"! {key} (changed by another operator)" for key in change.conflicts)
-    if change.is_empty() and not change.conflicts:
+    yield from (f"+ {row_key(row)}" for row in table_diff.added)
+    yield from (f"~ {row_key(row)}" for row in table_diff.changed)
+    yield from (f"- {key}" for key in table_diff.deleted)
+    yield from (f"! {key} (changed by another operator)" for key in table_diff.conflicts)
+    if table_diff.is_empty() and not table_diff.conflicts:
         yield "no difference"
--- a/bluebellpitch/operators/explain.py
+++ b/bluebellpitch/operators/explain.py
@@ -11,7 +11,7 @@
     "waited_too_long": "no slot became free within its maximum wait",
     "crashes_endpoints": "too many endpoints crashed while they processed it",
     "attempts_exhausted": "every attempt failed",
-    "log_unavailable": "its claim could not be appended to the platform's log",
+    "log_unavailable": "its claim could not be appended to the platform's store",
     "request_too_old": "it was made longer ago than idempotency keys are retained",
     "key_reused": "its idempotency key was used with a different request body",
     "in_progress": "another request with the same idempotency key was still in progress",
@@ -47,7 +47,7 @@
     """Describes one event in a sentence."""
     if event.kind is EventKind.REFUSED:
         reason = event.detail.partition(" ")[0].partition(":")[0]
-        explanation = REFUSAL_EXPLANATIONS.get(reason, "see the operators' page")
+        explanation = REFUSAL_EXPLANATIONS.get(reason, "see docs/OPERATIONS.md")
         return f"refused: {event.detail} - {explanation}"
     template = EVENT_TEMPLATES.get(event.kind, "{e.kind} {e.endpoint} {e.detail}")
     return template.format(e=event).strip()
--- a/bluebellpitch/operators/status.py
+++ b/bluebellpitch/operators/status.py
@@ -72,7 +72,7 @@
 
 
 def render_vm(status: VmStatus) -> Iterator[str]:
-    """Yields the line on one VM."""
+    """Yields the line that describes one VM."""
     state = "draining" if status.draining else "live"
     yield (
         f"VM {status.vm} zone={status.zone} region={status.region} state={state}"
@@ -83,7 +83,7 @@
 
 
 def render_broker(vm: str, broker: BrokerStatus) -> Iterator[str]:
-    """Yields the lines on one broker."""
+    """Yields the lines that describe one broker."""
     yield f"BROKER {broker.zone}/{broker.pool} vm={vm}"
     for class_status in broker.classes:
         yield (
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -9,7 +9,7 @@
 from bluebellpitch.http1 import Headers, HttpRequest
 
 BEARER_PREFIX = "bearer "
-# Hop-by-hop headers, and headers that only the router may set.
+# Hop-by-hop headers, and headers that only the entry VM may set.
 STRIPPED_REQUEST_HEADERS = frozenset(
     "connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer "
     "transfer-encoding upgrade content-length expect authorization tenant target-instance "
@@ -146,7 +146,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardingContext:
-    """Values that the router sets in the headers of a forwarded request."""
+    """Values that the entry VM sets in the headers of a forwarded request."""
 
     endpoint_id: str
     remaining_s: float
@@ -215,7 +215,7 @@
 
 
 def build_error_headers(retry_after_s: float | None) -> Headers:
-    """Returns the headers of an error response from the router itself."""
+    """Returns the headers of an error response from the entry VM itself."""
     headers = [("Content-Type", "application/json")]
     if retry_after_s is not None:
         headers.append(("Retry-After", f"{retry_after_s:.3f}"))
--- a/bluebellpitch/platform/records.py
+++ b/bluebellpitch/platform/records.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
-    """The newest value of a key; ``value`` is None if the key was deleted."""
+    """A value of a key in a keyed topic; ``value`` is None if the record deletes the key."""
 
     key: str
     value: bytes | None
--- a/bluebellpitch/platform/store.py
+++ b/bluebellpitch/platform/store.py
@@ -127,7 +127,7 @@
         try:
             response = await self._send_request("POST", target, body, RESPONSE_TIMEOUT_S)
             if response.status != 200:
-                return DidNotRun(f"the store answered {response.status}")
+                return DidNotRun(f"the store responded with status {response.status}")
             return Appended(decode_json(response.body, _AppendResponse).offset)
         except NotSentError as error:
             return DidNotRun(str(error))
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -1,7 +1,7 @@
 """Fake model engine: continuous batching, prefix cache, priorities, cancellation, resumption.
 
 Markers in the prompt control it: ``[len=40]`` generates 40 tokens, ``[crash]`` exits the process
-after two, ``[reject]`` is answered with status 400. Token i of a prompt is always the same, so a
+after two, ``[reject]`` returns status 400. Token i of a prompt is always the same, so a
 client can check that a completion is whole.
 """
 
@@ -91,7 +91,7 @@
         self.tokens_wasted = 0
         self.peak_requests = 0
         self.highest_fence = -1
-        self.orders: list[dict] = []
+        self.commands: list[dict] = []
         self._running: list[Stream] = []
         self._waiting: list[Stream] = []
         self._cache: OrderedDict[str, None] = OrderedDict()
@@ -186,20 +186,20 @@
             await self._serve_completion(connection, request)
 
     def _load_report(self) -> dict:
-        horizon = time.monotonic() - self.load_lag_s
+        visible_until = time.monotonic() - self.load_lag_s
         running = waiting = 0
         for reported_at, running_then, waiting_then in self._load_history:
-            if reported_at > horizon:
+            if reported_at > visible_until:
                 break
             running, waiting = running_then, waiting_then
         return {"running": running, "waiting": waiting}
 
     def _visible_cache_events(self) -> list[dict]:
-        horizon = time.monotonic() - self.cache_lag_s
+        visible_until = time.monotonic() - self.cache_lag_s
         return [
             {"number": number, "kind": kind, "prefix": prefix}
             for recorded_at, number, kind, prefix in self._cache_events
-            if recorded_at <= horizon and number % self.cache_gap
+            if recorded_at <= visible_until and number % self.cache_gap
         ]
 
     async def _apply_command(self, connection, command: dict) -> None:
@@ -207,7 +207,7 @@
             await send_json(connection, {"refused": "old fence"}, 409)
             return
         self.highest_fence = max(self.highest_fence, command["fence"])
-        self.orders.append(command)
+        self.commands.append(command)
         await send_json(connection, {})
 
     async def _serve_completion(self, connection, request) -> None:
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -177,10 +177,10 @@
         await fetch(address, "POST", "/control", msgspec.json.encode(faults))
 
     async def wait_listening(self, *processes: Process) -> None:
-        """Waits until fake servers answer."""
+        """Waits until fake servers respond."""
         for process in processes:
             address = process.control_address or process.address
-            await wait_until(lambda a=address: is_listening(a), f"{process.name} answers")
+            await wait_until(lambda a=address: is_listening(a), f"{process.name} responds")
 
     async def wait_ready(self, *vms: VmProcess) -> None:
         """Waits until entry VMs are ready for requests; all VMs if none is given."""
@@ -224,7 +224,7 @@
 
 
 async def is_listening(address: str) -> bool:
-    """Returns whether a server answers HTTP requests at an address."""
+    """Returns whether a server responds to HTTP requests at an address."""
     try:
         await fetch(address, "GET", "/health", timeout_s=1.0)
     except BluebellpitchError:
@@ -241,7 +241,7 @@
 
 
 async def read_status(admin: str) -> dict | None:
-    """Returns a VM's status; None when the VM does not answer."""
+    """Returns a VM's status; None when the VM does not respond."""
     try:
         return msgspec.json.decode((await fetch(admin, "GET", "/status", timeout_s=2.0)).body)
     except BluebellpitchError:
--- a/fakes/prepared_store.py
+++ b/fakes/prepared_store.py
@@ -96,7 +96,7 @@
         if self.lose_answers > 0:
             self.lose_answers -= 1
             asyncio.get_running_loop().call_later(self.late_s, self._append, topic, records)
-            raise DisconnectedError("answer lost")
+            raise DisconnectedError("response lost")
         offset = self._append(topic, records)
         await send_json(connection, {"offset": offset, "end": self._end_offset(topic)})
 
--- a/fakes/tables.py
+++ b/fakes/tables.py
@@ -1,4 +1,4 @@
-"""Rows and sheets of the configuration table for small federations."""
+"""Rows and sheets of the operators' table for small federations."""
 
 from bluebellpitch.decisions.rows import (
     ClassRow,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -37,14 +37,14 @@
 
 
 def check_answers(history: History) -> Iterator[str]:
-    """Answers are complete and match the request; streams have each event once, in order."""
+    """Responses are complete and match the request; streams have each event once, in order."""
     for outcome in history.outcomes:
         if outcome.endpoint_answered and outcome.status == 200 and not is_expected_body(outcome):
             yield f"{outcome.id} got {outcome.body[:80]!r} from {outcome.vm}"
 
 
 def is_expected_body(outcome: Outcome) -> bool:
-    """Tells whether a body is the complete answer of an endpoint to this request."""
+    """Returns whether a body is the complete response of an endpoint to this request."""
     if outcome.kind in STREAM_KINDS:
         events = (f"id: {n}\ndata: piece {n}\n\n" for n in range(1, STREAM_EVENTS + 1))
         return outcome.body == "".join(events).encode()
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -50,7 +50,7 @@
         self._random = random.Random(name)
 
     async def serve(self, connection, request) -> None:
-        """Records the request, then answers it."""
+        """Records the request and responds to it."""
         name, ran_before = self.name, len(self.ran)
         at = time.monotonic()
         try:
@@ -254,7 +254,7 @@
         vm.send_signal(signal.SIGCONT)
 
     async def is_ready(self, vm: VmProcess) -> bool:
-        """Tells whether a VM reports that it is ready for new connections."""
+        """Returns whether a VM reports that it is ready for new connections."""
         try:
             return (await fetch(vm.ready_address, "GET", "/ready", timeout_s=0.5)).status == 200
         except BluebellpitchError:
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -43,7 +43,7 @@
     FaultKind.KEY_TAKEN: 2.0,
 }
 # Modes of FakeEndpoint, for ``endpoint_spoils``.
-BAD_ANSWER_MODES = "refuse fail reset cut extra unsigned encoded short garbage slow".split()
+ENDPOINT_FAULT_MODES = "refuse fail reset cut extra unsigned encoded short garbage slow".split()
 # Faults come in bursts: the probability that a fault starts together with the previous one.
 BURST_PROBABILITY = 0.4
 DURATION_RANGE_S = (0.2, 6.0)
@@ -70,7 +70,7 @@
     at = 0.5
     while at < seconds:
         kind = rng.choices(kinds, [WEIGHTS_BY_KIND[kind] for kind in kinds])[0]
-        mode = rng.choice(BAD_ANSWER_MODES) if kind is FaultKind.ENDPOINT_SPOILS else ""
+        mode = rng.choice(ENDPOINT_FAULT_MODES) if kind is FaultKind.ENDPOINT_SPOILS else ""
         target, duration_s = rng.randrange(1_000), round(rng.uniform(*DURATION_RANGE_S), 3)
         yield Fault(round(at, 3), kind, target, duration_s, mode)
         at += 0.0 if rng.random() < BURST_PROBABILITY else rng.uniform(0.1, 1.5)
