Say truncate for the store's fault that drops a topic's records

The fake store's method and the client's result use this word; "trim" is only the name of the platform's call. Refills a paragraph of the fake engine.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -1,8 +1,8 @@
 """Fake model engine: continuous batching, prefix cache, priorities, cancellation, resumption.
 
 Markers in the prompt control it: ``[len=40]`` generates 40 tokens, ``[crash]`` exits the process
-after two, ``[reject]`` returns status 400. Token i of a prompt is always the same, so a
-client can check that a completion is whole.
+after two, ``[reject]`` returns status 400. Token i of a prompt is always the same, so a client can
+check that a completion is whole.
 """
 
 import asyncio
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -9,8 +9,8 @@
 class FaultKind(StrEnum):
     """Kinds of faults. The part before the first underscore names the target.
 
-    ``store_loses`` applies appends late and drops their responses, ``store_forgets`` trims a topic,
-    ``endpoint_spoils`` makes an endpoint misbehave, and ``key_taken`` revokes the API key.
+    ``store_loses`` applies appends late and drops their responses, ``store_forgets`` truncates a
+    topic, ``endpoint_spoils`` makes an endpoint misbehave, and ``key_taken`` revokes the API key.
     """
 
     VM_KILL = "vm_kill"
