--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -20,7 +20,7 @@
 from fakes.ports import free_address
 
 ROOT = Path(__file__).resolve().parent.parent
-START_TIMEOUT_S = 20.0
+WAIT_TIMEOUT_S = 20.0
 
 
 def credential_digest(token: str) -> str:
@@ -164,23 +164,23 @@
         client.close()
         assert isinstance(verdict, Appended), verdict
 
-    async def announce_draining(self, endpoint: str) -> None:
+    async def publish_draining_entry(self, endpoint: str) -> None:
         """Writes to the store that an endpoint is draining."""
         address = self.processes_by_name[endpoint].address
         entry = {"service": "drafter", "address": address, "zone": "", "slots": 1}
         entry["state"] = "draining"
         await self.put(ENDPOINTS_TOPIC, endpoint, msgspec.json.encode(entry))
 
-    async def control(self, process: Process, **faults) -> None:
+    async def set_faults(self, process: Process, **faults) -> None:
         """Sets faults of a fake server."""
         address = process.control_address or process.address
         await fetch(address, "POST", "/control", msgspec.json.encode(faults))
 
     async def wait_listening(self, *processes: Process) -> None:
-        """Waits until fake servers answer."""
+        """Waits until fake servers respond."""
         for process in processes:
             address = process.control_address or process.address
-            await wait_until(lambda a=address: is_listening(a), f"{process.name} answers")
+            await wait_until(lambda a=address: is_listening(a), f"{process.name} responds")
 
     async def wait_ready(self, *vms: VmProcess) -> None:
         """Waits until entry VMs are ready for requests; all VMs if none is given."""
@@ -224,7 +224,7 @@
 
 
 async def is_listening(address: str) -> bool:
-    """Returns whether a server answers HTTP requests at an address."""
+    """Returns whether a server responds to HTTP requests at an address."""
     try:
         await fetch(address, "GET", "/health", timeout_s=1.0)
     except BluebellpitchError:
@@ -241,14 +241,14 @@
 
 
 async def read_status(admin: str) -> dict | None:
-    """Returns a VM's status; None when the VM does not answer."""
+    """Returns a VM's status; None when the VM does not respond."""
     try:
         return msgspec.json.decode((await fetch(admin, "GET", "/status", timeout_s=2.0)).body)
     except BluebellpitchError:
         return None
 
 
-async def wait_until(condition, description: str, timeout_s: float = START_TIMEOUT_S) -> None:
+async def wait_until(condition, description: str, timeout_s: float = WAIT_TIMEOUT_S) -> None:
     """Waits for an asynchronous condition; TimeoutError names it by its description."""
     deadline = time.monotonic() + timeout_s
     while not await condition():
