--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -93,7 +93,7 @@
         return {}
 
 
-def verdict_of(response) -> str:
+def get_verdict(response) -> str:
     """Returns the verdict in a response to a service call; empty without a response."""
     return "" if response is None else dict(response.headers)["x-bluebellpitch-verdict"]
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,4 +1,4 @@
-"""Non-idempotent requests run at most once through crashes, pauses and lost answers."""
+"""Non-idempotent requests run at most once through crashes, pauses and lost responses."""
 
 import asyncio
 
@@ -13,9 +13,9 @@
     CREDENTIAL,
     FederationSize,
     count_runs,
+    get_verdict,
     read_counts,
     start_federation,
-    verdict_of,
     wait,
 )
 
@@ -49,11 +49,11 @@
     asyncio.run(reset_faults())
 
 
-def vm_of(fleet, number: int):
-    return list(fleet.vms_by_name.values())[number]
+def get_vm(fleet, index: int):
+    return list(fleet.vms_by_name.values())[index]
 
 
-def service_of(fleet):
+def get_service(fleet):
     return fleet.processes_by_name["filing-doto-1-0"]
 
 
@@ -64,22 +64,22 @@
 async def retry_until(vm, case: str, key: str, statuses: tuple[int, ...]):
     """Retries a submission until its status is one of ``statuses``, as a client would."""
     for _ in range(20):
-        answer = await submit_case(vm.listen, CREDENTIAL, case, key)
-        if answer is not None and answer.status in statuses:
-            return answer
+        response = await submit_case(vm.listen, CREDENTIAL, case, key)
+        if response is not None and response.status in statuses:
+            return response
         await wait(0.3)
-    raise AssertionError(f"{case}: no answer with a status in {statuses} after 20 attempts")
+    raise AssertionError(f"{case}: no response with a status in {statuses} after 20 attempts")
 
 
-def test_two_vms_with_one_key_run_it_once(run, fleet):
+def test_submissions_to_three_vms_with_one_key_run_once(run, fleet):
     async def scenario():
         for number in range(10):
             sends = [
-                submit_case(vm_of(fleet, n).listen, CREDENTIAL, f"race-{number}", f"race-{number}")
+                submit_case(get_vm(fleet, n).listen, CREDENTIAL, f"race-{number}", f"race-{number}")
                 for n in range(3)
             ]
-            answers = await asyncio.gather(*sends)
-            assert_that({answer.status for answer in answers}, Equals({200}))
+            responses = await asyncio.gather(*sends)
+            assert_that({response.status for response in responses}, Equals({200}))
             assert_that(await count_runs(fleet, f"race-{number}"), Equals(1))
 
     run(scenario())
@@ -87,20 +87,20 @@
 
 def test_vm_killed_after_dispatch_leaves_may_have_run(run, fleet):
     async def scenario():
-        await fleet.control(service_of(fleet), slow_s=0.5, hold_s=1.0)
+        await fleet.control(get_service(fleet), slow_s=0.5, hold_s=1.0)
         first = asyncio.create_task(
-            submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "killed-1", "killed-1")
+            submit_case(get_vm(fleet, 0).listen, CREDENTIAL, "killed-1", "killed-1")
         )
         await wait_until(lambda: has_run(fleet, "killed-1"), "the case has run")
-        vm_of(fleet, 0).process.kill()
+        get_vm(fleet, 0).process.kill()
         assert_that(await first, Equals(None))
-        await fleet.control(service_of(fleet), slow_s=0.0, hold_s=0.0)
-        again = await submit_case(vm_of(fleet, 1).listen, CREDENTIAL, "killed-1", "killed-1")
+        await fleet.control(get_service(fleet), slow_s=0.0, hold_s=0.0)
+        again = await submit_case(get_vm(fleet, 1).listen, CREDENTIAL, "killed-1", "killed-1")
         assert_that(again.status, Equals(409))
-        assert_that(verdict_of(again), Equals("may_have_run"))
+        assert_that(get_verdict(again), Equals("may_have_run"))
         assert_that(await count_runs(fleet, "killed-1"), Equals(1))
         await wait(2.5)
-        _, output = await fleet.run_command("status", "--vm", vm_of(fleet, 1).admin)
+        _, output = await fleet.run_command("status", "--vm", get_vm(fleet, 1).admin)
         assert_that(output, Contains("UNRESOLVED key=office/killed-1"))
 
     run(scenario())
@@ -110,14 +110,14 @@
     async def scenario():
         await fleet.control(fleet.store, outage=True)
         first = asyncio.create_task(
-            submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "killed-2", "killed-2")
+            submit_case(get_vm(fleet, 0).listen, CREDENTIAL, "killed-2", "killed-2")
         )
         await wait(0.5)
-        vm_of(fleet, 0).process.kill()
+        get_vm(fleet, 0).process.kill()
         await first
         assert_that(await count_runs(fleet, "killed-2"), Equals(0))
         await fleet.control(fleet.store, outage=False)
-        await retry_until(vm_of(fleet, 1), "killed-2", "killed-2", (200,))
+        await retry_until(get_vm(fleet, 1), "killed-2", "killed-2", (200,))
         assert_that(await count_runs(fleet, "killed-2"), Equals(1))
 
     run(scenario())
@@ -126,8 +126,8 @@
 def test_claim_with_lost_acknowledgement_is_found_on_the_log(run, fleet):
     async def scenario():
         await fleet.control(fleet.store, lose_answers=1)
-        answer = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "lost-1", "lost-1")
-        assert_that(answer.status, Equals(200))
+        response = await submit_case(get_vm(fleet, 0).listen, CREDENTIAL, "lost-1", "lost-1")
+        assert_that(response.status, Equals(200))
         assert_that(await count_runs(fleet, "lost-1"), Equals(1))
 
     run(scenario())
@@ -136,23 +136,23 @@
 def test_claim_appended_late_is_invalid(run, fleet):
     async def scenario():
         await fleet.control(fleet.store, lose_answers=1, late_s=4.5)
-        first = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "late-1", "late-1")
-        assert_that(verdict_of(first), Equals("did_not_run"))
+        first = await submit_case(get_vm(fleet, 0).listen, CREDENTIAL, "late-1", "late-1")
+        assert_that(get_verdict(first), Equals("did_not_run"))
         assert_that(await count_runs(fleet, "late-1"), Equals(0))
         await wait(2.0)
-        await retry_until(vm_of(fleet, 1), "late-1", "late-1", (200,))
+        await retry_until(get_vm(fleet, 1), "late-1", "late-1", (200,))
         assert_that(await count_runs(fleet, "late-1"), Equals(1))
 
     run(scenario())
 
 
-def test_outage_refuses_submissions_and_serves_the_rest(run, fleet):
+def test_store_outage_refuses_submissions_and_serves_other_requests(run, fleet):
     async def scenario():
         await fleet.control(fleet.store, outage=True)
-        vm = vm_of(fleet, 0)
+        vm = get_vm(fleet, 0)
         refused = await submit_case(vm.listen, CREDENTIAL, "outage-1", "outage-1")
         assert_that(refused.status, Equals(503))
-        assert_that(verdict_of(refused), Equals("did_not_run"))
+        assert_that(get_verdict(refused), Equals("did_not_run"))
         assert_that((await look_up_case(vm.listen, CREDENTIAL, "x")).status, Equals(200))
         assert_that(
             (await stream_completion(vm.listen, CREDENTIAL, "[len=9] during an outage")).complete,
@@ -167,17 +167,17 @@
 
 def test_outcome_is_written_after_an_outage(run, fleet):
     async def scenario():
-        await fleet.control(service_of(fleet), hold_s=1.0)
+        await fleet.control(get_service(fleet), hold_s=1.0)
         first = asyncio.create_task(
-            submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "behind-1", "behind-1")
+            submit_case(get_vm(fleet, 0).listen, CREDENTIAL, "behind-1", "behind-1")
         )
         await wait_until(lambda: has_run(fleet, "behind-1"), "the case has run")
         await fleet.control(fleet.store, outage=True)
         assert_that((await first).status, Equals(200))
-        during = await submit_case(vm_of(fleet, 1).listen, CREDENTIAL, "behind-1", "behind-1")
+        during = await submit_case(get_vm(fleet, 1).listen, CREDENTIAL, "behind-1", "behind-1")
         assert_that(during.status, MatchesAny(Equals(409), Equals(503)))
         await fleet.control(fleet.store, outage=False)
-        replay = await retry_until(vm_of(fleet, 1), "behind-1", "behind-1", (200,))
+        replay = await retry_until(get_vm(fleet, 1), "behind-1", "behind-1", (200,))
         assert_that(dict(replay.headers)["x-bluebellpitch-replayed"], Equals("true"))
         assert_that(await count_runs(fleet, "behind-1"), Equals(1))
 
@@ -186,26 +186,26 @@
 
 def test_silent_service_leaves_may_have_run_and_is_listed(run, fleet):
     async def scenario():
-        await fleet.control(service_of(fleet), silent=True)
-        first = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "silent-1", "silent-1")
-        assert_that(verdict_of(first), Equals("may_have_run"))
-        await fleet.control(service_of(fleet), silent=False)
-        again = await submit_case(vm_of(fleet, 1).listen, CREDENTIAL, "silent-1", "silent-1")
-        assert_that(verdict_of(again), Equals("may_have_run"))
+        await fleet.control(get_service(fleet), silent=True)
+        first = await submit_case(get_vm(fleet, 0).listen, CREDENTIAL, "silent-1", "silent-1")
+        assert_that(get_verdict(first), Equals("may_have_run"))
+        await fleet.control(get_service(fleet), silent=False)
+        again = await submit_case(get_vm(fleet, 1).listen, CREDENTIAL, "silent-1", "silent-1")
+        assert_that(get_verdict(again), Equals("may_have_run"))
         assert_that(await count_runs(fleet, "silent-1"), Equals(1))
-        _, output = await fleet.run_command("status", "--vm", vm_of(fleet, 1).admin)
+        _, output = await fleet.run_command("status", "--vm", get_vm(fleet, 1).admin)
         assert_that(output, Contains("UNRESOLVED key=office/silent-1"))
 
     run(scenario())
 
 
-def test_service_that_says_it_did_not_run_frees_the_key(run, fleet):
+def test_service_that_reports_did_not_run_frees_the_key(run, fleet):
     async def scenario():
-        await fleet.control(service_of(fleet), refuse=True)
-        first = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "refused-1", "refused-1")
-        assert_that(verdict_of(first), Equals("did_not_run"))
-        await fleet.control(service_of(fleet), refuse=False)
-        await retry_until(vm_of(fleet, 1), "refused-1", "refused-1", (200,))
+        await fleet.control(get_service(fleet), refuse=True)
+        first = await submit_case(get_vm(fleet, 0).listen, CREDENTIAL, "refused-1", "refused-1")
+        assert_that(get_verdict(first), Equals("did_not_run"))
+        await fleet.control(get_service(fleet), refuse=False)
+        await retry_until(get_vm(fleet, 1), "refused-1", "refused-1", (200,))
         assert_that(await count_runs(fleet, "refused-1"), Equals(1))
 
     run(scenario())
@@ -213,10 +213,10 @@
 
 def test_submission_without_key_is_never_sent_twice(run, fleet):
     async def scenario():
-        await fleet.control(service_of(fleet), silent=True)
-        answer = await submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "keyless-1", "")
-        assert_that(verdict_of(answer), Equals("may_have_run"))
-        assert_that((await read_counts(service_of(fleet).address))["keyless-1"], Equals(1))
+        await fleet.control(get_service(fleet), silent=True)
+        response = await submit_case(get_vm(fleet, 0).listen, CREDENTIAL, "keyless-1", "")
+        assert_that(get_verdict(response), Equals("may_have_run"))
+        assert_that((await read_counts(get_service(fleet).address))["keyless-1"], Equals(1))
 
     run(scenario())
 
@@ -229,16 +229,16 @@
             await start_federation(fleet, FederationSize(), horizon_s=HORIZON_S)
             await fleet.control(fleet.store, slow_s=1.0)
             first = asyncio.create_task(
-                submit_case(vm_of(fleet, 0).listen, CREDENTIAL, "paused-1", "paused-1")
+                submit_case(get_vm(fleet, 0).listen, CREDENTIAL, "paused-1", "paused-1")
             )
             await wait(0.6)
-            vm_of(fleet, 0).process.pause()
+            get_vm(fleet, 0).process.pause()
             await wait(DISPATCH_WINDOW_S + 1.0)
-            vm_of(fleet, 0).process.resume()
-            answer = await first
-            assert_that(verdict_of(answer), Equals("did_not_run"))
+            get_vm(fleet, 0).process.resume()
+            response = await first
+            assert_that(get_verdict(response), Equals("did_not_run"))
             assert_that(
-                msgspec.json.decode(answer.body)["reason"],
+                msgspec.json.decode(response.body)["reason"],
                 MatchesAny(Equals("request_too_old"), Equals("log_unavailable")),
             )
             assert_that(await count_runs(fleet, "paused-1"), Equals(0))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -14,7 +14,7 @@
 from fakes.client import build_headers, stream_completion, submit_case
 from fakes.engine import expected_completion
 from fakes.fleet import Fleet
-from tests.helpers import CREDENTIAL, FederationSize, start_federation, verdict_of
+from tests.helpers import CREDENTIAL, FederationSize, get_verdict, start_federation
 
 PROMPT = "[len=25] tell me"
 
@@ -51,8 +51,8 @@
 
 
 def assert_still_serves(run, vm):
-    answer = run(stream_completion(vm.listen, CREDENTIAL, PROMPT))
-    assert_that(answer.text, Equals(expected_completion(PROMPT)))
+    response = run(stream_completion(vm.listen, CREDENTIAL, PROMPT))
+    assert_that(response.text, Equals(expected_completion(PROMPT)))
 
 
 def test_openai_client_works_unchanged(vm):
@@ -86,8 +86,8 @@
 
     responses = run(send_all())
     expected = [hashlib.sha256(expected_completion(p).encode()).hexdigest() for p in prompts]
-    got = [hashlib.sha256(response.text.encode()).hexdigest() for response in responses]
-    assert_that(got, Equals(expected))
+    actual = [hashlib.sha256(response.text.encode()).hexdigest() for response in responses]
+    assert_that(actual, Equals(expected))
 
 
 BAD_REQUESTS = {
@@ -131,8 +131,8 @@
 
 @pytest.mark.parametrize("kind", RAW_REQUESTS)
 def test_malformed_http_is_refused_and_affects_no_other_caller(run, vm, kind):
-    answer = send_raw(vm, RAW_REQUESTS[kind])
-    assert_that(answer, MatchesAll(Contains(b"did_not_run"), Contains(b"HTTP/1.1 4")))
+    response = send_raw(vm, RAW_REQUESTS[kind])
+    assert_that(response, MatchesAll(Contains(b"did_not_run"), Contains(b"HTTP/1.1 4")))
     assert_still_serves(run, vm)
 
 
@@ -147,15 +147,15 @@
     second = run(submit_case(vm.listen, CREDENTIAL, "case-b", "key-reused"))
     assert_that(first.status, Equals(200))
     assert_that(second.status, Equals(422))
-    assert_that(verdict_of(second), Equals("did_not_run"))
+    assert_that(get_verdict(second), Equals("did_not_run"))
 
 
 def test_key_older_than_the_horizon_is_refused(run, vm):
-    answer = run(
+    response = run(
         submit_case(vm.listen, CREDENTIAL, "case-old", "key-old", X_Bluebellpitch_Made_At="1000")
     )
-    assert_that(answer.status, Equals(400))
-    assert_that(msgspec.json.decode(answer.body)["reason"], Equals("request_too_old"))
+    assert_that(response.status, Equals(400))
+    assert_that(msgspec.json.decode(response.body)["reason"], Equals("request_too_old"))
 
 
 def test_members_with_the_same_key_do_not_interfere(run, vm):
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -18,7 +18,7 @@
 from tests.helpers import CREDENTIAL, FederationSize, start_federation, wait
 
 ENGINES = ("engine-doto-1-0", "engine-doto-1-1", "engine-doto-1-2")
-SHAPE = FederationSize(vms_per_zone=2, engines_per_zone=3, slots=4, step_s=0.01)
+SIZE = FederationSize(vms_per_zone=2, engines_per_zone=3, slots=4, step_s=0.01)
 MAX_CRASHED_ENGINES = 3
 LEAVING_PROPAGATION_S = 4.0
 
@@ -26,7 +26,7 @@
 @pytest.fixture
 def fleet():
     with Fleet() as fleet:
-        asyncio.run(start_federation(fleet, SHAPE, stall_s=1.0))
+        asyncio.run(start_federation(fleet, SIZE, stall_s=1.0))
         yield fleet
 
 
@@ -34,10 +34,10 @@
     return list(fleet.vms_by_name.values())[index]
 
 
-def assert_complete(answer: StreamedResponse, prompt: str):
-    assert_that(answer.status, Equals(200), answer.text)
-    assert_that(answer.complete, Equals(True))
-    assert_that(answer.text, Equals(expected_completion(prompt)))
+def assert_complete(response: StreamedResponse, prompt: str):
+    assert_that(response.status, Equals(200), response.text)
+    assert_that(response.complete, Equals(True))
+    assert_that(response.text, Equals(expected_completion(prompt)))
 
 
 def start_stream(fleet, prompt: str, class_name: str = "draft", vm_index: int = 0) -> asyncio.Task:
@@ -128,10 +128,10 @@
         running = [start_stream(fleet, prompt, vm_index=n % 2) for n, prompt in enumerate(prompts)]
         await wait_for_busy_engine(fleet, len(prompts))
         for number in range(6):
-            answer = await stream_completion(
+            response = await stream_completion(
                 get_vm(fleet, number % 2).listen, CREDENTIAL, "[crash] poison", "draft"
             )
-            assert_that(answer.complete, Equals(False))
+            assert_that(response.complete, Equals(False))
         last = await stream_completion(get_vm(fleet).listen, CREDENTIAL, "[crash] poison", "draft")
         assert_that(last.status, Equals(422))
         assert_that(last.text, Contains("crashes_endpoints"))
@@ -152,7 +152,7 @@
     async def scenario():
         with Fleet() as fleet:
             await start_federation(
-                fleet, replace(SHAPE, vms_per_zone=1, engines_per_zone=6), stall_s=1.0
+                fleet, replace(SIZE, vms_per_zone=1, engines_per_zone=6), stall_s=1.0
             )
             bus_bind = free_address()
             bus = fleet.start_link("slow-bus", bus_bind, delay_s=0.3)
@@ -195,22 +195,24 @@
     run(scenario())
 
 
-async def stream_to_ready_vms(fleet, stop: asyncio.Event, answers: list) -> None:
+async def stream_to_ready_vms(fleet, stop: asyncio.Event, responses: list) -> None:
     """Sends requests one by one to VMs that are ready, as a load balancer does."""
     number = 0
     while not stop.is_set():
         number += 1
         ready = [vm for vm in fleet.vms_by_name.values() if await is_ready(vm.admin)]
         prompt = f"[len=15] rolling {number}"
-        answers.append(
+        responses.append(
             (await stream_completion(ready[number % len(ready)].listen, CREDENTIAL, prompt), prompt)
         )
 
 
 def test_vms_replaced_one_by_one_fail_no_request(run, fleet):
     async def scenario():
-        stop, answers = asyncio.Event(), []
-        clients = [asyncio.create_task(stream_to_ready_vms(fleet, stop, answers)) for _ in range(6)]
+        stop, responses = asyncio.Event(), []
+        clients = [
+            asyncio.create_task(stream_to_ready_vms(fleet, stop, responses)) for _ in range(6)
+        ]
         for name in tuple(fleet.vms_by_name):
             vm = fleet.vms_by_name[name]
             prompt = f"[len=150] held by {name}"
@@ -225,9 +227,9 @@
             await fleet.wait_converged()
         stop.set()
         await asyncio.gather(*clients)
-        for answer, prompt in answers:
-            assert_complete(answer, prompt)
-        assert_that(len(answers), GreaterThan(20))
+        for response, prompt in responses:
+            assert_complete(response, prompt)
+        assert_that(len(responses), GreaterThan(20))
 
     run(scenario())
 
@@ -247,11 +249,11 @@
         status, output = await fleet.apply_sheet("\n".join(lines))
         assert_that(status, Equals(0), output)
         await wait(1.0)
-        answers = [
+        responses = [
             await stream_completion(get_vm(fleet).listen, CREDENTIAL, f"[len=3] new {n}")
             for n in range(12)
         ]
-        endpoints_used = {answer.headers["x-bluebellpitch-endpoint"] for answer in answers}
+        endpoints_used = {response.headers["x-bluebellpitch-endpoint"] for response in responses}
         assert_that(name in endpoints_used, Equals(False))
         for task, prompt in zip(running, prompts, strict=True):
             assert_complete(await task, prompt)
@@ -265,11 +267,11 @@
     async def scenario():
         await fleet.announce_draining(ENGINES[0])
         await wait(LEAVING_PROPAGATION_S)
-        answers = [
+        responses = [
             await stream_completion(get_vm(fleet).listen, CREDENTIAL, f"[len=3] new {n}")
             for n in range(12)
         ]
-        endpoints_used = {answer.headers["x-bluebellpitch-endpoint"] for answer in answers}
+        endpoints_used = {response.headers["x-bluebellpitch-endpoint"] for response in responses}
         assert_that(ENGINES[0] in endpoints_used, Equals(False), endpoints_used)
 
     run(scenario())
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -17,7 +17,14 @@
 from fakes.fleet import Fleet, read_status, wait_until
 from fakes.ports import free_address
 from fakes.tables import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
-from tests.helpers import CREDENTIAL, FederationSize, count_runs, start_federation, verdict_of, wait
+from tests.helpers import (
+    CREDENTIAL,
+    FederationSize,
+    count_runs,
+    get_verdict,
+    start_federation,
+    wait,
+)
 
 CONVERGENCE_LIMIT_S = 9.0
 SILENCE_DETECTION_S = 6.0
@@ -78,11 +85,11 @@
         await set_partition(fleet, "doto-1", True)
         await wait(3.0)
         for vm in (partitioned_vm, connected_vm):
-            answer = await stream_completion(vm.listen, CREDENTIAL, "[len=12] cut off")
-            assert_that(answer.text, Equals(expected_completion("[len=12] cut off")))
+            response = await stream_completion(vm.listen, CREDENTIAL, "[len=12] cut off")
+            assert_that(response.text, Equals(expected_completion("[len=12] cut off")))
             assert_that((await look_up_case(vm.listen, CREDENTIAL, "x")).status, Equals(200))
         refused = await submit_case(partitioned_vm.listen, CREDENTIAL, "cut-1", "cut-1")
-        assert_that(verdict_of(refused), Equals("did_not_run"))
+        assert_that(get_verdict(refused), Equals("did_not_run"))
         served = await submit_case(connected_vm.listen, CREDENTIAL, "cut-1", "cut-1")
         assert_that(served.status, Equals(200))
         changed = new_sheet(member_row("late"), *CLASSES, MODEL_POOL, FILING_POOL)
@@ -114,16 +121,16 @@
     async def silence_s() -> float:
         return (await read_status(vm.admin))["store_silence_s"]
 
-    async def store_answers() -> bool:
+    async def store_responds() -> bool:
         return await silence_s() < 1.5
 
     async def scenario():
         for name in ("store-doto-1", "bus-doto-1", "bus-doo-1"):
             await fleet.control(fleet.processes_by_name[name], silence=True)
         await wait(SILENCE_DETECTION_S)
-        await wait_until(store_answers, "the store is read again")
-        answer = await submit_case(vm.listen, CREDENTIAL, "silenced", "silenced")
-        assert_that(answer.status, Equals(200))
+        await wait_until(store_responds, "the store is read again")
+        response = await submit_case(vm.listen, CREDENTIAL, "silenced", "silenced")
+        assert_that(response.status, Equals(200))
 
     run(scenario())
 
@@ -137,8 +144,8 @@
             await fleet.control(dead_store, cut=True)
             vm = fleet.add_vm("vm-late", "doto-1", "doto", store_address=dead_store.address)
             await fleet.wait_ready(vm)
-            answer = await stream_completion(vm.listen, CREDENTIAL, "[len=7] booted in an outage")
-            assert_that(answer.text, Equals(expected_completion("[len=7] booted in an outage")))
+            response = await stream_completion(vm.listen, CREDENTIAL, "[len=7] booted in an outage")
+            assert_that(response.text, Equals(expected_completion("[len=7] booted in an outage")))
             _, sheet_text = await fleet.run_command("table", "show", *store_options(fleet))
             changed = with_weight(sheet_text, "agency", 3.0)
             status, output = await fleet.apply_sheet(changed)
@@ -164,17 +171,17 @@
             _, sheet_text = await fleet.run_command("table", "show", *store_options(fleet))
             status, output = await fleet.apply_sheet(with_weight(sheet_text, "agency", 3.0))
             assert_that(status, Equals(0), output)
-            first = fleet.vms_by_name["vm-doto-1-0"]
-            offset = (await read_status(first.admin))["control_offset"]
+            first_vm = fleet.vms_by_name["vm-doto-1-0"]
+            offset = (await read_status(first_vm.admin))["control_offset"]
             await wait_until(lambda: has_snapshot(fleet, offset), "a snapshot covers all records")
-            first.process.kill()
+            first_vm.process.kill()
             await fetch(fleet.store.address, "POST", f"/log-trim?topic={CONTROL_TOPIC}")
             vm = fleet.add_vm("vm-new", "doto-1", "doto")
             await fleet.wait_ready(vm)
-            answer = await stream_completion(vm.listen, CREDENTIAL, "[len=5] after expiry")
-            assert_that(answer.complete, Equals(True))
-            _, after = await fleet.run_command("table", "show", *store_options(fleet))
-            assert_that(after, Contains("agency,3.0"))
+            response = await stream_completion(vm.listen, CREDENTIAL, "[len=5] after expiry")
+            assert_that(response.complete, Equals(True))
+            _, sheet_after = await fleet.run_command("table", "show", *store_options(fleet))
+            assert_that(sheet_after, Contains("agency,3.0"))
 
     run(scenario())
 
@@ -212,8 +219,8 @@
         results = await asyncio.gather(*(fleet.apply_sheet(text) for text in sheets))
         assert_that(sorted(status for status, _ in results), Equals([0, 3, 3, 3]))
         winner = next(n for n, (status, _) in enumerate(results) if status == 0)
-        _, after = await fleet.run_command("table", "show", *store_options(fleet))
-        assert_that(after, Contains(f"member,a,{2.0 + winner}"))
+        _, sheet_after = await fleet.run_command("table", "show", *store_options(fleet))
+        assert_that(sheet_after, Contains(f"member,a,{2.0 + winner}"))
 
     run(scenario())
 
@@ -228,9 +235,9 @@
             fleet.apply_sheet(with_weight(sheet_text, "b", 3.0)),
         )
         assert_that([status for status, _ in results], Equals([0, 0]), results)
-        _, after = await fleet.run_command("table", "show", *store_options(fleet))
-        assert_that(after, Contains("member,a,2.0"))
-        assert_that(after, Contains("member,b,3.0"))
+        _, sheet_after = await fleet.run_command("table", "show", *store_options(fleet))
+        assert_that(sheet_after, Contains("member,a,2.0"))
+        assert_that(sheet_after, Contains("member,b,3.0"))
 
     run(scenario())
 
