Name broker, quota and specification tests by the rule that they check

Test names and first lines name the revocation bound, the goal of a specification and the endpoints of other pools. Locals that used one word for two things are renamed, and the check of preemptions again names slow endpoints as its other cause.

--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -46,9 +46,9 @@
     return Table({row_key(row): VersionedRow(row, 0) for row in rows}, 0)
 
 
-def make_broker(policy: SchedulingPolicy = SchedulingPolicy(), **shape) -> Broker:
+def make_broker(policy: SchedulingPolicy = SchedulingPolicy(), **table_size) -> Broker:
     broker = Broker("pool", "z", lambda member, now: member.limit, policy)
-    broker.set_table(make_table(**shape))
+    broker.set_table(make_table(**table_size))
     return broker
 
 
@@ -76,14 +76,14 @@
     return list(broker.finish(FinishedGrant(grant, outcome), now))
 
 
-def test_higher_tier_goes_first():
+def test_higher_tier_is_granted_first():
     broker = make_broker(endpoints=1, slots=1)
     requests = [queued("a", "high"), queued("b", "low"), queued("c", "middle"), queued("d", "high")]
     send(broker, requests)
     assert_that(granted_ids(finish(broker, "a", 0.1)), Equals(["d"]))
 
 
-def test_lowest_and_youngest_is_preempted_for_a_higher_tier():
+def test_youngest_request_of_the_lowest_tier_is_preempted_for_a_higher_tier():
     broker = make_broker(endpoints=1, slots=3)
     send(broker, [queued("old", "low")], 0.0)
     send(broker, [queued("young", "low")], 1.0)
@@ -297,12 +297,12 @@
     now = 0.0
     for kind, number, class_name, member, level in actions:
         now += 0.05
-        commands = list(apply(broker, kind, number, class_name, member, level, now))
+        commands = list(apply_action(broker, kind, number, class_name, member, level, now))
         check_commands(broker, commands)
         check_state(broker)
 
 
-def apply(broker, kind, number, class_name, member, level, now):
+def apply_action(broker, kind, number, class_name, member, level, now):
     ids = list(broker.grants_by_id)
     match kind:
         case "ask":
@@ -319,7 +319,7 @@
 
 
 def check_commands(broker, commands):
-    """Preemption in favour of a waiting request requires that one to be in a higher tier."""
+    """Preemption is in favour of a waiting higher tier, or away from a slow endpoint."""
     waiting = [TIERS[w.class_name] for w in broker.queues.requests_by_id.values()]
     for command in commands:
         if isinstance(command, PreemptGrant) and command.reason == "higher_tier_waits":
@@ -337,13 +337,13 @@
         exclusive = [g for g in placed if g.request.isolation_level >= IsolationLevel.EXCLUSIVE]
         assert not exclusive or len(placed) == 1
     for member in ("m", "n"):
-        held = sum(g.request.member == member for g in grants)
-        assert held <= 4
-        assert broker.used_slots_by_member.get(member, 0) == held
+        used_slots = sum(g.request.member == member for g in grants)
+        assert used_slots <= 4
+        assert broker.used_slots_by_member.get(member, 0) == used_slots
     requests = {g.request.request_id for g in grants}
     assert not requests & set(broker.queues.requests_by_id)
 
 
-def test_table_of_another_pool_changes_nothing():
+def test_endpoints_of_another_pool_are_not_listed():
     broker = make_broker()
     assert_that(broker.table.pool_endpoints("other", "z"), Not(Contains("e0")))
--- a/tests/test_control_state_machine.py
+++ b/tests/test_control_state_machine.py
@@ -18,7 +18,7 @@
 READERS = ("a", "b")
 
 
-def member_row(name: str, weight: float) -> MemberRow:
+def make_member_row(name: str, weight: float) -> MemberRow:
     return MemberRow(name, weight, 0, "0" * 64, "draft")
 
 
@@ -53,7 +53,7 @@
     @rule(name=st.sampled_from("xy"), base_index=st.integers(0, 50), deletes=st.booleans())
     def append_change(self, name, base_index, deletes):
         base_state = self.references[base_index % len(self.references)]
-        row = member_row(name, 1.0 + len(self.changes))
+        row = make_member_row(name, 1.0 + len(self.changes))
         base = {row_key(row): base_state.revision_of(row_key(row))}
         rows = () if deletes else (row,)
         deleted = (row_key(row),) if deletes else ()
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -20,7 +20,7 @@
     return EndpointEntry(name, "app", "10.0.0.1:80", zone, 4, draining, started_ms)
 
 
-def test_keys_are_rejected_before_the_limit_is_reached():
+def test_keys_are_rejected_before_the_revocation_bound():
     freshness = Freshness(revoke_s=5.0, apply_s=3.0)
     assert not freshness.may_accept_keys(0.0)
     freshness.confirm(10.0)
@@ -29,7 +29,7 @@
     assert not freshness.may_report_unknown(13.5)
 
 
-def test_confirmation_never_moves_back():
+def test_older_confirmation_is_ignored():
     freshness = Freshness(5.0, 3.0)
     freshness.confirm(10.0)
     freshness.confirm(4.0)
@@ -38,8 +38,8 @@
 
 @given(asked=st.floats(0, 100), took=st.floats(0, 10), wait=st.floats(0, 5), empty=st.booleans())
 def test_read_is_not_valid_beyond_its_response(asked, took, wait, empty):
-    known_at = read_valid_at(asked, asked + took, wait, empty)
-    assert asked <= known_at <= asked + took or known_at == asked
+    valid_at = read_valid_at(asked, asked + took, wait, empty)
+    assert asked <= valid_at <= asked + took or valid_at == asked
 
 
 @given(
--- a/tests/test_generation_broker.py
+++ b/tests/test_generation_broker.py
@@ -39,13 +39,13 @@
     )
 
 
-def granted(decisions) -> list[str]:
+def granted_ids(decisions) -> list[str]:
     return [d.work_id for d in decisions if isinstance(d, Granted)]
 
 
 def test_short_prompt_is_granted_at_once():
     broker = make_broker()
-    assert granted(broker.submit(make_work("a", 300, 0.0), "vm", frozenset(), 0.0)) == ["a"]
+    assert granted_ids(broker.submit(make_work("a", 300, 0.0), "vm", frozenset(), 0.0)) == ["a"]
 
 
 def test_request_is_refused_without_engines():
@@ -88,14 +88,16 @@
         first_token_at_by_id.update(dict.fromkeys(names, now + prefill_s + broker.speed.fixed_s))
 
     for number in range(12):
-        record(granted(broker.submit(make_work(f"l{number}", 4000, now), "vm", frozenset(), now)))
+        record(
+            granted_ids(broker.submit(make_work(f"l{number}", 4000, now), "vm", frozenset(), now))
+        )
     while broker.waiting_by_id and now < 3:
         now += 0.01
         for name in [name for name, at in first_token_at_by_id.items() if at <= now]:
             broker.record_first_token(
                 name, first_token_at_by_id.pop(name) - now + prefill_s, 1.0, now
             )
-        record(granted(broker.schedule(now)))
+        record(granted_ids(broker.schedule(now)))
     assert len(granted_at) == 12
     for start in granted_at:
         prefill_in_gap_s = sum(
@@ -113,7 +115,7 @@
     order, now = [], 0.0
     while broker.waiting_by_id and now < 5:
         now += 0.01
-        order += granted(broker.schedule(now))
+        order += granted_ids(broker.schedule(now))
     assert order[0] == "high"
 
 
@@ -148,8 +150,8 @@
     first = broker.submit(make_work("a", 9200, 0.0, parts=parts), "vm", frozenset(), 0.0)[0]
     broker.record_first_token("a", 0.2, 1.0, 0.2)
     broker.finish("a", "ok", 0.5)
-    again = [("shared", 2500), ("session", 3800), ("own2", 2900)]
-    second = broker.submit(make_work("b", 9200, 1.0, parts=again), "vm", frozenset(), 1.0)[0]
+    next_parts = [("shared", 2500), ("session", 3800), ("own2", 2900)]
+    second = broker.submit(make_work("b", 9200, 1.0, parts=next_parts), "vm", frozenset(), 1.0)[0]
     assert first.entry == second.entry
 
 
@@ -176,7 +178,7 @@
     broker.submit(make_work("b", 300, 0.1), "vm", frozenset(), 0.1)
     broker.remove_vm("dead")
     broker.submit(make_work("c", 300, 0.2), "vm", frozenset(), 0.2)
-    assert granted(broker.schedule(0.2)) or "b" not in broker.waiting_by_id
+    assert granted_ids(broker.schedule(0.2)) or "b" not in broker.waiting_by_id
 
 
 @settings(max_examples=60, deadline=None)
--- a/tests/test_member_quotas.py
+++ b/tests/test_member_quotas.py
@@ -1,4 +1,4 @@
-"""Runs the actions and faults of models/limits.py against the production decision code."""
+"""Stateful test of quota loans between VMs with the actions and faults of models/limits.py."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -22,7 +22,7 @@
 VMS = {name: VmIdentity(name, "1", "bus", "admin") for name in ("a", "b", "c", "d")}
 KEYS = {name: vm.key for name, vm in VMS.items()}
 NAMES = st.sampled_from(tuple(VMS))
-MEMBERS = st.sets(NAMES, min_size=1)
+VM_NAME_SETS = st.sets(NAMES, min_size=1)
 
 
 class Vm:
@@ -53,12 +53,12 @@
     def now(self, name: str) -> float:
         return self.time_s * self.vms[name].clock_rate
 
-    @rule(proposer=NAMES, members=st.sets(NAMES, min_size=1))
-    def propose(self, proposer, members):
+    @rule(proposer=NAMES, vm_names=st.sets(NAMES, min_size=1))
+    def propose(self, proposer, vm_names):
         vm = self.vms[proposer]
         current = vm.state_machine.state.epochs_by_zone.get(ZONE)
         number = (current.number if current else 0) + 1
-        identities = tuple(sorted(VMS[name] for name in members))
+        identities = tuple(sorted(VMS[name] for name in vm_names))
         record_id = f"e{len(self.log)}"
         change = EpochChange(record_id, ZONE, number, identities, (), vm.history.oldest_number)
         self.log.append(encode_control_record(change))
@@ -98,7 +98,7 @@
 
     @rule(name=NAMES)
     def catch_up(self, name):
-        """A VM reads the whole log, hears from all VMs and drops unused epochs."""
+        """A VM reads the whole log, receives all epoch numbers and drops unused epochs."""
         self.read_log(name, len(self.log) + 1)
         for other in VMS:
             self.receive_epoch_number(name, other)
@@ -112,16 +112,16 @@
         while self.loans_in_flight:
             self.deliver_loan(0, False)
 
-    @rule(old=MEMBERS, new=MEMBERS, lagging=NAMES, borrower=NAMES, proposer=NAMES)
+    @rule(old=VM_NAME_SETS, new=VM_NAME_SETS, lagging=NAMES, borrower=NAMES, proposer=NAMES)
     def reconfigure(self, old, new, lagging, borrower, proposer):
         """One VM stays in an older epoch and uses its own quota while the others move on."""
-        for members in (old, new):
+        for vm_names in (old, new):
             self.catch_up(proposer)
-            self.propose(proposer, members)
-            for name in sorted(members | {proposer}):
-                if members is old or name != lagging:
+            self.propose(proposer, vm_names)
+            for name in sorted(vm_names | {proposer}):
+                if vm_names is old or name != lagging:
                     self.catch_up(name)
-            if members is old:
+            if vm_names is old:
                 self.borrow(lagging, {lagging})
         self.borrow(borrower, new - {lagging})
 
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -1,4 +1,7 @@
-"""The specifications: each is proved, reaches something useful, and a mutant of it fails."""
+"""The specifications: safety is proved, the goal is reachable, and a mutant violates safety.
+
+Without a reachable goal a proof could hold only because no action is ever possible.
+"""
 
 import pytest
 from testtools.assertions import assert_that
@@ -22,16 +25,16 @@
 
 
 @pytest.mark.parametrize("name", MODULES)
-def test_specification_reaches_something_useful(name):
+def test_specification_reaches_its_goal(name):
     assert_that(find_goal(MODULES[name].build(), DEPTH), Not(Is(None)))
 
 
 @pytest.mark.parametrize("name", MODULES)
-def test_a_mutant_is_caught(name):
+def test_mutant_violates_safety(name):
     assert_that(find_violation(MODULES[name].build(QUICK_MUTANTS[name]), DEPTH), Not(Is(None)))
 
 
-def test_scheduled_mutant_is_caught_only_without_its_rule():
+def test_schedule_violates_safety_only_in_its_mutant():
     schedule = limits.SCHEDULES["any epoch"]
     assert_that(replay_violation(limits.build("any epoch"), schedule), Equals(len(schedule)))
     assert_that(replay_violation(limits.build(), schedule), Is(None))
--- a/tests/test_slot_broker_service.py
+++ b/tests/test_slot_broker_service.py
@@ -1,4 +1,4 @@
-"""The broker role while its VM loses a pool and regains it."""
+"""The slot broker service of a VM that loses a pool and regains it."""
 
 from dataclasses import replace
 
@@ -44,7 +44,7 @@
     )
     view_holder, clock = ViewHolder(single_vm_view), [10.0]
     event_ring = EventRing("vm", HybridClock(lambda: 1.0), 10)
-    role = SlotBrokerService(
+    service = SlotBrokerService(
         view_holder,
         DiscardingBus(),
         EpochHistory(),
@@ -54,11 +54,11 @@
         SchedulingPolicy(),
         lambda broker, pool: None,
     )
-    role.tick()
-    first_tag = role.brokers_by_pool[POOL].grant_id_prefix
+    service.tick()
+    first_prefix = service.brokers_by_pool[POOL].grant_id_prefix
     view_holder.current, clock[0] = two_vm_view, 11.0
-    role.tick()
-    assert_that(POOL in role.brokers_by_pool, Equals(False))
+    service.tick()
+    assert_that(POOL in service.brokers_by_pool, Equals(False))
     view_holder.current, clock[0] = single_vm_view, 12.0
-    role.tick()
-    assert_that(role.brokers_by_pool[POOL].grant_id_prefix, Not(Equals(first_tag)))
+    service.tick()
+    assert_that(service.brokers_by_pool[POOL].grant_id_prefix, Not(Equals(first_prefix)))
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -1,4 +1,4 @@
-"""Tests of the event time line: order despite clock skew, bounded memory, and rendering."""
+"""Tests of the event timeline: order despite clock skew, bounded memory, and rendering."""
 
 import xml.etree.ElementTree as ElementTree
 
