Use the parameter names of read_valid_at in its test

The source says requested, responded, wait and empty; the test now does as well. The sum that was written twice in the assertion has a name, its value is the same.

--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -1,4 +1,4 @@
-"""Tests of freshness, retry budgets, the endpoint directory, liveness and service choice."""
+"""Decisions of entry VMs: freshness, retry budgets, directory, liveness and service choice."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -36,10 +36,16 @@
     assert freshness.confirmed_at == 10.0
 
 
-@given(asked=st.floats(0, 100), took=st.floats(0, 10), wait=st.floats(0, 5), empty=st.booleans())
-def test_read_is_not_valid_beyond_its_response(asked, took, wait, empty):
-    valid_at = read_valid_at(asked, asked + took, wait, empty)
-    assert asked <= valid_at <= asked + took or valid_at == asked
+@given(
+    requested_at=st.floats(0, 100),
+    took_s=st.floats(0, 10),
+    wait_s=st.floats(0, 5),
+    is_empty=st.booleans(),
+)
+def test_read_is_not_valid_beyond_its_response(requested_at, took_s, wait_s, is_empty):
+    responded_at = requested_at + took_s
+    valid_at = read_valid_at(requested_at, responded_at, wait_s, is_empty)
+    assert requested_at <= valid_at <= responded_at or valid_at == requested_at
 
 
 @given(
