--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -140,7 +140,7 @@
         "bluebellpitch/decisions/strikes.py",
         "        if strikes >= STRIKES_TO_REFUSE:\n            return IsolationLevel.REFUSED\n",
         "",
-        "tests/test_streams.py::test_poisonous_request_crashes_few_engines_and_other_streams_complete",
+        "tests/test_streams.py::test_poisonous_request_crashes_few_engines_other_streams_complete",
     ),
     Mutant(
         "a draining VM finishes its requests",
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -121,7 +121,7 @@
     run(scenario())
 
 
-def test_poisonous_request_crashes_few_engines_and_other_streams_complete(run, fleet):
+def test_poisonous_request_crashes_few_engines_other_streams_complete(run, fleet):
     async def scenario():
         restarter = asyncio.create_task(restart_crashed_engines(fleet))
         prompts = [f"[len=200] neighbour {n}" for n in range(9)]
