--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -1,4 +1,4 @@
-"""Tests of freshness, retry budgets, the endpoint directory, liveness and service choice."""
+"""Decisions of entry VMs: freshness, retry budgets, directory, liveness and service choice."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -20,7 +20,7 @@
     return EndpointEntry(name, "app", "10.0.0.1:80", zone, 4, draining, started_ms)
 
 
-def test_keys_are_rejected_before_the_limit_is_reached():
+def test_keys_are_rejected_before_the_revocation_bound():
     freshness = Freshness(revoke_s=5.0, apply_s=3.0)
     assert not freshness.may_accept_keys(0.0)
     freshness.confirm(10.0)
@@ -29,17 +29,22 @@
     assert not freshness.may_report_unknown(13.5)
 
 
-def test_confirmation_never_moves_back():
+def test_older_confirmation_is_ignored():
     freshness = Freshness(5.0, 3.0)
     freshness.confirm(10.0)
     freshness.confirm(4.0)
     assert freshness.confirmed_at == 10.0
 
 
-@given(asked=st.floats(0, 100), took=st.floats(0, 10), wait=st.floats(0, 5), empty=st.booleans())
-def test_read_is_not_valid_beyond_its_response(asked, took, wait, empty):
-    known_at = read_valid_at(asked, asked + took, wait, empty)
-    assert asked <= known_at <= asked + took or known_at == asked
+@given(
+    requested_at=st.floats(0, 100),
+    took_s=st.floats(0, 10),
+    wait_s=st.floats(0, 5),
+    is_empty=st.booleans(),
+)
+def test_read_is_not_valid_beyond_its_response(requested_at, took_s, wait_s, is_empty):
+    valid_at = read_valid_at(requested_at, requested_at + took_s, wait_s, is_empty)
+    assert requested_at <= valid_at <= requested_at + took_s or valid_at == requested_at
 
 
 @given(
