--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1,7 +1,7 @@
-"""Takes one mechanism out at a time and checks that its test fails: ``make mutants``.
+"""Mutation testing: removes one mechanism at a time and checks that its test fails.
 
-Each mutant is one edit of a copy of the tree. A mutant that survives means that a test of a promise
-does not test it.
+Run with ``make mutants``. Each mutant is one edit in a copy of the source tree. If a mutant
+survives, the test of that guarantee does not check it.
 """
 
 import shutil
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True)
 class Mutant:
-    """One edit: what it takes out, where, and what must fail: a test, or the soak."""
+    """One edit: the mechanism it removes, its place, and the test or soak run that must fail."""
 
     what: str
     path: str
@@ -29,28 +29,28 @@
 
 MUTANTS = (
     Mutant(
-        "the first claim wins",
+        "the first claim owns the key",
         "bluebellpitch/decisions/claims.py",
         "        if state.claim or state.outcome:\n            return None\n",
         "",
         "tests/test_claims_machine.py",
     ),
     Mutant(
-        "a withdrawal voids its claim even when it lands first",
+        "a withdrawal invalidates its claim even if it is appended first",
         "bluebellpitch/decisions/claims.py",
         "        if claim.id in self._withdrawal_times_by_claim_id:\n            return None\n",
         "",
         "tests/test_claims_machine.py",
     ),
     Mutant(
-        "the clock is read before dispatch",
+        "a request past the retention horizon is not dispatched",
         "bluebellpitch/decisions/claims.py",
         "    return now_wall - made_at < horizon_s - margin_s",
         "    return True",
         "tests/test_claims_machine.py",
     ),
     Mutant(
-        "submissions are claimed",
+        "a request with an idempotency key is claimed before dispatch",
         "bluebellpitch/callers/services.py",
         "if self.request.idempotency_key and not self.request.is_idempotent "
         "and self.claim is None:",
@@ -58,7 +58,7 @@
         "tests/test_at_most_once.py::test_two_vms_with_one_key_run_it_once",
     ),
     Mutant(
-        "a request that may have run is not sent again",
+        "a non-idempotent request that may have run is not retried",
         "bluebellpitch/callers/services.py",
         "            if isinstance(result, MayHaveRun) and not self.request.is_idempotent:\n"
         "                return result\n",
@@ -66,49 +66,49 @@
         "tests/test_at_most_once.py::test_submission_without_key_is_never_sent_twice",
     ),
     Mutant(
-        "a change needs the present revisions",
+        "a change based on an outdated revision is rejected",
         "bluebellpitch/decisions/control.py",
         "        if stale:\n            return Conflicted(offset, stale)\n",
         "",
         "tests/test_control_machine.py",
     ),
     Mutant(
-        "a change is judged once",
+        "a duplicate of a change is ignored",
         "bluebellpitch/decisions/control.py",
         "        if record.id in self.state.verdicts_by_id:\n            return None\n",
         "",
         "tests/test_control_machine.py",
     ),
     Mutant(
-        "a fold never goes back",
+        "an older snapshot is not installed",
         "bluebellpitch/decisions/control.py",
         "snapshot.offset <= self.offset or ",
         "",
         "tests/test_control_machine.py",
     ),
     Mutant(
-        "a floor counts as the smallest of all unsettled epochs",
+        "the smallest quota of all unsettled epochs applies",
         "bluebellpitch/decisions/member_quotas.py",
         "for epoch in self._epochs)\n        return min(quotas",
         "for epoch in self._epochs[-1:])\n        return min(quotas",
         "tests/test_limits_machine.py",
     ),
     Mutant(
-        "a floor is lent to one broker at a time",
+        "a quota is lent to one broker at a time",
         "bluebellpitch/decisions/member_quotas.py",
         "        if holder != borrower and now < expires_at:\n            return False\n",
         "",
         "tests/test_limits_machine.py",
     ),
     Mutant(
-        "a member's limit holds at the broker",
+        "the broker enforces a member's limit",
         "bluebellpitch/decisions/broker.py",
         "if row.limit and in_use >= self.member_limit(row, now):",
         "if False:",
         "tests/test_broker.py::test_member_at_its_limit_waits_while_others_run",
     ),
     Mutant(
-        "no tier is preempted for an equal or lower one",
+        "no request is preempted for one of an equal or lower tier",
         "bluebellpitch/decisions/broker.py",
         "            if self.scheduler.tier(class_name) <= tier:\n                return None\n",
         "",
@@ -129,21 +129,21 @@
         "tests/test_streams.py::test_stream_is_resumed_after_its_engine_is_killed",
     ),
     Mutant(
-        "silence ends a stream",
+        "a stalled stream is aborted",
         "bluebellpitch/endpoints/engine.py",
         "True, self._stall_s",
         "True, 3600.0",
         "tests/test_streams.py::test_silent_connections_are_replaced",
     ),
     Mutant(
-        "a poisonous request is refused",
+        "a request that keeps crashing engines is refused",
         "bluebellpitch/decisions/strikes.py",
         "        if strikes >= STRIKES_TO_REFUSE:\n            return IsolationLevel.REFUSED\n",
         "",
         "tests/test_streams.py::test_poisonous_request_crashes_few_engines_and_other_streams_complete",
     ),
     Mutant(
-        "a VM that drains finishes its requests",
+        "a draining VM finishes its requests",
         "bluebellpitch/node.py",
         "        while self.callers.http.in_flight or self.claims.backlog():\n"
         "            await asyncio.sleep(DRAIN_POLL_S)\n",
@@ -151,70 +151,70 @@
         "tests/test_streams.py::test_vms_replaced_one_by_one_fail_no_request",
     ),
     Mutant(
-        "a leaving endpoint gets no work",
+        "a leaving endpoint gets no requests",
         "bluebellpitch/decisions/endpoint_selection.py",
         'for row in rows if row.state == "live"',
         "for row in rows",
         "tests/test_broker.py::test_leaving_endpoint_gets_no_requests",
     ),
     Mutant(
-        "peers tell a cut-off reader what it lacks",
+        "peers send missing records to a VM that cannot reach the store",
         "bluebellpitch/node.py",
         "            self.bus.send(sender, help_message)",
         "            pass",
         "tests/test_zones.py::test_cut_off_reader_learns_changes_from_its_peers",
     ),
     Mutant(
-        "a reader that lacks records installs a snapshot",
+        "a VM that lacks expired records installs a snapshot",
         "bluebellpitch/decisions/control.py",
         "return any(self.install_snapshot(snapshot) for snapshot in snapshots)",
         "return False",
         "tests/test_zones.py::test_vm_boots_from_a_snapshot_alone",
     ),
     Mutant(
-        "route: what may have run and must not repeat is not sent again",
+        "route: a non-retryable request that may have run is not retried",
         "bluebellpitch/callers/routed_requests.py",
         "        if not admitted.is_retryable:\n            return False\n",
         "",
         "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
     ),
     Mutant(
-        "route: what may have run is not called not run",
+        "route: a request that may have run is not reported as not run",
         "bluebellpitch/callers/routed_requests.py",
         "if not self._may_retry(admitted):\n                    return verdict",
         'if not self._may_retry(admitted):\n                    return DidNotRun("lost", 503, 1.0)',
         "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
     ),
     Mutant(
-        "route: a key needs a configuration that is known to be fresh",
+        "route: an API key is accepted only with a fresh configuration",
         "bluebellpitch/decisions/freshness.py",
         "return self.age_s(now) < self.revoke_s - FRESHNESS_MARGIN_S",
         "return True",
         "soak --seed 16 --seconds 20 --vms 2 --only store_down --only key_taken",
     ),
     Mutant(
-        "route: a VM that stops finishes what it serves",
+        "route: a stopping VM finishes its requests",
         "bluebellpitch/entry_vm.py",
         "        while self.http.in_flight and",
         "        while False and",
         "soak --seed 14 --seconds 15 --vms 2 --only vm_stop",
     ),
     Mutant(
-        "route: an answer to another request is skipped",
+        "route: a response to another request is skipped",
         "bluebellpitch/endpoints/attempt.py",
         'if head.request_id in ("", self._request.id):',
         "if True:",
         "soak --seed 11 --seconds 20 --vms 2 --only endpoint_spoils",
     ),
     Mutant(
-        "route: a cut stream is not ended as if it were whole",
+        "route: a truncated stream is not ended as complete",
         "bluebellpitch/callers/routed_requests.py",
         'if attempt.ending != "complete":',
         "if False:",
         "soak --seed 11 --seconds 8 --vms 2 --only endpoint_spoils",
     ),
     Mutant(
-        "route: an endpoint that leaves gets no new work",
+        "route: a draining endpoint gets no new requests",
         "bluebellpitch/platform/entries.py",
         'is_draining=wire.state == "draining"',
         "is_draining=False",
@@ -224,7 +224,7 @@
 
 
 def survives(mutant: Mutant, folder: Path) -> bool:
-    """Tells whether the test passes although the mechanism is out."""
+    """Tells whether the test passes without the mechanism."""
     copy = folder / "copy"
     shutil.copytree(ROOT, copy, ignore=LEFT_OUT)
     try:
@@ -244,7 +244,7 @@
 
 
 def main(words: list[str]) -> int:
-    """Runs the mutants whose text has one of some words, or all."""
+    """Runs the mutants whose description contains one of the words, or all."""
     survivors = 0
     for mutant in MUTANTS:
         if words and not any(word in mutant.what for word in words):
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -1,4 +1,4 @@
-"""The mutants of ``make mutants`` still fit the code that they take mechanisms out of."""
+"""Each mutant of ``make mutants`` still matches the source code that it edits."""
 
 import pytest
 from testtools.assertions import assert_that
@@ -8,5 +8,5 @@
 
 
 @pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.what)
-def test_mutant_fits_the_code(mutant):
+def test_mutant_matches_the_source(mutant):
     assert_that((ROOT / mutant.path).read_text(), Contains(mutant.old))
