Rename the modules of the measurements

measure/runs.py -> measure/scenarios.py measure/loads.py -> measure/workloads.py measure/figures.py -> measure/analysis.py measure/drive.py -> measure/load_generator.py

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from measure import runs
-from measure.figures import Figure
+from measure import scenarios
+from measure.analysis import Figure
 
 FOLDER = Path(__file__).resolve().parent.parent / "docs" / "measurements"
 HEADER = "| load | mode | figure | value | bound | |\n|---|---|---|---|---|---|"
@@ -16,17 +16,17 @@
 TWO = (1, 2)
 ONE = (1,)
 PLAN = (
-    (runs.trentvale_alone, "ours", SEEDS),
-    (runs.trentvale, "ours", SEEDS),
-    (runs.kushiro, "ours", TWO),
-    (runs.slow_engine, "ours", TWO),
-    (runs.burst, "ours", ONE),
-    (runs.crash, "ours", ONE),
-    (runs.zone_cut, "ours", ONE),
-    (runs.normal, "ours", ONE),
-    *((runs.kushiro, mode, ONE) for mode in runs.BASELINES),
-    *((runs.trentvale, mode, ONE) for mode in runs.BASELINES),
-    *((runs.slow_engine, mode, ONE) for mode in ("least-outstanding", "two-choices")),
+    (scenarios.trentvale_alone, "ours", SEEDS),
+    (scenarios.trentvale, "ours", SEEDS),
+    (scenarios.kushiro, "ours", TWO),
+    (scenarios.slow_engine, "ours", TWO),
+    (scenarios.burst, "ours", ONE),
+    (scenarios.crash, "ours", ONE),
+    (scenarios.zone_cut, "ours", ONE),
+    (scenarios.normal, "ours", ONE),
+    *((scenarios.kushiro, mode, ONE) for mode in scenarios.BASELINES),
+    *((scenarios.trentvale, mode, ONE) for mode in scenarios.BASELINES),
+    *((scenarios.slow_engine, mode, ONE) for mode in ("least-outstanding", "two-choices")),
 )
 
 
@@ -55,9 +55,11 @@
             continue
         ratio = float(figure.value.split()[0]) / float(alone.value.split()[0])
         if mode == "ours":
-            yield runs.judge(load, mode, "rewrites p99 over alone", ratio, 1.25, at_least=False)
+            yield scenarios.judge(
+                load, mode, "rewrites p99 over alone", ratio, 1.25, at_least=False
+            )
         else:
-            yield runs.tell(load, mode, "rewrites p99 over alone", ratio)
+            yield scenarios.tell(load, mode, "rewrites p99 over alone", ratio)
 
 
 def write_report(figures: list[Figure], took_s: float) -> None:
@@ -67,7 +69,7 @@
         "# Measurements",
         "",
         f"`make measure`, {time.strftime('%Y-%m-%d', time.gmtime())}, {os.cpu_count()} cores,"
-        f" {took_s:.0f} s. Times and lengths are those of a deployment over {runs.SCALE:g};"
+        f" {took_s:.0f} s. Times and lengths are those of a deployment over {scenarios.SCALE:g};"
         " ours: medians or all requests over the seeds"
         f" {SEEDS}; faults and baselines: seed 1."
         " All processes share the machine with the callers.",
--- a/measure/figures.py
+++ b/measure/analysis.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from measure.drive import Result
+from measure.load_generator import Result
 
 
 def percentile(values: Iterable[float], share: float) -> float:
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -10,7 +10,7 @@
 from bluebellpitch.http1 import fetch
 from fakes.federations import FILING, MODEL, endpoint, sheet
 from fakes.fleet import Fleet, digest
-from measure.loads import MEMBERS
+from measure.workloads import MEMBERS
 
 STEP_S, STREAM_S, SLOTS = 0.012, 0.001, 8
 PREFILL_S = 0.020
--- a/measure/drive.py
+++ b/measure/load_generator.py
@@ -8,7 +8,7 @@
 from fakes.caller import Answer, stream
 from fakes.engine import answer_to
 from measure.deployment import CLASSES, Deployment
-from measure.loads import Arrival, Load, arrivals
+from measure.workloads import Arrival, Load, arrivals
 
 UNFINISHED = -1
 ROWS = {row.name: row for row in CLASSES}
--- a/measure/path.py
+++ b/measure/path.py
@@ -9,7 +9,7 @@
 from fakes.caller import Answer, stream
 from fakes.federations import CLASSES, MODEL, endpoint, member, sheet
 from fakes.fleet import Fleet
-from measure.figures import percentile
+from measure.analysis import percentile
 
 REPORT = Path(__file__).resolve().parent.parent / "docs" / "measurements" / "path.md"
 TICKS = os.sysconf("SC_CLK_TCK")
--- a/measure/runs.py
+++ b/measure/scenarios.py
@@ -6,10 +6,8 @@
 
 from fakes.caller import stream
 from fakes.fleet import is_ready, wait_until
-from measure import deployment, loads
-from measure.deployment import CLASSES, Deployment, fleet_of_processes
-from measure.drive import Result, drive
-from measure.figures import (
+from measure import deployment, workloads
+from measure.analysis import (
     Figure,
     attainment,
     first_token,
@@ -18,6 +16,8 @@
     shed_before_lower,
     tokens_between,
 )
+from measure.deployment import CLASSES, Deployment, fleet_of_processes
+from measure.load_generator import Result, drive
 
 TIERS = {row.name: row.tier for row in CLASSES}
 SCALE = 2.0
@@ -43,7 +43,7 @@
 async def kushiro(mode: str, seeds: tuple[int, ...]) -> AsyncIterator[Figure]:
     """The crest: attainment, goodput, shedding and starvation."""
     crest_s = 5.0 / SCALE
-    load = loads.kushiro_crest(SCALE, 2 if mode == "ours" else 1)
+    load = workloads.kushiro_crest(SCALE, 2 if mode == "ours" else 1)
     with fleet_of_processes() as fleet:
         running = await deployment.start(fleet, deployment.KUSHIRO, mode, {})
         runs = [await drive(running, load, seed, 25.0) for seed in seeds]
@@ -59,7 +59,7 @@
     name, ours = "kushiro-crest", mode == "ours"
     attained = {
         row.name: median(attainment(of_class(results, row.name)) for results in runs)
-        for row in loads.KUSHIRO
+        for row in workloads.KUSHIRO
     }
     if ours:
         yield judge(name, mode, "explain in time", attained["explain"], 0.99)
@@ -103,7 +103,7 @@
         running = await deployment.start(fleet, deployment.TRENTVALE, mode, {})
         alone = []
         for seed in seeds:
-            alone += await drive(running, loads.trentvale(TRENTVALE_S, True), seed, 5.0)
+            alone += await drive(running, workloads.trentvale(TRENTVALE_S, True), seed, 5.0)
     yield tell(
         "trentvale-alone", mode, "rewrites p99 first", first_token(alone, 0.99) * 1000, " ms"
     )
@@ -121,7 +121,7 @@
         for seed in seeds:
             whole = ours and not runs
             sampler = asyncio.create_task(sample(running, WARM_S, TRENTVALE_S))
-            load = loads.trentvale(TRENTVALE_S)
+            load = workloads.trentvale(TRENTVALE_S)
             runs.append(await drive(running, load, seed, DRAIN_S if whole else 3.0))
             made.append(await sampler)
             if whole:
@@ -144,7 +144,7 @@
     dossiers = of_class(mixed, "dossier")
     finished = sum(r.right for r in dossiers) / len(dossiers)
     yield judge("trentvale-hol", mode, "dossiers finished", finished, 1.0)
-    higher = (loads.REWRITE.share + loads.LETTER.share) * capacity
+    higher = (workloads.REWRITE.share + workloads.LETTER.share) * capacity
     used = (made - higher) / (capacity - higher)
     yield judge("trentvale-hol", mode, "dossier tokens of what is left", used, 0.90)
 
@@ -165,10 +165,10 @@
         running = await deployment.start(fleet, deployment.TRENTVALE, mode, {})
         sound, slowed = [], []
         for seed in seeds:
-            sound += await drive(running, loads.normal(FAULT_S), seed, 3.0)
+            sound += await drive(running, workloads.normal(FAULT_S), seed, 3.0)
         for seed in seeds:
             fault = asyncio.create_task(slow_later(running, FAULT_S / 4))
-            slowed += await drive(running, loads.normal(FAULT_S), seed, 3.0)
+            slowed += await drive(running, workloads.normal(FAULT_S), seed, 3.0)
             await fault
             await deployment.set_slow(running, running.engines()[2], 1.0)
     pair = [first_token(of_class(x, "rewrite"), 0.99) for x in (slowed, sound)]
@@ -194,7 +194,7 @@
         results = []
         for seed in seeds:
             fault = asyncio.create_task(crash_later(running, FAULT_S / 4))
-            results.append(await drive(running, loads.normal(FAULT_S), seed, 30.0))
+            results.append(await drive(running, workloads.normal(FAULT_S), seed, 30.0))
             await fault
     lost = sum(not r.right for run in results for r in run)
     yield judge(name, mode, "requests lost", lost, 0, at_least=False)
@@ -226,7 +226,7 @@
         results = []
         for seed in seeds:
             fault = asyncio.create_task(freeze_later(running, FAULT_S / 4, 2.0))
-            results.append(await drive(running, loads.normal(FAULT_S), seed, 30.0))
+            results.append(await drive(running, workloads.normal(FAULT_S), seed, 30.0))
             await fault
     lost = sum(not r.right for run in results for r in run)
     yield judge(name, mode, "requests lost", lost, 0, at_least=False)
@@ -250,7 +250,7 @@
 async def burst(mode: str, seeds: tuple[int, ...]) -> AsyncIterator[Figure]:
     """One member bursts to ten times its limit; the others must not notice."""
     name, limit, member = "member-burst", 8, "member-9"
-    quiet_load = loads.normal(8.0, 0.5)
+    quiet_load = workloads.normal(8.0, 0.5)
     with fleet_of_processes() as fleet:
         running = await deployment.start(fleet, deployment.TRENTVALE, mode, {member: limit})
         quiet = await drive(running, quiet_load, seeds[0], 30.0)
@@ -299,7 +299,7 @@
     name = "normal-70%"
     with fleet_of_processes() as fleet:
         running = await deployment.start(fleet, deployment.TRENTVALE, mode, {})
-        results = [r for s in seeds for r in await drive(running, loads.normal(8.0), s, 30.0)]
+        results = [r for s in seeds for r in await drive(running, workloads.normal(8.0), s, 30.0)]
         crossed = await running.read_metric("region_bytes_total")
         stats = await running.read_stats()
     met = sum(r.right and r.answer.first_s <= 0.67 and r.answer.between_s <= 0.044 for r in results)
