Name the measurements in the terms of load testing

Workloads consist of phases, the load generator returns request results, and scenarios yield measurements with or without a bound. The scenario names, modes, tables and pages stay as they were.

--- a/measure/__init__.py
+++ b/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measures the policy under load and faults, against baselines of our own."""
+"""Measurements of the scheduling policy under load and faults, against baseline policies."""
--- a/measure/load_generator.py
+++ b/measure/load_generator.py
@@ -1,4 +1,4 @@
-"""Sends a load to a deployment, open loop, and keeps what came back."""
+"""Open-loop load generator: sends a workload to a deployment and collects the answers."""
 
 import asyncio
 import random
@@ -8,65 +8,75 @@
 from fakes.caller import Answer, stream
 from fakes.engine import answer_to
 from measure.deployment import CLASSES, Deployment
-from measure.workloads import Arrival, Load, arrivals
+from measure.workloads import Arrival, Workload, generate_arrivals
 
-UNFINISHED = -1
-ROWS = {row.name: row for row in CLASSES}
+UNFINISHED_STATUS = -1
+CLASSES_BY_NAME = {row.name: row for row in CLASSES}
 
 
 @dataclass(frozen=True)
-class Result:
-    """One request and its answer. ``sent_s`` is from the start of the load."""
+class RequestResult:
+    """One request and its answer. ``sent_s`` is relative to the start of the run."""
 
     arrival: Arrival
     answer: Answer
     sent_s: float
-    right: bool
+    is_correct: bool
 
     @property
     def class_name(self) -> str:
-        """The class."""
+        """Service class of the request."""
         return self.arrival.class_name
 
-    def in_time(self) -> bool:
-        """Tells whether a whole answer met both targets of its class."""
-        row = ROWS[self.class_name]
-        first = self.answer.first_s <= row.first_token_ms / 1000
-        return self.right and first and self.answer.between_s <= row.between_tokens_ms / 1000
+    def meets_targets(self) -> bool:
+        """Tells whether the answer is correct and met both latency targets of its class."""
+        service_class = CLASSES_BY_NAME[self.class_name]
+        is_first_token_in_time = self.answer.first_s <= service_class.first_token_ms / 1000
+        return (
+            self.is_correct
+            and is_first_token_in_time
+            and self.answer.between_s <= service_class.between_tokens_ms / 1000
+        )
 
     @property
-    def ended_s(self) -> float:
-        """When the answer was whole, from the start of the load."""
+    def finished_s(self) -> float:
+        """When the answer was complete, relative to the start of the run."""
         return self.sent_s + self.answer.last_s
 
 
-async def drive(deployment: Deployment, load: Load, seed: int, drain_s: float) -> list[Result]:
-    """Sends all arrivals at their times; gives up on answers ``drain_s`` after the last."""
+async def run_workload(
+    deployment: Deployment, workload: Workload, seed: int, drain_timeout_s: float
+) -> list[RequestResult]:
+    """Sends all requests on schedule; cancels those open ``drain_timeout_s`` after the last."""
     rng = random.Random(seed)
-    addresses = deployment.addresses
+    addresses = deployment.vm_addresses
     started = time.monotonic()
     tasks = []
     for number, arrival in enumerate(
-        arrivals(load, deployment.shape.capacity, len(addresses), rng)
+        generate_arrivals(workload, deployment.topology.tokens_per_s, len(addresses), rng)
     ):
-        delay = started + arrival.at_s - time.monotonic()
-        if delay > 0:
-            await asyncio.sleep(delay)
-        tasks.append(asyncio.create_task(send(addresses, arrival, f"{seed}.{number}", started)))
-    _, pending = await asyncio.wait(tasks, timeout=drain_s)
+        delay_s = started + arrival.at_s - time.monotonic()
+        if delay_s > 0:
+            await asyncio.sleep(delay_s)
+        tasks.append(
+            asyncio.create_task(send_request(addresses, arrival, f"{seed}.{number}", started))
+        )
+    _, pending = await asyncio.wait(tasks, timeout=drain_timeout_s)
     for task in pending:
         task.cancel()
     return await asyncio.gather(*tasks)
 
 
-async def send(addresses: list[str], arrival: Arrival, name: str, started: float) -> Result:
-    """Sends one request."""
-    prompt = f"{name} [len={arrival.tokens}]"
+async def send_request(
+    addresses: list[str], arrival: Arrival, prompt_id: str, started: float
+) -> RequestResult:
+    """Sends one request and checks its answer."""
+    prompt = f"{prompt_id} [len={arrival.tokens}]"
     sent_s = time.monotonic() - started
-    token = f"{arrival.member}-secret"
+    credential = f"{arrival.member}-secret"
     try:
-        answer = await stream(addresses[arrival.vm], token, prompt, arrival.class_name)
+        answer = await stream(addresses[arrival.vm_index], credential, prompt, arrival.class_name)
     except asyncio.CancelledError:
-        answer = Answer(UNFINISHED, {}, "", False)
-    right = answer.whole and answer.text == answer_to(prompt)
-    return Result(arrival, answer, sent_s, right)
+        answer = Answer(UNFINISHED_STATUS, {}, "", False)
+    is_correct = answer.whole and answer.text == answer_to(prompt)
+    return RequestResult(arrival, answer, sent_s, is_correct)
--- a/measure/path.py
+++ b/measure/path.py
@@ -1,4 +1,4 @@
-"""Measures the path of one entry VM: latency added, tokens a second, start-up time and memory."""
+"""Measures one entry VM: added latency, throughput, start-up time, processor time and memory."""
 
 import asyncio
 import os
@@ -12,27 +12,27 @@
 from measure.analysis import percentile
 
 REPORT = Path(__file__).resolve().parent.parent / "docs" / "measurements" / "path.md"
-TICKS = os.sysconf("SC_CLK_TCK")
-TOKEN = "office-secret"
-STREAMS = 150
-PAIRS = 60
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+CREDENTIAL = "office-secret"
+STREAM_COUNT = 150
+PAIR_COUNT = 60
 
 
-def cpu_s(pid: int) -> float:
-    """Returns the processor seconds that a process has used."""
+def read_cpu_s(pid: int) -> float:
+    """Returns the processor time of a process in seconds."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
 
-def resident_mb(pid: int) -> float:
-    """Returns the resident memory of a process."""
+def read_resident_mb(pid: int) -> float:
+    """Returns the resident memory of a process in MiB."""
     status = Path(f"/proc/{pid}/status").read_text()
     line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
     return int(line.split()[1]) / 1024
 
 
-async def start(fleet: Fleet) -> float:
-    """Starts two engines and one entry VM; returns how long the VM took to be ready."""
+async def start_deployment(fleet: Fleet) -> float:
+    """Starts three engines and one entry VM; returns the seconds until the VM was ready."""
     fleet.start_platform()
     for name in ("engine-0", "engine-1", "engine-2"):
         fleet.start_fake("engine", name, slots=80, step_s=0.02, stream_s=0.0, prefill_s=0.02)
@@ -51,59 +51,65 @@
     return took_s
 
 
-async def paired_latency(direct: str, routed: str) -> tuple[list[Answer], list[Answer]]:
-    """Sends the same requests in turn to the engine and through the VM, one at a time."""
-    near, far = [], []
-    for number in range(PAIRS):
+async def measure_latency_pairs(
+    engine_address: str, vm_address: str
+) -> tuple[list[Answer], list[Answer]]:
+    """Sends like requests alternately to the engine and through the VM, one at a time."""
+    direct_answers, routed_answers = [], []
+    for number in range(PAIR_COUNT):
         prompt = f"[len=20] pair {number} "
-        near.append(await stream(direct, TOKEN, prompt + "d", "explain"))
-        far.append(await stream(routed, TOKEN, prompt + "r", "explain"))
-    return near, far
+        direct_answers.append(await stream(engine_address, CREDENTIAL, prompt + "d", "explain"))
+        routed_answers.append(await stream(vm_address, CREDENTIAL, prompt + "r", "explain"))
+    return direct_answers, routed_answers
 
 
-async def throughput(address: str, pid: int) -> tuple[float, float, float]:
-    """Returns tokens a second, the VM's share of a core, and tokens a second of a whole core."""
-    prompts = [f"[len=400] stream {number}" for number in range(STREAMS)]
-    tasks = [asyncio.create_task(stream(address, TOKEN, p, "draft")) for p in prompts]
+async def measure_throughput(address: str, pid: int) -> tuple[float, float, float]:
+    """Returns tokens per second, the VM's share of a core, and tokens per second per core."""
+    prompts = [f"[len=400] stream {number}" for number in range(STREAM_COUNT)]
+    tasks = [asyncio.create_task(stream(address, CREDENTIAL, p, "draft")) for p in prompts]
     await asyncio.sleep(1.5)
-    used, started = cpu_s(pid), time.monotonic()
+    cpu_s, started = read_cpu_s(pid), time.monotonic()
     await asyncio.sleep(5.0)
-    used, passed = cpu_s(pid) - used, time.monotonic() - started
+    cpu_s, elapsed_s = read_cpu_s(pid) - cpu_s, time.monotonic() - started
     answers = await asyncio.gather(*tasks)
     if not all(answer.whole for answer in answers):
-        raise RuntimeError("a stream was cut")
-    rate = sum(answer.tokens / (answer.last_s - answer.first_s) for answer in answers)
-    return rate, used / passed, rate / (used / passed)
+        raise RuntimeError("a stream ended early")
+    tokens_per_s = sum(answer.tokens / (answer.last_s - answer.first_s) for answer in answers)
+    return tokens_per_s, cpu_s / elapsed_s, tokens_per_s / (cpu_s / elapsed_s)
 
 
 async def measure() -> list[str]:
-    """Runs all, and returns the lines of the report."""
+    """Runs all measurements and returns the lines of the report."""
     with Fleet(log_level="WARNING") as fleet:
-        ready_s = await start(fleet)
+        ready_s = await start_deployment(fleet)
         vm = fleet.vms_by_name["vm-0"]
         pid = vm.process.popen.pid
-        idle_mb = resident_mb(pid)
-        idle = cpu_s(pid)
+        idle_mb = read_resident_mb(pid)
+        idle_cpu = read_cpu_s(pid)
         await asyncio.sleep(3.0)
-        idle = (cpu_s(pid) - idle) / 3.0
-        engine = fleet.processes_by_name["engine-0"].address
-        near, far = await paired_latency(engine, vm.listen)
-        rate, share, per_core = await throughput(vm.listen, pid)
-        busy_mb = resident_mb(pid)
-    first = [far[n].first_s - near[n].first_s for n in range(PAIRS)]
-    between = [far[n].between_s - near[n].between_s for n in range(PAIRS)]
+        idle_cpu = (read_cpu_s(pid) - idle_cpu) / 3.0
+        engine_address = fleet.processes_by_name["engine-0"].address
+        direct_answers, routed_answers = await measure_latency_pairs(engine_address, vm.listen)
+        tokens_per_s, core_share, per_core = await measure_throughput(vm.listen, pid)
+        busy_mb = read_resident_mb(pid)
+    first_token_s = [
+        routed_answers[n].first_s - direct_answers[n].first_s for n in range(PAIR_COUNT)
+    ]
+    between_tokens_s = [
+        routed_answers[n].between_s - direct_answers[n].between_s for n in range(PAIR_COUNT)
+    ]
     return [
         "# The path through one entry VM\n",
         "`make path`: one VM, three engines, loopback; latency in pairs, one request at a time.\n",
         "| what | measured |\n|---|---|",
-        f"| first token, added, median | {percentile(first, 0.5) * 1000:.2f} ms |",
-        f"| first token, added, p95 | {percentile(first, 0.95) * 1000:.2f} ms |",
-        f"| between tokens, added, median | {percentile(between, 0.5) * 1000:.3f} ms |",
-        f"| {STREAMS} streams | {rate:.0f} tokens/s at {share:.0%} of a core |",
+        f"| first token, added, median | {percentile(first_token_s, 0.5) * 1000:.2f} ms |",
+        f"| first token, added, p95 | {percentile(first_token_s, 0.95) * 1000:.2f} ms |",
+        f"| between tokens, added, median | {percentile(between_tokens_s, 0.5) * 1000:.3f} ms |",
+        f"| {STREAM_COUNT} streams | {tokens_per_s:.0f} tokens/s at {core_share:.0%} of a core |",
         f"| tokens a second of a whole core, worked out | {per_core:.0f} |",
         f"| ready after start | {ready_s:.2f} s |",
         f"| resident, idle and after the streams | {idle_mb:.0f} MB, {busy_mb:.0f} MB |",
-        f"| idle, of a core | {idle:.1%} |",
+        f"| idle, of a core | {idle_cpu:.1%} |",
     ]
 
 
--- a/measure/variant.py
+++ b/measure/variant.py
@@ -1,4 +1,4 @@
-"""Runs an entry VM under another policy: ``python -m measure.variant MODE serve ...``."""
+"""Runs an entry VM with another scheduling policy: ``python -m measure.variant MODE serve ...``."""
 
 import sys
 
@@ -6,9 +6,9 @@
 from bluebellpitch.commands import serve
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.node import Node
-from measure.baselines import PICKERS, LocalSlots
+from measure.baselines import LOCAL_MODES, LocalSlotRouter
 
-POLICIES = {
+POLICIES_BY_MODE = {
     "ours": SchedulingPolicy(),
     "strict": SchedulingPolicy(guaranteed_share=0.0, allow_preemption=False),
     "no-preemption": SchedulingPolicy(allow_preemption=False),
@@ -20,23 +20,23 @@
 
 
 class VariantNode(Node):
-    """An entry VM whose slots may come from a local picker instead of brokers."""
+    """An entry VM that may choose endpoints locally instead of asking brokers."""
 
     def __init__(self, settings, environment, policy):
         super().__init__(settings, environment, policy)
-        if MODE in PICKERS:
-            local = LocalSlots(MODE, self.holder, self.metrics, self.now)
-            object.__setattr__(self.context, "slots", local)
-            self.local = local
+        if MODE in LOCAL_MODES:
+            local_router = LocalSlotRouter(MODE, self.holder, self.metrics, self.now)
+            object.__setattr__(self.context, "slots", local_router)
+            self.local_router = local_router
 
     def _jobs(self):
         jobs = super()._jobs()
-        return (*jobs, self.local.run()) if MODE in PICKERS else jobs
+        return (*jobs, self.local_router.run()) if MODE in LOCAL_MODES else jobs
 
 
 async def build_and_run(settings, environment) -> None:
-    """Builds the variant and runs it."""
-    await VariantNode(settings, environment, POLICIES.get(MODE, SchedulingPolicy())).run()
+    """Runs an entry VM with the policy of the mode."""
+    await VariantNode(settings, environment, POLICIES_BY_MODE.get(MODE, SchedulingPolicy())).run()
 
 
 if __name__ == "__main__":
--- a/measure/workloads.py
+++ b/measure/workloads.py
@@ -1,4 +1,4 @@
-"""Loads named after the deployments: who sends what, when, where, and how long the answers are."""
+"""Workloads of the deployments: arrival times, members, classes, VMs and answer lengths."""
 
 import math
 import random
@@ -6,59 +6,59 @@
 from dataclasses import dataclass, replace
 
 MEMBERS = tuple(f"member-{number}" for number in range(10))
-LARGE_MEMBERS_SHARE = 0.5
-HOT_VMS_SHARE = 0.6
+LARGE_MEMBERS_TRAFFIC_SHARE = 0.5
+HOME_VMS_TRAFFIC_SHARE = 0.6
 
 
 @dataclass(frozen=True)
 class ClassLoad:
-    """One class of a mix. ``share`` is of the token capacity; lengths are in tokens."""
+    """Load of one class: its share of the token capacity and the distribution of its lengths."""
 
     name: str
-    share: float
+    capacity_share: float
     median_tokens: float
     spread: float = 0.5
     straggler_share: float = 0.0
     straggler_factor: float = 20.0
-    shortest: int = 2
-    longest: int = 100_000
+    min_tokens: int = 2
+    max_tokens: int = 100_000
 
     def mean_tokens(self) -> float:
-        """Returns the mean length, stragglers included."""
+        """Returns the mean answer length, including stragglers."""
         mean = self.median_tokens * math.exp(self.spread**2 / 2)
         return mean * (1 + self.straggler_share * (self.straggler_factor - 1))
 
-    def draw(self, rng: random.Random) -> int:
-        """Draws a length."""
+    def draw_tokens(self, rng: random.Random) -> int:
+        """Draws an answer length."""
         tokens = self.median_tokens * math.exp(rng.gauss(0, self.spread))
-        tokens = min(max(tokens, self.shortest), self.longest)
+        tokens = min(max(tokens, self.min_tokens), self.max_tokens)
         if rng.random() < self.straggler_share:
             tokens *= self.straggler_factor
         return max(1, round(tokens))
 
 
 @dataclass(frozen=True)
-class Wave:
-    """Arrivals between two times, in seconds, at a factor of each class's share."""
+class Phase:
+    """A period in which each class arrives at its capacity share times ``factor``."""
 
     start_s: float
     end_s: float
     factor: float
-    only: str = ""
+    only_class: str = ""
 
 
 @dataclass(frozen=True)
-class Load:
-    """A mix over time."""
+class Workload:
+    """Classes and the phases in which they arrive."""
 
     name: str
     classes: tuple[ClassLoad, ...]
-    waves: tuple[Wave, ...]
+    phases: tuple[Phase, ...]
 
     @property
     def duration_s(self) -> float:
-        """Returns when arrivals end."""
-        return max(wave.end_s for wave in self.waves)
+        """End of the last phase."""
+        return max(phase.end_s for phase in self.phases)
 
 
 @dataclass(frozen=True)
@@ -68,86 +68,99 @@
     at_s: float
     member: str
     class_name: str
-    vm: int
+    vm_index: int
     tokens: int
 
 
-def arrivals(load: Load, capacity: float, vms: int, rng: random.Random) -> Iterator[Arrival]:
-    """Yields arrivals in order; ``capacity`` is in tokens a second."""
-    found = []
-    for wave in load.waves:
-        for row in load.classes:
-            if wave.only and row.name != wave.only:
+def generate_arrivals(
+    workload: Workload, tokens_per_s: float, vm_count: int, rng: random.Random
+) -> Iterator[Arrival]:
+    """Yields arrivals in order of time; ``tokens_per_s`` is the capacity."""
+    drawn = []
+    for phase in workload.phases:
+        for class_load in workload.classes:
+            if phase.only_class and class_load.name != phase.only_class:
                 continue
-            rate = row.share * wave.factor * capacity / row.mean_tokens()
-            found.extend(draw_arrivals(row, wave, rate, vms, rng))
-    yield from sorted(found, key=lambda arrival: arrival.at_s)
+            requests_per_s = (
+                class_load.capacity_share * phase.factor * tokens_per_s / class_load.mean_tokens()
+            )
+            drawn.extend(draw_poisson_arrivals(class_load, phase, requests_per_s, vm_count, rng))
+    yield from sorted(drawn, key=lambda arrival: arrival.at_s)
 
 
-def draw_arrivals(
-    row: ClassLoad, wave: Wave, rate: float, vms: int, rng: random.Random
+def draw_poisson_arrivals(
+    class_load: ClassLoad, phase: Phase, requests_per_s: float, vm_count: int, rng: random.Random
 ) -> Iterator[Arrival]:
-    """Draws a Poisson stream; ``rate`` is in requests a second."""
-    at_s = wave.start_s + rng.expovariate(rate) if rate else wave.end_s
-    while at_s < wave.end_s:
+    """Yields the arrivals of a Poisson process."""
+    at_s = phase.start_s + rng.expovariate(requests_per_s) if requests_per_s else phase.end_s
+    while at_s < phase.end_s:
         member = draw_member(rng)
-        yield Arrival(at_s, member, row.name, draw_vm(member, vms, rng), row.draw(rng))
-        at_s += rng.expovariate(rate)
+        yield Arrival(
+            at_s,
+            member,
+            class_load.name,
+            draw_vm(member, vm_count, rng),
+            class_load.draw_tokens(rng),
+        )
+        at_s += rng.expovariate(requests_per_s)
 
 
 def draw_member(rng: random.Random) -> str:
-    """Draws a member: two of ten have half of the traffic."""
-    if rng.random() < LARGE_MEMBERS_SHARE:
+    """Draws a member; two of the ten send half of the traffic."""
+    if rng.random() < LARGE_MEMBERS_TRAFFIC_SHARE:
         return rng.choice(MEMBERS[:2])
     return rng.choice(MEMBERS[2:])
 
 
-def draw_vm(member: str, vms: int, rng: random.Random) -> int:
-    """Draws where a request enters: most of a member's traffic at two VMs."""
-    home = MEMBERS.index(member) % vms
-    if rng.random() < HOT_VMS_SHARE:
-        return (home + rng.randrange(2)) % vms
-    return rng.randrange(vms)
+def draw_vm(member: str, vm_count: int, rng: random.Random) -> int:
+    """Draws the VM that receives a request; most of a member's traffic goes to two VMs."""
+    home_vm = MEMBERS.index(member) % vm_count
+    if rng.random() < HOME_VMS_TRAFFIC_SHARE:
+        return (home_vm + rng.randrange(2)) % vm_count
+    return rng.randrange(vm_count)
 
 
 EXPLAIN = ClassLoad("explain", 0.30, 20)
 DRAFT = ClassLoad("draft", 1.20, 50)
 SUMMARY = ClassLoad("summary", 1.50, 120)
-KUSHIRO = (EXPLAIN, DRAFT, SUMMARY)
+KUSHIRO_CLASSES = (EXPLAIN, DRAFT, SUMMARY)
 
-REWRITE = ClassLoad("rewrite", 0.15, 35, 0.3, shortest=20, longest=60)
+REWRITE = ClassLoad("rewrite", 0.15, 35, 0.3, min_tokens=20, max_tokens=60)
 LETTER = ClassLoad("letter", 0.40, 60, 0.4)
-DOSSIER = ClassLoad("dossier", 1.50, 62, 0.35, 0.05, shortest=31, longest=125)
-TRENTVALE = (REWRITE, LETTER, DOSSIER)
+DOSSIER = ClassLoad("dossier", 1.50, 62, 0.35, 0.05, min_tokens=31, max_tokens=125)
+TRENTVALE_CLASSES = (REWRITE, LETTER, DOSSIER)
 
-TROUGH = 0.1
+TROUGH_FACTOR = 0.1
 
 
-def kushiro_crest(scale: float, waves: int) -> Load:
-    """Crests of 5 s every 20 s, over ``scale``; in every second wave of one class at a time."""
-    period, crest = 20.0 / scale, 5.0 / scale
-    parts = []
-    for number in range(waves):
-        start = number * period
-        parts.append(Wave(start + crest, start + period, TROUGH))
+def kushiro_peaks(time_scale: float, periods: int) -> Workload:
+    """Peaks of 5 s every 20 s, over ``time_scale``; in every second one, class after class."""
+    period_s, peak_s = 20.0 / time_scale, 5.0 / time_scale
+    phases = []
+    for number in range(periods):
+        start_s = number * period_s
+        phases.append(Phase(start_s + peak_s, start_s + period_s, TROUGH_FACTOR))
         if number % 2 == 0:
-            parts.append(Wave(start, start + crest, 1.0))
+            phases.append(Phase(start_s, start_s + peak_s, 1.0))
             continue
-        third = crest / len(KUSHIRO)
-        for place, row in enumerate(KUSHIRO):
-            begin = start + place * third
-            parts.append(Wave(begin, begin + third, 1.0, row.name))
-    return Load("kushiro-crest", KUSHIRO, tuple(parts))
-
-
-def trentvale(duration_s: float, rewrites_only: bool = False) -> Load:
-    """The steady mix that saturates every endpoint."""
-    only = "rewrite" if rewrites_only else ""
-    return Load("trentvale", TRENTVALE, (Wave(0.0, duration_s, 1.0, only),))
-
-
-def normal(duration_s: float, share: float = 0.7) -> Load:
-    """All classes of Trentvale, together at a share of the capacity."""
-    total = sum(row.share for row in TRENTVALE)
-    classes = tuple(replace(row, share=row.share * share / total) for row in TRENTVALE)
-    return Load("normal", classes, (Wave(0.0, duration_s, 1.0),))
+        class_peak_s = peak_s / len(KUSHIRO_CLASSES)
+        for index, class_load in enumerate(KUSHIRO_CLASSES):
+            class_start_s = start_s + index * class_peak_s
+            phases.append(Phase(class_start_s, class_start_s + class_peak_s, 1.0, class_load.name))
+    return Workload("kushiro-crest", KUSHIRO_CLASSES, tuple(phases))
+
+
+def trentvale(duration_s: float, rewrites_only: bool = False) -> Workload:
+    """Constant load that saturates every endpoint."""
+    only_class = "rewrite" if rewrites_only else ""
+    return Workload("trentvale", TRENTVALE_CLASSES, (Phase(0.0, duration_s, 1.0, only_class),))
+
+
+def normal(duration_s: float, capacity_share: float = 0.7) -> Workload:
+    """All classes of Trentvale, at a total share of the capacity."""
+    total_share = sum(row.capacity_share for row in TRENTVALE_CLASSES)
+    classes = tuple(
+        replace(row, capacity_share=row.capacity_share * capacity_share / total_share)
+        for row in TRENTVALE_CLASSES
+    )
+    return Workload("normal", classes, (Phase(0.0, duration_s, 1.0),))
