--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -274,8 +274,8 @@
     points = [(n, measure_table_change_us(n)) for n in (500, 3_000, 12_000)]
     for size, cost in points:
         yield f"| table, one change folded | {size} endpoints | {cost:.0f} us |"
-    slope, intercept, error = fit_line(points)
-    yield f"| table, fit | | {intercept:.0f} us + {slope * 1000:.1f} us / 1,000 rows, {error:.0%} off |"
+    slope, fixed, error = fit_line(points)
+    yield f"| table, fit | | {fixed:.0f} us + {slope * 1000:.1f} us / 1,000 rows, {error:.0%} off |"
     for endpoints in (3_000, 12_000):
         size = measure_bytes(lambda n=endpoints: make_table(n, 490))
         yield f"| table, memory | {endpoints} endpoints | {size / 1e6:.1f} MB |"
