State in docstrings what packages hold and how serve differs from route

Docstrings say "Returns whether" throughout; the comments on constants name the slot broker. The classes of serve and route and their connection pools point to each other; no code changes.

--- a/bluebellpitch/callers/__init__.py
+++ b/bluebellpitch/callers/__init__.py
@@ -1,1 +1,1 @@
-"""Serving callers: HTTP listeners, request handlers, admission and responses."""
+"""Serving callers: HTTP listener, request parsing, admission, request handlers and responses."""
--- a/bluebellpitch/constants.py
+++ b/bluebellpitch/constants.py
@@ -7,12 +7,12 @@
 PEER_SEND_QUEUE_SIZE = 10_000
 EPOCH_SETTLE_S = 1.5
 
-# Member limits: loans of quotas to a broker.
+# Member limits: loans of quotas to a slot broker.
 LOAN_LEASE_S = 2.0
 MAX_CLOCK_DRIFT_RATIO = 0.05
 LOAN_REQUEST_INTERVAL_S = 0.5
 
-# Broker: requests for slots, grants, preemption, placement and load shedding.
+# Slot broker: requests for slots, grants, preemption, placement and load shedding.
 SLOT_REQUEST_RESEND_INTERVAL_S = 1.0
 SLOT_REQUEST_TIMEOUT_S = 3.0
 HELD_REPORT_INTERVAL_S = 1.0
--- a/bluebellpitch/decisions/__init__.py
+++ b/bluebellpitch/decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Decision logic without I/O: takes state and the current time, returns immutable decisions."""
+"""Decision logic without I/O: holds state, is passed the time and returns immutable decisions."""
--- a/bluebellpitch/endpoints/__init__.py
+++ b/bluebellpitch/endpoints/__init__.py
@@ -1,1 +1,1 @@
-"""Connections to endpoints, and single attempts at model engines and plain services."""
+"""Connection pools, single attempts at model engines and plain services, and event streams."""
--- a/bluebellpitch/endpoints/connections.py
+++ b/bluebellpitch/endpoints/connections.py
@@ -12,9 +12,10 @@
 
 
 class ConnectionPool:
-    """Idle connections by address. ``now`` returns monotonic seconds.
+    """Idle connections of ``serve``, by address; EndpointConnectionPool has them by incarnation.
 
-    Old connections are closed, because the endpoint may have vanished without closing them.
+    ``now`` returns monotonic seconds. Old connections are closed, because the endpoint may
+    have vanished without closing them.
     """
 
     def __init__(self, now: Callable[[], float]):
@@ -53,7 +54,7 @@
 
 
 async def probe(address: str) -> bool:
-    """Tells whether an endpoint answers ``GET /health`` on a new connection."""
+    """Returns whether an endpoint answers ``GET /health`` on a new connection."""
     try:
         response = await fetch(address, "GET", "/health", timeout_s=PROBE_TIMEOUT_S)
     except BluebellpitchError:
--- a/bluebellpitch/endpoints/endpoint_connections.py
+++ b/bluebellpitch/endpoints/endpoint_connections.py
@@ -25,7 +25,10 @@
 
 
 class EndpointConnectionPool:
-    """All connections of this VM to endpoints. ``now`` returns monotonic seconds."""
+    """Connections of ``route``, by incarnation of the endpoint; ConnectionPool has them by address.
+
+    ``now`` returns monotonic seconds.
+    """
 
     def __init__(self, now: Callable[[], float]):
         self._now = now
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -61,9 +61,10 @@
 
 
 class EntryVm:
-    """One entry VM run by ``route``; builds and connects its components.
+    """One entry VM run by ``route``; unlike Node, it takes endpoints from their store entries.
 
-    ``now`` returns seconds of a clock that also runs while the VM is suspended.
+    Builds and connects its components. ``now`` returns seconds of a clock that also runs
+    while the VM is suspended.
     """
 
     def __init__(
--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -125,7 +125,7 @@
             raise ReadTimeoutError(f"{self.address} did not answer within {timeout_s} s") from error
 
     def is_stale(self) -> bool:
-        """Tells whether the server closed the connection or sent data without a request."""
+        """Returns whether the server closed the connection or sent data without a request."""
         if self.reader.at_eof() or self.writer.is_closing() or self.reader.exception():
             return True
         return self.reader.received_bytes > self._consumed_bytes or bool(self.h11.trailing_data[0])
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -84,7 +84,7 @@
             yield bytes(event.data)
 
     def is_disconnected(self) -> bool:
-        """Tells whether the client has closed its side of the connection."""
+        """Returns whether the client has closed its side of the connection."""
         return self.reader.at_eof() or self.writer.is_closing()
 
     async def wait_disconnected(self) -> None:
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -68,7 +68,10 @@
 
 
 class Node:
-    """One entry VM run by ``serve``; builds and connects its components."""
+    """One entry VM run by ``serve``; unlike EntryVm, it takes endpoints from the operators' table.
+
+    Builds and connects its components.
+    """
 
     def __init__(self, settings: Settings, environment: Environment, policy: SchedulingPolicy):
         now, wall = environment.now, environment.wall
--- a/bluebellpitch/operators/__init__.py
+++ b/bluebellpitch/operators/__init__.py
@@ -1,1 +1,1 @@
-"""Tools for operators: the table's CSV sheet, status reports and the event time line."""
+"""Tools for operators: the table's sheet and editor, status, timeline and the admin server."""
--- a/bluebellpitch/platform/__init__.py
+++ b/bluebellpitch/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapter to the platform: its append-only store, settings and message formats."""
+"""Adapter to the platform: its store and records, configuration, settings and HTTP messages."""
--- a/bluebellpitch/roles/__init__.py
+++ b/bluebellpitch/roles/__init__.py
@@ -1,1 +1,1 @@
-"""Components of an entry VM, each of which runs as tasks and owns its state."""
+"""Components of an entry VM, each of which owns its state; most run background tasks."""
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -60,7 +60,7 @@
         )
 
     def is_cross_region(self, region: str) -> bool:
-        """Tells whether a region is another than this VM's; such traffic is billed by volume."""
+        """Returns whether a region is another than this VM's; such traffic is billed by volume."""
         return region != self.own.region
 
 
--- a/fakes/__init__.py
+++ b/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Fakes of the servers around the product: engines, services, the store and network links."""
+"""Fake engines, services, store and network links, and the deployments and demos built on them."""
--- a/measure/__init__.py
+++ b/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the scheduling policy under load and faults, against baseline policies."""
+"""Measurements: scheduling under load and faults against baselines, one entry VM, and capacity."""
--- a/measure/analysis.py
+++ b/measure/analysis.py
@@ -55,7 +55,7 @@
 def is_priority_inversion(
     served: RequestResult, shed: RequestResult, tiers: dict[str, int]
 ) -> bool:
-    """Tells whether a served request of a lower tier was sent after a shed request."""
+    """Returns whether a served request of a lower tier was sent after a shed request."""
     is_lower_tier = tiers[served.class_name] > tiers[shed.class_name]
     return is_lower_tier and served.sent_s > shed.sent_s
 
--- a/measure/load_generator.py
+++ b/measure/load_generator.py
@@ -29,7 +29,7 @@
         return self.arrival.class_name
 
     def meets_targets(self) -> bool:
-        """Tells whether the answer is correct and met both latency targets of its class."""
+        """Returns whether the answer is correct and met both latency targets of its class."""
         service_class = CLASSES_BY_NAME[self.class_name]
         is_first_token_in_time = self.answer.first_token_s <= service_class.first_token_ms / 1000
         return (
--- a/models/__init__.py
+++ b/models/__init__.py
@@ -1,1 +1,1 @@
-"""Formal specifications of the core protocols, checked with z3."""
+"""Formal specifications of the core protocols, and their model checker, which uses z3."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -225,7 +225,7 @@
 
 
 def survives(mutant: Mutant, folder: Path) -> bool:
-    """Tells whether the test passes without the mechanism."""
+    """Returns whether the test passes without the mechanism."""
     copy = folder / "copy"
     shutil.copytree(ROOT, copy, ignore=LEFT_OUT)
     try:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -62,7 +62,7 @@
 
 
 async def has_first_tokens(fleet, count: int) -> bool:
-    """Tells whether the timeline has the first tokens of so many requests."""
+    """Returns whether the timeline has the first tokens of so many requests."""
     admins = [text for vm in fleet.vms_by_name.values() for text in ("--vm", vm.admin)]
     _, events = await fleet.run_command("timeline", *admins, "--as", "pairs")
     return events.count("event=first_token") >= count
