--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -1,11 +1,12 @@
 """Handles one request of ``bluebellpitch route``: admission, attempts, retries, response."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bluebellpitch.callers.admission import AdmittedRequest, admit_request, build_work_item
 from bluebellpitch.callers.responses import encode_error_body
+from bluebellpitch.callers.routed_response import RoutedResponse
 from bluebellpitch.decisions.catalogue import Catalogue, Repeatability, Route
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.hashing import digest_text
@@ -30,7 +31,6 @@
     RoutedRequest,
     build_error_headers,
     decode_request,
-    find_last_event_id,
 )
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator, Placement
 from bluebellpitch.roles.endpoint_check import EndpointCheck
@@ -72,12 +72,8 @@
     def __init__(self, context: RoutingContext, connection: ServerConnection):
         self._context = context
         self._connection = connection
-        self._response_started = False
-        self._last_event: int | None = None
+        self._response = RoutedResponse(connection, context.is_draining, context.now)
         self._tried: list[str] = []
-        self._first_event_at = 0.0
-        self._last_event_at = 0.0
-        self._longest_gap_s = 0.0
         self._route_name = ""
         self._fingerprint = ""
 
@@ -123,15 +119,11 @@
             route=self._route_name,
             endpoints=",".join(self._tried) or "none",
             took_ms=f"{took_ms:.0f}",
-            first_ms=f"{max(0.0, self._first_event_at - arrived_at) * 1000:.0f}",
-            gap_ms=f"{self._longest_gap_s * 1000:.0f}",
+            first_ms=f"{max(0.0, self._response.first_event_at - arrived_at) * 1000:.0f}",
+            gap_ms=f"{self._response.longest_gap_s * 1000:.0f}",
         )
-        if isinstance(verdict, Ran):
-            return
-        if self._response_started:
-            raise DisconnectedError("a response that has started cannot be completed")
-        headers = build_error_headers(verdict.retry_after_s)
-        await self._send_response(verdict.status, headers, encode_error_body(verdict, request.id))
+        if not isinstance(verdict, Ran):
+            await self._response.send_error(verdict, request.id)
 
     def _record_metrics(self, verdict: Verdict, arrived_at: float) -> None:
         metrics = self._context.metrics
@@ -139,12 +131,8 @@
         metrics.requests.labels(label, verdict.name).inc()
         if isinstance(verdict, DidNotRun):
             metrics.refusals.labels(label, verdict.reason.partition(" ")[0]).inc()
-        if self._first_event_at:
-            metrics.first_token.labels(label).observe(self._first_event_at - arrived_at)
-
-    async def _send_response(self, status: int, headers, body: bytes) -> None:
-        self._response_started = True
-        await self._connection.respond(status, self._response_headers(headers), body)
+        if self._response.first_event_at:
+            metrics.first_token.labels(label).observe(self._response.first_event_at - arrived_at)
 
     async def _dispatch_unless_crashing(self, admitted: AdmittedRequest) -> Verdict:
         """Refuses a request that has crashed several endpoints; dispatches any other."""
@@ -222,7 +210,7 @@
             verdict = await self._send_to_endpoint(admitted, place)
             outcome = outcome_of(verdict)
         finally:
-            self._context.endpoint_allocator.release(place, outcome, self._longest_gap_s)
+            self._context.endpoint_allocator.release(place, outcome, self._response.longest_gap_s)
         if outcome == "failed" and isinstance(verdict, MayHaveRun):
             await self._report_crash(place, admitted.request)
         return verdict
@@ -231,10 +219,11 @@
         """Returns whether a request that may have run may be sent again."""
         if not admitted.is_retryable:
             return False
-        return not self._response_started or self._may_resume(admitted.route)
+        return not self._response.has_started or self._may_resume(admitted.route)
 
     def _may_resume(self, route: Route) -> bool:
-        return route.repeatability is Repeatability.RESUMABLE and self._last_event is not None
+        has_place = self._response.last_event_id is not None
+        return route.repeatability is Repeatability.RESUMABLE and has_place
 
     async def _send_to_endpoint(self, admitted: AdmittedRequest, place: Placement) -> Verdict:
         """Sends the request to one endpoint and forwards its response."""
@@ -246,7 +235,9 @@
             context.endpoint_check.has_left,
             context.now,
         )
-        last_id = admitted.request.last_event_id if self._last_event is None else self._last_event
+        last_id = self._response.last_event_id
+        if last_id is None:
+            last_id = admitted.request.last_event_id
         forwarding = ForwardingContext(
             endpoint_id=place.entry.id,
             expires_at=admitted.expires_at,
@@ -286,9 +277,9 @@
         head: ResponseHead = response.head
         if head.status >= 500 and admitted.is_retryable and self._has_retry_left(admitted):
             return MayHaveRun(f"answered {head.status}", status=502)
-        if self._response_started:
+        if self._response.has_started:
             return MayHaveRun(f"answered {head.status} to a resumed stream")
-        await self._send_response(head.status, head.headers, response.body)
+        await self._response.send_complete(head.status, head.headers, response.body)
         return Ran(f"answered {head.status}", head.status)
 
     def _has_retry_left(self, admitted: AdmittedRequest) -> bool:
@@ -312,37 +303,13 @@
             if first:
                 first = False
                 allocator.record_first_event(place, attempt.sent_at)
-            await self._start_stream(head)
-            self._record_event_time()
-            await self._connection.send_data(events)
-            last = find_last_event_id(events)
-            self._last_event = self._last_event if last is None else last
+            await self._response.send_events(head, events)
         if attempt.ending != "complete":
             status = 504 if attempt.ending == "late" else 502
             return MayHaveRun(f"stream {attempt.ending}", status=status)
-        await self._start_stream(head)
-        await self._connection.end_response()
+        await self._response.end_stream(head)
         return Ran("complete", head.status)
 
-    def _record_event_time(self) -> None:
-        now = self._context.now()
-        if self._first_event_at:
-            self._longest_gap_s = max(self._longest_gap_s, now - self._last_event_at)
-        else:
-            self._first_event_at = now
-        self._last_event_at = now
-
-    async def _start_stream(self, head: ResponseHead) -> None:
-        """Sends the response head, unless an earlier attempt has sent it."""
-        if not self._response_started:
-            self._response_started = True
-            await self._connection.send_head(head.status, self._response_headers(head.headers))
-
-    def _response_headers(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
-        """Drops Content-Length, which the connection sets; a draining VM adds Connection: close."""
-        kept = [pair for pair in headers if pair[0].lower() != "content-length"]
-        return [*kept, ("Connection", "close")] if self._context.is_draining() else kept
-
 
 async def refuse_malformed_request(connection: ServerConnection, error: BadRequestError) -> None:
     """Responds to a malformed request, and closes the connection."""
