Close every connection of a program before its event loop ends

What operators saw: 'table show' and 'table apply' end with 'Exception ignored in: StreamWriter.__del__ ... RuntimeError: Event loop is closed' on standard error; piped together with the output, it spoils the exported table. On this machine's Python the writer's finalizer then raises, and raised inside pytest's rewriting of assertions it ended pytest itself with 'AST constructor recursion depth mismatch'. Change: the commands close their client with a context, node and entry VM close the clients that they made and their pools.

--- a/bluebellpitch/commands/table.py
+++ b/bluebellpitch/commands/table.py
@@ -1,7 +1,8 @@
 """``table``: checks, shows and changes the table that is in force."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, closing
 from pathlib import Path
 from typing import Annotated
 
@@ -15,6 +16,7 @@
     option,
     print_output,
 )
+from bluebellpitch.decisions.control import ControlStateMachine
 from bluebellpitch.decisions.rows import row_key
 from bluebellpitch.environment import Environment
 from bluebellpitch.errors import ConflictError, UsageError
@@ -32,11 +34,23 @@
         raise UsageError(f"{path} cannot be read: {error}") from error
 
 
-async def open_editor(environment: Environment, address: str, timeout_s: float) -> TableEditor:
-    """Returns an editor that has applied all control records in the store."""
-    editor = TableEditor(StoreClient(address), environment.now, timeout_s)
-    await editor.catch_up()
-    return editor
+@asynccontextmanager
+async def open_editor(
+    environment: Environment, address: str, timeout_s: float
+) -> AsyncIterator[TableEditor]:
+    """Yields an editor that has applied all control records; closes its connection at the end."""
+    with closing(StoreClient(address)) as client:
+        editor = TableEditor(client, environment.now, timeout_s)
+        await editor.catch_up()
+        yield editor
+
+
+async def read_control(
+    environment: Environment, address: str, timeout_s: float
+) -> ControlStateMachine:
+    """Returns the control state after all records in the store."""
+    async with open_editor(environment, address, timeout_s) as editor:
+        return editor.control
 
 
 def check(context: typer.Context, sheet: SheetPath) -> int:
@@ -50,9 +64,9 @@
     context: typer.Context, store_address: StoreAddress, patience_s: RetryTimeout = 10.0
 ) -> int:
     """Prints the table that is in force."""
-    editor = asyncio.run(open_editor(context.obj, store_address, patience_s))
-    rows = editor.control.state.rows_by_key.values()
-    print_output(context, format_sheet(rows, editor.control.offset), end="")
+    control = asyncio.run(read_control(context.obj, store_address, patience_s))
+    rows = control.state.rows_by_key.values()
+    print_output(context, format_sheet(rows, control.offset), end="")
     return ExitStatus.OK
 
 
@@ -65,8 +79,8 @@
 ) -> int:
     """Prints the changes that applying a sheet would make."""
     desired = read_sheet_file(sheet)
-    editor = asyncio.run(open_editor(context.obj, store_address, patience_s))
-    for line in format_diff(diff_table(desired, editor.control, onto_current)):
+    control = asyncio.run(read_control(context.obj, store_address, patience_s))
+    for line in format_diff(diff_table(desired, control, onto_current)):
         print_output(context, line)
     return ExitStatus.OK
 
@@ -97,14 +111,14 @@
     timeout_s: float,
 ) -> str:
     """Applies a sheet; returns a message for the operator. Raises ConflictError."""
-    editor = await open_editor(environment, store_address, timeout_s)
-    table_diff = diff_table(desired, editor.control, onto_current)
-    if table_diff.conflicts:
-        keys = ", ".join(table_diff.conflicts)
-        raise ConflictError(f"changed by another operator since the sheet was made: {keys}")
-    if table_diff.is_empty():
-        return f"nothing to change; in force at offset {editor.control.offset}"
-    return f"in force at offset {await editor.apply(table_diff, author)}"
+    async with open_editor(environment, store_address, timeout_s) as editor:
+        table_diff = diff_table(desired, editor.control, onto_current)
+        if table_diff.conflicts:
+            keys = ", ".join(table_diff.conflicts)
+            raise ConflictError(f"changed by another operator since the sheet was made: {keys}")
+        if table_diff.is_empty():
+            return f"nothing to change; in force at offset {editor.control.offset}"
+        return f"in force at offset {await editor.apply(table_diff, author)}"
 
 
 def format_diff(table_diff: TableDiff) -> Iterator[str]:
--- a/bluebellpitch/endpoints/endpoint_connections.py
+++ b/bluebellpitch/endpoints/endpoint_connections.py
@@ -87,6 +87,12 @@
         pooled.open_count -= 1
         connection.close()
 
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for pooled in self._by_incarnation.values():
+            while pooled.idle:
+                self._drop(pooled, pooled.idle.pop())
+
     def close_expired(self) -> None:
         """Closes connections that were idle for too long; removes endpoints without any."""
         now = self._now()
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -81,6 +81,7 @@
         self.directory = EndpointDirectory()
         self.draining = asyncio.Event()
         self._closing = False
+        self._store_clients: list[StoreClient] = []
         self.key = f"{settings.vm_name}/{uuid4().hex[:8]}"
         self.liveness = Liveness(self.key, settings.zone)
         self.metrics = Metrics()
@@ -105,7 +106,7 @@
         self.peer_discovery = PeerDiscovery(
             vm=settings.vm_name,
             own_record=VmRecord(settings.bus_address, settings.zone),
-            store_address=settings.store_address,
+            client=self._create_store_client(),
             bus=self.bus,
             liveness=self.liveness,
             now=now,
@@ -173,7 +174,7 @@
 
     def _create_follower(self, topic: str, long_poll_s: float) -> TopicFollower:
         return TopicFollower(
-            client=StoreClient(self.settings.store_address),
+            client=self._create_store_client(),
             topic=topic,
             long_poll_s=long_poll_s,
             now=self._now,
@@ -182,6 +183,11 @@
             metrics=self.metrics,
         )
 
+    def _create_store_client(self) -> StoreClient:
+        """Returns a client for one task; calls of one client must not overlap."""
+        self._store_clients.append(StoreClient(self.settings.store_address))
+        return self._store_clients[-1]
+
     def _role_holder(self, role: str) -> str:
         return self.liveness.role_holder(role, self._now(), self.draining.is_set())
 
@@ -270,6 +276,9 @@
         """Closes all sockets."""
         for server in (self.http, self.ready_http, self.metrics_http):
             server.stop_listening()
+        for client in self._store_clients:
+            client.close()
+        self.connection_pool.close()
         self.bus.close()
 
     def _background_tasks(self) -> tuple[Coroutine, ...]:
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -81,6 +81,7 @@
         identity = VmIdentity(settings.vm, incarnation, settings.bus, settings.admin)
         own = VmState(identity, settings.zone, settings.region, False, -1, 0)
         self.key = identity.key
+        self._store_clients: list[StoreClient] = []
         self.view_holder = ViewHolder(ClusterView(own))
         self.clock = HybridClock(wall)
         self.event_ring = EventRing(settings.vm, self.clock, EVENT_RING_SIZE)
@@ -150,7 +151,8 @@
 
     def _create_store_client(self) -> StoreClient:
         """Returns a client for one task; calls of one client must not overlap."""
-        return StoreClient(self.settings.store_address)
+        self._store_clients.append(StoreClient(self.settings.store_address))
+        return self._store_clients[-1]
 
     def handle_message(self, sender: str, message: Message) -> None:
         """Dispatches a message to the component that handles it."""
@@ -207,6 +209,8 @@
         await self._drain()
         await stop_tasks(tasks)
         self.connection_pool.close()
+        for client in self._store_clients:
+            client.close()
         self.bus.close()
         log("INFO", "stopped", vm=self.key)
 
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -26,7 +26,7 @@
         self,
         vm: str,
         own_record: VmRecord,
-        store_address: str,
+        client: StoreClient,
         bus: PeerBus,
         liveness: Liveness,
         now: Callable[[], float],
@@ -37,7 +37,7 @@
     ):
         self._vm = vm
         self._own_record = own_record
-        self._client = StoreClient(store_address)
+        self._client = client
         self._bus = bus
         self._liveness = liveness
         self._now = now
