--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -155,13 +155,27 @@
         """Records a strike if the endpoint is down after a failed attempt: no connection opens."""
         try:
             connection = await ClientConnection.open(place.entry.address, CRASH_PROBE_TIMEOUT_S)
-        except NotSentError:
+        except NotSentError as error:
             attempt = f"{place.entry.id}/{place.entry.started_ms}"
-            log("WARNING", "strike", request=request.id, endpoint=place.entry.id)
+            log(
+                "WARNING",
+                "strike",
+                request=request.id,
+                endpoint=place.entry.id,
+                parts=",".join(part.id for part in request.prompt.parts),
+                first_event_age_ms=self._first_event_age_ms(),
+                cause=type(error.__cause__).__name__,
+            )
             self._context.strikes.record(self._fingerprint, attempt)
         else:
             connection.close()
 
+    def _first_event_age_ms(self) -> int:
+        """Returns the time since the first event, or -1 without any."""
+        if not self._response.first_event_at:
+            return -1
+        return round((self._context.now() - self._response.first_event_at) * 1000)
+
     async def _dispatch_with_retries(self, admitted: AdmittedRequest) -> Verdict:
         """Tries endpoints until one responds, time runs out, or no further retry is allowed."""
         attempts, unsent = 0, 0
