Count a lost run as a crash only if its endpoint refuses a connection

What callers saw: a request whose answer was lost at three endpoints of another region is refused for a minute as one that crashes endpoints, although none of them ended. Class: silence taken for evidence.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -21,8 +21,8 @@
     outcome_of,
 )
 from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
-from bluebellpitch.errors import BadRequestError, DisconnectedError, NotSentError
-from bluebellpitch.http1 import ClientConnection, HttpRequest, ServerConnection
+from bluebellpitch.errors import BadRequestError, DisconnectedError
+from bluebellpitch.http1 import HttpRequest, ServerConnection
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.http_messages import (
@@ -32,6 +32,7 @@
     build_error_headers,
     decode_request,
 )
+from bluebellpitch.roles.crash_reporter import CrashReporter, LostRun
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator, Placement
 from bluebellpitch.roles.endpoint_check import EndpointCheck
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
@@ -45,7 +46,6 @@
 MIN_RETRY_TIME_S = 0.05
 REFUSAL_RETRY_AFTER_S = 0.4
 CRASHING_REQUEST_RETRY_AFTER_S = 60.0
-CRASH_PROBE_TIMEOUT_S = 0.05
 
 
 @dataclass(frozen=True)
@@ -62,6 +62,7 @@
     is_draining: Callable[[], bool]
     is_closing: Callable[[], bool]
     strikes: StrikeReplicator
+    crash_reporter: CrashReporter
     metrics: Metrics
     now: Callable[[], float]
 
@@ -74,6 +75,8 @@
         self._connection = connection
         self._response = RoutedResponse(connection, context.is_draining, context.now)
         self._tried: list[str] = []
+        # Time of the first event of the current attempt, 0 before it.
+        self._run_began_at = 0.0
         self._route_name = ""
         self._fingerprint = ""
 
@@ -151,30 +154,16 @@
             context.strikes.clear(self._fingerprint)
         return verdict
 
-    async def _report_crash(self, place: Placement, request: RoutedRequest) -> None:
-        """Records a strike if the endpoint is down after a failed attempt: no connection opens."""
-        try:
-            connection = await ClientConnection.open(place.entry.address, CRASH_PROBE_TIMEOUT_S)
-        except NotSentError as error:
-            attempt = f"{place.entry.id}/{place.entry.started_ms}"
-            log(
-                "WARNING",
-                "strike",
-                request=request.id,
-                endpoint=place.entry.id,
-                parts=",".join(part.id for part in request.prompt.parts),
-                first_event_age_ms=self._first_event_age_ms(),
-                cause=type(error.__cause__).__name__,
-            )
-            self._context.strikes.record(self._fingerprint, attempt)
-        else:
-            connection.close()
-
-    def _first_event_age_ms(self) -> int:
-        """Returns the time since the first event, or -1 without any."""
-        if not self._response.first_event_at:
-            return -1
-        return round((self._context.now() - self._response.first_event_at) * 1000)
+    async def _report_lost_run(self, place: Placement, request: RoutedRequest) -> None:
+        now = self._context.now()
+        run = LostRun(
+            request_id=request.id,
+            fingerprint=self._fingerprint,
+            parts=tuple(part.id for part in request.prompt.parts),
+            lost_at=now,
+            first_event_age_s=now - self._run_began_at if self._run_began_at else None,
+        )
+        await self._context.crash_reporter.report(place.entry, run)
 
     async def _dispatch_with_retries(self, admitted: AdmittedRequest) -> Verdict:
         """Tries endpoints until one responds, time runs out, or no further retry is allowed."""
@@ -219,6 +208,7 @@
     async def _run_attempt(self, admitted: AdmittedRequest, place: Placement) -> Verdict:
         """Makes one attempt and records its outcome in the load tracking."""
         self._tried.append(place.entry.id)
+        self._run_began_at = 0.0
         outcome = "withdrawn"
         try:
             verdict = await self._send_to_endpoint(admitted, place)
@@ -226,7 +216,7 @@
         finally:
             self._context.endpoint_allocator.release(place, outcome, self._response.longest_gap_s)
         if outcome == "failed" and isinstance(verdict, MayHaveRun):
-            await self._report_crash(place, admitted.request)
+            await self._report_lost_run(place, admitted.request)
         return verdict
 
     def _may_retry(self, admitted: AdmittedRequest) -> bool:
@@ -309,14 +299,14 @@
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
         """Forwards events as they arrive; never ends a truncated stream as if it were complete."""
-        allocator = self._context.endpoint_allocator
-        first = True
+        context, first = self._context, True
         async for events in attempt.events(
-            deadline, max_silence_s=max(0.001, deadline - self._context.now())
+            deadline, max_silence_s=max(0.001, deadline - context.now())
         ):
             if first:
                 first = False
-                allocator.record_first_event(place, attempt.sent_at)
+                self._run_began_at = context.now()
+                context.endpoint_allocator.record_first_event(place, attempt.sent_at)
             await self._response.send_events(head, events)
         if attempt.ending != "complete":
             status = 504 if attempt.ending == "late" else 502
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -35,6 +35,7 @@
 from bluebellpitch.platform.settings_file import VmSettings
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.vm_records import VmRecord
+from bluebellpitch.roles.crash_reporter import CrashReporter
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator
 from bluebellpitch.roles.endpoint_check import EndpointCheck
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
@@ -92,6 +93,7 @@
             send=lambda address, message: self.bus.send_to_address(address, message),
             now=now,
         )
+        self.crash_reporter = CrashReporter(self.strikes, self.directory.has_left)
         self.bus = PeerBus(self.key, HybridClock(now), self.metrics, self._handle_message)
         freshness = Freshness(settings.key_revocation_s, settings.config_apply_s)
         self.configuration = ConfigurationWatcher(
@@ -163,6 +165,7 @@
             is_draining=self.draining.is_set,
             is_closing=lambda: self._closing,
             strikes=self.strikes,
+            crash_reporter=self.crash_reporter,
             metrics=self.metrics,
             now=now,
         )
@@ -270,6 +273,7 @@
             await self.draining.wait()
             await asyncio.gather(self.peer_discovery.unregister(), self._drain())
         finally:
+            await self.crash_reporter.close()
             await stop_tasks(tasks)
 
     def close(self) -> None:
--- a/bluebellpitch/errors.py
+++ b/bluebellpitch/errors.py
@@ -57,6 +57,10 @@
     """The request failed before this VM sent any byte of it."""
 
 
+class ConnectionRefusedByServerError(NotSentError):
+    """Nothing listens at the address of a server whose machine answers."""
+
+
 class ConnectionLostError(BluebellpitchError):
     """The connection failed after bytes of the request may have been sent."""
 
--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -7,6 +7,7 @@
 
 from bluebellpitch.errors import (
     ConnectionLostError,
+    ConnectionRefusedByServerError,
     NotSentError,
     ReadTimeoutError,
     ResponseTooLargeError,
@@ -44,11 +45,14 @@
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "ClientConnection":
-        """Connects to ``host:port``; raises NotSentError."""
+        """Connects to ``host:port``; raises NotSentError, refused or not."""
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(timeout_s):
                 reader, writer = await open_streams(host, int(port))
+        except ConnectionRefusedError as error:
+            message = f"cannot connect to {address}: {error}"
+            raise ConnectionRefusedByServerError(message) from error
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"cannot connect to {address}: {error}") from error
         return cls(reader, writer, address)
