Refuse prompts with a part that crashes endpoints, judged by all VMs from crashes and survivals

Cause: a strike counted against the digest of the whole request, and no two of them are alike. Class: guilt is kept by the wrong name, the request in place of the part that its neighbours share. Change: a crash accuses the parts of all young runs that it cut, told to all VMs at once. A run that began later and survives clears its parts. What stays accused of three crashes one after the other, of different requests, is deadly; parts that are always accused together are refused only together; a part that survived earlier needs five. VMs introduce themselves to those that they read in the list, as the list of the others is up to 20 s old, and pass recent evidence on, so that one that started, slept or was cut off has it too. A request is checked before each attempt, and stopped if it waits or is being read when the verdict comes.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -5,13 +5,12 @@
 from dataclasses import dataclass
 
 from bluebellpitch.callers.admission import AdmittedRequest, admit_request, build_work_item
+from bluebellpitch.callers.crash_guard import CrashGuard
 from bluebellpitch.callers.responses import encode_error_body
 from bluebellpitch.callers.routed_response import RoutedResponse
 from bluebellpitch.decisions.catalogue import Catalogue, Repeatability, Route
 from bluebellpitch.decisions.freshness import Freshness
-from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.retry_budget import RetryBudget
-from bluebellpitch.decisions.strikes import IsolationLevel
 from bluebellpitch.endpoints.attempt import (
     EndpointLeft,
     EndpointRefusal,
@@ -32,7 +31,8 @@
     build_error_headers,
     decode_request,
 )
-from bluebellpitch.roles.crash_reporter import CrashReporter, LostRun
+from bluebellpitch.roles.crash_judge import CrashJudge, has_survived
+from bluebellpitch.roles.crash_reporter import CrashReporter
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator, Placement
 from bluebellpitch.roles.endpoint_check import EndpointCheck
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
@@ -45,7 +45,6 @@
 # Least remaining time for which a retry is worth sending.
 MIN_RETRY_TIME_S = 0.05
 REFUSAL_RETRY_AFTER_S = 0.4
-CRASHING_REQUEST_RETRY_AFTER_S = 60.0
 
 
 @dataclass(frozen=True)
@@ -63,6 +62,7 @@
     is_closing: Callable[[], bool]
     strikes: StrikeReplicator
     crash_reporter: CrashReporter
+    crash_judge: CrashJudge
     metrics: Metrics
     now: Callable[[], float]
 
@@ -78,7 +78,7 @@
         # Time of the first event of the current attempt, 0 before it.
         self._run_began_at = 0.0
         self._route_name = ""
-        self._fingerprint = ""
+        self._guard: CrashGuard | None = None
 
     async def serve(self, http_request: HttpRequest) -> None:
         """Responds to the request; cancels the work as soon as the caller disconnects."""
@@ -106,7 +106,7 @@
         else:
             self._route_name = admitted.route.name
             context.retry_budget.record_request(admitted.pool, now)
-            verdict = await self._dispatch_unless_crashing(admitted)
+            verdict = await self._dispatch(admitted)
         await self._finish(request, verdict, now)
 
     async def _finish(self, request: RoutedRequest, verdict: Verdict, arrived_at: float) -> None:
@@ -137,33 +137,16 @@
         if self._response.first_event_at:
             metrics.first_token.labels(label).observe(self._response.first_event_at - arrived_at)
 
-    async def _dispatch_unless_crashing(self, admitted: AdmittedRequest) -> Verdict:
-        """Refuses a request that has crashed several endpoints; dispatches any other."""
-        context, request = self._context, admitted.request
-        member = admitted.member.name if admitted.member else ""
-        self._fingerprint = digest_text(request.method, request.target, member, request.body)
-        strikes = context.strikes.tracker.count(self._fingerprint, context.now())
-        if (
-            context.strikes.tracker.isolation_level(self._fingerprint, context.now())
-            is IsolationLevel.REFUSED
-        ):
-            log("WARNING", "crashes_endpoints", request=request.id, strikes=strikes)
-            return DidNotRun("crashes_endpoints", 503, CRASHING_REQUEST_RETRY_AFTER_S)
-        verdict = await self._dispatch_with_retries(admitted)
-        if strikes and isinstance(verdict, Ran):
-            context.strikes.clear(self._fingerprint)
-        return verdict
-
-    async def _report_lost_run(self, place: Placement, request: RoutedRequest) -> None:
-        now = self._context.now()
-        run = LostRun(
-            request_id=request.id,
-            fingerprint=self._fingerprint,
-            parts=tuple(part.id for part in request.prompt.parts),
-            lost_at=now,
-            first_event_age_s=now - self._run_began_at if self._run_began_at else None,
+    async def _dispatch(self, admitted: AdmittedRequest) -> Verdict:
+        context = self._context
+        self._guard = CrashGuard(
+            context.strikes, context.crash_judge, context.crash_reporter, context.now, admitted
+        )
+        return await self._guard.run(
+            self._dispatch_with_retries(admitted),
+            has_response=lambda: self._response.has_started,
+            was_tried=lambda: bool(self._tried),
         )
-        await self._context.crash_reporter.report(place.entry, run)
 
     async def _dispatch_with_retries(self, admitted: AdmittedRequest) -> Verdict:
         """Tries endpoints until one responds, time runs out, or no further retry is allowed."""
@@ -190,9 +173,13 @@
             attempts += 1
         return may_have_run or verdict
 
-    def _attempt_refusal(self, admitted: AdmittedRequest, attempts: int) -> DidNotRun | None:
+    def _attempt_refusal(
+        self, admitted: AdmittedRequest, attempts: int
+    ) -> DidNotRun | MayHaveRun | None:
         """Returns the reason why no further attempt is allowed, or None if one is."""
         context, now = self._context, self._context.now()
+        if (refusal := self._guard.refusal(bool(self._tried))) is not None:
+            return refusal
         if now >= admitted.expires_at - (MIN_RETRY_TIME_S if attempts else 0):
             return DidNotRun("no_time", 503, REFUSAL_RETRY_AFTER_S)
         if attempts and not context.retry_budget.spend(admitted.pool, context.vm_count(), now):
@@ -216,7 +203,7 @@
         finally:
             self._context.endpoint_allocator.release(place, outcome, self._response.longest_gap_s)
         if outcome == "failed" and isinstance(verdict, MayHaveRun):
-            await self._report_lost_run(place, admitted.request)
+            await self._guard.report_lost_run(place.entry, self._run_began_at)
         return verdict
 
     def _may_retry(self, admitted: AdmittedRequest) -> bool:
@@ -273,6 +260,8 @@
         if admitted.route.is_stream and 200 <= head.status < 300:
             return await self._forward_stream(admitted, place, attempt, head, deadline)
         response = await attempt.read_complete_response(deadline)
+        if not isinstance(response, MayHaveRun) and head.status < 300:
+            self._guard.record_survival(attempt.sent_at)
         return await self._forward_response(admitted, response)
 
     async def _forward_response(self, admitted: AdmittedRequest, response) -> Verdict:
@@ -299,7 +288,7 @@
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
         """Forwards events as they arrive; never ends a truncated stream as if it were complete."""
-        context, first = self._context, True
+        context, first, is_old = self._context, True, False
         async for events in attempt.events(
             deadline, max_silence_s=max(0.001, deadline - context.now())
         ):
@@ -308,9 +297,13 @@
                 self._run_began_at = context.now()
                 context.endpoint_allocator.record_first_event(place, attempt.sent_at)
             await self._response.send_events(head, events)
+            if not is_old and has_survived(self._run_began_at, context.now()):
+                is_old = True
+                self._guard.record_survival(self._run_began_at)
         if attempt.ending != "complete":
             status = 504 if attempt.ending == "late" else 502
             return MayHaveRun(f"stream {attempt.ending}", status=status)
+        self._guard.record_survival(self._run_began_at or attempt.sent_at)
         await self._response.end_stream(head)
         return Ran("complete", head.status)
 
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -16,6 +16,7 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.strikes import StrikeTracker
+from bluebellpitch.draining import drain
 from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
 from bluebellpitch.logs import log
@@ -24,6 +25,8 @@
 from bluebellpitch.peers.messages import StrikeReport, StrikesCleared
 from bluebellpitch.peers.platform_messages import (
     ConfigurationUpdate,
+    CrashEvidenceRequest,
+    CrashEvidenceUpdate,
     FreshnessReply,
     FreshnessRequest,
     RecordsRequest,
@@ -35,6 +38,7 @@
 from bluebellpitch.platform.settings_file import VmSettings
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.vm_records import VmRecord
+from bluebellpitch.roles.crash_judge import CrashJudge
 from bluebellpitch.roles.crash_reporter import CrashReporter
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator
 from bluebellpitch.roles.endpoint_check import EndpointCheck
@@ -48,15 +52,9 @@
     EndpointWatcher,
 )
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
-from bluebellpitch.roles.topic_follower import TopicFollower
+from bluebellpitch.roles.topic_follower import TopicFollower, reader_role
 from bluebellpitch.tasks import start_tasks, stop_tasks
 
-ROUTED_DRAIN_POLL_S = 0.05
-# The platform sends new connections until it has noticed that the VM is not ready.
-REFUSE_REQUESTS_AFTER_S = 2.6
-# Idle connections stay open a little longer for requests that are in transit.
-STOP_LISTENING_AFTER_S = 3.2
-DRAIN_GRACE_SHARE = 0.94
 CLEANUP_INTERVAL_S = 1.0
 MIN_RECEIVE_TIMEOUT_S = 10.0
 ROUTED_STRIKE_TTL_S = 120.0
@@ -89,11 +87,20 @@
         self._metrics_port = metrics_port
         self.strikes = StrikeReplicator(
             StrikeTracker(ROUTED_STRIKE_TTL_S),
-            peers=lambda: [a for a in self._all_addresses() if a != settings.bus_address],
+            peers=lambda: self.peer_discovery.addresses(),
             send=lambda address, message: self.bus.send_to_address(address, message),
             now=now,
         )
-        self.crash_reporter = CrashReporter(self.strikes, self.directory.has_left)
+        self.crash_judge = CrashJudge(
+            address=settings.bus_address,
+            peers=lambda: self.peer_discovery.addresses(),
+            near_peers=lambda: [peer.address for peer in self.liveness.live_peers(now())],
+            introduce=lambda address: self.peer_discovery.introduce(address),
+            send=lambda address, message: self.bus.send_to_address(address, message),
+            metrics=self.metrics,
+            now=now,
+        )
+        self.crash_reporter = CrashReporter(self.strikes, self.crash_judge, self.directory.has_left)
         self.bus = PeerBus(self.key, HybridClock(now), self.metrics, self._handle_message)
         freshness = Freshness(settings.key_revocation_s, settings.config_apply_s)
         self.configuration = ConfigurationWatcher(
@@ -115,6 +122,7 @@
             configuration_version=self.configuration.version,
             is_draining=self.draining.is_set,
             on_vm_lost=lambda vm: self.generations.remove_vm(vm),
+            on_vm_heard=self.crash_judge.tell,
             holds_any_role=self._holds_any_role,
         )
         self.peer_sync = PeerSync(
@@ -166,6 +174,7 @@
             is_closing=lambda: self._closing,
             strikes=self.strikes,
             crash_reporter=self.crash_reporter,
+            crash_judge=self.crash_judge,
             metrics=self.metrics,
             now=now,
         )
@@ -215,6 +224,8 @@
                 self.peer_sync.handle_message(sender, message)
             case StrikeReport() | StrikesCleared():
                 self.strikes.handle_message(message)
+            case CrashEvidenceUpdate() | CrashEvidenceRequest():
+                self.crash_judge.handle_message(message)
             case _:
                 self.generations.handle_message(sender, message)
 
@@ -229,6 +240,11 @@
         await connection.respond(status, [("Content-Type", "text/plain")], b"")
 
     async def _serve_metrics(self, connection, request) -> None:
+        self._set_gauges()
+        headers = [("Content-Type", "text/plain; version=0.0.4")]
+        await connection.respond(200, headers, self.metrics.render())
+
+    def _set_gauges(self) -> None:
         now = self._now()
         metrics, context = self.metrics, self.context
         metrics.configuration_version.set(self.configuration.version())
@@ -239,8 +255,6 @@
         for pool in catalogue.pools_by_name if catalogue else ():
             retries_left = context.retry_budget.remaining(pool, self.peer_discovery.vm_count(), now)
             metrics.repeats_left.labels(pool).set(retries_left)
-        headers = [("Content-Type", "text/plain; version=0.0.4")]
-        await connection.respond(200, headers, metrics.render())
 
     def is_ready(self) -> bool:
         """Returns whether the VM should receive new connections."""
@@ -271,7 +285,10 @@
         log("INFO", "started", vm=self.settings.vm_name, zone=self.settings.zone)
         try:
             await self.draining.wait()
-            await asyncio.gather(self.peer_discovery.unregister(), self._drain())
+            await asyncio.gather(
+                self.peer_discovery.unregister(),
+                drain(self.http, self.settings.grace_s, self._refuse_requests, self._now),
+            )
         finally:
             await self.crash_reporter.close()
             await stop_tasks(tasks)
@@ -296,6 +313,7 @@
             self.peer_sync.run(),
             self.generations.run(),
             self.strikes.run_expiry(),
+            self.crash_judge.run(),
             self._apply_limits(),
             self._clean_up(),
         )
@@ -324,23 +342,5 @@
             self.connection_pool.close_expired()
             self.endpoint_allocator.loads.prune(self.directory.entries_by_id.values())
 
-    async def _drain(self) -> None:
-        """Stops accepting requests once the platform sends none and completes those in progress."""
-        start = self._now()
-        log("INFO", "draining", in_flight=self.http.in_flight)
-        await asyncio.sleep(REFUSE_REQUESTS_AFTER_S)
+    def _refuse_requests(self) -> None:
         self._closing = True
-        await asyncio.sleep(STOP_LISTENING_AFTER_S - REFUSE_REQUESTS_AFTER_S)
-        self.http.stop_listening()
-        while (
-            self.http.in_flight and self._now() - start < self.settings.grace_s * DRAIN_GRACE_SHARE
-        ):
-            await asyncio.sleep(ROUTED_DRAIN_POLL_S)
-
-
-def reader_role(topic: str) -> str:
-    """Returns the role of reading a topic from the store on behalf of the zone.
-
-    The text decides which VM holds the role, so all VMs of a zone must form it alike.
-    """
-    return f"reads {topic}"
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -51,6 +51,8 @@
         self.peers_heard = self._gauge("peers_heard", "Entry VMs of the zone that are heard")
         self.repeats_left = self._gauge("repeats_left", "Repeats this VM may send now", "pool")
         self.store_calls = self._counter("store_calls", "Calls of the store", "topic", "verdict")
+        self.endpoint_crashes = self._counter("endpoint_crashes", "Endpoints that crashed on runs")
+        self.deadly_parts = self._gauge("deadly_parts", "Sets of parts that crash endpoints")
         self.limit_in_use = self._gauge("limit_in_use", "Running requests", "pool", "member")
 
     def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -186,6 +186,32 @@
     needs_all: bool = False
 
 
+class EndpointCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of one incarnation of an endpoint, ``age_s`` ago.
+
+    ``suspects`` are the young runs that were lost: the id of each request, and the ids of the parts
+    that its prompt may share. ``cleared_parts`` survived in runs that began later.
+    """
+
+    incarnation: str
+    age_s: float
+    suspects: tuple[tuple[str, tuple[str, ...]], ...]
+    cleared_parts: tuple[str, ...]
+
+
+class CrashEvidenceUpdate(msgspec.Struct, frozen=True, tag="crash_evidence"):
+    """What a VM knows of crashes; ``known_parts`` are accused parts that survived before them."""
+
+    crashes: tuple[EndpointCrash, ...]
+    known_parts: tuple[str, ...]
+
+
+class CrashEvidenceRequest(msgspec.Struct, frozen=True, tag="crash_evidence_asked"):
+    """Requests all evidence of crashes; the receiver may not know the sender yet."""
+
+    reply_to: str
+
+
 PlatformMessage = (
     WorkRequest
     | WorkQueued
@@ -202,4 +228,6 @@
     | ConfigurationUpdate
     | RecordsUpdate
     | RecordsRequest
+    | CrashEvidenceUpdate
+    | CrashEvidenceRequest
 )
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -43,6 +43,11 @@
     tokens_out: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts that other prompts may have too, in their order."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
--- a/bluebellpitch/roles/crash_reporter.py
+++ b/bluebellpitch/roles/crash_reporter.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bluebellpitch.decisions.crash_evidence import SURVIVAL_S, SuspectRun
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.errors import ConnectionRefusedByServerError, NotSentError
 from bluebellpitch.http1 import ClientConnection
 from bluebellpitch.logs import log
+from bluebellpitch.roles.crash_judge import CrashJudge
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 
 # A process that ends closes its listener at about the same time as its connections.
@@ -30,6 +32,11 @@
     lost_at: float
     first_event_age_s: float | None
 
+    def is_suspect(self) -> bool:
+        """Returns whether the run may have crashed its endpoint, for one of its shared parts."""
+        is_young = self.first_event_age_s is None or self.first_event_age_s < SURVIVAL_S
+        return is_young and len(self.parts) > 1
+
 
 class CrashReporter:
     """Owns the checks, one at a time for each incarnation of an endpoint.
@@ -39,8 +46,14 @@
     be far away, slow or cut off.
     """
 
-    def __init__(self, strikes: StrikeReplicator, has_left: Callable[[EndpointEntry], bool]):
+    def __init__(
+        self,
+        strikes: StrikeReplicator,
+        judge: CrashJudge,
+        has_left: Callable[[EndpointEntry], bool],
+    ):
         self._strikes = strikes
+        self._judge = judge
         self._has_left = has_left
         self._checks_by_incarnation: dict[str, asyncio.Task] = {}
         self._lost_by_incarnation: dict[str, list[LostRun]] = {}
@@ -92,6 +105,12 @@
                 first_event_age_ms=-1 if age_s is None else round(age_s * 1000),
             )
             self._strikes.record(run.fingerprint, incarnation)
+        suspects = tuple(
+            SuspectRun(run.request_id, run.parts[:-1]) for run in lost_runs if run.is_suspect()
+        )
+        if suspects:
+            lost_at = min(run.lost_at for run in lost_runs)
+            self._judge.record_crash(incarnation, lost_at, suspects)
 
     async def close(self) -> None:
         """Cancels the checks."""
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -33,6 +33,7 @@
         configuration_version: Callable[[], int],
         is_draining: Callable[[], bool],
         on_vm_lost: Callable[[str], None],
+        on_vm_heard: Callable[[str], None],
         holds_any_role: Callable[[], bool],
     ):
         self._vm = vm
@@ -44,8 +45,25 @@
         self._configuration_version = configuration_version
         self._is_draining = is_draining
         self._on_vm_lost = on_vm_lost
+        self._on_vm_heard = on_vm_heard
         self._holds_any_role = holds_any_role
         self.records_by_vm: dict[str, VmRecord] = {vm: own_record}
+        self._introduced_at_by_address: dict[str, float] = {}
+
+    def introduce(self, address: str) -> None:
+        """Records a VM that got this one's address from the store, but may not be in the list."""
+        self._introduced_at_by_address[address] = self._now()
+
+    def addresses(self) -> list[str]:
+        """Returns the bus addresses of all other VMs that there may be."""
+        oldest = self._now() - 2 * VM_LIST_READ_INTERVAL_S
+        introduced = self._introduced_at_by_address.items()
+        known = {
+            *(record.bus for record in self.records_by_vm.values()),
+            *(peer.address for peer in self._liveness.peers_by_key.values()),
+            *(address for address, at in introduced if at > oldest),
+        }
+        return sorted(known - {self._own_record.bus})
 
     def vm_count(self) -> int:
         """Returns how many VMs there may be, at least as many as send heartbeats."""
@@ -72,6 +90,9 @@
             log("WARNING", "members_unknown", error=error)
             return False
         self.records_by_vm = records | {self._vm: self._own_record}
+        oldest = self._now() - 2 * VM_LIST_READ_INTERVAL_S
+        introduced = self._introduced_at_by_address.items()
+        self._introduced_at_by_address = {a: at for a, at in introduced if at > oldest}
         return True
 
     async def unregister(self) -> None:
@@ -131,4 +152,5 @@
         self._bus.register_address(sender, heartbeat.address)
         if self._liveness.record_heartbeat(peer):
             log("INFO", "peer_heard", peer=sender, zone=heartbeat.zone, address=heartbeat.address)
+            self._on_vm_heard(heartbeat.address)
         return peer
--- a/bluebellpitch/roles/topic_follower.py
+++ b/bluebellpitch/roles/topic_follower.py
@@ -264,3 +264,11 @@
         if outage_s >= MIN_OUTAGE_S:
             self.recovered_at = self._now()
         log("INFO", "store_regained", topic=self.topic, away_s=f"{outage_s:.2f}")
+
+
+def reader_role(topic: str) -> str:
+    """Returns the role of reading a topic from the store on behalf of the zone.
+
+    The text decides which VM holds the role, so all VMs of a zone must form it alike.
+    """
+    return f"reads {topic}"
--- a/fakes/prepared_deployment.py
+++ b/fakes/prepared_deployment.py
@@ -192,12 +192,22 @@
         await connection.send_verbatim(method, path, sent_headers, body)
         return await connection.read_response(timeout_s + 1)
 
-    async def stream(self, path: str, request_id: str, tokens: int = 100, **fields):
-        """Requests a streamed generation whose prompt has ``tokens`` tokens."""
+    async def stream(
+        self,
+        path: str,
+        request_id: str,
+        tokens: int = 100,
+        parts: tuple[str, ...] = ("aa",),
+        **fields,
+    ):
+        """Requests a streamed generation whose prompt has ``tokens`` tokens in each of its parts.
+
+        ``parts`` are the ids of those that other prompts may have too.
+        """
         headers = [
             ("Model", "m"),
             ("Token-Usage", f"{tokens},20"),
-            ("Prompt-Prefix", f"aa:{tokens // 2},{request_id}:{tokens - tokens // 2}"),
+            ("Prompt-Prefix", ",".join(f"{part}:{tokens // 2}" for part in (*parts, request_id))),
         ]
         return await self.call("POST", path, request_id, b"prompt", headers=headers, **fields)
 
--- a/fakes/prepared_endpoint.py
+++ b/fakes/prepared_endpoint.py
@@ -16,6 +16,9 @@
     inside an event), ``extra`` (a second response after each), ``unsigned`` (no signature),
     ``encoded`` (a content encoding), ``short`` (a body shorter than its Content-Length),
     ``garbage`` (no HTTP), ``slow``.
+
+    A prompt with the part ``deadly_part`` crashes it after ``deadly_after_s``, before the first
+    event: all connections break and none is accepted until ``restart``.
     """
 
     def __init__(self, name: str, events: int = 4):
@@ -28,10 +31,33 @@
         self.ran: list[str] = []
         self.requests: list = []
         self.cancelled = 0
+        self.deadly_part = ""
+        self.deadly_after_s = 0.02
+        self.is_down = False
+        self._connections: set = set()
+
+    async def start(self, host: str, port: int) -> int:
+        """Starts to listen; returns the port."""
+        self._listens_at = (host, await super().start(host, port))
+        return self._listens_at[1]
+
+    async def restart(self) -> None:
+        """Listens again at the same port after a crash."""
+        self.http.is_closing = self.is_down = False
+        await super().start(*self._listens_at)
+
+    def crash(self) -> None:
+        """Breaks all connections and accepts no more."""
+        self.is_down = True
+        self.http.stop_listening()
+        for connection in self._connections:
+            connection.writer.transport.abort()
+        self._connections.clear()
 
     async def serve(self, connection, request) -> None:
         """Handles one request."""
         self.requests.append(request)
+        self._connections.add(connection)
         request_id = request.header("request-id")
         headers = [("Request-Id", request_id), ("Server-Load", "1,0,8,100")]
         if request.header("target-instance") != self.name or self.mode == "other":
@@ -83,6 +109,10 @@
             connection.writer.write(extra % request_id.encode())
 
     async def _send_stream(self, connection, request, headers) -> None:
+        if self.deadly_part and f"{self.deadly_part}:" in request.header("prompt-prefix"):
+            await self._sleep(connection, self.deadly_after_s)
+            self.crash()
+            raise DisconnectedError("crashed")
         start = int(request.header("last-event-id", "0"))
         await connection.send_head(200, [*headers, ("Content-Type", "text/event-stream")])
         for number in range(start + 1, self.events + 1):
