Close the stand-in's connections in tests of responses without end

Traced: a writer that this stand-in left open is finalized while Python parses a source, and the error of the finalizer upsets the parser's count (Python 3.11.6).

--- a/fakes/endless.py
+++ b/fakes/endless.py
@@ -31,18 +31,25 @@
         self._server.close()
 
     async def _serve(self, reader, writer) -> None:
+        try:
+            await self._send(reader, writer)
+        except OSError:
+            self.closed += 1
+        except asyncio.IncompleteReadError:
+            return
+        finally:
+            writer.transport.abort()
+
+    async def _send(self, reader, writer) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
         lines = (line.partition(b": ") for line in head.split(b"\r\n"))
         request_id = next((value for name, _, value in lines if name.lower() == b"request-id"), b"")
         prefix, repeated = self._build_parts(request_id)
-        try:
-            writer.write(prefix)
-            while True:
-                writer.write(repeated)
-                await writer.drain()
-                self.sent_bytes += len(repeated)
-        except OSError:
-            self.closed += 1
+        writer.write(prefix)
+        while True:
+            writer.write(repeated)
+            await writer.drain()
+            self.sent_bytes += len(repeated)
 
     def _build_parts(self, request_id: bytes) -> tuple[bytes, bytes]:
         ok = b"HTTP/1.1 200 OK\r\nRequest-Id: " + request_id + b"\r\nResponse-Signature: s\r\n"
