--- /dev/null
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -0,0 +1,114 @@
+"""Where a prompt would start soonest, and what that costs the other streams of a zone's engines.
+
+Short prompts prefer engines with little prefill; long ones go where their prefill delays few
+streams, paced by the share of time that an engine may spend on prefill.
+"""
+
+from bluebellpitch.decisions.engine_state import EngineState
+from bluebellpitch.decisions.loads import WorkItem
+from bluebellpitch.decisions.prefill import (
+    DEFAULT_PREFILL_SHARE,
+    MAX_PREFILL_SHARE,
+    PrefillShare,
+    PrefillSpeed,
+)
+
+# A prompt is short, and its prefill not paced, if it takes at most this share of the gap target.
+SHORT_PREFILL_SHARE = 0.12
+# Used for pools without a configured gap target.
+DEFAULT_POOL_GAP_TARGET_S = 0.4
+# Prefill backlog at which an engine that is not paced still gets another prompt.
+UNPACED_BACKLOG_S = 0.1
+# Placement costs, in seconds of time to first token (or per second of prefill, without _S).
+# Of each request that runs on the engine.
+RUNNING_REQUEST_COST_S = 0.003
+# For a short prompt: of an engine that spends all its time on prefill.
+BUSY_PREFILL_COST_S = 0.4
+# For a long prompt: of each short stream that its prefill delays, per second of prefill.
+DELAYED_STREAM_COST = 0.3
+# For a long prompt: per second of prefill for shared parts that another engine may have cached.
+CACHE_MISS_COST = 2.0
+# Of a failure rate of 1.
+FAILURE_COST_S = 1.0
+
+
+class EnginePlacement:
+    """The engines of one pool in one zone. Callers pass the current time as ``now``."""
+
+    def __init__(self):
+        self.speed = PrefillSpeed()
+        self.gap_target_s = DEFAULT_POOL_GAP_TARGET_S
+        self.engines_by_key: dict[tuple[str, int], EngineState] = {}
+        self.short_stream_share = PrefillShare()
+        self.long_stream_share = PrefillShare(MAX_PREFILL_SHARE)
+
+    def has_usable_engine(self, now: float) -> bool:
+        """Returns whether any engine accepts new work, regardless of free capacity."""
+        return any(engine.is_usable(now) for engine in self.engines_by_key.values())
+
+    def cache_miss_cost_s(self, work: WorkItem) -> float:
+        """Returns the cost of prefilling the shared parts of a prompt without a cache hit."""
+        shared = work.tokens_in - self.unshared_tokens(work)
+        return shared * self.speed.s_per_token * CACHE_MISS_COST
+
+    def unshared_tokens(self, work: WorkItem) -> int:
+        """Returns the number of prompt tokens that no engine can have cached."""
+        return work.parts[-1][1] if work.parts else work.tokens_in
+
+    def short_prompt_cost_s(self, now: float) -> float:
+        """Returns the lowest cost of a short prompt in this zone."""
+        work = WorkItem("", "", 0, 1, 1, (), 1.0, self.gap_target_s, now, now + 1.0)
+        engines = self.candidates(work, frozenset(), now)
+        return min((self.cost_s(engine, work, now) for engine in engines), default=float("inf"))
+
+    def is_short_prompt(self, work: WorkItem) -> bool:
+        """Returns whether the prefill is so fast that it need not be paced."""
+        return self.is_short_length(work.tokens_in)
+
+    def is_short_length(self, tokens: int) -> bool:
+        """Does the same for a number of prompt tokens."""
+        return tokens * self.speed.s_per_token <= SHORT_PREFILL_SHARE * self.gap_target_s
+
+    def candidates(self, work: WorkItem, avoid: frozenset[str], now: float) -> list[EngineState]:
+        """Returns the engines that could take the work."""
+        return [
+            engine
+            for engine in self.engines_by_key.values()
+            if engine.entry.id not in avoid and engine.is_usable(now) and engine.has_capacity(work)
+        ]
+
+    def prefill_s(self, engine: EngineState, work: WorkItem) -> float:
+        """Returns how long the engine reads the prompt."""
+        return engine.uncached_tokens(work) * self.speed.s_per_token * engine.load.slowdown
+
+    def start_wait_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
+        """Returns how long the work has to wait before the engine may start to read it."""
+        prefill_s = self.prefill_s(engine, work)
+        if prefill_s <= SHORT_PREFILL_SHARE * self.gap_target_s:
+            return 0.0
+        gap_target_s = engine.min_gap_target_s()
+        share = self.prefill_share(engine).value
+        if gap_target_s is None or share >= MAX_PREFILL_SHARE:
+            return max(0.0, engine.prefill_backlog_s(now) - UNPACED_BACKLOG_S)
+        return engine.prefill_schedule.start_wait_s(prefill_s, gap_target_s, share, now)
+
+    def prefill_share(self, engine: EngineState) -> PrefillShare:
+        """Returns the share of its time that the engine may spend on prefill."""
+        return self.short_stream_share if engine.short_streams() else self.long_stream_share
+
+    def cost_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
+        """Returns the cost of the work at an engine, in seconds of time to first token."""
+        wait_s = max(self.start_wait_s(engine, work, now), engine.prefill_backlog_s(now))
+        prefill_s = self.prefill_s(engine, work)
+        running_s = len(engine.assigned_by_id) * RUNNING_REQUEST_COST_S
+        failure_s = engine.load.recent_failure_rate(now) * FAILURE_COST_S
+        if self.is_short_prompt(work):
+            penalty_s = engine.prefill_activity(now) * BUSY_PREFILL_COST_S
+        else:
+            penalty_s = prefill_s * engine.short_streams() * DELAYED_STREAM_COST
+            penalty_s += engine.uncached_shared(work) * self.speed.s_per_token * CACHE_MISS_COST
+        return wait_s + prefill_s + running_s + failure_s + penalty_s
+
+    def pool_s_per_token(self) -> float:
+        """Returns the prefill time per token with all engines at the default prefill share."""
+        return self.speed.s_per_token / (DEFAULT_PREFILL_SHARE * max(1, len(self.engines_by_key)))
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -10,6 +10,11 @@
 
 from bluebellpitch.decisions.decision_inputs import describe_grant, describe_refusal
 from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.engine_placement import (
+    DEFAULT_POOL_GAP_TARGET_S,
+    DELAYED_STREAM_COST,
+    EnginePlacement,
+)
 from bluebellpitch.decisions.engine_state import AssignedWork, EngineState
 from bluebellpitch.decisions.generation_decisions import (
     Decision,
@@ -20,30 +25,8 @@
     WaitingWork,
 )
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.decisions.prefill import (
-    DEFAULT_PREFILL_SHARE,
-    MAX_PREFILL_SHARE,
-    PrefillShare,
-    PrefillSpeed,
-)
+from bluebellpitch.decisions.prefill import DEFAULT_PREFILL_SHARE
 
-# A prompt is short, and its prefill not paced, if it takes at most this share of the gap target.
-SHORT_PREFILL_SHARE = 0.12
-# Used for pools without a configured gap target.
-DEFAULT_POOL_GAP_TARGET_S = 0.4
-# Prefill backlog at which an engine that is not paced still gets another prompt.
-UNPACED_BACKLOG_S = 0.1
-# Placement costs, in seconds of time to first token (or per second of prefill, without _S).
-# Of each request that runs on the engine.
-RUNNING_REQUEST_COST_S = 0.003
-# For a short prompt: of an engine that spends all its time on prefill.
-BUSY_PREFILL_COST_S = 0.4
-# For a long prompt: of each short stream that its prefill delays, per second of prefill.
-DELAYED_STREAM_COST = 0.3
-# For a long prompt: per second of prefill for shared parts that another engine may have cached.
-CACHE_MISS_COST = 2.0
-# Of a failure rate of 1.
-FAILURE_COST_S = 1.0
 # Work whose end was never reported is dropped this long after its deadline.
 EXPIRY_GRACE_S = 2.0
 # A stream adjusts the prefill share only if its engine was this busy with prefill recently.
@@ -59,15 +42,11 @@
 
     def __init__(self, pool: str):
         self.pool = pool
-        self.speed = PrefillSpeed()
-        self.gap_target_s = DEFAULT_POOL_GAP_TARGET_S
+        self.placement = EnginePlacement()
         self.waiting_by_id: dict[str, WaitingWork] = {}
-        self._engines: dict[tuple[str, int], EngineState] = {}
         self._engine_by_work_id: dict[str, EngineState] = {}
         self._mean_long_tokens = 0.0
         self._paused_until = float("-inf")
-        self.short_stream_share = PrefillShare()
-        self.long_stream_share = PrefillShare(MAX_PREFILL_SHARE)
 
     def set_engines(
         self,
@@ -77,67 +56,56 @@
         gap_target_s: float | None,
     ) -> None:
         """Replaces the engines; incarnations that stay keep their state."""
-        self.gap_target_s = gap_target_s or DEFAULT_POOL_GAP_TARGET_S
+        placement = self.placement
+        placement.gap_target_s = gap_target_s or DEFAULT_POOL_GAP_TARGET_S
         engines = {}
         for entry in entries:
             key = (entry.id, entry.started_ms)
-            state = self._engines.get(key) or EngineState(entry, slots, kv_capacity_tokens)
+            state = placement.engines_by_key.get(key)
+            state = state or EngineState(entry, slots, kv_capacity_tokens)
             state.entry, state.slots, state.kv_capacity_tokens = entry, slots, kv_capacity_tokens
             engines[key] = state
-        self._engines = engines
-
-    def has_usable_engine(self, now: float) -> bool:
-        """Returns whether any engine accepts new work, regardless of free capacity."""
-        return any(engine.is_usable(now) for engine in self._engines.values())
-
-    def cache_miss_cost_s(self, work: WorkItem) -> float:
-        """Returns the cost of prefilling the shared parts of a prompt without a cache hit."""
-        shared = work.tokens_in - self.unshared_tokens(work)
-        return shared * self.speed.s_per_token * CACHE_MISS_COST
-
-    def unshared_tokens(self, work: WorkItem) -> int:
-        """Returns the number of prompt tokens that no engine can have cached."""
-        return work.parts[-1][1] if work.parts else work.tokens_in
+        placement.engines_by_key = engines
 
     def long_prompt_cost_s(self, work: WorkItem, avoid: frozenset[str], now: float) -> float:
         """Returns the cost of a long prompt in this zone, including the wait in the queue."""
-        engines = self._candidates(work, avoid, now)
+        engines = self.placement.candidates(work, avoid, now)
         if not engines:
             return float("inf")
-        best = min(self._cost_s(engine, work, now) for engine in engines)
+        best = min(self.placement.cost_s(engine, work, now) for engine in engines)
         return best + self._queue_wait_s(work, len(engines))
 
     def estimate_long_prompt_cost(self, now: float) -> LongPromptCost:
         """Returns the cost of a long prompt without cached parts, as reported to other zones."""
         tokens = max(1, int(self._mean_long_tokens))
         work = WorkItem(
-            "", self.pool, 1 << 20, tokens, 1, (), 1.0, self.gap_target_s, now, now + 1.0
+            "", self.pool, 1 << 20, tokens, 1, (), 1.0, self.placement.gap_target_s, now, now + 1.0
         )
-        engines = self._candidates(work, frozenset(), now)
+        engines = self.placement.candidates(work, frozenset(), now)
         if not engines:
             return LongPromptCost(float("inf"), 0.0)
-        engine = min(engines, key=lambda engine: self._cost_s(engine, work, now))
-        s_per_token = self.speed.s_per_token * (1 + engine.short_streams() * DELAYED_STREAM_COST)
-        cost_s = self._cost_s(engine, work, now) - tokens * s_per_token
+        engine = min(engines, key=lambda engine: self.placement.cost_s(engine, work, now))
+        s_per_token = self.placement.speed.s_per_token * (
+            1 + engine.short_streams() * DELAYED_STREAM_COST
+        )
+        cost_s = self.placement.cost_s(engine, work, now) - tokens * s_per_token
         return LongPromptCost(cost_s + self._queue_wait_s(work, len(engines)), s_per_token)
 
-    def pool_s_per_token(self) -> float:
-        """Returns the prefill time per token with all engines at the default prefill share."""
-        return self.speed.s_per_token / (DEFAULT_PREFILL_SHARE * max(1, len(self._engines)))
-
     def submit(self, work: WorkItem, vm: str, avoid: frozenset[str], now: float) -> list[Decision]:
         """Queues an item, after freeing any engine held under its id; returns the decisions."""
         if work.id in self._engine_by_work_id:
             self.finish(work.id, "withdrawn", now)
         waiting = WaitingWork(work, vm, avoid)
-        if not self.is_short_prompt(work):
+        if not self.placement.is_short_prompt(work):
             self._mean_long_tokens += LONG_EWMA_WEIGHT * (work.tokens_in - self._mean_long_tokens)
         wait_s = self.expected_wait_s(work, avoid, now)
         if now + wait_s > waiting.start_deadline():
             reason, retry_s = "no_capacity_in_time", self._retry_after(wait_s)
-            if not self.has_usable_engine(now):
+            if not self.placement.has_usable_engine(now):
                 reason, retry_s = NO_ENGINE, MIN_RETRY_AFTER_S
-            inputs = describe_refusal(work, wait_s, len(self.waiting_by_id), len(self._engines))
+            inputs = describe_refusal(
+                work, wait_s, len(self.waiting_by_id), len(self.placement.engines_by_key)
+            )
             return [Refused(work.id, vm, reason, retry_s, inputs)]
         self.waiting_by_id[work.id] = waiting
         decisions = list(self.schedule(now))
@@ -150,11 +118,15 @@
 
     def expected_wait_s(self, work: WorkItem, avoid: frozenset[str], now: float) -> float:
         """Returns the expected wait for an engine, including the wait in the queue."""
-        engines = self._candidates(work, avoid, now)
+        engines = self.placement.candidates(work, avoid, now)
         if not engines:
             return float("inf")
-        best = min(self._start_wait_s(engine, work, now) for engine in engines)
-        return best if self.is_short_prompt(work) else best + self._queue_wait_s(work, len(engines))
+        best = min(self.placement.start_wait_s(engine, work, now) for engine in engines)
+        return (
+            best
+            if self.placement.is_short_prompt(work)
+            else best + self._queue_wait_s(work, len(engines))
+        )
 
     def _queue_wait_s(self, work: WorkItem, engine_count: int) -> float:
         """Returns how long the prefill of queued items of the same or a higher rank takes."""
@@ -163,7 +135,9 @@
             for waiting in self.waiting_by_id.values()
             if waiting.work.rank <= work.rank
         )
-        return tokens_ahead * self.speed.s_per_token / (DEFAULT_PREFILL_SHARE * engine_count)
+        return (
+            tokens_ahead * self.placement.speed.s_per_token / (DEFAULT_PREFILL_SHARE * engine_count)
+        )
 
     def pause(self, until: float) -> None:
         """Grants nothing until then, while VMs report the work that engines already have."""
@@ -173,17 +147,23 @@
         self, engine_key: tuple[str, int], work: WorkItem, vm: str, started: bool, now: float
     ):
         """Counts work that another broker granted; ``started`` is set once it has a first token."""
-        engine = self._engines.get(engine_key)
+        engine = self.placement.engines_by_key.get(engine_key)
         if engine is None or work.id in self._engine_by_work_id:
             return
         prefill_s = 0.0
         if not started:
-            prefill_s = self._prefill_s(engine, work)
+            prefill_s = self.placement.prefill_s(engine, work)
             engine.record_prefill(prefill_s, now)
         engine.cache_prompt(work)
-        first_token_at = now + prefill_s + self.speed.fixed_s
+        first_token_at = now + prefill_s + self.placement.speed.fixed_s
         engine.assigned_by_id[work.id] = AssignedWork(
-            work, vm, work.tokens_in, first_token_at, False, self.is_short_prompt(work), started
+            work,
+            vm,
+            work.tokens_in,
+            first_token_at,
+            False,
+            self.placement.is_short_prompt(work),
+            started,
         )
         self._engine_by_work_id[work.id] = engine
 
@@ -200,13 +180,15 @@
             work = waiting.work
             if self.waiting_by_id.get(work.id) is not waiting:
                 continue
-            is_short = self.is_short_prompt(work)
+            is_short = self.placement.is_short_prompt(work)
             if long_prompt_waits and not is_short:
                 continue
             engine = self._pick_engine(waiting, now)
             if engine is not None:
                 del self.waiting_by_id[work.id]
-                inputs = describe_grant(engine, work, self.speed, self._prefill_share(engine), now)
+                inputs = describe_grant(
+                    engine, work, self.placement.speed, self.placement.prefill_share(engine), now
+                )
                 self._assign(engine, waiting, now)
                 yield Granted(work.id, waiting.vm, engine.entry, inputs)
                 continue
@@ -219,84 +201,43 @@
             if self.waiting_by_id.get(work.id) is waiting and now >= waiting.start_deadline():
                 del self.waiting_by_id[work.id]
                 inputs = describe_refusal(
-                    work, now - work.arrived_at, len(self.waiting_by_id), len(self._engines)
+                    work,
+                    now - work.arrived_at,
+                    len(self.waiting_by_id),
+                    len(self.placement.engines_by_key),
                 )
                 yield Refused(work.id, waiting.vm, "waited_too_long", MIN_RETRY_AFTER_S, inputs)
 
     def _queue_order(self, waiting: WaitingWork, now: float) -> tuple[int, bool, float]:
         work = waiting.work
-        first_token_at = now + self.speed.fixed_s + work.tokens_in * self.speed.s_per_token
+        first_token_at = (
+            now + self.placement.speed.fixed_s + work.tokens_in * self.placement.speed.s_per_token
+        )
         return work.rank, first_token_at > work.arrived_at + work.target_s, work.arrived_at
 
-    def is_short_prompt(self, work: WorkItem) -> bool:
-        """Returns whether the prefill is so fast that it need not be paced."""
-        return self.is_short_length(work.tokens_in)
-
-    def is_short_length(self, tokens: int) -> bool:
-        """Does the same for a number of prompt tokens."""
-        return tokens * self.speed.s_per_token <= SHORT_PREFILL_SHARE * self.gap_target_s
-
-    def _candidates(self, work: WorkItem, avoid: frozenset[str], now: float) -> list[EngineState]:
-        return [
-            engine
-            for engine in self._engines.values()
-            if engine.entry.id not in avoid and engine.is_usable(now) and engine.has_capacity(work)
-        ]
-
-    def _prefill_s(self, engine: EngineState, work: WorkItem) -> float:
-        return engine.uncached_tokens(work) * self.speed.s_per_token * engine.load.slowdown
-
-    def _start_wait_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
-        prefill_s = self._prefill_s(engine, work)
-        if prefill_s <= SHORT_PREFILL_SHARE * self.gap_target_s:
-            return 0.0
-        gap_target_s = engine.min_gap_target_s()
-        share = self._prefill_share(engine).value
-        if gap_target_s is None or share >= MAX_PREFILL_SHARE:
-            return max(0.0, engine.prefill_backlog_s(now) - UNPACED_BACKLOG_S)
-        return engine.prefill_schedule.start_wait_s(prefill_s, gap_target_s, share, now)
-
-    def _prefill_share(self, engine: EngineState) -> PrefillShare:
-        return self.short_stream_share if engine.short_streams() else self.long_stream_share
-
     def _pick_engine(self, waiting: WaitingWork, now: float) -> EngineState | None:
         """Returns the engine with the lowest cost if the work can start there now."""
         work = waiting.work
-        engines = self._candidates(work, waiting.avoid, now)
+        engines = self.placement.candidates(work, waiting.avoid, now)
         if not engines:
             return None
-        costs = [(self._cost_s(engine, work, now), index) for index, engine in enumerate(engines)]
+        costs = [
+            (self.placement.cost_s(engine, work, now), index)
+            for index, engine in enumerate(engines)
+        ]
         engine = engines[min(costs)[1]]
-        return engine if self._start_wait_s(engine, work, now) <= 0.001 else None
-
-    def _cost_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
-        wait_s = max(self._start_wait_s(engine, work, now), engine.prefill_backlog_s(now))
-        prefill_s = self._prefill_s(engine, work)
-        running_s = len(engine.assigned_by_id) * RUNNING_REQUEST_COST_S
-        failure_s = engine.load.recent_failure_rate(now) * FAILURE_COST_S
-        if self.is_short_prompt(work):
-            penalty_s = engine.prefill_activity(now) * BUSY_PREFILL_COST_S
-        else:
-            penalty_s = prefill_s * engine.short_streams() * DELAYED_STREAM_COST
-            penalty_s += engine.uncached_shared(work) * self.speed.s_per_token * CACHE_MISS_COST
-        return wait_s + prefill_s + running_s + failure_s + penalty_s
-
-    def short_prompt_cost_s(self, now: float) -> float:
-        """Returns the lowest cost of a short prompt in this zone."""
-        work = WorkItem("", self.pool, 0, 1, 1, (), 1.0, self.gap_target_s, now, now + 1.0)
-        engines = self._candidates(work, frozenset(), now)
-        return min((self._cost_s(engine, work, now) for engine in engines), default=float("inf"))
+        return engine if self.placement.start_wait_s(engine, work, now) <= 0.001 else None
 
     def _assign(self, engine: EngineState, waiting: WaitingWork, now: float) -> None:
         work = waiting.work
         uncached = engine.uncached_tokens(work)
-        prefill_s = self._prefill_s(engine, work)
+        prefill_s = self.placement.prefill_s(engine, work)
         alone = engine.prefill_backlog_s(now) <= 0
         engine.record_prefill(prefill_s, now)
-        first_token_at = engine.prefill_schedule.free_at(now) + self.speed.fixed_s
+        first_token_at = engine.prefill_schedule.free_at(now) + self.placement.speed.fixed_s
         engine.cache_prompt(work)
         engine.assigned_by_id[work.id] = AssignedWork(
-            work, waiting.vm, uncached, first_token_at, alone, self.is_short_prompt(work)
+            work, waiting.vm, uncached, first_token_at, alone, self.placement.is_short_prompt(work)
         )
         self._engine_by_work_id[work.id] = engine
 
@@ -310,7 +251,7 @@
         engine.load.record_outcome(False, now)
         engine.load.slowdown = max(1.0, slowdown)
         if assigned.prefilled_alone and slowdown <= 1.1:
-            self.speed.add_sample(assigned.uncached_tokens, ttft_s)
+            self.placement.speed.add_sample(assigned.uncached_tokens, ttft_s)
         assigned.has_first_token = True
         if all(other.has_first_token for other in engine.assigned_by_id.values()):
             engine.prefill_schedule.truncate(now)
@@ -327,7 +268,11 @@
             and assigned.has_first_token
             and engine.prefill_activity(now) > MIN_PREFILL_ACTIVITY
         ):
-            share = self.short_stream_share if assigned.is_short else self.long_stream_share
+            share = (
+                self.placement.short_stream_share
+                if assigned.is_short
+                else self.placement.long_stream_share
+            )
             share.record_stream(longest_gap_s > assigned.work.gap_target_s)
         if outcome == "ok":
             engine.last_response_at = now
--- a/bluebellpitch/decisions/remote_zones.py
+++ b/bluebellpitch/decisions/remote_zones.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from bluebellpitch.decisions.generation_broker import RUNNING_REQUEST_COST_S
+from bluebellpitch.decisions.engine_placement import RUNNING_REQUEST_COST_S
 from bluebellpitch.decisions.loads import WorkItem, session_of
 
 # How long engines of another zone are assumed to have a session cached after it was reported.
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -27,7 +27,7 @@
 )
 from bluebellpitch.roles.broker_takeover import BrokerTakeover, adopt_report
 from bluebellpitch.roles.generation_broker_client import GenerationBrokerClient
-from bluebellpitch.roles.work_items import work_from_request
+from bluebellpitch.roles.work_items import grant_from_entry, work_from_request
 
 QUEUE_TICK_S = 0.01
 LOAD_PUBLISH_INTERVAL_S = 0.1
@@ -181,16 +181,18 @@
         if request.is_passed_on:
             return False
         avoid = frozenset(request.avoid)
-        if broker.is_short_prompt(work):
-            local_s = broker.short_prompt_cost_s(now)
+        if broker.placement.is_short_prompt(work):
+            local_s = broker.placement.short_prompt_cost_s(now)
             other = self._cheaper_zone(work.pool, local_s, lambda other: other.short_cost_s, now)
         else:
             local_s = broker.long_prompt_cost_s(work, avoid, now)
-            cache_miss_cost_s = broker.cache_miss_cost_s(work)
+            cache_miss_cost_s = broker.placement.cache_miss_cost_s(work)
 
             def cost(other: RemoteZone) -> float:
                 uncached = (
-                    broker.unshared_tokens(work) if other.has_cached(work, now) else work.tokens_in
+                    broker.placement.unshared_tokens(work)
+                    if other.has_cached(work, now)
+                    else work.tokens_in
                 )
                 cache_miss_s = 0.0 if other.has_cached(work, now) else cache_miss_cost_s
                 return other.long_fixed_s + uncached * other.long_s_per_token + cache_miss_s
@@ -232,15 +234,7 @@
                 case generation_decisions.Granted(work_id, _, entry):
                     self._record_session(request)
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
-                    response = WorkGranted(
-                        work_id,
-                        request.pool if request else "",
-                        entry.id,
-                        entry.address,
-                        entry.zone,
-                        entry.started_ms,
-                        self._address,
-                    )
+                    response = grant_from_entry(work_id, request, entry, self._address)
                 case generation_decisions.Refused(work_id, _, reason, retry_after_s):
                     log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
                     response = WorkRefused(work_id, reason, retry_after_s)
@@ -254,7 +248,9 @@
     def _record_session(self, request: WorkRequest | None) -> None:
         """Records the session of a granted long prompt for the next load report to other zones."""
         session = session_of(request.parts) if request else ""
-        if session and not self._brokers_by_pool[request.pool].is_short_length(request.tokens_in):
+        if session and not self._brokers_by_pool[request.pool].placement.is_short_length(
+            request.tokens_in
+        ):
             self._new_sessions_by_pool.setdefault(request.pool, []).append(session)
 
     def remove_vm(self, vm: str) -> None:
@@ -327,8 +323,8 @@
                 self._zone,
                 cost.fixed_s,
                 cost.s_per_token,
-                broker.short_prompt_cost_s(now),
-                broker.pool_s_per_token(),
+                broker.placement.short_prompt_cost_s(now),
+                broker.placement.pool_s_per_token(),
                 self._address,
                 tuple(self._new_sessions_by_pool.pop(pool, ())),
             )
--- a/bluebellpitch/roles/work_items.py
+++ b/bluebellpitch/roles/work_items.py
@@ -1,7 +1,8 @@
 """Converts messages about generations to work items, with times on the clock of this VM."""
 
+from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.peers.platform_messages import HeldWork, WorkRequest
+from bluebellpitch.peers.platform_messages import HeldWork, WorkGranted, WorkRequest
 
 
 def work_from_request(request: WorkRequest, now: float) -> WorkItem:
@@ -34,3 +35,18 @@
         arrived_at=now,
         expires_at=now + held.left_s,
     )
+
+
+def grant_from_entry(
+    work_id: str, request: WorkRequest | None, entry: EndpointEntry, broker_address: str
+) -> WorkGranted:
+    """Returns the message that grants an engine."""
+    return WorkGranted(
+        work_id,
+        request.pool if request else "",
+        entry.id,
+        entry.address,
+        entry.zone,
+        entry.started_ms,
+        broker_address,
+    )
--- a/tests/test_generation_broker.py
+++ b/tests/test_generation_broker.py
@@ -81,11 +81,13 @@
     broker.submit(make_work("stream", 300, 0.0), "vm", frozenset(), 0.0)
     broker.record_first_token("stream", 0.05, 1.0, 0.05)
     now, first_token_at_by_id, granted_at = 0.1, {}, []
-    prefill_s = 4000 * broker.speed.s_per_token
+    prefill_s = 4000 * broker.placement.speed.s_per_token
 
     def record(names):
         granted_at.extend([now] * len(names))
-        first_token_at_by_id.update(dict.fromkeys(names, now + prefill_s + broker.speed.fixed_s))
+        first_token_at_by_id.update(
+            dict.fromkeys(names, now + prefill_s + broker.placement.speed.fixed_s)
+        )
 
     for number in range(12):
         record(
