Send an endpoint no more requests than the limit that it names, summed over the VMs

Cause: nobody read Server-Limit. Class: a statement of the endpoint that the decision does not know. Change: the adapter decodes it. For engines, a VM tells the broker that granted, which keeps the whole limit at the grant; the grant says what the broker knows, so an answer that names none ends it. A broker that takes over learns the limits from the VMs with their work. For services, and for engines without their broker, each VM has a share, one request at a time from a random moment on, lost if it is not used within half a second. A VM that has not read the list takes the others to be many. What is left over waits up to 0.4 s in order of rank, and is then refused. Waits at limits are in the broker's cost and expected wait, so work goes to other engines and zones first.

--- a/bluebellpitch/decisions/endpoints.py
+++ b/bluebellpitch/decisions/endpoints.py
@@ -14,3 +14,8 @@
     slots: int
     is_draining: bool
     started_ms: int
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """The key of all that ends with this start of the endpoint."""
+        return self.id, self.started_ms
--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -4,8 +4,11 @@
 streams, paced by the share of time that an engine may spend on prefill.
 """
 
+from collections.abc import Iterable
+
 from bluebellpitch.decisions.engine_state import EngineState
 from bluebellpitch.decisions.loads import WorkItem
+from bluebellpitch.decisions.named_limits import NamedLimits
 from bluebellpitch.decisions.prefill import (
     DEFAULT_PREFILL_SHARE,
     MAX_PREFILL_SHARE,
@@ -39,6 +42,7 @@
         self.speed = PrefillSpeed()
         self.gap_target_s = DEFAULT_POOL_GAP_TARGET_S
         self.engines_by_key: dict[tuple[str, int], EngineState] = {}
+        self.limits = NamedLimits()
         self.short_stream_share = PrefillShare()
         self.long_stream_share = PrefillShare(MAX_PREFILL_SHARE)
 
@@ -82,7 +86,11 @@
         return engine.uncached_tokens(work) * self.speed.s_per_token * engine.load.slowdown
 
     def start_wait_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
-        """Returns how long the work has to wait before the engine may start to read it."""
+        """Returns how long the work has to wait before it may be sent to the engine."""
+        limit_wait_s = self.limits.wait_s(engine.key, now)
+        return max(limit_wait_s, self._pacing_wait_s(engine, work, now))
+
+    def _pacing_wait_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
         prefill_s = self.prefill_s(engine, work)
         if prefill_s <= SHORT_PREFILL_SHARE * self.gap_target_s:
             return 0.0
@@ -92,6 +100,15 @@
             return max(0.0, engine.prefill_backlog_s(now) - UNPACED_BACKLOG_S)
         return engine.prefill_schedule.start_wait_s(prefill_s, gap_target_s, share, now)
 
+    def limited_queue_wait_s(
+        self, engines: list[EngineState], requests_ahead: int, now: float
+    ) -> float:
+        """Returns how long queued requests take to be sent if all engines name a limit, else 0."""
+        limits = [self.limits.find(engine.key, now) for engine in engines]
+        if any(limit is None for limit in limits):
+            return 0.0
+        return requests_ahead / sum(1 / limit.interval_s for limit in limits)
+
     def prefill_share(self, engine: EngineState) -> PrefillShare:
         """Returns the share of its time that the engine may spend on prefill."""
         return self.short_stream_share if engine.short_streams() else self.long_stream_share
@@ -109,6 +126,21 @@
             penalty_s += engine.uncached_shared(work) * self.speed.s_per_token * CACHE_MISS_COST
         return wait_s + prefill_s + running_s + failure_s + penalty_s
 
-    def pool_s_per_token(self) -> float:
-        """Returns the prefill time per token with all engines at the default prefill share."""
-        return self.speed.s_per_token / (DEFAULT_PREFILL_SHARE * max(1, len(self.engines_by_key)))
+    def queue_s_per_token(
+        self, engines: Iterable[EngineState], mean_tokens: float, now: float
+    ) -> float:
+        """Returns the time that these engines together need per token of queued prompts.
+
+        Each spends the default share of its time on prefill, and no more than its limit admits of
+        prompts of ``mean_tokens``.
+        """
+        s_per_token = self.speed.s_per_token / DEFAULT_PREFILL_SHARE
+        tokens_per_s = sum(
+            min(1 / s_per_token, self._limited_tokens_per_s(engine, mean_tokens, now))
+            for engine in engines
+        )
+        return 1 / tokens_per_s if tokens_per_s else s_per_token
+
+    def _limited_tokens_per_s(self, engine: EngineState, mean_tokens: float, now: float) -> float:
+        limit = self.limits.find(engine.key, now)
+        return float("inf") if limit is None else max(1.0, mean_tokens) / limit.interval_s
--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -48,6 +48,11 @@
     _cached_parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
     _cached_tokens: int = 0
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """The incarnation."""
+        return self.entry.incarnation
+
     def record_prefill(self, seconds: float, now: float) -> None:
         """Schedules the prefill of a prompt and counts it as recent."""
         self._recent_prefill_s = self.prefill_activity(now) * PREFILL_HALF_LIFE_S + seconds
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -25,7 +25,6 @@
     WaitingWork,
 )
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.decisions.prefill import DEFAULT_PREFILL_SHARE
 
 # Work whose end was never reported is dropped this long after its deadline.
 EXPIRY_GRACE_S = 2.0
@@ -73,7 +72,7 @@
         if not engines:
             return float("inf")
         best = min(self.placement.cost_s(engine, work, now) for engine in engines)
-        return best + self._queue_wait_s(work, len(engines))
+        return best + self._queue_wait_s(work, engines, now)
 
     def estimate_long_prompt_cost(self, now: float) -> LongPromptCost:
         """Returns the cost of a long prompt without cached parts, as reported to other zones."""
@@ -89,7 +88,7 @@
             1 + engine.short_streams() * DELAYED_STREAM_COST
         )
         cost_s = self.placement.cost_s(engine, work, now) - tokens * s_per_token
-        return LongPromptCost(cost_s + self._queue_wait_s(work, len(engines)), s_per_token)
+        return LongPromptCost(cost_s + self._queue_wait_s(work, engines, now), s_per_token)
 
     def submit(self, work: WorkItem, vm: str, avoid: frozenset[str], now: float) -> list[Decision]:
         """Queues an item, after freeing any engine held under its id; returns the decisions."""
@@ -122,22 +121,33 @@
         if not engines:
             return float("inf")
         best = min(self.placement.start_wait_s(engine, work, now) for engine in engines)
+        best += self._limited_queue_wait_s(work, engines, now)
         return (
             best
             if self.placement.is_short_prompt(work)
-            else best + self._queue_wait_s(work, len(engines))
+            else best + self._queue_wait_s(work, engines, now)
         )
 
-    def _queue_wait_s(self, work: WorkItem, engine_count: int) -> float:
+    def _limited_queue_wait_s(
+        self, work: WorkItem, engines: list[EngineState], now: float
+    ) -> float:
+        ahead = sum(other.work.rank <= work.rank for other in self.waiting_by_id.values())
+        return self.placement.limited_queue_wait_s(engines, ahead, now)
+
+    def _queue_wait_s(self, work: WorkItem, engines: list[EngineState], now: float) -> float:
         """Returns how long the prefill of queued items of the same or a higher rank takes."""
         tokens_ahead = sum(
             waiting.work.tokens_in
             for waiting in self.waiting_by_id.values()
             if waiting.work.rank <= work.rank
         )
-        return (
-            tokens_ahead * self.placement.speed.s_per_token / (DEFAULT_PREFILL_SHARE * engine_count)
-        )
+        s_per_token = self.placement.queue_s_per_token(engines, self._mean_long_tokens, now)
+        return tokens_ahead * s_per_token
+
+    def pool_s_per_token(self, now: float) -> float:
+        """Returns the time that all engines together need per token of queued prompts."""
+        engines = self.placement.engines_by_key.values()
+        return self.placement.queue_s_per_token(engines, self._mean_long_tokens, now)
 
     def pause(self, until: float) -> None:
         """Grants nothing until then, while VMs report the work that engines already have."""
@@ -190,7 +200,8 @@
                     engine, work, self.placement.speed, self.placement.prefill_share(engine), now
                 )
                 self._assign(engine, waiting, now)
-                yield Granted(work.id, waiting.vm, engine.entry, inputs)
+                limit = self.placement.limits.find(engine.key, now)
+                yield Granted(work.id, waiting.vm, engine.entry, inputs, limit and limit.rate_per_s)
                 continue
             long_prompt_waits = long_prompt_waits or not is_short
         yield from self._refuse_expired(now)
@@ -233,6 +244,7 @@
         uncached = engine.uncached_tokens(work)
         prefill_s = self.placement.prefill_s(engine, work)
         alone = engine.prefill_backlog_s(now) <= 0
+        self.placement.limits.take_turn(engine.key, now)
         engine.record_prefill(prefill_s, now)
         first_token_at = engine.prefill_schedule.free_at(now) + self.placement.speed.fixed_s
         engine.cache_prompt(work)
@@ -281,6 +293,15 @@
         elif outcome == "unreachable":
             engine.load.record_unreachable(now)
 
+    def record_limit(
+        self, engine_key: tuple[str, int], limit_per_s: float | None, now: float
+    ) -> bool:
+        """Records what an engine named, None for no limit; returns whether that is a change.
+
+        The broker of its zone grants all that the engine takes, so the whole limit is its share.
+        """
+        return self.placement.limits.record(engine_key, limit_per_s, 1.0, now)
+
     def remove_vm(self, vm: str) -> None:
         """Removes all work of a lost VM."""
         for work_id, waiting in list(self.waiting_by_id.items()):
--- a/bluebellpitch/decisions/generation_decisions.py
+++ b/bluebellpitch/decisions/generation_decisions.py
@@ -11,12 +11,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """The work may start on the engine ``entry``. ``inputs`` are logged with the decision."""
+    """The work may start on the engine ``entry``. ``inputs`` are logged with the decision.
+
+    ``limit_per_s`` is the limit that the engine is known to name, None without any.
+    """
 
     work_id: str
     vm: str
     entry: EndpointEntry
     inputs: dict[str, str]
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellpitch/decisions/remote_zones.py
+++ b/bluebellpitch/decisions/remote_zones.py
@@ -1,5 +1,6 @@
 """Load of another zone's engines, as last reported by its broker."""
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.engine_placement import RUNNING_REQUEST_COST_S
@@ -7,6 +8,13 @@
 
 # How long engines of another zone are assumed to have a session cached after it was reported.
 SESSION_CACHE_S = 9.0
+# Loads that are older than this are not used.
+LOAD_MAX_AGE_S = 0.6
+# Work is forwarded to another zone when its cost there, including the delay of forwarding, is
+# lower by more than this gain.
+FORWARD_MIN_GAIN_S = 0.06
+FORWARD_DELAY_S = 0.12
+LOCAL_COST_TOLERANCE_S = 0.08
 
 
 @dataclass(slots=True)
@@ -41,3 +49,27 @@
         """Adds the cost of forwarded work until the next report includes it."""
         self.long_fixed_s += tokens * self.queue_s_per_token
         self.short_cost_s += RUNNING_REQUEST_COST_S
+
+
+def find_cheaper_zone(
+    zones_by_pool_and_name: Mapping[tuple[str, str], RemoteZone],
+    pool: str,
+    local_s: float,
+    cost: Callable[[RemoteZone], float],
+    now: float,
+) -> RemoteZone | None:
+    """Returns the zone where work costs least, if forwarding it is worth it; else None.
+
+    ``local_s`` is the cost in this zone and ``cost`` that in another, in seconds.
+    """
+    if local_s <= LOCAL_COST_TOLERANCE_S:
+        return None
+    others = [
+        other
+        for (other_pool, _), other in zones_by_pool_and_name.items()
+        if other_pool == pool and now - other.reported_at < LOAD_MAX_AGE_S
+    ]
+    best = min(others, key=cost, default=None)
+    if best is None or cost(best) + FORWARD_DELAY_S + FORWARD_MIN_GAIN_S >= local_s:
+        return None
+    return best
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -144,6 +144,7 @@
             directory=self.directory,
             catalogue=lambda: self.configuration.catalogue,
             addresses_in_zone=self.peer_discovery.addresses_in_zone,
+            named_limits=lambda pool, zone: self.endpoint_allocator.named_limits(pool, zone),
             zones=settings.regions_by_zone,
             now=now,
             is_draining=self.draining.is_set,
@@ -153,6 +154,7 @@
             self.generations.broker_client,
             settings.zone,
             settings.regions_by_zone,
+            self.peer_discovery.possible_vm_count,
             now,
         )
         self.connection_pool = EndpointConnectionPool(now)
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -34,7 +34,10 @@
 
 
 class WorkGranted(msgspec.Struct, frozen=True, tag="work_granted"):
-    """The work may start at an endpoint. Reports about it go to ``broker_address``."""
+    """The work may start at an endpoint. Reports about it go to ``broker_address``.
+
+    ``limit_per_s`` is the limit that the broker knows of the endpoint.
+    """
 
     work_id: str
     pool: str
@@ -43,6 +46,16 @@
     zone: str
     started_ms: int
     broker_address: str
+    limit_per_s: float | None = None
+
+
+class EndpointLimit(msgspec.Struct, frozen=True, tag="endpoint_limit"):
+    """An endpoint named in an answer how many requests it takes per second, or (None) no limit."""
+
+    pool: str
+    endpoint_id: str
+    started_ms: int
+    limit_per_s: float | None
 
 
 class WorkRefused(msgspec.Struct, frozen=True, tag="work_refused"):
@@ -216,6 +229,7 @@
     WorkRequest
     | WorkQueued
     | WorkGranted
+    | EndpointLimit
     | WorkRefused
     | FirstTokenReport
     | WorkEnded
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -8,6 +8,7 @@
 
 from bluebellpitch.errors import BadRequestError
 from bluebellpitch.http1 import Headers, HttpRequest
+from bluebellpitch.logs import log
 
 BEARER_PREFIX = "bearer "
 # Hop-by-hop headers, and headers that only the entry VM may set.
@@ -93,6 +94,8 @@
     # Idle timeout of the connection at the endpoint, if it announced one.
     keep_alive_s: float | None
     load: LoadReport | None
+    # Requests per second that the endpoint takes from all VMs together, if it names a limit.
+    limit_per_s: float | None
     headers: tuple[tuple[str, str], ...]
 
 
@@ -198,6 +201,7 @@
         closes_connection=values_by_name.get("connection", "").lower() == "close",
         keep_alive_s=decode_keep_alive(values_by_name.get("keep-alive", "")),
         load=decode_load(values_by_name.get("server-load", "")),
+        limit_per_s=decode_limit(values_by_name.get("server-limit")),
         headers=tuple(pair for pair in headers if pair[0] not in STRIPPED_RESPONSE_HEADERS),
     )
 
@@ -220,6 +224,20 @@
     return LoadReport(int(values[0]), int(values[1]), int(values[2]), slowdown)
 
 
+def decode_limit(text: str | None) -> float | None:
+    """Returns a named limit in requests per second; None without one, or if it is malformed."""
+    if text is None:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        limit = math.nan
+    if not 0 <= limit < math.inf:
+        log("WARNING", "limit_malformed", text=text[:40])
+        return None
+    return limit
+
+
 def find_last_event_id(events: bytes) -> int | None:
     """Returns the id of the last event in a sequence of complete events, or None."""
     ids = EVENT_ID_PATTERN.findall(events)
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -1,5 +1,6 @@
 """Allocates endpoints: for generations through the broker of the zone, for other work locally."""
 
+import asyncio
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
@@ -8,6 +9,7 @@
 from bluebellpitch.decisions.engine_choice import choose_engine
 from bluebellpitch.decisions.generation_broker import NO_ENGINE
 from bluebellpitch.decisions.loads import EndpointLoads, WorkItem
+from bluebellpitch.decisions.named_limits import NamedLimits, TurnQueue
 from bluebellpitch.decisions.service_choice import choose_service_endpoint
 from bluebellpitch.logs import log
 from bluebellpitch.platform.http_messages import ResponseHead
@@ -19,6 +21,11 @@
 CROSS_REGION_DELAY_S = 0.03
 NO_ENDPOINT_RETRY_AFTER_S = 0.4
 MAX_ENGINE_REQUESTS = 3
+# Of an engine's limit, what all VMs together use without its broker, which grants all of it.
+UNBROKERED_SHARE = 0.3
+MAX_TURN_WAIT_S = 0.4
+TURN_POLL_S = 0.02
+MAX_RETRY_AFTER_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +41,10 @@
 
 
 class EndpointAllocator:
-    """Allocates endpoints and keeps this VM's view of their load. ``now`` is the owner's clock."""
+    """Allocates endpoints and keeps this VM's view of their load and of the limits that they name.
+
+    ``vm_count`` returns how many VMs share a limit. ``now`` is the owner's clock.
+    """
 
     def __init__(
         self,
@@ -42,10 +52,14 @@
         broker_client: GenerationBrokerClient,
         zone: str,
         regions_by_zone: Mapping[str, str],
+        vm_count: Callable[[], int],
         now: Callable[[], float],
     ):
         self.directory = directory
         self.loads = EndpointLoads()
+        self._limits = NamedLimits()
+        self._turns = TurnQueue()
+        self._vm_count = vm_count
         self._broker_client = broker_client
         self._now = now
         region = regions_by_zone.get(zone, "")
@@ -73,7 +87,7 @@
                     return self._record_placement(Placement(result.entry, result.work, result))
                 case DidNotRun(reason) if reason != NO_ENGINE:
                     return result
-        return self._allocate_locally(work, is_engine, avoid)
+        return await self._allocate_in_turn(work, is_engine, avoid)
 
     async def _acquire_engine(
         self, work: WorkItem, avoid: frozenset[str]
@@ -89,15 +103,47 @@
             avoid |= {result.entry.id}
         return DidNotRun(NO_ENGINE, 503, NO_ENDPOINT_RETRY_AFTER_S)
 
+    async def _allocate_in_turn(
+        self, work: WorkItem, is_engine: bool, avoid: frozenset[str]
+    ) -> Placement | DidNotRun:
+        """Waits briefly if all endpoints name a limit and none may get a request from here yet."""
+        give_up_at = min(self._now() + MAX_TURN_WAIT_S, work.expires_at)
+        with self._turns.join(work.pool, work.rank) as place:
+            while True:
+                wait_s = self._turn_wait_s(work, avoid)
+                if wait_s is None or (wait_s <= 0 and not place.must_yield()):
+                    return self._allocate_locally(work, is_engine, avoid)
+                wait_s = max(wait_s, TURN_POLL_S)
+                if self._now() + wait_s > give_up_at:
+                    retry_after_s = max(NO_ENDPOINT_RETRY_AFTER_S, min(wait_s, MAX_RETRY_AFTER_S))
+                    return DidNotRun("endpoint_limits", 503, retry_after_s)
+                await asyncio.sleep(wait_s)
+
+    def _turn_wait_s(self, work: WorkItem, avoid: frozenset[str]) -> float | None:
+        """Returns how long no endpoint may get a request from here; None if some has no limit."""
+        now = self._now()
+        entries = self.directory.usable_endpoints(work.pool)
+        limits = [
+            self._limits.find(entry.incarnation, now) for entry in entries if entry.id not in avoid
+        ]
+        if not limits or None in limits:
+            return None
+        return min(limit.wait_s(now) for limit in limits)
+
     def _allocate_locally(self, work: WorkItem, is_engine: bool, avoid) -> Placement | DidNotRun:
         now = self._now()
-        entries = list(self.directory.usable_endpoints(work.pool))
+        entries = [
+            entry
+            for entry in self.directory.usable_endpoints(work.pool)
+            if self._limits.wait_s(entry.incarnation, now) <= 0
+        ]
         if is_engine:
             entry = choose_engine(entries, self.loads, work, self._delay_s_by_zone, avoid, now)
         else:
             entry = choose_service_endpoint(entries, self.loads, self._distance_by_zone, avoid, now)
         if entry is None:
             return DidNotRun("no_endpoint", 503, NO_ENDPOINT_RETRY_AFTER_S)
+        self._limits.take_turn(entry.incarnation, now)
         return self._record_placement(Placement(entry, work))
 
     def _record_placement(self, placement: Placement) -> Placement:
@@ -106,8 +152,27 @@
         load.prefill_tokens_by_id[placement.work.id] = float(placement.work.tokens_in)
         return placement
 
+    def named_limits(self, pool: str, zone: str) -> dict[tuple[str, int], float]:
+        """Returns the limits in force of a zone's endpoints, in requests per second."""
+        entries = self.directory.usable_endpoints(pool)
+        keys = {entry.incarnation for entry in entries if entry.zone == zone}
+        limits = self._limits.in_force(self._now())
+        return {key: limit_per_s for key, limit_per_s in limits.items() if key in keys}
+
+    def _record_limit(self, placement: Placement, head: ResponseHead) -> None:
+        """Records the limit that an answer names; it holds until an answer names none."""
+        entry, limit_per_s = placement.entry, head.limit_per_s
+        share = 1 / self._vm_count()
+        if placement.grant is not None:
+            share *= UNBROKERED_SHARE
+            self._broker_client.report_limit(placement.grant, limit_per_s)
+        if self._limits.record(entry.incarnation, limit_per_s, share, self._now()):
+            log("INFO", "limit", endpoint=entry.id, limit_per_s=limit_per_s, share=f"{share:.3f}")
+
     def record_load_report(self, placement: Placement, head: ResponseHead) -> None:
-        """Records the load that the head of a response reports."""
+        """Records the load and the limit that the head of a response reports."""
+        if not head.is_wrong_instance:
+            self._record_limit(placement, head)
         if head.load is not None:
             busy = float(head.load.running + head.load.waiting)
             self.loads.for_endpoint(placement.entry).record_report(
--- a/bluebellpitch/roles/generation_broker_client.py
+++ b/bluebellpitch/roles/generation_broker_client.py
@@ -9,6 +9,7 @@
 from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.logs import log
 from bluebellpitch.peers.platform_messages import (
+    EndpointLimit,
     FirstTokenReport,
     HeldWork,
     HeldWorkReport,
@@ -40,6 +41,7 @@
     work: WorkItem
     entry: EndpointEntry
     broker_address: str
+    limit_per_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -54,7 +56,8 @@
 class GenerationBrokerClient:
     """Pending engine requests of this VM, and the engines granted to it.
 
-    ``find_broker_vm`` returns the key of the VM that is the broker of a pool.
+    ``find_broker_vm`` returns the key of the VM that is the broker of a pool. ``named_limits``
+    returns the limits that the engines of a pool in a zone named to this VM, by incarnation.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         address: str,
         liveness: Liveness,
         find_broker_vm: Callable[[str], str],
+        named_limits: Callable[[str, str], dict[tuple[str, int], float]],
         send: Send,
         send_to_address: Send,
         now: Callable[[], float],
@@ -71,6 +75,7 @@
         self._address = address
         self._liveness = liveness
         self._find_broker_vm = find_broker_vm
+        self._named_limits = named_limits
         self._send = send
         self._send_to_address = send_to_address
         self._now = now
@@ -117,7 +122,7 @@
                     return DidNotRun(reason, 503, retry_after_s)
                 case WorkGranted():
                     entry = entry_from_grant(response, work.pool)
-                    grant = EngineGrant(work, entry, response.broker_address)
+                    grant = EngineGrant(work, entry, response.broker_address, response.limit_per_s)
                     self._held_by_work[work.id] = HeldGrant(grant, {grant.broker_address})
                     return grant
         self._send(self._find_broker_vm(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
@@ -143,11 +148,18 @@
         ]
         for held in held_grants:
             held.broker_addresses.add(request.reply_to)
+        self._report_limits(request)
         if held_grants:
             works = tuple(describe_held_work(held, now) for held in held_grants)
             report = HeldWorkReport(request.pool, self._vm_key, works)
             self._send_to_address(request.reply_to, report)
 
+    def _report_limits(self, request: HeldWorkRequest) -> None:
+        limits = self._named_limits(request.pool, request.zone)
+        for (endpoint_id, started_ms), limit_per_s in limits.items():
+            limit = EndpointLimit(request.pool, endpoint_id, started_ms, limit_per_s)
+            self._send_to_address(request.reply_to, limit)
+
     def _send_request(self, broker_vm: str, work: WorkItem, avoid: frozenset[str]) -> None:
         self._report_to_new_broker(broker_vm, work.pool)
         now = self._now()
@@ -175,6 +187,14 @@
             held.has_first_token = True
         self._send_to_brokers(grant, held, message)
 
+    def report_limit(self, grant: EngineGrant, limit_per_s: float | None) -> None:
+        """Tells the engine's brokers what it named; nothing if neither side knows of a limit."""
+        if limit_per_s is None and grant.limit_per_s is None:
+            return
+        entry = grant.entry
+        message = EndpointLimit(entry.pool, entry.id, entry.started_ms, limit_per_s)
+        self._send_to_brokers(grant, self._held_by_work.get(grant.work.id), message)
+
     def _send_to_brokers(self, grant: EngineGrant, held: HeldGrant | None, message) -> None:
         for address in held.broker_addresses if held else {grant.broker_address}:
             self._send_to_address(address, message)
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -11,10 +11,11 @@
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import WorkItem, session_of
-from bluebellpitch.decisions.remote_zones import RemoteZone
+from bluebellpitch.decisions.remote_zones import LOAD_MAX_AGE_S, RemoteZone, find_cheaper_zone
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.platform_messages import (
+    EndpointLimit,
     FirstTokenReport,
     HeldWorkReport,
     HeldWorkRequest,
@@ -27,19 +28,13 @@
 )
 from bluebellpitch.roles.broker_takeover import BrokerTakeover, adopt_report
 from bluebellpitch.roles.generation_broker_client import GenerationBrokerClient
-from bluebellpitch.roles.work_items import grant_from_entry, work_from_request
+from bluebellpitch.roles.work_items import message_from_grant, work_from_request
 
 QUEUE_TICK_S = 0.01
 LOAD_PUBLISH_INTERVAL_S = 0.1
 IDLE_WAKE_INTERVAL_S = 0.5
-LOAD_MAX_AGE_S = 0.6
 WORK_EXPIRY_INTERVAL_S = 1.0
 FORWARDED_RESPONSE_TIMEOUT_S = 0.4
-# Work is forwarded to another zone when its cost there, including the delay of forwarding, is
-# lower by more than this gain.
-FORWARD_MIN_GAIN_S = 0.06
-FORWARD_DELAY_S = 0.12
-LOCAL_COST_TOLERANCE_S = 0.08
 
 
 class GenerationCoordinator:
@@ -55,6 +50,7 @@
         directory: EndpointDirectory,
         catalogue: Callable[[], Catalogue | None],
         addresses_in_zone: Callable[[str], list[str]],
+        named_limits: Callable[[str, str], dict[tuple[str, int], float]],
         zones: Iterable[str],
         now: Callable[[], float],
         is_draining: Callable[[], bool],
@@ -73,7 +69,14 @@
         self._brokers_by_pool: dict[str, GenerationBroker] = {}
         self._requests_by_work: dict[str, WorkRequest] = {}
         self.broker_client = GenerationBrokerClient(
-            vm_key, address, liveness, self._broker_vm, self._send, self._send_to_address, now
+            vm_key=vm_key,
+            address=address,
+            liveness=liveness,
+            find_broker_vm=self._broker_vm,
+            named_limits=named_limits,
+            send=self._send,
+            send_to_address=self._send_to_address,
+            now=now,
         )
         self._takeover = BrokerTakeover(
             address,
@@ -125,6 +128,11 @@
                 self._serve_queue(broker)
             case HeldWorkRequest():
                 self.broker_client.report_held_work(message)
+            case EndpointLimit(pool, endpoint_id, started_ms, limit_per_s):
+                broker = self._get_broker(pool)
+                if broker.record_limit((endpoint_id, started_ms), limit_per_s, self._now()):
+                    log("INFO", "broker_limit", endpoint=endpoint_id, limit_per_s=limit_per_s)
+                self._serve_queue(broker)
             case HeldWorkReport():
                 adopt_report(self._get_broker(message.pool), message, self._now())
             case ZoneLoad():
@@ -180,10 +188,12 @@
         """Forwards work to another zone if its cost is lower there; returns whether it did."""
         if request.is_passed_on:
             return False
-        avoid = frozenset(request.avoid)
+        avoid, zones = frozenset(request.avoid), self._remote_zones
         if broker.placement.is_short_prompt(work):
             local_s = broker.placement.short_prompt_cost_s(now)
-            other = self._cheaper_zone(work.pool, local_s, lambda other: other.short_cost_s, now)
+            other = find_cheaper_zone(
+                zones, work.pool, local_s, lambda other: other.short_cost_s, now
+            )
         else:
             local_s = broker.long_prompt_cost_s(work, avoid, now)
             cache_miss_cost_s = broker.placement.cache_miss_cost_s(work)
@@ -197,7 +207,7 @@
                 cache_miss_s = 0.0 if other.has_cached(work, now) else cache_miss_cost_s
                 return other.long_fixed_s + uncached * other.long_s_per_token + cache_miss_s
 
-            other = self._cheaper_zone(work.pool, local_s, cost, now)
+            other = find_cheaper_zone(zones, work.pool, local_s, cost, now)
         if other is None:
             return False
         log("INFO", "passed_on", request=work.id, own_ms=f"{local_s * 1000:.0f}", to=other.address)
@@ -209,19 +219,6 @@
         other.record_forwarded(work.tokens_in)
         return True
 
-    def _cheaper_zone(self, pool: str, local_s: float, cost, now: float) -> RemoteZone | None:
-        if local_s <= LOCAL_COST_TOLERANCE_S:
-            return None
-        others = [
-            other
-            for (other_pool, _), other in self._remote_zones.items()
-            if other_pool == pool and now - other.reported_at < LOAD_MAX_AGE_S
-        ]
-        best = min(others, key=cost, default=None)
-        if best is None or cost(best) + FORWARD_DELAY_S + FORWARD_MIN_GAIN_S >= local_s:
-            return None
-        return best
-
     def _serve_queue(self, broker: GenerationBroker) -> None:
         if broker.waiting_by_id:
             self._send_decisions(broker.schedule(self._now()))
@@ -234,7 +231,7 @@
                 case generation_decisions.Granted(work_id, _, entry):
                     self._record_session(request)
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
-                    response = grant_from_entry(work_id, request, entry, self._address)
+                    response = message_from_grant(decision, request, self._address)
                 case generation_decisions.Refused(work_id, _, reason, retry_after_s):
                     log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
                     response = WorkRefused(work_id, reason, retry_after_s)
@@ -324,7 +321,7 @@
                 cost.fixed_s,
                 cost.s_per_token,
                 broker.placement.short_prompt_cost_s(now),
-                broker.placement.pool_s_per_token(),
+                broker.pool_s_per_token(now),
                 self._address,
                 tuple(self._new_sessions_by_pool.pop(pool, ())),
             )
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -17,6 +17,8 @@
 DEFAULT_HEARTBEAT_INTERVAL_S = 0.45
 VM_LIST_READ_INTERVAL_S = 20.0
 VM_LIST_RETRY_INTERVAL_S = 0.5
+# How many VMs there may be while the list has not been read.
+UNREAD_LIST_VM_COUNT = 20
 
 
 class PeerDiscovery:
@@ -49,6 +51,7 @@
         self._holds_any_role = holds_any_role
         self.records_by_vm: dict[str, VmRecord] = {vm: own_record}
         self._introduced_at_by_address: dict[str, float] = {}
+        self._has_list = False
 
     def introduce(self, address: str) -> None:
         """Records a VM that got this one's address from the store, but may not be in the list."""
@@ -69,6 +72,11 @@
         """Returns how many VMs there may be, at least as many as send heartbeats."""
         return max(len(self.records_by_vm), len(self._liveness.peers_by_key) + 1)
 
+    def possible_vm_count(self) -> int:
+        """Returns how many VMs may share a limit: many, as long as this one knows of no other."""
+        known = max(self.vm_count(), len(self.addresses()) + 1)
+        return known if self._has_list else max(known, UNREAD_LIST_VM_COUNT)
+
     def addresses_in_zone(self, zone: str) -> list[str]:
         """Returns the bus addresses of all known VMs of a zone, whether alive or not."""
         return sorted(r.bus for r in self.records_by_vm.values() if r.zone == zone)
@@ -90,6 +98,7 @@
             log("WARNING", "members_unknown", error=error)
             return False
         self.records_by_vm = records | {self._vm: self._own_record}
+        self._has_list = True
         oldest = self._now() - 2 * VM_LIST_READ_INTERVAL_S
         introduced = self._introduced_at_by_address.items()
         self._introduced_at_by_address = {a: at for a, at in introduced if at > oldest}
--- a/bluebellpitch/roles/work_items.py
+++ b/bluebellpitch/roles/work_items.py
@@ -1,6 +1,6 @@
 """Converts messages about generations to work items, with times on the clock of this VM."""
 
-from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.generation_decisions import Granted
 from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.peers.platform_messages import HeldWork, WorkGranted, WorkRequest
 
@@ -37,16 +37,18 @@
     )
 
 
-def grant_from_entry(
-    work_id: str, request: WorkRequest | None, entry: EndpointEntry, broker_address: str
+def message_from_grant(
+    granted: Granted, request: WorkRequest | None, broker_address: str
 ) -> WorkGranted:
     """Returns the message that grants an engine."""
+    entry = granted.entry
     return WorkGranted(
-        work_id,
+        granted.work_id,
         request.pool if request else "",
         entry.id,
         entry.address,
         entry.zone,
         entry.started_ms,
         broker_address,
+        granted.limit_per_s,
     )
--- a/fakes/prepared_endpoint.py
+++ b/fakes/prepared_endpoint.py
@@ -1,6 +1,7 @@
 """Fake endpoint of the prepared platform: an engine with streams, or a plain service."""
 
 import asyncio
+import time
 
 from bluebellpitch.errors import DisconnectedError
 from fakes.server import FakeServer
@@ -17,6 +18,7 @@
     ``encoded`` (a content encoding), ``short`` (a body shorter than its Content-Length),
     ``garbage`` (no HTTP), ``slow``.
 
+    Its answers name ``limit_per_s`` while that is set; ``arrived_at`` has the times of requests.
     A prompt with the part ``deadly_part`` crashes it after ``deadly_after_s``, before the first
     event: all connections break and none is accepted until ``restart``.
     """
@@ -31,6 +33,8 @@
         self.ran: list[str] = []
         self.requests: list = []
         self.cancelled = 0
+        self.limit_per_s: float | None = None
+        self.arrived_at: list[float] = []
         self.deadly_part = ""
         self.deadly_after_s = 0.02
         self.is_down = False
@@ -59,7 +63,10 @@
         self.requests.append(request)
         self._connections.add(connection)
         request_id = request.header("request-id")
+        self.arrived_at.append(time.monotonic())
         headers = [("Request-Id", request_id), ("Server-Load", "1,0,8,100")]
+        if self.limit_per_s is not None:
+            headers.append(("Server-Limit", f"{self.limit_per_s}"))
         if request.header("target-instance") != self.name or self.mode == "other":
             await connection.respond(421, headers, b"")
             return
--- a/tests/test_broker_takeover.py
+++ b/tests/test_broker_takeover.py
@@ -37,8 +37,12 @@
         loop.call_later(PEER_DELAY_S, receiver.handle_message, self._sender, message)
 
 
-def start_coordinators(count: int) -> dict[str, GenerationCoordinator]:
-    """Starts the coordinators of the VMs of a zone with one engine; they hear each other."""
+def start_coordinators(count: int, limits_by_vm=None) -> dict[str, GenerationCoordinator]:
+    """Starts the coordinators of the VMs of a zone with one engine; they hear each other.
+
+    ``limits_by_vm`` are limits that the engine named to VMs, in requests per second.
+    """
+    limits_by_vm = limits_by_vm or {}
     catalogue = decode_configuration(msgspec.json.encode(build_configuration(1)))
     now = asyncio.get_running_loop().time
     names = [f"vm-{n}" for n in range(count)]
@@ -59,6 +63,7 @@
             directory=directory,
             catalogue=lambda: catalogue,
             addresses_in_zone=lambda zone: names,
+            named_limits=lambda pool, zone, name=name: limits_by_vm.get(name, {}),
             zones=["z"],
             now=now,
             is_draining=lambda: False,
@@ -115,3 +120,20 @@
     while_full, grant = run_in_virtual_time(body())
     assert while_full == DidNotRun("no_capacity_in_time", 503, MAX_RETRY_AFTER_S)
     assert isinstance(grant, EngineGrant)
+
+
+def test_new_broker_learns_the_limit_that_an_engine_named_to_others():
+    async def body():
+        limits_by_vm = {f"vm-{n}": {("i-0", 1): 2.0} for n in range(1, 4)}
+        coordinators = start_coordinators(4, limits_by_vm)
+        requester = next(c for name, c in coordinators.items() if name != broker_of(c))
+        granted_at = []
+        for number in range(5):
+            grant = await acquire(requester, f"a{number}")
+            requester.broker_client.release(grant, "ok", 0.0)
+            granted_at.append(requester._now())
+        return granted_at
+
+    granted_at = run_in_virtual_time(body())
+    # Two a second, of which the turns of one second may come at once.
+    assert granted_at[4] - granted_at[0] >= 1.0
