Take no response without an id for the response to a request that has one

Reported: a faulty server writes an earlier refusal once more on a kept connection; callers are told 'not run' of a request that runs (REFUSED), or it runs at a second server (TWICE). It could happen here: a head without Request-Id counted as the answer to the current request, a refusal too. Servers echo the id, so a response without one is now garbled: the request may have run. A request without an id gets a connection of its own. test_old_refusal_without_an_id_is_not_taken_for_this_request fails before and passes after.

--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -97,7 +97,9 @@
         """
         request = self._request
         try:
-            self._connection = await self._connection_pool.acquire(self._entry, at_most_once)
+            self._connection = await self._connection_pool.acquire(
+                self._entry, at_most_once, may_reuse=bool(request.id)
+            )
             if await self._has_left(self._entry):
                 self.close()
                 return EndpointLeft("endpoint_left", 503, UNSENT_RETRY_AFTER_S)
@@ -133,11 +135,14 @@
         return 200 <= head.status < 300 and not (head.is_signed and head.request_id)
 
     async def _read_matching_head(self, deadline: float) -> ResponseHead:
+        """Skips responses to other requests; one without an id could be to any of them."""
         for _ in range(MAX_MISMATCHED_RESPONSES):
             raw = await self._connection.read_head(self._remaining_s(deadline))
             head = decode_response_head(raw)
-            if head.request_id in ("", self._request.id):
+            if head.request_id == self._request.id:
                 return head
+            if not head.request_id:
+                raise ConnectionLostError("received a response without the id of its request")
             await self._connection.read_rest(self._remaining_s(deadline), MAX_DISCARDED_BYTES)
             self._connection.expect_next_response(self._request.method)
         raise ConnectionLostError("received too many responses to other requests")
--- a/bluebellpitch/endpoints/endpoint_connections.py
+++ b/bluebellpitch/endpoints/endpoint_connections.py
@@ -40,17 +40,20 @@
             self._by_incarnation[key] = IncarnationConnections()
         return self._by_incarnation[key]
 
-    async def acquire(self, entry: EndpointEntry, at_most_once: bool) -> ClientConnection:
+    async def acquire(
+        self, entry: EndpointEntry, at_most_once: bool, may_reuse: bool = True
+    ) -> ClientConnection:
         """Returns an idle connection or a new one; raises NotSentError.
 
-        ``at_most_once`` allows reuse only of a connection that was in use a moment ago.
+        ``at_most_once`` allows reuse only of a connection that was in use a moment ago. A request
+        whose response has no id may not reuse any: it could get the response to an earlier one.
         """
         pooled = self._connections_to(entry)
         idle_since_limit = self._now() - min(
             pooled.idle_timeout_s,
             AT_MOST_ONCE_IDLE_TIMEOUT_S if at_most_once else pooled.idle_timeout_s,
         )
-        while pooled.idle:
+        while pooled.idle and may_reuse:
             connection = pooled.idle.pop()
             if connection.idle_since >= idle_since_limit and not connection.is_stale():
                 return connection
--- a/fakes/prepared_deployment.py
+++ b/fakes/prepared_deployment.py
@@ -91,6 +91,7 @@
     vms: list[EntryVm] = field(default_factory=list)
     _tasks: list[asyncio.Task] = field(default_factory=list)
     _endpoints: list = field(default_factory=list)
+    _clients: list["KeepAliveClient"] = field(default_factory=list)
 
     async def __aenter__(self) -> "Deployment":
         port = await self.store.start("127.0.0.1", 0)
@@ -104,6 +105,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for vm in self.vms:
             vm.close()
+        for client in self._clients:
+            client.disconnect()
         for server in (self.store, *self._endpoints):
             server.http.stop_listening()
 
@@ -140,6 +143,11 @@
         """Removes an endpoint's entry from the store."""
         self.store.put("keyed.servers", name, b"")
 
+    def add_client(self, vm: EntryVm) -> "KeepAliveClient":
+        """Returns a client of a VM, which is closed with the deployment."""
+        self._clients.append(KeepAliveClient(vm.settings))
+        return self._clients[-1]
+
     async def add_vm(self, zone: str = "z", store: str = "") -> EntryVm:
         """Starts an entry VM and waits until it is ready."""
         listen, ready = free_address(), free_address()
--- a/fakes/prepared_endpoint.py
+++ b/fakes/prepared_endpoint.py
@@ -1,6 +1,8 @@
 """Fake endpoint of the prepared platform: an engine with streams, or a plain service."""
 
 import asyncio
+import socket
+import struct
 import time
 
 from bluebellpitch.errors import DisconnectedError
@@ -16,7 +18,11 @@
     its address), ``fail`` (500), ``reset`` (runs, then closes without a response), ``cut`` (closes
     inside an event), ``extra`` (a second response after each), ``unsigned`` (no signature),
     ``encoded`` (a content encoding), ``short`` (a body shorter than its Content-Length),
-    ``garbage`` (no HTTP), ``slow``.
+    ``garbage`` (no HTTP), ``slow``, ``unframed`` (neither a length nor chunks: a stream that ends
+    with its connection; ``unframed cut`` ends inside an event, ``unframed reset`` with a reset),
+    ``half head`` (closes after ``head_bytes`` of the head), ``old refusal`` (before each answer, a
+    refusal without an id, as an earlier one), ``error`` (``error_status``). A request to resume a
+    stream meets ``then_mode`` if that is set.
 
     Its answers name ``limit_per_s`` while that is set; ``arrived_at`` has the times of requests.
     A prompt with the part ``deadly_part`` crashes it after ``deadly_after_s``, before the first
@@ -30,6 +36,9 @@
         self.events = events
         self.pause_s = 0.0
         self.cut_after = 2
+        self.then_mode = ""
+        self.head_bytes = 0
+        self.error_status = 500
         self.ran: list[str] = []
         self.requests: list = []
         self.cancelled = 0
@@ -61,6 +70,8 @@
     async def serve(self, connection, request) -> None:
         """Handles one request."""
         self.requests.append(request)
+        if self.then_mode and request.header("last-event-id"):
+            self.mode = self.then_mode
         self._connections.add(connection)
         request_id = request.header("request-id")
         self.arrived_at.append(time.monotonic())
@@ -75,11 +86,20 @@
             return
         self.ran.append(request_id)
         headers.append(SIGNATURE_HEADER)
-        if self.mode == "reset":
-            raise DisconnectedError("reset")
-        if self.mode == "garbage":
-            connection.writer.write(b"\x00\x01 these are no bytes of an answer\r\n\r\n")
-            raise DisconnectedError("garbage")
+        if self.mode == "half head":
+            head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: x\r\n"
+            head += b"Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"
+            connection.writer.write((head % request_id.encode())[: self.head_bytes])
+            await connection.writer.drain()
+            connection.writer.close()
+            raise DisconnectedError("half a head")
+        if self.mode == "old refusal":
+            old = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            connection.writer.write(old)
+        if self.mode == "error":
+            await connection.respond(self.error_status, headers, b"HTTP/1.1 error in a body")
+            return
+        await self._answer_badly(connection, request_id, headers)
         if self.mode == "slow":
             await self._sleep(connection, 3.0)
         if request.header("token-usage"):
@@ -87,6 +107,25 @@
         else:
             await self._send_response(connection, request_id, headers)
 
+    async def _answer_badly(self, connection, request_id: str, headers) -> None:
+        """Plays the faults that end the connection with no whole answer, or precede the answer."""
+        writer = connection.writer
+        match self.mode:
+            case "reset":
+                raise DisconnectedError("reset")
+            case "garbage":
+                writer.write(b"\x00\x01 these are no bytes of an answer\r\n\r\n")
+                raise DisconnectedError("garbage")
+            case "half head":
+                writer.write(build_head(request_id, "Content-Length: 0")[: self.head_bytes])
+                await writer.drain()
+                raise DisconnectedError("half a head")
+            case "old refusal":
+                writer.write(b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            case "error":
+                await connection.respond(self.error_status, headers, b"HTTP/1.1 error in a body")
+                raise DisconnectedError("after an error")
+
     async def _sleep(self, connection, seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
@@ -115,12 +154,32 @@
             await asyncio.sleep(0.05)
             connection.writer.write(extra % request_id.encode())
 
+    async def _send_unframed(self, connection, request_id: str) -> None:
+        """Writes a stream that ends with its connection; ``unframed cut`` ends inside an event."""
+        writer = connection.writer
+        writer.write(build_head(request_id, "Connection: close"))
+        for number in range(1, self.events + 1):
+            writer.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        if self.mode == "unframed cut":
+            writer.write(b"id: 9\ndata: pie")
+        await writer.drain()
+        if self.mode == "unframed reset":
+            await asyncio.sleep(0.05)
+            no_linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, no_linger
+            )
+        raise DisconnectedError("the answer ends with its connection")
+
     async def _send_stream(self, connection, request, headers) -> None:
         if self.deadly_part and f"{self.deadly_part}:" in request.header("prompt-prefix"):
             await self._sleep(connection, self.deadly_after_s)
             self.crash()
             raise DisconnectedError("crashed")
         start = int(request.header("last-event-id", "0"))
+        if self.mode.startswith("unframed"):
+            await self._send_unframed(connection, request_id=request.header("request-id"))
+            return
         await connection.send_head(200, [*headers, ("Content-Type", "text/event-stream")])
         for number in range(start + 1, self.events + 1):
             if self.mode == "cut" and number > self.cut_after:
@@ -130,3 +189,15 @@
             if self.pause_s:
                 await self._sleep(connection, self.pause_s)
         await connection.end_response()
+
+
+def build_head(request_id: str, last_line: str) -> bytes:
+    """Returns the head of a streamed response as bytes."""
+    lines = (
+        "HTTP/1.1 200 OK",
+        f"Request-Id: {request_id}",
+        "Response-Signature: x",
+        "Content-Type: text/event-stream",
+        last_line,
+    )
+    return "".join(f"{line}\r\n" for line in (*lines, "")).encode()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -203,7 +203,7 @@
     Mutant(
         "route: a response to another request is skipped",
         "bluebellpitch/endpoints/attempt.py",
-        'if head.request_id in ("", self._request.id):',
+        "if head.request_id == self._request.id:",
         "if True:",
         "soak --seed 11 --seconds 20 --vms 2 --only endpoint_spoils",
     ),
@@ -355,6 +355,13 @@
         "",
         "tests/test_broker_takeover.py -k limit",
     ),
+    Mutant(
+        "route: a response without an id is not taken for this request's",
+        "bluebellpitch/endpoints/attempt.py",
+        "            if not head.request_id:\n",
+        "            if not head.request_id:\n                return head\n            if False:\n",
+        "tests/test_faulty_answers.py -k old_refusal",
+    ),
     Mutant(
         "rank: the route's rank decides among members of equal rank",
         "bluebellpitch/decisions/catalogue.py",
--- a/tests/prepared_helpers.py
+++ b/tests/prepared_helpers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from fakes.prepared_deployment import Deployment, KeepAliveClient, wait_until
+from fakes.prepared_deployment import Deployment, wait_until
 
 
 async def start_deployment(deployment: Deployment, *pools: str):
@@ -12,7 +12,7 @@
     ]
     vm = await deployment.add_vm()
     await wait_until(lambda: len(vm.directory.entries_by_id) == len(pools))
-    return endpoints, KeepAliveClient(vm.settings)
+    return endpoints, deployment.add_client(vm)
 
 
 def in_deployment(body):
--- a/tests/test_routed_requests.py
+++ b/tests/test_routed_requests.py
@@ -207,8 +207,8 @@
     """Makes ``while_waiting(entry)`` run before each connection to an endpoint is handed out."""
     acquire = vm.connection_pool.acquire
 
-    async def acquire_late(entry, at_most_once):
-        connection = await acquire(entry, at_most_once)
+    async def acquire_late(entry, at_most_once, may_reuse):
+        connection = await acquire(entry, at_most_once, may_reuse)
         await while_waiting(entry)
         return connection
 
