--- a/bluebellpitch/endpoints/connections.py
+++ b/bluebellpitch/endpoints/connections.py
@@ -28,7 +28,7 @@
         while idle:
             connection = idle.pop()
             is_fresh = self._now() - connection.idle_since < MAX_IDLE_CONNECTION_AGE_S
-            if is_fresh and not connection.reader.at_eof():
+            if is_fresh and not connection.is_stale():
                 return connection
             connection.close()
         return await self.open(address)
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.errors import ConnectionLostError
 from fakes.prepared_deployment import API_KEY, HOST
 from tests.prepared_helpers import in_deployment, start_deployment
@@ -91,3 +92,32 @@
             await client.stream("/explain/7", "r1")
 
     scenario()
+
+
+def test_connection_with_an_unread_refusal_is_not_used_again():
+    async def scenario():
+        writers = []
+
+        async def answer_twice(reader, writer):
+            writers.append(writer)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await asyncio.sleep(0.05)
+            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+        server = await asyncio.start_server(answer_twice, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = ConnectionPool(asyncio.get_running_loop().time)
+        first = await pool.acquire(address)
+        assert (await first.call("GET", "/", b"", 1.0)).status == 200
+        pool.release(first)
+        await asyncio.sleep(0.1)
+        second = await pool.acquire(address)
+        assert second is not first
+        second.close()
+        pool.close()
+        server.close()
+        for writer in writers:
+            writer.transport.abort()
+
+    asyncio.run(scenario())
