Keep the limits that endpoints of serve name at their broker

The VM that gets an answer tells the broker of the endpoint's zone, which grants it one request at a time at the named rate; the grant says what the broker knows, so that an answer that names none ends it.

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -22,7 +22,7 @@
 from bluebellpitch.errors import DisconnectedError
 from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import ServerConnection
-from bluebellpitch.roles.slot_client import Slot
+from bluebellpitch.roles.slots import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
 FIRST_TOKEN_STALL_FACTOR = 3.0
@@ -122,6 +122,7 @@
             slot.granted.address,
             context.settings.stall_s,
             may_send=lambda: context.view_holder.current.accepts_requests(slot.granted.endpoint),
+            on_limit=lambda limit_per_s: context.slot_client.report_limit(slot, limit_per_s),
         )
         slot.on_preempt = attempt.cancel
         if slot.preempt_reason:
--- a/bluebellpitch/callers/request_handler.py
+++ b/bluebellpitch/callers/request_handler.py
@@ -5,7 +5,7 @@
 from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import ServerConnection
 from bluebellpitch.peers.messages import SlotRequest
-from bluebellpitch.roles.slot_client import Slot
+from bluebellpitch.roles.slots import Slot
 from bluebellpitch.verdicts import DidNotRun
 
 
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -12,7 +12,7 @@
 from bluebellpitch.endpoints.service import ServiceCall, call_service
 from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import HttpResponse, ServerConnection
-from bluebellpitch.roles.slot_client import Slot
+from bluebellpitch.roles.slots import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
 CallResult = HttpResponse | ReplayOutcome | DidNotRun | MayHaveRun
@@ -115,6 +115,7 @@
             call,
             self.context.settings.service_timeout_s,
             may_send=lambda: self.context.view_holder.current.accepts_requests(self.endpoint),
+            on_limit=lambda limit_per_s: self.context.slot_client.report_limit(slot, limit_per_s),
         )
         if isinstance(result, HttpResponse) and self.context.view_holder.current.is_cross_region(
             slot.region
--- a/bluebellpitch/decisions/endpoint_selection.py
+++ b/bluebellpitch/decisions/endpoint_selection.py
@@ -15,6 +15,7 @@
     SLOW_ENDPOINT_SLOTS,
 )
 from bluebellpitch.decisions.endpoint_health import EndpointHealth
+from bluebellpitch.decisions.named_limits import NamedLimits
 from bluebellpitch.decisions.rows import EndpointRow
 from bluebellpitch.decisions.slot_grants import ActiveGrant, QueuedRequest
 from bluebellpitch.decisions.strikes import IsolationLevel
@@ -45,6 +46,7 @@
         self._total_slots = 0
         self._endpoint_by_prefix: OrderedDict[str, str] = OrderedDict()
         self._reservation: EndpointReservation | None = None
+        self._limits = NamedLimits()
 
     def set_endpoints(self, rows: tuple[EndpointRow, ...]) -> None:
         """Replaces the endpoints of the pool. Only those in state ``live`` get requests."""
@@ -61,12 +63,25 @@
         return self._total_slots
 
     def add(self, grant: ActiveGrant) -> None:
-        """Adds a new grant."""
+        """Adds a new grant, which counts against a limit that its endpoint named."""
+        self._limits.take_turn((grant.endpoint, 0), grant.granted_at)
         self._grants_by_endpoint.setdefault(grant.endpoint, {})[grant.grant_id] = grant
         self._change_used_slots(grant.endpoint, 1)
         if grant.request.prefix:
             self._record_prefix(grant.request.prefix, grant.endpoint)
 
+    def record_limit(self, endpoint: str, limit_per_s: float | None, now: float) -> bool:
+        """Records what an endpoint named, None for no limit; returns whether that is a change.
+
+        The broker of its zone grants all that it takes, so the whole limit is its share.
+        """
+        return self._limits.record((endpoint, 0), limit_per_s, 1.0, now)
+
+    def limit_per_s(self, endpoint: str, now: float) -> float | None:
+        """Returns the limit in force of an endpoint, or None."""
+        limit = self._limits.find((endpoint, 0), now)
+        return limit and limit.rate_per_s
+
     def mark_preempting(self, grant: ActiveGrant) -> None:
         """Frees the slot of a grant that is being preempted."""
         self._change_used_slots(grant.endpoint, -1)
@@ -161,6 +176,8 @@
     def _is_usable(self, name: str, request: QueuedRequest, now: float) -> bool:
         if name in request.excluded_endpoints or self._health.is_down(name, now):
             return False
+        if self._limits.wait_s((name, 0), now) > 0:
+            return False
         reservation = self._reservation
         return not (
             reservation
--- a/bluebellpitch/decisions/slot_broker.py
+++ b/bluebellpitch/decisions/slot_broker.py
@@ -31,16 +31,12 @@
     QueuedRequest,
     RefuseRequest,
     SlotBrokerCommand,
+    arrival_key,
 )
 
 MemberLimit = Callable[[MemberRow, float], int]  # how many requests of a member may run now
 
 
-def arrival_key(grant: ActiveGrant) -> tuple[float, str]:
-    """Sort key: arrival time of the client's request, then grant id."""
-    return grant.request.arrived_at, grant.grant_id
-
-
 class SlotBroker:
     """Schedules one pool in one zone. A new broker rebuilds its state from VMs' reported grants."""
 
@@ -296,7 +292,8 @@
 
     def _grant_command(self, grant: ActiveGrant) -> GrantSlot:
         stats = self.scheduler.stats(grant.request.class_name)
-        return GrantSlot(grant, stats.first_token_s.value, stats.inter_token_s.value)
+        limit_per_s = self.selector.limit_per_s(grant.endpoint, grant.granted_at)
+        return GrantSlot(grant, stats.first_token_s.value, stats.inter_token_s.value, limit_per_s)
 
     def _add_grant(self, grant: ActiveGrant) -> None:
         self.grants_by_id[grant.grant_id] = grant
--- a/bluebellpitch/decisions/slot_grants.py
+++ b/bluebellpitch/decisions/slot_grants.py
@@ -50,6 +50,7 @@
     grant: ActiveGrant
     expected_first_token_s: float
     expected_inter_token_s: float
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,3 +106,8 @@
     first_token_s: MovingAverage = field(default_factory=MovingAverage)
     inter_token_s: MovingAverage = field(default_factory=MovingAverage)
     share_credit_s: float = 0.0
+
+
+def arrival_key(grant: ActiveGrant) -> tuple[float, str]:
+    """Sort key: arrival time of the client's request, then grant id."""
+    return grant.request.arrived_at, grant.grant_id
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -18,8 +18,9 @@
     ReadTimeoutError,
     ResponseTooLargeError,
 )
-from bluebellpitch.http1 import MAX_RESPONSE_BYTES, ClientConnection
+from bluebellpitch.http1 import MAX_RESPONSE_BYTES, ClientConnection, decode_headers
 from bluebellpitch.logs import log
+from bluebellpitch.platform.http_messages import read_limit
 
 BUSY_STATUSES = (429, 503)
 MAX_REJECTION_BYTES = 1_048_576
@@ -40,7 +41,8 @@
     connection or the engine was lost), ``stalled`` (no token for ``stall_s``), ``late`` (no first
     token in time), ``busy`` (status 429 or 503), ``rejected`` (another error status), ``left`` (no
     byte was sent, since the engine is leaving) and ``oversized`` (more bytes than any completion
-    has). ``may_send`` is asked when everything else is ready to send.
+    has). ``may_send`` is asked when everything else is ready to send. ``on_limit`` is called with
+    the limit that the answer names, in requests per second, or None.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         address: str,
         stall_s: float,
         may_send: Callable[[], bool],
+        on_limit: Callable[[float | None], None],
     ):
+        self._on_limit = on_limit
         self._connection_pool = connection_pool
         self._address = address
         self._stall_s = stall_s
@@ -105,6 +109,7 @@
         headers = [("Content-Type", "application/json"), ("X-Request-Id", request_id)]
         await connection.send("POST", target, headers, msgspec.json.encode(body))
         head = await connection.read_head(first_token_timeout_s)
+        self._on_limit(read_limit(decode_headers(head.headers)))
         if head.status_code != 200:
             await self._read_rejection(connection, head.status_code)
             return
--- a/bluebellpitch/http1/__init__.py
+++ b/bluebellpitch/http1/__init__.py
@@ -1,6 +1,6 @@
 """An HTTP/1.1 client and server over asyncio streams, with h11 as the protocol parser."""
 
-from bluebellpitch.http1.client import MAX_DISCARDED_BYTES, ClientConnection, fetch
+from bluebellpitch.http1.client import MAX_DISCARDED_BYTES, ClientConnection, decode_headers, fetch
 from bluebellpitch.http1.messages import (
     MAX_RESPONSE_BYTES,
     Headers,
@@ -21,6 +21,7 @@
     "HttpResponse",
     "HttpServer",
     "ServerConnection",
+    "decode_headers",
     "fetch",
     "parse_address",
 ]
--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client connections."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 
 import h11
 
@@ -154,8 +154,7 @@
         """
         head = await self.read_head(timeout_s)
         body = await self.read_rest(timeout_s, MAX_RESPONSE_BYTES)
-        headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
-        return HttpResponse(head.status_code, headers, body)
+        return HttpResponse(head.status_code, decode_headers(head.headers), body)
 
     async def call(
         self, method: str, target: str, body: bytes, timeout_s: float, headers: Headers = ()
@@ -208,6 +207,11 @@
         self.writer.transport.abort()
 
 
+def decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> tuple[tuple[str, str], ...]:
+    """Returns the headers of a response as text, with names in lower case."""
+    return tuple((name.decode(), value.decode("latin-1")) for name, value in headers)
+
+
 def create_parser() -> h11.Connection:
     """Returns a parser of responses, which accepts heads of up to ``MAX_HEAD_BYTES``."""
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -35,6 +35,7 @@
     Heartbeat,
     HeldGrantsReport,
     LatencyReport,
+    LimitReport,
     LoanGranted,
     LoanRequest,
     LoanReturned,
@@ -167,6 +168,7 @@
                 | SlotReleased()
                 | HeldGrantsReport()
                 | LatencyReport()
+                | LimitReport()
                 | ForwardedMessage()
             ):
                 self.slot_broker_service.handle_message(sender, message)
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -38,7 +38,10 @@
 
 
 class SlotGranted(msgspec.Struct, frozen=True, tag="granted"):
-    """A slot is granted, with the expected times to first token and between tokens; 0: unknown."""
+    """A slot is granted, with the expected times to first token and between tokens; 0: unknown.
+
+    ``limit_per_s`` is the limit that the broker knows of the endpoint.
+    """
 
     grant: str
     request: str
@@ -47,6 +50,7 @@
     address: str
     expected_first_s: float
     expected_between_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 class SlotRefused(msgspec.Struct, frozen=True, tag="refused"):
@@ -121,6 +125,14 @@
     seconds: float
 
 
+class LimitReport(msgspec.Struct, frozen=True, tag="limit_named"):
+    """An endpoint named how many requests it takes per second, or (None) no limit."""
+
+    pool: str
+    endpoint: str
+    limit_per_s: float | None
+
+
 class ForwardedMessage(msgspec.Struct, frozen=True, tag="forwarded"):
     """A message forwarded by a VM that is no longer the pool's broker; forwarded at most once."""
 
@@ -203,6 +215,7 @@
     | SlotReleased
     | HeldGrantsReport
     | LatencyReport
+    | LimitReport
     | ForwardedMessage
     | LoanRequest
     | LoanGranted
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -2,12 +2,13 @@
 
 import math
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import h11
 
 from bluebellpitch.errors import BadRequestError
-from bluebellpitch.http1 import Headers, HttpRequest
+from bluebellpitch.http1 import Headers, HttpRequest, decode_headers
 from bluebellpitch.logs import log
 
 BEARER_PREFIX = "bearer "
@@ -21,6 +22,7 @@
 STRIPPED_RESPONSE_HEADERS = frozenset(
     "connection keep-alive proxy-connection te trailer transfer-encoding upgrade".split()
 )
+LIMIT_HEADER = "server-limit"
 # Timeout of requests that have no deadline header.
 DEFAULT_TIMEOUT_S = 60.0
 # Ids of more digits are none of an endpoint's counter.
@@ -188,7 +190,7 @@
 
 def decode_response_head(response: h11.Response) -> ResponseHead:
     """Decodes the head of an endpoint's response."""
-    headers = tuple((name.decode(), value.decode("latin-1")) for name, value in response.headers)
+    headers = decode_headers(response.headers)
     values_by_name = dict(headers)
     status = response.status_code
     return ResponseHead(
@@ -201,7 +203,7 @@
         closes_connection=values_by_name.get("connection", "").lower() == "close",
         keep_alive_s=decode_keep_alive(values_by_name.get("keep-alive", "")),
         load=decode_load(values_by_name.get("server-load", "")),
-        limit_per_s=decode_limit(values_by_name.get("server-limit")),
+        limit_per_s=decode_limit(values_by_name.get(LIMIT_HEADER)),
         headers=tuple(pair for pair in headers if pair[0] not in STRIPPED_RESPONSE_HEADERS),
     )
 
@@ -224,6 +226,11 @@
     return LoadReport(int(values[0]), int(values[1]), int(values[2]), slowdown)
 
 
+def read_limit(headers: Iterable[tuple[str, str]]) -> float | None:
+    """Returns the limit that a response names, in requests per second, or None."""
+    return decode_limit(next((v for name, v in headers if name.lower() == LIMIT_HEADER), None))
+
+
 def decode_limit(text: str | None) -> float | None:
     """Returns a named limit in requests per second; None without one, or if it is malformed."""
     if text is None:
--- a/bluebellpitch/roles/slot_broker_service.py
+++ b/bluebellpitch/roles/slot_broker_service.py
@@ -25,6 +25,7 @@
     SlotBrokerCommand,
 )
 from bluebellpitch.events import EventKind, EventRing
+from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import (
@@ -32,6 +33,7 @@
     HeldGrant,
     HeldGrantsReport,
     LatencyReport,
+    LimitReport,
     LoanGranted,
     LoanRequest,
     LoanReturned,
@@ -117,6 +119,9 @@
                 self._execute(broker, broker.finish(finished, now))
             case LatencyReport(grant, _, measure, seconds):
                 broker.record_latency(grant, measure, seconds, now)
+            case LimitReport(_, endpoint, limit_per_s):
+                if broker.selector.record_limit(endpoint, limit_per_s, now):
+                    log("INFO", "broker_limit", endpoint=endpoint, limit_per_s=limit_per_s)
             case HeldGrantsReport(_, grants):
                 self._reconcile_held_grants(broker, requester, grants)
 
@@ -218,6 +223,7 @@
             endpoint.address,
             command.expected_first_token_s,
             command.expected_inter_token_s,
+            command.limit_per_s,
         )
         self._bus.send(request.requesting_vm, granted)
 
--- a/bluebellpitch/roles/slot_client.py
+++ b/bluebellpitch/roles/slot_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -15,7 +14,6 @@
     TOKEN_GAP_CHECK_INTERVAL_S,
     TOKEN_GAP_REPORT_INTERVAL_S,
 )
-from bluebellpitch.decisions.slot_grants import MovingAverage
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import (
@@ -23,6 +21,7 @@
     HeldGrantDetails,
     HeldGrantsReport,
     LatencyReport,
+    LimitReport,
     SlotGranted,
     SlotPreempted,
     SlotRefused,
@@ -30,65 +29,13 @@
     SlotRequest,
     SlotRequestCancelled,
 )
+from bluebellpitch.roles.slots import PendingRequest, Slot
 from bluebellpitch.verdicts import DidNotRun
 from bluebellpitch.view import ViewHolder
 
 DISCONNECT_CHECK_INTERVAL_S = 0.25
 
 
-@dataclass(slots=True)
-class Slot:
-    """A slot granted to this VM. ``on_preempt`` is called when the broker preempts it.
-
-    ``brokers_with_details`` lists the brokers that already know the request behind the grant.
-    """
-
-    granted: SlotGranted
-    slot_request: SlotRequest
-    zone: str
-    region: str
-    held_since: float
-    on_preempt: Callable[[str], None] | None = None
-    preempt_reason: str = ""
-    tokens: int = 0
-    last_token_at: float | None = None
-    gap_reported_at: float = 0.0
-    inter_token_mean: MovingAverage = field(default_factory=MovingAverage)
-    brokers_with_details: set[str] = field(default_factory=set)
-
-    def record_tokens(self, count: int, now: float) -> None:
-        """Records received tokens and updates the mean time between them."""
-        if self.last_token_at is not None and count:
-            self.inter_token_mean.add((now - self.last_token_at) / count)
-        self.tokens += count
-        self.last_token_at = now
-
-    def inter_token_s(self) -> float | None:
-        """Returns the moving mean time between tokens, or None before the second token."""
-        return self.inter_token_mean.value if self.inter_token_mean.count else None
-
-    def preempt(self, reason: str) -> None:
-        """Stops the attempt that uses the slot."""
-        self.preempt_reason = reason
-        if self.on_preempt:
-            self.on_preempt(reason)
-
-
-@dataclass(slots=True)
-class PendingRequest:
-    """A request that waits for a slot: the zones it was sent to, and their replies."""
-
-    slot_request: SlotRequest
-    arrived_at: float
-    expires_at: float
-    overflow_after_s: float
-    zones: list[str]
-    requested_zones: list[str] = field(default_factory=list)
-    refusals_by_zone: dict[str, SlotRefused] = field(default_factory=dict)
-    preempt_reasons_by_grant: dict[str, str] = field(default_factory=dict)
-    inbox: asyncio.Queue = field(default_factory=asyncio.Queue)
-
-
 class SlotClient:
     """Owns the pending slot requests and the held slots of this VM."""
 
@@ -283,6 +230,14 @@
         """Reports a time to first token to the broker."""
         self._send_measurement(slot, "first", seconds)
 
+    def report_limit(self, slot: Slot, limit_per_s: float | None) -> None:
+        """Tells the broker what an endpoint named; nothing if neither side knows of a limit."""
+        pool, granted = slot.slot_request.pool, slot.granted
+        broker_vm = self._view_holder.current.broker_vm(pool, slot.zone)
+        is_known = limit_per_s is not None or granted.limit_per_s is not None
+        if is_known and broker_vm is not None:
+            self._bus.send(broker_vm, LimitReport(pool, granted.endpoint, limit_per_s))
+
     def _send_measurement(self, slot: Slot, measure: str, seconds: float) -> None:
         broker_vm = self._view_holder.current.broker_vm(slot.slot_request.pool, slot.zone)
         if broker_vm is not None:
--- a/fakes/service.py
+++ b/fakes/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import time
 
 import msgspec
 
@@ -15,6 +16,7 @@
     ``POST /cases`` with the field ``case`` in its JSON body runs the case each time. Faults:
     ``slow_s`` delays the run, ``hold_s`` the response after it; ``silent`` runs but never responds;
     ``crash_after`` runs and then exits the process; ``refuse`` responds that it did not run.
+    ``limit_per_s`` is named in the responses to look-ups; ``GET /arrivals`` has the times of those.
     """
 
     def __init__(self, name: str = "service"):
@@ -25,20 +27,32 @@
         self.silent = False
         self.crash_after = False
         self.refuse = False
+        self.limit_per_s: float | None = None
+        self.arrived_at: list[float] = []
         self.runs_by_case: dict[str, int] = {}
 
     async def serve(self, connection, request) -> None:
         """Handles a submission, a look-up, or a request for the counts."""
         if request.target == "/counts":
             await send_json(connection, self.runs_by_case)
+        elif request.target == "/arrivals":
+            await send_json(connection, self.arrived_at)
         elif request.method == "POST" and self.refuse:
             headers = [("X-Did-Not-Run", "true")]
             await connection.respond(503, headers, b"{}")
         elif request.method == "POST":
             await self._run_case(connection, msgspec.json.decode(request.body)["case"])
         else:
-            await asyncio.sleep(self.slow_s)
-            await send_json(connection, {"looked_up": request.target, "by": self.name})
+            await self._look_up(connection, request.target)
+
+    async def _look_up(self, connection, target: str) -> None:
+        self.arrived_at.append(time.monotonic())
+        await asyncio.sleep(self.slow_s)
+        headers = [("Content-Type", "application/json")]
+        if self.limit_per_s is not None:
+            headers.append(("Server-Limit", f"{self.limit_per_s}"))
+        body = msgspec.json.encode({"looked_up": target, "by": self.name})
+        await connection.respond(200, headers, body)
 
     async def _run_case(self, connection, case: str) -> None:
         await asyncio.sleep(self.slow_s)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -362,6 +362,13 @@
         "            if not head.request_id:\n                return head\n            if False:\n",
         "tests/test_faulty_answers.py -k old_refusal",
     ),
+    Mutant(
+        "limits: serve's broker counts its grants against what the endpoint named",
+        "bluebellpitch/decisions/endpoint_selection.py",
+        "        if self._limits.wait_s((name, 0), now) > 0:\n",
+        "        if False:\n",
+        "tests/test_serve_limits.py",
+    ),
     Mutant(
         "rank: the route's rank decides among members of equal rank",
         "bluebellpitch/decisions/catalogue.py",
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -100,7 +100,12 @@
             call = ServiceCall("POST", "/cases", (), b"{}")
             pool = ConnectionPool(asyncio.get_running_loop().time)
             result = await call_service(
-                pool, endpoint.address, call, 5 * TIME_LIMIT_S, may_send=lambda: True
+                pool,
+                endpoint.address,
+                call,
+                5 * TIME_LIMIT_S,
+                may_send=lambda: True,
+                on_limit=ignore_limit,
             )
             assert_bounded(endpoint, MAX_RESPONSE_BYTES)
             return result
@@ -114,7 +119,13 @@
     async def body():
         async with run_endless_endpoint(part) as endpoint:
             pool = ConnectionPool(asyncio.get_running_loop().time)
-            attempt = EngineAttempt(pool, endpoint.address, 5 * TIME_LIMIT_S, may_send=lambda: True)
+            attempt = EngineAttempt(
+                pool,
+                endpoint.address,
+                5 * TIME_LIMIT_S,
+                may_send=lambda: True,
+                on_limit=ignore_limit,
+            )
             async for _ in attempt.events("/v1/completions", {}, "r1", 5 * TIME_LIMIT_S):
                 pass
             assert_bounded(endpoint, MAX_RESPONSE_BYTES)
@@ -131,3 +142,7 @@
             return is_healthy
 
     assert not asyncio.run(body())
+
+
+def ignore_limit(limit_per_s):
+    """Takes what an answer names, and does nothing."""
