--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -220,9 +220,10 @@
 
 
 class CrashEvidenceRequest(msgspec.Struct, frozen=True, tag="crash_evidence_asked"):
-    """Requests all evidence of crashes; the receiver may not know the sender yet."""
+    """Introduces a VM that the receiver may not know; it may request all evidence of crashes."""
 
     reply_to: str
+    wants_reply: bool
 
 
 PlatformMessage = (
--- a/bluebellpitch/roles/crash_judge.py
+++ b/bluebellpitch/roles/crash_judge.py
@@ -27,7 +27,13 @@
 )
 
 TICK_S = 0.25
-GOSSIP_EVERY_TICKS = 4
+ROUND_EVERY_TICKS = 4
+# How often evidence is passed on, for some time after a crash and later.
+GOSSIP_INTERVAL_S = 0.9
+RECENT_CRASH_S = 20.0
+LATE_GOSSIP_INTERVAL_S = 4.0
+# Of the VMs that are new here, how many are asked for all their evidence.
+MAX_ASKED = 3
 # A tick that comes this late means that the VM was suspended.
 SUSPENDED_AFTER_S = 1.5
 MAX_SURVIVED_PARTS = 4_096
@@ -63,6 +69,7 @@
         self._watches: dict[asyncio.Future, frozenset[str]] = {}
         self._announced: set[frozenset[str]] = set()
         self._asked: set[str] = set()
+        self._next_gossip_at = float("-inf")
 
     def find_deadly(self, parts: Iterable[str]) -> DeadlyParts | None:
         """Returns why a prompt of these parts must not run, or None."""
@@ -102,9 +109,9 @@
         match message:
             case CrashEvidenceUpdate(crashes, known_parts):
                 self._merge(crashes, known_parts)
-            case CrashEvidenceRequest(reply_to):
+            case CrashEvidenceRequest(reply_to, wants_reply):
                 self._introduce(reply_to)
-                if self.evidence.crashes_by_incarnation:
+                if wants_reply and self.evidence.crashes_by_incarnation:
                     self.tell(reply_to)
 
     def _merge(self, crashes: tuple[EndpointCrash, ...], known_parts: tuple[str, ...]) -> None:
@@ -173,7 +180,7 @@
                 self._asked.clear()
             tick, last_at = tick + 1, now
             self._tell_survivals()
-            if tick % GOSSIP_EVERY_TICKS == 0:
+            if tick % ROUND_EVERY_TICKS == 0:
                 self.evidence.expire(now)
                 self._apply_verdicts()
                 self._ask_peers()
@@ -202,17 +209,20 @@
             self._apply_verdicts()
 
     def _ask_peers(self) -> None:
-        """Asks each VM that is new here for its evidence; it also learns of this VM by that."""
-        for address in self._peers():
-            if address not in self._asked:
-                self._asked.add(address)
-                self._send(address, CrashEvidenceRequest(self._address))
+        """Introduces this VM to each that is new here, and asks a few of them for evidence."""
+        new = [address for address in self._peers() if address not in self._asked]
+        asked = {*random.sample(new, min(MAX_ASKED, len(new)))}
+        for address in new:
+            self._send(address, CrashEvidenceRequest(self._address, address in asked))
+        self._asked.update(new)
 
     def _gossip(self, now: float) -> None:
         """Sends recent evidence to a VM that is heard, and to any other."""
-        crashes = self.evidence.crashes_by_incarnation.values()
-        if not any(now - crash.at < CONVICTION_S for crash in crashes):
+        newest_at = max((c.at for c in self.evidence.crashes_by_incarnation.values()), default=None)
+        if newest_at is None or now - newest_at >= CONVICTION_S or now < self._next_gossip_at:
             return
+        is_recent = now - newest_at < RECENT_CRASH_S
+        self._next_gossip_at = now + (GOSSIP_INTERVAL_S if is_recent else LATE_GOSSIP_INTERVAL_S)
         targets = {random.choice(group) for group in (self._near_peers(), self._peers()) if group}
         for address in targets:
             self.tell(address)
