Let a verdict that was heard late end when it does for the others

A VM that was suspended gets messages with the ages that they had when they were sent, so its crashes looked younger than they are and its verdict would have outlived its reason. The earliest time of a crash counts, and now the verdict follows it: before, it was judged anew only when something was new. test_verdict_heard_late_ends_when_it_does_for_the_others fails before and passes after.

--- a/bluebellpitch/decisions/crash_evidence.py
+++ b/bluebellpitch/decisions/crash_evidence.py
@@ -86,6 +86,8 @@
         known = self.crashes_by_incarnation.get(incarnation)
         crash = known or self.crashes_by_incarnation.setdefault(incarnation, Crash(at))
         size = len(crash.suspects_by_request) + len(crash.cleared_parts)
+        if at < crash.at - MOMENT_S:
+            self._is_judged = False
         crash.at = min(crash.at, at)
         for run in suspects:
             if run.parts and len(crash.suspects_by_request) < MAX_SUSPECTS:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -131,6 +131,16 @@
     assert not evidence.crashes_by_incarnation
 
 
+def test_verdict_heard_late_ends_when_it_does_for_the_others():
+    evidence = CrashEvidence()
+    for number in range(1, 4):
+        record_crash(evidence, number, "bad", at=100.0 + number)
+    assert is_deadly(evidence, "bad", 104.0 + CONVICTION_S - 2)
+    for number in range(1, 4):
+        record_crash(evidence, number, "bad")
+    assert not is_deadly(evidence, "bad", 104.0 + CONVICTION_S - 2)
+
+
 def test_evidence_is_bounded_and_keeps_the_newest():
     evidence = CrashEvidence()
     for number in range(2 * MAX_CRASHES):
