Leave the turns of a limited engine to long prompts

A limit counts requests, whatever their length, so a short prompt at a limited engine takes a turn that a long one could use. It now costs a short prompt 0.3 s of waiting elsewhere. Engines without a limit are not concerned. test_short_prompts_leave_the_turns_of_a_limited_engine_to_long_ones fails before and passes after.

--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -27,6 +27,8 @@
 RUNNING_REQUEST_COST_S = 0.003
 # For a short prompt: of an engine that spends all its time on prefill.
 BUSY_PREFILL_COST_S = 0.4
+# For a short prompt: of a turn at an engine that names a limit, which a long one could use.
+LIMITED_TURN_COST_S = 0.3
 # For a long prompt: of each short stream that its prefill delays, per second of prefill.
 DELAYED_STREAM_COST = 0.3
 # For a long prompt: per second of prefill for shared parts that another engine may have cached.
@@ -121,6 +123,8 @@
         failure_s = engine.load.recent_failure_rate(now) * FAILURE_COST_S
         if self.is_short_prompt(work):
             penalty_s = engine.prefill_activity(now) * BUSY_PREFILL_COST_S
+            if self.limits.find(engine.key, now) is not None:
+                penalty_s += LIMITED_TURN_COST_S
         else:
             penalty_s = prefill_s * engine.short_streams() * DELAYED_STREAM_COST
             penalty_s += engine.uncached_shared(work) * self.speed.s_per_token * CACHE_MISS_COST
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -176,3 +176,19 @@
 @in_deployment
 async def test_engine_gets_no_more_than_it_names_from_all_vms(deployment):
     await check_limit(deployment, "engines", "POST", "/draft/7", is_stream=True)
+
+
+def test_short_prompts_leave_the_turns_of_a_limited_engine_to_long_ones():
+    broker = make_broker(2)
+    broker.record_limit(("i-0", 1), 3.0, 0.0)
+    engines = []
+    for step in range(200):
+        now = step / 20
+        for decision in broker.submit(make_work(step, now), "vm", frozenset(), now):
+            match decision:
+                case Granted(work_id, _, entry):
+                    engines.append(entry.id)
+                    broker.record_limit(("i-0", 1), 3.0, now)
+                    broker.finish(work_id, "ok", now)
+    assert len(engines) == 200
+    assert engines.count("i-0") <= 5
