--- /dev/null
+++ b/tests/mutants_of_endpoints.py
@@ -0,0 +1,107 @@
+"""Mutants of what is known of endpoints: their crashes, and the limits that they name."""
+
+from tests.mutant import Mutant
+
+CRASH_MUTANTS = (
+    Mutant(
+        "crashes: a connection without an answer is no crash",
+        "bluebellpitch/roles/crash_reporter.py",
+        '            log("INFO", "crash_not_shown", endpoint=entry.id, error=error)\n'
+        "            return False\n",
+        "            return True\n",
+        "tests/test_crashes.py -k far_away",
+    ),
+    Mutant(
+        "crashes: an endpoint is down only if it refuses a connection",
+        "bluebellpitch/roles/crash_reporter.py",
+        "        connection.close()\n        return False\n",
+        "        connection.close()\n        return True\n",
+        "tests/test_crashes.py -k far_away",
+    ),
+    Mutant(
+        "crashes: a prompt with a deadly part is refused",
+        "bluebellpitch/callers/crash_guard.py",
+        "if not is_refused and not self._judge.find_deadly(self._parts):",
+        "if not is_refused:",
+        "tests/test_crashes.py -k neighbours",
+    ),
+    Mutant(
+        "crashes: a request that waits or is being read is stopped by the verdict",
+        "bluebellpitch/roles/crash_judge.py",
+        "                future.set_result(None)\n",
+        "                pass\n",
+        "tests/test_crashes.py -k being_read",
+    ),
+    Mutant(
+        "crashes: a VM that starts learns what the others know",
+        "bluebellpitch/roles/crash_judge.py",
+        "                    self.tell(reply_to)\n",
+        "                    pass\n",
+        "tests/test_crashes.py -k starts_after",
+    ),
+    Mutant(
+        "crashes: a part that later runs survived is innocent",
+        "bluebellpitch/decisions/crash_evidence.py",
+        "        return lost - self.cleared_parts\n",
+        "        return lost\n",
+        "tests/test_crash_evidence.py",
+    ),
+    Mutant(
+        "crashes: machines that fail at one moment count once",
+        "bluebellpitch/decisions/crash_evidence.py",
+        "if at - last >= MOMENT_S or requests & lost:",
+        "if True:",
+        "tests/test_crash_evidence.py",
+    ),
+    Mutant(
+        "crashes: a crash that is explained accuses no bystander",
+        "bluebellpitch/decisions/crash_evidence.py",
+        "            unexplained -= explained\n",
+        "            unexplained -= {min(explained)}\n",
+        "tests/test_crash_evidence.py",
+    ),
+)
+LIMIT_MUTANTS = (
+    Mutant(
+        "limits: a broker counts its grants against what the engine named",
+        "bluebellpitch/decisions/generation_broker.py",
+        "        self.placement.limits.take_turn(engine.key, now)\n",
+        "",
+        "tests/test_named_limits.py -k broker",
+    ),
+    Mutant(
+        "limits: a VM tells the broker what an engine named",
+        "bluebellpitch/roles/endpoint_allocator.py",
+        "            self._broker_client.report_limit(placement.grant, limit_per_s)\n",
+        "",
+        "tests/test_named_limits.py -k engine_gets",
+    ),
+    Mutant(
+        "limits: a VM uses no more than its share of a service's limit",
+        "bluebellpitch/roles/endpoint_allocator.py",
+        "        share = 1 / self._vm_count()\n",
+        "        share = 1.0\n",
+        "tests/test_named_limits.py -k service_gets",
+    ),
+    Mutant(
+        "limits: a turn that was not used is lost",
+        "bluebellpitch/decisions/named_limits.py",
+        "        if missed_s > 0:\n",
+        "        if False:\n",
+        "tests/test_named_limits.py -k shares",
+    ),
+    Mutant(
+        "limits: a new broker is told the limits that others know",
+        "bluebellpitch/roles/generation_broker_client.py",
+        "        self._report_limits(request)\n",
+        "",
+        "tests/test_broker_takeover.py -k limit",
+    ),
+    Mutant(
+        "limits: serve's broker counts its grants against what the endpoint named",
+        "bluebellpitch/decisions/endpoint_selection.py",
+        "        if self._limits.wait_s((name, 0), now) > 0:\n",
+        "        if False:\n",
+        "tests/test_serve_limits.py",
+    ),
+)
