Count an engine's limit in parts for VMs that choose without its broker, and test a connection without an answer

A VM that placed work at an engine by itself took a service's share of its limit, as the share went by whether there was a grant. The mutant of a connection without an answer survived: the delay of its test stayed under the check's time-out. test_connection_that_gets_no_answer_is_no_crash now catches it.

--- a/bluebellpitch/roles/crash_judge.py
+++ b/bluebellpitch/roles/crash_judge.py
@@ -43,8 +43,7 @@
     """Owns the evidence. ``peers`` returns the bus addresses of all other VMs that are known.
 
     ``near_peers`` returns those that are heard. ``introduce`` takes the address of a VM that may be
-    unknown here. ``now`` returns seconds of a clock that also runs
-    while the VM is suspended.
+    unknown here. ``now`` returns seconds of a clock that also runs while the VM is suspended.
     """
 
     def __init__(
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -37,6 +37,7 @@
 
     entry: EndpointEntry
     work: WorkItem
+    is_engine: bool
     grant: EngineGrant | None = None
 
 
@@ -84,7 +85,9 @@
             result = await self._acquire_engine(work, avoid)
             match result:
                 case EngineGrant():
-                    return self._record_placement(Placement(result.entry, result.work, result))
+                    return self._record_placement(
+                        Placement(result.entry, result.work, True, result)
+                    )
                 case DidNotRun(reason) if reason != NO_ENGINE:
                     return result
         return await self._allocate_in_turn(work, is_engine, avoid)
@@ -144,7 +147,7 @@
         if entry is None:
             return DidNotRun("no_endpoint", 503, NO_ENDPOINT_RETRY_AFTER_S)
         self._limits.take_turn(entry.incarnation, now)
-        return self._record_placement(Placement(entry, work))
+        return self._record_placement(Placement(entry, work, is_engine))
 
     def _record_placement(self, placement: Placement) -> Placement:
         load = self.loads.for_endpoint(placement.entry)
@@ -163,8 +166,9 @@
         """Records the limit that an answer names; it holds until an answer names none."""
         entry, limit_per_s = placement.entry, head.limit_per_s
         share = 1 / self._vm_count()
-        if placement.grant is not None:
+        if placement.is_engine:
             share *= UNBROKERED_SHARE
+        if placement.grant is not None:
             self._broker_client.report_limit(placement.grant, limit_per_s)
         if self._limits.record(entry.incarnation, limit_per_s, share, self._now()):
             log("INFO", "limit", endpoint=entry.id, limit_per_s=limit_per_s, share=f"{share:.3f}")
--- a/tests/mutants_of_endpoints.py
+++ b/tests/mutants_of_endpoints.py
@@ -9,7 +9,7 @@
         '            log("INFO", "crash_not_shown", endpoint=entry.id, error=error)\n'
         "            return False\n",
         "            return True\n",
-        "tests/test_crashes.py -k far_away",
+        "tests/test_crashes.py -k no_answer",
     ),
     Mutant(
         "crashes: an endpoint is down only if it refuses a connection",
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -38,6 +38,34 @@
     scenario()
 
 
+def test_connection_that_gets_no_answer_is_no_crash(monkeypatch):
+    open_streams = http_client.open_streams
+    silent_ports: set[int] = set()
+
+    async def open_or_hang(host, port):
+        if port in silent_ports:
+            await asyncio.sleep(60)
+        return await open_streams(host, port)
+
+    monkeypatch.setattr(http_client, "open_streams", open_or_hang)
+
+    @in_deployment
+    async def scenario(deployment):
+        (app,), client = await start_deployment(deployment, "app")
+        serve = app.serve
+
+        async def fall_silent(connection, request):
+            silent_ports.add(int(app.address.rpartition(":")[2]))
+            await serve(connection, request)
+
+        app.serve, app.mode = fall_silent, "reset"
+        assert (await client.call("POST", "/file/7", "r1", b"case")).status == 502
+        await asyncio.sleep(0.6)
+        assert not deployment.vms[0].strikes.tracker._strikes_by_fingerprint
+
+    scenario()
+
+
 async def call_until_refused(deployment, endpoints, clients, path="/draft/7", count=9):
     """Sends prompts with the deadly part, no two alike; returns statuses and number of crashes."""
     statuses, crashes = [], 0
