--- a/tests/mutants_of_endpoints.py
+++ b/tests/mutants_of_endpoints.py
@@ -35,8 +35,8 @@
     Mutant(
         "crashes: a VM that starts learns what the others know",
         "bluebellpitch/roles/crash_judge.py",
-        "                    self.tell(reply_to)\n",
-        "                    pass\n",
+        '        """Sends all evidence to a VM."""\n',
+        "        return\n",
         "tests/test_crashes.py -k starts_after",
     ),
     Mutant(
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -85,6 +85,17 @@
     assert not is_deadly(evidence, "bystander")
 
 
+def test_crash_of_another_cause_does_not_condemn_a_frequent_bystander():
+    evidence = CrashEvidence()
+    record_crash(evidence, 1, "bad")
+    for number in range(2, 5):
+        record_crash(evidence, number, "bad", "a bystander")
+    record_crash(evidence, 5, "a bystander")
+    record_crash(evidence, 6, "bad")
+    assert is_deadly(evidence, "bad")
+    assert not is_deadly(evidence, "a bystander")
+
+
 def test_two_deadly_parts_are_both_found():
     evidence = CrashEvidence()
     for number in range(1, 7):
