Say of crashes what is suspected, cleared and refused

Names only, no change of behaviour: those of a court said less than the field's. 96 tests of crashes, evidence, routed requests and mutants pass.

--- a/bluebellpitch/callers/crash_guard.py
+++ b/bluebellpitch/callers/crash_guard.py
@@ -9,8 +9,8 @@
 from bluebellpitch.decisions.strikes import IsolationLevel
 from bluebellpitch.endpoints.attempt import cancel_and_wait
 from bluebellpitch.logs import log
-from bluebellpitch.roles.crash_judge import CrashJudge
 from bluebellpitch.roles.crash_reporter import CrashReporter, LostRun
+from bluebellpitch.roles.crash_tracker import CrashTracker
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
@@ -23,13 +23,13 @@
     def __init__(
         self,
         strikes: StrikeReplicator,
-        judge: CrashJudge,
+        crashes: CrashTracker,
         reporter: CrashReporter,
         now: Callable[[], float],
         admitted: AdmittedRequest,
     ):
         self._strikes = strikes
-        self._judge = judge
+        self._crashes = crashes
         self._reporter = reporter
         self._now = now
         self._request = admitted.request
@@ -40,7 +40,7 @@
         """Returns why the request must not be sent, or None if it may be."""
         now, tracker = self._now(), self._strikes.tracker
         is_refused = tracker.isolation_level(self._fingerprint, now) is IsolationLevel.REFUSED
-        if not is_refused and not self._judge.find_deadly(self._parts):
+        if not is_refused and not self._crashes.find_deadly(self._parts):
             return None
         log(
             "WARNING",
@@ -68,7 +68,7 @@
         return verdict
 
     async def _run_watched(self, dispatch: Coroutine, has_response, was_tried) -> Verdict:
-        with self._judge.watch(self._parts) as is_deadly:
+        with self._crashes.watch(self._parts) as is_deadly:
             task = asyncio.ensure_future(dispatch)
             try:
                 await asyncio.wait({task, is_deadly}, return_when=asyncio.FIRST_COMPLETED)
@@ -93,7 +93,7 @@
 
     def record_survival(self, began_at: float) -> None:
         """Records that a run of the request survived, which began at ``began_at``."""
-        self._judge.record_survival(self._parts, began_at)
+        self._crashes.record_survival(self._parts, began_at)
 
 
 def digest_request(admitted: AdmittedRequest) -> str:
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -31,8 +31,8 @@
     build_error_headers,
     decode_request,
 )
-from bluebellpitch.roles.crash_judge import CrashJudge, has_survived
 from bluebellpitch.roles.crash_reporter import CrashReporter
+from bluebellpitch.roles.crash_tracker import CrashTracker, has_survived
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator, Placement
 from bluebellpitch.roles.endpoint_check import EndpointCheck
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
@@ -62,7 +62,7 @@
     is_closing: Callable[[], bool]
     strikes: StrikeReplicator
     crash_reporter: CrashReporter
-    crash_judge: CrashJudge
+    crash_tracker: CrashTracker
     metrics: Metrics
     now: Callable[[], float]
 
@@ -140,7 +140,7 @@
     async def _dispatch(self, admitted: AdmittedRequest) -> Verdict:
         context = self._context
         self._guard = CrashGuard(
-            context.strikes, context.crash_judge, context.crash_reporter, context.now, admitted
+            context.strikes, context.crash_tracker, context.crash_reporter, context.now, admitted
         )
         return await self._guard.run(
             self._dispatch_with_retries(admitted),
--- a/bluebellpitch/decisions/crash_evidence.py
+++ b/bluebellpitch/decisions/crash_evidence.py
@@ -1,8 +1,8 @@
 """Decides which part of a prompt crashes endpoints, from what all VMs saw crash and survive.
 
-An endpoint that crashes takes all its runs along, so every part of a young run is accused. A part
-is cleared of a crash by a run on it that began later and survived. What stays accused of several
-crashes is deadly. Parts that are accused of the same crashes cannot be told apart: a prompt is
+An endpoint that crashes takes all its runs along, so every part of a young run is suspected. A part
+is cleared of a crash by a run on it that began later and survived. What stays suspected of several
+crashes is deadly. Parts that are suspected of the same crashes cannot be told apart: a prompt is
 then deadly if it has all of them, until a run on some of them survives or crashes.
 """
 
@@ -11,16 +11,16 @@
 from dataclasses import dataclass, field
 
 # A part that no run survived is deadly from this number of crashes on.
-CRASHES_TO_CONVICT = 3
+CRASHES_TO_REFUSE = 3
 # A part that runs survived before its first crash.
-CRASHES_TO_CONVICT_KNOWN = 5
-MOMENTS_TO_CONVICT = 3
-REQUESTS_TO_CONVICT = 2
+CRASHES_TO_REFUSE_KNOWN = 5
+MOMENTS_TO_REFUSE = 3
+REQUESTS_TO_REFUSE = 2
 # Crashes closer together than this may have one cause outside, such as a zone's loss of power.
 MOMENT_S = 0.1
 # A run that lasts this long after its first event has survived.
 SURVIVAL_S = 1.0
-CONVICTION_S = 120.0
+REFUSAL_S = 120.0
 EVIDENCE_TTL_S = 600.0
 MAX_CRASHES = 64
 MAX_SUSPECTS = 32
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True)
 class Crash:
-    """A crash of one incarnation of an endpoint, ``at`` this VM's time, with what it accuses."""
+    """A crash of an endpoint's incarnation, ``at`` this VM's time, with the runs that it cut."""
 
     at: float
     suspects_by_request: dict[str, SuspectRun] = field(default_factory=dict)
@@ -48,7 +48,7 @@
         runs = self.suspects_by_request.values()
         return frozenset(run.request_id for run in runs if part in run.parts)
 
-    def accused_parts(self) -> set[str]:
+    def suspected_parts(self) -> set[str]:
         """Returns the parts of lost runs that no later run has cleared."""
         lost = {part for run in self.suspects_by_request.values() for part in run.parts}
         return lost - self.cleared_parts
@@ -73,7 +73,7 @@
     crashes_by_incarnation: dict[str, Crash] = field(default_factory=dict)
     known_parts: set[str] = field(default_factory=set)
     _deadly: tuple[DeadlyParts, ...] = ()
-    _is_judged: bool = True
+    _is_current: bool = True
 
     def record_crash(
         self,
@@ -87,7 +87,7 @@
         crash = known or self.crashes_by_incarnation.setdefault(incarnation, Crash(at))
         size = len(crash.suspects_by_request) + len(crash.cleared_parts)
         if at < crash.at - MOMENT_S:
-            self._is_judged = False
+            self._is_current = False
         crash.at = min(crash.at, at)
         for run in suspects:
             if run.parts and len(crash.suspects_by_request) < MAX_SUSPECTS:
@@ -97,7 +97,7 @@
         )
         is_new = known is None or len(crash.suspects_by_request) + len(crash.cleared_parts) > size
         if is_new:
-            self._is_judged = False
+            self._is_current = False
             self._drop_excess()
         return is_new
 
@@ -109,17 +109,17 @@
             ]
 
     def record_known(self, parts: Iterable[str]) -> bool:
-        """Records accused parts that runs survived earlier; returns whether any of them is new."""
-        new = ({*parts} & self.accused_parts()) - self.known_parts
+        """Records suspected parts that runs survived earlier; returns whether any is new."""
+        new = ({*parts} & self.suspected_parts()) - self.known_parts
         if new:
             self.known_parts |= new
-            self._is_judged = False
+            self._is_current = False
         return bool(new)
 
-    def accused_parts(self) -> set[str]:
-        """Returns the parts that some crash accuses."""
+    def suspected_parts(self) -> set[str]:
+        """Returns the parts that some crash makes suspect."""
         crashes = self.crashes_by_incarnation.values()
-        return {part for crash in crashes for part in crash.accused_parts()}
+        return {part for crash in crashes for part in crash.suspected_parts()}
 
     def find_deadly(self, parts: Iterable[str], now: float) -> DeadlyParts | None:
         """Returns why a prompt of these parts must not run, or None."""
@@ -130,31 +130,31 @@
 
     def deadly_parts(self, now: float) -> tuple[DeadlyParts, ...]:
         """Returns what is deadly at ``now``."""
-        if not self._is_judged:
-            self._deadly = tuple(self._judge())
-            self._is_judged = True
+        if not self._is_current:
+            self._deadly = tuple(self._find_sets())
+            self._is_current = True
         return tuple(deadly for deadly in self._deadly if now < deadly.ends_at)
 
-    def _judge(self) -> Iterator[DeadlyParts]:
-        """Takes the most accused parts first; a crash that they explain accuses no other part."""
+    def _find_sets(self) -> Iterator[DeadlyParts]:
+        """Takes the most suspected parts first; crashes they explain count against no other."""
         unexplained = set(self.crashes_by_incarnation)
-        while (parts := self._most_accused(unexplained)) is not None:
+        while (parts := self._most_suspected(unexplained)) is not None:
             explained = {key for key in unexplained if self._explains(parts, key)}
             if not explained:
                 return
             last_at = max(self.crashes_by_incarnation[key].at for key in explained)
-            yield DeadlyParts(parts, frozenset(explained), last_at + CONVICTION_S)
+            yield DeadlyParts(parts, frozenset(explained), last_at + REFUSAL_S)
             unexplained -= explained
 
     def _explains(self, parts: frozenset[str], incarnation: str) -> bool:
         crash = self.crashes_by_incarnation[incarnation]
         return any(parts <= {*run.parts} for run in crash.suspects_by_request.values())
 
-    def _most_accused(self, incarnations: set[str]) -> frozenset[str] | None:
+    def _most_suspected(self, incarnations: set[str]) -> frozenset[str] | None:
         """Returns the parts with most evidence against them, or None if none has enough."""
         crashes_by_part: dict[str, set[str]] = {}
         for key in incarnations:
-            for part in self.crashes_by_incarnation[key].accused_parts():
+            for part in self.crashes_by_incarnation[key].suspected_parts():
                 crashes_by_part.setdefault(part, set()).add(key)
         parts_by_crashes: dict[frozenset[str], set[str]] = {}
         for part, keys in crashes_by_part.items():
@@ -166,13 +166,13 @@
         return min(groups, key=lambda parts: self._rank(parts, crashes_by_part))
 
     def _has_enough(self, part: str, incarnations: set[str]) -> bool:
-        needed = CRASHES_TO_CONVICT_KNOWN if part in self.known_parts else CRASHES_TO_CONVICT
+        needed = CRASHES_TO_REFUSE_KNOWN if part in self.known_parts else CRASHES_TO_REFUSE
         if len(incarnations) < needed:
             return False
         crashes = [self.crashes_by_incarnation[key] for key in incarnations]
         moments = [(crash.at, crash.requests_with(part)) for crash in crashes]
         requests = {request for _, requests in moments for request in requests}
-        return len(requests) >= REQUESTS_TO_CONVICT and count_moments(moments) >= MOMENTS_TO_CONVICT
+        return len(requests) >= REQUESTS_TO_REFUSE and count_moments(moments) >= MOMENTS_TO_REFUSE
 
     def _without_known(self, parts: set[str]) -> frozenset[str]:
         return frozenset(parts - self.known_parts or parts)
@@ -186,8 +186,8 @@
         for key, crash in list(self.crashes_by_incarnation.items()):
             if now - crash.at >= EVIDENCE_TTL_S:
                 del self.crashes_by_incarnation[key]
-                self._is_judged = False
-        self.known_parts &= self.accused_parts()
+                self._is_current = False
+        self.known_parts &= self.suspected_parts()
 
 
 def count_moments(crashes: Iterable[tuple[float, frozenset[str]]]) -> int:
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -38,8 +38,8 @@
 from bluebellpitch.platform.settings_file import VmSettings
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.vm_records import VmRecord
-from bluebellpitch.roles.crash_judge import CrashJudge
 from bluebellpitch.roles.crash_reporter import CrashReporter
+from bluebellpitch.roles.crash_tracker import CrashTracker
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator
 from bluebellpitch.roles.endpoint_check import EndpointCheck
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
@@ -91,7 +91,7 @@
             send=lambda address, message: self.bus.send_to_address(address, message),
             now=now,
         )
-        self.crash_judge = CrashJudge(
+        self.crash_tracker = CrashTracker(
             address=settings.bus_address,
             peers=lambda: self.peer_discovery.addresses(),
             near_peers=lambda: [peer.address for peer in self.liveness.live_peers(now())],
@@ -100,7 +100,9 @@
             metrics=self.metrics,
             now=now,
         )
-        self.crash_reporter = CrashReporter(self.strikes, self.crash_judge, self.directory.has_left)
+        self.crash_reporter = CrashReporter(
+            self.strikes, self.crash_tracker, self.directory.has_left
+        )
         self.bus = PeerBus(self.key, HybridClock(now), self.metrics, self._handle_message)
         freshness = Freshness(settings.key_revocation_s, settings.config_apply_s)
         self.configuration = ConfigurationWatcher(
@@ -122,7 +124,7 @@
             configuration_version=self.configuration.version,
             is_draining=self.draining.is_set,
             on_vm_lost=lambda vm: self.generations.remove_vm(vm),
-            on_vm_heard=self.crash_judge.tell,
+            on_vm_heard=self.crash_tracker.tell,
             holds_any_role=self._holds_any_role,
         )
         self.peer_sync = PeerSync(
@@ -176,7 +178,7 @@
             is_closing=lambda: self._closing,
             strikes=self.strikes,
             crash_reporter=self.crash_reporter,
-            crash_judge=self.crash_judge,
+            crash_tracker=self.crash_tracker,
             metrics=self.metrics,
             now=now,
         )
@@ -227,7 +229,7 @@
             case StrikeReport() | StrikesCleared():
                 self.strikes.handle_message(message)
             case CrashEvidenceUpdate() | CrashEvidenceRequest():
-                self.crash_judge.handle_message(message)
+                self.crash_tracker.handle_message(message)
             case _:
                 self.generations.handle_message(sender, message)
 
@@ -315,7 +317,7 @@
             self.peer_sync.run(),
             self.generations.run(),
             self.strikes.run_expiry(),
-            self.crash_judge.run(),
+            self.crash_tracker.run(),
             self._apply_limits(),
             self._clean_up(),
         )
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -213,7 +213,7 @@
 
 
 class CrashEvidenceUpdate(msgspec.Struct, frozen=True, tag="crash_evidence"):
-    """What a VM knows of crashes; ``known_parts`` are accused parts that survived before them."""
+    """What a VM knows of crashes; ``known_parts`` are suspected parts that survived before them."""
 
     crashes: tuple[EndpointCrash, ...]
     known_parts: tuple[str, ...]
--- a/bluebellpitch/roles/crash_reporter.py
+++ b/bluebellpitch/roles/crash_reporter.py
@@ -9,7 +9,7 @@
 from bluebellpitch.errors import ConnectionRefusedByServerError, NotSentError
 from bluebellpitch.http1 import ClientConnection
 from bluebellpitch.logs import log
-from bluebellpitch.roles.crash_judge import CrashJudge
+from bluebellpitch.roles.crash_tracker import CrashTracker
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 
 # A process that ends closes its listener at about the same time as its connections.
@@ -49,11 +49,11 @@
     def __init__(
         self,
         strikes: StrikeReplicator,
-        judge: CrashJudge,
+        crashes: CrashTracker,
         has_left: Callable[[EndpointEntry], bool],
     ):
         self._strikes = strikes
-        self._judge = judge
+        self._crashes = crashes
         self._has_left = has_left
         self._checks_by_incarnation: dict[str, asyncio.Task] = {}
         self._lost_by_incarnation: dict[str, list[LostRun]] = {}
@@ -110,7 +110,7 @@
         )
         if suspects:
             lost_at = min(run.lost_at for run in lost_runs)
-            self._judge.record_crash(incarnation, lost_at, suspects)
+            self._crashes.record_crash(incarnation, lost_at, suspects)
 
     async def close(self) -> None:
         """Cancels the checks."""
--- a/bluebellpitch/roles/crash_judge.py
+++ b/bluebellpitch/roles/crash_tracker.py
@@ -11,8 +11,8 @@
 from contextlib import contextmanager
 
 from bluebellpitch.decisions.crash_evidence import (
-    CONVICTION_S,
     EVIDENCE_TTL_S,
+    REFUSAL_S,
     SURVIVAL_S,
     CrashEvidence,
     DeadlyParts,
@@ -39,7 +39,7 @@
 MAX_SURVIVED_PARTS = 4_096
 
 
-class CrashJudge:
+class CrashTracker:
     """Owns the evidence. ``peers`` returns the bus addresses of all other VMs that are known.
 
     ``near_peers`` returns those that are heard. ``introduce`` takes the address of a VM that may be
@@ -186,16 +186,16 @@
                 self._gossip(now)
 
     def _tell_survivals(self) -> None:
-        """Tells all VMs which accused parts survived here, before their crashes or after."""
+        """Tells all VMs which suspected parts survived here, before their crashes or after."""
         if not self.evidence.crashes_by_incarnation:
             return
         now, told = self._now(), []
-        known = self._survived_at_by_part.keys() & self.evidence.accused_parts()
+        known = self._survived_at_by_part.keys() & self.evidence.suspected_parts()
         known -= self.evidence.known_parts
         for incarnation, crash in self.evidence.crashes_by_incarnation.items():
             cleared = tuple(
                 part
-                for part in crash.accused_parts()
+                for part in crash.suspected_parts()
                 if self._survived_at_by_part.get(part, crash.at) > crash.at
             )
             if cleared:
@@ -218,7 +218,7 @@
     def _gossip(self, now: float) -> None:
         """Sends recent evidence to a VM that is heard, and to any other."""
         newest_at = max((c.at for c in self.evidence.crashes_by_incarnation.values()), default=None)
-        if newest_at is None or now - newest_at >= CONVICTION_S or now < self._next_gossip_at:
+        if newest_at is None or now - newest_at >= REFUSAL_S or now < self._next_gossip_at:
             return
         is_recent = now - newest_at < RECENT_CRASH_S
         self._next_gossip_at = now + (GOSSIP_INTERVAL_S if is_recent else LATE_GOSSIP_INTERVAL_S)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -6,11 +6,11 @@
 from hypothesis import strategies as st
 
 from bluebellpitch.decisions.crash_evidence import (
-    CONVICTION_S,
-    CRASHES_TO_CONVICT,
-    CRASHES_TO_CONVICT_KNOWN,
+    CRASHES_TO_REFUSE,
+    CRASHES_TO_REFUSE_KNOWN,
     EVIDENCE_TTL_S,
     MAX_CRASHES,
+    REFUSAL_S,
     CrashEvidence,
     SuspectRun,
 )
@@ -25,7 +25,7 @@
     evidence.record_crash(f"i-{number}/1", float(number) if at is None else at, runs)
 
 
-def record_crashes(evidence, *prompts, count=CRASHES_TO_CONVICT, **fields):
+def record_crashes(evidence, *prompts, count=CRASHES_TO_REFUSE, **fields):
     for number in range(1, count + 1):
         record_crash(evidence, number, *prompts, **fields)
 
@@ -40,14 +40,14 @@
 
 def test_part_of_three_crashes_is_deadly_and_two_are_not_enough():
     evidence = CrashEvidence()
-    record_crashes(evidence, "bad", count=CRASHES_TO_CONVICT - 1)
+    record_crashes(evidence, "bad", count=CRASHES_TO_REFUSE - 1)
     assert not is_deadly(evidence, "bad")
-    record_crash(evidence, CRASHES_TO_CONVICT, "bad")
+    record_crash(evidence, CRASHES_TO_REFUSE, "bad")
     assert is_deadly(evidence, "other bad")
     assert not is_deadly(evidence, "other")
 
 
-def test_shared_part_that_survives_elsewhere_is_innocent():
+def test_shared_part_that_survives_elsewhere_is_cleared():
     evidence = CrashEvidence()
     for number in range(1, 4):
         record_crash(evidence, number, "caller bad", f"caller s{number}", "caller")
@@ -56,7 +56,7 @@
     assert not is_deadly(evidence, "caller s1")
 
 
-def test_parts_accused_together_are_refused_only_together():
+def test_parts_suspected_together_are_refused_only_together():
     evidence = CrashEvidence()
     record_crashes(evidence, "caller bad")
     assert is_deadly(evidence, "caller bad")
@@ -68,16 +68,16 @@
 def test_part_known_to_survive_before_needs_more_crashes():
     evidence = CrashEvidence()
     record_crash(evidence, 1, "turned")
-    evidence.record_known(["turned", "not accused"])
+    evidence.record_known(["turned", "not suspected"])
     assert evidence.known_parts == {"turned"}
-    for number in range(2, CRASHES_TO_CONVICT_KNOWN):
+    for number in range(2, CRASHES_TO_REFUSE_KNOWN):
         record_crash(evidence, number, "turned")
     assert not is_deadly(evidence, "turned")
-    record_crash(evidence, CRASHES_TO_CONVICT_KNOWN, "turned")
+    record_crash(evidence, CRASHES_TO_REFUSE_KNOWN, "turned")
     assert is_deadly(evidence, "turned")
 
 
-def test_crash_that_a_deadly_part_explains_accuses_no_bystander():
+def test_crash_that_a_deadly_part_explains_counts_against_no_bystander():
     evidence = CrashEvidence()
     record_crashes(evidence, "bad", "bystander", count=3)
     record_crash(evidence, 4, "bad")
@@ -85,7 +85,7 @@
     assert not is_deadly(evidence, "bystander")
 
 
-def test_crash_of_another_cause_does_not_condemn_a_frequent_bystander():
+def test_crash_of_another_cause_does_not_count_against_a_frequent_bystander():
     evidence = CrashEvidence()
     record_crash(evidence, 1, "bad")
     for number in range(2, 5):
@@ -117,7 +117,7 @@
     assert is_deadly(evidence, "bad")
 
 
-def test_repeats_of_one_request_are_not_its_parts_guilt():
+def test_repeats_of_one_request_do_not_count_against_its_parts():
     evidence = CrashEvidence()
     record_crashes(evidence, "part", request="r1")
     assert not is_deadly(evidence, "part")
@@ -133,9 +133,9 @@
 def test_verdict_ends_with_its_reason_and_one_more_crash_renews_it():
     evidence = CrashEvidence()
     record_crashes(evidence, "bad")
-    last_at = float(CRASHES_TO_CONVICT)
-    assert is_deadly(evidence, "bad", last_at + CONVICTION_S - 0.1)
-    assert not is_deadly(evidence, "bad", last_at + CONVICTION_S)
+    last_at = float(CRASHES_TO_REFUSE)
+    assert is_deadly(evidence, "bad", last_at + REFUSAL_S - 0.1)
+    assert not is_deadly(evidence, "bad", last_at + REFUSAL_S)
     record_crash(evidence, 200, "bad")
     assert is_deadly(evidence, "bad", 201.0)
     evidence.expire(200.0 + EVIDENCE_TTL_S)
@@ -146,10 +146,10 @@
     evidence = CrashEvidence()
     for number in range(1, 4):
         record_crash(evidence, number, "bad", at=100.0 + number)
-    assert is_deadly(evidence, "bad", 104.0 + CONVICTION_S - 2)
+    assert is_deadly(evidence, "bad", 104.0 + REFUSAL_S - 2)
     for number in range(1, 4):
         record_crash(evidence, number, "bad")
-    assert not is_deadly(evidence, "bad", 104.0 + CONVICTION_S - 2)
+    assert not is_deadly(evidence, "bad", 104.0 + REFUSAL_S - 2)
 
 
 def test_evidence_is_bounded_and_keeps_the_newest():
@@ -172,7 +172,7 @@
 
 @given(REPORTS, st.integers(0, 1000))
 def test_order_and_repetition_of_reports_change_nothing(reports, seed):
-    def judge(ordered):
+    def find_sets(ordered):
         evidence = CrashEvidence()
         for number, prompts, cleared in ordered:
             runs = [SuspectRun(f"r{number}.{p}", tuple(p.split())) for p in prompts]
@@ -181,4 +181,4 @@
 
     shuffled = reports + reports[::2]
     random.Random(seed).shuffle(shuffled)
-    assert judge(reports) == judge(shuffled)
+    assert find_sets(reports) == find_sets(shuffled)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -109,7 +109,7 @@
         endpoint.deadly_part = "bad"
     await call_until_refused(deployment, endpoints, [client], count=5)
     vm = await deployment.add_vm()
-    await wait_until(lambda: vm.crash_judge.find_deadly(("caller", "bad")) is not None)
+    await wait_until(lambda: vm.crash_tracker.find_deadly(("caller", "bad")) is not None)
     client = deployment.add_client(vm)
     response = await client.stream("/draft/7", "x", parts=("caller", "bad"))
     assert response.status == 503
@@ -118,14 +118,14 @@
 @in_deployment
 async def test_request_being_read_is_stopped_when_its_part_is_found_deadly(deployment):
     (engine,), client = await start_deployment(deployment, "engines")
-    judge = deployment.vms[0].crash_judge
+    tracker = deployment.vms[0].crash_tracker
     engine.deadly_part, engine.deadly_after_s = "bad", 1.5
     call = asyncio.create_task(client.stream("/draft/7", "r1", parts=("bad",)))
     await wait_until(lambda: engine.ran == ["r1"])
     now = time.monotonic()
     for number in range(3):
         suspects = (SuspectRun(f"b{number}", ("bad",)),)
-        judge.record_crash(f"i-{number}/9", now - 3 + number, suspects)
+        tracker.record_crash(f"i-{number}/9", now - 3 + number, suspects)
     response = await call
     # It had been sent, so it may have run; the engine sees it cancelled before it crashes.
     assert response.status == 502
