--- a/bluebellpitch/decisions/named_limits.py
+++ b/bluebellpitch/decisions/named_limits.py
@@ -70,6 +70,7 @@
             self._by_incarnation.pop(key, None)
             return known is not None
         if known is None or known.has_ended(now):
+            self._drop_ended(now)
             limit = NamedLimit(rate_per_s, share, now, now)
             limit.next_turn_at += self.random() * limit.interval_s
             self._by_incarnation[key] = limit
@@ -79,6 +80,10 @@
         known.next_turn_at = min(known.next_turn_at, now + known.interval_s)
         return is_change
 
+    def _drop_ended(self, now: float) -> None:
+        limits = self._by_incarnation
+        self._by_incarnation = {k: limit for k, limit in limits.items() if not limit.has_ended(now)}
+
     def find(self, key: tuple[str, int], now: float) -> NamedLimit | None:
         """Returns the limit in force, or None."""
         limit = self._by_incarnation.get(key)
@@ -100,8 +105,8 @@
 
     def in_force(self, now: float) -> dict[tuple[str, int], float]:
         """Returns the named rates."""
-        limits = ((key, self.find(key, now)) for key in list(self._by_incarnation))
-        return {key: limit.rate_per_s for key, limit in limits if limit is not None}
+        self._drop_ended(now)
+        return {key: limit.rate_per_s for key, limit in self._by_incarnation.items()}
 
 
 @dataclass(slots=True)
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -64,6 +64,13 @@
     assert limits.find(KEY, 3.0 + LIMIT_TTL_S) is None
 
 
+def test_limits_of_endpoints_that_are_gone_are_dropped():
+    limits = NamedLimits()
+    for number in range(100):
+        limits.record((f"i-{number}", 1), 10.0, 1.0, number * 20.0)
+    assert len(limits._by_incarnation) == 1
+
+
 @pytest.mark.parametrize("text", ["", "many", "nan", "inf", "-1"])
 def test_malformed_limit_is_none(text):
     assert decode_limit(text) is None
