Send a large configuration between VMs compressed, and only to who asks for it

Callers saw changes in force up to 10 s late on thin links, keys refused as not fresh, and urgent work refused with engines up, since heartbeats and first-token reports waited behind the bulk.

Cause: each question about freshness was answered with the whole configuration as long as the asker's version was older, by each VM asked, three times a second; the zone's reader sent it uncompressed to each VM; and a VM that had a gap sent what it then read to all others again.

Change: a reply about freshness names the version; the configuration itself is requested from one peer at a time. Messages over 1 KB between VMs are compressed, once for all receivers. What a VM read because of its own gap is not sent on. The line configuration names its size.

--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -24,6 +24,7 @@
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import StrikeReport, StrikesCleared
 from bluebellpitch.peers.platform_messages import (
+    ConfigurationRequest,
     ConfigurationUpdate,
     CrashEvidenceRequest,
     CrashEvidenceUpdate,
@@ -222,10 +223,12 @@
         match message:
             case VmHeartbeat():
                 self.peer_discovery.record_heartbeat(sender, message)
-            case RecordsUpdate() | RecordsRequest() | ConfigurationUpdate():
+            case RecordsUpdate() | RecordsRequest():
                 self.peer_sync.handle_message(sender, message)
             case FreshnessRequest() | FreshnessReply():
                 self.peer_sync.handle_message(sender, message)
+            case ConfigurationRequest() | ConfigurationUpdate():
+                self.peer_sync.handle_message(sender, message)
             case StrikeReport() | StrikesCleared():
                 self.strikes.handle_message(message)
             case CrashEvidenceUpdate() | CrashEvidenceRequest():
--- a/bluebellpitch/peers/bus.py
+++ b/bluebellpitch/peers/bus.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import zmq
 
@@ -67,7 +67,15 @@
 
     def send_to_address(self, address: str, message: Message) -> None:
         """Sends to the VM that listens on an address, whatever its key."""
+        self.send_to_addresses((address,), message)
+
+    def send_to_addresses(self, addresses: Iterable[str], message: Message) -> None:
+        """Sends the same message to several VMs; encodes it once."""
         data = encode_envelope(Envelope(self.vm_key, self._clock.stamp(), message))
+        for address in addresses:
+            self._send_data(address, data)
+
+    def _send_data(self, address: str, data: bytes) -> None:
         try:
             self._send_socket(address).send(data, zmq.NOBLOCK)
             self._metrics.peer_bytes.inc(len(data))
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -1,5 +1,7 @@
 """Messages between entry VMs, in msgpack. Times are in seconds, ages as of sending."""
 
+import zlib
+
 import msgspec
 
 from bluebellpitch.decisions.control import Snapshot, VmIdentity
@@ -239,15 +241,36 @@
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Envelope)
 
+# Larger messages are compressed: on a thin link, bulk holds up all that follows it.
+COMPRESS_ABOVE_BYTES = 1_024
+COMPRESSION_LEVEL = 1
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+# First byte of a compressed message; one that is not compressed begins with an array's.
+COMPRESSED_MARKER = b"z"
+
 
 def encode_envelope(envelope: Envelope) -> bytes:
     """Returns the envelope in its wire format."""
-    return _encoder.encode(envelope)
+    data = _encoder.encode(envelope)
+    if len(data) <= COMPRESS_ABOVE_BYTES:
+        return data
+    return COMPRESSED_MARKER + zlib.compress(data, COMPRESSION_LEVEL)
 
 
 def decode_envelope(data: bytes) -> Envelope:
     """Returns the decoded envelope; raises ProtocolError if it is malformed."""
     try:
+        if data.startswith(COMPRESSED_MARKER):
+            data = decompress(data[len(COMPRESSED_MARKER) :])
         return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, zlib.error) as error:
         raise ProtocolError(f"malformed message from a peer: {error}") from error
+
+
+def decompress(data: bytes) -> bytes:
+    """Returns the contents of a compressed message; raises ProtocolError if they are too large."""
+    decompressor = zlib.decompressobj()
+    contents = decompressor.decompress(data, MAX_MESSAGE_BYTES)
+    if not decompressor.eof:
+        raise ProtocolError("message from a peer is truncated or too large")
+    return contents
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -155,11 +155,19 @@
 
 
 class FreshnessReply(msgspec.Struct, frozen=True, tag="freshness_told"):
-    """``version`` was the newest configuration ``age_s`` before this was sent."""
+    """``version`` was the newest configuration ``age_s`` before this was sent from ``reply_to``."""
 
     asked_at: float
     version: int
     age_s: float
+    reply_to: str = ""
+
+
+class ConfigurationRequest(msgspec.Struct, frozen=True, tag="configuration_asked"):
+    """Requests the configuration of a peer if its version is newer than ``version``."""
+
+    version: int
+    reply_to: str
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="configuration_told"):
@@ -240,6 +248,7 @@
     | VmHeartbeat
     | FreshnessRequest
     | FreshnessReply
+    | ConfigurationRequest
     | ConfigurationUpdate
     | RecordsUpdate
     | RecordsRequest
--- a/bluebellpitch/roles/peer_sync.py
+++ b/bluebellpitch/roles/peer_sync.py
@@ -15,6 +15,7 @@
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.platform_messages import (
+    ConfigurationRequest,
     ConfigurationUpdate,
     FreshnessReply,
     FreshnessRequest,
@@ -32,6 +33,8 @@
 # After a third limit they go to so many other VMs as well, in case the whole zone is out of date.
 MAX_OTHER_PEERS = 2
 OTHER_PEERS_REQUEST_AFTER_S = 2.0
+# A configuration is requested from one peer at a time; from another one after this time.
+CONFIGURATION_RESPONSE_TIMEOUT_S = 0.6
 
 
 class PeerSync:
@@ -57,11 +60,12 @@
         self._zone_reader = zone_reader
         self._now = now
         self._keys_usable = False
+        self._requested_configuration_at = float("-inf")
 
     def publish_to_zone(self, update: RecordsUpdate) -> None:
         """Sends records read from the store to the VMs of this zone."""
-        for peer in self._liveness.live_peers(self._now()):
-            self._bus.send_to_address(peer.address, update)
+        peers = self._liveness.live_peers(self._now())
+        self._bus.send_to_addresses((peer.address for peer in peers), update)
 
     def handle_message(self, sender: str, message) -> None:
         """Handles a message about the configuration or the endpoints."""
@@ -76,14 +80,32 @@
                 self._send_records(message)
             case ConfigurationUpdate(data):
                 self._configuration.apply(data, sender)
-            case FreshnessRequest(asked_at, version, reply_to):
-                self._send_freshness(asked_at, version, reply_to)
-            case FreshnessReply(asked_at, version, age_s):
-                self._apply_freshness(asked_at, version, age_s)
+            case FreshnessRequest(asked_at, _, reply_to):
+                self._send_freshness(asked_at, reply_to)
+            case FreshnessReply():
+                self._apply_freshness(message)
+            case ConfigurationRequest(version, reply_to):
+                self._send_configuration(version, reply_to)
+
+    def _apply_freshness(self, reply: FreshnessReply) -> None:
+        if reply.version == self._configuration.version():
+            self._configuration.confirm_by_peer(reply.asked_at - reply.age_s)
+        elif reply.version > self._configuration.version() and reply.reply_to:
+            self._request_configuration(reply.reply_to)
+
+    def _request_configuration(self, address: str) -> None:
+        """Requests the newer configuration of a peer, unless another one is about to send it."""
+        now = self._now()
+        if now - self._requested_configuration_at < CONFIGURATION_RESPONSE_TIMEOUT_S:
+            return
+        self._requested_configuration_at = now
+        log("INFO", "configuration_asked", peer=address, version=self._configuration.version())
+        request = ConfigurationRequest(self._configuration.version(), self._address)
+        self._bus.send_to_address(address, request)
 
-    def _apply_freshness(self, asked_at: float, version: int, age_s: float) -> None:
-        if version == self._configuration.version():
-            self._configuration.confirm_by_peer(asked_at - age_s)
+    def _send_configuration(self, version: int, reply_to: str) -> None:
+        if version < self._configuration.version():
+            self._bus.send_to_address(reply_to, ConfigurationUpdate(self._configuration.encoded))
 
     def _send_records(self, request: RecordsRequest) -> None:
         if request.topic != self._endpoints.follower.topic:
@@ -91,14 +113,13 @@
         if (update := self._endpoints.follower.reply_to_peer(request)) is not None:
             self._bus.send_to_address(request.reply_to, update)
 
-    def _send_freshness(self, asked_at: float, version: int, reply_to: str) -> None:
+    def _send_freshness(self, asked_at: float, reply_to: str) -> None:
         own_version = self._configuration.version()
         if own_version < 0:
             return
-        if version < own_version:
-            self._bus.send_to_address(reply_to, ConfigurationUpdate(self._configuration.encoded))
         age_s = self._configuration.freshness.age_s(self._now())
-        self._bus.send_to_address(reply_to, FreshnessReply(asked_at, own_version, age_s))
+        reply = FreshnessReply(asked_at, own_version, age_s, self._address)
+        self._bus.send_to_address(reply_to, reply)
 
     async def run(self) -> None:
         """Sends requests to peers while this VM is out of date, until cancelled."""
--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -73,7 +73,7 @@
             return
         self.catalogue, self.encoded = catalogue, data
         self.changed.set()
-        log("INFO", "configuration", version=catalogue.version, source=source)
+        log("INFO", "configuration", version=catalogue.version, source=source, bytes=len(data))
 
 
 class EndpointWatcher:
--- a/bluebellpitch/roles/topic_follower.py
+++ b/bluebellpitch/roles/topic_follower.py
@@ -224,7 +224,8 @@
         if unreadable:
             log("WARNING", "records_unreadable", topic=self.topic, count=unreadable)
         end = start + len(page.records)
-        if not unreadable:
+        # What this VM alone had missed, the others have got from whoever read it first.
+        if not unreadable and not self._has_gap:
             pairs = tuple((record.key, record.value) for record in records)
             self._publish(RecordsUpdate(self.topic, start, end, pairs))
         known_at = read_valid_at(requested_at, self._now(), wait_s, not page.records)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -146,6 +146,11 @@
         self._vms_by_address = vms_by_address
         self._sender = sender
 
+    def send_to_addresses(self, addresses, message) -> None:
+        """Delivers the message to each of several VMs."""
+        for address in addresses:
+            self.send_to_address(address, message)
+
     def send_to_address(self, address: str, message) -> None:
         """Delivers the message a little later."""
         receiver = self._vms_by_address[address].peer_sync
