Hold an endpoint's notice and removal until it starts or writes again

Cause: an entry of an older copy of the store made a draining endpoint ready again at the same start, brought back a removed one, or put an earlier start in the place of a later one.

Change: entries of one id are ordered by start and by the count that each entry carries. A notice binds until the next start; after a removal only an entry that was written since counts.

Three tests in tests/test_entry_decisions.py fail on the directory before (a draining endpoint was usable again, a removed one too, and the earlier start).

--- a/bluebellpitch/decisions/directory.py
+++ b/bluebellpitch/decisions/directory.py
@@ -13,26 +13,45 @@
 
 @dataclass(slots=True)
 class EndpointDirectory:
-    """Entries by id. Times are seconds of the owner's clock."""
+    """Entries by id. Times are seconds of the owner's clock.
+
+    What an incarnation has announced binds until the endpoint starts again: the store may come back
+    from a copy in which a draining or removed endpoint is still ready.
+    """
 
     entries_by_id: dict[str, EndpointEntry] = field(default_factory=dict)
     _grace_until: dict[str, float] = field(default_factory=dict)
     _replaced: dict[str, EndpointEntry] = field(default_factory=dict)
-    _removed_incarnations: OrderedDict[tuple[str, int], None] = field(default_factory=OrderedDict)
+    _removed: OrderedDict[str, EndpointEntry] = field(default_factory=OrderedDict)
 
     def update(self, entry: EndpointEntry) -> bool:
         """Adds or replaces an entry; returns whether that changed anything.
 
         An entry that was marked as replaced is ignored until it changes.
         """
+        known = self.entries_by_id.get(entry.id)
+        if self._is_outdated(entry, known):
+            return False
         self._grace_until.pop(entry.id, None)
         if self._replaced.get(entry.id) == entry:
             return False
         self._replaced.pop(entry.id, None)
-        self._removed_incarnations.pop((entry.id, entry.started_ms), None)
-        changed = self.entries_by_id.get(entry.id) != entry
+        self._removed.pop(entry.id, None)
         self.entries_by_id[entry.id] = entry
-        return changed
+        return known != entry
+
+    def _is_outdated(self, entry: EndpointEntry, known: EndpointEntry | None) -> bool:
+        if known is not None:
+            if entry.is_older_than(known):
+                return True
+            is_same_start = known.started_ms == entry.started_ms
+            return is_same_start and known.is_draining and not entry.is_draining
+        removed = self._removed.get(entry.id)
+        if removed is None or entry.started_ms > removed.started_ms:
+            return False
+        if entry.started_ms < removed.started_ms or removed.is_draining:
+            return True
+        return 0 < entry.sequence <= removed.sequence
 
     def remove(self, endpoint_id: str, store_was_unavailable: bool, now: float) -> bool:
         """Removes an entry, after a grace period if it expired during a store outage.
@@ -66,9 +85,11 @@
         self._grace_until.pop(endpoint_id, None)
         if removed is None:
             return
-        self._removed_incarnations[(removed.id, removed.started_ms)] = None
-        if len(self._removed_incarnations) > MAX_REMEMBERED_REMOVALS:
-            self._removed_incarnations.popitem(last=False)
+        self._removed[removed.id] = removed
+        self._removed.move_to_end(removed.id)
+        if len(self._removed) > MAX_REMEMBERED_REMOVALS:
+            dropped, _ = self._removed.popitem(last=False)
+            self._replaced.pop(dropped, None)
 
     def has_left(self, entry: EndpointEntry) -> bool:
         """Returns whether an endpoint chosen earlier, or by another VM, must get no new work.
@@ -77,7 +98,8 @@
         """
         known = self.entries_by_id.get(entry.id)
         if known is None:
-            return (entry.id, entry.started_ms) in self._removed_incarnations
+            removed = self._removed.get(entry.id)
+            return removed is not None and entry.started_ms <= removed.started_ms
         if known.started_ms != entry.started_ms:
             return known.started_ms > entry.started_ms
         return known.is_draining
--- a/bluebellpitch/platform/endpoint_entries.py
+++ b/bluebellpitch/platform/endpoint_entries.py
@@ -20,6 +20,8 @@
     state: Literal["ready", "draining"]
     # Start time of the endpoint, in Unix milliseconds.
     born: int = 0
+    # Rises with each entry that one start of the endpoint writes.
+    seq: int = 0
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -42,6 +44,7 @@
         slots=wire.slots,
         is_draining=wire.state == "draining",
         started_ms=wire.born,
+        sequence=wire.seq,
     )
 
 
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -119,6 +119,39 @@
     assert directory.has_left(entry)
 
 
+def test_draining_endpoint_stays_so_until_it_starts_again():
+    """An older copy of the store shows it as ready, at the same start."""
+    directory = EndpointDirectory()
+    directory.update(replace(make_entry("i-1"), is_draining=True, sequence=9))
+    assert not directory.update(replace(make_entry("i-1"), sequence=5))
+    assert not directory.update(replace(make_entry("i-1"), sequence=12))
+    assert not list(directory.usable_endpoints("app"))
+    directory.remove("i-1", store_was_unavailable=True, now=0.0)
+    assert not directory.update(replace(make_entry("i-1"), sequence=13))
+    assert directory.update(make_entry("i-1", started_ms=2))
+    assert list(directory.usable_endpoints("app"))
+
+
+def test_removed_endpoint_returns_only_with_an_entry_written_since():
+    directory = EndpointDirectory()
+    entry = replace(make_entry("i-1", started_ms=2), sequence=9)
+    directory.update(entry)
+    directory.remove("i-1", store_was_unavailable=False, now=0.0)
+    assert not directory.update(replace(entry, sequence=8))
+    assert not directory.update(entry)
+    assert not directory.update(replace(entry, started_ms=1, sequence=50))
+    assert directory.has_left(entry)
+    assert directory.update(replace(entry, sequence=10))
+    assert not directory.has_left(entry)
+
+
+def test_entry_of_an_earlier_start_does_not_replace_a_later_one():
+    directory = EndpointDirectory()
+    directory.update(make_entry("i-1", started_ms=2))
+    assert not directory.update(make_entry("i-1", started_ms=1))
+    assert [entry.started_ms for entry in directory.usable_endpoints("app")] == [2]
+
+
 def make_peer(key: str, now: float, draining: bool = False) -> Peer:
     return Peer(key, "z", f"{key}:1", draining, 1, now, HEARTBEAT_INTERVAL_S)
 
