Read all records again when the store comes back from a copy

Cause: positions in a topic were compared without the era that each answer of the store names. Once as much was written again as was lost, offsets looked whole: records under offsets given out again were never read, a peer's new records counted as known, and its old ones went out under the new numbers. A read of the copy confirmed the version before a lost one, so a key that it takes away was accepted on; a VM that started then took the older configuration. A VM's own record, once lost, stayed lost.

Change: the client decodes Store-Era of every answer. A follower's position holds its era, in memory and in messages between VMs; a new era leads to a read of all keys, and news of a past one are dropped. VMs register again. A VM without a position, which the store refuses, can ask its peers for all records. More than 200 pages of keys are an error now, and keys in a query are quoted.

--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -15,6 +15,7 @@
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.retry_budget import RetryBudget
+from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.decisions.strikes import StrikeTracker
 from bluebellpitch.draining import drain
 from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
@@ -82,6 +83,7 @@
         self.draining = asyncio.Event()
         self._closing = False
         self._store_clients: list[StoreClient] = []
+        self.store_era = StoreEra()
         self.key = f"{settings.vm_name}/{uuid4().hex[:8]}"
         self.liveness = Liveness(self.key, settings.zone)
         self.metrics = Metrics()
@@ -107,7 +109,9 @@
         self.bus = PeerBus(self.key, HybridClock(now), self.metrics, self._handle_message)
         freshness = Freshness(settings.key_revocation_s, settings.config_apply_s)
         self.configuration = ConfigurationWatcher(
-            self._create_follower(CONFIGURATION_TOPIC, CONFIGURATION_LONG_POLL_S), freshness
+            self._create_follower(CONFIGURATION_TOPIC, CONFIGURATION_LONG_POLL_S),
+            freshness,
+            self.store_era,
         )
         self.endpoints = EndpointWatcher(
             self._create_follower(ENDPOINTS_TOPIC, ENDPOINTS_LONG_POLL_S),
@@ -124,6 +128,7 @@
             now=now,
             configuration_version=self.configuration.version,
             is_draining=self.draining.is_set,
+            store_era=self.store_era,
             on_vm_lost=lambda vm: self.generations.remove_vm(vm),
             on_vm_heard=self.crash_tracker.tell,
             holds_any_role=self._holds_any_role,
@@ -135,6 +140,7 @@
             configuration=self.configuration,
             endpoints=self.endpoints,
             all_addresses=self._all_addresses,
+            has_vm_list=lambda: self.peer_discovery.has_list,
             zone_reader=lambda topic: self._role_holder(reader_role(topic)),
             now=now,
         )
@@ -198,12 +204,19 @@
             is_zone_reader=lambda: self._holds_role(reader_role(topic)),
             publish=lambda update: self.peer_sync.publish_to_zone(update),
             metrics=self.metrics,
+            store_era=self.store_era,
         )
 
     def _create_store_client(self) -> StoreClient:
         """Returns a client for one task; calls of one client must not overlap."""
-        self._store_clients.append(StoreClient(self.settings.store_address))
-        return self._store_clients[-1]
+        client = StoreClient(self.settings.store_address, self._observe_era)
+        self._store_clients.append(client)
+        return client
+
+    def _observe_era(self, era: int) -> None:
+        was = self.store_era.number
+        if self.store_era.observe(era, self._now()):
+            log("WARNING", "store_era", era=era, was=was)
 
     def _role_holder(self, role: str) -> str:
         return self.liveness.role_holder(role, self._now(), self.draining.is_set())
@@ -265,8 +278,9 @@
 
     def is_ready(self) -> bool:
         """Returns whether the VM should receive new connections."""
-        is_loaded = self.configuration.catalogue is not None and self.endpoints.is_loaded
-        return is_loaded and not self.draining.is_set()
+        has_configuration = self.configuration.catalogue is not None
+        is_loaded = has_configuration and self.endpoints.is_loaded
+        return is_loaded and self.configuration.is_checked and not self.draining.is_set()
 
     async def run(self) -> None:
         """Serves until a signal requests shutdown, then completes the requests in progress."""
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -155,12 +155,17 @@
 
 
 class FreshnessReply(msgspec.Struct, frozen=True, tag="freshness_told"):
-    """``version`` was the newest configuration ``age_s`` before this was sent from ``reply_to``."""
+    """``version`` was the newest configuration ``age_s`` before this was sent from ``reply_to``.
+
+    The store's ``era`` has lasted ``era_age_s``; infinity if the sender has seen none before.
+    """
 
     asked_at: float
     version: int
     age_s: float
     reply_to: str = ""
+    era: int | None = None
+    era_age_s: float = float("inf")
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, tag="configuration_asked"):
@@ -181,7 +186,7 @@
 
     A value of None deletes the key. The reply to a request repeats its ``asked_at``: the sender
     held all records ``age_s`` before it replied. With ``is_complete`` the records are the newest of
-    all keys instead.
+    all keys instead. ``era`` is the store's era to which the offsets belong, None if it names none.
     """
 
     topic: str
@@ -191,13 +196,15 @@
     asked_at: float | None = None
     age_s: float = 0.0
     is_complete: bool = False
+    era: int | None = None
 
 
 class RecordsRequest(msgspec.Struct, frozen=True, tag="records_asked"):
     """Requests the records of a topic from ``start`` on, and their age.
 
     ``asked_at`` is on the requester's clock. ``needs_all`` is set if the requester cannot read
-    the store: the reply may then hold all keys, should some records in between be missing.
+    the store: the reply may then hold all keys, should some records in between be missing, or be of
+    another ``era``.
     """
 
     topic: str
@@ -205,6 +212,7 @@
     reply_to: str
     asked_at: float | None = None
     needs_all: bool = False
+    era: int | None = None
 
 
 class EndpointCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/bluebellpitch/platform/appender.py
+++ b/bluebellpitch/platform/appender.py
@@ -52,7 +52,7 @@
 def shift_offset(verdict: AppendVerdict, position: int) -> AppendVerdict:
     """Returns the verdict of the record at ``position`` in a batch."""
     match verdict:
-        case Appended(offset):
-            return Appended(offset + position)
+        case Appended(offset, era):
+            return Appended(offset + position, era)
         case _:
             return verdict
--- a/bluebellpitch/platform/records.py
+++ b/bluebellpitch/platform/records.py
@@ -25,23 +25,24 @@
 class Page:
     """Consecutive records of a topic, the first at ``start_offset``.
 
-    ``end_offset`` is the offset after the topic's last record.
+    ``end_offset`` is the offset after the topic's last record. ``era`` is that of the store's
+    answer: an offset of another era means another record.
     """
 
     start_offset: int
     end_offset: int
     oldest_offset: int
     records: tuple[bytes, ...]
+    era: int | None = None
 
 
-def decode_page(data: bytes, start_offset: int) -> Page:
+def decode_page(data: bytes, start_offset: int, era: int | None = None) -> Page:
     """Decodes the response to a read; raises ProtocolError."""
     if len(data) < PAGE_HEADER.size:
         raise ProtocolError("page from the store is shorter than its header")
     end_offset, oldest_offset = PAGE_HEADER.unpack_from(data)
-    return Page(
-        start_offset, end_offset, oldest_offset, tuple(split_records(data[PAGE_HEADER.size :]))
-    )
+    records = tuple(split_records(data[PAGE_HEADER.size :]))
+    return Page(start_offset, end_offset, oldest_offset, records, era)
 
 
 def split_records(data: bytes) -> Iterator[bytes]:
--- a/bluebellpitch/platform/store.py
+++ b/bluebellpitch/platform/store.py
@@ -1,12 +1,18 @@
 """Client of the platform's store, which keeps append-only and keyed topics.
 
+The store may come back from a copy some seconds old: offsets then go back and are given out again.
+Each answer names the era, which rises by one each time, so an offset holds only with its era. It is
+None if an answer names none.
+
 An append whose response is lost may have taken effect, or may still do so later. Reads raise
 NotSentError, ConnectionLostError, ReadTimeoutError or ProtocolError.
 """
 
 import base64
 import binascii
+from collections.abc import Callable
 from dataclasses import dataclass
+from urllib.parse import quote
 
 import msgspec
 
@@ -17,6 +23,7 @@
     ProtocolError,
 )
 from bluebellpitch.http1 import ClientConnection, HttpResponse
+from bluebellpitch.logs import log
 from bluebellpitch.platform.records import (
     KeyedRecord,
     Page,
@@ -32,6 +39,8 @@
 # A slow store may take this long over a read, whether or not it waits for records.
 MIN_READ_TIMEOUT_S = 2.5
 MAX_PAGES = 200
+ERA_HEADER = "store-era"
+MAX_ERA = 1 << 31
 
 
 class _NewestItem(msgspec.Struct, frozen=True):
@@ -58,9 +67,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Truncated:
-    """The requested records have expired; the oldest one left is at ``oldest_offset``."""
+    """The requested records have expired, or the topic ends before them.
+
+    The oldest one left is at ``oldest_offset``.
+    """
 
     oldest_offset: int
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +81,7 @@
     """The store appended the records; the first is at ``offset``."""
 
     offset: int
+    era: int | None = None
     name = "appended"
     reason = "complete"
 
@@ -81,13 +95,18 @@
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    era: int | None = None
 
 
 class StoreClient:
-    """Client with one keep-alive connection. Calls of the same instance must not overlap."""
+    """Client with one keep-alive connection. Calls of the same instance must not overlap.
+
+    ``observe_era`` is called with the era of each answer.
+    """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, observe_era: Callable[[int], None] = lambda era: None):
         self.address = address
+        self._observe_era = observe_era
         self._connection: ClientConnection | None = None
 
     async def read(self, topic: str, start_offset: int, wait_ms: int) -> Page | Truncated:
@@ -95,27 +114,35 @@
         target = f"/log-read?topic={topic}&part=0&from={start_offset}&wait_ms={wait_ms}"
         timeout_s = max(MIN_READ_TIMEOUT_S, RESPONSE_TIMEOUT_S + wait_ms / 1000)
         response = await self._send_request("GET", target, b"", timeout_s)
+        era = decode_era(response)
         if response.status == 410:
-            return Truncated(decode_json(response.body, _TruncatedResponse).first)
-        return decode_page(require_ok(response), start_offset)
+            return Truncated(decode_json(response.body, _TruncatedResponse).first, era)
+        return decode_page(require_ok(response), start_offset, era)
 
     async def read_newest(self, topic: str) -> NewestRecords:
-        """Reads the newest record of each key, page by page."""
-        records, after_key, next_offset = [], "", None
+        """Reads the newest record of each key, page by page.
+
+        Raises ProtocolError also if the store comes back from a copy between two pages, or if the
+        pages have no end.
+        """
+        records, after_key, next_offset, eras = [], "", None, set()
         for _ in range(MAX_PAGES):
             target = f"/log-newest?topic={topic}&part=0" + (
-                f"&after={after_key}" if after_key else ""
+                f"&after={quote(after_key, safe='')}" if after_key else ""
             )
             response = await self._send_request("GET", target, b"", RESPONSE_TIMEOUT_S)
+            eras.add(decode_era(response))
+            if len(eras) > 1:
+                raise ProtocolError("the store came back from a copy between two pages")
             page = decode_json(require_ok(response), NewestPage)
             records += [KeyedRecord(item.key, decode_base64(item.value)) for item in page.items]
             # The pages are no consistent snapshot, so reading continues at the lowest end offset;
             # records appended in between are read a second time.
             next_offset = page.end if next_offset is None else min(next_offset, page.end)
             if not page.has_more or not page.items:
-                break
+                return NewestRecords(tuple(records), next_offset, *eras)
             after_key = page.items[-1].key
-        return NewestRecords(tuple(records), next_offset)
+        raise ProtocolError(f"the store has more than {MAX_PAGES} pages of {topic}")
 
     async def put(self, topic: str, key: str, value: bytes) -> AppendVerdict:
         """Appends a new value of a key; an empty value deletes the key."""
@@ -131,7 +158,8 @@
             response = await self._send_request("POST", target, body, RESPONSE_TIMEOUT_S)
             if response.status != 200:
                 return DidNotRun(f"the store responded with status {response.status}")
-            return Appended(decode_json(response.body, _AppendResponse).offset)
+            offset = decode_json(response.body, _AppendResponse).offset
+            return Appended(offset, decode_era(response))
         except NotSentError as error:
             return DidNotRun(str(error))
         except (ConnectionLostError, ProtocolError) as error:
@@ -151,6 +179,8 @@
         except BaseException:
             connection.close()
             raise
+        if (era := decode_era(response)) is not None:
+            self._observe_era(era)
         if connection.start_next_cycle():
             self._connection = connection
         else:
@@ -164,6 +194,17 @@
             self._connection = None
 
 
+def decode_era(response: HttpResponse) -> int | None:
+    """Returns the era that an answer names; None without one, or if it is malformed."""
+    text = next((value for name, value in response.headers if name.lower() == ERA_HEADER), None)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdecimal()) or len(text) > 10 or int(text) > MAX_ERA:
+        log("WARNING", "era_malformed", text=text[:40])
+        return None
+    return int(text)
+
+
 def require_ok(response: HttpResponse) -> bytes:
     """Returns the body of a response with status 200; raises ProtocolError for others."""
     if response.status != 200:
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from bluebellpitch.decisions.liveness import Liveness, Peer
+from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
@@ -34,6 +35,7 @@
         now: Callable[[], float],
         configuration_version: Callable[[], int],
         is_draining: Callable[[], bool],
+        store_era: StoreEra,
         on_vm_lost: Callable[[str], None],
         on_vm_heard: Callable[[str], None],
         holds_any_role: Callable[[], bool],
@@ -46,12 +48,14 @@
         self._now = now
         self._configuration_version = configuration_version
         self._is_draining = is_draining
+        self._store_era = store_era
         self._on_vm_lost = on_vm_lost
         self._on_vm_heard = on_vm_heard
         self._holds_any_role = holds_any_role
         self.records_by_vm: dict[str, VmRecord] = {vm: own_record}
         self._introduced_at_by_address: dict[str, float] = {}
-        self._has_list = False
+        self.has_list = False
+        self._is_listed = False
 
     def introduce(self, address: str) -> None:
         """Records a VM that got this one's address from the store, but may not be in the list."""
@@ -75,21 +79,35 @@
     def possible_vm_count(self) -> int:
         """Returns how many VMs may share a limit: many, as long as this one knows of no other."""
         known = max(self.vm_count(), len(self.addresses()) + 1)
-        return known if self._has_list else max(known, UNREAD_LIST_VM_COUNT)
+        return known if self.has_list else max(known, UNREAD_LIST_VM_COUNT)
 
     def addresses_in_zone(self, zone: str) -> list[str]:
         """Returns the bus addresses of all known VMs of a zone, whether alive or not."""
         return sorted(r.bus for r in self.records_by_vm.values() if r.zone == zone)
 
     async def register(self) -> None:
-        """Registers this VM in the store and reads the records of the others, until cancelled."""
-        registered = False
+        """Registers this VM in the store and reads the records of the others, until cancelled.
+
+        It does both again when the store comes back from a copy, which may lack the record.
+        """
+        registered, era = False, None
         while True:
-            if not registered:
+            if not registered or self._store_era.is_past(era):
+                era = self._store_era.number
                 registered = await register_vm(self._client, self._vm, self._own_record)
+                era = self._store_era.number if era is None else era
             was_read = await self._read_vm_list()
-            done = registered and was_read
-            await asyncio.sleep(VM_LIST_READ_INTERVAL_S if done else VM_LIST_RETRY_INTERVAL_S)
+            registered = registered and (not was_read or self._is_listed)
+            if registered and was_read:
+                await self._wait_for_next_list(era)
+            else:
+                await asyncio.sleep(VM_LIST_RETRY_INTERVAL_S)
+
+    async def _wait_for_next_list(self, era: int | None) -> None:
+        """Waits until the list is to be read again; a new era makes that due at once."""
+        until = self._now() + VM_LIST_READ_INTERVAL_S
+        while self._now() < until and not self._store_era.is_past(era):
+            await asyncio.sleep(VM_LIST_RETRY_INTERVAL_S)
 
     async def _read_vm_list(self) -> bool:
         try:
@@ -97,8 +115,9 @@
         except BluebellpitchError as error:
             log("WARNING", "members_unknown", error=error)
             return False
+        self._is_listed = self._vm in records
         self.records_by_vm = records | {self._vm: self._own_record}
-        self._has_list = True
+        self.has_list = True
         oldest = self._now() - 2 * VM_LIST_READ_INTERVAL_S
         introduced = self._introduced_at_by_address.items()
         self._introduced_at_by_address = {a: at for a, at in introduced if at > oldest}
--- a/bluebellpitch/roles/peer_sync.py
+++ b/bluebellpitch/roles/peer_sync.py
@@ -35,6 +35,10 @@
 OTHER_PEERS_REQUEST_AFTER_S = 2.0
 # A configuration is requested from one peer at a time; from another one after this time.
 CONFIGURATION_RESPONSE_TIMEOUT_S = 0.6
+# A VM that has just started asks so many VMs for a newer configuration, and waits so long.
+MAX_START_CHECK_PEERS = 8
+START_CHECK_TIMEOUT_S = 0.6
+START_CHECK_INTERVAL_S = 0.1
 
 
 class PeerSync:
@@ -48,6 +52,7 @@
         configuration: ConfigurationWatcher,
         endpoints: EndpointWatcher,
         all_addresses: Callable[[], list[str]],
+        has_vm_list: Callable[[], bool],
         zone_reader: Callable[[str], str],
         now: Callable[[], float],
     ):
@@ -57,6 +62,7 @@
         self._configuration = configuration
         self._endpoints = endpoints
         self._all_addresses = all_addresses
+        self._has_vm_list = has_vm_list
         self._zone_reader = zone_reader
         self._now = now
         self._keys_usable = False
@@ -88,6 +94,13 @@
                 self._send_configuration(version, reply_to)
 
     def _apply_freshness(self, reply: FreshnessReply) -> None:
+        if reply.era is not None:
+            risen_at = self._now() - reply.era_age_s
+            self._configuration.store_era.observe_rise(reply.era, risen_at)
+        if not self._configuration.is_checked and 0 <= reply.version <= (
+            self._configuration.version()
+        ):
+            self._configuration.mark_checked()
         if reply.version == self._configuration.version():
             self._configuration.confirm_by_peer(reply.asked_at - reply.age_s)
         elif reply.version > self._configuration.version() and reply.reply_to:
@@ -117,8 +130,11 @@
         own_version = self._configuration.version()
         if own_version < 0:
             return
-        age_s = self._configuration.freshness.age_s(self._now())
-        reply = FreshnessReply(asked_at, own_version, age_s, self._address)
+        now, store_era = self._now(), self._configuration.store_era
+        age_s = self._configuration.freshness.age_s(now)
+        reply = FreshnessReply(
+            asked_at, own_version, age_s, self._address, store_era.number, now - store_era.risen_at
+        )
         self._bus.send_to_address(reply_to, reply)
 
     async def run(self) -> None:
@@ -128,8 +144,26 @@
             self._request_freshness(now)
             self._request_records(now)
             self._log_keys_usable_change(now)
+            if not self._configuration.is_checked:
+                await self._check_at_start()
             await asyncio.sleep(PEER_REQUEST_INTERVAL_S)
 
+    async def _check_at_start(self) -> None:
+        """Asks peers whether the configuration that the store returned first is the newest."""
+        began_at: float | None = None
+        while not self._configuration.is_checked:
+            now = self._now()
+            if self._configuration.version() >= 0 and self._has_vm_list():
+                began_at = now if began_at is None else began_at
+                others = self._pick_others(set(), MAX_START_CHECK_PEERS)
+                if not others or now - began_at > START_CHECK_TIMEOUT_S:
+                    log("INFO", "configuration_unchecked", peers=len(others))
+                    self._configuration.mark_checked()
+                    return
+                request = FreshnessRequest(now, self._configuration.version(), self._address)
+                self._bus.send_to_addresses(others, request)
+            await asyncio.sleep(START_CHECK_INTERVAL_S)
+
     def _request_freshness(self, now: float) -> None:
         age_s = self._configuration.freshness.age_s(now)
         request = FreshnessRequest(now, self._configuration.version(), self._address)
@@ -139,8 +173,6 @@
     def _request_records(self, now: float) -> None:
         follower = self._endpoints.follower
         request = follower.request_to_peers(self._address)
-        if request is None:
-            return
         for address in self._request_targets(follower, follower.age_s(now)):
             self._bus.send_to_address(address, request)
         if follower.is_cut_off():
@@ -163,10 +195,10 @@
             return zone_peers
         return zone_peers | self._pick_others(excluded=zone_peers)
 
-    def _pick_others(self, excluded: set[str]) -> set[str]:
+    def _pick_others(self, excluded: set[str], most: int = MAX_OTHER_PEERS) -> set[str]:
         """Returns a few other VMs at random, whether they are alive or not."""
         others = [a for a in self._all_addresses() if a != self._address and a not in excluded]
-        return set(random.sample(others, min(MAX_OTHER_PEERS, len(others))))
+        return set(random.sample(others, min(most, len(others))))
 
     def _log_keys_usable_change(self, now: float) -> None:
         freshness = self._configuration.freshness
--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -6,6 +6,7 @@
 from bluebellpitch.decisions.catalogue import Catalogue
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.freshness import Freshness
+from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.logs import log
 from bluebellpitch.platform.configuration import CONFIGURATION_KEY, decode_configuration
@@ -23,11 +24,19 @@
 
 
 class ConfigurationWatcher:
-    """Holds the newest catalogue. Never replaces it with an older version."""
+    """Holds the newest catalogue. Never replaces it with an older version.
 
-    def __init__(self, follower: TopicFollower, freshness: Freshness):
+    What the store returns may be older than what it acknowledged before it came back from a copy.
+    So a read confirms the catalogue only once the operator has had time to write it again, and at a
+    VM that has just started only once it has asked its peers (``is_checked``).
+    """
+
+    def __init__(self, follower: TopicFollower, freshness: Freshness, store_era: StoreEra):
         self.follower = follower
         self.freshness = freshness
+        self.store_era = store_era
+        self.is_checked = False
+        self._store_known_at = float("-inf")
         self.catalogue: Catalogue | None = None
         self.encoded = b""
         self.changed = asyncio.Event()
@@ -45,7 +54,17 @@
             records, _, known_at = result
             self.apply_records(records, "store")
             if self.catalogue is not None:
-                self.freshness.confirm(known_at)
+                self._store_known_at = max(self._store_known_at, known_at)
+                self._confirm_by_store()
+
+    def mark_checked(self) -> None:
+        """Records that peers know no newer configuration, or that none answers."""
+        self.is_checked = True
+        self._confirm_by_store()
+
+    def _confirm_by_store(self) -> None:
+        if self.is_checked and self.store_era.is_rewritten(self._store_known_at):
+            self.freshness.confirm(self._store_known_at)
 
     def confirm_by_peer(self, confirmed_at: float) -> None:
         """Records that the current version was the newest at ``confirmed_at``."""
--- a/bluebellpitch/roles/topic_follower.py
+++ b/bluebellpitch/roles/topic_follower.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.decisions.freshness import read_valid_at
-from bluebellpitch.errors import BluebellpitchError
+from bluebellpitch.decisions.store_era import StoreEra, is_other_era
+from bluebellpitch.errors import BluebellpitchError, ProtocolError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.platform_messages import RecordsRequest, RecordsUpdate
-from bluebellpitch.platform.records import KeyedRecord
+from bluebellpitch.platform.records import KeyedRecord, Page
 from bluebellpitch.platform.store import StoreClient, Truncated, decode_keyed_records
 
 # While a peer confirmed its records no longer ago than this, a VM leaves the store to others.
@@ -16,6 +17,8 @@
 MAX_RECENT_RECORDS = 400
 # A shorter outage is too brief for entries to expire, so removals after it count as genuine.
 MIN_OUTAGE_S = 1.0
+# Start of a request by a VM that holds no position in the topic.
+NO_OFFSET = -1
 
 
 class TopicFollower:
@@ -28,6 +31,9 @@
     ``confirmed_at`` is the latest time as of which this VM is known to hold all records: from its
     own read of the store, or from a peer's reply whose age goes back to such a read. Records that
     merely arrive do not confirm anything: they may have waited in a queue.
+
+    Offsets count from ``_era`` on. When the store comes back from a copy, the newest records of all
+    keys are read again, and what peers send of another era is not applied.
     """
 
     def __init__(
@@ -39,6 +45,7 @@
         is_zone_reader: Callable[[], bool],
         publish: Callable[[RecordsUpdate], None],
         metrics: Metrics,
+        store_era: StoreEra,
     ):
         self._client = client
         self.topic = topic
@@ -47,6 +54,8 @@
         self._is_zone_reader = is_zone_reader
         self._publish = publish
         self._metrics = metrics
+        self._store_era = store_era
+        self._era: int | None = None
         self._next_offset: int | None = None
         self._has_gap = False
         self._failing_since: float | None = None
@@ -114,19 +123,24 @@
             else:
                 self._values_by_key[key] = value
 
-    def _restart_at(self, offset: int, records: Iterable[tuple[str, bytes | None]]) -> None:
+    def _restart_at(
+        self, era: int | None, offset: int, records: Iterable[tuple[str, bytes | None]]
+    ) -> None:
         """Continues at ``offset`` with the newest records of all keys."""
+        if is_other_era(self._era, era):
+            log("WARNING", "store_restored", topic=self.topic, era=era, was=self._era, next=offset)
+            self.recovered_at = self._now()
+        self._era = era if era is not None else self._era
         self._next_offset = offset
         self._recent_records.clear()
         self._recent_start = offset
         self._values_by_key.clear()
         self._keep_values(records)
 
-    def request_to_peers(self, reply_to: str) -> RecordsRequest | None:
-        """Returns the request for the records that this VM lacks, or None without any so far."""
-        if self._next_offset is None:
-            return None
-        return RecordsRequest(self.topic, self._next_offset, reply_to, self._now())
+    def request_to_peers(self, reply_to: str) -> RecordsRequest:
+        """Returns the request for the records that this VM lacks."""
+        start = NO_OFFSET if self._next_offset is None else self._next_offset
+        return RecordsRequest(self.topic, start, reply_to, self._now(), era=self._era)
 
     def is_cut_off(self) -> bool:
         """Returns whether this VM can neither read the store nor follow its zone's reader."""
@@ -137,7 +151,8 @@
         age_s, start = self.age_s(self._now()), request.start
         if self._next_offset is None or self._has_gap or age_s > CONFIRMED_MAX_AGE_S:
             return None
-        if self._recent_start <= start <= self._next_offset:
+        is_known = not is_other_era(request.era, self._era)
+        if is_known and self._recent_start <= start <= self._next_offset:
             records = tuple(self._recent_records[start - self._recent_start :])
             is_complete = False
         elif request.needs_all:
@@ -146,16 +161,31 @@
         else:
             return None
         return RecordsUpdate(
-            self.topic, start, self._next_offset, records, request.asked_at, age_s, is_complete
+            self.topic,
+            start,
+            self._next_offset,
+            records,
+            request.asked_at,
+            age_s,
+            is_complete,
+            self._era,
         )
 
     def accept_peer_records(self, update: RecordsUpdate) -> tuple[KeyedRecord, ...]:
-        """Accepts an update and returns its new records; none if there is a gap before them."""
+        """Accepts an update and returns its new records; none if there is a gap before them.
+
+        An update of a past era says nothing, and one of a new era leaves a gap.
+        """
+        if update.era is not None:
+            self._store_era.observe(update.era, self._now())
+        if self._is_past(update.era):
+            log("INFO", "records_of_past_era", topic=self.topic, era=update.era, own=self._era)
+            return ()
         if update.is_complete:
             return self._accept_all_records(update)
         if self._next_offset is None:
             return ()
-        if update.start > self._next_offset:
+        if is_other_era(update.era, self._era) or update.start > self._next_offset:
             self._record_gap(update)
             return ()
         records = update.records[self._next_offset - update.start :]
@@ -166,12 +196,16 @@
             self.confirm_by_peer(update.asked_at - update.age_s)
         return tuple(KeyedRecord(key, value) for key, value in records)
 
+    def _is_past(self, era: int | None) -> bool:
+        is_lower = era is not None and self._era is not None and era < self._era
+        return is_lower or self._store_era.is_past(era)
+
     def _accept_all_records(self, update: RecordsUpdate) -> tuple[KeyedRecord, ...]:
         confirmed_at = update.asked_at - update.age_s
         if confirmed_at <= self.confirmed_at:
             return ()
         removed = self._values_by_key.keys() - {key for key, _ in update.records}
-        self._restart_at(update.next, update.records)
+        self._restart_at(update.era, update.next, update.records)
         self.confirm_by_peer(confirmed_at)
         records = (*((key, None) for key in removed), *update.records)
         return tuple(KeyedRecord(key, value) for key, value in records)
@@ -184,6 +218,8 @@
                 topic=self.topic,
                 start=update.start,
                 own_next=self._next_offset,
+                era=update.era,
+                own_era=self._era,
                 age_s=f"{self.age_s(self._now()):.2f}",
             )
         self._has_gap = True
@@ -195,12 +231,11 @@
         complete; None after a failure.
         """
         requested_at = self._now()
+        if self._store_era.is_past(self._era):
+            self._next_offset = None
         try:
             if self._next_offset is None:
-                newest = await self._client.read_newest(self.topic)
-                pairs = ((record.key, record.value) for record in newest.records)
-                self._restart_at(newest.next_offset, pairs)
-                result = (newest.records, True, requested_at)
+                result = (await self._read_all(), True, requested_at)
             else:
                 result = await self._read_next_page(requested_at)
         except BluebellpitchError as error:
@@ -210,14 +245,34 @@
         self._confirm(result[2])
         return result
 
+    async def _read_all(self) -> tuple[KeyedRecord, ...]:
+        """Reads the newest record of each key; says of a new era to the zone."""
+        newest = await self._client.read_newest(self.topic)
+        self._check_not_past(newest.era)
+        is_new_era = is_other_era(newest.era, self._era)
+        pairs = ((record.key, record.value) for record in newest.records)
+        self._restart_at(newest.era, newest.next_offset, pairs)
+        if is_new_era:
+            start = newest.next_offset
+            self._publish(RecordsUpdate(self.topic, start, start, (), era=newest.era))
+        return newest.records
+
+    def _check_not_past(self, era: int | None) -> None:
+        if self._is_past(era):
+            raise ProtocolError("the answer is from before the store came back from a copy")
+
     async def _read_next_page(self, requested_at: float):
         start = self._next_offset
         # Old records are confirmed at once rather than after a wait for newer ones.
         is_current = self.age_s(requested_at) < CONFIRMED_MAX_AGE_S
         wait_s = self._long_poll_s if is_current else 0.0
+        read_era = self._era
         page = await self._client.read(self.topic, start, int(wait_s * 1000))
-        if isinstance(page, Truncated) or page.end_offset < start or page.oldest_offset > start:
-            log("WARNING", "store_truncated", topic=self.topic, wanted=start)
+        self._check_not_past(page.era)
+        if is_other_era(read_era, self._era):
+            return (), False, float("-inf")
+        if is_other_era(page.era, self._era) or not has_offset(page, start):
+            log("WARNING", "store_truncated", topic=self.topic, wanted=start, era=page.era)
             self._next_offset = None
             return (), False, float("-inf")
         records, unreadable = decode_keyed_records(page)
@@ -227,7 +282,7 @@
         # What this VM alone had missed, the others have got from whoever read it first.
         if not unreadable and not self._has_gap:
             pairs = tuple((record.key, record.value) for record in records)
-            self._publish(RecordsUpdate(self.topic, start, end, pairs))
+            self._publish(RecordsUpdate(self.topic, start, end, pairs, era=self._era))
         known_at = read_valid_at(requested_at, self._now(), wait_s, not page.records)
         if unreadable:
             self._forget_recent(end, records)
@@ -267,6 +322,11 @@
         log("INFO", "store_regained", topic=self.topic, away_s=f"{outage_s:.2f}")
 
 
+def has_offset(page: Page | Truncated, start: int) -> bool:
+    """Returns whether the topic has the records that were read from ``start`` on."""
+    return isinstance(page, Page) and page.oldest_offset <= start <= page.end_offset
+
+
 def reader_role(topic: str) -> str:
     """Returns the role of reading a topic from the store on behalf of the zone.
 
--- a/fakes/prepared_store.py
+++ b/fakes/prepared_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import struct
 from urllib.parse import parse_qs
 
@@ -17,6 +18,7 @@
     Faults: a ``status`` other than 200 is the response to all calls; ``outage`` closes connections
     without a response; ``silent`` never responds; ``lose_answers`` is how many of the next appends
     get no response, and ``late_s`` how much later these are appended; ``slow_s`` delays each call.
+    ``restore`` goes back to the copy made by ``keep_copy`` and raises the era that answers name.
     """
 
     def __init__(self):
@@ -27,11 +29,42 @@
         self.lose_answers = 0
         self.late_s = 0.0
         self.slow_s = 0.0
+        self.era = 0
         self.calls: list[str] = []
         self._records: dict[str, list[bytes]] = {}
         self._first_offsets: dict[str, int] = {}
         self._newest_by_key: dict[str, dict[str, tuple[bytes, int]]] = {}
         self._appended = asyncio.Event()
+        self._copy: tuple = ()
+
+    def keep_copy(self) -> None:
+        """Makes the copy to which ``restore`` goes back."""
+        self._copy = copy.deepcopy((self._records, self._first_offsets, self._newest_by_key))
+
+    @property
+    def is_copied(self) -> bool:
+        """Whether there is a copy; setting it makes one."""
+        return bool(self._copy)
+
+    @is_copied.setter
+    def is_copied(self, _: bool) -> None:
+        self.keep_copy()
+
+    @property
+    def restored_eras(self) -> int:
+        """The era; setting it restores the copy."""
+        return self.era
+
+    @restored_eras.setter
+    def restored_eras(self, _: int) -> None:
+        self.restore()
+
+    def restore(self) -> None:
+        """Loses what was written since the copy; its offsets are given out again."""
+        self._records, self._first_offsets, self._newest_by_key = copy.deepcopy(self._copy)
+        self.era += 1
+        self._appended.set()
+        self._appended = asyncio.Event()
 
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Appends a record of a keyed topic; returns its offset."""
@@ -80,17 +113,23 @@
             await asyncio.sleep(3600)
         await asyncio.sleep(self.slow_s)
         if self.status != 200:
-            await send_json(connection, {}, self.status)
+            await self._send(connection, {}, self.status)
         elif path == "/log-append":
             await self._serve_append(connection, query["topic"], request.body)
         elif path == "/log-trim":
             self.truncate(query["topic"])
-            await send_json(connection, {})
+            await self._send(connection, {})
         elif path == "/log-read":
             await self._serve_read(connection, query)
         else:
             await self._serve_newest(connection, query)
 
+    def _era_headers(self) -> list[tuple[str, str]]:
+        return [("Store-Era", str(self.era))]
+
+    async def _send(self, connection, body, status: int = 200) -> None:
+        await send_json(connection, body, status, self._era_headers())
+
     async def _serve_append(self, connection, topic: str, body: bytes) -> None:
         records = list(split_records(body))
         if self.lose_answers > 0:
@@ -98,33 +137,35 @@
             asyncio.get_running_loop().call_later(self.late_s, self._append, topic, records)
             raise DisconnectedError("response lost")
         offset = self._append(topic, records)
-        await send_json(connection, {"offset": offset, "end": self._end_offset(topic)})
+        await self._send(connection, {"offset": offset, "end": self._end_offset(topic)})
 
     async def _serve_read(self, connection, query: dict[str, str]) -> None:
         topic, start = query["topic"], int(query["from"])
         wait_s = int(query.get("wait_ms", "0")) / 1000
-        if start >= self._end_offset(topic):
+        era = self.era
+        if start == self._end_offset(topic):
             appended = self._appended
             try:
                 async with asyncio.timeout(wait_s):
-                    while start >= self._end_offset(topic):
+                    while start == self._end_offset(topic) and self.era == era:
                         await appended.wait()
                         appended = self._appended
             except TimeoutError:
                 pass
-        if self.outage:
+        if self.outage or self.era != era:
             raise DisconnectedError("outage")
         if self.status != 200:
-            await send_json(connection, {}, self.status)
+            await self._send(connection, {}, self.status)
             return
         first = self._first_offsets.get(topic, 0)
-        if start < first:
-            await send_json(connection, {"first": first}, 410)
+        if not first <= start <= self._end_offset(topic):
+            await self._send(connection, {"first": first}, 410)
             return
         records = self._records.get(topic, [])[start - first :]
         body = struct.pack(">QQ", self._end_offset(topic), first)
         body += b"".join(LENGTH_PREFIX.pack(len(record)) + record for record in records)
-        await connection.respond(200, [("Content-Type", "application/octet-stream")], body)
+        headers = [("Content-Type", "application/octet-stream"), *self._era_headers()]
+        await connection.respond(200, headers, body)
 
     async def _serve_newest(self, connection, query: dict[str, str]) -> None:
         topic = query["topic"]
@@ -136,7 +177,7 @@
         ]
         page = items[:2]
         end = self._end_offset(topic)
-        await send_json(connection, {"items": page, "has_more": len(items) > 2, "end": end})
+        await self._send(connection, {"items": page, "has_more": len(items) > 2, "end": end})
 
 
 def split_records(body: bytes):
--- a/fakes/server.py
+++ b/fakes/server.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from bluebellpitch.errors import BadRequestError
-from bluebellpitch.http1 import HttpLimits, HttpRequest, HttpServer, ServerConnection
+from bluebellpitch.http1 import Headers, HttpLimits, HttpRequest, HttpServer, ServerConnection
 
 JSON_HEADERS = [("Content-Type", "application/json")]
 
@@ -36,9 +36,11 @@
         raise NotImplementedError
 
 
-async def send_json(connection: ServerConnection, value: object, status: int = 200) -> None:
+async def send_json(
+    connection: ServerConnection, value: object, status: int = 200, headers: Headers = ()
+) -> None:
     """Responds with a value as JSON."""
-    await connection.respond(status, JSON_HEADERS, msgspec.json.encode(value))
+    await connection.respond(status, [*JSON_HEADERS, *headers], msgspec.json.encode(value))
 
 
 async def send_bad_request(connection: ServerConnection, error: BadRequestError) -> None:
--- a/tests/virtual_links.py
+++ b/tests/virtual_links.py
@@ -6,11 +6,12 @@
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness, Peer
+from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.messages import Envelope, encode_envelope
 from bluebellpitch.platform.configuration import CONFIGURATION_KEY, CONFIGURATION_TOPIC
 from bluebellpitch.platform.endpoint_entries import ENDPOINTS_TOPIC
-from bluebellpitch.platform.records import Page, encode_keyed_record
+from bluebellpitch.platform.records import Page
 from bluebellpitch.platform.store import NewestRecords, Truncated
 from bluebellpitch.roles.peer_sync import PeerSync
 from bluebellpitch.roles.store_watchers import ConfigurationWatcher, EndpointWatcher
@@ -38,8 +39,8 @@
 class LinkedStoreClient(VirtualStoreClient):
     """A client of the store whose answers pass the VM's link."""
 
-    def __init__(self, store: VirtualStore, inbound: VirtualLink):
-        super().__init__(store)
+    def __init__(self, store: VirtualStore, store_era: StoreEra, inbound: VirtualLink):
+        super().__init__(store, store_era)
         self._inbound = inbound
 
     async def _pass_link(self, size: int) -> None:
@@ -95,11 +96,15 @@
         self._now = asyncio.get_running_loop().time
         self.inbound, self.outbound = VirtualLink(), VirtualLink()
         self.liveness = Liveness(name, "z")
-        self.client = LinkedStoreClient(zone.store, self.inbound)
+        self.store_era = StoreEra()
+        self.client = LinkedStoreClient(zone.store, self.store_era, self.inbound)
+        self.freshness = Freshness(5.0, 4.0)
         self.configuration = ConfigurationWatcher(
-            self._create_follower(CONFIGURATION_TOPIC, self.client), Freshness(5.0, 4.0)
+            self._create_follower(CONFIGURATION_TOPIC, self.client), self.freshness, self.store_era
+        )
+        follower = self._create_follower(
+            ENDPOINTS_TOPIC, VirtualStoreClient(zone.endpoints, self.store_era)
         )
-        follower = self._create_follower(ENDPOINTS_TOPIC, VirtualStoreClient(zone.endpoints))
         follower.confirm_by_peer(FOREVER_S)
         self.peer_sync = PeerSync(
             address=name,
@@ -108,6 +113,7 @@
             configuration=self.configuration,
             endpoints=EndpointWatcher(follower, EndpointDirectory(), self._now, 1.0),
             all_addresses=lambda: list(zone.vms_by_address),
+            has_vm_list=lambda: True,
             zone_reader=self._role_holder,
             now=self._now,
         )
@@ -122,12 +128,18 @@
             is_zone_reader=lambda: self._role_holder() == self.name,
             publish=lambda update: self.peer_sync.publish_to_zone(update),
             metrics=Metrics(),
+            store_era=self.store_era,
         )
 
     def _role_holder(self, topic: str = "") -> str:
         return self.liveness.role_holder("reads", self._now(), own_draining=False)
 
 
+def create_peer(vm: LinkedVm) -> Peer:
+    """Returns a VM as others hear it, with a heartbeat that never lapses."""
+    return Peer(vm.name, "z", vm.name, False, 1, 0.0, FOREVER_S)
+
+
 @dataclass
 class LinkedZone:
     """A zone of VMs with thin links, and the store's two topics."""
@@ -139,21 +151,24 @@
     async def start(self, vm_count: int) -> list[LinkedVm]:
         """Starts the VMs, which hear each other, and waits until they follow the store."""
         vms = [LinkedVm(f"vm-{number}", self) for number in range(vm_count)]
-        loop = asyncio.get_running_loop()
         for index, vm in enumerate(vms):
-            for other in vms:
-                if other is not vm:
-                    peer = Peer(other.name, "z", other.name, False, 1, 0.0, FOREVER_S)
-                    vm.liveness.record_heartbeat(peer)
-            for task in (vm.configuration.run(), vm.peer_sync.run()):
-                loop.call_later(0.07 * index, asyncio.ensure_future, task)
+            self.run_vm(vm, 0.07 * index)
         await asyncio.sleep(5.0)
         return vms
 
+    def run_vm(self, vm: LinkedVm, delay_s: float = 0.0) -> None:
+        """Starts the tasks of a VM, which hears the others from the beginning."""
+        loop = asyncio.get_running_loop()
+        for other in self.vms_by_address.values():
+            if other is not vm:
+                other.liveness.record_heartbeat(create_peer(vm))
+                vm.liveness.record_heartbeat(create_peer(other))
+        for task in (vm.configuration.run(), vm.peer_sync.run()):
+            loop.call_later(delay_s, asyncio.ensure_future, task)
+
     def configure(self, data: bytes) -> None:
         """Writes a configuration to the store."""
-        self.store.records.append(encode_keyed_record(CONFIGURATION_KEY, data)[4:])
-        self.store.newest_by_key[CONFIGURATION_KEY] = data
+        self.store.write(CONFIGURATION_KEY, data)
 
     def longest_wait_s(self) -> float:
         """Returns the longest time that a message waited for others on a link."""
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -9,6 +9,7 @@
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness, Peer
+from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.errors import ConnectionLostError
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.configuration import CONFIGURATION_TOPIC
@@ -55,15 +56,32 @@
 
 @dataclass
 class VirtualStore:
-    """One keyed topic with its records. ``is_down`` makes all calls fail."""
+    """One keyed topic with its records. ``is_down`` makes all calls fail.
+
+    ``copy`` remembers the records, and ``restore`` goes back to them in a new era.
+    """
 
     records: list[bytes] = field(default_factory=list)
     first_offset: int = 0
     is_down: bool = False
     newest_by_key: dict[str, bytes] = field(default_factory=dict)
-
-    def put(self, key: str, state: str, pool: str = "app", born: int = 1) -> None:
-        """Appends the entry of an endpoint."""
+    era: int = 1
+    _copied: tuple = ()
+
+    def copy(self) -> None:
+        """Makes the copy to which ``restore`` goes back."""
+        self._copied = (list(self.records), self.first_offset, dict(self.newest_by_key))
+
+    def restore(self) -> None:
+        """Loses what was written since ``copy``."""
+        records, self.first_offset, newest_by_key = self._copied
+        self.records, self.newest_by_key = list(records), dict(newest_by_key)
+        self.era += 1
+
+    def put(
+        self, key: str, state: str, pool: str = "app", born: int = 1, seq: int | None = None
+    ) -> None:
+        """Appends the entry of an endpoint; ``seq`` counts its entries."""
         value = msgspec.json.encode(
             {
                 "service": pool,
@@ -72,8 +90,13 @@
                 "slots": 4,
                 "state": state,
                 "born": born,
+                "seq": self.end_offset + 1 if seq is None else seq,
             }
         )
+        self.write(key, value)
+
+    def write(self, key: str, value: bytes) -> None:
+        """Appends a record with a value."""
         self._append(key, value)
         self.newest_by_key[key] = value
 
@@ -102,8 +125,9 @@
     ``is_refused`` makes the calls of this VM alone fail; ``late_s`` delays the pages that it reads.
     """
 
-    def __init__(self, store: VirtualStore):
+    def __init__(self, store: VirtualStore, store_era: StoreEra):
         self._store = store
+        self._store_era = store_era
         self.is_refused = False
         self.late_s = 0.0
         self.read_count = 0
@@ -113,6 +137,9 @@
         await asyncio.sleep(STORE_DELAY_S)
         self._check_reachable()
 
+    def _observe_era(self) -> None:
+        self._store_era.observe(self._store.era, asyncio.get_running_loop().time())
+
     def _check_reachable(self) -> None:
         if self.is_refused or self._store.is_down:
             raise ConnectionLostError("no answer from the store")
@@ -122,21 +149,26 @@
         await self._answer()
         store, loop = self._store, asyncio.get_running_loop()
         deadline = loop.time() + wait_ms / 1000
+        era = store.era
         while start_offset == store.end_offset and loop.time() < deadline:
             await asyncio.sleep(STORE_POLL_S)
             self._check_reachable()
-        if start_offset < store.first_offset:
-            return Truncated(store.first_offset)
+            if store.era != era:
+                raise ConnectionLostError("the store went away during the read")
+        self._observe_era()
+        if not store.first_offset <= start_offset <= store.end_offset:
+            return Truncated(store.first_offset, store.era)
         records = tuple(store.records[start_offset - store.first_offset :])
-        page = Page(start_offset, store.end_offset, store.first_offset, records)
+        page = Page(start_offset, store.end_offset, store.first_offset, records, store.era)
         await asyncio.sleep(self.late_s)
         return page
 
     async def read_newest(self, topic: str) -> NewestRecords:
         """Reads the newest records as StoreClient does."""
         await self._answer()
+        self._observe_era()
         records = tuple(KeyedRecord(k, v) for k, v in self._store.newest_by_key.items())
-        return NewestRecords(records, self._store.end_offset)
+        return NewestRecords(records, self._store.end_offset, self._store.era)
 
 
 class VirtualBus:
@@ -166,7 +198,8 @@
         self._now = asyncio.get_running_loop().time
         self.directory = EndpointDirectory()
         self.liveness = Liveness(name, zone)
-        self.client = VirtualStoreClient(store)
+        self.store_era = StoreEra()
+        self.client = VirtualStoreClient(store, self.store_era)
         self.follower = TopicFollower(
             client=self.client,
             topic=ENDPOINTS_TOPIC,
@@ -175,21 +208,25 @@
             is_zone_reader=lambda: self._role_holder() == name,
             publish=lambda update: self.peer_sync.publish_to_zone(update),
             metrics=Metrics(),
+            store_era=self.store_era,
         )
         self.endpoints = EndpointWatcher(self.follower, self.directory, self._now, OUTAGE_WINDOW_S)
         configuration = ConfigurationWatcher(
             TopicFollower(
-                VirtualStoreClient(store),
+                VirtualStoreClient(store, self.store_era),
                 CONFIGURATION_TOPIC,
                 1.0,
                 self._now,
                 lambda: False,
                 lambda update: None,
                 Metrics(),
+                self.store_era,
             ),
             Freshness(5.0, 3.0),
+            self.store_era,
         )
         configuration.freshness.confirm(FOREVER_S)
+        configuration.mark_checked()
         self.peer_sync = PeerSync(
             address=name,
             bus=VirtualBus(vms_by_address, name),
@@ -197,6 +234,7 @@
             configuration=configuration,
             endpoints=self.endpoints,
             all_addresses=lambda: list(vms_by_address),
+            has_vm_list=lambda: True,
             zone_reader=self._role_holder,
             now=self._now,
         )
