Keep claims that the store lost, and append them again

What callers of serve would see: a submission that had run, ran once more under the same idempotency key through another VM (TWICE), after the store came back from a copy without its claim.

Cause: claims were ordered by offsets alone, and offsets are given out again.

Change: positions hold the store's era. In a new era the log is read again from its start, nothing known is forgotten, and each VM appends what the log lacks: its own records at once, those of others at a random moment within 0.8 s.

--- a/bluebellpitch/decisions/claiming.py
+++ b/bluebellpitch/decisions/claiming.py
@@ -30,10 +30,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingClaim:
-    """A claim sent to the store. ``offset`` is None while the append is not acknowledged."""
+    """A claim sent to the store. ``position`` is None while the append is not acknowledged."""
 
     claim: Claim
-    offset: int | None = None
+    position: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,8 +76,13 @@
     pending: PendingClaim | None,
     now_wall: float,
     timed_out: bool,
+    may_win: bool = True,
 ) -> ClaimStep:
-    """Returns the next step. ``timed_out`` is set once the claim deadline has passed."""
+    """Returns the next step. ``timed_out`` is set once the claim deadline has passed.
+
+    ``may_win`` is not set while the store may lack claims that it acknowledged before it came back
+    from a copy.
+    """
     if not is_within_horizon(request.made_at, now_wall, state_machine.horizon_s, HORIZON_MARGIN_S):
         return GiveUp(DidNotRun("request_too_old", 400))
     match state_machine.key_status(request.key, request.body_digest):
@@ -86,7 +91,7 @@
         case KeyCompleted(outcome):
             return ReplayOutcome(outcome)
         case KeyClaimed(claim) if pending and claim.id == pending.claim.id and not timed_out:
-            return ClaimWon(claim)
+            return ClaimWon(claim) if may_win else AwaitRecords()
         case KeyClaimed(claim) if timed_out and not (pending and claim.id == pending.claim.id):
             return GiveUp(MayHaveRun("in_progress", 409, 1.0))
         case _ if timed_out:
@@ -99,6 +104,6 @@
 def has_lost_race(state_machine: ClaimsStateMachine, pending: PendingClaim) -> bool:
     """Returns whether a pending claim has been applied without taking the key.
 
-    Another claim owned the key at that offset, so a new claim is needed once the key is free.
+    Another claim owned the key at that position, so a new claim is needed once the key is free.
     """
-    return pending.offset is not None and state_machine.offset >= pending.offset
+    return pending.position is not None and state_machine.position >= pending.position
--- a/bluebellpitch/decisions/claims.py
+++ b/bluebellpitch/decisions/claims.py
@@ -1,17 +1,23 @@
 """At-most-once execution: a state machine over the records of the claims topic.
 
-All VMs apply claims, outcomes and withdrawals in offset order. An idempotency key is scoped to its
-member and bound to one request body. The claim with the lowest offset that is not withdrawn owns
+All VMs apply claims, outcomes and withdrawals in log order. An idempotency key is scoped to its
+member and bound to one request body. The claim with the lowest position that is not withdrawn owns
 the key, and only its VM dispatches the request. A withdrawal invalidates a claim id whether it is
 appended before or after the claim. Only the VM that sent the claim withdraws it, and only when it
 is certain that it never dispatched under that id. Keys are kept for a retention horizon; requests
 made before that are rejected.
+
+When the store comes back from a copy, the log is read again from its start: known records change
+nothing. VMs append again what it lacks, and a claim that was lost keeps its position, which is
+lower than those of the new era.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import msgspec
 
+from bluebellpitch.decisions.log_position import BEFORE_FIRST
 from bluebellpitch.verdicts import MayHaveRun
 
 
@@ -19,6 +25,7 @@
     """Requests the exclusive right to dispatch a key.
 
     ``body`` is the digest of the request body, ``made_at`` the time of the request in Unix seconds.
+    ``lost_position`` is set if the store lost the claim and it was appended again.
     """
 
     id: str
@@ -26,6 +33,7 @@
     body: str
     vm: str
     made_at: float
+    lost_position: int | None = None
 
 
 class Withdrawal(msgspec.Struct, frozen=True, tag="withdrawal"):
@@ -59,10 +67,11 @@
 
 @dataclass(slots=True)
 class KeyState:
-    """Claim and outcome of one key."""
+    """Claim and outcome of one key. ``position`` is that of the claim."""
 
     made_at: float
     claim: Claim | None = None
+    position: int = BEFORE_FIRST
     outcome: Outcome | None = None
 
 
@@ -94,45 +103,47 @@
 
 
 class ClaimsStateMachine:
-    """Applies claim records in offset order; drops keys older than the retention horizon."""
+    """Applies claim records in log order; drops keys older than the retention horizon."""
 
     def __init__(self, horizon_s: float):
         self.horizon_s = horizon_s
-        self.offset = -1
+        self.position = BEFORE_FIRST
         self._states_by_key: dict[str, KeyState] = {}
-        self._withdrawal_times_by_claim_id: dict[str, float] = {}
+        self._withdrawals_by_claim_id: dict[str, Withdrawal] = {}
 
-    def apply(self, offset: int, data: str | bytes, now_wall: float) -> ClaimRecord | None:
+    def apply(self, position: int, data: str | bytes, now_wall: float) -> ClaimRecord | None:
         """Applies one record and returns it if it took effect, else None.
 
-        ``now_wall`` is in Unix seconds. Records at or below the current offset are skipped.
+        ``now_wall`` is in Unix seconds. Records at or below the current position are skipped.
         """
-        if offset <= self.offset:
+        if position <= self.position:
             return None
-        self.offset = offset
+        self.position = position
         record = decode_claim_record(data)
         if record is None or now_wall - record.made_at > self.horizon_s:
             return None
         match record:
+            case Claim(lost_position=None):
+                return self._apply_claim(record, position)
             case Claim():
-                return self._apply_claim(record)
+                return self._apply_claim(record, min(position, record.lost_position))
             case Withdrawal():
                 return self._apply_withdrawal(record)
             case Outcome():
                 return self._apply_outcome(record)
 
-    def _apply_claim(self, claim: Claim) -> Claim | None:
-        if claim.id in self._withdrawal_times_by_claim_id:
+    def _apply_claim(self, claim: Claim, position: int) -> Claim | None:
+        if claim.id in self._withdrawals_by_claim_id:
             return None
         state = self._states_by_key.setdefault(claim.key, KeyState(claim.made_at))
-        if state.claim or state.outcome:
+        if state.outcome or (state.claim and state.position <= position):
             return None
-        state.claim = claim
+        state.claim, state.position = claim, position
         state.made_at = max(state.made_at, claim.made_at)
         return claim
 
     def _apply_withdrawal(self, withdrawal: Withdrawal) -> Withdrawal:
-        self._withdrawal_times_by_claim_id[withdrawal.claim_id] = withdrawal.made_at
+        self._withdrawals_by_claim_id[withdrawal.claim_id] = withdrawal
         state = self._states_by_key.get(withdrawal.key)
         if state and state.claim and state.claim.id == withdrawal.claim_id and not state.outcome:
             del self._states_by_key[withdrawal.key]
@@ -156,16 +167,28 @@
 
     def is_withdrawn(self, claim_id: str) -> bool:
         """Returns whether a claim id has been withdrawn."""
-        return claim_id in self._withdrawal_times_by_claim_id
+        return claim_id in self._withdrawals_by_claim_id
 
     def expire_keys(self, now_wall: float) -> None:
         """Drops keys and withdrawals older than the retention horizon."""
         cutoff = now_wall - self.horizon_s
         self._states_by_key = {k: s for k, s in self._states_by_key.items() if s.made_at >= cutoff}
-        self._withdrawal_times_by_claim_id = {
-            k: at for k, at in self._withdrawal_times_by_claim_id.items() if at >= cutoff
+        self._withdrawals_by_claim_id = {
+            claim_id: withdrawal
+            for claim_id, withdrawal in self._withdrawals_by_claim_id.items()
+            if withdrawal.made_at >= cutoff
         }
 
+    def records_missing_from(self, known_ids: set[str]) -> Iterator[ClaimRecord]:
+        """Yields what a log with the records ``known_ids`` lacks, in an order that it can apply."""
+        withdrawals = self._withdrawals_by_claim_id.values()
+        yield from (w for w in withdrawals if w.id not in known_ids)
+        for state in self._states_by_key.values():
+            if state.claim and state.claim.id not in known_ids:
+                yield msgspec.structs.replace(state.claim, lost_position=state.position)
+            if state.outcome and state.outcome.id not in known_ids:
+                yield state.outcome
+
     def unresolved_claims(self, live_vms: frozenset[str]) -> tuple[Claim, ...]:
         """Returns claims that may have run, with an unknown result and no live VM serving them."""
         states = (state for state in self._states_by_key.values() if state.claim)
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -13,6 +13,7 @@
 from bluebellpitch.decisions.control import VmIdentity
 from bluebellpitch.decisions.hedge_budget import HedgeBudget
 from bluebellpitch.decisions.slot_broker import SlotBroker
+from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.decisions.strikes import StrikeTracker
 from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.environment import Environment
@@ -83,6 +84,7 @@
         own = VmState(identity, settings.zone, settings.region, False, -1, 0)
         self.key = identity.key
         self._store_clients: list[StoreClient] = []
+        self.store_era = StoreEra()
         self.view_holder = ViewHolder(ClusterView(own))
         self.clock = HybridClock(wall)
         self.event_ring = EventRing(settings.vm, self.clock, EVENT_RING_SIZE)
@@ -131,6 +133,7 @@
             now,
             wall,
             settings.horizon_s,
+            self.store_era,
         )
         self.connection_pool = ConnectionPool(now)
         self.context = NodeContext(
@@ -152,8 +155,17 @@
 
     def _create_store_client(self) -> StoreClient:
         """Returns a client for one task; calls of one client must not overlap."""
-        self._store_clients.append(StoreClient(self.settings.store_address))
-        return self._store_clients[-1]
+        client = StoreClient(self.settings.store_address, self._observe_era)
+        self._store_clients.append(client)
+        return client
+
+    def _observe_era(self, era: int) -> None:
+        """Counts the first era seen as new too: this VM cannot tell how long it has lasted."""
+        was = self.store_era.number
+        if was is None and era > 0:
+            self.store_era.observe_rise(era, self.now())
+        elif self.store_era.observe(era, self.now()):
+            log("WARNING", "store_era", era=era, was=was)
 
     def handle_message(self, sender: str, message: Message) -> None:
         """Dispatches a message to the component that handles it."""
--- a/bluebellpitch/roles/claim_coordinator.py
+++ b/bluebellpitch/roles/claim_coordinator.py
@@ -1,7 +1,8 @@
 """At-most-once execution: claims idempotency keys in the store before a request is dispatched."""
 
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Coroutine
 from uuid import uuid4
 
 from bluebellpitch.constants import CLAIM_TIMEOUT_S, HORIZON_MARGIN_S
@@ -19,20 +20,27 @@
     ClaimsStateMachine,
     Outcome,
     Withdrawal,
+    decode_claim_record,
     encode_claim_record,
     is_within_horizon,
 )
+from bluebellpitch.decisions.log_position import log_position
+from bluebellpitch.decisions.store_era import StoreEra, is_other_era
 from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.appender import Appender
+from bluebellpitch.platform.records import Page
 from bluebellpitch.platform.store import Appended, Truncated
 from bluebellpitch.platform.topic_reader import TopicReader
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 from bluebellpitch.view import ViewHolder
 
 APPEND_RETRY_DELAY_S = 0.25
+# VMs append again at random moments within this time, so that few append the same records.
+RESTORE_SPREAD_S = 0.8
 EXPIRY_INTERVAL_S = 5.0
+WIN_POLL_S = 0.1
 
 
 ClaimResult = ClaimWon | ReplayOutcome | DidNotRun | MayHaveRun
@@ -51,6 +59,7 @@
         now: Callable[[], float],
         wall: Callable[[], float],
         horizon_s: float,
+        store_era: StoreEra,
     ):
         self._view_holder = view_holder
         self._reader = reader
@@ -60,6 +69,11 @@
         self._now = now
         self._wall = wall
         self._horizon_s = horizon_s
+        self._store_era = store_era
+        self._log_era: int | None = None
+        self._next_offset = 0
+        # Ids of the records read since the store came back from a copy; None once all are read.
+        self._ids_in_new_era: set[str] | None = None
         self._own_key = view_holder.current.own.identity.key
         self.state_machine = ClaimsStateMachine(horizon_s)
         self._state_changed = asyncio.Event()
@@ -67,20 +81,49 @@
 
     async def follow_log(self) -> None:
         """Applies the records of the claims topic until cancelled."""
-        async for page in self._reader.read_pages(lambda: self.state_machine.offset + 1):
-            if isinstance(page, Truncated):
-                log(
-                    "WARNING",
-                    "claims_expired",
-                    wanted=self.state_machine.offset + 1,
-                    first=page.oldest_offset,
-                )
-                self.state_machine.offset = page.oldest_offset - 1
+        async for page in self._reader.read_pages(lambda: self._next_offset):
+            if self._store_era.is_past(page.era):
+                continue
+            if is_other_era(page.era, self._log_era):
+                self._restart_in_era(page.era)
                 continue
-            for offset, data in enumerate(page.records, page.start_offset):
-                self.state_machine.apply(offset, data, self._wall())
-            if page.records:
-                self._notify_waiters()
+            self._log_era = page.era if page.era is not None else self._log_era
+            if isinstance(page, Truncated):
+                self._skip_expired(page.oldest_offset)
+            else:
+                self._apply_page(page)
+
+    def _restart_in_era(self, era: int) -> None:
+        """Reads the log of a store that came back from a copy from its start; forgets no claim."""
+        log("WARNING", "claims_log_restored", era=era, was=self._log_era)
+        self._log_era, self._ids_in_new_era = era, set()
+        self._next_offset = 0
+
+    def _skip_expired(self, oldest_offset: int) -> None:
+        log("WARNING", "claims_expired", wanted=self._next_offset, first=oldest_offset)
+        self._next_offset = oldest_offset
+
+    def _apply_page(self, page: Page) -> None:
+        for offset, data in enumerate(page.records, page.start_offset):
+            position = log_position(self._log_era, offset)
+            self.state_machine.apply(position, data, self._wall())
+            if self._ids_in_new_era is not None and (record := decode_claim_record(data)):
+                self._ids_in_new_era.add(record.id)
+        self._next_offset = page.start_offset + len(page.records)
+        if page.records:
+            self._notify_waiters()
+        if self._ids_in_new_era is not None and self._next_offset >= page.end_offset:
+            self._run_in_background(self._restore_lost_records(self._ids_in_new_era))
+            self._ids_in_new_era = None
+
+    async def _restore_lost_records(self, known_ids: set[str]) -> None:
+        """Appends what the log lacks again: records of this VM at once, those of others later."""
+        missing = list(self.state_machine.records_missing_from(known_ids))
+        own = [r for r in missing if isinstance(r, Claim) and r.vm == self._own_key]
+        log("INFO", "claims_restored", missing=len(missing), own=len(own))
+        await asyncio.sleep(0 if own else random.uniform(0, RESTORE_SPREAD_S))
+        for record in missing:
+            await self._append_with_retries(encode_claim_record(record))
 
     def _notify_waiters(self) -> None:
         self._state_changed.set()
@@ -107,7 +150,12 @@
             changed = self._state_changed
             timed_out = self._now() >= deadline
             match next_claim_step(
-                self.state_machine, claim_request, pending, self._wall(), timed_out
+                self.state_machine,
+                claim_request,
+                pending,
+                self._wall(),
+                timed_out,
+                self._may_win_claims(),
             ):
                 case ClaimWon(claim) as won:
                     self._event_ring.record(EventKind.CLAIMED, request, detail=claim.id)
@@ -130,6 +178,13 @@
                 case _:
                     await self._wait_for_change(changed, deadline)
 
+    def _may_win_claims(self) -> bool:
+        """Returns whether the log certainly holds all claims that were ever won.
+
+        After the store came back from a copy, other VMs need time to append again what it lacks.
+        """
+        return self._ids_in_new_era is None and self._store_era.is_rewritten(self._now())
+
     async def _append_claim(self, claim: Claim, deadline: float) -> PendingClaim | None:
         """Appends a claim; returns None if it certainly did not reach the store."""
         append = asyncio.ensure_future(self._appender.append(encode_claim_record(claim)))
@@ -137,16 +192,17 @@
         if not done:
             return PendingClaim(claim)
         match append.result():
-            case Appended(offset):
-                return PendingClaim(claim, offset)
+            case Appended(offset, era):
+                return PendingClaim(claim, log_position(era, offset))
             case DidNotRun():
                 await asyncio.sleep(APPEND_RETRY_DELAY_S)
                 return None
         return PendingClaim(claim)
 
     async def _wait_for_change(self, changed: asyncio.Event, deadline: float) -> None:
+        until = deadline if self._may_win_claims() else min(deadline, self._now() + WIN_POLL_S)
         try:
-            async with asyncio.timeout(max(0.0, deadline - self._now())):
+            async with asyncio.timeout(max(0.0, until - self._now())):
                 await changed.wait()
         except TimeoutError:
             return
@@ -169,7 +225,10 @@
         self._append_in_background(encode_claim_record(outcome))
 
     def _append_in_background(self, record: bytes) -> None:
-        task = asyncio.create_task(self._append_with_retries(record))
+        self._run_in_background(self._append_with_retries(record))
+
+    def _run_in_background(self, append: Coroutine) -> None:
+        task = asyncio.create_task(append)
         self._unfinished_appends.add(task)
         task.add_done_callback(self._unfinished_appends.discard)
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -22,14 +22,14 @@
     Mutant(
         "the first claim wins",
         "bluebellpitch/decisions/claims.py",
-        "        if state.claim or state.outcome:\n            return None\n",
+        "        if state.outcome or (state.claim and state.position <= position):\n            return None\n",
         "",
         "tests/test_claims_state_machine.py",
     ),
     Mutant(
         "a withdrawal invalidates its claim even if it is appended first",
         "bluebellpitch/decisions/claims.py",
-        "        if claim.id in self._withdrawal_times_by_claim_id:\n            return None\n",
+        "        if claim.id in self._withdrawals_by_claim_id:\n            return None\n",
         "",
         "tests/test_claims_state_machine.py",
     ),
--- a/tests/test_claims_state_machine.py
+++ b/tests/test_claims_state_machine.py
@@ -145,7 +145,7 @@
             return
         self.log.append(record)
         if append_result == "now":
-            request.pending = replace(request.pending, offset=len(self.log) - 1)
+            request.pending = replace(request.pending, position=len(self.log) - 1)
 
     def end_undispatched(self, request, claim):
         request.ended = True
@@ -161,7 +161,7 @@
     @rule(vm=st.sampled_from(VMS), count=st.integers(1, 4))
     def apply_records(self, vm, count):
         machine = self.machines_by_vm[vm]
-        for offset in range(machine.offset + 1, min(len(self.log), machine.offset + 1 + count)):
+        for offset in range(machine.position + 1, min(len(self.log), machine.position + 1 + count)):
             machine.apply(offset, self.log[offset], self.wall_time(vm))
 
     @rule(seconds=st.sampled_from((1.0, 5.0, 300.0)))
@@ -220,7 +220,7 @@
         for vm, machine in self.machines_by_vm.items():
             if self.wall_time(vm) < HORIZON_S - HORIZON_MARGIN_S:
                 status = machine.key_status("m/key", "body")
-                assert status_by_offset.setdefault(machine.offset, status) == status
+                assert status_by_offset.setdefault(machine.position, status) == status
 
 
 TestClaims = ClaimsMachine.TestCase
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -126,7 +126,7 @@
     control, claims = ControlStateMachine(), ClaimsStateMachine(100.0)
     control.apply(0, data)
     claims.apply(0, data, 0.0)
-    assert_that((control.offset, claims.offset), Equals((0, 0)))
+    assert_that((control.offset, claims.position), Equals((0, 0)))
 
 
 CHUNKS = st.builds(
