Append changes of the table again that the store lost, and hold the state until then

Change: in a new era the log is applied anew beside the state in force. VMs append the accepted changes that it lacks as records that keep id and position, behind a record that marks the era, and the new state takes over once it lacks nothing. A lost change does not undo a later one or a deletion. Records and states from peers name the era of their log. A VM that was listed before the return is not taken for gone, and VMs register again. An endpoint's notice holds until it starts again.

--- a/bluebellpitch/decisions/control.py
+++ b/bluebellpitch/decisions/control.py
@@ -1,8 +1,13 @@
 """State machine over the control topic: changes of the operators' table, and zone epochs.
 
-All VMs apply the same records in offset order, so they agree without a consensus protocol of their
-own. A record that conflicts with the current state changes nothing; its verdict is kept so that
-its author can read it.
+All VMs apply the same records in the order of the log, so they agree without a consensus protocol
+of their own. A record that conflicts with the current state changes nothing; its verdict is kept
+so that its author can read it.
+
+The store may lose records and give their offsets out again. Whoever appends lost changes again
+puts a record ``EraBegan`` before them. Offsets of rows, verdicts and snapshots are positions that
+hold the era of the last such record, so they mean the same to VMs that applied the lost records and
+to those that did not.
 """
 
 from collections.abc import Iterable
@@ -10,9 +15,11 @@
 import msgspec
 
 from bluebellpitch.decisions.hashing import digest_text
+from bluebellpitch.decisions.log_position import log_position, offset_of
 from bluebellpitch.decisions.rows import Row, Table, VersionedRow, row_key
 
 MAX_KEPT_VERDICTS = 4_096
+MAX_KEPT_DELETIONS = 4_096
 
 
 class VmIdentity(msgspec.Struct, frozen=True, order=True):
@@ -67,6 +74,26 @@
     settled: int = 0
 
 
+class EraBegan(msgspec.Struct, frozen=True, tag="era"):
+    """The store came back from a copy: positions after this record are of another era."""
+
+    id: str
+    era: int
+
+
+class RestoredChange(msgspec.Struct, frozen=True, tag="restored"):
+    """A change of the table that was accepted at ``position``, before the store lost it.
+
+    It has the id of the lost record, so it takes effect once, however many VMs append it.
+    """
+
+    id: str
+    position: int
+    rows: tuple[Row, ...]
+    deleted: tuple[str, ...] = ()
+    author: str = ""
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """The complete control state at an offset.
 
@@ -77,9 +104,11 @@
     offset: int
     state: bytes
     digest: str
+    # Era of the store when the snapshot was made, None if it names none.
+    store_era: int | None = None
 
 
-ControlRecord = TableChange | EpochChange
+ControlRecord = TableChange | EpochChange | EraBegan | RestoredChange
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
@@ -99,13 +128,18 @@
 
 
 class ControlState(msgspec.Struct):
-    """Contents of a snapshot. ``offset`` is the last offset applied, -1 for none."""
+    """Contents of a snapshot. ``offset`` is the last position applied, -1 for none.
+
+    ``deletions_by_key`` holds the offsets at which rows were deleted.
+    """
 
     offset: int = -1
     rows_by_key: dict[str, VersionedRow] = {}
     epochs_by_zone: dict[str, Epoch] = {}
     unsettled_by_zone: dict[str, tuple[Epoch, ...]] = {}
     verdicts_by_id: dict[str, RecordVerdict] = {}
+    deletions_by_key: dict[str, int] = {}
+    era: int = 0
 
 
 class ControlStateMachine:
@@ -117,14 +151,22 @@
 
     @property
     def offset(self) -> int:
-        """The last offset applied, -1 for none."""
+        """The last position applied, -1 for none."""
         return self.state.offset
 
-    def apply(self, offset: int, data: str | bytes) -> RecordVerdict | None:
+    @property
+    def next_offset(self) -> int:
+        """The offset of the next record in the log."""
+        return offset_of(self.offset) + 1
+
+    def apply(self, log_offset: int, data: str | bytes) -> RecordVerdict | None:
         """Applies one record; returns None if it is old, a duplicate or malformed."""
-        if offset <= self.offset:
+        if log_offset < self.next_offset:
             return None
         record = decode_control_record(data)
+        if isinstance(record, EraBegan):
+            self.state.era = max(self.state.era, record.era)
+        offset = log_position(self.state.era, log_offset)
         verdict = self._apply_record(offset, record) if record else None
         self.state.offset = offset
         return verdict
@@ -137,6 +179,10 @@
                 verdict = self._apply_table_change(offset, record)
             case EpochChange():
                 verdict = self._apply_epoch_change(offset, record)
+            case EraBegan():
+                verdict = Accepted(offset)
+            case RestoredChange():
+                verdict = self._apply_restored_change(offset, record)
         self._store_verdict(record.id, verdict)
         return verdict
 
@@ -152,12 +198,42 @@
         if stale:
             return Conflicted(offset, stale)
         changes = {row_key(row): VersionedRow(row, offset) for row in change.rows}
-        self.table = self.table.with_changes(changes, change.deleted, offset)
-        self.state.rows_by_key = self.table.rows_by_key
+        self._change_table(changes, change.deleted, offset, offset)
         return Accepted(offset)
 
+    def _change_table(
+        self,
+        changes: dict[str, VersionedRow],
+        deleted: tuple[str, ...],
+        revision: int,
+        offset: int,
+    ) -> None:
+        self.table = self.table.with_changes(changes, deleted, offset)
+        self.state.rows_by_key = self.table.rows_by_key
+        deletions = self.state.deletions_by_key
+        for key in changes:
+            deletions.pop(key, None)
+        deletions |= dict.fromkeys(deleted, revision)
+        while len(deletions) > MAX_KEPT_DELETIONS:
+            del deletions[next(iter(deletions))]
+
+    def _apply_restored_change(self, offset: int, change: RestoredChange) -> RecordVerdict:
+        """Applies a lost change except to rows that have been changed since."""
+        position = min(change.position, offset)
+        changes = {
+            row_key(row): VersionedRow(row, position)
+            for row in change.rows
+            if self._last_change_of(row_key(row)) < position
+        }
+        deleted = tuple(key for key in change.deleted if self._last_change_of(key) < position)
+        self._change_table(changes, deleted, position, offset)
+        return Accepted(position)
+
+    def _last_change_of(self, key: str) -> int:
+        return max(self.revision_of(key), self.state.deletions_by_key.get(key, -1))
+
     def revision_of(self, key: str) -> int:
-        """Returns the offset of the record that set a row, -1 if there is no such row."""
+        """Returns the position of the record that set a row, -1 if there is no such row."""
         versioned = self.state.rows_by_key.get(key)
         return versioned.revision if versioned else -1
 
@@ -174,11 +250,17 @@
         self.state.unsettled_by_zone = {**self.state.unsettled_by_zone, change.zone: unsettled}
         return Accepted(offset)
 
-    def create_snapshot(self) -> Snapshot:
+    def lacks(self, verdicts_by_id: dict[str, RecordVerdict]) -> tuple[str, ...]:
+        """Returns the ids among these of records that were accepted and are not in this state."""
+        accepted = (id for id, verdict in verdicts_by_id.items() if isinstance(verdict, Accepted))
+        return tuple(id for id in accepted if id not in self.state.verdicts_by_id)
+
+    def create_snapshot(self, store_era: int | None = None) -> Snapshot:
         """Returns the state as a snapshot record; equal states give equal records."""
         state = msgspec.json.encode(self.state, order="sorted")
         digest = digest_text(state)
-        return Snapshot(f"snapshot-{self.offset}-{digest}", self.offset, state, digest)
+        id = f"snapshot-{self.offset}-{digest}"
+        return Snapshot(id, self.offset, state, digest, store_era)
 
     def install_latest_snapshot(self, snapshots: Iterable[Snapshot]) -> bool:
         """Installs the first valid snapshot ahead of this state, in place of expired records."""
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -101,8 +101,11 @@
             self.view_holder,
             self.control_reader,
             self._create_store_client(),
+            self.control_appender,
             self.event_ring,
             self.metrics,
+            self.store_era,
+            now,
         )
         self.membership = ClusterMembership(
             self.view_holder,
@@ -112,6 +115,7 @@
             now,
             settings.peers,
             self._create_store_client(),
+            self.store_era,
         )
         self.slot_client = SlotClient(self.view_holder, self.bus, self.metrics, now)
         self.slot_broker_service = SlotBrokerService(
@@ -189,8 +193,8 @@
             case StrikeReport() | StrikesCleared() | StrikeConfirmation():
                 if (confirmation := self.strikes.handle_message(message)) is not None:
                     self.bus.send(sender, confirmation)
-            case ControlRecords(entries):
-                self.control_log_replica.apply_entries(entries)
+            case ControlRecords():
+                self.control_log_replica.apply_records(message)
             case SnapshotTransfer():
                 self.control_log_replica.install_transfer(message)
 
--- a/bluebellpitch/operators/table_editor.py
+++ b/bluebellpitch/operators/table_editor.py
@@ -15,6 +15,7 @@
 )
 from bluebellpitch.decisions.rows import Row, row_key
 from bluebellpitch.decisions.snapshots import assemble_snapshots
+from bluebellpitch.decisions.store_era import is_other_era
 from bluebellpitch.errors import BluebellpitchError, ConflictError, UnreachableError
 from bluebellpitch.operators.sheet import Sheet
 from bluebellpitch.platform.records import Page
@@ -81,18 +82,24 @@
         self._now = now
         self._deadline = now() + timeout_s
         self.control = ControlStateMachine()
+        self._era: int | None = None
 
     async def catch_up(self) -> None:
         """Applies all records up to the end of the topic; raises UnreachableError."""
         while True:
             page = await self._retry_until_deadline(
-                lambda: self._client.read(CONTROL_TOPIC, self.control.offset + 1, 0)
+                lambda: self._client.read(CONTROL_TOPIC, self.control.next_offset, 0)
             )
+            if is_other_era(page.era, self._era):
+                self.control = ControlStateMachine()
+                self._era = page.era
+                continue
+            self._era = page.era if page.era is not None else self._era
             if isinstance(page, Truncated):
                 await self._install_snapshot(page.oldest_offset)
                 continue
             self._apply_page(page)
-            if self.control.offset + 1 >= page.end_offset:
+            if self.control.next_offset >= page.end_offset:
                 return
 
     async def _retry_until_deadline(self, call: Callable[[], Awaitable]):
@@ -110,7 +117,7 @@
         self.control.install_latest_snapshot(
             assemble_snapshots(r.value for r in newest.records if r.value)
         )
-        if self.control.offset + 1 < oldest_offset:
+        if self.control.next_offset < oldest_offset:
             raise UnreachableError(
                 "the store has dropped old records and has no snapshot that covers them"
             )
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -10,7 +10,10 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
-    """Liveness of a VM, with its control state's offset and the epoch it has adopted."""
+    """Liveness of a VM, with its control state's offset and the epoch it has adopted.
+
+    ``store_era`` is the era of the log that it has applied, None if the store names none.
+    """
 
     vm: VmIdentity
     zone: str
@@ -18,6 +21,7 @@
     draining: bool
     control_offset: int
     epoch: int
+    store_era: int | None = None
 
 
 class SlotRequest(msgspec.Struct, frozen=True, tag="ask"):
@@ -188,16 +192,20 @@
 
 
 class ControlEntry(msgspec.Struct, frozen=True):
-    """One record of the control topic."""
+    """One record of the control topic, at its offset in the log."""
 
     offset: int
     data: bytes
 
 
 class ControlRecords(msgspec.Struct, frozen=True, tag="records"):
-    """Records of the control topic, sent to a VM that lags behind the store."""
+    """Records of the control topic, sent to a VM that lags behind the store.
+
+    ``store_era`` is the era of the log, None if the store names none.
+    """
 
     entries: tuple[ControlEntry, ...]
+    store_era: int | None = None
 
 
 class SnapshotTransfer(msgspec.Struct, frozen=True, tag="fold"):
--- a/bluebellpitch/roles/cluster_membership.py
+++ b/bluebellpitch/roles/cluster_membership.py
@@ -12,7 +12,9 @@
 from bluebellpitch.decisions.control import Epoch, VmIdentity, encode_control_record
 from bluebellpitch.decisions.epochs import EpochProposer
 from bluebellpitch.decisions.hashing import rank_owners
+from bluebellpitch.decisions.leaving_endpoints import LeavingEndpoints
 from bluebellpitch.decisions.member_quotas import EpochHistory
+from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.events import EventKind, EventRing
 from bluebellpitch.logs import log
@@ -45,6 +47,7 @@
         now: Callable[[], float],
         seeds: tuple[str, ...],
         store: StoreClient,
+        store_era: StoreEra,
     ):
         self._view_holder = view_holder
         self._bus = bus
@@ -53,6 +56,8 @@
         self._now = now
         self._seeds = seeds
         self._store = store
+        self._store_era = store_era
+        self._leaving_endpoints = LeavingEndpoints()
         own = view_holder.current.own
         self._own_key = own.identity.key
         self._zone = own.zone
@@ -80,6 +85,7 @@
             heartbeat.draining,
             heartbeat.control_offset,
             heartbeat.epoch,
+            heartbeat.store_era,
         )
         self._last_heard_by_key[heartbeat.vm.key] = (vm_state, self._now())
         self._bus.register_address(heartbeat.vm.key, heartbeat.vm.bus)
@@ -145,7 +151,13 @@
         view = self._view_holder.current
         own = view.own
         heartbeat = Heartbeat(
-            own.identity, own.zone, own.region, own.draining, own.control_offset, own.epoch
+            own.identity,
+            own.zone,
+            own.region,
+            own.draining,
+            own.control_offset,
+            own.epoch,
+            own.store_era,
         )
         for address in frozenset(self._heartbeat_addresses()) - {view.own.identity.bus}:
             self._bus.send_to_address(address, heartbeat)
@@ -174,15 +186,22 @@
     async def follow_vm_list(self) -> None:
         """Registers this VM and polls the VM list until cancelled.
 
-        While the store is unreachable, the list counts as unknown, not as empty.
+        While the store is unreachable, the list counts as unknown, not as empty. When the store
+        comes back from a copy, a VM that is not listed may have registered since: that it was
+        listed before proves nothing.
         """
-        registered = False
+        registered, era = False, None
         while True:
-            if not registered:
+            if not registered or self._store_era.is_past(era):
+                self._ever_listed_names.clear()
+                era = self._store_era.number
                 registered = await self._register()
+                era = self._store_era.number if era is None else era
             try:
                 self._listed_records_by_name = await read_vm_records(self._store)
-                self._ever_listed_names.update(self._listed_records_by_name)
+                if not self._store_era.is_past(era):
+                    self._ever_listed_names.update(self._listed_records_by_name)
+                registered = registered and self._own_name() in self._listed_records_by_name
                 self._update_leaving_endpoints(await self._read_leaving_endpoints())
             except BluebellpitchError as error:
                 if self._listed_records_by_name is not None:
@@ -190,6 +209,9 @@
                 self._listed_records_by_name = None
             await asyncio.sleep(VM_LIST_READ_INTERVAL_S)
 
+    def _own_name(self) -> str:
+        return self._view_holder.current.own.identity.name
+
     async def _register(self) -> bool:
         own = self._view_holder.current.own
         record = VmRecord(own.identity.bus, own.zone, own.identity.admin)
@@ -203,7 +225,7 @@
         """Returns the endpoints that announce their own shutdown, independent of the table."""
         records = (await self._store.read_newest(ENDPOINTS_TOPIC)).records
         entries_by_id = decode_values(records, decode_endpoint_entry, log_malformed_entry)
-        return frozenset(id for id, entry in entries_by_id.items() if entry.is_draining)
+        return self._leaving_endpoints.update(entries_by_id.values())
 
     def _update_leaving_endpoints(self, leaving: frozenset[str]) -> None:
         view = self._view_holder.current
--- a/bluebellpitch/view.py
+++ b/bluebellpitch/view.py
@@ -18,6 +18,7 @@
     draining: bool
     control_offset: int
     epoch: int
+    store_era: int | None = None
 
 
 @dataclass(frozen=True)
