Treat records that are nested too deeply or hold odd numbers as malformed

Reported by other operators; shown here: one entry with a field nested 100,000 deep ended the task that follows the endpoints (task_failed EndpointWatcher.run RecursionError), and so the VM, again after each start. A port of 5,000 digits did the same, as did such numbers in a request's headers to its task. Ports 0, in other digits than ASCII, slots of 400 digits and hosts that cannot be resolved were taken.

Whole numbers have bounds, hosts a syntax, and a connection to an address that cannot be used counts as not sent.

--- a/bluebellpitch/callers/requests.py
+++ b/bluebellpitch/callers/requests.py
@@ -9,6 +9,7 @@
 from bluebellpitch.constants import HORIZON_MARGIN_S
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.rows import ClassRow, MemberRow, PoolRow, Table
+from bluebellpitch.decoding import DECODE_ERRORS
 from bluebellpitch.errors import BadRequestError
 from bluebellpitch.http1 import HttpRequest
 
@@ -142,7 +143,7 @@
     try:
         decoded = msgspec.json.decode(body, type=dict)
         return decoded, msgspec.convert(decoded, CompletionFields)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise BadRequestError(400, "bad_json", f"the body is invalid: {error}") from error
 
 
--- a/bluebellpitch/decisions/claims.py
+++ b/bluebellpitch/decisions/claims.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from bluebellpitch.decisions.log_position import BEFORE_FIRST
+from bluebellpitch.decoding import DECODE_ERRORS
 from bluebellpitch.verdicts import MayHaveRun
 
 
@@ -218,7 +219,7 @@
     """Returns the decoded record, or None if it is malformed or of an unknown type."""
     try:
         return msgspec.json.decode(data, type=ClaimRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/bluebellpitch/decisions/control.py
+++ b/bluebellpitch/decisions/control.py
@@ -17,6 +17,7 @@
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.log_position import log_position, offset_of
 from bluebellpitch.decisions.rows import Row, Table, VersionedRow, row_key
+from bluebellpitch.decoding import DECODE_ERRORS
 
 MAX_KEPT_VERDICTS = 4_096
 MAX_KEPT_DELETIONS = 4_096
@@ -272,7 +273,7 @@
             return False
         try:
             state = msgspec.json.decode(snapshot.state, type=ControlState)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return False
         self.state = state
         self.table = Table(state.rows_by_key, state.offset)
@@ -283,7 +284,7 @@
     """Returns the decoded record, or None if it is malformed or of an unknown type."""
     try:
         return msgspec.json.decode(data, type=ControlRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/bluebellpitch/decisions/snapshots.py
+++ b/bluebellpitch/decisions/snapshots.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bluebellpitch.decisions.control import Snapshot
+from bluebellpitch.decoding import DECODE_ERRORS
 
 CHUNK_BYTES = 128 * 1024
 CHUNK_SETS = 2
@@ -56,7 +57,7 @@
     data = b"".join(chunks_by_index[index].data for index in range(count))
     try:
         return msgspec.msgpack.decode(data, type=Snapshot)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
@@ -64,5 +65,5 @@
     """Returns the chunk, or None if the record is malformed."""
     try:
         return msgspec.msgpack.decode(data, type=SnapshotChunk)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
--- a/bluebellpitch/endpoints/sse.py
+++ b/bluebellpitch/endpoints/sse.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bluebellpitch.decoding import DECODE_ERRORS
 from bluebellpitch.errors import ResponseTooLargeError
 
 EVENT_SEPARATOR = b"\n\n"
@@ -84,7 +85,7 @@
             continue
         try:
             yield _chunk_decoder.decode(event[6:])
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             continue
 
 
--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -53,8 +53,8 @@
         except ConnectionRefusedError as error:
             message = f"cannot connect to {address}: {error}"
             raise ConnectionRefusedByServerError(message) from error
-        except (OSError, TimeoutError) as error:
-            raise NotSentError(f"cannot connect to {address}: {error}") from error
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            raise NotSentError(f"cannot connect to {address[:80]}: {error}") from error
         return cls(reader, writer, address)
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
--- a/bluebellpitch/http1/messages.py
+++ b/bluebellpitch/http1/messages.py
@@ -1,11 +1,16 @@
 """HTTP/1.1 requests, responses, limits and addresses."""
 
+import re
 from dataclasses import dataclass
 
+from bluebellpitch.decoding import parse_whole_number
 from bluebellpitch.errors import ProtocolError
 
 READ_BYTES = 65_536
 MAX_RESPONSE_BYTES = 16_777_216
+MAX_PORT_DIGITS = 5
+# Names and literal addresses; the longest name in the DNS has 253 characters.
+HOST_PATTERN = re.compile(r"[A-Za-z0-9._:\[\]-]{1,253}")
 Headers = list[tuple[str, str]]
 
 
@@ -50,7 +55,8 @@
 
 def parse_address(text: str) -> tuple[str, int]:
     """Parses ``host:port``; raises ProtocolError."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65_536:
-        raise ProtocolError(f"{text!r} is not an address of the form 127.0.0.1:8000")
-    return host, int(port)
+    host, _, digits = text.rpartition(":")
+    port = parse_whole_number(digits, MAX_PORT_DIGITS)
+    if not HOST_PATTERN.fullmatch(host) or port is None or not 0 < port < 65_536:
+        raise ProtocolError(f"{text[:80]!r} is not an address of the form 127.0.0.1:8000")
+    return host, port
--- a/bluebellpitch/operators/timeline.py
+++ b/bluebellpitch/operators/timeline.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bluebellpitch.clock import MICROSECONDS_PER_S
+from bluebellpitch.decoding import DECODE_ERRORS
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.events import Event, EventKind
 from bluebellpitch.http1 import fetch
@@ -77,7 +78,7 @@
     try:
         response = await fetch(address, "GET", path)
         return msgspec.json.decode(response.body, type=response_type)
-    except (BluebellpitchError, msgspec.MsgspecError):
+    except (BluebellpitchError, *DECODE_ERRORS):
         return None
 
 
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bluebellpitch.decisions.control import Snapshot, VmIdentity
+from bluebellpitch.decoding import DECODE_ERRORS
 from bluebellpitch.errors import ProtocolError
 from bluebellpitch.peers.platform_messages import PlatformMessage
 
@@ -271,7 +272,7 @@
         if data.startswith(COMPRESSED_MARKER):
             data = decompress(data[len(COMPRESSED_MARKER) :])
         return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, zlib.error) as error:
+    except (*DECODE_ERRORS, zlib.error) as error:
         raise ProtocolError(f"malformed message from a peer: {error}") from error
 
 
--- a/bluebellpitch/platform/configuration.py
+++ b/bluebellpitch/platform/configuration.py
@@ -15,6 +15,7 @@
     WeightedPool,
     group_by_host,
 )
+from bluebellpitch.decoding import DECODE_ERRORS, WholeNumber
 from bluebellpitch.errors import ProtocolError
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -44,13 +45,13 @@
 
 
 class _Engine(msgspec.Struct, frozen=True):
-    slots: int
-    kv_capacity: int
+    slots: WholeNumber
+    kv_capacity: WholeNumber
 
 
 class _Service(msgspec.Struct, frozen=True):
     name: str
-    max_conns: int
+    max_conns: WholeNumber
     engine: _Engine | None = None
 
 
@@ -68,7 +69,7 @@
 
 
 class _Configuration(msgspec.Struct, frozen=True):
-    version: int
+    version: WholeNumber
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
@@ -82,7 +83,7 @@
     """Decodes a configuration; raises ProtocolError if it is malformed."""
     try:
         wire = _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ProtocolError(f"the configuration is malformed: {error}") from error
     members_by_key = {
         key: MemberConfig(tenant.name, tenant.priority)
--- a/bluebellpitch/platform/endpoint_entries.py
+++ b/bluebellpitch/platform/endpoint_entries.py
@@ -1,27 +1,29 @@
 """Decodes the entries that endpoints write to the store to register themselves."""
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decoding import DECODE_ERRORS, WholeNumber
 from bluebellpitch.errors import ProtocolError
 from bluebellpitch.http1 import parse_address
 from bluebellpitch.logs import log
 
 ENDPOINTS_TOPIC = "keyed.servers"
+MAX_SLOTS = 1_000_000
 
 
 class _Entry(msgspec.Struct, frozen=True):
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     # Start time of the endpoint, in Unix milliseconds.
-    born: int = 0
+    born: WholeNumber = 0
     # Rises with each entry that one start of the endpoint writes.
-    seq: int = 0
+    seq: WholeNumber = 0
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -31,11 +33,11 @@
     """Decodes an entry; raises ProtocolError, since any process may write to this topic."""
     try:
         wire = _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ProtocolError(f"endpoint entry is malformed: {error}") from error
     parse_address(wire.address)
-    if not endpoint_id or not wire.service or wire.slots < 1:
-        raise ProtocolError("endpoint entry has no id, no service or no slots")
+    if not endpoint_id or not wire.service:
+        raise ProtocolError("endpoint entry has no id or no service")
     return EndpointEntry(
         id=endpoint_id,
         pool=wire.service,
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from bluebellpitch.decoding import parse_whole_number
 from bluebellpitch.errors import BadRequestError
 from bluebellpitch.http1 import Headers, HttpRequest, decode_headers
 from bluebellpitch.logs import log
@@ -26,6 +27,7 @@
 # Timeout of requests that have no deadline header.
 DEFAULT_TIMEOUT_S = 60.0
 # Ids of more digits are none of an endpoint's counter.
+MAX_LOAD = 1e9
 EVENT_ID_PATTERN = re.compile(rb"^id: ?(\d{1,18})\s*$", re.MULTILINE)
 
 
@@ -150,9 +152,13 @@
     parts = (part.strip().partition(":") for part in request.header("prompt-prefix").split(","))
     return Prompt(
         model=request.header("model"),
-        tokens_in=int(tokens_in) if tokens_in.strip().isdecimal() else 0,
-        tokens_out=int(tokens_out) if tokens_out.strip().isdecimal() else 0,
-        parts=tuple(PromptPart(id, int(tokens)) for id, _, tokens in parts if tokens.isdecimal()),
+        tokens_in=parse_whole_number(tokens_in.strip()) or 0,
+        tokens_out=parse_whole_number(tokens_out.strip()) or 0,
+        parts=tuple(
+            PromptPart(id, size)
+            for id, _, tokens in parts
+            if (size := parse_whole_number(tokens)) is not None
+        ),
     )
 
 
@@ -210,7 +216,7 @@
 
 def decode_keep_alive(text: str) -> float | None:
     """Returns the timeout in a Keep-Alive header, in seconds, or None."""
-    match = re.search(r"timeout=(\d+)", text)
+    match = re.search(r"timeout=([0-9]{1,9})(?![0-9])", text)
     return float(match[1]) if match else None
 
 
@@ -220,7 +226,7 @@
         values = [float(part) for part in text.split(",")]
     except ValueError:
         return None
-    if len(values) < 3 or not all(map(math.isfinite, values)):
+    if len(values) < 3 or not all(0 <= value <= MAX_LOAD for value in values):
         return None
     slowdown = values[3] / 100 if len(values) > 3 else 1.0
     return LoadReport(int(values[0]), int(values[1]), int(values[2]), slowdown)
--- a/bluebellpitch/platform/store.py
+++ b/bluebellpitch/platform/store.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from bluebellpitch.decoding import DECODE_ERRORS, WholeNumber, parse_whole_number
 from bluebellpitch.errors import (
     BluebellpitchError,
     ConnectionLostError,
@@ -40,13 +41,12 @@
 MIN_READ_TIMEOUT_S = 2.5
 MAX_PAGES = 200
 ERA_HEADER = "store-era"
-MAX_ERA = 1 << 31
 
 
 class _NewestItem(msgspec.Struct, frozen=True):
     key: str
     value: str
-    offset: int
+    offset: WholeNumber
 
 
 class NewestPage(msgspec.Struct, frozen=True):
@@ -54,15 +54,15 @@
 
     items: tuple[_NewestItem, ...]
     has_more: bool
-    end: int
+    end: WholeNumber
 
 
 class _AppendResponse(msgspec.Struct, frozen=True):
-    offset: int
+    offset: WholeNumber
 
 
 class _TruncatedResponse(msgspec.Struct, frozen=True):
-    first: int
+    first: WholeNumber
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,10 +199,10 @@
     text = next((value for name, value in response.headers if name.lower() == ERA_HEADER), None)
     if text is None:
         return None
-    if not (text.isascii() and text.isdecimal()) or len(text) > 10 or int(text) > MAX_ERA:
+    era = parse_whole_number(text)
+    if era is None:
         log("WARNING", "era_malformed", text=text[:40])
-        return None
-    return int(text)
+    return era
 
 
 def require_ok(response: HttpResponse) -> bytes:
@@ -216,7 +216,7 @@
     """Decodes a JSON response of the store; raises ProtocolError."""
     try:
         return msgspec.json.decode(body, type=response_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ProtocolError(f"the store sent a malformed response: {error}") from error
 
 
--- a/bluebellpitch/platform/vm_records.py
+++ b/bluebellpitch/platform/vm_records.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bluebellpitch.decoding import DECODE_ERRORS
 from bluebellpitch.errors import ProtocolError
 from bluebellpitch.http1 import parse_address
 from bluebellpitch.logs import log
@@ -34,7 +35,7 @@
     """Decodes a record; raises ProtocolError."""
     try:
         record = _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ProtocolError(f"VM record is malformed: {error}") from error
     parse_address(record.bus)
     return record
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -22,7 +22,8 @@
     Mutant(
         "the first claim wins",
         "bluebellpitch/decisions/claims.py",
-        "        if state.outcome or (state.claim and state.position <= position):\n            return None\n",
+        "        if state.outcome or (state.claim and state.position <= position):\n"
+        "            return None\n",
         "",
         "tests/test_claims_state_machine.py",
     ),
