Accept port 0 for own addresses only

It means any free port where a VM listens; an entry or a VM record with it names nothing to connect to.

--- a/bluebellpitch/http1/__init__.py
+++ b/bluebellpitch/http1/__init__.py
@@ -8,6 +8,7 @@
     HttpRequest,
     HttpResponse,
     parse_address,
+    parse_remote_address,
 )
 from bluebellpitch.http1.server import HttpServer, ServerConnection
 
@@ -24,4 +25,5 @@
     "decode_headers",
     "fetch",
     "parse_address",
+    "parse_remote_address",
 ]
--- a/bluebellpitch/http1/messages.py
+++ b/bluebellpitch/http1/messages.py
@@ -8,6 +8,7 @@
 
 READ_BYTES = 65_536
 MAX_RESPONSE_BYTES = 16_777_216
+MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 # Names and literal addresses; the longest name in the DNS has 253 characters.
 HOST_PATTERN = re.compile(r"[A-Za-z0-9._:\[\]-]{1,253}")
@@ -54,9 +55,17 @@
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """Parses ``host:port``; raises ProtocolError."""
+    """Parses ``host:port``, where port 0 means any free one; raises ProtocolError."""
     host, _, digits = text.rpartition(":")
     port = parse_whole_number(digits, MAX_PORT_DIGITS)
-    if not HOST_PATTERN.fullmatch(host) or port is None or not 0 < port < 65_536:
+    if not HOST_PATTERN.fullmatch(host) or port is None or port > MAX_PORT:
         raise ProtocolError(f"{text[:80]!r} is not an address of the form 127.0.0.1:8000")
     return host, port
+
+
+def parse_remote_address(text: str) -> tuple[str, int]:
+    """Parses the address of another process; raises ProtocolError."""
+    host, port = parse_address(text)
+    if not port:
+        raise ProtocolError(f"{text!r} has no port to connect to")
+    return host, port
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -87,6 +87,10 @@
         """Returns whether the client has closed its side of the connection."""
         return self.reader.at_eof() or self.writer.is_closing()
 
+    def has_response_started(self) -> bool:
+        """Returns whether part of the response to the current request has been sent."""
+        return self.h11.our_state is not h11.SEND_RESPONSE
+
     async def wait_disconnected(self) -> None:
         """Returns when the client has closed its side of the connection."""
         while not self.is_disconnected():
--- a/bluebellpitch/platform/endpoint_entries.py
+++ b/bluebellpitch/platform/endpoint_entries.py
@@ -7,7 +7,7 @@
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decoding import DECODE_ERRORS, WholeNumber
 from bluebellpitch.errors import ProtocolError
-from bluebellpitch.http1 import parse_address
+from bluebellpitch.http1 import parse_remote_address
 from bluebellpitch.logs import log
 
 ENDPOINTS_TOPIC = "keyed.servers"
@@ -35,7 +35,7 @@
         wire = _decoder.decode(data)
     except DECODE_ERRORS as error:
         raise ProtocolError(f"endpoint entry is malformed: {error}") from error
-    parse_address(wire.address)
+    parse_remote_address(wire.address)
     if not endpoint_id or not wire.service:
         raise ProtocolError("endpoint entry has no id or no service")
     return EndpointEntry(
--- a/bluebellpitch/platform/vm_records.py
+++ b/bluebellpitch/platform/vm_records.py
@@ -4,7 +4,7 @@
 
 from bluebellpitch.decoding import DECODE_ERRORS
 from bluebellpitch.errors import ProtocolError
-from bluebellpitch.http1 import parse_address
+from bluebellpitch.http1 import parse_remote_address
 from bluebellpitch.logs import log
 from bluebellpitch.platform.records import decode_values
 from bluebellpitch.platform.store import Appended, StoreClient
@@ -37,7 +37,7 @@
         record = _decoder.decode(data)
     except DECODE_ERRORS as error:
         raise ProtocolError(f"VM record is malformed: {error}") from error
-    parse_address(record.bus)
+    parse_remote_address(record.bus)
     return record
 
 
