Answer what is open at the end of the grace, and refuse what it has no time for

Reported by other operators: in a planned stop, requests that came late in the grace were passed on and cut without an answer. Shown here: with a grace of 3 s route listened past it and ended with requests open; at 94% of any grace it ended likewise, and serve waited without end.

Cause: requests were refused from a fixed moment on, and nothing was said to those still open.

tests/test_planned_stop.py.

--- a/bluebellpitch/callers/crash_guard.py
+++ b/bluebellpitch/callers/crash_guard.py
@@ -7,11 +7,11 @@
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.strikes import IsolationLevel
-from bluebellpitch.endpoints.attempt import cancel_and_wait
 from bluebellpitch.logs import log
 from bluebellpitch.roles.crash_reporter import CrashReporter, LostRun
 from bluebellpitch.roles.crash_tracker import CrashTracker
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
+from bluebellpitch.tasks import cancel_and_wait
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
 CRASHING_REQUEST_RETRY_AFTER_S = 60.0
--- a/bluebellpitch/callers/responses.py
+++ b/bluebellpitch/callers/responses.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bluebellpitch.errors import BadRequestError
+from bluebellpitch.errors import BadRequestError, DisconnectedError
 from bluebellpitch.http1 import Headers, ServerConnection
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 
@@ -60,6 +60,16 @@
     await connection.respond(verdict.status, verdict_headers(verdict, request_id), body)
 
 
+async def send_shutdown_verdict(connection: ServerConnection) -> None:
+    """Answers a request that is open when the VM has to end; raises DisconnectedError in a stream.
+
+    It may have run: whether it was sent to an endpoint is no longer looked at.
+    """
+    if connection.has_response_started():
+        raise DisconnectedError("a response that has started cannot be completed")
+    await send_verdict(connection, MayHaveRun("shutting_down", 504), "none")
+
+
 async def send_bad_request(
     connection: ServerConnection, error: BadRequestError, request_id: str = ""
 ) -> None:
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -11,12 +11,12 @@
 from bluebellpitch.decisions.catalogue import Catalogue, Repeatability, Route
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.retry_budget import RetryBudget
+from bluebellpitch.decisions.shutdown import DurationEstimates, ShutdownSchedule
 from bluebellpitch.endpoints.attempt import (
     EndpointLeft,
     EndpointRefusal,
     NotSent,
     RoutedAttempt,
-    cancel_and_wait,
     outcome_of,
 )
 from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
@@ -36,6 +36,7 @@
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator, Placement
 from bluebellpitch.roles.endpoint_check import EndpointCheck
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
+from bluebellpitch.tasks import cancel_and_wait
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
 # Extra wait after the deadline for a response that the endpoint itself sends at the deadline.
@@ -45,11 +46,16 @@
 # Least remaining time for which a retry is worth sending.
 MIN_RETRY_TIME_S = 0.05
 REFUSAL_RETRY_AFTER_S = 0.4
+SHUTTING_DOWN = "shutting_down"
+SHUTDOWN_RETRY_AFTER_S = 0.1
 
 
 @dataclass(frozen=True)
 class RoutingContext:
-    """The shared state and services that request handlers use."""
+    """The shared state and services that request handlers use.
+
+    ``must_answer`` is set when the VM is about to end and open requests have to be answered.
+    """
 
     catalogue: Callable[[], Catalogue | None]
     freshness: Freshness
@@ -60,6 +66,9 @@
     vm_count: Callable[[], int]
     is_draining: Callable[[], bool]
     is_closing: Callable[[], bool]
+    shutdown: ShutdownSchedule
+    durations: DurationEstimates
+    must_answer: asyncio.Event
     strikes: StrikeReplicator
     crash_reporter: CrashReporter
     crash_tracker: CrashTracker
@@ -82,33 +91,53 @@
 
     async def serve(self, http_request: HttpRequest) -> None:
         """Responds to the request; cancels the work as soon as the caller disconnects."""
-        request = decode_request(http_request)
+        request, arrived_at = decode_request(http_request), self._context.now()
         task = asyncio.ensure_future(self._handle(request))
         disconnected = asyncio.ensure_future(self._connection.wait_disconnected())
+        must_answer = asyncio.ensure_future(self._context.must_answer.wait())
         try:
-            await asyncio.wait({task, disconnected}, return_when=asyncio.FIRST_COMPLETED)
-            if not task.done():
+            waits = {task, disconnected, must_answer}
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            if task.done():
+                task.result()
+            elif disconnected.done():
                 log("INFO", "caller_left", request=request.id, endpoints=",".join(self._tried))
                 raise DisconnectedError("the caller disconnected")
-            task.result()
+            else:
+                await cancel_and_wait(task)
+                await self._finish(request, self._shutdown_verdict(), arrived_at)
         finally:
+            await cancel_and_wait(must_answer)
             await cancel_and_wait(disconnected)
             if not task.done():
                 await cancel_and_wait(task)
 
+    def _shutdown_verdict(self) -> DidNotRun | MayHaveRun:
+        """Returns the verdict on a request that is open when the VM has to end."""
+        if self._tried:
+            return MayHaveRun(SHUTTING_DOWN, 504)
+        return DidNotRun(SHUTTING_DOWN, 503, SHUTDOWN_RETRY_AFTER_S)
+
     async def _handle(self, request: RoutedRequest) -> None:
         context, now = self._context, self._context.now()
         admitted = admit_request(request, context.catalogue(), context.freshness, now)
         if isinstance(admitted, DidNotRun):
             verdict: Verdict = admitted
-        elif context.is_closing():
-            verdict = DidNotRun("shutting_down", 503, 0.1)
+        elif context.is_closing() or not self._has_time(admitted, now):
+            verdict = DidNotRun(SHUTTING_DOWN, 503, SHUTDOWN_RETRY_AFTER_S)
         else:
             self._route_name = admitted.route.name
             context.retry_budget.record_request(admitted.pool, now)
             verdict = await self._dispatch(admitted)
+            context.durations.record(self._route_name, context.now() - now)
         await self._finish(request, verdict, now)
 
+    def _has_time(self, admitted: AdmittedRequest, now: float) -> bool:
+        """Returns whether the request can be completed before a VM that shuts down has to end."""
+        limit_s = admitted.expires_at - now
+        expected_s = self._context.durations.estimate(admitted.route.name, limit_s)
+        return self._context.shutdown.has_time_for(expected_s, now)
+
     async def _finish(self, request: RoutedRequest, verdict: Verdict, arrived_at: float) -> None:
         took_ms = (self._context.now() - arrived_at) * 1000
         self._record_metrics(verdict, arrived_at)
--- a/bluebellpitch/callers/server.py
+++ b/bluebellpitch/callers/server.py
@@ -1,5 +1,7 @@
 """The HTTP listener for callers: routes each request and counts its verdict."""
 
+import asyncio
+
 from bluebellpitch.callers import responses
 from bluebellpitch.callers.completions import CompletionHandler
 from bluebellpitch.callers.requests import (
@@ -14,8 +16,11 @@
 from bluebellpitch.errors import BadRequestError
 from bluebellpitch.http1 import HttpRequest, HttpServer, ServerConnection
 from bluebellpitch.logs import log
+from bluebellpitch.tasks import cancel_and_wait
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 
+SHUTDOWN_RETRY_AFTER_S = 1.0
+
 
 class CallerServer:
     """Serves completions, services and the model list to callers."""
@@ -27,7 +32,7 @@
     async def _handle(self, connection: ServerConnection, request: HttpRequest) -> None:
         self._context.metrics.in_flight.inc()
         try:
-            await self._route(connection, request)
+            await self._route_until_shutdown(connection, request)
         except BadRequestError as error:
             self._context.metrics.requests.labels("", DidNotRun.name).inc()
             self._context.metrics.refusals.labels("", error.reason).inc()
@@ -35,6 +40,32 @@
         finally:
             self._context.metrics.in_flight.dec()
 
+    async def _route_until_shutdown(
+        self, connection: ServerConnection, request: HttpRequest
+    ) -> None:
+        """Serves a request; answers it if it is still open when the VM has to end."""
+        context, started_at = self._context, self._context.now()
+        kind = request.target.partition("?")[0]
+        expected_s = context.durations.estimate(kind, context.settings.service_timeout_s)
+        if not context.shutdown.has_time_for(expected_s, started_at):
+            verdict = DidNotRun("shutting_down", 503, SHUTDOWN_RETRY_AFTER_S)
+            await responses.send_verdict(connection, verdict, "none")
+            return
+        task = asyncio.ensure_future(self._route(connection, request))
+        must_answer = asyncio.ensure_future(context.must_answer.wait())
+        try:
+            await asyncio.wait({task, must_answer}, return_when=asyncio.FIRST_COMPLETED)
+            if task.done():
+                context.durations.record(kind, context.now() - started_at)
+                task.result()
+                return
+            await cancel_and_wait(task)
+            log("WARNING", "cut_by_shutdown", target=kind, status=504)
+            await responses.send_shutdown_verdict(connection)
+        finally:
+            await cancel_and_wait(must_answer)
+            await cancel_and_wait(task)
+
     async def _route(self, connection: ServerConnection, request: HttpRequest) -> None:
         target = request.target.partition("?")[0]
         if target in COMPLETION_PATHS and request.method == "POST":
--- a/bluebellpitch/commands/serve.py
+++ b/bluebellpitch/commands/serve.py
@@ -45,6 +45,9 @@
     drain_notice_s: Annotated[
         float, option("--drain-notice-s", "Time the load balancer needs to notice a drain.")
     ] = 3.0,
+    grace_s: Annotated[
+        float, option("--grace-s", "Time after SIGTERM within which the process has to end.")
+    ] = 30.0,
     header_bytes: Annotated[
         int, option("--header-bytes", "Maximum size of a request head.")
     ] = 16_384,
@@ -73,6 +76,7 @@
         horizon_s=horizon_s,
         snapshot_every_s=snapshot_every_s,
         drain_notice_s=drain_notice_s,
+        grace_s=grace_s,
         http=HttpLimits(
             header_bytes=header_bytes,
             body_bytes=body_bytes,
--- a/bluebellpitch/draining.py
+++ b/bluebellpitch/draining.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from bluebellpitch.decisions.shutdown import GRACE_SHARE, ShutdownSchedule
 from bluebellpitch.http1 import HttpServer
 from bluebellpitch.logs import log
 
@@ -11,21 +12,36 @@
 REFUSE_REQUESTS_AFTER_S = 2.6
 # Idle connections stay open a little longer for requests that are in transit.
 STOP_LISTENING_AFTER_S = 3.2
-GRACE_SHARE = 0.94
+# Of a short grace period, the shares that both may take.
+REFUSE_REQUESTS_SHARE = 0.4
+STOP_LISTENING_SHARE = 0.5
 
 
 async def drain(
-    http: HttpServer, grace_s: float, refuse: Callable[[], None], now: Callable[[], float]
+    http: HttpServer,
+    schedule: ShutdownSchedule,
+    grace_s: float,
+    refuse: Callable[[], None],
+    answer_open: Callable[[], None],
+    now: Callable[[], float],
 ) -> None:
     """Stops accepting requests once the platform sends none, and completes those in progress.
 
-    ``refuse`` is called when new requests are to be refused. ``grace_s`` is all the time there is.
+    ``refuse`` is called when new requests are to be refused, ``answer_open`` when those that are
+    still open have to be answered. ``grace_s`` is all the time there is.
     """
     start = now()
-    log("INFO", "draining", in_flight=http.in_flight)
-    await asyncio.sleep(REFUSE_REQUESTS_AFTER_S)
+    schedule.begin(grace_s, start)
+    log("INFO", "draining", in_flight=http.in_flight, grace_s=grace_s)
+    refuse_after_s = min(REFUSE_REQUESTS_AFTER_S, grace_s * REFUSE_REQUESTS_SHARE)
+    stop_after_s = min(STOP_LISTENING_AFTER_S, grace_s * STOP_LISTENING_SHARE)
+    await asyncio.sleep(refuse_after_s)
     refuse()
-    await asyncio.sleep(STOP_LISTENING_AFTER_S - REFUSE_REQUESTS_AFTER_S)
+    await asyncio.sleep(stop_after_s - refuse_after_s)
     http.stop_listening()
+    while http.in_flight and schedule.time_left_s(now()) > 0:
+        await asyncio.sleep(DRAIN_POLL_S)
+    answer_open()
     while http.in_flight and now() - start < grace_s * GRACE_SHARE:
         await asyncio.sleep(DRAIN_POLL_S)
+    log("INFO", "drained", unanswered=http.in_flight)
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -4,7 +4,6 @@
 MayHaveRun when the response was lost. Responses to other requests are discarded.
 """
 
-import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
@@ -248,9 +247,3 @@
             return "withdrawn" if status == 504 else "failed"
         case Ran(_, status):
             return "failed" if status >= 500 else "ok"
-
-
-async def cancel_and_wait(task: asyncio.Task) -> None:
-    """Cancels a task and waits until it has ended."""
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -15,6 +15,7 @@
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.retry_budget import RetryBudget
+from bluebellpitch.decisions.shutdown import DurationEstimates, ShutdownSchedule
 from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.decisions.strikes import StrikeTracker
 from bluebellpitch.draining import drain
@@ -82,6 +83,8 @@
         self.directory = EndpointDirectory()
         self.draining = asyncio.Event()
         self._closing = False
+        self.shutdown = ShutdownSchedule()
+        self._must_answer = asyncio.Event()
         self._store_clients: list[StoreClient] = []
         self.store_era = StoreEra()
         self.key = f"{settings.vm_name}/{uuid4().hex[:8]}"
@@ -183,6 +186,9 @@
             vm_count=self.peer_discovery.vm_count,
             is_draining=self.draining.is_set,
             is_closing=lambda: self._closing,
+            shutdown=self.shutdown,
+            durations=DurationEstimates(),
+            must_answer=self._must_answer,
             strikes=self.strikes,
             crash_reporter=self.crash_reporter,
             crash_tracker=self.crash_tracker,
@@ -308,7 +314,14 @@
             await self.draining.wait()
             await asyncio.gather(
                 self.peer_discovery.unregister(),
-                drain(self.http, self.settings.grace_s, self._refuse_requests, self._now),
+                drain(
+                    self.http,
+                    self.shutdown,
+                    self.settings.grace_s,
+                    self._refuse_requests,
+                    self._must_answer.set,
+                    self._now,
+                ),
             )
         finally:
             await self.crash_reporter.close()
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -12,6 +12,7 @@
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.control import VmIdentity
 from bluebellpitch.decisions.hedge_budget import HedgeBudget
+from bluebellpitch.decisions.shutdown import ANSWER_TIME_S
 from bluebellpitch.decisions.slot_broker import SlotBroker
 from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.decisions.strikes import StrikeTracker
@@ -252,13 +253,23 @@
         """Hands roles over, lets the load balancer notice, and finishes all requests in flight."""
         self.event_ring.record(EventKind.DRAINING)
         log("INFO", "draining", in_flight=self.callers.http.in_flight)
+        shutdown = self.context.shutdown
+        shutdown.begin(self.settings.grace_s, self.now())
         self.membership.start_draining()
         await asyncio.sleep(self.settings.drain_notice_s)
         self.callers.http.stop_listening()
-        while self.callers.http.in_flight or self.claim_coordinator.unfinished_appends():
+        while self._has_open_work() and shutdown.time_left_s(self.now()) > 0:
             await asyncio.sleep(DRAIN_POLL_S)
+        self.context.must_answer.set()
+        while self._has_open_work() and shutdown.time_left_s(self.now()) > -ANSWER_TIME_S:
+            await asyncio.sleep(DRAIN_POLL_S)
+        log("INFO", "drained", unanswered=self.callers.http.in_flight)
         await self.membership.unregister()
 
+    def _has_open_work(self) -> bool:
+        in_flight, appends = self.callers.http.in_flight, self.claim_coordinator.unfinished_appends
+        return bool(in_flight or appends())
+
     def build_status(self) -> VmStatus:
         """Returns this VM's status."""
         view = self.view_holder.current
--- a/bluebellpitch/settings.py
+++ b/bluebellpitch/settings.py
@@ -28,6 +28,7 @@
     horizon_s: float = HORIZON_S
     snapshot_every_s: float = 120.0
     drain_notice_s: float = 3.0
+    grace_s: float = 30.0
     incarnation: str = ""
     http: HttpLimits = field(default_factory=HttpLimits)
 
@@ -40,8 +41,12 @@
         check_address(name, getattr(settings, name))
     for peer in settings.peers:
         check_address("peer", peer)
-    for name in ("stall_s", "service_timeout_s", "horizon_s", "snapshot_every_s"):
+    for name in ("stall_s", "service_timeout_s", "horizon_s", "snapshot_every_s", "grace_s"):
         check_positive(name, getattr(settings, name))
+    if not 0 <= settings.drain_notice_s < settings.grace_s:
+        raise UsageError(
+            f"--drain-notice-s: {settings.drain_notice_s} must be at least 0 and below --grace-s"
+        )
     for name in ("header_bytes", "body_bytes", "receive_s", "connections"):
         check_positive(name, getattr(settings.http, name))
     return settings
--- a/bluebellpitch/tasks.py
+++ b/bluebellpitch/tasks.py
@@ -29,3 +29,9 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def cancel_and_wait(task: asyncio.Task) -> None:
+    """Cancels a task and waits until it has ended."""
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,119 @@
+"""Requests that come while a VM stops as planned are completed, refused or answered in time."""
+
+import asyncio
+import time
+
+import pytest
+
+from bluebellpitch.decisions.shutdown import (
+    ANSWER_TIME_S,
+    GRACE_SHARE,
+    DurationEstimates,
+    ShutdownSchedule,
+)
+from fakes.client import submit_case
+from fakes.fleet import Fleet
+from fakes.prepared_deployment import build_route, wait_until
+from tests.helpers import CREDENTIAL, FederationSize, get_verdict, start_federation
+from tests.prepared_helpers import in_deployment, start_deployment
+
+# The grace period of the settings in fakes.prepared_deployment.
+GRACE_S = 3.0
+
+
+def test_schedule_leaves_time_for_the_answers():
+    schedule = ShutdownSchedule()
+    assert schedule.has_time_for(1e9, 0.0)
+    schedule.begin(8.0, 100.0)
+    assert schedule.ends_at == 100.0 + 8.0 * GRACE_SHARE - ANSWER_TIME_S
+    assert schedule.has_time_for(2.0, 105.2)
+    assert not schedule.has_time_for(2.1, 105.2)
+
+
+def test_estimate_of_a_duration_is_that_of_slow_requests_within_the_limit():
+    durations = DurationEstimates()
+    assert durations.estimate("draft", 5.0) == 5.0
+    for seconds in (1.0, 3.0, 1.0, 1.0):
+        durations.record("draft", seconds)
+    assert 2.5 < durations.estimate("draft", 5.0) <= 3.0
+    assert durations.estimate("draft", 2.0) == 2.0
+
+
+@in_deployment
+async def test_request_that_the_grace_has_no_time_for_is_refused_and_not_sent(deployment):
+    """It may not be repeated, and would be cut at the end of the grace."""
+    (app,), client = await start_deployment(deployment, "app")
+    vm = deployment.vms[0]
+    assert (await client.call("POST", "/file/1", "r1", b"x")).status == 200
+    app.mode = "slow"
+    slow = await client.call("POST", "/file/1", "r2", b"x")
+    assert slow.status in (200, 504)
+    vm.draining.set()
+    await asyncio.sleep(0.95)
+    response = await client.call("POST", "/file/1", "r3", b"x")
+    assert response.status == 503
+    assert b"shutting_down" in response.body
+    assert "r3" not in app.ran
+
+
+@in_deployment
+async def test_quick_request_is_completed_early_in_the_grace(deployment):
+    (app,), client = await start_deployment(deployment, "app")
+    assert (await client.call("POST", "/file/1", "r1", b"x")).status == 200
+    deployment.vms[0].draining.set()
+    await asyncio.sleep(0.9)
+    assert (await client.call("POST", "/file/1", "r2", b"x")).status == 200
+    assert app.ran == ["r1", "r2"]
+
+
+@pytest.mark.parametrize("pools", [("app",), ()])
+def test_request_still_open_at_the_end_of_the_grace_is_answered(pools):
+    """With 504 if it was sent, and 503 while it waits for an endpoint."""
+
+    @in_deployment
+    async def body(deployment):
+        deployment.configure(2, routes=[build_route("file", "unsafe", "app", timeout_ms=60_000)])
+        endpoints, client = await start_deployment(deployment, *pools)
+        vm = deployment.vms[0]
+        await wait_until(lambda: vm.configuration.version() == 2)
+        for endpoint in endpoints:
+            endpoint.mode, endpoint.pause_s = "slow", 60.0
+        started_at = time.monotonic()
+        call = client.call("POST", "/file/1", "r1", b"x", timeout_s=60.0)
+        request = asyncio.ensure_future(call)
+        await asyncio.sleep(0.1)
+        vm.draining.set()
+        response = await request
+        assert response.status == (504 if pools else 503)
+        assert time.monotonic() - started_at < GRACE_S
+        await asyncio.wait_for(deployment._tasks[0], GRACE_S)
+        assert time.monotonic() - started_at < GRACE_S + 0.2
+
+    body()
+
+
+def test_serve_answers_what_is_open_at_the_end_of_its_grace(run):
+    """The endpoint never answers; what comes late in the grace is refused as not run."""
+
+    async def scenario():
+        with Fleet() as fleet:
+            size = FederationSize(vms_per_zone=1)
+            await start_federation(fleet, size, grace_s=3.0, drain_notice_s=1.0)
+            vm = next(iter(fleet.vms_by_name.values()))
+            service = fleet.processes_by_name["filing-doto-1-0"]
+            await fleet.set_faults(service, silent=True)
+            started_at = time.monotonic()
+            request = asyncio.ensure_future(submit_case(vm.listen, CREDENTIAL, "open", "open"))
+            await asyncio.sleep(0.3)
+            vm.process.send_signal(15)
+            await asyncio.sleep(0.3)
+            late = await submit_case(vm.listen, CREDENTIAL, "late", "late")
+            assert (late.status, get_verdict(late)) == (503, "did_not_run")
+            response = await request
+            assert (response.status, get_verdict(response)) == (504, "may_have_run")
+            while vm.process.popen.poll() is None:
+                await asyncio.sleep(0.05)
+            assert time.monotonic() - started_at < 0.6 + 3.0 + 0.5
+            assert await submit_case(vm.listen, CREDENTIAL, "gone", "gone") is None
+
+    run(scenario())
