--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -12,6 +12,7 @@
 
 from tests.mutant import Mutant
 from tests.mutants_of_endpoints import CRASH_MUTANTS, LIMIT_MUTANTS
+from tests.mutants_of_store import CONFIGURATION_MUTANTS, ERA_MUTANTS, SHUTDOWN_MUTANTS
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 300
@@ -137,10 +138,8 @@
     Mutant(
         "a draining VM finishes its requests",
         "bluebellpitch/node.py",
-        "        while self.callers.http.in_flight or "
-        "self.claim_coordinator.unfinished_appends():\n"
-        "            await asyncio.sleep(DRAIN_POLL_S)\n",
-        "",
+        "        while self._has_open_work() and shutdown.time_left_s(self.now()) > 0:\n",
+        "        while False:\n",
         "tests/test_streams.py::test_vms_replaced_one_by_one_fail_no_request",
     ),
     Mutant(
@@ -188,8 +187,8 @@
     Mutant(
         "route: a stopping VM finishes its requests",
         "bluebellpitch/draining.py",
-        "    while http.in_flight and now() - start <",
-        "    while False and now() - start <",
+        "    while http.in_flight and schedule.time_left_s(now()) > 0:\n",
+        "    while False:\n",
         "soak --seed 14 --seconds 15 --vms 2 --only vm_stop",
     ),
     Mutant(
@@ -278,6 +277,9 @@
     ),
     *CRASH_MUTANTS,
     *LIMIT_MUTANTS,
+    *CONFIGURATION_MUTANTS,
+    *ERA_MUTANTS,
+    *SHUTDOWN_MUTANTS,
 )
 
 
