Tests that catch the mutants of the store's era that survived

Four of the new mutants survived: two mechanisms stood twice (a follower gave up its position in two places, one of which is gone), and two tests were too lenient. Records of a peer are now tested in each era, complete or not, and the start of a VM with peers that answer late.

--- a/bluebellpitch/roles/topic_follower.py
+++ b/bluebellpitch/roles/topic_follower.py
@@ -231,8 +231,6 @@
         complete; None after a failure.
         """
         requested_at = self._now()
-        if self._store_era.is_past(self._era):
-            self._next_offset = None
         try:
             if self._next_offset is None:
                 result = (await self._read_all(), True, requested_at)
--- a/tests/mutants_of_store.py
+++ b/tests/mutants_of_store.py
@@ -74,7 +74,7 @@
         "bluebellpitch/decisions/directory.py",
         "            return is_same_start and known.is_draining and not entry.is_draining\n",
         "            return False\n",
-        "tests/test_restored_store.py",
+        "tests/test_entry_decisions.py",
     ),
     Mutant(
         "era: a removed endpoint returns only with an entry written since",
--- a/tests/test_restored_configuration.py
+++ b/tests/test_restored_configuration.py
@@ -68,6 +68,7 @@
         zone.configure(encode_version(2, keys=()))
         await asyncio.sleep(1.0)
         zone.store.restore()
+        zone.peer_delay_s = 0.2
         started = LinkedVm("vm-new", zone)
         zone.run_vm(started)
         accepted = []
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -6,6 +6,8 @@
 import pytest
 
 from bluebellpitch.decisions.store_era import REWRITE_S
+from bluebellpitch.peers.platform_messages import RecordsUpdate
+from bluebellpitch.platform.endpoint_entries import ENDPOINTS_TOPIC
 from tests.virtual_time import VirtualStore, run_in_virtual_time, start_vms
 
 NOTICE_S = 2.0
@@ -139,6 +141,28 @@
     assert run_in_virtual_time(body()) == {frozenset({"i-0", "i-1", "i-2"})}
 
 
+def create_update(start: int, era: int, is_complete: bool = False) -> RecordsUpdate:
+    value = b'{"service": "app", "address": "127.0.0.1:80", "zone": "z", "slots": 4, "state": "%s"}'
+    records = (("i-9", value % b"ready"),)
+    return RecordsUpdate(ENDPOINTS_TOPIC, start, start + 1, records, 1e6, 0.0, is_complete, era)
+
+
+@pytest.mark.parametrize("era", [1, 2, 3])
+@pytest.mark.parametrize("is_complete", [False, True])
+def test_records_of_a_peer_count_only_in_their_era(era, is_complete):
+    """Those of the next era are missing something before them, unless they are all there are."""
+
+    async def body():
+        store = create_store()
+        store.era = 2
+        vm, _ = await start_vms(store, zones=1, vms_per_zone=2)
+        start = vm.follower.request_to_peers(vm.name).start
+        taken = vm.follower.accept_peer_records(create_update(start, era, is_complete))
+        return "i-9" in {record.key for record in taken}
+
+    assert run_in_virtual_time(body()) == (era == 2 or (era == 3 and is_complete))
+
+
 def test_vm_frozen_across_the_copy_reads_all_records_again():
     async def body():
         store = create_store()
--- a/tests/virtual_links.py
+++ b/tests/virtual_links.py
@@ -78,7 +78,7 @@
         size = len(encode_envelope(Envelope(self._sender.name, 0, message)))
         loop = asyncio.get_running_loop()
         left_at = self._sender.outbound.reserve(size, loop.time())
-        loop.call_at(left_at + PEER_DELAY_S, self._arrive, address, size, message)
+        loop.call_at(left_at + self._zone.peer_delay_s, self._arrive, address, size, message)
 
     def _arrive(self, address: str, size: int, message) -> None:
         loop = asyncio.get_running_loop()
@@ -147,6 +147,7 @@
     store: VirtualStore = field(default_factory=VirtualStore)
     endpoints: VirtualStore = field(default_factory=VirtualStore)
     vms_by_address: dict[str, LinkedVm] = field(default_factory=dict)
+    peer_delay_s: float = PEER_DELAY_S
 
     async def start(self, vm_count: int) -> list[LinkedVm]:
         """Starts the VMs, which hear each other, and waits until they follow the store."""
