Send nothing new to an endpoint whose answer says that it leaves

Change, in route: the header is decoded with the others, of any answer, and holds like a notice in the directory until the endpoint starts again, whatever its entry, a peer or a copy of the store says.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -269,10 +269,19 @@
             at_most_once = admitted.route.repeatability is Repeatability.ONCE
             deadline = admitted.expires_at + DEADLINE_RESPONSE_GRACE_S
             head = await attempt.start(forwarding, at_most_once, deadline)
+            self._record_announcements(place, attempt.head)
             return await self._handle_head(admitted, place, attempt, head, deadline)
         finally:
             attempt.close()
 
+    def _record_announcements(self, place: Placement, head: ResponseHead | None) -> None:
+        """Records what an answer, whichever it is, says of its endpoint's future."""
+        if head is None or head.is_wrong_instance:
+            return
+        if head.is_leaving:
+            self._context.endpoint_allocator.record_leaving(place)
+            self._context.connection_pool.close_idle(place.entry)
+
     async def _handle_head(
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
     ) -> Verdict:
--- a/bluebellpitch/decisions/directory.py
+++ b/bluebellpitch/decisions/directory.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
 
@@ -66,6 +66,22 @@
         self._delete(endpoint_id)
         return True
 
+    def mark_leaving(self, entry: EndpointEntry) -> bool:
+        """Records that an incarnation said that it leaves; returns whether that is news."""
+        known = self.entries_by_id.get(entry.id) or self._removed.get(entry.id)
+        if known is not None and known.started_ms > entry.started_ms:
+            return False
+        if known is not None and known.started_ms == entry.started_ms and known.is_draining:
+            return False
+        sequence = known.sequence if known is not None else entry.sequence
+        leaving = replace(entry, is_draining=True, sequence=sequence)
+        if entry.id in self.entries_by_id:
+            self._grace_until.pop(entry.id, None)
+            self.entries_by_id[entry.id] = leaving
+        else:
+            self._remember_removed(leaving)
+        return True
+
     def mark_replaced(self, entry: EndpointEntry) -> None:
         """Removes an entry, because another endpoint answers at its address."""
         known = self.entries_by_id.get(entry.id)
@@ -85,6 +101,9 @@
         self._grace_until.pop(endpoint_id, None)
         if removed is None:
             return
+        self._remember_removed(removed)
+
+    def _remember_removed(self, removed: EndpointEntry) -> None:
         self._removed[removed.id] = removed
         self._removed.move_to_end(removed.id)
         if len(self._removed) > MAX_REMEMBERED_REMOVALS:
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -215,7 +215,8 @@
     def _release(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
-            keep_alive_s = 0 if self.head.closes_connection else self.head.keep_alive_s
+            is_last = self.head.closes_connection or self.head.is_leaving
+            keep_alive_s = 0 if is_last else self.head.keep_alive_s
             self._connection_pool.release(self._entry, connection, keep_alive_s)
 
     def close(self) -> None:
--- a/bluebellpitch/endpoints/endpoint_connections.py
+++ b/bluebellpitch/endpoints/endpoint_connections.py
@@ -82,6 +82,12 @@
         connection.idle_since = self._now()
         pooled.idle.append(connection)
 
+    def close_idle(self, entry: EndpointEntry) -> None:
+        """Closes the idle connections to an endpoint."""
+        pooled = self._connections_to(entry)
+        while pooled.idle:
+            self._drop(pooled, pooled.idle.pop())
+
     def discard(self, entry: EndpointEntry, connection: ClientConnection) -> None:
         """Closes a connection at once; the endpoint sees a cancelled request."""
         self._drop(self._connections_to(entry), connection)
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -58,6 +58,16 @@
     limit_per_s: float | None
 
 
+class EndpointLeaving(msgspec.Struct, frozen=True, tag="endpoint_leaving"):
+    """An endpoint said in an answer that it leaves."""
+
+    pool: str
+    endpoint_id: str
+    started_ms: int
+    address: str
+    zone: str
+
+
 class WorkRefused(msgspec.Struct, frozen=True, tag="work_refused"):
     """The broker refuses an engine for the work."""
 
@@ -247,6 +257,7 @@
     | WorkQueued
     | WorkGranted
     | EndpointLimit
+    | EndpointLeaving
     | WorkRefused
     | FirstTokenReport
     | WorkEnded
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -28,6 +28,7 @@
 DEFAULT_TIMEOUT_S = 60.0
 # Ids of more digits are none of an endpoint's counter.
 MAX_LOAD = 1e9
+LEAVING_HEADER = "server-leaving"
 EVENT_ID_PATTERN = re.compile(rb"^id: ?(\d{1,18})\s*$", re.MULTILINE)
 
 
@@ -101,6 +102,8 @@
     # Requests per second that the endpoint takes from all VMs together, if it names a limit.
     limit_per_s: float | None
     headers: tuple[tuple[str, str], ...]
+    # The endpoint wants no new requests until it starts again.
+    is_leaving: bool = False
 
 
 def decode_request(request: HttpRequest) -> RoutedRequest:
@@ -211,9 +214,17 @@
         load=decode_load(values_by_name.get("server-load", "")),
         limit_per_s=decode_limit(values_by_name.get(LIMIT_HEADER)),
         headers=tuple(pair for pair in headers if pair[0] not in STRIPPED_RESPONSE_HEADERS),
+        is_leaving=decode_leaving(values_by_name.get(LEAVING_HEADER, "")),
     )
 
 
+def decode_leaving(text: str) -> bool:
+    """Returns whether an answer says that its endpoint is leaving."""
+    if text not in ("", "0", "1"):
+        log("WARNING", "leaving_malformed", text=text[:40])
+    return text == "1"
+
+
 def decode_keep_alive(text: str) -> float | None:
     """Returns the timeout in a Keep-Alive header, in seconds, or None."""
     match = re.search(r"timeout=([0-9]{1,9})(?![0-9])", text)
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -183,6 +183,13 @@
                 busy, head.load.slowdown, self._now()
             )
 
+    def record_leaving(self, placement: Placement) -> None:
+        """Records that an answer of the endpoint said that it leaves; it gets nothing new."""
+        if self.directory.mark_leaving(placement.entry):
+            log("INFO", "endpoint_leaving", endpoint=placement.entry.id, source="answer")
+        if placement.grant is not None:
+            self._broker_client.report_leaving(placement.grant)
+
     def record_first_event(self, placement: Placement, sent_at: float) -> None:
         """Records that the engine has finished the prefill of the prompt."""
         load = self.loads.for_endpoint(placement.entry)
--- a/bluebellpitch/roles/generation_broker_client.py
+++ b/bluebellpitch/roles/generation_broker_client.py
@@ -9,6 +9,7 @@
 from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.logs import log
 from bluebellpitch.peers.platform_messages import (
+    EndpointLeaving,
     EndpointLimit,
     FirstTokenReport,
     HeldWork,
@@ -195,6 +196,12 @@
         message = EndpointLimit(entry.pool, entry.id, entry.started_ms, limit_per_s)
         self._send_to_brokers(grant, self._held_by_work.get(grant.work.id), message)
 
+    def report_leaving(self, grant: EngineGrant) -> None:
+        """Tells the engine's brokers that it said that it leaves."""
+        entry = grant.entry
+        message = EndpointLeaving(entry.pool, entry.id, entry.started_ms, entry.address, entry.zone)
+        self._send_to_brokers(grant, self._held_by_work.get(grant.work.id), message)
+
     def _send_to_brokers(self, grant: EngineGrant, held: HeldGrant | None, message) -> None:
         for address in held.broker_addresses if held else {grant.broker_address}:
             self._send_to_address(address, message)
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -8,6 +8,7 @@
 from bluebellpitch.decisions import generation_decisions
 from bluebellpitch.decisions.catalogue import Catalogue
 from bluebellpitch.decisions.directory import EndpointDirectory
+from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import WorkItem, session_of
@@ -15,6 +16,7 @@
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.platform_messages import (
+    EndpointLeaving,
     EndpointLimit,
     FirstTokenReport,
     HeldWorkReport,
@@ -118,27 +120,54 @@
                 self.broker_client.handle_response(message)
             case WorkRequest():
                 self._handle_work_request(message)
-            case FirstTokenReport(work_id, pool, waited_s, slowdown):
-                broker = self._get_broker(pool)
-                broker.record_first_token(work_id, waited_s, slowdown, self._now())
-                self._serve_queue(broker)
-            case WorkEnded(work_id, pool, outcome, longest_gap_s):
-                broker = self._get_broker(pool)
-                broker.finish(work_id, outcome, self._now(), longest_gap_s)
-                self._serve_queue(broker)
+            case FirstTokenReport() | WorkEnded():
+                self._record_progress(message)
             case HeldWorkRequest():
                 self.broker_client.report_held_work(message)
-            case EndpointLimit(pool, endpoint_id, started_ms, limit_per_s):
-                broker = self._get_broker(pool)
-                if broker.record_limit((endpoint_id, started_ms), limit_per_s, self._now()):
-                    log("INFO", "broker_limit", endpoint=endpoint_id, limit_per_s=limit_per_s)
-                self._serve_queue(broker)
+            case EndpointLimit():
+                self._record_limit(message)
+            case EndpointLeaving():
+                self._mark_leaving(message)
             case HeldWorkReport():
                 adopt_report(self._get_broker(message.pool), message, self._now())
             case ZoneLoad():
                 self._record_zone_load(message)
                 self._relay_load(sender, message)
 
+    def _record_progress(self, report: FirstTokenReport | WorkEnded) -> None:
+        broker, now = self._get_broker(report.pool), self._now()
+        match report:
+            case FirstTokenReport(work_id, _, waited_s, slowdown):
+                broker.record_first_token(work_id, waited_s, slowdown, now)
+            case WorkEnded(work_id, _, outcome, longest_gap_s):
+                broker.finish(work_id, outcome, now, longest_gap_s)
+        self._serve_queue(broker)
+
+    def _record_limit(self, limit: EndpointLimit) -> None:
+        broker = self._get_broker(limit.pool)
+        key = (limit.endpoint_id, limit.started_ms)
+        if broker.record_limit(key, limit.limit_per_s, self._now()):
+            log(
+                "INFO",
+                "broker_limit",
+                endpoint=limit.endpoint_id,
+                limit_per_s=limit.limit_per_s,
+            )
+        self._serve_queue(broker)
+
+    def _mark_leaving(self, leaving: EndpointLeaving) -> None:
+        entry = EndpointEntry(
+            id=leaving.endpoint_id,
+            pool=leaving.pool,
+            address=leaving.address,
+            zone=leaving.zone,
+            slots=0,
+            is_draining=True,
+            started_ms=leaving.started_ms,
+        )
+        if self._directory.mark_leaving(entry):
+            log("INFO", "endpoint_leaving", endpoint=entry.id, source="peer")
+
     def _record_zone_load(self, load: ZoneLoad) -> None:
         now = self._now()
         known = self._remote_zones.get((load.pool, load.zone))
--- a/fakes/prepared_endpoint.py
+++ b/fakes/prepared_endpoint.py
@@ -24,7 +24,8 @@
     refusal without an id, as an earlier one), ``error`` (``error_status``). A request to resume a
     stream meets ``then_mode`` if that is set.
 
-    Its answers name ``limit_per_s`` while that is set; ``arrived_at`` has the times of requests.
+    Its answers say that it leaves while ``is_leaving`` is set, and name ``limit_per_s`` while that
+    is set; ``arrived_at`` has the times of requests.
     A prompt with the part ``deadly_part`` crashes it after ``deadly_after_s``, before the first
     event: all connections break and none is accepted until ``restart``.
     """
@@ -43,6 +44,7 @@
         self.requests: list = []
         self.cancelled = 0
         self.limit_per_s: float | None = None
+        self.is_leaving = False
         self.arrived_at: list[float] = []
         self.deadly_part = ""
         self.deadly_after_s = 0.02
@@ -75,9 +77,7 @@
         self._connections.add(connection)
         request_id = request.header("request-id")
         self.arrived_at.append(time.monotonic())
-        headers = [("Request-Id", request_id), ("Server-Load", "1,0,8,100")]
-        if self.limit_per_s is not None:
-            headers.append(("Server-Limit", f"{self.limit_per_s}"))
+        headers = self._build_headers(request_id)
         if request.header("target-instance") != self.name or self.mode == "other":
             await connection.respond(421, headers, b"")
             return
@@ -107,6 +107,14 @@
         else:
             await self._send_response(connection, request_id, headers)
 
+    def _build_headers(self, request_id: str) -> list[tuple[str, str]]:
+        headers = [("Request-Id", request_id), ("Server-Load", "1,0,8,100")]
+        if self.limit_per_s is not None:
+            headers.append(("Server-Limit", f"{self.limit_per_s}"))
+        if self.is_leaving:
+            headers.append(("Server-Leaving", "1"))
+        return headers
+
     async def _answer_badly(self, connection, request_id: str, headers) -> None:
         """Plays the faults that end the connection with no whole answer, or precede the answer."""
         writer = connection.writer
