Send an endpoint nothing during the pause that it named to this VM

Change, in route: the header of a 503 is decoded into a pause, ignored with a line if it is malformed or over an hour. The endpoint is left out here, the engine's broker is asked to avoid it for this VM, and the pause is looked at again at the send. A pool whose endpoints all pause refuses at once with what is left of the shortest pause.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -252,7 +252,7 @@
             context.connection_pool,
             place.entry,
             admitted.request,
-            context.endpoint_check.has_left,
+            lambda entry: self._must_not_send(place),
             context.now,
         )
         last_id = self._response.last_event_id
@@ -281,6 +281,18 @@
         if head.is_leaving:
             self._context.endpoint_allocator.record_leaving(place)
             self._context.connection_pool.close_idle(place.entry)
+        if head.pause_s is not None:
+            self._context.endpoint_allocator.record_pause(place, head.pause_s)
+
+    async def _must_not_send(self, place: Placement) -> bool:
+        """Returns whether the endpoint has left or pauses; counts the request if not."""
+        context = self._context
+        if await context.endpoint_check.has_left(place.entry):
+            return True
+        if context.endpoint_allocator.is_paused(place.entry):
+            return True
+        context.endpoint_allocator.count_sent(place)
+        return False
 
     async def _handle_head(
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
@@ -291,7 +303,8 @@
                 if head.is_other_instance:
                     allocator.directory.mark_replaced(place.entry)
                 allocator.record_load_report(place, attempt.head)
-                return DidNotRun(head.reason, 503, REFUSAL_RETRY_AFTER_S)
+                pause_s = allocator.pause_wait_s(admitted.pool)
+                return DidNotRun(head.reason, 503, max(REFUSAL_RETRY_AFTER_S, pause_s))
             case DidNotRun() | MayHaveRun():
                 return head
         allocator.record_load_report(place, head)
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -29,6 +29,7 @@
 # Ids of more digits are none of an endpoint's counter.
 MAX_LOAD = 1e9
 LEAVING_HEADER = "server-leaving"
+MAX_PAUSE_S = 3_600.0
 EVENT_ID_PATTERN = re.compile(rb"^id: ?(\d{1,18})\s*$", re.MULTILINE)
 
 
@@ -104,6 +105,8 @@
     headers: tuple[tuple[str, str], ...]
     # The endpoint wants no new requests until it starts again.
     is_leaving: bool = False
+    # How long the endpoint wants nothing from this VM, if it turned a request away for so long.
+    pause_s: float | None = None
 
 
 def decode_request(request: HttpRequest) -> RoutedRequest:
@@ -215,9 +218,24 @@
         limit_per_s=decode_limit(values_by_name.get(LIMIT_HEADER)),
         headers=tuple(pair for pair in headers if pair[0] not in STRIPPED_RESPONSE_HEADERS),
         is_leaving=decode_leaving(values_by_name.get(LEAVING_HEADER, "")),
+        pause_s=decode_pause(values_by_name.get("retry-after")) if status == 503 else None,
     )
 
 
+def decode_pause(text: str | None) -> float | None:
+    """Returns a named pause in seconds; None without one, or if it is malformed or too long."""
+    if text is None:
+        return None
+    try:
+        pause_s = float(text)
+    except ValueError:
+        pause_s = math.nan
+    if not 0 <= pause_s <= MAX_PAUSE_S:
+        log("WARNING", "pause_malformed", text=text[:40])
+        return None
+    return pause_s
+
+
 def decode_leaving(text: str) -> bool:
     """Returns whether an answer says that its endpoint is leaving."""
     if text not in ("", "0", "1"):
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 
 from bluebellpitch.decisions.directory import EndpointDirectory
+from bluebellpitch.decisions.endpoint_pauses import EndpointPauses
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.engine_choice import choose_engine
 from bluebellpitch.decisions.generation_broker import NO_ENGINE
@@ -59,6 +60,7 @@
         self.directory = directory
         self.loads = EndpointLoads()
         self._limits = NamedLimits()
+        self._pauses = EndpointPauses()
         self._turns = TurnQueue()
         self._vm_count = vm_count
         self._broker_client = broker_client
@@ -81,6 +83,9 @@
         self, work: WorkItem, is_engine: bool, avoid: frozenset[str]
     ) -> Placement | DidNotRun:
         """Selects an endpoint and counts the work toward its load."""
+        pause_wait_s = self.pause_wait_s(work.pool)
+        if pause_wait_s > 0:
+            return DidNotRun("endpoints_pause", 503, pause_wait_s)
         if is_engine:
             result = await self._acquire_engine(work, avoid)
             match result:
@@ -92,20 +97,38 @@
                     return result
         return await self._allocate_in_turn(work, is_engine, avoid)
 
+    def is_paused(self, entry: EndpointEntry) -> bool:
+        """Returns whether an endpoint wants no request from this VM now."""
+        return self._pauses.wait_s(entry.incarnation, self._now()) > 0
+
+    def _paused_ids(self, pool: str) -> frozenset[str]:
+        entries = self.directory.usable_endpoints(pool)
+        return frozenset(entry.id for entry in entries if self.is_paused(entry))
+
+    def pause_wait_s(self, pool: str) -> float:
+        """Returns how long all endpoints of a pool pause; 0 if one does not, or there is none."""
+        now, entries = self._now(), self.directory.usable_endpoints(pool)
+        waits_s = (self._pauses.wait_s(entry.incarnation, now) for entry in entries)
+        return min(waits_s, default=0.0)
+
     async def _acquire_engine(
         self, work: WorkItem, avoid: frozenset[str]
     ) -> EngineGrant | DidNotRun:
         """Requests an engine; again if its broker does not know yet that the engine has left."""
         for number in range(MAX_ENGINE_REQUESTS):
+            avoid |= self._paused_ids(work.pool)
             requested = replace(work, id=f"{work.id}.{number}") if number else work
             result = await self._broker_client.acquire(requested, avoid)
-            if not isinstance(result, EngineGrant) or not self.directory.has_left(result.entry):
+            if not isinstance(result, EngineGrant) or not self._is_unwanted(result.entry):
                 return result
             log("INFO", "granted_engine_left", request=requested.id, endpoint=result.entry.id)
             self._broker_client.release(result, "withdrawn", 0.0)
             avoid |= {result.entry.id}
         return DidNotRun(NO_ENGINE, 503, NO_ENDPOINT_RETRY_AFTER_S)
 
+    def _is_unwanted(self, entry: EndpointEntry) -> bool:
+        return self.directory.has_left(entry) or self.is_paused(entry)
+
     async def _allocate_in_turn(
         self, work: WorkItem, is_engine: bool, avoid: frozenset[str]
     ) -> Placement | DidNotRun:
@@ -138,7 +161,7 @@
         entries = [
             entry
             for entry in self.directory.usable_endpoints(work.pool)
-            if self._limits.wait_s(entry.incarnation, now) <= 0
+            if self._limits.wait_s(entry.incarnation, now) <= 0 and not self.is_paused(entry)
         ]
         if is_engine:
             entry = choose_engine(entries, self.loads, work, self._delay_s_by_zone, avoid, now)
@@ -190,6 +213,16 @@
         if placement.grant is not None:
             self._broker_client.report_leaving(placement.grant)
 
+    def record_pause(self, placement: Placement, pause_s: float) -> None:
+        """Records that the endpoint wants nothing from this VM for so long."""
+        entry = placement.entry
+        self._pauses.record(entry.incarnation, pause_s, self._now())
+        log("INFO", "endpoint_pauses", endpoint=entry.id, pause_s=f"{pause_s:.2f}")
+
+    def count_sent(self, placement: Placement) -> None:
+        """Counts a request that is sent to the endpoint."""
+        self._pauses.count_sent(placement.entry.incarnation)
+
     def record_first_event(self, placement: Placement, sent_at: float) -> None:
         """Records that the engine has finished the prefill of the prompt."""
         load = self.loads.for_endpoint(placement.entry)
--- a/fakes/prepared_endpoint.py
+++ b/fakes/prepared_endpoint.py
@@ -25,7 +25,7 @@
     stream meets ``then_mode`` if that is set.
 
     Its answers say that it leaves while ``is_leaving`` is set, and name ``limit_per_s`` while that
-    is set; ``arrived_at`` has the times of requests.
+    is set, and a refusal the pause ``pause_s``; ``arrived_at`` has the times of requests.
     A prompt with the part ``deadly_part`` crashes it after ``deadly_after_s``, before the first
     event: all connections break and none is accepted until ``restart``.
     """
@@ -45,6 +45,7 @@
         self.cancelled = 0
         self.limit_per_s: float | None = None
         self.is_leaving = False
+        self.pause_s: float | None = None
         self.arrived_at: list[float] = []
         self.deadly_part = ""
         self.deadly_after_s = 0.02
@@ -113,6 +114,8 @@
             headers.append(("Server-Limit", f"{self.limit_per_s}"))
         if self.is_leaving:
             headers.append(("Server-Leaving", "1"))
+        if self.mode == "refuse" and self.pause_s is not None:
+            headers.append(("Retry-After", f"{self.pause_s}"))
         return headers
 
     async def _answer_badly(self, connection, request_id: str, headers) -> None:
