--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -88,14 +88,14 @@
     async def register(self) -> None:
         """Registers this VM in the store and reads the records of the others, until cancelled.
 
-        It does both again when the store comes back from a copy, which may lack the record.
+        It reads them again when the store comes back from a copy, and registers again if its own
+        record is missing.
         """
-        registered, era = False, None
+        registered = False
         while True:
-            if not registered or self._store_era.is_past(era):
-                era = self._store_era.number
+            if not registered:
                 registered = await register_vm(self._client, self._vm, self._own_record)
-                era = self._store_era.number if era is None else era
+            era = self._store_era.number
             was_read = await self._read_vm_list()
             registered = registered and (not was_read or self._is_listed)
             if registered and was_read:
--- a/tests/mutants_of_store.py
+++ b/tests/mutants_of_store.py
@@ -86,8 +86,8 @@
     Mutant(
         "era: a VM registers again",
         "bluebellpitch/roles/peer_discovery.py",
-        "            if not registered or self._store_era.is_past(era):\n",
-        "            if not registered:\n",
+        "            registered = registered and (not was_read or self._is_listed)\n",
+        "",
         "tests/test_store_era.py",
     ),
     Mutant(
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 
 import msgspec
 import pytest
@@ -14,6 +15,8 @@
 APPLY_BOUND_S = 4.0
 # A VM that holds a role counts as silent when its heartbeats stay away longer than this.
 SILENCE_LIMIT_S = 0.6
+# The reader's update, one that a VM asked for, and as much for all smaller messages.
+MAX_COPIES_PER_VM = 3.0
 
 
 def encode_large_configuration(version: int, routes: int = 1400) -> bytes:
@@ -54,3 +57,29 @@
     random.seed(25)
     _, longest_wait_s = run_in_virtual_time(measure_changes((2, 3, 4)))
     assert longest_wait_s < SILENCE_LIMIT_S
+
+
+@pytest.mark.parametrize("cause", ["deaf", "refused"])
+def test_large_configuration_is_not_sent_to_a_vm_again_and_again(cause):
+    """Also if some VMs missed the version before, or cannot read the store."""
+
+    async def body():
+        zone = LinkedZone()
+        zone.configure(encode_large_configuration(1, routes=10))
+        vms = await zone.start(VMS_PER_ZONE)
+        odd = [vm for vm in vms if vm.configuration.follower.is_updated_by_peers()][:5]
+        for vm in odd:
+            vm.is_deaf, vm.client.is_refused = True, True
+        zone.configure(encode_large_configuration(2))
+        await asyncio.sleep(0.5)
+        for vm in odd:
+            vm.is_deaf, vm.client.is_refused = False, cause == "refused"
+        zone.received_bytes = 0
+        data = encode_large_configuration(3)
+        zone.configure(data)
+        await asyncio.sleep(APPLY_BOUND_S)
+        assert {vm.configuration.version() for vm in vms} == {3}
+        return zone.received_bytes / (len(zlib.compress(data, 1)) * VMS_PER_ZONE)
+
+    random.seed(25)
+    assert run_in_virtual_time(body()) < MAX_COPIES_PER_VM
--- a/tests/virtual_links.py
+++ b/tests/virtual_links.py
@@ -83,6 +83,9 @@
     def _arrive(self, address: str, size: int, message) -> None:
         loop = asyncio.get_running_loop()
         receiver = self._zone.vms_by_address[address]
+        if receiver.is_deaf:
+            return
+        self._zone.received_bytes += size
         here_at = receiver.inbound.reserve(size, loop.time())
         sync = receiver.peer_sync
         loop.call_at(here_at, sync.handle_message, self._sender.name, message)
@@ -93,6 +96,7 @@
 
     def __init__(self, name: str, zone: "LinkedZone"):
         self.name = name
+        self.is_deaf = False
         self._now = asyncio.get_running_loop().time
         self.inbound, self.outbound = VirtualLink(), VirtualLink()
         self.liveness = Liveness(name, "z")
@@ -148,6 +152,7 @@
     endpoints: VirtualStore = field(default_factory=VirtualStore)
     vms_by_address: dict[str, LinkedVm] = field(default_factory=dict)
     peer_delay_s: float = PEER_DELAY_S
+    received_bytes: int = 0
 
     async def start(self, vm_count: int) -> list[LinkedVm]:
         """Starts the VMs, which hear each other, and waits until they follow the store."""
