--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -1,17 +1,13 @@
 """Handles one request of ``bluebellpitch route``: admission, attempts, retries, response."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
 
 from bluebellpitch.callers.admission import AdmittedRequest, admit_request, build_work_item
 from bluebellpitch.callers.crash_guard import CrashGuard
 from bluebellpitch.callers.responses import encode_error_body
 from bluebellpitch.callers.routed_response import RoutedResponse
-from bluebellpitch.decisions.catalogue import Catalogue, Repeatability, Route
-from bluebellpitch.decisions.freshness import Freshness
-from bluebellpitch.decisions.retry_budget import RetryBudget
-from bluebellpitch.decisions.shutdown import DurationEstimates, ShutdownSchedule
+from bluebellpitch.callers.routing_context import RoutingContext
+from bluebellpitch.decisions.catalogue import Repeatability, Route
 from bluebellpitch.endpoints.attempt import (
     EndpointLeft,
     EndpointRefusal,
@@ -19,11 +15,9 @@
     RoutedAttempt,
     outcome_of,
 )
-from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
 from bluebellpitch.errors import BadRequestError, DisconnectedError
 from bluebellpitch.http1 import HttpRequest, ServerConnection
 from bluebellpitch.logs import log
-from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.http_messages import (
     ForwardingContext,
     ResponseHead,
@@ -31,11 +25,8 @@
     build_error_headers,
     decode_request,
 )
-from bluebellpitch.roles.crash_reporter import CrashReporter
-from bluebellpitch.roles.crash_tracker import CrashTracker, has_survived
-from bluebellpitch.roles.endpoint_allocator import EndpointAllocator, Placement
-from bluebellpitch.roles.endpoint_check import EndpointCheck
-from bluebellpitch.roles.strike_replicator import StrikeReplicator
+from bluebellpitch.roles.crash_tracker import has_survived
+from bluebellpitch.roles.endpoint_allocator import Placement
 from bluebellpitch.tasks import cancel_and_wait
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
@@ -50,32 +41,6 @@
 SHUTDOWN_RETRY_AFTER_S = 0.1
 
 
-@dataclass(frozen=True)
-class RoutingContext:
-    """The shared state and services that request handlers use.
-
-    ``must_answer`` is set when the VM is about to end and open requests have to be answered.
-    """
-
-    catalogue: Callable[[], Catalogue | None]
-    freshness: Freshness
-    endpoint_allocator: EndpointAllocator
-    endpoint_check: EndpointCheck
-    connection_pool: EndpointConnectionPool
-    retry_budget: RetryBudget
-    vm_count: Callable[[], int]
-    is_draining: Callable[[], bool]
-    is_closing: Callable[[], bool]
-    shutdown: ShutdownSchedule
-    durations: DurationEstimates
-    must_answer: asyncio.Event
-    strikes: StrikeReplicator
-    crash_reporter: CrashReporter
-    crash_tracker: CrashTracker
-    metrics: Metrics
-    now: Callable[[], float]
-
-
 class RoutedRequestHandler:
     """Handles one request. Owned by the task of the caller's connection."""
 
@@ -94,7 +59,7 @@
         request, arrived_at = decode_request(http_request), self._context.now()
         task = asyncio.ensure_future(self._handle(request))
         disconnected = asyncio.ensure_future(self._connection.wait_disconnected())
-        must_answer = asyncio.ensure_future(self._context.must_answer.wait())
+        must_answer = asyncio.ensure_future(self._context.shutdown.must_answer.wait())
         try:
             waits = {task, disconnected, must_answer}
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
@@ -123,7 +88,7 @@
         admitted = admit_request(request, context.catalogue(), context.freshness, now)
         if isinstance(admitted, DidNotRun):
             verdict: Verdict = admitted
-        elif context.is_closing() or not self._has_time(admitted, now):
+        elif context.shutdown.is_refusing or not self._has_time(admitted, now):
             verdict = DidNotRun(SHUTTING_DOWN, 503, SHUTDOWN_RETRY_AFTER_S)
         else:
             self._route_name = admitted.route.name
@@ -136,7 +101,7 @@
         """Returns whether the request can be completed before a VM that shuts down has to end."""
         limit_s = admitted.expires_at - now
         expected_s = self._context.durations.estimate(admitted.route.name, limit_s)
-        return self._context.shutdown.has_time_for(expected_s, now)
+        return self._context.shutdown.schedule.has_time_for(expected_s, now)
 
     async def _finish(self, request: RoutedRequest, verdict: Verdict, arrived_at: float) -> None:
         took_ms = (self._context.now() - arrived_at) * 1000
--- /dev/null
+++ b/bluebellpitch/callers/routing_context.py
@@ -0,0 +1,49 @@
+"""What the handlers of routed requests share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bluebellpitch.decisions.catalogue import Catalogue
+from bluebellpitch.decisions.freshness import Freshness
+from bluebellpitch.decisions.retry_budget import RetryBudget
+from bluebellpitch.decisions.shutdown import DurationEstimates
+from bluebellpitch.draining import Shutdown
+from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.roles.crash_reporter import CrashReporter
+from bluebellpitch.roles.crash_tracker import CrashTracker
+from bluebellpitch.roles.endpoint_allocator import EndpointAllocator
+from bluebellpitch.roles.endpoint_check import EndpointCheck
+from bluebellpitch.roles.strike_replicator import StrikeReplicator
+
+
+@dataclass(frozen=True)
+class RoutingContext:
+    """The shared state and services that request handlers use."""
+
+    catalogue: Callable[[], Catalogue | None]
+    freshness: Freshness
+    endpoint_allocator: EndpointAllocator
+    endpoint_check: EndpointCheck
+    connection_pool: EndpointConnectionPool
+    retry_budget: RetryBudget
+    vm_count: Callable[[], int]
+    is_draining: Callable[[], bool]
+    shutdown: Shutdown
+    durations: DurationEstimates
+    strikes: StrikeReplicator
+    crash_reporter: CrashReporter
+    crash_tracker: CrashTracker
+    metrics: Metrics
+    now: Callable[[], float]
+
+    def set_gauges(self, live_peers: int, in_flight: int) -> None:
+        """Sets the gauges of this VM."""
+        now, metrics, catalogue = self.now(), self.metrics, self.catalogue()
+        metrics.configuration_version.set(catalogue.version if catalogue else -1)
+        metrics.peers_heard.set(live_peers)
+        metrics.in_flight.set(in_flight)
+        metrics.freshness_age.set(self.freshness.age_s(now))
+        for pool in catalogue.pools_by_name if catalogue else ():
+            retries_left = self.retry_budget.remaining(pool, self.vm_count(), now)
+            metrics.repeats_left.labels(pool).set(retries_left)
--- a/bluebellpitch/callers/server.py
+++ b/bluebellpitch/callers/server.py
@@ -47,12 +47,12 @@
         context, started_at = self._context, self._context.now()
         kind = request.target.partition("?")[0]
         expected_s = context.durations.estimate(kind, context.settings.service_timeout_s)
-        if not context.shutdown.has_time_for(expected_s, started_at):
+        if not context.shutdown.schedule.has_time_for(expected_s, started_at):
             verdict = DidNotRun("shutting_down", 503, SHUTDOWN_RETRY_AFTER_S)
             await responses.send_verdict(connection, verdict, "none")
             return
         task = asyncio.ensure_future(self._route(connection, request))
-        must_answer = asyncio.ensure_future(context.must_answer.wait())
+        must_answer = asyncio.ensure_future(context.shutdown.must_answer.wait())
         try:
             await asyncio.wait({task, must_answer}, return_when=asyncio.FIRST_COMPLETED)
             if task.done():
--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -1,12 +1,12 @@
 """Dependencies of the tasks that serve callers: the VM's components, budgets and clocks."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.hedge_budget import HedgeBudget
 from bluebellpitch.decisions.rows import Table
-from bluebellpitch.decisions.shutdown import DurationEstimates, ShutdownSchedule
+from bluebellpitch.decisions.shutdown import DurationEstimates
+from bluebellpitch.draining import Shutdown
 from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.events import EventRing
 from bluebellpitch.metrics import Metrics
@@ -19,10 +19,7 @@
 
 @dataclass(frozen=True)
 class NodeContext:
-    """Components of one VM that its request tasks use.
-
-    ``must_answer`` is set when the VM is about to end and open requests have to be answered.
-    """
+    """Components of one VM that its request tasks use."""
 
     settings: Settings
     view_holder: ViewHolder
@@ -35,9 +32,8 @@
     metrics: Metrics
     now: Callable[[], float]
     wall: Callable[[], float]
-    shutdown: ShutdownSchedule = field(default_factory=ShutdownSchedule)
+    shutdown: Shutdown = field(default_factory=Shutdown)
     durations: DurationEstimates = field(default_factory=DurationEstimates)
-    must_answer: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def table(self) -> Table:
--- a/bluebellpitch/draining.py
+++ b/bluebellpitch/draining.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.shutdown import GRACE_SHARE, ShutdownSchedule
 from bluebellpitch.http1 import HttpServer
@@ -17,31 +18,38 @@
 STOP_LISTENING_SHARE = 0.5
 
 
+@dataclass(slots=True)
+class Shutdown:
+    """State of a planned stop, for the tasks that serve requests.
+
+    ``is_refusing`` is set when new requests are refused, ``must_answer`` when the VM is about to
+    end and open requests have to be answered.
+    """
+
+    schedule: ShutdownSchedule = field(default_factory=ShutdownSchedule)
+    is_refusing: bool = False
+    must_answer: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 async def drain(
-    http: HttpServer,
-    schedule: ShutdownSchedule,
-    grace_s: float,
-    refuse: Callable[[], None],
-    answer_open: Callable[[], None],
-    now: Callable[[], float],
+    http: HttpServer, shutdown: Shutdown, grace_s: float, now: Callable[[], float]
 ) -> None:
     """Stops accepting requests once the platform sends none, and completes those in progress.
 
-    ``refuse`` is called when new requests are to be refused, ``answer_open`` when those that are
-    still open have to be answered. ``grace_s`` is all the time there is.
+    ``grace_s`` is all the time there is.
     """
-    start = now()
+    start, schedule = now(), shutdown.schedule
     schedule.begin(grace_s, start)
     log("INFO", "draining", in_flight=http.in_flight, grace_s=grace_s)
     refuse_after_s = min(REFUSE_REQUESTS_AFTER_S, grace_s * REFUSE_REQUESTS_SHARE)
     stop_after_s = min(STOP_LISTENING_AFTER_S, grace_s * STOP_LISTENING_SHARE)
     await asyncio.sleep(refuse_after_s)
-    refuse()
+    shutdown.is_refusing = True
     await asyncio.sleep(stop_after_s - refuse_after_s)
     http.stop_listening()
     while http.in_flight and schedule.time_left_s(now()) > 0:
         await asyncio.sleep(DRAIN_POLL_S)
-    answer_open()
+    shutdown.must_answer.set()
     while http.in_flight and now() - start < grace_s * GRACE_SHARE:
         await asyncio.sleep(DRAIN_POLL_S)
     log("INFO", "drained", unanswered=http.in_flight)
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -7,18 +7,18 @@
 
 from bluebellpitch.callers.routed_requests import (
     RoutedRequestHandler,
-    RoutingContext,
     refuse_malformed_request,
 )
+from bluebellpitch.callers.routing_context import RoutingContext
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.retry_budget import RetryBudget
-from bluebellpitch.decisions.shutdown import DurationEstimates, ShutdownSchedule
+from bluebellpitch.decisions.shutdown import DurationEstimates
 from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.decisions.strikes import StrikeTracker
-from bluebellpitch.draining import drain
+from bluebellpitch.draining import Shutdown, drain
 from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
 from bluebellpitch.logs import log
@@ -82,9 +82,7 @@
         self._now = now
         self.directory = EndpointDirectory()
         self.draining = asyncio.Event()
-        self._closing = False
-        self.shutdown = ShutdownSchedule()
-        self._must_answer = asyncio.Event()
+        self.shutdown = Shutdown()
         self._store_clients: list[StoreClient] = []
         self.store_era = StoreEra()
         self.key = f"{settings.vm_name}/{uuid4().hex[:8]}"
@@ -142,7 +140,7 @@
             liveness=self.liveness,
             configuration=self.configuration,
             endpoints=self.endpoints,
-            all_addresses=self._all_addresses,
+            all_addresses=self.peer_discovery.listed_addresses,
             has_vm_list=lambda: self.peer_discovery.has_list,
             zone_reader=lambda topic: self._role_holder(reader_role(topic)),
             now=now,
@@ -185,10 +183,8 @@
             ),
             vm_count=self.peer_discovery.vm_count,
             is_draining=self.draining.is_set,
-            is_closing=lambda: self._closing,
             shutdown=self.shutdown,
             durations=DurationEstimates(),
-            must_answer=self._must_answer,
             strikes=self.strikes,
             crash_reporter=self.crash_reporter,
             crash_tracker=self.crash_tracker,
@@ -242,9 +238,7 @@
         match message:
             case VmHeartbeat():
                 self.peer_discovery.record_heartbeat(sender, message)
-            case RecordsUpdate() | RecordsRequest():
-                self.peer_sync.handle_message(sender, message)
-            case FreshnessRequest() | FreshnessReply():
+            case RecordsUpdate() | RecordsRequest() | FreshnessRequest() | FreshnessReply():
                 self.peer_sync.handle_message(sender, message)
             case ConfigurationRequest() | ConfigurationUpdate():
                 self.peer_sync.handle_message(sender, message)
@@ -255,9 +249,6 @@
             case _:
                 self.generations.handle_message(sender, message)
 
-    def _all_addresses(self) -> list[str]:
-        return [record.bus for record in self.peer_discovery.records_by_vm.values()]
-
     async def _serve(self, connection, request) -> None:
         await RoutedRequestHandler(self.context, connection).serve(request)
 
@@ -266,27 +257,15 @@
         await connection.respond(status, [("Content-Type", "text/plain")], b"")
 
     async def _serve_metrics(self, connection, request) -> None:
-        self._set_gauges()
+        self.context.set_gauges(len(self.liveness.live_peers(self._now())), self.http.in_flight)
         headers = [("Content-Type", "text/plain; version=0.0.4")]
         await connection.respond(200, headers, self.metrics.render())
 
-    def _set_gauges(self) -> None:
-        now = self._now()
-        metrics, context = self.metrics, self.context
-        metrics.configuration_version.set(self.configuration.version())
-        metrics.freshness_age.set(context.freshness.age_s(now))
-        metrics.peers_heard.set(len(self.liveness.live_peers(now)))
-        metrics.in_flight.set(self.http.in_flight)
-        catalogue = self.configuration.catalogue
-        for pool in catalogue.pools_by_name if catalogue else ():
-            retries_left = context.retry_budget.remaining(pool, self.peer_discovery.vm_count(), now)
-            metrics.repeats_left.labels(pool).set(retries_left)
-
     def is_ready(self) -> bool:
         """Returns whether the VM should receive new connections."""
-        has_configuration = self.configuration.catalogue is not None
-        is_loaded = has_configuration and self.endpoints.is_loaded
-        return is_loaded and self.configuration.is_checked and not self.draining.is_set()
+        configuration = self.configuration
+        is_loaded = configuration.catalogue is not None and self.endpoints.is_loaded
+        return is_loaded and configuration.is_checked and not self.draining.is_set()
 
     async def run(self) -> None:
         """Serves until a signal requests shutdown, then completes the requests in progress."""
@@ -314,14 +293,7 @@
             await self.draining.wait()
             await asyncio.gather(
                 self.peer_discovery.unregister(),
-                drain(
-                    self.http,
-                    self.shutdown,
-                    self.settings.grace_s,
-                    self._refuse_requests,
-                    self._must_answer.set,
-                    self._now,
-                ),
+                drain(self.http, self.shutdown, self.settings.grace_s, self._now),
             )
         finally:
             await self.crash_reporter.close()
@@ -375,6 +347,3 @@
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             self.connection_pool.close_expired()
             self.endpoint_allocator.loads.prune(self.directory.entries_by_id.values())
-
-    def _refuse_requests(self) -> None:
-        self._closing = True
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -254,14 +254,15 @@
         self.event_ring.record(EventKind.DRAINING)
         log("INFO", "draining", in_flight=self.callers.http.in_flight)
         shutdown = self.context.shutdown
-        shutdown.begin(self.settings.grace_s, self.now())
+        schedule = shutdown.schedule
+        schedule.begin(self.settings.grace_s, self.now())
         self.membership.start_draining()
         await asyncio.sleep(self.settings.drain_notice_s)
         self.callers.http.stop_listening()
-        while self._has_open_work() and shutdown.time_left_s(self.now()) > 0:
+        while self._has_open_work() and schedule.time_left_s(self.now()) > 0:
             await asyncio.sleep(DRAIN_POLL_S)
-        self.context.must_answer.set()
-        while self._has_open_work() and shutdown.time_left_s(self.now()) > -ANSWER_TIME_S:
+        shutdown.must_answer.set()
+        while self._has_open_work() and schedule.time_left_s(self.now()) > -ANSWER_TIME_S:
             await asyncio.sleep(DRAIN_POLL_S)
         log("INFO", "drained", unanswered=self.callers.http.in_flight)
         await self.membership.unregister()
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -8,7 +8,6 @@
 from bluebellpitch.decisions import generation_decisions
 from bluebellpitch.decisions.catalogue import Catalogue
 from bluebellpitch.decisions.directory import EndpointDirectory
-from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import WorkItem, session_of
@@ -30,7 +29,13 @@
 )
 from bluebellpitch.roles.broker_takeover import BrokerTakeover, adopt_report
 from bluebellpitch.roles.generation_broker_client import GenerationBrokerClient
-from bluebellpitch.roles.work_items import message_from_grant, work_from_request
+from bluebellpitch.roles.work_items import (
+    describe_load,
+    entry_from_leaving,
+    message_from_grant,
+    work_from_request,
+    zone_from_load,
+)
 
 QUEUE_TICK_S = 0.01
 LOAD_PUBLISH_INTERVAL_S = 0.1
@@ -147,41 +152,19 @@
         broker = self._get_broker(limit.pool)
         key = (limit.endpoint_id, limit.started_ms)
         if broker.record_limit(key, limit.limit_per_s, self._now()):
-            log(
-                "INFO",
-                "broker_limit",
-                endpoint=limit.endpoint_id,
-                limit_per_s=limit.limit_per_s,
-            )
+            named = {"endpoint": limit.endpoint_id, "limit_per_s": limit.limit_per_s}
+            log("INFO", "broker_limit", **named)
         self._serve_queue(broker)
 
     def _mark_leaving(self, leaving: EndpointLeaving) -> None:
-        entry = EndpointEntry(
-            id=leaving.endpoint_id,
-            pool=leaving.pool,
-            address=leaving.address,
-            zone=leaving.zone,
-            slots=0,
-            is_draining=True,
-            started_ms=leaving.started_ms,
-        )
+        entry = entry_from_leaving(leaving)
         if self._directory.mark_leaving(entry):
             log("INFO", "endpoint_leaving", endpoint=entry.id, source="peer")
 
     def _record_zone_load(self, load: ZoneLoad) -> None:
-        now = self._now()
-        known = self._remote_zones.get((load.pool, load.zone))
-        sessions = known.session_seen_at if known else {}
-        sessions |= dict.fromkeys(load.sessions, now)
-        self._remote_zones[(load.pool, load.zone)] = RemoteZone(
-            load.long_fixed_s,
-            load.long_s_per_token,
-            load.short_cost_s,
-            load.queue_s_per_token,
-            load.reply_to,
-            now,
-            sessions,
-        )
+        key = (load.pool, load.zone)
+        known = self._remote_zones.get(key)
+        self._remote_zones[key] = zone_from_load(load, known, self._now())
 
     def _get_broker(self, pool: str) -> GenerationBroker:
         if pool not in self._brokers_by_pool:
@@ -342,17 +325,9 @@
         for pool, row in catalogue.pools_by_name.items():
             if row.engine is None or self._broker_vm(pool) != self._vm_key:
                 continue
-            broker = self._get_broker(pool)
-            cost = broker.estimate_long_prompt_cost(now)
-            load = ZoneLoad(
-                pool,
-                self._zone,
-                cost.fixed_s,
-                cost.s_per_token,
-                broker.placement.short_prompt_cost_s(now),
-                broker.pool_s_per_token(now),
-                self._address,
-                tuple(self._new_sessions_by_pool.pop(pool, ())),
+            sessions = self._new_sessions_by_pool.pop(pool, ())
+            load = describe_load(
+                self._get_broker(pool), self._zone, self._address, tuple(sessions), now
             )
             for zone in self._other_zones:
                 for address in self._load_recipients(pool, zone, now):
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -72,6 +72,10 @@
         }
         return sorted(known - {self._own_record.bus})
 
+    def listed_addresses(self) -> list[str]:
+        """Returns the bus addresses of all VMs in the list, this one included."""
+        return [record.bus for record in self.records_by_vm.values()]
+
     def vm_count(self) -> int:
         """Returns how many VMs there may be, at least as many as send heartbeats."""
         return max(len(self.records_by_vm), len(self._liveness.peers_by_key) + 1)
--- a/bluebellpitch/roles/work_items.py
+++ b/bluebellpitch/roles/work_items.py
@@ -1,8 +1,17 @@
-"""Converts messages about generations to work items, with times on the clock of this VM."""
+"""Converts messages about generations, with times on the clock of this VM."""
 
+from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.generation_decisions import Granted
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.peers.platform_messages import HeldWork, WorkGranted, WorkRequest
+from bluebellpitch.decisions.remote_zones import RemoteZone
+from bluebellpitch.peers.platform_messages import (
+    EndpointLeaving,
+    HeldWork,
+    WorkGranted,
+    WorkRequest,
+    ZoneLoad,
+)
 
 
 def work_from_request(request: WorkRequest, now: float) -> WorkItem:
@@ -37,6 +46,50 @@
     )
 
 
+def entry_from_leaving(leaving: EndpointLeaving) -> EndpointEntry:
+    """Returns the entry of an endpoint that said that it leaves."""
+    return EndpointEntry(
+        leaving.endpoint_id,
+        leaving.pool,
+        leaving.address,
+        leaving.zone,
+        0,
+        True,
+        leaving.started_ms,
+    )
+
+
+def describe_load(
+    broker: GenerationBroker, zone: str, address: str, sessions: tuple[str, ...], now: float
+) -> ZoneLoad:
+    """Returns the load of a broker's zone as other zones need to know it."""
+    cost = broker.estimate_long_prompt_cost(now)
+    return ZoneLoad(
+        broker.pool,
+        zone,
+        cost.fixed_s,
+        cost.s_per_token,
+        broker.placement.short_prompt_cost_s(now),
+        broker.pool_s_per_token(now),
+        address,
+        sessions,
+    )
+
+
+def zone_from_load(load: ZoneLoad, known: RemoteZone | None, now: float) -> RemoteZone:
+    """Returns the state of another zone after a report, with the sessions known before."""
+    sessions = known.session_seen_at if known else {}
+    return RemoteZone(
+        load.long_fixed_s,
+        load.long_s_per_token,
+        load.short_cost_s,
+        load.queue_s_per_token,
+        load.reply_to,
+        now,
+        sessions | dict.fromkeys(load.sessions, now),
+    )
+
+
 def message_from_grant(
     granted: Granted, request: WorkRequest | None, broker_address: str
 ) -> WorkGranted:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -138,7 +138,7 @@
     Mutant(
         "a draining VM finishes its requests",
         "bluebellpitch/node.py",
-        "        while self._has_open_work() and shutdown.time_left_s(self.now()) > 0:\n",
+        "        while self._has_open_work() and schedule.time_left_s(self.now()) > 0:\n",
         "        while False:\n",
         "tests/test_streams.py::test_vms_replaced_one_by_one_fail_no_request",
     ),
