Keep changes of a log that was read anew, and hold back VMs that start in a new era

A second return of the store soon after the first lost changes for good, since the replaced state had no records to append again. A VM of route that heard of a new era from one that had just started took it for an old one.

--- a/bluebellpitch/decisions/store_era.py
+++ b/bluebellpitch/decisions/store_era.py
@@ -29,11 +29,14 @@
         self.number, self.risen_at = number, now
         return True
 
-    def observe_rise(self, number: int, risen_at: float) -> None:
-        """Records when, according to a peer, the era ``number`` began."""
-        if self.number is None or number >= self.number:
-            self.number = number
-            self.risen_at = max(self.risen_at, risen_at)
+    def observe_rise(self, number: int, risen_at: float, now: float) -> None:
+        """Records when, according to a peer, the era ``number`` began; -inf if it does not know."""
+        if self.number is not None and number < self.number:
+            return
+        if self.number is not None and number > self.number and risen_at == float("-inf"):
+            risen_at = now
+        self.number = number
+        self.risen_at = max(self.risen_at, risen_at)
 
     def is_rewritten(self, now: float) -> bool:
         """Returns whether the store has again what was written to it before its return."""
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -86,6 +86,7 @@
         self.key = identity.key
         self._store_clients: list[StoreClient] = []
         self.store_era = StoreEra()
+        self.ready_once = False
         self.view_holder = ViewHolder(ClusterView(own))
         self.clock = HybridClock(wall)
         self.event_ring = EventRing(settings.vm, self.clock, EVENT_RING_SIZE)
@@ -166,10 +167,10 @@
 
     def _observe_era(self, era: int) -> None:
         """Counts the first era seen as new too: this VM cannot tell how long it has lasted."""
-        was = self.store_era.number
+        was, now = self.store_era.number, self.now()
         if was is None and era > 0:
-            self.store_era.observe_rise(era, self.now())
-        elif self.store_era.observe(era, self.now()):
+            self.store_era.observe_rise(era, now, now)
+        elif self.store_era.observe(era, now):
             log("WARNING", "store_era", era=era, was=was)
 
     def handle_message(self, sender: str, message: Message) -> None:
@@ -211,8 +212,14 @@
         self.bus.send(peer, message)
 
     def is_ready(self) -> bool:
-        """Tells the load balancer whether this VM accepts callers."""
-        return bool(self.view_holder.current.table.members_by_name) and not self.draining.is_set()
+        """Tells the load balancer whether this VM accepts callers.
+
+        A VM that starts after the store came back from a copy gives others time to write again.
+        """
+        has_table = bool(self.view_holder.current.table.members_by_name)
+        is_complete = self.ready_once or self.store_era.is_rewritten(self.now())
+        self.ready_once |= has_table and is_complete
+        return self.ready_once and not self.draining.is_set()
 
     async def run(self) -> None:
         """Serves until a signal starts the drain, then drains and stops."""
--- a/bluebellpitch/roles/control_log_replica.py
+++ b/bluebellpitch/roles/control_log_replica.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from bluebellpitch.constants import SNAPSHOT_INTERVAL_RECORDS, STORE_RETRY_DELAY_S
@@ -74,6 +74,7 @@
         self._last_snapshot_offset = MAX_OFFSET
         # The state of the log that is read anew, until it replaces the one in force.
         self._replacement: ControlStateMachine | None = None
+        self._replacement_entries: deque[ControlEntry] = deque(maxlen=MAX_RECENT_ENTRIES)
         self._replacement_began_at = 0.0
         self._restore_task: asyncio.Task | None = None
         self._recent_entries: deque[ControlEntry] = deque(maxlen=MAX_RECENT_ENTRIES)
@@ -106,6 +107,7 @@
         log("WARNING", "control_log_restored", era=era, was=self._log_era)
         self._log_era, self._last_snapshot_offset = era, MAX_OFFSET
         self._replacement, self._replacement_began_at = ControlStateMachine(), self._now()
+        self._replacement_entries.clear()
 
     def _apply_page(self, page: Page) -> None:
         entries = tuple(
@@ -117,6 +119,7 @@
             return
         for entry in entries:
             self._replacement.apply(entry.offset, entry.data)
+        self._replacement_entries.extend(entries)
         if self._replacement.next_offset >= page.end_offset:
             self._replace_state()
 
@@ -129,7 +132,7 @@
             return
         if lost:
             log("ERROR", "control_records_lost", ids=",".join(lost))
-        self._install(self._replacement)
+        self._install(self._replacement, self._replacement_entries)
         log("INFO", "control_state_replaced", offset=self.state_machine.offset)
 
     def _recent_verdicts(self) -> dict[str, RecordVerdict]:
@@ -189,6 +192,7 @@
         if self._replacement is not None:
             self._last_snapshot_offset = offset_of(self._replacement.offset) - 1
             self._replacement = ControlStateMachine()
+            self._replacement_entries.clear()
 
     def apply_records(self, records: ControlRecords) -> None:
         """Applies records that a peer read from the same log; ignores those of another one."""
@@ -222,11 +226,11 @@
             log("INFO", "transfer_lacks_records", offset=snapshot.offset)
             return
         self._log_era = snapshot.store_era if is_other else self._log_era
-        self._install(state_machine)
+        self._install(state_machine, ())
 
-    def _install(self, state_machine: ControlStateMachine) -> None:
+    def _install(self, state_machine: ControlStateMachine, entries: Iterable[ControlEntry]) -> None:
         self.state_machine, self._replacement = state_machine, None
-        self._recent_entries.clear()
+        self._recent_entries = deque(entries, maxlen=MAX_RECENT_ENTRIES)
         self._publish_view()
 
     def _publish_view(self) -> None:
--- a/bluebellpitch/roles/peer_sync.py
+++ b/bluebellpitch/roles/peer_sync.py
@@ -95,8 +95,9 @@
 
     def _apply_freshness(self, reply: FreshnessReply) -> None:
         if reply.era is not None:
-            risen_at = self._now() - reply.era_age_s
-            self._configuration.store_era.observe_rise(reply.era, risen_at)
+            now = self._now()
+            risen_at = now - reply.era_age_s
+            self._configuration.store_era.observe_rise(reply.era, risen_at, now)
         if not self._configuration.is_checked and 0 <= reply.version <= (
             self._configuration.version()
         ):
--- a/tests/mutants_of_store.py
+++ b/tests/mutants_of_store.py
@@ -118,6 +118,20 @@
         "        if False:\n",
         "tests/test_restored_log.py",
     ),
+    Mutant(
+        "era: changes of a log that was read anew can be lost again",
+        "bluebellpitch/roles/control_log_replica.py",
+        "        self._install(self._replacement, self._replacement_entries)\n",
+        "        self._install(self._replacement, ())\n",
+        "tests/test_restored_log.py -k twice",
+    ),
+    Mutant(
+        "era: a VM of serve that starts waits for lost changes",
+        "bluebellpitch/node.py",
+        "        is_complete = self.ready_once or self.store_era.is_rewritten(self.now())\n",
+        "        is_complete = True\n",
+        "tests/test_restored_log.py -k starts_in",
+    ),
     Mutant(
         "era: a lost change does not undo a deletion made since",
         "bluebellpitch/decisions/control.py",
--- a/tests/test_restored_log.py
+++ b/tests/test_restored_log.py
@@ -1,6 +1,7 @@
 """`serve` after the store came back from a copy: claims, the table, members and endpoints."""
 
 import asyncio
+import time
 
 import pytest
 from testtools.assertions import assert_that
@@ -17,6 +18,7 @@
 from bluebellpitch.decisions.leaving_endpoints import LeavingEndpoints
 from bluebellpitch.decisions.log_position import era_of
 from bluebellpitch.decisions.rows import MemberRow
+from bluebellpitch.decisions.store_era import REWRITE_S
 from bluebellpitch.roles.control_log_replica import restore_record
 from fakes.client import stream_completion
 from fakes.fleet import Fleet, wait_until
@@ -169,3 +171,42 @@
         assert_that(text, Not(Contains("member,agency")))
 
     run(scenario())
+
+
+def test_change_that_the_store_lost_twice_stays_in_force(run, running):
+    """The copy is from before the change, also the second time."""
+    fleet = running
+    options = ("--store-address", fleet.store.address)
+
+    async def shown() -> str:
+        return (await fleet.run_command("table", "show", *options))[1]
+
+    async def is_shown() -> bool:
+        return "office,5.0" in await shown()
+
+    async def scenario():
+        await fleet.set_faults(fleet.store, is_copied=True)
+        status, output = await fleet.apply_sheet(
+            (await shown()).replace("office,1.0", "office,5.0")
+        )
+        assert_that(status, Equals(0), output)
+        await fleet.wait_converged()
+        for _ in range(2):
+            await restore(fleet)
+            await wait_until(is_shown, "the lost change is in the log again")
+            await fleet.wait_converged()
+
+    run(scenario())
+
+
+def test_vm_that_starts_in_a_new_era_waits_for_lost_changes_before_it_is_ready(run, running):
+    fleet = running
+
+    async def scenario():
+        await restore(fleet)
+        started_at = time.monotonic()
+        vm = fleet.add_vm("vm-late", "doto-1", "doto")
+        await fleet.wait_ready(vm)
+        assert time.monotonic() - started_at > REWRITE_S
+
+    run(scenario())
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -75,12 +75,22 @@
     assert era.is_past(3) and not era.is_past(4) and not era.is_past(None)
     assert not era.is_rewritten(3.0 + REWRITE_S - 0.1)
     assert era.is_rewritten(3.0 + REWRITE_S)
-    era.observe_rise(3, 9.0)
+    era.observe_rise(3, 9.0, now=10.0)
     assert era.risen_at == 3.0
-    era.observe_rise(5, 8.0)
+    era.observe_rise(5, 8.0, now=10.0)
     assert (era.number, era.risen_at) == (5, 8.0)
 
 
+def test_rise_told_by_a_peer_that_has_just_started_counts_from_now():
+    """That peer has seen one era only, and cannot tell how long it has lasted."""
+    era = StoreEra()
+    era.observe_rise(3, float("-inf"), now=1.0)
+    assert era.is_rewritten(1.0)
+    era.observe_rise(4, float("-inf"), now=2.0)
+    assert not era.is_rewritten(2.0 + REWRITE_S - 0.1)
+    assert era.is_rewritten(2.0 + REWRITE_S)
+
+
 def test_eras_that_are_not_known_may_be_the_same():
     assert is_other_era(1, 2) and not is_other_era(1, 1)
     assert not is_other_era(None, 1) and not is_other_era(1, None)
