--- a/bluebellpitch/roles/cluster_membership.py
+++ b/bluebellpitch/roles/cluster_membership.py
@@ -192,11 +192,12 @@
         """
         registered, era = False, None
         while True:
-            if not registered or self._store_era.is_past(era):
+            if self._store_era.is_past(era):
+                registered = False
                 self._ever_listed_names.clear()
-                era = self._store_era.number
+            era = self._store_era.number
+            if not registered:
                 registered = await self._register()
-                era = self._store_era.number if era is None else era
             try:
                 self._listed_records_by_name = await read_vm_records(self._store)
                 if not self._store_era.is_past(era):
