Send nothing new to an endpoint whose answer says that it leaves, in serve too

What an answer announces, the limit and the leaving, is read in one place for services and engines. The VM holds the endpoint for leaving until an entry of it names a later start, and tells the pool's broker, which would grant it on; an endpoint without entries stays leaving for that VM.

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -122,7 +122,7 @@
             slot.granted.address,
             context.settings.stall_s,
             may_send=lambda: context.view_holder.current.accepts_requests(slot.granted.endpoint),
-            on_limit=lambda limit_per_s: context.slot_client.report_limit(slot, limit_per_s),
+            on_announcements=lambda told: context.record_announcements(slot, told),
         )
         slot.on_preempt = attempt.cancel
         if slot.preempt_reason:
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -115,7 +115,7 @@
             call,
             self.context.settings.service_timeout_s,
             may_send=lambda: self.context.view_holder.current.accepts_requests(self.endpoint),
-            on_limit=lambda limit_per_s: self.context.slot_client.report_limit(slot, limit_per_s),
+            on_announcements=lambda told: self.context.record_announcements(slot, told),
         )
         if isinstance(result, HttpResponse) and self.context.view_holder.current.is_cross_region(
             slot.region
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -20,7 +20,7 @@
 )
 from bluebellpitch.http1 import MAX_RESPONSE_BYTES, ClientConnection, decode_headers
 from bluebellpitch.logs import log
-from bluebellpitch.platform.http_messages import read_limit
+from bluebellpitch.platform.http_messages import Announcements, read_announcements
 
 BUSY_STATUSES = (429, 503)
 MAX_REJECTION_BYTES = 1_048_576
@@ -41,8 +41,8 @@
     connection or the engine was lost), ``stalled`` (no token for ``stall_s``), ``late`` (no first
     token in time), ``busy`` (status 429 or 503), ``rejected`` (another error status), ``left`` (no
     byte was sent, since the engine is leaving) and ``oversized`` (more bytes than any completion
-    has). ``may_send`` is asked when everything else is ready to send. ``on_limit`` is called with
-    the limit that the answer names, in requests per second, or None.
+    has). ``may_send`` is asked when everything else is ready to send. ``on_announcements``
+    is called with what the answer says of the engine's future.
     """
 
     def __init__(
@@ -51,9 +51,9 @@
         address: str,
         stall_s: float,
         may_send: Callable[[], bool],
-        on_limit: Callable[[float | None], None],
+        on_announcements: Callable[[Announcements], None],
     ):
-        self._on_limit = on_limit
+        self._on_announcements = on_announcements
         self._connection_pool = connection_pool
         self._address = address
         self._stall_s = stall_s
@@ -109,7 +109,7 @@
         headers = [("Content-Type", "application/json"), ("X-Request-Id", request_id)]
         await connection.send("POST", target, headers, msgspec.json.encode(body))
         head = await connection.read_head(first_token_timeout_s)
-        self._on_limit(read_limit(decode_headers(head.headers)))
+        self._on_announcements(read_announcements(decode_headers(head.headers)))
         if head.status_code != 200:
             await self._read_rejection(connection, head.status_code)
             return
--- a/bluebellpitch/endpoints/service.py
+++ b/bluebellpitch/endpoints/service.py
@@ -6,7 +6,7 @@
 from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.errors import ConnectionLostError, NotSentError, ResponseTooLargeError
 from bluebellpitch.http1 import Headers, HttpResponse
-from bluebellpitch.platform.http_messages import read_limit
+from bluebellpitch.platform.http_messages import Announcements, read_announcements
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun
 
 DID_NOT_RUN_HEADER = "x-did-not-run"
@@ -28,12 +28,12 @@
     call: ServiceCall,
     timeout_s: float,
     may_send: Callable[[], bool],
-    on_limit: Callable[[float | None], None],
+    on_announcements: Callable[[Announcements], None],
 ) -> HttpResponse | DidNotRun | MayHaveRun:
     """Sends the request once, on a new connection: on a stale one it could be lost.
 
     ``may_send`` is asked when everything else is ready; ``timeout_s`` limits the rest of the call.
-    ``on_limit`` is called with the limit that the answer names, in requests per second, or None.
+    ``on_announcements`` is called with what the answer says of the endpoint's future.
     """
     try:
         connection = await connection_pool.open(address)
@@ -50,7 +50,7 @@
         return MayHaveRun(f"answer_lost: {error}")
     finally:
         connection.close()
-    on_limit(read_limit(response.headers))
+    on_announcements(read_announcements(response.headers))
     if (DID_NOT_RUN_HEADER, "true") in response.headers:
         return DidNotRun("endpoint_did_not_run")
     return response
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -37,6 +37,7 @@
     Heartbeat,
     HeldGrantsReport,
     LatencyReport,
+    LeavingReport,
     LimitReport,
     LoanGranted,
     LoanRequest,
@@ -154,6 +155,7 @@
             metrics=self.metrics,
             now=now,
             wall=wall,
+            mark_leaving=self.membership.mark_leaving,
         )
         self.callers = CallerServer(self.context)
         self.admin = AdminServer(self.event_ring, self.metrics, self.build_status, self.is_ready)
@@ -195,6 +197,8 @@
             case StrikeReport() | StrikesCleared() | StrikeConfirmation():
                 if (confirmation := self.strikes.handle_message(message)) is not None:
                     self.bus.send(sender, confirmation)
+            case LeavingReport(_, endpoint):
+                self.membership.mark_leaving(endpoint)
             case ControlRecords():
                 self.control_log_replica.apply_records(message)
             case SnapshotTransfer():
--- a/bluebellpitch/peers/messages.py
+++ b/bluebellpitch/peers/messages.py
@@ -132,6 +132,13 @@
     seconds: float
 
 
+class LeavingReport(msgspec.Struct, frozen=True, tag="leaving_told"):
+    """An endpoint said in an answer that it leaves."""
+
+    pool: str
+    endpoint: str
+
+
 class LimitReport(msgspec.Struct, frozen=True, tag="limit_named"):
     """An endpoint named how many requests it takes per second, or (None) no limit."""
 
@@ -226,6 +233,7 @@
     | SlotReleased
     | HeldGrantsReport
     | LatencyReport
+    | LeavingReport
     | LimitReport
     | ForwardedMessage
     | LoanRequest
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -261,9 +261,24 @@
     return LoadReport(int(values[0]), int(values[1]), int(values[2]), slowdown)
 
 
-def read_limit(headers: Iterable[tuple[str, str]]) -> float | None:
-    """Returns the limit that a response names, in requests per second, or None."""
-    return decode_limit(next((v for name, v in headers if name.lower() == LIMIT_HEADER), None))
+@dataclass(frozen=True, slots=True)
+class Announcements:
+    """What an answer says of the future of its endpoint.
+
+    ``limit_per_s`` is in requests per second, None if it names none.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
+def read_announcements(headers: Iterable[tuple[str, str]]) -> Announcements:
+    """Returns what the headers of a response announce."""
+    values_by_name = {name.lower(): value for name, value in headers}
+    return Announcements(
+        limit_per_s=decode_limit(values_by_name.get(LIMIT_HEADER)),
+        is_leaving=decode_leaving(values_by_name.get(LEAVING_HEADER, "")),
+    )
 
 
 def decode_limit(text: str | None) -> float | None:
--- a/bluebellpitch/roles/cluster_membership.py
+++ b/bluebellpitch/roles/cluster_membership.py
@@ -228,6 +228,10 @@
         entries_by_id = decode_values(records, decode_endpoint_entry, log_malformed_entry)
         return self._leaving_endpoints.update(entries_by_id.values())
 
+    def mark_leaving(self, endpoint: str) -> None:
+        """Records that an endpoint said in an answer that it leaves."""
+        self._update_leaving_endpoints(self._leaving_endpoints.mark(endpoint))
+
     def _update_leaving_endpoints(self, leaving: frozenset[str]) -> None:
         view = self._view_holder.current
         if leaving != view.leaving_endpoints:
--- a/bluebellpitch/roles/slot_client.py
+++ b/bluebellpitch/roles/slot_client.py
@@ -21,6 +21,7 @@
     HeldGrantDetails,
     HeldGrantsReport,
     LatencyReport,
+    LeavingReport,
     LimitReport,
     SlotGranted,
     SlotPreempted,
@@ -238,6 +239,13 @@
         if is_known and broker_vm is not None:
             self._bus.send(broker_vm, LimitReport(pool, granted.endpoint, limit_per_s))
 
+    def report_leaving(self, slot: Slot) -> None:
+        """Tells the broker that an endpoint said that it leaves."""
+        pool, endpoint = slot.slot_request.pool, slot.granted.endpoint
+        broker_vm = self._view_holder.current.broker_vm(pool, slot.zone)
+        if broker_vm is not None:
+            self._bus.send(broker_vm, LeavingReport(pool, endpoint))
+
     def _send_measurement(self, slot: Slot, measure: str, seconds: float) -> None:
         broker_vm = self._view_holder.current.broker_vm(slot.slot_request.pool, slot.zone)
         if broker_vm is not None:
--- a/fakes/service.py
+++ b/fakes/service.py
@@ -16,7 +16,8 @@
     ``POST /cases`` with the field ``case`` in its JSON body runs the case each time. Faults:
     ``slow_s`` delays the run, ``hold_s`` the response after it; ``silent`` runs but never responds;
     ``crash_after`` runs and then exits the process; ``refuse`` responds that it did not run.
-    ``limit_per_s`` is named in the responses to look-ups; ``GET /arrivals`` has the times of those.
+    Responses to look-ups name ``limit_per_s``, and say that it leaves if ``leaving`` is set;
+    ``GET /arrivals`` has the times of look-ups.
     """
 
     def __init__(self, name: str = "service"):
@@ -28,6 +29,7 @@
         self.crash_after = False
         self.refuse = False
         self.limit_per_s: float | None = None
+        self.leaving = False
         self.arrived_at: list[float] = []
         self.runs_by_case: dict[str, int] = {}
 
@@ -51,6 +53,8 @@
         headers = [("Content-Type", "application/json")]
         if self.limit_per_s is not None:
             headers.append(("Server-Limit", f"{self.limit_per_s}"))
+        if self.leaving:
+            headers.append(("Server-Leaving", "1"))
         body = msgspec.json.encode({"looked_up": target, "by": self.name})
         await connection.respond(200, headers, body)
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -105,7 +105,7 @@
                 call,
                 5 * TIME_LIMIT_S,
                 may_send=lambda: True,
-                on_limit=ignore_limit,
+                on_announcements=ignore,
             )
             assert_bounded(endpoint, MAX_RESPONSE_BYTES)
             return result
@@ -124,7 +124,7 @@
                 endpoint.address,
                 5 * TIME_LIMIT_S,
                 may_send=lambda: True,
-                on_limit=ignore_limit,
+                on_announcements=ignore,
             )
             async for _ in attempt.events("/v1/completions", {}, "r1", 5 * TIME_LIMIT_S):
                 pass
@@ -144,5 +144,5 @@
     assert not asyncio.run(body())
 
 
-def ignore_limit(limit_per_s):
+def ignore(told):
     """Takes what an answer names, and does nothing."""
--- a/tests/test_send_checks.py
+++ b/tests/test_send_checks.py
@@ -40,7 +40,11 @@
         port = await engine.start("127.0.0.1", 0)
         pool = ConnectionPool(asyncio.get_running_loop().time)
         attempt = EngineAttempt(
-            pool, f"127.0.0.1:{port}", 1.0, may_send=lambda: False, on_limit=ignore_limit
+            pool,
+            f"127.0.0.1:{port}",
+            1.0,
+            may_send=lambda: False,
+            on_announcements=ignore,
         )
         async for _ in attempt.events("/v1/completions", {}, "r1", 1.0):
             pass
@@ -57,7 +61,12 @@
         pool = ConnectionPool(asyncio.get_running_loop().time)
         call = ServiceCall("POST", "/cases", (), b"{}")
         result = await call_service(
-            pool, f"127.0.0.1:{port}", call, 1.0, may_send=lambda: False, on_limit=ignore_limit
+            pool,
+            f"127.0.0.1:{port}",
+            call,
+            1.0,
+            may_send=lambda: False,
+            on_announcements=ignore,
         )
         service.http.stop_listening()
         return result, service.requests
@@ -65,5 +74,5 @@
     assert asyncio.run(body()) == (DidNotRun("endpoint_left"), [])
 
 
-def ignore_limit(limit_per_s):
+def ignore(told):
     """Takes what an answer names, and does nothing."""
