Send an endpoint nothing during the pause that it named, in serve too

The VM leaves the endpoint out of its requests to brokers and looks again at the send; a pool whose endpoints all pause refuses at once with what is left. The same steps back as in route. Brokers keep no pauses, since each is said to one VM.

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -121,7 +121,7 @@
             context.connection_pool,
             slot.granted.address,
             context.settings.stall_s,
-            may_send=lambda: context.view_holder.current.accepts_requests(slot.granted.endpoint),
+            may_send=lambda: context.may_send(slot.granted.endpoint),
             on_announcements=lambda told: context.record_announcements(slot, told),
         )
         slot.on_preempt = attempt.cancel
--- a/bluebellpitch/callers/request_handler.py
+++ b/bluebellpitch/callers/request_handler.py
@@ -26,9 +26,16 @@
             kind, caller.request_id, caller.member.name, caller.service_class.name, endpoint, detail
         )
 
-    async def acquire_slot(self, attempt: int, expires_at: float, **fields) -> Slot | DidNotRun:
-        """Waits for a slot until ``expires_at``; ``fields`` go into the ``SlotRequest``."""
+    async def acquire_slot(
+        self, attempt: int, expires_at: float, avoid: tuple[str, ...], **fields
+    ) -> Slot | DidNotRun:
+        """Waits for a slot until ``expires_at``; ``fields`` go into the ``SlotRequest``.
+
+        Endpoints in ``avoid``, and those that pause for this VM, are left out.
+        """
         caller, now = self.caller, self.context.now()
+        if (pause_s := self.context.pause_wait_s(self.request.pool.name)) > 0:
+            return DidNotRun("endpoints_pause", 503, pause_s)
         slot_request = SlotRequest(
             request=caller.request_id,
             attempt=attempt,
@@ -37,6 +44,7 @@
             class_name=caller.service_class.name,
             age_s=now - caller.arrived_at,
             patience_s=max(0.0, expires_at - now),
+            avoid=avoid + self.context.paused_endpoints(),
             **fields,
         )
         self.record_event(EventKind.QUEUED, detail=f"attempt={attempt}")
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -114,7 +114,7 @@
             slot.granted.address,
             call,
             self.context.settings.service_timeout_s,
-            may_send=lambda: self.context.view_holder.current.accepts_requests(self.endpoint),
+            may_send=lambda: self.context.may_send(self.endpoint),
             on_announcements=lambda told: self.context.record_announcements(slot, told),
         )
         if isinstance(result, HttpResponse) and self.context.view_holder.current.is_cross_region(
--- a/bluebellpitch/decisions/endpoint_pauses.py
+++ b/bluebellpitch/decisions/endpoint_pauses.py
@@ -53,6 +53,10 @@
         pause = self._by_incarnation.get(key)
         return 0.0 if pause is None else pause.wait_s(now)
 
+    def in_force(self, now: float) -> list[tuple[str, int]]:
+        """Returns the incarnations that may get no request now."""
+        return [key for key, pause in self._by_incarnation.items() if pause.wait_s(now) > 0]
+
     def count_sent(self, key: tuple[str, int]) -> None:
         """Counts a request to an endpoint."""
         if (pause := self._by_incarnation.get(key)) is not None:
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -109,7 +109,8 @@
         headers = [("Content-Type", "application/json"), ("X-Request-Id", request_id)]
         await connection.send("POST", target, headers, msgspec.json.encode(body))
         head = await connection.read_head(first_token_timeout_s)
-        self._on_announcements(read_announcements(decode_headers(head.headers)))
+        headers = decode_headers(head.headers)
+        self._on_announcements(read_announcements(head.status_code, headers))
         if head.status_code != 200:
             await self._read_rejection(connection, head.status_code)
             return
--- a/bluebellpitch/endpoints/service.py
+++ b/bluebellpitch/endpoints/service.py
@@ -50,7 +50,7 @@
         return MayHaveRun(f"answer_lost: {error}")
     finally:
         connection.close()
-    on_announcements(read_announcements(response.headers))
+    on_announcements(read_announcements(response.status, response.headers))
     if (DID_NOT_RUN_HEADER, "true") in response.headers:
         return DidNotRun("endpoint_did_not_run")
     return response
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -270,14 +270,17 @@
 
     limit_per_s: float | None = None
     is_leaving: bool = False
+    # How long the endpoint wants nothing from this VM, if it turned a request away for so long.
+    pause_s: float | None = None
 
 
-def read_announcements(headers: Iterable[tuple[str, str]]) -> Announcements:
-    """Returns what the headers of a response announce."""
+def read_announcements(status: int, headers: Iterable[tuple[str, str]]) -> Announcements:
+    """Returns what a response announces."""
     values_by_name = {name.lower(): value for name, value in headers}
     return Announcements(
         limit_per_s=decode_limit(values_by_name.get(LIMIT_HEADER)),
         is_leaving=decode_leaving(values_by_name.get(LEAVING_HEADER, "")),
+        pause_s=decode_pause(values_by_name.get("retry-after")) if status == 503 else None,
     )
 
 
--- a/fakes/service.py
+++ b/fakes/service.py
@@ -17,7 +17,8 @@
     ``slow_s`` delays the run, ``hold_s`` the response after it; ``silent`` runs but never responds;
     ``crash_after`` runs and then exits the process; ``refuse`` responds that it did not run.
     Responses to look-ups name ``limit_per_s``, and say that it leaves if ``leaving`` is set;
-    ``GET /arrivals`` has the times of look-ups.
+    ``GET /arrivals`` has the times of look-ups and of refused submissions. A refusal names the
+    pause ``pause_s``.
     """
 
     def __init__(self, name: str = "service"):
@@ -30,6 +31,7 @@
         self.refuse = False
         self.limit_per_s: float | None = None
         self.leaving = False
+        self.pause_s: float | None = None
         self.arrived_at: list[float] = []
         self.runs_by_case: dict[str, int] = {}
 
@@ -40,7 +42,10 @@
         elif request.target == "/arrivals":
             await send_json(connection, self.arrived_at)
         elif request.method == "POST" and self.refuse:
+            self.arrived_at.append(time.monotonic())
             headers = [("X-Did-Not-Run", "true")]
+            if self.pause_s is not None:
+                headers.append(("Retry-After", f"{self.pause_s}"))
             await connection.respond(503, headers, b"{}")
         elif request.method == "POST":
             await self._run_case(connection, msgspec.json.decode(request.body)["case"])
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -12,7 +12,12 @@
 
 from tests.mutant import Mutant
 from tests.mutants_of_endpoints import CRASH_MUTANTS, LIMIT_MUTANTS
-from tests.mutants_of_store import CONFIGURATION_MUTANTS, ERA_MUTANTS, SHUTDOWN_MUTANTS
+from tests.mutants_of_store import (
+    ANNOUNCEMENT_MUTANTS,
+    CONFIGURATION_MUTANTS,
+    ERA_MUTANTS,
+    SHUTDOWN_MUTANTS,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 300
@@ -280,6 +285,7 @@
     *CONFIGURATION_MUTANTS,
     *ERA_MUTANTS,
     *SHUTDOWN_MUTANTS,
+    *ANNOUNCEMENT_MUTANTS,
 )
 
 
--- a/tests/mutants_of_store.py
+++ b/tests/mutants_of_store.py
@@ -1,4 +1,4 @@
-"""Mutants of large configurations, of a store that comes back from a copy, and of planned stops."""
+"""Mutants of large configurations, the store's era, planned stops and endpoints' announcements."""
 
 from tests.mutant import Mutant
 
@@ -163,3 +163,33 @@
         "tests/test_planned_stop.py",
     ),
 )
+ANNOUNCEMENT_MUTANTS = (
+    Mutant(
+        "announced: route holds an endpoint for leaving once it says so",
+        "bluebellpitch/callers/routed_requests.py",
+        "        if head.is_leaving:\n",
+        "        if False:\n",
+        "tests/test_leaving_header.py",
+    ),
+    Mutant(
+        "announced: route sends nothing during a pause",
+        "bluebellpitch/callers/routed_requests.py",
+        "        if head.pause_s is not None:\n",
+        "        if False:\n",
+        "tests/test_named_pauses.py",
+    ),
+    Mutant(
+        "announced: serve holds an endpoint for leaving once it says so",
+        "bluebellpitch/context.py",
+        "        if told.is_leaving:\n",
+        "        if False:\n",
+        "tests/test_serve_announcements.py",
+    ),
+    Mutant(
+        "announced: serve sends nothing during a pause",
+        "bluebellpitch/context.py",
+        "        if told.pause_s is not None:\n",
+        "        if False:\n",
+        "tests/test_serve_announcements.py",
+    ),
+)
