--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -87,7 +87,7 @@
         self.key = identity.key
         self._store_clients: list[StoreClient] = []
         self.store_era = StoreEra()
-        self.ready_once = False
+        self._was_ready = False
         self.view_holder = ViewHolder(ClusterView(own))
         self.clock = HybridClock(wall)
         self.event_ring = EventRing(settings.vm, self.clock, EVENT_RING_SIZE)
@@ -221,9 +221,9 @@
         A VM that starts after the store came back from a copy gives others time to write again.
         """
         has_table = bool(self.view_holder.current.table.members_by_name)
-        is_complete = self.ready_once or self.store_era.is_rewritten(self.now())
-        self.ready_once |= has_table and is_complete
-        return self.ready_once and not self.draining.is_set()
+        is_complete = self._was_ready or self.store_era.is_rewritten(self.now())
+        self._was_ready |= has_table and is_complete
+        return self._was_ready and not self.draining.is_set()
 
     async def run(self) -> None:
         """Serves until a signal starts the drain, then drains and stops."""
--- a/tests/mutants_of_store.py
+++ b/tests/mutants_of_store.py
@@ -128,7 +128,7 @@
     Mutant(
         "era: a VM of serve that starts waits for lost changes",
         "bluebellpitch/node.py",
-        "        is_complete = self.ready_once or self.store_era.is_rewritten(self.now())\n",
+        "        is_complete = self._was_ready or self.store_era.is_rewritten(self.now())\n",
         "        is_complete = True\n",
         "tests/test_restored_log.py -k starts_in",
     ),
