--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -21,6 +21,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 WAIT_TIMEOUT_S = 20.0
+# Characters of a log that an error quotes.
+LOG_TAIL = 500
 
 
 def credential_digest(token: str) -> str:
@@ -185,7 +187,7 @@
     async def wait_ready(self, *vms: VmProcess) -> None:
         """Waits until entry VMs are ready for requests; all VMs if none is given."""
         for vm in vms or self.vms_by_name.values():
-            await wait_until(lambda v=vm: is_ready(v.admin), f"{vm.name} is ready")
+            await wait_until(lambda v=vm: is_ready_or_raise(v), f"{vm.name} is ready")
 
     async def wait_converged(self) -> None:
         """Waits until every VM sees all VMs of its zone in its epoch, and so knows all brokers."""
@@ -248,6 +250,13 @@
         return None
 
 
+async def is_ready_or_raise(vm: VmProcess) -> bool:
+    """Returns whether an entry VM is ready; raises RuntimeError if its process has ended."""
+    if (status := vm.process.popen.poll()) is not None:
+        raise RuntimeError(f"{vm.name} ended with {status}: {vm.process.read_log()[-LOG_TAIL:]}")
+    return await is_ready(vm.admin)
+
+
 async def wait_until(condition, description: str, timeout_s: float = WAIT_TIMEOUT_S) -> None:
     """Waits for an asynchronous condition; TimeoutError names it by its description."""
     deadline = time.monotonic() + timeout_s
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,7 +1,6 @@
 """Responses to callers: their own completions, and clear refusals of bad input."""
 
 import asyncio
-import hashlib
 import socket
 
 import msgspec
@@ -85,9 +84,12 @@
         )
 
     responses = run(send_all())
-    expected = [hashlib.sha256(expected_completion(p).encode()).hexdigest() for p in prompts]
-    actual = [hashlib.sha256(response.text.encode()).hexdigest() for response in responses]
-    assert_that(actual, Equals(expected))
+    differing = [
+        f"{prompt}: {response.status} {response.complete} {response.headers} {response.text[:200]}"
+        for prompt, response in zip(prompts, responses, strict=True)
+        if not response.complete or response.text != expected_completion(prompt)
+    ]
+    assert_that(differing, Equals([]))
 
 
 BAD_REQUESTS = {
