Report a bus address in use as one clear line

A VM whose bus address was taken ended with a traceback of ZeroMQ; the commands turn only OSError into "cannot listen". PeerBus.bind now raises it. The test fails on the code before.

--- a/bluebellpitch/peers/bus.py
+++ b/bluebellpitch/peers/bus.py
@@ -45,10 +45,13 @@
         self._addresses_by_vm: dict[str, str] = {}
 
     def bind(self, address: str) -> None:
-        """Binds the receiving socket to ``host:port``."""
+        """Binds the receiving socket to ``host:port``; raises OSError."""
         self._receive_socket.setsockopt(zmq.LINGER, LINGER_MS)
         self._receive_socket.setsockopt(zmq.RCVHWM, PEER_SEND_QUEUE_SIZE)
-        self._receive_socket.bind(f"tcp://{address}")
+        try:
+            self._receive_socket.bind(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            raise OSError(error.errno, f"{address}: {error.strerror}") from error
 
     def register_address(self, vm_key: str, address: str) -> None:
         """Sets the address to which messages for a VM are sent."""
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
@@ -46,3 +48,13 @@
         receiver.close()
 
     run(scenario())
+
+
+def test_address_in_use_is_an_error_of_the_system():
+    address = free_address()
+    buses = [PeerBus(key, HybridClock(lambda: 1.0), Metrics(), lambda *_: None) for key in "ab"]
+    buses[0].bind(address)
+    with pytest.raises(OSError, match=address):
+        buses[1].bind(address)
+    for bus in buses:
+        bus.close()
