Read the bus in the descriptor's callback, and let a failing message cost no other

Cause: the callback of the bus's descriptor only set an event. Now the callback reads.

Both tests fail on the code before: 253 turns for 50 messages, bound 175 (three a message and some); the sound message behind an odd one never arrived.

--- a/bluebellpitch/peers/bus.py
+++ b/bluebellpitch/peers/bus.py
@@ -20,15 +20,15 @@
 HEARTBEAT_INTERVAL_MS = 1_000
 HEARTBEAT_TIMEOUT_MS = 3_000
 RECEIVE_BATCH_MESSAGES = 100
-WAKE_INTERVAL_S = 0.5
+RECEIVE_CHECK_INTERVAL_S = 0.5
 
 MessageHandler = Callable[[str, Message], None]
 
 
 class PeerBus:
-    """Owns the sockets. ``on_message`` is called for each message, from the task of ``run``.
+    """Owns the sockets. ``on_message`` is called for each message, while ``run`` runs.
 
-    The task waits for the file descriptor of the socket, then reads all queued messages: one
+    The file descriptor of the socket wakes the loop, which then reads all queued messages: one
     wake-up handles many messages.
     """
 
@@ -43,6 +43,7 @@
         self._receive_socket = self._context.socket(zmq.PULL)
         self._send_sockets_by_address: dict[str, zmq.Socket] = {}
         self._addresses_by_vm: dict[str, str] = {}
+        self._next_batch: asyncio.Handle | None = None
 
     def bind(self, address: str) -> None:
         """Binds the receiving socket to ``host:port``; raises OSError."""
@@ -60,7 +61,7 @@
     def send(self, vm_key: str, message: Message) -> None:
         """Sends to a VM by key. Messages to this VM itself bypass the sockets."""
         if vm_key == self.vm_key:
-            asyncio.get_running_loop().call_soon(self._on_message, vm_key, message)
+            asyncio.get_running_loop().call_soon(self._deliver, vm_key, message)
             return
         address = self._addresses_by_vm.get(vm_key)
         if address is None:
@@ -99,29 +100,32 @@
 
     async def run(self) -> None:
         """Receives messages until cancelled."""
-        loop, readable = asyncio.get_running_loop(), asyncio.Event()
+        loop = asyncio.get_running_loop()
         descriptor = self._receive_socket.getsockopt(zmq.FD)
-        loop.add_reader(descriptor, readable.set)
-        waker = asyncio.create_task(wake_periodically(readable))
+        # Read in the callback itself: until the descriptor's event is consumed, each turn of the
+        # loop reports it again.
+        loop.add_reader(descriptor, self._receive_batch)
         try:
             while True:
-                readable.clear()
-                if not await self._receive_batch():
-                    await readable.wait()
+                # The descriptor is edge-triggered: once its event was consumed elsewhere, it does
+                # not signal again for messages that are already queued.
+                self._receive_batch()
+                await asyncio.sleep(RECEIVE_CHECK_INTERVAL_S)
         finally:
-            waker.cancel()
             loop.remove_reader(descriptor)
+            if self._next_batch is not None:
+                self._next_batch.cancel()
 
-    async def _receive_batch(self) -> bool:
-        """Handles one batch of queued messages; returns whether more may be queued."""
+    def _receive_batch(self) -> None:
+        """Handles one batch of queued messages, and the next in the loop's next turn."""
+        self._next_batch = None
         for _ in range(RECEIVE_BATCH_MESSAGES):
             try:
                 data = self._receive_socket.recv(zmq.NOBLOCK)
             except zmq.Again:
-                return False
+                return
             self._handle_received(data)
-        await asyncio.sleep(0)
-        return True
+        self._next_batch = asyncio.get_running_loop().call_soon(self._receive_batch)
 
     def _handle_received(self, data: bytes) -> None:
         try:
@@ -131,7 +135,15 @@
             return
         self._clock.observe(envelope.stamp)
         self._metrics.peer_received.inc()
-        self._on_message(envelope.sender, envelope.message)
+        self._deliver(envelope.sender, envelope.message)
+
+    def _deliver(self, sender: str, message: Message) -> None:
+        """Handles one message; one that fails is logged and costs no other."""
+        try:
+            self._on_message(sender, message)
+        except Exception as error:  # noqa: BLE001
+            kind = type(message).__name__
+            log("ERROR", "peer_message_failed", kind=kind, sender=sender, error=repr(error))
 
     def close(self) -> None:
         """Closes all sockets; messages still queued are sent for up to ``LINGER_MS``."""
@@ -139,14 +151,3 @@
             socket.close()
         self._receive_socket.close()
         self._context.term()
-
-
-async def wake_periodically(readable: asyncio.Event) -> None:
-    """Sets the event at a fixed interval.
-
-    The file descriptor is edge-triggered: once its event was consumed elsewhere, it does not signal
-    again for messages that are already queued.
-    """
-    while True:
-        await asyncio.sleep(WAKE_INTERVAL_S)
-        readable.set()
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -3,14 +3,84 @@
 import asyncio
 
 import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import LessThan
 
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.messages import StrikesCleared
+from bluebellpitch.tasks import cancel_and_wait
 from fakes.ports import free_address
 
 
+@pytest.fixture
+def received():
+    return []
+
+
+@pytest.fixture
+def buses(received):
+    """Returns the buses ``a`` and ``b``, and the address of ``b``, which collects what it gets."""
+    clock, address = HybridClock(lambda: 1.0), free_address()
+    sender = PeerBus("a", clock, Metrics(), lambda *_: None)
+    receiver = PeerBus("b", clock, Metrics(), lambda _, message: received.append(message))
+    receiver.bind(address)
+    yield sender, receiver, address
+    sender.close()
+    receiver.close()
+
+
+async def wait_for_count(received, count):
+    async with asyncio.timeout(10):
+        while len(received) < count:
+            await asyncio.sleep(0.01)
+
+
+def test_each_message_wakes_the_loop_once(run, buses, received):
+    """While the descriptor's event stays unread, the loop turns for nothing, again and again."""
+    sender, receiver, address = buses
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        receive_task = asyncio.create_task(receiver.run())
+        sender.send_to_address(address, StrikesCleared("first"))
+        await wait_for_count(received, 1)
+        select, selected = loop._selector.select, []
+        loop._selector.select = lambda timeout: selected.append(None) or select(timeout)
+        for number in range(50):
+            sender.send_to_address(address, StrikesCleared(str(number)))
+            await asyncio.sleep(0.01)
+        await wait_for_count(received, 51)
+        loop._selector.select = select
+        await cancel_and_wait(receive_task)
+        return len(selected)
+
+    # Three turns for a message: the sender's timer, its task, and one for the receiver.
+    assert_that(run(scenario()), LessThan(3 * 50 + 25))
+
+
+def test_message_whose_handler_fails_costs_no_other(run, buses, received):
+    sender, receiver, address = buses
+
+    def handle(_, message):
+        if message.fingerprint == "odd":
+            raise ZeroDivisionError
+        received.append(message)
+
+    receiver._on_message = handle
+
+    async def scenario():
+        receive_task = asyncio.create_task(receiver.run())
+        for name in ("odd", "sound"):
+            sender.send_to_address(address, StrikesCleared(name))
+        await wait_for_count(received, 1)
+        assert not receive_task.done()
+        await cancel_and_wait(receive_task)
+
+    run(scenario())
+
+
 def test_messages_arrive_in_order(run):
     """A burst, then single messages after idle periods, while the receiver sends as well.
 
