--- a/bluebellpitch/decisions/hashing.py
+++ b/bluebellpitch/decisions/hashing.py
@@ -5,6 +5,10 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
+
+# Of one VM: each of its roles with each VM of its zone, some of them restarted.
+MAX_CACHED_SCORES = 1_024
 
 
 def rank_owners(key: str, names: Iterable[str]) -> list[str]:
@@ -12,6 +16,7 @@
     return sorted(names, key=lambda name: score_owner(key, name))
 
 
+@lru_cache(MAX_CACHED_SCORES)
 def score_owner(key: str, name: str) -> bytes:
     """Returns the sort key of an owner for ``key``; the lowest owns it."""
     return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
