Leave the other engines to those behind a prompt that waits for one

Load pattern: a queue of long prompts while the first of them waits for a certain engine, because its parts are cached there or the pacing of that engine holds it back.

Cause: GenerationBroker.schedule stopped at the first long prompt that could not start, so all long prompts behind it waited while other engines were idle.

Change: a pass over the queue reserves the engine that a prompt waits for; those behind it may start on any other.

Both tests of test_waiting.py fail on the code before.

--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -22,6 +22,8 @@
 DEFAULT_POOL_GAP_TARGET_S = 0.4
 # Prefill backlog at which an engine that is not paced still gets another prompt.
 UNPACED_BACKLOG_S = 0.1
+# Work whose wait for an engine is at most this long starts there at once.
+START_TOLERANCE_S = 0.001
 # Placement costs, in seconds of time to first token (or per second of prefill, without _S).
 # Of each request that runs on the engine.
 RUNNING_REQUEST_COST_S = 0.003
@@ -73,7 +75,7 @@
 
     def is_short_length(self, tokens: int) -> bool:
         """Does the same for a number of prompt tokens."""
-        return tokens * self.speed.s_per_token <= SHORT_PREFILL_SHARE * self.gap_target_s
+        return tokens * self.speed.s_per_token <= self._short_prefill_s()
 
     def candidates(self, work: WorkItem, avoid: frozenset[str], now: float) -> list[EngineState]:
         """Returns the engines that could take the work."""
@@ -89,13 +91,25 @@
 
     def start_wait_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
         """Returns how long the work has to wait before it may be sent to the engine."""
+        return self._prefill_wait_s(engine, self.prefill_s(engine, work), now)
+
+    def _prefill_wait_s(self, engine: EngineState, prefill_s: float, now: float) -> float:
         limit_wait_s = self.limits.wait_s(engine.key, now)
-        return max(limit_wait_s, self._pacing_wait_s(engine, work, now))
+        if prefill_s <= self._short_prefill_s():
+            return limit_wait_s
+        return max(limit_wait_s, self._pacing_wait_s(engine, prefill_s, now))
 
-    def _pacing_wait_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
-        prefill_s = self.prefill_s(engine, work)
-        if prefill_s <= SHORT_PREFILL_SHARE * self.gap_target_s:
-            return 0.0
+    def has_opening(self, engine: EngineState, now: float) -> bool:
+        """Returns whether the shortest prompt that is paced could start on the engine now."""
+        if not engine.is_usable(now) or len(engine.assigned_by_id) >= engine.slots:
+            return False
+        wait_s = self._pacing_wait_s(engine, self._short_prefill_s(), now)
+        return max(wait_s, self.limits.wait_s(engine.key, now)) <= START_TOLERANCE_S
+
+    def _short_prefill_s(self) -> float:
+        return SHORT_PREFILL_SHARE * self.gap_target_s
+
+    def _pacing_wait_s(self, engine: EngineState, prefill_s: float, now: float) -> float:
         gap_target_s = engine.min_gap_target_s()
         share = self.prefill_share(engine).value
         if gap_target_s is None or share >= MAX_PREFILL_SHARE:
@@ -117,8 +131,9 @@
 
     def cost_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
         """Returns the cost of the work at an engine, in seconds of time to first token."""
-        wait_s = max(self.start_wait_s(engine, work, now), engine.prefill_backlog_s(now))
         prefill_s = self.prefill_s(engine, work)
+        start_wait_s = self._prefill_wait_s(engine, prefill_s, now)
+        wait_s = max(start_wait_s, engine.prefill_backlog_s(now))
         running_s = len(engine.assigned_by_id) * RUNNING_REQUEST_COST_S
         failure_s = engine.load.recent_failure_rate(now) * FAILURE_COST_S
         if self.is_short_prompt(work):
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -2,6 +2,7 @@
 
 Short prompts are dispatched at once, preferably to engines with little prefill. Long prompts go
 where their prefill delays few streams, and are queued until the pacing of an engine admits them.
+A long prompt that waits for one engine leaves the others to those behind it.
 The queue is ordered by rank, then requests that can still meet their target before late ones, then
 by age. A request that cannot start before its start deadline is refused as soon as that is known.
 """
@@ -15,6 +16,7 @@
     DELAYED_STREAM_COST,
     EnginePlacement,
 )
+from bluebellpitch.decisions.engine_reservations import EngineReservations
 from bluebellpitch.decisions.engine_state import AssignedWork, EngineState
 from bluebellpitch.decisions.generation_decisions import (
     Decision,
@@ -185,25 +187,12 @@
         """
         if now < self._paused_until:
             return
-        long_prompt_waits = False
+        reserved = EngineReservations(self.placement, now)
         for waiting in sorted(self.waiting_by_id.values(), key=lambda w: self._queue_order(w, now)):
-            work = waiting.work
-            if self.waiting_by_id.get(work.id) is not waiting:
-                continue
-            is_short = self.placement.is_short_prompt(work)
-            if long_prompt_waits and not is_short:
-                continue
-            engine = self._pick_engine(waiting, now)
-            if engine is not None:
-                del self.waiting_by_id[work.id]
-                inputs = describe_grant(
-                    engine, work, self.placement.speed, self.placement.prefill_share(engine), now
-                )
-                self._assign(engine, waiting, now)
-                limit = self.placement.limits.find(engine.key, now)
-                yield Granted(work.id, waiting.vm, engine.entry, inputs, limit and limit.rate_per_s)
+            if self.waiting_by_id.get(waiting.work.id) is not waiting:
                 continue
-            long_prompt_waits = long_prompt_waits or not is_short
+            if (engine := reserved.pick_engine(waiting)) is not None:
+                yield self._grant(engine, waiting, now)
         yield from self._refuse_expired(now)
 
     def _refuse_expired(self, now: float) -> Iterator[Refused]:
@@ -226,18 +215,14 @@
         )
         return work.rank, first_token_at > work.arrived_at + work.target_s, work.arrived_at
 
-    def _pick_engine(self, waiting: WaitingWork, now: float) -> EngineState | None:
-        """Returns the engine with the lowest cost if the work can start there now."""
+    def _grant(self, engine: EngineState, waiting: WaitingWork, now: float) -> Granted:
         work = waiting.work
-        engines = self.placement.candidates(work, waiting.avoid, now)
-        if not engines:
-            return None
-        costs = [
-            (self.placement.cost_s(engine, work, now), index)
-            for index, engine in enumerate(engines)
-        ]
-        engine = engines[min(costs)[1]]
-        return engine if self.placement.start_wait_s(engine, work, now) <= 0.001 else None
+        del self.waiting_by_id[work.id]
+        share = self.placement.prefill_share(engine)
+        inputs = describe_grant(engine, work, self.placement.speed, share, now)
+        self._assign(engine, waiting, now)
+        limit = self.placement.limits.find(engine.key, now)
+        return Granted(work.id, waiting.vm, engine.entry, inputs, limit and limit.rate_per_s)
 
     def _assign(self, engine: EngineState, waiting: WaitingWork, now: float) -> None:
         work = waiting.work
--- a/bluebellpitch/decisions/prefill.py
+++ b/bluebellpitch/decisions/prefill.py
@@ -26,7 +26,7 @@
 class PrefillSpeed:
     """Least-squares fit of the time to first token: a fixed part plus a time per prompt token.
 
-    The weights of older samples decay exponentially.
+    The weights of older samples decay exponentially. ``s_per_token`` is the prefill time per token.
     """
 
     def __init__(self):
@@ -34,6 +34,7 @@
         self._n = self._x = self._y = self._xx = self._xy = 0.0
         for tokens, seconds in PRIOR_SAMPLES:
             self._add(tokens, seconds, PRIOR_WEIGHT)
+        self.s_per_token = self._fit()
 
     def _add(self, tokens: float, seconds: float, weight: float) -> None:
         self._n += weight
@@ -47,10 +48,9 @@
         for name in ("_n", "_x", "_y", "_xx", "_xy"):
             setattr(self, name, getattr(self, name) * SAMPLE_DECAY)
         self._add(tokens, seconds, 1.0)
+        self.s_per_token = self._fit()
 
-    @property
-    def s_per_token(self) -> float:
-        """Prefill time per token."""
+    def _fit(self) -> float:
         denominator = self._n * self._xx - self._x * self._x
         slope = (self._n * self._xy - self._x * self._y) / denominator if denominator > 0 else 0.0
         return min(MAX_S_PER_TOKEN, max(MIN_S_PER_TOKEN, slope))
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,42 @@
+"""How generations wait when load is at its worst, replayed in virtual time."""
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from bluebellpitch.decisions.generation_decisions import Granted
+from bluebellpitch.decisions.loads import WorkItem
+from tests.generation_load import LoadReplay, PromptLoad, draw_arrivals, make_broker
+
+# The engines read 60,000 tokens a second each; seven of them are busy with 45 drafts of 5,400
+# uncached tokens a second for 58% of their time.
+DRAFTS = PromptLoad("draft", 45.0, 4, 3_780, 5_400, 12, 0.618, 0.4, 4.118)
+FIELDS = PromptLoad("field", 37.5, 3, 198, 628, 40, 0.408, 0.25, 12.0)
+
+
+def make_draft(name: str, session: str, now: float) -> WorkItem:
+    parts = ((session, 20_000), (name, 10_000))
+    return WorkItem(name, "pool", 4, 30_000, 54, parts, 0.6, 0.4, now, now + 4.0)
+
+
+def granted_engines(decisions) -> dict[str, str]:
+    return {d.work_id: d.entry.id for d in decisions if isinstance(d, Granted)}
+
+
+def test_prompt_that_waits_for_its_cache_leaves_other_engines_to_those_behind_it():
+    broker = make_broker(2)
+    first = granted_engines(broker.submit(make_draft("a", "hot", 0.0), "vm", frozenset(), 0.0))
+    broker.record_first_token("a", 0.7, 1.0, 0.7)
+    queued = granted_engines(broker.submit(make_draft("b", "hot", 0.7), "vm", frozenset(), 0.7))
+    assert_that(queued, Equals({"b": first["a"]}))
+    waits = broker.submit(make_draft("c", "hot", 0.71), "vm", frozenset(), 0.71)
+    assert_that(granted_engines(waits), Equals({}))
+    other = granted_engines(broker.submit(make_draft("d", "cold", 0.71), "vm", frozenset(), 0.71))
+    assert_that(list(other), Equals(["d"]))
+    assert other["d"] != first["a"]
+
+
+def test_no_draft_is_refused_while_engines_have_time_left():
+    replay = LoadReplay(make_broker(7))
+    outcomes = replay.run(draw_arrivals((DRAFTS, FIELDS), 15.0, seed=1))
+    refused = [outcome for outcome in outcomes if outcome.first_token_s is None]
+    assert_that(refused, HasLength(0))
