Let followers leave the store to the reader of their zone, also after gaps

Load pattern: all VMs of a zone read the store at once, after a start, an outage, or when the store drops its history.

Causes, shown in virtual time on a zone of 30 VMs: (1) a VM that reads the store itself went on for long, because its own reads were as fresh as the reader's, and a peer's confirmation counted only if it was fresher. (2) A missed record sent each VM to the store, two calls or more, although the reader holds all records. (3) A gap in the configuration's topic was never closed by updates, though each holds the whole configuration. (4) The reader waited for its next interval before it read a truncated topic again, and its long poll was so long that ages passed the limit in between.

Change: a reply says that it goes back to a read of the zone's reader, which does not stop; that counts. Missed records are asked of the reader, and of the store after 0.3 s. An update with the configuration closes its gap. A truncated topic is read again at once; the endpoints' long poll is 0.5 s. What was confirmed when and by whom is decisions/confirmation.py.

Tests in virtual time fail on the code before: after a start or an outage half of 30 VMs went on reading; with a dropped history all of them read.

--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -36,7 +36,7 @@
     RecordsUpdate,
     VmHeartbeat,
 )
-from bluebellpitch.platform.configuration import CONFIGURATION_TOPIC
+from bluebellpitch.platform.configuration import CONFIGURATION_KEY, CONFIGURATION_TOPIC
 from bluebellpitch.platform.endpoint_entries import ENDPOINTS_TOPIC
 from bluebellpitch.platform.settings_file import VmSettings
 from bluebellpitch.platform.store import StoreClient
@@ -207,6 +207,7 @@
             publish=lambda update: self.peer_sync.publish_to_zone(update),
             metrics=self.metrics,
             store_era=self.store_era,
+            only_key=CONFIGURATION_KEY if topic == CONFIGURATION_TOPIC else None,
         )
 
     def _create_store_client(self) -> StoreClient:
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -197,6 +197,7 @@
     A value of None deletes the key. The reply to a request repeats its ``asked_at``: the sender
     held all records ``age_s`` before it replied. With ``is_complete`` the records are the newest of
     all keys instead. ``era`` is the store's era to which the offsets belong, None if it names none.
+    With ``is_by_reader`` the age goes back to a read of the zone's reader, the sender.
     """
 
     topic: str
@@ -207,14 +208,15 @@
     age_s: float = 0.0
     is_complete: bool = False
     era: int | None = None
+    is_by_reader: bool = False
 
 
 class RecordsRequest(msgspec.Struct, frozen=True, tag="records_asked"):
     """Requests the records of a topic from ``start`` on, and their age.
 
     ``asked_at`` is on the requester's clock. ``needs_all`` is set if the requester cannot read
-    the store: the reply may then hold all keys, should some records in between be missing, or be of
-    another ``era``.
+    the store or has missed records: the reply may then hold all keys, should some records in
+    between be missing, or be of another ``era``.
     """
 
     topic: str
--- a/bluebellpitch/platform/store.py
+++ b/bluebellpitch/platform/store.py
@@ -76,6 +76,11 @@
     era: int | None = None
 
 
+def has_offset(page: Page | Truncated, start: int) -> bool:
+    """Returns whether the topic has the records that were read from ``start`` on."""
+    return isinstance(page, Page) and page.oldest_offset <= start <= page.end_offset
+
+
 @dataclass(frozen=True, slots=True)
 class Appended:
     """The store appended the records; the first is at ``offset``."""
--- a/bluebellpitch/roles/peer_sync.py
+++ b/bluebellpitch/roles/peer_sync.py
@@ -80,8 +80,7 @@
                 records = self._configuration.follower.accept_peer_records(message)
                 self._configuration.apply_records(records, sender)
             case RecordsUpdate():
-                for record in self._endpoints.follower.accept_peer_records(message):
-                    self._endpoints.apply(record)
+                self._apply_endpoint_records(message)
             case RecordsRequest():
                 self._send_records(message)
             case ConfigurationUpdate(data):
@@ -93,6 +92,21 @@
             case ConfigurationRequest(version, reply_to):
                 self._send_configuration(version, reply_to)
 
+    def _apply_endpoint_records(self, update: RecordsUpdate) -> None:
+        follower = self._endpoints.follower
+        had_gap = follower.has_gap
+        for record in follower.accept_peer_records(update):
+            self._endpoints.apply(record)
+        if follower.has_gap and not had_gap:
+            self._request_missed_records()
+
+    def _request_missed_records(self) -> None:
+        """Asks the zone's reader for all records; it holds them, so the store need not be asked."""
+        follower = self._endpoints.follower
+        reader = self._liveness.peers_by_key.get(self._zone_reader(follower.topic))
+        if reader is not None:
+            self._bus.send_to_address(reader.address, follower.request_to_peers(self._address))
+
     def _apply_freshness(self, reply: FreshnessReply) -> None:
         if reply.era is not None:
             now = self._now()
@@ -173,6 +187,8 @@
 
     def _request_records(self, now: float) -> None:
         follower = self._endpoints.follower
+        if follower.has_gap:
+            self._request_missed_records()
         request = follower.request_to_peers(self._address)
         for address in self._request_targets(follower, follower.age_s(now)):
             self._bus.send_to_address(address, request)
--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -15,7 +15,9 @@
 from bluebellpitch.roles.topic_follower import TopicFollower
 
 CONFIGURATION_LONG_POLL_S = 1.0
-ENDPOINTS_LONG_POLL_S = 1.0
+# With the interval below, a read by the reader and a request to it fit into the age up to which
+# other VMs leave the store to the reader.
+ENDPOINTS_LONG_POLL_S = 0.5
 # Each heartbeat of an endpoint writes an entry; reads are spaced so that one fetches several.
 ENDPOINTS_READ_INTERVAL_S = 0.7
 READ_RETRY_DELAY_S = 0.25
--- a/bluebellpitch/roles/topic_follower.py
+++ b/bluebellpitch/roles/topic_follower.py
@@ -3,18 +3,19 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+from bluebellpitch.decisions.confirmation import CONFIRMED_MAX_AGE_S, Confirmation
 from bluebellpitch.decisions.freshness import read_valid_at
 from bluebellpitch.decisions.store_era import StoreEra, is_other_era
 from bluebellpitch.errors import BluebellpitchError, ProtocolError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.platform_messages import RecordsRequest, RecordsUpdate
-from bluebellpitch.platform.records import KeyedRecord, Page
-from bluebellpitch.platform.store import StoreClient, Truncated, decode_keyed_records
+from bluebellpitch.platform.records import KeyedRecord
+from bluebellpitch.platform.store import StoreClient, decode_keyed_records, has_offset
 
-# While a peer confirmed its records no longer ago than this, a VM leaves the store to others.
-CONFIRMED_MAX_AGE_S = 1.8
 MAX_RECENT_RECORDS = 400
+# How long the zone's reader has to send the records that this VM missed.
+GAP_PATIENCE_S = 0.3
 # A shorter outage is too brief for entries to expire, so removals after it count as genuine.
 MIN_OUTAGE_S = 1.0
 # Start of a request by a VM that holds no position in the topic.
@@ -28,9 +29,13 @@
     records are not confirmed in time polls the store itself and sends what it reads too, since the
     store may refuse the reader but serve other VMs.
 
-    ``confirmed_at`` is the latest time as of which this VM is known to hold all records: from its
-    own read of the store, or from a peer's reply whose age goes back to such a read. Records that
-    merely arrive do not confirm anything: they may have waited in a queue.
+    ``confirmation`` is when this VM was last known to hold all records: from its own read of the
+    store, or from a peer's reply whose age goes back to such a read. Records that merely arrive do
+    not confirm anything: they may have waited in a queue.
+
+    Records missed between two updates leave a gap: the reader of the zone is asked for all of them,
+    and the store only if the reader does not answer in time. Where only the newest value of
+    ``only_key`` matters, an update that holds it closes the gap.
 
     Offsets count from ``_era`` on. When the store comes back from a copy, the newest records of all
     keys are read again, and what peers send of another era is not applied.
@@ -46,8 +51,10 @@
         publish: Callable[[RecordsUpdate], None],
         metrics: Metrics,
         store_era: StoreEra,
+        only_key: str | None = None,
     ):
         self._client = client
+        self._only_key = only_key
         self.topic = topic
         self._long_poll_s = long_poll_s
         self._now = now
@@ -57,11 +64,10 @@
         self._store_era = store_era
         self._era: int | None = None
         self._next_offset: int | None = None
-        self._has_gap = False
+        self._close_gap()
         self._failing_since: float | None = None
         self.recovered_at = float("-inf")
-        self.confirmed_at = float("-inf")
-        self._peer_confirmed_at = float("-inf")
+        self.confirmation = Confirmation()
         self._confirmed = asyncio.Event()
         self._recent_records: list[tuple[str, bytes | None]] = []
         self._recent_start = 0
@@ -73,22 +79,22 @@
 
     def age_s(self, now: float) -> float:
         """Returns the time since this VM was last known to hold all records."""
-        return now - self.confirmed_at
+        return self.confirmation.age_s(now)
 
-    def confirm_by_peer(self, confirmed_at: float) -> None:
+    def confirm_by_peer(self, confirmed_at: float, is_by_reader: bool = False) -> None:
         """Records that, according to a peer, this VM held all records at ``confirmed_at``.
 
-        A time that is not later than the one known here may go back to this VM's own read.
+        ``is_by_reader`` is set if that goes back to a read of the zone's reader, by itself.
         """
-        if confirmed_at > self.confirmed_at:
-            self._peer_confirmed_at = confirmed_at
-            self._confirm(confirmed_at)
+        if self.confirmation.record_peer(confirmed_at, is_by_reader):
+            self._announce_confirmed()
 
-    def _confirm(self, confirmed_at: float) -> None:
-        if confirmed_at <= self.confirmed_at:
-            return
-        self.confirmed_at = confirmed_at
-        self._has_gap = False
+    def is_confirmed_by_reader(self) -> bool:
+        """Returns whether this VM is the reader of its zone and confirmed by its own read."""
+        return self._is_zone_reader() and self.confirmation.is_own_read()
+
+    def _announce_confirmed(self) -> None:
+        self._close_gap()
         self._confirmed.set()
         self._confirmed = asyncio.Event()
 
@@ -101,9 +107,10 @@
 
         What it read itself does not count: while the reader is away, it goes on reading for others.
         """
-        if self._is_zone_reader() or self._next_offset is None or self._has_gap:
+        now = self._now()
+        if self._is_zone_reader() or self._next_offset is None or now > self._gap_patience_until:
             return False
-        return self._now() - self._peer_confirmed_at < CONFIRMED_MAX_AGE_S
+        return self.confirmation.is_kept_by_peers(now)
 
     def _keep_recent(self, start: int, records: tuple[tuple[str, bytes | None], ...]) -> None:
         if self._recent_start + len(self._recent_records) != start:
@@ -140,7 +147,9 @@
     def request_to_peers(self, reply_to: str) -> RecordsRequest:
         """Returns the request for the records that this VM lacks."""
         start = NO_OFFSET if self._next_offset is None else self._next_offset
-        return RecordsRequest(self.topic, start, reply_to, self._now(), era=self._era)
+        return RecordsRequest(
+            self.topic, start, reply_to, self._now(), needs_all=self.has_gap, era=self._era
+        )
 
     def is_cut_off(self) -> bool:
         """Returns whether this VM can neither read the store nor follow its zone's reader."""
@@ -149,10 +158,12 @@
     def reply_to_peer(self, request: RecordsRequest) -> RecordsUpdate | None:
         """Returns the requested records with their age, or None if they would not help the peer."""
         age_s, start = self.age_s(self._now()), request.start
-        if self._next_offset is None or self._has_gap or age_s > CONFIRMED_MAX_AGE_S:
+        if self._next_offset is None or self.has_gap or age_s > CONFIRMED_MAX_AGE_S:
             return None
-        is_known = not is_other_era(request.era, self._era)
-        if is_known and self._recent_start <= start <= self._next_offset:
+        if (
+            not is_other_era(request.era, self._era)
+            and self._recent_start <= start <= self._next_offset
+        ):
             records = tuple(self._recent_records[start - self._recent_start :])
             is_complete = False
         elif request.needs_all:
@@ -169,6 +180,7 @@
             age_s,
             is_complete,
             self._era,
+            self.is_confirmed_by_reader(),
         )
 
     def accept_peer_records(self, update: RecordsUpdate) -> tuple[KeyedRecord, ...]:
@@ -185,33 +197,47 @@
             return self._accept_all_records(update)
         if self._next_offset is None:
             return ()
-        if is_other_era(update.era, self._era) or update.start > self._next_offset:
+        if is_other_era(update.era, self._era):
             self._record_gap(update)
             return ()
+        if update.start > self._next_offset:
+            if not self._holds_only_key(update):
+                self._record_gap(update)
+                return ()
+            self._next_offset = update.start
         records = update.records[self._next_offset - update.start :]
         if update.next > self._next_offset:
             self._keep_recent(self._next_offset, records)
             self._next_offset = update.next
         if update.asked_at is not None and update.next == self._next_offset:
-            self.confirm_by_peer(update.asked_at - update.age_s)
+            self.confirm_by_peer(update.asked_at - update.age_s, update.is_by_reader)
         return tuple(KeyedRecord(key, value) for key, value in records)
 
+    def _holds_only_key(self, update: RecordsUpdate) -> bool:
+        return any(key == self._only_key and value for key, value in update.records)
+
     def _is_past(self, era: int | None) -> bool:
         is_lower = era is not None and self._era is not None and era < self._era
         return is_lower or self._store_era.is_past(era)
 
     def _accept_all_records(self, update: RecordsUpdate) -> tuple[KeyedRecord, ...]:
         confirmed_at = update.asked_at - update.age_s
-        if confirmed_at <= self.confirmed_at:
+        if confirmed_at <= self.confirmation.confirmed_at and not self._closes_gap(update):
             return ()
         removed = self._values_by_key.keys() - {key for key, _ in update.records}
         self._restart_at(update.era, update.next, update.records)
-        self.confirm_by_peer(confirmed_at)
+        self._close_gap()
+        self.confirm_by_peer(confirmed_at, update.is_by_reader)
         records = (*((key, None) for key in removed), *update.records)
         return tuple(KeyedRecord(key, value) for key, value in records)
 
+    def _closes_gap(self, update: RecordsUpdate) -> bool:
+        if not self.has_gap or is_other_era(update.era, self._era):
+            return False
+        return self._next_offset is not None and update.next > self._next_offset
+
     def _record_gap(self, update: RecordsUpdate) -> None:
-        if not self._has_gap:
+        if not self.has_gap:
             log(
                 "WARNING",
                 "records_missed",
@@ -222,7 +248,14 @@
                 own_era=self._era,
                 age_s=f"{self.age_s(self._now()):.2f}",
             )
-        self._has_gap = True
+            # Peers do not pass on the only key's records, nor those of an era unknown to them.
+            is_for_store = self._only_key is not None or is_other_era(update.era, self._era)
+            self._gap_patience_until = self._now() + (0.0 if is_for_store else GAP_PATIENCE_S)
+        self.has_gap = True
+
+    def _close_gap(self) -> None:
+        self.has_gap = False
+        self._gap_patience_until = float("inf")
 
     async def read(self) -> tuple[tuple[KeyedRecord, ...], bool, float] | None:
         """Reads records from the store.
@@ -230,17 +263,18 @@
         Returns the records, whether they cover all keys, and the time as of which they are
         complete; None after a failure.
         """
-        requested_at = self._now()
         try:
+            if self._next_offset is not None:
+                result = await self._read_next_page(self._now())
             if self._next_offset is None:
+                requested_at = self._now()
                 result = (await self._read_all(), True, requested_at)
-            else:
-                result = await self._read_next_page(requested_at)
         except BluebellpitchError as error:
             self._record_failure(error)
             return None
         self._record_success()
-        self._confirm(result[2])
+        if self.confirmation.record_read(result[2]):
+            self._announce_confirmed()
         return result
 
     async def _read_all(self) -> tuple[KeyedRecord, ...]:
@@ -278,7 +312,7 @@
             log("WARNING", "records_unreadable", topic=self.topic, count=unreadable)
         end = start + len(page.records)
         # What this VM alone had missed, the others have got from whoever read it first.
-        if not unreadable and not self._has_gap:
+        if not unreadable and not self.has_gap:
             pairs = tuple((record.key, record.value) for record in records)
             self._publish(RecordsUpdate(self.topic, start, end, pairs, era=self._era))
         known_at = read_valid_at(requested_at, self._now(), wait_s, not page.records)
@@ -320,11 +354,6 @@
         log("INFO", "store_regained", topic=self.topic, away_s=f"{outage_s:.2f}")
 
 
-def has_offset(page: Page | Truncated, start: int) -> bool:
-    """Returns whether the topic has the records that were read from ``start`` on."""
-    return isinstance(page, Page) and page.oldest_offset <= start <= page.end_offset
-
-
 def reader_role(topic: str) -> str:
     """Returns the role of reading a topic from the store on behalf of the zone.
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -220,15 +220,15 @@
     Mutant(
         "view: a peer's records count from its read of the store",
         "bluebellpitch/roles/topic_follower.py",
-        "self.confirm_by_peer(update.asked_at - update.age_s)",
-        "self.confirm_by_peer(self._now())",
+        "self.confirm_by_peer(update.asked_at - update.age_s, update.is_by_reader)",
+        "self.confirm_by_peer(self._now(), update.is_by_reader)",
         "tests/test_endpoint_view.py",
     ),
     Mutant(
         "view: a gap in the records leads to a read of the store",
         "bluebellpitch/roles/topic_follower.py",
-        "        self._has_gap = True\n",
-        "        self.confirm_by_peer(self._now())\n",
+        "        self.has_gap = True\n",
+        "        self.confirm_by_peer(self._now(), False)\n",
         "tests/test_endpoint_view.py",
     ),
     Mutant(
--- a/tests/mutants_of_store.py
+++ b/tests/mutants_of_store.py
@@ -21,7 +21,7 @@
     Mutant(
         "what a VM alone had missed is not sent to the zone",
         "bluebellpitch/roles/topic_follower.py",
-        "        if not unreadable and not self._has_gap:\n",
+        "        if not unreadable and not self.has_gap:\n",
         "        if not unreadable:\n",
         "tests/test_large_configuration.py",
     ),
--- a/tests/test_endpoint_view.py
+++ b/tests/test_endpoint_view.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from bluebellpitch.decisions.confirmation import CONFIRMED_MAX_AGE_S
 from bluebellpitch.decisions.directory import ENTRY_EXPIRY_GRACE_S
 from bluebellpitch.roles.endpoint_check import ENTRIES_REFRESH_TIMEOUT_S, EndpointCheck
-from bluebellpitch.roles.topic_follower import CONFIRMED_MAX_AGE_S
 from tests.virtual_time import VirtualStore, run_in_virtual_time, start_vms
 
 DRAIN_BOUND_S = 3.0
@@ -51,6 +51,52 @@
     assert sorted(counts)[:8] == [0] * 8
 
 
+@pytest.mark.parametrize("outage_s", [0.0, 2.5])
+def test_followers_leave_the_store_to_the_reader_soon_after_all_have_read_it(outage_s):
+    """After a start or an outage all VMs of a zone read the store; their reads keep pace with its.
+
+    They stop once the reader has told of its own read, however much fresher their own is.
+    """
+
+    async def body():
+        store = create_store()
+        vms = await start_vms(store, zones=1, vms_per_zone=30)
+        if outage_s:
+            store.is_down = True
+            await asyncio.sleep(outage_s)
+            store.is_down = False
+        await asyncio.sleep(2.0)
+        before = [vm.client.read_count for vm in vms]
+        await asyncio.sleep(3.0)
+        return [vm.client.read_count - count for vm, count in zip(vms, before, strict=True)]
+
+    counts = run_in_virtual_time(body())
+    assert sorted(counts)[:29] == [0] * 29
+
+
+def test_dropped_history_makes_no_follower_read_the_store():
+    """The reader of a zone reads again what was dropped; the others have it from the reader."""
+
+    async def body():
+        store = create_store()
+        vms = await start_vms(store, zones=1, vms_per_zone=30)
+        await asyncio.sleep(2.0)
+        before = [vm.client.read_count for vm in vms]
+        store.put("i-1", "draining")
+        store.put("i-2", "draining")
+        store.drop_history()
+        await asyncio.sleep(1.0)
+        store.put("i-0", "ready")
+        await asyncio.sleep(DRAIN_BOUND_S - 1.0)
+        views = [vm.usable_ids() for vm in vms]
+        counts = [vm.client.read_count - count for vm, count in zip(vms, before, strict=True)]
+        return views, counts
+
+    views, counts = run_in_virtual_time(body())
+    assert views == [{"i-0"}] * 30
+    assert sorted(counts)[:29] == [0] * 29
+
+
 def test_confirmed_age_covers_the_time_since_the_reader_read_the_store():
     """While nobody reaches the store, every VM's records grow old together."""
 
--- a/tests/virtual_links.py
+++ b/tests/virtual_links.py
@@ -133,6 +133,7 @@
             publish=lambda update: self.peer_sync.publish_to_zone(update),
             metrics=Metrics(),
             store_era=self.store_era,
+            only_key=CONFIGURATION_KEY if topic == CONFIGURATION_TOPIC else None,
         )
 
     def _role_holder(self, topic: str = "") -> str:
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -17,7 +17,11 @@
 from bluebellpitch.platform.records import KeyedRecord, Page, encode_keyed_record
 from bluebellpitch.platform.store import NewestRecords, Truncated
 from bluebellpitch.roles.peer_sync import PeerSync
-from bluebellpitch.roles.store_watchers import ConfigurationWatcher, EndpointWatcher
+from bluebellpitch.roles.store_watchers import (
+    ENDPOINTS_LONG_POLL_S,
+    ConfigurationWatcher,
+    EndpointWatcher,
+)
 from bluebellpitch.roles.topic_follower import TopicFollower
 
 STORE_DELAY_S = 0.004
@@ -203,7 +207,7 @@
         self.follower = TopicFollower(
             client=self.client,
             topic=ENDPOINTS_TOPIC,
-            long_poll_s=1.0,
+            long_poll_s=ENDPOINTS_LONG_POLL_S,
             now=self._now,
             is_zone_reader=lambda: self._role_holder() == name,
             publish=lambda update: self.peer_sync.publish_to_zone(update),
