Send fewer heartbeats between VMs that hold no role

Load pattern: a large zone, in which the mesh of heartbeats grows with the square of its VMs.

Weighed: SWIM-like probing of a few random VMs (bytes flat, but slower and less certain notice, and a second protocol) against hearing VMs more rarely that nobody relies on. The second is built: role holders send to all each 0.15 s as before; a VM without a role sends each 0.45 s to role holders and those next in line, which keep its work, and each 0.9 s to the rest. Each heartbeat names its interval, so silence is judged by it. Changes of role, a planned stop and a VM that is new here are told at once.

--- a/bluebellpitch/decisions/liveness.py
+++ b/bluebellpitch/decisions/liveness.py
@@ -64,6 +64,10 @@
 
         A draining VM holds a role only if no other VM of the zone can.
         """
+        return self.rank_for_role(role, now, own_draining)[0]
+
+    def rank_for_role(self, role: str, now: float, own_draining: bool) -> list[str]:
+        """Returns the keys of the VMs of this zone that may hold a role, its holder first."""
         keys = [
             peer.key
             for peer in self.live_peers(now)
@@ -73,4 +77,4 @@
         ]
         if not own_draining or not keys:
             keys.append(self.own_key)
-        return rank_owners(role, keys)[0]
+        return rank_owners(role, keys)
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -132,7 +132,7 @@
             store_era=self.store_era,
             on_vm_lost=lambda vm: self.generations.remove_vm(vm),
             on_vm_heard=self.crash_tracker.tell,
-            holds_any_role=self._holds_any_role,
+            roles=self._roles,
         )
         self.peer_sync = PeerSync(
             address=settings.bus_address,
@@ -227,12 +227,9 @@
     def _holds_role(self, role: str) -> bool:
         return self._role_holder(role) == self.key
 
-    def _holds_any_role(self) -> bool:
+    def _roles(self) -> list[str]:
         topics = (CONFIGURATION_TOPIC, ENDPOINTS_TOPIC)
-        return (
-            any(self._holds_role(reader_role(topic)) for topic in topics)
-            or self.generations.is_broker()
-        )
+        return [*map(reader_role, topics), *self.generations.engine_pools()]
 
     def _handle_message(self, sender: str, message) -> None:
         """Dispatches a message from a peer to the component that handles it."""
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -100,11 +100,15 @@
     def _broker_vm(self, pool: str) -> str:
         return self._liveness.role_holder(pool, self._now(), self._is_draining())
 
-    def is_broker(self) -> bool:
-        """Returns whether this VM is the broker of any pool of engines."""
+    def engine_pools(self) -> list[str]:
+        """Returns the pools of engines; each zone has a broker for each of them."""
         catalogue = self._catalogue()
         rows = catalogue.pools_by_name.items() if catalogue else ()
-        return any(row.engine and self._broker_vm(pool) == self._vm_key for pool, row in rows)
+        return [pool for pool, row in rows if row.engine]
+
+    def is_broker(self) -> bool:
+        """Returns whether this VM is the broker of any pool of engines."""
+        return any(self._broker_vm(pool) == self._vm_key for pool in self.engine_pools())
 
     def _send(self, vm: str, message) -> None:
         if vm == self._vm_key:
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -1,8 +1,13 @@
 """Discovers the other entry VMs through the store and tracks their liveness by heartbeats."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
+from bluebellpitch.decisions.heartbeats import (
+    ROLE_HOLDER_INTERVAL_S,
+    HeartbeatRound,
+    HeartbeatSchedule,
+)
 from bluebellpitch.decisions.liveness import Liveness, Peer
 from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.errors import BluebellpitchError
@@ -12,10 +17,8 @@
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.vm_records import VmRecord, read_vm_records, register_vm, unregister_vm
 
-# A VM that holds a role sends heartbeats more often: others rely on it, so its loss must be
-# detected soon.
-ROLE_HOLDER_HEARTBEAT_INTERVAL_S = 0.15
-DEFAULT_HEARTBEAT_INTERVAL_S = 0.45
+# The holder of a role, and the VM that takes it over, are told of this VM's presence more often.
+NEAR_VMS_PER_ROLE = 2
 VM_LIST_READ_INTERVAL_S = 20.0
 VM_LIST_RETRY_INTERVAL_S = 0.5
 # How many VMs there may be while the list has not been read.
@@ -38,7 +41,7 @@
         store_era: StoreEra,
         on_vm_lost: Callable[[str], None],
         on_vm_heard: Callable[[str], None],
-        holds_any_role: Callable[[], bool],
+        roles: Callable[[], Iterable[str]],
     ):
         self._vm = vm
         self._own_record = own_record
@@ -51,7 +54,9 @@
         self._store_era = store_era
         self._on_vm_lost = on_vm_lost
         self._on_vm_heard = on_vm_heard
-        self._holds_any_role = holds_any_role
+        self._roles = roles
+        self._heartbeats = HeartbeatSchedule()
+        self._told: set[str] = set()
         self.records_by_vm: dict[str, VmRecord] = {vm: own_record}
         self._introduced_at_by_address: dict[str, float] = {}
         self.has_list = False
@@ -134,33 +139,53 @@
     async def send_heartbeats(self) -> None:
         """Sends heartbeats to the VMs of this zone and reports lost peers, until cancelled."""
         while True:
-            interval_s = (
-                ROLE_HOLDER_HEARTBEAT_INTERVAL_S
-                if self._holds_any_role()
-                else DEFAULT_HEARTBEAT_INTERVAL_S
-            )
-            heartbeat = VmHeartbeat(
-                zone=self._own_record.zone,
-                address=self._own_record.bus,
-                draining=self._is_draining(),
-                version=self._configuration_version(),
-                interval_s=interval_s,
-            )
-            for address in self._heartbeat_targets():
-                self._bus.send_to_address(address, heartbeat)
+            holds_role = self._holds_any_role()
+            heartbeats = self._heartbeats.next_round(holds_role, self._is_draining())
+            self._send_round(heartbeats)
             for key in self._liveness.remove_silent(self._now()):
                 log("INFO", "peer_lost", peer=key)
                 self._on_vm_lost(key)
-            await self._wait_for_next_heartbeat(interval_s)
+            await self._wait_for_next_heartbeat(heartbeats.near_s, holds_role)
+
+    def _send_round(self, heartbeats: HeartbeatRound) -> None:
+        near, targets = self._near_addresses(), self._heartbeat_targets()
+        new_here, self._told = targets - self._told, targets
+        far = targets if heartbeats.is_far_due else new_here
+        self._send_heartbeat(targets & near, heartbeats.near_s)
+        self._send_heartbeat(far - near, heartbeats.far_s)
+
+    def _send_heartbeat(self, addresses: set[str], interval_s: float) -> None:
+        if not addresses:
+            return
+        heartbeat = VmHeartbeat(
+            zone=self._own_record.zone,
+            address=self._own_record.bus,
+            draining=self._is_draining(),
+            version=self._configuration_version(),
+            interval_s=interval_s,
+        )
+        self._bus.send_to_addresses(addresses, heartbeat)
 
-    async def _wait_for_next_heartbeat(self, seconds: float) -> None:
+    async def _wait_for_next_heartbeat(self, seconds: float, held_role: bool) -> None:
         """Waits until the next heartbeat is due; gaining or losing a role makes it due early."""
-        started_at, held_role = self._now(), self._holds_any_role()
-        while self._now() - started_at < seconds - ROLE_HOLDER_HEARTBEAT_INTERVAL_S / 2:
-            await asyncio.sleep(ROLE_HOLDER_HEARTBEAT_INTERVAL_S)
+        started_at = self._now()
+        while self._now() - started_at < seconds - ROLE_HOLDER_INTERVAL_S / 2:
+            await asyncio.sleep(ROLE_HOLDER_INTERVAL_S)
             if self._holds_any_role() != held_role:
                 return
 
+    def _ranked_vms(self) -> Iterator[list[str]]:
+        now, is_draining = self._now(), self._is_draining()
+        return (self._liveness.rank_for_role(role, now, is_draining) for role in self._roles())
+
+    def _holds_any_role(self) -> bool:
+        return any(ranked[0] == self._bus.vm_key for ranked in self._ranked_vms())
+
+    def _near_addresses(self) -> set[str]:
+        near = {key for ranked in self._ranked_vms() for key in ranked[:NEAR_VMS_PER_ROLE]}
+        peers = self._liveness.peers_by_key
+        return {peers[key].address for key in near if key in peers}
+
     def _heartbeat_targets(self) -> set[str]:
         records = (r.bus for r in self.records_by_vm.values() if r.zone == self._own_record.zone)
         heard = (
