Spread the moments at which refused callers may return

Load pattern: a burst beyond what the engines can take.

Cause: Retry-After was half of the expected wait, the same for all that were refused at a moment: of 200 drafts submitted to seven engines at once, 181 were told the same time. Work that had waited too long in the queue was told 0.3 s whatever the load.

Change: a refused caller gets a place. It is told when it would be admitted at the earliest, and each next one later by what the prompt takes of all engines. decisions/return_schedule.py; between 0.3 s and 3 s as before.

--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -27,15 +27,14 @@
     WaitingWork,
 )
 from bluebellpitch.decisions.loads import WorkItem
+from bluebellpitch.decisions.return_schedule import MIN_RETRY_AFTER_S, ReturnSchedule
 
 # Work whose end was never reported is dropped this long after its deadline.
 EXPIRY_GRACE_S = 2.0
 # A stream adjusts the prefill share only if its engine was this busy with prefill recently.
 MIN_PREFILL_ACTIVITY = 0.15
-MIN_RETRY_AFTER_S = 0.3
 LONG_EWMA_WEIGHT = 0.1
 NO_ENGINE = "no_engine_here"
-MAX_RETRY_AFTER_S = 3.0
 
 
 class GenerationBroker:
@@ -48,6 +47,7 @@
         self._engine_by_work_id: dict[str, EngineState] = {}
         self._mean_long_tokens = 0.0
         self._paused_until = float("-inf")
+        self._returns = ReturnSchedule()
 
     def set_engines(
         self,
@@ -101,9 +101,10 @@
             self._mean_long_tokens += LONG_EWMA_WEIGHT * (work.tokens_in - self._mean_long_tokens)
         wait_s = self.expected_wait_s(work, avoid, now)
         if now + wait_s > waiting.start_deadline():
-            reason, retry_s = "no_capacity_in_time", self._retry_after(wait_s)
-            if not self.placement.has_usable_engine(now):
-                reason, retry_s = NO_ENGINE, MIN_RETRY_AFTER_S
+            reason, retry_s = NO_ENGINE, MIN_RETRY_AFTER_S
+            if self.placement.has_usable_engine(now):
+                busy_s = now + wait_s - waiting.start_deadline()
+                reason, retry_s = "no_capacity_in_time", self._retry_after(work, busy_s, now)
             inputs = describe_refusal(
                 work, wait_s, len(self.waiting_by_id), len(self.placement.engines_by_key)
             )
@@ -114,8 +115,8 @@
             decisions.append(Queued(work.id, vm))
         return decisions
 
-    def _retry_after(self, wait_s: float) -> float:
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s / 2))
+    def _retry_after(self, work: WorkItem, busy_s: float, now: float) -> float:
+        return self._returns.retry_after(busy_s, work.tokens_in * self.pool_s_per_token(now), now)
 
     def expected_wait_s(self, work: WorkItem, avoid: frozenset[str], now: float) -> float:
         """Returns the expected wait for an engine, including the wait in the queue."""
@@ -206,7 +207,8 @@
                     len(self.waiting_by_id),
                     len(self.placement.engines_by_key),
                 )
-                yield Refused(work.id, waiting.vm, "waited_too_long", MIN_RETRY_AFTER_S, inputs)
+                retry_s = self._retry_after(work, 0.0, now)
+                yield Refused(work.id, waiting.vm, "waited_too_long", retry_s, inputs)
 
     def _queue_order(self, waiting: WaitingWork, now: float) -> tuple[int, bool, float]:
         work = waiting.work
--- a/tests/test_broker_takeover.py
+++ b/tests/test_broker_takeover.py
@@ -6,9 +6,9 @@
 
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.endpoints import EndpointEntry
-from bluebellpitch.decisions.generation_broker import MAX_RETRY_AFTER_S
 from bluebellpitch.decisions.liveness import Liveness, Peer
 from bluebellpitch.decisions.loads import WorkItem
+from bluebellpitch.decisions.return_schedule import MAX_RETRY_AFTER_S
 from bluebellpitch.platform.configuration import decode_configuration
 from bluebellpitch.roles.generation_broker_client import EngineGrant
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,10 +1,11 @@
 """How generations wait when load is at its worst, replayed in virtual time."""
 
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import AllMatch, Equals, GreaterThan, HasLength, LessThan
 
-from bluebellpitch.decisions.generation_decisions import Granted
+from bluebellpitch.decisions.generation_decisions import Granted, Refused
 from bluebellpitch.decisions.loads import WorkItem
+from bluebellpitch.decisions.return_schedule import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
 from tests.generation_load import LoadReplay, PromptLoad, draw_arrivals, make_broker
 
 # The engines read 60,000 tokens a second each; seven of them are busy with 45 drafts of 5,400
@@ -40,3 +41,18 @@
     outcomes = replay.run(draw_arrivals((DRAFTS, FIELDS), 15.0, seed=1))
     refused = [outcome for outcome in outcomes if outcome.first_token_s is None]
     assert_that(refused, HasLength(0))
+
+
+def test_callers_refused_at_one_moment_do_not_return_at_one_moment():
+    """No more of them return within 0.1 s than the engines can read in it."""
+    broker = make_broker(7)
+    decisions = []
+    for number in range(200):
+        draft = make_draft(f"d{number}", f"session-{number}", 0.0)
+        decisions += broker.submit(draft, "vm", frozenset(), 0.0)
+    returns = [d.retry_after_s for d in decisions if isinstance(d, Refused)]
+    spread = [at for at in returns if at < MAX_RETRY_AFTER_S]
+    assert_that(returns, AllMatch(GreaterThan(MIN_RETRY_AFTER_S - 0.001)))
+    prompt_s = 30_000 * broker.pool_s_per_token(0.0)
+    most = max(sum(at <= other < at + 0.1 for other in spread) for at in spread)
+    assert_that(most, LessThan(0.1 / prompt_s + 2))
