End a stream of serve that sends bytes but no token within the stall limit

Cause: any data began the limit anew. Now the next token is due by a fixed time. A slow stream whose tokens come in time goes on.

--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -5,13 +5,14 @@
 connection cancels the request.
 """
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import msgspec
 
 from bluebellpitch.endpoints.connections import ConnectionPool, probe
-from bluebellpitch.endpoints.sse import EventBuffer
+from bluebellpitch.endpoints.sse import EventBuffer, has_data
 from bluebellpitch.errors import (
     ConnectionLostError,
     NotSentError,
@@ -114,17 +115,25 @@
         if head.status_code != 200:
             await self._read_rejection(connection, head.status_code)
             return
-        buffer = EventBuffer()
-        timeout_s, received_bytes = first_token_timeout_s, 0
-        while (data := await connection.read_data(timeout_s)) is not None:
+        buffer, received_bytes = EventBuffer(), 0
+        now = asyncio.get_running_loop().time
+        token_due_at = now() + first_token_timeout_s
+        while (data := await self._read_data(token_due_at - now())) is not None:
             received_bytes += len(data)
             if received_bytes > MAX_RESPONSE_BYTES:
                 raise ResponseTooLargeError(f"more than {MAX_RESPONSE_BYTES} bytes of events")
             if events := buffer.feed(data):
-                self._has_first_token, timeout_s = True, self._stall_s
                 yield events
+            if buffer.done or has_data(events):
+                self._has_first_token, token_due_at = True, now() + self._stall_s
         self.ending = "completed" if buffer.done else "crashed"
 
+    async def _read_data(self, timeout_s: float) -> bytes | None:
+        """Reads the next part of the stream; raises ReadTimeoutError, even if data comes."""
+        if timeout_s <= 0:
+            raise ReadTimeoutError(f"no token of {self._address} in time")
+        return await self._connection.read_data(timeout_s)
+
     async def _read_rejection(self, connection: ClientConnection, status: int) -> None:
         body = await connection.read_rest(self._stall_s, MAX_REJECTION_BYTES)
         self.rejection = Rejection(status, body)
--- a/bluebellpitch/endpoints/sse.py
+++ b/bluebellpitch/endpoints/sse.py
@@ -75,6 +75,11 @@
     return events.count(EVENT_SEPARATOR)
 
 
+def has_data(events: bytes) -> bool:
+    """Returns whether any of ``events`` carries data; comments keep a connection open only."""
+    return events.startswith(b"data:") or b"\ndata:" in events
+
+
 _chunk_decoder = msgspec.json.Decoder(Chunk)
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from tests.mutant import Mutant
-from tests.mutants_of_endpoints import CRASH_MUTANTS, LIMIT_MUTANTS
+from tests.mutants_of_endpoints import CRASH_MUTANTS, LIMIT_MUTANTS, STALL_MUTANTS
 from tests.mutants_of_size import SIZE_MUTANTS
 from tests.mutants_of_store import (
     ANNOUNCEMENT_MUTANTS,
@@ -283,6 +283,7 @@
     ),
     *CRASH_MUTANTS,
     *LIMIT_MUTANTS,
+    *STALL_MUTANTS,
     *CONFIGURATION_MUTANTS,
     *ERA_MUTANTS,
     *SHUTDOWN_MUTANTS,
--- a/tests/mutants_of_endpoints.py
+++ b/tests/mutants_of_endpoints.py
@@ -61,6 +61,16 @@
         "tests/test_crash_evidence.py",
     ),
 )
+STALL_MUTANTS = (
+    Mutant(
+        "serve: bytes that are no token do not keep a stream alive",
+        "bluebellpitch/endpoints/engine.py",
+        "            if buffer.done or has_data(events):\n",
+        "            if data:\n",
+        "tests/test_stalled_streams.py",
+    ),
+)
+
 LIMIT_MUTANTS = (
     Mutant(
         "limits: a broker counts its grants against what the engine named",
