--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -130,8 +130,8 @@
     Mutant(
         "a silent stream times out",
         "bluebellpitch/endpoints/engine.py",
-        "True, self._stall_s",
-        "True, 3600.0",
+        "now() + self._stall_s",
+        "now() + 3600.0",
         "tests/test_streams.py::test_silent_connections_are_replaced",
     ),
     Mutant(
