Ping connections to VMs of other zones less often

Load pattern: a crash that is told to all VMs of a large fleet.

Change: 5 s for VMs that the list names in another zone; as before for those of the zone and unknown ones, on which roles rely.

--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -107,7 +107,13 @@
         self.crash_reporter = CrashReporter(
             self.strikes, self.crash_tracker, self.directory.has_left
         )
-        self.bus = PeerBus(self.key, HybridClock(now), self.metrics, self._handle_message)
+        self.bus = PeerBus(
+            self.key,
+            HybridClock(now),
+            self.metrics,
+            self._handle_message,
+            is_near=lambda address: self.peer_discovery.is_near(address),
+        )
         freshness = Freshness(settings.key_revocation_s, settings.config_apply_s)
         self.configuration = ConfigurationWatcher(
             self._create_follower(CONFIGURATION_TOPIC, CONFIGURATION_LONG_POLL_S),
--- a/bluebellpitch/peers/bus.py
+++ b/bluebellpitch/peers/bus.py
@@ -17,7 +17,9 @@
 from bluebellpitch.peers.messages import Envelope, Message, decode_envelope, encode_envelope
 
 LINGER_MS = 200
-HEARTBEAT_INTERVAL_MS = 1_000
+NEAR_HEARTBEAT_INTERVAL_MS = 1_000
+# Few messages go to VMs of other zones, of which there may be hundreds.
+FAR_HEARTBEAT_INTERVAL_MS = 5_000
 HEARTBEAT_TIMEOUT_MS = 3_000
 RECEIVE_BATCH_MESSAGES = 100
 RECEIVE_CHECK_INTERVAL_S = 0.5
@@ -30,11 +32,19 @@
 
     The file descriptor of the socket wakes the loop, which then reads all queued messages: one
     wake-up handles many messages.
+
+    ``is_near`` tells by address with which VMs dead connections must be detected soon.
     """
 
     def __init__(
-        self, vm_key: str, clock: HybridClock, metrics: Metrics, on_message: MessageHandler
+        self,
+        vm_key: str,
+        clock: HybridClock,
+        metrics: Metrics,
+        on_message: MessageHandler,
+        is_near: Callable[[str], bool] = lambda address: True,
     ):
+        self._is_near = is_near
         self.vm_key = vm_key
         self._clock = clock
         self._metrics = metrics
@@ -92,7 +102,9 @@
             socket.setsockopt(zmq.LINGER, LINGER_MS)
             socket.setsockopt(zmq.SNDHWM, PEER_SEND_QUEUE_SIZE)
             # Only the sending side needs to detect a dead connection.
-            socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+            is_near = self._is_near(address)
+            interval_ms = NEAR_HEARTBEAT_INTERVAL_MS if is_near else FAR_HEARTBEAT_INTERVAL_MS
+            socket.setsockopt(zmq.HEARTBEAT_IVL, interval_ms)
             socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
             socket.connect(f"tcp://{address}")
             self._send_sockets_by_address[address] = socket
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -90,6 +90,11 @@
         known = max(self.vm_count(), len(self.addresses()) + 1)
         return known if self.has_list else max(known, UNREAD_LIST_VM_COUNT)
 
+    def is_near(self, address: str) -> bool:
+        """Returns whether the VM at a bus address may be of this zone."""
+        zones = {r.zone for r in self.records_by_vm.values() if r.bus == address}
+        return not zones or self._own_record.zone in zones
+
     def addresses_in_zone(self, zone: str) -> list[str]:
         """Returns the bus addresses of all known VMs of a zone, whether alive or not."""
         return sorted(r.bus for r in self.records_by_vm.values() if r.zone == zone)
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -3,14 +3,21 @@
 import asyncio
 
 import pytest
+import zmq
 from loguru import logger
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, LessThan
+from testtools.matchers import Contains, Equals, LessThan
 
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.peers.bus import PeerBus
+from bluebellpitch.peers.bus import (
+    FAR_HEARTBEAT_INTERVAL_MS,
+    NEAR_HEARTBEAT_INTERVAL_MS,
+    PeerBus,
+)
 from bluebellpitch.peers.messages import StrikesCleared
+from bluebellpitch.platform.vm_records import VmRecord
+from bluebellpitch.roles.peer_discovery import PeerDiscovery
 from bluebellpitch.tasks import cancel_and_wait
 from fakes.ports import free_address
 
@@ -133,3 +140,22 @@
         buses[1].bind(address)
     for bus in buses:
         bus.close()
+
+
+def test_connections_to_other_zones_are_pinged_rarely():
+    """A VM that told all 195 others of a crash has a connection to each, and each is pinged."""
+    bus = PeerBus(
+        "a", HybridClock(lambda: 1.0), Metrics(), lambda *_: None, {"near:1"}.__contains__
+    )
+    sockets = [bus._send_socket(address) for address in ("near:1", "far:1")]
+    intervals_ms = [socket.getsockopt(zmq.HEARTBEAT_IVL) for socket in sockets]
+    bus.close()
+    assert_that(intervals_ms, Equals([NEAR_HEARTBEAT_INTERVAL_MS, FAR_HEARTBEAT_INTERVAL_MS]))
+
+
+def test_vm_counts_as_near_unless_it_is_listed_in_another_zone():
+    discovery = PeerDiscovery.__new__(PeerDiscovery)
+    discovery._own_record = VmRecord("10.0.0.1:1", "z")
+    discovery.records_by_vm = {"b": VmRecord("10.0.0.2:1", "z"), "c": VmRecord("10.0.1.1:1", "y")}
+    addresses = ("10.0.0.2:1", "10.0.1.1:1", "10.0.2.1:1")
+    assert_that([discovery.is_near(address) for address in addresses], Equals([True, False, True]))
