Let the stand-in of stalled streams notice that its caller reset the connection

Traced: the attempt closes its connection with a comment unread, so the kernel resets it; StreamReader.at_eof() stays False then (shown: at_eof False, transport closing, ConnectionResetError), and the stand-in went on for 10 s. The check and its bounds are unchanged.

--- a/tests/test_stalled_streams.py
+++ b/tests/test_stalled_streams.py
@@ -35,7 +35,8 @@
         await reader.readexactly(len(BODY))
         writer.write(HEAD)
         for part in parts:
-            if reader.at_eof():
+            # A caller that leaves with unread bytes resets the connection, which is no end of file.
+            if reader.at_eof() or writer.transport.is_closing():
                 break
             writer.write(encode_chunk(part))
             await asyncio.sleep(interval_s)
