--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -326,8 +327,8 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         return asyncio.run(asyncio.wait_for(case(folder, has_trouble), 110.0))
-    except (OSError, TimeoutError) as error:
-        print(f"the case could not run: {error!r}")
+    except Exception:
+        traceback.print_exc()
         return CANNOT_RUN
 
 
