--- a/review/4/case.py
+++ b/review/4/case.py
@@ -120,6 +120,9 @@
             f"{server.id} got {len(arrived)} requests, the last ({last_id}) "
             f"{last:.3f} s after the removal of its entry"
         )
+        for vm in deployment.vms:
+            last = max((age_s for age_s, id in ages if id.startswith(f"{vm.name}-")), default=0.0)
+            deployment.record.write(f"  {vm.name} sent it the last one at {last:.3f} s")
         for age_s, id in ages:
             if age_s > DRAIN_S:
                 count += 1
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -10,8 +10,8 @@
 from review.standins.deployment import BROKEN, ENGINES, HELD, HOST, KEY, Deployment, Vm, run_case
 
 FOLDER = Path(__file__).resolve().parent
-# One of six machines is killed, as share 0.16 in the site file.
-VMS = 6
+# One of seven machines is killed, within share 0.16 of the site file.
+VMS = 7
 SERVERS = 6
 STREAMS_PER_VM = 12
 EVENTS = 20
