--- a/bluebellpitch/decisions/directory.py
+++ b/bluebellpitch/decisions/directory.py
@@ -66,6 +66,10 @@
         self._delete(endpoint_id)
         return True
 
+    def is_lapsing(self, endpoint_id: str) -> bool:
+        """Returns whether an entry was removed, but is still used until its grace period ends."""
+        return endpoint_id in self._grace_until
+
     def mark_leaving(self, entry: EndpointEntry) -> bool:
         """Records that an incarnation said that it leaves; returns whether that is news."""
         known = self.entries_by_id.get(entry.id) or self._removed.get(entry.id)
--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -146,6 +146,9 @@
             had_outage = self.follower.had_recent_outage(now, self._outage_window_s)
             if self.directory.remove(record.key, had_outage, now):
                 log("INFO", "endpoint_gone", endpoint=record.key)
+            elif self.directory.is_lapsing(record.key):
+                outage = self.follower.describe_outage(now)
+                log("INFO", "endpoint_lapsing", endpoint=record.key, **outage)
             return
         try:
             entry = decode_endpoint_entry(record.key, record.value)
--- a/bluebellpitch/roles/topic_follower.py
+++ b/bluebellpitch/roles/topic_follower.py
@@ -77,6 +77,12 @@
         """Returns whether the store is out of reach or recovered less than ``within_s`` ago."""
         return self._failing_since is not None or now - self.recovered_at < within_s
 
+    def describe_outage(self, now: float) -> dict[str, str]:
+        """Returns how long the store has been out of reach and when it recovered, for a log."""
+        failing_s = 0.0 if self._failing_since is None else now - self._failing_since
+        since_s = now - self.recovered_at
+        return {"failing_s": f"{failing_s:.2f}", "recovered_s_ago": f"{since_s:.2f}"}
+
     def age_s(self, now: float) -> float:
         """Returns the time since this VM was last known to hold all records."""
         return self.confirmation.age_s(now)
