End an outage of the store with an answer that a peer got

Callers saw: after the store had refused two VMs of a zone for 9 s, one of them sent requests to endpoints until 3.15 s after their entry was removed, for good; an endpoint serves for 3.0 s (DRAIN).

Cause: a failed read began an outage, and only the VM's own next read ended it. A VM that peers keep up to date reads no more, so each removal counted as a lapse and got its grace of 2.2 s.

Change: an answer of the store that is later than the outage's beginning ends it, whoever got it; older answers end nothing. The state is in decisions/store_outage.py, for both topics.

--- a/bluebellpitch/roles/store_watchers.py
+++ b/bluebellpitch/roles/store_watchers.py
@@ -143,12 +143,12 @@
         """Applies an update or the removal of an entry."""
         now = self._now()
         if record.value is None:
-            had_outage = self.follower.had_recent_outage(now, self._outage_window_s)
+            outage = self.follower.outage
+            had_outage = outage.is_recent(now, self._outage_window_s)
             if self.directory.remove(record.key, had_outage, now):
                 log("INFO", "endpoint_gone", endpoint=record.key)
             elif self.directory.is_lapsing(record.key):
-                outage = self.follower.describe_outage(now)
-                log("INFO", "endpoint_lapsing", endpoint=record.key, **outage)
+                log("INFO", "endpoint_lapsing", endpoint=record.key, **outage.describe(now))
             return
         try:
             entry = decode_endpoint_entry(record.key, record.value)
--- a/bluebellpitch/roles/topic_follower.py
+++ b/bluebellpitch/roles/topic_follower.py
@@ -6,6 +6,7 @@
 from bluebellpitch.decisions.confirmation import CONFIRMED_MAX_AGE_S, Confirmation
 from bluebellpitch.decisions.freshness import read_valid_at
 from bluebellpitch.decisions.store_era import StoreEra, is_other_era
+from bluebellpitch.decisions.store_outage import StoreOutage
 from bluebellpitch.errors import BluebellpitchError, ProtocolError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
@@ -16,8 +17,6 @@
 MAX_RECENT_RECORDS = 400
 # How long the zone's reader has to send the records that this VM missed, once it is asked.
 GAP_PATIENCE_S = 0.45
-# A shorter outage is too brief for entries to expire, so removals after it count as genuine.
-MIN_OUTAGE_S = 1.0
 # Start of a request by a VM that holds no position in the topic.
 NO_OFFSET = -1
 
@@ -65,24 +64,13 @@
         self._era: int | None = None
         self._next_offset: int | None = None
         self._close_gap()
-        self._failing_since: float | None = None
-        self.recovered_at = float("-inf")
+        self.outage = StoreOutage()
         self.confirmation = Confirmation()
         self._confirmed = asyncio.Event()
         self._recent_records: list[tuple[str, bytes | None]] = []
         self._recent_start = 0
         self._values_by_key: dict[str, bytes] = {}
 
-    def had_recent_outage(self, now: float, within_s: float) -> bool:
-        """Returns whether the store is out of reach or recovered less than ``within_s`` ago."""
-        return self._failing_since is not None or now - self.recovered_at < within_s
-
-    def describe_outage(self, now: float) -> dict[str, str]:
-        """Returns how long the store has been out of reach and when it recovered, for a log."""
-        failing_s = 0.0 if self._failing_since is None else now - self._failing_since
-        since_s = now - self.recovered_at
-        return {"failing_s": f"{failing_s:.2f}", "recovered_s_ago": f"{since_s:.2f}"}
-
     def age_s(self, now: float) -> float:
         """Returns the time since this VM was last known to hold all records."""
         return self.confirmation.age_s(now)
@@ -94,6 +82,7 @@
         """
         if self.confirmation.record_peer(confirmed_at, is_by_reader):
             self._announce_confirmed()
+        self._record_answer(confirmed_at, "peer")
 
     def is_confirmed_by_reader(self) -> bool:
         """Returns whether this VM is the reader of its zone and confirmed by its own read."""
@@ -142,7 +131,7 @@
         """Continues at ``offset`` with the newest records of all keys."""
         if is_other_era(self._era, era):
             log("WARNING", "store_restored", topic=self.topic, era=era, was=self._era, next=offset)
-            self.recovered_at = self._now()
+            self.outage.record_restored(self._now())
         self._era = era if era is not None else self._era
         self._next_offset = offset
         self._recent_records.clear()
@@ -159,7 +148,9 @@
 
     def is_cut_off(self) -> bool:
         """Returns whether this VM can neither read the store nor follow its zone's reader."""
-        return self._failing_since is not None and self.age_s(self._now()) > CONFIRMED_MAX_AGE_S
+        return (
+            self.outage.failing_since is not None and self.age_s(self._now()) > CONFIRMED_MAX_AGE_S
+        )
 
     def reply_to_peer(self, request: RecordsRequest) -> RecordsUpdate | None:
         """Returns the requested records with their age, or None if they would not help the peer."""
@@ -278,7 +269,8 @@
         except BluebellpitchError as error:
             self._record_failure(error)
             return None
-        self._record_success()
+        self._metrics.store_calls.labels(self.topic, "answered").inc()
+        self._record_answer(self._now(), "store")
         if self.confirmation.record_read(result[2]):
             self._announce_confirmed()
         return result
@@ -345,19 +337,15 @@
 
     def _record_failure(self, error: Exception) -> None:
         self._metrics.store_calls.labels(self.topic, "failed").inc()
-        if self._failing_since is None:
-            self._failing_since = self._now()
+        if self.outage.record_failure(self._now()):
             log("WARNING", "store_lost", topic=self.topic, error=error)
 
-    def _record_success(self) -> None:
-        self._metrics.store_calls.labels(self.topic, "answered").inc()
-        if self._failing_since is None:
-            return
-        outage_s = self._now() - self._failing_since
-        self._failing_since = None
-        if outage_s >= MIN_OUTAGE_S:
-            self.recovered_at = self._now()
-        log("INFO", "store_regained", topic=self.topic, away_s=f"{outage_s:.2f}")
+    def _record_answer(self, answered_at: float, source: str) -> None:
+        """Records that the store answered this VM, or a peer that told of it."""
+        outage_s = self.outage.record_answer(answered_at)
+        if outage_s is not None:
+            away_s = f"{outage_s:.2f}"
+            log("INFO", "store_regained", topic=self.topic, source=source, away_s=away_s)
 
 
 def reader_role(topic: str) -> str:
