Hand on the ids of events as text, whatever their size

Cause: one value had two parsers. From callers, the id was a float below 1e12; from endpoints, a whole number of up to 18 digits. A float makes another id of one above 2**53, and an id that the second parser overlooked left the one before it in force, so that a resume would have repeated events.

Change: an id is decimal digits, kept as text, with one check for both directions; after an event with another id no stream is resumed. request_malformed is logged with the request's id.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -19,6 +19,7 @@
 from bluebellpitch.http1 import HttpRequest, ServerConnection
 from bluebellpitch.logs import log
 from bluebellpitch.platform.http_messages import (
+    UNUSABLE_EVENT_ID,
     ForwardingContext,
     ResponseHead,
     RoutedRequest,
@@ -207,7 +208,7 @@
         return not self._response.has_started or self._may_resume(admitted.route)
 
     def _may_resume(self, route: Route) -> bool:
-        has_place = self._response.last_event_id is not None
+        has_place = self._response.last_event_id not in (None, UNUSABLE_EVENT_ID)
         return route.repeatability is Repeatability.RESUMABLE and has_place
 
     async def _send_to_endpoint(self, admitted: AdmittedRequest, place: Placement) -> Verdict:
@@ -327,5 +328,6 @@
 async def refuse_malformed_request(connection: ServerConnection, error: BadRequestError) -> None:
     """Responds to a malformed request, and closes the connection."""
     verdict = DidNotRun(error.reason, error.status)
+    log("INFO", "request_malformed", request=error.request_id, reason=error.reason, error=error)
     headers = [*build_error_headers(None), ("Connection", "close")]
     await connection.respond(error.status, headers, encode_error_body(verdict, "", str(error)))
--- a/bluebellpitch/callers/routed_response.py
+++ b/bluebellpitch/callers/routed_response.py
@@ -16,7 +16,8 @@
 class RoutedResponse:
     """What has been sent to the caller, over all attempts. ``now`` is the VM's clock, in seconds.
 
-    ``last_event_id`` is that of the last event sent, None before any.
+    ``last_event_id`` is that of the last event sent, None before any; UNUSABLE_EVENT_ID if no
+    stream can be resumed after it.
     """
 
     def __init__(
@@ -26,7 +27,7 @@
         self._is_draining = is_draining
         self._now = now
         self.has_started = False
-        self.last_event_id: int | None = None
+        self.last_event_id: str | None = None
         self.first_event_at = 0.0
         self.longest_gap_s = 0.0
         self._last_event_at = 0.0
--- a/bluebellpitch/errors.py
+++ b/bluebellpitch/errors.py
@@ -40,13 +40,15 @@
 class BadRequestError(BluebellpitchError):
     """A client's request is refused before any part of it ran.
 
-    ``reason`` is a short machine-readable word, ``status`` an HTTP status code.
+    ``reason`` is a short machine-readable word, ``status`` an HTTP status code, ``request_id`` the
+    caller's own id if its head could be read.
     """
 
-    def __init__(self, status: int, reason: str, message: str):
+    def __init__(self, status: int, reason: str, message: str, request_id: str = ""):
         super().__init__(message)
         self.status = status
         self.reason = reason
+        self.request_id = request_id
 
 
 class ProtocolError(BluebellpitchError):
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -26,11 +26,14 @@
 LIMIT_HEADER = "server-limit"
 # Timeout of requests that have no deadline header.
 DEFAULT_TIMEOUT_S = 60.0
-# Ids of more digits are none of an endpoint's counter.
 MAX_LOAD = 1e9
 LEAVING_HEADER = "server-leaving"
 MAX_PAUSE_S = 3_600.0
-EVENT_ID_PATTERN = re.compile(rb"^id: ?(\d{1,18})\s*$", re.MULTILINE)
+EVENT_ID_PATTERN = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
+# An id that fits into the head of a request.
+MAX_EVENT_ID_DIGITS = 1_000
+# The id of an event at which a stream cannot be resumed.
+UNUSABLE_EVENT_ID = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +70,7 @@
     path: str
     api_key: str
     timeout_s: float
-    last_event_id: int | None
+    last_event_id: str | None
     prompt: Prompt
     headers: tuple[tuple[str, str], ...]
     body: bytes
@@ -112,7 +115,6 @@
 def decode_request(request: HttpRequest) -> RoutedRequest:
     """Decodes a request; raises BadRequestError for malformed numeric headers."""
     timeout_ms = read_numeric_header(request, "deadline-ms")
-    last_event_id = read_numeric_header(request, "last-event-id")
     authorization = request.header("authorization")
     return RoutedRequest(
         id=request.header("request-id"),
@@ -126,7 +128,7 @@
             else ""
         ),
         timeout_s=DEFAULT_TIMEOUT_S if timeout_ms is None else timeout_ms / 1000,
-        last_event_id=None if last_event_id is None else int(last_event_id),
+        last_event_id=read_last_event_id(request),
         prompt=decode_prompt(request),
         headers=request.headers,
         body=request.body,
@@ -146,12 +148,35 @@
     try:
         value = float(text)
     except ValueError as error:
-        raise BadRequestError(400, "malformed_header", f"{name} is not a number") from error
+        raise malformed_header(request, f"{name} is not a number") from error
     if not 0 <= value < 1e12:
-        raise BadRequestError(400, "malformed_header", f"{name} is out of range")
+        raise malformed_header(request, f"{name} is out of range")
     return value
 
 
+def malformed_header(request: HttpRequest, message: str) -> BadRequestError:
+    """Returns the error of a request with a header that cannot be read."""
+    return BadRequestError(400, "malformed_header", message, request.header("request-id"))
+
+
+def read_last_event_id(request: HttpRequest) -> str | None:
+    """Returns the id after which a stream goes on, as the caller has it; raises BadRequestError.
+
+    It stays text: a float would make another id of a large one.
+    """
+    text = request.header("last-event-id")
+    if not text:
+        return None
+    if not is_event_id(text):
+        raise malformed_header(request, "last-event-id is not a whole number")
+    return text
+
+
+def is_event_id(text: str) -> bool:
+    """Returns whether a stream can be resumed after an event with this id."""
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_EVENT_ID_DIGITS
+
+
 def decode_prompt(request: HttpRequest) -> Prompt:
     """Decodes the headers on the prompt; malformed parts are skipped."""
     tokens_in, _, tokens_out = request.header("token-usage").partition(",")
@@ -179,7 +204,7 @@
     expires_at: float
     member: str
     rank: int | None
-    last_event_id: int | None
+    last_event_id: str | None
 
 
 def build_forwarded_headers(
@@ -194,7 +219,7 @@
     if forwarding.rank is not None:
         headers.append(("Request-Priority", str(min(9, max(0, forwarding.rank)))))
     if forwarding.last_event_id is not None:
-        headers.append(("Last-Event-Id", str(forwarding.last_event_id)))
+        headers.append(("Last-Event-Id", forwarding.last_event_id))
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         headers.append(("Content-Length", str(len(request.body))))
     return headers
@@ -298,10 +323,16 @@
     return limit
 
 
-def find_last_event_id(events: bytes) -> int | None:
-    """Returns the id of the last event in a sequence of complete events, or None."""
+def find_last_event_id(events: bytes) -> str | None:
+    """Returns the last id in a sequence of complete events; None if there is none.
+
+    It is UNUSABLE_EVENT_ID if no stream can be resumed there: an earlier one would repeat events.
+    """
     ids = EVENT_ID_PATTERN.findall(events)
-    return int(ids[-1]) if ids else None
+    if not ids:
+        return None
+    text = ids[-1].strip().decode("latin-1")
+    return text if is_event_id(text) else UNUSABLE_EVENT_ID
 
 
 def build_error_headers(retry_after_s: float | None) -> Headers:
--- a/fakes/prepared_deployment.py
+++ b/fakes/prepared_deployment.py
@@ -210,6 +210,7 @@
         request_id: str,
         tokens: int = 100,
         parts: tuple[str, ...] = ("aa",),
+        last_event_id: str = "",
         **fields,
     ):
         """Requests a streamed generation whose prompt has ``tokens`` tokens in each of its parts.
@@ -221,6 +222,8 @@
             ("Token-Usage", f"{tokens},20"),
             ("Prompt-Prefix", ",".join(f"{part}:{tokens // 2}" for part in (*parts, request_id))),
         ]
+        if last_event_id:
+            headers.append(("Last-Event-Id", last_event_id))
         return await self.call("POST", path, request_id, b"prompt", headers=headers, **fields)
 
     def disconnect(self) -> None:
