Pass header values outside ASCII on, byte for byte

Callers saw: a sound endpoint answered with such a header (X-Office: a name in UTF-8), and the caller's connection was closed without an answer after the request had run (LOST); a request with such a header got a closed connection before it was sent anywhere.

Cause: values are received as Latin-1, but were handed to h11 as text, which it encodes as ASCII.

Change: one function encodes headers, as they were decoded, for requests and responses, in route and serve.

--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -12,7 +12,13 @@
     ReadTimeoutError,
     ResponseTooLargeError,
 )
-from bluebellpitch.http1.messages import MAX_RESPONSE_BYTES, READ_BYTES, Headers, HttpResponse
+from bluebellpitch.http1.messages import (
+    MAX_RESPONSE_BYTES,
+    READ_BYTES,
+    Headers,
+    HttpResponse,
+    encode_headers,
+)
 
 MAX_HEAD_BYTES = 16_384
 MAX_INFORMATIONAL_RESPONSES = 8
@@ -69,8 +75,9 @@
     async def send_verbatim(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Sends a request with only these headers; raises ConnectionLostError or NotSentError."""
         try:
-            data = self.h11.send(h11.Request(method=method, target=target, headers=headers))
-        except h11.LocalProtocolError as error:
+            head = h11.Request(method=method, target=target, headers=encode_headers(headers))
+            data = self.h11.send(head)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise NotSentError(f"the request cannot be encoded: {error}") from error
         if body:
             data += self.h11.send(h11.Data(data=body))
--- a/bluebellpitch/http1/messages.py
+++ b/bluebellpitch/http1/messages.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 requests, responses, limits and addresses."""
 
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from bluebellpitch.decoding import parse_whole_number
@@ -54,6 +55,11 @@
     body: bytes
 
 
+def encode_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    """Returns headers as they are sent, the bytes of their values as they were received."""
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Parses ``host:port``, where port 0 means any free one; raises ProtocolError."""
     host, _, digits = text.rpartition(":")
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -6,7 +6,13 @@
 import h11
 
 from bluebellpitch.errors import BadRequestError, DisconnectedError
-from bluebellpitch.http1.messages import READ_BYTES, Headers, HttpLimits, HttpRequest
+from bluebellpitch.http1.messages import (
+    READ_BYTES,
+    Headers,
+    HttpLimits,
+    HttpRequest,
+    encode_headers,
+)
 from bluebellpitch.logs import log
 
 
@@ -99,7 +105,7 @@
 
     async def send_head(self, status: int, headers: Headers) -> None:
         """Sends the head of a response."""
-        await self._send(h11.Response(status_code=status, headers=headers))
+        await self._send(h11.Response(status_code=status, headers=encode_headers(headers)))
 
     async def send_data(self, data: bytes) -> None:
         """Sends part of the body."""
@@ -112,7 +118,7 @@
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a complete response in one write."""
         headers = [*headers, ("Content-Length", str(len(body)))]
-        head = self.h11.send(h11.Response(status_code=status, headers=headers))
+        head = self.h11.send(h11.Response(status_code=status, headers=encode_headers(headers)))
         data = self.h11.send(h11.Data(data=body)) if body else b""
         self.writer.write(head + data + (self.h11.send(h11.EndOfMessage()) or b""))
         await self._drain()
