Take whole numbers up to 64 bits from operators, endpoints and the store

Callers would see: a configuration whose version is above 2**53, such as a Unix time in nanoseconds, counted as malformed, so the change never came into force (CONFIG); an endpoint that counts so far was not used.

Cause: the range was that of numbers which a double holds exactly, though all of these stay integers. Tokens of a prompt and the store's era keep theirs (nine digits), now by name.

Evidence: three cases of tests/test_number_ranges.py failed on the commit before. Result: they pass.

--- a/bluebellpitch/decoding.py
+++ b/bluebellpitch/decoding.py
@@ -6,11 +6,13 @@
 
 # What msgspec raises for input that is malformed, not valid UTF-8 or nested too deeply.
 DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
-# Whole numbers that a double holds exactly, such as times in Unix milliseconds.
-WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
+MAX_WHOLE_NUMBER = (1 << 63) - 1
+MAX_WHOLE_NUMBER_DIGITS = len(str(MAX_WHOLE_NUMBER))
+# Counts, versions and times of others: kept as integers, as a double holds few of them exactly.
+WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 
 
-def parse_whole_number(text: str, max_digits: int = 9) -> int | None:
+def parse_whole_number(text: str, max_digits: int = MAX_WHOLE_NUMBER_DIGITS) -> int | None:
     """Returns a number of ASCII digits, or None if the text is none or has too many."""
     if not (text.isascii() and text.isdecimal()) or len(text) > max_digits:
         return None
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -26,6 +26,8 @@
 LIMIT_HEADER = "server-limit"
 # Timeout of requests that have no deadline header.
 DEFAULT_TIMEOUT_S = 60.0
+# More tokens than that are none of a prompt.
+MAX_TOKEN_DIGITS = 9
 MAX_LOAD = 1e9
 LEAVING_HEADER = "server-leaving"
 MAX_PAUSE_S = 3_600.0
@@ -183,12 +185,12 @@
     parts = (part.strip().partition(":") for part in request.header("prompt-prefix").split(","))
     return Prompt(
         model=request.header("model"),
-        tokens_in=parse_whole_number(tokens_in.strip()) or 0,
-        tokens_out=parse_whole_number(tokens_out.strip()) or 0,
+        tokens_in=parse_whole_number(tokens_in.strip(), MAX_TOKEN_DIGITS) or 0,
+        tokens_out=parse_whole_number(tokens_out.strip(), MAX_TOKEN_DIGITS) or 0,
         parts=tuple(
             PromptPart(id, size)
             for id, _, tokens in parts
-            if (size := parse_whole_number(tokens)) is not None
+            if (size := parse_whole_number(tokens, MAX_TOKEN_DIGITS)) is not None
         ),
     )
 
--- a/bluebellpitch/platform/store.py
+++ b/bluebellpitch/platform/store.py
@@ -41,6 +41,8 @@
 MIN_READ_TIMEOUT_S = 2.5
 MAX_PAGES = 200
 ERA_HEADER = "store-era"
+# It counts returns from a copy; all answers that name a lower one would be of the past.
+MAX_ERA_DIGITS = 9
 
 
 class _NewestItem(msgspec.Struct, frozen=True):
@@ -204,7 +206,7 @@
     text = next((value for name, value in response.headers if name.lower() == ERA_HEADER), None)
     if text is None:
         return None
-    era = parse_whole_number(text)
+    era = parse_whole_number(text, MAX_ERA_DIGITS)
     if era is None:
         log("WARNING", "era_malformed", text=text[:40])
     return era
