Accept callers that wait very long, alike in route and serve

Cause: a header of the right type was refused by its size, by two parsers. What a deadline is used for is capped anyway, by the route's timeout or the class.

Change: one parser, parse_milliseconds, with the cap as its argument; what is no number of milliseconds or negative is refused as before.

--- a/bluebellpitch/callers/requests.py
+++ b/bluebellpitch/callers/requests.py
@@ -9,7 +9,7 @@
 from bluebellpitch.constants import HORIZON_MARGIN_S
 from bluebellpitch.decisions.hashing import digest_text
 from bluebellpitch.decisions.rows import ClassRow, MemberRow, PoolRow, Table
-from bluebellpitch.decoding import DECODE_ERRORS
+from bluebellpitch.decoding import DECODE_ERRORS, parse_milliseconds
 from bluebellpitch.errors import BadRequestError
 from bluebellpitch.http1 import HttpRequest
 
@@ -106,15 +106,12 @@
     text = request.header(DEADLINE_HEADER)
     if not text:
         return service_class.max_wait_ms / 1000
-    try:
-        deadline_s = float(text) / 1000
-    except ValueError:
-        deadline_s = float("nan")
-    if deadline_s <= 0:
-        raise BadRequestError(400, "deadline_past", "the deadline has passed")
-    if not deadline_s < 1e9:
+    wait_s = parse_milliseconds(text, service_class.max_wait_ms / 1000)
+    if wait_s is None:
         raise BadRequestError(400, "bad_deadline", f"{DEADLINE_HEADER} must be milliseconds")
-    return min(deadline_s, service_class.max_wait_ms / 1000)
+    if wait_s <= 0:
+        raise BadRequestError(400, "deadline_past", "the deadline has passed")
+    return wait_s
 
 
 def parse_completion_request(request: HttpRequest, table: Table, now: float) -> CompletionRequest:
--- a/bluebellpitch/decoding.py
+++ b/bluebellpitch/decoding.py
@@ -1,5 +1,6 @@
 """Decoding of input that any process may have written."""
 
+import math
 from typing import Annotated
 
 import msgspec
@@ -17,3 +18,12 @@
     if not (text.isascii() and text.isdecimal()) or len(text) > max_digits:
         return None
     return int(text)
+
+
+def parse_milliseconds(text: str, max_s: float) -> float | None:
+    """Returns decimal milliseconds as seconds, at most ``max_s``; None if the text is none."""
+    try:
+        seconds = float(text) / 1000
+    except ValueError:
+        return None
+    return None if math.isnan(seconds) else min(seconds, max_s)
--- a/bluebellpitch/platform/http_messages.py
+++ b/bluebellpitch/platform/http_messages.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from bluebellpitch.decoding import parse_whole_number
+from bluebellpitch.decoding import parse_milliseconds, parse_whole_number
 from bluebellpitch.errors import BadRequestError
 from bluebellpitch.http1 import Headers, HttpRequest, decode_headers
 from bluebellpitch.logs import log
@@ -26,6 +26,7 @@
 LIMIT_HEADER = "server-limit"
 # Timeout of requests that have no deadline header.
 DEFAULT_TIMEOUT_S = 60.0
+MAX_TIMEOUT_S = 1e9
 # More tokens than that are none of a prompt.
 MAX_TOKEN_DIGITS = 9
 MAX_LOAD = 1e9
@@ -116,7 +117,6 @@
 
 def decode_request(request: HttpRequest) -> RoutedRequest:
     """Decodes a request; raises BadRequestError for malformed numeric headers."""
-    timeout_ms = read_numeric_header(request, "deadline-ms")
     authorization = request.header("authorization")
     return RoutedRequest(
         id=request.header("request-id"),
@@ -129,7 +129,7 @@
             if authorization.lower().startswith(BEARER_PREFIX)
             else ""
         ),
-        timeout_s=DEFAULT_TIMEOUT_S if timeout_ms is None else timeout_ms / 1000,
+        timeout_s=read_timeout(request),
         last_event_id=read_last_event_id(request),
         prompt=decode_prompt(request),
         headers=request.headers,
@@ -142,18 +142,18 @@
     return host.partition(":")[0].lower()
 
 
-def read_numeric_header(request: HttpRequest, name: str) -> float | None:
-    """Returns a header as a number, or None if absent; raises BadRequestError."""
-    text = request.header(name)
+def read_timeout(request: HttpRequest) -> float:
+    """Returns how long the caller waits, in seconds, at most MAX_TIMEOUT_S.
+
+    Raises BadRequestError.
+    """
+    text = request.header("deadline-ms")
     if not text:
-        return None
-    try:
-        value = float(text)
-    except ValueError as error:
-        raise malformed_header(request, f"{name} is not a number") from error
-    if not 0 <= value < 1e12:
-        raise malformed_header(request, f"{name} is out of range")
-    return value
+        return DEFAULT_TIMEOUT_S
+    timeout_s = parse_milliseconds(text, MAX_TIMEOUT_S)
+    if timeout_s is None or timeout_s < 0:
+        raise malformed_header(request, "deadline-ms is not a number of milliseconds")
+    return timeout_s
 
 
 def malformed_header(request: HttpRequest, message: str) -> BadRequestError:
