Grant work once that another broker has granted while it waits here

Callers would see: engines that count a request as running for good, so that fewer others start there; and a second engine granted to a request that has one.

Cause: a broker that takes work of another one into account left it in its own queue. Its own grant then replaced the record by which the first engine's share is released or expires.

Evidence: the test failed on the code before: the work was granted a second time. Change: work that is taken into account waits no more. Result: the tests of the broker and of take-overs pass.

--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -159,10 +159,14 @@
     def adopt(
         self, engine_key: tuple[str, int], work: WorkItem, vm: str, started: bool, now: float
     ):
-        """Counts work that another broker granted; ``started`` is set once it has a first token."""
+        """Counts work that another broker granted; ``started`` is set once it has a first token.
+
+        Its VM has an engine and waits here no more: a second grant would hide the first.
+        """
         engine = self.placement.engines_by_key.get(engine_key)
         if engine is None or work.id in self._engine_by_work_id:
             return
+        self.waiting_by_id.pop(work.id, None)
         prefill_s = 0.0
         if not started:
             prefill_s = self.placement.prefill_s(engine, work)
--- a/tests/test_generation_broker.py
+++ b/tests/test_generation_broker.py
@@ -275,3 +275,17 @@
             broker.finish(decision.work_id, "withdrawn", now)
             list(broker.schedule(now))
     assert not broker.waiting_by_id
+
+
+def test_work_that_another_broker_granted_while_it_waits_here_leaves_nothing_behind():
+    """Guards against engines that count a request for good: its second grant hid the first."""
+    broker = make_broker(engine_count=2)
+    broker.pause(1.0)
+    work = make_work("a", 300, 0.0)
+    assert [type(d) for d in broker.submit(work, "vm", frozenset(), 0.0)] == [Queued]
+    broker.adopt(("i-0", 1), work, "vm", False, 0.1)
+    assert granted_ids(broker.schedule(1.0)) == []
+    broker.finish("a", "ok", 2.0)
+    broker.expire(60.0)
+    engines = broker.placement.engines_by_key.values()
+    assert [engine.assigned_by_id for engine in engines] == [{}, {}]
