Use a slow endpoint in full when there is none left to compare it with

Callers of serve would see: of a pool whose other endpoints have gone, the last one takes one request at a time for good, since it was once found slow.

Cause: slow ends only with a comparison that finds the endpoint no slower than others, and there are none. Change: after the window of samples without a comparison it is normal again.

--- a/bluebellpitch/decisions/endpoint_health.py
+++ b/bluebellpitch/decisions/endpoint_health.py
@@ -34,7 +34,9 @@
         self._slow_ratio = slow_ratio
         self._samples_by_endpoint: dict[str, deque[LatencySample]] = {}
         self._down_until: dict[str, float] = {}
-        self._slow_since: dict[str, float] = {}
+        self._slow_names: set[str] = set()
+        # When a slow endpoint was last found slower than others.
+        self._compared_at: dict[str, float] = {}
 
     def add_sample(self, endpoint: str, sample: LatencySample) -> None:
         """Adds a sample; each endpoint keeps a bounded number of the latest."""
@@ -50,27 +52,35 @@
 
     def is_slow(self, endpoint: str) -> bool:
         """Returns the result of the latest evaluation."""
-        return endpoint in self._slow_since
+        return endpoint in self._slow_names
 
     def update_slow_endpoints(self, now: float) -> tuple[tuple[str, bool], ...]:
-        """Evaluates all endpoints; returns those that became slow (True) or normal (False)."""
+        """Evaluates all endpoints; returns those that became slow (True) or normal (False).
+
+        A slow one that is used while there is nothing to compare it with is normal after a while:
+        it would not be found fast again otherwise, as all others are gone.
+        """
         medians_by_name = {
             name: self._recent_medians(name, now) for name in self._samples_by_endpoint
         }
         changes = []
         for name in medians_by_name:
             is_slow = self._is_outlier(name, medians_by_name)
+            if is_slow:
+                self._compared_at[name] = now
+            elif is_slow is None and medians_by_name[name]:
+                is_slow = self.is_slow(name) and not self._is_forgotten(name, now)
             if is_slow is None or is_slow == self.is_slow(name):
                 continue
             changes.append((name, is_slow))
-            self._set_slow(name, is_slow, now)
+            if is_slow:
+                self._slow_names.add(name)
+            else:
+                self._slow_names.discard(name)
         return tuple(changes)
 
-    def _set_slow(self, name: str, is_slow: bool, now: float) -> None:
-        if is_slow:
-            self._slow_since[name] = now
-        else:
-            del self._slow_since[name]
+    def _is_forgotten(self, name: str, now: float) -> bool:
+        return now - self._compared_at[name] > self._window_s
 
     def _recent_medians(self, name: str, now: float) -> dict[tuple[str, str], float]:
         samples = self._samples_by_endpoint[name]
