Keep a topic's recent records in a module of their own

Change: decisions/recent_records.py keeps them, without a change of behaviour; a mutant of the outage that a peer's answer ends.

--- a/bluebellpitch/roles/topic_follower.py
+++ b/bluebellpitch/roles/topic_follower.py
@@ -5,6 +5,7 @@
 
 from bluebellpitch.decisions.confirmation import CONFIRMED_MAX_AGE_S, Confirmation
 from bluebellpitch.decisions.freshness import read_valid_at
+from bluebellpitch.decisions.recent_records import RecentRecords
 from bluebellpitch.decisions.store_era import StoreEra, is_other_era
 from bluebellpitch.decisions.store_outage import StoreOutage
 from bluebellpitch.errors import BluebellpitchError, ProtocolError
@@ -14,7 +15,6 @@
 from bluebellpitch.platform.records import KeyedRecord
 from bluebellpitch.platform.store import StoreClient, decode_keyed_records, has_offset
 
-MAX_RECENT_RECORDS = 400
 # How long the zone's reader has to send the records that this VM missed, once it is asked.
 GAP_PATIENCE_S = 0.45
 # Start of a request by a VM that holds no position in the topic.
@@ -67,9 +67,7 @@
         self.outage = StoreOutage()
         self.confirmation = Confirmation()
         self._confirmed = asyncio.Event()
-        self._recent_records: list[tuple[str, bytes | None]] = []
-        self._recent_start = 0
-        self._values_by_key: dict[str, bytes] = {}
+        self._recent = RecentRecords()
 
     def age_s(self, now: float) -> float:
         """Returns the time since this VM was last known to hold all records."""
@@ -107,24 +105,6 @@
             return False
         return self.confirmation.is_kept_by_peers(now)
 
-    def _keep_recent(self, start: int, records: tuple[tuple[str, bytes | None], ...]) -> None:
-        if self._recent_start + len(self._recent_records) != start:
-            self._recent_records.clear()
-            self._recent_start = start
-        self._recent_records.extend(records)
-        excess = len(self._recent_records) - MAX_RECENT_RECORDS
-        if excess > 0:
-            del self._recent_records[:excess]
-            self._recent_start += excess
-        self._keep_values(records)
-
-    def _keep_values(self, records: Iterable[tuple[str, bytes | None]]) -> None:
-        for key, value in records:
-            if value is None:
-                self._values_by_key.pop(key, None)
-            else:
-                self._values_by_key[key] = value
-
     def _restart_at(
         self, era: int | None, offset: int, records: Iterable[tuple[str, bytes | None]]
     ) -> None:
@@ -134,10 +114,7 @@
             self.outage.record_restored(self._now())
         self._era = era if era is not None else self._era
         self._next_offset = offset
-        self._recent_records.clear()
-        self._recent_start = offset
-        self._values_by_key.clear()
-        self._keep_values(records)
+        self._recent.restart(offset, records)
 
     def request_to_peers(self, reply_to: str) -> RecordsRequest:
         """Returns the request for the records that this VM lacks."""
@@ -157,16 +134,13 @@
         age_s, start = self.age_s(self._now()), request.start
         if self._next_offset is None or self.has_gap or age_s > CONFIRMED_MAX_AGE_S:
             return None
-        if (
-            not is_other_era(request.era, self._era)
-            and self._recent_start <= start <= self._next_offset
-        ):
-            records = tuple(self._recent_records[start - self._recent_start :])
-            is_complete = False
-        elif request.needs_all:
-            start, records = self._next_offset, tuple(self._values_by_key.items())
+        records, is_complete = None, False
+        if not is_other_era(request.era, self._era) and start <= self._next_offset:
+            records = self._recent.since(start)
+        if records is None and request.needs_all:
+            start, records = self._next_offset, tuple(self._recent.values_by_key.items())
             is_complete = True
-        else:
+        if records is None:
             return None
         return RecordsUpdate(
             self.topic,
@@ -204,7 +178,7 @@
             self._next_offset = update.start
         records = update.records[self._next_offset - update.start :]
         if update.next > self._next_offset:
-            self._keep_recent(self._next_offset, records)
+            self._recent.extend(self._next_offset, records)
             self._next_offset = update.next
         if update.asked_at is not None and update.next == self._next_offset:
             self.confirm_by_peer(update.asked_at - update.age_s, update.is_by_reader)
@@ -221,7 +195,7 @@
         confirmed_at = update.asked_at - update.age_s
         if confirmed_at <= self.confirmation.confirmed_at and not self._closes_gap(update):
             return ()
-        removed = self._values_by_key.keys() - {key for key, _ in update.records}
+        removed = self._recent.values_by_key.keys() - {key for key, _ in update.records}
         self._restart_at(update.era, update.next, update.records)
         self._close_gap()
         self.confirm_by_peer(confirmed_at, update.is_by_reader)
@@ -315,24 +289,20 @@
             self._publish(RecordsUpdate(self.topic, start, end, pairs, era=self._era))
         known_at = read_valid_at(requested_at, self._now(), wait_s, not page.records)
         if unreadable:
-            self._forget_recent(end, records)
+            # Peers are sent none of these any more: some of them cannot be read.
+            self._recent.forget(end)
+            self._recent.apply((record.key, record.value) for record in records)
         else:
             records = self._skip_known(start, records)
         self._next_offset = max(end, self._next_offset or 0)
         return records, False, known_at if end >= page.end_offset else float("-inf")
 
-    def _forget_recent(self, end: int, records: tuple[KeyedRecord, ...]) -> None:
-        """Sends no peer the records up to ``end`` any more: some of them cannot be read."""
-        self._recent_records.clear()
-        self._recent_start = end
-        self._keep_values((record.key, record.value) for record in records)
-
     def _skip_known(self, start: int, records: tuple[KeyedRecord, ...]) -> tuple[KeyedRecord, ...]:
         """Returns the records that no peer has sent during the read: older ones must not return."""
         new = records[max(0, (self._next_offset or 0) - start) :]
         if new:
             pairs = tuple((record.key, record.value) for record in new)
-            self._keep_recent(start + len(records) - len(new), pairs)
+            self._recent.extend(start + len(records) - len(new), pairs)
         return new
 
     def _record_failure(self, error: Exception) -> None:
--- a/tests/mutants_of_store.py
+++ b/tests/mutants_of_store.py
@@ -27,6 +27,13 @@
     ),
 )
 ERA_MUTANTS = (
+    Mutant(
+        "outage: an answer that a peer got ends it",
+        "bluebellpitch/roles/topic_follower.py",
+        '        self._record_answer(confirmed_at, "peer")\n',
+        "",
+        "tests/test_store_outages.py",
+    ),
     Mutant(
         "era: a page of another era is not applied",
         "bluebellpitch/roles/topic_follower.py",
