Bound what a VM holds of others' messages, over all of them

Cause: sizes were limited by response, never over all, and nothing read limits.memory_mb. Held bytes also cost more than they are: chunks were kept as objects, an event was copied for each chunk of it, bytes that are only skipped were kept, the loop receives 256 KiB a connection at once, a health check read 16 MiB.

The limit of one message is what is still free, so there is room for small ones beside any number of greedy ones. Without room a response fails as oversized, a request is refused with 503 and Retry-After. Bodies are one array, what is skipped is not kept, connections receive 16 KiB at a time and give way after 32 parts, a caller that sends on while it waits is not read.

--- a/bluebellpitch/callers/admission.py
+++ b/bluebellpitch/callers/admission.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.catalogue import (
+    CallerLimits,
     Catalogue,
     MemberConfig,
     Repeatability,
@@ -12,10 +13,12 @@
 )
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.loads import WorkItem
+from bluebellpitch.http1 import HttpLimits
 from bluebellpitch.platform.http_messages import RoutedRequest
 from bluebellpitch.verdicts import DidNotRun
 
 CONFIGURATION_RETRY_AFTER_S = 0.5
+MIN_RECEIVE_TIMEOUT_S = 10.0
 # Gap between events to aim at on routes that set no target.
 DEFAULT_ROUTE_GAP_TARGET_S = 60.0
 
@@ -77,6 +80,16 @@
     return DidNotRun(f"{reason}_not_sure", 503, CONFIGURATION_RETRY_AFTER_S)
 
 
+def build_http_limits(limits: CallerLimits) -> HttpLimits:
+    """Returns the limits on callers that the configuration sets, as those of a server."""
+    return HttpLimits(
+        header_bytes=limits.header_bytes,
+        body_bytes=limits.body_bytes,
+        receive_s=max(limits.header_s, MIN_RECEIVE_TIMEOUT_S),
+        idle_timeout_s=limits.idle_s,
+    )
+
+
 def build_work_item(admitted: AdmittedRequest, attempt: int) -> WorkItem:
     """Returns the description of one attempt, by which its endpoint is chosen."""
     prompt = admitted.request.prompt
--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -22,6 +22,7 @@
 from bluebellpitch.errors import DisconnectedError
 from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import ServerConnection
+from bluebellpitch.logs import log
 from bluebellpitch.roles.slots import Slot
 from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
@@ -41,7 +42,7 @@
     first_token_at: float | None = None
     last_token_at: float | None = None
     avoided_endpoints: tuple[str, ...] = ()
-    event_batches: list[bytes] = field(default_factory=list)
+    events: bytearray = field(default_factory=bytearray)
 
     def inter_token_s(self) -> float | None:
         """Returns the mean time between tokens, or None before the second token."""
@@ -58,6 +59,7 @@
     ):
         super().__init__(context, connection, request)
         self.progress = CompletionProgress()
+        self._buffer = context.connection_pool.buffers.open()
         self.response_started = False
         self.rejection: Rejection | None = None
 
@@ -72,6 +74,8 @@
                 self.progress.tokens
             )
             verdict = MayHaveRun("caller_gone", 499)
+        finally:
+            self._buffer.release()
         return verdict
 
     async def _serve(self) -> Verdict:
@@ -157,6 +161,10 @@
         )
         async with aclosing(source):
             async for events in source:
+                if not self._buffer.grow(len(events)):
+                    log("WARNING", "response_too_large", request=self.caller.request_id)
+                    attempt.ending = "oversized"
+                    return
                 self._record_progress(events, slot, dispatched_at)
                 await self._forward(events)
 
@@ -171,7 +179,7 @@
         count = count_events(events)
         slot.record_tokens(count, now)
         progress.tokens += count
-        progress.event_batches.append(events)
+        progress.events += events
         if context.view_holder.current.is_cross_region(slot.region):
             context.metrics.region_bytes.inc(len(events))
 
@@ -185,8 +193,8 @@
         body = {**self.request.body, "stream": True, "priority": self.caller.service_class.tier}
         if not self.request.stream:
             body["stream_options"] = {"include_usage": True}
-        if self.progress.event_batches:
-            body["continue_text"] = join_text(b"".join(self.progress.event_batches))
+        if self.progress.events:
+            body["continue_text"] = join_text(bytes(self.progress.events))
             self.record_event(EventKind.RESUMED, self.endpoint, f"tokens={self.progress.tokens}")
         return body
 
@@ -255,7 +263,7 @@
             await self.connection.end_response()
         else:
             body = assemble_completion(
-                b"".join(self.progress.event_batches), self.request, self.caller.request_id
+                bytes(self.progress.events), self.request, self.caller.request_id
             )
             await self.connection.respond(200, self._response_headers("application/json"), body)
         return Ran()
--- a/bluebellpitch/callers/responses.py
+++ b/bluebellpitch/callers/responses.py
@@ -74,7 +74,7 @@
     connection: ServerConnection, error: BadRequestError, request_id: str = ""
 ) -> None:
     """Refuses a bad request; closes the connection if the request could not be parsed."""
-    verdict = DidNotRun(error.reason, error.status)
+    verdict = DidNotRun(error.reason, error.status, error.retry_after_s)
     headers = verdict_headers(verdict, request_id)
     if not request_id:
         headers.append(("Connection", "close"))
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -329,5 +329,5 @@
     """Responds to a malformed request, and closes the connection."""
     verdict = DidNotRun(error.reason, error.status)
     log("INFO", "request_malformed", request=error.request_id, reason=error.reason, error=error)
-    headers = [*build_error_headers(None), ("Connection", "close")]
+    headers = [*build_error_headers(error.retry_after_s), ("Connection", "close")]
     await connection.respond(error.status, headers, encode_error_body(verdict, "", str(error)))
--- a/bluebellpitch/callers/server.py
+++ b/bluebellpitch/callers/server.py
@@ -27,7 +27,12 @@
 
     def __init__(self, context: NodeContext):
         self._context = context
-        self.http = HttpServer(self._handle, responses.send_bad_request, context.settings.http)
+        self.http = HttpServer(
+            self._handle,
+            responses.send_bad_request,
+            context.settings.http,
+            context.connection_pool.buffers,
+        )
 
     async def _handle(self, connection: ServerConnection, request: HttpRequest) -> None:
         self._context.metrics.in_flight.inc()
--- a/bluebellpitch/callers/services.py
+++ b/bluebellpitch/callers/services.py
@@ -26,6 +26,7 @@
 
     def __init__(self, context: NodeContext, connection: ServerConnection, request: ServiceRequest):
         super().__init__(context, connection, request)
+        self._buffer = context.connection_pool.buffers.open()
         self.attempt = 0
         self.claim: Claim | None = None
         self.left_endpoints: tuple[str, ...] = ()
@@ -33,6 +34,12 @@
     async def run(self) -> Verdict:
         """Handles the request to its end; returns the verdict sent to the caller."""
         self.record_event(EventKind.ADMITTED, detail=f"pool={self.request.pool.name}")
+        try:
+            return await self._respond()
+        finally:
+            self._buffer.release()
+
+    async def _respond(self) -> Verdict:
         started_at = self.context.now()
         result = await self._call_with_retries()
         self._settle_claim(result)
@@ -116,6 +123,7 @@
             self.context.settings.service_timeout_s,
             may_send=lambda: self.context.may_send(self.endpoint),
             on_announcements=lambda told: self.context.record_announcements(slot, told),
+            buffer=self._buffer,
         )
         if isinstance(result, HttpResponse) and self.context.view_holder.current.is_cross_region(
             slot.region
--- a/bluebellpitch/commands/serve.py
+++ b/bluebellpitch/commands/serve.py
@@ -58,6 +58,9 @@
     connections: Annotated[
         int, option("--connections", "Maximum number of open connections.")
     ] = 2_000,
+    memory_mb: Annotated[
+        float, option("--memory-mb", "Memory that the process may take, in MiB.")
+    ] = 300.0,
     log_level: Annotated[str, option("--log-level", "DEBUG, INFO, WARNING, ERROR.")] = "INFO",
 ) -> int:
     """Runs an entry VM until it is stopped."""
@@ -77,6 +80,7 @@
         snapshot_every_s=snapshot_every_s,
         drain_notice_s=drain_notice_s,
         grace_s=grace_s,
+        memory_mb=memory_mb,
         http=HttpLimits(
             header_bytes=header_bytes,
             body_bytes=body_bytes,
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -9,14 +9,15 @@
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
-from bluebellpitch.endpoints.sse import EVENT_SEPARATOR, MAX_EVENT_BYTES
+from bluebellpitch.endpoints.sse import EventSplitter
 from bluebellpitch.errors import (
     ConnectionLostError,
     NotSentError,
     ReadTimeoutError,
     ResponseTooLargeError,
 )
-from bluebellpitch.http1 import MAX_DISCARDED_BYTES, ClientConnection
+from bluebellpitch.http1 import ClientConnection
+from bluebellpitch.logs import log
 from bluebellpitch.platform.http_messages import (
     ForwardingContext,
     ResponseHead,
@@ -82,6 +83,7 @@
         self._has_left = has_left
         self._now = now
         self._connection: ClientConnection | None = None
+        self._buffer = connection_pool.buffers.open()
         self.head: ResponseHead | None = None
         self.sent_at = 0.0
         self.ending = ""
@@ -142,7 +144,7 @@
                 return head
             if not head.request_id:
                 raise ConnectionLostError("received a response without the id of its request")
-            await self._connection.read_rest(self._remaining_s(deadline), MAX_DISCARDED_BYTES)
+            await self._connection.discard_rest(self._remaining_s(deadline))
             self._connection.expect_next_response(self._request.method)
         raise ConnectionLostError("received too many responses to other requests")
 
@@ -156,7 +158,7 @@
     async def _drain_refusal(self) -> None:
         """Reads a refusal to its end so that the connection can be reused."""
         try:
-            await self._connection.read_rest(DRAIN_REFUSAL_TIMEOUT_S, MAX_DISCARDED_BYTES)
+            await self._connection.discard_rest(DRAIN_REFUSAL_TIMEOUT_S)
         except ConnectionLostError:
             self.close()
             return
@@ -166,7 +168,9 @@
         """Reads the body of a response that is not streamed; returns all of it or a verdict."""
         try:
             remaining_s = self._remaining_s(deadline)
-            body = await self._connection.read_rest(remaining_s, MAX_ROUTED_RESPONSE_BYTES)
+            body = await self._connection.read_rest(
+                remaining_s, MAX_ROUTED_RESPONSE_BYTES, self._buffer
+            )
         except ConnectionLostError as error:
             self.close()
             return describe_lost_response(error, "cut", "cut")
@@ -177,10 +181,10 @@
         """Yields batches of complete events until the stream ends, and then sets ``ending``.
 
         Endings: ``complete``, ``late`` (unfinished at ``deadline``), ``silent`` (no data for
-        ``max_silence_s``), ``oversized`` (event too large) and ``cut`` (connection lost, or stream
-        not at the end of an event).
+        ``max_silence_s``), ``oversized`` (event too large, or no memory left for it) and ``cut``
+        (connection lost, or stream not at the end of an event).
         """
-        incomplete = b""
+        splitter = EventSplitter(buffer=self._buffer)
         while True:
             remaining_s = deadline - self._now()
             if remaining_s <= 0:
@@ -197,15 +201,15 @@
             if data is None:
                 self.ending = "complete"
                 break
-            incomplete += data
-            end = incomplete.rfind(EVENT_SEPARATOR) + len(EVENT_SEPARATOR)
-            if end >= len(EVENT_SEPARATOR):
-                events, incomplete = incomplete[:end], incomplete[end:]
-                yield events
-            elif len(incomplete) > MAX_EVENT_BYTES:
+            try:
+                events = splitter.feed(data)
+            except ResponseTooLargeError as error:
+                log("WARNING", "response_too_large", request=self._request.id, error=error)
                 self.ending = "oversized"
                 break
-        if self.ending == "complete" and incomplete:
+            if events:
+                yield events
+        if self.ending == "complete" and splitter.is_incomplete:
             self.ending = "cut"
         if self.ending == "complete":
             self._release()
@@ -220,7 +224,8 @@
             self._connection_pool.release(self._entry, connection, keep_alive_s)
 
     def close(self) -> None:
-        """Aborts the attempt; the endpoint sees a closed connection."""
+        """Ends the attempt, and drops what it holds; if it is not complete, it is aborted."""
+        self._buffer.release()
         connection, self._connection = self._connection, None
         if connection is not None:
             self._connection_pool.discard(self._entry, connection)
--- a/bluebellpitch/endpoints/connections.py
+++ b/bluebellpitch/endpoints/connections.py
@@ -7,19 +7,24 @@
     MAX_IDLE_CONNECTION_AGE_S,
     PROBE_TIMEOUT_S,
 )
+from bluebellpitch.decisions.buffer_budget import BufferBudget
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.http1 import ClientConnection, fetch
 
+# Only the status of a health check counts.
+MAX_HEALTH_BYTES = 65_536
+
 
 class ConnectionPool:
     """Idle connections of ``serve``, by address; EndpointConnectionPool has them by incarnation.
 
     ``now`` returns monotonic seconds. Old connections are closed, because the endpoint may
-    have vanished without closing them.
+    have vanished without closing them. Responses of endpoints are held in ``buffers``.
     """
 
-    def __init__(self, now: Callable[[], float]):
+    def __init__(self, now: Callable[[], float], buffers: BufferBudget | None = None):
         self._now = now
+        self.buffers = buffers or BufferBudget()
         self._idle_by_address: dict[str, list[ClientConnection]] = {}
 
     async def acquire(self, address: str) -> ClientConnection:
@@ -56,7 +61,9 @@
 async def probe(address: str) -> bool:
     """Returns whether an endpoint answers ``GET /health`` on a new connection."""
     try:
-        response = await fetch(address, "GET", "/health", timeout_s=PROBE_TIMEOUT_S)
+        response = await fetch(
+            address, "GET", "/health", timeout_s=PROBE_TIMEOUT_S, max_bytes=MAX_HEALTH_BYTES
+        )
     except BluebellpitchError:
         return False
     return response.status < 500
--- a/bluebellpitch/endpoints/endpoint_connections.py
+++ b/bluebellpitch/endpoints/endpoint_connections.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from bluebellpitch.decisions.buffer_budget import BufferBudget
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.http1 import ClientConnection
 
@@ -27,11 +28,12 @@
 class EndpointConnectionPool:
     """Connections of ``route``, by incarnation of the endpoint; ConnectionPool has them by address.
 
-    ``now`` returns monotonic seconds.
+    ``now`` returns monotonic seconds. Responses of their endpoints are held in ``buffers``.
     """
 
-    def __init__(self, now: Callable[[], float]):
+    def __init__(self, now: Callable[[], float], buffers: BufferBudget | None = None):
         self._now = now
+        self.buffers = buffers or BufferBudget()
         self._by_incarnation: dict[tuple[str, int], IncarnationConnections] = {}
 
     def _connections_to(self, entry: EndpointEntry) -> IncarnationConnections:
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -60,6 +60,7 @@
         self._stall_s = stall_s
         self._may_send = may_send
         self._connection: ClientConnection | None = None
+        self._buffer = connection_pool.buffers.open()
         self._cancel_reason = ""
         self._has_first_token = False
         self.ending = ""
@@ -100,6 +101,7 @@
             self.ending = "crashed"
         finally:
             self._release_connection(finished)
+            self._buffer.release()
             if self._cancel_reason and not finished:
                 self.ending = "preempted"
 
@@ -115,7 +117,7 @@
         if head.status_code != 200:
             await self._read_rejection(connection, head.status_code)
             return
-        buffer, received_bytes = EventBuffer(), 0
+        buffer, received_bytes = EventBuffer(buffer=self._buffer), 0
         now = asyncio.get_running_loop().time
         token_due_at = now() + first_token_timeout_s
         while (data := await self._read_data(token_due_at - now())) is not None:
@@ -135,7 +137,7 @@
         return await self._connection.read_data(timeout_s)
 
     async def _read_rejection(self, connection: ClientConnection, status: int) -> None:
-        body = await connection.read_rest(self._stall_s, MAX_REJECTION_BYTES)
+        body = await connection.read_rest(self._stall_s, MAX_REJECTION_BYTES, self._buffer)
         self.rejection = Rejection(status, body)
         self.ending = "busy" if status in BUSY_STATUSES else "rejected"
 
--- a/bluebellpitch/endpoints/service.py
+++ b/bluebellpitch/endpoints/service.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bluebellpitch.decisions.buffer_budget import BufferShare
 from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.errors import ConnectionLostError, NotSentError, ResponseTooLargeError
 from bluebellpitch.http1 import Headers, HttpResponse
@@ -29,11 +30,13 @@
     timeout_s: float,
     may_send: Callable[[], bool],
     on_announcements: Callable[[Announcements], None],
+    buffer: BufferShare | None = None,
 ) -> HttpResponse | DidNotRun | MayHaveRun:
     """Sends the request once, on a new connection: on a stale one it could be lost.
 
     ``may_send`` is asked when everything else is ready; ``timeout_s`` limits the rest of the call.
-    ``on_announcements`` is called with what the answer says of the endpoint's future.
+    ``on_announcements`` is called with what the answer says of the endpoint's future. The body of
+    the response is held in ``buffer``.
     """
     try:
         connection = await connection_pool.open(address)
@@ -43,7 +46,9 @@
         if not may_send():
             return DidNotRun("endpoint_left")
         headers: Headers = [*call.headers, ("Connection", "close")]
-        response = await connection.call(call.method, call.target, call.body, timeout_s, headers)
+        response = await connection.call(
+            call.method, call.target, call.body, timeout_s, headers, buffer=buffer
+        )
     except ResponseTooLargeError as error:
         return MayHaveRun(f"answer_too_large: {error}")
     except ConnectionLostError as error:
--- a/bluebellpitch/endpoints/sse.py
+++ b/bluebellpitch/endpoints/sse.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bluebellpitch.decisions.buffer_budget import BufferBudget, BufferShare
 from bluebellpitch.decoding import DECODE_ERRORS
 from bluebellpitch.errors import ResponseTooLargeError
 
@@ -42,28 +43,56 @@
     usage: Usage | None = None
 
 
-class EventBuffer:
-    """Splits a byte stream at the ends of events. ``done`` is set after the ``[DONE]`` event."""
+class EventSplitter:
+    """Splits a byte stream at the ends of events; holds an incomplete one in ``buffer``."""
 
-    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES):
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES, buffer: BufferShare | None = None):
         self._max_event_bytes = max_event_bytes
-        self._incomplete = b""
+        self._buffer = buffer or BufferBudget().open()
+        self._incomplete = bytearray()
+
+    def feed(self, data: bytes) -> bytes:
+        """Adds data and returns the events that it completes.
+
+        Raises ResponseTooLargeError when an event has no end within ``max_event_bytes``, or no
+        memory is left for it.
+        """
+        incomplete = self._incomplete
+        searched = max(0, len(incomplete) - len(EVENT_SEPARATOR) + 1)
+        incomplete += data
+        end = incomplete.rfind(EVENT_SEPARATOR, searched)
+        events = b""
+        if end >= 0:
+            end += len(EVENT_SEPARATOR)
+            events = bytes(incomplete[:end])
+            del incomplete[:end]
+        if len(incomplete) > self._max_event_bytes:
+            message = f"an event has more than {self._max_event_bytes} bytes"
+            raise ResponseTooLargeError(message)
+        if not self._buffer.resize(len(incomplete)):
+            message = f"an event has {len(incomplete)} bytes, and no memory is left for more"
+            raise ResponseTooLargeError(message)
+        return events
+
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._incomplete)
+
+
+class EventBuffer:
+    """Splits a stream of completions. ``done`` is set after the ``[DONE]`` event."""
+
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES, buffer: BufferShare | None = None):
+        self._splitter = EventSplitter(max_event_bytes, buffer)
         self.done = False
 
     def feed(self, data: bytes) -> bytes:
         """Adds data and returns the events that it completes, without ``[DONE]``.
 
-        Raises ResponseTooLargeError when an event has no end within ``max_event_bytes``.
+        Raises ResponseTooLargeError, as EventSplitter does.
         """
-        data = self._incomplete + data
-        end = data.rfind(EVENT_SEPARATOR)
-        if end < 0:
-            if len(data) > self._max_event_bytes:
-                message = f"an event has more than {self._max_event_bytes} bytes"
-                raise ResponseTooLargeError(message)
-            self._incomplete = data
-            return b""
-        events, self._incomplete = data[: end + 2], data[end + 2 :]
+        events = self._splitter.feed(data)
         if events.endswith(DONE_EVENT + EVENT_SEPARATOR):
             self.done = True
             events = events[: -len(DONE_EVENT + EVENT_SEPARATOR)]
@@ -80,12 +109,21 @@
     return events.startswith(b"data:") or b"\ndata:" in events
 
 
+def split_events(events: bytes) -> Iterator[bytes]:
+    """Yields events one by one, without their ends; what follows the last end is one too."""
+    start = 0
+    while (end := events.find(EVENT_SEPARATOR, start)) >= 0:
+        yield events[start:end]
+        start = end + len(EVENT_SEPARATOR)
+    yield events[start:]
+
+
 _chunk_decoder = msgspec.json.Decoder(Chunk)
 
 
 def decode_chunks(events: bytes) -> Iterator[Chunk]:
     """Yields the decoded chunks; skips events that are malformed or carry no data."""
-    for event in events.split(EVENT_SEPARATOR):
+    for event in split_events(events):
         if not event.startswith(b"data: "):
             continue
         try:
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -5,12 +5,14 @@
 from collections.abc import Callable, Coroutine
 from uuid import uuid4
 
+from bluebellpitch.callers.admission import build_http_limits
 from bluebellpitch.callers.routed_requests import (
     RoutedRequestHandler,
     refuse_malformed_request,
 )
 from bluebellpitch.callers.routing_context import RoutingContext
 from bluebellpitch.clock import HybridClock
+from bluebellpitch.decisions.buffer_budget import BufferBudget, buffer_capacity
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
@@ -59,7 +61,6 @@
 from bluebellpitch.tasks import start_tasks, stop_tasks
 
 CLEANUP_INTERVAL_S = 1.0
-MIN_RECEIVE_TIMEOUT_S = 10.0
 ROUTED_STRIKE_TTL_S = 120.0
 
 
@@ -88,6 +89,8 @@
         self.key = f"{settings.vm_name}/{uuid4().hex[:8]}"
         self.liveness = Liveness(self.key, settings.zone)
         self.metrics = Metrics()
+        self.buffers = BufferBudget(buffer_capacity(settings.memory_mb))
+        self.metrics.show_buffers(self.buffers)
         self._metrics_port = metrics_port
         self.strikes = StrikeReplicator(
             StrikeTracker(ROUTED_STRIKE_TTL_S),
@@ -173,7 +176,7 @@
             self.peer_discovery.possible_vm_count,
             now,
         )
-        self.connection_pool = EndpointConnectionPool(now)
+        self.connection_pool = EndpointConnectionPool(now, self.buffers)
         self.context = RoutingContext(
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
@@ -199,7 +202,7 @@
         )
         self.metrics_http = HttpServer(self._serve_metrics, refuse_malformed_request, HttpLimits())
         self.http = HttpServer(
-            self._serve, refuse_malformed_request, HttpLimits(idle_timeout_s=16.0)
+            self._serve, refuse_malformed_request, HttpLimits(idle_timeout_s=16.0), self.buffers
         )
         self.ready_http = HttpServer(self._serve_readiness, refuse_malformed_request, HttpLimits())
 
@@ -338,13 +341,7 @@
         while True:
             await self.configuration.changed.wait()
             self.configuration.changed.clear()
-            limits = self.configuration.catalogue.limits
-            self.http.limits = HttpLimits(
-                header_bytes=limits.header_bytes,
-                body_bytes=limits.body_bytes,
-                receive_s=max(limits.header_s, MIN_RECEIVE_TIMEOUT_S),
-                idle_timeout_s=limits.idle_s,
-            )
+            self.http.limits = build_http_limits(self.configuration.catalogue.limits)
 
     async def _clean_up(self) -> None:
         while True:
--- a/bluebellpitch/errors.py
+++ b/bluebellpitch/errors.py
@@ -2,6 +2,8 @@
 
 from bluebellpitch.exit_status import ExitStatus
 
+REFUSED_RETRY_AFTER_S = 1.0
+
 
 class BluebellpitchError(Exception):
     """Base class of all errors whose message is meant for operators or clients."""
@@ -41,7 +43,8 @@
     """A client's request is refused before any part of it ran.
 
     ``reason`` is a short machine-readable word, ``status`` an HTTP status code, ``request_id`` the
-    caller's own id if its head could be read.
+    caller's own id if its head could be read. Work that is refused for want of resources (503) may
+    come back after ``retry_after_s``.
     """
 
     def __init__(self, status: int, reason: str, message: str, request_id: str = ""):
@@ -49,6 +52,7 @@
         self.status = status
         self.reason = reason
         self.request_id = request_id
+        self.retry_after_s = REFUSED_RETRY_AFTER_S if status == 503 else None
 
 
 class ProtocolError(BluebellpitchError):
--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -1,10 +1,11 @@
 """HTTP/1.1 client connections."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 
 import h11
 
+from bluebellpitch.decisions.buffer_budget import BufferBudget, BufferShare
 from bluebellpitch.errors import (
     ConnectionLostError,
     ConnectionRefusedByServerError,
@@ -19,23 +20,15 @@
     HttpResponse,
     encode_headers,
 )
+from bluebellpitch.http1.streams import CountingReader, open_streams
 
 MAX_HEAD_BYTES = 16_384
 MAX_INFORMATIONAL_RESPONSES = 8
 # Most that is read of a body only to reuse the connection.
 MAX_DISCARDED_BYTES = 262_144
 HEADER_TOO_LARGE_STATUS = 431
-
-
-class CountingReader(asyncio.StreamReader):
-    """A stream reader that counts received bytes, so that unread ones can be detected."""
-
-    received_bytes = 0
-
-    def feed_data(self, data: bytes) -> None:
-        """Counts the bytes and passes them on to the buffer."""
-        self.received_bytes += len(data)
-        super().feed_data(data)
+# After so many events without a wait for data, other connections have their turn.
+EVENTS_PER_TURN = 32
 
 
 class ClientConnection:
@@ -48,6 +41,7 @@
         self.idle_since = 0.0
         self.h11 = create_parser()
         self._consumed_bytes = 0
+        self._events_in_turn = 0
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "ClientConnection":
@@ -112,25 +106,49 @@
         event = await self._next_event(timeout_s)
         return bytes(event.data) if isinstance(event, h11.Data) else None
 
-    async def read_rest(self, timeout_s: float, max_bytes: int) -> bytes:
-        """Returns the rest of the body; ``timeout_s`` limits all of it.
+    async def read_rest(self, timeout_s: float, max_bytes: int, buffer: BufferShare) -> bytes:
+        """Returns the rest of the body, held in ``buffer``; ``timeout_s`` limits all of it.
+
+        Raises ConnectionLostError, ReadTimeoutError or ResponseTooLargeError.
+        """
+        body = bytearray()
+
+        def hold(data: bytes) -> None:
+            if not buffer.grow(len(data)):
+                message = f"{self.address} sent {len(body)} bytes, and no memory is left for more"
+                raise ResponseTooLargeError(message)
+            body.extend(data)
+
+        await self._receive_rest(timeout_s, max_bytes, hold)
+        return bytes(body)
+
+    async def discard_rest(self, timeout_s: float) -> None:
+        """Reads the rest of the body and holds none of it; ``timeout_s`` limits all of it.
 
         Raises ConnectionLostError, ReadTimeoutError or ResponseTooLargeError.
         """
-        parts, size = [], 0
+        await self._receive_rest(timeout_s, MAX_DISCARDED_BYTES, lambda data: None)
+
+    async def _receive_rest(
+        self, timeout_s: float, max_bytes: int, take: Callable[[bytes], None]
+    ) -> None:
+        size = 0
         try:
             async with asyncio.timeout(timeout_s):
                 while (data := await self.read_data(timeout_s)) is not None:
-                    parts.append(data)
                     size += len(data)
                     if size > max_bytes:
                         message = f"{self.address} sent a body of more than {max_bytes} bytes"
                         raise ResponseTooLargeError(message)
+                    take(data)
         except TimeoutError as error:
             raise ReadTimeoutError(f"no complete body of {self.address} in time") from error
-        return b"".join(parts)
 
     async def _next_event(self, timeout_s: float):
+        self._events_in_turn += 1
+        if self._events_in_turn >= EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
         try:
             event = self.h11.next_event()
             if event is h11.NEED_DATA:
@@ -154,26 +172,39 @@
         self._consumed_bytes += len(data)
         return data
 
-    async def read_response(self, timeout_s: float) -> HttpResponse:
+    async def read_response(
+        self,
+        timeout_s: float,
+        max_bytes: int = MAX_RESPONSE_BYTES,
+        buffer: BufferShare | None = None,
+    ) -> HttpResponse:
         """Returns the complete response; ``timeout_s`` limits the head and then the body.
 
         Raises ConnectionLostError, ReadTimeoutError or ResponseTooLargeError.
         """
         head = await self.read_head(timeout_s)
-        body = await self.read_rest(timeout_s, MAX_RESPONSE_BYTES)
+        body = await self.read_rest(timeout_s, max_bytes, buffer or BufferBudget().open())
         return HttpResponse(head.status_code, decode_headers(head.headers), body)
 
     async def call(
-        self, method: str, target: str, body: bytes, timeout_s: float, headers: Headers = ()
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+        headers: Headers = (),
+        max_bytes: int = MAX_RESPONSE_BYTES,
+        buffer: BufferShare | None = None,
     ) -> HttpResponse:
         """Returns the response to a request; ``timeout_s`` limits the whole call.
 
-        Raises NotSentError, ConnectionLostError or ReadTimeoutError.
+        ``max_bytes`` limits its body, which is held in ``buffer``. Raises NotSentError,
+        ConnectionLostError or ReadTimeoutError.
         """
         try:
             async with asyncio.timeout(timeout_s):
                 await self.send(method, target, headers, body)
-                return await self.read_response(timeout_s)
+                return await self.read_response(timeout_s, max_bytes, buffer)
         except TimeoutError as error:
             raise ReadTimeoutError(f"{self.address} did not answer within {timeout_s} s") from error
 
@@ -224,15 +255,6 @@
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
 
-async def open_streams(host: str, port: int):
-    """Opens a TCP connection; returns a counting reader and a writer."""
-    loop = asyncio.get_running_loop()
-    reader = CountingReader(loop=loop)
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-    transport, _ = await loop.create_connection(lambda: protocol, host, port)
-    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
-
-
 async def fetch(
     address: str,
     method: str,
@@ -241,6 +263,7 @@
     headers: Headers = (),
     *,
     timeout_s=3.0,
+    max_bytes: int = MAX_RESPONSE_BYTES,
 ) -> HttpResponse:
     """Sends a request on a new connection and returns the response.
 
@@ -249,6 +272,6 @@
     connection = await ClientConnection.open(address, timeout_s)
     headers = [*headers, ("Connection", "close")]
     try:
-        return await connection.call(method, target, body, timeout_s, headers)
+        return await connection.call(method, target, body, timeout_s, headers, max_bytes)
     finally:
         connection.close()
--- a/bluebellpitch/http1/messages.py
+++ b/bluebellpitch/http1/messages.py
@@ -7,7 +7,7 @@
 from bluebellpitch.decoding import parse_whole_number
 from bluebellpitch.errors import ProtocolError
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 MAX_RESPONSE_BYTES = 16_777_216
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -1,10 +1,11 @@
 """HTTP/1.1 server: connections, and a listener that passes requests to a handler."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 import h11
 
+from bluebellpitch.decisions.buffer_budget import BufferBudget, BufferShare
 from bluebellpitch.errors import BadRequestError, DisconnectedError
 from bluebellpitch.http1.messages import (
     READ_BYTES,
@@ -13,16 +14,23 @@
     HttpRequest,
     encode_headers,
 )
+from bluebellpitch.http1.streams import start_stream_server
 from bluebellpitch.logs import log
 
+WRITE_BUFFER_BYTES = 16_384
+# How often a connection with unread bytes is looked at, in case its client has gone.
+UNREAD_CHECK_INTERVAL_S = 0.25
+
 
 class ServerConnection:
     """One accepted connection, used only by the task that serves it."""
 
-    def __init__(self, reader, writer, limits: HttpLimits):
+    def __init__(self, reader, writer, limits: HttpLimits, buffer: BufferShare):
         self.reader = reader
         self.writer = writer
+        self.writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self.limits = limits
+        self.buffer = buffer
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
 
     async def read_request(self) -> HttpRequest | None:
@@ -70,10 +78,10 @@
         if not isinstance(head, h11.Request):
             return None
         self._check_head(head)
-        parts = [part async for part in self._body_parts()]
+        body = await self._receive_body()
         headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
         method = head.method.decode("ascii")
-        return HttpRequest(method, head.target.decode("ascii"), headers, b"".join(parts))
+        return HttpRequest(method, head.target.decode("ascii"), headers, body)
 
     def _check_head(self, head: h11.Request) -> None:
         """Checks the size of a complete head: h11 limits only heads that are still incomplete."""
@@ -81,13 +89,15 @@
         if size > self.limits.header_bytes:
             raise BadRequestError(431, "header_too_large", "the request head is too large")
 
-    async def _body_parts(self) -> AsyncIterator[bytes]:
-        size = 0
+    async def _receive_body(self) -> bytes:
+        body = bytearray()
         while isinstance(event := await self._next_event(), h11.Data):
-            size += len(event.data)
-            if size > self.limits.body_bytes:
+            if len(body) + len(event.data) > self.limits.body_bytes:
                 raise BadRequestError(413, "body_too_large", "the request body is too large")
-            yield bytes(event.data)
+            if not self.buffer.grow(len(event.data)):
+                raise BadRequestError(503, "no_memory", "no memory is left for the request body")
+            body += event.data
+        return bytes(body)
 
     def is_disconnected(self) -> bool:
         """Returns whether the client has closed its side of the connection."""
@@ -100,7 +110,10 @@
     async def wait_disconnected(self) -> None:
         """Returns when the client has closed its side of the connection."""
         while not self.is_disconnected():
-            if data := await self._read():
+            if len(self.h11.trailing_data[0]) > READ_BYTES:
+                # The next request waits in the connection; a client that goes away is noticed late.
+                await asyncio.sleep(UNREAD_CHECK_INTERVAL_S)
+            elif data := await self._read():
                 self.h11.receive_data(data)
 
     async def send_head(self, status: int, headers: Headers) -> None:
@@ -120,7 +133,12 @@
         headers = [*headers, ("Content-Length", str(len(body)))]
         head = self.h11.send(h11.Response(status_code=status, headers=encode_headers(headers)))
         data = self.h11.send(h11.Data(data=body)) if body else b""
-        self.writer.write(head + data + (self.h11.send(h11.EndOfMessage()) or b""))
+        data += self.h11.send(h11.EndOfMessage()) or b""
+        if len(data) > WRITE_BUFFER_BYTES:
+            self.writer.write(head)
+            self.writer.write(data)
+        else:
+            self.writer.write(head + data)
         await self._drain()
 
     async def _send(self, event) -> None:
@@ -161,13 +179,21 @@
 class HttpServer:
     """Accepts connections and passes each request to a handler.
 
-    ``refuse`` answers requests that are malformed or exceed a limit.
+    ``refuse`` answers requests that are malformed or exceed a limit. Request bodies are held in
+    ``buffers`` until their request is answered.
     """
 
-    def __init__(self, handle: Handler, refuse: RefusalHandler, limits: HttpLimits):
+    def __init__(
+        self,
+        handle: Handler,
+        refuse: RefusalHandler,
+        limits: HttpLimits,
+        buffers: BufferBudget | None = None,
+    ):
         self.handle = handle
         self.refuse = refuse
         self.limits = limits
+        self._buffers = buffers or BufferBudget()
         self.in_flight = 0
         self.is_closing = False
         self._open_connections = 0
@@ -175,11 +201,11 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Starts to accept connections; returns the port."""
-        self._server = await asyncio.start_server(self._serve, host, port, backlog=1024)
+        self._server = await start_stream_server(self._serve, host, port, backlog=1024)
         return self._server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader, writer) -> None:
-        connection = ServerConnection(reader, writer, self.limits)
+        connection = ServerConnection(reader, writer, self.limits, self._buffers.open())
         self._open_connections += 1
         try:
             if self._open_connections > self.limits.connections:
@@ -197,6 +223,7 @@
             log("ERROR", "handler_failed", error=repr(error))
         finally:
             self._open_connections -= 1
+            connection.buffer.release()
             await connection.close()
 
     async def _serve_requests(self, connection: ServerConnection) -> None:
@@ -210,6 +237,7 @@
                 await self.handle(connection, request)
             finally:
                 self.in_flight -= 1
+                connection.buffer.release()
             if not connection.start_next_cycle():
                 return
 
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from bluebellpitch.constants import MAX_MEMBER_LABELS
+from bluebellpitch.decisions.buffer_budget import BufferBudget
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.67, 1, 2.5, 5, 10, 30, 60)
 TOKEN_INTERVAL_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.044, 0.06, 0.1, 0.25, 1)
@@ -44,6 +45,8 @@
         self.store_silence = self._gauge("store_silence_seconds", "Since the store last answered")
         self.unresolved = self._gauge("unresolved_claims", "Claims that may have run")
         self.in_flight = self._gauge("in_flight", "Requests that are being served")
+        self.buffered_bytes = self._gauge("buffered_bytes", "Bytes of messages held")
+        self.buffers_exceeded = self._gauge("buffers_exceeded", "Messages cut for want of memory")
         self.configuration_version = self._gauge("configuration_version", "Version in force")
         self.freshness_age = self._gauge(
             "freshness_age_seconds", "Since the configuration was known to be the newest"
@@ -58,6 +61,11 @@
     def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
         return Counter(f"bluebellpitch_{name}", help_text, labels, registry=self.registry)
 
+    def show_buffers(self, buffers: BufferBudget) -> None:
+        """Shows what is held of messages from now on."""
+        self.buffered_bytes.set_function(lambda: buffers.used_bytes)
+        self.buffers_exceeded.set_function(lambda: buffers.exceeded)
+
     def _gauge(self, name: str, help_text: str, *labels: str) -> Gauge:
         return Gauge(f"bluebellpitch_{name}", help_text, labels, registry=self.registry)
 
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -9,6 +9,7 @@
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.constants import EVENT_RING_SIZE
 from bluebellpitch.context import NodeContext
+from bluebellpitch.decisions.buffer_budget import BufferBudget, buffer_capacity
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.control import VmIdentity
 from bluebellpitch.decisions.hedge_budget import HedgeBudget
@@ -142,7 +143,9 @@
             settings.horizon_s,
             self.store_era,
         )
-        self.connection_pool = ConnectionPool(now)
+        self.buffers = BufferBudget(buffer_capacity(settings.memory_mb))
+        self.metrics.show_buffers(self.buffers)
+        self.connection_pool = ConnectionPool(now, self.buffers)
         self.context = NodeContext(
             settings=settings,
             view_holder=self.view_holder,
--- a/bluebellpitch/peers/bus.py
+++ b/bluebellpitch/peers/bus.py
@@ -14,7 +14,13 @@
 from bluebellpitch.errors import ProtocolError
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.peers.messages import Envelope, Message, decode_envelope, encode_envelope
+from bluebellpitch.peers.messages import (
+    MAX_MESSAGE_BYTES,
+    Envelope,
+    Message,
+    decode_envelope,
+    encode_envelope,
+)
 
 LINGER_MS = 200
 NEAR_HEARTBEAT_INTERVAL_MS = 1_000
@@ -59,6 +65,7 @@
         """Binds the receiving socket to ``host:port``; raises OSError."""
         self._receive_socket.setsockopt(zmq.LINGER, LINGER_MS)
         self._receive_socket.setsockopt(zmq.RCVHWM, PEER_SEND_QUEUE_SIZE)
+        self._receive_socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         try:
             self._receive_socket.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
--- a/bluebellpitch/platform/settings_file.py
+++ b/bluebellpitch/platform/settings_file.py
@@ -5,6 +5,7 @@
 from bluebellpitch.errors import UsageError
 
 SETTINGS_FILE_VARIABLE = "BLUEBELLPITCH_CONFIG"
+DEFAULT_MEMORY_MB = 300.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +33,8 @@
     endpoint_heartbeat_s: float
     # How long an endpoint serves after its notice that it is draining.
     drain_s: float
+    # Memory of the process, in MiB; one that takes more is ended.
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 def parse_settings(text: str) -> VmSettings:
@@ -73,6 +76,7 @@
         retry_budget_burst=get_number("bounds.budget_burst", 0),
         endpoint_heartbeat_s=get_number("heartbeat_ms", 1000) / 1000,
         drain_s=get_number("bounds.drain_ms", 3000) / 1000,
+        memory_mb=get_number("limits.memory_mb", DEFAULT_MEMORY_MB),
     )
 
 
--- a/bluebellpitch/platform/store.py
+++ b/bluebellpitch/platform/store.py
@@ -40,6 +40,10 @@
 # A slow store may take this long over a read, whether or not it waits for records.
 MIN_READ_TIMEOUT_S = 2.5
 MAX_PAGES = 200
+# Pages have at most 1 MiB of records, which JSON and base64 make larger.
+MAX_RESPONSE_BYTES = 4_194_304
+# All pages of a topic's newest records together.
+MAX_NEWEST_BYTES = 16_777_216
 ERA_HEADER = "store-era"
 # It counts returns from a copy; all answers that name a lower one would be of the past.
 MAX_ERA_DIGITS = 9
@@ -132,13 +136,16 @@
         Raises ProtocolError also if the store comes back from a copy between two pages, or if the
         pages have no end.
         """
-        records, after_key, next_offset, eras = [], "", None, set()
+        records, after_key, next_offset, eras, size = [], "", None, set(), 0
         for _ in range(MAX_PAGES):
             target = f"/log-newest?topic={topic}&part=0" + (
                 f"&after={quote(after_key, safe='')}" if after_key else ""
             )
             response = await self._send_request("GET", target, b"", RESPONSE_TIMEOUT_S)
             eras.add(decode_era(response))
+            size += len(response.body)
+            if size > MAX_NEWEST_BYTES:
+                raise ProtocolError(f"{topic} has more than {MAX_NEWEST_BYTES} bytes")
             if len(eras) > 1:
                 raise ProtocolError("the store came back from a copy between two pages")
             page = decode_json(require_ok(response), NewestPage)
@@ -182,7 +189,9 @@
                 connection.close()
             connection = await ClientConnection.open(self.address, CONNECT_TIMEOUT_S)
         try:
-            response = await connection.call(method, target, body, timeout_s)
+            response = await connection.call(
+                method, target, body, timeout_s, max_bytes=MAX_RESPONSE_BYTES
+            )
         except BaseException:
             connection.close()
             raise
--- a/bluebellpitch/settings.py
+++ b/bluebellpitch/settings.py
@@ -30,6 +30,7 @@
     drain_notice_s: float = 3.0
     grace_s: float = 30.0
     incarnation: str = ""
+    memory_mb: float = 300.0
     http: HttpLimits = field(default_factory=HttpLimits)
 
 
@@ -41,7 +42,10 @@
         check_address(name, getattr(settings, name))
     for peer in settings.peers:
         check_address("peer", peer)
-    for name in ("stall_s", "service_timeout_s", "horizon_s", "snapshot_every_s", "grace_s"):
+    for name in (
+        *("stall_s", "service_timeout_s", "horizon_s", "snapshot_every_s", "grace_s"),
+        "memory_mb",
+    ):
         check_positive(name, getattr(settings, name))
     if not 0 <= settings.drain_notice_s < settings.grace_s:
         raise UsageError(
--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -4,6 +4,7 @@
 import sys
 
 from bluebellpitch.http1 import parse_address
+from fakes.endless import EndlessEndpoint
 from fakes.engine import FakeEngine, Timing
 from fakes.link import FakeLink
 from fakes.prepared_store import FakeStore
@@ -17,6 +18,10 @@
             return FakeStore()
         case "service":
             return FakeService(options.get("name", "service"))
+        case "endless":
+            endpoint = EndlessEndpoint(options["part"])
+            endpoint.is_healthy = True
+            return endpoint
         case "link":
             delay_s = float(options.get("delay_s", "0"))
             return FakeLink(options["listen"], options["target"], delay_s)
