Send names outside Latin-1 in headers as UTF-8

Callers would see: of a member whose name in the configuration is not Latin-1, no request is served (the Tenant header could not be encoded); in serve, an answer that names such an endpoint, or VM, never comes, though the request has run (LOST). Names of letters are valid in the operators' table.

Cause: header values are encoded as they were received, which names of operators are not. Change: what is not Latin-1 is sent as UTF-8.

--- a/bluebellpitch/http1/messages.py
+++ b/bluebellpitch/http1/messages.py
@@ -57,7 +57,15 @@
 
 def encode_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
     """Returns headers as they are sent, the bytes of their values as they were received."""
-    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+    return [(name.encode("ascii"), encode_value(value)) for name, value in headers]
+
+
+def encode_value(text: str) -> bytes:
+    """Returns a header's value: received text is Latin-1, a name of an operator may be any."""
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        return text.encode()
 
 
 def parse_address(text: str) -> tuple[str, int]:
