Test the end of an outage beside a restored store and suspended VMs

Change: the same with a store that comes back from a copy, and with VMs that are suspended, in the middle.

--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -39,8 +39,24 @@
     await asyncio.sleep(0.03)
 
 
+def leave_alone(store: VirtualStore) -> None:
+    """Does nothing more to the store or the VMs."""
+
+
+def restore_copy(store: VirtualStore) -> None:
+    """Lets the store come back from a copy, in a new era."""
+    store.copy()
+    store.restore()
+
+
+def suspend_vms(store: VirtualStore) -> None:
+    """Suspends all VMs for longer than an outage counts for."""
+    asyncio.get_running_loop().advance(5.0)
+
+
 @pytest.mark.parametrize("refused", [1, 2])
-def test_vm_that_the_store_refused_once_stops_using_removed_endpoints_in_time(refused):
+@pytest.mark.parametrize("disturb", [leave_alone, restore_copy, suspend_vms])
+def test_vm_that_the_store_refused_once_stops_using_removed_endpoints_in_time(refused, disturb):
     """Guards against DRAIN: its outage never ended, so each removal counted as a lapse."""
 
     async def body():
@@ -51,7 +67,9 @@
         turned_away = [reader, *others][:refused]
         for vm in turned_away:
             vm.client.is_refused = True
-        await asyncio.sleep(REFUSED_S)
+        await asyncio.sleep(REFUSED_S / 2)
+        disturb(store)
+        await asyncio.sleep(REFUSED_S / 2)
         for vm in turned_away:
             vm.client.is_refused = False
         await asyncio.sleep(CALM_S)
