--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -39,23 +39,36 @@
     await asyncio.sleep(0.03)
 
 
-def leave_alone(store: VirtualStore) -> None:
+def leave_alone(store: VirtualStore, vms: list) -> None:
     """Does nothing more to the store or the VMs."""
 
 
-def restore_copy(store: VirtualStore) -> None:
+def restore_copy(store: VirtualStore, vms: list) -> None:
     """Lets the store come back from a copy, in a new era."""
     store.copy()
     store.restore()
 
 
-def suspend_vms(store: VirtualStore) -> None:
+def suspend_vms(store: VirtualStore, vms: list) -> None:
     """Suspends all VMs for longer than an outage counts for."""
     asyncio.get_running_loop().advance(5.0)
 
 
+def slow_reads(store: VirtualStore, vms: list) -> None:
+    """Delays what all VMs read from then on."""
+    for vm in vms:
+        vm.client.late_s = 0.3
+
+
+def add_second_reader(store: VirtualStore, vms: list) -> None:
+    """Lets another VM take itself for the zone's reader too."""
+    vms[-1].follower._is_zone_reader = lambda: True
+
+
 @pytest.mark.parametrize("refused", [1, 2])
-@pytest.mark.parametrize("disturb", [leave_alone, restore_copy, suspend_vms])
+@pytest.mark.parametrize(
+    "disturb", [leave_alone, restore_copy, suspend_vms, slow_reads, add_second_reader]
+)
 def test_vm_that_the_store_refused_once_stops_using_removed_endpoints_in_time(refused, disturb):
     """Guards against DRAIN: its outage never ended, so each removal counted as a lapse."""
 
@@ -68,7 +81,7 @@
         for vm in turned_away:
             vm.client.is_refused = True
         await asyncio.sleep(REFUSED_S / 2)
-        disturb(store)
+        disturb(store, vms)
         await asyncio.sleep(REFUSED_S / 2)
         for vm in turned_away:
             vm.client.is_refused = False
