--- a/bluebellpitch/decisions/catalogue.py
+++ b/bluebellpitch/decisions/catalogue.py
@@ -54,13 +54,33 @@
     kv_capacity_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class ScalingConfig:
+    """How many endpoints of a pool may be ordered in each zone, and what they cost.
+
+    ``min_count`` and ``max_count`` are for each zone, on-demand and spot endpoints together. A new
+    endpoint serves after ``boot_s`` seconds. ``prices_by_zone`` is the price of a second of an
+    on-demand endpoint; a spot endpoint costs ``spot_price`` of that.
+    """
+
+    min_count: int
+    max_count: int
+    boot_s: float
+    spot_price: float
+    prices_by_zone: dict[str, float]
+
+
 @dataclass(frozen=True, slots=True)
 class PoolConfig:
-    """One service. ``max_connections`` limits the connections of all VMs to each endpoint."""
+    """One service. ``max_connections`` limits the connections of all VMs to each endpoint.
+
+    ``scaling`` is None if its endpoints cannot be ordered.
+    """
 
     name: str
     max_connections: int
     engine: EngineCapacity | None
+    scaling: ScalingConfig | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/bluebellpitch/decisions/endpoints.py
+++ b/bluebellpitch/decisions/endpoints.py
@@ -8,6 +8,7 @@
     """One registered endpoint. ``started_ms`` distinguishes its incarnations.
 
     ``sequence`` rises with each entry that one incarnation writes; 0 if it is unknown.
+    A spot endpoint (``is_spot``) may be reclaimed, together with all others of its zone.
     """
 
     id: str
@@ -18,6 +19,7 @@
     is_draining: bool
     started_ms: int
     sequence: int = field(default=0, compare=False)
+    is_spot: bool = False
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -254,6 +254,53 @@
     wants_reply: bool
 
 
+class DutyAnnouncement(msgspec.Struct, frozen=True, tag="duty_held"):
+    """The sender holds a duty under a fencing token; reports for it go to ``reply_to``.
+
+    ``offset`` is that of the lease's last record in the store.
+    """
+
+    duty: str
+    token: int
+    offset: int
+    reply_to: str
+
+
+class UsageCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that began to run in a window, by member, as counted so far by one VM."""
+
+    vm: str
+    window: int
+    counts_by_member: dict[str, int]
+
+
+class UsageUpdate(msgspec.Struct, frozen=True, tag="usage_told"):
+    """Counts of one VM or, from the collector of a zone, of several; each replaces an older one."""
+
+    counts: tuple[UsageCounts, ...]
+
+
+class ZoneDemand(msgspec.Struct, frozen=True, tag="zone_demand"):
+    """Demand on the engines of a pool in one zone, as the zone's broker sees it.
+
+    ``tokens_per_s`` are the prompt tokens that arrived per second, ``arrivals_per_s`` the requests,
+    ``engine_tokens_per_s`` what one engine of the zone can read, ``busy_share`` the share of the
+    engines' reading time in use, ``running`` and ``slots`` their places in use and in all,
+    ``waiting`` the requests in the queue and ``refused_per_s`` those refused for want of capacity.
+    """
+
+    pool: str
+    zone: str
+    tokens_per_s: float
+    arrivals_per_s: float
+    engine_tokens_per_s: float
+    busy_share: float
+    running: int
+    slots: int
+    waiting: int
+    refused_per_s: float
+
+
 PlatformMessage = (
     WorkRequest
     | WorkQueued
@@ -275,4 +322,7 @@
     | RecordsRequest
     | CrashEvidenceUpdate
     | CrashEvidenceRequest
+    | DutyAnnouncement
+    | UsageUpdate
+    | ZoneDemand
 )
--- a/bluebellpitch/platform/configuration.py
+++ b/bluebellpitch/platform/configuration.py
@@ -12,6 +12,7 @@
     PoolConfig,
     Repeatability,
     Route,
+    ScalingConfig,
     WeightedPool,
     group_by_host,
 )
@@ -49,10 +50,19 @@
     kv_capacity: WholeNumber
 
 
+class _Scaling(msgspec.Struct, frozen=True):
+    max: WholeNumber
+    min: WholeNumber = 0
+    boot_s: float = 0.0
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = {}
+
+
 class _Service(msgspec.Struct, frozen=True):
     name: str
     max_conns: WholeNumber
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -131,7 +141,14 @@
 def decode_pool(wire: _Service) -> PoolConfig:
     """Converts a service to a pool."""
     engine = wire.engine and EngineCapacity(wire.engine.slots, wire.engine.kv_capacity)
-    return PoolConfig(wire.name, wire.max_conns, engine)
+    scaling = wire.scaling and ScalingConfig(
+        min_count=wire.scaling.min,
+        max_count=wire.scaling.max,
+        boot_s=wire.scaling.boot_s,
+        spot_price=wire.scaling.spot_price,
+        prices_by_zone=wire.scaling.zone_prices,
+    )
+    return PoolConfig(wire.name, wire.max_conns, engine, scaling)
 
 
 def decode_limits(wire: _Limits) -> CallerLimits:
--- a/bluebellpitch/platform/endpoint_entries.py
+++ b/bluebellpitch/platform/endpoint_entries.py
@@ -24,6 +24,7 @@
     born: WholeNumber = 0
     # Rises with each entry that one start of the endpoint writes.
     seq: WholeNumber = 0
+    spot: bool = False
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -47,6 +48,7 @@
         is_draining=wire.state == "draining",
         started_ms=wire.born,
         sequence=wire.seq,
+        is_spot=wire.spot,
     )
 
 
--- a/bluebellpitch/platform/settings_file.py
+++ b/bluebellpitch/platform/settings_file.py
@@ -1,5 +1,6 @@
 """Decodes the platform's settings file: lines of the form ``a.b=value``."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bluebellpitch.errors import UsageError
@@ -8,6 +9,22 @@
 DEFAULT_MEMORY_MB = 300.0
 
 
+@dataclass(frozen=True, slots=True)
+class DutySettings:
+    """The platform's API, and what is asked of the one VM that calls it. Times are in seconds."""
+
+    api_address: str
+    # Duties that the platform asks for, by its names.
+    names: frozenset[str]
+    # Calls that the platform takes from all VMs together.
+    calls_per_s: float
+    # Two holders must not alternate within this time.
+    lease_s: float
+    # Length of a usage window, and how long after its end its report is due.
+    usage_window_s: float
+    usage_due_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class VmSettings:
     """Settings of a VM. Addresses have the form ``IP:port``; times are in seconds."""
@@ -35,6 +52,8 @@
     drain_s: float
     # Memory of the process, in MiB; one that takes more is ended.
     memory_mb: float = DEFAULT_MEMORY_MB
+    # None where the platform asks for no duty.
+    duties: DutySettings | None = None
 
 
 def parse_settings(text: str) -> VmSettings:
@@ -77,6 +96,25 @@
         endpoint_heartbeat_s=get_number("heartbeat_ms", 1000) / 1000,
         drain_s=get_number("bounds.drain_ms", 3000) / 1000,
         memory_mb=get_number("limits.memory_mb", DEFAULT_MEMORY_MB),
+        duties=parse_duties(get_text, get_number),
+    )
+
+
+def parse_duties(
+    get_text: Callable[[str, str], str], get_number: Callable[[str, float], float]
+) -> DutySettings | None:
+    """Parses what concerns the platform's API; None without an address or duties."""
+    address = get_text("cloud_api.address", "")
+    names = frozenset(filter(None, get_text("cloud_api.duties", "").split(",")))
+    if not address or not names:
+        return None
+    return DutySettings(
+        api_address=address,
+        names=names,
+        calls_per_s=get_number("cloud_api.duty_per_s", 10),
+        lease_s=get_number("bounds.lease_ms", 3000) / 1000,
+        usage_window_s=get_number("bounds.report_window_s", 5),
+        usage_due_s=get_number("bounds.usage_late_s", 10),
     )
 
 
--- /dev/null
+++ b/bluebellpitch/roles/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that hold leases and call the platform's API under them."""
