End a VM only when its connections are quiet, not when no request is in progress

Cause: a stopping VM ended as soon as no request that it had received whole was unanswered. Change: connections are busy from the first byte of a request until its answer is sent; after listening stops, what was delivered is read for 0.4 s more, and a connection accepted last serves one request. route and serve share this.

--- a/bluebellpitch/draining.py
+++ b/bluebellpitch/draining.py
@@ -13,9 +13,12 @@
 REFUSE_REQUESTS_AFTER_S = 2.6
 # Idle connections stay open a little longer for requests that are in transit.
 STOP_LISTENING_AFTER_S = 3.2
-# Of a short grace period, the shares that both may take.
+# What connections delivered by then may still have to be read.
+LAST_REQUESTS_S = 0.4
+# Of a short grace period, the shares that these may take.
 REFUSE_REQUESTS_SHARE = 0.4
 STOP_LISTENING_SHARE = 0.5
+LAST_REQUESTS_SHARE = 0.05
 
 
 @dataclass(slots=True)
@@ -47,9 +50,10 @@
     shutdown.is_refusing = True
     await asyncio.sleep(stop_after_s - refuse_after_s)
     http.stop_listening()
-    while http.in_flight and schedule.time_left_s(now()) > 0:
+    await asyncio.sleep(min(LAST_REQUESTS_S, grace_s * LAST_REQUESTS_SHARE))
+    while http.busy_connections and schedule.time_left_s(now()) > 0:
         await asyncio.sleep(DRAIN_POLL_S)
     shutdown.must_answer.set()
-    while http.in_flight and now() - start < grace_s * GRACE_SHARE:
+    while http.busy_connections and now() - start < grace_s * GRACE_SHARE:
         await asyncio.sleep(DRAIN_POLL_S)
-    log("INFO", "drained", unanswered=http.in_flight)
+    log("INFO", "drained", unanswered=http.in_flight, unfinished=http.busy_connections)
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -33,13 +33,17 @@
         self.buffer = buffer
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
 
-    async def read_request(self) -> HttpRequest | None:
-        """Returns the next request, or None when the client disconnected or stayed idle."""
+    async def wait_for_request(self) -> bool:
+        """Returns whether a request began before the client disconnected or stayed idle."""
         try:
             async with asyncio.timeout(self.limits.idle_timeout_s):
                 await self._wait_first_bytes()
         except TimeoutError:
-            return None
+            return False
+        return bool(self.h11.trailing_data[0])
+
+    async def receive_request(self) -> HttpRequest | None:
+        """Returns the request that began, or None when the client disconnected."""
         try:
             async with asyncio.timeout(self.limits.receive_s):
                 return await self._receive()
@@ -197,8 +201,14 @@
         self.in_flight = 0
         self.is_closing = False
         self._open_connections = 0
+        self._idle_connections = 0
         self._server: asyncio.Server | None = None
 
+    @property
+    def busy_connections(self) -> int:
+        """Connections with a request that is being received or answered, or with unsent bytes."""
+        return self._open_connections - self._idle_connections
+
     async def listen(self, host: str, port: int) -> int:
         """Starts to accept connections; returns the port."""
         self._server = await start_stream_server(self._serve, host, port, backlog=1024)
@@ -222,14 +232,16 @@
         except Exception as error:  # A fault in one request must not stop the VM.
             log("ERROR", "handler_failed", error=repr(error))
         finally:
-            self._open_connections -= 1
             connection.buffer.release()
-            await connection.close()
+            try:
+                await connection.close()
+            finally:
+                self._open_connections -= 1
 
     async def _serve_requests(self, connection: ServerConnection) -> None:
-        while not self.is_closing:
-            connection.limits = self.limits
-            request = await connection.read_request()
+        """Serves a connection; one that is accepted last still serves a request."""
+        while await self._wait_for_request(connection):
+            request = await connection.receive_request()
             if request is None:
                 return
             self.in_flight += 1
@@ -238,9 +250,17 @@
             finally:
                 self.in_flight -= 1
                 connection.buffer.release()
-            if not connection.start_next_cycle():
+            if self.is_closing or not connection.start_next_cycle():
                 return
 
+    async def _wait_for_request(self, connection: ServerConnection) -> bool:
+        connection.limits = self.limits
+        self._idle_connections += 1
+        try:
+            return await connection.wait_for_request()
+        finally:
+            self._idle_connections -= 1
+
     async def _refuse_and_drain(self, connection, error: BadRequestError) -> None:
         """Answers a bad request, then reads on briefly: a TCP reset could discard the response."""
         try:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import h11
 import pytest
 
 from bluebellpitch.decisions.shutdown import (
@@ -11,6 +12,8 @@
     DurationEstimates,
     ShutdownSchedule,
 )
+from bluebellpitch.draining import LAST_REQUESTS_SHARE, STOP_LISTENING_SHARE
+from bluebellpitch.http1 import ClientConnection
 from fakes.client import submit_case
 from fakes.fleet import Fleet
 from fakes.prepared_deployment import build_route, wait_until
@@ -92,6 +95,33 @@
     body()
 
 
+@in_deployment
+async def test_request_that_is_still_being_received_is_answered_before_the_vm_ends(deployment):
+    """The VM ended as soon as no request was in progress, and cut what was on its way to it."""
+    _, client = await start_deployment(deployment, "app")
+    vm, ends = deployment.vms[0], deployment._tasks[0]
+    connection = await ClientConnection.open(vm.settings.listen_address, 1.0)
+    vm.draining.set()
+    await asyncio.sleep(GRACE_S * STOP_LISTENING_SHARE - 0.1)
+    connection.writer.write(b"POST /file/1 HTTP/1.1\r\nHost: tile.example\r\n")
+    await asyncio.sleep(0.1 + GRACE_S * LAST_REQUESTS_SHARE + 0.2)
+    assert not ends.done()
+    connection.writer.write(b"Request-Id: r1\r\nContent-Length: 0\r\n\r\n")
+    connection.h11.send(h11.Request(method="POST", target="/file/1", headers=[("Host", "-")]))
+    connection.h11.send(h11.EndOfMessage())
+    assert (await connection.read_response(1.0)).status == 503
+    await asyncio.wait_for(ends, 1.0)
+
+
+@in_deployment
+async def test_vm_that_stops_waits_for_no_idle_connection(deployment):
+    _, client = await start_deployment(deployment, "app")
+    assert (await client.call("POST", "/file/1", "r1", b"x")).status == 200
+    deployment.vms[0].draining.set()
+    shares = STOP_LISTENING_SHARE + LAST_REQUESTS_SHARE
+    await asyncio.wait_for(deployment._tasks[0], GRACE_S * shares + 0.3)
+
+
 def test_serve_answers_what_is_open_at_the_end_of_its_grace(run):
     """The endpoint never answers; what comes late in the grace is refused as not run."""
 
