--- a/bluebellpitch/platform/store.py
+++ b/bluebellpitch/platform/store.py
@@ -67,6 +67,10 @@
     offset: WholeNumber
 
 
+class _EndMovedResponse(msgspec.Struct, frozen=True):
+    end: WholeNumber
+
+
 class _TruncatedResponse(msgspec.Struct, frozen=True):
     first: WholeNumber
 
@@ -97,7 +101,18 @@
     reason = "complete"
 
 
+@dataclass(frozen=True, slots=True)
+class EndMoved:
+    """The store appended nothing: the topic ends at ``end_offset`` and not where it should."""
+
+    end_offset: int
+    era: int | None = None
+    name = "end_moved"
+    reason = "the topic ends elsewhere"
+
+
 AppendVerdict = Appended | DidNotRun | MayHaveRun
+ConditionalVerdict = AppendVerdict | EndMoved
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,10 +181,25 @@
         """Appends records in one call, which the store applies atomically."""
         return await self._append(topic, b"".join(encode_record(record) for record in records))
 
-    async def _append(self, topic: str, body: bytes) -> AppendVerdict:
-        target = f"/log-append?topic={topic}&part=0"
+    async def append_at(
+        self, topic: str, records: tuple[KeyedRecord, ...], at: int
+    ) -> ConditionalVerdict:
+        """Appends keyed records in one call, on condition that the topic ends at offset ``at``.
+
+        The store checks this when it applies them, also if that is late. The end that several pages
+        of ``read_newest`` give serves as ``at``: if any of them had another end, that was a higher
+        one, which makes the store refuse.
+        """
+        frames = (encode_keyed_record(record.key, record.value or b"") for record in records)
+        return await self._append(topic, b"".join(frames), at)
+
+    async def _append(self, topic: str, body: bytes, at: int | None = None) -> ConditionalVerdict:
+        target = f"/log-append?topic={topic}&part=0" + ("" if at is None else f"&at={at}")
         try:
             response = await self._send_request("POST", target, body, RESPONSE_TIMEOUT_S)
+            if response.status == 412 and at is not None:
+                end_offset = decode_json(response.body, _EndMovedResponse).end
+                return EndMoved(end_offset, decode_era(response))
             if response.status != 200:
                 return DidNotRun(f"the store responded with status {response.status}")
             offset = decode_json(response.body, _AppendResponse).offset
--- a/fakes/prepared_store.py
+++ b/fakes/prepared_store.py
@@ -115,7 +115,7 @@
         if self.status != 200:
             await self._send(connection, {}, self.status)
         elif path == "/log-append":
-            await self._serve_append(connection, query["topic"], request.body)
+            await self._serve_append(connection, query, request.body)
         elif path == "/log-trim":
             self.truncate(query["topic"])
             await self._send(connection, {})
@@ -130,14 +130,26 @@
     async def _send(self, connection, body, status: int = 200) -> None:
         await send_json(connection, body, status, self._era_headers())
 
-    async def _serve_append(self, connection, topic: str, body: bytes) -> None:
-        records = list(split_records(body))
+    async def _serve_append(self, connection, query: dict[str, str], body: bytes) -> None:
+        topic, records = query["topic"], list(split_records(body))
+        at = int(query["at"]) if "at" in query else None
         if self.lose_answers > 0:
             self.lose_answers -= 1
-            asyncio.get_running_loop().call_later(self.late_s, self._append, topic, records)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_s, self._append_at, topic, records, at)
             raise DisconnectedError("response lost")
-        offset = self._append(topic, records)
-        await self._send(connection, {"offset": offset, "end": self._end_offset(topic)})
+        offset = self._append_at(topic, records, at)
+        end = self._end_offset(topic)
+        if offset is None:
+            await self._send(connection, {"end": end}, 412)
+            return
+        await self._send(connection, {"offset": offset, "end": end})
+
+    def _append_at(self, topic: str, records: list[bytes], at: int | None) -> int | None:
+        """Appends if the topic ends at ``at``, else returns None; without ``at`` in any case."""
+        if at is not None and at != self._end_offset(topic):
+            return None
+        return self._append(topic, records)
 
     async def _serve_read(self, connection, query: dict[str, str]) -> None:
         topic, start = query["topic"], int(query["from"])
