Hold duties of one VM by leases with fencing tokens

Change: decisions/duties/lease.py decides without clock or socket; DutyHolder acquires, renews, announces and gives back; Duties holds one of them for each duty of the settings, and none without. EntryVm wires it; its clients of the store, its status servers and the dispatch of messages move to modules of their own, without a change of behaviour. StoreEra remembers since when a VM knows of the era.

--- a/bluebellpitch/decisions/store_era.py
+++ b/bluebellpitch/decisions/store_era.py
@@ -13,20 +13,22 @@
 class StoreEra:
     """The latest era that this VM knows of; None before any answer that names one.
 
-    ``risen_at`` is when this VM, or a peer that told it, noticed the last rise.
+    ``risen_at`` is when this VM, or a peer that told it, noticed the last rise. ``known_since`` is
+    when this VM first knew of the era, which has lasted at least since then.
     """
 
     number: int | None = None
     risen_at: float = float("-inf")
+    known_since: float = float("inf")
 
     def observe(self, number: int, now: float) -> bool:
         """Records the era of an answer; returns whether it has risen since an earlier answer."""
         if self.number is None:
-            self.number = number
+            self.number, self.known_since = number, now
             return False
         if number <= self.number:
             return False
-        self.number, self.risen_at = number, now
+        self.number, self.risen_at, self.known_since = number, now, now
         return True
 
     def observe_rise(self, number: int, risen_at: float, now: float) -> None:
@@ -35,7 +37,8 @@
             return
         if self.number is not None and number > self.number and risen_at == float("-inf"):
             risen_at = now
-        self.number = number
+        if number != self.number:
+            self.number, self.known_since = number, now
         self.risen_at = max(self.risen_at, risen_at)
 
     def is_rewritten(self, now: float) -> bool:
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -26,30 +26,22 @@
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
-from bluebellpitch.peers.messages import StrikeReport, StrikesCleared
-from bluebellpitch.peers.platform_messages import (
-    ConfigurationRequest,
-    ConfigurationUpdate,
-    CrashEvidenceRequest,
-    CrashEvidenceUpdate,
-    FreshnessReply,
-    FreshnessRequest,
-    RecordsRequest,
-    RecordsUpdate,
-    VmHeartbeat,
-)
 from bluebellpitch.platform.configuration import CONFIGURATION_KEY, CONFIGURATION_TOPIC
 from bluebellpitch.platform.endpoint_entries import ENDPOINTS_TOPIC
 from bluebellpitch.platform.settings_file import VmSettings
-from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.platform.vm_records import VmRecord
 from bluebellpitch.roles.crash_reporter import CrashReporter
 from bluebellpitch.roles.crash_tracker import CrashTracker
+from bluebellpitch.roles.duties.duties import Duties
+from bluebellpitch.roles.duties.duty_context import DutyContext
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator
 from bluebellpitch.roles.endpoint_check import EndpointCheck
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
+from bluebellpitch.roles.message_dispatcher import MessageDispatcher
 from bluebellpitch.roles.peer_discovery import PeerDiscovery
 from bluebellpitch.roles.peer_sync import PeerSync
+from bluebellpitch.roles.status_servers import StatusServers
+from bluebellpitch.roles.store_clients import StoreClients
 from bluebellpitch.roles.store_watchers import (
     CONFIGURATION_LONG_POLL_S,
     ENDPOINTS_LONG_POLL_S,
@@ -84,8 +76,8 @@
         self.directory = EndpointDirectory()
         self.draining = asyncio.Event()
         self.shutdown = Shutdown()
-        self._store_clients: list[StoreClient] = []
         self.store_era = StoreEra()
+        self._store_clients = StoreClients(settings.store_address, self.store_era, now)
         self.key = f"{settings.vm_name}/{uuid4().hex[:8]}"
         self.liveness = Liveness(self.key, settings.zone)
         self.metrics = Metrics()
@@ -132,7 +124,7 @@
         self.peer_discovery = PeerDiscovery(
             vm=settings.vm_name,
             own_record=VmRecord(settings.bus_address, settings.zone),
-            client=self._create_store_client(),
+            client=self._store_clients.create(),
             bus=self.bus,
             liveness=self.liveness,
             now=now,
@@ -200,15 +192,40 @@
             metrics=self.metrics,
             now=now,
         )
-        self.metrics_http = HttpServer(self._serve_metrics, refuse_malformed_request, HttpLimits())
         self.http = HttpServer(
             self._serve, refuse_malformed_request, HttpLimits(idle_timeout_s=16.0), self.buffers
         )
-        self.ready_http = HttpServer(self._serve_readiness, refuse_malformed_request, HttpLimits())
+        self.status_servers = StatusServers(self.is_ready, self._render_metrics)
+        self.duties = self._create_duties()
+        self._dispatcher = MessageDispatcher(
+            peer_discovery=self.peer_discovery,
+            peer_sync=self.peer_sync,
+            strikes=self.strikes,
+            crash_tracker=self.crash_tracker,
+            duties=self.duties,
+            generations=self.generations,
+        )
+
+    def _create_duties(self) -> Duties:
+        context = DutyContext(
+            vm_key=self.key,
+            address=self.settings.bus_address,
+            zone=self.settings.zone,
+            zones=tuple(self.settings.regions_by_zone),
+            bus=self.bus,
+            liveness=self.liveness,
+            store_era=self.store_era,
+            listed_addresses=self.peer_discovery.listed_addresses,
+            has_vm_list=lambda: self.peer_discovery.has_list,
+            is_draining=self.draining.is_set,
+            metrics=self.metrics,
+            now=self._now,
+        )
+        return Duties(self.settings.duties, self._store_clients.create, context)
 
     def _create_follower(self, topic: str, long_poll_s: float) -> TopicFollower:
         return TopicFollower(
-            client=self._create_store_client(),
+            client=self._store_clients.create(),
             topic=topic,
             long_poll_s=long_poll_s,
             now=self._now,
@@ -219,17 +236,6 @@
             only_key=CONFIGURATION_KEY if topic == CONFIGURATION_TOPIC else None,
         )
 
-    def _create_store_client(self) -> StoreClient:
-        """Returns a client for one task; calls of one client must not overlap."""
-        client = StoreClient(self.settings.store_address, self._observe_era)
-        self._store_clients.append(client)
-        return client
-
-    def _observe_era(self, era: int) -> None:
-        was = self.store_era.number
-        if self.store_era.observe(era, self._now()):
-            log("WARNING", "store_era", era=era, was=was)
-
     def _role_holder(self, role: str) -> str:
         return self.liveness.role_holder(role, self._now(), self.draining.is_set())
 
@@ -238,35 +244,17 @@
 
     def _roles(self) -> list[str]:
         topics = (CONFIGURATION_TOPIC, ENDPOINTS_TOPIC)
-        return [*map(reader_role, topics), *self.generations.engine_pools()]
+        return [*map(reader_role, topics), *self.generations.engine_pools(), *self.duties.roles()]
 
     def _handle_message(self, sender: str, message) -> None:
-        """Dispatches a message from a peer to the component that handles it."""
-        match message:
-            case VmHeartbeat():
-                self.peer_discovery.record_heartbeat(sender, message)
-            case RecordsUpdate() | RecordsRequest() | FreshnessRequest() | FreshnessReply():
-                self.peer_sync.handle_message(sender, message)
-            case ConfigurationRequest() | ConfigurationUpdate():
-                self.peer_sync.handle_message(sender, message)
-            case StrikeReport() | StrikesCleared():
-                self.strikes.handle_message(message)
-            case CrashEvidenceUpdate() | CrashEvidenceRequest():
-                self.crash_tracker.handle_message(message)
-            case _:
-                self.generations.handle_message(sender, message)
+        self._dispatcher.handle_message(sender, message)
 
     async def _serve(self, connection, request) -> None:
         await RoutedRequestHandler(self.context, connection).serve(request)
 
-    async def _serve_readiness(self, connection, request) -> None:
-        status = 200 if self.is_ready() else 503
-        await connection.respond(status, [("Content-Type", "text/plain")], b"")
-
-    async def _serve_metrics(self, connection, request) -> None:
+    def _render_metrics(self) -> bytes:
         self.context.set_gauges(len(self.liveness.live_peers(self._now())), self.http.in_flight)
-        headers = [("Content-Type", "text/plain; version=0.0.4")]
-        await connection.respond(200, headers, self.metrics.render())
+        return self.metrics.render()
 
     def is_ready(self) -> bool:
         """Returns whether the VM should receive new connections."""
@@ -289,17 +277,17 @@
     async def serve(self) -> None:
         """Serves until ``draining`` is set, then completes the requests in progress."""
         self.bus.bind(self.settings.bus_address)
-        await self.ready_http.listen(*parse_address(self.settings.readiness_address))
-        if self._metrics_port:
-            host, _ = parse_address(self.settings.listen_address)
-            await self.metrics_http.listen(host, self._metrics_port)
-        await self.http.listen(*parse_address(self.settings.listen_address))
+        host, port = parse_address(self.settings.listen_address)
+        readiness_address = self.settings.readiness_address
+        await self.status_servers.listen(readiness_address, host, self._metrics_port)
+        await self.http.listen(host, port)
         tasks = start_tasks(self._background_tasks(), self.draining)
         log("INFO", "started", vm=self.settings.vm_name, zone=self.settings.zone)
         try:
             await self.draining.wait()
             await asyncio.gather(
                 self.peer_discovery.unregister(),
+                self.duties.release(),
                 drain(self.http, self.shutdown, self.settings.grace_s, self._now),
             )
         finally:
@@ -308,11 +296,11 @@
 
     def close(self) -> None:
         """Closes all sockets."""
-        for server in (self.http, self.ready_http, self.metrics_http):
-            server.stop_listening()
-        for client in self._store_clients:
-            client.close()
+        self.http.stop_listening()
+        self.status_servers.close()
+        self._store_clients.close()
         self.connection_pool.close()
+        self.duties.close()
         self.bus.close()
 
     def _background_tasks(self) -> tuple[Coroutine, ...]:
@@ -329,6 +317,7 @@
             self.crash_tracker.run(),
             self._apply_limits(),
             self._clean_up(),
+            *self.duties.background_tasks(),
         )
 
     def _compare_settings(self) -> None:
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -56,6 +56,14 @@
         self.store_calls = self._counter("store_calls", "Calls of the store", "topic", "verdict")
         self.endpoint_crashes = self._counter("endpoint_crashes", "Endpoints that crashed on runs")
         self.deadly_parts = self._gauge("deadly_parts", "Sets of parts that crash endpoints")
+        self.duty_held = self._gauge("duty_held", "Whether this VM holds the duty", "duty")
+        self.duty_token = self._gauge("duty_token", "Fencing token of this VM, 0: none", "duty")
+        self.duty_changes = self._counter(
+            "duty_changes", "Duties acquired, lost or given back here", "duty", "reason"
+        )
+        self.duty_appends = self._counter(
+            "duty_appends", "Appends under a lease or to acquire it", "duty", "verdict"
+        )
         self.limit_in_use = self._gauge("limit_in_use", "Running requests", "pool", "member")
 
     def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -257,7 +257,8 @@
 class DutyAnnouncement(msgspec.Struct, frozen=True, tag="duty_held"):
     """The sender holds a duty under a fencing token; reports for it go to ``reply_to``.
 
-    ``offset`` is that of the lease's last record in the store.
+    ``offset`` is that of the lease's last record in the store. An empty ``reply_to`` says that the
+    sender gave the duty back.
     """
 
     duty: str
--- /dev/null
+++ b/bluebellpitch/roles/duties/duties.py
@@ -0,0 +1,55 @@
+"""The duties of this VM: their leases, and what is done under them."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from bluebellpitch.peers.platform_messages import DutyAnnouncement
+from bluebellpitch.platform.duty_api import SCALING_DUTY, USAGE_DUTY
+from bluebellpitch.platform.settings_file import DutySettings
+from bluebellpitch.platform.store import StoreClient
+from bluebellpitch.roles.duties.duty_context import DutyContext, duty_role
+from bluebellpitch.roles.duties.duty_holder import DutyHolder
+
+KNOWN_DUTIES = (USAGE_DUTY, SCALING_DUTY)
+
+
+class Duties:
+    """Owns a holder for each duty that the settings name and this program can do, maybe none.
+
+    What is done under a lease belongs here too: it has its tasks in ``background_tasks``, its
+    messages in ``handle_message``, and ends in ``release`` before the leases do.
+    """
+
+    def __init__(
+        self,
+        settings: DutySettings | None,
+        create_store_client: Callable[[], StoreClient],
+        context: DutyContext,
+    ):
+        names = settings.names if settings else frozenset()
+        self.holders_by_duty = {
+            duty: DutyHolder(duty, settings.lease_s, create_store_client(), context)
+            for duty in KNOWN_DUTIES
+            if duty in names
+        }
+
+    def roles(self) -> list[str]:
+        """Returns the roles of candidates, by which heartbeats are sent more often."""
+        return [duty_role(duty) for duty in self.holders_by_duty]
+
+    def handle_message(self, sender: str, message) -> None:
+        """Dispatches a message from a peer to the part that handles it."""
+        match message:
+            case DutyAnnouncement(duty=duty) if duty in self.holders_by_duty:
+                self.holders_by_duty[duty].handle_announcement(message)
+
+    def background_tasks(self) -> tuple[Coroutine, ...]:
+        """Returns the tasks, which run until cancelled."""
+        return tuple(holder.run() for holder in self.holders_by_duty.values())
+
+    async def release(self) -> None:
+        """Gives all leases back before a planned stop."""
+        await asyncio.gather(*(holder.release() for holder in self.holders_by_duty.values()))
+
+    def close(self) -> None:
+        """Closes the connections to the platform's API."""
