--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -52,6 +52,8 @@
         self._tried: list[str] = []
         # Time of the first event of the current attempt, 0 before it.
         self._run_began_at = 0.0
+        # Set with the first run of the request; one that is resumed or retried goes on.
+        self._is_counted = False
         self._route_name = ""
         self._guard: CrashGuard | None = None
 
@@ -276,11 +278,18 @@
         allocator.record_load_report(place, head)
         if admitted.route.is_stream and 200 <= head.status < 300:
             return await self._forward_stream(admitted, place, attempt, head, deadline)
+        self._record_run(admitted, attempt.sent_at)
         response = await attempt.read_complete_response(deadline)
         if not isinstance(response, MayHaveRun) and head.status < 300:
             self._guard.record_survival(attempt.sent_at)
         return await self._forward_response(admitted, response)
 
+    def _record_run(self, admitted: AdmittedRequest, began_at: float) -> None:
+        """Counts the request, once, as usage of its member."""
+        if admitted.member is not None and not self._is_counted:
+            self._is_counted = True
+            self._context.record_run(admitted.member.name, began_at)
+
     async def _forward_response(self, admitted: AdmittedRequest, response) -> Verdict:
         if isinstance(response, MayHaveRun):
             return response
@@ -313,6 +322,7 @@
                 first = False
                 self._run_began_at = context.now()
                 context.endpoint_allocator.record_first_event(place, attempt.sent_at)
+                self._record_run(admitted, self._run_began_at)
             await self._response.send_events(head, events)
             if not is_old and has_survived(self._run_began_at, context.now()):
                 is_old = True
--- a/bluebellpitch/callers/routing_context.py
+++ b/bluebellpitch/callers/routing_context.py
@@ -17,9 +17,17 @@
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 
 
+def ignore_run(member: str, began_at: float) -> None:
+    """Counts nothing, where no usage is reported."""
+
+
 @dataclass(frozen=True)
 class RoutingContext:
-    """The shared state and services that request handlers use."""
+    """The shared state and services that request handlers use.
+
+    ``record_run`` is called once for each request of a member that began to run, with the member's
+    name and the time by ``now``.
+    """
 
     catalogue: Callable[[], Catalogue | None]
     freshness: Freshness
@@ -36,6 +44,7 @@
     crash_tracker: CrashTracker
     metrics: Metrics
     now: Callable[[], float]
+    record_run: Callable[[str, float], None] = ignore_run
 
     def set_gauges(self, live_peers: int, in_flight: int) -> None:
         """Sets the gauges of this VM."""
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -56,6 +56,10 @@
         self.store_calls = self._counter("store_calls", "Calls of the store", "topic", "verdict")
         self.endpoint_crashes = self._counter("endpoint_crashes", "Endpoints that crashed on runs")
         self.deadly_parts = self._gauge("deadly_parts", "Sets of parts that crash endpoints")
+        self.usage_windows = self._counter("usage_windows", "Windows of usage reports", "outcome")
+        self.usage_late_counts = self._counter(
+            "usage_late_counts", "Requests counted after their window was settled"
+        )
         self.limit_in_use = self._gauge("limit_in_use", "Running requests", "pool", "member")
 
     def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
--- a/bluebellpitch/platform/duty_api.py
+++ b/bluebellpitch/platform/duty_api.py
@@ -28,9 +28,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFailed:
-    """No answer, or one that tells nothing of the call itself: it may be sent again."""
+    """No answer, or one that tells nothing of the call itself: it may be sent again.
+
+    ``is_unanswered``: the API could not be reached, or gave no answer in time.
+    """
 
     reason: str
+    is_unanswered: bool = False
 
 
 CallOutcome = CallAccepted | CallRejected | CallFailed
@@ -73,10 +77,10 @@
             response = await connection.call("POST", path, body, CALL_TIMEOUT_S, headers)
         except NotSentError as error:
             self.close()
-            return CallFailed(str(error))
+            return CallFailed(str(error), is_unanswered=True)
         except ConnectionLostError as error:
             self.close()
-            return CallFailed(str(error))
+            return CallFailed(str(error), is_unanswered=True)
         if not connection.start_next_cycle():
             self.close()
         if 200 <= response.status < 300:
