--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from tests.mutant import Mutant
+from tests.mutants_of_duties import USAGE_MUTANTS
 from tests.mutants_of_endpoints import CRASH_MUTANTS, LIMIT_MUTANTS, STALL_MUTANTS
 from tests.mutants_of_size import SIZE_MUTANTS
 from tests.mutants_of_store import (
@@ -303,6 +304,7 @@
     *SHUTDOWN_MUTANTS,
     *ANNOUNCEMENT_MUTANTS,
     *SIZE_MUTANTS,
+    *USAGE_MUTANTS,
 )
 
 
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -75,11 +75,12 @@
 
 def test_messages_that_come_twice_and_out_of_order_count_once(play):
     async def body(fleet):
-        fleet.delays_s = (0.9, 0.001, 1.3)
+        fleet.delays_s = (0.001, 3.5)
         _, _, vm = start(fleet, "h", "c", "v")
         for _ in range(20):
             vm.begin_runs(1)
             await asyncio.sleep(0.07)
+        fleet.delays_s = (0.001,)
         await sleep_until(WINDOW_S + REPORTED_S)
 
     assert play(body).reported(0) == [{"a": 20}]
@@ -180,7 +181,7 @@
     async def body(fleet):
         _, _, vm = start(fleet, "h", "c", "v")
         await sleep_until(40.5)
-        for ahead_s in (3.0, 0.0, -3.0, 0.0):
+        for ahead_s in (4.0, 0.0, -4.0, 0.0):
             vm.wall_ahead_s = ahead_s
             await asyncio.sleep(1.0)
             vm.begin_runs(5)
