--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -11,7 +11,6 @@
 from pathlib import Path
 
 from tests.mutant import Mutant
-from tests.mutants_of_duties import USAGE_MUTANTS
 from tests.mutants_of_endpoints import CRASH_MUTANTS, LIMIT_MUTANTS, STALL_MUTANTS
 from tests.mutants_of_size import SIZE_MUTANTS
 from tests.mutants_of_store import (
@@ -20,6 +19,7 @@
     ERA_MUTANTS,
     SHUTDOWN_MUTANTS,
 )
+from tests.mutants_of_usage import USAGE_MUTANTS
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 300
