Report usage under the lease of its duty

Cause: gathering and reporting were not joined with the lease. The fake fleet of the tests now makes VMs observe the store's era, as the reporter relies on when that was.

--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -191,6 +191,7 @@
             crash_tracker=self.crash_tracker,
             metrics=self.metrics,
             now=now,
+            record_run=lambda member, at: self.duties.record_run(member, at),
         )
         self.http = HttpServer(
             self._serve, refuse_malformed_request, HttpLimits(idle_timeout_s=16.0), self.buffers
--- a/bluebellpitch/roles/duties/duties.py
+++ b/bluebellpitch/roles/duties/duties.py
@@ -3,12 +3,13 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 
-from bluebellpitch.peers.platform_messages import DutyAnnouncement
+from bluebellpitch.peers.platform_messages import DutyAnnouncement, UsageUpdate
 from bluebellpitch.platform.duty_api import SCALING_DUTY, USAGE_DUTY
 from bluebellpitch.platform.settings_file import DutySettings
 from bluebellpitch.platform.store import StoreClient
 from bluebellpitch.roles.duties.duty_context import DutyContext, duty_role
 from bluebellpitch.roles.duties.duty_holder import DutyHolder
+from bluebellpitch.roles.duties.usage_duty import UsageDuty
 
 KNOWN_DUTIES = (USAGE_DUTY, SCALING_DUTY)
 
@@ -32,24 +33,38 @@
             for duty in KNOWN_DUTIES
             if duty in names
         }
+        self.usage: UsageDuty | None = None
+        if USAGE_DUTY in self.holders_by_duty:
+            self.usage = UsageDuty(settings, self.holders_by_duty[USAGE_DUTY], context)
 
     def roles(self) -> list[str]:
         """Returns the roles of candidates, by which heartbeats are sent more often."""
-        return [duty_role(duty) for duty in self.holders_by_duty]
+        roles = [duty_role(duty) for duty in self.holders_by_duty]
+        return roles if self.usage is None else [*roles, *self.usage.roles()]
+
+    def record_run(self, member: str, began_at: float) -> None:
+        """Counts a request of a member that began to run, if usage is reported."""
+        if self.usage is not None:
+            self.usage.gatherer.record_run(member, began_at)
 
     def handle_message(self, sender: str, message) -> None:
         """Dispatches a message from a peer to the part that handles it."""
         match message:
             case DutyAnnouncement(duty=duty) if duty in self.holders_by_duty:
                 self.holders_by_duty[duty].handle_announcement(message)
+            case UsageUpdate() if self.usage is not None:
+                self.usage.gatherer.handle_update(message)
 
     def background_tasks(self) -> tuple[Coroutine, ...]:
         """Returns the tasks, which run until cancelled."""
-        return tuple(holder.run() for holder in self.holders_by_duty.values())
+        tasks = tuple(holder.run() for holder in self.holders_by_duty.values())
+        return tasks if self.usage is None else (*tasks, *self.usage.background_tasks())
 
     async def release(self) -> None:
         """Gives all leases back before a planned stop."""
         await asyncio.gather(*(holder.release() for holder in self.holders_by_duty.values()))
 
     def close(self) -> None:
-        """Closes the connections to the platform's API."""
+        """Passes on what is left and closes the connections to the platform's API."""
+        if self.usage is not None:
+            self.usage.close()
--- a/bluebellpitch/roles/duties/usage_reporter.py
+++ b/bluebellpitch/roles/duties/usage_reporter.py
@@ -54,11 +54,11 @@
 
     def _begin(self, lease: HeldLease) -> None:
         """Takes over what earlier holders have settled."""
-        time = self._gatherer.time_at
-        era_known_from = time(max(self._started_at, self._store_era.risen_at))
+        time, era = self._gatherer.time_at, self._store_era
+        has_eras = era.number is not None
+        era_known_from = time(era.known_since if has_eras else self._started_at)
         stored = decode_windows(self._holder.values_by_key)
-        era = self._store_era.number or 0
-        self.reports.acquire(stored, era, era_known_from, time(self._now()))
+        self.reports.acquire(stored, era.number or 0, era_known_from, time(self._now()))
         self._unanswered, self._token = 0, lease.token
 
     async def run(self) -> None:
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -161,12 +161,13 @@
         vm.gatherer.record_run("a", 1.0)
         await asyncio.sleep(2.0)
         fleet.values_by_key, fleet.api_outcome = copy, accepted
+        fleet.era = 2
         for each in (holder, collector):
-            each.era.observe(2, asyncio.get_running_loop().time())
+            each.era.observe(fleet.era, asyncio.get_running_loop().time())
         fleet.hand_over(heir)
         await asyncio.sleep(1.0)
         # Nor may a VM that does not know when the era began settle it.
-        fleet.add("n").era.number = 2
+        fleet.add("n")
         fleet.hand_over("n")
         await sleep_until(3 * WINDOW_S + REPORTED_S)
 
--- a/tests/virtual_usage.py
+++ b/tests/virtual_usage.py
@@ -26,6 +26,7 @@
     holder: str = ""
     collector: str = ""
     token: int = 0
+    era: int = 1
     api_outcome: object = CallAccepted()
     is_append_answer_lost: bool = False
     delays_s: tuple[float, ...] = (PEER_DELAY_S,)
@@ -98,7 +99,8 @@
     def __init__(self, name: str, fleet: UsageFleet, wall_ahead_s: float):
         now = asyncio.get_running_loop().time
         self.name, self.fleet, self.wall_ahead_s = name, fleet, wall_ahead_s
-        self.era, self.metrics = StoreEra(1), Metrics()
+        self.era, self.metrics = StoreEra(), Metrics()
+        self.era.observe(fleet.era, now())
         self.holder = VirtualHolder(name, fleet)
         self.gatherer = UsageGatherer(
             vm_key=name,
