--- a/fakes/prepared_deployment.py
+++ b/fakes/prepared_deployment.py
@@ -84,10 +84,14 @@
 
 @dataclass
 class Deployment:
-    """A store, endpoints and entry VMs on loopback. Use as an asynchronous context manager."""
+    """A store, endpoints and entry VMs on loopback. Use as an asynchronous context manager.
+
+    ``more_settings`` are further lines in the settings files of VMs that start.
+    """
 
     store: FakeStore = field(default_factory=FakeStore)
     store_address: str = ""
+    more_settings: str = ""
     vms: list[EntryVm] = field(default_factory=list)
     _tasks: list[asyncio.Task] = field(default_factory=list)
     _endpoints: list = field(default_factory=list)
@@ -153,7 +157,7 @@
         listen, ready = free_address(), free_address()
         name = f"vm-{len(self.vms) + 1}"
         text = settings_text(name, zone, store or self.store_address, listen, ready, free_port())
-        settings = parse_settings(text)
+        settings = parse_settings(text + self.more_settings)
         vm = EntryVm(settings, lambda: settings, time.monotonic)
         self.vms.append(vm)
         self._tasks.append(asyncio.create_task(vm.serve()))
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -1,9 +1,10 @@
-"""Which routed requests count as usage: each that began to run, once, at the time when it began."""
+"""Which routed requests count as usage, each once, and the way of the counts to the platform."""
 
 import time
 from dataclasses import replace
 
-from fakes.prepared_deployment import MEMBER, build_route
+from fakes.duty_api import FakeDutyApi
+from fakes.prepared_deployment import MEMBER, build_route, wait_until
 from tests.prepared_helpers import in_deployment, start_deployment
 
 
@@ -48,3 +49,30 @@
     members = record_runs(deployment)
     assert (await client.call("GET", "/look/7", "r1")).status == 200
     assert members == []
+
+
+@in_deployment
+async def test_counts_of_all_vms_reach_the_platform(deployment):
+    api = FakeDutyApi()
+    port = await api.start("127.0.0.1", 0)
+    deployment.more_settings = f"""cloud_api.address=127.0.0.1:{port}
+cloud_api.duties=metering
+bounds.report_window_s=1
+bounds.usage_late_s=10
+"""
+    _, client = await start_deployment(deployment, "app")
+    other_client = deployment.add_client(await deployment.add_vm())
+    await client.call("GET", "/look/7", "r1")
+    await other_client.call("GET", "/look/7", "r2")
+
+    def reported() -> int:
+        return sum(call.body["counts"].get(MEMBER, 0) for call in api.calls)
+
+    try:
+        await wait_until(lambda: reported() >= 2, timeout_s=15.0)
+        assert reported() == 2
+        assert len({(call.holder, call.token) for call in api.calls}) == 1
+        windows = [call.body["window_index"] for call in api.calls]
+        assert windows == list(range(windows[0], windows[0] + len(windows)))
+    finally:
+        api.http.stop_listening()
