--- a/bluebellpitch/decisions/duties/usage_reports.py
+++ b/bluebellpitch/decisions/duties/usage_reports.py
@@ -75,7 +75,9 @@
             self._to_rewrite = tuple(self._rewrite(stored_by_window, kept_by, time))
         self._drop_old(time)
 
-    def _rewrite(self, stored: Mapping[int, SettledWindow], kept_by: float, time: float):
+    def _rewrite(
+        self, stored: Mapping[int, SettledWindow], kept_by: float, time: float
+    ) -> Iterator[SettledWindow]:
         """Yields the windows that may have been settled in an era that was lost."""
         own = set(self.settled_by_window) - set(stored)
         first, last = self.windows.first_kept(time), self.windows.last_settled_by(kept_by)
--- a/bluebellpitch/roles/duties/usage_gatherer.py
+++ b/bluebellpitch/roles/duties/usage_gatherer.py
@@ -67,6 +67,8 @@
         for counts in update.counts:
             if first <= counts.window <= last:
                 self.ledger.merge(VmUsage(counts.vm, counts.window, counts.counts_by_member))
+            elif counts.window != first - 1:
+                log("WARNING", "usage_counts_dropped", window=counts.window, of=counts.vm)
 
     async def run(self) -> None:
         """Passes counts on until cancelled."""
--- a/bluebellpitch/roles/duties/usage_reporter.py
+++ b/bluebellpitch/roles/duties/usage_reporter.py
@@ -46,7 +46,7 @@
         self._call_interval_s = call_interval_s
         self._now = now
         self._started_at = now()
-        self._next_call_at = float("-inf")
+        self._next_call_at = self._next_append_at = float("-inf")
         self._unanswered = 0
         self._token = 0
         self._late_by_window: dict[int, int] = {}
@@ -74,7 +74,7 @@
             self._record_outcome(window, "missed")
         self._record_late_counts()
         match self.reports.next_step(time, self._gatherer.ledger.count_members):
-            case Settle(windows):
+            case Settle(windows) if self._now() >= self._next_append_at:
                 await self._settle(windows)
             case Report(window, counts) if self._now() >= self._next_call_at:
                 await self._report(window, counts)
@@ -83,6 +83,7 @@
         if not await self._holder.append(tuple(map(encode_window, windows))):
             indexes = ",".join(str(settled.window) for settled in windows)
             log("WARNING", "usage_not_settled", windows=indexes, token=self._token)
+            self._next_append_at = self._now() + RETRY_DELAY_S
             return
         self.reports.record_settled(windows)
         for settled in windows:
--- a/tests/mutants_of_usage.py
+++ b/tests/mutants_of_usage.py
@@ -74,6 +74,14 @@
         "if False:",
         REPORTS_TEST,
     ),
+    Mutant(
+        "usage: windows that are hopelessly late are given up",
+        REPORTER,
+        "        for window in self.reports.give_up(time):\n"
+        '            self._record_outcome(window, "missed")\n',
+        "",
+        REPORTS_TEST,
+    ),
     Mutant(
         "usage: a request counts once",
         "bluebellpitch/callers/routed_requests.py",
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -211,3 +211,19 @@
         await sleep_until(2 * WINDOW_S + REPORTED_S)
 
     assert play(body).given_back == ["api_unreachable"]
+
+
+def test_windows_that_are_hopelessly_late_are_given_up_and_later_ones_reported(play):
+    async def body(fleet):
+        holder, _ = start(fleet, "h", "c")
+        holder.begin_runs(1)
+        await sleep_until(WINDOW_S)
+        fleet.api_outcome, accepted = CallFailed("status 429"), fleet.api_outcome
+        await sleep_until(8 * WINDOW_S + 1.0)
+        fleet.api_outcome = accepted
+        await sleep_until(9 * WINDOW_S + REPORTED_S)
+        missed = holder.metrics.usage_windows.labels("missed")
+        assert missed._value.get() == 2
+
+    fleet = play(body)
+    assert [fleet.reported(window) for window in range(9)] == [[]] * 2 + [[{}]] * 7
