--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -20,6 +20,7 @@
     ERA_MUTANTS,
     SHUTDOWN_MUTANTS,
 )
+from tests.mutants_of_usage import USAGE_MUTANTS
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 300
@@ -305,6 +306,7 @@
     *ANNOUNCEMENT_MUTANTS,
     *SIZE_MUTANTS,
     *LEASE_MUTANTS,
+    *USAGE_MUTANTS,
 )
 
 
