Keep room for callers that return, and share short engines by account

Change: the time to return lies within a third of what is left. Room for a tenth of the engines' time is kept for returning callers, who go first in their rank; the others are spread over the time until they return anyway. While members compete, one that was granted more than its usual share waits behind the others of its rank, and gets what they leave. Requests name their member.

--- a/bluebellpitch/callers/admission.py
+++ b/bluebellpitch/callers/admission.py
@@ -104,4 +104,5 @@
         gap_target_s=admitted.route.gap_target_s or DEFAULT_ROUTE_GAP_TARGET_S,
         arrived_at=admitted.arrived_at,
         expires_at=admitted.expires_at,
+        member=admitted.member.name if admitted.member else "",
     )
--- a/bluebellpitch/decisions/decision_inputs.py
+++ b/bluebellpitch/decisions/decision_inputs.py
@@ -11,6 +11,7 @@
     """Returns the inputs of a grant, taken before the engine counts the work."""
     return {
         "rank": str(work.rank),
+        "member": work.member,
         "waited_ms": f"{(now - work.arrived_at) * 1000:.0f}",
         "tokens": str(work.tokens_in),
         "unread": str(engine.uncached_tokens(work)),
@@ -23,7 +24,12 @@
 
 
 def describe_refusal(
-    work: WorkItem, wait_s: float, waiting_count: int, engine_count: int
+    work: WorkItem,
+    wait_s: float,
+    waiting_count: int,
+    engine_count: int,
+    is_over_share: bool,
+    is_return_planned: bool,
 ) -> dict[str, str]:
     """Returns the inputs of a refusal."""
     return {
@@ -32,4 +38,7 @@
         "expected_wait_s": f"{wait_s:.2f}",
         "waiting": str(waiting_count),
         "engines": str(engine_count),
+        "member": work.member,
+        "over_share": str(is_over_share),
+        "room_on_return": str(is_return_planned),
     }
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -3,8 +3,8 @@
 Short prompts are dispatched at once, preferably to engines with little prefill. Long prompts go
 where their prefill delays few streams, and are queued until the pacing of an engine admits them.
 A long prompt that waits for one engine leaves the others to those behind it.
-The queue is ordered by rank, then requests that can still meet their target before late ones, then
-by age. A request that cannot start before its start deadline is refused as soon as that is known.
+The order of the queue is in ``shortage.queue_order``. A request that cannot start before its start
+deadline is refused as soon as that is known.
 """
 
 from collections.abc import Iterable, Iterator
@@ -27,7 +27,13 @@
     WaitingWork,
 )
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.decisions.return_schedule import MIN_RETRY_AFTER_S, ReturnSchedule
+from bluebellpitch.decisions.return_schedule import (
+    MIN_RETRY_AFTER_S,
+    PlannedReturn,
+    ReturnSchedule,
+)
+from bluebellpitch.decisions.shortage.fair_shares import FairShares
+from bluebellpitch.decisions.shortage.queue_order import QueueOrder
 
 # Work whose end was never reported is dropped this long after its deadline.
 EXPIRY_GRACE_S = 2.0
@@ -35,6 +41,7 @@
 MIN_PREFILL_ACTIVITY = 0.15
 LONG_EWMA_WEIGHT = 0.1
 NO_ENGINE = "no_engine_here"
+NO_ENGINE_RETURN = PlannedReturn(MIN_RETRY_AFTER_S, False)
 
 
 class GenerationBroker:
@@ -48,6 +55,7 @@
         self._mean_long_tokens = 0.0
         self._paused_until = float("-inf")
         self._returns = ReturnSchedule()
+        self._shares = FairShares()
 
     def set_engines(
         self,
@@ -74,7 +82,8 @@
         if not engines:
             return float("inf")
         best = min(self.placement.cost_s(engine, work, now) for engine in engines)
-        return best + self._queue_wait_s(work, engines, now)
+        order = self._queue_order(now, work.member)
+        return best + self._queue_wait_s(WaitingWork(work, "", avoid), order, engines, now)
 
     def estimate_long_prompt_cost(self, now: float) -> LongPromptCost:
         """Returns the cost of a long prompt without cached parts, as reported to other zones."""
@@ -90,36 +99,72 @@
             1 + engine.short_streams() * DELAYED_STREAM_COST
         )
         cost_s = self.placement.cost_s(engine, work, now) - tokens * s_per_token
-        return LongPromptCost(cost_s + self._queue_wait_s(work, engines, now), s_per_token)
+        waiting, order = WaitingWork(work, "", frozenset()), self._queue_order(now)
+        queue_wait_s = self._queue_wait_s(waiting, order, engines, now)
+        return LongPromptCost(cost_s + queue_wait_s, s_per_token)
 
     def submit(self, work: WorkItem, vm: str, avoid: frozenset[str], now: float) -> list[Decision]:
         """Queues an item, after freeing any engine held under its id; returns the decisions."""
         if work.id in self._engine_by_work_id:
             self.finish(work.id, "withdrawn", now)
-        waiting = WaitingWork(work, vm, avoid)
+        kept = self._returns.take_room(work, now)
+        waiting = WaitingWork(work, vm, avoid, kept and kept.asked_at)
+        if kept is None:
+            self._shares.record_asked(work, now)
         if not self.placement.is_short_prompt(work):
             self._mean_long_tokens += LONG_EWMA_WEIGHT * (work.tokens_in - self._mean_long_tokens)
-        wait_s = self.expected_wait_s(work, avoid, now)
+        order = self._queue_order(now, work.member)
+        wait_s = self._expected_wait_s(waiting, order, now)
         if now + wait_s > waiting.start_deadline():
-            reason, retry_s = NO_ENGINE, MIN_RETRY_AFTER_S
-            if self.placement.has_usable_engine(now):
-                busy_s = now + wait_s - waiting.start_deadline()
-                reason, retry_s = "no_capacity_in_time", self._retry_after(work, busy_s, now)
-            inputs = describe_refusal(
-                work, wait_s, len(self.waiting_by_id), len(self.placement.engines_by_key)
-            )
-            return [Refused(work.id, vm, reason, retry_s, inputs)]
+            if not self.placement.has_usable_engine(now):
+                return [self._refuse(waiting, NO_ENGINE, wait_s, NO_ENGINE_RETURN, order)]
+            planned = self._plan_return(waiting, now + wait_s - waiting.start_deadline(), order)
+            return [self._refuse(waiting, "no_capacity_in_time", wait_s, planned, order)]
         self.waiting_by_id[work.id] = waiting
         decisions = list(self.schedule(now))
         if work.id in self.waiting_by_id:
             decisions.append(Queued(work.id, vm))
         return decisions
 
-    def _retry_after(self, work: WorkItem, busy_s: float, now: float) -> float:
-        return self._returns.retry_after(busy_s, work.tokens_in * self.pool_s_per_token(now), now)
+    def _refuse(
+        self,
+        waiting: WaitingWork,
+        reason: str,
+        wait_s: float,
+        planned: PlannedReturn,
+        order: QueueOrder,
+    ) -> Refused:
+        work = waiting.work
+        inputs = describe_refusal(
+            work,
+            wait_s,
+            len(self.waiting_by_id),
+            len(self.placement.engines_by_key),
+            order.is_over_share(waiting),
+            planned.has_room,
+        )
+        return Refused(work.id, waiting.vm, reason, planned.retry_after_s, inputs)
+
+    def _plan_return(self, waiting: WaitingWork, busy_s: float, order: QueueOrder) -> PlannedReturn:
+        """Plans the return of a refused caller; room is kept only within its member's share."""
+        work, now = waiting.work, order.now
+        if order.is_over_share(waiting):
+            busy_s = float("inf")
+        prompt_s = work.tokens_in * self.pool_s_per_token(now)
+        return self._returns.plan(work, waiting.asked_at, busy_s, prompt_s, now)
+
+    def _queue_order(self, now: float, *members: str) -> QueueOrder:
+        waiting = {queued.work.member for queued in self.waiting_by_id.values()}
+        over_share = self._shares.members_over_share(waiting.union(members), now)
+        return QueueOrder(self.placement.speed, over_share, now)
 
     def expected_wait_s(self, work: WorkItem, avoid: frozenset[str], now: float) -> float:
         """Returns the expected wait for an engine, including the wait in the queue."""
+        order = self._queue_order(now, work.member)
+        return self._expected_wait_s(WaitingWork(work, "", avoid), order, now)
+
+    def _expected_wait_s(self, waiting: WaitingWork, order: QueueOrder, now: float) -> float:
+        work, avoid = waiting.work, waiting.avoid
         engines = self.placement.candidates(work, avoid, now)
         if not engines:
             return float("inf")
@@ -128,7 +173,7 @@
         return (
             best
             if self.placement.is_short_prompt(work)
-            else best + self._queue_wait_s(work, engines, now)
+            else best + self._queue_wait_s(waiting, order, engines, now)
         )
 
     def _limited_queue_wait_s(
@@ -137,13 +182,11 @@
         ahead = sum(other.work.rank <= work.rank for other in self.waiting_by_id.values())
         return self.placement.limited_queue_wait_s(engines, ahead, now)
 
-    def _queue_wait_s(self, work: WorkItem, engines: list[EngineState], now: float) -> float:
-        """Returns how long the prefill of queued items of the same or a higher rank takes."""
-        tokens_ahead = sum(
-            waiting.work.tokens_in
-            for waiting in self.waiting_by_id.values()
-            if waiting.work.rank <= work.rank
-        )
+    def _queue_wait_s(
+        self, waiting: WaitingWork, order: QueueOrder, engines: list[EngineState], now: float
+    ) -> float:
+        """Returns how long the prefill of queued items that go first takes."""
+        tokens_ahead = order.tokens_ahead(waiting, self.waiting_by_id.values())
         s_per_token = self.placement.queue_s_per_token(engines, self._mean_long_tokens, now)
         return tokens_ahead * s_per_token
 
@@ -167,6 +210,8 @@
         if engine is None or work.id in self._engine_by_work_id:
             return
         self.waiting_by_id.pop(work.id, None)
+        self._shares.record_asked(work, now)
+        self._shares.record_granted(work, now)
         prefill_s = 0.0
         if not started:
             prefill_s = self.placement.prefill_s(engine, work)
@@ -193,33 +238,23 @@
         if now < self._paused_until:
             return
         reserved = EngineReservations(self.placement, now)
-        for waiting in sorted(self.waiting_by_id.values(), key=lambda w: self._queue_order(w, now)):
+        order = self._queue_order(now)
+        for waiting in sorted(self.waiting_by_id.values(), key=order.key):
             if self.waiting_by_id.get(waiting.work.id) is not waiting:
                 continue
             if (engine := reserved.pick_engine(waiting)) is not None:
                 yield self._grant(engine, waiting, now)
-        yield from self._refuse_expired(now)
+        yield from self._refuse_expired(order, now)
 
-    def _refuse_expired(self, now: float) -> Iterator[Refused]:
+    def _refuse_expired(self, order: QueueOrder, now: float) -> Iterator[Refused]:
         for waiting in list(self.waiting_by_id.values()):
             work = waiting.work
             if self.waiting_by_id.get(work.id) is waiting and now >= waiting.start_deadline():
                 del self.waiting_by_id[work.id]
-                inputs = describe_refusal(
-                    work,
-                    now - work.arrived_at,
-                    len(self.waiting_by_id),
-                    len(self.placement.engines_by_key),
+                planned = self._plan_return(waiting, 0.0, order)
+                yield self._refuse(
+                    waiting, "waited_too_long", now - work.arrived_at, planned, order
                 )
-                retry_s = self._retry_after(work, 0.0, now)
-                yield Refused(work.id, waiting.vm, "waited_too_long", retry_s, inputs)
-
-    def _queue_order(self, waiting: WaitingWork, now: float) -> tuple[int, bool, float]:
-        work = waiting.work
-        first_token_at = (
-            now + self.placement.speed.fixed_s + work.tokens_in * self.placement.speed.s_per_token
-        )
-        return work.rank, first_token_at > work.arrived_at + work.target_s, work.arrived_at
 
     def _grant(self, engine: EngineState, waiting: WaitingWork, now: float) -> Granted:
         work = waiting.work
@@ -236,6 +271,7 @@
         prefill_s = self.placement.prefill_s(engine, work)
         alone = engine.prefill_backlog_s(now) <= 0
         self.placement.limits.take_turn(engine.key, now)
+        self._shares.record_granted(work, now)
         engine.record_prefill(prefill_s, now)
         first_token_at = engine.prefill_schedule.free_at(now) + self.placement.speed.fixed_s
         engine.cache_prompt(work)
@@ -303,7 +339,9 @@
                 del engine.assigned_by_id[work_id], self._engine_by_work_id[work_id]
 
     def expire(self, now: float) -> None:
-        """Removes work past its deadline whose end was never reported."""
+        """Removes work past its deadline whose end was never reported, and what is outdated."""
+        self._shares.expire(now)
+        self._returns.expire(now)
         for work_id, engine in list(self._engine_by_work_id.items()):
             if now > engine.assigned_by_id[work_id].work.expires_at + EXPIRY_GRACE_S:
                 del engine.assigned_by_id[work_id], self._engine_by_work_id[work_id]
--- a/bluebellpitch/decisions/generation_decisions.py
+++ b/bluebellpitch/decisions/generation_decisions.py
@@ -7,6 +7,8 @@
 
 # Work is refused when it cannot start within this share of the time until its deadline.
 START_DEADLINE_SHARE = 0.5
+# The same for a caller that came back as told, which would get no further chance.
+RETURNED_START_DEADLINE_SHARE = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,13 +57,28 @@
 
 @dataclass(slots=True)
 class WaitingWork:
-    """Queued work. Engines whose ids are in ``avoid`` are not considered."""
+    """Queued work. Engines whose ids are in ``avoid`` are not considered.
+
+    ``returned_for`` is when the caller's first request came, if it came back as told.
+    """
 
     work: WorkItem
     vm: str
     avoid: frozenset[str]
+    returned_for: float | None = None
+
+    @property
+    def has_returned(self) -> bool:
+        """Whether the caller was refused before and came back as told."""
+        return self.returned_for is not None
+
+    @property
+    def asked_at(self) -> float:
+        """When the caller first asked."""
+        return self.work.arrived_at if self.returned_for is None else self.returned_for
 
     def start_deadline(self) -> float:
         """Returns the time after which the work is refused."""
         work = self.work
-        return work.arrived_at + START_DEADLINE_SHARE * (work.expires_at - work.arrived_at)
+        share = RETURNED_START_DEADLINE_SHARE if self.has_returned else START_DEADLINE_SHARE
+        return work.arrived_at + share * (work.expires_at - work.arrived_at)
--- a/bluebellpitch/decisions/loads.py
+++ b/bluebellpitch/decisions/loads.py
@@ -23,7 +23,7 @@
     Sizes are in tokens, times in seconds of the owner's clock. ``rank`` 0 is served first.
     ``parts`` are the ids and sizes of the prompt's parts; all but the last may be shared with other
     requests. ``target_s`` is the target for the time to first token, ``gap_target_s`` that for the
-    longest gap between events.
+    longest gap between events. ``member`` is empty in a configuration without members.
     """
 
     id: str
@@ -36,6 +36,7 @@
     gap_target_s: float
     arrived_at: float
     expires_at: float
+    member: str = ""
 
 
 def session_of(parts: tuple[tuple[str, int], ...]) -> str:
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -24,6 +24,7 @@
     vm: str
     reply_to: str
     is_passed_on: bool = False
+    member: str = ""
 
 
 class WorkQueued(msgspec.Struct, frozen=True, tag="work_queued"):
@@ -107,6 +108,7 @@
     gap_s: float
     left_s: float
     has_first_token: bool
+    member: str = ""
 
 
 class HeldWorkReport(msgspec.Struct, frozen=True, tag="work_held"):
--- a/bluebellpitch/roles/generation_broker_client.py
+++ b/bluebellpitch/roles/generation_broker_client.py
@@ -178,6 +178,7 @@
             avoid=tuple(avoid),
             vm=self._vm_key,
             reply_to=self._address,
+            member=work.member,
         )
         self._send(broker_vm, request)
 
@@ -244,6 +245,7 @@
         work.gap_target_s,
         work.expires_at - now,
         held.has_first_token,
+        work.member,
     )
 
 
--- a/bluebellpitch/roles/work_items.py
+++ b/bluebellpitch/roles/work_items.py
@@ -27,6 +27,7 @@
         gap_target_s=request.gap_s,
         arrived_at=now - request.age_s,
         expires_at=now + request.left_s,
+        member=request.member,
     )
 
 
@@ -43,6 +44,7 @@
         gap_target_s=held.gap_s,
         arrived_at=now,
         expires_at=now + held.left_s,
+        member=held.member,
     )
 
 
