--- a/bluebellpitch/decisions/decision_inputs.py
+++ b/bluebellpitch/decisions/decision_inputs.py
@@ -3,6 +3,7 @@
 from bluebellpitch.decisions.engine_state import EngineState
 from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.decisions.prefill import PrefillShare, PrefillSpeed
+from bluebellpitch.decisions.return_schedule import PlannedReturn
 
 
 def describe_grant(
@@ -29,7 +30,7 @@
     waiting_count: int,
     engine_count: int,
     is_over_share: bool,
-    is_return_planned: bool,
+    planned: PlannedReturn,
 ) -> dict[str, str]:
     """Returns the inputs of a refusal."""
     return {
@@ -40,5 +41,6 @@
         "engines": str(engine_count),
         "member": work.member,
         "over_share": str(is_over_share),
-        "room_on_return": str(is_return_planned),
+        "retry_after_s": f"{planned.retry_after_s:.2f}",
+        "room_on_return": str(planned.has_room),
     }
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -141,7 +141,7 @@
             len(self.waiting_by_id),
             len(self.placement.engines_by_key),
             order.is_over_share(waiting),
-            planned.has_room,
+            planned,
         )
         return Refused(work.id, waiting.vm, reason, planned.retry_after_s, inputs)
 
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -132,6 +132,7 @@
     for member in ("other", "hot"):
         shares.record_asked(make_prompt("w", 9.0, member), 0.0)
     shares.record_asked(make_prompt("w", 9.0, "hot"), 6.0)
+    shares.record_granted(make_prompt("w", 9.0, "other"), 6.0)
     for number in range(100):
         shares.record_granted(make_prompt(f"w{number}", 9.0, "hot"), 6.0)
     assert_that(shares.members_over_share(["hot", "other"], 6.0), Equals(frozenset({"hot"})))
