--- a/tests/mutants_of_size.py
+++ b/tests/mutants_of_size.py
@@ -52,6 +52,13 @@
         "            pass\n",
         "tests/test_shortage.py",
     ),
+    Mutant(
+        "shortage: a broker learns usual demand before it puts members behind",
+        "bluebellpitch/decisions/shortage/fair_shares.py",
+        " or not self._has_learnt:",
+        ":",
+        "tests/test_shortage.py",
+    ),
     Mutant(
         "shortage: a member that waits alone gets all that is free",
         "bluebellpitch/decisions/shortage/fair_shares.py",
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -140,6 +140,15 @@
     assert_that(shares.members_over_share(["hot", ""], 6.0), Equals(frozenset()))
 
 
+def test_broker_that_stands_in_puts_nobody_behind_before_it_has_learnt():
+    shares = FairShares()
+    for member in ("other", "hot"):
+        shares.record_asked(make_prompt("w", 9.0, member), 0.0)
+    for number in range(100):
+        shares.record_granted(make_prompt(f"w{number}", 9.0, "hot"), 1.0)
+    assert_that(shares.members_over_share(["hot", "other"], 1.0), Equals(frozenset()))
+
+
 def test_member_that_left_is_forgotten():
     shares = FairShares()
     shares.record_asked(make_prompt("a", 9.0, "gone"), 0.0)
