--- a/bluebellpitch/decisions/decision_inputs.py
+++ b/bluebellpitch/decisions/decision_inputs.py
@@ -3,6 +3,7 @@
 from bluebellpitch.decisions.engine_state import EngineState
 from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.decisions.prefill import PrefillShare, PrefillSpeed
+from bluebellpitch.decisions.return_schedule import PlannedReturn
 
 
 def describe_grant(
@@ -11,6 +12,7 @@
     """Returns the inputs of a grant, taken before the engine counts the work."""
     return {
         "rank": str(work.rank),
+        "member": work.member,
         "waited_ms": f"{(now - work.arrived_at) * 1000:.0f}",
         "tokens": str(work.tokens_in),
         "unread": str(engine.uncached_tokens(work)),
@@ -23,7 +25,12 @@
 
 
 def describe_refusal(
-    work: WorkItem, wait_s: float, waiting_count: int, engine_count: int
+    work: WorkItem,
+    wait_s: float,
+    waiting_count: int,
+    engine_count: int,
+    is_over_share: bool,
+    planned: PlannedReturn,
 ) -> dict[str, str]:
     """Returns the inputs of a refusal."""
     return {
@@ -32,4 +39,8 @@
         "expected_wait_s": f"{wait_s:.2f}",
         "waiting": str(waiting_count),
         "engines": str(engine_count),
+        "member": work.member,
+        "over_share": str(is_over_share),
+        "retry_after_s": f"{planned.retry_after_s:.2f}",
+        "room_on_return": str(planned.has_room),
     }
