Move the forwarding between zones into a module of its own

Change: roles/zone_spillover.py forwards and reports loads; decisions/zones/ holds remote_zones.py. No change of behaviour.

--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -3,15 +3,11 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-import msgspec
-
 from bluebellpitch.decisions import generation_decisions
 from bluebellpitch.decisions.catalogue import Catalogue
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
-from bluebellpitch.decisions.loads import WorkItem, session_of
-from bluebellpitch.decisions.remote_zones import LOAD_MAX_AGE_S, RemoteZone, find_cheaper_zone
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.platform_messages import (
@@ -30,22 +26,20 @@
 from bluebellpitch.roles.broker_takeover import BrokerTakeover, adopt_report
 from bluebellpitch.roles.generation_broker_client import GenerationBrokerClient
 from bluebellpitch.roles.work_items import (
-    describe_load,
     entry_from_leaving,
     message_from_grant,
     work_from_request,
-    zone_from_load,
 )
+from bluebellpitch.roles.zone_spillover import ZoneSpillover
 
 QUEUE_TICK_S = 0.01
 LOAD_PUBLISH_INTERVAL_S = 0.1
 IDLE_WAKE_INTERVAL_S = 0.5
 WORK_EXPIRY_INTERVAL_S = 1.0
-FORWARDED_RESPONSE_TIMEOUT_S = 0.4
 
 
 class GenerationCoordinator:
-    """Owns the generation brokers of this VM, their queues and the load reported by other zones."""
+    """Owns the generation brokers of this VM and their queues."""
 
     def __init__(
         self,
@@ -69,8 +63,6 @@
         self._liveness = liveness
         self._directory = directory
         self._catalogue = catalogue
-        self._addresses_in_zone = addresses_in_zone
-        self._other_zones = tuple(other for other in zones if other != zone)
         self._now = now
         self._is_draining = is_draining
         self._brokers_by_pool: dict[str, GenerationBroker] = {}
@@ -92,9 +84,9 @@
             lambda: addresses_in_zone(zone),
             self._send_to_address,
         )
-        self._remote_zones: dict[tuple[str, str], RemoteZone] = {}
-        self._load_round = 0
-        self._new_sessions_by_pool: dict[str, list[str]] = {}
+        self._spillover = ZoneSpillover(
+            address, zone, zones, addresses_in_zone, self._send_to_address
+        )
         self._work_waiting = asyncio.Event()
 
     def _broker_vm(self, pool: str) -> str:
@@ -110,6 +102,11 @@
         """Returns whether this VM is the broker of any pool of engines."""
         return any(self._broker_vm(pool) == self._vm_key for pool in self.engine_pools())
 
+    def _own_brokers(self) -> list[GenerationBroker]:
+        """Returns the brokers of the pools that this VM is the broker of."""
+        pools = (pool for pool in self.engine_pools() if self._broker_vm(pool) == self._vm_key)
+        return [self._get_broker(pool) for pool in pools]
+
     def _send(self, vm: str, message) -> None:
         if vm == self._vm_key:
             self.handle_message(vm, message)
@@ -140,7 +137,7 @@
             case HeldWorkReport():
                 adopt_report(self._get_broker(message.pool), message, self._now())
             case ZoneLoad():
-                self._record_zone_load(message)
+                self._spillover.record_load(message, self._now())
                 self._relay_load(sender, message)
 
     def _record_progress(self, report: FirstTokenReport | WorkEnded) -> None:
@@ -165,11 +162,6 @@
         if self._directory.mark_leaving(entry):
             log("INFO", "endpoint_leaving", endpoint=entry.id, source="peer")
 
-    def _record_zone_load(self, load: ZoneLoad) -> None:
-        key = (load.pool, load.zone)
-        known = self._remote_zones.get(key)
-        self._remote_zones[key] = zone_from_load(load, known, self._now())
-
     def _get_broker(self, pool: str) -> GenerationBroker:
         if pool not in self._brokers_by_pool:
             self._brokers_by_pool[pool] = GenerationBroker(pool)
@@ -191,50 +183,13 @@
         broker = self._get_broker(request.pool)
         self._takeover.collect_if_due(broker, now)
         work = work_from_request(request, now)
-        if self._forward(broker, work, request, now):
+        if self._spillover.forward(broker, work, request, now):
             return
         self._requests_by_work[work.id] = request
         self._send_decisions(broker.submit(work, request.vm, frozenset(request.avoid), now))
         if broker.waiting_by_id:
             self._work_waiting.set()
 
-    def _forward(
-        self, broker: GenerationBroker, work: WorkItem, request: WorkRequest, now: float
-    ) -> bool:
-        """Forwards work to another zone if its cost is lower there; returns whether it did."""
-        if request.is_passed_on:
-            return False
-        avoid, zones = frozenset(request.avoid), self._remote_zones
-        if broker.placement.is_short_prompt(work):
-            local_s = broker.placement.short_prompt_cost_s(now)
-            other = find_cheaper_zone(
-                zones, work.pool, local_s, lambda other: other.short_cost_s, now
-            )
-        else:
-            local_s = broker.long_prompt_cost_s(work, avoid, now)
-            cache_miss_cost_s = broker.placement.cache_miss_cost_s(work)
-
-            def cost(other: RemoteZone) -> float:
-                uncached = (
-                    broker.placement.unshared_tokens(work)
-                    if other.has_cached(work, now)
-                    else work.tokens_in
-                )
-                cache_miss_s = 0.0 if other.has_cached(work, now) else cache_miss_cost_s
-                return other.long_fixed_s + uncached * other.long_s_per_token + cache_miss_s
-
-            other = find_cheaper_zone(zones, work.pool, local_s, cost, now)
-        if other is None:
-            return False
-        log("INFO", "passed_on", request=work.id, own_ms=f"{local_s * 1000:.0f}", to=other.address)
-        self._send_to_address(request.reply_to, WorkQueued(work.id, FORWARDED_RESPONSE_TIMEOUT_S))
-        forwarded = msgspec.structs.replace(
-            request, is_passed_on=True, age_s=now - work.arrived_at, left_s=work.expires_at - now
-        )
-        self._bus.send_to_address(other.address, forwarded)
-        other.record_forwarded(work.tokens_in)
-        return True
-
     def _serve_queue(self, broker: GenerationBroker) -> None:
         if broker.waiting_by_id:
             self._send_decisions(broker.schedule(self._now()))
@@ -245,7 +200,8 @@
             address = request.reply_to if request else ""
             match decision:
                 case generation_decisions.Granted(work_id, _, entry):
-                    self._record_session(request)
+                    if request:
+                        self._spillover.record_session(self._brokers_by_pool[request.pool], request)
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
                     response = message_from_grant(decision, request, self._address)
                 case generation_decisions.Refused(work_id, _, reason, retry_after_s):
@@ -258,14 +214,6 @@
             if address:
                 self._send_to_address(address, response)
 
-    def _record_session(self, request: WorkRequest | None) -> None:
-        """Records the session of a granted long prompt for the next load report to other zones."""
-        session = session_of(request.parts) if request else ""
-        if session and not self._brokers_by_pool[request.pool].placement.is_short_length(
-            request.tokens_in
-        ):
-            self._new_sessions_by_pool.setdefault(request.pool, []).append(session)
-
     def remove_vm(self, vm: str) -> None:
         """Drops all work of a VM that has failed or left."""
         for broker in self._brokers_by_pool.values():
@@ -285,7 +233,7 @@
             self._takeover.forget_lost_roles(list(self._brokers_by_pool))
             if now >= next_load:
                 next_load = now + LOAD_PUBLISH_INTERVAL_S
-                self._publish_load(now)
+                self._spillover.publish_load(self._own_brokers(), now)
             if now >= next_expiry:
                 next_expiry = now + WORK_EXPIRY_INTERVAL_S
                 self._expire(now)
@@ -294,7 +242,7 @@
         """Forwards the most recent work in the queue if another zone has a lower cost for it."""
         waiting = max(broker.waiting_by_id.values(), key=lambda w: w.work.arrived_at, default=None)
         request = waiting and self._requests_by_work.get(waiting.work.id)
-        if request and self._forward(broker, waiting.work, request, now):
+        if request and self._spillover.forward(broker, waiting.work, request, now):
             broker.finish(waiting.work.id, "withdrawn", now)
             del self._requests_by_work[waiting.work.id]
 
@@ -315,35 +263,10 @@
     def _expire(self, now: float) -> None:
         for broker in self._brokers_by_pool.values():
             broker.expire(now)
-        for other in self._remote_zones.values():
-            other.prune_sessions(now)
+        self._spillover.expire(now)
         if not any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
             self._requests_by_work.clear()
 
-    def _publish_load(self, now: float) -> None:
-        """Sends the load to brokers in other zones; any VM there relays it while none is known."""
-        catalogue = self._catalogue()
-        if catalogue is None:
-            return
-        self._load_round += 1
-        for pool, row in catalogue.pools_by_name.items():
-            if row.engine is None or self._broker_vm(pool) != self._vm_key:
-                continue
-            sessions = self._new_sessions_by_pool.pop(pool, ())
-            load = describe_load(
-                self._get_broker(pool), self._zone, self._address, tuple(sessions), now
-            )
-            for zone in self._other_zones:
-                for address in self._load_recipients(pool, zone, now):
-                    self._bus.send_to_address(address, load)
-
-    def _load_recipients(self, pool: str, zone: str, now: float) -> list[str]:
-        known = self._remote_zones.get((pool, zone))
-        if known is not None and now - known.reported_at < LOAD_MAX_AGE_S:
-            return [known.address]
-        addresses = self._addresses_in_zone(zone)
-        return [addresses[self._load_round % len(addresses)]] if addresses else []
-
     def _relay_load(self, sender: str, load: ZoneLoad) -> None:
         """Relays the load of another zone to the broker in this zone, if that is another VM."""
         broker_vm = self._broker_vm(load.pool)
--- a/bluebellpitch/roles/work_items.py
+++ b/bluebellpitch/roles/work_items.py
@@ -4,7 +4,7 @@
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.generation_decisions import Granted
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.decisions.remote_zones import RemoteZone
+from bluebellpitch.decisions.zones.remote_zones import RemoteZone
 from bluebellpitch.peers.platform_messages import (
     EndpointLeaving,
     HeldWork,
