Charge the real distance between zones, and expect other zones to leave when this one does

Cause: leaving cost 0.12 s for each zone, also for one of the same region, which is 4 ms away; and each broker counted only its own work at a zone that others were filling at the same moment. Change: ZoneDistances gives the delay by region; a broker that forwards work counts it once more for each zone that would gain there too; the transit counts toward the age of forwarded work; reasons in logs, metrics by zone.

--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -164,7 +164,8 @@
             catalogue=lambda: self.configuration.catalogue,
             addresses_in_zone=self.peer_discovery.addresses_in_zone,
             named_limits=lambda pool, zone: self.endpoint_allocator.named_limits(pool, zone),
-            zones=settings.regions_by_zone,
+            regions_by_zone=settings.regions_by_zone,
+            metrics=self.metrics,
             now=now,
             is_draining=self.draining.is_set,
         )
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -56,6 +56,8 @@
         self.store_calls = self._counter("store_calls", "Calls of the store", "topic", "verdict")
         self.endpoint_crashes = self._counter("endpoint_crashes", "Endpoints that crashed on runs")
         self.deadly_parts = self._gauge("deadly_parts", "Sets of parts that crash endpoints")
+        self.forwarded = self._counter("forwarded", "Work sent to another zone", "zone", "reason")
+        self.received = self._counter("received", "Work received from another zone", "zone")
         self.limit_in_use = self._gauge("limit_in_use", "Running requests", "pool", "member")
 
     def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -6,8 +6,8 @@
 class WorkRequest(msgspec.Struct, frozen=True, tag="work_asked"):
     """Requests an engine from the broker of a zone. ``age_s`` is since the request arrived.
 
-    ``reply_to`` is the bus address of the requesting VM. ``is_passed_on`` is set if the broker of
-    another zone forwarded the request.
+    ``reply_to`` is the bus address of the requesting VM. ``is_passed_on`` is set if the request
+    must stay where it is sent: ``home_zone`` forwarded it, or got no answer from another zone.
     """
 
     work_id: str
@@ -24,13 +24,18 @@
     vm: str
     reply_to: str
     is_passed_on: bool = False
+    home_zone: str = ""
 
 
 class WorkQueued(msgspec.Struct, frozen=True, tag="work_queued"):
-    """The work is queued at the broker; the next message about it follows within ``within_s``."""
+    """The work is queued at the broker; the next message about it follows within ``within_s``.
+
+    ``forwarded_to`` is the address of the broker of another zone that got it, if one did.
+    """
 
     work_id: str
     within_s: float
+    forwarded_to: str = ""
 
 
 class WorkGranted(msgspec.Struct, frozen=True, tag="work_granted"):
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -12,14 +12,12 @@
 from bluebellpitch.decisions.loads import EndpointLoads, WorkItem
 from bluebellpitch.decisions.named_limits import NamedLimits, TurnQueue
 from bluebellpitch.decisions.service_choice import choose_service_endpoint
+from bluebellpitch.decisions.zones.distances import CROSS_REGION_DELAY_S, ZoneDistances
 from bluebellpitch.logs import log
 from bluebellpitch.platform.http_messages import ResponseHead
 from bluebellpitch.roles.generation_broker_client import EngineGrant, GenerationBrokerClient
 from bluebellpitch.verdicts import DidNotRun
 
-SAME_ZONE_DELAY_S = 0.0005
-SAME_REGION_DELAY_S = 0.001
-CROSS_REGION_DELAY_S = 0.03
 NO_ENDPOINT_RETRY_AFTER_S = 0.4
 MAX_ENGINE_REQUESTS = 3
 # Of an engine's limit, what all VMs together use without its broker, which grants all of it.
@@ -65,15 +63,8 @@
         self._vm_count = vm_count
         self._broker_client = broker_client
         self._now = now
-        region = regions_by_zone.get(zone, "")
-        self._delay_s_by_zone = {
-            other: (
-                SAME_ZONE_DELAY_S
-                if other == zone
-                else SAME_REGION_DELAY_S if other_region == region else CROSS_REGION_DELAY_S
-            )
-            for other, other_region in regions_by_zone.items()
-        }
+        distances = ZoneDistances(zone, regions_by_zone)
+        self._delay_s_by_zone = {other: distances.one_way_s(other) for other in regions_by_zone}
         self._distance_by_zone = {
             other: delay_s / CROSS_REGION_DELAY_S
             for other, delay_s in self._delay_s_by_zone.items()
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -1,7 +1,7 @@
 """Schedules generations on the engines of this zone and requests engines for this VM."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 
 from bluebellpitch.decisions import generation_decisions
 from bluebellpitch.decisions.catalogue import Catalogue
@@ -9,6 +9,7 @@
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.logs import log
+from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.platform_messages import (
     EndpointLeaving,
@@ -52,7 +53,8 @@
         catalogue: Callable[[], Catalogue | None],
         addresses_in_zone: Callable[[str], list[str]],
         named_limits: Callable[[str, str], dict[tuple[str, int], float]],
-        zones: Iterable[str],
+        regions_by_zone: Mapping[str, str],
+        metrics: Metrics,
         now: Callable[[], float],
         is_draining: Callable[[], bool],
     ):
@@ -85,7 +87,7 @@
             self._send_to_address,
         )
         self._spillover = ZoneSpillover(
-            address, zone, zones, addresses_in_zone, self._send_to_address
+            address, zone, regions_by_zone, addresses_in_zone, self._send_to_address, metrics
         )
         self._work_waiting = asyncio.Event()
 
@@ -185,6 +187,7 @@
         work = work_from_request(request, now)
         if self._spillover.forward(broker, work, request, now):
             return
+        self._spillover.count_received(request)
         self._requests_by_work[work.id] = request
         self._send_decisions(broker.submit(work, request.vm, frozenset(request.avoid), now))
         if broker.waiting_by_id:
--- a/bluebellpitch/roles/work_items.py
+++ b/bluebellpitch/roles/work_items.py
@@ -1,16 +1,13 @@
 """Converts messages about generations, with times on the clock of this VM."""
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
-from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.generation_decisions import Granted
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.decisions.zones.remote_zones import RemoteZone
 from bluebellpitch.peers.platform_messages import (
     EndpointLeaving,
     HeldWork,
     WorkGranted,
     WorkRequest,
-    ZoneLoad,
 )
 
 
@@ -59,37 +56,6 @@
     )
 
 
-def describe_load(
-    broker: GenerationBroker, zone: str, address: str, sessions: tuple[str, ...], now: float
-) -> ZoneLoad:
-    """Returns the load of a broker's zone as other zones need to know it."""
-    cost = broker.estimate_long_prompt_cost(now)
-    return ZoneLoad(
-        broker.pool,
-        zone,
-        cost.fixed_s,
-        cost.s_per_token,
-        broker.placement.short_prompt_cost_s(now),
-        broker.pool_s_per_token(now),
-        address,
-        sessions,
-    )
-
-
-def zone_from_load(load: ZoneLoad, known: RemoteZone | None, now: float) -> RemoteZone:
-    """Returns the state of another zone after a report, with the sessions known before."""
-    sessions = known.session_seen_at if known else {}
-    return RemoteZone(
-        load.long_fixed_s,
-        load.long_s_per_token,
-        load.short_cost_s,
-        load.queue_s_per_token,
-        load.reply_to,
-        now,
-        sessions | dict.fromkeys(load.sessions, now),
-    )
-
-
 def message_from_grant(
     granted: Granted, request: WorkRequest | None, broker_address: str
 ) -> WorkGranted:
--- a/bluebellpitch/roles/zone_spillover.py
+++ b/bluebellpitch/roles/zone_spillover.py
@@ -1,19 +1,18 @@
 """Forwards work to other zones, and tells their brokers the load of this zone."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.loads import WorkItem, session_of
-from bluebellpitch.decisions.zones.remote_zones import (
-    LOAD_MAX_AGE_S,
-    RemoteZone,
-    find_cheaper_zone,
-)
+from bluebellpitch.decisions.zones.departure import Departure, choose_departure
+from bluebellpitch.decisions.zones.distances import ZoneDistances
+from bluebellpitch.decisions.zones.outlook import ZoneOutlook, describe_home, describe_zone
+from bluebellpitch.decisions.zones.remote_zones import RemoteZone
 from bluebellpitch.logs import log
+from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.platform_messages import WorkQueued, WorkRequest, ZoneLoad
-from bluebellpitch.roles.work_items import describe_load, zone_from_load
 
 FORWARDED_RESPONSE_TIMEOUT_S = 0.4
 
@@ -28,23 +27,38 @@
         self,
         address: str,
         zone: str,
-        zones: Iterable[str],
+        regions_by_zone: Mapping[str, str],
         addresses_in_zone: Callable[[str], list[str]],
         send_to_address: Callable[[str, object], None],
+        metrics: Metrics,
     ):
         self._address = address
         self._zone = zone
-        self._other_zones = tuple(other for other in zones if other != zone)
+        self._distances = ZoneDistances(zone, regions_by_zone)
+        others = (other for other in regions_by_zone if other != zone)
+        self._other_zones = sorted(others, key=self._distances.one_way_s)
         self._addresses_in_zone = addresses_in_zone
         self._send_to_address = send_to_address
-        self._remote_zones: dict[tuple[str, str], RemoteZone] = {}
+        self._metrics = metrics
+        self._zones_by_pool: dict[str, dict[str, RemoteZone]] = {}
         self._load_round = 0
         self._new_sessions_by_pool: dict[str, list[str]] = {}
 
+    def _remote_zone(self, pool: str, zone: str) -> RemoteZone:
+        zones = self._zones_by_pool.setdefault(pool, {})
+        if zone not in zones:
+            forwarding_s = self._distances.forwarding_s(zone)
+            zones[zone] = RemoteZone(zone, self._distances.is_same_region(zone), forwarding_s)
+        return zones[zone]
+
     def record_load(self, load: ZoneLoad, now: float) -> None:
         """Records the load that the broker of another zone reported."""
-        key = (load.pool, load.zone)
-        self._remote_zones[key] = zone_from_load(load, self._remote_zones.get(key), now)
+        other = self._remote_zone(load.pool, load.zone)
+        other.address, other.reported_at = load.reply_to, now
+        other.outlook = ZoneOutlook(
+            load.long_fixed_s, load.long_s_per_token, load.short_cost_s, load.queue_s_per_token
+        )
+        other.session_seen_at |= dict.fromkeys(load.sessions, now)
 
     def record_session(self, broker: GenerationBroker, request: WorkRequest) -> None:
         """Records the session of a granted long prompt for the next report to other zones."""
@@ -52,61 +66,78 @@
         if session and not broker.placement.is_short_length(request.tokens_in):
             self._new_sessions_by_pool.setdefault(request.pool, []).append(session)
 
+    def count_received(self, request: WorkRequest) -> None:
+        """Counts a request that another zone forwarded."""
+        if request.home_zone:
+            self._metrics.received.labels(request.home_zone).inc()
+
     def forward(
         self, broker: GenerationBroker, work: WorkItem, request: WorkRequest, now: float
     ) -> bool:
-        """Forwards work to another zone if its cost is lower there; returns whether it did."""
-        if request.is_passed_on:
+        """Forwards work to another zone if its caller gains by that; returns whether it did."""
+        zones = self._zones_by_pool.get(work.pool)
+        if request.is_passed_on or not zones:
             return False
-        avoid, zones = frozenset(request.avoid), self._remote_zones
-        if broker.placement.is_short_prompt(work):
-            local_s = broker.placement.short_prompt_cost_s(now)
-            other = find_cheaper_zone(
-                zones, work.pool, local_s, lambda other: other.short_cost_s, now
-            )
-        else:
-            local_s = broker.long_prompt_cost_s(work, avoid, now)
-            cache_miss_cost_s = broker.placement.cache_miss_cost_s(work)
-
-            def cost(other: RemoteZone) -> float:
-                uncached = (
-                    broker.placement.unshared_tokens(work)
-                    if other.has_cached(work, now)
-                    else work.tokens_in
-                )
-                cache_miss_s = 0.0 if other.has_cached(work, now) else cache_miss_cost_s
-                return other.long_fixed_s + uncached * other.long_s_per_token + cache_miss_s
-
-            other = find_cheaper_zone(zones, work.pool, local_s, cost, now)
-        if other is None:
+        home = describe_home(broker, work, frozenset(request.avoid), now)
+        departure = choose_departure(work, home, zones.values(), now)
+        if departure is None:
             return False
-        log("INFO", "passed_on", request=work.id, own_ms=f"{local_s * 1000:.0f}", to=other.address)
-        self._send_to_address(request.reply_to, WorkQueued(work.id, FORWARDED_RESPONSE_TIMEOUT_S))
+        self._send(departure, work, request, now)
+        inputs = {
+            "home_ms": f"{home.cost_s * 1000:.0f}",
+            "there_ms": f"{departure.cost_s * 1000:.0f}",
+            "unread": str(departure.tokens),
+        }
+        to, reason = departure.zone.name, departure.reason
+        log("INFO", "passed_on", request=work.id, to=to, reason=reason, **inputs)
+        self._metrics.forwarded.labels(to, reason).inc()
+        return True
+
+    def _send(self, departure: Departure, work: WorkItem, request: WorkRequest, now: float) -> None:
+        zone = departure.zone
+        one_way_s = self._distances.one_way_s(zone.name)
+        queued = WorkQueued(work.id, FORWARDED_RESPONSE_TIMEOUT_S, zone.address)
+        self._send_to_address(request.reply_to, queued)
         forwarded = msgspec.structs.replace(
-            request, is_passed_on=True, age_s=now - work.arrived_at, left_s=work.expires_at - now
+            request,
+            is_passed_on=True,
+            home_zone=self._zone,
+            age_s=now - work.arrived_at + one_way_s,
+            left_s=work.expires_at - now - one_way_s,
         )
-        self._send_to_address(other.address, forwarded)
-        other.record_forwarded(work.tokens_in)
-        return True
+        self._send_to_address(zone.address, forwarded)
+        zone.record_forwarded(departure.tokens, self._zones_by_pool[work.pool].values())
 
     def expire(self, now: float) -> None:
         """Removes sessions that other zones may no longer have cached."""
-        for other in self._remote_zones.values():
-            other.prune_sessions(now)
+        for zones in self._zones_by_pool.values():
+            for other in zones.values():
+                other.prune_sessions(now)
 
     def publish_load(self, brokers: Iterable[GenerationBroker], now: float) -> None:
         """Sends the load of these brokers to other zones; any VM there relays it at first."""
+        if not self._other_zones:
+            return
         self._load_round += 1
         for broker in brokers:
-            sessions = tuple(self._new_sessions_by_pool.pop(broker.pool, ()))
-            load = describe_load(broker, self._zone, self._address, sessions, now)
+            outlook = describe_zone(broker, now)
+            load = ZoneLoad(
+                pool=broker.pool,
+                zone=self._zone,
+                long_fixed_s=outlook.long_fixed_s,
+                long_s_per_token=outlook.long_s_per_token,
+                short_cost_s=outlook.short_s,
+                queue_s_per_token=outlook.queue_s_per_token,
+                reply_to=self._address,
+                sessions=tuple(self._new_sessions_by_pool.pop(broker.pool, ())),
+            )
             for zone in self._other_zones:
                 for address in self._load_recipients(broker.pool, zone, now):
                     self._send_to_address(address, load)
 
     def _load_recipients(self, pool: str, zone: str, now: float) -> list[str]:
-        known = self._remote_zones.get((pool, zone))
-        if known is not None and now - known.reported_at < LOAD_MAX_AGE_S:
+        known = self._remote_zone(pool, zone)
+        if known.is_current(now):
             return [known.address]
         addresses = self._addresses_in_zone(zone)
         return [addresses[self._load_round % len(addresses)]] if addresses else []
--- a/tests/generation_load.py
+++ b/tests/generation_load.py
@@ -30,6 +30,7 @@
     target_s: float
     gap_target_s: float
     time_left_s: float
+    decode_s: float = DECODE_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +89,8 @@
 
     def __init__(self, broker: GenerationBroker):
         self.broker = broker
-        self.outcomes: list[Outcome] = []
+        self.outcomes_by_id: dict[str, Outcome] = {}
+        self.slowdown_by_engine: dict[str, float] = {}
         self._events: list[tuple[float, int, str, tuple]] = []
         self._numbers = count()
         self._free_at_by_engine: dict[tuple[str, int], float] = {}
@@ -106,6 +108,11 @@
             self._advance(self._now + TICK_S)
         return self.outcomes
 
+    @property
+    def outcomes(self) -> list[Outcome]:
+        """The outcomes in the order of decision."""
+        return list(self.outcomes_by_id.values())
+
     _now = 0.0
 
     def _uncached_by_engine(self, work: WorkItem) -> dict[tuple[str, int], int]:
@@ -128,16 +135,20 @@
                     self._start(work_id, entry.incarnation, int(inputs["unread"]), now)
                 case Refused(work_id, _, _, retry_after_s):
                     work, load = self._arrivals_by_id[work_id]
-                    self.outcomes.append(Outcome(load, work.arrived_at, None, retry_after_s))
+                    self.outcomes_by_id[work_id] = Outcome(
+                        load, work.arrived_at, None, retry_after_s
+                    )
 
     def _start(self, work_id: str, engine: tuple[str, int], uncached: int, now: float) -> None:
         work, load = self._arrivals_by_id[work_id]
         start = max(now, self._free_at_by_engine.get(engine, 0.0))
-        self._free_at_by_engine[engine] = start + uncached / TOKENS_PER_S
+        slowdown = self.slowdown_by_engine.get(engine[0], 1.0)
+        self._free_at_by_engine[engine] = start + uncached / TOKENS_PER_S * slowdown
         first_token_at = self._free_at_by_engine[engine] + FIXED_S
         self._schedule(first_token_at, "record_first_token", work_id, first_token_at - now, 1.0)
-        self._schedule(first_token_at + DECODE_S, "finish", work_id, "ok")
-        self.outcomes.append(Outcome(load, work.arrived_at, first_token_at - work.arrived_at))
+        self._schedule(first_token_at + load.decode_s, "finish", work_id, "ok")
+        first_token_s = first_token_at - work.arrived_at
+        self.outcomes_by_id[work_id] = Outcome(load, work.arrived_at, first_token_s)
 
     def _schedule(self, at: float, kind: str, *values) -> None:
         heapq.heappush(self._events, (at, next(self._numbers), kind, values))
--- a/tests/test_broker_takeover.py
+++ b/tests/test_broker_takeover.py
@@ -9,6 +9,7 @@
 from bluebellpitch.decisions.liveness import Liveness, Peer
 from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.decisions.return_schedule import MAX_RETRY_AFTER_S
+from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.configuration import decode_configuration
 from bluebellpitch.roles.generation_broker_client import EngineGrant
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
@@ -64,7 +65,8 @@
             catalogue=lambda: catalogue,
             addresses_in_zone=lambda zone: names,
             named_limits=lambda pool, zone, name=name: limits_by_vm.get(name, {}),
-            zones=["z"],
+            regions_by_zone={"z": "r"},
+            metrics=Metrics(),
             now=now,
             is_draining=lambda: False,
         )
