--- a/bluebellpitch/decisions/generation_decisions.py
+++ b/bluebellpitch/decisions/generation_decisions.py
@@ -63,5 +63,9 @@
 
     def start_deadline(self) -> float:
         """Returns the time after which the work is refused."""
-        work = self.work
-        return work.arrived_at + START_DEADLINE_SHARE * (work.expires_at - work.arrived_at)
+        return start_deadline(self.work)
+
+
+def start_deadline(work: WorkItem) -> float:
+    """Returns the time after which work that has not started is refused."""
+    return work.arrived_at + START_DEADLINE_SHARE * (work.expires_at - work.arrived_at)
--- a/bluebellpitch/decisions/zones/outlook.py
+++ b/bluebellpitch/decisions/zones/outlook.py
@@ -4,7 +4,7 @@
 
 from bluebellpitch.decisions.engine_placement import RUNNING_REQUEST_COST_S
 from bluebellpitch.decisions.generation_broker import GenerationBroker
-from bluebellpitch.decisions.generation_decisions import WaitingWork
+from bluebellpitch.decisions.generation_decisions import start_deadline
 from bluebellpitch.decisions.loads import WorkItem
 
 
@@ -74,7 +74,7 @@
             else broker.long_prompt_cost_s(work, avoid, now)
         ),
         has_engine=placement.has_usable_engine(now),
-        is_refused=start_at > WaitingWork(work, "", avoid).start_deadline(),
+        is_refused=start_at > start_deadline(work),
         is_short=is_short,
         unshared_tokens=placement.unshared_tokens(work),
         cache_miss_s=0.0 if is_short else placement.cache_miss_cost_s(work),
--- a/bluebellpitch/decisions/zones/remote_zones.py
+++ b/bluebellpitch/decisions/zones/remote_zones.py
@@ -19,7 +19,6 @@
     """The last report of another zone's broker, with the work expected there since."""
 
     name: str
-    is_same_region: bool
     forwarding_s: float
     address: str = ""
     outlook: ZoneOutlook = UNKNOWN_OUTLOOK
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -30,7 +30,8 @@
 class WorkQueued(msgspec.Struct, frozen=True, tag="work_queued"):
     """The work is queued at the broker; the next message about it follows within ``within_s``.
 
-    ``forwarded_to`` is the address of the broker of another zone that got it, if one did.
+    ``forwarded_to`` is the address of the broker of another zone, if the work went there; that
+    broker confirms it with ``within_s`` 0.
     """
 
     work_id: str
--- a/bluebellpitch/roles/generation_broker_client.py
+++ b/bluebellpitch/roles/generation_broker_client.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.generation_decisions import start_deadline
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.logs import log
@@ -54,6 +55,18 @@
     has_first_token: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardedWork:
+    """Work at the broker of another zone; it comes home if nothing is heard by ``give_up_at``.
+
+    ``is_queued`` is set once that broker has confirmed that it has the work.
+    """
+
+    address: str
+    give_up_at: float
+    is_queued: bool
+
+
 class GenerationBrokerClient:
     """Pending engine requests of this VM, and the engines granted to it.
 
@@ -82,6 +95,7 @@
         self._now = now
         self._responses_by_work: dict[str, asyncio.Queue] = {}
         self._held_by_work: dict[str, HeldGrant] = {}
+        self._forwarded_by_work: dict[str, ForwardedWork] = {}
         self._last_broker_by_pool: dict[str, str] = {}
 
     async def acquire(self, work: WorkItem, avoid: frozenset[str]) -> EngineGrant | DidNotRun:
@@ -94,33 +108,36 @@
             return result
         finally:
             del self._responses_by_work[work.id]
+            forwarded = self._forwarded_by_work.pop(work.id, None)
             while not responses.empty():
                 self.handle_response(responses.get_nowait())
             if result is None:
-                self._send(
-                    self._find_broker_vm(work.pool), WorkEnded(work.id, work.pool, "withdrawn")
-                )
+                ended = WorkEnded(work.id, work.pool, "withdrawn")
+                self._send(self._find_broker_vm(work.pool), ended)
+                if forwarded is not None:
+                    self._send_to_address(forwarded.address, ended)
 
     async def _request_until_decided(
         self, work: WorkItem, avoid: frozenset[str], responses: asyncio.Queue
     ) -> EngineGrant | DidNotRun:
         broker_vm, timeout_s = "", FIRST_RESPONSE_TIMEOUT_S
+        silent_zones: set[str] = set()
         while self._now() < work.expires_at:
             current_broker_vm = self._find_broker_vm(work.pool)
-            if current_broker_vm != broker_vm:
+            if work.id not in self._forwarded_by_work and current_broker_vm != broker_vm:
                 broker_vm, timeout_s = current_broker_vm, FIRST_RESPONSE_TIMEOUT_S
-                self._send_request(broker_vm, work, avoid)
+                self._send_request(broker_vm, work, avoid, must_stay=bool(silent_zones))
             response = await next_response(responses, timeout_s)
             match response:
-                case None if timeout_s != BROKER_RECHECK_INTERVAL_S:
-                    log("WARNING", "broker_silent", broker=broker_vm, request=work.id)
-                    if broker_vm != self._vm_key:
-                        self._liveness.exclude(broker_vm, self._now() + SILENT_BROKER_BACKOFF_S)
-                    broker_vm = ""
-                case WorkQueued(_, within_s):
-                    timeout_s = within_s or BROKER_RECHECK_INTERVAL_S
+                case None:
+                    broker_vm = self._handle_silence(work, broker_vm, timeout_s, silent_zones)
+                case WorkQueued():
+                    timeout_s = response.within_s or BROKER_RECHECK_INTERVAL_S
+                    self._record_forwarded(work, response)
                 case WorkRefused(_, reason, retry_after_s):
                     return DidNotRun(reason, 503, retry_after_s)
+                case WorkGranted(broker_address=address) if address in silent_zones:
+                    self._send_to_address(address, WorkEnded(work.id, work.pool, "withdrawn"))
                 case WorkGranted():
                     entry = entry_from_grant(response, work.pool)
                     grant = EngineGrant(work, entry, response.broker_address, response.limit_per_s)
@@ -129,6 +146,41 @@
         self._send(self._find_broker_vm(work.pool), WorkEnded(work.id, work.pool, "withdrawn"))
         return DidNotRun("waited_too_long", 503, EXPIRED_RETRY_AFTER_S)
 
+    def _handle_silence(
+        self, work: WorkItem, broker_vm: str, timeout_s: float, silent_zones: set[str]
+    ) -> str:
+        """Returns the broker that still has the work, or an empty string to request it again."""
+        forwarded = self._forwarded_by_work.get(work.id)
+        if forwarded is not None:
+            if self._now() < forwarded.give_up_at:
+                return broker_vm
+            silent_zones.add(forwarded.address)
+            self._withdraw_forwarded(work)
+            return ""
+        if timeout_s == BROKER_RECHECK_INTERVAL_S:
+            return broker_vm
+        log("WARNING", "broker_silent", broker=broker_vm, request=work.id)
+        if broker_vm != self._vm_key:
+            self._liveness.exclude(broker_vm, self._now() + SILENT_BROKER_BACKOFF_S)
+        return ""
+
+    def _record_forwarded(self, work: WorkItem, queued: WorkQueued) -> None:
+        """Records that another zone got the work, or (``within_s`` 0) that it queued it."""
+        if not queued.forwarded_to:
+            return
+        known = self._forwarded_by_work.get(work.id)
+        if known is not None and known.is_queued:
+            return
+        is_queued = queued.within_s == 0
+        give_up_at = start_deadline(work) if is_queued else self._now() + queued.within_s
+        self._forwarded_by_work[work.id] = ForwardedWork(queued.forwarded_to, give_up_at, is_queued)
+
+    def _withdraw_forwarded(self, work: WorkItem) -> None:
+        forwarded = self._forwarded_by_work.pop(work.id)
+        log("WARNING", "forwarded_unanswered", request=work.id, to=forwarded.address)
+        ended = WorkEnded(work.id, work.pool, "withdrawn")
+        self._send_to_address(forwarded.address, ended)
+
     def _report_to_new_broker(self, broker_vm: str, pool: str) -> None:
         """Tells a VM that now brokers a pool what this VM has at the engines of the zone."""
         if self._last_broker_by_pool.get(pool) == broker_vm:
@@ -161,7 +213,9 @@
             limit = EndpointLimit(request.pool, endpoint_id, started_ms, limit_per_s)
             self._send_to_address(request.reply_to, limit)
 
-    def _send_request(self, broker_vm: str, work: WorkItem, avoid: frozenset[str]) -> None:
+    def _send_request(
+        self, broker_vm: str, work: WorkItem, avoid: frozenset[str], must_stay: bool
+    ) -> None:
         self._report_to_new_broker(broker_vm, work.pool)
         now = self._now()
         request = WorkRequest(
@@ -178,6 +232,7 @@
             avoid=tuple(avoid),
             vm=self._vm_key,
             reply_to=self._address,
+            is_passed_on=must_stay,
         )
         self._send(broker_vm, request)
 
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -211,7 +211,8 @@
                     log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
                     response = WorkRefused(work_id, reason, retry_after_s)
                 case generation_decisions.Queued(work_id):
-                    response = WorkQueued(work_id, 0.0)
+                    forwarded_to = self._address if request and request.home_zone else ""
+                    response = WorkQueued(work_id, 0.0, forwarded_to)
             if not isinstance(decision, generation_decisions.Queued):
                 self._requests_by_work.pop(decision.work_id, None)
             if address:
--- a/bluebellpitch/roles/zone_spillover.py
+++ b/bluebellpitch/roles/zone_spillover.py
@@ -47,8 +47,7 @@
     def _remote_zone(self, pool: str, zone: str) -> RemoteZone:
         zones = self._zones_by_pool.setdefault(pool, {})
         if zone not in zones:
-            forwarding_s = self._distances.forwarding_s(zone)
-            zones[zone] = RemoteZone(zone, self._distances.is_same_region(zone), forwarding_s)
+            zones[zone] = RemoteZone(zone, self._distances.forwarding_s(zone))
         return zones[zone]
 
     def record_load(self, load: ZoneLoad, now: float) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -19,6 +19,7 @@
     ERA_MUTANTS,
     SHUTDOWN_MUTANTS,
 )
+from tests.mutants_of_zones import ZONES_MUTANTS
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 300
@@ -303,6 +304,7 @@
     *SHUTDOWN_MUTANTS,
     *ANNOUNCEMENT_MUTANTS,
     *SIZE_MUTANTS,
+    *ZONES_MUTANTS,
 )
 
 
--- /dev/null
+++ b/tests/mutants_of_zones.py
@@ -0,0 +1,49 @@
+"""Mutants of spillover between zones."""
+
+from tests.mutant import Mutant
+
+TESTS = "tests/test_zone_spillover.py"
+ZONES_MUTANTS = (
+    Mutant(
+        "a zone of the same region is nearer than another region",
+        "bluebellpitch/decisions/zones/distances.py",
+        "return SAME_REGION_DELAY_S if self.is_same_region(other) else CROSS_REGION_DELAY_S",
+        "return CROSS_REGION_DELAY_S",
+        TESTS,
+    ),
+    Mutant(
+        "forwarded work counts for all zones that will send as much",
+        "bluebellpitch/decisions/zones/remote_zones.py",
+        "self.outlook.with_prompt(senders * tokens)",
+        "self.outlook.with_prompt(tokens)",
+        TESTS,
+    ),
+    Mutant(
+        "old reports of other zones are not used",
+        "bluebellpitch/decisions/zones/departure.py",
+        "        if zone.is_current(now)\n",
+        "",
+        TESTS,
+    ),
+    Mutant(
+        "work is sent on once only",
+        "bluebellpitch/roles/zone_spillover.py",
+        "if request.is_passed_on or not zones:",
+        "if not zones:",
+        TESTS,
+    ),
+    Mutant(
+        "work comes home from a zone that is silent",
+        "bluebellpitch/roles/generation_broker_client.py",
+        '            self._withdraw_forwarded(work)\n            return ""\n',
+        "            return broker_vm\n",
+        TESTS,
+    ),
+    Mutant(
+        "a broker is not blamed for the silence of another zone",
+        "bluebellpitch/roles/generation_broker_client.py",
+        "            if self._now() < forwarded.give_up_at:\n                return broker_vm\n",
+        "            self._liveness.exclude(broker_vm, self._now() + SILENT_BROKER_BACKOFF_S)\n",
+        TESTS,
+    ),
+)
--- /dev/null
+++ b/tests/test_zone_spillover.py
@@ -0,0 +1,169 @@
+"""When work leaves its zone, and how much: two and six zones in virtual time."""
+
+import asyncio
+
+import pytest
+
+from bluebellpitch.decisions.loads import WorkItem
+from bluebellpitch.decisions.zones.departure import choose_departure
+from bluebellpitch.decisions.zones.distances import ZoneDistances
+from bluebellpitch.decisions.zones.outlook import HomeOutlook, ZoneOutlook
+from bluebellpitch.decisions.zones.remote_zones import RemoteZone
+from bluebellpitch.peers.platform_messages import WorkEnded, WorkGranted, WorkQueued, WorkRequest
+from tests.generation_load import PromptLoad
+from tests.test_broker_takeover import POOL, acquire, broker_of, start_coordinators
+from tests.virtual_time import run_in_virtual_time
+from tests.zone_replay import ZonesReplay, arrivals_of
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+DURATION_S, CREST_S, PERIOD_S = 4.0, 2.4, 8.0
+
+
+def prompts(rate_per_s: float, shared_tokens: int = 6300) -> PromptLoad:
+    own_tokens = 9200 - shared_tokens
+    return PromptLoad("long", rate_per_s, 1, shared_tokens, own_tokens, 60, 0.8, 0.5, 6.0, 0.6)
+
+
+def crest(phase_s: float, base: float):
+    return lambda now: 1.0 if (now + phase_s) % PERIOD_S < CREST_S else base
+
+
+def replay_crests(
+    regions: dict[str, str], load: PromptLoad, base: float, cut_off: frozenset[str] = frozenset()
+):
+    replay = ZonesReplay(regions, engines=4)
+    replay.cut_off = cut_off
+    arrivals = []
+    for number, zone in enumerate(regions):
+        share_at = crest(number * PERIOD_S / len(regions), base)
+        arrivals += arrivals_of(zone, load, share_at, DURATION_S, 7 + number)
+    outcomes = replay.run(arrivals, DURATION_S + 4.0)
+    return replay, [outcome for zone in outcomes.values() for outcome in zone]
+
+
+def on_time_share(outcomes) -> float:
+    return sum(outcome.is_on_time for outcome in outcomes) / len(outcomes)
+
+
+def make_zone(name: str, short_s: float = 0.0, long_s: float = 0.2) -> RemoteZone:
+    distances = ZoneDistances("a1", REGIONS)
+    outlook = ZoneOutlook(long_s, 2e-5, short_s, 6e-6)
+    return RemoteZone(name, distances.forwarding_s(name), "", outlook, 0.0)
+
+
+def make_work() -> WorkItem:
+    return WorkItem("w", POOL, 1, 9000, 50, (), 0.8, 0.5, 0.0, 6.0)
+
+
+def make_home(cost_s: float, has_engine: bool = True) -> HomeOutlook:
+    return HomeOutlook(cost_s, has_engine, False, False, 9000, 0.0)
+
+
+def test_prompts_stay_in_zones_with_room():
+    replay, outcomes = replay_crests(REGIONS, prompts(4, shared_tokens=0), 1.0)
+    assert on_time_share(outcomes) == 1.0
+    assert sum(replay.sent.values()) == 0
+
+
+def test_a_zone_of_the_same_region_helps_before_another_region():
+    departure = choose_departure(
+        make_work(), make_home(1.0), [make_zone("b1"), make_zone("a2"), make_zone("c1")], 0.1
+    )
+    assert (departure.zone.name, departure.reason) == ("a2", "costs_less")
+
+
+@pytest.mark.parametrize(("other", "leaves"), [("a2", True), ("b1", False)])
+def test_a_small_gain_pays_only_within_the_region(other, leaves):
+    home = make_home(0.2 + 9000 * 2e-5 + 0.1)
+    assert (choose_departure(make_work(), home, [make_zone(other)], 0.1) is not None) == leaves
+
+
+def test_a_report_that_is_old_is_not_used():
+    assert choose_departure(make_work(), make_home(1.0), [make_zone("a2")], 2.0) is None
+
+
+def test_zone_that_lost_its_engines_sends_all_of_its_work():
+    home = make_home(float("inf"), has_engine=False)
+    departure = choose_departure(make_work(), home, [make_zone("b1", long_s=3.0)], 0.1)
+    assert departure.reason == "no_engine"
+
+
+def test_work_that_other_zones_will_send_too_counts_before_the_next_report():
+    idle, full = make_zone("a2"), [make_zone("b1", long_s=3.0), make_zone("c1", long_s=3.0)]
+    before_s = idle.outlook.long_fixed_s
+    idle.record_forwarded(1000, [idle, *full, make_zone("b2")])
+    assert idle.outlook.long_fixed_s - before_s == pytest.approx(3 * 1000 * 6e-6)
+
+
+def test_crests_that_follow_one_another_are_served_by_the_other_zones():
+    _, outcomes = replay_crests(REGIONS, prompts(75), 0.25)
+    assert on_time_share(outcomes) >= 0.9
+
+
+def test_crests_in_opposite_phase_do_not_swing():
+    """While one zone has its crest and the other does not, nothing flows against the crest."""
+    replay, outcomes = replay_crests({"a1": "a", "a2": "a"}, prompts(45), 0.1)
+    assert on_time_share(outcomes) >= 0.95
+    in_crest = [to for at, _, to in replay.log if 0.3 < at < CREST_S]
+    assert in_crest.count("a1") <= 0.1 * len(in_crest)
+
+
+def test_zone_that_is_cut_off_gets_nothing_and_its_callers_stay():
+    replay, _ = replay_crests({"a1": "a", "a2": "a"}, prompts(45), 0.1, frozenset({"a2"}))
+    assert sum(replay.sent.values()) == 0
+
+
+async def forward_and_stay_silent(confirms: bool):
+    """Returns the messages to a zone that takes work and gives no engine, and what the VM got."""
+    coordinators = start_coordinators(2)
+    requester = next(c for name, c in coordinators.items() if name != broker_of(c))
+    broker = coordinators[broker_of(requester)]
+    sent: list = []
+    requester.broker_client._send_to_address = lambda to, message: sent.append((to, message))
+
+    def forward(_broker, work, request, _now):
+        if request.is_passed_on:
+            return False
+        requester.handle_message("", WorkQueued(work.id, 0.4, "elsewhere"))
+        if confirms:
+            requester.handle_message("", WorkQueued(work.id, 0.0, "elsewhere"))
+        return True
+
+    broker._spillover.forward = forward
+    first = broker_of(requester)
+    grant = asyncio.ensure_future(acquire(requester, "a"))
+    await asyncio.sleep(0.3)
+    was_waiting = not grant.done()
+    grant = await asyncio.wait_for(grant, 6.0)
+    return sent, grant, was_waiting, broker_of(requester) == first
+
+
+@pytest.mark.parametrize("confirms", [False, True])
+def test_work_comes_home_when_the_zone_that_got_it_is_silent(confirms):
+    sent, grant, was_waiting, kept_broker = run_in_virtual_time(forward_and_stay_silent(confirms))
+    assert was_waiting and kept_broker
+    assert sent[0] == ("elsewhere", WorkEnded("a", POOL, "withdrawn"))
+    assert grant.entry.zone == "z" if not confirms else grant.reason == "no_capacity_in_time"
+
+
+def test_engine_of_a_zone_that_was_given_up_is_given_back():
+    async def body():
+        coordinators = start_coordinators(2)
+        client = coordinators["vm-0"].broker_client
+        sent: list = []
+        client._send_to_address = lambda to, message: sent.append((to, message))
+        granted = WorkGranted("a", POOL, "i-9", "10.0.0.9:80", "far", 1, "elsewhere")
+        client.handle_response(granted)
+        return sent
+
+    assert run_in_virtual_time(body()) == [("elsewhere", WorkEnded("a", POOL, "withdrawn"))]
+
+
+def test_forwarded_work_is_not_forwarded_again():
+    replay = ZonesReplay({"a1": "a", "a2": "a"}, engines=0)
+    request = WorkRequest(
+        "a1-w", "pool", 1, 9000, 50, (), 0.8, 0.5, 0.0, 6.0, (), "vm", "a1", True, "a1"
+    )
+    replay.zones["a2"]._arrivals_by_id["a1-w"] = make_work(), prompts(1)
+    replay.zones["a2"].start(request, 0.1)
+    assert replay.sent.total() == 0
