--- a/bluebellpitch/decisions/generation_decisions.py
+++ b/bluebellpitch/decisions/generation_decisions.py
@@ -79,6 +79,10 @@
 
     def start_deadline(self) -> float:
         """Returns the time after which the work is refused."""
-        work = self.work
-        share = RETURNED_START_DEADLINE_SHARE if self.has_returned else START_DEADLINE_SHARE
-        return work.arrived_at + share * (work.expires_at - work.arrived_at)
+        return start_deadline(self.work, self.has_returned)
+
+
+def start_deadline(work: WorkItem, has_returned: bool = False) -> float:
+    """Returns the time after which work that has not started is refused."""
+    share = RETURNED_START_DEADLINE_SHARE if has_returned else START_DEADLINE_SHARE
+    return work.arrived_at + share * (work.expires_at - work.arrived_at)
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -68,6 +68,8 @@
         self.duty_appends = self._counter(
             "duty_appends", "Appends under a lease or to acquire it", "duty", "verdict"
         )
+        self.forwarded = self._counter("forwarded", "Work sent to another zone", "zone", "reason")
+        self.received = self._counter("received", "Work received from another zone", "zone")
         self.limit_in_use = self._gauge("limit_in_use", "Running requests", "pool", "member")
 
     def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -21,6 +21,7 @@
     SHUTDOWN_MUTANTS,
 )
 from tests.mutants_of_usage import USAGE_MUTANTS
+from tests.mutants_of_zones import ZONES_MUTANTS
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 300
@@ -307,6 +308,7 @@
     *SIZE_MUTANTS,
     *LEASE_MUTANTS,
     *USAGE_MUTANTS,
+    *ZONES_MUTANTS,
 )
 
 
