--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -55,15 +55,16 @@
 async def test_counts_of_all_vms_reach_the_platform(deployment):
     api = FakeDutyApi()
     port = await api.start("127.0.0.1", 0)
-    deployment.more_settings = f"""cloud_api.address=127.0.0.1:{port}
+    settings = f"""cloud_api.address=127.0.0.1:{port}
 cloud_api.duties=metering
 bounds.report_window_s=1
 bounds.usage_late_s=10
 """
-    _, client = await start_deployment(deployment, "app")
-    other_client = deployment.add_client(await deployment.add_vm())
-    await client.call("GET", "/look/7", "r1")
-    await other_client.call("GET", "/look/7", "r2")
+    await deployment.add_endpoint("i-0", "app")
+    vms = [await deployment.add_vm(more_settings=settings) for _ in range(2)]
+    await wait_until(lambda: all(vm.directory.entries_by_id for vm in vms))
+    for number, vm in enumerate(vms):
+        await deployment.add_client(vm).call("GET", "/look/7", f"r{number}")
 
     def reported() -> int:
         return sum(call.body["counts"].get(MEMBER, 0) for call in api.calls)
