Decide how many endpoints each zone needs, and of which sort (in progress)

Cause: a pool's endpoints could not be ordered. Change: what brokers measure, needs by zone, targets by sort, orders within the limits, and the task that sends them; not wired yet.

--- /dev/null
+++ b/bluebellpitch/decisions/scaling/supply.py
@@ -0,0 +1,171 @@
+"""Endpoints of a pool by zone and sort: those that serve, those that boot, and what was ordered."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from bluebellpitch.decisions.endpoints import EndpointEntry
+
+# A new endpoint has served for a while before another one is given up for it.
+SEASONING_S = 2.0
+# How long an endpoint may take beyond its boot time.
+BOOT_MARGIN_S = 3.0
+# Endpoints that nobody here ordered count as ordered after this time.
+ADOPT_S = 5.0
+# Where none could be had, the next try follows after this time, then twice as long, up to a limit.
+FIRST_BACKOFF_S = 3.0
+MAX_BACKOFF_S = 24.0
+
+
+@dataclass(frozen=True, slots=True)
+class Sort:
+    """One sort of endpoints in one zone."""
+
+    zone: str
+    is_spot: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """No endpoints of a sort can be had for now; ``missing`` is how many did not come."""
+
+    sort: Sort
+    reason: str
+    missing: int
+    backoff_s: float
+
+
+@dataclass(slots=True)
+class SortSupply:
+    """One sort's counts. ``seasoned`` endpoints have served for a while.
+
+    ``ordered`` is how many there should be; ``told`` is the last count that the platform accepted,
+    which stays higher where ordered endpoints did not come.
+    """
+
+    ready: int = 0
+    seasoned: int = 0
+    draining: int = 0
+    ordered: int = 0
+    told: int = 0
+    lowered_at: float = float("-inf")
+    blocked_until: float = float("-inf")
+    # Set from a failure until what was ordered afterwards has come.
+    is_doubtful: bool = False
+    backoff_s: float = FIRST_BACKOFF_S
+    _is_tried_again: bool = False
+    _short_since: float | None = None
+    _extra_since: float | None = None
+
+    @property
+    def booting(self) -> int:
+        """Endpoints that were ordered and do not serve yet."""
+        return max(0, self.ordered - self.ready)
+
+    @property
+    def standing(self) -> int:
+        """Endpoints that serve or boot."""
+        return max(self.ordered, self.ready)
+
+    def is_blocked(self, now: float) -> bool:
+        """Returns whether none can be had for now."""
+        return now < self.blocked_until
+
+    def block(self, now: float) -> None:
+        """Tries no more for a while, which grows with each failure in a row."""
+        self.blocked_until = now + self.backoff_s
+        self.is_doubtful, self._is_tried_again = True, False
+        self.backoff_s = min(MAX_BACKOFF_S, 2 * self.backoff_s)
+
+    def record_accepted(self, count: int, now: float) -> None:
+        """Records an order that the platform took."""
+        if count < self.ordered:
+            self.lowered_at = now
+        self._short_since = now if count > self.ready else None
+        self._is_tried_again |= count > self.ready
+        self.ordered = self.told = count
+
+    def record_refused_decrease(self, now: float) -> None:
+        """Takes what serves for what stands, since there is less than the lower count."""
+        self.lowered_at = now
+        self.ordered = self.ready
+
+    def settle(self, sort: Sort, boot_s: float, now: float) -> Unavailable | None:
+        """Compares the order with what there is; returns why more cannot be had, or None."""
+        if self.ready >= self.ordered:
+            return self._settle_met(now)
+        self._extra_since = None
+        self._short_since = now if self._short_since is None else self._short_since
+        if sort.is_spot and not self.ready and self.draining:
+            return self._give_up(sort, "reclaimed", now)
+        if now - self._short_since > boot_s + BOOT_MARGIN_S:
+            return self._give_up(sort, "not_met", now)
+        return None
+
+    def _settle_met(self, now: float) -> None:
+        self._short_since = None
+        if self.ready == self.ordered:
+            self._extra_since = None
+            if self._is_tried_again and self.ordered:
+                self.backoff_s, self.is_doubtful = FIRST_BACKOFF_S, False
+            return
+        self._extra_since = now if self._extra_since is None else self._extra_since
+        if now - self._extra_since > ADOPT_S:
+            self.ordered, self.told = self.ready, max(self.told, self.ready)
+            self._extra_since = None
+
+    def _give_up(self, sort: Sort, reason: str, now: float) -> Unavailable:
+        missing, backoff_s = self.booting, self.backoff_s
+        self.block(now)
+        self.ordered, self._short_since = self.ready, None
+        return Unavailable(sort, reason, missing, backoff_s)
+
+
+@dataclass(slots=True)
+class PoolSupply:
+    """The endpoints of one pool in all zones. A new holder takes what there is for ordered."""
+
+    zones: tuple[str, ...]
+    by_sort: dict[Sort, SortSupply] = field(default_factory=dict)
+    initial_by_zone: dict[str, int] = field(default_factory=dict)
+    _ready_since_by_incarnation: dict[tuple[str, int], float] = field(default_factory=dict)
+
+    def observe(
+        self, entries: Iterable[EndpointEntry], boot_s: float, now: float
+    ) -> Iterator[Unavailable]:
+        """Counts the entries; yields the sorts that turn out to be unavailable."""
+        is_first = not self.by_sort
+        self._count(list(entries), now)
+        if is_first:
+            self.initial_by_zone = {zone: self.zone_ready(zone) for zone in self.zones}
+        for sort, supply in self.by_sort.items():
+            if is_first:
+                supply.ordered = supply.told = supply.ready
+            if (unavailable := supply.settle(sort, boot_s, now)) is not None:
+                yield unavailable
+
+    def _count(self, entries: list[EndpointEntry], now: float) -> None:
+        first_seen_at = now if self.by_sort else float("-inf")
+        for sort in (Sort(zone, is_spot) for zone in self.zones for is_spot in (False, True)):
+            supply = self.by_sort.setdefault(sort, SortSupply())
+            supply.ready = supply.seasoned = supply.draining = 0
+        ready_since = {}
+        for entry in entries:
+            supply = self.by_sort.get(Sort(entry.zone, entry.is_spot))
+            if supply is None:
+                continue
+            if entry.is_draining:
+                supply.draining += 1
+                continue
+            known_since = self._ready_since_by_incarnation.get(entry.incarnation, first_seen_at)
+            ready_since[entry.incarnation] = known_since
+            supply.ready += 1
+            supply.seasoned += now - known_since >= SEASONING_S
+        self._ready_since_by_incarnation = ready_since
+
+    def zone_standing(self, zone: str) -> int:
+        """Returns how many endpoints of both sorts serve or boot in a zone."""
+        return self.by_sort[Sort(zone, False)].standing + self.by_sort[Sort(zone, True)].standing
+
+    def zone_ready(self, zone: str) -> int:
+        """Returns how many endpoints of both sorts serve in a zone."""
+        return self.by_sort[Sort(zone, False)].ready + self.by_sort[Sort(zone, True)].ready
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -56,6 +56,13 @@
         self.store_calls = self._counter("store_calls", "Calls of the store", "topic", "verdict")
         self.endpoint_crashes = self._counter("endpoint_crashes", "Endpoints that crashed on runs")
         self.deadly_parts = self._gauge("deadly_parts", "Sets of parts that crash endpoints")
+        sort = ("pool", "zone", "sort")
+        self.endpoints_ordered = self._gauge("endpoints_ordered", "Endpoints ordered", *sort)
+        self.endpoints_booting = self._gauge("endpoints_booting", "Ordered, not there yet", *sort)
+        self.endpoints_present = self._gauge("endpoints_present", "Endpoints that serve", *sort)
+        self.endpoints_not_had = self._counter(
+            "endpoints_not_had", "Endpoints that could not be had", "pool", "reason"
+        )
         self.limit_in_use = self._gauge("limit_in_use", "Running requests", "pool", "member")
 
     def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
--- /dev/null
+++ b/bluebellpitch/roles/duties/autoscaler.py
@@ -0,0 +1,200 @@
+"""Orders endpoints for all pools that allow it, while this VM holds the duty."""
+
+import asyncio
+from collections.abc import Callable
+
+from bluebellpitch.decisions.catalogue import Catalogue
+from bluebellpitch.decisions.directory import EndpointDirectory
+from bluebellpitch.decisions.duties.held_lease import HeldLease
+from bluebellpitch.decisions.scaling.orders import EndpointOrder, OrderPlanner
+from bluebellpitch.decisions.scaling.supply import Sort, Unavailable
+from bluebellpitch.logs import log
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.peers.platform_messages import ZoneDemand
+from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallRejected, DutyApi
+from bluebellpitch.roles.duties.demand_reporter import sample_from_message, scaled_pools
+from bluebellpitch.roles.duties.duty_holder import DutyHolder
+
+DECISION_INTERVAL_S = 0.5
+# Part of the calls per second that orders may take; other duties share the API.
+CALL_SHARE = 0.5
+# Pause after a failed call, doubled with each further one up to a limit.
+FIRST_RETRY_S = 0.3
+MAX_RETRY_S = 3.0
+# The duty goes to another VM after calls have failed for so long.
+MAX_FAILING_S = 6.0
+
+
+class Autoscaler:
+    """Plans and sends orders. ``calls_per_s`` is what the API takes from all VMs together."""
+
+    def __init__(
+        self,
+        holder: DutyHolder,
+        api: DutyApi,
+        calls_per_s: float,
+        directory: EndpointDirectory,
+        catalogue: Callable[[], Catalogue | None],
+        regions_by_zone: dict[str, str],
+        metrics: Metrics,
+        now: Callable[[], float],
+    ):
+        self._holder = holder
+        self._api = api
+        self._call_interval_s = 1 / max(0.01, CALL_SHARE * calls_per_s)
+        self._directory = directory
+        self._catalogue = catalogue
+        self._regions_by_zone = regions_by_zone
+        self._metrics = metrics
+        self._now = now
+        self._token: int | None = None
+        self._planners_by_pool: dict[str, OrderPlanner] = {}
+        self._retry_s = FIRST_RETRY_S
+        self._failing_since: float | None = None
+
+    def handle_demand(self, message: ZoneDemand) -> None:
+        """Records the demand of a zone, if this VM plans orders for the pool."""
+        planner = self._planners_by_pool.get(message.pool)
+        if planner is not None:
+            planner.observe_demand(message.zone, sample_from_message(message), self._now())
+
+    async def run(self) -> None:
+        """Decides and sends the most urgent order, again and again, until cancelled."""
+        while True:
+            await asyncio.sleep(await self._decide_and_send())
+
+    async def _decide_and_send(self) -> float:
+        """Returns how long to wait before the next decision, in seconds."""
+        lease = self._holder.lease()
+        if lease is None:
+            return DECISION_INTERVAL_S
+        self._follow_lease(lease)
+        self._follow_catalogue()
+        order = self._next_order()
+        if order is None:
+            return DECISION_INTERVAL_S
+        return await self._send(order)
+
+    def _follow_lease(self, lease: HeldLease) -> None:
+        """Forgets what was planned under an earlier token: others may have ordered since."""
+        if lease.token != self._token:
+            self._token = lease.token
+            self._planners_by_pool.clear()
+            self._retry_s, self._failing_since = FIRST_RETRY_S, None
+
+    def _follow_catalogue(self) -> None:
+        pools_by_name = {pool.name: pool for pool in scaled_pools(self._catalogue())}
+        for name in self._planners_by_pool.keys() - pools_by_name.keys():
+            del self._planners_by_pool[name]
+        for name, pool in pools_by_name.items():
+            planner = self._planners_by_pool.get(name)
+            if planner is None:
+                self._planners_by_pool[name] = OrderPlanner(
+                    name, pool.scaling, pool.engine.slots, self._regions_by_zone, self._now()
+                )
+            else:
+                planner.config, planner.engine_slots = pool.scaling, pool.engine.slots
+
+    def _next_order(self) -> EndpointOrder | None:
+        now = self._now()
+        entries = list(self._directory.entries_by_id.values())
+        for pool, planner in self._planners_by_pool.items():
+            own_entries = [entry for entry in entries if entry.pool == pool]
+            for unavailable in planner.observe_entries(own_entries, now):
+                self._log_unavailable(pool, unavailable)
+            self._show(pool, planner)
+            if (order := planner.next_order(now)) is not None:
+                return order
+        return None
+
+    async def _send(self, order: EndpointOrder) -> float:
+        lease = self._holder.lease()
+        if lease is None or lease.token != self._token:
+            return DECISION_INTERVAL_S
+        log_decision(order, self._planners_by_pool[order.pool])
+        sort = order.sort
+        outcome = await self._api.order_endpoints(
+            lease, order.pool, sort.zone, order.count, sort.is_spot
+        )
+        planner = self._planners_by_pool[order.pool]
+        match outcome:
+            case CallAccepted():
+                planner.record_accepted(order, self._now())
+                pause_s = self._record_answer()
+            case CallRejected(status):
+                self._log_unavailable(order.pool, planner.record_rejected(order, self._now()))
+                pause_s = self._record_answer()
+                outcome = f"rejected_{status}"
+            case CallFailed(reason):
+                pause_s = await self._record_failure(reason)
+        log("INFO", "scaling_order", **describe_order(order), token=lease.token, outcome=outcome)
+        return pause_s
+
+    def _record_answer(self) -> float:
+        self._retry_s, self._failing_since = FIRST_RETRY_S, None
+        return self._call_interval_s
+
+    async def _record_failure(self, reason: str) -> float:
+        now, pause_s = self._now(), self._retry_s
+        self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
+        if self._failing_since is None:
+            self._failing_since = now
+        elif now - self._failing_since > MAX_FAILING_S:
+            await self._holder.give_back(f"api_{reason}")
+            self._failing_since = None
+        return max(pause_s, self._call_interval_s)
+
+    def _show(self, pool: str, planner: OrderPlanner) -> None:
+        for sort, supply in planner.supply.by_sort.items():
+            labels = (pool, sort.zone, sort_name(sort))
+            self._metrics.endpoints_ordered.labels(*labels).set(supply.ordered)
+            self._metrics.endpoints_booting.labels(*labels).set(supply.booting)
+            self._metrics.endpoints_present.labels(*labels).set(supply.ready)
+
+    def _log_unavailable(self, pool: str, unavailable: Unavailable) -> None:
+        self._metrics.endpoints_not_had.labels(pool, unavailable.reason).inc(unavailable.missing)
+        log(
+            "WARNING",
+            "scaling_unavailable",
+            pool=pool,
+            zone=unavailable.sort.zone,
+            sort=sort_name(unavailable.sort),
+            reason=unavailable.reason,
+            missing=unavailable.missing,
+            again_in_s=unavailable.backoff_s,
+        )
+
+
+def sort_name(sort: Sort) -> str:
+    """Returns the label of a sort of endpoints."""
+    return "spot" if sort.is_spot else "on_demand"
+
+
+def describe_order(order: EndpointOrder) -> dict[str, object]:
+    """Returns what identifies an order in log lines."""
+    sort = order.sort
+    return {
+        "pool": order.pool,
+        "zone": sort.zone,
+        "sort": sort_name(sort),
+        "count": order.count,
+        "was": order.was,
+    }
+
+
+def log_decision(order: EndpointOrder, planner: OrderPlanner) -> None:
+    """Logs why an order is due, with what the decision saw."""
+    need, supply = order.need, planner.supply.by_sort[order.sort]
+    log(
+        "INFO",
+        "scaling_decision",
+        zone=order.sort.zone,
+        sort=sort_name(order.sort),
+        wanted=order.count,
+        present=supply.ready,
+        booting=supply.booting,
+        why=order.why,
+        now=f"{need.now:.1f}",
+        must=f"{need.must:.1f}",
+        want=f"{need.want:.1f}",
+    )
--- a/bluebellpitch/roles/duties/duty_holder.py
+++ b/bluebellpitch/roles/duties/duty_holder.py
@@ -44,3 +44,7 @@
     async def release(self) -> None:
         """Gives the lease back before a planned stop, so that another VM may take it at once."""
         raise NotImplementedError
+
+    async def give_back(self, reason: str) -> None:
+        """Gives the lease back, so that another VM takes the duty."""
+        raise NotImplementedError
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -12,6 +12,7 @@
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import WorkItem, session_of
 from bluebellpitch.decisions.remote_zones import LOAD_MAX_AGE_S, RemoteZone, find_cheaper_zone
+from bluebellpitch.decisions.scaling.demand import DemandMeters, DemandSample
 from bluebellpitch.logs import log
 from bluebellpitch.peers.bus import PeerBus
 from bluebellpitch.peers.platform_messages import (
@@ -94,6 +95,7 @@
         )
         self._remote_zones: dict[tuple[str, str], RemoteZone] = {}
         self._load_round = 0
+        self._demand = DemandMeters()
         self._new_sessions_by_pool: dict[str, list[str]] = {}
         self._work_waiting = asyncio.Event()
 
@@ -191,6 +193,8 @@
         broker = self._get_broker(request.pool)
         self._takeover.collect_if_due(broker, now)
         work = work_from_request(request, now)
+        if not request.is_passed_on:
+            self._demand.by_pool[work.pool].record_arrival(work.tokens_in, now)
         if self._forward(broker, work, request, now):
             return
         self._requests_by_work[work.id] = request
@@ -251,6 +255,7 @@
                 case generation_decisions.Refused(work_id, _, reason, retry_after_s):
                     log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
                     response = WorkRefused(work_id, reason, retry_after_s)
+                    self._record_refusal(request)
                 case generation_decisions.Queued(work_id):
                     response = WorkQueued(work_id, 0.0)
             if not isinstance(decision, generation_decisions.Queued):
@@ -258,6 +263,17 @@
             if address:
                 self._send_to_address(address, response)
 
+    def _record_refusal(self, request: WorkRequest | None) -> None:
+        if request is not None:
+            self._demand.by_pool[request.pool].record_refusal(self._now())
+
+    def sample_demand(self, pool: str) -> DemandSample | None:
+        """Returns the demand of a pool in this zone, None if another VM brokers it."""
+        if self._broker_vm(pool) != self._vm_key:
+            return None
+        broker = self._get_broker(pool)
+        return self._demand.by_pool[pool].sample(broker, self._now())
+
     def _record_session(self, request: WorkRequest | None) -> None:
         """Records the session of a granted long prompt for the next load report to other zones."""
         session = session_of(request.parts) if request else ""
--- /dev/null
+++ b/tests/test_scaling_orders.py
@@ -0,0 +1,165 @@
+"""Orders for endpoints under waves, bursts, reclaimed zones and endpoints that do not come."""
+
+import math
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bluebellpitch.decisions.scaling.supply import Sort
+from tests.scaling_load import CONFIG, REGIONS_BY_ZONE, TICK_S, Replay
+
+TRAFFIC_AT, CALM_UNTIL = 16.0, 40.0
+
+
+def wave(zone, now):
+    return 0.0 if now < TRAFFIC_AT else 30 * (1 + 0.27 * math.sin(now * math.tau / 11))
+
+
+def burst(zone, now):
+    return wave(zone, now) * (2.4 if CALM_UNTIL <= now < CALM_UNTIL + 9 else 1)
+
+
+@pytest.fixture
+def replay():
+    return Replay(wave).start_with(on_demand=8)
+
+
+@pytest.fixture
+def calm(replay):
+    return replay.run(CALM_UNTIL)
+
+
+def zone_counts(replay, sort):
+    return [order.count for _, order in replay.orders if order.sort == sort]
+
+
+def test_spot_endpoints_replace_others_only_once_they_serve(replay):
+    for _ in range(40):
+        replay.run(replay.now + TICK_S)
+        assert all(replay.total(zone) >= 8 for zone in REGIONS_BY_ZONE)
+    assert all(replay.count(zone, is_spot=False) <= 1 for zone in REGIONS_BY_ZONE)
+    assert zone_counts(replay, Sort("a1", False)) == [6, 4, 3, 2, 1]
+
+
+def test_wave_is_served_without_swinging(calm):
+    orders_before = len(calm.orders)
+    calm.run(CALM_UNTIL + 60)
+    assert calm.missing_s == 0
+    assert len(calm.orders) - orders_before <= len(REGIONS_BY_ZONE)
+
+
+def test_burst_longer_than_the_boot_time_is_followed_and_returned_in_steps():
+    replay = Replay(burst).start_with(on_demand=8).run(CALM_UNTIL)
+    calm_total = replay.total("a1")
+    replay.run(CALM_UNTIL + 8.9)
+    assert replay.total("a1") * 16 >= 1.5 * burst("a1", replay.now)
+    at_crest = len(replay.orders)
+    replay.run(CALM_UNTIL + 90)
+    spot = [o.count for _, o in replay.orders[at_crest:] if o.sort == Sort("a1", True)]
+    assert spot == sorted(spot, reverse=True)
+    assert replay.total("a1") <= calm_total + 2
+
+
+def test_reclaimed_zone_is_made_up_for_in_its_region_until_it_is_back(calm):
+    calm.platform.reclaim("a1", for_s=9, now=calm.now)
+    calm.run(CALM_UNTIL + 5)
+    assert calm.count("a2", is_spot=True) >= 13
+    assert calm.count("b1", is_spot=True) <= 8
+    assert calm.unavailable[0].reason == "reclaimed"
+    calm.run(CALM_UNTIL + 12)
+    assert calm.count("a2", is_spot=True) >= 13
+    calm.run(CALM_UNTIL + 30)
+    assert calm.count("a1", is_spot=True) >= 7
+    assert calm.total("a2") <= 10
+    assert calm.missing_s == 0
+
+
+def test_loss_of_one_zone_leaves_enough(calm):
+    for lost in REGIONS_BY_ZONE:
+        left = sum(map(calm.total, REGIONS_BY_ZONE)) - calm.count(lost, is_spot=True)
+        assert left * 16 >= sum(wave(zone, calm.now) for zone in REGIONS_BY_ZONE)
+        assert calm.count(lost, is_spot=False) >= 1
+
+
+def test_dry_platform_is_asked_again_less_and_less(calm):
+    calm.platform.reclaim("a1", for_s=20, now=calm.now, is_dry=True)
+    calm.run(CALM_UNTIL + 20)
+    refused = [u for u in calm.unavailable if u.reason == "rejected"]
+    assert any(not u.sort.is_spot for u in refused)
+    assert max(u.backoff_s for u in refused) >= 12
+    tries_within_the_time = 3
+    assert len(refused) <= tries_within_the_time * len(calm.planner.supply.by_sort)
+    calm.run(CALM_UNTIL + 60)
+    assert calm.total("a1") >= 7
+
+
+def test_endpoints_that_crash_at_boot_are_ordered_elsewhere(calm):
+    calm.platform.reclaim("a1", for_s=0, now=calm.now)
+    calm.platform.crash_until["a1"] = CALM_UNTIL + 15
+    calm.run(CALM_UNTIL + 13)
+    assert "not_met" in [u.reason for u in calm.unavailable]
+    assert calm.count("a2", is_spot=True) >= 13
+    calm.run(CALM_UNTIL + 40)
+    assert calm.count("a1", is_spot=True) >= 7
+
+
+def test_new_holder_takes_nothing_back_before_it_heard_all_zones(calm):
+    before = {zone: calm.total(zone) for zone in REGIONS_BY_ZONE}
+    calm.places = lambda zone, now: 2.0
+    calm.silent = {"b1"}
+    calm.restart()
+    orders_before = len(calm.orders)
+    calm.run(CALM_UNTIL + 6)
+    assert {zone: calm.total(zone) for zone in REGIONS_BY_ZONE} == before
+    assert len(calm.orders) == orders_before
+
+
+def test_new_holder_keeps_what_there_is_for_a_crest(calm):
+    before = calm.total("a1")
+    calm.places = lambda zone, now: 2.0
+    calm.restart()
+    calm.run(CALM_UNTIL + 15)
+    assert calm.total("a1") >= before - 1
+    calm.run(CALM_UNTIL + 120)
+    assert calm.total("a1") <= 3
+
+
+def test_silent_zone_keeps_what_it_has(calm):
+    before = (calm.count("b1", False), calm.count("b1", True))
+    calm.silent = {"b1"}
+    calm.places = lambda zone, now: 2.0
+    calm.run(CALM_UNTIL + 90)
+    assert (calm.count("b1", False), calm.count("b1", True)) == before
+
+
+@settings(max_examples=40, deadline=None)
+@given(st.integers(0, 2**32), st.integers(0, 4), st.integers(0, 8), st.sampled_from([0.2, 0.6, 1]))
+def test_orders_stay_within_the_limits(seed, min_count, extra, spot_price):
+    draw = random.Random(seed)
+    config = replace(
+        CONFIG, min_count=min_count, max_count=min_count + extra, spot_price=spot_price
+    )
+    loads = {zone: [draw.choice([0, 5, 40, 200]) for _ in range(9)] for zone in REGIONS_BY_ZONE}
+    replay = Replay(lambda zone, now: loads[zone][int(now // 5)], config)
+    replay.start_with(on_demand=draw.randint(min_count, min_count + extra))
+    desired = {
+        Sort(zone, is_spot): replay.count(zone, is_spot)
+        for zone in REGIONS_BY_ZONE
+        for is_spot in (False, True)
+    }
+    checked = 0
+    while replay.now < 40:
+        zone = draw.choice(list(REGIONS_BY_ZONE))
+        if draw.random() < 0.03:
+            replay.platform.reclaim(zone, 9, replay.now, is_dry=draw.random() < 0.5)
+        replay.silent = {zone} if draw.random() < 0.1 else set()
+        replay.run(replay.now + TICK_S)
+        desired |= replay.platform.desired
+        for _, order in replay.orders[checked:]:
+            other = desired[Sort(order.sort.zone, not order.sort.is_spot)]
+            total = desired[order.sort] + other
+            assert min_count <= total <= config.max_count
+        checked = len(replay.orders)
