--- a/bluebellpitch/roles/duties/autoscaler.py
+++ b/bluebellpitch/roles/duties/autoscaler.py
@@ -1,23 +1,27 @@
 """Orders endpoints for all pools that allow it, while this VM holds the duty."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from bluebellpitch.decisions.catalogue import Catalogue
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.duties.held_lease import HeldLease
+from bluebellpitch.decisions.scaling.demand import DemandSample
 from bluebellpitch.decisions.scaling.orders import EndpointOrder, OrderPlanner
 from bluebellpitch.decisions.scaling.supply import Sort, Unavailable
 from bluebellpitch.logs import log
-from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.platform_messages import ZoneDemand
 from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallRejected, DutyApi
+from bluebellpitch.platform.settings_file import DutySettings
 from bluebellpitch.roles.duties.demand_reporter import sample_from_message, scaled_pools
+from bluebellpitch.roles.duties.duty_context import DutyContext
 from bluebellpitch.roles.duties.duty_holder import DutyHolder
 
 DECISION_INTERVAL_S = 0.5
 # Part of the calls per second that orders may take; other duties share the API.
 CALL_SHARE = 0.5
+MIN_CALLS_PER_S = 0.1
 # Pause after a failed call, doubled with each further one up to a limit.
 FIRST_RETRY_S = 0.3
 MAX_RETRY_S = 3.0
@@ -25,28 +29,37 @@
 MAX_FAILING_S = 6.0
 
 
+@dataclass(frozen=True, slots=True)
+class ScalingSources:
+    """What decides on orders, as this VM knows it.
+
+    ``sample_demand`` returns the demand of a pool in this zone, None if another VM brokers it.
+    """
+
+    directory: EndpointDirectory
+    catalogue: Callable[[], Catalogue | None]
+    regions_by_zone: Mapping[str, str]
+    sample_demand: Callable[[str], DemandSample | None]
+
+
 class Autoscaler:
-    """Plans and sends orders. ``calls_per_s`` is what the API takes from all VMs together."""
+    """Plans and sends orders, one call at a time."""
 
     def __init__(
         self,
         holder: DutyHolder,
-        api: DutyApi,
-        calls_per_s: float,
-        directory: EndpointDirectory,
-        catalogue: Callable[[], Catalogue | None],
-        regions_by_zone: dict[str, str],
-        metrics: Metrics,
-        now: Callable[[], float],
+        settings: DutySettings,
+        context: DutyContext,
+        sources: ScalingSources,
     ):
         self._holder = holder
-        self._api = api
-        self._call_interval_s = 1 / max(0.01, CALL_SHARE * calls_per_s)
-        self._directory = directory
-        self._catalogue = catalogue
-        self._regions_by_zone = regions_by_zone
-        self._metrics = metrics
-        self._now = now
+        self._api = DutyApi(settings.api_address, context.vm_name, context.now)
+        self._call_interval_s = 1 / max(MIN_CALLS_PER_S, CALL_SHARE * settings.calls_per_s)
+        self._directory = sources.directory
+        self._catalogue = sources.catalogue
+        self._regions_by_zone = sources.regions_by_zone
+        self._metrics = context.metrics
+        self._now = context.now
         self._token: int | None = None
         self._planners_by_pool: dict[str, OrderPlanner] = {}
         self._retry_s = FIRST_RETRY_S
@@ -58,6 +71,10 @@
         if planner is not None:
             planner.observe_demand(message.zone, sample_from_message(message), self._now())
 
+    def close(self) -> None:
+        """Closes the connection to the platform's API."""
+        self._api.close()
+
     async def run(self) -> None:
         """Decides and sends the most urgent order, again and again, until cancelled."""
         while True:
--- a/bluebellpitch/roles/duties/demand_reporter.py
+++ b/bluebellpitch/roles/duties/demand_reporter.py
@@ -6,6 +6,7 @@
 from bluebellpitch.decisions.catalogue import Catalogue, PoolConfig
 from bluebellpitch.decisions.scaling.demand import DemandSample
 from bluebellpitch.peers.platform_messages import ZoneDemand
+from bluebellpitch.roles.duties.duty_context import DutyContext
 
 REPORT_INTERVAL_S = 0.5
 
@@ -13,22 +14,22 @@
 class DemandReporter:
     """Reports what this VM measures of the pools that it brokers.
 
-    ``sample`` returns the demand of a pool, None if another VM brokers it.
+    ``handle_locally`` takes the reports while this VM itself holds the duty.
     """
 
     def __init__(
         self,
-        zone: str,
+        context: DutyContext,
         catalogue: Callable[[], Catalogue | None],
-        sample: Callable[[str], DemandSample | None],
+        sample_demand: Callable[[str], DemandSample | None],
         holder_address: Callable[[], str | None],
-        send: Callable[[str, ZoneDemand], None],
+        handle_locally: Callable[[ZoneDemand], None],
     ):
-        self._zone = zone
+        self._context = context
         self._catalogue = catalogue
-        self._sample = sample
+        self._sample_demand = sample_demand
         self._holder_address = holder_address
-        self._send = send
+        self._handle_locally = handle_locally
 
     async def run(self) -> None:
         """Reports at regular intervals, until cancelled."""
@@ -42,9 +43,14 @@
         if address is None:
             return
         for pool in scaled_pools(self._catalogue()):
-            sample = self._sample(pool.name)
-            if sample is not None:
-                self._send(address, demand_message(pool.name, self._zone, sample))
+            sample = self._sample_demand(pool.name)
+            if sample is None:
+                continue
+            message = demand_message(pool.name, self._context.zone, sample)
+            if address == self._context.address:
+                self._handle_locally(message)
+            else:
+                self._context.bus.send_to_address(address, message)
 
 
 def scaled_pools(catalogue: Catalogue | None) -> Iterator[PoolConfig]:
