--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -13,6 +13,7 @@
 from tests.mutant import Mutant
 from tests.mutants_of_duties import LEASE_MUTANTS
 from tests.mutants_of_endpoints import CRASH_MUTANTS, LIMIT_MUTANTS, STALL_MUTANTS
+from tests.mutants_of_scaling import SCALING_MUTANTS
 from tests.mutants_of_size import SIZE_MUTANTS
 from tests.mutants_of_store import (
     ANNOUNCEMENT_MUTANTS,
@@ -305,6 +306,7 @@
     *ANNOUNCEMENT_MUTANTS,
     *SIZE_MUTANTS,
     *LEASE_MUTANTS,
+    *SCALING_MUTANTS,
 )
 
 
--- a/tests/scaling_load.py
+++ b/tests/scaling_load.py
@@ -11,6 +11,7 @@
 from bluebellpitch.decisions.scaling.supply import Sort, Unavailable
 
 TICK_S = 0.5
+MAX_ORDERS = 1_000
 BOOT_S = 4.0
 NOTICE_S = 2.5
 DRAIN_S = 4.0
@@ -130,6 +131,7 @@
         self.unavailable += self.planner.observe_entries(serving, now)
         while (order := self.planner.next_order(now)) is not None:
             self.orders.append((now, order))
+            assert len(self.orders) < MAX_ORDERS
             if self.platform.order(order.sort, order.count, now):
                 self.planner.record_accepted(order, now)
             else:
--- /dev/null
+++ b/tests/test_autoscaler.py
@@ -0,0 +1,163 @@
+"""The task that sends orders for endpoints: its lease, its calls and what it gives up."""
+
+import asyncio
+from collections import Counter
+from types import SimpleNamespace
+
+import pytest
+
+from bluebellpitch.decisions.catalogue import Catalogue, EngineCapacity, PoolConfig
+from bluebellpitch.decisions.directory import EndpointDirectory
+from bluebellpitch.decisions.duties.held_lease import HeldLease
+from bluebellpitch.decisions.generation_broker import GenerationBroker
+from bluebellpitch.decisions.scaling.demand import DemandMeter
+from bluebellpitch.decisions.scaling.supply import Sort
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallRejected
+from bluebellpitch.platform.settings_file import DutySettings
+from bluebellpitch.roles.duties.autoscaler import Autoscaler, ScalingSources
+from bluebellpitch.roles.duties.demand_reporter import DemandReporter
+from tests.scaling_load import CONFIG, REGIONS_BY_ZONE, SLOTS, Platform
+from tests.virtual_time import run_in_virtual_time
+
+CALLS_PER_S = 10.0
+SETTINGS = DutySettings("127.0.0.1:1", frozenset({"autoscale"}), CALLS_PER_S, 4.0, 5.0, 10.0)
+
+
+class Api:
+    """Answers calls with ``outcome`` and records them as (time, token, sort, count)."""
+
+    def __init__(self):
+        self.outcome = CallAccepted()
+        self.calls = []
+
+    async def order_endpoints(self, lease, pool, zone, count, is_spot):
+        now = asyncio.get_running_loop().time()
+        self.calls.append((now, lease.token, Sort(zone, is_spot), count))
+        await asyncio.sleep(0.01)
+        return self.outcome
+
+
+class Holder:
+    """Holds the lease ``token``, None for none."""
+
+    def __init__(self):
+        self.token, self.reasons = 1, []
+
+    def lease(self):
+        return self.token and HeldLease("autoscale", self.token, float("inf"))
+
+    async def give_back(self, reason):
+        self.token = None
+        self.reasons.append(reason)
+
+
+class Fleet:
+    """One VM whose zones all report their demand to it; endpoints never change."""
+
+    def __init__(self):
+        now = asyncio.get_running_loop().time
+        pool = PoolConfig("p", 100, EngineCapacity(SLOTS, 1000), CONFIG)
+        directory, platform = EndpointDirectory(), Platform()
+        for zone in REGIONS_BY_ZONE:
+            platform.add(Sort(zone, False), 8)
+        directory.entries_by_id.update(platform.entries_by_id)
+        sources = ScalingSources(
+            directory,
+            lambda: Catalogue(1, {}, {"p": pool}, {}, False),
+            REGIONS_BY_ZONE,
+            self.sample,
+        )
+        context = SimpleNamespace(vm_name="vm", address="own", metrics=Metrics(), now=now)
+        self.holder, self.api, self.meter = Holder(), Api(), DemandMeter()
+        self.autoscaler = Autoscaler(self.holder, SETTINGS, context, sources)
+        self.autoscaler._api = self.api
+        self.reporters = [
+            DemandReporter(
+                SimpleNamespace(zone=zone, address="own"),
+                sources.catalogue,
+                self.sample,
+                lambda: "own",
+                self.autoscaler.handle_demand,
+            )
+            for zone in REGIONS_BY_ZONE
+        ]
+
+    def sample(self, pool):
+        return self.meter.sample(GenerationBroker(pool), asyncio.get_running_loop().time())
+
+    async def run(self, seconds):
+        tasks = [self.autoscaler.run(), *(reporter.run() for reporter in self.reporters)]
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await asyncio.gather(*tasks)
+
+
+def play(body):
+    async def run():
+        await body(Fleet())
+
+    run_in_virtual_time(run())
+
+
+def test_orders_are_sent_once_and_within_the_calls_per_second():
+    async def body(fleet):
+        await fleet.run(4.0)
+        assert {sort: count for _, _, sort, count in fleet.api.calls} == {
+            Sort(zone, True): 7 for zone in REGIONS_BY_ZONE
+        }
+        assert len(fleet.api.calls) == len(REGIONS_BY_ZONE)
+        times = [at for at, *_ in fleet.api.calls]
+        assert all(b - a >= 1 / CALLS_PER_S for a, b in zip(times, times[1:], strict=False))
+
+    play(body)
+
+
+def test_nothing_is_sent_without_the_lease():
+    async def body(fleet):
+        fleet.holder.token = None
+        await fleet.run(4.0)
+        assert not fleet.api.calls
+
+    play(body)
+
+
+def test_new_token_begins_anew():
+    async def body(fleet):
+        await fleet.run(4.0)
+        fleet.holder.token = 2
+        await fleet.run(4.0)
+        assert Counter(token for _, token, *_ in fleet.api.calls) == {1: 4, 2: 4}
+
+    play(body)
+
+
+def test_failed_calls_are_repeated_with_pauses_until_the_duty_is_given_back():
+    async def body(fleet):
+        fleet.api.outcome = CallFailed("timeout")
+        await fleet.run(30.0)
+        assert fleet.holder.reasons == ["api_timeout"]
+        assert 3 <= len(fleet.api.calls) <= 8
+
+    play(body)
+
+
+def test_unavailable_spot_is_tried_in_other_zones_and_then_paused():
+    async def body(fleet):
+        fleet.api.outcome = CallRejected(409)
+        await fleet.run(2.5)
+        spot = Counter(sort.zone for _, _, sort, _ in fleet.api.calls if sort.is_spot)
+        assert spot == dict.fromkeys(REGIONS_BY_ZONE, 1)
+        assert fleet.holder.reasons == []
+
+    play(body)
+
+
+def test_demand_is_smoothed_over_a_second():
+    meter, broker = DemandMeter(), GenerationBroker("p")
+    for number in range(100):
+        meter.record_arrival(500, number * 0.05)
+    sample = meter.sample(broker, 5.0)
+    assert sample.arrivals_per_s == pytest.approx(20, rel=0.1)
+    assert sample.tokens_per_s == pytest.approx(10_000, rel=0.1)
+    assert meter.sample(broker, 8.0).arrivals_per_s < 2
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -106,15 +106,13 @@
     assert calm.count("a1", is_spot=True) >= 7
 
 
-def test_new_holder_takes_nothing_back_before_it_heard_all_zones(calm):
-    before = {zone: calm.total(zone) for zone in REGIONS_BY_ZONE}
-    calm.places = lambda zone, now: 2.0
-    calm.silent = {"b1"}
-    calm.restart()
-    orders_before = len(calm.orders)
-    calm.run(CALM_UNTIL + 6)
-    assert {zone: calm.total(zone) for zone in REGIONS_BY_ZONE} == before
-    assert len(calm.orders) == orders_before
+def test_new_holder_takes_nothing_back_before_it_heard_all_zones(replay):
+    replay.silent = {"b1"}
+    replay.run(9.5)
+    assert all(replay.count(zone, is_spot=False) == 8 for zone in REGIONS_BY_ZONE)
+    replay.silent = set()
+    replay.run(20)
+    assert all(replay.count(zone, is_spot=False) < 8 for zone in REGIONS_BY_ZONE)
 
 
 def test_new_holder_keeps_what_there_is_for_a_crest(calm):
@@ -129,8 +127,9 @@
 
 def test_silent_zone_keeps_what_it_has(calm):
     before = (calm.count("b1", False), calm.count("b1", True))
-    calm.silent = {"b1"}
     calm.places = lambda zone, now: 2.0
+    calm.run(CALM_UNTIL + 1)
+    calm.silent = {"b1"}
     calm.run(CALM_UNTIL + 90)
     assert (calm.count("b1", False), calm.count("b1", True)) == before
 
