--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -32,6 +32,7 @@
 from bluebellpitch.platform.vm_records import VmRecord
 from bluebellpitch.roles.crash_reporter import CrashReporter
 from bluebellpitch.roles.crash_tracker import CrashTracker
+from bluebellpitch.roles.duties.autoscaler import ScalingSources
 from bluebellpitch.roles.duties.duties import Duties
 from bluebellpitch.roles.duties.duty_context import DutyContext
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator
@@ -223,7 +224,13 @@
             metrics=self.metrics,
             now=self._now,
         )
-        return Duties(self.settings.duties, self._store_clients.create, context)
+        sources = ScalingSources(
+            directory=self.directory,
+            catalogue=lambda: self.configuration.catalogue,
+            regions_by_zone=self.settings.regions_by_zone,
+            sample_demand=self.generations.sample_demand,
+        )
+        return Duties(self.settings.duties, self._store_clients.create, context, sources)
 
     def _create_follower(self, topic: str, long_poll_s: float) -> TopicFollower:
         return TopicFollower(
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -60,6 +60,13 @@
         self.usage_late_counts = self._counter(
             "usage_late_counts", "Requests counted after their window was settled"
         )
+        sort = ("pool", "zone", "sort")
+        self.endpoints_ordered = self._gauge("endpoints_ordered", "Endpoints ordered", *sort)
+        self.endpoints_booting = self._gauge("endpoints_booting", "Ordered, not there yet", *sort)
+        self.endpoints_present = self._gauge("endpoints_present", "Endpoints that serve", *sort)
+        self.endpoints_not_had = self._counter(
+            "endpoints_not_had", "Endpoints that could not be had", "pool", "reason"
+        )
         self.duty_held = self._gauge("duty_held", "Whether this VM holds the duty", "duty")
         self.duty_token = self._gauge("duty_token", "Fencing token of this VM, 0: none", "duty")
         self.duty_changes = self._counter(
--- a/bluebellpitch/roles/duties/duties.py
+++ b/bluebellpitch/roles/duties/duties.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 
-from bluebellpitch.peers.platform_messages import DutyAnnouncement, UsageUpdate
+from bluebellpitch.peers.platform_messages import DutyAnnouncement, UsageUpdate, ZoneDemand
 from bluebellpitch.platform.duty_api import SCALING_DUTY, USAGE_DUTY
 from bluebellpitch.platform.settings_file import DutySettings
 from bluebellpitch.platform.store import StoreClient
+from bluebellpitch.roles.duties.autoscaler import Autoscaler, ScalingSources
+from bluebellpitch.roles.duties.demand_reporter import DemandReporter
 from bluebellpitch.roles.duties.duty_context import DutyContext, duty_role
 from bluebellpitch.roles.duties.duty_holder import DutyHolder
 from bluebellpitch.roles.duties.usage_duty import UsageDuty
@@ -26,6 +28,7 @@
         settings: DutySettings | None,
         create_store_client: Callable[[], StoreClient],
         context: DutyContext,
+        scaling_sources: ScalingSources,
     ):
         names = settings.names if settings else frozenset()
         self.holders_by_duty = {
@@ -36,6 +39,17 @@
         self.usage: UsageDuty | None = None
         if USAGE_DUTY in self.holders_by_duty:
             self.usage = UsageDuty(settings, self.holders_by_duty[USAGE_DUTY], context)
+        self.autoscaler: Autoscaler | None = None
+        self.demand_reporter: DemandReporter | None = None
+        if (holder := self.holders_by_duty.get(SCALING_DUTY)) is not None:
+            self.autoscaler = Autoscaler(holder, settings, context, scaling_sources)
+            self.demand_reporter = DemandReporter(
+                context,
+                scaling_sources.catalogue,
+                scaling_sources.sample_demand,
+                holder.holder_address,
+                self.autoscaler.handle_demand,
+            )
 
     def roles(self) -> list[str]:
         """Returns the roles of candidates, by which heartbeats are sent more often."""
@@ -54,11 +68,17 @@
                 self.holders_by_duty[duty].handle_announcement(message)
             case UsageUpdate() if self.usage is not None:
                 self.usage.gatherer.handle_update(message)
+            case ZoneDemand() if self.autoscaler is not None:
+                self.autoscaler.handle_demand(message)
 
     def background_tasks(self) -> tuple[Coroutine, ...]:
         """Returns the tasks, which run until cancelled."""
-        tasks = tuple(holder.run() for holder in self.holders_by_duty.values())
-        return tasks if self.usage is None else (*tasks, *self.usage.background_tasks())
+        tasks = [holder.run() for holder in self.holders_by_duty.values()]
+        if self.usage is not None:
+            tasks += self.usage.background_tasks()
+        if self.autoscaler is not None:
+            tasks += [self.autoscaler.run(), self.demand_reporter.run()]
+        return tuple(tasks)
 
     async def release(self) -> None:
         """Gives all leases back before a planned stop."""
@@ -68,3 +88,5 @@
         """Passes on what is left and closes the connections to the platform's API."""
         if self.usage is not None:
             self.usage.close()
+        if self.autoscaler is not None:
+            self.autoscaler.close()
--- a/bluebellpitch/roles/duties/duty_context.py
+++ b/bluebellpitch/roles/duties/duty_context.py
@@ -36,6 +36,11 @@
     metrics: Metrics
     now: Callable[[], float]
 
+    @property
+    def vm_name(self) -> str:
+        """Name of the machine, whatever process runs on it."""
+        return self.vm_key.rsplit("/", maxsplit=1)[0]
+
     def is_candidate(self, duty: str) -> bool:
         """Returns whether this VM is the one of its zone that may take over a duty."""
         if self.is_draining() or not self.has_vm_list():
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -8,6 +8,7 @@
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.liveness import Liveness
+from bluebellpitch.decisions.scaling.demand import DemandMeters, DemandSample
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.bus import PeerBus
@@ -89,6 +90,7 @@
         self._spillover = ZoneSpillover(
             address, zone, regions_by_zone, addresses_in_zone, self._send_to_address, metrics
         )
+        self._demand = DemandMeters()
         self._work_waiting = asyncio.Event()
 
     def _broker_vm(self, pool: str) -> str:
@@ -185,6 +187,8 @@
         broker = self._get_broker(request.pool)
         self._takeover.collect_if_due(broker, now)
         work = work_from_request(request, now)
+        if not request.is_passed_on:
+            self._demand.by_pool[work.pool].record_arrival(work.tokens_in, now)
         if self._spillover.forward(broker, work, request, now):
             return
         self._spillover.count_received(request)
@@ -210,6 +214,7 @@
                 case generation_decisions.Refused(work_id, _, reason, retry_after_s):
                     log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
                     response = WorkRefused(work_id, reason, retry_after_s)
+                    self._record_refusal(request)
                 case generation_decisions.Queued(work_id):
                     forwarded_to = self._address if request and request.home_zone else ""
                     response = WorkQueued(work_id, 0.0, forwarded_to)
@@ -218,6 +223,17 @@
             if address:
                 self._send_to_address(address, response)
 
+    def _record_refusal(self, request: WorkRequest | None) -> None:
+        if request is not None:
+            self._demand.by_pool[request.pool].record_refusal(self._now())
+
+    def sample_demand(self, pool: str) -> DemandSample | None:
+        """Returns the demand of a pool in this zone, None if another VM brokers it."""
+        if self._broker_vm(pool) != self._vm_key:
+            return None
+        broker = self._get_broker(pool)
+        return self._demand.by_pool[pool].sample(broker, self._now())
+
     def remove_vm(self, vm: str) -> None:
         """Drops all work of a VM that has failed or left."""
         for broker in self._brokers_by_pool.values():
