Buy less on demand when a zone is full, and keep the limits when endpoints do not come

Change: what must be survived is bounded by the maximum; what must be had at any price is a part of the level; a full zone lowers on-demand ones to make room; taking back keeps the minimum.

--- a/bluebellpitch/decisions/scaling/levels.py
+++ b/bluebellpitch/decisions/scaling/levels.py
@@ -14,8 +14,10 @@
 from bluebellpitch.decisions.scaling.demand import DemandSample
 
 # Share of its time that an engine reads prompts, and of its places in use, that keep answers quick.
-READING_TARGET = 0.4
+READING_TARGET = 0.5
 PLACES_TARGET = 0.6
+# Part of the engines at those targets that can do the same work for a while, if others are dear.
+TIGHT_SHARE = 0.7
 # Waiting prompts should be read within this time.
 CATCH_UP_S = 1.0
 # What callers lose by a second of a missing engine, in prices of a second of an on-demand engine.
@@ -160,7 +162,7 @@
         """Returns what the zone needs, given the rises to be ready for at either price."""
         _, level, usual = self._levels[-1]
         rise, crest = usual * cheap_rise, self.crest(SPOT_HOLD_S)
-        must = max(usual * dear_rise, self.crest(ON_DEMAND_HOLD_S))
+        must = TIGHT_SHARE * max(usual * dear_rise, self.crest(ON_DEMAND_HOLD_S))
         want = max(must, rise, crest)
         why = "crest" if crest >= rise else "rise"
         return ZoneNeed(level, must, want, f"{self.why}_{why}")
--- a/bluebellpitch/decisions/scaling/orders.py
+++ b/bluebellpitch/decisions/scaling/orders.py
@@ -182,9 +182,11 @@
         count = min(order.count, self.config.max_count - max(other.told, other.standing))
         if count > supply.standing:
             yield replace(order, count=count)
-        elif other.told > other.standing and now - other.lowered_at >= ON_DEMAND_STEP_S:
+            return
+        surplus = max(other.standing, self.config.min_count - supply.told)
+        if other.told > surplus and now - other.lowered_at >= ON_DEMAND_STEP_S:
             yield EndpointOrder(
-                order.pool, other_sort, other.standing, other.told, "did_not_come", order.need
+                order.pool, other_sort, surplus, other.told, "did_not_come", order.need
             )
 
     def _lower(
--- a/bluebellpitch/decisions/scaling/targets.py
+++ b/bluebellpitch/decisions/scaling/targets.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.catalogue import ScalingConfig
-from bluebellpitch.decisions.scaling.levels import ZoneNeed
+from bluebellpitch.decisions.scaling.levels import TIGHT_SHARE, ZoneNeed
 from bluebellpitch.decisions.scaling.supply import PoolSupply, Sort
 
 # Part of what a zone has that is on demand, so that a reclaimed zone still serves.
@@ -129,7 +129,8 @@
 
     def _survive_loss(self, zone: str) -> None:
         """Makes up for the loss of all spot endpoints of a zone."""
-        needed = LOSS_SHARE * sum(need.now for need in self._needs_by_zone.values())
+        most = self._config.max_count
+        needed = LOSS_SHARE * sum(min(most, need.now) for need in self._needs_by_zone.values())
         left = sum(self.on_demand.values()) + sum(self.spot.values()) - self.spot[zone]
         short = min(math.ceil(needed - left), self.spot[zone])
         if short <= 0:
@@ -145,8 +146,12 @@
         return ZoneTarget(on_demand, self.spot[zone], reasons)
 
     def _kept_on_demand(self, zone: str) -> int:
-        """Returns how many stay until spot endpoints have served for a while in their place."""
-        must = math.ceil(self._needs_by_zone[zone].must)
+        """Returns how many stay until spot endpoints have served for a while in their place.
+
+        A zone that has as many as it may has to make room for these first.
+        """
+        is_full = self._supply.zone_standing(zone) >= self._config.max_count
+        must = math.ceil(self._needs_by_zone[zone].must / (1.0 if is_full else TIGHT_SHARE))
         seasoned = self._supply.by_sort[Sort(zone, True)].seasoned
         return min(self._supply.by_sort[Sort(zone, False)].ready, must - seasoned)
 
