Let serve, too, end only when its connections are quiet

Change: serve looks at busy connections and reads on for as long after listening stops; the mutant of route names the new line.

--- a/bluebellpitch/draining.py
+++ b/bluebellpitch/draining.py
@@ -34,6 +34,11 @@
     must_answer: asyncio.Event = field(default_factory=asyncio.Event)
 
 
+def last_requests_s(grace_s: float) -> float:
+    """Returns for how long what was delivered before listening stopped may still be read."""
+    return min(LAST_REQUESTS_S, grace_s * LAST_REQUESTS_SHARE)
+
+
 async def drain(
     http: HttpServer, shutdown: Shutdown, grace_s: float, now: Callable[[], float]
 ) -> None:
@@ -50,7 +55,7 @@
     shutdown.is_refusing = True
     await asyncio.sleep(stop_after_s - refuse_after_s)
     http.stop_listening()
-    await asyncio.sleep(min(LAST_REQUESTS_S, grace_s * LAST_REQUESTS_SHARE))
+    await asyncio.sleep(last_requests_s(grace_s))
     while http.busy_connections and schedule.time_left_s(now()) > 0:
         await asyncio.sleep(DRAIN_POLL_S)
     shutdown.must_answer.set()
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -17,6 +17,7 @@
 from bluebellpitch.decisions.slot_broker import SlotBroker
 from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.decisions.strikes import StrikeTracker
+from bluebellpitch.draining import last_requests_s
 from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.environment import Environment
 from bluebellpitch.events import EventKind, EventRing
@@ -273,6 +274,7 @@
         self.membership.start_draining()
         await asyncio.sleep(self.settings.drain_notice_s)
         self.callers.http.stop_listening()
+        await asyncio.sleep(last_requests_s(self.settings.grace_s))
         while self._has_open_work() and schedule.time_left_s(self.now()) > 0:
             await asyncio.sleep(DRAIN_POLL_S)
         shutdown.must_answer.set()
@@ -282,8 +284,11 @@
         await self.membership.unregister()
 
     def _has_open_work(self) -> bool:
-        in_flight, appends = self.callers.http.in_flight, self.claim_coordinator.unfinished_appends
-        return bool(in_flight or appends())
+        busy, appends = (
+            self.callers.http.busy_connections,
+            self.claim_coordinator.unfinished_appends,
+        )
+        return bool(busy or appends())
 
     def build_status(self) -> VmStatus:
         """Returns this VM's status."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -197,7 +197,7 @@
     Mutant(
         "route: a stopping VM finishes its requests",
         "bluebellpitch/draining.py",
-        "    while http.in_flight and schedule.time_left_s(now()) > 0:\n",
+        "    while http.busy_connections and schedule.time_left_s(now()) > 0:\n",
         "    while False:\n",
         "soak --seed 14 --seconds 15 --vms 2 --only vm_stop",
     ),
