Do not act under a lease that a late append may have given back

Cause: after a give-back that timed out, the holder went on under its term, although the record that frees the lease may be in the store or take effect later; with a lease longer than the time of the give-back (settings), another VM took over meanwhile, and both acted. Change: the term is not valid then until a renewal is accepted, which takes that record's offset. Result: test_holder_that_may_have_given_back_does_not_act_on failed before (two leases at a time) and passes; with the mutant (the former line) it fails.

--- a/bluebellpitch/decisions/duties/lease.py
+++ b/bluebellpitch/decisions/duties/lease.py
@@ -198,6 +198,15 @@
         """Takes in that an append may have taken effect, or may still do so."""
         self.is_unresolved = self.is_unresolved or self.term is None
 
+    def doubt_term(self) -> None:
+        """Takes in that the record that gives the lease back may take effect at any moment.
+
+        Only a renewal, which then lies at the offset of that record, makes the lease valid again.
+        """
+        self._is_outdated = True
+        if self.term is not None:
+            self.term = replace(self.term, valid_until=-NEVER)
+
     def needs_read(self) -> bool:
         """Returns whether only the store can tell who holds the lease.
 
--- a/bluebellpitch/roles/duties/duty_holder.py
+++ b/bluebellpitch/roles/duties/duty_holder.py
@@ -257,7 +257,7 @@
                 while not await self._try_to_leave(event, reason):
                     await asyncio.sleep(RETRY_INTERVAL_S)
         except TimeoutError:
-            self._state.refuse()
+            self._state.doubt_term()
             log("WARNING", "duty_not_released", duty=self.duty, reason=reason)
 
     async def _try_to_leave(self, event: str, reason: str) -> bool:
--- a/tests/mutants_of_duties.py
+++ b/tests/mutants_of_duties.py
@@ -14,6 +14,13 @@
         "            valid_until=now + self.lease_s,\n",
         f"{TASKS} -k late_answer",
     ),
+    Mutant(
+        "lease: a VM that may have given the lease back does not act on",
+        HOLDER,
+        "            self._state.doubt_term()\n",
+        "            self._state.refuse()\n",
+        f"{TASKS} -k may_have_given_back",
+    ),
     Mutant(
         "lease: a call begins only with time left for it",
         HOLDER,
--- a/tests/test_duty_holder.py
+++ b/tests/test_duty_holder.py
@@ -270,3 +270,22 @@
         assert fleet.holder().holder.values_by_key == {"w2": b"8"}
 
     check(body)
+
+
+def test_holder_that_may_have_given_back_does_not_act_on():
+    """The answer is lost, then the VM is cut off, and its lease would last longer."""
+
+    async def body(fleet):
+        first = fleet.holder()
+        for vm in fleet.vms_by_key.values():
+            vm.holder._state.lease_s = 12.0
+        await fleet.run(14.0)
+        first.client.lose_answers = 1
+        leaving = asyncio.ensure_future(first.holder.give_back("api"))
+        await fleet.run(0.1)
+        first.client.is_cut = first.is_deaf = True
+        await fleet.run(8.0)
+        await leaving
+        assert fleet.holder() not in (None, first)
+
+    check(body)
