Keep a planned stop in force when a give-back ends during it

Cause: give_back cleared the flag that release had set meanwhile, so a VM whose release found the store away renewed and acted on during its drain. Change: the flag stays set once the VM stops as planned. Result: test_planned_stop_during_a_handover_is_not_undone_by_its_end failed before and passes.

--- a/bluebellpitch/roles/duties/duty_holder.py
+++ b/bluebellpitch/roles/duties/duty_holder.py
@@ -61,7 +61,7 @@
         # Calls of the store do not overlap.
         self._calls = asyncio.Lock()
         self._wake = asyncio.Event()
-        self._is_leaving = False
+        self._is_leaving = self._is_stopping = False
         self._tried_at = PAST
         # When the last call ends that a caller may make under a lease that it was given.
         self._calls_end_at = PAST
@@ -244,10 +244,11 @@
     async def give_back(self, reason: str) -> None:
         """Gives the lease back, so that another VM may take it at once; this one only later."""
         await self._leave("duty_given_back", reason)
-        self._is_leaving = False
+        self._is_leaving = self._is_stopping
 
     async def release(self) -> None:
         """Gives the lease back before a planned stop, so that another VM may take it at once."""
+        self._is_stopping = True
         await self._leave("duty_released", "stopping")
 
     async def _leave(self, event: str, reason: str) -> None:
--- a/tests/test_duty_holder.py
+++ b/tests/test_duty_holder.py
@@ -289,3 +289,19 @@
         assert fleet.holder() not in (None, first)
 
     check(body)
+
+
+def test_planned_stop_during_a_handover_is_not_undone_by_its_end():
+    async def body(fleet):
+        first = fleet.holder()
+        first.client.is_cut = True
+        leaving = asyncio.ensure_future(first.holder.give_back("api"))
+        await fleet.run(0.1)
+        first.is_draining = True
+        stopping = asyncio.ensure_future(first.holder.release())
+        await fleet.run(2.0)
+        first.client.is_cut = False
+        await asyncio.gather(leaving, stopping)
+        assert first.holder._is_leaving
+
+    check(body)
