Bound the missed windows that are told of after a long pause

Cause: a holder logged and counted every window since the newest one in the store; after a pause of a month that is 518,392 log lines in one turn of the event loop. Change: only the newest MAX_GIVEN_UP windows are returned; all older ones are dropped. Result: test_after_a_long_pause_the_missed_windows_are_bounded failed before (518392 <= 100).

--- a/bluebellpitch/decisions/duties/usage_reports.py
+++ b/bluebellpitch/decisions/duties/usage_reports.py
@@ -14,6 +14,8 @@
 GATHERING_S = 1.0
 # Difference between the clocks of two VMs that take each other's windows for settled or not.
 MAX_CLOCK_DIFFERENCE_S = 1.0
+# After a pause of days, only the newest of the windows without a report are told of.
+MAX_GIVEN_UP = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,11 +124,13 @@
         self._done_until = max(self._done_until, window)
 
     def give_up(self, time: float) -> list[int]:
-        """Returns the windows that were never reported and are now too old, and drops them."""
+        """Drops the windows that were never reported and are now too old; returns the newest."""
         first = self.windows.first_kept(time)
         too_old = [report.window for report in self._unreported() if report.window < first]
         if self.settled_by_window:
-            too_old += range(max(self._newest_settled(), self._done_until) + 1, first)
+            next_window = max(self._newest_settled(), self._done_until) + 1
+            too_old += range(max(next_window, first - MAX_GIVEN_UP), first)
+            too_old = too_old[-MAX_GIVEN_UP:]
         if too_old:
             self.record_done(max(too_old))
         self._drop_old(time)
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -4,6 +4,12 @@
 
 import pytest
 
+from bluebellpitch.decisions.duties.usage_reports import (
+    MAX_GIVEN_UP,
+    SettledWindow,
+    UsageReports,
+)
+from bluebellpitch.decisions.duties.usage_windows import UsageWindows
 from bluebellpitch.platform.duty_api import CallFailed
 from tests.virtual_time import run_in_virtual_time
 from tests.virtual_usage import UsageFleet
@@ -242,3 +248,14 @@
 
     fleet = play(body)
     assert [fleet.reported(window) for window in range(9)] == [[]] * 2 + [[{}]] * 7
+
+
+def test_after_a_long_pause_the_missed_windows_are_bounded():
+    reports = UsageReports(UsageWindows(WINDOW_S, 10.0))
+    month_s = 30 * 86_400.0
+    reports.acquire((SettledWindow(1, {}, era=0, done_until=1),), 0, 0.0, month_s)
+    missed = reports.give_up(month_s)
+    first_kept = reports.windows.first_kept(month_s)
+    assert missed[-1] == first_kept - 1
+    assert len(missed) <= MAX_GIVEN_UP
+    assert reports.give_up(month_s) == []
