Append values only under the token that they were made under

Cause: a settled window could wait for its turn while the lease ended and was acquired anew (store back from a copy, or another holder in between); it was then appended under the new token, over what that holder had settled, and cleared the windows to write again. Change: DutyHolder.append takes the token and refuses under another one. Callers of append in other tests pass their token.

--- a/bluebellpitch/roles/duties/duty_holder.py
+++ b/bluebellpitch/roles/duties/duty_holder.py
@@ -82,13 +82,18 @@
         self._calls_end_at = max(self._calls_end_at, valid_until)
         return lease
 
-    async def append(self, records: tuple[KeyedRecord, ...]) -> bool:
+    async def append(self, token: int, records: tuple[KeyedRecord, ...]) -> bool:
         """Keeps values in the store under the lease; returns whether they are certain to be there.
 
-        After False they may or may not be there, and the lease may be lost.
+        They were made under ``token``: if this VM acquires the lease anew while they wait for their
+        turn, they are not appended. After False they may or may not be there, and the lease may be
+        lost.
         """
         async with self._calls:
-            if self._is_leaving or not await self._read_if_needed() or self._state.term is None:
+            if self._is_leaving or not await self._read_if_needed():
+                return False
+            term = self._state.term
+            if term is None or term.token != token:
                 return False
             return await self._append(self._state.renewal(self._now()), records)
 
--- a/bluebellpitch/roles/duties/usage_reporter.py
+++ b/bluebellpitch/roles/duties/usage_reporter.py
@@ -80,7 +80,7 @@
                 await self._report(window, counts)
 
     async def _settle(self, windows: tuple[SettledWindow, ...]) -> None:
-        if not await self._holder.append(tuple(map(encode_window, windows))):
+        if not await self._holder.append(self._token, tuple(map(encode_window, windows))):
             indexes = ",".join(str(settled.window) for settled in windows)
             log("WARNING", "usage_not_settled", windows=indexes, token=self._token)
             self._next_append_at = self._now() + RETRY_DELAY_S
--- a/tests/mutants_of_duties.py
+++ b/tests/mutants_of_duties.py
@@ -21,6 +21,13 @@
         "            self._state.refuse()\n",
         f"{TASKS} -k may_have_given_back",
     ),
+    Mutant(
+        "lease: values of an earlier term are not kept under a later one",
+        HOLDER,
+        "if term is None or term.token != token:",
+        "if term is None:",
+        f"{TASKS} -k values_of_an_earlier_term",
+    ),
     Mutant(
         "lease: a call begins only with time left for it",
         HOLDER,
--- a/tests/test_duty_holder.py
+++ b/tests/test_duty_holder.py
@@ -261,10 +261,12 @@
 def test_values_of_a_holder_reach_the_next_one():
     async def body(fleet):
         first = fleet.holder()
-        assert await first.holder.append((KeyedRecord("w1", b"7"), KeyedRecord("w2", b"8")))
-        assert await first.holder.append((KeyedRecord("w1", None),))
+        token = first.holder.lease().token
+        records = (KeyedRecord("w1", b"7"), KeyedRecord("w2", b"8"))
+        assert await first.holder.append(token, records)
+        assert await first.holder.append(token, (KeyedRecord("w1", None),))
         await first.holder.release()
-        assert not await first.holder.append((KeyedRecord("w3", b"9"),))
+        assert not await first.holder.append(token, (KeyedRecord("w3", b"9"),))
         first.is_draining = True
         await fleet.run(4.0)
         assert fleet.holder().holder.values_by_key == {"w2": b"8"}
@@ -305,3 +307,25 @@
         assert first.holder._is_leaving
 
     check(body)
+
+
+def test_values_of_an_earlier_term_are_not_kept_under_a_later_one():
+    """While the append waits for a read, the store turns out to be restored."""
+
+    async def body(fleet):
+        first = fleet.holder()
+        fleet.topic.copy()
+        await fleet.run(2.5)
+        token = first.holder.lease().token
+        fleet.topic.restore()
+        first.store_era.observe(fleet.topic.era, asyncio.get_running_loop().time())
+        calls = len(fleet.topic.calls)
+        while len(fleet.topic.calls) == calls:
+            await asyncio.sleep(0.001)
+        assert not await first.holder.append(token, (KeyedRecord("w1", b"7"),))
+        assert "w1" not in fleet.topic.newest_by_key
+        await fleet.run(3.0)
+        assert fleet.holder() is first
+        assert first.holder.lease().token > token
+
+    check(body)
--- a/tests/virtual_usage.py
+++ b/tests/virtual_usage.py
@@ -84,7 +84,7 @@
         self._fleet.given_back.append(reason)
         self._fleet.holder = "nobody"
 
-    async def append(self, records) -> bool:
+    async def append(self, token: int, records) -> bool:
         self._fleet.values_by_key |= {record.key: record.value for record in records}
         if self._fleet.is_append_answer_lost:
             self._fleet.holder = "nobody"
