Send other usage windows after a call without an answer

Cause: reports went strictly in order; with an API that takes calls but answers after more than the time of a call, the first window was sent again and again for 30 s and all later ones went missing. Change: of the windows not done, the one with the fewest unanswered calls goes first; windows may be done out of order. Result: test_a_window_whose_call_has_no_answer_does_not_hold_up_the_next_one failed before (no report of its windows) and without the record of unanswered calls (the mutant), and passes.

--- a/bluebellpitch/decisions/duties/usage_reports.py
+++ b/bluebellpitch/decisions/duties/usage_reports.py
@@ -5,6 +5,7 @@
 missing there: those that this VM has not settled itself are marked as never to be reported.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
@@ -55,6 +56,8 @@
     settled_by_window: dict[int, SettledWindow] = field(default_factory=dict)
     _era: int = 0
     _done_until: int = -1
+    _done: set[int] = field(default_factory=set)
+    _unanswered_by_window: Counter = field(default_factory=Counter)
     _gathered_at: float = float("inf")
     _to_rewrite: tuple[SettledWindow, ...] = ()
 
@@ -96,7 +99,9 @@
             return Settle(self._to_rewrite)
         if time >= self._gathered_at and (due := tuple(self._unsettled(time, count))):
             return Settle(due)
-        return next(self._unreported(), None)
+        # A call without an answer may have been taken: it must not hold up the later windows.
+        unanswered = self._unanswered_by_window
+        return min(self._unreported(), key=lambda report: unanswered[report.window], default=None)
 
     def _unsettled(
         self, time: float, count: Callable[[int], Mapping[str, int]]
@@ -111,7 +116,8 @@
     def _unreported(self) -> Iterator[Report]:
         for window in sorted(self.settled_by_window):
             settled = self.settled_by_window[window]
-            if window > self._done_until and settled.counts_by_member is not None:
+            is_open = window > self._done_until and window not in self._done
+            if is_open and settled.counts_by_member is not None:
                 yield Report(window, settled.counts_by_member)
 
     def record_settled(self, settled: Iterable[SettledWindow]) -> None:
@@ -121,7 +127,21 @@
 
     def record_done(self, window: int) -> None:
         """Records that a window needs no call any more."""
-        self._done_until = max(self._done_until, window)
+        self._mark_done((window,))
+
+    def record_unanswered(self, window: int) -> None:
+        """Records that a call for a window had no answer."""
+        self._unanswered_by_window[window] += 1
+
+    def _mark_done(self, windows: Iterable[int]) -> None:
+        self._done.update(windows)
+        next_report = next(self._unreported(), None)
+        done_until = max(self._done) if next_report is None else next_report.window - 1
+        self._done_until = max(self._done_until, done_until)
+        self._done = {window for window in self._done if window > self._done_until}
+        self._unanswered_by_window = Counter(
+            {w: n for w, n in self._unanswered_by_window.items() if w > self._done_until}
+        )
 
     def give_up(self, time: float) -> list[int]:
         """Drops the windows that were never reported and are now too old; returns the newest."""
@@ -132,7 +152,7 @@
             too_old += range(max(next_window, first - MAX_GIVEN_UP), first)
             too_old = too_old[-MAX_GIVEN_UP:]
         if too_old:
-            self.record_done(max(too_old))
+            self._mark_done(too_old)
         self._drop_old(time)
         return too_old
 
--- a/bluebellpitch/roles/duties/usage_reporter.py
+++ b/bluebellpitch/roles/duties/usage_reporter.py
@@ -118,6 +118,8 @@
             case CallFailed(reason, is_unanswered):
                 self._next_call_at = now + max(RETRY_DELAY_S, self._call_interval_s)
                 log("WARNING", "usage_call_failed", window=window, reason=reason)
+                if is_unanswered:
+                    self.reports.record_unanswered(window)
                 await self._count_failure(is_unanswered)
                 return
         self._unanswered = 0
--- a/tests/mutants_of_usage.py
+++ b/tests/mutants_of_usage.py
@@ -74,6 +74,13 @@
         "if False:",
         REPORTS_TEST,
     ),
+    Mutant(
+        "usage: a window without an answer does not hold up the next one",
+        REPORTER,
+        "                    self.reports.record_unanswered(window)\n",
+        "                    pass\n",
+        f"{REPORTS_TEST} -k hold_up",
+    ),
     Mutant(
         "usage: windows that are hopelessly late are given up",
         REPORTER,
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -6,6 +6,7 @@
 
 from bluebellpitch.decisions.duties.usage_reports import (
     MAX_GIVEN_UP,
+    Report,
     SettledWindow,
     UsageReports,
 )
@@ -234,6 +235,37 @@
     assert play(body).given_back == ["api_unreachable"]
 
 
+def test_a_window_whose_call_has_no_answer_does_not_hold_up_the_next_one(play):
+    async def body(fleet):
+        start(fleet, "h", "c")
+        fleet.api_outcome = CallFailed("timed out", is_unanswered=True)
+        fleet.takes_failed_calls = True
+        await sleep_until(2 * WINDOW_S + REPORTED_S)
+        assert fleet.given_back
+        fleet.hand_over("c")
+        await asyncio.sleep(4.0)
+
+    fleet = play(body)
+    assert fleet.reported(0)
+    assert fleet.reported(1)
+
+
+def test_windows_that_are_done_out_of_order_are_not_reported_again():
+    reports = UsageReports(UsageWindows(WINDOW_S, 10.0))
+    stored = [SettledWindow(window, {"a": window}, era=0) for window in (7, 8, 9)]
+    reports.acquire(stored, 0, 0.0, 50.0)
+    reports.record_unanswered(7)
+    assert reports.next_step(50.0, dict) == Report(8, {"a": 8})
+    reports.record_done(8)
+    assert reports.next_step(50.0, dict) == Report(9, {"a": 9})
+    reports.record_unanswered(9)
+    assert reports.next_step(50.0, dict) == Report(7, {"a": 7})
+    # Another holder goes on after the windows that no call is left for.
+    assert next(reports._unsettled(100.0, lambda window: {})).done_until == 6
+    reports.record_done(7)
+    assert next(reports._unsettled(100.0, lambda window: {})).done_until == 8
+
+
 def test_windows_that_are_hopelessly_late_are_given_up_and_later_ones_reported(play):
     async def body(fleet):
         holder, _ = start(fleet, "h", "c")
--- a/tests/virtual_usage.py
+++ b/tests/virtual_usage.py
@@ -28,6 +28,8 @@
     token: int = 0
     era: int = 1
     api_outcome: object = CallAccepted()
+    # The API takes calls although its answers are lost.
+    takes_failed_calls: bool = False
     is_append_answer_lost: bool = False
     delays_s: tuple[float, ...] = (PEER_DELAY_S,)
     reports: list[tuple[str, int, dict]] = field(default_factory=list)
@@ -93,9 +95,10 @@
 
     async def report_usage(self, lease, window, counts_by_member):
         """Takes a call as DutyApi does."""
-        if isinstance(self._fleet.api_outcome, CallAccepted):
-            self._fleet.reports.append((self._name, window, dict(counts_by_member)))
-        return self._fleet.api_outcome
+        fleet = self._fleet
+        if fleet.takes_failed_calls or isinstance(fleet.api_outcome, CallAccepted):
+            fleet.reports.append((self._name, window, dict(counts_by_member)))
+        return fleet.api_outcome
 
 
 class UsageVm:
