--- a/bluebellpitch/decisions/duties/announcements.py
+++ b/bluebellpitch/decisions/duties/announcements.py
@@ -13,29 +13,29 @@
 
 @dataclass(slots=True)
 class Announcements:
-    """The last announcement that this VM heard of a duty, and the last that it made itself."""
+    """The last announcement of a duty that this VM received, and the last that it sent."""
 
     _address: str = ""
-    _heard_at: float = NEVER
-    _told_token: int = 0
-    _told_at: float = NEVER
+    _received_at: float = NEVER
+    _sent_token: int = 0
+    _sent_at: float = NEVER
 
-    def hear(self, address: str, now: float) -> None:
+    def record(self, address: str, now: float) -> None:
         """Records that the VM at ``address`` holds the duty; "": that it was given back."""
-        self._address, self._heard_at = address, now
+        self._address, self._received_at = address, now
 
     def holder_address(self, now: float) -> str | None:
         """Returns the bus address of the holder, None if there is none or it is silent."""
-        is_silent = now - self._heard_at > FORGET_AFTER_S
+        is_silent = now - self._received_at > FORGET_AFTER_S
         return None if is_silent or not self._address else self._address
 
     def quiet_until(self) -> float:
-        """Returns until when candidates rely on what they heard."""
-        return self._heard_at + SILENT_AFTER_S if self._address else NEVER
+        """Returns until when candidates rely on the last announcement."""
+        return self._received_at + SILENT_AFTER_S if self._address else NEVER
 
     def take_turn(self, token: int, now: float) -> bool:
         """Returns whether this VM has to announce itself now, and takes it for done."""
-        if token == self._told_token and now - self._told_at < ANNOUNCE_INTERVAL_S:
+        if token == self._sent_token and now - self._sent_at < ANNOUNCE_INTERVAL_S:
             return False
-        self._told_token, self._told_at = token, now
+        self._sent_token, self._sent_at = token, now
         return True
--- a/bluebellpitch/decisions/duties/lease.py
+++ b/bluebellpitch/decisions/duties/lease.py
@@ -90,7 +90,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HeardRecord:
+class AnnouncedRecord:
     """A holder announced this record; it was in the store by ``since``."""
 
     token: int
@@ -112,7 +112,7 @@
     is_unresolved: bool = False
     _is_outdated: bool = False
     _observed: Observation | None = None
-    _heard: HeardRecord | None = None
+    _announced: AnnouncedRecord | None = None
     _highest_token: int = 0
     _read_since: float = NEVER
     # A term of an era that is over, which may go on in the new one while it is valid.
@@ -133,7 +133,7 @@
         self._compare_term(self._observed, reading.read_at)
         return True
 
-    def hear(self, token: int, offset: int, now: float) -> bool:
+    def observe_announcement(self, token: int, offset: int, now: float) -> bool:
         """Takes in an announcement; returns whether it is of the present holder."""
         if token < self._highest_token:
             return False
@@ -141,9 +141,9 @@
         if self.term is not None and self.term.token < token:
             self.term = None
         self._interrupted = None
-        heard = self._heard
-        if heard is None or (heard.token, heard.offset) != (token, offset):
-            self._heard = HeardRecord(token, offset, now)
+        known = self._announced
+        if known is None or (known.token, known.offset) != (token, offset):
+            self._announced = AnnouncedRecord(token, offset, now)
         return True
 
     def next_append(self, now: float) -> LeaseAppend | None:
@@ -198,7 +198,7 @@
         """Takes in that an append may have taken effect, or may still do so."""
         self.is_unresolved = self.is_unresolved or self.term is None
 
-    def doubt_term(self) -> None:
+    def invalidate_term(self) -> None:
         """Takes in that the record that gives the lease back may take effect at any moment.
 
         Only a renewal, which then lies at the offset of that record, makes the lease valid again.
@@ -254,13 +254,13 @@
         return self._read_since if self.store_era.number is None else self.store_era.known_since
 
     def _unchanged_since(self, reading: LeaseReading, era: int) -> float:
-        seen, heard, record = self._observed, self._heard, reading.record
+        seen, announced, record = self._observed, self._announced, reading.record
         if seen is not None and (seen.era, seen.end_offset) == (era, reading.end_offset):
             return seen.since
-        if record is None or heard is None or record.token // TOKENS_PER_ERA != era:
+        if record is None or announced is None or record.token // TOKENS_PER_ERA != era:
             return reading.read_at
-        is_heard = (heard.token, heard.offset + 1) == (record.token, reading.end_offset)
-        return heard.since if is_heard else reading.read_at
+        is_same = (announced.token, announced.offset + 1) == (record.token, reading.end_offset)
+        return announced.since if is_same else reading.read_at
 
     def _compare_term(self, seen: Observation, now: float) -> None:
         """Ends, resumes or begins the term of this process by what the store has."""
--- a/bluebellpitch/decisions/duties/usage_reports.py
+++ b/bluebellpitch/decisions/duties/usage_reports.py
@@ -15,7 +15,7 @@
 GATHERING_S = 1.0
 # Difference between the clocks of two VMs that take each other's windows for settled or not.
 MAX_CLOCK_DIFFERENCE_S = 1.0
-# After a pause of days, only the newest of the windows without a report are told of.
+# After a long outage, only so many of the newest windows without a report are logged.
 MAX_GIVEN_UP = 100
 
 
--- a/bluebellpitch/roles/duties/duty_holder.py
+++ b/bluebellpitch/roles/duties/duty_holder.py
@@ -108,10 +108,10 @@
     def handle_announcement(self, announcement: DutyAnnouncement) -> None:
         """Records which VM holds the duty, or that it gave it back."""
         now = self._now()
-        if not self._state.hear(announcement.token, announcement.offset, now):
+        if not self._state.observe_announcement(announcement.token, announcement.offset, now):
             return
         self._changes.report(self._state.term, now, "taken")
-        self._announcements.hear(announcement.reply_to, now)
+        self._announcements.record(announcement.reply_to, now)
         if not announcement.reply_to:
             self._tried_at = now - READ_INTERVAL_S
             self._wake.set()
@@ -268,7 +268,7 @@
                 while not await self._try_to_leave(event, reason):
                     await asyncio.sleep(RETRY_INTERVAL_S)
         except TimeoutError:
-            self._state.doubt_term()
+            self._state.invalidate_term()
             log("WARNING", "duty_not_released", duty=self.duty, reason=reason)
 
     async def _try_to_leave(self, event: str, reason: str) -> bool:
--- a/bluebellpitch/roles/duties/usage_gatherer.py
+++ b/bluebellpitch/roles/duties/usage_gatherer.py
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Recipient:
-    """A process that is told counts, and its bus address, which a restarted one has too."""
+    """A process that counts are sent to. Its bus address stays the same when it restarts."""
 
     vm_key: str
     address: str
@@ -33,8 +33,8 @@
 
     ``vm_key`` and ``address`` are those of this VM. ``collector`` returns the zone's collector,
     ``holder_address`` the bus address of the holder, None if unknown; ``send`` sends to an address.
-    ``now`` returns seconds of a clock that also runs while the VM is suspended,
-    ``wall`` the time of day.
+    ``now`` returns seconds of a clock that also runs while the VM is suspended, ``wall`` the time
+    of day.
     """
 
     def __init__(
@@ -57,7 +57,7 @@
         self._now = now
         self._wall = wall
         self._clock = WindowClock.start(wall(), now())
-        self._told: Recipient | None = None
+        self._last_recipient: Recipient | None = None
         self._next_send_at = float("-inf")
 
     def time_at(self, now: float) -> float:
@@ -91,7 +91,7 @@
 
     def _pass_on(self, now: float) -> None:
         recipient = self._next_recipient()
-        is_new, self._told = recipient != self._told, recipient
+        is_new, self._last_recipient = recipient != self._last_recipient, recipient
         if recipient is None:
             return
         if is_new:
--- a/tests/mutants_of_duties.py
+++ b/tests/mutants_of_duties.py
@@ -17,7 +17,7 @@
     Mutant(
         "lease: a VM that may have given the lease back does not act on",
         HOLDER,
-        "            self._state.doubt_term()\n",
+        "            self._state.invalidate_term()\n",
         "            self._state.refuse()\n",
         f"{TASKS} -k may_have_given_back",
     ),
@@ -116,7 +116,7 @@
     Mutant(
         "lease: a planned stop gives it back",
         HOLDER,
-        '        await self._leave("duty_released", "stopping")\n',
+        '        await self._leave("duty_released", "stopping", timeout_s)\n',
         "        self._is_leaving = True\n",
         f"{TASKS} -k at_once",
     ),
--- a/tests/test_lease_model.py
+++ b/tests/test_lease_model.py
@@ -163,7 +163,7 @@
         if self.announcements:
             sender, token, offset = self.announcements[index % len(self.announcements)]
             if sender != vm:
-                self.processes_by_vm[vm].state.hear(token, offset, self.now)
+                self.processes_by_vm[vm].state.observe_announcement(token, offset, self.now)
 
     @rule()
     def copy_store(self):
