Take numbers of duty records that no VM writes for malformed ones

Cause: a lease record with a token above MAX_TOKEN was believed; as tokens must rise, no VM could ever acquire the duty again. Indexes of settled windows were not bounded either. Change: such a lease is held by nobody known (it runs out), such a window is skipped. Result: test_numbers_that_no_vm_writes_do_not_block_a_duty failed before and passes; 53 tests of duties and usage pass.

--- a/bluebellpitch/platform/lease_records.py
+++ b/bluebellpitch/platform/lease_records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bluebellpitch.decisions.duties.lease import LeaseRecord
+from bluebellpitch.decisions.duties.lease import MAX_TOKEN, LeaseRecord
 from bluebellpitch.decoding import DECODE_ERRORS
 from bluebellpitch.logs import log
 from bluebellpitch.platform.records import KeyedRecord
@@ -30,10 +30,14 @@
 def decode_lease(data: bytes) -> LeaseRecord:
     """Decodes a lease; one that is malformed is held by nobody known."""
     try:
-        return _decoder.decode(data)
+        record = _decoder.decode(data)
     except DECODE_ERRORS as error:
         log("WARNING", "lease_malformed", error=error)
         return UNKNOWN_LEASE
+    if not 0 <= record.token < MAX_TOKEN:
+        log("WARNING", "lease_malformed", token=record.token)
+        return UNKNOWN_LEASE
+    return record
 
 
 def split_lease(records: Iterable[KeyedRecord]) -> tuple[LeaseRecord | None, dict[str, bytes]]:
--- a/bluebellpitch/platform/usage_records.py
+++ b/bluebellpitch/platform/usage_records.py
@@ -1,11 +1,12 @@
 """Records of settled usage windows, which holders of the duty keep beside their lease."""
 
 from collections.abc import Iterable, Mapping
+from typing import Annotated
 
 import msgspec
 
 from bluebellpitch.decisions.duties.usage_reports import SettledWindow
-from bluebellpitch.decoding import DECODE_ERRORS
+from bluebellpitch.decoding import DECODE_ERRORS, MAX_WHOLE_NUMBER, WholeNumber
 from bluebellpitch.errors import ProtocolError
 from bluebellpitch.logs import log
 from bluebellpitch.platform.records import KeyedRecord, decode_values
@@ -16,10 +17,11 @@
 
 
 class _Record(msgspec.Struct, frozen=True):
-    window: int
-    counts: dict[str, int] | None
-    era: int
-    done_until: int
+    window: WholeNumber
+    counts: dict[str, WholeNumber] | None
+    era: WholeNumber
+    # -1 if no window was done yet.
+    done_until: Annotated[int, msgspec.Meta(ge=-1, le=MAX_WHOLE_NUMBER)]
 
 
 _decoder = msgspec.json.Decoder(_Record)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,5 +1,9 @@
 """Duties of entry VMs on the fake store and real sockets."""
 
+from bluebellpitch.decisions.duties.lease import MAX_TOKEN
+from bluebellpitch.platform.lease_records import UNKNOWN_LEASE, split_lease
+from bluebellpitch.platform.records import KeyedRecord
+from bluebellpitch.platform.usage_records import decode_windows
 from fakes.prepared_deployment import wait_until
 from tests.prepared_helpers import in_deployment
 
@@ -33,3 +37,11 @@
     assert vm.duties.holders_by_duty == {}
     assert vm.duties.background_tasks() == ()
     assert deployment.store.newest_keys(TOPIC) == set()
+
+
+def test_numbers_that_no_vm_writes_do_not_block_a_duty():
+    lease = KeyedRecord("lease", b'{"holder":"vm/1","token":%d}' % MAX_TOKEN)
+    assert split_lease([lease]) == (UNKNOWN_LEASE, {})
+    window = b'{"window":%d,"counts":{},"era":0,"done_until":0}'
+    values = {"window-1": window % 10**20, "window-2": window % -5, "window-3": window % 3}
+    assert [settled.window for settled in decode_windows(values)] == [3]
