--- a/bluebellpitch/roles/duties/duty_holder.py
+++ b/bluebellpitch/roles/duties/duty_holder.py
@@ -31,8 +31,9 @@
 READ_INTERVAL_S = 1.0
 # Zones try one after the other, so that the first one that may take the lease is alone.
 ZONE_STAGGER_S = 0.3
-# Passes beside the drain of requests.
+# Passes beside the drain of requests, which takes longer than the share of a short grace period.
 RELEASE_TIMEOUT_S = 3.0
+RELEASE_SHARE = 0.5
 # A holder that wakes so late, so often in a row, is short of processor time.
 LATE_WAKE_S = 0.5
 MAX_LATE_WAKES = 4
@@ -61,7 +62,7 @@
         # Calls of the store do not overlap.
         self._calls = asyncio.Lock()
         self._wake = asyncio.Event()
-        self._is_leaving = False
+        self._is_leaving = self._is_stopping = False
         self._tried_at = PAST
         # When the last call ends that a caller may make under a lease that it was given.
         self._calls_end_at = PAST
@@ -82,13 +83,18 @@
         self._calls_end_at = max(self._calls_end_at, valid_until)
         return lease
 
-    async def append(self, records: tuple[KeyedRecord, ...]) -> bool:
+    async def append(self, token: int, records: tuple[KeyedRecord, ...]) -> bool:
         """Keeps values in the store under the lease; returns whether they are certain to be there.
 
-        After False they may or may not be there, and the lease may be lost.
+        They were made under ``token``: if this VM acquires the lease anew while they wait for their
+        turn, they are not appended. After False they may or may not be there, and the lease may be
+        lost.
         """
         async with self._calls:
-            if self._is_leaving or not await self._read_if_needed() or self._state.term is None:
+            if self._is_leaving or not await self._read_if_needed():
+                return False
+            term = self._state.term
+            if term is None or term.token != token:
                 return False
             return await self._append(self._state.renewal(self._now()), records)
 
@@ -102,10 +108,10 @@
     def handle_announcement(self, announcement: DutyAnnouncement) -> None:
         """Records which VM holds the duty, or that it gave it back."""
         now = self._now()
-        if not self._state.hear(announcement.token, announcement.offset, now):
+        if not self._state.observe_announcement(announcement.token, announcement.offset, now):
             return
         self._changes.report(self._state.term, now, "taken")
-        self._announcements.hear(announcement.reply_to, now)
+        self._announcements.record(announcement.reply_to, now)
         if not announcement.reply_to:
             self._tried_at = now - READ_INTERVAL_S
             self._wake.set()
@@ -243,21 +249,26 @@
 
     async def give_back(self, reason: str) -> None:
         """Gives the lease back, so that another VM may take it at once; this one only later."""
-        await self._leave("duty_given_back", reason)
-        self._is_leaving = False
+        await self._leave("duty_given_back", reason, RELEASE_TIMEOUT_S)
+        self._is_leaving = self._is_stopping
+
+    async def release(self, grace_s: float) -> None:
+        """Gives the lease back before a planned stop, so that another VM may take it at once.
 
-    async def release(self) -> None:
-        """Gives the lease back before a planned stop, so that another VM may take it at once."""
-        await self._leave("duty_released", "stopping")
+        ``grace_s`` is all the time that the stop may take.
+        """
+        self._is_stopping = True
+        timeout_s = min(RELEASE_TIMEOUT_S, grace_s * RELEASE_SHARE)
+        await self._leave("duty_released", "stopping", timeout_s)
 
-    async def _leave(self, event: str, reason: str) -> None:
+    async def _leave(self, event: str, reason: str, timeout_s: float) -> None:
         self._is_leaving = True
         try:
-            async with asyncio.timeout(RELEASE_TIMEOUT_S), self._calls:
+            async with asyncio.timeout(timeout_s), self._calls:
                 while not await self._try_to_leave(event, reason):
                     await asyncio.sleep(RETRY_INTERVAL_S)
         except TimeoutError:
-            self._state.refuse()
+            self._state.invalidate_term()
             log("WARNING", "duty_not_released", duty=self.duty, reason=reason)
 
     async def _try_to_leave(self, event: str, reason: str) -> bool:
--- a/tests/mutants_of_duties.py
+++ b/tests/mutants_of_duties.py
@@ -14,6 +14,20 @@
         "            valid_until=now + self.lease_s,\n",
         f"{TASKS} -k late_answer",
     ),
+    Mutant(
+        "lease: a VM that may have given the lease back does not act on",
+        HOLDER,
+        "            self._state.invalidate_term()\n",
+        "            self._state.refuse()\n",
+        f"{TASKS} -k may_have_given_back",
+    ),
+    Mutant(
+        "lease: values of an earlier term are not kept under a later one",
+        HOLDER,
+        "if term is None or term.token != token:",
+        "if term is None:",
+        f"{TASKS} -k values_of_an_earlier_term",
+    ),
     Mutant(
         "lease: a call begins only with time left for it",
         HOLDER,
@@ -102,7 +116,7 @@
     Mutant(
         "lease: a planned stop gives it back",
         HOLDER,
-        '        await self._leave("duty_released", "stopping")\n',
+        '        await self._leave("duty_released", "stopping", timeout_s)\n',
         "        self._is_leaving = True\n",
         f"{TASKS} -k at_once",
     ),
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -4,6 +4,13 @@
 
 import pytest
 
+from bluebellpitch.decisions.duties.usage_reports import (
+    MAX_GIVEN_UP,
+    Report,
+    SettledWindow,
+    UsageReports,
+)
+from bluebellpitch.decisions.duties.usage_windows import UsageWindows
 from bluebellpitch.platform.duty_api import CallFailed
 from tests.virtual_time import run_in_virtual_time
 from tests.virtual_usage import UsageFleet
@@ -114,6 +121,21 @@
     assert play(body).reported(0) == [{"a": 5}]
 
 
+def test_a_collector_that_restarts_at_its_address_is_told_everything(play):
+    async def body(fleet):
+        holder, collector, vm = start(fleet, "h", "c", "v")
+        await sleep_until(1.0)
+        vm.begin_runs(5)
+        # The collector is told, and dies before it passes that on.
+        collector.gatherer._next_send_at = 1e9
+        await sleep_until(3.5)
+        collector.die()
+        fleet.add("c", process=2)
+        await sleep_until(WINDOW_S + REPORTED_S)
+
+    assert play(body).reported(0) == [{"a": 5}]
+
+
 def test_a_new_holder_sends_what_was_settled_although_more_was_counted(play):
     async def body(fleet):
         holder, collector, vm = start(fleet, "h", "c", "v")
@@ -213,6 +235,37 @@
     assert play(body).given_back == ["api_unreachable"]
 
 
+def test_a_window_whose_call_has_no_answer_does_not_hold_up_the_next_one(play):
+    async def body(fleet):
+        start(fleet, "h", "c")
+        fleet.api_outcome = CallFailed("timed out", is_unanswered=True)
+        fleet.takes_failed_calls = True
+        await sleep_until(2 * WINDOW_S + REPORTED_S)
+        assert fleet.given_back
+        fleet.hand_over("c")
+        await asyncio.sleep(4.0)
+
+    fleet = play(body)
+    assert fleet.reported(0)
+    assert fleet.reported(1)
+
+
+def test_windows_that_are_done_out_of_order_are_not_reported_again():
+    reports = UsageReports(UsageWindows(WINDOW_S, 10.0))
+    stored = [SettledWindow(window, {"a": window}, era=0) for window in (7, 8, 9)]
+    reports.acquire(stored, 0, 0.0, 50.0)
+    reports.record_unanswered(7)
+    assert reports.next_step(50.0, dict) == Report(8, {"a": 8})
+    reports.record_done(8)
+    assert reports.next_step(50.0, dict) == Report(9, {"a": 9})
+    reports.record_unanswered(9)
+    assert reports.next_step(50.0, dict) == Report(7, {"a": 7})
+    # Another holder goes on after the windows that no call is left for.
+    assert next(reports._unsettled(100.0, lambda window: {})).done_until == 6
+    reports.record_done(7)
+    assert next(reports._unsettled(100.0, lambda window: {})).done_until == 8
+
+
 def test_windows_that_are_hopelessly_late_are_given_up_and_later_ones_reported(play):
     async def body(fleet):
         holder, _ = start(fleet, "h", "c")
@@ -227,3 +280,14 @@
 
     fleet = play(body)
     assert [fleet.reported(window) for window in range(9)] == [[]] * 2 + [[{}]] * 7
+
+
+def test_after_a_long_pause_the_missed_windows_are_bounded():
+    reports = UsageReports(UsageWindows(WINDOW_S, 10.0))
+    month_s = 30 * 86_400.0
+    reports.acquire((SettledWindow(1, {}, era=0, done_until=1),), 0, 0.0, month_s)
+    missed = reports.give_up(month_s)
+    first_kept = reports.windows.first_kept(month_s)
+    assert missed[-1] == first_kept - 1
+    assert len(missed) <= MAX_GIVEN_UP
+    assert reports.give_up(month_s) == []
