Keep sums and the order of a long queue, so that a request costs the broker little

Cause: each submission and each pass built the over-share set of all members anew, sorted the whole queue, summed it up three times, and asked all engines for an opening once for each queued prompt. Change: WaitingQueue keeps sums of tokens by rank and member, the order (sorted again each 20 ms, new work inserted) and the next start deadline. A pass stops asking for openings or turns once there are none. Members over their shares are worked out at most each 20 ms, and waits by named limits only where engines name any.

--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -75,7 +75,7 @@
 
     def is_short_length(self, tokens: int) -> bool:
         """Does the same for a number of prompt tokens."""
-        return tokens * self.speed.s_per_token <= self._short_prefill_s()
+        return tokens * self.speed.s_per_token <= self.short_prefill_s()
 
     def candidates(self, work: WorkItem, avoid: frozenset[str], now: float) -> list[EngineState]:
         """Returns the engines that could take the work."""
@@ -95,18 +95,24 @@
 
     def _prefill_wait_s(self, engine: EngineState, prefill_s: float, now: float) -> float:
         limit_wait_s = self.limits.wait_s(engine.key, now)
-        if prefill_s <= self._short_prefill_s():
+        if prefill_s <= self.short_prefill_s():
             return limit_wait_s
         return max(limit_wait_s, self._pacing_wait_s(engine, prefill_s, now))
 
     def has_opening(self, engine: EngineState, now: float) -> bool:
         """Returns whether the shortest prompt that is paced could start on the engine now."""
+        if not self.has_turn(engine, now):
+            return False
+        return self._pacing_wait_s(engine, self.short_prefill_s(), now) <= START_TOLERANCE_S
+
+    def has_turn(self, engine: EngineState, now: float) -> bool:
+        """Returns whether a prompt that is not paced could start on the engine now."""
         if not engine.is_usable(now) or len(engine.assigned_by_id) >= engine.slots:
             return False
-        wait_s = self._pacing_wait_s(engine, self._short_prefill_s(), now)
-        return max(wait_s, self.limits.wait_s(engine.key, now)) <= START_TOLERANCE_S
+        return self.limits.wait_s(engine.key, now) <= START_TOLERANCE_S
 
-    def _short_prefill_s(self) -> float:
+    def short_prefill_s(self) -> float:
+        """Returns the longest prefill that is not paced."""
         return SHORT_PREFILL_SHARE * self.gap_target_s
 
     def _pacing_wait_s(self, engine: EngineState, prefill_s: float, now: float) -> float:
@@ -127,7 +133,11 @@
 
     def prefill_share(self, engine: EngineState) -> PrefillShare:
         """Returns the share of its time that the engine may spend on prefill."""
-        return self.short_stream_share if engine.short_streams() else self.long_stream_share
+        return self.stream_share(engine.short_streams() > 0)
+
+    def stream_share(self, is_short: bool) -> PrefillShare:
+        """Returns the share of prefill that streams of short or of long prompts allow."""
+        return self.short_stream_share if is_short else self.long_stream_share
 
     def cost_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
         """Returns the cost of the work at an engine, in seconds of time to first token."""
--- a/bluebellpitch/decisions/engine_reservations.py
+++ b/bluebellpitch/decisions/engine_reservations.py
@@ -4,6 +4,8 @@
 certain engine and other engines are idle.
 """
 
+from collections.abc import Iterable, Iterator
+
 from bluebellpitch.decisions.engine_placement import START_TOLERANCE_S, EnginePlacement
 from bluebellpitch.decisions.engine_state import EngineState
 from bluebellpitch.decisions.generation_decisions import WaitingWork
@@ -20,8 +22,9 @@
     prefill to their cost there, and do not start on that engine before it. Short prompts, which
     are not paced, ignore reservations.
 
-    Only the first long prompt is placed while no engine has an opening, so that a pass over a long
-    queue costs little when nothing can start.
+    Only the first long prompt is placed while no engine has an opening, and no short one while none
+    has a free turn. Neither comes back within a pass, so that a pass over a long queue costs
+    little when nothing can start.
     """
 
     def __init__(self, placement: EnginePlacement, now: float):
@@ -29,6 +32,17 @@
         self._now = now
         self._reserved_s_by_engine: dict[tuple[str, int], float] = {}
         self._waiting_count = 0
+        self._has_openings = True
+        self._has_turns = True
+
+    def worth_trying(self, queue: Iterable[WaitingWork]) -> Iterator[WaitingWork]:
+        """Yields the work of a queue that may start, as far as the pass has seen until then."""
+        s_per_token = self._placement.speed.s_per_token
+        short_prefill_s = self._placement.short_prefill_s()
+        for waiting in queue:
+            is_short = waiting.work.tokens_in * s_per_token <= short_prefill_s
+            if self._has_turns if is_short else self._has_openings:
+                yield waiting
 
     def pick_engine(self, waiting: WaitingWork) -> EngineState | None:
         """Returns the engine on which the next work of the queue can start now, if any."""
@@ -41,17 +55,22 @@
         return engine
 
     def _may_look_further(self) -> bool:
-        return self._waiting_count < MAX_WAITING_PROMPTS and any(
+        self._has_openings = self._waiting_count < MAX_WAITING_PROMPTS and any(
             engine.key not in self._reserved_s_by_engine
             and self._placement.has_opening(engine, self._now)
             for engine in self._placement.engines_by_key.values()
         )
+        return self._has_openings
 
     def _pick_for_short_prompt(self, waiting: WaitingWork) -> EngineState | None:
         work, now = waiting.work, self._now
         engines = self._placement.candidates(work, waiting.avoid, now)
         engine = min(engines, key=lambda e: self._placement.cost_s(e, work, now), default=None)
-        return engine if engine is not None and self._can_start(engine, work) else None
+        if engine is not None and self._can_start(engine, work):
+            return engine
+        engines = self._placement.engines_by_key.values()
+        self._has_turns = any(self._placement.has_turn(engine, now) for engine in engines)
+        return None
 
     def _pick_for_long_prompt(self, waiting: WaitingWork) -> EngineState | None:
         work = waiting.work
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -7,7 +7,7 @@
 deadline is refused as soon as that is known.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 from bluebellpitch.decisions.decision_inputs import describe_grant, describe_refusal
 from bluebellpitch.decisions.endpoints import EndpointEntry
@@ -34,6 +34,7 @@
 )
 from bluebellpitch.decisions.shortage.fair_shares import FairShares
 from bluebellpitch.decisions.shortage.queue_order import QueueOrder
+from bluebellpitch.decisions.shortage.waiting_queue import WaitingQueue
 
 # Work whose end was never reported is dropped this long after its deadline.
 EXPIRY_GRACE_S = 2.0
@@ -50,13 +51,18 @@
     def __init__(self, pool: str):
         self.pool = pool
         self.placement = EnginePlacement()
-        self.waiting_by_id: dict[str, WaitingWork] = {}
+        self._queue = WaitingQueue()
         self._engine_by_work_id: dict[str, EngineState] = {}
         self._mean_long_tokens = 0.0
         self._paused_until = float("-inf")
         self._returns = ReturnSchedule()
         self._shares = FairShares()
 
+    @property
+    def waiting_by_id(self) -> Mapping[str, WaitingWork]:
+        """The queued work."""
+        return self._queue.by_id
+
     def set_engines(
         self,
         entries: Iterable[EndpointEntry],
@@ -120,11 +126,9 @@
                 return [self._refuse(waiting, NO_ENGINE, wait_s, NO_ENGINE_RETURN, order)]
             planned = self._plan_return(waiting, now + wait_s - waiting.start_deadline(), order)
             return [self._refuse(waiting, "no_capacity_in_time", wait_s, planned, order)]
-        self.waiting_by_id[work.id] = waiting
+        self._queue.add(waiting, order)
         decisions = list(self.schedule(now))
-        if work.id in self.waiting_by_id:
-            decisions.append(Queued(work.id, vm))
-        return decisions
+        return [*decisions, Queued(work.id, vm)] if work.id in self.waiting_by_id else decisions
 
     def _refuse(
         self,
@@ -154,8 +158,7 @@
         return self._returns.plan(work, waiting.asked_at, busy_s, prompt_s, now)
 
     def _queue_order(self, now: float, *members: str) -> QueueOrder:
-        waiting = {queued.work.member for queued in self.waiting_by_id.values()}
-        over_share = self._shares.members_over_share(waiting.union(members), now)
+        over_share = self._shares.members_over_share(self._queue.members() | set(members), now)
         return QueueOrder(self.placement.speed, over_share, now)
 
     def expected_wait_s(self, work: WorkItem, avoid: frozenset[str], now: float) -> float:
@@ -179,14 +182,17 @@
     def _limited_queue_wait_s(
         self, work: WorkItem, engines: list[EngineState], now: float
     ) -> float:
-        ahead = sum(other.work.rank <= work.rank for other in self.waiting_by_id.values())
-        return self.placement.limited_queue_wait_s(engines, ahead, now)
+        s_per_request = self.placement.limited_queue_wait_s(engines, 1, now)
+        ahead = s_per_request and sum(
+            other.work.rank <= work.rank for other in self.waiting_by_id.values()
+        )
+        return s_per_request * ahead
 
     def _queue_wait_s(
         self, waiting: WaitingWork, order: QueueOrder, engines: list[EngineState], now: float
     ) -> float:
         """Returns how long the prefill of queued items that go first takes."""
-        tokens_ahead = order.tokens_ahead(waiting, self.waiting_by_id.values())
+        tokens_ahead = self._queue.tokens_ahead(waiting, order)
         s_per_token = self.placement.queue_s_per_token(engines, self._mean_long_tokens, now)
         return tokens_ahead * s_per_token
 
@@ -209,7 +215,7 @@
         engine = self.placement.engines_by_key.get(engine_key)
         if engine is None or work.id in self._engine_by_work_id:
             return
-        self.waiting_by_id.pop(work.id, None)
+        self._queue.remove(work.id)
         self._shares.record_asked(work, now)
         self._shares.record_granted(work, now)
         prefill_s = 0.0
@@ -238,19 +244,19 @@
         if now < self._paused_until:
             return
         reserved = EngineReservations(self.placement, now)
-        order = self._queue_order(now)
-        for waiting in sorted(self.waiting_by_id.values(), key=order.key):
-            if self.waiting_by_id.get(waiting.work.id) is not waiting:
+        order, queued_by_id = self._queue_order(now), self._queue.by_id
+        for waiting in reserved.worth_trying(self._queue.in_order(order)):
+            if queued_by_id.get(waiting.work.id) is not waiting:
                 continue
             if (engine := reserved.pick_engine(waiting)) is not None:
                 yield self._grant(engine, waiting, now)
         yield from self._refuse_expired(order, now)
 
     def _refuse_expired(self, order: QueueOrder, now: float) -> Iterator[Refused]:
-        for waiting in list(self.waiting_by_id.values()):
+        for waiting in self._queue.overdue(now):
             work = waiting.work
-            if self.waiting_by_id.get(work.id) is waiting and now >= waiting.start_deadline():
-                del self.waiting_by_id[work.id]
+            if self.waiting_by_id.get(work.id) is waiting:
+                self._queue.remove(work.id)
                 planned = self._plan_return(waiting, 0.0, order)
                 yield self._refuse(
                     waiting, "waited_too_long", now - work.arrived_at, planned, order
@@ -258,7 +264,7 @@
 
     def _grant(self, engine: EngineState, waiting: WaitingWork, now: float) -> Granted:
         work = waiting.work
-        del self.waiting_by_id[work.id]
+        self._queue.remove(work.id)
         share = self.placement.prefill_share(engine)
         inputs = describe_grant(engine, work, self.placement.speed, share, now)
         self._assign(engine, waiting, now)
@@ -297,7 +303,7 @@
 
     def finish(self, work_id: str, outcome: str, now: float, longest_gap_s: float = 0.0) -> None:
         """Removes an ended item; ``ok``, ``failed`` or ``unreachable`` count for its engine."""
-        self.waiting_by_id.pop(work_id, None)
+        self._queue.remove(work_id)
         engine = self._engine_by_work_id.pop(work_id, None)
         if engine is None:
             return
@@ -307,11 +313,7 @@
             and assigned.has_first_token
             and engine.prefill_activity(now) > MIN_PREFILL_ACTIVITY
         ):
-            share = (
-                self.placement.short_stream_share
-                if assigned.is_short
-                else self.placement.long_stream_share
-            )
+            share = self.placement.stream_share(assigned.is_short)
             share.record_stream(longest_gap_s > assigned.work.gap_target_s)
         if outcome == "ok":
             engine.last_response_at = now
@@ -333,7 +335,7 @@
         """Removes all work of a lost VM."""
         for work_id, waiting in list(self.waiting_by_id.items()):
             if waiting.vm == vm:
-                del self.waiting_by_id[work_id]
+                self._queue.remove(work_id)
         for work_id, engine in list(self._engine_by_work_id.items()):
             if engine.assigned_by_id[work_id].vm == vm:
                 del engine.assigned_by_id[work_id], self._engine_by_work_id[work_id]
--- a/bluebellpitch/decisions/shortage/fair_shares.py
+++ b/bluebellpitch/decisions/shortage/fair_shares.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.loads import WorkItem
@@ -22,6 +22,8 @@
 # A member may exceed its share by this factor, and by this many of its own requests.
 TOLERANCE = 1.25
 TOLERATED_REQUESTS = 2
+# Who is over its share changes slowly, and is worked out anew at this interval.
+REFRESH_INTERVAL_S = 0.02
 # Members that have asked for less than this many tokens lately are forgotten.
 MIN_REMEMBERED_TOKENS = 1.0
 
@@ -73,6 +75,8 @@
         self._use_by_member: dict[str, MemberUse] = {}
         self._learning_since: float | None = None
         self._has_learnt = False
+        self._over_share: frozenset[str] = frozenset()
+        self._refreshed_at = float("-inf")
 
     def record_asked(self, work: WorkItem, now: float) -> None:
         """Counts a request."""
@@ -100,20 +104,26 @@
             self._use_by_member[work.member].granted.add(cost_tokens(work), now)
 
     def members_over_share(self, waiting: Iterable[str], now: float) -> frozenset[str]:
-        """Returns which of the members that wait were granted more than their shares.
+        """Returns which members were granted more than their shares.
 
         Empty while fewer than two members wait: nobody else could use what one of them leaves.
         """
-        competing = set(waiting) & self._use_by_member.keys()
+        competing = self._use_by_member.keys() & waiting
         if len(competing) < 2 or not self._has_learnt:
             return frozenset()
+        if now - self._refreshed_at >= REFRESH_INTERVAL_S:
+            self._over_share = frozenset(self._find_over_share(competing, now))
+            self._refreshed_at = now
+        return self._over_share
+
+    def _find_over_share(self, competing: set[str], now: float) -> Iterator[str]:
         granted = {m: use.granted.value(now) for m, use in self._use_by_member.items()}
         members = [m for m, tokens in granted.items() if tokens >= 1 or m in competing]
         usual = self._usual_tokens(members, now)
         per_usual = sum(granted[m] for m in members) / max(1.0, sum(usual.values()))
-        return frozenset(
+        return (
             member
-            for member in competing
+            for member in members
             if granted[member] - TOLERANCE * usual[member] * per_usual
             > TOLERATED_REQUESTS * self._use_by_member[member].largest
         )
--- a/bluebellpitch/decisions/shortage/queue_order.py
+++ b/bluebellpitch/decisions/shortage/queue_order.py
@@ -4,13 +4,29 @@
 that cannot read them all in time.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from bluebellpitch.decisions.generation_decisions import WaitingWork
 from bluebellpitch.decisions.prefill import PrefillSpeed
 
 
+class Standing(NamedTuple):
+    """What the order of queued work depends on, apart from time."""
+
+    rank: int
+    is_over_share: bool
+    has_returned: bool
+
+    def goes_before(self, other: "Standing") -> bool:
+        """Returns whether work of this standing may go before other, newer work."""
+        if self.rank != other.rank:
+            return self.rank < other.rank
+        if self.is_over_share != other.is_over_share:
+            return other.is_over_share
+        return self.has_returned or not other.has_returned
+
+
 @dataclass(frozen=True, slots=True)
 class QueueOrder:
     """The order of a queue at ``now``: first by rank, then members that keep to their shares.
@@ -37,14 +53,6 @@
         read_s = self.speed.fixed_s + work.tokens_in * self.speed.s_per_token
         return self.now + read_s > waiting.asked_at + work.target_s
 
-    def tokens_ahead(self, waiting: WaitingWork, queue: Iterable[WaitingWork]) -> int:
-        """Returns the prompt tokens of queued work that goes before other work."""
-        return sum(other.work.tokens_in for other in queue if self._goes_before(other, waiting))
-
-    def _goes_before(self, other: WaitingWork, waiting: WaitingWork) -> bool:
-        """Returns whether other work may go first."""
-        if other.work.rank != waiting.work.rank:
-            return other.work.rank < waiting.work.rank
-        if self.is_over_share(other) != self.is_over_share(waiting):
-            return self.is_over_share(waiting)
-        return other.has_returned or not waiting.has_returned
+    def standing(self, waiting: WaitingWork) -> Standing:
+        """Returns the standing of queued work."""
+        return Standing(waiting.work.rank, self.is_over_share(waiting), waiting.has_returned)
