Never order less than no endpoints after a limit was lowered

Cause: with the other sort above a lowered maximum, the rest for a sort was negative and was sent as the wanted count (-6 in the test's replay). Change: a count is at least 0. Result: the new test failed with -6 and passes.

--- a/bluebellpitch/decisions/scaling/orders.py
+++ b/bluebellpitch/decisions/scaling/orders.py
@@ -201,6 +201,6 @@
         other = self.supply.by_sort[Sort(order.sort.zone, not is_spot)]
         least = self.config.min_count - min(other.told, other.ready)
         count = max(order.count, supply.ordered - step, least)
-        count = min(count, self.config.max_count - other.told)
+        count = max(0, min(count, self.config.max_count - other.told))
         if count < supply.ordered:
             yield replace(order, count=count)
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -162,3 +162,11 @@
             total = desired[order.sort] + other
             assert min_count <= total <= config.max_count
         checked = len(replay.orders)
+
+
+@pytest.mark.parametrize(("on_demand", "spot"), [(12, 12), (3, 8), (0, 9)])
+def test_limit_that_was_lowered_never_asks_for_less_than_none(on_demand, spot):
+    config = replace(CONFIG, max_count=6)
+    replay = Replay(lambda zone, now: 5.0, config).start_with(on_demand, spot).run(30)
+    assert min(order.count for _, order in replay.orders) >= 0
+    assert all(1 <= replay.total(zone) <= 6 for zone in REGIONS_BY_ZONE)
