Gather sessions only where there are other zones to tell

Cause: with one zone, sessions of granted prompts were gathered for reports that are never sent, without bound. Change: nothing is gathered without other zones.

--- a/bluebellpitch/roles/zone_spillover.py
+++ b/bluebellpitch/roles/zone_spillover.py
@@ -61,7 +61,7 @@
 
     def record_session(self, broker: GenerationBroker, request: WorkRequest) -> None:
         """Records the session of a granted long prompt for the next report to other zones."""
-        session = session_of(request.parts)
+        session = session_of(request.parts) if self._other_zones else ""
         if session and not broker.placement.is_short_length(request.tokens_in):
             self._new_sessions_by_pool.setdefault(request.pool, []).append(session)
 
