Take no decision from a zone that was given up; forget requests that wait no more

Cause: a refusal that came late from a zone whose work had been withdrawn ended the request while it waited at home; a late confirmation made the VM take the work for forwarded again, so that it did not follow a change of its own broker. And requests whose callers left were kept for as long as any other waited. Change: refusals name their broker; the VM ignores refusals and confirmations of zones that it gave up (grants went back already). A broker forgets each second the requests that are queued no more.

--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -81,6 +81,7 @@
     work_id: str
     reason: str
     retry_after_s: float
+    broker_address: str = ""
 
 
 class FirstTokenReport(msgspec.Struct, frozen=True, tag="work_read"):
--- a/bluebellpitch/roles/generation_broker_client.py
+++ b/bluebellpitch/roles/generation_broker_client.py
@@ -131,13 +131,17 @@
             match response:
                 case None:
                     broker_vm = self._handle_silence(work, broker_vm, timeout_s, silent_zones)
+                case WorkGranted(broker_address=address) if address in silent_zones:
+                    self._send_to_address(address, WorkEnded(work.id, work.pool, "withdrawn"))
+                case WorkRefused(broker_address=address) if address in silent_zones:
+                    pass
+                case WorkQueued(forwarded_to=address) if address in silent_zones:
+                    pass
                 case WorkQueued():
                     timeout_s = response.within_s or BROKER_RECHECK_INTERVAL_S
                     self._record_forwarded(work, response)
                 case WorkRefused(_, reason, retry_after_s):
                     return DidNotRun(reason, 503, retry_after_s)
-                case WorkGranted(broker_address=address) if address in silent_zones:
-                    self._send_to_address(address, WorkEnded(work.id, work.pool, "withdrawn"))
                 case WorkGranted():
                     entry = entry_from_grant(response, work.pool)
                     grant = EngineGrant(work, entry, response.broker_address, response.limit_per_s)
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -213,7 +213,7 @@
                     response = message_from_grant(decision, request, self._address)
                 case generation_decisions.Refused(work_id, _, reason, retry_after_s):
                     log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
-                    response = WorkRefused(work_id, reason, retry_after_s)
+                    response = WorkRefused(work_id, reason, retry_after_s, self._address)
                     self._record_refusal(request)
                 case generation_decisions.Queued(work_id):
                     forwarded_to = self._address if request and request.home_zone else ""
@@ -284,8 +284,9 @@
         for broker in self._brokers_by_pool.values():
             broker.expire(now)
         self._spillover.expire(now)
-        if not any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
-            self._requests_by_work.clear()
+        queued = set().union(*(broker.waiting_by_id for broker in self._brokers_by_pool.values()))
+        for work_id in self._requests_by_work.keys() - queued:
+            del self._requests_by_work[work_id]
 
     def _relay_load(self, sender: str, load: ZoneLoad) -> None:
         """Relays the load of another zone to the broker in this zone, if that is another VM."""
--- a/tests/test_zone_spillover.py
+++ b/tests/test_zone_spillover.py
@@ -9,10 +9,18 @@
 from bluebellpitch.decisions.zones.distances import ZoneDistances
 from bluebellpitch.decisions.zones.outlook import HomeOutlook, ZoneOutlook
 from bluebellpitch.decisions.zones.remote_zones import RemoteZone
-from bluebellpitch.peers.platform_messages import WorkEnded, WorkGranted, WorkQueued, WorkRequest
-from tests.generation_load import PromptLoad
-from tests.test_broker_takeover import POOL, acquire, broker_of, start_coordinators
-from tests.virtual_time import run_in_virtual_time
+from bluebellpitch.metrics import Metrics
+from bluebellpitch.peers.platform_messages import (
+    WorkEnded,
+    WorkGranted,
+    WorkQueued,
+    WorkRefused,
+    WorkRequest,
+)
+from bluebellpitch.roles.zone_spillover import ZoneSpillover
+from tests.generation_load import PromptLoad, make_broker
+from tests.test_broker_takeover import POOL, SLOTS, acquire, broker_of, start_coordinators
+from tests.virtual_time import FOREVER_S, run_in_virtual_time
 from tests.zone_replay import ZonesReplay, arrivals_of
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
@@ -167,3 +175,69 @@
     replay.zones["a2"]._arrivals_by_id["a1-w"] = make_work(), prompts(1)
     replay.zones["a2"].start(request, 0.1)
     assert replay.sent.total() == 0
+
+
+async def answer_after_giving_up(late_answer):
+    """Returns what the VM got from home after a zone that it gave up has answered late.
+
+    Beside it, the work that the VM takes for forwarded while home has not yet decided.
+    """
+    coordinators = start_coordinators(2)
+    requester = next(c for name, c in coordinators.items() if name != broker_of(c))
+    broker = coordinators[broker_of(requester)]
+
+    late_answers = [late_answer]
+
+    def forward(pool_broker, work, request, now):
+        if not request.is_passed_on:
+            requester.handle_message("", WorkQueued(work.id, 0.4, "elsewhere"))
+            return True
+        if late_answers:
+            pool_broker.pause(now + 2.0)
+            requester.handle_message("", late_answers.pop())
+        return False
+
+    broker._spillover.forward = forward
+    requester.broker_client._send_to_address = lambda to, message: None
+    waiting = asyncio.ensure_future(acquire(requester, "a"))
+    await asyncio.sleep(1.2)
+    forwarded = dict(requester.broker_client._forwarded_by_work)
+    return await asyncio.wait_for(waiting, 6.0), forwarded
+
+
+@pytest.mark.parametrize(
+    "late_answer",
+    [
+        WorkRefused("a", "no_capacity_in_time", 0.5, "elsewhere"),
+        WorkQueued("a", 0.0, "elsewhere"),
+        WorkGranted("a", POOL, "i-9", "10.0.0.9:80", "far", 1, "elsewhere"),
+    ],
+)
+def test_late_answer_of_a_zone_that_was_given_up_decides_nothing(late_answer):
+    grant, forwarded = run_in_virtual_time(answer_after_giving_up(late_answer))
+    assert grant.entry.zone == "z"
+    assert not forwarded
+
+
+def test_sessions_are_not_gathered_for_other_zones_that_there_are_not():
+    spillover = ZoneSpillover("vm", "z", {"z": "r"}, lambda zone: [], None, Metrics())
+    parts = (("session", 6000), ("own", 3000))
+    request = WorkRequest("w", "pool", 1, 9000, 50, parts, 0.8, 0.5, 0.0, 6.0, (), "vm", "vm")
+    spillover.record_session(make_broker(1), request)
+    spillover.publish_load([make_broker(1)], 0.1)
+    assert not spillover._new_sessions_by_pool
+
+
+def test_requests_whose_callers_left_are_forgotten_while_others_wait():
+    async def body():
+        coordinator = start_coordinators(1)["vm-0"]
+        held = [await acquire(coordinator, f"a{number}") for number in range(SLOTS)]
+        coordinator._get_broker(POOL).pause(FOREVER_S)
+        waiting = [asyncio.ensure_future(acquire(coordinator, name)) for name in ("left", "b")]
+        coordinator.broker_client.release(held[0], "ok", 0.0)
+        await asyncio.sleep(0.1)
+        waiting[0].cancel()
+        await asyncio.sleep(1.5)
+        return set(coordinator._requests_by_work)
+
+    assert run_in_virtual_time(body()) == {"b"}
