Take work back from a zone whose broker was lost while there is time to serve it

Cause: a VM whose work another zone had queued heard nothing more of it, and took it back only at its start deadline, when its own zone refused it at once. Change: the broker there confirms each 0.3 s that the work still waits; after 1 s without a confirmation the VM withdraws it and asks at home. Result: the test that accepted the refusal at home now asks for an engine at home in both cases; it and the new test of the confirmations failed before and pass.

--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -32,7 +32,7 @@
     """The work is queued at the broker; the next message about it follows within ``within_s``.
 
     ``forwarded_to`` is the address of the broker of another zone, if the work went there; that
-    broker confirms it with ``within_s`` 0.
+    broker confirms it with ``within_s`` 0, again and again while the work waits there.
     """
 
     work_id: str
--- a/bluebellpitch/roles/generation_broker_client.py
+++ b/bluebellpitch/roles/generation_broker_client.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
-from bluebellpitch.decisions.generation_decisions import start_deadline
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.logs import log
@@ -30,6 +29,9 @@
 # Queued work is requested again when another VM becomes the broker; this is how often that is
 # checked.
 BROKER_RECHECK_INTERVAL_S = 0.2
+# The broker of another zone confirms queued work again and again; without that, the work is taken
+# back after this time.
+CONFIRMATION_TIMEOUT_S = 1.0
 EXPIRED_RETRY_AFTER_S = 0.01
 
 BrokerResponse = WorkQueued | WorkGranted | WorkRefused
@@ -59,7 +61,8 @@
 class ForwardedWork:
     """Work at the broker of another zone; it comes home if nothing is heard by ``give_up_at``.
 
-    ``is_queued`` is set once that broker has confirmed that it has the work.
+    ``is_queued`` is set once that broker has confirmed that it has the work; each further
+    confirmation moves ``give_up_at``.
     """
 
     address: str
@@ -173,10 +176,10 @@
         if not queued.forwarded_to:
             return
         known = self._forwarded_by_work.get(work.id)
-        if known is not None and known.is_queued:
-            return
         is_queued = queued.within_s == 0
-        give_up_at = start_deadline(work) if is_queued else self._now() + queued.within_s
+        if known is not None and known.is_queued and not is_queued:
+            return
+        give_up_at = self._now() + (CONFIRMATION_TIMEOUT_S if is_queued else queued.within_s)
         self._forwarded_by_work[work.id] = ForwardedWork(queued.forwarded_to, give_up_at, is_queued)
 
     def _withdraw_forwarded(self, work: WorkItem) -> None:
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -38,6 +38,8 @@
 LOAD_PUBLISH_INTERVAL_S = 0.1
 IDLE_WAKE_INTERVAL_S = 0.5
 WORK_EXPIRY_INTERVAL_S = 1.0
+# A VM whose work waits here for another zone takes it back after some of these without a word.
+CONFIRMATION_INTERVAL_S = 0.3
 
 
 class GenerationCoordinator:
@@ -241,7 +243,7 @@
 
     async def run(self) -> None:
         """Serves the queues, publishes the load of this zone and expires old state periodically."""
-        next_load = next_expiry = self._now()
+        next_load = next_expiry = next_confirmation = self._now()
         while True:
             await self._wait_for_tick()
             now = self._now()
@@ -254,6 +256,9 @@
             if now >= next_load:
                 next_load = now + LOAD_PUBLISH_INTERVAL_S
                 self._spillover.publish_load(self._own_brokers(), now)
+            if now >= next_confirmation:
+                next_confirmation = now + CONFIRMATION_INTERVAL_S
+                self._confirm_queued()
             if now >= next_expiry:
                 next_expiry = now + WORK_EXPIRY_INTERVAL_S
                 self._expire(now)
@@ -266,6 +271,14 @@
             broker.finish(waiting.work.id, "withdrawn", now)
             del self._requests_by_work[waiting.work.id]
 
+    def _confirm_queued(self) -> None:
+        """Tells the VMs of other zones that their work still waits here."""
+        for broker in self._brokers_by_pool.values():
+            requests = (self._requests_by_work.get(work_id) for work_id in broker.waiting_by_id)
+            for request in [request for request in requests if request and request.home_zone]:
+                queued = WorkQueued(request.work_id, 0.0, self._address)
+                self._send_to_address(request.reply_to, queued)
+
     async def _wait_for_tick(self) -> None:
         """Waits for the next tick or, while the queues are empty, until work arrives."""
         if any(broker.waiting_by_id for broker in self._brokers_by_pool.values()):
--- a/tests/mutants_of_zones.py
+++ b/tests/mutants_of_zones.py
@@ -39,6 +39,27 @@
         "            return broker_vm\n",
         TESTS,
     ),
+    Mutant(
+        "a broker confirms work of other zones while it waits",
+        "bluebellpitch/roles/generation_coordinator.py",
+        "                self._confirm_queued()\n",
+        "                pass\n",
+        TESTS,
+    ),
+    Mutant(
+        "a late refusal of a zone that was given up is ignored",
+        "bluebellpitch/roles/generation_broker_client.py",
+        "case WorkRefused(broker_address=address) if address in silent_zones:",
+        "case WorkRefused(broker_address=address) if address in ():",
+        TESTS,
+    ),
+    Mutant(
+        "a late confirmation of a zone that was given up is ignored",
+        "bluebellpitch/roles/generation_broker_client.py",
+        "case WorkQueued(forwarded_to=address) if address in silent_zones:",
+        "case WorkQueued(forwarded_to=address) if address in ():",
+        TESTS,
+    ),
     Mutant(
         "a broker is not blamed for the silence of another zone",
         "bluebellpitch/roles/generation_broker_client.py",
--- a/tests/test_zone_spillover.py
+++ b/tests/test_zone_spillover.py
@@ -151,7 +151,7 @@
     sent, grant, was_waiting, kept_broker = run_in_virtual_time(forward_and_stay_silent(confirms))
     assert was_waiting and kept_broker
     assert sent[0] == ("elsewhere", WorkEnded("a", POOL, "withdrawn"))
-    assert grant.entry.zone == "z" if not confirms else grant.reason == "no_capacity_in_time"
+    assert grant.entry.zone == "z"
 
 
 def test_engine_of_a_zone_that_was_given_up_is_given_back():
@@ -241,3 +241,26 @@
         return set(coordinator._requests_by_work)
 
     assert run_in_virtual_time(body()) == {"b"}
+
+
+def test_zone_confirms_work_for_as_long_as_it_waits_there():
+    async def body():
+        coordinator = start_coordinators(1)["vm-0"]
+        held = [await acquire(coordinator, f"a{number}") for number in range(SLOTS)]
+        for grant in held:
+            coordinator.broker_client.report_first_token(grant, 0.05, 1.0)
+        sent: list = []
+        coordinator._send_to_address = lambda to, message: sent.append((to, message))
+        request = WorkRequest(
+            "w", POOL, 1, 100, 20, (), 0.5, 0.3, 0.0, 10.0, (), "far", "far", True, "", "other"
+        )
+        coordinator._get_broker(POOL).pause(coordinator._now() + 2.0)
+        coordinator.broker_client.release(held[0], "ok", 0.0)
+        coordinator._handle_work_request(request)
+        await asyncio.sleep(3.0)
+        return [message for to, message in sent if to == "far"]
+
+    *confirmations, granted = run_in_virtual_time(body())
+    assert set(confirmations) == {WorkQueued("w", 0.0, "vm-0")}
+    assert 6 <= len(confirmations) <= 9
+    assert isinstance(granted, WorkGranted)
