Name the count that the platform accepted; a mutant for orders below none

Cause: `told` did not say by whom or what. Change: `accepted`; the guard of the lowered limit has its mutant.

--- a/bluebellpitch/decisions/scaling/orders.py
+++ b/bluebellpitch/decisions/scaling/orders.py
@@ -179,14 +179,14 @@
             return
         other_sort = Sort(order.sort.zone, not order.sort.is_spot)
         other = self.supply.by_sort[other_sort]
-        count = min(order.count, self.config.max_count - max(other.told, other.standing))
+        count = min(order.count, self.config.max_count - max(other.accepted, other.standing))
         if count > supply.standing:
             yield replace(order, count=count)
             return
-        surplus = max(other.standing, self.config.min_count - supply.told)
-        if other.told > surplus and now - other.lowered_at >= ON_DEMAND_STEP_S:
+        surplus = max(other.standing, self.config.min_count - supply.accepted)
+        if other.accepted > surplus and now - other.lowered_at >= ON_DEMAND_STEP_S:
             yield EndpointOrder(
-                order.pool, other_sort, surplus, other.told, "did_not_come", order.need
+                order.pool, other_sort, surplus, other.accepted, "did_not_come", order.need
             )
 
     def _lower(
@@ -199,8 +199,8 @@
             return
         step = math.ceil(supply.ordered * (SPOT_STEP if is_spot else ON_DEMAND_STEP))
         other = self.supply.by_sort[Sort(order.sort.zone, not is_spot)]
-        least = self.config.min_count - min(other.told, other.ready)
+        least = self.config.min_count - min(other.accepted, other.ready)
         count = max(order.count, supply.ordered - step, least)
-        count = max(0, min(count, self.config.max_count - other.told))
+        count = max(0, min(count, self.config.max_count - other.accepted))
         if count < supply.ordered:
             yield replace(order, count=count)
--- a/bluebellpitch/decisions/scaling/supply.py
+++ b/bluebellpitch/decisions/scaling/supply.py
@@ -38,7 +38,7 @@
 class SortSupply:
     """One sort's counts. ``seasoned`` endpoints have served for a while.
 
-    ``ordered`` is how many there should be; ``told`` is the last count that the platform accepted,
+    ``ordered`` is how many there should be; ``accepted`` is the last count that the platform accepted,
     which stays higher where ordered endpoints did not come.
     """
 
@@ -46,7 +46,7 @@
     seasoned: int = 0
     draining: int = 0
     ordered: int = 0
-    told: int = 0
+    accepted: int = 0
     lowered_at: float = float("-inf")
     blocked_until: float = float("-inf")
     # Set from a failure until what was ordered afterwards has come.
@@ -82,7 +82,7 @@
             self.lowered_at = now
         self._short_since = now if count > self.ready else None
         self._is_tried_again |= count > self.ready
-        self.ordered = self.told = count
+        self.ordered = self.accepted = count
 
     def record_refused_decrease(self, now: float) -> None:
         """Takes what serves for what stands, since there is less than the lower count."""
@@ -110,7 +110,7 @@
             return
         self._extra_since = now if self._extra_since is None else self._extra_since
         if now - self._extra_since > ADOPT_S:
-            self.ordered, self.told = self.ready, max(self.told, self.ready)
+            self.ordered, self.accepted = self.ready, max(self.accepted, self.ready)
             self._extra_since = None
 
     def _give_up(self, sort: Sort, reason: str, now: float) -> Unavailable:
@@ -139,7 +139,7 @@
             self.initial_by_zone = {zone: self.zone_ready(zone) for zone in self.zones}
         for sort, supply in self.by_sort.items():
             if is_first:
-                supply.ordered = supply.told = supply.ready
+                supply.ordered = supply.accepted = supply.ready
             if (unavailable := supply.settle(sort, boot_s, now)) is not None:
                 yield unavailable
 
--- a/tests/mutants_of_scaling.py
+++ b/tests/mutants_of_scaling.py
@@ -83,10 +83,17 @@
     Mutant(
         "scaling: orders keep the maximum of both sorts",
         ORDERS,
-        "self.config.max_count - max(other.told, other.standing)",
+        "self.config.max_count - max(other.accepted, other.standing)",
         "self.config.max_count",
         f"{REPLAYS} within_the_limits",
     ),
+    Mutant(
+        "no order is for less than no endpoints",
+        "bluebellpitch/decisions/scaling/orders.py",
+        "count = max(0, min(count, self.config.max_count - other.accepted))",
+        "count = min(count, self.config.max_count - other.accepted)",
+        f"{REPLAYS} lowered",
+    ),
     Mutant(
         "scaling: orders keep the minimum of both sorts",
         ORDERS,
