--- a/bluebellpitch/decisions/scaling/supply.py
+++ b/bluebellpitch/decisions/scaling/supply.py
@@ -38,7 +38,7 @@
 class SortSupply:
     """One sort's counts. ``seasoned`` endpoints have served for a while.
 
-    ``ordered`` is how many there should be; ``accepted`` is the last count that the platform accepted,
+    ``ordered`` is how many there should be; ``accepted`` is the last count that the platform took,
     which stays higher where ordered endpoints did not come.
     """
 
--- a/tests/mutants_of_scaling.py
+++ b/tests/mutants_of_scaling.py
@@ -88,7 +88,7 @@
         f"{REPLAYS} within_the_limits",
     ),
     Mutant(
-        "no order is for less than no endpoints",
+        "scaling: no order is for less than no endpoints",
         "bluebellpitch/decisions/scaling/orders.py",
         "count = max(0, min(count, self.config.max_count - other.accepted))",
         "count = min(count, self.config.max_count - other.accepted)",
