--- a/bluebellpitch/decisions/scaling/__init__.py
+++ b/bluebellpitch/decisions/scaling/__init__.py
@@ -1,1 +1,1 @@
-"""How many endpoints a pool needs in each zone, and of which sort."""
+"""How many endpoints a pool needs in each zone, and of which capacity type."""
--- a/bluebellpitch/decisions/scaling/orders.py
+++ b/bluebellpitch/decisions/scaling/orders.py
@@ -18,14 +18,19 @@
     ZoneNeed,
     critical_ratio,
 )
-from bluebellpitch.decisions.scaling.supply import PoolSupply, Sort, SortSupply, Unavailable
+from bluebellpitch.decisions.scaling.supply import (
+    EndpointGroup,
+    GroupSupply,
+    PoolSupply,
+    Unavailable,
+)
 from bluebellpitch.decisions.scaling.targets import ZoneTarget, plan_targets
 
 # Demand that is older than this is unknown.
 DEMAND_MAX_AGE_S = 2.5
 # A new holder waits so long for zones that are silent before it takes anything back.
 SETTLING_S = 10.0
-# Pause between two steps down of one sort in one zone, and the part of it that goes in one step.
+# Pause between two steps down of one group, and the part of it that goes in one step.
 ON_DEMAND_STEP_S = 1.5
 SPOT_STEP_S = 3.0
 ON_DEMAND_STEP = 1 / 4
@@ -36,10 +41,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointOrder:
-    """An order of ``count`` endpoints of a sort, in place of ``was``."""
+    """An order of ``count`` endpoints of a group, in place of ``was``."""
 
     pool: str
-    sort: Sort
+    group: EndpointGroup
     count: int
     was: int
     why: str
@@ -79,22 +84,22 @@
     def observe_entries(
         self, entries: Iterable[EndpointEntry], now: float
     ) -> Iterator[Unavailable]:
-        """Counts the pool's entries; yields the sorts that turn out to be unavailable."""
+        """Counts the pool's entries; yields the groups that turn out to be unavailable."""
         yield from self.supply.observe(entries, self.config.boot_s, now)
 
     def record_accepted(self, order: EndpointOrder, now: float) -> None:
         """Records that the platform took an order."""
-        self.supply.by_sort[order.sort].record_accepted(order.count, now)
+        self.supply.by_group[order.group].record_accepted(order.count, now)
 
     def record_rejected(self, order: EndpointOrder, now: float) -> Unavailable:
         """Records that the platform refused an order; returns what cannot be had for now."""
-        supply = self.supply.by_sort[order.sort]
+        supply = self.supply.by_group[order.group]
         backoff_s = supply.backoff_s
         if order.count < order.was:
             supply.record_refused_decrease(now)
         else:
             supply.block(now)
-        return Unavailable(order.sort, "rejected", max(0, order.count - order.was), backoff_s)
+        return Unavailable(order.group, "rejected", max(0, order.count - order.was), backoff_s)
 
     def next_order(self, now: float) -> EndpointOrder | None:
         """Returns the most urgent order that is due, if any.
@@ -114,7 +119,7 @@
         return order.count < order.was, -self._shortage(order)
 
     def _shortage(self, order: EndpointOrder) -> float:
-        return order.need.must - self.supply.zone_standing(order.sort.zone)
+        return order.need.must - self.supply.zone_standing(order.group.zone)
 
     def _fresh_samples(self, now: float) -> dict[str, DemandSample]:
         return {
@@ -147,7 +152,7 @@
         )
 
     def _prices(self, zone: str) -> tuple[float, float]:
-        """Returns the prices of both sorts in a zone; 1 is the mean of the zones on demand."""
+        """Returns a zone's on-demand and spot price; 1 is the mean of the zones on demand."""
         prices = [self.config.prices_by_zone.get(other, 1.0) for other in self.regions_by_zone]
         mean = sum(prices) / len(prices) or 1.0
         dear = self.config.prices_by_zone.get(zone, 1.0) / mean
@@ -160,25 +165,25 @@
     def _zone_orders(
         self, zone: str, target: ZoneTarget, need: ZoneNeed, now: float
     ) -> Iterator[EndpointOrder]:
-        for sort, count in (
-            (Sort(zone, True), target.spot),
-            (Sort(zone, False), target.on_demand),
+        for group, count in (
+            (EndpointGroup(zone, True), target.spot),
+            (EndpointGroup(zone, False), target.on_demand),
         ):
-            supply = self.supply.by_sort[sort]
-            order = EndpointOrder(self.pool, sort, count, supply.ordered, target.why, need)
+            supply = self.supply.by_group[group]
+            order = EndpointOrder(self.pool, group, count, supply.ordered, target.why, need)
             if count > supply.standing and not supply.is_blocked(now):
                 yield from self._raise(order, supply, now)
             elif count < supply.ordered and self._may_lower(now):
                 yield from self._lower(order, supply, now)
 
     def _raise(
-        self, order: EndpointOrder, supply: SortSupply, now: float
+        self, order: EndpointOrder, supply: GroupSupply, now: float
     ) -> Iterator[EndpointOrder]:
         change = order.count - supply.standing
         if change < MIN_CHANGE * supply.standing and self._shortage(order) <= 0:
             return
-        other_sort = Sort(order.sort.zone, not order.sort.is_spot)
-        other = self.supply.by_sort[other_sort]
+        other_group = EndpointGroup(order.group.zone, not order.group.is_spot)
+        other = self.supply.by_group[other_group]
         count = min(order.count, self.config.max_count - max(other.accepted, other.standing))
         if count > supply.standing:
             yield replace(order, count=count)
@@ -186,19 +191,19 @@
         surplus = max(other.standing, self.config.min_count - supply.accepted)
         if other.accepted > surplus and now - other.lowered_at >= ON_DEMAND_STEP_S:
             yield EndpointOrder(
-                order.pool, other_sort, surplus, other.accepted, "did_not_come", order.need
+                order.pool, other_group, surplus, other.accepted, "did_not_come", order.need
             )
 
     def _lower(
-        self, order: EndpointOrder, supply: SortSupply, now: float
+        self, order: EndpointOrder, supply: GroupSupply, now: float
     ) -> Iterator[EndpointOrder]:
-        is_spot, excess = order.sort.is_spot, supply.ordered - order.count
+        is_spot, excess = order.group.is_spot, supply.ordered - order.count
         if is_spot and order.count and excess < MIN_CHANGE * supply.ordered:
             return
         if now - supply.lowered_at < (SPOT_STEP_S if is_spot else ON_DEMAND_STEP_S):
             return
         step = math.ceil(supply.ordered * (SPOT_STEP if is_spot else ON_DEMAND_STEP))
-        other = self.supply.by_sort[Sort(order.sort.zone, not is_spot)]
+        other = self.supply.by_group[EndpointGroup(order.group.zone, not is_spot)]
         least = self.config.min_count - min(other.accepted, other.ready)
         count = max(order.count, supply.ordered - step, least)
         count = max(0, min(count, self.config.max_count - other.accepted))
--- a/bluebellpitch/decisions/scaling/supply.py
+++ b/bluebellpitch/decisions/scaling/supply.py
@@ -1,4 +1,4 @@
-"""Endpoints of a pool by zone and sort: those that serve, those that boot, and what was ordered."""
+"""Endpoints by zone and capacity type: those that serve, those that boot, and what was ordered."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -17,8 +17,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Sort:
-    """One sort of endpoints in one zone."""
+class EndpointGroup:
+    """The on-demand or the spot endpoints of one zone."""
 
     zone: str
     is_spot: bool
@@ -26,17 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Unavailable:
-    """No endpoints of a sort can be had for now; ``missing`` is how many did not come."""
+    """No endpoints of a group can be had for now; ``missing`` is how many did not come."""
 
-    sort: Sort
+    group: EndpointGroup
     reason: str
     missing: int
     backoff_s: float
 
 
 @dataclass(slots=True)
-class SortSupply:
-    """One sort's counts. ``seasoned`` endpoints have served for a while.
+class GroupSupply:
+    """One group's counts. ``seasoned`` endpoints have served for a while.
 
     ``ordered`` is how many there should be; ``accepted`` is the last count that the platform took,
     which stays higher where ordered endpoints did not come.
@@ -89,16 +89,16 @@
         self.lowered_at = now
         self.ordered = self.ready
 
-    def settle(self, sort: Sort, boot_s: float, now: float) -> Unavailable | None:
+    def settle(self, group: EndpointGroup, boot_s: float, now: float) -> Unavailable | None:
         """Compares the order with what there is; returns why more cannot be had, or None."""
         if self.ready >= self.ordered:
             return self._settle_met(now)
         self._extra_since = None
         self._short_since = now if self._short_since is None else self._short_since
-        if sort.is_spot and not self.ready and self.draining:
-            return self._give_up(sort, "reclaimed", now)
+        if group.is_spot and not self.ready and self.draining:
+            return self._give_up(group, "reclaimed", now)
         if now - self._short_since > boot_s + BOOT_MARGIN_S:
-            return self._give_up(sort, "not_met", now)
+            return self._give_up(group, "not_met", now)
         return None
 
     def _settle_met(self, now: float) -> None:
@@ -113,11 +113,11 @@
             self.ordered, self.accepted = self.ready, max(self.accepted, self.ready)
             self._extra_since = None
 
-    def _give_up(self, sort: Sort, reason: str, now: float) -> Unavailable:
+    def _give_up(self, group: EndpointGroup, reason: str, now: float) -> Unavailable:
         missing, backoff_s = self.booting, self.backoff_s
         self.block(now)
         self.ordered, self._short_since = self.ready, None
-        return Unavailable(sort, reason, missing, backoff_s)
+        return Unavailable(group, reason, missing, backoff_s)
 
 
 @dataclass(slots=True)
@@ -125,32 +125,34 @@
     """The endpoints of one pool in all zones. A new holder takes what there is for ordered."""
 
     zones: tuple[str, ...]
-    by_sort: dict[Sort, SortSupply] = field(default_factory=dict)
+    by_group: dict[EndpointGroup, GroupSupply] = field(default_factory=dict)
     initial_by_zone: dict[str, int] = field(default_factory=dict)
     _ready_since_by_incarnation: dict[tuple[str, int], float] = field(default_factory=dict)
 
     def observe(
         self, entries: Iterable[EndpointEntry], boot_s: float, now: float
     ) -> Iterator[Unavailable]:
-        """Counts the entries; yields the sorts that turn out to be unavailable."""
-        is_first = not self.by_sort
+        """Counts the entries; yields the groups that turn out to be unavailable."""
+        is_first = not self.by_group
         self._count(list(entries), now)
         if is_first:
             self.initial_by_zone = {zone: self.zone_ready(zone) for zone in self.zones}
-        for sort, supply in self.by_sort.items():
+        for group, supply in self.by_group.items():
             if is_first:
                 supply.ordered = supply.accepted = supply.ready
-            if (unavailable := supply.settle(sort, boot_s, now)) is not None:
+            if (unavailable := supply.settle(group, boot_s, now)) is not None:
                 yield unavailable
 
     def _count(self, entries: list[EndpointEntry], now: float) -> None:
-        first_seen_at = now if self.by_sort else float("-inf")
-        for sort in (Sort(zone, is_spot) for zone in self.zones for is_spot in (False, True)):
-            supply = self.by_sort.setdefault(sort, SortSupply())
+        first_seen_at = now if self.by_group else float("-inf")
+        for group in (
+            EndpointGroup(zone, is_spot) for zone in self.zones for is_spot in (False, True)
+        ):
+            supply = self.by_group.setdefault(group, GroupSupply())
             supply.ready = supply.seasoned = supply.draining = 0
         ready_since = {}
         for entry in entries:
-            supply = self.by_sort.get(Sort(entry.zone, entry.is_spot))
+            supply = self.by_group.get(EndpointGroup(entry.zone, entry.is_spot))
             if supply is None:
                 continue
             if entry.is_draining:
@@ -163,9 +165,15 @@
         self._ready_since_by_incarnation = ready_since
 
     def zone_standing(self, zone: str) -> int:
-        """Returns how many endpoints of both sorts serve or boot in a zone."""
-        return self.by_sort[Sort(zone, False)].standing + self.by_sort[Sort(zone, True)].standing
+        """Returns how many endpoints of both capacity types serve or boot in a zone."""
+        return (
+            self.by_group[EndpointGroup(zone, False)].standing
+            + self.by_group[EndpointGroup(zone, True)].standing
+        )
 
     def zone_ready(self, zone: str) -> int:
-        """Returns how many endpoints of both sorts serve in a zone."""
-        return self.by_sort[Sort(zone, False)].ready + self.by_sort[Sort(zone, True)].ready
+        """Returns how many endpoints of both capacity types serve in a zone."""
+        return (
+            self.by_group[EndpointGroup(zone, False)].ready
+            + self.by_group[EndpointGroup(zone, True)].ready
+        )
--- a/bluebellpitch/decisions/scaling/targets.py
+++ b/bluebellpitch/decisions/scaling/targets.py
@@ -1,4 +1,4 @@
-"""Which sorts of endpoints cover what the zones need, at what they cost.
+"""Which capacity types of endpoints cover what the zones need, at what they cost.
 
 Spot endpoints come first, since they are cheap. All those of a zone may be reclaimed at once, so
 the zones must get by without those of any one of them, and each zone keeps a few on demand.
@@ -11,7 +11,7 @@
 
 from bluebellpitch.decisions.catalogue import ScalingConfig
 from bluebellpitch.decisions.scaling.levels import TIGHT_SHARE, ZoneNeed
-from bluebellpitch.decisions.scaling.supply import PoolSupply, Sort
+from bluebellpitch.decisions.scaling.supply import EndpointGroup, PoolSupply
 
 # Part of what a zone has that is on demand, so that a reclaimed zone still serves.
 ON_DEMAND_SHARE = 0.1
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ZoneTarget:
-    """How many endpoints of each sort a zone should have in the end, and why."""
+    """How many endpoints of each capacity type a zone should have in the end, and why."""
 
     on_demand: int
     spot: int
@@ -76,7 +76,7 @@
 
     def _cut_to_available(self, zone: str) -> int:
         """Returns how many spot endpoints other zones have to provide, until they come here."""
-        supply = self._supply.by_sort[Sort(zone, True)]
+        supply = self._supply.by_group[EndpointGroup(zone, True)]
         missing = max(0, self.spot[zone] - supply.ready)
         if not missing or not supply.is_doubtful:
             return 0
@@ -102,7 +102,7 @@
     def _place_spot(self, zones: Iterable[str], count: int, why: str) -> int:
         """Adds spot endpoints where they can be had; returns how many found no place."""
         for zone in zones:
-            if self._supply.by_sort[Sort(zone, True)].is_blocked(self._now):
+            if self._supply.by_group[EndpointGroup(zone, True)].is_blocked(self._now):
                 continue
             added = min(count, self._room(zone))
             count -= added
@@ -119,7 +119,7 @@
         have = sum(self.on_demand[other] + self.spot[other] for other in group)
         count = min(count, math.ceil(must - have))
         for other in [zone, *self._zones_near(zone)]:
-            supply = self._supply.by_sort[Sort(other, False)]
+            supply = self._supply.by_group[EndpointGroup(other, False)]
             if count <= 0 or supply.is_blocked(self._now):
                 continue
             added = min(count, self._room(other))
@@ -152,8 +152,8 @@
         """
         is_full = self._supply.zone_standing(zone) >= self._config.max_count
         must = math.ceil(self._needs_by_zone[zone].must / (1.0 if is_full else TIGHT_SHARE))
-        seasoned = self._supply.by_sort[Sort(zone, True)].seasoned
-        return min(self._supply.by_sort[Sort(zone, False)].ready, must - seasoned)
+        seasoned = self._supply.by_group[EndpointGroup(zone, True)].seasoned
+        return min(self._supply.by_group[EndpointGroup(zone, False)].ready, must - seasoned)
 
 
 def plan_targets(
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -60,10 +60,10 @@
         self.usage_late_counts = self._counter(
             "usage_late_counts", "Requests counted after their window was settled"
         )
-        sort = ("pool", "zone", "sort")
-        self.endpoints_ordered = self._gauge("endpoints_ordered", "Endpoints ordered", *sort)
-        self.endpoints_booting = self._gauge("endpoints_booting", "Ordered, not there yet", *sort)
-        self.endpoints_present = self._gauge("endpoints_present", "Endpoints that serve", *sort)
+        group = ("pool", "zone", "capacity_type")
+        self.endpoints_ordered = self._gauge("endpoints_ordered", "Endpoints ordered", *group)
+        self.endpoints_booting = self._gauge("endpoints_booting", "Ordered, not there yet", *group)
+        self.endpoints_present = self._gauge("endpoints_present", "Endpoints that serve", *group)
         self.endpoints_not_had = self._counter(
             "endpoints_not_had", "Endpoints that could not be had", "pool", "reason"
         )
--- a/bluebellpitch/platform/settings_file.py
+++ b/bluebellpitch/platform/settings_file.py
@@ -108,13 +108,20 @@
     names = frozenset(filter(None, get_text("cloud_api.duties", "").split(",")))
     if not address or not names:
         return None
+
+    def get_positive(name: str, default: float) -> float:
+        number = get_number(name, default)
+        if not 0 < number < float("inf"):
+            raise UsageError(f"settings file: {name} must be above 0")
+        return number
+
     return DutySettings(
         api_address=address,
         names=names,
-        calls_per_s=get_number("cloud_api.duty_per_s", 10),
-        lease_s=get_number("bounds.lease_ms", 3000) / 1000,
-        usage_window_s=get_number("bounds.report_window_s", 5),
-        usage_due_s=get_number("bounds.usage_late_s", 10),
+        calls_per_s=get_positive("cloud_api.duty_per_s", 10),
+        lease_s=get_positive("bounds.lease_ms", 3000) / 1000,
+        usage_window_s=get_positive("bounds.report_window_s", 5),
+        usage_due_s=get_positive("bounds.usage_late_s", 10),
     )
 
 
--- a/bluebellpitch/roles/duties/autoscaler.py
+++ b/bluebellpitch/roles/duties/autoscaler.py
@@ -9,7 +9,7 @@
 from bluebellpitch.decisions.duties.held_lease import HeldLease
 from bluebellpitch.decisions.scaling.demand import DemandSample
 from bluebellpitch.decisions.scaling.orders import EndpointOrder, OrderPlanner
-from bluebellpitch.decisions.scaling.supply import Sort, Unavailable
+from bluebellpitch.decisions.scaling.supply import EndpointGroup, Unavailable
 from bluebellpitch.logs import log
 from bluebellpitch.peers.platform_messages import ZoneDemand
 from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallRejected, DutyApi
@@ -129,9 +129,9 @@
         if lease is None or lease.token != self._token:
             return DECISION_INTERVAL_S
         log_decision(order, self._planners_by_pool[order.pool])
-        sort = order.sort
+        group = order.group
         outcome = await self._api.order_endpoints(
-            lease, order.pool, sort.zone, order.count, sort.is_spot
+            lease, order.pool, group.zone, order.count, group.is_spot
         )
         planner = self._planners_by_pool[order.pool]
         match outcome:
@@ -162,8 +162,8 @@
         return max(pause_s, self._call_interval_s)
 
     def _show(self, pool: str, planner: OrderPlanner) -> None:
-        for sort, supply in planner.supply.by_sort.items():
-            labels = (pool, sort.zone, sort_name(sort))
+        for group, supply in planner.supply.by_group.items():
+            labels = (pool, group.zone, name_capacity_type(group))
             self._metrics.endpoints_ordered.labels(*labels).set(supply.ordered)
             self._metrics.endpoints_booting.labels(*labels).set(supply.booting)
             self._metrics.endpoints_present.labels(*labels).set(supply.ready)
@@ -174,26 +174,26 @@
             "WARNING",
             "scaling_unavailable",
             pool=pool,
-            zone=unavailable.sort.zone,
-            sort=sort_name(unavailable.sort),
+            zone=unavailable.group.zone,
+            capacity_type=name_capacity_type(unavailable.group),
             reason=unavailable.reason,
             missing=unavailable.missing,
             again_in_s=unavailable.backoff_s,
         )
 
 
-def sort_name(sort: Sort) -> str:
-    """Returns the label of a sort of endpoints."""
-    return "spot" if sort.is_spot else "on_demand"
+def name_capacity_type(group: EndpointGroup) -> str:
+    """Returns the label of a group of endpoints."""
+    return "spot" if group.is_spot else "on_demand"
 
 
 def describe_order(order: EndpointOrder) -> dict[str, object]:
     """Returns what identifies an order in log lines."""
-    sort = order.sort
+    group = order.group
     return {
         "pool": order.pool,
-        "zone": sort.zone,
-        "sort": sort_name(sort),
+        "zone": group.zone,
+        "capacity_type": name_capacity_type(group),
         "count": order.count,
         "was": order.was,
     }
@@ -201,12 +201,12 @@
 
 def log_decision(order: EndpointOrder, planner: OrderPlanner) -> None:
     """Logs why an order is due, with what the decision saw."""
-    need, supply = order.need, planner.supply.by_sort[order.sort]
+    need, supply = order.need, planner.supply.by_group[order.group]
     log(
         "INFO",
         "scaling_decision",
-        zone=order.sort.zone,
-        sort=sort_name(order.sort),
+        zone=order.group.zone,
+        capacity_type=name_capacity_type(order.group),
         wanted=order.count,
         present=supply.ready,
         booting=supply.booting,
--- a/tests/mutants_of_scaling.py
+++ b/tests/mutants_of_scaling.py
@@ -48,7 +48,7 @@
     Mutant(
         "scaling: orders that are not met are given up",
         SUPPLY,
-        '            return self._give_up(sort, "not_met", now)\n',
+        '            return self._give_up(group, "not_met", now)\n',
         "            return None\n",
         f"{REPLAYS} crash_at_boot",
     ),
@@ -81,7 +81,7 @@
         f"{REPLAYS} without_swinging",
     ),
     Mutant(
-        "scaling: orders keep the maximum of both sorts",
+        "scaling: orders keep the maximum of both capacity types",
         ORDERS,
         "self.config.max_count - max(other.accepted, other.standing)",
         "self.config.max_count",
@@ -95,7 +95,7 @@
         f"{REPLAYS} lowered",
     ),
     Mutant(
-        "scaling: orders keep the minimum of both sorts",
+        "scaling: orders keep the minimum of both capacity types",
         ORDERS,
         "max(order.count, supply.ordered - step, least)",
         "max(order.count, supply.ordered - step)",
--- a/tests/scaling_load.py
+++ b/tests/scaling_load.py
@@ -8,7 +8,7 @@
 from bluebellpitch.decisions.endpoints import EndpointEntry
 from bluebellpitch.decisions.scaling.demand import DemandSample
 from bluebellpitch.decisions.scaling.orders import EndpointOrder, OrderPlanner
-from bluebellpitch.decisions.scaling.supply import Sort, Unavailable
+from bluebellpitch.decisions.scaling.supply import EndpointGroup, Unavailable
 
 TICK_S = 0.5
 MAX_ORDERS = 1_000
@@ -25,40 +25,42 @@
     """Endpoints of one pool. ``no_spot_until`` and ``crash_until`` are times by zone."""
 
     entries_by_id: dict[str, EndpointEntry] = field(default_factory=dict)
-    desired: dict[Sort, int] = field(default_factory=dict)
+    desired: dict[EndpointGroup, int] = field(default_factory=dict)
     no_spot_until: dict[str, float] = field(default_factory=dict)
     crash_until: dict[str, float] = field(default_factory=dict)
     dry_until: float = 0.0
-    _boots: list[tuple[float, Sort]] = field(default_factory=list)
+    _boots: list[tuple[float, EndpointGroup]] = field(default_factory=list)
     _leaves: list[tuple[float, str]] = field(default_factory=list)
     _numbers: count = field(default_factory=count)
 
-    def add(self, sort: Sort, number: int = 1) -> None:
+    def add(self, group: EndpointGroup, number: int = 1) -> None:
         """Adds endpoints that serve at once."""
         for _ in range(number):
             id = f"i-{next(self._numbers)}"
-            entry = EndpointEntry(id, "p", "10.0.0.1:80", sort.zone, SLOTS, False, 1, 1)
-            self.entries_by_id[id] = replace(entry, is_spot=sort.is_spot)
+            entry = EndpointEntry(id, "p", "10.0.0.1:80", group.zone, SLOTS, False, 1, 1)
+            self.entries_by_id[id] = replace(entry, is_spot=group.is_spot)
 
-    def ready(self, sort: Sort) -> list[EndpointEntry]:
+    def ready(self, group: EndpointGroup) -> list[EndpointEntry]:
         entries = self.entries_by_id.values()
-        return [e for e in entries if Sort(e.zone, e.is_spot) == sort and not e.is_draining]
+        return [
+            e for e in entries if EndpointGroup(e.zone, e.is_spot) == group and not e.is_draining
+        ]
 
-    def is_available(self, sort: Sort, now: float) -> bool:
+    def is_available(self, group: EndpointGroup, now: float) -> bool:
         if now < self.dry_until:
             return False
-        return not sort.is_spot or now >= self.no_spot_until.get(sort.zone, 0.0)
+        return not group.is_spot or now >= self.no_spot_until.get(group.zone, 0.0)
 
-    def order(self, sort: Sort, number: int, now: float) -> bool:
-        booting = sum(other == sort for _, other in self._boots)
-        missing = number - len(self.ready(sort)) - booting
-        if missing > 0 and not self.is_available(sort, now):
+    def order(self, group: EndpointGroup, number: int, now: float) -> bool:
+        booting = sum(other == group for _, other in self._boots)
+        missing = number - len(self.ready(group)) - booting
+        if missing > 0 and not self.is_available(group, now):
             return False
-        self.desired[sort] = number
-        self._boots += [(now + BOOT_S, sort)] * max(0, missing)
-        for boot in [boot for boot in self._boots if boot[1] == sort][: max(0, -missing)]:
+        self.desired[group] = number
+        self._boots += [(now + BOOT_S, group)] * max(0, missing)
+        for boot in [boot for boot in self._boots if boot[1] == group][: max(0, -missing)]:
             self._boots.remove(boot)
-        for entry in self.ready(sort)[number:]:
+        for entry in self.ready(group)[number:]:
             self._drain(entry, now + DRAIN_S)
         return True
 
@@ -70,16 +72,16 @@
         """Takes all spot endpoints of a zone away."""
         self.no_spot_until[zone] = now + for_s
         self.dry_until = now + for_s if is_dry else self.dry_until
-        self._boots = [boot for boot in self._boots if boot[1] != Sort(zone, True)]
-        for entry in self.ready(Sort(zone, True)):
+        self._boots = [boot for boot in self._boots if boot[1] != EndpointGroup(zone, True)]
+        for entry in self.ready(EndpointGroup(zone, True)):
             self._drain(entry, now + NOTICE_S)
 
     def advance(self, now: float) -> None:
-        due = [sort for at, sort in self._boots if at <= now]
+        due = [group for at, group in self._boots if at <= now]
         self._boots = [boot for boot in self._boots if boot[0] > now]
-        for sort in due:
-            if now >= self.crash_until.get(sort.zone, 0.0):
-                self.add(sort)
+        for group in due:
+            if now >= self.crash_until.get(group.zone, 0.0):
+                self.add(group)
         for at, id in self._leaves:
             if at <= now:
                 self.entries_by_id.pop(id, None)
@@ -105,8 +107,8 @@
 
     def start_with(self, on_demand: int, spot: int = 0) -> "Replay":
         for zone in REGIONS_BY_ZONE:
-            self.platform.add(Sort(zone, False), on_demand)
-            self.platform.add(Sort(zone, True), spot)
+            self.platform.add(EndpointGroup(zone, False), on_demand)
+            self.platform.add(EndpointGroup(zone, True), spot)
         return self
 
     def restart(self) -> None:
@@ -134,7 +136,7 @@
         while (order := self.planner.next_order(now)) is not None:
             self.orders.append((now, order))
             assert len(self.orders) < MAX_ORDERS
-            if self.platform.order(order.sort, order.count, now):
+            if self.platform.order(order.group, order.count, now):
                 self.planner.record_accepted(order, now)
             else:
                 self.unavailable.append(self.planner.record_rejected(order, now))
@@ -145,7 +147,7 @@
         return DemandSample(100.0 * places, places, 1e6, 0.0, round(places), slots, 0, 0.0)
 
     def count(self, zone: str, is_spot: bool) -> int:
-        return len(self.platform.ready(Sort(zone, is_spot)))
+        return len(self.platform.ready(EndpointGroup(zone, is_spot)))
 
     def total(self, zone: str) -> int:
         return self.count(zone, False) + self.count(zone, True)
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -11,7 +11,7 @@
 from bluebellpitch.decisions.duties.held_lease import HeldLease
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.scaling.demand import DemandMeter
-from bluebellpitch.decisions.scaling.supply import Sort
+from bluebellpitch.decisions.scaling.supply import EndpointGroup
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallRejected
 from bluebellpitch.platform.settings_file import DutySettings
@@ -25,7 +25,7 @@
 
 
 class Api:
-    """Answers calls with ``outcome`` and records them as (time, token, sort, count)."""
+    """Answers calls with ``outcome`` and records them as (time, token, group, count)."""
 
     def __init__(self):
         self.outcome = CallAccepted()
@@ -33,7 +33,7 @@
 
     async def order_endpoints(self, lease, pool, zone, count, is_spot):
         now = asyncio.get_running_loop().time()
-        self.calls.append((now, lease.token, Sort(zone, is_spot), count))
+        self.calls.append((now, lease.token, EndpointGroup(zone, is_spot), count))
         await asyncio.sleep(0.01)
         return self.outcome
 
@@ -60,7 +60,7 @@
         pool = PoolConfig("p", 100, EngineCapacity(SLOTS, 1000), CONFIG)
         directory, platform = EndpointDirectory(), Platform()
         for zone in REGIONS_BY_ZONE:
-            platform.add(Sort(zone, False), 8)
+            platform.add(EndpointGroup(zone, False), 8)
         directory.entries_by_id.update(platform.entries_by_id)
         sources = ScalingSources(
             directory,
@@ -103,8 +103,8 @@
 def test_orders_are_sent_once_and_within_the_calls_per_second():
     async def body(fleet):
         await fleet.run(4.0)
-        assert {sort: count for _, _, sort, count in fleet.api.calls} == {
-            Sort(zone, True): 7 for zone in REGIONS_BY_ZONE
+        assert {group: count for _, _, group, count in fleet.api.calls} == {
+            EndpointGroup(zone, True): 7 for zone in REGIONS_BY_ZONE
         }
         assert len(fleet.api.calls) == len(REGIONS_BY_ZONE)
         times = [at for at, *_ in fleet.api.calls]
@@ -146,7 +146,7 @@
     async def body(fleet):
         fleet.api.outcome = CallRejected(409)
         await fleet.run(2.5)
-        spot = Counter(sort.zone for _, _, sort, _ in fleet.api.calls if sort.is_spot)
+        spot = Counter(group.zone for _, _, group, _ in fleet.api.calls if group.is_spot)
         assert spot == dict.fromkeys(REGIONS_BY_ZONE, 1)
         assert fleet.holder.reasons == []
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -215,6 +215,15 @@
     assert "Retry-After" not in dict(build_error_headers(None))
 
 
+@pytest.mark.parametrize("name", ["cloud_api.duty_per_s", "bounds.report_window_s"])
+@pytest.mark.parametrize("value", ["0", "-1", "nan", "inf"])
+def test_settings_of_duties_must_be_positive(name, value):
+    text = settings_text("vm", "z", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 4)
+    text += f"cloud_api.address=127.0.0.1:5\ncloud_api.duties=metering\n{name}={value}\n"
+    with pytest.raises(UsageError, match=name):
+        parse_settings(text)
+
+
 def test_parse_settings():
     text = settings_text("vm-1", "z", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 4)
     settings = parse_settings(text + "unknown.field=1\n# comment\n\n")
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bluebellpitch.decisions.scaling.supply import Sort
+from bluebellpitch.decisions.scaling.supply import EndpointGroup
 from tests.scaling_load import CONFIG, REGIONS_BY_ZONE, TICK_S, Replay
 
 TRAFFIC_AT, CALM_UNTIL = 16.0, 40.0
@@ -32,8 +32,8 @@
     return replay.run(CALM_UNTIL)
 
 
-def zone_counts(replay, sort):
-    return [order.count for _, order in replay.orders if order.sort == sort]
+def zone_counts(replay, group):
+    return [order.count for _, order in replay.orders if order.group == group]
 
 
 def test_spot_endpoints_replace_others_only_once_they_serve(replay):
@@ -41,7 +41,7 @@
         replay.run(replay.now + TICK_S)
         assert all(replay.total(zone) >= 8 for zone in REGIONS_BY_ZONE)
     assert all(replay.count(zone, is_spot=False) <= 1 for zone in REGIONS_BY_ZONE)
-    assert zone_counts(replay, Sort("a1", False)) == [6, 4, 3, 2, 1]
+    assert zone_counts(replay, EndpointGroup("a1", False)) == [6, 4, 3, 2, 1]
 
 
 def test_wave_is_served_without_swinging(calm):
@@ -58,7 +58,7 @@
     assert replay.total("a1") * 16 >= 1.5 * burst("a1", replay.now)
     at_crest = len(replay.orders)
     replay.run(CALM_UNTIL + 90)
-    spot = [o.count for _, o in replay.orders[at_crest:] if o.sort == Sort("a1", True)]
+    spot = [o.count for _, o in replay.orders[at_crest:] if o.group == EndpointGroup("a1", True)]
     assert spot == sorted(spot, reverse=True)
     assert replay.total("a1") <= calm_total + 2
 
@@ -88,10 +88,10 @@
     calm.platform.reclaim("a1", for_s=20, now=calm.now, is_dry=True)
     calm.run(CALM_UNTIL + 20)
     refused = [u for u in calm.unavailable if u.reason == "rejected"]
-    assert any(not u.sort.is_spot for u in refused)
+    assert any(not u.group.is_spot for u in refused)
     assert max(u.backoff_s for u in refused) >= 12
     tries_within_the_time = 3
-    assert len(refused) <= tries_within_the_time * len(calm.planner.supply.by_sort)
+    assert len(refused) <= tries_within_the_time * len(calm.planner.supply.by_group)
     calm.run(CALM_UNTIL + 60)
     assert calm.total("a1") >= 7
 
@@ -145,7 +145,7 @@
     replay = Replay(lambda zone, now: loads[zone][int(now // 5)], config)
     replay.start_with(on_demand=draw.randint(min_count, min_count + extra))
     desired = {
-        Sort(zone, is_spot): replay.count(zone, is_spot)
+        EndpointGroup(zone, is_spot): replay.count(zone, is_spot)
         for zone in REGIONS_BY_ZONE
         for is_spot in (False, True)
     }
@@ -158,8 +158,8 @@
         replay.run(replay.now + TICK_S)
         desired |= replay.platform.desired
         for _, order in replay.orders[checked:]:
-            other = desired[Sort(order.sort.zone, not order.sort.is_spot)]
-            total = desired[order.sort] + other
+            other = desired[EndpointGroup(order.group.zone, not order.group.is_spot)]
+            total = desired[order.group] + other
             assert min_count <= total <= config.max_count
         checked = len(replay.orders)
 
