Let the soak hold the duty of usage reports, and break it

Cause: no soak run had the settings of duties, so no seed saw a holder die, a store that came back from a copy while a window was settled, or the platform's API away. Change: a fake API for all VMs, windows of a second; faults of the VM that holds the duty (killed, stopped as planned, suspended beyond a takeover), store_restored (before, after, or in between a settling append), API down, slow, 429; checks of the calls that the fake recorded. A fault of the holder is passed over until it has called the API. Seeds draw other faults than before, as there are more kinds. No check of before is changed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,7 +35,11 @@
             folder.mkdir(parents=True, exist_ok=True)
             history, breaches = run_seed(current, seconds, vms, folder, tuple(only))
         statuses = Counter(outcome.status for outcome in history.outcomes)
-        print(f"seed={current} breaches={len(breaches)} requests={dict(sorted(statuses.items()))}")
+        terms = len({call.token for call in history.duty_calls})
+        print(
+            f"seed={current} breaches={len(breaches)} requests={dict(sorted(statuses.items()))} "
+            f"duty_calls={len(history.duty_calls)} duty_terms={terms}"
+        )
         for breach in breaches:
             print(f"  {breach}")
         failed += bool(breaches)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from itertools import pairwise
 
+from soak.duty_checks import DUTY_CHECKS
 from soak.history import STREAM_EVENTS, STREAM_KINDS, Arrival, History, Outcome
 
 UNSAFE_KINDS = ("file",)
@@ -122,6 +123,7 @@
     check_versions,
     check_stops,
     check_budget,
+    *DUTY_CHECKS,
 )
 
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -15,12 +15,13 @@
 
 from bluebellpitch.errors import BluebellpitchError
 from bluebellpitch.http1 import fetch
+from fakes.duty_api import FakeDutyApi
 from fakes.link import FakeLink
 from fakes.ports import free_address, free_port
 from fakes.prepared_deployment import build_configuration, settings_text
 from fakes.prepared_endpoint import FakeEndpoint
-from fakes.prepared_store import FakeStore
-from soak.history import STREAM_EVENTS, Arrival, History, PlannedStop
+from soak.duties import SoakStore, duty_settings_text
+from soak.history import STREAM_EVENTS, Arrival, History, PlannedStop, Suspension
 
 ROOT = Path(__file__).resolve().parent.parent
 POOLS = ("app", "app", "app", "engines", "engines", "engines")
@@ -93,12 +94,14 @@
 
 @dataclass
 class SoakCluster:
-    """The store, endpoints and entry VMs of a run. Use as an asynchronous context manager."""
+    """The platform, endpoints and entry VMs of a run. Use as an asynchronous context manager."""
 
     folder: Path
     vm_count: int
     history: History = field(default_factory=History)
-    store: FakeStore = field(default_factory=FakeStore)
+    store: SoakStore = field(default_factory=SoakStore)
+    api: FakeDutyApi = field(default_factory=FakeDutyApi)
+    api_link: FakeLink | None = None
     vms: list[VmProcess] = field(default_factory=list)
     endpoints: list[SoakEndpoint] = field(default_factory=list)
     keys: list[str] = field(default_factory=lambda: ["key-0"])
@@ -111,6 +114,9 @@
 
     async def __aenter__(self) -> "SoakCluster":
         self.store_port = await self.store.start("127.0.0.1", 0)
+        self.history.duty_calls = self.api.calls
+        api_port = await self.api.start("127.0.0.1", 0)
+        self.api_link = await FakeLink.open(f"127.0.0.1:{api_port}")
         self.publish_configuration()
         for number, pool in enumerate(POOLS):
             await self._add_endpoint(pool, ZONES[number % len(ZONES)])
@@ -208,6 +214,7 @@
         path = self.folder / f"{name}.conf"
         text = settings_text(name, zone, store_link.address, listen, ready, free_port())
         text += "".join(f"zones.{z}=r-{z}\n" for z in ZONES) + f"bounds.grace_s={GRACE_S}\n"
+        text += duty_settings_text(self.api_link.address)
         path.write_text(text)
         vm = VmProcess(name, path, ready, free_port(), caller_link, store_link)
         self.vms.append(vm)
@@ -249,9 +256,21 @@
     async def pause_vm(self, vm: VmProcess, duration_s: float) -> None:
         """Suspends the process of a VM for a while."""
         vm.faults += 1
+        started_at = time.monotonic()
         vm.send_signal(signal.SIGSTOP)
         await asyncio.sleep(duration_s)
         vm.send_signal(signal.SIGCONT)
+        self.history.suspensions.append(Suspension(vm.name, started_at, time.monotonic()))
+
+    def duty_vm(self) -> VmProcess | None:
+        """Returns the VM that holds the duty and has called the API, None while there is none.
+
+        Faults that hit each new holder before its first call would leave nothing to check.
+        """
+        lease, calls = self.store.duty_lease(), self.api.calls
+        if lease is None or not calls or calls[-1].token != lease.token:
+            return None
+        return next((vm for vm in self.vms if vm.name == lease.vm), None)
 
     async def is_ready(self, vm: VmProcess) -> bool:
         """Returns whether a VM reports that it is ready for new connections."""
--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -3,12 +3,16 @@
 import asyncio
 import time
 
-from fakes.prepared_store import FakeStore
 from soak.cluster import SoakCluster, SoakEndpoint, VmProcess
+from soak.duties import RESTORE_MOMENTS, SoakStore
 from soak.fault_schedule import Fault, FaultKind
 
 LEAVE_NOTICE_S = 9.0
 STORE_SLOW_S = 0.8
+# Others may hold the duty so long after its holder was suspended.
+TAKEOVER_S = 7.0
+# One within the time that callers wait, one beyond it.
+API_SLOW_S = (0.7, 1.5)
 
 
 async def inject(cluster: SoakCluster, fault: Fault) -> None:
@@ -17,11 +21,7 @@
     VMs may miss the notice of a leaving endpoint while the store cannot be reached or a VM does not
     run, so the bound on leaving endpoints restarts at the beginning and the end of such a fault.
     """
-    if "store" in fault.kind or fault.kind in (
-        FaultKind.VM_PAUSE,
-        FaultKind.VM_KILL,
-        FaultKind.VM_STOP,
-    ):
+    if "store" in fault.kind or fault.kind.endswith(("_pause", "_kill", "_stop")):
         cluster.restart_leaving_bounds()
         await inject_at_target(cluster, fault)
         cluster.restart_leaving_bounds()
@@ -30,12 +30,17 @@
 
 
 async def inject_at_target(cluster: SoakCluster, fault: Fault) -> None:
-    """Injects a fault at a VM, the store, an endpoint or the configuration."""
+    """Injects a fault at a VM, the store, the API, an endpoint or the configuration."""
     vm = cluster.vms[fault.target % len(cluster.vms)]
     endpoint = cluster.endpoints[fault.target % len(cluster.endpoints)]
     match fault.kind.partition("_")[0]:
         case "vm":
             await inject_vm_fault(cluster, vm, fault)
+        case "duty":
+            if (holder := cluster.duty_vm()) is not None:
+                await inject_vm_fault(cluster, holder, fault)
+        case "api":
+            await inject_api_fault(cluster, fault)
         case "store":
             await inject_store_fault(cluster.store, fault)
         case "endpoint":
@@ -49,11 +54,13 @@
 async def inject_vm_fault(cluster: SoakCluster, vm: VmProcess, fault: Fault) -> None:
     """Injects a fault of a VM or of its links."""
     match fault.kind:
-        case FaultKind.VM_KILL:
+        case FaultKind.VM_KILL | FaultKind.DUTY_KILL:
             await cluster.kill_vm(vm, fault.duration_s / 4)
         case FaultKind.VM_PAUSE:
             await cluster.pause_vm(vm, fault.duration_s)
-        case FaultKind.VM_STOP:
+        case FaultKind.DUTY_PAUSE:
+            await cluster.pause_vm(vm, TAKEOVER_S + fault.duration_s / 2)
+        case FaultKind.VM_STOP | FaultKind.DUTY_STOP:
             await cluster.stop_vm(vm)
         case FaultKind.VM_CALLERS_RESET:
             vm.faults += 1
@@ -68,7 +75,7 @@
             )
 
 
-async def inject_store_fault(store: FakeStore, fault: Fault) -> None:
+async def inject_store_fault(store: SoakStore, fault: Fault) -> None:
     """Injects a fault of the store, which affects all VMs."""
     match fault.kind:
         case FaultKind.STORE_DOWN:
@@ -82,6 +89,24 @@
             store.lose_answers += 2
         case FaultKind.STORE_FORGETS:
             store.truncate(choose_by_target(fault, "keyed.op", "keyed.servers"))
+        case FaultKind.STORE_RESTORED:
+            store.keep_copy()
+            moment = choose_by_target(fault, *RESTORE_MOMENTS)
+            await set_temporarily(store, fault.duration_s, restore_moment=moment)
+
+
+async def inject_api_fault(cluster: SoakCluster, fault: Fault) -> None:
+    """Injects a fault of the platform's API."""
+    api, duration_s = cluster.api, fault.duration_s
+    match fault.kind:
+        case FaultKind.API_DOWN if choose_by_target(fault, True, False):
+            await set_temporarily(cluster.api_link, duration_s, cut=True)
+        case FaultKind.API_DOWN:
+            await set_temporarily(api, duration_s, silent=True)
+        case FaultKind.API_SLOW:
+            await set_temporarily(api, duration_s, slow_s=choose_by_target(fault, *API_SLOW_S))
+        case FaultKind.API_BUSY:
+            await set_temporarily(api, duration_s, status=429)
 
 
 async def inject_endpoint_fault(cluster: SoakCluster, endpoint: SoakEndpoint, fault: Fault) -> None:
--- a/soak/fault_schedule.py
+++ b/soak/fault_schedule.py
@@ -10,7 +10,9 @@
     """Kinds of faults. The part before the first underscore names the target.
 
     ``store_loses`` applies appends late and drops their responses, ``store_forgets`` truncates a
-    topic, ``endpoint_spoils`` makes an endpoint misbehave, and ``key_taken`` revokes the API key.
+    topic, ``store_restored`` goes back to a copy when windows are settled, ``duty`` faults hit the
+    VM that holds the duty, ``endpoint_spoils`` makes an endpoint misbehave, and ``key_taken``
+    revokes the API key.
     """
 
     VM_KILL = "vm_kill"
@@ -30,6 +32,13 @@
     ENDPOINT_SILENT = "endpoint_silent"
     ENDPOINT_ONE_WAY = "endpoint_one_way"
     ENDPOINT_SPOILS = "endpoint_spoils"
+    DUTY_KILL = "duty_kill"
+    DUTY_STOP = "duty_stop"
+    DUTY_PAUSE = "duty_pause"
+    STORE_RESTORED = "store_restored"
+    API_DOWN = "api_down"
+    API_SLOW = "api_slow"
+    API_BUSY = "api_busy"
     CONFIGURATION = "configuration"
     KEY_TAKEN = "key_taken"
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -2,9 +2,12 @@
 
 from dataclasses import dataclass, field
 
+from fakes.duty_api import DutyCall
+
 # Number of events of each stream.
 STREAM_EVENTS = 4
 STREAM_KINDS = ("draft", "explain")
+DUTY_LEASE_S = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +47,15 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Suspension:
+    """A time for which the process of a VM was suspended."""
+
+    vm: str
+    started_at: float
+    ended_at: float
+
+
 @dataclass
 class History:
     """Everything observed in one run."""
@@ -57,5 +69,10 @@
     leaving_at_by_endpoint: dict[str, float] = field(default_factory=dict)
     # Versions of the configuration in force in each process, in the order observed.
     versions_by_process: dict[str, list[int]] = field(default_factory=dict)
+    # Calls that the platform's API had, whatever it answered.
+    duty_calls: list[DutyCall] = field(default_factory=list)
+    suspensions: list[Suspension] = field(default_factory=list)
+    # Usage windows that began after the faults and are due.
+    due_windows: list[int] = field(default_factory=list)
     # Failures of the run itself, such as VMs that exited or did not recover.
     failures: list[str] = field(default_factory=list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,7 @@
 from soak.callers import REQUEST_KINDS, Caller
 from soak.checks import find_breaches
 from soak.cluster import SoakCluster
+from soak.duties import wait_for_reports
 from soak.fault_injection import inject_all
 from soak.fault_schedule import FaultKind, draw_faults
 from soak.history import History
@@ -25,7 +26,9 @@
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
         await inject_all(cluster, tuple(draw_faults(seed, seconds, only)))
         await cluster.wait_ready()
+        calm = asyncio.create_task(wait_for_reports(cluster.api, cluster.history))
         await check_recovery(cluster, seed)
+        await calm
         for task in tasks:
             task.cancel()
         results = await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,9 +4,18 @@
 
 import pytest
 
+from fakes.duty_api import DutyCall
 from soak.checks import LEAVING_PROPAGATION_S, RETRY_BUDGET_BURST, REVOCATION_BOUND_S, find_breaches
 from soak.fault_schedule import FaultKind, draw_faults
-from soak.history import STREAM_EVENTS, Arrival, History, Outcome, PlannedStop
+from soak.history import (
+    DUTY_LEASE_S,
+    STREAM_EVENTS,
+    Arrival,
+    History,
+    Outcome,
+    PlannedStop,
+    Suspension,
+)
 from soak.run import run_seed
 
 SEED = 41
@@ -34,6 +43,10 @@
     f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, STREAM_EVENTS + 1)
 )
 COMPLETE_STREAM = replace(SERVED, kind="draft", body=STREAM_BODY)
+REPORT = DutyCall("/usage", "vm-0", 5, {"window_index": 7, "counts": {"m": 2}}, 10.0)
+NEXT_HOLDER = replace(REPORT, holder="vm-1", token=6, at=11.0)
+LATER_HOLDER = replace(REPORT, token=7, at=10.0 + DUTY_LEASE_S)
+OLD_TOKEN = replace(REPORT, at=12.0)
 ALTERED_STREAM = replace(COMPLETE_STREAM, body=STREAM_BODY.replace(b"piece 2", b"piece 3"))
 
 
@@ -55,6 +68,16 @@
     "versions": make_history(versions_by_process={"vm-0#1": [4, 7, 4]}),
     "stops": make_history(CUT_OFF, planned_stops=[PlannedStop("vm-0", 9.0, 12.0)]),
     "budget": make_history(arrivals=[RAN] * (RETRY_BUDGET_BURST + 20)),
+    "duty_reports": make_history(
+        duty_calls=[REPORT, replace(REPORT, body={"window_index": 7, "counts": {"m": 3}})]
+    ),
+    "duty_holders": make_history(duty_calls=[REPORT, replace(REPORT, holder="vm-1")]),
+    "duty_tokens": make_history(duty_calls=[NEXT_HOLDER, OLD_TOKEN]),
+    "duty_tokens: vm-0": make_history(
+        duty_calls=[NEXT_HOLDER, OLD_TOKEN], suspensions=[Suspension("vm-0", 5.0, 10.9)]
+    ),
+    "duty_returns": make_history(duty_calls=[REPORT, NEXT_HOLDER, LATER_HOLDER]),
+    "duty_due": make_history(duty_calls=[REPORT], due_windows=[7, 8]),
     "run": make_history(failures=["vm-0 is not ready"]),
 }
 ALLOWED_HISTORIES = {
@@ -69,6 +92,13 @@
     "sent just before the exit": make_history(
         CUT_OFF, planned_stops=[PlannedStop("vm-0", 9.0, 10.2)]
     ),
+    "report repeated by the next holder": make_history(
+        duty_calls=[REPORT, NEXT_HOLDER, replace(LATER_HOLDER, at=LATER_HOLDER.at + 0.1)],
+        due_windows=[7],
+    ),
+    "call of a process that was just suspended": make_history(
+        duty_calls=[NEXT_HOLDER, OLD_TOKEN], suspensions=[Suspension("vm-0", 5.0, 11.5)]
+    ),
 }
 
 
@@ -93,3 +123,4 @@
     history, breaches = run_seed(SEED, SECONDS, VMS, tmp_path)
     assert not breaches
     assert any(outcome.status == 200 for outcome in history.outcomes)
+    assert history.duty_calls and history.due_windows
