--- a/bluebellpitch/decisions/duties/announcements.py
+++ b/bluebellpitch/decisions/duties/announcements.py
@@ -8,7 +8,7 @@
 SILENT_AFTER_S = 3.0
 # Reports go to a holder until it was silent for so long.
 FORGET_AFTER_S = 6.0
-NEVER = -float("inf")
+PAST = -float("inf")
 
 
 @dataclass(slots=True)
@@ -16,9 +16,9 @@
     """The last announcement of a duty that this VM received, and the last that it sent."""
 
     _address: str = ""
-    _received_at: float = NEVER
+    _received_at: float = PAST
     _sent_token: int = 0
-    _sent_at: float = NEVER
+    _sent_at: float = PAST
 
     def record(self, address: str, now: float) -> None:
         """Records that the VM at ``address`` holds the duty; "": that it was given back."""
@@ -31,7 +31,7 @@
 
     def quiet_until(self) -> float:
         """Returns until when candidates rely on the last announcement."""
-        return self._received_at + SILENT_AFTER_S if self._address else NEVER
+        return self._received_at + SILENT_AFTER_S if self._address else PAST
 
     def take_turn(self, token: int, now: float) -> bool:
         """Returns whether this VM has to announce itself now, and takes it for done."""
--- a/bluebellpitch/decisions/duties/lease.py
+++ b/bluebellpitch/decisions/duties/lease.py
@@ -16,6 +16,7 @@
 # JSON numbers are exact below this.
 MAX_TOKEN = 2**53
 NEVER = float("inf")
+PAST = -NEVER
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,7 +206,7 @@
         """
         self._is_outdated = True
         if self.term is not None:
-            self.term = replace(self.term, valid_until=-NEVER)
+            self.term = replace(self.term, valid_until=PAST)
 
     def needs_read(self) -> bool:
         """Returns whether only the store can tell who holds the lease.
@@ -278,7 +279,7 @@
         elif is_held and self._is_present_token(record.token, seen.era):
             # The answer to the acquisition was lost. Only a renewal makes the lease valid.
             end = seen.end_offset
-            self.term = Term(record.token, seen.era, end, now, -NEVER, now, record.recent_vms)
+            self.term = Term(record.token, seen.era, end, now, PAST, now, record.recent_vms)
 
     def _is_present_token(self, token: int, era: int) -> bool:
         return token // TOKENS_PER_ERA == era and token >= self._highest_token
--- a/bluebellpitch/decisions/scaling/demand.py
+++ b/bluebellpitch/decisions/scaling/demand.py
@@ -12,10 +12,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DemandSample:
-    """What one zone's broker sees. ``busy_share`` is the share of reading time in use.
+    """What one zone's broker sees. ``busy_share`` is the mean share of time in prefill.
 
-    ``running`` and ``slots`` are places in use and in all; ``engine_tokens_per_s`` is what one
-    engine can read. Work that another zone passed on counts as running, but not as an arrival.
+    ``running`` and ``slots`` are slots in use and in all; ``engine_tokens_per_s`` is what one
+    engine can prefill. Work that another zone passed on counts as running, but not as an arrival.
     """
 
     tokens_per_s: float
@@ -65,7 +65,7 @@
     def sample(self, broker: GenerationBroker, now: float) -> DemandSample:
         """Returns the demand as of now at the zone's broker."""
         engines = broker.placement.engines_by_key.values()
-        busy = sum(min(1.0, reading_share(engine, now)) for engine in engines)
+        busy = sum(min(1.0, prefill_share(engine, now)) for engine in engines)
         return DemandSample(
             tokens_per_s=self._tokens.per_s(now),
             arrivals_per_s=self._arrivals.per_s(now),
@@ -85,8 +85,8 @@
         self.by_pool: dict[str, DemandMeter] = defaultdict(DemandMeter)
 
 
-def reading_share(engine: EngineState, now: float) -> float:
-    """Returns the share of its recent time that an engine spent on reading prompts.
+def prefill_share(engine: EngineState, now: float) -> float:
+    """Returns the share of its recent time that an engine spent on prefill.
 
     Its activity is a sum with a half-life, which exceeds the share of a steady load.
     """
--- a/bluebellpitch/decisions/scaling/levels.py
+++ b/bluebellpitch/decisions/scaling/levels.py
@@ -13,21 +13,21 @@
 
 from bluebellpitch.decisions.scaling.demand import DemandSample
 
-# Share of its time that an engine reads prompts, and of its places in use, that keep answers quick.
-READING_TARGET = 0.5
-PLACES_TARGET = 0.6
-# Part of the engines at those targets that can do the same work for a while, if others are dear.
+# Shares of an engine's time in prefill, and of its slots in use, that keep answers quick.
+PREFILL_TARGET = 0.5
+SLOTS_TARGET = 0.6
+# Part of the engines at those targets that can do the same work for a while.
 TIGHT_SHARE = 0.7
 # Waiting prompts should be read within this time.
 CATCH_UP_S = 1.0
 # What callers lose by a second of a missing engine, in prices of a second of an on-demand engine.
 SHORTAGE_PRICE = 12.0
-# How long the level of a crest is kept: engines that cost little longer than dear ones.
+# How long the level of a peak is kept: cheap engines longer than expensive ones.
 SPOT_HOLD_S = 30.0
 ON_DEMAND_HOLD_S = 8.0
 USUAL_LEVEL_S = 8.0
 PROFILE_S = 3.0
-MIN_UNREAD_SHARE = 0.1
+MIN_UNCACHED_SHARE = 0.1
 DEFAULT_HOLDING_S = 1.0
 MAX_HOLDING_S = 10.0
 # A smaller usual level says nothing about rises.
@@ -44,7 +44,8 @@
 class ZoneNeed:
     """Engines that a zone's callers need: ``now``, ``must`` have at any price, ``want`` if cheap.
 
-    ``why`` names what decides: reading, places, rise or crest.
+    ``why`` names what decides: the level by ``prefill`` or ``slots``, and the reserve for a
+    ``rise`` or a recent ``peak``, as in ``prefill_rise``.
     """
 
     now: float
@@ -57,16 +58,16 @@
 class LoadProfile:
     """What a request of the pool needs, in all zones together.
 
-    ``unread_share`` is the part of prompts that engines have to read, the rest being cached;
-    ``holding_s`` is how long a request keeps its place.
+    ``uncached_share`` is the part of prompts that engines have to read, the rest being cached;
+    ``holding_s`` is how long a request keeps its slot.
     """
 
-    unread_share: float = 1.0
+    uncached_share: float = 1.0
     holding_s: float = DEFAULT_HOLDING_S
     _updated_at: float | None = None
 
     def update(self, samples: Mapping[str, DemandSample], engine_slots: int, now: float) -> None:
-        """Adjusts both to newer samples. A queue hides reading, so it lowers no share."""
+        """Adjusts both to newer samples. While requests wait, the share is not lowered."""
         values = samples.values()
         arrived = sum(sample.tokens_per_s / sample.engine_tokens_per_s for sample in values)
         started_per_s = sum(max(0.0, s.arrivals_per_s - s.refused_per_s) for s in values)
@@ -74,24 +75,24 @@
         if last_at is None or arrived <= 0 or started_per_s < 1:
             return
         weight = min(1.0, (now - last_at) / PROFILE_S)
-        reading = sum(sample.busy_share * sample.slots / engine_slots for sample in values)
-        share = min(1.0, max(MIN_UNREAD_SHARE, reading / arrived))
-        if share > self.unread_share or not any(sample.waiting for sample in values):
-            self.unread_share += weight * (share - self.unread_share)
+        prefill = sum(sample.busy_share * sample.slots / engine_slots for sample in values)
+        share = min(1.0, max(MIN_UNCACHED_SHARE, prefill / arrived))
+        if share > self.uncached_share or not any(sample.waiting for sample in values):
+            self.uncached_share += weight * (share - self.uncached_share)
         holding_s = min(MAX_HOLDING_S, sum(sample.running for sample in values) / started_per_s)
         self.holding_s += weight * (holding_s - self.holding_s)
 
-    def reading_engines(self, sample: DemandSample) -> float:
+    def engines_for_prefill(self, sample: DemandSample) -> float:
         """Returns how many engines the zone needs to read its callers' prompts."""
         tokens_each = sample.tokens_per_s / sample.arrivals_per_s if sample.arrivals_per_s else 0.0
         tokens_per_s = sample.tokens_per_s + sample.waiting * tokens_each / CATCH_UP_S
-        reading = tokens_per_s * self.unread_share / sample.engine_tokens_per_s
-        return reading / READING_TARGET
+        prefill = tokens_per_s * self.uncached_share / sample.engine_tokens_per_s
+        return prefill / PREFILL_TARGET
 
-    def places_engines(self, sample: DemandSample, engine_slots: int) -> float:
-        """Returns how many engines the zone needs to have a place for each request."""
-        places = sample.arrivals_per_s * self.holding_s + sample.waiting
-        return places / engine_slots / PLACES_TARGET
+    def engines_for_slots(self, sample: DemandSample, engine_slots: int) -> float:
+        """Returns how many engines the zone needs to have a slot for each request."""
+        slots = sample.arrivals_per_s * self.holding_s + sample.waiting
+        return slots / engine_slots / SLOTS_TARGET
 
 
 class RiseDistribution:
@@ -127,7 +128,7 @@
     _usual_since: float | None = None
 
     def keep(self, engines: int, now: float) -> None:
-        """Takes what there is for a crest: a holder that knows no demand must not take it back."""
+        """Counts existing engines as a peak, so that a new holder does not remove them."""
         self._levels.append((now, float(engines), 0.0))
 
     def record(self, level: float, now: float, why: str) -> None:
@@ -153,16 +154,16 @@
         usual = next(known, 0.0)
         return level / usual if usual >= MIN_RISE_LEVEL else None
 
-    def crest(self, hold_s: float) -> float:
+    def peak(self, hold_s: float) -> float:
         """Returns the highest level within the hold time."""
         now = self._levels[-1][0]
         return max(level for at, level, _ in self._levels if at >= now - hold_s)
 
-    def need(self, dear_rise: float, cheap_rise: float) -> ZoneNeed:
-        """Returns what the zone needs, given the rises to be ready for at either price."""
+    def need(self, on_demand_rise: float, spot_rise: float) -> ZoneNeed:
+        """Returns what the zone needs, given the rises that each capacity type is to cover."""
         _, level, usual = self._levels[-1]
-        rise, crest = usual * cheap_rise, self.crest(SPOT_HOLD_S)
-        must = TIGHT_SHARE * max(usual * dear_rise, self.crest(ON_DEMAND_HOLD_S))
-        want = max(must, rise, crest)
-        why = "crest" if crest >= rise else "rise"
+        rise, peak = usual * spot_rise, self.peak(SPOT_HOLD_S)
+        must = TIGHT_SHARE * max(usual * on_demand_rise, self.peak(ON_DEMAND_HOLD_S))
+        want = max(must, rise, peak)
+        why = "peak" if peak >= rise else "rise"
         return ZoneNeed(level, must, want, f"{self.why}_{why}")
--- a/bluebellpitch/decisions/scaling/orders.py
+++ b/bluebellpitch/decisions/scaling/orders.py
@@ -28,8 +28,8 @@
 
 # Demand that is older than this is unknown.
 DEMAND_MAX_AGE_S = 2.5
-# A new holder waits so long for zones that are silent before it takes anything back.
-SETTLING_S = 10.0
+# A new holder waits so long for zones that are silent before it lowers any order.
+SILENT_ZONE_WAIT_S = 10.0
 # Pause between two steps down of one group, and the part of it that goes in one step.
 ON_DEMAND_STEP_S = 1.5
 SPOT_STEP_S = 3.0
@@ -135,9 +135,9 @@
         return {zone: self._zone_need(zone, sample, now) for zone, sample in samples.items()}
 
     def _zone_need(self, zone: str, sample: DemandSample, now: float) -> ZoneNeed:
-        reading = self._profile.reading_engines(sample)
-        places = self._profile.places_engines(sample, self.engine_slots)
-        level, why = max((reading, "reading"), (places, "places"))
+        prefill = self._profile.engines_for_prefill(sample)
+        slots = self._profile.engines_for_slots(sample, self.engine_slots)
+        level, why = (slots, "slots") if slots > prefill else (prefill, "prefill")
         is_new = zone not in self._levels_by_zone
         history = self._levels_by_zone.setdefault(zone, ZoneLevel())
         if is_new or not self._has_seen_demand:
@@ -146,21 +146,22 @@
         rise = history.rise_since(self.config.boot_s)
         if rise is not None:
             self._rises.record(rise)
-        dear, cheap = self._prices(zone)
+        on_demand_price, spot_price = self._prices(zone)
         return history.need(
-            self._rises.quantile(critical_ratio(dear)), self._rises.quantile(critical_ratio(cheap))
+            self._rises.quantile(critical_ratio(on_demand_price)),
+            self._rises.quantile(critical_ratio(spot_price)),
         )
 
     def _prices(self, zone: str) -> tuple[float, float]:
         """Returns a zone's on-demand and spot price; 1 is the mean of the zones on demand."""
         prices = [self.config.prices_by_zone.get(other, 1.0) for other in self.regions_by_zone]
         mean = sum(prices) / len(prices) or 1.0
-        dear = self.config.prices_by_zone.get(zone, 1.0) / mean
-        return dear, dear * self.config.spot_price
+        on_demand_price = self.config.prices_by_zone.get(zone, 1.0) / mean
+        return on_demand_price, on_demand_price * self.config.spot_price
 
     def _may_lower(self, now: float) -> bool:
         heard_all = self._demand_by_zone.keys() == self.regions_by_zone.keys()
-        return heard_all or now - self.started_at >= SETTLING_S
+        return heard_all or now - self.started_at >= SILENT_ZONE_WAIT_S
 
     def _zone_orders(
         self, zone: str, target: ZoneTarget, need: ZoneNeed, now: float
--- a/bluebellpitch/decisions/scaling/supply.py
+++ b/bluebellpitch/decisions/scaling/supply.py
@@ -5,8 +5,8 @@
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
 
-# A new endpoint has served for a while before another one is given up for it.
-SEASONING_S = 2.0
+# An endpoint that has served for so long may replace another one.
+MIN_READY_S = 2.0
 # How long an endpoint may take beyond its boot time.
 BOOT_MARGIN_S = 3.0
 # Endpoints that nobody here ordered count as ordered after this time.
@@ -36,14 +36,14 @@
 
 @dataclass(slots=True)
 class GroupSupply:
-    """One group's counts. ``seasoned`` endpoints have served for a while.
+    """One group's counts. ``stable`` endpoints have served for ``MIN_READY_S``.
 
     ``ordered`` is how many there should be; ``accepted`` is the last count that the platform took,
     which stays higher where ordered endpoints did not come.
     """
 
     ready: int = 0
-    seasoned: int = 0
+    stable: int = 0
     draining: int = 0
     ordered: int = 0
     accepted: int = 0
@@ -85,14 +85,14 @@
         self.ordered = self.accepted = count
 
     def record_refused_decrease(self, now: float) -> None:
-        """Takes what serves for what stands, since there is less than the lower count."""
+        """Lowers the order to what serves, since the platform has less than the lower count."""
         self.lowered_at = now
         self.ordered = self.ready
 
-    def settle(self, group: EndpointGroup, boot_s: float, now: float) -> Unavailable | None:
+    def reconcile(self, group: EndpointGroup, boot_s: float, now: float) -> Unavailable | None:
         """Compares the order with what there is; returns why more cannot be had, or None."""
         if self.ready >= self.ordered:
-            return self._settle_met(now)
+            return self._reconcile_met(now)
         self._extra_since = None
         self._short_since = now if self._short_since is None else self._short_since
         if group.is_spot and not self.ready and self.draining:
@@ -101,7 +101,7 @@
             return self._give_up(group, "not_met", now)
         return None
 
-    def _settle_met(self, now: float) -> None:
+    def _reconcile_met(self, now: float) -> None:
         self._short_since = None
         if self.ready == self.ordered:
             self._extra_since = None
@@ -140,7 +140,7 @@
         for group, supply in self.by_group.items():
             if is_first:
                 supply.ordered = supply.accepted = supply.ready
-            if (unavailable := supply.settle(group, boot_s, now)) is not None:
+            if (unavailable := supply.reconcile(group, boot_s, now)) is not None:
                 yield unavailable
 
     def _count(self, entries: list[EndpointEntry], now: float) -> None:
@@ -149,7 +149,7 @@
             EndpointGroup(zone, is_spot) for zone in self.zones for is_spot in (False, True)
         ):
             supply = self.by_group.setdefault(group, GroupSupply())
-            supply.ready = supply.seasoned = supply.draining = 0
+            supply.ready = supply.stable = supply.draining = 0
         ready_since = {}
         for entry in entries:
             supply = self.by_group.get(EndpointGroup(entry.zone, entry.is_spot))
@@ -161,7 +161,7 @@
             known_since = self._ready_since_by_incarnation.get(entry.incarnation, first_seen_at)
             ready_since[entry.incarnation] = known_since
             supply.ready += 1
-            supply.seasoned += now - known_since >= SEASONING_S
+            supply.stable += now - known_since >= MIN_READY_S
         self._ready_since_by_incarnation = ready_since
 
     def zone_standing(self, zone: str) -> int:
--- a/bluebellpitch/decisions/scaling/targets.py
+++ b/bluebellpitch/decisions/scaling/targets.py
@@ -152,8 +152,8 @@
         """
         is_full = self._supply.zone_standing(zone) >= self._config.max_count
         must = math.ceil(self._needs_by_zone[zone].must / (1.0 if is_full else TIGHT_SHARE))
-        seasoned = self._supply.by_group[EndpointGroup(zone, True)].seasoned
-        return min(self._supply.by_group[EndpointGroup(zone, False)].ready, must - seasoned)
+        stable = self._supply.by_group[EndpointGroup(zone, True)].stable
+        return min(self._supply.by_group[EndpointGroup(zone, False)].ready, must - stable)
 
 
 def plan_targets(
--- a/bluebellpitch/decisions/zones/departure.py
+++ b/bluebellpitch/decisions/zones/departure.py
@@ -1,6 +1,6 @@
 """When leaving the zone pays for the callers, and where work goes then.
 
-Load pattern: a crest in one zone while others have room. Work leaves when all that it costs its
+Load pattern: a peak in one zone while others have room. Work leaves when all that it costs its
 caller and the others elsewhere is clearly less than at home: the wait there, the delay of
 forwarding, shared parts that have to be read again, and streams that its prompt holds up.
 """
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -64,8 +64,8 @@
         self.endpoints_ordered = self._gauge("endpoints_ordered", "Endpoints ordered", *group)
         self.endpoints_booting = self._gauge("endpoints_booting", "Ordered, not there yet", *group)
         self.endpoints_present = self._gauge("endpoints_present", "Endpoints that serve", *group)
-        self.endpoints_not_had = self._counter(
-            "endpoints_not_had", "Endpoints that could not be had", "pool", "reason"
+        self.endpoints_unavailable = self._counter(
+            "endpoints_unavailable", "Endpoints that could not be obtained", "pool", "reason"
         )
         self.duty_held = self._gauge("duty_held", "Whether this VM holds the duty", "duty")
         self.duty_token = self._gauge("duty_token", "Fencing token of this VM, 0: none", "duty")
--- a/bluebellpitch/platform/duty_api.py
+++ b/bluebellpitch/platform/duty_api.py
@@ -59,7 +59,7 @@
     async def order_endpoints(
         self, lease: HeldLease, pool: str, zone: str, count: int, is_spot: bool
     ) -> CallOutcome:
-        """Orders how many endpoints of one sort a pool should have in a zone."""
+        """Orders how many endpoints of one capacity type a pool should have in a zone."""
         order = {"service": pool, "zone": zone, "desired": count}
         return await self._call(lease, "/scale", order | ({"spot": True} if is_spot else {}))
 
@@ -75,10 +75,7 @@
             if not lease.allows_call(self._now()):
                 return CallFailed("lease_ends")
             response = await connection.call("POST", path, body, CALL_TIMEOUT_S, headers)
-        except NotSentError as error:
-            self.close()
-            return CallFailed(str(error), is_unanswered=True)
-        except ConnectionLostError as error:
+        except (NotSentError, ConnectionLostError) as error:
             self.close()
             return CallFailed(str(error), is_unanswered=True)
         if not connection.start_next_cycle():
--- a/bluebellpitch/roles/duties/autoscaler.py
+++ b/bluebellpitch/roles/duties/autoscaler.py
@@ -119,7 +119,7 @@
             own_entries = [entry for entry in entries if entry.pool == pool]
             for unavailable in planner.observe_entries(own_entries, now):
                 self._log_unavailable(pool, unavailable)
-            self._show(pool, planner)
+            self._update_metrics(pool, planner)
             if (order := planner.next_order(now)) is not None:
                 return order
         return None
@@ -161,7 +161,7 @@
             self._failing_since = None
         return max(pause_s, self._call_interval_s)
 
-    def _show(self, pool: str, planner: OrderPlanner) -> None:
+    def _update_metrics(self, pool: str, planner: OrderPlanner) -> None:
         for group, supply in planner.supply.by_group.items():
             labels = (pool, group.zone, name_capacity_type(group))
             self._metrics.endpoints_ordered.labels(*labels).set(supply.ordered)
@@ -169,7 +169,9 @@
             self._metrics.endpoints_present.labels(*labels).set(supply.ready)
 
     def _log_unavailable(self, pool: str, unavailable: Unavailable) -> None:
-        self._metrics.endpoints_not_had.labels(pool, unavailable.reason).inc(unavailable.missing)
+        self._metrics.endpoints_unavailable.labels(pool, unavailable.reason).inc(
+            unavailable.missing
+        )
         log(
             "WARNING",
             "scaling_unavailable",
--- a/bluebellpitch/roles/duties/duty_context.py
+++ b/bluebellpitch/roles/duties/duty_context.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from bluebellpitch.decisions.duties.lease import name_vm
 from bluebellpitch.decisions.hashing import rank_owners
 from bluebellpitch.decisions.liveness import Liveness
 from bluebellpitch.decisions.store_era import StoreEra
@@ -39,7 +40,7 @@
     @property
     def vm_name(self) -> str:
         """Name of the machine, whatever process runs on it."""
-        return self.vm_key.rsplit("/", maxsplit=1)[0]
+        return name_vm(self.vm_key)
 
     def is_candidate(self, duty: str) -> bool:
         """Returns whether this VM is the one of its zone that may take over a duty."""
@@ -52,6 +53,6 @@
         zones = {*self.zones, self.zone}
         return rank_owners(duty_role(duty), zones).index(self.zone)
 
-    def tell_all(self, message) -> None:
+    def send_to_all(self, message) -> None:
         """Sends a message to all other VMs that there may be."""
         self.bus.send_to_addresses({*self.peer_addresses()} - {self.address}, message)
--- a/bluebellpitch/roles/duties/duty_holder.py
+++ b/bluebellpitch/roles/duties/duty_holder.py
@@ -245,7 +245,7 @@
 
     def _tell(self, token: int, end_offset: int, reply_to: str) -> None:
         message = DutyAnnouncement(self.duty, token, end_offset - 1, reply_to)
-        self._context.tell_all(message)
+        self._context.send_to_all(message)
 
     async def give_back(self, reason: str) -> None:
         """Gives the lease back, so that another VM may take it at once; this one only later."""
--- a/bluebellpitch/roles/duties/usage_duty.py
+++ b/bluebellpitch/roles/duties/usage_duty.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Coroutine
 
-from bluebellpitch.decisions.duties.lease import name_vm
 from bluebellpitch.decisions.duties.usage_windows import UsageWindows
 from bluebellpitch.platform.duty_api import DutyApi
 from bluebellpitch.platform.settings_file import DutySettings
@@ -17,7 +16,7 @@
 
     def __init__(self, settings: DutySettings, holder: DutyHolder, context: DutyContext):
         self._context = context
-        self._api = DutyApi(settings.api_address, name_vm(context.vm_key), context.now)
+        self._api = DutyApi(settings.api_address, context.vm_name, context.now)
         self.gatherer = UsageGatherer(
             vm_key=context.vm_key,
             address=context.address,
--- a/tests/mutants_of_scaling.py
+++ b/tests/mutants_of_scaling.py
@@ -64,7 +64,7 @@
         ORDERS,
         "            history.keep(self.supply.initial_by_zone.get(zone, 0), now)\n",
         "            pass\n",
-        f"{REPLAYS} for_a_crest",
+        f"{REPLAYS} for_a_peak",
     ),
     Mutant(
         "scaling: what a zone said is forgotten",
@@ -74,9 +74,9 @@
         f"{REPLAYS} silent_zone",
     ),
     Mutant(
-        "scaling: crests are kept",
+        "scaling: peaks are kept",
         LEVELS,
-        "want = max(must, rise, crest)",
+        "want = max(must, rise, peak)",
         "want = level",
         f"{REPLAYS} without_swinging",
     ),
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -56,9 +56,9 @@
     calm_total = replay.total("a1")
     replay.run(CALM_UNTIL + 8.9)
     assert replay.total("a1") * 16 >= 1.5 * burst("a1", replay.now)
-    at_crest = len(replay.orders)
+    at_peak = len(replay.orders)
     replay.run(CALM_UNTIL + 90)
-    spot = [o.count for _, o in replay.orders[at_crest:] if o.group == EndpointGroup("a1", True)]
+    spot = [o.count for _, o in replay.orders[at_peak:] if o.group == EndpointGroup("a1", True)]
     assert spot == sorted(spot, reverse=True)
     assert replay.total("a1") <= calm_total + 2
 
@@ -115,7 +115,7 @@
     assert all(replay.count(zone, is_spot=False) < 8 for zone in REGIONS_BY_ZONE)
 
 
-def test_new_holder_keeps_what_there_is_for_a_crest(calm):
+def test_new_holder_keeps_what_there_is_for_a_peak(calm):
     before = calm.total("a1")
     calm.places = lambda zone, now: 2.0
     calm.restart()
--- a/tests/test_zone_spillover.py
+++ b/tests/test_zone_spillover.py
@@ -24,7 +24,7 @@
 from tests.zone_replay import ZonesReplay, arrivals_of
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
-DURATION_S, CREST_S, PERIOD_S = 4.0, 2.4, 8.0
+DURATION_S, PEAK_S, PERIOD_S = 4.0, 2.4, 8.0
 
 
 def prompts(rate_per_s: float, shared_tokens: int = 6300) -> PromptLoad:
@@ -32,18 +32,18 @@
     return PromptLoad("long", rate_per_s, 1, shared_tokens, own_tokens, 60, 0.8, 0.5, 6.0, 0.6)
 
 
-def crest(phase_s: float, base: float):
-    return lambda now: 1.0 if (now + phase_s) % PERIOD_S < CREST_S else base
+def peak(phase_s: float, base: float):
+    return lambda now: 1.0 if (now + phase_s) % PERIOD_S < PEAK_S else base
 
 
-def replay_crests(
+def replay_peaks(
     regions: dict[str, str], load: PromptLoad, base: float, cut_off: frozenset[str] = frozenset()
 ):
     replay = ZonesReplay(regions, engines=4)
     replay.cut_off = cut_off
     arrivals = []
     for number, zone in enumerate(regions):
-        share_at = crest(number * PERIOD_S / len(regions), base)
+        share_at = peak(number * PERIOD_S / len(regions), base)
         arrivals += arrivals_of(zone, load, share_at, DURATION_S, 7 + number)
     outcomes = replay.run(arrivals, DURATION_S + 4.0)
     return replay, [outcome for zone in outcomes.values() for outcome in zone]
@@ -68,7 +68,7 @@
 
 
 def test_prompts_stay_in_zones_with_room():
-    replay, outcomes = replay_crests(REGIONS, prompts(4, shared_tokens=0), 1.0)
+    replay, outcomes = replay_peaks(REGIONS, prompts(4, shared_tokens=0), 1.0)
     assert on_time_share(outcomes) == 1.0
     assert sum(replay.sent.values()) == 0
 
@@ -103,21 +103,21 @@
     assert idle.outlook.long_fixed_s - before_s == pytest.approx(3 * 1000 * 6e-6)
 
 
-def test_crests_that_follow_one_another_are_served_by_the_other_zones():
-    _, outcomes = replay_crests(REGIONS, prompts(75), 0.25)
+def test_peaks_that_follow_one_another_are_served_by_the_other_zones():
+    _, outcomes = replay_peaks(REGIONS, prompts(75), 0.25)
     assert on_time_share(outcomes) >= 0.9
 
 
-def test_crests_in_opposite_phase_do_not_swing():
-    """While one zone has its crest and the other does not, nothing flows against the crest."""
-    replay, outcomes = replay_crests({"a1": "a", "a2": "a"}, prompts(45), 0.1)
+def test_peaks_in_opposite_phase_do_not_swing():
+    """While one zone has its peak and the other does not, nothing flows against the peak."""
+    replay, outcomes = replay_peaks({"a1": "a", "a2": "a"}, prompts(45), 0.1)
     assert on_time_share(outcomes) >= 0.95
-    in_crest = [to for at, _, to in replay.log if 0.3 < at < CREST_S]
-    assert in_crest.count("a1") <= 0.1 * len(in_crest)
+    in_peak = [to for at, _, to in replay.log if 0.3 < at < PEAK_S]
+    assert in_peak.count("a1") <= 0.1 * len(in_peak)
 
 
 def test_zone_that_is_cut_off_gets_nothing_and_its_callers_stay():
-    replay, _ = replay_crests({"a1": "a", "a2": "a"}, prompts(45), 0.1, frozenset({"a2"}))
+    replay, _ = replay_peaks({"a1": "a", "a2": "a"}, prompts(45), 0.1, frozenset({"a2"}))
     assert sum(replay.sent.values()) == 0
 
 
