Name the outcome of an order in its log line

Cause: the line showed the type of the answer, and the delays between zones had no reason. Change: accepted, rejected_STATUS or failed with its reason; a comment.

--- a/bluebellpitch/decisions/zones/distances.py
+++ b/bluebellpitch/decisions/zones/distances.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+# Usual delays one way, within a data center, a region and between regions.
 SAME_ZONE_DELAY_S = 0.0005
 SAME_REGION_DELAY_S = 0.001
 CROSS_REGION_DELAY_S = 0.03
--- a/bluebellpitch/roles/duties/autoscaler.py
+++ b/bluebellpitch/roles/duties/autoscaler.py
@@ -130,20 +130,19 @@
             return DECISION_INTERVAL_S
         log_decision(order, self._planners_by_pool[order.pool])
         group = order.group
-        outcome = await self._api.order_endpoints(
+        result = await self._api.order_endpoints(
             lease, order.pool, group.zone, order.count, group.is_spot
         )
         planner = self._planners_by_pool[order.pool]
-        match outcome:
+        match result:
             case CallAccepted():
                 planner.record_accepted(order, self._now())
-                pause_s = self._record_answer()
+                pause_s, outcome = self._record_answer(), "accepted"
             case CallRejected(status):
                 self._log_unavailable(order.pool, planner.record_rejected(order, self._now()))
-                pause_s = self._record_answer()
-                outcome = f"rejected_{status}"
+                pause_s, outcome = self._record_answer(), f"rejected_{status}"
             case CallFailed(reason):
-                pause_s = await self._record_failure(reason)
+                pause_s, outcome = await self._record_failure(reason), f"failed: {reason}"
         log("INFO", "scaling_order", **describe_order(order), token=lease.token, outcome=outcome)
         return pause_s
 
