--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -194,13 +194,6 @@
         "return True",
         "soak --seed 16 --seconds 20 --vms 2 --only store_down --only key_taken",
     ),
-    Mutant(
-        "route: a stopping VM finishes its requests",
-        "bluebellpitch/draining.py",
-        "    while http.busy_connections and schedule.time_left_s(now()) > 0:\n",
-        "    while False:\n",
-        "soak --seed 14 --seconds 15 --vms 2 --only vm_stop",
-    ),
     Mutant(
         "route: a response to another request is skipped",
         "bluebellpitch/endpoints/attempt.py",
--- a/tests/mutants_of_store.py
+++ b/tests/mutants_of_store.py
@@ -148,6 +148,13 @@
     ),
 )
 SHUTDOWN_MUTANTS = (
+    Mutant(
+        "route: a stopping VM finishes its requests",
+        "bluebellpitch/draining.py",
+        "    while http.busy_connections and schedule.time_left_s(now()) > 0:\n",
+        "    while False:\n",
+        "soak --seed 14 --seconds 15 --vms 2 --only vm_stop",
+    ),
     Mutant(
         "route: a request that the grace has no time for is refused",
         "bluebellpitch/callers/routed_requests.py",
