Close idle connections unread before a VM ends

Change: after the last requests were read, idle connections are closed without being read, and their clients may repeat what is on its way; what was read already is served. route and serve share this.

--- a/bluebellpitch/draining.py
+++ b/bluebellpitch/draining.py
@@ -56,6 +56,7 @@
     await asyncio.sleep(stop_after_s - refuse_after_s)
     http.stop_listening()
     await asyncio.sleep(last_requests_s(grace_s))
+    await http.close_idle()
     while http.busy_connections and schedule.time_left_s(now()) > 0:
         await asyncio.sleep(DRAIN_POLL_S)
     shutdown.must_answer.set()
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -201,13 +201,13 @@
         self.in_flight = 0
         self.is_closing = False
         self._open_connections = 0
-        self._idle_connections = 0
+        self._idle_connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
     @property
     def busy_connections(self) -> int:
         """Connections with a request that is being received or answered, or with unsent bytes."""
-        return self._open_connections - self._idle_connections
+        return self._open_connections - len(self._idle_connections)
 
     async def listen(self, host: str, port: int) -> int:
         """Starts to accept connections; returns the port."""
@@ -255,11 +255,11 @@
 
     async def _wait_for_request(self, connection: ServerConnection) -> bool:
         connection.limits = self.limits
-        self._idle_connections += 1
+        self._idle_connections.add(connection)
         try:
             return await connection.wait_for_request()
         finally:
-            self._idle_connections -= 1
+            self._idle_connections.discard(connection)
 
     async def _refuse_and_drain(self, connection, error: BadRequestError) -> None:
         """Answers a bad request, then reads on briefly: a TCP reset could discard the response."""
@@ -271,6 +271,24 @@
         except (DisconnectedError, OSError, TimeoutError, h11.LocalProtocolError):
             return
 
+    async def close_idle(self) -> None:
+        """Closes the connections on which no request has begun.
+
+        Nothing is read of them any more: their clients may repeat whatever is on its way. What was
+        read already is served.
+        """
+        idle = list(self._idle_connections)
+        for connection in idle:
+            connection.writer.transport.pause_reading()
+        # The tasks of connections that have received something run now.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        for connection in idle:
+            if connection in self._idle_connections:
+                connection.writer.transport.abort()
+            else:
+                connection.writer.transport.resume_reading()
+
     def stop_listening(self) -> None:
         """Stops accepting connections; each open one serves at most one more request."""
         self.is_closing = True
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -275,6 +275,7 @@
         await asyncio.sleep(self.settings.drain_notice_s)
         self.callers.http.stop_listening()
         await asyncio.sleep(last_requests_s(self.settings.grace_s))
+        await self.callers.http.close_idle()
         while self._has_open_work() and schedule.time_left_s(self.now()) > 0:
             await asyncio.sleep(DRAIN_POLL_S)
         shutdown.must_answer.set()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -13,6 +13,7 @@
     ShutdownSchedule,
 )
 from bluebellpitch.draining import LAST_REQUESTS_SHARE, STOP_LISTENING_SHARE
+from bluebellpitch.errors import ConnectionLostError
 from bluebellpitch.http1 import ClientConnection
 from fakes.client import submit_case
 from fakes.fleet import Fleet
@@ -113,6 +114,37 @@
     await asyncio.wait_for(ends, 1.0)
 
 
+@in_deployment
+async def test_request_that_comes_after_the_last_look_is_not_read(deployment):
+    """Its caller may repeat it; the VM read it while it ended, and cut it without an answer."""
+    _, client = await start_deployment(deployment, "app")
+    vm, ends = deployment.vms[0], deployment._tasks[0]
+    connection = await ClientConnection.open(vm.settings.listen_address, 1.0)
+    await asyncio.sleep(0.1)
+    vm.draining.set()
+    shares = STOP_LISTENING_SHARE + LAST_REQUESTS_SHARE
+    await asyncio.sleep(GRACE_S * shares + 0.1)
+    assert vm.http.in_flight == 0
+    with pytest.raises(ConnectionLostError):
+        await connection.send("POST", "/file/1", [("Request-Id", "r1")], b"x")
+        await connection.read_response(1.0)
+    await asyncio.wait_for(ends, 1.0)
+
+
+@in_deployment
+async def test_request_that_was_received_at_the_last_look_is_answered(deployment):
+    _, client = await start_deployment(deployment, "app")
+    http = deployment.vms[0].http
+    connection = await ClientConnection.open(deployment.vms[0].settings.listen_address, 1.0)
+    await asyncio.sleep(0.1)
+    (idle,) = http._idle_connections
+    idle.reader.feed_data(b"GET /none/1 HTTP/1.1\r\nHost: tile.example\r\n\r\n")
+    await http.close_idle()
+    connection.h11.send(h11.Request(method="GET", target="/none/1", headers=[("Host", "-")]))
+    connection.h11.send(h11.EndOfMessage())
+    assert (await connection.read_response(1.0)).status == 404
+
+
 @in_deployment
 async def test_vm_that_stops_waits_for_no_idle_connection(deployment):
     _, client = await start_deployment(deployment, "app")
