Let a request that must avoid endpoints keep no other waiting

Cause: the broker tries the first request of a class and, only if that one is isolated, one more. A request whose excluded endpoints leave no free one stood first for its whole wait, and nothing of its class was granted; it also ended preemption for its class. Change: after a restricted request the broker tries the next with other restrictions. Rules of preemption move to a module.

--- a/bluebellpitch/decisions/request_queues.py
+++ b/bluebellpitch/decisions/request_queues.py
@@ -1,9 +1,9 @@
 """Queued requests of a broker, by class and member, in order of arrival."""
 
 from bisect import insort
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 
-from bluebellpitch.decisions.slot_grants import QueuedRequest
+from bluebellpitch.decisions.slot_grants import QueuedRequest, Restriction
 
 
 def queue_order(request: QueuedRequest) -> tuple[bool, float]:
@@ -66,12 +66,13 @@
         class_name: str,
         member_priority: Callable[[str], float],
         on_time_since: float,
-        skip_isolated: bool = False,
+        skipped: Collection[Restriction] = (),
     ) -> QueuedRequest | None:
         """Returns the next request of a class, or None.
 
         Members with a lower ``member_priority`` go first; infinity excludes a member. Requests that
         arrived before ``on_time_since`` can no longer meet their target and go after all others.
+        Those with one of the ``skipped`` restrictions are left out.
         """
         ranked = [
             (member_priority(member), member, queue)
@@ -79,10 +80,9 @@
         ]
         allowed = sorted((r for r in ranked if r[0] != float("inf")), key=lambda r: r[:2])
         queues = [queue for _, _, queue in allowed]
-        if skip_isolated:
-            queues = [
-                kept for queue in queues if (kept := [r for r in queue if not r.isolation_level])
-            ]
+        if skipped:
+            kept = ([r for r in queue if r.restriction not in skipped] for queue in queues)
+            queues = [queue for queue in kept if queue]
         for queue in queues:
             on_time = first_on_time(queue, on_time_since)
             if on_time is not None:
--- a/bluebellpitch/decisions/slot_broker.py
+++ b/bluebellpitch/decisions/slot_broker.py
@@ -8,28 +8,30 @@
 
 import math
 from bisect import bisect_left, insort
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 
 from bluebellpitch.constants import (
     GRANT_TIMEOUT_S,
-    MAX_PREEMPTIONS_PER_REQUEST,
-    PREEMPT_AFTER_TARGET_SHARE,
     SHEDDING_HOLD_S,
     SLOT_REQUEST_TIMEOUT_S,
 )
 from bluebellpitch.decisions.class_scheduling import ClassScheduler, SchedulingPolicy
 from bluebellpitch.decisions.endpoint_health import EndpointHealth, LatencySample
 from bluebellpitch.decisions.endpoint_selection import EndpointSelector
+from bluebellpitch.decisions.preemption import is_preemptible, may_preempt
 from bluebellpitch.decisions.request_queues import RequestQueues
 from bluebellpitch.decisions.rows import EndpointRow, MemberRow, Table
 from bluebellpitch.decisions.slot_grants import (
+    ISOLATED,
+    UNRESTRICTED,
     ActiveGrant,
     FinishedGrant,
     GrantSlot,
     PreemptGrant,
     QueuedRequest,
     RefuseRequest,
+    Restriction,
     SlotBrokerCommand,
     arrival_key,
 )
@@ -214,7 +216,7 @@
     def _preempt_on_slow_endpoints(self, now: float) -> Iterator[PreemptGrant]:
         slow = [name for name, is_slow in self.health.update_slow_endpoints(now) if is_slow]
         for grant in tuple(self.grants_by_id.values()) if slow else ():
-            if grant.endpoint in slow and self._is_preemptible(grant):
+            if grant.endpoint in slow and is_preemptible(grant):
                 yield self._start_preemption(grant, "slow_endpoint")
 
     def _start_preemption(self, grant: ActiveGrant, reason: str) -> PreemptGrant:
@@ -246,26 +248,28 @@
                     return request, endpoint, from_share
         return None
 
-    def _candidates(self, class_name: str, now: float) -> Iterator[QueuedRequest]:
-        """Yields the next request; if that one needs isolation, also the next that does not."""
-        request = self._pick_next(class_name, now)
-        if request is None:
-            return
-        yield request
-        if request.isolation_level:
-            ordinary = self._pick_next(class_name, now, skip_isolated=True)
-            if ordinary is not None:
-                yield ordinary
+    def _candidates(
+        self, class_name: str, now: float, skipped: Iterable[Restriction] = ()
+    ) -> Iterator[QueuedRequest]:
+        """Yields the next request; while that is restricted, also the next with other limits."""
+        skipped = set(skipped)
+        while (request := self._pick_next(class_name, now, skipped)) is not None:
+            yield request
+            if request.restriction == UNRESTRICTED:
+                return
+            skipped.add(request.restriction)
 
     def _is_contended(self) -> bool:
         """Guaranteed shares apply only when more requests wait than slots are free."""
         free = self.selector.total_slots - len(self.grants_by_id)
         return len(self.queues.requests_by_id) > free
 
-    def _pick_next(self, class_name: str, now: float, skip_isolated=False) -> QueuedRequest | None:
+    def _pick_next(
+        self, class_name: str, now: float, skipped: set[Restriction]
+    ) -> QueuedRequest | None:
         on_time_since = self.scheduler.on_time_since(class_name, now)
         return self.queues.next_request(
-            class_name, lambda m: self._member_priority(m, now), on_time_since, skip_isolated
+            class_name, lambda m: self._member_priority(m, now), on_time_since, skipped
         )
 
     def _member_priority(self, member: str, now: float) -> float:
@@ -311,19 +315,22 @@
         for class_name in sorted(self.queues.waiting_classes(), key=self.scheduler.tier):
             if self.scheduler.is_deferred(class_name, now):
                 continue
-            while (request := self._pick_next(class_name, now, skip_isolated=True)) is not None:
-                victim = self._victim_for(request, now) if self._may_preempt(request, now) else None
-                if victim is None:
-                    break
+            while (preemption := self._next_preemption(class_name, now)) is not None:
+                victim, request = preemption
                 yield self._start_preemption(victim, "higher_tier_waits")
                 yield self._issue_grant(request, victim.endpoint, False, now)
 
-    def _may_preempt(self, request: QueuedRequest, now: float) -> bool:
-        """The highest tier and resumed requests preempt at once, others after a short wait."""
-        row = self.scheduler.class_row(request.class_name)
-        if request.resumed or row.tier <= self.scheduler.highest_tier:
-            return True
-        return now - request.arrived_at >= PREEMPT_AFTER_TARGET_SHARE * row.first_token_ms / 1000
+    def _next_preemption(
+        self, class_name: str, now: float
+    ) -> tuple[ActiveGrant, QueuedRequest] | None:
+        """Returns a grant to preempt and the request that takes its slot, or None."""
+        for request in self._candidates(class_name, now, {ISOLATED}):
+            row = self.scheduler.class_row(class_name)
+            if not may_preempt(request, row, self.scheduler.highest_tier, now):
+                continue
+            if (victim := self._victim_for(request, now)) is not None:
+                return victim, request
+        return None
 
     def _victim_for(self, request: QueuedRequest, now: float) -> ActiveGrant | None:
         """Returns the grant to preempt: the latest arrival in the lowest tier, or None."""
@@ -337,11 +344,6 @@
         return None
 
     def _can_replace(self, grant: ActiveGrant, request: QueuedRequest, now: float) -> bool:
-        if grant.from_guaranteed_share or not self._is_preemptible(grant):
+        if grant.from_guaranteed_share or not is_preemptible(grant):
             return False
         return self.selector.can_replace_on(grant.endpoint, request, now)
-
-    def _is_preemptible(self, grant: ActiveGrant) -> bool:
-        if grant.preempting or not grant.request.resumable:
-            return False
-        return grant.request.preemptions < MAX_PREEMPTIONS_PER_REQUEST
--- a/bluebellpitch/decisions/slot_grants.py
+++ b/bluebellpitch/decisions/slot_grants.py
@@ -2,6 +2,11 @@
 
 from dataclasses import dataclass, field
 
+# Whether a request is isolated, and the endpoints that may not take it otherwise.
+Restriction = tuple[bool, frozenset[str]]
+UNRESTRICTED: Restriction = (False, frozenset())
+ISOLATED: Restriction = (True, frozenset())
+
 
 @dataclass(slots=True)
 class QueuedRequest:
@@ -28,6 +33,11 @@
     preemptions: int = 0
     last_requested_at: float = 0.0
 
+    @property
+    def restriction(self) -> Restriction:
+        """What keeps the request from some endpoints. Isolated ones compete and count alike."""
+        return ISOLATED if self.isolation_level else (False, self.excluded_endpoints)
+
 
 @dataclass(slots=True)
 class ActiveGrant:
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -200,6 +200,22 @@
     assert_that(granted_ids(ordinary), HasLength(4))
 
 
+def test_request_that_no_free_endpoint_may_take_blocks_no_other():
+    """One that waited for an endpoint other than the only one kept its whole class waiting."""
+    broker = make_broker(endpoints=1, slots=1)
+    send(broker, [queued("avoids", excluded_endpoints=frozenset({"e0"}), at=-1.0)])
+    others = send(broker, [queued("other", at=0.0), queued("top", "high", at=0.0)])
+    assert_that(granted_ids(others), Equals(["other", "top"]))
+    assert_that(granted_ids(finish(broker, "top", 0.1)), Equals([]))
+
+
+def test_restricted_request_does_not_keep_others_of_its_class_from_preempting():
+    broker = make_broker(endpoints=1, slots=1)
+    avoids = queued("avoids", "high", excluded_endpoints=frozenset({"e0"}), at=-0.1)
+    commands = send(broker, [queued("low"), avoids, queued("top", "high")])
+    assert_that(granted_ids(commands), Equals(["low", "top"]))
+
+
 def test_exclusive_request_gets_an_endpoint_in_a_full_pool():
     """Without a reservation, the endpoints would never be idle and the request would starve."""
     broker = make_broker(endpoints=2, slots=2)
