Start no second attempt when there is no other endpoint

Callers of `serve` saw: a stream whose first token was late got nothing for ten minutes. Cause: after a late first token the attempt is given up and the next one avoids its endpoint, for up to RESUME_TIMEOUT_S. In a pool of one endpoint there is none to wait for. Change: an attempt waits as long as without a second one if no other endpoint of the pool may get requests.

--- a/bluebellpitch/context.py
+++ b/bluebellpitch/context.py
@@ -1,6 +1,6 @@
 """Dependencies of the tasks that serve callers: the VM's components, budgets and clocks."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.endpoint_pauses import EndpointPauses
@@ -67,15 +67,24 @@
 
     def pause_wait_s(self, pool: str) -> float:
         """Returns how long all endpoints of a pool pause; 0 if one does not, or there is none."""
-        paused, view = set(self.paused_endpoints()), self.view_holder.current
-        if not paused:
+        if not self.paused_endpoints():
             return 0.0
-        zones = (zone for zone, _ in view.table.zones_by_pool.get(pool, ()))
-        rows = (row for zone in zones for row in view.table.pool_endpoints(pool, zone))
-        names = [row.name for row in rows if view.accepts_requests(row.name)]
+        names = self._open_endpoints(pool)
         waits_s = (self.pauses.wait_s((name, 0), self.now()) for name in names)
         return min(waits_s, default=0.0)
 
+    def has_other_endpoint(self, pool: str, endpoint: str) -> bool:
+        """Returns whether an endpoint of the pool other than this one may get requests now."""
+        others = set(self._open_endpoints(pool)) - {endpoint}
+        return not others <= set(self.paused_endpoints())
+
+    def _open_endpoints(self, pool: str) -> Iterator[str]:
+        """Yields the endpoints of a pool, in all zones, that accept requests."""
+        view = self.view_holder.current
+        zones = (zone for zone, _ in view.table.zones_by_pool.get(pool, ()))
+        rows = (row for zone in zones for row in view.table.pool_endpoints(pool, zone))
+        return (row.name for row in rows if view.accepts_requests(row.name))
+
     @property
     def table(self) -> Table:
         """The current table."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -92,6 +92,23 @@
     assert_that(differing, Equals([]))
 
 
+def test_slow_first_token_of_the_only_engine_is_waited_for(run, fleet, vm):
+    """A second attempt that avoided the only engine waited for another one for ten minutes."""
+    engine = fleet.processes_by_name["engine-doto-1-0"]
+
+    async def send_to_slow_engine():
+        await stream_completion(vm.listen, CREDENTIAL, "[len=1] known")
+        await fleet.set_faults(engine, slow=20.0)
+        try:
+            async with asyncio.timeout(10.0):
+                return await stream_completion(vm.listen, CREDENTIAL, "[len=1] late")
+        finally:
+            await fleet.set_faults(engine, slow=1.0)
+
+    response = run(send_to_slow_engine())
+    assert_that(response.text, Equals(expected_completion("[len=1] late")))
+
+
 BAD_REQUESTS = {
     "bad_json": (b"{", None, 400),
     "unknown_model": (completion_body(model="none"), None, 404),
