Let a member's largest request fade from its tolerance

A member may exceed its share by two of its own requests. The largest one was remembered for as long as the member was, so that one very large prompt excused everything that the member was granted later.

It now loses half of itself every 10 s, and is renewed by grants too, so that a prompt that waited long does not put its member over its share.

tests/test_shortage.py: one of its two new tests failed before, all pass; also test_waiting_queue.py and test_generation_broker.py pass.

--- a/bluebellpitch/decisions/shortage/fair_shares.py
+++ b/bluebellpitch/decisions/shortage/fair_shares.py
@@ -15,6 +15,8 @@
 # What a member usually asks for, and what it has lately been granted, decay with these half-lives.
 USUAL_HALF_LIFE_S = 60.0
 GRANTED_HALF_LIFE_S = 2.0
+# A member's largest request counts less and less, longer than what it was granted.
+LARGEST_HALF_LIFE_S = 10.0
 # Usual demand is first learnt for so long, while nobody is over its share.
 LEARNING_S = 5.0
 # A member's usual demand counts as at least this part of the mean of all members.
@@ -49,6 +51,23 @@
         return self._value * 0.5 ** ((now - self._at) / self.half_life_s) if self._value else 0.0
 
 
+@dataclass(slots=True)
+class DecayingMax:
+    """The largest of some amounts, each of which loses half of itself every ``half_life_s``."""
+
+    half_life_s: float
+    _value: float = 0.0
+    _at: float = float("-inf")
+
+    def add(self, amount: float, now: float) -> None:
+        """Takes an amount into account."""
+        self._value, self._at = max(self.value(now), amount), now
+
+    def value(self, now: float) -> float:
+        """Returns the largest amount at ``now``."""
+        return self._value * 0.5 ** ((now - self._at) / self.half_life_s) if self._value else 0.0
+
+
 def cost_tokens(work: WorkItem) -> int:
     """Returns the cost of a request, in prompt tokens."""
     return work.tokens_in + OUTPUT_TOKEN_WEIGHT * work.tokens_out
@@ -56,11 +75,14 @@
 
 @dataclass(slots=True)
 class MemberUse:
-    """What one member asks for and was granted, in tokens. ``largest`` is its largest request."""
+    """What one member asks for and was granted, in tokens.
+
+    ``largest`` is its largest request, of which an old one says little about those of now.
+    """
 
     asked: DecayingSum = field(default_factory=lambda: DecayingSum(USUAL_HALF_LIFE_S))
     granted: DecayingSum = field(default_factory=lambda: DecayingSum(GRANTED_HALF_LIFE_S))
-    largest: int = 0
+    largest: DecayingMax = field(default_factory=lambda: DecayingMax(LARGEST_HALF_LIFE_S))
 
 
 class FairShares:
@@ -85,7 +107,7 @@
         self._learn(now)
         use = self._use_by_member.setdefault(work.member, MemberUse())
         use.asked.add(cost_tokens(work), now)
-        use.largest = max(use.largest, cost_tokens(work))
+        use.largest.add(cost_tokens(work), now)
 
     def _learn(self, now: float) -> None:
         """Ends the learning when it is due, as if the demand had been the same for ever."""
@@ -100,8 +122,10 @@
 
     def record_granted(self, work: WorkItem, now: float) -> None:
         """Counts a request that got an engine."""
-        if work.member in self._use_by_member:
-            self._use_by_member[work.member].granted.add(cost_tokens(work), now)
+        use = self._use_by_member.get(work.member)
+        if use is not None:
+            use.granted.add(cost_tokens(work), now)
+            use.largest.add(cost_tokens(work), now)
 
     def members_over_share(self, waiting: Iterable[str], now: float) -> frozenset[str]:
         """Returns which members were granted more than their shares.
@@ -125,7 +149,7 @@
             member
             for member in members
             if granted[member] - TOLERANCE * usual[member] * per_usual
-            > TOLERATED_REQUESTS * self._use_by_member[member].largest
+            > TOLERATED_REQUESTS * self._use_by_member[member].largest.value(now)
         )
 
     def _usual_tokens(self, members: list[str], now: float) -> dict[str, float]:
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -149,6 +149,28 @@
     assert_that(shares.members_over_share(["hot", "other"], 1.0), Equals(frozenset()))
 
 
+def test_one_very_large_prompt_long_ago_does_not_excuse_a_hot_member():
+    shares = FairShares()
+    huge = replace(make_prompt("huge", 9.0, "hot"), tokens_in=2_000_000)
+    for work in (huge, make_prompt("w", 9.0, "other")):
+        shares.record_asked(work, 0.0)
+    for work in (make_prompt("w", 9.0, "hot"), make_prompt("w", 9.0, "other")):
+        shares.record_asked(work, 600.0)
+        shares.record_granted(work, 600.0)
+    for number in range(100):
+        shares.record_granted(make_prompt(f"w{number}", 9.0, "hot"), 600.0)
+    assert_that(shares.members_over_share(["hot", "other"], 600.0), Equals(frozenset({"hot"})))
+
+
+def test_member_whose_only_prompt_waited_long_is_not_over_its_share():
+    shares = FairShares()
+    for member in ("other", "slow"):
+        shares.record_asked(make_prompt("w", 90.0, member), 0.0)
+    shares.record_asked(make_prompt("w", 90.0, "other"), 60.0)
+    shares.record_granted(make_prompt("w", 90.0, "slow"), 60.0)
+    assert_that(shares.members_over_share(["slow", "other"], 60.0), Equals(frozenset()))
+
+
 def test_member_that_left_is_forgotten():
     shares = FairShares()
     shares.record_asked(make_prompt("a", 9.0, "gone"), 0.0)
