Keep count of an engine whose work its broker granted twice

A broker that is asked again for work which it has just granted frees that engine and grants another one. The VM runs the work under the first grant and returns the second, so the broker counted neither: an engine that ran the work was taken for free until its end.

A VM that returns a grant now reports the one that it uses to the same broker, which adopts it.

tests/test_broker_takeover.py: the new test failed before; with test_zone_spillover.py and test_zones.py 32 passed.

--- a/bluebellpitch/roles/generation_broker_client.py
+++ b/bluebellpitch/roles/generation_broker_client.py
@@ -280,8 +280,20 @@
         if responses is not None:
             responses.put_nowait(response)
         elif isinstance(response, WorkGranted):
-            ended = WorkEnded(response.work_id, response.pool, "withdrawn")
-            self._send_to_address(response.broker_address, ended)
+            self._return_grant(response)
+
+    def _return_grant(self, granted: WorkGranted) -> None:
+        """Returns a grant that is not used, and reports the one that is to the same broker.
+
+        A broker counts one grant of a work, the last: without the report, it would take the engine
+        that runs the work for free.
+        """
+        address = granted.broker_address
+        self._send_to_address(address, WorkEnded(granted.work_id, granted.pool, "withdrawn"))
+        held = self._held_by_work.get(granted.work_id)
+        if held is not None and address in held.broker_addresses:
+            works = (describe_held_work(held, self._now()),)
+            self._send_to_address(address, HeldWorkReport(granted.pool, self._vm_key, works))
 
 
 async def next_response(responses: asyncio.Queue, timeout_s: float) -> BrokerResponse | None:
--- a/tests/test_broker_takeover.py
+++ b/tests/test_broker_takeover.py
@@ -124,6 +124,31 @@
     assert isinstance(grant, EngineGrant)
 
 
+def assigned_at_engine(coordinator: GenerationCoordinator) -> list[str]:
+    (engine,) = coordinator._get_broker(POOL).placement.engines_by_key.values()
+    return list(engine.assigned_by_id)
+
+
+def test_work_that_a_broker_granted_twice_is_counted_until_it_ends():
+    async def body():
+        coordinators = start_coordinators(4)
+        broker = coordinators[broker_of(coordinators["vm-0"])]
+        requester = next(c for c in coordinators.values() if c is not broker)
+        client = requester.broker_client
+        client.release(await acquire(requester, "first"), "ok", 0.0)
+        acquiring = asyncio.ensure_future(acquire(requester, "a"))
+        await asyncio.sleep(0)
+        client._send_request(broker._vm_key, make_work("a"), frozenset(), must_stay=False)
+        grant = await acquiring
+        await asyncio.sleep(0.1)
+        while_running = assigned_at_engine(broker)
+        client.release(grant, "ok", 0.0)
+        await asyncio.sleep(0.1)
+        return while_running, assigned_at_engine(broker)
+
+    assert run_in_virtual_time(body()) == (["a"], [])
+
+
 def test_new_broker_learns_the_limit_that_an_engine_named_to_others():
     async def body():
         limits_by_vm = {f"vm-{n}": {("i-0", 1): 2.0} for n in range(1, 4)}
