Charge a retry once, however often it could not be sent

A retry took one from the budget before its endpoint was chosen, and again each time that no connection could be opened or the endpoint had left meanwhile, although nothing had arrived anywhere. A VM whose zone loses endpoints ran out of retries sooner than it had to.

What was taken is kept until it is sent.

tests/test_routed_requests.py: the new test failed before; 27 passed.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -56,6 +56,8 @@
         self._is_counted = False
         self._route_name = ""
         self._guard: CrashGuard | None = None
+        # Set from the moment when a retry is taken from the budget until it is sent.
+        self._has_retry = False
 
     async def serve(self, http_request: HttpRequest) -> None:
         """Responds to the request; cancels the work as soon as the caller disconnects."""
@@ -179,7 +181,9 @@
             return refusal
         if now >= admitted.expires_at - (MIN_RETRY_TIME_S if attempts else 0):
             return DidNotRun("no_time", 503, REFUSAL_RETRY_AFTER_S)
-        if attempts and not context.retry_budget.spend(admitted.pool, context.vm_count(), now):
+        if attempts and not self._has_retry:
+            self._has_retry = context.retry_budget.spend(admitted.pool, context.vm_count(), now)
+        if attempts and not self._has_retry:
             log("INFO", "repeat_budget_spent", request=admitted.request.id)
             return DidNotRun("repeat_budget_spent", 503, REFUSAL_RETRY_AFTER_S)
         return None
@@ -259,6 +263,7 @@
             return True
         if context.endpoint_allocator.is_paused(place.entry):
             return True
+        self._has_retry = False
         context.endpoint_allocator.count_sent(place)
         return False
 
--- a/tests/test_routed_requests.py
+++ b/tests/test_routed_requests.py
@@ -81,6 +81,22 @@
     assert len(endpoints[1].ran) == 4 and not endpoints[0].ran
 
 
+@in_deployment
+async def test_retry_that_was_not_sent_costs_the_budget_nothing(deployment):
+    endpoints, client = await start_deployment(deployment, "app", "app", "app", "app")
+    endpoints[0].mode = "refuse"
+    for endpoint in endpoints[1:]:
+        endpoint.http.stop_listening()
+    routes = [build_route("file", "unsafe", "app", max_attempts=2)]
+    deployment.configure(2, routes=routes)
+    vm = deployment.vms[0]
+    await wait_until(lambda: vm.configuration.version() == 2)
+    before = vm.context.retry_budget.remaining("app", 1, vm.context.now())
+    assert (await client.call("POST", "/file/7", "r1", b"case")).status == 503
+    assert len(endpoints[0].requests) >= 1
+    assert vm.context.retry_budget.remaining("app", 1, vm.context.now()) >= before - 1
+
+
 @in_deployment
 async def test_refusal_by_all_endpoints_is_503_with_retry_after(deployment):
     (app,), client = await start_deployment(deployment, "app")
