Let a VM that has not read the list of VMs take a small part of the retry budget

A VM counted those that it knew: itself and the ones heard. One that starts while the store is away took the whole burst of the deployment for itself, and so did each of the others.

It now counts as one of 20 until it has read the list, as it does for the limits of endpoints.

tests/test_retry_loans.py: its test failed before, and passes.

--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -184,7 +184,7 @@
                 settings.retry_budget_burst,
                 settings.retry_budget_window_s,
             ),
-            vm_count=self.peer_discovery.vm_count,
+            vm_count=self.peer_discovery.possible_vm_count,
             is_draining=self.draining.is_set,
             shutdown=self.shutdown,
             durations=DurationEstimates(),
