Lend retries between VMs that share the retry budget

Each VM spent a part of its own of the one retry budget, so the VMs of a zone whose endpoints failed ran out while the others had theirs unused.

A VM that is short asks another one, in turn, which lends from what it does not need. A loan ends two seconds after it was asked for, and counts for its lender until no retry of it can be in the window, so the sum stays within the budget when messages are lost, late or repeated, VMs are suspended and clocks drift. A VM that starts takes less of its burst in its first window and lends nothing then: a process before it may have spent or lent its part. Messages pass only while a VM is short, at a bounded rate, and only where a burst is configured.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -4,10 +4,10 @@
 
 from bluebellpitch.callers.admission import AdmittedRequest, admit_request, build_work_item
 from bluebellpitch.callers.crash_guard import CrashGuard
-from bluebellpitch.callers.responses import encode_error_body
 from bluebellpitch.callers.routed_response import RoutedResponse
 from bluebellpitch.callers.routing_context import RoutingContext
 from bluebellpitch.decisions.catalogue import Repeatability, Route
+from bluebellpitch.decisions.retry_budget import SpentRetry
 from bluebellpitch.endpoints.attempt import (
     EndpointLeft,
     EndpointRefusal,
@@ -15,7 +15,7 @@
     RoutedAttempt,
     outcome_of,
 )
-from bluebellpitch.errors import BadRequestError, DisconnectedError
+from bluebellpitch.errors import DisconnectedError
 from bluebellpitch.http1 import HttpRequest, ServerConnection
 from bluebellpitch.logs import log
 from bluebellpitch.platform.http_messages import (
@@ -23,7 +23,6 @@
     ForwardingContext,
     ResponseHead,
     RoutedRequest,
-    build_error_headers,
     decode_request,
 )
 from bluebellpitch.roles.crash_tracker import has_survived
@@ -56,8 +55,8 @@
         self._is_counted = False
         self._route_name = ""
         self._guard: CrashGuard | None = None
-        # Set from the moment when a retry is taken from the budget until it is sent.
-        self._has_retry = False
+        # Of the current attempt, until it is sent; the first attempt needs none.
+        self._retry: SpentRetry | None = None
 
     async def serve(self, http_request: HttpRequest) -> None:
         """Responds to the request; cancels the work as soon as the caller disconnects."""
@@ -97,7 +96,7 @@
             verdict = DidNotRun(SHUTTING_DOWN, 503, SHUTDOWN_RETRY_AFTER_S)
         else:
             self._route_name = admitted.route.name
-            context.retry_budget.record_request(admitted.pool, now)
+            context.retries.record_request(admitted.pool)
             verdict = await self._dispatch(admitted)
             context.durations.record(self._route_name, context.now() - now)
         await self._finish(request, verdict, now)
@@ -153,7 +152,7 @@
         verdict: Verdict | None = None
         may_have_run: MayHaveRun | None = None
         while attempts < admitted.route.max_attempts and unsent < MAX_UNSENT:
-            if (refusal := self._attempt_refusal(admitted, attempts)) is not None:
+            if (refusal := await self._attempt_refusal(admitted, attempts)) is not None:
                 return may_have_run or verdict or refusal
             place = await self._choose_endpoint(admitted)
             if isinstance(place, DidNotRun):
@@ -172,22 +171,27 @@
             attempts += 1
         return may_have_run or verdict
 
-    def _attempt_refusal(
+    async def _attempt_refusal(
         self, admitted: AdmittedRequest, attempts: int
     ) -> DidNotRun | MayHaveRun | None:
         """Returns the reason why no further attempt is allowed, or None if one is."""
-        context, now = self._context, self._context.now()
+        now = self._context.now()
         if (refusal := self._guard.refusal(bool(self._tried))) is not None:
             return refusal
         if now >= admitted.expires_at - (MIN_RETRY_TIME_S if attempts else 0):
             return DidNotRun("no_time", 503, REFUSAL_RETRY_AFTER_S)
-        if attempts and not self._has_retry:
-            self._has_retry = context.retry_budget.spend(admitted.pool, context.vm_count(), now)
-        if attempts and not self._has_retry:
+        if attempts and not await self._has_retry(admitted):
             log("INFO", "repeat_budget_spent", request=admitted.request.id)
             return DidNotRun("repeat_budget_spent", 503, REFUSAL_RETRY_AFTER_S)
         return None
 
+    async def _has_retry(self, admitted: AdmittedRequest) -> bool:
+        """Returns whether a retry is there to be sent; one that was not sent is kept."""
+        if self._retry is None:
+            give_up_at = admitted.expires_at - MIN_RETRY_TIME_S
+            self._retry = await self._context.retries.spend(admitted.pool, give_up_at)
+        return self._retry is not None
+
     async def _choose_endpoint(self, admitted: AdmittedRequest) -> Placement | DidNotRun:
         work = build_work_item(admitted, len(self._tried))
         tried = frozenset(self._tried)
@@ -257,13 +261,19 @@
             self._context.endpoint_allocator.record_pause(place, head.pause_s)
 
     async def _must_not_send(self, place: Placement) -> bool:
-        """Returns whether the endpoint has left or pauses; counts the request if not."""
+        """Returns whether the endpoint has left or pauses, or a borrowed retry has expired.
+
+        Counts the request if not.
+        """
         context = self._context
         if await context.endpoint_check.has_left(place.entry):
             return True
         if context.endpoint_allocator.is_paused(place.entry):
             return True
-        self._has_retry = False
+        if self._retry is not None and context.retries.renew(self._retry) is None:
+            self._retry = None
+            return True
+        self._retry = None
         context.endpoint_allocator.count_sent(place)
         return False
 
@@ -307,12 +317,11 @@
         return Ran(f"answered {head.status}", head.status)
 
     def _has_retry_left(self, admitted: AdmittedRequest) -> bool:
-        context, now = self._context, self._context.now()
-        left = context.retry_budget.remaining(admitted.pool, context.vm_count(), now)
+        context = self._context
         return (
             len(self._tried) < admitted.route.max_attempts
-            and left >= 1
-            and now < admitted.expires_at - MIN_RETRY_TIME_S
+            and context.now() < admitted.expires_at - MIN_RETRY_TIME_S
+            and context.retries.has_one(admitted.pool)
         )
 
     async def _forward_stream(
@@ -338,11 +347,3 @@
         self._guard.record_survival(self._run_began_at or attempt.sent_at)
         await self._response.end_stream(head)
         return Ran("complete", head.status)
-
-
-async def refuse_malformed_request(connection: ServerConnection, error: BadRequestError) -> None:
-    """Responds to a malformed request, and closes the connection."""
-    verdict = DidNotRun(error.reason, error.status)
-    log("INFO", "request_malformed", request=error.request_id, reason=error.reason, error=error)
-    headers = [*build_error_headers(error.retry_after_s), ("Connection", "close")]
-    await connection.respond(error.status, headers, encode_error_body(verdict, "", str(error)))
--- a/bluebellpitch/callers/routed_response.py
+++ b/bluebellpitch/callers/routed_response.py
@@ -3,14 +3,15 @@
 from collections.abc import Callable, Iterable
 
 from bluebellpitch.callers.responses import encode_error_body
-from bluebellpitch.errors import DisconnectedError
+from bluebellpitch.errors import BadRequestError, DisconnectedError
 from bluebellpitch.http1 import ServerConnection
+from bluebellpitch.logs import log
 from bluebellpitch.platform.http_messages import (
     ResponseHead,
     build_error_headers,
     find_last_event_id,
 )
-from bluebellpitch.verdicts import Verdict
+from bluebellpitch.verdicts import DidNotRun, Verdict
 
 
 class RoutedResponse:
@@ -75,3 +76,11 @@
         """Drops Content-Length, which the connection sets; a draining VM adds Connection: close."""
         kept = [pair for pair in headers if pair[0].lower() != "content-length"]
         return [*kept, ("Connection", "close")] if self._is_draining() else kept
+
+
+async def refuse_malformed_request(connection: ServerConnection, error: BadRequestError) -> None:
+    """Responds to a malformed request, and closes the connection."""
+    verdict = DidNotRun(error.reason, error.status)
+    log("INFO", "request_malformed", request=error.request_id, reason=error.reason, error=error)
+    headers = [*build_error_headers(error.retry_after_s), ("Connection", "close")]
+    await connection.respond(error.status, headers, encode_error_body(verdict, "", str(error)))
--- a/bluebellpitch/callers/routing_context.py
+++ b/bluebellpitch/callers/routing_context.py
@@ -5,7 +5,6 @@
 
 from bluebellpitch.decisions.catalogue import Catalogue
 from bluebellpitch.decisions.freshness import Freshness
-from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.shutdown import DurationEstimates
 from bluebellpitch.draining import Shutdown
 from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
@@ -14,6 +13,7 @@
 from bluebellpitch.roles.crash_tracker import CrashTracker
 from bluebellpitch.roles.endpoint_allocator import EndpointAllocator
 from bluebellpitch.roles.endpoint_check import EndpointCheck
+from bluebellpitch.roles.shared_retry_budget import SharedRetryBudget
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 
 
@@ -34,8 +34,7 @@
     endpoint_allocator: EndpointAllocator
     endpoint_check: EndpointCheck
     connection_pool: EndpointConnectionPool
-    retry_budget: RetryBudget
-    vm_count: Callable[[], int]
+    retries: SharedRetryBudget
     is_draining: Callable[[], bool]
     shutdown: Shutdown
     durations: DurationEstimates
@@ -54,5 +53,4 @@
         metrics.in_flight.set(in_flight)
         metrics.freshness_age.set(self.freshness.age_s(now))
         for pool in catalogue.pools_by_name if catalogue else ():
-            retries_left = self.retry_budget.remaining(pool, self.vm_count(), now)
-            metrics.repeats_left.labels(pool).set(retries_left)
+            metrics.repeats_left.labels(pool).set(self.retries.remaining(pool))
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -6,17 +6,14 @@
 from uuid import uuid4
 
 from bluebellpitch.callers.admission import build_http_limits
-from bluebellpitch.callers.routed_requests import (
-    RoutedRequestHandler,
-    refuse_malformed_request,
-)
+from bluebellpitch.callers.routed_requests import RoutedRequestHandler
+from bluebellpitch.callers.routed_response import refuse_malformed_request
 from bluebellpitch.callers.routing_context import RoutingContext
 from bluebellpitch.clock import HybridClock
 from bluebellpitch.decisions.buffer_budget import BufferBudget, buffer_capacity
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
-from bluebellpitch.decisions.retry_budget import RetryBudget
 from bluebellpitch.decisions.shutdown import DurationEstimates
 from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.decisions.strikes import StrikeTracker
@@ -41,6 +38,7 @@
 from bluebellpitch.roles.message_dispatcher import MessageDispatcher
 from bluebellpitch.roles.peer_discovery import PeerDiscovery
 from bluebellpitch.roles.peer_sync import PeerSync
+from bluebellpitch.roles.shared_retry_budget import create_retry_budget
 from bluebellpitch.roles.status_servers import StatusServers
 from bluebellpitch.roles.store_clients import StoreClients
 from bluebellpitch.roles.store_watchers import (
@@ -171,6 +169,9 @@
             now,
         )
         self.connection_pool = EndpointConnectionPool(now, self.buffers)
+        self.retries = create_retry_budget(
+            settings, self.bus, self.peer_discovery, self.draining.is_set, self.metrics, now
+        )
         self.context = RoutingContext(
             catalogue=lambda: self.configuration.catalogue,
             freshness=freshness,
@@ -179,12 +180,7 @@
                 self.directory, self.endpoints.follower, settings.drain_s, now
             ),
             connection_pool=self.connection_pool,
-            retry_budget=RetryBudget(
-                settings.retry_budget_ratio,
-                settings.retry_budget_burst,
-                settings.retry_budget_window_s,
-            ),
-            vm_count=self.peer_discovery.possible_vm_count,
+            retries=self.retries,
             is_draining=self.draining.is_set,
             shutdown=self.shutdown,
             durations=DurationEstimates(),
@@ -207,6 +203,7 @@
             crash_tracker=self.crash_tracker,
             duties=self.duties,
             generations=self.generations,
+            retries=self.retries,
         )
 
     def _create_duties(self) -> Duties:
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -53,6 +53,10 @@
         )
         self.peers_heard = self._gauge("peers_heard", "Entry VMs of the zone that are heard")
         self.repeats_left = self._gauge("repeats_left", "Repeats this VM may send now", "pool")
+        self.retries_lent = self._counter("retries_lent", "Retries lent to other VMs", "pool")
+        self.retries_borrowed = self._counter(
+            "retries_borrowed", "Retries borrowed from other VMs", "pool"
+        )
         self.store_calls = self._counter("store_calls", "Calls of the store", "topic", "verdict")
         self.endpoint_crashes = self._counter("endpoint_crashes", "Endpoints that crashed on runs")
         self.deadly_parts = self._gauge("deadly_parts", "Sets of parts that crash endpoints")
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from bluebellpitch.peers.retry_messages import RetryLoan, RetryLoanRequest
+
 
 class WorkRequest(msgspec.Struct, frozen=True, tag="work_asked"):
     """Requests an engine from the broker of a zone. ``age_s`` is since the request arrived.
@@ -335,4 +337,6 @@
     | DutyAnnouncement
     | UsageUpdate
     | ZoneDemand
+    | RetryLoanRequest
+    | RetryLoan
 )
--- a/bluebellpitch/roles/message_dispatcher.py
+++ b/bluebellpitch/roles/message_dispatcher.py
@@ -17,11 +17,13 @@
     VmHeartbeat,
     ZoneDemand,
 )
+from bluebellpitch.peers.retry_messages import RetryLoan, RetryLoanRequest
 from bluebellpitch.roles.crash_tracker import CrashTracker
 from bluebellpitch.roles.duties.duties import Duties
 from bluebellpitch.roles.generation_coordinator import GenerationCoordinator
 from bluebellpitch.roles.peer_discovery import PeerDiscovery
 from bluebellpitch.roles.peer_sync import PeerSync
+from bluebellpitch.roles.shared_retry_budget import SharedRetryBudget
 from bluebellpitch.roles.strike_replicator import StrikeReplicator
 
 
@@ -35,6 +37,7 @@
     crash_tracker: CrashTracker
     duties: Duties
     generations: GenerationCoordinator
+    retries: SharedRetryBudget
 
     def handle_message(self, sender: str, message) -> None:
         """Passes a message to the part that handles it."""
@@ -51,5 +54,7 @@
                 self.crash_tracker.handle_message(message)
             case DutyAnnouncement() | UsageUpdate() | ZoneDemand():
                 self.duties.handle_message(sender, message)
+            case RetryLoanRequest() | RetryLoan():
+                self.retries.handle_message(message)
             case _:
                 self.generations.handle_message(sender, message)
--- a/bluebellpitch/roles/status_servers.py
+++ b/bluebellpitch/roles/status_servers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from bluebellpitch.callers.routed_requests import refuse_malformed_request
+from bluebellpitch.callers.routed_response import refuse_malformed_request
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
 
 METRICS_HEADERS = [("Content-Type", "text/plain; version=0.0.4")]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -13,6 +13,7 @@
 from tests.mutant import Mutant
 from tests.mutants_of_duties import LEASE_MUTANTS
 from tests.mutants_of_endpoints import CRASH_MUTANTS, LIMIT_MUTANTS, STALL_MUTANTS
+from tests.mutants_of_retries import RETRY_MUTANTS
 from tests.mutants_of_scaling import SCALING_MUTANTS
 from tests.mutants_of_size import SIZE_MUTANTS
 from tests.mutants_of_store import (
@@ -303,6 +304,7 @@
     *LEASE_MUTANTS,
     *USAGE_MUTANTS,
     *ZONES_MUTANTS,
+    *RETRY_MUTANTS,
     *SCALING_MUTANTS,
 )
 
--- a/tests/test_routed_requests.py
+++ b/tests/test_routed_requests.py
@@ -91,10 +91,10 @@
     deployment.configure(2, routes=routes)
     vm = deployment.vms[0]
     await wait_until(lambda: vm.configuration.version() == 2)
-    before = vm.context.retry_budget.remaining("app", 1, vm.context.now())
+    before = vm.retries.remaining("app")
     assert (await client.call("POST", "/file/7", "r1", b"case")).status == 503
     assert len(endpoints[0].requests) >= 1
-    assert vm.context.retry_budget.remaining("app", 1, vm.context.now()) >= before - 1
+    assert vm.retries.remaining("app") >= before - 1
 
 
 @in_deployment
