Show operators which member, rank or zone is short of engines, and why

A refusal named its member and whether that was over its share, but not by how much, and no metric told how many waited or were refused by rank and zone, nor what members hold of a pool.

The broker of a pool now shows its queue by rank, refusals by rank and reason, and shares, queue and refusals of the ten members that wait, are refused or are granted most. Its line of a refusal has the member's usual and granted part.

--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -56,7 +56,7 @@
         self._mean_long_tokens = 0.0
         self._paused_until = float("-inf")
         self._returns = ReturnSchedule()
-        self._shares = FairShares()
+        self.shares = FairShares()
 
     @property
     def waiting_by_id(self) -> Mapping[str, WaitingWork]:
@@ -116,7 +116,7 @@
         kept = self._returns.take_room(work, now)
         waiting = WaitingWork(work, vm, avoid, kept and kept.asked_at)
         if kept is None:
-            self._shares.record_asked(work, now)
+            self.shares.record_asked(work, now)
         if not self.placement.is_short_prompt(work):
             self._mean_long_tokens += LONG_EWMA_WEIGHT * (work.tokens_in - self._mean_long_tokens)
         order = self._queue_order(now, work.member)
@@ -158,7 +158,7 @@
         return self._returns.plan(work, waiting.asked_at, busy_s, prompt_s, now)
 
     def _queue_order(self, now: float, *members: str) -> QueueOrder:
-        over_share = self._shares.members_over_share(self._queue.members() | set(members), now)
+        over_share = self.shares.members_over_share(self._queue.members() | set(members), now)
         return QueueOrder(self.placement.speed, over_share, now)
 
     def expected_wait_s(self, work: WorkItem, avoid: frozenset[str], now: float) -> float:
@@ -216,8 +216,8 @@
         if engine is None or work.id in self._engine_by_work_id:
             return
         self._queue.remove(work.id)
-        self._shares.record_asked(work, now)
-        self._shares.record_granted(work, now)
+        self.shares.record_asked(work, now)
+        self.shares.record_granted(work, now)
         prefill_s = 0.0
         if not started:
             prefill_s = self.placement.prefill_s(engine, work)
@@ -277,7 +277,7 @@
         prefill_s = self.placement.prefill_s(engine, work)
         alone = engine.prefill_backlog_s(now) <= 0
         self.placement.limits.take_turn(engine.key, now)
-        self._shares.record_granted(work, now)
+        self.shares.record_granted(work, now)
         engine.record_prefill(prefill_s, now)
         first_token_at = engine.prefill_schedule.free_at(now) + self.placement.speed.fixed_s
         engine.cache_prompt(work)
@@ -342,7 +342,7 @@
 
     def expire(self, now: float) -> None:
         """Removes work past its deadline whose end was never reported, and what is outdated."""
-        self._shares.expire(now)
+        self.shares.expire(now)
         self._returns.expire(now)
         for work_id, engine in list(self._engine_by_work_id.items()):
             if now > engine.assigned_by_id[work_id].work.expires_at + EXPIRY_GRACE_S:
--- a/bluebellpitch/decisions/shortage/fair_shares.py
+++ b/bluebellpitch/decisions/shortage/fair_shares.py
@@ -82,9 +82,24 @@
 
     asked: DecayingSum = field(default_factory=lambda: DecayingSum(USUAL_HALF_LIFE_S))
     granted: DecayingSum = field(default_factory=lambda: DecayingSum(GRANTED_HALF_LIFE_S))
+    refused: DecayingSum = field(default_factory=lambda: DecayingSum(USUAL_HALF_LIFE_S))
     largest: DecayingMax = field(default_factory=lambda: DecayingMax(LARGEST_HALF_LIFE_S))
 
 
+@dataclass(frozen=True, slots=True)
+class MemberShare:
+    """A member's usual part of all that is asked for, and its part of what was granted lately.
+
+    ``refused`` are its requests that got nothing, of which older ones count less.
+    """
+
+    member: str
+    usual: float
+    granted: float
+    refused: float
+    is_over: bool
+
+
 class FairShares:
     """The use of one pool in one zone by member.
 
@@ -127,6 +142,28 @@
             use.granted.add(cost_tokens(work), now)
             use.largest.add(cost_tokens(work), now)
 
+    def record_refused(self, member: str, now: float) -> None:
+        """Counts a request that got no engine."""
+        if member in self._use_by_member:
+            self._use_by_member[member].refused.add(1.0, now)
+
+    def member_shares(self, waiting: Iterable[str], now: float) -> Iterator[MemberShare]:
+        """Returns the shares of all members, of which ``waiting`` have requests in the queue."""
+        use_by_member, over_share = self._use_by_member, self.members_over_share(waiting, now)
+        asked = {member: use.asked.value(now) for member, use in use_by_member.items()}
+        granted = {member: use.granted.value(now) for member, use in use_by_member.items()}
+        all_asked, all_granted = max(1.0, sum(asked.values())), max(1.0, sum(granted.values()))
+        return (
+            MemberShare(
+                member=member,
+                usual=asked[member] / all_asked,
+                granted=granted[member] / all_granted,
+                refused=use.refused.value(now),
+                is_over=member in over_share,
+            )
+            for member, use in use_by_member.items()
+        )
+
     def members_over_share(self, waiting: Iterable[str], now: float) -> frozenset[str]:
         """Returns which members were granted more than their shares.
 
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -260,6 +260,7 @@
 
     def _render_metrics(self) -> bytes:
         self.context.set_gauges(len(self.liveness.live_peers(self._now())), self.http.in_flight)
+        self.generations.show_shortage()
         return self.metrics.render()
 
     def is_ready(self) -> bool:
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -81,6 +81,25 @@
         )
         self.forwarded = self._counter("forwarded", "Work sent to another zone", "zone", "reason")
         self.received = self._counter("received", "Work received from another zone", "zone")
+        group = ("pool", "zone", "rank")
+        self.queued = self._gauge("queued", "Requests that wait for an engine", *group)
+        self.queue_refusals = self._counter(
+            "queue_refusals", "Requests that got no engine", *group, "reason"
+        )
+        group = ("pool", "zone", "member")
+        self.member_usual_share = self._gauge(
+            "member_usual_share", "Usual part of all that is asked for", *group
+        )
+        self.member_granted_share = self._gauge(
+            "member_granted_share", "Part of what was granted lately", *group
+        )
+        self.member_over_share = self._gauge(
+            "member_over_share", "1: goes behind others of its rank", *group
+        )
+        self.member_queued = self._gauge("member_queued", "Requests that wait", *group)
+        self.member_refused = self._gauge(
+            "member_refused", "Requests refused lately, older ones count less", *group
+        )
         self.limit_in_use = self._gauge("limit_in_use", "Running requests", "pool", "member")
 
     def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -27,6 +27,7 @@
 )
 from bluebellpitch.roles.broker_takeover import BrokerTakeover, adopt_report
 from bluebellpitch.roles.generation_broker_client import GenerationBrokerClient
+from bluebellpitch.roles.shortage_metrics import ShortageMetrics
 from bluebellpitch.roles.work_items import (
     entry_from_leaving,
     message_from_grant,
@@ -93,6 +94,7 @@
             address, zone, regions_by_zone, addresses_in_zone, self._send_to_address, metrics
         )
         self._demand = DemandMeters()
+        self._shortage = ShortageMetrics(zone, metrics)
         self._work_waiting = asyncio.Event()
 
     def _broker_vm(self, pool: str) -> str:
@@ -214,9 +216,10 @@
                     log("INFO", "granted", request=work_id, endpoint=entry.id, **decision.inputs)
                     response = message_from_grant(decision, request, self._address)
                 case generation_decisions.Refused(work_id, _, reason, retry_after_s):
-                    log("INFO", "refused", request=work_id, reason=reason, **decision.inputs)
+                    shares = self._record_refusal(request, reason) if request else {}
+                    named = {"request": work_id, "reason": reason}
+                    log("INFO", "refused", **named, **decision.inputs, **shares)
                     response = WorkRefused(work_id, reason, retry_after_s, self._address)
-                    self._record_refusal(request)
                 case generation_decisions.Queued(work_id):
                     forwarded_to = self._address if request and request.home_zone else ""
                     response = WorkQueued(work_id, 0.0, forwarded_to)
@@ -225,9 +228,16 @@
             if address:
                 self._send_to_address(address, response)
 
-    def _record_refusal(self, request: WorkRequest | None) -> None:
-        if request is not None:
-            self._demand.by_pool[request.pool].record_refusal(self._now())
+    def _record_refusal(self, request: WorkRequest, reason: str) -> dict[str, str]:
+        """Counts a refusal; returns the shares of its member, for the log."""
+        broker, now = self._brokers_by_pool[request.pool], self._now()
+        self._demand.by_pool[request.pool].record_refusal(now)
+        self._shortage.record_refusal(broker, request, reason, now)
+        return self._shortage.describe_share(broker, request.member, now)
+
+    def show_shortage(self) -> None:
+        """Sets the gauges of the queues of which this VM is the broker."""
+        self._shortage.show(self._own_brokers(), self._now())
 
     def sample_demand(self, pool: str) -> DemandSample | None:
         """Returns the demand of a pool in this zone, None if another VM brokers it."""
