Try an answer with an error again with a borrowed retry

A 5xx answer was passed on when this VM had no retry left, without asking the others for one.

The retry is taken, or borrowed, before the answer is given up, and kept until it is sent.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -309,20 +309,17 @@
         if isinstance(response, MayHaveRun):
             return response
         head: ResponseHead = response.head
-        if head.status >= 500 and admitted.is_retryable and self._has_retry_left(admitted):
+        if head.status >= 500 and admitted.is_retryable and await self._may_try_again(admitted):
             return MayHaveRun(f"answered {head.status}", status=502)
         if self._response.has_started:
             return MayHaveRun(f"answered {head.status} to a resumed stream")
         await self._response.send_complete(head.status, head.headers, response.body)
         return Ran(f"answered {head.status}", head.status)
 
-    def _has_retry_left(self, admitted: AdmittedRequest) -> bool:
-        context = self._context
-        return (
-            len(self._tried) < admitted.route.max_attempts
-            and context.now() < admitted.expires_at - MIN_RETRY_TIME_S
-            and context.retries.has_one(admitted.pool)
-        )
+    async def _may_try_again(self, admitted: AdmittedRequest) -> bool:
+        has_attempt_left = len(self._tried) < admitted.route.max_attempts
+        has_time = self._context.now() < admitted.expires_at - MIN_RETRY_TIME_S
+        return has_attempt_left and has_time and await self._has_retry(admitted)
 
     async def _forward_stream(
         self, admitted, place: Placement, attempt: RoutedAttempt, head, deadline
--- a/bluebellpitch/roles/shared_retry_budget.py
+++ b/bluebellpitch/roles/shared_retry_budget.py
@@ -54,14 +54,6 @@
         """Returns how many retries this VM may send now."""
         return self._budget.remaining(pool, self._vm_count(), self._now())
 
-    def has_one(self, pool: str) -> bool:
-        """Returns whether a retry is left; if not, some are asked for."""
-        if self.remaining(pool) >= 1.0:
-            return True
-        self._budget.record_demand(pool, self._now())
-        self._borrow_if_short(pool)
-        return False
-
     async def spend(self, pool: str, give_up_at: float) -> SpentRetry | None:
         """Uses one retry; waits a moment, at most until ``give_up_at``, if one may be borrowed."""
         give_up_at = min(give_up_at, self._now() + MAX_LOAN_WAIT_S)
--- a/tests/test_retry_loans.py
+++ b/tests/test_retry_loans.py
@@ -175,10 +175,10 @@
     return budget.spend(POOL, VMS, 0.0)
 
 
-def count_spent(budget: RetryBudget, now: float) -> int:
+def count_spent(budget: RetryBudget, now: float, vms: int = VMS) -> int:
     """Spends all that is left; returns how many retries it was."""
     spent = 0
-    while budget.spend(POOL, VMS, now):
+    while budget.spend(POOL, vms, now):
         spent += 1
     return spent
 
@@ -314,6 +314,21 @@
     assert_that(asyncio.run(body()), AllMatch(IsInstance(SpentRetry)))
 
 
+def test_answer_with_an_error_is_tried_again_with_a_borrowed_retry():
+    async def body():
+        async with Deployment() as deployment:
+            endpoints = [await deployment.add_endpoint(f"i-{n}", POOL) for n in range(2)]
+            endpoints[0].mode = "fail"
+            vms = [await deployment.add_vm(zone) for zone in ("z", "y")]
+            vms[1].retries._budget.started_at = float("-inf")
+            await wait_until(lambda: all(len(vm.peer_discovery.addresses()) == 1 for vm in vms))
+            count_spent(vms[0].retries._budget, vms[0]._now(), len(vms))
+            client = deployment.add_client(vms[0])
+            return [(await client.call("GET", "/look/7", f"r{n}")).status for n in range(4)]
+
+    assert_that(asyncio.run(body()), AllMatch(Equals(200)))
+
+
 def test_vm_that_has_not_read_the_list_takes_the_part_of_one_of_many():
     settings = parse_settings(settings_text("vm", "z", "127.0.0.1:1", "", "", free_port()))
     vm = EntryVm(settings, lambda: settings, lambda: 0.0)
