--- a/tests/mutants_of_size.py
+++ b/tests/mutants_of_size.py
@@ -128,5 +128,26 @@
         "        except Exception as error:  # noqa: BLE001\n",
         "        except MemoryError as error:\n",
         "tests/test_bus.py",
+    ),    Mutant(
+        "shortage: a member's largest request fades",
+        "bluebellpitch/decisions/shortage/fair_shares.py",
+        "LARGEST_HALF_LIFE_S = 10.0",
+        "LARGEST_HALF_LIFE_S = 1e9",
+        "tests/test_shortage.py",
+    ),
+    Mutant(
+        "shortage: a prompt that waited long is within its member's tolerance",
+        "bluebellpitch/decisions/shortage/fair_shares.py",
+        "            use.granted.add(cost_tokens(work), now)\n"
+        "            use.largest.add(cost_tokens(work), now)\n",
+        "            use.granted.add(cost_tokens(work), now)\n",
+        "tests/test_shortage.py",
+    ),
+    Mutant(
+        "broker: a grant that is in use is reported when another one is returned",
+        "bluebellpitch/roles/generation_broker_client.py",
+        "        if held is not None and address in held.broker_addresses:\n",
+        "        if False:\n",
+        "tests/test_broker_takeover.py",
     ),
 )
