Decode a configuration to its entries before it becomes a catalogue

A catalogue has lost the entries that others with the same name or key replace, so a check could not see them.

Decoding gives all entries in their order, and a catalogue is built from them.

--- a/bluebellpitch/decisions/catalogue.py
+++ b/bluebellpitch/decisions/catalogue.py
@@ -101,6 +101,29 @@
     idle_s: float = 15.0
 
 
+@dataclass(frozen=True, slots=True)
+class MemberEntry:
+    """A member as the operators list it, with all its keys."""
+
+    name: str
+    rank: int | None
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationEntries:
+    """All entries of a configuration in their order. ``members`` is None if no keys are asked for.
+
+    Unlike a Catalogue it has the entries too that others with the same name or key replace.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    pools: tuple[PoolConfig, ...]
+    members: tuple[MemberEntry, ...] | None
+    limits: CallerLimits
+
+
 @dataclass(frozen=True)
 class Catalogue:
     """One version of the configuration. ``routes_by_host`` lists longer prefixes first."""
@@ -155,6 +178,22 @@
         return next((route for route in routes if path.startswith(route.path_prefix)), None)
 
 
+def build_catalogue(entries: ConfigurationEntries) -> Catalogue:
+    """Returns the catalogue of the entries. Of pools of one name, and keys, the last one counts."""
+    return Catalogue(
+        version=entries.version,
+        routes_by_host=group_by_host(entries.routes),
+        pools_by_name={pool.name: pool for pool in entries.pools},
+        members_by_key={
+            key: MemberConfig(member.name, member.rank)
+            for member in entries.members or ()
+            for key in member.keys
+        },
+        has_members=entries.members is not None,
+        limits=entries.limits,
+    )
+
+
 def group_by_host(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
     """Returns routes by host, longest prefix first."""
     by_host: dict[str, list[Route]] = {}
--- a/bluebellpitch/platform/configuration.py
+++ b/bluebellpitch/platform/configuration.py
@@ -7,14 +7,15 @@
 from bluebellpitch.decisions.catalogue import (
     CallerLimits,
     Catalogue,
+    ConfigurationEntries,
     EngineCapacity,
-    MemberConfig,
+    MemberEntry,
     PoolConfig,
     Repeatability,
     Route,
     ScalingConfig,
     WeightedPool,
-    group_by_host,
+    build_catalogue,
 )
 from bluebellpitch.decoding import DECODE_ERRORS, WholeNumber
 from bluebellpitch.errors import ProtocolError
@@ -86,30 +87,37 @@
     tenants: tuple[_Tenant, ...] | None = None
 
 
+CONFIGURATION_TYPE = _Configuration
+ENTRY_TYPES_BY_SECTION = {"routes": _Route, "services": _Service, "tenants": _Tenant}
+
 _decoder = msgspec.json.Decoder(_Configuration)
 
 
 def decode_configuration(data: bytes) -> Catalogue:
     """Decodes a configuration; raises ProtocolError if it is malformed."""
+    return build_catalogue(decode_entries(data))
+
+
+def decode_entries(data: bytes) -> ConfigurationEntries:
+    """Decodes a configuration to its entries in their order; raises ProtocolError."""
     try:
         wire = _decoder.decode(data)
     except DECODE_ERRORS as error:
         raise ProtocolError(f"the configuration is malformed: {error}") from error
-    members_by_key = {
-        key: MemberConfig(tenant.name, tenant.priority)
-        for tenant in wire.tenants or ()
-        for key in tenant.api_keys
-    }
-    return Catalogue(
+    return ConfigurationEntries(
         version=wire.version,
-        routes_by_host=group_by_host(decode_route(route) for route in wire.routes),
-        pools_by_name={service.name: decode_pool(service) for service in wire.services},
-        members_by_key=members_by_key,
-        has_members=wire.tenants is not None,
+        routes=tuple(decode_route(route) for route in wire.routes),
+        pools=tuple(decode_pool(service) for service in wire.services),
+        members=None if wire.tenants is None else tuple(map(decode_member, wire.tenants)),
         limits=decode_limits(wire.limits),
     )
 
 
+def decode_member(wire: _Tenant) -> MemberEntry:
+    """Converts a tenant to a member."""
+    return MemberEntry(wire.name, wire.priority, wire.api_keys)
+
+
 def decode_route(wire: _Route) -> Route:
     """Converts a route to its internal form."""
     weighted_pools = tuple(WeightedPool(part.service, part.weight) for part in wire.split)
