Check a configuration before it is sent

Operators learned of a faulty entry, or of what a new version takes from callers, only when it was in force.

Left out: a body limit against what a kind of request needs, and attempts against endpoints that are not ordered, as the file tells neither.

--- a/bluebellpitch/cli.py
+++ b/bluebellpitch/cli.py
@@ -3,6 +3,7 @@
 import typer
 
 from bluebellpitch.commands import diagnostics, table
+from bluebellpitch.commands.check import check
 from bluebellpitch.commands.route import route
 from bluebellpitch.commands.serve import serve
 
@@ -12,6 +13,7 @@
     app = typer.Typer(no_args_is_help=True, add_completion=False, rich_markup_mode=None)
     app.command(help="Runs an entry VM.")(serve)
     app.command(help="Runs an entry VM on the prepared platform.")(route)
+    app.command(help="Checks a configuration or a sheet before it is sent.")(check)
     app.add_typer(build_table_app(), name="table")
     app.command(help="Shows VMs, brokers, endpoints and unresolved requests.")(diagnostics.status)
     app.command(help="Shows the events of all VMs in order.")(diagnostics.timeline)
--- a/bluebellpitch/exit_status.py
+++ b/bluebellpitch/exit_status.py
@@ -11,3 +11,5 @@
     USAGE = 2
     CONFLICT = 3
     UNREACHABLE = 4
+    HAS_WARNINGS = 5
+    HAS_ERRORS = 6
