Escape output that the terminal's encoding lacks

A name outside the encoding of standard output ended a command with a traceback, in `check` and the other commands.

Such characters are printed as escapes.

tests/test_check.py: the new test failed before; with test_program.py and test_timeline.py 75 passed.

--- a/bluebellpitch/commands/options.py
+++ b/bluebellpitch/commands/options.py
@@ -35,6 +35,8 @@
 
 
 def print_output(context: typer.Context, text: str, end: str = "\n") -> None:
-    """Prints to the standard output of the environment."""
+    """Prints to the standard output of the environment; escapes what its encoding lacks."""
     environment: Environment = context.obj
-    print(text, end=end, file=environment.stdout)
+    encoding = environment.stdout.encoding or "utf-8"
+    encodable = text.encode(encoding, "backslashreplace").decode(encoding)
+    print(encodable, end=end, file=environment.stdout)
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -1,6 +1,7 @@
 """``check``: faults of a configuration or sheet before it is sent, and what it changes."""
 
 import copy
+import io
 import string
 from pathlib import Path
 
@@ -10,8 +11,10 @@
 from hypothesis import strategies as st
 
 from bluebellpitch.checks.reach import find_shadowed_routes
+from bluebellpitch.environment import Environment
 from bluebellpitch.errors import ProtocolError
 from bluebellpitch.exit_status import ExitStatus
+from bluebellpitch.main import main
 from bluebellpitch.platform.configuration import decode_configuration, decode_entries
 from fakes.prepared_deployment import API_KEY, MEMBER, build_configuration, build_route
 from fakes.tables import CLASSES, FILING_POOL, MODEL_POOL, member_row, new_sheet
@@ -242,6 +245,14 @@
     assert lines[3:] == ["1 error, 1 warning, 1 change"]
 
 
+def test_names_that_the_terminal_cannot_show_are_escaped(tmp_path):
+    terminal = io.TextIOWrapper(io.BytesIO(), encoding="ascii")
+    path = write(tmp_path / "new", change(CLEAN, "routes", 0, "service", "窓口"))
+    assert main(["check", path], Environment(stdout=terminal)) is ExitStatus.HAS_ERRORS
+    terminal.seek(0)
+    assert r"'\u7a93\u53e3'" in terminal.read()
+
+
 def test_unusable_files_are_wrong_use(tmp_path):
     clean, odd = write(tmp_path / "clean", CLEAN), write(tmp_path / "odd", b"{")
     for arguments in ([str(tmp_path)], [clean, "--in-force", odd], [clean, "--in-force", "none"]):
