Let an empty key open no account

Callers without a key were served as the account whose list of keys had an empty one (found by the check of configurations). Cause: a request without Authorization is looked up under the empty key. Change: an empty key is left out of the catalogue; the check still calls it an error. Result: a test that failed before.

--- a/bluebellpitch/checks/reach.py
+++ b/bluebellpitch/checks/reach.py
@@ -87,7 +87,7 @@
             yield warning(("members", index, "keys"), message)
         for position, key in enumerate(member.keys):
             if key == "":
-                message = f"the key is empty, so requests without any key are of {member.name!r}"
+                message = "the key is empty, so it is ignored"
                 yield error(("members", index, "keys", position), message)
             elif key != key.strip():
                 message = "no request has this key: blanks around a key are taken away"
--- a/bluebellpitch/decisions/catalogue.py
+++ b/bluebellpitch/decisions/catalogue.py
@@ -179,7 +179,10 @@
 
 
 def build_catalogue(entries: ConfigurationEntries) -> Catalogue:
-    """Returns the catalogue of the entries. Of pools of one name, and keys, the last one counts."""
+    """Returns the catalogue of the entries. Of pools of one name, and keys, the last one counts.
+
+    An empty key is left out: requests without a key would have it.
+    """
     return Catalogue(
         version=entries.version,
         routes_by_host=group_by_host(entries.routes),
@@ -188,6 +191,7 @@
             key: MemberConfig(member.name, member.rank)
             for member in entries.members or ()
             for key in member.keys
+            if key
         },
         has_members=entries.members is not None,
         limits=entries.limits,
--- a/tests/mutants_of_size.py
+++ b/tests/mutants_of_size.py
@@ -128,7 +128,8 @@
         "        except Exception as error:  # noqa: BLE001\n",
         "        except MemoryError as error:\n",
         "tests/test_bus.py",
-    ),    Mutant(
+    ),
+    Mutant(
         "shortage: a member's largest request fades",
         "bluebellpitch/decisions/shortage/fair_shares.py",
         "LARGEST_HALF_LIFE_S = 10.0",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -254,6 +254,14 @@
         parse_settings(text.replace("grace_s=3", "grace_s=long"))
 
 
+def test_empty_key_opens_no_account():
+    """Requests without a key were counted as of the account that listed it."""
+    configuration = build_configuration(1, routes=[build_route("all", "safe", "app")])
+    configuration["tenants"] = [{"name": "first", "api_keys": ["", "k0"]}]
+    catalogue = decode_configuration(msgspec.json.encode(configuration))
+    assert catalogue.members_by_key.keys() == {"k0"}
+
+
 def test_rank_of_the_route_decides_among_members_of_equal_rank():
     """Else an engine preempts the newest of both routes' requests, though one route is urgent."""
     routes = [build_route("urgent", "streaming", "app", priority=0)]
