Let prefill follow what engines read, and pause it for one event

Cause: prompts were sent by the clock alone. An engine that read more slowly than expected for a while got the next prompts all the same, the gaps of its streams grew, and each late stream lowered the share of prefill of all engines of the zone, to its minimum at a crest. Each run of prefill was also followed by a pause of the rest of the gap target, where an event needs a tenth of that.

Change: a paced prompt waits while a first token is overdue; the schedule ends where the last first token shows it; runs of prefill stay within the share of the gap target and leave the time of one event between them. Engines with long streams only are paced from the start. Work of another zone has a later first token and no part in the measured speed.

--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -12,6 +12,7 @@
 from bluebellpitch.decisions.prefill import (
     DEFAULT_PREFILL_SHARE,
     MAX_PREFILL_SHARE,
+    MIN_EVENT_S,
     PrefillShare,
     PrefillSpeed,
 )
@@ -20,6 +21,8 @@
 SHORT_PREFILL_SHARE = 0.12
 # Used for pools without a configured gap target.
 DEFAULT_POOL_GAP_TARGET_S = 0.4
+# Initial share of a gap target that prefill may take at engines without short streams.
+INITIAL_LONG_STREAM_SHARE = 0.9
 # Prefill backlog at which an engine that is not paced still gets another prompt.
 UNPACED_BACKLOG_S = 0.1
 # Work whose wait for an engine is at most this long starts there at once.
@@ -48,7 +51,7 @@
         self.engines_by_key: dict[tuple[str, int], EngineState] = {}
         self.limits = NamedLimits()
         self.short_stream_share = PrefillShare()
-        self.long_stream_share = PrefillShare(MAX_PREFILL_SHARE)
+        self.long_stream_share = PrefillShare(INITIAL_LONG_STREAM_SHARE)
 
     def has_usable_engine(self, now: float) -> bool:
         """Returns whether any engine accepts new work, regardless of free capacity."""
@@ -120,7 +123,18 @@
         share = self.prefill_share(engine).value
         if gap_target_s is None or share >= MAX_PREFILL_SHARE:
             return max(0.0, engine.prefill_backlog_s(now) - UNPACED_BACKLOG_S)
-        return engine.prefill_schedule.start_wait_s(prefill_s, gap_target_s, share, now)
+        if overdue_s := engine.prefill_overdue_s(now):
+            return max(overdue_s, MIN_EVENT_S)
+        return engine.prefill_schedule.start_wait_s(
+            prefill_s, gap_target_s, share, now, self.event_s()
+        )
+
+    def event_s(self) -> float:
+        """Returns how long the engines need for an event of each stream.
+
+        An empty prompt takes as long to its first event.
+        """
+        return max(MIN_EVENT_S, self.speed.fixed_s)
 
     def limited_queue_wait_s(
         self, engines: list[EngineState], requests_ahead: int, now: float
--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -136,5 +136,23 @@
         )
 
     def prefill_backlog_s(self, now: float) -> float:
-        """Returns how long the scheduled prefill still takes."""
-        return self.prefill_schedule.free_at(now) - now
+        """Returns how long the scheduled prefill still takes, at least as long as it is overdue."""
+        return max(self.prefill_schedule.free_at(now) - now, self.prefill_overdue_s(now))
+
+    def prefill_overdue_s(self, now: float) -> float:
+        """Returns for how long a first token has been overdue, so that prefill still goes on.
+
+        One that is overdue for very long was lost, and shows nothing about the others.
+        """
+        overdue_s = (
+            now - assigned.expected_first_token_at
+            for assigned in self.assigned_by_id.values()
+            if not assigned.has_first_token
+        )
+        return max((s for s in overdue_s if 0.0 < s < FIRST_TOKEN_OVERDUE_S), default=0.0)
+
+    def record_first_token(self, assigned: AssignedWork, fixed_s: float, now: float) -> None:
+        """Records a first token; the last one that is due shows when the prefill ended."""
+        assigned.has_first_token = True
+        if all(other.has_first_token for other in self.assigned_by_id.values()):
+            self.prefill_schedule.end_at(now - fixed_s - assigned.work.forwarding_s)
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -280,6 +280,7 @@
         self.shares.record_granted(work, now)
         engine.record_prefill(prefill_s, now)
         first_token_at = engine.prefill_schedule.free_at(now) + self.placement.speed.fixed_s
+        first_token_at += work.forwarding_s
         engine.cache_prompt(work)
         engine.assigned_by_id[work.id] = AssignedWork(
             work, waiting.vm, uncached, first_token_at, alone, self.placement.is_short_prompt(work)
@@ -295,11 +296,9 @@
         engine.last_response_at = now
         engine.load.record_outcome(False, now)
         engine.load.slowdown = max(1.0, slowdown)
-        if assigned.prefilled_alone and slowdown <= 1.1:
+        if assigned.prefilled_alone and slowdown <= 1.1 and not assigned.work.forwarding_s:
             self.placement.speed.add_sample(assigned.uncached_tokens, ttft_s)
-        assigned.has_first_token = True
-        if all(other.has_first_token for other in engine.assigned_by_id.values()):
-            engine.prefill_schedule.truncate(now)
+        engine.record_first_token(assigned, self.placement.speed.fixed_s, now)
 
     def finish(self, work_id: str, outcome: str, now: float, longest_gap_s: float = 0.0) -> None:
         """Removes an ended item; ``ok``, ``failed`` or ``unreachable`` count for its engine."""
--- a/bluebellpitch/decisions/prefill.py
+++ b/bluebellpitch/decisions/prefill.py
@@ -1,7 +1,12 @@
 """Prefill speed of the engines of a pool, and pacing of the prefills of one engine.
 
-While an engine prefills a prompt, none of its streams gets a token. Prefill is paced so that every
-window as long as the smallest gap target leaves time for decoding.
+While an engine prefills a prompt, none of its streams gets an event. Prefill is paced so that all
+that one event waits for stays within a share of the smallest gap target, and the next prompt starts
+once each stream had time for an event.
+
+Load pattern: a crest of long prompts at engines of which some read more slowly than expected for a
+while. Prompts that are sent by the clock alone then pile up at these, where the gaps of all streams
+grow, while a lower share makes the other engines idle.
 """
 
 from collections import deque
@@ -12,9 +17,13 @@
 MIN_PREFILL_SHARE = 0.4
 # At this share prefill is not paced.
 MAX_PREFILL_SHARE = 1.0
+# Shortest time for an event of each stream that is left between two runs of prefill.
+MIN_EVENT_S = 0.02
 # Share of the streams that may exceed their gap target before prefill is reduced.
 TOLERATED_LATE_SHARE = 0.1
 SHARE_STEP = 0.012
+# Resolution of the waits that pacing asks for.
+WAIT_STEP_S = 0.002
 # Samples assumed before any measurement: (tokens, seconds).
 PRIOR_SAMPLES = ((0.0, 0.06), (10_000.0, 0.26))
 PRIOR_WEIGHT = 2.0
@@ -95,31 +104,48 @@
         start = self.free_at(now)
         self.spans.append((start, start + seconds))
 
-    def truncate(self, now: float) -> None:
-        """Ends the schedule now, because all prefill has finished early."""
-        while self.spans and self.spans[-1][0] >= now:
-            self.spans.pop()
-        if self.spans and self.spans[-1][1] > now:
-            self.spans[-1] = (self.spans[-1][0], now)
+    def end_at(self, end: float) -> None:
+        """Ends the schedule at a time in the past, when the engine finished the last prompt.
 
-    def start_wait_s(self, seconds: float, gap_target_s: float, share: float, now: float) -> float:
-        """Returns how long a prompt must wait so that prefill keeps to its share of each window."""
+        The prompt took longer than scheduled, or all of them finished early.
+        """
+        while self.spans and self.spans[-1][0] >= end:
+            self.spans.pop()
+        if self.spans:
+            self.spans[-1] = (self.spans[-1][0], end)
+
+    def start_wait_s(
+        self,
+        seconds: float,
+        gap_target_s: float,
+        share: float,
+        now: float,
+        event_s: float = MIN_EVENT_S,
+    ) -> float:
+        """Returns how long a prompt must wait so that prefill keeps to its share of each gap.
+
+        The engine needs ``event_s`` for an event of each stream, prefill apart.
+        """
         self._prune(now - gap_target_s)
         allowed_s = share * gap_target_s
-        length_s = min(seconds, allowed_s)
-        start = self.free_at(now)
-        for _ in range(len(self.spans) + 1):
-            scheduled_s = self._scheduled_s(start + length_s - gap_target_s, start)
-            excess_s = scheduled_s + length_s - allowed_s
-            if excess_s <= 1e-6:
-                break
-            start += max(excess_s, 0.002)
+        start = free_at = self.free_at(now)
+        while (
+            start < free_at + event_s
+            and self._run_s(start, event_s) + min(seconds, allowed_s) > allowed_s + 1e-6
+        ):
+            start = min(free_at + event_s, start + WAIT_STEP_S)
         return max(0.0, start - now)
 
-    def _scheduled_s(self, window_start: float, window_end: float) -> float:
-        return sum(
-            max(0.0, min(window_end, end) - max(window_start, start)) for start, end in self.spans
-        )
+    def _run_s(self, start: float, event_s: float) -> float:
+        """Returns the prefill that an event waits for which prefill from ``start`` on holds up."""
+        run_s = idle_s = 0.0
+        for span_start, span_end in reversed(self.spans):
+            idle_s += max(0.0, start - span_end)
+            if idle_s >= event_s:
+                break
+            run_s += span_end - span_start
+            start = span_start
+        return run_s
 
     def _prune(self, before: float) -> None:
         while self.spans and self.spans[0][1] < before:
--- a/bluebellpitch/roles/work_items.py
+++ b/bluebellpitch/roles/work_items.py
@@ -11,8 +11,8 @@
 )
 
 
-def work_from_request(request: WorkRequest, now: float) -> WorkItem:
-    """Returns the work that a VM requests an engine for."""
+def work_from_request(request: WorkRequest, now: float, forwarding_s: float = 0.0) -> WorkItem:
+    """Returns the work that a VM requests an engine for; another zone adds ``forwarding_s``."""
     return WorkItem(
         id=request.work_id,
         pool=request.pool,
@@ -25,6 +25,7 @@
         arrived_at=now - request.age_s,
         expires_at=now + request.left_s,
         member=request.member,
+        forwarding_s=forwarding_s,
     )
 
 
