Let the next prompt start at the first token that ends a run of prefill

Cause: the pause of one event has passed exactly when that first token arrives, and a rounding error of the sum made the prompt wait for the next tick. Change: pauses and runs are compared with the same tolerance.

--- a/bluebellpitch/decisions/prefill.py
+++ b/bluebellpitch/decisions/prefill.py
@@ -22,6 +22,8 @@
 # Share of the streams that may exceed their gap target before prefill is reduced.
 TOLERATED_LATE_SHARE = 0.1
 SHARE_STEP = 0.012
+# Sums of times are compared with this tolerance.
+ROUNDING_S = 1e-6
 # Resolution of the waits that pacing asks for.
 WAIT_STEP_S = 0.002
 # Samples assumed before any measurement: (tokens, seconds).
@@ -131,7 +133,7 @@
         start = free_at = self.free_at(now)
         while (
             start < free_at + event_s
-            and self._run_s(start, event_s) + min(seconds, allowed_s) > allowed_s + 1e-6
+            and self._run_s(start, event_s) + min(seconds, allowed_s) > allowed_s + ROUNDING_S
         ):
             start = min(free_at + event_s, start + WAIT_STEP_S)
         return max(0.0, start - now)
@@ -141,7 +143,7 @@
         run_s = idle_s = 0.0
         for span_start, span_end in reversed(self.spans):
             idle_s += max(0.0, start - span_end)
-            if idle_s >= event_s:
+            if idle_s >= event_s - ROUNDING_S:
                 break
             run_s += span_end - span_start
             start = span_start
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -5,10 +5,10 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Equals, GreaterThan, HasLength
 
 from bluebellpitch.decisions.generation_broker import GenerationBroker
-from bluebellpitch.decisions.generation_decisions import Granted
+from bluebellpitch.decisions.generation_decisions import Granted, Queued
 from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.decisions.prefill import PrefillSchedule
 from tests.generation_load import (
@@ -130,6 +130,17 @@
     return broker
 
 
+def test_prompt_waits_while_the_engine_still_reads_the_one_before():
+    """A first token that is overdue shows that the engine reads more slowly than expected."""
+    broker = make_streaming_broker()
+    assert_that(submit(broker, make_prompt("first", 1.0)), Equals([Granted]))
+    assert_that(submit(broker, make_prompt("second", 1.25)), Equals([Queued]))
+    assert_that(list(broker.schedule(1.5)), HasLength(0))
+    broker.record_first_token("first", 0.55, 1.0, 1.55)
+    granted = [decision.work_id for decision in broker.schedule(1.55)]
+    assert_that(granted, Equals(["second"]))
+
+
 def test_first_token_that_never_comes_holds_up_no_prompt_for_long():
     broker = make_streaming_broker()
     submit(broker, make_prompt("lost", 1.0))
