Call work that leaves its zone spillover, throughout

Four words stood for one thing: departure, passed on, forwarded, spillover. Modules, types, log events (spillover, spillover_unanswered), metrics (spillover_sent, spillover_received) and documents now have the field's word. WorkRequest.must_stay says what the flag means, as work that came home has it too. The fields' names in messages between VMs stay, for VMs of both versions side by side.

--- a/bluebellpitch/decisions/scaling/demand.py
+++ b/bluebellpitch/decisions/scaling/demand.py
@@ -15,7 +15,7 @@
     """What one zone's broker sees. ``busy_share`` is the mean share of time in prefill.
 
     ``running`` and ``slots`` are slots in use and in all; ``engine_tokens_per_s`` is what one
-    engine can prefill. Work that another zone passed on counts as running, but not as an arrival.
+    engine can prefill. Spillover from another zone counts as running, but not as an arrival.
     """
 
     tokens_per_s: float
--- a/bluebellpitch/decisions/zones/distances.py
+++ b/bluebellpitch/decisions/zones/distances.py
@@ -9,7 +9,7 @@
 CROSS_REGION_DELAY_S = 0.03
 # Work that another zone serves crosses four times more than at home: to the broker there, back with
 # the grant, to the engine, and back with the first token.
-FORWARDED_CROSSINGS = 4
+SPILLOVER_CROSSINGS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +29,6 @@
             return SAME_ZONE_DELAY_S
         return SAME_REGION_DELAY_S if self.is_same_region(other) else CROSS_REGION_DELAY_S
 
-    def forwarding_s(self, other: str) -> float:
+    def spillover_delay_s(self, other: str) -> float:
         """Returns how much later a first token comes from an equally loaded zone."""
-        return FORWARDED_CROSSINGS * self.one_way_s(other)
+        return SPILLOVER_CROSSINGS * self.one_way_s(other)
--- a/bluebellpitch/decisions/zones/remote_zones.py
+++ b/bluebellpitch/decisions/zones/remote_zones.py
@@ -19,7 +19,7 @@
     """The last report of another zone's broker, with the work expected there since."""
 
     name: str
-    forwarding_s: float
+    spillover_delay_s: float
     address: str = ""
     outlook: ZoneOutlook = UNKNOWN_OUTLOOK
     reported_at: float = float("-inf")
@@ -29,7 +29,7 @@
         """Returns whether the last report is recent enough to act on."""
         return now - self.reported_at < REPORT_MAX_AGE_S
 
-    def record_forwarded(self, tokens: int, others: Iterable["RemoteZone"]) -> None:
+    def record_spillover(self, tokens: int, others: Iterable["RemoteZone"]) -> None:
         """Adds the cost of a prompt, as the next report will show it, of which so much is read.
 
         Of the ``others``, those for which leaving for this zone pays see what this zone's broker
@@ -52,19 +52,19 @@
         return home.unshared_tokens if self.has_cached(work, now) else work.tokens_in
 
     def cost_s(self, work: WorkItem, home: HomeOutlook, now: float) -> float:
-        """Returns the cost of work there, with the delay of forwarding it, in seconds."""
+        """Returns the cost of work there, with the delay of spillover, in seconds."""
         if home.is_short:
-            return self.forwarding_s + self.outlook.short_s
+            return self.spillover_delay_s + self.outlook.short_s
         cache_miss_s = 0.0 if self.has_cached(work, now) else home.cache_miss_s
         read_s = self.outlook.long_s(self.unread_tokens(work, home, now))
-        return self.forwarding_s + read_s + cache_miss_s
+        return self.spillover_delay_s + read_s + cache_miss_s
 
     def saved_s(self, there: ZoneOutlook, tokens: int) -> float:
         """Returns how much less a prompt of this zone would cost in another one, in seconds.
 
-        The delay of forwarding is taken as that between this zone and the VM's own.
+        The delay of spillover is taken as that between this zone and the VM's own.
         """
-        return self.outlook.long_s(tokens) - there.long_s(tokens) - self.forwarding_s
+        return self.outlook.long_s(tokens) - there.long_s(tokens) - self.spillover_delay_s
 
     def prune_sessions(self, now: float) -> None:
         """Removes sessions that may no longer be cached."""
--- a/bluebellpitch/decisions/zones/departure.py
+++ b/bluebellpitch/decisions/zones/spillover.py
@@ -2,7 +2,7 @@
 
 Load pattern: a peak in one zone while others have room. Work leaves when all that it costs its
 caller and the others elsewhere is clearly less than at home: the wait there, the delay of
-forwarding, shared parts that have to be read again, and streams that its prompt holds up.
+spillover, shared parts that have to be read again, and streams that its prompt holds up.
 """
 
 from collections.abc import Iterable
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Departure:
+class Spillover:
     """Work leaves for a zone. ``tokens`` of its prompt are read there.
 
     ``reason`` is ``no_engine`` (none at home is up), ``refused`` (it would be, at home) or
@@ -30,17 +30,17 @@
     tokens: int
 
 
-def choose_departure(
+def choose_spillover(
     work: WorkItem, home: HomeOutlook, zones: Iterable[RemoteZone], now: float
-) -> Departure | None:
+) -> Spillover | None:
     """Returns where work leaves for, or None if it stays.
 
-    The nearest zone wins among equals, as the cost elsewhere contains the delay of forwarding.
+    The nearest zone wins among equals, as the cost elsewhere contains the delay of spillover.
     """
     if home.cost_s <= HOME_TOLERANCE_S:
         return None
-    departures = (
-        Departure(
+    spillovers = (
+        Spillover(
             zone,
             home.leaving_reason(),
             zone.cost_s(work, home, now),
@@ -49,7 +49,7 @@
         for zone in zones
         if zone.is_current(now)
     )
-    cheapest = min(departures, key=lambda departure: departure.cost_s, default=None)
+    cheapest = min(spillovers, key=lambda spillover: spillover.cost_s, default=None)
     if cheapest is None or cheapest.cost_s + MIN_GAIN_S >= home.cost_s:
         return None
     return cheapest
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -79,8 +79,12 @@
         self.duty_appends = self._counter(
             "duty_appends", "Appends under a lease or to acquire it", "duty", "verdict"
         )
-        self.forwarded = self._counter("forwarded", "Work sent to another zone", "zone", "reason")
-        self.received = self._counter("received", "Work received from another zone", "zone")
+        self.spillover_sent = self._counter(
+            "spillover_sent", "Work sent to another zone", "zone", "reason"
+        )
+        self.spillover_received = self._counter(
+            "spillover_received", "Work received from another zone", "zone"
+        )
         group = ("pool", "zone", "rank")
         self.queued = self._gauge("queued", "Requests that wait for an engine", *group)
         self.queue_refusals = self._counter(
--- a/bluebellpitch/peers/platform_messages.py
+++ b/bluebellpitch/peers/platform_messages.py
@@ -8,8 +8,8 @@
 class WorkRequest(msgspec.Struct, frozen=True, tag="work_asked"):
     """Requests an engine from the broker of a zone. ``age_s`` is since the request arrived.
 
-    ``reply_to`` is the bus address of the requesting VM. ``is_passed_on`` is set if the request
-    must stay where it is sent: ``home_zone`` forwarded it, or got no answer from another zone.
+    ``reply_to`` is the bus address of the requesting VM. ``must_stay`` is set if the request may
+    not spill over: it comes from ``home_zone``, or another zone did not answer.
     """
 
     work_id: str
@@ -25,7 +25,7 @@
     avoid: tuple[str, ...]
     vm: str
     reply_to: str
-    is_passed_on: bool = False
+    must_stay: bool = msgspec.field(default=False, name="is_passed_on")
     member: str = ""
     home_zone: str = ""
 
@@ -33,13 +33,13 @@
 class WorkQueued(msgspec.Struct, frozen=True, tag="work_queued"):
     """The work is queued at the broker; the next message about it follows within ``within_s``.
 
-    ``forwarded_to`` is the address of the broker of another zone, if the work went there; that
+    ``spillover_to`` is the address of the broker of another zone, if the work went there; that
     broker confirms it with ``within_s`` 0, again and again while the work waits there.
     """
 
     work_id: str
     within_s: float
-    forwarded_to: str = ""
+    spillover_to: str = msgspec.field(default="", name="forwarded_to")
 
 
 class WorkGranted(msgspec.Struct, frozen=True, tag="work_granted"):
--- a/bluebellpitch/roles/generation_broker_client.py
+++ b/bluebellpitch/roles/generation_broker_client.py
@@ -58,7 +58,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ForwardedWork:
+class SpilloverWork:
     """Work at the broker of another zone; it comes home if nothing is heard by ``give_up_at``.
 
     ``is_queued`` is set once that broker has confirmed that it has the work; each further
@@ -98,7 +98,7 @@
         self._now = now
         self._responses_by_work: dict[str, asyncio.Queue] = {}
         self._held_by_work: dict[str, HeldGrant] = {}
-        self._forwarded_by_work: dict[str, ForwardedWork] = {}
+        self._spillover_by_work: dict[str, SpilloverWork] = {}
         self._last_broker_by_pool: dict[str, str] = {}
 
     async def acquire(self, work: WorkItem, avoid: frozenset[str]) -> EngineGrant | DidNotRun:
@@ -111,14 +111,14 @@
             return result
         finally:
             del self._responses_by_work[work.id]
-            forwarded = self._forwarded_by_work.pop(work.id, None)
+            spillover = self._spillover_by_work.pop(work.id, None)
             while not responses.empty():
                 self.handle_response(responses.get_nowait())
             if result is None:
                 ended = WorkEnded(work.id, work.pool, "withdrawn")
                 self._send(self._find_broker_vm(work.pool), ended)
-                if forwarded is not None:
-                    self._send_to_address(forwarded.address, ended)
+                if spillover is not None:
+                    self._send_to_address(spillover.address, ended)
 
     async def _request_until_decided(
         self, work: WorkItem, avoid: frozenset[str], responses: asyncio.Queue
@@ -127,7 +127,7 @@
         silent_zones: set[str] = set()
         while self._now() < work.expires_at:
             current_broker_vm = self._find_broker_vm(work.pool)
-            if work.id not in self._forwarded_by_work and current_broker_vm != broker_vm:
+            if work.id not in self._spillover_by_work and current_broker_vm != broker_vm:
                 broker_vm, timeout_s = current_broker_vm, FIRST_RESPONSE_TIMEOUT_S
                 self._send_request(broker_vm, work, avoid, must_stay=bool(silent_zones))
             response = await next_response(responses, timeout_s)
@@ -138,11 +138,11 @@
                     self._send_to_address(address, WorkEnded(work.id, work.pool, "withdrawn"))
                 case WorkRefused(broker_address=address) if address in silent_zones:
                     pass
-                case WorkQueued(forwarded_to=address) if address in silent_zones:
+                case WorkQueued(spillover_to=address) if address in silent_zones:
                     pass
                 case WorkQueued():
                     timeout_s = response.within_s or BROKER_RECHECK_INTERVAL_S
-                    self._record_forwarded(work, response)
+                    self._record_spillover(work, response)
                 case WorkRefused(_, reason, retry_after_s):
                     return DidNotRun(reason, 503, retry_after_s)
                 case WorkGranted():
@@ -157,12 +157,12 @@
         self, work: WorkItem, broker_vm: str, timeout_s: float, silent_zones: set[str]
     ) -> str:
         """Returns the broker that still has the work, or an empty string to request it again."""
-        forwarded = self._forwarded_by_work.get(work.id)
-        if forwarded is not None:
-            if self._now() < forwarded.give_up_at:
+        spillover = self._spillover_by_work.get(work.id)
+        if spillover is not None:
+            if self._now() < spillover.give_up_at:
                 return broker_vm
-            silent_zones.add(forwarded.address)
-            self._withdraw_forwarded(work)
+            silent_zones.add(spillover.address)
+            self._withdraw_spillover(work)
             return ""
         if timeout_s == BROKER_RECHECK_INTERVAL_S:
             return broker_vm
@@ -171,22 +171,22 @@
             self._liveness.exclude(broker_vm, self._now() + SILENT_BROKER_BACKOFF_S)
         return ""
 
-    def _record_forwarded(self, work: WorkItem, queued: WorkQueued) -> None:
+    def _record_spillover(self, work: WorkItem, queued: WorkQueued) -> None:
         """Records that another zone got the work, or (``within_s`` 0) that it queued it."""
-        if not queued.forwarded_to:
+        if not queued.spillover_to:
             return
-        known = self._forwarded_by_work.get(work.id)
+        known = self._spillover_by_work.get(work.id)
         is_queued = queued.within_s == 0
         if known is not None and known.is_queued and not is_queued:
             return
         give_up_at = self._now() + (CONFIRMATION_TIMEOUT_S if is_queued else queued.within_s)
-        self._forwarded_by_work[work.id] = ForwardedWork(queued.forwarded_to, give_up_at, is_queued)
+        self._spillover_by_work[work.id] = SpilloverWork(queued.spillover_to, give_up_at, is_queued)
 
-    def _withdraw_forwarded(self, work: WorkItem) -> None:
-        forwarded = self._forwarded_by_work.pop(work.id)
-        log("WARNING", "forwarded_unanswered", request=work.id, to=forwarded.address)
+    def _withdraw_spillover(self, work: WorkItem) -> None:
+        spillover = self._spillover_by_work.pop(work.id)
+        log("WARNING", "spillover_unanswered", request=work.id, to=spillover.address)
         ended = WorkEnded(work.id, work.pool, "withdrawn")
-        self._send_to_address(forwarded.address, ended)
+        self._send_to_address(spillover.address, ended)
 
     def _report_to_new_broker(self, broker_vm: str, pool: str) -> None:
         """Tells a VM that now brokers a pool what this VM has at the engines of the zone."""
@@ -240,7 +240,7 @@
             vm=self._vm_key,
             reply_to=self._address,
             member=work.member,
-            is_passed_on=must_stay,
+            must_stay=must_stay,
         )
         self._send(broker_vm, request)
 
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -191,9 +191,9 @@
         broker = self._get_broker(request.pool)
         self._takeover.collect_if_due(broker, now)
         work = work_from_request(request, now, self._spillover.forwarding_s(request))
-        if not request.is_passed_on:
+        if not request.must_stay:
             self._demand.by_pool[work.pool].record_arrival(work.tokens_in, now)
-        if self._spillover.forward(broker, work, request, now):
+        if self._spillover.spill_over(broker, work, request, now):
             return
         self._spillover.count_received(request)
         self._requests_by_work[work.id] = request
@@ -221,8 +221,8 @@
                     log("INFO", "refused", **named, **decision.inputs, **shares)
                     response = WorkRefused(work_id, reason, retry_after_s, self._address)
                 case generation_decisions.Queued(work_id):
-                    forwarded_to = self._address if request and request.home_zone else ""
-                    response = WorkQueued(work_id, 0.0, forwarded_to)
+                    spillover_to = self._address if request and request.home_zone else ""
+                    response = WorkQueued(work_id, 0.0, spillover_to)
             if not isinstance(decision, generation_decisions.Queued):
                 self._requests_by_work.pop(decision.work_id, None)
             if address:
@@ -261,7 +261,7 @@
                 if broker.waiting_by_id:
                     self._refresh_engines(broker)
                     self._serve_queue(broker)
-                    self._forward_newest_waiting(broker, now)
+                    self._spill_over_newest_waiting(broker, now)
             self._takeover.forget_lost_roles(list(self._brokers_by_pool))
             if now >= next_load:
                 next_load = now + LOAD_PUBLISH_INTERVAL_S
@@ -273,11 +273,11 @@
                 next_expiry = now + WORK_EXPIRY_INTERVAL_S
                 self._expire(now)
 
-    def _forward_newest_waiting(self, broker: GenerationBroker, now: float) -> None:
-        """Forwards the most recent work in the queue if another zone has a lower cost for it."""
+    def _spill_over_newest_waiting(self, broker: GenerationBroker, now: float) -> None:
+        """Sends the most recent work in the queue away if another zone has a lower cost for it."""
         waiting = max(broker.waiting_by_id.values(), key=lambda w: w.work.arrived_at, default=None)
         request = waiting and self._requests_by_work.get(waiting.work.id)
-        if request and self._spillover.forward(broker, waiting.work, request, now):
+        if request and self._spillover.spill_over(broker, waiting.work, request, now):
             broker.finish(waiting.work.id, "withdrawn", now)
             del self._requests_by_work[waiting.work.id]
 
--- a/bluebellpitch/roles/zone_spillover.py
+++ b/bluebellpitch/roles/zone_spillover.py
@@ -1,4 +1,4 @@
-"""Forwards work to other zones, and tells their brokers the load of this zone."""
+"""Spills work over to other zones, and tells their brokers the load of this zone."""
 
 from collections.abc import Callable, Iterable, Mapping
 
@@ -6,15 +6,15 @@
 
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.loads import WorkItem, session_of
-from bluebellpitch.decisions.zones.departure import Departure, choose_departure
 from bluebellpitch.decisions.zones.distances import ZoneDistances
 from bluebellpitch.decisions.zones.outlook import ZoneOutlook, describe_home, describe_zone
 from bluebellpitch.decisions.zones.remote_zones import RemoteZone
+from bluebellpitch.decisions.zones.spillover import Spillover, choose_spillover
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.platform_messages import WorkQueued, WorkRequest, ZoneLoad
 
-FORWARDED_RESPONSE_TIMEOUT_S = 0.4
+SPILLOVER_RESPONSE_TIMEOUT_S = 0.4
 
 
 class ZoneSpillover:
@@ -47,7 +47,7 @@
     def _remote_zone(self, pool: str, zone: str) -> RemoteZone:
         zones = self._zones_by_pool.setdefault(pool, {})
         if zone not in zones:
-            zones[zone] = RemoteZone(zone, self._distances.forwarding_s(zone))
+            zones[zone] = RemoteZone(zone, self._distances.spillover_delay_s(zone))
         return zones[zone]
 
     def record_load(self, load: ZoneLoad, now: float) -> None:
@@ -70,46 +70,46 @@
         return self._distances.forwarding_s(request.home_zone) if request.home_zone else 0.0
 
     def count_received(self, request: WorkRequest) -> None:
-        """Counts a request that another zone forwarded."""
+        """Counts a request that spilled over from another zone."""
         if request.home_zone:
-            self._metrics.received.labels(request.home_zone).inc()
+            self._metrics.spillover_received.labels(request.home_zone).inc()
 
-    def forward(
+    def spill_over(
         self, broker: GenerationBroker, work: WorkItem, request: WorkRequest, now: float
     ) -> bool:
-        """Forwards work to another zone if its caller gains by that; returns whether it did."""
+        """Sends work to another zone if its caller gains by that; returns whether it did."""
         zones = self._zones_by_pool.get(work.pool)
-        if request.is_passed_on or not zones:
+        if request.must_stay or not zones:
             return False
         home = describe_home(broker, work, frozenset(request.avoid), now)
-        departure = choose_departure(work, home, zones.values(), now)
-        if departure is None:
+        spillover = choose_spillover(work, home, zones.values(), now)
+        if spillover is None:
             return False
-        self._send(departure, work, request, now)
+        self._send(spillover, work, request, now)
         inputs = {
             "home_ms": f"{home.cost_s * 1000:.0f}",
-            "there_ms": f"{departure.cost_s * 1000:.0f}",
-            "unread": str(departure.tokens),
+            "there_ms": f"{spillover.cost_s * 1000:.0f}",
+            "unread": str(spillover.tokens),
         }
-        to, reason = departure.zone.name, departure.reason
-        log("INFO", "passed_on", request=work.id, to=to, reason=reason, **inputs)
-        self._metrics.forwarded.labels(to, reason).inc()
+        to, reason = spillover.zone.name, spillover.reason
+        log("INFO", "spillover", request=work.id, to=to, reason=reason, **inputs)
+        self._metrics.spillover_sent.labels(to, reason).inc()
         return True
 
-    def _send(self, departure: Departure, work: WorkItem, request: WorkRequest, now: float) -> None:
-        zone = departure.zone
+    def _send(self, spillover: Spillover, work: WorkItem, request: WorkRequest, now: float) -> None:
+        zone = spillover.zone
         one_way_s = self._distances.one_way_s(zone.name)
-        queued = WorkQueued(work.id, FORWARDED_RESPONSE_TIMEOUT_S, zone.address)
+        queued = WorkQueued(work.id, SPILLOVER_RESPONSE_TIMEOUT_S, zone.address)
         self._send_to_address(request.reply_to, queued)
-        forwarded = msgspec.structs.replace(
+        request_there = msgspec.structs.replace(
             request,
-            is_passed_on=True,
+            must_stay=True,
             home_zone=self._zone,
             age_s=now - work.arrived_at + one_way_s,
             left_s=work.expires_at - now - one_way_s,
         )
-        self._send_to_address(zone.address, forwarded)
-        zone.record_forwarded(departure.tokens, self._zones_by_pool[work.pool].values())
+        self._send_to_address(zone.address, request_there)
+        zone.record_spillover(spillover.tokens, self._zones_by_pool[work.pool].values())
 
     def expire(self, now: float) -> None:
         """Removes sessions that other zones may no longer have cached."""
--- a/tests/test_zone_spillover.py
+++ b/tests/test_zone_spillover.py
@@ -5,10 +5,10 @@
 import pytest
 
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.decisions.zones.departure import choose_departure
 from bluebellpitch.decisions.zones.distances import ZoneDistances
 from bluebellpitch.decisions.zones.outlook import HomeOutlook, ZoneOutlook
 from bluebellpitch.decisions.zones.remote_zones import RemoteZone
+from bluebellpitch.decisions.zones.spillover import choose_spillover
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.peers.platform_messages import (
     WorkEnded,
@@ -56,7 +56,7 @@
 def make_zone(name: str, short_s: float = 0.0, long_s: float = 0.2) -> RemoteZone:
     distances = ZoneDistances("a1", REGIONS)
     outlook = ZoneOutlook(long_s, 2e-5, short_s, 6e-6)
-    return RemoteZone(name, distances.forwarding_s(name), "", outlook, 0.0)
+    return RemoteZone(name, distances.spillover_delay_s(name), "", outlook, 0.0)
 
 
 def make_work() -> WorkItem:
@@ -74,32 +74,32 @@
 
 
 def test_a_zone_of_the_same_region_helps_before_another_region():
-    departure = choose_departure(
+    spillover = choose_spillover(
         make_work(), make_home(1.0), [make_zone("b1"), make_zone("a2"), make_zone("c1")], 0.1
     )
-    assert (departure.zone.name, departure.reason) == ("a2", "costs_less")
+    assert (spillover.zone.name, spillover.reason) == ("a2", "costs_less")
 
 
 @pytest.mark.parametrize(("other", "leaves"), [("a2", True), ("b1", False)])
 def test_a_small_gain_pays_only_within_the_region(other, leaves):
     home = make_home(0.2 + 9000 * 2e-5 + 0.1)
-    assert (choose_departure(make_work(), home, [make_zone(other)], 0.1) is not None) == leaves
+    assert (choose_spillover(make_work(), home, [make_zone(other)], 0.1) is not None) == leaves
 
 
 def test_a_report_that_is_old_is_not_used():
-    assert choose_departure(make_work(), make_home(1.0), [make_zone("a2")], 2.0) is None
+    assert choose_spillover(make_work(), make_home(1.0), [make_zone("a2")], 2.0) is None
 
 
 def test_zone_that_lost_its_engines_sends_all_of_its_work():
     home = make_home(float("inf"), has_engine=False)
-    departure = choose_departure(make_work(), home, [make_zone("b1", long_s=3.0)], 0.1)
-    assert departure.reason == "no_engine"
+    spillover = choose_spillover(make_work(), home, [make_zone("b1", long_s=3.0)], 0.1)
+    assert spillover.reason == "no_engine"
 
 
 def test_work_that_other_zones_will_send_too_counts_before_the_next_report():
     idle, full = make_zone("a2"), [make_zone("b1", long_s=3.0), make_zone("c1", long_s=3.0)]
     before_s = idle.outlook.long_fixed_s
-    idle.record_forwarded(1000, [idle, *full, make_zone("b2")])
+    idle.record_spillover(1000, [idle, *full, make_zone("b2")])
     assert idle.outlook.long_fixed_s - before_s == pytest.approx(3 * 1000 * 6e-6)
 
 
@@ -121,7 +121,7 @@
     assert sum(replay.sent.values()) == 0
 
 
-async def forward_and_stay_silent(confirms: bool):
+async def spill_over_and_stay_silent(confirms: bool):
     """Returns the messages to a zone that takes work and gives no engine, and what the VM got."""
     coordinators = start_coordinators(2)
     requester = next(c for name, c in coordinators.items() if name != broker_of(c))
@@ -129,15 +129,15 @@
     sent: list = []
     requester.broker_client._send_to_address = lambda to, message: sent.append((to, message))
 
-    def forward(_broker, work, request, _now):
-        if request.is_passed_on:
+    def spill_over(_broker, work, request, _now):
+        if request.must_stay:
             return False
         requester.handle_message("", WorkQueued(work.id, 0.4, "elsewhere"))
         if confirms:
             requester.handle_message("", WorkQueued(work.id, 0.0, "elsewhere"))
         return True
 
-    broker._spillover.forward = forward
+    broker._spillover.spill_over = spill_over
     first = broker_of(requester)
     grant = asyncio.ensure_future(acquire(requester, "a"))
     await asyncio.sleep(0.3)
@@ -148,7 +148,9 @@
 
 @pytest.mark.parametrize("confirms", [False, True])
 def test_work_comes_home_when_the_zone_that_got_it_is_silent(confirms):
-    sent, grant, was_waiting, kept_broker = run_in_virtual_time(forward_and_stay_silent(confirms))
+    sent, grant, was_waiting, kept_broker = run_in_virtual_time(
+        spill_over_and_stay_silent(confirms)
+    )
     assert was_waiting and kept_broker
     assert sent[0] == ("elsewhere", WorkEnded("a", POOL, "withdrawn"))
     assert grant.entry.zone == "z"
@@ -167,7 +169,7 @@
     assert run_in_virtual_time(body()) == [("elsewhere", WorkEnded("a", POOL, "withdrawn"))]
 
 
-def test_forwarded_work_is_not_forwarded_again():
+def test_spillover_does_not_spill_over_again():
     replay = ZonesReplay({"a1": "a", "a2": "a"}, engines=0)
     request = WorkRequest(
         "a1-w", "pool", 1, 9000, 50, (), 0.8, 0.5, 0.0, 6.0, (), "vm", "a1", True, "a1"
@@ -180,7 +182,7 @@
 async def answer_after_giving_up(late_answer):
     """Returns what the VM got from home after a zone that it gave up has answered late.
 
-    Beside it, the work that the VM takes for forwarded while home has not yet decided.
+    Beside it, the work that the VM takes for spillover while home has not yet decided.
     """
     coordinators = start_coordinators(2)
     requester = next(c for name, c in coordinators.items() if name != broker_of(c))
@@ -188,8 +190,8 @@
 
     late_answers = [late_answer]
 
-    def forward(pool_broker, work, request, now):
-        if not request.is_passed_on:
+    def spill_over(pool_broker, work, request, now):
+        if not request.must_stay:
             requester.handle_message("", WorkQueued(work.id, 0.4, "elsewhere"))
             return True
         if late_answers:
@@ -197,12 +199,12 @@
             requester.handle_message("", late_answers.pop())
         return False
 
-    broker._spillover.forward = forward
+    broker._spillover.spill_over = spill_over
     requester.broker_client._send_to_address = lambda to, message: None
     waiting = asyncio.ensure_future(acquire(requester, "a"))
     await asyncio.sleep(1.2)
-    forwarded = dict(requester.broker_client._forwarded_by_work)
-    return await asyncio.wait_for(waiting, 6.0), forwarded
+    spillovers = dict(requester.broker_client._spillover_by_work)
+    return await asyncio.wait_for(waiting, 6.0), spillovers
 
 
 @pytest.mark.parametrize(
@@ -214,9 +216,9 @@
     ],
 )
 def test_late_answer_of_a_zone_that_was_given_up_decides_nothing(late_answer):
-    grant, forwarded = run_in_virtual_time(answer_after_giving_up(late_answer))
+    grant, spillovers = run_in_virtual_time(answer_after_giving_up(late_answer))
     assert grant.entry.zone == "z"
-    assert not forwarded
+    assert not spillovers
 
 
 def test_sessions_are_not_gathered_for_other_zones_that_there_are_not():
--- a/tests/zone_replay.py
+++ b/tests/zone_replay.py
@@ -1,4 +1,4 @@
-"""Replays the load of several zones, whose brokers forward work to each other, in virtual time."""
+"""Replays the load of several zones, with spillover between them, in virtual time."""
 
 import heapq
 import random
@@ -49,11 +49,11 @@
         self.spillover = ZoneSpillover(name, name, regions, lambda zone: [zone], send, Metrics())
 
     def start(self, request: WorkRequest, now: float) -> None:
-        """Forwards work or gives it to the broker of this zone."""
+        """Spills work over or gives it to the broker of this zone."""
         work = work_from_request(request, now)
         self._requests[work.id] = request
         self.spillover.count_received(request)
-        if not self.spillover.forward(self.broker, work, request, now):
+        if not self.spillover.spill_over(self.broker, work, request, now):
             self._apply(self.broker.submit(work, "vm", frozenset(), now), None, now)
 
     def _start(self, work_id: str, engine: tuple[str, int], uncached: int, now: float) -> None:
@@ -61,12 +61,12 @@
         super()._start(work_id, engine, uncached, now)
 
     def tick(self, now: float) -> None:
-        """Lets engines and the queue go on; forwards the newest work that waits."""
+        """Lets engines and the queue go on; spills the newest work over that waits."""
         self._advance(now)
         waiting = max(
             self.broker.waiting_by_id.values(), key=lambda w: w.work.arrived_at, default=None
         )
-        if waiting and self.spillover.forward(
+        if waiting and self.spillover.spill_over(
             self.broker, waiting.work, self._requests[waiting.work.id], now
         ):
             self.broker.finish(waiting.work.id, "withdrawn", now)
@@ -96,7 +96,7 @@
         if to not in self.zones or {sender, to} & self.cut_off:
             return
         if isinstance(message, WorkRequest):
-            assert message.is_passed_on and sender == self._home(message.work_id)
+            assert message.must_stay and sender == self._home(message.work_id)
             self.sent[sender, to] += message.tokens_in
             self.log.append((self.now, sender, to))
             work, load = self.zones[sender]._arrivals_by_id[message.work_id]
