Estimate how slowly each engine reads, from the first tokens that callers saw

Cause: a broker knew only the last slowdown that a response named, held it until the next one, and took first tokens of slow engines for the speed of the pool. Engines that are slow without saying so got their full share. Change: decisions/engine_speeds.py estimates each engine's reading by the first tokens of long prompts, overlapping ones too, compared with the pool's usual engine; estimates fade with age, so a slow engine is tried again. Placement, pacing and the costs reported to other zones use them. Metric engine_slowdown, log lines engine_slow and engine_usual_speed. Three of the tests fail on the code before.

--- a/bluebellpitch/decisions/decision_inputs.py
+++ b/bluebellpitch/decisions/decision_inputs.py
@@ -1,13 +1,13 @@
 """The inputs of a generation broker's decisions, as its log lines show them."""
 
+from bluebellpitch.decisions.engine_placement import EnginePlacement
 from bluebellpitch.decisions.engine_state import EngineState
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.decisions.prefill import PrefillShare, PrefillSpeed
 from bluebellpitch.decisions.return_schedule import PlannedReturn
 
 
 def describe_grant(
-    engine: EngineState, work: WorkItem, speed: PrefillSpeed, share: PrefillShare, now: float
+    engine: EngineState, work: WorkItem, placement: EnginePlacement, now: float
 ) -> dict[str, str]:
     """Returns the inputs of a grant, taken before the engine counts the work."""
     return {
@@ -18,9 +18,10 @@
         "unread": str(engine.uncached_tokens(work)),
         "reading_left_ms": f"{engine.prefill_backlog_s(now) * 1000:.0f}",
         "held": str(len(engine.assigned_by_id)),
-        "tokens_per_ms": f"{0.001 / speed.s_per_token:.1f}",
-        "fixed_ms": f"{speed.fixed_s * 1000:.0f}",
-        "reading_share": f"{share.value:.2f}",
+        "tokens_per_ms": f"{0.001 / placement.speed.s_per_token:.1f}",
+        "fixed_ms": f"{placement.speed.fixed_s * 1000:.0f}",
+        "slowdown": f"{placement.slowdown(engine, now):.2f}",
+        "reading_share": f"{placement.prefill_share(engine).value:.2f}",
     }
 
 
--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -6,7 +6,8 @@
 
 from collections.abc import Iterable
 
-from bluebellpitch.decisions.engine_state import EngineState
+from bluebellpitch.decisions.engine_speeds import usual_slowdown
+from bluebellpitch.decisions.engine_state import AssignedWork, EngineState
 from bluebellpitch.decisions.loads import WorkItem
 from bluebellpitch.decisions.named_limits import NamedLimits
 from bluebellpitch.decisions.prefill import (
@@ -27,6 +28,8 @@
 UNPACED_BACKLOG_S = 0.1
 # Work whose wait for an engine is at most this long starts there at once.
 START_TOLERANCE_S = 0.001
+# Engines that read more slowly than this do not count for the speed of the pool.
+MAX_USUAL_SLOWDOWN = 1.5
 # Placement costs, in seconds of time to first token (or per second of prefill, without _S).
 # Of each request that runs on the engine.
 RUNNING_REQUEST_COST_S = 0.003
@@ -50,6 +53,7 @@
         self.gap_target_s = DEFAULT_POOL_GAP_TARGET_S
         self.engines_by_key: dict[tuple[str, int], EngineState] = {}
         self.limits = NamedLimits()
+        self._usual_slowdown = 1.0
         self.short_stream_share = PrefillShare()
         self.long_stream_share = PrefillShare(INITIAL_LONG_STREAM_SHARE)
 
@@ -88,13 +92,32 @@
             if engine.entry.id not in avoid and engine.is_usable(now) and engine.has_capacity(work)
         ]
 
-    def prefill_s(self, engine: EngineState, work: WorkItem) -> float:
+    def prefill_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
         """Returns how long the engine reads the prompt."""
-        return engine.uncached_tokens(work) * self.speed.s_per_token * engine.load.slowdown
+        s_per_token = self.speed.s_per_token * self.slowdown(engine, now)
+        return engine.uncached_tokens(work) * s_per_token
+
+    def slowdown(self, engine: EngineState, now: float) -> float:
+        """Returns how much more slowly than the pool's usual engine this one reads."""
+        return engine.reading_speed.slowdown(self._usual_slowdown, now)
+
+    def record_prefill(
+        self, engine: EngineState, assigned: AssignedWork, since_sent_s: float, now: float
+    ) -> None:
+        """Records the first token of a prompt, for the speeds of the engine and of the pool."""
+        if not assigned.is_short:
+            expected_s = assigned.uncached_tokens * self.speed.s_per_token
+            engine.reading_speed.record_first_token(
+                expected_s, since_sent_s, self.speed.fixed_s, now
+            )
+            speeds = [engine.reading_speed for engine in self.engines_by_key.values()]
+            self._usual_slowdown = usual_slowdown(speeds, now)
+        if assigned.prefilled_alone and self.slowdown(engine, now) <= MAX_USUAL_SLOWDOWN:
+            self.speed.add_sample(assigned.uncached_tokens, since_sent_s)
 
     def start_wait_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
         """Returns how long the work has to wait before it may be sent to the engine."""
-        return self._prefill_wait_s(engine, self.prefill_s(engine, work), now)
+        return self._prefill_wait_s(engine, self.prefill_s(engine, work, now), now)
 
     def _prefill_wait_s(self, engine: EngineState, prefill_s: float, now: float) -> float:
         limit_wait_s = self.limits.wait_s(engine.key, now)
@@ -155,7 +178,7 @@
 
     def cost_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
         """Returns the cost of the work at an engine, in seconds of time to first token."""
-        prefill_s = self.prefill_s(engine, work)
+        prefill_s = self.prefill_s(engine, work, now)
         start_wait_s = self._prefill_wait_s(engine, prefill_s, now)
         wait_s = max(start_wait_s, engine.prefill_backlog_s(now))
         running_s = len(engine.assigned_by_id) * RUNNING_REQUEST_COST_S
@@ -179,7 +202,10 @@
         """
         s_per_token = self.speed.s_per_token / DEFAULT_PREFILL_SHARE
         tokens_per_s = sum(
-            min(1 / s_per_token, self._limited_tokens_per_s(engine, mean_tokens, now))
+            min(
+                1 / (s_per_token * self.slowdown(engine, now)),
+                self._limited_tokens_per_s(engine, mean_tokens, now),
+            )
             for engine in engines
         )
         return 1 / tokens_per_s if tokens_per_s else s_per_token
--- a/bluebellpitch/decisions/engine_reservations.py
+++ b/bluebellpitch/decisions/engine_reservations.py
@@ -93,7 +93,7 @@
 
     def _reserve(self, engine: EngineState, work: WorkItem) -> None:
         reserved_s = self._reserved_s_by_engine.get(engine.key, 0.0)
-        prefill_s = self._placement.prefill_s(engine, work)
+        prefill_s = self._placement.prefill_s(engine, work, self._now)
         self._reserved_s_by_engine[engine.key] = reserved_s + prefill_s
 
     def _reserve_full_engines(self, waiting: WaitingWork) -> None:
--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.engine_speeds import ReadingSpeed
 from bluebellpitch.decisions.loads import EndpointLoad, WorkItem
 from bluebellpitch.decisions.prefill import PrefillSchedule
 
@@ -40,6 +41,7 @@
     slots: int
     kv_capacity_tokens: int
     load: EndpointLoad = field(default_factory=EndpointLoad)
+    reading_speed: ReadingSpeed = field(default_factory=ReadingSpeed)
     prefill_schedule: PrefillSchedule = field(default_factory=PrefillSchedule)
     assigned_by_id: dict[str, AssignedWork] = field(default_factory=dict)
     last_response_at: float = float("-inf")
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -101,9 +101,8 @@
         if not engines:
             return LongPromptCost(float("inf"), 0.0)
         engine = min(engines, key=lambda engine: self.placement.cost_s(engine, work, now))
-        s_per_token = self.placement.speed.s_per_token * (
-            1 + engine.short_streams() * DELAYED_STREAM_COST
-        )
+        s_per_token = self.placement.speed.s_per_token * self.placement.slowdown(engine, now)
+        s_per_token *= 1 + engine.short_streams() * DELAYED_STREAM_COST
         cost_s = self.placement.cost_s(engine, work, now) - tokens * s_per_token
         waiting, order = WaitingWork(work, "", frozenset()), self._queue_order(now)
         queue_wait_s = self._queue_wait_s(waiting, order, engines, now)
@@ -220,7 +219,7 @@
         self.shares.record_granted(work, now)
         prefill_s = 0.0
         if not started:
-            prefill_s = self.placement.prefill_s(engine, work)
+            prefill_s = self.placement.prefill_s(engine, work, now)
             engine.record_prefill(prefill_s, now)
         engine.cache_prompt(work)
         first_token_at = now + prefill_s + self.placement.speed.fixed_s
@@ -265,8 +264,7 @@
     def _grant(self, engine: EngineState, waiting: WaitingWork, now: float) -> Granted:
         work = waiting.work
         self._queue.remove(work.id)
-        share = self.placement.prefill_share(engine)
-        inputs = describe_grant(engine, work, self.placement.speed, share, now)
+        inputs = describe_grant(engine, work, self.placement, now)
         self._assign(engine, waiting, now)
         limit = self.placement.limits.find(engine.key, now)
         return Granted(work.id, waiting.vm, engine.entry, inputs, limit and limit.rate_per_s)
@@ -274,7 +272,7 @@
     def _assign(self, engine: EngineState, waiting: WaitingWork, now: float) -> None:
         work = waiting.work
         uncached = engine.uncached_tokens(work)
-        prefill_s = self.placement.prefill_s(engine, work)
+        prefill_s = self.placement.prefill_s(engine, work, now)
         alone = engine.prefill_backlog_s(now) <= 0
         self.placement.limits.take_turn(engine.key, now)
         self.shares.record_granted(work, now)
@@ -295,9 +293,8 @@
             return
         engine.last_response_at = now
         engine.load.record_outcome(False, now)
-        engine.load.slowdown = max(1.0, slowdown)
-        if assigned.prefilled_alone and slowdown <= 1.1 and not assigned.work.forwarding_s:
-            self.placement.speed.add_sample(assigned.uncached_tokens, ttft_s)
+        engine.reading_speed.record_report(slowdown, now)
+        self.placement.record_prefill(engine, assigned, ttft_s, now)
         engine.record_first_token(assigned, self.placement.speed.fixed_s, now)
 
     def finish(self, work_id: str, outcome: str, now: float, longest_gap_s: float = 0.0) -> None:
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -85,6 +85,9 @@
         self.spillover_received = self._counter(
             "spillover_received", "Work received from another zone", "zone"
         )
+        self.engine_slowdown = self._gauge(
+            "engine_slowdown", "Time to read a prompt, 1: as usual in the pool", "pool", "endpoint"
+        )
         group = ("pool", "zone", "rank")
         self.queued = self._gauge("queued", "Requests that wait for an engine", *group)
         self.queue_refusals = self._counter(
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -26,6 +26,7 @@
     ZoneLoad,
 )
 from bluebellpitch.roles.broker_takeover import BrokerTakeover, adopt_report
+from bluebellpitch.roles.engine_speed_monitor import EngineSpeedMonitor
 from bluebellpitch.roles.generation_broker_client import GenerationBrokerClient
 from bluebellpitch.roles.shortage_metrics import ShortageMetrics
 from bluebellpitch.roles.work_items import (
@@ -95,6 +96,7 @@
         )
         self._demand = DemandMeters()
         self._shortage = ShortageMetrics(zone, metrics)
+        self._speed_monitor = EngineSpeedMonitor(metrics)
         self._work_waiting = asyncio.Event()
 
     def _broker_vm(self, pool: str) -> str:
@@ -307,6 +309,7 @@
         for broker in self._brokers_by_pool.values():
             broker.expire(now)
         self._spillover.expire(now)
+        self._speed_monitor.update(self._own_brokers(), now)
         queued = set().union(*(broker.waiting_by_id for broker in self._brokers_by_pool.values()))
         for work_id in self._requests_by_work.keys() - queued:
             del self._requests_by_work[work_id]
--- a/tests/generation_load.py
+++ b/tests/generation_load.py
@@ -157,6 +157,10 @@
         first_token_at = self._free_at_by_engine[engine] + FIXED_S
         self._schedule(first_token_at, "record_first_token", work_id, first_token_at - now, 1.0)
         self._schedule(first_token_at + load.decode_s, "finish", work_id, "ok")
+        self._record(work_id, first_token_at)
+
+    def _record(self, work_id: str, first_token_at: float) -> None:
+        work, load = self._arrivals_by_id[work_id]
         waited_s = first_token_at - work.arrived_at
         self.outcomes_by_id[work_id] = Outcome(load, work.arrived_at, waited_s, work_id=work_id)
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -12,7 +12,7 @@
 
 from tests.mutant import Mutant
 from tests.mutants_of_duties import LEASE_MUTANTS
-from tests.mutants_of_endpoints import CRASH_MUTANTS, LIMIT_MUTANTS, STALL_MUTANTS
+from tests.mutants_of_endpoints import ENDPOINT_MUTANTS
 from tests.mutants_of_retries import RETRY_MUTANTS
 from tests.mutants_of_scaling import SCALING_MUTANTS
 from tests.mutants_of_size import SIZE_MUTANTS
@@ -293,9 +293,7 @@
         "",
         "tests/test_buffers.py -k nothing_is_held",
     ),
-    *CRASH_MUTANTS,
-    *LIMIT_MUTANTS,
-    *STALL_MUTANTS,
+    *ENDPOINT_MUTANTS,
     *CONFIGURATION_MUTANTS,
     *ERA_MUTANTS,
     *SHUTDOWN_MUTANTS,
--- a/tests/mutants_of_endpoints.py
+++ b/tests/mutants_of_endpoints.py
@@ -1,4 +1,4 @@
-"""Mutants of what is known of endpoints: their crashes, and the limits that they name."""
+"""Mutants of what is known of endpoints: crashes, the limits that they name, and speeds."""
 
 from tests.mutant import Mutant
 
@@ -115,3 +115,38 @@
         "tests/test_serve_limits.py",
     ),
 )
+
+SPEED_TESTS = "tests/test_engine_speeds.py"
+SPEED_MUTANTS = (
+    Mutant(
+        "a slowdown is forgotten with age",
+        "bluebellpitch/decisions/engine_speeds.py",
+        "return 0.5 ** ((now - self.sampled_at) / SPEED_HALF_LIFE_S)",
+        "return 1.0 if self.sample_count else 0.0",
+        SPEED_TESTS,
+    ),
+    Mutant(
+        "reading begins at the end of the prompt before",
+        "bluebellpitch/decisions/engine_speeds.py",
+        "began_at = max(self._read_until, now - since_sent_s + fixed_s)",
+        "began_at = now - since_sent_s + fixed_s",
+        SPEED_TESTS,
+    ),
+    Mutant(
+        "a slow engine does not count for the speed of the pool",
+        "bluebellpitch/decisions/engine_placement.py",
+        "if assigned.prefilled_alone and self.slowdown(engine, now) <= MAX_USUAL_SLOWDOWN:",
+        "if assigned.prefilled_alone:",
+        SPEED_TESTS,
+    ),
+    Mutant(
+        "prompts are placed by the speed of each engine",
+        "bluebellpitch/decisions/engine_placement.py",
+        "s_per_token = self.speed.s_per_token * self.slowdown(engine, now)\n"
+        "        return engine",
+        "s_per_token = self.speed.s_per_token\n        return engine",
+        SPEED_TESTS,
+    ),
+)
+
+ENDPOINT_MUTANTS = (*CRASH_MUTANTS, *LIMIT_MUTANTS, *SPEED_MUTANTS, *STALL_MUTANTS)
