Tell a new broker of another zone what VMs of this zone have at its engines

Cause: a VM that starts to broker a pool asks the VMs of its own zone what its engines run. Work that spilled over from another zone was unknown to it, so it granted the engines' whole capacity again. Change: a zone's broker that hears of another broker elsewhere, by its load report, asks the VMs of its own zone to tell that one. No new message and no connection but to VMs whose work is there.

--- a/bluebellpitch/roles/broker_takeover.py
+++ b/bluebellpitch/roles/broker_takeover.py
@@ -1,20 +1,23 @@
-"""Collects what the VMs of a zone already run at its engines when this VM starts to broker a pool.
+"""Collects what VMs already run at the engines of a zone when a VM starts to broker a pool.
 
 Without it, two VMs that act as brokers one after the other, or at the same time while some VMs
-avoid a silent one, would each grant the whole capacity of the engines.
+avoid a silent one, would each grant the whole capacity of the engines. A new broker asks the VMs of
+its own zone. Those of another zone are asked by their own broker when it hears of the new one.
 """
 
 from collections.abc import Callable
 
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.logs import log
-from bluebellpitch.peers.platform_messages import HeldWorkReport, HeldWorkRequest
+from bluebellpitch.peers.platform_messages import HeldWorkReport, HeldWorkRequest, ZoneLoad
 from bluebellpitch.roles.work_items import work_from_report
 
 # Grants wait this long for the reports of other VMs.
 REPORT_WAIT_S = 0.03
 # A VM that acts for the pool's broker, which others may still use, asks again after this time.
 STAND_IN_INTERVAL_S = 0.3
+# While two VMs of another zone both act as its broker, reports for them are asked for this often.
+REMOTE_INTERVAL_S = 0.3
 
 
 class BrokerTakeover:
@@ -38,6 +41,7 @@
         self._send_to_address = send_to_address
         self._collected_at_by_pool: dict[str, float] = {}
         self._settled_pools: set[str] = set()
+        self._remote_brokers: dict[tuple[str, str], tuple[str, float]] = {}
 
     def collect_if_due(self, broker: GenerationBroker, now: float) -> None:
         """Pauses the broker and asks for reports, if others may have granted its engines."""
@@ -58,9 +62,24 @@
         for address in self._zone_addresses():
             self._send_to_address(address, request)
 
+    def collect_for_remote(self, load: ZoneLoad, now: float) -> None:
+        """Asks the VMs of this zone to tell a new broker of another zone what they have there."""
+        if not self._is_broker(load.pool):
+            return
+        known, asked_at = self._remote_brokers.get((load.pool, load.zone), ("", float("-inf")))
+        if known == load.reply_to or now - asked_at < REMOTE_INTERVAL_S:
+            return
+        self._remote_brokers[load.pool, load.zone] = load.reply_to, now
+        request = HeldWorkRequest(load.pool, load.zone, load.reply_to)
+        for address in self._zone_addresses():
+            self._send_to_address(address, request)
+
     def forget_lost_roles(self, pools: list[str]) -> None:
         """Makes the next request of a pool that others broker meanwhile collect reports again."""
-        self._settled_pools -= {pool for pool in pools if not self._is_broker(pool)}
+        lost = {pool for pool in pools if not self._is_broker(pool)}
+        self._settled_pools -= lost
+        for pool, zone in [key for key in self._remote_brokers if key[0] in lost]:
+            del self._remote_brokers[pool, zone]
 
 
 def adopt_report(broker: GenerationBroker, report: HeldWorkReport, now: float) -> None:
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -148,6 +148,7 @@
                 adopt_report(self._get_broker(message.pool), message, self._now())
             case ZoneLoad():
                 self._spillover.record_load(message, self._now())
+                self._takeover.collect_for_remote(message, self._now())
                 self._relay_load(sender, message)
 
     def _record_progress(self, report: FirstTokenReport | WorkEnded) -> None:
--- a/tests/mutants_of_zones.py
+++ b/tests/mutants_of_zones.py
@@ -67,4 +67,11 @@
         "            self._liveness.exclude(broker_vm, self._now() + SILENT_BROKER_BACKOFF_S)\n",
         TESTS,
     ),
+    Mutant(
+        "a new broker is told what other zones have at its engines",
+        "bluebellpitch/roles/generation_coordinator.py",
+        "                self._takeover.collect_for_remote(message, self._now())\n",
+        "",
+        "tests/test_spillover_failures.py",
+    ),
 )
