Forget a slowdown that a response named, with age

Cause: it held until the endpoint's next response. A VM that went elsewhere for it got none, so a zone stayed away from its endpoint for good, and momentary slowdowns sent calls of plain services to other regions.

--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -99,14 +99,16 @@
 
     def slowdown(self, engine: EngineState, now: float) -> float:
         """Returns how much more slowly than the pool's usual engine this one reads."""
-        return engine.reading_speed.slowdown(self._usual_slowdown, now)
+        named = engine.load.slowdown(now)
+        return engine.reading_speed.slowdown(self._usual_slowdown, named, now)
 
     def record_prefill(
         self, engine: EngineState, assigned: AssignedWork, since_sent_s: float, now: float
     ) -> None:
         """Records the first token of a prompt, for the speeds of the engine and of the pool."""
         if not assigned.is_short:
-            expected_s = assigned.uncached_tokens * self.speed.s_per_token
+            s_per_token = self.speed.s_per_token * engine.load.slowdown(now)
+            expected_s = assigned.uncached_tokens * s_per_token
             engine.reading_speed.record_first_token(
                 expected_s, since_sent_s, self.speed.fixed_s, now
             )
--- a/bluebellpitch/decisions/engine_speeds.py
+++ b/bluebellpitch/decisions/engine_speeds.py
@@ -13,8 +13,6 @@
 READING_HALF_LIFE_S = 0.4
 # What is known of an engine loses half of its weight in this time, so a slow one is tried again.
 SPEED_HALF_LIFE_S = 3.0
-# A slowdown that a response names says nothing of the engine so much later.
-REPORT_LIFETIME_S = 3.0
 MIN_SLOWDOWN = 0.5
 MAX_SLOWDOWN = 20.0
 
@@ -33,17 +31,14 @@
     _measured_s: float = 0.0
     _expected_s: float = 0.0
     _read_until: float = float("-inf")
-    _reported: float = 1.0
-    _reported_at: float = float("-inf")
 
     def record_first_token(
-        self, pool_s: float, since_sent_s: float, fixed_s: float, now: float
+        self, expected_s: float, since_sent_s: float, fixed_s: float, now: float
     ) -> None:
-        """Records the end of reading a prompt that takes ``pool_s`` at the pool's speed.
+        """Records the end of reading a prompt for which ``expected_s`` were expected.
 
         Reading began ``fixed_s`` after the prompt was sent, or at the end of the prompt before it.
         """
-        expected_s = pool_s * self.reported_slowdown(now)
         began_at = max(self._read_until, now - since_sent_s + fixed_s)
         self._read_until = now
         measured_s = max(0.0, now - began_at)
@@ -53,10 +48,6 @@
         self.sample_count += 1
         self.sampled_at = now
 
-    def record_report(self, slowdown: float, now: float) -> None:
-        """Records the slowdown that a response named."""
-        self._reported, self._reported_at = max(1.0, slowdown), now
-
     def _age_weight(self, now: float) -> float:
         return 0.5 ** ((now - self.sampled_at) / SPEED_HALF_LIFE_S)
 
@@ -66,14 +57,12 @@
         measured_s = PRIOR_READING_S + weight * self._measured_s
         return measured_s / (PRIOR_READING_S + weight * self._expected_s)
 
-    def reported_slowdown(self, now: float) -> float:
-        """Returns the slowdown that the last response named, of which less counts with its age."""
-        age_s = now - self._reported_at
-        return 1.0 + (self._reported - 1.0) * max(0.0, 1.0 - age_s / REPORT_LIFETIME_S)
+    def slowdown(self, usual: float, named: float, now: float) -> float:
+        """Returns the slowdown to expect, with the usual one of the pool's engines as the unit.
 
-    def slowdown(self, usual: float, now: float) -> float:
-        """Returns the slowdown to expect, with the usual one of the pool's engines as the unit."""
-        slowdown = self.measured_slowdown(now) / usual * self.reported_slowdown(now)
+        ``named`` is what responses say of it now.
+        """
+        slowdown = self.measured_slowdown(now) / usual * named
         return min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, slowdown))
 
 
--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -293,7 +293,7 @@
             return
         engine.last_response_at = now
         engine.load.record_outcome(False, now)
-        engine.reading_speed.record_report(slowdown, now)
+        engine.load.record_slowdown(slowdown, now)
         self.placement.record_prefill(engine, assigned, ttft_s, now)
         engine.record_first_token(assigned, self.placement.speed.fixed_s, now)
 
--- a/bluebellpitch/decisions/loads.py
+++ b/bluebellpitch/decisions/loads.py
@@ -9,6 +9,8 @@
 
 # A reported load loses weight linearly and is ignored from this age on.
 REPORT_LIFETIME_S = 0.5
+# A reported slowdown loses half of its weight in this time, so a slow endpoint is tried again.
+SLOWDOWN_HALF_LIFE_S = 2.0
 MIN_DOWN_S = 0.3
 MAX_DOWN_S = 3.0
 # Weight of the latest outcome in the moving average of failures.
@@ -57,7 +59,8 @@
     prefill_tokens_by_id: dict[str, float] = field(default_factory=dict)
     reported_busy: float = 0.0
     reported_at: float = float("-inf")
-    slowdown: float = 1.0
+    reported_slowdown: float = 1.0
+    slowdown_at: float = float("-inf")
     down_until: float = float("-inf")
     next_down_s: float = MIN_DOWN_S
     failure_rate: float = 0.0
@@ -86,7 +89,17 @@
 
     def record_report(self, busy: float, slowdown: float, now: float) -> None:
         """Records the load that the endpoint reported."""
-        self.reported_busy, self.slowdown, self.reported_at = busy, slowdown, now
+        self.reported_busy, self.reported_at = busy, now
+        self.record_slowdown(slowdown, now)
+
+    def record_slowdown(self, slowdown: float, now: float) -> None:
+        """Records how much longer than usual a response said that work takes."""
+        self.reported_slowdown, self.slowdown_at = max(1.0, slowdown), now
+
+    def slowdown(self, now: float) -> float:
+        """Returns the reported slowdown, of which less counts with its age."""
+        weight = 0.5 ** ((now - self.slowdown_at) / SLOWDOWN_HALF_LIFE_S)
+        return 1.0 + (self.reported_slowdown - 1.0) * weight
 
     def estimated_requests(self, now: float) -> float:
         """Returns the estimated number of requests at the endpoint, from own and reported load."""
--- a/bluebellpitch/decisions/service_choice.py
+++ b/bluebellpitch/decisions/service_choice.py
@@ -38,7 +38,7 @@
         pressure = requests / entry.slots + queued * 2 / entry.slots
         return (
             distance_by_zone.get(entry.zone, 1.0)
-            + (1 + pressure) * load.slowdown
+            + (1 + pressure) * load.slowdown(now)
             + excess_failure_rate * FAILURE_COST
         )
 
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -222,7 +222,8 @@
             waited_s = (
                 self._now() - sent_at - 2 * self._delay_s_by_zone.get(placement.entry.zone, 0)
             )
-            self._broker_client.report_first_token(placement.grant, waited_s, load.slowdown)
+            slowdown = load.slowdown(self._now())
+            self._broker_client.report_first_token(placement.grant, waited_s, slowdown)
 
     def release(self, placement: Placement, outcome: str, longest_gap_s: float = 0.0) -> None:
         """Removes the work from the endpoint's load.
--- a/bluebellpitch/roles/engine_speed_monitor.py
+++ b/bluebellpitch/roles/engine_speed_monitor.py
@@ -38,7 +38,7 @@
     return {
         "endpoint": engine.entry.id,
         "slowdown": f"{slowdown:.2f}",
-        "named": f"{speed.reported_slowdown(now):.2f}",
+        "named": f"{engine.load.slowdown(now):.2f}",
         "samples": str(speed.sample_count),
         "age_s": f"{now - speed.sampled_at:.1f}",
     }
--- a/tests/mutants_of_endpoints.py
+++ b/tests/mutants_of_endpoints.py
@@ -147,6 +147,13 @@
         "s_per_token = self.speed.s_per_token\n        return engine",
         SPEED_TESTS,
     ),
+    Mutant(
+        "a slowdown that a response names is forgotten with age",
+        "bluebellpitch/decisions/loads.py",
+        "weight = 0.5 ** ((now - self.slowdown_at) / SLOWDOWN_HALF_LIFE_S)",
+        "weight = 1.0",
+        "tests/test_service_failures.py",
+    ),
 )
 
 ENDPOINT_MUTANTS = (*CRASH_MUTANTS, *LIMIT_MUTANTS, *SPEED_MUTANTS, *STALL_MUTANTS)
