Leave out an endpoint of a plain service that answers nothing

Cause: a call without an answer ended at its deadline as withdrawn and counted for nothing, so a zone's only endpoint that turned silent got the next call of each VM again. Change: an endpoint that has sent nothing since a call that waits there, for four times its usual response time, gets calls only if no other is left, and for 3 s once such a call has ended unanswered. A VM still loses a call or two each, as VMs do not tell each other.

--- a/bluebellpitch/decisions/loads.py
+++ b/bluebellpitch/decisions/loads.py
@@ -13,6 +13,12 @@
 SLOWDOWN_HALF_LIFE_S = 2.0
 MIN_DOWN_S = 0.3
 MAX_DOWN_S = 3.0
+# An endpoint that answers nothing for so many times its usual response time is silent.
+SILENCE_FACTOR = 4.0
+MIN_SILENCE_S = 0.3
+UNKNOWN_RESPONSE_S = 0.25
+# Weight of the latest response in the moving average of response times.
+RESPONSE_EWMA_WEIGHT = 0.2
 # Weight of the latest outcome in the moving average of failures.
 FAILURE_EWMA_WEIGHT = 0.12
 FAILURE_HALF_LIFE_S = 4.0
@@ -52,7 +58,8 @@
 class EndpointLoad:
     """One endpoint. ``in_flight_by_id`` holds this VM's requests there.
 
-    ``prefill_tokens_by_id`` holds the prompt sizes of those without a first token.
+    ``prefill_tokens_by_id`` holds the prompt sizes of those without a first token,
+    ``placed_at_by_id`` when each was placed, the oldest first.
     """
 
     in_flight_by_id: dict[str, WorkItem] = field(default_factory=dict)
@@ -63,6 +70,9 @@
     slowdown_at: float = float("-inf")
     down_until: float = float("-inf")
     next_down_s: float = MIN_DOWN_S
+    placed_at_by_id: dict[str, float] = field(default_factory=dict)
+    last_response_at: float = float("-inf")
+    usual_response_s: float = UNKNOWN_RESPONSE_S
     failure_rate: float = 0.0
     failure_rate_at: float = float("-inf")
 
@@ -79,6 +89,41 @@
         self.down_until = now + self.next_down_s
         self.next_down_s = min(MAX_DOWN_S, self.next_down_s * 2)
 
+    def place(self, work: WorkItem, now: float) -> None:
+        """Counts a request that is placed at the endpoint."""
+        self.in_flight_by_id[work.id] = work
+        self.prefill_tokens_by_id[work.id] = float(work.tokens_in)
+        self.placed_at_by_id[work.id] = now
+
+    def remove(self, work_id: str) -> None:
+        """Removes a request that has ended."""
+        self.in_flight_by_id.pop(work_id, None)
+        self.prefill_tokens_by_id.pop(work_id, None)
+        self.placed_at_by_id.pop(work_id, None)
+
+    def record_response(self, work_id: str, now: float) -> None:
+        """Records how long the response to a request took."""
+        self.last_response_at = now
+        if (placed_at := self.placed_at_by_id.get(work_id)) is not None:
+            self.usual_response_s += RESPONSE_EWMA_WEIGHT * (
+                now - placed_at - self.usual_response_s
+            )
+
+    def is_silent(self, now: float) -> bool:
+        """Returns whether nothing has come since the oldest request, for unusually long."""
+        oldest = next(iter(self.placed_at_by_id.values()), now)
+        silence_s = max(MIN_SILENCE_S, SILENCE_FACTOR * self.usual_response_s)
+        return now - oldest > silence_s and self.last_response_at < oldest
+
+    def may_answer(self, now: float) -> bool:
+        """Returns whether the endpoint is neither down nor silent."""
+        return not (self.is_down(now) or self.is_silent(now))
+
+    def record_silence(self, now: float) -> None:
+        """Marks the endpoint as down, as the next request would cost its caller much time too."""
+        self.record_outcome(True, now)
+        self.down_until = now + MAX_DOWN_S
+
     def record_outcome(self, failed: bool, now: float) -> None:
         """Records the outcome of an attempt."""
         rate = self.recent_failure_rate(now)
--- a/bluebellpitch/decisions/service_choice.py
+++ b/bluebellpitch/decisions/service_choice.py
@@ -19,11 +19,11 @@
 ) -> EndpointEntry | None:
     """Returns the endpoint with the lowest cost, or None if all are excluded.
 
-    Endpoints that are down are used only if no other is left. Distances are in units of the typical
-    duration of a request.
+    Endpoints that are down or silent are used only if no other is left. Distances are in units of
+    the typical duration of a request.
     """
     usable = [entry for entry in entries if entry.id not in avoid]
-    up = [entry for entry in usable if not loads.for_endpoint(entry).is_down(now)] or usable
+    up = [entry for entry in usable if loads.for_endpoint(entry).may_answer(now)] or usable
     if not up:
         return None
     lowest_failure_rate = min(loads.for_endpoint(entry).recent_failure_rate(now) for entry in up)
--- a/bluebellpitch/roles/endpoint_allocator.py
+++ b/bluebellpitch/roles/endpoint_allocator.py
@@ -164,9 +164,7 @@
         return self._record_placement(Placement(entry, work, is_engine))
 
     def _record_placement(self, placement: Placement) -> Placement:
-        load = self.loads.for_endpoint(placement.entry)
-        load.in_flight_by_id[placement.work.id] = placement.work
-        load.prefill_tokens_by_id[placement.work.id] = float(placement.work.tokens_in)
+        self.loads.for_endpoint(placement.entry).place(placement.work, self._now())
         return placement
 
     def named_limits(self, pool: str, zone: str) -> dict[tuple[str, int], float]:
@@ -191,6 +189,8 @@
         """Records the load and the limit that the head of a response reports."""
         if not head.is_wrong_instance:
             self._record_limit(placement, head)
+            load = self.loads.for_endpoint(placement.entry)
+            load.record_response(placement.work.id, self._now())
         if head.load is not None:
             busy = float(head.load.running + head.load.waiting)
             self.loads.for_endpoint(placement.entry).record_report(
@@ -230,13 +230,15 @@
 
         ``outcome`` is ``ok``, ``failed``, ``unreachable``, ``refused`` or ``withdrawn``.
         """
-        load = self.loads.for_endpoint(placement.entry)
-        load.in_flight_by_id.pop(placement.work.id, None)
-        load.prefill_tokens_by_id.pop(placement.work.id, None)
+        load, now = self.loads.for_endpoint(placement.entry), self._now()
         match outcome:
             case "ok" | "failed":
-                load.record_outcome(outcome == "failed", self._now())
+                load.record_outcome(outcome == "failed", now)
             case "unreachable":
-                load.record_unreachable(self._now())
+                load.record_unreachable(now)
+            case "withdrawn" if not placement.is_engine and load.is_silent(now):
+                load.record_silence(now)
+                log("INFO", "endpoint_silent", endpoint=placement.entry.id)
+        load.remove(placement.work.id)
         if placement.grant is not None:
             self._broker_client.release(placement.grant, outcome, longest_gap_s)
--- a/tests/mutants_of_endpoints.py
+++ b/tests/mutants_of_endpoints.py
@@ -154,6 +154,13 @@
         "weight = 1.0",
         "tests/test_service_failures.py",
     ),
+    Mutant(
+        "an endpoint that answers nothing is left out for a while",
+        "bluebellpitch/roles/endpoint_allocator.py",
+        "                load.record_silence(now)\n",
+        "",
+        "tests/test_service_failures.py",
+    ),
 )
 
 ENDPOINT_MUTANTS = (*CRASH_MUTANTS, *LIMIT_MUTANTS, *SPEED_MUTANTS, *STALL_MUTANTS)
