--- a/tests/service_replay.py
+++ b/tests/service_replay.py
@@ -63,14 +63,20 @@
 class ServiceReplay:
     """VMs of six zones that call six endpoints; each VM knows only what it saw itself."""
 
-    def __init__(self, behaviours: Mapping[str, Behaviour], vms_a_zone: int, seed: int):
+    def __init__(
+        self,
+        behaviours: Mapping[str, Behaviour],
+        vms_a_zone: int,
+        seed: int,
+        taken_away: frozenset[str] = frozenset(),
+    ):
         self.now = 0.0
         self.calls: list[Call] = []
         self._servers = {z: Server(behaviours.get(z, lambda now: 1.0)) for z in REGIONS}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers, self._random = count(), random.Random(seed)
         directory = EndpointDirectory()
-        for zone in REGIONS:
+        for zone in sorted(REGIONS.keys() - taken_away):
             directory.update(EndpointEntry(f"i-{zone}", POOL, zone, zone, SLOTS, False, 1))
         self._vms = [
             (zone, EndpointAllocator(directory, None, zone, REGIONS, lambda: 1, lambda: self.now))
--- a/tests/test_service_failures.py
+++ b/tests/test_service_failures.py
@@ -51,6 +51,14 @@
     assert share(calls, lambda call: REGIONS[call.endpoint_zone] == REGIONS[call.zone]) > 0.99
 
 
+def test_zone_whose_endpoint_is_taken_away_is_served_within_its_region():
+    replay_without = ServiceReplay({}, VMS_A_ZONE, 1, taken_away=frozenset({"a1"}))
+    calls = replay_without.run(CALLS_A_VM_PER_S, DURATION_S)
+    own = [call for call in calls if call.zone == "a1"]
+    assert share(own, lambda call: call.is_on_time) > 0.98
+    assert share(own, lambda call: call.endpoint_zone == "a2") > 0.9
+
+
 def test_zone_gets_its_endpoint_back_after_it_was_slow():
     calls = replay({"a1": in_trouble(5.0)})
     later = [c for c in calls if c.zone == "a1" and c.arrived_at > TROUBLE_S[1] + RETURN_S]
