--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -30,6 +30,8 @@
 START_TOLERANCE_S = 0.001
 # Engines that read more slowly than this do not count for the speed of the pool.
 MAX_USUAL_SLOWDOWN = 1.5
+# Nor do samples of engines whose responses name a slowdown above this.
+MAX_NAMED_SLOWDOWN = 1.1
 # Placement costs, in seconds of time to first token (or per second of prefill, without _S).
 # Of each request that runs on the engine.
 RUNNING_REQUEST_COST_S = 0.003
@@ -114,9 +116,13 @@
             )
             speeds = [engine.reading_speed for engine in self.engines_by_key.values()]
             self._usual_slowdown = usual_slowdown(speeds, now)
-        if assigned.prefilled_alone and self.slowdown(engine, now) <= MAX_USUAL_SLOWDOWN:
+        if assigned.prefilled_alone and self._has_usual_speed(engine, now):
             self.speed.add_sample(assigned.uncached_tokens, since_sent_s)
 
+    def _has_usual_speed(self, engine: EngineState, now: float) -> bool:
+        is_named_slow = engine.load.slowdown(now) > MAX_NAMED_SLOWDOWN
+        return not is_named_slow and self.slowdown(engine, now) <= MAX_USUAL_SLOWDOWN
+
     def start_wait_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
         """Returns how long the work has to wait before it may be sent to the engine."""
         return self._prefill_wait_s(engine, self.prefill_s(engine, work, now), now)
--- a/tests/mutants_of_endpoints.py
+++ b/tests/mutants_of_endpoints.py
@@ -135,7 +135,7 @@
     Mutant(
         "a slow engine does not count for the speed of the pool",
         "bluebellpitch/decisions/engine_placement.py",
-        "if assigned.prefilled_alone and self.slowdown(engine, now) <= MAX_USUAL_SLOWDOWN:",
+        "if assigned.prefilled_alone and self._has_usual_speed(engine, now):",
         "if assigned.prefilled_alone:",
         SPEED_TESTS,
     ),
