Compare engines with sampled ones, also of work from other zones

First tokens of work from another zone are known of later. Change: what is not known counts as usual; first tokens of such work are dated back by the delay of spillover, which has one name.

--- a/bluebellpitch/decisions/engine_speeds.py
+++ b/bluebellpitch/decisions/engine_speeds.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from statistics import median_low
 
-# Reading that counts as done at the pool's speed before anything is known of an engine.
+# Reading that counts as done at the usual speed before anything is known of an engine.
 PRIOR_READING_S = 0.05
 # So much measured reading halves the weight of what was measured before.
 READING_HALF_LIFE_S = 0.4
@@ -40,32 +40,33 @@
         Reading began ``fixed_s`` after the prompt was sent, or at the end of the prompt before it.
         """
         began_at = max(self._read_until, now - since_sent_s + fixed_s)
-        self._read_until = now
+        self._read_until = max(self._read_until, now)
         measured_s = max(0.0, now - began_at)
         weight = self._age_weight(now) * 0.5 ** (measured_s / READING_HALF_LIFE_S)
         self._measured_s = self._measured_s * weight + measured_s
         self._expected_s = self._expected_s * weight + expected_s
         self.sample_count += 1
-        self.sampled_at = now
+        self.sampled_at = max(self.sampled_at, now)
 
     def _age_weight(self, now: float) -> float:
-        return 0.5 ** ((now - self.sampled_at) / SPEED_HALF_LIFE_S)
+        return 0.5 ** (max(0.0, now - self.sampled_at) / SPEED_HALF_LIFE_S)
 
-    def measured_slowdown(self, now: float) -> float:
-        """Returns the slowdown beside the named one; 1.0 again some time after the last sample."""
-        weight = self._age_weight(now)
-        measured_s = PRIOR_READING_S + weight * self._measured_s
-        return measured_s / (PRIOR_READING_S + weight * self._expected_s)
+    def measured_slowdown(self) -> float:
+        """Returns the slowdown beside the named one, 1.0 before anything is known."""
+        return self._measured_s / self._expected_s if self._expected_s else 1.0
 
     def slowdown(self, usual: float, named: float, now: float) -> float:
         """Returns the slowdown to expect, with the usual one of the pool's engines as the unit.
 
         ``named`` is what responses say of it now.
         """
-        slowdown = self.measured_slowdown(now) / usual * named
+        weight = self._age_weight(now)
+        measured_s = PRIOR_READING_S + weight * self._measured_s / usual
+        slowdown = measured_s / (PRIOR_READING_S + weight * self._expected_s) * named
         return min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, slowdown))
 
 
-def usual_slowdown(speeds: list[ReadingSpeed], now: float) -> float:
+def usual_slowdown(speeds: list[ReadingSpeed]) -> float:
     """Returns the slowdown of a pool's engine in the middle, which all are compared with."""
-    return median_low(speed.measured_slowdown(now) for speed in speeds) if speeds else 1.0
+    slowdowns = (speed.measured_slowdown() for speed in speeds)
+    return max(MIN_SLOWDOWN, median_low(slowdowns)) if speeds else 1.0
--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -157,4 +157,4 @@
         """Records a first token; the last one that is due shows when the prefill ended."""
         assigned.has_first_token = True
         if all(other.has_first_token for other in self.assigned_by_id.values()):
-            self.prefill_schedule.end_at(now - fixed_s - assigned.work.forwarding_s)
+            self.prefill_schedule.end_at(now - fixed_s - assigned.work.spillover_delay_s)
--- a/bluebellpitch/roles/generation_coordinator.py
+++ b/bluebellpitch/roles/generation_coordinator.py
@@ -193,7 +193,7 @@
         now = self._now()
         broker = self._get_broker(request.pool)
         self._takeover.collect_if_due(broker, now)
-        work = work_from_request(request, now, self._spillover.forwarding_s(request))
+        work = work_from_request(request, now, self._spillover.delay_s(request))
         if not request.must_stay:
             self._demand.by_pool[work.pool].record_arrival(work.tokens_in, now)
         if self._spillover.spill_over(broker, work, request, now):
--- a/bluebellpitch/roles/work_items.py
+++ b/bluebellpitch/roles/work_items.py
@@ -11,8 +11,8 @@
 )
 
 
-def work_from_request(request: WorkRequest, now: float, forwarding_s: float = 0.0) -> WorkItem:
-    """Returns the work that a VM requests an engine for; another zone adds ``forwarding_s``."""
+def work_from_request(request: WorkRequest, now: float, spillover_delay_s: float = 0.0) -> WorkItem:
+    """Returns the work that a VM, maybe of another zone, requests an engine for."""
     return WorkItem(
         id=request.work_id,
         pool=request.pool,
@@ -25,7 +25,7 @@
         arrived_at=now - request.age_s,
         expires_at=now + request.left_s,
         member=request.member,
-        forwarding_s=forwarding_s,
+        spillover_delay_s=spillover_delay_s,
     )
 
 
--- a/bluebellpitch/roles/zone_spillover.py
+++ b/bluebellpitch/roles/zone_spillover.py
@@ -65,9 +65,9 @@
         if session and not broker.placement.is_short_length(request.tokens_in):
             self._new_sessions_by_pool.setdefault(request.pool, []).append(session)
 
-    def forwarding_s(self, request: WorkRequest) -> float:
+    def delay_s(self, request: WorkRequest) -> float:
         """Returns how much later the first token of a request comes if another zone sent it."""
-        return self._distances.forwarding_s(request.home_zone) if request.home_zone else 0.0
+        return self._distances.spillover_delay_s(request.home_zone) if request.home_zone else 0.0
 
     def count_received(self, request: WorkRequest) -> None:
         """Counts a request that spilled over from another zone."""
--- a/tests/mutants_of_endpoints.py
+++ b/tests/mutants_of_endpoints.py
@@ -121,7 +121,7 @@
     Mutant(
         "a slowdown is forgotten with age",
         "bluebellpitch/decisions/engine_speeds.py",
-        "return 0.5 ** ((now - self.sampled_at) / SPEED_HALF_LIFE_S)",
+        "return 0.5 ** (max(0.0, now - self.sampled_at) / SPEED_HALF_LIFE_S)",
         "return 1.0 if self.sample_count else 0.0",
         SPEED_TESTS,
     ),
@@ -135,8 +135,8 @@
     Mutant(
         "a slow engine does not count for the speed of the pool",
         "bluebellpitch/decisions/engine_placement.py",
-        "if assigned.prefilled_alone and self._has_usual_speed(engine, now):",
-        "if assigned.prefilled_alone:",
+        "            and self._has_usual_speed(engine, now)\n",
+        "",
         SPEED_TESTS,
     ),
     Mutant(
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -96,14 +96,14 @@
     for number in range(1, 6):
         now = FIXED_S + number * READ_S
         speed.record_first_token(READ_S, now, FIXED_S, now)
-    assert speed.measured_slowdown(now) == pytest.approx(1.0, abs=0.02)
+    assert speed.slowdown(1.0, 1.0, now) == pytest.approx(1.0, abs=0.02)
 
 
 def test_one_prompt_shows_most_of_a_slowdown():
     """So a broker that takes over knows its engines again after one prompt each."""
     speed = ReadingSpeed()
     now = read_alone(speed, 5.0, 1, 0.0)
-    assert 3.0 < speed.measured_slowdown(now) < 5.0
+    assert 3.0 < speed.slowdown(1.0, 1.0, now) < 5.0
 
 
 def test_slowdown_is_forgotten_with_age():
@@ -127,7 +127,7 @@
 def test_engine_is_compared_with_the_usual_one_of_its_pool():
     speeds = [ReadingSpeed() for _ in range(3)]
     now = max(read_alone(speed, 1.5, 6, 0.0) for speed in speeds)
-    assert speeds[0].slowdown(usual_slowdown(speeds, now), 1.0, now) == pytest.approx(1.0)
+    assert speeds[0].slowdown(usual_slowdown(speeds), 1.0, now) == pytest.approx(1.0)
 
 
 def test_slow_engine_does_not_change_the_speed_of_the_pool():
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -110,9 +110,21 @@
     return replay
 
 
-def make_prompt(name: str, now: float, tokens: int = 5_000, forwarding_s: float = 0.0) -> WorkItem:
+def make_prompt(
+    name: str, now: float, tokens: int = 5_000, spillover_delay_s: float = 0.0
+) -> WorkItem:
     return WorkItem(
-        name, "pool", 1, tokens, 50, (), 0.8, 0.5, now, now + 6.0, forwarding_s=forwarding_s
+        name,
+        "pool",
+        1,
+        tokens,
+        50,
+        (),
+        0.8,
+        0.5,
+        now,
+        now + 6.0,
+        spillover_delay_s=spillover_delay_s,
     )
 
 
@@ -151,7 +163,7 @@
 
 def test_first_token_of_another_zones_prompt_is_expected_later():
     broker = make_streaming_broker()
-    submit(broker, make_prompt("forwarded", 1.0, forwarding_s=0.12))
+    submit(broker, make_prompt("forwarded", 1.0, spillover_delay_s=0.12))
     assert_that(submit(broker, make_prompt("second", 1.25)), Equals([Granted]))
 
 
