Count only what is not cached as the wait for prompts ahead

Change: the tokens ahead count by the uncached share of prompts granted lately, as does the length of a planned return.

--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -54,6 +54,7 @@
         self._queue = WaitingQueue()
         self._engine_by_work_id: dict[str, EngineState] = {}
         self._mean_long_tokens = 0.0
+        self._uncached_share = 1.0
         self._paused_until = float("-inf")
         self._returns = ReturnSchedule()
         self.shares = FairShares()
@@ -153,7 +154,7 @@
         work, now = waiting.work, order.now
         if order.is_over_share(waiting):
             busy_s = float("inf")
-        prompt_s = work.tokens_in * self.pool_s_per_token(now)
+        prompt_s = work.tokens_in * self._uncached_share * self.pool_s_per_token(now)
         return self._returns.plan(work, waiting.asked_at, busy_s, prompt_s, now)
 
     def _queue_order(self, now: float, *members: str) -> QueueOrder:
@@ -191,7 +192,7 @@
         self, waiting: WaitingWork, order: QueueOrder, engines: list[EngineState], now: float
     ) -> float:
         """Returns how long the prefill of queued items that go first takes."""
-        tokens_ahead = self._queue.tokens_ahead(waiting, order)
+        tokens_ahead = self._queue.tokens_ahead(waiting, order) * self._uncached_share
         s_per_token = self.placement.queue_s_per_token(engines, self._mean_long_tokens, now)
         return tokens_ahead * s_per_token
 
@@ -272,16 +273,20 @@
     def _assign(self, engine: EngineState, waiting: WaitingWork, now: float) -> None:
         work = waiting.work
         uncached = engine.uncached_tokens(work)
+        is_short = self.placement.is_short_prompt(work)
+        if not is_short:
+            share = uncached / work.tokens_in
+            self._uncached_share += LONG_EWMA_WEIGHT * (share - self._uncached_share)
         prefill_s = self.placement.prefill_s(engine, work, now)
         alone = engine.prefill_backlog_s(now) <= 0
         self.placement.limits.take_turn(engine.key, now)
         self.shares.record_granted(work, now)
         engine.record_prefill(prefill_s, now)
         first_token_at = engine.prefill_schedule.free_at(now) + self.placement.speed.fixed_s
-        first_token_at += work.forwarding_s
+        first_token_at += work.spillover_delay_s
         engine.cache_prompt(work)
         engine.assigned_by_id[work.id] = AssignedWork(
-            work, waiting.vm, uncached, first_token_at, alone, self.placement.is_short_prompt(work)
+            work, waiting.vm, uncached, first_token_at, alone, is_short
         )
         self._engine_by_work_id[work.id] = engine
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -28,6 +28,23 @@
     return max(sum(at <= other < at + span_s for other in times) for at in times)
 
 
+def test_cached_parts_of_prompts_ahead_do_not_count_as_a_wait():
+    """Prompts were refused that could be read in time, as if those ahead were read in full."""
+    broker, now = make_broker(1), 0.0
+    for number in range(40):
+        broker.submit(make_draft(f"d{number}", "hot", now), "vm", frozenset(), now)
+        broker.record_first_token(f"d{number}", 0.3, 1.0, now + 0.3)
+        broker.finish(f"d{number}", "ok", now + 0.4)
+        now += 1.0
+    broker.submit(make_draft("running", "hot", now), "vm", frozenset(), now)
+    before_s = broker.expected_wait_s(make_draft("last", "hot", now), frozenset(), now)
+    for number in range(3):
+        broker.submit(make_draft(f"ahead{number}", "hot", now), "vm", frozenset(), now)
+    after_s = broker.expected_wait_s(make_draft("last", "hot", now), frozenset(), now)
+    read_s = 3 * 10_000 * broker.pool_s_per_token(now)
+    assert_that(after_s - before_s, LessThan(1.2 * read_s))
+
+
 def test_prompt_that_waits_for_its_cache_leaves_other_engines_to_those_behind_it():
     broker = make_broker(2)
     first = granted_engines(broker.submit(make_draft("a", "hot", 0.0), "vm", frozenset(), 0.0))
