Order for the loss of a zone by the crest of waves, not by the moment

Cause: what is left after the loss of a zone's spot endpoints was compared with the need of the moment, which moves with each wave, and on-demand endpoints that are kept were not counted as left. Beside two reclaimed zones with a full one, endpoints on demand and spot ones took turns with the wave. Change: the need has a lasting part, the highest level of the last 15 s, and what is left counts the kept ones.

--- a/bluebellpitch/decisions/scaling/levels.py
+++ b/bluebellpitch/decisions/scaling/levels.py
@@ -25,6 +25,8 @@
 # How long the level of a peak is kept: cheap engines longer than expensive ones.
 SPOT_HOLD_S = 30.0
 ON_DEMAND_HOLD_S = 8.0
+# What the crest of a wave needs is known for so long: longer than from one crest to the next.
+WAVE_S = 15.0
 USUAL_LEVEL_S = 8.0
 PROFILE_S = 3.0
 MIN_UNCACHED_SHARE = 0.1
@@ -44,11 +46,13 @@
 class ZoneNeed:
     """Engines that a zone's callers need: ``now``, ``must`` have at any price, ``want`` if cheap.
 
+    ``lasting`` is what they need at the crest of a wave, so it stays the same while waves do.
     ``why`` names what decides: the level by ``prefill`` or ``slots``, and the reserve for a
     ``rise`` or a recent ``peak``, as in ``prefill_rise``.
     """
 
     now: float
+    lasting: float
     must: float
     want: float
     why: str
@@ -166,4 +170,4 @@
         must = TIGHT_SHARE * max(usual * on_demand_rise, self.peak(ON_DEMAND_HOLD_S))
         want = max(must, rise, peak)
         why = "peak" if peak >= rise else "rise"
-        return ZoneNeed(level, must, want, f"{self.why}_{why}")
+        return ZoneNeed(level, self.peak(WAVE_S), must, want, f"{self.why}_{why}")
--- a/bluebellpitch/decisions/scaling/targets.py
+++ b/bluebellpitch/decisions/scaling/targets.py
@@ -15,7 +15,7 @@
 
 # Part of what a zone has that is on demand, so that a reclaimed zone still serves.
 ON_DEMAND_SHARE = 0.1
-# Part of what is needed now that is enough for a while after a zone was reclaimed.
+# Part of what the crests of waves need that is enough for a while after a zone was reclaimed.
 LOSS_SHARE = 0.8
 # Spot endpoints at a higher part of the price are not worth their risk.
 MAX_SPOT_PRICE = 0.8
@@ -130,8 +130,9 @@
     def _survive_loss(self, zone: str) -> None:
         """Makes up for the loss of all spot endpoints of a zone."""
         most = self._config.max_count
-        needed = LOSS_SHARE * sum(min(most, need.now) for need in self._needs_by_zone.values())
-        left = sum(self.on_demand.values()) + sum(self.spot.values()) - self.spot[zone]
+        needed = LOSS_SHARE * sum(min(most, n.lasting) for n in self._needs_by_zone.values())
+        on_demand = sum(map(self._on_demand_in, self._needs_by_zone))
+        left = on_demand + sum(self.spot.values()) - self.spot[zone]
         short = min(math.ceil(needed - left), self.spot[zone])
         if short <= 0:
             return
@@ -142,8 +143,10 @@
 
     def _target(self, zone: str) -> ZoneTarget:
         reasons = ",".join(dict.fromkeys(self._reasons_by_zone[zone]))
-        on_demand = max(self.on_demand[zone], self._kept_on_demand(zone))
-        return ZoneTarget(on_demand, self.spot[zone], reasons)
+        return ZoneTarget(self._on_demand_in(zone), self.spot[zone], reasons)
+
+    def _on_demand_in(self, zone: str) -> int:
+        return max(self.on_demand[zone], self._kept_on_demand(zone))
 
     def _kept_on_demand(self, zone: str) -> int:
         """Returns how many stay until spot endpoints have served for a while in their place.
--- a/tests/mutants_of_scaling.py
+++ b/tests/mutants_of_scaling.py
@@ -80,6 +80,20 @@
         "want = level",
         f"{REPLAYS} without_swinging",
     ),
+    Mutant(
+        "scaling: the loss of a zone is measured at the crest of a wave",
+        TARGETS,
+        "min(most, n.lasting)",
+        "min(most, n.now)",
+        f"{REPLAYS} two_reclaimed",
+    ),
+    Mutant(
+        "scaling: on-demand endpoints that are kept count as left",
+        TARGETS,
+        "sum(map(self._on_demand_in, self._needs_by_zone))",
+        "sum(self.on_demand.values())",
+        f"{REPLAYS} two_reclaimed",
+    ),
     Mutant(
         "scaling: orders keep the maximum of both capacity types",
         ORDERS,
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -84,6 +84,18 @@
         assert calm.count(lost, is_spot=False) >= 1
 
 
+def test_waves_beside_two_reclaimed_zones_and_a_full_one_change_no_orders(calm):
+    for zone in ("a1", "a2"):
+        calm.platform.reclaim(zone, for_s=30, now=calm.now)
+    calm.silent = {"b1"}
+    calm.run(CALM_UNTIL + 12)
+    made_up, desired = len(calm.orders), dict(calm.platform.desired)
+    calm.run(CALM_UNTIL + 30)
+    assert calm.platform.desired == desired
+    refused = {EndpointGroup("a1", True), EndpointGroup("a2", True)}
+    assert {order.group for _, order in calm.orders[made_up:]} <= refused
+
+
 def test_dry_platform_is_asked_again_less_and_less(calm):
     calm.platform.reclaim("a1", for_s=20, now=calm.now, is_dry=True)
     calm.run(CALM_UNTIL + 20)
