Give the duty back when the platform's API says that the token is old

Cause: 412 to a call was taken as a refusal of its content: an order's group counted as not to be had, a usage window as done, and the holder went on under the same token. Change: the API's client has an outcome of its own for 412; both duties then give the lease back, and the window stays to be reported. The next holder, or this VM after a whole lease, has a higher token.

--- a/bluebellpitch/platform/duty_api.py
+++ b/bluebellpitch/platform/duty_api.py
@@ -11,7 +11,8 @@
 
 USAGE_DUTY = "metering"
 SCALING_DUTY = "autoscale"
-REJECTED_STATUSES = frozenset({400, 409, 412})
+REJECTED_STATUSES = frozenset({400, 409})
+FENCED_STATUS = 412
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +27,11 @@
     status: int
 
 
+@dataclass(frozen=True, slots=True)
+class CallFenced:
+    """The platform knows a higher token, so nothing may be called under this one any more."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallFailed:
     """No answer, or one that tells nothing of the call itself: it may be sent again.
@@ -37,7 +43,7 @@
     is_unanswered: bool = False
 
 
-CallOutcome = CallAccepted | CallRejected | CallFailed
+CallOutcome = CallAccepted | CallRejected | CallFenced | CallFailed
 
 
 class DutyApi:
@@ -84,6 +90,8 @@
             return CallAccepted()
         if response.status in REJECTED_STATUSES:
             return CallRejected(response.status)
+        if response.status == FENCED_STATUS:
+            return CallFenced()
         return CallFailed(f"status {response.status}")
 
     async def _connect(self) -> ClientConnection:
--- a/bluebellpitch/roles/duties/autoscaler.py
+++ b/bluebellpitch/roles/duties/autoscaler.py
@@ -12,7 +12,13 @@
 from bluebellpitch.decisions.scaling.supply import EndpointGroup, Unavailable
 from bluebellpitch.logs import log
 from bluebellpitch.peers.platform_messages import ZoneDemand
-from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallRejected, DutyApi
+from bluebellpitch.platform.duty_api import (
+    CallAccepted,
+    CallFailed,
+    CallFenced,
+    CallRejected,
+    DutyApi,
+)
 from bluebellpitch.platform.settings_file import DutySettings
 from bluebellpitch.roles.duties.demand_reporter import sample_from_message, scaled_pools
 from bluebellpitch.roles.duties.duty_context import DutyContext
@@ -141,6 +147,9 @@
             case CallRejected(status):
                 self._log_unavailable(order.pool, planner.record_rejected(order, self._now()))
                 pause_s, outcome = self._record_answer(), f"rejected_{status}"
+            case CallFenced():
+                await self._holder.give_back("fenced")
+                pause_s, outcome = self._record_answer(), "fenced"
             case CallFailed(reason):
                 pause_s, outcome = await self._record_failure(reason), f"failed: {reason}"
         log("INFO", "scaling_order", **describe_order(order), token=lease.token, outcome=outcome)
--- a/bluebellpitch/roles/duties/usage_reporter.py
+++ b/bluebellpitch/roles/duties/usage_reporter.py
@@ -13,7 +13,13 @@
 from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.logs import log
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallRejected, DutyApi
+from bluebellpitch.platform.duty_api import (
+    CallAccepted,
+    CallFailed,
+    CallFenced,
+    CallRejected,
+    DutyApi,
+)
 from bluebellpitch.platform.usage_records import decode_windows, encode_window
 from bluebellpitch.roles.duties.duty_holder import DutyHolder
 from bluebellpitch.roles.duties.usage_gatherer import UsageGatherer
@@ -115,6 +121,9 @@
             case CallRejected(status):
                 self._record_outcome(window, f"rejected_{status}")
                 self.reports.record_done(window)
+            case CallFenced():
+                log("WARNING", "usage_call_failed", window=window, reason="fenced")
+                await self._holder.give_back("fenced")
             case CallFailed(reason, is_unanswered):
                 self._next_call_at = now + max(RETRY_DELAY_S, self._call_interval_s)
                 log("WARNING", "usage_call_failed", window=window, reason=reason)
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -13,7 +13,7 @@
 from bluebellpitch.decisions.scaling.demand import DemandMeter
 from bluebellpitch.decisions.scaling.supply import EndpointGroup
 from bluebellpitch.metrics import Metrics
-from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallRejected
+from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallFenced, CallRejected
 from bluebellpitch.platform.settings_file import DutySettings
 from bluebellpitch.roles.duties.autoscaler import Autoscaler, ScalingSources
 from bluebellpitch.roles.duties.demand_reporter import DemandReporter
@@ -142,6 +142,19 @@
     play(body)
 
 
+def test_call_under_an_old_token_ends_the_term_and_blocks_no_group():
+    async def body(fleet):
+        fleet.api.outcome = CallFenced()
+        await fleet.run(4.0)
+        assert fleet.holder.reasons == ["fenced"]
+        assert len(fleet.api.calls) == 1
+        fleet.holder.token, fleet.api.outcome = 2, CallAccepted()
+        await fleet.run(4.0)
+        assert Counter(token for _, token, *_ in fleet.api.calls) == {1: 1, 2: 4}
+
+    play(body)
+
+
 def test_unavailable_spot_is_tried_in_other_zones_and_then_paused():
     async def body(fleet):
         fleet.api.outcome = CallRejected(409)
--- a/tests/test_conditional_appends.py
+++ b/tests/test_conditional_appends.py
@@ -5,7 +5,13 @@
 import pytest
 
 from bluebellpitch.decisions.duties.held_lease import HeldLease
-from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallRejected, DutyApi
+from bluebellpitch.platform.duty_api import (
+    CallAccepted,
+    CallFailed,
+    CallFenced,
+    CallRejected,
+    DutyApi,
+)
 from bluebellpitch.platform.records import KeyedRecord
 from bluebellpitch.platform.store import Appended, EndMoved, StoreClient
 from bluebellpitch.verdicts import MayHaveRun
@@ -101,7 +107,12 @@
 
 @pytest.mark.parametrize(
     "status, outcome",
-    [(409, CallRejected(409)), (429, CallFailed("status 429")), (503, CallFailed("status 503"))],
+    [
+        (409, CallRejected(409)),
+        (412, CallFenced()),
+        (429, CallFailed("status 429")),
+        (503, CallFailed("status 503")),
+    ],
 )
 def test_call_that_is_refused(status, outcome):
     server = FakeDutyApi()
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -11,7 +11,7 @@
     UsageReports,
 )
 from bluebellpitch.decisions.duties.usage_windows import UsageWindows
-from bluebellpitch.platform.duty_api import CallFailed
+from bluebellpitch.platform.duty_api import CallFailed, CallFenced
 from tests.virtual_time import run_in_virtual_time
 from tests.virtual_usage import UsageFleet
 
@@ -235,6 +235,20 @@
     assert play(body).given_back == ["api_unreachable"]
 
 
+def test_a_report_under_an_old_token_is_left_to_the_next_holder(play):
+    async def body(fleet):
+        holder, collector = start(fleet, "h", "c")
+        fleet.api_outcome, accepted = CallFenced(), fleet.api_outcome
+        holder.begin_runs(5)
+        await sleep_until(WINDOW_S + REPORTED_S)
+        assert fleet.given_back == ["fenced"]
+        fleet.api_outcome = accepted
+        fleet.hand_over("h")
+        await asyncio.sleep(3.0)
+
+    assert play(body).reported(0) == [{"a": 5}]
+
+
 def test_a_window_whose_call_has_no_answer_does_not_hold_up_the_next_one(play):
     async def body(fleet):
         start(fleet, "h", "c")
