--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -52,6 +52,19 @@
     assert_that(result.stderr, Contains("--vm-name"))
 
 
+def test_program_exits_with_its_status_and_does_not_take_the_interpreter_apart():
+    """That took a VM with a third of a core up to a second, after its grace period had ended."""
+    script = (
+        "import atexit, sys; atexit.register(print, 'taken apart');"
+        " print('written', end='');"
+        " from bluebellpitch.__main__ import run; run()"
+    )
+    command = [sys.executable, "-c", script, "serve"]
+    ended = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=30)
+    assert_that((ended.returncode, ended.stdout), Equals((ExitStatus.USAGE, "written")))
+    assert_that(ended.stderr, Contains("--vm-name"))
+
+
 def test_option_is_read_from_the_environment(monkeypatch):
     monkeypatch.setenv("BLUEBELLPITCH_ZONE", "not a zone")
     options = [text for pair in SERVE_OPTIONS.items() if pair[0] != "--zone" for text in pair]
