End within the grace also beside a store that does not answer

Cause: serve took its record out of the store after the drain, for up to 2.5 s that nobody had kept free; route did so for up to 2.5 s whatever the grace. Messages that are queued for peers that are gone held the end up by another 0.2 s of any grace.

--- a/bluebellpitch/decisions/shutdown.py
+++ b/bluebellpitch/decisions/shutdown.py
@@ -4,6 +4,11 @@
 
 # Share of the grace period after which the process ends by itself.
 GRACE_SHARE = 0.94
+# Share by which what remains is given up, such as calls of the store; then connections are closed.
+LAST_CALLS_SHARE = 0.96
+# Messages to peers that are still queued then have this long to leave.
+LAST_MESSAGES_S = 0.2
+LAST_MESSAGES_SHARE = 0.02
 # Time before that in which requests that are still open get their answers.
 ANSWER_TIME_S = 0.3
 # An estimate falls by this share towards each request that takes less time.
@@ -11,6 +16,11 @@
 MAX_ESTIMATES = 4_096
 
 
+def last_messages_s(grace_s: float) -> float:
+    """Returns how long messages to peers may stay queued when the process ends."""
+    return min(LAST_MESSAGES_S, grace_s * LAST_MESSAGES_SHARE)
+
+
 @dataclass(slots=True)
 class DurationEstimates:
     """How long requests of one kind take at most, from those that ended, in seconds."""
@@ -31,13 +41,18 @@
 
 @dataclass(slots=True)
 class ShutdownSchedule:
-    """``ends_at`` is when open requests are answered, None until the shutdown begins."""
+    """``ends_at`` is when open requests are answered, None until the shutdown begins.
+
+    ``last_calls_at`` is when calls that are still open are given up.
+    """
 
     ends_at: float | None = None
+    last_calls_at: float = float("inf")
 
     def begin(self, grace_s: float, now: float) -> None:
         """Begins the shutdown of a process that is killed in ``grace_s``."""
         self.ends_at = now + max(0.0, grace_s * GRACE_SHARE - ANSWER_TIME_S)
+        self.last_calls_at = now + grace_s * LAST_CALLS_SHARE
 
     def time_left_s(self, now: float) -> float:
         """Returns the time until open requests are answered; infinity while the VM goes on."""
--- a/bluebellpitch/entry_vm.py
+++ b/bluebellpitch/entry_vm.py
@@ -14,7 +14,7 @@
 from bluebellpitch.decisions.directory import EndpointDirectory
 from bluebellpitch.decisions.freshness import Freshness
 from bluebellpitch.decisions.liveness import Liveness
-from bluebellpitch.decisions.shutdown import DurationEstimates
+from bluebellpitch.decisions.shutdown import GRACE_SHARE, DurationEstimates, last_messages_s
 from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.decisions.strikes import StrikeTracker
 from bluebellpitch.draining import Shutdown, drain
@@ -293,7 +293,7 @@
         try:
             await self.draining.wait()
             await asyncio.gather(
-                self.peer_discovery.unregister(),
+                self.peer_discovery.unregister(self.settings.grace_s * GRACE_SHARE),
                 self.duties.release(self.settings.grace_s),
                 drain(self.http, self.shutdown, self.settings.grace_s, self._now),
             )
@@ -308,7 +308,7 @@
         self._store_clients.close()
         self.connection_pool.close()
         self.duties.close()
-        self.bus.close()
+        self.bus.close(last_messages_s(self.settings.grace_s))
 
     def _background_tasks(self) -> tuple[Coroutine, ...]:
         return (
--- a/bluebellpitch/node.py
+++ b/bluebellpitch/node.py
@@ -13,7 +13,7 @@
 from bluebellpitch.decisions.class_scheduling import SchedulingPolicy
 from bluebellpitch.decisions.control import VmIdentity
 from bluebellpitch.decisions.hedge_budget import HedgeBudget
-from bluebellpitch.decisions.shutdown import ANSWER_TIME_S
+from bluebellpitch.decisions.shutdown import ANSWER_TIME_S, last_messages_s
 from bluebellpitch.decisions.slot_broker import SlotBroker
 from bluebellpitch.decisions.store_era import StoreEra
 from bluebellpitch.decisions.strikes import StrikeTracker
@@ -70,7 +70,7 @@
 from bluebellpitch.tasks import start_tasks, stop_tasks
 from bluebellpitch.view import ClusterView, ViewHolder, VmState
 
-DRAIN_POLL_S = 0.1
+DRAIN_POLL_S = 0.05
 
 
 class Node:
@@ -245,7 +245,7 @@
         self.connection_pool.close()
         for client in self._store_clients:
             client.close()
-        self.bus.close()
+        self.bus.close(last_messages_s(self.settings.grace_s))
         log("INFO", "stopped", vm=self.key)
 
     def _background_tasks(self) -> tuple[Coroutine, ...]:
@@ -282,7 +282,7 @@
         while self._has_open_work() and schedule.time_left_s(self.now()) > -ANSWER_TIME_S:
             await asyncio.sleep(DRAIN_POLL_S)
         log("INFO", "drained", unanswered=self.callers.http.in_flight)
-        await self.membership.unregister()
+        await self.membership.unregister(max(0.0, schedule.last_calls_at - self.now()))
 
     def _has_open_work(self) -> bool:
         busy, appends = (
--- a/bluebellpitch/peers/bus.py
+++ b/bluebellpitch/peers/bus.py
@@ -22,7 +22,6 @@
     encode_envelope,
 )
 
-LINGER_MS = 200
 NEAR_HEARTBEAT_INTERVAL_MS = 1_000
 # Few messages go to VMs of other zones, of which there may be hundreds.
 FAR_HEARTBEAT_INTERVAL_MS = 5_000
@@ -63,7 +62,7 @@
 
     def bind(self, address: str) -> None:
         """Binds the receiving socket to ``host:port``; raises OSError."""
-        self._receive_socket.setsockopt(zmq.LINGER, LINGER_MS)
+        self._receive_socket.setsockopt(zmq.LINGER, 0)
         self._receive_socket.setsockopt(zmq.RCVHWM, PEER_SEND_QUEUE_SIZE)
         self._receive_socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         try:
@@ -106,7 +105,6 @@
     def _send_socket(self, address: str) -> zmq.Socket:
         if address not in self._send_sockets_by_address:
             socket = self._context.socket(zmq.PUSH)
-            socket.setsockopt(zmq.LINGER, LINGER_MS)
             socket.setsockopt(zmq.SNDHWM, PEER_SEND_QUEUE_SIZE)
             # Only the sending side needs to detect a dead connection.
             is_near = self._is_near(address)
@@ -164,9 +162,9 @@
             kind = type(message).__name__
             log("ERROR", "peer_message_failed", kind=kind, sender=sender, error=repr(error))
 
-    def close(self) -> None:
-        """Closes all sockets; messages still queued are sent for up to ``LINGER_MS``."""
+    def close(self, linger_s: float = 0.0) -> None:
+        """Closes all sockets; messages still queued are sent for up to ``linger_s``."""
         for socket in self._send_sockets_by_address.values():
-            socket.close()
+            socket.close(linger=round(linger_s * 1000))
         self._receive_socket.close()
         self._context.term()
--- a/bluebellpitch/platform/vm_records.py
+++ b/bluebellpitch/platform/vm_records.py
@@ -1,5 +1,7 @@
 """Records of entry VMs in the store, used by other VMs and by operators to find them."""
 
+import asyncio
+
 import msgspec
 
 from bluebellpitch.decoding import DECODE_ERRORS
@@ -8,6 +10,7 @@
 from bluebellpitch.logs import log
 from bluebellpitch.platform.records import decode_values
 from bluebellpitch.platform.store import Appended, StoreClient
+from bluebellpitch.verdicts import MayHaveRun
 
 VM_RECORDS_TOPIC = "keyed.bluebellpitch-vms"
 
@@ -62,7 +65,11 @@
     return isinstance(verdict, Appended)
 
 
-async def unregister_vm(client: StoreClient, vm: str) -> None:
-    """Deletes the record of a VM."""
-    verdict = await client.put(VM_RECORDS_TOPIC, vm, b"")
+async def unregister_vm(client: StoreClient, vm: str, timeout_s: float) -> None:
+    """Deletes the record of a VM, if the store answers in time."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            verdict = await client.put(VM_RECORDS_TOPIC, vm, b"")
+    except TimeoutError:
+        verdict = MayHaveRun(f"no answer within {timeout_s:.2f} s")
     log("INFO", "unregistered", verdict=verdict.name, reason=verdict.reason)
--- a/bluebellpitch/roles/cluster_membership.py
+++ b/bluebellpitch/roles/cluster_membership.py
@@ -218,9 +218,9 @@
         record = VmRecord(own.identity.bus, own.zone, own.identity.admin)
         return await register_vm(self._store, own.identity.name, record)
 
-    async def unregister(self) -> None:
+    async def unregister(self, timeout_s: float) -> None:
         """Deletes this VM's record, once it serves no request any more."""
-        await unregister_vm(self._store, self._view_holder.current.own.identity.name)
+        await unregister_vm(self._store, self._own_name(), timeout_s)
 
     async def _read_leaving_endpoints(self) -> frozenset[str]:
         """Returns the endpoints that announce their own shutdown, independent of the table."""
--- a/bluebellpitch/roles/peer_discovery.py
+++ b/bluebellpitch/roles/peer_discovery.py
@@ -137,9 +137,9 @@
         self._introduced_at_by_address = {a: at for a, at in introduced if at > oldest}
         return True
 
-    async def unregister(self) -> None:
+    async def unregister(self, timeout_s: float) -> None:
         """Removes this VM's record before a planned shutdown."""
-        await unregister_vm(self._client, self._vm)
+        await unregister_vm(self._client, self._vm, timeout_s)
 
     async def send_heartbeats(self) -> None:
         """Sends heartbeats to the VMs of this zone and reports lost peers, until cancelled."""
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -179,3 +179,34 @@
             assert await submit_case(vm.listen, CREDENTIAL, "gone", "gone") is None
 
     run(scenario())
+
+
+def test_serve_ends_within_its_grace_beside_a_silent_store(run):
+    """Taking its record out of the store began when the grace was nearly over."""
+
+    async def scenario():
+        with Fleet() as fleet:
+            size = FederationSize(vms_per_zone=1)
+            await start_federation(fleet, size, grace_s=3.0, drain_notice_s=1.0)
+            vm = next(iter(fleet.vms_by_name.values()))
+            await fleet.set_faults(fleet.processes_by_name["filing-doto-1-0"], silent=True)
+            request = asyncio.ensure_future(submit_case(vm.listen, CREDENTIAL, "open", "open"))
+            await asyncio.sleep(0.3)
+            await fleet.set_faults(fleet.store, silent=True)
+            started_at = time.monotonic()
+            vm.process.send_signal(15)
+            assert (await request).status == 504
+            while vm.process.popen.poll() is None:
+                await asyncio.sleep(0.05)
+            assert time.monotonic() - started_at < 3.0 + 0.5
+            assert vm.process.popen.returncode == 0
+
+    run(scenario())
+
+
+@in_deployment
+async def test_vm_ends_within_a_short_grace_beside_a_silent_store(deployment):
+    vm = await deployment.add_vm(more_settings="bounds.grace_s=1\n")
+    deployment.store.silent = True
+    vm.draining.set()
+    await asyncio.wait_for(deployment._tasks[0], 1.0)
