Wait for no client that does not read its refusal when the process ends

Cause: a connection that was cancelled while its request was refused, or its refusal written, was closed as if its client would still read what was left, so the process did not end by itself. Change: every cancelled connection is aborted.

--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -217,6 +217,16 @@
     async def _serve(self, reader, writer) -> None:
         connection = ServerConnection(reader, writer, self.limits, self._buffers.open())
         self._open_connections += 1
+        try:
+            await self._serve_connection(connection)
+        except asyncio.CancelledError:
+            # Only the shutdown of the event loop cancels this task, which must not wait for clients
+            # that do not read. Re-raising would make asyncio report an unhandled error.
+            connection.writer.transport.abort()
+        finally:
+            self._open_connections -= 1
+
+    async def _serve_connection(self, connection: ServerConnection) -> None:
         try:
             if self._open_connections > self.limits.connections:
                 raise BadRequestError(503, "too_many_connections", "too many open connections")
@@ -225,18 +235,11 @@
             await self._refuse_and_drain(connection, error)
         except (DisconnectedError, OSError, h11.LocalProtocolError):
             pass
-        except asyncio.CancelledError:
-            # Only the shutdown of the event loop cancels this task. Re-raising would make asyncio
-            # report an unhandled error.
-            connection.writer.transport.abort()
         except Exception as error:  # A fault in one request must not stop the VM.
             log("ERROR", "handler_failed", error=repr(error))
         finally:
             connection.buffer.release()
-            try:
-                await connection.close()
-            finally:
-                self._open_connections -= 1
+        await connection.close()
 
     async def _serve_requests(self, connection: ServerConnection) -> None:
         """Serves a connection; one that is accepted last still serves a request."""
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -14,7 +14,7 @@
 )
 from bluebellpitch.draining import LAST_REQUESTS_SHARE, STOP_LISTENING_SHARE
 from bluebellpitch.errors import ConnectionLostError
-from bluebellpitch.http1 import ClientConnection
+from bluebellpitch.http1 import ClientConnection, HttpLimits, HttpServer
 from fakes.client import submit_case
 from fakes.fleet import Fleet
 from fakes.prepared_deployment import build_route, wait_until
@@ -23,6 +23,7 @@
 
 # The grace period of the settings in fakes.prepared_deployment.
 GRACE_S = 3.0
+MORE_THAN_SOCKETS_HOLD = 20_000_000
 
 
 def test_schedule_leaves_time_for_the_answers():
@@ -204,6 +205,31 @@
     run(scenario())
 
 
+def test_end_of_the_loop_waits_for_no_client_that_does_not_read_a_refusal():
+    """The connection was closed as if its client would still read, which had no end."""
+
+    async def refuse(connection, error):
+        await connection.respond(error.status, [], bytes(MORE_THAN_SOCKETS_HOLD))
+
+    async def scenario():
+        server = HttpServer(None, refuse, HttpLimits())
+        port = await server.listen("127.0.0.1", 0)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.transport.pause_reading()
+        writer.write(b"malformed\r\n\r\n")
+        await wait_until(lambda: server.busy_connections == 1)
+        await asyncio.sleep(0.1)
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        assert others
+        for task in others:
+            task.cancel()
+        _, pending = await asyncio.wait(others, timeout=1.0)
+        writer.transport.abort()
+        assert not pending
+
+    asyncio.run(scenario())
+
+
 @in_deployment
 async def test_vm_ends_within_a_short_grace_beside_a_silent_store(deployment):
     vm = await deployment.add_vm(more_settings="bounds.grace_s=1\n")
