--- a/bluebellpitch/decisions/scaling/levels.py
+++ b/bluebellpitch/decisions/scaling/levels.py
@@ -133,6 +133,7 @@
 
     def keep(self, engines: int, now: float) -> None:
         """Counts existing engines as a peak, so that a new holder does not remove them."""
+        # Nothing is usual about these.
         self._levels.append((now, float(engines), 0.0))
 
     def record(self, level: float, now: float, why: str) -> None:
@@ -163,6 +164,13 @@
         now = self._levels[-1][0]
         return max(level for at, level, _ in self._levels if at >= now - hold_s)
 
+    def crest(self) -> float:
+        """Returns the highest level that callers needed within ``WAVE_S``, kept engines aside."""
+        now = self._levels[-1][0]
+        return max(
+            (v for at, v, usual in self._levels if usual and at >= now - WAVE_S), default=0.0
+        )
+
     def need(self, on_demand_rise: float, spot_rise: float) -> ZoneNeed:
         """Returns what the zone needs, given the rises that each capacity type is to cover."""
         _, level, usual = self._levels[-1]
@@ -170,4 +178,4 @@
         must = TIGHT_SHARE * max(usual * on_demand_rise, self.peak(ON_DEMAND_HOLD_S))
         want = max(must, rise, peak)
         why = "peak" if peak >= rise else "rise"
-        return ZoneNeed(level, self.peak(WAVE_S), must, want, f"{self.why}_{why}")
+        return ZoneNeed(level, self.crest(), must, want, f"{self.why}_{why}")
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -137,6 +137,15 @@
     assert calm.total("a1") <= 3
 
 
+def test_new_holder_buys_nothing_for_the_loss_of_engines_that_nobody_needs():
+    """What it keeps for a peak counted as the crest of a wave."""
+    replay = Replay(wave, replace(CONFIG, spot_price=0.6)).start_with(on_demand=8).run(CALM_UNTIL)
+    orders_before = len(replay.orders)
+    replay.restart()
+    replay.run(CALM_UNTIL + 15)
+    assert all(order.count < order.was for _, order in replay.orders[orders_before:])
+
+
 def test_silent_zone_keeps_what_it_has(calm):
     before = (calm.count("b1", False), calm.count("b1", True))
     calm.places = lambda zone, now: 2.0
