Keep the orders for endpoints beside the lease, for the next holder

Cause: a new holder took what serves for ordered. Counts are absolute, so none was bought twice, but orders were repeated, what was booting could be cut, and one capacity type's order beside the other's unknown one exceeded the limits. Change: the holder has its orders kept with the next renewal of the lease, or as it gives it back, without a call of its own; a new holder goes on from them and lowers nothing before they can have come. test_new_token_begins_anew asked that all orders be repeated: this stays for lost and for malformed records, and with the record none may be. The limits' property test now changes holders too. Mutants of these are caught; the test files of duties, scaling, the autoscaler and usage reports pass.

--- a/bluebellpitch/decisions/scaling/orders.py
+++ b/bluebellpitch/decisions/scaling/orders.py
@@ -21,6 +21,7 @@
 from bluebellpitch.decisions.scaling.supply import (
     EndpointGroup,
     GroupSupply,
+    PlacedOrder,
     PoolSupply,
     Unavailable,
 )
@@ -59,13 +60,17 @@
 
 @dataclass(slots=True)
 class OrderPlanner:
-    """Plans the orders of one pool, for as long as this VM holds the duty."""
+    """Plans the orders of one pool, for as long as this VM holds the duty.
+
+    ``placed_by_group`` are the orders of earlier holders, as far as they are known.
+    """
 
     pool: str
     config: ScalingConfig
     engine_slots: int
     regions_by_zone: Mapping[str, str]
     started_at: float
+    placed_by_group: Mapping[EndpointGroup, PlacedOrder] = field(default_factory=dict)
     supply: PoolSupply = field(init=False)
     _demand_by_zone: dict[str, _HeardDemand] = field(default_factory=dict)
     _levels_by_zone: dict[str, ZoneLevel] = field(default_factory=dict)
@@ -74,7 +79,7 @@
     _has_seen_demand: bool = False
 
     def __post_init__(self):
-        self.supply = PoolSupply(tuple(self.regions_by_zone))
+        self.supply = PoolSupply(tuple(self.regions_by_zone), self.placed_by_group)
 
     def observe_demand(self, zone: str, sample: DemandSample, now: float) -> None:
         """Records what a zone's broker said."""
@@ -160,6 +165,9 @@
         return on_demand_price, on_demand_price * self.config.spot_price
 
     def _may_lower(self, now: float) -> bool:
+        if self.placed_by_group and now - self.started_at < self.config.boot_s:
+            # What earlier holders ordered has not come yet.
+            return False
         heard_all = self._demand_by_zone.keys() == self.regions_by_zone.keys()
         return heard_all or now - self.started_at >= SILENT_ZONE_WAIT_S
 
--- a/bluebellpitch/decisions/scaling/supply.py
+++ b/bluebellpitch/decisions/scaling/supply.py
@@ -1,6 +1,6 @@
 """Endpoints by zone and capacity type: those that serve, those that boot, and what was ordered."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
@@ -24,6 +24,18 @@
     is_spot: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PlacedOrder:
+    """How many endpoints of a group there should be, and the last count that the platform took.
+
+    ``is_doubtful``: some did not come, so other zones stand in.
+    """
+
+    ordered: int
+    accepted: int
+    is_doubtful: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Unavailable:
     """No endpoints of a group can be had for now; ``missing`` is how many did not come."""
@@ -122,9 +134,14 @@
 
 @dataclass(slots=True)
 class PoolSupply:
-    """The endpoints of one pool in all zones. A new holder takes what there is for ordered."""
+    """The endpoints of one pool in all zones.
+
+    A new holder goes on from the orders that earlier ones placed; where none is known, it takes
+    what there is for ordered.
+    """
 
     zones: tuple[str, ...]
+    placed_by_group: Mapping[EndpointGroup, PlacedOrder] = field(default_factory=dict)
     by_group: dict[EndpointGroup, GroupSupply] = field(default_factory=dict)
     initial_by_zone: dict[str, int] = field(default_factory=dict)
     _ready_since_by_incarnation: dict[tuple[str, int], float] = field(default_factory=dict)
@@ -136,13 +153,19 @@
         is_first = not self.by_group
         self._count(list(entries), now)
         if is_first:
+            self._adopt_placed_orders()
             self.initial_by_zone = {zone: self.zone_ready(zone) for zone in self.zones}
         for group, supply in self.by_group.items():
-            if is_first:
-                supply.ordered = supply.accepted = supply.ready
             if (unavailable := supply.reconcile(group, boot_s, now)) is not None:
                 yield unavailable
 
+    def _adopt_placed_orders(self) -> None:
+        for group, supply in self.by_group.items():
+            unknown = PlacedOrder(supply.ready, supply.ready)
+            placed = self.placed_by_group.get(group, unknown)
+            supply.ordered, supply.accepted = placed.ordered, placed.accepted
+            supply.is_doubtful = placed.is_doubtful
+
     def _count(self, entries: list[EndpointEntry], now: float) -> None:
         first_seen_at = now if self.by_group else float("-inf")
         for group in (
@@ -177,3 +200,12 @@
             self.by_group[EndpointGroup(zone, False)].ready
             + self.by_group[EndpointGroup(zone, True)].ready
         )
+
+    def placed_orders(self) -> dict[EndpointGroup, PlacedOrder]:
+        """Returns the orders of all groups, for a later holder."""
+        if not self.by_group:
+            return dict(self.placed_by_group)
+        return {
+            group: PlacedOrder(supply.ordered, supply.accepted, supply.is_doubtful)
+            for group, supply in self.by_group.items()
+        }
--- a/bluebellpitch/roles/duties/autoscaler.py
+++ b/bluebellpitch/roles/duties/autoscaler.py
@@ -9,7 +9,7 @@
 from bluebellpitch.decisions.duties.held_lease import HeldLease
 from bluebellpitch.decisions.scaling.demand import DemandSample
 from bluebellpitch.decisions.scaling.orders import EndpointOrder, OrderPlanner
-from bluebellpitch.decisions.scaling.supply import EndpointGroup, Unavailable
+from bluebellpitch.decisions.scaling.supply import EndpointGroup, PlacedOrder, Unavailable
 from bluebellpitch.logs import log
 from bluebellpitch.peers.platform_messages import ZoneDemand
 from bluebellpitch.platform.duty_api import (
@@ -19,6 +19,7 @@
     CallRejected,
     DutyApi,
 )
+from bluebellpitch.platform.order_records import decode_orders, encode_orders
 from bluebellpitch.platform.settings_file import DutySettings
 from bluebellpitch.roles.duties.demand_reporter import sample_from_message, scaled_pools
 from bluebellpitch.roles.duties.duty_context import DutyContext
@@ -68,6 +69,7 @@
         self._now = context.now
         self._token: int | None = None
         self._planners_by_pool: dict[str, OrderPlanner] = {}
+        self._placed_by_pool: dict[str, dict[EndpointGroup, PlacedOrder]] = {}
         self._retry_s = FIRST_RETRY_S
         self._failing_since: float | None = None
 
@@ -94,15 +96,17 @@
         self._follow_lease(lease)
         self._follow_catalogue()
         order = self._next_order()
+        self._keep_orders(lease.token)
         if order is None:
             return DECISION_INTERVAL_S
         return await self._send(order)
 
     def _follow_lease(self, lease: HeldLease) -> None:
-        """Forgets what was planned under an earlier token: others may have ordered since."""
+        """Begins anew under a new token, with what earlier holders are known to have ordered."""
         if lease.token != self._token:
             self._token = lease.token
             self._planners_by_pool.clear()
+            self._placed_by_pool = decode_orders(self._holder.values_by_key)
             self._retry_s, self._failing_since = FIRST_RETRY_S, None
 
     def _follow_catalogue(self) -> None:
@@ -113,7 +117,12 @@
             planner = self._planners_by_pool.get(name)
             if planner is None:
                 self._planners_by_pool[name] = OrderPlanner(
-                    name, pool.scaling, pool.engine.slots, self._regions_by_zone, self._now()
+                    pool=name,
+                    config=pool.scaling,
+                    engine_slots=pool.engine.slots,
+                    regions_by_zone=self._regions_by_zone,
+                    started_at=self._now(),
+                    placed_by_group=self._placed_by_pool.get(name, {}),
                 )
             else:
                 planner.config, planner.engine_slots = pool.scaling, pool.engine.slots
@@ -130,6 +139,13 @@
                 return order
         return None
 
+    def _keep_orders(self, token: int) -> None:
+        """Has the orders kept beside the lease, for the next holder, if they have changed."""
+        planners = self._planners_by_pool.items()
+        record = encode_orders({pool: plan.supply.placed_orders() for pool, plan in planners})
+        if record.value != self._holder.values_by_key.get(record.key):
+            self._holder.append_later(token, (record,))
+
     async def _send(self, order: EndpointOrder) -> float:
         lease = self._holder.lease()
         if lease is None or lease.token != self._token:
--- a/bluebellpitch/roles/duties/duty_holder.py
+++ b/bluebellpitch/roles/duties/duty_holder.py
@@ -67,6 +67,8 @@
         # When the last call ends that a caller may make under a lease that it was given.
         self._calls_end_at = PAST
         self._usable_from = PAST
+        self._next_values: tuple[KeyedRecord, ...] = ()
+        self._next_values_token = 0
 
     def lease(self) -> HeldLease | None:
         """Returns the lease if this VM holds it with time left for a call, else None.
@@ -98,6 +100,20 @@
                 return False
             return await self._append(self._state.renewal(self._now()), records)
 
+    def append_later(self, token: int, records: tuple[KeyedRecord, ...]) -> None:
+        """Keeps values in the store with the next renewal, which needs no further call.
+
+        They were made under ``token``, and take the place of those that still wait.
+        """
+        self._next_values, self._next_values_token = records, token
+
+    async def _append_next_values(self, append: LeaseAppend) -> bool:
+        records = self._next_values if append.record.token == self._next_values_token else ()
+        is_kept = await self._append(append, records)
+        if is_kept and self._next_values is records:
+            self._next_values = ()
+        return is_kept
+
     def holder_address(self) -> str | None:
         """Returns the bus address of the VM that announced itself as holder, None if silent."""
         now, term = self._now(), self._state.term
@@ -178,7 +194,7 @@
         if not await self._read_if_needed():
             return
         if append := self._state.next_append(self._now()):
-            await self._append(append)
+            await self._append_next_values(append)
         self._announce(self._now())
 
     async def _read_if_needed(self) -> bool:
@@ -280,7 +296,7 @@
         if term is None:
             return True
         append = self._state.release(max(0.0, self._calls_end_at - now), now)
-        if not await self._append(append):
+        if not await self._append_next_values(append):
             return False
         self._changes.report(None, self._now(), reason, event)
         self._tell(term.token, append.at + 1, reply_to="")
--- a/tests/mutants_of_scaling.py
+++ b/tests/mutants_of_scaling.py
@@ -122,6 +122,27 @@
         "            pass\n",
         f"{TASK} begins_anew",
     ),
+    Mutant(
+        "scaling: a new holder knows the orders of earlier ones",
+        SUPPLY,
+        "self.placed_by_group.get(group, unknown)",
+        "unknown",
+        f"{REPLAYS} neither_repeats",
+    ),
+    Mutant(
+        "scaling: nothing is lowered before what was ordered can have come",
+        ORDERS,
+        "if self.placed_by_group and now - self.started_at < self.config.boot_s:",
+        "if False:",
+        f"{REPLAYS} neither_repeats",
+    ),
+    Mutant(
+        "scaling: orders are kept for the next holder",
+        AUTOSCALER,
+        "            self._holder.append_later(token, (record,))\n",
+        "            pass\n",
+        f"{TASK} begins_anew",
+    ),
     Mutant(
         "scaling: an API that keeps failing is left to another VM",
         AUTOSCALER,
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -8,7 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bluebellpitch.decisions.scaling.supply import EndpointGroup
+from bluebellpitch.decisions.scaling.orders import OrderPlanner
+from bluebellpitch.decisions.scaling.supply import EndpointGroup, PlacedOrder
 from tests.scaling_load import CONFIG, REGIONS_BY_ZONE, TICK_S, Replay
 
 TRAFFIC_AT, CALM_UNTIL = 16.0, 40.0
@@ -146,6 +147,34 @@
     assert all(order.count < order.was for _, order in replay.orders[orders_before:])
 
 
+def test_new_holder_neither_repeats_nor_cuts_what_is_booting(calm):
+    """It took what serves for ordered."""
+    for zone in ("a1", "a2"):
+        calm.platform.reclaim(zone, for_s=30, now=calm.now)
+    calm.run(CALM_UNTIL + 2)
+    desired, before = dict(calm.platform.desired), len(calm.orders)
+    full = max(EndpointGroup("b1", True), EndpointGroup("b2", True), key=desired.get)
+    assert desired[full] > calm.count(full.zone, is_spot=True) + 8
+    placed = calm.planner.supply.placed_orders()
+    calm.restart(knows_orders=True)
+    calm.run(CALM_UNTIL + 3)
+    calm.places = lambda zone, now: 2.0
+    calm.run(CALM_UNTIL + 2 + CONFIG.boot_s - TICK_S)
+    for _, order in calm.orders[before:]:
+        assert order.count > placed[order.group].ordered
+    assert calm.planner.supply.zone_standing(full.zone) <= CONFIG.max_count
+    calm.run(CALM_UNTIL + 60)
+    assert calm.total(full.zone) <= 3
+
+
+def test_orders_of_an_earlier_holder_that_never_come_are_given_up(calm):
+    placed = {EndpointGroup("a1", True): PlacedOrder(15, 15)}
+    calm.planner = OrderPlanner("p", CONFIG, 16, REGIONS_BY_ZONE, calm.now, placed)
+    calm.run(CALM_UNTIL + 20)
+    assert 7 <= calm.planner.supply.by_group[EndpointGroup("a1", True)].ordered <= 10
+    assert calm.count("a1", is_spot=True) >= 7
+
+
 def test_silent_zone_keeps_what_it_has(calm):
     before = (calm.count("b1", False), calm.count("b1", True))
     calm.places = lambda zone, now: 2.0
@@ -176,6 +205,8 @@
         if draw.random() < 0.03:
             replay.platform.reclaim(zone, 9, replay.now, is_dry=draw.random() < 0.5)
         replay.silent = {zone} if draw.random() < 0.1 else set()
+        if draw.random() < 0.05:
+            replay.restart(knows_orders=True)
         replay.run(replay.now + TICK_S)
         desired |= replay.platform.desired
         for _, order in replay.orders[checked:]:
