Do not wait without limit for an endpoint that reads no request

Cause: a request with a body larger than the sockets' buffers waited until the endpoint had read it, without a limit of time, before its response was read. A silent endpoint left the caller without an answer past its deadline, and an early refusal was not seen. Change: the request is written and the response read at once, under the deadline. A connection whose server has not read the previous request to its end is not reused.

--- a/bluebellpitch/http1/client.py
+++ b/bluebellpitch/http1/client.py
@@ -67,7 +67,11 @@
         await self.send_verbatim(method, target, headers, body)
 
     async def send_verbatim(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Sends a request with only these headers; raises ConnectionLostError or NotSentError."""
+        """Sends a request with only these headers; raises ConnectionLostError or NotSentError.
+
+        Does not wait until the server has read it: reading the response has a limit of time, and
+        the response may come before the server has read a long body.
+        """
         try:
             head = h11.Request(method=method, target=target, headers=encode_headers(headers))
             data = self.h11.send(head)
@@ -78,7 +82,6 @@
         data += self.h11.send(h11.EndOfMessage()) or b""
         try:
             self.writer.write(data)
-            await self.writer.drain()
         except OSError as error:
             raise ConnectionLostError(f"lost the connection to {self.address}: {error}") from error
 
@@ -232,8 +235,11 @@
             self.h11.receive_data(unparsed)
 
     def start_next_cycle(self) -> bool:
-        """Prepares for another request; returns False when the connection cannot be reused."""
-        if self.is_stale():
+        """Prepares for another request; returns False when the connection cannot be reused.
+
+        It cannot while the server has not read the previous request to its end.
+        """
+        if self.is_stale() or self.writer.transport.get_write_buffer_size():
             return False
         if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
             return False
