Close the connection of a caller that does not read its response

Cause: after the limit of a write, or after a last response, the connection was closed gracefully, which waits until the caller has read all. The unsent bytes, which no budget counted any more, and the place among the open connections were held as long as the caller stayed. Change: a write that is over its limit aborts the connection; a graceful close has the same limit.

--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -158,6 +158,7 @@
             async with asyncio.timeout(self.limits.write_timeout_s):
                 await self.writer.drain()
         except (OSError, TimeoutError) as error:
+            self.writer.transport.abort()
             raise DisconnectedError("the client stopped reading") from error
 
     def start_next_cycle(self) -> bool:
@@ -168,10 +169,13 @@
         return True
 
     async def close(self) -> None:
-        """Closes the connection and waits until it is closed."""
+        """Closes the connection, once the client has read what was sent, if it does in time."""
         self.writer.close()
         try:
-            await self.writer.wait_closed()
+            async with asyncio.timeout(self.limits.write_timeout_s):
+                await self.writer.wait_closed()
+        except TimeoutError:
+            self.writer.transport.abort()
         except OSError:
             return
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from bluebellpitch.callers.routed_requests import refuse_malformed_request
+from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
 from fakes.prepared_deployment import wait_until
 from tests.prepared_helpers import in_deployment, start_deployment
 
@@ -60,3 +62,41 @@
             await wait_until(lambda: not vm.buffers.used_bytes)
 
     body()
+
+
+@asynccontextmanager
+async def run_server(body: bytes, **limits):
+    """Answers each request with this body."""
+
+    async def answer(connection, request):
+        await connection.respond(200, [], body)
+
+    server = HttpServer(answer, refuse_malformed_request, HttpLimits(**limits))
+    yield server, await server.listen("127.0.0.1", 0)
+    server.stop_listening()
+
+
+async def call_without_reading(address: str, request: bytes) -> socket.socket:
+    """Sends a request and reads nothing; returns the caller's socket."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, parse_address(address))
+    await loop.sock_sendall(caller, request)
+    return caller
+
+
+@pytest.mark.parametrize("last_header", ["", "Connection: close\r\n"])
+def test_connection_of_a_caller_that_does_not_read_is_closed(run, last_header):
+    """Guards against a graceful close, which waits until the caller has read all."""
+
+    async def body():
+        async with run_server(LARGE_BODY, write_timeout_s=0.2) as (server, port):
+            request = f"GET / HTTP/1.1\r\nHost: vm\r\n{last_header}\r\n".encode()
+            caller = await call_without_reading(f"127.0.0.1:{port}", request)
+            await wait_until(lambda: server.busy_connections)
+            await wait_until(lambda: not server.busy_connections, 1.0)
+            caller.close()
+
+    run(body())
