Do not blame an endpoint that ends a stream which its caller left unread

Cause: a caller that does not read stops the reading of its endpoint's stream, which is right. An endpoint that then cuts the stream off counted as failing in route; in serve it counted as crashed and was taken out, and the request got a strike. In serve, a pause no longer counts toward the time in which a token is due.

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -244,7 +244,7 @@
                 progress.failures += 1
                 progress.avoided_endpoints += (endpoint,)
                 self.record_event(EventKind.RETRIED, endpoint, "the response is too large")
-            case "stalled" | "unreachable" | "busy":
+            case "stalled" | "unread" | "unreachable" | "busy":
                 progress.failures += 1
                 self.record_event(EventKind.RETRIED, endpoint, ending)
 
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -339,7 +339,8 @@
                 is_old = True
                 self._guard.record_survival(self._run_began_at)
         if attempt.ending != "complete":
-            status = 504 if attempt.ending == "late" else 502
+            # A status of 504 does not count as a failure of the endpoint.
+            status = 504 if attempt.ending in ("late", "unread") else 502
             return MayHaveRun(f"stream {attempt.ending}", status=status)
         self._guard.record_survival(self._run_began_at or attempt.sent_at)
         await self._response.end_stream(head)
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
+from bluebellpitch.decisions.unread_responses import ReadingPauses
 from bluebellpitch.endpoints.endpoint_connections import EndpointConnectionPool
 from bluebellpitch.endpoints.sse import EventSplitter
 from bluebellpitch.errors import (
@@ -181,41 +182,51 @@
         """Yields batches of complete events until the stream ends, and then sets ``ending``.
 
         Endings: ``complete``, ``late`` (unfinished at ``deadline``), ``silent`` (no data for
-        ``max_silence_s``), ``oversized`` (event too large, or no memory left for it) and ``cut``
-        (connection lost, or stream not at the end of an event).
+        ``max_silence_s``), ``oversized`` (event too large, or no memory left for it), ``cut``
+        (connection lost, or stream not at the end of an event) and ``unread`` (the same after the
+        consumer of the events made a long pause, for which an endpoint may end its stream).
         """
-        splitter = EventSplitter(buffer=self._buffer)
-        while True:
-            remaining_s = deadline - self._now()
-            if remaining_s <= 0:
-                self.ending = "late"
-                break
-            try:
-                data = await self._connection.read_data(min(remaining_s, max_silence_s))
-            except ReadTimeoutError:
-                self.ending = "late" if remaining_s <= max_silence_s else "silent"
-                break
-            except ConnectionLostError:
-                self.ending = "cut"
-                break
-            if data is None:
-                self.ending = "complete"
-                break
-            try:
-                events = splitter.feed(data)
-            except ResponseTooLargeError as error:
-                log("WARNING", "response_too_large", request=self._request.id, error=error)
-                self.ending = "oversized"
-                break
+        splitter, pauses = EventSplitter(buffer=self._buffer), ReadingPauses()
+        while (events := await self._read_events(splitter, deadline, max_silence_s)) is not None:
             if events:
+                paused_at = self._now()
                 yield events
+                pauses.record(paused_at, self._now())
         if self.ending == "complete" and splitter.is_incomplete:
             self.ending = "cut"
+        if self.ending == "cut" and pauses.explain_cut(self._now()):
+            self.ending = "unread"
         if self.ending == "complete":
             self._release()
         else:
             self.close()
 
+    async def _read_events(
+        self, splitter: EventSplitter, deadline: float, max_silence_s: float
+    ) -> bytes | None:
+        """Returns the events that the next data completes; None at the end, with ``ending`` set."""
+        remaining_s = deadline - self._now()
+        if remaining_s <= 0:
+            self.ending = "late"
+            return None
+        try:
+            data = await self._connection.read_data(min(remaining_s, max_silence_s))
+        except ReadTimeoutError:
+            self.ending = "late" if remaining_s <= max_silence_s else "silent"
+            return None
+        except ConnectionLostError:
+            self.ending = "cut"
+            return None
+        if data is None:
+            self.ending = "complete"
+            return None
+        try:
+            return splitter.feed(data)
+        except ResponseTooLargeError as error:
+            log("WARNING", "response_too_large", request=self._request.id, error=error)
+            self.ending = "oversized"
+            return None
+
     def _release(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
--- a/bluebellpitch/endpoints/engine.py
+++ b/bluebellpitch/endpoints/engine.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from bluebellpitch.decisions.unread_responses import ReadingPauses
 from bluebellpitch.endpoints.connections import ConnectionPool, probe
 from bluebellpitch.endpoints.sse import EventBuffer, has_data
 from bluebellpitch.errors import (
@@ -39,11 +40,12 @@
     """One attempt. ``ending`` is set when ``events`` ends.
 
     Endings: ``completed``, ``preempted``, ``unreachable`` (no byte was sent), ``crashed`` (the
-    connection or the engine was lost), ``stalled`` (no token for ``stall_s``), ``late`` (no first
-    token in time), ``busy`` (status 429 or 503), ``rejected`` (another error status), ``left`` (no
-    byte was sent, since the engine is leaving) and ``oversized`` (more bytes than any completion
-    has). ``may_send`` is asked when everything else is ready to send. ``on_announcements``
-    is called with what the answer says of the engine's future.
+    connection or the engine was lost), ``unread`` (the same after the consumer of the events made a
+    long pause, for which an engine may end its stream), ``stalled`` (no token for ``stall_s``),
+    ``late`` (no first token in time), ``busy`` (status 429 or 503), ``rejected`` (another error
+    status), ``left`` (no byte was sent, since the engine is leaving) and ``oversized`` (more bytes
+    than any completion has). ``may_send`` is asked when everything else is ready to send.
+    ``on_announcements`` is called with what the answer says of the engine's future.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self._buffer = connection_pool.buffers.open()
         self._cancel_reason = ""
         self._has_first_token = False
+        self._pauses = ReadingPauses()
         self.ending = ""
         self.rejection: Rejection | None = None
 
@@ -98,7 +101,7 @@
             log("WARNING", "response_too_large", request=request_id, error=error)
             self.ending = "oversized"
         except ConnectionLostError:
-            self.ending = "crashed"
+            self.ending = self._classify_cut()
         finally:
             self._release_connection(finished)
             self._buffer.release()
@@ -125,10 +128,17 @@
             if received_bytes > MAX_RESPONSE_BYTES:
                 raise ResponseTooLargeError(f"more than {MAX_RESPONSE_BYTES} bytes of events")
             if events := buffer.feed(data):
+                paused_at = now()
                 yield events
+                self._pauses.record(paused_at, now())
+                token_due_at += now() - paused_at
             if buffer.done or has_data(events):
                 self._has_first_token, token_due_at = True, now() + self._stall_s
-        self.ending = "completed" if buffer.done else "crashed"
+        self.ending = "completed" if buffer.done else self._classify_cut()
+
+    def _classify_cut(self) -> str:
+        now = asyncio.get_running_loop().time()
+        return "unread" if self._pauses.explain_cut(now) else "crashed"
 
     async def _read_data(self, timeout_s: float) -> bytes | None:
         """Reads the next part of the stream; raises ReadTimeoutError, even if data comes."""
