End the stream of a caller that does not read at its deadline

Cause: a stream was ended at the deadline only between two writes. Change: writes of a stream are limited by the deadline of its request; the log names the request as caller_lost.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -68,7 +68,7 @@
             waits = {task, disconnected, must_answer}
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
             if task.done():
-                task.result()
+                self._take_result(task, request)
             elif disconnected.done():
                 log("INFO", "caller_left", request=request.id, endpoints=",".join(self._tried))
                 raise DisconnectedError("the caller disconnected")
@@ -81,6 +81,14 @@
             if not task.done():
                 await cancel_and_wait(task)
 
+    def _take_result(self, task: asyncio.Task, request: RoutedRequest) -> None:
+        try:
+            task.result()
+        except DisconnectedError as error:
+            endpoints = ",".join(self._tried)
+            log("INFO", "caller_lost", request=request.id, endpoints=endpoints, reason=error)
+            raise
+
     def _shutdown_verdict(self) -> DidNotRun | MayHaveRun:
         """Returns the verdict on a request that is open when the VM has to end."""
         if self._tried:
@@ -326,6 +334,7 @@
     ) -> Verdict:
         """Forwards events as they arrive; never ends a truncated stream as if it were complete."""
         context, first, is_old = self._context, True, False
+        self._connection.limit_sending(deadline - context.now())
         async for events in attempt.events(
             deadline, max_silence_s=max(0.001, deadline - context.now())
         ):
--- a/bluebellpitch/http1/server.py
+++ b/bluebellpitch/http1/server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server: connections, and a listener that passes requests to a handler."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -32,6 +33,8 @@
         self.limits = limits
         self.buffer = buffer
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        # When the response has to be sent, in seconds of the event loop's clock.
+        self._send_by = math.inf
 
     async def wait_for_request(self) -> bool:
         """Returns whether a request began before the client disconnected or stayed idle."""
@@ -44,6 +47,7 @@
 
     async def receive_request(self) -> HttpRequest | None:
         """Returns the request that began, or None when the client disconnected."""
+        self._send_by = math.inf
         try:
             async with asyncio.timeout(self.limits.receive_s):
                 return await self._receive()
@@ -120,6 +124,10 @@
             elif data := await self._read():
                 self.h11.receive_data(data)
 
+    def limit_sending(self, seconds: float) -> None:
+        """Gives up the response if the client has not read it in this time."""
+        self._send_by = asyncio.get_running_loop().time() + seconds
+
     async def send_head(self, status: int, headers: Headers) -> None:
         """Sends the head of a response."""
         await self._send(h11.Response(status_code=status, headers=encode_headers(headers)))
@@ -154,8 +162,9 @@
             raise DisconnectedError("the client closed the connection")
         if not self.writer.transport.get_write_buffer_size():
             return
+        give_up_at = asyncio.get_running_loop().time() + self.limits.write_timeout_s
         try:
-            async with asyncio.timeout(self.limits.write_timeout_s):
+            async with asyncio.timeout_at(min(give_up_at, self._send_by)):
                 await self.writer.drain()
         except (OSError, TimeoutError) as error:
             self.writer.transport.abort()
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -13,6 +13,7 @@
 from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.endpoints.engine import EngineAttempt
 from bluebellpitch.http1 import HttpLimits, HttpServer, parse_address
+from fakes.endless import EndlessEndpoint
 from fakes.prepared_deployment import API_KEY, HOST, build_route, wait_until
 from tests.prepared_helpers import in_deployment, start_deployment
 
@@ -246,3 +247,20 @@
     host, port = server.sockets[0].getsockname()
     yield f"{host}:{port}"
     server.close()
+
+
+@in_deployment
+async def test_stream_of_a_caller_that_does_not_read_ends_at_its_deadline(deployment):
+    """Guards against an endpoint and its slot that are held as long as a write may last."""
+    await start_deployment(deployment)
+    vm = deployment.vms[0]
+    engine = EndlessEndpoint("stream")
+    engine.name, engine.address = "i-1", await engine.start()
+    deployment.publish_entry(engine, "engines")
+    await wait_until(lambda: vm.directory.entries_by_id)
+    address = vm.settings.listen_address
+    caller = await call_without_reading(address, stream_request("/explain/7", "r1", TIMEOUT_S))
+    await wait_until(lambda: engine.sent_bytes)
+    await wait_until(lambda: not vm.http.in_flight and engine.closed, 2 * TIMEOUT_S)
+    caller.close()
+    engine.stop()
