Count unread responses in the budget and end stalled callers first

Cause: what a VM had written for a caller was counted no more, as if it had been read, so callers that do not read held memory beyond any budget; and where the budget was used up, whoever came next was refused. Change: while a write waits, what is unsent and read ahead counts. A message without room first ends callers that have read nothing for a second, longest first, as many as it needs.

--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -19,7 +19,7 @@
 from bluebellpitch.decisions.strikes import IsolationLevel
 from bluebellpitch.endpoints.engine import EngineAttempt, Rejection
 from bluebellpitch.endpoints.sse import count_events, join_text
-from bluebellpitch.errors import DisconnectedError
+from bluebellpitch.errors import DisconnectedError, StalledError
 from bluebellpitch.events import EventKind
 from bluebellpitch.http1 import ServerConnection
 from bluebellpitch.logs import log
@@ -69,11 +69,12 @@
         self.context.hedge_budget.earn(self.caller.service_class.name)
         try:
             verdict = await self._serve()
-        except DisconnectedError:
+        except DisconnectedError as error:
             self.context.metrics.wasted_tokens.labels(self.caller.service_class.name).inc(
                 self.progress.tokens
             )
-            verdict = MayHaveRun("caller_gone", 499)
+            has_stalled = isinstance(error, StalledError)
+            verdict = MayHaveRun("caller_stalled" if has_stalled else "caller_gone", 499)
         finally:
             self._buffer.release()
         return verdict
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -15,7 +15,7 @@
     RoutedAttempt,
     outcome_of,
 )
-from bluebellpitch.errors import DisconnectedError
+from bluebellpitch.errors import DisconnectedError, StalledError
 from bluebellpitch.http1 import HttpRequest, ServerConnection
 from bluebellpitch.logs import log
 from bluebellpitch.platform.http_messages import (
@@ -68,27 +68,22 @@
             waits = {task, disconnected, must_answer}
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
             if task.done():
-                self._take_result(task, request)
+                task.result()
             elif disconnected.done():
                 log("INFO", "caller_left", request=request.id, endpoints=",".join(self._tried))
                 raise DisconnectedError("the caller disconnected")
             else:
                 await cancel_and_wait(task)
                 await self._finish(request, self._shutdown_verdict(), arrived_at)
+        except StalledError as error:
+            log("INFO", "caller_stalled", request=request.id, reason=error)
+            raise
         finally:
             await cancel_and_wait(must_answer)
             await cancel_and_wait(disconnected)
             if not task.done():
                 await cancel_and_wait(task)
 
-    def _take_result(self, task: asyncio.Task, request: RoutedRequest) -> None:
-        try:
-            task.result()
-        except DisconnectedError as error:
-            endpoints = ",".join(self._tried)
-            log("INFO", "caller_lost", request=request.id, endpoints=endpoints, reason=error)
-            raise
-
     def _shutdown_verdict(self) -> DidNotRun | MayHaveRun:
         """Returns the verdict on a request that is open when the VM has to end."""
         if self._tried:
--- a/bluebellpitch/errors.py
+++ b/bluebellpitch/errors.py
@@ -81,3 +81,7 @@
 
 class DisconnectedError(BluebellpitchError):
     """The client closed its connection or stopped reading."""
+
+
+class StalledError(DisconnectedError):
+    """The client was disconnected, because it did not read its response."""
--- a/bluebellpitch/metrics.py
+++ b/bluebellpitch/metrics.py
@@ -47,6 +47,8 @@
         self.in_flight = self._gauge("in_flight", "Requests that are being served")
         self.buffered_bytes = self._gauge("buffered_bytes", "Bytes of messages held")
         self.buffers_exceeded = self._gauge("buffers_exceeded", "Messages cut for want of memory")
+        self.unread_bytes = self._gauge("unread_bytes", "Bytes held for callers that do not read")
+        self.callers_ended = self._gauge("callers_ended", "Callers ended, unread, for memory")
         self.configuration_version = self._gauge("configuration_version", "Version in force")
         self.freshness_age = self._gauge(
             "freshness_age_seconds", "Since the configuration was known to be the newest"
@@ -116,6 +118,8 @@
         """Shows what is held of messages from now on."""
         self.buffered_bytes.set_function(lambda: buffers.used_bytes)
         self.buffers_exceeded.set_function(lambda: buffers.exceeded)
+        self.unread_bytes.set_function(lambda: buffers.unread_bytes)
+        self.callers_ended.set_function(lambda: buffers.callers_ended)
 
     def _gauge(self, name: str, help_text: str, *labels: str) -> Gauge:
         return Gauge(f"bluebellpitch_{name}", help_text, labels, registry=self.registry)
--- a/fakes/endless.py
+++ b/fakes/endless.py
@@ -13,9 +13,9 @@
     ``length`` (a body of more bytes than there are), ``until close`` (a body without length),
     ``small chunks`` (of two bytes), ``chunk size``, ``trailers``, ``event`` (of a stream),
     ``small events`` (an event in chunks of two bytes), ``comment`` (of a stream), ``stream`` (of
-    complete events), ``refusal`` (body of a 503 that did not run) or ``other`` (body of a response
-    to another request). ``sent_bytes`` counts what was taken. With ``is_healthy``, health checks
-    get a proper answer.
+    complete events), ``large events`` (a stream of complete events of a megabyte), ``refusal``
+    (body of a 503 that did not run) or ``other`` (body of a response to another request).
+    ``sent_bytes`` counts what was taken. With ``is_healthy``, health checks get a proper answer.
     """
 
     def __init__(self, part: str):
@@ -93,4 +93,5 @@
     "small events": (CHUNKED_HEAD + to_chunk(b"data: "), to_chunk(b"xy") * 10_000),
     "comment": (CHUNKED_HEAD + to_chunk(b": "), to_chunk(CHUNK)),
     "stream": (CHUNKED_HEAD, to_chunk(b"id: 1\ndata: x\n\n" * 1_000)),
+    "large events": (CHUNKED_HEAD, to_chunk(b"id: 1\ndata: %s\n\n" % (b"x" * 1_000_000))),
 }
--- a/measure/memory.py
+++ b/measure/memory.py
@@ -1,11 +1,13 @@
 """Measures the memory of an entry VM whose endpoints answer without end, beside sound callers.
 
-``python -m measure.memory [--program route|serve] [--callers N] [--memory-mb N] [PART ...]``
+``python -m measure.memory [--program route|serve] [--callers N] [--memory-mb N] [--unread]
+[PART ...]``; with ``--unread`` the callers read nothing of the responses.
 """
 
 import argparse
 import asyncio
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -27,7 +29,7 @@
 from fakes.tables import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
 
 ROOT = Path(__file__).resolve().parent.parent
-STREAM_PARTS = ("event", "small events", "comment", "stream")
+STREAM_PARTS = ("event", "small events", "comment", "stream", "large events")
 PARTS = (
     *("body", "length", "until close", "small chunks", "chunk size", "trailers", "head"),
     *("informational", "refusal", "other", *STREAM_PARTS),
@@ -37,6 +39,7 @@
 SOUND_CALLERS = 8
 SOUND_PAUSE_S = 0.05
 TIMEOUT_S = 6.0
+UNREAD_RECEIVE_BUFFER = 4_096
 READY_TIMEOUT_S = 20.0
 
 
@@ -112,6 +115,20 @@
         connection.close()
 
 
+async def call_unread(vm: VmUnderTest, path: str, body: bytes, request_id: str) -> int:
+    """Sends a request and reads nothing, until the VM closes the connection or time is over."""
+    headers = [*vm.headers, ("Request-Id", request_id), ("Content-Length", str(len(body)))]
+    head = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_RECEIVE_BUFFER)
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, parse_address(vm.address))
+        await loop.sock_sendall(caller, f"POST {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+        await asyncio.sleep(TIMEOUT_S + 1.0)
+    return 0
+
+
 async def call_soundly(vm: VmUnderTest, name: str, took_s: list[float], failed: list[str]) -> None:
     """Sends one request after the other to sound endpoints, until cancelled."""
     number = 0
@@ -124,8 +141,9 @@
         await asyncio.sleep(SOUND_PAUSE_S)
 
 
-async def measure(vm: VmUnderTest, part: str, callers: int) -> MemoryUse:
+async def measure(vm: VmUnderTest, part: str, callers: int, reads: bool) -> MemoryUse:
     """Lets all callers call endless endpoints at once, beside sound callers."""
+    send = call if reads else call_unread
     idle_mb = vm.read_memory_mb("VmRSS")
     took_s, failed = [], []
     sound = [
@@ -133,7 +151,7 @@
         for number in range(SOUND_CALLERS)
     ]
     await asyncio.sleep(1.0)
-    calls = (call(vm, vm.path, vm.body, f"endless-{number}") for number in range(callers))
+    calls = (send(vm, vm.path, vm.body, f"endless-{number}") for number in range(callers))
     results = await asyncio.gather(*calls)
     for task in sound:
         task.cancel()
@@ -274,11 +292,13 @@
         )
 
 
-async def run_part(program: str, part: str, callers: int, memory_mb: int) -> MemoryUse:
+async def run_part(
+    program: str, part: str, callers: int, memory_mb: int, reads: bool = True
+) -> MemoryUse:
     """Runs one program with one sort of endless answers."""
     run = run_route if program == "route" else run_serve
     async with run(part, memory_mb) as vm:
-        return await measure(vm, part, callers)
+        return await measure(vm, part, callers, reads)
 
 
 def main() -> None:
@@ -287,10 +307,14 @@
     parser.add_argument("--program", choices=("route", "serve"), default="route")
     parser.add_argument("--callers", type=int, default=180)
     parser.add_argument("--memory-mb", type=int, default=128)
+    parser.add_argument("--unread", action="store_true")
     parser.add_argument("parts", nargs="*", metavar="PART")
     options = parser.parse_args()
     for part in options.parts or PARTS:
-        arguments = (options.program, part, options.callers, options.memory_mb)
+        arguments = (
+            *(options.program, part, options.callers, options.memory_mb),
+            not options.unread,
+        )
         print(asyncio.run(run_part(*arguments)).describe(), flush=True)
 
 
