Move mutants to the code as it stands, and add three

New ones take out the counting of unread responses, the excuse for a cut after a pause, and the question to other zones.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -247,8 +247,8 @@
     Mutant(
         "broker: one that takes over asks what the engines run",
         "bluebellpitch/roles/broker_takeover.py",
-        "        for address in self._zone_addresses():\n",
-        "        for address in ():\n",
+        "(*self._zone_addresses(), *far_addresses)",
+        "far_addresses",
         "tests/test_broker_takeover.py",
     ),
     Mutant(
@@ -282,8 +282,8 @@
     Mutant(
         "endless: all messages together stay within the memory",
         "bluebellpitch/decisions/buffer_budget.py",
-        "if more > 0 and size >",
-        "if False and size >",
+        "if more > 0 and self._missing_bytes(size) > 0:",
+        "if False:",
         "tests/test_buffers.py -k together",
     ),
     Mutant(
--- a/tests/mutants_of_endpoints.py
+++ b/tests/mutants_of_endpoints.py
@@ -62,6 +62,27 @@
     ),
 )
 STALL_MUTANTS = (
+    Mutant(
+        "slow: an unread response counts as held",
+        "bluebellpitch/http1/server_connection.py",
+        "            self._unread_share.record(unsent_bytes + READ_AHEAD_BYTES)\n",
+        "",
+        "tests/test_slow_readers.py -k stalled_callers",
+    ),
+    Mutant(
+        "slow: an endpoint that ends an unread stream is not blamed",
+        "bluebellpitch/endpoints/attempt.py",
+        "pauses.explain_cut(self._now())",
+        "False",
+        "tests/test_slow_readers.py -k blame",
+    ),
+    Mutant(
+        "broker: one that takes over asks other zones too",
+        "bluebellpitch/roles/broker_takeover.py",
+        "[] if is_stand_in else self._far_addresses()",
+        "[]",
+        "tests/test_broker_takeover.py -k another_zone",
+    ),
     Mutant(
         "serve: bytes that are no token do not keep a stream alive",
         "bluebellpitch/endpoints/engine.py",
