--- a/measure/memory.py
+++ b/measure/memory.py
@@ -7,7 +7,6 @@
 import argparse
 import asyncio
 import os
-import socket
 import subprocess
 import sys
 import tempfile
@@ -27,6 +26,7 @@
 from fakes.ports import free_address, free_port
 from fakes.prepared_deployment import API_KEY, HOST, Deployment, settings_text
 from fakes.tables import CLASSES, FILING_POOL, MODEL_POOL, endpoint_row, member_row, new_sheet
+from fakes.unread import call_without_reading
 
 ROOT = Path(__file__).resolve().parent.parent
 STREAM_PARTS = ("event", "small events", "comment", "stream", "large events")
@@ -39,7 +39,6 @@
 SOUND_CALLERS = 8
 SOUND_PAUSE_S = 0.05
 TIMEOUT_S = 6.0
-UNREAD_RECEIVE_BUFFER = 4_096
 READY_TIMEOUT_S = 20.0
 
 
@@ -119,12 +118,8 @@
     """Sends a request and reads nothing, until the VM closes the connection or time is over."""
     headers = [*vm.headers, ("Request-Id", request_id), ("Content-Length", str(len(body)))]
     head = "".join(f"{name}: {value}\r\n" for name, value in headers)
-    with socket.socket() as caller:
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_RECEIVE_BUFFER)
-        caller.setblocking(False)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(caller, parse_address(vm.address))
-        await loop.sock_sendall(caller, f"POST {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+    request = f"POST {path} HTTP/1.1\r\n{head}\r\n".encode() + body
+    with await call_without_reading(vm.address, request):
         await asyncio.sleep(TIMEOUT_S + 1.0)
     return 0
 
--- a/tests/mutants_of_endpoints.py
+++ b/tests/mutants_of_endpoints.py
@@ -67,7 +67,7 @@
         "bluebellpitch/http1/server_connection.py",
         "            self._unread_share.record(unsent_bytes + READ_AHEAD_BYTES)\n",
         "",
-        "tests/test_slow_readers.py -k stalled_callers",
+        "tests/test_stalled_callers.py",
     ),
     Mutant(
         "slow: an endpoint that ends an unread stream is not blamed",
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -8,22 +8,17 @@
 from types import SimpleNamespace
 
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
 
-from bluebellpitch.callers.routed_requests import refuse_malformed_request
-from bluebellpitch.decisions.buffer_budget import BufferBudget
-from bluebellpitch.decisions.unread_responses import MIN_STALL_S, UnreadResponses
 from bluebellpitch.endpoints.connections import ConnectionPool
 from bluebellpitch.endpoints.engine import EngineAttempt
-from bluebellpitch.http1 import HttpLimits, HttpServer, fetch, parse_address
+from bluebellpitch.http1 import parse_address
 from fakes.endless import EndlessEndpoint
 from fakes.prepared_deployment import API_KEY, HOST, build_route, wait_until
+from fakes.unread import SMALL_BUFFER_BYTES, call_without_reading
 from tests.prepared_helpers import in_deployment, start_deployment
 
 # More than the buffers of both sockets take.
 LARGE_BODY = b"x" * 6_000_000
-SMALL_RECEIVE_BUFFER = 4_096
 TIMEOUT_S = 1.0
 REFUSAL = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n"
 
@@ -37,7 +32,7 @@
         writer.write(answer)
 
     with socket.socket() as listening:
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
         listening.bind(("127.0.0.1", 0))
         server = await asyncio.start_server(serve, sock=listening)
         host, port = listening.getsockname()
@@ -72,44 +67,6 @@
     body()
 
 
-@asynccontextmanager
-async def run_server(body: bytes, **limits):
-    """Answers each request with this body."""
-
-    async def answer(connection, request):
-        await connection.respond(200, [], body)
-
-    server = HttpServer(answer, refuse_malformed_request, HttpLimits(**limits))
-    yield server, await server.listen("127.0.0.1", 0)
-    server.stop_listening()
-
-
-async def call_without_reading(address: str, request: bytes) -> socket.socket:
-    """Sends a request and reads nothing; returns the caller's socket."""
-    caller = socket.socket()
-    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
-    caller.setblocking(False)
-    loop = asyncio.get_running_loop()
-    await loop.sock_connect(caller, parse_address(address))
-    await loop.sock_sendall(caller, request)
-    return caller
-
-
-@pytest.mark.parametrize("last_header", ["", "Connection: close\r\n"])
-def test_connection_of_a_caller_that_does_not_read_is_closed(run, last_header):
-    """Guards against a graceful close, which waits until the caller has read all."""
-
-    async def body():
-        async with run_server(LARGE_BODY, write_timeout_s=0.2) as (server, port):
-            request = f"GET / HTTP/1.1\r\nHost: vm\r\n{last_header}\r\n".encode()
-            caller = await call_without_reading(f"127.0.0.1:{port}", request)
-            await wait_until(lambda: server.busy_connections)
-            await wait_until(lambda: not server.busy_connections, 1.0)
-            caller.close()
-
-    run(body())
-
-
 EVENTS_BEFORE_CUT, EVENTS = 1_200, 1_210
 EVENT_TEXT = "x" * 8_000
 CUT_AFTER_S = 1.3
@@ -153,7 +110,7 @@
 async def run_cutting_engine(name: str):
     engine = CuttingEngine(name)
     with socket.socket() as listening:
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_RECEIVE_BUFFER)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
         listening.bind(("127.0.0.1", 0))
         server = await asyncio.start_server(engine.serve, sock=listening)
         host, port = listening.getsockname()
@@ -270,80 +227,29 @@
     engine.stop()
 
 
-BODY = b"x" * 200_000
-
-
-@asynccontextmanager
-async def run_server_with_stalled_callers(count: int, budget: BufferBudget):
-    """Yields the server and its port once so many callers don't read their responses."""
-
-    async def answer(connection, request):
-        await connection.respond(200, [], BODY * (40 if request.target == "/large" else 1))
-
-    server = HttpServer(answer, refuse_malformed_request, HttpLimits(body_bytes=10**7), budget)
-    port = await server.listen("127.0.0.1", 0)
-    request = b"GET /large HTTP/1.1\r\nHost: vm\r\n\r\n"
-    callers = [await call_without_reading(f"127.0.0.1:{port}", request) for _ in range(count)]
-    await wait_until(lambda: server.in_flight == count)
-    yield server, port
-    for caller in callers:
-        caller.close()
-    server.stop_listening()
-
-
-def test_stalled_callers_are_ended_before_a_sound_one_is_refused(run):
-    """Guards against a body that finds no memory, since other callers do not read."""
-
-    async def body():
-        budget = BufferBudget(30_000_000)
-        async with run_server_with_stalled_callers(4, budget) as (server, port):
-            await wait_until(lambda: budget.unread_bytes > 14_000_000)
-            await asyncio.sleep(MIN_STALL_S + 0.1)
-            request = await fetch(f"127.0.0.1:{port}", "POST", "/", b"x" * 9_000_000)
-            assert request.status == 200
-            assert 0 < budget.callers_ended < 4
-            assert not budget.exceeded
-
-    run(body())
-
-
-def test_any_number_of_stalled_callers_stays_within_the_budget(run):
-    """Guards against responses that are counted no more once they are written."""
-
-    async def body():
-        budget = BufferBudget(5_000_000)
-        async with run_server_with_stalled_callers(12, budget) as (server, port):
-            await wait_until(lambda: budget.used_bytes < budget.capacity_bytes, 3.0)
-            assert budget.callers_ended
-            response = await fetch(f"127.0.0.1:{port}", "GET", "/")
-            assert response.body == BODY
-        await wait_until(lambda: not server.busy_connections)
-        assert not budget.used_bytes and not budget.unread_bytes
-
-    run(body())
-
-
-@given(
-    st.lists(st.tuples(st.integers(0, 100), st.floats(0.0, 100.0)), max_size=20),
-    st.integers(0, 500),
-)
-def test_those_that_stalled_longest_are_ended_and_no_more_than_needed(sizes, needed):
-    unread, now = UnreadResponses(), 100.0
-    for number, (size, since) in enumerate(sizes):
-        unread.record(number, size, since)
-    chosen = unread.choose_to_end(needed, now)
-    since = [sizes[number][1] for number in chosen]
-    assert since == sorted(since)
-    assert all(now - at >= MIN_STALL_S for at in since)
-    assert sum(sizes[number][0] for number in chosen[:-1]) < max(1, needed)
-    stalled = sum(size for size, at in sizes if now - at >= MIN_STALL_S)
-    assert sum(sizes[number][0] for number in chosen) >= min(needed, stalled)
-
-
-def test_caller_that_reads_slowly_goes_on_before_one_that_reads_nothing():
-    unread = UnreadResponses()
-    unread.record("slow", 100, 0.0)
-    unread.record("stalled", 100, 1.0)
-    unread.record("slow", 99, 9.0)
-    unread.record("stalled", 100, 9.0)
-    assert unread.choose_to_end(200, 9.5) == ["stalled"]
+@in_deployment
+async def test_callers_that_send_slowly_are_ended_with_a_promise_and_harm_nobody(deployment):
+    """Guards against hundreds of requests that never become complete."""
+    (app,), client = await start_deployment(deployment, "app")
+    vm = deployment.vms[0]
+    vm.http.limits = replace(vm.http.limits, receive_s=TIMEOUT_S)
+    address = parse_address(vm.settings.listen_address)
+    streams = [await asyncio.open_connection(*address) for _ in range(200)]
+
+    async def send_slowly(writer):
+        writer.write(stream_request("/file/7", "slow", 9.0).replace(b"h: 0", b"h: 9000") + b"x")
+        while True:
+            await asyncio.sleep(0.2)
+            writer.write(b"x")
+
+    sending = [asyncio.create_task(send_slowly(writer)) for _, writer in streams]
+    await asyncio.sleep(0.1)
+    answers = [await client.call("POST", "/file/7", f"r{n}", b"case") for n in range(20)]
+    heads = [await asyncio.wait_for(reader.readline(), 3.0) for reader, _ in streams]
+    for task, (_, writer) in zip(sending, streams, strict=True):
+        task.cancel()
+        writer.transport.abort()
+    assert {answer.status for answer in answers} == {200}
+    assert {head[:12] for head in heads} == {b"HTTP/1.1 408"}
+    assert app.ran == [f"r{n}" for n in range(20)]
+    await wait_until(lambda: not vm.buffers.used_bytes)
