--- a/tests/test_stalled_callers.py
+++ b/tests/test_stalled_callers.py
@@ -122,3 +122,28 @@
     unread.record("slow", 99, 9.0)
     unread.record("stalled", 100, 9.0)
     assert unread.choose_to_end(200, 9.5) == ["stalled"]
+
+
+def test_end_of_the_program_does_not_wait_for_a_caller_that_does_not_read(run):
+    """Guards against an error that is reported for each connection that is being closed."""
+    errors = []
+
+    async def body():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: errors.append(context))
+        closing = asyncio.Event()
+
+        async def answer(connection, request):
+            connection.writer.write(LARGE_BODY)
+            closing.set()
+
+        server = HttpServer(answer, refuse_malformed_request, HttpLimits())
+        port = await server.listen("127.0.0.1", 0)
+        request = b"GET / HTTP/1.1\r\nHost: vm\r\n\r\n"
+        caller = await call_without_reading(f"127.0.0.1:{port}", request)
+        await closing.wait()
+        await asyncio.sleep(0.05)
+        return caller
+
+    run(body()).close()
+    assert not errors
