End quietly when nobody takes the program's output

Cause: what is left of the output is written before the process ends at once; a reader that had gone raised an error there with two tracebacks and status 120, and a closed standard output, which is None, another one, also in `check` when it asks for the encoding. Change: a stream that is closed takes nothing; output that could not be written ends with status 1. Result: the new test fails in its four cases before and passes now.

--- a/bluebellpitch/__main__.py
+++ b/bluebellpitch/__main__.py
@@ -2,7 +2,9 @@
 
 import os
 import sys
+from typing import TextIO
 
+from bluebellpitch.exit_status import ExitStatus
 from bluebellpitch.main import main
 
 
@@ -13,9 +15,18 @@
     than what is left of its grace period.
     """
     status = main()
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(status)
+    is_written = [flush(stream) for stream in (sys.stdout, sys.stderr)]
+    os._exit(status if all(is_written) else status or ExitStatus.FAILED)
+
+
+def flush(stream: TextIO | None) -> bool:
+    """Returns whether all that was printed has left; a closed stream, None, takes nothing."""
+    try:
+        if stream is not None:
+            stream.flush()
+    except OSError:
+        return False
+    return True
 
 
 if __name__ == "__main__":
--- a/bluebellpitch/commands/options.py
+++ b/bluebellpitch/commands/options.py
@@ -37,6 +37,7 @@
 def print_output(context: typer.Context, text: str, end: str = "\n") -> None:
     """Prints to the standard output of the environment; escapes what its encoding lacks."""
     environment: Environment = context.obj
-    encoding = environment.stdout.encoding or "utf-8"
+    # A closed standard output is None, and takes nothing.
+    encoding = getattr(environment.stdout, "encoding", None) or "utf-8"
     encodable = text.encode(encoding, "backslashreplace").decode(encoding)
     print(encodable, end=end, file=environment.stdout)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -65,6 +65,31 @@
     assert_that(ended.stderr, Contains("--vm-name"))
 
 
+@pytest.mark.parametrize("closed", ["read end", "stdout", "stderr", "both"])
+def test_program_ends_quietly_when_nobody_takes_its_output(closed):
+    """The last of the output, which is written at the end, raised an error with a traceback."""
+    redirect = {"stdout": ">&-", "stderr": "2>&-", "both": ">&- 2>&-"}.get(closed, "")
+    command = ["bash", "-c", f'exec "$0" -m bluebellpitch version {redirect}', sys.executable]
+    environment = {k: v for k, v in os.environ.items() if k != "PYTHONUNBUFFERED"}
+    reading, writing = os.pipe()
+    os.close(reading)
+    stdout = writing if closed == "read end" else subprocess.DEVNULL
+    try:
+        ended = subprocess.run(
+            command,
+            cwd=ROOT,
+            env=environment,
+            stdout=stdout,
+            stderr=subprocess.PIPE,
+            text=True,
+            timeout=30,
+        )
+    finally:
+        os.close(writing)
+    expected = ExitStatus.FAILED if closed == "read end" else ExitStatus.OK
+    assert_that((ended.returncode, ended.stderr), Equals((expected, "")))
+
+
 def test_option_is_read_from_the_environment(monkeypatch):
     monkeypatch.setenv("BLUEBELLPITCH_ZONE", "not a zone")
     options = [text for pair in SERVE_OPTIONS.items() if pair[0] != "--zone" for text in pair]
