Trust a zone again once the order of an earlier holder has come

Cause: a new holder takes over that a zone is doubtful, but not that an order was made there since; so the doubt outlived the arrival, and other zones stood in for it at its next rise. Change: an order that is above what serves counts as made after the failure. Result: the new test fails before and passes now, with the other tests of orders.

--- a/bluebellpitch/decisions/scaling/supply.py
+++ b/bluebellpitch/decisions/scaling/supply.py
@@ -88,6 +88,13 @@
         self.is_doubtful, self._is_tried_again = True, False
         self.backoff_s = min(MAX_BACKOFF_S, 2 * self.backoff_s)
 
+    def adopt(self, placed: PlacedOrder) -> None:
+        """Goes on from what an earlier holder ordered."""
+        self.ordered, self.accepted = placed.ordered, placed.accepted
+        self.is_doubtful = placed.is_doubtful
+        # What has not come yet was ordered after the failure, as that one ended the order before.
+        self._is_tried_again = placed.ordered > self.ready
+
     def record_accepted(self, count: int, now: float) -> None:
         """Records an order that the platform took."""
         if count < self.ordered:
@@ -162,9 +169,7 @@
     def _adopt_placed_orders(self) -> None:
         for group, supply in self.by_group.items():
             unknown = PlacedOrder(supply.ready, supply.ready)
-            placed = self.placed_by_group.get(group, unknown)
-            supply.ordered, supply.accepted = placed.ordered, placed.accepted
-            supply.is_doubtful = placed.is_doubtful
+            supply.adopt(self.placed_by_group.get(group, unknown))
 
     def _count(self, entries: list[EndpointEntry], now: float) -> None:
         first_seen_at = now if self.by_group else float("-inf")
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -175,6 +175,19 @@
     assert calm.count("a1", is_spot=True) >= 7
 
 
+def test_new_holder_trusts_a_zone_again_once_what_was_ordered_there_has_come(calm):
+    """It never saw that order, so other zones went on to stand in at each later rise."""
+    group = EndpointGroup("a1", True)
+    ordered = calm.count("a1", is_spot=True) + 2
+    placed = {group: PlacedOrder(ordered, ordered, is_doubtful=True)}
+    calm.planner = OrderPlanner("p", CONFIG, 16, REGIONS_BY_ZONE, calm.now, placed)
+    calm.platform.order(group, ordered, calm.now)
+    calm.run(CALM_UNTIL + TICK_S)
+    assert calm.planner.supply.by_group[group].is_doubtful
+    calm.run(CALM_UNTIL + CONFIG.boot_s + 1)
+    assert not calm.planner.supply.by_group[group].is_doubtful
+
+
 def test_silent_zone_keeps_what_it_has(calm):
     before = (calm.count("b1", False), calm.count("b1", True))
     calm.places = lambda zone, now: 2.0
