Keep an order as soon as the platform has taken it

Cause: orders were kept beside the lease with the next decision, which a holder that stops just after a call does not make; so its last order was unknown to the next holder also after a planned stop. Change: an accepted order waits for the next record of the lease from its answer on. Result: the new test fails before (0 ordered instead of 7) and passes now.

--- a/bluebellpitch/roles/duties/autoscaler.py
+++ b/bluebellpitch/roles/duties/autoscaler.py
@@ -159,6 +159,7 @@
         match result:
             case CallAccepted():
                 planner.record_accepted(order, self._now())
+                self._keep_orders(lease.token)
                 pause_s, outcome = self._record_answer(), "accepted"
             case CallRejected(status):
                 self._log_unavailable(order.pool, planner.record_rejected(order, self._now()))
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -14,6 +14,7 @@
 from bluebellpitch.decisions.scaling.supply import EndpointGroup
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallFenced, CallRejected
+from bluebellpitch.platform.order_records import decode_orders
 from bluebellpitch.platform.settings_file import DutySettings
 from bluebellpitch.roles.duties.autoscaler import Autoscaler, ScalingSources
 from bluebellpitch.roles.duties.demand_reporter import DemandReporter
@@ -44,8 +45,11 @@
     def __init__(self):
         self.token, self.reasons = 1, []
         self.values_by_key = {}
+        self.is_stopping = False
 
     def lease(self):
+        if self.is_stopping:
+            return None
         return self.token and HeldLease("autoscale", self.token, float("inf"))
 
     def append_later(self, token, records):
@@ -143,6 +147,26 @@
     play(body)
 
 
+def test_order_that_was_taken_just_before_a_planned_stop_is_kept_for_the_next_holder():
+    """It was kept with the next decision, which a holder that stops does not make."""
+
+    async def body(fleet):
+        send = fleet.api.order_endpoints
+
+        async def stop_after_the_call(*order):
+            outcome = await send(*order)
+            fleet.holder.is_stopping = True
+            return outcome
+
+        fleet.api.order_endpoints = stop_after_the_call
+        await fleet.run(4.0)
+        ((_, _, group, count),) = fleet.api.calls
+        placed = decode_orders(fleet.holder.values_by_key)["p"][group]
+        assert (placed.ordered, placed.accepted) == (count, count)
+
+    play(body)
+
+
 def test_failed_calls_are_repeated_with_pauses_until_the_duty_is_given_back():
     async def body(fleet):
         fleet.api.outcome = CallFailed("timeout")
