Forget the kept orders of a pool that is no longer scaled

Cause: a pool that was taken out of the configuration and listed again went on from the orders that the store had when this VM took the duty, maybe long ago; until they had failed to come, none were made. Change: they are forgotten with the pool; then what there is counts as ordered. Result: the new test fails before (15 orders taken over) and passes now.

--- a/bluebellpitch/roles/duties/autoscaler.py
+++ b/bluebellpitch/roles/duties/autoscaler.py
@@ -113,6 +113,7 @@
         pools_by_name = {pool.name: pool for pool in scaled_pools(self._catalogue())}
         for name in self._planners_by_pool.keys() - pools_by_name.keys():
             del self._planners_by_pool[name]
+            self._placed_by_pool.pop(name, None)
         for name, pool in pools_by_name.items():
             planner = self._planners_by_pool.get(name)
             if planner is None:
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -11,12 +11,12 @@
 from bluebellpitch.decisions.duties.held_lease import HeldLease
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.scaling.demand import DemandMeter
-from bluebellpitch.decisions.scaling.supply import EndpointGroup
+from bluebellpitch.decisions.scaling.supply import EndpointGroup, PlacedOrder
 from bluebellpitch.metrics import Metrics
 from bluebellpitch.platform.duty_api import CallAccepted, CallFailed, CallFenced, CallRejected
-from bluebellpitch.platform.order_records import decode_orders
+from bluebellpitch.platform.order_records import decode_orders, encode_orders
 from bluebellpitch.platform.settings_file import DutySettings
-from bluebellpitch.roles.duties.autoscaler import Autoscaler, ScalingSources
+from bluebellpitch.roles.duties.autoscaler import DECISION_INTERVAL_S, Autoscaler, ScalingSources
 from bluebellpitch.roles.duties.demand_reporter import DemandReporter
 from tests.scaling_load import CONFIG, REGIONS_BY_ZONE, SLOTS, Platform
 from tests.virtual_time import run_in_virtual_time
@@ -66,14 +66,14 @@
 
     def __init__(self):
         now = asyncio.get_running_loop().time
-        pool = PoolConfig("p", 100, EngineCapacity(SLOTS, 1000), CONFIG)
+        self.pools_by_name = {"p": PoolConfig("p", 100, EngineCapacity(SLOTS, 1000), CONFIG)}
         directory, platform = EndpointDirectory(), Platform()
         for zone in REGIONS_BY_ZONE:
             platform.add(EndpointGroup(zone, False), 8)
         directory.entries_by_id.update(platform.entries_by_id)
         sources = ScalingSources(
             directory,
-            lambda: Catalogue(1, {}, {"p": pool}, {}, False),
+            lambda: Catalogue(1, {}, self.pools_by_name, {}, False),
             REGIONS_BY_ZONE,
             self.sample,
         )
@@ -167,6 +167,25 @@
     play(body)
 
 
+def test_pool_that_is_listed_again_begins_with_what_there_is():
+    """It went on from the orders that were kept when this VM took the duty, however long ago."""
+
+    async def body(fleet):
+        old = {EndpointGroup("a1", True): PlacedOrder(15, 15)}
+        record = encode_orders({"p": old})
+        fleet.holder.values_by_key[record.key] = record.value
+        await fleet.run(1.0)
+        pools, fleet.pools_by_name = fleet.pools_by_name, {}
+        await fleet.run(1.0)
+        assert decode_orders(fleet.holder.values_by_key) == {}
+        fleet.pools_by_name = pools
+        await fleet.run(DECISION_INTERVAL_S)
+        placed = decode_orders(fleet.holder.values_by_key)["p"]
+        assert placed[EndpointGroup("a1", True)].accepted == 0
+
+    play(body)
+
+
 def test_failed_calls_are_repeated_with_pauses_until_the_duty_is_given_back():
     async def body(fleet):
         fleet.api.outcome = CallFailed("timeout")
