Borrow no retries for what was spent beyond a VM's part

Cause: a VM whose requests no longer count may have spent more than its part is now; that was subtracted from the retries that it had borrowed, so it asked for as many more, which then nobody could use, and the metric of what is left fell below 0. Change: its own part counts as at least 0. Result: the new test fails before (-11 left instead of 2) and passes now, with the property test of the budget.

--- a/bluebellpitch/decisions/retry_budget.py
+++ b/bluebellpitch/decisions/retry_budget.py
@@ -104,7 +104,7 @@
     def remaining(self, pool: str, vms: int, now: float) -> float:
         """Returns how many retries this VM may send now, borrowed ones included."""
         borrowed = sum(loan.count for loan in self._use(pool, now).borrowed)
-        return self._own_remaining(pool, vms, now) + borrowed
+        return max(0.0, self._own_remaining(pool, vms, now)) + borrowed
 
     def _own_remaining(self, pool: str, vms: int, now: float) -> float:
         use = self._use(pool, now)
--- a/tests/test_retry_loans.py
+++ b/tests/test_retry_loans.py
@@ -193,6 +193,18 @@
     assert_that(shared.renew(retry), Equals(None))
 
 
+def test_vm_that_spent_more_than_its_part_is_now_borrows_no_more_than_it_wants():
+    budget = RetryBudget(RATIO, 0.0, WINDOW_S)
+    for _ in range(100):
+        budget.record_request(POOL, 0.0)
+    assert_that(count_spent(budget, WINDOW_S - 1), GreaterThan(10))
+    budget.borrow(POOL, 2, WINDOW_S + LOAN_S, WINDOW_S)
+    for _ in range(3):
+        budget.record_demand(POOL, WINDOW_S)
+    assert_that(budget.remaining(POOL, VMS, WINDOW_S), Equals(2))
+    assert_that(budget.shortfall(POOL, VMS, WINDOW_S), Equals(1))
+
+
 def test_loans_end_each_at_their_own_time():
     budget = RetryBudget(RATIO, 0.0, WINDOW_S)
     budget.borrow(POOL, 2, 3.0, 1.0)
