Tell when the next prompt may start without trying each moment

Cause: pacing looked for the start in steps of 2 ms, over the whole time of an event, for each engine and prompt that is weighed. Change: the start follows from the scheduled prompts themselves; waits are up to one step shorter. The new test fails before.

--- a/bluebellpitch/decisions/prefill.py
+++ b/bluebellpitch/decisions/prefill.py
@@ -24,8 +24,6 @@
 SHARE_STEP = 0.012
 # Sums of times are compared with this tolerance.
 ROUNDING_S = 1e-6
-# Resolution of the waits that pacing asks for.
-WAIT_STEP_S = 0.002
 # Samples assumed before any measurement: (tokens, seconds).
 PRIOR_SAMPLES = ((0.0, 0.06), (10_000.0, 0.26))
 PRIOR_WEIGHT = 2.0
@@ -130,24 +128,24 @@
         """
         self._prune(now - gap_target_s)
         allowed_s = share * gap_target_s
-        start = free_at = self.free_at(now)
-        while (
-            start < free_at + event_s
-            and self._run_s(start, event_s) + min(seconds, allowed_s) > allowed_s + ROUNDING_S
-        ):
-            start = min(free_at + event_s, start + WAIT_STEP_S)
-        return max(0.0, start - now)
-
-    def _run_s(self, start: float, event_s: float) -> float:
-        """Returns the prefill that an event waits for which prefill from ``start`` on holds up."""
+        free_at = self.free_at(now)
+        room_s = allowed_s - min(seconds, allowed_s) + ROUNDING_S
+        return max(free_at, self._earliest_start(room_s, event_s)) - now
+
+    def _earliest_start(self, room_s: float, event_s: float) -> float:
+        """Returns from when on no event waits for more than ``room_s`` of the scheduled prefill.
+
+        An event comes once the engine was idle for ``event_s`` in all, counted back from the start.
+        """
         run_s = idle_s = 0.0
+        next_start = last_end = self.spans[-1][1] if self.spans else 0.0
         for span_start, span_end in reversed(self.spans):
-            idle_s += max(0.0, start - span_end)
-            if idle_s >= event_s - ROUNDING_S:
-                break
+            idle_s += max(0.0, next_start - span_end)
             run_s += span_end - span_start
-            start = span_start
-        return run_s
+            if run_s > room_s:
+                return last_end + max(0.0, event_s - idle_s)
+            next_start = span_start
+        return float("-inf")
 
     def _prune(self, before: float) -> None:
         while self.spans and self.spans[0][1] < before:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -175,6 +175,15 @@
     assert_that(schedule.start_wait_s(0.02, 0.5, 0.65, 0.3, 0.03), Equals(0.0))
 
 
+def test_next_prompt_starts_as_soon_as_runs_of_prefill_are_apart():
+    """Time that the engine was idle between two prompts counts for the event."""
+    schedule = PrefillSchedule()
+    schedule.append(0.2, 0.0)
+    schedule.append(0.089, 0.211)
+    assert schedule.start_wait_s(0.1, 0.5, 0.65, 0.3, 0.03) == pytest.approx(0.019)
+    assert schedule.start_wait_s(0.3, 0.5, 0.65, 0.3, 0.03) == pytest.approx(0.03)
+
+
 def test_most_long_prompts_that_are_served_at_a_crest_are_on_time():
     """The engines can read about half of the prompts; all queries beside them are served."""
     replays = [replay_crest(seed) for seed in (1, 2, 3)]
