Correct what was expected of engines once the pool's speed is known

Cause: an engine's slowdown is measured in the pool's speed at that moment. Engines last sampled while it was not known kept a ratio of, say, 3, for good; the median of these was the usual one, and an engine with the pool's speed counted as up to twice as fast. Pacing then expected its first tokens too early. Change: with the pool's speed, the time that was expected of all engines is corrected.

--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -118,14 +118,25 @@
             engine.reading_speed.record_first_token(
                 expected_s, since_sent_s, self.speed.fixed_s, now - spillover_delay_s
             )
-            speeds = [engine.reading_speed for engine in self.engines_by_key.values()]
-            self._usual_slowdown = usual_slowdown(speeds)
+            self._compare_engines()
         if (
             assigned.prefilled_alone
             and not spillover_delay_s
             and self._has_usual_speed(engine, now)
         ):
-            self.speed.add_sample(assigned.uncached_tokens, since_sent_s)
+            self._add_speed_sample(assigned.uncached_tokens, since_sent_s)
+
+    def _add_speed_sample(self, tokens: int, seconds: float) -> None:
+        """Corrects the speed of the pool, and by it what was expected of all engines so far."""
+        before = self.speed.s_per_token
+        self.speed.add_sample(tokens, seconds)
+        for engine in self.engines_by_key.values():
+            engine.reading_speed.correct_expected(self.speed.s_per_token / before)
+        self._compare_engines()
+
+    def _compare_engines(self) -> None:
+        speeds = [engine.reading_speed for engine in self.engines_by_key.values()]
+        self._usual_slowdown = usual_slowdown(speeds)
 
     def _has_usual_speed(self, engine: EngineState, now: float) -> bool:
         is_named_slow = engine.load.slowdown(now) > MAX_NAMED_SLOWDOWN
--- a/bluebellpitch/decisions/engine_speeds.py
+++ b/bluebellpitch/decisions/engine_speeds.py
@@ -48,6 +48,13 @@
         self.sample_count += 1
         self.sampled_at = max(self.sampled_at, now)
 
+    def correct_expected(self, factor: float) -> None:
+        """Corrects the time that was expected, as the pool's speed is known better now.
+
+        Else engines that were last sampled while it was not known would count as slow for good.
+        """
+        self._expected_s *= factor
+
     def _age_weight(self, now: float) -> float:
         return 0.5 ** (max(0.0, now - self.sampled_at) / SPEED_HALF_LIFE_S)
 
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -130,6 +130,21 @@
     assert speeds[0].slowdown(usual_slowdown(speeds), 1.0, now) == pytest.approx(1.0)
 
 
+def test_engines_are_alike_again_once_the_speed_of_their_pool_is_known():
+    """All read three times as slowly as assumed at first; later only one of them gets prompts."""
+    broker, now = make_broker(5), 0.0
+    names = [f"i-{number}" for number in range(5)]
+    for number, name in enumerate([*names, *["i-0"] * 60]):
+        prompt = make_prompt(f"p{number}", now)
+        broker.submit(prompt, "vm", frozenset(names) - {name}, now)
+        now += FIXED_S + 3 * READ_S
+        broker.record_first_token(prompt.id, FIXED_S + 3 * READ_S, 1.0, now)
+        broker.finish(prompt.id, "ok", now)
+    engines = broker.placement.engines_by_key.values()
+    slowdowns = [broker.placement.slowdown(engine, now) for engine in engines]
+    assert slowdowns == pytest.approx([1.0] * 5, abs=0.1)
+
+
 def test_slow_engine_does_not_change_the_speed_of_the_pool():
     broker = make_broker(2)
     before = broker.placement.speed.s_per_token
