--- a/tests/test_stalled_callers.py
+++ b/tests/test_stalled_callers.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bluebellpitch.callers.routed_requests import refuse_malformed_request
+from bluebellpitch.callers.routed_response import refuse_malformed_request
 from bluebellpitch.decisions.buffer_budget import BufferBudget
 from bluebellpitch.decisions.unread_responses import MIN_STALL_S, UnreadResponses
 from bluebellpitch.http1 import HttpLimits, HttpServer, fetch
