End callers that stalled together one after the other, not within each other

Cause: giving back what is held for an ended caller looked for missing memory again and so ended the next one, and so on. With some hundred callers that stall at the same moment, the stack ended (RecursionError), and those that were chosen already were ended and counted again. Change: to give back ends nobody; who asked for the memory ends all that it chose. Result: the new test fails before with RecursionError (600 callers); test_stalled_callers, test_memory and test_buffers pass.

--- a/bluebellpitch/decisions/buffer_budget.py
+++ b/bluebellpitch/decisions/buffer_budget.py
@@ -91,12 +91,14 @@
 
     def record(self, size: int) -> None:
         """Sets the bytes held; ends callers that do not read if all messages hold too much."""
-        budget = self.budget
-        budget.used_bytes += size - self.held_bytes
-        budget.unread_bytes += size - self.held_bytes
-        self.held_bytes = size
-        budget.make_room(budget.used_bytes - budget.capacity_bytes)
+        self._hold(size)
+        self.budget.make_room(self.budget.used_bytes - self.budget.capacity_bytes)
 
     def release(self) -> None:
-        """Holds nothing any more."""
-        self.record(0)
+        """Holds nothing any more; ends no caller, as this is also called when one is ended."""
+        self._hold(0)
+
+    def _hold(self, size: int) -> None:
+        self.budget.used_bytes += size - self.held_bytes
+        self.budget.unread_bytes += size - self.held_bytes
+        self.held_bytes = size
--- a/tests/test_stalled_callers.py
+++ b/tests/test_stalled_callers.py
@@ -98,6 +98,28 @@
     run(body())
 
 
+def test_callers_that_stalled_at_the_same_moment_are_ended_once_each():
+    """Guards against ends within ends, of which hundreds exceed the depth of the stack."""
+    budget, unread, ended = BufferBudget(1_000.0), UnreadResponses(), []
+
+    def end_stalled(missing_bytes: float) -> int:
+        chosen = unread.choose_to_end(missing_bytes, MIN_STALL_S)
+        for share_id in chosen:
+            ended.append(share_id)
+            unread.forget(share_id)
+            shares[share_id].release()
+        return len(chosen)
+
+    shares = [budget.open_unread() for _ in range(600)]
+    for share_id, share in enumerate(shares):
+        unread.record(share_id, 100, 0.0)
+        share.record(100)
+    budget.free_unread = end_stalled
+    shares[-1].record(100)
+    assert len(ended) == len(set(ended)) == budget.callers_ended == 590
+    assert budget.used_bytes == budget.unread_bytes == budget.capacity_bytes
+
+
 @given(
     st.lists(st.tuples(st.integers(0, 100), st.floats(0.0, 100.0)), max_size=20),
     st.integers(0, 500),
