--- a/bluebellpitch/callers/completions.py
+++ b/bluebellpitch/callers/completions.py
@@ -205,10 +205,10 @@
         timeout_s = self.context.settings.stall_s * FIRST_TOKEN_STALL_FACTOR
         if not expected_s or self.progress.hedges >= MAX_HEDGES_PER_REQUEST:
             return timeout_s
-        if not self.context.has_other_endpoint(self.request.pool.name, slot.granted.endpoint):
-            return timeout_s
         if not self.context.hedge_budget.allows(self.caller.service_class.name):
             return timeout_s
+        if not self.context.has_other_endpoint(self.request.pool.name, slot.granted.endpoint):
+            return timeout_s
         hedge_timeout_s = max(MIN_HEDGE_DELAY_S, HEDGE_DELAY_FACTOR * expected_s)
         return min(timeout_s, hedge_timeout_s)
 
