Date a first token of another zone's prompt back by the way of its report

Cause: spillover_delay_s is all that comes on top of such a prompt's time at home; only half of it passes after the engine sent the token, the other half before the engine has the prompt. All of it was taken off, so that the reading of such a prompt ended 0.06 s too early between regions: the prompt after it seemed to be read more slowly, and pacing let the next one start too early. Change: half of it is taken off.

--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -107,21 +107,17 @@
     def record_prefill(
         self, engine: EngineState, assigned: AssignedWork, since_sent_s: float, now: float
     ) -> None:
-        """Records the first token of a prompt, for the speeds of the engine and of the pool.
-
-        One of another zone's work was there ``spillover_delay_s`` before this zone knows of it.
-        """
-        spillover_delay_s = assigned.work.spillover_delay_s
+        """Records the first token of a prompt, for the speeds of the engine and of the pool."""
         if not assigned.is_short:
             s_per_token = self.speed.s_per_token * engine.load.slowdown(now)
             expected_s = assigned.uncached_tokens * s_per_token
             engine.reading_speed.record_first_token(
-                expected_s, since_sent_s, self.speed.fixed_s, now - spillover_delay_s
+                expected_s, since_sent_s, self.speed.fixed_s, now - assigned.report_delay_s
             )
             self._compare_engines()
         if (
             assigned.prefilled_alone
-            and not spillover_delay_s
+            and not assigned.work.spillover_delay_s
             and self._has_usual_speed(engine, now)
         ):
             self._add_speed_sample(assigned.uncached_tokens, since_sent_s)
--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -32,6 +32,14 @@
     is_short: bool
     has_first_token: bool = False
 
+    @property
+    def report_delay_s(self) -> float:
+        """How long before its report here the engine sent the first token of another zone's work.
+
+        The other half of the delay passes before the prompt is at the engine.
+        """
+        return self.work.spillover_delay_s / 2
+
 
 @dataclass(slots=True)
 class EngineState:
@@ -157,4 +165,4 @@
         """Records a first token; the last one that is due shows when the prefill ended."""
         assigned.has_first_token = True
         if all(other.has_first_token for other in self.assigned_by_id.values()):
-            self.prefill_schedule.end_at(now - fixed_s - assigned.work.spillover_delay_s)
+            self.prefill_schedule.end_at(now - fixed_s - assigned.report_delay_s)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -10,7 +10,7 @@
 from bluebellpitch.decisions.generation_broker import GenerationBroker
 from bluebellpitch.decisions.generation_decisions import Granted, Queued
 from bluebellpitch.decisions.loads import WorkItem
-from bluebellpitch.decisions.prefill import PrefillSchedule
+from bluebellpitch.decisions.prefill import MAX_PREFILL_SHARE, PrefillSchedule
 from tests.generation_load import (
     FIXED_S,
     TICK_S,
@@ -167,6 +167,30 @@
     assert_that(submit(broker, make_prompt("second", 1.25)), Equals([Granted]))
 
 
+def test_prompt_of_another_zone_makes_no_engine_look_slow():
+    """Its first token is known of here half of the delay after the engine sent it."""
+    broker, delay_s, read_s, fixed_s = make_broker(1, 48, 0.3), 0.12, 0.2, 0.06
+    tokens = round(read_s / broker.placement.speed.s_per_token)
+    submit(broker, make_prompt("far", 1.0, tokens, delay_s))
+    broker.placement.long_stream_share.value = MAX_PREFILL_SHARE
+    submit(broker, make_prompt("near", 1.15, tokens))
+    read_at = 1.0 + delay_s / 2 + fixed_s + read_s
+    broker.record_first_token("far", fixed_s + read_s, 1.0, read_at + delay_s / 2)
+    read_at += read_s
+    broker.record_first_token("near", read_at - 1.15, 1.0, read_at)
+    (engine,) = broker.placement.engines_by_key.values()
+    assert engine.reading_speed.measured_slowdown() == pytest.approx(1.0, abs=0.02)
+
+
+def test_prefill_of_another_zones_prompt_ends_when_the_engine_has_read_it():
+    broker = make_streaming_broker()
+    submit(broker, make_prompt("far", 1.0, spillover_delay_s=0.12))
+    (engine,) = broker.placement.engines_by_key.values()
+    broker.record_first_token("far", 0.26, 1.0, 1.38)
+    read_at = 1.38 - 0.06 - broker.placement.speed.fixed_s
+    assert engine.prefill_schedule.free_at(0.0) == pytest.approx(read_at)
+
+
 def test_next_prompt_starts_once_each_stream_had_time_for_an_event():
     """The pause is that of an event, however long the gap target is."""
     schedule = PrefillSchedule()
