Expect the first tokens of adopted prompts one after the other

Cause: a new broker schedules the reading of prompts that others granted one after the other, but expected each first token as if its prompt were read at once. Since overdue first tokens hold up the next prompt, an engine that several adopted prompts wait at counted as overdue while it only read them. Change: the first token is expected at the end of what is scheduled, as for prompts that the broker grants itself.

--- a/bluebellpitch/decisions/generation_broker.py
+++ b/bluebellpitch/decisions/generation_broker.py
@@ -218,12 +218,10 @@
         self._queue.remove(work.id)
         self.shares.record_asked(work, now)
         self.shares.record_granted(work, now)
-        prefill_s = 0.0
         if not started:
-            prefill_s = self.placement.prefill_s(engine, work, now)
-            engine.record_prefill(prefill_s, now)
+            engine.record_prefill(self.placement.prefill_s(engine, work, now), now)
         engine.cache_prompt(work)
-        first_token_at = now + prefill_s + self.placement.speed.fixed_s
+        first_token_at = engine.prefill_schedule.free_at(now) + self.placement.speed.fixed_s
         engine.assigned_by_id[work.id] = AssignedWork(
             work,
             vm,
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -153,6 +153,19 @@
     assert_that(granted, Equals(["second"]))
 
 
+def test_prompts_that_a_new_broker_adopts_are_read_one_after_the_other():
+    """Those that wait for their turn at the engine are not overdue."""
+    broker, now = make_broker(1, 48, 0.3), 1.0
+    (engine,) = broker.placement.engines_by_key.values()
+    for number in range(3):
+        broker.adopt(engine.key, make_prompt(f"p{number}", now, 20_000), "vm", False, now)
+    for number in range(2):
+        first_token_s = FIXED_S + 0.4 * (number + 1)
+        broker.record_first_token(f"p{number}", first_token_s, 1.0, now + first_token_s)
+    assert engine.prefill_schedule.free_at(now) == pytest.approx(now + 1.2)
+    assert_that(engine.prefill_overdue_s(now + 1.0), Equals(0.0))
+
+
 def test_first_token_that_never_comes_holds_up_no_prompt_for_long():
     broker = make_streaming_broker()
     submit(broker, make_prompt("lost", 1.0))
