Tell callers that leave from callers that do not read

Cause: a connection that the caller closed while a write waited for it counted as stalled, so the log said that the VM disconnected the caller (caller_stalled), and the request ended as caller_stalled instead of caller_gone. Change: only the limits of time and the want of memory are stalls; a lost connection is a caller that has gone. Result: the new test fails before (StalledError) and passes; test_stalled_callers and test_slow_readers pass.

--- a/bluebellpitch/http1/server_connection.py
+++ b/bluebellpitch/http1/server_connection.py
@@ -171,9 +171,12 @@
         try:
             async with asyncio.timeout_at(min(give_up_at, self._send_by)):
                 await self._wait_until_read()
-        except (OSError, TimeoutError) as error:
+        except TimeoutError as error:
             self.writer.transport.abort()
             raise StalledError("the client stopped reading") from error
+        except OSError as error:
+            if not self._is_ended_for_memory:
+                raise DisconnectedError("the client closed the connection") from error
         finally:
             self._unread.forget(self)
             self._unread_share.release()
--- a/tests/test_stalled_callers.py
+++ b/tests/test_stalled_callers.py
@@ -10,6 +10,7 @@
 from bluebellpitch.callers.routed_response import refuse_malformed_request
 from bluebellpitch.decisions.buffer_budget import BufferBudget
 from bluebellpitch.decisions.unread_responses import MIN_STALL_S, UnreadResponses
+from bluebellpitch.errors import DisconnectedError
 from bluebellpitch.http1 import HttpLimits, HttpServer, fetch
 from fakes.prepared_deployment import wait_until
 from fakes.unread import call_without_reading
@@ -45,6 +46,31 @@
     run(body())
 
 
+def test_caller_that_goes_while_its_response_is_sent_has_not_stalled(run):
+    """The log named it as one that the VM disconnected, since it did not read."""
+    errors = []
+
+    async def answer(connection, request):
+        try:
+            await connection.respond(200, [], LARGE_BODY)
+        except DisconnectedError as error:
+            errors.append(type(error))
+
+    async def body():
+        server = HttpServer(answer, refuse_malformed_request, HttpLimits())
+        port = await server.listen("127.0.0.1", 0)
+        request = b"GET / HTTP/1.1\r\nHost: vm\r\n\r\n"
+        caller = await call_without_reading(f"127.0.0.1:{port}", request)
+        await wait_until(lambda: server.in_flight)
+        await asyncio.sleep(0.1)
+        caller.close()
+        await wait_until(lambda: errors, 1.0)
+        server.stop_listening()
+
+    run(body())
+    assert errors == [DisconnectedError]
+
+
 BODY = b"x" * 200_000
 
 
