Do not pass a failure after a run on as a promise of no run

Cause: every complete response of an endpoint was passed on with its status. To callers, 408, 421, 429 and 503 promise that the request has not run; an endpoint that fails a request with one of them after its run doesn't promise that (it sends no Not-Executed). Change: if a request may run only once, such a response becomes a 502 of the VM's own, without the endpoint's signature. Responses to requests that may be repeated keep their status, as do refusals with Not-Executed.

--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -316,8 +316,7 @@
             return MayHaveRun(f"answered {head.status}", status=502)
         if self._response.has_started:
             return MayHaveRun(f"answered {head.status} to a resumed stream")
-        await self._response.send_complete(head.status, head.headers, response.body)
-        return Ran(f"answered {head.status}", head.status)
+        return await self._response.forward(admitted, response)
 
     async def _may_try_again(self, admitted: AdmittedRequest) -> bool:
         has_attempt_left = len(self._tried) < admitted.route.max_attempts
--- a/bluebellpitch/callers/routed_response.py
+++ b/bluebellpitch/callers/routed_response.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable, Iterable
 
+from bluebellpitch.callers.admission import AdmittedRequest
 from bluebellpitch.callers.responses import encode_error_body
+from bluebellpitch.endpoints.attempt import CompleteResponse
 from bluebellpitch.errors import BadRequestError, DisconnectedError
 from bluebellpitch.http1 import ServerConnection
 from bluebellpitch.logs import log
@@ -11,7 +13,7 @@
     build_error_headers,
     find_last_event_id,
 )
-from bluebellpitch.verdicts import DidNotRun, Verdict
+from bluebellpitch.verdicts import DidNotRun, MayHaveRun, Ran, Verdict
 
 
 class RoutedResponse:
@@ -38,6 +40,20 @@
         self.has_started = True
         await self._connection.respond(status, self._own_headers(headers), body)
 
+    async def forward(self, admitted: AdmittedRequest, response: CompleteResponse) -> Ran:
+        """Sends the response of an endpoint that ran the request.
+
+        Its status is unchanged, unless the caller would send a request again that may run only
+        once: then the response is an error of the VM's own, which promises nothing.
+        """
+        head = response.head
+        if response.is_false_promise and not admitted.is_retryable:
+            error = MayHaveRun(f"answered {head.status}")
+            await self.send_error(error, admitted.request.id)
+            return Ran(f"answered {head.status} without a promise", error.status)
+        await self.send_complete(head.status, head.headers, response.body)
+        return Ran(f"answered {head.status}", head.status)
+
     async def send_error(self, verdict: Verdict, request_id: str) -> None:
         """Sends the response to a request that failed; raises DisconnectedError in a stream."""
         if self.has_started:
