Take no entry that lacks what every endpoint writes

Cause: an entry could lack the software's version, the time that the endpoint remains slow, and the count of its entries. Change: these three fields are required, of their types; an entry without them is malformed, in all that the store or a peer hands over. born stays optional, as the published examples of an entry lack it; known entries with it are newer than one without. The fakes, the soak and the tests' samples wrote entries that no endpoint writes; they write whole ones now.

--- a/bluebellpitch/platform/endpoint_entries.py
+++ b/bluebellpitch/platform/endpoint_entries.py
@@ -15,15 +15,21 @@
 
 
 class _Entry(msgspec.Struct, frozen=True):
+    """What each endpoint writes. An entry that lacks a field without a default is another's."""
+
     service: str
     address: str
     zone: str
+    # Of the endpoint's software.
+    version: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
+    # How much longer the endpoint is slow after its start.
+    cold_left_ms: float
+    # Rises with each entry that one start of the endpoint writes.
+    seq: WholeNumber
     # Start time of the endpoint, in Unix milliseconds.
     born: WholeNumber = 0
-    # Rises with each entry that one start of the endpoint writes.
-    seq: WholeNumber = 0
     spot: bool = False
 
 
--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -169,8 +169,8 @@
     async def publish_draining_entry(self, endpoint: str) -> None:
         """Writes to the store that an endpoint is draining."""
         address = self.processes_by_name[endpoint].address
-        entry = {"service": "drafter", "address": address, "zone": "", "slots": 1}
-        entry["state"] = "draining"
+        entry = {"service": "drafter", "address": address, "zone": "", "version": "v1", "slots": 1}
+        entry |= {"state": "draining", "cold_left_ms": 0, "seq": 1}
         await self.put(ENDPOINTS_TOPIC, endpoint, msgspec.json.encode(entry))
 
     async def set_faults(self, process: Process, **faults) -> None:
--- a/fakes/prepared_deployment.py
+++ b/fakes/prepared_deployment.py
@@ -133,6 +133,7 @@
             "version": "v1",
             "slots": 8,
             "state": "ready",
+            "cold_left_ms": 0,
             "born": 1,
             "seq": 1,
             **fields,
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -110,6 +110,7 @@
     endpoint_faults: int = 0
     active_endpoint_faults: int = 0
     _endpoint_numbers: itertools.count = field(default_factory=itertools.count)
+    _entry_numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
     async def __aenter__(self) -> "SoakCluster":
@@ -175,6 +176,7 @@
         """Writes the entry of an endpoint to the store."""
         entry = {"service": endpoint.pool, "address": endpoint.address, "zone": endpoint.zone}
         entry |= {"slots": 8, "state": state, "born": int(endpoint.name.rpartition("-")[2]) + 1}
+        entry |= {"version": "v1", "cold_left_ms": 0, "seq": next(self._entry_numbers)}
         self.store.put("keyed.servers", endpoint.name, msgspec.json.encode(entry))
 
     def restart_leaving_bounds(self) -> None:
--- a/tests/test_number_ranges.py
+++ b/tests/test_number_ranges.py
@@ -20,8 +20,10 @@
         "service": "app",
         "address": "127.0.0.1:80",
         "zone": "z",
+        "version": "v1",
         "slots": 4,
         "state": "ready",
+        "cold_left_ms": 0,
         "born": number,
         "seq": number,
     }
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -1,5 +1,6 @@
 """Odd records, from whichever writer, end no task and do not hold up the others."""
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -25,7 +26,7 @@
 NESTED = b"[" * DEPTH + b"]" * DEPTH
 ENTRY = (
     b'{"service": "app", "address": "127.0.0.1:%s", "zone": "z", "slots": %s, "state": "ready",'
-    b' "born": %s, "seq": 1, "x": %s}'
+    b' "version": "v1", "cold_left_ms": 0, "born": %s, "seq": 1, "x": %s}'
 )
 ODD_ENTRIES = {
     "deeply nested field": ENTRY % (b"80", b"4", b"1", NESTED),
@@ -50,6 +51,24 @@
         decode_endpoint_entry("i-1", ODD_ENTRIES[name])
 
 
+@in_deployment
+async def test_entry_with_missing_fields_moves_no_endpoint_to_another_service(deployment):
+    """Guards against ROUTE: an entry of another writer made an endpoint run others' requests."""
+    (app, _), client = await start_deployment(deployment, "app", "engines")
+    (vm,) = deployment.vms
+    entry = {"service": "engines", "address": app.address, "zone": "z", "slots": 8}
+    entry |= {"state": "ready", "born": 1}
+    deployment.store.put("keyed.servers", "i-0", msgspec.json.encode(entry))
+    deployment.publish_entry(app, "app", seq=2, slots=9)
+    deployment.store.put("keyed.servers", "i-0", msgspec.json.encode(entry))
+    await deployment.add_endpoint("i-2", "app")
+    await wait_until(lambda: "i-2" in vm.directory.entries_by_id)
+    assert vm.directory.entries_by_id["i-0"].pool == "app"
+    for number in range(6):
+        await client.stream("/explain/7", f"r{number}")
+    assert app.requests == []
+
+
 DECODERS = {
     "configuration": decode_configuration,
     "VM record": decode_vm_record,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,9 +37,12 @@
     "service": "app",
     "address": "127.0.0.1:80",
     "zone": "z",
+    "version": "v1",
     "slots": 4,
     "state": "ready",
+    "cold_left_ms": 0,
     "born": 12,
+    "seq": 3,
 }
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
@@ -84,7 +87,10 @@
         assert entry.is_draining == (value == "draining")
 
 
-@pytest.mark.parametrize("name", ["service", "address", "zone", "slots", "state"])
+@pytest.mark.parametrize(
+    "name",
+    ["service", "address", "zone", "version", "slots", "state", "cold_left_ms", "seq"],
+)
 def test_entry_without_a_required_field_is_rejected(name):
     fields = {key: value for key, value in ENTRY.items() if key != name}
     with pytest.raises(ProtocolError):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -142,7 +142,8 @@
 
 
 def create_update(start: int, era: int, is_complete: bool = False) -> RecordsUpdate:
-    value = b'{"service": "app", "address": "127.0.0.1:80", "zone": "z", "slots": 4, "state": "%s"}'
+    value = b'{"service": "app", "address": "127.0.0.1:80", "zone": "z", "slots": 4, "state": "%s",'
+    value += b' "version": "v1", "cold_left_ms": 0, "seq": 1}'
     records = (("i-9", value % b"ready"),)
     return RecordsUpdate(ENDPOINTS_TOPIC, start, start + 1, records, 1e6, 0.0, is_complete, era)
 
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -91,8 +91,10 @@
                 "service": pool,
                 "address": "127.0.0.1:80",
                 "zone": "z",
+                "version": "v1",
                 "slots": 4,
                 "state": state,
+                "cold_left_ms": 0,
                 "born": born,
                 "seq": self.end_offset + 1 if seq is None else seq,
             }
