Reword what stopped a new reader

A newcomer would have taken ReadingSpeed and ReadingPauses for one subject: the first is an engine's prefill (now EngineSpeed), the second a VM that leaves a stream unread. "find_shortest" sounded like a length; it chooses the members that metrics show. GRACE_SHARE seemed to be the end of the process, which is later: by then requests are answered. The comments on loans, spillover delays, the starting burst, crests and unused grants could be read in two ways, or did not parse.

Tests: two files follow the new names; nothing else in them changes.

--- a/bluebellpitch/__main__.py
+++ b/bluebellpitch/__main__.py
@@ -11,8 +11,8 @@
 def run() -> None:
     """Runs the program and exits with its exit status.
 
-    Exits at once: taking the interpreter apart takes a VM that is short of processor time longer
-    than what is left of its grace period.
+    Does not finalize the interpreter: on a VM that is short of processor time, that would take
+    longer than what is left of its grace period.
     """
     status = main()
     is_written = [flush(stream) for stream in (sys.stdout, sys.stderr)]
--- a/bluebellpitch/callers/routed_requests.py
+++ b/bluebellpitch/callers/routed_requests.py
@@ -55,7 +55,7 @@
         self._is_counted = False
         self._route_name = ""
         self._guard: CrashGuard | None = None
-        # Of the current attempt, until it is sent; the first attempt needs none.
+        # The retry for the next attempt, until that is sent; the first attempt needs none.
         self._retry: SpentRetry | None = None
 
     async def serve(self, http_request: HttpRequest) -> None:
@@ -266,7 +266,7 @@
     async def _must_not_send(self, place: Placement) -> bool:
         """Returns whether the endpoint has left or pauses, or a borrowed retry has expired.
 
-        Counts the request if not.
+        Otherwise counts the request as sent.
         """
         context = self._context
         if await context.endpoint_check.has_left(place.entry):
--- a/bluebellpitch/checks/findings.py
+++ b/bluebellpitch/checks/findings.py
@@ -30,7 +30,7 @@
 
 
 def warning(place: Place, message: str) -> Finding:
-    """Returns a finding for what has no effect, or not the whole one."""
+    """Returns a finding for what has no effect, or only part of it."""
     return Finding(Severity.WARNING, place, message)
 
 
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """Everything that a check has to say. ``changes`` is None without a version in force."""
+    """Everything that a check has to say. ``changes`` is None if nothing was compared."""
 
     findings: tuple[Finding, ...]
     changes: tuple[Change, ...] | None = None
--- a/bluebellpitch/commands/check.py
+++ b/bluebellpitch/commands/check.py
@@ -136,7 +136,7 @@
 
 
 def format_json(report: Report) -> str:
-    """Returns the report as a JSON object; ``changes`` is null without a version in force."""
+    """Returns the report as a JSON object; ``changes`` is null if nothing was compared."""
     findings = [
         {
             "severity": finding.severity,
--- a/bluebellpitch/decisions/engine_placement.py
+++ b/bluebellpitch/decisions/engine_placement.py
@@ -28,7 +28,7 @@
 UNPACED_BACKLOG_S = 0.1
 # Work whose wait for an engine is at most this long starts there at once.
 START_TOLERANCE_S = 0.001
-# Engines that read more slowly than this do not count for the speed of the pool.
+# Engines with a slowdown above this do not count for the speed of the pool.
 MAX_USUAL_SLOWDOWN = 1.5
 # Nor do samples of engines whose responses name a slowdown above this.
 MAX_NAMED_SLOWDOWN = 1.1
@@ -95,14 +95,14 @@
         ]
 
     def prefill_s(self, engine: EngineState, work: WorkItem, now: float) -> float:
-        """Returns how long the engine reads the prompt."""
+        """Returns how long the engine takes to prefill the prompt."""
         s_per_token = self.speed.s_per_token * self.slowdown(engine, now)
         return engine.uncached_tokens(work) * s_per_token
 
     def slowdown(self, engine: EngineState, now: float) -> float:
-        """Returns how much more slowly than the pool's usual engine this one reads."""
+        """Returns how many times longer prefill takes here than at the pool's usual engine."""
         named = engine.load.slowdown(now)
-        return engine.reading_speed.slowdown(self._usual_slowdown, named, now)
+        return engine.speed.slowdown(self._usual_slowdown, named, now)
 
     def record_prefill(
         self, engine: EngineState, assigned: AssignedWork, since_sent_s: float, now: float
@@ -111,7 +111,7 @@
         if not assigned.is_short:
             s_per_token = self.speed.s_per_token * engine.load.slowdown(now)
             expected_s = assigned.uncached_tokens * s_per_token
-            engine.reading_speed.record_first_token(
+            engine.speed.record_first_token(
                 expected_s, since_sent_s, self.speed.fixed_s, now - assigned.report_delay_s
             )
             self._compare_engines()
@@ -127,11 +127,11 @@
         before = self.speed.s_per_token
         self.speed.add_sample(tokens, seconds)
         for engine in self.engines_by_key.values():
-            engine.reading_speed.correct_expected(self.speed.s_per_token / before)
+            engine.speed.correct_expected(self.speed.s_per_token / before)
         self._compare_engines()
 
     def _compare_engines(self) -> None:
-        speeds = [engine.reading_speed for engine in self.engines_by_key.values()]
+        speeds = [engine.speed for engine in self.engines_by_key.values()]
         self._usual_slowdown = usual_slowdown(speeds)
 
     def _has_usual_speed(self, engine: EngineState, now: float) -> bool:
@@ -178,7 +178,7 @@
     def event_s(self) -> float:
         """Returns how long the engines need for an event of each stream.
 
-        An empty prompt takes as long to its first event.
+        That is about the time to the first event of an empty prompt.
         """
         return max(MIN_EVENT_S, self.speed.fixed_s)
 
--- a/bluebellpitch/decisions/engine_state.py
+++ b/bluebellpitch/decisions/engine_state.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from bluebellpitch.decisions.endpoints import EndpointEntry
-from bluebellpitch.decisions.engine_speeds import ReadingSpeed
+from bluebellpitch.decisions.engine_speeds import EngineSpeed
 from bluebellpitch.decisions.loads import EndpointLoad, WorkItem
 from bluebellpitch.decisions.prefill import PrefillSchedule
 
@@ -34,9 +34,9 @@
 
     @property
     def report_delay_s(self) -> float:
-        """How long before its report here the engine sent the first token of another zone's work.
+        """How long a first token was under way to this broker; above 0 for another zone's work.
 
-        The other half of the delay passes before the prompt is at the engine.
+        The other half of the spillover delay passes before the prompt is at the engine.
         """
         return self.work.spillover_delay_s / 2
 
@@ -49,7 +49,7 @@
     slots: int
     kv_capacity_tokens: int
     load: EndpointLoad = field(default_factory=EndpointLoad)
-    reading_speed: ReadingSpeed = field(default_factory=ReadingSpeed)
+    speed: EngineSpeed = field(default_factory=EngineSpeed)
     prefill_schedule: PrefillSchedule = field(default_factory=PrefillSchedule)
     assigned_by_id: dict[str, AssignedWork] = field(default_factory=dict)
     last_response_at: float = float("-inf")
--- a/bluebellpitch/decisions/loads.py
+++ b/bluebellpitch/decisions/loads.py
@@ -32,7 +32,7 @@
     ``parts`` are the ids and sizes of the prompt's parts; all but the last may be shared with other
     requests. ``target_s`` is the target for the time to first token, ``gap_target_s`` that for the
     longest gap between events. ``member`` is empty in a configuration without members.
-    ``spillover_delay_s`` is how much later a first token is known of here, of work of another zone.
+    ``spillover_delay_s`` is how much later a broker hears of a first token of another zone.
     """
 
     id: str
--- a/bluebellpitch/decisions/preemption.py
+++ b/bluebellpitch/decisions/preemption.py
@@ -13,7 +13,7 @@
 
 
 def is_preemptible(grant: ActiveGrant) -> bool:
-    """Returns whether a grant can be preempted: its request can resume and was not too often."""
+    """Returns whether a grant can be preempted: its request can resume, and not too often yet."""
     if grant.preempting or not grant.request.resumable:
         return False
     return grant.request.preemptions < MAX_PREEMPTIONS_PER_REQUEST
--- a/bluebellpitch/decisions/retry_budget.py
+++ b/bluebellpitch/decisions/retry_budget.py
@@ -14,7 +14,7 @@
 
 # Share of the budget that is used; the rest covers VMs that are not known yet or start again.
 USABLE_BUDGET_SHARE = 0.7
-# Share of its burst for a VM that may follow one which used the rest.
+# Share of its burst that a VM may use while an earlier process of it may have used the rest.
 STARTING_BURST_SHARE = 1 - USABLE_BUDGET_SHARE
 # How long borrowed retries may be sent after they were asked for.
 LOAN_S = 2.0
@@ -130,7 +130,7 @@
         return SpentRetry(pool)
 
     def shortfall(self, pool: str, vms: int, now: float) -> int:
-        """Returns how many retries this VM lacks for as many more as were wanted lately."""
+        """Returns how many retries are missing if as many are wanted again as lately."""
         wanted = len(self._use(pool, now).wanted_at)
         lacking = math.ceil(wanted - self.remaining(pool, vms, now))
         return min(MAX_LOAN_RETRIES, max(0, lacking))
@@ -140,7 +140,7 @@
         self._use(pool, now).borrowed.append(BorrowedRetries(count, expires_at))
 
     def lend(self, pool: str, wanted: int, vms: int, now: float) -> int:
-        """Returns how many retries are lent to another VM that wants some; they count here."""
+        """Lends up to ``wanted`` retries, which count as spent here; returns how many."""
         use = self._use(pool, now)
         spare = self._own_remaining(pool, vms, now) - len(use.wanted_at)
         if self._may_follow_another(now) or spare < 1.0:
--- a/bluebellpitch/decisions/retry_loans.py
+++ b/bluebellpitch/decisions/retry_loans.py
@@ -24,7 +24,7 @@
 
     @property
     def expires_at(self) -> float:
-        """When the loan ends, which its lender starts to count later."""
+        """When the loan ends here; at the lender, which counts from its answer, later."""
         return self.asked_at + LOAN_S
 
 
--- a/bluebellpitch/decisions/scaling/levels.py
+++ b/bluebellpitch/decisions/scaling/levels.py
@@ -25,7 +25,7 @@
 # How long the level of a peak is kept: cheap engines longer than expensive ones.
 SPOT_HOLD_S = 30.0
 ON_DEMAND_HOLD_S = 8.0
-# What the crest of a wave needs is known for so long: longer than from one crest to the next.
+# The need at the crest of a wave of demand is remembered for longer than until the next crest.
 WAVE_S = 15.0
 USUAL_LEVEL_S = 8.0
 PROFILE_S = 3.0
@@ -133,7 +133,7 @@
 
     def keep(self, engines: int, now: float) -> None:
         """Counts existing engines as a peak, so that a new holder does not remove them."""
-        # Nothing is usual about these.
+        # Their usual level of 0 keeps them out of ``crest``.
         self._levels.append((now, float(engines), 0.0))
 
     def record(self, level: float, now: float, why: str) -> None:
--- a/bluebellpitch/decisions/shortage/fair_shares.py
+++ b/bluebellpitch/decisions/shortage/fair_shares.py
@@ -15,7 +15,7 @@
 # What a member usually asks for, and what it has lately been granted, decay with these half-lives.
 USUAL_HALF_LIFE_S = 60.0
 GRANTED_HALF_LIFE_S = 2.0
-# A member's largest request counts less and less, longer than what it was granted.
+# The size of a member's largest request decays with this half-life.
 LARGEST_HALF_LIFE_S = 10.0
 # Usual demand is first learnt for so long, while nobody is over its share.
 LEARNING_S = 5.0
--- a/bluebellpitch/decisions/shutdown.py
+++ b/bluebellpitch/decisions/shutdown.py
@@ -2,14 +2,14 @@
 
 from dataclasses import dataclass, field
 
-# Share of the grace period after which the process ends by itself.
+# Share of the grace period by which all requests have been answered.
 GRACE_SHARE = 0.94
-# Share by which what remains is given up, such as calls of the store; then connections are closed.
+# Share by which other open calls, such as those of the store, end; then connections are closed.
 LAST_CALLS_SHARE = 0.96
 # Messages to peers that are still queued then have this long to leave.
 LAST_MESSAGES_S = 0.2
 LAST_MESSAGES_SHARE = 0.02
-# Time before that in which requests that are still open get their answers.
+# Time before ``GRACE_SHARE`` in which requests that are still open get their answers.
 ANSWER_TIME_S = 0.3
 # An estimate falls by this share towards each request that takes less time.
 DECAY = 0.05
--- a/bluebellpitch/decisions/slot_grants.py
+++ b/bluebellpitch/decisions/slot_grants.py
@@ -35,7 +35,7 @@
 
     @property
     def restriction(self) -> Restriction:
-        """What keeps the request from some endpoints. Isolated ones compete and count alike."""
+        """What keeps the request from some endpoints; the same for all isolated requests."""
         return ISOLATED if self.isolation_level else (False, self.excluded_endpoints)
 
 
--- a/bluebellpitch/peers/retry_messages.py
+++ b/bluebellpitch/peers/retry_messages.py
@@ -13,7 +13,7 @@
 
 
 class RetryLoan(msgspec.Struct, frozen=True, tag="retry_loan"):
-    """Lends ``count`` retries, which the borrower counts from when it asked."""
+    """Lends ``count`` retries; the loan's time runs from when the borrower asked."""
 
     loan_id: str
     count: int
--- a/bluebellpitch/roles/engine_speed_monitor.py
+++ b/bluebellpitch/roles/engine_speed_monitor.py
@@ -34,7 +34,7 @@
 
 def describe_speed(engine: EngineState, slowdown: float, now: float) -> dict[str, str]:
     """Returns an engine's estimated slowdown and what it is based on."""
-    speed = engine.reading_speed
+    speed = engine.speed
     return {
         "endpoint": engine.entry.id,
         "slowdown": f"{slowdown:.2f}",
--- a/bluebellpitch/roles/generation_broker_client.py
+++ b/bluebellpitch/roles/generation_broker_client.py
@@ -283,10 +283,10 @@
             self._return_grant(response)
 
     def _return_grant(self, granted: WorkGranted) -> None:
-        """Returns a grant that is not used, and reports the one that is to the same broker.
+        """Returns an unused grant; tells its broker again which one is used, if that is its own.
 
-        A broker counts one grant of a work, the last: without the report, it would take the engine
-        that runs the work for free.
+        A broker counts only the last grant of a work. Without the report, it would count the engine
+        that runs the work as idle.
         """
         address = granted.broker_address
         self._send_to_address(address, WorkEnded(granted.work_id, granted.pool, "withdrawn"))
--- a/bluebellpitch/roles/shortage_metrics.py
+++ b/bluebellpitch/roles/shortage_metrics.py
@@ -1,6 +1,6 @@
 """Shows what the brokers of this VM are short of: by rank, by reason, and by member.
 
-Members that wait, were refused or were granted most have labels of their own; there are hundreds.
+Of hundreds of members, only those that wait, were refused or were granted most are shown.
 """
 
 import heapq
@@ -69,7 +69,7 @@
 
     def _show_members(self, broker: GenerationBroker, now: float) -> None:
         queued = count_queued(broker)
-        for share in find_shortest(broker.shares.member_shares(queued, now), queued):
+        for share in choose_shown_members(broker.shares.member_shares(queued, now), queued):
             labels, metrics = (broker.pool, self._zone, share.member), self._metrics
             metrics.member_usual_share.labels(*labels).set(share.usual)
             metrics.member_granted_share.labels(*labels).set(share.granted)
@@ -83,7 +83,7 @@
     return Counter(waiting.work.member for waiting in broker.waiting_by_id.values())
 
 
-def find_shortest(shares: Iterable[MemberShare], queued: Counter[str]) -> list[MemberShare]:
+def choose_shown_members(shares: Iterable[MemberShare], queued: Counter[str]) -> list[MemberShare]:
     """Returns the members with the most requests queued or refused, then those granted most."""
     return heapq.nlargest(
         MAX_SHOWN_MEMBERS,
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bluebellpitch.decisions.engine_speeds import ReadingSpeed, usual_slowdown
+from bluebellpitch.decisions.engine_speeds import EngineSpeed, usual_slowdown
 from bluebellpitch.decisions.generation_decisions import Granted
 from bluebellpitch.decisions.loads import SLOWDOWN_HALF_LIFE_S, WorkItem
 from bluebellpitch.metrics import Metrics
@@ -39,7 +39,7 @@
     return sum(outcome.is_on_time for outcome in outcomes) / len(outcomes)
 
 
-def read_alone(speed: ReadingSpeed, slowdown: float, count: int, now: float) -> float:
+def read_alone(speed: EngineSpeed, slowdown: float, count: int, now: float) -> float:
     """Lets an engine read prompts one by one; returns the time after the last."""
     for _ in range(count):
         now += FIXED_S + READ_S * slowdown
@@ -92,7 +92,7 @@
 
 
 def test_prompts_that_overlap_are_measured_from_the_end_of_the_one_before():
-    speed, now = ReadingSpeed(), 0.0
+    speed, now = EngineSpeed(), 0.0
     for number in range(1, 6):
         now = FIXED_S + number * READ_S
         speed.record_first_token(READ_S, now, FIXED_S, now)
@@ -101,13 +101,13 @@
 
 def test_one_prompt_shows_most_of_a_slowdown():
     """So a broker that takes over knows its engines again after one prompt each."""
-    speed = ReadingSpeed()
+    speed = EngineSpeed()
     now = read_alone(speed, 5.0, 1, 0.0)
     assert 3.0 < speed.slowdown(1.0, 1.0, now) < 5.0
 
 
 def test_slowdown_is_forgotten_with_age():
-    speed = ReadingSpeed()
+    speed = EngineSpeed()
     now = read_alone(speed, 5.0, 4, 0.0)
     slowdowns = [speed.slowdown(1.0, 1.0, now + age_s) for age_s in (0.0, 3.0, 10.0, 30.0)]
     assert slowdowns == sorted(slowdowns, reverse=True)
@@ -125,7 +125,7 @@
 
 
 def test_engine_is_compared_with_the_usual_one_of_its_pool():
-    speeds = [ReadingSpeed() for _ in range(3)]
+    speeds = [EngineSpeed() for _ in range(3)]
     now = max(read_alone(speed, 1.5, 6, 0.0) for speed in speeds)
     assert speeds[0].slowdown(usual_slowdown(speeds), 1.0, now) == pytest.approx(1.0)
 
@@ -168,7 +168,7 @@
     broker, metrics = make_broker(2), Metrics()
     monitor = EngineSpeedMonitor(metrics)
     slow = broker.placement.engines_by_key["i-0", 1]
-    now = read_alone(slow.reading_speed, 5.0, 3, 0.0)
+    now = read_alone(slow.speed, 5.0, 3, 0.0)
     monitor.update([broker], now)
     monitor.update([broker], now)
     shown = metrics.render().decode()
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -192,7 +192,7 @@
     read_at += read_s
     broker.record_first_token("near", read_at - 1.15, 1.0, read_at)
     (engine,) = broker.placement.engines_by_key.values()
-    assert engine.reading_speed.measured_slowdown() == pytest.approx(1.0, abs=0.02)
+    assert engine.speed.measured_slowdown() == pytest.approx(1.0, abs=0.02)
 
 
 def test_prefill_of_another_zones_prompt_ends_when_the_engine_has_read_it():
