--- a/bluebellpitch/callers/routed_response.py
+++ b/bluebellpitch/callers/routed_response.py
@@ -44,13 +44,13 @@
         """Sends the response of an endpoint that ran the request.
 
         Its status is unchanged, unless the caller would send a request again that may run only
-        once: then the response is an error of the VM's own, which promises nothing.
+        once: then the response is an error of the VM itself, which leaves it open whether it ran.
         """
         head = response.head
-        if response.is_false_promise and not admitted.is_retryable:
+        if response.is_false_refusal and not admitted.is_retryable:
             error = MayHaveRun(f"answered {head.status}")
             await self.send_error(error, admitted.request.id)
-            return Ran(f"answered {head.status} without a promise", error.status)
+            return Ran(f"answered {head.status} after a run", error.status)
         await self.send_complete(head.status, head.headers, response.body)
         return Ran(f"answered {head.status}", head.status)
 
--- a/bluebellpitch/endpoints/attempt.py
+++ b/bluebellpitch/endpoints/attempt.py
@@ -34,7 +34,7 @@
 DRAIN_REFUSAL_TIMEOUT_S = 0.2
 UNSENT_RETRY_AFTER_S = 0.1
 # To callers, each of these means that the request has not run and never will.
-PROMISING_STATUSES = frozenset((408, 421, 429, 503))
+REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,9 +45,9 @@
     body: bytes
 
     @property
-    def is_false_promise(self) -> bool:
-        """Whether callers would take the status for a promise that the endpoint does not give."""
-        return self.head.status in PROMISING_STATUSES and not self.head.did_not_run
+    def is_false_refusal(self) -> bool:
+        """Whether callers would take it for a refusal that the endpoint does not give."""
+        return self.head.status in REFUSAL_STATUSES and not self.head.did_not_run
 
 
 @dataclass(frozen=True, slots=True)
