--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -64,6 +64,7 @@
         self._start = time.monotonic()
 
     def __call__(self, text: str) -> None:
+        """Writes one line."""
         self._file.write(f"{time.monotonic() - self._start:8.3f} s  {text}\n")
         self._file.flush()
         print(text, flush=True)
@@ -166,7 +167,7 @@
                 await asyncio.sleep(0.004)
                 await self._answer(request, writer)
                 await writer.drain()
-        except ConnectionError:
+        except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -370,6 +371,7 @@
         self.log = deployment.folder / f"{name}.log"
         self.restarts = True
         self.ends: list[int] = []
+        self.ended_at: list[float] = []
         self.first_start = True
         self._watch = None
 
@@ -441,6 +443,7 @@
     async def _restart_when_ended(self, process) -> None:
         status = await process.wait()
         self.ends.append(status)
+        self.ended_at.append(time.monotonic())
         lasted_s = time.monotonic() - self.started_at
         self._deployment.record(f"{self.name} ended with {status} after {lasted_s:.2f} s")
         self.first_start = False
@@ -450,7 +453,7 @@
 
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
-        if self.process.returncode is None:
+        if self.process is not None and self.process.returncode is None:
             self._deployment.record(f"{self.name} gets {signal.Signals(number).name}")
             self.process.send_signal(number)
 
@@ -542,8 +545,9 @@
         return next((v for n, v in self.headers if n.lower() == name.lower()), "")
 
 
-def build_request(method: str, target: str, request_id: str, body=b"", headers=(), key=KEY,
-                  deadline_ms=15000) -> bytes:
+def build_request(
+    method: str, target: str, request_id: str, body=b"", headers=(), key=KEY, deadline_ms=15000
+) -> bytes:
     """Returns the bytes of a request."""
     lines = [
         f"{method} {target} HTTP/1.1",
