--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -370,6 +371,8 @@
         self.process = None
         self.log = deployment.folder / f"{name}.log"
         self.restarts = True
+        # Limit of descriptors of the process, as the platform sets it; None for that of the shell.
+        self.max_fds: int | None = None
         self.ends: list[int] = []
         self.ended_at: list[float] = []
         self.first_start = True
@@ -396,7 +399,7 @@
             "limits.cpu_share": 0.537,
             "limits.cores": 2,
             "limits.memory_mb": 300,
-            "limits.max_fds": 4100,
+            "limits.max_fds": self.max_fds or 4100,
             "limits.link_mbps": 1000.0,
             "limits.disk_mb": 0,
             "discovery": "platform",
@@ -434,12 +437,21 @@
         }
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                *self._deployment.command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                *self._deployment.command,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=self._limit_descriptors,
             )
         self.started_at = time.monotonic()
         self._deployment.record(f"{self.name} is started, pid {self.process.pid}")
         self._watch = asyncio.create_task(self._restart_when_ended(self.process))
 
+    def _limit_descriptors(self) -> None:
+        if self.max_fds is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds))
+
     async def _restart_when_ended(self, process) -> None:
         status = await process.wait()
         self.ends.append(status)
@@ -524,10 +536,12 @@
         await server.start(f"{self.net}.{100 + len(self.servers)}")
         return server
 
-    async def add_node(self, zone: int = 0) -> Node:
-        """Starts an entry VM and waits until it is ready."""
+    async def add_node(self, zone: int = 0, **fields) -> Node:
+        """Starts an entry VM."""
         number = len(self.nodes) + 1
         node = Node(self, f"front-{number}", self.zones[zone], f"{self.net}.{10 + number}")
+        for name, value in fields.items():
+            setattr(node, name, value)
         self.nodes.append(node)
         await node.start()
         return node
